--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Pure decisions of kestrellock: positions, catalog, classification, routing, outcomes.
+//!
+//! Nothing here does I/O, starts threads or reads a clock. Time and randomness are arguments, so
+//! that every decision can be tested and replayed.
+
+pub mod catalog;
+pub mod classify;
+pub mod ids;
+pub mod outcome;
+pub mod position;
+pub mod rendezvous;
+pub mod routing;
+pub mod session;
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,131 @@
+//! Numbered result codes: what a caller is told when the proxy itself answers.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether the statement took effect, as far as the proxy can vouch for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Execution {
+    /// It took effect.
+    Ran,
+    /// It did not take effect and never will.
+    NotRun,
+    /// It may have taken effect, or may still do so.
+    InDoubt,
+}
+
+macro_rules! result_codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $state:literal, $execution:ident;)*) => {
+        /// A numbered result. The number stands at the head of the message as `KLnnnn`.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        pub enum ResultCode { $($(#[$doc])* $name,)* }
+
+        impl ResultCode {
+            /// Every code, in order of its number.
+            pub const ALL: &'static [ResultCode] = &[$(ResultCode::$name,)*];
+
+            /// The number, unique for good.
+            pub fn number(self) -> u16 { match self { $(Self::$name => $number,)* } }
+
+            /// The SQLSTATE that goes to a PostgreSQL caller.
+            pub fn sqlstate(self) -> &'static str { match self { $(Self::$name => $state,)* } }
+
+            /// What the code says of the statement.
+            pub fn execution(self) -> Execution {
+                match self { $(Self::$name => Execution::$execution,)* }
+            }
+        }
+    };
+}
+
+result_codes! {
+    /// The first message is not a PostgreSQL 3.x start-up.
+    ProtocolViolation = 1001, "08P01", NotRun;
+    /// A message is larger than the node accepts.
+    MessageTooLarge = 1002, "54000", NotRun;
+    /// The node has as many callers as it accepts.
+    TooManyCallers = 1003, "53300", NotRun;
+    /// The start-up did not finish in time.
+    StartupTimeout = 1004, "08P01", NotRun;
+    /// The login is unknown or its proof is wrong.
+    LoginRefused = 1101, "28P01", NotRun;
+    /// The tenant may not use that database.
+    DatabaseNotAllowed = 1102, "3D000", NotRun;
+    /// The session token is malformed or of another group.
+    SessionTokenRefused = 1103, "22023", NotRun;
+    /// The statement uses something that a shared connection cannot offer.
+    NotSupported = 1201, "0A000", NotRun;
+    /// No configuration has arrived yet.
+    NoConfiguration = 1301, "57P03", NotRun;
+    /// No primary is known and none appeared before the deadline.
+    NoPrimary = 1302, "57P03", NotRun;
+    /// No instance satisfied session bound and staleness before the deadline.
+    NoFreshInstance = 1303, "57P03", NotRun;
+    /// The queue of the instance cannot make the deadline; retry later.
+    Overloaded = 1401, "53400", NotRun;
+    /// The tenant's share is used up; retry later.
+    TenantOverCapacity = 1402, "53400", NotRun;
+    /// The deadline passed before the statement was sent to a back end.
+    DeadlineBeforeSend = 1403, "57014", NotRun;
+    /// The node is stopping and takes no new work.
+    Stopping = 1404, "57P01", NotRun;
+    /// The connection to the back end was lost before the statement was sent.
+    NotSent = 1501, "08006", NotRun;
+    /// The instance refused the statement because it is not, or no longer, the primary.
+    NotPrimary = 1502, "25006", NotRun;
+    /// The transaction was lost before its commit was sent.
+    TransactionLost = 1503, "40001", NotRun;
+    /// The gateway no longer owns the instance; try another.
+    NotOwner = 1504, "08006", NotRun;
+    /// The back end refuses another connection.
+    BackendConnectionRefused = 1505, "53300", NotRun;
+    /// The read did not finish; reads change nothing.
+    ReadInterrupted = 1506, "08006", NotRun;
+    /// The connection was lost after a write had been sent.
+    ConnectionLostInDoubt = 1601, "08007", InDoubt;
+    /// A majority did not confirm the commit before the deadline.
+    UnconfirmedInDoubt = 1602, "08007", InDoubt;
+    /// The gateway that held the write fell silent.
+    GatewaySilentInDoubt = 1603, "08007", InDoubt;
+    /// The request key was used with another statement.
+    RequestKeyReused = 1701, "23505", NotRun;
+    /// The request key already holds a recorded outcome; the statement did not run again.
+    AlreadyRan = 1702, "23505", Ran;
+    /// The request key was abandoned: it never ran and never will.
+    Abandoned = 1703, "40001", NotRun;
+}
+
+/// A result the proxy itself gives in place of a back end's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// What happened.
+    pub code: ResultCode,
+    /// Detail in plain words, without secrets.
+    pub detail: String,
+    /// When to come back, where waiting helps.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal with no retry hint.
+    pub fn new(code: ResultCode, detail: impl Into<String>) -> Self {
+        Self { code, detail: detail.into(), retry_after: None }
+    }
+
+    /// The same refusal with a hint when to come back.
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// The text that a caller reads, beginning with the number.
+    pub fn message(&self) -> String {
+        let execution = match self.code.execution() {
+            Execution::Ran => "ran",
+            Execution::NotRun => "not run",
+            Execution::InDoubt => "in doubt",
+        };
+        format!("KL{} {execution}: {}", self.code.number(), self.detail)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,120 @@
+//! Which instance of a group serves a statement.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{InstanceName, ZoneName};
+use crate::position::Position;
+
+/// What an instance says it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Role {
+    /// Accepts writes, or believes it may.
+    Primary,
+    /// Follows a primary.
+    Replica,
+}
+
+/// What was last learnt of an instance, by asking it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Role it reported.
+    pub role: Role,
+    /// Term and offset applied, which reads see.
+    pub applied: Position,
+    /// Term and offset flushed to its log, which elections count.
+    pub flushed: Position,
+    /// Whether the last probe was answered.
+    pub reachable: bool,
+    /// Expected wait for a slot.
+    pub queue_wait: Duration,
+    /// For a replica: how far its data trails the confirmed primary.
+    pub lag: Duration,
+    /// For a primary: time since a majority last confirmed its term.
+    pub unconfirmed_for: Option<Duration>,
+}
+
+/// What a statement needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Access {
+    /// Any instance that has reached `bound` and trails by at most `max_staleness`.
+    Read {
+        /// Session bound, if the session has one.
+        bound: Option<Position>,
+        /// Largest lag accepted.
+        max_staleness: Duration,
+    },
+    /// The primary, because the statement may change something.
+    Write,
+}
+
+/// An instance of the group, as far as it is known to the node that routes.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What is known of it.
+    pub status: &'a InstanceStatus,
+    /// Zone it runs in.
+    pub zone: &'a ZoneName,
+}
+
+/// Where a statement goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice<'a> {
+    /// To this instance, now.
+    Serve(&'a InstanceName),
+    /// To this replica, which is expected to reach the bound within `wait`.
+    ServeAfter(&'a InstanceName, Duration),
+    /// Nowhere yet: no instance qualifies.
+    Nowhere,
+}
+
+/// Picks the primary of highest term among reachable instances that claim the role.
+pub fn primary<'a>(candidates: &[Candidate<'a>]) -> Option<&'a InstanceStatus> {
+    candidates
+        .iter()
+        .map(|candidate| candidate.status)
+        .filter(|status| status.reachable && status.role == Role::Primary)
+        .max_by_key(|status| status.applied.term)
+}
+
+/// Whether `status` may serve a read with this bound and staleness.
+fn qualifies(status: &InstanceStatus, bound: Option<&Position>, max_staleness: Duration) -> bool {
+    let age = match status.role {
+        Role::Replica => status.lag,
+        Role::Primary => status.unconfirmed_for.unwrap_or(Duration::ZERO),
+    };
+    status.reachable
+        && age <= max_staleness
+        && bound.is_none_or(|bound| status.applied.satisfies(bound))
+}
+
+/// Chooses the instance for `access`: for a read the nearest qualifying replica, the shortest
+/// queue among equals, the primary when no replica qualifies; for a write the primary.
+pub fn choose<'a>(
+    access: &Access,
+    candidates: &[Candidate<'a>],
+    local_zone: &ZoneName,
+) -> Choice<'a> {
+    let Access::Read { bound, max_staleness } = access else {
+        return serve_primary(candidates);
+    };
+    let replica = candidates
+        .iter()
+        .filter(|candidate| candidate.status.role == Role::Replica)
+        .filter(|candidate| qualifies(candidate.status, bound.as_ref(), *max_staleness))
+        .min_by_key(|candidate| (candidate.zone != local_zone, candidate.status.queue_wait));
+    match replica {
+        Some(candidate) => Choice::Serve(&candidate.status.instance),
+        None => serve_primary(candidates),
+    }
+}
+
+fn serve_primary<'a>(candidates: &[Candidate<'a>]) -> Choice<'a> {
+    match primary(candidates) {
+        Some(status) => Choice::Serve(&status.instance),
+        None => Choice::Nowhere,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/mod.rs
@@ -0,0 +1,3 @@
+//! The agent: keeps the catalog up to date and knows the other nodes.
+
+pub mod configuration;
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,121 @@
+//! What every part of a node shares: who it is, which nodes live, the catalog, instance statuses.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crossbeam::sync::ShardedLock;
+use kestrellock_core::catalog::Catalog;
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
+use kestrellock_core::rendezvous::{Candidate, Ownership, ownership};
+use kestrellock_core::routing::InstanceStatus;
+
+/// Who this process is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Name from the settings.
+    pub node: NodeName,
+    /// Zone from the settings.
+    pub zone: ZoneName,
+    /// Differs between processes of one name; grows.
+    pub incarnation: u64,
+}
+
+/// A node believed to live.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LiveNode {
+    /// Name and zone.
+    pub candidate: Candidate,
+    /// Where it accepts peers.
+    pub peer_address: SocketAddr,
+    /// Whether it may own instances (a leaving node may not).
+    pub accepts_work: bool,
+}
+
+/// A value replaced whole and read often.
+#[derive(Debug, Default)]
+pub struct Shared<T> {
+    value: ShardedLock<Arc<T>>,
+}
+
+impl<T> Shared<T> {
+    /// Starts with `value`.
+    pub fn new(value: T) -> Self {
+        Self { value: ShardedLock::new(Arc::new(value)) }
+    }
+
+    /// The value now in force.
+    pub fn load(&self) -> Arc<T> {
+        self.value.read().expect("a holder of the lock panicked").clone()
+    }
+
+    /// Replaces the value.
+    pub fn store(&self, value: T) {
+        *self.value.write().expect("a holder of the lock panicked") = Arc::new(value);
+    }
+}
+
+/// Newest status of every instance this node has heard of, a lock for each group.
+#[derive(Debug, Default)]
+pub struct StatusBoard {
+    groups: ShardedLock<HashMap<GroupName, Arc<ShardedLock<GroupStatuses>>>>,
+}
+
+/// Statuses of one group's instances.
+pub type GroupStatuses = HashMap<InstanceName, InstanceStatus>;
+
+impl StatusBoard {
+    /// The group's statuses, shared.
+    pub fn group(&self, name: &GroupName) -> Arc<ShardedLock<GroupStatuses>> {
+        const POISONED: &str = "a holder of the status lock panicked";
+        if let Some(found) = self.groups.read().expect(POISONED).get(name) {
+            return found.clone();
+        }
+        self.groups.write().expect(POISONED).entry(name.clone()).or_default().clone()
+    }
+
+    /// Takes in newer statuses of a group.
+    pub fn update(&self, group: &GroupName, statuses: impl IntoIterator<Item = InstanceStatus>) {
+        let board = self.group(group);
+        let mut board = board.write().expect("a holder of the status lock panicked");
+        for status in statuses {
+            board.insert(status.instance.clone(), status);
+        }
+    }
+}
+
+/// Everything a node's threads share.
+#[derive(Debug)]
+pub struct NodeContext {
+    /// This node.
+    pub identity: Identity,
+    /// Nodes believed to live, this one among them.
+    pub live: Shared<Vec<LiveNode>>,
+    /// Configuration in force.
+    pub catalog: Shared<Catalog>,
+    /// What is known of back ends.
+    pub statuses: StatusBoard,
+    /// Number of shards.
+    pub shards: u16,
+}
+
+impl NodeContext {
+    /// Owner and standby of an instance by the nodes now live.
+    pub fn ownership(&self, instance: &InstanceName, zone: &ZoneName) -> Option<Ownership> {
+        let live = self.live.load();
+        let candidates = live.iter().filter(|node| node.accepts_work).map(|node| &node.candidate);
+        ownership(instance, zone, candidates)
+    }
+
+    /// Where a live node accepts peers.
+    pub fn peer_address(&self, node: &NodeName) -> Option<SocketAddr> {
+        let live = self.live.load();
+        live.iter().find(|peer| peer.candidate.node == *node).map(|peer| peer.peer_address)
+    }
+
+    /// The shard of this node that holds a group's gateway.
+    pub fn shard_of(&self, group: &GroupName) -> u16 {
+        let hash = xxhash_rust::xxh3::xxh3_64(group.as_str().as_bytes());
+        (hash % u64::from(self.shards)) as u16
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/answer.rs
@@ -0,0 +1,54 @@
+//! Messages that the proxy itself writes to a caller.
+
+use bytes::BytesMut;
+use kestrellock_core::outcome::Refusal;
+use kestrellock_core::session::{SESSION_PARAMETER, SessionBound};
+use kestrellock_peer::message::TransactionState;
+use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
+use pgwire::messages::startup::ParameterStatus;
+use pgwire::messages::{Message, PgWireBackendMessage};
+
+/// Appends a message. Encoding into memory fails only for a message larger than the protocol
+/// allows, which none of ours is.
+pub fn put(message: PgWireBackendMessage, output: &mut BytesMut) {
+    if let Err(error) = message.encode(output) {
+        log::error!("a message of our own could not be encoded: {error}");
+    }
+}
+
+/// Appends an error of the proxy's own.
+pub fn put_refusal(refusal: &Refusal, severity: &str, output: &mut BytesMut) {
+    let mut fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', refusal.code.sqlstate().to_owned()),
+        (b'M', refusal.message()),
+    ];
+    if let Some(wait) = refusal.retry_after {
+        fields.push((b'H', format!("retry after {} ms", wait.as_millis())));
+    }
+    put(PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)), output);
+}
+
+/// Appends `ReadyForQuery`.
+pub fn put_ready(state: TransactionState, output: &mut BytesMut) {
+    let status = match state {
+        TransactionState::Idle => TransactionStatus::Idle,
+        TransactionState::Open => TransactionStatus::Transaction,
+        TransactionState::Failed => TransactionStatus::Error,
+    };
+    put(PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status)), output);
+}
+
+/// Appends a parameter status.
+pub fn put_parameter(name: &str, value: &str, output: &mut BytesMut) {
+    let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+    if let Err(error) = status.encode(output) {
+        log::error!("parameter {name} could not be encoded: {error}");
+    }
+}
+
+/// Appends the session token.
+pub fn put_session_token(bound: &SessionBound, output: &mut BytesMut) {
+    put_parameter(SESSION_PARAMETER, &bound.to_token(), output);
+}
--- /dev/null
+++ b/crates/daemon/src/front/mod.rs
@@ -0,0 +1,143 @@
+//! The front: callers' connections, their sessions and where their statements go.
+
+pub mod answer;
+pub mod session;
+pub mod startup;
+pub mod target;
+
+use std::collections::HashMap;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use kestrellock_core::ids::LeaseId;
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_peer::message::{Exchange, LeaseEvent, ToFront};
+use slab::Slab;
+
+use crate::context::Identity;
+use crate::net::connection::{Connection, ReadOutcome};
+use crate::shard::{Io, Part, token};
+
+use self::session::{Session, SessionEnd};
+use self::target::Subscriptions;
+
+/// Time a gateway gets beyond an exchange's deadline before it counts as silent.
+pub const GATEWAY_GRACE: Duration = Duration::from_millis(200);
+
+/// Callers of one shard.
+pub struct Front {
+    identity: Identity,
+    shard: u16,
+    sessions: Slab<Session>,
+    leases: HashMap<LeaseId, usize>,
+    next_serial: u64,
+    subscriptions: Subscriptions,
+}
+
+impl Front {
+    /// A front without callers.
+    pub fn new(identity: Identity, shard: u16) -> Self {
+        Self {
+            identity,
+            shard,
+            sessions: Slab::new(),
+            leases: HashMap::new(),
+            next_serial: 0,
+            subscriptions: Subscriptions::default(),
+        }
+    }
+
+    /// Number of connected callers.
+    pub fn callers(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Takes over a caller's connection.
+    pub fn accept(&mut self, stream: TcpStream, io: &mut Io) {
+        if stream.set_nonblocking(true).is_err() {
+            return;
+        }
+        let entry = self.sessions.vacant_entry();
+        let stream = mio::net::TcpStream::from_std(stream);
+        let registered =
+            Connection::register(stream, token(Part::Caller, entry.key()), io.registry, false);
+        if let Ok(connection) = registered {
+            entry.insert(Session::new(connection, io.now));
+        }
+    }
+
+    /// Handles readiness of a caller's connection.
+    pub fn on_ready(&mut self, key: usize, io: &mut Io) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        if session.connection.fill() == ReadOutcome::Closed {
+            self.close(key, io);
+            return;
+        }
+        self.advance(key, io);
+    }
+
+    /// Handles a gateway's message.
+    pub fn on_message(&mut self, message: ToFront, io: &mut Io) {
+        let ToFront::Lease { lease, sequence, event } = message else { return };
+        // A lease that has ended has no entry: its late answers stop here.
+        let Some(&key) = self.leases.get(&lease) else { return };
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        session.on_lease_event(sequence, event);
+        self.advance(key, io);
+    }
+
+    /// An exchange could not be handed to the node that owns its instance.
+    pub fn on_unsent(&mut self, exchange: &Exchange, io: &mut Io) {
+        let Some(&key) = self.leases.get(&exchange.lease) else { return };
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        let refusal = Refusal::new(ResultCode::NotSent, "no connection to the gateway");
+        session.end_lease(LeaseEvent::Refused(refusal));
+        self.advance(key, io);
+    }
+
+    /// Retries statements that wait for an instance, and ends those whose time is up.
+    pub fn on_tick(&mut self, io: &mut Io) {
+        let due: Vec<usize> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.needs_tick(io.now))
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            self.advance(key, io);
+        }
+        self.subscriptions.renew(io);
+    }
+
+    /// Lets a session do whatever its input and its lease allow now.
+    fn advance(&mut self, key: usize, io: &mut Io) {
+        let session = &mut self.sessions[key];
+        let serial = self.next_serial;
+        let new_lease = || LeaseId {
+            node: self.identity.node.clone(),
+            incarnation: self.identity.incarnation,
+            shard: self.shard,
+            serial,
+        };
+        let end = session.advance(new_lease, &mut self.subscriptions, io);
+        self.next_serial += 1;
+        for ended in session.ended_leases.drain(..) {
+            self.leases.remove(&ended);
+        }
+        if let Some(lease) = session.lease_id() {
+            self.leases.entry(lease.clone()).or_insert(key);
+        }
+        if end == SessionEnd::Close {
+            self.close(key, io);
+        }
+    }
+
+    fn close(&mut self, key: usize, io: &mut Io) {
+        let mut session = self.sessions.remove(key);
+        session.abandon(io);
+        for ended in session.ended_leases.drain(..) {
+            self.leases.remove(&ended);
+        }
+        session.connection.deregister(io.registry);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/session.rs
@@ -0,0 +1,347 @@
+//! One caller's session: reads its messages, runs exchanges one at a time, passes answers on.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use kestrellock_core::classify::{StatementClass, classify};
+use kestrellock_core::ids::LeaseId;
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::position::Position;
+use kestrellock_core::routing::Access;
+use kestrellock_core::session::SessionBound;
+use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToGateway, TransactionState};
+
+use super::startup::{self, Login, StartupStep};
+use super::target::{self, Subscriptions, Target};
+use super::{GATEWAY_GRACE, answer};
+use crate::net::connection::Connection;
+use crate::net::frames::{self, Frame};
+use crate::shard::{Io, Outgoing};
+
+const STARTUP_LIMIT: Duration = Duration::from_secs(10);
+
+/// Whether the session goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SessionEnd {
+    /// It goes on.
+    Continue,
+    /// Its connection is to be closed.
+    Close,
+}
+
+/// An exchange ready to go out, or on its way.
+#[derive(Debug)]
+struct Request {
+    frames: Bytes,
+    class: StatementClass,
+    ready_expected: u32,
+    deadline: Instant,
+    sent: bool,
+}
+
+/// The use of one back-end connection.
+#[derive(Debug)]
+struct Lease {
+    id: LeaseId,
+    target: Target,
+    next_exchange: u32,
+    next_sequence: u32,
+}
+
+/// A caller's session.
+#[derive(Debug)]
+pub struct Session {
+    /// The caller's connection.
+    pub connection: Connection,
+    /// Leases that ended since the front last looked.
+    pub ended_leases: Vec<LeaseId>,
+    started: Instant,
+    login: Option<Login>,
+    bound: Option<Position>,
+    transaction: TransactionState,
+    lease: Option<Lease>,
+    request: Option<Request>,
+    batch: BytesMut,
+    batch_class: StatementClass,
+}
+
+impl Session {
+    /// A session that has yet to log in.
+    pub fn new(connection: Connection, now: Instant) -> Self {
+        Self {
+            connection,
+            ended_leases: Vec::new(),
+            started: now,
+            login: None,
+            bound: None,
+            transaction: TransactionState::Idle,
+            lease: None,
+            request: None,
+            batch: BytesMut::new(),
+            batch_class: StatementClass::Read,
+        }
+    }
+
+    /// The lease in use, if any.
+    pub fn lease_id(&self) -> Option<&LeaseId> {
+        self.lease.as_ref().map(|lease| &lease.id)
+    }
+
+    /// Whether the session has something to do on a tick.
+    pub fn needs_tick(&self, now: Instant) -> bool {
+        match &self.request {
+            Some(request) if request.sent => now > request.deadline + GATEWAY_GRACE,
+            Some(_) => true,
+            None => self.login.is_none() && now.duration_since(self.started) > STARTUP_LIMIT,
+        }
+    }
+
+    /// Does whatever input, lease and time allow.
+    pub fn advance(
+        &mut self,
+        new_lease: impl FnOnce() -> LeaseId,
+        subscriptions: &mut Subscriptions,
+        io: &mut Io,
+    ) -> SessionEnd {
+        let end = if self.login.is_none() {
+            self.advance_startup(subscriptions, io)
+        } else {
+            SessionEnd::Continue
+        };
+        let end = if end == SessionEnd::Continue && self.login.is_some() {
+            self.advance_requests(new_lease, io)
+        } else {
+            end
+        };
+        match self.connection.flush(io.registry) {
+            Ok(()) => {
+                self.connection.release_buffers();
+                end
+            }
+            Err(_) => SessionEnd::Close,
+        }
+    }
+
+    fn advance_startup(&mut self, subscriptions: &mut Subscriptions, io: &mut Io) -> SessionEnd {
+        let Connection { input, output, .. } = &mut self.connection;
+        let refusal = match startup::advance(input, output, io.context) {
+            StartupStep::LoggedIn(login) => {
+                subscriptions.ensure(&login.group, io);
+                self.bound = login.bound;
+                self.login = Some(*login);
+                return SessionEnd::Continue;
+            }
+            StartupStep::Incomplete if io.now.duration_since(self.started) <= STARTUP_LIMIT => {
+                return SessionEnd::Continue;
+            }
+            StartupStep::Incomplete => {
+                Refusal::new(ResultCode::StartupTimeout, "start-up took too long")
+            }
+            StartupStep::Refused(refusal) => refusal,
+        };
+        answer::put_refusal(&refusal, "FATAL", output);
+        SessionEnd::Close
+    }
+
+    fn advance_requests(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) -> SessionEnd {
+        if self.request.is_none() {
+            match self.next_request(io.now) {
+                Ok(Some(request)) => self.request = Some(request),
+                Ok(None) => return SessionEnd::Continue,
+                Err(end) => return end,
+            }
+        }
+        self.drive_request(new_lease, io);
+        SessionEnd::Continue
+    }
+
+    /// Collects caller messages up to one that ends an exchange.
+    fn next_request(&mut self, now: Instant) -> Result<Option<Request>, SessionEnd> {
+        loop {
+            let frame = match frames::next_frame(&mut self.connection.input) {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return Ok(None),
+                Err(error) => {
+                    let refusal = Refusal::new(ResultCode::ProtocolViolation, error.to_string());
+                    answer::put_refusal(&refusal, "FATAL", &mut self.connection.output);
+                    return Err(SessionEnd::Close);
+                }
+            };
+            match frame.tag {
+                b'Q' => {
+                    let class = classify_query(&frame);
+                    return Ok(Some(self.request(frame.bytes, class, now)));
+                }
+                b'S' => {
+                    self.batch.extend_from_slice(&frame.bytes);
+                    let batch = std::mem::take(&mut self.batch).freeze();
+                    let class = std::mem::replace(&mut self.batch_class, StatementClass::Read);
+                    return Ok(Some(self.request(batch, class, now)));
+                }
+                b'X' => return Err(SessionEnd::Close),
+                _ => {
+                    self.batch_class = StatementClass::Write;
+                    self.batch.extend_from_slice(&frame.bytes);
+                }
+            }
+        }
+    }
+
+    fn request(&self, frames: Bytes, class: StatementClass, now: Instant) -> Request {
+        let limit = self
+            .login
+            .as_ref()
+            .map_or(Duration::ZERO, |login| login.parameters.values.deadline_ms.into());
+        Request { frames, class, ready_expected: 1, deadline: now + limit, sent: false }
+    }
+
+    /// Sends the request if it has not been, or ends it if its time is up.
+    fn drive_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
+        let Some(request) = &self.request else { return };
+        if request.sent {
+            if io.now > request.deadline + GATEWAY_GRACE {
+                self.on_silent_gateway(io);
+            }
+            return;
+        }
+        if io.now > request.deadline {
+            let refusal =
+                Refusal::new(ResultCode::NoPrimary, "no instance could take the statement");
+            self.end_lease(LeaseEvent::Refused(refusal));
+            return;
+        }
+        self.send_request(new_lease, io);
+    }
+
+    fn on_silent_gateway(&mut self, io: &mut Io) {
+        let write =
+            self.request.as_ref().is_some_and(|request| request.class != StatementClass::Read);
+        let code =
+            if write { ResultCode::GatewaySilentInDoubt } else { ResultCode::ReadInterrupted };
+        self.abandon(io);
+        self.end_lease(LeaseEvent::Refused(Refusal::new(
+            code,
+            "the gateway did not answer in time",
+        )));
+    }
+
+    fn access(&self, class: StatementClass, login: &Login) -> Access {
+        let reads = class == StatementClass::Read || class == StatementClass::BeginReadOnly;
+        if reads && self.lease.is_none() {
+            let max_staleness = login.parameters.values.max_staleness_ms.into();
+            Access::Read { bound: self.bound, max_staleness }
+        } else {
+            Access::Write
+        }
+    }
+
+    fn send_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
+        let (Some(login), Some(request)) = (&self.login, &self.request) else { return };
+        let access = self.access(request.class, login);
+        if self.lease.is_none() {
+            let Some(target) = target::find(&login.group, &access, io) else { return };
+            self.lease =
+                Some(Lease { id: new_lease(), target, next_exchange: 0, next_sequence: 0 });
+        }
+        let Some(lease) = &mut self.lease else { return };
+        let values = &login.parameters.values;
+        let (priority, writes) = match access {
+            Access::Read { .. } => (values.read_priority, false),
+            Access::Write => (values.write_priority, true),
+        };
+        let exchange = Exchange {
+            lease: lease.id.clone(),
+            number: lease.next_exchange,
+            instance: lease.target.instance.clone(),
+            tenant: login.parameters.tenant.clone(),
+            access,
+            priority,
+            time_left: request.deadline.saturating_duration_since(io.now),
+            statements: Vec::new(),
+            frames: request.frames.clone(),
+            ready_expected: request.ready_expected,
+            may_commit: writes && request.class != StatementClass::Begin,
+        };
+        lease.next_exchange += 1;
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Exchange(Box::new(exchange)),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+        if let Some(request) = &mut self.request {
+            request.sent = true;
+        }
+    }
+
+    /// Takes in news of the lease. A gap in the sequence means that part of an answer was lost.
+    pub fn on_lease_event(&mut self, sequence: u32, event: LeaseEvent) {
+        let Some(lease) = &mut self.lease else { return };
+        if sequence != lease.next_sequence {
+            let refusal =
+                Refusal::new(ResultCode::GatewaySilentInDoubt, "part of the answer was lost");
+            self.end_lease(LeaseEvent::Refused(refusal));
+            return;
+        }
+        lease.next_sequence += 1;
+        match event {
+            LeaseEvent::Part(frames) => self.connection.output.extend_from_slice(&frames),
+            LeaseEvent::Done { .. } | LeaseEvent::Refused(_) => self.end_lease(event),
+        }
+    }
+
+    /// Ends the exchange under way, and the lease unless a transaction stays open.
+    pub fn end_lease(&mut self, event: LeaseEvent) {
+        self.request = None;
+        match event {
+            LeaseEvent::Part(_) => {}
+            LeaseEvent::Done { frames, transaction, confirmed } => {
+                if let Some(position) = confirmed {
+                    self.raise_bound(position);
+                }
+                self.connection.output.extend_from_slice(&frames);
+                self.transaction = transaction;
+                if transaction == TransactionState::Idle {
+                    self.drop_lease();
+                }
+            }
+            LeaseEvent::Refused(refusal) => {
+                answer::put_refusal(&refusal, "ERROR", &mut self.connection.output);
+                answer::put_ready(TransactionState::Idle, &mut self.connection.output);
+                self.transaction = TransactionState::Idle;
+                self.drop_lease();
+            }
+        }
+    }
+
+    fn raise_bound(&mut self, position: Position) {
+        let Some(login) = &self.login else { return };
+        let joined = self.bound.map_or(position, |bound| bound.join(position));
+        self.bound = Some(joined);
+        let bound = SessionBound { group: login.group.clone(), position: joined };
+        answer::put_session_token(&bound, &mut self.connection.output);
+    }
+
+    fn drop_lease(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            self.ended_leases.push(lease.id);
+        }
+    }
+
+    /// Tells the gateway that nobody waits any more.
+    pub fn abandon(&mut self, io: &mut Io) {
+        let (Some(login), Some(lease)) = (&self.login, &self.lease) else { return };
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Abandon(lease.id.clone()),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+        self.drop_lease();
+    }
+}
+
+fn classify_query(frame: &Frame) -> StatementClass {
+    let body = frame.bytes.slice(frames::HEADER_BYTES..);
+    startup::query_text(&body).map_or(StatementClass::Write, classify)
+}
--- /dev/null
+++ b/crates/daemon/src/front/target.rs
@@ -0,0 +1,89 @@
+//! Which instance and gateway serve a statement, by what this node knows of the group.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::routing::{Access, Candidate, Choice, choose};
+use kestrellock_peer::message::{GatewayCall, SUBSCRIPTION_LIFETIME, ToGateway};
+
+use crate::shard::{Io, Outgoing};
+
+/// Where an exchange goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Instance that runs it.
+    pub instance: InstanceName,
+    /// Node whose gateway holds the instance's connections.
+    pub gateway: NodeName,
+}
+
+/// Chooses the target for `access`; `None` while no instance qualifies.
+pub fn find(group: &GroupName, access: &Access, io: &Io) -> Option<Target> {
+    let catalog = io.context.catalog.load();
+    let instances = &catalog.groups.get(group)?.instances;
+    let board = io.context.statuses.group(group);
+    let statuses = board.read().expect("a holder of the status lock panicked");
+    let candidates: Vec<Candidate> = instances
+        .iter()
+        .filter_map(|instance| {
+            Some(Candidate { status: statuses.get(&instance.name)?, zone: &instance.zone })
+        })
+        .collect();
+    let chosen = match choose(access, &candidates, &io.context.identity.zone) {
+        Choice::Serve(instance) | Choice::ServeAfter(instance, _) => instance,
+        Choice::Nowhere => return None,
+    };
+    let instance = instances.iter().find(|instance| instance.name == *chosen)?;
+    let owner = io.context.ownership(&instance.name, &instance.zone)?.owner;
+    Some(Target { instance: instance.name.clone(), gateway: owner })
+}
+
+/// Half a subscription's life, so that one lost renewal does not end it.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(SUBSCRIPTION_LIFETIME.as_secs() / 2);
+
+/// Groups whose statuses this front asked for.
+#[derive(Debug, Default)]
+pub struct Subscriptions {
+    groups: HashMap<GroupName, Instant>,
+}
+
+impl Subscriptions {
+    /// Asks for the statuses of `group` unless that was done lately.
+    pub fn ensure(&mut self, group: &GroupName, io: &mut Io) {
+        let known = self.groups.get(group);
+        if known.is_none_or(|asked| io.now.duration_since(*asked) >= RENEWAL_INTERVAL) {
+            self.groups.insert(group.clone(), io.now);
+            subscribe(group, io);
+        }
+    }
+
+    /// Renews the subscriptions that are due.
+    pub fn renew(&mut self, io: &mut Io) {
+        for (group, asked) in &mut self.groups {
+            if io.now.duration_since(*asked) >= RENEWAL_INTERVAL {
+                *asked = io.now;
+                subscribe(group, io);
+            }
+        }
+    }
+}
+
+fn subscribe(group: &GroupName, io: &mut Io) {
+    let catalog = io.context.catalog.load();
+    let Some(value) = catalog.groups.get(group) else { return };
+    let owners: std::collections::BTreeSet<NodeName> = value
+        .instances
+        .iter()
+        .filter_map(|instance| io.context.ownership(&instance.name, &instance.zone))
+        .map(|ownership| ownership.owner)
+        .collect();
+    for node in owners {
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: group.clone(),
+            call: GatewayCall::Subscribe,
+        };
+        io.outbox.push_back(Outgoing::Gateway { node, message });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,271 @@
+//! The gateway: pooled connections to the instances this node owns, and what is known of them.
+
+pub mod confirmation;
+pub mod monitor;
+pub mod pool;
+pub mod probe;
+pub mod server;
+
+use std::collections::HashMap;
+
+use kestrellock_core::catalog::{Catalog, Group};
+use kestrellock_core::ids::{GroupName, LeaseId};
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToFront, ToGateway};
+use slab::Slab;
+
+use crate::net::connection::ReadOutcome;
+use crate::shard::{Io, Outgoing};
+
+use self::confirmation::Confirmations;
+use self::monitor::Monitor;
+use self::pool::Pool;
+use self::server::{Server, ServerEvent, Use};
+
+/// What one group needs on this shard.
+#[derive(Debug)]
+pub struct GroupGateway {
+    monitor: Monitor,
+    pools: HashMap<kestrellock_core::ids::InstanceName, Pool>,
+    confirmations: Confirmations,
+}
+
+/// Back-end connections of one shard.
+#[derive(Debug, Default)]
+pub struct Gateway {
+    servers: Slab<Server>,
+    groups: HashMap<GroupName, GroupGateway>,
+    leases: HashMap<LeaseId, usize>,
+}
+
+/// Tells the front of `lease` what happened.
+pub fn notify(lease: &LeaseId, sequence: u32, event: LeaseEvent, io: &mut Io) {
+    let message = ToFront::Lease { lease: lease.clone(), sequence, event };
+    io.outbox.push_back(Outgoing::Front {
+        node: lease.node.clone(),
+        shard: Some(lease.shard),
+        message,
+    });
+}
+
+fn refuse(exchange: &Exchange, code: ResultCode, detail: &str, io: &mut Io) {
+    let event = LeaseEvent::Refused(Refusal::new(code, detail));
+    notify(&exchange.lease, 0, event, io);
+}
+
+impl Gateway {
+    /// Number of open back-end connections.
+    pub fn connections(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Handles a front's message.
+    pub fn on_call(&mut self, message: ToGateway, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        let Some(group) = catalog.groups.get(&message.group) else {
+            if let GatewayCall::Exchange(exchange) = message.call {
+                refuse(&exchange, ResultCode::NotOwner, "the gateway does not know the group", io);
+            }
+            return;
+        };
+        let state = self.groups.entry(message.group.clone()).or_insert_with(|| GroupGateway {
+            monitor: Monitor::new(message.group.clone(), io.now),
+            pools: HashMap::new(),
+            confirmations: Confirmations::default(),
+        });
+        match message.call {
+            GatewayCall::Exchange(exchange) => {
+                self.on_exchange(&message.group, group, *exchange, io)
+            }
+            GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
+            GatewayCall::Cancel(_) => {}
+            GatewayCall::Subscribe => state.monitor.subscribe(message.from, io),
+        }
+    }
+
+    fn on_exchange(&mut self, name: &GroupName, group: &Group, exchange: Exchange, io: &mut Io) {
+        if let Some(&key) = self.leases.get(&exchange.lease) {
+            self.run_on(key, exchange, io);
+            return;
+        }
+        if exchange.number > 0 {
+            refuse(
+                &exchange,
+                ResultCode::TransactionLost,
+                "the transaction's connection is gone",
+                io,
+            );
+            return;
+        }
+        let Some(instance) = group.instance(&exchange.instance) else {
+            refuse(&exchange, ResultCode::NotOwner, "the gateway does not know the instance", io);
+            return;
+        };
+        let Some(state) = self.groups.get_mut(name) else { return };
+        let pool = state.pools.entry(instance.name.clone()).or_default();
+        pool.enqueue(exchange, io.now);
+        self.pump(name, group, io);
+    }
+
+    /// Gives waiting exchanges to idle connections, and opens connections where that helps.
+    fn pump(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+        let Some(state) = self.groups.get_mut(name) else { return };
+        let mut assigned = Vec::new();
+        for instance in &group.instances {
+            let Some(pool) = state.pools.get_mut(&instance.name) else { continue };
+            for late in pool.expire(io.now) {
+                refuse(&late, ResultCode::DeadlineBeforeSend, "no slot before the deadline", io);
+            }
+            assigned.extend(pool.assign(instance.slots));
+            while pool.wants_connection(instance.connections) {
+                let purpose = Use::Pooled;
+                match Server::connect(&mut self.servers, name, group, instance, purpose, io) {
+                    Ok(_) => pool.on_connecting(),
+                    Err(_) => break,
+                }
+            }
+        }
+        for (key, exchange) in assigned {
+            self.leases.insert(exchange.lease.clone(), key);
+            self.run_on(key, exchange, io);
+        }
+    }
+
+    fn run_on(&mut self, key: usize, exchange: Exchange, io: &mut Io) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.run(exchange, io);
+        if server.flush(io).is_err() {
+            self.on_server_lost(key, io);
+        }
+    }
+
+    fn on_abandon(&mut self, lease: &LeaseId, io: &mut Io) {
+        for state in self.groups.values_mut() {
+            state.pools.values_mut().for_each(|pool| pool.forget(lease));
+            state.confirmations.forget(lease);
+        }
+        let Some(&key) = self.leases.get(lease) else { return };
+        // Closing makes the back end roll back; the connection is never seen by another caller.
+        self.on_server_lost(key, io);
+    }
+
+    /// Handles readiness of a back-end connection.
+    pub fn on_ready(&mut self, key: usize, io: &mut Io) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let outcome = server.fill();
+        let events = server.take_events(io);
+        let broken = server.flush(io).is_err() || outcome == ReadOutcome::Closed;
+        for event in events {
+            self.on_server_event(key, event, io);
+        }
+        if broken {
+            self.on_server_lost(key, io);
+        }
+    }
+
+    fn on_server_event(&mut self, key: usize, event: ServerEvent, io: &mut Io) {
+        let Some(server) = self.servers.get(key) else { return };
+        let (group, instance) = (server.group.clone(), server.instance.clone());
+        let Some(state) = self.groups.get_mut(&group) else { return };
+        match event {
+            ServerEvent::Ready if server.purpose == Use::Pooled => {
+                state.pools.entry(instance).or_default().on_connected(key);
+            }
+            ServerEvent::Ready => state.monitor.on_probe_ready(key, &instance),
+            ServerEvent::Unusable => self.on_server_lost(key, io),
+            ServerEvent::LeaseEnded { lease } => {
+                self.leases.remove(&lease);
+                state.pools.entry(instance).or_default().on_idle(key);
+            }
+            ServerEvent::CommitAnswered(commit) => state.confirmations.wait_for(commit, io.now),
+            ServerEvent::Probed(report) => {
+                state.monitor.on_report(&instance, &report, io);
+                state.confirmations.on_report(&instance, &report, io);
+            }
+        }
+        self.pump_group(&group, io);
+    }
+
+    fn pump_group(&mut self, name: &GroupName, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        if let Some(group) = catalog.groups.get(name) {
+            self.pump(name, group, io);
+            self.probe(name, group, io);
+        }
+    }
+
+    fn probe(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+        let Some(state) = self.groups.get_mut(name) else { return };
+        let urgent = state.confirmations.is_waiting();
+        for instance in &group.instances {
+            match state.monitor.next_step(&instance.name, urgent, io.now) {
+                monitor::Step::Nothing => {}
+                monitor::Step::Connect => {
+                    let purpose = Use::Probe;
+                    if let Ok(key) =
+                        Server::connect(&mut self.servers, name, group, instance, purpose, io)
+                    {
+                        state.monitor.on_probe_connecting(&instance.name, key);
+                    }
+                }
+                monitor::Step::Ask(key) => {
+                    if let Some(server) = self.servers.get_mut(key) {
+                        server.ask_position(io);
+                        // A broken connection shows as readable and is handled there.
+                        let _ = server.flush(io);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Handles the loss of a connection: whoever used it is told what that means.
+    fn on_server_lost(&mut self, key: usize, io: &mut Io) {
+        let Some(mut server) = self.servers.try_remove(key) else { return };
+        server.deregister(io);
+        if let Some(lease) = server.fail_exchange(io) {
+            self.leases.remove(&lease);
+        }
+        let Some(state) = self.groups.get_mut(&server.group) else { return };
+        match server.purpose {
+            Use::Pooled => state.pools.entry(server.instance.clone()).or_default().on_lost(key),
+            Use::Probe => state.monitor.on_probe_lost(&server.instance, io),
+        }
+    }
+
+    /// Opens what this node owns, ends what is late, probes what is due.
+    pub fn on_tick(&mut self, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        self.adopt(&catalog, io);
+        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        for name in names {
+            if let Some(state) = self.groups.get_mut(&name) {
+                state.confirmations.expire(io);
+                let overdue = state.monitor.overdue(io.now);
+                for key in overdue {
+                    self.on_server_lost(key, io);
+                }
+            }
+            self.pump_group(&name, io);
+        }
+    }
+
+    /// Starts monitoring groups of which this node owns an instance.
+    fn adopt(&mut self, catalog: &Catalog, io: &mut Io) {
+        for (name, group) in &catalog.groups {
+            if io.context.shard_of(name) != io.shard || self.groups.contains_key(name) {
+                continue;
+            }
+            let owns = group.instances.iter().any(|instance| {
+                io.context
+                    .ownership(&instance.name, &instance.zone)
+                    .is_some_and(|ownership| ownership.owner == io.context.identity.node)
+            });
+            if owns {
+                let monitor = Monitor::new(name.clone(), io.now);
+                let (pools, confirmations) = (HashMap::new(), Confirmations::default());
+                self.groups.insert(name.clone(), GroupGateway { monitor, pools, confirmations });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -0,0 +1,167 @@
+//! Watches the instances of one group by asking each for its position, and tells subscribers.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::position::Position;
+use kestrellock_core::routing::{InstanceStatus, Role};
+use kestrellock_peer::message::{SUBSCRIPTION_LIFETIME, ToFront};
+
+use super::server::ProbeAnswer;
+use crate::shard::{Io, Outgoing};
+
+/// Time between probes of an instance while nothing waits for them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// A probe unanswered for this long means that the instance is silent.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between attempts to open a probe connection.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What to do about one instance's probe now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing.
+    Nothing,
+    /// Open a probe connection.
+    Connect,
+    /// Ask over this connection.
+    Ask(usize),
+}
+
+#[derive(Debug)]
+enum Probe {
+    Closed { since: Instant },
+    Busy { key: usize, since: Instant },
+    Idle { key: usize },
+}
+
+#[derive(Debug)]
+struct Watched {
+    probe: Probe,
+    next_probe: Instant,
+    caught_up: Instant,
+    status: Option<InstanceStatus>,
+}
+
+/// The instances of one group and who wants to know of them.
+#[derive(Debug)]
+pub struct Monitor {
+    group: GroupName,
+    instances: HashMap<InstanceName, Watched>,
+    subscribers: HashMap<NodeName, Instant>,
+    primary: Option<Position>,
+    started: Instant,
+}
+
+impl Monitor {
+    /// Knows nothing yet.
+    pub fn new(group: GroupName, now: Instant) -> Self {
+        let (instances, subscribers) = (HashMap::new(), HashMap::new());
+        Self { group, instances, subscribers, primary: None, started: now }
+    }
+
+    fn watched(&mut self, instance: &InstanceName) -> &mut Watched {
+        let started = self.started;
+        self.instances.entry(instance.clone()).or_insert_with(|| Watched {
+            probe: Probe::Closed { since: started - RECONNECT_INTERVAL },
+            next_probe: started,
+            caught_up: started,
+            status: None,
+        })
+    }
+
+    /// A node's front wants statuses: sends those known now, and later ones.
+    pub fn subscribe(&mut self, node: NodeName, io: &mut Io) {
+        self.subscribers.insert(node.clone(), io.now + SUBSCRIPTION_LIFETIME);
+        let statuses: Vec<InstanceStatus> =
+            self.instances.values().filter_map(|watched| watched.status.clone()).collect();
+        self.send(node, statuses, io);
+    }
+
+    fn send(&self, node: NodeName, statuses: Vec<InstanceStatus>, io: &mut Io) {
+        let message = ToFront::Statuses { group: self.group.clone(), statuses };
+        io.outbox.push_back(Outgoing::Front { node, shard: None, message });
+    }
+
+    /// What to do about an instance's probe; `urgent` while commits wait for confirmation.
+    pub fn next_step(&mut self, instance: &InstanceName, urgent: bool, now: Instant) -> Step {
+        let watched = self.watched(instance);
+        match watched.probe {
+            Probe::Closed { since } if now >= since + RECONNECT_INTERVAL => Step::Connect,
+            Probe::Idle { key } if urgent || now >= watched.next_probe => {
+                watched.probe = Probe::Busy { key, since: now };
+                watched.next_probe = now + PROBE_INTERVAL;
+                Step::Ask(key)
+            }
+            _ => Step::Nothing,
+        }
+    }
+
+    /// A probe connection is being opened.
+    pub fn on_probe_connecting(&mut self, instance: &InstanceName, key: usize) {
+        let watched = self.watched(instance);
+        let since = watched.next_probe;
+        watched.probe = Probe::Busy { key, since };
+    }
+
+    /// A probe connection can be asked.
+    pub fn on_probe_ready(&mut self, key: usize, instance: &InstanceName) {
+        self.watched(instance).probe = Probe::Idle { key };
+    }
+
+    /// Probe connections that have been silent for too long.
+    pub fn overdue(&self, now: Instant) -> Vec<usize> {
+        let late = |watched: &Watched| match watched.probe {
+            Probe::Busy { key, since } if now > since + PROBE_TIMEOUT => Some(key),
+            _ => None,
+        };
+        self.instances.values().filter_map(late).collect()
+    }
+
+    /// A probe connection was lost: the instance counts as unreachable until it answers again.
+    pub fn on_probe_lost(&mut self, instance: &InstanceName, io: &mut Io) {
+        let watched = self.watched(instance);
+        watched.probe = Probe::Closed { since: io.now };
+        watched.next_probe = io.now;
+        if let Some(status) = &mut watched.status {
+            status.reachable = false;
+            let status = status.clone();
+            self.publish(status, io);
+        }
+    }
+
+    /// Takes in what an instance said.
+    pub fn on_report(&mut self, instance: &InstanceName, answer: &ProbeAnswer, io: &mut Io) {
+        let report = answer.report;
+        let newest_primary = self.primary.is_none_or(|known| report.applied.term >= known.term);
+        if report.role == Role::Primary && newest_primary {
+            self.primary = Some(report.applied);
+        }
+        let caught_up = self.primary.is_none_or(|primary| report.applied.satisfies(&primary));
+        let watched = self.watched(instance);
+        if caught_up {
+            watched.caught_up = answer.asked;
+        }
+        let status = InstanceStatus {
+            instance: instance.clone(),
+            role: report.role,
+            applied: report.applied,
+            flushed: report.flushed,
+            reachable: true,
+            queue_wait: Duration::ZERO,
+            lag: io.now.duration_since(watched.caught_up),
+            unconfirmed_for: None,
+        };
+        watched.status = Some(status.clone());
+        self.publish(status, io);
+    }
+
+    fn publish(&mut self, status: InstanceStatus, io: &mut Io) {
+        self.subscribers.retain(|_, until| *until > io.now);
+        let nodes: Vec<NodeName> = self.subscribers.keys().cloned().collect();
+        for node in nodes {
+            self.send(node, vec![status.clone()], io);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,17 @@
+//! kestrellockd: the proxy daemon, as a library so that the lab can start nodes in its process.
+//!
+//! The module tree is the supervisor tree: [`node`] is the root; [`shard`], [`agent`] and
+//! [`admin`] are its children, each with children of their own. A shard hosts one [`front`], one
+//! [`gateway`] and the [`links`] to other nodes, all under the shard's lock.
+
+pub mod admin;
+pub mod agent;
+pub mod context;
+pub mod front;
+pub mod gateway;
+pub mod links;
+pub mod net;
+pub mod node;
+pub mod settings;
+pub mod shard;
+pub mod supervisor;
--- /dev/null
+++ b/crates/daemon/src/net/connection.rs
@@ -0,0 +1,117 @@
+//! A non-blocking TCP connection with buffers on both sides.
+
+use std::io::{self, Read, Write};
+
+use bytes::{Buf, BytesMut};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+
+/// State of the connection after a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// Everything the kernel had was taken.
+    Drained,
+    /// The other side closed or the connection broke.
+    Closed,
+}
+
+/// A connection and its buffers. An idle connection holds no buffer memory.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    /// Bytes received and not yet consumed.
+    pub input: BytesMut,
+    /// Bytes to send.
+    pub output: BytesMut,
+    token: Token,
+    waits_for_write: bool,
+}
+
+impl Connection {
+    /// Registers `stream` for reading under `token`, and for writing while it connects.
+    pub fn register(
+        mut stream: TcpStream,
+        token: Token,
+        registry: &Registry,
+        connecting: bool,
+    ) -> io::Result<Self> {
+        let interest =
+            if connecting { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+        registry.register(&mut stream, token, interest)?;
+        // Statements are small and waited for; a failure here costs latency only.
+        let _ = stream.set_nodelay(true);
+        let buffer = BytesMut::new();
+        Ok(Self {
+            stream,
+            input: buffer.clone(),
+            output: buffer,
+            token,
+            waits_for_write: connecting,
+        })
+    }
+
+    /// Reads whatever is there into `input`.
+    pub fn fill(&mut self) -> ReadOutcome {
+        let mut chunk = [0_u8; READ_CHUNK_BYTES];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return ReadOutcome::Closed,
+                Ok(count) => {
+                    self.input.extend_from_slice(&chunk[..count]);
+                    if count < chunk.len() {
+                        return ReadOutcome::Drained;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return ReadOutcome::Drained;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return ReadOutcome::Closed,
+            }
+        }
+    }
+
+    /// Sends as much of `output` as the kernel takes, and asks to be told when it takes more.
+    pub fn flush(&mut self, registry: &Registry) -> io::Result<()> {
+        while !self.output.is_empty() {
+            match self.stream.write(&self.output) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => self.output.advance(count),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::NotConnected => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        self.follow_interest(registry)
+    }
+
+    fn follow_interest(&mut self, registry: &Registry) -> io::Result<()> {
+        let wants_write = !self.output.is_empty();
+        if wants_write == self.waits_for_write {
+            return Ok(());
+        }
+        self.waits_for_write = wants_write;
+        let interest =
+            if wants_write { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+        registry.reregister(&mut self.stream, self.token, interest)
+    }
+
+    /// Frees the buffers of a connection that has nothing under way.
+    pub fn release_buffers(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+        if self.output.is_empty() {
+            self.output = BytesMut::new();
+        }
+    }
+
+    /// Takes the connection out of the event loop; dropping it closes it.
+    pub fn deregister(&mut self, registry: &Registry) {
+        // The descriptor is closed right after, which removes it in any case.
+        let _ = registry.deregister(&mut self.stream);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/net/mod.rs
@@ -0,0 +1,4 @@
+//! Non-blocking connections and PostgreSQL framing.
+
+pub mod connection;
+pub mod frames;
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,197 @@
+//! The root supervisor: starts a node's parts and stops them together.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use kestrellock_core::catalog::Catalog;
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_platform::store::ConfigStore;
+use thiserror::Error;
+
+use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
+use crate::settings::Settings;
+use crate::shard::mailbox::{Mailboxes, ShardMessage};
+use crate::shard::{Shard, event_loop};
+use crate::supervisor::{StopFlag, Supervisor};
+use crate::{admin, agent};
+
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+
+/// Why a node could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The event loops cannot be made.
+    #[error("cannot make an event loop: {0}")]
+    EventLoop(io::Error),
+}
+
+/// Listening sockets of a node, bound before anything runs so that port 0 can be resolved first.
+pub struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    admin: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of `settings`, and writes the ports that the system chose back to it.
+    pub fn bind(settings: &mut Settings) -> Result<Self, StartError> {
+        Ok(Self {
+            callers: bind(&mut settings.caller_address)?,
+            peers: bind(&mut settings.peer_address)?,
+            admin: bind(&mut settings.admin_address)?,
+        })
+    }
+}
+
+fn bind(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
+    let failed = |source| StartError::Listen { address: *address, source };
+    let listener = TcpListener::bind(*address).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
+/// A running node.
+pub struct Node {
+    /// What its threads share.
+    pub context: Arc<NodeContext>,
+    stop: StopFlag,
+    root: Supervisor,
+}
+
+impl Node {
+    /// Starts a node on its listeners.
+    pub fn start(
+        settings: &Settings,
+        listeners: Listeners,
+        store: Arc<dyn ConfigStore>,
+    ) -> Result<Self, StartError> {
+        let context = Arc::new(new_context(settings));
+        let (mailboxes, receivers) =
+            Mailboxes::new(settings.shards).map_err(StartError::EventLoop)?;
+        let mailboxes = Arc::new(mailboxes);
+        let stop = StopFlag::default();
+        let mut root = Supervisor::new("node", stop.clone());
+        let mut shards = Vec::new();
+        for (number, mut mailbox) in receivers.into_iter().enumerate() {
+            let shard = Shard::new(number as u16, context.clone(), mailboxes.clone());
+            let shard = Arc::new(Mutex::new(shard));
+            shards.push(shard.clone());
+            let stop = stop.clone();
+            root.spawn(format!("shard-{number}"), move || {
+                event_loop::run(&shard, &mut mailbox, &stop);
+            });
+        }
+        let Listeners { callers, peers, admin } = listeners;
+        spawn_acceptor(
+            &mut root,
+            "callers",
+            callers,
+            mailboxes.clone(),
+            &stop,
+            ShardMessage::Caller,
+        );
+        spawn_acceptor(&mut root, "peers", peers, mailboxes, &stop, ShardMessage::Peer);
+        spawn_admin(&mut root, admin, &context, shards, &stop)?;
+        spawn_agent(&mut root, &context, store, &stop);
+        Ok(Self { context, stop, root })
+    }
+
+    /// Stops every part and waits for it.
+    pub fn stop(self) {
+        self.stop.stop();
+        self.root.join();
+    }
+
+    /// Whether a part of the node gave up.
+    pub fn has_failed(&self) -> bool {
+        self.stop.has_failed()
+    }
+}
+
+fn new_context(settings: &Settings) -> NodeContext {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let identity = Identity {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        incarnation: since_epoch.as_micros() as u64,
+    };
+    let own = LiveNode {
+        candidate: Candidate { node: settings.node.clone(), zone: settings.zone.clone() },
+        peer_address: settings.peer_address,
+        accepts_work: true,
+    };
+    let others = settings.peers.iter().map(|peer| LiveNode {
+        candidate: Candidate { node: peer.node.clone(), zone: peer.zone.clone() },
+        peer_address: peer.address,
+        accepts_work: true,
+    });
+    NodeContext {
+        identity,
+        live: Shared::new(std::iter::once(own).chain(others).collect()),
+        catalog: Shared::new(Catalog::default()),
+        statuses: StatusBoard::default(),
+        shards: settings.shards,
+    }
+}
+
+/// Starts the child that accepts connections and deals them out to the shards in turn.
+fn spawn_acceptor(
+    root: &mut Supervisor,
+    name: &str,
+    listener: TcpListener,
+    mailboxes: Arc<Mailboxes>,
+    stop: &StopFlag,
+    wrap: fn(std::net::TcpStream) -> ShardMessage,
+) {
+    let stop = stop.clone();
+    let mut next = 0;
+    root.spawn(format!("accept-{name}"), move || {
+        while !stop.is_stopping() {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    mailboxes.send(next, wrap(stream));
+                    next = (next + 1) % mailboxes.count() as u16;
+                }
+                Err(_) => std::thread::sleep(ACCEPT_RETRY),
+            }
+        }
+    });
+}
+
+fn spawn_admin(
+    root: &mut Supervisor,
+    listener: TcpListener,
+    context: &Arc<NodeContext>,
+    shards: Vec<Arc<Mutex<Shard>>>,
+    stop: &StopFlag,
+) -> Result<(), StartError> {
+    let (context, stop) = (context.clone(), stop.clone());
+    listener.set_nonblocking(false).map_err(StartError::EventLoop)?;
+    let server = tiny_http::Server::from_listener(listener, None)
+        .map_err(|error| StartError::EventLoop(io::Error::other(error)))?;
+    root.spawn("admin", move || admin::serve(&server, &context, &shards, &stop));
+    Ok(())
+}
+
+fn spawn_agent(
+    root: &mut Supervisor,
+    context: &Arc<NodeContext>,
+    store: Arc<dyn ConfigStore>,
+    stop: &StopFlag,
+) {
+    let (context, stop) = (context.clone(), stop.clone());
+    root.spawn("configuration", move || {
+        agent::configuration::follow(store.as_ref(), &context, &stop);
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/shard/event_loop.rs
@@ -0,0 +1,43 @@
+//! The event loop of one shard.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use mio::Events;
+
+use super::Shard;
+use super::mailbox::Mailbox;
+use crate::supervisor::StopFlag;
+
+/// Longest time between two ticks of a shard.
+pub const TICK: Duration = Duration::from_millis(10);
+const EVENTS_AT_ONCE: usize = 1024;
+/// Messages taken from the mailbox before sockets get their turn again.
+const MESSAGES_AT_ONCE: usize = 1024;
+
+/// Runs the shard until it is told to stop.
+pub fn run(shard: &Mutex<Shard>, mailbox: &mut Mailbox, stop: &StopFlag) {
+    let mut events = Events::with_capacity(EVENTS_AT_ONCE);
+    let mut next_tick = Instant::now() + TICK;
+    while !stop.is_stopping() {
+        let wait = next_tick.saturating_duration_since(Instant::now());
+        if let Err(error) = mailbox.poll.poll(&mut events, Some(wait))
+            && error.kind() != std::io::ErrorKind::Interrupted
+        {
+            panic!("event loop cannot poll: {error}");
+        }
+        let now = Instant::now();
+        let mut shard = shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let registry = mailbox.poll.registry();
+        for event in &events {
+            shard.on_ready(event.token(), registry, now);
+        }
+        for message in mailbox.messages.try_iter().take(MESSAGES_AT_ONCE) {
+            shard.on_message(message, registry, now);
+        }
+        if now >= next_tick {
+            shard.on_tick(registry, now);
+            next_tick = now + TICK;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -0,0 +1,67 @@
+//! Messages between the threads of one node: a channel and a waker for each shard.
+
+use std::io;
+use std::net::TcpStream;
+
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use kestrellock_peer::message::{ToFront, ToGateway};
+use mio::{Poll, Waker};
+
+use super::{Part, token};
+
+/// What a shard receives from other threads.
+#[derive(Debug)]
+pub enum ShardMessage {
+    /// A caller connected.
+    Caller(TcpStream),
+    /// Another node connected.
+    Peer(TcpStream),
+    /// For the shard's gateway.
+    ToGateway(ToGateway),
+    /// For the shard's front.
+    ToFront(ToFront),
+}
+
+/// The receiving side of one shard's mailbox.
+pub struct Mailbox {
+    /// Event loop the waker belongs to.
+    pub poll: Poll,
+    /// Messages.
+    pub messages: Receiver<ShardMessage>,
+}
+
+/// The sending sides, by shard number.
+#[derive(Debug)]
+pub struct Mailboxes {
+    shards: Vec<(Sender<ShardMessage>, Waker)>,
+}
+
+impl Mailboxes {
+    /// Mailboxes for `count` shards, and their receiving sides in order.
+    pub fn new(count: u16) -> io::Result<(Self, Vec<Mailbox>)> {
+        let mut shards = Vec::new();
+        let mut receivers = Vec::new();
+        for _ in 0..count {
+            let poll = Poll::new()?;
+            let waker = Waker::new(poll.registry(), token(Part::Mailbox, 0))?;
+            let (sender, messages) = unbounded();
+            shards.push((sender, waker));
+            receivers.push(Mailbox { poll, messages });
+        }
+        Ok((Self { shards }, receivers))
+    }
+
+    /// Number of shards.
+    pub fn count(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// Sends to a shard and wakes it. A shard that is gone drops the message: its node stops.
+    pub fn send(&self, shard: u16, message: ShardMessage) {
+        let Some((sender, waker)) = self.shards.get(usize::from(shard)) else { return };
+        if sender.send(message).is_ok() {
+            // A failed wake delays the message until the next tick.
+            let _ = waker.wake();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shard/mod.rs
@@ -0,0 +1,237 @@
+//! A shard: one thread with an event loop that hosts callers, back-end connections and links.
+//!
+//! The shard's state stands under its own lock. Its thread holds the lock while it handles
+//! events; the admin thread takes it to report.
+
+pub mod event_loop;
+pub mod mailbox;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Instant;
+
+use kestrellock_core::ids::NodeName;
+use kestrellock_peer::message::{GatewayCall, PeerMessage, ToFront, ToGateway};
+use mio::{Registry, Token};
+
+use crate::context::NodeContext;
+use crate::front::Front;
+use crate::gateway::Gateway;
+use crate::links::Links;
+use crate::shard::mailbox::{Mailboxes, ShardMessage};
+
+/// Which part of a shard a connection belongs to; the low bits of its token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// The shard's mailbox.
+    Mailbox,
+    /// A caller.
+    Caller,
+    /// A back end.
+    Server,
+    /// Another node.
+    Link,
+}
+
+const PART_BITS: usize = 2;
+
+/// The token of connection `key` of `part`.
+pub fn token(part: Part, key: usize) -> Token {
+    Token(key << PART_BITS | part as usize)
+}
+
+/// Part and key of a token.
+pub fn part_of(token: Token) -> (Part, usize) {
+    let part = match token.0 & ((1 << PART_BITS) - 1) {
+        0 => Part::Mailbox,
+        1 => Part::Caller,
+        2 => Part::Server,
+        _ => Part::Link,
+    };
+    (part, token.0 >> PART_BITS)
+}
+
+/// A message that a part of the shard wants delivered.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// To the gateway of a group on a node.
+    Gateway {
+        /// Node that owns the instance.
+        node: NodeName,
+        /// The message.
+        message: ToGateway,
+    },
+    /// To a front; `shard` is `None` for news that concerns the whole node.
+    Front {
+        /// Node of the front.
+        node: NodeName,
+        /// Its shard.
+        shard: Option<u16>,
+        /// The message.
+        message: ToFront,
+    },
+}
+
+/// What a part of the shard works with while it handles an event.
+pub struct Io<'a> {
+    /// Event registrations.
+    pub registry: &'a Registry,
+    /// Time at which the event was taken up.
+    pub now: Instant,
+    /// Messages to deliver after the event.
+    pub outbox: &'a mut VecDeque<Outgoing>,
+    /// The node's shared state.
+    pub context: &'a NodeContext,
+    /// Number of this shard.
+    pub shard: u16,
+}
+
+/// State of one shard.
+pub struct Shard {
+    number: u16,
+    context: Arc<NodeContext>,
+    mailboxes: Arc<Mailboxes>,
+    outbox: VecDeque<Outgoing>,
+    /// Callers.
+    pub front: Front,
+    /// Back-end connections.
+    pub gateway: Gateway,
+    /// Connections to other nodes.
+    pub links: Links,
+}
+
+impl Shard {
+    /// An empty shard.
+    pub fn new(number: u16, context: Arc<NodeContext>, mailboxes: Arc<Mailboxes>) -> Self {
+        Self {
+            number,
+            front: Front::new(context.identity.clone(), number),
+            gateway: Gateway::default(),
+            links: Links::new(context.identity.clone()),
+            context,
+            mailboxes,
+            outbox: VecDeque::new(),
+        }
+    }
+
+    /// Runs `work` on this shard, then delivers what it sent.
+    fn with_io(
+        &mut self,
+        registry: &Registry,
+        now: Instant,
+        work: impl FnOnce(&mut Self, &mut Io),
+    ) {
+        let context = self.context.clone();
+        let mut outbox = std::mem::take(&mut self.outbox);
+        let mut io =
+            Io { registry, now, outbox: &mut outbox, context: &context, shard: self.number };
+        work(self, &mut io);
+        self.deliver(&mut io);
+        self.outbox = outbox;
+    }
+
+    /// Handles readiness of one connection.
+    pub fn on_ready(&mut self, ready: Token, registry: &Registry, now: Instant) {
+        self.with_io(registry, now, |shard, io| match part_of(ready) {
+            (Part::Mailbox, _) => {}
+            (Part::Caller, key) => shard.front.on_ready(key, io),
+            (Part::Server, key) => shard.gateway.on_ready(key, io),
+            (Part::Link, key) => {
+                let received = shard.links.on_ready(key, io);
+                shard.take_in(received, io);
+            }
+        });
+    }
+
+    /// Handles a message from another thread of the node.
+    pub fn on_message(&mut self, message: ShardMessage, registry: &Registry, now: Instant) {
+        self.with_io(registry, now, |shard, io| match message {
+            ShardMessage::Caller(stream) => shard.front.accept(stream, io),
+            ShardMessage::Peer(stream) => shard.links.accept(stream, io),
+            ShardMessage::ToGateway(message) => shard.gateway.on_call(message, io),
+            ShardMessage::ToFront(message) => shard.front.on_message(message, io),
+        });
+    }
+
+    /// Lets every part act on the passage of time.
+    pub fn on_tick(&mut self, registry: &Registry, now: Instant) {
+        self.with_io(registry, now, |shard, io| {
+            shard.gateway.on_tick(io);
+            shard.front.on_tick(io);
+        });
+    }
+
+    fn take_in(&mut self, received: Vec<PeerMessage>, io: &mut Io) {
+        for message in received {
+            match message {
+                PeerMessage::Hello(_) => {}
+                PeerMessage::ToGateway(message) => {
+                    let node = io.context.identity.node.clone();
+                    io.outbox.push_back(Outgoing::Gateway { node, message });
+                }
+                PeerMessage::ToFront { shard, message } => {
+                    let node = io.context.identity.node.clone();
+                    io.outbox.push_back(Outgoing::Front { node, shard, message });
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, io: &mut Io) {
+        while let Some(outgoing) = io.outbox.pop_front() {
+            match outgoing {
+                Outgoing::Gateway { node, message } => self.deliver_to_gateway(node, message, io),
+                Outgoing::Front { node, shard, message } => {
+                    self.deliver_to_front(node, shard, message, io);
+                }
+            }
+        }
+        self.links.flush(io);
+    }
+
+    fn deliver_to_gateway(&mut self, node: NodeName, message: ToGateway, io: &mut Io) {
+        if node != io.context.identity.node {
+            let lost = self.links.send(&node, PeerMessage::ToGateway(message), io);
+            if let Some(PeerMessage::ToGateway(message)) = lost {
+                self.on_unsent(message, io);
+            }
+            return;
+        }
+        let shard = io.context.shard_of(&message.group);
+        if shard == self.number {
+            self.gateway.on_call(message, io);
+        } else {
+            self.mailboxes.send(shard, ShardMessage::ToGateway(message));
+        }
+    }
+
+    /// A message to a gateway could not be sent at all.
+    fn on_unsent(&mut self, message: ToGateway, io: &mut Io) {
+        if let GatewayCall::Exchange(exchange) = message.call {
+            self.front.on_unsent(&exchange, io);
+        }
+    }
+
+    fn deliver_to_front(
+        &mut self,
+        node: NodeName,
+        shard: Option<u16>,
+        message: ToFront,
+        io: &mut Io,
+    ) {
+        if node != io.context.identity.node {
+            // A front that cannot be reached finds the gap in the sequence or its deadline.
+            let _ = self.links.send(&node, PeerMessage::ToFront { shard, message }, io);
+            return;
+        }
+        match (shard, message) {
+            (_, ToFront::Statuses { group, statuses }) => {
+                io.context.statuses.update(&group, statuses)
+            }
+            (Some(shard), message) if shard != self.number => {
+                self.mailboxes.send(shard, ShardMessage::ToFront(message));
+            }
+            (_, message) => self.front.on_message(message, io),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/supervisor.rs
@@ -0,0 +1,100 @@
+//! Supervision of threads: a child that panics is restarted with backoff; a child that keeps
+//! panicking brings its supervisor down, which is its own parent's matter.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+const FIRST_BACKOFF: Duration = Duration::from_millis(10);
+const LAST_BACKOFF: Duration = Duration::from_secs(1);
+/// Restarts allowed within [`RESTART_WINDOW`] before the supervisor escalates.
+const MAX_RESTARTS: usize = 10;
+const RESTART_WINDOW: Duration = Duration::from_secs(60);
+
+/// Tells children to finish, and the parent that a child gave up.
+#[derive(Clone, Debug, Default)]
+pub struct StopFlag {
+    stopping: Arc<AtomicBool>,
+    failed: Arc<AtomicBool>,
+}
+
+impl StopFlag {
+    /// Asks every child to finish.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether children are to finish.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether a child exceeded its restarts.
+    pub fn has_failed(&self) -> bool {
+        self.failed.load(Ordering::Acquire)
+    }
+
+    fn escalate(&self) {
+        self.failed.store(true, Ordering::Release);
+        self.stop();
+    }
+}
+
+/// A group of child threads with one life.
+#[derive(Debug)]
+pub struct Supervisor {
+    name: &'static str,
+    stop: StopFlag,
+    children: Vec<JoinHandle<()>>,
+}
+
+impl Supervisor {
+    /// A supervisor without children.
+    pub fn new(name: &'static str, stop: StopFlag) -> Self {
+        Self { name, stop, children: Vec::new() }
+    }
+
+    /// Starts a child. `body` runs until it returns (then the child is done) and again after a
+    /// panic.
+    pub fn spawn(&mut self, child: impl Into<String>, body: impl FnMut() + Send + 'static) {
+        let stop = self.stop.clone();
+        let name = format!("{}/{}", self.name, child.into());
+        let thread_name = name.clone();
+        let thread = thread::Builder::new()
+            .name(thread_name)
+            .spawn(move || run_child(&name, &stop, body))
+            .expect("the operating system refused a thread");
+        self.children.push(thread);
+    }
+
+    /// Waits until every child has finished.
+    pub fn join(self) {
+        for child in self.children {
+            // A child's panics are caught inside it; what remains is a bug in this module.
+            let _ = child.join();
+        }
+    }
+}
+
+fn run_child(name: &str, stop: &StopFlag, mut body: impl FnMut()) {
+    let mut restarts: Vec<Instant> = Vec::new();
+    let mut backoff = FIRST_BACKOFF;
+    while catch_unwind(AssertUnwindSafe(&mut body)).is_err() {
+        let now = Instant::now();
+        restarts.retain(|at| now.duration_since(*at) < RESTART_WINDOW);
+        restarts.push(now);
+        if restarts.len() > MAX_RESTARTS {
+            log::error!("{name} panicked {MAX_RESTARTS} times in a minute; its supervisor stops");
+            stop.escalate();
+            return;
+        }
+        log::error!("{name} panicked; restarted in {backoff:?}");
+        thread::sleep(backoff);
+        backoff = (backoff * 2).min(LAST_BACKOFF);
+        if stop.is_stopping() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,4 @@
+//! The lab: stand-ins for the platform, load, fault scenarios and reports.
+
+pub mod demo;
+pub mod standin;
--- /dev/null
+++ b/crates/lab/src/standin/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for the systems around the proxy, met through their published protocols.
+//!
+//! They know nothing of the proxy.
+
+pub mod group;
+pub mod store;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,7 @@
+//! Messages between nodes, and their frames.
+//!
+//! Fronts and gateways exchange these values whether they share a shard, a node or neither; only
+//! between nodes are they encoded, as CBOR with a length in front.
+
+pub mod frame;
+pub mod message;
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,154 @@
+//! What fronts and gateways tell each other.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use kestrellock_core::catalog::Priority;
+use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName};
+use kestrellock_core::outcome::Refusal;
+use kestrellock_core::position::Position;
+use kestrellock_core::routing::{Access, InstanceStatus};
+use serde::{Deserialize, Serialize};
+
+/// Version of the protocol between nodes; a peer with another one is refused.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// First message on every connection between nodes, from both sides.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub version: u16,
+    /// Sender.
+    pub node: NodeName,
+    /// Incarnation of the sender's process.
+    pub incarnation: u64,
+}
+
+/// A prepared statement that an exchange refers to under a cluster-wide name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PreparedStatement {
+    /// Name derived from text and parameter types, the same on every node.
+    pub name: String,
+    /// The complete `Parse` message that creates it.
+    pub parse: Bytes,
+}
+
+/// One round trip with a back end on behalf of a caller.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Lease it belongs to; the first exchange of a lease opens it.
+    pub lease: LeaseId,
+    /// Number within the lease, from zero.
+    pub number: u32,
+    /// Instance to run on.
+    pub instance: InstanceName,
+    /// Tenant charged for it.
+    pub tenant: TenantName,
+    /// What it needs.
+    pub access: Access,
+    /// Order in the queue.
+    pub priority: Priority,
+    /// Time left to answer it.
+    pub time_left: Duration,
+    /// Prepared statements that must exist on the connection.
+    pub statements: Vec<PreparedStatement>,
+    /// Front-end messages, whole, as the back end is to see them.
+    pub frames: Bytes,
+    /// How many `ReadyForQuery` messages end the answer.
+    pub ready_expected: u32,
+    /// Whether the exchange may commit, so that its answer must wait for confirmation.
+    pub may_commit: bool,
+}
+
+/// What a front asks of a gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GatewayCall {
+    /// Run this.
+    Exchange(Box<Exchange>),
+    /// The caller is gone: roll back, reset, and reuse the connection.
+    Abandon(LeaseId),
+    /// The caller asked to cancel what runs on the lease.
+    Cancel(LeaseId),
+    /// Send statuses of the group for the next [`SUBSCRIPTION_LIFETIME`].
+    Subscribe,
+}
+
+/// From a front to a gateway of the node that owns an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToGateway {
+    /// Node of the front.
+    pub from: NodeName,
+    /// Group concerned; decides the shard that holds its gateway.
+    pub group: GroupName,
+    /// What is asked.
+    pub call: GatewayCall,
+}
+
+/// How long a status subscription lasts unless renewed.
+pub const SUBSCRIPTION_LIFETIME: Duration = Duration::from_secs(10);
+
+/// State of the back-end transaction after an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TransactionState {
+    /// None open: the lease is over unless it is pinned.
+    Idle,
+    /// Open.
+    Open,
+    /// Open and failed: only a rollback is accepted.
+    Failed,
+}
+
+/// What a front hears about one lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseEvent {
+    /// Part of the answer: whole back-end messages to pass on.
+    Part(Bytes),
+    /// The end of an exchange's answer.
+    Done {
+        /// Last back-end messages, ending with `ReadyForQuery`.
+        frames: Bytes,
+        /// Transaction state after it.
+        transaction: TransactionState,
+        /// Position that a confirmed write has reached; raises the session bound.
+        confirmed: Option<Position>,
+    },
+    /// The exchange failed in the proxy, and the lease is over.
+    Refused(Refusal),
+}
+
+/// From a gateway to a front.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToFront {
+    /// News of a lease.
+    Lease {
+        /// The lease.
+        lease: LeaseId,
+        /// Number of this message within the lease, from zero: a gap means that a message was lost.
+        sequence: u32,
+        /// What happened.
+        event: LeaseEvent,
+    },
+    /// Statuses of instances of one group, newest known to the sender.
+    Statuses {
+        /// The group.
+        group: GroupName,
+        /// Statuses; instances missing from it are unchanged.
+        statuses: Vec<InstanceStatus>,
+    },
+}
+
+/// Everything that travels between nodes over TCP.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Introduction.
+    Hello(Hello),
+    /// For a gateway of the receiver.
+    ToGateway(ToGateway),
+    /// For the front at this shard of the receiver.
+    ToFront {
+        /// Shard of the front; `None` for news that concerns the whole node.
+        shard: Option<u16>,
+        /// The message.
+        message: ToFront,
+    },
+}
