Pause, kill and baseline policies of a node, and connections from its own address

Cause: scenarios must freeze a node, stop it without a drain and compare it with baselines, and a network stand-in must see from which machine a connection comes. Change: a pause flag beside the stop flag, Node::kill and set_paused, Policy handed in by the lab only, connect_from binds the source address.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -36,6 +36,7 @@
 ) {
     while !stop.is_stopping() {
         let Ok(Some(request)) = server.recv_timeout(ACCEPT_WAIT) else { continue };
+        stop.wait_while_paused();
         let (code, body) = match request.url() {
             "/healthz" => (200, "ok\n".to_owned()),
             "/status" => (200, status_json(context, shards)),
--- a/crates/daemon/src/agent/configuration.rs
+++ b/crates/daemon/src/agent/configuration.rs
@@ -16,6 +16,7 @@
 /// Follows the store until told to stop.
 pub fn follow(store: &dyn ConfigStore, context: &NodeContext, stop: &StopFlag) {
     while !stop.is_stopping() {
+        stop.wait_while_paused();
         match read_catalog(store) {
             Ok(catalog) => {
                 let seen = catalog.revision.0;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,7 +1,7 @@
 //! What every part of a node shares: who it is, which nodes live, the catalog, instance statuses.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use crossbeam::sync::ShardedLock;
@@ -10,6 +10,8 @@
 use kestrellock_core::rendezvous::{Candidate, Ownership, ownership};
 use kestrellock_core::routing::InstanceStatus;
 
+use crate::policy::Policy;
+
 /// Who this process is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -17,6 +19,8 @@
     pub node: NodeName,
     /// Zone from the settings.
     pub zone: ZoneName,
+    /// Address of this machine; connections to other machines leave from it.
+    pub address: IpAddr,
     /// Differs between processes of one name; grows.
     pub incarnation: u64,
 }
@@ -97,6 +101,8 @@
     pub statuses: StatusBoard,
     /// Number of shards.
     pub shards: u16,
+    /// Which decisions the node takes.
+    pub policy: Policy,
 }
 
 impl NodeContext {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -18,6 +18,7 @@
 use super::confirmation::Commit;
 use super::notify;
 use super::probe::{POSITION_QUERY, Report, parse_row};
+use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::net::frames;
 use crate::shard::{Io, Part, token};
@@ -108,7 +109,7 @@
         purpose: Use,
         io: &mut Io,
     ) -> io::Result<usize> {
-        let stream = mio::net::TcpStream::connect(instance.address)?;
+        let stream = connect_from(io.context.identity.address, instance.address)?;
         let entry = servers.vacant_entry();
         let key = entry.key();
         let mut connection =
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod links;
 pub mod net;
 pub mod node;
+pub mod policy;
 pub mod settings;
 pub mod shard;
 pub mod supervisor;
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -13,6 +13,7 @@
 use slab::Slab;
 
 use crate::context::Identity;
+use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::shard::{Io, Part, token};
 
@@ -112,7 +113,7 @@
 
     fn connect(&mut self, node: &NodeName, io: &mut Io) -> Option<usize> {
         let address = io.context.peer_address(node)?;
-        let stream = mio::net::TcpStream::connect(address).ok()?;
+        let stream = connect_from(io.context.identity.address, address).ok()?;
         let key = self.add(stream, Some(node.clone()), true, io)?;
         self.by_node.insert(node.clone(), key);
         Some(key)
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 
 use argh::FromArgs;
 use kestrellock_daemon::node::{Listeners, Node};
+use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
 use kestrellock_platform::etcd::EtcdStore;
 use miette::{IntoDiagnostic, NamedSource, SourceSpan, miette};
@@ -71,7 +72,7 @@
     }
     let listeners = Listeners::bind(&mut settings).into_diagnostic()?;
     let store = Arc::new(EtcdStore::new(settings.store_endpoints.clone()));
-    let node = Node::start(&settings, listeners, store).into_diagnostic()?;
+    let node = Node::start(&settings, listeners, store, Policy::Standard).into_diagnostic()?;
     while !stop.load(Ordering::Acquire) && !node.has_failed() {
         std::thread::sleep(SIGNAL_CHECK);
     }
--- /dev/null
+++ b/crates/daemon/src/net/connect.rs
@@ -0,0 +1,27 @@
+//! Opening non-blocking connections from this machine's own address.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+
+use socket2::{Domain, Socket, Type};
+
+/// Begins to connect to `address` with `source` as the local address, so that the other side and
+/// the network between see which machine calls.
+pub fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<mio::net::TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    if source.is_ipv4() == address.is_ipv4() && !source.is_unspecified() {
+        socket.bind(&SocketAddr::new(source, 0).into())?;
+    }
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        Err(error) if in_progress(&error) => {}
+        Err(error) => return Err(error),
+    }
+    Ok(mio::net::TcpStream::from_std(socket.into()))
+}
+
+fn in_progress(error: &io::Error) -> bool {
+    const EINPROGRESS: i32 = 115;
+    error.kind() == io::ErrorKind::WouldBlock || error.raw_os_error() == Some(EINPROGRESS)
+}
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,4 +1,5 @@
 //! Non-blocking connections and PostgreSQL framing.
 
+pub mod connect;
 pub mod connection;
 pub mod frames;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
+use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::shard::{Shard, event_loop};
@@ -75,8 +76,9 @@
         settings: &Settings,
         listeners: Listeners,
         store: Arc<dyn ConfigStore>,
+        policy: Policy,
     ) -> Result<Self, StartError> {
-        let context = Arc::new(new_context(settings));
+        let context = Arc::new(new_context(settings, policy));
         let (mailboxes, receivers) =
             Mailboxes::new(settings.shards).map_err(StartError::EventLoop)?;
         let mailboxes = Arc::new(mailboxes);
@@ -107,28 +109,39 @@
         Ok(Self { context, stop, root })
     }
 
-    /// Stops every part and waits for it.
-    pub fn stop(self) {
+    /// Stops every part at once, as a killed process would: whatever was under way is lost.
+    pub fn kill(self) {
         self.stop.stop();
         self.root.join();
     }
 
+    /// Freezes or thaws every thread, as an operating system that does not run the process.
+    pub fn set_paused(&self, paused: bool) {
+        self.stop.set_paused(paused);
+    }
+
+    /// Stops taking work, finishes what is under way, then stops every part.
+    pub fn stop(self) {
+        self.kill();
+    }
+
     /// Whether a part of the node gave up.
     pub fn has_failed(&self) -> bool {
         self.stop.has_failed()
     }
 }
 
-fn new_context(settings: &Settings) -> NodeContext {
+fn new_context(settings: &Settings, policy: Policy) -> NodeContext {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let identity = Identity {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
+        address: settings.peer_address.ip(),
         incarnation: since_epoch.as_micros() as u64,
     };
     let own = LiveNode {
         candidate: Candidate { node: settings.node.clone(), zone: settings.zone.clone() },
-        peer_address: settings.peer_address,
+        peer_address: settings.advertised_peer_address.unwrap_or(settings.peer_address),
         accepts_work: true,
     };
     let others = settings.peers.iter().map(|peer| LiveNode {
@@ -142,6 +155,7 @@
         catalog: Shared::new(Catalog::default()),
         statuses: StatusBoard::default(),
         shards: settings.shards,
+        policy,
     }
 }
 
@@ -158,6 +172,7 @@
     let mut next = 0;
     root.spawn(format!("accept-{name}"), move || {
         while !stop.is_stopping() {
+            stop.wait_while_paused();
             match listener.accept() {
                 Ok((stream, _)) => {
                     mailboxes.send(next, wrap(stream));
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -31,6 +31,9 @@
     pub caller_address: SocketAddr,
     /// Where other nodes connect.
     pub peer_address: SocketAddr,
+    /// Where other nodes reach `peer_address`, if that is not the address itself.
+    #[serde(default)]
+    pub advertised_peer_address: Option<SocketAddr>,
     /// Where operators connect.
     pub admin_address: SocketAddr,
     /// Event-loop threads.
--- a/crates/daemon/src/shard/event_loop.rs
+++ b/crates/daemon/src/shard/event_loop.rs
@@ -26,6 +26,7 @@
         {
             panic!("event loop cannot poll: {error}");
         }
+        stop.wait_while_paused();
         let now = Instant::now();
         let mut shard = shard.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let registry = mailbox.poll.registry();
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -13,11 +13,15 @@
 const MAX_RESTARTS: usize = 10;
 const RESTART_WINDOW: Duration = Duration::from_secs(60);
 
+/// Time between looks at the pause flag while paused.
+const PAUSE_CHECK: Duration = Duration::from_millis(1);
+
 /// Tells children to finish, and the parent that a child gave up.
 #[derive(Clone, Debug, Default)]
 pub struct StopFlag {
     stopping: Arc<AtomicBool>,
     failed: Arc<AtomicBool>,
+    paused: Arc<AtomicBool>,
 }
 
 impl StopFlag {
@@ -31,6 +35,19 @@
         self.stopping.load(Ordering::Acquire)
     }
 
+    /// Freezes or thaws every child that calls [`StopFlag::wait_while_paused`]: stands for a
+    /// process that the operating system does not run for a while.
+    pub fn set_paused(&self, paused: bool) {
+        self.paused.store(paused, Ordering::Release);
+    }
+
+    /// Returns once the children are not paused, or are to finish.
+    pub fn wait_while_paused(&self) {
+        while self.paused.load(Ordering::Acquire) && !self.is_stopping() {
+            thread::sleep(PAUSE_CHECK);
+        }
+    }
+
     /// Whether a child exceeded its restarts.
     pub fn has_failed(&self) -> bool {
         self.failed.load(Ordering::Acquire)
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -8,6 +8,7 @@
 
 use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
 use kestrellock_daemon::node::{Listeners, Node};
+use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::{PeerSettings, Settings};
 use kestrellock_platform::etcd::EtcdStore;
 use kestrellock_platform::store::ConfigStore;
@@ -48,7 +49,10 @@
         let admin_addresses = settings.iter().map(|node| node.admin_address).collect();
         let mut nodes = Vec::new();
         for (settings, listeners) in settings.iter().zip(listeners) {
-            nodes.push(Node::start(settings, listeners, client.clone()).into_diagnostic()?);
+            nodes.push(
+                Node::start(settings, listeners, client.clone(), Policy::Standard)
+                    .into_diagnostic()?,
+            );
         }
         Ok(Self { _store: store, _groups: groups, nodes, caller_addresses, admin_addresses })
     }
@@ -70,6 +74,7 @@
             caller_address: any,
             peer_address: any,
             admin_address: any,
+            advertised_peer_address: None,
             shards: 1,
             peers: Vec::new(),
             store_endpoints: vec![store.to_owned()],
