Tell the front at once when the connection to another node closes

Cause: an exchange on a lost link waited for its deadline and the grace time. Change: links list the nodes whose connection closed; the shard hands them to Front::on_peer_lost, which ends the exchanges under way there as in doubt (reads: not run).

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -9,7 +9,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use kestrellock_core::ids::LeaseId;
+use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::{Exchange, LeaseEvent, ToFront};
 use slab::Slab;
@@ -95,6 +95,20 @@
         self.advance(key, io);
     }
 
+    /// The connection to `node` closed: whatever its gateways had under way will not be answered.
+    pub fn on_peer_lost(&mut self, node: &NodeName, io: &mut Io) {
+        let affected: Vec<usize> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.waits_for(node))
+            .map(|(key, _)| key)
+            .collect();
+        for key in affected {
+            self.sessions[key].on_gateway_lost(io);
+            self.advance(key, io);
+        }
+    }
+
     /// Retries statements that wait for an instance, and ends those whose time is up.
     pub fn on_tick(&mut self, io: &mut Io) {
         let due: Vec<usize> = self
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use kestrellock_core::classify::{StatementClass, classify};
-use kestrellock_core::ids::LeaseId;
+use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::Position;
 use kestrellock_core::routing::Access;
@@ -213,16 +213,29 @@
         self.send_request(new_lease, io);
     }
 
+    /// Whether an exchange is under way with a gateway of `node`.
+    pub fn waits_for(&self, node: &NodeName) -> bool {
+        let sent = self.request.as_ref().is_some_and(|request| request.sent);
+        sent && self.lease.as_ref().is_some_and(|lease| lease.target.gateway == *node)
+    }
+
+    /// The connection to the gateway of the exchange under way closed.
+    pub fn on_gateway_lost(&mut self, io: &mut Io) {
+        self.end_unanswered("the connection to the gateway was lost", io);
+    }
+
     fn on_silent_gateway(&mut self, io: &mut Io) {
+        self.end_unanswered("the gateway did not answer in time", io);
+    }
+
+    /// Ends an exchange that the gateway may have run.
+    fn end_unanswered(&mut self, detail: &str, io: &mut Io) {
         let write =
             self.request.as_ref().is_some_and(|request| request.class != StatementClass::Read);
         let code =
             if write { ResultCode::GatewaySilentInDoubt } else { ResultCode::ReadInterrupted };
         self.abandon(io);
-        self.end_lease(LeaseEvent::Refused(Refusal::new(
-            code,
-            "the gateway did not answer in time",
-        )));
+        self.end_lease(LeaseEvent::Refused(Refusal::new(code, detail)));
     }
 
     fn access(&self, class: StatementClass, login: &Login) -> Access {
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -30,12 +30,19 @@
     links: Slab<Link>,
     by_node: HashMap<NodeName, usize>,
     unflushed: Vec<usize>,
+    lost: Vec<NodeName>,
 }
 
 impl Links {
     /// No links yet.
     pub fn new(identity: Identity) -> Self {
-        Self { identity, links: Slab::new(), by_node: HashMap::new(), unflushed: Vec::new() }
+        Self {
+            identity,
+            links: Slab::new(),
+            by_node: HashMap::new(),
+            unflushed: Vec::new(),
+            lost: Vec::new(),
+        }
     }
 
     /// Takes over a connection that another node opened.
@@ -72,6 +79,11 @@
         }
     }
 
+    /// Nodes whose connection closed since the last call: what was under way with them is lost.
+    pub fn take_lost(&mut self) -> Vec<NodeName> {
+        std::mem::take(&mut self.lost)
+    }
+
     /// Handles readiness of a link; returns the messages that arrived.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) -> Vec<PeerMessage> {
         let Some(link) = self.links.get_mut(key) else { return Vec::new() };
@@ -144,6 +156,7 @@
     fn close(&mut self, key: usize, io: &mut Io) {
         let Some(mut link) = self.links.try_remove(key) else { return };
         link.connection.deregister(io.registry);
+        self.lost.extend(link.peer.take());
         self.by_node.retain(|_, used| *used != key);
     }
 }
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -127,6 +127,8 @@
             Io { registry, now, outbox: &mut outbox, context: &context, shard: self.number };
         work(self, &mut io);
         self.deliver(&mut io);
+        self.report_lost_peers(&mut io);
+        self.deliver(&mut io);
         self.outbox = outbox;
     }
 
@@ -189,6 +191,13 @@
         self.links.flush(io);
     }
 
+    /// Tells the front of every connection to another node that closed.
+    fn report_lost_peers(&mut self, io: &mut Io) {
+        for node in self.links.take_lost() {
+            self.front.on_peer_lost(&node, io);
+        }
+    }
+
     fn deliver_to_gateway(&mut self, node: NodeName, message: ToGateway, io: &mut Io) {
         if node != io.context.identity.node {
             let lost = self.links.send(&node, PeerMessage::ToGateway(message), io);
