--- /dev/null
+++ b/crates/lab/src/check/back_ends.rs
@@ -0,0 +1,30 @@
+//! Leaving back ends: no new work after a few seconds.
+
+use super::final_state::{FinalState, StatementKind};
+use super::history::RunTime;
+use super::violation::{Invariant, Verdict};
+
+/// Time after which a leaving instance must have no new work, in microseconds.
+pub const LEAVING_LIMIT: RunTime = RunTime(3_000_000);
+
+/// Judges every statement that reached a leaving instance.
+pub fn check(state: &FinalState, verdict: &mut Verdict) {
+    for group in &state.groups {
+        for leaving in &group.leaving {
+            let limit = RunTime(leaving.since.0 + LEAVING_LIMIT.0);
+            let late = group.arrivals.iter().filter(|arrival| {
+                let new_work = arrival.operation.is_some() && arrival.kind != StatementKind::End;
+                arrival.instance == leaving.instance && new_work && arrival.at > limit
+            });
+            for arrival in late {
+                let detail = format!(
+                    "{} got work of {:?} {} us after it began to leave",
+                    arrival.instance,
+                    arrival.operation,
+                    arrival.at.0 - leaving.since.0
+                );
+                verdict.add(Invariant::LeavingUnused, detail);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/check/configuration.rs
@@ -0,0 +1,46 @@
+//! Configuration: what was accepted is in force on every node in time and never reverts.
+
+use super::history::{AcceptedChange, ConfigurationTrack, History, RunTime};
+use super::violation::{Invariant, Verdict};
+
+/// Time within which an accepted change must be in force everywhere, in microseconds.
+pub const IN_FORCE_LIMIT: RunTime = RunTime(9_000_000);
+
+/// Judges the revisions seen on every node.
+pub fn check(history: &History, verdict: &mut Verdict) {
+    for track in &history.configuration {
+        check_order(track, verdict);
+        for change in &history.accepted_changes {
+            check_in_force(track, change, verdict);
+        }
+    }
+}
+
+fn check_order(track: &ConfigurationTrack, verdict: &mut Verdict) {
+    for pair in track.samples.windows(2) {
+        if pair[1].revision < pair[0].revision {
+            let detail = format!(
+                "{} went from revision {} back to {}",
+                track.node, pair[0].revision, pair[1].revision
+            );
+            verdict.add(Invariant::ConfigurationKept, detail);
+        }
+    }
+}
+
+/// One violation for each node and change at most.
+fn check_in_force(track: &ConfigurationTrack, change: &AcceptedChange, verdict: &mut Verdict) {
+    let limit = RunTime(change.at.max(track.started).0 + IN_FORCE_LIMIT.0);
+    let late =
+        track.samples.iter().find(|sample| sample.at > limit && sample.revision < change.revision);
+    if let Some(sample) = late {
+        let detail = format!(
+            "{} has revision {} in place of {} {} us after it was accepted",
+            track.node,
+            sample.revision,
+            change.revision,
+            sample.at.0 - change.at.0
+        );
+        verdict.add(Invariant::ConfigurationInForce, detail);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/check/index.rs
@@ -0,0 +1,89 @@
+//! Commits by the operation that made them.
+
+use std::collections::HashMap;
+
+use super::final_state::{FinalState, LogPlace, RowChange};
+use super::history::{GroupId, OperationId, RowKey};
+
+/// What an operation left in the logs of its group.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Traces {
+    /// Commits in the surviving history.
+    pub surviving: Vec<LogPlace>,
+    /// Commits that did not survive.
+    pub discarded: Vec<LogPlace>,
+}
+
+impl Traces {
+    /// The latest place it is known from, a surviving one first.
+    pub fn place(&self) -> Option<LogPlace> {
+        self.surviving.iter().max().or(self.discarded.iter().max()).copied()
+    }
+}
+
+/// All commits of a run, by operation and by row.
+#[derive(Debug, Default)]
+pub struct CommitIndex {
+    traces: HashMap<OperationId, Traces>,
+    owners: HashMap<(GroupId, RowKey), Vec<OperationId>>,
+}
+
+static NO_TRACES: Traces = Traces { surviving: Vec::new(), discarded: Vec::new() };
+
+impl CommitIndex {
+    /// Indexes the records of a run.
+    pub fn new(state: &FinalState) -> Self {
+        let mut index = Self::default();
+        for group in &state.groups {
+            for commit in &group.surviving {
+                for operation in operations_of(&commit.changes) {
+                    index.entry(operation).surviving.push(commit.place);
+                }
+                index.add_owners(&group.group, &commit.changes);
+            }
+            for commit in &group.discarded {
+                for operation in operations_of(&commit.changes) {
+                    index.entry(operation).discarded.push(commit.place);
+                }
+            }
+        }
+        index
+    }
+
+    fn entry(&mut self, operation: &OperationId) -> &mut Traces {
+        self.traces.entry(operation.clone()).or_default()
+    }
+
+    fn add_owners(&mut self, group: &GroupId, changes: &[RowChange]) {
+        for change in changes {
+            if let RowChange::Set { row: row @ RowKey::Seat(_), operation } = change {
+                let owners = self.owners.entry((group.clone(), *row)).or_default();
+                owners.push(operation.clone());
+            }
+        }
+    }
+
+    /// What `operation` left.
+    pub fn traces(&self, operation: &OperationId) -> &Traces {
+        self.traces.get(operation).unwrap_or(&NO_TRACES)
+    }
+
+    /// Owners that each seat had in the surviving history, in order.
+    pub fn owners(&self) -> &HashMap<(GroupId, RowKey), Vec<OperationId>> {
+        &self.owners
+    }
+}
+
+/// The operation of each change. The parts of one transaction in one commit count once; a row
+/// that stands twice counts twice.
+fn operations_of(changes: &[RowChange]) -> Vec<&OperationId> {
+    let mut found = Vec::new();
+    for change in changes {
+        let operation = change.operation();
+        let is_part = matches!(change, RowChange::Part { .. });
+        if !is_part || !found.contains(&operation) {
+            found.push(operation);
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/lab/src/check/transactions.rs
@@ -0,0 +1,80 @@
+//! Transactions: whole or not at all, and never mixed on a shared connection.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::final_state::{Arrival, Commit, FinalState, RowChange, StatementKind};
+use super::history::{Action, Ending, History, InstanceId, OperationId};
+use super::violation::{Invariant, Verdict};
+
+/// Judges commits and the order of statements on each connection.
+pub fn check(history: &History, state: &FinalState, verdict: &mut Verdict) {
+    let expected = expected_parts(history);
+    for group in &state.groups {
+        for commit in &group.surviving {
+            check_commit(commit, &expected, verdict);
+        }
+        check_connections(&group.arrivals, verdict);
+    }
+}
+
+/// Parts that each transaction leaves if it takes effect: none if it was to roll back.
+fn expected_parts(history: &History) -> HashMap<&OperationId, u32> {
+    let of_action = |action: &Action| match action {
+        Action::Transaction { parts, ending: Ending::Commit } => Some(*parts),
+        Action::Transaction { .. } => Some(0),
+        _ => None,
+    };
+    let attempts = history.attempts.iter();
+    attempts.filter_map(|attempt| Some((&attempt.operation, of_action(&attempt.action)?))).collect()
+}
+
+fn check_commit(commit: &Commit, expected: &HashMap<&OperationId, u32>, verdict: &mut Verdict) {
+    let operations: BTreeSet<&OperationId> =
+        commit.changes.iter().map(RowChange::operation).collect();
+    if operations.len() > 1 {
+        let detail = format!("one commit at {:?} holds {operations:?}", commit.place);
+        verdict.add(Invariant::TransactionNotMixed, detail);
+    }
+    let mut parts: BTreeMap<&OperationId, Vec<u32>> = BTreeMap::new();
+    for change in &commit.changes {
+        if let RowChange::Part { operation, part } = change {
+            parts.entry(operation).or_default().push(*part);
+        }
+    }
+    for (operation, mut found) in parts {
+        found.sort_unstable();
+        let whole = expected.get(operation).copied().unwrap_or_default();
+        if !found.iter().copied().eq(0..whole) {
+            let detail = format!("{operation} left parts {found:?} of {whole}");
+            verdict.add(Invariant::TransactionWhole, detail);
+        }
+    }
+}
+
+/// Follows each connection: between the begin and the end of a block, only statements of the
+/// operation that began it.
+fn check_connections(arrivals: &[Arrival], verdict: &mut Verdict) {
+    let mut open: HashMap<(&InstanceId, u64), &OperationId> = HashMap::new();
+    for arrival in arrivals {
+        let Some(operation) = &arrival.operation else { continue };
+        let key = (&arrival.instance, arrival.connection);
+        let holder = open.get(&key).copied();
+        let foreign = match (holder, arrival.kind) {
+            (Some(holder), _) => holder != operation,
+            (None, StatementKind::End) => true,
+            (None, _) => false,
+        };
+        if foreign {
+            let detail = format!(
+                "{:?} of {operation} on {} connection {} within {holder:?}",
+                arrival.kind, arrival.instance, arrival.connection
+            );
+            verdict.add(Invariant::TransactionNotMixed, detail);
+        }
+        match arrival.kind {
+            StatementKind::Begin => open.insert(key, operation),
+            StatementKind::End => open.remove(&key),
+            StatementKind::Other => None,
+        };
+    }
+}
--- /dev/null
+++ b/crates/lab/src/check/writes.rs
@@ -0,0 +1,85 @@
+//! Writes: acknowledged ones stay, denied ones have no effect, none takes effect twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::history::{Action, Attempt, GroupId, History, OperationId, Outcome, RowKey};
+use super::index::CommitIndex;
+use super::violation::{Invariant, Verdict};
+
+/// Judges every operation that may change something.
+pub fn check(history: &History, index: &CommitIndex, verdict: &mut Verdict) {
+    let mut operations: BTreeMap<&OperationId, Vec<&Attempt>> = BTreeMap::new();
+    for attempt in history.attempts.iter().filter(|attempt| attempt.action.changes()) {
+        operations.entry(&attempt.operation).or_default().push(attempt);
+    }
+    for (operation, attempts) in &operations {
+        check_operation(operation, attempts, index, verdict);
+    }
+    check_seats(history, index, verdict);
+}
+
+fn check_operation(
+    operation: &OperationId,
+    attempts: &[&Attempt],
+    index: &CommitIndex,
+    verdict: &mut Verdict,
+) {
+    let traces = index.traces(operation);
+    let effects = traces.surviving.len();
+    if effects > 1 {
+        verdict.add(Invariant::AtMostOnce, format!("{operation} took effect {effects} times"));
+    }
+    let acknowledged =
+        attempts.iter().find(|attempt| attempt.outcome.is_acknowledged(&attempt.action));
+    if let Some(attempt) = acknowledged
+        && effects == 0
+    {
+        let invariant = if traces.discarded.is_empty() {
+            Invariant::AcknowledgedKept
+        } else {
+            Invariant::ReplacedPrimary
+        };
+        verdict.add(invariant, format!("{operation} by {}: {:?}", attempt.node, attempt.outcome));
+    }
+    if effects > 0 {
+        check_denials(operation, attempts, verdict);
+    }
+}
+
+/// An operation took effect: no attempt may have been told for certain that it did not, unless
+/// another attempt of the same operation may be the one that ran.
+fn check_denials(operation: &OperationId, attempts: &[&Attempt], verdict: &mut Verdict) {
+    for attempt in attempts {
+        let final_word = matches!(attempt.outcome, Outcome::Abandoned(_))
+            || matches!(attempt.outcome, Outcome::Answered(_))
+                && attempt.outcome.denies_effect(&attempt.action);
+        if final_word {
+            let detail = format!("{operation} took effect, told {:?}", attempt.outcome);
+            verdict.add(Invariant::OutcomeTrue, detail);
+        }
+    }
+    if attempts.iter().all(|attempt| matches!(attempt.outcome, Outcome::NotRun(_))) {
+        let detail = format!("{operation} took effect, told {:?}", attempts[0].outcome);
+        verdict.add(Invariant::NotRunTrue, detail);
+    }
+}
+
+fn check_seats(history: &History, index: &CommitIndex, verdict: &mut Verdict) {
+    let mut buyers: BTreeMap<(&GroupId, RowKey), BTreeSet<&OperationId>> = BTreeMap::new();
+    for ((group, row), owners) in index.owners() {
+        buyers.entry((group, *row)).or_default().extend(owners);
+    }
+    for attempt in &history.attempts {
+        if let Action::Purchase(row) = attempt.action {
+            let told = buyers.entry((&attempt.group, row)).or_default();
+            if attempt.outcome.is_acknowledged(&attempt.action) {
+                told.insert(&attempt.operation);
+            }
+        }
+    }
+    for ((group, row), buyers) in buyers {
+        if buyers.len() > 1 {
+            verdict.add(Invariant::SeatSoldOnce, format!("{row:?} of {group}: {buyers:?}"));
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,5 @@
 //! The lab: stand-ins for the platform, load, fault scenarios and reports.
 
+pub mod check;
 pub mod demo;
 pub mod standin;
