Settings: every field validated, numbered diagnostics at the line, secrets from files or variables

The skeleton took any TOML that deserialized: ports could clash, a peer could be named twice and a secret had no place. Settings are now parsed, overlaid with flags, completed and validated; each complaint has a number (KL2001..KL2007), a field path and a place in the file.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -267,6 +267,19 @@
     }
 }
 
+/// Longest name of anything, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// Whether `text` may name a node, zone, group, instance, template or tenant: lower-case letters,
+/// digits, hyphens and underscores, beginning with a letter.
+pub fn is_name(text: &str) -> bool {
+    let allowed =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_".contains(&byte);
+    text.len() <= MAX_NAME_BYTES
+        && text.as_bytes().first().is_some_and(u8::is_ascii_lowercase)
+        && text.bytes().all(allowed)
+}
+
 fn validate_group(name: &GroupName, group: &Group) -> Result<(), InvalidField> {
     if group.instances.is_empty() {
         return Err(InvalidField::new(format!("groups.{name}.instances"), "must not be empty"));
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -94,6 +94,42 @@
     AlreadyRan = 1702, "23505", Ran;
     /// The request key was abandoned: it never ran and never will.
     Abandoned = 1703, "40001", NotRun;
+    /// The settings file cannot be read.
+    SettingsUnreadable = 2001, "F0000", NotRun;
+    /// The settings file is not TOML, or a value has the wrong type.
+    SettingsMalformed = 2002, "F0000", NotRun;
+    /// A settings field is unknown.
+    SettingsUnknownField = 2003, "F0000", NotRun;
+    /// A settings field is missing.
+    SettingsMissingField = 2004, "F0000", NotRun;
+    /// The value of a settings field is out of range.
+    SettingsInvalidValue = 2005, "F0000", NotRun;
+    /// Two settings fields contradict each other.
+    SettingsContradiction = 2006, "F0000", NotRun;
+    /// A secret's file or environment variable cannot be read, or is empty.
+    SecretUnavailable = 2007, "F0000", NotRun;
+    /// The administration token is missing or wrong.
+    AdminTokenRefused = 2101, "28000", NotRun;
+    /// The administration request is malformed or names an unknown page.
+    AdminRequestRefused = 2102, "08P01", NotRun;
+    /// A value of the configuration is malformed or out of range; nothing changed.
+    ConfigurationInvalid = 3001, "22023", NotRun;
+    /// The configuration changed since it was read; nothing changed.
+    ConfigurationConflict = 3002, "40001", NotRun;
+    /// The store did not take the change; nothing changed.
+    StoreUnavailable = 3003, "57P03", NotRun;
+    /// The store's answer was lost and reading back did not settle whether the change was made.
+    StoreInDoubt = 3004, "08007", InDoubt;
+    /// The configuration has no such entry.
+    NoSuchEntry = 3005, "42704", NotRun;
+    /// The change was made, but some live nodes do not have it in force yet.
+    NotInForceEverywhere = 3006, "01000", Ran;
+}
+
+impl std::fmt::Display for ResultCode {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "KL{:04}", self.number())
+    }
 }
 
 /// A result the proxy itself gives in place of a back end's answer.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,11 +3,16 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use kestrellock_program::command_line;
 use miette::{IntoDiagnostic, Result};
 
 /// kestrellock operators' command line
 #[derive(FromArgs)]
 struct Arguments {
+    /// print the version and exit
+    #[argh(switch)]
+    #[allow(dead_code, reason = "answered before the arguments are parsed")]
+    version: bool,
     #[argh(subcommand)]
     command: Command,
 }
@@ -28,15 +33,9 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
-    let Command::Status(status) = arguments.command;
-    match show_status(&status) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    command_line::run("kestrellockctl", |arguments: Arguments| match arguments.command {
+        Command::Status(status) => show_status(&status),
+    })
 }
 
 fn show_status(arguments: &StatusArguments) -> Result<()> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod agent;
+pub mod arguments;
 pub mod context;
 pub mod front;
 pub mod gateway;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,68 +1,38 @@
 //! `kestrellockd`: reads its settings and runs one node.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use argh::FromArgs;
+use kestrellock_daemon::arguments::Arguments;
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
 use kestrellock_platform::etcd::EtcdStore;
-use miette::{IntoDiagnostic, NamedSource, SourceSpan, miette};
+use kestrellock_program::command_line::{self, WrongUse};
+use kestrellock_program::logging;
+use miette::IntoDiagnostic;
 
 const SIGNAL_CHECK: Duration = Duration::from_millis(50);
 
-/// kestrellock proxy daemon
-#[derive(FromArgs)]
-struct Arguments {
-    /// settings file
-    #[argh(option, short = 's')]
-    settings: Option<PathBuf>,
-    /// check this settings file and exit
-    #[argh(option)]
-    check_settings: Option<PathBuf>,
-    /// print the version and exit
-    #[argh(switch)]
-    version: bool,
-}
-
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    command_line::run("kestrellockd", |arguments: Arguments| run(&arguments))
 }
 
 fn run(arguments: &Arguments) -> miette::Result<()> {
-    if arguments.version {
-        println!("kestrellockd {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
     if let Some(path) = &arguments.check_settings {
-        read_settings(path)?;
+        arguments.read_settings(path)?;
         println!("{}: valid", path.display());
         return Ok(());
     }
-    let path = arguments.settings.as_ref().ok_or_else(|| miette!("--settings FILE is needed"))?;
-    logforth::starter_log::stdout().apply();
-    serve(read_settings(path)?)
-}
-
-fn read_settings(path: &PathBuf) -> miette::Result<Settings> {
-    let text = std::fs::read_to_string(path).into_diagnostic()?;
-    toml::from_str(&text).map_err(|error| {
-        let span: SourceSpan = error.span().unwrap_or(0..0).into();
-        let label = miette::LabeledSpan::at(span, error.message().to_owned());
-        miette!(labels = vec![label], "invalid settings")
-            .with_source_code(NamedSource::new(path.display().to_string(), text.clone()))
-    })
+    let Some(path) = &arguments.settings else {
+        return Err(WrongUse("--settings FILE is needed".to_owned()).into());
+    };
+    let mut settings = arguments.read_settings(path)?;
+    settings.read_secrets().map_err(|error| miette::miette!("{}: {error}", error.code))?;
+    logging::start(arguments.log_level, arguments.log_format);
+    serve(settings)
 }
 
 fn serve(mut settings: Settings) -> miette::Result<()> {
@@ -76,6 +46,7 @@
     while !stop.load(Ordering::Acquire) && !node.has_failed() {
         std::thread::sleep(SIGNAL_CHECK);
     }
+    let failed = node.has_failed();
     node.stop();
-    Ok(())
+    if failed { Err(miette::miette!("a part of the node gave up; see the log")) } else { Ok(()) }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,12 +1,20 @@
-//! Settings of one node: addresses, zone, peers and store, from a TOML file.
+//! Settings of one node: addresses, zone, peers and store, from a TOML file and flags.
 //!
 //! Nothing operators change at run time stands here; that is the catalog's part.
 
+mod file;
+mod validate;
+
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_program::secret::{Secret, SecretSource};
 use serde::{Deserialize, Serialize};
 
+pub use file::{SettingsFile, parse};
+pub use validate::{SettingsError, validate};
+
 /// One other node, known before membership has run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -19,9 +27,34 @@
     pub address: SocketAddr,
 }
 
-/// The settings file.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Where the node's secrets are read from.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
+pub struct SecretSources {
+    /// Token that operators show on the admin port.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admin_token: Option<SecretSource>,
+    /// Keys under which nodes authenticate to each other; the first signs, all are accepted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cluster_keys: Vec<SecretSource>,
+    /// Passwords of the roles under which gateways log in to back ends, by role.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub backend_passwords: BTreeMap<String, SecretSource>,
+}
+
+/// The node's secrets, read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Secrets {
+    /// Token of the admin port; without one only `/healthz` answers.
+    pub admin_token: Option<Secret>,
+    /// Cluster keys, the signing one first.
+    pub cluster_keys: Vec<Secret>,
+    /// Back-end passwords by role.
+    pub backend_passwords: BTreeMap<String, Secret>,
+}
+
+/// Complete and valid settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Name of this node, unique in the cluster.
     pub node: NodeName,
@@ -32,20 +65,60 @@
     /// Where other nodes connect.
     pub peer_address: SocketAddr,
     /// Where other nodes reach `peer_address`, if that is not the address itself.
-    #[serde(default)]
     pub advertised_peer_address: Option<SocketAddr>,
     /// Where operators connect.
     pub admin_address: SocketAddr,
     /// Event-loop threads.
-    #[serde(default = "default_shards")]
     pub shards: u16,
     /// Other nodes to join through.
-    #[serde(default)]
     pub peers: Vec<PeerSettings>,
     /// Endpoints of the configuration store, such as `http://127.0.0.1:2379`.
     pub store_endpoints: Vec<String>,
+    /// Address of the platform's machine list, such as `http://127.0.0.1:8080/machines`.
+    pub machine_list: Option<String>,
+    /// Secrets, read by [`Settings::read_secrets`] or set by a program that embeds nodes.
+    pub secrets: Secrets,
+    /// Where the secrets are read from.
+    pub secret_sources: SecretSources,
 }
 
-fn default_shards() -> u16 {
-    1
+impl Settings {
+    /// Settings of a node on loopback ports that the system chooses, without peers and store.
+    pub fn loopback(node: NodeName, zone: ZoneName) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            node,
+            zone,
+            caller_address: any,
+            peer_address: any,
+            advertised_peer_address: None,
+            admin_address: any,
+            shards: 1,
+            peers: Vec::new(),
+            store_endpoints: Vec::new(),
+            machine_list: None,
+            secrets: Secrets::default(),
+            secret_sources: SecretSources::default(),
+        }
+    }
+
+    /// Reads every secret from its source.
+    pub fn read_secrets(&mut self) -> Result<(), SettingsError> {
+        let sources = &self.secret_sources;
+        let read = |field: String, source: &SecretSource| {
+            source.read().map_err(|error| SettingsError::secret(field, &error))
+        };
+        if let Some(source) = &sources.admin_token {
+            self.secrets.admin_token = Some(read("secrets.admin_token".to_owned(), source)?);
+        }
+        for (index, source) in sources.cluster_keys.iter().enumerate() {
+            let key = read(format!("secrets.cluster_keys[{index}]"), source)?;
+            self.secrets.cluster_keys.push(key);
+        }
+        for (role, source) in &sources.backend_passwords {
+            let password = read(format!("secrets.backend_passwords.{role}"), source)?;
+            self.secrets.backend_passwords.insert(role.clone(), password);
+        }
+        Ok(())
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/settings/file.rs
@@ -0,0 +1,74 @@
+//! The settings file as written, before flags are laid over it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::outcome::ResultCode;
+use kestrellock_program::diagnostic::FileDiagnostic;
+use serde::{Deserialize, Serialize};
+
+use super::{PeerSettings, SecretSources, Secrets, Settings, SettingsError};
+
+const DEFAULT_SHARDS: u16 = 1;
+
+/// Every field that a file or a flag may set; the names are those of [`Settings`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs, reason = "documented at the field of the same name in Settings")]
+pub struct SettingsFile {
+    pub node: Option<NodeName>,
+    pub zone: Option<ZoneName>,
+    pub caller_address: Option<SocketAddr>,
+    pub peer_address: Option<SocketAddr>,
+    pub advertised_peer_address: Option<SocketAddr>,
+    pub admin_address: Option<SocketAddr>,
+    pub shards: Option<u16>,
+    #[serde(default)]
+    pub peers: Vec<PeerSettings>,
+    #[serde(default)]
+    pub store_endpoints: Vec<String>,
+    pub machine_list: Option<String>,
+    #[serde(default)]
+    pub secrets: SecretSources,
+}
+
+impl SettingsFile {
+    /// Completes the settings; a field without a default must be there.
+    pub fn complete(self) -> Result<Settings, SettingsError> {
+        Ok(Settings {
+            node: needed(self.node, "node")?,
+            zone: needed(self.zone, "zone")?,
+            caller_address: needed(self.caller_address, "caller_address")?,
+            peer_address: needed(self.peer_address, "peer_address")?,
+            advertised_peer_address: self.advertised_peer_address,
+            admin_address: needed(self.admin_address, "admin_address")?,
+            shards: self.shards.unwrap_or(DEFAULT_SHARDS),
+            peers: self.peers,
+            store_endpoints: self.store_endpoints,
+            machine_list: self.machine_list,
+            secrets: Secrets::default(),
+            secret_sources: self.secrets,
+        })
+    }
+}
+
+fn needed<T>(value: Option<T>, field: &str) -> Result<T, SettingsError> {
+    value.ok_or_else(|| SettingsError {
+        code: ResultCode::SettingsMissingField,
+        field: field.to_owned(),
+        problem: "must be set".to_owned(),
+    })
+}
+
+/// Parses the text of the settings file at `path`.
+pub fn parse(path: &Path, text: &str) -> Result<SettingsFile, FileDiagnostic> {
+    toml::from_str(text).map_err(|error| {
+        let code = match error.message().starts_with("unknown field") {
+            true => ResultCode::SettingsUnknownField,
+            false => ResultCode::SettingsMalformed,
+        };
+        let name = path.display().to_string();
+        FileDiagnostic::new(code, error.message(), error.span(), &name, text)
+    })
+}
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -64,20 +64,13 @@
 }
 
 fn bind_nodes(store: &str) -> miette::Result<(Vec<Settings>, Vec<Listeners>)> {
-    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
     let mut all = Vec::new();
     let mut listeners = Vec::new();
     for zone in ZONES {
+        let node = NodeName::new(format!("node-{zone}"));
         let mut settings = Settings {
-            node: NodeName::new(format!("node-{zone}")),
-            zone: ZoneName::new(zone),
-            caller_address: any,
-            peer_address: any,
-            admin_address: any,
-            advertised_peer_address: None,
-            shards: 1,
-            peers: Vec::new(),
             store_endpoints: vec![store.to_owned()],
+            ..Settings::loopback(node, ZoneName::new(zone))
         };
         listeners.push(Listeners::bind(&mut settings).into_diagnostic()?);
         all.push(settings);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,10 +4,15 @@
 
 use argh::FromArgs;
 use kestrellock_lab::demo::{Demo, check};
+use kestrellock_program::command_line;
 
 /// stand-ins, demonstration and benches for kestrellock
 #[derive(FromArgs)]
 struct Arguments {
+    /// print the version and exit
+    #[argh(switch)]
+    #[allow(dead_code, reason = "answered before the arguments are parsed")]
+    version: bool,
     #[argh(subcommand)]
     command: Command,
 }
@@ -28,15 +33,9 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
-    let Command::Demo(demo) = arguments.command;
-    match run_demo(&demo) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    command_line::run("kestrellock-lab", |arguments: Arguments| match arguments.command {
+        Command::Demo(demo) => run_demo(&demo),
+    })
 }
 
 fn run_demo(arguments: &DemoArguments) -> miette::Result<()> {
