--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod check;
 pub mod demo;
+pub mod report;
 pub mod standin;
