Scheduler of one instance: slots, shares, priorities, deadlines, early refusal

Cause: the pool served exchanges first come, first served, whatever their tenant, priority or deadline, and refused only what had already run out of time.

Change: core::admission decides who runs next (priorities with a starvation bound, start-time fair queuing over tenants weighted by capacity, deadlines within a tenant) and refuses on arrival what cannot finish in time, with a hint when to come back. Queue room follows a dynamic threshold. An open transaction that waits for its caller gives its slot back and takes one again without waiting.

--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,394 @@
+//! Admission to one instance: who runs next, who waits, and who is refused at once.
+//!
+//! One gateway owns an instance, so one scheduler sees all requests for it. Slots bound what runs
+//! at once; each tenant's capacity bounds its part of them. Priorities go in order, except that a
+//! lower one is served after [`STARVATION_LIMIT`] requests have gone ahead of it. Tenants of one
+//! priority share by start-time fair queuing, weighted by capacity; a tenant's own requests go by
+//! deadline. A request that by the estimate cannot finish before its deadline is refused when it
+//! arrives, or given up as soon as that shows, and is told when to come back.
+//!
+//! Time is an argument. A decision allocates nothing once a tenant is known and its queue has
+//! reached its working size.
+
+mod estimate;
+mod service_time;
+mod tenant;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::catalog::Priority;
+use crate::ids::TenantName;
+use crate::outcome::ResultCode;
+
+pub use self::service_time::ServiceTime;
+use self::tenant::{Allowance, Tenant, Waiting};
+
+/// Number of priorities.
+const LEVELS: usize = 3;
+/// Requests of higher priorities that may go ahead of a waiting lower one in a row.
+pub const STARVATION_LIMIT: u32 = 16;
+/// Tenants remembered before those without any request are dropped.
+const REMEMBERED_TENANTS: usize = 256;
+
+/// What an instance can take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests running at once.
+    pub slots: u32,
+    /// Requests waiting at once.
+    pub queue_length: usize,
+}
+
+/// What the scheduler must know of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Tenant that is charged.
+    pub tenant: TenantName,
+    /// Requests that the tenant may have running at once on this instance.
+    pub capacity: u32,
+    /// Order among all requests.
+    pub priority: Priority,
+    /// Time by which it is to be finished.
+    pub deadline: Instant,
+}
+
+/// A refusal: the request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Overload {
+    /// `Overloaded`, or `TenantOverCapacity` where the tenant's own limit is the cause.
+    pub code: ResultCode,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// A request that was refused on arrival, given back.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Refused<T> {
+    /// The request's work.
+    pub work: T,
+    /// Why.
+    pub overload: Overload,
+}
+
+/// The right to one slot, given back through [`Scheduler::finish`].
+#[derive(Debug, PartialEq, Eq)]
+pub struct Ticket {
+    tenant: usize,
+    level: usize,
+    /// When it last took its slot, and what its tenant was charged then; `None` while paused.
+    running: Option<Running>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Running {
+    started: Instant,
+    charged: u64,
+}
+
+/// What comes out of the queue.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Dispatch<T> {
+    /// Run it now.
+    Run {
+        /// Its slot.
+        ticket: Ticket,
+        /// The work.
+        work: T,
+    },
+    /// It can no longer finish in time: answer it at once.
+    GiveUp(Refused<T>),
+}
+
+/// All tenants' state at one priority.
+#[derive(Debug, Default)]
+struct Level {
+    /// Keys of tenants with waiting requests.
+    active: Vec<usize>,
+    waiting: usize,
+    /// Sum of the active tenants' weights.
+    weight: u64,
+    /// Virtual time of the last request started: where a tenant that returns begins.
+    virtual_time: u64,
+    /// Requests of higher levels that went ahead since this one was last served.
+    passed_over: u32,
+    service: ServiceTime,
+}
+
+/// The scheduler of one instance. `T` is the work that waits.
+#[derive(Debug)]
+pub struct Scheduler<T> {
+    limits: Limits,
+    levels: [Level; LEVELS],
+    tenants: Vec<Tenant<T>>,
+    keys: HashMap<TenantName, usize>,
+    running: u32,
+    refusals: u32,
+}
+
+fn level_of(priority: Priority) -> usize {
+    match priority {
+        Priority::Order => 0,
+        Priority::Normal => 1,
+        Priority::Browse => 2,
+    }
+}
+
+fn nanoseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
+}
+
+impl<T> Scheduler<T> {
+    /// An idle scheduler.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            levels: std::array::from_fn(|_| Level::default()),
+            tenants: Vec::new(),
+            keys: HashMap::new(),
+            running: 0,
+            refusals: 0,
+        }
+    }
+
+    /// Replaces the limits. What runs and waits stays.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Requests running now.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests waiting now.
+    pub fn waiting(&self) -> usize {
+        self.levels.iter().map(|level| level.waiting).sum()
+    }
+
+    /// Requests of a tenant that run now.
+    pub fn running_of(&self, tenant: &TenantName) -> u32 {
+        self.keys.get(tenant).map_or(0, |key| self.tenants[*key].running)
+    }
+
+    /// How many more requests could start now if all had connections.
+    pub fn startable(&self) -> u32 {
+        let free = self.limits.slots.saturating_sub(self.running);
+        if free == 0 {
+            return 0;
+        }
+        let ready: usize = self.tenants.iter().map(Tenant::startable).sum();
+        free.min(u32::try_from(ready).unwrap_or(u32::MAX))
+    }
+
+    /// Queues a request, or refuses it at once.
+    pub fn offer(&mut self, request: &Request, work: T, now: Instant) -> Result<(), Refused<T>> {
+        let level = level_of(request.priority);
+        let key = self.tenant_key(request);
+        let total = request.deadline.saturating_duration_since(now);
+        let time = Allowance { deadline: request.deadline, total };
+        let position = self.tenants[key].queues[level].ahead_of(request.deadline);
+        if let Some(overload) = self.overload(key, level, position, time, now) {
+            return Err(Refused { work, overload });
+        }
+        let tenant = &mut self.tenants[key];
+        let queue = &mut tenant.queues[level];
+        let state = &mut self.levels[level];
+        if queue.is_empty() {
+            queue.virtual_time = queue.virtual_time.max(state.virtual_time);
+            state.active.push(key);
+        }
+        queue.insert(position, Waiting { time, work });
+        state.waiting += 1;
+        self.sum_weights(level);
+        Ok(())
+    }
+
+    fn tenant_key(&mut self, request: &Request) -> usize {
+        if let Some(&key) = self.keys.get(&request.tenant) {
+            self.tenants[key].capacity = request.capacity;
+            return key;
+        }
+        if self.keys.len() >= REMEMBERED_TENANTS {
+            self.forget_idle_tenants();
+        }
+        let vacant = (0..self.tenants.len()).find(|key| self.is_vacant(*key));
+        let key = vacant.unwrap_or(self.tenants.len());
+        match vacant {
+            Some(key) => self.tenants[key] = Tenant::new(request.capacity),
+            None => self.tenants.push(Tenant::new(request.capacity)),
+        }
+        self.keys.insert(request.tenant.clone(), key);
+        key
+    }
+
+    fn is_vacant(&self, key: usize) -> bool {
+        self.tenants[key].is_idle() && !self.keys.values().any(|used| *used == key)
+    }
+
+    fn forget_idle_tenants(&mut self) {
+        let tenants = &self.tenants;
+        self.keys.retain(|_, key| !tenants[*key].is_idle());
+    }
+
+    fn sum_weights(&mut self, level: usize) {
+        let weights = self.levels[level].active.iter().map(|key| self.tenants[*key].weight());
+        self.levels[level].weight = weights.sum();
+    }
+
+    /// The next request to run, or to give up; `None` if no slot is free or nobody may start.
+    pub fn take_next(&mut self, now: Instant) -> Option<Dispatch<T>> {
+        if self.running >= self.limits.slots {
+            return None;
+        }
+        let (level, key) = self.choose()?;
+        let waiting = self.pop(level, key)?;
+        if self.is_hopeless(level, waiting.time, now) {
+            return Some(Dispatch::GiveUp(self.give_up(level, key, waiting.work)));
+        }
+        let ticket = self.start(level, key, now);
+        Some(Dispatch::Run { ticket, work: waiting.work })
+    }
+
+    /// The level and tenant to serve: a level passed over too often, else the highest one.
+    fn choose(&self) -> Option<(usize, usize)> {
+        let starved = (0..LEVELS)
+            .filter(|level| self.levels[*level].passed_over >= STARVATION_LIMIT)
+            .find_map(|level| self.choose_in(level));
+        starved.or_else(|| (0..LEVELS).find_map(|level| self.choose_in(level)))
+    }
+
+    /// The tenant with the least virtual time that is below its capacity.
+    fn choose_in(&self, level: usize) -> Option<(usize, usize)> {
+        let eligible = self.levels[level].active.iter().copied();
+        eligible
+            .filter(|key| !self.tenants[*key].is_at_capacity())
+            .min_by_key(|key| self.tenants[*key].queues[level].virtual_time)
+            .map(|key| (level, key))
+    }
+
+    fn pop(&mut self, level: usize, key: usize) -> Option<Waiting<T>> {
+        let queue = &mut self.tenants[key].queues[level];
+        let waiting = queue.pop()?;
+        let emptied = queue.is_empty();
+        self.levels[level].waiting -= 1;
+        if emptied {
+            self.deactivate(level, key);
+        }
+        Some(waiting)
+    }
+
+    fn deactivate(&mut self, level: usize, key: usize) {
+        let state = &mut self.levels[level];
+        if let Some(index) = state.active.iter().position(|active| *active == key) {
+            state.active.swap_remove(index);
+        }
+        self.sum_weights(level);
+    }
+
+    fn start(&mut self, level: usize, key: usize, now: Instant) -> Ticket {
+        for (number, state) in self.levels.iter_mut().enumerate() {
+            match number.cmp(&level) {
+                std::cmp::Ordering::Less => {}
+                std::cmp::Ordering::Equal => state.passed_over = 0,
+                std::cmp::Ordering::Greater if state.waiting > 0 => state.passed_over += 1,
+                std::cmp::Ordering::Greater => state.passed_over = 0,
+            }
+        }
+        let state = &mut self.levels[level];
+        state.virtual_time = state.virtual_time.max(self.tenants[key].queues[level].virtual_time);
+        let mut ticket = Ticket { tenant: key, level, running: None };
+        self.tenants[key].paused += 1;
+        self.resume(&mut ticket, now);
+        ticket
+    }
+
+    /// Takes a slot for the next statement of an open transaction. It never waits: others may be
+    /// waiting for locks that the transaction holds. Requests that do wait stay behind it.
+    pub fn resume(&mut self, ticket: &mut Ticket, now: Instant) {
+        if ticket.running.is_some() {
+            return;
+        }
+        let expected = self.levels[ticket.level].service.mean();
+        let tenant = &mut self.tenants[ticket.tenant];
+        let charged = (nanoseconds(expected) / tenant.weight()).max(1);
+        let queue = &mut tenant.queues[ticket.level];
+        queue.virtual_time = queue.virtual_time.saturating_add(charged);
+        tenant.running += 1;
+        tenant.paused -= 1;
+        self.running += 1;
+        ticket.running = Some(Running { started: now, charged });
+    }
+
+    /// Gives the slot back while an open transaction waits for its caller, and corrects what the
+    /// tenant was charged by the time really taken.
+    pub fn pause(&mut self, ticket: &mut Ticket, now: Instant) {
+        let Some(Running { started, charged }) = ticket.running.take() else { return };
+        let taken = now.saturating_duration_since(started);
+        self.levels[ticket.level].service.record(taken);
+        let tenant = &mut self.tenants[ticket.tenant];
+        let actual = nanoseconds(taken) / tenant.weight();
+        let queue = &mut tenant.queues[ticket.level];
+        queue.virtual_time = queue.virtual_time.saturating_sub(charged).saturating_add(actual);
+        tenant.running -= 1;
+        tenant.paused += 1;
+        self.running -= 1;
+    }
+
+    /// Ends the use of a slot.
+    pub fn finish(&mut self, mut ticket: Ticket, now: Instant) {
+        self.pause(&mut ticket, now);
+        self.tenants[ticket.tenant].paused -= 1;
+    }
+
+    /// Takes out waiting requests that can no longer finish in time.
+    pub fn give_up_late(&mut self, now: Instant) -> Vec<Refused<T>> {
+        let mut late = Vec::new();
+        for level in 0..LEVELS {
+            for index in (0..self.levels[level].active.len()).rev() {
+                let key = self.levels[level].active[index];
+                self.give_up_late_of(level, key, now, &mut late);
+            }
+        }
+        late
+    }
+
+    fn give_up_late_of(
+        &mut self,
+        level: usize,
+        key: usize,
+        now: Instant,
+        late: &mut Vec<Refused<T>>,
+    ) {
+        while let Some(time) = self.tenants[key].queues[level].first_allowance()
+            && self.is_hopeless(level, time, now)
+            && let Some(waiting) = self.pop(level, key)
+        {
+            late.push(self.give_up(level, key, waiting.work));
+        }
+    }
+
+    /// Takes out one waiting request, because its caller is gone.
+    pub fn remove(&mut self, mut matches: impl FnMut(&T) -> bool) -> Option<T> {
+        for level in 0..LEVELS {
+            for index in 0..self.levels[level].active.len() {
+                let key = self.levels[level].active[index];
+                let queue = &mut self.tenants[key].queues[level];
+                if let Some(work) = queue.remove(&mut matches) {
+                    let emptied = queue.is_empty();
+                    self.levels[level].waiting -= 1;
+                    if emptied {
+                        self.deactivate(level, key);
+                    }
+                    return Some(work);
+                }
+            }
+        }
+        None
+    }
+
+    /// Takes out everything that waits.
+    pub fn drain(&mut self) -> Vec<T> {
+        std::iter::from_fn(|| self.remove(|_| true)).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/admission/rules.rs
@@ -0,0 +1,338 @@
+//! Limits, order and refusals, one rule a test.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use kestrellock_core::admission::{Dispatch, Limits, Request, STARVATION_LIMIT, Scheduler, Ticket};
+use kestrellock_core::catalog::Priority;
+use kestrellock_core::ids::TenantName;
+use kestrellock_core::outcome::ResultCode;
+use proptest::prelude::*;
+
+use crate::simulation::{Arrival, Fate, Simulation};
+
+const QUEUE_LENGTH: usize = 1000;
+const SERVICE: Duration = Duration::from_millis(10);
+/// Requests after which the estimates have settled on a constant service time.
+const WARM_UP: usize = 200;
+
+fn tenant(number: u8) -> TenantName {
+    TenantName::new(format!("tenant-{number}"))
+}
+
+fn request(number: u8, capacity: u32, priority: Priority, deadline: Instant) -> Request {
+    Request { tenant: tenant(number), capacity, priority, deadline }
+}
+
+fn priority(number: u8) -> Priority {
+    [Priority::Order, Priority::Normal, Priority::Browse][usize::from(number % 3)]
+}
+
+fn run(dispatch: Option<Dispatch<u64>>) -> Option<(Ticket, u64)> {
+    match dispatch {
+        Some(Dispatch::Run { ticket, work }) => Some((ticket, work)),
+        Some(Dispatch::GiveUp(refused)) => panic!("gave up {}", refused.work),
+        None => None,
+    }
+}
+
+/// One step of a random history.
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { tenant: u8, priority: u8, allowed: u64 },
+    Start,
+    Finish { which: prop::sample::Index },
+    Pause { which: prop::sample::Index },
+    Resume { which: prop::sample::Index },
+    Forget { which: prop::sample::Index },
+    Wait { time: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = any::<prop::sample::Index>;
+    prop_oneof![
+        4 => (0..4_u8, 0..3_u8, 1..200_u64)
+            .prop_map(|(tenant, priority, allowed)| Step::Offer { tenant, priority, allowed }),
+        4 => Just(Step::Start),
+        2 => index().prop_map(|which| Step::Finish { which }),
+        1 => index().prop_map(|which| Step::Pause { which }),
+        1 => index().prop_map(|which| Step::Resume { which }),
+        1 => index().prop_map(|which| Step::Forget { which }),
+        1 => (1..50_u64).prop_map(|time| Step::Wait { time }),
+    ]
+}
+
+/// The test's own account of one request under way.
+#[derive(Debug)]
+struct Started {
+    ticket: Ticket,
+    tenant: u8,
+    paused: bool,
+    resumed: bool,
+}
+
+#[derive(Default)]
+struct Account {
+    waiting: HashMap<u64, u8>,
+    started: Vec<Started>,
+}
+
+impl Account {
+    fn running(&self, tenant: Option<u8>) -> u32 {
+        let counts = |started: &&Started| {
+            !started.paused && tenant.is_none_or(|number| number == started.tenant)
+        };
+        self.started.iter().filter(counts).count() as u32
+    }
+
+    fn has_resumed(&self) -> bool {
+        self.started.iter().any(|started| started.resumed)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    #[test]
+    fn limits_hold_and_no_slot_stays_free_needlessly(
+        slots in 1..6_u32,
+        capacity in 1..5_u32,
+        steps in prop::collection::vec(step(), 1..200),
+    ) {
+        let mut now = Instant::now();
+        let mut scheduler = Scheduler::new(Limits { slots, queue_length: 20 });
+        let mut account = Account::default();
+        for (work, step) in steps.into_iter().enumerate() {
+            let work = work as u64;
+            match step {
+                Step::Offer { tenant, priority: level, allowed } => {
+                    let deadline = now + Duration::from_millis(allowed);
+                    let offered = request(tenant, capacity, priority(level), deadline);
+                    match scheduler.offer(&offered, work, now) {
+                        Ok(()) => { account.waiting.insert(work, tenant); }
+                        Err(refused) => {
+                            prop_assert_eq!(refused.work, work);
+                            prop_assert!(refused.overload.retry_after > Duration::ZERO);
+                        }
+                    }
+                }
+                Step::Start => match scheduler.take_next(now) {
+                    Some(Dispatch::Run { ticket, work }) => {
+                        let tenant = account.waiting.remove(&work).expect("it waited");
+                        account.started.push(Started { ticket, tenant, paused: false, resumed: false });
+                        if !account.has_resumed() {
+                            prop_assert!(account.running(None) <= slots);
+                            prop_assert!(account.running(Some(tenant)) <= capacity);
+                        }
+                    }
+                    Some(Dispatch::GiveUp(refused)) => {
+                        prop_assert!(account.waiting.remove(&refused.work).is_some());
+                    }
+                    None if account.running(None) < slots => {
+                        for tenant in account.waiting.values() {
+                            prop_assert!(account.running(Some(*tenant)) >= capacity);
+                        }
+                    }
+                    None => {}
+                },
+                Step::Finish { which } if !account.started.is_empty() => {
+                    let index = which.index(account.started.len());
+                    scheduler.finish(account.started.swap_remove(index).ticket, now);
+                }
+                Step::Pause { which } if !account.started.is_empty() => {
+                    let index = which.index(account.started.len());
+                    scheduler.pause(&mut account.started[index].ticket, now);
+                    account.started[index].paused = true;
+                }
+                Step::Resume { which } if !account.started.is_empty() => {
+                    let index = which.index(account.started.len());
+                    scheduler.resume(&mut account.started[index].ticket, now);
+                    account.started[index].resumed |= account.started[index].paused;
+                    account.started[index].paused = false;
+                }
+                Step::Forget { which } if !account.waiting.is_empty() => {
+                    let mut keys: Vec<u64> = account.waiting.keys().copied().collect();
+                    keys.sort_unstable();
+                    let key = keys[which.index(keys.len())];
+                    prop_assert_eq!(scheduler.remove(|work| *work == key), Some(key));
+                    account.waiting.remove(&key);
+                }
+                Step::Wait { time } => now += Duration::from_millis(time),
+                _ => {}
+            }
+            prop_assert_eq!(scheduler.running(), account.running(None));
+            prop_assert_eq!(scheduler.waiting(), account.waiting.len());
+        }
+    }
+
+    /// With one tenant and a constant service time the estimate is an upper bound, so whatever
+    /// is accepted is on time, whoever arrives later.
+    #[test]
+    fn what_is_accepted_meets_its_deadline(
+        slots in 1..6_u32,
+        capacity in 1..6_u32,
+        random in prop::collection::vec((0..10_000_u64, 21..400_u64), 1..300),
+    ) {
+        let origin = Instant::now();
+        let spacing = SERVICE * 2;
+        let warm_up = (0..WARM_UP).map(|number| (spacing * number as u32, Duration::from_secs(1)));
+        let mut after = spacing * WARM_UP as u32;
+        let measured = random.iter().map(|(gap, allowed)| {
+            after += Duration::from_micros(*gap);
+            (after, Duration::from_millis(*allowed))
+        });
+        let arrivals: Vec<Arrival> = warm_up
+            .chain(measured)
+            .map(|(after, allowed)| Arrival {
+                at: origin + after,
+                request: request(0, capacity, Priority::Normal, origin + after + allowed),
+                service: SERVICE,
+            })
+            .collect();
+        let mut simulation = Simulation::new(Limits { slots, queue_length: QUEUE_LENGTH });
+        simulation.run(&arrivals);
+        for (arrival, fate) in arrivals.iter().zip(&simulation.fates) {
+            match fate {
+                Fate::Refused(_) => {}
+                Fate::Ran { finished, .. } => prop_assert!(*finished <= arrival.request.deadline),
+                other => prop_assert!(false, "accepted, then {other:?}"),
+            }
+        }
+    }
+}
+
+/// A scheduler with one slot, taken, whose estimates say that a service takes [`SERVICE`].
+fn busy(queue_length: usize, now: &mut Instant) -> (Scheduler<u64>, Ticket) {
+    let mut scheduler = Scheduler::new(Limits { slots: 1, queue_length });
+    for level in [Priority::Order, Priority::Normal, Priority::Browse] {
+        for _ in 0..WARM_UP {
+            let warm_up = request(0, 1, level, *now + Duration::from_secs(1));
+            scheduler.offer(&warm_up, 0, *now).expect("the scheduler is idle");
+            let (ticket, _) = run(scheduler.take_next(*now)).expect("a slot is free");
+            *now += SERVICE;
+            scheduler.finish(ticket, *now);
+        }
+    }
+    let first = request(0, 1, Priority::Order, *now + Duration::from_secs(1));
+    scheduler.offer(&first, 0, *now).expect("the scheduler is idle");
+    let (ticket, _) = run(scheduler.take_next(*now)).expect("a slot is free");
+    (scheduler, ticket)
+}
+
+#[test]
+fn a_request_that_cannot_make_its_deadline_is_refused_on_arrival() {
+    let mut now = Instant::now();
+    let (mut scheduler, _ticket) = busy(QUEUE_LENGTH, &mut now);
+    let table = [
+        // Time allowed in services, accepted. One service is under way and one waits.
+        (2, false),
+        (3, true),
+        (3, false),
+        (4, true),
+    ];
+    let first = request(1, 1, Priority::Normal, now + SERVICE * 3);
+    scheduler.offer(&first, 0, now).expect("an empty queue makes it");
+    for (work, (allowed, accepted)) in table.into_iter().enumerate() {
+        let margin = Duration::from_micros(10);
+        let offered = request(1, 1, Priority::Normal, now + SERVICE * allowed + margin);
+        let result = scheduler.offer(&offered, work as u64, now);
+        assert_eq!(result.is_ok(), accepted, "{allowed} services");
+    }
+}
+
+#[test]
+fn the_refusal_names_the_limit_and_when_to_come_back() {
+    let mut now = Instant::now();
+    let mut scheduler = Scheduler::new(Limits { slots: 4, queue_length: QUEUE_LENGTH });
+    for _ in 0..WARM_UP {
+        let warm_up = request(0, 1, Priority::Normal, now + Duration::from_secs(1));
+        scheduler.offer(&warm_up, 0, now).expect("the scheduler is idle");
+        let (ticket, _) = run(scheduler.take_next(now)).expect("a slot is free");
+        now += SERVICE;
+        scheduler.finish(ticket, now);
+    }
+    let mut refused = None;
+    for work in 0..100 {
+        let offered = request(1, 1, Priority::Normal, now + SERVICE * 5);
+        if let Err(refusal) = scheduler.offer(&offered, work, now) {
+            refused = Some(refusal);
+            break;
+        }
+        while run(scheduler.take_next(now)).is_some() {}
+    }
+    let overload = refused.expect("a tenant of capacity 1 is refused at last").overload;
+    assert_eq!(overload.code, ResultCode::TenantOverCapacity);
+    assert!(overload.retry_after > Duration::ZERO);
+    // Three slots are free: another tenant is not touched by that.
+    let other = request(2, 1, Priority::Normal, now + SERVICE * 2);
+    scheduler.offer(&other, 0, now).expect("the other tenant's share is free");
+    assert!(run(scheduler.take_next(now)).is_some());
+}
+
+#[test]
+fn higher_priorities_go_first_and_lower_ones_are_not_starved() {
+    let mut now = Instant::now();
+    let (mut scheduler, mut ticket) = busy(QUEUE_LENGTH, &mut now);
+    let far = now + Duration::from_secs(1000);
+    let (browse, order) = (1, 2);
+    scheduler.offer(&request(1, 1, Priority::Browse, far), browse, now).expect("it fits");
+    let mut orders_ahead = 0;
+    loop {
+        scheduler.offer(&request(2, 1, Priority::Order, far), order, now).expect("it fits");
+        now += SERVICE;
+        scheduler.finish(ticket, now);
+        let (next, work) = run(scheduler.take_next(now)).expect("something waits");
+        ticket = next;
+        if work == browse {
+            break;
+        }
+        orders_ahead += 1;
+    }
+    assert_eq!(orders_ahead, STARVATION_LIMIT);
+}
+
+#[test]
+fn no_tenant_and_no_priority_fills_the_queue() {
+    let mut now = Instant::now();
+    let (mut scheduler, _ticket) = busy(8, &mut now);
+    let far = now + Duration::from_secs(1000);
+    let mut fill = |number, level| {
+        let offered = request(number, 1, level, far);
+        (0..8).filter(|work| scheduler.offer(&offered, *work, now).is_ok()).count()
+    };
+    assert_eq!(fill(1, Priority::Browse), 4);
+    assert_eq!(fill(2, Priority::Browse), 2);
+    assert_eq!(fill(1, Priority::Order), 1);
+}
+
+#[test]
+fn a_paused_transaction_frees_its_slot_and_resumes_without_waiting() {
+    let mut now = Instant::now();
+    let (mut scheduler, mut ticket) = busy(QUEUE_LENGTH, &mut now);
+    let far = now + Duration::from_secs(1000);
+    scheduler.offer(&request(1, 1, Priority::Normal, far), 1, now).expect("it fits");
+    assert!(run(scheduler.take_next(now)).is_none());
+    scheduler.pause(&mut ticket, now);
+    let (other, _) = run(scheduler.take_next(now)).expect("the slot is free");
+    scheduler.resume(&mut ticket, now);
+    scheduler.offer(&request(2, 1, Priority::Normal, far), 2, now).expect("it fits");
+    scheduler.finish(other, now);
+    assert!(run(scheduler.take_next(now)).is_none(), "the resumed transaction holds the slot");
+    scheduler.finish(ticket, now);
+    assert!(run(scheduler.take_next(now)).is_some());
+}
+
+#[test]
+fn a_request_given_up_is_answered_as_soon_as_it_is_hopeless() {
+    let mut now = Instant::now();
+    let (mut scheduler, _ticket) = busy(QUEUE_LENGTH, &mut now);
+    let deadline = now + SERVICE * 3;
+    scheduler.offer(&request(1, 1, Priority::Normal, deadline), 7, now).expect("it fits");
+    // The one in the slot takes longer than any before.
+    let before = now + SERVICE * 2 - Duration::from_micros(10);
+    assert!(scheduler.give_up_late(before).is_empty());
+    let late = scheduler.give_up_late(now + SERVICE * 2 + Duration::from_micros(10));
+    let given_up: Vec<u64> = late.into_iter().map(|refused| refused.work).collect();
+    assert_eq!(given_up, [7]);
+    assert_eq!(scheduler.waiting(), 0);
+}
