Admin port: a token for everything but /healthz, metrics, health with reasons

/status answered anybody and there were no metrics. The port now compares a bearer token in constant time, tells on /healthz why a node is not ready, and gives counters and histograms made at start (one atomic addition each) on /metrics.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,64 +1,70 @@
-//! The admin port: health and status over HTTP.
+//! The admin port: health, status, metrics and configuration over HTTP.
+//!
+//! Everything but `/healthz` needs the administration token as a bearer token.
 
-use std::sync::{Arc, Mutex, PoisonError};
+mod answer;
+mod report;
+
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde::Serialize;
-use tiny_http::{Response, Server};
+use kestrellock_core::admin::AdminError;
+use kestrellock_core::outcome::ResultCode;
+use kestrellock_program::secret::Secret;
+use tiny_http::{Request, Server};
 
 use crate::context::NodeContext;
 use crate::shard::Shard;
 use crate::supervisor::StopFlag;
+use answer::Answer;
 
 const ACCEPT_WAIT: Duration = Duration::from_millis(100);
+const BEARER: &str = "Bearer ";
 
-/// What `/status` tells of a node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct NodeStatus {
-    /// Name of the node.
-    pub node: String,
-    /// Its zone.
-    pub zone: String,
-    /// Revision of the configuration in force.
-    pub revision: u64,
-    /// Connected callers.
-    pub callers: usize,
-    /// Open back-end connections.
-    pub backend_connections: usize,
+/// What the pages are made from.
+pub struct Admin {
+    /// The node.
+    pub context: Arc<NodeContext>,
+    /// Its shards.
+    pub shards: Vec<Arc<Mutex<Shard>>>,
+    /// Whether it is stopping.
+    pub stop: StopFlag,
+    /// Token that operators must show; without one only `/healthz` answers.
+    pub token: Option<Secret>,
 }
 
-/// Serves requests until told to stop.
-pub fn serve(
-    server: &Server,
-    context: &NodeContext,
-    shards: &[Arc<Mutex<Shard>>],
-    stop: &StopFlag,
-) {
-    while !stop.is_stopping() {
-        let Ok(Some(request)) = server.recv_timeout(ACCEPT_WAIT) else { continue };
-        stop.wait_while_paused();
-        let (code, body) = match request.url() {
-            "/healthz" => (200, "ok\n".to_owned()),
-            "/status" => (200, status_json(context, shards)),
-            _ => (404, "no such page\n".to_owned()),
-        };
-        // A caller that went away before its answer is no matter of ours.
-        let _ = request.respond(Response::from_string(body).with_status_code(code));
+impl Admin {
+    /// Serves requests until told to stop. Several threads may serve one port.
+    pub fn serve(&self, server: &Server) {
+        while !self.stop.is_stopping() {
+            let Ok(Some(request)) = server.recv_timeout(ACCEPT_WAIT) else { continue };
+            self.stop.wait_while_paused();
+            let answer = self.answer(&request);
+            // A caller that went away before its answer is no matter of ours.
+            let _ = request.respond(answer.into_response());
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Answer {
+        if request.url() == "/healthz" {
+            return report::health(self);
+        }
+        if !self.is_authorized(request) {
+            let problem = "a valid administration token is needed";
+            return Answer::refused(AdminError::new(ResultCode::AdminTokenRefused, problem));
+        }
+        match request.url() {
+            "/status" => report::status(self),
+            "/metrics" => Answer::text(self.context.metrics.text()),
+            _ => Answer::refused(AdminError::new(ResultCode::AdminRequestRefused, "no such page")),
+        }
     }
-}
 
-fn status_json(context: &NodeContext, shards: &[Arc<Mutex<Shard>>]) -> String {
-    let mut status = NodeStatus {
-        node: context.identity.node.to_string(),
-        zone: context.identity.zone.to_string(),
-        revision: context.catalog.load().revision.0,
-        callers: 0,
-        backend_connections: 0,
-    };
-    for shard in shards {
-        let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-        status.callers += shard.front.callers();
-        status.backend_connections += shard.gateway.connections();
+    fn is_authorized(&self, request: &Request) -> bool {
+        let Some(token) = &self.token else { return false };
+        let header = request.headers().iter().find(|header| header.field.equiv("Authorization"));
+        header
+            .and_then(|header| header.value.as_str().strip_prefix(BEARER))
+            .is_some_and(|shown| token.matches(shown))
     }
-    serde_json::to_string_pretty(&status).unwrap_or_default()
 }
--- /dev/null
+++ b/crates/daemon/src/admin/report.rs
@@ -0,0 +1,50 @@
+//! `/healthz` and `/status`.
+
+use std::sync::PoisonError;
+
+use kestrellock_core::admin::{Health, NodeStatus};
+use kestrellock_core::catalog::Revision;
+
+use super::Admin;
+use super::answer::Answer;
+
+const SERVICE_UNAVAILABLE: u16 = 503;
+
+/// Ready, or why not.
+pub fn health(admin: &Admin) -> Answer {
+    let mut reasons = Vec::new();
+    if admin.context.catalog.load().revision == Revision::default() {
+        reasons.push("no configuration has arrived".to_owned());
+    }
+    if admin.stop.is_stopping() {
+        reasons.push("the node is stopping".to_owned());
+    }
+    if admin.stop.has_failed() {
+        reasons.push("a part of the node gave up".to_owned());
+    }
+    let health = Health { ready: reasons.is_empty(), reasons };
+    let status = if health.ready { 200 } else { SERVICE_UNAVAILABLE };
+    Answer::json_with_status(status, &health)
+}
+
+/// What the node says of itself.
+pub fn status(admin: &Admin) -> Answer {
+    let context = &admin.context;
+    let mut status = NodeStatus {
+        node: context.identity.node.clone(),
+        zone: context.identity.zone.clone(),
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        incarnation: context.identity.incarnation,
+        revision: context.catalog.load().revision,
+        callers: 0,
+        backend_connections: 0,
+        live_nodes: context.live.load().len(),
+        restarts: context.metrics.restarts.get(),
+    };
+    for shard in &admin.shards {
+        let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+        status.callers += shard.front.callers();
+        status.backend_connections += shard.gateway.connections();
+    }
+    Answer::json(&status)
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,6 +10,7 @@
 use kestrellock_core::rendezvous::{Candidate, Ownership, ownership};
 use kestrellock_core::routing::InstanceStatus;
 
+use crate::metrics::Metrics;
 use crate::policy::Policy;
 
 /// Who this process is.
@@ -103,6 +104,8 @@
     pub shards: u16,
     /// Which decisions the node takes.
     pub policy: Policy,
+    /// Counters and histograms.
+    pub metrics: Metrics,
 }
 
 impl NodeContext {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod gateway;
 pub mod links;
+pub mod metrics;
 pub mod net;
 pub mod node;
 pub mod policy;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,14 +10,18 @@
 use kestrellock_platform::store::ConfigStore;
 use thiserror::Error;
 
+use crate::admin::Admin;
+use crate::agent;
 use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
+use crate::metrics::Metrics;
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::shard::{Shard, event_loop};
 use crate::supervisor::{StopFlag, Supervisor};
-use crate::{admin, agent};
 
+/// Threads that serve the admin port, so that one request that waits for the store stops no other.
+const ADMIN_THREADS: usize = 3;
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Why a node could not start.
@@ -78,11 +82,11 @@
         store: Arc<dyn ConfigStore>,
         policy: Policy,
     ) -> Result<Self, StartError> {
-        let context = Arc::new(new_context(settings, policy));
+        let stop = StopFlag::default();
+        let context = Arc::new(new_context(settings, policy, Metrics::new(stop.restarts())));
         let (mailboxes, receivers) =
             Mailboxes::new(settings.shards).map_err(StartError::EventLoop)?;
         let mailboxes = Arc::new(mailboxes);
-        let stop = StopFlag::default();
         let mut root = Supervisor::new("node", stop.clone());
         let mut shards = Vec::new();
         for (number, mut mailbox) in receivers.into_iter().enumerate() {
@@ -104,7 +108,9 @@
             ShardMessage::Caller,
         );
         spawn_acceptor(&mut root, "peers", peers, mailboxes, &stop, ShardMessage::Peer);
-        spawn_admin(&mut root, admin, &context, shards, &stop)?;
+        let token = settings.secrets.admin_token.clone();
+        let pages = Admin { context: context.clone(), shards, stop: stop.clone(), token };
+        spawn_admin(&mut root, admin, pages)?;
         spawn_agent(&mut root, &context, store, &stop);
         Ok(Self { context, stop, root })
     }
@@ -131,7 +137,7 @@
     }
 }
 
-fn new_context(settings: &Settings, policy: Policy) -> NodeContext {
+fn new_context(settings: &Settings, policy: Policy, metrics: Metrics) -> NodeContext {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let identity = Identity {
         node: settings.node.clone(),
@@ -156,6 +162,7 @@
         statuses: StatusBoard::default(),
         shards: settings.shards,
         policy,
+        metrics,
     }
 }
 
@@ -187,15 +194,16 @@
 fn spawn_admin(
     root: &mut Supervisor,
     listener: TcpListener,
-    context: &Arc<NodeContext>,
-    shards: Vec<Arc<Mutex<Shard>>>,
-    stop: &StopFlag,
+    pages: Admin,
 ) -> Result<(), StartError> {
-    let (context, stop) = (context.clone(), stop.clone());
     listener.set_nonblocking(false).map_err(StartError::EventLoop)?;
     let server = tiny_http::Server::from_listener(listener, None)
         .map_err(|error| StartError::EventLoop(io::Error::other(error)))?;
-    root.spawn("admin", move || admin::serve(&server, &context, &shards, &stop));
+    let (server, pages) = (Arc::new(server), Arc::new(pages));
+    for number in 0..ADMIN_THREADS {
+        let (server, pages) = (server.clone(), pages.clone());
+        root.spawn(format!("admin-{number}"), move || pages.serve(&server));
+    }
     Ok(())
 }
 
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -7,6 +7,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use prometheus_client::metrics::counter::Counter;
+
 const FIRST_BACKOFF: Duration = Duration::from_millis(10);
 const LAST_BACKOFF: Duration = Duration::from_secs(1);
 /// Restarts allowed within [`RESTART_WINDOW`] before the supervisor escalates.
@@ -22,6 +24,7 @@
     stopping: Arc<AtomicBool>,
     failed: Arc<AtomicBool>,
     paused: Arc<AtomicBool>,
+    restarts: Counter,
 }
 
 impl StopFlag {
@@ -53,6 +56,11 @@
         self.failed.load(Ordering::Acquire)
     }
 
+    /// Counts the restarts of children after a panic.
+    pub fn restarts(&self) -> Counter {
+        self.restarts.clone()
+    }
+
     fn escalate(&self) {
         self.failed.store(true, Ordering::Release);
         self.stop();
@@ -99,6 +107,7 @@
     let mut restarts: Vec<Instant> = Vec::new();
     let mut backoff = FIRST_BACKOFF;
     while catch_unwind(AssertUnwindSafe(&mut body)).is_err() {
+        stop.restarts.inc();
         let now = Instant::now();
         restarts.retain(|at| now.duration_since(*at) < RESTART_WINDOW);
         restarts.push(now);
