Extended protocol: named statements shared between connections

Callers share back-end connections, so a statement prepared on one could be missing on the next. Parse, Bind, Describe and Close are now rewritten to a name derived from text and parameter types; the gateway creates what a connection lacks in front of an exchange and swallows the answer, and answers a Parse of what exists without sending it. Classes of texts are cached per shard. Flush is refused with a code. A caller whose open transaction was lost must roll back before anything else runs.

Tests play the back end's side of the messages.

--- a/crates/core/src/classify.rs
+++ b/crates/core/src/classify.rs
@@ -24,6 +24,18 @@
     Write,
 }
 
+impl StatementClass {
+    /// The class of a batch that does `self` and then `next`.
+    pub fn then(self, next: Self) -> Self {
+        if self == Self::Read && next == Self::Read { Self::Read } else { Self::Write }
+    }
+
+    /// Whether a transaction that has written nothing still has not after this.
+    pub fn keeps_read_only(self) -> bool {
+        matches!(self, Self::Read | Self::Commit | Self::Rollback)
+    }
+}
+
 /// Functions known to change nothing and to answer the same on every instance.
 const SAFE_FUNCTIONS: &[&str] = &[
     "abs",
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -56,6 +56,10 @@
     SessionTokenRefused = 1103, "22023", NotRun;
     /// The statement uses something that a shared connection cannot offer.
     NotSupported = 1201, "0A000", NotRun;
+    /// The caller names a prepared statement that it has not prepared.
+    UnknownStatement = 1202, "26000", NotRun;
+    /// The session has as many prepared statements as it may.
+    TooManyStatements = 1203, "54000", NotRun;
     /// No configuration has arrived yet.
     NoConfiguration = 1301, "57P03", NotRun;
     /// No primary is known and none appeared before the deadline.
--- /dev/null
+++ b/crates/daemon/src/front/batch.rs
@@ -0,0 +1,219 @@
+//! A caller's extended-query messages up to its `Sync`, rewritten for shared connections.
+
+use bytes::{Bytes, BytesMut};
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_peer::message::PreparedStatement;
+
+use super::classes::Classes;
+use super::statements::{SessionStatement, Statements};
+use crate::net::extended::{self, BindFields, NamedObject, ParseFields, STATEMENT_KIND};
+use crate::net::frames::Frame;
+
+/// Bytes of one batch that a node keeps before it refuses the batch.
+pub const MAX_BATCH_BYTES: usize = 32 * 1024 * 1024;
+/// Sent in place of a caller's `Close` of a statement: the statement itself is shared.
+const NO_STATEMENT: &[u8] = b"kl_none";
+
+const PARSE_COMPLETE: &[u8] = b"1\0\0\0\x04";
+const BIND_COMPLETE: &[u8] = b"2\0\0\0\x04";
+const CLOSE_COMPLETE: &[u8] = b"3\0\0\0\x04";
+const NO_PARAMETERS: &[u8] = b"t\0\0\0\x06\0\0";
+const NO_DATA: &[u8] = b"n\0\0\0\x04";
+const ROLLED_BACK: &[u8] = b"C\0\0\0\x0dROLLBACK\0";
+
+#[derive(Debug)]
+struct Portal {
+    name: Bytes,
+    class: StatementClass,
+}
+
+/// Messages of a batch that has not ended.
+#[derive(Debug, Default)]
+pub struct Batch {
+    messages: BytesMut,
+    needed: Vec<PreparedStatement>,
+    created: Vec<String>,
+    portals: Vec<Portal>,
+    executed: Option<StatementClass>,
+    mentioned: Option<StatementClass>,
+    replies: BytesMut,
+    needs_back_end: bool,
+    refusal: Option<Refusal>,
+}
+
+/// A batch that has ended.
+#[derive(Debug)]
+pub struct FinishedBatch {
+    /// Messages for the back end, `Sync` among them.
+    pub messages: Bytes,
+    /// Statements that must exist beforehand.
+    pub statements: Vec<PreparedStatement>,
+    /// What executing it does; where nothing is executed, what its statements would do.
+    pub class: StatementClass,
+    /// Whether anything is executed.
+    pub executes: bool,
+    /// What a back end would answer if every statement only rolled back, without `ReadyForQuery`.
+    pub rollback_replies: Bytes,
+    /// Whether the proxy can answer alone, with `rollback_replies`.
+    pub is_local: bool,
+}
+
+impl Batch {
+    /// Takes in a message other than `Sync`. After an error the rest up to `Sync` is skipped.
+    pub fn add(&mut self, frame: &Frame, statements: &mut Statements, classes: &mut Classes) {
+        if self.refusal.is_some() {
+            return;
+        }
+        if let Err(refusal) = self.try_add(frame, statements, classes) {
+            *self = Self { refusal: Some(refusal), ..Self::default() };
+        }
+    }
+
+    fn try_add(
+        &mut self,
+        frame: &Frame,
+        statements: &mut Statements,
+        classes: &mut Classes,
+    ) -> Result<(), Refusal> {
+        if self.messages.len() + frame.bytes.len() > MAX_BATCH_BYTES {
+            return Err(Refusal::new(ResultCode::MessageTooLarge, "the batch is too large"));
+        }
+        match frame.tag {
+            extended::PARSE => self.add_parse(frame, statements, classes),
+            extended::BIND => self.add_bind(frame, statements),
+            extended::DESCRIBE => self.add_describe(frame, statements),
+            extended::EXECUTE => self.add_execute(frame),
+            extended::CLOSE => self.add_close(frame, statements),
+            extended::FLUSH => {
+                Err(Refusal::new(ResultCode::NotSupported, "Flush is not supported; use Sync"))
+            }
+            other => Err(Refusal::new(
+                ResultCode::ProtocolViolation,
+                format!("unexpected message of type {other:#04x}"),
+            )),
+        }
+    }
+
+    fn add_parse(
+        &mut self,
+        frame: &Frame,
+        statements: &mut Statements,
+        classes: &mut Classes,
+    ) -> Result<(), Refusal> {
+        let fields = ParseFields::read(frame.body()).ok_or_else(malformed)?;
+        let statement = SessionStatement::new(&fields, classes.of(fields.text));
+        self.mentioned = Some(combine(self.mentioned, statement.class));
+        self.needs_back_end = true;
+        self.messages.extend_from_slice(&statement.shared.parse);
+        self.created.push(statement.shared.name.clone());
+        self.replies.extend_from_slice(PARSE_COMPLETE);
+        if !statements.insert(fields.name, statement) {
+            let detail = "the session has too many prepared statements";
+            return Err(Refusal::new(ResultCode::TooManyStatements, detail));
+        }
+        Ok(())
+    }
+
+    fn add_bind(&mut self, frame: &Frame, statements: &Statements) -> Result<(), Refusal> {
+        let fields = BindFields::read(frame.body()).ok_or_else(malformed)?;
+        let statement = find(statements, fields.statement)?;
+        self.require(&statement.shared);
+        self.mentioned = Some(combine(self.mentioned, statement.class));
+        self.needs_back_end = true;
+        let name = statement.shared.name.as_bytes();
+        extended::put_bind(fields.portal, name, fields.values, &mut self.messages);
+        self.portals.retain(|portal| portal.name != fields.portal);
+        let name = Bytes::copy_from_slice(fields.portal);
+        self.portals.push(Portal { name, class: statement.class });
+        self.replies.extend_from_slice(BIND_COMPLETE);
+        Ok(())
+    }
+
+    fn add_describe(&mut self, frame: &Frame, statements: &Statements) -> Result<(), Refusal> {
+        let object = NamedObject::read(frame.body()).ok_or_else(malformed)?;
+        self.needs_back_end = true;
+        if object.kind != STATEMENT_KIND {
+            self.messages.extend_from_slice(&frame.bytes);
+            self.replies.extend_from_slice(NO_DATA);
+            return Ok(());
+        }
+        let statement = find(statements, object.name)?;
+        self.require(&statement.shared);
+        self.mentioned = Some(combine(self.mentioned, statement.class));
+        let name = statement.shared.name.as_bytes();
+        extended::put_for_statement(extended::DESCRIBE, name, &mut self.messages);
+        self.replies.extend_from_slice(NO_PARAMETERS);
+        self.replies.extend_from_slice(NO_DATA);
+        Ok(())
+    }
+
+    fn add_execute(&mut self, frame: &Frame) -> Result<(), Refusal> {
+        let (name, _) = extended::split_string(frame.body()).ok_or_else(malformed)?;
+        // A portal of an earlier batch lives on in its transaction; what it does is not known here.
+        let class = self
+            .portals
+            .iter()
+            .find(|portal| portal.name == name)
+            .map_or(StatementClass::Write, |portal| portal.class);
+        self.executed = Some(combine(self.executed, class));
+        self.needs_back_end = true;
+        self.messages.extend_from_slice(&frame.bytes);
+        self.replies.extend_from_slice(ROLLED_BACK);
+        Ok(())
+    }
+
+    fn add_close(&mut self, frame: &Frame, statements: &mut Statements) -> Result<(), Refusal> {
+        let object = NamedObject::read(frame.body()).ok_or_else(malformed)?;
+        self.replies.extend_from_slice(CLOSE_COMPLETE);
+        if object.kind == STATEMENT_KIND {
+            statements.remove(object.name);
+            extended::put_for_statement(extended::CLOSE, NO_STATEMENT, &mut self.messages);
+            return Ok(());
+        }
+        self.needs_back_end = true;
+        self.messages.extend_from_slice(&frame.bytes);
+        Ok(())
+    }
+
+    fn require(&mut self, statement: &PreparedStatement) {
+        let present = self.created.contains(&statement.name)
+            || self.needed.iter().any(|needed| needed.name == statement.name);
+        if !present {
+            self.needed.push(statement.clone());
+        }
+    }
+
+    /// Ends the batch with the caller's `Sync`.
+    pub fn finish(&mut self, sync: &Frame) -> Result<FinishedBatch, Refusal> {
+        let mut batch = std::mem::take(self);
+        if let Some(refusal) = batch.refusal {
+            return Err(refusal);
+        }
+        batch.messages.extend_from_slice(&sync.bytes);
+        Ok(FinishedBatch {
+            messages: batch.messages.freeze(),
+            statements: batch.needed,
+            class: batch.executed.or(batch.mentioned).unwrap_or(StatementClass::Read),
+            executes: batch.executed.is_some(),
+            rollback_replies: batch.replies.freeze(),
+            is_local: !batch.needs_back_end,
+        })
+    }
+}
+
+fn combine(earlier: Option<StatementClass>, next: StatementClass) -> StatementClass {
+    earlier.map_or(next, |earlier| earlier.then(next))
+}
+
+fn malformed() -> Refusal {
+    Refusal::new(ResultCode::ProtocolViolation, "message body is malformed")
+}
+
+fn find<'a>(statements: &'a Statements, name: &[u8]) -> Result<&'a SessionStatement, Refusal> {
+    statements.get(name).ok_or_else(|| {
+        let name = String::from_utf8_lossy(name);
+        let detail = format!("prepared statement \"{name}\" does not exist");
+        Refusal::new(ResultCode::UnknownStatement, detail)
+    })
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -1,8 +1,12 @@
 //! The front: callers' connections, their sessions and where their statements go.
 
 pub mod answer;
+pub mod batch;
+pub mod classes;
+pub mod request;
 pub mod session;
 pub mod startup;
+pub mod statements;
 pub mod target;
 
 use std::collections::HashMap;
@@ -18,6 +22,7 @@
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::shard::{Io, Part, token};
 
+use self::classes::Classes;
 use self::session::{Session, SessionEnd};
 use self::target::Subscriptions;
 
@@ -32,6 +37,7 @@
     leases: HashMap<LeaseId, usize>,
     next_serial: u64,
     subscriptions: Subscriptions,
+    classes: Classes,
 }
 
 impl Front {
@@ -44,6 +50,7 @@
             leases: HashMap::new(),
             next_serial: 0,
             subscriptions: Subscriptions::default(),
+            classes: Classes::default(),
         }
     }
 
@@ -133,7 +140,7 @@
             shard: self.shard,
             serial,
         };
-        let end = session.advance(new_lease, &mut self.subscriptions, io);
+        let end = session.advance(new_lease, &mut self.subscriptions, &mut self.classes, io);
         self.next_serial += 1;
         for ended in session.ended_leases.drain(..) {
             self.leases.remove(&ended);
--- /dev/null
+++ b/crates/daemon/src/front/request.rs
@@ -0,0 +1,120 @@
+//! What a caller has asked for: one exchange, ready to go out or on its way.
+
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_peer::message::PreparedStatement;
+
+use super::batch::{Batch, FinishedBatch};
+use super::classes::{self, Classes};
+use super::statements::Statements;
+use crate::net::extended;
+use crate::net::frames::{self, Frame};
+
+const ROLLBACK_REPLY: &[u8] = b"C\0\0\0\x0dROLLBACK\0";
+
+/// An exchange.
+#[derive(Debug)]
+pub struct Request {
+    /// Front-end messages.
+    pub messages: Bytes,
+    /// Statements that must exist on the connection.
+    pub statements: Vec<PreparedStatement>,
+    /// What it does.
+    pub class: StatementClass,
+    /// Whether anything is executed, rather than only prepared or described.
+    pub executes: bool,
+    /// What a back end would answer if it only rolled back, without `ReadyForQuery`.
+    pub rollback_replies: Bytes,
+    /// Whether the proxy answers alone.
+    pub is_local: bool,
+    /// Latest time to answer it.
+    pub deadline: Instant,
+    /// Whether it has been handed to a gateway.
+    pub sent: bool,
+}
+
+/// What the next messages of a caller are.
+#[derive(Debug)]
+pub enum Next {
+    /// Not whole yet.
+    Incomplete,
+    /// An exchange.
+    Request(Request),
+    /// A refused exchange; the caller goes on.
+    Refused(Refusal),
+    /// The caller says goodbye.
+    Terminate,
+    /// The caller breaks the protocol; it cannot go on.
+    Broken(Refusal),
+}
+
+/// Collects caller messages up to one that ends an exchange.
+#[derive(Debug, Default)]
+pub struct Collector {
+    batch: Batch,
+    /// The caller's prepared statements.
+    pub statements: Statements,
+}
+
+impl Collector {
+    /// Takes whole messages off `input` until an exchange is complete.
+    pub fn next(&mut self, input: &mut BytesMut, classes: &mut Classes, deadline: Instant) -> Next {
+        loop {
+            let frame = match frames::next_frame(input) {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return Next::Incomplete,
+                Err(error) => return Next::Broken(bad_length(error)),
+            };
+            match frame.tag {
+                b'Q' => return Next::Request(simple(frame, classes, deadline)),
+                extended::SYNC => {
+                    return match self.batch.finish(&frame) {
+                        Ok(batch) => Next::Request(extended(batch, deadline)),
+                        Err(refusal) => Next::Refused(refusal),
+                    };
+                }
+                b'X' => return Next::Terminate,
+                _ => self.batch.add(&frame, &mut self.statements, classes),
+            }
+        }
+    }
+}
+
+fn bad_length(error: frames::BadLength) -> Refusal {
+    let code = if error.0 > frames::MAX_MESSAGE_BYTES as i64 {
+        ResultCode::MessageTooLarge
+    } else {
+        ResultCode::ProtocolViolation
+    };
+    Refusal::new(code, error.to_string())
+}
+
+fn simple(frame: Frame, classes: &mut Classes, deadline: Instant) -> Request {
+    let body = frame.bytes.slice(frames::HEADER_BYTES..);
+    Request {
+        class: classes.of(classes::query_text(&body)),
+        messages: frame.bytes,
+        statements: Vec::new(),
+        executes: true,
+        rollback_replies: Bytes::from_static(ROLLBACK_REPLY),
+        is_local: false,
+        deadline,
+        sent: false,
+    }
+}
+
+fn extended(batch: FinishedBatch, deadline: Instant) -> Request {
+    Request {
+        messages: batch.messages,
+        statements: batch.statements,
+        class: batch.class,
+        executes: batch.executes,
+        rollback_replies: batch.rollback_replies,
+        is_local: batch.is_local,
+        deadline,
+        sent: false,
+    }
+}
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use kestrellock_core::classify::{StatementClass, classify};
+use kestrellock_core::classify::StatementClass;
 use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::Position;
@@ -11,11 +10,12 @@
 use kestrellock_core::session::SessionBound;
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToGateway, TransactionState};
 
+use super::classes::Classes;
+use super::request::{Collector, Next, Request};
 use super::startup::{self, Login, StartupStep};
 use super::target::{self, Subscriptions, Target};
 use super::{GATEWAY_GRACE, answer};
 use crate::net::connection::Connection;
-use crate::net::frames::{self, Frame};
 use crate::shard::{Io, Outgoing};
 
 const STARTUP_LIMIT: Duration = Duration::from_secs(10);
@@ -29,21 +29,13 @@
     Close,
 }
 
-/// An exchange ready to go out, or on its way.
-#[derive(Debug)]
-struct Request {
-    frames: Bytes,
-    class: StatementClass,
-    ready_expected: u32,
-    deadline: Instant,
-    sent: bool,
-}
-
 /// The use of one back-end connection.
 #[derive(Debug)]
 struct Lease {
     id: LeaseId,
     target: Target,
+    /// Whether nothing on it can have written so far.
+    read_only: bool,
     next_exchange: u32,
     next_sequence: u32,
 }
@@ -61,8 +53,9 @@
     transaction: TransactionState,
     lease: Option<Lease>,
     request: Option<Request>,
-    batch: BytesMut,
-    batch_class: StatementClass,
+    collector: Collector,
+    /// The open transaction's connection was lost: only its end is accepted.
+    transaction_lost: bool,
 }
 
 impl Session {
@@ -77,8 +70,8 @@
             transaction: TransactionState::Idle,
             lease: None,
             request: None,
-            batch: BytesMut::new(),
-            batch_class: StatementClass::Read,
+            collector: Collector::default(),
+            transaction_lost: false,
         }
     }
 
@@ -101,6 +94,7 @@
         &mut self,
         new_lease: impl FnOnce() -> LeaseId,
         subscriptions: &mut Subscriptions,
+        classes: &mut Classes,
         io: &mut Io,
     ) -> SessionEnd {
         let end = if self.login.is_none() {
@@ -109,7 +103,7 @@
             SessionEnd::Continue
         };
         let end = if end == SessionEnd::Continue && self.login.is_some() {
-            self.advance_requests(new_lease, io)
+            self.advance_requests(new_lease, classes, io)
         } else {
             end
         };
@@ -143,56 +137,66 @@
         SessionEnd::Close
     }
 
-    fn advance_requests(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) -> SessionEnd {
-        if self.request.is_none() {
-            match self.next_request(io.now) {
-                Ok(Some(request)) => self.request = Some(request),
-                Ok(None) => return SessionEnd::Continue,
-                Err(end) => return end,
+    fn advance_requests(
+        &mut self,
+        new_lease: impl FnOnce() -> LeaseId,
+        classes: &mut Classes,
+        io: &mut Io,
+    ) -> SessionEnd {
+        while self.request.is_none() {
+            let deadline = io.now + self.time_limit();
+            let Connection { input, output, .. } = &mut self.connection;
+            match self.collector.next(input, classes, deadline) {
+                Next::Incomplete => return SessionEnd::Continue,
+                Next::Terminate => return SessionEnd::Close,
+                Next::Request(request) => self.take_up(request),
+                Next::Refused(refusal) => self.refuse_request(&refusal, io),
+                Next::Broken(refusal) => {
+                    answer::put_refusal(&refusal, "FATAL", output);
+                    return SessionEnd::Close;
+                }
             }
         }
         self.drive_request(new_lease, io);
         SessionEnd::Continue
     }
 
-    /// Collects caller messages up to one that ends an exchange.
-    fn next_request(&mut self, now: Instant) -> Result<Option<Request>, SessionEnd> {
-        loop {
-            let frame = match frames::next_frame(&mut self.connection.input) {
-                Ok(Some(frame)) => frame,
-                Ok(None) => return Ok(None),
-                Err(error) => {
-                    let refusal = Refusal::new(ResultCode::ProtocolViolation, error.to_string());
-                    answer::put_refusal(&refusal, "FATAL", &mut self.connection.output);
-                    return Err(SessionEnd::Close);
-                }
-            };
-            match frame.tag {
-                b'Q' => {
-                    let class = classify_query(&frame);
-                    return Ok(Some(self.request(frame.bytes, class, now)));
-                }
-                b'S' => {
-                    self.batch.extend_from_slice(&frame.bytes);
-                    let batch = std::mem::take(&mut self.batch).freeze();
-                    let class = std::mem::replace(&mut self.batch_class, StatementClass::Read);
-                    return Ok(Some(self.request(batch, class, now)));
-                }
-                b'X' => return Err(SessionEnd::Close),
-                _ => {
-                    self.batch_class = StatementClass::Write;
-                    self.batch.extend_from_slice(&frame.bytes);
-                }
-            }
+    fn time_limit(&self) -> Duration {
+        let login = self.login.as_ref();
+        login.map_or(Duration::ZERO, |login| login.parameters.values.deadline_ms.into())
+    }
+
+    /// Answers a request that needs no back end, or keeps it for one.
+    fn take_up(&mut self, request: Request) {
+        let output = &mut self.connection.output;
+        let ends = matches!(request.class, StatementClass::Commit | StatementClass::Rollback);
+        if self.transaction_lost && request.executes && ends {
+            self.transaction_lost = false;
+            self.transaction = TransactionState::Idle;
+        } else if self.transaction_lost && !request.is_local {
+            let detail = "the transaction was lost; roll it back";
+            let refusal = Refusal::new(ResultCode::TransactionLost, detail);
+            answer::put_refusal(&refusal, "ERROR", output);
+            answer::put_ready(self.transaction, output);
+            return;
+        } else if !request.is_local {
+            self.request = Some(request);
+            return;
         }
+        output.extend_from_slice(&request.rollback_replies);
+        answer::put_ready(self.transaction, output);
     }
 
-    fn request(&self, frames: Bytes, class: StatementClass, now: Instant) -> Request {
-        let limit = self
-            .login
-            .as_ref()
-            .map_or(Duration::ZERO, |login| login.parameters.values.deadline_ms.into());
-        Request { frames, class, ready_expected: 1, deadline: now + limit, sent: false }
+    /// Refuses a request that never reached a back end. An open transaction is given up, because
+    /// the caller must not be able to commit the part of it that came before.
+    fn refuse_request(&mut self, refusal: &Refusal, io: &mut Io) {
+        if self.transaction != TransactionState::Idle && !self.transaction_lost {
+            self.abandon(io);
+            self.transaction_lost = true;
+            self.transaction = TransactionState::Failed;
+        }
+        answer::put_refusal(refusal, "ERROR", &mut self.connection.output);
+        answer::put_ready(self.transaction, &mut self.connection.output);
     }
 
     /// Sends the request if it has not been, or ends it if its time is up.
@@ -238,9 +242,13 @@
         self.end_lease(LeaseEvent::Refused(Refusal::new(code, detail)));
     }
 
-    fn access(&self, class: StatementClass, login: &Login) -> Access {
-        let reads = class == StatementClass::Read || class == StatementClass::BeginReadOnly;
-        if reads && self.lease.is_none() {
+    /// What the request needs, given the lease in use.
+    fn access(&self, request: &Request, login: &Login) -> Access {
+        let reads = match &self.lease {
+            None => matches!(request.class, StatementClass::Read | StatementClass::BeginReadOnly),
+            Some(lease) => lease.read_only && request.class.keeps_read_only(),
+        };
+        if reads {
             let max_staleness = login.parameters.values.max_staleness_ms.into();
             Access::Read { bound: self.bound, max_staleness }
         } else {
@@ -250,30 +258,29 @@
 
     fn send_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
         let (Some(login), Some(request)) = (&self.login, &self.request) else { return };
-        let access = self.access(request.class, login);
+        let access = self.access(request, login);
+        let writes = access == Access::Write;
         if self.lease.is_none() {
             let Some(target) = target::find(&login.group, &access, io) else { return };
-            self.lease =
-                Some(Lease { id: new_lease(), target, next_exchange: 0, next_sequence: 0 });
+            let id = new_lease();
+            let read_only = !writes;
+            self.lease = Some(Lease { id, target, read_only, next_exchange: 0, next_sequence: 0 });
         }
         let Some(lease) = &mut self.lease else { return };
+        lease.read_only &= !writes;
         let values = &login.parameters.values;
-        let (priority, writes) = match access {
-            Access::Read { .. } => (values.read_priority, false),
-            Access::Write => (values.write_priority, true),
-        };
         let exchange = Exchange {
             lease: lease.id.clone(),
             number: lease.next_exchange,
             instance: lease.target.instance.clone(),
             tenant: login.parameters.tenant.clone(),
             access,
-            priority,
+            priority: if writes { values.write_priority } else { values.read_priority },
             time_left: request.deadline.saturating_duration_since(io.now),
-            statements: Vec::new(),
-            frames: request.frames.clone(),
-            ready_expected: request.ready_expected,
-            may_commit: writes && request.class != StatementClass::Begin,
+            statements: request.statements.clone(),
+            frames: request.messages.clone(),
+            ready_expected: 1,
+            may_commit: writes && request.executes && request.class != StatementClass::Begin,
         };
         lease.next_exchange += 1;
         let message = ToGateway {
@@ -305,7 +312,7 @@
 
     /// Ends the exchange under way, and the lease unless a transaction stays open.
     pub fn end_lease(&mut self, event: LeaseEvent) {
-        self.request = None;
+        let request = self.request.take();
         match event {
             LeaseEvent::Part(_) => {}
             LeaseEvent::Done { frames, transaction, confirmed } => {
@@ -319,9 +326,16 @@
                 }
             }
             LeaseEvent::Refused(refusal) => {
+                // A caller that does not look at errors must not run the rest of a lost transaction
+                // statement by statement.
+                let ended = request.is_none_or(|request| request.class == StatementClass::Commit);
+                self.transaction_lost = self.transaction != TransactionState::Idle && !ended;
+                self.transaction = match self.transaction_lost {
+                    true => TransactionState::Failed,
+                    false => TransactionState::Idle,
+                };
                 answer::put_refusal(&refusal, "ERROR", &mut self.connection.output);
-                answer::put_ready(TransactionState::Idle, &mut self.connection.output);
-                self.transaction = TransactionState::Idle;
+                answer::put_ready(self.transaction, &mut self.connection.output);
                 self.drop_lease();
             }
         }
@@ -353,8 +367,3 @@
         self.drop_lease();
     }
 }
-
-fn classify_query(frame: &Frame) -> StatementClass {
-    let body = frame.bytes.slice(frames::HEADER_BYTES..);
-    startup::query_text(&body).map_or(StatementClass::Write, classify)
-}
--- a/crates/daemon/src/front/startup.rs
+++ b/crates/daemon/src/front/startup.rs
@@ -1,6 +1,6 @@
 //! A caller's start-up: protocol negotiation, login, and what the session may use.
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use kestrellock_core::catalog::TenantParameters;
 use kestrellock_core::ids::GroupName;
 use kestrellock_core::outcome::{Refusal, ResultCode};
@@ -118,9 +118,3 @@
     answer::put(PgWireBackendMessage::BackendKeyData(key), output);
     answer::put_ready(TransactionState::Idle, output);
 }
-
-/// Text of a simple query message's body.
-pub fn query_text(body: &Bytes) -> Option<&str> {
-    let text = body.strip_suffix(&[0]).unwrap_or(body);
-    std::str::from_utf8(text).ok()
-}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 pub mod confirmation;
 pub mod monitor;
 pub mod pool;
+pub mod prepared;
 pub mod probe;
 pub mod server;
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -17,6 +17,7 @@
 
 use super::confirmation::Commit;
 use super::notify;
+use super::prepared::{PreparedSet, Reply};
 use super::probe::{POSITION_QUERY, Report, parse_row};
 use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
@@ -97,6 +98,7 @@
     state: State,
     lease: Option<LeaseId>,
     next_sequence: u32,
+    prepared: PreparedSet,
 }
 
 impl Server {
@@ -129,6 +131,7 @@
             state: State::StartingUp,
             lease: None,
             next_sequence: 0,
+            prepared: PreparedSet::default(),
         });
         Ok(key)
     }
@@ -154,7 +157,7 @@
             self.next_sequence = 0;
         }
         self.lease = Some(exchange.lease.clone());
-        self.connection.output.extend_from_slice(&exchange.frames);
+        self.prepared.send(&exchange.statements, &exchange.frames, &mut self.connection.output);
         if exchange.may_commit {
             put_query(POSITION_QUERY, &mut self.connection.output);
         }
@@ -215,7 +218,7 @@
                 _ => {}
             },
             State::Running(running) => {
-                if running.on_frame(frame) {
+                if running.on_frame(frame, &mut self.prepared) {
                     self.finish(events, io);
                 }
             }
@@ -280,14 +283,18 @@
 
 impl Running {
     /// Takes in one message; true when it was the last.
-    fn on_frame(&mut self, frame: &frames::Frame) -> bool {
+    fn on_frame(&mut self, frame: &frames::Frame, prepared: &mut PreparedSet) -> bool {
         if let Some(report) = &mut self.position {
             if frame.tag == b'D' {
                 *report = parse_row(frame.body()).ok();
             }
             return frame.tag == b'Z';
         }
-        self.answer.extend_from_slice(&frame.bytes);
+        match prepared.on_reply(frame) {
+            Reply::Pass => self.answer.extend_from_slice(&frame.bytes),
+            Reply::Replace(message) => self.answer.extend_from_slice(&message),
+            Reply::Swallow => {}
+        }
         if frame.tag != b'Z' {
             return false;
         }
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod connect;
 pub mod connection;
+pub mod extended;
 pub mod frames;
--- /dev/null
+++ b/crates/daemon/tests/prepared.rs
@@ -0,0 +1,224 @@
+//! Prepared statements between a caller's names and the back-end connections it shares.
+
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::outcome::ResultCode;
+use kestrellock_daemon::front::classes::Classes;
+use kestrellock_daemon::front::request::{Collector, Next, Request};
+use kestrellock_daemon::gateway::prepared::{MAX_STATEMENTS, PreparedSet, Reply};
+use kestrellock_daemon::net::extended;
+use kestrellock_daemon::net::frames::{self, Frame};
+
+fn message(tag: u8, parts: &[&[u8]]) -> Vec<u8> {
+    let mut output = BytesMut::new();
+    extended::put_message(tag, parts, &mut output);
+    output.to_vec()
+}
+
+fn parse(name: &str, text: &str) -> Vec<u8> {
+    message(b'P', &[name.as_bytes(), &[0], text.as_bytes(), &[0, 0, 0]])
+}
+
+fn bind(statement: &str) -> Vec<u8> {
+    message(b'B', &[&[0], statement.as_bytes(), &[0, 0, 0, 0, 0, 0, 0]])
+}
+
+fn execute() -> Vec<u8> {
+    message(b'E', &[&[0, 0, 0, 0, 0]])
+}
+
+fn close(statement: &str) -> Vec<u8> {
+    message(b'C', &[b"S", statement.as_bytes(), &[0]])
+}
+
+fn describe(statement: &str) -> Vec<u8> {
+    message(b'D', &[b"S", statement.as_bytes(), &[0]])
+}
+
+fn sync() -> Vec<u8> {
+    message(b'S', &[])
+}
+
+fn next(collector: &mut Collector, messages: &[Vec<u8>]) -> Next {
+    let mut input = BytesMut::from(messages.concat().as_slice());
+    collector.next(&mut input, &mut Classes::default(), Instant::now())
+}
+
+fn request(collector: &mut Collector, messages: &[Vec<u8>]) -> Request {
+    match next(collector, messages) {
+        Next::Request(request) => request,
+        other => panic!("not a request: {other:?}"),
+    }
+}
+
+fn tags(messages: &[u8]) -> String {
+    let mut buffer = BytesMut::from(messages);
+    let mut tags = String::new();
+    while let Some(frame) = frames::next_frame(&mut buffer).expect("message length") {
+        tags.push(char::from(frame.tag));
+    }
+    assert!(buffer.is_empty(), "a message is cut short");
+    tags
+}
+
+fn send(set: &mut PreparedSet, request: &Request) -> String {
+    let mut output = BytesMut::new();
+    set.send(&request.statements, &request.messages, &mut output);
+    tags(&output)
+}
+
+/// Plays a back end's answer; returns what the caller sees of it.
+fn answer(set: &mut PreparedSet, tags: &str) -> String {
+    let mut seen = String::new();
+    for tag in tags.bytes() {
+        let bytes = Bytes::from(message(tag, &[]));
+        match set.on_reply(&Frame { tag, bytes }) {
+            Reply::Pass => seen.push(char::from(tag)),
+            Reply::Replace(bytes) => seen.push(char::from(bytes[0])),
+            Reply::Swallow => {}
+        }
+    }
+    seen
+}
+
+#[test]
+fn a_statement_is_created_where_it_is_missing_and_reused_where_it_exists() {
+    let mut first = Collector::default();
+    let mut second = Collector::default();
+    let (mut one, mut other) = (PreparedSet::default(), PreparedSet::default());
+
+    let prepare = request(&mut first, &[parse("s0", "SELECT 1"), describe("s0"), sync()]);
+    assert!(!prepare.executes);
+    assert_eq!(send(&mut one, &prepare), "PDS");
+    assert_eq!(answer(&mut one, "1tTZ"), "1tTZ");
+
+    let run = request(&mut first, &[bind("s0"), execute(), sync()]);
+    assert_eq!(send(&mut one, &run), "BES");
+    assert_eq!(answer(&mut one, "2DCZ"), "2DCZ");
+    assert_eq!(send(&mut other, &run), "PBES", "missing on the other connection");
+    assert_eq!(answer(&mut other, "12DCZ"), "2DCZ", "the caller did not ask for that Parse");
+
+    // Another caller prepares the same text under another name on a connection that has it.
+    let same = request(&mut second, &[parse("mine", "SELECT 1"), bind("mine"), execute(), sync()]);
+    assert_eq!(send(&mut one, &same), "CBES");
+    assert_eq!(answer(&mut one, "32DCZ"), "12DCZ");
+    assert_eq!(one.len(), 1);
+}
+
+#[test]
+fn a_callers_close_leaves_the_shared_statement_alone() {
+    let mut caller = Collector::default();
+    let mut set = PreparedSet::default();
+    let prepare = request(&mut caller, &[parse("s0", "SELECT 1"), sync()]);
+    send(&mut set, &prepare);
+    answer(&mut set, "1Z");
+
+    let only_close = request(&mut caller, &[close("s0"), sync()]);
+    assert!(only_close.is_local);
+    assert_eq!(tags(&only_close.rollback_replies), "3");
+    assert_eq!(set.len(), 1);
+
+    let gone = next(&mut caller, &[bind("s0"), execute(), sync()]);
+    assert!(matches!(gone, Next::Refused(refusal) if refusal.code == ResultCode::UnknownStatement));
+}
+
+#[test]
+fn the_unnamed_statement_is_never_another_callers() {
+    let mut owner = Collector::default();
+    let mut stranger = Collector::default();
+    let mut set = PreparedSet::default();
+    let prepare = request(&mut owner, &[parse("", "SELECT secret"), sync()]);
+    send(&mut set, &prepare);
+    answer(&mut set, "1Z");
+    let stolen = next(&mut stranger, &[bind(""), execute(), sync()]);
+    assert!(matches!(stolen, Next::Refused(_)));
+    // The owner's own is made again, whoever used the connection in between.
+    let run = request(&mut owner, &[bind(""), execute(), sync()]);
+    assert_eq!(send(&mut set, &run), "PBES");
+    assert_eq!(answer(&mut set, "12DCZ"), "2DCZ");
+}
+
+#[test]
+fn after_an_error_only_what_was_created_counts() {
+    // (answer to a batch of two Parse messages, statements that exist afterwards)
+    for (replies, exist) in [("11Z", 2), ("1EZ", 1), ("EZ", 0)] {
+        let mut caller = Collector::default();
+        let mut set = PreparedSet::default();
+        let both = request(&mut caller, &[parse("a", "SELECT 1"), parse("b", "SELECT 2"), sync()]);
+        send(&mut set, &both);
+        assert_eq!(answer(&mut set, replies), replies);
+        assert_eq!(set.len(), exist, "after {replies}");
+    }
+}
+
+#[test]
+fn statements_that_the_back_end_calls_stale_are_created_again() {
+    let mut caller = Collector::default();
+    let mut set = PreparedSet::default();
+    let run = request(&mut caller, &[parse("a", "SELECT 1"), bind("a"), execute(), sync()]);
+    send(&mut set, &run);
+    answer(&mut set, "12DCZ");
+    let bytes = Bytes::from(message(b'E', &[b"SERROR\0C0A000\0Mcached plan\0\0"]));
+    send(&mut set, &run);
+    set.on_reply(&Frame { tag: b'E', bytes });
+    assert_eq!(send(&mut set, &run), "CPBES");
+    assert_eq!(answer(&mut set, "312DCZ"), "12DCZ");
+}
+
+#[test]
+fn the_number_of_statements_on_a_connection_is_bounded() {
+    let mut caller = Collector::default();
+    let mut set = PreparedSet::default();
+    for number in 0..3 * MAX_STATEMENTS {
+        let text = format!("SELECT {number}");
+        let run = request(&mut caller, &[parse("a", &text), sync()]);
+        send(&mut set, &run);
+        let replies = if number > MAX_STATEMENTS { "31Z" } else { "1Z" };
+        assert_eq!(answer(&mut set, replies), "1Z", "statement {number}");
+    }
+    assert!(set.len() <= MAX_STATEMENTS + 1, "{} statements", set.len());
+}
+
+#[test]
+fn a_batch_has_the_class_of_all_it_executes() {
+    use StatementClass::{Begin, Read, Write};
+    let table: [(&[&str], StatementClass); 5] = [
+        (&["SELECT 1"], Read),
+        (&["SELECT 1", "SELECT 2"], Read),
+        (&["SELECT 1", "DELETE FROM t"], Write),
+        (&["DELETE FROM t", "SELECT 1"], Write),
+        (&["BEGIN"], Begin),
+    ];
+    for (texts, class) in table {
+        let mut messages = Vec::new();
+        for text in texts {
+            messages.extend([parse("", text), bind(""), execute()]);
+        }
+        messages.push(sync());
+        let batch = request(&mut Collector::default(), &messages);
+        assert_eq!(batch.class, class, "{texts:?}");
+        assert!(batch.executes);
+    }
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_up_to_the_next_sync() {
+    let flush = message(b'H', &[]);
+    let cases = [
+        (vec![parse("a", "SELECT 1"), flush, bind("a")], ResultCode::NotSupported),
+        (vec![message(b'P', &[b"no terminator"])], ResultCode::ProtocolViolation),
+        (vec![message(b'B', &[b""])], ResultCode::ProtocolViolation),
+        (vec![message(b'@', &[b""])], ResultCode::ProtocolViolation),
+        (vec![describe("nothing")], ResultCode::UnknownStatement),
+    ];
+    for (mut messages, code) in cases {
+        messages.push(sync());
+        let mut caller = Collector::default();
+        let refused = next(&mut caller, &messages);
+        assert!(matches!(&refused, Next::Refused(refusal) if refusal.code == code), "{refused:?}");
+        let good = request(&mut caller, &[parse("", "SELECT 1"), bind(""), execute(), sync()]);
+        assert_eq!(tags(&good.messages), "PBES");
+    }
+}
