Bench of the path: one and two nodes against the direct way, and comparison of reports

Cause: nothing said what a node between caller and back end costs. Change: kestrellock-lab bench path measures each route in short slices that take turns: rate, latency alone and busy, processor time of the nodes' threads, and memory of idle callers; compare judges two reports by the spread of both.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! The lab: stand-ins for the platform, load, fault scenarios and reports.
 
+pub mod bench;
 pub mod check;
 pub mod demo;
 pub mod report;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use kestrellock_lab::bench::command::{BenchCommand, CompareCommand};
 use kestrellock_lab::demo::{Demo, check};
 use kestrellock_program::command_line;
 
@@ -21,6 +22,8 @@
 #[argh(subcommand)]
 enum Command {
     Demo(DemoArguments),
+    Bench(BenchCommand),
+    Compare(CompareCommand),
 }
 
 /// start store, database groups and three nodes on loopback
@@ -35,6 +38,8 @@
 fn main() -> ExitCode {
     command_line::run("kestrellock-lab", |arguments: Arguments| match arguments.command {
         Command::Demo(demo) => run_demo(&demo),
+        Command::Bench(bench) => bench.run(),
+        Command::Compare(compare) => compare.run(),
     })
 }
 
