--- a/crates/lab/src/bench/path/cluster.rs
+++ b/crates/lab/src/bench/path/cluster.rs
@@ -7,13 +7,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::{
-    Catalog, Group, Instance, Milliseconds, Priority, Template, Tenant,
-};
-use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
+use kestrellock_core::catalog::Catalog;
+use kestrellock_core::ids::{NodeName, ZoneName};
 use kestrellock_daemon::policy::Policy;
 use miette::{IntoDiagnostic, miette};
 use postgres_protocol::password;
+use serde_json::json;
 
 use super::messages::ROWS;
 use crate::bench::cluster::{Cluster, NodePlan};
@@ -30,8 +29,8 @@
 /// Slots and connections of an instance: enough that no statement of the bench queues for one.
 const SLOTS: u32 = 64;
 const CONNECTIONS: u32 = 100;
-const MAX_STALENESS: Milliseconds = Milliseconds(60_000);
-const DEADLINE: Milliseconds = Milliseconds(10_000);
+const MAX_STALENESS_MILLISECONDS: u64 = 60_000;
+const DEADLINE_MILLISECONDS: u64 = 10_000;
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -75,7 +74,7 @@
             zone: ZoneName::new(zone),
         };
         let plans = [plan("front", CALLER_ZONE), plan("gateway", DATA_ZONE)];
-        let cluster = Cluster::start(&catalog(&group.addresses), &plans, Policy::Standard)?;
+        let cluster = Cluster::start(&catalog(&group.addresses)?, &plans, Policy::Standard)?;
         let started = Self { group, cluster };
         started.create_table()?;
         for node in &started.cluster.nodes {
@@ -117,42 +116,31 @@
     Credentials { user: USER.into(), password: PASSWORD.into(), database: DATABASE.into() }
 }
 
-fn catalog(addresses: &[SocketAddr]) -> Catalog {
-    let instances = addresses
+/// The catalog in its JSON form, so that fields the bench does not care about keep their defaults.
+fn catalog(addresses: &[SocketAddr]) -> miette::Result<Catalog> {
+    let instances: Vec<_> = addresses
         .iter()
         .enumerate()
-        .map(|(index, address)| Instance {
-            name: InstanceName::new(format!("bench-{index}")),
-            zone: ZoneName::new(DATA_ZONE),
-            address: *address,
-            slots: SLOTS,
-            connections: CONNECTIONS,
+        .map(|(index, address)| {
+            json!({
+                "name": format!("bench-{index}"), "zone": DATA_ZONE, "address": address,
+                "slots": SLOTS, "connections": CONNECTIONS,
+            })
         })
         .collect();
-    let group = Group { database: DATABASE.into(), user: "kestrellock".into(), instances };
-    let template = Template {
-        groups: vec!["bench".into()],
-        max_staleness_ms: MAX_STALENESS,
-        capacity: SLOTS,
-        write_priority: Priority::Normal,
-        read_priority: Priority::Normal,
-        deadline_ms: DEADLINE,
-    };
+    let group = json!({ "database": DATABASE, "user": "kestrellock", "instances": instances });
+    let template = json!({
+        "groups": ["bench"], "max_staleness_ms": MAX_STALENESS_MILLISECONDS,
+        "capacity": SLOTS, "deadline_ms": DEADLINE_MILLISECONDS,
+    });
     let verifier = password::scram_sha_256(PASSWORD.as_bytes());
-    let tenant = Tenant {
-        template: "bench".into(),
-        groups: None,
-        max_staleness_ms: None,
-        capacity: None,
-        deadline_ms: None,
-        logins: [(USER.to_owned(), verifier)].into(),
-    };
-    Catalog {
-        groups: [("bench".into(), group)].into(),
-        templates: [("bench".into(), template)].into(),
-        tenants: [("bench".into(), tenant)].into(),
-        ..Catalog::default()
-    }
+    let tenant = json!({ "template": "bench", "logins": { USER: verifier } });
+    serde_json::from_value(json!({
+        "groups": { "bench": group },
+        "templates": { "bench": template },
+        "tenants": { "bench": tenant },
+    }))
+    .into_diagnostic()
 }
 
 /// Runs one simple query and waits for its answer.
