Catalog: complete validation, indexed lookups, split into one module a job

Names, addresses, uniqueness and upper bounds were not checked, and every login scanned all tenants and every commit all groups. Validation now covers each field, by a table of 41 bad values with the field each must name; logins and instances are found by hash, built once when a catalog is put in force. Property tests: validation never panics, and TOML, JSON and CBOR lose nothing.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -3,6 +3,10 @@
 //! Kept in the platform's store and delivered whole. Operators write TOML; the programs exchange
 //! the same types as JSON or CBOR.
 
+mod index;
+mod merge;
+mod validate;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +17,10 @@
 use crate::confirmation::ConfirmationRule;
 use crate::ids::{GroupName, InstanceName, TemplateName, TenantName, ZoneName};
 
+pub use index::IndexedCatalog;
+pub use merge::TenantParameters;
+pub use validate::{MAX_NAME_BYTES, is_name};
+
 /// Revision of the configuration: the store's revision at which its newest part was written.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -167,138 +175,3 @@
         Self { field: field.into(), problem: problem.into() }
     }
 }
-
-/// A tenant's parameters with template and overrides merged.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TenantParameters {
-    /// The tenant.
-    pub tenant: TenantName,
-    /// Template values with the tenant's overrides in place.
-    pub values: Template,
-}
-
-impl Catalog {
-    /// Checks every reference and range. Nothing of an invalid catalog is ever applied.
-    pub fn validate(&self) -> Result<(), InvalidField> {
-        for (name, group) in &self.groups {
-            validate_group(name, group)?;
-        }
-        for (name, template) in &self.templates {
-            let field = format!("templates.{name}");
-            self.validate_parameters(&field, template)?;
-        }
-        for (name, tenant) in &self.tenants {
-            let field = format!("tenants.{name}");
-            let parameters = self.merge(name, tenant).ok_or_else(|| {
-                InvalidField::new(format!("{field}.template"), "no such template")
-            })?;
-            self.validate_parameters(&field, &parameters.values)?;
-        }
-        self.validate_logins()
-    }
-
-    fn validate_parameters(&self, field: &str, template: &Template) -> Result<(), InvalidField> {
-        let unknown = template.groups.iter().find(|group| !self.groups.contains_key(*group));
-        if let Some(group) = unknown {
-            return Err(InvalidField::new(
-                format!("{field}.groups"),
-                format!("no such group {group}"),
-            ));
-        }
-        if template.capacity == 0 {
-            return Err(InvalidField::new(format!("{field}.capacity"), "must be at least 1"));
-        }
-        if template.deadline_ms.0 == 0 {
-            return Err(InvalidField::new(format!("{field}.deadline_ms"), "must be at least 1"));
-        }
-        Ok(())
-    }
-
-    fn validate_logins(&self) -> Result<(), InvalidField> {
-        let mut owners: BTreeMap<&str, &TenantName> = BTreeMap::new();
-        for (tenant, parameters) in &self.tenants {
-            for login in parameters.logins.keys() {
-                if let Some(other) = owners.insert(login, tenant) {
-                    return Err(InvalidField::new(
-                        format!("tenants.{tenant}.logins.{login}"),
-                        format!("already a login of tenant {other}"),
-                    ));
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn merge(&self, name: &TenantName, tenant: &Tenant) -> Option<TenantParameters> {
-        let mut values = self.templates.get(&tenant.template)?.clone();
-        if let Some(groups) = &tenant.groups {
-            values.groups.clone_from(groups);
-        }
-        values.max_staleness_ms = tenant.max_staleness_ms.unwrap_or(values.max_staleness_ms);
-        values.capacity = tenant.capacity.unwrap_or(values.capacity);
-        values.deadline_ms = tenant.deadline_ms.unwrap_or(values.deadline_ms);
-        Some(TenantParameters { tenant: name.clone(), values })
-    }
-
-    /// Parameters of a tenant.
-    pub fn parameters(&self, tenant: &TenantName) -> Option<TenantParameters> {
-        self.merge(tenant, self.tenants.get(tenant)?)
-    }
-
-    /// The tenant a login belongs to, and the login's verifier.
-    pub fn login(&self, login: &str) -> Option<(&TenantName, &str)> {
-        self.tenants
-            .iter()
-            .find_map(|(name, tenant)| Some((name, tenant.logins.get(login)?.as_str())))
-    }
-
-    /// The group a tenant reaches under a database name.
-    pub fn group_for<'a>(
-        &self,
-        parameters: &'a TenantParameters,
-        database: &str,
-    ) -> Option<&'a GroupName> {
-        parameters
-            .values
-            .groups
-            .iter()
-            .find(|name| self.groups.get(*name).is_some_and(|group| group.database == database))
-    }
-
-    /// The group that holds an instance, and the instance.
-    pub fn instance(&self, name: &InstanceName) -> Option<(&GroupName, &Instance)> {
-        self.groups.iter().find_map(|(group, value)| Some((group, value.instance(name)?)))
-    }
-}
-
-/// Longest name of anything, in bytes.
-pub const MAX_NAME_BYTES: usize = 63;
-
-/// Whether `text` may name a node, zone, group, instance, template or tenant: lower-case letters,
-/// digits, hyphens and underscores, beginning with a letter.
-pub fn is_name(text: &str) -> bool {
-    let allowed =
-        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_".contains(&byte);
-    text.len() <= MAX_NAME_BYTES
-        && text.as_bytes().first().is_some_and(u8::is_ascii_lowercase)
-        && text.bytes().all(allowed)
-}
-
-fn validate_group(name: &GroupName, group: &Group) -> Result<(), InvalidField> {
-    if group.instances.is_empty() {
-        return Err(InvalidField::new(format!("groups.{name}.instances"), "must not be empty"));
-    }
-    for (index, instance) in group.instances.iter().enumerate() {
-        let field = format!("groups.{name}.instances[{index}]");
-        if instance.slots == 0 {
-            return Err(InvalidField::new(format!("{field}.slots"), "must be at least 1"));
-        }
-        if instance.connections < instance.slots {
-            return Err(InvalidField::new(
-                format!("{field}.connections"),
-                "must be at least slots",
-            ));
-        }
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/core/src/catalog/validate.rs
@@ -0,0 +1,217 @@
+//! Every reference, range and uniqueness of a catalog. Nothing of an invalid one is ever applied.
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use super::{Catalog, Group, Instance, InvalidField, Template};
+use crate::ids::{GroupName, InstanceName};
+
+/// Longest name of anything, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+const MAX_INSTANCES: usize = 15;
+const SLOTS: RangeInclusive<u64> = 1..=1_000;
+const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
+const CAPACITY: RangeInclusive<u64> = 1..=100_000;
+const DEADLINE_MS: RangeInclusive<u64> = 1..=600_000;
+const MAX_STALENESS_MS: RangeInclusive<u64> = 0..=3_600_000;
+const VERIFIER_SCHEME: &str = "SCRAM-SHA-256";
+
+/// Whether `text` may name a node, zone, group, instance, template or tenant: lower-case letters,
+/// digits, hyphens and underscores, beginning with a letter.
+pub fn is_name(text: &str) -> bool {
+    let allowed =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_".contains(&byte);
+    text.len() <= MAX_NAME_BYTES
+        && text.as_bytes().first().is_some_and(u8::is_ascii_lowercase)
+        && text.bytes().all(allowed)
+}
+
+type Outcome = Result<(), InvalidField>;
+
+impl Catalog {
+    /// Checks everything; the first fault found is returned with its field's path.
+    pub fn validate(&self) -> Outcome {
+        let mut instances = UniqueInstances::default();
+        for (name, group) in &self.groups {
+            let field = format!("groups.{name}");
+            check_name(&field, name.as_str())?;
+            check_group(&field, group, &mut instances)?;
+        }
+        for (name, template) in &self.templates {
+            let field = format!("templates.{name}");
+            check_name(&field, name.as_str())?;
+            self.check_parameters(&field, template)?;
+        }
+        self.check_tenants()
+    }
+
+    fn check_tenants(&self) -> Outcome {
+        let mut logins = Unique::new("a login of");
+        for (name, tenant) in &self.tenants {
+            let field = format!("tenants.{name}");
+            check_name(&field, name.as_str())?;
+            let parameters = self.merge(name, tenant).ok_or_else(|| {
+                let problem = format!("no such template {}", tenant.template);
+                InvalidField::new(format!("{field}.template"), problem)
+            })?;
+            self.check_parameters(&field, &parameters.values)?;
+            for (login, verifier) in &tenant.logins {
+                let field = format!("{field}.logins.{login}");
+                check_text(&field, login)?;
+                check_verifier(&field, verifier)?;
+                logins.add(login.as_str(), &field, name)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_parameters(&self, field: &str, values: &Template) -> Outcome {
+        self.check_groups(&format!("{field}.groups"), &values.groups)?;
+        let staleness = values.max_staleness_ms.0;
+        check_range(&format!("{field}.max_staleness_ms"), staleness, &MAX_STALENESS_MS)?;
+        check_range(&format!("{field}.capacity"), values.capacity.into(), &CAPACITY)?;
+        check_range(&format!("{field}.deadline_ms"), values.deadline_ms.0, &DEADLINE_MS)
+    }
+
+    /// A tenant names a group by its database, so no two groups of it may share one.
+    fn check_groups(&self, field: &str, groups: &[GroupName]) -> Outcome {
+        let mut databases = Unique::new("the database of");
+        for (index, name) in groups.iter().enumerate() {
+            let field = format!("{field}[{index}]");
+            let Some(group) = self.groups.get(name) else {
+                return Err(InvalidField::new(field, format!("no such group {name}")));
+            };
+            databases.add(group.database.as_str(), &field, name)?;
+        }
+        Ok(())
+    }
+}
+
+fn check_group(field: &str, group: &Group, unique: &mut UniqueInstances) -> Outcome {
+    check_text(&format!("{field}.database"), &group.database)?;
+    check_text(&format!("{field}.user"), &group.user)?;
+    if group.instances.is_empty() || group.instances.len() > MAX_INSTANCES {
+        let problem = format!("must be 1 to {MAX_INSTANCES}");
+        return Err(InvalidField::new(format!("{field}.instances"), problem));
+    }
+    for (index, instance) in group.instances.iter().enumerate() {
+        check_instance(&format!("{field}.instances[{index}]"), instance, unique)?;
+    }
+    Ok(())
+}
+
+fn check_instance(field: &str, instance: &Instance, unique: &mut UniqueInstances) -> Outcome {
+    let name_field = format!("{field}.name");
+    check_name(&name_field, instance.name.as_str())?;
+    unique.names.add(instance.name.clone(), &name_field, &instance.name)?;
+    check_name(&format!("{field}.zone"), instance.zone.as_str())?;
+    let address_field = format!("{field}.address");
+    if instance.address.ip().is_unspecified() || instance.address.port() == 0 {
+        return Err(InvalidField::new(address_field, "must name one address and port"));
+    }
+    unique.addresses.add(instance.address, &address_field, &instance.name)?;
+    check_range(&format!("{field}.slots"), instance.slots.into(), &SLOTS)?;
+    let connections = format!("{field}.connections");
+    check_range(&connections, instance.connections.into(), &CONNECTIONS)?;
+    if instance.connections < instance.slots {
+        return Err(InvalidField::new(connections, "must be at least slots"));
+    }
+    Ok(())
+}
+
+struct UniqueInstances {
+    names: Unique<InstanceName>,
+    addresses: Unique<SocketAddr>,
+}
+
+impl Default for UniqueInstances {
+    fn default() -> Self {
+        Self { names: Unique::new("the name of"), addresses: Unique::new("the address of") }
+    }
+}
+
+/// Values that may occur once.
+struct Unique<V> {
+    what: &'static str,
+    owners: HashMap<V, String>,
+}
+
+impl<V: Eq + Hash> Unique<V> {
+    fn new(what: &'static str) -> Self {
+        Self { what, owners: HashMap::new() }
+    }
+
+    fn add(&mut self, value: V, field: &str, owner: impl Display) -> Outcome {
+        match self.owners.insert(value, owner.to_string()) {
+            None => Ok(()),
+            Some(other) => Err(InvalidField::new(field, format!("already {} {other}", self.what))),
+        }
+    }
+}
+
+fn check_name(field: &str, name: &str) -> Outcome {
+    match is_name(name) {
+        true => Ok(()),
+        false => Err(InvalidField::new(
+            field,
+            format!(
+                "{name:?} must be 1 to {MAX_NAME_BYTES} lower-case letters, digits, - or _, \
+                 and begin with a letter"
+            ),
+        )),
+    }
+}
+
+/// A name that PostgreSQL gives meaning to, such as a database or a role.
+fn check_text(field: &str, text: &str) -> Outcome {
+    let whole = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
+    match whole && !text.chars().any(char::is_control) {
+        true => Ok(()),
+        false => Err(InvalidField::new(
+            field,
+            format!("must be 1 to {MAX_NAME_BYTES} bytes without control characters"),
+        )),
+    }
+}
+
+fn check_range(field: &str, value: u64, range: &RangeInclusive<u64>) -> Outcome {
+    match range.contains(&value) {
+        true => Ok(()),
+        false => Err(InvalidField::new(
+            field,
+            format!("{value} is not {} to {}", range.start(), range.end()),
+        )),
+    }
+}
+
+/// The verifier's value is never part of the complaint.
+fn check_verifier(field: &str, verifier: &str) -> Outcome {
+    match verifier.is_empty() || has_verifier_form(verifier) {
+        true => Ok(()),
+        false => Err(InvalidField::new(
+            field,
+            "must have the form SCRAM-SHA-256$iterations:salt$stored:server",
+        )),
+    }
+}
+
+fn has_verifier_form(verifier: &str) -> bool {
+    let is_base64 = |text: &str| {
+        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"+/=".contains(&byte);
+        !text.is_empty() && text.bytes().all(allowed)
+    };
+    let mut parts = verifier.split('$');
+    let (Some(scheme), Some(cost), Some(keys), None) =
+        (parts.next(), parts.next(), parts.next(), parts.next())
+    else {
+        return false;
+    };
+    let Some((iterations, salt)) = cost.split_once(':') else { return false };
+    let Some((stored, server)) = keys.split_once(':') else { return false };
+    scheme == VERIFIER_SCHEME
+        && iterations.parse::<u32>().is_ok_and(|count| count > 0)
+        && [salt, stored, server].into_iter().all(is_base64)
+}
--- /dev/null
+++ b/crates/core/tests/catalog.rs
@@ -0,0 +1,285 @@
+//! The catalog: every bad value is refused by its field, and nothing is lost in transit.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use kestrellock_core::catalog::{
+    Catalog, Group, IndexedCatalog, Instance, Milliseconds, Priority, Revision, Template, Tenant,
+};
+use kestrellock_core::ids::{GroupName, InstanceName, TemplateName, TenantName, ZoneName};
+use proptest::collection::{btree_map, vec};
+use proptest::option;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const VERIFIER: &str = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy";
+const VALID: &str = r#"
+[groups.orders]
+database = "orders"
+user = "proxy"
+instances = [
+  { name = "orders-1", zone = "north", address = "10.0.0.1:5432", slots = 5, connections = 35 },
+  { name = "orders-2", zone = "south", address = "10.0.0.2:5432", slots = 5, connections = 35 },
+]
+[groups.proofs]
+database = "proofs"
+user = "proxy"
+instances = [
+  { name = "proofs-1", zone = "north", address = "10.0.0.3:5432", slots = 5, connections = 35 },
+]
+[templates.school]
+groups = ["orders", "proofs"]
+max_staleness_ms = 1000
+capacity = 4
+deadline_ms = 5000
+[tenants.atlas]
+template = "school"
+logins = { teacher = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy" }
+[tenants.parents]
+template = "school"
+logins = { parent = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy" }
+capacity = 2
+"#;
+
+#[test]
+fn every_bad_value_is_refused_by_its_field() {
+    // What is replaced by what, and the field that is named.
+    let table = [
+        ("[groups.orders]", "[groups.Orders]", "groups.Orders"),
+        ("[groups.orders]", "[groups.\"\"]", "groups."),
+        ("database = \"orders\"", "database = \"\"", "groups.orders.database"),
+        ("database = \"orders\"", "database = \"a\\u0000\"", "groups.orders.database"),
+        ("user = \"proxy\"", "user = \"\"", "groups.orders.user"),
+        (
+            "{ name = \"proofs-1\", zone = \"north\", address = \"10.0.0.3:5432\", slots = 5, connections = 35 },",
+            "",
+            "groups.proofs.instances",
+        ),
+        ("name = \"orders-1\"", "name = \"1\"", "groups.orders.instances[0].name"),
+        ("name = \"orders-2\"", "name = \"orders-1\"", "groups.orders.instances[1].name"),
+        ("name = \"proofs-1\"", "name = \"orders-1\"", "groups.proofs.instances[0].name"),
+        ("zone = \"south\"", "zone = \"\"", "groups.orders.instances[1].zone"),
+        ("10.0.0.2:5432", "10.0.0.1:5432", "groups.orders.instances[1].address"),
+        ("10.0.0.3:5432", "10.0.0.1:5432", "groups.proofs.instances[0].address"),
+        ("10.0.0.2:5432", "0.0.0.0:5432", "groups.orders.instances[1].address"),
+        ("10.0.0.2:5432", "10.0.0.2:0", "groups.orders.instances[1].address"),
+        ("slots = 5", "slots = 0", "groups.orders.instances[0].slots"),
+        ("slots = 5", "slots = 1001", "groups.orders.instances[0].slots"),
+        ("connections = 35", "connections = 0", "groups.orders.instances[0].connections"),
+        ("connections = 35", "connections = 4", "groups.orders.instances[0].connections"),
+        ("connections = 35", "connections = 10001", "groups.orders.instances[0].connections"),
+        ("[templates.school]", "[templates.sch+ool]", ""),
+        ("[templates.school]", "[templates.\"a b\"]", "templates.a b"),
+        ("\"orders\", \"proofs\"", "\"orders\", \"none\"", "templates.school.groups[1]"),
+        ("\"orders\", \"proofs\"", "\"orders\", \"orders\"", "templates.school.groups[1]"),
+        ("database = \"proofs\"", "database = \"orders\"", "templates.school.groups[1]"),
+        (
+            "max_staleness_ms = 1000",
+            "max_staleness_ms = 3600001",
+            "templates.school.max_staleness_ms",
+        ),
+        ("capacity = 4", "capacity = 0", "templates.school.capacity"),
+        ("capacity = 4", "capacity = 100001", "templates.school.capacity"),
+        ("deadline_ms = 5000", "deadline_ms = 0", "templates.school.deadline_ms"),
+        ("deadline_ms = 5000", "deadline_ms = 600001", "templates.school.deadline_ms"),
+        ("[tenants.atlas]", "[tenants.\"Atlas\"]", "tenants.Atlas"),
+        (
+            "template = \"school\"\nlogins = { t",
+            "template = \"none\"\nlogins = { t",
+            "tenants.atlas.template",
+        ),
+        ("capacity = 2", "capacity = 0", "tenants.parents.capacity"),
+        ("capacity = 2", "groups = [\"none\"]", "tenants.parents.groups[0]"),
+        ("capacity = 2", "deadline_ms = 0", "tenants.parents.deadline_ms"),
+        ("capacity = 2", "max_staleness_ms = 9999999", "tenants.parents.max_staleness_ms"),
+        ("parent =", "teacher =", "tenants.parents.logins.teacher"),
+        ("teacher =", "\"\" =", "tenants.atlas.logins."),
+        ("teacher = \"SCRAM-SHA-256$4096", "teacher = \"MD5$4096", "tenants.atlas.logins.teacher"),
+        (
+            "teacher = \"SCRAM-SHA-256$4096",
+            "teacher = \"SCRAM-SHA-256$0",
+            "tenants.atlas.logins.teacher",
+        ),
+        (
+            "$c3RvcmVk:c2VydmVy\" }\n[tenants.parents]",
+            "$c3RvcmVk\" }\n[tenants.parents]",
+            "tenants.atlas.logins.teacher",
+        ),
+        (
+            "c2FsdA==$c3RvcmVk:c2VydmVy\" }\n[tenants.parents]",
+            "c2F sdA$c3RvcmVk:c2VydmVy\" }\n[tenants.parents]",
+            "tenants.atlas.logins.teacher",
+        ),
+    ];
+    for (from, to, field) in table {
+        assert!(VALID.contains(from), "{from}");
+        let text = VALID.replacen(from, to, 1);
+        let Ok(catalog) = toml::from_str::<Catalog>(&text) else {
+            assert_eq!(field, "", "{from} -> {to} does not parse");
+            continue;
+        };
+        let error = catalog.validate().expect_err(&text);
+        assert_eq!(error.field, field, "{from} -> {to}: {error}");
+        assert!(!error.problem.contains("c3RvcmVk"), "a verifier is shown: {error}");
+    }
+}
+
+#[test]
+fn unknown_fields_are_refused() {
+    for (from, to) in [
+        ("user = ", "usr = \"x\"\nuser = "),
+        ("slots = 5", "slots = 5, slot = 5"),
+        ("capacity = 4", "capacity = 4\ncapacities = 4"),
+        ("capacity = 2", "capacitor = 2"),
+        ("[tenants.atlas]", "[tenant.atlas]"),
+    ] {
+        let text = VALID.replacen(from, to, 1);
+        assert!(toml::from_str::<Catalog>(&text).is_err(), "{to}");
+    }
+}
+
+#[test]
+fn lookups_agree_with_the_catalog() {
+    let catalog: Catalog = toml::from_str(VALID).expect("it parses");
+    catalog.validate().expect("it is valid");
+    let indexed = IndexedCatalog::new(catalog);
+    let (tenant, verifier) = indexed.login("parent").expect("a login");
+    assert_eq!((tenant.as_str(), verifier), ("parents", VERIFIER));
+    assert!(indexed.login("atlas").is_none());
+    let (group, instance) = indexed.instance(&InstanceName::new("orders-2")).expect("an instance");
+    assert_eq!((group.as_str(), instance.zone.as_str()), ("orders", "south"));
+    assert!(indexed.instance(&InstanceName::new("orders")).is_none());
+    let parameters = indexed.parameters(&TenantName::new("parents")).expect("a tenant");
+    assert_eq!((parameters.values.capacity, parameters.values.deadline_ms.0), (2, 5000));
+    assert_eq!(indexed.group_for(&parameters, "proofs"), Some(&GroupName::new("proofs")));
+}
+
+fn name() -> impl Strategy<Value = String> {
+    prop_oneof![4 => "[a-z][a-z0-9-]{0,4}", 1 => any::<String>()]
+}
+
+fn number() -> impl Strategy<Value = u64> {
+    // TOML's integers are signed.
+    prop_oneof![4 => 0..50_u64, 1 => 0..=i64::MAX as u64]
+}
+
+prop_compose! {
+    fn instance()(
+        name in name(), zone in name(), host in any::<[u8; 4]>(), port in any::<u16>(),
+        slots in any::<u32>(), connections in any::<u32>(),
+    ) -> Instance {
+        let address = SocketAddr::from((host, port));
+        let (name, zone) = (InstanceName::new(name), ZoneName::new(zone));
+        Instance { name, zone, address, slots, connections }
+    }
+}
+
+prop_compose! {
+    fn group()(database in name(), user in name(), instances in vec(instance(), 0..4)) -> Group {
+        let confirmation = kestrellock_core::confirmation::ConfirmationRule::default();
+        Group { database, user, instances, confirmation }
+    }
+}
+
+prop_compose! {
+    fn template()(
+        groups in vec(name(), 0..3), staleness in number(), capacity in any::<u32>(),
+        deadline in number(), order in any::<bool>(),
+    ) -> Template {
+        Template {
+            groups: groups.iter().map(GroupName::new).collect(),
+            max_staleness_ms: Milliseconds(staleness),
+            capacity,
+            write_priority: if order { Priority::Order } else { Priority::Normal },
+            read_priority: Priority::Browse,
+            deadline_ms: Milliseconds(deadline),
+        }
+    }
+}
+
+prop_compose! {
+    fn tenant()(
+        template in name(), groups in option::of(vec(name(), 0..3)),
+        staleness in option::of(number()), capacity in option::of(any::<u32>()),
+        deadline in option::of(number()), logins in btree_map(name(), name(), 0..3),
+    ) -> Tenant {
+        Tenant {
+            template: TemplateName::new(template),
+            groups: groups.map(|groups| groups.iter().map(GroupName::new).collect()),
+            max_staleness_ms: staleness.map(Milliseconds),
+            capacity,
+            deadline_ms: deadline.map(Milliseconds),
+            logins,
+        }
+    }
+}
+
+prop_compose! {
+    fn catalog()(
+        revision in number(),
+        groups in btree_map(name(), group(), 0..4),
+        templates in btree_map(name(), template(), 0..4),
+        tenants in btree_map(name(), tenant(), 0..4),
+    ) -> Catalog {
+        let groups: BTreeMap<_, _> =
+            groups.into_iter().map(|(name, value)| (GroupName::new(name), value)).collect();
+        let templates = templates.into_iter();
+        let tenants = tenants.into_iter();
+        Catalog {
+            revision: Revision(revision),
+            groups,
+            templates: templates.map(|(name, value)| (TemplateName::new(name), value)).collect(),
+            tenants: tenants.map(|(name, value)| (TenantName::new(name), value)).collect(),
+        }
+    }
+}
+
+/// Cases from one seed, so that every run gives the same verdict.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(0x6b65_7374);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed(128))]
+
+    #[test]
+    fn validating_never_panics_and_is_repeatable(catalog in catalog()) {
+        prop_assert_eq!(catalog.validate(), catalog.validate());
+    }
+
+    #[test]
+    fn nothing_is_lost_in_toml_json_or_cbor(catalog in catalog()) {
+        let text = toml::to_string(&catalog).expect("TOML");
+        prop_assert_eq!(&toml::from_str::<Catalog>(&text).expect("TOML"), &catalog);
+        let json = serde_json::to_vec(&catalog).expect("JSON");
+        prop_assert_eq!(&serde_json::from_slice::<Catalog>(&json).expect("JSON"), &catalog);
+        let mut cbor = Vec::new();
+        ciborium::into_writer(&catalog, &mut cbor).expect("CBOR");
+        let back: Catalog = ciborium::from_reader(cbor.as_slice()).expect("CBOR");
+        prop_assert_eq!(&back, &catalog);
+        for name in catalog.tenants.keys() {
+            prop_assert_eq!(back.parameters(name), catalog.parameters(name));
+        }
+    }
+
+    #[test]
+    fn a_merged_value_is_the_override_or_else_the_template_s(
+        template in template(), mut tenant in tenant(),
+    ) {
+        tenant.template = TemplateName::new("t");
+        let name = TenantName::new("n");
+        let catalog = Catalog {
+            templates: BTreeMap::from([(TemplateName::new("t"), template.clone())]),
+            tenants: BTreeMap::from([(name.clone(), tenant.clone())]),
+            ..Catalog::default()
+        };
+        let merged = catalog.parameters(&name).expect("both exist").values;
+        prop_assert_eq!(merged.groups, tenant.groups.unwrap_or(template.groups));
+        prop_assert_eq!(merged.capacity, tenant.capacity.unwrap_or(template.capacity));
+        prop_assert_eq!(merged.deadline_ms, tenant.deadline_ms.unwrap_or(template.deadline_ms));
+        let staleness = tenant.max_staleness_ms.unwrap_or(template.max_staleness_ms);
+        prop_assert_eq!(merged.max_staleness_ms, staleness);
+        prop_assert_eq!(merged.write_priority, template.write_priority);
+    }
+}
--- a/crates/daemon/src/agent/configuration.rs
+++ b/crates/daemon/src/agent/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kestrellock_core::catalog::Catalog;
+use kestrellock_core::catalog::{Catalog, IndexedCatalog};
 use kestrellock_platform::catalog::read_catalog;
 use kestrellock_platform::store::ConfigStore;
 
@@ -41,7 +41,7 @@
     match catalog.validate() {
         Ok(()) => {
             log::info!("configuration revision {} in force", catalog.revision.0);
-            context.catalog.store(catalog);
+            context.catalog.store(IndexedCatalog::new(catalog));
         }
         Err(error) => log::warn!("configuration revision {} refused: {error}", catalog.revision.0),
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crossbeam::sync::ShardedLock;
-use kestrellock_core::catalog::Catalog;
+use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, ownership};
 use kestrellock_core::routing::InstanceStatus;
@@ -97,7 +97,7 @@
     /// Nodes believed to live, this one among them.
     pub live: Shared<Vec<LiveNode>>,
     /// Configuration in force.
-    pub catalog: Shared<Catalog>,
+    pub catalog: Shared<IndexedCatalog>,
     /// What is known of back ends.
     pub statuses: StatusBoard,
     /// Number of shards.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use kestrellock_core::catalog::Catalog;
+use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_platform::store::ConfigStore;
 use thiserror::Error;
@@ -158,7 +158,7 @@
     NodeContext {
         identity,
         live: Shared::new(std::iter::once(own).chain(others).collect()),
-        catalog: Shared::new(Catalog::default()),
+        catalog: Shared::new(IndexedCatalog::default()),
         statuses: StatusBoard::default(),
         shards: settings.shards,
         policy,
