--- a/crates/lab/src/bench/path/cluster.rs
+++ b/crates/lab/src/bench/path/cluster.rs
@@ -19,6 +19,7 @@
 use crate::bench::login::{self, Credentials};
 use crate::bench::process::Threads;
 use crate::standin::group::DatabaseGroup;
+use crate::standin::group::options::GroupOptions;
 
 const INSTANCES: usize = 3;
 const CALLER_ZONE: &str = "callers";
@@ -68,7 +69,13 @@
 impl PathCluster {
     /// Starts everything, creates the table, and waits until both nodes serve it.
     pub fn start() -> miette::Result<Self> {
-        let group = DatabaseGroup::start(INSTANCES, Duration::ZERO).into_diagnostic()?;
+        let group = DatabaseGroup::start(GroupOptions {
+            zones: vec![ZoneName::new(DATA_ZONE); INSTANCES],
+            slots: SLOTS as usize,
+            connections: CONNECTIONS as usize,
+            ..GroupOptions::default()
+        })
+        .into_diagnostic()?;
         let plan = |name: &str, zone: &str| NodePlan {
             name: NodeName::new(name),
             zone: ZoneName::new(zone),
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -16,6 +16,8 @@
 use serde_json::json;
 
 use crate::standin::group::DatabaseGroup;
+use crate::standin::group::lag::Lag;
+use crate::standin::group::options::GroupOptions;
 use crate::standin::store::PlatformStore;
 
 const ZONES: [&str; 3] = ["casa-ain", "casa-sidi", "casa-bouskoura"];
@@ -39,7 +41,12 @@
         let client = Arc::new(EtcdStore::new(vec![store.endpoint()]));
         let mut groups = Vec::new();
         for (name, database) in [("yearbook-orders", "orders"), ("resale-tickets", "tickets")] {
-            let group = DatabaseGroup::start(ZONES.len(), REPLICA_LAG).into_diagnostic()?;
+            let group = DatabaseGroup::start(GroupOptions {
+                zones: ZONES.map(ZoneName::new).into(),
+                replica_lag: Lag::Fixed(REPLICA_LAG),
+                ..GroupOptions::default()
+            })
+            .into_diagnostic()?;
             write_group(client.as_ref(), name, database, &group.addresses)?;
             groups.push(group);
         }
--- /dev/null
+++ b/crates/lab/src/standin/group/define.rs
@@ -0,0 +1,116 @@
+//! Statements that change the definition of tables.
+
+use sqlparser::ast::{
+    ColumnDef, ColumnOption, CreateIndex, CreateTable, DataType, Expr, IndexColumn, ObjectType,
+    Statement, TableConstraint,
+};
+
+use super::evaluate::SqlError;
+use super::locks::LockKey;
+use super::plan::table_name;
+use super::rows::column_index;
+use super::tables::{Change, Column, Table};
+use super::transaction::{Answer, Attempt, Halt};
+use super::values::type_number;
+
+/// Runs a statement that changes definitions.
+pub fn run(attempt: &mut Attempt, statement: &Statement) -> Result<Answer, Halt> {
+    match statement {
+        Statement::CreateTable(create) => create_table(attempt, create),
+        Statement::CreateIndex(create) => create_index(attempt, create),
+        Statement::Drop { object_type: ObjectType::Table, if_exists, names, .. } => {
+            for name in names {
+                drop_table(attempt, table_name(name), *if_exists)?;
+            }
+            Ok(Answer::tagged("DROP TABLE"))
+        }
+        other => Err(SqlError::unsupported(other).into()),
+    }
+}
+
+fn create_table(attempt: &mut Attempt, create: &CreateTable) -> Result<Answer, Halt> {
+    if create.temporary || create.query.is_some() {
+        return Err(SqlError::unsupported("temporary tables and CREATE TABLE AS").into());
+    }
+    let name = table_name(&create.name);
+    attempt.lock(LockKey::Table(name.clone()))?;
+    if attempt.overlay.table(attempt.state, &name).is_ok() {
+        if create.if_not_exists {
+            return Ok(Answer::tagged("CREATE TABLE"));
+        }
+        return Err(SqlError::new("42P07", format!("relation {name:?} already exists")).into());
+    }
+    let mut columns: Vec<Column> = create.columns.iter().map(column_of).collect();
+    let shape = Table::new(columns.clone(), &[]);
+    let mut keys = Vec::new();
+    for (position, definition) in create.columns.iter().enumerate() {
+        if definition.options.iter().any(|option| is_key(&option.option)) {
+            keys.push(vec![position]);
+        }
+    }
+    for constraint in &create.constraints {
+        let key = match constraint {
+            TableConstraint::PrimaryKey(primary) => positions(&shape, &primary.columns)?,
+            TableConstraint::Unique(unique) => positions(&shape, &unique.columns)?,
+            _ => continue,
+        };
+        if matches!(constraint, TableConstraint::PrimaryKey(_)) {
+            key.iter().for_each(|position| columns[*position].not_null = true);
+        }
+        keys.push(key);
+    }
+    attempt.overlay.create(name, columns, keys);
+    Ok(Answer::tagged("CREATE TABLE"))
+}
+
+fn is_key(option: &ColumnOption) -> bool {
+    matches!(option, ColumnOption::PrimaryKey(_) | ColumnOption::Unique(_))
+}
+
+fn positions(shape: &Table, columns: &[IndexColumn]) -> Result<Vec<usize>, SqlError> {
+    columns
+        .iter()
+        .map(|column| match &column.column.expr {
+            Expr::Identifier(name) => column_index(shape, &name.value),
+            other => Err(SqlError::unsupported(other)),
+        })
+        .collect()
+}
+
+fn column_of(definition: &ColumnDef) -> Column {
+    let options = || definition.options.iter().map(|option| &option.option);
+    let declared = definition.data_type.to_string().to_lowercase();
+    let serial = declared == "bigserial" || declared == "serial";
+    let data_type = if serial { DataType::BigInt(None) } else { definition.data_type.clone() };
+    Column {
+        name: definition.name.value.to_lowercase(),
+        type_id: type_number(&data_type),
+        not_null: options()
+            .any(|option| matches!(option, ColumnOption::NotNull | ColumnOption::PrimaryKey(_))),
+        serial,
+        default: options().find_map(|option| match option {
+            ColumnOption::Default(default) => Some(default.clone()),
+            _ => None,
+        }),
+    }
+}
+
+fn create_index(attempt: &mut Attempt, create: &CreateIndex) -> Result<Answer, Halt> {
+    let name = table_name(&create.table_name);
+    attempt.lock(LockKey::Table(name.clone()))?;
+    let columns = positions(attempt.overlay.table(attempt.state, &name)?, &create.columns)?;
+    if create.unique {
+        attempt.overlay.changes.push(Change::AddKey { table: name, columns });
+    }
+    Ok(Answer::tagged("CREATE INDEX"))
+}
+
+fn drop_table(attempt: &mut Attempt, name: String, if_exists: bool) -> Result<(), Halt> {
+    attempt.lock(LockKey::Table(name.clone()))?;
+    match attempt.overlay.table(attempt.state, &name) {
+        Ok(_) => attempt.overlay.drop_table(name),
+        Err(_) if if_exists => {}
+        Err(error) => return Err(error.into()),
+    }
+    Ok(())
+}
--- a/crates/lab/src/standin/group/evaluate.rs
+++ b/crates/lab/src/standin/group/evaluate.rs
@@ -1,12 +1,16 @@
-//! Evaluation of SQL expressions over one row.
+//! Evaluation of SQL expressions over one row, or over a group of rows.
 
 use sqlparser::ast::{
-    BinaryOperator, Expr, Function, FunctionArg, FunctionArgExpr, FunctionArguments, SelectItem,
-    SetExpr, UnaryOperator, Value as Literal,
+    BinaryOperator, Expr, Function, FunctionArg, FunctionArgExpr, FunctionArguments, InTarget,
+    SelectItem, SetExpr, UnaryOperator, Value as Literal,
 };
 
+use super::functions;
 use super::instance::State;
-use super::tables::{Column, Value};
+use super::plan::{expression_type, first_argument, parameter_number, relation_name};
+use super::tables::{Column, Row, Value};
+use super::transaction::Attempt;
+use super::values::{INTEGER, TEXT, coerce, type_number};
 
 /// An SQL error with its SQLSTATE.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,9 +41,18 @@
     pub columns: &'a [Column],
     /// The row.
     pub row: &'a [Value],
+    /// Values of the statement's parameters.
+    pub parameters: &'a [Value],
+    /// Rows over which aggregates go, where there are aggregates.
+    pub group: Option<&'a [Row]>,
+    /// The row that an insert proposed, where one conflicted.
+    pub excluded: Option<&'a [Value]>,
+    /// Number of the client's process.
+    pub process: i32,
 }
 
-fn truth(value: bool) -> Value {
+/// Text of a truth value.
+pub fn truth(value: bool) -> Value {
     Some(if value { "t" } else { "f" }.to_owned())
 }
 
@@ -48,29 +61,54 @@
     value.as_deref().is_some_and(|text| text == "t" || text == "true")
 }
 
-impl Scope<'_> {
+impl<'a> Scope<'a> {
+    /// A scope over one row.
+    pub fn over(attempt: &'a Attempt, columns: &'a [Column], row: &'a [Value]) -> Self {
+        Self {
+            state: attempt.state,
+            columns,
+            row,
+            parameters: attempt.parameters,
+            group: None,
+            excluded: None,
+            process: attempt.process,
+        }
+    }
+
     /// Evaluates an expression to text.
     pub fn evaluate(&self, expression: &Expr) -> Result<Value, SqlError> {
         match expression {
             Expr::Nested(inner) => self.evaluate(inner),
-            Expr::Cast { expr, .. } => self.evaluate(expr),
-            Expr::Identifier(name) => self.column(&name.value),
-            Expr::CompoundIdentifier(parts) => {
-                self.column(parts.last().map_or("", |part| part.value.as_str()))
+            Expr::Cast { expr, data_type, .. } => {
+                coerce(self.evaluate(expr)?, type_number(data_type))
             }
-            Expr::Value(literal) => literal_value(&literal.value),
+            Expr::Identifier(name) => self.column(&name.value),
+            Expr::CompoundIdentifier(parts) => self.qualified(parts),
+            Expr::Value(literal) => match &literal.value {
+                Literal::Placeholder(name) => self.parameter(name),
+                other => literal_value(other),
+            },
             Expr::IsNull(inner) => Ok(truth(self.evaluate(inner)?.is_none())),
             Expr::IsNotNull(inner) => Ok(truth(self.evaluate(inner)?.is_some())),
-            Expr::UnaryOp { op: UnaryOperator::Not, expr } => {
-                Ok(truth(!is_true(&self.evaluate(expr)?)))
+            Expr::IsTrue(inner) => Ok(truth(is_true(&self.evaluate(inner)?))),
+            Expr::UnaryOp { op, expr } => unary(op, self.evaluate(expr)?),
+            Expr::BinaryOp { left, op, right } => self.binary(left, op, right),
+            Expr::In { expr, target: InTarget::List(list), negated, .. } => {
+                self.in_list(expr, list, *negated)
             }
-            Expr::UnaryOp { op: UnaryOperator::Minus, expr } => {
-                Ok(self.evaluate(expr)?.map(|text| format!("-{text}")))
+            Expr::Between { expr, negated, low, high } => {
+                let above = is_true(&self.binary(expr, &BinaryOperator::GtEq, low)?);
+                let below = is_true(&self.binary(expr, &BinaryOperator::LtEq, high)?);
+                Ok(truth((above && below) != *negated))
             }
-            Expr::BinaryOp { left, op, right } => {
-                binary(self.evaluate(left)?, op, self.evaluate(right)?)
+            Expr::Like { negated, expr, pattern, .. } => {
+                let (Some(text), Some(pattern)) = (self.evaluate(expr)?, self.evaluate(pattern)?)
+                else {
+                    return Ok(None);
+                };
+                Ok(truth(functions::like(&text, &pattern) != *negated))
             }
-            Expr::Case { conditions, else_result, operand: None, .. } => {
+            Expr::Case { operand: None, conditions, else_result, .. } => {
                 for when in conditions {
                     if is_true(&self.evaluate(&when.condition)?) {
                         return self.evaluate(&when.result);
@@ -84,30 +122,82 @@
         }
     }
 
+    fn parameter(&self, name: &str) -> Result<Value, SqlError> {
+        parameter_number(name)
+            .and_then(|number| self.parameters.get(number - 1).cloned())
+            .ok_or_else(|| SqlError::new("42P02", format!("there is no parameter {name}")))
+    }
+
+    fn position(&self, name: &str) -> Result<usize, SqlError> {
+        self.columns
+            .iter()
+            .position(|column| column.name.eq_ignore_ascii_case(name))
+            .ok_or_else(|| SqlError::new("42703", format!("column {name:?} does not exist")))
+    }
+
     fn column(&self, name: &str) -> Result<Value, SqlError> {
-        let name = name.to_lowercase();
-        let index = self.columns.iter().position(|column| column.name == name);
-        let index = index
-            .ok_or_else(|| SqlError::new("42703", format!("column {name:?} does not exist")))?;
-        Ok(self.row[index].clone())
+        let position = self.position(name)?;
+        Ok(self.row.get(position).cloned().flatten())
+    }
+
+    fn qualified(&self, parts: &[sqlparser::ast::Ident]) -> Result<Value, SqlError> {
+        let name = parts.last().map_or("", |part| part.value.as_str());
+        match (self.excluded, parts.first()) {
+            (Some(excluded), Some(first)) if first.value.eq_ignore_ascii_case("excluded") => {
+                Ok(excluded[self.position(name)?].clone())
+            }
+            _ => self.column(name),
+        }
     }
 
     /// The one-row system view `pg_stat_wal_receiver`.
     fn scalar_subquery(&self, body: &SetExpr) -> Result<Value, SqlError> {
         let SetExpr::Select(select) = body else { return Err(SqlError::unsupported(body)) };
-        let from = select.from.first().map(|table| table.relation.to_string().to_lowercase());
+        let from = select.from.first().map(|table| relation_name(&table.relation));
         if from.as_deref() != Some("pg_stat_wal_receiver") {
             return Err(SqlError::unsupported(body));
         }
-        let columns = [Column { name: "received_tli".into(), type_id: 23, unique: false }];
+        let columns =
+            [Column { name: "received_tli".into(), type_id: INTEGER, ..Column::default() }];
         let row = [Some(self.state.term.to_string())];
-        let scope = Scope { state: self.state, columns: &columns, row: &row };
+        let scope = Scope { columns: &columns, row: &row, group: None, excluded: None, ..*self };
         match select.projection.as_slice() {
             [SelectItem::UnnamedExpr(expression)] => scope.evaluate(expression),
             _ => Err(SqlError::unsupported(body)),
         }
     }
 
+    fn in_list(&self, expr: &Expr, list: &[Expr], negated: bool) -> Result<Value, SqlError> {
+        for item in list {
+            if is_true(&self.binary(expr, &BinaryOperator::Eq, item)?) {
+                return Ok(truth(!negated));
+            }
+        }
+        Ok(truth(negated))
+    }
+
+    fn binary(
+        &self,
+        left: &Expr,
+        operator: &BinaryOperator,
+        right: &Expr,
+    ) -> Result<Value, SqlError> {
+        match operator {
+            BinaryOperator::And if !is_true(&self.evaluate(left)?) => return Ok(truth(false)),
+            BinaryOperator::Or if is_true(&self.evaluate(left)?) => return Ok(truth(true)),
+            BinaryOperator::And | BinaryOperator::Or => {
+                return Ok(truth(is_true(&self.evaluate(right)?)));
+            }
+            _ => {}
+        }
+        let (Some(first), Some(second)) = (self.evaluate(left)?, self.evaluate(right)?) else {
+            return Ok(None);
+        };
+        let textual = expression_type(left, self.columns) == TEXT
+            || expression_type(right, self.columns) == TEXT;
+        functions::binary(&first, operator, &second, textual)
+    }
+
     fn arguments(&self, function: &Function) -> Result<Vec<Value>, SqlError> {
         let FunctionArguments::List(list) = &function.args else { return Ok(Vec::new()) };
         list.args
@@ -123,42 +213,40 @@
 
     fn call(&self, function: &Function) -> Result<Value, SqlError> {
         let name = function.name.to_string().to_lowercase();
-        let arguments = self.arguments(function)?;
-        let state = self.state;
-        match (name.as_str(), arguments.as_slice()) {
-            ("pg_is_in_recovery", []) => Ok(truth(!state.primary)),
-            ("pg_current_wal_lsn" | "pg_current_wal_flush_lsn", []) if !state.primary => {
-                Err(SqlError::new("55000", "recovery is in progress"))
-            }
-            ("pg_current_wal_lsn" | "pg_current_wal_flush_lsn", []) => Ok(offset(state.flushed())),
-            ("pg_last_wal_receive_lsn", []) => Ok(offset(state.flushed())),
-            ("pg_last_wal_replay_lsn", []) => Ok(offset(state.applied_offset())),
-            ("pg_walfile_name", [Some(at)]) => Ok(Some(log_file_name(state.term, at))),
-            ("to_hex", [Some(number)]) => {
-                let number: u64 =
-                    number.parse().map_err(|_| SqlError::new("22P02", "invalid number"))?;
-                Ok(Some(format!("{number:x}")))
-            }
-            ("lpad", [Some(text), Some(width), Some(fill)]) => {
-                let width: usize =
-                    width.parse().map_err(|_| SqlError::new("22P02", "invalid number"))?;
-                let missing = width.saturating_sub(text.len());
-                let padding: String = fill.chars().cycle().take(missing).collect();
-                Ok(Some(padding + text))
-            }
-            _ => Err(SqlError::new("42883", format!("function {name} does not exist"))),
+        if functions::is_aggregate(&name) {
+            return self.aggregate(&name, function);
         }
+        let arguments = self.arguments(function)?;
+        functions::call(self, &name, &arguments)
     }
-}
 
-fn offset(value: u64) -> Value {
-    Some(format!("{:X}/{:X}", value >> 32, value & 0xFFFF_FFFF))
+    fn aggregate(&self, name: &str, function: &Function) -> Result<Value, SqlError> {
+        let Some(rows) = self.group else {
+            return Err(SqlError::new("42803", "aggregate functions are not allowed here"));
+        };
+        let Some(argument) = first_argument(&function.args) else {
+            return Ok(Some(rows.len().to_string()));
+        };
+        let mut values = Vec::with_capacity(rows.len());
+        for row in rows {
+            let scope = Scope { row, group: None, ..*self };
+            values.extend(scope.evaluate(argument)?);
+        }
+        functions::aggregate(name, &values, expression_type(argument, self.columns) == TEXT)
+    }
 }
 
-fn log_file_name(term: u32, at: &str) -> String {
-    let (high, low) = at.split_once('/').unwrap_or(("0", "0"));
-    let segment = u64::from_str_radix(low, 16).unwrap_or(0) >> 24;
-    format!("{term:08X}{high:0>8}{segment:08X}")
+fn unary(operator: &UnaryOperator, value: Value) -> Result<Value, SqlError> {
+    let Some(text) = value else { return Ok(None) };
+    match operator {
+        UnaryOperator::Not => Ok(truth(!is_true(&Some(text)))),
+        UnaryOperator::Minus => Ok(Some(match text.strip_prefix('-') {
+            Some(positive) => positive.to_owned(),
+            None => format!("-{text}"),
+        })),
+        UnaryOperator::Plus => Ok(Some(text)),
+        other => Err(SqlError::unsupported(other)),
+    }
 }
 
 fn literal_value(literal: &Literal) -> Result<Value, SqlError> {
@@ -166,38 +254,9 @@
         Literal::Null => Ok(None),
         Literal::Boolean(value) => Ok(truth(*value)),
         Literal::Number(text, _) => Ok(Some(text.clone())),
-        Literal::SingleQuotedString(text) => Ok(Some(text.clone())),
-        other => Err(SqlError::unsupported(other)),
-    }
-}
-
-fn binary(left: Value, operator: &BinaryOperator, right: Value) -> Result<Value, SqlError> {
-    match operator {
-        BinaryOperator::And => return Ok(truth(is_true(&left) && is_true(&right))),
-        BinaryOperator::Or => return Ok(truth(is_true(&left) || is_true(&right))),
-        _ => {}
-    }
-    let (Some(left), Some(right)) = (left, right) else { return Ok(None) };
-    let ordering = match (left.parse::<i64>(), right.parse::<i64>()) {
-        (Ok(left), Ok(right)) => left.cmp(&right),
-        _ => left.cmp(&right),
-    };
-    let number = |text: &str| {
-        text.parse::<i64>().map_err(|_| {
-            SqlError::new("22P02", format!("invalid input syntax for bigint: {text:?}"))
-        })
-    };
-    match operator {
-        BinaryOperator::Eq => Ok(truth(ordering.is_eq())),
-        BinaryOperator::NotEq => Ok(truth(ordering.is_ne())),
-        BinaryOperator::Lt => Ok(truth(ordering.is_lt())),
-        BinaryOperator::LtEq => Ok(truth(ordering.is_le())),
-        BinaryOperator::Gt => Ok(truth(ordering.is_gt())),
-        BinaryOperator::GtEq => Ok(truth(ordering.is_ge())),
-        BinaryOperator::Plus => Ok(Some((number(&left)? + number(&right)?).to_string())),
-        BinaryOperator::Minus => Ok(Some((number(&left)? - number(&right)?).to_string())),
-        BinaryOperator::Multiply => Ok(Some((number(&left)? * number(&right)?).to_string())),
-        BinaryOperator::StringConcat => Ok(Some(left + &right)),
+        Literal::SingleQuotedString(text) | Literal::EscapedStringLiteral(text) => {
+            Ok(Some(text.clone()))
+        }
         other => Err(SqlError::unsupported(other)),
     }
 }
--- a/crates/lab/src/standin/group/mod.rs
+++ b/crates/lab/src/standin/group/mod.rs
@@ -1,64 +1,255 @@
 //! A database group: instances that speak PostgreSQL v3 and replicate one log.
 
+pub mod connections;
+pub mod define;
 pub mod evaluate;
-pub mod execute;
+pub mod events;
+pub mod functions;
 pub mod instance;
+pub mod lag;
+pub mod locks;
+pub mod modify;
+pub mod options;
+pub mod overlay;
+pub mod plan;
+pub mod replication;
+pub mod rows;
+pub mod select;
+pub mod service;
 pub mod tables;
+pub mod transaction;
+pub mod values;
 pub mod wire;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
-use std::time::Duration;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
-use self::instance::Instance;
+use self::events::{EventLog, GroupEvent, Signal};
+use self::instance::{Instance, InstanceParts, LostAnswer};
+use self::lag::{Lag, LagSource};
+use self::options::GroupOptions;
+use self::replication::Coordinator;
+use self::service::Service;
+use self::tables::{Change, Row};
 
-const SHIPPING_INTERVAL: Duration = Duration::from_millis(1);
+/// Time between two looks while waiting for a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// A transaction in the log of a primary.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommittedRecord {
+    /// Term under which it was written.
+    pub term: u32,
+    /// Offset just after it.
+    pub end: u64,
+    /// Its changes.
+    pub changes: Vec<Change>,
+}
 
 /// A running group of instances.
 pub struct DatabaseGroup {
     /// Its instances; the first is the first primary.
     pub instances: Vec<Arc<Instance>>,
-    /// Where each listens.
+    /// Where callers reach each instance.
     pub addresses: Vec<SocketAddr>,
+    listening: Vec<SocketAddr>,
+    events: Arc<EventLog>,
     stopping: Arc<AtomicBool>,
+    coordinator: Option<JoinHandle<()>>,
 }
 
 impl DatabaseGroup {
-    /// Starts `count` instances on ports that the system chooses.
-    pub fn start(count: usize, replica_lag: Duration) -> std::io::Result<Self> {
+    /// Starts the instances on ports that the system chooses.
+    pub fn start(options: GroupOptions) -> std::io::Result<Self> {
         let stopping = Arc::new(AtomicBool::new(false));
+        let events = Arc::new(EventLog::default());
+        let signal = Arc::new(Signal::default());
         let mut instances = Vec::new();
         let mut addresses = Vec::new();
-        for index in 0..count {
-            let instance = Arc::new(Instance::new(index == 0, replica_lag));
-            let listener = TcpListener::bind("127.0.0.1:0")?;
-            addresses.push(listener.local_addr()?);
-            wire::listen(listener, instance.clone(), stopping.clone());
+        let mut listening = Vec::new();
+        for (index, zone) in options.zones.iter().enumerate() {
+            let seed = options.seed.wrapping_add(index as u64);
+            let instance = Arc::new(Instance::new(InstanceParts {
+                index,
+                zone: zone.clone(),
+                service: Service::new(options.slots, options.service_times, seed),
+                connection_limit: options.connections,
+                connection_setup: options.connection_setup,
+                lag: LagSource::new(options.replica_lag, seed),
+                events: events.clone(),
+                signal: signal.clone(),
+            }));
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+            let address = listener.local_addr()?;
+            let network = options.network.clone();
+            wire::listen(listener, instance.clone(), network.clone(), stopping.clone());
+            addresses.push(match &network {
+                Some(network) => network.expose_tcp(zone, address)?,
+                None => address,
+            });
+            listening.push(address);
             instances.push(instance);
         }
-        spawn_shipping(instances.clone(), stopping.clone());
-        Ok(Self { instances, addresses, stopping })
+        let coordinator = Coordinator::new(&instances, options, events.clone(), signal);
+        let stop = stopping.clone();
+        let coordinator = Some(thread::spawn(move || coordinator.run(&stop)));
+        Ok(Self { instances, addresses, listening, events, stopping, coordinator })
     }
-}
 
-impl Drop for DatabaseGroup {
-    fn drop(&mut self) {
-        self.stopping.store(true, Ordering::Release);
+    /// Ends an instance's process; its log stays.
+    pub fn kill(&self, index: usize) {
+        self.instances[index].kill();
+    }
+
+    /// Starts a killed instance again, as a replica with the log it had. What the primary of a
+    /// newer term does not have is dropped when it follows that primary.
+    pub fn restart(&self, index: usize) {
+        self.instances[index].restart();
+    }
+
+    /// Stops an instance's process at whatever point it is; its connections stay open.
+    pub fn pause(&self, index: usize) {
+        self.instances[index].set_paused(true);
+    }
+
+    /// Continues a paused instance.
+    pub fn resume(&self, index: usize) {
+        self.instances[index].set_paused(false);
     }
-}
 
-/// Starts the thread that copies the primary's log to the replicas.
-fn spawn_shipping(instances: Vec<Arc<Instance>>, stopping: Arc<AtomicBool>) {
-    thread::spawn(move || {
-        while !stopping.load(Ordering::Acquire) {
-            if let Some(primary) = instances.iter().find(|instance| instance.is_primary()) {
-                for replica in instances.iter().filter(|instance| !instance.is_primary()) {
-                    replica.receive_from(primary);
+    /// Cuts an instance off from the other instances and, on a network, from callers of other
+    /// zones. A primary cut off goes on to believe that it leads.
+    pub fn isolate(&self, index: usize) {
+        self.instances[index].set_isolated(true);
+    }
+
+    /// Undoes [`Self::isolate`].
+    pub fn rejoin(&self, index: usize) {
+        self.instances[index].set_isolated(false);
+    }
+
+    /// Changes how far the readers of an instance stay behind; [`Duration::MAX`] stops them.
+    pub fn set_lag(&self, index: usize, lag: Duration) {
+        self.instances[index].set_lag(Lag::Fixed(lag), 0);
+    }
+
+    /// Draws the lag of each record evenly between two bounds.
+    pub fn set_lag_distribution(
+        &self,
+        index: usize,
+        shortest: Duration,
+        longest: Duration,
+        seed: u64,
+    ) {
+        self.instances[index].set_lag(Lag::Drawn { shortest, longest }, seed);
+    }
+
+    /// Stops or continues the flow of log to a replica, which still hears the primary.
+    pub fn set_receiving(&self, index: usize, receiving: bool) {
+        self.instances[index].set_receiving(receiving);
+    }
+
+    /// The next commit takes effect and is never answered.
+    pub fn hang_after_commit(&self, index: usize) {
+        self.instances[index].lose_answer(LostAnswer::Silent);
+    }
+
+    /// The next commit takes effect and its connection is reset instead of an answer.
+    pub fn reset_after_commit(&self, index: usize) {
+        self.instances[index].lose_answer(LostAnswer::Reset);
+    }
+
+    /// Breaks every client connection of an instance off.
+    pub fn reset_connections(&self, index: usize) {
+        self.instances[index].connections.reset_all();
+    }
+
+    /// Index of the running primary with the highest term.
+    pub fn primary(&self) -> Option<usize> {
+        self.instances
+            .iter()
+            .filter(|instance| instance.is_running() && instance.is_primary())
+            .max_by_key(|instance| instance.state().term)
+            .map(|instance| instance.index)
+    }
+
+    /// Waits until a primary at `term` or above runs, at most `limit`. Returns its index.
+    pub fn wait_for_term(&self, term: u32, limit: Duration) -> Option<usize> {
+        let end = Instant::now() + limit;
+        loop {
+            let primary = self.primary();
+            let at_term = primary.filter(|index| self.instances[*index].state().term >= term);
+            if at_term.is_some() || Instant::now() > end {
+                return at_term;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Waits until every running replica has applied what the primary had, at most `limit`.
+    pub fn wait_for_replicas(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(primary) = self.primary() {
+                let (term, offset) = {
+                    let state = self.instances[primary].state();
+                    (state.term, state.flushed())
+                };
+                let mut running = self.instances.iter().filter(|instance| instance.is_running());
+                let behind = running.any(|instance| {
+                    let state = instance.state();
+                    state.term != term || state.applied_offset() < offset
+                });
+                if !behind {
+                    return true;
                 }
             }
-            thread::sleep(SHIPPING_INTERVAL);
+            if Instant::now() > end {
+                return false;
+            }
+            thread::sleep(POLL_INTERVAL);
         }
-    });
+    }
+
+    /// What happened so far.
+    pub fn events(&self) -> Vec<GroupEvent> {
+        self.events.all()
+    }
+
+    /// Rows of a table at the current primary, in the order of their insertion. `None` if there
+    /// is no primary or no such table.
+    pub fn final_rows(&self, table: &str) -> Option<Vec<Row>> {
+        let state = self.instances[self.primary()?].state();
+        let table = state.tables.tables.get(table)?;
+        Some(table.rows.values().cloned().collect())
+    }
+
+    /// The log of the current primary. `None` if there is no primary.
+    pub fn committed_log(&self) -> Option<Vec<CommittedRecord>> {
+        let state = self.instances[self.primary()?].state();
+        let records = state.log.iter().map(|entry| CommittedRecord {
+            term: entry.record.term,
+            end: entry.record.end,
+            changes: entry.record.changes.clone(),
+        });
+        Some(records.collect())
+    }
+}
+
+impl Drop for DatabaseGroup {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::Release);
+        for (instance, address) in self.instances.iter().zip(&self.listening) {
+            instance.kill();
+            // Wakes the thread that accepts, which then ends.
+            let _ = TcpStream::connect(address);
+        }
+        if let Some(coordinator) = self.coordinator.take() {
+            // A coordinator that panicked has said so itself.
+            let _ = coordinator.join();
+        }
+    }
 }
--- /dev/null
+++ b/crates/lab/src/standin/group/overlay.rs
@@ -0,0 +1,147 @@
+//! Changes of a transaction that is not yet committed, laid over the committed tables.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::evaluate::SqlError;
+use super::instance::State;
+use super::tables::{Change, Column, KeyValues, Row, Table, UniqueKey};
+
+/// Rows of one table changed by a transaction.
+#[derive(Clone, Debug, Default)]
+struct TableOverlay {
+    /// New content by number; `None` where deleted.
+    rows: BTreeMap<u64, Option<Row>>,
+    /// Rows put by this transaction, by key and values.
+    keys: HashMap<(usize, KeyValues), u64>,
+}
+
+/// All changes of a transaction.
+#[derive(Clone, Debug, Default)]
+pub struct Overlay {
+    /// Changes in the order in which they were made.
+    pub changes: Vec<Change>,
+    /// Tables created here; `None` where dropped.
+    definitions: BTreeMap<String, Option<Table>>,
+    tables: HashMap<String, TableOverlay>,
+}
+
+/// A row and its number.
+#[derive(Clone, Debug)]
+pub struct NumberedRow {
+    /// Number.
+    pub number: u64,
+    /// Content.
+    pub row: Row,
+}
+
+impl Overlay {
+    /// Definition of a table as this transaction sees it. Its rows are the committed ones.
+    pub fn table<'a>(&'a self, state: &'a State, name: &str) -> Result<&'a Table, SqlError> {
+        let found = match self.definitions.get(name) {
+            Some(own) => own.as_ref(),
+            None => state.tables.tables.get(name),
+        };
+        found.ok_or_else(|| SqlError::new("42P01", format!("relation {name:?} does not exist")))
+    }
+
+    /// Columns of a table.
+    pub fn columns(&self, state: &State, name: &str) -> Result<Vec<Column>, SqlError> {
+        Ok(self.table(state, name)?.columns.clone())
+    }
+
+    /// Creates a table.
+    pub fn create(&mut self, table: String, columns: Vec<Column>, keys: Vec<Vec<usize>>) {
+        let definition = Table::new(columns.clone(), &keys);
+        self.definitions.insert(table.clone(), Some(definition));
+        self.tables.remove(&table);
+        self.changes.push(Change::Create { table, columns, keys });
+    }
+
+    /// Drops a table.
+    pub fn drop_table(&mut self, table: String) {
+        self.definitions.insert(table.clone(), None);
+        self.tables.remove(&table);
+        self.changes.push(Change::Drop { table });
+    }
+
+    /// Inserts or replaces a row.
+    pub fn put(&mut self, table: &str, keys: &[UniqueKey], number: u64, row: Row) {
+        let overlay = self.tables.entry(table.to_owned()).or_default();
+        overlay.forget_keys(keys, number);
+        for (index, key) in keys.iter().enumerate() {
+            if let Some(values) = key.values_of(&row) {
+                overlay.keys.insert((index, values), number);
+            }
+        }
+        overlay.rows.insert(number, Some(row.clone()));
+        self.changes.push(Change::Put { table: table.to_owned(), number, row });
+    }
+
+    /// Deletes a row.
+    pub fn delete(&mut self, table: &str, keys: &[UniqueKey], number: u64) {
+        let overlay = self.tables.entry(table.to_owned()).or_default();
+        overlay.forget_keys(keys, number);
+        overlay.rows.insert(number, None);
+        self.changes.push(Change::Delete { table: table.to_owned(), number });
+    }
+
+    /// The row that has the values in the unique key at `index`.
+    pub fn find(
+        &self,
+        definition: &Table,
+        name: &str,
+        index: usize,
+        values: &KeyValues,
+    ) -> Option<NumberedRow> {
+        if let Some(overlay) = self.tables.get(name) {
+            if let Some(number) = overlay.keys.get(&(index, values.clone())) {
+                let row = overlay.rows.get(number)?.clone()?;
+                return Some(NumberedRow { number: *number, row });
+            }
+            let number = *definition.keys[index].entries.get(values)?;
+            if overlay.rows.contains_key(&number) {
+                return None;
+            }
+        }
+        let number = *definition.keys[index].entries.get(values)?;
+        Some(NumberedRow { number, row: definition.rows.get(&number)?.clone() })
+    }
+
+    /// Calls `visit` with each row of a table, in the order of their numbers.
+    pub fn each_row(
+        &self,
+        definition: &Table,
+        name: &str,
+        mut visit: impl FnMut(u64, &Row) -> Result<(), SqlError>,
+    ) -> Result<(), SqlError> {
+        let Some(overlay) = self.tables.get(name) else {
+            return definition.rows.iter().try_for_each(|(number, row)| visit(*number, row));
+        };
+        for (number, row) in &definition.rows {
+            match overlay.rows.get(number) {
+                None => visit(*number, row)?,
+                Some(Some(own)) => visit(*number, own)?,
+                Some(None) => {}
+            }
+        }
+        for (number, row) in &overlay.rows {
+            if let Some(row) = row
+                && !definition.rows.contains_key(number)
+            {
+                visit(*number, row)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl TableOverlay {
+    fn forget_keys(&mut self, keys: &[UniqueKey], number: u64) {
+        let Some(Some(old)) = self.rows.get(&number) else { return };
+        for (index, key) in keys.iter().enumerate() {
+            if let Some(values) = key.values_of(old) {
+                self.keys.remove(&(index, values));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/standin/group/replication.rs
@@ -0,0 +1,289 @@
+//! Shipping of the log, detection of a lost primary, elections and step downs of one group.
+//!
+//! The rules are those of a replicated log with terms. A member takes log only from a term that is
+//! at least the highest it has promised. It drops what the primary of a higher term does not have
+//! before it takes over that term. A member votes only when it has not heard a primary for the
+//! election timeout, and the winner has the highest (term of last record, flushed offset) of a
+//! majority. So a record that a majority has flushed under the term of its primary is never lost.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::events::{EventLog, GroupEventKind, Signal};
+use super::instance::{Instance, Record, State};
+use super::options::GroupOptions;
+
+/// Longest time between two looks at the group.
+const TICK: Duration = Duration::from_millis(1);
+/// Share of the election timeout by which a member's own timeout may be longer.
+const TIMEOUT_SPREAD: f64 = 0.2;
+
+/// What the coordinator remembers of a member.
+#[derive(Debug)]
+struct Member {
+    instance: Arc<Instance>,
+    last_heard: Instant,
+    timeout: Duration,
+    /// Since when it has known that a higher term than the one it leads exists.
+    outdated_since: Option<Instant>,
+}
+
+/// The elected primary, as far as the coordinator has seen.
+#[derive(Clone, Copy, Debug)]
+struct Leader {
+    index: usize,
+    term: u32,
+    lost: bool,
+}
+
+/// Carries log and votes between the members of one group.
+pub struct Coordinator {
+    members: Vec<Member>,
+    options: GroupOptions,
+    events: Arc<EventLog>,
+    signal: Arc<Signal>,
+    random: StdRng,
+    leader: Leader,
+}
+
+impl Coordinator {
+    /// A coordinator for instances of which the first is primary at term 1.
+    pub fn new(
+        instances: &[Arc<Instance>],
+        options: GroupOptions,
+        events: Arc<EventLog>,
+        signal: Arc<Signal>,
+    ) -> Self {
+        let now = Instant::now();
+        let mut random = StdRng::seed_from_u64(options.seed);
+        let members = instances
+            .iter()
+            .map(|instance| Member {
+                instance: instance.clone(),
+                last_heard: now,
+                timeout: draw_timeout(options.election_timeout, &mut random),
+                outdated_since: None,
+            })
+            .collect();
+        let leader = Leader { index: 0, term: 1, lost: false };
+        Self { members, options, events, signal, random, leader }
+    }
+
+    /// Works until `stopping` is set.
+    pub fn run(mut self, stopping: &AtomicBool) {
+        while !stopping.load(Ordering::Acquire) {
+            let next = self.tick(Instant::now());
+            let left = next.map_or(TICK, |next| next.saturating_duration_since(Instant::now()));
+            self.signal.wait(left.min(TICK));
+        }
+    }
+
+    /// Does what is due. Returns when a record will next be old enough to be applied.
+    fn tick(&mut self, now: Instant) -> Option<Instant> {
+        self.ship_all(now);
+        self.note_contact();
+        self.step_down_outdated(now);
+        self.elect(now);
+        self.members
+            .iter()
+            .filter(|member| member.instance.is_running())
+            .filter_map(|member| member.instance.apply_due(now))
+            .min()
+    }
+
+    fn instance(&self, index: usize) -> &Arc<Instance> {
+        &self.members[index].instance
+    }
+
+    /// Time of the way from one member to another, or `None` if there is none.
+    fn delay(&self, from: usize, to: usize) -> Option<Duration> {
+        let (from, to) = (self.instance(from), self.instance(to));
+        if !from.is_running() || !to.is_running() || from.is_isolated() || to.is_isolated() {
+            return None;
+        }
+        match &self.options.network {
+            Some(network) => network.delay(&from.zone, &to.zone),
+            None => Some(Duration::ZERO),
+        }
+    }
+
+    /// Whether two members can talk, both ways.
+    fn can_talk(&self, one: usize, other: usize) -> bool {
+        one == other || (self.delay(one, other).is_some() && self.delay(other, one).is_some())
+    }
+
+    fn primaries(&self) -> Vec<usize> {
+        let mut primaries: Vec<usize> = (0..self.members.len())
+            .filter(|index| self.instance(*index).is_running())
+            .filter(|index| self.instance(*index).is_primary())
+            .collect();
+        primaries.sort_by_key(|index| self.instance(*index).state().term);
+        primaries
+    }
+
+    fn ship_all(&mut self, now: Instant) {
+        for source in self.primaries() {
+            for target in 0..self.members.len() {
+                if target != source && self.can_talk(source, target) {
+                    self.ship(source, target, now);
+                }
+            }
+        }
+    }
+
+    /// Carries log from a primary to another member, or word of a higher term back.
+    fn ship(&mut self, source: usize, target: usize, now: Instant) {
+        let Some(delay) = self.delay(source, target) else { return };
+        let (primary, replica) = (self.instance(source).clone(), self.instance(target).clone());
+        let term = primary.state().term;
+        let mut state = replica.state();
+        if state.promised > term {
+            drop(state);
+            self.members[source].outdated_since.get_or_insert(now);
+            return;
+        }
+        if state.primary {
+            drop(state);
+            self.members[target].outdated_since.get_or_insert(now);
+            return;
+        }
+        if !replica.is_receiving() {
+            drop(state);
+            self.members[target].last_heard = now;
+            return;
+        }
+        let follows = state.term == term && state.promised == term;
+        let have = state.log.len();
+        drop(state);
+        let (common, missing) = missing_records(&primary, &replica, follows.then_some(have));
+        let arrived = |record: &&Arc<Record>| record.committed + delay <= now;
+        state = replica.state();
+        // Only this thread changes the log of a replica, and a restart keeps it.
+        state.truncate(common);
+        state.term = term;
+        state.promised = term;
+        for record in missing.iter().take_while(arrived) {
+            replica.receive(&mut state, record.clone(), now);
+        }
+        drop(state);
+        self.members[target].last_heard = now;
+    }
+
+    /// Notes when the elected primary loses or regains a majority.
+    fn note_contact(&mut self) {
+        let Leader { index, term, lost } = self.leader;
+        let leads = {
+            let state = self.instance(index).state();
+            state.primary && state.term == term
+        };
+        let reached = (0..self.members.len()).filter(|other| self.can_talk(index, *other)).count();
+        let runs = leads && self.instance(index).is_running();
+        let has_majority = runs && reached >= self.majority();
+        if !has_majority && !lost {
+            self.leader.lost = true;
+            self.events.add(GroupEventKind::PrimaryLost { index, term });
+        } else if has_majority && lost {
+            self.leader.lost = false;
+            self.events.add(GroupEventKind::PrimaryRegained { index, term });
+        }
+    }
+
+    fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// Ends the leadership of members that have known of a higher term for long enough.
+    fn step_down_outdated(&mut self, now: Instant) {
+        for index in 0..self.members.len() {
+            let Some(since) = self.members[index].outdated_since else { continue };
+            let instance = self.instance(index).clone();
+            if now < since + self.options.step_down_delay || !instance.is_running() {
+                continue;
+            }
+            self.members[index].outdated_since = None;
+            self.members[index].last_heard = now;
+            let mut state = instance.state();
+            if !state.primary {
+                continue;
+            }
+            let term = state.term;
+            state.step_down();
+            drop(state);
+            instance.connections.reset_all();
+            self.events.add(GroupEventKind::SteppedDown { index, term });
+        }
+    }
+
+    /// Elects a primary if a majority has not heard one for long enough.
+    fn elect(&mut self, now: Instant) {
+        let waiting: Vec<usize> = (0..self.members.len())
+            .filter(|index| {
+                let member = &self.members[*index];
+                member.instance.is_running()
+                    && !member.instance.is_primary()
+                    && now.duration_since(member.last_heard) >= member.timeout
+            })
+            .collect();
+        let mut candidates = waiting.clone();
+        candidates.sort_by_key(|index| {
+            let state = self.instance(*index).state();
+            std::cmp::Reverse((state.last_term(), state.flushed()))
+        });
+        for candidate in candidates {
+            let voters: Vec<usize> =
+                waiting.iter().copied().filter(|other| self.can_talk(candidate, *other)).collect();
+            if voters.len() >= self.majority() {
+                return self.install(candidate, &voters, now);
+            }
+        }
+    }
+
+    fn install(&mut self, winner: usize, voters: &[usize], now: Instant) {
+        let promised = voters.iter().map(|voter| self.instance(*voter).state().promised);
+        let term = promised.max().unwrap_or(0) + 1;
+        for voter in voters {
+            self.instance(*voter).state().promised = term;
+            let timeout = draw_timeout(self.options.election_timeout, &mut self.random);
+            self.members[*voter].timeout = timeout;
+            self.members[*voter].last_heard = now;
+        }
+        self.instance(winner).state().promote(term);
+        self.leader = Leader { index: winner, term, lost: false };
+        self.events.add(GroupEventKind::Elected { index: winner, term });
+    }
+}
+
+fn draw_timeout(base: Duration, random: &mut StdRng) -> Duration {
+    base.mul_f64(1.0 + TIMEOUT_SPREAD * random.random::<f64>())
+}
+
+/// How many first records of the replica's log the primary has too, and what follows them there.
+fn missing_records(
+    primary: &Instance,
+    replica: &Instance,
+    known_common: Option<usize>,
+) -> (usize, Vec<Arc<Record>>) {
+    let records_after = |state: &State, common: usize| {
+        state.log[common..].iter().map(|entry| entry.record.clone()).collect()
+    };
+    if let Some(common) = known_common {
+        let state = primary.state();
+        return (common, records_after(&state, common.min(state.log.len())));
+    }
+    let source: Vec<Arc<Record>> = records_after(&primary.state(), 0);
+    let target = replica.state();
+    let shorter = source.len().min(target.log.len());
+    // Equal (term, end) means equal logs up to there: a term has one primary.
+    let common = (0..shorter)
+        .rev()
+        .find(|index| {
+            let (one, other) = (&source[*index], &target.log[*index].record);
+            (one.term, one.end) == (other.term, other.end)
+        })
+        .map_or(0, |index| index + 1);
+    (common, source[common..].to_vec())
+}
--- /dev/null
+++ b/crates/lab/src/standin/group/rows.rs
@@ -0,0 +1,143 @@
+//! Finding the rows that a condition chooses, through a unique key where it names one whole.
+
+use sqlparser::ast::{BinaryOperator, Expr, Value as Literal};
+
+use super::evaluate::{Scope, SqlError, is_true};
+use super::overlay::NumberedRow;
+use super::tables::{Column, KeyValues, Table, Value};
+use super::transaction::Attempt;
+use super::values::{TEXT, coerce};
+
+/// SQLSTATE of a name that is no column.
+const UNDEFINED_COLUMN: &str = "42703";
+
+/// Rows of a table that satisfy a condition, in the order of their numbers.
+pub fn matching(
+    attempt: &Attempt,
+    name: &str,
+    selection: Option<&Expr>,
+) -> Result<Vec<NumberedRow>, SqlError> {
+    let definition = attempt.overlay.table(attempt.state, name)?;
+    let chosen = |row: &[Value]| match selection {
+        Some(condition) => {
+            let scope = Scope::over(attempt, &definition.columns, row);
+            Ok(is_true(&scope.evaluate(condition)?))
+        }
+        None => Ok(true),
+    };
+    let mut found = Vec::new();
+    if let Some(lookup) = selection.map(|condition| key_lookup(attempt, definition, condition))
+        && let Some((key, values)) = lookup?
+    {
+        if let Some(candidate) = attempt.overlay.find(definition, name, key, &values)
+            && chosen(&candidate.row)?
+        {
+            found.push(candidate);
+        }
+        return Ok(found);
+    }
+    attempt.overlay.each_row(definition, name, |number, row| {
+        if chosen(row)? {
+            found.push(NumberedRow { number, row: row.clone() });
+        }
+        Ok(())
+    })?;
+    if found.is_empty() {
+        check_names(attempt, &definition.columns, selection)?;
+    }
+    Ok(found)
+}
+
+/// An error if an expression names what does not exist. Where there are rows, evaluation tells.
+pub fn check_names<'a>(
+    attempt: &Attempt,
+    columns: &[Column],
+    expressions: impl IntoIterator<Item = &'a Expr>,
+) -> Result<(), SqlError> {
+    let nulls = vec![None; columns.len()];
+    let scope = Scope { group: Some(&[]), ..Scope::over(attempt, columns, &nulls) };
+    for expression in expressions {
+        match scope.evaluate(expression) {
+            Err(error) if error.state == UNDEFINED_COLUMN => return Err(error),
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// The unique key and values that a condition demands, if it fixes all columns of one.
+fn key_lookup(
+    attempt: &Attempt,
+    definition: &Table,
+    condition: &Expr,
+) -> Result<Option<(usize, KeyValues)>, SqlError> {
+    let mut fixed: Vec<Value> = vec![None; definition.columns.len()];
+    collect_fixed(attempt, definition, condition, &mut fixed)?;
+    let whole = definition.keys.iter().position(|key| {
+        !key.columns.is_empty() && key.columns.iter().all(|column| fixed[*column].is_some())
+    });
+    Ok(whole.and_then(|index| Some((index, definition.keys[index].values_of(&fixed)?))))
+}
+
+/// Notes the columns that a conjunction compares with a constant.
+fn collect_fixed(
+    attempt: &Attempt,
+    definition: &Table,
+    condition: &Expr,
+    fixed: &mut [Value],
+) -> Result<(), SqlError> {
+    match condition {
+        Expr::Nested(inner) => collect_fixed(attempt, definition, inner, fixed),
+        Expr::BinaryOp { left, op: BinaryOperator::And, right } => {
+            collect_fixed(attempt, definition, left, fixed)?;
+            collect_fixed(attempt, definition, right, fixed)
+        }
+        Expr::BinaryOp { left, op: BinaryOperator::Eq, right } => {
+            let (column, constant) = match (column_position(definition, left), is_constant(right)) {
+                (Some(column), true) => (column, right),
+                _ => match (column_position(definition, right), is_constant(left)) {
+                    (Some(column), true) => (column, left),
+                    _ => return Ok(()),
+                },
+            };
+            let value = Scope::over(attempt, &[], &[]).evaluate(constant)?;
+            // A value that is no value of the column's type is left to the comparison itself.
+            fixed[column] = coerce(value, definition.columns[column].type_id).unwrap_or(None);
+            Ok(())
+        }
+        _ => Ok(()),
+    }
+}
+
+fn column_position(definition: &Table, expression: &Expr) -> Option<usize> {
+    let name = match expression {
+        Expr::Identifier(name) => &name.value,
+        Expr::CompoundIdentifier(parts) => &parts.last()?.value,
+        _ => return None,
+    };
+    definition.columns.iter().position(|column| column.name.eq_ignore_ascii_case(name))
+}
+
+fn is_constant(expression: &Expr) -> bool {
+    match expression {
+        Expr::Value(literal) => !matches!(literal.value, Literal::Null),
+        Expr::Cast { expr, .. } | Expr::Nested(expr) => is_constant(expr),
+        Expr::UnaryOp { expr, .. } => is_constant(expr),
+        _ => false,
+    }
+}
+
+/// Position of a column by its name.
+pub fn column_index(definition: &Table, name: &str) -> Result<usize, SqlError> {
+    let name = name.to_lowercase().replace('"', "");
+    definition
+        .columns
+        .iter()
+        .position(|column| column.name == name)
+        .ok_or_else(|| SqlError::new("42703", format!("column {name:?} does not exist")))
+}
+
+/// Type of the column at a position, text where there is none.
+pub fn type_at(definition: &Table, position: usize) -> u32 {
+    definition.columns.get(position).map_or(TEXT, |column| column.type_id)
+}
--- /dev/null
+++ b/crates/lab/src/standin/group/service.rs
@@ -0,0 +1,169 @@
+//! Slots of an instance and how long each class of statement holds one.
+
+use std::sync::{Condvar, Mutex, MutexGuard};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sqlparser::ast::{SetExpr, Statement};
+
+use super::connections::{CANCEL_CHECK_INTERVAL, Control};
+use super::evaluate::SqlError;
+
+/// What a statement does, as far as its service time goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatementClass {
+    /// Reads a table.
+    Read,
+    /// Changes or locks rows or tables.
+    Write,
+    /// Flushes a transaction to the log. Takes no slot.
+    Commit,
+    /// Touches no table. Takes no slot and no time.
+    Control,
+}
+
+impl StatementClass {
+    /// The class of a statement other than transaction control.
+    pub fn of(statement: &Statement) -> Self {
+        let Statement::Query(query) = statement else { return Self::Write };
+        if !query.locks.is_empty() {
+            return Self::Write;
+        }
+        match query.body.as_ref() {
+            SetExpr::Select(select) if select.from.is_empty() => Self::Control,
+            _ => Self::Read,
+        }
+    }
+}
+
+/// How long a statement holds its slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum ServiceTime {
+    /// No longer than its execution takes.
+    #[default]
+    None,
+    /// Always the same.
+    Fixed(Duration),
+    /// Anything between two bounds, evenly.
+    Uniform {
+        /// Lower bound.
+        shortest: Duration,
+        /// Upper bound.
+        longest: Duration,
+    },
+    /// Exponentially distributed.
+    Exponential {
+        /// Mean.
+        mean: Duration,
+    },
+}
+
+impl ServiceTime {
+    /// Draws a time; zero for [`ServiceTime::None`].
+    pub fn draw(self, random: &mut StdRng) -> Duration {
+        match self {
+            Self::None => Duration::ZERO,
+            Self::Fixed(time) => time,
+            Self::Uniform { shortest, longest } => {
+                shortest + longest.saturating_sub(shortest).mul_f64(random.random::<f64>())
+            }
+            Self::Exponential { mean } => {
+                mean.mul_f64(-(1.0 - random.random::<f64>()).max(f64::MIN_POSITIVE).ln())
+            }
+        }
+    }
+}
+
+/// Service time of each class of statement.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceTimes {
+    /// Statements that read a table.
+    pub read: ServiceTime,
+    /// Statements that change or lock rows.
+    pub write: ServiceTime,
+    /// Commits; they take no slot, since a transaction that ends frees what others wait for.
+    pub commit: ServiceTime,
+}
+
+#[derive(Debug)]
+struct Queue {
+    times: ServiceTimes,
+    random: StdRng,
+    slots: u64,
+    next_ticket: u64,
+    finished: u64,
+}
+
+/// The slots of one instance. Statements enter in the order in which they came.
+#[derive(Debug)]
+pub struct Service {
+    queue: Mutex<Queue>,
+    left: Condvar,
+}
+
+impl Service {
+    /// `slots` statements at once.
+    pub fn new(slots: usize, times: ServiceTimes, seed: u64) -> Self {
+        let random = StdRng::seed_from_u64(seed);
+        let queue = Queue { times, random, slots: slots as u64, next_ticket: 0, finished: 0 };
+        Self { queue: Mutex::new(queue), left: Condvar::new() }
+    }
+
+    fn queue(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().expect("a holder of the slot lock panicked")
+    }
+
+    /// Changes the service times of statements to come.
+    pub fn set_times(&self, times: ServiceTimes) {
+        self.queue().times = times;
+    }
+
+    /// Statements that run or wait for a slot now.
+    pub fn present(&self) -> u64 {
+        let queue = self.queue();
+        queue.next_ticket - queue.finished
+    }
+
+    /// Waits for a slot if the class takes one, and holds it for the service time.
+    pub fn pass(&self, class: StatementClass, control: &Control) -> Result<(), SqlError> {
+        let mut queue = self.queue();
+        let times = queue.times;
+        let time = match class {
+            StatementClass::Read => times.read,
+            StatementClass::Write => times.write,
+            StatementClass::Commit => times.commit,
+            StatementClass::Control => ServiceTime::None,
+        };
+        if time == ServiceTime::None {
+            return Ok(());
+        }
+        let time = time.draw(&mut queue.random);
+        if class == StatementClass::Commit {
+            drop(queue);
+            std::thread::sleep(time);
+            return Ok(());
+        }
+        let ticket = queue.next_ticket;
+        queue.next_ticket += 1;
+        let outcome = self.wait_for_turn(queue, ticket, control);
+        let outcome = outcome.and_then(|()| control.sleep(time));
+        self.queue().finished += 1;
+        self.left.notify_all();
+        outcome
+    }
+
+    fn wait_for_turn(
+        &self,
+        mut queue: MutexGuard<'_, Queue>,
+        ticket: u64,
+        control: &Control,
+    ) -> Result<(), SqlError> {
+        while ticket >= queue.finished + queue.slots {
+            control.check_cancelled()?;
+            let waited = self.left.wait_timeout(queue, CANCEL_CHECK_INTERVAL);
+            queue = waited.expect("a holder of the slot lock panicked").0;
+        }
+        Ok(())
+    }
+}
--- a/crates/lab/src/standin/group/tables.rs
+++ b/crates/lab/src/standin/group/tables.rs
@@ -1,21 +1,45 @@
 //! The data of one instance: tables of text values, and changes to them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+
+use sqlparser::ast::Expr;
 
 /// One value; `None` is SQL null.
 pub type Value = Option<String>;
 /// One row.
 pub type Row = Vec<Value>;
+/// Values of the columns of a unique key, none of them null.
+pub type KeyValues = Vec<String>;
 
-/// A column of a table.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A column of a table or of a result.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Column {
     /// Name in lower case.
     pub name: String,
     /// PostgreSQL type number.
     pub type_id: u32,
-    /// Whether no two rows may share a value.
-    pub unique: bool,
+    /// Whether null is refused.
+    pub not_null: bool,
+    /// Whether rows without a value get the next number.
+    pub serial: bool,
+    /// Value of rows that give none.
+    pub default: Option<Expr>,
+}
+
+/// Columns of which no two rows may have the same values, and an index over them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UniqueKey {
+    /// Positions of the columns.
+    pub columns: Vec<usize>,
+    /// Number of the row by its values.
+    pub entries: HashMap<KeyValues, u64>,
+}
+
+impl UniqueKey {
+    /// The key's values in a row; `None` if one is null, which never conflicts.
+    pub fn values_of(&self, row: &[Value]) -> Option<KeyValues> {
+        self.columns.iter().map(|column| row[*column].clone()).collect()
+    }
 }
 
 /// A table.
@@ -23,10 +47,50 @@
 pub struct Table {
     /// Columns in order.
     pub columns: Vec<Column>,
+    /// Unique keys; the primary key first, if there is one.
+    pub keys: Vec<UniqueKey>,
     /// Rows by their number.
     pub rows: BTreeMap<u64, Row>,
 }
 
+impl Table {
+    /// An empty table.
+    pub fn new(columns: Vec<Column>, keys: &[Vec<usize>]) -> Self {
+        let new_key =
+            |columns: &Vec<usize>| UniqueKey { columns: columns.clone(), ..UniqueKey::default() };
+        Self { columns, keys: keys.iter().map(new_key).collect(), rows: BTreeMap::new() }
+    }
+
+    fn remove(&mut self, number: u64) {
+        let Some(old) = self.rows.remove(&number) else { return };
+        for key in &mut self.keys {
+            if let Some(values) = key.values_of(&old) {
+                key.entries.remove(&values);
+            }
+        }
+    }
+
+    fn put(&mut self, number: u64, row: Row) {
+        self.remove(number);
+        for key in &mut self.keys {
+            if let Some(values) = key.values_of(&row) {
+                key.entries.insert(values, number);
+            }
+        }
+        self.rows.insert(number, row);
+    }
+
+    fn add_key(&mut self, columns: Vec<usize>) {
+        let mut key = UniqueKey { columns, ..UniqueKey::default() };
+        for (number, row) in &self.rows {
+            if let Some(values) = key.values_of(row) {
+                key.entries.insert(values, *number);
+            }
+        }
+        self.keys.push(key);
+    }
+}
+
 /// One change, as the log carries it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -36,6 +100,20 @@
         table: String,
         /// Its columns.
         columns: Vec<Column>,
+        /// Positions of the columns of each unique key.
+        keys: Vec<Vec<usize>>,
+    },
+    /// A unique index was added.
+    AddKey {
+        /// Table.
+        table: String,
+        /// Positions of its columns.
+        columns: Vec<usize>,
+    },
+    /// A table was dropped.
+    Drop {
+        /// Its name.
+        table: String,
     },
     /// A row was inserted or replaced.
     Put {
@@ -60,26 +138,43 @@
 pub struct Tables {
     /// Tables by name.
     pub tables: BTreeMap<String, Table>,
+    /// A number above that of every row ever put.
+    pub next_row: u64,
 }
 
 impl Tables {
     /// Applies one change.
     pub fn apply(&mut self, change: &Change) {
         match change {
-            Change::Create { table, columns } => {
-                let columns = columns.clone();
-                self.tables.insert(table.clone(), Table { columns, rows: BTreeMap::new() });
+            Change::Create { table, columns, keys } => {
+                self.tables.insert(table.clone(), Table::new(columns.clone(), keys));
+            }
+            Change::AddKey { table, columns } => {
+                if let Some(table) = self.tables.get_mut(table) {
+                    table.add_key(columns.clone());
+                }
+            }
+            Change::Drop { table } => {
+                self.tables.remove(table);
             }
             Change::Put { table, number, row } => {
+                self.next_row = self.next_row.max(number + 1);
                 if let Some(table) = self.tables.get_mut(table) {
-                    table.rows.insert(*number, row.clone());
+                    table.put(*number, row.clone());
                 }
             }
             Change::Delete { table, number } => {
                 if let Some(table) = self.tables.get_mut(table) {
-                    table.rows.remove(number);
+                    table.remove(*number);
                 }
             }
         }
     }
+
+    /// Draws the number of a new row.
+    pub fn draw_row_number(&mut self) -> u64 {
+        let number = self.next_row;
+        self.next_row += 1;
+        number
+    }
 }
--- /dev/null
+++ b/crates/lab/src/standin/group/wire/extended.rs
@@ -0,0 +1,214 @@
+//! The extended query protocol: prepared statements and portals.
+
+use std::sync::Arc;
+
+use pgwire::messages::data::{NoData, ParameterDescription};
+use pgwire::messages::extendedquery::{
+    Bind, BindComplete, Close, CloseComplete, Describe, Execute, Parse, ParseComplete,
+    PortalSuspended, TARGET_TYPE_BYTE_STATEMENT,
+};
+use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, TransactionStatus};
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
+use sqlparser::ast::Statement;
+
+use super::{Client, format_of};
+use crate::standin::group::evaluate::SqlError;
+use crate::standin::group::plan;
+use crate::standin::group::tables::{Column, Value};
+use crate::standin::group::transaction::Answer;
+use crate::standin::group::values::decode_parameter;
+
+/// A prepared statement.
+pub struct Prepared {
+    /// The statement; `None` for an empty text.
+    statement: Option<Statement>,
+    parameter_types: Vec<u32>,
+    columns: Option<Vec<Column>>,
+}
+
+/// A prepared statement with values for its parameters.
+pub struct Portal {
+    prepared: Arc<Prepared>,
+    parameters: Vec<Value>,
+    formats: Vec<i16>,
+    /// Rows not yet fetched, once it has run.
+    under_way: Option<Fetching>,
+}
+
+struct Fetching {
+    answer: Answer,
+    next: usize,
+}
+
+fn name_of(name: Option<String>) -> String {
+    name.unwrap_or_default()
+}
+
+impl Client<'_> {
+    /// Handles one message of the extended protocol other than Sync.
+    pub fn on_extended(&mut self, message: PgWireFrontendMessage) {
+        let outcome = match message {
+            PgWireFrontendMessage::Parse(parse) => self.on_parse(parse),
+            PgWireFrontendMessage::Bind(bind) => self.on_bind(bind),
+            PgWireFrontendMessage::Describe(describe) => self.on_describe(describe),
+            PgWireFrontendMessage::Execute(execute) => self.on_execute(execute),
+            PgWireFrontendMessage::Close(close) => {
+                self.on_close(close);
+                Ok(())
+            }
+            _ => Ok(()),
+        };
+        if let Err(error) = outcome {
+            self.fail(&error);
+            self.skipping = true;
+        }
+    }
+
+    /// Ends the implicit transaction, if one is open.
+    pub fn sync(&mut self) {
+        if !self.skipping {
+            self.commit_implicit();
+        }
+        self.skipping = false;
+        if self.status == TransactionStatus::Idle {
+            self.portals.clear();
+        }
+        self.send_ready();
+    }
+
+    fn on_parse(&mut self, parse: Parse) -> Result<(), SqlError> {
+        let statements = self.parse(&parse.query)?;
+        if statements.len() > 1 {
+            let message = "cannot insert multiple commands into a prepared statement";
+            return Err(SqlError::new("42601", message));
+        }
+        let name = name_of(parse.name);
+        if !name.is_empty() && self.statements.contains_key(&name) {
+            let message = format!("prepared statement {name:?} already exists");
+            return Err(SqlError::new("42P05", message));
+        }
+        let prepared = self.prepare(statements.first(), &parse.type_oids)?;
+        self.statements.insert(name, Arc::new(prepared));
+        self.send(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+        Ok(())
+    }
+
+    fn prepare(
+        &self,
+        statement: Option<&Statement>,
+        declared: &[u32],
+    ) -> Result<Prepared, SqlError> {
+        let Some(statement) = statement else {
+            return Ok(Prepared { statement: None, parameter_types: Vec::new(), columns: None });
+        };
+        let lookup = |table: &str| self.transaction.columns_of(self.instance, table);
+        Ok(Prepared {
+            parameter_types: plan::parameter_types(statement, declared, &lookup)?,
+            columns: plan::describe(statement, &lookup)?,
+            statement: Some(statement.clone()),
+        })
+    }
+
+    fn prepared(&self, name: &str) -> Result<Arc<Prepared>, SqlError> {
+        let missing =
+            || SqlError::new("26000", format!("prepared statement {name:?} does not exist"));
+        self.statements.get(name).cloned().ok_or_else(missing)
+    }
+
+    fn on_bind(&mut self, bind: Bind) -> Result<(), SqlError> {
+        let prepared = self.prepared(&name_of(bind.statement_name))?;
+        if bind.parameters.len() != prepared.parameter_types.len() {
+            let message = format!(
+                "bind message supplies {} parameters, but prepared statement requires {}",
+                bind.parameters.len(),
+                prepared.parameter_types.len(),
+            );
+            return Err(SqlError::new("08P01", message));
+        }
+        let formats = bind.parameter_format_codes;
+        let parameters = bind
+            .parameters
+            .iter()
+            .zip(&prepared.parameter_types)
+            .enumerate()
+            .map(|(index, (bytes, type_id))| match bytes {
+                Some(bytes) => decode_parameter(bytes, *type_id, format_of(&formats, index)),
+                None => Ok(None),
+            })
+            .collect::<Result<Vec<Value>, SqlError>>()?;
+        let formats = bind.result_column_format_codes;
+        let portal = Portal { prepared, parameters, formats, under_way: None };
+        self.portals.insert(name_of(bind.portal_name), portal);
+        self.send(PgWireBackendMessage::BindComplete(BindComplete::new()));
+        Ok(())
+    }
+
+    fn on_describe(&mut self, describe: Describe) -> Result<(), SqlError> {
+        let name = name_of(describe.name);
+        let (columns, formats) = if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            let prepared = self.prepared(&name)?;
+            let types = prepared.parameter_types.clone();
+            let description = ParameterDescription::new(types);
+            self.send(PgWireBackendMessage::ParameterDescription(description));
+            (prepared.columns.clone(), Vec::new())
+        } else {
+            let portal = self.portals.get(&name).ok_or_else(|| missing_portal(&name))?;
+            (portal.prepared.columns.clone(), portal.formats.clone())
+        };
+        match columns {
+            Some(columns) => self.send_row_description(&columns, &formats),
+            None => self.send(PgWireBackendMessage::NoData(NoData::new())),
+        }
+        Ok(())
+    }
+
+    fn on_execute(&mut self, execute: Execute) -> Result<(), SqlError> {
+        let name = name_of(execute.name);
+        let mut portal = self.portals.remove(&name).ok_or_else(|| missing_portal(&name))?;
+        let outcome = self.execute(&mut portal, execute.max_rows);
+        self.portals.insert(name, portal);
+        outcome
+    }
+
+    fn execute(&mut self, portal: &mut Portal, max_rows: i32) -> Result<(), SqlError> {
+        let prepared = portal.prepared.clone();
+        let Some(statement) = &prepared.statement else {
+            self.send(PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
+            return Ok(());
+        };
+        if portal.under_way.is_none() {
+            let answer = self.run(statement, &portal.parameters)?;
+            portal.under_way = Some(Fetching { answer, next: 0 });
+        }
+        let Some(fetching) = &mut portal.under_way else { return Ok(()) };
+        let columns = prepared.columns.as_deref().unwrap_or_default();
+        let left = fetching.answer.rows.len() - fetching.next;
+        let count = usize::try_from(max_rows).ok().filter(|limit| *limit > 0).unwrap_or(left);
+        let count = count.min(left);
+        for row in &fetching.answer.rows[fetching.next..fetching.next + count] {
+            self.send_row(row, columns, &portal.formats);
+        }
+        fetching.next += count;
+        if count < left {
+            self.send(PgWireBackendMessage::PortalSuspended(PortalSuspended::new()));
+            return Ok(());
+        }
+        let tag = fetching.answer.tag.clone();
+        self.send(PgWireBackendMessage::CommandComplete(CommandComplete::new(tag)));
+        Ok(())
+    }
+
+    fn on_close(&mut self, close: Close) {
+        let name = name_of(close.name);
+        if close.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            self.statements.remove(&name);
+        } else {
+            self.portals.remove(&name);
+        }
+        self.send(PgWireBackendMessage::CloseComplete(CloseComplete::new()));
+    }
+}
+
+fn missing_portal(name: &str) -> SqlError {
+    SqlError::new("34000", format!("portal {name:?} does not exist"))
+}
--- /dev/null
+++ b/crates/lab/src/standin/group/wire/mod.rs
@@ -0,0 +1,393 @@
+//! The PostgreSQL v3 protocol of one instance, a thread for each connection.
+
+mod extended;
+mod settings;
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use bytes::{BufMut, BytesMut};
+use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, TransactionStatus,
+};
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
+    SslNegotiationMetaMessage,
+};
+use socket2::SockRef;
+use sqlparser::ast::Statement;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::parser::Parser;
+
+use self::extended::{Portal, Prepared};
+use self::settings::SessionSettings;
+use super::connections::Control;
+use super::evaluate::SqlError;
+use super::instance::{Instance, LostAnswer};
+use super::tables::{Column, Row, Value};
+use super::transaction::{Answer, Transaction};
+use super::values::{encode_value, type_size};
+use crate::standin::network::Network;
+
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Texts whose parsed form a connection keeps.
+const PARSED_LIMIT: usize = 256;
+
+/// Accepts connections until `stopping` is set.
+pub fn listen(
+    listener: TcpListener,
+    instance: Arc<Instance>,
+    network: Option<Arc<Network>>,
+    stopping: Arc<AtomicBool>,
+) {
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            if stopping.load(Ordering::Acquire) {
+                return;
+            }
+            let Ok(stream) = stream else { continue };
+            if !instance.is_alive() {
+                reset(&stream);
+                continue;
+            }
+            let outside =
+                network.as_ref().is_some_and(|network| is_outside(network, &stream, &instance));
+            let instance = instance.clone();
+            thread::spawn(move || serve(stream, &instance, outside));
+        }
+    });
+}
+
+/// Whether a caller is of another zone than the instance.
+fn is_outside(network: &Network, stream: &TcpStream, instance: &Instance) -> bool {
+    let peer = stream.peer_addr().ok();
+    peer.and_then(|peer| network.zone_of(peer.ip())).is_none_or(|zone| zone != instance.zone)
+}
+
+/// Makes the close of a connection a reset.
+fn reset(stream: &TcpStream) {
+    // The connection may be gone already.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+struct Client<'a> {
+    instance: &'a Instance,
+    control: Arc<Control>,
+    transaction: Transaction,
+    status: TransactionStatus,
+    output: BytesMut,
+    settings: SessionSettings,
+    parsed: HashMap<String, Arc<[Statement]>>,
+    statements: HashMap<String, Arc<Prepared>>,
+    portals: HashMap<String, Portal>,
+    /// An error was sent; messages are skipped up to the next Sync.
+    skipping: bool,
+    /// What becomes of the answer that is being written.
+    lost_answer: Option<LostAnswer>,
+    /// The caller is of another zone.
+    outside: bool,
+}
+
+fn serve(mut stream: TcpStream, instance: &Instance, outside: bool) {
+    let control = instance.connections.open(&stream);
+    let mut client = Client {
+        instance,
+        transaction: Transaction::new(control.clone()),
+        control: control.clone(),
+        status: TransactionStatus::Idle,
+        output: BytesMut::new(),
+        settings: SessionSettings::default(),
+        parsed: HashMap::new(),
+        statements: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+        lost_answer: None,
+        outside,
+    };
+    // A connection that breaks is the client's affair; its transaction is rolled back below.
+    let _ = client.serve(&mut stream);
+    client.transaction.roll_back(instance);
+    instance.connections.close(&control);
+}
+
+impl Client<'_> {
+    fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut decoding = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+        let mut input = BytesMut::new();
+        let mut chunk = [0_u8; READ_CHUNK_BYTES];
+        loop {
+            while let Some(message) =
+                PgWireFrontendMessage::decode(&mut input, &decoding).map_err(io::Error::other)?
+            {
+                if !self.on_message(message, &mut decoding) {
+                    return self.send_output(stream);
+                }
+            }
+            self.send_output(stream)?;
+            let count = stream.read(&mut chunk)?;
+            if count == 0 || !self.instance.pass_gate(self.outside) {
+                return Ok(());
+            }
+            input.extend_from_slice(&chunk[..count]);
+        }
+    }
+
+    fn send_output(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        if self.output.is_empty() {
+            return Ok(());
+        }
+        if !self.instance.pass_gate(self.outside) {
+            reset(stream);
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        match self.lost_answer.take() {
+            None => stream.write_all(&self.output)?,
+            Some(LostAnswer::Silent) => return wait_for_end(stream),
+            Some(LostAnswer::Reset) => {
+                reset(stream);
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+        }
+        self.output.clear();
+        Ok(())
+    }
+
+    /// Handles one message; false to close.
+    fn on_message(&mut self, message: PgWireFrontendMessage, decoding: &mut DecodeContext) -> bool {
+        match message {
+            PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None) => {
+                decoding.awaiting_frontend_ssl = false;
+            }
+            PgWireFrontendMessage::SslNegotiation(_) => self.output.put_u8(b'N'),
+            PgWireFrontendMessage::Startup(_) => {
+                decoding.awaiting_frontend_startup = false;
+                return self.start_up();
+            }
+            PgWireFrontendMessage::CancelRequest(request) => {
+                if let SecretKey::I32(secret) = request.secret_key {
+                    self.instance.connections.cancel(request.pid, secret);
+                }
+                return false;
+            }
+            PgWireFrontendMessage::Terminate(_) => return false,
+            PgWireFrontendMessage::Sync(_) => self.sync(),
+            _ if self.skipping => {}
+            PgWireFrontendMessage::Query(query) => self.simple_query(&query.query),
+            message if message.is_extended_query() => self.on_extended(message),
+            _ => {
+                self.send_error(&SqlError::unsupported("this message"));
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Sets the connection up; false if it is refused.
+    fn start_up(&mut self) -> bool {
+        if self.instance.connections.count() > self.instance.connection_limit {
+            self.send_severe("FATAL", &SqlError::new("53300", "sorry, too many clients already"));
+            return false;
+        }
+        thread::sleep(self.instance.connection_setup);
+        self.send(PgWireBackendMessage::Authentication(Authentication::Ok));
+        let standby = if self.instance.is_primary() { "off" } else { "on" };
+        for (name, value) in settings::REPORTED.iter().chain([&("in_hot_standby", standby)]) {
+            let status = ParameterStatus::new((*name).to_owned(), (*value).to_owned());
+            self.send(PgWireBackendMessage::ParameterStatus(status));
+        }
+        let key = BackendKeyData::new(self.control.process, SecretKey::I32(self.control.secret));
+        self.send(PgWireBackendMessage::BackendKeyData(key));
+        self.send_ready();
+        true
+    }
+
+    fn send(&mut self, message: PgWireBackendMessage) {
+        message.encode(&mut self.output).expect("a message of the stand-in does not encode");
+    }
+
+    fn send_ready(&mut self) {
+        self.send(PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(self.status)));
+    }
+
+    fn send_error(&mut self, error: &SqlError) {
+        self.send_severe("ERROR", error);
+    }
+
+    fn send_severe(&mut self, severity: &str, error: &SqlError) {
+        let fields = vec![
+            (b'S', severity.to_owned()),
+            (b'V', severity.to_owned()),
+            (b'C', error.state.to_owned()),
+            (b'M', error.message.clone()),
+        ];
+        self.send(PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)));
+    }
+
+    fn parse(&mut self, sql: &str) -> Result<Arc<[Statement]>, SqlError> {
+        if let Some(known) = self.parsed.get(sql) {
+            return Ok(known.clone());
+        }
+        let statements: Arc<[Statement]> = Parser::parse_sql(&PostgreSqlDialect {}, sql)
+            .map_err(|error| SqlError::new("42601", error.to_string()))?
+            .into();
+        if self.parsed.len() >= PARSED_LIMIT {
+            self.parsed.clear();
+        }
+        self.parsed.insert(sql.to_owned(), statements.clone());
+        Ok(statements)
+    }
+
+    fn simple_query(&mut self, sql: &str) {
+        match self.parse(sql) {
+            Err(error) => self.fail(&error),
+            Ok(statements) if statements.is_empty() => {
+                self.send(PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
+            }
+            Ok(statements) => self.run_all(&statements),
+        }
+        self.send_ready();
+    }
+
+    /// Runs the statements of one message: one implicit transaction unless a block is open.
+    fn run_all(&mut self, statements: &[Statement]) {
+        for statement in statements {
+            match self.run(statement, &[]) {
+                Ok(answer) => self.send_answer(answer),
+                Err(error) => return self.fail(&error),
+            }
+        }
+        self.commit_implicit();
+    }
+
+    /// Commits what ran outside a block.
+    fn commit_implicit(&mut self) {
+        if self.status == TransactionStatus::Idle
+            && let Err(error) = self.commit()
+        {
+            self.fail(&error);
+        }
+    }
+
+    fn commit(&mut self) -> Result<(), SqlError> {
+        let writes = self.transaction.has_changes();
+        self.transaction.commit(self.instance)?;
+        if writes {
+            self.lost_answer = self.instance.take_lost_answer();
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self, error: &SqlError) {
+        self.send_error(error);
+        if self.status == TransactionStatus::Idle {
+            self.transaction.roll_back(self.instance);
+        } else {
+            self.status = TransactionStatus::Error;
+        }
+    }
+
+    fn run(&mut self, statement: &Statement, parameters: &[Value]) -> Result<Answer, SqlError> {
+        self.control.begin_statement();
+        match statement {
+            Statement::Commit { .. } | Statement::Rollback { savepoint: None, .. } => {
+                self.end_block(matches!(statement, Statement::Commit { .. }))
+            }
+            Statement::Rollback { savepoint: Some(name), .. } => {
+                self.transaction.roll_back_to(&name.value)?;
+                self.status = TransactionStatus::Transaction;
+                Ok(Answer::tagged("ROLLBACK"))
+            }
+            _ if self.status == TransactionStatus::Error => {
+                Err(SqlError::new("25P02", "current transaction is aborted"))
+            }
+            Statement::StartTransaction { modes, .. } => {
+                self.status = TransactionStatus::Transaction;
+                self.transaction.begin(modes);
+                Ok(Answer::tagged("BEGIN"))
+            }
+            Statement::Savepoint { name } => {
+                if self.status == TransactionStatus::Idle {
+                    return Err(SqlError::new("25P01", "SAVEPOINT can only be used in a block"));
+                }
+                self.transaction.savepoint(&name.value);
+                Ok(Answer::tagged("SAVEPOINT"))
+            }
+            Statement::ReleaseSavepoint { name } => {
+                self.transaction.release(&name.value)?;
+                Ok(Answer::tagged("RELEASE"))
+            }
+            Statement::Discard { .. } => {
+                self.statements.clear();
+                self.portals.clear();
+                self.settings.reset();
+                Ok(Answer::tagged("DISCARD ALL"))
+            }
+            Statement::Set(set) => self.settings.set(set),
+            Statement::Reset(reset) => self.settings.reset_one(reset),
+            Statement::ShowVariable { variable } => self.settings.show(variable),
+            other => self.transaction.run(self.instance, other, parameters),
+        }
+    }
+
+    fn end_block(&mut self, commits: bool) -> Result<Answer, SqlError> {
+        let commits = commits && self.status != TransactionStatus::Error;
+        self.status = TransactionStatus::Idle;
+        if commits {
+            self.commit()?;
+            return Ok(Answer::tagged("COMMIT"));
+        }
+        self.transaction.roll_back(self.instance);
+        Ok(Answer::tagged("ROLLBACK"))
+    }
+
+    fn send_answer(&mut self, answer: Answer) {
+        if let Some(columns) = &answer.columns {
+            self.send_row_description(columns, &[]);
+            for row in &answer.rows {
+                self.send_row(row, columns, &[]);
+            }
+        }
+        self.send(PgWireBackendMessage::CommandComplete(CommandComplete::new(answer.tag)));
+    }
+
+    fn send_row_description(&mut self, columns: &[Column], formats: &[i16]) {
+        let fields = columns.iter().enumerate().map(|(index, column)| {
+            let (size, format) = (type_size(column.type_id), format_of(formats, index));
+            FieldDescription::new(column.name.clone(), 0, 0, column.type_id, size, -1, format)
+        });
+        let description = RowDescription::new(fields.collect());
+        self.send(PgWireBackendMessage::RowDescription(description));
+    }
+
+    fn send_row(&mut self, row: &Row, columns: &[Column], formats: &[i16]) {
+        let mut data = BytesMut::new();
+        for (index, (value, column)) in row.iter().zip(columns).enumerate() {
+            encode_value(value, column.type_id, format_of(formats, index), &mut data);
+        }
+        self.send(PgWireBackendMessage::DataRow(DataRow::new(data, row.len() as i16)));
+    }
+}
+
+/// Reads and drops what the client sends until it goes or the connection is broken off.
+fn wait_for_end(stream: &mut TcpStream) -> io::Result<()> {
+    let mut chunk = [0_u8; READ_CHUNK_BYTES];
+    while stream.read(&mut chunk)? > 0 {}
+    Err(io::ErrorKind::ConnectionReset.into())
+}
+
+/// Format of the column at `index`: none given means text, one given holds for all.
+fn format_of(formats: &[i16], index: usize) -> i16 {
+    match formats {
+        [] => 0,
+        [all] => *all,
+        each => each.get(index).copied().unwrap_or(0),
+    }
+}
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -3,4 +3,5 @@
 //! They know nothing of the proxy.
 
 pub mod group;
+pub mod network;
 pub mod store;
--- /dev/null
+++ b/crates/lab/src/standin/network/datagrams.rs
@@ -0,0 +1,149 @@
+//! Relay of datagrams to one address.
+//!
+//! Each sender gets a socket at its own address, from which its datagrams go to the target. What
+//! the target sends back there returns to the sender.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, UdpSocket as StdUdpSocket};
+use std::time::Instant;
+
+use mio::Interest;
+use mio::net::UdpSocket;
+use rand::RngExt;
+
+use super::event_loop::{Due, Part, RelayKey, Shared};
+use super::links::ZoneNumber;
+
+const DATAGRAM_BYTES: usize = 64 * 1024;
+
+/// A socket that stands for one sender towards the target.
+#[derive(Debug)]
+pub struct Session {
+    /// Key of the relay.
+    pub relay: usize,
+    socket: UdpSocket,
+    sender: SocketAddr,
+}
+
+/// Where a datagram on its way goes.
+#[derive(Debug)]
+enum Route {
+    ToTarget { session: usize },
+    Back { sender: SocketAddr },
+}
+
+#[derive(Debug)]
+struct Datagram {
+    route: Route,
+    bytes: Vec<u8>,
+}
+
+/// Order in which datagrams arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Arrival {
+    at: Instant,
+    number: u64,
+}
+
+/// A relay of datagrams to one address.
+#[derive(Debug)]
+pub struct DatagramRelay {
+    zone: ZoneNumber,
+    socket: UdpSocket,
+    target: SocketAddr,
+    sessions: HashMap<SocketAddr, usize>,
+    in_flight: BTreeMap<Arrival, Datagram>,
+    next_number: u64,
+}
+
+impl DatagramRelay {
+    /// A relay from `socket` to `target`, which is in `zone`.
+    pub fn new(zone: ZoneNumber, socket: UdpSocket, target: SocketAddr) -> Self {
+        let (sessions, in_flight) = (HashMap::new(), BTreeMap::new());
+        Self { zone, socket, target, sessions, in_flight, next_number: 0 }
+    }
+
+    /// Takes in what senders sent.
+    pub fn receive(&mut self, key: usize, shared: &mut Shared) {
+        let mut buffer = vec![0_u8; DATAGRAM_BYTES];
+        while let Ok((count, sender)) = self.socket.recv_from(&mut buffer) {
+            let Some(session) = self.session(key, sender, shared) else { continue };
+            let from = shared.links.zone_or(sender.ip(), self.zone);
+            let datagram =
+                Datagram { route: Route::ToTarget { session }, bytes: buffer[..count].to_vec() };
+            self.send(key, from, self.zone, datagram, shared);
+        }
+        self.deliver(shared);
+    }
+
+    /// Takes in what the target sent to one sender's socket.
+    pub fn receive_answers(&mut self, key: usize, session: usize, shared: &mut Shared) {
+        let mut buffer = vec![0_u8; DATAGRAM_BYTES];
+        loop {
+            let Some(Part::Session(known)) = shared.parts.get(session) else { return };
+            let Ok(count) = known.socket.recv(&mut buffer) else { break };
+            let sender = known.sender;
+            let to = shared.links.zone_or(sender.ip(), self.zone);
+            let datagram =
+                Datagram { route: Route::Back { sender }, bytes: buffer[..count].to_vec() };
+            self.send(key, self.zone, to, datagram, shared);
+        }
+        self.deliver(shared);
+    }
+
+    fn session(&mut self, relay: usize, sender: SocketAddr, shared: &mut Shared) -> Option<usize> {
+        if let Some(known) = self.sessions.get(&sender) {
+            return Some(*known);
+        }
+        let socket = StdUdpSocket::bind((sender.ip(), 0)).ok()?;
+        socket.connect(self.target).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        let mut socket = UdpSocket::from_std(socket);
+        let entry = shared.parts.vacant_entry();
+        let key = entry.key();
+        shared.registry.register(&mut socket, Shared::token(key), Interest::READABLE).ok()?;
+        entry.insert(Part::Session(Session { relay, socket, sender }));
+        self.sessions.insert(sender, key);
+        Some(key)
+    }
+
+    fn send(
+        &mut self,
+        key: usize,
+        from: ZoneNumber,
+        to: ZoneNumber,
+        datagram: Datagram,
+        shared: &mut Shared,
+    ) {
+        let link = shared.links.get(from, to);
+        if link.cut || (link.loss > 0.0 && shared.random.random::<f64>() < link.loss) {
+            return;
+        }
+        let at = Instant::now() + link.delay;
+        self.in_flight.insert(Arrival { at, number: self.next_number }, datagram);
+        self.next_number += 1;
+        if !link.delay.is_zero() {
+            shared.due.push(Reverse(Due { at, relay: RelayKey::Datagrams(key) }));
+        }
+    }
+
+    /// Hands over what has arrived.
+    pub fn deliver(&mut self, shared: &mut Shared) {
+        let now = Instant::now();
+        while let Some(first) = self.in_flight.first_entry() {
+            if first.key().at > now {
+                return;
+            }
+            let datagram = first.remove();
+            // A datagram that cannot be handed over is lost, as datagrams may be.
+            let _ = match datagram.route {
+                Route::Back { sender } => self.socket.send_to(&datagram.bytes, sender),
+                Route::ToTarget { session } => match shared.parts.get(session) {
+                    Some(Part::Session(session)) => session.socket.send(&datagram.bytes),
+                    _ => continue,
+                },
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/standin/network/mod.rs
@@ -0,0 +1,212 @@
+//! A network between zones: relays on loopback with delay, loss and cuts.
+//!
+//! Zone k owns 127.(10+k).0.0/16. A relay tells the zone of a caller by its source address, and
+//! calls its target from that same address, so that the target can tell it too. A cut is silence:
+//! nothing is reset, what was under way waits, and goes on when the cut heals.
+
+mod datagrams;
+mod event_loop;
+pub mod links;
+mod streams;
+
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crossbeam::channel::{Sender, unbounded};
+use kestrellock_core::ids::ZoneName;
+use mio::{Poll, Waker};
+
+use self::event_loop::{EventLoop, NewRelay, WAKE_TOKEN};
+use self::links::{Links, ZoneNumber};
+
+/// Second octet of the first zone's addresses.
+const FIRST_ZONE_OCTET: usize = 10;
+/// Host part at which relays listen.
+const RELAY_HOST: u16 = 1;
+/// Attempts to find a port that is free for both TCP and UDP.
+const PORT_ATTEMPTS: usize = 50;
+
+/// Zones on loopback and the links between them.
+#[derive(Debug)]
+pub struct Network {
+    zones: Vec<ZoneName>,
+    links: Arc<Links>,
+    relays: Sender<NewRelay>,
+    waker: Arc<Waker>,
+    event_loop: Option<JoinHandle<()>>,
+}
+
+impl Network {
+    /// Zones without delay, loss or cuts. Losses are drawn from `seed`.
+    pub fn new(zones: &[ZoneName], seed: u64) -> io::Result<Arc<Self>> {
+        let links = Arc::new(Links::new(zones.len()));
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKE_TOKEN)?);
+        let (relays, new_relays) = unbounded();
+        let event_loop = EventLoop::new(poll, new_relays, links.clone(), seed);
+        let event_loop =
+            thread::Builder::new().name("network".into()).spawn(move || event_loop.run())?;
+        Ok(Arc::new(Self {
+            zones: zones.to_vec(),
+            links,
+            relays,
+            waker,
+            event_loop: Some(event_loop),
+        }))
+    }
+
+    /// Names of the zones.
+    pub fn zones(&self) -> &[ZoneName] {
+        &self.zones
+    }
+
+    fn number(&self, zone: &ZoneName) -> ZoneNumber {
+        let found = self.zones.iter().position(|known| known == zone);
+        ZoneNumber(found.unwrap_or_else(|| panic!("{zone} is no zone of this network")))
+    }
+
+    /// The address of a host in a zone; hosts count from 2, below them are relays.
+    pub fn address(&self, zone: &ZoneName, host: u16) -> Ipv4Addr {
+        let octet = (FIRST_ZONE_OCTET + self.number(zone).0) as u8;
+        let [high, low] = host.to_be_bytes();
+        Ipv4Addr::new(127, octet, high, low)
+    }
+
+    /// The zone of an address, if it is of one.
+    pub fn zone_of(&self, address: IpAddr) -> Option<ZoneName> {
+        let number = links::zone_of(address, self.zones.len())?;
+        Some(self.zones[number.0].clone())
+    }
+
+    /// Makes a TCP address reachable for other zones. Returns the address to call.
+    pub fn expose_tcp(&self, zone: &ZoneName, target: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((self.address(zone, RELAY_HOST), 0))?;
+        let address = listener.local_addr()?;
+        self.add_listener(zone, listener, target)?;
+        Ok(address)
+    }
+
+    /// Makes a UDP address reachable for other zones. Returns the address to send to.
+    pub fn expose_udp(&self, zone: &ZoneName, target: SocketAddr) -> io::Result<SocketAddr> {
+        let socket = UdpSocket::bind((self.address(zone, RELAY_HOST), 0))?;
+        let address = socket.local_addr()?;
+        self.add_socket(zone, socket, target)?;
+        Ok(address)
+    }
+
+    /// Makes an address reachable for other zones over both TCP and UDP, at one port.
+    pub fn expose(&self, zone: &ZoneName, target: SocketAddr) -> io::Result<SocketAddr> {
+        let host = self.address(zone, RELAY_HOST);
+        for _ in 0..PORT_ATTEMPTS {
+            let listener = TcpListener::bind((host, 0))?;
+            let address = listener.local_addr()?;
+            if let Ok(socket) = UdpSocket::bind(address) {
+                self.add_listener(zone, listener, target)?;
+                self.add_socket(zone, socket, target)?;
+                return Ok(address);
+            }
+        }
+        Err(io::ErrorKind::AddrInUse.into())
+    }
+
+    fn add_listener(
+        &self,
+        zone: &ZoneName,
+        listener: TcpListener,
+        target: SocketAddr,
+    ) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let listener = mio::net::TcpListener::from_std(listener);
+        self.add(NewRelay::Tcp { zone: self.number(zone), listener, target })
+    }
+
+    fn add_socket(&self, zone: &ZoneName, socket: UdpSocket, target: SocketAddr) -> io::Result<()> {
+        socket.set_nonblocking(true)?;
+        let socket = mio::net::UdpSocket::from_std(socket);
+        self.add(NewRelay::Udp { zone: self.number(zone), socket, target })
+    }
+
+    fn add(&self, relay: NewRelay) -> io::Result<()> {
+        self.relays.send(relay).map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        self.waker.wake()
+    }
+
+    /// Tells the event loop that links changed.
+    fn links_changed(&self) {
+        self.waker.wake().expect("the event loop of the network cannot be woken");
+    }
+
+    /// Sets the one-way delay from one zone to another.
+    pub fn set_delay(&self, from: &ZoneName, to: &ZoneName, delay: Duration) {
+        self.links.change(self.number(from), self.number(to), |link| link.delay = delay);
+        self.links_changed();
+    }
+
+    /// Sets the one-way delay between every two different zones, both ways.
+    pub fn set_delay_everywhere(&self, delay: Duration) {
+        for from in &self.zones {
+            for to in self.zones.iter().filter(|to| *to != from) {
+                self.set_delay(from, to, delay);
+            }
+        }
+    }
+
+    /// Sets the share of datagrams lost from one zone to another.
+    pub fn set_loss(&self, from: &ZoneName, to: &ZoneName, loss: f64) {
+        self.links.change(self.number(from), self.number(to), |link| link.loss = loss);
+        self.links_changed();
+    }
+
+    /// Cuts the way from one zone to another, and leaves the way back.
+    pub fn cut_one_way(&self, from: &ZoneName, to: &ZoneName) {
+        self.set_cut(from, to, true);
+    }
+
+    /// Cuts two zones off from each other.
+    pub fn cut(&self, one: &ZoneName, other: &ZoneName) {
+        self.set_cut(one, other, true);
+        self.set_cut(other, one, true);
+    }
+
+    /// Heals the link between two zones, both ways.
+    pub fn heal(&self, one: &ZoneName, other: &ZoneName) {
+        self.set_cut(one, other, false);
+        self.set_cut(other, one, false);
+    }
+
+    /// Cuts a zone off from every other.
+    pub fn cut_zone(&self, zone: &ZoneName) {
+        self.zones.iter().filter(|other| *other != zone).for_each(|other| self.cut(zone, other));
+    }
+
+    /// Heals every link of a zone.
+    pub fn heal_zone(&self, zone: &ZoneName) {
+        self.zones.iter().filter(|other| *other != zone).for_each(|other| self.heal(zone, other));
+    }
+
+    fn set_cut(&self, from: &ZoneName, to: &ZoneName, cut: bool) {
+        self.links.change(self.number(from), self.number(to), |link| link.cut = cut);
+        self.links_changed();
+    }
+
+    /// One-way delay from one zone to another, or `None` if that way is cut.
+    pub fn delay(&self, from: &ZoneName, to: &ZoneName) -> Option<Duration> {
+        let link = self.links.get(self.number(from), self.number(to));
+        (!link.cut).then_some(link.delay)
+    }
+}
+
+impl Drop for Network {
+    fn drop(&mut self) {
+        self.links.stop();
+        // Without a waker the loop still ends at its next time-out.
+        let _ = self.waker.wake();
+        if let Some(event_loop) = self.event_loop.take() {
+            // A loop that panicked has said so itself.
+            let _ = event_loop.join();
+        }
+    }
+}
