Truthful outcomes at front and gateway, numbered probes, and no work past a deadline

What went wrong before, and now does not: - A statement inside an open transaction, lost with its connection, was reported in doubt although its commit had not been sent. Classification now tells statements that cannot end a transaction from text that may (several statements, unknown text). - An error answer waited for a confirmation that it does not need; it was even reported in doubt when only the position query behind it was lost. - A commit hidden in an exchange believed unable to commit was acknowledged without confirmation: a COMMIT tag in any answer now asks for the position. - The end of a read-only transaction on a replica raised the session bound to the replica's position as if confirmed. - A commit whose position query failed waited for its deadline; it is in doubt at once. - A broken connection reported 'in doubt' when not one byte had left. - A paused gateway that resumed ran queued work whose time was over: the clock is read again just before sending, and the time left shrinks while queued. What is left is a message still in the socket buffer of a paused gateway, whose relative time left starts when it is read; the front has reported such a write in doubt, never as not run. - A probe sent and a commit answered in the same turn of the event loop carried the same time; probes are numbered instead. Waiting commits are probed for at once and then every millisecond, not at each tick of 10 ms. - A lost peer left its open transactions holding connections; every shard now rolls them back. An abandoned idle transaction is rolled back and its connection reused; with an exchange under way the connection is closed. - A back end that hangs is given up 50 ms after the deadline.

A statement that surely has not run (unsent, read-only server, moved gateway) is held and goes out again until its deadline.

--- a/crates/core/src/classify.rs
+++ b/crates/core/src/classify.rs
@@ -20,14 +20,29 @@
     Commit,
     /// Ends a transaction, discarding its changes.
     Rollback,
-    /// Everything else.
+    /// May change something, but neither opens nor ends a transaction.
     Write,
+    /// Several statements, or text that is not known well enough: may do anything.
+    Unknown,
 }
 
 impl StatementClass {
     /// The class of a batch that does `self` and then `next`.
     pub fn then(self, next: Self) -> Self {
-        if self == Self::Read && next == Self::Read { Self::Read } else { Self::Write }
+        match (self, next) {
+            (Self::Read, Self::Read) => Self::Read,
+            (Self::Read | Self::Write, Self::Read | Self::Write) => Self::Write,
+            _ => Self::Unknown,
+        }
+    }
+
+    /// Whether it may commit something; `open` if it runs inside an open transaction.
+    pub fn may_commit(self, open: bool) -> bool {
+        match self {
+            Self::Begin | Self::BeginReadOnly | Self::Rollback => false,
+            Self::Read | Self::Write => !open,
+            Self::Commit | Self::Unknown => true,
+        }
     }
 
     /// Whether a transaction that has written nothing still has not after this.
@@ -63,12 +78,16 @@
 /// Classifies the text of one simple query, which may hold several statements.
 pub fn classify(sql: &str) -> StatementClass {
     let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
-        return StatementClass::Write;
+        return StatementClass::Unknown;
     };
     match statements.as_slice() {
         [] => StatementClass::Read,
         [statement] => classify_statement(statement),
-        _ => StatementClass::Write,
+        several => several
+            .iter()
+            .map(classify_statement)
+            .reduce(StatementClass::then)
+            .map_or(StatementClass::Unknown, at_least_write),
     }
 }
 
@@ -81,10 +100,28 @@
         }
         Statement::Commit { .. } => StatementClass::Commit,
         Statement::Rollback { savepoint: None, .. } => StatementClass::Rollback,
-        _ => StatementClass::Write,
+        Statement::Query(_)
+        | Statement::Insert(_)
+        | Statement::Update(_)
+        | Statement::Delete(_)
+        | Statement::Merge(_)
+        | Statement::Truncate(_)
+        | Statement::CreateTable(_)
+        | Statement::CreateIndex(_)
+        | Statement::AlterTable(_)
+        | Statement::Drop { .. }
+        | Statement::Savepoint { .. }
+        | Statement::ReleaseSavepoint { .. }
+        | Statement::Rollback { savepoint: Some(_), .. } => StatementClass::Write,
+        _ => StatementClass::Unknown,
     }
 }
 
+/// Several reads in one message go to the primary too: the position of each would count.
+fn at_least_write(class: StatementClass) -> StatementClass {
+    if class == StatementClass::Read { StatementClass::Write } else { class }
+}
+
 fn is_pure_read(query: &Query) -> bool {
     query.visit(&mut ImpureFinder).is_continue()
 }
--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -84,6 +84,11 @@
         self.position
     }
 
+    /// The first probe whose answer counts.
+    pub fn first_probe(&self) -> ProbeNumber {
+        self.first_probe
+    }
+
     /// Takes in what an instance answered; `majority` is the group's.
     pub fn on_evidence(&mut self, evidence: Evidence, majority: usize) -> Verdict {
         if self.counts(&evidence) {
--- a/crates/daemon/src/front/batch.rs
+++ b/crates/daemon/src/front/batch.rs
@@ -155,7 +155,7 @@
             .portals
             .iter()
             .find(|portal| portal.name == name)
-            .map_or(StatementClass::Write, |portal| portal.class);
+            .map_or(StatementClass::Unknown, |portal| portal.class);
         self.executed = Some(combine(self.executed, class));
         self.needs_back_end = true;
         self.messages.extend_from_slice(&frame.bytes);
--- a/crates/daemon/src/front/classes.rs
+++ b/crates/daemon/src/front/classes.rs
@@ -30,7 +30,7 @@
         let (key, class) = match self.older.remove_entry(text) {
             Some(known) => known,
             None => {
-                let class = std::str::from_utf8(text).map_or(StatementClass::Write, classify);
+                let class = std::str::from_utf8(text).map_or(StatementClass::Unknown, classify);
                 if text.len() > MAX_TEXT_BYTES {
                     return class;
                 }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -14,8 +14,7 @@
 use std::time::Duration;
 
 use kestrellock_core::ids::{LeaseId, NodeName};
-use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_peer::message::{Exchange, LeaseEvent, ToFront};
+use kestrellock_peer::message::{Exchange, ToFront};
 use slab::Slab;
 
 use crate::context::Identity;
@@ -89,7 +88,7 @@
         // A lease that has ended has no entry: its late answers stop here.
         let Some(&key) = self.leases.get(&lease) else { return };
         let Some(session) = self.sessions.get_mut(key) else { return };
-        session.on_lease_event(sequence, event);
+        session.on_lease_event(sequence, event, io);
         self.advance(key, io);
     }
 
@@ -97,8 +96,7 @@
     pub fn on_unsent(&mut self, exchange: &Exchange, io: &mut Io) {
         let Some(&key) = self.leases.get(&exchange.lease) else { return };
         let Some(session) = self.sessions.get_mut(key) else { return };
-        let refusal = Refusal::new(ResultCode::NotSent, "no connection to the gateway");
-        session.end_lease(LeaseEvent::Refused(refusal));
+        session.on_unsent(io);
         self.advance(key, io);
     }
 
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -3,8 +3,11 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::classify::StatementClass;
+use kestrellock_core::exchange_state::{
+    Effect, Fault, Progress, Stake, failure_code, may_go_out_again,
+};
 use kestrellock_core::ids::{LeaseId, NodeName};
-use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::outcome::{Execution, Refusal, ResultCode};
 use kestrellock_core::position::Position;
 use kestrellock_core::routing::Access;
 use kestrellock_core::session::SessionBound;
@@ -15,10 +18,15 @@
 use super::startup::{self, Login, StartupStep};
 use super::target::{self, Subscriptions, Target};
 use super::{GATEWAY_GRACE, answer};
+use crate::gateway::running::stake_of;
 use crate::net::connection::Connection;
+use crate::policy::Policy;
 use crate::shard::{Io, Outgoing};
 
 const STARTUP_LIMIT: Duration = Duration::from_secs(10);
+/// Time before a statement that surely has not run goes out again.
+const RESEND_INTERVAL: Duration = Duration::from_millis(5);
+const NOTHING_AT_STAKE: Stake = Stake { effect: Effect::Read, continues_transaction: false };
 
 /// Whether the session goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +64,12 @@
     collector: Collector,
     /// The open transaction's connection was lost: only its end is accepted.
     transaction_lost: bool,
+    /// What the exchange under way puts at stake.
+    stake: Stake,
+    /// Whether part of its answer has been passed on.
+    answer_begun: bool,
+    /// Earliest time to send a held request.
+    hold_until: Option<Instant>,
 }
 
 impl Session {
@@ -72,6 +86,9 @@
             request: None,
             collector: Collector::default(),
             transaction_lost: false,
+            stake: NOTHING_AT_STAKE,
+            answer_begun: false,
+            hold_until: None,
         }
     }
 
@@ -209,12 +226,14 @@
             return;
         }
         if io.now > request.deadline {
-            let refusal =
-                Refusal::new(ResultCode::NoPrimary, "no instance could take the statement");
+            let code = failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline);
+            let refusal = Refusal::new(code, "no instance could take the statement");
             self.end_lease(LeaseEvent::Refused(refusal));
             return;
         }
-        self.send_request(new_lease, io);
+        if self.hold_until.is_none_or(|until| io.now >= until) {
+            self.send_request(new_lease, io);
+        }
     }
 
     /// Whether an exchange is under way with a gateway of `node`.
@@ -225,21 +244,43 @@
 
     /// The connection to the gateway of the exchange under way closed.
     pub fn on_gateway_lost(&mut self, io: &mut Io) {
-        self.end_unanswered("the connection to the gateway was lost", io);
+        self.end_unanswered(Fault::GatewayLost, "the connection to the gateway was lost", io);
+    }
+
+    /// The request could not be handed to the gateway's node.
+    pub fn on_unsent(&mut self, io: &mut Io) {
+        let code = failure_code(self.stake, Progress::Held, Fault::GatewayLost);
+        self.on_refused(Refusal::new(code, "no connection to the gateway"), io);
     }
 
     fn on_silent_gateway(&mut self, io: &mut Io) {
-        self.end_unanswered("the gateway did not answer in time", io);
+        self.end_unanswered(Fault::GatewaySilent, "the gateway did not answer in time", io);
     }
 
-    /// Ends an exchange that the gateway may have run.
-    fn end_unanswered(&mut self, detail: &str, io: &mut Io) {
-        let write =
-            self.request.as_ref().is_some_and(|request| request.class != StatementClass::Read);
-        let code =
-            if write { ResultCode::GatewaySilentInDoubt } else { ResultCode::ReadInterrupted };
+    /// Ends an exchange that the gateway may have run. The lease is over: nothing more goes out on
+    /// it, so a transaction whose commit has not been sent cannot commit any more.
+    fn end_unanswered(&mut self, fault: Fault, detail: &str, io: &mut Io) {
+        let code = failure_code(self.stake, Progress::HandedOver, fault);
         self.abandon(io);
-        self.end_lease(LeaseEvent::Refused(Refusal::new(code, detail)));
+        self.on_refused(Refusal::new(code, detail), io);
+    }
+
+    /// Holds the request for another instance or gateway where that is safe, or ends it.
+    fn on_refused(&mut self, refusal: Refusal, io: &Io) {
+        let unfinished_read =
+            refusal.code == ResultCode::ReadInterrupted && !self.stake.continues_transaction;
+        let unsafe_resend = io.context.policy == Policy::ResendOnError
+            && refusal.code.execution() == Execution::InDoubt
+            && !self.stake.continues_transaction;
+        let again = may_go_out_again(self.stake, refusal.code) || unfinished_read || unsafe_resend;
+        match &mut self.request {
+            Some(request) if again && !self.answer_begun && io.now < request.deadline => {
+                request.sent = false;
+                self.hold_until = Some(io.now + RESEND_INTERVAL);
+                self.drop_lease();
+            }
+            _ => self.end_lease(LeaseEvent::Refused(refusal)),
+        }
     }
 
     /// What the request needs, given the lease in use.
@@ -268,6 +309,7 @@
         }
         let Some(lease) = &mut self.lease else { return };
         lease.read_only &= !writes;
+        let open = self.transaction != TransactionState::Idle;
         let values = &login.parameters.values;
         let exchange = Exchange {
             lease: lease.id.clone(),
@@ -280,8 +322,10 @@
             statements: request.statements.clone(),
             frames: request.messages.clone(),
             ready_expected: 1,
-            may_commit: writes && request.executes && request.class != StatementClass::Begin,
+            may_commit: writes && request.executes && request.class.may_commit(open),
         };
+        self.stake = stake_of(&exchange);
+        self.answer_begun = false;
         lease.next_exchange += 1;
         let message = ToGateway {
             from: io.context.identity.node.clone(),
@@ -295,24 +339,26 @@
     }
 
     /// Takes in news of the lease. A gap in the sequence means that part of an answer was lost.
-    pub fn on_lease_event(&mut self, sequence: u32, event: LeaseEvent) {
+    pub fn on_lease_event(&mut self, sequence: u32, event: LeaseEvent, io: &mut Io) {
         let Some(lease) = &mut self.lease else { return };
         if sequence != lease.next_sequence {
-            let refusal =
-                Refusal::new(ResultCode::GatewaySilentInDoubt, "part of the answer was lost");
-            self.end_lease(LeaseEvent::Refused(refusal));
-            return;
+            return self.end_unanswered(Fault::AnswerLost, "part of the answer was lost", io);
         }
         lease.next_sequence += 1;
         match event {
-            LeaseEvent::Part(frames) => self.connection.output.extend_from_slice(&frames),
-            LeaseEvent::Done { .. } | LeaseEvent::Refused(_) => self.end_lease(event),
+            LeaseEvent::Part(frames) => {
+                self.answer_begun = true;
+                self.connection.output.extend_from_slice(&frames);
+            }
+            LeaseEvent::Refused(refusal) => self.on_refused(refusal, io),
+            LeaseEvent::Done { .. } => self.end_lease(event),
         }
     }
 
     /// Ends the exchange under way, and the lease unless a transaction stays open.
-    pub fn end_lease(&mut self, event: LeaseEvent) {
+    fn end_lease(&mut self, event: LeaseEvent) {
         let request = self.request.take();
+        self.hold_until = None;
         match event {
             LeaseEvent::Part(_) => {}
             LeaseEvent::Done { frames, transaction, confirmed } => {
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -1,16 +1,21 @@
 //! Commits whose answers wait until a majority of the group has confirmed them.
 
-use std::collections::HashSet;
 use std::time::Instant;
 
 use bytes::Bytes;
-use kestrellock_core::ids::{InstanceName, LeaseId};
-use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_core::position::Position;
+use kestrellock_core::catalog::Group;
+use kestrellock_core::confirmation::{Confirmation, Evidence, ProbeNumber, Verdict};
+use kestrellock_core::exchange_state::{Effect, Fault, Progress, Stake, failure_code};
+use kestrellock_core::ids::{InstanceName, LeaseId, NodeName};
+use kestrellock_core::outcome::Refusal;
+use kestrellock_core::position::{Position, Term};
+use kestrellock_core::routing::Role;
 use kestrellock_peer::message::{LeaseEvent, TransactionState};
 
 use super::notify;
+use super::probe::Report;
 use super::server::ProbeAnswer;
+use crate::policy::Policy;
 use crate::shard::Io;
 
 /// A commit that its primary has answered.
@@ -20,27 +25,30 @@
     pub lease: LeaseId,
     /// Number of the message that will answer it.
     pub sequence: u32,
-    /// Primary that ran it.
+    /// Instance that ran it.
     pub instance: InstanceName,
-    /// Position the primary had flushed after it; `None` if it did not say.
-    pub position: Option<Position>,
+    /// What the instance said of itself right after; `None` if it did not say.
+    pub report: Option<Report>,
     /// Latest time to answer.
     pub deadline: Instant,
     /// The answer held back.
     pub frames: Bytes,
+    /// Transaction state after it.
+    pub transaction: TransactionState,
 }
 
 #[derive(Debug)]
 struct Waiting {
     commit: Commit,
-    answered: Instant,
-    confirmed_by: HashSet<InstanceName>,
+    confirmation: Confirmation,
 }
 
 /// Commits of one group that wait for confirmation.
 #[derive(Debug, Default)]
 pub struct Confirmations {
     waiting: Vec<Waiting>,
+    highest_term: Term,
+    last_probe: ProbeNumber,
 }
 
 impl Confirmations {
@@ -49,10 +57,45 @@
         !self.waiting.is_empty()
     }
 
-    /// Adds a commit answered at `now`; its own primary counts as the first confirmation.
-    pub fn wait_for(&mut self, commit: Commit, now: Instant) {
-        let confirmed_by = HashSet::from([commit.instance.clone()]);
-        self.waiting.push(Waiting { commit, answered: now, confirmed_by });
+    /// The first probe that the newest waiting commit counts.
+    pub fn wanted_probe(&self) -> Option<ProbeNumber> {
+        self.waiting.iter().map(|waiting| waiting.confirmation.first_probe()).max()
+    }
+
+    /// Highest term that any instance has reported.
+    pub fn highest_term(&self) -> Term {
+        self.highest_term
+    }
+
+    /// Number for a probe that is about to be sent.
+    pub fn next_probe(&mut self) -> ProbeNumber {
+        self.last_probe = self.last_probe.next();
+        self.last_probe
+    }
+
+    /// Adds a commit; its own primary, which reported after it, is the first to confirm.
+    pub fn wait_for(&mut self, commit: Commit, group: &Group, io: &mut Io) {
+        let Some(report) = commit.report else {
+            return refuse(commit, Progress::Answered, Fault::BackendLost, io);
+        };
+        // Nothing commits on a replica.
+        if report.role == Role::Replica {
+            return acknowledge(commit, None, io);
+        }
+        let position = report.flushed;
+        if io.context.policy == Policy::NoConfirmation {
+            return acknowledge(commit, Some(position), io);
+        }
+        if position.term < self.highest_term {
+            return refuse(commit, Progress::Unconfirmed, Fault::Superseded, io);
+        }
+        let first_probe = self.last_probe.next();
+        let instance = commit.instance.clone();
+        let confirmation = Confirmation::new(instance, position, group.confirmation, first_probe);
+        if confirmation.verdict(group.majority()) == Verdict::Confirmed {
+            return acknowledge(commit, Some(position), io);
+        }
+        self.waiting.push(Waiting { commit, confirmation });
     }
 
     /// Drops a commit whose caller is gone.
@@ -60,46 +103,62 @@
         self.waiting.retain(|waiting| waiting.commit.lease != *lease);
     }
 
-    /// Counts a report that was asked for after a commit towards that commit, and answers those
-    /// that a majority has confirmed.
-    pub fn on_report(&mut self, instance: &InstanceName, answer: &ProbeAnswer, io: &mut Io) {
-        let catalog = io.context.catalog.load();
-        let Some((group, _)) = catalog.instance(instance) else { return };
-        let majority = catalog.groups[group].majority();
-        for waiting in &mut self.waiting {
-            let Some(position) = waiting.commit.position else { continue };
-            let flushed = answer.report.flushed;
-            if answer.asked >= waiting.answered
-                && flushed.term == position.term
-                && flushed.offset >= position.offset
-            {
-                waiting.confirmed_by.insert(instance.clone());
+    /// Drops the commits of a front that cannot be reached.
+    pub fn forget_node(&mut self, node: &NodeName) {
+        self.waiting.retain(|waiting| waiting.commit.lease.node != *node);
+    }
+
+    /// Takes in an instance's answer, and answers the commits that it decides.
+    pub fn on_report(
+        &mut self,
+        instance: &InstanceName,
+        answer: &ProbeAnswer,
+        group: &Group,
+        io: &mut Io,
+    ) {
+        let flushed = answer.report.flushed;
+        self.highest_term = self.highest_term.max(flushed.term);
+        let evidence = Evidence { instance, probe: answer.number, flushed };
+        let mut kept = Vec::new();
+        for mut waiting in std::mem::take(&mut self.waiting) {
+            match waiting.confirmation.on_evidence(evidence, group.majority()) {
+                Verdict::Waiting => kept.push(waiting),
+                Verdict::Confirmed => {
+                    let position = waiting.confirmation.position();
+                    acknowledge(waiting.commit, Some(position), io);
+                }
+                Verdict::Superseded(_) => {
+                    refuse(waiting.commit, Progress::Unconfirmed, Fault::Superseded, io);
+                }
             }
         }
-        let (done, kept) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|waiting| waiting.confirmed_by.len() >= majority);
         self.waiting = kept;
-        for Waiting { commit, .. } in done {
-            let transaction = TransactionState::Idle;
-            let event =
-                LeaseEvent::Done { frames: commit.frames, transaction, confirmed: commit.position };
-            notify(&commit.lease, commit.sequence, event, io);
-        }
     }
 
     /// Answers commits whose time is up: in doubt.
     pub fn expire(&mut self, io: &mut Io) {
-        let (late, kept) = std::mem::take(&mut self.waiting)
+        let (late, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
             .into_iter()
             .partition(|waiting| waiting.commit.deadline <= io.now);
         self.waiting = kept;
-        for Waiting { commit, .. } in late {
-            let refusal = Refusal::new(
-                ResultCode::UnconfirmedInDoubt,
-                "no majority confirmed the commit in time",
-            );
-            notify(&commit.lease, commit.sequence, LeaseEvent::Refused(refusal), io);
+        for waiting in late {
+            refuse(waiting.commit, Progress::Unconfirmed, Fault::Deadline, io);
         }
     }
 }
+
+fn acknowledge(commit: Commit, confirmed: Option<Position>, io: &mut Io) {
+    let Commit { lease, sequence, frames, transaction, .. } = commit;
+    notify(&lease, sequence, LeaseEvent::Done { frames, transaction, confirmed }, io);
+}
+
+fn refuse(commit: Commit, progress: Progress, fault: Fault, io: &mut Io) {
+    let stake = Stake { effect: Effect::MayCommit, continues_transaction: false };
+    let detail = match fault {
+        Fault::Superseded => "a new primary appeared before a majority confirmed the commit",
+        Fault::Deadline => "no majority confirmed the commit in time",
+        _ => "the primary did not say where the commit stands",
+    };
+    let refusal = Refusal::new(failure_code(stake, progress, fault), detail);
+    notify(&commit.lease, commit.sequence, LeaseEvent::Refused(refusal), io);
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,12 +5,15 @@
 pub mod pool;
 pub mod prepared;
 pub mod probe;
+pub mod running;
 pub mod server;
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use kestrellock_core::catalog::{Catalog, Group};
-use kestrellock_core::ids::{GroupName, LeaseId};
+use kestrellock_core::exchange_state::Fault;
+use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToFront, ToGateway};
 use slab::Slab;
@@ -27,7 +30,7 @@
 #[derive(Debug)]
 pub struct GroupGateway {
     monitor: Monitor,
-    pools: HashMap<kestrellock_core::ids::InstanceName, Pool>,
+    pools: HashMap<InstanceName, Pool>,
     confirmations: Confirmations,
 }
 
@@ -86,7 +89,7 @@
 
     fn on_exchange(&mut self, name: &GroupName, group: &Group, exchange: Exchange, io: &mut Io) {
         if let Some(&key) = self.leases.get(&exchange.lease) {
-            self.run_on(key, exchange, io);
+            self.run_on(key, &exchange, io);
             return;
         }
         if exchange.number > 0 {
@@ -117,7 +120,7 @@
             for late in pool.expire(io.now) {
                 refuse(&late, ResultCode::DeadlineBeforeSend, "no slot before the deadline", io);
             }
-            assigned.extend(pool.assign(instance.slots));
+            assigned.extend(pool.assign(instance.slots, io.now));
             while pool.wants_connection(instance.connections) {
                 let purpose = Use::Pooled;
                 match Server::connect(&mut self.servers, name, group, instance, purpose, io) {
@@ -128,15 +131,28 @@
         }
         for (key, exchange) in assigned {
             self.leases.insert(exchange.lease.clone(), key);
-            self.run_on(key, exchange, io);
+            if let Some(server) = self.servers.get_mut(key) {
+                server.begin_lease(exchange.lease.clone());
+            }
+            self.run_on(key, &exchange, io);
         }
     }
 
-    fn run_on(&mut self, key: usize, exchange: Exchange, io: &mut Io) {
+    fn run_on(&mut self, key: usize, exchange: &Exchange, io: &mut Io) {
         let Some(server) = self.servers.get_mut(key) else { return };
-        server.run(exchange, io);
+        if !server.accepts(exchange) {
+            server.refuse_unsent(exchange, Fault::AnswerLost, io);
+            return self.on_server_lost(key, Fault::BackendLost, io);
+        }
+        let deadline = io.now + exchange.time_left;
+        // Read again: this process may have been paused since the event was taken up.
+        if Instant::now() >= deadline {
+            server.refuse_unsent(exchange, Fault::Deadline, io);
+            return self.release(key, io);
+        }
+        server.run(exchange, deadline);
         if server.flush(io).is_err() {
-            self.on_server_lost(key, io);
+            self.on_server_lost(key, Fault::BackendLost, io);
         }
     }
 
@@ -145,9 +161,39 @@
             state.pools.values_mut().for_each(|pool| pool.forget(lease));
             state.confirmations.forget(lease);
         }
-        let Some(&key) = self.leases.get(lease) else { return };
-        // Closing makes the back end roll back; the connection is never seen by another caller.
-        self.on_server_lost(key, io);
+        if let Some(&key) = self.leases.get(lease) {
+            self.release(key, io);
+        }
+    }
+
+    /// Ends the lease of a connection that nobody waits for. An open transaction is rolled back
+    /// before the connection is used again; with an exchange under way it is closed instead.
+    fn release(&mut self, key: usize, io: &mut Io) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        if let Some(lease) = server.lease() {
+            self.leases.remove(lease);
+        }
+        if !server.reset(io) || server.flush(io).is_err() {
+            self.on_server_lost(key, Fault::BackendLost, io);
+        }
+    }
+
+    /// Gives up everything on behalf of a node that cannot be reached: its fronts have told their
+    /// callers, and no message from them will end what they began.
+    pub fn on_peer_lost(&mut self, node: &NodeName, io: &mut Io) {
+        for state in self.groups.values_mut() {
+            state.pools.values_mut().for_each(|pool| pool.forget_node(node));
+            state.confirmations.forget_node(node);
+        }
+        let orphans: Vec<usize> = self
+            .leases
+            .iter()
+            .filter(|(lease, _)| lease.node == *node)
+            .map(|(_, key)| *key)
+            .collect();
+        for key in orphans {
+            self.release(key, io);
+        }
     }
 
     /// Handles readiness of a back-end connection.
@@ -160,28 +206,32 @@
             self.on_server_event(key, event, io);
         }
         if broken {
-            self.on_server_lost(key, io);
+            self.on_server_lost(key, Fault::BackendLost, io);
         }
     }
 
     fn on_server_event(&mut self, key: usize, event: ServerEvent, io: &mut Io) {
         let Some(server) = self.servers.get(key) else { return };
         let (group, instance) = (server.group.clone(), server.instance.clone());
+        let catalog = io.context.catalog.load();
         let Some(state) = self.groups.get_mut(&group) else { return };
+        let Some(configured) = catalog.groups.get(&group) else { return };
         match event {
             ServerEvent::Ready if server.purpose == Use::Pooled => {
                 state.pools.entry(instance).or_default().on_connected(key);
             }
             ServerEvent::Ready => state.monitor.on_probe_ready(key, &instance),
-            ServerEvent::Unusable => self.on_server_lost(key, io),
+            ServerEvent::Unusable => self.on_server_lost(key, Fault::BackendLost, io),
             ServerEvent::LeaseEnded { lease } => {
                 self.leases.remove(&lease);
                 state.pools.entry(instance).or_default().on_idle(key);
             }
-            ServerEvent::CommitAnswered(commit) => state.confirmations.wait_for(commit, io.now),
+            ServerEvent::CommitAnswered(commit) => {
+                state.confirmations.wait_for(commit, configured, io);
+            }
             ServerEvent::Probed(report) => {
                 state.monitor.on_report(&instance, &report, io);
-                state.confirmations.on_report(&instance, &report, io);
+                state.confirmations.on_report(&instance, &report, configured, io);
             }
         }
         self.pump_group(&group, io);
@@ -197,9 +247,9 @@
 
     fn probe(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let Some(state) = self.groups.get_mut(name) else { return };
-        let urgent = state.confirmations.is_waiting();
+        let wanted = state.confirmations.wanted_probe();
         for instance in &group.instances {
-            match state.monitor.next_step(&instance.name, urgent, io.now) {
+            match state.monitor.next_step(&instance.name, wanted, io.now) {
                 monitor::Step::Nothing => {}
                 monitor::Step::Connect => {
                     let purpose = Use::Probe;
@@ -211,7 +261,9 @@
                 }
                 monitor::Step::Ask(key) => {
                     if let Some(server) = self.servers.get_mut(key) {
-                        server.ask_position(io);
+                        let number = state.confirmations.next_probe();
+                        state.monitor.on_asked(&instance.name, number);
+                        server.ask_position(number, io);
                         // A broken connection shows as readable and is handled there.
                         let _ = server.flush(io);
                     }
@@ -221,10 +273,10 @@
     }
 
     /// Handles the loss of a connection: whoever used it is told what that means.
-    fn on_server_lost(&mut self, key: usize, io: &mut Io) {
+    fn on_server_lost(&mut self, key: usize, fault: Fault, io: &mut Io) {
         let Some(mut server) = self.servers.try_remove(key) else { return };
         server.deregister(io);
-        if let Some(lease) = server.fail_exchange(io) {
+        if let Some(lease) = server.fail_exchange(fault, io) {
             self.leases.remove(&lease);
         }
         let Some(state) = self.groups.get_mut(&server.group) else { return };
@@ -238,19 +290,51 @@
     pub fn on_tick(&mut self, io: &mut Io) {
         let catalog = io.context.catalog.load();
         self.adopt(&catalog, io);
+        self.give_up_overdue(io);
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
             if let Some(state) = self.groups.get_mut(&name) {
                 state.confirmations.expire(io);
                 let overdue = state.monitor.overdue(io.now);
                 for key in overdue {
-                    self.on_server_lost(key, io);
+                    self.on_server_lost(key, Fault::Deadline, io);
                 }
             }
             self.pump_group(&name, io);
         }
     }
 
+    /// Closes connections whose back end has not answered in time.
+    fn give_up_overdue(&mut self, io: &mut Io) {
+        let overdue: Vec<usize> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.is_overdue(io.now))
+            .map(|(key, _)| key)
+            .collect();
+        for key in overdue {
+            self.on_server_lost(key, Fault::Deadline, io);
+        }
+    }
+
+    /// Whether commits wait for probes that must not wait for the next tick.
+    pub fn is_urgent(&self) -> bool {
+        self.groups.values().any(|state| state.confirmations.is_waiting())
+    }
+
+    /// Probes again for the commits that wait.
+    pub fn on_urgent(&mut self, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        let waiting = |(_, state): &(&GroupName, &GroupGateway)| state.confirmations.is_waiting();
+        let names: Vec<GroupName> =
+            self.groups.iter().filter(waiting).map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if let Some(group) = catalog.groups.get(&name) {
+                self.probe(&name, group, io);
+            }
+        }
+    }
+
     /// Starts monitoring groups of which this node owns an instance.
     fn adopt(&mut self, catalog: &Catalog, io: &mut Io) {
         for (name, group) in &catalog.groups {
--- a/crates/daemon/src/gateway/monitor.rs
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use kestrellock_core::confirmation::ProbeNumber;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::position::Position;
 use kestrellock_core::routing::{InstanceStatus, Role};
@@ -15,6 +16,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// A probe unanswered for this long means that the instance is silent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two probes of an instance that has not reached a waiting commit yet.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(1);
 /// Time between attempts to open a probe connection.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -40,10 +43,20 @@
 struct Watched {
     probe: Probe,
     next_probe: Instant,
+    asked: Instant,
+    last_probe: ProbeNumber,
     caught_up: Instant,
     status: Option<InstanceStatus>,
 }
 
+impl Watched {
+    fn is_due(&self, wanted: Option<ProbeNumber>, now: Instant) -> bool {
+        let urgent = wanted
+            .is_some_and(|wanted| wanted > self.last_probe || now >= self.asked + RETRY_INTERVAL);
+        urgent || now >= self.next_probe
+    }
+}
+
 /// The instances of one group and who wants to know of them.
 #[derive(Debug)]
 pub struct Monitor {
@@ -66,6 +79,8 @@
         self.instances.entry(instance.clone()).or_insert_with(|| Watched {
             probe: Probe::Closed { since: started - RECONNECT_INTERVAL },
             next_probe: started,
+            asked: started,
+            last_probe: ProbeNumber::default(),
             caught_up: started,
             status: None,
         })
@@ -84,20 +99,32 @@
         io.outbox.push_back(Outgoing::Front { node, shard: None, message });
     }
 
-    /// What to do about an instance's probe; `urgent` while commits wait for confirmation.
-    pub fn next_step(&mut self, instance: &InstanceName, urgent: bool, now: Instant) -> Step {
+    /// What to do about an instance's probe. Commits that wait count only answers to probes from
+    /// `wanted` on: one is sent at once, and again while they wait.
+    pub fn next_step(
+        &mut self,
+        instance: &InstanceName,
+        wanted: Option<ProbeNumber>,
+        now: Instant,
+    ) -> Step {
         let watched = self.watched(instance);
         match watched.probe {
             Probe::Closed { since } if now >= since + RECONNECT_INTERVAL => Step::Connect,
-            Probe::Idle { key } if urgent || now >= watched.next_probe => {
+            Probe::Idle { key } if watched.is_due(wanted, now) => {
                 watched.probe = Probe::Busy { key, since: now };
                 watched.next_probe = now + PROBE_INTERVAL;
+                watched.asked = now;
                 Step::Ask(key)
             }
             _ => Step::Nothing,
         }
     }
 
+    /// A probe with this number is being sent.
+    pub fn on_asked(&mut self, instance: &InstanceName, number: ProbeNumber) {
+        self.watched(instance).last_probe = number;
+    }
+
     /// A probe connection is being opened.
     pub fn on_probe_connecting(&mut self, instance: &InstanceName, key: usize) {
         let watched = self.watched(instance);
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use kestrellock_core::ids::LeaseId;
+use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_peer::message::Exchange;
 
 /// Connections of an instance's limit left for monitors and operators.
@@ -39,12 +39,14 @@
         late.into_iter().map(|waiting| waiting.exchange).collect()
     }
 
-    /// Pairs waiting exchanges with idle connections while slots are free.
-    pub fn assign(&mut self, slots: u32) -> Vec<(usize, Exchange)> {
+    /// Pairs waiting exchanges with idle connections while slots are free. Their time left is what
+    /// remains at `now`.
+    pub fn assign(&mut self, slots: u32, now: Instant) -> Vec<(usize, Exchange)> {
         let mut assigned = Vec::new();
         while self.busy < slots && !self.queue.is_empty() {
             let Some(key) = self.idle.pop() else { break };
-            let Some(waiting) = self.queue.pop_front() else { break };
+            let Some(mut waiting) = self.queue.pop_front() else { break };
+            waiting.exchange.time_left = waiting.deadline.saturating_duration_since(now);
             self.busy += 1;
             assigned.push((key, waiting.exchange));
         }
@@ -89,6 +91,11 @@
         }
     }
 
+    /// Drops the waiting exchanges of a front that cannot be reached.
+    pub fn forget_node(&mut self, node: &NodeName) {
+        self.queue.retain(|waiting| waiting.exchange.lease.node != *node);
+    }
+
     /// Drops a waiting exchange whose caller is gone.
     pub fn forget(&mut self, lease: &LeaseId) {
         self.queue.retain(|waiting| waiting.exchange.lease != *lease);
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use kestrellock_core::catalog::{Group, Instance};
+use kestrellock_core::confirmation::ProbeNumber;
+use kestrellock_core::exchange_state::{Effect, Fault, Progress, failure_code};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId};
-use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_core::routing::Access;
+use kestrellock_core::outcome::Refusal;
 use kestrellock_peer::message::{Exchange, LeaseEvent, TransactionState};
 use pgwire::messages::PgWireFrontendMessage;
 use pgwire::messages::simplequery::Query;
@@ -17,8 +18,9 @@
 
 use super::confirmation::Commit;
 use super::notify;
-use super::prepared::{PreparedSet, Reply};
+use super::prepared::PreparedSet;
 use super::probe::{POSITION_QUERY, Report, parse_row};
+use super::running::{Next, Running, stake_of};
 use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::net::frames;
@@ -26,6 +28,12 @@
 
 /// Bytes of an answer gathered before a part of it is passed on.
 const PART_BYTES: usize = 64 * 1024;
+/// Time an exchange gets beyond its deadline before its connection is given up; less than the
+/// front's own patience, so that the caller hears the more exact outcome.
+const DEADLINE_GRACE: Duration = Duration::from_millis(50);
+/// Time a connection gets to roll an abandoned transaction back.
+const RESET_LIMIT: Duration = Duration::from_secs(1);
+const ROLLBACK: &str = "ROLLBACK";
 
 /// What a connection is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +65,8 @@
 /// An answered probe and when it was asked.
 #[derive(Clone, Copy, Debug)]
 pub struct ProbeAnswer {
+    /// Number of the probe.
+    pub number: ProbeNumber,
     /// What the instance said.
     pub report: Report,
     /// When the question was sent.
@@ -68,21 +78,15 @@
     StartingUp,
     Idle,
     Running(Box<Running>),
-    Probing { asked: Instant, report: Option<Report> },
-}
-
-/// The exchange under way.
-#[derive(Debug)]
-struct Running {
-    lease: LeaseId,
-    writes: bool,
-    may_commit: bool,
-    deadline: Instant,
-    ready_left: u32,
-    transaction: TransactionState,
-    answer: BytesMut,
-    /// Set while the pipelined position query is being answered.
-    position: Option<Option<Report>>,
+    Probing {
+        number: ProbeNumber,
+        asked: Instant,
+        report: Option<Report>,
+    },
+    /// Rolls an abandoned transaction back, until this time at the latest.
+    Resetting {
+        until: Instant,
+    },
 }
 
 /// One connection to a back end.
@@ -98,6 +102,7 @@
     state: State,
     lease: Option<LeaseId>,
     next_sequence: u32,
+    next_exchange: u32,
     prepared: PreparedSet,
 }
 
@@ -131,11 +136,17 @@
             state: State::StartingUp,
             lease: None,
             next_sequence: 0,
+            next_exchange: 0,
             prepared: PreparedSet::default(),
         });
         Ok(key)
     }
 
+    /// The lease that uses the connection.
+    pub fn lease(&self) -> Option<&LeaseId> {
+        self.lease.as_ref()
+    }
+
     /// Reads what the back end sent.
     pub fn fill(&mut self) -> ReadOutcome {
         self.connection.fill()
@@ -151,32 +162,62 @@
         self.connection.deregister(io.registry);
     }
 
+    /// Whether `exchange` may be run now: the connection is at rest and the number is the next of
+    /// its lease.
+    pub fn accepts(&self, exchange: &Exchange) -> bool {
+        matches!(self.state, State::Idle) && exchange.number == self.next_exchange
+    }
+
+    /// Prepares the connection for a new lease.
+    pub fn begin_lease(&mut self, lease: LeaseId) {
+        self.lease = Some(lease);
+        self.next_sequence = 0;
+        self.next_exchange = 0;
+    }
+
     /// Sends an exchange, with a position query behind it if it may commit.
-    pub fn run(&mut self, exchange: Exchange, io: &mut Io) {
-        if exchange.number == 0 {
-            self.next_sequence = 0;
-        }
-        self.lease = Some(exchange.lease.clone());
+    pub fn run(&mut self, exchange: &Exchange, deadline: Instant) {
+        let before = self.connection.output.len();
         self.prepared.send(&exchange.statements, &exchange.frames, &mut self.connection.output);
         if exchange.may_commit {
             put_query(POSITION_QUERY, &mut self.connection.output);
         }
-        self.state = State::Running(Box::new(Running {
-            lease: exchange.lease,
-            writes: exchange.access == Access::Write,
-            may_commit: exchange.may_commit,
-            deadline: io.now + exchange.time_left,
-            ready_left: exchange.ready_expected,
-            transaction: TransactionState::Idle,
-            answer: BytesMut::new(),
-            position: None,
-        }));
+        let bytes = self.connection.output.len() - before;
+        self.next_exchange = exchange.number + 1;
+        self.state = State::Running(Box::new(Running::new(exchange, bytes, deadline)));
+    }
+
+    /// Refuses an exchange of this connection's lease without sending it. The lease is over.
+    pub fn refuse_unsent(&mut self, exchange: &Exchange, fault: Fault, io: &mut Io) {
+        let code = failure_code(stake_of(exchange), Progress::Queued, fault);
+        let event = LeaseEvent::Refused(Refusal::new(code, "the statement was not sent"));
+        notify(&exchange.lease, self.next_sequence, event, io);
     }
 
     /// Asks the instance for its position.
-    pub fn ask_position(&mut self, io: &mut Io) {
+    pub fn ask_position(&mut self, number: ProbeNumber, io: &mut Io) {
         put_query(POSITION_QUERY, &mut self.connection.output);
-        self.state = State::Probing { asked: io.now, report: None };
+        self.state = State::Probing { number, asked: io.now, report: None };
+    }
+
+    /// Rolls the transaction of an abandoned lease back so that the connection can be used again;
+    /// false if it has to be closed instead, because an exchange is under way.
+    pub fn reset(&mut self, io: &mut Io) -> bool {
+        if !matches!(self.state, State::Idle) {
+            return false;
+        }
+        put_query(ROLLBACK, &mut self.connection.output);
+        self.state = State::Resetting { until: io.now + RESET_LIMIT };
+        true
+    }
+
+    /// Whether what the connection does is overdue.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        match &self.state {
+            State::Running(running) => now > running.deadline + DEADLINE_GRACE,
+            State::Resetting { until } => now > *until,
+            State::StartingUp | State::Idle | State::Probing { .. } => false,
+        }
     }
 
     /// Handles the whole messages received so far.
@@ -207,113 +248,86 @@
                 _ => {}
             },
             State::Idle => {}
-            State::Probing { asked, report } => match frame.tag {
+            State::Probing { number, asked, report } => match frame.tag {
                 b'D' => *report = parse_row(frame.body()).ok(),
                 b'Z' => {
-                    let answer = report.map(|report| ProbeAnswer { report, asked: *asked });
+                    let answer =
+                        report.map(|report| ProbeAnswer { number: *number, report, asked: *asked });
                     self.state = State::Idle;
                     events.extend(answer.map(ServerEvent::Probed));
                     events.push(ServerEvent::Ready);
                 }
                 _ => {}
             },
-            State::Running(running) => {
-                if running.on_frame(frame, &mut self.prepared) {
-                    self.finish(events, io);
-                }
-            }
+            State::Running(running) => match running.on_frame(frame, &mut self.prepared) {
+                Next::Await => {}
+                Next::AskPosition => put_query(POSITION_QUERY, &mut self.connection.output),
+                Next::Finished => self.finish(events, io),
+            },
+            State::Resetting { .. } => match (frame.tag, frame.body()) {
+                (b'Z', b"I") => self.end_lease(events),
+                (b'Z', _) => events.push(ServerEvent::Unusable),
+                _ => {}
+            },
         }
     }
 
+    /// Frees the connection for another lease.
+    fn end_lease(&mut self, events: &mut Vec<ServerEvent>) {
+        self.state = State::Idle;
+        let lease = self.lease.take();
+        events.extend(lease.map(|lease| ServerEvent::LeaseEnded { lease }));
+    }
+
     /// Ends the exchange whose last message has arrived.
     fn finish(&mut self, events: &mut Vec<ServerEvent>, io: &mut Io) {
-        let State::Running(running) = std::mem::replace(&mut self.state, State::Idle) else {
+        let State::Running(mut running) = std::mem::replace(&mut self.state, State::Idle) else {
             return;
         };
-        let committed = running.may_commit && running.transaction == TransactionState::Idle;
-        let position = running.position.flatten().map(|report| report.flushed);
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let frames = running.answer.freeze();
-        if committed {
+        if running.has_committed() {
             events.push(ServerEvent::CommitAnswered(Commit {
                 lease: running.lease.clone(),
                 sequence,
                 instance: self.instance.clone(),
-                position,
+                report: running.report(),
                 deadline: running.deadline,
-                frames,
+                frames: running.take_answer(),
+                transaction: running.transaction,
             }));
         } else {
-            let transaction = running.transaction;
-            let event = LeaseEvent::Done { frames, transaction, confirmed: None };
+            let event = running.final_event();
             notify(&running.lease, sequence, event, io);
         }
         if running.transaction == TransactionState::Idle {
-            self.lease = None;
-            events.push(ServerEvent::LeaseEnded { lease: running.lease });
+            self.end_lease(events);
         }
     }
 
     /// Passes a large answer on before its end; a write's answer is kept whole until confirmed.
     fn pass_on_part(&mut self, io: &mut Io) {
         let State::Running(running) = &mut self.state else { return };
-        if running.may_commit || running.answer.len() < PART_BYTES {
+        if running.stake.effect == Effect::MayCommit || running.answer.len() < PART_BYTES {
             return;
         }
-        let part = running.answer.split().freeze();
+        running.passed_on = true;
+        let part = running.take_answer();
         notify(&running.lease, self.next_sequence, LeaseEvent::Part(part), io);
         self.next_sequence += 1;
     }
 
-    /// The connection is lost: tells the front of the exchange under way. Returns the lease.
-    pub fn fail_exchange(&mut self, io: &mut Io) -> Option<LeaseId> {
-        if let State::Running(running) = std::mem::replace(&mut self.state, State::Idle) {
-            let code = match (running.writes, running.may_commit) {
-                (true, true) => ResultCode::ConnectionLostInDoubt,
-                (true, false) => ResultCode::TransactionLost,
-                (false, _) => ResultCode::ReadInterrupted,
-            };
-            let refusal = Refusal::new(code, "the connection to the back end was lost");
-            notify(&running.lease, self.next_sequence, LeaseEvent::Refused(refusal), io);
+    /// The connection is given up: tells the front of the exchange under way. Returns the lease.
+    pub fn fail_exchange(&mut self, fault: Fault, io: &mut Io) -> Option<LeaseId> {
+        if let State::Running(mut running) = std::mem::replace(&mut self.state, State::Idle) {
+            let unsent = self.connection.output.len();
+            let event = running.failure(fault, unsent);
+            notify(&running.lease, self.next_sequence, event, io);
         }
         self.lease.take()
     }
 }
 
-impl Running {
-    /// Takes in one message; true when it was the last.
-    fn on_frame(&mut self, frame: &frames::Frame, prepared: &mut PreparedSet) -> bool {
-        if let Some(report) = &mut self.position {
-            if frame.tag == b'D' {
-                *report = parse_row(frame.body()).ok();
-            }
-            return frame.tag == b'Z';
-        }
-        match prepared.on_reply(frame) {
-            Reply::Pass => self.answer.extend_from_slice(&frame.bytes),
-            Reply::Replace(message) => self.answer.extend_from_slice(&message),
-            Reply::Swallow => {}
-        }
-        if frame.tag != b'Z' {
-            return false;
-        }
-        self.transaction = match frame.body() {
-            b"T" => TransactionState::Open,
-            b"E" => TransactionState::Failed,
-            _ => TransactionState::Idle,
-        };
-        self.ready_left -= 1;
-        if self.ready_left > 0 {
-            return false;
-        }
-        if self.may_commit {
-            self.position = Some(None);
-        }
-        !self.may_commit
-    }
-}
-
 fn put(message: &PgWireFrontendMessage, output: &mut BytesMut) {
     if let Err(error) = message.encode(output) {
         log::error!("a message of our own could not be encoded: {error}");
--- a/crates/daemon/src/shard/event_loop.rs
+++ b/crates/daemon/src/shard/event_loop.rs
@@ -11,6 +11,8 @@
 
 /// Longest time between two ticks of a shard.
 pub const TICK: Duration = Duration::from_millis(10);
+/// Longest time between two turns while commits wait for confirmation.
+const URGENT_TURN: Duration = Duration::from_millis(1);
 const EVENTS_AT_ONCE: usize = 1024;
 /// Messages taken from the mailbox before sockets get their turn again.
 const MESSAGES_AT_ONCE: usize = 1024;
@@ -19,8 +21,10 @@
 pub fn run(shard: &Mutex<Shard>, mailbox: &mut Mailbox, stop: &StopFlag) {
     let mut events = Events::with_capacity(EVENTS_AT_ONCE);
     let mut next_tick = Instant::now() + TICK;
+    let mut urgent = false;
     while !stop.is_stopping() {
-        let wait = next_tick.saturating_duration_since(Instant::now());
+        let limit = if urgent { URGENT_TURN } else { TICK };
+        let wait = next_tick.saturating_duration_since(Instant::now()).min(limit);
         if let Err(error) = mailbox.poll.poll(&mut events, Some(wait))
             && error.kind() != std::io::ErrorKind::Interrupted
         {
@@ -40,5 +44,9 @@
             shard.on_tick(registry, now);
             next_tick = now + TICK;
         }
+        urgent = shard.is_urgent();
+        if urgent {
+            shard.on_urgent(registry, now);
+        }
     }
 }
--- a/crates/daemon/src/shard/mailbox.rs
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
+use kestrellock_core::ids::NodeName;
 use kestrellock_peer::message::{ToFront, ToGateway};
 use mio::{Poll, Waker};
 
@@ -20,6 +21,8 @@
     ToGateway(ToGateway),
     /// For the shard's front.
     ToFront(ToFront),
+    /// A connection to this node closed on another shard.
+    PeerLost(NodeName),
 }
 
 /// The receiving side of one shard's mailbox.
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -152,6 +152,7 @@
             ShardMessage::Peer(stream) => shard.links.accept(stream, io),
             ShardMessage::ToGateway(message) => shard.gateway.on_call(message, io),
             ShardMessage::ToFront(message) => shard.front.on_message(message, io),
+            ShardMessage::PeerLost(node) => shard.on_peer_lost(&node, io),
         });
     }
 
@@ -163,6 +164,16 @@
         });
     }
 
+    /// Whether the gateway has probes to send before the next tick.
+    pub fn is_urgent(&self) -> bool {
+        self.gateway.is_urgent()
+    }
+
+    /// Lets the gateway send them.
+    pub fn on_urgent(&mut self, registry: &Registry, now: Instant) {
+        self.with_io(registry, now, |shard, io| shard.gateway.on_urgent(io));
+    }
+
     fn take_in(&mut self, received: Vec<PeerMessage>, io: &mut Io) {
         for message in received {
             match message {
@@ -191,13 +202,22 @@
         self.links.flush(io);
     }
 
-    /// Tells the front of every connection to another node that closed.
+    /// Tells every shard of each connection to another node that closed.
     fn report_lost_peers(&mut self, io: &mut Io) {
         for node in self.links.take_lost() {
-            self.front.on_peer_lost(&node, io);
+            for shard in (0..io.context.shards).filter(|shard| *shard != self.number) {
+                self.mailboxes.send(shard, ShardMessage::PeerLost(node.clone()));
+            }
+            self.on_peer_lost(&node, io);
         }
     }
 
+    /// Answers travel over links of any shard, so every shard hears of a lost peer.
+    fn on_peer_lost(&mut self, node: &NodeName, io: &mut Io) {
+        self.front.on_peer_lost(node, io);
+        self.gateway.on_peer_lost(node, io);
+    }
+
     fn deliver_to_gateway(&mut self, node: NodeName, message: ToGateway, io: &mut Io) {
         if node != io.context.identity.node {
             let lost = self.links.send(&node, PeerMessage::ToGateway(message), io);
