Membership: a state machine that probes, suspects, refutes and merges

Cause: the list of live nodes came from the settings and never changed. Change: core::membership holds a pure state machine in the manner of SWIM with incarnations per process and per refutation, a leaving state, bounded gossip, comparison of tables by bucket hashes, and eager pushes of a new configuration revision. Time and randomness are arguments.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod confirmation;
 pub mod exchange_state;
 pub mod ids;
+pub mod membership;
 pub mod outcome;
 pub mod position;
 pub mod rendezvous;
