Scenarios: deployment, callers, timeline of faults, and the run command

The database stand-in keeps, where asked to, the simple queries that reach each instance, and the records that a newer primary did not have. The checker takes an end of a block that names no operation for a clean-up of the connection. Latency above 2 microseconds was cut off, since saturating_record does not resize a histogram; it is recorded now.

--- a/crates/lab/src/check/history.rs
+++ b/crates/lab/src/check/history.rs
@@ -169,6 +169,8 @@
     pub action: Action,
     /// Whether it carried a request key.
     pub keyed: bool,
+    /// Whether its connection began with the session's token.
+    pub with_token: bool,
     /// Mark that the answer's row must repeat; differs between attempts that read.
     pub mark: String,
     /// Statements of the same transaction that were answered before the outcome.
--- a/crates/lab/src/check/reads.rs
+++ b/crates/lab/src/check/reads.rs
@@ -90,5 +90,7 @@
 }
 
 fn describe(attempt: &Attempt) -> String {
-    format!("session {} on {} ({:?})", attempt.session.0, attempt.node, attempt.action)
+    let Attempt { session, node, action, with_token, operation, .. } = attempt;
+    let token = if *with_token { "with" } else { "without" };
+    format!("{operation}: session {} on {node} {token} token ({action:?})", session.0)
 }
--- a/crates/lab/src/check/transactions.rs
+++ b/crates/lab/src/check/transactions.rs
@@ -56,8 +56,14 @@
 fn check_connections(arrivals: &[Arrival], verdict: &mut Verdict) {
     let mut open: HashMap<(&InstanceId, u64), &OperationId> = HashMap::new();
     for arrival in arrivals {
-        let Some(operation) = &arrival.operation else { continue };
         let key = (&arrival.instance, arrival.connection);
+        let Some(operation) = &arrival.operation else {
+            // Whoever cleans a connection up ends its block without naming an operation.
+            if arrival.kind == StatementKind::End {
+                open.remove(&key);
+            }
+            continue;
+        };
         let holder = open.get(&key).copied();
         let foreign = match (holder, arrival.kind) {
             (Some(holder), _) => holder != operation,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod check;
 pub mod demo;
 pub mod report;
+pub mod scenario;
 pub mod standin;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use kestrellock_lab::bench::command::{BenchCommand, CompareCommand};
 use kestrellock_lab::demo::{Demo, check};
+use kestrellock_lab::scenario::command::RunCommand;
 use kestrellock_program::command_line;
 
 /// stand-ins, demonstration and benches for kestrellock
@@ -24,6 +25,7 @@
     Demo(DemoArguments),
     Bench(BenchCommand),
     Compare(CompareCommand),
+    Run(RunCommand),
 }
 
 /// start store, database groups and three nodes on loopback
@@ -40,6 +42,7 @@
         Command::Demo(demo) => run_demo(&demo),
         Command::Bench(bench) => bench.run(),
         Command::Compare(compare) => compare.run(),
+        Command::Run(run) => run.run(),
     })
 }
 
--- a/crates/lab/src/report/latency.rs
+++ b/crates/lab/src/report/latency.rs
@@ -36,7 +36,9 @@
 impl Latencies {
     /// Records one latency.
     pub fn record(&mut self, class: &str, latency: Duration) {
-        self.histogram(class).saturating_record(latency.as_micros() as u64);
+        self.histogram(class)
+            .record(latency.as_micros() as u64)
+            .expect("a histogram that resizes takes any value");
     }
 
     /// Takes in everything that `other` recorded.
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -154,6 +154,29 @@
         self.violations.values().sum()
     }
 
+    /// One line on what was run and how it ended for callers.
+    pub fn summary(&self) -> String {
+        let Self { scenario, policy, seeds, acknowledged, not_run, in_doubt, .. } = self;
+        format!(
+            "{scenario} ({policy}): {} seeds, {acknowledged} writes acknowledged, {not_run} not run, \
+             {in_doubt} in doubt ({} resolved), {} reads, {} violations",
+            seeds.len(),
+            self.in_doubt_resolved,
+            self.reads,
+            self.violation_count(),
+        )
+    }
+
+    /// The invariants that were broken, how often, and the first case in full.
+    pub fn broken(&self) -> String {
+        let broken = self.violations.iter().filter(|(_, count)| **count > 0);
+        let counts: Vec<String> =
+            broken.map(|(invariant, count)| format!("{invariant:?}: {count}")).collect();
+        let first = self.details.first();
+        let first = first.map(|first| format!("; seed {}: {}", first.seed, first.detail));
+        format!("{}{}", counts.join(", "), first.unwrap_or_default())
+    }
+
     /// Writes the report to `directory`, which is made if it is not there.
     pub fn write(&self, directory: &Path) -> std::io::Result<()> {
         std::fs::create_dir_all(directory)?;
--- a/crates/lab/src/standin/group/instance.rs
+++ b/crates/lab/src/standin/group/instance.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_core::ids::ZoneName;
 
+use super::arrivals::ArrivalLog;
 use super::connections::Connections;
 use super::events::{EventLog, GroupEventKind, Signal};
 use super::lag::{Lag, LagSource};
@@ -66,6 +67,8 @@
     pub tables: Tables,
     /// Locks of its open transactions.
     pub locks: LockTable,
+    /// Records that a newer primary did not have and that were dropped for it.
+    pub discarded: Vec<Arc<Record>>,
     /// Its present life.
     pub generation: Generation,
     wrote_in_term: bool,
@@ -115,7 +118,8 @@
         if kept >= self.log.len() {
             return;
         }
-        self.log.truncate(kept);
+        let dropped = self.log.drain(kept..);
+        self.discarded.extend(dropped.map(|entry| entry.record));
         if self.applied <= kept {
             return;
         }
@@ -169,6 +173,8 @@
     pub zone: ZoneName,
     /// Its client connections.
     pub connections: Connections,
+    /// What reached it.
+    pub arrivals: ArrivalLog,
     /// Its slots.
     pub service: Service,
     /// Most client connections it accepts.
@@ -219,6 +225,7 @@
             applied: 0,
             tables: Tables::default(),
             locks: LockTable::default(),
+            discarded: Vec::new(),
             generation: Generation::default(),
             wrote_in_term: false,
         };
@@ -226,6 +233,7 @@
             index: parts.index,
             zone: parts.zone,
             connections: Connections::default(),
+            arrivals: ArrivalLog::default(),
             service: parts.service,
             connection_limit: parts.connection_limit,
             connection_setup: parts.connection_setup,
--- a/crates/lab/src/standin/group/mod.rs
+++ b/crates/lab/src/standin/group/mod.rs
@@ -1,5 +1,6 @@
 //! A database group: instances that speak PostgreSQL v3 and replicate one log.
 
+pub mod arrivals;
 pub mod connections;
 pub mod define;
 pub mod evaluate;
@@ -214,6 +215,11 @@
         }
     }
 
+    /// Begins to keep the simple queries that reach each instance.
+    pub fn record_arrivals(&self) {
+        self.instances.iter().for_each(|instance| instance.arrivals.record());
+    }
+
     /// What happened so far.
     pub fn events(&self) -> Vec<GroupEvent> {
         self.events.all()
--- a/crates/lab/src/standin/group/wire/mod.rs
+++ b/crates/lab/src/standin/group/wire/mod.rs
@@ -246,6 +246,10 @@
     }
 
     fn simple_query(&mut self, sql: &str) {
+        if self.instance.arrivals.is_recording() {
+            let primary = self.instance.is_primary();
+            self.instance.arrivals.add(self.control.number(), primary, sql);
+        }
         match self.parse(sql) {
             Err(error) => self.fail(&error),
             Ok(statements) if statements.is_empty() => {
--- a/crates/lab/tests/check.rs
+++ b/crates/lab/tests/check.rs
@@ -73,6 +73,7 @@
             completed: RunTime(at + 5),
             action,
             keyed: false,
+            with_token: false,
             mark: operation.into(),
             statements_answered: 0,
             outcome,
@@ -106,7 +107,7 @@
             at,
             instance: InstanceId::new("orders-a"),
             connection,
-            operation: Some(OperationId::new(operation)),
+            operation: (!operation.is_empty()).then(|| OperationId::new(operation)),
             kind,
         });
     }
@@ -372,6 +373,15 @@
         },
         breaks: &[Invariant::TransactionNotMixed],
     },
+    Case {
+        name: "a connection is cleaned up and given to another caller",
+        bend: |run| {
+            run.arrive(4, "t5", StatementKind::Begin);
+            run.arrive(4, "", StatementKind::End);
+            run.arrive(4, "d5", StatementKind::Other);
+        },
+        breaks: &[],
+    },
     Case {
         name: "a commit reaches a connection without its transaction",
         bend: |run| run.arrive(4, "t5", StatementKind::End),
--- a/crates/lab/tests/report.rs
+++ b/crates/lab/tests/report.rs
@@ -20,6 +20,7 @@
         completed: RunTime(completed_ms * 1000),
         action: Action::Deposit,
         keyed,
+        with_token: false,
         mark: operation.into(),
         statements_answered: 0,
         outcome,
@@ -82,7 +83,9 @@
     assert_eq!(report.violations[&Invariant::AtMostOnce], 1);
     assert_eq!(report.violations[&Invariant::ReadYourWrites], 0);
     assert_eq!(report.violations.len(), Invariant::ALL.len());
-    assert_eq!(report.latency_ms["deposit"].count, 1);
+    let latency = report.latency_ms["deposit"];
+    assert_eq!(latency.count, 1);
+    assert!((9.9..10.1).contains(&latency.p50), "{latency:?}");
     assert_eq!(report.details[0].seed, 8);
 }
 
