--- a/crates/core/src/catalog/merge.rs
+++ b/crates/core/src/catalog/merge.rs
@@ -13,6 +13,12 @@
 }
 
 impl Catalog {
+    /// Statements a tenant may have running at once on an instance.
+    pub fn capacity(&self, tenant: &TenantName) -> Option<u32> {
+        let tenant = self.tenants.get(tenant)?;
+        tenant.capacity.or_else(|| Some(self.templates.get(&tenant.template)?.capacity))
+    }
+
     /// Parameters of a tenant; `None` if it or its template is unknown.
     pub fn parameters(&self, tenant: &TenantName) -> Option<TenantParameters> {
         self.merge(tenant, self.tenants.get(tenant)?)
--- /dev/null
+++ b/crates/core/src/membership/synchronization.rs
@@ -0,0 +1,124 @@
+//! Comparison of two members' tables, which repairs what gossip missed.
+//!
+//! Tables are compared by one hash a bucket; only records of buckets that differ are sent, in a
+//! bounded number of datagrams. A new node that lacks everything repeats the comparison at short
+//! intervals until nothing differs.
+
+use std::time::Duration;
+
+use super::message::{BUCKETS, Body};
+use super::random::{RandomSource, below};
+use super::record::{Health, MemberRecord, Update};
+use super::state::Membership;
+use super::table::{bucket, bucket_hashes};
+use crate::ids::NodeName;
+
+/// Most datagrams of records sent for one request.
+pub const MAX_SYNC_DATAGRAMS: usize = 8;
+/// Time to the next comparison while the last one brought something new.
+const QUICK_SYNC_INTERVAL: Duration = Duration::from_millis(300);
+
+impl Membership {
+    pub(super) fn sync_if_due(&mut self, now: Duration, random: &mut dyn RandomSource) {
+        if now < self.next_sync {
+            return;
+        }
+        let young = now.saturating_sub(self.started) < self.timing.early_time;
+        let interval =
+            if young { self.timing.early_sync_interval } else { self.timing.sync_interval };
+        let jitter = Duration::from_micros(below(random, interval.as_micros() as usize / 2) as u64);
+        self.next_sync = now + interval.mul_f64(0.75) + jitter;
+        let Some(node) = self.table.random_live(1, None, random).pop() else {
+            // Nobody to compare with yet.
+            self.next_sync = now;
+            return;
+        };
+        self.counters.syncs += 1;
+        let hashes = self.hashes();
+        self.send_to_member(&node, Body::SyncRequest { hashes, wants_return: true });
+    }
+
+    fn hashes(&self) -> Vec<u32> {
+        bucket_hashes(self.members().chain(std::iter::once(&self.own)))
+    }
+
+    /// Sends the records of buckets that differ, and asks for the other side's.
+    pub(super) fn on_sync_request(
+        &mut self,
+        node: &NodeName,
+        theirs: &[u32],
+        wants_return: bool,
+        random: &mut dyn RandomSource,
+    ) {
+        let hashes = self.hashes();
+        if theirs.len() != BUCKETS || theirs == hashes {
+            return;
+        }
+        for records in self.differing_records(theirs, &hashes, random) {
+            self.send_to_member(node, Body::SyncRecords { records });
+        }
+        if wants_return {
+            self.send_to_member(node, Body::SyncRequest { hashes, wants_return: false });
+        }
+    }
+
+    /// Records of differing buckets in parts that fit a datagram each, from a random bucket on.
+    fn differing_records(
+        &self,
+        theirs: &[u32],
+        hashes: &[u32],
+        random: &mut dyn RandomSource,
+    ) -> Vec<Vec<MemberRecord>> {
+        let first = below(random, BUCKETS);
+        let mut by_bucket = vec![Vec::new(); BUCKETS];
+        for record in self.members() {
+            by_bucket[bucket(&record.node)].push(record);
+        }
+        let free = self.free_bytes();
+        let mut parts: Vec<Vec<MemberRecord>> = Vec::new();
+        let mut left = 0;
+        for index in (0..BUCKETS).map(|offset| (first + offset) % BUCKETS) {
+            if theirs[index] == hashes[index] {
+                continue;
+            }
+            for record in &by_bucket[index] {
+                let bytes = record.encoded_bytes();
+                if bytes > left || parts.is_empty() {
+                    if parts.len() == MAX_SYNC_DATAGRAMS {
+                        return parts;
+                    }
+                    parts.push(Vec::new());
+                    left = free;
+                }
+                left = left.saturating_sub(bytes);
+                parts.last_mut().expect("a part was pushed").push((*record).clone());
+            }
+        }
+        parts
+    }
+
+    /// Takes in records; repeats the comparison soon if they brought news.
+    pub(super) fn on_sync_records(&mut self, records: Vec<MemberRecord>, now: Duration) {
+        let before = (self.counters.joins, self.counters.refutations);
+        for record in records {
+            self.apply_synced(record, now);
+        }
+        if before != (self.counters.joins, self.counters.refutations) {
+            self.next_sync = self.next_sync.min(now + QUICK_SYNC_INTERVAL);
+        }
+    }
+
+    fn apply_synced(&mut self, record: MemberRecord, now: Duration) {
+        let known = self.table.get(&record.node).map(|known| known.record.incarnation);
+        let same_process = known.is_some_and(|known| known.process == record.incarnation.process);
+        if same_process && let Some(member) = self.table.get_mut(&record.node) {
+            member.record.revision = member.record.revision.max(record.revision);
+        }
+        let is_own = record.node == self.own.node;
+        if known.is_none() && !is_own && record.health == Health::Alive {
+            self.insert_quietly(record, now);
+            return;
+        }
+        self.apply(Update::Full(record), now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,74 @@
+//! Retries that do not multiply load: exponential backoff with jitter, and retry budgets.
+//!
+//! Randomness is an argument: a number drawn evenly from all of `u64`.
+
+use std::time::Duration;
+
+/// Doubling waits with jitter between attempts that fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    first: Duration,
+    last: Duration,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Waits around `first` after the first failure, and at most `last` after many.
+    pub const fn new(first: Duration, last: Duration) -> Self {
+        Self { first, last, failures: 0 }
+    }
+
+    /// Counts a failure, and says how long to wait: between half and all of the doubled wait.
+    pub fn on_failure(&mut self, random: u64) -> Duration {
+        let doubled = 1_u32.checked_shl(self.failures).unwrap_or(u32::MAX);
+        let wait = self.first.saturating_mul(doubled).min(self.last);
+        self.failures = self.failures.saturating_add(1);
+        let half = wait / 2;
+        half + half.mul_f64(random as f64 / u64::MAX as f64)
+    }
+
+    /// An attempt succeeded: the next failure counts as the first.
+    pub fn on_success(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Failures since the last success.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
+
+/// Parts of a token, so that shares need no fractions.
+const TOKEN_PARTS: u32 = 100;
+
+/// A budget that lets retries be at most a share of first attempts, with a small reserve for
+/// quiet times. Every layer that retries has its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryBudget {
+    percent: u32,
+    largest: u32,
+    parts: u32,
+}
+
+impl RetryBudget {
+    /// Allows `percent` retries for 100 first attempts, saved up to `reserve` retries. Begins
+    /// with the reserve full.
+    pub const fn new(percent: u32, reserve: u32) -> Self {
+        let largest = reserve.saturating_mul(TOKEN_PARTS);
+        Self { percent, largest, parts: largest }
+    }
+
+    /// Counts a first attempt.
+    pub fn on_first_attempt(&mut self) {
+        self.parts = self.parts.saturating_add(self.percent).min(self.largest);
+    }
+
+    /// Whether a retry is allowed now; if so it is counted.
+    pub fn try_retry(&mut self) -> bool {
+        let allowed = self.parts >= TOKEN_PARTS;
+        if allowed {
+            self.parts -= TOKEN_PARTS;
+        }
+        allowed
+    }
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -29,8 +29,8 @@
     pub flushed: Position,
     /// Whether the last probe was answered.
     pub reachable: bool,
-    /// Expected wait for a slot.
-    pub queue_wait: Duration,
+    /// Expected wait for a slot; `None` from a node that does not own the instance.
+    pub queue_wait: Option<Duration>,
     /// For a replica: how far its data trails the confirmed primary.
     pub lag: Duration,
     /// For a primary: time since a majority last confirmed its term.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -83,7 +83,10 @@
     pub fn update(&self, group: &GroupName, statuses: impl IntoIterator<Item = InstanceStatus>) {
         let board = self.group(group);
         let mut board = board.write().expect("a holder of the status lock panicked");
-        for status in statuses {
+        for mut status in statuses {
+            // Only the owner of an instance knows its queue; other gateways probe it too.
+            let known = board.get(&status.instance).and_then(|known| known.queue_wait);
+            status.queue_wait = status.queue_wait.or(known);
             board.insert(status.instance.clone(), status);
         }
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
-use kestrellock_core::catalog::{Catalog, Group};
+use kestrellock_core::catalog::{Catalog, Group, Instance};
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
@@ -23,7 +23,7 @@
 
 use self::confirmation::Confirmations;
 use self::monitor::Monitor;
-use self::pool::Pool;
+use self::pool::{Assigned, Assignment, Pool, RefusedExchange};
 use self::server::{Server, ServerEvent, Use};
 
 /// What one group needs on this shard.
@@ -57,6 +57,17 @@
     notify(&exchange.lease, 0, event, io);
 }
 
+fn notify_refused(refused: RefusedExchange, io: &mut Io) {
+    notify(&refused.exchange.lease, 0, LeaseEvent::Refused(refused.refusal), io);
+}
+
+impl GroupGateway {
+    /// The pool of an instance, made when it is first needed.
+    fn pool(&mut self, group: &Group, instance: &Instance) -> &mut Pool {
+        self.pools.entry(instance.name.clone()).or_insert_with(|| Pool::new(group, instance))
+    }
+}
+
 impl Gateway {
     /// Number of open back-end connections.
     pub fn connections(&self) -> usize {
@@ -89,6 +100,9 @@
 
     fn on_exchange(&mut self, name: &GroupName, group: &Group, exchange: Exchange, io: &mut Io) {
         if let Some(&key) = self.leases.get(&exchange.lease) {
+            if let Some(pool) = self.pool_of(key) {
+                pool.on_resumed(key, io.now);
+            }
             self.run_on(key, &exchange, io);
             return;
         }
@@ -106,8 +120,12 @@
             return;
         };
         let Some(state) = self.groups.get_mut(name) else { return };
-        let pool = state.pools.entry(instance.name.clone()).or_default();
-        pool.enqueue(exchange, io.now);
+        let capacity = io.context.catalog.load().capacity(&exchange.tenant).unwrap_or(1);
+        let pool = state.pool(group, instance);
+        if let Err(refused) = pool.offer(exchange, capacity, io.now) {
+            notify_refused(*refused, io);
+            return;
+        }
         self.pump(name, group, io);
     }
 
@@ -117,19 +135,21 @@
         let mut assigned = Vec::new();
         for instance in &group.instances {
             let Some(pool) = state.pools.get_mut(&instance.name) else { continue };
-            for late in pool.expire(io.now) {
-                refuse(&late, ResultCode::DeadlineBeforeSend, "no slot before the deadline", io);
-            }
-            assigned.extend(pool.assign(instance.slots, io.now));
-            while pool.wants_connection(instance.connections) {
+            let Assigned { run, refused } = pool.assign(io.now);
+            refused.into_iter().for_each(|refused| notify_refused(refused, io));
+            assigned.extend(run);
+            for _ in 0..pool.connections_to_open(io.now) {
                 let purpose = Use::Pooled;
                 match Server::connect(&mut self.servers, name, group, instance, purpose, io) {
-                    Ok(_) => pool.on_connecting(),
-                    Err(_) => break,
+                    Ok(key) => pool.on_connecting(key, io.now),
+                    Err(_) => {
+                        pool.on_connect_failed(io.now, rand::random());
+                        break;
+                    }
                 }
             }
         }
-        for (key, exchange) in assigned {
+        for Assignment { key, exchange } in assigned {
             self.leases.insert(exchange.lease.clone(), key);
             if let Some(server) = self.servers.get_mut(key) {
                 server.begin_lease(exchange.lease.clone());
@@ -138,6 +158,12 @@
         }
     }
 
+    /// The pool that a connection belongs to.
+    fn pool_of(&mut self, key: usize) -> Option<&mut Pool> {
+        let server = self.servers.get(key)?;
+        self.groups.get_mut(&server.group)?.pools.get_mut(&server.instance)
+    }
+
     fn run_on(&mut self, key: usize, exchange: &Exchange, io: &mut Io) {
         let Some(server) = self.servers.get_mut(key) else { return };
         if !server.accepts(exchange) {
@@ -218,19 +244,35 @@
         let Some(configured) = catalog.groups.get(&group) else { return };
         match event {
             ServerEvent::Ready if server.purpose == Use::Pooled => {
-                state.pools.entry(instance).or_default().on_connected(key);
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_idle(key, io.now);
+                }
             }
             ServerEvent::Ready => state.monitor.on_probe_ready(key, &instance),
             ServerEvent::Unusable => self.on_server_lost(key, Fault::BackendLost, io),
+            ServerEvent::Refused => {
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_refused(io.now, rand::random());
+                }
+                self.on_server_lost(key, Fault::BackendLost, io);
+            }
+            ServerEvent::TransactionOpen => {
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_paused(key, io.now);
+                }
+            }
             ServerEvent::LeaseEnded { lease } => {
                 self.leases.remove(&lease);
-                state.pools.entry(instance).or_default().on_idle(key);
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_idle(key, io.now);
+                }
             }
             ServerEvent::CommitAnswered(commit) => {
                 state.confirmations.wait_for(commit, configured, io);
             }
             ServerEvent::Probed(report) => {
-                state.monitor.on_report(&instance, &report, io);
+                let wait = state.pools.get(&instance).map(Pool::expected_wait);
+                state.monitor.on_report(&instance, &report, wait, io);
                 state.confirmations.on_report(&instance, &report, configured, io);
             }
         }
@@ -281,7 +323,11 @@
         }
         let Some(state) = self.groups.get_mut(&server.group) else { return };
         match server.purpose {
-            Use::Pooled => state.pools.entry(server.instance.clone()).or_default().on_lost(key),
+            Use::Pooled => {
+                if let Some(pool) = state.pools.get_mut(&server.instance) {
+                    pool.on_lost(key, io.now, rand::random());
+                }
+            }
             Use::Probe => state.monitor.on_probe_lost(&server.instance, io),
         }
     }
@@ -295,7 +341,10 @@
         for name in names {
             if let Some(state) = self.groups.get_mut(&name) {
                 state.confirmations.expire(io);
-                let overdue = state.monitor.overdue(io.now);
+                let late = state.pools.values_mut().flat_map(|pool| pool.give_up_late(io.now));
+                late.collect::<Vec<_>>().into_iter().for_each(|late| notify_refused(late, io));
+                let mut overdue = state.monitor.overdue(io.now);
+                overdue.extend(state.pools.values().flat_map(|pool| pool.overdue(io.now)));
                 for key in overdue {
                     self.on_server_lost(key, Fault::Deadline, io);
                 }
--- a/crates/daemon/src/gateway/monitor.rs
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -158,8 +158,14 @@
         }
     }
 
-    /// Takes in what an instance said.
-    pub fn on_report(&mut self, instance: &InstanceName, answer: &ProbeAnswer, io: &mut Io) {
+    /// Takes in what an instance said; `queue_wait` is known where its pool is.
+    pub fn on_report(
+        &mut self,
+        instance: &InstanceName,
+        answer: &ProbeAnswer,
+        queue_wait: Option<Duration>,
+        io: &mut Io,
+    ) {
         let report = answer.report;
         let newest_primary = self.primary.is_none_or(|known| report.applied.term >= known.term);
         if report.role == Role::Primary && newest_primary {
@@ -176,7 +182,7 @@
             applied: report.applied,
             flushed: report.flushed,
             reachable: true,
-            queue_wait: Duration::ZERO,
+            queue_wait,
             lag: io.now.duration_since(watched.caught_up),
             unconfirmed_for: None,
         };
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -1,103 +1,368 @@
-//! The pool of one instance: idle connections and exchanges waiting for one.
+//! The pool of one instance: its connections, each in a known state, and the scheduler that says
+//! which exchange gets one.
 
-use std::collections::VecDeque;
-use std::time::Instant;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
+use kestrellock_core::admission::{
+    Dispatch, Limits, Overload, Refused, Request, Scheduler, Ticket,
+};
+use kestrellock_core::catalog::{Group, Instance};
+use kestrellock_core::connection_budget::{ConnectionBudget, STANDBY_CONNECTIONS, owner_limit};
 use kestrellock_core::ids::{LeaseId, NodeName};
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::retry::Backoff;
 use kestrellock_peer::message::Exchange;
 
-/// Connections of an instance's limit left for monitors and operators.
-const RESERVED_CONNECTIONS: u32 = 3;
+/// Exchanges that may wait for one instance.
+const QUEUE_LENGTH: usize = 1024;
+/// Bytes of exchanges that may wait for one instance.
+const QUEUE_BYTES: usize = 32 * 1024 * 1024;
+/// An idle connection beyond the warm ones is closed after this time.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// A connection that is not established after this time is given up.
+const SETUP_LIMIT: Duration = Duration::from_secs(1);
+const FIRST_CONNECT_BACKOFF: Duration = Duration::from_millis(10);
+const LAST_CONNECT_BACKOFF: Duration = Duration::from_millis(250);
+/// When a caller refused for queue bytes may come back.
+const BYTES_RETRY: Duration = Duration::from_millis(100);
 
+/// What this node is to an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PoolRole {
+    /// It takes work.
+    #[default]
+    Owner,
+    /// It keeps a few connections, ready to take over.
+    Standby,
+    /// It finishes the leases it has and closes everything else.
+    Released,
+}
+
+/// What a connection is doing.
+#[derive(Debug)]
+enum State {
+    Connecting {
+        since: Instant,
+    },
+    Idle {
+        since: Instant,
+    },
+    /// In use by a lease, from the first exchange to the end of its transaction.
+    Leased {
+        ticket: Ticket,
+    },
+}
+
+/// An exchange and the connection it goes to.
+#[derive(Debug)]
+pub struct Assignment {
+    /// Key of the connection.
+    pub key: usize,
+    /// The exchange.
+    pub exchange: Exchange,
+}
+
+/// An exchange that did not run, and what its front is told.
+#[derive(Debug)]
+pub struct RefusedExchange {
+    /// The exchange.
+    pub exchange: Exchange,
+    /// Number and hint.
+    pub refusal: Refusal,
+}
+
+/// What the scheduler gave out for the idle connections.
+#[derive(Debug, Default)]
+pub struct Assigned {
+    /// Exchanges to run.
+    pub run: Vec<Assignment>,
+    /// Exchanges whose time no longer suffices.
+    pub refused: Vec<RefusedExchange>,
+}
+
+/// A waiting exchange.
 #[derive(Debug)]
-struct Waiting {
+struct Queued {
     exchange: Exchange,
     deadline: Instant,
 }
 
 /// Connections to one instance and the queue for them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    role: PoolRole,
+    slots: u32,
+    scheduler: Scheduler<Queued>,
+    queued_bytes: usize,
+    connections: HashMap<usize, State>,
     idle: Vec<usize>,
-    busy: u32,
     connecting: u32,
-    queue: VecDeque<Waiting>,
+    budget: ConnectionBudget,
+    connect_backoff: Backoff,
+    connect_after: Option<Instant>,
+}
+
+fn limits(instance: &Instance) -> Limits {
+    Limits { slots: instance.slots, queue_length: QUEUE_LENGTH }
+}
+
+/// Each group has at most one probing gateway per instance.
+fn connection_limit(group: &Group, instance: &Instance) -> u32 {
+    owner_limit(instance.connections, group.instances.len() as u32)
 }
 
 impl Pool {
-    /// Queues the first exchange of a lease.
-    pub fn enqueue(&mut self, exchange: Exchange, now: Instant) {
-        let deadline = now + exchange.time_left;
-        self.queue.push_back(Waiting { exchange, deadline });
+    /// An empty pool of an instance.
+    pub fn new(group: &Group, instance: &Instance) -> Self {
+        Self {
+            role: PoolRole::Owner,
+            slots: instance.slots,
+            scheduler: Scheduler::new(limits(instance)),
+            queued_bytes: 0,
+            connections: HashMap::new(),
+            idle: Vec::new(),
+            connecting: 0,
+            budget: ConnectionBudget::new(connection_limit(group, instance)),
+            connect_backoff: Backoff::new(FIRST_CONNECT_BACKOFF, LAST_CONNECT_BACKOFF),
+            connect_after: None,
+        }
+    }
+
+    /// Puts the instance's parameters in force.
+    pub fn configure(&mut self, group: &Group, instance: &Instance) {
+        self.slots = instance.slots;
+        self.scheduler.set_limits(limits(instance));
+        self.budget.configure(connection_limit(group, instance));
+    }
+
+    /// Changes what this node is to the instance.
+    pub fn set_role(&mut self, role: PoolRole) {
+        self.role = role;
+    }
+
+    /// What this node is to the instance.
+    pub fn role(&self) -> PoolRole {
+        self.role
     }
 
-    /// Takes out exchanges whose time is up.
-    pub fn expire(&mut self, now: Instant) -> Vec<Exchange> {
-        let (late, kept): (VecDeque<_>, VecDeque<_>) =
-            self.queue.drain(..).partition(|waiting| waiting.deadline <= now);
-        self.queue = kept;
-        late.into_iter().map(|waiting| waiting.exchange).collect()
+    /// Queues the first exchange of a lease, or gives it back refused.
+    pub fn offer(
+        &mut self,
+        exchange: Exchange,
+        capacity: u32,
+        now: Instant,
+    ) -> Result<(), Box<RefusedExchange>> {
+        let bytes = exchange.frames.len();
+        if self.queued_bytes + bytes > QUEUE_BYTES && self.scheduler.waiting() > 0 {
+            let refusal = Refusal::new(ResultCode::Overloaded, "the queue holds too many bytes");
+            let refusal = refusal.retry_after(BYTES_RETRY);
+            return Err(Box::new(RefusedExchange { exchange, refusal }));
+        }
+        let request = Request {
+            tenant: exchange.tenant.clone(),
+            capacity,
+            priority: exchange.priority,
+            deadline: now + exchange.time_left,
+        };
+        let queued = Queued { exchange, deadline: request.deadline };
+        match self.scheduler.offer(&request, queued, now) {
+            Ok(()) => {
+                self.queued_bytes += bytes;
+                Ok(())
+            }
+            Err(refused) => Err(Box::new(refused_exchange(refused))),
+        }
+    }
+
+    /// Takes out exchanges that can no longer finish in time.
+    pub fn give_up_late(&mut self, now: Instant) -> Vec<RefusedExchange> {
+        let late = self.scheduler.give_up_late(now);
+        late.into_iter().map(|refused| self.left_queue(refused)).collect()
+    }
+
+    fn left_queue(&mut self, refused: Refused<Queued>) -> RefusedExchange {
+        self.queued_bytes -= refused.work.exchange.frames.len();
+        refused_exchange(refused)
     }
 
     /// Pairs waiting exchanges with idle connections while slots are free. Their time left is what
     /// remains at `now`.
-    pub fn assign(&mut self, slots: u32, now: Instant) -> Vec<(usize, Exchange)> {
-        let mut assigned = Vec::new();
-        while self.busy < slots && !self.queue.is_empty() {
-            let Some(key) = self.idle.pop() else { break };
-            let Some(mut waiting) = self.queue.pop_front() else { break };
-            waiting.exchange.time_left = waiting.deadline.saturating_duration_since(now);
-            self.busy += 1;
-            assigned.push((key, waiting.exchange));
+    pub fn assign(&mut self, now: Instant) -> Assigned {
+        let mut assigned = Assigned::default();
+        while let Some(&key) = self.idle.last() {
+            match self.scheduler.take_next(now) {
+                None => break,
+                Some(Dispatch::GiveUp(refused)) => {
+                    let refused = self.left_queue(refused);
+                    assigned.refused.push(refused);
+                }
+                Some(Dispatch::Run { ticket, work: Queued { mut exchange, deadline } }) => {
+                    self.idle.pop();
+                    exchange.time_left = deadline.saturating_duration_since(now);
+                    self.queued_bytes -= exchange.frames.len();
+                    self.connections.insert(key, State::Leased { ticket });
+                    assigned.run.push(Assignment { key, exchange });
+                }
+            }
         }
         assigned
     }
 
-    /// Whether opening one more connection would serve a waiting exchange.
-    pub fn wants_connection(&self, limit: u32) -> bool {
-        let open = self.idle.len() as u32 + self.busy + self.connecting;
-        let unserved = self.queue.len() > self.idle.len() + self.connecting as usize;
-        unserved && open < limit.saturating_sub(RESERVED_CONNECTIONS)
+    /// How many connections to open now: for exchanges that could run if they had one, and to
+    /// keep enough warm that work need not wait for set-up.
+    pub fn connections_to_open(&mut self, now: Instant) -> u32 {
+        if self.connect_after.is_some_and(|after| now < after) {
+            return 0;
+        }
+        let open = self.connections.len() as u32;
+        let usable = self.idle.len() as u32 + self.connecting;
+        let unserved = self.scheduler.startable().saturating_sub(usable);
+        let wanted = (open + unserved).max(self.warm());
+        wanted.min(self.budget.allowed(now)).saturating_sub(open)
+    }
+
+    /// Connections held open without work.
+    fn warm(&self) -> u32 {
+        match self.role {
+            PoolRole::Owner => self.slots,
+            PoolRole::Standby => STANDBY_CONNECTIONS.min(self.slots),
+            PoolRole::Released => 0,
+        }
+    }
+
+    /// Idle connections to close: all beyond the warm ones that have been idle for long, and at
+    /// once those that a change of role leaves over.
+    pub fn connections_to_close(&mut self, now: Instant) -> Vec<usize> {
+        let limit = if self.role == PoolRole::Owner { IDLE_LIMIT } else { Duration::ZERO };
+        let surplus = (self.connections.len() as u32).saturating_sub(self.warm()) as usize;
+        let old = |key: &&usize| match self.connections.get(key) {
+            Some(State::Idle { since }) => now.saturating_duration_since(*since) >= limit,
+            _ => false,
+        };
+        self.idle.iter().filter(old).take(surplus).copied().collect()
+    }
+
+    /// Connections whose set-up takes too long.
+    pub fn overdue(&self, now: Instant) -> Vec<usize> {
+        let late = |state: &State| match state {
+            State::Connecting { since } => now.saturating_duration_since(*since) > SETUP_LIMIT,
+            _ => false,
+        };
+        let late = self.connections.iter().filter(|(_, state)| late(state));
+        late.map(|(key, _)| *key).collect()
     }
 
     /// A connection is being opened.
-    pub fn on_connecting(&mut self) {
+    pub fn on_connecting(&mut self, key: usize, now: Instant) {
+        self.connections.insert(key, State::Connecting { since: now });
         self.connecting += 1;
     }
 
-    /// A connection finished its start-up.
-    pub fn on_connected(&mut self, key: usize) {
-        self.connecting = self.connecting.saturating_sub(1);
+    /// A connection finished its start-up, or its lease ended cleanly.
+    pub fn on_idle(&mut self, key: usize, now: Instant) {
+        let before = self.connections.insert(key, State::Idle { since: now });
+        if matches!(before, Some(State::Connecting { .. })) {
+            self.connect_backoff.on_success();
+            self.connect_after = None;
+        }
+        self.leave(key, before, now);
         self.idle.push(key);
     }
 
-    /// A connection's lease ended cleanly.
-    pub fn on_idle(&mut self, key: usize) {
-        self.busy = self.busy.saturating_sub(1);
-        self.idle.push(key);
+    /// A connection is gone, whatever it was doing. `random` spreads the next attempt.
+    pub fn on_lost(&mut self, key: usize, now: Instant, random: u64) {
+        let before = self.connections.remove(&key);
+        if matches!(before, Some(State::Connecting { .. })) {
+            self.on_connect_failed(now, random);
+        }
+        self.leave(key, before, now);
     }
 
-    /// A connection is gone, whatever it was doing.
-    pub fn on_lost(&mut self, key: usize) {
-        let before = self.idle.len();
-        self.idle.retain(|idle| *idle != key);
-        if self.idle.len() < before {
-            return;
+    /// Accounts for the end of a connection's former state.
+    fn leave(&mut self, key: usize, before: Option<State>, now: Instant) {
+        match before {
+            None => {}
+            Some(State::Connecting { .. }) => self.connecting -= 1,
+            Some(State::Idle { .. }) => self.idle.retain(|idle| *idle != key),
+            Some(State::Leased { ticket }) => self.scheduler.finish(ticket, now),
         }
-        if self.connecting > 0 && self.busy == 0 {
-            self.connecting -= 1;
-        } else {
-            self.busy = self.busy.saturating_sub(1);
+    }
+
+    /// A connection could not be made.
+    pub fn on_connect_failed(&mut self, now: Instant, random: u64) {
+        self.connect_after = Some(now + self.connect_backoff.on_failure(random));
+    }
+
+    /// The back end refused another connection because it has too many.
+    pub fn on_refused(&mut self, now: Instant, random: u64) {
+        let established = self.connections.len() as u32 - self.connecting;
+        self.budget.on_refused(established, now, random);
+    }
+
+    /// The open transaction on a connection waits for its caller: its slot is free meanwhile.
+    pub fn on_paused(&mut self, key: usize, now: Instant) {
+        if let Some(State::Leased { ticket }) = self.connections.get_mut(&key) {
+            self.scheduler.pause(ticket, now);
         }
     }
 
-    /// Drops the waiting exchanges of a front that cannot be reached.
-    pub fn forget_node(&mut self, node: &NodeName) {
-        self.queue.retain(|waiting| waiting.exchange.lease.node != *node);
+    /// The open transaction on a connection runs its next exchange.
+    pub fn on_resumed(&mut self, key: usize, now: Instant) {
+        if let Some(State::Leased { ticket }) = self.connections.get_mut(&key) {
+            self.scheduler.resume(ticket, now);
+        }
     }
 
     /// Drops a waiting exchange whose caller is gone.
     pub fn forget(&mut self, lease: &LeaseId) {
-        self.queue.retain(|waiting| waiting.exchange.lease != *lease);
+        self.remove_first(|exchange| exchange.lease == *lease);
     }
+
+    /// Drops the waiting exchanges of a front that cannot be reached.
+    pub fn forget_node(&mut self, node: &NodeName) {
+        while self.remove_first(|exchange| exchange.lease.node == *node) {}
+    }
+
+    fn remove_first(&mut self, matches: impl Fn(&Exchange) -> bool) -> bool {
+        let removed = self.scheduler.remove(|waiting| matches(&waiting.exchange));
+        self.queued_bytes -= removed.as_ref().map_or(0, |queued| queued.exchange.frames.len());
+        removed.is_some()
+    }
+
+    /// Takes out everything that waits.
+    pub fn drain_queue(&mut self) -> Vec<Exchange> {
+        self.queued_bytes = 0;
+        self.scheduler.drain().into_iter().map(|queued| queued.exchange).collect()
+    }
+
+    /// Expected wait for a slot.
+    pub fn expected_wait(&self) -> Duration {
+        self.scheduler.expected_wait()
+    }
+
+    /// Whether no connection is open or being opened.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Open connections, those being opened among them.
+    pub fn open(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Leases in progress.
+    pub fn leases(&self) -> usize {
+        self.connections.len() - self.idle.len() - self.connecting as usize
+    }
+}
+
+fn refused_exchange(refused: Refused<Queued>) -> RefusedExchange {
+    let Overload { code, retry_after } = refused.overload;
+    let detail = match code {
+        ResultCode::TenantOverCapacity => "the tenant's capacity on the instance is used up",
+        _ => "the instance cannot finish the statement before its deadline",
+    };
+    let refusal = Refusal::new(code, detail).retry_after(retry_after);
+    RefusedExchange { exchange: refused.work.exchange, refusal }
 }
--- a/crates/daemon/src/gateway/running.rs
+++ b/crates/daemon/src/gateway/running.rs
@@ -226,7 +226,7 @@
 }
 
 /// The SQLSTATE in the body of an `ErrorResponse`.
-fn sqlstate(body: &[u8]) -> Option<&[u8]> {
+pub fn sqlstate(body: &[u8]) -> Option<&[u8]> {
     let mut fields = body.split(|byte| *byte == 0).filter(|field| !field.is_empty());
     fields.find(|field| field[0] == FIELD_SQLSTATE).map(|field| &field[1..])
 }
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -20,7 +20,7 @@
 use super::notify;
 use super::prepared::PreparedSet;
 use super::probe::{POSITION_QUERY, Report, parse_row};
-use super::running::{Next, Running, stake_of};
+use super::running::{Next, Running, sqlstate, stake_of};
 use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::net::frames;
@@ -33,6 +33,8 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 /// Time a connection gets to roll an abandoned transaction back.
 const RESET_LIMIT: Duration = Duration::from_secs(1);
+/// SQLSTATE with which a back end refuses a connection because it has too many.
+const TOO_MANY_CONNECTIONS: &[u8] = b"53300";
 const ROLLBACK: &str = "ROLLBACK";
 
 /// What a connection is for.
@@ -49,8 +51,12 @@
 pub enum ServerEvent {
     /// Start-up is over.
     Ready,
-    /// The back end refused the connection or broke the protocol.
+    /// The back end broke the protocol, or its answer to the start-up was an error.
     Unusable,
+    /// The back end accepts no further connection now.
+    Refused,
+    /// The exchange is over and its transaction still open.
+    TransactionOpen,
     /// The transaction is over and the connection free.
     LeaseEnded {
         /// The lease that ended.
@@ -244,6 +250,9 @@
                     self.state = State::Idle;
                     events.push(ServerEvent::Ready);
                 }
+                b'E' if sqlstate(frame.body()) == Some(TOO_MANY_CONNECTIONS) => {
+                    events.push(ServerEvent::Refused);
+                }
                 b'E' => events.push(ServerEvent::Unusable),
                 _ => {}
             },
@@ -302,6 +311,8 @@
         }
         if running.transaction == TransactionState::Idle {
             self.end_lease(events);
+        } else {
+            events.push(ServerEvent::TransactionOpen);
         }
     }
 
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -15,6 +15,8 @@
 const MAX_RESTARTS: usize = 10;
 const RESTART_WINDOW: Duration = Duration::from_secs(60);
 
+/// Time between looks at the stop flag while sleeping.
+const SLEEP_STEP: Duration = Duration::from_millis(20);
 /// Time between looks at the pause flag while paused.
 const PAUSE_CHECK: Duration = Duration::from_millis(1);
 
@@ -56,6 +58,18 @@
         self.failed.load(Ordering::Acquire)
     }
 
+    /// Sleeps for `time`, or until the children are to finish.
+    pub fn sleep(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while !self.is_stopping() {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left.min(SLEEP_STEP));
+        }
+    }
+
     /// Counts the restarts of children after a panic.
     pub fn restarts(&self) -> Counter {
         self.restarts.clone()
--- /dev/null
+++ b/crates/daemon/tests/pool.rs
@@ -0,0 +1,249 @@
+//! The pool of one instance: every connection in one state, limits kept, no opening in vain.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use kestrellock_core::catalog::{Group, Priority};
+use kestrellock_core::connection_budget::owner_limit;
+use kestrellock_core::ids::{InstanceName, LeaseId, NodeName, TenantName};
+use kestrellock_core::routing::Access;
+use kestrellock_daemon::gateway::pool::{Assigned, Assignment, Pool, PoolRole};
+use kestrellock_peer::message::Exchange;
+use proptest::prelude::*;
+
+const SLOTS: u32 = 3;
+const CONNECTIONS: u32 = 12;
+
+fn group() -> Group {
+    let text = format!(
+        "database = 'd'\nuser = 'u'\n[[instances]]\nname = 'i'\nzone = 'z'\n\
+         address = '127.0.0.1:1'\nslots = {SLOTS}\nconnections = {CONNECTIONS}"
+    );
+    toml::from_str(&text).expect("the group is valid")
+}
+
+fn exchange(serial: u64, time_left: Duration) -> Exchange {
+    Exchange {
+        lease: LeaseId { node: NodeName::new("n"), incarnation: 1, shard: 0, serial },
+        number: 0,
+        instance: InstanceName::new("i"),
+        tenant: TenantName::new("t"),
+        access: Access::Write,
+        priority: Priority::Normal,
+        time_left,
+        statements: Vec::new(),
+        frames: Bytes::from_static(b"frames"),
+        ready_expected: 1,
+        may_commit: true,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer,
+    Open { refused: bool },
+    End { which: prop::sample::Index },
+    Lose { which: prop::sample::Index },
+    Pause { which: prop::sample::Index },
+    Resume { which: prop::sample::Index },
+    Forget { serial: u64 },
+    Role(u8),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = any::<prop::sample::Index>;
+    prop_oneof![
+        4 => Just(Step::Offer),
+        3 => any::<u8>().prop_map(|chance| Step::Open { refused: chance < 30 }),
+        3 => index().prop_map(|which| Step::End { which }),
+        1 => index().prop_map(|which| Step::Lose { which }),
+        1 => index().prop_map(|which| Step::Pause { which }),
+        1 => index().prop_map(|which| Step::Resume { which }),
+        1 => (0..100_u64).prop_map(|serial| Step::Forget { serial }),
+        1 => (0..3_u8).prop_map(Step::Role),
+        2 => (0..300_u64).prop_map(Step::Wait),
+    ]
+}
+
+/// The test's own account of the connections.
+#[derive(Default)]
+struct Account {
+    connecting: BTreeSet<usize>,
+    idle: BTreeSet<usize>,
+    /// Leased connections, and whether their transaction is paused.
+    leased: BTreeMap<usize, bool>,
+    resumed: bool,
+}
+
+impl Account {
+    fn open(&self) -> usize {
+        self.connecting.len() + self.idle.len() + self.leased.len()
+    }
+
+    fn pick(&self, which: &prop::sample::Index) -> Option<usize> {
+        let keys: Vec<usize> = self.leased.keys().copied().collect();
+        (!keys.is_empty()).then(|| keys[which.index(keys.len())])
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    #[test]
+    fn connections_and_leases_are_accounted_for(steps in prop::collection::vec(step(), 1..300)) {
+        let group = group();
+        let mut pool = Pool::new(&group, &group.instances[0]);
+        let mut account = Account::default();
+        let mut now = Instant::now();
+        let mut next_key = 0;
+        for (serial, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Offer => {
+                    // What happens to a refused exchange is not the pool's matter.
+                    let _ = pool.offer(exchange(serial as u64, Duration::from_millis(500)), 10, now);
+                }
+                Step::Open { refused } => {
+                    for _ in 0..pool.connections_to_open(now) {
+                        pool.on_connecting(next_key, now);
+                        account.connecting.insert(next_key);
+                        next_key += 1;
+                    }
+                    if let Some(key) = account.connecting.pop_first() {
+                        if refused {
+                            pool.on_refused(now, 7);
+                            pool.on_lost(key, now, 7);
+                        } else {
+                            pool.on_idle(key, now);
+                            account.idle.insert(key);
+                        }
+                    }
+                }
+                Step::End { which } => if let Some(key) = account.pick(&which) {
+                    account.leased.remove(&key);
+                    account.idle.insert(key);
+                    pool.on_idle(key, now);
+                }
+                Step::Lose { which } => if let Some(key) = account.pick(&which) {
+                    account.leased.remove(&key);
+                    pool.on_lost(key, now, 7);
+                    pool.on_lost(key, now, 7);
+                }
+                Step::Pause { which } => if let Some(key) = account.pick(&which) {
+                    account.leased.insert(key, true);
+                    pool.on_paused(key, now);
+                }
+                Step::Resume { which } => if let Some(key) = account.pick(&which) {
+                    account.resumed |= account.leased[&key];
+                    account.leased.insert(key, false);
+                    pool.on_resumed(key, now);
+                }
+                Step::Forget { serial } => pool.forget(&exchange(serial, Duration::ZERO).lease),
+                Step::Role(role) => {
+                    let roles = [PoolRole::Owner, PoolRole::Standby, PoolRole::Released];
+                    pool.set_role(roles[usize::from(role)]);
+                }
+                Step::Wait(time) => now += Duration::from_millis(time),
+            }
+            pool.give_up_late(now);
+            let Assigned { run, .. } = pool.assign(now);
+            for Assignment { key, .. } in run {
+                prop_assert!(account.idle.remove(&key), "connection {key} is given out while in use");
+                account.leased.insert(key, false);
+            }
+            for key in pool.connections_to_close(now) {
+                prop_assert!(account.idle.remove(&key), "connection {key} is closed while in use");
+                pool.on_lost(key, now, 7);
+            }
+            let running = account.leased.values().filter(|paused| !**paused).count();
+            prop_assert!(account.resumed || running <= SLOTS as usize);
+            prop_assert_eq!(pool.open(), account.open());
+            prop_assert_eq!(pool.leases(), account.leased.len());
+            prop_assert!(account.open() <= owner_limit(CONNECTIONS, 1) as usize);
+        }
+    }
+}
+
+/// A pool with `count` connections that are up.
+fn connected(role: PoolRole, now: Instant) -> Pool {
+    let group = group();
+    let mut pool = Pool::new(&group, &group.instances[0]);
+    pool.set_role(role);
+    for key in 0..pool.connections_to_open(now) as usize {
+        pool.on_connecting(key, now);
+        pool.on_idle(key, now);
+    }
+    pool
+}
+
+#[test]
+fn each_role_keeps_its_connections_warm() {
+    let now = Instant::now();
+    let table =
+        [(PoolRole::Owner, SLOTS as usize), (PoolRole::Standby, 2), (PoolRole::Released, 0)];
+    for (role, warm) in table {
+        let mut pool = connected(role, now);
+        assert_eq!(pool.open(), warm, "{role:?}");
+        assert_eq!(pool.connections_to_open(now), 0, "{role:?}");
+        let later = now + Duration::from_secs(3600);
+        assert!(pool.connections_to_close(later).is_empty(), "{role:?} closes warm connections");
+    }
+}
+
+#[test]
+fn an_open_transaction_leaves_room_for_others() {
+    let now = Instant::now();
+    let mut pool = connected(PoolRole::Owner, now);
+    let minute = Duration::from_secs(60);
+    for serial in 0..u64::from(SLOTS) {
+        pool.offer(exchange(serial, minute), 10, now).expect("it fits");
+    }
+    let paused = pool.assign(now).run;
+    assert_eq!(paused.len(), SLOTS as usize);
+    for assignment in &paused {
+        pool.on_paused(assignment.key, now);
+    }
+    pool.offer(exchange(100, minute), 10, now).expect("it fits");
+    assert_eq!(pool.connections_to_open(now), 1, "one more connection serves the waiting exchange");
+    pool.on_connecting(100, now);
+    assert_eq!(pool.connections_to_open(now), 0, "none is opened in vain");
+    pool.on_idle(100, now);
+    let run = pool.assign(now).run;
+    assert_eq!(run.iter().map(|assignment| assignment.key).collect::<Vec<_>>(), [100]);
+}
+
+#[test]
+fn a_released_pool_closes_idle_connections_and_keeps_leases() {
+    let now = Instant::now();
+    let mut pool = connected(PoolRole::Owner, now);
+    pool.offer(exchange(1, Duration::from_secs(60)), 10, now).expect("it fits");
+    let [Assignment { key: leased, .. }] = pool.assign(now).run[..] else { panic!("one runs") };
+    pool.set_role(PoolRole::Released);
+    let closed = pool.connections_to_close(now);
+    assert_eq!(closed.len(), SLOTS as usize - 1);
+    assert!(!closed.contains(&leased));
+    closed.into_iter().for_each(|key| pool.on_lost(key, now, 0));
+    pool.on_idle(leased, now);
+    assert_eq!(pool.connections_to_close(now), [leased]);
+}
+
+#[test]
+fn failed_connecting_is_repeated_with_backoff() {
+    let group = group();
+    let mut now = Instant::now();
+    let mut pool = Pool::new(&group, &group.instances[0]);
+    let mut attempts = 0;
+    let end = now + Duration::from_secs(10);
+    while now < end {
+        for _ in 0..pool.connections_to_open(now) {
+            attempts += 1;
+            pool.on_connecting(attempts, now);
+            pool.on_lost(attempts, now, u64::MAX);
+        }
+        now += Duration::from_millis(10);
+    }
+    // At the largest backoff of 250 ms each round opens what is missing of the warm connections.
+    assert!((30..200).contains(&attempts), "{attempts} attempts");
+    assert_eq!(pool.open(), 0);
+}
--- a/crates/lab/src/standin/group/replication.rs
+++ b/crates/lab/src/standin/group/replication.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::events::{EventLog, GroupEventKind, Signal};
-use super::instance::{Instance, Record, State};
+use super::instance::{Generation, Instance, Record, State};
 use super::options::GroupOptions;
 
 /// Longest time between two looks at the group.
@@ -30,6 +30,7 @@
     timeout: Duration,
     /// Since when it has known that a higher term than the one it leads exists.
     outdated_since: Option<Instant>,
+    generation: Generation,
 }
 
 /// The elected primary, as far as the coordinator has seen.
@@ -67,6 +68,7 @@
                 last_heard: now,
                 timeout: draw_timeout(options.election_timeout, &mut random),
                 outdated_since: None,
+                generation: instance.state().generation,
             })
             .collect();
         let leader = Leader { index: 0, term: 1, lost: false };
@@ -83,7 +85,8 @@
     }
 
     /// Does what is due. Returns when a record will next be old enough to be applied.
-    fn tick(&mut self, now: Instant) -> Option<Instant> {
+    pub fn tick(&mut self, now: Instant) -> Option<Instant> {
+        self.note_restarts(now);
         self.ship_all(now);
         self.note_contact();
         self.step_down_outdated(now);
@@ -95,6 +98,18 @@
             .min()
     }
 
+    /// Members that begin a new life know nothing of a primary or of higher terms.
+    fn note_restarts(&mut self, now: Instant) {
+        for member in &mut self.members {
+            let generation = member.instance.state().generation;
+            if member.generation != generation {
+                member.generation = generation;
+                member.last_heard = now;
+                member.outdated_since = None;
+            }
+        }
+    }
+
     fn instance(&self, index: usize) -> &Arc<Instance> {
         &self.members[index].instance
     }
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -4,9 +4,9 @@
 use kestrellock_core::ids::{GroupName, TemplateName, TenantName};
 use thiserror::Error;
 
-use crate::store::{ConfigStore, KeyValue, StoreError};
+use crate::store::{ConfigStore, KeyValue, Snapshot, StoreError};
 
-/// Prefix of every key of the product.
+/// Prefix of every key of the catalog.
 pub const PREFIX: &str = "/kestrellock/";
 /// Prefix of database groups.
 pub const GROUPS: &str = "/kestrellock/groups/";
@@ -31,10 +31,26 @@
     },
 }
 
+/// A catalog as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredCatalog {
+    /// The catalog; its revision is the store's revision at which its newest part was written.
+    pub catalog: Catalog,
+    /// Revision of the store at which it was read.
+    pub store_revision: u64,
+}
+
 /// Reads the whole catalog at one revision.
-pub fn read_catalog(store: &dyn ConfigStore) -> Result<Catalog, CatalogError> {
+pub fn read_catalog(store: &dyn ConfigStore) -> Result<StoredCatalog, CatalogError> {
     let snapshot = store.range(PREFIX)?;
-    let mut catalog = Catalog { revision: Revision(snapshot.revision), ..Catalog::default() };
+    let catalog = catalog_of(&snapshot)?;
+    Ok(StoredCatalog { catalog, store_revision: snapshot.revision })
+}
+
+/// The catalog that a snapshot of [`PREFIX`] holds.
+pub fn catalog_of(snapshot: &Snapshot) -> Result<Catalog, CatalogError> {
+    let newest = snapshot.entries.iter().map(|entry| entry.modified).max().unwrap_or(0);
+    let mut catalog = Catalog { revision: Revision(newest), ..Catalog::default() };
     for entry in &snapshot.entries {
         add(&mut catalog, entry).map_err(|error| CatalogError::Malformed {
             key: entry.key.clone(),
