--- /dev/null
+++ b/crates/core/tests/rendezvous.rs
@@ -0,0 +1,80 @@
+//! Owner and standby: the same from every list, moved little, and the table agrees with the
+//! choice made from scratch.
+
+use std::collections::BTreeSet;
+
+use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
+use kestrellock_core::rendezvous::{Candidate, OwnershipTable, ownership};
+use proptest::prelude::*;
+
+const ZONES: usize = 3;
+
+fn zone(number: usize) -> ZoneName {
+    ZoneName::new(format!("zone-{}", number % ZONES))
+}
+
+fn candidate(number: usize) -> Candidate {
+    Candidate { node: NodeName::new(format!("node-{number}")), zone: zone(number) }
+}
+
+fn instance(number: usize) -> (InstanceName, ZoneName) {
+    (InstanceName::new(format!("instance-{number}")), zone(number))
+}
+
+proptest! {
+    #[test]
+    fn the_table_agrees_with_the_choice_from_scratch(
+        histories in prop::collection::vec(
+            (
+                prop::collection::btree_set(0..12_usize, 0..12),
+                prop::collection::btree_set(0..20_usize, 0..20),
+            ),
+            1..8,
+        ),
+    ) {
+        let mut table = OwnershipTable::default();
+        for (nodes, instances) in histories {
+            let candidates: Vec<Candidate> = nodes.into_iter().map(candidate).collect();
+            let placed: Vec<_> = instances.iter().copied().map(instance).collect();
+            table.update(&candidates, placed.iter().map(|(name, zone)| (name, zone)));
+            for (name, zone) in &placed {
+                prop_assert_eq!(table.get(name).cloned(), ownership(name, zone, &candidates));
+            }
+            for other in (0..20).filter(|number| !instances.contains(number)) {
+                prop_assert_eq!(table.get(&instance(other).0), None);
+            }
+        }
+    }
+
+    #[test]
+    fn a_node_that_leaves_moves_only_what_it_held(nodes in 3..30_usize, gone in 0..30_usize) {
+        let gone = gone % nodes;
+        let before: Vec<Candidate> = (0..nodes).map(candidate).collect();
+        let after: Vec<Candidate> =
+            (0..nodes).filter(|number| *number != gone).map(candidate).collect();
+        for (name, zone) in (0..100).map(instance) {
+            let old = ownership(&name, &zone, &before).expect("nodes live");
+            let new = ownership(&name, &zone, &after).expect("nodes live");
+            if old.owner == candidate(gone).node {
+                prop_assert_eq!(Some(new.owner), old.standby, "the standby takes over");
+            } else {
+                prop_assert_eq!(new.owner, old.owner);
+            }
+        }
+    }
+}
+
+#[test]
+fn owners_are_of_the_zone_while_it_has_nodes() {
+    let candidates: Vec<Candidate> = (0..9).map(candidate).collect();
+    for (name, zone) in (0..50).map(instance) {
+        let chosen = ownership(&name, &zone, &candidates).expect("nodes live");
+        let local: BTreeSet<&NodeName> = candidates
+            .iter()
+            .filter(|candidate| candidate.zone == zone)
+            .map(|candidate| &candidate.node)
+            .collect();
+        assert!(local.contains(&chosen.owner));
+        assert!(chosen.standby.is_some_and(|standby| local.contains(&standby)));
+    }
+}
