--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -374,7 +374,8 @@
             LeaseEvent::Refused(refusal) => {
                 // A caller that does not look at errors must not run the rest of a lost transaction
                 // statement by statement.
-                let ended = request.is_none_or(|request| request.class == StatementClass::Commit);
+                let ends = [StatementClass::Commit, StatementClass::Rollback];
+                let ended = request.is_none_or(|request| ends.contains(&request.class));
                 self.transaction_lost = self.transaction != TransactionState::Idle && !ended;
                 self.transaction = match self.transaction_lost {
                     true => TransactionState::Failed,
--- a/crates/daemon/src/net/connection.rs
+++ b/crates/daemon/src/net/connection.rs
@@ -52,18 +52,15 @@
         })
     }
 
-    /// Reads whatever is there into `input`.
+    /// Reads whatever is there into `input`, up to the point where the kernel has no more. A short
+    /// read is not that point: readiness is told once, and the other side's close may have come
+    /// with its last bytes.
     pub fn fill(&mut self) -> ReadOutcome {
         let mut chunk = [0_u8; READ_CHUNK_BYTES];
         loop {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return ReadOutcome::Closed,
-                Ok(count) => {
-                    self.input.extend_from_slice(&chunk[..count]);
-                    if count < chunk.len() {
-                        return ReadOutcome::Drained;
-                    }
-                }
+                Ok(count) => self.input.extend_from_slice(&chunk[..count]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return ReadOutcome::Drained;
                 }
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,480 @@
+//! Scripted back ends, a store that never changes, nodes and callers, over real sockets.
+
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_daemon::net::frames;
+use kestrellock_daemon::node::{Listeners, Node};
+use kestrellock_daemon::policy::Policy;
+use kestrellock_daemon::settings::{PeerSettings, Settings};
+use kestrellock_platform::store::{
+    ConfigStore, KeyValue, Snapshot, StoreError, Swap, Transaction, Watch,
+};
+use serde_json::json;
+
+/// Generous limit for everything a test waits for.
+pub const LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(2);
+/// Marks the statement to which the script's fault applies.
+pub const MARK: &str = "marked";
+
+/// Waits until `condition` holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < limit, "waited too long: {what}");
+        thread::sleep(POLL);
+    }
+}
+
+/// What an instance does with a marked statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scripted {
+    /// Answers it like any other.
+    Answer,
+    /// Closes the connection without an answer.
+    Close,
+    /// Answers it, then closes without answering the position query behind it.
+    CloseBeforePosition,
+    /// Answers it, but the position query with an error.
+    RefusePosition,
+    /// Answers with an error and the given SQLSTATE.
+    Error(&'static str),
+    /// Answers with an error, then closes without answering the position query.
+    ErrorThenClose,
+    /// Never answers, and keeps the connection open.
+    Hang,
+}
+
+/// State of a scripted group.
+#[derive(Debug)]
+pub struct Script {
+    /// Index of the instance that calls itself primary under the newest term.
+    pub primary: usize,
+    /// Term of each instance.
+    pub terms: Vec<u32>,
+    /// Log offset of the primary.
+    pub offset: u64,
+    /// Whether replicas fail to receive the log.
+    pub withheld: bool,
+    /// Instances that accept no connection and answer none.
+    pub down: Vec<bool>,
+    /// Behaviour for marked statements.
+    pub on_marked: Scripted,
+    /// Statements seen, with the instance that saw them.
+    pub seen: Vec<(usize, String)>,
+}
+
+/// A group of three scripted instances.
+pub struct ScriptedGroup {
+    pub script: Arc<Mutex<Script>>,
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl ScriptedGroup {
+    pub fn start() -> Self {
+        let script = Arc::new(Mutex::new(Script {
+            primary: 0,
+            terms: vec![1; 3],
+            offset: 0x100,
+            withheld: false,
+            down: vec![false; 3],
+            on_marked: Scripted::Answer,
+            seen: Vec::new(),
+        }));
+        let addresses = (0..3).map(|index| listen(index, script.clone())).collect();
+        Self { script, addresses }
+    }
+
+    pub fn script(&self) -> MutexGuard<'_, Script> {
+        self.script.lock().expect("the script's lock")
+    }
+
+    /// How often an instance saw a statement that contains `text`.
+    pub fn seen(&self, text: &str) -> usize {
+        self.script().seen.iter().filter(|(_, sql)| sql.contains(text)).count()
+    }
+}
+
+fn listen(index: usize, script: Arc<Mutex<Script>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let script = script.clone();
+            thread::spawn(move || Connection::new(index, script, stream).serve());
+        }
+    });
+    address
+}
+
+struct Connection {
+    index: usize,
+    script: Arc<Mutex<Script>>,
+    stream: TcpStream,
+    input: BytesMut,
+    output: Vec<u8>,
+    status: u8,
+    /// What the position query behind a marked statement meets.
+    position: Scripted,
+}
+
+/// Appends a message.
+pub fn put(output: &mut Vec<u8>, tag: u8, body: &[u8]) {
+    output.push(tag);
+    output.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+    output.extend_from_slice(body);
+}
+
+fn put_row(output: &mut Vec<u8>, values: &[&str]) {
+    let mut body = (values.len() as u16).to_be_bytes().to_vec();
+    for value in values {
+        body.extend_from_slice(&(value.len() as u32).to_be_bytes());
+        body.extend_from_slice(value.as_bytes());
+    }
+    put(output, b'D', &body);
+}
+
+impl Connection {
+    fn new(index: usize, script: Arc<Mutex<Script>>, stream: TcpStream) -> Self {
+        let (input, output) = (BytesMut::new(), Vec::new());
+        let position = Scripted::Answer;
+        Self { index, script, stream, input, output, status: b'I', position }
+    }
+
+    fn serve(mut self) {
+        // A connection that breaks is the proxy's affair.
+        let _ = self.run();
+    }
+
+    fn run(&mut self) -> std::io::Result<()> {
+        self.stream.set_nodelay(true)?;
+        let mut length = [0_u8; 4];
+        self.stream.read_exact(&mut length)?;
+        let mut startup = vec![0_u8; u32::from_be_bytes(length) as usize - 4];
+        self.stream.read_exact(&mut startup)?;
+        if self.script.lock().expect("the script's lock").down[self.index] {
+            return Ok(());
+        }
+        put(&mut self.output, b'R', &0_u32.to_be_bytes());
+        put(&mut self.output, b'Z', b"I");
+        loop {
+            while let Some(frame) = frames::next_frame(&mut self.input).expect("a valid length") {
+                if frame.tag == b'X' || !self.on_frame(frame.tag, &frame.bytes) {
+                    return self.stream.write_all(&self.output);
+                }
+            }
+            self.stream.write_all(&self.output)?;
+            self.output.clear();
+            let mut chunk = [0_u8; 4096];
+            let count = self.stream.read(&mut chunk)?;
+            let down = self.script.lock().expect("the script's lock").down[self.index];
+            if count == 0 || down {
+                return Ok(());
+            }
+            self.input.extend_from_slice(&chunk[..count]);
+        }
+    }
+
+    /// Handles one message; false to close.
+    fn on_frame(&mut self, tag: u8, bytes: &Bytes) -> bool {
+        assert_eq!(tag, b'Q', "the script knows simple queries only");
+        let text = String::from_utf8_lossy(&bytes[frames::HEADER_BYTES..bytes.len() - 1]);
+        if text.contains("pg_is_in_recovery") {
+            return self.on_position();
+        }
+        let behaviour = {
+            let mut script = self.script.lock().expect("the script's lock");
+            script.seen.push((self.index, text.to_string()));
+            if text.contains(MARK) { script.on_marked } else { Scripted::Answer }
+        };
+        match behaviour {
+            Scripted::Close => return false,
+            Scripted::Hang => return self.hang(),
+            Scripted::Error(state) => self.put_error(state),
+            Scripted::ErrorThenClose => self.put_error("23505"),
+            _ => self.answer(&text),
+        }
+        self.position = behaviour;
+        put(&mut self.output, b'Z', &[self.status]);
+        true
+    }
+
+    fn hang(&mut self) -> bool {
+        let mut rest = Vec::new();
+        // Returns when the proxy closes.
+        let _ = self.stream.read_to_end(&mut rest);
+        false
+    }
+
+    fn put_error(&mut self, state: &str) {
+        let body = format!("SERROR\0C{state}\0Mscripted\0\0");
+        put(&mut self.output, b'E', body.as_bytes());
+        if self.status == b'T' {
+            self.status = b'E';
+        }
+    }
+
+    fn answer(&mut self, text: &str) {
+        let word = text.split_whitespace().next().unwrap_or_default().to_uppercase();
+        let tag = match word.as_str() {
+            "BEGIN" => {
+                self.status = b'T';
+                "BEGIN"
+            }
+            "COMMIT" => {
+                self.commit();
+                "COMMIT"
+            }
+            "ROLLBACK" => {
+                self.status = b'I';
+                "ROLLBACK"
+            }
+            "SELECT" => {
+                put_row(&mut self.output, &["1"]);
+                "SELECT 1"
+            }
+            _ => {
+                if self.status == b'I' {
+                    self.commit();
+                }
+                "INSERT 0 1"
+            }
+        };
+        put(&mut self.output, b'C', format!("{tag}\0").as_bytes());
+    }
+
+    fn commit(&mut self) {
+        self.status = b'I';
+        self.script.lock().expect("the script's lock").offset += 0x10;
+    }
+
+    fn on_position(&mut self) -> bool {
+        match std::mem::replace(&mut self.position, Scripted::Answer) {
+            Scripted::CloseBeforePosition | Scripted::ErrorThenClose => return false,
+            Scripted::RefusePosition => self.put_error("XX000"),
+            _ => self.put_position(),
+        }
+        put(&mut self.output, b'Z', &[self.status]);
+        true
+    }
+
+    fn put_position(&mut self) {
+        let script = self.script.lock().expect("the script's lock");
+        let primary = script.primary == self.index;
+        let term = script.terms[self.index];
+        let newest = script.terms[script.primary];
+        // An instance left behind at an old term still believes what it was.
+        let role = if primary || term < newest && self.index == 0 { "f" } else { "t" };
+        let offset = if primary || !script.withheld { script.offset } else { 1 };
+        drop(script);
+        let offset = format!("0/{offset:X}");
+        let file = format!("{term:08X}");
+        put_row(&mut self.output, &[role, &offset, &offset, &file]);
+    }
+}
+
+/// A store with fixed content.
+struct FixedStore(Vec<KeyValue>);
+
+impl ConfigStore for FixedStore {
+    fn range(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        let entries =
+            self.0.iter().filter(|entry| entry.key.starts_with(prefix)).cloned().collect();
+        Ok(Snapshot { revision: 1, entries })
+    }
+
+    fn compare_and_swap(&self, _: &str, _: u64, _: &[u8]) -> Result<Swap, StoreError> {
+        Ok(Swap::Conflict)
+    }
+
+    fn commit(&self, _: &Transaction) -> Result<Swap, StoreError> {
+        Ok(Swap::Conflict)
+    }
+
+    fn watch(&self, _: &str, _: u64) -> Result<Box<dyn Watch>, StoreError> {
+        Err(StoreError::Unreachable("it never changes".to_owned()))
+    }
+}
+
+fn store(group: &ScriptedGroup, deadline: Duration) -> Arc<dyn ConfigStore> {
+    let instances: Vec<_> = group
+        .addresses
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            json!({
+                "name": format!("i{index}"), "zone": "back", "address": address,
+                "slots": 4, "connections": 20,
+            })
+        })
+        .collect();
+    let values = [
+        ("groups/g", json!({ "database": "db", "user": "kestrellock", "instances": instances })),
+        (
+            "templates/t",
+            json!({
+                "groups": ["g"], "max_staleness_ms": 60_000, "capacity": 10,
+                "deadline_ms": deadline.as_millis() as u64,
+            }),
+        ),
+        ("tenants/fan", json!({ "template": "t", "logins": { "fan": "" } })),
+    ];
+    let entries = values.map(|(key, value)| KeyValue {
+        key: format!("/kestrellock/{key}"),
+        value: value.to_string().into_bytes(),
+        modified: 1,
+    });
+    Arc::new(FixedStore(entries.to_vec()))
+}
+
+/// A front in zone `front` and a gateway in zone `back`, which owns every instance.
+pub struct Pair {
+    pub front: Option<Node>,
+    pub gateway: Option<Node>,
+    pub address: SocketAddr,
+    pub gateway_address: SocketAddr,
+}
+
+impl Pair {
+    pub fn start(group: &ScriptedGroup, deadline: Duration, policy: Policy) -> Self {
+        let mut settings = ["front", "back"]
+            .map(|name| Settings::loopback(NodeName::new(name), ZoneName::new(name)));
+        let listeners = settings.each_mut().map(|one| Listeners::bind(one).expect("free ports"));
+        let peers = settings.each_ref().map(|one| PeerSettings {
+            node: one.node.clone(),
+            zone: one.zone.clone(),
+            address: one.peer_address,
+        });
+        settings[0].peers = vec![peers[1].clone()];
+        settings[1].peers = vec![peers[0].clone()];
+        let store = store(group, deadline);
+        let addresses = settings.each_ref().map(|one| one.caller_address);
+        let mut nodes = settings
+            .iter()
+            .zip(listeners)
+            .map(|(one, own)| Node::start(one, own, store.clone(), policy).expect("it starts"));
+        let (front, gateway) = (nodes.next(), nodes.next());
+        Self { front, gateway, address: addresses[0], gateway_address: addresses[1] }
+    }
+}
+
+impl Drop for Pair {
+    fn drop(&mut self) {
+        self.front.take().into_iter().chain(self.gateway.take()).for_each(Node::kill);
+    }
+}
+
+/// The answer to one statement.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// SQLSTATE and message of the first error.
+    pub error: Option<(String, String)>,
+    /// Command tags.
+    pub tags: Vec<String>,
+    /// Number of rows.
+    pub rows: usize,
+    /// Transaction status.
+    pub status: u8,
+}
+
+impl Answer {
+    /// The result code at the head of the error message; empty if a back end's error.
+    pub fn code(&self) -> &str {
+        let message = self.error.as_ref().map_or("", |(_, message)| message.as_str());
+        message.split(' ').next().filter(|word| word.starts_with("KL")).unwrap_or_default()
+    }
+}
+
+/// A caller.
+pub struct Caller {
+    stream: TcpStream,
+    input: BytesMut,
+}
+
+impl Caller {
+    /// Connects, with extra start-up options, once the node has its configuration.
+    pub fn connect(address: SocketAddr, options: &[(&str, &str)]) -> Self {
+        let mut connected = None;
+        wait_until("a login", || {
+            connected = Self::log_in(address, options);
+            connected.is_some()
+        });
+        connected.expect("a login")
+    }
+
+    fn log_in(address: SocketAddr, options: &[(&str, &str)]) -> Option<Self> {
+        let mut stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(LIMIT)).ok()?;
+        let mut body = 0x0003_0000_u32.to_be_bytes().to_vec();
+        for (name, value) in [("user", "fan"), ("database", "db")].iter().chain(options) {
+            body.extend_from_slice(format!("{name}\0{value}\0").as_bytes());
+        }
+        body.push(0);
+        stream.write_all(&(body.len() as u32 + 4).to_be_bytes()).ok()?;
+        stream.write_all(&body).ok()?;
+        let mut caller = Self { stream, input: BytesMut::new() };
+        let answer = caller.read_answer()?;
+        answer.error.is_none().then_some(caller)
+    }
+
+    fn read_answer(&mut self) -> Option<Answer> {
+        let mut answer = Answer::default();
+        loop {
+            while let Some(frame) = frames::next_frame(&mut self.input).ok()? {
+                match frame.tag {
+                    b'C' => answer.tags.push(text(frame.body())),
+                    b'D' => answer.rows += 1,
+                    b'E' if answer.error.is_none() => answer.error = Some(error(frame.body())),
+                    b'Z' => {
+                        answer.status = frame.body()[0];
+                        return Some(answer);
+                    }
+                    _ => {}
+                }
+            }
+            let mut chunk = [0_u8; 4096];
+            match self.stream.read(&mut chunk).ok()? {
+                0 => return None,
+                count => self.input.extend_from_slice(&chunk[..count]),
+            }
+        }
+    }
+
+    /// Sends a simple query without waiting for its answer.
+    pub fn send(&mut self, sql: &str) {
+        let mut output = Vec::new();
+        put(&mut output, b'Q', format!("{sql}\0").as_bytes());
+        self.stream.write_all(&output).expect("the proxy reads");
+    }
+
+    /// Waits for the answer of what was sent.
+    pub fn answer(&mut self) -> Answer {
+        self.read_answer().expect("an answer")
+    }
+
+    /// Runs a simple query.
+    pub fn query(&mut self, sql: &str) -> Answer {
+        self.send(sql);
+        self.answer()
+    }
+}
+
+fn text(body: &[u8]) -> String {
+    String::from_utf8_lossy(body).trim_end_matches('\0').to_owned()
+}
+
+fn error(body: &[u8]) -> (String, String) {
+    let field = |kind: u8| {
+        let found = body.split(|byte| *byte == 0).find(|field| field.first() == Some(&kind));
+        found.map(|field| text(&field[1..])).unwrap_or_default()
+    };
+    (field(b'C'), field(b'M'))
+}
