Owners, standbys and hand-over of instances

Cause: a gateway kept serving whatever it was asked for, a front followed a dead owner until its deadline, and a new owner opened its first connection for the first statement.

Change: gateways follow ownership when nodes or catalog change, and not on every tick. The owner keeps connections warm; the standby keeps two, probes rarely, and takes work from fronts that cannot reach the owner. A gateway that is succeeded finishes its leases, closes what is idle and answers new work with the name of its successor, to which the front goes at once. A front passes over a node that it failed to reach in favour of the standby for a second, and subscribes anew when owners change.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -3,14 +3,16 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Instant;
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
-use kestrellock_core::rendezvous::{Candidate, Ownership, ownership};
+use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::InstanceStatus;
 
 use crate::metrics::Metrics;
+use crate::ownership::{OwnershipSnapshot, Ownerships, UnreachableNodes};
 use crate::policy::Policy;
 
 /// Who this process is.
@@ -101,6 +103,10 @@
     pub live: Shared<Vec<LiveNode>>,
     /// Configuration in force.
     pub catalog: Shared<IndexedCatalog>,
+    /// Owners of instances by the two above.
+    pub owners: Ownerships,
+    /// Nodes that this one could not reach lately.
+    pub unreachable: UnreachableNodes,
     /// What is known of back ends.
     pub statuses: StatusBoard,
     /// Number of shards.
@@ -112,11 +118,15 @@
 }
 
 impl NodeContext {
-    /// Owner and standby of an instance by the nodes now live.
-    pub fn ownership(&self, instance: &InstanceName, zone: &ZoneName) -> Option<Ownership> {
-        let live = self.live.load();
-        let candidates = live.iter().filter(|node| node.accepts_work).map(|node| &node.candidate);
-        ownership(instance, zone, candidates)
+    /// Owners and standbys of all instances by the nodes now live.
+    pub fn ownerships(&self) -> Arc<OwnershipSnapshot> {
+        self.owners.current(&self.live, &self.catalog)
+    }
+
+    /// The node to whose gateway work for an instance goes.
+    pub fn gateway_of(&self, instance: &InstanceName, now: Instant) -> Option<NodeName> {
+        let owners = self.ownerships();
+        Some(self.unreachable.choose(owners.get(instance)?, now).clone())
     }
 
     /// Where a live node accepts peers.
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -70,6 +70,10 @@
     answer_begun: bool,
     /// Earliest time to send a held request.
     hold_until: Option<Instant>,
+    /// Where a gateway said that the request should go.
+    referral: Option<Target>,
+    /// Whether the last attempt went where a gateway had said.
+    referred: bool,
 }
 
 impl Session {
@@ -89,6 +93,8 @@
             stake: NOTHING_AT_STAKE,
             answer_begun: false,
             hold_until: None,
+            referral: None,
+            referred: false,
         }
     }
 
@@ -244,16 +250,26 @@
 
     /// The connection to the gateway of the exchange under way closed.
     pub fn on_gateway_lost(&mut self, io: &mut Io) {
+        self.mark_unreachable(io);
         self.end_unanswered(Fault::GatewayLost, "the connection to the gateway was lost", io);
     }
 
     /// The request could not be handed to the gateway's node.
     pub fn on_unsent(&mut self, io: &mut Io) {
+        self.mark_unreachable(io);
         let code = failure_code(self.stake, Progress::Held, Fault::GatewayLost);
         self.on_refused(Refusal::new(code, "no connection to the gateway"), io);
     }
 
+    /// Lets work for the gateway's instances go to their standbys for a while.
+    fn mark_unreachable(&self, io: &Io) {
+        if let Some(lease) = &self.lease {
+            io.context.unreachable.add(&lease.target.gateway, io.now);
+        }
+    }
+
     fn on_silent_gateway(&mut self, io: &mut Io) {
+        self.mark_unreachable(io);
         self.end_unanswered(Fault::GatewaySilent, "the gateway did not answer in time", io);
     }
 
@@ -265,6 +281,21 @@
         self.on_refused(Refusal::new(code, detail), io);
     }
 
+    /// The gateway has not run the request. It goes to the node that the gateway names at once, and
+    /// after that by this node's own knowledge.
+    fn on_not_owner(&mut self, owner: Option<NodeName>, io: &Io) {
+        let refused_by = self.lease.as_ref().map(|lease| lease.target.clone());
+        let refusal = Refusal::new(ResultCode::NotOwner, "the gateway does not own the instance");
+        self.on_refused(refusal, io);
+        if let (Some(_), Some(target), Some(owner)) = (&self.request, refused_by, owner)
+            && !self.referred
+        {
+            self.referral = Some(Target { gateway: owner, ..target });
+            self.hold_until = None;
+        }
+        self.referred = !self.referred;
+    }
+
     /// Holds the request for another instance or gateway where that is safe, or ends it.
     fn on_refused(&mut self, refusal: Refusal, io: &Io) {
         let unfinished_read =
@@ -302,7 +333,12 @@
         let access = self.access(request, login);
         let writes = access == Access::Write;
         if self.lease.is_none() {
-            let Some(target) = target::find(&login.group, &access, io) else { return };
+            let Some(mut target) = target::find(&login.group, &access, io) else { return };
+            if let Some(referral) = self.referral.take()
+                && referral.instance == target.instance
+            {
+                target = referral;
+            }
             let id = new_lease();
             let read_only = !writes;
             self.lease = Some(Lease { id, target, read_only, next_exchange: 0, next_sequence: 0 });
@@ -351,6 +387,7 @@
                 self.connection.output.extend_from_slice(&frames);
             }
             LeaseEvent::Refused(refusal) => self.on_refused(refusal, io),
+            LeaseEvent::NotOwner { owner } => self.on_not_owner(owner, io),
             LeaseEvent::Done { .. } => self.end_lease(event),
         }
     }
@@ -359,8 +396,10 @@
     fn end_lease(&mut self, event: LeaseEvent) {
         let request = self.request.take();
         self.hold_until = None;
+        self.referral = None;
+        self.referred = false;
         match event {
-            LeaseEvent::Part(_) => {}
+            LeaseEvent::Part(_) | LeaseEvent::NotOwner { .. } => {}
             LeaseEvent::Done { frames, transaction, confirmed } => {
                 if let Some(position) = confirmed {
                     self.raise_bound(position);
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -1,12 +1,14 @@
 //! Which instance and gateway serve a statement, by what this node knows of the group.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::routing::{Access, Candidate, Choice, choose};
 use kestrellock_peer::message::{GatewayCall, SUBSCRIPTION_LIFETIME, ToGateway};
 
+use crate::ownership::OwnershipSnapshot;
 use crate::shard::{Io, Outgoing};
 
 /// Where an exchange goes.
@@ -35,8 +37,8 @@
         Choice::Nowhere => return None,
     };
     let instance = instances.iter().find(|instance| instance.name == *chosen)?;
-    let owner = io.context.ownership(&instance.name, &instance.zone)?.owner;
-    Some(Target { instance: instance.name.clone(), gateway: owner })
+    let gateway = io.context.gateway_of(&instance.name, io.now)?;
+    Some(Target { instance: instance.name.clone(), gateway })
 }
 
 /// Half a subscription's life, so that one lost renewal does not end it.
@@ -46,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Subscriptions {
     groups: HashMap<GroupName, Instant>,
+    /// Owners at the last renewal: a new owner is asked at once.
+    owners: Arc<OwnershipSnapshot>,
 }
 
 impl Subscriptions {
@@ -60,8 +64,11 @@
 
     /// Renews the subscriptions that are due.
     pub fn renew(&mut self, io: &mut Io) {
+        let owners = io.context.ownerships();
+        let moved = !Arc::ptr_eq(&owners, &self.owners);
+        self.owners = owners;
         for (group, asked) in &mut self.groups {
-            if io.now.duration_since(*asked) >= RENEWAL_INTERVAL {
+            if moved || io.now.duration_since(*asked) >= RENEWAL_INTERVAL {
                 *asked = io.now;
                 subscribe(group, io);
             }
@@ -75,8 +82,7 @@
     let owners: std::collections::BTreeSet<NodeName> = value
         .instances
         .iter()
-        .filter_map(|instance| io.context.ownership(&instance.name, &instance.zone))
-        .map(|ownership| ownership.owner)
+        .filter_map(|instance| io.context.gateway_of(&instance.name, io.now))
         .collect();
     for node in owners {
         let message = ToGateway {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod confirmation;
 pub mod monitor;
+pub mod ownership;
 pub mod pool;
 pub mod prepared;
 pub mod probe;
@@ -9,9 +10,10 @@
 pub mod server;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Instant;
 
-use kestrellock_core::catalog::{Catalog, Group, Instance};
+use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
@@ -19,11 +21,13 @@
 use slab::Slab;
 
 use crate::net::connection::ReadOutcome;
+use crate::ownership::OwnershipSnapshot;
 use crate::shard::{Io, Outgoing};
 
 use self::confirmation::Confirmations;
 use self::monitor::Monitor;
 use self::pool::{Assigned, Assignment, Pool, RefusedExchange};
+
 use self::server::{Server, ServerEvent, Use};
 
 /// What one group needs on this shard.
@@ -40,6 +44,7 @@
     servers: Slab<Server>,
     groups: HashMap<GroupName, GroupGateway>,
     leases: HashMap<LeaseId, usize>,
+    followed: Option<Arc<OwnershipSnapshot>>,
 }
 
 /// Tells the front of `lease` what happened.
@@ -61,13 +66,6 @@
     notify(&refused.exchange.lease, 0, LeaseEvent::Refused(refused.refusal), io);
 }
 
-impl GroupGateway {
-    /// The pool of an instance, made when it is first needed.
-    fn pool(&mut self, group: &Group, instance: &Instance) -> &mut Pool {
-        self.pools.entry(instance.name.clone()).or_insert_with(|| Pool::new(group, instance))
-    }
-}
-
 impl Gateway {
     /// Number of open back-end connections.
     pub fn connections(&self) -> usize {
@@ -83,21 +81,28 @@
             }
             return;
         };
-        let state = self.groups.entry(message.group.clone()).or_insert_with(|| GroupGateway {
-            monitor: Monitor::new(message.group.clone(), io.now),
-            pools: HashMap::new(),
-            confirmations: Confirmations::default(),
-        });
+        self.follow_ownership(io);
         match message.call {
             GatewayCall::Exchange(exchange) => {
                 self.on_exchange(&message.group, group, *exchange, io)
             }
             GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
             GatewayCall::Cancel(_) => {}
-            GatewayCall::Subscribe => state.monitor.subscribe(message.from, io),
+            GatewayCall::Subscribe => {
+                self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
+            }
         }
     }
 
+    /// What this shard holds of a group.
+    fn group_state(&mut self, name: &GroupName, now: Instant) -> &mut GroupGateway {
+        self.groups.entry(name.clone()).or_insert_with(|| GroupGateway {
+            monitor: Monitor::new(name.clone(), now),
+            pools: HashMap::new(),
+            confirmations: Confirmations::default(),
+        })
+    }
+
     fn on_exchange(&mut self, name: &GroupName, group: &Group, exchange: Exchange, io: &mut Io) {
         if let Some(&key) = self.leases.get(&exchange.lease) {
             if let Some(pool) = self.pool_of(key) {
@@ -119,9 +124,13 @@
             refuse(&exchange, ResultCode::NotOwner, "the gateway does not know the instance", io);
             return;
         };
-        let Some(state) = self.groups.get_mut(name) else { return };
         let capacity = io.context.catalog.load().capacity(&exchange.tenant).unwrap_or(1);
-        let pool = state.pool(group, instance);
+        let pool = self.groups.get_mut(name).and_then(|state| state.pools.get_mut(&instance.name));
+        let Some(pool) = pool.filter(|pool| pool.accepts(io.now)) else {
+            let owner = self.owner_of(&instance.name);
+            ownership::refer(&exchange, owner, io);
+            return;
+        };
         if let Err(refused) = pool.offer(exchange, capacity, io.now) {
             notify_refused(*refused, io);
             return;
@@ -334,8 +343,7 @@
 
     /// Opens what this node owns, ends what is late, probes what is due.
     pub fn on_tick(&mut self, io: &mut Io) {
-        let catalog = io.context.catalog.load();
-        self.adopt(&catalog, io);
+        self.follow_ownership(io);
         self.give_up_overdue(io);
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
@@ -351,6 +359,12 @@
             }
             self.pump_group(&name, io);
         }
+        self.close_surplus(io);
+    }
+
+    /// Closes a connection that has nothing under way.
+    fn close_idle(&mut self, key: usize, io: &mut Io) {
+        self.on_server_lost(key, Fault::BackendLost, io);
     }
 
     /// Closes connections whose back end has not answered in time.
@@ -383,23 +397,4 @@
             }
         }
     }
-
-    /// Starts monitoring groups of which this node owns an instance.
-    fn adopt(&mut self, catalog: &Catalog, io: &mut Io) {
-        for (name, group) in &catalog.groups {
-            if io.context.shard_of(name) != io.shard || self.groups.contains_key(name) {
-                continue;
-            }
-            let owns = group.instances.iter().any(|instance| {
-                io.context
-                    .ownership(&instance.name, &instance.zone)
-                    .is_some_and(|ownership| ownership.owner == io.context.identity.node)
-            });
-            if owns {
-                let monitor = Monitor::new(name.clone(), io.now);
-                let (pools, confirmations) = (HashMap::new(), Confirmations::default());
-                self.groups.insert(name.clone(), GroupGateway { monitor, pools, confirmations });
-            }
-        }
-    }
 }
--- a/crates/daemon/src/gateway/monitor.rs
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -14,6 +14,8 @@
 
 /// Time between probes of an instance while nothing waits for them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between probes by a gateway that owns no instance of the group.
+const STANDBY_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// A probe unanswered for this long means that the instance is silent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two probes of an instance that has not reached a waiting commit yet.
@@ -65,13 +67,27 @@
     subscribers: HashMap<NodeName, Instant>,
     primary: Option<Position>,
     started: Instant,
+    standby: bool,
 }
 
 impl Monitor {
     /// Knows nothing yet.
     pub fn new(group: GroupName, now: Instant) -> Self {
         let (instances, subscribers) = (HashMap::new(), HashMap::new());
-        Self { group, instances, subscribers, primary: None, started: now }
+        Self { group, instances, subscribers, primary: None, started: now, standby: false }
+    }
+
+    /// Whether the gateway only stands by: it keeps probe connections and probes rarely.
+    pub fn set_standby(&mut self, standby: bool) {
+        if self.standby && !standby {
+            self.instances.values_mut().for_each(|watched| watched.next_probe = self.started);
+        }
+        self.standby = standby;
+    }
+
+    /// Whether any front asked for statuses lately.
+    pub fn has_subscribers(&self, now: Instant) -> bool {
+        self.subscribers.values().any(|until| *until > now)
     }
 
     fn watched(&mut self, instance: &InstanceName) -> &mut Watched {
@@ -107,12 +123,13 @@
         wanted: Option<ProbeNumber>,
         now: Instant,
     ) -> Step {
+        let interval = if self.standby { STANDBY_PROBE_INTERVAL } else { PROBE_INTERVAL };
         let watched = self.watched(instance);
         match watched.probe {
             Probe::Closed { since } if now >= since + RECONNECT_INTERVAL => Step::Connect,
             Probe::Idle { key } if watched.is_due(wanted, now) => {
                 watched.probe = Probe::Busy { key, since: now };
-                watched.next_probe = now + PROBE_INTERVAL;
+                watched.next_probe = now + interval;
                 watched.asked = now;
                 Step::Ask(key)
             }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -24,6 +24,9 @@
 const SETUP_LIMIT: Duration = Duration::from_secs(1);
 const FIRST_CONNECT_BACKOFF: Duration = Duration::from_millis(10);
 const LAST_CONNECT_BACKOFF: Duration = Duration::from_millis(250);
+/// For this long after a hand-over the old owner sends new work on to its successor: fronts that
+/// still come to it lag behind.
+const HAND_OVER_PERIOD: Duration = Duration::from_secs(5);
 /// When a caller refused for queue bytes may come back.
 const BYTES_RETRY: Duration = Duration::from_millis(100);
 
@@ -92,6 +95,8 @@
 #[derive(Debug)]
 pub struct Pool {
     role: PoolRole,
+    /// When another node succeeded this one as the owner.
+    handed_over: Option<Instant>,
     slots: u32,
     scheduler: Scheduler<Queued>,
     queued_bytes: usize,
@@ -107,16 +112,17 @@
     Limits { slots: instance.slots, queue_length: QUEUE_LENGTH }
 }
 
-/// Each group has at most one probing gateway per instance.
+/// The owner and the standby of every instance of the group may probe all of them.
 fn connection_limit(group: &Group, instance: &Instance) -> u32 {
-    owner_limit(instance.connections, group.instances.len() as u32)
+    owner_limit(instance.connections, 2 * group.instances.len() as u32)
 }
 
 impl Pool {
     /// An empty pool of an instance.
-    pub fn new(group: &Group, instance: &Instance) -> Self {
+    pub fn new(group: &Group, instance: &Instance, role: PoolRole) -> Self {
         Self {
-            role: PoolRole::Owner,
+            role,
+            handed_over: None,
             slots: instance.slots,
             scheduler: Scheduler::new(limits(instance)),
             queued_bytes: 0,
@@ -137,10 +143,25 @@
     }
 
     /// Changes what this node is to the instance.
-    pub fn set_role(&mut self, role: PoolRole) {
+    pub fn set_role(&mut self, role: PoolRole, now: Instant) {
+        if self.role == PoolRole::Owner && role != PoolRole::Owner {
+            self.handed_over = Some(now);
+        }
         self.role = role;
     }
 
+    /// Whether it takes new work: the owner does, and a standby for fronts that cannot reach the
+    /// owner, unless it was the owner itself just before.
+    pub fn accepts(&self, now: Instant) -> bool {
+        match self.role {
+            PoolRole::Owner => true,
+            PoolRole::Standby => {
+                self.handed_over.is_none_or(|since| now >= since + HAND_OVER_PERIOD)
+            }
+            PoolRole::Released => false,
+        }
+    }
+
     /// What this node is to the instance.
     pub fn role(&self) -> PoolRole {
         self.role
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod net;
 pub mod node;
+pub mod ownership;
 pub mod policy;
 pub mod settings;
 pub mod shard;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,6 +14,7 @@
 use crate::agent;
 use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
 use crate::metrics::Metrics;
+use crate::ownership::{Ownerships, UnreachableNodes};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
@@ -159,6 +160,8 @@
         identity,
         live: Shared::new(std::iter::once(own).chain(others).collect()),
         catalog: Shared::new(IndexedCatalog::default()),
+        owners: Ownerships::default(),
+        unreachable: UnreachableNodes::default(),
         statuses: StatusBoard::default(),
         shards: settings.shards,
         policy,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -112,6 +112,11 @@
         /// Position that a confirmed write has reached; raises the session bound.
         confirmed: Option<Position>,
     },
+    /// The gateway does not own the instance and has not run the exchange; the lease is over.
+    NotOwner {
+        /// The node that does, as far as the gateway knows.
+        owner: Option<NodeName>,
+    },
     /// The exchange failed in the proxy, and the lease is over.
     Refused(Refusal),
 }
