--- a/crates/lab/src/scenario/catalog.rs
+++ b/crates/lab/src/scenario/catalog.rs
@@ -39,11 +39,28 @@
     deployment: &Deployment,
     capacity: u32,
 ) -> miette::Result<u64> {
-    let key = format!("{TEMPLATES}{TENANT}");
-    let snapshot = store.range(&key).into_diagnostic()?;
+    replace(store, &format!("{TEMPLATES}{TENANT}"), &describe_template(deployment, capacity))
+}
+
+/// Takes an instance out of its group. Returns the revision at which it was accepted.
+pub fn remove_instance(
+    store: &dyn ConfigStore,
+    deployment: &Deployment,
+    group: &Group,
+    index: usize,
+) -> miette::Result<u64> {
+    let mut value = describe_group(deployment, group);
+    if let Some(instances) = value["instances"].as_array_mut() {
+        instances.remove(index);
+    }
+    replace(store, &format!("{GROUPS}{}", group.id), &value)
+}
+
+fn replace(store: &dyn ConfigStore, key: &str, value: &Value) -> miette::Result<u64> {
+    let snapshot = store.range(key).into_diagnostic()?;
     let expected = snapshot.entries.first().map_or(0, |entry| entry.modified);
-    let value = describe_template(deployment, capacity).to_string();
-    match store.compare_and_swap(&key, expected, value.as_bytes()).into_diagnostic()? {
+    let value = value.to_string();
+    match store.compare_and_swap(key, expected, value.as_bytes()).into_diagnostic()? {
         Swap::Written(revision) => Ok(revision),
         Swap::Conflict => Err(miette!("{key} was changed by somebody else")),
     }
--- a/crates/lab/src/scenario/definition.rs
+++ b/crates/lab/src/scenario/definition.rs
@@ -236,6 +236,11 @@
         /// Time between two nodes.
         pause_ms: u64,
     },
+    /// An operator takes a replica out of a group; the instance goes on to run.
+    RemoveReplica {
+        /// Database of the group.
+        database: String,
+    },
     /// An operator changes the capacity in the tenant's template.
     ChangeCapacity {
         /// The new capacity.
@@ -248,7 +253,10 @@
     pub fn is_planned(&self) -> bool {
         matches!(
             self,
-            Self::RestartNode { .. } | Self::RollingRestart { .. } | Self::ChangeCapacity { .. }
+            Self::RestartNode { .. }
+                | Self::RollingRestart { .. }
+                | Self::RemoveReplica { .. }
+                | Self::ChangeCapacity { .. }
         )
     }
 
@@ -259,7 +267,8 @@
             | Self::CutPrimary { database }
             | Self::PausePrimary { database, .. }
             | Self::LoseAnswers { database, .. }
-            | Self::LagReplicas { database, .. } => Some(database),
+            | Self::LagReplicas { database, .. }
+            | Self::RemoveReplica { database } => Some(database),
             _ => None,
         }
     }
--- a/crates/lab/src/scenario/run.rs
+++ b/crates/lab/src/scenario/run.rs
@@ -132,8 +132,11 @@
         if !group.servers.wait_for_replicas(QUIET_LIMIT) {
             bail!("seed {seed}: the replicas of {} did not follow", group.id);
         }
-        let record = collect::record(group, began)
+        let mut record = collect::record(group, began)
             .ok_or_else(|| miette!("seed {seed}: {} has no primary", group.id))?;
+        let removed = gathered.done.removed.iter();
+        let removed = removed.filter(|removed| removed.group == group.id);
+        record.leaving = removed.map(|removed| removed.leaving.clone()).collect();
         state.groups.push(record);
         failovers.extend(collect::failovers(group, began));
     }
--- a/crates/lab/src/scenario/timeline.rs
+++ b/crates/lab/src/scenario/timeline.rs
@@ -8,7 +8,17 @@
 use super::definition::{Deployment, Fault};
 use super::deployment::{Cluster, Group};
 use super::schedule::PlannedFault;
-use crate::check::history::{AcceptedChange, PlannedStop, RunTime};
+use crate::check::final_state::Leaving;
+use crate::check::history::{AcceptedChange, GroupId, PlannedStop, RunTime};
+
+/// An instance that was taken out of its group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Removed {
+    /// The group.
+    pub group: GroupId,
+    /// The instance and the time.
+    pub leaving: Leaving,
+}
 
 /// What was done to the cluster that the checker must know.
 #[derive(Debug, Default)]
@@ -17,6 +27,8 @@
     pub planned_stops: Vec<PlannedStop>,
     /// Changes of configuration that were accepted.
     pub accepted_changes: Vec<AcceptedChange>,
+    /// Instances that were taken out of their groups.
+    pub removed: Vec<Removed>,
     /// Steps that could not be carried out.
     pub failures: Vec<String>,
 }
@@ -69,6 +81,9 @@
             Fault::KillZone { .. } => self.kill_zone(planned.zone),
             Fault::RestartNode { .. } => self.restart_nodes(&planned.nodes, 0),
             Fault::RollingRestart { pause_ms } => self.restart_nodes(&planned.nodes, *pause_ms),
+            Fault::RemoveReplica { database } => {
+                self.remove_replica(self.cluster.group(database));
+            }
             Fault::ChangeCapacity { capacity } => self.change_capacity(*capacity),
         }
     }
@@ -169,13 +184,29 @@
 
     fn change_capacity(&self, capacity: u32) {
         let store = self.cluster.store.as_ref();
-        match catalog::change_capacity(store, self.deployment, capacity) {
-            Ok(revision) => {
-                let change = AcceptedChange { at: self.now(), revision };
-                self.note(|done| done.accepted_changes.push(change));
-            }
-            Err(error) => self.note(|done| done.failures.push(error.to_string())),
-        }
+        self.note_change(catalog::change_capacity(store, self.deployment, capacity));
+    }
+
+    fn remove_replica(&self, group: &Group) {
+        let primary = group.servers.primary();
+        let mut instances = group.servers.instances.iter().rev();
+        let Some(replica) = instances.find(|instance| Some(instance.index) != primary) else {
+            return;
+        };
+        let store = self.cluster.store.as_ref();
+        let index = replica.index;
+        self.note_change(catalog::remove_instance(store, self.deployment, group, index));
+        let leaving = Leaving { instance: group.instance(index), since: self.now() };
+        let removed = Removed { group: group.id.clone(), leaving };
+        self.note(|done| done.removed.push(removed));
+    }
+
+    fn note_change(&self, accepted: miette::Result<u64>) {
+        let at = self.now();
+        self.note(|done| match accepted {
+            Ok(revision) => done.accepted_changes.push(AcceptedChange { at, revision }),
+            Err(error) => done.failures.push(error.to_string()),
+        });
     }
 }
 
