Classification and session state: complete tables, replay, reset or refusal

A text is now judged with everything it calls, reads and locks: unknown functions, system views of one instance, writing and locking queries in any place, and texts of several statements. Session settings are replayed on the connection that runs the next exchange and undone with their transaction; a connection on which anything else may have been left is reset with DISCARD ALL before another caller gets it; what outlives a transaction and cannot be replayed is refused with KL1201, because a pinned connection would hold one of four or five slots of an instance.

--- /dev/null
+++ b/crates/core/src/classify/settings.rs
@@ -0,0 +1,84 @@
+//! What `SET`, `RESET` and `SHOW` mean for a session on shared connections.
+
+use sqlparser::ast::{ContextModifier, Ident, ObjectName, ObjectNamePart, Set};
+
+use super::functions::{folded, is_common_setting};
+use super::{StatementClass, TextFacts};
+use crate::session_state::{Effect, Unsupported};
+
+/// `SHOW`: several settings tell about one instance, so only known ones are reads.
+pub fn show_class(variable: &[Ident]) -> StatementClass {
+    let name: Vec<String> = variable.iter().map(folded).collect();
+    let common = match name.as_slice() {
+        [name] => is_common_setting(name),
+        [first, second] => first == "time" && second == "zone",
+        _ => false,
+    };
+    if common { StatementClass::Read } else { StatementClass::Write }
+}
+
+/// `SET` in its forms.
+pub fn classify_set(set: &Set) -> TextFacts {
+    match set {
+        Set::SingleAssignment { scope: Some(ContextModifier::Local), variable, .. } => {
+            local(setting_name(variable))
+        }
+        Set::SingleAssignment { variable, .. } => session(setting_name(variable), set),
+        Set::SetTimeZone { local: true, .. } => TextFacts::of(StatementClass::Read),
+        Set::SetTimeZone { .. } => session("timezone".into(), set),
+        Set::SetNames { .. } | Set::SetNamesDefault {} => session("client_encoding".into(), set),
+        Set::SetTransaction { session: true, .. } => {
+            TextFacts::refused(Unsupported::SessionCharacteristics)
+        }
+        Set::SetTransaction { .. } => TextFacts::of(StatementClass::Write),
+        Set::SetRole { .. } | Set::SetSessionAuthorization(_) => {
+            TextFacts::refused(Unsupported::Authorization)
+        }
+        _ => TextFacts::unknown(),
+    }
+}
+
+/// `RESET` of one setting.
+pub fn classify_reset(name: &ObjectName) -> TextFacts {
+    let name = setting_name(name);
+    match refusal(&name) {
+        Some(reason) => TextFacts::refused(reason),
+        None => TextFacts::with(StatementClass::Read, Effect::Reset { name }),
+    }
+}
+
+fn setting_name(name: &ObjectName) -> String {
+    let parts = name.0.iter().map(|part| match part {
+        ObjectNamePart::Identifier(identifier) => identifier.value.to_lowercase(),
+        other => other.to_string(),
+    });
+    parts.collect::<Vec<String>>().join(".")
+}
+
+fn refusal(name: &str) -> Option<Unsupported> {
+    match name {
+        "role" | "session_authorization" => Some(Unsupported::Authorization),
+        "synchronous_commit" | "fsync" => Some(Unsupported::Durability),
+        _ => None,
+    }
+}
+
+fn local(name: String) -> TextFacts {
+    match refusal(&name) {
+        Some(reason) => TextFacts::refused(reason),
+        // It may turn a read-only transaction into another one.
+        None if name.starts_with("transaction_") => TextFacts::of(StatementClass::Write),
+        None => TextFacts::of(StatementClass::Read),
+    }
+}
+
+fn session(name: String, set: &Set) -> TextFacts {
+    match refusal(&name) {
+        Some(reason) => TextFacts::refused(reason),
+        None if name.starts_with("transaction_") => TextFacts::of(StatementClass::Write),
+        None => {
+            let statement = set.to_string();
+            TextFacts::with(StatementClass::Read, Effect::Set { name, statement })
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod retry;
 pub mod routing;
 pub mod session;
+pub mod session_state;
--- a/crates/daemon/src/front/batch.rs
+++ b/crates/daemon/src/front/batch.rs
@@ -1,7 +1,9 @@
 //! A caller's extended-query messages up to its `Sync`, rewritten for shared connections.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
-use kestrellock_core::classify::StatementClass;
+use kestrellock_core::classify::TextFacts;
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::PreparedStatement;
 
@@ -25,7 +27,7 @@
 #[derive(Debug)]
 struct Portal {
     name: Bytes,
-    class: StatementClass,
+    facts: Arc<TextFacts>,
 }
 
 /// Messages of a batch that has not ended.
@@ -35,8 +37,8 @@
     needed: Vec<PreparedStatement>,
     created: Vec<String>,
     portals: Vec<Portal>,
-    executed: Option<StatementClass>,
-    mentioned: Option<StatementClass>,
+    executed: Option<Arc<TextFacts>>,
+    mentioned: Option<Arc<TextFacts>>,
     replies: BytesMut,
     needs_back_end: bool,
     refusal: Option<Refusal>,
@@ -50,7 +52,7 @@
     /// Statements that must exist beforehand.
     pub statements: Vec<PreparedStatement>,
     /// What executing it does; where nothing is executed, what its statements would do.
-    pub class: StatementClass,
+    pub facts: Arc<TextFacts>,
     /// Whether anything is executed.
     pub executes: bool,
     /// What a back end would answer if every statement only rolled back, without `ReadyForQuery`.
@@ -103,7 +105,7 @@
     ) -> Result<(), Refusal> {
         let fields = ParseFields::read(frame.body()).ok_or_else(malformed)?;
         let statement = SessionStatement::new(&fields, classes.of(fields.text));
-        self.mentioned = Some(combine(self.mentioned, statement.class));
+        self.mention(&statement.facts);
         self.needs_back_end = true;
         self.messages.extend_from_slice(&statement.shared.parse);
         self.created.push(statement.shared.name.clone());
@@ -119,13 +121,13 @@
         let fields = BindFields::read(frame.body()).ok_or_else(malformed)?;
         let statement = find(statements, fields.statement)?;
         self.require(&statement.shared);
-        self.mentioned = Some(combine(self.mentioned, statement.class));
+        self.mention(&statement.facts);
         self.needs_back_end = true;
         let name = statement.shared.name.as_bytes();
         extended::put_bind(fields.portal, name, fields.values, &mut self.messages);
         self.portals.retain(|portal| portal.name != fields.portal);
         let name = Bytes::copy_from_slice(fields.portal);
-        self.portals.push(Portal { name, class: statement.class });
+        self.portals.push(Portal { name, facts: statement.facts.clone() });
         self.replies.extend_from_slice(BIND_COMPLETE);
         Ok(())
     }
@@ -140,7 +142,7 @@
         }
         let statement = find(statements, object.name)?;
         self.require(&statement.shared);
-        self.mentioned = Some(combine(self.mentioned, statement.class));
+        self.mention(&statement.facts);
         let name = statement.shared.name.as_bytes();
         extended::put_for_statement(extended::DESCRIBE, name, &mut self.messages);
         self.replies.extend_from_slice(NO_PARAMETERS);
@@ -151,12 +153,9 @@
     fn add_execute(&mut self, frame: &Frame) -> Result<(), Refusal> {
         let (name, _) = extended::split_string(frame.body()).ok_or_else(malformed)?;
         // A portal of an earlier batch lives on in its transaction; what it does is not known here.
-        let class = self
-            .portals
-            .iter()
-            .find(|portal| portal.name == name)
-            .map_or(StatementClass::Unknown, |portal| portal.class);
-        self.executed = Some(combine(self.executed, class));
+        let portal = self.portals.iter().find(|portal| portal.name == name);
+        let facts = portal.map_or_else(earlier_portal, |portal| portal.facts.clone());
+        self.executed = Some(combine(self.executed.take(), &facts));
         self.needs_back_end = true;
         self.messages.extend_from_slice(&frame.bytes);
         self.replies.extend_from_slice(ROLLED_BACK);
@@ -176,6 +175,10 @@
         Ok(())
     }
 
+    fn mention(&mut self, facts: &Arc<TextFacts>) {
+        self.mentioned = Some(combine(self.mentioned.take(), facts));
+    }
+
     fn require(&mut self, statement: &PreparedStatement) {
         let present = self.created.contains(&statement.name)
             || self.needed.iter().any(|needed| needed.name == statement.name);
@@ -194,16 +197,27 @@
         Ok(FinishedBatch {
             messages: batch.messages.freeze(),
             statements: batch.needed,
-            class: batch.executed.or(batch.mentioned).unwrap_or(StatementClass::Read),
             executes: batch.executed.is_some(),
+            facts: batch
+                .executed
+                .or(batch.mentioned)
+                .unwrap_or_else(|| Arc::new(TextFacts::nothing())),
             rollback_replies: batch.replies.freeze(),
             is_local: !batch.needs_back_end,
         })
     }
 }
 
-fn combine(earlier: Option<StatementClass>, next: StatementClass) -> StatementClass {
-    earlier.map_or(next, |earlier| earlier.then(next))
+fn combine(earlier: Option<Arc<TextFacts>>, next: &Arc<TextFacts>) -> Arc<TextFacts> {
+    let Some(mut earlier) = earlier else { return next.clone() };
+    Arc::make_mut(&mut earlier).then(next);
+    earlier
+}
+
+/// Facts of a portal whose statement is not known here. It was bound in the transaction that is
+/// still open, whose connection has been marked for a reset then if need be.
+fn earlier_portal() -> Arc<TextFacts> {
+    Arc::new(TextFacts::earlier_portal())
 }
 
 fn malformed() -> Refusal {
--- /dev/null
+++ b/crates/daemon/src/front/ending.rs
@@ -0,0 +1,46 @@
+//! Reads from a back end's answer how an exchange ended.
+
+use bytes::Bytes;
+use kestrellock_core::session_state::{Effect, ExchangeEnd, SessionState};
+use kestrellock_peer::message::TransactionState;
+
+use super::request::Request;
+use super::statements::Statements;
+use crate::net::frames::{self, HEADER_BYTES};
+
+const ERROR: u8 = b'E';
+const COMMAND_COMPLETE: u8 = b'C';
+const ROLLBACK_TAG: &[u8] = b"ROLLBACK\0";
+
+/// How the exchange ended whose answer ends with `messages`.
+pub fn exchange_end(messages: &Bytes, transaction: TransactionState) -> ExchangeEnd {
+    let in_transaction = transaction != TransactionState::Idle;
+    let mut end = ExchangeEnd { failed: false, in_transaction, rolled_back: false };
+    let mut rest: &[u8] = messages;
+    while let Ok(Some((tag, length))) = frames::peek(rest) {
+        let Some((message, after)) = rest.split_at_checked(length) else { break };
+        end.failed |= tag == ERROR;
+        end.rolled_back |= tag == COMMAND_COMPLETE && message[HEADER_BYTES..] == *ROLLBACK_TAG;
+        rest = after;
+    }
+    end
+}
+
+/// Lets the session's state follow an exchange that its back end has answered.
+pub fn follow(
+    state: &mut SessionState,
+    statements: &mut Statements,
+    request: &Request,
+    answer: &Bytes,
+    transaction: TransactionState,
+) {
+    let effects: &[Effect] = if request.executes { &request.facts.effects } else { &[] };
+    if !state.follows(effects) {
+        return;
+    }
+    let end = exchange_end(answer, transaction);
+    state.on_end(effects, end);
+    if !end.failed && effects.contains(&Effect::Discard) {
+        statements.clear();
+    }
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod batch;
 pub mod classes;
+pub mod ending;
 pub mod request;
 pub mod session;
 pub mod startup;
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -1,9 +1,10 @@
 //! What a caller has asked for: one exchange, ready to go out or on its way.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use kestrellock_core::classify::StatementClass;
+use kestrellock_core::classify::{StatementClass, TextFacts};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::PreparedStatement;
 
@@ -23,7 +24,7 @@
     /// Statements that must exist on the connection.
     pub statements: Vec<PreparedStatement>,
     /// What it does.
-    pub class: StatementClass,
+    pub facts: Arc<TextFacts>,
     /// Whether anything is executed, rather than only prepared or described.
     pub executes: bool,
     /// What a back end would answer if it only rolled back, without `ReadyForQuery`.
@@ -36,6 +37,13 @@
     pub sent: bool,
 }
 
+impl Request {
+    /// What it does as a whole.
+    pub fn class(&self) -> StatementClass {
+        self.facts.class
+    }
+}
+
 /// What the next messages of a caller are.
 #[derive(Debug)]
 pub enum Next {
@@ -95,7 +103,7 @@
 fn simple(frame: Frame, classes: &mut Classes, deadline: Instant) -> Request {
     let body = frame.bytes.slice(frames::HEADER_BYTES..);
     Request {
-        class: classes.of(classes::query_text(&body)),
+        facts: classes.of(classes::query_text(&body)),
         messages: frame.bytes,
         statements: Vec::new(),
         executes: true,
@@ -110,7 +118,7 @@
     Request {
         messages: batch.messages,
         statements: batch.statements,
-        class: batch.class,
+        facts: batch.facts,
         executes: batch.executes,
         rollback_replies: batch.rollback_replies,
         is_local: batch.is_local,
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -11,13 +11,14 @@
 use kestrellock_core::position::Position;
 use kestrellock_core::routing::Access;
 use kestrellock_core::session::SessionBound;
+use kestrellock_core::session_state::{ExchangeEnd, SessionState};
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToGateway, TransactionState};
 
 use super::classes::Classes;
 use super::request::{Collector, Next, Request};
 use super::startup::{self, Login, StartupStep};
 use super::target::{self, Subscriptions, Target};
-use super::{GATEWAY_GRACE, answer};
+use super::{GATEWAY_GRACE, answer, ending};
 use crate::gateway::running::stake_of;
 use crate::net::connection::Connection;
 use crate::policy::Policy;
@@ -28,6 +29,9 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(5);
 const NOTHING_AT_STAKE: Stake = Stake { effect: Effect::Read, continues_transaction: false };
 
+/// A transaction that never got as far as its commit.
+const UNDONE: ExchangeEnd = ExchangeEnd { failed: true, in_transaction: false, rolled_back: true };
+
 /// Whether the session goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SessionEnd {
@@ -62,6 +66,7 @@
     lease: Option<Lease>,
     request: Option<Request>,
     collector: Collector,
+    state: SessionState,
     /// The open transaction's connection was lost: only its end is accepted.
     transaction_lost: bool,
     /// What the exchange under way puts at stake.
@@ -89,6 +94,7 @@
             lease: None,
             request: None,
             collector: Collector::default(),
+            state: SessionState::default(),
             transaction_lost: false,
             stake: NOTHING_AT_STAKE,
             answer_begun: false,
@@ -172,7 +178,7 @@
             match self.collector.next(input, classes, deadline) {
                 Next::Incomplete => return SessionEnd::Continue,
                 Next::Terminate => return SessionEnd::Close,
-                Next::Request(request) => self.take_up(request),
+                Next::Request(request) => self.take_up(request, io),
                 Next::Refused(refusal) => self.refuse_request(&refusal, io),
                 Next::Broken(refusal) => {
                     answer::put_refusal(&refusal, "FATAL", output);
@@ -190,9 +196,13 @@
     }
 
     /// Answers a request that needs no back end, or keeps it for one.
-    fn take_up(&mut self, request: Request) {
+    fn take_up(&mut self, request: Request, io: &mut Io) {
+        if let Err(refusal) = self.check(&request) {
+            self.refuse_request(&refusal, io);
+            return;
+        }
         let output = &mut self.connection.output;
-        let ends = matches!(request.class, StatementClass::Commit | StatementClass::Rollback);
+        let ends = matches!(request.class(), StatementClass::Commit | StatementClass::Rollback);
         if self.transaction_lost && request.executes && ends {
             self.transaction_lost = false;
             self.transaction = TransactionState::Idle;
@@ -210,6 +220,16 @@
         answer::put_ready(self.transaction, output);
     }
 
+    fn check(&self, request: &Request) -> Result<(), Refusal> {
+        if !request.executes {
+            return Ok(());
+        }
+        let in_transaction = self.transaction != TransactionState::Idle;
+        self.state
+            .check(&request.facts, in_transaction)
+            .map_err(|reason| Refusal::new(ResultCode::NotSupported, reason.to_string()))
+    }
+
     /// Refuses a request that never reached a back end. An open transaction is given up, because
     /// the caller must not be able to commit the part of it that came before.
     fn refuse_request(&mut self, refusal: &Refusal, io: &mut Io) {
@@ -217,6 +237,7 @@
             self.abandon(io);
             self.transaction_lost = true;
             self.transaction = TransactionState::Failed;
+            self.state.on_end(&[], UNDONE);
         }
         answer::put_refusal(refusal, "ERROR", &mut self.connection.output);
         answer::put_ready(self.transaction, &mut self.connection.output);
@@ -317,8 +338,8 @@
     /// What the request needs, given the lease in use.
     fn access(&self, request: &Request, login: &Login) -> Access {
         let reads = match &self.lease {
-            None => matches!(request.class, StatementClass::Read | StatementClass::BeginReadOnly),
-            Some(lease) => lease.read_only && request.class.keeps_read_only(),
+            None => matches!(request.class(), StatementClass::Read | StatementClass::BeginReadOnly),
+            Some(lease) => lease.read_only && request.class().keeps_read_only(),
         };
         if reads {
             let max_staleness = login.parameters.values.max_staleness_ms.into();
@@ -356,9 +377,11 @@
             priority: if writes { values.write_priority } else { values.read_priority },
             time_left: request.deadline.saturating_duration_since(io.now),
             statements: request.statements.clone(),
+            settings: self.state.preamble(),
+            taints: request.executes && request.facts.taints(),
             frames: request.messages.clone(),
             ready_expected: 1,
-            may_commit: writes && request.executes && request.class.may_commit(open),
+            may_commit: writes && request.executes && request.class().may_commit(open),
         };
         self.stake = stake_of(&exchange);
         self.answer_begun = false;
@@ -404,6 +427,10 @@
                 if let Some(position) = confirmed {
                     self.raise_bound(position);
                 }
+                if let Some(request) = &request {
+                    let Collector { statements, .. } = &mut self.collector;
+                    ending::follow(&mut self.state, statements, request, &frames, transaction);
+                }
                 self.connection.output.extend_from_slice(&frames);
                 self.transaction = transaction;
                 if transaction == TransactionState::Idle {
@@ -413,8 +440,10 @@
             LeaseEvent::Refused(refusal) => {
                 // A caller that does not look at errors must not run the rest of a lost transaction
                 // statement by statement.
-                let ends = [StatementClass::Commit, StatementClass::Rollback];
-                let ended = request.is_none_or(|request| ends.contains(&request.class));
+                let ended = request.is_none_or(|request| {
+                    matches!(request.class(), StatementClass::Commit | StatementClass::Rollback)
+                });
+                self.state.on_end(&[], UNDONE);
                 self.transaction_lost = self.transaction != TransactionState::Idle && !ended;
                 self.transaction = match self.transaction_lost {
                     true => TransactionState::Failed,
--- a/crates/daemon/src/front/statements.rs
+++ b/crates/daemon/src/front/statements.rs
@@ -1,9 +1,10 @@
 //! Prepared statements as one caller names them.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use kestrellock_core::classify::StatementClass;
+use kestrellock_core::classify::TextFacts;
 use kestrellock_peer::message::PreparedStatement;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -18,16 +19,16 @@
     /// Name and `Parse` message under which back ends know it.
     pub shared: PreparedStatement,
     /// What its text does.
-    pub class: StatementClass,
+    pub facts: Arc<TextFacts>,
 }
 
 impl SessionStatement {
     /// A statement from a caller's `Parse`. The unnamed statement stays unnamed; another one gets a
     /// name that follows from text and parameter types, so that callers share it.
-    pub fn new(fields: &ParseFields, class: StatementClass) -> Self {
+    pub fn new(fields: &ParseFields, facts: Arc<TextFacts>) -> Self {
         let name = if fields.name.is_empty() { String::new() } else { shared_name(fields) };
         let parse = extended::parse_message(name.as_bytes(), fields.text, fields.types);
-        Self { shared: PreparedStatement { name, parse }, class }
+        Self { shared: PreparedStatement { name, parse }, facts }
     }
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: pooled connections to the instances this node owns, and what is known of them.
 
 pub mod confirmation;
+pub mod hygiene;
 pub mod monitor;
 pub mod ownership;
 pub mod pool;
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -9,7 +9,7 @@
 use kestrellock_core::confirmation::ProbeNumber;
 use kestrellock_core::exchange_state::{Effect, Fault, Progress, failure_code};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId};
-use kestrellock_core::outcome::Refusal;
+use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::{Exchange, LeaseEvent, TransactionState};
 use pgwire::messages::PgWireFrontendMessage;
 use pgwire::messages::simplequery::Query;
@@ -17,6 +17,7 @@
 use slab::Slab;
 
 use super::confirmation::Commit;
+use super::hygiene::{self, Hygiene};
 use super::notify;
 use super::prepared::PreparedSet;
 use super::probe::{POSITION_QUERY, Report, parse_row};
@@ -83,7 +84,17 @@
 enum State {
     StartingUp,
     Idle,
+    /// Puts the caller's settings in force.
+    Preparing {
+        exchange: Box<Exchange>,
+        deadline: Instant,
+        failed: bool,
+    },
     Running(Box<Running>),
+    /// Removes what the last caller left behind, until this time at the latest.
+    Discarding {
+        until: Instant,
+    },
     Probing {
         number: ProbeNumber,
         asked: Instant,
@@ -110,6 +121,7 @@
     next_sequence: u32,
     next_exchange: u32,
     prepared: PreparedSet,
+    hygiene: Hygiene,
 }
 
 impl Server {
@@ -144,6 +156,7 @@
             next_sequence: 0,
             next_exchange: 0,
             prepared: PreparedSet::default(),
+            hygiene: Hygiene::default(),
         });
         Ok(key)
     }
@@ -181,8 +194,23 @@
         self.next_exchange = 0;
     }
 
-    /// Sends an exchange, with a position query behind it if it may commit.
+    /// Runs an exchange, once the caller's settings are in force.
     pub fn run(&mut self, exchange: &Exchange, deadline: Instant) {
+        let preparation = match exchange.number {
+            0 => self.hygiene.preparation(&exchange.settings),
+            _ => None,
+        };
+        let Some(sql) = preparation else { return self.send(exchange, deadline) };
+        put_query(&sql, &mut self.connection.output);
+        let exchange = Box::new(exchange.clone());
+        self.state = State::Preparing { exchange, deadline, failed: false };
+    }
+
+    /// Sends an exchange, with a position query behind it if it may commit.
+    fn send(&mut self, exchange: &Exchange, deadline: Instant) {
+        if exchange.taints {
+            self.hygiene.taint();
+        }
         let before = self.connection.output.len();
         self.prepared.send(&exchange.statements, &exchange.frames, &mut self.connection.output);
         if exchange.may_commit {
@@ -221,7 +249,8 @@
     pub fn is_overdue(&self, now: Instant) -> bool {
         match &self.state {
             State::Running(running) => now > running.deadline + DEADLINE_GRACE,
-            State::Resetting { until } => now > *until,
+            State::Preparing { deadline, .. } => now > *deadline + DEADLINE_GRACE,
+            State::Resetting { until } | State::Discarding { until } => now > *until,
             State::StartingUp | State::Idle | State::Probing { .. } => false,
         }
     }
@@ -257,6 +286,16 @@
                 _ => {}
             },
             State::Idle => {}
+            State::Preparing { failed, .. } => match frame.tag {
+                b'E' => *failed = true,
+                b'Z' => self.on_prepared(events, io),
+                _ => {}
+            },
+            State::Discarding { .. } => match frame.tag {
+                b'E' => events.push(ServerEvent::Unusable),
+                b'Z' => self.on_discarded(events, io),
+                _ => {}
+            },
             State::Probing { number, asked, report } => match frame.tag {
                 b'D' => *report = parse_row(frame.body()).ok(),
                 b'Z' => {
@@ -274,15 +313,41 @@
                 Next::Finished => self.finish(events, io),
             },
             State::Resetting { .. } => match (frame.tag, frame.body()) {
-                (b'Z', b"I") => self.end_lease(events),
+                (b'Z', b"I") => self.end_lease(events, io),
                 (b'Z', _) => events.push(ServerEvent::Unusable),
                 _ => {}
             },
         }
     }
 
-    /// Frees the connection for another lease.
-    fn end_lease(&mut self, events: &mut Vec<ServerEvent>) {
+    /// The caller's settings were put in force, or refused by the back end.
+    fn on_prepared(&mut self, events: &mut Vec<ServerEvent>, io: &mut Io) {
+        let state = std::mem::replace(&mut self.state, State::Idle);
+        let State::Preparing { exchange, deadline, failed } = state else { return };
+        if failed {
+            let detail = "the back end does not accept the session's settings";
+            let refusal = Refusal::new(ResultCode::NotSupported, detail);
+            notify(&exchange.lease, self.next_sequence, LeaseEvent::Refused(refusal), io);
+            events.push(ServerEvent::Unusable);
+            return;
+        }
+        self.hygiene.on_prepared(&exchange.settings);
+        self.send(&exchange, deadline);
+    }
+
+    fn on_discarded(&mut self, events: &mut Vec<ServerEvent>, io: &mut Io) {
+        self.hygiene.on_reset();
+        self.prepared.clear();
+        self.end_lease(events, io);
+    }
+
+    /// Frees the connection for another lease, once it is clean.
+    fn end_lease(&mut self, events: &mut Vec<ServerEvent>, io: &mut Io) {
+        if self.hygiene.is_tainted() {
+            put_query(hygiene::RESET, &mut self.connection.output);
+            self.state = State::Discarding { until: io.now + RESET_LIMIT };
+            return;
+        }
         self.state = State::Idle;
         let lease = self.lease.take();
         events.extend(lease.map(|lease| ServerEvent::LeaseEnded { lease }));
@@ -310,7 +375,7 @@
             notify(&running.lease, sequence, event, io);
         }
         if running.transaction == TransactionState::Idle {
-            self.end_lease(events);
+            self.end_lease(events, io);
         } else {
             events.push(ServerEvent::TransactionOpen);
         }
@@ -330,7 +395,11 @@
 
     /// The connection is given up: tells the front of the exchange under way. Returns the lease.
     pub fn fail_exchange(&mut self, fault: Fault, io: &mut Io) -> Option<LeaseId> {
-        if let State::Running(mut running) = std::mem::replace(&mut self.state, State::Idle) {
+        let state = std::mem::replace(&mut self.state, State::Idle);
+        if let State::Preparing { exchange, .. } = &state {
+            self.refuse_unsent(exchange, fault, io);
+        }
+        if let State::Running(mut running) = state {
             let unsent = self.connection.output.len();
             let event = running.failure(fault, unsent);
             notify(&running.lease, self.next_sequence, event, io);
--- /dev/null
+++ b/crates/daemon/tests/hygiene.rs
@@ -0,0 +1,34 @@
+//! What is sent on a shared connection between two callers.
+
+use kestrellock_daemon::gateway::hygiene::Hygiene;
+
+const A: &str = "SET a.x = '1'";
+const B: &str = "SET a.x = '2'";
+
+#[test]
+fn a_connection_has_exactly_the_settings_of_its_caller() {
+    // (settings in force, settings of the next caller, what is sent)
+    let table = [
+        ("", "", None),
+        ("", A, Some(A.to_owned())),
+        (A, A, None),
+        (A, "", Some("RESET ALL".to_owned())),
+        (A, B, Some(format!("RESET ALL; {B}"))),
+    ];
+    for (current, wanted, sent) in table {
+        let mut hygiene = Hygiene::default();
+        hygiene.on_prepared(current);
+        assert_eq!(hygiene.preparation(wanted), sent, "from {current:?} to {wanted:?}");
+    }
+}
+
+#[test]
+fn a_reset_connection_has_nothing_left() {
+    let mut hygiene = Hygiene::default();
+    hygiene.on_prepared(A);
+    hygiene.taint();
+    assert!(hygiene.is_tainted());
+    hygiene.on_reset();
+    assert_eq!(hygiene, Hygiene::default());
+    assert_eq!(hygiene.preparation(A), Some(A.to_owned()));
+}
--- a/crates/daemon/tests/prepared.rs
+++ b/crates/daemon/tests/prepared.rs
@@ -198,7 +198,7 @@
         }
         messages.push(sync());
         let batch = request(&mut Collector::default(), &messages);
-        assert_eq!(batch.class, class, "{texts:?}");
+        assert_eq!(batch.class(), class, "{texts:?}");
         assert!(batch.executes);
     }
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -52,6 +52,10 @@
     pub time_left: Duration,
     /// Prepared statements that must exist on the connection.
     pub statements: Vec<PreparedStatement>,
+    /// Statements that put the caller's session settings in force on a connection without any.
+    pub settings: String,
+    /// Whether it may leave something on the connection beyond its transaction and settings.
+    pub taints: bool,
     /// Front-end messages, whole, as the back end is to see them.
     pub frames: Bytes,
     /// How many `ReadyForQuery` messages end the answer.
