Instances that are being taken out of use get no new work

Change: an instance has the field `leaving`. Fronts do not choose it, its gateway refuses new work for it and closes idle connections, and what runs on it finishes.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -53,6 +53,9 @@
     pub slots: u32,
     /// Connections it accepts in all.
     pub connections: u32,
+    /// Whether it is being taken out of use: it gets no new work, and what runs on it finishes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 /// One logical database and the instances that replicate it.
--- a/crates/core/tests/catalog.rs
+++ b/crates/core/tests/catalog.rs
@@ -166,11 +166,11 @@
 prop_compose! {
     fn instance()(
         name in name(), zone in name(), host in any::<[u8; 4]>(), port in any::<u16>(),
-        slots in any::<u32>(), connections in any::<u32>(),
+        slots in any::<u32>(), connections in any::<u32>(), leaving in any::<bool>(),
     ) -> Instance {
         let address = SocketAddr::from((host, port));
         let (name, zone) = (InstanceName::new(name), ZoneName::new(zone));
-        Instance { name, zone, address, slots, connections }
+        Instance { name, zone, address, slots, connections, leaving }
     }
 }
 
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -28,6 +28,7 @@
     let statuses = board.read().expect("a holder of the status lock panicked");
     let candidates: Vec<Candidate> = instances
         .iter()
+        .filter(|instance| !instance.leaving)
         .filter_map(|instance| {
             Some(Candidate { status: statuses.get(&instance.name)?, zone: &instance.zone })
         })
--- a/crates/daemon/src/gateway/ownership.rs
+++ b/crates/daemon/src/gateway/ownership.rs
@@ -75,9 +75,14 @@
         state.monitor.set_standby(!owns);
     }
 
-    /// The owner of an instance, as far as this gateway knows.
+    /// The owner of an instance, as far as this gateway knows; `None` if the instance is leaving,
+    /// because no gateway gives it new work.
     pub(super) fn owner_of(&self, instance: &InstanceName) -> Option<NodeName> {
         let snapshot = self.followed.as_ref()?;
+        let (_, configured) = snapshot.catalog().instance(instance)?;
+        if configured.leaving {
+            return None;
+        }
         snapshot.get(instance).map(|ownership| ownership.owner.clone())
     }
 
@@ -125,7 +130,8 @@
         }
         pool.set_role(role, io.now);
         if !pool.accepts(io.now) {
-            let owner = snapshot.get(&instance.name).map(|ownership| ownership.owner.clone());
+            let owner = snapshot.get(&instance.name).filter(|_| !instance.leaving);
+            let owner = owner.map(|ownership| ownership.owner.clone());
             for exchange in pool.drain_queue() {
                 refer(&exchange, owner.clone(), io);
             }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -98,6 +98,8 @@
     /// When another node succeeded this one as the owner.
     handed_over: Option<Instant>,
     slots: u32,
+    /// Whether the instance is being taken out of use.
+    leaving: bool,
     scheduler: Scheduler<Queued>,
     queued_bytes: usize,
     connections: HashMap<usize, State>,
@@ -124,6 +126,7 @@
             role,
             handed_over: None,
             slots: instance.slots,
+            leaving: instance.leaving,
             scheduler: Scheduler::new(limits(instance)),
             queued_bytes: 0,
             connections: HashMap::new(),
@@ -138,6 +141,7 @@
     /// Puts the instance's parameters in force.
     pub fn configure(&mut self, group: &Group, instance: &Instance) {
         self.slots = instance.slots;
+        self.leaving = instance.leaving;
         self.scheduler.set_limits(limits(instance));
         self.budget.configure(connection_limit(group, instance));
     }
@@ -151,9 +155,10 @@
     }
 
     /// Whether it takes new work: the owner does, and a standby for fronts that cannot reach the
-    /// owner, unless it was the owner itself just before.
+    /// owner, unless it was the owner itself just before. Nobody does for a leaving instance.
     pub fn accepts(&self, now: Instant) -> bool {
         match self.role {
+            _ if self.leaving => false,
             PoolRole::Owner => true,
             PoolRole::Standby => {
                 self.handed_over.is_none_or(|since| now >= since + HAND_OVER_PERIOD)
@@ -246,6 +251,7 @@
     /// Connections held open without work.
     fn warm(&self) -> u32 {
         match self.role {
+            _ if self.leaving => 0,
             PoolRole::Owner => self.slots,
             PoolRole::Standby => STANDBY_CONNECTIONS.min(self.slots),
             PoolRole::Released => 0,
@@ -255,7 +261,8 @@
     /// Idle connections to close: all beyond the warm ones that have been idle for long, and at
     /// once those that a change of role leaves over.
     pub fn connections_to_close(&mut self, now: Instant) -> Vec<usize> {
-        let limit = if self.role == PoolRole::Owner { IDLE_LIMIT } else { Duration::ZERO };
+        let stays = self.role == PoolRole::Owner && !self.leaving;
+        let limit = if stays { IDLE_LIMIT } else { Duration::ZERO };
         let surplus = (self.connections.len() as u32).saturating_sub(self.warm()) as usize;
         let old = |key: &&usize| match self.connections.get(key) {
             Some(State::Idle { since }) => now.saturating_duration_since(*since) >= limit,
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -273,3 +273,21 @@
         assert_eq!(pool.accepts(later), much_later, "{roles:?} later");
     }
 }
+
+#[test]
+fn a_leaving_instance_gets_no_new_work_and_keeps_its_leases() {
+    let now = Instant::now();
+    let mut group = group();
+    let mut pool = connected(PoolRole::Owner, now);
+    pool.offer(exchange(1, Duration::from_secs(60)), 10, now).expect("it fits");
+    let [Assignment { key: leased, .. }] = pool.assign(now).run[..] else { panic!("one runs") };
+    group.instances[0].leaving = true;
+    pool.configure(&group, &group.instances[0]);
+    assert!(!pool.accepts(now));
+    let closed = pool.connections_to_close(now);
+    assert_eq!(closed.len(), SLOTS as usize - 1);
+    assert!(!closed.contains(&leased));
+    closed.into_iter().for_each(|key| pool.on_lost(key, now, 0));
+    assert_eq!(pool.connections_to_open(now), 0);
+    assert_eq!(pool.leases(), 1);
+}
