--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -68,6 +68,10 @@
     pub replica_read_share: Option<f64>,
     /// Every change of primary.
     pub failover_gap_ms: Vec<FailoverGap>,
+    /// Median of what the proxy added to the groups' own elections, in milliseconds.
+    pub failover_added_median_ms: Option<f64>,
+    /// Largest of them, in milliseconds.
+    pub failover_added_max_ms: Option<f64>,
     /// Requests that may change something and were acknowledged.
     pub acknowledged: u64,
     /// Requests that were told that they had not run.
@@ -137,6 +141,10 @@
     fn take_counts(&mut self, total: &Measurement) {
         self.replica_read_share = total.replica_read_share();
         self.failover_gap_ms = total.failovers.clone();
+        let mut added: Vec<f64> = total.failovers.iter().filter_map(|gap| gap.added).collect();
+        added.sort_by(f64::total_cmp);
+        self.failover_added_median_ms = added.get(added.len() / 2).copied();
+        self.failover_added_max_ms = added.last().copied();
         self.acknowledged = total.acknowledged;
         self.not_run = total.not_run;
         self.in_doubt = total.in_doubt;
--- a/crates/lab/src/scenario/caller/connection.rs
+++ b/crates/lab/src/scenario/caller/connection.rs
@@ -1,10 +1,14 @@
 //! A blocking PostgreSQL connection that keeps the session token it was given.
 
+use std::collections::HashSet;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::extendedquery::{
+    Bind, Describe, Execute, Parse, Sync, TARGET_TYPE_BYTE_PORTAL,
+};
 use pgwire::messages::response::TransactionStatus;
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::startup::{Authentication, Startup};
@@ -15,6 +19,7 @@
 use thiserror::Error;
 
 use super::reply::{ErrorReply, Reply, decode_row};
+use super::statements::Prepared;
 
 /// Name of the parameter that carries the session token.
 const SESSION_PARAMETER: &str = "kestrellock.session";
@@ -60,6 +65,7 @@
     pub began_with_token: bool,
     /// Whether the server reported an open transaction block.
     pub in_transaction: bool,
+    prepared: HashSet<&'static str>,
 }
 
 fn open(endpoint: &Endpoint, limit: Duration) -> io::Result<TcpStream> {
@@ -91,6 +97,7 @@
             decoding,
             token: None,
             began_with_token: token.is_some(),
+            prepared: HashSet::new(),
             in_transaction: false,
         };
         let mut startup = Startup::new();
@@ -113,6 +120,35 @@
         self.receive(deadline)
     }
 
+    /// Runs a prepared statement by the extended protocol, preparing it on first use.
+    pub fn execute(
+        &mut self,
+        statement: &Prepared,
+        deadline: Instant,
+    ) -> Result<Reply, ConnectionError> {
+        let name = statement.name.to_owned();
+        let mut messages = Vec::new();
+        if self.prepared.insert(statement.name) {
+            let parse = Parse::new(Some(name.clone()), statement.text.to_owned(), Vec::new());
+            messages.push(PgWireFrontendMessage::Parse(parse));
+        }
+        let parameters = statement.parameters.iter();
+        let parameters = parameters.map(|text| Some(Bytes::copy_from_slice(text.as_bytes())));
+        let bind = Bind::new(None, Some(name), Vec::new(), parameters.collect(), Vec::new());
+        messages.push(PgWireFrontendMessage::Bind(bind));
+        messages
+            .push(PgWireFrontendMessage::Describe(Describe::new(TARGET_TYPE_BYTE_PORTAL, None)));
+        messages.push(PgWireFrontendMessage::Execute(Execute::new(None, 0)));
+        messages.push(PgWireFrontendMessage::Sync(Sync::new()));
+        self.send_all(&messages)?;
+        let reply = self.receive(deadline)?;
+        if reply.error.is_some() {
+            // Whether the server keeps a statement whose exchange failed is not known.
+            self.prepared.remove(statement.name);
+        }
+        Ok(reply)
+    }
+
     /// Whether the server has closed the connection while nothing was asked of it.
     pub fn is_closed(&self) -> bool {
         if self.stream.set_nonblocking(true).is_err() {
@@ -134,8 +170,14 @@
     }
 
     fn send(&mut self, message: &PgWireFrontendMessage) -> Result<(), ConnectionError> {
+        self.send_all(std::slice::from_ref(message))
+    }
+
+    fn send_all(&mut self, messages: &[PgWireFrontendMessage]) -> Result<(), ConnectionError> {
         let mut output = BytesMut::new();
-        message.encode(&mut output).map_err(|_| ConnectionError::Malformed)?;
+        for message in messages {
+            message.encode(&mut output).map_err(|_| ConnectionError::Malformed)?;
+        }
         Ok(self.stream.write_all(&output)?)
     }
 
--- a/crates/lab/src/scenario/caller/session.rs
+++ b/crates/lab/src/scenario/caller/session.rs
@@ -6,7 +6,7 @@
 
 use super::connection::{Connection, ConnectionError, Endpoint};
 use super::reply::Reply;
-use super::statements::{answer_of, operation_id, texts};
+use super::statements::{Prepared, answer_of, operation_id, prepared, texts};
 use crate::check::history::{
     Action, Attempt, GroupId, NodeId, OperationId, Outcome, RunTime, SessionNumber,
 };
@@ -101,6 +101,30 @@
     statements_answered: u32,
 }
 
+/// One thing to send.
+enum Text {
+    /// Sets the request key.
+    Key(String),
+    /// A statement of the action.
+    Action(String),
+    /// The action's one statement, prepared.
+    Prepared(Prepared),
+}
+
+/// What a request is sent as. A keyed one goes out as a simple query after its key.
+fn texts_to_send(operation: &OperationId, request: &Request) -> Vec<Text> {
+    let action = &request.action;
+    if request.keyed {
+        let key = Text::Key(format!("SET kestrellock.request_id = '{operation}'"));
+        let rest = texts(action, operation).into_iter().map(Text::Action);
+        return std::iter::once(key).chain(rest).collect();
+    }
+    match prepared(action, operation).filter(|_| request.extended) {
+        Some(prepared) => vec![Text::Prepared(prepared)],
+        None => texts(action, operation).into_iter().map(Text::Action).collect(),
+    }
+}
+
 impl<'a> Session<'a> {
     /// A session that has not connected yet.
     pub fn new(
@@ -144,20 +168,20 @@
         if request.roams {
             self.roam();
         }
-        let action = request.action;
         let operation = self.new_operation();
-        let Some(outcome) = self.attempt(&operation, action, request.keyed) else { return };
+        let Some(outcome) = self.attempt(&operation, request) else { return };
         match &outcome {
             Outcome::Answered(_) => {
-                self.recorded.latencies.push(Latency { action, time: due.elapsed() });
+                let latency = Latency { action: request.action, time: due.elapsed() };
+                self.recorded.latencies.push(latency);
             }
             Outcome::InDoubt(_) | Outcome::Disconnected if request.keyed => {
-                self.resolve(&operation, action);
+                self.resolve(&operation, request);
             }
             Outcome::NotRun(told) if told.number == Some(STOPPING_NUMBER) => {
                 self.leave_node();
                 let operation = self.new_operation();
-                self.attempt(&operation, action, request.keyed);
+                self.attempt(&operation, request);
             }
             _ => {}
         }
@@ -169,10 +193,10 @@
     }
 
     /// Repeats a keyed request until its outcome is final.
-    fn resolve(&mut self, operation: &OperationId, action: Action) {
+    fn resolve(&mut self, operation: &OperationId, request: &Request) {
         while Instant::now() < self.surroundings.last_resolution {
             std::thread::sleep(RESOLVE_WAIT);
-            match self.attempt(operation, action, true) {
+            match self.attempt(operation, request) {
                 Some(Outcome::Answered(_) | Outcome::AlreadyRan(_) | Outcome::Abandoned(_)) => {
                     return;
                 }
@@ -185,10 +209,10 @@
     }
 
     /// Sends a request once and records how it ended; `None` if no node took the connection.
-    fn attempt(&mut self, operation: &OperationId, action: Action, keyed: bool) -> Option<Outcome> {
+    fn attempt(&mut self, operation: &OperationId, request: &Request) -> Option<Outcome> {
         let mut connection = self.take_connection()?;
         let invoked = self.now();
-        let ended = self.exchange(&mut connection, operation, &action, keyed);
+        let ended = self.exchange(&mut connection, operation, request);
         let outcome = ended.outcome;
         self.recorded.attempts.push(Attempt {
             operation: operation.clone(),
@@ -197,8 +221,8 @@
             node: self.surroundings.nodes[self.node].node.clone(),
             invoked,
             completed: self.now(),
-            action,
-            keyed,
+            action: request.action,
+            keyed: request.keyed,
             with_token: connection.began_with_token,
             mark: operation.to_string(),
             statements_answered: ended.statements_answered,
@@ -215,36 +239,35 @@
         Some(outcome)
     }
 
-    /// Sends the texts of an action one after the other.
+    /// Sends the texts of a request one after the other, or its one statement prepared.
     fn exchange(
         &self,
         connection: &mut Connection,
         operation: &OperationId,
-        action: &Action,
-        keyed: bool,
+        request: &Request,
     ) -> Ended {
-        let mut statements_answered = 0_u32;
+        let action = &request.action;
+        let mut ended = Ended { outcome: Outcome::Disconnected, statements_answered: 0 };
         let mut last = Reply::default();
-        let key = keyed.then(|| format!("SET kestrellock.request_id = '{operation}'"));
-        let key_texts = key.iter().count() as u32;
-        for text in key.into_iter().chain(texts(action, operation)) {
+        for text in texts_to_send(operation, request) {
             match self.ask(connection, &text) {
                 Ok(reply) => last = reply,
-                Err(outcome) => {
-                    let statements_answered = statements_answered.saturating_sub(key_texts);
-                    return Ended { outcome, statements_answered };
-                }
+                Err(outcome) => return Ended { outcome, ..ended },
             }
-            statements_answered += 1;
+            ended.statements_answered += u32::from(matches!(text, Text::Action(_)));
         }
-        let outcome = Outcome::Answered(answer_of(action, &last));
-        Ended { outcome, statements_answered: statements_answered - key_texts }
+        ended.outcome = Outcome::Answered(answer_of(action, &last));
+        ended
     }
 
-    /// Sends one text; an error or a broken connection is the outcome of the whole action.
-    fn ask(&self, connection: &mut Connection, text: &str) -> Result<Reply, Outcome> {
+    /// Sends one text; an error or a broken connection is the outcome of the whole request.
+    fn ask(&self, connection: &mut Connection, text: &Text) -> Result<Reply, Outcome> {
         let limit = Instant::now() + self.surroundings.deadline + ANSWER_GRACE;
-        let reply = match connection.query(text, limit) {
+        let replied = match text {
+            Text::Key(text) | Text::Action(text) => connection.query(text, limit),
+            Text::Prepared(prepared) => connection.execute(prepared, limit),
+        };
+        let reply = match replied {
             Ok(reply) => reply,
             Err(ConnectionError::Refused(error)) => return Err(error.outcome()),
             Err(_) => return Err(Outcome::Disconnected),
--- a/crates/lab/src/scenario/caller/statements.rs
+++ b/crates/lab/src/scenario/caller/statements.rs
@@ -45,6 +45,48 @@
     }
 }
 
+/// A statement with parameters, and the name under which a connection prepares it once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prepared {
+    /// Name on the connection.
+    pub name: &'static str,
+    /// Text.
+    pub text: &'static str,
+    /// Parameters as text.
+    pub parameters: Vec<String>,
+}
+
+/// An action of one statement in prepared form; `None` for transaction blocks.
+pub fn prepared(action: &Action, operation: &OperationId) -> Option<Prepared> {
+    let (name, text, row) = match *action {
+        Action::Read(RowKey::Register(id)) => {
+            ("read_register", "SELECT $1 AS mark, value FROM registers WHERE id = $2", Some(id))
+        }
+        Action::Read(RowKey::Seat(id)) => {
+            ("read_seat", "SELECT $1 AS mark, owner FROM seats WHERE id = $2", Some(id))
+        }
+        Action::Write(RowKey::Register(id) | RowKey::Seat(id)) => (
+            "write_register",
+            "UPDATE registers SET value = $1 WHERE id = $2 RETURNING value",
+            Some(id),
+        ),
+        Action::Deposit => (
+            "deposit",
+            "INSERT INTO deposits (operation, amount) VALUES ($1, 50) RETURNING operation",
+            None,
+        ),
+        Action::Purchase(RowKey::Seat(id) | RowKey::Register(id)) => (
+            "purchase",
+            "UPDATE seats SET owner = $1 WHERE id = $2 AND owner = '' RETURNING owner",
+            Some(id),
+        ),
+        Action::Transaction { .. } => return None,
+    };
+    let mut parameters = vec![operation.to_string()];
+    parameters.extend(row.map(|id| id.to_string()));
+    Some(Prepared { name, text, parameters })
+}
+
 fn block(parts: u32, ending: Ending, operation: &OperationId) -> Vec<String> {
     let mut texts = vec![format!("BEGIN /* {operation} */")];
     for part in 0..parts {
--- a/crates/lab/src/scenario/definition.rs
+++ b/crates/lab/src/scenario/definition.rs
@@ -133,6 +133,8 @@
     pub mix: Mix,
     /// Share of deposits and purchases that carry a request key, from 0 to 1.
     pub keyed_share: f64,
+    /// Share of single statements that are sent prepared, by the extended protocol.
+    pub extended_share: f64,
     /// Share of requests before which the session moves to another node.
     pub roaming_share: f64,
     /// Share of sessions that hand their token back on reconnecting.
@@ -328,6 +330,7 @@
         }
         let shares = [
             ("workload.keyed_share", self.workload.keyed_share),
+            ("workload.extended_share", self.workload.extended_share),
             ("workload.roaming_share", self.workload.roaming_share),
             ("workload.token_share", self.workload.token_share),
         ];
--- a/crates/lab/src/scenario/schedule.rs
+++ b/crates/lab/src/scenario/schedule.rs
@@ -84,6 +84,8 @@
     pub action: Action,
     /// Whether it carries a request key.
     pub keyed: bool,
+    /// Whether it is sent prepared, by the extended protocol.
+    pub extended: bool,
     /// Whether the session moves to another node first.
     pub roams: bool,
 }
@@ -125,11 +127,12 @@
         let action = self.draw_action();
         let may_be_keyed = matches!(action, Action::Deposit | Action::Purchase(_));
         let keyed = self.source.random_bool(self.workload.keyed_share) && may_be_keyed;
+        let extended = self.source.random_bool(self.workload.extended_share);
         let roams = self.source.random_bool(self.workload.roaming_share);
         if let Action::Write(row) | Action::Purchase(row) = action {
             self.last_written = Some(row);
         }
-        Request { at: self.next, action, keyed, roams }
+        Request { at: self.next, action, keyed, extended, roams }
     }
 
     fn draw_action(&mut self) -> Action {
--- a/crates/lab/src/standin/group/arrivals.rs
+++ b/crates/lab/src/standin/group/arrivals.rs
@@ -1,4 +1,5 @@
-//! What reached an instance: the texts of simple queries, kept only where a judge asks for them.
+//! What reached an instance: texts of queries and their parameters, kept only where a judge asks
+//! for them.
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,7 +10,7 @@
 /// Longest part of a text that is kept, in bytes.
 const KEPT_BYTES: usize = 160;
 
-/// A simple query that reached an instance.
+/// A simple query, or an execution of a prepared statement, that reached an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StatementArrival {
     /// When.
@@ -18,7 +19,7 @@
     pub connection: ConnectionNumber,
     /// Whether the instance was primary.
     pub primary: bool,
-    /// The head of its text.
+    /// The head of its text; parameters follow the text of a prepared statement.
     pub text: String,
 }
 
--- a/crates/lab/src/standin/group/mod.rs
+++ b/crates/lab/src/standin/group/mod.rs
@@ -215,7 +215,7 @@
         }
     }
 
-    /// Begins to keep the simple queries that reach each instance.
+    /// Begins to keep the queries that reach each instance.
     pub fn record_arrivals(&self) {
         self.instances.iter().for_each(|instance| instance.arrivals.record());
     }
--- a/crates/lab/src/standin/group/wire/extended.rs
+++ b/crates/lab/src/standin/group/wire/extended.rs
@@ -177,6 +177,11 @@
             return Ok(());
         };
         if portal.under_way.is_none() {
+            if self.instance.arrivals.is_recording() {
+                let primary = self.instance.is_primary();
+                let text = format!("{statement} {:?}", portal.parameters);
+                self.instance.arrivals.add(self.control.number(), primary, &text);
+            }
             let answer = self.run(statement, &portal.parameters)?;
             portal.under_way = Some(Fetching { answer, next: 0 });
         }
