--- /dev/null
+++ b/crates/peer/benches/authentication.rs
@@ -0,0 +1,65 @@
+//! What authentication adds to a frame on a stream and to a datagram.
+
+use bytes::BytesMut;
+use criterion::{Criterion, criterion_group, criterion_main};
+use kestrellock_core::ids::NodeName;
+use kestrellock_peer::auth::{ClusterKeys, Key};
+use kestrellock_peer::channel::{Channel, Hello, Side};
+use kestrellock_peer::frame;
+use kestrellock_peer::message::PROTOCOL_VERSION;
+
+fn hello(node: &str) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        cluster: "bench".into(),
+        node: NodeName::new(node),
+        incarnation: 1,
+        shard: 0,
+        nonce: [7; 16],
+    }
+}
+
+fn pair() -> (Channel, Channel) {
+    let keys = ClusterKeys::new([b"a key of the bench".as_slice()]).expect("valid key");
+    let (mut to_acceptor, mut to_opener) = (BytesMut::new(), BytesMut::new());
+    let mut opener = Channel::begin(Side::Opener, hello("a"), keys.clone(), &mut to_acceptor)
+        .expect("an introduction fits");
+    let mut acceptor = Channel::begin(Side::Acceptor, hello("b"), keys, &mut to_opener)
+        .expect("an introduction fits");
+    for _ in 0..2 {
+        opener.advance(&mut to_opener, &mut to_acceptor).expect("handshake");
+        acceptor.advance(&mut to_acceptor, &mut to_opener).expect("handshake");
+    }
+    (opener, acceptor)
+}
+
+fn bench(criterion: &mut Criterion) {
+    for size in [200_usize, 4096] {
+        let body = bytes::Bytes::from(vec![5_u8; size]);
+        criterion.bench_function(&format!("plain frame there and back, {size} B"), |bench| {
+            let mut buffer = BytesMut::new();
+            bench.iter(|| {
+                frame::encode(&body, &mut buffer).expect("encodes");
+                frame::decode::<bytes::Bytes>(&mut buffer).expect("decodes")
+            });
+        });
+        criterion.bench_function(
+            &format!("authenticated frame there and back, {size} B"),
+            |bench| {
+                let (mut opener, mut acceptor) = pair();
+                let mut buffer = BytesMut::new();
+                bench.iter(|| {
+                    opener.send(&body, &mut buffer).expect("encodes");
+                    acceptor.receive::<bytes::Bytes>(&mut buffer).expect("decodes")
+                });
+            },
+        );
+        criterion.bench_function(&format!("tag alone, {size} B"), |bench| {
+            let key = Key::new(b"a key of the bench");
+            bench.iter(|| key.sign(&[&body]));
+        });
+    }
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -7,7 +7,8 @@
 
 /// Largest body accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
-const LENGTH_BYTES: usize = 4;
+/// Bytes of the length field.
+pub const LENGTH_BYTES: usize = 4;
 
 /// Why bytes from a peer were refused.
 #[derive(Debug, Error)]
