--- a/crates/peer/tests/channel.rs
+++ b/crates/peer/tests/channel.rs
@@ -88,7 +88,8 @@
 #[test]
 fn keys_are_rotated_without_an_interruption() {
     // Each step of a rotation, as (keys of the one, keys of the other).
-    let steps: [(&[&[u8]], &[&[u8]], bool); 4] = [
+    type Keys = &'static [&'static [u8]];
+    let steps: [(Keys, Keys, bool); 4] = [
         (&[OLD], &[OLD, NEW], true),
         (&[OLD, NEW], &[NEW, OLD], true),
         (&[NEW, OLD], &[NEW], true),
--- a/crates/peer/tests/datagram.rs
+++ b/crates/peer/tests/datagram.rs
@@ -56,8 +56,9 @@
 #[test]
 fn what_is_accepted_and_what_is_refused() {
     type Outcome = Result<(), DatagramError>;
+    type Case = (&'static str, &'static [&'static [u8]], &'static str, Outgoing, Outcome);
     let other_receiver = || Err(DatagramError::OtherReceiver);
-    let cases: [(&str, &[&[u8]], &str, Outgoing, Outcome); 7] = [
+    let cases: [Case; 7] = [
         ("same key", &[OLD], "c", ping("a", 1, "b", Some(9)), Ok(())),
         ("first contact", &[OLD], "c", ping("a", 1, "b", None), Ok(())),
         ("signed with the first key", &[OLD, NEW], "c", ping("a", 1, "b", Some(9)), Ok(())),
