Count the processor time of nodes by their threads' names at each look

Cause: a thread takes its name after it has begun to run, so the set taken right after the start sometimes lacked the shards, and a run showed 2,571,000 statements per core second. Change: look the threads up anew at each measurement; the test of the path bench refuses a figure that no node can reach.

--- a/crates/lab/src/bench/cluster.rs
+++ b/crates/lab/src/bench/cluster.rs
@@ -14,7 +14,6 @@
 use miette::{IntoDiagnostic, ensure};
 use serde::Serialize;
 
-use super::process::Threads;
 use crate::standin::store::PlatformStore;
 
 /// A node to start.
@@ -32,8 +31,6 @@
     pub node: Node,
     /// Where callers connect.
     pub caller_address: SocketAddr,
-    /// The threads that it started.
-    pub threads: Threads,
 }
 
 /// A store and nodes.
@@ -98,11 +95,9 @@
     store: Arc<EtcdStore>,
     policy: Policy,
 ) -> miette::Result<RunningNode> {
-    let before = Threads::of_nodes().into_diagnostic()?;
     let caller_address = bound.settings.caller_address;
     let node = Node::start(&bound.settings, bound.listeners, store, policy).into_diagnostic()?;
-    let threads = Threads::of_nodes().into_diagnostic()?.without(&before);
-    Ok(RunningNode { node, caller_address, threads })
+    Ok(RunningNode { node, caller_address })
 }
 
 fn write_catalog(store: &dyn ConfigStore, catalog: &Catalog) -> miette::Result<()> {
--- a/crates/lab/src/bench/path/cluster.rs
+++ b/crates/lab/src/bench/path/cluster.rs
@@ -17,7 +17,6 @@
 use super::messages::ROWS;
 use crate::bench::cluster::{Cluster, NodePlan};
 use crate::bench::login::{self, Credentials};
-use crate::bench::process::Threads;
 use crate::standin::group::DatabaseGroup;
 use crate::standin::group::options::GroupOptions;
 
@@ -99,11 +98,6 @@
         }
     }
 
-    /// Threads of every node.
-    pub fn threads(&self) -> Vec<&Threads> {
-        self.cluster.nodes.iter().map(|node| &node.threads).collect()
-    }
-
     /// Stops the nodes.
     pub fn stop(self) {
         self.cluster.stop();
--- a/crates/lab/src/bench/path/mod.rs
+++ b/crates/lab/src/bench/path/mod.rs
@@ -16,6 +16,7 @@
 use self::cluster::{PathCluster, Route, credentials};
 use self::load::{LoadConnections, SliceOutcome};
 use self::messages::Protocol;
+use super::process::processor_time_of_nodes;
 use super::report::{Better, Measure, Report};
 
 /// Connections that are busy in a slice that measures throughput.
@@ -68,7 +69,7 @@
     let rounds = rounds.max(MINIMUM_ROUNDS);
     for round in 0..rounds {
         for variant in &mut variants {
-            variant.measure(&cluster, slices / rounds)?;
+            variant.measure(slices / rounds)?;
         }
         eprintln!("round {} of {rounds}", round + 1);
     }
@@ -106,16 +107,17 @@
 }
 
 impl Variant {
-    fn measure(&mut self, cluster: &PathCluster, length: Duration) -> miette::Result<()> {
+    fn measure(&mut self, length: Duration) -> miette::Result<()> {
         let alone = self.connections.run(1, length.mul_f64(LATENCY_SHARE)).into_diagnostic()?;
         self.push("alone_p50", alone.latencies.at(0.5));
         self.push("alone_p99", alone.latencies.at(0.99));
-        let before = processor_time(cluster);
+        let before = processor_time_of_nodes().into_diagnostic()?;
         let busy = self
             .connections
             .run(BUSY_CONNECTIONS, length.mul_f64(1.0 - LATENCY_SHARE))
             .into_diagnostic()?;
-        let spent = processor_time(cluster).saturating_sub(before);
+        let after = processor_time_of_nodes().into_diagnostic()?;
+        let spent = after.saturating_sub(before);
         self.push_throughput(&busy, spent);
         Ok(())
     }
@@ -139,11 +141,6 @@
     }
 }
 
-/// Processor time of every node's threads so far.
-fn processor_time(cluster: &PathCluster) -> Duration {
-    cluster.threads().iter().map(|threads| threads.processor_time()).sum()
-}
-
 fn summarise(variants: &[Variant], report: &mut Report) {
     for variant in variants {
         for (what, samples) in &variant.samples {
--- a/crates/lab/src/bench/process.rs
+++ b/crates/lab/src/bench/process.rs
@@ -1,56 +1,39 @@
-//! Processor time of chosen threads and memory of this process, from `/proc`.
+//! Processor time of the nodes and memory of this process, from `/proc`.
 
-use std::collections::BTreeSet;
 use std::fs;
 use std::io;
+use std::path::Path;
 use std::time::Duration;
 
 const TASKS: &str = "/proc/self/task";
 /// Length of one unit of processor time in `/proc`: `USER_HZ` is 100 on every Linux machine.
 const TICK: Duration = Duration::from_millis(10);
-/// Beginning of the names that a node's supervisor gives to its threads.
-const NODE_THREAD_PREFIX: &str = "node/";
+/// Stands between supervisor and child in the names of a node's threads, and in no others.
+const SUPERVISED_NAME_MARK: char = '/';
 /// Positions of user and system time among the fields that follow the thread's name.
 const USER_TIME_FIELD: usize = 11;
 const SYSTEM_TIME_FIELD: usize = 12;
 
-/// Threads of this process, by their numbers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Threads {
-    numbers: BTreeSet<u32>,
-}
-
-impl Threads {
-    /// Every thread that a node of this process runs now.
-    pub fn of_nodes() -> io::Result<Self> {
-        let mut numbers = BTreeSet::new();
-        for entry in fs::read_dir(TASKS)? {
-            let name = entry?.file_name();
-            let Some(number) = name.to_str().and_then(|text| text.parse().ok()) else { continue };
-            // A thread may end between the listing and the look at it.
-            let Ok(thread_name) = fs::read_to_string(format!("{TASKS}/{number}/comm")) else {
-                continue;
-            };
-            if thread_name.starts_with(NODE_THREAD_PREFIX) {
-                numbers.insert(number);
-            }
+/// Processor time that the threads of every node in this process have used so far, to the
+/// hundredth of a second for each thread.
+///
+/// A thread takes its name only after it has begun to run, so the threads are looked up anew at
+/// every call.
+pub fn processor_time_of_nodes() -> io::Result<Duration> {
+    let mut ticks = 0;
+    for entry in fs::read_dir(TASKS)? {
+        let task = entry?.path();
+        // A thread may end between the listing and the look at it.
+        let Ok(name) = fs::read_to_string(task.join("comm")) else { continue };
+        if name.contains(SUPERVISED_NAME_MARK) {
+            ticks += ticks_of(&task).unwrap_or(0);
         }
-        Ok(Self { numbers })
-    }
-
-    /// The threads of this set that are not in `other`.
-    pub fn without(&self, other: &Self) -> Self {
-        Self { numbers: self.numbers.difference(&other.numbers).copied().collect() }
-    }
-
-    /// Processor time that they have used, to the hundredth of a second for each thread.
-    pub fn processor_time(&self) -> Duration {
-        self.numbers.iter().filter_map(|number| ticks_of(*number)).sum::<u32>() * TICK
     }
+    Ok(ticks * TICK)
 }
 
-fn ticks_of(thread: u32) -> Option<u32> {
-    let text = fs::read_to_string(format!("{TASKS}/{thread}/stat")).ok()?;
+fn ticks_of(task: &Path) -> Option<u32> {
+    let text = fs::read_to_string(task.join("stat")).ok()?;
     // The name stands in parentheses and may hold anything; the fields follow the last one.
     let (_, fields) = text.rsplit_once(')')?;
     let fields: Vec<&str> = fields.split_ascii_whitespace().collect();
--- a/crates/lab/tests/bench.rs
+++ b/crates/lab/tests/bench.rs
@@ -8,6 +8,9 @@
 use kestrellock_lab::bench::report::{Better, Measure, Report};
 use kestrellock_lab::bench::statistics::{Latencies, quantile, spread};
 
+/// No node runs that many statements in a second of one core.
+const IMPLAUSIBLE_RATE: f64 = 500_000.0;
+
 fn report(better: Better, samples: &[f64]) -> Report {
     let mut report = Report::new("test", BTreeMap::new());
     report.measures.extend(Measure::new("figure", "ms", better, samples.to_vec()));
@@ -92,5 +95,10 @@
             assert!(measure.median > 0.0, "{name}: {measure:?}");
         }
     }
+    for route in ["one_node", "two_nodes"] {
+        let name = format!("simple.{route}.per_core_second");
+        let measure = report.measure(&name).unwrap_or_else(|| panic!("{name} is missing"));
+        assert!(measure.median < IMPLAUSIBLE_RATE, "the nodes' threads were missed: {measure:?}");
+    }
     assert!(report.measure("idle_callers.memory").is_some());
 }
