--- /dev/null
+++ b/crates/core/benches/decisions.rs
@@ -0,0 +1,76 @@
+//! Cost of the decisions taken for every statement: choosing an instance, and admitting to it.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use kestrellock_core::admission::{Dispatch, Limits, Request, Scheduler};
+use kestrellock_core::catalog::Priority;
+use kestrellock_core::ids::{InstanceName, TenantName, ZoneName};
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::routing::{Access, Candidate, InstanceStatus, Role, choose};
+
+const INSTANCES: usize = 3;
+const OFFSET: u64 = 0x0100_0000;
+const DEADLINE: Duration = Duration::from_secs(5);
+
+fn position(offset: u64) -> Position {
+    Position { term: Term(3), offset: LogOffset(offset) }
+}
+
+fn statuses() -> Vec<InstanceStatus> {
+    (0..INSTANCES)
+        .map(|index| InstanceStatus {
+            instance: InstanceName::new(format!("orders-{index}")),
+            role: if index == 0 { Role::Primary } else { Role::Replica },
+            applied: position(OFFSET),
+            flushed: position(OFFSET),
+            reachable: true,
+            queue_wait: Some(Duration::from_micros(100)),
+            lag: Duration::from_millis(20),
+            unconfirmed_for: Some(Duration::from_millis(5)),
+        })
+        .collect()
+}
+
+fn route(criterion: &mut Criterion) {
+    let statuses = statuses();
+    let zones = ["casa-ain", "casa-sidi", "casa-bouskoura"].map(ZoneName::new);
+    let candidates: Vec<Candidate> =
+        statuses.iter().zip(&zones).map(|(status, zone)| Candidate { status, zone }).collect();
+    let access =
+        Access::Read { bound: Some(position(OFFSET)), max_staleness: Duration::from_secs(1) };
+    criterion.bench_function("route one read among 3 instances", |bencher| {
+        bencher.iter(|| choose(black_box(&access), black_box(&candidates), black_box(&zones[1])));
+    });
+}
+
+/// One request on its way through a scheduler with a few tenants at work.
+fn admit(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let mut scheduler: Scheduler<u64> = Scheduler::new(Limits { slots: 5, queue_length: 1_000 });
+    let request = |tenant: &str| Request {
+        tenant: TenantName::new(tenant),
+        capacity: 5,
+        priority: Priority::Browse,
+        deadline: now + DEADLINE,
+    };
+    for tenant in ["atlas", "gidanmu"] {
+        scheduler.offer(&request(tenant), 0, now).expect("an idle scheduler admits");
+        scheduler.take_next(now).expect("a slot is free");
+    }
+    let request = request("atlas");
+    criterion.bench_function("admit one request and give its slot back", |bencher| {
+        bencher.iter(|| {
+            let offered = scheduler.offer(black_box(&request), 1, black_box(now));
+            assert!(offered.is_ok(), "an idle scheduler refused");
+            match scheduler.take_next(now) {
+                Some(Dispatch::Run { ticket, .. }) => scheduler.finish(ticket, now),
+                other => panic!("a free slot gave {other:?}"),
+            }
+        });
+    });
+}
+
+criterion_group!(benches, route, admit);
+criterion_main!(benches);
