--- a/crates/lab/src/scenario/definition.rs
+++ b/crates/lab/src/scenario/definition.rs
@@ -238,8 +238,8 @@
         /// Time between two nodes.
         pause_ms: u64,
     },
-    /// An operator takes a replica out of a group; the instance goes on to run.
-    RemoveReplica {
+    /// An operator begins to take a replica out of use; the instance goes on to run.
+    LeaveReplica {
         /// Database of the group.
         database: String,
     },
@@ -257,7 +257,7 @@
             self,
             Self::RestartNode { .. }
                 | Self::RollingRestart { .. }
-                | Self::RemoveReplica { .. }
+                | Self::LeaveReplica { .. }
                 | Self::ChangeCapacity { .. }
         )
     }
@@ -270,7 +270,7 @@
             | Self::PausePrimary { database, .. }
             | Self::LoseAnswers { database, .. }
             | Self::LagReplicas { database, .. }
-            | Self::RemoveReplica { database } => Some(database),
+            | Self::LeaveReplica { database } => Some(database),
             _ => None,
         }
     }
--- a/crates/lab/src/scenario/timeline.rs
+++ b/crates/lab/src/scenario/timeline.rs
@@ -11,9 +11,9 @@
 use crate::check::final_state::Leaving;
 use crate::check::history::{AcceptedChange, GroupId, PlannedStop, RunTime};
 
-/// An instance that was taken out of its group.
+/// An instance that operators began to take out of use.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Removed {
+pub struct LeavingInstance {
     /// The group.
     pub group: GroupId,
     /// The instance and the time.
@@ -27,8 +27,8 @@
     pub planned_stops: Vec<PlannedStop>,
     /// Changes of configuration that were accepted.
     pub accepted_changes: Vec<AcceptedChange>,
-    /// Instances that were taken out of their groups.
-    pub removed: Vec<Removed>,
+    /// Instances that operators began to take out of use.
+    pub leaving: Vec<LeavingInstance>,
     /// Steps that could not be carried out.
     pub failures: Vec<String>,
 }
@@ -81,8 +81,8 @@
             Fault::KillZone { .. } => self.kill_zone(planned.zone),
             Fault::RestartNode { .. } => self.restart_nodes(&planned.nodes, 0),
             Fault::RollingRestart { pause_ms } => self.restart_nodes(&planned.nodes, *pause_ms),
-            Fault::RemoveReplica { database } => {
-                self.remove_replica(self.cluster.group(database));
+            Fault::LeaveReplica { database } => {
+                self.leave_replica(self.cluster.group(database));
             }
             Fault::ChangeCapacity { capacity } => self.change_capacity(*capacity),
         }
@@ -187,7 +187,7 @@
         self.note_change(catalog::change_capacity(store, self.deployment, capacity));
     }
 
-    fn remove_replica(&self, group: &Group) {
+    fn leave_replica(&self, group: &Group) {
         let primary = group.servers.primary();
         let mut instances = group.servers.instances.iter().rev();
         let Some(replica) = instances.find(|instance| Some(instance.index) != primary) else {
@@ -195,10 +195,10 @@
         };
         let store = self.cluster.store.as_ref();
         let index = replica.index;
-        self.note_change(catalog::remove_instance(store, self.deployment, group, index));
+        self.note_change(catalog::mark_leaving(store, self.deployment, group, index));
         let leaving = Leaving { instance: group.instance(index), since: self.now() };
-        let removed = Removed { group: group.id.clone(), leaving };
-        self.note(|done| done.removed.push(removed));
+        let leaving = LeavingInstance { group: group.id.clone(), leaving };
+        self.note(|done| done.leaving.push(leaving));
     }
 
     fn note_change(&self, accepted: miette::Result<u64>) {
