Baselines primary-only and sticky-primary, and callers in a zone of their own

Change: the front sends a baseline's reads to the primary; a deployment may name a delay between callers and every zone; recorded latencies say when they were due.

--- /dev/null
+++ b/crates/daemon/src/front/baseline.rs
@@ -0,0 +1,27 @@
+//! Where the baselines that the product is compared with send reads.
+
+use std::time::{Duration, Instant};
+
+use kestrellock_core::routing::Access;
+
+use crate::policy::Policy;
+
+/// How long a session stays on the primary after a write under [`Policy::StickyPrimary`]: a common
+/// choice of proxies that know nothing of positions.
+pub const STICKY_PERIOD: Duration = Duration::from_secs(5);
+
+/// What the instance is chosen for, given what the statement needs: a baseline may send a read to
+/// the primary. `last_write` is when the session last sent a write.
+pub fn routed_as(
+    access: Access,
+    policy: Policy,
+    last_write: Option<Instant>,
+    now: Instant,
+) -> Access {
+    let is_sticky = || last_write.is_some_and(|at| now.duration_since(at) < STICKY_PERIOD);
+    match policy {
+        Policy::PrimaryOnly => Access::Write,
+        Policy::StickyPrimary if is_sticky() => Access::Write,
+        _ => access,
+    }
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The front: callers' connections, their sessions and where their statements go.
 
 pub mod answer;
+pub mod baseline;
 pub mod batch;
 pub mod classes;
 pub mod ending;
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -14,6 +14,7 @@
 use kestrellock_core::session_state::{ExchangeEnd, SessionState};
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToGateway, TransactionState};
 
+use super::baseline::routed_as;
 use super::classes::Classes;
 use super::request::{Collector, Next, Request};
 use super::startup::{self, Login, StartupStep};
@@ -62,6 +63,7 @@
     started: Instant,
     login: Option<Login>,
     bound: Option<Position>,
+    last_write: Option<Instant>,
     transaction: TransactionState,
     lease: Option<Lease>,
     request: Option<Request>,
@@ -90,6 +92,7 @@
             started: now,
             login: None,
             bound: None,
+            last_write: None,
             transaction: TransactionState::Idle,
             lease: None,
             request: None,
@@ -353,8 +356,12 @@
         let (Some(login), Some(request)) = (&self.login, &self.request) else { return };
         let access = self.access(request, login);
         let writes = access == Access::Write;
+        if writes {
+            self.last_write = Some(io.now);
+        }
         if self.lease.is_none() {
-            let Some(mut target) = target::find(&login.group, &access, io) else { return };
+            let routed = routed_as(access.clone(), io.context.policy, self.last_write, io.now);
+            let Some(mut target) = target::find(&login.group, &routed, io) else { return };
             if let Some(referral) = self.referral.take()
                 && referral.instance == target.instance
             {
--- a/crates/lab/src/scenario/caller/session.rs
+++ b/crates/lab/src/scenario/caller/session.rs
@@ -69,6 +69,8 @@
 pub struct Latency {
     /// What was asked for.
     pub action: Action,
+    /// When it was due, after the run began.
+    pub due: Duration,
     /// The time.
     pub time: Duration,
 }
@@ -172,7 +174,8 @@
         let Some(outcome) = self.attempt(&operation, request) else { return };
         match &outcome {
             Outcome::Answered(_) => {
-                let latency = Latency { action: request.action, time: due.elapsed() };
+                let latency =
+                    Latency { action: request.action, due: request.at, time: due.elapsed() };
                 self.recorded.latencies.push(latency);
             }
             Outcome::InDoubt(_) | Outcome::Disconnected if request.keyed => {
--- a/crates/lab/src/scenario/definition.rs
+++ b/crates/lab/src/scenario/definition.rs
@@ -69,6 +69,10 @@
     pub zones: Vec<String>,
     /// One-way delay between two zones, in milliseconds.
     pub zone_delay_ms: f64,
+    /// One-way delay between callers and every zone, in milliseconds. Zero puts the callers of a
+    /// node into the node's zone.
+    #[serde(default)]
+    pub caller_delay_ms: f64,
     /// Nodes in each zone.
     pub nodes_per_zone: usize,
     /// Event-loop threads of a node.
--- a/crates/lab/src/scenario/deployment.rs
+++ b/crates/lab/src/scenario/deployment.rs
@@ -24,6 +24,8 @@
 
 /// Host number of the first node of a zone.
 const FIRST_NODE_HOST: u16 = 2;
+/// Name of the zone of callers that are away from every node.
+const CALLER_ZONE: &str = "callers";
 /// Host number that callers of a zone come from.
 const CALLER_HOST: u16 = 250;
 /// Longest wait for a port to become free after a node has ended.
@@ -86,8 +88,7 @@
     pub fn start(scenario: &Scenario, seed: u64, policy: Policy) -> miette::Result<Self> {
         let deployment = &scenario.deployment;
         let zones: Vec<ZoneName> = deployment.zones.iter().map(ZoneName::new).collect();
-        let network = Network::new(&zones, seed).into_diagnostic()?;
-        network.set_delay_everywhere(Duration::from_secs_f64(deployment.zone_delay_ms / 1000.0));
+        let network = connect_zones(deployment, &zones, seed)?;
         let platform = PlatformStore::start().into_diagnostic()?;
         let store = Arc::new(EtcdStore::new(vec![platform.endpoint()]));
         let mut groups = Vec::new();
@@ -125,7 +126,10 @@
 
     /// Address that callers of a zone come from.
     pub fn caller_address(&self, zone: usize) -> IpAddr {
-        self.network.address(&self.zones[zone], CALLER_HOST).into()
+        // A zone of the callers' own is the last of the network.
+        let has_caller_zone = self.network.zones().len() > self.zones.len();
+        let zone = if has_caller_zone { self.zones.len() } else { zone };
+        self.network.address(&self.network.zones()[zone], CALLER_HOST).into()
     }
 
     /// Stops every node that runs.
@@ -140,6 +144,28 @@
     }
 }
 
+/// Makes the links between the zones, and a zone for callers where they are away from all others.
+fn connect_zones(
+    deployment: &Deployment,
+    zones: &[ZoneName],
+    seed: u64,
+) -> miette::Result<Arc<Network>> {
+    let delay = |milliseconds: f64| Duration::from_secs_f64(milliseconds / 1000.0);
+    let mut connected = zones.to_vec();
+    if deployment.caller_delay_ms > 0.0 {
+        connected.push(ZoneName::new(CALLER_ZONE));
+    }
+    let network = Network::new(&connected, seed).into_diagnostic()?;
+    network.set_delay_everywhere(delay(deployment.zone_delay_ms));
+    if let Some(callers) = connected.get(zones.len()) {
+        for zone in zones {
+            network.set_delay(callers, zone, delay(deployment.caller_delay_ms));
+            network.set_delay(zone, callers, delay(deployment.caller_delay_ms));
+        }
+    }
+    Ok(network)
+}
+
 /// Binds a node's addresses, waiting for those that its last life still holds.
 fn bind(settings: &mut Settings) -> Result<Listeners, StartError> {
     let limit = Instant::now() + REBIND_LIMIT;
--- a/crates/lab/src/scenario/schedule.rs
+++ b/crates/lab/src/scenario/schedule.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// The same requests, all later by `offset`.
+    pub fn starting_at(self, offset: Duration) -> Self {
+        Self { next: self.next + offset, ..self }
+    }
+
     /// Whether the session hands its token back on reconnecting.
     pub fn draw_token_use(&mut self) -> bool {
         self.source.random_bool(self.workload.token_share)
