--- /dev/null
+++ b/crates/core/src/admin/configuration.rs
@@ -0,0 +1,227 @@
+//! Reading and changing the configuration through a node.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Catalog, Group, Revision, Template, Tenant};
+use crate::ids::{GroupName, NodeName, TemplateName, TenantName, ZoneName};
+
+/// What an entry of the configuration describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EntryKind {
+    /// A database group.
+    Group,
+    /// A template.
+    Template,
+    /// A tenant.
+    Tenant,
+}
+
+impl EntryKind {
+    /// Every kind, those that others refer to first.
+    pub const ALL: [Self; 3] = [Self::Group, Self::Template, Self::Tenant];
+
+    /// The catalog's table for entries of this kind, such as `groups`.
+    pub fn table(self) -> &'static str {
+        match self {
+            Self::Group => "groups",
+            Self::Template => "templates",
+            Self::Tenant => "tenants",
+        }
+    }
+
+    /// The kind whose entries stand in a table.
+    pub fn of_table(table: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.table() == table)
+    }
+}
+
+/// Name of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryId {
+    /// What it describes.
+    pub kind: EntryKind,
+    /// Its name among those.
+    pub name: String,
+}
+
+impl fmt::Display for EntryId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.kind.table(), self.name)
+    }
+}
+
+/// Value of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", content = "value", rename_all = "lowercase")]
+pub enum EntryValue {
+    /// A database group.
+    Group(Group),
+    /// A template.
+    Template(Template),
+    /// A tenant.
+    Tenant(Tenant),
+}
+
+impl EntryValue {
+    /// What it describes.
+    pub fn kind(&self) -> EntryKind {
+        match self {
+            Self::Group(_) => EntryKind::Group,
+            Self::Template(_) => EntryKind::Template,
+            Self::Tenant(_) => EntryKind::Tenant,
+        }
+    }
+}
+
+/// An entry to write.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name among the entries of its kind.
+    pub name: String,
+    /// New value.
+    pub value: EntryValue,
+}
+
+impl Change {
+    /// The entry it writes.
+    pub fn id(&self) -> EntryId {
+        EntryId { kind: self.value.kind(), name: self.name.clone() }
+    }
+}
+
+/// Number of an apply, chosen by the client: the same number is never applied twice.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestId(pub String);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// Asks to write entries, all or none.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyRequest {
+    /// Number of the request.
+    pub request: RequestId,
+    /// Who asks.
+    pub author: String,
+    /// Revision that the author saw: an entry written later is a conflict.
+    pub base: Revision,
+    /// What to write.
+    pub changes: Vec<Change>,
+}
+
+/// The entries are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Applied {
+    /// Revision at which they were.
+    pub revision: Revision,
+    /// False if every entry already had its value, so that nothing was written.
+    pub changed: bool,
+}
+
+/// Who wrote a version of an entry, and when.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Authorship {
+    /// Counts the versions of the entry; zero: not written through a node.
+    pub version: u64,
+    /// Number of the request that wrote it.
+    pub request: String,
+    /// Who asked for it.
+    pub author: String,
+    /// When, in milliseconds since 1970 by the clock of the node asked.
+    pub at_ms: u64,
+}
+
+/// An entry as it stands in the store, or stood there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name among the entries of its kind.
+    pub name: String,
+    /// Revision at which this version was written.
+    pub revision: Revision,
+    /// Who wrote it.
+    pub authorship: Authorship,
+    /// Value.
+    pub value: EntryValue,
+}
+
+/// Where a listing comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Source {
+    /// The store, just read.
+    Store,
+    /// What the node has in force, because the store did not answer.
+    InForce,
+}
+
+/// Entries of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Revision of the whole configuration: base of an apply that follows.
+    pub revision: Revision,
+    /// Where it comes from.
+    pub source: Source,
+    /// The entries asked for.
+    pub entries: Vec<Entry>,
+}
+
+/// A live node and the configuration it has in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRevision {
+    /// The node.
+    pub node: NodeName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Newest revision it is known to have in force; zero if none is known.
+    pub revision: Revision,
+}
+
+impl Catalog {
+    /// Puts an entry in, or replaces it.
+    pub fn insert(&mut self, name: &str, value: EntryValue) {
+        match value {
+            EntryValue::Group(group) => {
+                self.groups.insert(GroupName::new(name), group);
+            }
+            EntryValue::Template(template) => {
+                self.templates.insert(TemplateName::new(name), template);
+            }
+            EntryValue::Tenant(tenant) => {
+                self.tenants.insert(TenantName::new(name), tenant);
+            }
+        }
+    }
+
+    /// The entries of one kind.
+    pub fn entries(&self, kind: EntryKind) -> Vec<Change> {
+        let change = |name: &str, value| Change { name: name.to_owned(), value };
+        match kind {
+            EntryKind::Group => {
+                let groups = self.groups.iter();
+                groups
+                    .map(|(name, value)| change(name.as_str(), EntryValue::Group(value.clone())))
+                    .collect()
+            }
+            EntryKind::Template => {
+                let templates = self.templates.iter();
+                templates
+                    .map(|(name, value)| change(name.as_str(), EntryValue::Template(value.clone())))
+                    .collect()
+            }
+            EntryKind::Tenant => {
+                let tenants = self.tenants.iter();
+                tenants
+                    .map(|(name, value)| change(name.as_str(), EntryValue::Tenant(value.clone())))
+                    .collect()
+            }
+        }
+    }
+}
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin/mod.rs
@@ -1,7 +1,10 @@
 //! What a node's admin port and the operators' command line tell each other, as JSON.
 
+pub mod configuration;
+
 use serde::{Deserialize, Serialize};
 
+use self::configuration::Entry;
 use crate::catalog::Revision;
 use crate::ids::{NodeName, ZoneName};
 use crate::outcome::ResultCode;
@@ -48,11 +51,19 @@
     /// Path of the faulty field of the configuration, where there is one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub field: Option<String>,
+    /// Entries that somebody else changed, as they stand now.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub conflicting: Vec<Entry>,
 }
 
 impl AdminError {
     /// An error without a field.
     pub fn new(code: ResultCode, message: impl Into<String>) -> Self {
-        Self { code: code.to_string(), message: message.into(), field: None }
+        Self {
+            code: code.to_string(),
+            message: message.into(),
+            field: None,
+            conflicting: Vec::new(),
+        }
     }
 }
--- a/crates/core/src/catalog/index.rs
+++ b/crates/core/src/catalog/index.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::ops::Deref;
 
-use super::{Catalog, Instance};
+use super::{Instance, VersionedCatalog};
 use crate::ids::{GroupName, InstanceName, TenantName};
 
 /// A catalog that finds logins and instances without a scan.
 #[derive(Clone, Debug, Default)]
 pub struct IndexedCatalog {
-    catalog: Catalog,
+    catalog: VersionedCatalog,
     logins: HashMap<String, TenantName>,
     instances: HashMap<InstanceName, InstancePlace>,
 }
@@ -22,7 +22,8 @@
 
 impl IndexedCatalog {
     /// Builds the indexes of a valid catalog.
-    pub fn new(catalog: Catalog) -> Self {
+    pub fn new(catalog: impl Into<VersionedCatalog>) -> Self {
+        let catalog = catalog.into();
         let mut logins = HashMap::new();
         for (name, tenant) in &catalog.tenants {
             logins.extend(tenant.logins.keys().map(|login| (login.clone(), name.clone())));
@@ -53,9 +54,9 @@
 }
 
 impl Deref for IndexedCatalog {
-    type Target = Catalog;
+    type Target = VersionedCatalog;
 
-    fn deref(&self) -> &Catalog {
+    fn deref(&self) -> &VersionedCatalog {
         &self.catalog
     }
 }
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -6,6 +6,7 @@
 mod index;
 mod merge;
 mod validate;
+mod versioned;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 pub use index::IndexedCatalog;
 pub use merge::TenantParameters;
 pub use validate::{MAX_NAME_BYTES, is_name};
+pub use versioned::{CatalogDelta, DeltaError, VersionedCatalog};
 
 /// Revision of the configuration: the store's revision at which its newest part was written.
 #[derive(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod routing;
 pub mod session;
 pub mod session_state;
+pub mod spreading;
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -7,6 +7,7 @@
 use kestrellock_core::admin::AdminError;
 use kestrellock_program::secret::{Secret, SecretError, SecretSource};
 use miette::Diagnostic;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
@@ -15,6 +16,9 @@
 /// A change may wait for a slow store; a node gives up sooner than this.
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
+/// Largest answer read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
 /// Why a node did not do what was asked.
 #[derive(Debug, Error, Diagnostic)]
 pub enum ClientError {
@@ -68,6 +72,16 @@
         self.take(request.call())
     }
 
+    /// Sends a value.
+    pub fn post<A: DeserializeOwned>(
+        &self,
+        page: &str,
+        body: &impl Serialize,
+    ) -> Result<A, ClientError> {
+        let request = self.agent.post(self.url(page)).header("Authorization", self.authorization());
+        self.take(request.send_json(body))
+    }
+
     fn url(&self, page: &str) -> String {
         format!("http://{}{page}", self.node)
     }
@@ -85,7 +99,12 @@
             problem: error.to_string(),
         };
         let mut response = outcome.map_err(unanswered)?;
-        let text = response.body_mut().read_to_string().map_err(unanswered)?;
+        let text = response
+            .body_mut()
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_string()
+            .map_err(unanswered)?;
         let protocol = |error: serde_json::Error| ClientError::Protocol {
             node: self.node,
             problem: error.to_string(),
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,63 @@
+//! kestrellockctl: the operators' command line, as a library so that tests can drive it.
+
+pub mod apply;
+pub mod arguments;
+pub mod client;
+pub mod entries;
+pub mod file;
+pub mod nodes;
+pub mod show;
+
+use std::io::Write;
+
+use miette::{IntoDiagnostic, Result};
+
+use arguments::{Arguments, Command, ConfigCommand, EntryCommand};
+use client::Client;
+use kestrellock_core::admin::NodeStatus;
+use kestrellock_core::admin::configuration::EntryKind;
+
+/// Carries out one command line; what it has to tell goes to `output`.
+pub fn run(arguments: Arguments, output: &mut dyn Write) -> Result<()> {
+    let client = Client::new(arguments.node, arguments.token_file)?;
+    match arguments.command {
+        Command::Status(_) => {
+            let status: NodeStatus = client.get("/status")?;
+            show::json(&status, output)
+        }
+        Command::Nodes(_) => nodes::list(&client, output),
+        Command::Groups(_) => {
+            let groups: serde_json::Value = client.get("/v1/groups")?;
+            show::json(&groups, output)
+        }
+        Command::Config(config) => match config.command {
+            ConfigCommand::Status(_) => nodes::status(&client, output),
+            ConfigCommand::Apply(apply) => apply::all(&client, &apply, output),
+        },
+        Command::Group(group) => entry(&client, EntryKind::Group, group.command, output),
+        Command::Template(template) => {
+            entry(&client, EntryKind::Template, template.command, output)
+        }
+        Command::Tenant(tenant) => entry(&client, EntryKind::Tenant, tenant.command, output),
+    }
+}
+
+fn entry(
+    client: &Client,
+    kind: EntryKind,
+    command: EntryCommand,
+    output: &mut dyn Write,
+) -> Result<()> {
+    match command {
+        EntryCommand::Apply(apply) => apply::of_kind(client, kind, &apply, output),
+        EntryCommand::Get(get) => entries::get(client, kind, &get.name, output),
+        EntryCommand::List(_) => entries::list(client, kind, output),
+        EntryCommand::Diff(diff) => entries::diff(client, kind, &diff.file, output),
+        EntryCommand::History(history) => entries::history(client, kind, &history.name, output),
+        EntryCommand::Rollback(rollback) => apply::rollback(client, kind, &rollback, output),
+    }
+}
+
+fn line(output: &mut dyn Write, text: impl std::fmt::Display) -> Result<()> {
+    writeln!(output, "{text}").into_diagnostic()
+}
--- /dev/null
+++ b/crates/daemon/src/admin/groups.rs
@@ -0,0 +1,54 @@
+//! `/v1/groups`: what the node knows of the back ends.
+
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
+use kestrellock_core::routing::InstanceStatus;
+use serde::Serialize;
+
+use super::Admin;
+use super::answer::Answer;
+
+#[derive(Serialize)]
+struct GroupReport {
+    group: GroupName,
+    database: String,
+    instances: Vec<InstanceReport>,
+}
+
+#[derive(Serialize)]
+struct InstanceReport {
+    instance: InstanceName,
+    zone: ZoneName,
+    owner: Option<NodeName>,
+    standby: Option<NodeName>,
+    /// Absent if this node does not use the group.
+    status: Option<InstanceStatus>,
+}
+
+/// Every group with its instances, their owners, and their status as far as this node uses them.
+pub fn report(admin: &Admin) -> Answer {
+    let context = &admin.context;
+    let catalog = context.catalog.load();
+    let owners = context.ownerships();
+    let mut groups = Vec::new();
+    for (name, group) in &catalog.groups {
+        let statuses = context.statuses.group(name);
+        let statuses = statuses.read().expect("a holder of the status lock panicked");
+        let instances = group.instances.iter().map(|instance| {
+            let ownership = owners.get(&instance.name);
+            InstanceReport {
+                instance: instance.name.clone(),
+                zone: instance.zone.clone(),
+                owner: ownership.map(|ownership| ownership.owner.clone()),
+                standby: ownership.and_then(|ownership| ownership.standby.clone()),
+                status: statuses.get(&instance.name).cloned(),
+            }
+        });
+        let instances = instances.collect();
+        groups.push(GroupReport {
+            group: name.clone(),
+            database: group.database.clone(),
+            instances,
+        });
+    }
+    Answer::json(&groups)
+}
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -3,22 +3,30 @@
 //! Everything but `/healthz` needs the administration token as a bearer token.
 
 mod answer;
+mod configuration;
+mod groups;
 mod report;
 
+use std::io::Read;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use kestrellock_core::admin::AdminError;
+use kestrellock_core::admin::configuration::{EntryId, EntryKind};
 use kestrellock_core::outcome::ResultCode;
+use kestrellock_platform::store::ConfigStore;
 use kestrellock_program::secret::Secret;
-use tiny_http::{Request, Server};
+use tiny_http::{Method, Request, Server};
 
+use crate::agent::configuration::Configuration;
 use crate::context::NodeContext;
 use crate::shard::Shard;
 use crate::supervisor::StopFlag;
 use answer::Answer;
 
 const ACCEPT_WAIT: Duration = Duration::from_millis(100);
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 const BEARER: &str = "Bearer ";
 
 /// What the pages are made from.
@@ -29,6 +37,10 @@
     pub shards: Vec<Arc<Mutex<Shard>>>,
     /// Whether it is stopping.
     pub stop: StopFlag,
+    /// The configuration store.
+    pub store: Arc<dyn ConfigStore>,
+    /// The configuration and the way to ask others for theirs.
+    pub configuration: Arc<Configuration>,
     /// Token that operators must show; without one only `/healthz` answers.
     pub token: Option<Secret>,
 }
@@ -37,15 +49,15 @@
     /// Serves requests until told to stop. Several threads may serve one port.
     pub fn serve(&self, server: &Server) {
         while !self.stop.is_stopping() {
-            let Ok(Some(request)) = server.recv_timeout(ACCEPT_WAIT) else { continue };
+            let Ok(Some(mut request)) = server.recv_timeout(ACCEPT_WAIT) else { continue };
             self.stop.wait_while_paused();
-            let answer = self.answer(&request);
+            let answer = self.answer(&mut request);
             // A caller that went away before its answer is no matter of ours.
             let _ = request.respond(answer.into_response());
         }
     }
 
-    fn answer(&self, request: &Request) -> Answer {
+    fn answer(&self, request: &mut Request) -> Answer {
         if request.url() == "/healthz" {
             return report::health(self);
         }
@@ -53,11 +65,40 @@
             let problem = "a valid administration token is needed";
             return Answer::refused(AdminError::new(ResultCode::AdminTokenRefused, problem));
         }
-        match request.url() {
-            "/status" => report::status(self),
-            "/metrics" => Answer::text(self.context.metrics.text()),
-            _ => Answer::refused(AdminError::new(ResultCode::AdminRequestRefused, "no such page")),
+        let outcome = match request.method() {
+            Method::Post => self.post(request),
+            _ => self.get(request.url()),
+        };
+        outcome.unwrap_or_else(Answer::refused)
+    }
+
+    fn get(&self, url: &str) -> Result<Answer, AdminError> {
+        let parts: Vec<&str> = url.split('/').skip(1).collect();
+        match parts.as_slice() {
+            ["status"] => Ok(report::status(self)),
+            ["metrics"] => Ok(Answer::text(self.context.metrics.text())),
+            ["v1", "nodes"] => configuration::nodes(self),
+            ["v1", "groups"] => Ok(groups::report(self)),
+            ["v1", "configuration", table] => configuration::list(self, kind_of(table)?, None),
+            ["v1", "configuration", table, name] => {
+                configuration::list(self, kind_of(table)?, Some(name))
+            }
+            ["v1", "history", table, name] => {
+                let id = EntryId { kind: kind_of(table)?, name: (*name).to_owned() };
+                configuration::history(self, &id)
+            }
+            _ => Err(no_such_page()),
+        }
+    }
+
+    fn post(&self, request: &mut Request) -> Result<Answer, AdminError> {
+        if request.url() != "/v1/apply" {
+            return Err(no_such_page());
         }
+        let mut body = Vec::new();
+        let read = request.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut body);
+        read.map_err(|error| AdminError::new(ResultCode::AdminRequestRefused, error.to_string()))?;
+        configuration::change(self, &body)
     }
 
     fn is_authorized(&self, request: &Request) -> bool {
@@ -68,3 +109,11 @@
             .is_some_and(|shown| token.matches(shown))
     }
 }
+
+fn no_such_page() -> AdminError {
+    AdminError::new(ResultCode::AdminRequestRefused, "no such page")
+}
+
+fn kind_of(table: &str) -> Result<EntryKind, AdminError> {
+    EntryKind::of_table(table).ok_or_else(no_such_page)
+}
--- /dev/null
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -0,0 +1,120 @@
+//! Keeps the node's configuration: follows the store where that is this node's part, exchanges
+//! revisions with peers, and puts only newer, whole and valid catalogs in force.
+
+mod exchange;
+mod follow;
+mod inbox;
+
+use std::sync::{Arc, Mutex};
+
+use kestrellock_core::catalog::{IndexedCatalog, Revision, VersionedCatalog};
+use kestrellock_core::ids::NodeName;
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_core::spreading;
+use kestrellock_peer::message::{ConfigurationMessage, PeerMessage};
+
+use crate::context::NodeContext;
+use crate::metrics::ConfigurationEvent;
+use crate::shard::mailbox::{Mailboxes, ShardMessage};
+
+pub use exchange::exchange;
+pub use follow::follow;
+pub use inbox::{Inbox, Received};
+
+/// Shard whose connections carry messages that this node begins.
+const FIRST_SHARD: u16 = 0;
+
+/// What became of a catalog.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is in force.
+    InForce,
+    /// One as new is in force already.
+    NotNewer,
+    /// It is invalid; the one in force stays.
+    Refused,
+}
+
+/// The node's configuration and the way to its peers.
+pub struct Configuration {
+    context: Arc<NodeContext>,
+    mailboxes: Arc<Mailboxes>,
+    /// Held while a catalog replaces another, so that an older one never replaces a newer.
+    replacing: Mutex<()>,
+}
+
+impl Configuration {
+    /// Nothing in force yet.
+    pub fn new(context: Arc<NodeContext>, mailboxes: Arc<Mailboxes>) -> Self {
+        Self { context, mailboxes, replacing: Mutex::new(()) }
+    }
+
+    /// Puts a catalog in force if it is newer than the one in force, and valid.
+    pub fn offer(&self, catalog: VersionedCatalog) -> Offer {
+        let _replacing = self.replacing.lock().expect("a holder of the lock panicked");
+        let revision = catalog.revision;
+        if revision <= self.revision() {
+            return Offer::NotNewer;
+        }
+        let metrics = &self.context.metrics;
+        if let Err(error) = catalog.validate() {
+            log::warn!("configuration revision {} refused: {error}", revision.0);
+            metrics.configuration.count(ConfigurationEvent::Refused);
+            return Offer::Refused;
+        }
+        self.context.catalog.store(IndexedCatalog::new(catalog));
+        log::info!("configuration revision {} in force", revision.0);
+        metrics.revision.set(revision.0 as i64);
+        metrics.configuration.count(ConfigurationEvent::Applied);
+        Offer::InForce
+    }
+
+    /// Revision in force.
+    pub fn revision(&self) -> Revision {
+        self.context.catalog.load().revision
+    }
+
+    /// Tells the nodes that ask this one what it has in force.
+    fn announce(&self) {
+        let revision = self.revision();
+        for node in spreading::audience(&self.own(), &self.live()) {
+            self.send(&node, FIRST_SHARD, ConfigurationMessage::InForce { revision });
+        }
+    }
+
+    /// Asks live nodes for their revisions where none as new as this node's is known.
+    pub fn ask_revisions(&self) {
+        let have = self.revision();
+        for node in self.behind() {
+            self.send(&node, FIRST_SHARD, ConfigurationMessage::Request { have });
+        }
+    }
+
+    /// Live nodes not known to have this node's revision.
+    pub fn behind(&self) -> Vec<NodeName> {
+        let revision = self.revision();
+        let mut nodes: Vec<NodeName> =
+            self.live().into_iter().map(|candidate| candidate.node).collect();
+        nodes.retain(|node| {
+            *node != self.context.identity.node && self.context.revisions.of(node) < revision
+        });
+        nodes
+    }
+
+    fn own(&self) -> Candidate {
+        let identity = &self.context.identity;
+        Candidate { node: identity.node.clone(), zone: identity.zone.clone() }
+    }
+
+    fn live(&self) -> Vec<Candidate> {
+        let live = self.context.live.load();
+        let working = live.iter().filter(|node| node.accepts_work);
+        working.map(|node| node.candidate.clone()).collect()
+    }
+
+    fn send(&self, node: &NodeName, shard: u16, message: ConfigurationMessage) {
+        let from = self.context.identity.node.clone();
+        let message = PeerMessage::Configuration { from, message };
+        self.mailboxes.send(shard, ShardMessage::ToPeer { node: node.clone(), message });
+    }
+}
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,3 +1,5 @@
 //! The agent: keeps the catalog up to date and knows the other nodes.
 
 pub mod configuration;
+pub mod counted_store;
+pub mod revisions;
--- /dev/null
+++ b/crates/daemon/src/agent/revisions.rs
@@ -0,0 +1,47 @@
+//! Which revision of the configuration each node is known to have in force.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard};
+
+use kestrellock_core::catalog::Revision;
+use kestrellock_core::ids::NodeName;
+
+/// Newest revision heard of each node. A node never goes back, so neither does its entry.
+#[derive(Debug, Default)]
+pub struct Revisions {
+    heard: Mutex<HashMap<NodeName, Revision>>,
+}
+
+impl Revisions {
+    /// A node said, or was said, to have `revision` in force.
+    pub fn hear(&self, node: &NodeName, revision: Revision) {
+        let mut heard = self.lock();
+        match heard.get_mut(node) {
+            Some(known) => *known = revision.max(*known),
+            None => {
+                heard.insert(node.clone(), revision);
+            }
+        }
+    }
+
+    /// Newest revision heard of a node; zero if none.
+    pub fn of(&self, node: &NodeName) -> Revision {
+        self.lock().get(node).copied().unwrap_or_default()
+    }
+
+    /// A node with the newest revision heard of, if that is newer than `own`.
+    pub fn newer_than(&self, own: Revision) -> Option<NodeName> {
+        let heard = self.lock();
+        let newest = heard.iter().max_by_key(|(_, revision)| **revision)?;
+        (*newest.1 > own).then(|| newest.0.clone())
+    }
+
+    /// Forgets nodes that are no longer live.
+    pub fn retain(&self, is_live: impl Fn(&NodeName) -> bool) {
+        self.lock().retain(|node, _| is_live(node));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<NodeName, Revision>> {
+        self.heard.lock().expect("a holder of the lock panicked")
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -11,6 +11,8 @@
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::InstanceStatus;
 
+use crate::agent::configuration::Inbox;
+use crate::agent::revisions::Revisions;
 use crate::metrics::Metrics;
 use crate::ownership::{OwnershipSnapshot, Ownerships, UnreachableNodes};
 use crate::policy::Policy;
@@ -113,6 +115,10 @@
     pub shards: u16,
     /// Which decisions the node takes.
     pub policy: Policy,
+    /// Messages of peers about the configuration.
+    pub configuration: Inbox,
+    /// Revisions that other nodes have in force.
+    pub revisions: Revisions,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,6 +12,9 @@
 
 use crate::admin::Admin;
 use crate::agent;
+use crate::agent::configuration::{Configuration, Inbox};
+use crate::agent::counted_store::CountedStore;
+use crate::agent::revisions::Revisions;
 use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
 use crate::metrics::Metrics;
 use crate::ownership::{Ownerships, UnreachableNodes};
@@ -108,11 +111,20 @@
             &stop,
             ShardMessage::Caller,
         );
-        spawn_acceptor(&mut root, "peers", peers, mailboxes, &stop, ShardMessage::Peer);
+        spawn_acceptor(&mut root, "peers", peers, mailboxes.clone(), &stop, ShardMessage::Peer);
         let token = settings.secrets.admin_token.clone();
-        let pages = Admin { context: context.clone(), shards, stop: stop.clone(), token };
+        let store: Arc<dyn ConfigStore> = Arc::new(CountedStore::new(store, context.clone()));
+        let configuration = Arc::new(Configuration::new(context.clone(), mailboxes.clone()));
+        let pages = Admin {
+            context: context.clone(),
+            shards,
+            stop: stop.clone(),
+            store: store.clone(),
+            configuration: configuration.clone(),
+            token,
+        };
         spawn_admin(&mut root, admin, pages)?;
-        spawn_agent(&mut root, &context, store, &stop);
+        spawn_agent(&mut root, &configuration, store, &stop);
         Ok(Self { context, stop, root })
     }
 
@@ -165,6 +177,8 @@
         statuses: StatusBoard::default(),
         shards: settings.shards,
         policy,
+        configuration: Inbox::default(),
+        revisions: Revisions::default(),
         metrics,
     }
 }
@@ -212,12 +226,16 @@
 
 fn spawn_agent(
     root: &mut Supervisor,
-    context: &Arc<NodeContext>,
+    configuration: &Arc<Configuration>,
     store: Arc<dyn ConfigStore>,
     stop: &StopFlag,
 ) {
-    let (context, stop) = (context.clone(), stop.clone());
-    root.spawn("configuration", move || {
-        agent::configuration::follow(store.as_ref(), &context, &stop);
+    let (following, flag) = (configuration.clone(), stop.clone());
+    root.spawn("configuration-store", move || {
+        agent::configuration::follow(&following, store.as_ref(), &flag);
+    });
+    let (exchanging, flag) = (configuration.clone(), stop.clone());
+    root.spawn("configuration-peers", move || {
+        agent::configuration::exchange(&exchanging, &flag);
     });
 }
--- a/crates/daemon/src/shard/mailbox.rs
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -5,7 +5,7 @@
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use kestrellock_core::ids::NodeName;
-use kestrellock_peer::message::{ToFront, ToGateway};
+use kestrellock_peer::message::{PeerMessage, ToFront, ToGateway};
 use mio::{Poll, Waker};
 
 use super::{Part, token};
@@ -19,6 +19,13 @@
     Peer(TcpStream),
     /// For the shard's gateway.
     ToGateway(ToGateway),
+    /// For another node, over this shard's connection to it.
+    ToPeer {
+        /// The node.
+        node: NodeName,
+        /// The message.
+        message: PeerMessage,
+    },
     /// For the shard's front.
     ToFront(ToFront),
     /// A connection to this node closed on another shard.
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -14,6 +14,7 @@
 use kestrellock_peer::message::{GatewayCall, PeerMessage, ToFront, ToGateway};
 use mio::{Registry, Token};
 
+use crate::agent::configuration::Received;
 use crate::context::NodeContext;
 use crate::front::Front;
 use crate::gateway::Gateway;
@@ -152,6 +153,10 @@
             ShardMessage::Peer(stream) => shard.links.accept(stream, io),
             ShardMessage::ToGateway(message) => shard.gateway.on_call(message, io),
             ShardMessage::ToFront(message) => shard.front.on_message(message, io),
+            ShardMessage::ToPeer { node, message } => {
+                // Whoever needs an answer asks again.
+                let _ = shard.links.send(&node, message, io);
+            }
             ShardMessage::PeerLost(node) => shard.on_peer_lost(&node, io),
         });
     }
@@ -178,6 +183,10 @@
         for message in received {
             match message {
                 PeerMessage::Hello(_) => {}
+                PeerMessage::Configuration { from, message } => {
+                    let shard = self.number;
+                    io.context.configuration.deliver(Received { from, shard, message });
+                }
                 PeerMessage::ToGateway(message) => {
                     let node = io.context.identity.node.clone();
                     io.outbox.push_back(Outgoing::Gateway { node, message });
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use kestrellock_core::catalog::Priority;
+use kestrellock_core::catalog::{CatalogDelta, Priority, Revision};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::Position;
@@ -146,11 +146,35 @@
     },
 }
 
+/// What nodes tell each other of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationMessage {
+    /// The sender has this revision in force and wants a newer one, if there is one.
+    Request {
+        /// Revision of the sender; zero asks for the whole.
+        have: Revision,
+    },
+    /// The sender has this revision in force.
+    InForce {
+        /// The revision.
+        revision: Revision,
+    },
+    /// What the sender has more than the receiver asked with.
+    Delta(Box<CatalogDelta>),
+}
+
 /// Everything that travels between nodes over TCP.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Introduction.
     Hello(Hello),
+    /// For the agent that keeps the receiver's configuration.
+    Configuration {
+        /// Sender.
+        from: NodeName,
+        /// The message.
+        message: ConfigurationMessage,
+    },
     /// For a gateway of the receiver.
     ToGateway(ToGateway),
     /// For the front at this shard of the receiver.
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -1,7 +1,12 @@
-//! How the catalog is laid out in the store: one key a group, template and tenant, JSON values.
+//! How the configuration is laid out in the store: one key a group, template and tenant, a guard
+//! that every change writes, and a bounded history beside them.
 
-use kestrellock_core::catalog::{Catalog, Revision};
-use kestrellock_core::ids::{GroupName, TemplateName, TenantName};
+use std::collections::BTreeMap;
+
+use kestrellock_core::admin::configuration::{Authorship, Entry, EntryId, EntryKind, EntryValue};
+use kestrellock_core::catalog::{Catalog, Revision, VersionedCatalog};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use thiserror::Error;
 
 use crate::store::{ConfigStore, KeyValue, Snapshot, StoreError};
@@ -14,6 +19,13 @@
 pub const TEMPLATES: &str = "/kestrellock/templates/";
 /// Prefix of tenants.
 pub const TENANTS: &str = "/kestrellock/tenants/";
+/// Written by every change, so that two changes never pass each other unseen.
+pub const GUARD: &str = "/kestrellock/guard";
+/// Prefix of former versions; not under [`PREFIX`], so that no node reads them to follow the
+/// configuration.
+const HISTORY: &str = "/kestrellock-history/";
+/// Versions kept of an entry.
+pub const MAX_HISTORY: u64 = 20;
 
 /// Why the catalog could not be read.
 #[derive(Debug, Error)]
@@ -31,11 +43,81 @@
     },
 }
 
+/// A value as a change writes it. A bare value, written by other means, is read as version zero.
+#[derive(Serialize, Deserialize)]
+struct Record {
+    #[serde(flatten)]
+    authorship: Authorship,
+    value: Value,
+}
+
+/// Key of an entry.
+pub fn entry_key(id: &EntryId) -> String {
+    format!("{PREFIX}{}/{}", id.kind.table(), id.name)
+}
+
+/// Prefix of the kept versions of an entry.
+pub fn history_prefix(id: &EntryId) -> String {
+    format!("{HISTORY}{}/{}/", id.kind.table(), id.name)
+}
+
+/// Key of one kept version; the versions of an entry share [`MAX_HISTORY`] keys in turn.
+pub fn history_key(id: &EntryId, version: u64) -> String {
+    format!("{}{}", history_prefix(id), version % MAX_HISTORY)
+}
+
+/// The bytes stored for an entry's version.
+pub fn encode(authorship: &Authorship, value: &EntryValue) -> Result<Vec<u8>, serde_json::Error> {
+    let value = match value {
+        EntryValue::Group(group) => serde_json::to_value(group)?,
+        EntryValue::Template(template) => serde_json::to_value(template)?,
+        EntryValue::Tenant(tenant) => serde_json::to_value(tenant)?,
+    };
+    serde_json::to_vec(&Record { authorship: authorship.clone(), value })
+}
+
+/// The entry that a key holds; `None` if the key holds none.
+pub fn decode(stored: &KeyValue) -> Result<Option<Entry>, CatalogError> {
+    let Some((kind, name)) = stored.key.strip_prefix(PREFIX).and_then(split_key) else {
+        return Ok(None);
+    };
+    decode_as(kind, name, stored).map(Some)
+}
+
+fn split_key(path: &str) -> Option<(EntryKind, &str)> {
+    let (table, name) = path.split_once('/')?;
+    Some((EntryKind::of_table(table)?, name))
+}
+
+/// The entry of that kind and name in a stored value.
+pub fn decode_as(kind: EntryKind, name: &str, stored: &KeyValue) -> Result<Entry, CatalogError> {
+    let malformed = |error: serde_json::Error| CatalogError::Malformed {
+        key: stored.key.clone(),
+        problem: error.to_string(),
+    };
+    let whole: Value = serde_json::from_slice(&stored.value).map_err(malformed)?;
+    let is_record = whole.get("version").is_some() && whole.get("value").is_some();
+    let (authorship, value) = if is_record {
+        let record: Record = serde_json::from_value(whole).map_err(malformed)?;
+        (record.authorship, record.value)
+    } else {
+        (Authorship::default(), whole)
+    };
+    let value = match kind {
+        EntryKind::Group => serde_json::from_value(value).map(EntryValue::Group),
+        EntryKind::Template => serde_json::from_value(value).map(EntryValue::Template),
+        EntryKind::Tenant => serde_json::from_value(value).map(EntryValue::Tenant),
+    };
+    let value = value.map_err(malformed)?;
+    let revision = Revision(stored.modified);
+    Ok(Entry { name: name.to_owned(), revision, authorship, value })
+}
+
 /// A catalog as read from the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredCatalog {
     /// The catalog; its revision is the store's revision at which its newest part was written.
-    pub catalog: Catalog,
+    pub catalog: VersionedCatalog,
     /// Revision of the store at which it was read.
     pub store_revision: u64,
 }
@@ -47,29 +129,30 @@
     Ok(StoredCatalog { catalog, store_revision: snapshot.revision })
 }
 
+/// Revision of the configuration that a snapshot of [`PREFIX`] holds.
+pub fn revision_of(snapshot: &Snapshot) -> Revision {
+    Revision(snapshot.entries.iter().map(|entry| entry.modified).max().unwrap_or(0))
+}
+
 /// The catalog that a snapshot of [`PREFIX`] holds.
-pub fn catalog_of(snapshot: &Snapshot) -> Result<Catalog, CatalogError> {
-    let newest = snapshot.entries.iter().map(|entry| entry.modified).max().unwrap_or(0);
-    let mut catalog = Catalog { revision: Revision(newest), ..Catalog::default() };
-    for entry in &snapshot.entries {
-        add(&mut catalog, entry).map_err(|error| CatalogError::Malformed {
-            key: entry.key.clone(),
-            problem: error.to_string(),
-        })?;
+pub fn catalog_of(snapshot: &Snapshot) -> Result<VersionedCatalog, CatalogError> {
+    let mut catalog = Catalog { revision: revision_of(snapshot), ..Catalog::default() };
+    let mut revisions = BTreeMap::new();
+    for stored in &snapshot.entries {
+        if let Some(entry) = decode(stored)? {
+            let id = EntryId { kind: entry.value.kind(), name: entry.name.clone() };
+            revisions.insert(id, entry.revision);
+            catalog.insert(&entry.name, entry.value);
+        }
     }
-    Ok(catalog)
+    Ok(VersionedCatalog::new(catalog, revisions))
 }
 
-fn add(catalog: &mut Catalog, entry: &KeyValue) -> Result<(), serde_json::Error> {
-    if let Some(name) = entry.key.strip_prefix(GROUPS) {
-        let group = serde_json::from_slice(&entry.value)?;
-        catalog.groups.insert(GroupName::new(name), group);
-    } else if let Some(name) = entry.key.strip_prefix(TEMPLATES) {
-        let template = serde_json::from_slice(&entry.value)?;
-        catalog.templates.insert(TemplateName::new(name), template);
-    } else if let Some(name) = entry.key.strip_prefix(TENANTS) {
-        let tenant = serde_json::from_slice(&entry.value)?;
-        catalog.tenants.insert(TenantName::new(name), tenant);
-    }
-    Ok(())
+/// The kept versions of an entry, newest first.
+pub fn read_history(store: &dyn ConfigStore, id: &EntryId) -> Result<Vec<Entry>, CatalogError> {
+    let snapshot = store.range(&history_prefix(id))?;
+    let decoded = snapshot.entries.iter().map(|stored| decode_as(id.kind, &id.name, stored));
+    let mut versions = decoded.collect::<Result<Vec<_>, _>>()?;
+    versions.sort_by_key(|entry| std::cmp::Reverse(entry.authorship.version));
+    Ok(versions)
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,6 @@
 //! The platform's services behind traits: the configuration store and the machine list.
 
+pub mod apply;
 pub mod backoff;
 pub mod catalog;
 pub mod etcd;
