Stand-ins of the platform: revisions, leases and faults of the store, and a machine list

The store knew ranges, one kind of comparison and watches of one event. It now keeps history, so that a watch replays from its start revision and a compacted one is cancelled with the revision; it has puts, delete ranges, all comparisons, ranges at earlier revisions, compaction and leases. Settable: rate limit (429), outage (connections refused), silence, slowness, answers lost after the change took effect, watches broken off. It counts requests and the busiest second.

A killed instance and a store in outage refuse connections without giving their port up.

--- /dev/null
+++ b/crates/lab/src/standin/door.rs
@@ -0,0 +1,86 @@
+//! A listening socket that can be made to refuse connections without giving its port up.
+
+use std::io;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use socket2::SockRef;
+
+const BACKLOG: i32 = 1024;
+/// Attempts to bind a port that was free a moment before.
+const PORT_ATTEMPTS: usize = 50;
+/// Time between two attempts to accept while the door is shut.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1);
+
+/// A listening socket on loopback.
+#[derive(Clone, Debug)]
+pub struct Door {
+    listener: Arc<TcpListener>,
+    address: SocketAddr,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Door {
+    /// Listens on a port that the system chooses.
+    pub fn open() -> io::Result<Self> {
+        let (listener, address) = bind_by_number()?;
+        Ok(Self { listener: Arc::new(listener), address, stopped: Arc::default() })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses connections from now on; the operating system does so itself.
+    pub fn shut(&self) {
+        // An error means that it does not listen, which is what is wanted.
+        let _ = SockRef::from(self.listener.as_ref()).shutdown(Shutdown::Both);
+    }
+
+    /// Accepts connections again.
+    pub fn reopen(&self) {
+        SockRef::from(self.listener.as_ref())
+            .listen(BACKLOG)
+            .expect("a bound socket cannot listen again");
+    }
+
+    /// The next connection, or `None` once stopped.
+    pub fn accept(&self) -> Option<TcpStream> {
+        while !self.stopped.load(Ordering::Acquire) {
+            match self.listener.accept() {
+                Ok((stream, _)) => return Some(stream),
+                Err(_) => std::thread::sleep(RETRY_INTERVAL),
+            }
+        }
+        None
+    }
+
+    /// Ends [`Self::accept`] for good.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+        self.shut();
+    }
+}
+
+/// Binds a free port by its number: a socket loses a port that it did not ask for by number when
+/// it stops listening.
+fn bind_by_number() -> io::Result<(TcpListener, SocketAddr)> {
+    let mut attempts = 0;
+    loop {
+        let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
+        match TcpListener::bind(address) {
+            Ok(listener) => return Ok((listener, address)),
+            Err(error) if attempts == PORT_ATTEMPTS => return Err(error),
+            Err(_) => attempts += 1,
+        }
+    }
+}
+
+/// Makes the close of a connection a reset.
+pub fn reset_on_close(stream: &TcpStream) {
+    // The connection may be gone already.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- a/crates/lab/src/standin/group/mod.rs
+++ b/crates/lab/src/standin/group/mod.rs
@@ -22,7 +22,7 @@
 pub mod values;
 pub mod wire;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -35,6 +35,7 @@
 use self::replication::Coordinator;
 use self::service::Service;
 use self::tables::{Change, Row};
+use super::door::Door;
 
 /// Time between two looks while waiting for a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -56,7 +57,7 @@
     pub instances: Vec<Arc<Instance>>,
     /// Where callers reach each instance.
     pub addresses: Vec<SocketAddr>,
-    listening: Vec<SocketAddr>,
+    doors: Vec<Door>,
     events: Arc<EventLog>,
     stopping: Arc<AtomicBool>,
     coordinator: Option<JoinHandle<()>>,
@@ -70,7 +71,7 @@
         let signal = Arc::new(Signal::default());
         let mut instances = Vec::new();
         let mut addresses = Vec::new();
-        let mut listening = Vec::new();
+        let mut doors = Vec::new();
         for (index, zone) in options.zones.iter().enumerate() {
             let seed = options.seed.wrapping_add(index as u64);
             let instance = Arc::new(Instance::new(InstanceParts {
@@ -83,25 +84,26 @@
                 events: events.clone(),
                 signal: signal.clone(),
             }));
-            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-            let address = listener.local_addr()?;
+            let door = Door::open()?;
+            let address = door.address();
             let network = options.network.clone();
-            wire::listen(listener, instance.clone(), network.clone(), stopping.clone());
+            wire::listen(door.clone(), instance.clone(), network.clone());
             addresses.push(match &network {
                 Some(network) => network.expose_tcp(zone, address)?,
                 None => address,
             });
-            listening.push(address);
+            doors.push(door);
             instances.push(instance);
         }
         let coordinator = Coordinator::new(&instances, options, events.clone(), signal);
         let stop = stopping.clone();
         let coordinator = Some(thread::spawn(move || coordinator.run(&stop)));
-        Ok(Self { instances, addresses, listening, events, stopping, coordinator })
+        Ok(Self { instances, addresses, doors, events, stopping, coordinator })
     }
 
     /// Ends an instance's process; its log stays.
     pub fn kill(&self, index: usize) {
+        self.doors[index].shut();
         self.instances[index].kill();
     }
 
@@ -109,6 +111,7 @@
     /// newer term does not have is dropped when it follows that primary.
     pub fn restart(&self, index: usize) {
         self.instances[index].restart();
+        self.doors[index].reopen();
     }
 
     /// Stops an instance's process at whatever point it is; its connections stay open.
@@ -248,10 +251,9 @@
 impl Drop for DatabaseGroup {
     fn drop(&mut self) {
         self.stopping.store(true, Ordering::Release);
-        for (instance, address) in self.instances.iter().zip(&self.listening) {
+        for (instance, door) in self.instances.iter().zip(&self.doors) {
+            door.stop();
             instance.kill();
-            // Wakes the thread that accepts, which then ends.
-            let _ = TcpStream::connect(address);
         }
         if let Some(coordinator) = self.coordinator.take() {
             // A coordinator that panicked has said so itself.
--- a/crates/lab/src/standin/group/wire/mod.rs
+++ b/crates/lab/src/standin/group/wire/mod.rs
@@ -5,11 +5,9 @@
 
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
 use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
@@ -21,7 +19,6 @@
     DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
     SslNegotiationMetaMessage,
 };
-use socket2::SockRef;
 use sqlparser::ast::Statement;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
@@ -34,27 +31,19 @@
 use super::tables::{Column, Row, Value};
 use super::transaction::{Answer, Transaction};
 use super::values::{encode_value, type_size};
+use crate::standin::door::{Door, reset_on_close};
 use crate::standin::network::Network;
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Texts whose parsed form a connection keeps.
 const PARSED_LIMIT: usize = 256;
 
-/// Accepts connections until `stopping` is set.
-pub fn listen(
-    listener: TcpListener,
-    instance: Arc<Instance>,
-    network: Option<Arc<Network>>,
-    stopping: Arc<AtomicBool>,
-) {
+/// Accepts connections until the door is stopped.
+pub fn listen(door: Door, instance: Arc<Instance>, network: Option<Arc<Network>>) {
     thread::spawn(move || {
-        for stream in listener.incoming() {
-            if stopping.load(Ordering::Acquire) {
-                return;
-            }
-            let Ok(stream) = stream else { continue };
+        while let Some(stream) = door.accept() {
             if !instance.is_alive() {
-                reset(&stream);
+                reset_on_close(&stream);
                 continue;
             }
             let outside =
@@ -71,12 +60,6 @@
     peer.and_then(|peer| network.zone_of(peer.ip())).is_none_or(|zone| zone != instance.zone)
 }
 
-/// Makes the close of a connection a reset.
-fn reset(stream: &TcpStream) {
-    // The connection may be gone already.
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
 struct Client<'a> {
     instance: &'a Instance,
     control: Arc<Control>,
@@ -145,14 +128,14 @@
             return Ok(());
         }
         if !self.instance.pass_gate(self.outside) {
-            reset(stream);
+            reset_on_close(stream);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         match self.lost_answer.take() {
             None => stream.write_all(&self.output)?,
             Some(LostAnswer::Silent) => return wait_for_end(stream),
             Some(LostAnswer::Reset) => {
-                reset(stream);
+                reset_on_close(stream);
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
         }
--- /dev/null
+++ b/crates/lab/src/standin/http.rs
@@ -0,0 +1,145 @@
+//! The little of HTTP/1.1 that the platform's stand-ins need, a thread for each connection.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+use super::door::{Door, reset_on_close};
+
+/// Connections served at once; more are reset.
+const CONNECTION_LIMIT: usize = 2048;
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// A request.
+#[derive(Debug)]
+pub struct Request {
+    /// Path with query.
+    pub path: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Writes an answer to a connection.
+pub type Writer = Box<dyn FnOnce(&mut TcpStream) -> io::Result<()> + Send>;
+
+/// What becomes of a request.
+pub enum Reply {
+    /// A status and a JSON body; the connection stays open.
+    Json {
+        /// Status.
+        status: u16,
+        /// Body.
+        body: String,
+    },
+    /// The connection is reset without an answer.
+    Reset,
+    /// Nothing is ever answered; the connection stays open until the client goes.
+    Silence,
+    /// The handler writes the answer itself, and the connection ends with it.
+    Stream(Writer),
+}
+
+impl Reply {
+    /// A success.
+    pub fn ok(body: impl ToString) -> Self {
+        Self::Json { status: 200, body: body.to_string() }
+    }
+}
+
+/// Handles requests.
+pub type Handler = dyn Fn(Request) -> Reply + Send + Sync;
+
+/// Serves connections until the door is stopped.
+pub fn serve(door: Door, handler: Arc<Handler>) {
+    let connections = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        while let Some(stream) = door.accept() {
+            if connections.load(Ordering::Acquire) >= CONNECTION_LIMIT {
+                reset_on_close(&stream);
+                continue;
+            }
+            connections.fetch_add(1, Ordering::AcqRel);
+            let (handler, connections) = (handler.clone(), connections.clone());
+            thread::spawn(move || {
+                // A client that goes away is part of what the stand-in stands for.
+                let _ = serve_connection(stream, handler.as_ref());
+                connections.fetch_sub(1, Ordering::AcqRel);
+            });
+        }
+    });
+}
+
+fn serve_connection(mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    while let Some(request) = read_request(&mut reader)? {
+        match handler(request) {
+            Reply::Json { status, body } => write_json(&mut stream, status, &body)?,
+            Reply::Reset => {
+                reset_on_close(&stream);
+                return Ok(());
+            }
+            Reply::Silence => {
+                io::copy(&mut reader, &mut io::sink())?;
+                return Ok(());
+            }
+            Reply::Stream(write) => return write(&mut stream),
+        }
+    }
+    Ok(())
+}
+
+fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let path = line.split_whitespace().nth(1).unwrap_or("/").to_owned();
+    let mut length = 0;
+    loop {
+        let mut header = String::new();
+        if reader.read_line(&mut header)? == 0 || header.trim().is_empty() {
+            break;
+        }
+        if let Some((name, value)) = header.split_once(':')
+            && name.eq_ignore_ascii_case("content-length")
+        {
+            length = value.trim().parse().map_err(io::Error::other)?;
+        }
+    }
+    if length > BODY_LIMIT {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut body = vec![0_u8; length];
+    reader.read_exact(&mut body)?;
+    Ok(Some(Request { path, body }))
+}
+
+fn write_json(stream: &mut TcpStream, status: u16, body: &str) -> io::Result<()> {
+    let length = body.len();
+    let answer = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(answer.as_bytes())
+}
+
+/// Begins an answer of chunks.
+pub fn begin_chunks(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
+    )
+}
+
+/// Writes one message as a chunk.
+pub fn write_chunk(stream: &mut TcpStream, message: &serde_json::Value) -> io::Result<()> {
+    let line = format!("{message}\n");
+    let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+    stream.write_all(chunk.as_bytes())
+}
+
+/// Ends an answer of chunks.
+pub fn end_chunks(stream: &mut TcpStream) -> io::Result<()> {
+    stream.write_all(b"0\r\n\r\n")
+}
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! They know nothing of the proxy.
 
+pub mod door;
 pub mod group;
+pub mod http;
+pub mod machines;
 pub mod network;
 pub mod store;
--- /dev/null
+++ b/crates/lab/src/standin/store/contents.rs
@@ -0,0 +1,205 @@
+//! Keys, revisions, history and leases of the store.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// A key as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of its creation.
+    pub created: u64,
+    /// Revision of its last write.
+    pub modified: u64,
+    /// Writes since its creation.
+    pub version: u64,
+    /// Lease it is bound to; zero for none.
+    pub lease: u64,
+}
+
+/// One change of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Revision of the change.
+    pub revision: u64,
+    /// Key.
+    pub key: Vec<u8>,
+    /// What it was set to; `None` if it was deleted.
+    pub entry: Option<Entry>,
+    /// What it was before.
+    pub previous: Option<Entry>,
+}
+
+/// A key or a range of keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyRange {
+    /// First key.
+    pub start: Vec<u8>,
+    /// Key after the last; `None` for the first alone, a zero byte for no end.
+    pub end: Option<Vec<u8>>,
+}
+
+impl KeyRange {
+    /// Whether a key lies within.
+    pub fn contains(&self, key: &[u8]) -> bool {
+        match self.end.as_deref() {
+            None | Some([]) => key == self.start,
+            Some([0]) => key >= self.start.as_slice(),
+            Some(end) => key >= self.start.as_slice() && key < end,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    lifetime: Duration,
+    expires: Instant,
+}
+
+/// What the store holds.
+#[derive(Debug)]
+pub struct Contents {
+    /// Revision of the last change.
+    pub revision: u64,
+    /// History below this revision is gone.
+    pub compacted: u64,
+    entries: BTreeMap<Vec<u8>, Entry>,
+    history: Vec<Event>,
+    leases: HashMap<u64, Lease>,
+    next_lease: u64,
+}
+
+impl Default for Contents {
+    fn default() -> Self {
+        Self {
+            revision: 1,
+            compacted: 0,
+            entries: BTreeMap::new(),
+            history: Vec::new(),
+            leases: HashMap::new(),
+            next_lease: 0x1000,
+        }
+    }
+}
+
+impl Contents {
+    /// A key as it is now.
+    pub fn get(&self, key: &[u8]) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// The keys of a range, now or at an earlier revision.
+    pub fn range(&self, range: &KeyRange, at: Option<u64>) -> Vec<(Vec<u8>, Entry)> {
+        let at = at.filter(|at| *at > 0 && *at < self.revision);
+        let Some(at) = at else {
+            let found = self.entries.iter().filter(|(key, _)| range.contains(key));
+            return found.map(|(key, entry)| (key.clone(), entry.clone())).collect();
+        };
+        let mut then: BTreeMap<&[u8], Option<&Entry>> = BTreeMap::new();
+        let events = self.history.iter().take_while(|event| event.revision <= at);
+        for event in events.filter(|event| range.contains(&event.key)) {
+            then.insert(&event.key, event.entry.as_ref());
+        }
+        let present =
+            then.into_iter().filter_map(|(key, entry)| Some((key.to_vec(), entry?.clone())));
+        present.collect()
+    }
+
+    /// Sets a key at `revision`, which becomes the store's. False if there is no such lease.
+    pub fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: u64, revision: u64) -> bool {
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return false;
+        }
+        let previous = self.entries.get(&key).cloned();
+        let entry = Entry {
+            value,
+            created: previous.as_ref().map_or(revision, |previous| previous.created),
+            modified: revision,
+            version: previous.as_ref().map_or(1, |previous| previous.version + 1),
+            lease,
+        };
+        self.revision = revision;
+        self.entries.insert(key.clone(), entry.clone());
+        self.history.push(Event { revision, key, entry: Some(entry), previous });
+        true
+    }
+
+    /// Deletes the keys of a range at `revision`. Returns how many there were.
+    pub fn delete(&mut self, range: &KeyRange, revision: u64) -> usize {
+        let doomed = self.range(range, None);
+        for (key, entry) in &doomed {
+            self.entries.remove(key);
+            self.revision = revision;
+            let previous = Some(entry.clone());
+            self.history.push(Event { revision, key: key.clone(), entry: None, previous });
+        }
+        doomed.len()
+    }
+
+    /// Changes of a range from a revision on.
+    pub fn events(&self, range: &KeyRange, from: u64) -> Vec<Event> {
+        let first = self.history.partition_point(|event| event.revision < from);
+        self.history[first..].iter().filter(|event| range.contains(&event.key)).cloned().collect()
+    }
+
+    /// Forgets the history below a revision. False if that is already gone or still to come.
+    pub fn compact(&mut self, revision: u64) -> bool {
+        if revision <= self.compacted || revision > self.revision {
+            return false;
+        }
+        self.compacted = revision;
+        self.history.retain(|event| event.revision >= revision);
+        true
+    }
+
+    /// Grants a lease. Returns its number, or `None` if the wanted one is taken.
+    pub fn grant(&mut self, wanted: u64, lifetime: Duration, now: Instant) -> Option<u64> {
+        let number = match wanted {
+            0 => {
+                self.next_lease += 1;
+                self.next_lease
+            }
+            wanted if self.leases.contains_key(&wanted) => return None,
+            wanted => wanted,
+        };
+        self.leases.insert(number, Lease { lifetime, expires: now + lifetime });
+        Some(number)
+    }
+
+    /// Renews a lease. Returns its lifetime, or `None` if it is gone.
+    pub fn keep_alive(&mut self, number: u64, now: Instant) -> Option<Duration> {
+        let lease = self.leases.get_mut(&number)?;
+        lease.expires = now + lease.lifetime;
+        Some(lease.lifetime)
+    }
+
+    /// Time that a lease has left, or `None` if it is gone.
+    pub fn time_left(&self, number: u64, now: Instant) -> Option<Duration> {
+        Some(self.leases.get(&number)?.expires.saturating_duration_since(now))
+    }
+
+    /// Ends a lease and deletes its keys. False if it is gone.
+    pub fn revoke(&mut self, number: u64) -> bool {
+        if self.leases.remove(&number).is_none() {
+            return false;
+        }
+        let bound = self.entries.iter().filter(|(_, entry)| entry.lease == number);
+        let keys: Vec<Vec<u8>> = bound.map(|(key, _)| key.clone()).collect();
+        let revision = self.revision + 1;
+        for start in keys {
+            self.delete(&KeyRange { start, end: None }, revision);
+        }
+        true
+    }
+
+    /// Ends the leases that have run out. Returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let over = self.leases.iter().filter(|(_, lease)| lease.expires <= now);
+        let numbers: Vec<u64> = over.map(|(number, _)| *number).collect();
+        numbers.iter().for_each(|number| {
+            self.revoke(*number);
+        });
+        !numbers.is_empty()
+    }
+}
--- a/crates/lab/src/standin/store/mod.rs
+++ b/crates/lab/src/standin/store/mod.rs
@@ -1,220 +1,230 @@
-//! The platform's store: etcd's v3 HTTP/JSON gateway over a map in memory.
+//! The platform's store: etcd's v3 HTTP/JSON gateway over a map in memory, with faults.
 
-use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::SocketAddr;
-use std::sync::{Arc, Condvar, Mutex};
-use std::thread;
-use std::time::Duration;
+pub mod contents;
+pub mod faults;
+pub mod gateway;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use serde_json::{Value, json};
-use tiny_http::{Request, Response, Server};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
 
-/// Longest time a watch stays open without an event.
-const WATCH_LIMIT: Duration = Duration::from_secs(60);
+use serde_json::Value;
 
-#[derive(Clone, Debug)]
-struct Entry {
-    value: String,
-    created: u64,
-    modified: u64,
-}
+use self::contents::Contents;
+use self::faults::{Admission, Faults, StoreCounters};
+use self::gateway::{GatewayError, WatchRequest};
+use super::door::Door;
+use super::http::{self, Reply, Request};
 
-#[derive(Debug, Default)]
-struct Contents {
-    revision: u64,
-    /// Keys and values as the gateway carries them, decoded keys.
-    entries: BTreeMap<Vec<u8>, Entry>,
-}
+/// Time between two looks of a watch at whether its client is still there.
+const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two looks for leases that have run out.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     contents: Mutex<Contents>,
-    written: Condvar,
+    changed: Condvar,
+    faults: Mutex<Faults>,
+    /// Raised to end every watch that is open.
+    watch_epoch: AtomicU64,
+    stopping: AtomicBool,
 }
 
 /// A running store.
 pub struct PlatformStore {
     /// Where it listens.
     pub address: SocketAddr,
-    server: Arc<Server>,
+    door: Door,
+    shared: Arc<Shared>,
 }
 
 impl PlatformStore {
     /// Starts a store on a port that the system chooses.
-    pub fn start() -> std::io::Result<Self> {
-        let server = Server::http("127.0.0.1:0").map_err(std::io::Error::other)?;
-        let server = Arc::new(server);
-        let address = server.server_addr().to_ip().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+    pub fn start() -> io::Result<Self> {
+        let door = Door::open()?;
         let shared = Arc::new(Shared {
-            contents: Mutex::new(Contents { revision: 1, ..Contents::default() }),
-            ..Shared::default()
-        });
-        let accepting = server.clone();
-        thread::spawn(move || {
-            for request in accepting.incoming_requests() {
-                let shared = shared.clone();
-                thread::spawn(move || handle(request, &shared));
-            }
+            contents: Mutex::default(),
+            changed: Condvar::new(),
+            faults: Mutex::new(Faults::new(Instant::now())),
+            watch_epoch: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
         });
-        Ok(Self { address, server })
+        let handling = shared.clone();
+        http::serve(door.clone(), Arc::new(move |request| handling.clone().handle(request)));
+        let expiring = shared.clone();
+        thread::spawn(move || expiring.expire_leases());
+        Ok(Self { address: door.address(), door, shared })
     }
 
     /// Its endpoint, as clients are configured with it.
     pub fn endpoint(&self) -> String {
         format!("http://{}", self.address)
     }
-}
 
-impl Drop for PlatformStore {
-    fn drop(&mut self) {
-        self.server.unblock();
+    /// Limits the requests a second; those above are refused with status 429.
+    pub fn set_rate_limit(&self, limit: Option<u32>) {
+        self.shared.faults().set_rate_limit(limit, Instant::now());
     }
-}
 
-fn handle(mut request: Request, shared: &Shared) {
-    let mut text = String::new();
-    let body: Value = match request.as_reader().read_to_string(&mut text) {
-        Ok(_) => serde_json::from_str(&text).unwrap_or(Value::Null),
-        Err(_) => return,
-    };
-    let answer = match request.url() {
-        "/v3/kv/range" => shared.range(&body),
-        "/v3/kv/txn" => shared.transaction(&body),
-        "/v3/watch" => return watch(request, shared, &body),
-        _ => None,
-    };
-    let response = match answer {
-        Some(answer) => Response::from_string(answer.to_string()),
-        None => {
-            Response::from_string("{\"code\":3,\"message\":\"bad request\"}").with_status_code(400)
+    /// Refuses connections and ends every watch, or serves again.
+    pub fn set_outage(&self, outage: bool) {
+        if outage {
+            self.door.shut();
+            self.break_watches();
+            self.shared.faults().outage = true;
+        } else {
+            self.shared.faults().outage = false;
+            self.door.reopen();
         }
-    };
-    // A client that went away before its answer is part of what the stand-in stands for.
-    let _ = request.respond(response);
-}
+    }
 
-fn bytes_of(value: &Value, field: &str) -> Option<Vec<u8>> {
-    STANDARD.decode(value.get(field)?.as_str()?).ok()
-}
+    /// Accepts connections and answers nothing, or answers later requests again.
+    pub fn set_silent(&self, silent: bool) {
+        self.shared.faults().silent = silent;
+    }
 
-fn number_of(value: &Value, field: &str) -> Option<u64> {
-    match value.get(field)? {
-        Value::String(text) => text.parse().ok(),
-        other => other.as_u64(),
+    /// Waits before each request is handled.
+    pub fn set_slowness(&self, slowness: Duration) {
+        self.shared.faults().slowness = slowness;
     }
-}
 
-/// Whether `key` lies in the range that a request names.
-fn in_range(key: &[u8], start: &[u8], end: Option<&[u8]>) -> bool {
-    match end {
-        None => key == start,
-        Some(end) => key >= start && key < end,
+    /// The next `count` requests that may change something take effect, and their connection is
+    /// reset instead of an answer.
+    pub fn lose_next_answers(&self, count: u64) {
+        self.shared.faults().answers_to_lose = count;
     }
-}
 
-impl Contents {
-    fn header(&self) -> Value {
-        json!({ "revision": self.revision.to_string() })
+    /// Breaks every open watch off.
+    pub fn break_watches(&self) {
+        self.shared.watch_epoch.fetch_add(1, Ordering::AcqRel);
+        self.shared.changed.notify_all();
     }
 
-    fn put(&mut self, key: Vec<u8>, value: String, revision: u64) {
-        let created = self.entries.get(&key).map_or(revision, |entry| entry.created);
-        self.entries.insert(key, Entry { value, created, modified: revision });
+    /// Forgets the history below the present revision.
+    pub fn compact(&self) {
+        let mut contents = self.shared.contents();
+        let revision = contents.revision;
+        contents.compact(revision);
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.shared.contents().revision
+    }
+
+    /// What it counted so far.
+    pub fn counters(&self) -> StoreCounters {
+        self.shared.faults().counters()
     }
 }
 
-fn describe(key: &[u8], entry: &Entry) -> Value {
-    json!({
-        "key": STANDARD.encode(key),
-        "value": entry.value,
-        "create_revision": entry.created.to_string(),
-        "mod_revision": entry.modified.to_string(),
-    })
+impl Drop for PlatformStore {
+    fn drop(&mut self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        self.break_watches();
+        self.door.stop();
+    }
 }
 
 impl Shared {
-    fn range(&self, body: &Value) -> Option<Value> {
-        let start = bytes_of(body, "key")?;
-        let end = bytes_of(body, "range_end");
-        let contents = self.contents.lock().ok()?;
-        let found: Vec<Value> = contents
-            .entries
-            .iter()
-            .filter(|(key, _)| in_range(key, &start, end.as_deref()))
-            .map(|(key, entry)| describe(key, entry))
-            .collect();
-        let count = found.len().to_string();
-        Some(json!({ "header": contents.header(), "kvs": found, "count": count }))
-    }
-
-    fn transaction(&self, body: &Value) -> Option<Value> {
-        let mut contents = self.contents.lock().ok()?;
-        let mut succeeded = true;
-        for compare in body.get("compare")?.as_array()? {
-            let key = bytes_of(compare, "key")?;
-            let expected = number_of(compare, "mod_revision")?;
-            succeeded &= contents.entries.get(&key).map_or(0, |entry| entry.modified) == expected;
+    fn contents(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().expect("a holder of the contents lock panicked")
+    }
+
+    fn faults(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().expect("a holder of the faults lock panicked")
+    }
+
+    fn expire_leases(&self) {
+        while !self.stopping.load(Ordering::Acquire) {
+            if self.contents().expire(Instant::now()) {
+                self.changed.notify_all();
+            }
+            thread::sleep(LEASE_CHECK_INTERVAL);
+        }
+    }
+
+    fn handle(self: Arc<Self>, request: Request) -> Reply {
+        let is_watch = request.path == "/v3/watch";
+        let admission = self.faults().admit(is_watch, Instant::now());
+        match admission {
+            Admission::Silence => return Reply::Silence,
+            Admission::Reset => return Reply::Reset,
+            Admission::Refuse => return refuse(GatewayError::RATE),
+            Admission::Handle(delay) if delay.is_zero() => {}
+            Admission::Handle(delay) => {
+                thread::sleep(delay);
+                if self.faults().outage {
+                    return Reply::Reset;
+                }
+            }
         }
-        let branch = if succeeded { "success" } else { "failure" };
-        let operations = body.get(branch).and_then(Value::as_array).cloned().unwrap_or_default();
-        let revision = contents.revision + 1;
-        for operation in &operations {
-            let put = operation.get("request_put")?;
-            let value = put.get("value")?.as_str()?.to_owned();
-            contents.put(bytes_of(put, "key")?, value, revision);
-            contents.revision = revision;
+        let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+            return refuse(GatewayError::MALFORMED);
+        };
+        if is_watch {
+            return match gateway::watch_request(&body) {
+                Ok(watch) => Reply::Stream(Box::new(move |stream| self.watch(stream, &watch))),
+                Err(error) => refuse(error),
+            };
         }
-        self.written.notify_all();
-        Some(json!({ "header": contents.header(), "succeeded": succeeded }))
-    }
-
-    /// Waits for keys of the range written at or after `from`.
-    fn wait(&self, start: &[u8], end: Option<&[u8]>, from: u64) -> Option<Value> {
-        let contents = self.contents.lock().ok()?;
-        let found = |contents: &Contents| -> Vec<Value> {
-            contents
-                .entries
-                .iter()
-                .filter(|(key, entry)| in_range(key, start, end) && entry.modified >= from)
-                .map(|(key, entry)| json!({ "kv": describe(key, entry) }))
-                .collect()
+        let answer = gateway::handle(&mut self.contents(), &request.path, &body, Instant::now());
+        self.changed.notify_all();
+        match answer {
+            Err(error) => refuse(error),
+            Ok(_) if gateway::is_change(&request.path) && self.faults().loses_answer() => {
+                Reply::Reset
+            }
+            Ok(answer) => Reply::ok(answer),
+        }
+    }
+
+    fn watch(&self, stream: &mut TcpStream, request: &WatchRequest) -> io::Result<()> {
+        let epoch = self.watch_epoch.load(Ordering::Acquire);
+        http::begin_chunks(stream)?;
+        let (first, mut next) = {
+            let contents = self.contents();
+            if request.start != 0 && request.start < contents.compacted {
+                (gateway::watch_compacted(&contents), None)
+            } else {
+                let next = if request.start == 0 { contents.revision + 1 } else { request.start };
+                (gateway::watch_created(&contents), Some(next))
+            }
         };
-        let (contents, _) = self
-            .written
-            .wait_timeout_while(contents, WATCH_LIMIT, |contents| found(contents).is_empty())
-            .ok()?;
-        let events = found(&contents);
-        (!events.is_empty())
-            .then(|| json!({ "result": { "header": contents.header(), "events": events } }))
+        http::write_chunk(stream, &first)?;
+        while let Some(from) = next {
+            let contents = self.contents();
+            let events = contents.events(&request.range, from);
+            if events.is_empty() {
+                let waited = self.changed.wait_timeout(contents, WATCH_CHECK_INTERVAL);
+                drop(waited.expect("a holder of the contents lock panicked"));
+            } else {
+                let message = gateway::watch_events(&contents, &events, request.with_previous);
+                next = events.last().map(|event| event.revision + 1);
+                drop(contents);
+                http::write_chunk(stream, &message)?;
+            }
+            if self.watch_epoch.load(Ordering::Acquire) != epoch || is_closed(stream) {
+                return Ok(());
+            }
+        }
+        http::end_chunks(stream)
     }
 }
 
-/// Answers a watch: a `created` message at once, then one message with events.
-fn watch(request: Request, shared: &Shared, body: &Value) {
-    let Some(create) = body.get("create_request") else { return };
-    let Some(start) = bytes_of(create, "key") else { return };
-    let end = bytes_of(create, "range_end");
-    let from = number_of(create, "start_revision").unwrap_or(0);
-    let mut stream = request.into_writer();
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let created = json!({ "result": { "created": true } });
-    let opened =
-        stream.write_all(head.as_bytes()).and_then(|()| write_chunk(&mut stream, &created));
-    if opened.is_err() {
-        return;
-    }
-    if let Some(events) = shared.wait(&start, end.as_deref(), from) {
-        // A watcher that went away misses the event, as it would with the real service.
-        let _ = write_chunk(&mut stream, &events);
-    }
-    let _ = stream.write_all(b"0\r\n\r\n").and_then(|()| stream.flush());
+fn refuse(error: GatewayError) -> Reply {
+    Reply::Json { status: error.status, body: error.body() }
 }
 
-fn write_chunk(stream: &mut impl Write, message: &Value) -> std::io::Result<()> {
-    let line = format!("{message}\n");
-    write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
-    stream.flush()
+/// Whether the client has closed its side.
+fn is_closed(stream: &TcpStream) -> bool {
+    let looked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0_u8; 1]));
+    // The stream is closed in any case if it cannot be set back.
+    let restored = stream.set_nonblocking(false);
+    let waits = matches!(&looked, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+    restored.is_err() || !(waits || matches!(looked, Ok(1..)))
 }
--- a/crates/lab/tests/standin_faults.rs
+++ b/crates/lab/tests/standin_faults.rs
@@ -63,12 +63,16 @@
     assert!(group.wait_for_replicas(PATIENCE));
     group.kill(0);
     assert!(insert(&mut client, 2).is_err());
+    let refused = std::net::TcpStream::connect(group.addresses[0]).expect_err("refused");
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
     let primary = group.wait_for_term(2, PATIENCE).expect("a new primary");
     assert_ne!(primary, 0);
     insert(&mut connect(group.addresses[primary]), 3).expect("the new primary takes writes");
     group.restart(0);
     assert!(group.wait_for_replicas(PATIENCE));
     assert_eq!(ids(&group), ["1", "3"]);
+    let mut returned = connect(group.addresses[0]);
+    assert_eq!(returned.query("SELECT * FROM seats", &[]).expect("reads").len(), 2);
     let kinds: Vec<GroupEventKind> = group.events().iter().map(|event| event.kind).collect();
     assert_eq!(
         kinds,
