--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod cancel;
 pub mod catalog;
 pub mod classify;
 pub mod confirmation;
@@ -17,6 +18,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
+pub mod scram;
 pub mod session;
 pub mod session_state;
 pub mod spreading;
--- /dev/null
+++ b/crates/core/src/scram.rs
@@ -0,0 +1,197 @@
+//! SCRAM-SHA-256 (RFC 5802, RFC 7677) from the server's side, and the verifiers it works with.
+//!
+//! A verifier proves a password without holding it. Checking a login costs a few hashes; only
+//! making a verifier costs thousands, and that is never done where callers wait.
+
+use std::fmt;
+use std::str::FromStr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use thiserror::Error;
+
+/// Name of the mechanism, as PostgreSQL offers it and as verifiers begin.
+pub const MECHANISM: &str = "SCRAM-SHA-256";
+/// Iterations of a verifier that is made here: PostgreSQL's default.
+pub const DEFAULT_ITERATIONS: u32 = 4096;
+/// Bytes of randomness in a salt.
+pub const SALT_BYTES: usize = 16;
+/// Bytes of randomness in a server's nonce.
+pub const NONCE_BYTES: usize = 18;
+
+const KEY_BYTES: usize = 32;
+const CLIENT_KEY_LABEL: &[u8] = b"Client Key";
+const SERVER_KEY_LABEL: &[u8] = b"Server Key";
+
+type Key = [u8; KEY_BYTES];
+
+/// What the server keeps of a password.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Verifier {
+    iterations: u32,
+    salt: Vec<u8>,
+    stored_key: Key,
+    server_key: Key,
+}
+
+/// A verifier's text is not of the form `SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey`.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("not a SCRAM-SHA-256 verifier")]
+pub struct MalformedVerifier;
+
+impl fmt::Debug for Verifier {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Verifier(..)")
+    }
+}
+
+impl fmt::Display for Verifier {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let salt = BASE64.encode(&self.salt);
+        let (stored, server) = (BASE64.encode(self.stored_key), BASE64.encode(self.server_key));
+        write!(formatter, "{MECHANISM}${}:{salt}${stored}:{server}", self.iterations)
+    }
+}
+
+impl FromStr for Verifier {
+    type Err = MalformedVerifier;
+
+    fn from_str(text: &str) -> Result<Self, MalformedVerifier> {
+        let rest = text.strip_prefix(MECHANISM).and_then(|rest| rest.strip_prefix('$'));
+        let (cost, keys) = rest.and_then(|rest| rest.split_once('$')).ok_or(MalformedVerifier)?;
+        let (iterations, salt) = cost.split_once(':').ok_or(MalformedVerifier)?;
+        let (stored, server) = keys.split_once(':').ok_or(MalformedVerifier)?;
+        Ok(Self {
+            iterations: iterations.parse().map_err(|_| MalformedVerifier)?,
+            salt: BASE64.decode(salt).map_err(|_| MalformedVerifier)?,
+            stored_key: decode_key(stored)?,
+            server_key: decode_key(server)?,
+        })
+    }
+}
+
+fn decode_key(text: &str) -> Result<Key, MalformedVerifier> {
+    let bytes = BASE64.decode(text).map_err(|_| MalformedVerifier)?;
+    bytes.try_into().map_err(|_| MalformedVerifier)
+}
+
+impl Verifier {
+    /// Makes the verifier of a password. Costs `iterations` hashes: not for a thread that serves
+    /// callers.
+    pub fn from_password(password: &str, salt: [u8; SALT_BYTES], iterations: u32) -> Self {
+        // As in PostgreSQL, a password that cannot be normalized is taken as it is.
+        let normalized = stringprep::saslprep(password).unwrap_or(password.into());
+        let mut salted: Key = [0; KEY_BYTES];
+        pbkdf2::pbkdf2_hmac::<Sha256>(normalized.as_bytes(), &salt, iterations, &mut salted);
+        Self {
+            iterations,
+            salt: salt.to_vec(),
+            stored_key: Sha256::digest(hmac(&salted, CLIENT_KEY_LABEL)).into(),
+            server_key: hmac(&salted, SERVER_KEY_LABEL),
+        }
+    }
+
+    /// A verifier that no password satisfies, for a login that does not exist. It is the same at
+    /// every attempt and looks like `model`, a real one, so that an outsider cannot tell.
+    pub fn mock(login: &str, model: &Verifier) -> Self {
+        let salt = hmac(&model.stored_key, login.as_bytes());
+        Self {
+            iterations: model.iterations,
+            salt: salt[..model.salt.len().min(KEY_BYTES)].to_vec(),
+            stored_key: hmac(&model.server_key, &salt),
+            server_key: hmac(&salt, &model.server_key),
+        }
+    }
+}
+
+fn hmac(key: &[u8], message: &[u8]) -> Key {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("a key of any length is accepted");
+    mac.update(message);
+    mac.finalize().into_bytes().into()
+}
+
+/// Why a login failed.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ScramError {
+    /// A message does not follow the mechanism, or asks for what is not offered.
+    #[error("malformed SCRAM message")]
+    Malformed,
+    /// The proof is wrong.
+    #[error("wrong proof")]
+    WrongProof,
+}
+
+/// A login that has been answered once and awaits its proof.
+#[derive(Clone, Debug)]
+pub struct ServerExchange {
+    verifier: Verifier,
+    channel_binding: String,
+    nonce: String,
+    /// `client-first-message-bare,server-first-message`.
+    transcript: String,
+    /// The message that answers the client's first one.
+    pub server_first: String,
+}
+
+impl ServerExchange {
+    /// Takes in the client's first message; `nonce` is fresh randomness.
+    pub fn begin(
+        client_first: &str,
+        verifier: Verifier,
+        nonce: [u8; NONCE_BYTES],
+    ) -> Result<Self, ScramError> {
+        let mut fields = client_first.splitn(3, ',');
+        let mut next = || fields.next().ok_or(ScramError::Malformed);
+        let (binding, authorization, bare) = (next()?, next()?, next()?);
+        // Channel binding needs TLS; another identity than the one that logs in is not offered.
+        if !matches!(binding, "n" | "y") || !authorization.is_empty() {
+            return Err(ScramError::Malformed);
+        }
+        let mut attributes = bare.split(',');
+        let user = attributes.next().and_then(|field| field.strip_prefix("n="));
+        let client_nonce = attributes.next().and_then(|field| field.strip_prefix("r="));
+        let (Some(_), Some(client_nonce)) = (user, client_nonce) else {
+            return Err(ScramError::Malformed);
+        };
+        if client_nonce.is_empty() {
+            return Err(ScramError::Malformed);
+        }
+        let nonce = format!("{client_nonce}{}", BASE64.encode(nonce));
+        let salt = BASE64.encode(&verifier.salt);
+        let server_first = format!("r={nonce},s={salt},i={}", verifier.iterations);
+        Ok(Self {
+            channel_binding: BASE64.encode(format!("{binding},{authorization},")),
+            transcript: format!("{bare},{server_first}"),
+            nonce,
+            verifier,
+            server_first,
+        })
+    }
+
+    /// Checks the client's proof; returns the message that proves the server in turn.
+    pub fn finish(&self, client_final: &str) -> Result<String, ScramError> {
+        let (without_proof, proof) =
+            client_final.rsplit_once(",p=").ok_or(ScramError::Malformed)?;
+        let expected = format!("c={},r={}", self.channel_binding, self.nonce);
+        if without_proof != expected {
+            return Err(ScramError::Malformed);
+        }
+        let proof = BASE64.decode(proof).map_err(|_| ScramError::Malformed)?;
+        let mut client_key: Key = proof.try_into().map_err(|_| ScramError::Malformed)?;
+        let message = format!("{},{without_proof}", self.transcript);
+        let signature = hmac(&self.verifier.stored_key, message.as_bytes());
+        for (byte, mask) in client_key.iter_mut().zip(signature) {
+            *byte ^= mask;
+        }
+        let stored_key: Key = Sha256::digest(client_key).into();
+        if bool::from(stored_key.ct_eq(&self.verifier.stored_key)) {
+            let proof = hmac(&self.verifier.server_key, message.as_bytes());
+            Ok(format!("v={}", BASE64.encode(proof)))
+        } else {
+            Err(ScramError::WrongProof)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/login.rs
@@ -0,0 +1,146 @@
+//! Who a caller says it is, what it would reach, and what would prove it.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use kestrellock_core::cancel::CancelKey;
+use kestrellock_core::catalog::{Catalog, IndexedCatalog, TenantParameters};
+use kestrellock_core::ids::GroupName;
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::position::Position;
+use kestrellock_core::scram::{SALT_BYTES, Verifier};
+use kestrellock_core::session::{SESSION_PARAMETER, SessionBound};
+use kestrellock_core::session_state::SessionState;
+
+/// Who a caller is and what it reaches.
+#[derive(Clone, Debug)]
+pub struct Login {
+    /// The tenant and its parameters when the caller logged in.
+    pub parameters: TenantParameters,
+    /// Group it reaches.
+    pub group: GroupName,
+    /// Bound it brought with it.
+    pub bound: Option<Position>,
+    /// Settings it brought with it.
+    pub state: SessionState,
+    /// Key that cancels what it runs.
+    pub cancel_key: CancelKey,
+}
+
+/// A login that has not been proved.
+#[derive(Debug)]
+pub struct Claim {
+    /// What its proof is checked against.
+    pub verifier: Verifier,
+    /// What becomes of a proved login. It is told only then, so that a stranger learns nothing.
+    pub outcome: Result<Login, Refusal>,
+}
+
+type Parameters = BTreeMap<String, String>;
+
+/// Settings that a caller may bring along and that its later connections must have.
+const REPLAYED: &[&str] = &[
+    "datestyle",
+    "extra_float_digits",
+    "idle_in_transaction_session_timeout",
+    "intervalstyle",
+    "lock_timeout",
+    "search_path",
+    "statement_timeout",
+    "timezone",
+];
+/// Parameters that concern the proxy, or only describe the caller.
+const CONSUMED: &[&str] = &["user", "database", "application_name", "fallback_application_name"];
+/// Prefixes of the proxy's own parameters and of protocol options.
+const CONSUMED_PREFIXES: &[&str] = &["kestrellock.", "_pq_."];
+
+impl Claim {
+    /// A claim from the parameters of a start-up message.
+    pub fn new(parameters: &Parameters, catalog: &IndexedCatalog) -> Result<Self, Refusal> {
+        if catalog.tenants.is_empty() {
+            let detail = "no configuration has arrived yet";
+            return Err(Refusal::new(ResultCode::NoConfiguration, detail));
+        }
+        let user = parameters.get("user").map_or("", String::as_str);
+        let known = catalog
+            .login(user)
+            .and_then(|(tenant, text)| Some((tenant, Verifier::from_str(text).ok()?)));
+        let Some((tenant, verifier)) = known else {
+            let refusal = Refusal::new(ResultCode::LoginRefused, "login or password is wrong");
+            let verifier = Verifier::mock(user, &model(catalog));
+            return Ok(Self { verifier, outcome: Err(refusal) });
+        };
+        let database = parameters.get("database").map_or(user, String::as_str);
+        let outcome = match catalog.parameters(tenant) {
+            Some(tenant) => admit(tenant, database, parameters, catalog),
+            None => Err(Refusal::new(ResultCode::NoConfiguration, "tenant without template")),
+        };
+        Ok(Self { verifier, outcome })
+    }
+}
+
+/// A verifier for the mock exchanges of unknown logins to resemble: the first one configured, so
+/// that every node has the same.
+fn model(catalog: &Catalog) -> Verifier {
+    let mut verifiers = catalog.tenants.values().flat_map(|tenant| tenant.logins.values());
+    // Where nobody can log in, nobody needs to be hidden: the cheapest will do.
+    let cheapest = || Verifier::from_password("", [0; SALT_BYTES], 1);
+    verifiers.find_map(|text| text.parse().ok()).unwrap_or_else(cheapest)
+}
+
+fn admit(
+    tenant: TenantParameters,
+    database: &str,
+    parameters: &Parameters,
+    catalog: &Catalog,
+) -> Result<Login, Refusal> {
+    let group = catalog
+        .group_for(&tenant, database)
+        .ok_or_else(|| {
+            Refusal::new(ResultCode::DatabaseNotAllowed, "no such database for this tenant")
+        })?
+        .clone();
+    let bound = carried_bound(parameters, &group)?;
+    let state = SessionState::with_settings(carried_settings(parameters)?);
+    let cancel_key = CancelKey { process: 0, secret: 0 };
+    Ok(Login { parameters: tenant, group, bound, state, cancel_key })
+}
+
+fn carried_bound(parameters: &Parameters, group: &GroupName) -> Result<Option<Position>, Refusal> {
+    let Some(token) = parameters.get(SESSION_PARAMETER) else { return Ok(None) };
+    let refused = |detail: String| Refusal::new(ResultCode::SessionTokenRefused, detail);
+    let bound = SessionBound::from_token(token).map_err(|error| refused(error.to_string()))?;
+    if bound.group != *group {
+        return Err(refused("session token belongs to another group".into()));
+    }
+    Ok(Some(bound.position))
+}
+
+/// Settings among the start-up parameters, with the statements that make them.
+fn carried_settings(parameters: &Parameters) -> Result<Vec<(String, String)>, Refusal> {
+    let mut settings = Vec::new();
+    for (name, value) in parameters {
+        let lower = name.to_lowercase();
+        let name = lower.as_str();
+        let consumed = CONSUMED.contains(&name)
+            || CONSUMED_PREFIXES.iter().any(|prefix| name.starts_with(prefix))
+            || (name == "client_encoding" && is_utf8(value))
+            || (name == "options" && value.trim().is_empty())
+            || (name == "replication" && matches!(value.as_str(), "false" | "off" | "0"));
+        if consumed {
+            continue;
+        }
+        if !REPLAYED.contains(&name) {
+            let detail = format!("start-up parameter {name} is not supported");
+            return Err(Refusal::new(ResultCode::NotSupported, detail));
+        }
+        let statement = format!("SET {name} = '{}'", value.replace('\'', "''"));
+        settings.push((lower, statement));
+    }
+    Ok(settings)
+}
+
+fn is_utf8(encoding: &str) -> bool {
+    let plain = encoding.trim_matches(['\'', '"']).to_lowercase();
+    matches!(plain.as_str(), "utf8" | "utf-8" | "unicode")
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -5,6 +5,7 @@
 pub mod batch;
 pub mod classes;
 pub mod ending;
+pub mod login;
 pub mod request;
 pub mod session;
 pub mod startup;
@@ -15,6 +16,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_peer::message::{Exchange, ToFront};
 use slab::Slab;
@@ -77,11 +79,14 @@
     /// Handles readiness of a caller's connection.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) {
         let Some(session) = self.sessions.get_mut(key) else { return };
-        if session.connection.fill() == ReadOutcome::Closed {
+        let outcome = session.connection.fill();
+        // A caller that only cancels something may close without waiting.
+        if outcome == ReadOutcome::Drained || !session.is_logged_in() {
+            self.advance(key, io);
+        }
+        if outcome == ReadOutcome::Closed && self.sessions.contains(key) {
             self.close(key, io);
-            return;
         }
-        self.advance(key, io);
     }
 
     /// Handles a gateway's message.
@@ -94,6 +99,11 @@
         self.advance(key, io);
     }
 
+    /// Cancels what the session with this key runs, if it is one of this shard's.
+    pub fn on_cancel(&mut self, key: CancelKey, io: &mut Io) {
+        self.sessions.iter().for_each(|(_, session)| session.cancel(key, io));
+    }
+
     /// An exchange could not be handed to the node that owns its instance.
     pub fn on_unsent(&mut self, exchange: &Exchange, io: &mut Io) {
         let Some(&key) = self.leases.get(&exchange.lease) else { return };
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::exchange_state::{
     Effect, Fault, Progress, Stake, failure_code, may_go_out_again,
@@ -16,8 +17,9 @@
 
 use super::baseline::routed_as;
 use super::classes::Classes;
+use super::login::Login;
 use super::request::{Collector, Next, Request};
-use super::startup::{self, Login, StartupStep};
+use super::startup::{Startup, StartupStep};
 use super::target::{self, Subscriptions, Target};
 use super::{GATEWAY_GRACE, answer, ending};
 use crate::gateway::running::stake_of;
@@ -61,6 +63,7 @@
     /// Leases that ended since the front last looked.
     pub ended_leases: Vec<LeaseId>,
     started: Instant,
+    startup: Startup,
     login: Option<Login>,
     bound: Option<Position>,
     last_write: Option<Instant>,
@@ -90,6 +93,7 @@
             connection,
             ended_leases: Vec::new(),
             started: now,
+            startup: Startup::default(),
             login: None,
             bound: None,
             last_write: None,
@@ -112,6 +116,11 @@
         self.lease.as_ref().map(|lease| &lease.id)
     }
 
+    /// Whether the caller has proved its login.
+    pub fn is_logged_in(&self) -> bool {
+        self.login.is_some()
+    }
+
     /// Whether the session has something to do on a tick.
     pub fn needs_tick(&self, now: Instant) -> bool {
         match &self.request {
@@ -150,13 +159,18 @@
 
     fn advance_startup(&mut self, subscriptions: &mut Subscriptions, io: &mut Io) -> SessionEnd {
         let Connection { input, output, .. } = &mut self.connection;
-        let refusal = match startup::advance(input, output, io.context) {
+        let refusal = match self.startup.advance(input, output, io.context) {
             StartupStep::LoggedIn(login) => {
                 subscriptions.ensure(&login.group, io);
                 self.bound = login.bound;
+                self.state = login.state.clone();
                 self.login = Some(*login);
                 return SessionEnd::Continue;
             }
+            StartupStep::Cancel(key) => {
+                io.outbox.push_back(Outgoing::Cancel(key));
+                return SessionEnd::Close;
+            }
             StartupStep::Incomplete if io.now.duration_since(self.started) <= STARTUP_LIMIT => {
                 return SessionEnd::Continue;
             }
@@ -477,6 +491,20 @@
         }
     }
 
+    /// Passes a cancel request on if `key` is this session's and something runs for it.
+    pub fn cancel(&self, key: CancelKey, io: &mut Io) {
+        let (Some(login), Some(lease)) = (&self.login, &self.lease) else { return };
+        if login.cancel_key != key || !self.request.as_ref().is_some_and(|request| request.sent) {
+            return;
+        }
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Cancel(lease.id.clone()),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+    }
+
     /// Tells the gateway that nobody waits any more.
     pub fn abandon(&mut self, io: &mut Io) {
         let (Some(login), Some(lease)) = (&self.login, &self.lease) else { return };
--- a/crates/daemon/src/front/startup.rs
+++ b/crates/daemon/src/front/startup.rs
@@ -1,35 +1,34 @@
-//! A caller's start-up: protocol negotiation, login, and what the session may use.
+//! A caller's start-up: negotiation, proof of its login, and the first messages it gets.
 
 use bytes::BytesMut;
-use kestrellock_core::catalog::TenantParameters;
-use kestrellock_core::ids::GroupName;
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_core::position::Position;
-use kestrellock_core::session::{SESSION_PARAMETER, SessionBound};
+use kestrellock_core::scram::{MECHANISM, ServerExchange};
 use kestrellock_peer::message::TransactionState;
-use pgwire::messages::startup::{Authentication, BackendKeyData, SecretKey, Startup};
+use pgwire::messages::startup::{
+    Authentication, BackendKeyData, NegotiateProtocolVersion, SecretKey, Startup as StartupMessage,
+};
 use pgwire::messages::{
     DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
     SslNegotiationMetaMessage,
 };
 
 use super::answer;
+use super::login::{Claim, Login};
 use crate::context::NodeContext;
+use crate::net::extended::split_string;
+use crate::net::frames;
 
+/// Largest message before the login is over, in bytes.
+pub const MAX_STARTUP_BYTES: usize = 10_000;
 /// Answer to a request for TLS or GSS encryption: none on this connection.
 const ENCRYPTION_REFUSED: &[u8] = b"N";
+/// A caller may ask for TLS and for GSS encryption, once each.
+const MAX_ENCRYPTION_REQUESTS: u8 = 2;
 const SERVER_VERSION: &str = "16.0 (kestrellock)";
-
-/// Who a caller is and what it reaches.
-#[derive(Clone, Debug)]
-pub struct Login {
-    /// The tenant and its parameters when the caller logged in.
-    pub parameters: TenantParameters,
-    /// Group it reaches.
-    pub group: GroupName,
-    /// Bound it brought with it.
-    pub bound: Option<Position>,
-}
+const PROTOCOL_MAJOR: u16 = 3;
+const LENGTH_BYTES: usize = 4;
+const PASSWORD_MESSAGE: u8 = b'p';
 
 /// What the next start-up bytes led to.
 #[derive(Debug)]
@@ -38,83 +37,198 @@
     Incomplete,
     /// The caller is in.
     LoggedIn(Box<Login>),
+    /// The caller wants another session's statement cancelled, and nothing else.
+    Cancel(CancelKey),
     /// The caller is refused and the connection to be closed.
     Refused(Refusal),
 }
 
-/// Handles start-up messages in `input`, writing answers to `output`.
-pub fn advance(input: &mut BytesMut, output: &mut BytesMut, context: &NodeContext) -> StartupStep {
-    let mut decoding = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    loop {
-        match PgWireFrontendMessage::decode(input, &decoding) {
-            Ok(Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None))) => {
-                decoding.awaiting_frontend_ssl = false;
+#[derive(Debug)]
+enum Phase {
+    Negotiating { encryption_requests: u8 },
+    Offered(Box<Claim>),
+    Challenged(Box<Claim>, Box<ServerExchange>),
+}
+
+/// The start-up of one connection.
+#[derive(Debug)]
+pub struct Startup {
+    phase: Phase,
+}
+
+impl Default for Startup {
+    fn default() -> Self {
+        Self { phase: Phase::Negotiating { encryption_requests: 0 } }
+    }
+}
+
+impl Startup {
+    /// Handles start-up messages in `input`, writing answers to `output`.
+    pub fn advance(
+        &mut self,
+        input: &mut BytesMut,
+        output: &mut BytesMut,
+        context: &NodeContext,
+    ) -> StartupStep {
+        loop {
+            let step = match &self.phase {
+                Phase::Negotiating { .. } => self.negotiate(input, output, context),
+                _ => self.authenticate(input, output, context),
+            };
+            match step {
+                Ok(Some(step)) => return step,
+                Ok(None) => {}
+                Err(refusal) => return StartupStep::Refused(refusal),
             }
-            Ok(Some(PgWireFrontendMessage::SslNegotiation(_))) => {
-                output.extend_from_slice(ENCRYPTION_REFUSED);
+        }
+    }
+
+    /// One step; `None` to go on with the next message.
+    fn negotiate(
+        &mut self,
+        input: &mut BytesMut,
+        output: &mut BytesMut,
+        context: &NodeContext,
+    ) -> Result<Option<StartupStep>, Refusal> {
+        check_length(input.first_chunk::<LENGTH_BYTES>())?;
+        let mut decoding = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+        let mut message = PgWireFrontendMessage::decode(input, &decoding).map_err(violation)?;
+        if let Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None)) =
+            message
+        {
+            decoding.awaiting_frontend_ssl = false;
+            message = PgWireFrontendMessage::decode(input, &decoding).map_err(violation)?;
+        }
+        match message {
+            None => Ok(Some(StartupStep::Incomplete)),
+            Some(PgWireFrontendMessage::SslNegotiation(_)) => {
+                self.refuse_encryption(output)?;
+                Ok(None)
             }
-            Ok(Some(PgWireFrontendMessage::Startup(startup))) => {
-                return log_in(&startup, output, context);
+            Some(PgWireFrontendMessage::CancelRequest(request)) => {
+                let SecretKey::I32(secret) = request.secret_key else {
+                    return Err(violation("cancel key of unknown length"));
+                };
+                let key = CancelKey { process: request.pid as u32, secret: secret as u32 };
+                Ok(Some(StartupStep::Cancel(key)))
             }
-            Ok(Some(_)) => {
-                return refuse(ResultCode::ProtocolViolation, "unexpected start-up message");
+            Some(PgWireFrontendMessage::Startup(startup)) => {
+                self.phase = Phase::Offered(Box::new(self.offer(&startup, output, context)?));
+                Ok(None)
             }
-            Ok(None) => return StartupStep::Incomplete,
-            Err(error) => return refuse(ResultCode::ProtocolViolation, error.to_string()),
+            Some(_) => Err(violation("unexpected start-up message")),
         }
     }
-}
 
-fn refuse(code: ResultCode, detail: impl Into<String>) -> StartupStep {
-    StartupStep::Refused(Refusal::new(code, detail))
-}
+    fn refuse_encryption(&mut self, output: &mut BytesMut) -> Result<(), Refusal> {
+        let Phase::Negotiating { encryption_requests } = &mut self.phase else { return Ok(()) };
+        *encryption_requests += 1;
+        if *encryption_requests > MAX_ENCRYPTION_REQUESTS {
+            return Err(violation("encryption was refused already"));
+        }
+        output.extend_from_slice(ENCRYPTION_REFUSED);
+        Ok(())
+    }
+
+    fn offer(
+        &mut self,
+        startup: &StartupMessage,
+        output: &mut BytesMut,
+        context: &NodeContext,
+    ) -> Result<Claim, Refusal> {
+        if startup.protocol_number_major != PROTOCOL_MAJOR {
+            return Err(violation("protocol version is not 3"));
+        }
+        let claim = Claim::new(&startup.parameters, &context.catalog.load())?;
+        if startup.protocol_number_minor > 0 {
+            let newest = i32::from(PROTOCOL_MAJOR) << 16;
+            let message = NegotiateProtocolVersion::new(newest, Vec::new());
+            answer::put(PgWireBackendMessage::NegotiateProtocolVersion(message), output);
+        }
+        let offer = Authentication::SASL(vec![MECHANISM.to_owned()]);
+        answer::put(PgWireBackendMessage::Authentication(offer), output);
+        Ok(claim)
+    }
 
-fn log_in(startup: &Startup, output: &mut BytesMut, context: &NodeContext) -> StartupStep {
-    match check_login(startup, context) {
-        Ok(login) => {
-            welcome(output);
-            StartupStep::LoggedIn(Box::new(login))
+    fn authenticate(
+        &mut self,
+        input: &mut BytesMut,
+        output: &mut BytesMut,
+        context: &NodeContext,
+    ) -> Result<Option<StartupStep>, Refusal> {
+        check_length(input.get(1..).and_then(|rest| rest.first_chunk::<LENGTH_BYTES>()))?;
+        let Some(frame) = frames::next_frame(input).map_err(violation)? else {
+            return Ok(Some(StartupStep::Incomplete));
+        };
+        if frame.tag != PASSWORD_MESSAGE {
+            return Err(violation("a SASL response was expected"));
+        }
+        let phase =
+            std::mem::replace(&mut self.phase, Phase::Negotiating { encryption_requests: 0 });
+        match phase {
+            Phase::Negotiating { .. } => Err(violation("no login is under way")),
+            Phase::Offered(claim) => {
+                let first = initial_response(frame.body())?;
+                let exchange = ServerExchange::begin(first, claim.verifier.clone(), rand::random())
+                    .map_err(violation)?;
+                let challenge = exchange.server_first.clone().into_bytes().into();
+                let message = Authentication::SASLContinue(challenge);
+                answer::put(PgWireBackendMessage::Authentication(message), output);
+                self.phase = Phase::Challenged(claim, Box::new(exchange));
+                Ok(None)
+            }
+            Phase::Challenged(claim, exchange) => {
+                let last = std::str::from_utf8(frame.body()).map_err(violation)?;
+                let proof = exchange.finish(last).map_err(|_| wrong_proof())?;
+                let mut login = claim.outcome?;
+                let message = Authentication::SASLFinal(proof.into_bytes().into());
+                answer::put(PgWireBackendMessage::Authentication(message), output);
+                login.cancel_key = CancelKey::new(&context.identity.node, rand::random());
+                welcome(login.cancel_key, output);
+                Ok(Some(StartupStep::LoggedIn(Box::new(login))))
+            }
         }
-        Err(refusal) => StartupStep::Refused(refusal),
     }
 }
 
-fn check_login(startup: &Startup, context: &NodeContext) -> Result<Login, Refusal> {
-    let catalog = context.catalog.load();
-    let user = startup.parameters.get("user").map_or("", String::as_str);
-    let database = startup.parameters.get("database").map_or(user, String::as_str);
-    let (tenant, _verifier) = catalog
-        .login(user)
-        .ok_or_else(|| Refusal::new(ResultCode::LoginRefused, "unknown login"))?;
-    let parameters = catalog
-        .parameters(tenant)
-        .ok_or_else(|| Refusal::new(ResultCode::NoConfiguration, "tenant without template"))?;
-    let group = catalog
-        .group_for(&parameters, database)
-        .ok_or_else(|| {
-            Refusal::new(ResultCode::DatabaseNotAllowed, "no such database for this tenant")
-        })?
-        .clone();
-    let bound = carried_bound(startup, &group)?;
-    Ok(Login { parameters, group, bound })
+fn violation(detail: impl ToString) -> Refusal {
+    Refusal::new(ResultCode::ProtocolViolation, detail.to_string())
+}
+
+/// The same for an unknown login and for a wrong password.
+fn wrong_proof() -> Refusal {
+    Refusal::new(ResultCode::LoginRefused, "login or password is wrong")
+}
+
+fn check_length(length: Option<&[u8; LENGTH_BYTES]>) -> Result<(), Refusal> {
+    match length.map(|bytes| u32::from_be_bytes(*bytes) as usize) {
+        Some(length) if length > MAX_STARTUP_BYTES => {
+            Err(Refusal::new(ResultCode::MessageTooLarge, "start-up message is too large"))
+        }
+        Some(length) if length < LENGTH_BYTES => Err(violation("message length is out of range")),
+        _ => Ok(()),
+    }
 }
 
-fn carried_bound(startup: &Startup, group: &GroupName) -> Result<Option<Position>, Refusal> {
-    let Some(token) = startup.parameters.get(SESSION_PARAMETER) else { return Ok(None) };
-    let refused = |detail: String| Refusal::new(ResultCode::SessionTokenRefused, detail);
-    let bound = SessionBound::from_token(token).map_err(|error| refused(error.to_string()))?;
-    if bound.group != *group {
-        return Err(refused("session token belongs to another group".into()));
+/// The client's first message in a `SASLInitialResponse`.
+fn initial_response(body: &[u8]) -> Result<&str, Refusal> {
+    let malformed = || violation("SASL response is malformed");
+    let (mechanism, rest) = split_string(body).ok_or_else(malformed)?;
+    if mechanism != MECHANISM.as_bytes() {
+        return Err(violation("only SCRAM-SHA-256 is offered"));
     }
-    Ok(Some(bound.position))
+    let (_, first) = rest.split_first_chunk::<LENGTH_BYTES>().ok_or_else(malformed)?;
+    std::str::from_utf8(first).map_err(violation)
 }
 
-fn welcome(output: &mut BytesMut) {
+fn welcome(key: CancelKey, output: &mut BytesMut) {
     answer::put(PgWireBackendMessage::Authentication(Authentication::Ok), output);
     answer::put_parameter("server_version", SERVER_VERSION, output);
     answer::put_parameter("client_encoding", "UTF8", output);
+    answer::put_parameter("server_encoding", "UTF8", output);
+    answer::put_parameter("integer_datetimes", "on", output);
     answer::put_parameter("standard_conforming_strings", "on", output);
-    let key = BackendKeyData::new(0, SecretKey::I32(0));
-    answer::put(PgWireBackendMessage::BackendKeyData(key), output);
+    let data = BackendKeyData::new(key.process as i32, SecretKey::I32(key.secret as i32));
+    answer::put(PgWireBackendMessage::BackendKeyData(data), output);
     answer::put_ready(TransactionState::Idle, output);
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -88,7 +88,7 @@
                 self.on_exchange(&message.group, group, *exchange, io)
             }
             GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
-            GatewayCall::Cancel(_) => {}
+            GatewayCall::Cancel(lease) => self.on_cancel(group, &lease, io),
             GatewayCall::Subscribe => {
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
@@ -324,6 +324,13 @@
         }
     }
 
+    /// Asks the back end to cancel what runs on a lease.
+    fn on_cancel(&mut self, group: &Group, lease: &LeaseId, io: &mut Io) {
+        let Some(&key) = self.leases.get(lease) else { return };
+        let Some(instance) = group.instance(&self.servers[key].instance) else { return };
+        Server::cancel(&mut self.servers, key, instance.address, io);
+    }
+
     /// Handles the loss of a connection: whoever used it is told what that means.
     fn on_server_lost(&mut self, key: usize, fault: Fault, io: &mut Io) {
         let Some(mut server) = self.servers.try_remove(key) else { return };
@@ -339,6 +346,7 @@
                 }
             }
             Use::Probe => state.monitor.on_probe_lost(&server.instance, io),
+            Use::Cancel => {}
         }
     }
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::confirmation::ProbeNumber;
 use kestrellock_core::exchange_state::{Effect, Fault, Progress, failure_code};
@@ -12,8 +14,9 @@
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::{Exchange, LeaseEvent, TransactionState};
 use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::simplequery::Query;
-use pgwire::messages::startup::Startup;
+use pgwire::messages::startup::{SecretKey, Startup};
 use slab::Slab;
 
 use super::confirmation::Commit;
@@ -45,6 +48,8 @@
     Pooled,
     /// Position probes.
     Probe,
+    /// One cancel request.
+    Cancel,
 }
 
 /// What came of reading a connection.
@@ -122,9 +127,30 @@
     next_exchange: u32,
     prepared: PreparedSet,
     hygiene: Hygiene,
+    /// Key with which the back end cancels what runs here.
+    key: Option<CancelKey>,
+    /// A cancel request may still arrive, so no other lease may use the connection.
+    is_last_lease: bool,
 }
 
 impl Server {
+    fn new(connection: Connection, group: GroupName, instance: InstanceName, purpose: Use) -> Self {
+        Self {
+            connection,
+            group,
+            instance,
+            purpose,
+            state: State::StartingUp,
+            lease: None,
+            next_sequence: 0,
+            next_exchange: 0,
+            prepared: PreparedSet::default(),
+            hygiene: Hygiene::default(),
+            key: None,
+            is_last_lease: false,
+        }
+    }
+
     /// Opens a connection and sends the start-up message. Returns its key.
     pub fn connect(
         servers: &mut Slab<Server>,
@@ -146,21 +172,31 @@
             ("application_name".to_owned(), "kestrellock".to_owned()),
         ]);
         put(&PgWireFrontendMessage::Startup(startup), &mut connection.output);
-        entry.insert(Server {
-            connection,
-            group: name.clone(),
-            instance: instance.name.clone(),
-            purpose,
-            state: State::StartingUp,
-            lease: None,
-            next_sequence: 0,
-            next_exchange: 0,
-            prepared: PreparedSet::default(),
-            hygiene: Hygiene::default(),
-        });
+        entry.insert(Self::new(connection, name.clone(), instance.name.clone(), purpose));
         Ok(key)
     }
 
+    /// Opens a connection that carries nothing but a request to cancel what runs on `target`. A
+    /// request may arrive late, so `target` is closed when its lease ends.
+    pub fn cancel(servers: &mut Slab<Server>, target: usize, address: SocketAddr, io: &mut Io) {
+        let Some(server) = servers.get_mut(target) else { return };
+        let Some(cancel_key) = server.key else { return };
+        server.is_last_lease = true;
+        let (group, instance) = (server.group.clone(), server.instance.clone());
+        let Ok(stream) = connect_from(io.context.identity.address, address) else { return };
+        let entry = servers.vacant_entry();
+        let token = token(Part::Server, entry.key());
+        let Ok(mut connection) = Connection::register(stream, token, io.registry, true) else {
+            return;
+        };
+        let secret = SecretKey::I32(cancel_key.secret as i32);
+        let request = CancelRequest::new(cancel_key.process as i32, secret);
+        put(&PgWireFrontendMessage::CancelRequest(request), &mut connection.output);
+        let mut server = Self::new(connection, group, instance, Use::Cancel);
+        server.state = State::Discarding { until: io.now + RESET_LIMIT };
+        entry.insert(server);
+    }
+
     /// The lease that uses the connection.
     pub fn lease(&self) -> Option<&LeaseId> {
         self.lease.as_ref()
@@ -283,6 +319,7 @@
                     events.push(ServerEvent::Refused);
                 }
                 b'E' => events.push(ServerEvent::Unusable),
+                b'K' => self.key = cancel_key(frame.body()),
                 _ => {}
             },
             State::Idle => {}
@@ -343,6 +380,11 @@
 
     /// Frees the connection for another lease, once it is clean.
     fn end_lease(&mut self, events: &mut Vec<ServerEvent>, io: &mut Io) {
+        if self.is_last_lease {
+            self.state = State::Idle;
+            events.push(ServerEvent::Unusable);
+            return;
+        }
         if self.hygiene.is_tainted() {
             put_query(hygiene::RESET, &mut self.connection.output);
             self.state = State::Discarding { until: io.now + RESET_LIMIT };
@@ -417,3 +459,10 @@
 fn put_query(sql: &str, output: &mut BytesMut) {
     put(&PgWireFrontendMessage::Query(Query::new(sql.to_owned())), output);
 }
+
+/// The key in the body of a `BackendKeyData`.
+fn cancel_key(body: &[u8]) -> Option<CancelKey> {
+    let (process, rest) = body.split_first_chunk::<4>()?;
+    let secret = rest.first_chunk::<4>()?;
+    Some(CancelKey { process: u32::from_be_bytes(*process), secret: u32::from_be_bytes(*secret) })
+}
--- a/crates/daemon/src/shard/mailbox.rs
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::NodeName;
 use kestrellock_peer::message::{PeerMessage, ToFront, ToGateway};
 use mio::{Poll, Waker};
@@ -17,6 +18,8 @@
     Caller(TcpStream),
     /// Another node connected.
     Peer(TcpStream),
+    /// A caller asked to cancel what the session with this key runs.
+    Cancel(CancelKey),
     /// For the shard's gateway.
     ToGateway(ToGateway),
     /// For another node, over this shard's connection to it.
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::NodeName;
 use kestrellock_peer::message::{GatewayCall, PeerMessage, ToFront, ToGateway};
 use mio::{Registry, Token};
@@ -71,6 +72,8 @@
         /// The message.
         message: ToFront,
     },
+    /// To the session with this key, wherever it is.
+    Cancel(CancelKey),
 }
 
 /// What a part of the shard works with while it handles an event.
@@ -151,6 +154,7 @@
         self.with_io(registry, now, |shard, io| match message {
             ShardMessage::Caller(stream) => shard.front.accept(stream, io),
             ShardMessage::Peer(stream) => shard.links.accept(stream, io),
+            ShardMessage::Cancel(key) => shard.front.on_cancel(key, io),
             ShardMessage::ToGateway(message) => shard.gateway.on_call(message, io),
             ShardMessage::ToFront(message) => shard.front.on_message(message, io),
             ShardMessage::ToPeer { node, message } => {
@@ -187,6 +191,7 @@
                     let shard = self.number;
                     io.context.configuration.deliver(Received { from, shard, message });
                 }
+                PeerMessage::Cancel(key) => self.cancel_here(key, io),
                 PeerMessage::ToGateway(message) => {
                     let node = io.context.identity.node.clone();
                     io.outbox.push_back(Outgoing::Gateway { node, message });
@@ -206,11 +211,33 @@
                 Outgoing::Front { node, shard, message } => {
                     self.deliver_to_front(node, shard, message, io);
                 }
+                Outgoing::Cancel(key) => self.cancel(key, io),
             }
         }
         self.links.flush(io);
     }
 
+    /// Passes a cancel request to every node whose session it may mean.
+    fn cancel(&mut self, key: CancelKey, io: &mut Io) {
+        let live = io.context.live.load();
+        for peer in live.iter().filter(|peer| key.may_belong_to(&peer.candidate.node)) {
+            let node = &peer.candidate.node;
+            if *node == io.context.identity.node {
+                self.cancel_here(key, io);
+            } else {
+                // Like every cancel request it may come to nothing.
+                let _ = self.links.send(node, PeerMessage::Cancel(key), io);
+            }
+        }
+    }
+
+    fn cancel_here(&mut self, key: CancelKey, io: &mut Io) {
+        for shard in (0..io.context.shards).filter(|shard| *shard != self.number) {
+            self.mailboxes.send(shard, ShardMessage::Cancel(key));
+        }
+        self.front.on_cancel(key, io);
+    }
+
     /// Tells every shard of each connection to another node that closed.
     fn report_lost_peers(&mut self, io: &mut Io) {
         for node in self.links.take_lost() {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::scram::{SALT_BYTES, Verifier};
 use kestrellock_daemon::net::frames;
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
@@ -17,10 +18,16 @@
 use kestrellock_platform::store::{
     ConfigStore, KeyValue, Snapshot, StoreError, Swap, Transaction, Watch,
 };
+use postgres_protocol::authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256};
+use postgres_protocol::message::frontend;
 use serde_json::json;
 
 /// Generous limit for everything a test waits for.
 pub const LIMIT: Duration = Duration::from_secs(30);
+const PASSWORD: &str = "secret";
+const ITERATIONS: u32 = 16;
+/// Authentication requests of one login, apart from the last.
+const SCRAM_MESSAGES: usize = 3;
 const POLL: Duration = Duration::from_millis(2);
 /// Marks the statement to which the script's fault applies.
 pub const MARK: &str = "marked";
@@ -325,7 +332,7 @@
                 "deadline_ms": deadline.as_millis() as u64,
             }),
         ),
-        ("tenants/fan", json!({ "template": "t", "logins": { "fan": "" } })),
+        ("tenants/fan", json!({ "template": "t", "logins": { "fan": verifier() } })),
     ];
     let entries = values.map(|(key, value)| KeyValue {
         key: format!("/kestrellock/{key}"),
@@ -335,6 +342,10 @@
     Arc::new(FixedStore(entries.to_vec()))
 }
 
+fn verifier() -> String {
+    Verifier::from_password(PASSWORD, [0; SALT_BYTES], ITERATIONS).to_string()
+}
+
 /// A front in zone `front` and a gateway in zone `back`, which owns every instance.
 pub struct Pair {
     pub front: Option<Node>,
@@ -421,10 +432,51 @@
         stream.write_all(&(body.len() as u32 + 4).to_be_bytes()).ok()?;
         stream.write_all(&body).ok()?;
         let mut caller = Self { stream, input: BytesMut::new() };
+        caller.prove()?;
         let answer = caller.read_answer()?;
         answer.error.is_none().then_some(caller)
     }
 
+    /// Proves the login; false if the server does not let it.
+    fn prove(&mut self) -> Option<()> {
+        let mut scram = ScramSha256::new(PASSWORD.as_bytes(), ChannelBinding::unsupported());
+        for _ in 0..SCRAM_MESSAGES {
+            let frame = self.read_frame()?;
+            if frame.tag != b'R' {
+                return None;
+            }
+            let (kind, data) = frame.body().split_first_chunk::<4>()?;
+            let mut output = BytesMut::new();
+            match u32::from_be_bytes(*kind) {
+                10 => {
+                    frontend::sasl_initial_response(SCRAM_SHA_256, scram.message(), &mut output)
+                        .ok()?;
+                }
+                11 => {
+                    scram.update(data).ok()?;
+                    frontend::sasl_response(scram.message(), &mut output).ok()?;
+                }
+                12 => scram.finish(data).ok()?,
+                _ => return None,
+            }
+            self.stream.write_all(&output).ok()?;
+        }
+        Some(())
+    }
+
+    fn read_frame(&mut self) -> Option<frames::Frame> {
+        loop {
+            if let Some(frame) = frames::next_frame(&mut self.input).ok()? {
+                return Some(frame);
+            }
+            let mut chunk = [0_u8; 4096];
+            match self.stream.read(&mut chunk).ok()? {
+                0 => return None,
+                count => self.input.extend_from_slice(&chunk[..count]),
+            }
+        }
+    }
+
     fn read_answer(&mut self) -> Option<Answer> {
         let mut answer = Answer::default();
         loop {
--- a/crates/lab/src/demo/check.rs
+++ b/crates/lab/src/demo/check.rs
@@ -7,6 +7,7 @@
 use postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
 use super::Demo;
+use crate::logins::password_of;
 
 const READY_LIMIT: Duration = Duration::from_secs(10);
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -26,6 +27,7 @@
         .host(&address.ip().to_string())
         .port(address.port())
         .user(tenant)
+        .password(password_of(tenant))
         .dbname(database)
         .connect(NoTls)
 }
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -15,6 +15,7 @@
 use miette::{IntoDiagnostic, miette};
 use serde_json::json;
 
+use crate::logins::verifier_of;
 use crate::standin::group::DatabaseGroup;
 use crate::standin::group::lag::Lag;
 use crate::standin::group::options::GroupOptions;
@@ -128,7 +129,7 @@
         let template = json!({
             "groups": [group], "max_staleness_ms": 1000, "capacity": 10, "deadline_ms": 5000,
         });
-        let value = json!({ "template": tenant, "logins": { tenant: "" } });
+        let value = json!({ "template": tenant, "logins": { tenant: verifier_of(tenant) } });
         write(store, &format!("{}{tenant}", kestrellock_platform::catalog::TEMPLATES), &template)?;
         write(store, &format!("{}{tenant}", kestrellock_platform::catalog::TENANTS), &value)?;
     }
--- a/crates/lab/src/scenario/caller/connection.rs
+++ b/crates/lab/src/scenario/caller/connection.rs
@@ -15,14 +15,20 @@
 use pgwire::messages::{
     DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
 };
+use postgres_protocol::authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256};
+use postgres_protocol::message::frontend;
 use socket2::{Domain, Socket, Type};
 use thiserror::Error;
 
+use crate::logins::password_of;
+
 use super::reply::{ErrorReply, Reply, decode_row};
 use super::statements::Prepared;
 
 /// Name of the parameter that carries the session token.
 const SESSION_PARAMETER: &str = "kestrellock.session";
+/// Type byte of an authentication request.
+const AUTHENTICATION: u8 = b'R';
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Shortest wait that a socket accepts as a limit.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
@@ -107,6 +113,7 @@
             startup.parameters.insert(SESSION_PARAMETER.into(), token.to_owned());
         }
         connection.send(&PgWireFrontendMessage::Startup(startup))?;
+        connection.prove(&endpoint.user, deadline)?;
         let reply = connection.receive(deadline)?;
         match reply.error {
             Some(error) => Err(ConnectionError::Refused(error)),
@@ -114,6 +121,54 @@
         }
     }
 
+    /// Proves the login where the server asks for it.
+    fn prove(&mut self, user: &str, deadline: Instant) -> Result<(), ConnectionError> {
+        let password = password_of(user);
+        let mut scram = ScramSha256::new(password.as_bytes(), ChannelBinding::unsupported());
+        // Every other message is left for the answer to the start-up.
+        while let Some(request) = self.authentication_request(deadline)? {
+            let mut output = BytesMut::new();
+            match request {
+                Authentication::SASL(_) => {
+                    frontend::sasl_initial_response(SCRAM_SHA_256, scram.message(), &mut output)?;
+                }
+                Authentication::SASLContinue(challenge) => {
+                    scram.update(&challenge)?;
+                    frontend::sasl_response(scram.message(), &mut output)?;
+                }
+                Authentication::SASLFinal(proof) => scram.finish(&proof)?,
+                Authentication::Ok => return Ok(()),
+                _ => return Err(ConnectionError::Malformed),
+            }
+            self.stream.write_all(&output)?;
+        }
+        Ok(())
+    }
+
+    /// The next authentication request; `None` if another message comes first, or the end.
+    fn authentication_request(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<Authentication>, ConnectionError> {
+        while self.input.is_empty() {
+            if let Err(error) = self.fill(deadline) {
+                return Err(error.into());
+            }
+        }
+        if self.input[0] != AUTHENTICATION {
+            return Ok(None);
+        }
+        loop {
+            let message = PgWireBackendMessage::decode(&mut self.input, &self.decoding)
+                .map_err(|_| ConnectionError::Malformed)?;
+            match message {
+                Some(PgWireBackendMessage::Authentication(request)) => return Ok(Some(request)),
+                Some(_) => return Err(ConnectionError::Malformed),
+                None => self.fill(deadline)?,
+            }
+        }
+    }
+
     /// Sends a simple query and waits for its whole answer until `deadline`.
     pub fn query(&mut self, sql: &str, deadline: Instant) -> Result<Reply, ConnectionError> {
         self.send(&PgWireFrontendMessage::Query(Query::new(sql.to_owned())))?;
--- a/crates/lab/src/scenario/catalog.rs
+++ b/crates/lab/src/scenario/catalog.rs
@@ -7,6 +7,7 @@
 
 use super::definition::Deployment;
 use super::deployment::Group;
+use crate::logins::verifier_of;
 
 /// The one tenant, its template and its login.
 pub const TENANT: &str = "atlas";
@@ -29,7 +30,7 @@
     }
     let template = describe_template(deployment, deployment.capacity);
     create(store, &format!("{TEMPLATES}{TENANT}"), &template)?;
-    let tenant = json!({ "template": TENANT, "logins": { TENANT: "" } });
+    let tenant = json!({ "template": TENANT, "logins": { TENANT: verifier_of(TENANT) } });
     create(store, &format!("{TENANTS}{TENANT}"), &tenant)
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::catalog::{CatalogDelta, Priority, Revision};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
@@ -177,6 +178,8 @@
     },
     /// For a gateway of the receiver.
     ToGateway(ToGateway),
+    /// A caller asked to cancel what the session with this key, of the receiver, runs.
+    Cancel(CancelKey),
     /// For the front at this shard of the receiver.
     ToFront {
         /// Shard of the front; `None` for news that concerns the whole node.
