Planned stops cut nothing, and hand instances over

Cause: SIGTERM stopped every thread at once.

Its gateways refer new work to their standbys. Once nothing is left and no work has come for 200 ms it runs nothing any more and says goodbye on its links, so that other fronts know that what is unanswered has not run. A second signal ends the process at once. Reads that break off are repeated within a budget of 10% a session.

Found on the way, with the postgres crate as the caller: a message that sends the caller away in the packet of an answer is reported as the failure of the statement answered, and one that comes with the end of the stream is not reported at all. So idle callers alone are sent away unasked, in words that claim nothing about a statement, and the stream ends 50 ms later.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,8 +14,9 @@
 use crate::agent::configuration::Inbox;
 use crate::agent::revisions::Revisions;
 use crate::metrics::Metrics;
-use crate::ownership::{OwnershipSnapshot, Ownerships, UnreachableNodes};
+use crate::ownership::{Detours, OwnershipSnapshot, Ownerships};
 use crate::policy::Policy;
+use crate::stopping::{SharedStage, Stage};
 
 /// Who this process is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -107,8 +108,10 @@
     pub catalog: Shared<IndexedCatalog>,
     /// Owners of instances by the two above.
     pub owners: Ownerships,
-    /// Nodes that this one could not reach lately.
-    pub unreachable: UnreachableNodes,
+    /// Where work goes other than to the owners.
+    pub detours: Detours,
+    /// How far a planned stop has come.
+    pub stage: SharedStage,
     /// What is known of back ends.
     pub statuses: StatusBoard,
     /// Number of shards.
@@ -126,13 +129,20 @@
 impl NodeContext {
     /// Owners and standbys of all instances by the nodes now live.
     pub fn ownerships(&self) -> Arc<OwnershipSnapshot> {
-        self.owners.current(&self.live, &self.catalog)
+        let own = &self.identity.node;
+        let leaving = self.is_leaving().then_some(own);
+        self.owners.current(&self.live, &self.catalog, leaving)
     }
 
     /// The node to whose gateway work for an instance goes.
     pub fn gateway_of(&self, instance: &InstanceName, now: Instant) -> Option<NodeName> {
         let owners = self.ownerships();
-        Some(self.unreachable.choose(owners.get(instance)?, now).clone())
+        Some(self.detours.choose(instance, owners.get(instance)?, now))
+    }
+
+    /// Whether the node takes no new work, because it is being stopped.
+    pub fn is_leaving(&self) -> bool {
+        self.stage.load() >= Stage::Leaving
     }
 
     /// Where a live node accepts peers.
--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -1,7 +1,7 @@
 //! Messages that the proxy itself writes to a caller.
 
 use bytes::BytesMut;
-use kestrellock_core::outcome::Refusal;
+use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::session::{SESSION_PARAMETER, SessionBound};
 use kestrellock_peer::message::TransactionState;
 use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
@@ -30,6 +30,18 @@
     put(PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)), output);
 }
 
+/// Appends the message that sends an idle caller away. It answers no statement, and says so.
+pub fn put_farewell(detail: &str, output: &mut BytesMut) {
+    let code = ResultCode::Stopping;
+    let fields = vec![
+        (b'S', "FATAL".to_owned()),
+        (b'V', "FATAL".to_owned()),
+        (b'C', code.sqlstate().to_owned()),
+        (b'M', format!("KL{} between requests: {detail}", code.number())),
+    ];
+    put(PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)), output);
+}
+
 /// Appends `ReadyForQuery`.
 pub fn put_ready(state: TransactionState, output: &mut BytesMut) {
     let status = match state {
--- a/crates/daemon/src/front/batch.rs
+++ b/crates/daemon/src/front/batch.rs
@@ -62,6 +62,11 @@
 }
 
 impl Batch {
+    /// Whether it holds nothing yet.
+    pub fn is_empty(&self) -> bool {
+        self.refusal.is_none() && self.messages.is_empty() && self.replies.is_empty()
+    }
+
     /// Takes in a message other than `Sync`. After an error the rest up to `Sync` is skipped.
     pub fn add(&mut self, frame: &Frame, statements: &mut Statements, classes: &mut Classes) {
         if self.refusal.is_some() {
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -114,24 +114,37 @@
 
     /// The connection to `node` closed: whatever its gateways had under way will not be answered.
     pub fn on_peer_lost(&mut self, node: &NodeName, io: &mut Io) {
-        let affected: Vec<usize> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| session.waits_for(node))
-            .map(|(key, _)| key)
-            .collect();
-        for key in affected {
+        for key in self.waiting_for(node) {
             self.sessions[key].on_gateway_lost(io);
             self.advance(key, io);
         }
     }
 
+    /// `node` has ended without running what it has not answered.
+    pub fn on_goodbye(&mut self, node: &NodeName, io: &mut Io) {
+        io.context.detours.add_unreachable(node, io.now);
+        for key in self.waiting_for(node) {
+            self.sessions[key].on_unsent(io);
+            self.advance(key, io);
+        }
+    }
+
+    /// Sessions with an exchange under way at a gateway of `node`.
+    fn waiting_for(&self, node: &NodeName) -> Vec<usize> {
+        let waiting = self.sessions.iter().filter(|(_, session)| session.waits_for(node));
+        waiting.map(|(key, _)| key).collect()
+    }
+
     /// Retries statements that wait for an instance, and ends those whose time is up.
     pub fn on_tick(&mut self, io: &mut Io) {
+        let leaving = io.context.is_leaving();
+        if leaving {
+            self.take_in_late_input();
+        }
         let due: Vec<usize> = self
             .sessions
             .iter()
-            .filter(|(_, session)| session.needs_tick(io.now))
+            .filter(|(_, session)| leaving || session.needs_tick(io.now))
             .map(|(key, _)| key)
             .collect();
         for key in due {
@@ -140,6 +153,14 @@
         self.subscriptions.renew(io);
     }
 
+    /// Reads what has arrived since the last event, so that a caller is not sent away after its
+    /// statement has reached this node. A connection that turns out closed shows as readable.
+    fn take_in_late_input(&mut self) {
+        for (_, session) in &mut self.sessions {
+            let _ = session.connection.fill();
+        }
+    }
+
     /// Lets a session do whatever its input and its lease allow now.
     fn advance(&mut self, key: usize, io: &mut Io) {
         let session = &mut self.sessions[key];
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -68,6 +68,11 @@
 }
 
 impl Collector {
+    /// Whether no part of an exchange has been collected.
+    pub fn is_empty(&self) -> bool {
+        self.batch.is_empty()
+    }
+
     /// Takes whole messages off `input` until an exchange is complete.
     pub fn next(&mut self, input: &mut BytesMut, classes: &mut Classes, deadline: Instant) -> Next {
         loop {
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -10,6 +10,7 @@
 use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_core::outcome::{Execution, Refusal, ResultCode};
 use kestrellock_core::position::Position;
+use kestrellock_core::retry::RetryBudget;
 use kestrellock_core::routing::Access;
 use kestrellock_core::session::SessionBound;
 use kestrellock_core::session_state::{ExchangeEnd, SessionState};
@@ -30,6 +31,16 @@
 const STARTUP_LIMIT: Duration = Duration::from_secs(10);
 /// Time before a statement that surely has not run goes out again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(5);
+/// Time without a request after which a planned stop sends a caller away unasked.
+const IDLE_BEFORE_PARTING: Duration = Duration::from_secs(1);
+const STOPPING: &str = "the node is stopping; connect to another one";
+/// Time a caller gets to close after it has been sent away.
+const PARTING_LIMIT: Duration = Duration::from_millis(500);
+/// Time between the message that sends a caller away and the end of the stream.
+const END_OF_STREAM_DELAY: Duration = Duration::from_millis(50);
+/// Reads repeated in a session, for 100 first attempts, and beyond that.
+const REPEATS_PERCENT: u32 = 10;
+const REPEATS_RESERVE: u32 = 5;
 const NOTHING_AT_STAKE: Stake = Stake { effect: Effect::Read, continues_transaction: false };
 
 /// A transaction that never got as far as its commit.
@@ -80,10 +91,14 @@
     answer_begun: bool,
     /// Earliest time to send a held request.
     hold_until: Option<Instant>,
-    /// Where a gateway said that the request should go.
-    referral: Option<Target>,
     /// Whether the last attempt went where a gateway had said.
     referred: bool,
+    /// When something was last under way.
+    last_active: Instant,
+    /// When the caller was told to go elsewhere.
+    parting_since: Option<Instant>,
+    /// Bounds the reads that are repeated because their first attempt broke off.
+    repeats: RetryBudget,
 }
 
 impl Session {
@@ -106,8 +121,10 @@
             stake: NOTHING_AT_STAKE,
             answer_begun: false,
             hold_until: None,
-            referral: None,
             referred: false,
+            last_active: now,
+            parting_since: None,
+            repeats: RetryBudget::new(REPEATS_PERCENT, REPEATS_RESERVE),
         }
     }
 
@@ -123,6 +140,9 @@
 
     /// Whether the session has something to do on a tick.
     pub fn needs_tick(&self, now: Instant) -> bool {
+        if self.parting_since.is_some() {
+            return true;
+        }
         match &self.request {
             Some(request) if request.sent => now > request.deadline + GATEWAY_GRACE,
             Some(_) => true,
@@ -138,6 +158,12 @@
         classes: &mut Classes,
         io: &mut Io,
     ) -> SessionEnd {
+        if self.parting_since.is_some() {
+            return self.part(io);
+        }
+        if self.request.is_some() || !self.connection.input.is_empty() {
+            self.last_active = io.now;
+        }
         let end = if self.login.is_none() {
             self.advance_startup(subscriptions, io)
         } else {
@@ -148,6 +174,9 @@
         } else {
             end
         };
+        if end == SessionEnd::Continue && io.context.is_leaving() && self.is_idle(io.now) {
+            return self.send_away(None, io);
+        }
         match self.connection.flush(io.registry) {
             Ok(()) => {
                 self.connection.release_buffers();
@@ -157,6 +186,47 @@
         }
     }
 
+    /// Whether nothing has been under way for so long that a message that answers nothing is not
+    /// taken for the answer to the last statement: some client libraries do so if they read both
+    /// at once.
+    fn is_idle(&self, now: Instant) -> bool {
+        let between = self.request.is_none() && self.transaction == TransactionState::Idle;
+        let silent = self.connection.input.is_empty() && self.collector.is_empty();
+        between && silent && now.saturating_duration_since(self.last_active) >= IDLE_BEFORE_PARTING
+    }
+
+    /// Tells the caller to connect to another node, in answer to a request if there is one.
+    /// Nothing that it sends from now on is run.
+    fn send_away(&mut self, request: Option<Request>, io: &mut Io) -> SessionEnd {
+        let output = &mut self.connection.output;
+        match request {
+            Some(_) => {
+                let refusal = Refusal::new(ResultCode::Stopping, STOPPING);
+                answer::put_refusal(&refusal, "FATAL", output);
+            }
+            None => answer::put_farewell(STOPPING, output),
+        }
+        self.abandon(io);
+        self.parting_since = Some(io.now);
+        self.part(io)
+    }
+
+    /// Waits for the caller to close. Closing first, with input unread, could destroy the message
+    /// on its way; and some client libraries that read message and end of stream at once report
+    /// only the latter.
+    fn part(&mut self, io: &mut Io) -> SessionEnd {
+        self.connection.input.clear();
+        let flushed = self.connection.flush(io.registry);
+        let Some(began) = self.parting_since else { return SessionEnd::Close };
+        if self.connection.output.is_empty() && io.now >= began + END_OF_STREAM_DELAY {
+            self.connection.shut_down_sending();
+        }
+        match io.now < began + PARTING_LIMIT && flushed.is_ok() {
+            true => SessionEnd::Continue,
+            false => SessionEnd::Close,
+        }
+    }
+
     fn advance_startup(&mut self, subscriptions: &mut Subscriptions, io: &mut Io) -> SessionEnd {
         let Connection { input, output, .. } = &mut self.connection;
         let refusal = match self.startup.advance(input, output, io.context) {
@@ -191,10 +261,14 @@
     ) -> SessionEnd {
         while self.request.is_none() {
             let deadline = io.now + self.time_limit();
+            let must_part = self.must_part(io);
             let Connection { input, output, .. } = &mut self.connection;
             match self.collector.next(input, classes, deadline) {
                 Next::Incomplete => return SessionEnd::Continue,
                 Next::Terminate => return SessionEnd::Close,
+                Next::Request(request) if must_part => {
+                    return self.send_away(Some(request), io);
+                }
                 Next::Request(request) => self.take_up(request, io),
                 Next::Refused(refusal) => self.refuse_request(&refusal, io),
                 Next::Broken(refusal) => {
@@ -207,6 +281,11 @@
         SessionEnd::Continue
     }
 
+    /// Whether a planned stop lets no new request begin here.
+    fn must_part(&self, io: &Io) -> bool {
+        io.context.is_leaving() && self.transaction == TransactionState::Idle
+    }
+
     fn time_limit(&self) -> Duration {
         let login = self.login.as_ref();
         login.map_or(Duration::ZERO, |login| login.parameters.values.deadline_ms.into())
@@ -231,6 +310,7 @@
             return;
         } else if !request.is_local {
             self.request = Some(request);
+            self.repeats.on_first_attempt();
             return;
         }
         output.extend_from_slice(&request.rollback_replies);
@@ -292,7 +372,8 @@
         self.end_unanswered(Fault::GatewayLost, "the connection to the gateway was lost", io);
     }
 
-    /// The request could not be handed to the gateway's node.
+    /// The request could not be handed to the gateway's node, or that node ended without running
+    /// it.
     pub fn on_unsent(&mut self, io: &mut Io) {
         self.mark_unreachable(io);
         let code = failure_code(self.stake, Progress::Held, Fault::GatewayLost);
@@ -302,7 +383,7 @@
     /// Lets work for the gateway's instances go to their standbys for a while.
     fn mark_unreachable(&self, io: &Io) {
         if let Some(lease) = &self.lease {
-            io.context.unreachable.add(&lease.target.gateway, io.now);
+            io.context.detours.add_unreachable(&lease.target.gateway, io.now);
         }
     }
 
@@ -322,22 +403,23 @@
     /// The gateway has not run the request. It goes to the node that the gateway names at once, and
     /// after that by this node's own knowledge.
     fn on_not_owner(&mut self, owner: Option<NodeName>, io: &Io) {
-        let refused_by = self.lease.as_ref().map(|lease| lease.target.clone());
+        let at_once = owner.is_some() && !self.referred;
+        if let Some(lease) = &self.lease {
+            io.context.detours.set_referral(&lease.target.instance, owner, io.now);
+        }
         let refusal = Refusal::new(ResultCode::NotOwner, "the gateway does not own the instance");
         self.on_refused(refusal, io);
-        if let (Some(_), Some(target), Some(owner)) = (&self.request, refused_by, owner)
-            && !self.referred
-        {
-            self.referral = Some(Target { gateway: owner, ..target });
+        if at_once {
             self.hold_until = None;
         }
-        self.referred = !self.referred;
+        self.referred = at_once;
     }
 
     /// Holds the request for another instance or gateway where that is safe, or ends it.
     fn on_refused(&mut self, refusal: Refusal, io: &Io) {
-        let unfinished_read =
-            refusal.code == ResultCode::ReadInterrupted && !self.stake.continues_transaction;
+        let unfinished_read = refusal.code == ResultCode::ReadInterrupted
+            && !self.stake.continues_transaction
+            && self.repeats.try_retry();
         let unsafe_resend = io.context.policy == Policy::ResendOnError
             && refusal.code.execution() == Execution::InDoubt
             && !self.stake.continues_transaction;
@@ -375,12 +457,7 @@
         }
         if self.lease.is_none() {
             let routed = routed_as(access.clone(), io.context.policy, self.last_write, io.now);
-            let Some(mut target) = target::find(&login.group, &routed, io) else { return };
-            if let Some(referral) = self.referral.take()
-                && referral.instance == target.instance
-            {
-                target = referral;
-            }
+            let Some(target) = target::find(&login.group, &routed, io) else { return };
             let id = new_lease();
             let read_only = !writes;
             self.lease = Some(Lease { id, target, read_only, next_exchange: 0, next_sequence: 0 });
@@ -425,6 +502,7 @@
             return self.end_unanswered(Fault::AnswerLost, "part of the answer was lost", io);
         }
         lease.next_sequence += 1;
+        self.last_active = io.now;
         match event {
             LeaseEvent::Part(frames) => {
                 self.answer_begun = true;
@@ -440,7 +518,6 @@
     fn end_lease(&mut self, event: LeaseEvent) {
         let request = self.request.take();
         self.hold_until = None;
-        self.referral = None;
         self.referred = false;
         match event {
             LeaseEvent::Part(_) | LeaseEvent::NotOwner { .. } => {}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
@@ -24,6 +24,7 @@
 use crate::net::connection::ReadOutcome;
 use crate::ownership::OwnershipSnapshot;
 use crate::shard::{Io, Outgoing};
+use crate::stopping::Stage;
 
 use self::confirmation::Confirmations;
 use self::monitor::Monitor;
@@ -46,6 +47,8 @@
     groups: HashMap<GroupName, GroupGateway>,
     leases: HashMap<LeaseId, usize>,
     followed: Option<Arc<OwnershipSnapshot>>,
+    /// When another node's front last sent an exchange.
+    last_forwarded: Option<Instant>,
 }
 
 /// Tells the front of `lease` what happened.
@@ -68,6 +71,15 @@
 }
 
 impl Gateway {
+    /// Whether nothing is under way or waits, and no work from other nodes has come for `quiet`.
+    pub fn is_drained(&self, quiet: Duration) -> bool {
+        let is_quiet = self.last_forwarded.is_none_or(|last| last.elapsed() >= quiet);
+        let is_waiting = |state: &GroupGateway| {
+            state.confirmations.is_waiting() || state.pools.values().any(|pool| pool.waiting() > 0)
+        };
+        is_quiet && self.leases.is_empty() && !self.groups.values().any(is_waiting)
+    }
+
     /// Number of open back-end connections.
     pub fn connections(&self) -> usize {
         self.servers.len()
@@ -82,6 +94,9 @@
             }
             return;
         };
+        if io.context.stage.load() == Stage::Closed {
+            return;
+        }
         self.follow_ownership(io);
         match message.call {
             GatewayCall::Exchange(exchange) => {
@@ -105,6 +120,9 @@
     }
 
     fn on_exchange(&mut self, name: &GroupName, group: &Group, exchange: Exchange, io: &mut Io) {
+        if exchange.lease.node != io.context.identity.node {
+            self.last_forwarded = Some(io.now);
+        }
         if let Some(&key) = self.leases.get(&exchange.lease) {
             if let Some(pool) = self.pool_of(key) {
                 pool.on_resumed(key, io.now);
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -364,6 +364,11 @@
         self.scheduler.drain().into_iter().map(|queued| queued.exchange).collect()
     }
 
+    /// Exchanges that wait.
+    pub fn waiting(&self) -> usize {
+        self.scheduler.waiting()
+    }
+
     /// Expected wait for a slot.
     pub fn expected_wait(&self) -> Duration {
         self.scheduler.expected_wait()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod policy;
 pub mod settings;
 pub mod shard;
+pub mod stopping;
 pub mod supervisor;
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -69,6 +69,15 @@
         None
     }
 
+    /// Queues a message on every link.
+    pub fn broadcast(&mut self, message: &PeerMessage) {
+        for (key, link) in &mut self.links {
+            if frame::encode(message, &mut link.connection.output).is_ok() {
+                self.unflushed.push(key);
+            }
+        }
+    }
+
     /// Sends what has been queued.
     pub fn flush(&mut self, io: &mut Io) {
         for key in std::mem::take(&mut self.unflushed) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,6 +14,8 @@
 use kestrellock_program::logging;
 use miette::IntoDiagnostic;
 
+/// Exit code of a stop that did not finish what was under way.
+const INTERRUPTED: i32 = 1;
 const SIGNAL_CHECK: Duration = Duration::from_millis(50);
 
 fn main() -> ExitCode {
@@ -38,6 +40,9 @@
 fn serve(mut settings: Settings) -> miette::Result<()> {
     let stop = Arc::new(AtomicBool::new(false));
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        // A second signal ends the process at once.
+        signal_hook::flag::register_conditional_shutdown(signal, INTERRUPTED, stop.clone())
+            .into_diagnostic()?;
         signal_hook::flag::register(signal, stop.clone()).into_diagnostic()?;
     }
     let listeners = Listeners::bind(&mut settings).into_diagnostic()?;
--- a/crates/daemon/src/net/connection.rs
+++ b/crates/daemon/src/net/connection.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Tells the other side that nothing more will be sent.
+    pub fn shut_down_sending(&mut self) {
+        // Fails only where the other side has gone, which reading shows.
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+
     /// Takes the connection out of the event loop; dropping it closes it.
     pub fn deregister(&mut self, registry: &Registry) {
         // The descriptor is closed right after, which removes it in any case.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,11 +17,12 @@
 use crate::agent::revisions::Revisions;
 use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
 use crate::metrics::Metrics;
-use crate::ownership::{Ownerships, UnreachableNodes};
+use crate::ownership::{Detours, Ownerships};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::shard::{Shard, event_loop};
+use crate::stopping::{Drain, SharedStage};
 use crate::supervisor::{StopFlag, Supervisor};
 
 /// Threads that serve the admin port, so that one request that waits for the store stops no other.
@@ -76,6 +77,8 @@
     pub context: Arc<NodeContext>,
     stop: StopFlag,
     root: Supervisor,
+    drain: Drain,
+    drain_limit: Duration,
 }
 
 impl Node {
@@ -108,10 +111,16 @@
             "callers",
             callers,
             mailboxes.clone(),
-            &stop,
+            Acceptance { stop: stop.clone(), until_leaving: Some(context.clone()) },
             ShardMessage::Caller,
         );
-        spawn_acceptor(&mut root, "peers", peers, mailboxes.clone(), &stop, ShardMessage::Peer);
+        let always = Acceptance { stop: stop.clone(), until_leaving: None };
+        spawn_acceptor(&mut root, "peers", peers, mailboxes.clone(), always, ShardMessage::Peer);
+        let drain = Drain {
+            context: context.clone(),
+            shards: shards.clone(),
+            mailboxes: mailboxes.clone(),
+        };
         let token = settings.secrets.admin_token.clone();
         let store: Arc<dyn ConfigStore> = Arc::new(CountedStore::new(store, context.clone()));
         let configuration = Arc::new(Configuration::new(context.clone(), mailboxes.clone()));
@@ -125,7 +134,8 @@
         };
         spawn_admin(&mut root, admin, pages)?;
         spawn_agent(&mut root, &configuration, store, &stop);
-        Ok(Self { context, stop, root })
+        let drain_limit = settings.drain_limit;
+        Ok(Self { context, stop, root, drain, drain_limit })
     }
 
     /// Stops every part at once, as a killed process would: whatever was under way is lost.
@@ -139,8 +149,14 @@
         self.stop.set_paused(paused);
     }
 
-    /// Stops taking work, finishes what is under way, then stops every part.
+    /// Stops taking work, finishes what is under way, then stops every part. Statements and
+    /// transactions that outlast the drain limit of the settings are cut.
     pub fn stop(self) {
+        self.set_paused(false);
+        log::info!("{} is leaving", self.context.identity.node);
+        if !self.drain.run(self.drain_limit) {
+            log::warn!("{} stops with work under way", self.context.identity.node);
+        }
         self.kill();
     }
 
@@ -173,7 +189,8 @@
         live: Shared::new(std::iter::once(own).chain(others).collect()),
         catalog: Shared::new(IndexedCatalog::default()),
         owners: Ownerships::default(),
-        unreachable: UnreachableNodes::default(),
+        detours: Detours::default(),
+        stage: SharedStage::default(),
         statuses: StatusBoard::default(),
         shards: settings.shards,
         policy,
@@ -183,21 +200,35 @@
     }
 }
 
+/// How long a listener accepts.
+struct Acceptance {
+    stop: StopFlag,
+    /// Set for a listener that closes when the node begins to leave.
+    until_leaving: Option<Arc<NodeContext>>,
+}
+
+impl Acceptance {
+    fn is_over(&self) -> bool {
+        let leaving = self.until_leaving.as_ref().is_some_and(|context| context.is_leaving());
+        leaving || self.stop.is_stopping()
+    }
+}
+
 /// Starts the child that accepts connections and deals them out to the shards in turn.
 fn spawn_acceptor(
     root: &mut Supervisor,
     name: &str,
     listener: TcpListener,
     mailboxes: Arc<Mailboxes>,
-    stop: &StopFlag,
+    acceptance: Acceptance,
     wrap: fn(std::net::TcpStream) -> ShardMessage,
 ) {
-    let stop = stop.clone();
+    let mut listener = Some(listener);
     let mut next = 0;
     root.spawn(format!("accept-{name}"), move || {
-        while !stop.is_stopping() {
-            stop.wait_while_paused();
-            match listener.accept() {
+        while let Some(open) = listener.as_ref().filter(|_| !acceptance.is_over()) {
+            acceptance.stop.wait_while_paused();
+            match open.accept() {
                 Ok((stream, _)) => {
                     mailboxes.send(next, wrap(stream));
                     next = (next + 1) % mailboxes.count() as u16;
@@ -205,6 +236,8 @@
                 Err(_) => std::thread::sleep(ACCEPT_RETRY),
             }
         }
+        // Callers that come now are refused by the operating system and go elsewhere.
+        listener = None;
     });
 }
 
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -11,20 +11,20 @@
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_core::ids::{InstanceName, NodeName};
-use kestrellock_core::rendezvous::{Ownership, OwnershipTable};
+use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
 
 use crate::context::{LiveNode, Shared};
 
 const POISONED: &str = "a holder of the ownership lock panicked";
-/// How long a node to which a connection failed is passed over in favour of the standby, unless
-/// membership finds it dead before.
-const UNREACHABLE_FOR: Duration = Duration::from_secs(1);
+/// How long a detour lasts: membership is to know better by then.
+const DETOUR_PERIOD: Duration = Duration::from_secs(1);
 
 /// Owners and standbys at one moment.
 #[derive(Debug, Default)]
 pub struct OwnershipSnapshot {
     live: Arc<Vec<LiveNode>>,
     catalog: Arc<IndexedCatalog>,
+    without: Option<NodeName>,
     table: OwnershipTable,
 }
 
@@ -39,8 +39,32 @@
         &self.catalog
     }
 
-    fn is_of(&self, live: &Arc<Vec<LiveNode>>, catalog: &Arc<IndexedCatalog>) -> bool {
-        Arc::ptr_eq(&self.live, live) && Arc::ptr_eq(&self.catalog, catalog)
+    fn is_of(&self, sources: &Sources) -> bool {
+        Arc::ptr_eq(&self.live, &sources.live)
+            && Arc::ptr_eq(&self.catalog, &sources.catalog)
+            && self.without.as_ref() == sources.without
+    }
+}
+
+/// What a snapshot is computed from.
+struct Sources<'a> {
+    live: Arc<Vec<LiveNode>>,
+    catalog: Arc<IndexedCatalog>,
+    without: Option<&'a NodeName>,
+}
+
+impl Sources<'_> {
+    /// Nodes that may own instances: those that accept work, or all if none does, because
+    /// somebody has to finish what is under way.
+    fn candidates(&self) -> Vec<&Candidate> {
+        let accepts =
+            |node: &&LiveNode| node.accepts_work && Some(&node.candidate.node) != self.without;
+        let accepting: Vec<&Candidate> =
+            self.live.iter().filter(accepts).map(|node| &node.candidate).collect();
+        match accepting.is_empty() {
+            true => self.live.iter().map(|node| &node.candidate).collect(),
+            false => accepting,
+        }
     }
 }
 
@@ -51,71 +75,98 @@
 }
 
 impl Ownerships {
-    /// The snapshot of the nodes and the catalog in force.
+    /// The snapshot of the nodes and the catalog in force. `leaving` is this node once it may own
+    /// nothing any more, whatever the list of live nodes says of it.
     pub fn current(
         &self,
         live: &Shared<Vec<LiveNode>>,
         catalog: &Shared<IndexedCatalog>,
+        leaving: Option<&NodeName>,
     ) -> Arc<OwnershipSnapshot> {
         let newest = self.newest.read().expect(POISONED).clone();
-        let (live, catalog) = (live.load(), catalog.load());
-        if newest.is_of(&live, &catalog) {
+        let sources = Sources { live: live.load(), catalog: catalog.load(), without: leaving };
+        if newest.is_of(&sources) {
             return newest;
         }
-        self.renew(live, catalog)
+        self.renew(sources)
     }
 
-    fn renew(
-        &self,
-        live: Arc<Vec<LiveNode>>,
-        catalog: Arc<IndexedCatalog>,
-    ) -> Arc<OwnershipSnapshot> {
+    fn renew(&self, sources: Sources) -> Arc<OwnershipSnapshot> {
         let mut newest = self.newest.write().expect(POISONED);
-        if newest.is_of(&live, &catalog) {
+        if newest.is_of(&sources) {
             return newest.clone();
         }
         let mut table = newest.table.clone();
-        let candidates = live.iter().filter(|node| node.accepts_work).map(|node| &node.candidate);
-        let instances = catalog.groups.values().flat_map(|group| &group.instances);
-        table.update(candidates, instances.map(|instance| (&instance.name, &instance.zone)));
-        *newest = Arc::new(OwnershipSnapshot { live, catalog, table });
+        let instances = sources.catalog.groups.values().flat_map(|group| &group.instances);
+        let placed = instances.map(|instance| (&instance.name, &instance.zone));
+        table.update(sources.candidates(), placed);
+        let without = sources.without.cloned();
+        let Sources { live, catalog, .. } = sources;
+        *newest = Arc::new(OwnershipSnapshot { live, catalog, without, table });
         newest.clone()
     }
 }
 
-/// Nodes to which connections failed lately.
+/// Where work goes for a while other than to the owner that this node knows of.
 #[derive(Debug, Default)]
-pub struct UnreachableNodes {
+pub struct Detours {
+    /// Number of entries, so that the usual case takes no lock.
     count: AtomicUsize,
-    until: ShardedLock<HashMap<NodeName, Instant>>,
+    entries: ShardedLock<Entries>,
 }
 
-impl UnreachableNodes {
+#[derive(Debug, Default)]
+struct Entries {
+    /// Nodes to which connections failed, until when they are passed over.
+    unreachable: HashMap<NodeName, Instant>,
+    /// Instances whose gateway named another node as the owner.
+    referrals: HashMap<InstanceName, Referral>,
+}
+
+#[derive(Debug)]
+struct Referral {
+    owner: NodeName,
+    until: Instant,
+}
+
+impl Detours {
     /// A connection to `node` failed.
-    pub fn add(&self, node: &NodeName, now: Instant) {
-        let mut until = self.until.write().expect(POISONED);
-        until.retain(|_, until| *until > now);
-        until.insert(node.clone(), now + UNREACHABLE_FOR);
-        self.count.store(until.len(), Ordering::Release);
+    pub fn add_unreachable(&self, node: &NodeName, now: Instant) {
+        self.change(now, |entries| {
+            entries.unreachable.insert(node.clone(), now + DETOUR_PERIOD);
+        });
     }
 
-    /// Whether a connection to `node` failed lately.
-    pub fn contains(&self, node: &NodeName, now: Instant) -> bool {
-        if self.count.load(Ordering::Acquire) == 0 {
-            return false;
-        }
-        self.until.read().expect(POISONED).get(node).is_some_and(|until| *until > now)
+    /// A gateway named `owner` as the owner of an instance, or knows of none.
+    pub fn set_referral(&self, instance: &InstanceName, owner: Option<NodeName>, now: Instant) {
+        self.change(now, |entries| {
+            entries.referrals.remove(instance);
+            let referral = owner.map(|owner| Referral { owner, until: now + DETOUR_PERIOD });
+            entries.referrals.extend(referral.map(|referral| (instance.clone(), referral)));
+        });
     }
 
-    /// Where to send: to the owner, or to the standby while the owner cannot be reached.
-    pub fn choose<'a>(&self, ownership: &'a Ownership, now: Instant) -> &'a NodeName {
-        match &ownership.standby {
-            Some(standby)
-                if self.contains(&ownership.owner, now) && !self.contains(standby, now) =>
-            {
-                standby
-            }
-            _ => &ownership.owner,
+    fn change(&self, now: Instant, change: impl FnOnce(&mut Entries)) {
+        let mut entries = self.entries.write().expect(POISONED);
+        entries.unreachable.retain(|_, until| *until > now);
+        entries.referrals.retain(|_, referral| referral.until > now);
+        change(&mut entries);
+        let count = entries.unreachable.len() + entries.referrals.len();
+        self.count.store(count, Ordering::Release);
+    }
+
+    /// Where to send: to the node that a gateway named, else to the owner; to the standby while
+    /// that node cannot be reached.
+    pub fn choose(&self, instance: &InstanceName, known: &Ownership, now: Instant) -> NodeName {
+        if self.count.load(Ordering::Acquire) == 0 {
+            return known.owner.clone();
         }
+        let entries = self.entries.read().expect(POISONED);
+        let reachable =
+            |node: &NodeName| entries.unreachable.get(node).is_none_or(|until| *until <= now);
+        let referral = entries.referrals.get(instance).filter(|referral| referral.until > now);
+        let candidates = [referral.map(|referral| &referral.owner), Some(&known.owner)];
+        let candidates = candidates.into_iter().chain([known.standby.as_ref()]).flatten();
+        candidates.into_iter().find(|node| reachable(node)).unwrap_or(&known.owner).clone()
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use kestrellock_core::ids::{NodeName, ZoneName};
 use kestrellock_program::secret::{Secret, SecretSource};
@@ -70,6 +71,8 @@
     pub admin_address: SocketAddr,
     /// Event-loop threads.
     pub shards: u16,
+    /// Time that a planned stop gives to statements and transactions under way.
+    pub drain_limit: Duration,
     /// Other nodes to join through.
     pub peers: Vec<PeerSettings>,
     /// Endpoints of the configuration store, such as `http://127.0.0.1:2379`.
@@ -94,6 +97,7 @@
             advertised_peer_address: None,
             admin_address: any,
             shards: 1,
+            drain_limit: file::DEFAULT_DRAIN_LIMIT,
             peers: Vec::new(),
             store_endpoints: Vec::new(),
             machine_list: None,
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
+use kestrellock_core::catalog::Milliseconds;
 use kestrellock_core::ids::{NodeName, ZoneName};
 use kestrellock_core::outcome::ResultCode;
 use kestrellock_program::diagnostic::FileDiagnostic;
@@ -11,6 +13,8 @@
 use super::{PeerSettings, SecretSources, Secrets, Settings, SettingsError};
 
 const DEFAULT_SHARDS: u16 = 1;
+/// Time that a planned stop gives to what is under way, unless set.
+pub const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
 /// Every field that a file or a flag may set; the names are those of [`Settings`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +28,7 @@
     pub advertised_peer_address: Option<SocketAddr>,
     pub admin_address: Option<SocketAddr>,
     pub shards: Option<u16>,
+    pub drain_limit_ms: Option<Milliseconds>,
     #[serde(default)]
     pub peers: Vec<PeerSettings>,
     #[serde(default)]
@@ -44,6 +49,7 @@
             advertised_peer_address: self.advertised_peer_address,
             admin_address: needed(self.admin_address, "admin_address")?,
             shards: self.shards.unwrap_or(DEFAULT_SHARDS),
+            drain_limit: self.drain_limit_ms.map_or(DEFAULT_DRAIN_LIMIT, Duration::from),
             peers: self.peers,
             store_endpoints: self.store_endpoints,
             machine_list: self.machine_list,
--- a/crates/daemon/src/shard/mailbox.rs
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -31,6 +31,8 @@
     },
     /// For the shard's front.
     ToFront(ToFront),
+    /// The node has drained: take leave of the other nodes.
+    Goodbye,
     /// A connection to this node closed on another shard.
     PeerLost(NodeName),
 }
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::NodeName;
@@ -102,6 +102,7 @@
     pub gateway: Gateway,
     /// Connections to other nodes.
     pub links: Links,
+    said_goodbye: bool,
 }
 
 impl Shard {
@@ -115,6 +116,7 @@
             context,
             mailboxes,
             outbox: VecDeque::new(),
+            said_goodbye: false,
         }
     }
 
@@ -161,6 +163,7 @@
                 // Whoever needs an answer asks again.
                 let _ = shard.links.send(&node, message, io);
             }
+            ShardMessage::Goodbye => shard.say_goodbye(io),
             ShardMessage::PeerLost(node) => shard.on_peer_lost(&node, io),
         });
     }
@@ -183,6 +186,23 @@
         self.with_io(registry, now, |shard, io| shard.gateway.on_urgent(io));
     }
 
+    /// Whether nothing is left to finish, and no work from other nodes has come for `quiet`.
+    pub fn is_drained(&self, quiet: Duration) -> bool {
+        self.front.callers() == 0 && self.gateway.is_drained(quiet)
+    }
+
+    /// Tells the other nodes that whatever they sent and have no answer to will not run.
+    fn say_goodbye(&mut self, io: &mut Io) {
+        let node = io.context.identity.node.clone();
+        self.links.broadcast(&PeerMessage::Goodbye { node });
+        self.said_goodbye = true;
+    }
+
+    /// Whether the other nodes have been told.
+    pub fn has_said_goodbye(&self) -> bool {
+        self.said_goodbye
+    }
+
     fn take_in(&mut self, received: Vec<PeerMessage>, io: &mut Io) {
         for message in received {
             match message {
@@ -192,6 +212,7 @@
                     io.context.configuration.deliver(Received { from, shard, message });
                 }
                 PeerMessage::Cancel(key) => self.cancel_here(key, io),
+                PeerMessage::Goodbye { node } => self.front.on_goodbye(&node, io),
                 PeerMessage::ToGateway(message) => {
                     let node = io.context.identity.node.clone();
                     io.outbox.push_back(Outgoing::Gateway { node, message });
--- /dev/null
+++ b/crates/daemon/src/stopping.rs
@@ -0,0 +1,96 @@
+//! A planned stop, in stages that every thread of the node sees.
+//!
+//! While *leaving*, the node accepts no callers, sends those at rest away, finishes what is under
+//! way, and refers work for its instances to their standbys. Once nothing is left it is *closed*:
+//! from then on it runs nothing that other nodes still send, and can tell them so.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::context::NodeContext;
+use crate::shard::Shard;
+use crate::shard::mailbox::{Mailboxes, ShardMessage};
+
+/// Time between two looks at whether the node has drained.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time without work from other nodes after which they are taken to go elsewhere.
+const QUIET_PERIOD: Duration = Duration::from_millis(200);
+/// Longest wait for the shards to take leave of other nodes.
+const GOODBYE_LIMIT: Duration = Duration::from_secs(1);
+
+/// How far a node's stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It serves.
+    Running,
+    /// It finishes what is under way.
+    Leaving,
+    /// It runs nothing any more.
+    Closed,
+}
+
+/// The stage, shared by all threads.
+#[derive(Debug, Default)]
+pub struct SharedStage(AtomicU8);
+
+impl SharedStage {
+    /// The stage now.
+    pub fn load(&self) -> Stage {
+        match self.0.load(Ordering::Acquire) {
+            0 => Stage::Running,
+            1 => Stage::Leaving,
+            _ => Stage::Closed,
+        }
+    }
+
+    /// Goes on to `stage`; there is no way back.
+    pub fn advance_to(&self, stage: Stage) {
+        self.0.fetch_max(stage as u8, Ordering::AcqRel);
+    }
+}
+
+/// The parts of a node that a stop deals with.
+pub struct Drain {
+    /// What the node's threads share.
+    pub context: Arc<NodeContext>,
+    /// Its shards.
+    pub shards: Vec<Arc<Mutex<Shard>>>,
+    /// Their mailboxes.
+    pub mailboxes: Arc<Mailboxes>,
+}
+
+impl Drain {
+    /// Finishes what is under way, for at most `limit`. Returns whether everything was finished.
+    pub fn run(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        self.context.stage.advance_to(Stage::Leaving);
+        if !self.wait(until, |shard| shard.is_drained(QUIET_PERIOD)) {
+            return false;
+        }
+        self.context.stage.advance_to(Stage::Closed);
+        // Work may have come in between the look and the change of stage.
+        if !self.wait(until, |shard| shard.is_drained(Duration::ZERO)) {
+            return false;
+        }
+        for number in 0..self.shards.len() {
+            self.mailboxes.send(number as u16, ShardMessage::Goodbye);
+        }
+        self.wait(Instant::now() + GOODBYE_LIMIT, Shard::has_said_goodbye)
+    }
+
+    fn wait(&self, until: Instant, is_done: impl Fn(&Shard) -> bool) -> bool {
+        loop {
+            let lock = |shard: &Arc<Mutex<Shard>>| {
+                is_done(&shard.lock().unwrap_or_else(PoisonError::into_inner))
+            };
+            if self.shards.iter().all(lock) {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(CHECK_INTERVAL);
+        }
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -176,6 +176,12 @@
         /// The message.
         message: ConfigurationMessage,
     },
+    /// The sender has drained and ends: what it has not answered on this connection has not run
+    /// and never will.
+    Goodbye {
+        /// The sender.
+        node: NodeName,
+    },
     /// For a gateway of the receiver.
     ToGateway(ToGateway),
     /// A caller asked to cancel what the session with this key, of the receiver, runs.
