--- a/crates/lab/tests/stopping.rs
+++ b/crates/lab/tests/stopping.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_daemon::node::Node;
 use kestrellock_daemon::policy::Policy;
+use kestrellock_lab::logins::password_of;
 use kestrellock_lab::scenario::definition::Scenario;
 use kestrellock_lab::scenario::deployment::Cluster;
 use postgres::{Client, Config, NoTls, SimpleQueryMessage};
@@ -65,6 +66,7 @@
                 .host(&address.ip().to_string())
                 .port(address.port())
                 .user(TENANT)
+                .password(password_of(TENANT))
                 .dbname(DATABASE)
                 .connect(NoTls)
                 .ok();
