Live nodes come from membership; connections between nodes are authenticated

Cause: the list of live nodes was fixed by the settings, anybody could connect as a peer, two nodes that connected at once kept two connections, and a slow or silent peer could hold messages for ever. Change: a supervised thread runs core::membership on a UDP socket at the peer address and replaces the list of live nodes when it differs; the board carries members, counters, the leaving mark, and hints of broken connections. Links prove themselves before anything is sent, give way to a crossing one, are closed when idle or to dead nodes, and hand back what was never sent. Settings get a cluster name, and need a cluster key where there are other nodes: the fixture of the settings tests had peers without one and now has a key, with a case for its absence.

--- a/crates/core/src/membership/merge.rs
+++ b/crates/core/src/membership/merge.rs
@@ -147,6 +147,7 @@
         }
         if news {
             self.counters.joins += 1;
+            self.last_join = now;
             self.changes.push_back(Change::Live(record));
         }
         if suspected {
@@ -157,6 +158,7 @@
     /// Takes up a member learnt from a comparison without spreading it: others know it already.
     pub(super) fn insert_quietly(&mut self, record: MemberRecord, now: Duration) {
         self.counters.joins += 1;
+        self.last_join = now;
         self.table.put(record.clone(), now, None);
         self.changes.push_back(Change::Live(record));
     }
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -36,7 +36,7 @@
 
     /// A message is direct evidence of what its sender says of itself.
     fn observe_sender(&mut self, sender: MemberRecord, now: Duration) {
-        self.joined = true;
+        self.joined_at = self.joined_at.or(Some(now));
         let (node, revision) = (sender.node.clone(), sender.revision);
         let known = self.table.get(&node).map(|known| known.record.incarnation);
         match known {
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -72,7 +72,9 @@
     pub(super) changes: VecDeque<Change>,
     pub(super) counters: Counters,
     pub(super) newest: Revision,
-    pub(super) joined: bool,
+    pub(super) joined_at: Option<Duration>,
+    pub(super) last_join: Duration,
+    settled: bool,
     pub(super) started: Duration,
     last_tick: Duration,
     next_gossip: Duration,
@@ -92,7 +94,9 @@
         let prober = Prober::new(now, &timing, random);
         Self {
             newest: own.revision,
-            joined: seeds.is_empty(),
+            joined_at: None,
+            last_join: now,
+            settled: seeds.is_empty(),
             own,
             timing,
             table: Table::default(),
@@ -130,9 +134,10 @@
         self.counters
     }
 
-    /// Whether the view may be used: a member has answered, or none did within the limit.
+    /// Whether the view may be used: members were found and no more turn up, or none answered
+    /// within the limit. Once true it stays so.
     pub fn is_settled(&self) -> bool {
-        self.joined
+        self.settled
     }
 
     /// Newest revision of the configuration that any member was heard to have in force.
@@ -321,8 +326,16 @@
     }
 
     fn settle_if_due(&mut self, now: Duration) {
-        if now.saturating_sub(self.started) >= self.timing.join_limit {
-            self.joined = true;
+        if self.settled {
+            return;
         }
+        let since = |start: Duration| now.saturating_sub(start);
+        self.settled = match self.joined_at {
+            None => since(self.started) >= self.timing.join_limit,
+            Some(joined) => {
+                since(self.last_join) >= self.timing.settle_quiet
+                    || since(joined) >= self.timing.settle_limit
+            }
+        };
     }
 }
--- a/crates/core/src/membership/timing.rs
+++ b/crates/core/src/membership/timing.rs
@@ -33,6 +33,10 @@
     pub join_interval: Duration,
     /// Time after which a node without other members stops waiting for its seeds.
     pub join_limit: Duration,
+    /// Time without a new member after which a joining node takes its view for whole.
+    pub settle_quiet: Duration,
+    /// Longest time a joining node waits for its view to become whole.
+    pub settle_limit: Duration,
     /// Time after which a dead member is forgotten.
     pub forget_dead_after: Duration,
     /// A longer time between two ticks means that this process did not run in between.
@@ -56,6 +60,8 @@
             recontact_interval: Duration::from_secs(5),
             join_interval: Duration::from_millis(500),
             join_limit: Duration::from_secs(2),
+            settle_quiet: Duration::from_millis(400),
+            settle_limit: Duration::from_secs(5),
             forget_dead_after: Duration::from_secs(3600),
             pause_threshold: Duration::from_millis(800),
         }
--- /dev/null
+++ b/crates/daemon/src/agent/membership.rs
@@ -0,0 +1,265 @@
+//! Runs membership: its socket, its clock, and what it tells the rest of the node.
+//!
+//! Decisions are taken in `core::membership`; here datagrams are received and sent, time passes,
+//! and the list of live nodes is published whenever it changes.
+
+use std::io;
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use kestrellock_core::membership::message::MAX_DATAGRAM_BYTES;
+use kestrellock_core::membership::{
+    Change, Health, Incarnation, MemberRecord, Membership, Seed, Timing,
+};
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_peer::auth::ClusterKeys;
+use kestrellock_peer::datagram::{DatagramCodec, DatagramError};
+
+use super::board::RevisionHolder;
+use crate::context::{LiveNode, NodeContext};
+use crate::metrics::MessageEvent;
+use crate::settings::Settings;
+use crate::supervisor::StopFlag;
+
+/// Time between two ticks of the state machine.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest time for which the published list of members may be out of date.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+/// Datagrams handled before the clock is looked at again.
+const DATAGRAMS_AT_ONCE: usize = 256;
+/// Outdated senders told of it between two ticks.
+const OUTDATED_AT_ONCE: usize = 4;
+
+/// Who this node is to the others and how it finds them.
+#[derive(Clone, Debug)]
+pub struct Joining {
+    own: MemberRecord,
+    seeds: Vec<Seed>,
+    cluster: String,
+    keys: ClusterKeys,
+}
+
+impl Joining {
+    /// From the settings, with `process` as the incarnation of this process.
+    pub fn new(settings: &Settings, process: u64, keys: ClusterKeys) -> Self {
+        let own = MemberRecord {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            peer_address: settings.advertised_peer_address.unwrap_or(settings.peer_address),
+            admin_address: settings.admin_address,
+            incarnation: Incarnation { process, refutation: 0 },
+            health: Health::Alive,
+            leaving: false,
+            revision: Default::default(),
+        };
+        let seed = |peer: &crate::settings::PeerSettings| Seed {
+            node: peer.node.clone(),
+            address: peer.address,
+        };
+        let seeds = settings.peers.iter().map(seed).collect();
+        Self { own, seeds, cluster: settings.cluster.clone(), keys }
+    }
+}
+
+/// Takes part in membership until told to stop.
+pub fn run(socket: &UdpSocket, joining: &Joining, context: &NodeContext, stop: &StopFlag) {
+    let mut agent = Agent::new(socket, joining, context);
+    while !stop.is_stopping() {
+        stop.wait_while_paused();
+        agent.receive();
+        stop.wait_while_paused();
+        agent.tick_if_due();
+    }
+    if context.is_leaving() {
+        agent.membership.announce_left(&mut random);
+        agent.send();
+    }
+}
+
+fn random() -> u64 {
+    rand::random()
+}
+
+struct Agent<'a> {
+    socket: &'a UdpSocket,
+    context: &'a NodeContext,
+    membership: Membership,
+    codec: DatagramCodec,
+    origin: Instant,
+    next_tick: Instant,
+    next_publish: Instant,
+    outdated_told: usize,
+}
+
+impl<'a> Agent<'a> {
+    fn new(socket: &'a UdpSocket, joining: &Joining, context: &'a NodeContext) -> Self {
+        let origin = Instant::now();
+        let Joining { own, seeds, cluster, keys } = joining.clone();
+        let codec = DatagramCodec::new(keys, &cluster, own.node.clone());
+        let membership =
+            Membership::new(own, Timing::default(), seeds, Duration::ZERO, &mut random);
+        Self {
+            socket,
+            context,
+            membership,
+            codec,
+            origin,
+            next_tick: origin,
+            next_publish: origin,
+            outdated_told: 0,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Takes in what has arrived, waiting for it until the next tick.
+    fn receive(&mut self) {
+        let mut buffer = [0_u8; MAX_DATAGRAM_BYTES + 1];
+        for _ in 0..DATAGRAMS_AT_ONCE {
+            let wait = self.next_tick.saturating_duration_since(Instant::now());
+            if wait.is_zero() || self.socket.set_read_timeout(Some(wait)).is_err() {
+                return;
+            }
+            match self.socket.recv_from(&mut buffer) {
+                Ok((count, _)) => self.take_in(&buffer[..count]),
+                // The system reports here that an earlier datagram met a closed port.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn take_in(&mut self, bytes: &[u8]) {
+        let metrics = &self.context.metrics;
+        let now = self.now();
+        let process = self.membership.own().incarnation.process;
+        match self.codec.open(bytes, process, now) {
+            Ok(message) => {
+                metrics.datagrams.count(MessageEvent::Received);
+                metrics.datagram_bytes.add(MessageEvent::Received, bytes.len() as u64);
+                self.context.revisions.hear(&message.sender.node, message.sender.revision);
+                self.membership.on_message(message, now, &mut random);
+            }
+            Err(error) => {
+                metrics.datagrams.count(MessageEvent::Refused);
+                metrics.datagram_bytes.add(MessageEvent::Refused, bytes.len() as u64);
+                self.on_refused(error);
+            }
+        }
+        self.send();
+    }
+
+    fn on_refused(&mut self, error: DatagramError) {
+        log::debug!("datagram refused: {error}");
+        if let DatagramError::OldProcess(sender) = error
+            && self.outdated_told < OUTDATED_AT_ONCE
+        {
+            self.outdated_told += 1;
+            self.membership.on_outdated_sender(&sender);
+        }
+    }
+
+    fn send(&mut self) {
+        let metrics = &self.context.metrics;
+        for outgoing in self.membership.take_outgoing() {
+            let bytes = match self.codec.seal(&outgoing) {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    log::warn!("datagram to {} not sent: {error}", outgoing.to.node);
+                    continue;
+                }
+            };
+            // A datagram that cannot be sent now counts as lost on the way.
+            if self.socket.send_to(&bytes, outgoing.to.address).is_ok() {
+                metrics.datagrams.count(MessageEvent::Sent);
+                metrics.datagram_bytes.add(MessageEvent::Sent, bytes.len() as u64);
+            }
+        }
+    }
+
+    fn tick_if_due(&mut self) {
+        let now = Instant::now();
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + TICK;
+        self.outdated_told = 0;
+        self.take_wishes();
+        self.membership.on_tick(self.now(), &mut random);
+        self.send();
+        self.publish(now);
+    }
+
+    fn take_wishes(&mut self) {
+        let revision = self.context.catalog.load().revision;
+        self.membership.set_revision(revision, &mut random);
+        if self.context.is_leaving() {
+            self.membership.begin_leaving(&mut random);
+        }
+        for node in self.context.membership.take_hints() {
+            self.membership.hint_unreachable(&node);
+        }
+    }
+
+    fn publish(&mut self, now: Instant) {
+        let changes = self.membership.take_changes();
+        for change in &changes {
+            self.report(change);
+        }
+        if changes.is_empty() && now < self.next_publish {
+            return;
+        }
+        self.next_publish = now + PUBLISH_INTERVAL;
+        let own = std::iter::once(self.membership.own());
+        let members: Vec<MemberRecord> = own.chain(self.membership.members()).cloned().collect();
+        if self.membership.is_settled() {
+            self.publish_live(&members);
+        }
+        self.context.membership.members.store(members);
+        self.context.membership.set_counters(self.membership.counters());
+    }
+
+    /// Replaces the list of live nodes if it differs.
+    fn publish_live(&self, members: &[MemberRecord]) {
+        let live: Vec<LiveNode> =
+            members.iter().filter(|member| member.health.is_live()).map(live_node).collect();
+        if live != *self.context.live.load() {
+            self.context.live.store(live);
+        }
+    }
+
+    fn report(&self, change: &Change) {
+        match change {
+            Change::Live(member) if member.leaving => log::info!("{} is leaving", member.node),
+            Change::Live(member) => {
+                log::info!("{} is live at {}", member.node, member.peer_address);
+            }
+            Change::Gone(node, Health::Left) => log::info!("{node} has left"),
+            Change::Gone(node, _) => log::warn!("{node} is held for dead"),
+            Change::NameTaken => {
+                log::warn!("another process used this node's name; took a newer incarnation");
+            }
+            Change::RevisionSeen(node, revision) => {
+                let holder = self.membership.members().find(|member| member.node == *node);
+                if let Some(member) = holder {
+                    self.context.membership.set_newest_revision(RevisionHolder {
+                        node: node.clone(),
+                        peer_address: member.peer_address,
+                        admin_address: member.admin_address,
+                        revision: *revision,
+                    });
+                }
+            }
+        }
+    }
+}
+
+fn live_node(member: &MemberRecord) -> LiveNode {
+    LiveNode {
+        candidate: Candidate { node: member.node.clone(), zone: member.zone.clone() },
+        peer_address: member.peer_address,
+        accepts_work: !member.leaving,
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,7 +10,9 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::InstanceStatus;
+use kestrellock_peer::auth::ClusterKeys;
 
+use crate::agent::board::MembershipBoard;
 use crate::agent::configuration::Inbox;
 use crate::agent::revisions::Revisions;
 use crate::metrics::Metrics;
@@ -102,8 +104,14 @@
 pub struct NodeContext {
     /// This node.
     pub identity: Identity,
-    /// Nodes believed to live, this one among them.
+    /// Nodes believed to live, this one among them; empty until membership has found its feet.
     pub live: Shared<Vec<LiveNode>>,
+    /// What membership knows beyond that, and what it is asked to do.
+    pub membership: MembershipBoard,
+    /// Keys under which nodes authenticate to each other.
+    pub cluster_keys: ClusterKeys,
+    /// Name of the cluster; nodes of others are refused.
+    pub cluster: String,
     /// Configuration in force.
     pub catalog: Shared<IndexedCatalog>,
     /// Owners of instances by the two above.
--- /dev/null
+++ b/crates/daemon/src/links/link.rs
@@ -0,0 +1,167 @@
+//! One connection to another node.
+
+use std::time::Instant;
+
+use kestrellock_core::ids::NodeName;
+use kestrellock_peer::channel::{Channel, ChannelError, Hello, Side};
+use kestrellock_peer::message::PeerMessage;
+use mio::Registry;
+
+use crate::net::connection::{Connection, ReadOutcome};
+
+/// Bytes that may wait for a peer that takes them slowly; more are not queued.
+pub const MAX_QUEUED_BYTES: usize = 32 * 1024 * 1024;
+
+/// A connection, its authentication, and what waits for it.
+#[derive(Debug)]
+pub struct Link {
+    connection: Connection,
+    channel: Channel,
+    target: Option<NodeName>,
+    waiting: Vec<PeerMessage>,
+    opened: Instant,
+    used: Instant,
+}
+
+/// What reading from a link brought.
+#[derive(Debug, Default)]
+pub struct Received {
+    /// Messages, in order.
+    pub messages: Vec<PeerMessage>,
+    /// Whether the other side introduced itself for the first time.
+    pub introduced: bool,
+    /// Whether the link became usable.
+    pub established: bool,
+    /// Whether it cannot be used any more.
+    pub broken: bool,
+    /// Whether the other side broke the protocol.
+    pub refused: bool,
+}
+
+impl Link {
+    /// A link to `target`, or one that an unknown node opened.
+    pub fn begin(
+        mut connection: Connection,
+        own: Hello,
+        keys: kestrellock_peer::auth::ClusterKeys,
+        target: Option<NodeName>,
+        now: Instant,
+    ) -> Result<Self, ChannelError> {
+        let side = if target.is_some() { Side::Opener } else { Side::Acceptor };
+        let channel = Channel::begin(side, own, keys, &mut connection.output)?;
+        Ok(Self { connection, channel, target, waiting: Vec::new(), opened: now, used: now })
+    }
+
+    /// Which side this node is.
+    pub fn side(&self) -> Side {
+        self.channel.side()
+    }
+
+    /// Introduction of the other side, if it has come. Proved only once the link is established.
+    pub fn peer(&self) -> Option<&Hello> {
+        self.channel.peer()
+    }
+
+    /// Node that this link is to reach, or that proved to be on its other side.
+    pub fn node(&self) -> Option<&NodeName> {
+        let proved = self.channel.peer().filter(|_| self.channel.is_established());
+        proved.map(|peer| &peer.node).or(self.target.as_ref())
+    }
+
+    /// Whether both sides have proved themselves.
+    pub fn is_established(&self) -> bool {
+        self.channel.is_established()
+    }
+
+    /// Whether the other side is the node this link was opened for.
+    pub fn is_as_expected(&self) -> bool {
+        match (&self.target, self.channel.peer()) {
+            (Some(target), Some(peer)) => *target == peer.node,
+            _ => true,
+        }
+    }
+
+    /// When the connection was begun.
+    pub fn opened(&self) -> Instant {
+        self.opened
+    }
+
+    /// When a message last went either way.
+    pub fn used(&self) -> Instant {
+        self.used
+    }
+
+    /// Queues a message; gives it back if too much is queued or it cannot be encoded.
+    pub fn send(&mut self, message: PeerMessage, now: Instant) -> Result<(), Box<PeerMessage>> {
+        if !self.channel.is_established() {
+            self.waiting.push(message);
+            return Ok(());
+        }
+        if self.connection.output.len() > MAX_QUEUED_BYTES {
+            return Err(Box::new(message));
+        }
+        self.used = now;
+        self.channel.send(&message, &mut self.connection.output).map_err(|error| {
+            log::warn!("message to another node not sent: {error}");
+            Box::new(message)
+        })
+    }
+
+    /// Takes over messages that waited for another link.
+    pub fn take_over(&mut self, messages: Vec<PeerMessage>) {
+        self.waiting.extend(messages);
+    }
+
+    /// Messages that wait for the link to be established.
+    pub fn take_waiting(&mut self) -> Vec<PeerMessage> {
+        std::mem::take(&mut self.waiting)
+    }
+
+    /// Reads what is there up to the other side's introduction; the handshake is not answered.
+    pub fn fill(&mut self) -> ReadOutcome {
+        self.connection.fill()
+    }
+
+    /// Takes the handshake on with what was read, then takes messages off it.
+    pub fn advance(&mut self, now: Instant) -> Received {
+        let mut received = Received::default();
+        if !self.channel.is_established() {
+            let known = self.channel.peer().is_some();
+            let Connection { input, output, .. } = &mut self.connection;
+            match self.channel.advance(input, output) {
+                Ok(established) => received.established = established,
+                Err(error) => self.refuse(&error, &mut received),
+            }
+            received.introduced = !known && self.channel.peer().is_some();
+        }
+        while self.channel.is_established() && !received.broken {
+            match self.channel.receive(&mut self.connection.input) {
+                Ok(Some(message)) => received.messages.push(message),
+                Ok(None) => break,
+                Err(error) => self.refuse(&error, &mut received),
+            }
+        }
+        if !received.messages.is_empty() {
+            self.used = now;
+        }
+        received
+    }
+
+    fn refuse(&self, error: &ChannelError, received: &mut Received) {
+        log::warn!("link closed: {error}");
+        received.broken = true;
+        received.refused = true;
+    }
+
+    /// Sends as much as the kernel takes.
+    pub fn flush(&mut self, registry: &Registry) -> std::io::Result<()> {
+        self.connection.flush(registry)?;
+        self.connection.release_buffers();
+        Ok(())
+    }
+
+    /// Takes the link out of the event loop.
+    pub fn deregister(&mut self, registry: &Registry) {
+        self.connection.deregister(registry);
+    }
+}
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -1,54 +1,97 @@
 //! Connections to other nodes, which carry statements and answers.
 //!
-//! A shard keeps at most one connection that it uses for sending to a node: the first one opened
-//! by either side. A connection that breaks loses what was under way; fronts notice by sequence
-//! numbers and deadlines, never by trust in the transport.
+//! A shard uses one connection for sending to a node: the one opened or accepted first. When two
+//! nodes open one to each other at the same moment, the one opened by the node of lesser name
+//! stays: the other node declines to prove itself on its own, so nothing was sent on it. A
+//! connection that breaks loses what was under way; the front hears of it at once. Messages that
+//! were never sent are handed back as such.
+
+pub mod link;
 
 use std::collections::HashMap;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use kestrellock_core::ids::NodeName;
-use kestrellock_peer::frame;
-use kestrellock_peer::message::{Hello, PROTOCOL_VERSION, PeerMessage};
+use kestrellock_peer::auth::ClusterKeys;
+use kestrellock_peer::channel::{Hello, Side};
+use kestrellock_peer::message::{PROTOCOL_VERSION, PeerMessage};
 use slab::Slab;
 
-use crate::context::Identity;
+use crate::context::{LiveNode, NodeContext};
+use crate::metrics::{ConnectionEvent, MessageEvent};
 use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::shard::{Io, Part, token};
 
+use self::link::Link;
+
+/// Time in which a connection must be established.
+const HANDSHAKE_LIMIT: Duration = Duration::from_millis(500);
+/// Time for which messages wait for the connection that the other node opened at the same moment.
+const CROSSING_LIMIT: Duration = Duration::from_millis(500);
+/// A connection on which nothing went either way for so long is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(600);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Messages whose connection gave way to one that the other node opened.
 #[derive(Debug)]
-struct Link {
-    connection: Connection,
-    peer: Option<NodeName>,
+struct Crossing {
+    messages: Vec<PeerMessage>,
+    until: Instant,
 }
 
 /// The links of one shard.
 #[derive(Debug)]
 pub struct Links {
-    identity: Identity,
+    hello: Hello,
+    keys: ClusterKeys,
     links: Slab<Link>,
     by_node: HashMap<NodeName, usize>,
+    crossings: HashMap<NodeName, Crossing>,
     unflushed: Vec<usize>,
     lost: Vec<NodeName>,
+    unsent: Vec<PeerMessage>,
+    live: Arc<Vec<LiveNode>>,
+    next_check: Instant,
 }
 
 impl Links {
     /// No links yet.
-    pub fn new(identity: Identity) -> Self {
+    pub fn new(context: &NodeContext, shard: u16) -> Self {
+        let hello = Hello {
+            version: PROTOCOL_VERSION,
+            cluster: context.cluster.clone(),
+            node: context.identity.node.clone(),
+            incarnation: context.identity.incarnation,
+            shard,
+            shards: context.shards,
+            nonce: [0; 16],
+        };
         Self {
-            identity,
+            hello,
+            keys: context.cluster_keys.clone(),
             links: Slab::new(),
             by_node: HashMap::new(),
+            crossings: HashMap::new(),
             unflushed: Vec::new(),
             lost: Vec::new(),
+            unsent: Vec::new(),
+            live: Arc::default(),
+            next_check: Instant::now(),
         }
     }
 
+    /// Number of connections.
+    pub fn count(&self) -> usize {
+        self.links.len()
+    }
+
     /// Takes over a connection that another node opened.
     pub fn accept(&mut self, stream: TcpStream, io: &mut Io) {
         if stream.set_nonblocking(true).is_ok() {
-            self.add(mio::net::TcpStream::from_std(stream), None, false, io);
+            self.add(mio::net::TcpStream::from_std(stream), None, io);
         }
     }
 
@@ -59,22 +102,25 @@
         message: PeerMessage,
         io: &mut Io,
     ) -> Option<PeerMessage> {
+        if let Some(crossing) = self.crossings.get_mut(node) {
+            crossing.messages.push(message);
+            return None;
+        }
         let known = self.by_node.get(node).copied();
         let Some(key) = known.or_else(|| self.connect(node, io)) else { return Some(message) };
-        let link = &mut self.links[key];
-        if frame::encode(&message, &mut link.connection.output).is_err() {
-            return Some(message);
-        }
         self.unflushed.push(key);
-        None
+        let refused = self.links[key].send(message, io.now).err();
+        let event = if refused.is_none() { MessageEvent::Sent } else { MessageEvent::Refused };
+        io.context.metrics.messages.count(event);
+        refused.map(|message| *message)
     }
 
-    /// Queues a message on every link.
-    pub fn broadcast(&mut self, message: &PeerMessage) {
-        for (key, link) in &mut self.links {
-            if frame::encode(message, &mut link.connection.output).is_ok() {
-                self.unflushed.push(key);
-            }
+    /// Queues a message on every established link.
+    pub fn broadcast(&mut self, message: &PeerMessage, now: Instant) {
+        for (key, link) in self.links.iter_mut().filter(|(_, link)| link.is_established()) {
+            // A link too full for it is about to be closed by this node's end anyway.
+            let _ = link.send(message.clone(), now);
+            self.unflushed.push(key);
         }
     }
 
@@ -82,7 +128,7 @@
     pub fn flush(&mut self, io: &mut Io) {
         for key in std::mem::take(&mut self.unflushed) {
             let Some(link) = self.links.get_mut(key) else { continue };
-            if link.connection.flush(io.registry).is_err() {
+            if link.flush(io.registry).is_err() {
                 self.close(key, io);
             }
         }
@@ -93,49 +139,97 @@
         std::mem::take(&mut self.lost)
     }
 
+    /// Messages taken by [`Links::send`] that turned out never to have been sent.
+    pub fn take_unsent(&mut self) -> Vec<PeerMessage> {
+        std::mem::take(&mut self.unsent)
+    }
+
     /// Handles readiness of a link; returns the messages that arrived.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) -> Vec<PeerMessage> {
         let Some(link) = self.links.get_mut(key) else { return Vec::new() };
-        let outcome = link.connection.fill();
-        let flushed = link.connection.flush(io.registry);
-        let mut received = Vec::new();
-        let mut healthy = outcome == ReadOutcome::Drained && flushed.is_ok();
-        loop {
-            match frame::decode::<PeerMessage>(&mut link.connection.input) {
-                Ok(Some(message)) => received.push(message),
-                Ok(None) => break,
-                Err(error) => {
-                    log::warn!("link closed: {error}");
-                    healthy = false;
-                    break;
-                }
-            }
+        let outcome = link.fill();
+        let received = link.advance(io.now);
+        let metrics = &io.context.metrics;
+        metrics.messages.add(MessageEvent::Received, received.messages.len() as u64);
+        if received.refused {
+            metrics.messages.count(MessageEvent::Refused);
         }
-        for message in &received {
-            if let PeerMessage::Hello(hello) = message {
-                healthy &= self.introduce(key, hello);
-            }
+        if received.introduced && self.declines(key) {
+            // The other side has no proof yet, so it has sent nothing and loses nothing.
+            self.links.remove(key).deregister(io.registry);
+            return Vec::new();
+        }
+        if received.established && !self.establish(key, io) {
+            self.close(key, io);
+            return Vec::new();
         }
-        if !healthy {
+        let broken = received.broken || outcome == ReadOutcome::Closed;
+        let flushed = self.links[key].flush(io.registry).is_ok();
+        if broken || !flushed {
             self.close(key, io);
         }
-        received
+        received.messages
+    }
+
+    /// Whether a link that another node opens is to give way to the one being opened to that node.
+    /// Only single-shard nodes know that both sides of the two links are the same.
+    fn declines(&self, key: usize) -> bool {
+        let link = &self.links[key];
+        let Some(peer) = link.peer().filter(|_| link.side() == Side::Acceptor) else {
+            return false;
+        };
+        let own = self.by_node.get(&peer.node).map(|own| &self.links[*own]);
+        let opening = own.is_some_and(|own| own.side() == Side::Opener && !own.is_established());
+        opening && peer.shards == 1 && self.hello.shards == 1 && self.hello.node < peer.node
     }
 
-    fn introduce(&mut self, key: usize, hello: &Hello) -> bool {
-        if hello.version != PROTOCOL_VERSION {
-            log::warn!("link from {} closed: protocol version {}", hello.node, hello.version);
+    /// Puts a link to use whose other side has proved itself; whether it may stay.
+    fn establish(&mut self, key: usize, io: &mut Io) -> bool {
+        let link = &self.links[key];
+        let Some(peer) = link.peer().cloned().filter(|_| link.is_as_expected()) else {
             return false;
+        };
+        io.context.metrics.links.count(ConnectionEvent::Opened);
+        if let Some(&other) = self.by_node.get(&peer.node)
+            && other != key
+        {
+            self.replace(other, key, &peer, io);
+        }
+        self.by_node.entry(peer.node.clone()).or_insert(key);
+        let crossing = self.crossings.remove(&peer.node);
+        let link = &mut self.links[key];
+        let mut waiting = crossing.map(|crossing| crossing.messages).unwrap_or_default();
+        waiting.extend(link.take_waiting());
+        for message in waiting {
+            if let Err(message) = link.send(message, io.now) {
+                self.unsent.push(*message);
+            }
         }
-        self.links[key].peer = Some(hello.node.clone());
-        self.by_node.entry(hello.node.clone()).or_insert(key);
+        self.unflushed.push(key);
         true
     }
 
+    /// A new link to a node is established while `other` is in use.
+    fn replace(&mut self, other: usize, key: usize, peer: &Hello, io: &mut Io) {
+        let old = &mut self.links[other];
+        if !old.is_established() {
+            let waiting = old.take_waiting();
+            self.links[key].take_over(waiting);
+            self.close(other, io);
+            return;
+        }
+        let restarted = old.peer().is_some_and(|known| known.incarnation != peer.incarnation);
+        let single = peer.shards == 1 && self.hello.shards == 1;
+        // A node opens a second link to the same shard only when it has lost the first.
+        if restarted || single {
+            self.close(other, io);
+        }
+    }
+
     fn connect(&mut self, node: &NodeName, io: &mut Io) -> Option<usize> {
         let address = io.context.peer_address(node)?;
         let stream = connect_from(io.context.identity.address, address).ok()?;
-        let key = self.add(stream, Some(node.clone()), true, io)?;
+        let key = self.add(stream, Some(node.clone()), io)?;
         self.by_node.insert(node.clone(), key);
         Some(key)
     }
@@ -143,29 +237,91 @@
     fn add(
         &mut self,
         stream: mio::net::TcpStream,
-        peer: Option<NodeName>,
-        connecting: bool,
+        target: Option<NodeName>,
         io: &mut Io,
     ) -> Option<usize> {
         let entry = self.links.vacant_entry();
         let key = entry.key();
-        let mut connection =
-            Connection::register(stream, token(Part::Link, key), io.registry, connecting).ok()?;
-        let hello = PeerMessage::Hello(Hello {
-            version: PROTOCOL_VERSION,
-            node: self.identity.node.clone(),
-            incarnation: self.identity.incarnation,
-        });
-        frame::encode(&hello, &mut connection.output).ok()?;
-        entry.insert(Link { connection, peer });
+        let (token, connecting) = (token(Part::Link, key), target.is_some());
+        let connection = Connection::register(stream, token, io.registry, connecting).ok()?;
+        let hello = Hello { nonce: rand::random(), ..self.hello.clone() };
+        let link = Link::begin(connection, hello, self.keys.clone(), target, io.now).ok()?;
+        entry.insert(link);
         self.unflushed.push(key);
         Some(key)
     }
 
+    /// Closes links that are idle, not established in time, or to nodes that are not live.
+    pub fn on_tick(&mut self, io: &mut Io) {
+        if io.now < self.next_check {
+            return;
+        }
+        self.next_check = io.now + CHECK_INTERVAL;
+        for key in self.due_for_closing(io.now) {
+            self.close(key, io);
+        }
+        self.close_links_to_dead_nodes(io);
+        self.end_crossings(io.now);
+    }
+
+    fn due_for_closing(&self, now: Instant) -> Vec<usize> {
+        let due = |link: &Link| match link.is_established() {
+            true => now.duration_since(link.used()) > IDLE_LIMIT,
+            false => now.duration_since(link.opened()) > HANDSHAKE_LIMIT,
+        };
+        self.links.iter().filter(|(_, link)| due(link)).map(|(key, _)| key).collect()
+    }
+
+    fn close_links_to_dead_nodes(&mut self, io: &mut Io) {
+        let live = io.context.live.load();
+        if Arc::ptr_eq(&live, &self.live) {
+            return;
+        }
+        let is_live = |node: &NodeName| live.iter().any(|peer| peer.candidate.node == *node);
+        let was_live = |node: &NodeName| self.live.iter().any(|peer| peer.candidate.node == *node);
+        let gone = |link: &Link| link.node().is_some_and(|node| was_live(node) && !is_live(node));
+        let dead: Vec<usize> =
+            self.links.iter().filter(|(_, link)| gone(link)).map(|(key, _)| key).collect();
+        self.live = live.clone();
+        for key in dead {
+            self.close(key, io);
+        }
+    }
+
+    /// Hands back messages whose crossing connection never came.
+    fn end_crossings(&mut self, now: Instant) {
+        let unsent = &mut self.unsent;
+        self.crossings.retain(|_, crossing| {
+            let goes_on = now < crossing.until;
+            if !goes_on {
+                unsent.append(&mut crossing.messages);
+            }
+            goes_on
+        });
+    }
+
+    /// Closes a link. What was under way on it is lost; what waited for it was never sent.
     fn close(&mut self, key: usize, io: &mut Io) {
         let Some(mut link) = self.links.try_remove(key) else { return };
-        link.connection.deregister(io.registry);
-        self.lost.extend(link.peer.take());
+        link.deregister(io.registry);
         self.by_node.retain(|_, used| *used != key);
+        let Some(node) = link.node().cloned() else { return };
+        let idle = io.now.duration_since(link.used()) > IDLE_LIMIT / 2;
+        if link.is_established() {
+            io.context.metrics.links.count(ConnectionEvent::Closed);
+            if !idle {
+                self.lost.push(node);
+            }
+            return;
+        }
+        let messages = link.take_waiting();
+        let crossed = link.peer().is_some() && node < self.hello.node;
+        if crossed && !messages.is_empty() {
+            let until = io.now + CROSSING_LIMIT;
+            self.crossings.insert(node, Crossing { messages, until });
+        } else {
+            io.context.metrics.links.count(ConnectionEvent::Refused);
+            self.unsent.extend(messages);
+        }
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,21 +1,23 @@
 //! The root supervisor: starts a node's parts and stops them together.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use kestrellock_core::catalog::IndexedCatalog;
-use kestrellock_core::rendezvous::Candidate;
+use kestrellock_peer::auth::{ClusterKeys, KeyError};
 use kestrellock_platform::store::ConfigStore;
 use thiserror::Error;
 
 use crate::admin::Admin;
 use crate::agent;
+use crate::agent::board::MembershipBoard;
 use crate::agent::configuration::{Configuration, Inbox};
 use crate::agent::counted_store::CountedStore;
+use crate::agent::membership::Joining;
 use crate::agent::revisions::Revisions;
-use crate::context::{Identity, LiveNode, NodeContext, Shared, StatusBoard};
+use crate::context::{Identity, NodeContext, Shared, StatusBoard};
 use crate::metrics::Metrics;
 use crate::ownership::{Detours, Ownerships};
 use crate::policy::Policy;
@@ -27,6 +29,8 @@
 
 /// Threads that serve the admin port, so that one request that waits for the store stops no other.
 const ADMIN_THREADS: usize = 3;
+/// Attempts to find a port that is free for both TCP and UDP.
+const PORT_ATTEMPTS: usize = 50;
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Why a node could not start.
@@ -40,6 +44,9 @@
         /// What the operating system said.
         source: io::Error,
     },
+    /// The cluster keys cannot be used.
+    #[error("cannot authenticate to other nodes: {0}")]
+    ClusterKeys(#[from] KeyError),
     /// The event loops cannot be made.
     #[error("cannot make an event loop: {0}")]
     EventLoop(io::Error),
@@ -49,20 +56,40 @@
 pub struct Listeners {
     callers: TcpListener,
     peers: TcpListener,
+    datagrams: UdpSocket,
     admin: TcpListener,
 }
 
 impl Listeners {
     /// Binds the addresses of `settings`, and writes the ports that the system chose back to it.
     pub fn bind(settings: &mut Settings) -> Result<Self, StartError> {
+        let (peers, datagrams) = bind_peers(&mut settings.peer_address)?;
         Ok(Self {
             callers: bind(&mut settings.caller_address)?,
-            peers: bind(&mut settings.peer_address)?,
+            peers,
+            datagrams,
             admin: bind(&mut settings.admin_address)?,
         })
     }
 }
 
+/// Binds one port for connections and datagrams of other nodes.
+fn bind_peers(address: &mut SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let wanted = *address;
+    let attempts = if wanted.port() == 0 { PORT_ATTEMPTS } else { 1 };
+    let mut failure = None;
+    for _ in 0..attempts {
+        *address = wanted;
+        let listener = bind(address)?;
+        match UdpSocket::bind(*address) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(source) => failure = Some(source),
+        }
+    }
+    let source = failure.unwrap_or_else(|| io::ErrorKind::AddrInUse.into());
+    Err(StartError::Listen { address: *address, source })
+}
+
 fn bind(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
     let failed = |source| StartError::Listen { address: *address, source };
     let listener = TcpListener::bind(*address).map_err(failed)?;
@@ -90,7 +117,8 @@
         policy: Policy,
     ) -> Result<Self, StartError> {
         let stop = StopFlag::default();
-        let context = Arc::new(new_context(settings, policy, Metrics::new(stop.restarts())));
+        let context = new_context(settings, policy, Metrics::new(stop.restarts()))?;
+        let context = Arc::new(context);
         let (mailboxes, receivers) =
             Mailboxes::new(settings.shards).map_err(StartError::EventLoop)?;
         let mailboxes = Arc::new(mailboxes);
@@ -105,7 +133,7 @@
                 event_loop::run(&shard, &mut mailbox, &stop);
             });
         }
-        let Listeners { callers, peers, admin } = listeners;
+        let Listeners { callers, peers, datagrams, admin } = listeners;
         spawn_acceptor(
             &mut root,
             "callers",
@@ -133,6 +161,7 @@
             token,
         };
         spawn_admin(&mut root, admin, pages)?;
+        spawn_membership(&mut root, datagrams, settings, &context, &stop);
         spawn_agent(&mut root, &configuration, store, &stop);
         let drain_limit = settings.drain_limit;
         Ok(Self { context, stop, root, drain, drain_limit })
@@ -166,7 +195,11 @@
     }
 }
 
-fn new_context(settings: &Settings, policy: Policy, metrics: Metrics) -> NodeContext {
+fn new_context(
+    settings: &Settings,
+    policy: Policy,
+    metrics: Metrics,
+) -> Result<NodeContext, StartError> {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let identity = Identity {
         node: settings.node.clone(),
@@ -174,19 +207,12 @@
         address: settings.peer_address.ip(),
         incarnation: since_epoch.as_micros() as u64,
     };
-    let own = LiveNode {
-        candidate: Candidate { node: settings.node.clone(), zone: settings.zone.clone() },
-        peer_address: settings.advertised_peer_address.unwrap_or(settings.peer_address),
-        accepts_work: true,
-    };
-    let others = settings.peers.iter().map(|peer| LiveNode {
-        candidate: Candidate { node: peer.node.clone(), zone: peer.zone.clone() },
-        peer_address: peer.address,
-        accepts_work: true,
-    });
-    NodeContext {
+    Ok(NodeContext {
         identity,
-        live: Shared::new(std::iter::once(own).chain(others).collect()),
+        live: Shared::default(),
+        membership: MembershipBoard::default(),
+        cluster_keys: cluster_keys(settings)?,
+        cluster: settings.cluster.clone(),
         catalog: Shared::new(IndexedCatalog::default()),
         owners: Ownerships::default(),
         detours: Detours::default(),
@@ -197,7 +223,30 @@
         configuration: Inbox::default(),
         revisions: Revisions::default(),
         metrics,
+    })
+}
+
+/// The keys of the settings; without any, one that no other node has.
+fn cluster_keys(settings: &Settings) -> Result<ClusterKeys, KeyError> {
+    let keys = &settings.secrets.cluster_keys;
+    if keys.is_empty() {
+        let own_only: [u8; 32] = rand::random();
+        return ClusterKeys::new([own_only.as_slice()]);
     }
+    ClusterKeys::new(keys.iter().map(|key| key.reveal().as_bytes()))
+}
+
+fn spawn_membership(
+    root: &mut Supervisor,
+    socket: UdpSocket,
+    settings: &Settings,
+    context: &Arc<NodeContext>,
+    stop: &StopFlag,
+) {
+    let process = context.identity.incarnation;
+    let joining = Joining::new(settings, process, context.cluster_keys.clone());
+    let (context, stop) = (context.clone(), stop.clone());
+    root.spawn("membership", move || agent::membership::run(&socket, &joining, &context, &stop));
 }
 
 /// How long a listener accepts.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,6 +16,11 @@
 pub use file::{SettingsFile, parse};
 pub use validate::{SettingsError, validate};
 
+/// Cluster of a node whose settings name none.
+pub const DEFAULT_CLUSTER: &str = "kestrellock";
+/// Key of nodes that run inside one program on loopback addresses.
+const LOOPBACK_CLUSTER_KEY: &str = "key of nodes on loopback";
+
 /// One other node, known before membership has run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -57,6 +62,8 @@
 /// Complete and valid settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
+    /// Name of the cluster; nodes of another one are refused.
+    pub cluster: String,
     /// Name of this node, unique in the cluster.
     pub node: NodeName,
     /// Zone it runs in.
@@ -89,7 +96,9 @@
     /// Settings of a node on loopback ports that the system chooses, without peers and store.
     pub fn loopback(node: NodeName, zone: ZoneName) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let cluster_keys = vec![Secret::new(LOOPBACK_CLUSTER_KEY)];
         Self {
+            cluster: DEFAULT_CLUSTER.to_owned(),
             node,
             zone,
             caller_address: any,
@@ -101,7 +110,7 @@
             peers: Vec::new(),
             store_endpoints: Vec::new(),
             machine_list: None,
-            secrets: Secrets::default(),
+            secrets: Secrets { cluster_keys, ..Secrets::default() },
             secret_sources: SecretSources::default(),
         }
     }
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -10,7 +10,7 @@
 use kestrellock_program::diagnostic::FileDiagnostic;
 use serde::{Deserialize, Serialize};
 
-use super::{PeerSettings, SecretSources, Secrets, Settings, SettingsError};
+use super::{DEFAULT_CLUSTER, PeerSettings, SecretSources, Secrets, Settings, SettingsError};
 
 const DEFAULT_SHARDS: u16 = 1;
 /// Time that a planned stop gives to what is under way, unless set.
@@ -21,6 +21,7 @@
 #[serde(deny_unknown_fields)]
 #[allow(missing_docs, reason = "documented at the field of the same name in Settings")]
 pub struct SettingsFile {
+    pub cluster: Option<String>,
     pub node: Option<NodeName>,
     pub zone: Option<ZoneName>,
     pub caller_address: Option<SocketAddr>,
@@ -42,6 +43,7 @@
     /// Completes the settings; a field without a default must be there.
     pub fn complete(self) -> Result<Settings, SettingsError> {
         Ok(Settings {
+            cluster: self.cluster.unwrap_or_else(|| DEFAULT_CLUSTER.to_owned()),
             node: needed(self.node, "node")?,
             zone: needed(self.zone, "zone")?,
             caller_address: needed(self.caller_address, "caller_address")?,
--- a/crates/daemon/src/settings/validate.rs
+++ b/crates/daemon/src/settings/validate.rs
@@ -45,6 +45,7 @@
 
 /// Checks every field and the fields against each other.
 pub fn validate(settings: &Settings) -> Result<(), SettingsError> {
+    check_name("cluster", &settings.cluster)?;
     check_name("node", settings.node.as_str())?;
     check_name("zone", settings.zone.as_str())?;
     if settings.shards == 0 || settings.shards > MAX_SHARDS {
@@ -161,6 +162,11 @@
         let problem = format!("must be at most {MAX_CLUSTER_KEYS}");
         return Err(SettingsError::invalid("secrets.cluster_keys", problem));
     }
+    let has_others = !settings.peers.is_empty() || settings.machine_list.is_some();
+    if has_others && sources.cluster_keys.is_empty() {
+        let problem = "must be set where there are other nodes";
+        return Err(SettingsError::contradiction("secrets.cluster_keys", problem));
+    }
     for (index, source) in sources.cluster_keys.iter().enumerate() {
         let field = format!("secrets.cluster_keys[{index}]");
         source.check().map_err(|error| contradiction(field, error))?;
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -112,7 +112,7 @@
             number,
             front: Front::new(context.identity.clone(), number),
             gateway: Gateway::default(),
-            links: Links::new(context.identity.clone()),
+            links: Links::new(&context, number),
             context,
             mailboxes,
             outbox: VecDeque::new(),
@@ -173,6 +173,7 @@
         self.with_io(registry, now, |shard, io| {
             shard.gateway.on_tick(io);
             shard.front.on_tick(io);
+            shard.links.on_tick(io);
         });
     }
 
@@ -194,7 +195,7 @@
     /// Tells the other nodes that whatever they sent and have no answer to will not run.
     fn say_goodbye(&mut self, io: &mut Io) {
         let node = io.context.identity.node.clone();
-        self.links.broadcast(&PeerMessage::Goodbye { node });
+        self.links.broadcast(&PeerMessage::Goodbye { node }, io.now);
         self.said_goodbye = true;
     }
 
@@ -206,7 +207,6 @@
     fn take_in(&mut self, received: Vec<PeerMessage>, io: &mut Io) {
         for message in received {
             match message {
-                PeerMessage::Hello(_) => {}
                 PeerMessage::Configuration { from, message } => {
                     let shard = self.number;
                     io.context.configuration.deliver(Received { from, shard, message });
@@ -259,14 +259,21 @@
         self.front.on_cancel(key, io);
     }
 
-    /// Tells every shard of each connection to another node that closed.
+    /// Tells every shard of each connection to another node that closed, and the front of what
+    /// was never sent.
     fn report_lost_peers(&mut self, io: &mut Io) {
         for node in self.links.take_lost() {
             for shard in (0..io.context.shards).filter(|shard| *shard != self.number) {
                 self.mailboxes.send(shard, ShardMessage::PeerLost(node.clone()));
             }
+            io.context.membership.hint_unreachable(&node);
             self.on_peer_lost(&node, io);
         }
+        for message in self.links.take_unsent() {
+            if let PeerMessage::ToGateway(message) = message {
+                self.on_unsent(message, io);
+            }
+        }
     }
 
     /// Answers travel over links of any shard, so every shard hears of a lost peer.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -16,6 +16,7 @@
 peers = [{ node = "b", zone = "z", address = "127.0.0.2:7432" }]
 [secrets]
 admin_token = { file = "token" }
+cluster_keys = [{ variable = "PATH" }]
 "#;
 
 fn arguments(words: &[&str]) -> Arguments {
@@ -73,6 +74,8 @@
         ("admin_token = { file = \"token\" }", "", "KL2004", Some(8)),
         ("{ file = \"token\" }", "{ }", "KL2006", Some(9)),
         ("{ file = \"token\" }", "{ file = \"token\", variable = \"T\" }", "KL2006", Some(9)),
+        ("cluster_keys = [{ variable = \"PATH\" }]", "", "KL2006", Some(8)),
+        ("node = \"a\"", "cluster = \"A b\"\nnode = \"a\"", "KL2005", Some(1)),
         ("{ file = \"token\" }", "\"a token in the file\"", "KL2002", Some(9)),
     ];
     for (from, to, code, line) in table {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -311,7 +311,7 @@
     }
 }
 
-fn store(group: &ScriptedGroup, deadline: Duration) -> Arc<dyn ConfigStore> {
+pub fn store(group: &ScriptedGroup, deadline: Duration) -> Arc<dyn ConfigStore> {
     let instances: Vec<_> = group
         .addresses
         .iter()
--- a/crates/peer/benches/authentication.rs
+++ b/crates/peer/benches/authentication.rs
@@ -15,6 +15,7 @@
         node: NodeName::new(node),
         incarnation: 1,
         shard: 0,
+        shards: 1,
         nonce: [7; 16],
     }
 }
--- a/crates/peer/src/channel.rs
+++ b/crates/peer/src/channel.rs
@@ -33,6 +33,8 @@
     pub incarnation: u64,
     /// Shard of the sender that holds the connection.
     pub shard: u16,
+    /// Number of the sender's shards.
+    pub shards: u16,
     /// Random bytes, so that no connection is like another.
     pub nonce: [u8; 16],
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -14,17 +14,6 @@
 /// Version of the protocol between nodes; a peer with another one is refused.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// First message on every connection between nodes, from both sides.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hello {
-    /// [`PROTOCOL_VERSION`] of the sender.
-    pub version: u16,
-    /// Sender.
-    pub node: NodeName,
-    /// Incarnation of the sender's process.
-    pub incarnation: u64,
-}
-
 /// A prepared statement that an exchange refers to under a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -167,8 +156,6 @@
 /// Everything that travels between nodes over TCP.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// Introduction.
-    Hello(Hello),
     /// For the agent that keeps the receiver's configuration.
     Configuration {
         /// Sender.
--- a/crates/peer/tests/channel.rs
+++ b/crates/peer/tests/channel.rs
@@ -18,6 +18,7 @@
         node: NodeName::new(node),
         incarnation: 1,
         shard: 0,
+        shards: 1,
         nonce: [nonce; 16],
     }
 }
