Failover: hold writes that nothing could confirm, fence replaced primaries, search at once

A write for a primary that no majority had followed lately was sent all the same and ended in doubt. The gateway now gives it back unsent, and its front holds it until a primary can take it or its deadline passes. The front picks no primary under a term lower than any that an instance has shown.

A higher term seen anywhere closes the connections to primaries of lower terms: what runs there is in doubt at once (KL1605) instead of at its deadline, what waits goes back to its front. An instance is reported out of reach by its owner alone.

The scripted group's copies of streams kept closed connections open, and the outcomes' deadline hid it by giving the same number; the test now checks the reason too.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod confirmation;
 pub mod connection_budget;
 pub mod exchange_state;
+pub mod failover;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -71,13 +71,14 @@
     Nowhere,
 }
 
-/// Picks the primary of highest term among reachable instances that claim the role.
+/// Picks the reachable instance that claims to be primary under the highest term that any instance
+/// has shown. A primary under a lower one has been replaced, even while its successor is unknown.
 pub fn primary<'a>(candidates: &[Candidate<'a>]) -> Option<&'a InstanceStatus> {
-    candidates
-        .iter()
-        .map(|candidate| candidate.status)
+    let statuses = candidates.iter().map(|candidate| candidate.status);
+    let newest = statuses.clone().map(|status| status.flushed.term).max()?;
+    statuses
         .filter(|status| status.reachable && status.role == Role::Primary)
-        .max_by_key(|status| status.applied.term)
+        .find(|status| status.applied.term >= newest)
 }
 
 /// Whether `status` may serve a read with this bound and staleness.
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -427,7 +427,7 @@
         match &mut self.request {
             Some(request) if again && !self.answer_begun && io.now < request.deadline => {
                 request.sent = false;
-                self.hold_until = Some(io.now + RESEND_INTERVAL);
+                self.hold_until = Some(io.now + refusal.retry_after.unwrap_or(RESEND_INTERVAL));
                 self.drop_lease();
             }
             _ => self.end_lease(LeaseEvent::Refused(refusal)),
--- /dev/null
+++ b/crates/daemon/src/gateway/fencing.rs
@@ -0,0 +1,77 @@
+//! Keeping work away from a primary that has been replaced, or that nothing confirms.
+
+use std::time::Duration;
+
+use kestrellock_core::catalog::Group;
+use kestrellock_core::exchange_state::Fault;
+use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::routing::Access;
+use kestrellock_peer::message::{Exchange, LeaseEvent};
+
+use super::server::Use;
+use super::{Gateway, GroupGateway, notify};
+use crate::policy::Policy;
+use crate::shard::Io;
+
+/// When a front may bring back a write that its primary cannot take now.
+const RETRY_AFTER: Duration = Duration::from_millis(20);
+
+impl GroupGateway {
+    /// Refuses the first exchange of a writing lease while no majority follows the instance: its
+    /// commit could not be confirmed, so it is held by its front, unsent.
+    pub(super) fn refuses_write(
+        &mut self,
+        exchange: &Exchange,
+        group: &Group,
+        io: &mut Io,
+    ) -> bool {
+        self.monitor.on_statement(io.now);
+        let unchecked = io.context.policy == Policy::NoConfirmation;
+        if exchange.access != Access::Write || unchecked {
+            return false;
+        }
+        let majority = group.majority();
+        if self.monitor.may_take_writes(&exchange.instance, majority, io.now) {
+            return false;
+        }
+        put_back(exchange, "no majority follows the instance as primary", io);
+        true
+    }
+
+    /// Gives what waits for an instance back to the fronts.
+    fn put_back_queue(&mut self, instance: &InstanceName, io: &mut Io) {
+        let Some(pool) = self.pools.get_mut(instance) else { return };
+        for exchange in pool.drain_queue() {
+            put_back(&exchange, "the primary has been replaced", io);
+        }
+    }
+}
+
+fn put_back(exchange: &Exchange, detail: &str, io: &mut Io) {
+    let refusal = Refusal::new(ResultCode::NotPrimary, detail).retry_after(RETRY_AFTER);
+    notify(&exchange.lease, 0, LeaseEvent::Refused(refusal), io);
+}
+
+impl Gateway {
+    /// A higher term has been seen: gives up every connection to the primaries of lower terms, and
+    /// gives back what waits for them.
+    pub(super) fn fence(&mut self, name: &GroupName, io: &mut Io) {
+        let Some(state) = self.groups.get_mut(name) else { return };
+        let outdated = state.monitor.outdated_primaries();
+        for instance in &outdated {
+            log::info!("{instance} of {name} has been replaced as primary");
+            state.put_back_queue(instance, io);
+        }
+        let fenced: Vec<usize> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.purpose == Use::Pooled)
+            .filter(|(_, server)| server.group == *name && outdated.contains(&server.instance))
+            .map(|(key, _)| key)
+            .collect();
+        for key in fenced {
+            self.on_server_lost(key, Fault::Superseded, io);
+        }
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: pooled connections to the instances this node owns, and what is known of them.
 
 pub mod confirmation;
+mod fencing;
 pub mod hygiene;
 pub mod monitor;
 pub mod ownership;
@@ -28,7 +29,7 @@
 
 use self::confirmation::Confirmations;
 use self::monitor::Monitor;
-use self::pool::{Assigned, Assignment, Pool, RefusedExchange};
+use self::pool::{Assigned, Assignment, Pool, PoolRole, RefusedExchange};
 
 use self::server::{Server, ServerEvent, Use};
 
@@ -144,7 +145,11 @@
             return;
         };
         let capacity = io.context.catalog.load().capacity(&exchange.tenant).unwrap_or(1);
-        let pool = self.groups.get_mut(name).and_then(|state| state.pools.get_mut(&instance.name));
+        let state = self.group_state(name, io.now);
+        if state.refuses_write(&exchange, group, io) {
+            return self.probe(name, group, io);
+        }
+        let pool = state.pools.get_mut(&instance.name);
         let Some(pool) = pool.filter(|pool| pool.accepts(io.now)) else {
             let owner = self.owner_of(&instance.name);
             ownership::refer(&exchange, owner, io);
@@ -300,8 +305,12 @@
             }
             ServerEvent::Probed(report) => {
                 let wait = state.pools.get(&instance).map(Pool::expected_wait);
-                state.monitor.on_report(&instance, &report, wait, io);
+                let majority = configured.majority();
+                let replaced = state.monitor.on_report(&instance, &report, wait, majority, io);
                 state.confirmations.on_report(&instance, &report, configured, io);
+                if replaced {
+                    self.fence(&group, io);
+                }
             }
         }
         self.pump_group(&group, io);
@@ -326,7 +335,7 @@
                     if let Ok(key) =
                         Server::connect(&mut self.servers, name, group, instance, purpose, io)
                     {
-                        state.monitor.on_probe_connecting(&instance.name, key);
+                        state.monitor.on_probe_connecting(&instance.name, key, io.now);
                     }
                 }
                 monitor::Step::Ask(key) => {
@@ -359,11 +368,16 @@
         let Some(state) = self.groups.get_mut(&server.group) else { return };
         match server.purpose {
             Use::Pooled => {
+                state.monitor.on_connection_lost(&server.instance, io.now);
                 if let Some(pool) = state.pools.get_mut(&server.instance) {
                     pool.on_lost(key, io.now, rand::random());
                 }
             }
-            Use::Probe => state.monitor.on_probe_lost(&server.instance, io),
+            Use::Probe => {
+                let pool = state.pools.get(&server.instance);
+                let owned = pool.is_some_and(|pool| pool.role() == PoolRole::Owner);
+                state.monitor.on_probe_lost(&server.instance, owned, io);
+            }
             Use::Cancel => {}
         }
     }
@@ -407,17 +421,17 @@
         }
     }
 
-    /// Whether commits wait for probes that must not wait for the next tick.
-    pub fn is_urgent(&self) -> bool {
-        self.groups.values().any(|state| state.confirmations.is_waiting())
+    /// Whether probes must not wait for the next tick, because commits or held writes do.
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        self.groups.values().any(|state| state.is_urgent(now))
     }
 
-    /// Probes again for the commits that wait.
+    /// Sends the probes that are due in groups for which something waits.
     pub fn on_urgent(&mut self, io: &mut Io) {
         let catalog = io.context.catalog.load();
-        let waiting = |(_, state): &(&GroupName, &GroupGateway)| state.confirmations.is_waiting();
+        let urgent = |(_, state): &(&GroupName, &GroupGateway)| state.is_urgent(io.now);
         let names: Vec<GroupName> =
-            self.groups.iter().filter(waiting).map(|(name, _)| name.clone()).collect();
+            self.groups.iter().filter(urgent).map(|(name, _)| name.clone()).collect();
         for name in names {
             if let Some(group) = catalog.groups.get(&name) {
                 self.probe(&name, group, io);
@@ -425,3 +439,9 @@
         }
     }
 }
+
+impl GroupGateway {
+    fn is_urgent(&self, now: Instant) -> bool {
+        self.confirmations.is_waiting() || self.monitor.is_searching(now)
+    }
+}
--- a/crates/daemon/src/gateway/monitor.rs
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -4,24 +4,19 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::confirmation::ProbeNumber;
+use kestrellock_core::failover::{Pace, Sighting, Watch, confirmed_at, may_take_writes};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::position::Position;
+use kestrellock_core::position::{Position, Term};
 use kestrellock_core::routing::{InstanceStatus, Role};
 use kestrellock_peer::message::{SUBSCRIPTION_LIFETIME, ToFront};
 
 use super::server::ProbeAnswer;
 use crate::shard::{Io, Outgoing};
 
-/// Time between probes of an instance while nothing waits for them.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between probes by a gateway that owns no instance of the group.
 const STANDBY_PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// A probe unanswered for this long means that the instance is silent.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two probes of an instance that has not reached a waiting commit yet.
-pub const RETRY_INTERVAL: Duration = Duration::from_millis(1);
-/// Time between attempts to open a probe connection.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
+const RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
 /// What to do about one instance's probe now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,26 +31,35 @@
 
 #[derive(Debug)]
 enum Probe {
-    Closed { since: Instant },
-    Busy { key: usize, since: Instant },
-    Idle { key: usize },
+    /// No attempt yet if `since` is `None`.
+    Closed {
+        since: Option<Instant>,
+    },
+    Busy {
+        key: usize,
+        since: Instant,
+    },
+    Idle {
+        key: usize,
+    },
 }
 
 #[derive(Debug)]
 struct Watched {
     probe: Probe,
-    next_probe: Instant,
     asked: Instant,
     last_probe: ProbeNumber,
     caught_up: Instant,
     status: Option<InstanceStatus>,
+    /// When the question was asked that `status` answers.
+    reported: Option<Instant>,
 }
 
 impl Watched {
-    fn is_due(&self, wanted: Option<ProbeNumber>, now: Instant) -> bool {
+    fn is_due(&self, wanted: Option<ProbeNumber>, interval: Duration, now: Instant) -> bool {
         let urgent = wanted
             .is_some_and(|wanted| wanted > self.last_probe || now >= self.asked + RETRY_INTERVAL);
-        urgent || now >= self.next_probe
+        urgent || self.reported.is_none() || now >= self.asked + interval
     }
 }
 
@@ -68,19 +72,30 @@
     primary: Option<Position>,
     started: Instant,
     standby: bool,
+    watch: Watch,
+    highest_term: Term,
 }
 
 impl Monitor {
     /// Knows nothing yet.
     pub fn new(group: GroupName, now: Instant) -> Self {
         let (instances, subscribers) = (HashMap::new(), HashMap::new());
-        Self { group, instances, subscribers, primary: None, started: now, standby: false }
+        Self {
+            group,
+            instances,
+            subscribers,
+            primary: None,
+            started: now,
+            standby: false,
+            watch: Watch::default(),
+            highest_term: Term::default(),
+        }
     }
 
     /// Whether the gateway only stands by: it keeps probe connections and probes rarely.
     pub fn set_standby(&mut self, standby: bool) {
         if self.standby && !standby {
-            self.instances.values_mut().for_each(|watched| watched.next_probe = self.started);
+            self.instances.values_mut().for_each(|watched| watched.asked = self.started);
         }
         self.standby = standby;
     }
@@ -93,12 +108,12 @@
     fn watched(&mut self, instance: &InstanceName) -> &mut Watched {
         let started = self.started;
         self.instances.entry(instance.clone()).or_insert_with(|| Watched {
-            probe: Probe::Closed { since: started - RECONNECT_INTERVAL },
-            next_probe: started,
+            probe: Probe::Closed { since: None },
             asked: started,
             last_probe: ProbeNumber::default(),
             caught_up: started,
             status: None,
+            reported: None,
         })
     }
 
@@ -123,13 +138,18 @@
         wanted: Option<ProbeNumber>,
         now: Instant,
     ) -> Step {
-        let interval = if self.standby { STANDBY_PROBE_INTERVAL } else { PROBE_INTERVAL };
+        let pace = self.watch.pace(now);
+        let idle = self.standby && pace == Pace::Idle;
+        let interval = if idle { STANDBY_PROBE_INTERVAL } else { pace.probe_interval() };
         let watched = self.watched(instance);
         match watched.probe {
-            Probe::Closed { since } if now >= since + RECONNECT_INTERVAL => Step::Connect,
-            Probe::Idle { key } if watched.is_due(wanted, now) => {
+            Probe::Closed { since }
+                if since.is_none_or(|since| now >= since + pace.reconnect_interval()) =>
+            {
+                Step::Connect
+            }
+            Probe::Idle { key } if watched.is_due(wanted, interval, now) => {
                 watched.probe = Probe::Busy { key, since: now };
-                watched.next_probe = now + interval;
                 watched.asked = now;
                 Step::Ask(key)
             }
@@ -143,10 +163,8 @@
     }
 
     /// A probe connection is being opened.
-    pub fn on_probe_connecting(&mut self, instance: &InstanceName, key: usize) {
-        let watched = self.watched(instance);
-        let since = watched.next_probe;
-        watched.probe = Probe::Busy { key, since };
+    pub fn on_probe_connecting(&mut self, instance: &InstanceName, key: usize, now: Instant) {
+        self.watched(instance).probe = Probe::Busy { key, since: now };
     }
 
     /// A probe connection can be asked.
@@ -156,40 +174,103 @@
 
     /// Probe connections that have been silent for too long.
     pub fn overdue(&self, now: Instant) -> Vec<usize> {
+        let timeout = self.watch.pace(now).probe_timeout();
         let late = |watched: &Watched| match watched.probe {
-            Probe::Busy { key, since } if now > since + PROBE_TIMEOUT => Some(key),
+            Probe::Busy { key, since } if now > since + timeout => Some(key),
             _ => None,
         };
         self.instances.values().filter_map(late).collect()
     }
 
-    /// A probe connection was lost: the instance counts as unreachable until it answers again.
-    pub fn on_probe_lost(&mut self, instance: &InstanceName, io: &mut Io) {
+    /// A statement for the group arrived.
+    pub fn on_statement(&mut self, now: Instant) {
+        self.watch.on_statement(now);
+    }
+
+    /// A connection to an instance was lost. If it led, its successor is searched for.
+    pub fn on_connection_lost(&mut self, instance: &InstanceName, now: Instant) {
+        let status = self.instances.get(instance).and_then(|watched| watched.status.as_ref());
+        if status.is_some_and(|status| status.role == Role::Primary) {
+            self.watch.on_primary_lost(now);
+        }
+    }
+
+    /// Whether the group's primary is being searched for.
+    pub fn is_searching(&self, now: Instant) -> bool {
+        self.watch.pace(now) == Pace::Searching
+    }
+
+    /// A probe connection was lost. Fronts are told that the instance is out of reach by its owner
+    /// alone: others may only be cut off from it themselves.
+    pub fn on_probe_lost(&mut self, instance: &InstanceName, owned: bool, io: &mut Io) {
+        self.on_connection_lost(instance, io.now);
         let watched = self.watched(instance);
-        watched.probe = Probe::Closed { since: io.now };
-        watched.next_probe = io.now;
+        watched.probe = Probe::Closed { since: Some(io.now) };
+        watched.reported = None;
         if let Some(status) = &mut watched.status {
             status.reachable = false;
             let status = status.clone();
-            self.publish(status, io);
+            if owned {
+                self.publish(status, io);
+            }
         }
     }
 
-    /// Takes in what an instance said; `queue_wait` is known where its pool is.
+    /// Since when a majority has been known to follow `term`.
+    fn confirmed_at(&self, term: Term, majority: usize) -> Option<Instant> {
+        let sightings = self.instances.values().filter_map(|watched| {
+            Some(Sighting { term: watched.status.as_ref()?.flushed.term, asked: watched.reported? })
+        });
+        confirmed_at(term, sightings, majority)
+    }
+
+    /// Whether an instance may be given a write now.
+    pub fn may_take_writes(&self, instance: &InstanceName, majority: usize, now: Instant) -> bool {
+        let watched = self.instances.get(instance);
+        let Some(status) = watched.and_then(|watched| watched.status.as_ref()) else {
+            return false;
+        };
+        let term = status.applied.term;
+        let confirmed = self.confirmed_at(term, majority);
+        let pace = self.watch.pace(now);
+        status.role == Role::Primary
+            && may_take_writes(term, self.highest_term, confirmed, pace, now)
+    }
+
+    /// Instances that call themselves primary under a term that is over.
+    pub fn outdated_primaries(&self) -> Vec<InstanceName> {
+        let outdated = |status: &&InstanceStatus| {
+            status.role == Role::Primary && status.applied.term < self.highest_term
+        };
+        let statuses = self.instances.values().filter_map(|watched| watched.status.as_ref());
+        statuses.filter(outdated).map(|status| status.instance.clone()).collect()
+    }
+
+    /// Takes in what an instance said; `queue_wait` is known where its pool is. Returns whether
+    /// it showed a higher term than any before.
     pub fn on_report(
         &mut self,
         instance: &InstanceName,
         answer: &ProbeAnswer,
         queue_wait: Option<Duration>,
+        majority: usize,
         io: &mut Io,
-    ) {
+    ) -> bool {
         let report = answer.report;
-        let newest_primary = self.primary.is_none_or(|known| report.applied.term >= known.term);
-        if report.role == Role::Primary && newest_primary {
+        let term = report.flushed.term;
+        let is_newer = term > self.highest_term;
+        let replaces = is_newer && self.highest_term > Term::default();
+        self.highest_term = self.highest_term.max(term);
+        if replaces {
+            self.watch.on_primary_lost(io.now);
+        }
+        let leads = report.role == Role::Primary && term >= self.highest_term;
+        if leads {
             self.primary = Some(report.applied);
         }
         let caught_up = self.primary.is_none_or(|primary| report.applied.satisfies(&primary));
         let watched = self.watched(instance);
+        watched.reported = Some(answer.asked);
         if caught_up {
             watched.caught_up = answer.asked;
         }
@@ -204,7 +285,25 @@
             unconfirmed_for: None,
         };
         watched.status = Some(status.clone());
-        self.publish(status, io);
+        let unconfirmed_for = self.unconfirmed_for(&status, majority, io.now);
+        self.publish(InstanceStatus { unconfirmed_for, ..status }, io);
+        if leads && self.may_take_writes(instance, majority, io.now) {
+            self.watch.on_primary_found();
+        }
+        replaces
+    }
+
+    fn unconfirmed_for(
+        &self,
+        status: &InstanceStatus,
+        majority: usize,
+        now: Instant,
+    ) -> Option<Duration> {
+        if status.role == Role::Replica {
+            return None;
+        }
+        let since = self.confirmed_at(status.applied.term, majority).unwrap_or(self.started);
+        Some(now.saturating_duration_since(since))
     }
 
     fn publish(&mut self, status: InstanceStatus, io: &mut Io) {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -369,6 +369,12 @@
             return;
         }
         self.hygiene.on_prepared(&exchange.settings);
+        // Read again: this process may have been paused since the preparation was sent.
+        if Instant::now() >= deadline {
+            self.refuse_unsent(&exchange, Fault::Deadline, io);
+            events.push(ServerEvent::Unusable);
+            return;
+        }
         self.send(&exchange, deadline);
     }
 
--- a/crates/daemon/src/shard/event_loop.rs
+++ b/crates/daemon/src/shard/event_loop.rs
@@ -11,7 +11,7 @@
 
 /// Longest time between two ticks of a shard.
 pub const TICK: Duration = Duration::from_millis(10);
-/// Longest time between two turns while commits wait for confirmation.
+/// Longest time between two turns while commits or held writes wait for probes.
 const URGENT_TURN: Duration = Duration::from_millis(1);
 const EVENTS_AT_ONCE: usize = 1024;
 /// Messages taken from the mailbox before sockets get their turn again.
@@ -44,7 +44,7 @@
             shard.on_tick(registry, now);
             next_tick = now + TICK;
         }
-        urgent = shard.is_urgent();
+        urgent = shard.is_urgent(now);
         if urgent {
             shard.on_urgent(registry, now);
         }
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -178,8 +178,8 @@
     }
 
     /// Whether the gateway has probes to send before the next tick.
-    pub fn is_urgent(&self) -> bool {
-        self.gateway.is_urgent()
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        self.gateway.is_urgent(now)
     }
 
     /// Lets the gateway send them.
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -91,6 +91,11 @@
         group.script().withheld = row.withheld;
         let answer = caller.query(row.statement);
         assert_eq!(answer.code(), row.code, "{}: {answer:?}", row.name);
+        // A lost connection is noticed as such, not by the deadline that gives the same number.
+        let message = answer.error.as_ref().map_or("", |(_, message)| message.as_str());
+        if row.scripted == Close {
+            assert!(message.contains("was lost"), "{}: {message}", row.name);
+        }
         let expects_error = !matches!(row.scripted, Answer) || row.withheld;
         assert_eq!(answer.error.is_some(), expects_error, "{}", row.name);
         assert_eq!(answer.status, row.status, "{}", row.name);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -73,6 +73,8 @@
     pub withheld: bool,
     /// Instances that accept no connection and answer none.
     pub down: Vec<bool>,
+    /// Connections made so far, by instance.
+    pub open: Vec<(usize, TcpStream)>,
     /// Behaviour for marked statements.
     pub on_marked: Scripted,
     /// Statements seen, with the instance that saw them.
@@ -93,6 +95,7 @@
             offset: 0x100,
             withheld: false,
             down: vec![false; 3],
+            open: Vec::new(),
             on_marked: Scripted::Answer,
             seen: Vec::new(),
         }));
@@ -104,6 +107,21 @@
         self.script.lock().expect("the script's lock")
     }
 
+    /// Ends an instance: its connections break, and new ones are closed.
+    pub fn kill(&self, index: usize) {
+        let mut script = self.script();
+        script.down[index] = true;
+        for (_, stream) in script.open.extract_if(.., |(owner, _)| *owner == index) {
+            // It may be closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts a killed instance again.
+    pub fn revive(&self, index: usize) {
+        self.script().down[index] = false;
+    }
+
     /// How often an instance saw a statement that contains `text`.
     pub fn seen(&self, text: &str) -> usize {
         self.script().seen.iter().filter(|(_, sql)| sql.contains(text)).count()
@@ -157,8 +175,10 @@
     }
 
     fn serve(mut self) {
-        // A connection that breaks is the proxy's affair.
+        // A connection that breaks is the proxy's affair. The script holds a copy of the stream,
+        // so dropping it would not close it.
         let _ = self.run();
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
 
     fn run(&mut self) -> std::io::Result<()> {
@@ -167,8 +187,12 @@
         self.stream.read_exact(&mut length)?;
         let mut startup = vec![0_u8; u32::from_be_bytes(length) as usize - 4];
         self.stream.read_exact(&mut startup)?;
-        if self.script.lock().expect("the script's lock").down[self.index] {
-            return Ok(());
+        {
+            let mut script = self.script.lock().expect("the script's lock");
+            if script.down[self.index] {
+                return Ok(());
+            }
+            script.open.push((self.index, self.stream.try_clone()?));
         }
         put(&mut self.output, b'R', &0_u32.to_be_bytes());
         put(&mut self.output, b'Z', b"I");
