--- /dev/null
+++ b/crates/lab/examples/standin_load.rs
@@ -0,0 +1,95 @@
+//! Measures a stand-in group alone, driven by a PostgreSQL client library.
+//!
+//! Usage: `cargo run --release -p kestrellock-lab --example standin_load [connections]`
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use kestrellock_lab::standin::group::DatabaseGroup;
+use kestrellock_lab::standin::group::options::GroupOptions;
+use postgres::{Client, Config, NoTls};
+
+const ROWS: i64 = 1000;
+const LENGTH: Duration = Duration::from_secs(3);
+const DEFAULT_CONNECTIONS: usize = 24;
+const CONNECTION_LIMIT: usize = 4096;
+
+fn connect(address: SocketAddr) -> Client {
+    Config::new()
+        .host(&address.ip().to_string())
+        .port(address.port())
+        .user("user")
+        .dbname("database")
+        .connect(NoTls)
+        .expect("the instance accepts a connection")
+}
+
+/// What each caller does again and again.
+type Work = fn(&mut Client, caller: i64, round: i64);
+
+fn simple_read(client: &mut Client, caller: i64, round: i64) {
+    let id = (caller * 37 + round) % ROWS;
+    client.simple_query(&format!("SELECT body FROM rows WHERE id = {id}")).expect("reads");
+}
+
+fn prepared_read(client: &mut Client, caller: i64, round: i64) {
+    let id = (caller * 37 + round) % ROWS;
+    client
+        .query_typed("SELECT body FROM rows WHERE id = $1", &[(&id, postgres::types::Type::INT8)])
+        .expect("reads");
+}
+
+fn write(client: &mut Client, caller: i64, round: i64) {
+    let id = caller * 10_000_000 + round + ROWS;
+    client.simple_query(&format!("INSERT INTO rows VALUES ({id}, 'body')")).expect("writes");
+}
+
+fn measure(name: &str, addresses: &[SocketAddr], connections: usize, work: Work) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let done = Arc::new(AtomicU64::new(0));
+    let callers: Vec<_> = (0..connections)
+        .map(|caller| {
+            let mut client = connect(addresses[caller % addresses.len()]);
+            let (stop, done) = (stop.clone(), done.clone());
+            thread::spawn(move || {
+                let mut round = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    work(&mut client, caller as i64, round);
+                    round += 1;
+                }
+                done.fetch_add(round as u64, Ordering::Relaxed);
+            })
+        })
+        .collect();
+    let start = Instant::now();
+    thread::sleep(LENGTH);
+    stop.store(true, Ordering::Relaxed);
+    callers.into_iter().for_each(|caller| caller.join().expect("no panic"));
+    let rate = done.load(Ordering::Relaxed) as f64 / start.elapsed().as_secs_f64();
+    println!("{name}: {rate:.0} statements/s over {connections} connections");
+}
+
+fn main() {
+    let connections = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let connections = connections.unwrap_or(DEFAULT_CONNECTIONS);
+    let options = GroupOptions { connections: CONNECTION_LIMIT, ..GroupOptions::default() };
+    let group = DatabaseGroup::start(options).expect("the group starts");
+    let mut client = connect(group.addresses[0]);
+    client.batch_execute("CREATE TABLE rows (id BIGINT PRIMARY KEY, body TEXT)").expect("creates");
+    for id in 0..ROWS {
+        client.batch_execute(&format!("INSERT INTO rows VALUES ({id}, 'body')")).expect("writes");
+    }
+    assert!(group.wait_for_replicas(Duration::from_secs(30)));
+    measure("simple reads, one instance", &group.addresses[..1], connections, simple_read);
+    measure("simple reads, three instances", &group.addresses, connections, simple_read);
+    measure(
+        "unnamed prepared reads, three instances",
+        &group.addresses,
+        connections,
+        prepared_read,
+    );
+    measure("single-row writes", &group.addresses[..1], connections, write);
+}
