Demonstration in zones with delay, and its checks over two tenants

The demonstration ran on one address and checked simple statements only. Store, groups and nodes now lie in three zones with their own addresses and a one-way delay (--delay-ms, 1.5 by default); it prints lines for psql and for the operators' command line, and stays up.

It runs all checks, names those that do not pass, and exits 1.

--- /dev/null
+++ b/crates/lab/src/demo/check/template.rs
@@ -0,0 +1,23 @@
+//! A change of a template comes into force on every node.
+
+use kestrellock_platform::etcd::EtcdStore;
+use miette::ensure;
+
+use super::{Checked, connect, connect_when_ready};
+use crate::demo::{Demo, TENANTS, catalog};
+
+/// Lets the second tenant use the first one's group, and waits until every node lets it in.
+pub fn run(demo: &Demo, checked: &mut Checked) -> miette::Result<()> {
+    let [other, tenant] = &TENANTS;
+    for address in &demo.caller_addresses {
+        let early = connect(*address, tenant.name, other.database);
+        ensure!(early.is_err(), "{} reached {} unasked", tenant.name, other.database);
+    }
+    let store = EtcdStore::new(vec![demo.store_endpoint()]);
+    catalog::add_group(&store, tenant, other.group)?;
+    for address in &demo.caller_addresses {
+        connect_when_ready(*address, tenant.name, other.database)?;
+        checked.templates += 1;
+    }
+    Ok(())
+}
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -1,33 +1,70 @@
 //! The demonstration: store, two database groups and three nodes in one process on loopback.
+//!
+//! Each zone has its own loopback addresses, and the links between zones have a delay.
 
+mod catalog;
 pub mod check;
+mod nodes;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
-use kestrellock_daemon::node::{Listeners, Node};
+use kestrellock_core::ids::ZoneName;
+use kestrellock_daemon::node::Node;
 use kestrellock_daemon::policy::Policy;
-use kestrellock_daemon::settings::{PeerSettings, Settings};
 use kestrellock_platform::etcd::EtcdStore;
-use kestrellock_platform::store::ConfigStore;
-use miette::{IntoDiagnostic, miette};
-use serde_json::json;
+use miette::IntoDiagnostic;
 
-use crate::logins::verifier_of;
+use crate::logins::password_of;
 use crate::standin::group::DatabaseGroup;
 use crate::standin::group::lag::Lag;
 use crate::standin::group::options::GroupOptions;
+use crate::standin::network::Network;
 use crate::standin::store::PlatformStore;
 
-const ZONES: [&str; 3] = ["casa-ain", "casa-sidi", "casa-bouskoura"];
-const REPLICA_LAG: Duration = Duration::from_millis(100);
+/// Zones of the demonstration.
+pub const ZONES: [&str; 3] = ["casa-ain", "casa-sidi", "casa-bouskoura"];
+/// Token of the admin ports.
+pub const ADMIN_TOKEN: &str = "demo-admin-token";
+/// The demonstration's tenants.
+pub const TENANTS: [DemoTenant; 2] = [
+    DemoTenant { name: "atlas", group: "yearbook-orders", database: "orders", table: "captions" },
+    DemoTenant { name: "gidanmu", group: "resale-tickets", database: "tickets", table: "seats" },
+];
+
+/// A tenant of the demonstration.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoTenant {
+    /// Name, login and template.
+    pub name: &'static str,
+    /// Its group.
+    pub group: &'static str,
+    /// Its database.
+    pub database: &'static str,
+    /// A table for the checks.
+    pub table: &'static str,
+}
+
+/// How the demonstration is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoOptions {
+    /// One-way delay between zones.
+    pub zone_delay: Duration,
+    /// How far the readers of a replica stay behind.
+    pub replica_lag: Duration,
+}
+
+impl Default for DemoOptions {
+    fn default() -> Self {
+        Self { zone_delay: Duration::from_micros(1500), replica_lag: Duration::from_millis(100) }
+    }
+}
 
 /// Everything the demonstration runs.
 pub struct Demo {
-    _store: PlatformStore,
-    _groups: Vec<DatabaseGroup>,
+    store: PlatformStore,
+    groups: Vec<DatabaseGroup>,
     nodes: Vec<Node>,
     /// Where callers connect, one address a node.
     pub caller_addresses: Vec<SocketAddr>,
@@ -38,100 +75,81 @@
 impl Demo {
     /// Starts everything.
     pub fn start() -> miette::Result<Self> {
+        Self::start_with(DemoOptions::default())
+    }
+
+    /// Starts everything with options.
+    pub fn start_with(options: DemoOptions) -> miette::Result<Self> {
+        let zones: Vec<ZoneName> = ZONES.map(ZoneName::new).into();
+        let network = Network::new(&zones, 0).into_diagnostic()?;
+        network.set_delay_everywhere(options.zone_delay);
         let store = PlatformStore::start().into_diagnostic()?;
         let client = Arc::new(EtcdStore::new(vec![store.endpoint()]));
         let mut groups = Vec::new();
-        for (name, database) in [("yearbook-orders", "orders"), ("resale-tickets", "tickets")] {
+        for tenant in &TENANTS {
             let group = DatabaseGroup::start(GroupOptions {
-                zones: ZONES.map(ZoneName::new).into(),
-                replica_lag: Lag::Fixed(REPLICA_LAG),
+                zones: zones.clone(),
+                replica_lag: Lag::Fixed(options.replica_lag),
+                network: Some(network.clone()),
                 ..GroupOptions::default()
             })
             .into_diagnostic()?;
-            write_group(client.as_ref(), name, database, &group.addresses)?;
+            catalog::write_group(client.as_ref(), tenant, &group.addresses)?;
             groups.push(group);
         }
-        write_tenants(client.as_ref())?;
-        let (settings, listeners) = bind_nodes(&store.endpoint())?;
-        let caller_addresses = settings.iter().map(|node| node.caller_address).collect();
-        let admin_addresses = settings.iter().map(|node| node.admin_address).collect();
+        for tenant in &TENANTS {
+            catalog::write_tenant(client.as_ref(), tenant)?;
+        }
+        let prepared = nodes::bind(&network, &store.endpoint())?;
+        let caller_addresses = prepared.iter().map(|node| node.settings.caller_address).collect();
+        let admin_addresses = prepared.iter().map(|node| node.settings.admin_address).collect();
         let mut nodes = Vec::new();
-        for (settings, listeners) in settings.iter().zip(listeners) {
-            nodes.push(
-                Node::start(settings, listeners, client.clone(), Policy::Standard)
-                    .into_diagnostic()?,
-            );
+        for node in prepared {
+            let started =
+                Node::start(&node.settings, node.listeners, client.clone(), Policy::Standard);
+            nodes.push(started.into_diagnostic()?);
         }
-        Ok(Self { _store: store, _groups: groups, nodes, caller_addresses, admin_addresses })
+        Ok(Self { store, groups, nodes, caller_addresses, admin_addresses })
     }
 
-    /// Stops the nodes.
-    pub fn stop(self) {
-        self.nodes.into_iter().for_each(Node::stop);
+    /// Where the store listens.
+    pub fn store_endpoint(&self) -> String {
+        self.store.endpoint()
     }
-}
 
-fn bind_nodes(store: &str) -> miette::Result<(Vec<Settings>, Vec<Listeners>)> {
-    let mut all = Vec::new();
-    let mut listeners = Vec::new();
-    for zone in ZONES {
-        let node = NodeName::new(format!("node-{zone}"));
-        let mut settings = Settings {
-            store_endpoints: vec![store.to_owned()],
-            ..Settings::loopback(node, ZoneName::new(zone))
-        };
-        listeners.push(Listeners::bind(&mut settings).into_diagnostic()?);
-        all.push(settings);
-    }
-    let peers: Vec<PeerSettings> = all
-        .iter()
-        .map(|node| PeerSettings {
-            node: node.node.clone(),
-            zone: node.zone.clone(),
-            address: node.peer_address,
-        })
-        .collect();
-    for settings in &mut all {
-        let own = settings.node.clone();
-        settings.peers = peers.iter().filter(|peer| peer.node != own).cloned().collect();
+    /// The database groups, in the order of [`TENANTS`].
+    pub fn groups(&self) -> &[DatabaseGroup] {
+        &self.groups
     }
-    Ok((all, listeners))
-}
 
-fn write(store: &dyn ConfigStore, key: &str, value: &serde_json::Value) -> miette::Result<()> {
-    let swap = store.compare_and_swap(key, 0, value.to_string().as_bytes()).into_diagnostic()?;
-    match swap {
-        kestrellock_platform::store::Swap::Written(_) => Ok(()),
-        kestrellock_platform::store::Swap::Conflict => Err(miette!("{key} exists already")),
+    /// Lines that tell a person where to connect and how to look.
+    pub fn directions(&self) -> Vec<String> {
+        let mut lines = Vec::new();
+        for tenant in &TENANTS {
+            lines.push(format!("{}, database {}:", tenant.name, tenant.database));
+            for (address, zone) in self.caller_addresses.iter().zip(ZONES) {
+                lines.push(format!(
+                    "  PGPASSWORD={} psql -h {} -p {} -U {} {}   # node in {zone}",
+                    password_of(tenant.name),
+                    address.ip(),
+                    address.port(),
+                    tenant.name,
+                    tenant.database,
+                ));
+            }
+        }
+        lines.push("operators:".into());
+        for address in &self.admin_addresses {
+            lines.push(format!(
+                "  KESTRELLOCK_ADMIN_TOKEN={ADMIN_TOKEN} kestrellockctl --node {address} status"
+            ));
+        }
+        lines.push(format!("store: {}", self.store_endpoint()));
+        lines
     }
-}
-
-fn write_group(
-    store: &dyn ConfigStore,
-    name: &str,
-    database: &str,
-    addresses: &[SocketAddr],
-) -> miette::Result<()> {
-    let instances: Vec<serde_json::Value> = addresses
-        .iter()
-        .zip(ZONES)
-        .map(|(address, zone)| {
-            let instance = InstanceName::new(format!("{name}-{zone}"));
-            json!({ "name": instance, "zone": zone, "address": address, "slots": 5, "connections": 35 })
-        })
-        .collect();
-    let group = json!({ "database": database, "user": "kestrellock", "instances": instances });
-    write(store, &format!("{}{name}", kestrellock_platform::catalog::GROUPS), &group)
-}
 
-fn write_tenants(store: &dyn ConfigStore) -> miette::Result<()> {
-    for (tenant, group) in [("atlas", "yearbook-orders"), ("gidanmu", "resale-tickets")] {
-        let template = json!({
-            "groups": [group], "max_staleness_ms": 1000, "capacity": 10, "deadline_ms": 5000,
-        });
-        let value = json!({ "template": tenant, "logins": { tenant: verifier_of(tenant) } });
-        write(store, &format!("{}{tenant}", kestrellock_platform::catalog::TEMPLATES), &template)?;
-        write(store, &format!("{}{tenant}", kestrellock_platform::catalog::TENANTS), &value)?;
+    /// Stops the nodes.
+    pub fn stop(self) {
+        self.nodes.into_iter().for_each(Node::stop);
     }
-    Ok(())
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,12 +1,14 @@
 //! `kestrellock-lab`: demonstration, scenarios and benches.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use argh::FromArgs;
 use kestrellock_lab::bench::command::{BenchCommand, CompareCommand};
-use kestrellock_lab::demo::{Demo, check};
+use kestrellock_lab::demo::{Demo, DemoOptions, check};
 use kestrellock_lab::scenario::command::RunCommand;
 use kestrellock_program::command_line;
+use miette::{IntoDiagnostic, miette};
 
 /// stand-ins, demonstration and benches for kestrellock
 #[derive(FromArgs)]
@@ -35,6 +37,9 @@
     /// drive it through a client library, print what was checked, and exit
     #[argh(switch)]
     check: bool,
+    /// one-way delay between zones in milliseconds (default: 1.5)
+    #[argh(option, default = "1.5")]
+    delay_ms: f64,
 }
 
 fn main() -> ExitCode {
@@ -47,17 +52,28 @@
 }
 
 fn run_demo(arguments: &DemoArguments) -> miette::Result<()> {
-    let demo = Demo::start()?;
+    let zone_delay = Duration::try_from_secs_f64(arguments.delay_ms / 1000.0).into_diagnostic()?;
+    let demo = Demo::start_with(DemoOptions { zone_delay, ..DemoOptions::default() })?;
     if arguments.check {
-        let checked = check::run(&demo)?;
-        println!("{} writes acknowledged, {} reads saw them", checked.writes, checked.reads);
+        let verdict = check::run(&demo);
         demo.stop();
-        return Ok(());
+        return report(&verdict);
     }
-    for address in &demo.caller_addresses {
-        println!("psql -h {} -p {} -U atlas orders", address.ip(), address.port());
+    for line in demo.directions() {
+        println!("{line}");
     }
     loop {
         std::thread::park();
     }
 }
+
+fn report(verdict: &check::Verdict) -> miette::Result<()> {
+    print!("{}", verdict.checked);
+    for failure in &verdict.failures {
+        println!("FAILED  {}: {}", failure.check, failure.problem);
+    }
+    match verdict.failures.len() {
+        0 => Ok(()),
+        count => Err(miette!("{count} checks did not pass")),
+    }
+}
