Bench of the two deployments: workloads, baselines, figures and a page

Cause: neither the share of reads served by replicas nor the failover gap was measured at the deployments' own size.

--- a/crates/lab/src/bench/command.rs
+++ b/crates/lab/src/bench/command.rs
@@ -1,13 +1,17 @@
 //! The commands `bench` and `compare`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use argh::FromArgs;
+use miette::miette;
 
+use super::deployment::plan::Site;
+use super::deployment::{self, DeploymentOptions};
 use super::path::{IDLE_CALLERS, PathOptions};
 use super::report::Report;
 use super::{compare, path};
+use crate::scenario::command::PolicyName;
 
 /// measure the proxy
 #[derive(FromArgs)]
@@ -21,6 +25,8 @@
 #[argh(subcommand)]
 enum Bench {
     Path(PathCommand),
+    Atlas(AtlasCommand),
+    Gidanmu(GidanmuCommand),
 }
 
 /// statements a second and latency past the proxy, through one node and through two
@@ -43,6 +49,8 @@
     pub fn run(&self) -> miette::Result<()> {
         match &self.bench {
             Bench::Path(command) => command.run(),
+            Bench::Atlas(command) => command.run(),
+            Bench::Gidanmu(command) => command.run(),
         }
     }
 }
@@ -58,6 +66,82 @@
     }
 }
 
+/// Declares the command of one deployment's bench; both take the same options.
+macro_rules! deployment_command {
+    ($(#[$doc:meta])* $command:ident, $name:tt, $site:expr) => {
+        $(#[$doc])*
+        #[derive(FromArgs)]
+        #[argh(subcommand, name = $name)]
+        struct $command {
+            /// first seed (default 1)
+            #[argh(option, default = "1")]
+            seed: u64,
+            /// number of seeds, one run each (default 5)
+            #[argh(option, default = "5")]
+            seeds: u64,
+            /// nodes in each zone (default 1)
+            #[argh(option, default = "1")]
+            nodes: usize,
+            /// decisions that are measured (default standard)
+            #[argh(option, default = "PolicyName::STANDARD")]
+            policy: PolicyName,
+            /// earlier report to compare with
+            #[argh(option)]
+            against: Option<PathBuf>,
+            /// directory for report.json and report.html
+            #[argh(option)]
+            out: PathBuf,
+        }
+
+        impl $command {
+            fn run(&self) -> miette::Result<()> {
+                let options = DeploymentOptions {
+                    site: $site,
+                    seed: self.seed,
+                    seeds: self.seeds.max(1),
+                    nodes_per_zone: self.nodes.max(1),
+                    policy: self.policy,
+                    baselines: baselines()?,
+                };
+                run_deployment(&options, self.against.as_deref(), &self.out)
+            }
+        }
+    };
+}
+
+deployment_command!(
+    /// Casablanca: evening proof browsing beside orders, replicas behind, one failover
+    AtlasCommand,
+    "atlas",
+    Site::Atlas
+);
+deployment_command!(
+    /// Lagos: a rush of 3 times capacity for tickets, roaming sessions, one failover
+    GidanmuCommand,
+    "gidanmu",
+    Site::Gidanmu
+);
+
+/// Names of the policies that every bench of a deployment compares with.
+const BASELINES: [&str; 2] = ["primary-only", "sticky-primary"];
+
+fn baselines() -> miette::Result<Vec<PolicyName>> {
+    BASELINES.iter().map(|name| name.parse().map_err(|error| miette!("{error}"))).collect()
+}
+
+fn run_deployment(
+    options: &DeploymentOptions,
+    against: Option<&Path>,
+    out: &Path,
+) -> miette::Result<()> {
+    let earlier = against.map(Report::read).transpose()?;
+    let outcome = deployment::bench(options)?;
+    outcome.report.print();
+    outcome.report.write(out)?;
+    deployment::page::write(&outcome, out)?;
+    print_comparison(earlier.as_ref(), &outcome.report)
+}
+
 /// Prints the comparison with an earlier report; fails if a measure regressed.
 fn print_comparison(earlier: Option<&Report>, report: &Report) -> miette::Result<()> {
     let Some(earlier) = earlier else { return Ok(()) };
@@ -87,7 +171,7 @@
         let before = Report::read(&self.before)?;
         let after = Report::read(&self.after)?;
         if before.bench != after.bench {
-            return Err(miette::miette!(
+            return Err(miette!(
                 "the reports are of different benches: {} and {}",
                 before.bench,
                 after.bench
--- a/crates/lab/src/bench/report.rs
+++ b/crates/lab/src/bench/report.rs
@@ -66,6 +66,11 @@
         Self { target: Some(target), ..self }
     }
 
+    /// The median over that of `other`; `None` if that is zero.
+    pub fn ratio_to(&self, other: &Self) -> Option<f64> {
+        (other.median != 0.0).then(|| self.median / other.median)
+    }
+
     /// Whether the median reaches the target; `None` without a target.
     pub fn reaches_target(&self) -> Option<bool> {
         let target = self.target?;
@@ -87,6 +92,9 @@
     pub settings: BTreeMap<String, String>,
     /// Its figures.
     pub measures: Vec<Measure>,
+    /// The same figures under the decisions of baselines, by their names.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub baselines: BTreeMap<String, Vec<Measure>>,
     /// What could not be measured, and why.
     #[serde(default)]
     pub not_measured: Vec<String>,
@@ -100,6 +108,7 @@
             bench: bench.to_owned(),
             settings,
             measures: Vec::new(),
+            baselines: BTreeMap::new(),
             not_measured: Vec::new(),
         }
     }
@@ -148,8 +157,24 @@
                 measure.name, measure.median, measure.unit
             );
         }
+        self.print_baselines();
         for missing in &self.not_measured {
             println!("not measured: {missing}");
         }
     }
+
+    /// Prints the medians under each baseline, and the ratio of the measured median to them.
+    fn print_baselines(&self) {
+        for (baseline, measures) in &self.baselines {
+            println!("\nagainst {baseline}");
+            println!("{:<44} {:>14} {:>26} {:>8}", "measure", "median", "spread", "ratio");
+            for other in measures {
+                let own = self.measure(&other.name);
+                let ratio = own.and_then(|own| own.ratio_to(other));
+                let ratio = ratio.map_or("-".to_owned(), |ratio| format!("{ratio:.2}"));
+                let spread = format!("{:.3} .. {:.3}", other.low, other.high);
+                println!("{:<44} {:>14.3} {spread:>26} {ratio:>8}", other.name, other.median);
+            }
+        }
+    }
 }
