One send an event-loop turn on links, one read buffer a thread, an acceptor that does not sleep

Change: links are flushed once a turn of the event loop; reads land in a buffer of the thread; the acceptor waits for readiness.

--- /dev/null
+++ b/crates/daemon/src/net/acceptor.rs
@@ -0,0 +1,50 @@
+//! Accepting connections as they come, without sleeping between looks at the listener.
+
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use mio::unix::SourceFd;
+use mio::{Events, Interest, Poll, Token};
+use std::os::fd::AsRawFd;
+
+/// Longest wait before the caller gets a chance to see that it is to stop.
+const WAIT_LIMIT: Duration = Duration::from_millis(50);
+/// Wait after the listener failed, such as for want of descriptors.
+const FAILURE_WAIT: Duration = Duration::from_millis(10);
+
+/// A listener and the means to wait for it.
+pub struct Acceptor {
+    listener: TcpListener,
+    poll: Poll,
+    events: Events,
+}
+
+impl Acceptor {
+    /// Waits on a listener that is non-blocking already.
+    pub fn new(listener: TcpListener) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let descriptor = listener.as_raw_fd();
+        poll.registry().register(&mut SourceFd(&descriptor), Token(0), Interest::READABLE)?;
+        Ok(Self { listener, poll, events: Events::with_capacity(1) })
+    }
+
+    /// Returns when a connection may be waiting, or after a short time.
+    pub fn wait(&mut self) {
+        // Whatever ended the wait, the listener is asked next and tells what matters.
+        let _ = self.poll.poll(&mut self.events, Some(WAIT_LIMIT));
+    }
+
+    /// Hands every waiting connection to `take`.
+    pub fn accept_each(&mut self, mut take: impl FnMut(TcpStream)) {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => take(stream),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => return std::thread::sleep(FAILURE_WAIT),
+            }
+        }
+    }
+}
--- a/crates/daemon/src/net/connection.rs
+++ b/crates/daemon/src/net/connection.rs
@@ -1,5 +1,6 @@
 //! A non-blocking TCP connection with buffers on both sides.
 
+use std::cell::RefCell;
 use std::io::{self, Read, Write};
 
 use bytes::{Buf, BytesMut};
@@ -8,6 +9,13 @@
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
+thread_local! {
+    /// Where a thread's reads land before the connection's own buffer takes them over: one for all
+    /// connections of the thread, so that it is neither zeroed nor allocated for each read.
+    static READ_CHUNK: RefCell<Box<[u8]>> =
+        RefCell::new(vec![0; READ_CHUNK_BYTES].into_boxed_slice());
+}
+
 /// State of the connection after a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -56,9 +64,12 @@
     /// read is not that point: readiness is told once, and the other side's close may have come
     /// with its last bytes.
     pub fn fill(&mut self) -> ReadOutcome {
-        let mut chunk = [0_u8; READ_CHUNK_BYTES];
+        READ_CHUNK.with_borrow_mut(|chunk| self.fill_through(chunk))
+    }
+
+    fn fill_through(&mut self, chunk: &mut [u8]) -> ReadOutcome {
         loop {
-            match self.stream.read(&mut chunk) {
+            match self.stream.read(chunk) {
                 Ok(0) => return ReadOutcome::Closed,
                 Ok(count) => self.input.extend_from_slice(&chunk[..count]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Non-blocking connections and PostgreSQL framing.
 
+pub mod acceptor;
 pub mod connect;
 pub mod connection;
 pub mod extended;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -19,6 +19,7 @@
 use crate::agent::revisions::Revisions;
 use crate::context::{Identity, NodeContext, Shared, StatusBoard};
 use crate::metrics::Metrics;
+use crate::net::acceptor::Acceptor;
 use crate::ownership::{Detours, Ownerships};
 use crate::policy::Policy;
 use crate::settings::Settings;
@@ -31,7 +32,6 @@
 const ADMIN_THREADS: usize = 3;
 /// Attempts to find a port that is free for both TCP and UDP.
 const PORT_ATTEMPTS: usize = 50;
-const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Why a node could not start.
 #[derive(Debug, Error)]
@@ -141,9 +141,9 @@
             mailboxes.clone(),
             Acceptance { stop: stop.clone(), until_leaving: Some(context.clone()) },
             ShardMessage::Caller,
-        );
+        )?;
         let always = Acceptance { stop: stop.clone(), until_leaving: None };
-        spawn_acceptor(&mut root, "peers", peers, mailboxes.clone(), always, ShardMessage::Peer);
+        spawn_acceptor(&mut root, "peers", peers, mailboxes.clone(), always, ShardMessage::Peer)?;
         let drain = Drain {
             context: context.clone(),
             shards: shards.clone(),
@@ -271,23 +271,22 @@
     mailboxes: Arc<Mailboxes>,
     acceptance: Acceptance,
     wrap: fn(std::net::TcpStream) -> ShardMessage,
-) {
-    let mut listener = Some(listener);
+) -> Result<(), StartError> {
+    let mut acceptor = Some(Acceptor::new(listener).map_err(StartError::EventLoop)?);
     let mut next = 0;
     root.spawn(format!("accept-{name}"), move || {
-        while let Some(open) = listener.as_ref().filter(|_| !acceptance.is_over()) {
+        while let Some(open) = acceptor.as_mut().filter(|_| !acceptance.is_over()) {
+            open.wait();
             acceptance.stop.wait_while_paused();
-            match open.accept() {
-                Ok((stream, _)) => {
-                    mailboxes.send(next, wrap(stream));
-                    next = (next + 1) % mailboxes.count() as u16;
-                }
-                Err(_) => std::thread::sleep(ACCEPT_RETRY),
-            }
+            open.accept_each(|stream| {
+                mailboxes.send(next, wrap(stream));
+                next = (next + 1) % mailboxes.count() as u16;
+            });
         }
         // Callers that come now are refused by the operating system and go elsewhere.
-        listener = None;
+        acceptor = None;
     });
+    Ok(())
 }
 
 fn spawn_admin(
--- a/crates/daemon/src/shard/event_loop.rs
+++ b/crates/daemon/src/shard/event_loop.rs
@@ -48,5 +48,6 @@
         if urgent {
             shard.on_urgent(registry, now);
         }
+        shard.flush_links(registry, now);
     }
 }
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -235,7 +235,11 @@
                 Outgoing::Cancel(key) => self.cancel(key, io),
             }
         }
-        self.links.flush(io);
+    }
+
+    /// Sends what the parts queued for other nodes since the last call: one send for many messages.
+    pub fn flush_links(&mut self, registry: &Registry, now: Instant) {
+        self.with_io(registry, now, |shard, io| shard.links.flush(io));
     }
 
     /// Passes a cancel request to every node whose session it may mean.
