--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -17,6 +17,7 @@
 const IDLE_STEP: Duration = Duration::from_millis(200);
 /// Time that a node without configuration gives its peers before it asks the store.
 const PEERS_FIRST: Duration = Duration::from_secs(1);
+const PEERS_STEP: Duration = Duration::from_millis(10);
 const FIRST_RETRY: Duration = Duration::from_millis(200);
 const LAST_RETRY: Duration = Duration::from_secs(5);
 /// A watch that ends sooner than this counts as a failure.
@@ -77,12 +78,14 @@
     /// booting at once do not all turn to the store.
     fn wait_for_peers(&self, stop: &StopFlag) {
         let end = Instant::now() + PEERS_FIRST;
-        let alone = self.live().len() <= 1;
-        while !alone && self.revision() == Revision::default() && Instant::now() < end {
-            if stop.is_stopping() {
+        while self.live().len() > 1 && !stop.is_stopping() && Instant::now() < end {
+            let has_one = self.revision() != Revision::default();
+            let peers_have_none = self.context.revisions.any()
+                && self.context.revisions.newest() == Revision::default();
+            if has_one || peers_have_none {
                 return;
             }
-            stop.sleep(WATCH_STEP);
+            stop.sleep(PEERS_STEP);
         }
     }
 
--- a/crates/daemon/src/agent/revisions.rs
+++ b/crates/daemon/src/agent/revisions.rs
@@ -29,6 +29,11 @@
         self.lock().get(node).copied().unwrap_or_default()
     }
 
+    /// Whether any node was heard of.
+    pub fn any(&self) -> bool {
+        !self.lock().is_empty()
+    }
+
     /// A node with the newest revision heard of, if that is newer than `own`.
     pub fn newer_than(&self, own: Revision) -> Option<NodeName> {
         let heard = self.lock();
@@ -36,6 +41,11 @@
         (*newest.1 > own).then(|| newest.0.clone())
     }
 
+    /// Newest revision heard of.
+    pub fn newest(&self) -> Revision {
+        self.lock().values().copied().max().unwrap_or_default()
+    }
+
     /// Forgets nodes that are no longer live.
     pub fn retain(&self, is_live: impl Fn(&NodeName) -> bool) {
         self.lock().retain(|node, _| is_live(node));
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -45,6 +45,10 @@
 /// Half a subscription's life, so that one lost renewal does not end it.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(SUBSCRIPTION_LIFETIME.as_secs() / 2);
 
+/// Interval while an instance's status is missing: a gateway that has just started may not have
+/// known the group yet, and so dropped the subscription.
+const FIRST_RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Groups whose statuses this front asked for.
 #[derive(Debug, Default)]
 pub struct Subscriptions {
@@ -69,7 +73,9 @@
         let moved = !Arc::ptr_eq(&owners, &self.owners);
         self.owners = owners;
         for (group, asked) in &mut self.groups {
-            if moved || io.now.duration_since(*asked) >= RENEWAL_INTERVAL {
+            let elapsed = io.now.duration_since(*asked);
+            let incomplete = elapsed >= FIRST_RENEWAL_INTERVAL && !knows_every_instance(group, io);
+            if moved || incomplete || elapsed >= RENEWAL_INTERVAL {
                 *asked = io.now;
                 subscribe(group, io);
             }
@@ -77,6 +83,14 @@
     }
 }
 
+fn knows_every_instance(group: &GroupName, io: &Io) -> bool {
+    let catalog = io.context.catalog.load();
+    let Some(value) = catalog.groups.get(group) else { return true };
+    let board = io.context.statuses.group(group);
+    let statuses = board.read().expect("a holder of the status lock panicked");
+    value.instances.iter().all(|instance| statuses.contains_key(&instance.name))
+}
+
 fn subscribe(group: &GroupName, io: &mut Io) {
     let catalog = io.context.catalog.load();
     let Some(value) = catalog.groups.get(group) else { return };
