Bound of a session without a token, and bounds checked where statements run

A caller that comes back without its token read whatever a replica had. Its bound is now the group's position as of its login: the gateway answers once a majority has reported the primary's term after the question, one coalesced question for each group and shard; until then its statements are held. Writes carry the bound too, because they may read: a primary of an older term does not qualify. The gateway checks a statement's bound again by what the instance last said over a connection that stands, and sends it back if it is behind.

--- a/crates/core/src/exchange_state.rs
+++ b/crates/core/src/exchange_state.rs
@@ -107,6 +107,7 @@
         code,
         ResultCode::NotSent
             | ResultCode::NotPrimary
+            | ResultCode::NoFreshInstance
             | ResultCode::NotOwner
             | ResultCode::BackendConnectionRefused
     );
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod classify;
 pub mod confirmation;
 pub mod connection_budget;
+pub mod current_position;
 pub mod exchange_state;
 pub mod failover;
 pub mod ids;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -48,7 +48,10 @@
         max_staleness: Duration,
     },
     /// The primary, because the statement may change something.
-    Write,
+    Write {
+        /// Session bound: the statement may read, too.
+        bound: Option<Position>,
+    },
 }
 
 /// An instance of the group, as far as it is known to the node that routes.
@@ -92,6 +95,31 @@
         && bound.is_none_or(|bound| status.applied.satisfies(bound))
 }
 
+impl Access {
+    /// Whether the statement may change something.
+    pub fn is_write(&self) -> bool {
+        matches!(self, Self::Write { .. })
+    }
+
+    /// The session bound.
+    pub fn bound(&self) -> Option<&Position> {
+        match self {
+            Self::Read { bound, .. } | Self::Write { bound } => bound.as_ref(),
+        }
+    }
+}
+
+/// Whether an instance that last reported `status` over a connection that still stands may run a
+/// statement with this bound. What a front knows of it may be older.
+pub fn has_reached(status: &InstanceStatus, access: &Access) -> bool {
+    let reached = |bound: &Position| match access {
+        Access::Read { .. } => status.applied.satisfies(bound),
+        // A primary applies what it writes; only its term can fall behind.
+        Access::Write { .. } => status.applied.term >= bound.term,
+    };
+    access.bound().is_none_or(reached)
+}
+
 /// Chooses the instance for `access`: for a read the nearest qualifying replica, the shortest
 /// queue among equals, the primary when no replica qualifies; for a write the primary.
 pub fn choose<'a>(
@@ -100,7 +128,7 @@
     local_zone: &ZoneName,
 ) -> Choice<'a> {
     let Access::Read { bound, max_staleness } = access else {
-        return serve_primary(candidates);
+        return serve_primary(access, candidates);
     };
     let replica = candidates
         .iter()
@@ -109,13 +137,13 @@
         .min_by_key(|candidate| (candidate.zone != local_zone, candidate.status.queue_wait));
     match replica {
         Some(candidate) => Choice::Serve(&candidate.status.instance),
-        None => serve_primary(candidates),
+        None => serve_primary(access, candidates),
     }
 }
 
-fn serve_primary<'a>(candidates: &[Candidate<'a>]) -> Choice<'a> {
+fn serve_primary<'a>(access: &Access, candidates: &[Candidate<'a>]) -> Choice<'a> {
     match primary(candidates) {
-        Some(status) => Choice::Serve(&status.instance),
-        None => Choice::Nowhere,
+        Some(status) if has_reached(status, access) => Choice::Serve(&status.instance),
+        _ => Choice::Nowhere,
     }
 }
--- a/crates/daemon/src/front/baseline.rs
+++ b/crates/daemon/src/front/baseline.rs
@@ -20,8 +20,13 @@
 ) -> Access {
     let is_sticky = || last_write.is_some_and(|at| now.duration_since(at) < STICKY_PERIOD);
     match policy {
-        Policy::PrimaryOnly => Access::Write,
-        Policy::StickyPrimary if is_sticky() => Access::Write,
+        Policy::PrimaryOnly => Access::Write { bound: None },
+        Policy::StickyPrimary if is_sticky() => Access::Write { bound: None },
         _ => access,
     }
 }
+
+/// Whether sessions keep a position that their reads must have reached.
+pub fn keeps_bounds(policy: Policy) -> bool {
+    !matches!(policy, Policy::PrimaryOnly | Policy::StickyPrimary | Policy::RoundRobin)
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod baseline;
 pub mod batch;
 pub mod classes;
+pub mod current_position;
 pub mod ending;
 pub mod login;
 pub mod request;
@@ -17,7 +18,8 @@
 use std::time::Duration;
 
 use kestrellock_core::cancel::CancelKey;
-use kestrellock_core::ids::{LeaseId, NodeName};
+use kestrellock_core::ids::{GroupName, LeaseId, NodeName};
+use kestrellock_core::position::Position;
 use kestrellock_peer::message::{Exchange, ToFront};
 use slab::Slab;
 
@@ -26,6 +28,7 @@
 use crate::shard::{Io, Part, token};
 
 use self::classes::Classes;
+use self::current_position::{CurrentPositions, QuestionNumber};
 use self::session::{Session, SessionEnd};
 use self::target::Subscriptions;
 
@@ -41,6 +44,7 @@
     next_serial: u64,
     subscriptions: Subscriptions,
     classes: Classes,
+    positions: CurrentPositions,
 }
 
 impl Front {
@@ -54,6 +58,7 @@
             next_serial: 0,
             subscriptions: Subscriptions::default(),
             classes: Classes::default(),
+            positions: CurrentPositions::default(),
         }
     }
 
@@ -91,7 +96,13 @@
 
     /// Handles a gateway's message.
     pub fn on_message(&mut self, message: ToFront, io: &mut Io) {
-        let ToFront::Lease { lease, sequence, event } = message else { return };
+        let (lease, sequence, event) = match message {
+            ToFront::Lease { lease, sequence, event } => (lease, sequence, event),
+            ToFront::CurrentPosition { group, number, position } => {
+                return self.on_current_position(&group, QuestionNumber(number), position, io);
+            }
+            ToFront::Statuses { .. } => return,
+        };
         // A lease that has ended has no entry: its late answers stop here.
         let Some(&key) = self.leases.get(&lease) else { return };
         let Some(session) = self.sessions.get_mut(key) else { return };
@@ -104,6 +115,29 @@
         self.sessions.iter().for_each(|(_, session)| session.cancel(key, io));
     }
 
+    fn on_current_position(
+        &mut self,
+        group: &GroupName,
+        number: QuestionNumber,
+        position: Position,
+        io: &mut Io,
+    ) {
+        if !self.positions.on_answer(group, number, io) {
+            return;
+        }
+        let awaits = |(_, session): &(usize, &mut Session)| session.awaits(group, number);
+        let sessions = self.sessions.iter_mut().filter(awaits);
+        let informed: Vec<usize> = sessions
+            .map(|(key, session)| {
+                session.on_current_position(position);
+                key
+            })
+            .collect();
+        for key in informed {
+            self.advance(key, io);
+        }
+    }
+
     /// An exchange could not be handed to the node that owns its instance.
     pub fn on_unsent(&mut self, exchange: &Exchange, io: &mut Io) {
         let Some(&key) = self.leases.get(&exchange.lease) else { return };
@@ -151,6 +185,7 @@
             self.advance(key, io);
         }
         self.subscriptions.renew(io);
+        self.positions.on_tick(io);
     }
 
     /// Reads what has arrived since the last event, so that a caller is not sent away after its
@@ -171,7 +206,13 @@
             shard: self.shard,
             serial,
         };
-        let end = session.advance(new_lease, &mut self.subscriptions, &mut self.classes, io);
+        let end = session.advance(
+            new_lease,
+            &mut self.subscriptions,
+            &mut self.positions,
+            &mut self.classes,
+            io,
+        );
         self.next_serial += 1;
         for ended in session.ended_leases.drain(..) {
             self.leases.remove(&ended);
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -7,7 +7,7 @@
 use kestrellock_core::exchange_state::{
     Effect, Fault, Progress, Stake, failure_code, may_go_out_again,
 };
-use kestrellock_core::ids::{LeaseId, NodeName};
+use kestrellock_core::ids::{GroupName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Execution, Refusal, ResultCode};
 use kestrellock_core::position::Position;
 use kestrellock_core::retry::RetryBudget;
@@ -18,11 +18,12 @@
 
 use super::baseline::routed_as;
 use super::classes::Classes;
+use super::current_position::{CurrentPositions, QuestionNumber};
 use super::login::Login;
 use super::request::{Collector, Next, Request};
 use super::startup::{Startup, StartupStep};
 use super::target::{self, Subscriptions, Target};
-use super::{GATEWAY_GRACE, answer, ending};
+use super::{GATEWAY_GRACE, answer, baseline, ending};
 use crate::gateway::running::stake_of;
 use crate::net::connection::Connection;
 use crate::policy::Policy;
@@ -77,6 +78,8 @@
     startup: Startup,
     login: Option<Login>,
     bound: Option<Position>,
+    /// The question whose answer the bound waits for.
+    awaited: Option<QuestionNumber>,
     last_write: Option<Instant>,
     transaction: TransactionState,
     lease: Option<Lease>,
@@ -111,6 +114,7 @@
             startup: Startup::default(),
             login: None,
             bound: None,
+            awaited: None,
             last_write: None,
             transaction: TransactionState::Idle,
             lease: None,
@@ -155,6 +159,7 @@
         &mut self,
         new_lease: impl FnOnce() -> LeaseId,
         subscriptions: &mut Subscriptions,
+        positions: &mut CurrentPositions,
         classes: &mut Classes,
         io: &mut Io,
     ) -> SessionEnd {
@@ -165,7 +170,7 @@
             self.last_active = io.now;
         }
         let end = if self.login.is_none() {
-            self.advance_startup(subscriptions, io)
+            self.advance_startup(subscriptions, positions, io)
         } else {
             SessionEnd::Continue
         };
@@ -227,12 +232,20 @@
         }
     }
 
-    fn advance_startup(&mut self, subscriptions: &mut Subscriptions, io: &mut Io) -> SessionEnd {
+    fn advance_startup(
+        &mut self,
+        subscriptions: &mut Subscriptions,
+        positions: &mut CurrentPositions,
+        io: &mut Io,
+    ) -> SessionEnd {
         let Connection { input, output, .. } = &mut self.connection;
         let refusal = match self.startup.advance(input, output, io.context) {
             StartupStep::LoggedIn(login) => {
                 subscriptions.ensure(&login.group, io);
                 self.bound = login.bound;
+                if self.bound.is_none() && baseline::keeps_bounds(io.context.policy) {
+                    self.awaited = Some(positions.ask(&login.group, io));
+                }
                 self.state = login.state.clone();
                 self.login = Some(*login);
                 return SessionEnd::Continue;
@@ -350,7 +363,10 @@
             return;
         }
         if io.now > request.deadline {
-            let code = failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline);
+            let code = match self.awaited {
+                Some(_) => ResultCode::NoFreshInstance,
+                None => failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline),
+            };
             let refusal = Refusal::new(code, "no instance could take the statement");
             self.end_lease(LeaseEvent::Refused(refusal));
             return;
@@ -360,6 +376,18 @@
         }
     }
 
+    /// Whether the session's bound waits for an answer to this question of its group.
+    pub fn awaits(&self, group: &GroupName, number: QuestionNumber) -> bool {
+        let same = self.login.as_ref().is_some_and(|login| login.group == *group);
+        same && self.awaited.is_some_and(|awaited| awaited <= number)
+    }
+
+    /// The group's position, as of some time after the session began.
+    pub fn on_current_position(&mut self, position: Position) {
+        self.awaited = None;
+        self.bound = Some(self.bound.map_or(position, |bound| bound.join(position)));
+    }
+
     /// Whether an exchange is under way with a gateway of `node`.
     pub fn waits_for(&self, node: &NodeName) -> bool {
         let sent = self.request.as_ref().is_some_and(|request| request.sent);
@@ -444,14 +472,19 @@
             let max_staleness = login.parameters.values.max_staleness_ms.into();
             Access::Read { bound: self.bound, max_staleness }
         } else {
-            Access::Write
+            Access::Write { bound: self.bound }
         }
     }
 
     fn send_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
         let (Some(login), Some(request)) = (&self.login, &self.request) else { return };
+        // A new caller may have written through another session just before: until the group's
+        // position is known, no instance is known to have that.
+        if self.lease.is_none() && self.awaited.is_some() {
+            return;
+        }
         let access = self.access(request, login);
-        let writes = access == Access::Write;
+        let writes = access.is_write();
         if writes {
             self.last_write = Some(io.now);
         }
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -67,6 +67,11 @@
         self.highest_term
     }
 
+    /// The number that the next probe will have.
+    pub fn coming_probe(&self) -> ProbeNumber {
+        self.last_probe.next()
+    }
+
     /// Number for a probe that is about to be sent.
     pub fn next_probe(&mut self) -> ProbeNumber {
         self.last_probe = self.last_probe.next();
--- a/crates/daemon/src/gateway/fencing.rs
+++ b/crates/daemon/src/gateway/fencing.rs
@@ -6,7 +6,6 @@
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_core::routing::Access;
 use kestrellock_peer::message::{Exchange, LeaseEvent};
 
 use super::server::Use;
@@ -28,7 +27,7 @@
     ) -> bool {
         self.monitor.on_statement(io.now);
         let unchecked = io.context.policy == Policy::NoConfirmation;
-        if exchange.access != Access::Write || unchecked {
+        if !exchange.access.is_write() || unchecked {
             return false;
         }
         let majority = group.majority();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: pooled connections to the instances this node owns, and what is known of them.
 
 pub mod confirmation;
+pub mod current_position;
 mod fencing;
 pub mod hygiene;
 pub mod monitor;
@@ -19,6 +20,7 @@
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::routing::has_reached;
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToFront, ToGateway};
 use slab::Slab;
 
@@ -28,6 +30,7 @@
 use crate::stopping::Stage;
 
 use self::confirmation::Confirmations;
+use self::current_position::CurrentPositions;
 use self::monitor::Monitor;
 use self::pool::{Assigned, Assignment, Pool, PoolRole, RefusedExchange};
 
@@ -39,6 +42,7 @@
     monitor: Monitor,
     pools: HashMap<InstanceName, Pool>,
     confirmations: Confirmations,
+    current_positions: CurrentPositions,
 }
 
 /// Back-end connections of one shard.
@@ -105,6 +109,12 @@
             }
             GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
             GatewayCall::Cancel(lease) => self.on_cancel(group, &lease, io),
+            GatewayCall::CurrentPosition { shard, number } => {
+                let state = self.group_state(&message.group, io.now);
+                let first_probe = state.confirmations.coming_probe();
+                state.current_positions.ask(message.from, shard, number, first_probe, io.now);
+                self.probe(&message.group, group, io);
+            }
             GatewayCall::Subscribe => {
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
@@ -117,6 +127,7 @@
             monitor: Monitor::new(name.clone(), now),
             pools: HashMap::new(),
             confirmations: Confirmations::default(),
+            current_positions: CurrentPositions::default(),
         })
     }
 
@@ -197,12 +208,35 @@
         self.groups.get_mut(&server.group)?.pools.get_mut(&server.instance)
     }
 
+    /// Whether the instance has reached the session bound, by its own last word. The front that
+    /// chose it knew less.
+    fn is_recent_enough(&self, key: usize, exchange: &Exchange) -> bool {
+        if exchange.access.bound().is_none() {
+            return true;
+        }
+        let server = &self.servers[key];
+        let status = self.groups.get(&server.group).and_then(|state| {
+            let status = state.monitor.status(&server.instance)?;
+            (status.reachable || exchange.access.is_write()).then_some(status)
+        });
+        status.is_some_and(|status| has_reached(status, &exchange.access))
+    }
+
     fn run_on(&mut self, key: usize, exchange: &Exchange, io: &mut Io) {
         let Some(server) = self.servers.get_mut(key) else { return };
         if !server.accepts(exchange) {
             server.refuse_unsent(exchange, Fault::AnswerLost, io);
             return self.on_server_lost(key, Fault::BackendLost, io);
         }
+        if exchange.number == 0 && !self.is_recent_enough(key, exchange) {
+            let code = match exchange.access.is_write() {
+                true => ResultCode::NotPrimary,
+                false => ResultCode::NoFreshInstance,
+            };
+            refuse(exchange, code, "the instance has not reached the session's position", io);
+            return self.release(key, io);
+        }
+        let Some(server) = self.servers.get_mut(key) else { return };
         let deadline = io.now + exchange.time_left;
         // Read again: this process may have been paused since the event was taken up.
         if Instant::now() >= deadline {
@@ -308,6 +342,8 @@
                 let majority = configured.majority();
                 let replaced = state.monitor.on_report(&instance, &report, wait, majority, io);
                 state.confirmations.on_report(&instance, &report, configured, io);
+                let questions = &mut state.current_positions;
+                questions.on_report(&group, &instance, &report, configured, io);
                 if replaced {
                     self.fence(&group, io);
                 }
@@ -326,7 +362,7 @@
 
     fn probe(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let Some(state) = self.groups.get_mut(name) else { return };
-        let wanted = state.confirmations.wanted_probe();
+        let wanted = state.confirmations.wanted_probe().max(state.current_positions.wanted_probe());
         for instance in &group.instances {
             match state.monitor.next_step(&instance.name, wanted, io.now) {
                 monitor::Step::Nothing => {}
@@ -390,6 +426,7 @@
         for name in names {
             if let Some(state) = self.groups.get_mut(&name) {
                 state.confirmations.expire(io);
+                state.current_positions.expire(io.now);
                 let late = state.pools.values_mut().flat_map(|pool| pool.give_up_late(io.now));
                 late.collect::<Vec<_>>().into_iter().for_each(|late| notify_refused(late, io));
                 let mut overdue = state.monitor.overdue(io.now);
@@ -442,6 +479,8 @@
 
 impl GroupGateway {
     fn is_urgent(&self, now: Instant) -> bool {
-        self.confirmations.is_waiting() || self.monitor.is_searching(now)
+        self.confirmations.is_waiting()
+            || self.current_positions.is_waiting()
+            || self.monitor.is_searching(now)
     }
 }
--- a/crates/daemon/src/gateway/monitor.rs
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -100,6 +100,11 @@
         self.standby = standby;
     }
 
+    /// What an instance last said of itself.
+    pub fn status(&self, instance: &InstanceName) -> Option<&InstanceStatus> {
+        self.instances.get(instance)?.status.as_ref()
+    }
+
     /// Whether any front asked for statuses lately.
     pub fn has_subscribers(&self, now: Instant) -> bool {
         self.subscribers.values().any(|until| *until > now)
--- a/crates/daemon/src/gateway/running.rs
+++ b/crates/daemon/src/gateway/running.rs
@@ -23,8 +23,8 @@
 pub fn stake_of(exchange: &Exchange) -> Stake {
     let effect = match (&exchange.access, exchange.may_commit) {
         (Access::Read { .. }, _) => Effect::Read,
-        (Access::Write, false) => Effect::InsideTransaction,
-        (Access::Write, true) => Effect::MayCommit,
+        (Access::Write { .. }, false) => Effect::InsideTransaction,
+        (Access::Write { .. }, true) => Effect::MayCommit,
     };
     Stake { effect, continues_transaction: exchange.number > 0 }
 }
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -29,7 +29,7 @@
         number: 0,
         instance: InstanceName::new("i"),
         tenant: TenantName::new("t"),
-        access: Access::Write,
+        access: Access::Write { bound: None },
         priority: Priority::Normal,
         time_left,
         statements: Vec::new(),
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -100,3 +100,22 @@
     assert_eq!(first_value(&mut client, "SELECT count(*) FROM kept").as_deref(), Some("0"));
     demo.stop();
 }
+
+#[test]
+fn a_session_without_a_token_sees_what_was_acknowledged_before_it_began() {
+    let demo = Demo::start().expect("demonstration");
+    let mut writer = connect(&demo, 0);
+    let create = "CREATE TABLE proofs (id BIGINT PRIMARY KEY)";
+    retried(|| writer.batch_execute(create)).expect(create);
+    for id in 0..15_i64 {
+        writer.execute("INSERT INTO proofs VALUES ($1)", &[&id]).expect("insert");
+        // The replicas lag by much more than this takes.
+        let mut other = connect(&demo, id as usize % demo.caller_addresses.len());
+        let count = other.prepare("SELECT count(*) FROM proofs WHERE id >= $1").expect("prepare");
+        for _ in 0..3 {
+            let row = other.query_one(&count, &[&0_i64]).expect("count");
+            assert_eq!(row.get::<_, i64>(0), id + 1, "after write {id}");
+        }
+    }
+    demo.stop();
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -63,6 +63,13 @@
     Abandon(LeaseId),
     /// The caller asked to cancel what runs on the lease.
     Cancel(LeaseId),
+    /// Tell the group's position as of now, one that covers every write acknowledged before.
+    CurrentPosition {
+        /// Shard of the front that asks.
+        shard: u16,
+        /// Number of the question.
+        number: u64,
+    },
     /// Send statuses of the group for the next [`SUBSCRIPTION_LIFETIME`].
     Subscribe,
 }
@@ -127,6 +134,15 @@
         /// What happened.
         event: LeaseEvent,
     },
+    /// The answer to [`GatewayCall::CurrentPosition`].
+    CurrentPosition {
+        /// The group.
+        group: GroupName,
+        /// Number of the question.
+        number: u64,
+        /// The position.
+        position: Position,
+    },
     /// Statuses of instances of one group, newest known to the sender.
     Statuses {
         /// The group.
