Stand-in group: shared column lists and parsed statements, and a file of its own for the state

Every read cloned the columns of its table with their names under the instance's lock, and every Parse cloned the whole statement. Both are shared now. The threads that serve connections have a name, so that their processor time can be counted.

--- a/crates/lab/examples/standin_load.rs
+++ b/crates/lab/examples/standin_load.rs
@@ -10,12 +10,18 @@
 
 use kestrellock_lab::standin::group::DatabaseGroup;
 use kestrellock_lab::standin::group::options::GroupOptions;
+use kestrellock_lab::standin::group::wire::THREAD_NAME;
 use postgres::{Client, Config, NoTls};
 
 const ROWS: i64 = 1000;
 const LENGTH: Duration = Duration::from_secs(3);
 const DEFAULT_CONNECTIONS: usize = 24;
 const CONNECTION_LIMIT: usize = 4096;
+/// Length of a tick of the operating system's accounts.
+const TICK: Duration = Duration::from_millis(10);
+/// Positions of user and system time after the name of a thread in its account.
+const USER_FIELD: usize = 11;
+const SYSTEM_FIELD: usize = 12;
 
 fn connect(address: SocketAddr) -> Client {
     Config::new()
@@ -27,6 +33,22 @@
         .expect("the instance accepts a connection")
 }
 
+/// Processor time that the threads serving connections have used, in ticks.
+fn processor_ticks() -> u64 {
+    let mut ticks = 0;
+    for task in std::fs::read_dir("/proc/self/task").expect("the threads are listed").flatten() {
+        // A thread may end while it is looked at.
+        let Ok(stat) = std::fs::read_to_string(task.path().join("stat")) else { continue };
+        let Some((name, rest)) = stat.split_once(") ") else { continue };
+        if name.ends_with(&format!("({THREAD_NAME}")) {
+            let fields: Vec<&str> = rest.split_whitespace().collect();
+            let used = |field: usize| fields[field].parse::<u64>().unwrap_or(0);
+            ticks += used(USER_FIELD) + used(SYSTEM_FIELD);
+        }
+    }
+    ticks
+}
+
 /// What each caller does again and again.
 type Work = fn(&mut Client, caller: i64, round: i64);
 
@@ -65,11 +87,18 @@
         })
         .collect();
     let start = Instant::now();
+    let before = processor_ticks();
     thread::sleep(LENGTH);
+    let ticks = processor_ticks() - before;
     stop.store(true, Ordering::Relaxed);
     callers.into_iter().for_each(|caller| caller.join().expect("no panic"));
     let rate = done.load(Ordering::Relaxed) as f64 / start.elapsed().as_secs_f64();
-    println!("{name}: {rate:.0} statements/s over {connections} connections");
+    let statements = rate * LENGTH.as_secs_f64();
+    let cost = ticks as f64 * TICK.as_secs_f64() * 1e6 / statements;
+    println!(
+        "{name}: {rate:.0} statements/s over {connections} connections, \
+         {cost:.1} us of the stand-in's processor time a statement"
+    );
 }
 
 fn main() {
--- a/crates/lab/src/standin/group/define.rs
+++ b/crates/lab/src/standin/group/define.rs
@@ -41,7 +41,7 @@
         return Err(SqlError::new("42P07", format!("relation {name:?} already exists")).into());
     }
     let mut columns: Vec<Column> = create.columns.iter().map(column_of).collect();
-    let shape = Table::new(columns.clone(), &[]);
+    let shape = Table::new(columns.clone().into(), &[]);
     let mut keys = Vec::new();
     for (position, definition) in create.columns.iter().enumerate() {
         if definition.options.iter().any(|option| is_key(&option.option)) {
@@ -59,7 +59,7 @@
         }
         keys.push(key);
     }
-    attempt.overlay.create(name, columns, keys);
+    attempt.overlay.create(name, columns.into(), keys);
     Ok(Answer::tagged("CREATE TABLE"))
 }
 
--- a/crates/lab/src/standin/group/evaluate.rs
+++ b/crates/lab/src/standin/group/evaluate.rs
@@ -6,8 +6,8 @@
 };
 
 use super::functions;
-use super::instance::State;
 use super::plan::{expression_type, first_argument, parameter_number, relation_name};
+use super::state::State;
 use super::tables::{Column, Row, Value};
 use super::transaction::Attempt;
 use super::values::{INTEGER, TEXT, coerce, type_number};
--- a/crates/lab/src/standin/group/lag.rs
+++ b/crates/lab/src/standin/group/lag.rs
@@ -5,7 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::instance::LogEntry;
+use super::state::LogEntry;
 
 /// How long a record waits between being received and being seen by readers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lab/src/standin/group/mod.rs
+++ b/crates/lab/src/standin/group/mod.rs
@@ -17,6 +17,7 @@
 pub mod rows;
 pub mod select;
 pub mod service;
+pub mod state;
 pub mod tables;
 pub mod transaction;
 pub mod values;
--- a/crates/lab/src/standin/group/overlay.rs
+++ b/crates/lab/src/standin/group/overlay.rs
@@ -1,9 +1,10 @@
 //! Changes of a transaction that is not yet committed, laid over the committed tables.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use super::evaluate::SqlError;
-use super::instance::State;
+use super::state::State;
 use super::tables::{Change, Column, KeyValues, Row, Table, UniqueKey};
 
 /// Rows of one table changed by a transaction.
@@ -45,12 +46,12 @@
     }
 
     /// Columns of a table.
-    pub fn columns(&self, state: &State, name: &str) -> Result<Vec<Column>, SqlError> {
+    pub fn columns(&self, state: &State, name: &str) -> Result<Arc<[Column]>, SqlError> {
         Ok(self.table(state, name)?.columns.clone())
     }
 
     /// Creates a table.
-    pub fn create(&mut self, table: String, columns: Vec<Column>, keys: Vec<Vec<usize>>) {
+    pub fn create(&mut self, table: String, columns: Arc<[Column]>, keys: Vec<Vec<usize>>) {
         let definition = Table::new(columns.clone(), &keys);
         self.definitions.insert(table.clone(), Some(definition));
         self.tables.remove(&table);
--- a/crates/lab/src/standin/group/plan.rs
+++ b/crates/lab/src/standin/group/plan.rs
@@ -1,5 +1,7 @@
 //! What can be told of a statement before it runs: types of its parameters and its result columns.
 
+use std::sync::Arc;
+
 use sqlparser::ast::{
     Assignment, AssignmentTarget, BinaryOperator, Expr, FromTable, FunctionArg, FunctionArgExpr,
     FunctionArguments, InTarget, Insert, LimitClause, OnConflictAction, OnInsert, Query,
@@ -13,7 +15,7 @@
 };
 
 /// Columns of a table by its name.
-pub type Lookup<'a> = &'a dyn Fn(&str) -> Result<Vec<Column>, SqlError>;
+pub type Lookup<'a> = &'a dyn Fn(&str) -> Result<Arc<[Column]>, SqlError>;
 
 /// Name of a table as statements are compared by it.
 pub fn table_name(name: &impl ToString) -> String {
@@ -180,7 +182,7 @@
 pub fn describe(statement: &Statement, lookup: Lookup) -> Result<Option<Vec<Column>>, SqlError> {
     let columns = match table_of(statement) {
         Some(table) => lookup(&table)?,
-        None => Vec::new(),
+        None => Arc::default(),
     };
     match statement {
         Statement::Query(query) => match query.body.as_ref() {
@@ -214,7 +216,7 @@
 ) -> Result<Vec<u32>, SqlError> {
     let columns = match table_of(statement) {
         Some(table) => lookup(&table)?,
-        None => Vec::new(),
+        None => Arc::default(),
     };
     let types = declared.iter().map(|declared| Some(*declared).filter(|number| *number != 0));
     let mut collector = Collector { types: types.collect(), columns: &columns };
--- a/crates/lab/src/standin/group/replication.rs
+++ b/crates/lab/src/standin/group/replication.rs
@@ -14,8 +14,9 @@
 use rand::{RngExt, SeedableRng};
 
 use super::events::{EventLog, GroupEventKind, Signal};
-use super::instance::{Generation, Instance, Record, State};
+use super::instance::Instance;
 use super::options::GroupOptions;
+use super::state::{Generation, Record, State};
 
 /// Longest time between two looks at the group.
 const TICK: Duration = Duration::from_millis(1);
--- a/crates/lab/src/standin/group/tables.rs
+++ b/crates/lab/src/standin/group/tables.rs
@@ -1,6 +1,7 @@
 //! The data of one instance: tables of text values, and changes to them.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use sqlparser::ast::Expr;
 
@@ -46,7 +47,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Table {
     /// Columns in order.
-    pub columns: Vec<Column>,
+    pub columns: Arc<[Column]>,
     /// Unique keys; the primary key first, if there is one.
     pub keys: Vec<UniqueKey>,
     /// Rows by their number.
@@ -55,7 +56,7 @@
 
 impl Table {
     /// An empty table.
-    pub fn new(columns: Vec<Column>, keys: &[Vec<usize>]) -> Self {
+    pub fn new(columns: Arc<[Column]>, keys: &[Vec<usize>]) -> Self {
         let new_key =
             |columns: &Vec<usize>| UniqueKey { columns: columns.clone(), ..UniqueKey::default() };
         Self { columns, keys: keys.iter().map(new_key).collect(), rows: BTreeMap::new() }
@@ -99,7 +100,7 @@
         /// Its name.
         table: String,
         /// Its columns.
-        columns: Vec<Column>,
+        columns: Arc<[Column]>,
         /// Positions of the columns of each unique key.
         keys: Vec<Vec<usize>>,
     },
--- a/crates/lab/src/standin/group/transaction.rs
+++ b/crates/lab/src/standin/group/transaction.rs
@@ -9,12 +9,13 @@
 
 use super::connections::Control;
 use super::evaluate::SqlError;
-use super::instance::{Generation, Instance, State};
+use super::instance::Instance;
 use super::locks::LockKey;
 use super::modify;
 use super::overlay::Overlay;
 use super::select;
 use super::service::StatementClass;
+use super::state::{Generation, State};
 use super::tables::{Column, Row, Value};
 
 /// A wait for a lock longer than this counts as a deadlock.
@@ -144,7 +145,7 @@
     }
 
     /// Columns of a table as the transaction sees it.
-    pub fn columns_of(&self, instance: &Instance, table: &str) -> Result<Vec<Column>, SqlError> {
+    pub fn columns_of(&self, instance: &Instance, table: &str) -> Result<Arc<[Column]>, SqlError> {
         self.overlay.columns(&instance.state(), table)
     }
 
--- a/crates/lab/src/standin/group/wire/extended.rs
+++ b/crates/lab/src/standin/group/wire/extended.rs
@@ -20,8 +20,8 @@
 
 /// A prepared statement.
 pub struct Prepared {
-    /// The statement; `None` for an empty text.
-    statement: Option<Statement>,
+    /// The parsed text: one statement, or none.
+    statements: Arc<[Statement]>,
     parameter_types: Vec<u32>,
     columns: Option<Vec<Column>>,
 }
@@ -87,7 +87,7 @@
             let message = format!("prepared statement {name:?} already exists");
             return Err(SqlError::new("42P05", message));
         }
-        let prepared = self.prepare(statements.first(), &parse.type_oids)?;
+        let prepared = self.prepare(statements, &parse.type_oids)?;
         self.statements.insert(name, Arc::new(prepared));
         self.send(PgWireBackendMessage::ParseComplete(ParseComplete::new()));
         Ok(())
@@ -95,17 +95,17 @@
 
     fn prepare(
         &self,
-        statement: Option<&Statement>,
+        statements: Arc<[Statement]>,
         declared: &[u32],
     ) -> Result<Prepared, SqlError> {
-        let Some(statement) = statement else {
-            return Ok(Prepared { statement: None, parameter_types: Vec::new(), columns: None });
+        let Some(statement) = statements.first() else {
+            return Ok(Prepared { statements, parameter_types: Vec::new(), columns: None });
         };
         let lookup = |table: &str| self.transaction.columns_of(self.instance, table);
         Ok(Prepared {
             parameter_types: plan::parameter_types(statement, declared, &lookup)?,
             columns: plan::describe(statement, &lookup)?,
-            statement: Some(statement.clone()),
+            statements: statements.clone(),
         })
     }
 
@@ -172,7 +172,7 @@
 
     fn execute(&mut self, portal: &mut Portal, max_rows: i32) -> Result<(), SqlError> {
         let prepared = portal.prepared.clone();
-        let Some(statement) = &prepared.statement else {
+        let Some(statement) = prepared.statements.first() else {
             self.send(PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
             return Ok(());
         };
--- a/crates/lab/src/standin/group/wire/mod.rs
+++ b/crates/lab/src/standin/group/wire/mod.rs
@@ -34,6 +34,8 @@
 use crate::standin::door::{Door, reset_on_close};
 use crate::standin::network::Network;
 
+/// Name of the threads that serve connections.
+pub const THREAD_NAME: &str = "standin";
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Texts whose parsed form a connection keeps.
 const PARSED_LIMIT: usize = 256;
@@ -49,7 +51,9 @@
             let outside =
                 network.as_ref().is_some_and(|network| is_outside(network, &stream, &instance));
             let instance = instance.clone();
-            thread::spawn(move || serve(stream, &instance, outside));
+            let serving = move || serve(stream, &instance, outside);
+            // Without a thread the connection is closed, as a real server does.
+            let _ = thread::Builder::new().name(THREAD_NAME.into()).spawn(serving);
         }
     });
 }
