--- a/crates/lab/examples/standin_load.rs
+++ b/crates/lab/examples/standin_load.rs
@@ -2,20 +2,26 @@
 //!
 //! Usage: `cargo run --release -p kestrellock-lab --example standin_load [connections]`
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use kestrellock_core::ids::ZoneName;
 use kestrellock_lab::standin::group::DatabaseGroup;
 use kestrellock_lab::standin::group::options::GroupOptions;
 use kestrellock_lab::standin::group::wire::THREAD_NAME;
+use kestrellock_lab::standin::network::Network;
 use postgres::{Client, Config, NoTls};
 
 const ROWS: i64 = 1000;
 const LENGTH: Duration = Duration::from_secs(3);
 const DEFAULT_CONNECTIONS: usize = 24;
+const ROUND_TRIPS: usize = 500;
+/// A message that the server answers with one byte, as often as it comes.
+const ENCRYPTION_REQUEST: &[u8] = &[0, 0, 0, 8, 4, 210, 22, 47];
 const CONNECTION_LIMIT: usize = 4096;
 /// Length of a tick of the operating system's accounts.
 const TICK: Duration = Duration::from_millis(10);
@@ -101,7 +107,47 @@
     );
 }
 
+/// Round trips of one small query over a link with a one-way delay.
+fn measure_link(delay: Duration) {
+    let zones: Vec<ZoneName> = ["here", "there"].map(ZoneName::new).into();
+    let network = Network::new(&zones, 0).expect("the network starts");
+    network.set_delay_everywhere(delay);
+    let options = GroupOptions {
+        zones: vec![zones[1].clone(); 3],
+        network: Some(network.clone()),
+        ..GroupOptions::default()
+    };
+    let group = DatabaseGroup::start(options).expect("the group starts");
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let source = SocketAddr::new(network.address(&zones[0], 2).into(), 0);
+    socket.bind(&source.into()).expect("binds");
+    socket.connect(&group.addresses[0].into()).expect("connects");
+    let mut stream: TcpStream = socket.into();
+    stream.set_nodelay(true).expect("sets the option");
+    stream.write_all(ENCRYPTION_REQUEST).expect("writes");
+    let mut answer = [0_u8; 1];
+    stream.read_exact(&mut answer).expect("reads");
+    let mut times: Vec<Duration> = (0..ROUND_TRIPS)
+        .map(|_| {
+            let start = Instant::now();
+            stream.write_all(ENCRYPTION_REQUEST).expect("writes");
+            stream.read_exact(&mut answer).expect("reads");
+            start.elapsed()
+        })
+        .collect();
+    times.sort();
+    println!(
+        "round trip over a link of {delay:?} one way: p50 {:?}, p99 {:?}",
+        times[ROUND_TRIPS / 2],
+        times[ROUND_TRIPS * 99 / 100]
+    );
+}
+
 fn main() {
+    for delay in [Duration::ZERO, Duration::from_micros(1500), Duration::from_millis(3)] {
+        measure_link(delay);
+    }
     let connections = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let connections = connections.unwrap_or(DEFAULT_CONNECTIONS);
     let options = GroupOptions { connections: CONNECTION_LIMIT, ..GroupOptions::default() };
