Traces of runs that broke an invariant; ports held until their first use

A run that breaks an invariant leaves DIR/seed-N.txt: faults, events of the groups, discarded commits, attempts and commits in order. Ports of nodes were released before their first start, so that parallel runs could take them: 1 of 40 runs failed to start with "address in use".

--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -51,6 +51,8 @@
     pub measurement: Measurement,
     /// What the checker found.
     pub verdict: Verdict,
+    /// What happened, as text, where an invariant was broken.
+    pub trace: Option<String>,
 }
 
 /// The report, as `report.json` holds it.
@@ -185,6 +187,17 @@
         format!("{}{}", counts.join(", "), first.unwrap_or_default())
     }
 
+    /// Writes the traces of the runs that broke an invariant to `directory`.
+    pub fn write_traces(directory: &Path, runs: &[RunResult]) -> std::io::Result<()> {
+        for run in runs {
+            if let Some(trace) = &run.trace {
+                std::fs::create_dir_all(directory)?;
+                std::fs::write(directory.join(format!("seed-{}.txt", run.seed)), trace)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Writes the report to `directory`, which is made if it is not there.
     pub fn write(&self, directory: &Path) -> std::io::Result<()> {
         std::fs::create_dir_all(directory)?;
--- a/crates/lab/src/scenario/command.rs
+++ b/crates/lab/src/scenario/command.rs
@@ -99,6 +99,7 @@
         let runs = run_seeds(&scenario, &seeds, self.jobs, self.policy.policy)?;
         let report = Report::new(&scenario.name, self.policy.name, &runs);
         report.write(&self.out).into_diagnostic()?;
+        Report::write_traces(&self.out, &runs).into_diagnostic()?;
         println!("{}", report.summary());
         ensure!(report.violation_count() == 0, "{}", report.broken());
         Ok(())
--- a/crates/lab/src/scenario/deployment.rs
+++ b/crates/lab/src/scenario/deployment.rs
@@ -56,6 +56,8 @@
     /// Where callers of every zone reach it.
     pub address: SocketAddr,
     settings: Settings,
+    /// Sockets of its first start, held so that nobody else takes the ports meanwhile.
+    first_listeners: Mutex<Option<Listeners>>,
     running: Mutex<Option<Node>>,
 }
 
@@ -64,6 +66,10 @@
     pub fn running(&self) -> MutexGuard<'_, Option<Node>> {
         self.running.lock().expect("a holder of the node lock panicked")
     }
+
+    fn first_listeners(&self) -> MutexGuard<'_, Option<Listeners>> {
+        self.first_listeners.lock().expect("a holder of the listeners lock panicked")
+    }
 }
 
 /// Everything that runs.
@@ -112,7 +118,10 @@
     pub fn start_node(&self, node: usize) -> miette::Result<()> {
         let slot = &self.nodes[node];
         let mut settings = slot.settings.clone();
-        let listeners = bind(&mut settings).into_diagnostic()?;
+        let listeners = match slot.first_listeners().take() {
+            Some(listeners) => listeners,
+            None => bind(&mut settings).into_diagnostic()?,
+        };
         let started = Node::start(&settings, listeners, self.store.clone(), self.policy);
         *slot.running() = Some(started.into_diagnostic()?);
         Ok(())
@@ -166,8 +175,10 @@
     Ok(network)
 }
 
-/// Binds a node's addresses, waiting for those that its last life still holds.
+/// Binds a node's addresses, waiting for those that its last life still holds. The port of the
+/// operators is chosen anew, since nobody else is told of it.
 fn bind(settings: &mut Settings) -> Result<Listeners, StartError> {
+    settings.admin_address.set_port(0);
     let limit = Instant::now() + REBIND_LIMIT;
     loop {
         match Listeners::bind(settings) {
@@ -222,14 +233,19 @@
                 store_endpoints: vec![platform.endpoint()],
                 ..Settings::loopback(NodeName::new(&name), zone_name.clone())
             };
-            // Bound to learn free ports; the node binds them again when it starts.
-            drop(Listeners::bind(&mut settings).into_diagnostic()?);
+            let listeners = Listeners::bind(&mut settings).into_diagnostic()?;
             let exposed = network.expose(zone_name, settings.peer_address).into_diagnostic()?;
             settings.advertised_peer_address = Some(exposed);
             let address =
                 network.expose_tcp(zone_name, settings.caller_address).into_diagnostic()?;
-            let running = Mutex::new(None);
-            slots.push(NodeSlot { id: NodeId(name), zone, address, settings, running });
+            slots.push(NodeSlot {
+                id: NodeId(name),
+                zone,
+                address,
+                settings,
+                first_listeners: Mutex::new(Some(listeners)),
+                running: Mutex::new(None),
+            });
         }
     }
     let peers: Vec<PeerSettings> = slots.iter().map(|slot| peer_of(&slot.settings)).collect();
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -10,4 +10,5 @@
 pub mod schedule;
 pub mod schema;
 pub mod timeline;
+pub mod trace;
 pub mod watch;
--- a/crates/lab/src/scenario/run.rs
+++ b/crates/lab/src/scenario/run.rs
@@ -14,7 +14,7 @@
 use super::deployment::Cluster;
 use super::schedule::{Requests, plan_faults};
 use super::timeline::{Done, Timeline};
-use super::{schema, watch};
+use super::{schema, trace, watch};
 use crate::check::check;
 use crate::check::final_state::FinalState;
 use crate::check::history::{ConfigurationTrack, History, SessionNumber};
@@ -155,5 +155,9 @@
         measurement.reads_at_primary += counts.primary;
         measurement.reads_at_replica += counts.replica;
     }
-    Ok(RunResult { seed, measurement, verdict: check(&history, &state) })
+    let verdict = check(&history, &state);
+    let planned = plan_faults(scenario, seed);
+    let trace = (!verdict.violations.is_empty())
+        .then(|| trace::write(cluster, &planned, began, &history, &state));
+    Ok(RunResult { seed, measurement, verdict, trace })
 }
--- a/crates/lab/tests/report.rs
+++ b/crates/lab/tests/report.rs
@@ -74,8 +74,8 @@
     let mut first = measured();
     first.record_latency(&Action::Deposit, Duration::from_millis(10));
     let runs = [
-        RunResult { seed: 7, measurement: first, verdict: Verdict::default() },
-        RunResult { seed: 8, measurement: measured(), verdict: broken },
+        RunResult { seed: 7, measurement: first, verdict: Verdict::default(), trace: None },
+        RunResult { seed: 8, measurement: measured(), verdict: broken, trace: None },
     ];
     let report = Report::new("failover", "standard", &runs);
     assert_eq!((report.seeds, report.failed_seeds), (vec![7, 8], vec![8]));
@@ -92,7 +92,8 @@
 #[test]
 fn a_report_is_read_back_as_it_was_written() {
     let directory = std::env::temp_dir().join(format!("kestrellock-report-{}", std::process::id()));
-    let run = RunResult { seed: 7, measurement: measured(), verdict: Verdict::default() };
+    let run =
+        RunResult { seed: 7, measurement: measured(), verdict: Verdict::default(), trace: None };
     let report = Report::new("failover", "standard", &[run]);
     report.write(&directory).expect("the report is written");
     let text = std::fs::read_to_string(directory.join("report.json")).expect("it is there");
