--- a/crates/core/src/catalog/validate.rs
+++ b/crates/core/src/catalog/validate.rs
@@ -8,6 +8,7 @@
 
 use super::{Catalog, Group, Instance, InvalidField, Template};
 use crate::ids::{GroupName, InstanceName};
+use crate::scram::Verifier;
 
 /// Longest name of anything, in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
@@ -17,7 +18,6 @@
 const CAPACITY: RangeInclusive<u64> = 1..=100_000;
 const DEADLINE_MS: RangeInclusive<u64> = 1..=600_000;
 const MAX_STALENESS_MS: RangeInclusive<u64> = 0..=3_600_000;
-const VERIFIER_SCHEME: &str = "SCRAM-SHA-256";
 
 /// Whether `text` may name a node, zone, group, instance, template or tenant: lower-case letters,
 /// digits, hyphens and underscores, beginning with a letter.
@@ -189,29 +189,11 @@
 
 /// The verifier's value is never part of the complaint.
 fn check_verifier(field: &str, verifier: &str) -> Outcome {
-    match verifier.is_empty() || has_verifier_form(verifier) {
-        true => Ok(()),
-        false => Err(InvalidField::new(
+    match verifier.parse::<Verifier>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(InvalidField::new(
             field,
             "must have the form SCRAM-SHA-256$iterations:salt$stored:server",
         )),
     }
 }
-
-fn has_verifier_form(verifier: &str) -> bool {
-    let is_base64 = |text: &str| {
-        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"+/=".contains(&byte);
-        !text.is_empty() && text.bytes().all(allowed)
-    };
-    let mut parts = verifier.split('$');
-    let (Some(scheme), Some(cost), Some(keys), None) =
-        (parts.next(), parts.next(), parts.next(), parts.next())
-    else {
-        return false;
-    };
-    let Some((iterations, salt)) = cost.split_once(':') else { return false };
-    let Some((stored, server)) = keys.split_once(':') else { return false };
-    scheme == VERIFIER_SCHEME
-        && iterations.parse::<u32>().is_ok_and(|count| count > 0)
-        && [salt, stored, server].into_iter().all(is_base64)
-}
--- a/crates/core/src/scram.rs
+++ b/crates/core/src/scram.rs
@@ -64,8 +64,12 @@
         let (cost, keys) = rest.and_then(|rest| rest.split_once('$')).ok_or(MalformedVerifier)?;
         let (iterations, salt) = cost.split_once(':').ok_or(MalformedVerifier)?;
         let (stored, server) = keys.split_once(':').ok_or(MalformedVerifier)?;
+        let iterations: u32 = iterations.parse().map_err(|_| MalformedVerifier)?;
+        if iterations == 0 {
+            return Err(MalformedVerifier);
+        }
         Ok(Self {
-            iterations: iterations.parse().map_err(|_| MalformedVerifier)?,
+            iterations,
             salt: BASE64.decode(salt).map_err(|_| MalformedVerifier)?,
             stored_key: decode_key(stored)?,
             server_key: decode_key(server)?,
--- a/crates/core/tests/catalog.rs
+++ b/crates/core/tests/catalog.rs
@@ -12,7 +12,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const VERIFIER: &str = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy";
+const VERIFIER: &str = "SCRAM-SHA-256$4096:c2FsdA==$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=";
 const VALID: &str = r#"
 [groups.orders]
 database = "orders"
@@ -34,10 +34,10 @@
 deadline_ms = 5000
 [tenants.atlas]
 template = "school"
-logins = { teacher = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy" }
+logins = { teacher = "SCRAM-SHA-256$4096:c2FsdA==$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=" }
 [tenants.parents]
 template = "school"
-logins = { parent = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy" }
+logins = { parent = "SCRAM-SHA-256$4096:c2FsdA==$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=" }
 capacity = 2
 "#;
 
@@ -101,13 +101,13 @@
             "tenants.atlas.logins.teacher",
         ),
         (
-            "$c3RvcmVk:c2VydmVy\" }\n[tenants.parents]",
-            "$c3RvcmVk\" }\n[tenants.parents]",
+            "$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=\" }\n[tenants.parents]",
+            "$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=\" }\n[tenants.parents]",
             "tenants.atlas.logins.teacher",
         ),
         (
-            "c2FsdA==$c3RvcmVk:c2VydmVy\" }\n[tenants.parents]",
-            "c2F sdA$c3RvcmVk:c2VydmVy\" }\n[tenants.parents]",
+            "c2FsdA==$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=\" }\n[tenants.parents]",
+            "c2F sdA$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=\" }\n[tenants.parents]",
             "tenants.atlas.logins.teacher",
         ),
     ];
@@ -120,7 +120,7 @@
         };
         let error = catalog.validate().expect_err(&text);
         assert_eq!(error.field, field, "{from} -> {to}: {error}");
-        assert!(!error.problem.contains("c3RvcmVk"), "a verifier is shown: {error}");
+        assert!(!error.problem.contains("q0jRZFKp"), "a verifier is shown: {error}");
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/spreading.rs
@@ -0,0 +1,219 @@
+//! Who follows the store, whom the others ask, and deltas between catalogs.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use kestrellock_core::admin::configuration::{EntryId, EntryKind, EntryValue};
+use kestrellock_core::catalog::{Catalog, DeltaError, Revision, VersionedCatalog};
+use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_core::spreading::{
+    POLL_INTERVAL, Puller, REQUEST_LIMIT, View, audience, followers, is_follower,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn node(zone: usize, number: usize) -> Candidate {
+    let name = format!("node-{zone}-{number}");
+    Candidate { node: NodeName::new(name), zone: ZoneName::new(format!("zone-{zone}")) }
+}
+
+fn cluster(zones: usize, each: usize) -> Vec<Candidate> {
+    (0..zones).flat_map(|zone| (0..each).map(move |number| node(zone, number))).collect()
+}
+
+#[test]
+fn two_nodes_a_zone_follow_and_a_leaving_one_is_replaced() {
+    let live = cluster(10, 52);
+    let following = live.iter().filter(|own| is_follower(own, &live)).count();
+    assert_eq!(following, 20);
+    let zone = ZoneName::new("zone-3");
+    let before = followers(&zone, &live);
+    let without: Vec<Candidate> =
+        live.iter().filter(|other| other.node != before[0]).cloned().collect();
+    let after = followers(&zone, &without);
+    assert_eq!(after[0], before[1], "the second one stays");
+    assert_eq!(after.len(), 2);
+    assert_eq!(followers(&ZoneName::new("nowhere"), &live), []);
+    assert_eq!(followers(&zone, &[node(3, 0)]), [NodeName::new("node-3-0")]);
+}
+
+#[test]
+fn a_follower_tells_its_zone_and_the_followers_of_the_others() {
+    let live = cluster(10, 52);
+    let own = live.iter().find(|own| is_follower(own, &live)).expect("one");
+    let told = audience(own, &live);
+    assert_eq!(told.len(), 51 + 18);
+    assert!(!told.contains(&own.node));
+}
+
+struct Asker {
+    puller: Puller,
+    live: Vec<Candidate>,
+    now: Instant,
+}
+
+impl Asker {
+    fn new() -> Self {
+        let live = cluster(2, 5);
+        let own = live.iter().find(|own| !is_follower(own, &live)).expect("one").clone();
+        Self { puller: Puller::new(own), live, now: Instant::now() }
+    }
+
+    fn next(&mut self, have: u64, newer: Option<&NodeName>) -> Option<NodeName> {
+        let (now, live) = (self.now, self.live.as_slice());
+        self.puller.next(&View { now, have: Revision(have), newer, live, random: 0.4 })
+    }
+}
+
+#[test]
+fn without_cause_a_follower_of_the_zone_is_asked_now_and_then() {
+    let mut asker = Asker::new();
+    let asked = asker.next(7, None).expect("at the start");
+    assert!(followers(&ZoneName::new("zone-0"), &asker.live).contains(&asked));
+    asker.puller.on_answer(&asked);
+    assert_eq!(asker.next(7, None), None);
+    asker.now += POLL_INTERVAL / 2;
+    assert_eq!(asker.next(7, None), None);
+    asker.now += POLL_INTERVAL;
+    assert!(asker.next(7, None).is_some());
+}
+
+#[test]
+fn who_has_a_newer_revision_is_asked_at_once_and_another_if_it_is_silent() {
+    let mut asker = Asker::new();
+    let first = asker.next(7, None).expect("at the start");
+    asker.puller.on_answer(&first);
+    let newer = NodeName::new("node-1-4");
+    assert_eq!(asker.next(7, Some(&newer)), Some(newer.clone()));
+    assert_eq!(asker.next(7, Some(&newer)), None, "one request at a time");
+    asker.now += REQUEST_LIMIT;
+    let other = asker.next(7, Some(&newer)).expect("another node");
+    assert_ne!(other, newer);
+    asker.puller.on_answer(&other);
+    assert_eq!(asker.next(7, Some(&newer)), Some(newer), "then the first again");
+}
+
+#[test]
+fn what_cannot_be_put_in_force_is_not_asked_for_at_once_again() {
+    let mut asker = Asker::new();
+    let newer = NodeName::new("node-1-4");
+    assert_eq!(asker.next(7, Some(&newer)), Some(newer.clone()));
+    asker.puller.on_refused(&newer, asker.now);
+    asker.now += POLL_INTERVAL - Duration::from_millis(1);
+    assert_eq!(asker.next(7, Some(&newer)), None);
+}
+
+fn versioned(entries: &[(u8, u64)]) -> VersionedCatalog {
+    let newest = entries.iter().map(|(_, at)| *at).max().unwrap_or(0);
+    let mut catalog = Catalog { revision: Revision(newest), ..Catalog::default() };
+    let mut revisions = BTreeMap::new();
+    for (number, at) in entries {
+        let name = format!("t{number}");
+        let text = format!("template = \"x\"\ncapacity = {at}");
+        let value = EntryValue::Tenant(toml::from_str(&text).expect("a tenant"));
+        catalog.insert(&name, value);
+        revisions.insert(EntryId { kind: EntryKind::Tenant, name }, Revision(*at));
+    }
+    VersionedCatalog::new(catalog, revisions)
+}
+
+#[test]
+fn deltas_that_do_not_fit_are_refused() {
+    let old = versioned(&[(1, 5), (2, 6)]);
+    let new = versioned(&[(1, 5), (2, 9), (3, 8)]);
+    let delta = new.delta_since(Revision(6));
+    assert_eq!(delta.changed.tenants.len(), 2);
+    assert_eq!(old.with(&delta).as_ref(), Ok(&new));
+    assert_eq!(new.with(&delta), Err(DeltaError::NotNewer));
+    assert_eq!(versioned(&[(1, 4)]).with(&delta), Err(DeltaError::DoesNotFit));
+    // One that lacks an entry, or has another of the same age, finds out by the fingerprint.
+    assert_eq!(versioned(&[(2, 6)]).with(&delta), Err(DeltaError::DoesNotFit));
+    assert_eq!(versioned(&[(1, 5), (7, 6)]).with(&delta), Err(DeltaError::DoesNotFit));
+    let mut short = delta.clone();
+    short.revisions.pop();
+    assert_eq!(old.with(&short), Err(DeltaError::DoesNotFit));
+    let whole = new.delta_since(Revision(0));
+    assert_eq!(versioned(&[(7, 6)]).with(&whole), Ok(new));
+}
+
+const GROUPS: usize = 550;
+/// More than twice what was measured when the limits were set.
+const MAX_WHOLE_BYTES: usize = 1_000_000;
+const MAX_CHANGE_BYTES: usize = 2_000;
+
+fn design_size() -> VersionedCatalog {
+    let mut catalog = Catalog { revision: Revision(9_000), ..Catalog::default() };
+    let mut add = |name: String, value: EntryValue| catalog.insert(&name, value);
+    for group in 0..GROUPS {
+        let instances = (0..3).map(|number| {
+            format!(
+                "{{ name = \"yearbook-core-{group}-{number}\", zone = \"zone-{number}\", \
+                 address = \"10.{number}.{}.{}:5432\", slots = 5, connections = 35 }}",
+                group / 250,
+                group % 250
+            )
+        });
+        let instances = instances.collect::<Vec<_>>().join(",");
+        let text = format!("database = \"db{group}\"\nuser = \"proxy\"\ninstances = [{instances}]");
+        let value = EntryValue::Group(toml::from_str(&text).expect("a group"));
+        add(format!("yearbook-core-{group}"), value);
+        let keys = "q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=";
+        let text = format!(
+            "template = \"school\"\ngroups = [\"yearbook-core-{group}\"]\n\
+             logins = {{ user{group} = \"SCRAM-SHA-256$4096:c2FsdHNhbHRzYWx0c2E=${keys}:{keys}\" }}"
+        );
+        let value = EntryValue::Tenant(toml::from_str(&text).expect("a tenant"));
+        add(format!("tenant-{group}"), value);
+    }
+    let text = "groups = []\nmax_staleness_ms = 1000\ncapacity = 4\ndeadline_ms = 5000";
+    add("school".to_owned(), EntryValue::Template(toml::from_str(text).expect("a template")));
+    let changed = EntryId { kind: EntryKind::Group, name: "yearbook-core-7".to_owned() };
+    let mut revisions: BTreeMap<EntryId, Revision> = BTreeMap::new();
+    for kind in EntryKind::ALL {
+        for entry in catalog.entries(kind) {
+            revisions.insert(entry.id(), Revision(8_000));
+        }
+    }
+    revisions.insert(changed, Revision(9_000));
+    VersionedCatalog::new(catalog, revisions)
+}
+
+#[test]
+fn a_change_costs_a_fraction_of_the_whole_at_the_design_size() {
+    let catalog = design_size();
+    catalog.validate().expect("it is valid");
+    let bytes = |base: u64| {
+        let mut cbor = Vec::new();
+        ciborium::into_writer(&catalog.delta_since(Revision(base)), &mut cbor).expect("CBOR");
+        cbor.len()
+    };
+    let (whole, change) = (bytes(0), bytes(8_999));
+    println!("whole catalog {whole} bytes, one changed group {change} bytes");
+    assert!(whole < MAX_WHOLE_BYTES && change < MAX_CHANGE_BYTES, "{whole} {change}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn an_older_catalog_with_the_delta_is_the_newer_one(
+        writes in prop::collection::vec(0_u8..12, 1..40),
+        split in 0.0..1.0,
+    ) {
+        let state = |writes: &[u8]| {
+            let mut entries: BTreeMap<u8, u64> = BTreeMap::new();
+            for (index, number) in writes.iter().enumerate() {
+                entries.insert(*number, index as u64 + 1);
+            }
+            versioned(&entries.into_iter().collect::<Vec<_>>())
+        };
+        let at = (split * writes.len() as f64) as usize;
+        let (old, new) = (state(&writes[..at]), state(&writes));
+        let delta = new.delta_since(old.revision);
+        let mut cbor = Vec::new();
+        ciborium::into_writer(&delta, &mut cbor).expect("CBOR");
+        let delta = ciborium::from_reader(cbor.as_slice()).expect("CBOR");
+        prop_assert_eq!(old.with(&delta), Ok(new));
+    }
+}
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use kestrellock_core::scram::DEFAULT_ITERATIONS;
 
 /// kestrellock operators' command line
 #[derive(Debug, FromArgs)]
@@ -34,6 +35,7 @@
     Group(GroupArguments),
     Template(TemplateArguments),
     Tenant(TenantArguments),
+    Verifier(VerifierArguments),
 }
 
 /// show what the node says of itself
@@ -191,3 +193,12 @@
     #[argh(option, default = "30")]
     pub wait_seconds: u64,
 }
+
+/// make the verifier of a password, which is read from standard input, for a tenant's logins
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "verifier")]
+pub struct VerifierArguments {
+    /// hash iterations: more make a stolen verifier harder to reverse, and logins slower
+    #[argh(option, default = "DEFAULT_ITERATIONS")]
+    pub iterations: u32,
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod file;
 pub mod nodes;
 pub mod show;
+pub mod verifier;
 
 use std::io::Write;
 
@@ -19,12 +20,16 @@
 
 /// Carries out one command line; what it has to tell goes to `output`.
 pub fn run(arguments: Arguments, output: &mut dyn Write) -> Result<()> {
+    if let Command::Verifier(verifier) = &arguments.command {
+        return verifier::make(verifier, &mut std::io::stdin().lock(), output);
+    }
     let client = Client::new(arguments.node, arguments.token_file)?;
     match arguments.command {
         Command::Status(_) => {
             let status: NodeStatus = client.get("/status")?;
             show::json(&status, output)
         }
+        Command::Verifier(_) => Ok(()),
         Command::Nodes(_) => nodes::list(&client, output),
         Command::Groups(_) => {
             let groups: serde_json::Value = client.get("/v1/groups")?;
--- a/crates/ctl/src/nodes.rs
+++ b/crates/ctl/src/nodes.rs
@@ -54,13 +54,16 @@
     loop {
         let nodes = read(client)?;
         let behind = names_behind(&nodes, revision);
-        if behind.is_empty() {
+        // A node that has not joined yet knows of none, not even itself.
+        if behind.is_empty() && !nodes.is_empty() {
             let count = nodes.len();
             return line(output, format!("revision {} in force on {count} nodes", revision.0));
         }
         if Instant::now() >= deadline {
             let code = ResultCode::NotInForceEverywhere;
-            let names = behind.join(", ");
+            let none = || vec!["any node: the one asked has not joined yet".to_owned()];
+            let names = if behind.is_empty() { none() } else { behind };
+            let names = names.join(", ");
             return Err(miette!("{code}: revision {} not in force on {names}", revision.0));
         }
         std::thread::sleep(POLL_INTERVAL);
--- a/crates/lab/tests/cluster/mod.rs
+++ b/crates/lab/tests/cluster/mod.rs
@@ -1,5 +1,7 @@
 //! A store and nodes without back ends, driven by the operators' command line.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -70,6 +72,7 @@
     pub nodes: Vec<Node>,
     pub settings: Vec<Settings>,
     pub files: Files,
+    store: Arc<EtcdStore>,
     token_file: String,
 }
 
@@ -85,7 +88,9 @@
             Node::start(settings, listeners, store.clone(), Policy::Standard).expect("it starts")
         });
         let nodes = nodes.collect();
-        Self { nodes, settings, files, token_file }
+        let cluster = Self { nodes, settings, files, store, token_file };
+        cluster.wait_for("membership", |node| node.context.live.load().len() == zones.len());
+        cluster
     }
 
     /// Runs `kestrellockctl` against a node.
@@ -109,6 +114,20 @@
         }
     }
 
+    /// Kills a node and starts another one in its place, on new ports.
+    pub fn restart(&mut self, node: usize) {
+        self.nodes.remove(node).kill();
+        let settings = &mut self.settings[node];
+        for address in
+            [&mut settings.caller_address, &mut settings.peer_address, &mut settings.admin_address]
+        {
+            address.set_port(0);
+        }
+        let listeners = Listeners::bind(settings).expect("free ports");
+        let started = Node::start(settings, listeners, self.store.clone(), Policy::Standard);
+        self.nodes.insert(node, started.expect("it starts"));
+    }
+
     /// Stops the nodes.
     pub fn stop(self) {
         self.nodes.into_iter().for_each(Node::kill);
--- a/crates/lab/tests/configuration.rs
+++ b/crates/lab/tests/configuration.rs
@@ -111,7 +111,7 @@
     let (store, cluster) = start("store-down");
     let file = cluster.files.write("catalog.toml", &example("casablanca"));
     cluster.ctl(0, &["config", "apply", &file, "--wait"]).done();
-    drop(store);
+    store.set_outage(true);
     let changed = example("casablanca").replacen("capacity = 4 ", "capacity = 9 ", 1);
     let changed = cluster.files.write("changed.toml", &changed);
     let refused: Told = cluster.ctl(0, &["template", "apply", &changed, "--revision", "99"]);
