Count statements, routes, refusals, connections and probes where they happen

The metrics stood on /metrics but front and gateway did not touch most of them. Each is one line at the place; a test drives a front and a gateway over scripted back ends and reads the counters.

--- /dev/null
+++ b/crates/daemon/src/front/counting.rs
@@ -0,0 +1,56 @@
+//! What the front counts: statements by how they end, refusals, and where exchanges go.
+
+use std::time::Duration;
+
+use kestrellock_core::outcome::{Execution, Refusal};
+use kestrellock_core::routing::{Access, Role};
+use kestrellock_peer::message::LeaseEvent;
+
+use super::login::Login;
+use super::request::Request;
+use crate::metrics::{Route, StatementResult};
+use crate::shard::Io;
+
+/// The exchange under way ended. `read_only`: nothing on its lease can have written.
+pub fn ended(
+    event: &LeaseEvent,
+    login: Option<&Login>,
+    request: Option<&Request>,
+    read_only: bool,
+    io: &Io,
+) {
+    match event {
+        LeaseEvent::Part(_) | LeaseEvent::NotOwner { .. } => {}
+        LeaseEvent::Refused(refusal) => refused(refusal, io),
+        LeaseEvent::Done { .. } => {
+            let (Some(login), Some(request)) = (login, request) else { return };
+            let result = match read_only {
+                true => StatementResult::ReadAnswered,
+                false => StatementResult::WriteAnswered,
+            };
+            let limit = Duration::from(login.parameters.values.deadline_ms);
+            let left = request.deadline.saturating_duration_since(io.now);
+            io.context.metrics.count_statement(result, limit.saturating_sub(left));
+        }
+    }
+}
+
+/// The proxy answered in place of a back end.
+pub fn refused(refusal: &Refusal, io: &Io) {
+    let metrics = &io.context.metrics;
+    metrics.count_code(refusal.code);
+    metrics.statements.count(match refusal.code.execution() {
+        Execution::NotRun => StatementResult::NotRun,
+        Execution::InDoubt => StatementResult::InDoubt,
+        Execution::Ran => StatementResult::WriteAnswered,
+    });
+}
+
+/// An instance of that role was chosen.
+pub fn routed(access: &Access, role: Option<Role>, io: &Io) {
+    io.context.metrics.routes.count(match (access, role) {
+        (Access::Write { .. }, _) => Route::PrimaryWrite,
+        (Access::Read { .. }, Some(Role::Primary)) => Route::PrimaryRead,
+        (Access::Read { .. }, _) => Route::Replica,
+    });
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod baseline;
 pub mod batch;
 pub mod classes;
+pub mod counting;
 pub mod current_position;
 pub mod ending;
 pub mod login;
@@ -24,6 +25,7 @@
 use slab::Slab;
 
 use crate::context::Identity;
+use crate::metrics::ConnectionEvent;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::shard::{Io, Part, token};
 
@@ -78,6 +80,7 @@
             Connection::register(stream, token(Part::Caller, entry.key()), io.registry, false);
         if let Ok(connection) = registered {
             entry.insert(Session::new(connection, io.now));
+            io.context.metrics.callers.count(ConnectionEvent::Opened);
         }
     }
 
@@ -227,6 +230,7 @@
 
     fn close(&mut self, key: usize, io: &mut Io) {
         let mut session = self.sessions.remove(key);
+        io.context.metrics.callers.count(ConnectionEvent::Closed);
         session.abandon(io);
         for ended in session.ended_leases.drain(..) {
             self.leases.remove(&ended);
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -23,8 +23,9 @@
 use super::request::{Collector, Next, Request};
 use super::startup::{Startup, StartupStep};
 use super::target::{self, Subscriptions, Target};
-use super::{GATEWAY_GRACE, answer, baseline, ending};
+use super::{GATEWAY_GRACE, answer, baseline, counting, ending};
 use crate::gateway::running::stake_of;
+use crate::metrics::ConnectionEvent;
 use crate::net::connection::Connection;
 use crate::policy::Policy;
 use crate::shard::{Io, Outgoing};
@@ -262,6 +263,8 @@
             }
             StartupStep::Refused(refusal) => refusal,
         };
+        io.context.metrics.count_code(refusal.code);
+        io.context.metrics.callers.count(ConnectionEvent::Refused);
         answer::put_refusal(&refusal, "FATAL", output);
         SessionEnd::Close
     }
@@ -349,6 +352,7 @@
             self.transaction = TransactionState::Failed;
             self.state.on_end(&[], UNDONE);
         }
+        counting::refused(refusal, io);
         answer::put_refusal(refusal, "ERROR", &mut self.connection.output);
         answer::put_ready(self.transaction, &mut self.connection.output);
     }
@@ -368,7 +372,7 @@
                 None => failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline),
             };
             let refusal = Refusal::new(code, "no instance could take the statement");
-            self.end_lease(LeaseEvent::Refused(refusal));
+            self.end_lease(LeaseEvent::Refused(refusal), io);
             return;
         }
         if self.hold_until.is_none_or(|until| io.now >= until) {
@@ -458,7 +462,7 @@
                 self.hold_until = Some(io.now + refusal.retry_after.unwrap_or(RESEND_INTERVAL));
                 self.drop_lease();
             }
-            _ => self.end_lease(LeaseEvent::Refused(refusal)),
+            _ => self.end_lease(LeaseEvent::Refused(refusal), io),
         }
     }
 
@@ -543,13 +547,15 @@
             }
             LeaseEvent::Refused(refusal) => self.on_refused(refusal, io),
             LeaseEvent::NotOwner { owner } => self.on_not_owner(owner, io),
-            LeaseEvent::Done { .. } => self.end_lease(event),
+            LeaseEvent::Done { .. } => self.end_lease(event, io),
         }
     }
 
     /// Ends the exchange under way, and the lease unless a transaction stays open.
-    fn end_lease(&mut self, event: LeaseEvent) {
+    fn end_lease(&mut self, event: LeaseEvent, io: &Io) {
         let request = self.request.take();
+        let read_only = self.lease.as_ref().is_some_and(|lease| lease.read_only);
+        counting::ended(&event, self.login.as_ref(), request.as_ref(), read_only, io);
         self.hold_until = None;
         self.referred = false;
         match event {
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -8,6 +8,7 @@
 use kestrellock_core::routing::{Access, Candidate, Choice, choose};
 use kestrellock_peer::message::{GatewayCall, SUBSCRIPTION_LIFETIME, ToGateway};
 
+use super::counting;
 use crate::ownership::OwnershipSnapshot;
 use crate::shard::{Io, Outgoing};
 
@@ -37,8 +38,10 @@
         Choice::Serve(instance) | Choice::ServeAfter(instance, _) => instance,
         Choice::Nowhere => return None,
     };
+    let role = statuses.get(chosen).map(|status| status.role);
     let instance = instances.iter().find(|instance| instance.name == *chosen)?;
     let gateway = io.context.gateway_of(&instance.name, io.now)?;
+    counting::routed(access, role, io);
     Some(Target { instance: instance.name.clone(), gateway })
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToFront, ToGateway};
 use slab::Slab;
 
+use crate::metrics::{ConnectionEvent, ProbeEvent};
 use crate::net::connection::ReadOutcome;
 use crate::ownership::OwnershipSnapshot;
 use crate::shard::{Io, Outgoing};
@@ -318,6 +319,7 @@
             ServerEvent::Ready => state.monitor.on_probe_ready(key, &instance),
             ServerEvent::Unusable => self.on_server_lost(key, Fault::BackendLost, io),
             ServerEvent::Refused => {
+                io.context.metrics.backends.count(ConnectionEvent::Refused);
                 if let Some(pool) = state.pools.get_mut(&instance) {
                     pool.on_refused(io.now, rand::random());
                 }
@@ -338,6 +340,7 @@
                 state.confirmations.wait_for(commit, configured, io);
             }
             ServerEvent::Probed(report) => {
+                io.context.metrics.probes.count(ProbeEvent::Answered);
                 let wait = state.pools.get(&instance).map(Pool::expected_wait);
                 let majority = configured.majority();
                 let replaced = state.monitor.on_report(&instance, &report, wait, majority, io);
@@ -378,6 +381,7 @@
                     if let Some(server) = self.servers.get_mut(key) {
                         let number = state.confirmations.next_probe();
                         state.monitor.on_asked(&instance.name, number);
+                        io.context.metrics.probes.count(ProbeEvent::Sent);
                         server.ask_position(number, io);
                         // A broken connection shows as readable and is handled there.
                         let _ = server.flush(io);
@@ -397,6 +401,7 @@
     /// Handles the loss of a connection: whoever used it is told what that means.
     fn on_server_lost(&mut self, key: usize, fault: Fault, io: &mut Io) {
         let Some(mut server) = self.servers.try_remove(key) else { return };
+        io.context.metrics.backends.count(ConnectionEvent::Closed);
         server.deregister(io);
         if let Some(lease) = server.fail_exchange(fault, io) {
             self.leases.remove(&lease);
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -25,6 +25,7 @@
 use super::prepared::PreparedSet;
 use super::probe::{POSITION_QUERY, Report, parse_row};
 use super::running::{Next, Running, sqlstate, stake_of};
+use crate::metrics::ConnectionEvent;
 use crate::net::connect::connect_from;
 use crate::net::connection::{Connection, ReadOutcome};
 use crate::net::frames;
@@ -165,6 +166,7 @@
         let key = entry.key();
         let mut connection =
             Connection::register(stream, token(Part::Server, key), io.registry, true)?;
+        io.context.metrics.backends.count(ConnectionEvent::Opened);
         let mut startup = Startup::new();
         startup.parameters = BTreeMap::from([
             ("user".to_owned(), group.user.clone()),
--- /dev/null
+++ b/crates/daemon/tests/counters.rs
@@ -0,0 +1,43 @@
+//! The counters of a statement's way: what callers and back ends did shows on the node.
+
+mod support;
+
+use std::time::Duration;
+
+use kestrellock_core::outcome::ResultCode;
+use kestrellock_daemon::metrics::{ConnectionEvent, ProbeEvent, Route, StatementResult};
+use kestrellock_daemon::policy::Policy;
+use support::{Caller, Pair, Scripted, ScriptedGroup, wait_until};
+
+const DEADLINE: Duration = Duration::from_secs(20);
+
+#[test]
+fn statements_routes_refusals_connections_and_probes_are_counted() {
+    let group = ScriptedGroup::start();
+    let pair = Pair::start(&group, DEADLINE, Policy::Standard);
+    let mut caller = Caller::connect(pair.address, &[]);
+    assert_eq!(caller.query("INSERT INTO plain VALUES (0)").error, None);
+    assert_eq!(caller.query("SELECT 1").error, None);
+    group.script().on_marked = Scripted::Close;
+    assert_eq!(caller.query("INSERT INTO marked VALUES (1)").code(), "KL1601");
+
+    let front = &pair.front.as_ref().expect("running").context.metrics;
+    assert_eq!(front.statements.get(StatementResult::WriteAnswered), 1);
+    assert_eq!(front.statements.get(StatementResult::ReadAnswered), 1);
+    assert_eq!(front.statements.get(StatementResult::InDoubt), 1);
+    assert_eq!(front.codes.get(ResultCode::ConnectionLostInDoubt), 1);
+    assert_eq!(front.routes.get(Route::PrimaryWrite), 2);
+    let reads = front.routes.get(Route::Replica) + front.routes.get(Route::PrimaryRead);
+    assert_eq!(reads, 1);
+    assert!(front.text().contains("kestrellock_statement_seconds_count 2\n"));
+    assert!(front.callers.get(ConnectionEvent::Opened) >= 1);
+    drop(caller);
+    let opened = front.callers.get(ConnectionEvent::Opened);
+    wait_until("the close", || front.callers.get(ConnectionEvent::Closed) == opened);
+
+    let gateway = &pair.gateway.as_ref().expect("running").context.metrics;
+    assert!(gateway.backends.get(ConnectionEvent::Opened) > 0);
+    assert!(gateway.backends.get(ConnectionEvent::Closed) > 0);
+    let sent = gateway.probes.get(ProbeEvent::Sent);
+    assert!(gateway.probes.get(ProbeEvent::Answered) > 0 && sent > 0);
+}
