Join through the platform's machine list

The settings took the address of a machine list and nothing read it. A child of the node now reads it every 10 s, with backoff, and gives its live entries to membership as seeds beside the settings' peers: tried, never believed. The cluster's name has a flag like every other field.

--- /dev/null
+++ b/crates/daemon/src/agent/machines.rs
@@ -0,0 +1,66 @@
+//! Finds further nodes to join through in the platform's machine list, which lags and may be wrong:
+//! its entries are only tried, never believed.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use kestrellock_core::membership::Seed;
+use kestrellock_platform::backoff::Backoff;
+use kestrellock_platform::machines::{Machine, MachineList, MachineState};
+
+use crate::context::NodeContext;
+use crate::supervisor::StopFlag;
+
+/// Mean time between two looks at the list.
+const INTERVAL: Duration = Duration::from_secs(10);
+const FIRST_RETRY: Duration = Duration::from_millis(500);
+const LAST_RETRY: Duration = Duration::from_secs(30);
+
+/// Seeds on their way to the membership agent.
+#[derive(Debug, Default)]
+pub struct ListedSeeds {
+    newest: Mutex<Option<Vec<Seed>>>,
+}
+
+impl ListedSeeds {
+    /// Leaves new seeds, in place of those not yet taken.
+    pub fn put(&self, seeds: Vec<Seed>) {
+        *self.newest.lock().unwrap_or_else(PoisonError::into_inner) = Some(seeds);
+    }
+
+    /// Takes the seeds left since the last time.
+    pub fn take(&self) -> Option<Vec<Seed>> {
+        self.newest.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+/// Looks at the list until told to stop. `peers` are seeds that stand beyond it.
+pub fn look(list: &dyn MachineList, peers: &[Seed], context: &NodeContext, stop: &StopFlag) {
+    let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY);
+    while !stop.is_stopping() {
+        stop.wait_while_paused();
+        match list.machines() {
+            Ok(machines) => {
+                backoff.reset();
+                context.listed_seeds.put(seeds(peers, machines));
+                stop.sleep(INTERVAL.mul_f64(0.75 + rand::random::<f64>() / 2.0));
+            }
+            Err(error) => {
+                log::debug!("machine list not read: {error}");
+                stop.sleep(backoff.wait(rand::random()));
+            }
+        }
+    }
+}
+
+fn seeds(peers: &[Seed], machines: Vec<Machine>) -> Vec<Seed> {
+    let live = machines.into_iter().filter(|machine| machine.state == MachineState::Live);
+    let listed = live.map(|machine| Seed { node: machine.node, address: machine.peer_address });
+    let mut all = peers.to_vec();
+    for seed in listed {
+        if !all.contains(&seed) {
+            all.push(seed);
+        }
+    }
+    all
+}
--- a/crates/daemon/src/agent/membership.rs
+++ b/crates/daemon/src/agent/membership.rs
@@ -52,15 +52,17 @@
             leaving: false,
             revision: Default::default(),
         };
-        let seed = |peer: &crate::settings::PeerSettings| Seed {
-            node: peer.node.clone(),
-            address: peer.address,
-        };
-        let seeds = settings.peers.iter().map(seed).collect();
+        let seeds = seeds_of(settings);
         Self { own, seeds, cluster: settings.cluster.clone(), keys }
     }
 }
 
+/// The peers of the settings.
+pub fn seeds_of(settings: &Settings) -> Vec<Seed> {
+    let peers = settings.peers.iter();
+    peers.map(|peer| Seed { node: peer.node.clone(), address: peer.address }).collect()
+}
+
 /// Takes part in membership until told to stop.
 pub fn run(socket: &UdpSocket, joining: &Joining, context: &NodeContext, stop: &StopFlag) {
     let mut agent = Agent::new(socket, joining, context);
@@ -195,6 +197,9 @@
     fn take_wishes(&mut self) {
         let revision = self.context.catalog.load().revision;
         self.membership.set_revision(revision, &mut random);
+        if let Some(seeds) = self.context.listed_seeds.take() {
+            self.membership.set_seeds(seeds);
+        }
         if self.context.is_leaving() {
             self.membership.begin_leaving(&mut random);
         }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -3,5 +3,6 @@
 pub mod board;
 pub mod configuration;
 pub mod counted_store;
+pub mod machines;
 pub mod membership;
 pub mod revisions;
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -24,6 +24,9 @@
     /// print the version and exit
     #[argh(switch)]
     pub version: bool,
+    /// name of the cluster
+    #[argh(option)]
+    pub cluster: Option<String>,
     /// name of this node
     #[argh(option)]
     pub node: Option<String>,
@@ -62,6 +65,7 @@
 impl Arguments {
     /// Lays the flags over what a file says.
     pub fn override_fields(&self, file: &mut SettingsFile) {
+        replace(&mut file.cluster, self.cluster.clone());
         replace(&mut file.node, self.node.as_deref().map(NodeName::new));
         replace(&mut file.zone, self.zone.as_deref().map(ZoneName::new));
         replace(&mut file.caller_address, self.caller_address);
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,6 +14,7 @@
 
 use crate::agent::board::MembershipBoard;
 use crate::agent::configuration::Inbox;
+use crate::agent::machines::ListedSeeds;
 use crate::agent::revisions::Revisions;
 use crate::metrics::Metrics;
 use crate::ownership::{Detours, OwnershipSnapshot, Ownerships};
@@ -126,6 +127,8 @@
     pub shards: u16,
     /// Which decisions the node takes.
     pub policy: Policy,
+    /// Nodes to join through that the machine list names.
+    pub listed_seeds: ListedSeeds,
     /// Messages of peers about the configuration.
     pub configuration: Inbox,
     /// Revisions that other nodes have in force.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,6 +7,7 @@
 
 use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_peer::auth::{ClusterKeys, KeyError};
+use kestrellock_platform::machines::HttpMachineList;
 use kestrellock_platform::store::ConfigStore;
 use thiserror::Error;
 
@@ -15,6 +16,7 @@
 use crate::agent::board::MembershipBoard;
 use crate::agent::configuration::{Configuration, Inbox};
 use crate::agent::counted_store::CountedStore;
+use crate::agent::machines::ListedSeeds;
 use crate::agent::membership::Joining;
 use crate::agent::revisions::Revisions;
 use crate::context::{Identity, NodeContext, Shared, StatusBoard};
@@ -161,6 +163,7 @@
             token,
         };
         spawn_admin(&mut root, admin, pages)?;
+        spawn_machines(&mut root, settings, &context, &stop);
         spawn_membership(&mut root, datagrams, settings, &context, &stop);
         spawn_agent(&mut root, &configuration, store, &stop);
         let drain_limit = settings.drain_limit;
@@ -220,6 +223,7 @@
         statuses: StatusBoard::default(),
         shards: settings.shards,
         policy,
+        listed_seeds: ListedSeeds::default(),
         configuration: Inbox::default(),
         revisions: Revisions::default(),
         metrics,
@@ -236,6 +240,20 @@
     ClusterKeys::new(keys.iter().map(|key| key.reveal().as_bytes()))
 }
 
+/// Starts the child that looks at the machine list, if the settings name one.
+fn spawn_machines(
+    root: &mut Supervisor,
+    settings: &Settings,
+    context: &Arc<NodeContext>,
+    stop: &StopFlag,
+) {
+    let Some(url) = &settings.machine_list else { return };
+    let list = HttpMachineList::new(url.clone());
+    let peers = agent::membership::seeds_of(settings);
+    let (context, stop) = (context.clone(), stop.clone());
+    root.spawn("machines", move || agent::machines::look(&list, &peers, &context, &stop));
+}
+
 fn spawn_membership(
     root: &mut Supervisor,
     socket: UdpSocket,
