At most once: request keys recorded in the caller's own transaction

A caller sets kestrellock.request_id (or brings it as a start-up option) before a write or a transaction. The key's row goes into the table kestrellock_requests in the same transaction: in front of a single statement as one message, so one implicit transaction and no extra round trip, or behind BEGIN. The table is created when it is missing. Keys belong to a tenant.

A repeat on any node meets the unique key, reads the record at the primary, waits for its confirmation, and hears that the request ran (KL1702), was abandoned (KL1703), or that the key belongs to another one (KL1701). Concurrent repeats wait on the unique key.

Doubt is settled by the node while the deadline allows. A single statement goes out again under its key: it either runs or finds its record; if it fails then, the key is abandoned first, because the earlier attempt may still arrive. A transaction whose commit is in doubt is settled by an 'abandoned' row: whichever commits first wins. Without a key nothing that may have left goes out again.

Text that may hold several statements, and statements of the extended protocol outside a transaction, are refused under a key (KL1705).

--- a/crates/daemon/src/front/login.rs
+++ b/crates/daemon/src/front/login.rs
@@ -12,6 +12,8 @@
 use kestrellock_core::session::{SESSION_PARAMETER, SessionBound};
 use kestrellock_core::session_state::SessionState;
 
+use super::request_key::{REQUEST_KEY_PARAMETER, RequestKey};
+
 /// Who a caller is and what it reaches.
 #[derive(Clone, Debug)]
 pub struct Login {
@@ -21,6 +23,8 @@
     pub group: GroupName,
     /// Bound it brought with it.
     pub bound: Option<Position>,
+    /// Key that it brought for its first write or transaction.
+    pub request_key: Option<RequestKey>,
     /// Settings it brought with it.
     pub state: SessionState,
     /// Key that cancels what it runs.
@@ -102,8 +106,10 @@
         .clone();
     let bound = carried_bound(parameters, &group)?;
     let state = SessionState::with_settings(carried_settings(parameters)?);
+    let key = parameters.get(REQUEST_KEY_PARAMETER).map(|key| RequestKey::new(key));
+    let request_key = key.transpose()?;
     let cancel_key = CancelKey { process: 0, secret: 0 };
-    Ok(Login { parameters: tenant, group, bound, state, cancel_key })
+    Ok(Login { request_key, parameters: tenant, group, bound, state, cancel_key })
 }
 
 fn carried_bound(parameters: &Parameters, group: &GroupName) -> Result<Option<Position>, Refusal> {
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod ending;
 pub mod login;
 pub mod request;
+pub mod request_key;
 pub mod session;
 pub mod startup;
 pub mod statements;
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -1,5 +1,7 @@
 //! One caller's session: reads its messages, runs exchanges one at a time, passes answers on.
 
+mod keys;
+
 use std::time::{Duration, Instant};
 
 use kestrellock_core::cancel::CancelKey;
@@ -16,6 +18,7 @@
 use kestrellock_core::session_state::{ExchangeEnd, SessionState};
 use kestrellock_peer::message::{Exchange, GatewayCall, LeaseEvent, ToGateway, TransactionState};
 
+use self::keys::Keys;
 use super::baseline::routed_as;
 use super::classes::Classes;
 use super::current_position::{CurrentPositions, QuestionNumber};
@@ -101,6 +104,8 @@
     last_active: Instant,
     /// When the caller was told to go elsewhere.
     parting_since: Option<Instant>,
+    /// Request keys.
+    keys: Keys,
     /// Bounds the reads that are repeated because their first attempt broke off.
     repeats: RetryBudget,
 }
@@ -129,6 +134,7 @@
             referred: false,
             last_active: now,
             parting_since: None,
+            keys: Keys::default(),
             repeats: RetryBudget::new(REPEATS_PERCENT, REPEATS_RESERVE),
         }
     }
@@ -247,6 +253,7 @@
                 if self.bound.is_none() && baseline::keeps_bounds(io.context.policy) {
                     self.awaited = Some(positions.ask(&login.group, io));
                 }
+                self.keys.next = login.request_key.clone();
                 self.state = login.state.clone();
                 self.login = Some(*login);
                 return SessionEnd::Continue;
@@ -308,7 +315,10 @@
     }
 
     /// Answers a request that needs no back end, or keeps it for one.
-    fn take_up(&mut self, request: Request, io: &mut Io) {
+    fn take_up(&mut self, mut request: Request, io: &mut Io) {
+        if self.set_request_key(&request, io) {
+            return;
+        }
         if let Err(refusal) = self.check(&request) {
             self.refuse_request(&refusal, io);
             return;
@@ -325,6 +335,10 @@
             answer::put_ready(self.transaction, output);
             return;
         } else if !request.is_local {
+            if let Err(refusal) = self.take_key(&mut request) {
+                self.refuse_request(&refusal, io);
+                return;
+            }
             self.request = Some(request);
             self.repeats.on_first_attempt();
             return;
@@ -372,7 +386,7 @@
                 None => failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline),
             };
             let refusal = Refusal::new(code, "no instance could take the statement");
-            self.end_lease(LeaseEvent::Refused(refusal), io);
+            self.settle_or_refuse(refusal, io);
             return;
         }
         if self.hold_until.is_none_or(|until| io.now >= until) {
@@ -434,7 +448,7 @@
 
     /// The gateway has not run the request. It goes to the node that the gateway names at once, and
     /// after that by this node's own knowledge.
-    fn on_not_owner(&mut self, owner: Option<NodeName>, io: &Io) {
+    fn on_not_owner(&mut self, owner: Option<NodeName>, io: &mut Io) {
         let at_once = owner.is_some() && !self.referred;
         if let Some(lease) = &self.lease {
             io.context.detours.set_referral(&lease.target.instance, owner, io.now);
@@ -448,7 +462,7 @@
     }
 
     /// Holds the request for another instance or gateway where that is safe, or ends it.
-    fn on_refused(&mut self, refusal: Refusal, io: &Io) {
+    fn on_refused(&mut self, refusal: Refusal, io: &mut Io) {
         let unfinished_read = refusal.code == ResultCode::ReadInterrupted
             && !self.stake.continues_transaction
             && self.repeats.try_retry();
@@ -462,7 +476,7 @@
                 self.hold_until = Some(io.now + refusal.retry_after.unwrap_or(RESEND_INTERVAL));
                 self.drop_lease();
             }
-            _ => self.end_lease(LeaseEvent::Refused(refusal), io),
+            _ => self.settle_or_refuse(refusal, io),
         }
     }
 
@@ -547,7 +561,7 @@
             }
             LeaseEvent::Refused(refusal) => self.on_refused(refusal, io),
             LeaseEvent::NotOwner { owner } => self.on_not_owner(owner, io),
-            LeaseEvent::Done { .. } => self.end_lease(event, io),
+            LeaseEvent::Done { .. } => self.on_done(event, io),
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/front/session/keys.rs
@@ -0,0 +1,152 @@
+//! A session's request keys: which request takes the key, and what follows its answers.
+
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::outcome::{Execution, Refusal, ResultCode};
+use kestrellock_peer::message::{LeaseEvent, TransactionState};
+
+use super::{Session, answer};
+use crate::front::request::Request;
+use crate::front::request_key::{self, KeyedRequest, RequestKey, Scope, Step};
+use crate::net::frames::HEADER_BYTES;
+use crate::shard::Io;
+
+const SET_REPLY: &[u8] = b"C\0\0\0\x08SET\0";
+const SIMPLE_QUERY: u8 = b'Q';
+
+/// Request keys of one session.
+#[derive(Debug, Default)]
+pub(super) struct Keys {
+    /// Key for the next write or transaction.
+    pub next: Option<RequestKey>,
+    /// Key of the open transaction.
+    transaction: Option<RequestKey>,
+    /// The keyed request under way.
+    keyed: Option<KeyedRequest>,
+}
+
+fn text_of(request: &Request) -> Option<&str> {
+    if request.messages.first() != Some(&SIMPLE_QUERY) {
+        return None;
+    }
+    let body = request.messages.get(HEADER_BYTES..)?;
+    std::str::from_utf8(body.strip_suffix(&[0]).unwrap_or(body)).ok()
+}
+
+impl Session {
+    /// Handles `SET kestrellock.request_id`; true if the request was that.
+    pub(super) fn set_request_key(&mut self, request: &Request, io: &mut Io) -> bool {
+        let Some(value) = text_of(request).and_then(request_key::setting) else {
+            return false;
+        };
+        let set = match value.as_str() {
+            "" => Ok(None),
+            value => RequestKey::new(value).map(Some),
+        };
+        let set = set.and_then(|key| match self.transaction {
+            TransactionState::Idle => Ok(key),
+            _ => Err(Refusal::new(
+                ResultCode::RequestKeyInvalid,
+                "set the request key before the transaction begins",
+            )),
+        });
+        match set {
+            Ok(key) => {
+                self.keys.next = key;
+                self.connection.output.extend_from_slice(SET_REPLY);
+                answer::put_ready(self.transaction, &mut self.connection.output);
+            }
+            Err(refusal) => self.refuse_request(&refusal, io),
+        }
+        true
+    }
+
+    /// Lets a request take the key that was set for it.
+    pub(super) fn take_key(&mut self, request: &mut Request) -> Result<(), Refusal> {
+        let begins = self.transaction == TransactionState::Idle;
+        let scope = match request.class() {
+            StatementClass::Write if begins => Scope::Statement,
+            StatementClass::Begin if begins => Scope::Begin,
+            StatementClass::Unknown
+                if begins && self.keys.next.is_some() && request.facts.effects.is_empty() =>
+            {
+                let detail = "the text may hold several statements or none that can be recorded";
+                return Err(Refusal::new(ResultCode::RequestKeyUnsupported, detail));
+            }
+            _ => return Ok(()),
+        };
+        self.keys.transaction = None;
+        let (Some(key), Some(login)) = (self.keys.next.take(), &self.login) else { return Ok(()) };
+        let Some(text) = text_of(request) else {
+            let detail = "a statement under a request key must be a simple query";
+            return Err(Refusal::new(ResultCode::RequestKeyUnsupported, detail));
+        };
+        let keyed = KeyedRequest::new(&login.parameters.tenant, &key, text, scope);
+        request.messages = keyed.messages();
+        self.keys.keyed = Some(keyed);
+        self.keys.transaction = (scope == Scope::Begin).then_some(key);
+        Ok(())
+    }
+
+    /// Takes in the end of an answer.
+    pub(super) fn on_done(&mut self, event: LeaseEvent, io: &mut Io) {
+        let (Some(keyed), LeaseEvent::Done { frames, transaction, confirmed }) =
+            (&mut self.keys.keyed, &event)
+        else {
+            return self.end_lease(event, io);
+        };
+        let (transaction, confirmed) = (*transaction, *confirmed);
+        let step = keyed.on_answer(frames, transaction);
+        if let (false, Some(position)) = (matches!(step, Step::Answer(_)), confirmed) {
+            self.raise_bound(position);
+        }
+        if transaction != TransactionState::Idle && !matches!(step, Step::Answer(_)) {
+            // The transaction that could not record its key is rolled back.
+            self.abandon(io);
+        }
+        match step {
+            Step::Answer(frames) => {
+                self.keys.keyed = None;
+                self.end_lease(LeaseEvent::Done { frames, transaction, confirmed }, io);
+            }
+            other => self.follow(other, io),
+        }
+    }
+
+    /// Ends the request with a refusal, unless its key lets it be settled.
+    pub(super) fn settle_or_refuse(&mut self, refusal: Refusal, io: &mut Io) {
+        let time_left = self.request.as_ref().is_some_and(|request| io.now < request.deadline);
+        if let Some(keyed) = &mut self.keys.keyed {
+            let step = keyed.on_refused(refusal, time_left);
+            return self.follow(step, io);
+        }
+        let is_commit =
+            self.request.as_ref().is_some_and(|one| one.class() == StatementClass::Commit);
+        let in_doubt = refusal.code.execution() == Execution::InDoubt;
+        match (self.keys.transaction.take(), &self.login) {
+            (Some(key), Some(login)) if is_commit && in_doubt && time_left => {
+                let tenant = &login.parameters.tenant;
+                self.keys.keyed = Some(KeyedRequest::settle(tenant, &key, refusal));
+                self.transaction = TransactionState::Idle;
+                self.follow(Step::Again, io);
+            }
+            _ => self.end_lease(LeaseEvent::Refused(refusal), io),
+        }
+    }
+
+    fn follow(&mut self, step: Step, io: &mut Io) {
+        match (step, &self.keys.keyed, &mut self.request) {
+            (Step::Again, Some(keyed), Some(request)) => {
+                request.messages = keyed.messages();
+                request.sent = false;
+                self.hold_until = Some(io.now);
+                self.drop_lease();
+            }
+            (Step::Refuse(refusal), _, _) => {
+                self.keys.keyed = None;
+                self.keys.transaction = None;
+                self.end_lease(LeaseEvent::Refused(refusal), io);
+            }
+            _ => {}
+        }
+    }
+}
