Hollow nodes: what control costs a node at 65 to 520 nodes

Change: kestrellock-lab hollow runs membership with its real datagrams, the spreading of configuration and the table of owners for many nodes in one process, first at rest, then with restarts, failures and changes, and reports processor time, bytes and memory a node, the time of changes, and the slopes between sizes. Configuration messages are encoded and authenticated but handed over inside the process.

--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -117,7 +117,8 @@
         hasher.digest()
     }
 
-    fn revision_of(&self, id: &EntryId) -> Revision {
+    /// Revision at which an entry was last written; the catalog's if it is not known.
+    pub fn revision_of(&self, id: &EntryId) -> Revision {
         self.revisions.get(id).copied().unwrap_or(self.catalog.revision)
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod check;
 pub mod demo;
+pub mod hollow;
 pub mod logins;
 pub mod report;
 pub mod scenario;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 use kestrellock_lab::bench::command::{BenchCommand, CompareCommand};
 use kestrellock_lab::demo::{Demo, DemoOptions, check};
+use kestrellock_lab::hollow::HollowCommand;
 use kestrellock_lab::scenario::command::RunCommand;
 use kestrellock_program::command_line;
 use miette::{IntoDiagnostic, miette};
@@ -25,6 +26,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(DemoArguments),
+    Hollow(HollowCommand),
     Bench(BenchCommand),
     Compare(CompareCommand),
     Run(RunCommand),
@@ -47,6 +49,7 @@
         Command::Demo(demo) => run_demo(&demo),
         Command::Bench(bench) => bench.run(),
         Command::Compare(compare) => compare.run(),
+        Command::Hollow(hollow) => hollow.run(),
         Command::Run(run) => run.run(),
     })
 }
