Stand-in group: only admitted connections count against the limit

Connections that were being refused, that only cancelled or that had not yet sent their start-up counted too, so that a storm at the limit refused callers for whom there was room. Admission is now one step under the lock of the connections. Test: 20 callers at once against a limit of 3 get exactly 3 connections.

--- a/crates/lab/src/standin/group/connections.rs
+++ b/crates/lab/src/standin/group/connections.rs
@@ -25,6 +25,7 @@
     pub process: i32,
     /// Secret that a cancel request must carry.
     pub secret: i32,
+    admitted: AtomicBool,
     cancelled: AtomicBool,
     stream: Option<TcpStream>,
 }
@@ -86,9 +87,13 @@
         let process = NEXT_PROCESS.fetch_add(1, Ordering::Relaxed);
         // Each `RandomState` is keyed from the operating system's randomness.
         let secret = RandomState::new().hash_one(process) as i32;
-        let cancelled = AtomicBool::new(false);
-        let control =
-            Arc::new(Control { process, secret, cancelled, stream: stream.try_clone().ok() });
+        let control = Arc::new(Control {
+            process,
+            secret,
+            admitted: AtomicBool::new(false),
+            cancelled: AtomicBool::new(false),
+            stream: stream.try_clone().ok(),
+        });
         self.locked().insert(process, control.clone());
         control
     }
@@ -98,9 +103,20 @@
         self.locked().remove(&control.process);
     }
 
-    /// How many are open.
+    /// Admits a connection unless `limit` others are admitted already. Those that only cancel
+    /// or are refused take no place.
+    pub fn admit(&self, control: &Control, limit: usize) -> bool {
+        let open = self.locked();
+        let is_admitted = |known: &&Arc<Control>| known.admitted.load(Ordering::Acquire);
+        let fits = open.values().filter(is_admitted).count() < limit;
+        control.admitted.store(fits, Ordering::Release);
+        fits
+    }
+
+    /// How many are admitted.
     pub fn count(&self) -> usize {
-        self.locked().len()
+        let open = self.locked();
+        open.values().filter(|known| known.admitted.load(Ordering::Acquire)).count()
     }
 
     /// Cancels the statement that the connection runs, if the secret is right.
--- a/crates/lab/src/standin/group/wire/mod.rs
+++ b/crates/lab/src/standin/group/wire/mod.rs
@@ -179,7 +179,7 @@
 
     /// Sets the connection up; false if it is refused.
     fn start_up(&mut self) -> bool {
-        if self.instance.connections.count() > self.instance.connection_limit {
+        if !self.instance.connections.admit(&self.control, self.instance.connection_limit) {
             self.send_severe("FATAL", &SqlError::new("53300", "sorry, too many clients already"));
             return false;
         }
--- a/crates/lab/tests/standin_wire.rs
+++ b/crates/lab/tests/standin_wire.rs
@@ -231,6 +231,25 @@
     }
 }
 
+#[test]
+fn a_storm_of_connections_fills_exactly_the_limit() {
+    const LIMIT: usize = 3;
+    const CALLERS: usize = 20;
+    let setup = Duration::from_millis(20);
+    let options =
+        GroupOptions { connections: LIMIT, connection_setup: setup, ..GroupOptions::default() };
+    let group = group(options);
+    let address = group.addresses[0];
+    let callers: Vec<_> =
+        (0..CALLERS).map(|_| thread::spawn(move || try_connect(address))).collect();
+    let outcomes: Vec<Result<Client, postgres::Error>> =
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect();
+    let refused = outcomes.iter().filter_map(|outcome| outcome.as_ref().err());
+    assert!(refused.clone().all(|error| state_of(error) == SqlState::TOO_MANY_CONNECTIONS));
+    assert_eq!(refused.count(), CALLERS - LIMIT);
+    assert_eq!(group.instances[0].connections.count(), LIMIT);
+}
+
 #[test]
 fn an_insert_waits_for_an_open_transaction_with_the_same_key() {
     let (group, mut client) = with_table();
