--- a/crates/lab/tests/configuration.rs
+++ b/crates/lab/tests/configuration.rs
@@ -121,3 +121,44 @@
     assert!(shown.contains("the store does not answer"), "{shown}");
     cluster.stop();
 }
+
+#[test]
+fn a_change_whose_answer_is_lost_is_made_once_and_reported_as_made() {
+    let (store, cluster) = start("lost-answer");
+    let file = cluster.files.write("catalog.toml", &example("casablanca"));
+    cluster.ctl(0, &["config", "apply", &file, "--wait"]).done();
+    let changed = example("casablanca").replacen("capacity = 4 ", "capacity = 8 ", 1);
+    let changed = cluster.files.write("changed.toml", &changed);
+    store.lose_next_answers(1);
+    let request = ["template", "apply", &changed, "--request", "the-one", "--wait"];
+    assert!(cluster.ctl(0, &request).done().contains("accepted"));
+    // The operator, who may have seen nothing, asks again through another node.
+    let again = cluster.ctl(1, &request).done();
+    assert!(again.contains("accepted") || again.contains("nothing to change"), "{again}");
+    let history = cluster.ctl(2, &["template", "history", "yearbook"]).done();
+    let versions = history.lines().filter(|line| line.starts_with("yearbook\t")).count();
+    assert_eq!(versions, 2, "{history}");
+    capacity_everywhere(&cluster, 8);
+    cluster.stop();
+}
+
+#[test]
+fn operators_who_change_different_entries_at_once_all_succeed() {
+    let (_store, cluster) = start("at-once");
+    let file = cluster.files.write("catalog.toml", &example("casablanca"));
+    cluster.ctl(0, &["config", "apply", &file, "--wait"]).done();
+    let copies: Vec<String> = (0..ZONES.len())
+        .map(|number| {
+            let text = format!("[tenants.school-{number}]\ntemplate = \"yearbook\"\n");
+            cluster.files.write(&format!("{number}.toml"), &text)
+        })
+        .collect();
+    std::thread::scope(|scope| {
+        for (node, file) in copies.iter().enumerate() {
+            let cluster = &cluster;
+            scope.spawn(move || cluster.ctl(node, &["tenant", "apply", file]).done());
+        }
+    });
+    cluster.wait_for("every tenant", |node| node.context.catalog.load().tenants.len() == 5);
+    cluster.stop();
+}
