Test what the guard is for: changes that are invalid only together

Now a change lands between another one's reads and its commit: one that would share a login is refused, one of the same entry is a conflict, one that does not touch it is repeated.

--- a/crates/platform/tests/apply.rs
+++ b/crates/platform/tests/apply.rs
@@ -94,6 +94,49 @@
     assert_eq!(capacity(&store), 8);
 }
 
+fn tenant_with_login(name: &str) -> Change {
+    let keys = "q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=";
+    let text = format!(
+        "template = \"school\"\nlogins = {{ shared = \"SCRAM-SHA-256$4096:c2FsdA==${keys}:{keys}\" }}"
+    );
+    let value = EntryValue::Tenant(toml::from_str(&text).expect("a tenant"));
+    Change { name: name.into(), value }
+}
+
+#[test]
+fn two_changes_that_are_only_together_invalid_do_not_pass_each_other() {
+    let (store, base) = filled();
+    store.before_next_commit(move |store| {
+        let other = request("other", base, vec![tenant_with_login("parents")]);
+        apply(store, &other, &LIMITS).expect("it is valid by itself");
+    });
+    let ours = request("ours", base, vec![tenant_with_login("teachers")]);
+    match apply(&store, &ours, &LIMITS) {
+        Err(ApplyError::Invalid(error)) => {
+            assert_eq!(error.field, "tenants.teachers.logins.shared")
+        }
+        other => panic!("{other:?}"),
+    }
+    read_catalog(&store).expect("it reads").catalog.validate().expect("the whole stays valid");
+}
+
+#[test]
+fn a_change_that_another_one_overtakes_is_a_conflict_or_is_repeated() {
+    // The entry that the other change writes, and whether ours, to the template, goes through.
+    let table = [(template(8), false), (tenant_with_login("parents"), true)];
+    for (other, goes_through) in table {
+        let (store, base) = filled();
+        store.before_next_commit(move |store| {
+            apply(store, &request("other", base, vec![other]), &LIMITS).expect("it is valid");
+        });
+        let outcome = apply(&store, &request("ours", base, vec![template(9)]), &LIMITS);
+        assert_eq!(outcome.is_ok(), goes_through, "{outcome:?}");
+        let conflict = matches!(outcome, Err(ApplyError::Conflict { .. }));
+        assert_eq!(conflict, !goes_through, "{outcome:?}");
+        assert_eq!(capacity(&store), if goes_through { 9 } else { 8 });
+    }
+}
+
 #[test]
 fn invalid_changes_name_the_field_and_change_nothing() {
     let (store, base) = filled();
--- a/crates/platform/tests/memory_store/mod.rs
+++ b/crates/platform/tests/memory_store/mod.rs
@@ -63,10 +63,14 @@
     }
 }
 
+/// Something that happens at a moment of the test's choice.
+type Interruption = Box<dyn FnOnce(&MemoryStore) + Send>;
+
 /// The store.
 #[derive(Default)]
 pub struct MemoryStore {
     state: Mutex<State>,
+    before_commit: Mutex<Option<Interruption>>,
 }
 
 impl MemoryStore {
@@ -75,6 +79,11 @@
         self.state.lock().expect("the lock").script = faults.into_iter().collect();
     }
 
+    /// Lets something happen between the reads and the commit of the next change.
+    pub fn before_next_commit(&self, action: impl FnOnce(&MemoryStore) + Send + 'static) {
+        *self.before_commit.lock().expect("the lock") = Some(Box::new(action));
+    }
+
     /// Carries out what is still on its way.
     pub fn deliver_late(&self) {
         self.state.lock().expect("the lock").deliver_late();
@@ -129,6 +138,10 @@
     }
 
     fn commit(&self, transaction: &Transaction) -> Result<Swap, StoreError> {
+        let interruption = self.before_commit.lock().expect("the lock").take();
+        if let Some(action) = interruption {
+            action(self);
+        }
         self.call(|state| state.carry_out(transaction), Some(transaction))
     }
 
