A commit whose primary has stepped down is in doubt, not acknowledged

When the position query behind a commit found a replica, the gateway took it that nothing had been committed and passed the success on; in truth the instance had led when it committed and had stepped down before the query. Change: such a commit is refused as superseded, in doubt (KL1605). Test: a row of the outcome table in which the back end answers the write and then calls itself a replica. Before: acknowledged ('INSERT 0 1'). After: KL1605.

--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -83,9 +83,9 @@
         let Some(report) = commit.report else {
             return refuse(commit, Progress::Answered, Fault::BackendLost, io);
         };
-        // Nothing commits on a replica.
+        // It led when it committed: it has stepped down since, and may have to drop the commit.
         if report.role == Role::Replica {
-            return acknowledge(commit, None, io);
+            return refuse(commit, Progress::Unconfirmed, Fault::Superseded, io);
         }
         let position = report.flushed;
         if io.context.policy == Policy::NoConfirmation {
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -42,13 +42,14 @@
 #[test]
 fn each_failure_of_a_back_end_has_its_outcome() {
     use Scripted::{
-        Answer, Close, CloseBeforePosition, Error, ErrorThenClose, Hang, RefusePosition,
+        Answer, Close, CloseBeforePosition, Error, ErrorThenClose, Hang, RefusePosition, StepDown,
     };
     let table = [
         row("answered", WRITE, Answer, ""),
         row("lost after sending", WRITE, Close, "KL1601"),
         row("answer read, position lost", WRITE, CloseBeforePosition, "KL1602"),
         row("answer read, position refused", WRITE, RefusePosition, "KL1602"),
+        row("answer read, then no primary any more", WRITE, StepDown, "KL1605"),
         row("error, then lost", WRITE, ErrorThenClose, ""),
         row(
             "several statements",
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -52,6 +52,8 @@
     CloseBeforePosition,
     /// Answers it, but the position query with an error.
     RefusePosition,
+    /// Answers it, then says that it is a replica: it has stepped down in between.
+    StepDown,
     /// Answers with an error and the given SQLSTATE.
     Error(&'static str),
     /// Answers with an error, then closes without answering the position query.
@@ -291,6 +293,7 @@
         match std::mem::replace(&mut self.position, Scripted::Answer) {
             Scripted::CloseBeforePosition | Scripted::ErrorThenClose => return false,
             Scripted::RefusePosition => self.put_error("XX000"),
+            Scripted::StepDown => put_row(&mut self.output, &["t", "0/1", "0/1", "00000001"]),
             _ => self.put_position(),
         }
         put(&mut self.output, b'Z', &[self.status]);
