--- a/crates/lab/tests/standin_faults.rs
+++ b/crates/lab/tests/standin_faults.rs
@@ -227,3 +227,45 @@
     assert!(start.elapsed() >= Duration::from_millis(30) * (CALLERS / SLOTS) as u32);
     assert_eq!(group.instances[0].service.present(), 0);
 }
+
+#[test]
+fn log_reaches_a_replica_after_the_delay_of_the_link() {
+    let zones: Vec<ZoneName> = ["north", "south", "east"].map(ZoneName::new).into();
+    let network = Network::new(&zones, 1).expect("the network starts");
+    let options = GroupOptions {
+        zones: zones.clone(),
+        network: Some(network.clone()),
+        ..GroupOptions::default()
+    };
+    let (group, mut client) = with_table(options);
+    network.set_delay(&zones[0], &zones[1], Duration::from_secs(3600));
+    insert(&mut client, 1).expect("inserts");
+    let end = group.committed_log().and_then(|log| Some(log.last()?.end)).expect("a log");
+    let has_it = |index: usize| group.instances[index].state().flushed() >= end;
+    wait_until("the near replica has it", || has_it(2));
+    assert!(!has_it(1), "the far replica has it already");
+    network.set_delay(&zones[0], &zones[1], Duration::ZERO);
+    wait_until("the far replica has it", || has_it(1));
+    assert_eq!(group.primary(), Some(0), "a slow link is no lost primary");
+}
+
+#[test]
+fn a_zone_that_is_cut_off_loses_its_primary_to_the_others() {
+    let zones: Vec<ZoneName> = ["north", "south", "east"].map(ZoneName::new).into();
+    let network = Network::new(&zones, 1).expect("the network starts");
+    let options = GroupOptions {
+        zones: zones.clone(),
+        network: Some(network.clone()),
+        ..GroupOptions::default()
+    };
+    let (group, _client) = with_table(options);
+    network.cut_zone(&zones[0]);
+    let elected = group.wait_for_term(2, PATIENCE).expect("a new primary");
+    assert_ne!(elected, 0);
+    assert!(group.instances[0].is_primary(), "the old one cannot know");
+    network.heal_zone(&zones[0]);
+    wait_until("the old one steps down", || !group.instances[0].is_primary());
+    assert!(group.wait_for_replicas(PATIENCE));
+    let stepped_down = GroupEventKind::SteppedDown { index: 0, term: 1 };
+    assert!(group.events().iter().any(|event| event.kind == stepped_down));
+}
