Health: not ready while leaving, or before having joined

A node that was asked to stop, and one that knows of no live node yet, said that they were ready; load balancers would have sent callers to them.

--- a/crates/daemon/src/admin/report.rs
+++ b/crates/daemon/src/admin/report.rs
@@ -16,7 +16,10 @@
     if admin.context.catalog.load().revision == Revision::default() {
         reasons.push("no configuration has arrived".to_owned());
     }
-    if admin.stop.is_stopping() {
+    if admin.context.live.load().is_empty() {
+        reasons.push("the node has not joined the others yet".to_owned());
+    }
+    if admin.stop.is_stopping() || admin.context.is_leaving() {
         reasons.push("the node is stopping".to_owned());
     }
     if admin.stop.has_failed() {
--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use kestrellock_core::admin::{AdminError, Health, NodeStatus};
 use kestrellock_core::ids::{NodeName, ZoneName};
@@ -13,6 +14,7 @@
 use kestrellock_program::secret::Secret;
 
 const TOKEN: &str = "a-token-nobody-guesses";
+const LIMIT: Duration = Duration::from_secs(30);
 
 fn start(token: Option<&str>) -> (Node, SocketAddr) {
     let mut settings = Settings::loopback(NodeName::new("a"), ZoneName::new("z"));
@@ -78,6 +80,11 @@
 fn health_tells_why_not_and_status_and_metrics_tell_the_state() {
     let (node, address) = start(Some(TOKEN));
     let bearer = format!("Bearer {TOKEN}");
+    let end = Instant::now() + LIMIT;
+    while node.context.live.load().is_empty() {
+        assert!(Instant::now() < end, "the node does not join itself");
+        std::thread::sleep(Duration::from_millis(5));
+    }
     let (status, body) = get(address, "/healthz", None);
     let health: Health = serde_json::from_str(&body).expect("JSON");
     assert_eq!((status, health.ready), (503, false));
