Freshness counts from the last confirmation of the primary

A replica's lag was the time since it had last reached the newest position known, whatever that was worth: a replica of a cut-off primary looked fresh. Age now counts back to the newest moment at which a majority had confirmed the primary and the replica had reached what the primary had then; what a front was told grows older until it is told again; a primary that no majority has confirmed within the tenant's staleness, or a second, serves no reads.

Table of observations and ages, and a property: a replica holds every write older than its age. Table of where statements go.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -36,8 +36,11 @@
 fn route(criterion: &mut Criterion) {
     let statuses = statuses();
     let zones = ["casa-ain", "casa-sidi", "casa-bouskoura"].map(ZoneName::new);
-    let candidates: Vec<Candidate> =
-        statuses.iter().zip(&zones).map(|(status, zone)| Candidate { status, zone }).collect();
+    let candidates: Vec<Candidate> = statuses
+        .iter()
+        .zip(&zones)
+        .map(|(status, zone)| Candidate { status, zone, age: Duration::ZERO })
+        .collect();
     let access =
         Access::Read { bound: Some(position(OFFSET)), max_staleness: Duration::from_secs(1) };
     criterion.bench_function("route one read among 3 instances", |bencher| {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod current_position;
 pub mod exchange_state;
 pub mod failover;
+pub mod freshness;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -7,6 +7,10 @@
 use crate::ids::{InstanceName, ZoneName};
 use crate::position::Position;
 
+/// A primary counts as confirmed for at least this long after a majority confirmed it: more than
+/// the time between two probes, so that a smaller staleness does not shut out the primary itself.
+pub const CONFIRMATION_PERIOD: Duration = Duration::from_secs(1);
+
 /// What an instance says it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Role {
@@ -61,6 +65,8 @@
     pub status: &'a InstanceStatus,
     /// Zone it runs in.
     pub zone: &'a ZoneName,
+    /// Time since the status was received.
+    pub age: Duration,
 }
 
 /// Where a statement goes.
@@ -85,13 +91,14 @@
 }
 
 /// Whether `status` may serve a read with this bound and staleness.
-fn qualifies(status: &InstanceStatus, bound: Option<&Position>, max_staleness: Duration) -> bool {
+fn qualifies(candidate: &Candidate, bound: Option<&Position>, max_staleness: Duration) -> bool {
+    let status = candidate.status;
     let age = match status.role {
         Role::Replica => status.lag,
         Role::Primary => status.unconfirmed_for.unwrap_or(Duration::ZERO),
     };
     status.reachable
-        && age <= max_staleness
+        && age.saturating_add(candidate.age) <= max_staleness
         && bound.is_none_or(|bound| status.applied.satisfies(bound))
 }
 
@@ -133,7 +140,7 @@
     let replica = candidates
         .iter()
         .filter(|candidate| candidate.status.role == Role::Replica)
-        .filter(|candidate| qualifies(candidate.status, bound.as_ref(), *max_staleness))
+        .filter(|candidate| qualifies(candidate, bound.as_ref(), *max_staleness))
         .min_by_key(|candidate| (candidate.zone != local_zone, candidate.status.queue_wait));
     match replica {
         Some(candidate) => Choice::Serve(&candidate.status.instance),
@@ -142,8 +149,24 @@
 }
 
 fn serve_primary<'a>(access: &Access, candidates: &[Candidate<'a>]) -> Choice<'a> {
-    match primary(candidates) {
-        Some(status) if has_reached(status, access) => Choice::Serve(&status.instance),
+    let primary = candidates
+        .iter()
+        .filter(|candidate| candidate.status.reachable)
+        .filter(|candidate| candidate.status.role == Role::Primary)
+        .max_by_key(|candidate| candidate.status.applied.term);
+    match primary {
+        Some(candidate) if may_run(candidate, access) => Choice::Serve(&candidate.status.instance),
         _ => Choice::Nowhere,
     }
 }
+
+/// Whether a primary may run a statement: one that a majority has not confirmed for too long may
+/// have been replaced, and its data is as old as that.
+fn may_run(primary: &Candidate, access: &Access) -> bool {
+    if !has_reached(primary.status, access) {
+        return false;
+    }
+    let Access::Read { max_staleness, .. } = access else { return true };
+    let unconfirmed = primary.status.unconfirmed_for.unwrap_or(Duration::ZERO);
+    unconfirmed.saturating_add(primary.age) <= (*max_staleness).max(CONFIRMATION_PERIOD)
+}
--- /dev/null
+++ b/crates/core/tests/freshness.rs
@@ -0,0 +1,102 @@
+//! Ages of data by what instances said of themselves.
+
+use std::time::Duration;
+
+use kestrellock_core::freshness::{Freshness, Observation};
+use kestrellock_core::ids::InstanceName;
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::routing::Role::{self, Primary, Replica};
+use proptest::prelude::*;
+
+const MAJORITY: usize = 2;
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn observe(freshness: &mut Freshness, said: (&str, Role, u32, u64, u64)) {
+    let (instance, role, term, offset, asked) = said;
+    let applied = Position { term: Term(term), offset: LogOffset(offset) };
+    let observation = Observation { role, applied, asked: at(asked) };
+    freshness.on_observation(&InstanceName::new(instance), observation);
+}
+
+#[test]
+fn ages_of_instances() {
+    type Said = (&'static str, Role, u32, u64, u64);
+    // (what was said: instance, role, term, offset, asked at; instance; age at 1000 ms)
+    let table: &[(&[Said], &str, Option<u64>)] = &[
+        (&[], "a", None),
+        (&[("a", Primary, 1, 5, 900)], "a", None),
+        (&[("a", Primary, 1, 5, 900), ("b", Replica, 1, 5, 800)], "a", Some(200)),
+        (&[("a", Primary, 1, 5, 900), ("b", Replica, 1, 5, 800)], "b", Some(200)),
+        (&[("a", Primary, 1, 5, 900), ("b", Replica, 1, 4, 950)], "b", None),
+        (
+            &[("a", Primary, 1, 4, 700), ("a", Primary, 1, 5, 900), ("b", Replica, 1, 4, 950)],
+            "b",
+            Some(300),
+        ),
+        // A primary that stands still: the replica that has reached it does not age.
+        (
+            &[("a", Primary, 1, 5, 100), ("a", Primary, 1, 5, 980), ("b", Replica, 1, 5, 990)],
+            "b",
+            Some(20),
+        ),
+        // Cut off: only the primary itself still speaks.
+        (
+            &[("a", Primary, 1, 5, 100), ("b", Replica, 1, 5, 100), ("a", Primary, 1, 6, 990)],
+            "a",
+            Some(900),
+        ),
+        // Replaced: the old primary is not fresh at all, nor is a replica of it.
+        (
+            &[("a", Primary, 1, 5, 990), ("c", Replica, 1, 5, 990), ("b", Primary, 2, 5, 980)],
+            "a",
+            None,
+        ),
+        (
+            &[("a", Primary, 1, 5, 990), ("c", Replica, 2, 5, 990), ("b", Primary, 2, 5, 980)],
+            "c",
+            Some(20),
+        ),
+    ];
+    for (said, instance, expected) in table {
+        let mut freshness = Freshness::default();
+        said.iter().for_each(|said| observe(&mut freshness, *said));
+        let age = freshness.age(&InstanceName::new(*instance), MAJORITY, at(1000));
+        assert_eq!(age, expected.map(at), "{instance} after {said:?}");
+    }
+}
+
+proptest! {
+    /// A primary writes at known times; whatever age is claimed, the replica holds every write
+    /// that is older.
+    #[test]
+    fn a_replica_holds_every_write_older_than_its_age(
+        writes in prop::collection::vec(1..40_u64, 1..60),
+        applied in prop::collection::vec(0..60_usize, 1..10),
+        step in 3..30_u64,
+    ) {
+        let mut moments = Vec::new();
+        let mut now = 0;
+        for gap in writes {
+            now += gap;
+            moments.push(now);
+        }
+        let written = |moment: u64| moments.iter().filter(|write| **write <= moment).count() as u64;
+        let mut freshness = Freshness::default();
+        let mut moment = 0;
+        let mut held = 0;
+        for count in applied {
+            moment += step;
+            observe(&mut freshness, ("a", Primary, 1, written(moment), moment));
+            held = (count as u64).max(held).min(written(moment));
+            observe(&mut freshness, ("b", Replica, 1, held, moment));
+            let age = freshness.age(&InstanceName::new("b"), MAJORITY, at(moment));
+            if let Some(age) = age {
+                let complete = moment - age.as_millis() as u64;
+                prop_assert!(held >= written(complete), "{held} at {moment}, age {age:?}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,95 @@
+//! Where statements go, by what is known of the instances.
+
+use std::time::Duration;
+
+use kestrellock_core::ids::{InstanceName, ZoneName};
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::routing::Role::{self, Primary, Replica};
+use kestrellock_core::routing::{Access, Candidate, Choice, InstanceStatus, choose};
+
+const STALENESS: Duration = Duration::from_millis(2000);
+
+fn position(term: u32, offset: u64) -> Position {
+    Position { term: Term(term), offset: LogOffset(offset) }
+}
+
+fn status(name: &str, role: Role, applied: Position, age: u64) -> InstanceStatus {
+    let age = Duration::from_millis(age);
+    InstanceStatus {
+        instance: InstanceName::new(name),
+        role,
+        applied,
+        flushed: applied,
+        reachable: true,
+        queue_wait: None,
+        lag: if role == Replica { age } else { Duration::ZERO },
+        unconfirmed_for: (role == Primary).then_some(age),
+    }
+}
+
+fn read(bound: Option<Position>) -> Access {
+    Access::Read { bound, max_staleness: STALENESS }
+}
+
+fn write(bound: Option<Position>) -> Access {
+    Access::Write { bound }
+}
+
+/// The instance chosen when every status was received `age` ago.
+fn chosen(access: &Access, statuses: &[(InstanceStatus, &str)], age: Duration) -> Option<String> {
+    let zones: Vec<ZoneName> = statuses.iter().map(|(_, zone)| ZoneName::new(*zone)).collect();
+    let candidates: Vec<Candidate> = statuses
+        .iter()
+        .zip(&zones)
+        .map(|((status, _), zone)| Candidate { status, zone, age })
+        .collect();
+    match choose(access, &candidates, &ZoneName::new("here")) {
+        Choice::Serve(name) | Choice::ServeAfter(name, _) => Some(name.as_str().to_owned()),
+        Choice::Nowhere => None,
+    }
+}
+
+#[test]
+fn a_statement_goes_to_an_instance_that_has_what_the_session_must_see() {
+    let (old, new, next_term) = (position(1, 5), position(1, 9), position(2, 9));
+    let primary = || (status("p", Primary, new, 10), "there");
+    let lagging = || (status("r", Replica, old, 100), "here");
+    let table = [
+        (read(None), vec![primary(), lagging()], Some("r")),
+        (read(Some(old)), vec![primary(), lagging()], Some("r")),
+        (read(Some(new)), vec![primary(), lagging()], Some("p")),
+        (write(None), vec![primary(), lagging()], Some("p")),
+        (write(Some(new)), vec![primary(), lagging()], Some("p")),
+        // The session has seen a later primary than this node knows.
+        (read(Some(next_term)), vec![primary(), lagging()], None),
+        (write(Some(next_term)), vec![primary(), lagging()], None),
+        // Two claim to lead: the higher term does.
+        (write(None), vec![primary(), (status("q", Primary, next_term, 10), "there")], Some("q")),
+        // Too old: the replica, and a primary that nobody has confirmed.
+        (read(None), vec![primary(), (status("r", Replica, new, 2001), "here")], Some("p")),
+        (read(None), vec![(status("p", Primary, new, 2001), "here")], None),
+        (write(None), vec![(status("p", Primary, new, 2001), "here")], Some("p")),
+        (read(None), vec![], None),
+    ];
+    for (access, statuses, expected) in table {
+        let chosen = chosen(&access, &statuses, Duration::ZERO);
+        assert_eq!(chosen.as_deref(), expected, "{access:?} with {statuses:?}");
+    }
+}
+
+#[test]
+fn what_was_heard_grows_old() {
+    let statuses = [(status("r", Replica, position(1, 5), 100), "here")];
+    let access = read(None);
+    assert_eq!(chosen(&access, &statuses, Duration::from_millis(1900)).as_deref(), Some("r"));
+    assert_eq!(chosen(&access, &statuses, Duration::from_millis(1901)), None);
+}
+
+#[test]
+fn an_instance_that_does_not_answer_is_not_chosen() {
+    let mut silent = status("p", Primary, position(1, 5), 0);
+    silent.reachable = false;
+    for access in [read(None), write(None)] {
+        assert_eq!(chosen(&access, &[(silent.clone(), "here")], Duration::ZERO), None);
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -75,7 +75,16 @@
 }
 
 /// Statuses of one group's instances.
-pub type GroupStatuses = HashMap<InstanceName, InstanceStatus>;
+pub type GroupStatuses = HashMap<InstanceName, KnownStatus>;
+
+/// What was last heard of an instance, and when.
+#[derive(Clone, Debug)]
+pub struct KnownStatus {
+    /// What was heard.
+    pub status: InstanceStatus,
+    /// When it came; it has grown older since.
+    pub received: Instant,
+}
 
 impl StatusBoard {
     /// The group's statuses, shared.
@@ -93,9 +102,10 @@
         let mut board = board.write().expect("a holder of the status lock panicked");
         for mut status in statuses {
             // Only the owner of an instance knows its queue; other gateways probe it too.
-            let known = board.get(&status.instance).and_then(|known| known.queue_wait);
+            let known = board.get(&status.instance).and_then(|known| known.status.queue_wait);
             status.queue_wait = status.queue_wait.or(known);
-            board.insert(status.instance.clone(), status);
+            let received = Instant::now();
+            board.insert(status.instance.clone(), KnownStatus { status, received });
         }
     }
 }
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -31,7 +31,9 @@
         .iter()
         .filter(|instance| !instance.leaving)
         .filter_map(|instance| {
-            Some(Candidate { status: statuses.get(&instance.name)?, zone: &instance.zone })
+            let known = statuses.get(&instance.name)?;
+            let age = io.now.saturating_duration_since(known.received);
+            Some(Candidate { status: &known.status, zone: &instance.zone, age })
         })
         .collect();
     let chosen = match choose(access, &candidates, &io.context.identity.zone) {
--- a/crates/daemon/src/gateway/monitor.rs
+++ b/crates/daemon/src/gateway/monitor.rs
@@ -5,11 +5,13 @@
 
 use kestrellock_core::confirmation::ProbeNumber;
 use kestrellock_core::failover::{Pace, Sighting, Watch, confirmed_at, may_take_writes};
+use kestrellock_core::freshness::{Freshness, Observation};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::position::{Position, Term};
+use kestrellock_core::position::Term;
 use kestrellock_core::routing::{InstanceStatus, Role};
 use kestrellock_peer::message::{SUBSCRIPTION_LIFETIME, ToFront};
 
+use super::probe::Report;
 use super::server::ProbeAnswer;
 use crate::shard::{Io, Outgoing};
 
@@ -18,6 +20,9 @@
 /// Time between two probes of an instance that has not reached a waiting commit yet.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Lag of an instance of which it is not known.
+const UNKNOWN_LAG: Duration = Duration::from_secs(u32::MAX as u64);
+
 /// What to do about one instance's probe now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -49,7 +54,6 @@
     probe: Probe,
     asked: Instant,
     last_probe: ProbeNumber,
-    caught_up: Instant,
     status: Option<InstanceStatus>,
     /// When the question was asked that `status` answers.
     reported: Option<Instant>,
@@ -69,11 +73,11 @@
     group: GroupName,
     instances: HashMap<InstanceName, Watched>,
     subscribers: HashMap<NodeName, Instant>,
-    primary: Option<Position>,
     started: Instant,
     standby: bool,
     watch: Watch,
     highest_term: Term,
+    freshness: Freshness,
 }
 
 impl Monitor {
@@ -84,11 +88,11 @@
             group,
             instances,
             subscribers,
-            primary: None,
             started: now,
             standby: false,
             watch: Watch::default(),
             highest_term: Term::default(),
+            freshness: Freshness::default(),
         }
     }
 
@@ -116,7 +120,6 @@
             probe: Probe::Closed { since: None },
             asked: started,
             last_probe: ProbeNumber::default(),
-            caught_up: started,
             status: None,
             reported: None,
         })
@@ -270,15 +273,9 @@
             self.watch.on_primary_lost(io.now);
         }
         let leads = report.role == Role::Primary && term >= self.highest_term;
-        if leads {
-            self.primary = Some(report.applied);
-        }
-        let caught_up = self.primary.is_none_or(|primary| report.applied.satisfies(&primary));
+        let lag = self.lag(instance, answer, majority, io.now);
         let watched = self.watched(instance);
         watched.reported = Some(answer.asked);
-        if caught_up {
-            watched.caught_up = answer.asked;
-        }
         let status = InstanceStatus {
             instance: instance.clone(),
             role: report.role,
@@ -286,7 +283,7 @@
             flushed: report.flushed,
             reachable: true,
             queue_wait,
-            lag: io.now.duration_since(watched.caught_up),
+            lag,
             unconfirmed_for: None,
         };
         watched.status = Some(status.clone());
@@ -298,6 +295,21 @@
         replaces
     }
 
+    /// How far the instance's data trails, now that it has answered.
+    fn lag(
+        &mut self,
+        instance: &InstanceName,
+        answer: &ProbeAnswer,
+        majority: usize,
+        now: Instant,
+    ) -> Duration {
+        let moment = |at: Instant| at.saturating_duration_since(self.started);
+        let (asked, now) = (moment(answer.asked), moment(now));
+        let Report { role, applied, .. } = answer.report;
+        self.freshness.on_observation(instance, Observation { role, applied, asked });
+        self.freshness.age(instance, majority, now).unwrap_or(UNKNOWN_LAG)
+    }
+
     fn unconfirmed_for(
         &self,
         status: &InstanceStatus,
