Bounds on what a caller may make a node keep

Input was read without limit, whatever the caller's exchange was doing. Reading now stops at 64 KiB while an exchange is under way and at one message otherwise, and goes on when there is room; a caller that does not read its answers gets no further request served at 1 MiB and is disconnected at 64 MiB; a shard has at most 1,024 callers logging in and 16,384 in all, and turns the rest away with KL1003.

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -16,11 +16,14 @@
 pub mod target;
 
 use std::collections::HashMap;
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::{GroupName, LeaseId, NodeName};
+use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::Position;
 use kestrellock_peer::message::{Exchange, ToFront};
 use slab::Slab;
@@ -38,6 +41,20 @@
 /// Time a gateway gets beyond an exchange's deadline before it counts as silent.
 pub const GATEWAY_GRACE: Duration = Duration::from_millis(200);
 
+/// Callers that one shard accepts.
+pub const MAX_CALLERS: usize = 16 * 1024;
+/// Callers of one shard that may be logging in at once.
+pub const MAX_HALF_OPEN: usize = 1024;
+
+/// Tells a caller that it is not accepted, as far as its connection takes that at once.
+fn turn_away(mut stream: TcpStream, detail: &str) {
+    let refusal = Refusal::new(ResultCode::TooManyCallers, detail);
+    let mut message = BytesMut::new();
+    answer::put_refusal(&refusal, "FATAL", &mut message);
+    // Nothing is lost if it cannot be told: the connection closes either way.
+    let _ = stream.write(&message);
+}
+
 /// Callers of one shard.
 pub struct Front {
     identity: Identity,
@@ -75,6 +92,9 @@
         if stream.set_nonblocking(true).is_err() {
             return;
         }
+        if let Some(detail) = self.full() {
+            return turn_away(stream, detail);
+        }
         let entry = self.sessions.vacant_entry();
         let stream = mio::net::TcpStream::from_std(stream);
         let registered =
@@ -85,12 +105,26 @@
         }
     }
 
+    /// Why no further caller is accepted, if so.
+    fn full(&self) -> Option<&'static str> {
+        if self.sessions.len() >= MAX_CALLERS {
+            return Some("the node has as many callers as it accepts");
+        }
+        if self.sessions.len() < MAX_HALF_OPEN {
+            return None;
+        }
+        let half_open = self.sessions.iter().filter(|(_, session)| !session.is_logged_in());
+        (half_open.count() >= MAX_HALF_OPEN).then_some("too many callers are logging in")
+    }
+
     /// Handles readiness of a caller's connection.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) {
         let Some(session) = self.sessions.get_mut(key) else { return };
-        let outcome = session.connection.fill();
+        let limit = session.input_limit();
+        let outcome = session.connection.fill_up_to(limit);
+        session.more_to_read = outcome == ReadOutcome::Full;
         // A caller that only cancels something may close without waiting.
-        if outcome == ReadOutcome::Drained || !session.is_logged_in() {
+        if outcome != ReadOutcome::Closed || !session.is_logged_in() {
             self.advance(key, io);
         }
         if outcome == ReadOutcome::Closed && self.sessions.contains(key) {
@@ -225,7 +259,12 @@
             self.leases.entry(lease.clone()).or_insert(key);
         }
         if end == SessionEnd::Close {
-            self.close(key, io);
+            return self.close(key, io);
+        }
+        // Reading stopped at the limit, and there is room again.
+        let session = &self.sessions[key];
+        if session.more_to_read && session.connection.input.len() < session.input_limit() {
+            self.on_ready(key, io);
         }
     }
 
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -24,15 +24,23 @@
 use super::current_position::{CurrentPositions, QuestionNumber};
 use super::login::Login;
 use super::request::{Collector, Next, Request};
-use super::startup::{Startup, StartupStep};
+use super::startup::{self, Startup, StartupStep};
 use super::target::{self, Subscriptions, Target};
 use super::{GATEWAY_GRACE, answer, baseline, counting, ending};
 use crate::gateway::running::stake_of;
 use crate::metrics::ConnectionEvent;
 use crate::net::connection::Connection;
+use crate::net::frames::MAX_MESSAGE_BYTES;
 use crate::policy::Policy;
 use crate::shard::{Io, Outgoing};
 
+/// Bytes that a caller may send ahead while an exchange is under way.
+const MAX_WAITING_INPUT_BYTES: usize = 64 * 1024;
+/// Bytes of unread answers at which a caller's next request waits.
+const MAX_UNREAD_BYTES: usize = 1024 * 1024;
+/// Bytes of unread answers at which a caller is disconnected: one answer may be larger than it can
+/// take in, but a node cannot keep it.
+const MAX_OUTPUT_BYTES: usize = 64 * 1024 * 1024;
 const STARTUP_LIMIT: Duration = Duration::from_secs(10);
 /// Time before a statement that surely has not run goes out again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(5);
@@ -76,6 +84,8 @@
 pub struct Session {
     /// The caller's connection.
     pub connection: Connection,
+    /// Reading stopped because enough was buffered.
+    pub more_to_read: bool,
     /// Leases that ended since the front last looked.
     pub ended_leases: Vec<LeaseId>,
     started: Instant,
@@ -115,6 +125,7 @@
     pub fn new(connection: Connection, now: Instant) -> Self {
         Self {
             connection,
+            more_to_read: false,
             ended_leases: Vec::new(),
             started: now,
             startup: Startup::default(),
@@ -144,6 +155,16 @@
         self.lease.as_ref().map(|lease| &lease.id)
     }
 
+    /// Bytes to buffer before reading stops: what comes while an exchange is under way waits in the
+    /// kernel, and so at the caller.
+    pub fn input_limit(&self) -> usize {
+        match (&self.login, &self.request) {
+            (None, _) => startup::MAX_STARTUP_BYTES * 2,
+            (Some(_), Some(_)) => MAX_WAITING_INPUT_BYTES,
+            (Some(_), None) => MAX_MESSAGE_BYTES + MAX_WAITING_INPUT_BYTES,
+        }
+    }
+
     /// Whether the caller has proved its login.
     pub fn is_logged_in(&self) -> bool {
         self.login.is_some()
@@ -190,6 +211,10 @@
             return self.send_away(None, io);
         }
         match self.connection.flush(io.registry) {
+            Ok(()) if self.connection.output.len() > MAX_OUTPUT_BYTES => {
+                log::debug!("a caller that does not read its answer is disconnected");
+                SessionEnd::Close
+            }
             Ok(()) => {
                 self.connection.release_buffers();
                 end
@@ -283,6 +308,13 @@
         io: &mut Io,
     ) -> SessionEnd {
         while self.request.is_none() {
+            // A caller that asks without reading the answers gets no more of them.
+            if self.connection.output.len() > MAX_UNREAD_BYTES
+                && (self.connection.flush(io.registry).is_err()
+                    || self.connection.output.len() > MAX_UNREAD_BYTES)
+            {
+                return SessionEnd::Continue;
+            }
             let deadline = io.now + self.time_limit();
             let must_part = self.must_part(io);
             let Connection { input, output, .. } = &mut self.connection;
--- a/crates/daemon/src/net/connection.rs
+++ b/crates/daemon/src/net/connection.rs
@@ -19,6 +19,8 @@
 /// State of the connection after a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
+    /// The buffer holds as much as it may; more may wait, and no event will tell.
+    Full,
     /// Everything the kernel had was taken.
     Drained,
     /// The other side closed or the connection broke.
@@ -64,11 +66,19 @@
     /// read is not that point: readiness is told once, and the other side's close may have come
     /// with its last bytes.
     pub fn fill(&mut self) -> ReadOutcome {
-        READ_CHUNK.with_borrow_mut(|chunk| self.fill_through(chunk))
+        self.fill_up_to(usize::MAX)
     }
 
-    fn fill_through(&mut self, chunk: &mut [u8]) -> ReadOutcome {
+    /// Reads until `input` holds at least `limit` bytes, or nothing more is there.
+    pub fn fill_up_to(&mut self, limit: usize) -> ReadOutcome {
+        READ_CHUNK.with_borrow_mut(|chunk| self.fill_through(chunk, limit))
+    }
+
+    fn fill_through(&mut self, chunk: &mut [u8], limit: usize) -> ReadOutcome {
         loop {
+            if self.input.len() >= limit {
+                return ReadOutcome::Full;
+            }
             match self.stream.read(chunk) {
                 Ok(0) => return ReadOutcome::Closed,
                 Ok(count) => self.input.extend_from_slice(&chunk[..count]),
