A statement that no primary took by its deadline is told so

A write is held and tried again while no instance may take it. If the last refusal came back after the deadline the caller heard that one (KL1502) instead of KL1302; seen once in eleven runs of the test of a primary without a majority, on a loaded machine. Both say that nothing ran; now it is always KL1302.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -508,6 +508,11 @@
                 self.hold_until = Some(io.now + refusal.retry_after.unwrap_or(RESEND_INTERVAL));
                 self.drop_lease();
             }
+            // Sent back for the last time: what the caller waited for in vain is a primary.
+            Some(_) if again && !self.answer_begun && refusal.code == ResultCode::NotPrimary => {
+                let code = failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline);
+                self.end_lease(LeaseEvent::Refused(Refusal::new(code, refusal.detail)));
+            }
             _ => self.settle_or_refuse(refusal, io),
         }
     }
