--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -511,7 +511,7 @@
             // Sent back for the last time: what the caller waited for in vain is a primary.
             Some(_) if again && !self.answer_begun && refusal.code == ResultCode::NotPrimary => {
                 let code = failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline);
-                self.end_lease(LeaseEvent::Refused(Refusal::new(code, refusal.detail)));
+                self.end_lease(LeaseEvent::Refused(Refusal::new(code, refusal.detail)), io);
             }
             _ => self.settle_or_refuse(refusal, io),
         }
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -40,7 +40,7 @@
         Choice::Serve(instance) | Choice::ServeAfter(instance, _) => instance,
         Choice::Nowhere => return None,
     };
-    let role = statuses.get(chosen).map(|status| status.role);
+    let role = statuses.get(chosen).map(|known| known.status.role);
     let instance = instances.iter().find(|instance| instance.name == *chosen)?;
     let gateway = io.context.gateway_of(&instance.name, io.now)?;
     counting::routed(access, role, io);
