--- a/crates/lab/src/bench/deployment/figures.rs
+++ b/crates/lab/src/bench/deployment/figures.rs
@@ -86,6 +86,13 @@
     let pages = Pages::count(outcome);
     vec![
         figure("purchase_p99.rush", "ms", Lower, Some(deadline), purchase(0.99)),
+        figure(
+            "purchase_answer_p99.rush",
+            "ms",
+            Lower,
+            None,
+            answer_time(outcome, plan.busy, 0.99),
+        ),
         figure("purchase_p50.rush", "ms", Lower, None, purchase(0.5)),
         figure("purchase_goodput.rush", "of capacity", Higher, None, Some(goodput)),
         figure("read_p99.rush", "ms", Lower, None, read(0.99)),
@@ -148,6 +155,20 @@
     (latencies.count() > 0).then(|| latencies.at(at) / 1_000.0)
 }
 
+/// Milliseconds from sending a purchase to its answer, at a quantile: without the time in which
+/// its caller connected and logged in.
+fn answer_time(outcome: &RunOutcome, window: Window, at: f64) -> Option<f64> {
+    let mut latencies = Latencies::default();
+    for attempt in &outcome.history.attempts {
+        let answered = matches!(attempt.outcome, Outcome::Answered(_));
+        let invoked = since_start(attempt.invoked);
+        if answered && is_purchase(&attempt.action) && window.contains(invoked) {
+            latencies.record(since_start(attempt.completed).saturating_sub(invoked));
+        }
+    }
+    (latencies.count() > 0).then(|| latencies.at(at) / 1_000.0)
+}
+
 /// Share of the reads of a window that reached a replica.
 pub fn replica_share(outcome: &RunOutcome, window: Window) -> Option<f64> {
     let reads = outcome.reads.iter().filter(|read| window.contains(read.at));
--- a/crates/lab/src/bench/deployment/plan.rs
+++ b/crates/lab/src/bench/deployment/plan.rs
@@ -219,6 +219,8 @@
     };
     let whole = Window::milliseconds(0, 10_000);
     let rush = Window::milliseconds(3_000, 6_000);
+    // Writes often enough that the first one after the failover shows when the gap ended.
+    let after_rush = Window { from: rush.to, to: whole.to };
     // One purchase a session on average, so that arrivals do not wait for their session's last.
     let rush_think = rush.length().as_secs_f64() * 1_000.0;
     let offered = RUSH_FACTOR * capacity(&deployment);
@@ -228,6 +230,7 @@
         populations: vec![
             population(whole, &databases, 30, 600.0, LISTING_MIX, &base),
             population(whole, &["tickets", "payments"], 8, 800.0, SALES_MIX, &base),
+            population(after_rush, &["tickets"], 20, 400.0, SALES_MIX, &base),
             population(rush, &["tickets"], rush_sessions, rush_think, RUSH_MIX, &base),
         ],
         scenario: scenario("gidanmu", whole, deployment, base, kill_primary("tickets", 7_300)),
