Property test: no statement and no row crosses between callers on shared connections

Two to seven callers run random steps over a front, a gateway and scripted back ends: transactions, statements whose connection the back end closes, late answers, callers that leave with a statement under way or a transaction open.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -32,6 +32,10 @@
 /// Marks the statement to which the script's fault applies.
 pub const MARK: &str = "marked";
 
+/// Marks a statement that is answered late.
+pub const LATE: &str = "late";
+const LATENESS: Duration = Duration::from_millis(3);
+
 /// Waits until `condition` holds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let limit = Instant::now() + LIMIT;
@@ -81,6 +85,8 @@
     pub on_marked: Scripted,
     /// Statements seen, with the instance that saw them.
     pub seen: Vec<(usize, String)>,
+    /// Statements by the connection that they arrived on, in order.
+    pub connections: Vec<Vec<String>>,
 }
 
 /// A group of three scripted instances.
@@ -100,6 +106,7 @@
             open: Vec::new(),
             on_marked: Scripted::Answer,
             seen: Vec::new(),
+            connections: Vec::new(),
         }));
         let addresses = (0..3).map(|index| listen(index, script.clone())).collect();
         Self { script, addresses }
@@ -144,6 +151,7 @@
 
 struct Connection {
     index: usize,
+    number: usize,
     script: Arc<Mutex<Script>>,
     stream: TcpStream,
     input: BytesMut,
@@ -173,7 +181,12 @@
     fn new(index: usize, script: Arc<Mutex<Script>>, stream: TcpStream) -> Self {
         let (input, output) = (BytesMut::new(), Vec::new());
         let position = Scripted::Answer;
-        Self { index, script, stream, input, output, status: b'I', position }
+        let number = {
+            let mut script = script.lock().expect("the script's lock");
+            script.connections.push(Vec::new());
+            script.connections.len() - 1
+        };
+        Self { index, number, script, stream, input, output, status: b'I', position }
     }
 
     fn serve(mut self) {
@@ -226,8 +239,12 @@
         let behaviour = {
             let mut script = self.script.lock().expect("the script's lock");
             script.seen.push((self.index, text.to_string()));
+            script.connections[self.number].push(text.to_string());
             if text.contains(MARK) { script.on_marked } else { Scripted::Answer }
         };
+        if text.contains(LATE) {
+            thread::sleep(LATENESS);
+        }
         match behaviour {
             Scripted::Close => return false,
             Scripted::Hang => return self.hang(),
@@ -271,7 +288,8 @@
                 "ROLLBACK"
             }
             "SELECT" => {
-                put_row(&mut self.output, &["1"]);
+                let value = text.split('\'').nth(1).unwrap_or("1");
+                put_row(&mut self.output, &[value]);
                 "SELECT 1"
             }
             _ => {
@@ -417,8 +435,8 @@
     pub error: Option<(String, String)>,
     /// Command tags.
     pub tags: Vec<String>,
-    /// Number of rows.
-    pub rows: usize,
+    /// First column of each row.
+    pub rows: Vec<String>,
     /// Transaction status.
     pub status: u8,
 }
@@ -510,7 +528,7 @@
             while let Some(frame) = frames::next_frame(&mut self.input).ok()? {
                 match frame.tag {
                     b'C' => answer.tags.push(text(frame.body())),
-                    b'D' => answer.rows += 1,
+                    b'D' => answer.rows.push(text(frame.body().get(6..).unwrap_or_default())),
                     b'E' if answer.error.is_none() => answer.error = Some(error(frame.body())),
                     b'Z' => {
                         answer.status = frame.body()[0];
