--- a/crates/lab/src/bench/command.rs
+++ b/crates/lab/src/bench/command.rs
@@ -10,7 +10,7 @@
 use super::deployment::{self, DeploymentOptions};
 use super::path::{IDLE_CALLERS, PathOptions};
 use super::report::Report;
-use super::{compare, overload, path};
+use super::{compare, confirmation, overload, path};
 use crate::scenario::command::PolicyName;
 
 /// measure the proxy
@@ -28,6 +28,7 @@
     Atlas(AtlasCommand),
     Gidanmu(GidanmuCommand),
     Overload(OverloadCommand),
+    Confirmation(ConfirmationCommand),
 }
 
 /// statements a second and latency past the proxy, through one node and through two
@@ -70,6 +71,26 @@
     }
 }
 
+/// cost of confirming writes: nothing waited for, term alone, term and flushed offset
+#[derive(FromArgs)]
+#[argh(subcommand, name = "confirmation")]
+struct ConfirmationCommand {
+    /// length of one round in milliseconds (default 500)
+    #[argh(option, default = "500")]
+    round_ms: u64,
+    /// directory for report.json
+    #[argh(option)]
+    out: PathBuf,
+}
+
+impl ConfirmationCommand {
+    fn run(&self) -> miette::Result<()> {
+        let report = confirmation::run(Duration::from_millis(self.round_ms.max(1)))?;
+        report.print();
+        report.write(&self.out)
+    }
+}
+
 impl BenchCommand {
     /// Runs the bench, prints its table and writes its report.
     pub fn run(&self) -> miette::Result<()> {
@@ -78,6 +99,7 @@
             Bench::Atlas(command) => command.run(),
             Bench::Gidanmu(command) => command.run(),
             Bench::Overload(command) => command.run(),
+            Bench::Confirmation(command) => command.run(),
         }
     }
 }
--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -3,6 +3,7 @@
 pub mod cluster;
 pub mod command;
 pub mod compare;
+pub mod confirmation;
 pub mod deployment;
 pub mod login;
 pub mod overload;
