--- a/crates/lab/tests/seeds.rs
+++ b/crates/lab/tests/seeds.rs
@@ -69,3 +69,8 @@
 fn no_replaced_primary_acknowledges() {
     assert_hold(REPLACED_PRIMARY);
 }
+
+#[test]
+fn answers_are_whole_while_a_primary_is_cut_off() {
+    assert_hold(&[Kept { scenario: "cut-off-primary", seeds: &[3] }]);
+}
