Session: split by job

front/session.rs held 686 lines with six jobs: state and login, taking requests, sending, retrying, the lease and its events, the bound, and sending callers away at a planned stop.

Function bodies are moved as they were; fields of Lease and methods used across modules are visible within the session only.

No behaviour changes. The daemon's tests and the lab's demo and path tests pass.

--- /dev/null
+++ b/crates/daemon/src/front/session/lease.rs
@@ -0,0 +1,130 @@
+//! The lease: a session's use of one back-end connection, the events that arrive on it and the ways
+//! it ends.
+
+use kestrellock_core::cancel::CancelKey;
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::exchange_state::Fault;
+use kestrellock_core::ids::{LeaseId, NodeName};
+use kestrellock_peer::message::{GatewayCall, LeaseEvent, ToGateway, TransactionState};
+
+use super::{Session, UNDONE, answer, counting, ending};
+use crate::front::request::Collector;
+use crate::front::target::Target;
+use crate::shard::{Io, Outgoing};
+
+/// The use of one back-end connection.
+#[derive(Debug)]
+pub(super) struct Lease {
+    pub id: LeaseId,
+    pub target: Target,
+    /// Whether nothing on it can have written so far.
+    pub read_only: bool,
+    pub next_exchange: u32,
+    pub next_sequence: u32,
+}
+
+impl Session {
+    /// The lease in use, if any.
+    pub fn lease_id(&self) -> Option<&LeaseId> {
+        self.lease.as_ref().map(|lease| &lease.id)
+    }
+
+    /// Whether an exchange is under way with a gateway of `node`.
+    pub fn waits_for(&self, node: &NodeName) -> bool {
+        let sent = self.request.as_ref().is_some_and(|request| request.sent);
+        sent && self.lease.as_ref().is_some_and(|lease| lease.target.gateway == *node)
+    }
+
+    /// Takes in news of the lease. A gap in the sequence means that part of an answer was lost.
+    pub fn on_lease_event(&mut self, sequence: u32, event: LeaseEvent, io: &mut Io) {
+        let Some(lease) = &mut self.lease else { return };
+        if sequence != lease.next_sequence {
+            return self.end_unanswered(Fault::AnswerLost, "part of the answer was lost", io);
+        }
+        lease.next_sequence += 1;
+        self.last_active = io.now;
+        match event {
+            LeaseEvent::Part(frames) => {
+                self.answer_begun = true;
+                self.connection.output.extend_from_slice(&frames);
+            }
+            LeaseEvent::Refused(refusal) => self.on_refused(refusal, io),
+            LeaseEvent::NotOwner { owner } => self.on_not_owner(owner, io),
+            LeaseEvent::Done { .. } => self.on_done(event, io),
+        }
+    }
+
+    /// Ends the exchange under way, and the lease unless a transaction stays open.
+    pub(super) fn end_lease(&mut self, event: LeaseEvent, io: &Io) {
+        let request = self.request.take();
+        let read_only = self.lease.as_ref().is_some_and(|lease| lease.read_only);
+        counting::ended(&event, self.login.as_ref(), request.as_ref(), read_only, io);
+        self.hold_until = None;
+        self.referred = false;
+        match event {
+            LeaseEvent::Part(_) | LeaseEvent::NotOwner { .. } => {}
+            LeaseEvent::Done { frames, transaction, confirmed } => {
+                if let Some(position) = confirmed {
+                    self.raise_bound(position);
+                }
+                if let Some(request) = &request {
+                    let Collector { statements, .. } = &mut self.collector;
+                    ending::follow(&mut self.state, statements, request, &frames, transaction);
+                }
+                self.connection.output.extend_from_slice(&frames);
+                self.transaction = transaction;
+                if transaction == TransactionState::Idle {
+                    self.drop_lease();
+                }
+            }
+            LeaseEvent::Refused(refusal) => {
+                // A caller that does not look at errors must not run the rest of a lost transaction
+                // statement by statement.
+                let ended = request.is_none_or(|request| {
+                    matches!(request.class(), StatementClass::Commit | StatementClass::Rollback)
+                });
+                self.state.on_end(&[], UNDONE);
+                self.transaction_lost = self.transaction != TransactionState::Idle && !ended;
+                self.transaction = match self.transaction_lost {
+                    true => TransactionState::Failed,
+                    false => TransactionState::Idle,
+                };
+                answer::put_refusal(&refusal, "ERROR", &mut self.connection.output);
+                answer::put_ready(self.transaction, &mut self.connection.output);
+                self.drop_lease();
+            }
+        }
+    }
+
+    pub(super) fn drop_lease(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            self.ended_leases.push(lease.id);
+        }
+    }
+
+    /// Passes a cancel request on if `key` is this session's and something runs for it.
+    pub fn cancel(&self, key: CancelKey, io: &mut Io) {
+        let (Some(login), Some(lease)) = (&self.login, &self.lease) else { return };
+        if login.cancel_key != key || !self.request.as_ref().is_some_and(|request| request.sent) {
+            return;
+        }
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Cancel(lease.id.clone()),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+    }
+
+    /// Tells the gateway that nobody waits any more.
+    pub fn abandon(&mut self, io: &mut Io) {
+        let (Some(login), Some(lease)) = (&self.login, &self.lease) else { return };
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Abandon(lease.id.clone()),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+        self.drop_lease();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/session/parting.rs
@@ -0,0 +1,67 @@
+//! How a session ends when its node is stopped as planned: the caller is told to connect to another
+//! node once nothing of its own is under way, and gets time to close.
+
+use std::time::{Duration, Instant};
+
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_peer::message::TransactionState;
+
+use super::{Session, SessionEnd, answer};
+use crate::front::request::Request;
+use crate::shard::Io;
+
+/// Time without a request after which a planned stop sends a caller away unasked.
+const IDLE_BEFORE_PARTING: Duration = Duration::from_secs(1);
+const STOPPING: &str = "the node is stopping; connect to another one";
+/// Time a caller gets to close after it has been sent away.
+const PARTING_LIMIT: Duration = Duration::from_millis(500);
+/// Time between the message that sends a caller away and the end of the stream.
+const END_OF_STREAM_DELAY: Duration = Duration::from_millis(50);
+
+impl Session {
+    /// Whether a planned stop lets no new request begin here.
+    pub(super) fn must_part(&self, io: &Io) -> bool {
+        io.context.is_leaving() && self.transaction == TransactionState::Idle
+    }
+
+    /// Whether nothing has been under way for so long that a message that answers nothing is not
+    /// taken for the answer to the last statement: some client libraries do so if they read both
+    /// at once.
+    pub(super) fn is_idle(&self, now: Instant) -> bool {
+        let between = self.request.is_none() && self.transaction == TransactionState::Idle;
+        let silent = self.connection.input.is_empty() && self.collector.is_empty();
+        between && silent && now.saturating_duration_since(self.last_active) >= IDLE_BEFORE_PARTING
+    }
+
+    /// Tells the caller to connect to another node, in answer to a request if there is one.
+    /// Nothing that it sends from now on is run.
+    pub(super) fn send_away(&mut self, request: Option<Request>, io: &mut Io) -> SessionEnd {
+        let output = &mut self.connection.output;
+        match request {
+            Some(_) => {
+                let refusal = Refusal::new(ResultCode::Stopping, STOPPING);
+                answer::put_refusal(&refusal, "FATAL", output);
+            }
+            None => answer::put_farewell(STOPPING, output),
+        }
+        self.abandon(io);
+        self.parting_since = Some(io.now);
+        self.part(io)
+    }
+
+    /// Waits for the caller to close. Closing first, with input unread, could destroy the message
+    /// on its way; and some client libraries that read message and end of stream at once report
+    /// only the latter.
+    pub(super) fn part(&mut self, io: &mut Io) -> SessionEnd {
+        self.connection.input.clear();
+        let flushed = self.connection.flush(io.registry);
+        let Some(began) = self.parting_since else { return SessionEnd::Close };
+        if self.connection.output.is_empty() && io.now >= began + END_OF_STREAM_DELAY {
+            self.connection.shut_down_sending();
+        }
+        match io.now < began + PARTING_LIMIT && flushed.is_ok() {
+            true => SessionEnd::Continue,
+            false => SessionEnd::Close,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/session/sending.rs
@@ -0,0 +1,110 @@
+//! Sends the kept request to a gateway: what access it needs, which instance it goes to, and the
+//! exchange that carries it.
+
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::exchange_state::{Fault, Progress, failure_code};
+use kestrellock_core::ids::LeaseId;
+use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::routing::Access;
+use kestrellock_peer::message::{Exchange, GatewayCall, ToGateway, TransactionState};
+
+use super::lease::Lease;
+use super::{NOTHING_AT_STAKE, Session};
+use crate::front::GATEWAY_GRACE;
+use crate::front::baseline::routed_as;
+use crate::front::login::Login;
+use crate::front::request::Request;
+use crate::front::target;
+use crate::gateway::running::stake_of;
+use crate::shard::{Io, Outgoing};
+
+impl Session {
+    /// Sends the request if it has not been, or ends it if its time is up.
+    pub(super) fn drive_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
+        let Some(request) = &self.request else { return };
+        if request.sent {
+            if io.now > request.deadline + GATEWAY_GRACE {
+                self.on_silent_gateway(io);
+            }
+            return;
+        }
+        if io.now > request.deadline {
+            let code = match self.awaited {
+                Some(_) => ResultCode::NoFreshInstance,
+                None => failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline),
+            };
+            let refusal = Refusal::new(code, "no instance could take the statement");
+            self.settle_or_refuse(refusal, io);
+            return;
+        }
+        if self.hold_until.is_none_or(|until| io.now >= until) {
+            self.send_request(new_lease, io);
+        }
+    }
+
+    /// What the request needs, given the lease in use.
+    fn access(&self, request: &Request, login: &Login) -> Access {
+        let reads = match &self.lease {
+            None => matches!(request.class(), StatementClass::Read | StatementClass::BeginReadOnly),
+            Some(lease) => lease.read_only && request.class().keeps_read_only(),
+        };
+        if reads {
+            let max_staleness = login.parameters.values.max_staleness_ms.into();
+            Access::Read { bound: self.bound, max_staleness }
+        } else {
+            Access::Write { bound: self.bound }
+        }
+    }
+
+    fn send_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
+        let (Some(login), Some(request)) = (&self.login, &self.request) else { return };
+        // A new caller may have written through another session just before: until the group's
+        // position is known, no instance is known to have that.
+        if self.lease.is_none() && self.awaited.is_some() {
+            return;
+        }
+        let access = self.access(request, login);
+        let writes = access.is_write();
+        if writes {
+            self.last_write = Some(io.now);
+        }
+        if self.lease.is_none() {
+            let routed = routed_as(access.clone(), io.context.policy, self.last_write, io.now);
+            let Some(target) = target::find(&login.group, &routed, io) else { return };
+            let id = new_lease();
+            let read_only = !writes;
+            self.lease = Some(Lease { id, target, read_only, next_exchange: 0, next_sequence: 0 });
+        }
+        let Some(lease) = &mut self.lease else { return };
+        lease.read_only &= !writes;
+        let open = self.transaction != TransactionState::Idle;
+        let values = &login.parameters.values;
+        let exchange = Exchange {
+            lease: lease.id.clone(),
+            number: lease.next_exchange,
+            instance: lease.target.instance.clone(),
+            tenant: login.parameters.tenant.clone(),
+            access,
+            priority: if writes { values.write_priority } else { values.read_priority },
+            time_left: request.deadline.saturating_duration_since(io.now),
+            statements: request.statements.clone(),
+            settings: self.state.preamble(),
+            taints: request.executes && request.facts.taints(),
+            frames: request.messages.clone(),
+            ready_expected: 1,
+            may_commit: writes && request.executes && request.class().may_commit(open),
+        };
+        self.stake = stake_of(&exchange);
+        self.answer_begun = false;
+        lease.next_exchange += 1;
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Exchange(Box::new(exchange)),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+        if let Some(request) = &mut self.request {
+            request.sent = true;
+        }
+    }
+}
