Gateway: split by job

gateway/mod.rs held 491 lines: state, messages, taking up and sending exchanges, leases that end, back-end events, probing and lost connections.

Function bodies are moved as they were; methods used across modules are visible within the gateway only.

No behaviour changes.

--- /dev/null
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -0,0 +1,142 @@
+//! Exchanges from taking them up to sending them: an open lease's go out on its connection, a new
+//! lease's wait in their instance's pool until a connection is idle.
+
+use std::time::Instant;
+
+use kestrellock_core::catalog::Group;
+use kestrellock_core::exchange_state::Fault;
+use kestrellock_core::ids::GroupName;
+use kestrellock_core::outcome::ResultCode;
+use kestrellock_core::routing::has_reached;
+use kestrellock_peer::message::Exchange;
+
+use super::pool::{Assigned, Assignment, Pool};
+use super::server::{Server, Use};
+use super::{Gateway, notify_refused, ownership, refuse};
+use crate::shard::Io;
+
+impl Gateway {
+    pub(super) fn on_exchange(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        exchange: Exchange,
+        io: &mut Io,
+    ) {
+        if exchange.lease.node != io.context.identity.node {
+            self.last_forwarded = Some(io.now);
+        }
+        if let Some(&key) = self.leases.get(&exchange.lease) {
+            if let Some(pool) = self.pool_of(key) {
+                pool.on_resumed(key, io.now);
+            }
+            self.run_on(key, &exchange, io);
+            return;
+        }
+        if exchange.number > 0 {
+            refuse(
+                &exchange,
+                ResultCode::TransactionLost,
+                "the transaction's connection is gone",
+                io,
+            );
+            return;
+        }
+        let Some(instance) = group.instance(&exchange.instance) else {
+            refuse(&exchange, ResultCode::NotOwner, "the gateway does not know the instance", io);
+            return;
+        };
+        let capacity = io.context.catalog.load().capacity(&exchange.tenant).unwrap_or(1);
+        let state = self.group_state(name, io.now);
+        if state.refuses_write(&exchange, group, io) {
+            return self.probe(name, group, io);
+        }
+        let pool = state.pools.get_mut(&instance.name);
+        let Some(pool) = pool.filter(|pool| pool.accepts(io.now)) else {
+            let owner = self.owner_of(&instance.name);
+            ownership::refer(&exchange, owner, io);
+            return;
+        };
+        if let Err(refused) = pool.offer(exchange, capacity, io.now) {
+            notify_refused(*refused, io);
+            return;
+        }
+        self.pump(name, group, io);
+    }
+
+    /// Gives waiting exchanges to idle connections, and opens connections where that helps.
+    pub(super) fn pump(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+        let Some(state) = self.groups.get_mut(name) else { return };
+        let mut assigned = Vec::new();
+        for instance in &group.instances {
+            let Some(pool) = state.pools.get_mut(&instance.name) else { continue };
+            let Assigned { run, refused } = pool.assign(io.now);
+            refused.into_iter().for_each(|refused| notify_refused(refused, io));
+            assigned.extend(run);
+            for _ in 0..pool.connections_to_open(io.now) {
+                let purpose = Use::Pooled;
+                match Server::connect(&mut self.servers, name, group, instance, purpose, io) {
+                    Ok(key) => pool.on_connecting(key, io.now),
+                    Err(_) => {
+                        pool.on_connect_failed(io.now, rand::random());
+                        break;
+                    }
+                }
+            }
+        }
+        for Assignment { key, exchange } in assigned {
+            self.leases.insert(exchange.lease.clone(), key);
+            if let Some(server) = self.servers.get_mut(key) {
+                server.begin_lease(exchange.lease.clone());
+            }
+            self.run_on(key, &exchange, io);
+        }
+    }
+
+    /// The pool that a connection belongs to.
+    fn pool_of(&mut self, key: usize) -> Option<&mut Pool> {
+        let server = self.servers.get(key)?;
+        self.groups.get_mut(&server.group)?.pools.get_mut(&server.instance)
+    }
+
+    /// Whether the instance has reached the session bound, by its own last word. The front that
+    /// chose it knew less.
+    fn is_recent_enough(&self, key: usize, exchange: &Exchange) -> bool {
+        if exchange.access.bound().is_none() {
+            return true;
+        }
+        let server = &self.servers[key];
+        let status = self.groups.get(&server.group).and_then(|state| {
+            let status = state.monitor.status(&server.instance)?;
+            (status.reachable || exchange.access.is_write()).then_some(status)
+        });
+        status.is_some_and(|status| has_reached(status, &exchange.access))
+    }
+
+    fn run_on(&mut self, key: usize, exchange: &Exchange, io: &mut Io) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        if !server.accepts(exchange) {
+            server.refuse_unsent(exchange, Fault::AnswerLost, io);
+            return self.on_server_lost(key, Fault::BackendLost, io);
+        }
+        if exchange.number == 0 && !self.is_recent_enough(key, exchange) {
+            let code = match exchange.access.is_write() {
+                true => ResultCode::NotPrimary,
+                false => ResultCode::NoFreshInstance,
+            };
+            refuse(exchange, code, "the instance has not reached the session's position", io);
+            return self.release(key, io);
+        }
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let deadline = io.now + exchange.time_left;
+        // Read again: this process may have been paused since the event was taken up.
+        if Instant::now() >= deadline {
+            server.refuse_unsent(exchange, Fault::Deadline, io);
+            return self.release(key, io);
+        }
+        server.run(exchange, deadline);
+        if server.flush(io).is_err() {
+            self.on_server_lost(key, Fault::BackendLost, io);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/probing.rs
@@ -0,0 +1,69 @@
+//! Sends the probes that are due: on ticks, and at once where commits, held writes or questions wait
+//! for their answers.
+
+use std::time::Instant;
+
+use kestrellock_core::catalog::Group;
+use kestrellock_core::ids::GroupName;
+
+use super::monitor::Step;
+use super::server::{Server, Use};
+use super::{Gateway, GroupGateway};
+use crate::metrics::ProbeEvent;
+use crate::shard::Io;
+
+impl Gateway {
+    pub(super) fn probe(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+        let Some(state) = self.groups.get_mut(name) else { return };
+        let wanted = state.confirmations.wanted_probe().max(state.current_positions.wanted_probe());
+        for instance in &group.instances {
+            match state.monitor.next_step(&instance.name, wanted, io.now) {
+                Step::Nothing => {}
+                Step::Connect => {
+                    let purpose = Use::Probe;
+                    if let Ok(key) =
+                        Server::connect(&mut self.servers, name, group, instance, purpose, io)
+                    {
+                        state.monitor.on_probe_connecting(&instance.name, key, io.now);
+                    }
+                }
+                Step::Ask(key) => {
+                    if let Some(server) = self.servers.get_mut(key) {
+                        let number = state.confirmations.next_probe();
+                        state.monitor.on_asked(&instance.name, number);
+                        io.context.metrics.probes.count(ProbeEvent::Sent);
+                        server.ask_position(number, io);
+                        // A broken connection shows as readable and is handled there.
+                        let _ = server.flush(io);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether probes must not wait for the next tick, because commits or held writes do.
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        self.groups.values().any(|state| state.is_urgent(now))
+    }
+
+    /// Sends the probes that are due in groups for which something waits.
+    pub fn on_urgent(&mut self, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        let urgent = |(_, state): &(&GroupName, &GroupGateway)| state.is_urgent(io.now);
+        let names: Vec<GroupName> =
+            self.groups.iter().filter(urgent).map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if let Some(group) = catalog.groups.get(&name) {
+                self.probe(&name, group, io);
+            }
+        }
+    }
+}
+
+impl GroupGateway {
+    fn is_urgent(&self, now: Instant) -> bool {
+        self.confirmations.is_waiting()
+            || self.current_positions.is_waiting()
+            || self.monitor.is_searching(now)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -0,0 +1,78 @@
+//! What back-end connections report, passed on to the pool, the monitor and the confirmations of
+//! their group.
+
+use kestrellock_core::exchange_state::Fault;
+
+use super::Gateway;
+use super::pool::Pool;
+use super::server::{ServerEvent, Use};
+use crate::metrics::{ConnectionEvent, ProbeEvent};
+use crate::net::connection::ReadOutcome;
+use crate::shard::Io;
+
+impl Gateway {
+    /// Handles readiness of a back-end connection.
+    pub fn on_ready(&mut self, key: usize, io: &mut Io) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let outcome = server.fill();
+        let events = server.take_events(io);
+        let broken = server.flush(io).is_err() || outcome == ReadOutcome::Closed;
+        for event in events {
+            self.on_server_event(key, event, io);
+        }
+        if broken {
+            self.on_server_lost(key, Fault::BackendLost, io);
+        }
+    }
+
+    fn on_server_event(&mut self, key: usize, event: ServerEvent, io: &mut Io) {
+        let Some(server) = self.servers.get(key) else { return };
+        let (group, instance) = (server.group.clone(), server.instance.clone());
+        let catalog = io.context.catalog.load();
+        let Some(state) = self.groups.get_mut(&group) else { return };
+        let Some(configured) = catalog.groups.get(&group) else { return };
+        match event {
+            ServerEvent::Ready if server.purpose == Use::Pooled => {
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_idle(key, io.now);
+                }
+            }
+            ServerEvent::Ready => state.monitor.on_probe_ready(key, &instance),
+            ServerEvent::Unusable => self.on_server_lost(key, Fault::BackendLost, io),
+            ServerEvent::Refused => {
+                io.context.metrics.backends.count(ConnectionEvent::Refused);
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_refused(io.now, rand::random());
+                }
+                self.on_server_lost(key, Fault::BackendLost, io);
+            }
+            ServerEvent::TransactionOpen => {
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_paused(key, io.now);
+                }
+            }
+            ServerEvent::LeaseEnded { lease } => {
+                self.leases.remove(&lease);
+                if let Some(pool) = state.pools.get_mut(&instance) {
+                    pool.on_idle(key, io.now);
+                }
+            }
+            ServerEvent::CommitAnswered(commit) => {
+                state.confirmations.wait_for(commit, configured, io);
+            }
+            ServerEvent::Probed(report) => {
+                io.context.metrics.probes.count(ProbeEvent::Answered);
+                let wait = state.pools.get(&instance).map(Pool::expected_wait);
+                let majority = configured.majority();
+                let replaced = state.monitor.on_report(&instance, &report, wait, majority, io);
+                state.confirmations.on_report(&instance, &report, configured, io);
+                let questions = &mut state.current_positions;
+                questions.on_report(&group, &instance, &report, configured, io);
+                if replaced {
+                    self.fence(&group, io);
+                }
+            }
+        }
+        self.pump_group(&group, io);
+    }
+}
