Batch: end as a request, without a copy of its type

FinishedBatch repeated six fields of Request and was only copied into one, and the answer to a ROLLBACK stood in both modules.

A batch now ends as the request itself, given its deadline; the answer is one constant.

No behaviour changes.

--- a/crates/daemon/src/front/batch.rs
+++ b/crates/daemon/src/front/batch.rs
@@ -1,6 +1,7 @@
 //! A caller's extended-query messages up to its `Sync`, rewritten for shared connections.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use kestrellock_core::classify::TextFacts;
@@ -8,6 +9,7 @@
 use kestrellock_peer::message::PreparedStatement;
 
 use super::classes::Classes;
+use super::request::{ROLLBACK_REPLY, Request};
 use super::statements::{SessionStatement, Statements};
 use crate::net::extended::{self, BindFields, NamedObject, ParseFields, STATEMENT_KIND};
 use crate::net::frames::Frame;
@@ -22,7 +24,6 @@
 const CLOSE_COMPLETE: &[u8] = b"3\0\0\0\x04";
 const NO_PARAMETERS: &[u8] = b"t\0\0\0\x06\0\0";
 const NO_DATA: &[u8] = b"n\0\0\0\x04";
-const ROLLED_BACK: &[u8] = b"C\0\0\0\x0dROLLBACK\0";
 
 #[derive(Debug)]
 struct Portal {
@@ -44,23 +45,6 @@
     refusal: Option<Refusal>,
 }
 
-/// A batch that has ended.
-#[derive(Debug)]
-pub struct FinishedBatch {
-    /// Messages for the back end, `Sync` among them.
-    pub messages: Bytes,
-    /// Statements that must exist beforehand.
-    pub statements: Vec<PreparedStatement>,
-    /// What executing it does; where nothing is executed, what its statements would do.
-    pub facts: Arc<TextFacts>,
-    /// Whether anything is executed.
-    pub executes: bool,
-    /// What a back end would answer if every statement only rolled back, without `ReadyForQuery`.
-    pub rollback_replies: Bytes,
-    /// Whether the proxy can answer alone, with `rollback_replies`.
-    pub is_local: bool,
-}
-
 impl Batch {
     /// Whether it holds nothing yet.
     pub fn is_empty(&self) -> bool {
@@ -163,7 +147,7 @@
         self.executed = Some(combine(self.executed.take(), &facts));
         self.needs_back_end = true;
         self.messages.extend_from_slice(&frame.bytes);
-        self.replies.extend_from_slice(ROLLED_BACK);
+        self.replies.extend_from_slice(ROLLBACK_REPLY);
         Ok(())
     }
 
@@ -192,14 +176,14 @@
         }
     }
 
-    /// Ends the batch with the caller's `Sync`.
-    pub fn finish(&mut self, sync: &Frame) -> Result<FinishedBatch, Refusal> {
+    /// Ends the batch with the caller's `Sync`: the request to answer by `deadline`.
+    pub fn finish(&mut self, sync: &Frame, deadline: Instant) -> Result<Request, Refusal> {
         let mut batch = std::mem::take(self);
         if let Some(refusal) = batch.refusal {
             return Err(refusal);
         }
         batch.messages.extend_from_slice(&sync.bytes);
-        Ok(FinishedBatch {
+        Ok(Request {
             messages: batch.messages.freeze(),
             statements: batch.needed,
             executes: batch.executed.is_some(),
@@ -209,6 +193,8 @@
                 .unwrap_or_else(|| Arc::new(TextFacts::nothing())),
             rollback_replies: batch.replies.freeze(),
             is_local: !batch.needs_back_end,
+            deadline,
+            sent: false,
         })
     }
 }
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -8,28 +8,29 @@
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::PreparedStatement;
 
-use super::batch::{Batch, FinishedBatch};
+use super::batch::Batch;
 use super::classes::{self, Classes};
 use super::statements::Statements;
 use crate::net::extended;
 use crate::net::frames::{self, Frame};
 
-const ROLLBACK_REPLY: &[u8] = b"C\0\0\0\x0dROLLBACK\0";
+/// Answer to a `ROLLBACK`, without `ReadyForQuery`.
+pub(super) const ROLLBACK_REPLY: &[u8] = b"C\0\0\0\x0dROLLBACK\0";
 
 /// An exchange.
 #[derive(Debug)]
 pub struct Request {
     /// Front-end messages.
     pub messages: Bytes,
-    /// Statements that must exist on the connection.
+    /// Statements that must exist on the connection beforehand.
     pub statements: Vec<PreparedStatement>,
-    /// What it does.
+    /// What executing it does; where nothing is executed, what its statements would do.
     pub facts: Arc<TextFacts>,
     /// Whether anything is executed, rather than only prepared or described.
     pub executes: bool,
-    /// What a back end would answer if it only rolled back, without `ReadyForQuery`.
+    /// What a back end would answer if every statement only rolled back, without `ReadyForQuery`.
     pub rollback_replies: Bytes,
-    /// Whether the proxy answers alone.
+    /// Whether the proxy answers alone, with `rollback_replies`.
     pub is_local: bool,
     /// Latest time to answer it.
     pub deadline: Instant,
@@ -84,8 +85,8 @@
             match frame.tag {
                 b'Q' => return Next::Request(simple(frame, classes, deadline)),
                 extended::SYNC => {
-                    return match self.batch.finish(&frame) {
-                        Ok(batch) => Next::Request(extended(batch, deadline)),
+                    return match self.batch.finish(&frame, deadline) {
+                        Ok(request) => Next::Request(request),
                         Err(refusal) => Next::Refused(refusal),
                     };
                 }
@@ -118,16 +119,3 @@
         sent: false,
     }
 }
-
-fn extended(batch: FinishedBatch, deadline: Instant) -> Request {
-    Request {
-        messages: batch.messages,
-        statements: batch.statements,
-        facts: batch.facts,
-        executes: batch.executes,
-        rollback_replies: batch.rollback_replies,
-        is_local: batch.is_local,
-        deadline,
-        sent: false,
-    }
-}
