Request keys: the record holds the command tag

Cause: the record said that a statement ran, not what it did. A repeat of a conditional purchase that had matched no row was told KL1702 like one that had bought the seat.

Change: a keyed statement goes out behind BEGIN and its record; its answer is held, and a second exchange on the same lease adds the command tag to the record and commits. A repeat is told "KL1702 ran: UPDATE 0", or "ran: COMMIT" for a transaction. The first exchange cannot commit, so a statement that loses its transaction before the commit starts over under its key. A read-only instance's error inside the transaction makes the front look for the primary. Parts of a large answer wait in the front until the commit.

Not tested: a keyed answer of more than 64 KiB.

Conclusion: "bought" can be told from "taken". Each keyed single statement costs one more exchange.

--- a/crates/daemon/src/front/request_key.rs
+++ b/crates/daemon/src/front/request_key.rs
@@ -3,6 +3,9 @@
 //! The key is a row with a unique key in the tenant's own database. Whichever commits first under
 //! a key wins for good: the statement, or the row that says it was abandoned. So a keyed statement
 //! may go out again after doubt, on any node and across a failover, and runs at most once.
+//!
+//! A single statement goes out behind `BEGIN` and its record. A second exchange adds the command
+//! tag to the record and commits, so a repeat is told what the statement did.
 
 use bytes::{Bytes, BytesMut};
 use kestrellock_core::ids::TenantName;
@@ -21,7 +24,15 @@
      recorded_at TIMESTAMPTZ NOT NULL DEFAULT now())";
 const UNDEFINED_TABLE: &[u8] = b"42P01";
 const UNIQUE_VIOLATION: &[u8] = b"23505";
+const READ_ONLY_TRANSACTION: &[u8] = b"25006";
 const RAN: &str = "ran";
+/// What stands in front of the command tag in the record of a statement.
+const RAN_WITH_TAG: &str = "ran: ";
+/// What a record of a transaction answers: it can only be seen once that has committed.
+const COMMIT_TAG: &str = "COMMIT";
+/// Replies in front of a single statement's own: `BEGIN` and the record.
+const REPLIES_IN_FRONT: usize = 2;
+const READY_AND_IDLE: &[u8] = b"Z\0\0\0\x05I";
 const ABANDONED: &str = "abandoned";
 /// What stands for the text of a transaction, which is not known at its beginning.
 const TRANSACTION: &str = "transaction";
@@ -79,6 +90,8 @@
 enum Phase {
     /// Runs the statement together with its record.
     Run,
+    /// Adds the command tag to the record, and commits.
+    Commit,
     /// Creates the table of records.
     Create,
     /// Reads the record that was there first.
@@ -92,6 +105,12 @@
 pub enum Step {
     /// Pass this answer on.
     Answer(Bytes),
+    /// Roll the open transaction back and pass this answer on.
+    RollBack(Bytes),
+    /// The instance is read-only: look for the primary.
+    FindPrimary,
+    /// Send [`KeyedRequest::messages`] on the same lease.
+    Continue,
     /// Tell the caller this.
     Refuse(Refusal),
     /// Send [`KeyedRequest::messages`] on a new lease.
@@ -110,6 +129,8 @@
     after_create: Phase,
     attempts: u32,
     doubt: Option<Refusal>,
+    /// The statement's answer, held until its commit.
+    held: Bytes,
 }
 
 impl KeyedRequest {
@@ -125,6 +146,7 @@
             after_create: Phase::Run,
             attempts: 0,
             doubt: None,
+            held: Bytes::new(),
         }
     }
 
@@ -144,10 +166,31 @@
         )
     }
 
+    fn commit(&self) -> String {
+        let key = self.stored_key.replace('\'', "''");
+        let tag = last_tag(&self.held).replace('\'', "''");
+        format!(
+            "UPDATE kestrellock_requests SET outcome = '{RAN_WITH_TAG}{tag}' WHERE key = '{key}'; COMMIT"
+        )
+    }
+
+    /// Whether [`KeyedRequest::messages`] may commit something.
+    pub fn may_commit(&self) -> bool {
+        self.phase != Phase::Run
+    }
+
+    /// Whether parts of the answer must wait for its end.
+    pub fn holds_parts(&self) -> bool {
+        self.scope == Scope::Statement
+    }
+
     /// The messages to send now.
     pub fn messages(&self) -> Bytes {
         let text = match (self.phase, self.scope) {
-            (Phase::Run, Scope::Statement) => format!("{}; {}", self.record(RAN), self.sql),
+            (Phase::Run, Scope::Statement) => {
+                format!("BEGIN; {}; {}", self.record(RAN), self.sql)
+            }
+            (Phase::Commit, _) => self.commit(),
             (Phase::Run, Scope::Begin) => {
                 let begin = self.sql.trim().trim_end_matches(';');
                 format!("{begin}; {}", self.record(RAN))
@@ -168,6 +211,7 @@
     pub fn on_answer(&mut self, answer: &Bytes, transaction: TransactionState) -> Step {
         match self.phase {
             Phase::Run => self.on_run(answer, transaction),
+            Phase::Commit => self.on_commit(answer),
             Phase::Create => self.go_on(self.after_create),
             Phase::LookUp => self.on_record(answer),
             Phase::Abandon => self.on_abandoned(answer),
@@ -175,21 +219,19 @@
     }
 
     fn on_run(&mut self, answer: &Bytes, transaction: TransactionState) -> Step {
-        let own = if self.scope == Scope::Begin { 1 } else { 0 };
-        let Some(record) = nth_reply(answer, own) else { return Step::Answer(answer.clone()) };
+        let Some(record) = nth_reply(answer, 1) else { return Step::Answer(answer.clone()) };
         if record.tag == b'C' {
-            if self.doubt.is_some() && nth_reply(answer, usize::MAX).is_some() {
-                // The statement failed now, but an earlier attempt may still be on its way: nothing
-                // may run under the key after the caller has been told of the failure.
-                return self.go_on(Phase::Abandon);
-            }
-            // The record stands; the rest is the statement's own answer.
-            return Step::Answer(without(answer, &record));
+            return self.on_recorded(answer, &record, transaction);
         }
         match record.sqlstate(answer) {
             Some(UNDEFINED_TABLE) => self.create(Phase::Run, answer),
             Some(UNIQUE_VIOLATION) => self.go_on(Phase::LookUp),
+            Some(READ_ONLY_TRANSACTION) if transaction != TransactionState::Idle => {
+                Step::FindPrimary
+            }
+            _ if self.doubt.is_some() => self.unsettled(),
             _ if transaction == TransactionState::Idle => Step::Answer(answer.clone()),
+            _ if self.scope == Scope::Statement => Step::RollBack(own_answer(answer)),
             _ => Step::Refuse(Refusal::new(
                 ResultCode::RequestKeyUnsupported,
                 "the request key could not be recorded",
@@ -197,10 +239,45 @@
         }
     }
 
+    /// The record stands in the open transaction; the rest is the statement's own answer.
+    fn on_recorded(&mut self, answer: &Bytes, record: &Reply, state: TransactionState) -> Step {
+        if self.scope == Scope::Begin {
+            return Step::Answer(without(answer, record));
+        }
+        let own = own_answer(answer);
+        if nth_reply(answer, usize::MAX).is_some() {
+            return self.on_failed(own);
+        }
+        if state == TransactionState::Idle {
+            // The statement ended the transaction itself.
+            return Step::Answer(own);
+        }
+        self.held = own;
+        self.phase = Phase::Commit;
+        Step::Continue
+    }
+
+    fn on_commit(&mut self, answer: &Bytes) -> Step {
+        if nth_reply(answer, usize::MAX).is_some() {
+            return self.on_failed(own_answer(answer));
+        }
+        Step::Answer(self.held.clone())
+    }
+
+    /// The statement failed. If an earlier attempt may still be on its way, nothing may run under
+    /// the key after the caller has been told of the failure.
+    fn on_failed(&mut self, answer: Bytes) -> Step {
+        match self.doubt {
+            Some(_) => self.go_on(Phase::Abandon),
+            None => Step::RollBack(answer),
+        }
+    }
+
     fn create(&mut self, then: Phase, answer: &Bytes) -> Step {
         self.attempts += 1;
         if self.attempts > MAX_ATTEMPTS {
-            return self.doubt.clone().map_or(Step::Answer(answer.clone()), Step::Refuse);
+            let refused = Step::RollBack(own_answer(answer));
+            return self.doubt.clone().map_or(refused, Step::Refuse);
         }
         self.after_create = then;
         self.go_on(Phase::Create)
@@ -233,7 +310,10 @@
             _ if !is_own => {
                 Refusal::new(ResultCode::RequestKeyReused, "the key belongs to another request")
             }
-            _ => Refusal::new(ResultCode::AlreadyRan, "the request has run before"),
+            Some(RAN) if self.scope == Scope::Begin => {
+                Refusal::new(ResultCode::AlreadyRan, COMMIT_TAG)
+            }
+            outcome => Refusal::new(ResultCode::AlreadyRan, tag_of_record(outcome)),
         })
     }
 
@@ -258,11 +338,17 @@
     /// Takes in a refusal; `time_left` says whether anything may still be sent.
     pub fn on_refused(&mut self, refusal: Refusal, time_left: bool) -> Step {
         let in_doubt = refusal.code.execution() == Execution::InDoubt;
+        let runs = matches!(self.phase, Phase::Run | Phase::Commit);
         // Only what may hold the key can leave it in doubt.
-        if in_doubt && self.phase == Phase::Run && self.doubt.is_none() {
+        if in_doubt && runs && self.doubt.is_none() {
             self.doubt = Some(refusal.clone());
         }
-        if in_doubt && time_left {
+        // A statement whose transaction was lost before its commit has not run.
+        let lost = refusal.code == ResultCode::TransactionLost && self.scope == Scope::Statement;
+        if runs {
+            self.phase = Phase::Run;
+        }
+        if (in_doubt || (lost && runs)) && time_left {
             // The unique key makes every step repeatable.
             return Step::Again;
         }
@@ -322,6 +408,49 @@
     rest.freeze()
 }
 
+/// An answer without the command tags in front of the statement's own, at whose end no transaction
+/// is open.
+fn own_answer(answer: &Bytes) -> Bytes {
+    let mut rest = BytesMut::with_capacity(answer.len());
+    let (mut start, mut completed) = (0, 0);
+    while let Some((tag, message)) = message_at(answer, start) {
+        let is_hidden = tag == b'C' && completed < REPLIES_IN_FRONT;
+        completed += usize::from(tag == b'C');
+        match tag {
+            _ if is_hidden => {}
+            b'Z' => rest.extend_from_slice(READY_AND_IDLE),
+            _ => rest.extend_from_slice(message),
+        }
+        start += message.len();
+    }
+    rest.freeze()
+}
+
+/// The command tag in a record. One that was written before tags were recorded has none.
+fn tag_of_record(outcome: Option<&str>) -> &str {
+    let tag = outcome.and_then(|outcome| outcome.strip_prefix(RAN_WITH_TAG));
+    tag.filter(|tag| !tag.is_empty()).unwrap_or("the request has run before")
+}
+
+/// The last command tag of an answer; empty if there is none.
+fn last_tag(answer: &Bytes) -> String {
+    let (mut start, mut last) = (0, String::new());
+    while let Some((tag, message)) = message_at(answer, start) {
+        if tag == b'C' {
+            let body = &message[HEADER_BYTES..];
+            let text = body.strip_suffix(&[0]).unwrap_or(body);
+            last = String::from_utf8_lossy(text).into_owned();
+        }
+        start += message.len();
+    }
+    last
+}
+
+fn message_at(answer: &Bytes, start: usize) -> Option<(u8, &[u8])> {
+    let (tag, length) = frames::peek(answer.get(start..)?).ok()??;
+    Some((tag, answer.get(start..start + length)?))
+}
+
 /// The text columns of the first row of an answer.
 fn first_row(answer: &Bytes) -> Option<Vec<String>> {
     let mut start = 0;
--- a/crates/daemon/src/front/session/keys.rs
+++ b/crates/daemon/src/front/session/keys.rs
@@ -1,5 +1,6 @@
 //! A session's request keys: which request takes the key, and what follows its answers.
 
+use bytes::BytesMut;
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::outcome::{Execution, Refusal, ResultCode};
 use kestrellock_peer::message::{LeaseEvent, TransactionState};
@@ -22,6 +23,29 @@
     transaction: Option<RequestKey>,
     /// The keyed request under way.
     keyed: Option<KeyedRequest>,
+    /// The answer to its exchange, as far as it has come.
+    parts: BytesMut,
+}
+
+impl Keys {
+    /// Whether the next exchange may commit; `class_may` is what the request's class says.
+    pub fn may_commit(&self, class_may: bool) -> bool {
+        self.keyed.as_ref().map_or(class_may, KeyedRequest::may_commit)
+    }
+
+    /// A new exchange begins.
+    pub fn on_sent(&mut self) {
+        self.parts.clear();
+    }
+
+    /// Keeps a part of an answer that must wait for its commit; true if it is kept.
+    pub fn hold_part(&mut self, part: &[u8]) -> bool {
+        let holds = self.keyed.as_ref().is_some_and(KeyedRequest::holds_parts);
+        if holds {
+            self.parts.extend_from_slice(part);
+        }
+        holds
+    }
 }
 
 fn text_of(request: &Request) -> Option<&str> {
@@ -95,12 +119,16 @@
             return self.end_lease(event, io);
         };
         let (transaction, confirmed) = (*transaction, *confirmed);
-        let step = keyed.on_answer(frames, transaction);
+        self.keys.parts.extend_from_slice(frames);
+        let frames = self.keys.parts.split().freeze();
+        let step = keyed.on_answer(&frames, transaction);
         if let (false, Some(position)) = (matches!(step, Step::Answer(_)), confirmed) {
             self.raise_bound(position);
         }
-        if transaction != TransactionState::Idle && !matches!(step, Step::Answer(_)) {
-            // The transaction that could not record its key is rolled back.
+        if transaction != TransactionState::Idle
+            && !matches!(step, Step::Answer(_) | Step::Continue)
+        {
+            // The transaction that failed or could not record its key is rolled back.
             self.abandon(io);
         }
         match step {
@@ -108,6 +136,15 @@
                 self.keys.keyed = None;
                 self.end_lease(LeaseEvent::Done { frames, transaction, confirmed }, io);
             }
+            Step::RollBack(frames) => {
+                self.keys.keyed = None;
+                let transaction = TransactionState::Idle;
+                self.end_lease(LeaseEvent::Done { frames, transaction, confirmed }, io);
+            }
+            Step::FindPrimary => {
+                let detail = "the instance is read-only";
+                self.on_refused(Refusal::new(ResultCode::NotPrimary, detail), io);
+            }
             other => self.follow(other, io),
         }
     }
@@ -139,11 +176,18 @@
                 request.messages = keyed.messages();
                 request.sent = false;
                 self.hold_until = Some(io.now);
-                self.drop_lease();
+                // What the lease may hold open is rolled back before the key is tried again.
+                self.abandon(io);
+            }
+            (Step::Continue, Some(keyed), Some(request)) => {
+                request.messages = keyed.messages();
+                request.sent = false;
+                self.hold_until = None;
             }
             (Step::Refuse(refusal), _, _) => {
                 self.keys.keyed = None;
                 self.keys.transaction = None;
+                self.abandon(io);
                 self.end_lease(LeaseEvent::Refused(refusal), io);
             }
             _ => {}
--- a/crates/daemon/src/front/session/lease.rs
+++ b/crates/daemon/src/front/session/lease.rs
@@ -44,6 +44,7 @@
         lease.next_sequence += 1;
         self.last_active = io.now;
         match event {
+            LeaseEvent::Part(frames) if self.keys.hold_part(&frames) => {}
             LeaseEvent::Part(frames) => {
                 self.answer_begun = true;
                 self.connection.output.extend_from_slice(&frames);
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -92,10 +92,13 @@
             taints: request.executes && request.facts.taints(),
             frames: request.messages.clone(),
             ready_expected: 1,
-            may_commit: writes && request.executes && request.class().may_commit(open),
+            may_commit: writes
+                && request.executes
+                && self.keys.may_commit(request.class().may_commit(open)),
         };
         self.stake = stake_of(&exchange);
         self.answer_begun = false;
+        self.keys.on_sent();
         lease.next_exchange += 1;
         let message = ToGateway {
             from: io.context.identity.node.clone(),
--- a/crates/lab/tests/request_keys.rs
+++ b/crates/lab/tests/request_keys.rs
@@ -23,19 +23,21 @@
     }
 }
 
-/// The result code at the head of an error; empty if there was none.
-fn run(client: &mut Client, sql: &str) -> String {
+/// The message of an error; empty if there was none.
+fn told(client: &mut Client, sql: &str) -> String {
     match client.simple_query(sql) {
         Ok(_) => String::new(),
         Err(error) => {
-            let message = error
-                .as_db_error()
-                .map_or_else(|| error.to_string(), |one| one.message().to_owned());
-            message.split(' ').next().unwrap_or_default().to_owned()
+            error.as_db_error().map_or_else(|| error.to_string(), |one| one.message().to_owned())
         }
     }
 }
 
+/// The result code at the head of an error; empty if there was none.
+fn run(client: &mut Client, sql: &str) -> String {
+    told(client, sql).split(' ').next().unwrap_or_default().to_owned()
+}
+
 fn keyed(client: &mut Client, key: &str, sql: &str) -> String {
     assert_eq!(run(client, &format!("SET kestrellock.request_id = '{key}'")), "");
     run(client, sql)
@@ -96,3 +98,28 @@
     assert_eq!(count(&mut first), "6");
     demo.stop();
 }
+
+/// A purchase of a taken seat runs without effect: its repeat must not read as "bought".
+#[test]
+fn a_repeat_is_told_what_the_first_run_did() {
+    let demo = Demo::start().expect("the demonstration starts");
+    let nodes = &demo.caller_addresses;
+    let (mut first, mut second) = (connect(nodes[0]), connect(nodes[1]));
+    assert_eq!(run(&mut first, "CREATE TABLE seats (id BIGINT, owner TEXT)"), "");
+    assert_eq!(run(&mut first, "INSERT INTO seats VALUES (7, '')"), "");
+    let purchase = "UPDATE seats SET owner = 'a' WHERE id = 7 AND owner = ''";
+    for (key, tag) in [("bought", "UPDATE 1"), ("taken", "UPDATE 0")] {
+        assert_eq!(keyed(&mut first, key, purchase), "");
+        assert_eq!(run(&mut second, &format!("SET kestrellock.request_id = '{key}'")), "");
+        assert_eq!(told(&mut second, purchase), format!("KL1702 ran: {tag}"));
+    }
+    // No transaction stays open behind a statement, whether it ran or failed.
+    assert_ne!(keyed(&mut first, "failed", "INSERT INTO nowhere VALUES (1)"), "");
+    assert_eq!(run(&mut first, "BEGIN"), "");
+    assert_eq!(run(&mut first, "ROLLBACK"), "");
+    assert_eq!(keyed(&mut first, "sale", "BEGIN"), "");
+    assert_eq!(run(&mut first, "COMMIT"), "");
+    assert_eq!(run(&mut second, "SET kestrellock.request_id = 'sale'"), "");
+    assert_eq!(told(&mut second, "BEGIN"), "KL1702 ran: COMMIT");
+    demo.stop();
+}
