Gateways log in to back ends with a password in clear text

Cause: the setting backend_passwords was read and checked and then used by nothing; a back end that asked for a password left its connection hanging in start-up. Change: a request for a clear-text password is answered from the secrets; any other request makes the connection unusable at once. Test: scripted back ends that ask for a password; the right one opens them, a wrong one runs nothing.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,6 @@
 //! What every part of a node shares: who it is, which nodes live, the catalog, instance statuses.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Instant;
@@ -11,6 +11,7 @@
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::InstanceStatus;
 use kestrellock_peer::auth::ClusterKeys;
+use kestrellock_program::secret::Secret;
 
 use crate::agent::board::MembershipBoard;
 use crate::agent::configuration::Inbox;
@@ -133,6 +134,8 @@
     pub stage: SharedStage,
     /// What is known of back ends.
     pub statuses: StatusBoard,
+    /// Passwords of the roles under which gateways log in to back ends.
+    pub backend_passwords: BTreeMap<String, Secret>,
     /// Number of shards.
     pub shards: u16,
     /// Which decisions the node takes.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! This module holds the state and takes in messages and ticks; what they lead to is in the modules
 //! below.
 
+pub mod backend_login;
 pub mod confirmation;
 pub mod current_position;
 mod exchanges;
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -19,6 +19,7 @@
 use pgwire::messages::startup::{SecretKey, Startup};
 use slab::Slab;
 
+use super::backend_login;
 use super::confirmation::Commit;
 use super::hygiene::{self, Hygiene};
 use super::notify;
@@ -310,6 +311,15 @@
         events
     }
 
+    /// Answers what the back end asks of a login; false where no answer is known.
+    fn authenticate(&mut self, request: &[u8], io: &Io) -> bool {
+        match backend_login::answer(request, &self.group, io.context) {
+            Some(reply) => self.connection.output.extend_from_slice(&reply),
+            None => return false,
+        }
+        true
+    }
+
     fn on_frame(&mut self, frame: &frames::Frame, events: &mut Vec<ServerEvent>, io: &mut Io) {
         match &mut self.state {
             State::StartingUp => match frame.tag {
@@ -321,6 +331,9 @@
                     events.push(ServerEvent::Refused);
                 }
                 b'E' => events.push(ServerEvent::Unusable),
+                b'R' if !self.authenticate(frame.body(), io) => {
+                    events.push(ServerEvent::Unusable);
+                }
                 b'K' => self.key = cancel_key(frame.body()),
                 _ => {}
             },
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -221,6 +221,7 @@
         detours: Detours::default(),
         stage: SharedStage::default(),
         statuses: StatusBoard::default(),
+        backend_passwords: settings.secrets.backend_passwords.clone(),
         shards: settings.shards,
         policy,
         listed_seeds: ListedSeeds::default(),
--- /dev/null
+++ b/crates/daemon/tests/backend_login.rs
@@ -0,0 +1,29 @@
+//! Gateways log in to back ends that ask for a password.
+
+mod support;
+
+use std::time::Duration;
+
+use kestrellock_daemon::policy::Policy;
+use support::{BACKEND_PASSWORD, Caller, Pair, ScriptedGroup};
+
+const DEADLINE: Duration = Duration::from_millis(1500);
+const READ: &str = "SELECT 1";
+
+#[test]
+fn the_password_of_the_group_role_opens_back_ends() {
+    let group = ScriptedGroup::start();
+    group.script().password = Some(BACKEND_PASSWORD);
+    let pair = Pair::start(&group, Duration::from_secs(20), Policy::Standard);
+    assert_eq!(Caller::connect(pair.address, &[]).query(READ).error, None);
+}
+
+#[test]
+fn a_wrong_password_runs_nothing() {
+    let group = ScriptedGroup::start();
+    group.script().password = Some("another");
+    let pair = Pair::start(&group, DEADLINE, Policy::Standard);
+    let answer = Caller::connect(pair.address, &[]).query(READ);
+    assert!(answer.error.is_some(), "{answer:?}");
+    assert_eq!(group.seen(READ), 0);
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use kestrellock_platform::store::{
     ConfigStore, KeyValue, Snapshot, StoreError, Swap, Transaction, Watch,
 };
+use kestrellock_program::secret::Secret;
 use postgres_protocol::authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256};
 use postgres_protocol::message::frontend;
 use serde_json::json;
@@ -45,6 +46,9 @@
     }
 }
 
+/// Password of the role under which the pair's gateways log in.
+pub const BACKEND_PASSWORD: &str = "open for gateways";
+
 /// What an instance does with a marked statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scripted {
@@ -79,6 +83,8 @@
     pub withheld: bool,
     /// Instances that accept no connection and answer none.
     pub down: Vec<bool>,
+    /// Password in clear text that every instance asks for.
+    pub password: Option<&'static str>,
     /// Connections made so far, by instance.
     pub open: Vec<(usize, TcpStream)>,
     /// Behaviour for marked statements.
@@ -103,6 +109,7 @@
             offset: 0x100,
             withheld: false,
             down: vec![false; 3],
+            password: None,
             open: Vec::new(),
             on_marked: Scripted::Answer,
             seen: Vec::new(),
@@ -209,6 +216,9 @@
             }
             script.open.push((self.index, self.stream.try_clone()?));
         }
+        if !self.check_password()? {
+            return Ok(());
+        }
         put(&mut self.output, b'R', &0_u32.to_be_bytes());
         put(&mut self.output, b'Z', b"I");
         loop {
@@ -257,6 +267,22 @@
         true
     }
 
+    /// Asks for the scripted password, if there is one; whether the login may go on.
+    fn check_password(&mut self) -> std::io::Result<bool> {
+        let Some(expected) = self.script.lock().expect("the script's lock").password else {
+            return Ok(true);
+        };
+        let mut request = Vec::new();
+        put(&mut request, b'R', &3_u32.to_be_bytes());
+        self.stream.write_all(&request)?;
+        let mut header = [0_u8; 5];
+        self.stream.read_exact(&mut header)?;
+        let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
+        let mut password = vec![0_u8; length as usize - 4];
+        self.stream.read_exact(&mut password)?;
+        Ok(header[0] == b'p' && password == format!("{expected}\0").as_bytes())
+    }
+
     fn hang(&mut self) -> bool {
         let mut rest = Vec::new();
         // Returns when the proxy closes.
@@ -409,6 +435,10 @@
             zone: one.zone.clone(),
             address: one.peer_address,
         });
+        for one in &mut settings {
+            let password = Secret::new(BACKEND_PASSWORD);
+            one.secrets.backend_passwords.insert("kestrellock".to_owned(), password);
+        }
         settings[0].peers = vec![peers[1].clone()];
         settings[1].peers = vec![peers[0].clone()];
         let store = store(group, deadline);
