Connections from a machine's own address do not keep a restarted node from its port

A connection that leaves from the node's address had been given the port on which the node listens while the node was down. Change: such connections are bound with SO_REUSEADDR, in the daemon and in the lab's network and callers; a listener on the same port is then allowed.

--- a/crates/daemon/src/net/connect.rs
+++ b/crates/daemon/src/net/connect.rs
@@ -11,6 +11,9 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
     if source.is_ipv4() == address.is_ipv4() && !source.is_unspecified() {
+        // The port that the system picks may be one that a node of this machine listens on when it
+        // is started again: without this flag it could not.
+        socket.set_reuse_address(true)?;
         socket.bind(&SocketAddr::new(source, 0).into())?;
     }
     match socket.connect(&address.into()) {
--- a/crates/lab/src/scenario/caller/connection.rs
+++ b/crates/lab/src/scenario/caller/connection.rs
@@ -77,6 +77,8 @@
 fn open(endpoint: &Endpoint, limit: Duration) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(endpoint.address), Type::STREAM, None)?;
     if let Some(from) = endpoint.from {
+        // A node that is started again may need the port that the system picks here.
+        socket.set_reuse_address(true)?;
         socket.bind(&SocketAddr::new(from, 0).into())?;
     }
     socket.connect_timeout(&endpoint.address.into(), limit)?;
--- a/crates/lab/src/standin/network/streams.rs
+++ b/crates/lab/src/standin/network/streams.rs
@@ -161,6 +161,8 @@
     let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
     if source.is_ipv4() == target.is_ipv4() {
+        // A node that is started again may need the port that the system picks here.
+        socket.set_reuse_address(true)?;
         socket.bind(&SocketAddr::new(source, 0).into())?;
     }
     match socket.connect(&target.into()) {
