Nodes hold fewer connections without work, and open them one after the other

Each node kept 3 to 5 connections to each instance, 30 of 34 in all; an instance counts those of a machine without power for 3 s, so six nodes fought for 4 connections (148 resets), and a node without one to the primary did not know its term, so that no evidence helped (held: "no evidence that the primary leads", evidence 5 ms old). Ruled out: the store (revision taken 20 ms after the start), membership (live 0.5 s later). Change: a share has a warm part, half of what each node may hold (core/connection_shares); what is beyond it is closed after 2 s without work, and a node opens as many connections at once as stand, at least one. Closing an idle connection ourselves no longer drops evidence: it tells nothing.

--- a/crates/core/src/connection_shares.rs
+++ b/crates/core/src/connection_shares.rs
@@ -5,6 +5,10 @@
 //! of connections from all nodes together, so this works only while each node's share is worth
 //! having. The rule is pure; nodes that count differently for a moment use a few connections more
 //! or fewer, and the instance's refusals shrink their budgets.
+//!
+//! A node keeps only a part of its share open without work. Connections of machines that lost power
+//! count at an instance until it notices, seconds later: if all nodes come back meanwhile, theirs
+//! have to fit beside those.
 
 /// Fewest connections that make a share worth having: one for an open transaction, and one for
 /// whatever comes meanwhile.
@@ -13,11 +17,23 @@
 const RESERVE_PART: u32 = 16;
 const SMALLEST_RESERVE: u32 = 1;
 
+/// Connections of earlier processes that may still count beside each one held open.
+const LINGERING: u32 = 1;
+
+/// One node's part of an instance's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The most that it may hold.
+    pub most: u32,
+    /// The most that it holds open without work.
+    pub warm: u32,
+}
+
 /// Who holds the connections to an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Arrangement {
-    /// Every node, at most this many.
-    Shared(u32),
+    /// Every node, its share.
+    Shared(Share),
     /// The instance's owner and its standby.
     Owned,
 }
@@ -26,9 +42,11 @@
 pub fn arrange(connections: u32, nodes: usize) -> Arrangement {
     let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
     let reserve = (connections / RESERVE_PART).max(SMALLEST_RESERVE);
-    let share = connections.saturating_sub(reserve) / nodes;
-    match share {
-        0..FEWEST_SHARED if nodes > 1 => Arrangement::Owned,
-        share => Arrangement::Shared(share.max(1)),
+    let usable = connections.saturating_sub(reserve);
+    let most = usable / nodes;
+    if most < FEWEST_SHARED && nodes > 1 {
+        return Arrangement::Owned;
     }
+    let warm = usable / nodes.saturating_mul(1 + LINGERING);
+    Arrangement::Shared(Share { most: most.max(1), warm: warm.max(1) })
 }
--- a/crates/daemon/src/gateway/losses.rs
+++ b/crates/daemon/src/gateway/losses.rs
@@ -44,9 +44,19 @@
         }
     }
 
-    /// Closes a connection that has nothing under way.
+    /// Closes a connection that has nothing under way. That tells nothing of its instance.
     pub(super) fn close_idle(&mut self, key: usize, io: &mut Io) {
-        self.on_server_lost(key, Fault::BackendLost, io);
+        let pooled = self.servers.get(key).is_some_and(|server| server.purpose == Use::Pooled);
+        if !pooled {
+            return self.on_server_lost(key, Fault::BackendLost, io);
+        }
+        let mut server = self.servers.remove(key);
+        io.context.metrics.backends.count(ConnectionEvent::Closed);
+        server.deregister(io);
+        let state = self.groups.get_mut(&server.group);
+        if let Some(pool) = state.and_then(|state| state.pools.get_mut(&server.instance)) {
+            pool.on_lost(key, io.now, rand::random());
+        }
     }
 
     /// Closes connections whose back end has not answered in time.
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -9,6 +9,7 @@
 };
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::connection_budget::{ConnectionBudget, STANDBY_CONNECTIONS, owner_limit};
+use kestrellock_core::connection_shares::Share;
 use kestrellock_core::ids::{LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::retry::Backoff;
@@ -20,6 +21,9 @@
 const QUEUE_BYTES: usize = 32 * 1024 * 1024;
 /// An idle connection beyond the warm ones is closed after this time.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// The same where every node holds a share of the instance's connections: what one node keeps,
+/// others cannot open.
+const SHARED_IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// A connection that is not established after this time is given up.
 const SETUP_LIMIT: Duration = Duration::from_secs(1);
 const FIRST_CONNECT_BACKOFF: Duration = Duration::from_millis(10);
@@ -108,6 +112,8 @@
     idle: Vec<usize>,
     connecting: u32,
     budget: ConnectionBudget,
+    /// This node's part of the instance's connections, where every node has one.
+    share: Option<Share>,
     connect_backoff: Backoff,
     connect_after: Option<Instant>,
 }
@@ -117,15 +123,15 @@
 }
 
 /// The owner and the standby of every instance of the group may probe all of them.
-fn connection_limit(group: &Group, instance: &Instance, share: Option<u32>) -> u32 {
+fn connection_limit(group: &Group, instance: &Instance, share: Option<Share>) -> u32 {
     let owned = || owner_limit(instance.connections, 2 * group.instances.len() as u32);
-    share.unwrap_or_else(owned)
+    share.map_or_else(owned, |share| share.most)
 }
 
 impl Pool {
     /// An empty pool of an instance; `share` is this node's part of its connections, where every
     /// node has one.
-    pub fn new(group: &Group, instance: &Instance, role: PoolRole, share: Option<u32>) -> Self {
+    pub fn new(group: &Group, instance: &Instance, role: PoolRole, share: Option<Share>) -> Self {
         Self {
             role,
             handed_over: None,
@@ -137,17 +143,19 @@
             idle: Vec::new(),
             connecting: 0,
             budget: ConnectionBudget::new(connection_limit(group, instance, share)),
+            share,
             connect_backoff: Backoff::new(FIRST_CONNECT_BACKOFF, LAST_CONNECT_BACKOFF),
             connect_after: None,
         }
     }
 
     /// Puts the instance's parameters in force.
-    pub fn configure(&mut self, group: &Group, instance: &Instance, share: Option<u32>) {
+    pub fn configure(&mut self, group: &Group, instance: &Instance, share: Option<Share>) {
         self.slots = instance.slots;
         self.leaving = instance.leaving;
         self.scheduler.set_limits(limits(instance));
         self.budget.configure(connection_limit(group, instance, share));
+        self.share = share;
     }
 
     /// Changes what this node is to the instance.
@@ -249,14 +257,28 @@
         let usable = self.idle.len() as u32 + self.connecting;
         let unserved = self.scheduler.startable().saturating_sub(usable);
         let wanted = (open + unserved).max(self.warm());
-        wanted.min(self.budget.allowed(now)).saturating_sub(open)
+        let missing = wanted.min(self.budget.allowed(now)).saturating_sub(open);
+        match self.share {
+            Some(_) => missing.min(self.at_once()),
+            None => missing,
+        }
+    }
+
+    /// Connections that may be opened at once where all nodes share the instance: as many again as
+    /// stand. After a failure of many nodes each gets its first one before any gets its last.
+    fn at_once(&self) -> u32 {
+        let established = self.connections.len() as u32 - self.connecting;
+        established.max(1).saturating_sub(self.connecting)
     }
 
     /// Connections held open without work.
     fn warm(&self) -> u32 {
         match self.role {
             _ if self.leaving => 0,
-            PoolRole::Owner => self.slots.min(self.budget.limit()),
+            PoolRole::Owner => {
+                let most = self.share.map_or(self.budget.limit(), |share| share.warm);
+                self.slots.min(most)
+            }
             PoolRole::Standby => STANDBY_CONNECTIONS.min(self.slots),
             PoolRole::Released => 0,
         }
@@ -270,7 +292,8 @@
             return self.idle.iter().take(over_budget as usize).copied().collect();
         }
         let stays = self.role == PoolRole::Owner && !self.leaving;
-        let limit = if stays { IDLE_LIMIT } else { Duration::ZERO };
+        let kept = if self.share.is_some() { SHARED_IDLE_LIMIT } else { IDLE_LIMIT };
+        let limit = if stays { kept } else { Duration::ZERO };
         let surplus = (self.connections.len() as u32).saturating_sub(self.warm()) as usize;
         let old = |key: &&usize| match self.connections.get(key) {
             Some(State::Idle { since }) => now.saturating_duration_since(*since) >= limit,
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -10,7 +10,7 @@
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::catalog::{Elector, IndexedCatalog, Instance};
-use kestrellock_core::connection_shares::{Arrangement, arrange};
+use kestrellock_core::connection_shares::{Arrangement, Share, arrange};
 use kestrellock_core::ids::{InstanceName, NodeName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
 
@@ -28,7 +28,7 @@
     without: Option<NodeName>,
     table: OwnershipTable,
     /// Connections that this node may hold to each instance that every node holds some to.
-    shares: HashMap<InstanceName, u32>,
+    shares: HashMap<InstanceName, Share>,
     /// This node, where it was told.
     own: Option<Ownership>,
 }
@@ -43,7 +43,7 @@
     }
 
     /// Connections that this node may hold to an instance that every node holds some to.
-    pub fn share(&self, instance: &InstanceName) -> Option<u32> {
+    pub fn share(&self, instance: &InstanceName) -> Option<Share> {
         self.shares.get(instance).copied()
     }
 
@@ -70,7 +70,7 @@
 impl Sources<'_> {
     /// This node's share of each instance's connections, where every node has one: groups whose
     /// primary the proxy replaces come from a platform that tells limits for all nodes together.
-    fn shares(&self) -> HashMap<InstanceName, u32> {
+    fn shares(&self) -> HashMap<InstanceName, Share> {
         let nodes = self.live.len();
         let groups = self.catalog.groups.values();
         let shared = groups.filter(|group| group.elector == Elector::Proxy);
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use kestrellock_core::catalog::{Group, Priority};
 use kestrellock_core::connection_budget::owner_limit;
+use kestrellock_core::connection_shares::Share;
 use kestrellock_core::ids::{InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::routing::Access;
 use kestrellock_daemon::gateway::pool::{Assigned, Assignment, Pool, PoolRole};
@@ -291,3 +292,42 @@
     assert_eq!(pool.connections_to_open(now), 0);
     assert_eq!(pool.leases(), 1);
 }
+
+/// A node's share of an instance's connections, of which it keeps one without work.
+const SHARE: Share = Share { most: 4, warm: 1 };
+
+/// Atlas, the day after which all machines lose power at once: each node opened all it could, and
+/// most got none.
+#[test]
+fn a_shared_instance_gets_as_many_connections_more_as_stand() {
+    let group = group();
+    let now = Instant::now();
+    let mut pool = Pool::new(&group, &group.instances[0], PoolRole::Owner, Some(SHARE));
+    for serial in 0..u64::from(SLOTS) {
+        pool.offer(exchange(serial, Duration::from_secs(60)), 10, now).expect("it fits");
+    }
+    let mut opened = Vec::new();
+    for key in [0, 10, 20] {
+        let count = pool.connections_to_open(now) as usize;
+        opened.push(count);
+        (key..key + count).for_each(|key| pool.on_connecting(key, now));
+        assert_eq!(pool.connections_to_open(now), 0, "some are being opened");
+        (key..key + count).for_each(|key| pool.on_idle(key, now));
+        pool.assign(now);
+    }
+    assert_eq!(opened, [1, 1, 1]);
+}
+
+#[test]
+fn a_shared_instance_is_left_what_is_not_needed() {
+    let group = group();
+    let now = Instant::now();
+    let mut pool = Pool::new(&group, &group.instances[0], PoolRole::Owner, Some(SHARE));
+    for key in 0..3 {
+        pool.on_connecting(key, now);
+        pool.on_idle(key, now);
+    }
+    assert!(pool.connections_to_close(now + Duration::from_secs(1)).is_empty());
+    let closed = pool.connections_to_close(now + Duration::from_secs(2));
+    assert_eq!(closed.len(), 2, "all but the warm one");
+}
