A primary that vanished is the one to replace; commits given up keep the suspicion

And suspicion flapped on all nodes before, since commits that were given up at their callers' deadlines no longer counted. Change: need Missing names the last primary told, unless it is told as a replica by now; a vanished one is demoted before replicas are released.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -435,7 +435,10 @@
     fn former_still_leads(&self, since: Instant) -> bool {
         let former = self.former().and_then(|name| self.members.get(name));
         let is_down = self.former_refused.is_some_and(|refused| refused >= since);
-        former.is_some_and(|member| member.leads) && !self.former_demoted && !is_down
+        // One that has vanished tells nobody whether it leads.
+        let may_lead =
+            former.is_some_and(|member| member.leads || self.intent.reason == Reason::Missing);
+        may_lead && !self.former_demoted && !is_down
     }
 
     fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -36,12 +36,21 @@
 /// What is remembered of one group.
 #[derive(Clone, Debug, Default)]
 struct History {
-    seen_primary: bool,
+    /// The primary that was last told.
+    primary: Option<InstanceName>,
     missing_since: Option<Instant>,
     third_since: Option<Instant>,
     paused_until: Option<Instant>,
 }
 
+impl History {
+    /// The last primary, if it is not there any more: it may still run. One that is told as a replica
+    /// has stepped down.
+    fn vanished(&self, group: &Group) -> Option<InstanceName> {
+        self.primary.clone().filter(|primary| group.instance(primary).is_none())
+    }
+}
+
 /// Judges all groups.
 #[derive(Clone, Debug, Default)]
 pub struct NeedsJudge {
@@ -117,11 +126,11 @@
     let former = intent.and_then(|intent| intent.former.as_ref());
     let Some(primary) = group.leader(former) else {
         let since = *history.missing_since.get_or_insert(now);
-        let limit = if history.seen_primary { MISSING_FOR } else { NEVER_SEEN_FOR };
+        let limit = if history.primary.is_some() { MISSING_FOR } else { NEVER_SEEN_FOR };
         let missing = !group.instances.is_empty() && now >= since + limit;
-        return if missing { need(Reason::Missing, None) } else { None };
+        return if missing { need(Reason::Missing, history.vanished(group)) } else { None };
     };
-    history.seen_primary = true;
+    history.primary = Some(primary.name.clone());
     history.missing_since = None;
     if primary.leaving {
         return need(Reason::Leaving, Some(primary.name.clone()));
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -7,7 +7,7 @@
 
 /// Time without any answer, while something waits for one, after which a primary is silent.
 const SILENCE: Duration = Duration::from_millis(350);
-/// Time for which commits may wait while the primary answers other things.
+/// Time for which commits may wait while the primary answers other things, and no commit.
 const COMMIT_SILENCE: Duration = Duration::from_millis(500);
 /// Time for which a part of the nodes must suspect it, if the others do not.
 pub const LASTING: Duration = Duration::from_millis(1_000);
@@ -65,8 +65,11 @@
     /// When the oldest exchange was sent that waits for an answer, or was given up without one a
     /// moment ago ([`GivenUpRequests`]).
     pub waiting: Option<Instant>,
-    /// When the oldest commit was sent that waits for an answer.
+    /// When the oldest commit was sent that waits for an answer, or was given up without one a
+    /// moment ago.
     pub committing: Option<Instant>,
+    /// When it last answered a commit that wrote.
+    pub committed: Option<Instant>,
     /// When it last answered anything.
     pub answered: Option<Instant>,
 }
@@ -103,7 +106,9 @@
         if lasts(silent_since, SILENCE) {
             return Some(Cause::Silent);
         }
-        lasts(signs.committing, COMMIT_SILENCE).then_some(Cause::CannotCommit)
+        let stuck_since =
+            signs.committing.max(signs.committed.filter(|_| signs.committing.is_some()));
+        lasts(stuck_since, COMMIT_SILENCE).then_some(Cause::CannotCommit)
     }
 }
 
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -71,6 +71,8 @@
     pub waiting: BTreeMap<u64, (usize, Instant, bool)>,
     /// When each instance last answered or refused.
     pub answered: BTreeMap<usize, Instant>,
+    /// When each instance last answered a commit.
+    pub committed: BTreeMap<usize, Instant>,
     /// Process of each instance that connections lead to.
     pub runs_known: BTreeMap<usize, u32>,
     /// Since when each instance has refused connections.
@@ -110,6 +112,7 @@
             terms: BTreeMap::new(),
             waiting: BTreeMap::new(),
             answered: BTreeMap::new(),
+            committed: BTreeMap::new(),
             refused: BTreeMap::new(),
             runs_known: BTreeMap::new(),
             followed: None,
@@ -177,6 +180,7 @@
             refused: self.refused.get(&instance).copied(),
             waiting: waiting.clone().map(|(_, sent, _)| *sent).min(),
             committing: waiting.filter(|(_, _, commits)| *commits).map(|(_, sent, _)| *sent).min(),
+            committed: self.committed.get(&instance).copied(),
             answered: self.answered.get(&instance).copied(),
         }
     }
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -138,6 +138,7 @@
             Reply::Committed(term) => {
                 own.terms.insert(exchange.instance, term);
                 own.evidence.on_commit(term, sent);
+                own.committed.insert(exchange.instance, now);
             }
             Reply::Read(term) => {
                 own.terms.insert(exchange.instance, term);
--- a/crates/core/tests/suspicion.rs
+++ b/crates/core/tests/suspicion.rs
@@ -66,3 +66,24 @@
     given_up.on_given_up(later, later);
     assert_eq!(given_up.sent(later), Some(later));
 }
+
+/// Gidanmu with a primary cut from its replicas: commits were given up before the other nodes had
+/// seen theirs wait for long enough, so no two suspected it at a time, and nobody replaced it.
+#[test]
+fn a_commit_that_waits_shows_a_primary_that_cannot_commit_unless_others_are_answered() {
+    let start = Instant::now();
+    let now = after(start, 1_000);
+    let judge = judge(start, now);
+    let stuck = Signs {
+        committing: Some(after(start, 100)),
+        answered: Some(after(start, 990)),
+        ..Signs::default()
+    };
+    assert_eq!(judge.suspect(&stuck, now), Some(Cause::CannotCommit));
+    let recently = Signs { committing: Some(after(start, 700)), ..stuck };
+    assert_eq!(judge.suspect(&recently, now), None);
+    let commits = Signs { committed: Some(after(start, 800)), ..stuck };
+    assert_eq!(judge.suspect(&commits, now), None, "it has answered a commit since");
+    let nothing_waits = Signs { committing: None, committed: Some(start), ..stuck };
+    assert_eq!(judge.suspect(&nothing_waits, now), None);
+}
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -31,6 +31,8 @@
     pub primary: PrimarySamples,
     /// What shows that no other instance leads.
     pub evidence: PrimaryEvidence,
+    /// When its primary last answered a commit that wrote.
+    committed: Option<Instant>,
 }
 
 impl GroupStatuses {
@@ -75,6 +77,7 @@
     pub in_doubt: bool,
     waiting: Vec<Waiting>,
     given_up: GivenUpRequests,
+    given_up_commits: GivenUpRequests,
     next_number: u64,
     answered: Option<Instant>,
     refused: Option<Instant>,
@@ -86,19 +89,29 @@
         self.waiting.len() as u32
     }
 
-    /// What it shows of the instance's health.
-    pub fn signs(&self) -> Signs {
+    /// What it shows of the instance's health; whether it commits is known of its group.
+    fn signs(&self) -> Signs {
         let waiting = self.waiting.iter().map(|waiting| waiting.sent);
-        let given_up = self.given_up.sent(Instant::now());
+        let now = Instant::now();
+        let given_up = self.given_up.sent(now);
         let committing = self.waiting.iter().filter(|waiting| waiting.commits);
+        let committing = committing.map(|waiting| waiting.sent);
         Signs {
             refused: self.refused,
             waiting: waiting.chain(given_up).min(),
-            committing: committing.map(|waiting| waiting.sent).min(),
+            committing: committing.chain(self.given_up_commits.sent(now)).min(),
+            committed: None,
             answered: self.answered,
         }
     }
 
+    fn on_given_up(&mut self, ended: Waiting, now: Instant) {
+        self.given_up.on_given_up(ended.sent, now);
+        if ended.commits {
+            self.given_up_commits.on_given_up(ended.sent, now);
+        }
+    }
+
     fn reach(&mut self, position: Option<Position>, at: Instant) {
         if position.is_some() {
             self.reached = position;
@@ -195,7 +208,7 @@
             let Some(answer) = answer else {
                 record.in_doubt = true;
                 if let Some(ended) = ended {
-                    record.given_up.on_given_up(ended.sent, Instant::now());
+                    record.on_given_up(ended, Instant::now());
                 }
                 return;
             };
@@ -238,7 +251,10 @@
 
     /// The primary of `term` answered a commit that was sent at `sent`.
     pub fn on_commit(&self, group: &GroupName, term: Term, sent: Instant) {
-        self.with_group(group, |known| known.evidence.on_commit(term, sent));
+        self.with_group(group, |known| {
+            known.evidence.on_commit(term, sent);
+            known.committed = Some(Instant::now());
+        });
     }
 
     /// Gives evidence of groups up for the replacements under way, and takes it up again for others.
@@ -281,7 +297,8 @@
     pub fn signs(&self, group: &GroupName, instance: &InstanceName) -> Signs {
         let board = self.group(group);
         let known = board.read().expect("a holder of the status lock panicked");
-        known.answers.get(instance).map(AnswerRecord::signs).unwrap_or_default()
+        let signs = known.answers.get(instance).map(AnswerRecord::signs).unwrap_or_default();
+        Signs { committed: known.committed, ..signs }
     }
 
     /// Highest term known of a group.
