--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -6,6 +6,7 @@
 use kestrellock_core::catalog::{Consistency, Template};
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::exchange_state::{Fault, Progress, failure_code};
+use kestrellock_core::holding::held_until;
 use kestrellock_core::ids::LeaseId;
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::routing::Access;
@@ -23,7 +24,7 @@
 use crate::gateway::running::stake_of;
 
 impl Session {
-    /// Sends the request if it has not been, or ends it if its time is up.
+    /// Sends the request if it has not been, or ends it if it has been held for too long.
     pub(super) fn drive_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
         let Some(request) = &self.request else { return };
         if request.sent {
@@ -32,7 +33,8 @@
             }
             return;
         }
-        if io.now > request.deadline {
+        let repeats = io.context.protocol.traits().callers_repeat;
+        if io.now > held_until(request.arrived, request.deadline, repeats) {
             let code = match self.awaited {
                 Some(_) => ResultCode::NoFreshInstance,
                 None => failure_code(NOTHING_AT_STAKE, Progress::Held, Fault::Deadline),
--- a/crates/postgres/src/lib.rs
+++ b/crates/postgres/src/lib.rs
@@ -38,6 +38,11 @@
     }
 
     fn traits(&self) -> ProtocolTraits {
-        ProtocolTraits { positions_in_answers: false, sessions_resume: true, tells_farewell: true }
+        ProtocolTraits {
+            positions_in_answers: false,
+            sessions_resume: true,
+            tells_farewell: true,
+            callers_repeat: false,
+        }
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -41,4 +41,6 @@
     pub sessions_resume: bool,
     /// A caller that is sent away is told so by a message; otherwise its connection just closes.
     pub tells_farewell: bool,
+    /// Callers repeat what was refused without having run, as long as their own deadline allows.
+    pub callers_repeat: bool,
 }
