A node that has just started takes less than its share; questions that do not help pause longer

The nodes that were back first knew of no other and took what they wanted; connections of the dead processes still counted. Ruled out: evidence (replicas answered within 10 ms). Change: for 4 s after its start a node divides by the nodes of the machine list, if they are more, and holds half way between the warm part and the most; such questions pause up to 60 ms (core/retry Repetition). Tests: core/tests/connection_shares.rs, core/tests/retry.rs.

--- a/crates/core/src/connection_shares.rs
+++ b/crates/core/src/connection_shares.rs
@@ -10,6 +10,8 @@
 //! count at an instance until it notices, seconds later: if all nodes come back meanwhile, theirs
 //! have to fit beside those.
 
+use std::time::Duration;
+
 /// Fewest connections that make a share worth having: one for an open transaction, and one for
 /// whatever comes meanwhile.
 const FEWEST_SHARED: u32 = 2;
@@ -29,6 +31,26 @@
     pub warm: u32,
 }
 
+impl Share {
+    /// The share of a node that has just started: half way between the two, since others may have
+    /// started with it, and the connections of all their earlier processes may still count. Only as
+    /// much as it keeps warm was tried: with one connection, transactions of a node that restarts
+    /// alone wait for each other.
+    pub fn of_a_young_node(self) -> Self {
+        Self { most: (self.warm + self.most).div_ceil(2), warm: self.warm }
+    }
+}
+
+/// How long a node is young: instances notice within that time that a machine has lost power, and
+/// nodes know each other.
+pub const YOUNG_FOR: Duration = Duration::from_secs(4);
+
+/// The nodes among which a node divides connections: those that live, and while it is young those that
+/// the machine list names if they are more.
+pub fn sharers(live: usize, listed: usize, young: bool) -> usize {
+    if young { live.max(listed) } else { live }
+}
+
 /// Who holds the connections to an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Arrangement {
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -2,7 +2,7 @@
 //!
 //! Randomness is an argument: a number drawn evenly from all of `u64`.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Doubling waits with jitter between attempts that fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +38,32 @@
     }
 }
 
+/// Paces questions that are asked again because their answers did not help.
+#[derive(Clone, Copy, Debug)]
+pub struct Repetition {
+    first: Backoff,
+    backoff: Backoff,
+    /// A question that comes so long after the last one is no repetition.
+    afresh: Duration,
+    last: Option<Instant>,
+}
+
+impl Repetition {
+    /// Waits as `backoff` says, from its first wait on after `afresh` without a question.
+    pub const fn new(backoff: Backoff, afresh: Duration) -> Self {
+        Self { first: backoff, backoff, afresh, last: None }
+    }
+
+    /// A question is asked. Returns how long to wait before the next one.
+    pub fn on_asked(&mut self, now: Instant, random: u64) -> Duration {
+        if self.last.is_none_or(|last| now >= last + self.afresh) {
+            self.backoff = self.first;
+        }
+        self.last = Some(now);
+        self.backoff.on_failure(random)
+    }
+}
+
 /// Parts of a token, so that shares need no fractions.
 const TOKEN_PARTS: u32 = 100;
 
--- a/crates/core/tests/connection_shares.rs
+++ b/crates/core/tests/connection_shares.rs
@@ -1,6 +1,6 @@
 //! How an instance's connections are divided among nodes.
 
-use kestrellock_core::connection_shares::{Arrangement, Share, arrange};
+use kestrellock_core::connection_shares::{Arrangement, Share, arrange, sharers};
 use proptest::prelude::*;
 
 #[test]
@@ -42,3 +42,24 @@
         }
     }
 }
+
+/// Atlas, after all machines lost power: the first nodes that were back knew of no other, and took
+/// what the others needed to serve at all.
+#[test]
+fn a_node_that_has_just_started_takes_less_than_its_share() {
+    let table = [
+        // Nodes that live by its own knowledge, those listed, and the most before and after.
+        (1, 6, 4, 32),
+        (6, 6, 4, 5),
+        (6, 9, 2, 5),
+        (1, 0, 24, 32),
+    ];
+    for (live, listed, young, grown) in table {
+        let share = |young| match arrange(34, sharers(live, listed, young)) {
+            Arrangement::Shared(share) => share,
+            Arrangement::Owned => panic!("so few nodes share"),
+        };
+        assert_eq!(share(true).of_a_young_node().most, young, "{live} live, {listed} listed");
+        assert_eq!(share(false).most, grown, "{live} live, {listed} listed");
+    }
+}
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::connection_budget::{ConnectionBudget, owner_limit};
-use kestrellock_core::retry::{Backoff, RetryBudget};
+use kestrellock_core::retry::{Backoff, Repetition, RetryBudget};
 use proptest::prelude::*;
 
 const FIRST: Duration = Duration::from_millis(10);
@@ -98,3 +98,20 @@
     assert_eq!(first, Some(25));
     assert_eq!(later, Some(400));
 }
+
+/// Both sites: while the only replica was deaf or stopped, each node asked it again every 8 ms.
+#[test]
+fn questions_that_do_not_help_come_less_and_less_often() {
+    let start = std::time::Instant::now();
+    let (first, last) = (Duration::from_millis(8), Duration::from_millis(60));
+    let afresh = Duration::from_millis(500);
+    let mut repetition = Repetition::new(Backoff::new(first, last), afresh);
+    let mut now = start;
+    let mut asked = 0;
+    while now < start + Duration::from_secs(1) {
+        now += repetition.on_asked(now, u64::MAX);
+        asked += 1;
+    }
+    assert!((16..25).contains(&asked), "{asked} questions in a second");
+    assert_eq!(repetition.on_asked(now + afresh, u64::MAX), first, "that is another one");
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -96,7 +96,7 @@
     pub fn ownerships(&self) -> Arc<OwnershipSnapshot> {
         let own = &self.identity.node;
         let leaving = self.is_leaving().then_some(own);
-        self.owners.current(&self.live, &self.catalog, own, leaving)
+        self.owners.current(&self.live, &self.catalog, own, leaving, &self.listed_nodes)
     }
 
     /// The node to whose gateway work for an instance goes.
--- a/crates/daemon/src/front/primary_questions.rs
+++ b/crates/daemon/src/front/primary_questions.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::retry::{Backoff, Repetition};
 use kestrellock_core::routing::Role;
 use kestrellock_peer::message::{GatewayCall, InstanceStanding, ToGateway};
 
@@ -13,14 +14,20 @@
 
 /// Time after which another instance is asked.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
-/// Time between two questions where the answer did not help.
-const INTERVAL: Duration = Duration::from_millis(8);
+/// Times between two questions where the answer did not help: an answer that helps does so for long.
+const REPETITION: Repetition = Repetition::new(
+    Backoff::new(Duration::from_millis(8), Duration::from_millis(60)),
+    Duration::from_millis(500),
+);
 
 #[derive(Debug)]
 struct Question {
     number: u64,
     asked: Instant,
     answered: bool,
+    /// Time after its answer until the next one.
+    pause: Duration,
+    repetition: Repetition,
     /// Instances asked since one last answered, so that each gets its turn.
     tried: Vec<InstanceName>,
 }
@@ -38,17 +45,21 @@
         let catalog = io.context.catalog.load();
         let Some(group) = catalog.groups.get(name) else { return };
         if let Some(question) = self.groups.get(name) {
-            let limit = if question.answered { INTERVAL } else { ANSWER_LIMIT };
+            let limit = if question.answered { question.pause } else { ANSWER_LIMIT };
             if io.now < question.asked + limit {
                 return;
             }
         }
-        let mut tried = self.groups.remove(name).map(|question| question.tried).unwrap_or_default();
+        let last = self.groups.remove(name);
+        let mut repetition = last.as_ref().map_or(REPETITION, |last| last.repetition);
+        let pause = repetition.on_asked(io.now, rand::random());
+        let mut tried = last.map(|question| question.tried).unwrap_or_default();
         let instances = choose(name, group, &mut tried, io);
         self.next_number += 1;
         let number = self.next_number;
         // Later than any request that waits for it arrived.
-        let question = Question { number, asked: Instant::now(), answered: false, tried };
+        let asked = Instant::now();
+        let question = Question { number, asked, answered: false, pause, repetition, tried };
         self.groups.insert(name.clone(), question);
         for instance in instances {
             let Some(node) = io.context.gateway_of(&instance, io.now) else { continue };
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -5,12 +5,12 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::catalog::{Elector, IndexedCatalog, Instance};
-use kestrellock_core::connection_shares::{Arrangement, Share, arrange};
+use kestrellock_core::connection_shares::{Arrangement, Share, YOUNG_FOR, arrange, sharers};
 use kestrellock_core::ids::{InstanceName, NodeName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
 
@@ -26,6 +26,8 @@
     live: Arc<Vec<LiveNode>>,
     catalog: Arc<IndexedCatalog>,
     without: Option<NodeName>,
+    /// Nodes that the machine list named while this node was young; `None` afterwards.
+    listed: Option<usize>,
     table: OwnershipTable,
     /// Connections that this node may hold to each instance that every node holds some to.
     shares: HashMap<InstanceName, Share>,
@@ -56,6 +58,7 @@
         Arc::ptr_eq(&self.live, &sources.live)
             && Arc::ptr_eq(&self.catalog, &sources.catalog)
             && self.without.as_ref() == sources.without
+            && self.listed == sources.listed
     }
 }
 
@@ -65,18 +68,22 @@
     catalog: Arc<IndexedCatalog>,
     own: &'a NodeName,
     without: Option<&'a NodeName>,
+    listed: Option<usize>,
 }
 
 impl Sources<'_> {
     /// This node's share of each instance's connections, where every node has one: groups whose
     /// primary the proxy replaces come from a platform that tells limits for all nodes together.
     fn shares(&self) -> HashMap<InstanceName, Share> {
-        let nodes = self.live.len();
+        let nodes = sharers(self.live.len(), self.listed.unwrap_or(0), self.listed.is_some());
         let groups = self.catalog.groups.values();
         let shared = groups.filter(|group| group.elector == Elector::Proxy);
         let instances = shared.flat_map(|group| &group.instances);
         let share = |instance: &Instance| match arrange(instance.connections, nodes) {
-            Arrangement::Shared(share) => Some((instance.name.clone(), share)),
+            Arrangement::Shared(share) => {
+                let share = if self.listed.is_some() { share.of_a_young_node() } else { share };
+                Some((instance.name.clone(), share))
+            }
             Arrangement::Owned => None,
         };
         instances.filter_map(share).collect()
@@ -97,9 +104,22 @@
 }
 
 /// The newest snapshot, brought up to date by whoever first asks after a change.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Ownerships {
     newest: ShardedLock<Arc<OwnershipSnapshot>>,
+    started: Instant,
+    /// Whether the node was no longer young when that was last looked at.
+    grown: AtomicBool,
+}
+
+impl Default for Ownerships {
+    fn default() -> Self {
+        Self {
+            newest: ShardedLock::default(),
+            started: Instant::now(),
+            grown: AtomicBool::new(false),
+        }
+    }
 }
 
 impl Ownerships {
@@ -111,15 +131,27 @@
         catalog: &Shared<IndexedCatalog>,
         own: &NodeName,
         leaving: Option<&NodeName>,
+        listed: &Shared<Vec<NodeName>>,
     ) -> Arc<OwnershipSnapshot> {
         let newest = self.newest.read().expect(POISONED).clone();
-        let sources = Sources { live: live.load(), catalog: catalog.load(), own, without: leaving };
+        let listed = self.is_young().then(|| listed.load().len());
+        let (live, catalog) = (live.load(), catalog.load());
+        let sources = Sources { live, catalog, own, without: leaving, listed };
         if newest.is_of(&sources) {
             return newest;
         }
         self.renew(sources)
     }
 
+    fn is_young(&self) -> bool {
+        if self.grown.load(Ordering::Acquire) {
+            return false;
+        }
+        let young = self.started.elapsed() < YOUNG_FOR;
+        self.grown.store(!young, Ordering::Release);
+        young
+    }
+
     fn renew(&self, sources: Sources) -> Arc<OwnershipSnapshot> {
         let mut newest = self.newest.write().expect(POISONED);
         if newest.is_of(&sources) {
@@ -133,8 +165,9 @@
         table.update(sources.candidates(), placed);
         let without = sources.without.cloned();
         let own = Some(Ownership { owner: sources.own.clone(), standby: None });
-        let Sources { live, catalog, .. } = sources;
-        *newest = Arc::new(OwnershipSnapshot { live, catalog, without, table, shares, own });
+        let Sources { live, catalog, listed, .. } = sources;
+        *newest =
+            Arc::new(OwnershipSnapshot { live, catalog, without, listed, table, shares, own });
         newest.clone()
     }
 }
