Machines that are gone for good neither hold up a replacement nor count in it

Change: a node that is stopped takes its entry back (on the condition that its own process wrote it last; each process writes its entry once); for suspicion listed nodes count that lived within 20 s (core/promotion/electorate). Whether all have given evidence up is judged by the nodes that the store names at that moment as well: this node's own list may be 10 s old and lack one that has just entered.

--- a/crates/core/src/promotion/coordination.rs
+++ b/crates/core/src/promotion/coordination.rs
@@ -40,4 +40,6 @@
     pub intents: BTreeMap<GroupName, Intent>,
     /// What nodes suspect.
     pub votes: BTreeMap<NodeName, NodeVotes>,
+    /// Nodes that have entered themselves.
+    pub nodes: Vec<NodeName>,
 }
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -20,6 +20,7 @@
 
 mod attempt;
 mod coordination;
+mod electorate;
 mod known;
 mod members;
 mod needs;
@@ -28,6 +29,7 @@
 
 pub use attempt::Attempt;
 pub use coordination::{CoordinationView, Holder, NodeVotes, Vote};
+pub use electorate::Electorate;
 pub use known::KnownInstances;
 pub use members::{Member, Members};
 pub use needs::{Need, NeedsEvidence, NeedsJudge};
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -127,6 +127,7 @@
                 .iter()
                 .map(|(node, votes)| (node_name(*node), votes.clone()))
                 .collect(),
+            nodes: Vec::new(),
         }
     }
 }
--- a/crates/daemon/src/agent/machines.rs
+++ b/crates/daemon/src/agent/machines.rs
@@ -47,6 +47,11 @@
             }
         }
     }
+    if context.is_stopping()
+        && let Err(error) = list.leave(own)
+    {
+        log::debug!("entry in the machine list not taken back: {error}");
+    }
 }
 
 fn seeds(own: &Machine, peers: &[Seed], machines: Vec<Machine>) -> Vec<Seed> {
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -9,7 +9,7 @@
     Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Timing,
 };
 use kestrellock_store::control::{ControlTarget, Order};
-use kestrellock_store::coordination::Hold;
+use kestrellock_store::coordination::{Coordination, Hold};
 
 use super::SuccessionServices;
 use super::orders::{Orders, Report};
@@ -55,6 +55,7 @@
 struct HolderThread<'a> {
     context: &'a NodeContext,
     situation: &'a SharedSituation,
+    coordination: Arc<dyn Coordination>,
     orders: Orders,
     hold: Hold,
     renewing: bool,
@@ -86,6 +87,7 @@
     let mut thread = HolderThread {
         context,
         situation,
+        coordination: coordination.clone(),
         orders,
         hold,
         renewing: false,
@@ -205,7 +207,12 @@
         running.attempt.on_event(Event::Wanted(wanted), now);
         let listed = self.context.listed_nodes.load();
         let id = running.attempt.id();
-        if !listed.is_empty() && self.context.given_up.by_all(group, id, &listed) {
+        let given_up = &self.context.given_up;
+        // This node's own list may be seconds old, and lack nodes that have entered themselves since.
+        if !listed.is_empty()
+            && given_up.by_all(group, id, &listed)
+            && given_up.by_all(group, id, &self.coordination.view().nodes)
+        {
             running.attempt.on_event(Event::EvidenceGivenUp, now);
         }
         let mut commands = running.attempt.step(now);
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -9,7 +9,8 @@
 use kestrellock_core::catalog::{Elector, IndexedCatalog};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote, heeded,
+    CoordinationView, Electorate, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote,
+    heeded,
 };
 use kestrellock_core::suspicion::{Cause, Judge};
 use kestrellock_peer::message::PeerMessage;
@@ -48,6 +49,7 @@
     services: &'a SuccessionServices,
     judge: Judge,
     needs_judge: NeedsJudge,
+    electorate: Electorate,
     known: KnownInstances,
     view: CoordinationView,
     votes: NodeVotes,
@@ -78,6 +80,7 @@
         services,
         judge: Judge::default(),
         needs_judge: NeedsJudge::default(),
+        electorate: Electorate::default(),
         known: KnownInstances::default(),
         view: CoordinationView::default(),
         votes: NodeVotes::new(),
@@ -289,6 +292,7 @@
             self.context.live.load().iter().map(|node| node.candidate.node.clone()).collect();
         let own = (&self.context.identity.node, &self.votes);
         let listed = self.context.listed_nodes.load();
+        let listed = self.electorate.counted(&listed, &live, now);
         let evidence =
             NeedsEvidence { catalog, view: &self.view, own, live: &live, listed: &listed, now };
         self.needs_judge.judge(&evidence)
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -307,3 +307,19 @@
         }
     }
 }
+
+/// Gidanmu with six of eight machines gone for good: nodes waited for the evidence of those, and
+/// counted them when a primary was suspected.
+#[test]
+fn a_node_that_is_stopped_takes_its_entry_back_and_one_that_dies_does_not() {
+    let mut platform = start();
+    let keys: Vec<String> = platform
+        .nodes()
+        .map(|node| format!("kestrellock/nodes/{}", node.context.identity.node))
+        .collect();
+    assert!(keys.iter().all(|key| platform.store.value(key).is_some()));
+    platform.stop_node(0);
+    platform.kill_node(1);
+    wait("the entry is gone", || platform.store.value(&keys[0]).is_none()).expect("in time");
+    assert!(platform.store.value(&keys[1]).is_some());
+}
--- a/crates/store/src/machines.rs
+++ b/crates/store/src/machines.rs
@@ -41,6 +41,12 @@
         let _ = own;
         Ok(())
     }
+
+    /// Takes this node's entry back, where nodes enter themselves, as it ends for good.
+    fn leave(&self, own: &Machine) -> Result<(), StoreError> {
+        let _ = own;
+        Ok(())
+    }
 }
 
 const CALL_LIMIT: Duration = Duration::from_secs(3);
