Replicas that have not heard of a promotion: what they show, and how many are needed

Change: a replica is evidence for the primary of term T if it follows no higher term and was not stopped above T. As such replicas may not have heard of a successor, so many are needed that no other primary finds enough beside them: three of five instances with one synchronous, not one; two of three with none. For three instances with one synchronous, as on both sites, one as before.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::confirmation::ConfirmationRule;
 use crate::ids::{GroupName, InstanceName, TemplateName, TenantName, ZoneName};
+use crate::primary_evidence::Replication;
 use crate::routing::Role;
 
 pub use index::IndexedCatalog;
@@ -120,6 +121,11 @@
         self.instances.len() / 2 + 1
     }
 
+    /// How it replicates, by the instances that the platform tells now.
+    pub fn replication(&self) -> Replication {
+        Replication { synchronous: self.synchronous_replicas, instances: self.instances.len() }
+    }
+
     /// The instance that announces to be the primary. Where several do, an old one has not stepped
     /// down yet: `former`, if it is being replaced, and whichever is not the one promoted last.
     pub fn leader(&self, former: Option<&InstanceName>) -> Option<&Instance> {
--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -7,8 +7,8 @@
 //! becomes of it meanwhile: frozen, cut off, or not told. T is when the question was sent.
 //!
 //! Two things show it: a commit that the primary answered after enough replicas had received it,
-//! and replicas that say they have not been stopped above the term: who follow it, or were stopped for
-//! its primary's own promotion. So an attempt never stops replicas twice with one term for two
+//! and enough replicas ([`Replication::replicas_needed`]) that say they follow no higher term and have
+//! not been stopped above the term. So an attempt never stops replicas twice with one term for two
 //! different successors. A read that arrived at A is true at the primary if A is covered; one that may
 //! be D old, if A - D is.
 
@@ -58,10 +58,9 @@
 }
 
 impl Following {
-    /// The term whose primary it is evidence for: whoever is promoted above that stops it first,
-    /// with a higher term. A replica that was stopped shows nothing of the primary that it follows,
-    /// but all the same that nobody has been promoted after the one for whom it was stopped, whether
-    /// it has heard of that one or not.
+    /// The lowest term whose primary it is evidence for: it has received no commit of a higher one,
+    /// and nobody had stopped it to promote above that. Whether it has heard of that primary itself
+    /// does not matter: promotions release replicas that do not hear of them, too.
     pub fn shows(&self) -> Term {
         self.term.max(self.held)
     }
@@ -142,24 +141,43 @@
         self.given_up.map(|(id, _)| id)
     }
 
-    /// Until when arrivals are covered, at the primary of `term`, in a group whose primary answers a
-    /// commit after `synchronous` replicas have received it, if evidence lasts for `life`.
-    pub fn covers_until(&self, term: Term, synchronous: u32, life: Duration) -> Option<Instant> {
+    /// Until when arrivals are covered, at the primary of `term` in a group of such a kind, if evidence
+    /// lasts for `life`.
+    pub fn covers_until(&self, term: Term, group: Replication, life: Duration) -> Option<Instant> {
         let unknown = Term::default();
         let is_given_up = self.given_up.is_some_and(|(_, until)| term <= until || until == unknown);
         if term < self.term || is_given_up {
             return None;
         }
-        let shown = self.replicas.values().filter(|shown| shown.term == term);
+        let shown = self.replicas.values().filter(|shown| shown.term <= term);
         let mut asked: Vec<Instant> = shown.map(|shown| shown.asked).collect();
         asked.sort_unstable_by(|one, other| other.cmp(one));
-        let needed = synchronous.max(1) as usize;
-        let by_replicas = asked.get(needed - 1).copied();
-        let by_commit = self.commit.filter(|_| synchronous > 0 && term == self.term);
+        let by_replicas = asked.get(group.replicas_needed() - 1).copied();
+        let by_commit = self.commit.filter(|_| group.synchronous > 0 && term == self.term);
         by_commit.max(by_replicas).map(|seen| seen + life)
     }
 }
 
+/// How a group replicates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Replication {
+    /// Replicas that must have received a commit before the primary answers it.
+    pub synchronous: u32,
+    /// Its instances.
+    pub instances: usize,
+}
+
+impl Replication {
+    /// How many replicas must show that no other primary answers commits. As many as are synchronous,
+    /// so that whoever promotes stops one of them; and so many that no other primary finds enough
+    /// replicas beside them and itself, since one that does not hear of it follows the old one.
+    pub fn replicas_needed(&self) -> usize {
+        let synchronous = self.synchronous as usize;
+        let replicas = self.instances.saturating_sub(1);
+        replicas.saturating_sub(synchronous).max(synchronous).max(1)
+    }
+}
+
 /// What a session's transaction has written: tells which answers show that a primary has answered a
 /// commit that wrote.
 ///
--- /dev/null
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -0,0 +1,122 @@
+//! Takes in what instances and the platform say.
+
+use std::time::Instant;
+
+use super::{Attempt, Repeated, Stopped, leading};
+use crate::ids::InstanceName;
+use crate::position::Term;
+use crate::promotion::{Event, Phase, PromotionAnswer, Reason, Standing};
+use crate::routing::Role;
+
+impl Attempt {
+    /// Takes an event in.
+    pub fn on_event(&mut self, event: Event, now: Instant) {
+        match event {
+            Event::Recorded if self.phase == Phase::Recording => self.on_recorded(now),
+            Event::Recorded => self.call_off_recorded = self.intent.called_off,
+            Event::Stands { instance, standing, sent } => {
+                self.on_standing(instance, standing, sent)
+            }
+            Event::Unanswered(_) => {}
+            Event::Refused { instance, sent } => {
+                if self.former() == Some(&instance) {
+                    self.former_refused = Some(sent);
+                }
+                // A replica that does not run has forgotten that it was stopped when it returns.
+                if matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. }) {
+                    self.released.insert(instance);
+                }
+            }
+            Event::Promoted { instance, answer } => self.on_promoted(&instance, answer, now),
+            Event::Members(members) => {
+                let leading = leading(&members, self.former());
+                self.outdated.retain(|name| leading.contains(name));
+                self.members = members;
+            }
+            Event::Released(instance) => {
+                self.released.insert(instance);
+            }
+            Event::EvidenceGivenUp => self.given_up = true,
+            Event::Wanted(wanted) => self.wanted = wanted,
+        }
+    }
+
+    fn on_recorded(&mut self, now: Instant) {
+        self.phase = match self.intent.reason {
+            Reason::Leaving => Phase::Draining { until: now + self.timing.drain },
+            Reason::Suspected | Reason::Missing | Reason::Unfinished => {
+                Phase::Stopping { since: now }
+            }
+        };
+    }
+
+    fn on_standing(&mut self, instance: InstanceName, standing: Standing, sent: Instant) {
+        let seen = standing.term.max(standing.held).max(standing.received.term);
+        self.highest = self.highest.max(seen);
+        if self.former() == Some(&instance) {
+            self.former_demoted |= standing.role == Role::Replica;
+            self.former_answered = Some(sent);
+            // An old primary that answers again does not refuse any more.
+            if self.former_refused.is_some_and(|refused| sent > refused) {
+                self.former_refused = None;
+            }
+            if standing.term >= self.term && !self.is_committed() {
+                self.stop_with_a_higher_term();
+            }
+            return;
+        }
+        if standing.role == Role::Primary && self.chosen.as_ref() == Some(&instance) {
+            self.leads_by_its_word = Some(instance);
+            return;
+        }
+        // One that answers a while after the platform had said so runs again.
+        let pause = self.timing.retry;
+        self.not_running.retain(|name, said| *name != instance || sent < *said + pause);
+        // A stop with a term that somebody has led is none: the replica receives on.
+        let led = standing.term.max(standing.received.term);
+        let stopped_before = self.told.insert(instance.clone()) && standing.held >= self.term;
+        if (led >= self.term || stopped_before) && !self.is_committed() {
+            self.stop_with_a_higher_term();
+        }
+        let is_stopped = standing.held >= self.term && standing.role == Role::Replica;
+        if is_stopped {
+            let stopped = Stopped { received: standing.received, said: sent };
+            self.stopped.insert(instance, stopped);
+        } else {
+            self.stopped.remove(&instance);
+            // Somebody else stopped it with a term as high.
+            if standing.held > self.term && !self.is_committed() {
+                self.stop_with_a_higher_term();
+            }
+        }
+    }
+
+    pub(super) fn stop_with_a_higher_term(&mut self) {
+        self.term = Term(self.highest.0 + 1);
+        self.stopped.clear();
+        self.last_sent.retain(|(_, kind), _| *kind != Repeated::Stop);
+    }
+
+    fn on_promoted(&mut self, instance: &InstanceName, answer: PromotionAnswer, now: Instant) {
+        if !matches!(self.phase, Phase::Promoting { .. }) || self.chosen.as_ref() != Some(instance)
+        {
+            return;
+        }
+        match answer {
+            PromotionAnswer::Accepted => {
+                self.phase = Phase::Promoting { again: now + self.timing.announcement };
+            }
+            PromotionAnswer::NotRunning => {
+                // It has not been promoted and will not be: another one may be.
+                self.stopped.remove(instance);
+                self.not_running.insert(instance.clone(), now);
+                self.chosen = None;
+                self.complete = None;
+                self.phase = Phase::Stopping { since: now };
+            }
+            PromotionAnswer::Unknown => {
+                self.phase = Phase::Promoting { again: now + self.timing.retry };
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -0,0 +1,84 @@
+//! Puts the group in order after a promotion, or as it was if nobody is promoted.
+
+use std::time::Instant;
+
+use super::{Attempt, Repeated};
+use crate::ids::InstanceName;
+use crate::position::Term;
+use crate::promotion::{Command, Phase, Reason};
+
+impl Attempt {
+    /// The old primary first, then the replicas: one that receives again while the old primary still
+    /// leads, and that cannot hear of the successor, would follow it and say so.
+    pub(super) fn settle(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
+        let since = until - self.timing.demotion;
+        let is_in_order = !self.former_still_leads(since);
+        if is_in_order || self.chosen_again {
+            self.release(now, commands);
+        }
+        if !is_in_order {
+            self.demote_former(now, commands);
+        }
+        if now >= until || (is_in_order && self.all_released()) {
+            commands.push(Command::Finish { successor: self.chosen.clone() });
+            self.phase = Phase::Over;
+        }
+    }
+
+    /// Whether the old primary may lead. One that has refused a connection since its successor led
+    /// returns as a replica.
+    fn former_still_leads(&self, since: Instant) -> bool {
+        let former = self.former().and_then(|name| self.members.get(name));
+        let is_down = self.former_refused.is_some_and(|refused| refused >= since);
+        // One that has vanished tells nobody whether it leads.
+        let may_lead =
+            former.is_some_and(|member| member.leads || self.intent.reason == Reason::Missing);
+        may_lead && !self.former_demoted && !is_down
+    }
+
+    fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let term = Term(self.highest.0.max(self.term.0));
+        let Some(former) = self.intent.former.clone() else { return };
+        self.send(&former, Repeated::Demote, now, commands, |instance| Command::Demote {
+            instance,
+            term,
+        });
+    }
+
+    /// Releases the replicas. Where that takes a while, because one cannot be reached, nodes are told
+    /// to go on with the old primary meanwhile.
+    pub(super) fn cancel(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
+        self.release(now, commands);
+        let since = until - self.timing.release;
+        if !self.all_released() && now >= since + self.timing.call_off && !self.intent.called_off {
+            self.intent.called_off = true;
+            commands.push(Command::Record(self.intent.clone()));
+        }
+        // One change of the store at a time.
+        let is_changing = self.intent.called_off && !self.call_off_recorded;
+        if !is_changing && (now >= until || self.all_released()) {
+            commands.push(Command::Finish { successor: None });
+            self.phase = Phase::Over;
+        }
+    }
+
+    /// Replicas that may be stopped: also those whose answer was lost, or that an earlier holder
+    /// stopped.
+    fn to_release(&self) -> Vec<InstanceName> {
+        let others = self.replicas().into_iter().map(|replica| replica.name);
+        let others = others.filter(|name| Some(name) != self.chosen.as_ref());
+        let may_be_stopped =
+            |name: &InstanceName| self.others_stopped || self.stop_sent.contains(name);
+        others.filter(|name| may_be_stopped(name) && !self.released.contains(name)).collect()
+    }
+
+    fn all_released(&self) -> bool {
+        self.to_release().is_empty()
+    }
+
+    fn release(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        for name in self.to_release() {
+            self.send(&name, Repeated::Release, now, commands, Command::Release);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -0,0 +1,135 @@
+//! Stops the replicas, compares them, and has the one promoted that holds everything answered.
+
+use std::time::Instant;
+
+use super::{Attempt, Repeated};
+use crate::ids::InstanceName;
+use crate::position::{Position, Term};
+use crate::promotion::{Command, Phase, Reason};
+
+impl Attempt {
+    pub(super) fn stop(&mut self, since: Instant, now: Instant, commands: &mut Vec<Command>) {
+        // A primary that answers can still read, and one without replicas that receive cannot be
+        // helped by stopping those.
+        let answers = self.former_answered.is_some_and(|sent| now < sent + self.timing.stopping);
+        let works = self.intent.reason == Reason::Leaving || answers;
+        let ends = works && !self.is_committed();
+        if ends && now >= since + self.timing.stopping {
+            self.phase = Phase::Cancelling { until: now + self.timing.release };
+            return;
+        }
+        if self.term <= self.highest && self.stopped.is_empty() {
+            self.term = Term(self.highest.0 + 1);
+        }
+        let term = self.term;
+        for replica in self.replicas() {
+            if self.stopped.contains_key(&replica.name) {
+                continue;
+            }
+            if !self.told.contains(&replica.name) {
+                self.send(&replica.name, Repeated::Ask, now, commands, Command::Ask);
+                continue;
+            }
+            self.stop_sent.insert(replica.name.clone());
+            self.send(&replica.name, Repeated::Stop, now, commands, |instance| Command::Stop {
+                instance,
+                term,
+            });
+        }
+        self.ask_former(now, commands);
+        if self.enough_stopped() {
+            self.complete = Some(now);
+            self.phase = Phase::Lapsing { since: now };
+            // Whether the old primary refuses connections now.
+            self.last_sent.retain(|(instance, _), _| Some(instance) != self.intent.former.as_ref());
+            self.ask_former(now, commands);
+        }
+    }
+
+    fn ask_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        if let Some(former) = self.intent.former.clone() {
+            self.send(&former, Repeated::Ask, now, commands, Command::Ask);
+        }
+    }
+
+    /// Whether one of those stopped holds every answered commit, and no further one is answered.
+    fn enough_stopped(&self) -> bool {
+        let told = |name: &InstanceName| self.members.get(name).is_some();
+        let stopped = self.stopped.keys().filter(|name| told(name)).count();
+        stopped >= self.members.needed(self.former())
+    }
+
+    pub(super) fn check(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        if !self.enough_stopped() {
+            self.complete = None;
+            self.phase = Phase::Stopping { since: now };
+            return;
+        }
+        let complete = self.complete.unwrap_or(now);
+        let unchecked: Vec<InstanceName> = self
+            .stopped
+            .iter()
+            .filter(|(_, stopped)| stopped.said < complete)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let checked = self.stopped.len() - unchecked.len();
+        // Before the first promotion, nothing is answered any more if nobody reads there.
+        let is_settled = !self.is_committed() && self.nobody_reads_there();
+        if checked >= self.members.needed(self.former()) || is_settled {
+            self.promote(now, commands);
+            return;
+        }
+        for name in unchecked {
+            self.send(&name, Repeated::Ask, now, commands, Command::Ask);
+        }
+    }
+
+    fn promote(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let Some(best) = self.best() else {
+            self.complete = None;
+            self.phase = Phase::Stopping { since: now };
+            return;
+        };
+        if self.chosen.as_ref().is_some_and(|chosen| !self.is_as_good(chosen, &best)) {
+            return self.choose_again(now);
+        }
+        let chosen = self.chosen.get_or_insert(best).clone();
+        self.phase = Phase::Promoting { again: now + self.timing.announcement };
+        commands.push(Command::Promote(chosen));
+    }
+
+    /// Whether the one that was chosen before holds as much as the best by now. If not, the other one
+    /// had forgotten meanwhile that it was stopped, and may hold answered commits alone.
+    fn is_as_good(&self, chosen: &InstanceName, best: &InstanceName) -> bool {
+        let position = |name: &InstanceName| {
+            self.stopped.get(name).map(|one| (one.received.term, one.received.offset))
+        };
+        position(chosen) == position(best)
+    }
+
+    /// Begins again with a higher term: nodes take replicas that were stopped for a promotion as
+    /// evidence for the one promoted, which the one chosen before may be yet.
+    fn choose_again(&mut self, now: Instant) {
+        self.chosen = None;
+        self.chosen_again = true;
+        self.complete = None;
+        self.stop_with_a_higher_term();
+        self.phase = Phase::Stopping { since: now };
+    }
+
+    /// The stopped replica with the highest position; among equals one that stays.
+    fn best(&self) -> Option<InstanceName> {
+        let order = |position: &Position| (position.term, position.offset);
+        let highest = self.stopped.values().map(|stopped| order(&stopped.received)).max()?;
+        let mut best: Vec<&InstanceName> = self
+            .stopped
+            .iter()
+            .filter(|(_, stopped)| order(&stopped.received) == highest)
+            .map(|(name, _)| name)
+            .filter(|name| !self.not_running.contains_key(*name))
+            .collect();
+        let leaves = |name: &InstanceName| self.members.get(name).is_none_or(|one| one.leaving);
+        best.sort_by_key(|name| (leaves(name), (*name).clone()));
+        best.first().map(|name| (*name).clone())
+    }
+}
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -6,7 +6,7 @@
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{
-    EVIDENCE_LIFE, Following, PrimaryEvidence, TransactionWrites,
+    EVIDENCE_LIFE, Following, PrimaryEvidence, Replication, TransactionWrites,
 };
 use kestrellock_core::promotion::ReplacementId;
 
@@ -14,6 +14,9 @@
 const STOPPED: Following = Following { term: TERM, held: Term(4) };
 const FOLLOWING: Following = Following { term: TERM, held: Term(0) };
 
+const SYNCHRONOUS_ONE: Replication = Replication { synchronous: 1, instances: 3 };
+const SYNCHRONOUS_TWO: Replication = Replication { synchronous: 2, instances: 3 };
+
 fn replica(name: &str) -> InstanceName {
     InstanceName::new(name)
 }
@@ -24,10 +27,16 @@
     let later = now + Duration::from_millis(7);
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica(&replica("b"), FOLLOWING, later);
-    assert_eq!(evidence.covers_until(TERM, 2, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_TWO, EVIDENCE_LIFE), None);
     evidence.on_replica(&replica("c"), FOLLOWING, now);
-    assert_eq!(evidence.covers_until(TERM, 2, EVIDENCE_LIFE), Some(now + EVIDENCE_LIFE));
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), Some(later + EVIDENCE_LIFE));
+    assert_eq!(
+        evidence.covers_until(TERM, SYNCHRONOUS_TWO, EVIDENCE_LIFE),
+        Some(now + EVIDENCE_LIFE)
+    );
+    assert_eq!(
+        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
+        Some(later + EVIDENCE_LIFE)
+    );
 }
 
 #[test]
@@ -35,7 +44,7 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica(&replica("b"), FOLLOWING, Instant::now());
     evidence.on_replica(&replica("b"), STOPPED, Instant::now());
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
 }
 
 /// Atlas with a replica that receives nothing while the primary dies: the successor could not be read,
@@ -46,12 +55,15 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica(&replica("b"), STOPPED, now);
     let successor = STOPPED.held;
-    assert_eq!(evidence.covers_until(successor, 1, EVIDENCE_LIFE), Some(now + EVIDENCE_LIFE));
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(
+        evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
+        Some(now + EVIDENCE_LIFE)
+    );
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
     // Stopped once more, for another promotion.
     let again = Following { held: Term(successor.0 + 1), ..STOPPED };
     evidence.on_replica(&replica("b"), again, now);
-    assert_eq!(evidence.covers_until(successor, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
 }
 
 #[test]
@@ -61,10 +73,16 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica(&replica("b"), STOPPED, now);
     evidence.on_replica(&replica("b"), FOLLOWING, later);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), Some(later + EVIDENCE_LIFE));
+    assert_eq!(
+        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
+        Some(later + EVIDENCE_LIFE)
+    );
     // An answer that was asked for before comes late.
     evidence.on_replica(&replica("b"), STOPPED, now);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), Some(later + EVIDENCE_LIFE));
+    assert_eq!(
+        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
+        Some(later + EVIDENCE_LIFE)
+    );
 }
 
 #[test]
@@ -73,10 +91,46 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.give_up(ReplacementId { fence: 9, attempt: 1 });
     evidence.on_replica(&replica("b"), FOLLOWING, now);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
     evidence.take_up();
     evidence.on_replica(&replica("b"), FOLLOWING, now);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), Some(now + EVIDENCE_LIFE));
+    assert_eq!(
+        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
+        Some(now + EVIDENCE_LIFE)
+    );
+}
+
+/// Found by a test of the whole path: the platform releases replicas that do not hear of a promotion,
+/// too, so they say that they follow the old primary.
+#[test]
+fn a_replica_that_has_not_heard_of_the_successor_shows_it_all_the_same() {
+    let now = Instant::now();
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_replica(&replica("b"), FOLLOWING, now);
+    let successor = Term(TERM.0 + 2);
+    let covered = evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFE);
+    assert_eq!(covered, Some(now + EVIDENCE_LIFE));
+}
+
+/// What shows the old primary must leave its successor no replica to answer a commit with: such
+/// replicas may not have heard of the successor.
+#[test]
+fn so_many_replicas_are_needed_that_no_other_primary_finds_enough() {
+    let table = [
+        // Synchronous replicas, instances, replicas needed.
+        (0, 3, 2),
+        (1, 3, 1),
+        (2, 3, 2),
+        (1, 5, 3),
+        (2, 5, 2),
+        (3, 5, 3),
+        (1, 2, 1),
+        (0, 1, 1),
+    ];
+    for (synchronous, instances, needed) in table {
+        let group = Replication { synchronous, instances };
+        assert_eq!(group.replicas_needed(), needed, "{group:?}");
+    }
 }
 
 #[test]
@@ -84,10 +138,13 @@
     let now = Instant::now();
     let mut evidence = PrimaryEvidence::default();
     evidence.on_commit(TERM, now);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), Some(now + EVIDENCE_LIFE));
-    assert_eq!(evidence.covers_until(Term(TERM.0 + 1), 1, EVIDENCE_LIFE), None);
+    assert_eq!(
+        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
+        Some(now + EVIDENCE_LIFE)
+    );
+    assert_eq!(evidence.covers_until(Term(TERM.0 + 1), SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
     evidence.on_commit(Term(TERM.0 + 1), now);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
 }
 
 #[test]
@@ -96,11 +153,11 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_commit(TERM, now);
     evidence.give_up(ReplacementId { fence: 9, attempt: 1 });
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
     evidence.on_commit(TERM, now);
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
     evidence.take_up();
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
 }
 
 /// Found by the simulation, seed 9511: a primary died, refused connections, so nobody waited for
@@ -112,7 +169,7 @@
     evidence.on_commit(TERM, now);
     evidence.on_replica(&replica("b"), FOLLOWING, now);
     evidence.forget();
-    assert_eq!(evidence.covers_until(TERM, 1, EVIDENCE_LIFE), None);
+    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
 }
 
 /// Found by a hunt on both sites: an old primary answered a COMMIT that had written nothing, a node
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -133,6 +133,16 @@
     holds(Faults::dense());
 }
 
+#[test]
+fn no_seed_breaks_a_promise_where_promotions_release_all_replicas() {
+    holds(Faults::all().with_releases());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_where_promotions_release_all_replicas() {
+    holds(Faults::dense().with_releases());
+}
+
 #[test]
 fn seeds_that_broke_a_promise_once_hold() {
     let few = MENDED_SEEDS_OF_FEW_FAULTS.map(|(seed, cause)| (seed, Faults::all(), cause));
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -8,7 +8,7 @@
 use kestrellock_core::confirmation::ConfirmationRule;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{EVIDENCE_LIFE, PrimaryEvidence};
+use kestrellock_core::primary_evidence::{EVIDENCE_LIFE, PrimaryEvidence, Replication};
 use kestrellock_core::promotion::{
     Attempt, CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes,
     ReplacementId, Vote, heeded,
@@ -172,7 +172,8 @@
     /// Whether a read that arrived at `arrived` may run at the primary.
     pub fn may_read(&self, leader: usize, arrived: Instant) -> bool {
         let term = self.terms.get(&leader);
-        let until = term.and_then(|term| self.evidence.covers_until(*term, 1, EVIDENCE_LIFE));
+        let group = Replication { synchronous: 1, instances: 3 };
+        let until = term.and_then(|term| self.evidence.covers_until(*term, group, EVIDENCE_LIFE));
         until.is_some_and(|until| arrived <= until)
     }
 
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -12,24 +12,32 @@
     pub cut_off: bool,
     /// The most that happens in one run.
     pub most: usize,
+    /// Whether a promotion releases replicas that have not heard of it, too, as it does on the
+    /// platform; otherwise they stay stopped until they hear of the successor.
+    pub releases_all: bool,
 }
 
 impl Faults {
     /// Every kind.
     pub fn all() -> Self {
-        Self { primaries: true, cut_off: false, most: 4 }
+        Self { primaries: true, cut_off: false, most: 4, releases_all: false }
     }
 
     /// Every kind, and more at once, so that planted faults meet what shows them.
     pub fn dense() -> Self {
-        Self { primaries: true, cut_off: true, most: 9 }
+        Self { primaries: true, cut_off: true, most: 9, releases_all: false }
+    }
+
+    /// The same where promotions release all replicas.
+    pub fn with_releases(self) -> Self {
+        Self { releases_all: true, ..self }
     }
 
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
     pub fn without_primaries() -> Self {
-        Self { primaries: false, cut_off: false, most: 4 }
+        Self { primaries: false, cut_off: false, most: 4, releases_all: false }
     }
 }
 
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -60,6 +60,7 @@
     pub plant: Plant,
     /// The faults.
     pub plan: Vec<Planned>,
+    releases_all: bool,
     /// The instances.
     pub instances: Vec<Instance>,
     /// The nodes.
@@ -103,6 +104,7 @@
             random,
             plant,
             plan,
+            releases_all: faults.releases_all,
             instances: (0..INSTANCES).map(|one| Instance::new(one == 0)).collect(),
             nodes: (0..NODES).map(|one| Node::new(one, 0)).collect(),
             reads: vec![Vec::new(); NODES],
@@ -384,6 +386,9 @@
         instance.held = 0;
         instance.outdated = None;
         let (term, commits) = (instance.term, instance.commits());
+        if self.releases_all {
+            self.instances.iter_mut().for_each(|one| one.held = 0);
+        }
         self.promotions.push((self.now, term));
         self.checker.on_promoted(self.now, &commits);
         self.announce(one);
--- a/crates/daemon/src/front/primary_questions.rs
+++ b/crates/daemon/src/front/primary_questions.rs
@@ -116,7 +116,7 @@
         let is_far = replica.zone != io.context.identity.zone;
         (tried.contains(&replica.name), replica.leaving, in_doubt, is_far)
     });
-    let needed = group.synchronous_replicas.max(1) as usize;
+    let needed = group.replication().replicas_needed();
     let mut chosen: Vec<InstanceName> =
         replicas.into_iter().take(needed).map(|replica| replica.name.clone()).collect();
     tried.extend(chosen.iter().cloned());
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -103,7 +103,7 @@
     let primary = io.context.leader(group, configured);
     let synchronous = configured.synchronous_replicas;
     let covered = primary.and_then(|primary| {
-        known.covered_until(&primary.name, synchronous, io.context.evidence_life())
+        known.covered_until(&primary.name, configured.replication(), io.context.evidence_life())
     });
     // What must be covered: a clock that has not run so long covers everything.
     let moment = |staleness| need.arrived.checked_sub(staleness).unwrap_or(need.arrived);
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -7,7 +7,7 @@
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::primary_evidence::{Following, PrimaryEvidence};
+use kestrellock_core::primary_evidence::{Following, PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::Intent;
 use kestrellock_core::routing::{InstanceStatus, Role};
@@ -41,15 +41,14 @@
         self.answers.get(instance)?.term
     }
 
-    /// Until when arrivals are known to see everything at the primary `instance` of a group with
-    /// so many synchronous replicas.
+    /// Until when arrivals are known to see everything at the primary `instance` of a group.
     pub fn covered_until(
         &self,
         instance: &InstanceName,
-        synchronous: u32,
+        group: Replication,
         life: Duration,
     ) -> Option<Instant> {
-        self.evidence.covers_until(self.term_of(instance)?, synchronous, life)
+        self.evidence.covers_until(self.term_of(instance)?, group, life)
     }
 }
 
