--- a/crates/core/src/connection_shares.rs
+++ b/crates/core/src/connection_shares.rs
@@ -1,10 +1,11 @@
-//! Whether every node holds connections of its own to an instance, or a few nodes hold all.
+//! How many nodes hold connections to the instances of a group, and how many each of them.
 //!
-//! A statement that runs over a connection of its own node crosses no other node: it costs less
-//! processor time, and no bytes between zones beyond its own. But an instance accepts a fixed number
-//! of connections from all nodes together, so this works only while each node's share is worth
-//! having. The rule is pure; nodes that count differently for a moment use a few connections more
-//! or fewer, and the instance's refusals shrink their budgets.
+//! An instance accepts a fixed number of connections from all nodes together. The nodes that hold
+//! some are the group's *owners*: they choose the instance for each statement, since only they see
+//! how the instances answer. Any other node forwards its callers' statements to one of them. With few
+//! nodes each is an owner of every group; a node more or less moves a share and nothing else. The
+//! rule is pure; nodes that count differently for a moment use a few connections more or fewer, and
+//! the instance's refusals shrink their budgets.
 //!
 //! A node keeps only a part of its share open without work. Connections of machines that lost power
 //! count at an instance until it notices, seconds later: if all nodes come back meanwhile, theirs
@@ -15,6 +16,9 @@
 /// Fewest connections that make a share worth having: one for an open transaction, and one for
 /// whatever comes meanwhile.
 const FEWEST_SHARED: u32 = 2;
+/// Most owners of a group, however many nodes there are: with more, each would see too few answers
+/// to know how the instances stand without asking, and would leave too few connections to the rest.
+const MOST_OWNERS: u32 = 9;
 /// One connection in so many is left for nodes that count differently, and for operators.
 const RESERVE_PART: u32 = 16;
 const SMALLEST_RESERVE: u32 = 1;
@@ -22,7 +26,7 @@
 /// Connections of earlier processes that may still count beside each one held open.
 const LINGERING: u32 = 1;
 
-/// One node's part of an instance's connections.
+/// One owner's part of an instance's connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
     /// The most that it may hold.
@@ -51,24 +55,22 @@
     if young { live.max(listed) } else { live }
 }
 
-/// Who holds the connections to an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Arrangement {
-    /// Every node, its share.
-    Shared(Share),
-    /// The instance's owner and its standby.
-    Owned,
+fn usable(connections: u32) -> u32 {
+    let reserve = (connections / RESERVE_PART).max(SMALLEST_RESERVE);
+    connections.saturating_sub(reserve)
 }
 
-/// The arrangement for an instance that accepts `connections` in all, before `nodes` nodes.
-pub fn arrange(connections: u32, nodes: usize) -> Arrangement {
-    let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
-    let reserve = (connections / RESERVE_PART).max(SMALLEST_RESERVE);
-    let usable = connections.saturating_sub(reserve);
-    let most = usable / nodes;
-    if most < FEWEST_SHARED && nodes > 1 {
-        return Arrangement::Owned;
-    }
-    let warm = usable / nodes.saturating_mul(1 + LINGERING);
-    Arrangement::Shared(Share { most: most.max(1), warm: warm.max(1) })
+/// How many of `nodes` nodes own a group whose instances accept `connections` each, in all.
+pub fn owner_count(connections: u32, nodes: usize) -> usize {
+    let worth_having = usable(connections) / FEWEST_SHARED;
+    nodes.clamp(1, worth_having.clamp(1, MOST_OWNERS) as usize)
+}
+
+/// The share of each of `owners` owners of an instance that accepts `connections` in all.
+pub fn share(connections: u32, owners: usize) -> Share {
+    let owners = u32::try_from(owners.max(1)).unwrap_or(u32::MAX);
+    let usable = usable(connections);
+    let most = usable / owners;
+    let warm = usable / owners.saturating_mul(1 + LINGERING);
+    Share { most: most.max(1), warm: warm.max(1) }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod exchange_state;
 pub mod failover;
 pub mod freshness;
+pub mod group_owners;
 pub mod holding;
 pub mod ids;
 pub mod membership;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::InstanceName;
+
 /// Whether the statement took effect, as far as the proxy can vouch for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Execution {
@@ -163,12 +165,14 @@
     pub detail: String,
     /// When to come back, where waiting helps.
     pub retry_after: Option<Duration>,
+    /// The instance that could not run the request, if one was chosen.
+    pub instance: Option<InstanceName>,
 }
 
 impl Refusal {
     /// A refusal with no retry hint.
     pub fn new(code: ResultCode, detail: impl Into<String>) -> Self {
-        Self { code, detail: detail.into(), retry_after: None }
+        Self { code, detail: detail.into(), retry_after: None, instance: None }
     }
 
     /// The same refusal, with the usual hint if it has none and what was in the way passes by itself:
@@ -189,6 +193,12 @@
         self
     }
 
+    /// The same refusal with the instance that could not run the request.
+    pub fn at(mut self, instance: &InstanceName) -> Self {
+        self.instance = Some(instance.clone());
+        self
+    }
+
     /// The text that a caller reads, beginning with the number.
     pub fn message(&self) -> String {
         let execution = match self.code.execution() {
--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -204,6 +204,14 @@
         shows
     }
 
+    /// Whether an exchange of this class commits something that wrote, if it succeeds.
+    pub fn would_commit(&self, class: StatementClass) -> bool {
+        match self.in_transaction {
+            true => class == StatementClass::Commit && self.wrote,
+            false => class == StatementClass::Write,
+        }
+    }
+
     /// The transaction, if one was open, is lost.
     pub fn on_lost(&mut self) {
         *self = Self::default();
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -105,6 +105,18 @@
         Some(self.detours.choose(instance, owners.get(instance)?, now))
     }
 
+    /// The node to whose gateway work for a group goes that has several owners: this one, if it is
+    /// among them.
+    pub fn owner_of(&self, group: &GroupName, now: Instant) -> Option<NodeName> {
+        let ownerships = self.ownerships();
+        let owners = ownerships.owners_of(group);
+        let Identity { node, zone, .. } = &self.identity;
+        if owners.iter().any(|owner| owner.node == *node) {
+            return Some(node.clone());
+        }
+        self.detours.choose_among(owners, zone, rand::random(), now).cloned()
+    }
+
     /// The instance that leads a group, as its platform and the replacements under way tell it.
     pub fn leader<'a>(&self, name: &GroupName, group: &'a Group) -> Option<&'a Instance> {
         let intents = self.intents.load();
--- a/crates/daemon/src/front/counting.rs
+++ b/crates/daemon/src/front/counting.rs
@@ -3,13 +3,12 @@
 use std::time::Duration;
 
 use kestrellock_core::outcome::{Execution, Refusal};
-use kestrellock_core::routing::{Access, Role};
 use kestrellock_peer::message::LeaseEvent;
 use kestrellock_protocol::login::Login;
 use kestrellock_protocol::request::Request;
 
 use crate::event::Io;
-use crate::metrics::{Route, StatementResult};
+use crate::metrics::StatementResult;
 
 /// The exchange under way ended. `read_only`: nothing on its lease can have written.
 pub fn ended(
@@ -45,13 +44,3 @@
         Execution::Ran => StatementResult::WriteAnswered,
     });
 }
-
-/// An instance of that role was chosen.
-pub fn routed(access: &Access, role: Option<Role>, io: &Io) {
-    io.context.metrics.routes.count(match (access, role) {
-        (Access::Write { .. }, _) => Route::PrimaryWrite,
-        (Access::PrimaryRead { .. }, _) => Route::PrimaryRead,
-        (Access::Read { .. }, Some(Role::Primary)) => Route::PrimaryRead,
-        (Access::Read { .. }, _) => Route::Replica,
-    });
-}
--- a/crates/daemon/src/front/decisions.rs
+++ b/crates/daemon/src/front/decisions.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use kestrellock_core::ids::InstanceName;
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::routing::Access;
 use kestrellock_program::logging::ORDINARY;
@@ -35,7 +36,8 @@
         id = id_of(Some(request)),
         tenant = login.parameters.tenant.as_str(),
         group = login.group.as_str(),
-        instance = target.instance.as_str(),
+        instance = target.instance.as_ref().map(InstanceName::as_str),
+        gateway = target.gateway.as_str(),
         access:? = access,
         revision = io.context.catalog.load().revision.0;
         "sent to an instance"
@@ -43,26 +45,24 @@
 }
 
 /// The request waits, because no instance qualifies.
-pub fn held(request: &Request, login: &Login, reason: &'static str, io: &Io) {
-    let evidence = io.context.evidence_age(&login.group, io.now);
+pub fn held(request: &Request, login: &Login, io: &Io) {
     log::info!(
         event = "held",
         id = id_of(Some(request)),
         tenant = login.parameters.tenant.as_str(),
         group = login.group.as_str(),
-        reason = reason,
-        evidence_age_ms = evidence.map(milliseconds),
+        reason = "no gateway or instance is known",
         revision = io.context.catalog.load().revision.0;
         "waits for an instance"
     );
 }
 
 /// The request goes out again after a refusal inside the proxy.
-pub fn retried(request: &Request, instance: Option<&str>, refusal: &Refusal, io: &Io) {
+pub fn retried(request: &Request, refusal: &Refusal, io: &Io) {
     log::info!(
         event = "retried",
         id = id_of(Some(request)),
-        instance = instance,
+        instance = refusal.instance.as_ref().map(InstanceName::as_str),
         code = refusal.code.to_string().as_str(),
         detail = refusal.detail.as_str(),
         after_ms = milliseconds(io.now.saturating_duration_since(request.arrived));
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -4,7 +4,6 @@
 pub mod counting;
 pub mod current_position;
 pub mod decisions;
-pub mod primary_questions;
 pub mod session;
 pub mod target;
 
@@ -29,7 +28,6 @@
 use crate::net::connection::{Connection, ReadOutcome};
 
 use self::current_position::{CurrentPositions, QuestionNumber};
-use self::primary_questions::PrimaryQuestions;
 use self::session::{Session, SessionEnd};
 use self::target::Subscriptions;
 
@@ -60,7 +58,6 @@
     subscriptions: Subscriptions,
     classes: Classes,
     positions: CurrentPositions,
-    questions: PrimaryQuestions,
 }
 
 impl Front {
@@ -75,7 +72,6 @@
             subscriptions: Subscriptions::default(),
             classes: Classes::default(),
             positions: CurrentPositions::default(),
-            questions: PrimaryQuestions::default(),
         }
     }
 
@@ -136,13 +132,6 @@
             ToFront::CurrentPosition { group, number, position } => {
                 return self.on_current_position(&group, QuestionNumber(number), position, io);
             }
-            ToFront::Standing { group, instance, number, standing } => {
-                let standing = standing.as_ref();
-                if self.questions.on_answer(&group, &instance, number, standing, io) {
-                    self.advance_waiting_for_evidence(&group, io);
-                }
-                return;
-            }
             ToFront::Statuses { .. } => return,
         };
         // A lease that has ended has no entry: its late answers stop here.
@@ -180,15 +169,6 @@
         }
     }
 
-    /// Lets the sessions go on that wait for evidence of a group's primary.
-    fn advance_waiting_for_evidence(&mut self, group: &GroupName, io: &mut Io) {
-        let waits = |(_, session): &(usize, &Session)| session.waits_for_evidence(group);
-        let waiting: Vec<usize> = self.sessions.iter().filter(waits).map(|(key, _)| key).collect();
-        for key in waiting {
-            self.advance(key, io);
-        }
-    }
-
     /// An exchange could not be handed to the node that owns its instance.
     pub fn on_unsent(&mut self, exchange: &Exchange, io: &mut Io) {
         let Some(&key) = self.leases.get(&exchange.lease) else { return };
@@ -265,9 +245,6 @@
             io,
         );
         self.next_serial += 1;
-        if let Some(group) = session.question() {
-            self.questions.ask(&group, io);
-        }
         for ended in session.ended_leases.drain(..) {
             self.leases.remove(&ended);
         }
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -13,7 +13,7 @@
 
 use kestrellock_core::catalog::Revision;
 use kestrellock_core::exchange_state::{Effect, Stake};
-use kestrellock_core::ids::{GroupName, InstanceName, LeaseId};
+use kestrellock_core::ids::{InstanceName, LeaseId};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::Position;
 use kestrellock_core::primary_evidence::TransactionWrites;
@@ -106,12 +106,8 @@
     passed_over: Option<InstanceName>,
     /// Waits of the request under way before it goes out again.
     resending: Backoff,
-    /// Whether the request waits for evidence that its group's primary still leads.
-    needs_evidence: bool,
     /// Whether the log tells that the request waits.
     held: bool,
-    /// When the exchange under way was sent.
-    sent_at: Instant,
 }
 
 impl Session {
@@ -145,9 +141,7 @@
             group_changed: false,
             passed_over: None,
             resending: retrying::RESENDING,
-            needs_evidence: false,
             held: false,
-            sent_at: now,
         }
     }
 
@@ -167,18 +161,6 @@
         self.login.is_some()
     }
 
-    /// Whether its request waits for evidence of the primary of `group`.
-    pub fn waits_for_evidence(&self, group: &GroupName) -> bool {
-        let same = self.login.as_ref().is_some_and(|login| login.group == *group);
-        same && self.needs_evidence && self.request.is_some()
-    }
-
-    /// The group whose primary must be asked about, if the request waits for that.
-    pub fn question(&self) -> Option<GroupName> {
-        let waits = self.needs_evidence && self.request.is_some();
-        waits.then(|| self.login.as_ref().map(|login| login.group.clone())).flatten()
-    }
-
     /// Whether the session has something to do on a tick.
     pub fn needs_tick(&self, now: Instant) -> bool {
         if self.parting_since.is_some() {
--- a/crates/daemon/src/front/session/keys.rs
+++ b/crates/daemon/src/front/session/keys.rs
@@ -107,12 +107,12 @@
 
     /// Takes in the end of an answer.
     pub(super) fn on_done(&mut self, event: LeaseEvent, io: &mut Io) {
-        let (Some(keyed), LeaseEvent::Done { frames, transaction, confirmed }) =
+        let (Some(keyed), LeaseEvent::Done { frames, transaction, confirmed, instance }) =
             (&mut self.keys.keyed, &event)
         else {
             return self.end_lease(event, io);
         };
-        let (transaction, confirmed) = (*transaction, *confirmed);
+        let (transaction, confirmed, instance) = (*transaction, *confirmed, instance.clone());
         self.keys.parts.extend_from_slice(frames);
         let frames = self.keys.parts.split().freeze();
         let step = keyed.on_answer(&frames, transaction);
@@ -128,12 +128,14 @@
         match step {
             Step::Answer(frames) => {
                 self.keys.keyed = None;
-                self.end_lease(LeaseEvent::Done { frames, transaction, confirmed }, io);
+                let event = LeaseEvent::Done { frames, transaction, confirmed, instance };
+                self.end_lease(event, io);
             }
             Step::RollBack(frames) => {
                 self.keys.keyed = None;
                 let transaction = TransactionState::Idle;
-                self.end_lease(LeaseEvent::Done { frames, transaction, confirmed }, io);
+                let event = LeaseEvent::Done { frames, transaction, confirmed, instance };
+                self.end_lease(event, io);
             }
             Step::FindPrimary => {
                 let detail = "the instance is read-only";
--- a/crates/daemon/src/front/session/lease.rs
+++ b/crates/daemon/src/front/session/lease.rs
@@ -5,8 +5,7 @@
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::exchange_state::Fault;
-use kestrellock_core::ids::{LeaseId, NodeName};
-use kestrellock_core::position::Position;
+use kestrellock_core::ids::{InstanceName, LeaseId, NodeName};
 use kestrellock_core::session_state::Effect;
 use kestrellock_peer::message::{GatewayCall, LeaseEvent, ToGateway, TransactionState};
 use kestrellock_protocol::caller::Severity;
@@ -76,8 +75,8 @@
         self.held = false;
         match event {
             LeaseEvent::Part(_) | LeaseEvent::NotOwner { .. } => {}
-            LeaseEvent::Done { frames, transaction, confirmed } => {
-                self.note_commit(request.as_ref(), &frames, transaction, confirmed, io);
+            LeaseEvent::Done { frames, transaction, confirmed, .. } => {
+                self.note_writes(request.as_ref(), &frames, transaction, io);
                 if let Some(position) = confirmed {
                     self.raise_bound(position);
                 }
@@ -113,7 +112,12 @@
 
     /// Tells in the log how the request ended.
     fn tell_end(&self, event: &LeaseEvent, request: Option<&Request>, io: &Io) {
-        let instance = self.lease.as_ref().map(|lease| lease.target.instance.as_str());
+        let instance = match event {
+            LeaseEvent::Done { instance, .. } => Some(instance),
+            LeaseEvent::Refused(refusal) => refusal.instance.as_ref(),
+            LeaseEvent::Part(_) | LeaseEvent::NotOwner { .. } => None,
+        };
+        let instance = instance.map(InstanceName::as_str);
         match (event, request, &self.login) {
             (LeaseEvent::Refused(refusal), request, login) => {
                 decisions::refused(request, login.as_ref(), instance, refusal, io);
@@ -125,28 +129,24 @@
         }
     }
 
-    /// A commit that wrote and that its primary answered shows that no other one leads.
-    fn note_commit(
+    /// Remembers whether the open transaction has written, where commits that wrote are evidence.
+    fn note_writes(
         &mut self,
         request: Option<&Request>,
         answer: &Bytes,
         transaction: TransactionState,
-        confirmed: Option<Position>,
         io: &Io,
     ) {
         if !io.context.protocol.traits().positions_in_answers {
             return;
         }
-        let (Some(request), Some(login)) = (request, &self.login) else { return };
+        let Some(request) = request else { return };
         let class = request.class();
         // Other answers may be long, and whether they failed does not matter here.
         let failed = matches!(class, StatementClass::Write | StatementClass::Commit)
             && self.protocol.exchange_end(answer, transaction).failed;
         let open = transaction != TransactionState::Idle;
-        let wrote = self.writes.on_answer(class, failed, open);
-        if let Some(position) = confirmed.filter(|_| wrote) {
-            io.context.statuses.on_commit(&login.group, position.term, self.sent_at);
-        }
+        self.writes.on_answer(class, failed, open);
     }
 
     /// Lets the session's state follow an exchange that its back end has answered.
--- a/crates/daemon/src/front/session/retrying.rs
+++ b/crates/daemon/src/front/session/retrying.rs
@@ -57,7 +57,12 @@
     pub(super) fn on_not_owner(&mut self, owner: Option<NodeName>, io: &mut Io) {
         let at_once = owner.is_some() && !self.referred;
         if let Some(lease) = &self.lease {
-            io.context.detours.set_referral(&lease.target.instance, owner, io.now);
+            let detours = &io.context.detours;
+            match &lease.target.instance {
+                Some(instance) => detours.set_referral(instance, owner, io.now),
+                // Another owner of the group may do better.
+                None => detours.add_unreachable(&lease.target.gateway, io.now),
+            }
         }
         let refusal = Refusal::new(ResultCode::NotOwner, "the gateway does not own the instance");
         self.on_refused(refusal, io);
@@ -78,12 +83,11 @@
         let again = may_go_out_again(self.stake, refusal.code) || unfinished_read || unsafe_resend;
         match &mut self.request {
             Some(request) if again && !self.answer_begun && io.now < request.deadline => {
-                let instance = self.lease.as_ref().map(|lease| lease.target.instance.as_str());
-                decisions::retried(request, instance, &refusal, io);
+                decisions::retried(request, &refusal, io);
                 request.sent = false;
                 let wait = self.resending.on_failure(rand::random());
                 self.hold_until = Some(io.now + refusal.retry_after.unwrap_or(wait));
-                self.passed_over = self.lease.as_ref().map(|lease| lease.target.instance.clone());
+                self.passed_over = refusal.instance;
                 self.drop_lease();
             }
             // Sent back for the last time: what the caller waited for in vain is a primary.
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -1,16 +1,18 @@
 //! Sends the kept request to a gateway: what access it needs, which instance it goes to, and the
 //! exchange that carries it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kestrellock_core::catalog::{Consistency, Template};
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::exchange_state::{Fault, Progress, failure_code};
 use kestrellock_core::holding::held_until;
-use kestrellock_core::ids::LeaseId;
+use kestrellock_core::ids::{InstanceName, LeaseId};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::routing::Access;
-use kestrellock_peer::message::{Exchange, GatewayCall, ToGateway, TransactionState};
+use kestrellock_peer::message::{
+    Exchange, GatewayCall, Placement, PlacementNeed, ToGateway, TransactionState,
+};
 use kestrellock_protocol::login::Login;
 use kestrellock_protocol::request::Request;
 
@@ -20,7 +22,7 @@
 use crate::front::GATEWAY_GRACE;
 use crate::front::baseline::routed_as;
 use crate::front::decisions;
-use crate::front::target::{self, Found, Need};
+use crate::front::target;
 use crate::gateway::running::stake_of;
 
 impl Session {
@@ -77,18 +79,10 @@
             self.last_write = Some(io.now);
         }
         if self.lease.is_none() {
-            let mut routed = routed_as(access.clone(), io.context.policy, self.last_write, io.now);
-            let need = Need {
-                arrived: request.arrived,
-                staleness: staleness_of(request.class(), &login.parameters.values),
-                passed_over: self.passed_over.as_ref(),
-            };
-            let found = target::find(&login.group, &mut routed, need, io);
-            self.needs_evidence = found == Found::NeedsEvidence;
-            let Found::Target(target) = found else {
-                if !self.held {
-                    self.held = true;
-                    decisions::held(request, login, reason_of(&found), io);
+            let routed = routed_as(access.clone(), io.context.policy, self.last_write, io.now);
+            let Some(target) = target::find(&login.group, &routed, io) else {
+                if !std::mem::replace(&mut self.held, true) {
+                    decisions::held(request, login, io);
                 }
                 return;
             };
@@ -101,13 +95,16 @@
             self.lease = Some(Lease { id, target, read_only, next_exchange: 0, next_sequence: 0 });
         }
         let Some(lease) = &mut self.lease else { return };
+        let (instance, passed_over) = (lease.target.instance.as_ref(), self.passed_over.as_ref());
+        let placement = placement_of(request, instance, passed_over, &login.parameters.values, io);
         lease.read_only &= !writes;
         let open = self.transaction != TransactionState::Idle;
         let values = &login.parameters.values;
         let exchange = Exchange {
             lease: lease.id.clone(),
             number: lease.next_exchange,
-            instance: lease.target.instance.clone(),
+            request: request.id.clone(),
+            placement,
             tenant: login.parameters.tenant.clone(),
             access,
             priority: if writes { values.write_priority } else { values.read_priority },
@@ -120,6 +117,7 @@
             may_commit: writes
                 && request.executes
                 && self.keys.may_commit(request.class().may_commit(open)),
+            commits_write: request.executes && self.writes.would_commit(request.class()),
         };
         self.stake = stake_of(&exchange);
         self.answer_begun = false;
@@ -131,18 +129,27 @@
             call: GatewayCall::Exchange(Box::new(exchange)),
         };
         io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
-        self.sent_at = Instant::now();
         if let Some(request) = &mut self.request {
             request.sent = true;
         }
     }
 }
 
-/// Why a request waits.
-fn reason_of(found: &Found) -> &'static str {
-    match found {
-        Found::NeedsEvidence => "no evidence that the primary leads",
-        Found::Nowhere | Found::Target(_) => "no instance qualifies",
+/// Where the request is to run: at `instance`, or where the gateway chooses.
+fn placement_of(
+    request: &Request,
+    instance: Option<&InstanceName>,
+    passed_over: Option<&InstanceName>,
+    values: &Template,
+    io: &Io,
+) -> Placement {
+    match instance {
+        Some(instance) => Placement::Instance(instance.clone()),
+        None => Placement::Any(PlacementNeed {
+            waited: io.now.saturating_duration_since(request.arrived),
+            staleness: staleness_of(request.class(), values),
+            passed_over: passed_over.cloned(),
+        }),
     }
 }
 
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -153,8 +153,9 @@
 }
 
 fn acknowledge(commit: Commit, confirmed: Option<Position>, io: &mut Io) {
-    let Commit { lease, sequence, frames, transaction, .. } = commit;
-    notify(&lease, sequence, LeaseEvent::Done { frames, transaction, confirmed }, io);
+    let Commit { lease, sequence, frames, transaction, instance, .. } = commit;
+    let event = LeaseEvent::Done { frames, transaction, confirmed, instance };
+    notify(&lease, sequence, event, io);
 }
 
 fn refuse(commit: Commit, progress: Progress, fault: Fault, io: &mut Io) {
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -5,16 +5,24 @@
 
 use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
-use kestrellock_core::ids::GroupName;
+use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::outcome::ResultCode;
 use kestrellock_core::routing::has_reached;
-use kestrellock_peer::message::Exchange;
+use kestrellock_peer::message::{Exchange, Placement};
 
 use super::pool::{Assigned, Assignment, Pool};
 use super::server::{Server, Use};
 use super::{Gateway, notify_refused, ownership, refuse};
 use crate::event::Io;
 
+/// The instance that was chosen for an exchange, if one was.
+pub fn placed(exchange: &Exchange) -> Option<&InstanceName> {
+    match &exchange.placement {
+        Placement::Instance(instance) => Some(instance),
+        Placement::Any(_) => None,
+    }
+}
+
 impl Gateway {
     pub(super) fn on_exchange(
         &mut self,
@@ -42,7 +50,22 @@
             );
             return;
         }
-        let Some(instance) = group.instance(&exchange.instance) else {
+        if let Placement::Any(need) = &exchange.placement {
+            let need = need.clone();
+            return self.place(name, group, exchange, need, io);
+        }
+        self.offer(name, group, exchange, io);
+    }
+
+    /// Queues the first exchange of a lease for the instance that was chosen for it.
+    pub(super) fn offer(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        exchange: Exchange,
+        io: &mut Io,
+    ) {
+        let Some(instance) = placed(&exchange).and_then(|name| group.instance(name)) else {
             refuse(&exchange, ResultCode::NotOwner, "the gateway does not know the instance", io);
             return;
         };
--- a/crates/daemon/src/gateway/fencing.rs
+++ b/crates/daemon/src/gateway/fencing.rs
@@ -9,6 +9,7 @@
 use kestrellock_core::routing::Role;
 use kestrellock_peer::message::{Exchange, LeaseEvent};
 
+use super::exchanges::placed;
 use super::server::Use;
 use super::{Gateway, GroupGateway, notify};
 use crate::event::Io;
@@ -35,7 +36,8 @@
             return self.refuses_write_at_replica(exchange, group, io);
         }
         let majority = group.majority();
-        if self.monitor.may_take_writes(&exchange.instance, majority, io.now) {
+        let instance = placed(exchange);
+        if instance.is_some_and(|one| self.monitor.may_take_writes(one, majority, io.now)) {
             return false;
         }
         put_back(exchange, "no majority follows the instance as primary", io);
@@ -50,7 +52,8 @@
         group: &Group,
         io: &mut Io,
     ) -> bool {
-        let announced = group.instance(&exchange.instance).and_then(|one| one.announced_role);
+        let instance = placed(exchange).and_then(|name| group.instance(name));
+        let announced = instance.and_then(|one| one.announced_role);
         let leads = announced == Some(Role::Primary);
         if !leads {
             put_back(exchange, "the instance is not the primary", io);
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -13,6 +13,7 @@
         for state in self.groups.values_mut() {
             state.pools.values_mut().for_each(|pool| pool.forget(lease));
             state.confirmations.forget(lease);
+            state.placements.forget(lease);
         }
         if let Some(&key) = self.leases.get(lease) {
             self.release(key, io);
@@ -37,6 +38,7 @@
         for state in self.groups.values_mut() {
             state.pools.values_mut().for_each(|pool| pool.forget_node(node));
             state.confirmations.forget_node(node);
+            state.placements.forget_node(node);
         }
         let orphans: Vec<usize> = self
             .leases
--- a/crates/daemon/src/gateway/losses.rs
+++ b/crates/daemon/src/gateway/losses.rs
@@ -26,7 +26,9 @@
                 if fault == Fault::BackendLost {
                     io.context.statuses.forget_evidence(&server.group);
                 }
-                state.standings.on_lost(&server.group, &server.instance, key, io);
+                if state.standings.on_ready(&server.instance, key, io) {
+                    state.questions.on_answer(None);
+                }
                 if let Some(reachability) = reachability {
                     let statuses = &io.context.statuses;
                     statuses.on_connection(&server.group, &server.instance, reachability);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,7 +11,10 @@
 mod losses;
 pub mod monitor;
 pub mod ownership;
+mod placements;
+mod placing;
 pub mod pool;
+mod primary_questions;
 mod probing;
 pub mod running;
 pub mod server;
@@ -36,9 +39,11 @@
 use self::confirmation::Confirmations;
 use self::current_position::CurrentPositions;
 use self::monitor::Monitor;
+use self::placements::Placements;
 use self::pool::{Pool, RefusedExchange};
+use self::primary_questions::PrimaryQuestions;
 use self::server::Server;
-use self::standings::{Asker, Standings};
+use self::standings::Standings;
 use self::succession::Succession;
 
 /// What one group needs on this shard.
@@ -48,6 +53,8 @@
     pools: HashMap<InstanceName, Pool>,
     confirmations: Confirmations,
     current_positions: CurrentPositions,
+    placements: Placements,
+    questions: PrimaryQuestions,
     standings: Standings,
     succession: Succession,
 }
@@ -87,7 +94,8 @@
     pub fn is_drained(&self, quiet: Duration) -> bool {
         let is_quiet = self.last_forwarded.is_none_or(|last| last.elapsed() >= quiet);
         let is_waiting = |state: &GroupGateway| {
-            state.confirmations.is_waiting() || state.pools.values().any(|pool| pool.waiting() > 0)
+            let held = state.confirmations.is_waiting() || state.placements.is_waiting();
+            held || state.pools.values().any(|pool| pool.waiting() > 0)
         };
         is_quiet && self.leases.is_empty() && !self.groups.values().any(is_waiting)
     }
@@ -122,11 +130,6 @@
                 state.current_positions.ask(message.from, shard, number, first_probe, io.now);
                 self.probe(&message.group, group, io);
             }
-            GatewayCall::Standing { shard, number, instance } => {
-                let asker = Asker { node: message.from, shard, number };
-                self.group_state(&message.group, io.now).standings.ask(&instance, asker);
-                self.ask_standings(&message.group, io);
-            }
             GatewayCall::Subscribe => {
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
@@ -140,6 +143,8 @@
             pools: HashMap::new(),
             confirmations: Confirmations::default(),
             current_positions: CurrentPositions::default(),
+            placements: Placements::default(),
+            questions: PrimaryQuestions::default(),
             standings: Standings::default(),
             succession: Succession::default(),
         })
@@ -148,6 +153,7 @@
     fn pump_group(&mut self, name: &GroupName, io: &mut Io) {
         let catalog = io.context.catalog.load();
         if let Some(group) = catalog.groups.get(name) {
+            self.retry_placements(name, group, io);
             self.pump(name, group, io);
             self.probe(name, group, io);
         }
--- /dev/null
+++ b/crates/daemon/src/gateway/placing.rs
@@ -0,0 +1,140 @@
+//! Which instance of a group runs a statement, by what answers told this node of the group.
+
+use std::time::{Duration, Instant};
+
+use kestrellock_core::catalog::{Group, Instance};
+use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::position::Position;
+use kestrellock_core::reader_choice::{self, Reader};
+use kestrellock_core::routing::{Access, Role};
+
+use crate::event::Io;
+use crate::shared::statuses::{AnswerRecord, GroupStatuses};
+
+/// Where an exchange may go now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// To this instance.
+    Instance(InstanceName),
+    /// Nowhere yet: no instance qualifies.
+    Nowhere,
+    /// To the primary, once there is evidence that it still leads.
+    NeedsEvidence,
+}
+
+/// What a request needs of the instance that runs it.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// When it arrived.
+    pub arrived: Instant,
+    /// How old what it reads may be; `None` if it reads nothing.
+    pub staleness: Option<Duration>,
+    /// An instance that could not run it a moment ago.
+    pub passed_over: Option<&'a InstanceName>,
+}
+
+/// Chooses the instance for `access`. The position that a read needs is joined into the bound of
+/// `access`, since the instance itself checks it.
+pub fn find(
+    group: &GroupName,
+    configured: &Group,
+    access: &mut Access,
+    need: Need,
+    io: &Io,
+) -> Found {
+    let board = io.context.statuses.group(group);
+    let known = board.read().expect("a holder of the status lock panicked");
+    let primary = io.context.leader(group, configured);
+    let synchronous = configured.synchronous_replicas;
+    let covered = primary.and_then(|primary| {
+        known.covered_until(&primary.name, configured.replication(), io.context.evidence_life())
+    });
+    // What must be covered: a clock that has not run so long covers everything.
+    let moment = |staleness| need.arrived.checked_sub(staleness).unwrap_or(need.arrived);
+    let chosen = match access {
+        Access::Read { bound, max_staleness } => {
+            let moment = moment(*max_staleness);
+            let at_primary = covered.is_some_and(|covered| moment <= covered);
+            let covering = covered.and_then(|covered| known.primary.covering(moment, covered));
+            let same_term = known.primary.term() == known.evidence.term();
+            let covering = covering.filter(|_| same_term);
+            if !at_primary && covering.is_none() {
+                return Found::NeedsEvidence;
+            }
+            if let Some(covering) = covering {
+                *bound = Some(bound.map_or(covering, |bound| bound.join(covering)));
+            }
+            let primary = primary.map(|primary| &primary.name);
+            let qualifies =
+                Qualifies { primary: primary.filter(|_| at_primary), replicas: covering.is_some() };
+            choose_reader(configured, &known, bound, qualifies, need.passed_over, io)
+        }
+        Access::PrimaryRead { .. } | Access::Write { .. } => {
+            // While the primary is being replaced nothing new goes to it.
+            let intents = io.context.intents.load();
+            let former = intents.get(group).map(|intent| intent.former.as_ref());
+            if former.is_some_and(|former| former == primary.map(|primary| &primary.name)) {
+                return Found::Nowhere;
+            }
+            // Without synchronous replicas an old primary goes on committing.
+            let alone = (synchronous == 0).then_some(Duration::ZERO);
+            let staleness = need.staleness.or(alone);
+            let uncovered = staleness
+                .is_some_and(|staleness| covered.is_none_or(|covered| moment(staleness) > covered));
+            if primary.is_some() && uncovered {
+                return Found::NeedsEvidence;
+            }
+            primary
+        }
+    };
+    let Some(instance) = chosen else { return Found::Nowhere };
+    io.context.metrics.count_route(access, instance.announced_role);
+    Found::Instance(instance.name.clone())
+}
+
+/// Which instances may serve a read.
+#[derive(Clone, Copy, Debug)]
+struct Qualifies<'a> {
+    /// The primary, if it may.
+    primary: Option<&'a InstanceName>,
+    /// Whether replicas may.
+    replicas: bool,
+}
+
+fn choose_reader<'a>(
+    configured: &'a Group,
+    known: &GroupStatuses,
+    position: &Option<Position>,
+    qualifies: Qualifies<'_>,
+    passed_over: Option<&InstanceName>,
+    io: &Io,
+) -> Option<&'a Instance> {
+    let may_serve = |instance: &&Instance| {
+        let is_replica = instance.announced_role == Some(Role::Replica);
+        let qualifies = match qualifies.primary == Some(&instance.name) {
+            true => true,
+            false => qualifies.replicas && is_replica,
+        };
+        qualifies && !instance.leaving && passed_over != Some(&instance.name)
+    };
+    let readers: Vec<Reader> = configured
+        .instances
+        .iter()
+        .filter(may_serve)
+        .map(|instance| {
+            let unknown = AnswerRecord::default();
+            let record = known.answers.get(&instance.name).unwrap_or(&unknown);
+            Reader {
+                instance: &instance.name,
+                is_local: instance.zone == io.context.identity.zone,
+                reached: record.reached.filter(|_| instance.announced_role == Some(Role::Replica)),
+                reached_for: record.reached_at.map(|at| io.now.saturating_duration_since(at)),
+                service: record.service,
+                running: record.running(),
+                slots: instance.slots,
+                in_doubt: record.in_doubt,
+            }
+        })
+        .collect();
+    configured.instance(reader_choice::choose(&readers, position.as_ref())?)
+}
--- a/crates/daemon/src/gateway/primary_questions.rs
+++ b/crates/daemon/src/gateway/primary_questions.rs
@@ -1,16 +1,14 @@
-//! Questions whether a group's primary still leads, for sessions that may not read there without
+//! The question whether a group's primary still leads, for statements that may not read there without
 //! evidence. One question a group is under way at a time.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::retry::{Backoff, Repetition};
 use kestrellock_core::routing::Role;
-use kestrellock_peer::message::{GatewayCall, InstanceStanding, ToGateway};
 
-use crate::event::{Io, Outgoing};
+use crate::event::Io;
 
 /// Time after which another instance is asked.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
@@ -22,74 +20,55 @@
 
 #[derive(Debug)]
 struct Question {
-    number: u64,
     asked: Instant,
     answered: bool,
     /// Time after its answer until the next one.
     pause: Duration,
+}
+
+/// Questions about one group's primary.
+#[derive(Debug)]
+pub struct PrimaryQuestions {
+    newest: Option<Question>,
     repetition: Repetition,
     /// Instances asked since one last answered, so that each gets its turn.
     tried: Vec<InstanceName>,
 }
 
-/// Questions of one front.
-#[derive(Debug, Default)]
-pub struct PrimaryQuestions {
-    groups: HashMap<GroupName, Question>,
-    next_number: u64,
+impl Default for PrimaryQuestions {
+    fn default() -> Self {
+        Self { newest: None, repetition: REPETITION, tried: Vec::new() }
+    }
 }
 
 impl PrimaryQuestions {
-    /// Asks for evidence of `name`'s primary, unless a question is under way that will do.
-    pub fn ask(&mut self, name: &GroupName, io: &mut Io) {
-        let catalog = io.context.catalog.load();
-        let Some(group) = catalog.groups.get(name) else { return };
-        if let Some(question) = self.groups.get(name) {
+    /// The instances to ask now for evidence of `name`'s primary; none while a question is under way
+    /// that will do.
+    pub fn instances_to_ask(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        io: &Io,
+    ) -> Vec<InstanceName> {
+        if let Some(question) = &self.newest {
             let limit = if question.answered { question.pause } else { ANSWER_LIMIT };
             if io.now < question.asked + limit {
-                return;
+                return Vec::new();
             }
         }
-        let last = self.groups.remove(name);
-        let mut repetition = last.as_ref().map_or(REPETITION, |last| last.repetition);
-        let pause = repetition.on_asked(io.now, rand::random());
-        let mut tried = last.map(|question| question.tried).unwrap_or_default();
-        let instances = choose(name, group, &mut tried, io);
-        self.next_number += 1;
-        let number = self.next_number;
-        // Later than any request that waits for it arrived.
-        let asked = Instant::now();
-        let question = Question { number, asked, answered: false, pause, repetition, tried };
-        self.groups.insert(name.clone(), question);
-        for instance in instances {
-            let Some(node) = io.context.gateway_of(&instance, io.now) else { continue };
-            let call = GatewayCall::Standing { shard: io.shard, number, instance };
-            let from = io.context.identity.node.clone();
-            let message = ToGateway { from, group: name.clone(), call };
-            io.outbox.push_back(Outgoing::Gateway { node, message });
-        }
+        let pause = self.repetition.on_asked(io.now, rand::random());
+        self.newest = Some(Question { asked: Instant::now(), answered: false, pause });
+        choose(name, group, &mut self.tried, io)
     }
 
-    /// Takes an answer in. Whether sessions that wait may have another look.
-    pub fn on_answer(
-        &mut self,
-        name: &GroupName,
-        instance: &InstanceName,
-        number: u64,
-        standing: Option<&InstanceStanding>,
-        io: &Io,
-    ) -> bool {
-        let Some(question) = self.groups.get_mut(name) else { return false };
-        if question.number != number {
-            return false;
+    /// An instance said that it has this role; `None` if it could not be asked.
+    pub fn on_answer(&mut self, role: Option<Role>) {
+        if let Some(question) = &mut self.newest {
+            question.answered = true;
         }
-        question.answered = true;
-        let Some(standing) = standing else { return false };
-        if standing.role == Role::Replica {
-            question.tried.clear();
+        if role == Some(Role::Replica) {
+            self.tried.clear();
         }
-        io.context.statuses.on_standing(name, instance, standing, question.asked);
-        true
     }
 }
 
--- a/crates/daemon/src/gateway/probing.rs
+++ b/crates/daemon/src/gateway/probing.rs
@@ -36,7 +36,7 @@
                         let number = state.confirmations.next_probe();
                         state.monitor.on_asked(&instance.name, number);
                         io.context.metrics.probes.count(ProbeEvent::Sent);
-                        server.ask_position(number, io);
+                        server.ask_position(number);
                         // A broken connection shows as readable and is handled there.
                         let _ = server.flush(io);
                     }
--- a/crates/daemon/src/gateway/running.rs
+++ b/crates/daemon/src/gateway/running.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use kestrellock_core::exchange_state::{Effect, Fault, Progress, Stake, failure_code};
-use kestrellock_core::ids::LeaseId;
+use kestrellock_core::ids::{InstanceName, LeaseId};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::routing::{Access, Role};
@@ -67,6 +67,8 @@
     /// Whether parts of the answer have been passed on.
     pub passed_on: bool,
     asks_position: bool,
+    /// Whether it commits something that wrote, if it succeeds.
+    commits_write: bool,
     /// Position that the answer told.
     told: Option<Position>,
     ready_left: u32,
@@ -90,6 +92,7 @@
             answer: BytesMut::new(),
             passed_on: false,
             asks_position,
+            commits_write: exchange.commits_write,
             told: None,
             ready_left: exchange.ready_expected,
             position: PositionAnswer::NotDue,
@@ -99,6 +102,12 @@
         }
     }
 
+    /// Position after a commit that wrote, if the answer shows one.
+    pub fn shown_commit(&self) -> Option<Position> {
+        let succeeded = self.refused_for.is_none() && self.transaction == TransactionState::Idle;
+        self.told.filter(|_| self.commits_write && succeeded)
+    }
+
     /// Whether something may have committed, by the answer so far.
     pub fn has_committed(&self) -> bool {
         self.has_committed
@@ -191,17 +200,18 @@
 
     /// The answer to give when nothing waits for confirmation. Where the instance has not run the
     /// first exchange of a lease, it becomes a code on which the front looks for another one.
-    pub fn final_event(&mut self) -> LeaseEvent {
+    pub fn final_event(&mut self, instance: &InstanceName) -> LeaseEvent {
         let starts = !self.stake.continues_transaction && !self.has_committed && !self.passed_on;
         let idle = self.transaction == TransactionState::Idle;
         if starts
             && idle
             && let Some(refusal) = self.not_run()
         {
-            return LeaseEvent::Refused(refusal);
+            return LeaseEvent::Refused(refusal.at(instance));
         }
         let frames = self.take_answer();
-        LeaseEvent::Done { frames, transaction: self.transaction, confirmed: None }
+        let (transaction, instance) = (self.transaction, instance.clone());
+        LeaseEvent::Done { frames, transaction, confirmed: None, instance }
     }
 
     /// The refusal that says why the instance has not run the exchange, if it has not.
@@ -232,10 +242,10 @@
 
     /// What the caller is told now that the connection cannot be used any more; `unsent` is the
     /// number of bytes at the end of the exchange that the kernel has not taken.
-    pub fn failure(&mut self, fault: Fault, unsent: usize) -> LeaseEvent {
+    pub fn failure(&mut self, fault: Fault, unsent: usize, instance: &InstanceName) -> LeaseEvent {
         let idle = self.transaction == TransactionState::Idle;
         if self.is_answered() && !self.has_committed && idle {
-            return self.final_event();
+            return self.final_event(instance);
         }
         let progress = if unsent >= self.bytes {
             Progress::Queued
@@ -250,7 +260,7 @@
             false => self.stake,
         };
         let code = failure_code(stake, progress, fault);
-        LeaseEvent::Refused(Refusal::new(code, detail_of(fault)))
+        LeaseEvent::Refused(Refusal::new(code, detail_of(fault)).at(instance))
     }
 }
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -297,9 +297,10 @@
     }
 
     /// Asks the instance for its position.
-    pub fn ask_position(&mut self, number: ProbeNumber, io: &mut Io) {
+    pub fn ask_position(&mut self, number: ProbeNumber) {
         self.protocol.put_position_query(&mut self.connection.output);
-        self.state = State::Probing { number, asked: io.now, report: None };
+        // Later than any request that waits for the answer arrived.
+        self.state = State::Probing { number, asked: Instant::now(), report: None };
     }
 
     /// Rolls the transaction of an abandoned lease back so that the connection can be used again;
@@ -477,7 +478,7 @@
                 transaction: running.transaction,
             }));
         } else {
-            let event = running.final_event();
+            let event = running.final_event(&self.instance);
             notify(&running.lease, sequence, event, io);
         }
         if running.transaction == TransactionState::Idle {
@@ -502,6 +503,9 @@
         };
         let number = self.waiting_number;
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
+        if let Some(position) = running.shown_commit() {
+            io.context.statuses.on_commit(&self.group, position.term, running.sent);
+        }
     }
 
     /// Passes a large answer on before its end; a write's answer is kept whole until confirmed.
@@ -528,7 +532,7 @@
                 io.context.statuses.on_ended(&self.group, &self.instance, number, None);
             }
             let unsent = self.connection.output.len();
-            let event = running.failure(fault, unsent);
+            let event = running.failure(fault, unsent, &self.instance);
             notify(&running.lease, self.next_sequence, event, io);
         }
         self.lease.take()
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -45,10 +45,13 @@
             }
             ServerEvent::Probed(answer) if server.purpose == Use::Pooled => {
                 state.standings.on_answer(&group, &instance, &answer, io);
-                return;
+                state.questions.on_answer(Some(answer.report.role));
+                return self.retry_placements(&group, configured, io);
             }
             ServerEvent::Ready if server.purpose == Use::Pooled => {
-                state.standings.on_ready(&group, &instance, key, io);
+                if state.standings.on_ready(&instance, key, io) {
+                    state.questions.on_answer(None);
+                }
                 if let Some(pool) = state.pools.get_mut(&instance) {
                     pool.on_idle(key, io.now);
                 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use kestrellock_core::outcome::ResultCode;
+use kestrellock_core::routing::{Access, Role};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -292,6 +293,16 @@
         self.codes.count(code);
     }
 
+    /// Counts an exchange for which an instance of that role was chosen.
+    pub fn count_route(&self, access: &Access, role: Option<Role>) {
+        self.routes.count(match (access, role) {
+            (Access::Write { .. }, _) => Route::PrimaryWrite,
+            (Access::PrimaryRead { .. }, _) => Route::PrimaryRead,
+            (Access::Read { .. }, Some(Role::Primary)) => Route::PrimaryRead,
+            (Access::Read { .. }, _) => Route::Replica,
+        });
+    }
+
     /// Counts a statement and the time it took.
     pub fn count_statement(&self, result: StatementResult, took: Duration) {
         self.statements.count(result);
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::sync::ShardedLock;
-use kestrellock_core::catalog::{Elector, IndexedCatalog, Instance};
-use kestrellock_core::connection_shares::{Arrangement, Share, YOUNG_FOR, arrange, sharers};
-use kestrellock_core::ids::{InstanceName, NodeName};
+use kestrellock_core::catalog::{Elector, Group, IndexedCatalog};
+use kestrellock_core::connection_shares::{Share, YOUNG_FOR, owner_count, share, sharers};
+use kestrellock_core::group_owners;
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
 
 use crate::shared::live::{LiveNode, Shared};
@@ -29,7 +30,9 @@
     /// Nodes that the machine list named while this node was young; `None` afterwards.
     listed: Option<usize>,
     table: OwnershipTable,
-    /// Connections that this node may hold to each instance that every node holds some to.
+    /// Owners of the groups that have several.
+    group_owners: HashMap<GroupName, Vec<Candidate>>,
+    /// Connections that this node may hold to each instance of those that it owns.
     shares: HashMap<InstanceName, Share>,
     /// This node, where it was told.
     own: Option<Ownership>,
@@ -44,7 +47,12 @@
         }
     }
 
-    /// Connections that this node may hold to an instance that every node holds some to.
+    /// The owners of a group that has several.
+    pub fn owners_of(&self, group: &GroupName) -> &[Candidate] {
+        self.group_owners.get(group).map(Vec::as_slice).unwrap_or_default()
+    }
+
+    /// Connections that this node may hold to an instance whose group has several owners.
     pub fn share(&self, instance: &InstanceName) -> Option<Share> {
         self.shares.get(instance).copied()
     }
@@ -72,21 +80,40 @@
 }
 
 impl Sources<'_> {
-    /// This node's share of each instance's connections, where every node has one: groups whose
-    /// primary the proxy replaces come from a platform that tells limits for all nodes together.
-    fn shares(&self) -> HashMap<InstanceName, Share> {
+    /// Owners of the groups that have several: those whose primary the proxy replaces come from a
+    /// platform that tells limits for all nodes together.
+    fn group_owners(&self) -> HashMap<GroupName, Vec<Candidate>> {
         let nodes = sharers(self.live.len(), self.listed.unwrap_or(0), self.listed.is_some());
-        let groups = self.catalog.groups.values();
-        let shared = groups.filter(|group| group.elector == Elector::Proxy);
-        let instances = shared.flat_map(|group| &group.instances);
-        let share = |instance: &Instance| match arrange(instance.connections, nodes) {
-            Arrangement::Shared(share) => {
-                let share = if self.listed.is_some() { share.of_a_young_node() } else { share };
-                Some((instance.name.clone(), share))
-            }
-            Arrangement::Owned => None,
-        };
-        instances.filter_map(share).collect()
+        let candidates = self.candidates();
+        let owned = self.catalog.groups.iter().filter(|(_, group)| group.elector == Elector::Proxy);
+        let owners = owned.map(|(name, group)| {
+            let count = owner_count(fewest_connections(group), nodes);
+            let owners = group_owners::owners(name, candidates.iter().copied(), count);
+            (name.clone(), owners.into_iter().cloned().collect())
+        });
+        owners.collect()
+    }
+
+    /// This node's share of the connections to each instance of the groups that it owns.
+    fn shares(
+        &self,
+        group_owners: &HashMap<GroupName, Vec<Candidate>>,
+    ) -> HashMap<InstanceName, Share> {
+        let nodes = sharers(self.live.len(), self.listed.unwrap_or(0), self.listed.is_some());
+        let own = |owners: &Vec<Candidate>| owners.iter().any(|owner| owner.node == *self.own);
+        let owned = group_owners.iter().filter(|(_, owners)| own(owners));
+        let groups = owned.filter_map(|(name, _)| self.catalog.groups.get(name));
+        let shares = groups.flat_map(|group| {
+            let count = owner_count(fewest_connections(group), nodes);
+            group.instances.iter().map(move |instance| (instance, count))
+        });
+        let young = self.listed.is_some();
+        let shares = shares.map(|(instance, count)| {
+            let share = share(instance.connections, count);
+            let share = if young { share.of_a_young_node() } else { share };
+            (instance.name.clone(), share)
+        });
+        shares.collect()
     }
 
     /// Nodes that may own instances: those that accept work, or all if none does, because
@@ -103,6 +130,11 @@
     }
 }
 
+/// Connections that the instance of the group accepts that accepts the fewest.
+fn fewest_connections(group: &Group) -> u32 {
+    group.instances.iter().map(|instance| instance.connections).min().unwrap_or_default()
+}
+
 /// The newest snapshot, brought up to date by whoever first asks after a change.
 #[derive(Debug)]
 pub struct Ownerships {
@@ -158,16 +190,26 @@
             return newest.clone();
         }
         let mut table = newest.table.clone();
-        let shares = sources.shares();
-        let instances = sources.catalog.groups.values().flat_map(|group| &group.instances);
-        let owned = instances.filter(|instance| !shares.contains_key(&instance.name));
-        let placed = owned.map(|instance| (&instance.name, &instance.zone));
+        let group_owners = sources.group_owners();
+        let shares = sources.shares(&group_owners);
+        let single = sources.catalog.groups.iter();
+        let single = single.filter(|(name, _)| !group_owners.contains_key(*name));
+        let instances = single.flat_map(|(_, group)| &group.instances);
+        let placed = instances.map(|instance| (&instance.name, &instance.zone));
         table.update(sources.candidates(), placed);
         let without = sources.without.cloned();
         let own = Some(Ownership { owner: sources.own.clone(), standby: None });
         let Sources { live, catalog, listed, .. } = sources;
-        *newest =
-            Arc::new(OwnershipSnapshot { live, catalog, without, listed, table, shares, own });
+        *newest = Arc::new(OwnershipSnapshot {
+            live,
+            catalog,
+            without,
+            listed,
+            table,
+            group_owners,
+            shares,
+            own,
+        });
         newest.clone()
     }
 }
@@ -234,4 +276,24 @@
         let candidates = candidates.into_iter().chain([known.standby.as_ref()]).flatten();
         candidates.into_iter().find(|node| reachable(node)).unwrap_or(&known.owner).clone()
     }
+
+    /// One of `owners` to send to from `zone`: one of the zone that can be reached, else any that can
+    /// be, else any. `random` spreads the work.
+    pub fn choose_among<'a>(
+        &self,
+        owners: &'a [Candidate],
+        zone: &ZoneName,
+        random: u64,
+        now: Instant,
+    ) -> Option<&'a NodeName> {
+        let entries = self.entries.read().expect(POISONED);
+        let distance = |owner: &Candidate| {
+            let avoided = entries.unreachable.get(&owner.node).is_some_and(|until| *until > now);
+            (avoided, owner.zone != *zone)
+        };
+        let nearest = owners.iter().map(distance).min()?;
+        let nearest: Vec<&Candidate> =
+            owners.iter().filter(|owner| distance(owner) == nearest).collect();
+        Some(&nearest[(random % nearest.len() as u64) as usize].node)
+    }
 }
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::promotion::Intent;
 use kestrellock_core::routing::{InstanceStatus, Role};
 use kestrellock_core::suspicion::{GivenUpRequests, Signs};
-use kestrellock_peer::message::InstanceStanding;
+use kestrellock_protocol::backend::Report;
 
 /// Newest status of every instance this node has heard of, a lock for each group.
 #[derive(Debug, Default)]
@@ -282,15 +282,16 @@
         &self,
         group: &GroupName,
         instance: &InstanceName,
-        standing: &InstanceStanding,
+        report: &Report,
         asked: Instant,
     ) {
-        let following = Following { term: standing.term, held: standing.held };
-        self.with_group(group, |known| match standing.role {
+        let term = report.flushed.term;
+        let following = Following { term, held: report.held };
+        self.with_group(group, |known| match report.role {
             Role::Replica => known.evidence.on_replica(instance, following, asked),
             Role::Primary => {
                 let record = known.answers.entry(instance.clone()).or_default();
-                record.term = record.term.max(Some(standing.term));
+                record.term = record.term.max(Some(term));
             }
         });
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,14 +7,14 @@
 use kestrellock_core::catalog::{CatalogDelta, Priority, Revision};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
-use kestrellock_core::position::{Position, Term};
+use kestrellock_core::position::Position;
 use kestrellock_core::promotion::ReplacementId;
-use kestrellock_core::routing::{Access, InstanceStatus, Role};
+use kestrellock_core::routing::{Access, InstanceStatus};
 use kestrellock_core::session_state::SessionSetting;
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol between nodes; a peer with another one is refused.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// A prepared statement that an exchange refers to under a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +25,27 @@
     pub parse: Bytes,
 }
 
+/// Which instance of its group runs an exchange.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Placement {
+    /// This one, which the front chose.
+    Instance(InstanceName),
+    /// Whichever the gateway chooses.
+    Any(PlacementNeed),
+}
+
+/// What the choice of an instance depends on, beside [`Exchange::access`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementNeed {
+    /// Time since the request arrived at the front. Nodes share no clock; the time under way is not
+    /// part of it, so the gateway takes the request for younger than it is, which asks for more.
+    pub waited: Duration,
+    /// How old what it reads may be; `None` if it reads nothing.
+    pub staleness: Option<Duration>,
+    /// An instance that could not run it a moment ago.
+    pub passed_over: Option<InstanceName>,
+}
+
 /// One round trip with a back end on behalf of a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exchange {
@@ -32,8 +53,10 @@
     pub lease: LeaseId,
     /// Number within the lease, from zero.
     pub number: u32,
-    /// Instance to run on.
-    pub instance: InstanceName,
+    /// The request's id, as far as the callers' protocol has one; for the log.
+    pub request: Option<String>,
+    /// Where to run it. Only the first exchange of a lease is placed; the others follow it.
+    pub placement: Placement,
     /// Tenant charged for it.
     pub tenant: TenantName,
     /// What it needs.
@@ -54,6 +77,9 @@
     pub ready_expected: u32,
     /// Whether the exchange may commit, so that its answer must wait for confirmation.
     pub may_commit: bool,
+    /// Whether it commits something that wrote, if it succeeds: where the primary answers commits only
+    /// after replicas have them, that shows that no other one leads.
+    pub commits_write: bool,
 }
 
 /// What a front asks of a gateway.
@@ -72,15 +98,6 @@
         /// Number of the question.
         number: u64,
     },
-    /// Ask an instance how it stands: whether it still follows its primary.
-    Standing {
-        /// Shard of the front that asks.
-        shard: u16,
-        /// Number of the question.
-        number: u64,
-        /// The instance.
-        instance: InstanceName,
-    },
     /// Send statuses of the group for the next [`SUBSCRIPTION_LIFETIME`].
     Subscribe,
 }
@@ -123,6 +140,8 @@
         transaction: TransactionState,
         /// Position that a confirmed write has reached; raises the session bound.
         confirmed: Option<Position>,
+        /// The instance that ran it.
+        instance: InstanceName,
     },
     /// The gateway does not own the instance and has not run the exchange; the lease is over.
     NotOwner {
@@ -133,19 +152,6 @@
     Refused(Refusal),
 }
 
-/// How an instance stands, by its own word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstanceStanding {
-    /// Its role.
-    pub role: Role,
-    /// Term that it follows or leads.
-    pub term: Term,
-    /// Position that its readers see.
-    pub applied: Position,
-    /// Term below which it receives nothing, if it has been stopped; zero otherwise.
-    pub held: Term,
-}
-
 /// From a gateway to a front.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToFront {
@@ -167,17 +173,6 @@
         /// The position.
         position: Position,
     },
-    /// The answer to [`GatewayCall::Standing`].
-    Standing {
-        /// The group.
-        group: GroupName,
-        /// The instance.
-        instance: InstanceName,
-        /// Number of the question.
-        number: u64,
-        /// What it said; `None` if it did not answer.
-        standing: Option<InstanceStanding>,
-    },
     /// Statuses of instances of one group, newest known to the sender.
     Statuses {
         /// The group.
