Votes against a primary are counted against its group's owners

Cause: only owners send a primary anything, so only they can suspect it; with 90 nodes before nine owners a majority of all nodes is never reached, and a dead primary would only be replaced once its entry had gone. Nodes that own nothing also asked a suspected primary over connections of their own.

Change: so many votes count as the group has owners by the nodes that live or are listed; only owners vote and ask.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -121,6 +121,11 @@
         self.instances.len() / 2 + 1
     }
 
+    /// Connections that the instance accepts that accepts the fewest.
+    pub fn fewest_connections(&self) -> u32 {
+        self.instances.iter().map(|instance| instance.connections).min().unwrap_or_default()
+    }
+
     /// How it replicates, by the instances that the platform tells now.
     pub fn replication(&self) -> Replication {
         Replication { synchronous: self.synchronous_replicas, instances: self.instances.len() }
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -5,6 +5,7 @@
 
 use super::{CoordinationView, NodeVotes, Reason};
 use crate::catalog::{Elector, Group, IndexedCatalog};
+use crate::connection_shares::owner_count;
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::suspicion::Votes;
 
@@ -138,7 +139,7 @@
     if primary.leaving {
         return need(Reason::Leaving, Some(primary.name.clone()));
     }
-    let votes = votes_against(name, &primary.name, history, evidence);
+    let votes = votes_against(name, group, &primary.name, history, evidence);
     match votes.suffice(now) {
         true => need(Reason::Suspected, Some(primary.name.clone())),
         false => None,
@@ -146,25 +147,28 @@
 }
 
 fn votes_against(
-    group: &GroupName,
+    name: &GroupName,
+    group: &Group,
     primary: &InstanceName,
     history: &mut History,
     evidence: &NeedsEvidence,
 ) -> Votes {
     let (own, own_votes) = evidence.own;
     let against = |votes: Option<&NodeVotes>| {
-        votes.and_then(|votes| votes.get(group)).is_some_and(|vote| vote.instance == *primary)
+        votes.and_then(|votes| votes.get(name)).is_some_and(|vote| vote.instance == *primary)
     };
     let others = evidence.live.iter().filter(|node| *node != own);
     let suspecting = others.filter(|node| against(evidence.view.votes.get(*node))).count()
         + usize::from(against(Some(own_votes)));
-    let live = evidence.live.len().max(evidence.listed.len()).max(1);
+    // Only owners send the primary anything, so only they can suspect it.
+    let nodes = evidence.live.len().max(evidence.listed.len());
+    let voters = owner_count(group.fewest_connections(), nodes);
     if evidence.listed.is_empty() {
         return Votes::default();
     }
-    history.third_since = match Votes::is_third(suspecting, live) {
+    history.third_since = match Votes::is_third(suspecting, voters) {
         true => history.third_since.or(Some(evidence.now)),
         false => None,
     };
-    Votes { suspecting, live, third_since: history.third_since }
+    Votes { suspecting, voters, third_since: history.third_since }
 }
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -117,8 +117,8 @@
 pub struct Votes {
     /// Nodes that suspect it.
     pub suspecting: usize,
-    /// Nodes that live.
-    pub live: usize,
+    /// Nodes that could.
+    pub voters: usize,
     /// Since when at least a third has suspected it without a break.
     pub third_since: Option<Instant>,
 }
@@ -126,13 +126,12 @@
 impl Votes {
     /// Whether the primary is to be replaced: most nodes suspect it, or a third has for a while.
     pub fn suffice(&self, now: Instant) -> bool {
-        let live = self.live.max(1);
-        let most = self.suspecting * 2 > live;
+        let most = self.suspecting * 2 > self.voters.max(1);
         most || self.third_since.is_some_and(|since| now >= since + LASTING)
     }
 
-    /// Whether at least a third of the nodes suspects it.
-    pub fn is_third(suspecting: usize, live: usize) -> bool {
-        suspecting > 0 && suspecting * 3 >= live.max(1)
+    /// Whether at least a third of those that could suspects it.
+    pub fn is_third(suspecting: usize, voters: usize) -> bool {
+        suspecting > 0 && suspecting * 3 >= voters.max(1)
     }
 }
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -211,7 +211,8 @@
     fn vote(&mut self, catalog: &IndexedCatalog, now: Instant) {
         let mut votes = NodeVotes::new();
         for (name, group) in &catalog.groups {
-            if group.elector != Elector::Proxy {
+            // Others send its primary nothing, and would only take connections to ask it.
+            if group.elector != Elector::Proxy || !self.context.owns(name) {
                 continue;
             }
             let Some(primary) = self.context.leader(name, group) else { continue };
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -105,6 +105,12 @@
         Some(self.detours.choose(instance, owners.get(instance)?, now))
     }
 
+    /// Whether this node is one of several owners of a group.
+    pub fn owns(&self, group: &GroupName) -> bool {
+        let ownerships = self.ownerships();
+        ownerships.owners_of(group).iter().any(|owner| owner.node == self.identity.node)
+    }
+
     /// The node to whose gateway work for a group goes that has several owners: this one, if it is
     /// among them.
     pub fn owner_of(&self, group: &GroupName, now: Instant) -> Option<NodeName> {
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::sync::ShardedLock;
-use kestrellock_core::catalog::{Elector, Group, IndexedCatalog};
+use kestrellock_core::catalog::{Elector, IndexedCatalog};
 use kestrellock_core::connection_shares::{Share, YOUNG_FOR, owner_count, share, sharers};
 use kestrellock_core::group_owners;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
@@ -87,7 +87,7 @@
         let candidates = self.candidates();
         let owned = self.catalog.groups.iter().filter(|(_, group)| group.elector == Elector::Proxy);
         let owners = owned.map(|(name, group)| {
-            let count = owner_count(fewest_connections(group), nodes);
+            let count = owner_count(group.fewest_connections(), nodes);
             let owners = group_owners::owners(name, candidates.iter().copied(), count);
             (name.clone(), owners.into_iter().cloned().collect())
         });
@@ -104,7 +104,7 @@
         let owned = group_owners.iter().filter(|(_, owners)| own(owners));
         let groups = owned.filter_map(|(name, _)| self.catalog.groups.get(name));
         let shares = groups.flat_map(|group| {
-            let count = owner_count(fewest_connections(group), nodes);
+            let count = owner_count(group.fewest_connections(), nodes);
             group.instances.iter().map(move |instance| (instance, count))
         });
         let young = self.listed.is_some();
@@ -130,11 +130,6 @@
     }
 }
 
-/// Connections that the instance of the group accepts that accepts the fewest.
-fn fewest_connections(group: &Group) -> u32 {
-    group.instances.iter().map(|instance| instance.connections).min().unwrap_or_default()
-}
-
 /// The newest snapshot, brought up to date by whoever first asks after a change.
 #[derive(Debug)]
 pub struct Ownerships {
