A gateway without any connection to an instance tries again soon

Connections of the dead processes fill the instances for 3 s; each refusal doubled the wait of the connection budget, so that a gateway that held none waited 1.2 s more after the instances had room.

Change: without any connection the wait is 120 ms at the most.

--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -15,6 +15,9 @@
 pub const STANDBY_CONNECTIONS: u32 = 2;
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const LAST_BACKOFF: Duration = Duration::from_secs(5);
+/// Longest wait of a gateway that holds no connection at all: it can serve nothing of the instance, and
+/// what is in its way may pass within seconds, such as the connections of processes that are gone.
+const LONGEST_WITHOUT_ANY: Duration = Duration::from_millis(120);
 /// Time between two steps of growth after a refusal.
 const GROWTH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -72,6 +75,8 @@
     /// The back end refused a connection while `open` others were established.
     pub fn on_refused(&mut self, open: u32, now: Instant, random: u64) {
         self.current = self.current.min(open);
-        self.next_step = Some(now + self.backoff.on_failure(random));
+        let wait = self.backoff.on_failure(random);
+        let wait = if open == 0 { wait.min(LONGEST_WITHOUT_ANY) } else { wait };
+        self.next_step = Some(now + wait);
     }
 }
