--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -41,6 +41,9 @@
 /// take in, but a node cannot keep it.
 const MAX_OUTPUT_BYTES: usize = 64 * 1024 * 1024;
 const STARTUP_LIMIT: Duration = Duration::from_secs(10);
+/// Time that a caller is kept waiting for the first configuration after the node's start. Longer than
+/// it usually takes to arrive, and less than callers wait for the answer to a start-up.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 /// Reads repeated in a session, for 100 first attempts, and beyond that.
 const REPEATS_PERCENT: u32 = 10;
 const REPEATS_RESERVE: u32 = 5;
@@ -170,7 +173,11 @@
             Some(request) if request.sent => now > request.deadline + GATEWAY_GRACE,
             Some(_) => true,
             None if self.transaction == TransactionState::Open => true,
-            None => self.login.is_none() && now.duration_since(self.started) > STARTUP_LIMIT,
+            None if self.login.is_some() => false,
+            None => {
+                let waits_for_configuration = !self.connection.input.is_empty();
+                waits_for_configuration || now.duration_since(self.started) > STARTUP_LIMIT
+            }
         }
     }
 
@@ -227,8 +234,12 @@
         positions: &mut CurrentPositions,
         io: &mut Io,
     ) -> SessionEnd {
-        let Connection { input, output, .. } = &mut self.connection;
         let catalog = io.context.catalog.load();
+        let waited = io.now.saturating_duration_since(self.started);
+        if catalog.revision == Revision::default() && waited < CONFIGURATION_WAIT {
+            return SessionEnd::Continue;
+        }
+        let Connection { input, output, .. } = &mut self.connection;
         let surroundings = Surroundings { node: &io.context.identity.node, catalog: &catalog };
         let refusal = match self.protocol.startup(input, output, &surroundings) {
             StartupStep::LoggedIn(login) => {
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -211,6 +211,21 @@
     assert!(run(&mut session, "WRITE x 1").is_success());
 }
 
+/// Swanreach: after all machines had lost power, callers that came before the configuration did were
+/// refused, came back at once, and had used up their attempts when it arrived.
+#[test]
+fn a_caller_that_comes_before_the_first_configuration_is_served_once_that_has_arrived() {
+    let options = PlatformOptions { nodes: 1, configured: false, ..PlatformOptions::default() };
+    let mut platform = Platform::start(options).expect("it starts");
+    let mut early = TcpStream::connect(platform.callers[0]).expect("it accepts");
+    let database = database(GROUPS[0], Consistency::Primary);
+    early.write_all(format!("STARTUP {database} early\r\n").as_bytes()).expect("it is sent");
+    platform.configure(&[]);
+    let mut answer = [0; 5];
+    early.read_exact(&mut answer).expect("it is answered");
+    assert_eq!(&answer, b"READY");
+}
+
 #[test]
 fn a_leaving_instance_gets_no_first_statement() {
     let platform = start();
