Owners by slots and connections; a node that has just started counts the machine list

Causes: (1) six nodes before instances that accept 16 connections held two each: open transactions of one node held its work up while connections of others were idle, and after a loss of power the connections of dead processes filled the instances.

While a node is young and does not know most of the listed nodes, those count as owners too.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::confirmation::ConfirmationRule;
+use crate::connection_shares::owner_count;
 use crate::ids::{GroupName, InstanceName, TemplateName, TenantName, ZoneName};
 use crate::primary_evidence::Replication;
 use crate::routing::Role;
@@ -121,9 +122,10 @@
         self.instances.len() / 2 + 1
     }
 
-    /// Connections that the instance accepts that accepts the fewest.
-    pub fn fewest_connections(&self) -> u32 {
-        self.instances.iter().map(|instance| instance.connections).min().unwrap_or_default()
+    /// How many of `nodes` nodes own it, by the instance that allows the fewest.
+    pub fn owner_count(&self, nodes: usize) -> usize {
+        let allowed = |one: &Instance| owner_count(one.connections, one.slots, nodes);
+        self.instances.iter().map(allowed).min().unwrap_or(1)
     }
 
     /// How it replicates, by the instances that the platform tells now.
--- a/crates/core/src/connection_shares.rs
+++ b/crates/core/src/connection_shares.rs
@@ -13,12 +13,20 @@
 
 use std::time::Duration;
 
-/// Fewest connections that make a share worth having: one for an open transaction, and one for
-/// whatever comes meanwhile.
+/// A share is worth having if it fills the instance's slots while so many transactions wait for their
+/// callers. With smaller shares for more owners (two connections of 16 for each of six nodes), open
+/// transactions of one node held work up while connections of another were idle.
+const RESTING: u32 = 2;
+/// Fewest owners of a group, so that one that dies leaves another, as long as each holds
+/// [`FEWEST_SHARED`] connections: one for an open transaction, and one for whatever comes meanwhile.
+const FEWEST_OWNERS: u32 = 2;
 const FEWEST_SHARED: u32 = 2;
 /// Most owners of a group, however many nodes there are: with more, each would see too few answers
 /// to know how the instances stand without asking, and would leave too few connections to the rest.
 const MOST_OWNERS: u32 = 9;
+/// A node knows most of the others if it knows so many parts of so many.
+const KNOWN_PARTS: usize = 9;
+const KNOWN_OF: usize = 10;
 /// One connection in so many is left for nodes that count differently, and for operators.
 const RESERVE_PART: u32 = 16;
 const SMALLEST_RESERVE: u32 = 1;
@@ -55,15 +63,23 @@
     if young { live.max(listed) } else { live }
 }
 
+/// Whether a node that knows of `live` nodes knows most of the `listed` ones; the others may be gone.
+pub fn knows_most(live: usize, listed: usize) -> bool {
+    live * KNOWN_OF >= listed * KNOWN_PARTS
+}
+
 fn usable(connections: u32) -> u32 {
     let reserve = (connections / RESERVE_PART).max(SMALLEST_RESERVE);
     connections.saturating_sub(reserve)
 }
 
-/// How many of `nodes` nodes own a group whose instances accept `connections` each, in all.
-pub fn owner_count(connections: u32, nodes: usize) -> usize {
-    let worth_having = usable(connections) / FEWEST_SHARED;
-    nodes.clamp(1, worth_having.clamp(1, MOST_OWNERS) as usize)
+/// How many of `nodes` nodes own a group, by an instance of it that accepts `connections` in all and
+/// runs `slots` statements well at once.
+pub fn owner_count(connections: u32, slots: u32, nodes: usize) -> usize {
+    let usable = usable(connections);
+    let fewest = FEWEST_OWNERS.min(usable / FEWEST_SHARED);
+    let owners = (usable / slots.saturating_add(RESTING)).max(fewest);
+    nodes.clamp(1, owners.clamp(1, MOST_OWNERS) as usize)
 }
 
 /// The share of each of `owners` owners of an instance that accepts `connections` in all.
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -5,7 +5,6 @@
 
 use super::{CoordinationView, NodeVotes, Reason};
 use crate::catalog::{Elector, Group, IndexedCatalog};
-use crate::connection_shares::owner_count;
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::suspicion::Votes;
 
@@ -162,7 +161,7 @@
         + usize::from(against(Some(own_votes)));
     // Only owners send the primary anything, so only they can suspect it.
     let nodes = evidence.live.len().max(evidence.listed.len());
-    let voters = owner_count(group.fewest_connections(), nodes);
+    let voters = group.owner_count(nodes);
     if evidence.listed.is_empty() {
         return Votes::default();
     }
--- a/crates/daemon/src/agent/machines.rs
+++ b/crates/daemon/src/agent/machines.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use kestrellock_core::membership::Seed;
+use kestrellock_core::rendezvous::Candidate;
 use kestrellock_store::backoff::Backoff;
 use kestrellock_store::machines::{Machine, MachineList, MachineState};
 
 use crate::context::NodeContext;
+use crate::shared::live::LiveNode;
 use crate::supervisor::StopFlag;
 
 /// Mean time between two looks at the list.
@@ -31,12 +33,15 @@
     let mut looks = 0;
     while !stop.is_stopping() {
         stop.wait_while_paused();
-        match list.enter(own).and_then(|()| list.machines()) {
+        match list.machines() {
             Ok(machines) => {
+                put_in_force(machines, own, peers, context);
+                if let Err(error) = list.enter(own) {
+                    log::debug!("machine list not written: {error}");
+                    stop.sleep(backoff.wait(rand::random()));
+                    continue;
+                }
                 backoff.reset();
-                let names = machines.iter().map(|machine| machine.node.clone());
-                context.listed_nodes.store(names.collect());
-                context.listed_seeds.put(seeds(own, peers, machines));
                 looks += 1;
                 let interval = if looks <= FIRST_LOOKS { FIRST_INTERVAL } else { INTERVAL };
                 stop.sleep(interval.mul_f64(0.75 + rand::random::<f64>() / 2.0));
@@ -54,6 +59,22 @@
     }
 }
 
+fn put_in_force(machines: Vec<Machine>, own: &Machine, peers: &[Seed], context: &NodeContext) {
+    let listed: Vec<LiveNode> = machines.iter().map(listed_node).collect();
+    if listed != *context.listed_nodes.load() {
+        context.listed_nodes.store(listed);
+    }
+    context.listed_seeds.put(seeds(own, peers, machines));
+}
+
+fn listed_node(machine: &Machine) -> LiveNode {
+    LiveNode {
+        candidate: Candidate { node: machine.node.clone(), zone: machine.zone.clone() },
+        peer_address: machine.peer_address,
+        accepts_work: machine.state == MachineState::Live,
+    }
+}
+
 fn seeds(own: &Machine, peers: &[Seed], machines: Vec<Machine>) -> Vec<Seed> {
     let others = machines.into_iter().filter(|machine| machine.node != own.node);
     let live = others.filter(|machine| machine.state == MachineState::Live);
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -205,7 +205,7 @@
         let wanted = situation.needs.get(group).is_some_and(|need| need.wanted);
         running.attempt.on_event(Event::Members(situation.known.members(group)), now);
         running.attempt.on_event(Event::Wanted(wanted), now);
-        let listed = self.context.listed_nodes.load();
+        let listed = self.context.listed_names();
         let id = running.attempt.id();
         let given_up = &self.context.given_up;
         // This node's own list may be seconds old, and lack nodes that have entered themselves since.
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -292,7 +292,7 @@
         let live: Vec<NodeName> =
             self.context.live.load().iter().map(|node| node.candidate.node.clone()).collect();
         let own = (&self.context.identity.node, &self.votes);
-        let listed = self.context.listed_nodes.load();
+        let listed = self.context.listed_names();
         let listed = self.electorate.counted(&listed, &live, now);
         let evidence =
             NeedsEvidence { catalog, view: &self.view, own, live: &live, listed: &listed, now };
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -77,8 +77,8 @@
     pub policy: Policy,
     /// Nodes to join through that the machine list names.
     pub listed_seeds: ListedSeeds,
-    /// Nodes that the machine list named last; empty before it was read.
-    pub listed_nodes: Shared<Vec<NodeName>>,
+    /// Nodes that the machine list named last, whether they live or not; empty before it was read.
+    pub listed_nodes: Shared<Vec<LiveNode>>,
     /// Nodes that have given their evidence up, for replacements that this node carries out.
     pub given_up: EvidenceGivenUp,
     /// Messages of peers about the configuration.
@@ -136,9 +136,16 @@
         known.evidence.newest().map(|seen| now.saturating_duration_since(seen))
     }
 
+    /// Names of the nodes that the machine list named last.
+    pub fn listed_names(&self) -> Vec<NodeName> {
+        let listed = self.listed_nodes.load();
+        listed.iter().map(|node| node.candidate.node.clone()).collect()
+    }
+
     /// How long evidence lasts here: other nodes wait only for those that they know of.
     pub fn evidence_life(&self) -> Duration {
-        match self.listed_nodes.load().contains(&self.identity.node) {
+        let listed = self.listed_nodes.load();
+        match listed.iter().any(|listed| listed.candidate.node == self.identity.node) {
             true => EVIDENCE_LIFE,
             false => UNLISTED_EVIDENCE_LIFE,
         }
@@ -154,10 +161,11 @@
         self.stage.load() >= Stage::Notice
     }
 
-    /// Where a live node accepts peers.
+    /// Where a node accepts peers that lives, or that the machine list names.
     pub fn peer_address(&self, node: &NodeName) -> Option<SocketAddr> {
-        let live = self.live.load();
-        live.iter().find(|peer| peer.candidate.node == *node).map(|peer| peer.peer_address)
+        let (live, listed) = (self.live.load(), self.listed_nodes.load());
+        let mut known = live.iter().chain(listed.iter());
+        known.find(|peer| peer.candidate.node == *node).map(|peer| peer.peer_address)
     }
 
     /// The shard of this node that holds a group's gateway.
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -10,7 +10,7 @@
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::catalog::{Elector, IndexedCatalog};
-use kestrellock_core::connection_shares::{Share, YOUNG_FOR, owner_count, share, sharers};
+use kestrellock_core::connection_shares::{Share, YOUNG_FOR, knows_most, share, sharers};
 use kestrellock_core::group_owners;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
@@ -28,7 +28,7 @@
     catalog: Arc<IndexedCatalog>,
     without: Option<NodeName>,
     /// Nodes that the machine list named while this node was young; `None` afterwards.
-    listed: Option<usize>,
+    listed: Option<Arc<Vec<LiveNode>>>,
     table: OwnershipTable,
     /// Owners of the groups that have several.
     group_owners: HashMap<GroupName, Vec<Candidate>>,
@@ -66,7 +66,15 @@
         Arc::ptr_eq(&self.live, &sources.live)
             && Arc::ptr_eq(&self.catalog, &sources.catalog)
             && self.without.as_ref() == sources.without
-            && self.listed == sources.listed
+            && same_list(self.listed.as_ref(), sources.listed.as_ref())
+    }
+}
+
+fn same_list(one: Option<&Arc<Vec<LiveNode>>>, other: Option<&Arc<Vec<LiveNode>>>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => Arc::ptr_eq(one, other),
+        (None, None) => true,
+        _ => false,
     }
 }
 
@@ -76,18 +84,18 @@
     catalog: Arc<IndexedCatalog>,
     own: &'a NodeName,
     without: Option<&'a NodeName>,
-    listed: Option<usize>,
+    listed: Option<Arc<Vec<LiveNode>>>,
 }
 
 impl Sources<'_> {
     /// Owners of the groups that have several: those whose primary the proxy replaces come from a
     /// platform that tells limits for all nodes together.
     fn group_owners(&self) -> HashMap<GroupName, Vec<Candidate>> {
-        let nodes = sharers(self.live.len(), self.listed.unwrap_or(0), self.listed.is_some());
-        let candidates = self.candidates();
+        let nodes = self.sharers();
+        let candidates = self.expected();
         let owned = self.catalog.groups.iter().filter(|(_, group)| group.elector == Elector::Proxy);
         let owners = owned.map(|(name, group)| {
-            let count = owner_count(group.fewest_connections(), nodes);
+            let count = group.owner_count(nodes);
             let owners = group_owners::owners(name, candidates.iter().copied(), count);
             (name.clone(), owners.into_iter().cloned().collect())
         });
@@ -99,12 +107,12 @@
         &self,
         group_owners: &HashMap<GroupName, Vec<Candidate>>,
     ) -> HashMap<InstanceName, Share> {
-        let nodes = sharers(self.live.len(), self.listed.unwrap_or(0), self.listed.is_some());
+        let nodes = self.sharers();
         let own = |owners: &Vec<Candidate>| owners.iter().any(|owner| owner.node == *self.own);
         let owned = group_owners.iter().filter(|(_, owners)| own(owners));
         let groups = owned.filter_map(|(name, _)| self.catalog.groups.get(name));
         let shares = groups.flat_map(|group| {
-            let count = owner_count(group.fewest_connections(), nodes);
+            let count = group.owner_count(nodes);
             group.instances.iter().map(move |instance| (instance, count))
         });
         let young = self.listed.is_some();
@@ -116,6 +124,30 @@
         shares.collect()
     }
 
+    /// Nodes among which connections are divided.
+    fn sharers(&self) -> usize {
+        let listed = self.listed.as_ref().map_or(0, |listed| listed.len());
+        sharers(self.live.len(), listed, self.listed.is_some())
+    }
+
+    /// Nodes that may own groups. A node that has just started may know few of the others yet, and
+    /// must not take their places: for it those of the machine list count as well, unless most of
+    /// them are known to live.
+    fn expected(&self) -> Vec<&Candidate> {
+        let mut expected = self.candidates();
+        let listed = self.listed.as_deref().map(Vec::as_slice).unwrap_or_default();
+        if knows_most(self.live.len(), listed.len()) {
+            return expected;
+        }
+        for node in listed {
+            let is_live = self.live.iter().any(|live| live.candidate.node == node.candidate.node);
+            if !is_live && Some(&node.candidate.node) != self.without {
+                expected.push(&node.candidate);
+            }
+        }
+        expected
+    }
+
     /// Nodes that may own instances: those that accept work, or all if none does, because
     /// somebody has to finish what is under way.
     fn candidates(&self) -> Vec<&Candidate> {
@@ -158,10 +190,10 @@
         catalog: &Shared<IndexedCatalog>,
         own: &NodeName,
         leaving: Option<&NodeName>,
-        listed: &Shared<Vec<NodeName>>,
+        listed: &Shared<Vec<LiveNode>>,
     ) -> Arc<OwnershipSnapshot> {
         let newest = self.newest.read().expect(POISONED).clone();
-        let listed = self.is_young().then(|| listed.load().len());
+        let listed = self.is_young().then(|| listed.load());
         let (live, catalog) = (live.load(), catalog.load());
         let sources = Sources { live, catalog, own, without: leaving, listed };
         if newest.is_of(&sources) {
--- /dev/null
+++ b/crates/daemon/tests/group_ownership.rs
@@ -0,0 +1,124 @@
+//! Who owns a group by what a node knows of the others, and where others send its work.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use kestrellock_core::catalog::{Catalog, Elector, Group, IndexedCatalog, Instance};
+use kestrellock_core::confirmation::ConfirmationRule;
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_core::routing::Role;
+use kestrellock_daemon::ownership::{Detours, OwnershipSnapshot, Ownerships};
+use kestrellock_daemon::shared::live::{LiveNode, Shared};
+
+const GROUP: &str = "orders";
+const NODES: usize = 90;
+
+fn node(number: usize) -> LiveNode {
+    let zone = ZoneName::new(format!("zone-{}", number % 3));
+    LiveNode {
+        candidate: Candidate { node: NodeName::new(format!("node-{number}")), zone },
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1 + number as u16)),
+        accepts_work: true,
+    }
+}
+
+fn catalog() -> IndexedCatalog {
+    let instance = |number: u16| Instance {
+        name: InstanceName::new(format!("i-{number}")),
+        zone: ZoneName::new(format!("zone-{number}")),
+        address: SocketAddr::from(([127, 0, 0, 1], 1000 + number)),
+        slots: 3,
+        connections: 63,
+        leaving: false,
+        announced_role: Some(if number == 0 { Role::Primary } else { Role::Replica }),
+    };
+    let group = Group {
+        database: GROUP.to_owned(),
+        user: "kestrellock".to_owned(),
+        instances: (0..3).map(instance).collect(),
+        confirmation: ConfirmationRule::Answered,
+        elector: Elector::Proxy,
+        synchronous_replicas: 1,
+        connections: 63,
+        promoted: None,
+    };
+    let mut catalog = Catalog::default();
+    catalog.groups.insert(GroupName::new(GROUP), group);
+    IndexedCatalog::new(catalog)
+}
+
+/// What `own` takes for the owners, a moment after its start.
+fn owners_by(own: usize, live: &[usize], listed: &[usize]) -> Arc<OwnershipSnapshot> {
+    let nodes =
+        |numbers: &[usize]| Shared::new(numbers.iter().map(|number| node(*number)).collect());
+    let own = node(own).candidate.node;
+    let (live, listed) = (nodes(live), nodes(listed));
+    Ownerships::default().current(&live, &Shared::new(catalog()), &own, None, &listed)
+}
+
+fn names(snapshot: &OwnershipSnapshot) -> Vec<NodeName> {
+    let owners = snapshot.owners_of(&GroupName::new(GROUP)).iter();
+    owners.map(|owner| owner.node.clone()).collect()
+}
+
+/// Swanreach grown, after all machines lost power: each node knew a few others for half a second,
+/// took itself for an owner of every group, and 8,265 connections over the cap were reset.
+#[test]
+fn a_node_that_knows_few_others_yet_leaves_the_places_of_listed_nodes_to_them() {
+    let all: Vec<usize> = (0..NODES).collect();
+    let expected = names(&owners_by(0, &all, &all));
+    assert_eq!(expected.len(), 9);
+    for live in [&[][..], &[5], &[5, 17, 40], &all[..60]] {
+        assert_eq!(names(&owners_by(5, live, &all)), expected, "{} live", live.len());
+    }
+    let claimants = |live: &dyn Fn(usize) -> Vec<usize>| {
+        let claims = |own: &usize| {
+            let snapshot = owners_by(*own, &live(*own), &all);
+            snapshot.share(&InstanceName::new("i-0")).is_some()
+        };
+        all.iter().copied().filter(|own| claims(own)).count()
+    };
+    assert_eq!(claimants(&|own| vec![own]), 9, "each knows itself alone");
+    assert_eq!(claimants(&|own| vec![own, (own + 1) % NODES]), 9);
+}
+
+#[test]
+fn nodes_that_stay_away_lose_their_places_once_most_of_the_others_are_known() {
+    let all: Vec<usize> = (0..NODES).collect();
+    let gone: NodeName = names(&owners_by(0, &all, &all))[0].clone();
+    let live: Vec<usize> =
+        all.iter().copied().filter(|number| node(*number).candidate.node != gone).collect();
+    let owners = names(&owners_by(live[0], &live, &all));
+    assert_eq!(owners.len(), 9);
+    assert!(!owners.contains(&gone));
+}
+
+#[test]
+fn without_a_list_the_live_nodes_count() {
+    assert!(names(&owners_by(0, &[], &[])).is_empty());
+    assert_eq!(names(&owners_by(0, &[0], &[])), [NodeName::new("node-0")]);
+}
+
+#[test]
+fn work_goes_to_an_owner_nearby_that_can_be_reached() {
+    let all: Vec<usize> = (0..NODES).collect();
+    let snapshot = owners_by(0, &all, &all);
+    let owners = snapshot.owners_of(&GroupName::new(GROUP));
+    let (detours, now) = (Detours::default(), Instant::now());
+    let zone = ZoneName::new("zone-1");
+    let choose = |random| detours.choose_among(owners, &zone, random, now).expect("an owner");
+    let zone_of = |name: &NodeName| {
+        owners.iter().find(|owner| owner.node == *name).map(|owner| owner.zone.clone())
+    };
+    let nearby: Vec<&NodeName> = (0..12).map(choose).collect();
+    assert!(nearby.iter().all(|name| zone_of(name).as_ref() == Some(&zone)));
+    assert!(nearby.iter().any(|name| **name != *nearby[0]), "the work is spread");
+    for name in &nearby {
+        detours.add_unreachable(name, now);
+    }
+    let further = detours.choose_among(owners, &zone, 0, now).expect("an owner");
+    assert!(zone_of(further).is_some_and(|found| found != zone));
+    assert_eq!(detours.choose_among(&[], &zone, 0, now), None);
+}
