needs.rs: a group that six nodes own all of them

Cause: since the number of owners follows slots and connections, the group of the test had five owners among six nodes. With 40 connections the rows of six nodes say what they said before, and of 90 nodes seven own it.

--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -21,7 +21,7 @@
         zone: ZoneName::new("zone"),
         address: SocketAddr::from(([127, 0, 0, 1], 1 + number as u16)),
         slots: 3,
-        connections: 30,
+        connections: 40,
         leaving: false,
         announced_role: Some(*role),
     };
@@ -32,7 +32,7 @@
         confirmation: ConfirmationRule::Answered,
         elector: Elector::Proxy,
         synchronous_replicas: 1,
-        connections: 30,
+        connections: 40,
         promoted: None,
     };
     let mut catalog = Catalog::default();
@@ -78,10 +78,10 @@
         (3, 6, false, true),
         (4, 6, true, true),
         (1, 2, false, true),
-        // Of many nodes five own the group: the others send its primary nothing.
-        (1, 90, false, false),
-        (2, 90, false, true),
-        (3, 90, true, true),
+        // Of many nodes seven own the group: the others send its primary nothing.
+        (2, 90, false, false),
+        (3, 90, false, true),
+        (4, 90, true, true),
     ];
     for (suspecting, count, at_once, later) in table {
         let mut judged = NeedsJudge::default();
