Changes of the store gather for a moment, by the number of nodes

Each of 90 nodes watches the whole store, each change wakes them all, and 90 nodes that enter themselves at once wake each other 90 times.

Change: a node that has taken changes in waits 4 ms for each node of the cluster, 500 ms at the most, before it looks again; the first change after a quiet time is still taken in at once. Test: spreading.rs.

--- a/crates/core/src/spreading.rs
+++ b/crates/core/src/spreading.rs
@@ -19,6 +19,19 @@
 /// Mean time between requests of a node without any configuration.
 const FIRST_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Part of the pause between two looks at the store for each node of the cluster, and the longest one:
+/// each change wakes every node that watches, and each call is paid for, so that what many nodes write
+/// at once would cost the square of their number.
+const WATCH_PAUSE_FOR_EACH: Duration = Duration::from_millis(4);
+const LONGEST_WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for which a node of a cluster of `nodes` lets changes of the store gather, once it has taken
+/// some in. The first change after a quiet time is taken in at once.
+pub fn watch_pause(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    WATCH_PAUSE_FOR_EACH.saturating_mul(nodes).min(LONGEST_WATCH_PAUSE)
+}
+
 /// The nodes of a zone that follow the store: at most two.
 pub fn followers(zone: &ZoneName, live: &[Candidate]) -> Vec<NodeName> {
     let of_zone = live.iter().filter(|candidate| candidate.zone == *zone);
--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -8,7 +8,7 @@
 use kestrellock_core::ids::{NodeName, ZoneName};
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::spreading::{
-    POLL_INTERVAL, Puller, REQUEST_LIMIT, View, audience, followers, is_follower,
+    POLL_INTERVAL, Puller, REQUEST_LIMIT, View, audience, followers, is_follower, watch_pause,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -22,6 +22,17 @@
     (0..zones).flat_map(|zone| (0..each).map(move |number| node(zone, number))).collect()
 }
 
+/// Swanreach grown: 90 nodes that entered themselves at once woke each other, 90 calls for each.
+#[test]
+fn all_nodes_together_look_at_a_busy_store_a_bounded_number_of_times_a_second() {
+    for nodes in [1, 6, 9, 68, 90, 120] {
+        let looks = nodes as f64 / watch_pause(nodes).as_secs_f64();
+        assert!(looks <= 251.0, "{looks} a second before {nodes} nodes");
+    }
+    assert!(watch_pause(6) <= Duration::from_millis(30), "few nodes hear of changes at once");
+    assert_eq!(watch_pause(520), Duration::from_millis(500));
+}
+
 #[test]
 fn two_nodes_a_zone_follow_and_a_leaving_one_is_replaced() {
     let live = cluster(10, 52);
