Evidence covers a primary for the term that it has shown to lead

A node out of reach of the store still took it for the primary. Its positions had the successor's term, so a replica's word for that term passed for evidence of it.

Change: what an instance leads is taken from its own word (STATUS, role primary) or from a commit that it answered, not from the term of its positions. Test: daemon/tests/statuses.rs, failed before.

--- a/crates/daemon/src/gateway/primary_questions.rs
+++ b/crates/daemon/src/gateway/primary_questions.rs
@@ -100,6 +100,6 @@
         replicas.into_iter().take(needed).map(|replica| replica.name.clone()).collect();
     tried.extend(chosen.iter().cloned());
     let primary = io.context.leader(name, group).map(|primary| primary.name.clone());
-    chosen.extend(primary.filter(|one| known.term_of(one) != Some(known.evidence.term())));
+    chosen.extend(primary.filter(|one| known.led_by(one) != Some(known.evidence.term())));
     chosen
 }
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -504,7 +504,8 @@
         let number = self.waiting_number;
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
         if let Some(position) = running.shown_commit() {
-            io.context.statuses.on_commit(&self.group, position.term, running.sent);
+            let (term, sent) = (position.term, running.sent);
+            io.context.statuses.on_commit(&self.group, &self.instance, term, sent);
         }
     }
 
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -36,9 +36,9 @@
 }
 
 impl GroupStatuses {
-    /// Term of the instance, by its own last word.
-    pub fn term_of(&self, instance: &InstanceName) -> Option<Term> {
-        self.answers.get(instance)?.term
+    /// Term that the instance leads or led, by its own last word.
+    pub fn led_by(&self, instance: &InstanceName) -> Option<Term> {
+        self.answers.get(instance)?.leads
     }
 
     /// Until when arrivals are known to see everything at the primary `instance` of a group.
@@ -48,7 +48,7 @@
         group: Replication,
         life: Duration,
     ) -> Option<Instant> {
-        self.evidence.covers_until(self.term_of(instance)?, group, life)
+        self.evidence.covers_until(self.led_by(instance)?, group, life)
     }
 }
 
@@ -73,6 +73,9 @@
     /// Highest term by its own word. Its position lags behind that: until the first commit of a new
     /// term its log ends with one of the term before.
     term: Option<Term>,
+    /// Highest term that it has shown to lead: by saying so, or by a commit that it answered. The terms
+    /// of its positions do not show it: a primary that was demoted tells those of its successor.
+    leads: Option<Term>,
     /// Mean time that its answers took lately.
     pub service: Option<Duration>,
     /// Whether an exchange or a connection has failed there since it last answered.
@@ -252,9 +255,11 @@
         self.with_group(group, |known| known.evidence.forget());
     }
 
-    /// The primary of `term` answered a commit that was sent at `sent`.
-    pub fn on_commit(&self, group: &GroupName, term: Term, sent: Instant) {
+    /// `instance` answered, as the primary of `term`, a commit that wrote and was sent at `sent`.
+    pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
         self.with_group(group, |known| {
+            let record = known.answers.entry(instance.clone()).or_default();
+            record.leads = record.leads.max(Some(term));
             known.evidence.on_commit(term, sent);
             known.committed = Some(Instant::now());
         });
@@ -292,6 +297,7 @@
             Role::Primary => {
                 let record = known.answers.entry(instance.clone()).or_default();
                 record.term = record.term.max(Some(term));
+                record.leads = record.leads.max(Some(term));
             }
         });
     }
