--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -177,6 +177,7 @@
                     self.on_server_lost(key, Fault::Deadline, io);
                 }
             }
+            self.ask_in_doubt(&name, io);
             self.pump_group(&name, io);
         }
         self.close_surplus(io);
--- a/crates/daemon/src/gateway/standings.rs
+++ b/crates/daemon/src/gateway/standings.rs
@@ -68,6 +68,20 @@
 }
 
 impl Gateway {
+    /// Asks instances in doubt how they stand, where connections to them are open: an answer takes the
+    /// doubt back.
+    pub(super) fn ask_in_doubt(&mut self, name: &GroupName, io: &mut Io) {
+        let doubted = io.context.statuses.questions_in_doubt(name, io.now);
+        let Some(state) = self.groups.get_mut(name).filter(|_| !doubted.is_empty()) else { return };
+        for instance in doubted {
+            let is_open = state.pools.get(&instance).is_some_and(|pool| pool.open() > 0);
+            if is_open {
+                state.standings.want(instance);
+            }
+        }
+        self.ask_standings(name, io);
+    }
+
     /// Sends the questions that wait, over idle connections of the instances' pools.
     pub(super) fn ask_standings(&mut self, name: &GroupName, io: &mut Io) {
         let Some(state) = self.groups.get_mut(name) else { return };
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -73,6 +73,11 @@
 /// milliseconds apart, and a call of the store costs as much as dozens of questions.
 const REPLICAS_ANSWER_WITHIN: Duration = Duration::from_millis(10);
 
+/// Time between two questions to an instance in doubt: reads avoid it, so that nothing else would show
+/// that it answers. A question costs a slot for a moment; half a second is a tenth of what an instance
+/// that is silent takes to be replaced or to return.
+const DOUBT_QUESTION_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Weight of the newest answer in the mean service time: one in so many.
 const SERVICE_WEIGHT: u32 = 8;
 
@@ -101,6 +106,8 @@
     pub service: Option<Duration>,
     /// Whether an exchange or a connection has failed there since it last answered.
     pub in_doubt: bool,
+    /// When it was last asked how it stands because it is in doubt.
+    asked_in_doubt: Option<Instant>,
     waiting: Vec<Waiting>,
     given_up: GivenUpRequests,
     given_up_commits: GivenUpRequests,
@@ -131,6 +138,12 @@
         }
     }
 
+    /// Whether it is to be asked now how it stands, to take the doubt back.
+    fn is_question_due(&self, now: Instant) -> bool {
+        let asked = self.asked_in_doubt;
+        self.in_doubt && asked.is_none_or(|asked| now >= asked + DOUBT_QUESTION_INTERVAL)
+    }
+
     fn on_given_up(&mut self, ended: Waiting, now: Instant) {
         self.given_up.on_given_up(ended.sent, now);
         if ended.commits {
@@ -313,18 +326,40 @@
     ) {
         let term = report.flushed.term;
         let following = Following { term, held: report.held };
-        self.with_group(group, |known| match report.role {
-            Role::Replica => {
-                known.evidence.on_replica(instance, following, asked, Instant::now());
-            }
-            Role::Primary => {
-                let record = known.answers.entry(instance.clone()).or_default();
-                record.term = record.term.max(Some(term));
-                record.leads = record.leads.max(Some(term));
+        self.with_group(group, |known| {
+            known.answers.entry(instance.clone()).or_default().in_doubt = false;
+            match report.role {
+                Role::Replica => {
+                    known.evidence.on_replica(instance, following, asked, Instant::now());
+                }
+                Role::Primary => {
+                    let record = known.answers.entry(instance.clone()).or_default();
+                    record.term = record.term.max(Some(term));
+                    record.leads = record.leads.max(Some(term));
+                }
             }
         });
     }
 
+    /// Instances in doubt that are to be asked now how they stand; each again after a while.
+    pub fn questions_in_doubt(&self, group: &GroupName, now: Instant) -> Vec<InstanceName> {
+        let board = self.group(group);
+        let is_due = {
+            let known = board.read().expect("a holder of the status lock panicked");
+            known.answers.values().any(|record| record.is_question_due(now))
+        };
+        if !is_due {
+            return Vec::new();
+        }
+        let mut known = board.write().expect("a holder of the status lock panicked");
+        let due = known.answers.iter_mut().filter(|(_, record)| record.is_question_due(now));
+        let asked = due.map(|(instance, record)| {
+            record.asked_in_doubt = Some(now);
+            instance.clone()
+        });
+        asked.collect()
+    }
+
     /// The store, asked at `asked`, had nobody replace the primary that this node takes for it.
     pub fn on_unreplaced(&self, group: &GroupName, asked: Instant) {
         self.with_group(group, |known| known.evidence.on_unreplaced(asked));
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -115,3 +115,21 @@
     board.stands("replica", Role::Replica, 1);
     assert!(!board.is_in_doubt("replica"));
 }
+
+#[test]
+fn an_instance_in_doubt_is_asked_again_and_again_until_it_answers() {
+    let board = Board::new();
+    let replica = name("replica");
+    let now = Instant::now();
+    let asked = |after: u64| {
+        board.board.questions_in_doubt(&board.group, now + Duration::from_millis(after))
+    };
+    board.board.on_connection(&board.group, &replica, Reachability::Made(None));
+    assert!(asked(0).is_empty(), "nobody doubts it");
+    board.board.on_connection(&board.group, &replica, Reachability::Broken);
+    assert_eq!(asked(0), [replica.clone()]);
+    assert!(asked(100).is_empty(), "a question is under way");
+    assert_eq!(asked(600), [replica.clone()]);
+    board.stands("replica", Role::Replica, 1);
+    assert!(asked(1_200).is_empty(), "it has answered");
+}
