The old primary is demoted when its successor is promoted, not only afterwards

A replica that the promotion had released had not heard of it, followed the old primary, and that answered one more commit. It was not lost, but answered by a primary that had been replaced.

--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -36,7 +36,7 @@
         may_lead && !self.former_demoted && !is_down
     }
 
-    fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
+    pub(super) fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let term = Term(self.highest.0.max(self.term.0));
         let Some(former) = self.intent.former.clone() else { return };
         self.send(&former, Repeated::Demote, now, commands, |instance| Command::Demote {
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -94,6 +94,9 @@
             return self.choose_again(now);
         }
         let chosen = self.chosen.get_or_insert(best).clone();
+        // A successor that dies at once has released replicas that have not heard of it: they would
+        // follow an old primary that still leads, and it would answer commits.
+        self.demote_former(now, commands);
         self.phase = Phase::Promoting { again: now + self.timing.announcement };
         commands.push(Command::Promote(chosen));
     }
