--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod bench;
 pub mod check;
 pub mod demo;
-pub mod hollow;
 pub mod logins;
 pub mod platform;
 pub mod report;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,6 @@
 use argh::FromArgs;
 use kestrellock_lab::bench::command::{BenchCommand, CompareCommand};
 use kestrellock_lab::demo::{Demo, DemoOptions, check};
-use kestrellock_lab::hollow::HollowCommand;
 use kestrellock_lab::platform;
 use kestrellock_lab::scenario::command::RunCommand;
 use kestrellock_program::command_line::{self, WrongUse};
@@ -27,7 +26,6 @@
 #[argh(subcommand)]
 enum Command {
     Demo(DemoArguments),
-    Hollow(HollowCommand),
     Bench(BenchCommand),
     Compare(CompareCommand),
     Run(RunCommand),
@@ -53,7 +51,6 @@
         Command::Demo(demo) => run_demo(&demo),
         Command::Bench(bench) => bench.run(),
         Command::Compare(compare) => compare.run(),
-        Command::Hollow(hollow) => hollow.run(),
         Command::Run(run) => run.run(),
     })
 }
