The choice of an instance counts what waits in its pool

With few connections an owner sent every read to the instance of its own zone, however long its queue, while the others were idle; where that is the primary, the class that reads its own writes is short alone.

--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -1,6 +1,7 @@
 //! First exchanges of leases for which this gateway chooses the instance: each goes to one at once,
 //! or is held until one qualifies, or until its caller had better try again elsewhere.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
 use kestrellock_core::catalog::Group;
@@ -12,7 +13,7 @@
 use kestrellock_peer::message::{Exchange, LeaseEvent, Placement, PlacementNeed};
 
 use super::placing::{self, Found, Need};
-use super::pool::PoolRole;
+use super::pool::{Pool, PoolRole};
 use super::{Gateway, notify, ownership};
 use crate::event::Io;
 
@@ -44,11 +45,18 @@
         Self { exchange, need, arrived, deadline, until, is_told: false }
     }
 
-    fn find(&mut self, name: &GroupName, group: &Group, io: &Io) -> Found {
+    fn find(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        pools: &HashMap<InstanceName, Pool>,
+        io: &Io,
+    ) -> Found {
         let need = Need {
             arrived: self.arrived,
             staleness: self.need.staleness,
             passed_over: self.need.passed_over.as_ref(),
+            pools,
         };
         let mut access = self.exchange.access.clone();
         let found = placing::find(name, group, &mut access, need, io);
@@ -136,7 +144,8 @@
 
     /// Sends a held exchange to an instance, or goes on holding it.
     fn try_placing(&mut self, name: &GroupName, group: &Group, mut held: Held, io: &mut Io) {
-        let found = held.find(name, group, io);
+        let pools = &self.group_state(name, io.now).pools;
+        let found = held.find(name, group, pools, io);
         if let Found::Instance(instance) = found {
             let exchange = held.placed_at(instance, io.now);
             return self.offer(name, group, exchange, io);
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -1,5 +1,6 @@
 //! Which instance of a group runs a statement, by what answers told this node of the group.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::{Group, Instance};
@@ -8,6 +9,7 @@
 use kestrellock_core::reader_choice::{self, Reader};
 use kestrellock_core::routing::{Access, Role};
 
+use super::pool::Pool;
 use crate::event::Io;
 use crate::shared::statuses::{AnswerRecord, GroupStatuses};
 
@@ -25,7 +27,7 @@
 }
 
 /// What a request needs of the instance that runs it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct Need<'a> {
     /// When it arrived.
     pub arrived: Instant,
@@ -33,6 +35,8 @@
     pub staleness: Option<Duration>,
     /// An instance that could not run it a moment ago.
     pub passed_over: Option<&'a InstanceName>,
+    /// The group's pools: what waits in one comes before it.
+    pub pools: &'a HashMap<InstanceName, Pool>,
 }
 
 /// Chooses the instance for `access`. The position that a read needs is joined into the bound of
@@ -76,7 +80,7 @@
             let primary = primary.map(|primary| &primary.name);
             let qualifies =
                 Qualifies { primary: primary.filter(|_| at_primary), replicas: covering.is_some() };
-            choose_reader(configured, &known, bound, qualifies, need.passed_over, io)
+            choose_reader(configured, &known, bound, qualifies, need, io)
         }
         Access::PrimaryRead { .. } | Access::Write { .. } => {
             // While the primary is being replaced nothing new goes to it.
@@ -116,7 +120,7 @@
     known: &GroupStatuses,
     position: &Option<Position>,
     qualifies: Qualifies<'_>,
-    passed_over: Option<&InstanceName>,
+    need: Need,
     io: &Io,
 ) -> Option<&'a Instance> {
     let may_serve = |instance: &&Instance| {
@@ -125,8 +129,9 @@
             true => true,
             false => qualifies.replicas && is_replica,
         };
-        qualifies && !instance.leaving && passed_over != Some(&instance.name)
+        qualifies && !instance.leaving && need.passed_over != Some(&instance.name)
     };
+    let queued = |name| need.pools.get(name).map_or(0, |pool| pool.waiting() as u32);
     let readers: Vec<Reader> = configured
         .instances
         .iter()
@@ -140,7 +145,7 @@
                 reached: record.reached.filter(|_| instance.announced_role == Some(Role::Replica)),
                 reached_for: record.reached_at.map(|at| io.now.saturating_duration_since(at)),
                 service: record.service,
-                running: record.running(),
+                running: record.running() + queued(&instance.name),
                 slots: instance.slots,
                 in_doubt: record.in_doubt,
             }
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// The reads of an instance wait, or go on.
+    pub fn set_holding_reads(&self, name: &str, holds: bool) {
+        if let Some(instance) = self.shared.state().instances.get_mut(name) {
+            instance.holds_reads = holds;
+        }
+        self.shared.changed.notify_all();
+    }
+
     /// The log of an instance.
     pub fn log(&self, name: &str) -> Vec<Commit> {
         let state = self.shared.state();
--- a/crates/lab/src/standin/instances/session.rs
+++ b/crates/lab/src/standin/instances/session.rs
@@ -307,7 +307,18 @@
         format!("{}:{id}", self.name)
     }
 
+    /// Waits while the instance holds its reads.
+    fn wait_to_read(&self) {
+        let mut state = self.shared.state();
+        let holds = |one: &Instance| one.running && one.holds_reads;
+        while !self.shared.is_stopping() && state.instances.get(&self.name).is_some_and(holds) {
+            let waited = self.shared.changed.wait_timeout(state, Duration::from_millis(20));
+            state = waited.expect("a holder of the group's lock panicked").0;
+        }
+    }
+
     fn read(&mut self, id: &str, thing: &str, what: String) -> Outcome {
+        self.wait_to_read();
         let lag = self.shared.state().options.lag;
         let own = self.transaction.iter().flat_map(|transaction| transaction.writes.iter().rev());
         let own = own.into_iter().find(|(written, _)| written == thing).map(|(_, data)| data);
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -66,6 +66,8 @@
     pub held: Term,
     /// Whether nothing reaches it.
     pub deaf: bool,
+    /// Whether its reads wait.
+    pub holds_reads: bool,
     /// Open connections.
     pub streams: BTreeMap<u64, TcpStream>,
     /// Since when another instance of a higher term can be reached.
@@ -144,6 +146,7 @@
             received: Vec::new(),
             held: Term(0),
             deaf: false,
+            holds_reads: false,
             streams: BTreeMap::new(),
             outdated: None,
         };
--- a/crates/lab/tests/class_service.rs
+++ b/crates/lab/tests/class_service.rs
@@ -25,6 +25,9 @@
 const LEAST_AT_REPLICAS: [(Consistency, f64); 2] =
     [(Consistency::Session, 1.0 / 3.0), (Consistency::Bounded, 1.0 / 6.0)];
 
+/// Sessions that read at once.
+const BURST: usize = 30;
+
 /// Nodes, connections that an instance accepts, synchronous replicas.
 struct Deployment {
     nodes: usize,
@@ -136,3 +139,33 @@
     serves_each_class(Deployment { nodes: 8, connections: 17, synchronous: 1 });
     serves_each_class(Deployment { nodes: 9, connections: 17, synchronous: 1 });
 }
+
+/// The read of its own writes of many sessions waited for the nearest instance while others were idle: the
+/// choice saw what ran there, never more than there are slots, and not what waited.
+#[test]
+fn reads_go_elsewhere_when_many_wait_for_the_nearest_instance() {
+    let options = PlatformOptions { nodes: 2, ..PlatformOptions::default() };
+    let platform = Platform::start(options).expect("it starts");
+    platform.wait_until_ready().expect("it is ready");
+    let (group, node) = (&platform.groups[0], platform.callers[1]);
+    let route = |consistency| database(GROUPS[0], consistency);
+    let mut writer =
+        LineSession::open(node, &route(Consistency::Primary), "writer").expect("it opens");
+    assert!(writer.run("WRITE page 1").expect("an answer").is_success());
+    let nearest = "i-orders-1";
+    group.set_holding_reads(nearest, true);
+    let mut sessions: Vec<LineSession> = (0..BURST)
+        .map(|number| {
+            let name = format!("reader{number}");
+            LineSession::open(node, &route(Consistency::Bounded), &name).expect("it opens")
+        })
+        .collect();
+    for session in &mut sessions {
+        session.begin("READ page").expect("it is sent");
+    }
+    let answers = sessions.iter_mut().map(|session| session.answer().expect("an answer"));
+    let answered = answers.filter(|answer| answer.is_success()).count();
+    let others = BURST - answered;
+    assert!(answered >= BURST / 2, "{others} of {BURST} waited for {nearest}");
+    assert!(group.runs().iter().all(|run| run.instance != nearest), "it holds its reads");
+}
