A listener for callers hands on what has arrived before it closes; a stop waits for it

The acceptor, short of processor time, saw the end first and dropped the listener with connections in it. Ruled out by the log: the end of the process (it answers at 25.99 s), sessions sent away (each on its own time).

Now connections that the system has taken in are handed on before the listener closes, and a stop does not take the node for drained before that has happened.

--- a/crates/daemon/src/net/acceptor.rs
+++ b/crates/daemon/src/net/acceptor.rs
@@ -29,14 +29,31 @@
         Ok(Self { listener, poll, events: Events::with_capacity(1) })
     }
 
+    /// Hands connections to `take` until `is_over`, and then those that the system has taken in by then:
+    /// closing the listener cuts them off, and their callers may have sent a request already. Calls
+    /// `pause` before each look, which may keep it up.
+    pub fn run(
+        mut self,
+        is_over: impl Fn() -> bool,
+        pause: impl Fn(),
+        mut take: impl FnMut(TcpStream),
+    ) {
+        while !is_over() {
+            self.wait();
+            pause();
+            self.accept_each(&mut take);
+        }
+        self.accept_each(&mut take);
+    }
+
     /// Returns when a connection may be waiting, or after a short time.
-    pub fn wait(&mut self) {
+    fn wait(&mut self) {
         // Whatever ended the wait, the listener is asked next and tells what matters.
         let _ = self.poll.poll(&mut self.events, Some(WAIT_LIMIT));
     }
 
     /// Hands every waiting connection to `take`.
-    pub fn accept_each(&mut self, mut take: impl FnMut(TcpStream)) {
+    fn accept_each(&mut self, take: &mut impl FnMut(TcpStream)) {
         loop {
             match self.listener.accept() {
                 Ok((stream, _)) => take(stream),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -159,20 +160,26 @@
             });
         }
         let Listeners { callers, peers, datagrams, admin } = listeners;
+        let callers_closed = Arc::new(AtomicBool::new(false));
         spawn_acceptor(
             &mut root,
             "callers",
             callers,
             mailboxes.clone(),
-            Acceptance { stop: stop.clone(), until_leaving: Some(context.clone()) },
+            Acceptance {
+                stop: stop.clone(),
+                until_leaving: Some(context.clone()),
+                closed: callers_closed.clone(),
+            },
             ShardMessage::Caller,
         )?;
-        let always = Acceptance { stop: stop.clone(), until_leaving: None };
+        let always = Acceptance { stop: stop.clone(), until_leaving: None, closed: Arc::default() };
         spawn_acceptor(&mut root, "peers", peers, mailboxes.clone(), always, ShardMessage::Peer)?;
         let drain = Drain {
             context: context.clone(),
             shards: shards.clone(),
             mailboxes: mailboxes.clone(),
+            callers_closed,
         };
         let token = settings.secrets.admin_token.clone();
         let store: Arc<dyn ConfigStore> = Arc::new(CountedStore::new(store, context.clone()));
@@ -317,6 +324,8 @@
     stop: StopFlag,
     /// Set for a listener that closes when the node begins to leave.
     until_leaving: Option<Arc<NodeContext>>,
+    /// Told once it is closed, and all that it has accepted is with the shards.
+    closed: Arc<AtomicBool>,
 }
 
 impl Acceptance {
@@ -338,16 +347,14 @@
     let mut acceptor = Some(Acceptor::new(listener).map_err(StartError::EventLoop)?);
     let mut next = 0;
     root.spawn(format!("accept-{name}"), move || {
-        while let Some(open) = acceptor.as_mut().filter(|_| !acceptance.is_over()) {
-            open.wait();
-            acceptance.stop.wait_while_paused();
-            open.accept_each(|stream| {
-                mailboxes.send(next, wrap(stream));
-                next = (next + 1) % mailboxes.count() as u16;
-            });
-        }
+        let Some(acceptor) = acceptor.take() else { return };
+        let take = |stream| {
+            mailboxes.send(next, wrap(stream));
+            next = (next + 1) % mailboxes.count() as u16;
+        };
+        acceptor.run(|| acceptance.is_over(), || acceptance.stop.wait_while_paused(), take);
         // Callers that come now are refused by the operating system and go elsewhere.
-        acceptor = None;
+        acceptance.closed.store(true, Ordering::Release);
     });
     Ok(())
 }
--- a/crates/daemon/src/shard/mailbox.rs
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -71,6 +71,11 @@
         self.shards.len()
     }
 
+    /// Whether the shards have taken out everything that was sent to them.
+    pub fn are_empty(&self) -> bool {
+        self.shards.iter().all(|(sender, _)| sender.is_empty())
+    }
+
     /// Sends to a shard and wakes it. A shard that is gone drops the message: its node stops.
     pub fn send(&self, shard: u16, message: ShardMessage) {
         let Some((sender, waker)) = self.shards.get(usize::from(shard)) else { return };
--- a/crates/daemon/src/stopping.rs
+++ b/crates/daemon/src/stopping.rs
@@ -4,6 +4,7 @@
 //! way, and refers work for its instances to their standbys. Once nothing is left it is *closed*:
 //! from then on it runs nothing that other nodes still send, and can tell them so.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -50,6 +51,8 @@
     pub shards: Vec<Arc<Mutex<Shard>>>,
     /// Their mailboxes.
     pub mailboxes: Arc<Mailboxes>,
+    /// Whether the listener for callers is closed, and all that it accepted is with the shards.
+    pub callers_closed: Arc<AtomicBool>,
 }
 
 impl Drain {
@@ -63,6 +66,10 @@
             std::thread::sleep(limits.notice);
         }
         self.context.stage.advance_to(Stage::Leaving);
+        // A caller that connected before the listener closed may not have reached its shard yet.
+        if !wait_until(until, || self.has_taken_in_callers()) {
+            return false;
+        }
         if !self.wait(until, |shard| shard.is_drained(QUIET_PERIOD)) {
             return false;
         }
@@ -77,18 +84,25 @@
         self.wait(Instant::now() + GOODBYE_LIMIT, Shard::has_said_goodbye)
     }
 
+    fn has_taken_in_callers(&self) -> bool {
+        self.callers_closed.load(Ordering::Acquire) && self.mailboxes.are_empty()
+    }
+
     fn wait(&self, until: Instant, is_done: impl Fn(&Shard) -> bool) -> bool {
-        loop {
-            let lock = |shard: &Arc<Mutex<Shard>>| {
-                is_done(&shard.lock().unwrap_or_else(PoisonError::into_inner))
-            };
-            if self.shards.iter().all(lock) {
-                return true;
-            }
-            if Instant::now() >= until {
-                return false;
-            }
-            std::thread::sleep(CHECK_INTERVAL);
+        let lock = |shard: &Arc<Mutex<Shard>>| {
+            is_done(&shard.lock().unwrap_or_else(PoisonError::into_inner))
+        };
+        wait_until(until, || self.shards.iter().all(lock))
+    }
+}
+
+/// Looks again and again until something holds; false if it does not in time.
+fn wait_until(end: Instant, holds: impl Fn() -> bool) -> bool {
+    while !holds() {
+        if Instant::now() >= end {
+            return false;
         }
+        std::thread::sleep(CHECK_INTERVAL);
     }
+    true
 }
