A caller that has just logged in is served once before a planned stop sends it away

Cause: where the protocol has no farewell, a session without a request was sent away at once, also one that had logged in a moment ago: its first request was on the way, was read and dropped, and the connection closed.

Now a session that has asked nothing since it logged in gets a second, as sessions that can be told do. Test: fails before, passes now.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -95,6 +95,8 @@
     referred: bool,
     /// When something was last under way.
     last_active: Instant,
+    /// Whether it has asked for anything since it logged in.
+    has_asked: bool,
     /// When the caller was told to go elsewhere.
     parting_since: Option<Instant>,
     /// Request keys.
@@ -137,6 +139,7 @@
             hold_until: None,
             referred: false,
             last_active: now,
+            has_asked: false,
             parting_since: None,
             keys: Keys::default(),
             repeats: RetryBudget::new(REPEATS_PERCENT, REPEATS_RESERVE),
--- a/crates/daemon/src/front/session/parting.rs
+++ b/crates/daemon/src/front/session/parting.rs
@@ -36,9 +36,9 @@
         let between = self.request.is_none() && self.transaction == TransactionState::Idle;
         let silent = self.connection.input.is_empty() && self.protocol.is_between_requests();
         // Where nothing is said the moment behind an answer is the best: the caller is not about
-        // to ask again.
+        // to ask again. One that has just logged in is.
         let tells = io.context.protocol.traits().tells_farewell;
-        let limit = if tells { IDLE_BEFORE_PARTING } else { Duration::ZERO };
+        let limit = if tells || !self.has_asked { IDLE_BEFORE_PARTING } else { Duration::ZERO };
         between && silent && io.now.saturating_duration_since(self.last_active) >= limit
     }
 
--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -90,6 +90,7 @@
 
     /// Answers a request that needs no back end, or keeps it for one.
     fn take_up(&mut self, mut request: Request, io: &mut Io) {
+        self.has_asked = true;
         if let Err(refusal) = self.follow_configuration(io) {
             self.refuse_request(&refusal, io);
             return;
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -278,6 +278,25 @@
     assert_eq!(run(&mut reader, "READ long").rows, ["nothing"]);
 }
 
+/// Atlas grown, hunt-f39c-3: callers that logged in as their node began to leave were sent away behind the
+/// answer to that, with their first request on the way.
+#[test]
+fn a_caller_that_has_just_logged_in_when_its_node_begins_to_leave_is_served_once() {
+    let mut platform = start();
+    let context = platform.nodes().next().expect("a node").context.clone();
+    let mut caller = open(&platform, 0, Consistency::Primary, "new");
+    let stopping = std::thread::spawn(move || {
+        platform.stop_node(0);
+        platform
+    });
+    wait("the node leaves", || context.is_leaving()).expect("in time");
+    // Long enough for the node to look at its sessions several times.
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(run(&mut caller, "WRITE page 1").is_success());
+    assert_eq!(caller.heard().expect("the end"), None, "sent away behind the answer");
+    stopping.join().expect("it stops");
+}
+
 #[test]
 fn a_transaction_that_rests_too_long_is_ended() {
     let platform = start();
