Reading the change: what an instance's answers tell in a module of its own, one name for one thing

On the way of each forwarded statement the choice among owners makes no list of its own any more, and the life of evidence, which looks through the machine list, is asked once a placement instead of twice. Two comments held no longer.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -148,9 +148,9 @@
 
     /// Whether no other instance can have been promoted after the leader: the leader was promoted last,
     /// or the one that was is gone, or none ever was.
-    pub fn is_led_by_newest(&self, former: Option<&InstanceName>) -> bool {
+    pub fn is_led_by_newest(&self) -> bool {
         let Some(promoted) = &self.promoted else { return true };
-        let leads = self.leader(former).is_some_and(|leader| leader.name == *promoted);
+        let leads = self.leader(None).is_some_and(|leader| leader.name == *promoted);
         leads || self.instance(promoted).is_none()
     }
 
--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -185,7 +185,7 @@
     /// Until when arrivals are covered, at the primary of `term` in a group of such a kind, if evidence
     /// lasts for `life`.
     pub fn covers_until(&self, term: Term, group: Replication, life: Duration) -> Option<Instant> {
-        if term < self.term || self.is_given_up(term) {
+        if !self.counts_for(term) {
             return None;
         }
         let by_all = self.oldest_of(group.replicas(), term, |_| true);
@@ -202,15 +202,17 @@
         group: Replication,
         life: Duration,
     ) -> Option<Instant> {
-        if term < self.term || self.is_given_up(term) {
+        if !self.counts_for(term) {
             return None;
         }
         self.oldest_of(group.replicas_needed(), term, |_| true).map(|seen| seen + life)
     }
 
-    fn is_given_up(&self, term: Term) -> bool {
+    /// Whether there may be evidence for `term`: no higher one is known, and it has not been given up.
+    fn counts_for(&self, term: Term) -> bool {
         let unknown = Term::default();
-        self.given_up.is_some_and(|(_, until)| term <= until || until == unknown)
+        let is_given_up = self.given_up.is_some_and(|(_, until)| term <= until || until == unknown);
+        term >= self.term && !is_given_up
     }
 
     /// Whether no replacement can have released the replica before it answered.
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -21,6 +21,11 @@
     InstanceName::new(name)
 }
 
+/// Until when arrivals are covered at the primary of a group with one synchronous replica of two.
+fn covered(evidence: &PrimaryEvidence) -> Option<Instant> {
+    evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE)
+}
+
 #[test]
 fn as_many_replicas_as_are_synchronous_must_follow() {
     let now = Instant::now();
@@ -34,10 +39,7 @@
         Some(now + EVIDENCE_LIFE)
     );
     evidence.on_unreplaced(later);
-    assert_eq!(
-        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
-        Some(later + EVIDENCE_LIFE)
-    );
+    assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFE));
 }
 
 /// Found by the simulation, 33 of 2,000 seeds with many faults: a promotion released a replica that did
@@ -46,8 +48,6 @@
 #[test]
 fn the_word_of_some_replicas_counts_if_the_store_confirms_it() {
     let now = Instant::now();
-    let covered =
-        |evidence: &PrimaryEvidence| evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE);
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
     assert_eq!(covered(&evidence), None, "the store has not been asked");
@@ -70,8 +70,6 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
     evidence.on_replica(&replica("c"), FOLLOWING, later, later);
-    let covered =
-        |evidence: &PrimaryEvidence| evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE);
     assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFE), "the older of the two");
     evidence.on_replica(&replica("b"), STOPPED, later, later);
     assert_eq!(covered(&evidence), None);
@@ -88,18 +86,18 @@
     };
     let next = Term(TERM.0 + 1);
     let follows_next = Following { term: next, held: Term(0) };
-    let covered = |mut evidence: PrimaryEvidence| {
+    let covered_in_next_term = |mut evidence: PrimaryEvidence| {
         evidence.on_replica(&replica("b"), follows_next, now, now);
         evidence.covers_until(next, SYNCHRONOUS_ONE, EVIDENCE_LIFE)
     };
-    assert_eq!(covered(confirmed()), None, "a new term");
+    assert_eq!(covered_in_next_term(confirmed()), None, "a new term");
     let mut evidence = confirmed();
     evidence.forget();
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None, "broken");
+    assert_eq!(covered(&evidence), None, "broken");
     let mut evidence = confirmed();
     evidence.give_up(ReplacementId { fence: 9, attempt: 1 });
-    assert_eq!(covered(evidence), None, "a replacement");
+    assert_eq!(covered_in_next_term(evidence), None, "a replacement");
 }
 
 #[test]
@@ -109,7 +107,7 @@
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
     evidence.on_unreplaced(now);
     evidence.on_replica(&replica("b"), STOPPED, now, now);
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
 }
 
 /// Atlas with a replica that receives nothing while the primary dies: the successor could not be read,
@@ -125,7 +123,7 @@
         evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
         Some(now + EVIDENCE_LIFE)
     );
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
     // Stopped once more, for another promotion.
     let again = Following { held: Term(successor.0 + 1), ..STOPPED };
     evidence.on_replica(&replica("b"), again, now, now);
@@ -140,16 +138,10 @@
     evidence.on_replica(&replica("b"), STOPPED, now, now);
     evidence.on_replica(&replica("b"), FOLLOWING, later, later);
     evidence.on_unreplaced(later);
-    assert_eq!(
-        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
-        Some(later + EVIDENCE_LIFE)
-    );
+    assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFE));
     // An answer that was asked for before comes late.
     evidence.on_replica(&replica("b"), STOPPED, now, now);
-    assert_eq!(
-        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
-        Some(later + EVIDENCE_LIFE)
-    );
+    assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFE));
 }
 
 #[test]
@@ -159,14 +151,11 @@
     evidence.give_up(ReplacementId { fence: 9, attempt: 1 });
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
     evidence.on_unreplaced(now);
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
     evidence.take_up();
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
     evidence.on_unreplaced(now);
-    assert_eq!(
-        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
-        Some(now + EVIDENCE_LIFE)
-    );
+    assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFE));
 }
 
 /// Found by a test of the whole path: the platform releases replicas that do not hear of a promotion,
@@ -208,13 +197,10 @@
     let now = Instant::now();
     let mut evidence = PrimaryEvidence::default();
     evidence.on_commit(TERM, now);
-    assert_eq!(
-        evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE),
-        Some(now + EVIDENCE_LIFE)
-    );
+    assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFE));
     assert_eq!(evidence.covers_until(Term(TERM.0 + 1), SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
     evidence.on_commit(Term(TERM.0 + 1), now);
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
 }
 
 #[test]
@@ -223,11 +209,11 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_commit(TERM, now);
     evidence.give_up(ReplacementId { fence: 9, attempt: 1 });
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
     evidence.on_commit(TERM, now);
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
     evidence.take_up();
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
 }
 
 /// Found by the simulation, seed 9511: a primary died, refused connections, so nobody waited for
@@ -240,7 +226,7 @@
     evidence.on_replica(&replica("b"), FOLLOWING, now, now);
     evidence.on_unreplaced(now);
     evidence.forget();
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFE), None);
+    assert_eq!(covered(&evidence), None);
 }
 
 /// Found by a hunt on both sites: an old primary answered a COMMIT that had written nothing, a node
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -116,7 +116,7 @@
         let sent = self.at(sent);
         let own = &mut self.nodes[node];
         let group = own.catalog.groups.get(&group_name());
-        let is_newest = group.is_some_and(|group| group.is_led_by_newest(None));
+        let is_newest = group.is_some_and(|group| group.is_led_by_newest());
         let is_replaced = own.view.intents.contains_key(&group_name()) || !is_newest;
         if own.view.revision >= revision && !is_replaced {
             own.evidence.on_unreplaced(sent);
--- a/crates/daemon/src/agent/promotion/looks.rs
+++ b/crates/daemon/src/agent/promotion/looks.rs
@@ -111,7 +111,7 @@
     for name in groups {
         let Some(group) = catalog.groups.get(name) else { continue };
         let is_in_force = group.promoted.as_ref() == view.promoted.get(name);
-        let is_replaced = view.intents.contains_key(name) || !group.is_led_by_newest(None);
+        let is_replaced = view.intents.contains_key(name) || !group.is_led_by_newest();
         if is_in_force && !is_replaced {
             context.statuses.on_unreplaced(name, looked.asked);
         }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -111,19 +111,18 @@
 
     /// Whether this node is one of several owners of a group.
     pub fn owns(&self, group: &GroupName) -> bool {
-        let ownerships = self.ownerships();
-        ownerships.owners_of(group).iter().any(|owner| owner.node == self.identity.node)
+        self.ownerships().is_owner(&self.identity.node, group)
     }
 
     /// The node to whose gateway work for a group goes that has several owners: this one, if it is
     /// among them.
     pub fn owner_for_group(&self, group: &GroupName, now: Instant) -> Option<NodeName> {
         let ownerships = self.ownerships();
-        let owners = ownerships.owners_of(group);
         let Identity { node, zone, .. } = &self.identity;
-        if owners.iter().any(|owner| owner.node == *node) {
+        if ownerships.is_owner(node, group) {
             return Some(node.clone());
         }
+        let owners = ownerships.owners_of(group);
         self.detours.choose_among(owners, zone, rand::random(), now).cloned()
     }
 
--- a/crates/daemon/src/detours.rs
+++ b/crates/daemon/src/detours.rs
@@ -90,9 +90,9 @@
                 entries.passed_over.get(&owner.node).is_some_and(|until| *until > now);
             (passed_over, owner.zone != *zone)
         };
-        let nearest = owners.iter().map(distance).min()?;
-        let nearest: Vec<&Candidate> =
-            owners.iter().filter(|owner| distance(owner) == nearest).collect();
-        Some(&nearest[(random % nearest.len() as u64) as usize].node)
+        let least = owners.iter().map(distance).min()?;
+        let nearest = || owners.iter().filter(|owner| distance(owner) == least);
+        let chosen = (random % nearest().count() as u64) as usize;
+        nearest().nth(chosen).map(|owner| &owner.node)
     }
 }
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::routing::Access;
 use kestrellock_peer::message::{Exchange, LeaseEvent, Placement, PlacementNeed};
 
-use super::placing::{self, Found, Need};
+use super::placing::{self, Found, StatementNeeds};
 use super::pool::{Pool, PoolRole};
 use super::{Gateway, notify, ownership};
 use crate::event::Io;
@@ -52,14 +52,14 @@
         pools: &HashMap<InstanceName, Pool>,
         io: &Io,
     ) -> Found {
-        let need = Need {
+        let needs = StatementNeeds {
             arrived: self.arrived,
             staleness: self.need.staleness,
             passed_over: self.need.passed_over.as_ref(),
             pools,
         };
         let mut access = self.exchange.access.clone();
-        let found = placing::find(name, group, &mut access, need, io);
+        let found = placing::find(name, group, &mut access, needs, io);
         if let (Found::Instance(_), Access::Read { .. }) = (&found, &access) {
             self.exchange.access = access;
         }
@@ -152,13 +152,11 @@
         }
         held.tell(name, &found, io);
         self.group_state(name, io.now).placements.held.push(held);
-        match found {
-            Found::NeedsEvidence => self.ask_for_evidence(name, group, io),
-            Found::NeedsStore => {
-                io.context.store_looks.want(name);
-                self.ask_for_evidence(name, group, io);
-            }
-            Found::Nowhere | Found::Instance(_) => {}
+        if found == Found::NeedsStore {
+            io.context.store_looks.want(name);
+        }
+        if matches!(found, Found::NeedsEvidence | Found::NeedsStore) {
+            self.ask_for_evidence(name, group, io);
         }
     }
 
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -11,7 +11,8 @@
 
 use super::pool::Pool;
 use crate::event::Io;
-use crate::shared::statuses::{AnswerRecord, GroupStatuses};
+use crate::shared::answers::AnswerRecord;
+use crate::shared::statuses::GroupStatuses;
 
 /// Where an exchange may go now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,13 +23,13 @@
     Nowhere,
     /// To the primary, once there is evidence that it still leads.
     NeedsEvidence,
-    /// The same, and replicas have shown it but for the store's word that nobody replaces it.
+    /// The same; enough replicas have shown it, and the store has yet to say that nobody replaces it.
     NeedsStore,
 }
 
 /// What a request needs of the instance that runs it.
 #[derive(Clone, Copy)]
-pub struct Need<'a> {
+pub struct StatementNeeds<'a> {
     /// When it arrived.
     pub arrived: Instant,
     /// How old what it reads may be; `None` if it reads nothing.
@@ -45,22 +46,20 @@
     group: &GroupName,
     configured: &Group,
     access: &mut Access,
-    need: Need,
+    needs: StatementNeeds,
     io: &Io,
 ) -> Found {
     let board = io.context.statuses.group(group);
     let known = board.read().expect("a holder of the status lock panicked");
     let primary = io.context.leader(group, configured);
     let synchronous = configured.synchronous_replicas;
-    let covered = primary.and_then(|primary| {
-        known.covered_until(&primary.name, configured.replication(), io.context.evidence_life())
-    });
+    let (replication, life) = (configured.replication(), io.context.evidence_life());
+    let covered = primary.and_then(|primary| known.covered_until(&primary.name, replication, life));
     // What must be covered: a clock that has not run so long covers everything.
-    let moment = |staleness| need.arrived.checked_sub(staleness).unwrap_or(need.arrived);
+    let moment = |staleness| needs.arrived.checked_sub(staleness).unwrap_or(needs.arrived);
     let missing = |moment: Instant| {
-        let (group, life) = (configured.replication(), io.context.evidence_life());
         let only_store = primary.is_some_and(|primary| {
-            known.lacks_only_the_store(&primary.name, group, life, moment, io.now)
+            known.lacks_only_the_store(&primary.name, replication, life, moment, io.now)
         });
         if only_store { Found::NeedsStore } else { Found::NeedsEvidence }
     };
@@ -80,7 +79,7 @@
             let primary = primary.map(|primary| &primary.name);
             let qualifies =
                 Qualifies { primary: primary.filter(|_| at_primary), replicas: covering.is_some() };
-            choose_reader(configured, &known, bound, qualifies, need, io)
+            choose_reader(configured, &known, bound, qualifies, needs, io)
         }
         Access::PrimaryRead { .. } | Access::Write { .. } => {
             // While the primary is being replaced nothing new goes to it.
@@ -91,12 +90,12 @@
             }
             // Without synchronous replicas an old primary goes on committing.
             let alone = (synchronous == 0).then_some(Duration::ZERO);
-            let staleness = need.staleness.or(alone);
-            let needed = staleness.map(moment).filter(|_| primary.is_some());
-            if let Some(needed) = needed
-                && covered.is_none_or(|covered| needed > covered)
-            {
-                return missing(needed);
+            let staleness = needs.staleness.or(alone);
+            let uncovered = staleness
+                .map(moment)
+                .filter(|moment| covered.is_none_or(|covered| *moment > covered));
+            if let (Some(moment), Some(_)) = (uncovered, primary) {
+                return missing(moment);
             }
             primary
         }
@@ -120,7 +119,7 @@
     known: &GroupStatuses,
     position: &Option<Position>,
     qualifies: Qualifies<'_>,
-    need: Need,
+    needs: StatementNeeds,
     io: &Io,
 ) -> Option<&'a Instance> {
     let may_serve = |instance: &&Instance| {
@@ -129,9 +128,9 @@
             true => true,
             false => qualifies.replicas && is_replica,
         };
-        qualifies && !instance.leaving && need.passed_over != Some(&instance.name)
+        qualifies && !instance.leaving && needs.passed_over != Some(&instance.name)
     };
-    let queued = |name| need.pools.get(name).map_or(0, |pool| pool.waiting() as u32);
+    let queued = |name| needs.pools.get(name).map_or(0, |pool| pool.waiting() as u32);
     let readers: Vec<Reader> = configured
         .instances
         .iter()
--- a/crates/daemon/src/gateway/primary_questions.rs
+++ b/crates/daemon/src/gateway/primary_questions.rs
@@ -1,5 +1,5 @@
 //! The question whether a group's primary still leads, for statements that may not read there without
-//! evidence. One question a group is under way at a time.
+//! evidence. One round of questions a group is under way at a time.
 
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 
 use crate::event::Io;
 
-/// Time after which another instance is asked.
+/// Time after which instances that have not answered are asked again.
 const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 /// Times between two questions where the answer did not help: an answer that helps does so for long.
 const REPETITION: Repetition = Repetition::new(
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -27,6 +27,12 @@
     owners: Vec<Candidate>,
 }
 
+impl GroupOwners {
+    fn include(&self, node: &NodeName) -> bool {
+        self.owners.iter().any(|owner| owner.node == *node)
+    }
+}
+
 /// Owners and standbys at one moment.
 #[derive(Debug, Default)]
 pub struct OwnershipSnapshot {
@@ -58,6 +64,11 @@
         self.group_owners.get(group).map(|group| group.owners.as_slice()).unwrap_or_default()
     }
 
+    /// Whether `node` is one of several owners of a group.
+    pub fn is_owner(&self, node: &NodeName, group: &GroupName) -> bool {
+        self.group_owners.get(group).is_some_and(|owners| owners.include(node))
+    }
+
     /// Connections that this node may hold to an instance whose group has several owners.
     pub fn share(&self, instance: &InstanceName) -> Option<Share> {
         self.shares.get(instance).copied()
@@ -113,8 +124,7 @@
         &self,
         group_owners: &HashMap<GroupName, GroupOwners>,
     ) -> HashMap<InstanceName, Share> {
-        let own = |group: &GroupOwners| group.owners.iter().any(|one| one.node == *self.own);
-        let owned = group_owners.iter().filter(|(_, group)| own(group));
+        let owned = group_owners.iter().filter(|(_, owners)| owners.include(self.own));
         let shares = owned.flat_map(|(name, owners)| {
             let instances = self.catalog.groups.get(name).map(|group| group.instances.as_slice());
             instances.unwrap_or_default().iter().map(|instance| (instance, owners.sharers))
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -6,14 +6,21 @@
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{GroupName, InstanceName};
-use kestrellock_core::position::{Position, Term};
+use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{Following, PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::Intent;
 use kestrellock_core::routing::{InstanceStatus, Role};
-use kestrellock_core::suspicion::{GivenUpRequests, Signs};
+use kestrellock_core::suspicion::Signs;
 use kestrellock_protocol::backend::Report;
 
+use super::answers::AnswerRecord;
+pub use super::answers::{Answered, Reachability};
+
+/// Time that replicas get to answer before the store is asked instead of the slowest: zones are a few
+/// milliseconds apart, and a call of the store costs as much as dozens of questions.
+const REPLICAS_ANSWER_WITHIN: Duration = Duration::from_millis(10);
+
 /// Newest status of every instance this node has heard of, a lock for each group.
 #[derive(Debug, Default)]
 pub struct StatusBoard {
@@ -38,7 +45,7 @@
 impl GroupStatuses {
     /// Term that the instance leads or led, by its own last word.
     pub fn led_by(&self, instance: &InstanceName) -> Option<Term> {
-        self.answers.get(instance)?.leads
+        self.answers.get(instance)?.leads()
     }
 
     /// Until when arrivals are known to see everything at the primary `instance` of a group.
@@ -69,133 +76,6 @@
     }
 }
 
-/// Time that replicas get to answer before the store is asked instead of the slowest: zones are a few
-/// milliseconds apart, and a call of the store costs as much as dozens of questions.
-const REPLICAS_ANSWER_WITHIN: Duration = Duration::from_millis(10);
-
-/// Time between two questions to an instance in doubt: reads avoid it, so that nothing else would show
-/// that it answers. A question costs a slot for a moment; half a second is a tenth of what an instance
-/// that is silent takes to be replaced or to return.
-const DOUBT_QUESTION_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Weight of the newest answer in the mean service time: one in so many.
-const SERVICE_WEIGHT: u32 = 8;
-
-/// An exchange that waits for its answer.
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    number: u64,
-    sent: Instant,
-    commits: bool,
-}
-
-/// What this node's own exchanges with an instance tell of it.
-#[derive(Clone, Debug, Default)]
-pub struct AnswerRecord {
-    /// Position that it last told.
-    pub reached: Option<Position>,
-    /// When it told that.
-    pub reached_at: Option<Instant>,
-    /// Highest term by its own word. Its position lags behind that: until the first commit of a new
-    /// term its log ends with one of the term before.
-    term: Option<Term>,
-    /// Highest term that it has shown to lead: by saying so, or by a commit that it answered. The terms
-    /// of its positions do not show it: a primary that was demoted tells those of its successor.
-    leads: Option<Term>,
-    /// Mean time that its answers took lately.
-    pub service: Option<Duration>,
-    /// Whether an exchange or a connection has failed there since it last answered.
-    pub in_doubt: bool,
-    /// When it was last asked how it stands because it is in doubt.
-    asked_in_doubt: Option<Instant>,
-    waiting: Vec<Waiting>,
-    given_up: GivenUpRequests,
-    given_up_commits: GivenUpRequests,
-    next_number: u64,
-    answered: Option<Instant>,
-    refused: Option<Instant>,
-}
-
-impl AnswerRecord {
-    /// Exchanges that are under way.
-    pub fn running(&self) -> u32 {
-        self.waiting.len() as u32
-    }
-
-    /// What it shows of the instance's health; whether it commits is known of its group.
-    fn signs(&self) -> Signs {
-        let waiting = self.waiting.iter().map(|waiting| waiting.sent);
-        let now = Instant::now();
-        let given_up = self.given_up.sent(now);
-        let committing = self.waiting.iter().filter(|waiting| waiting.commits);
-        let committing = committing.map(|waiting| waiting.sent);
-        Signs {
-            refused: self.refused,
-            waiting: waiting.chain(given_up).min(),
-            committing: committing.chain(self.given_up_commits.sent(now)).min(),
-            committed: None,
-            answered: self.answered,
-        }
-    }
-
-    /// Whether it is to be asked now how it stands, to take the doubt back.
-    fn is_question_due(&self, now: Instant) -> bool {
-        let asked = self.asked_in_doubt;
-        self.in_doubt && asked.is_none_or(|asked| now >= asked + DOUBT_QUESTION_INTERVAL)
-    }
-
-    fn on_given_up(&mut self, ended: Waiting, now: Instant) {
-        self.given_up.on_given_up(ended.sent, now);
-        if ended.commits {
-            self.given_up_commits.on_given_up(ended.sent, now);
-        }
-    }
-
-    fn reach(&mut self, position: Option<Position>, at: Instant) {
-        if position.is_some() {
-            self.reached = position;
-            self.reached_at = Some(at);
-            self.term = self.term.max(position.map(|position| position.term));
-        }
-    }
-
-    fn on_answer(&mut self, taken: Duration, position: Option<Position>, at: Instant) {
-        self.in_doubt = false;
-        self.refused = None;
-        self.given_up.on_answer();
-        self.answered = Some(at);
-        self.reach(position, at);
-        self.service = Some(match self.service {
-            Some(mean) => (mean * (SERVICE_WEIGHT - 1) + taken) / SERVICE_WEIGHT,
-            None => taken,
-        });
-    }
-}
-
-/// What became of a connection to an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reachability {
-    /// It was made; the instance told this position.
-    Made(Option<Position>),
-    /// It could not be made.
-    Refused,
-    /// It broke, or was given up, with something under way.
-    Broken,
-}
-
-/// An answer of an instance, as far as it tells of the instance.
-#[derive(Clone, Copy, Debug)]
-pub struct Answered {
-    /// When the exchange was sent.
-    pub sent: Instant,
-    /// When its answer ended.
-    pub at: Instant,
-    /// Position that it told.
-    pub position: Option<Position>,
-    /// Role of the instance.
-    pub role: Option<Role>,
-}
-
 /// What was last heard of an instance, and when.
 #[derive(Clone, Debug)]
 pub struct KnownStatus {
@@ -226,9 +106,7 @@
         let mut number = 0;
         self.with_group(group, |known| {
             let record = known.answers.entry(instance.clone()).or_default();
-            number = record.next_number;
-            record.next_number += 1;
-            record.waiting.push(Waiting { number, sent: Instant::now(), commits });
+            number = record.on_sent(Instant::now(), commits);
         });
         number
     }
@@ -243,17 +121,8 @@
     ) {
         self.with_group(group, |known| {
             let record = known.answers.entry(instance.clone()).or_default();
-            let place = record.waiting.iter().position(|waiting| waiting.number == number);
-            let ended = place.map(|place| record.waiting.swap_remove(place));
-            let Some(answer) = answer else {
-                record.in_doubt = true;
-                if let Some(ended) = ended {
-                    record.on_given_up(ended, Instant::now());
-                }
-                return;
-            };
-            let taken = answer.at.saturating_duration_since(answer.sent);
-            record.on_answer(taken, answer.position, answer.at);
+            record.on_ended(number, answer.as_ref());
+            let Some(answer) = answer else { return };
             if let (Some(Role::Primary), Some(position)) = (answer.role, answer.position) {
                 known.primary.record(answer.sent, position);
             }
@@ -268,19 +137,7 @@
         reachability: Reachability,
     ) {
         self.with_group(group, |known| {
-            let record = known.answers.entry(instance.clone()).or_default();
-            record.in_doubt = !matches!(reachability, Reachability::Made(_));
-            match reachability {
-                Reachability::Made(position) => {
-                    record.refused = None;
-                    record.given_up.on_answer();
-                    record.reach(position, Instant::now());
-                }
-                Reachability::Refused => {
-                    record.refused.get_or_insert_with(Instant::now);
-                }
-                Reachability::Broken => {}
-            }
+            known.answers.entry(instance.clone()).or_default().on_connection(reachability);
         });
     }
 
@@ -293,7 +150,7 @@
     pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
         self.with_group(group, |known| {
             let record = known.answers.entry(instance.clone()).or_default();
-            record.leads = record.leads.max(Some(term));
+            record.on_leads(term);
             known.evidence.on_commit(term, sent);
             known.committed = Some(Instant::now());
         });
@@ -327,16 +184,10 @@
         let term = report.flushed.term;
         let following = Following { term, held: report.held };
         self.with_group(group, |known| {
-            known.answers.entry(instance.clone()).or_default().in_doubt = false;
-            match report.role {
-                Role::Replica => {
-                    known.evidence.on_replica(instance, following, asked, Instant::now());
-                }
-                Role::Primary => {
-                    let record = known.answers.entry(instance.clone()).or_default();
-                    record.term = record.term.max(Some(term));
-                    record.leads = record.leads.max(Some(term));
-                }
+            let record = known.answers.entry(instance.clone()).or_default();
+            record.on_standing(report.role, term);
+            if report.role == Role::Replica {
+                known.evidence.on_replica(instance, following, asked, Instant::now());
             }
         });
     }
@@ -354,7 +205,7 @@
         let mut known = board.write().expect("a holder of the status lock panicked");
         let due = known.answers.iter_mut().filter(|(_, record)| record.is_question_due(now));
         let asked = due.map(|(instance, record)| {
-            record.asked_in_doubt = Some(now);
+            record.on_question(now);
             instance.clone()
         });
         asked.collect()
@@ -377,7 +228,7 @@
     pub fn highest_term(&self, group: &GroupName) -> Term {
         let board = self.group(group);
         let known = board.read().expect("a holder of the status lock panicked");
-        let told = known.answers.values().filter_map(|record| record.term);
+        let told = known.answers.values().filter_map(AnswerRecord::term);
         told.max().unwrap_or_default().max(known.evidence.term())
     }
 
