--- a/crates/core/src/promotion/electorate.rs
+++ b/crates/core/src/promotion/electorate.rs
@@ -1,6 +1,6 @@
 //! The nodes whose word counts when a primary is suspected.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crate::ids::NodeName;
@@ -24,7 +24,9 @@
         live: &[NodeName],
         now: Instant,
     ) -> Vec<NodeName> {
-        self.seen.retain(|node, _| listed.contains(node));
+        let (listed_names, live): (HashSet<_>, HashSet<_>) =
+            (listed.iter().collect(), live.iter().collect());
+        self.seen.retain(|node, _| listed_names.contains(node));
         for node in listed {
             let seen = self.seen.entry(node.clone()).or_insert(now);
             if live.contains(node) {
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -153,12 +153,11 @@
     evidence: &NeedsEvidence,
 ) -> Votes {
     let (own, own_votes) = evidence.own;
-    let against = |votes: Option<&NodeVotes>| {
-        votes.and_then(|votes| votes.get(name)).is_some_and(|vote| vote.instance == *primary)
-    };
-    let others = evidence.live.iter().filter(|node| *node != own);
-    let suspecting = others.filter(|node| against(evidence.view.votes.get(*node))).count()
-        + usize::from(against(Some(own_votes)));
+    let against = |votes: &NodeVotes| votes.get(name).is_some_and(|vote| vote.instance == *primary);
+    // Few nodes vote, and many live: the votes are gone through.
+    let others = evidence.view.votes.iter().filter(|(node, votes)| *node != own && against(votes));
+    let suspecting = others.filter(|(node, _)| evidence.live.contains(*node)).count()
+        + usize::from(against(own_votes));
     // Only owners send the primary anything, so only they can suspect it.
     let nodes = evidence.live.len().max(evidence.listed.len());
     let voters = group.owner_count(nodes);
--- a/crates/core/src/spreading.rs
+++ b/crates/core/src/spreading.rs
@@ -113,6 +113,12 @@
         Self { own, next_poll: None, waiting: None, silent: None }
     }
 
+    /// Whether [`Self::next`] may name a node now, given whether one is known to have a newer revision.
+    pub fn is_due(&self, is_newer_known: bool, now: Instant) -> bool {
+        let waits = self.waiting.as_ref().is_some_and(|waiting| now < waiting.until);
+        !waits && (is_newer_known || self.waiting.is_some() || self.poll_is_due(now))
+    }
+
     /// The node to ask now, if any.
     pub fn next(&mut self, view: &View) -> Option<NodeName> {
         if self.waiting.as_ref().is_some_and(|waiting| view.now < waiting.until) {
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -26,7 +26,8 @@
 use crate::supervisor::StopFlag;
 use answer::Answer;
 
-const ACCEPT_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait for a request before a thread looks whether it is to stop.
+const ACCEPT_WAIT: Duration = Duration::from_millis(250);
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 const BEARER: &str = "Bearer ";
--- a/crates/daemon/src/agent/configuration/exchange.rs
+++ b/crates/daemon/src/agent/configuration/exchange.rs
@@ -14,7 +14,7 @@
 use crate::supervisor::StopFlag;
 
 /// Longest wait for a message before the time is looked at.
-const STEP: Duration = Duration::from_millis(50);
+const STEP: Duration = Duration::from_millis(100);
 
 /// Exchanges configuration with peers until told to stop.
 pub fn exchange(configuration: &Configuration, stop: &StopFlag) {
@@ -30,16 +30,13 @@
 
 impl Configuration {
     fn ask_if_due(&self, puller: &mut Puller) {
-        let live = self.live();
-        let have = self.revision();
+        let (now, have) = (Instant::now(), self.revision());
         let newer = self.context.revisions.newer_than(have);
-        let view = View {
-            now: Instant::now(),
-            have,
-            newer: newer.as_ref(),
-            live: &live,
-            random: rand::random(),
-        };
+        if !puller.is_due(newer.is_some(), now) {
+            return;
+        }
+        let live = self.live();
+        let view = View { now, have, newer: newer.as_ref(), live: &live, random: rand::random() };
         if let Some(node) = puller.next(&view) {
             // The dead are forgotten here, since a dead node may be the only one that was newer.
             let live: HashSet<&NodeName> = live.iter().map(|other| &other.node).collect();
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -9,6 +9,7 @@
 //! * [`looks`] ask the store whether nobody replaces a primary, to confirm what replicas say;
 //! * [`orders`] are the threads that talk to instances, the store and the platform.
 
+mod electors;
 mod holder;
 mod looks;
 mod orders;
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -9,8 +9,7 @@
 use kestrellock_core::catalog::{Elector, IndexedCatalog};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, Electorate, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote,
-    heeded,
+    CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote, heeded,
 };
 use kestrellock_core::suspicion::{Cause, Judge};
 use kestrellock_peer::message::PeerMessage;
@@ -18,14 +17,18 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::SuccessionServices;
+use super::electors::Electors;
 use super::holder::{self, SharedSituation, Situation};
 use super::looks::Looks;
 use crate::context::NodeContext;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::supervisor::StopFlag;
 
-/// Time between two looks.
+/// Time between two looks while something is suspected, replaced or asked.
 const STEP: Duration = Duration::from_millis(20);
+/// The same while nothing is: a suspicion needs several hundred milliseconds of silence, and each look
+/// wakes a node that has nothing to do.
+const CALM_STEP: Duration = Duration::from_millis(50);
 /// Time that a node waits for each that is before it, so that not all act at once.
 const TURN: Duration = Duration::from_millis(120);
 /// An answer of a primary that is younger than this needs no second opinion.
@@ -50,9 +53,9 @@
     services: &'a SuccessionServices,
     judge: Judge,
     needs_judge: NeedsJudge,
-    electorate: Electorate,
     known: KnownInstances,
-    view: CoordinationView,
+    view: Arc<CoordinationView>,
+    electors: Electors,
     votes: NodeVotes,
     voter: Sender<NodeVotes>,
     opinions: HashMap<(GroupName, InstanceName), Opinion>,
@@ -82,9 +85,9 @@
         services,
         judge: Judge::default(),
         needs_judge: NeedsJudge::default(),
-        electorate: Electorate::default(),
         known: KnownInstances::default(),
-        view: CoordinationView::default(),
+        view: Arc::default(),
+        electors: Electors::default(),
         votes: NodeVotes::new(),
         voter: start_voter(context, services, stop),
         opinions: HashMap::new(),
@@ -102,7 +105,7 @@
     while !stop.is_stopping() {
         stop.wait_while_paused();
         watcher.step();
-        thread::sleep(STEP);
+        thread::sleep(watcher.pause());
     }
 }
 
@@ -152,6 +155,14 @@
         self.act(needs, now);
     }
 
+    /// Time until the next look.
+    fn pause(&self) -> Duration {
+        let nothing_said = self.view.votes.is_empty() && self.votes.is_empty();
+        let nothing_begun = self.view.intents.is_empty() && self.needed_since.is_none();
+        let is_calm = nothing_said && nothing_begun && self.asking.is_empty();
+        if is_calm { CALM_STEP } else { STEP }
+    }
+
     fn follow_store(&mut self) {
         let view = self.services.coordination.view();
         self.tell_holders(&view);
@@ -293,19 +304,16 @@
         for group in called_off {
             self.needs_judge.on_called_off(&group, now);
         }
-        let live: Vec<NodeName> =
-            self.context.live.load().iter().map(|node| node.candidate.node.clone()).collect();
+        self.electors.follow(self.context, now);
         let own = (&self.context.identity.node, &self.votes);
-        let listed = self.context.listed_names();
-        let listed = self.electorate.counted(&listed, &live, now);
-        let evidence =
-            NeedsEvidence { catalog, view: &self.view, own, live: &live, listed: &listed, now };
+        let (live, listed) = (self.electors.live(), self.electors.counted());
+        let evidence = NeedsEvidence { catalog, view: &self.view, own, live, listed, now };
         self.needs_judge.judge(&evidence)
     }
 
     fn act(&mut self, needs: BTreeMap<GroupName, Need>, now: Instant) {
         let called = needs.values().any(Need::calls_for_action);
-        {
+        if called || self.acting.is_some() {
             let mut situation = self.situation.lock().unwrap_or_else(PoisonError::into_inner);
             situation.needs = needs;
             situation.known = self.known.clone();
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -247,6 +247,11 @@
         self.positions.on_tick(io);
     }
 
+    /// Whether a session waits for time to pass: it holds a request, logs in or parts.
+    pub fn is_waiting(&self) -> bool {
+        self.sessions.iter().any(|(_, session)| session.waits_for_time())
+    }
+
     /// Reads what has arrived since the last event, so that a caller is not sent away after its
     /// statement has reached this node. A connection that turns out closed shows as readable.
     fn take_in_late_input(&mut self) {
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -167,6 +167,12 @@
         self.login.is_some()
     }
 
+    /// Whether what the session does next depends on time rather than on a message, within moments.
+    pub fn waits_for_time(&self) -> bool {
+        let holds = self.request.as_ref().is_some_and(|request| !request.sent);
+        holds || self.parting_since.is_some() || !self.is_logged_in()
+    }
+
     /// Whether the session has something to do on a tick.
     pub fn needs_tick(&self, now: Instant) -> bool {
         if self.parting_since.is_some() {
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -113,9 +113,13 @@
         self.waiting.retain(|waiting| waiting.commit.lease != *lease);
     }
 
-    /// Drops the commits of a front that cannot be reached.
-    pub fn forget_node(&mut self, node: &NodeName) {
-        self.waiting.retain(|waiting| waiting.commit.lease.node != *node);
+    /// Gives up the commits of a front that cannot be reached. They have taken effect, so the front is
+    /// told that their outcome is in doubt: it may come back on another connection and ask.
+    pub fn give_up_node(&mut self, node: &NodeName, io: &mut Io) {
+        let of_node = |waiting: &mut Waiting| waiting.commit.lease.node == *node;
+        for waiting in self.waiting.extract_if(.., of_node) {
+            refuse(waiting.commit, Progress::Unconfirmed, Fault::GatewayLost, io);
+        }
     }
 
     /// Takes in an instance's answer, and answers the commits that it decides.
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -34,6 +34,10 @@
         if exchange.lease.node != io.context.identity.node {
             self.last_forwarded = Some(io.now);
         }
+        if self.ruled_out.contains_key(&exchange.lease) {
+            log::info!(event = "ruled_out", id = exchange.request.as_deref().unwrap_or("-"); "a statement arrived after its front was told that it has not run; it is dropped");
+            return;
+        }
         if let Some(&key) = self.leases.get(&exchange.lease) {
             if let Some(pool) = self.pool_of(key) {
                 pool.on_resumed(key, io.now);
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -1,6 +1,7 @@
 //! Leases that end, or whose statement is cancelled, from the front's side: nobody waits any more.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
@@ -12,6 +13,10 @@
 use super::{Gateway, GroupGateway};
 use crate::event::Io;
 
+/// Time for which an exchange may arrive that was ruled out: longer than any cut through which bytes
+/// of a connection survive (the system gives up sending after a quarter of an hour).
+const RULED_OUT_FOR: Duration = Duration::from_secs(1_200);
+
 impl Gateway {
     /// The front of `node` has exactly the leases `held`: its others are over.
     pub fn keep_only(&mut self, node: &NodeName, held: &[HeldLease], io: &mut Io) {
@@ -40,6 +45,14 @@
         runs || self.groups.values().any(waits)
     }
 
+    /// The front of a lease is told that its exchange has not run: from now on it must not. An older
+    /// connection that this node still reads may yet bring it.
+    pub fn rule_out(&mut self, lease: &LeaseId, io: &mut Io) {
+        self.on_abandon(lease, io);
+        self.ruled_out.retain(|_, since| io.now < *since + RULED_OUT_FOR);
+        self.ruled_out.insert(lease.clone(), io.now);
+    }
+
     /// Nobody waits for what the lease has under way.
     pub fn on_abandon(&mut self, lease: &LeaseId, io: &mut Io) {
         for state in self.groups.values_mut() {
@@ -69,7 +82,7 @@
     pub fn on_peer_lost(&mut self, node: &NodeName, io: &mut Io) {
         for state in self.groups.values_mut() {
             state.pools.values_mut().for_each(|pool| pool.forget_node(node));
-            state.confirmations.forget_node(node);
+            state.confirmations.give_up_node(node, io);
             state.placements.forget_node(node);
         }
         let orphans: Vec<usize> = self
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -65,6 +65,8 @@
     servers: Slab<Server>,
     groups: HashMap<GroupName, GroupGateway>,
     leases: HashMap<LeaseId, usize>,
+    /// Leases whose fronts were told that they have not run, and since when.
+    ruled_out: HashMap<LeaseId, Instant>,
     followed: Option<Arc<OwnershipSnapshot>>,
     /// When another node's front last sent an exchange.
     last_forwarded: Option<Instant>,
@@ -93,11 +95,17 @@
     /// Whether nothing is under way or waits, and no work from other nodes has come for `quiet`.
     pub fn is_drained(&self, quiet: Duration) -> bool {
         let is_quiet = self.last_forwarded.is_none_or(|last| last.elapsed() >= quiet);
+        is_quiet && self.leases.is_empty() && !self.is_waiting()
+    }
+
+    /// Whether statements wait for an instance, a connection or confirmation, or connections are being
+    /// opened.
+    pub fn is_waiting(&self) -> bool {
         let is_waiting = |state: &GroupGateway| {
             let held = state.confirmations.is_waiting() || state.placements.is_waiting();
             held || state.pools.values().any(|pool| pool.waiting() > 0)
         };
-        is_quiet && self.leases.is_empty() && !self.groups.values().any(is_waiting)
+        self.groups.values().any(is_waiting)
     }
 
     /// Number of open back-end connections.
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -14,7 +14,7 @@
 pub mod heartbeat;
 pub mod link;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -451,9 +451,10 @@
         if Arc::ptr_eq(&live, &self.live) {
             return;
         }
-        let is_live = |node: &NodeName| live.iter().any(|peer| peer.candidate.node == *node);
-        let was_live = |node: &NodeName| self.live.iter().any(|peer| peer.candidate.node == *node);
-        let gone = |link: &Link| link.node().is_some_and(|node| was_live(node) && !is_live(node));
+        let live_now: HashSet<&NodeName> = live.iter().map(|peer| &peer.candidate.node).collect();
+        let gone: HashSet<&NodeName> = self.live.iter().map(|peer| &peer.candidate.node).collect();
+        let gone: HashSet<&NodeName> = gone.difference(&live_now).copied().collect();
+        let gone = |link: &Link| link.node().is_some_and(|node| gone.contains(node));
         let dead: Vec<usize> =
             self.links.iter().filter(|(_, link)| gone(link)).map(|(key, _)| key).collect();
         self.live = live.clone();
--- a/crates/daemon/src/net/acceptor.rs
+++ b/crates/daemon/src/net/acceptor.rs
@@ -8,8 +8,9 @@
 use mio::{Events, Interest, Poll, Token};
 use std::os::fd::AsRawFd;
 
-/// Longest wait before the caller gets a chance to see that it is to stop.
-const WAIT_LIMIT: Duration = Duration::from_millis(50);
+/// Longest wait before the caller gets a chance to see that it is to stop. Much shorter than a drain,
+/// and long enough that a node at rest is not kept busy by looking.
+const WAIT_LIMIT: Duration = Duration::from_millis(200);
 /// Wait after the listener failed, such as for want of descriptors.
 const FAILURE_WAIT: Duration = Duration::from_millis(10);
 
--- a/crates/daemon/src/shard/event_loop.rs
+++ b/crates/daemon/src/shard/event_loop.rs
@@ -9,8 +9,11 @@
 use super::mailbox::Mailbox;
 use crate::supervisor::StopFlag;
 
-/// Longest time between two ticks of a shard.
+/// Longest time between two ticks of a shard while something waits for its moment.
 pub const TICK: Duration = Duration::from_millis(10);
+/// The same while nothing does: what is left to do by time (deadlines of statements under way,
+/// heartbeats, idle connections) is measured in hundreds of milliseconds.
+const CALM_TICK: Duration = Duration::from_millis(50);
 /// Longest time between two turns while commits or held writes wait for probes.
 const URGENT_TURN: Duration = Duration::from_millis(1);
 const EVENTS_AT_ONCE: usize = 1024;
@@ -40,9 +43,13 @@
         for message in mailbox.messages.try_iter().take(MESSAGES_AT_ONCE) {
             shard.on_message(message, registry, now);
         }
+        if !events.is_empty() {
+            // What has just begun to wait is looked at soon.
+            next_tick = next_tick.min(now + TICK);
+        }
         if now >= next_tick {
             shard.on_tick(registry, now);
-            next_tick = now + TICK;
+            next_tick = now + if shard.is_waiting() { TICK } else { CALM_TICK };
         }
         urgent = shard.is_urgent(now);
         if urgent {
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -118,6 +118,11 @@
         });
     }
 
+    /// Whether something waits for time to pass before it goes on.
+    pub fn is_waiting(&self) -> bool {
+        self.front.is_waiting() || self.gateway.is_waiting()
+    }
+
     /// Whether the gateway has probes to send before the next tick.
     pub fn is_urgent(&self, now: Instant) -> bool {
         self.gateway.is_urgent(now)
--- a/crates/daemon/src/shard/reconnecting.rs
+++ b/crates/daemon/src/shard/reconnecting.rs
@@ -52,7 +52,7 @@
         }
         let has_not_run = self.recent_answers.covers(sent_ago, io.now);
         // A transaction that rests here is rolled back: its front ends it as well.
-        self.gateway.on_abandon(&held.lease, io);
+        self.gateway.rule_out(&held.lease, io);
         let event = LeaseEvent::NotUnderWay { has_not_run };
         self.tell_front(node, held, next_sequence, event, io);
     }
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -2,8 +2,8 @@
 //! panicking brings its supervisor down, which is its own parent's matter.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -15,8 +15,6 @@
 const MAX_RESTARTS: usize = 10;
 const RESTART_WINDOW: Duration = Duration::from_secs(60);
 
-/// Time between looks at the stop flag while sleeping.
-const SLEEP_STEP: Duration = Duration::from_millis(20);
 /// Time between looks at the pause flag while paused.
 const PAUSE_CHECK: Duration = Duration::from_millis(1);
 
@@ -27,12 +25,18 @@
     failed: Arc<AtomicBool>,
     paused: Arc<AtomicBool>,
     restarts: Counter,
+    /// Wakes children that sleep when they are to finish.
+    waker: Arc<(Mutex<()>, Condvar)>,
 }
 
 impl StopFlag {
     /// Asks every child to finish.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
+        let (lock, wakes) = &*self.waker;
+        // Whoever is between its look at the flag and its wait holds the lock.
+        drop(lock.lock().unwrap_or_else(PoisonError::into_inner));
+        wakes.notify_all();
     }
 
     /// Whether children are to finish.
@@ -60,14 +64,10 @@
 
     /// Sleeps for `time`, or until the children are to finish.
     pub fn sleep(&self, time: Duration) {
-        let end = Instant::now() + time;
-        while !self.is_stopping() {
-            let left = end.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return;
-            }
-            thread::sleep(left.min(SLEEP_STEP));
-        }
+        let (lock, wakes) = &*self.waker;
+        let guard = lock.lock().unwrap_or_else(PoisonError::into_inner);
+        // Only a poisoned lock is an error, and nothing is kept under this one.
+        drop(wakes.wait_timeout_while(guard, time, |()| !self.is_stopping()));
     }
 
     /// Counts the restarts of children after a panic.
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -5,6 +5,7 @@
 //! others. Its fence is the store's revision at which it was taken: it rises with each hold, and
 //! none repeats.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
@@ -27,7 +28,7 @@
 /// The store's part in replacing primaries.
 pub trait Coordination: Send + Sync {
     /// What the store said last.
-    fn view(&self) -> CoordinationView;
+    fn view(&self) -> Arc<CoordinationView>;
 
     /// Asks the store whether [`Self::view`] is complete: its revision, if nothing has changed since.
     fn complete_revision(&self) -> Result<Option<u64>, StoreError>;
