Nodes that get the configuration from peers watch the product's own keys only

Cause: each change of any key wakes every node's watch.

The catalog's revision is that of all keys, so a copy that lags never passes for a newer catalog. Whether the store has anything newer is asked of the own keys, which is what the answer is used for.

Test: crates/lab/tests/store_copy.rs.

--- /dev/null
+++ b/crates/lab/tests/store_copy.rs
@@ -0,0 +1,60 @@
+//! The copy of the platform's store: which changes wake it, and what it shows when it goes back to
+//! following everything.
+
+use kestrellock_lab::standin::store::{Dialect, PlatformStore};
+use kestrellock_platform::keys::{Mirror, MirrorView, Scope};
+use kestrellock_platform::standin::entries::CONFIGURATION_KEY;
+
+const NODE: &str = "kestrellock/nodes/one";
+const OTHER_NODE: &str = "kestrellock/nodes/two";
+const THIRD_NODE: &str = "kestrellock/nodes/three";
+
+fn start() -> (PlatformStore, Mirror) {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let mirror = Mirror::new(kestrellock_platform::keys::KeyStore::new(&store.endpoint()));
+    (store, mirror)
+}
+
+fn advance(mirror: &Mirror) -> MirrorView {
+    mirror.advance().expect("an answer").expect("a change")
+}
+
+fn names(view: &MirrorView) -> Vec<&str> {
+    view.items.keys().map(String::as_str).collect()
+}
+
+#[test]
+fn a_copy_of_own_keys_is_not_woken_by_others() {
+    let (store, mirror) = start();
+    store.put(NODE, b"1");
+    let first = advance(&mirror);
+    assert_eq!(first.whole_revision, first.revision);
+    mirror.set_scope(Scope::OwnKeys);
+    store.put(CONFIGURATION_KEY, b"{}");
+    store.put(OTHER_NODE, b"1");
+    let view = advance(&mirror);
+    assert_eq!(names(&view), [NODE, OTHER_NODE]);
+    assert_eq!(view.whole_revision, first.whole_revision, "what it has not followed is not new");
+    assert_eq!(mirror.complete_revision().expect("an answer"), Some(view.revision));
+}
+
+#[test]
+fn a_copy_that_follows_everything_again_misses_nothing_and_goes_back_nowhere() {
+    let (store, mirror) = start();
+    store.put(NODE, b"1");
+    advance(&mirror);
+    mirror.set_scope(Scope::OwnKeys);
+    store.put(CONFIGURATION_KEY, b"{}");
+    store.put(OTHER_NODE, b"1");
+    advance(&mirror);
+    store.remove(OTHER_NODE);
+    advance(&mirror);
+    store.put(THIRD_NODE, b"1");
+    let before = advance(&mirror);
+    assert_eq!(names(&before), [NODE, THIRD_NODE]);
+    mirror.set_scope(Scope::Everything);
+    let view = advance(&mirror);
+    assert_eq!(names(&view), [NODE, THIRD_NODE, CONFIGURATION_KEY]);
+    assert_eq!(view.whole_revision, view.revision);
+    assert!(view.revision >= before.revision);
+}
