A node that is being stopped asks nobody to take the configuration from it

Change: a node that is being stopped announces nothing; whoever asks it is still answered. Test: crates/lab/tests/spreading.rs, which failed before the change.

--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -72,8 +72,14 @@
         self.context.catalog.load().revision
     }
 
-    /// Tells the nodes that ask this one what it has in force.
+    /// Tells the nodes that ask this one what it has in force. A node that is being stopped leaves that
+    /// to the other followers: what its zone asks of it then fills a slow link for hundreds of
+    /// milliseconds, in which its callers' requests and the ends of their connections would cross.
     fn announce(&self) {
+        if self.context.is_stopping() {
+            return;
+        }
+        self.context.metrics.configuration.count(ConfigurationEvent::Announced);
         let revision = self.revision();
         for node in spreading::audience(&self.own(), &self.live()) {
             self.send(&node, FIRST_SHARD, ConfigurationMessage::InForce { revision });
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -155,6 +155,8 @@
         Refused = "refused",
         /// Taken from a peer.
         Pulled = "pulled",
+        /// Told to the peers that ask this node.
+        Announced = "announced",
         /// Given to a peer.
         Served = "served",
     }
--- a/crates/lab/tests/spreading.rs
+++ b/crates/lab/tests/spreading.rs
@@ -7,8 +7,9 @@
 use cluster::Cluster;
 use kestrellock_core::catalog::Revision;
 use kestrellock_core::ids::TemplateName;
-use kestrellock_daemon::metrics::StoreResult;
+use kestrellock_daemon::metrics::{ConfigurationEvent, StoreResult};
 use kestrellock_daemon::node::Node;
+use kestrellock_daemon::shared::stage::Stage;
 use kestrellock_lab::standin::store::PlatformStore;
 
 const ZONES: usize = 3;
@@ -87,3 +88,28 @@
     assert!(told.contains("the store does not answer") && told.contains("gidanmu"), "{told}");
     cluster.stop();
 }
+
+#[test]
+fn nodes_that_are_being_stopped_ask_nobody_to_take_the_configuration_from_them() {
+    /// All but one node of each zone.
+    const STOPPING: usize = NODES - ZONES;
+    let (_store, cluster, file) = start("stopping");
+    let announced = |cluster: &Cluster| -> Vec<u64> {
+        let stopping = cluster.nodes.iter().take(STOPPING);
+        let announced =
+            |node: &Node| node.context.metrics.configuration.get(ConfigurationEvent::Announced);
+        stopping.map(announced).collect()
+    };
+    for node in cluster.nodes.iter().take(STOPPING) {
+        node.context.stage.advance_to(Stage::Notice);
+    }
+    let before = announced(&cluster);
+    let text = std::fs::read_to_string(&file).expect("the file");
+    let changed = cluster.files.write("c.toml", &text.replacen("capacity = 3", "capacity = 7", 1));
+    cluster.ctl(STOPPING, &["template", "apply", &changed]).done();
+    let name = TemplateName::new("resale");
+    cluster
+        .wait_for("the change", |node| node.context.catalog.load().templates[&name].capacity == 7);
+    assert_eq!(announced(&cluster), before);
+    cluster.stop();
+}
