Simulation of promotion and evidence: connections that go silent

Orders, answers, calls of the store and news of evidence given up vanish for up to 400 ms while later ones arrive, and single nodes' watches hear nothing for up to 3.5 s while their calls work.

--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -149,6 +149,16 @@
     holds(Faults::dense().with_releases());
 }
 
+#[test]
+fn no_seed_breaks_a_promise_while_connections_go_silent() {
+    holds(Faults::all().with_silences());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_while_connections_go_silent() {
+    holds(Faults::dense().with_releases().with_silences());
+}
+
 #[test]
 fn seeds_that_broke_a_promise_once_hold() {
     let few = MENDED_SEEDS_OF_FEW_FAULTS.map(|(seed, cause)| (seed, Faults::all(), cause));
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -15,17 +15,19 @@
     /// Whether a promotion releases replicas that have not heard of it, too, as it does on the
     /// platform; otherwise they stay stopped until they hear of the successor.
     pub releases_all: bool,
+    /// Whether open connections go silent besides, while new ones work.
+    pub silences: bool,
 }
 
 impl Faults {
     /// Every kind.
     pub fn all() -> Self {
-        Self { primaries: true, cut_off: false, most: 4, releases_all: false }
+        Self { primaries: true, cut_off: false, most: 4, releases_all: false, silences: false }
     }
 
     /// Every kind, and more at once, so that planted faults meet what shows them.
     pub fn dense() -> Self {
-        Self { primaries: true, cut_off: true, most: 9, releases_all: false }
+        Self { primaries: true, cut_off: true, most: 9, releases_all: false, silences: false }
     }
 
     /// The same where promotions release all replicas.
@@ -33,11 +35,16 @@
         Self { releases_all: true, ..self }
     }
 
+    /// The same with connections that go silent.
+    pub fn with_silences(self) -> Self {
+        Self { silences: true, ..self }
+    }
+
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
     pub fn without_primaries() -> Self {
-        Self { primaries: false, cut_off: false, most: 4, releases_all: false }
+        Self { primaries: false, cut_off: false, most: 4, releases_all: false, silences: false }
     }
 }
 
@@ -91,6 +98,11 @@
     StoreDown,
     /// Answers of the store are lost, and some changes done late.
     StoreLoses,
+    /// Some open connections carry nothing until they are noticed and replaced: of what is said
+    /// meanwhile some never arrives, while later messages do.
+    Silence,
+    /// The watch of a node is silent: it hears of no change, and its calls of the store work.
+    SilentWatch(usize),
 }
 
 /// A fault with its time.
@@ -117,7 +129,25 @@
         let kind = draw_kind(faults, instances, nodes, random);
         Planned { at, until: (at + length).min(QUIET_FROM_MS), kind }
     });
-    cut_off.into_iter().chain(others).collect()
+    let mut plan: Vec<Planned> = cut_off.into_iter().chain(others).collect();
+    if faults.silences {
+        plan.extend(draw_silences(nodes, random));
+    }
+    plan
+}
+
+/// Connections are noticed as dead within some 400 ms, a watch when its call should have ended.
+fn draw_silences(nodes: usize, random: &mut StdRng) -> Vec<Planned> {
+    let mut plan = Vec::new();
+    for _ in 0..random.random_range(1..=3) {
+        let at = random.random_range(300..3_500);
+        let until = at + random.random_range(50..400);
+        plan.push(Planned { at, until, kind: FaultKind::Silence });
+        let node = random.random_range(0..nodes);
+        let until = (at + random.random_range(500..3_500)).min(QUIET_FROM_MS);
+        plan.push(Planned { at, until, kind: FaultKind::SilentWatch(node) });
+    }
+    plan
 }
 
 fn draw_cut_off(random: &mut StdRng) -> Vec<Planned> {
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -31,6 +31,8 @@
 const RESTART_MS: u64 = 600;
 /// Time that the platform takes to promote.
 const PROMOTION_MS: u64 = 300;
+/// Share of what is said on connections that have gone silent, some of which work.
+const SILENCED_SHARE: f64 = 0.7;
 /// Something must have been acknowledged within this time before the end.
 const RECENTLY_MS: u64 = 1_000;
 
@@ -263,7 +265,9 @@
             return;
         }
         for node in 0..NODES {
-            let hears = self.nodes[node].alive && !self.is_active(FaultKind::CutStore(node));
+            let is_deaf = self.is_active(FaultKind::CutStore(node))
+                || self.is_active(FaultKind::SilentWatch(node));
+            let hears = self.nodes[node].alive && !is_deaf;
             if hears && self.seen[node] != self.store.revision {
                 self.seen[node] = self.store.revision;
                 let message = Message::View {
@@ -301,7 +305,23 @@
         self.take_in(message);
     }
 
+    /// Whether a message rode on a connection that has gone silent.
+    fn is_silenced(&mut self, message: &Message) -> bool {
+        let rides = matches!(
+            message,
+            Message::Request(_)
+                | Message::Answer(..)
+                | Message::Call(_)
+                | Message::Called(..)
+                | Message::GivenUp { .. }
+        );
+        rides && self.is_active(FaultKind::Silence) && self.random.random_bool(SILENCED_SHARE)
+    }
+
     fn take_in(&mut self, message: Message) {
+        if self.is_silenced(&message) {
+            return;
+        }
         match message {
             Message::Request(exchange) => self.on_request(exchange),
             Message::Answer(exchange, reply) => self.on_answer(exchange, reply),
