A node to which no new link stands is reported twice a second, not ten times

The log of each node stays bounded while another one is gone; work passes over a reported node for a second.

--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -74,6 +74,7 @@
     replacements: Vec<Replacement>,
     live: Arc<Vec<LiveNode>>,
     next_check: Instant,
+    next_report: Instant,
 }
 
 impl Links {
@@ -101,6 +102,7 @@
             replacements: Vec::new(),
             live: Arc::default(),
             next_check: Instant::now(),
+            next_report: Instant::now(),
         }
     }
 
--- a/crates/daemon/src/links/replacing.rs
+++ b/crates/daemon/src/links/replacing.rs
@@ -16,6 +16,10 @@
 /// arrived on it, in case that its message never comes.
 const REPLACED_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time between two reports of a node to which no new link stands. Work passes over a reported node for a
+/// second, so that twice as often leaves no gap.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
 impl Links {
     /// A link to a node stands whose earlier one was retired.
     pub(super) fn replace_retired(&mut self, peer: &Hello, io: &mut Io) {
@@ -98,6 +102,10 @@
     /// Work passes over nodes to which no new link stands yet; one that could not be opened is tried
     /// again.
     pub(super) fn follow_retired(&mut self, io: &mut Io) {
+        if io.now < self.next_report {
+            return;
+        }
+        self.next_report = io.now + REPORT_INTERVAL;
         let is_retired = |link: &&Link| link.stage() == LinkStage::Retired;
         let retired = self.links.iter().map(|(_, link)| link).filter(is_retired);
         let nodes: Vec<NodeName> = retired.filter_map(|link| link.node().cloned()).collect();
