A change of the configuration costs what it changes, and travels in parts to a few nodes at a time

Cause: an entry's revision was that of the item in which the operator keeps everything, so each change of one field made every delta the whole catalog (9.5 MB on the links of 15 nodes); a delta was one message of some 600 kB, sent to every node of the zone at once; and a link on which part of a message arrives counted as silent after 300 ms, the request as lost after 500 ms, so that more copies joined those under way.

Now entries are compared by hashes of what they say: a node sends hashes of its entries by bucket and gets the buckets that differ (entries that were taken out are gone by that, too). Part of a message is a sign of life. Routes on the platform are tenants of a few shared templates, so that a limit of all routes changes a few entries.

Ruled out: the processors of the nodes (the fault shows in tests with links limited alone).

The test of deltas says how an entry differs by content where it said by revision; it is as strict otherwise, and has entries that are taken out besides.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -3,6 +3,7 @@
 //! Kept in the platform's store and delivered whole. Operators write TOML; the programs exchange
 //! the same types as JSON or CBOR.
 
+mod digests;
 mod index;
 mod merge;
 mod validate;
@@ -21,6 +22,7 @@
 use crate::primary_evidence::Replication;
 use crate::routing::Role;
 
+pub use digests::{CatalogSummary, Fingerprint};
 pub use index::IndexedCatalog;
 pub use merge::TenantParameters;
 pub use validate::{MAX_NAME_BYTES, is_name};
--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -1,33 +1,35 @@
-//! A catalog that knows the revision of each entry, so that nodes exchange only what changed.
+//! A catalog that knows a hash of each entry, so that nodes exchange only what differs.
 
-use std::collections::BTreeMap;
 use std::ops::Deref;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use xxhash_rust::xxh3::Xxh3;
 
-use super::{Catalog, Revision};
-use crate::admin::configuration::{EntryId, EntryKind};
+use super::Catalog;
+use super::digests::{CatalogSummary, Digests, Fingerprint};
+use crate::admin::configuration::EntryKind;
+use crate::ids::{GroupName, TemplateName, TenantName};
 
-/// A catalog and the revision at which each entry was last written.
+/// A catalog and the hashes of its entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VersionedCatalog {
     catalog: Catalog,
-    revisions: BTreeMap<EntryId, Revision>,
+    digests: Digests,
 }
 
-/// What a catalog has more than an older one.
+/// What a catalog has other than an older one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogDelta {
-    /// The older catalog's revision; zero: the delta is the whole catalog.
-    pub base: Revision,
-    /// Entries written after `base`; its revision is the newer catalog's.
+    /// Hash of the catalog that it applies to; `None`: it holds everything.
+    pub base: Option<Fingerprint>,
+    /// Into how many buckets the older catalog's entries were divided; at least one.
+    pub buckets: u32,
+    /// Buckets that differ: `changed` holds all that the newer catalog has in them.
+    pub replaced: Vec<u32>,
+    /// Entries of the newer catalog, and its revision.
     pub changed: Catalog,
-    /// Revision of each entry of `changed`: groups, then templates, then tenants, by name.
-    pub revisions: Vec<Revision>,
-    /// Fingerprint of the newer catalog.
-    pub fingerprint: u64,
+    /// Hash of the newer catalog.
+    pub fingerprint: Fingerprint,
 }
 
 /// Why a delta cannot be applied.
@@ -36,96 +38,117 @@
     /// The catalog at hand is as new.
     #[error("delta is not newer")]
     NotNewer,
-    /// The delta begins after the catalog at hand, or the outcome is not what the sender has:
-    /// the whole catalog is needed.
+    /// The delta begins at another catalog, or the outcome is not what the sender has: the whole
+    /// catalog is needed.
     #[error("delta does not fit")]
     DoesNotFit,
 }
 
 impl VersionedCatalog {
-    /// A catalog with the revision of each entry; one without a revision has the catalog's.
-    pub fn new(catalog: Catalog, mut revisions: BTreeMap<EntryId, Revision>) -> Self {
-        for id in ids(&catalog) {
-            revisions.entry(id).or_insert(catalog.revision);
-        }
-        Self { catalog, revisions }
+    /// A catalog and the hashes of its entries; those of entries that `previous` has as well are taken
+    /// over from it.
+    pub fn following(catalog: Catalog, previous: &Self) -> Self {
+        let digests = Digests::of(&catalog, Some((&previous.catalog, &previous.digests)));
+        Self { catalog, digests }
     }
 
-    /// Entries written after `base`; the whole catalog if `base` is zero.
-    pub fn delta_since(&self, base: Revision) -> CatalogDelta {
-        let mut changed = Catalog { revision: self.catalog.revision, ..Catalog::default() };
-        let is_newer = |kind, name: &str| {
-            let id = EntryId { kind, name: name.to_owned() };
-            base == Revision::default() || self.revisions.get(&id).is_none_or(|at| *at > base)
-        };
-        for (name, value) in &self.catalog.groups {
-            if is_newer(EntryKind::Group, name.as_str()) {
-                changed.groups.insert(name.clone(), value.clone());
-            }
+    /// Hash of everything that it says; not of its revision.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.digests.fingerprint()
+    }
+
+    /// What to tell a node that is to send a newer one.
+    pub fn summary(&self) -> CatalogSummary {
+        CatalogSummary {
+            revision: self.catalog.revision,
+            fingerprint: self.fingerprint(),
+            buckets: self.digests.buckets(self.digests.bucket_count()),
         }
-        for (name, value) in &self.catalog.templates {
-            if is_newer(EntryKind::Template, name.as_str()) {
-                changed.templates.insert(name.clone(), value.clone());
-            }
+    }
+
+    /// What a node with a catalog of that summary lacks; everything if the summary has no buckets.
+    pub fn delta_for(&self, summary: &CatalogSummary) -> CatalogDelta {
+        let count = summary.buckets.len();
+        let fingerprint = self.fingerprint();
+        if !count.is_power_of_two() {
+            let (changed, replaced) = (self.catalog.clone(), Vec::new());
+            return CatalogDelta { base: None, buckets: 1, replaced, changed, fingerprint };
         }
-        for (name, value) in &self.catalog.tenants {
-            if is_newer(EntryKind::Tenant, name.as_str()) {
-                changed.tenants.insert(name.clone(), value.clone());
-            }
+        let own = self.digests.buckets(count);
+        let differs = |bucket: usize| own[bucket] != summary.buckets[bucket];
+        let replaced = (0..count).filter(|bucket| differs(*bucket)).map(|at| at as u32).collect();
+        let mut changed = Catalog { revision: self.catalog.revision, ..Catalog::default() };
+        for id in self.digests.entries_in(count, differs) {
+            copy_entry(&self.catalog, &mut changed, id.kind, &id.name);
         }
-        let revisions = ids(&changed).map(|id| self.revision_of(&id)).collect();
-        CatalogDelta { base, changed, revisions, fingerprint: self.fingerprint() }
+        let base = Some(summary.fingerprint);
+        CatalogDelta { base, buckets: count as u32, replaced, changed, fingerprint }
     }
 
     /// The catalog with a delta applied.
-    pub fn with(&self, delta: &CatalogDelta) -> Result<Self, DeltaError> {
+    pub fn with(&self, delta: CatalogDelta) -> Result<Self, DeltaError> {
         if delta.changed.revision <= self.catalog.revision {
             return Err(DeltaError::NotNewer);
         }
-        if delta.base > self.catalog.revision {
-            return Err(DeltaError::DoesNotFit);
-        }
         let mut next = match delta.base {
-            Revision(0) => Self::default(),
-            _ => self.clone(),
+            None => Catalog::default(),
+            Some(base) if base == self.fingerprint() => self.without_buckets(&delta)?,
+            Some(_) => return Err(DeltaError::DoesNotFit),
         };
-        let ids: Vec<EntryId> = ids(&delta.changed).collect();
-        if ids.len() != delta.revisions.len() {
-            return Err(DeltaError::DoesNotFit);
-        }
-        next.catalog.revision = delta.changed.revision;
-        next.catalog.groups.extend(delta.changed.groups.clone());
-        next.catalog.templates.extend(delta.changed.templates.clone());
-        next.catalog.tenants.extend(delta.changed.tenants.clone());
-        next.revisions.extend(ids.into_iter().zip(delta.revisions.iter().copied()));
+        next.revision = delta.changed.revision;
+        next.groups.extend(delta.changed.groups);
+        next.templates.extend(delta.changed.templates);
+        next.tenants.extend(delta.changed.tenants);
+        let next = Self::following(next, self);
         match next.fingerprint() == delta.fingerprint {
             true => Ok(next),
             false => Err(DeltaError::DoesNotFit),
         }
     }
 
-    /// A hash of every entry's name and revision: differs where an entry is missing or older.
-    pub fn fingerprint(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        for (id, revision) in &self.revisions {
-            hasher.update(id.kind.table().as_bytes());
-            hasher.update(&[0]);
-            hasher.update(id.name.as_bytes());
-            hasher.update(&[0]);
-            hasher.update(&revision.0.to_be_bytes());
+    /// The entries outside of the buckets that a delta replaces.
+    fn without_buckets(&self, delta: &CatalogDelta) -> Result<Catalog, DeltaError> {
+        let count = delta.buckets as usize;
+        let mut is_replaced = vec![false; count];
+        for bucket in &delta.replaced {
+            *is_replaced.get_mut(*bucket as usize).ok_or(DeltaError::DoesNotFit)? = true;
+        }
+        if !count.is_power_of_two() {
+            return Err(DeltaError::DoesNotFit);
+        }
+        let mut kept = self.catalog.clone();
+        for id in self.digests.entries_in(count, |bucket| is_replaced[bucket]) {
+            match id.kind {
+                EntryKind::Group => drop(kept.groups.remove(id.name.as_str())),
+                EntryKind::Template => drop(kept.templates.remove(id.name.as_str())),
+                EntryKind::Tenant => drop(kept.tenants.remove(id.name.as_str())),
+            }
         }
-        hasher.digest()
+        Ok(kept)
     }
+}
 
-    /// Revision at which an entry was last written; the catalog's if it is not known.
-    pub fn revision_of(&self, id: &EntryId) -> Revision {
-        self.revisions.get(id).copied().unwrap_or(self.catalog.revision)
+fn copy_entry(from: &Catalog, to: &mut Catalog, kind: EntryKind, name: &str) {
+    match kind {
+        EntryKind::Group => {
+            let value = from.groups.get(name);
+            to.groups.extend(value.map(|value| (GroupName::new(name), value.clone())));
+        }
+        EntryKind::Template => {
+            let value = from.templates.get(name);
+            to.templates.extend(value.map(|value| (TemplateName::new(name), value.clone())));
+        }
+        EntryKind::Tenant => {
+            let value = from.tenants.get(name);
+            to.tenants.extend(value.map(|value| (TenantName::new(name), value.clone())));
+        }
     }
 }
 
 impl From<Catalog> for VersionedCatalog {
     fn from(catalog: Catalog) -> Self {
-        Self::new(catalog, BTreeMap::new())
+        let digests = Digests::of(&catalog, None);
+        Self { catalog, digests }
     }
 }
 
@@ -136,13 +159,3 @@
         &self.catalog
     }
 }
-
-/// Every entry: groups, then templates, then tenants, by name.
-fn ids(catalog: &Catalog) -> impl Iterator<Item = EntryId> + '_ {
-    let id = |kind, name: &str| EntryId { kind, name: name.to_owned() };
-    let groups = catalog.groups.keys().map(move |name| id(EntryKind::Group, name.as_str()));
-    let templates =
-        catalog.templates.keys().map(move |name| id(EntryKind::Template, name.as_str()));
-    let tenants = catalog.tenants.keys().map(move |name| id(EntryKind::Tenant, name.as_str()));
-    groups.chain(templates).chain(tenants)
-}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -36,6 +36,12 @@
             }
         }
 
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl From<String> for $name {
             fn from(text: String) -> Self {
                 Self::new(text)
--- /dev/null
+++ b/crates/core/src/spreading/mod.rs
@@ -0,0 +1,87 @@
+//! How a node learns of a new configuration: who follows the store, and whom the others ask.
+//!
+//! Two nodes a zone follow the store. A node that has put a new revision in force tells its zone
+//! and the followers of the others; who hears of a newer one fetches what differs. As nothing of that
+//! is certain to arrive, every node also asks a follower now and then.
+//!
+//! What is fetched travels in small parts, each asked for when the one before has arrived, to a few
+//! nodes at a time ([`transfers`]): a link carries little of it at once, so that statements and
+//! heartbeats need not wait behind it, and a slow link slows it down without anybody knowing its rate.
+
+mod puller;
+mod transfers;
+
+use std::time::Duration;
+
+use crate::ids::{InstanceName, NodeName, ZoneName};
+use crate::rendezvous::{Candidate, ownership};
+
+pub use puller::{Puller, View};
+pub use transfers::{PART_BYTES, TransferQueue, Turn};
+
+/// Key under which followers are chosen, as if following were an instance to own.
+const FOLLOWING: &str = "configuration";
+/// Time after which an unanswered request is taken for lost.
+pub const REQUEST_LIMIT: Duration = Duration::from_millis(500);
+/// The same for a request that waits its turn: each of the nodes before it takes some 100 ms over a link
+/// of 10 Mbit/s.
+pub const QUEUE_LIMIT: Duration = Duration::from_secs(2);
+/// Mean time between requests without cause.
+pub const POLL_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Part of the pause between two looks at the store for each node of the cluster, and the longest one:
+/// each change wakes every node that watches, and each call is paid for, so that what many nodes write
+/// at once would cost the square of their number.
+const WATCH_PAUSE_FOR_EACH: Duration = Duration::from_millis(4);
+const LONGEST_WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for which a node of a cluster of `nodes` lets changes of the store gather, once it has taken
+/// some in. The first change after a quiet time is taken in at once.
+pub fn watch_pause(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    WATCH_PAUSE_FOR_EACH.saturating_mul(nodes).min(LONGEST_WATCH_PAUSE)
+}
+
+/// The nodes of a zone that follow the store: at most two.
+pub fn followers(zone: &ZoneName, live: &[Candidate]) -> Vec<NodeName> {
+    let of_zone = live.iter().filter(|candidate| candidate.zone == *zone);
+    match ownership(&InstanceName::new(FOLLOWING), zone, of_zone) {
+        None => Vec::new(),
+        Some(chosen) => std::iter::once(chosen.owner).chain(chosen.standby).collect(),
+    }
+}
+
+/// Whether a node follows the store.
+pub fn is_follower(own: &Candidate, live: &[Candidate]) -> bool {
+    followers(&own.zone, live).contains(&own.node)
+}
+
+/// Whom a follower tells of a new revision: its zone, and the followers of the others.
+pub fn audience(own: &Candidate, live: &[Candidate]) -> Vec<NodeName> {
+    let same_zone = live.iter().filter(|other| other.zone == own.zone);
+    let mut nodes: Vec<NodeName> = same_zone.map(|other| other.node.clone()).collect();
+    nodes.extend(other_followers(own, live));
+    nodes.retain(|node| *node != own.node);
+    nodes
+}
+
+fn other_followers(own: &Candidate, live: &[Candidate]) -> Vec<NodeName> {
+    let mut zones: Vec<&ZoneName> = live.iter().map(|other| &other.zone).collect();
+    zones.sort();
+    zones.dedup();
+    zones.retain(|zone| **zone != own.zone);
+    zones.into_iter().flat_map(|zone| followers(zone, live)).collect()
+}
+
+/// Whom a node asks without cause: a follower of its zone, or for a follower one elsewhere.
+fn poll_targets(own: &Candidate, live: &[Candidate]) -> Vec<NodeName> {
+    let mut targets = match is_follower(own, live) {
+        true => other_followers(own, live),
+        false => followers(&own.zone, live),
+    };
+    if targets.is_empty() {
+        targets = live.iter().map(|other| other.node.clone()).collect();
+    }
+    targets.retain(|node| *node != own.node);
+    targets
+}
--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::admin::configuration::{EntryId, EntryKind, EntryValue};
-use kestrellock_core::catalog::{Catalog, DeltaError, Revision, VersionedCatalog};
+use kestrellock_core::admin::configuration::EntryValue;
+use kestrellock_core::catalog::{
+    Catalog, CatalogDelta, CatalogSummary, DeltaError, Revision, VersionedCatalog,
+};
 use kestrellock_core::ids::{NodeName, ZoneName};
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::spreading::{
-    POLL_INTERVAL, Puller, REQUEST_LIMIT, View, audience, followers, is_follower, watch_pause,
+    POLL_INTERVAL, Puller, QUEUE_LIMIT, REQUEST_LIMIT, TransferQueue, Turn, View, audience,
+    followers, is_follower, watch_pause,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -115,43 +118,113 @@
     assert_eq!(asker.next(7, Some(&newer)), None);
 }
 
-fn versioned(entries: &[(u8, u64)]) -> VersionedCatalog {
-    let newest = entries.iter().map(|(_, at)| *at).max().unwrap_or(0);
-    let mut catalog = Catalog { revision: Revision(newest), ..Catalog::default() };
-    let mut revisions = BTreeMap::new();
-    for (number, at) in entries {
-        let name = format!("t{number}");
-        let text = format!("template = \"x\"\ncapacity = {at}");
+/// A catalog of tenants that say different things, at a revision.
+fn versioned(revision: u64, entries: &[(u8, u64)]) -> VersionedCatalog {
+    let mut catalog = Catalog { revision: Revision(revision), ..Catalog::default() };
+    for (number, capacity) in entries {
+        let text = format!("template = \"x\"\ncapacity = {capacity}");
         let value = EntryValue::Tenant(toml::from_str(&text).expect("a tenant"));
-        catalog.insert(&name, value);
-        revisions.insert(EntryId { kind: EntryKind::Tenant, name }, Revision(*at));
+        catalog.insert(&format!("t{number}"), value);
     }
-    VersionedCatalog::new(catalog, revisions)
+    VersionedCatalog::from(catalog)
 }
 
 #[test]
 fn deltas_that_do_not_fit_are_refused() {
-    let old = versioned(&[(1, 5), (2, 6)]);
-    let new = versioned(&[(1, 5), (2, 9), (3, 8)]);
-    let delta = new.delta_since(Revision(6));
-    assert_eq!(delta.changed.tenants.len(), 2);
-    assert_eq!(old.with(&delta).as_ref(), Ok(&new));
-    assert_eq!(new.with(&delta), Err(DeltaError::NotNewer));
-    assert_eq!(versioned(&[(1, 4)]).with(&delta), Err(DeltaError::DoesNotFit));
+    let old = versioned(6, &[(1, 5), (2, 6)]);
+    let new = versioned(9, &[(1, 5), (2, 9), (3, 8)]);
+    let delta = new.delta_for(&old.summary());
+    assert_eq!(old.with(delta.clone()).as_ref(), Ok(&new));
+    assert_eq!(new.with(delta.clone()), Err(DeltaError::NotNewer));
+    assert_eq!(versioned(6, &[(1, 4)]).with(delta.clone()), Err(DeltaError::DoesNotFit));
     // One that lacks an entry, or has another of the same age, finds out by the fingerprint.
-    assert_eq!(versioned(&[(2, 6)]).with(&delta), Err(DeltaError::DoesNotFit));
-    assert_eq!(versioned(&[(1, 5), (7, 6)]).with(&delta), Err(DeltaError::DoesNotFit));
+    assert_eq!(versioned(6, &[(2, 6)]).with(delta.clone()), Err(DeltaError::DoesNotFit));
+    assert_eq!(versioned(6, &[(1, 5), (7, 6)]).with(delta.clone()), Err(DeltaError::DoesNotFit));
     let mut short = delta.clone();
-    short.revisions.pop();
-    assert_eq!(old.with(&short), Err(DeltaError::DoesNotFit));
-    let whole = new.delta_since(Revision(0));
-    assert_eq!(versioned(&[(7, 6)]).with(&whole), Ok(new));
+    short.changed.tenants.pop_last();
+    assert_eq!(old.with(short), Err(DeltaError::DoesNotFit));
+    let mut crooked = delta.clone();
+    (crooked.buckets, crooked.replaced) = (3, vec![0]);
+    assert_eq!(old.with(crooked), Err(DeltaError::DoesNotFit));
+    let mut beyond = delta;
+    beyond.replaced = vec![beyond.buckets];
+    assert_eq!(old.with(beyond), Err(DeltaError::DoesNotFit));
+    let whole = new.delta_for(&CatalogSummary::of_nothing());
+    assert_eq!(versioned(6, &[(7, 6)]).with(whole), Ok(new));
+}
+
+#[test]
+fn an_entry_that_was_taken_out_is_gone_after_a_delta() {
+    let entries: Vec<(u8, u64)> = (0..200).map(|number| (number, 1)).collect();
+    let (old, new) = (versioned(1, &entries), versioned(2, &entries[1..]));
+    let delta = new.delta_for(&old.summary());
+    assert!(delta.base.is_some() && delta.changed.tenants.len() < 40, "it is no whole catalog");
+    assert_eq!(old.with(delta), Ok(new));
+}
+
+#[test]
+fn a_catalog_that_says_the_same_at_another_revision_costs_nothing_but_that() {
+    let (old, new) = (versioned(1, &[(1, 5), (2, 6)]), versioned(2, &[(1, 5), (2, 6)]));
+    let delta = new.delta_for(&old.summary());
+    assert_eq!(delta.changed.tenants.len(), 0);
+    assert_eq!(old.with(delta), Ok(new));
+}
+
+fn names(count: usize) -> Vec<NodeName> {
+    (0..count).map(|number| NodeName::new(format!("node-{number}"))).collect()
+}
+
+#[test]
+fn a_few_nodes_are_served_at_once_and_the_others_in_their_order() {
+    let (now, nodes) = (Instant::now(), names(9));
+    let mut queue = TransferQueue::default();
+    let turns: Vec<Turn> = nodes.iter().map(|node| queue.ask(node, 0, now)).collect();
+    let served = turns.iter().filter(|turn| **turn == Turn::Now).count();
+    assert!((1..nodes.len()).contains(&served) && turns[..served].iter().all(|t| *t == Turn::Now));
+    assert_eq!(queue.take_turn(now), None);
+    assert_eq!(queue.ask(&nodes[served], 7, now), Turn::Later, "it keeps its place");
+    assert_eq!(queue.ask(&nodes[0], 0, now), Turn::Now, "whoever is served may begin anew");
+    queue.on_end(&nodes[0]);
+    assert_eq!(queue.take_turn(now), Some((nodes[served].clone(), 7)));
+    assert_eq!(queue.take_turn(now), None);
+}
+
+#[test]
+fn nodes_that_want_no_further_part_give_way_and_those_that_do_are_kept() {
+    let (mut now, nodes) = (Instant::now(), names(9));
+    let mut queue = TransferQueue::default();
+    let turns: Vec<Turn> = nodes.iter().map(|node| queue.ask(node, 0, now)).collect();
+    let served = turns.iter().filter(|turn| **turn == Turn::Now).count();
+    now += REQUEST_LIMIT / 2;
+    queue.on_next(&nodes[0], now);
+    now += REQUEST_LIMIT / 2;
+    let next: Vec<NodeName> =
+        std::iter::from_fn(|| queue.take_turn(now)).map(|(node, _)| node).collect();
+    assert_eq!(next, nodes[served..2 * served - 1], "all but the first had gone");
+}
+
+#[test]
+fn a_transfer_under_way_is_not_asked_for_again_elsewhere() {
+    let mut asker = Asker::new();
+    let newer = NodeName::new("node-1-4");
+    assert_eq!(asker.next(7, Some(&newer)), Some(newer.clone()));
+    for _ in 0..100 {
+        asker.now += REQUEST_LIMIT - Duration::from_millis(1);
+        assert_eq!(asker.next(7, Some(&newer)), None);
+        asker.puller.on_part(&newer, asker.now);
+    }
+    asker.puller.on_queued(&newer, asker.now);
+    asker.now += QUEUE_LIMIT - Duration::from_millis(1);
+    assert_eq!(asker.next(7, Some(&newer)), None);
+    asker.now += Duration::from_millis(1);
+    assert_ne!(asker.next(7, Some(&newer)).expect("another node"), newer);
 }
 
 const GROUPS: usize = 550;
 /// More than twice what was measured when the limits were set.
 const MAX_WHOLE_BYTES: usize = 1_000_000;
 const MAX_CHANGE_BYTES: usize = 2_000;
+const MAX_SUMMARY_BYTES: usize = 4_000;
 
 fn design_size() -> VersionedCatalog {
     let mut catalog = Catalog { revision: Revision(9_000), ..Catalog::default() };
@@ -179,29 +252,29 @@
     }
     let text = "groups = []\nmax_staleness_ms = 1000\ncapacity = 4\ndeadline_ms = 5000";
     add("school".to_owned(), EntryValue::Template(toml::from_str(text).expect("a template")));
-    let changed = EntryId { kind: EntryKind::Group, name: "yearbook-core-7".to_owned() };
-    let mut revisions: BTreeMap<EntryId, Revision> = BTreeMap::new();
-    for kind in EntryKind::ALL {
-        for entry in catalog.entries(kind) {
-            revisions.insert(entry.id(), Revision(8_000));
-        }
-    }
-    revisions.insert(changed, Revision(9_000));
-    VersionedCatalog::new(catalog, revisions)
+    VersionedCatalog::from(catalog)
 }
 
 #[test]
 fn a_change_costs_a_fraction_of_the_whole_at_the_design_size() {
     let catalog = design_size();
     catalog.validate().expect("it is valid");
-    let bytes = |base: u64| {
+    let mut older = (*catalog).clone();
+    older.revision = Revision(8_999);
+    older.groups.get_mut("yearbook-core-7").expect("a group").user = "another".to_owned();
+    let older = VersionedCatalog::from(older);
+    let bytes = |delta: &CatalogDelta| {
         let mut cbor = Vec::new();
-        ciborium::into_writer(&catalog.delta_since(Revision(base)), &mut cbor).expect("CBOR");
+        ciborium::into_writer(delta, &mut cbor).expect("CBOR");
         cbor.len()
     };
-    let (whole, change) = (bytes(0), bytes(8_999));
-    println!("whole catalog {whole} bytes, one changed group {change} bytes");
+    let whole = bytes(&catalog.delta_for(&CatalogSummary::of_nothing()));
+    let change = bytes(&catalog.delta_for(&older.summary()));
+    let mut summary = Vec::new();
+    ciborium::into_writer(&older.summary(), &mut summary).expect("CBOR");
+    println!("whole {whole} bytes, one changed group {change}, a summary {}", summary.len());
     assert!(whole < MAX_WHOLE_BYTES && change < MAX_CHANGE_BYTES, "{whole} {change}");
+    assert!(summary.len() < MAX_SUMMARY_BYTES, "{}", summary.len());
 }
 
 proptest! {
@@ -209,22 +282,25 @@
 
     #[test]
     fn an_older_catalog_with_the_delta_is_the_newer_one(
-        writes in prop::collection::vec(0_u8..12, 1..40),
+        writes in prop::collection::vec((0_u8..60, prop::option::weighted(0.8, 1_u64..9)), 1..120),
         split in 0.0..1.0,
     ) {
-        let state = |writes: &[u8]| {
+        let state = |writes: &[(u8, Option<u64>)]| {
             let mut entries: BTreeMap<u8, u64> = BTreeMap::new();
-            for (index, number) in writes.iter().enumerate() {
-                entries.insert(*number, index as u64 + 1);
+            for (number, capacity) in writes {
+                match capacity {
+                    Some(capacity) => drop(entries.insert(*number, *capacity)),
+                    None => drop(entries.remove(number)),
+                }
             }
-            versioned(&entries.into_iter().collect::<Vec<_>>())
+            versioned(writes.len() as u64, &entries.into_iter().collect::<Vec<_>>())
         };
         let at = (split * writes.len() as f64) as usize;
         let (old, new) = (state(&writes[..at]), state(&writes));
-        let delta = new.delta_since(old.revision);
+        let delta = new.delta_for(&old.summary());
         let mut cbor = Vec::new();
         ciborium::into_writer(&delta, &mut cbor).expect("CBOR");
-        let delta = ciborium::from_reader(cbor.as_slice()).expect("CBOR");
-        prop_assert_eq!(old.with(&delta), Ok(new));
+        let delta: CatalogDelta = ciborium::from_reader(cbor.as_slice()).expect("CBOR");
+        prop_assert_eq!(old.with(delta), Ok(new));
     }
 }
--- a/crates/daemon/src/agent/configuration/exchange.rs
+++ b/crates/daemon/src/agent/configuration/exchange.rs
@@ -3,13 +3,13 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::{CatalogDelta, DeltaError, Revision};
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::spreading::{Puller, View};
 use kestrellock_peer::message::ConfigurationMessage;
 
-use super::{Configuration, FIRST_SHARD, Offer};
-use crate::metrics::ConfigurationEvent;
+use super::fetching::Fetching;
+use super::serving::{Peer, Serving};
+use super::{Configuration, FIRST_SHARD};
 use crate::shared::inbox::Received;
 use crate::supervisor::StopFlag;
 
@@ -18,81 +18,80 @@
 
 /// Exchanges configuration with peers until told to stop.
 pub fn exchange(configuration: &Configuration, stop: &StopFlag) {
-    let mut puller = Puller::new(configuration.own());
+    let mut exchange = Exchange::new(configuration);
     while !stop.is_stopping() {
         stop.wait_while_paused();
         if let Ok(received) = configuration.context.configuration.receiver.recv_timeout(STEP) {
-            configuration.on_message(received, &mut puller);
+            exchange.on_message(received);
+        }
+        exchange.ask_if_due();
+        if exchange.serving.has_waiting() {
+            exchange.serving.serve_waiting(configuration);
         }
-        configuration.ask_if_due(&mut puller);
     }
 }
 
-impl Configuration {
-    fn ask_if_due(&self, puller: &mut Puller) {
-        let (now, have) = (Instant::now(), self.revision());
-        let newer = self.context.revisions.newer_than(have);
-        if !puller.is_due(newer.is_some(), now) {
+/// What is under way between this node and its peers.
+struct Exchange<'a> {
+    own: &'a Configuration,
+    puller: Puller,
+    serving: Serving,
+    fetching: Fetching,
+}
+
+impl<'a> Exchange<'a> {
+    fn new(own: &'a Configuration) -> Self {
+        let puller = Puller::new(own.own());
+        Self { own, puller, serving: Serving::default(), fetching: Fetching::default() }
+    }
+
+    fn ask_if_due(&mut self) {
+        let context = &self.own.context;
+        let (now, have) = (Instant::now(), self.own.revision());
+        let newer = context.revisions.newer_than(have);
+        if !self.puller.is_due(newer.is_some(), now) {
             return;
         }
-        let live = self.live();
+        let live = self.own.live();
         let view = View { now, have, newer: newer.as_ref(), live: &live, random: rand::random() };
-        if let Some(node) = puller.next(&view) {
-            // The dead are forgotten here, since a dead node may be the only one that was newer.
-            let live: HashSet<&NodeName> = live.iter().map(|other| &other.node).collect();
-            self.context.revisions.retain(|node| live.contains(node));
-            self.send(&node, FIRST_SHARD, ConfigurationMessage::Request { have });
+        let Some(node) = self.puller.next(&view) else { return };
+        // The dead are forgotten here, since a dead node may be the only one that was newer.
+        let live: HashSet<&NodeName> = live.iter().map(|other| &other.node).collect();
+        context.revisions.retain(|node| live.contains(node));
+        if newer.is_none() {
+            self.own.send(&node, FIRST_SHARD, ConfigurationMessage::Request { have });
+            return;
         }
+        let peer = Peer { node, shard: FIRST_SHARD };
+        self.fetching.begin(self.own, &peer, context.catalog.load().summary());
     }
 
-    fn on_message(&self, received: Received, puller: &mut Puller) {
+    fn on_message(&mut self, received: Received) {
+        let own = self.own;
         let Received { from, shard, message } = received;
+        let peer = Peer { node: from, shard };
         match message {
             ConfigurationMessage::Request { have } => {
-                self.context.revisions.hear(&from, have);
-                self.answer(&from, shard, have);
+                own.context.revisions.hear(&peer.node, have);
+                let revision = own.revision();
+                own.send(&peer.node, shard, ConfigurationMessage::InForce { revision });
             }
             ConfigurationMessage::InForce { revision } => {
-                self.context.revisions.hear(&from, revision);
-                puller.on_answer(&from);
+                own.context.revisions.hear(&peer.node, revision);
+                self.puller.on_answer(&peer.node);
             }
-            ConfigurationMessage::Delta(delta) => self.on_delta(&from, shard, &delta, puller),
-        }
-    }
-
-    fn answer(&self, node: &NodeName, shard: u16, have: Revision) {
-        let catalog = self.context.catalog.load();
-        let revision = catalog.revision;
-        if revision <= have {
-            self.send(node, shard, ConfigurationMessage::InForce { revision });
-            return;
-        }
-        self.context.metrics.configuration.count(ConfigurationEvent::Served);
-        let delta = Box::new(catalog.delta_since(have));
-        self.send(node, shard, ConfigurationMessage::Delta(delta));
-    }
-
-    fn on_delta(&self, from: &NodeName, shard: u16, delta: &CatalogDelta, puller: &mut Puller) {
-        self.context.revisions.hear(from, delta.changed.revision);
-        puller.on_answer(from);
-        let next = self.context.catalog.load().with(delta);
-        match next {
-            Ok(catalog) => {
-                self.context.metrics.configuration.count(ConfigurationEvent::Pulled);
-                match self.offer(catalog) {
-                    Offer::InForce => self.announce_if_follower(),
-                    Offer::NotNewer => {}
-                    Offer::Refused => puller.on_refused(from, Instant::now()),
-                }
+            ConfigurationMessage::Fetch { have } => {
+                own.context.revisions.hear(&peer.node, have.revision);
+                self.serving.on_fetch(own, &peer, have);
             }
-            Err(DeltaError::NotNewer) => {}
-            Err(DeltaError::DoesNotFit) if delta.base == Revision::default() => {
-                puller.on_refused(from, Instant::now());
+            ConfigurationMessage::Queued => self.puller.on_queued(&peer.node, Instant::now()),
+            ConfigurationMessage::Part(part) => {
+                self.fetching.on_part(own, &peer, &part, &mut self.puller);
             }
-            Err(DeltaError::DoesNotFit) => {
-                let have = Revision::default();
-                self.send(from, shard, ConfigurationMessage::Request { have });
+            ConfigurationMessage::Next { transfer, offset } => {
+                self.serving.on_next(own, &peer, transfer, offset);
             }
+            ConfigurationMessage::Enough => self.serving.on_enough(own, &peer.node),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/agent/configuration/fetching.rs
@@ -0,0 +1,131 @@
+//! Fetches what this node's configuration lacks from a peer that has a newer one.
+
+use std::time::Instant;
+
+use kestrellock_core::catalog::{CatalogDelta, CatalogSummary, DeltaError};
+use kestrellock_core::ids::NodeName;
+use kestrellock_core::spreading::Puller;
+use kestrellock_peer::catalog_transfer::{self, Incoming, Part, TransferError};
+use kestrellock_peer::message::ConfigurationMessage;
+
+use super::serving::Peer;
+use super::{Configuration, Offer};
+use crate::metrics::ConfigurationEvent;
+
+/// What is being fetched.
+#[derive(Debug, Default)]
+pub(super) struct Fetching {
+    current: Option<Fetch>,
+}
+
+#[derive(Debug)]
+struct Fetch {
+    from: NodeName,
+    asked: Instant,
+    incoming: Option<Incoming>,
+}
+
+impl Fetching {
+    /// Asks `node` for what `summary` lacks; whatever was being fetched from another is dropped.
+    pub fn begin(&mut self, own: &Configuration, peer: &Peer, summary: CatalogSummary) {
+        let asked = Instant::now();
+        if let Some(given_up) =
+            self.current.replace(Fetch { from: peer.node.clone(), asked, incoming: None })
+            && given_up.from != peer.node
+        {
+            log::info!(
+                event = "configuration_asked_elsewhere",
+                peer = given_up.from.as_str(),
+                after_ms = given_up.asked.elapsed().as_millis() as u64,
+                received = given_up.incoming.as_ref().map_or(0, |incoming| incoming.next_offset());
+                "a node has not sent the configuration in time; another one is asked"
+            );
+        }
+        own.send(&peer.node, peer.shard, ConfigurationMessage::Fetch { have: summary });
+    }
+
+    /// A part has arrived.
+    pub fn on_part(&mut self, own: &Configuration, peer: &Peer, part: &Part, puller: &mut Puller) {
+        let Some(fetch) = self.current.as_mut().filter(|fetch| fetch.from == peer.node) else {
+            // It was asked elsewhere meanwhile.
+            own.send(&peer.node, peer.shard, ConfigurationMessage::Enough);
+            return;
+        };
+        if let Err(error) = fetch.add(part) {
+            // What was sent before another connection took this one's place arrives again, or never.
+            log::debug!("{error}: {} at {}", peer.node, part.offset);
+            return;
+        }
+        puller.on_part(&peer.node, Instant::now());
+        let Some(incoming) = &fetch.incoming else { return };
+        let (transfer, offset) = (part.transfer, incoming.next_offset());
+        own.send(&peer.node, peer.shard, ConfigurationMessage::Next { transfer, offset });
+        if incoming.is_whole() {
+            self.finish(own, peer, puller);
+        }
+    }
+
+    fn finish(&mut self, own: &Configuration, peer: &Peer, puller: &mut Puller) {
+        let Some(fetch) = self.current.take() else { return };
+        let Some(incoming) = fetch.incoming else { return };
+        puller.on_answer(&peer.node);
+        let metrics = &own.context.metrics;
+        metrics.configuration_bytes.add(ConfigurationEvent::Pulled, incoming.bytes().len() as u64);
+        match catalog_transfer::unpack(incoming.bytes()) {
+            Ok(delta) => {
+                log::info!(
+                    event = "configuration_received",
+                    peer = peer.node.as_str(),
+                    revision = delta.changed.revision.0,
+                    bytes = incoming.bytes().len() as u64,
+                    after_ms = fetch.asked.elapsed().as_millis() as u64;
+                    "what the configuration lacks has arrived"
+                );
+                self.apply(own, peer, delta, puller);
+            }
+            Err(error) => {
+                log::warn!("KL3001 the configuration from {} is dropped: {error}", peer.node);
+                puller.on_refused(&peer.node, Instant::now());
+            }
+        }
+    }
+
+    fn apply(
+        &mut self,
+        own: &Configuration,
+        peer: &Peer,
+        delta: CatalogDelta,
+        puller: &mut Puller,
+    ) {
+        own.context.revisions.hear(&peer.node, delta.changed.revision);
+        let is_whole = delta.base.is_none();
+        match own.context.catalog.load().with(delta) {
+            Ok(catalog) => {
+                own.context.metrics.configuration.count(ConfigurationEvent::Pulled);
+                match own.offer(catalog) {
+                    Offer::InForce => own.announce_if_follower(),
+                    Offer::NotNewer => {}
+                    Offer::Refused => puller.on_refused(&peer.node, Instant::now()),
+                }
+            }
+            Err(DeltaError::NotNewer) => {}
+            Err(DeltaError::DoesNotFit) if is_whole => {
+                puller.on_refused(&peer.node, Instant::now());
+            }
+            // This node's has changed since it asked: everything, to be sure.
+            Err(DeltaError::DoesNotFit) => self.begin(own, peer, CatalogSummary::of_nothing()),
+        }
+    }
+}
+
+impl Fetch {
+    fn add(&mut self, part: &Part) -> Result<(), TransferError> {
+        match &mut self.incoming {
+            Some(incoming) if part.offset > 0 => incoming.add(part),
+            _ => {
+                self.incoming = Some(Incoming::begin(part)?);
+                Ok(())
+            }
+        }
+    }
+}
--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -2,7 +2,9 @@
 //! revisions with peers, and puts only newer, whole and valid catalogs in force.
 
 mod exchange;
+mod fetching;
 mod follow;
+mod serving;
 
 use std::sync::{Arc, Mutex};
 
--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -179,7 +179,14 @@
 
     /// Reads what is there up to the other side's introduction; the handshake is not answered.
     pub fn fill(&mut self) -> ReadOutcome {
-        self.connection.fill()
+        let before = self.connection.input.len();
+        let outcome = self.connection.fill();
+        // Also part of a message is a sign of life: a long one takes a slow link more time than a
+        // heartbeat waits.
+        if self.connection.input.len() > before {
+            self.heartbeat.on_received();
+        }
+        outcome
     }
 
     /// Drops what was read.
@@ -208,7 +215,6 @@
         }
         if !received.messages.is_empty() {
             self.used = now;
-            self.heartbeat.on_received();
         }
         received
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! between nodes are they encoded, as CBOR with a length in front.
 
 pub mod auth;
+pub mod catalog_transfer;
 pub mod channel;
 pub mod datagram;
 pub mod frame;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use kestrellock_core::cancel::CancelKey;
-use kestrellock_core::catalog::{CatalogDelta, Priority, Revision};
+use kestrellock_core::catalog::{CatalogSummary, Priority, Revision};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::Position;
@@ -13,8 +13,10 @@
 use kestrellock_core::session_state::SessionSetting;
 use serde::{Deserialize, Serialize};
 
+use crate::catalog_transfer::{Part, TransferId};
+
 /// Version of the protocol between nodes; a peer with another one is refused.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// A prepared statement that an exchange refers to under a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -211,9 +213,9 @@
 /// What nodes tell each other of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigurationMessage {
-    /// The sender has this revision in force and wants a newer one, if there is one.
+    /// The sender has this revision in force and asks for the receiver's.
     Request {
-        /// Revision of the sender; zero asks for the whole.
+        /// Revision of the sender.
         have: Revision,
     },
     /// The sender has this revision in force.
@@ -221,8 +223,24 @@
         /// The revision.
         revision: Revision,
     },
-    /// What the sender has more than the receiver asked with.
-    Delta(Box<CatalogDelta>),
+    /// The sender wants what the receiver has other than it, if that is newer.
+    Fetch {
+        /// What the sender has.
+        have: CatalogSummary,
+    },
+    /// The sender will send what the receiver wants to fetch, after it has served others.
+    Queued,
+    /// The next part of what the receiver fetches.
+    Part(Part),
+    /// The sender has received what comes before `offset`; the whole, if nothing follows it.
+    Next {
+        /// What it fetches.
+        transfer: TransferId,
+        /// Where the next part begins.
+        offset: u32,
+    },
+    /// The sender wants no more of what the receiver sends.
+    Enough,
 }
 
 /// Everything that travels between nodes over TCP.
--- a/crates/store/src/catalog.rs
+++ b/crates/store/src/catalog.rs
@@ -1,8 +1,6 @@
 //! How the configuration is laid out in the store: one key a group, template and tenant, a guard
 //! that every change writes, and a bounded history beside them.
 
-use std::collections::BTreeMap;
-
 use kestrellock_core::admin::configuration::{Authorship, Entry, EntryId, EntryKind, EntryValue};
 use kestrellock_core::catalog::{Catalog, Revision, VersionedCatalog};
 use serde::{Deserialize, Serialize};
@@ -137,15 +135,12 @@
 /// The catalog that a snapshot of [`PREFIX`] holds.
 pub fn catalog_of(snapshot: &Snapshot) -> Result<VersionedCatalog, CatalogError> {
     let mut catalog = Catalog { revision: revision_of(snapshot), ..Catalog::default() };
-    let mut revisions = BTreeMap::new();
     for stored in &snapshot.entries {
         if let Some(entry) = decode(stored)? {
-            let id = EntryId { kind: entry.value.kind(), name: entry.name.clone() };
-            revisions.insert(id, entry.revision);
             catalog.insert(&entry.name, entry.value);
         }
     }
-    Ok(VersionedCatalog::new(catalog, revisions))
+    Ok(VersionedCatalog::from(catalog))
 }
 
 /// The kept versions of an entry, newest first.
--- a/crates/store/tests/apply.rs
+++ b/crates/store/tests/apply.rs
@@ -55,13 +55,13 @@
 
 fn template(capacity: u32) -> Change {
     let catalog: Catalog = toml::from_str(CATALOG).expect("a catalog");
-    let mut value = catalog.templates[&"school".into()].clone();
+    let mut value = catalog.templates["school"].clone();
     value.capacity = capacity;
     Change { name: "school".into(), value: EntryValue::Template(value) }
 }
 
 fn capacity(store: &MemoryStore) -> u32 {
-    read_catalog(store).expect("it reads").catalog.templates[&"school".into()].capacity
+    read_catalog(store).expect("it reads").catalog.templates["school"].capacity
 }
 
 #[test]
@@ -70,7 +70,7 @@
     let applied = apply(&store, &request("r", base, vec![template(9)]), &LIMITS).expect("applied");
     let read = read_catalog(&store).expect("it reads").catalog;
     assert!(applied.revision.0 > base);
-    assert_eq!((read.revision, read.templates[&"school".into()].capacity), (applied.revision, 9));
+    assert_eq!((read.revision, read.templates["school"].capacity), (applied.revision, 9));
 }
 
 #[test]
