Test that fails: a large item is never read over a slow line to the store

The limit of a call covers its whole answer (2 s, 3.5 s for a watch): 500 kB over a line of 0.25 MB/s that three nodes share are given up each time and asked for again.

--- a/crates/lab/tests/large_configuration.rs
+++ b/crates/lab/tests/large_configuration.rs
@@ -16,7 +16,7 @@
 use kestrellock_daemon::metrics::{ConfigurationEvent, ConnectionEvent};
 use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::{
-    Platform, PlatformOptions, ZONES, further_database, node_relay, wait,
+    Platform, PlatformOptions, ZONES, further_database, node_relay, store_relay, wait,
 };
 
 /// Five a zone, of which two follow the store.
@@ -96,3 +96,19 @@
     println!("{bytes} bytes for one route");
     assert!(bytes <= NODES as u64 * BYTES_OF_SMALL_CHANGE, "{bytes} bytes for one route");
 }
+
+/// The same cause elsewhere: a time limit on a whole answer is one on the size of the configuration. Three
+/// nodes with 0.25 MB/s between them and the store had not read 1,400 routes after 30 s, since each try was
+/// given up after 2 to 3.5 s.
+#[test]
+fn a_large_item_is_read_over_a_line_that_takes_longer_than_a_call_may_wait() {
+    /// All that the nodes may read from the store, in bytes a second.
+    const STORE_LINE: f64 = 250_000.0;
+    let options = PlatformOptions { relayed: true, ..PlatformOptions::default() };
+    let mut platform = Platform::start(options).expect("it starts");
+    platform.wait_until_ready().expect("it is ready");
+    let network = platform.network.as_ref().expect("relays");
+    network.limit_streams(&store_relay(), STORE_LINE);
+    platform.configure_further(&[FIRST_TIMEOUT_MS; ROUTES]);
+    wait_for_deadline(&platform, ROUTES - 1, FIRST_TIMEOUT_MS);
+}
