--- a/crates/daemon/src/agent/configuration/exchange.rs
+++ b/crates/daemon/src/agent/configuration/exchange.rs
@@ -79,6 +79,7 @@
             ConfigurationMessage::InForce { revision } => {
                 own.context.revisions.hear(&peer.node, revision);
                 self.puller.on_answer(&peer.node);
+                self.fetching.on_nothing(&peer.node);
             }
             ConfigurationMessage::Fetch { have } => {
                 own.context.revisions.hear(&peer.node, have.revision);
--- a/crates/daemon/src/agent/configuration/fetching.rs
+++ b/crates/daemon/src/agent/configuration/fetching.rs
@@ -44,6 +44,11 @@
         own.send(&peer.node, peer.shard, ConfigurationMessage::Fetch { have: summary });
     }
 
+    /// A node has nothing newer.
+    pub fn on_nothing(&mut self, node: &NodeName) {
+        self.current.take_if(|fetch| fetch.from == *node);
+    }
+
     /// A part has arrived.
     pub fn on_part(&mut self, own: &Configuration, peer: &Peer, part: &Part, puller: &mut Puller) {
         let Some(fetch) = self.current.as_mut().filter(|fetch| fetch.from == peer.node) else {
