--- a/crates/daemon/src/agent/configuration/exchange.rs
+++ b/crates/daemon/src/agent/configuration/exchange.rs
@@ -8,8 +8,8 @@
 use kestrellock_peer::message::ConfigurationMessage;
 
 use super::fetching::Fetching;
-use super::serving::{Peer, Serving};
-use super::{Configuration, FIRST_SHARD};
+use super::serving::Serving;
+use super::{Configuration, Peer};
 use crate::shared::inbox::Received;
 use crate::supervisor::StopFlag;
 
@@ -58,11 +58,11 @@
         // The dead are forgotten here, since a dead node may be the only one that was newer.
         let live: HashSet<&NodeName> = live.iter().map(|other| &other.node).collect();
         context.revisions.retain(|node| live.contains(node));
+        let peer = Peer::first_shard_of(node);
         if newer.is_none() {
-            self.own.send(&node, FIRST_SHARD, ConfigurationMessage::Request { have });
+            self.own.send(&peer, ConfigurationMessage::Request { have });
             return;
         }
-        let peer = Peer { node, shard: FIRST_SHARD };
         self.fetching.begin(self.own, &peer, context.catalog.load().summary());
     }
 
@@ -74,7 +74,7 @@
             ConfigurationMessage::Request { have } => {
                 own.context.revisions.hear(&peer.node, have);
                 let revision = own.revision();
-                own.send(&peer.node, shard, ConfigurationMessage::InForce { revision });
+                own.send(&peer, ConfigurationMessage::InForce { revision });
             }
             ConfigurationMessage::InForce { revision } => {
                 own.context.revisions.hear(&peer.node, revision);
--- a/crates/daemon/src/agent/configuration/fetching.rs
+++ b/crates/daemon/src/agent/configuration/fetching.rs
@@ -8,8 +8,7 @@
 use kestrellock_peer::catalog_transfer::{self, Incoming, Part, TransferError};
 use kestrellock_peer::message::ConfigurationMessage;
 
-use super::serving::Peer;
-use super::{Configuration, Offer};
+use super::{Configuration, Offer, Peer};
 use crate::metrics::ConfigurationEvent;
 
 /// What is being fetched.
@@ -41,7 +40,7 @@
                 "a node has not sent the configuration in time; another one is asked"
             );
         }
-        own.send(&peer.node, peer.shard, ConfigurationMessage::Fetch { have: summary });
+        own.send(peer, ConfigurationMessage::Fetch { have: summary });
     }
 
     /// A node has nothing newer.
@@ -53,7 +52,7 @@
     pub fn on_part(&mut self, own: &Configuration, peer: &Peer, part: &Part, puller: &mut Puller) {
         let Some(fetch) = self.current.as_mut().filter(|fetch| fetch.from == peer.node) else {
             // It was asked elsewhere meanwhile.
-            own.send(&peer.node, peer.shard, ConfigurationMessage::Enough);
+            own.send(peer, ConfigurationMessage::Enough);
             return;
         };
         if let Err(error) = fetch.add(part) {
@@ -64,7 +63,7 @@
         puller.on_part(&peer.node, Instant::now());
         let Some(incoming) = &fetch.incoming else { return };
         let (transfer, offset) = (part.transfer, incoming.next_offset());
-        own.send(&peer.node, peer.shard, ConfigurationMessage::Next { transfer, offset });
+        own.send(peer, ConfigurationMessage::Next { transfer, offset });
         if incoming.is_whole() {
             self.finish(own, peer, puller);
         }
--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -24,6 +24,21 @@
 /// Shard whose connections carry messages that this node begins.
 const FIRST_SHARD: u16 = 0;
 
+/// A node that configuration is exchanged with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Peer {
+    node: NodeName,
+    /// Shard whose connection is used: an answer goes back over the one that the message came over.
+    shard: u16,
+}
+
+impl Peer {
+    /// For messages that this node begins.
+    fn first_shard_of(node: NodeName) -> Self {
+        Self { node, shard: FIRST_SHARD }
+    }
+}
+
 /// What became of a catalog.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -84,7 +99,7 @@
         self.context.metrics.configuration.count(ConfigurationEvent::Announced);
         let revision = self.revision();
         for node in spreading::audience(&self.own(), &self.live()) {
-            self.send(&node, FIRST_SHARD, ConfigurationMessage::InForce { revision });
+            self.send(&Peer::first_shard_of(node), ConfigurationMessage::InForce { revision });
         }
     }
 
@@ -92,7 +107,7 @@
     pub fn ask_revisions(&self) {
         let have = self.revision();
         for node in self.behind() {
-            self.send(&node, FIRST_SHARD, ConfigurationMessage::Request { have });
+            self.send(&Peer::first_shard_of(node), ConfigurationMessage::Request { have });
         }
     }
 
@@ -119,9 +134,9 @@
         working.map(|node| node.candidate.clone()).collect()
     }
 
-    fn send(&self, node: &NodeName, shard: u16, message: ConfigurationMessage) {
+    fn send(&self, peer: &Peer, message: ConfigurationMessage) {
         let from = self.context.identity.node.clone();
         let message = PeerMessage::Configuration { from, message };
-        self.mailboxes.send(shard, ShardMessage::ToPeer { node: node.clone(), message });
+        self.mailboxes.send(peer.shard, ShardMessage::ToPeer { node: peer.node.clone(), message });
     }
 }
--- a/crates/daemon/src/agent/configuration/serving.rs
+++ b/crates/daemon/src/agent/configuration/serving.rs
@@ -10,21 +10,12 @@
 use kestrellock_peer::catalog_transfer::{self, TransferId};
 use kestrellock_peer::message::ConfigurationMessage;
 
-use super::Configuration;
+use super::{Configuration, Peer};
 use crate::metrics::ConfigurationEvent;
 
 /// Packed deltas kept: nodes of a zone usually have the same and ask for the same.
 const KEPT_DELTAS: usize = 8;
 
-/// Where a message came from and an answer goes to.
-#[derive(Clone, Debug)]
-pub(super) struct Peer {
-    /// The node.
-    pub node: NodeName,
-    /// Shard whose connection it came over.
-    pub shard: u16,
-}
-
 /// What a delta leads from and to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Span {
@@ -53,12 +44,12 @@
     pub fn on_fetch(&mut self, own: &Configuration, peer: &Peer, have: CatalogSummary) {
         let revision = own.revision();
         if revision <= have.revision {
-            own.send(&peer.node, peer.shard, ConfigurationMessage::InForce { revision });
+            own.send(peer, ConfigurationMessage::InForce { revision });
             return;
         }
         match self.queue.ask(&peer.node, (peer.shard, have.clone()), Instant::now()) {
             Turn::Now => self.begin(own, peer, &have),
-            Turn::Later => own.send(&peer.node, peer.shard, ConfigurationMessage::Queued),
+            Turn::Later => own.send(peer, ConfigurationMessage::Queued),
         }
     }
 
@@ -75,7 +66,7 @@
             None => {
                 self.queue.on_end(&peer.node);
                 let revision = own.revision();
-                own.send(&peer.node, peer.shard, ConfigurationMessage::InForce { revision });
+                own.send(peer, ConfigurationMessage::InForce { revision });
             }
         }
         self.serve_waiting(own);
@@ -133,7 +124,7 @@
             return Some((known.transfer, known.bytes.clone()));
         }
         // Packing a large one takes a slow processor longer than an answer is waited for.
-        own.send(&peer.node, peer.shard, ConfigurationMessage::Queued);
+        own.send(peer, ConfigurationMessage::Queued);
         let bytes = match catalog_transfer::pack(&catalog.delta_for(have)) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -153,5 +144,5 @@
     let part = catalog_transfer::part_of(transfer, bytes, offset, PART_BYTES);
     let metrics = &own.context.metrics.configuration_bytes;
     metrics.add(ConfigurationEvent::Served, part.bytes.len() as u64);
-    own.send(&peer.node, peer.shard, ConfigurationMessage::Part(part));
+    own.send(peer, ConfigurationMessage::Part(part));
 }
--- a/crates/lab/tests/large_configuration.rs
+++ b/crates/lab/tests/large_configuration.rs
@@ -12,12 +12,17 @@
 //! Cause: every route carried the revision of the one item in which the operator keeps all, so any
 //! change was a change of everything; and a transfer had no limit on what it put on the link at once.
 
+use std::time::Duration;
+
 use kestrellock_core::ids::TenantName;
 use kestrellock_daemon::metrics::{ConfigurationEvent, ConnectionEvent};
 use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::{
     Platform, PlatformOptions, ZONES, further_database, node_relay, store_relay, wait,
 };
+use kestrellock_lab::standin::network::links::SilentWay;
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
 
 /// Five a zone, of which two follow the store.
 const NODES: usize = 15;
@@ -112,3 +117,91 @@
     platform.configure_further(&[FIRST_TIMEOUT_MS; ROUTES]);
     wait_for_deadline(&platform, ROUTES - 1, FIRST_TIMEOUT_MS);
 }
+
+/// Changes, each with trouble for some nodes while it travels.
+const TROUBLED_CHANGES: u64 = 6;
+const TROUBLED_NODES: usize = 4;
+
+/// What becomes of a node while a change travels.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Frozen,
+    Killed,
+    SilentLinks(SilentWay),
+}
+
+impl Trouble {
+    fn draw(random: &mut ChaCha8Rng) -> Self {
+        match random.random_range(0..5) {
+            0 => Self::Killed,
+            1 => Self::SilentLinks(SilentWay::There),
+            2 => Self::SilentLinks(SilentWay::Back),
+            3 => Self::SilentLinks(SilentWay::Both),
+            _ => Self::Frozen,
+        }
+    }
+
+    fn strike(self, platform: &mut Platform, node: usize) {
+        match self {
+            Self::Frozen => platform.set_paused(node, true),
+            Self::Killed => platform.kill_node(node),
+            Self::SilentLinks(way) => {
+                let network = platform.network.as_ref().expect("relays");
+                network.silence_open_connections(&node_relay(node), way);
+            }
+        }
+    }
+}
+
+/// Strikes some nodes while a change travels; returns those that are frozen.
+fn strike_some(platform: &mut Platform, random: &mut ChaCha8Rng, about: &str) -> Vec<usize> {
+    let mut frozen = Vec::new();
+    for _ in 0..TROUBLED_NODES {
+        std::thread::sleep(Duration::from_millis(random.random_range(0..60)));
+        // Each zone keeps a node that is not troubled.
+        let node = random.random_range(ZONES.len()..NODES);
+        let trouble = Trouble::draw(random);
+        println!("{about}: node {node} {trouble:?}");
+        trouble.strike(platform, node);
+        if matches!(trouble, Trouble::Frozen) {
+            frozen.push(node);
+        }
+    }
+    frozen
+}
+
+fn number_of(node: &Node) -> usize {
+    let name = node.context.identity.node.as_str();
+    name.trim_start_matches("node-").parse().expect("a number")
+}
+
+/// Whoever sends a change may freeze, die or fall silent in the middle of it: the others get it from
+/// elsewhere, nobody goes back, and who was frozen gets it afterwards.
+#[test]
+fn a_change_reaches_everybody_else_while_nodes_freeze_die_and_fall_silent() {
+    for seed in [1, 2] {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut platform = start();
+        let mut newest = vec![0_u64; NODES];
+        for change in 0..TROUBLED_CHANGES {
+            let about = format!("seed {seed}, change {change}");
+            let timeout = FIRST_TIMEOUT_MS + change;
+            let has = |node: &Node| deadline_of(node, ROUTES - 1) == Some(timeout);
+            platform.configure_further(&[timeout; ROUTES]);
+            let frozen = strike_some(&mut platform, &mut random, &about);
+            wait("the others have it", || {
+                platform.nodes().all(|node| frozen.contains(&number_of(node)) || has(node))
+            })
+            .unwrap_or_else(|error| panic!("{about}: {error}"));
+            frozen.iter().for_each(|node| platform.set_paused(*node, false));
+            wait("all have it", || platform.nodes().all(has))
+                .unwrap_or_else(|error| panic!("{about}: {error}"));
+            for node in platform.nodes() {
+                let revision = node.context.catalog.load().revision.0;
+                let before = &mut newest[number_of(node)];
+                assert!(revision >= *before, "{about}: {} went back", number_of(node));
+                *before = revision;
+            }
+        }
+    }
+}
