--- a/crates/lab/tests/large_configuration.rs
+++ b/crates/lab/tests/large_configuration.rs
@@ -182,7 +182,7 @@
     for seed in [1, 2] {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut platform = start();
-        let mut newest = vec![0_u64; NODES];
+        let mut newest = [0_u64; NODES];
         for change in 0..TROUBLED_CHANGES {
             let about = format!("seed {seed}, change {change}");
             let timeout = FIRST_TIMEOUT_MS + change;
