--- a/crates/core/src/catalog/digests.rs
+++ b/crates/core/src/catalog/digests.rs
@@ -16,7 +16,7 @@
 /// bucket along, and the summary has five bytes for each bucket.
 const ENTRIES_OF_BUCKET: usize = 4;
 /// Most buckets of a summary: 5 kB.
-const MAX_BUCKETS: usize = 1_024;
+pub const MAX_BUCKETS: usize = 1_024;
 
 /// Hash of everything that a catalog says.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use super::Catalog;
-use super::digests::{CatalogSummary, Digests, Fingerprint};
+use super::digests::{CatalogSummary, Digests, Fingerprint, MAX_BUCKETS};
 use crate::admin::configuration::EntryKind;
 use crate::ids::{GroupName, TemplateName, TenantName};
 
@@ -109,13 +109,13 @@
     /// The entries outside of the buckets that a delta replaces.
     fn without_buckets(&self, delta: &CatalogDelta) -> Result<Catalog, DeltaError> {
         let count = delta.buckets as usize;
+        if !count.is_power_of_two() || count > MAX_BUCKETS {
+            return Err(DeltaError::DoesNotFit);
+        }
         let mut is_replaced = vec![false; count];
         for bucket in &delta.replaced {
             *is_replaced.get_mut(*bucket as usize).ok_or(DeltaError::DoesNotFit)? = true;
         }
-        if !count.is_power_of_two() {
-            return Err(DeltaError::DoesNotFit);
-        }
         let mut kept = self.catalog.clone();
         for id in self.digests.entries_in(count, |bucket| is_replaced[bucket]) {
             match id.kind {
--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -176,6 +176,9 @@
     let mut crooked = delta.clone();
     (crooked.buckets, crooked.replaced) = (3, vec![0]);
     assert_eq!(old.with(crooked), Err(DeltaError::DoesNotFit));
+    let mut huge = delta.clone();
+    huge.buckets = 1 << 31;
+    assert_eq!(old.with(huge), Err(DeltaError::DoesNotFit));
     let mut beyond = delta;
     beyond.replaced = vec![beyond.buckets];
     assert_eq!(old.with(beyond), Err(DeltaError::DoesNotFit));
