--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -44,6 +44,21 @@
     DoesNotFit,
 }
 
+impl CatalogDelta {
+    /// For each bucket whether the delta replaces it.
+    fn replaced_buckets(&self) -> Result<Vec<bool>, DeltaError> {
+        let count = self.buckets as usize;
+        if !count.is_power_of_two() || count > MAX_BUCKETS {
+            return Err(DeltaError::DoesNotFit);
+        }
+        let mut is_replaced = vec![false; count];
+        for bucket in &self.replaced {
+            *is_replaced.get_mut(*bucket as usize).ok_or(DeltaError::DoesNotFit)? = true;
+        }
+        Ok(is_replaced)
+    }
+}
+
 impl VersionedCatalog {
     /// A catalog and the hashes of its entries; those of entries that `previous` has as well are taken
     /// over from it.
@@ -106,15 +121,8 @@
     /// changed tenant of 1,400 is taken in within 0.9 ms, where hashing and comparing all took 2.3 ms
     /// (bench `catalog`).
     fn with_buckets(&self, delta: CatalogDelta) -> Result<Self, DeltaError> {
-        let count = delta.buckets as usize;
-        if !count.is_power_of_two() || count > MAX_BUCKETS {
-            return Err(DeltaError::DoesNotFit);
-        }
-        let mut is_replaced = vec![false; count];
-        for bucket in &delta.replaced {
-            *is_replaced.get_mut(*bucket as usize).ok_or(DeltaError::DoesNotFit)? = true;
-        }
-        let replaced = self.digests.entries_in(count, |bucket| is_replaced[bucket]);
+        let is_replaced = delta.replaced_buckets()?;
+        let replaced = self.digests.entries_in(is_replaced.len(), |bucket| is_replaced[bucket]);
         let touched: Vec<EntryId> = replaced.cloned().chain(ids(&delta.changed)).collect();
         let mut next = self.clone();
         let catalog = &mut next.catalog;
