Reading: an entry of a delta is hashed once; a wrapper that a library type already is goes out

An entry that a bucket replaces stands both among those taken out and those put in, so that almost each was hashed twice where a change is taken in: now a set. `Limited` in catalog_transfer repeated what io::Take does. Behaviour stays; no check is changed.

--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -1,5 +1,6 @@
 //! A catalog that knows a hash of each entry, so that nodes exchange only what differs.
 
+use std::collections::BTreeSet;
 use std::ops::Deref;
 
 use serde::{Deserialize, Serialize};
@@ -123,7 +124,8 @@
     fn with_buckets(&self, delta: CatalogDelta) -> Result<Self, DeltaError> {
         let is_replaced = delta.replaced_buckets()?;
         let replaced = self.digests.entries_in(is_replaced.len(), |bucket| is_replaced[bucket]);
-        let touched: Vec<EntryId> = replaced.cloned().chain(ids(&delta.changed)).collect();
+        // Most entries stand in both: each is hashed once.
+        let touched: BTreeSet<EntryId> = replaced.cloned().chain(ids(&delta.changed)).collect();
         let mut next = self.clone();
         let catalog = &mut next.catalog;
         for id in &touched {
--- a/crates/peer/src/catalog_transfer.rs
+++ b/crates/peer/src/catalog_transfer.rs
@@ -1,6 +1,6 @@
 //! A delta of the configuration on its way to another node: CBOR, compressed, in parts.
 
-use std::io::{self, Read, Write};
+use std::io::{Read, Write};
 
 use bytes::{Bytes, BytesMut};
 use flate2::Compression;
@@ -60,21 +60,13 @@
 
 /// The delta that arrived.
 pub fn unpack(bytes: &[u8]) -> Result<CatalogDelta, TransferError> {
-    let mut limited = Limited(DeflateDecoder::new(bytes).take(MAX_UNPACKED_BYTES));
-    ciborium::from_reader(&mut limited).map_err(|error| match limited.0.limit() {
+    let mut limited = DeflateDecoder::new(bytes).take(MAX_UNPACKED_BYTES);
+    ciborium::from_reader(&mut limited).map_err(|error| match limited.limit() {
         0 => TransferError::TooLarge,
         _ => TransferError::Malformed(error.to_string()),
     })
 }
 
-struct Limited<R>(io::Take<R>);
-
-impl<R: Read> Read for Limited<R> {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        self.0.read(buffer)
-    }
-}
-
 /// The part of `whole` that begins at `offset`.
 pub fn part_of(transfer: TransferId, whole: &Bytes, offset: u32, most: usize) -> Part {
     let from = (offset as usize).min(whole.len());
