--- a/crates/lab/src/standin/door.rs
+++ b/crates/lab/src/standin/door.rs
@@ -13,6 +13,8 @@
 const PORT_ATTEMPTS: usize = 50;
 /// Time between two attempts to accept while the door is shut.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1);
+/// Time in which whoever waits in `accept` of a shut door leaves it.
+const HAND_OVER_TIME: Duration = Duration::from_millis(20);
 
 /// A listening socket on loopback.
 #[derive(Clone, Debug)]
@@ -58,6 +60,15 @@
         None
     }
 
+    /// The same address for another owner: this door's [`Self::accept`] ends, the new one's begins with
+    /// [`Self::reopen`].
+    pub fn hand_over(&self) -> Self {
+        self.stop();
+        // Whoever waits in `accept` leaves it before connections come again.
+        std::thread::sleep(HAND_OVER_TIME);
+        Self { listener: self.listener.clone(), address: self.address, stopped: Arc::default() }
+    }
+
     /// Ends [`Self::accept`] for good.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Release);
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -140,6 +140,18 @@
         self.shared.announce(&state, name);
     }
 
+    /// An instance that was killed comes back at its address, with its log, under the name `successor`. Its
+    /// entry under the old name stays in the store, as it does where an instance crashes.
+    pub fn start_again_as(&self, name: &str, successor: &str) {
+        let Some(door) = self.shared.state().instances.get(name).map(|one| one.door.clone()) else {
+            return;
+        };
+        let door = door.hand_over();
+        self.shared.state().rename(name, successor, door.clone());
+        session::serve(&self.shared, successor, door);
+        self.restart(successor);
+    }
+
     /// An instance says that it leaves; it serves on.
     pub fn leave(&self, name: &str) {
         let mut state = self.shared.state();
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -182,6 +182,14 @@
         instance.door.reopen();
     }
 
+    /// What a killed instance holds belongs to `successor` from now on, which listens at `door`.
+    pub fn rename(&mut self, name: &str, successor: &str, door: Door) {
+        let Some(mut instance) = self.instances.remove(name) else { return };
+        instance.name = successor.to_owned();
+        instance.door = door;
+        self.instances.insert(successor.to_owned(), instance);
+    }
+
     /// Replicas that have received a commit.
     pub fn received_by(&self, commit: &Commit) -> usize {
         let holds = |one: &&Instance| one.role == Role::Replica && one.log.contains(commit);
