--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -1,12 +1,13 @@
 //! The operators' configuration: database groups, templates and tenants, at one revision.
 //!
-//! Kept in the platform's store and delivered whole. Operators write TOML; the programs exchange
+//! Kept in the platform's store. Operators write TOML; the programs exchange
 //! the same types as JSON or CBOR.
 
 mod account;
 mod digests;
 mod index;
 mod merge;
+mod usable;
 mod validate;
 mod versioned;
 
@@ -28,7 +29,9 @@
 pub use digests::{CatalogSummary, Fingerprint};
 pub use index::{IndexedCatalog, UnknownCredential};
 pub use merge::TenantParameters;
-pub use validate::{MAX_NAME_BYTES, is_name};
+pub use validate::{
+    CONNECTIONS, DEADLINE_MS, Fault, MAX_NAME_BYTES, MAX_STALENESS_MS, Subject, is_name,
+};
 pub use versioned::{CatalogDelta, DeltaError, VersionedCatalog};
 
 /// Revision of the configuration: the store's revision at which its newest part was written.
@@ -122,6 +125,11 @@
 }
 
 impl Group {
+    /// Whether its instances report themselves to the platform, rather than being written by operators.
+    pub fn has_reported_instances(&self) -> bool {
+        self.elector == Elector::Proxy && self.connections > 0
+    }
+
     /// How many instances make a majority.
     pub fn majority(&self) -> usize {
         self.instances.len() / 2 + 1
@@ -141,8 +149,21 @@
     /// The instance that announces to be the primary. Where several do, an old one has not stepped
     /// down yet: `former`, if it is being replaced, and whichever is not the one promoted last.
     pub fn leader(&self, former: Option<&InstanceName>) -> Option<&Instance> {
+        self.leader_among(former, |_| true)
+    }
+
+    /// The same among the instances for which `may_lead` holds; where it holds for none, among all.
+    pub fn leader_among(
+        &self,
+        former: Option<&InstanceName>,
+        may_lead: impl Fn(&Instance) -> bool,
+    ) -> Option<&Instance> {
         let leads = |instance: &&Instance| instance.announced_role == Some(Role::Primary);
-        let leading: Vec<&Instance> = self.instances.iter().filter(leads).collect();
+        let mut leading: Vec<&Instance> = self.instances.iter().filter(leads).collect();
+        // The usual one leader needs no look at the others.
+        if leading.len() > 1 && leading.iter().any(|one| may_lead(one)) {
+            leading.retain(|one| may_lead(one));
+        }
         let promoted = |one: &&&Instance| Some(&one.name) == self.promoted.as_ref();
         let current = |one: &&&Instance| Some(&one.name) != former;
         let candidates = leading.iter();
--- a/crates/core/src/catalog/validate.rs
+++ b/crates/core/src/catalog/validate.rs
@@ -1,23 +1,32 @@
-//! Every reference, range and uniqueness of a catalog. Nothing of an invalid one is ever applied.
+//! Every reference, range and uniqueness of a catalog.
+//!
+//! A change that operators ask this product for is refused whole if it leaves a fault. A catalog that
+//! arrives was written by somebody already, and holds what instances say of themselves as well: there each
+//! fault concerns its own subject ([`super::usable`]).
 
-use std::collections::HashMap;
-use std::fmt::Display;
+use std::collections::{HashMap, HashSet};
+use std::fmt::{self, Display};
 use std::hash::Hash;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
-use super::{Catalog, Elector, Group, Instance, InvalidField, Template};
-use crate::ids::{GroupName, InstanceName};
+use super::{Account, Catalog, Elector, Group, Instance, InvalidField, Template, Tenant};
+use crate::admin::configuration::{EntryId, EntryKind};
+use crate::credential::CredentialDigest;
+use crate::ids::{AccountName, GroupName, InstanceName, TemplateName, TenantName};
 use crate::scram::Verifier;
 
 /// Longest name of anything, in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
 const MAX_INSTANCES: usize = 15;
 const SLOTS: RangeInclusive<u64> = 1..=1_000;
-const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
+/// Connections that an instance may accept.
+pub const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
 const CAPACITY: RangeInclusive<u64> = 1..=100_000;
-const DEADLINE_MS: RangeInclusive<u64> = 1..=600_000;
-const MAX_STALENESS_MS: RangeInclusive<u64> = 0..=3_600_000;
+/// Time within which a statement may have to be answered, in milliseconds.
+pub const DEADLINE_MS: RangeInclusive<u64> = 1..=600_000;
+/// Staleness that a read may have, in milliseconds.
+pub const MAX_STALENESS_MS: RangeInclusive<u64> = 0..=3_600_000;
 
 /// Whether `text` may name a node, zone, group, instance, template or tenant: lower-case letters,
 /// digits, hyphens and underscores, beginning with a letter.
@@ -31,61 +40,239 @@
 
 type Outcome = Result<(), InvalidField>;
 
+/// What a fault concerns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// An entry of the catalog.
+    Entry(EntryId),
+    /// An instance that the platform reports; its group stands without it.
+    Instance {
+        /// Its group.
+        group: GroupName,
+        /// The instance.
+        instance: InstanceName,
+        /// Its place in the group.
+        index: usize,
+    },
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Entry(id) => id.fmt(formatter),
+            Self::Instance { instance, .. } => write!(formatter, "instance {instance}"),
+        }
+    }
+}
+
+/// A part of a catalog that cannot be used as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// What cannot be used.
+    pub subject: Subject,
+    /// Its first faulty field.
+    pub error: InvalidField,
+}
+
 impl Catalog {
     /// Checks everything; the first fault found is returned with its field's path.
     pub fn validate(&self) -> Outcome {
-        let mut instances = UniqueInstances::default();
-        for (name, group) in &self.groups {
-            let field = format_args!("groups.{name}");
-            check_name(&field, name.as_str())?;
-            check_group(&field, group, &mut instances)?;
+        match Examination::new(self, Extent::FirstFault).run().pop() {
+            None => Ok(()),
+            Some(fault) => Err(fault.error),
         }
-        for (name, template) in &self.templates {
-            let field = format_args!("templates.{name}");
-            check_name(&field, name.as_str())?;
-            self.check_parameters(&field, template)?;
+    }
+
+    /// Every entry and reported instance that cannot be used, each by its first fault. What refers to a
+    /// faulty entry is faulty too.
+    pub fn faults(&self) -> Vec<Fault> {
+        Examination::new(self, Extent::Everything).run()
+    }
+}
+
+/// How much is examined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Extent {
+    FirstFault,
+    Everything,
+}
+
+/// One walk over a catalog: entries that others refer to come first.
+struct Examination<'a> {
+    catalog: &'a Catalog,
+    extent: Extent,
+    faults: Vec<Fault>,
+    groups: HashSet<&'a GroupName>,
+    templates: HashSet<&'a TemplateName>,
+    instances: UniqueInstances,
+    logins: Unique<&'a str>,
+    databases: Unique<&'a str>,
+    credentials: Unique<CredentialDigest>,
+}
+
+impl<'a> Examination<'a> {
+    fn new(catalog: &'a Catalog, extent: Extent) -> Self {
+        Self {
+            catalog,
+            extent,
+            faults: Vec::new(),
+            groups: HashSet::new(),
+            templates: HashSet::new(),
+            instances: UniqueInstances::default(),
+            logins: Unique::new("a login of"),
+            databases: Unique::new("an open database of"),
+            credentials: Unique::new("a credential of"),
         }
-        self.check_tenants()?;
-        self.check_accounts()
     }
 
-    /// A credential stands for one account.
-    fn check_accounts(&self) -> Outcome {
-        let mut credentials = Unique::new("a credential of");
-        for (name, account) in &self.accounts {
-            let field = format_args!("accounts.{name}");
-            check_account_name(&field, name.as_str())?;
-            for (index, credential) in account.credentials.iter().enumerate() {
-                let field = format_args!("{field}.credentials[{index}]");
-                credentials.add(*credential, &field, name)?;
-            }
+    fn run(mut self) -> Vec<Fault> {
+        let catalog = self.catalog;
+        // What operators wrote comes before what instances say of themselves.
+        let (reported, written): (Vec<_>, Vec<_>) =
+            catalog.groups.iter().partition(|(_, group)| group.has_reported_instances());
+        for (name, group) in written.into_iter().chain(reported) {
+            let outcome = self.check_group(name, group);
+            self.note(EntryKind::Group, name.as_str(), outcome);
+        }
+        for (name, template) in &catalog.templates {
+            let outcome = self.check_template(name, template);
+            self.note(EntryKind::Template, name.as_str(), outcome);
+        }
+        for (name, tenant) in &catalog.tenants {
+            let outcome = self.check_tenant(name, tenant);
+            self.note(EntryKind::Tenant, name.as_str(), outcome);
+        }
+        for (name, account) in &catalog.accounts {
+            let outcome = self.check_account(name, account);
+            self.note(EntryKind::Account, name.as_str(), outcome);
+        }
+        self.faults
+    }
+
+    fn is_over(&self) -> bool {
+        self.extent == Extent::FirstFault && !self.faults.is_empty()
+    }
+
+    fn note(&mut self, kind: EntryKind, name: &str, outcome: Outcome) {
+        if let Err(error) = outcome {
+            let subject = Subject::Entry(EntryId { kind, name: name.to_owned() });
+            self.add(Fault { subject, error });
         }
+    }
+
+    fn add(&mut self, fault: Fault) {
+        if !self.is_over() {
+            self.faults.push(fault);
+        }
+    }
+
+    fn check_group(&mut self, name: &'a GroupName, group: &'a Group) -> Outcome {
+        if self.is_over() {
+            return Ok(());
+        }
+        let field = format_args!("groups.{name}");
+        check_name(&field, name.as_str())?;
+        check_text(&format_args!("{field}.database"), &group.database)?;
+        check_text(&format_args!("{field}.user"), &group.user)?;
+        match group.has_reported_instances() {
+            true => self.check_reported_instances(name, group),
+            false => self.check_written_instances(&field, group)?,
+        }
+        self.groups.insert(name);
         Ok(())
     }
 
-    fn check_tenants(&self) -> Outcome {
-        let mut logins = Unique::new("a login of");
-        let mut databases = Unique::new("an open database of");
-        for (name, tenant) in &self.tenants {
-            let field = format_args!("tenants.{name}");
-            check_name(&field, name.as_str())?;
-            let parameters = self.merge(name, tenant).ok_or_else(|| {
-                let problem = format!("no such template {}", tenant.template);
-                InvalidField::new(format_args!("{field}.template"), problem)
-            })?;
-            self.check_parameters(&field, &parameters.values)?;
-            for (login, verifier) in &tenant.logins {
-                let field = format_args!("{field}.logins.{login}");
-                check_text(&field, login)?;
-                check_verifier(&field, verifier)?;
-                logins.add(login.as_str(), &field, name)?;
-            }
-            for database in &tenant.open_databases {
-                let field = format_args!("{field}.open_databases.{database}");
-                check_text(&field, database)?;
-                databases.add(database.as_str(), &field, name)?;
+    /// A group stands without the instances that cannot be used. Two may tell one address, because an
+    /// instance that crashed is told for a while after another one has started there; each is reached
+    /// under its own name, and whoever answers by that name is there.
+    fn check_reported_instances(&mut self, name: &GroupName, group: &Group) {
+        for (index, instance) in group.instances.iter().enumerate() {
+            let field = format_args!("groups.{name}.instances[{index}]");
+            let outcome = check_instance(&field, instance)
+                .and_then(|()| self.instances.add_name(&field, instance));
+            if let Err(error) = outcome {
+                let (group, instance) = (name.clone(), instance.name.clone());
+                self.add(Fault { subject: Subject::Instance { group, instance, index }, error });
             }
         }
+    }
+
+    fn check_written_instances(&mut self, field: &dyn Display, group: &Group) -> Outcome {
+        // Where the platform tells the instances, a group may have none for a while.
+        let fewest = if group.elector == Elector::Proxy { 0 } else { 1 };
+        if !(fewest..=MAX_INSTANCES).contains(&group.instances.len()) {
+            let problem = format!("must be {fewest} to {MAX_INSTANCES}");
+            return Err(InvalidField::new(format_args!("{field}.instances"), problem));
+        }
+        for (index, instance) in group.instances.iter().enumerate() {
+            let field = format_args!("{field}.instances[{index}]");
+            check_name(&format_args!("{field}.name"), instance.name.as_str())?;
+            self.instances.add_name(&field, instance)?;
+            check_instance(&field, instance)?;
+            self.instances.add_address(&field, instance)?;
+            check_share(&field, instance)?;
+        }
+        Ok(())
+    }
+
+    fn check_template(&mut self, name: &'a TemplateName, template: &Template) -> Outcome {
+        if self.is_over() {
+            return Ok(());
+        }
+        let field = format_args!("templates.{name}");
+        check_name(&field, name.as_str())?;
+        self.check_parameters(&field, template)?;
+        self.templates.insert(name);
+        Ok(())
+    }
+
+    fn check_tenant(&mut self, name: &TenantName, tenant: &'a Tenant) -> Outcome {
+        if self.is_over() {
+            return Ok(());
+        }
+        let field = format_args!("tenants.{name}");
+        check_name(&field, name.as_str())?;
+        let parameters = self.catalog.merge(name, tenant);
+        let parameters = parameters.filter(|_| self.templates.contains(&tenant.template));
+        let parameters = parameters.ok_or_else(|| {
+            let problem = format!("no such template {}", tenant.template);
+            InvalidField::new(format_args!("{field}.template"), problem)
+        })?;
+        self.check_parameters(&field, &parameters.values)?;
+        for (login, verifier) in &tenant.logins {
+            let field = format_args!("{field}.logins.{login}");
+            check_text(&field, login)?;
+            check_verifier(&field, verifier)?;
+            self.logins.check(&login.as_str(), &field)?;
+        }
+        for database in &tenant.open_databases {
+            let field = format_args!("{field}.open_databases.{database}");
+            check_text(&field, database)?;
+            self.databases.check(&database.as_str(), &field)?;
+        }
+        for login in tenant.logins.keys() {
+            self.logins.take(login, name);
+        }
+        for database in &tenant.open_databases {
+            self.databases.take(database, name);
+        }
+        Ok(())
+    }
+
+    /// A credential stands for one account.
+    fn check_account(&mut self, name: &AccountName, account: &Account) -> Outcome {
+        if self.is_over() {
+            return Ok(());
+        }
+        let field = format_args!("accounts.{name}");
+        check_account_name(&field, name.as_str())?;
+        for (index, credential) in account.credentials.iter().enumerate() {
+            let field = format_args!("{field}.credentials[{index}]");
+            self.credentials.check(credential, &field)?;
+        }
+        for credential in &account.credentials {
+            self.credentials.take(*credential, name);
+        }
         Ok(())
     }
 
@@ -102,51 +289,38 @@
         let mut databases = Unique::new("the database of");
         for (index, name) in groups.iter().enumerate() {
             let field = format_args!("{field}[{index}]");
-            let Some(group) = self.groups.get(name) else {
+            let group = self.catalog.groups.get(name).filter(|_| self.groups.contains(name));
+            let Some(group) = group else {
                 return Err(InvalidField::new(field, format!("no such group {name}")));
             };
-            databases.add(group.database.as_str(), &field, name)?;
+            databases.check(&group.database.as_str(), &field)?;
+            databases.take(&group.database, name);
         }
         Ok(())
     }
 }
 
-fn check_group(field: &dyn Display, group: &Group, unique: &mut UniqueInstances) -> Outcome {
-    check_text(&format_args!("{field}.database"), &group.database)?;
-    check_text(&format_args!("{field}.user"), &group.user)?;
-    // Where the platform tells the instances, a group may have none for a while.
-    let fewest = if group.elector == Elector::Proxy { 0 } else { 1 };
-    if !(fewest..=MAX_INSTANCES).contains(&group.instances.len()) {
-        let problem = format!("must be {fewest} to {MAX_INSTANCES}");
-        return Err(InvalidField::new(format_args!("{field}.instances"), problem));
-    }
-    for (index, instance) in group.instances.iter().enumerate() {
-        check_instance(&format_args!("{field}.instances[{index}]"), instance, unique)?;
-    }
-    Ok(())
-}
-
-fn check_instance(
-    field: &dyn Display,
-    instance: &Instance,
-    unique: &mut UniqueInstances,
-) -> Outcome {
-    let name_field = format_args!("{field}.name");
-    check_name(&name_field, instance.name.as_str())?;
-    unique.names.add(instance.name.clone(), &name_field, &instance.name)?;
+/// What an instance says of itself, apart from the others.
+fn check_instance(field: &dyn Display, instance: &Instance) -> Outcome {
+    check_name(&format_args!("{field}.name"), instance.name.as_str())?;
     check_name(&format_args!("{field}.zone"), instance.zone.as_str())?;
-    let address_field = format_args!("{field}.address");
     if instance.address.ip().is_unspecified() || instance.address.port() == 0 {
-        return Err(InvalidField::new(address_field, "must name one address and port"));
+        let field = format_args!("{field}.address");
+        return Err(InvalidField::new(field, "must name one address and port"));
     }
-    unique.addresses.add(instance.address, &address_field, &instance.name)?;
     check_range(&format_args!("{field}.slots"), instance.slots.into(), &SLOTS)?;
-    let connections = format_args!("{field}.connections");
-    check_range(&connections, instance.connections.into(), &CONNECTIONS)?;
-    if instance.connections < instance.slots {
-        return Err(InvalidField::new(connections, "must be at least slots"));
+    check_range(&format_args!("{field}.connections"), instance.connections.into(), &CONNECTIONS)
+}
+
+/// Operators write both numbers of an instance. Of one that reports itself the slots come from itself and the
+/// connections from its group; there the smaller number holds.
+fn check_share(field: &dyn Display, instance: &Instance) -> Outcome {
+    match instance.connections < instance.slots {
+        true => {
+            Err(InvalidField::new(format_args!("{field}.connections"), "must be at least slots"))
+        }
+        false => Ok(()),
     }
-    Ok(())
 }
 
 struct UniqueInstances {
@@ -160,6 +334,20 @@
     }
 }
 
+impl UniqueInstances {
+    fn add_name(&mut self, field: &dyn Display, instance: &Instance) -> Outcome {
+        self.names.check(&instance.name, &format_args!("{field}.name"))?;
+        self.names.take(instance.name.clone(), &instance.name);
+        Ok(())
+    }
+
+    fn add_address(&mut self, field: &dyn Display, instance: &Instance) -> Outcome {
+        self.addresses.check(&instance.address, &format_args!("{field}.address"))?;
+        self.addresses.take(instance.address, &instance.name);
+        Ok(())
+    }
+}
+
 /// Values that may occur once.
 struct Unique<V> {
     what: &'static str,
@@ -171,12 +359,18 @@
         Self { what, owners: HashMap::new() }
     }
 
-    fn add(&mut self, value: V, field: &dyn Display, owner: impl Display) -> Outcome {
-        match self.owners.insert(value, owner.to_string()) {
+    /// Whether nobody has `value` yet.
+    fn check(&self, value: &V, field: &dyn Display) -> Outcome {
+        match self.owners.get(value) {
             None => Ok(()),
             Some(other) => Err(InvalidField::new(field, format!("already {} {other}", self.what))),
         }
     }
+
+    /// `value` belongs to `owner` from now on.
+    fn take(&mut self, value: V, owner: impl Display) {
+        self.owners.insert(value, owner.to_string());
+    }
 }
 
 fn check_name(field: &dyn Display, name: &str) -> Outcome {
--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -143,7 +143,8 @@
     }
 }
 
-fn remove_entry(catalog: &mut Catalog, id: &EntryId) {
+/// Takes an entry out, if it is there.
+pub(super) fn remove_entry(catalog: &mut Catalog, id: &EntryId) {
     match id.kind {
         EntryKind::Group => drop(catalog.groups.remove(id.name.as_str())),
         EntryKind::Template => drop(catalog.templates.remove(id.name.as_str())),
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -158,6 +158,10 @@
     NoSuchEntry = 3005, "42704", NotRun;
     /// The change was made, but some live nodes do not have it in force yet.
     NotInForceEverywhere = 3006, "01000", Ran;
+    /// An entry of the store cannot be read; it names nothing, and the others hold.
+    EntryUnreadable = 3007, "22023", NotRun;
+    /// An entry or an instance of the configuration cannot be used; it is left out, and the others hold.
+    EntryLeftOut = 3008, "22023", NotRun;
 }
 
 impl std::fmt::Display for ResultCode {
--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -27,6 +27,8 @@
     members: Members,
     timing: Timing,
     phase: Phase,
+    /// Members at whose addresses other instances answer.
+    displaced: BTreeSet<InstanceName>,
     /// Whether the intent has been given to be recorded; whoever does so repeats it.
     record_asked: bool,
     /// Whether the store says that the attempt has been called off.
@@ -97,6 +99,7 @@
             intent: Intent { holder, id, reason, former, called_off: false },
             others_stopped,
             members,
+            displaced: BTreeSet::new(),
             timing,
             phase: Phase::Recording,
             record_asked: false,
@@ -220,8 +223,18 @@
         self.former_refused.is_some_and(|refused| refused >= complete)
     }
 
+    /// The replicas that may run. One at whose address another member answers has ended: what it held is
+    /// gone, or is held by that one.
     fn replicas(&self) -> Vec<Member> {
-        self.members.replicas(self.former()).cloned().collect()
+        let has_ended =
+            |member: &Member| member.shares_address && self.displaced.contains(&member.name);
+        let replicas = self.members.replicas(self.former());
+        replicas.filter(|member| !has_ended(member)).cloned().collect()
+    }
+
+    /// How many of them must be stopped.
+    fn needed(&self) -> usize {
+        self.members.needed_of(self.replicas().len())
     }
 
     /// Sends a command to an instance unless it was sent a moment ago.
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -18,14 +18,10 @@
                 self.on_standing(instance, standing, sent)
             }
             Event::Unanswered(_) => {}
-            Event::Refused { instance, sent } => {
-                if self.former() == Some(&instance) {
-                    self.former_refused = Some(sent);
-                }
-                // A replica that does not run has forgotten that it was stopped when it returns.
-                if matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. }) {
-                    self.released.insert(instance);
-                }
+            Event::Refused { instance, sent } => self.on_not_running(instance, sent),
+            Event::Displaced { instance, sent } => {
+                self.displaced.insert(instance.clone());
+                self.on_not_running(instance, sent);
             }
             Event::Promoted { instance, answer } => self.on_promoted(&instance, answer, now),
             Event::Members(members) => {
@@ -50,7 +46,18 @@
         };
     }
 
+    fn on_not_running(&mut self, instance: InstanceName, sent: Instant) {
+        if self.former() == Some(&instance) {
+            self.former_refused = Some(sent);
+        }
+        // A replica that does not run has forgotten that it was stopped when it returns.
+        if matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. }) {
+            self.released.insert(instance);
+        }
+    }
+
     fn on_standing(&mut self, instance: InstanceName, standing: Standing, sent: Instant) {
+        self.displaced.remove(&instance);
         let seen = standing.term.max(standing.held).max(standing.received.term);
         self.highest = self.highest.max(seen);
         if self.former() == Some(&instance) {
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -56,7 +56,7 @@
     fn enough_stopped(&self) -> bool {
         let told = |name: &InstanceName| self.members.get(name).is_some();
         let stopped = self.stopped.keys().filter(|name| told(name)).count();
-        stopped >= self.members.needed(self.former())
+        stopped >= self.needed()
     }
 
     pub(super) fn check(&mut self, now: Instant, commands: &mut Vec<Command>) {
@@ -75,7 +75,7 @@
         let checked = self.stopped.len() - unchecked.len();
         // Before the first promotion, nothing is answered any more if nobody reads there.
         let is_settled = !self.is_committed() && self.nobody_reads_there();
-        if checked >= self.members.needed(self.former()) || is_settled {
+        if checked >= self.needed() || is_settled {
             self.promote(now, commands);
             return;
         }
--- a/crates/core/src/promotion/known.rs
+++ b/crates/core/src/promotion/known.rs
@@ -46,15 +46,23 @@
 
     /// The members of a group.
     pub fn members(&self, group: &GroupName) -> Members {
-        let Some(known) = self.groups.get(group) else { return Members::default() };
+        let Some(known_group) = self.groups.get(group) else { return Members::default() };
+        let shares_address = |known: &Known| {
+            let other = known.instance.name.clone();
+            let mut others = known_group.instances.values();
+            others.any(|one| {
+                one.instance.address == known.instance.address && one.instance.name != other
+            })
+        };
         let member = |known: &Known| Member {
             name: known.instance.name.clone(),
             leaving: known.instance.leaving,
             leads: known.instance.announced_role == Some(Role::Primary),
+            shares_address: shares_address(known),
         };
-        let mut all: Vec<Member> = known.instances.values().map(member).collect();
+        let mut all: Vec<Member> = known_group.instances.values().map(member).collect();
         all.sort_by(|one, other| one.name.cmp(&other.name));
-        Members { all, synchronous: known.synchronous }
+        Members { all, synchronous: known_group.synchronous }
     }
 
     /// Where an instance listens.
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -11,6 +11,8 @@
     pub leaving: bool,
     /// Whether it says that it is the primary.
     pub leads: bool,
+    /// Whether another member is told at its address: one of the two has ended.
+    pub shares_address: bool,
 }
 
 /// The instances of a group as the platform tells them.
@@ -36,10 +38,9 @@
         self.all.iter().filter(move |member| former != Some(&member.name))
     }
 
-    /// How many replicas must be stopped so that the primary can answer no further commit, and one
-    /// of those stopped holds every commit that it has answered.
-    pub fn needed(&self, former: Option<&InstanceName>) -> usize {
-        let replicas = self.replicas(former).count();
+    /// How many of `replicas` replicas must be stopped so that the primary can answer no further commit,
+    /// and one of those stopped holds every commit that it has answered.
+    pub fn needed_of(&self, replicas: usize) -> usize {
         let spare = (self.synchronous as usize).saturating_sub(1);
         replicas.saturating_sub(spare).max(1)
     }
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -104,6 +104,13 @@
         /// When the connection was tried.
         sent: Instant,
     },
+    /// Another instance answered at the instance's address: it has ended.
+    Displaced {
+        /// The instance.
+        instance: InstanceName,
+        /// When the connection was tried.
+        sent: Instant,
+    },
     /// The platform answered a promotion.
     Promoted {
         /// The instance that was to take over.
--- a/crates/core/tests/catalog.rs
+++ b/crates/core/tests/catalog/main.rs
@@ -1,23 +1,20 @@
-//! The catalog: every bad value is refused by its field, and nothing is lost in transit.
+//! The catalog: every bad value is refused by its field, nothing is lost in transit, and what is faulty
+//! concerns itself alone.
+
+mod faults;
+mod strategies;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
-use kestrellock_core::catalog::{
-    Account, Catalog, Group, IndexedCatalog, Instance, Milliseconds, Operations, Priority, Quota,
-    Revision, Template, Tenant,
-};
+use kestrellock_core::catalog::{Catalog, IndexedCatalog};
 use kestrellock_core::credential::CredentialDigest;
-use kestrellock_core::ids::{
-    AccountName, GroupName, InstanceName, TemplateName, TenantName, ZoneName,
-};
-use proptest::collection::{btree_map, vec};
-use proptest::option;
+use kestrellock_core::ids::{AccountName, GroupName, InstanceName, TemplateName, TenantName};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use strategies::{catalog, template, tenant};
 
 const VERIFIER: &str = "SCRAM-SHA-256$4096:c2FsdA==$q0jRZFKpwzPmVmkWQNvSNQ5GwR8Cf8y9Xb6xkvJQ0OM=:O6V1x0pS8cVmlhz0OTWc0jT0tXKp0pRcm3V2yYcE9rI=";
-const VALID: &str = r#"
+pub(crate) const VALID: &str = r#"
 [groups.orders]
 database = "orders"
 user = "proxy"
@@ -158,106 +155,8 @@
     assert_eq!(indexed.group_for(&parameters, "proofs"), Some(&GroupName::new("proofs")));
 }
 
-fn name() -> impl Strategy<Value = String> {
-    prop_oneof![4 => "[a-z][a-z0-9-]{0,4}", 1 => any::<String>()]
-}
-
-fn number() -> impl Strategy<Value = u64> {
-    // TOML's integers are signed.
-    prop_oneof![4 => 0..50_u64, 1 => 0..=i64::MAX as u64]
-}
-
-prop_compose! {
-    fn instance()(
-        name in name(), zone in name(), host in any::<[u8; 4]>(), port in any::<u16>(),
-        slots in any::<u32>(), connections in any::<u32>(), leaving in any::<bool>(),
-    ) -> Instance {
-        let address = SocketAddr::from((host, port));
-        let (name, zone) = (InstanceName::new(name), ZoneName::new(zone));
-        Instance { announced_role: None, name, zone, address, slots, connections, leaving }
-    }
-}
-
-prop_compose! {
-    fn group()(database in name(), user in name(), instances in vec(instance(), 0..4)) -> Group {
-        let confirmation = kestrellock_core::confirmation::ConfirmationRule::default();
-        Group { promoted: None, connections: 0, elector: Default::default(), synchronous_replicas: 0, database, user, instances, confirmation }
-    }
-}
-
-prop_compose! {
-    fn template()(
-        groups in vec(name(), 0..3), staleness in number(), capacity in any::<u32>(),
-        deadline in number(), order in any::<bool>(),
-    ) -> Template {
-        Template { consistency: Default::default(), target_latency_ms: None, transaction_idle_ms: None,
-            groups: groups.iter().map(GroupName::new).collect(),
-            max_staleness_ms: Milliseconds(staleness),
-            capacity,
-            write_priority: if order { Priority::Order } else { Priority::Normal },
-            read_priority: Priority::Browse,
-            deadline_ms: Milliseconds(deadline),
-        }
-    }
-}
-
-prop_compose! {
-    fn tenant()(
-        template in name(), groups in option::of(vec(name(), 0..3)),
-        staleness in option::of(number()), capacity in option::of(any::<u32>()),
-        deadline in option::of(number()), logins in btree_map(name(), name(), 0..3),
-        needs_credential in any::<bool>(),
-    ) -> Tenant {
-        Tenant { open_databases: Default::default(), needs_credential,
-            template: TemplateName::new(template),
-            groups: groups.map(|groups| groups.iter().map(GroupName::new).collect()),
-            max_staleness_ms: staleness.map(Milliseconds),
-            capacity,
-            deadline_ms: deadline.map(Milliseconds),
-            logins,
-        }
-    }
-}
-
-prop_compose! {
-    fn account()(
-        credentials in vec(name(), 0..3),
-        quota in option::of((0.0..1e9_f64, 0.0..1e9_f64)),
-    ) -> Account {
-        Account {
-            credentials: credentials.iter().map(|one| CredentialDigest::of(one)).collect(),
-            quota: quota.map(|(per_second, burst)| Quota {
-                per_second: Operations::new(per_second).expect("in range"),
-                burst: Operations::new(burst).expect("in range"),
-            }),
-        }
-    }
-}
-
-prop_compose! {
-    fn catalog()(
-        revision in number(),
-        groups in btree_map(name(), group(), 0..4),
-        templates in btree_map(name(), template(), 0..4),
-        tenants in btree_map(name(), tenant(), 0..4),
-        accounts in btree_map(name(), account(), 0..4),
-    ) -> Catalog {
-        let groups: BTreeMap<_, _> =
-            groups.into_iter().map(|(name, value)| (GroupName::new(name), value)).collect();
-        let templates = templates.into_iter();
-        let tenants = tenants.into_iter();
-        Catalog {
-            accounts: accounts.into_iter().map(|(name, value)| (AccountName::new(name), value)).collect(),
-            revision: Revision(revision),
-            groups,
-            templates: templates.map(|(name, value)| (TemplateName::new(name), value)).collect(),
-            tenants: tenants.map(|(name, value)| (TenantName::new(name), value)).collect(),
-        }
-    }
-}
-
 /// Cases from one seed, so that every run gives the same verdict.
-fn fixed(cases: u32) -> ProptestConfig {
+pub(crate) fn fixed(cases: u32) -> ProptestConfig {
     let rng_seed = RngSeed::Fixed(0x6b65_7374);
     ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
 }
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -19,8 +19,12 @@
 }
 
 fn members(leading: &[&str]) -> Members {
-    let member =
-        |text: &&str| Member { name: name(text), leaving: false, leads: leading.contains(text) };
+    let member = |text: &&str| Member {
+        name: name(text),
+        leaving: false,
+        leads: leading.contains(text),
+        shares_address: false,
+    };
     Members { all: ["a", "b", "c"].iter().map(member).collect(), synchronous: 1 }
 }
 
--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -11,6 +11,7 @@
 use kestrellock_store::store::StoreError;
 
 use super::{Configuration, Offer};
+use crate::metrics::{ConfigurationEvent, Metrics};
 use crate::supervisor::StopFlag;
 
 /// Longest wait for a change before the stop flag is looked at.
@@ -29,6 +30,7 @@
 pub fn follow(configuration: &Configuration, source: &mut dyn CatalogSource, stop: &StopFlag) {
     let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY);
     let mut failed_at = Instant::now();
+    let mut unreadable = Unreadable::default();
     configuration.wait_for_peers(stop);
     while !stop.is_stopping() {
         stop.wait_while_paused();
@@ -53,12 +55,27 @@
                 continue;
             }
         }
+        unreadable.count(source.unreadable_entries(), &configuration.context.metrics);
         if let Some((revision, at)) = source.confirmed() {
             configuration.confirm(Confirmation { revision, at });
         }
     }
 }
 
+/// Entries of the source that could not be read, as far as they have been counted.
+#[derive(Debug, Default)]
+struct Unreadable {
+    counted: u64,
+}
+
+impl Unreadable {
+    fn count(&mut self, so_far: u64, metrics: &Metrics) {
+        let new = so_far.saturating_sub(self.counted);
+        metrics.configuration.add(ConfigurationEvent::Unreadable, new);
+        self.counted = so_far;
+    }
+}
+
 fn wait_after(error: &CatalogError, backoff: &mut Backoff) -> Duration {
     let wait = backoff.wait(rand::random());
     match error {
@@ -84,7 +101,7 @@
     }
 
     /// The source has said that the catalog it told last was the newest. That shows nothing while a newer
-    /// one is not in force, because it is invalid.
+    /// one is not in force.
     fn confirm(&self, confirmation: Confirmation) {
         if confirmation.revision <= self.revision() {
             self.context.confirmations.add(confirmation);
--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -1,10 +1,11 @@
 //! Keeps the node's configuration: follows the store where that is this node's part, exchanges
-//! revisions with peers, and puts only newer, whole and valid catalogs in force.
+//! revisions with peers, and puts only newer catalogs in force, without what is faulty in them.
 
 mod confirming;
 mod exchange;
 mod fetching;
 mod follow;
+mod left_out;
 mod serving;
 
 use std::sync::{Arc, Mutex};
@@ -19,6 +20,8 @@
 use crate::metrics::ConfigurationEvent;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 
+use self::left_out::LeftOut;
+
 pub use exchange::exchange;
 pub use follow::follow;
 
@@ -47,7 +50,7 @@
     InForce,
     /// One as new is in force already.
     NotNewer,
-    /// It is invalid; the one in force stays.
+    /// It cannot be used; the one in force stays.
     Refused,
 }
 
@@ -56,25 +59,32 @@
     context: Arc<NodeContext>,
     mailboxes: Arc<Mailboxes>,
     /// Held while a catalog replaces another, so that an older one never replaces a newer.
-    replacing: Mutex<()>,
+    replacing: Mutex<LeftOut>,
 }
 
 impl Configuration {
     /// Nothing in force yet.
     pub fn new(context: Arc<NodeContext>, mailboxes: Arc<Mailboxes>) -> Self {
-        Self { context, mailboxes, replacing: Mutex::new(()) }
+        Self { context, mailboxes, replacing: Mutex::default() }
     }
 
-    /// Puts a catalog in force if it is newer than the one in force, and valid.
+    /// Puts a catalog in force if it is newer than the one in force. Entries and instances that cannot be
+    /// used are left out, each by itself: what an instance says of itself holds no change of the operators
+    /// back, nor one entry another.
     pub fn offer(&self, catalog: VersionedCatalog) -> Offer {
-        let _replacing = self.replacing.lock().expect("a holder of the lock panicked");
+        let mut left_out = self.replacing.lock().expect("a holder of the lock panicked");
         let revision = catalog.revision;
         if revision <= self.revision() {
             return Offer::NotNewer;
         }
         let metrics = &self.context.metrics;
-        if let Err(error) = catalog.validate() {
-            log::warn!("configuration revision {} refused: {error}", revision.0);
+        let (catalog, faults) = catalog.usable();
+        left_out.tell(&faults, revision, metrics);
+        if !faults.is_empty()
+            && let Err(error) = catalog.validate()
+        {
+            // Leaving out what is faulty leaves a valid rest: this is a defect of the program.
+            log::error!(event = "configuration_refused", revision = revision.0, problem = error.to_string().as_str(); "KL3001 the configuration cannot be used; the one in force stays");
             metrics.configuration.count(ConfigurationEvent::Refused);
             return Offer::Refused;
         }
--- a/crates/daemon/src/agent/promotion/orders.rs
+++ b/crates/daemon/src/agent/promotion/orders.rs
@@ -188,6 +188,7 @@
             }
         }
         Err(ControlError::Refused) => vec![Event::Refused { instance, sent }],
+        Err(ControlError::Displaced) => vec![Event::Displaced { instance, sent }],
         // An instance that has nothing to be released from says so.
         Err(ControlError::Rejected(_)) if order == Order::Release => {
             vec![Event::Released(instance)]
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -284,7 +284,7 @@
             thread::Builder::new().name("promotion-opinion".to_owned()).spawn(move || {
                 let cause = match control.tell(&target, Order::Ask) {
                     Ok(_) | Err(ControlError::Rejected(_)) => None,
-                    Err(ControlError::Refused) => Some(Cause::Refuses),
+                    Err(ControlError::Refused | ControlError::Displaced) => Some(Cause::Refuses),
                     Err(ControlError::Unanswered(_)) => Some(Cause::Silent),
                 };
                 let opinion = Opinion { cause, at: Instant::now() };
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::ownership::{OwnershipSnapshot, Ownerships};
 use crate::policy::Policy;
+use crate::shared::address_occupants::AddressOccupants;
 use crate::shared::board::MembershipBoard;
 use crate::shared::confirmations::Confirmations;
 use crate::shared::given_up::EvidenceGivenUp;
@@ -73,6 +74,8 @@
     pub transactions_until: Shared<Option<Instant>>,
     /// What is known of back ends.
     pub statuses: StatusBoard,
+    /// Which of several instances told at one address answers there.
+    pub occupants: AddressOccupants,
     /// Passwords of the roles under which gateways log in to back ends.
     pub backend_passwords: BTreeMap<String, Secret>,
     /// Number of shards.
@@ -150,10 +153,12 @@
         chosen.cloned()
     }
 
-    /// The instance that leads a group, as its platform and the replacements under way tell it.
+    /// The instance that leads a group, as its platform and the replacements under way tell it. One in
+    /// whose place another instance answers leads no more, whatever it said last.
     pub fn leader<'a>(&self, name: &GroupName, group: &'a Group) -> Option<&'a Instance> {
         let intents = self.intents.load();
-        group.leader(intents.get(name).and_then(|intent| intent.former.as_ref()))
+        let former = intents.get(name).and_then(|intent| intent.former.as_ref());
+        group.leader_among(former, |instance| !self.occupants.is_displaced(group, instance))
     }
 
     /// Age of the newest evidence that the group's primary leads.
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -128,7 +128,8 @@
             true => true,
             false => qualifies.replicas && is_replica,
         };
-        qualifies && !instance.leaving && needs.passed_over != Some(&instance.name)
+        let is_there = !io.context.occupants.is_displaced(configured, instance);
+        qualifies && is_there && !instance.leaving && needs.passed_over != Some(&instance.name)
     };
     let queued = |name| needs.pools.get(name).map_or(0, |pool| pool.waiting() as u32);
     let readers: Vec<Reader> = configured
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -26,6 +26,9 @@
 const QUEUE_BYTES: usize = 32 * 1024 * 1024;
 const FIRST_CONNECT_BACKOFF: Duration = Duration::from_millis(10);
 const LAST_CONNECT_BACKOFF: Duration = Duration::from_millis(250);
+/// Time between attempts to connect to an instance at whose address another one listens. It is told for
+/// three heartbeats of the platform's, seconds, and does not come back under its name as a rule.
+const DISPLACED_RETRY: Duration = Duration::from_secs(1);
 /// For this long after a hand-over the old owner sends new work on to its successor: fronts that
 /// still come to it lag behind.
 const HAND_OVER_PERIOD: Duration = Duration::from_secs(5);
@@ -344,6 +347,12 @@
         self.connect_after = Some(now + self.connect_backoff.on_failure(random));
     }
 
+    /// Another instance listens at the instance's address. Whether that has changed is looked at now and
+    /// then: each attempt costs the other instance a connection.
+    pub fn on_displaced(&mut self, now: Instant) {
+        self.connect_after = Some(now + DISPLACED_RETRY);
+    }
+
     /// The back end refused another connection because it has too many.
     pub fn on_refused(&mut self, now: Instant, random: u64) {
         let established = self.connections.len() as u32 - self.connecting;
--- a/crates/daemon/src/gateway/primary_questions.rs
+++ b/crates/daemon/src/gateway/primary_questions.rs
@@ -84,7 +84,8 @@
     let is_due = |instance: &&Instance| {
         let is_replica = instance.announced_role == Some(Role::Replica);
         let is_shown = known.evidence.is_shown_by(&instance.name, term, life, io.now);
-        is_replica && leader != Some(&instance.name) && !is_shown
+        let is_there = !io.context.occupants.is_displaced(group, instance);
+        is_replica && is_there && leader != Some(&instance.name) && !is_shown
     };
     let replicas = group.instances.iter().filter(is_due).map(|replica| &replica.name);
     let primary = leader.filter(|_| leads != Some(newest_term));
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -57,6 +57,8 @@
     Unusable,
     /// The back end accepts no further connection now.
     Refused,
+    /// Another instance listens at the instance's address.
+    Displaced,
     /// The instance has answered an exchange.
     Answered,
     /// The instance had no room for an exchange.
@@ -134,7 +136,7 @@
     is_last_lease: bool,
     /// Whether each answer tells the instance's position.
     positions_in_answers: bool,
-    /// Whether nothing listened at the instance's address.
+    /// Whether the instance does not run: nothing listened at its address, or another instance.
     was_refused: bool,
     /// Number under which the status board knows the exchange under way.
     waiting_number: u64,
@@ -223,12 +225,12 @@
         entry.insert(server);
     }
 
-    /// Nothing listens at the instance's address.
+    /// The instance does not run: nothing listens at its address, or another instance.
     pub fn mark_refused(&mut self) {
         self.was_refused = true;
     }
 
-    /// Whether nothing listened at the instance's address.
+    /// Whether the instance was found not to run.
     pub fn was_refused(&self) -> bool {
         self.was_refused
     }
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -100,6 +100,7 @@
                 events.push(ServerEvent::Ready);
             }
             ReplyKind::Failed(Failure::TooManyConnections) => events.push(ServerEvent::Refused),
+            ReplyKind::Failed(Failure::WrongInstance) => events.push(ServerEvent::Displaced),
             ReplyKind::Failed(_) => events.push(ServerEvent::Unusable),
             ReplyKind::Challenge if !self.answer_challenge(reply, io) => {
                 events.push(ServerEvent::Unusable);
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -1,7 +1,9 @@
 //! What back-end connections report, passed on to the pool, the monitor and the confirmations of
 //! their group.
 
+use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
+use kestrellock_core::ids::{GroupName, InstanceName};
 
 use super::Gateway;
 use super::pool::Pool;
@@ -11,6 +13,21 @@
 use crate::net::connection::ReadOutcome;
 use crate::shared::statuses::Reachability;
 
+/// An instance has accepted a connection under its name: whoever else is told at its address has ended.
+fn note_occupant(name: &GroupName, group: &Group, instance: &InstanceName, io: &Io) {
+    let Some(configured) = group.instance(instance) else { return };
+    let before = io.context.occupants.on_answered(configured.address, instance);
+    if let Some(before) = before.filter(|before| group.instance(before).is_some()) {
+        log::info!(
+            event = "instance_displaced",
+            group = name.as_str(),
+            instance = before.as_str(),
+            by = instance.as_str();
+            "another instance answers at the address of one that is still told"
+        );
+    }
+}
+
 impl Gateway {
     /// Handles readiness of a back-end connection.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) {
@@ -41,6 +58,7 @@
             ServerEvent::Started(position) => {
                 let made = Reachability::Made(position);
                 io.context.statuses.on_connection(&group, &instance, made);
+                note_occupant(&group, configured, &instance, io);
                 return;
             }
             ServerEvent::Answered | ServerEvent::NoRoom => {
@@ -71,6 +89,16 @@
                 }
                 self.on_server_lost(key, Fault::BackendLost, io);
             }
+            ServerEvent::Displaced => {
+                if let Some(server) = self.servers.get_mut(key) {
+                    server.mark_refused();
+                }
+                self.on_server_lost(key, Fault::BackendLost, io);
+                let state = self.groups.get_mut(&group);
+                if let Some(pool) = state.and_then(|state| state.pools.get_mut(&instance)) {
+                    pool.on_displaced(io.now);
+                }
+            }
             ServerEvent::TransactionOpen => {
                 if let Some(pool) = state.pools.get_mut(&instance) {
                     pool.on_paused(key, io.now);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -153,8 +153,12 @@
     ConfigurationEvent {
         /// Put in force.
         Applied = "applied",
-        /// Malformed or invalid; the one in force stayed.
+        /// Malformed or invalid as a whole; the one in force stayed.
         Refused = "refused",
+        /// An entry or instance of it that cannot be used, and was left out.
+        LeftOut = "left_out",
+        /// An entry of the store that cannot be read.
+        Unreadable = "unreadable",
         /// Taken from a peer.
         Pulled = "pulled",
         /// Told to the peers that ask this node.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -32,6 +32,7 @@
 use crate::settings::Settings;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::shard::{Shard, event_loop};
+use crate::shared::address_occupants::AddressOccupants;
 use crate::shared::board::MembershipBoard;
 use crate::shared::confirmations::Confirmations;
 use crate::shared::given_up::EvidenceGivenUp;
@@ -267,6 +268,7 @@
         stage: SharedStage::default(),
         transactions_until: Shared::default(),
         statuses: StatusBoard::default(),
+        occupants: AddressOccupants::default(),
         backend_passwords: settings.secrets.backend_passwords.clone(),
         shards: settings.shards,
         protocol,
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -1,5 +1,6 @@
 //! What the threads of a node share, below everything that uses it.
 
+pub mod address_occupants;
 pub mod answers;
 pub mod board;
 pub mod confirmations;
--- a/crates/lab/src/standin/door.rs
+++ b/crates/lab/src/standin/door.rs
@@ -60,10 +60,11 @@
         None
     }
 
-    /// The same address for another owner: this door's [`Self::accept`] ends, the new one's begins with
-    /// [`Self::reopen`].
+    /// The same address for another owner: the [`Self::accept`] of this door, which is shut, ends, and the
+    /// new one's begins with [`Self::reopen`].
     pub fn hand_over(&self) -> Self {
-        self.stop();
+        // Shut once only: connections of a socket that is shut again while it does not listen end at once.
+        self.stopped.store(true, Ordering::Release);
         // Whoever waits in `accept` leaves it before connections come again.
         std::thread::sleep(HAND_OVER_TIME);
         Self { listener: self.listener.clone(), address: self.address, stopped: Arc::default() }
--- a/crates/lab/tests/instance_entries.rs
+++ b/crates/lab/tests/instance_entries.rs
@@ -9,11 +9,16 @@
 //!
 //! Whatever an instance says of itself must concern that instance alone.
 
+use std::net::SocketAddr;
+
 use kestrellock_core::catalog::Consistency;
 use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::routing::Role;
+use kestrellock_daemon::metrics::ConfigurationEvent;
+use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::caller::LineSession;
-use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
-use serde_json::{Value, json};
+use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, ZONES, database, wait};
+use kestrellock_platform::standin::entries::{InstanceEntry, broken_entries};
 
 fn start() -> Platform {
     let platform = Platform::start(PlatformOptions::default()).expect("it starts");
@@ -47,20 +52,11 @@
     LineSession::open(platform.callers[node], &database, name).expect("it opens")
 }
 
-/// An entry of an instance of the first group as it would be right, but for its name.
-fn right_entry(platform: &Platform) -> Value {
-    let primary = platform.groups[0].primary().expect("a primary");
-    json!({
-        "service": GROUPS[0],
-        "address": platform.groups[0].address(&primary).expect("an address"),
-        "zone": "casa-ain",
-        "version": "v1",
-        "slots": 3,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "dbRole": "replica",
-        "callSeq": 1,
-    })
+fn replica_zone(platform: &Platform, instance: &str) -> String {
+    let node = platform.nodes().next().expect("a node");
+    let catalog = node.context.catalog.load();
+    let (_, instance) = catalog.instance(&InstanceName::new(instance)).expect("it is known");
+    instance.zone.to_string()
 }
 
 #[test]
@@ -81,7 +77,9 @@
     change_routes(&mut platform, "with two instances at one address");
     let mut writer = open(&platform, 0, Consistency::Primary, "w");
     assert!(writer.run("WRITE seat taken").expect("an answer").is_success());
-    let mut reader = open(&platform, 0, Consistency::Session, "r");
+    // The node of the replica's zone reads there.
+    let node = ZONES.iter().position(|zone| replica_zone(&platform, "i-again") == *zone);
+    let mut reader = open(&platform, node.expect("a zone"), Consistency::Session, "r");
     wait("the new instance serves", || {
         let answer = reader.run("READ seat").expect("an answer");
         assert!(answer.is_success(), "{answer:?}");
@@ -118,50 +116,49 @@
 #[test]
 fn what_one_entry_says_concerns_its_instance_alone() {
     let mut platform = start();
-    let right = right_entry(&platform);
-    let with = |field: &str, value: Value| {
-        let mut entry = right.clone();
-        entry[field] = value;
-        entry
+    let primary = platform.groups[0].primary().expect("a primary");
+    let right = InstanceEntry {
+        name: "i-right",
+        group: GROUPS[0],
+        address: platform.groups[0].address(&primary).expect("an address"),
+        zone: ZONES[0],
+        slots: 3,
+        leaving: false,
+        role: Role::Replica,
     };
-    // Key, entry.
-    let cases: Vec<(&str, Value)> = vec![
-        ("i-same-address", right.clone()),
-        ("I.Upper", right.clone()),
-        ("i-port", with("address", json!("127.0.0.1:0"))),
-        ("i-everywhere", with("address", json!("0.0.0.0:5432"))),
-        ("i-host", with("address", json!("localhost:5432"))),
-        ("i-zone", with("zone", json!("Casa Ain"))),
-        ("i-no-zone", with("zone", json!(""))),
-        ("i-slots-huge", with("slots", json!(4_000_000_000_u64))),
-        ("i-slots-many", with("slots", json!(1_001))),
-        ("i-slots-none", with("slots", json!(0))),
-        ("i-slots-negative", with("slots", json!(-1))),
-        ("i-state", with("state", json!("sleeping"))),
-        ("i-role", with("dbRole", json!("witness"))),
-        ("i-service", with("service", json!("none"))),
-        ("i-type", with("service", json!(7))),
-    ];
-    for (name, entry) in &cases {
-        platform.store.put(&format!("servers/{name}"), entry.to_string().as_bytes());
-        change_routes(&mut platform, name);
+    platform.store.put(&InstanceEntry::key("i-right"), &right.value());
+    let broken = broken_entries(&right);
+    for entry in &broken {
+        platform.store.put(&entry.key, &entry.value);
     }
-    for number in 0..20 {
-        let entry = with("address", json!(format!("127.0.0.9:{}", 5_000 + number)));
-        platform.store.put(&format!("servers/i-many-{number}"), entry.to_string().as_bytes());
+    change_routes(&mut platform, "with entries that name no instance");
+    // One after the other as well, each as the newest that the store has.
+    for entry in &broken {
+        platform.store.put(&entry.key, &entry.value);
+        change_routes(&mut platform, &entry.what);
     }
-    change_routes(&mut platform, "with twenty instances");
-    for broken in [&b"{"[..], b"", b"\xff\xfe", b"null", b"[]"] {
-        platform.store.put("servers/i-bytes", broken);
-        change_routes(&mut platform, "with bytes that cannot be read");
+    for number in 0..20 {
+        let name = format!("i-many-{number}");
+        let address = SocketAddr::from(([127, 0, 0, 9], 5_000 + number));
+        let entry = InstanceEntry { name: &name, address, ..right.clone() };
+        platform.store.put(&InstanceEntry::key(&name), &entry.value());
     }
+    change_routes(&mut platform, "with twenty instances more");
     let known = known_instances(&platform, GROUPS[0]);
     for name in platform.groups[0].instances() {
         assert!(known.contains(&name), "{name} is known");
     }
-    for (name, _) in cases.iter().filter(|(name, _)| *name != "i-same-address") {
-        assert!(!known.contains(&(*name).to_owned()), "{name} is not used");
+    for entry in &broken {
+        assert!(!known.contains(&entry.name), "{} is not used", entry.what);
     }
-    let catalog = platform.nodes().next().expect("a node").context.catalog.load();
-    assert!(catalog.instance(&InstanceName::new("i-same-address")).is_some());
+    let used = known.len() - platform.groups[0].instances().len();
+    assert_eq!(used, 21, "the right ones are known: {known:?}");
+    let told = platform.nodes().map(|node| {
+        let counters = &node.context.metrics.configuration;
+        counters.get(ConfigurationEvent::LeftOut) + counters.get(ConfigurationEvent::Unreadable)
+    });
+    let told: u64 = told.max().expect("a node");
+    assert!(told >= broken.len() as u64, "a node that reads the store counts each: {told}");
+    let refused = |node: &Node| node.context.metrics.configuration.get(ConfigurationEvent::Refused);
+    assert_eq!(platform.nodes().map(refused).sum::<u64>(), 0);
 }
--- a/crates/store/src/control.rs
+++ b/crates/store/src/control.rs
@@ -24,6 +24,9 @@
     /// Nothing runs at its address.
     #[error("the connection was refused")]
     Refused,
+    /// Another instance runs at its address.
+    #[error("another instance answers at the address")]
+    Displaced,
     /// No answer; it may have done it.
     #[error("no answer: {0}")]
     Unanswered(String),
--- a/crates/store/src/source.rs
+++ b/crates/store/src/source.rs
@@ -24,6 +24,11 @@
     /// The node does not follow the source for now.
     fn pause(&mut self) {}
 
+    /// How many revisions of entries could not be read so far; each names nothing, and the others hold.
+    fn unreadable_entries(&self) -> u64 {
+        0
+    }
+
     /// A moment at which the catalog that [`Self::next`] told last was the newest, and the revision of that
     /// catalog; `None` where the source does not know one.
     fn confirmed(&mut self) -> Option<(Revision, Instant)> {
