--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -171,6 +171,61 @@
     assert!(commands.contains(&Command::Install(name("b"))), "{commands:?}");
 }
 
+/// A primary crashed, was suspected, and started again under another name at its address, as a primary
+/// because nobody had been promoted yet. The promotion of a replica was under way: the returned one was taken
+/// for the successor, replicas were released to it, and it answered writes that the promotion, some hundred
+/// milliseconds later, rolled back. In a test of the whole path the log of the new primary lacked a write
+/// that had been acknowledged.
+#[test]
+fn a_primary_that_returns_under_another_name_is_not_taken_for_the_one_being_promoted() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    begin(&mut attempt, now);
+    let offsets = [("b", 11), ("c", 10)];
+    assert_eq!(promotes(&mut attempt, &mut now, &offsets), Some(name("b")));
+    let answer = PromotionAnswer::Accepted;
+    attempt.on_event(Event::Promoted { instance: name("b"), answer }, now);
+    let mut all = members(&["a"]);
+    all.all.push(Member { name: name("d"), leaving: false, leads: true, shares_address: true });
+    all.all[0].shares_address = true;
+    attempt.on_event(Event::Members(all.clone()), now);
+    let mut commands = attempt.step(now + STEP);
+    let received = Position { term: Term(1), offset: LogOffset(11) };
+    let standing = Standing { role: Role::Primary, term: Term(1), received, held: Term(0) };
+    attempt.on_event(Event::Stands { instance: name("d"), standing, sent: now }, now);
+    commands.extend(attempt.step(now + STEP * 2));
+    let installs = |one: &Command| matches!(one, Command::Install(_) | Command::Release(_));
+    assert!(!commands.iter().any(installs), "{commands:?}");
+    // It is an old primary, and steps down.
+    let demoted =
+        |one: &Command| matches!(one, Command::Demote { instance, .. } if *instance == name("d"));
+    assert!(commands.iter().any(demoted), "{commands:?}");
+    // The one that was chosen takes over.
+    all.all[1].leads = true;
+    attempt.on_event(Event::Members(all), now);
+    let commands = attempt.step(now + STEP * 3);
+    assert!(commands.contains(&Command::Install(name("b"))), "{commands:?}");
+}
+
+/// One that an earlier holder's late call has promoted says a term at least as high as replicas are stopped
+/// with.
+#[test]
+fn another_one_that_leads_a_newer_term_is_taken_as_it_is() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    begin(&mut attempt, now);
+    let offsets = [("b", 11), ("c", 11)];
+    assert_eq!(promotes(&mut attempt, &mut now, &offsets), Some(name("b")));
+    attempt.on_event(Event::Members(members(&["a", "c"])), now);
+    let commands = attempt.step(now + STEP);
+    assert!(commands.contains(&Command::Ask(name("c"))), "{commands:?}");
+    let received = Position { term: Term(1), offset: LogOffset(11) };
+    let standing = Standing { role: Role::Primary, term: Term(3), received, held: Term(0) };
+    attempt.on_event(Event::Stands { instance: name("c"), standing, sent: now }, now);
+    let commands = attempt.step(now + STEP * 2);
+    assert!(commands.contains(&Command::Install(name("c"))), "{commands:?}");
+}
+
 /// Found by a test of the whole path: the new primary had one deaf replica and one dead one, could
 /// not commit, was suspected, and the attempt that could stop only one of them never ended.
 #[test]
