Promotions: once one has been sent, another leader succeeds only by a term that a promotion gave it

Change: a member other than the chosen one that says it leads is asked for its term; one that leads an old term is an old primary under another name and is told to step down, during the promotion and after it; one that leads a newer one is the successor. The test of a primary of before asks for the same proof now, where it took the announcement alone.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -29,6 +29,12 @@
     phase: Phase,
     /// Members at whose addresses other instances answer.
     displaced: BTreeSet<InstanceName>,
+    /// Others that said, after a promotion was sent, that they lead a term at least as high as replicas are
+    /// stopped with: the platform has promoted them.
+    promoted: BTreeSet<InstanceName>,
+    /// Others that said then that they lead a lower term: old primaries that have started again under
+    /// other names.
+    returned: BTreeSet<InstanceName>,
     /// Whether the intent has been given to be recorded; whoever does so repeats it.
     record_asked: bool,
     /// Whether the store says that the attempt has been called off.
@@ -100,6 +106,8 @@
             others_stopped,
             members,
             displaced: BTreeSet::new(),
+            promoted: BTreeSet::new(),
+            returned: BTreeSet::new(),
             timing,
             phase: Phase::Recording,
             record_asked: false,
@@ -181,6 +189,7 @@
                 self.phase = Phase::Settling { until: now + self.timing.demotion };
             }
             Phase::Promoting { again } => {
+                self.question_other_leaders(now, commands);
                 // Replicas may have restarted meanwhile, and have forgotten that they were stopped.
                 if now >= again {
                     self.complete = Some(now);
@@ -213,10 +222,38 @@
     /// The member that leads in place of the old primary.
     fn successor(&self) -> Option<InstanceName> {
         let leading = leading(&self.members, self.former());
-        let told = leading.into_iter().find(|name| !self.outdated.contains(name));
+        let may_be = |name: &InstanceName| !self.outdated.contains(name) && self.may_succeed(name);
+        let told = leading.into_iter().find(may_be);
         told.or_else(|| self.leads_by_its_word.clone())
     }
 
+    /// Whether a member that says it leads can be the successor. Once a promotion has been sent, its own
+    /// one is; another one only if it shows a term that it got by a promotion: an old primary that has
+    /// started again under another name would answer writes that the promotion rolls back.
+    fn may_succeed(&self, name: &InstanceName) -> bool {
+        match &self.chosen {
+            Some(chosen) => chosen == name || self.promoted.contains(name),
+            None => true,
+        }
+    }
+
+    /// Asks members other than the chosen one that say they lead which term that is, and has those step
+    /// down that lead an old one.
+    fn question_other_leaders(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let leading = leading(&self.members, self.former());
+        let other = |name: &&InstanceName| {
+            self.chosen.as_ref() != Some(*name) && !self.outdated.contains(*name)
+        };
+        let others: Vec<InstanceName> = leading.iter().filter(other).cloned().collect();
+        for name in others {
+            if self.returned.contains(&name) {
+                self.demote(&name, now, commands);
+            } else {
+                self.send(&name, Repeated::Ask, now, commands, Command::Ask);
+            }
+        }
+    }
+
     /// Whether the old primary has refused a connection since enough replicas were stopped.
     fn nobody_reads_there(&self) -> bool {
         let Some(complete) = self.complete else { return false };
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -76,6 +76,7 @@
             self.leads_by_its_word = Some(instance);
             return;
         }
+        self.judge_other_leader(&instance, &standing);
         // One that answers a while after the platform had said so runs again.
         let pause = self.timing.retry;
         self.not_running.retain(|name, said| *name != instance || sent < *said + pause);
@@ -98,6 +99,18 @@
         }
     }
 
+    /// What an instance that is neither the old primary nor the chosen one says of leading.
+    fn judge_other_leader(&mut self, instance: &InstanceName, standing: &Standing) {
+        if !self.is_committed() || standing.role == Role::Replica {
+            self.returned.remove(instance);
+            return;
+        }
+        match standing.term >= self.term {
+            true => self.promoted.insert(instance.clone()),
+            false => self.returned.insert(instance.clone()),
+        };
+    }
+
     pub(super) fn stop_with_a_higher_term(&mut self) {
         self.term = Term(self.highest.0 + 1);
         self.stopped.clear();
--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -12,12 +12,15 @@
     /// leads, and that cannot hear of the successor, would follow it and say so.
     pub(super) fn settle(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
         let since = until - self.timing.demotion;
-        let is_in_order = !self.former_still_leads(since);
+        let is_in_order = !self.former_still_leads(since) && self.returned.is_empty();
         if is_in_order || self.chosen_again {
             self.release(now, commands);
         }
         if !is_in_order {
             self.demote_former(now, commands);
+            for name in self.returned.clone() {
+                self.demote(&name, now, commands);
+            }
         }
         if now >= until || (is_in_order && self.all_released()) {
             commands.push(Command::Finish { successor: self.chosen.clone() });
@@ -37,9 +40,14 @@
     }
 
     pub(super) fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        let term = Term(self.highest.0.max(self.term.0));
         let Some(former) = self.intent.former.clone() else { return };
-        self.send(&former, Repeated::Demote, now, commands, |instance| Command::Demote {
+        self.demote(&former, now, commands);
+    }
+
+    /// Has an old primary step down.
+    pub(super) fn demote(&mut self, old: &InstanceName, now: Instant, commands: &mut Vec<Command>) {
+        let term = Term(self.highest.0.max(self.term.0));
+        self.send(old, Repeated::Demote, now, commands, |instance| Command::Demote {
             instance,
             term,
         });
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -155,10 +155,17 @@
     assert!(!commands.iter().any(|one| matches!(one, Command::Install(_))), "{commands:?}");
     let chosen = promotes(&mut attempt, &mut now, &[("b", 10), ("c", 9)]);
     assert_eq!(chosen, Some(name("b")));
-    // Once it has stepped down, it may be the one that takes over.
+    // Once it has stepped down, it may be the one that takes over,
     attempt.on_event(Event::Members(members(&["a"])), now);
+    // if it shows that it leads a newer term.
     attempt.on_event(Event::Members(members(&["a", "c"])), now);
     let commands = attempt.step(now + STEP);
+    assert!(!commands.iter().any(|one| matches!(one, Command::Install(_))), "{commands:?}");
+    assert!(commands.contains(&Command::Ask(name("c"))), "{commands:?}");
+    let received = Position { term: Term(1), offset: LogOffset(9) };
+    let standing = Standing { role: Role::Primary, term: Term(3), received, held: Term(0) };
+    attempt.on_event(Event::Stands { instance: name("c"), standing, sent: now }, now);
+    let commands = attempt.step(now + STEP * 2);
     assert!(commands.contains(&Command::Install(name("c"))), "{commands:?}");
 }
 
