What is left out is told once: a catalog from a peer says nothing of what is left out

Cause: nodes that read the store and also fetch from peers told the same fault gone and come again with each fetch (seen in the log of the test of entries). Change: only a catalog from the node's own source ends a fault. Tests of the configuration pass.

--- a/crates/daemon/src/agent/configuration/fetching.rs
+++ b/crates/daemon/src/agent/configuration/fetching.rs
@@ -8,7 +8,7 @@
 use kestrellock_peer::catalog_transfer::{self, Incoming, Part, TransferError};
 use kestrellock_peer::message::ConfigurationMessage;
 
-use super::{Configuration, Offer, Peer};
+use super::{Configuration, Offer, Origin, Peer};
 use crate::metrics::ConfigurationEvent;
 
 /// What is being fetched.
@@ -106,7 +106,7 @@
         match own.context.catalog.load().with(delta) {
             Ok(catalog) => {
                 own.context.metrics.configuration.count(ConfigurationEvent::Pulled);
-                match own.offer(catalog) {
+                match own.offer(catalog, Origin::Peer) {
                     Offer::InForce => own.announce_if_follower(),
                     Offer::NotNewer => {}
                     Offer::Refused => puller.on_refused(&peer.node, Instant::now()),
--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -10,7 +10,7 @@
 use kestrellock_store::source::CatalogSource;
 use kestrellock_store::store::StoreError;
 
-use super::{Configuration, Offer};
+use super::{Configuration, Offer, Origin};
 use crate::metrics::{ConfigurationEvent, Metrics};
 use crate::supervisor::StopFlag;
 
@@ -44,7 +44,7 @@
             Ok(None) => {}
             Ok(Some(read)) => {
                 backoff.reset();
-                if configuration.offer(read.catalog) == Offer::InForce {
+                if configuration.offer(read.catalog, Origin::Source) == Offer::InForce {
                     configuration.announce();
                 }
             }
--- a/crates/daemon/src/agent/configuration/left_out.rs
+++ b/crates/daemon/src/agent/configuration/left_out.rs
@@ -4,6 +4,7 @@
 
 use kestrellock_core::catalog::{Fault, Revision};
 
+use super::Origin;
 use crate::metrics::{ConfigurationEvent, Metrics};
 
 /// What is left out of the configuration in force, by subject: what is wrong with it.
@@ -13,8 +14,15 @@
 }
 
 impl LeftOut {
-    /// A configuration of that revision comes into force without what has these faults.
-    pub fn tell(&mut self, faults: &[Fault], revision: Revision, metrics: &Metrics) {
+    /// A configuration of that revision comes into force without what has these faults. What peers send
+    /// has been through this before: that nothing is left out of it says nothing.
+    pub fn tell(
+        &mut self,
+        faults: &[Fault],
+        origin: Origin,
+        revision: Revision,
+        metrics: &Metrics,
+    ) {
         let mut now = BTreeMap::new();
         for Fault { subject, error } in faults {
             let subject = subject.to_string();
@@ -32,6 +40,10 @@
             }
             now.insert(subject, error.problem.clone());
         }
+        if origin == Origin::Peer {
+            self.told.append(&mut now);
+            return;
+        }
         for subject in self.told.keys().filter(|subject| !now.contains_key(*subject)) {
             log::info!(
                 event = "entry_left_out_over",
--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// Where a catalog comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The store, through this node's source.
+    Source,
+    /// Another node.
+    Peer,
+}
+
 /// What became of a catalog.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -71,7 +80,7 @@
     /// Puts a catalog in force if it is newer than the one in force. Entries and instances that cannot be
     /// used are left out, each by itself: what an instance says of itself holds no change of the operators
     /// back, nor one entry another.
-    pub fn offer(&self, catalog: VersionedCatalog) -> Offer {
+    pub fn offer(&self, catalog: VersionedCatalog, origin: Origin) -> Offer {
         let mut left_out = self.replacing.lock().expect("a holder of the lock panicked");
         let revision = catalog.revision;
         if revision <= self.revision() {
@@ -79,7 +88,7 @@
         }
         let metrics = &self.context.metrics;
         let (catalog, faults) = catalog.usable();
-        left_out.tell(&faults, revision, metrics);
+        left_out.tell(&faults, origin, revision, metrics);
         if !faults.is_empty()
             && let Err(error) = catalog.validate()
         {
