Instances that start again under their names: what is remembered of one ends with its process

Cause: everything that was remembered of an instance was kept by its name alone. A process that starts again under the name holds nothing: a replica that had said how far it was, was stopped or was to be promoted is another one. An attempt forgets that it was told and stopped; a replica that has started again counts for nothing for 3 s and goes on receiving meanwhile; a promotion whose instance starts again is called off, and all instances are compared anew; nobody is promoted who has not been asked since enough were stopped. A primary whose term is lower than one that has been seen gets no writes and is voted against (an empty replica would follow it and answer its commits). One way weighed and not taken: which of two starts is newer by their numbers; clocks may be set back, and the store's revisions order entries already.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -22,6 +22,7 @@
 use crate::confirmation::ConfirmationRule;
 use crate::connection_shares::owner_count;
 use crate::ids::{AccountName, GroupName, InstanceName, TemplateName, TenantName, ZoneName};
+use crate::incarnation::InstanceIncarnation;
 use crate::primary_evidence::Replication;
 use crate::routing::Role;
 
@@ -72,6 +73,9 @@
     /// Role that it announced to its platform, where it announces one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub announced_role: Option<Role>,
+    /// Which start of its process this is, where its platform tells that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<InstanceIncarnation>,
 }
 
 /// Who replaces a primary that is lost.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod group_owners;
 pub mod holding;
 pub mod ids;
+pub mod incarnation;
 pub mod membership;
 pub mod outcome;
 pub mod position;
--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -177,6 +177,17 @@
         }
     }
 
+    /// Whether a primary that is known to lead `leads` is an old one: a higher term has been seen. Replicas
+    /// refuse its commits as a rule, but one that has started again with nothing has forgotten that term.
+    pub fn is_outdated(&self, leads: Option<Term>) -> bool {
+        leads.is_some_and(|leads| leads < self.term())
+    }
+
+    /// An instance has started again: what the process before showed says nothing of this one.
+    pub fn on_started_again(&mut self, instance: &InstanceName) {
+        self.replicas.remove(instance);
+    }
+
     /// The replacement for which evidence has been given up.
     pub fn given_up(&self) -> Option<ReplacementId> {
         self.given_up.map(|(id, _)| id)
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -4,8 +4,9 @@
 
 use super::{Attempt, Repeated, Stopped, leading};
 use crate::ids::InstanceName;
+use crate::incarnation::has_started_again;
 use crate::position::Term;
-use crate::promotion::{Event, Phase, PromotionAnswer, Reason, Standing};
+use crate::promotion::{Event, Members, Phase, PromotionAnswer, Reason, Standing};
 use crate::routing::Role;
 
 impl Attempt {
@@ -27,10 +28,17 @@
             Event::Members(members) => {
                 let leading = leading(&members, self.former());
                 self.outdated.retain(|name| leading.contains(name));
+                self.forget_ended_processes(&members, now);
                 self.members = members;
             }
             Event::Released(instance) => {
-                self.released.insert(instance);
+                let is_ending =
+                    matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. });
+                match is_ending {
+                    true => drop(self.released.insert(instance)),
+                    // It was released to refill.
+                    false => drop(self.stop_sent.remove(&instance)),
+                }
             }
             Event::EvidenceGivenUp => self.given_up = true,
             Event::Wanted(wanted) => self.wanted = wanted,
@@ -46,6 +54,30 @@
         };
     }
 
+    /// An instance that has started again holds nothing of what it said before, and has forgotten that it
+    /// was stopped.
+    fn forget_ended_processes(&mut self, members: &Members, now: Instant) {
+        let before = |name| self.members.get(name).and_then(|before| before.incarnation);
+        let started_again: Vec<&InstanceName> = members
+            .all
+            .iter()
+            .filter(|member| has_started_again(before(&member.name), member.incarnation))
+            .map(|member| &member.name)
+            .collect();
+        for name in started_again {
+            self.told.remove(name);
+            self.stopped.remove(name);
+            let was_promoted = self.chosen.as_ref() == Some(name) && !self.chosen_again;
+            if was_promoted && !matches!(self.phase, Phase::Settling { .. } | Phase::Over) {
+                // The process that was to take over is gone, with what made it the best. The old primary
+                // may hold more than the others, and has been told to step down: the next attempt
+                // compares all of them.
+                self.chosen = None;
+                self.phase = Phase::Cancelling { until: now + self.timing.release };
+            }
+        }
+    }
+
     fn on_not_running(&mut self, instance: InstanceName, sent: Instant) {
         if self.former() == Some(&instance) {
             self.former_refused = Some(sent);
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -23,6 +23,10 @@
         }
         let term = self.term;
         for replica in self.replicas() {
+            if replica.is_refilling {
+                self.let_refill(&replica.name, now, commands);
+                continue;
+            }
             if self.stopped.contains_key(&replica.name) {
                 continue;
             }
@@ -46,6 +50,15 @@
         }
     }
 
+    /// A replica that is refilling does not count, and goes on receiving: a stop that was under way while it
+    /// started again may have reached it.
+    fn let_refill(&mut self, replica: &InstanceName, now: Instant, commands: &mut Vec<Command>) {
+        self.stopped.remove(replica);
+        if self.stop_sent.contains(replica) {
+            self.send(replica, Repeated::Release, now, commands, Command::Release);
+        }
+    }
+
     fn ask_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
         if let Some(former) = self.intent.former.clone() {
             self.send(&former, Repeated::Ask, now, commands, Command::Ask);
@@ -54,8 +67,9 @@
 
     /// Whether one of those stopped holds every answered commit, and no further one is answered.
     fn enough_stopped(&self) -> bool {
-        let told = |name: &InstanceName| self.members.get(name).is_some();
-        let stopped = self.stopped.keys().filter(|name| told(name)).count();
+        let holds =
+            |name: &InstanceName| self.members.get(name).is_some_and(|member| !member.is_refilling);
+        let stopped = self.stopped.keys().filter(|name| holds(name)).count();
         stopped >= self.needed()
     }
 
@@ -73,8 +87,10 @@
             .map(|(name, _)| name.clone())
             .collect();
         let checked = self.stopped.len() - unchecked.len();
-        // Before the first promotion, nothing is answered any more if nobody reads there.
-        let is_settled = !self.is_committed() && self.nobody_reads_there();
+        // Before the first promotion, nothing is answered any more if nobody reads there. The one that is
+        // promoted must have said since that it holds what it said before: it may have started again.
+        let best_is_checked = self.best().is_some_and(|best| !unchecked.contains(&best));
+        let is_settled = best_is_checked && !self.is_committed() && self.nobody_reads_there();
         if checked >= self.needed() || is_settled {
             self.promote(now, commands);
             return;
--- a/crates/core/src/promotion/known.rs
+++ b/crates/core/src/promotion/known.rs
@@ -10,15 +10,41 @@
 use super::{Member, Members};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName};
+use crate::incarnation::has_started_again;
 use crate::routing::Role;
 
 /// How long an instance counts that vanished without saying that it leaves.
 const VANISHED_FOR: Duration = Duration::from_secs(10);
 
+/// How long an instance that has started again may lack what it held before. Answered commits that it held
+/// may stand at the primary alone meanwhile, which returns with its log if it crashes: the wait before
+/// another one is promoted without it covers a crash of 2.4 s in the simulation of replacements.
+const REFILLS_FOR: Duration = Duration::from_secs(3);
+
 #[derive(Clone, Debug)]
 struct Known {
     instance: Instance,
     seen: Instant,
+    /// When it was first seen to have started again.
+    started_again: Option<Instant>,
+}
+
+impl Known {
+    /// What is known once `instance` is told at `now`.
+    fn following(before: Option<&Self>, instance: &Instance, now: Instant) -> Self {
+        let has_started_again = before.is_some_and(|before| {
+            has_started_again(before.instance.incarnation, instance.incarnation)
+        });
+        let started_again = match has_started_again {
+            true => Some(now),
+            false => before.and_then(|before| before.started_again),
+        };
+        Self { instance: instance.clone(), seen: now, started_again }
+    }
+
+    fn is_refilling(&self, now: Instant) -> bool {
+        self.started_again.is_some_and(|at| now.saturating_duration_since(at) < REFILLS_FOR)
+    }
 }
 
 /// Instances by group.
@@ -30,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 struct KnownGroup {
     synchronous: u32,
+    /// When it was last brought up to date.
+    followed: Option<Instant>,
     instances: HashMap<InstanceName, Known>,
 }
 
@@ -59,6 +87,8 @@
             leaving: known.instance.leaving,
             leads: known.instance.announced_role == Some(Role::Primary),
             shares_address: shares_address(known),
+            incarnation: known.instance.incarnation,
+            is_refilling: known_group.followed.is_some_and(|now| known.is_refilling(now)),
         };
         let mut all: Vec<Member> = known_group.instances.values().map(member).collect();
         all.sort_by(|one, other| one.name.cmp(&other.name));
@@ -74,8 +104,9 @@
 impl KnownGroup {
     fn follow(&mut self, group: &Group, now: Instant) {
         self.synchronous = group.synchronous_replicas;
+        self.followed = Some(now);
         for instance in &group.instances {
-            let known = Known { instance: instance.clone(), seen: now };
+            let known = Known::following(self.instances.get(&instance.name), instance, now);
             self.instances.insert(instance.name.clone(), known);
         }
         let taken_over = |known: &Known| {
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -1,6 +1,7 @@
 //! The instances that an attempt deals with.
 
 use crate::ids::InstanceName;
+use crate::incarnation::InstanceIncarnation;
 
 /// One instance that may hold answered commits.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +14,11 @@
     pub leads: bool,
     /// Whether another member is told at its address: one of the two has ended.
     pub shares_address: bool,
+    /// Which start of its process is told.
+    pub incarnation: Option<InstanceIncarnation>,
+    /// Whether it has started again a moment ago: what it held before is gone, and it may not have received
+    /// all of that again.
+    pub is_refilling: bool,
 }
 
 /// The instances of a group as the platform tells them.
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -24,6 +24,8 @@
     Silent,
     /// It answers, but no commits.
     CannotCommit,
+    /// It leads a term lower than one that has been seen.
+    Outdated,
 }
 
 /// How long requests that were given up go on to show that an instance is silent.
@@ -72,6 +74,9 @@
     pub committed: Option<Instant>,
     /// When it last answered anything.
     pub answered: Option<Instant>,
+    /// Whether a higher term has been seen than the one that it leads: nothing is sent there, so that
+    /// nothing else would show that it must be replaced.
+    pub is_outdated: bool,
 }
 
 /// Judges signs, and remembers when this node last did so.
@@ -102,6 +107,9 @@
         if signs.refused.is_some_and(|at| self.since.is_none_or(|since| at >= since)) {
             return Some(Cause::Refuses);
         }
+        if signs.is_outdated {
+            return Some(Cause::Outdated);
+        }
         let silent_since = signs.waiting.max(signs.answered.filter(|_| signs.waiting.is_some()));
         if lasts(silent_since, SILENCE) {
             return Some(Cause::Silent);
--- a/crates/core/tests/catalog/strategies.rs
+++ b/crates/core/tests/catalog/strategies.rs
@@ -33,7 +33,7 @@
     ) -> Instance {
         let address = SocketAddr::from((host, port));
         let (name, zone) = (InstanceName::new(name), ZoneName::new(zone));
-        Instance { announced_role: None, name, zone, address, slots, connections, leaving }
+        Instance { incarnation: None, announced_role: None, name, zone, address, slots, connections, leaving }
     }
 }
 
--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -23,6 +23,7 @@
         slots: 3,
         connections: 40,
         leaving: false,
+        incarnation: None,
         announced_role: Some(*role),
     };
     let group = Group {
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -24,6 +24,8 @@
         leaving: false,
         leads: leading.contains(text),
         shares_address: false,
+        incarnation: None,
+        is_refilling: false,
     };
     Members { all: ["a", "b", "c"].iter().map(member).collect(), synchronous: 1 }
 }
@@ -193,7 +195,14 @@
     let answer = PromotionAnswer::Accepted;
     attempt.on_event(Event::Promoted { instance: name("b"), answer }, now);
     let mut all = members(&["a"]);
-    all.all.push(Member { name: name("d"), leaving: false, leads: true, shares_address: true });
+    all.all.push(Member {
+        name: name("d"),
+        leaving: false,
+        leads: true,
+        shares_address: true,
+        incarnation: None,
+        is_refilling: false,
+    });
     all.all[0].shares_address = true;
     attempt.on_event(Event::Members(all.clone()), now);
     let mut commands = attempt.step(now + STEP);
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -25,7 +25,7 @@
 
     fn begin(&mut self, planned: Planned) {
         match planned.kind {
-            FaultKind::Crash(one) => self.instances[one].crash(),
+            FaultKind::Crash(one) | FaultKind::CrashEmpty(one) => self.instances[one].crash(),
             FaultKind::Dark(one) => self.instances[one].dark = true,
             FaultKind::Deaf(one) => self.instances[one].deaf = true,
             FaultKind::Freeze(node) => self.nodes[node].frozen = true,
@@ -43,6 +43,10 @@
     fn end(&mut self, planned: Planned) {
         match planned.kind {
             FaultKind::Crash(one) => self.restart(one),
+            FaultKind::CrashEmpty(one) => {
+                self.instances[one].start_empty();
+                self.announce(one);
+            }
             FaultKind::Dark(one) => {
                 self.instances[one].dark = false;
                 self.announce(one);
@@ -82,13 +86,11 @@
         due.into_iter().for_each(|(_, message)| self.deliver(message));
     }
 
-    /// An instance comes back a while after it died, as a replica if another one leads by then.
+    /// An instance comes back a while after it died, as a replica if another one has been
+    /// promoted by then.
     fn restart(&mut self, one: usize) {
-        let newer = self.instances.iter().enumerate().any(|(other, instance)| {
-            other != one
-                && instance.role == Role::Primary
-                && instance.term > self.instances[one].term
-        });
+        // The platform knows whom it has promoted, also where that process is gone.
+        let newer = self.newest_led() > self.instances[one].term;
         let instance = &mut self.instances[one];
         instance.alive = true;
         instance.leaving = false;
--- a/crates/core/tests/replacement/instances.rs
+++ b/crates/core/tests/replacement/instances.rs
@@ -12,6 +12,9 @@
 /// Time for which an old primary goes on that can reach a newer one.
 const STEP_DOWN_AFTER_MS: u64 = 1_000;
 
+/// Start of the first processes.
+pub const FIRST_START: u64 = 1_000;
+
 /// A commit in a log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -47,6 +50,8 @@
     pub alive: bool,
     /// Number of its process: connections to earlier ones are broken.
     pub run: u32,
+    /// Start of its process, by the clock of its machine, which may be set back.
+    pub born: u64,
     /// Whether nobody reaches it.
     pub dark: bool,
     /// Whether it receives nothing.
@@ -73,6 +78,7 @@
         Self {
             alive: true,
             run: 0,
+            born: FIRST_START,
             dark: false,
             deaf: false,
             leaving: false,
@@ -104,6 +110,17 @@
         Standing { role: self.role, term: Term(self.term), received, held: Term(self.held) }
     }
 
+    /// It starts again under its name, with nothing. A second start is earlier by its clock.
+    pub fn start_empty(&mut self) {
+        self.born = if self.born == FIRST_START { FIRST_START - 1 } else { self.born + 2 };
+        self.alive = true;
+        self.role = Role::Replica;
+        self.term = 1;
+        self.log.clear();
+        self.outdated = None;
+        self.leaving = false;
+    }
+
     /// It dies: what waits is never answered, and a restart forgets that it was stopped.
     pub fn crash(&mut self) {
         self.alive = false;
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -159,6 +159,24 @@
     holds(Faults::dense().with_releases().with_silences());
 }
 
+#[test]
+fn no_seed_breaks_a_promise_while_an_instance_starts_again_with_nothing() {
+    holds(Faults::all().with_empty_starts());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_while_an_instance_starts_again_with_nothing() {
+    holds(Faults::dense().with_releases().with_empty_starts());
+}
+
+#[test]
+fn memory_that_outlasts_a_process_is_caught() {
+    let faults = Faults::dense().with_empty_starts();
+    is_caught_with(faults, Plant::MemoryKept, |found| {
+        matches!(found, Violation::LostCommit { .. })
+    });
+}
+
 #[test]
 fn seeds_that_broke_a_promise_once_hold() {
     let few = MENDED_SEEDS_OF_FEW_FAULTS.map(|(seed, cause)| (seed, Faults::all(), cause));
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -129,7 +129,12 @@
         answer: PromotionAnswer,
     },
     /// The platform has promoted.
-    Leads(usize),
+    Leads {
+        /// The instance.
+        instance: usize,
+        /// Its process: another one holds nothing of what was to lead.
+        born: u64,
+    },
     /// A node tells a holder that it has given its evidence up.
     GivenUp {
         /// The holder.
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -7,6 +7,7 @@
 use kestrellock_core::catalog::{Catalog, Elector, Group, IndexedCatalog, Instance, Revision};
 use kestrellock_core::confirmation::ConfirmationRule;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
+use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{EVIDENCE_LIFE, PrimaryEvidence, Replication};
 use kestrellock_core::promotion::{
@@ -198,6 +199,7 @@
             committing: waiting.filter(|(_, _, commits)| *commits).map(|(_, sent, _)| *sent).min(),
             committed: self.committed.get(&instance).copied(),
             answered: self.answered.get(&instance).copied(),
+            is_outdated: self.evidence.is_outdated(self.terms.get(&instance).copied()),
         }
     }
 
@@ -262,6 +264,7 @@
         connections: 30,
         leaving: announced.leaving,
         announced_role: Some(if announced.leads { Role::Primary } else { Role::Replica }),
+        incarnation: Some(InstanceIncarnation(announced.born)),
     });
     let group = Group {
         database: "orders".to_owned(),
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -17,17 +17,34 @@
     pub releases_all: bool,
     /// Whether open connections go silent besides, while new ones work.
     pub silences: bool,
+    /// Whether an instance besides starts again under its name with nothing: one of them, once in a run,
+    /// since what only two held is lost when both start so.
+    pub starts_empty: bool,
 }
 
 impl Faults {
     /// Every kind.
     pub fn all() -> Self {
-        Self { primaries: true, cut_off: false, most: 4, releases_all: false, silences: false }
+        Self {
+            primaries: true,
+            cut_off: false,
+            most: 4,
+            releases_all: false,
+            silences: false,
+            starts_empty: false,
+        }
     }
 
     /// Every kind, and more at once, so that planted faults meet what shows them.
     pub fn dense() -> Self {
-        Self { primaries: true, cut_off: true, most: 9, releases_all: false, silences: false }
+        Self {
+            primaries: true,
+            cut_off: true,
+            most: 9,
+            releases_all: false,
+            silences: false,
+            starts_empty: false,
+        }
     }
 
     /// The same where promotions release all replicas.
@@ -40,11 +57,23 @@
         Self { silences: true, ..self }
     }
 
+    /// The same with an instance that starts again with nothing.
+    pub fn with_empty_starts(self) -> Self {
+        Self { starts_empty: true, ..self }
+    }
+
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
     pub fn without_primaries() -> Self {
-        Self { primaries: false, cut_off: false, most: 4, releases_all: false, silences: false }
+        Self {
+            primaries: false,
+            cut_off: false,
+            most: 4,
+            releases_all: false,
+            silences: false,
+            starts_empty: false,
+        }
     }
 }
 
@@ -71,6 +100,8 @@
     NoLook,
     /// Whatever a primary answers counts as evidence that it leads.
     AnswersShow,
+    /// What is remembered of an instance outlasts its process.
+    MemoryKept,
 }
 
 /// What goes wrong.
@@ -78,6 +109,8 @@
 pub enum FaultKind {
     /// An instance dies; it comes back with its log.
     Crash(usize),
+    /// An instance dies; it comes back under its name with nothing.
+    CrashEmpty(usize),
     /// An instance can be reached by nobody, and goes on.
     Dark(usize),
     /// The primary says that it leaves.
@@ -133,6 +166,9 @@
     if faults.silences {
         plan.extend(draw_silences(nodes, random));
     }
+    if faults.starts_empty {
+        plan.push(draw_empty_start(instances, random));
+    }
     plan
 }
 
@@ -150,6 +186,12 @@
     plan
 }
 
+fn draw_empty_start(instances: usize, random: &mut StdRng) -> Planned {
+    let at = random.random_range(300..3_000);
+    let until = at + random.random_range(100..1_500);
+    Planned { at, until, kind: FaultKind::CrashEmpty(random.random_range(0..instances)) }
+}
+
 fn draw_cut_off(random: &mut StdRng) -> Vec<Planned> {
     let replaced = if random.random_bool(0.5) { FaultKind::Leave } else { FaultKind::CutReplicas };
     let at = random.random_range(500..1_500);
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -17,6 +17,8 @@
     pub leads: bool,
     /// Whether it says that it leaves.
     pub leaving: bool,
+    /// Which start of its process it is.
+    pub born: u64,
 }
 
 /// What the store holds.
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -61,7 +61,9 @@
 
     fn write(&mut self, node: usize) {
         let Some(leader) = self.nodes[node].leader() else { return };
-        if self.nodes[node].holds_back() {
+        let own = &self.nodes[node];
+        let is_outdated = own.evidence.is_outdated(own.terms.get(&leader).copied());
+        if own.holds_back() || is_outdated {
             return;
         }
         let request = self.number();
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::checker::{Checker, Violation};
-use crate::instances::{Instance, Pending, replicate};
+use crate::instances::{FIRST_START, Instance, Pending, replicate};
 use crate::messages::{Call, Exchange, Message, Reply, Work};
 use crate::node::{Node, group_name, instance_name, instant};
 use crate::plan::{FaultKind, Faults, Planned, Plant, draw};
@@ -94,11 +94,15 @@
         let mut random = StdRng::seed_from_u64(seed);
         let mut plan = draw(faults, INSTANCES, NODES, &mut random);
         for planned in &mut plan {
-            if matches!(planned.kind, FaultKind::Crash(_)) {
+            if matches!(planned.kind, FaultKind::Crash(_) | FaultKind::CrashEmpty(_)) {
                 planned.until = planned.until.max(planned.at + RESTART_MS);
             }
         }
-        let announced = (0..INSTANCES).map(|one| Announced { leads: one == 0, leaving: false });
+        let announced = (0..INSTANCES).map(|one| Announced {
+            leads: one == 0,
+            leaving: false,
+            born: FIRST_START,
+        });
         let store = Contents { revision: 1, announced: announced.collect(), ..Contents::default() };
         Self {
             now: 0,
@@ -199,8 +203,10 @@
     /// An instance writes what it is into the store, if it can.
     pub fn announce(&mut self, one: usize) {
         let instance = &self.instances[one];
+        // With the planted fault nobody hears of another start.
+        let born = if self.plant == Plant::MemoryKept { FIRST_START } else { instance.born };
         let announced =
-            Announced { leads: instance.role == Role::Primary, leaving: instance.leaving };
+            Announced { leads: instance.role == Role::Primary, leaving: instance.leaving, born };
         if instance.answers() && self.store.announced[one] != announced {
             self.store.announced[one] = announced;
             self.store.revision += 1;
@@ -338,7 +344,10 @@
                 let event = Event::Promoted { instance: instance_name(instance), answer };
                 self.on_event(node, event);
             }
-            Message::Leads(one) => self.on_leads(one),
+            Message::Leads { instance, born } if self.instances[instance].born == born => {
+                self.on_leads(instance);
+            }
+            Message::Leads { .. } => {}
             Message::GivenUp { to, from, id } => {
                 self.nodes[to].given_up.entry(id).or_default().insert(from);
             }
@@ -386,7 +395,8 @@
         }
         self.checker.on_fence(node, fence);
         let answer = if self.instances[instance].alive {
-            self.send_after(PROMOTION_MS, Message::Leads(instance));
+            let born = self.instances[instance].born;
+            self.send_after(PROMOTION_MS, Message::Leads { instance, born });
             PromotionAnswer::Accepted
         } else {
             PromotionAnswer::NotRunning
@@ -394,12 +404,17 @@
         self.send(Message::Promotion { node, process, instance, answer });
     }
 
+    /// The newest term that has been led, also by a process that is gone: the platform knows.
+    pub fn newest_led(&self) -> u32 {
+        let led = self.promotions.iter().map(|(_, term)| *term);
+        led.chain(self.instances.iter().map(|one| one.term)).max().unwrap_or(0)
+    }
+
     fn on_leads(&mut self, one: usize) {
         if !self.instances[one].alive || self.instances[one].role == Role::Primary {
             return;
         }
-        // The platform knows every term that has been led.
-        let newest = self.instances.iter().map(|one| one.term).max().unwrap_or(0);
+        let newest = self.newest_led();
         let instance = &mut self.instances[one];
         instance.role = Role::Primary;
         instance.term = instance.held.max(newest + 1);
--- a/crates/daemon/src/gateway/ownership.rs
+++ b/crates/daemon/src/gateway/ownership.rs
@@ -69,6 +69,9 @@
         }
         let state = self.group_state(name, io.now);
         for (instance, role) in roles {
+            if let Some(incarnation) = instance.incarnation {
+                io.context.statuses.on_incarnation(name, &instance.name, incarnation);
+            }
             state.set_role(group, instance, role, snapshot, io);
         }
         let owns = state.pools.values().any(|pool| pool.role() == PoolRole::Owner);
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -88,6 +88,11 @@
             if former.is_some_and(|former| former == primary.map(|primary| &primary.name)) {
                 return Found::Nowhere;
             }
+            let is_outdated =
+                |primary: &Instance| known.evidence.is_outdated(known.led_by(&primary.name));
+            if primary.is_some_and(is_outdated) {
+                return Found::NeedsEvidence;
+            }
             // Without synchronous replicas an old primary goes on committing.
             let alone = (synchronous == 0).then_some(Duration::ZERO);
             let staleness = needs.staleness.or(alone);
--- a/crates/daemon/src/shared/answers.rs
+++ b/crates/daemon/src/shared/answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kestrellock_core::incarnation::{InstanceIncarnation, has_started_again};
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{GivenUpRequests, Signs};
@@ -47,6 +48,8 @@
     next_number: u64,
     answered: Option<Instant>,
     refused: Option<Instant>,
+    /// Which start of its process the platform tells.
+    incarnation: Option<InstanceIncarnation>,
 }
 
 impl AnswerRecord {
@@ -55,6 +58,24 @@
         self.waiting.len() as u32
     }
 
+    /// Which start of its process the platform told last.
+    pub(super) fn incarnation(&self) -> Option<InstanceIncarnation> {
+        self.incarnation
+    }
+
+    /// The platform tells which start of its process this is. Returns whether it has started again: then
+    /// nothing is known of it but what is under way on connections, which end with the process before.
+    pub(super) fn on_incarnation(&mut self, incarnation: InstanceIncarnation) -> bool {
+        let now = Some(incarnation);
+        let has_started_again = has_started_again(self.incarnation, now);
+        self.incarnation = now;
+        if has_started_again {
+            let (waiting, next_number) = (std::mem::take(&mut self.waiting), self.next_number);
+            *self = Self { waiting, next_number, incarnation: now, ..Self::default() };
+        }
+        has_started_again
+    }
+
     /// An exchange was sent at `sent`; `commits`: it may commit. Returns its number.
     pub(super) fn on_sent(&mut self, sent: Instant, commits: bool) -> u64 {
         let number = self.next_number;
@@ -76,6 +97,7 @@
             committing: committing.chain(self.given_up_commits.sent(now)).min(),
             committed: None,
             answered: self.answered,
+            is_outdated: false,
         }
     }
 
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -6,6 +6,7 @@
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{Following, PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
@@ -146,6 +147,32 @@
         self.with_group(group, |known| known.evidence.forget());
     }
 
+    /// The platform tells which start of its process an instance is: what is remembered of an earlier one
+    /// ends.
+    pub fn on_incarnation(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        incarnation: InstanceIncarnation,
+    ) {
+        let board = self.group(group);
+        let is_known = {
+            let known = board.read().expect("a holder of the status lock panicked");
+            let record = known.answers.get(instance);
+            record.is_some_and(|record| record.incarnation() == Some(incarnation))
+        };
+        if is_known {
+            return;
+        }
+        self.with_group(group, |known| {
+            let record = known.answers.entry(instance.clone()).or_default();
+            if record.on_incarnation(incarnation) {
+                known.evidence.on_started_again(instance);
+                log::info!(event = "instance_started_again", group = group.as_str(), instance = instance.as_str(); "an instance has started again under its name; what was known of it is forgotten");
+            }
+        });
+    }
+
     /// `instance` answered, as the primary of `term`, a commit that wrote and was sent at `sent`.
     pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
         self.with_group(group, |known| {
@@ -221,7 +248,8 @@
         let board = self.group(group);
         let known = board.read().expect("a holder of the status lock panicked");
         let signs = known.answers.get(instance).map(AnswerRecord::signs).unwrap_or_default();
-        Signs { committed: known.committed, ..signs }
+        let is_outdated = known.evidence.is_outdated(known.led_by(instance));
+        Signs { committed: known.committed, is_outdated, ..signs }
     }
 
     /// Highest term known of a group.
--- a/crates/daemon/tests/group_ownership.rs
+++ b/crates/daemon/tests/group_ownership.rs
@@ -33,6 +33,7 @@
         slots: 3,
         connections: 63,
         leaving: false,
+        incarnation: None,
         announced_role: Some(if number == 0 { Role::Primary } else { Role::Replica }),
     };
     let group = Group {
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -69,6 +69,7 @@
             slots: state.options.slots,
             leaving: instance.leaving,
             role: instance.role,
+            born: Some(instance.born),
         };
         self.store.put(&InstanceEntry::key(name), &entry.value());
     }
@@ -140,6 +141,13 @@
         self.shared.announce(&state, name);
     }
 
+    /// An instance that was killed starts again under its name, with nothing.
+    pub fn restart_empty(&self, name: &str) {
+        let mut state = self.shared.state();
+        state.restart_empty(name);
+        self.shared.announce(&state, name);
+    }
+
     /// An instance that was killed comes back at its address, with its log, under the name `successor`. Its
     /// entry under the old name stays in the store, as it does where an instance crashes.
     pub fn start_again_as(&self, name: &str, successor: &str) {
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -10,6 +10,9 @@
 use super::InstanceOptions;
 use crate::standin::door::Door;
 
+/// Start of the first processes, in milliseconds since 1970.
+const FIRST_START: u64 = 1_790_000_000_000;
+
 /// One commit in a log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Commit {
@@ -58,6 +61,8 @@
     pub leaving: bool,
     /// Its role.
     pub role: Role,
+    /// Which start of its process it is: the instances' entries tell a time, of which only equality counts.
+    pub born: u64,
     /// Its term.
     pub term: Term,
     /// What it has received.
@@ -143,6 +148,7 @@
             running: true,
             leaving: false,
             role: if number == 0 { Role::Primary } else { Role::Replica },
+            born: FIRST_START,
             term: Term(1),
             log: Vec::new(),
             received: Vec::new(),
@@ -182,6 +188,16 @@
         instance.door.reopen();
     }
 
+    /// Starts a killed instance again under its name with nothing, as a replica.
+    pub fn restart_empty(&mut self, name: &str) {
+        let Some(instance) = self.instances.get_mut(name) else { return };
+        instance.born += 1;
+        instance.role = Role::Replica;
+        instance.term = Term(1);
+        instance.truncate(0);
+        self.restart(name);
+    }
+
     /// What a killed instance holds belongs to `successor` from now on, which listens at `door`.
     pub fn rename(&mut self, name: &str, successor: &str, door: Door) {
         let Some(mut instance) = self.instances.remove(name) else { return };
--- a/crates/lab/tests/instance_entries.rs
+++ b/crates/lab/tests/instance_entries.rs
@@ -125,6 +125,7 @@
         slots: 3,
         leaving: false,
         role: Role::Replica,
+        born: Some(1_790_000_000_000),
     };
     platform.store.put(&InstanceEntry::key("i-right"), &right.value());
     let broken = broken_entries(&right);
@@ -162,3 +163,33 @@
     let refused = |node: &Node| node.context.metrics.configuration.get(ConfigurationEvent::Refused);
     assert_eq!(platform.nodes().map(refused).sum::<u64>(), 0);
 }
+
+#[test]
+fn a_replica_that_starts_again_with_nothing_serves_nothing_old_and_loses_nothing() {
+    let platform = start();
+    let group = &platform.groups[0];
+    let primary = group.primary().expect("a primary");
+    let replicas: Vec<String> =
+        group.instances().into_iter().filter(|instance| *instance != primary).collect();
+    let mut session = open(&platform, 1, Consistency::Session, "s");
+    for round in 0..4 {
+        let data = format!("taken-{round}");
+        assert!(session.run(&format!("WRITE seat {data}")).expect("an answer").is_success());
+        group.kill(&replicas[round % 2]);
+        group.restart_empty(&replicas[round % 2]);
+        for _ in 0..20 {
+            let answer = session.run("READ seat").expect("an answer");
+            // A read may be refused while an instance is away, never answered with less.
+            assert!(!answer.is_success() || answer.rows == [data.as_str()], "{answer:?}");
+        }
+        wait("the instance has received everything again", || {
+            group.log(&replicas[round % 2]) == group.log(&primary)
+        })
+        .expect("in time");
+    }
+    group.kill(&primary);
+    wait("another primary leads", || group.primary().is_some_and(|one| one != primary))
+        .expect("in time");
+    let leads = group.primary().expect("a primary");
+    assert_eq!(group.log(&leads).len(), 4, "every acknowledged write is kept");
+}
