Counters and log events that rest: a list, a check in tests, and a command that reads logs

Cause: refused configurations were counted for many landings before anybody saw one. Change: lab/resting.rs names what rests while nothing is wrong; a test asks for the counters, kestrellock-lab resting reads what runs printed.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -29,6 +29,10 @@
     "hold_lost",
     "primary_left",
     "promotion",
+    "instance_displaced",
+    "instance_started_again",
+    "entry_left_out",
+    "entry_unreadable",
 ];
 /// Beliefs of each node that were formed before the request arrived, at most.
 const EARLIER_BELIEFS: usize = 3;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod logins;
 pub mod platform;
 pub mod report;
+pub mod resting;
 pub mod scenario;
 pub mod standin;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 use kestrellock_lab::bench::command::{BenchCommand, CompareCommand};
 use kestrellock_lab::demo::{Demo, DemoOptions, check};
 use kestrellock_lab::platform;
+use kestrellock_lab::resting::RestingCommand;
 use kestrellock_lab::scenario::command::RunCommand;
 use kestrellock_program::command_line::{self, WrongUse};
 use miette::{IntoDiagnostic, miette};
@@ -29,6 +30,7 @@
     Bench(BenchCommand),
     Compare(CompareCommand),
     Run(RunCommand),
+    Resting(RestingCommand),
 }
 
 /// start store, database groups and three nodes on loopback
@@ -52,6 +54,7 @@
         Command::Bench(bench) => bench.run(),
         Command::Compare(compare) => compare.run(),
         Command::Run(run) => run.run(),
+        Command::Resting(resting) => resting.run(),
     })
 }
 
