Simulation of replacements: an answer that nobody waits for any more acknowledges nothing

The node had given the request up, told its caller that the outcome is in doubt, and closed the connection; the checker took the instance's answer for an acknowledgement all the same.

--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -244,7 +244,7 @@
         if self.promotions.iter().any(replaced) {
             self.checker.on_two_primaries(pending.entry.id);
         }
-        if self.is_cut(pending.node, one) {
+        if self.is_cut(pending.node, one) || !self.is_awaited(&pending) {
             return;
         }
         self.checker.on_acknowledged(self.now, pending.entry.id);
@@ -261,6 +261,13 @@
         self.send(Message::Answer(exchange, Reply::Committed(term)));
     }
 
+    /// Whether the node still waits for the answer to a commit. One that has given the request up has told
+    /// its caller that the outcome is in doubt, and has closed the connection: nobody hears the answer.
+    fn is_awaited(&self, pending: &Pending) -> bool {
+        let node = &self.nodes[pending.node];
+        node.alive && node.process == pending.process && node.waiting.contains_key(&pending.request)
+    }
+
     /// Whether a node and an instance do not reach each other.
     pub fn is_cut(&self, node: usize, instance: usize) -> bool {
         self.instances[instance].dark || self.is_active(FaultKind::CutLink(node, instance))
