--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -5,6 +5,7 @@
 
 mod account;
 mod digests;
+mod fields;
 mod index;
 mod merge;
 mod usable;
@@ -28,11 +29,10 @@
 
 pub use account::{Account, Operations, Quota};
 pub use digests::{CatalogSummary, Fingerprint};
+pub use fields::{CONNECTIONS, DEADLINE_MS, MAX_NAME_BYTES, MAX_STALENESS_MS, is_name};
 pub use index::{IndexedCatalog, UnknownCredential};
 pub use merge::TenantParameters;
-pub use validate::{
-    CONNECTIONS, DEADLINE_MS, Fault, MAX_NAME_BYTES, MAX_STALENESS_MS, Subject, is_name,
-};
+pub use validate::{Fault, Subject};
 pub use versioned::{CatalogDelta, DeltaError, VersionedCatalog};
 
 /// Revision of the configuration: the store's revision at which its newest part was written.
--- a/crates/core/src/catalog/validate.rs
+++ b/crates/core/src/catalog/validate.rs
@@ -8,37 +8,18 @@
 use std::fmt::{self, Display};
 use std::hash::Hash;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 
+use super::fields::{
+    CAPACITY, CONNECTIONS, DEADLINE_MS, MAX_STALENESS_MS, Outcome, SLOTS, check_account_name,
+    check_name, check_range, check_text, check_verifier,
+};
 use super::{Account, Catalog, Elector, Group, Instance, InvalidField, Template, Tenant};
 use crate::admin::configuration::{EntryId, EntryKind};
 use crate::credential::CredentialDigest;
 use crate::ids::{AccountName, GroupName, InstanceName, TemplateName, TenantName};
-use crate::scram::Verifier;
 
-/// Longest name of anything, in bytes.
-pub const MAX_NAME_BYTES: usize = 63;
+/// Most instances that operators may write for a group.
 const MAX_INSTANCES: usize = 15;
-const SLOTS: RangeInclusive<u64> = 1..=1_000;
-/// Connections that an instance may accept.
-pub const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
-const CAPACITY: RangeInclusive<u64> = 1..=100_000;
-/// Time within which a statement may have to be answered, in milliseconds.
-pub const DEADLINE_MS: RangeInclusive<u64> = 1..=600_000;
-/// Staleness that a read may have, in milliseconds.
-pub const MAX_STALENESS_MS: RangeInclusive<u64> = 0..=3_600_000;
-
-/// Whether `text` may name a node, zone, group, instance, template or tenant: lower-case letters,
-/// digits, hyphens and underscores, beginning with a letter.
-pub fn is_name(text: &str) -> bool {
-    let allowed =
-        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_".contains(&byte);
-    text.len() <= MAX_NAME_BYTES
-        && text.as_bytes().first().is_some_and(u8::is_ascii_lowercase)
-        && text.bytes().all(allowed)
-}
-
-type Outcome = Result<(), InvalidField>;
 
 /// What a fault concerns.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -372,57 +353,3 @@
         self.owners.insert(value, owner.to_string());
     }
 }
-
-fn check_name(field: &dyn Display, name: &str) -> Outcome {
-    match is_name(name) {
-        true => Ok(()),
-        false => Err(InvalidField::new(
-            field,
-            format!(
-                "{name:?} must be 1 to {MAX_NAME_BYTES} lower-case letters, digits, - or _, \
-                 and begin with a letter"
-            ),
-        )),
-    }
-}
-
-/// A name that PostgreSQL gives meaning to, such as a database or a role.
-fn check_text(field: &dyn Display, text: &str) -> Outcome {
-    let whole = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
-    match whole && !text.chars().any(char::is_control) {
-        true => Ok(()),
-        false => Err(InvalidField::new(
-            field,
-            format!("must be 1 to {MAX_NAME_BYTES} bytes without control characters"),
-        )),
-    }
-}
-
-/// The customers' own names; back ends are told them, in protocols where a blank ends a field.
-fn check_account_name(field: &dyn Display, name: &str) -> Outcome {
-    match name.contains(char::is_whitespace) {
-        true => Err(InvalidField::new(field, "must not contain blanks")),
-        false => check_text(field, name),
-    }
-}
-
-fn check_range(field: &dyn Display, value: u64, range: &RangeInclusive<u64>) -> Outcome {
-    match range.contains(&value) {
-        true => Ok(()),
-        false => Err(InvalidField::new(
-            field,
-            format!("{value} is not {} to {}", range.start(), range.end()),
-        )),
-    }
-}
-
-/// The verifier's value is never part of the complaint.
-fn check_verifier(field: &dyn Display, verifier: &str) -> Outcome {
-    match verifier.parse::<Verifier>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(InvalidField::new(
-            field,
-            "must have the form SCRAM-SHA-256$iterations:salt$stored:server",
-        )),
-    }
-}
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -47,6 +47,13 @@
     Event::Stands { instance: name(instance), standing, sent }
 }
 
+/// An instance says that it leads `term`.
+fn leads(instance: &str, term: u32, offset: u64, sent: Instant) -> Event {
+    let received = Position { term: Term(1), offset: LogOffset(offset) };
+    let standing = Standing { role: Role::Primary, term: Term(term), received, held: Term(0) };
+    Event::Stands { instance: name(instance), standing, sent }
+}
+
 fn stopped(instance: &str, offset: u64, sent: Instant) -> Event {
     stands(instance, offset, Term(2), sent)
 }
@@ -164,9 +171,7 @@
     let commands = attempt.step(now + STEP);
     assert!(!commands.iter().any(|one| matches!(one, Command::Install(_))), "{commands:?}");
     assert!(commands.contains(&Command::Ask(name("c"))), "{commands:?}");
-    let received = Position { term: Term(1), offset: LogOffset(9) };
-    let standing = Standing { role: Role::Primary, term: Term(3), received, held: Term(0) };
-    attempt.on_event(Event::Stands { instance: name("c"), standing, sent: now }, now);
+    attempt.on_event(leads("c", 3, 9, now), now);
     let commands = attempt.step(now + STEP * 2);
     assert!(commands.contains(&Command::Install(name("c"))), "{commands:?}");
 }
@@ -206,9 +211,7 @@
     all.all[0].shares_address = true;
     attempt.on_event(Event::Members(all.clone()), now);
     let mut commands = attempt.step(now + STEP);
-    let received = Position { term: Term(1), offset: LogOffset(11) };
-    let standing = Standing { role: Role::Primary, term: Term(1), received, held: Term(0) };
-    attempt.on_event(Event::Stands { instance: name("d"), standing, sent: now }, now);
+    attempt.on_event(leads("d", 1, 11, now), now);
     commands.extend(attempt.step(now + STEP * 2));
     let installs = |one: &Command| matches!(one, Command::Install(_) | Command::Release(_));
     assert!(!commands.iter().any(installs), "{commands:?}");
@@ -235,9 +238,7 @@
     attempt.on_event(Event::Members(members(&["a", "c"])), now);
     let commands = attempt.step(now + STEP);
     assert!(commands.contains(&Command::Ask(name("c"))), "{commands:?}");
-    let received = Position { term: Term(1), offset: LogOffset(11) };
-    let standing = Standing { role: Role::Primary, term: Term(3), received, held: Term(0) };
-    attempt.on_event(Event::Stands { instance: name("c"), standing, sent: now }, now);
+    attempt.on_event(leads("c", 3, 11, now), now);
     let commands = attempt.step(now + STEP * 2);
     assert!(commands.contains(&Command::Install(name("c"))), "{commands:?}");
 }
@@ -259,9 +260,7 @@
                 attempt.on_event(Event::Recorded, now);
             }
         }
-        let received = Position { term: Term(1), offset: LogOffset(10) };
-        let standing = Standing { role: Role::Primary, term: Term(1), received, held: Term(0) };
-        attempt.on_event(Event::Stands { instance: name("a"), standing, sent: now }, now);
+        attempt.on_event(leads("a", 1, 10, now), now);
         attempt.on_event(stopped("b", 10, now), now);
     }
     assert!(matches!(attempt.phase(), Phase::Cancelling { .. }), "{:?}", attempt.phase());
@@ -448,9 +447,7 @@
     begin(&mut attempt, now);
     let chosen = promotes(&mut attempt, &mut now, &[("b", 11), ("c", 10)]);
     assert_eq!(chosen, Some(name("b")));
-    let received = Position { term: Term(1), offset: LogOffset(11) };
-    let standing = Standing { role: Role::Primary, term: Term(2), received, held: Term(0) };
-    attempt.on_event(Event::Stands { instance: name("b"), standing, sent: now }, now);
+    attempt.on_event(leads("b", 2, 11, now), now);
     let commands = attempt.step(now);
     assert!(commands.contains(&Command::Install(name("b"))), "{commands:?}");
 }
--- a/crates/lab/tests/foreign_entries.rs
+++ b/crates/lab/tests/foreign_entries.rs
@@ -5,7 +5,7 @@
 use kestrellock_core::catalog::Consistency;
 use kestrellock_lab::platform::caller::LineSession;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
-use kestrellock_platform::standin::entries::foreign_entries;
+use kestrellock_platform::standin::foreign::foreign_entries;
 
 #[test]
 fn entries_that_cannot_be_read_hold_neither_changes_nor_replacements_back() {
--- a/crates/lab/tests/instance_entries.rs
+++ b/crates/lab/tests/instance_entries.rs
@@ -18,7 +18,8 @@
 use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::caller::LineSession;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, ZONES, database, wait};
-use kestrellock_platform::standin::entries::{InstanceEntry, broken_entries};
+use kestrellock_platform::standin::entries::InstanceEntry;
+use kestrellock_platform::standin::foreign::broken_entries;
 
 fn start() -> Platform {
     let platform = Platform::start(PlatformOptions::default()).expect("it starts");
