--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -11,6 +11,7 @@
 use kestrellock_core::promotion::{
     CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote, heeded,
 };
+use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{Cause, Judge};
 use kestrellock_peer::message::PeerMessage;
 use kestrellock_store::control::{ControlError, ControlTarget, Order};
@@ -249,7 +250,12 @@
         primary: &InstanceName,
         now: Instant,
     ) -> Option<Cause> {
-        let signs = self.context.statuses.signs(group, primary);
+        let mut signs = self.context.statuses.signs(group, primary);
+        if signs.is_outdated && !self.says_it_is_outdated(group, primary) {
+            // What is known of its term may be from before it was promoted again.
+            signs.is_outdated = false;
+            self.ask(group, primary);
+        }
         if let Some(cause) = self.judge.suspect(&signs, now) {
             return Some(cause);
         }
@@ -263,6 +269,12 @@
         self.opinions.get(&(group.clone(), primary.clone()))?.cause
     }
 
+    /// Whether the primary has said a moment ago that it leads a term lower than one that has been seen.
+    fn says_it_is_outdated(&self, group: &GroupName, primary: &InstanceName) -> bool {
+        let opinion = self.opinions.get(&(group.clone(), primary.clone()));
+        opinion.is_some_and(|opinion| opinion.cause == Some(Cause::Outdated))
+    }
+
     fn is_suspected_elsewhere(&self, group: &GroupName, primary: &InstanceName) -> bool {
         let own = &self.context.identity.node;
         let others = self.view.votes.iter().filter(|(node, _)| *node != own);
@@ -280,9 +292,13 @@
         let target = ControlTarget { group: named, instance, address };
         self.asking.push(key);
         let (control, asks) = (self.services.control.clone(), self.asks.clone());
+        let highest = self.context.statuses.highest_term(group);
         let spawned =
             thread::Builder::new().name("promotion-opinion".to_owned()).spawn(move || {
                 let cause = match control.tell(&target, Order::Ask) {
+                    Ok(standing) if standing.role == Role::Primary && standing.term < highest => {
+                        Some(Cause::Outdated)
+                    }
                     Ok(_) | Err(ControlError::Rejected(_)) => None,
                     Err(ControlError::Refused | ControlError::Displaced) => Some(Cause::Refuses),
                     Err(ControlError::Unanswered(_)) => Some(Cause::Silent),
