--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -59,6 +59,22 @@
     "the successor died before replicas had heard of it, and the old primary answered one more commit",
 )];
 
+/// The same with up to four faults where an instance starts again with nothing.
+const MENDED_SEEDS_WITH_EMPTY_STARTS: [(u64, &str); 4] = [
+    (440, "the instance being promoted started again; the old primary held what it had held"),
+    (1737, "an answer that nobody waited for any more was taken for an acknowledgement"),
+    (1912, "an old primary answered commits through a replica that had forgotten the newer term"),
+    (1985, "the same, and then nobody replaced it, because nothing was sent there"),
+];
+
+/// Seeds in which an instance that starts again with nothing loses a commit or lets an old primary answer
+/// one: with up to four faults, and with up to nine where promotions release all replicas. In those that
+/// were read the holder of the right to replace primaries had itself started after the instance, and did
+/// not know that it holds nothing.
+const BROKEN_SEEDS_OF_FEW_FAULTS_WITH_EMPTY_STARTS: [u64; 3] = [4866, 14008, 17058];
+const BROKEN_SEEDS_WITH_EMPTY_STARTS: [u64; 9] =
+    [2911, 5976, 9380, 9805, 14341, 15444, 15611, 17708, 19308];
+
 fn seeds() -> Range<u64> {
     let first = std::env::var("FIRST_SEED").ok().and_then(|text| text.parse().ok());
     let first = first.unwrap_or(FIRST_SEED);
@@ -183,12 +199,27 @@
     let many = MENDED_SEEDS.map(|(seed, cause)| (seed, Faults::dense(), cause));
     let releases = Faults::dense().with_releases();
     let released = MENDED_SEEDS_WITH_RELEASES.map(|(seed, cause)| (seed, releases, cause));
-    for (seed, faults, cause) in few.into_iter().chain(many).chain(released) {
+    let empty = Faults::all().with_empty_starts();
+    let emptied = MENDED_SEEDS_WITH_EMPTY_STARTS.map(|(seed, cause)| (seed, empty, cause));
+    let all = few.into_iter().chain(many).chain(released).chain(emptied);
+    for (seed, faults, cause) in all {
         let outcome = World::new(seed, faults, Plant::None).play();
         assert!(outcome.violations.is_empty(), "seed {seed}: {cause}: {:?}", outcome.violations);
     }
 }
 
+#[test]
+fn seeds_with_empty_starts_that_still_break_a_promise_hold() {
+    let few = Faults::all().with_empty_starts();
+    let many = Faults::dense().with_releases().with_empty_starts();
+    let seeds = BROKEN_SEEDS_OF_FEW_FAULTS_WITH_EMPTY_STARTS.map(|seed| (seed, few));
+    let others = BROKEN_SEEDS_WITH_EMPTY_STARTS.map(|seed| (seed, many));
+    for (seed, faults) in seeds.into_iter().chain(others) {
+        let outcome = World::new(seed, faults, Plant::None).play();
+        assert!(outcome.violations.is_empty(), "seed {seed}: {:?}", outcome.violations.first());
+    }
+}
+
 #[test]
 fn trouble_of_single_nodes_and_replicas_moves_no_primary() {
     let outcomes = play(seeds(), Faults::without_primaries(), Plant::None);
