Owners of groups are brought up to date by differences

Cause: each change of the list of live nodes, of the machine list or of any entry of the configuration had every node weigh all nodes for all groups: 985 nodes and 1,000 groups are 985,000 weights and 5,000 sorts, some 120 ms of a whole core, a second of a node of 0.12 cores; nodes that start together or a change of the configuration brought one after the other. Profile of the untouched code: 45% of the time of a start, nearly all after a change.

Now a node that joins costs one weight a group, one that leaves its zone's weights for the groups that it owned, and a change of the configuration none (test a_change_costs_weights_by_what_it_changes_at_any_size: 50 groups before 50 nodes and 1,000 before 985). A young node also compared each listed node with each live one; it looks them up. Owners are the same by differences and from all nodes (property test). Weights are taken from hashes of the names: which nodes own a group changes once.

--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -3,7 +3,7 @@
 //! Computed when either changes, not when it is asked for. Ownership is an optimisation, never a
 //! safety argument: two gateways at once cost connections and nothing else.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
@@ -13,7 +13,7 @@
 use kestrellock_core::connection_shares::{
     Share, YOUNG_FOR, knows_most, share, share_of_replica, sharers,
 };
-use kestrellock_core::group_owners;
+use kestrellock_core::group_owners::GroupOwnerTable;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
 use kestrellock_core::routing::Role;
@@ -22,27 +22,23 @@
 
 const POISONED: &str = "a holder of the ownership lock panicked";
 
-/// The owners of one group.
-#[derive(Debug)]
-struct GroupOwners {
-    /// How many share the connections of its instances; some may not accept work.
+/// What `own`, one of the `owners` of a group, may hold to a replica; `sharers` nodes share its connections,
+/// some of which may not accept work.
+fn part_of_replica(
+    replica: &Instance,
+    owners: &[Candidate],
     sharers: usize,
-    owners: Vec<Candidate>,
+    own: &NodeName,
+) -> Share {
+    let is_near = |owner: &&Candidate| owner.zone == replica.zone;
+    let near = owners.iter().filter(is_near).count();
+    let far = sharers.saturating_sub(near);
+    let own_is_near = owners.iter().filter(is_near).any(|owner| owner.node == *own);
+    share_of_replica(replica.connections, near, far, own_is_near)
 }
 
-impl GroupOwners {
-    /// What `own` may hold to a replica.
-    fn share_of_replica(&self, replica: &Instance, own: &NodeName) -> Share {
-        let is_near = |owner: &&Candidate| owner.zone == replica.zone;
-        let near = self.owners.iter().filter(is_near).count();
-        let far = self.sharers.saturating_sub(near);
-        let own_is_near = self.owners.iter().filter(is_near).any(|owner| owner.node == *own);
-        share_of_replica(replica.connections, near, far, own_is_near)
-    }
-
-    fn include(&self, node: &NodeName) -> bool {
-        self.owners.iter().any(|owner| owner.node == *node)
-    }
+fn includes(owners: &[Candidate], node: &NodeName) -> bool {
+    owners.iter().any(|owner| owner.node == *node)
 }
 
 /// Owners and standbys at one moment.
@@ -55,7 +51,7 @@
     listed: Option<Arc<Vec<LiveNode>>>,
     table: OwnershipTable,
     /// Owners of the groups that have several.
-    group_owners: HashMap<GroupName, GroupOwners>,
+    group_owners: GroupOwnerTable,
     /// Connections that this node may hold to each instance of those that it owns.
     shares: HashMap<InstanceName, Share>,
     /// This node, where it was told.
@@ -73,12 +69,12 @@
 
     /// The owners of a group that has several.
     pub fn owners_of(&self, group: &GroupName) -> &[Candidate] {
-        self.group_owners.get(group).map(|group| group.owners.as_slice()).unwrap_or_default()
+        self.group_owners.owners_of(group)
     }
 
     /// Whether `node` is one of several owners of a group.
     pub fn is_owner(&self, node: &NodeName, group: &GroupName) -> bool {
-        self.group_owners.get(group).is_some_and(|owners| owners.include(node))
+        includes(self.owners_of(group), node)
     }
 
     /// Connections that this node may hold to an instance whose group has several owners.
@@ -86,6 +82,12 @@
         self.shares.get(instance).copied()
     }
 
+    /// The groups that `node` is one of several owners of.
+    pub fn owned_by<'a>(&'a self, node: &'a NodeName) -> impl Iterator<Item = &'a GroupName> {
+        let owned = self.group_owners.iter().filter(|(_, owners)| includes(owners, node));
+        owned.map(|(group, _)| group)
+    }
+
     /// The catalog it was computed from.
     pub fn catalog(&self) -> &Arc<IndexedCatalog> {
         &self.catalog
@@ -117,36 +119,32 @@
 }
 
 impl Sources<'_> {
-    /// Owners of the groups that have several: those whose primary the proxy replaces come from a
-    /// platform that tells limits for all nodes together.
-    fn group_owners(&self) -> HashMap<GroupName, GroupOwners> {
+    /// Brings the owners up to date of the groups that have several: those whose primary the proxy replaces
+    /// come from a platform that tells limits for all nodes together.
+    fn follow_group_owners(&self, table: &mut GroupOwnerTable) {
         let nodes = self.nodes();
-        let candidates = self.expected();
         let owned = self.catalog.groups.iter().filter(|(_, group)| group.elector == Elector::Proxy);
-        let owners = owned.map(|(name, group)| {
-            let sharers = group.owner_count(nodes);
-            let owners = group_owners::owners(name, candidates.iter().copied(), sharers);
-            (name.clone(), GroupOwners { sharers, owners: owners.into_iter().cloned().collect() })
-        });
-        owners.collect()
+        let counted = owned.map(|(name, group)| (name, group.owner_count(nodes)));
+        table.update(self.expected(), counted);
     }
 
     /// This node's share of the connections to each instance of the groups that it owns.
-    fn shares(
-        &self,
-        group_owners: &HashMap<GroupName, GroupOwners>,
-    ) -> HashMap<InstanceName, Share> {
-        let owned = group_owners.iter().filter(|(_, owners)| owners.include(self.own));
+    fn shares(&self, group_owners: &GroupOwnerTable) -> HashMap<InstanceName, Share> {
+        let owned = group_owners.iter().filter(|(_, owners)| includes(owners, self.own));
         let shares = owned.flat_map(|(name, owners)| {
+            let sharers = group_owners.sharers_of(name).unwrap_or(owners.len());
             let instances = self.catalog.groups.get(name).map(|group| group.instances.as_slice());
-            instances.unwrap_or_default().iter().map(move |instance| (instance, owners))
+            let instances = instances.unwrap_or_default().iter();
+            instances.map(move |instance| (instance, owners, sharers))
         });
         let young = self.listed.is_some();
         let has_accounts = !self.catalog.accounts.is_empty();
-        let shares = shares.map(|(instance, owners)| {
+        let shares = shares.map(|(instance, owners, sharers)| {
             let share = match instance.announced_role {
-                Some(Role::Replica) if has_accounts => owners.share_of_replica(instance, self.own),
-                _ => share(instance.connections, owners.sharers),
+                Some(Role::Replica) if has_accounts => {
+                    part_of_replica(instance, owners, sharers, self.own)
+                }
+                _ => share(instance.connections, sharers),
             };
             let share = if young { share.of_a_young_node() } else { share };
             (instance.name.clone(), share)
@@ -169,12 +167,11 @@
         if knows_most(self.live.len(), listed.len()) {
             return expected;
         }
-        for node in listed {
-            let is_live = self.live.iter().any(|live| live.candidate.node == node.candidate.node);
-            if !is_live && Some(&node.candidate.node) != self.without {
-                expected.push(&node.candidate);
-            }
-        }
+        let live: HashSet<&NodeName> = self.live.iter().map(|live| &live.candidate.node).collect();
+        let missing = listed.iter().map(|node| &node.candidate).filter(|candidate| {
+            !live.contains(&candidate.node) && Some(&candidate.node) != self.without
+        });
+        expected.extend(missing);
         expected
     }
 
@@ -247,10 +244,11 @@
             return newest.clone();
         }
         let mut table = newest.table.clone();
-        let group_owners = sources.group_owners();
+        let mut group_owners = newest.group_owners.clone();
+        sources.follow_group_owners(&mut group_owners);
         let shares = sources.shares(&group_owners);
         let single = sources.catalog.groups.iter();
-        let single = single.filter(|(name, _)| !group_owners.contains_key(*name));
+        let single = single.filter(|(name, _)| group_owners.sharers_of(name).is_none());
         let instances = single.flat_map(|(_, group)| &group.instances);
         let placed = instances.map(|instance| (&instance.name, &instance.zone));
         table.update(sources.candidates(), placed);
