Entries of nodes are read once for each of their revisions

Cause: each change of the product's own keys had every node parse the entries of all nodes: 985 that start together read 970,000 entries on each node in the worst case.

--- a/crates/daemon/src/environment.rs
+++ b/crates/daemon/src/environment.rs
@@ -8,7 +8,7 @@
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{KeyStore, Mirror};
 use kestrellock_platform::lines::Lines;
-use kestrellock_platform::nodes::NodeList;
+use kestrellock_platform::nodes::{EnteredNodes, NodeList};
 use kestrellock_platform::source::MirroredCatalog;
 use kestrellock_postgres::Postgres;
 use kestrellock_protocol::Protocol;
@@ -50,17 +50,22 @@
             mirror = mirror.with_longest_call(RevocationLimit::new(limit).longest_call());
         }
         let mirror = Arc::new(mirror);
+        let entered_nodes = Arc::new(EnteredNodes::default());
         let catalog = MirroredCatalog::start(mirror.clone(), rand::random)?;
         let promotions = settings.promotion_endpoint.as_deref().unwrap_or_default();
         let succession = SuccessionServices {
-            coordination: Arc::new(StoreCoordination::new(store.clone(), mirror.clone())),
+            coordination: Arc::new(StoreCoordination::new(
+                store.clone(),
+                mirror.clone(),
+                entered_nodes.clone(),
+            )),
             control: Arc::new(LineControl::default()),
             promotions: Arc::new(PlatformPromotions::new(promotions)),
         };
         Ok(Self {
             store: Arc::new(store.clone()),
             catalog: Some(Box::new(catalog)),
-            machines: Some(Box::new(NodeList::new(store, mirror))),
+            machines: Some(Box::new(NodeList::new(store, mirror, entered_nodes))),
             succession: Some(succession),
             protocol: Arc::new(Lines),
         })
