A node begins with the product's own keys; who follows the store is judged by the machine list while it is young

Cause: a node that had just started knew no other, took itself for a follower, and read all that the store holds: with 3,000 instances about 1.5 MB for each of 985 nodes (calculated), and was woken by their changes. Now each node reads the product's own keys first, waits until the machine list has stopped growing if it is new there, and follows the store only if it is one of two followers of its zone by that list; without a configuration it turns to the store after a wait in turn. The list tells links, so that the wide ones follow.

--- a/crates/core/src/spreading/mod.rs
+++ b/crates/core/src/spreading/mod.rs
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::ids::{InstanceName, NodeName, ZoneName};
 use crate::rendezvous::{Candidate, ownership};
 
@@ -47,6 +49,17 @@
     WATCH_PAUSE_FOR_EACH.saturating_mul(nodes).min(LONGEST_WATCH_PAUSE)
 }
 
+/// Time between the turns of two nodes that read the whole store: for 1,000 groups that is 1.5 MB, 12 ms of
+/// its line of 1,000 Mbit/s.
+const TURN_FOR_EACH: Duration = Duration::from_millis(12);
+
+/// When it is the turn of `node` among `nodes` that nobody has brought a configuration.
+pub fn own_turn(node: &NodeName, nodes: usize) -> Duration {
+    let nodes = u64::try_from(nodes).unwrap_or(u64::MAX).max(1);
+    let place = xxh3_64(node.as_str().as_bytes()) % nodes;
+    TURN_FOR_EACH.saturating_mul(u32::try_from(place).unwrap_or(u32::MAX))
+}
+
 /// The nodes of a zone that follow the store: at most two, of those with the widest links. The store
 /// sends the configuration whole at each change (400 kB of 1,400 routes are 0.3 s of a link of
 /// 10 Mbit/s), and the zone fetches from followers first.
--- a/crates/core/tests/group_owners.rs
+++ b/crates/core/tests/group_owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use kestrellock_core::group_owners::owners;
+use kestrellock_core::group_owners::{GroupOwnerTable, owners};
 use kestrellock_core::ids::{GroupName, NodeName, ZoneName};
 use kestrellock_core::rendezvous::Candidate;
 use proptest::prelude::*;
@@ -53,7 +53,73 @@
     assert!(owned.values().all(|count| (25..=90).contains(count)), "{owned:?}");
 }
 
+/// As many groups as `count`, each with nine owners.
+fn groups(count: usize) -> Vec<(GroupName, usize)> {
+    (0..count).map(|number| (GroupName::new(format!("group-{number}")), 9)).collect()
+}
+
+fn update(table: &mut GroupOwnerTable, candidates: &[Candidate], groups: &[(GroupName, usize)]) {
+    table.update(candidates, groups.iter().map(|(group, count)| (group, *count)));
+}
+
+/// Weights computed when one node joins, when one leaves, and when nothing about the nodes has changed.
+fn weights_of_changes(zones: &[usize], group_count: usize) -> (u64, u64, u64) {
+    let groups = groups(group_count);
+    let all = nodes(zones);
+    let (last, without) = all.split_last().expect("some nodes");
+    let mut table = GroupOwnerTable::default();
+    update(&mut table, without, &groups);
+    let weights_since = |table: &mut GroupOwnerTable, candidates: &[Candidate]| {
+        let before = table.weighed();
+        update(table, candidates, &groups);
+        table.weighed() - before
+    };
+    let joined = weights_since(&mut table, &all);
+    let same = weights_since(&mut table, &all);
+    let left = weights_since(&mut table, without);
+    println!("{last:?}: {joined} joined, {left} left, {same} same");
+    (joined, left, same)
+}
+
+/// What happened: each change of the list of 985 nodes, or of one instance, had every node weigh all nodes
+/// for all of 1,000 groups, 985,000 weights; while all started nothing else got the processor.
+#[test]
+fn a_change_costs_weights_by_what_it_changes_at_any_size() {
+    for (zones, group_count) in [([10, 10, 10, 10, 10], 50), ([197, 197, 197, 197, 197], 1_000)] {
+        let (joined, left, same) = weights_of_changes(&zones, group_count);
+        assert_eq!(same, 0, "nothing about the nodes has changed");
+        assert_eq!(joined, group_count as u64, "one weight for each group");
+        // A node is among the two greatest claims of its zone for two of as many groups as the zone has nodes;
+        // for each of those its zone is weighed. Four times that is allowed for.
+        let expected = (2 * group_count) as u64;
+        assert!(left <= 4 * expected, "{left} weights where {expected} are expected");
+    }
+}
+
 proptest! {
+    /// Differences lead to the same owners as all nodes at once.
+    #[test]
+    fn owners_by_differences_are_those_of_all_nodes(
+        steps in prop::collection::vec((prop::collection::vec(any::<bool>(), 14), 1_usize..10), 1..6),
+    ) {
+        let all = nodes(&[6, 5, 3]);
+        let mut table = GroupOwnerTable::default();
+        for (present, count) in steps {
+            let candidates: Vec<Candidate> = all
+                .iter()
+                .zip(present)
+                .filter(|(_, present)| *present)
+                .map(|(candidate, _)| candidate.clone())
+                .collect();
+            let groups: Vec<(GroupName, usize)> =
+                groups(8).into_iter().map(|(group, _)| (group, count)).collect();
+            update(&mut table, &candidates, &groups);
+            for (group, count) in &groups {
+                prop_assert_eq!(table.owners_of(group), &owners(group, &candidates, *count)[..]);
+            }
+        }
+    }
+
     #[test]
     fn all_of_few_nodes_are_owners(counts in prop::collection::vec(0_usize..5, 1..5)) {
         let candidates = nodes(&counts);
--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -10,6 +10,7 @@
 use kestrellock_store::source::CatalogSource;
 use kestrellock_store::store::StoreError;
 
+use super::role::PEERS_FIRST;
 use super::{Configuration, Offer, Origin};
 use crate::metrics::{ConfigurationEvent, Metrics};
 use crate::supervisor::StopFlag;
@@ -18,8 +19,6 @@
 const WATCH_STEP: Duration = Duration::from_millis(100);
 /// Time between looks whether following has become this node's part.
 const IDLE_STEP: Duration = Duration::from_millis(200);
-/// Time that a node without configuration gives its peers before it asks the store.
-const PEERS_FIRST: Duration = Duration::from_secs(1);
 const PEERS_STEP: Duration = Duration::from_millis(10);
 const FIRST_RETRY: Duration = Duration::from_millis(200);
 const LAST_RETRY: Duration = Duration::from_secs(5);
@@ -31,6 +30,7 @@
     let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY);
     let mut failed_at = Instant::now();
     let mut unreadable = Unreadable::default();
+    configuration.wait_for_list(stop);
     configuration.wait_for_peers(stop);
     while !stop.is_stopping() {
         stop.wait_while_paused();
@@ -108,12 +108,6 @@
         }
     }
 
-    /// Whether following the source is this node's part: before it knows of any other node, it is.
-    fn follows(&self) -> bool {
-        let live = self.live();
-        live.is_empty() || is_follower(&self.own(), &live)
-    }
-
     /// A follower that learnt of a revision from a peer tells its zone.
     pub(super) fn announce_if_follower(&self) {
         let (own, live) = (self.own(), self.live());
--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -6,9 +6,11 @@
 mod fetching;
 mod follow;
 mod left_out;
+mod role;
 mod serving;
 
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use kestrellock_core::catalog::{IndexedCatalog, Revision, VersionedCatalog};
 use kestrellock_core::ids::NodeName;
@@ -67,14 +69,22 @@
 pub struct Configuration {
     context: Arc<NodeContext>,
     mailboxes: Arc<Mailboxes>,
+    /// Whether the platform keeps a list of nodes, which names others before they are known to live.
+    has_machine_list: bool,
+    started: Instant,
     /// Held while a catalog replaces another, so that an older one never replaces a newer.
     replacing: Mutex<LeftOut>,
 }
 
 impl Configuration {
     /// Nothing in force yet.
-    pub fn new(context: Arc<NodeContext>, mailboxes: Arc<Mailboxes>) -> Self {
-        Self { context, mailboxes, replacing: Mutex::default() }
+    pub fn new(
+        context: Arc<NodeContext>,
+        mailboxes: Arc<Mailboxes>,
+        has_machine_list: bool,
+    ) -> Self {
+        let (started, replacing) = (Instant::now(), Mutex::default());
+        Self { context, mailboxes, has_machine_list, started, replacing }
     }
 
     /// Puts a catalog in force if it is newer than the one in force. Entries and instances that cannot be
--- /dev/null
+++ b/crates/daemon/src/agent/configuration/role.rs
@@ -0,0 +1,80 @@
+//! Whether following the source of the configuration is this node's part.
+//!
+//! A node that has just started knows few others. If it judged by those alone, each of hundreds that start
+//! together would take itself for a follower, and would read all that the store holds. So the machine list
+//! counts as well while the node is young.
+
+use std::time::{Duration, Instant};
+
+use kestrellock_core::connection_shares::knows_most;
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_core::spreading::{is_follower, own_turn};
+
+use super::Configuration;
+use crate::supervisor::StopFlag;
+
+/// Time that a node without configuration gives its peers before it asks the store.
+pub(super) const PEERS_FIRST: Duration = Duration::from_secs(1);
+/// Time for which the machine list counts beside the nodes known to live: as long as membership compares
+/// its table often. Later an entry may be that of a machine which is gone for good.
+const YOUNG_FOR: Duration = Duration::from_secs(10);
+/// The list is taken for whole once it has not grown for so long: nodes that start together enter
+/// themselves within some hundred milliseconds.
+const LIST_QUIET: Duration = Duration::from_millis(200);
+/// Longest wait for that.
+const LIST_LIMIT: Duration = Duration::from_secs(1);
+const LIST_STEP: Duration = Duration::from_millis(10);
+
+impl Configuration {
+    /// A node that the machine list does not name yet starts for the first time, perhaps with many others:
+    /// it waits until the list grows no more.
+    pub(super) fn wait_for_list(&self, stop: &StopFlag) {
+        let own = &self.context.identity.node;
+        let mut length = 0;
+        let mut since = Instant::now();
+        while self.has_machine_list && self.started.elapsed() < LIST_LIMIT && !stop.is_stopping() {
+            let listed = self.context.listed_nodes.load();
+            if listed.iter().any(|node| node.candidate.node == *own) {
+                return;
+            }
+            if listed.len() != length {
+                (length, since) = (listed.len(), Instant::now());
+            }
+            if length > 0 && since.elapsed() >= LIST_QUIET {
+                return;
+            }
+            stop.sleep(LIST_STEP);
+        }
+    }
+
+    /// Whether following the source is this node's part: before it knows of any other node, it is.
+    pub(super) fn follows(&self) -> bool {
+        let live = self.live();
+        let listed = self.context.listed_nodes.load();
+        let own = self.own();
+        let is_young = self.started.elapsed() < YOUNG_FOR;
+        if !is_young || knows_most(live.len(), listed.len()) {
+            return live.is_empty() || is_follower(&own, &live);
+        }
+        let expected = with_listed(live, listed.iter().map(|node| &node.candidate));
+        is_follower(&own, &expected) || self.has_waited_in_vain(expected.len())
+    }
+
+    /// Whether no peer has brought a configuration for so long that this node reads it itself. The nodes do
+    /// so one after the other, so that the store is not asked by all of them at once.
+    fn has_waited_in_vain(&self, nodes: usize) -> bool {
+        let turn = own_turn(&self.context.identity.node, nodes);
+        self.revision() == Default::default() && self.started.elapsed() >= PEERS_FIRST + turn
+    }
+}
+
+/// The nodes known to live, and those that the machine list names besides.
+fn with_listed<'a>(
+    mut live: Vec<Candidate>,
+    listed: impl Iterator<Item = &'a Candidate>,
+) -> Vec<Candidate> {
+    let known: std::collections::HashSet<_> =
+        live.iter().map(|candidate| candidate.node.clone()).collect();
+    live.extend(listed.filter(|candidate| !known.contains(&candidate.node)).cloned());
+    live
+}
--- a/crates/daemon/src/agent/machines.rs
+++ b/crates/daemon/src/agent/machines.rs
@@ -14,9 +14,13 @@
 
 /// Mean time between two looks at the list.
 const INTERVAL: Duration = Duration::from_secs(10);
-/// Looks in short succession at the start: other nodes may be starting, too.
-const FIRST_LOOKS: u32 = 5;
-const FIRST_INTERVAL: Duration = Duration::from_secs(1);
+/// Looks in short succession at the start: other nodes may be starting, too, and which nodes follow the store
+/// is judged by the list until they are known. A look costs no call where the list is a copy.
+const FIRST_LOOKS: u32 = 10;
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+/// The same a little later.
+const EARLY_LOOKS: u32 = 15;
+const EARLY_INTERVAL: Duration = Duration::from_secs(1);
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LAST_RETRY: Duration = Duration::from_secs(5);
 
@@ -43,8 +47,7 @@
                 }
                 backoff.reset();
                 looks += 1;
-                let interval = if looks <= FIRST_LOOKS { FIRST_INTERVAL } else { INTERVAL };
-                stop.sleep(interval.mul_f64(0.75 + rand::random::<f64>() / 2.0));
+                stop.sleep(interval_after(looks).mul_f64(0.75 + rand::random::<f64>() / 2.0));
             }
             Err(error) => {
                 log::debug!("machine list not read: {error}");
@@ -59,6 +62,14 @@
     }
 }
 
+fn interval_after(looks: u32) -> Duration {
+    match looks {
+        0..=FIRST_LOOKS => FIRST_INTERVAL,
+        0..=EARLY_LOOKS => EARLY_INTERVAL,
+        _ => INTERVAL,
+    }
+}
+
 fn put_in_force(machines: Vec<Machine>, own: &Machine, peers: &[Seed], context: &NodeContext) {
     let listed: Vec<LiveNode> = machines.iter().map(listed_node).collect();
     if listed != *context.listed_nodes.load() {
@@ -72,7 +83,7 @@
         candidate: Candidate {
             node: machine.node.clone(),
             zone: machine.zone.clone(),
-            link_mbps: 0,
+            link_mbps: machine.link_mbps,
         },
         peer_address: machine.peer_address,
         accepts_work: machine.state == MachineState::Live,
--- a/crates/daemon/src/agent/membership.rs
+++ b/crates/daemon/src/agent/membership.rs
@@ -67,6 +67,7 @@
         zone: settings.zone.clone(),
         peer_address: settings.advertised_peer_address.unwrap_or(settings.peer_address),
         state: MachineState::Live,
+        link_mbps: settings.link_mbps.unwrap_or(0),
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -189,7 +189,8 @@
         let store: Arc<dyn ConfigStore> = Arc::new(CountedStore::new(store, context.clone()));
         let in_store = || Box::new(WatchedCatalog::new(store.clone())) as Box<dyn CatalogSource>;
         let catalog = catalog.unwrap_or_else(in_store);
-        let configuration = Arc::new(Configuration::new(context.clone(), mailboxes.clone()));
+        let configuration = Configuration::new(context.clone(), mailboxes.clone(), machines.is_some());
+        let configuration = Arc::new(configuration);
         let pages = Admin {
             context: context.clone(),
             shards,
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -2,7 +2,7 @@
 //! following everything.
 
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
-use kestrellock_platform::keys::{Mirror, MirrorView, Scope};
+use kestrellock_platform::keys::{KeyStore, Mirror, MirrorView, Scope};
 use kestrellock_platform::standin::entries::CONFIGURATION_KEY;
 
 const NODE: &str = "kestrellock/nodes/one";
@@ -11,7 +11,8 @@
 
 fn start() -> (PlatformStore, Mirror) {
     let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
-    let mirror = Mirror::new(kestrellock_platform::keys::KeyStore::new(&store.endpoint()));
+    let mirror = Mirror::new(KeyStore::new(&store.endpoint()));
+    mirror.set_scope(Scope::Everything);
     (store, mirror)
 }
 
@@ -58,3 +59,20 @@
     assert_eq!(view.whole_revision, view.revision);
     assert!(view.revision >= before.revision);
 }
+
+/// What happened: each of 985 nodes read the entries of 3,000 instances at its start, though all but ten got
+/// the configuration from their peers.
+#[test]
+fn a_copy_begins_with_own_keys_and_reads_the_rest_when_it_is_to_follow_everything() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    store.put(NODE, b"1");
+    store.put(CONFIGURATION_KEY, b"{}");
+    let mirror = Mirror::new(KeyStore::new(&store.endpoint()));
+    let first = advance(&mirror);
+    assert_eq!(names(&first), [NODE]);
+    assert_eq!(first.whole_revision, 0, "the rest has not been read");
+    mirror.set_scope(Scope::Everything);
+    let whole = advance(&mirror);
+    assert_eq!(names(&whole), [NODE, CONFIGURATION_KEY]);
+    assert_eq!(whole.whole_revision, whole.revision);
+}
--- a/crates/store/src/machines.rs
+++ b/crates/store/src/machines.rs
@@ -29,6 +29,9 @@
     pub peer_address: SocketAddr,
     /// State.
     pub state: MachineState,
+    /// What its link carries, in Mbit/s; zero where the list does not tell.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// Source of the machine list. Only a seed for membership: it lags and may be wrong.
