--- a/crates/core/src/admin/configuration.rs
+++ b/crates/core/src/admin/configuration.rs
@@ -4,13 +4,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::{Account, Catalog, Group, Revision, Template, Tenant};
+use crate::catalog::{Account, Catalog, Group, Revision, Template, Tenant, Zone};
 use crate::ids::{AccountName, GroupName, NodeName, TemplateName, TenantName, ZoneName};
 
 /// What an entry of the configuration describes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum EntryKind {
+    /// A failure zone.
+    Zone,
     /// A database group.
     Group,
     /// A template.
@@ -23,11 +25,13 @@
 
 impl EntryKind {
     /// Every kind, those that others refer to first.
-    pub const ALL: [Self; 4] = [Self::Group, Self::Template, Self::Tenant, Self::Account];
+    pub const ALL: [Self; 5] =
+        [Self::Zone, Self::Group, Self::Template, Self::Tenant, Self::Account];
 
     /// The catalog's table for entries of this kind, such as `groups`.
     pub fn table(self) -> &'static str {
         match self {
+            Self::Zone => "zones",
             Self::Group => "groups",
             Self::Template => "templates",
             Self::Tenant => "tenants",
@@ -60,6 +64,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", content = "value", rename_all = "lowercase")]
 pub enum EntryValue {
+    /// A failure zone.
+    Zone(Zone),
     /// A database group.
     Group(Group),
     /// A template.
@@ -74,6 +80,7 @@
     /// What it describes.
     pub fn kind(&self) -> EntryKind {
         match self {
+            Self::Zone(_) => EntryKind::Zone,
             Self::Group(_) => EntryKind::Group,
             Self::Template(_) => EntryKind::Template,
             Self::Tenant(_) => EntryKind::Tenant,
@@ -194,6 +201,9 @@
     /// Puts an entry in, or replaces it.
     pub fn insert(&mut self, name: &str, value: EntryValue) {
         match value {
+            EntryValue::Zone(zone) => {
+                self.zones.insert(ZoneName::new(name), zone);
+            }
             EntryValue::Group(group) => {
                 self.groups.insert(GroupName::new(name), group);
             }
@@ -213,6 +223,10 @@
     pub fn entries(&self, kind: EntryKind) -> Vec<Change> {
         let change = |name: &str, value| Change { name: name.to_owned(), value };
         match kind {
+            EntryKind::Zone => {
+                let zones = self.zones.iter();
+                zones.map(|(name, value)| change(name.as_str(), EntryValue::Zone(*value))).collect()
+            }
             EntryKind::Group => {
                 let groups = self.groups.iter();
                 groups
--- a/crates/core/src/catalog/digests.rs
+++ b/crates/core/src/catalog/digests.rs
@@ -123,20 +123,22 @@
     }
 }
 
-/// Every entry: groups, then templates, tenants and accounts, by name.
+/// Every entry: zones, then groups, templates, tenants and accounts, by name.
 pub fn ids(catalog: &Catalog) -> impl Iterator<Item = EntryId> + '_ {
     let id = |kind, name: &str| EntryId { kind, name: name.to_owned() };
+    let zones = catalog.zones.keys().map(move |name| id(EntryKind::Zone, name.as_str()));
     let groups = catalog.groups.keys().map(move |name| id(EntryKind::Group, name.as_str()));
     let templates =
         catalog.templates.keys().map(move |name| id(EntryKind::Template, name.as_str()));
     let tenants = catalog.tenants.keys().map(move |name| id(EntryKind::Tenant, name.as_str()));
     let accounts = catalog.accounts.keys().map(move |name| id(EntryKind::Account, name.as_str()));
-    groups.chain(templates).chain(tenants).chain(accounts)
+    zones.chain(groups).chain(templates).chain(tenants).chain(accounts)
 }
 
 fn has(catalog: &Catalog, id: &EntryId) -> bool {
     let name = id.name.as_str();
     match id.kind {
+        EntryKind::Zone => catalog.zones.contains_key(name),
         EntryKind::Group => catalog.groups.contains_key(name),
         EntryKind::Template => catalog.templates.contains_key(name),
         EntryKind::Tenant => catalog.tenants.contains_key(name),
@@ -147,6 +149,7 @@
 fn is_same(one: &Catalog, other: &Catalog, id: &EntryId) -> bool {
     let name = id.name.as_str();
     match id.kind {
+        EntryKind::Zone => one.zones.get(name) == other.zones.get(name),
         EntryKind::Group => one.groups.get(name) == other.groups.get(name),
         EntryKind::Template => one.templates.get(name) == other.templates.get(name),
         EntryKind::Tenant => one.tenants.get(name) == other.tenants.get(name),
@@ -163,6 +166,7 @@
     let name = hasher.digest();
     let name_of_entry = id.name.as_str();
     match id.kind {
+        EntryKind::Zone => add_content(&mut hasher, catalog.zones.get(name_of_entry)),
         EntryKind::Group => add_content(&mut hasher, catalog.groups.get(name_of_entry)),
         EntryKind::Template => add_content(&mut hasher, catalog.templates.get(name_of_entry)),
         EntryKind::Tenant => add_content(&mut hasher, catalog.tenants.get(name_of_entry)),
--- a/crates/core/src/catalog/index.rs
+++ b/crates/core/src/catalog/index.rs
@@ -1,11 +1,11 @@
 //! A catalog with the lookups that every login and commit needs, built once when put in force.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::ops::Deref;
 
-use super::{Instance, TenantParameters, VersionedCatalog};
+use super::{Group, Instance, TenantParameters, VersionedCatalog};
 use crate::credential::{Credential, CredentialDigest};
-use crate::ids::{AccountName, GroupName, InstanceName, TenantName};
+use crate::ids::{AccountName, GroupName, InstanceName, TenantName, ZoneName};
 
 /// A credential that stands for nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,7 @@
     databases: HashMap<String, TenantName>,
     credentials: HashMap<CredentialDigest, AccountName>,
     instances: HashMap<InstanceName, InstancePlace>,
+    drained: HashSet<ZoneName>,
     /// Operations in a second that all accounts with a quota may ask together.
     whole_rate: f64,
 }
@@ -51,9 +52,11 @@
                 instances.insert(instance.name.clone(), place);
             }
         }
+        let zones = catalog.zones.iter().filter(|(_, zone)| zone.drained);
+        let drained = zones.map(|(name, _)| name.clone()).collect();
         let quotas = catalog.accounts.values().filter_map(|account| account.quota);
         let whole_rate = quotas.map(|quota| quota.per_second.count()).sum();
-        Self { catalog, logins, databases, credentials, instances, whole_rate }
+        Self { catalog, logins, databases, credentials, instances, drained, whole_rate }
     }
 
     /// The tenant a login belongs to, and the login's verifier.
@@ -116,6 +119,24 @@
         (self.whole_rate > 0.0).then(|| quota.per_second.count() / self.whole_rate)
     }
 
+    /// The zones that are being drained.
+    pub fn drained_zones(&self) -> &HashSet<ZoneName> {
+        &self.drained
+    }
+
+    /// Whether an instance may get new work: it is not being taken out of use, nor is its zone drained.
+    pub fn takes_work(&self, instance: &Instance) -> bool {
+        !instance.leaving && !self.drained.contains(&instance.zone)
+    }
+
+    /// Whether no instance of a group may get work, because zones are being drained: what its callers ask
+    /// cannot be served until one of the zones is taken back.
+    pub fn is_drained_out(&self, group: &Group) -> bool {
+        let in_drained_zone = |instance: &Instance| self.drained.contains(&instance.zone);
+        group.instances.iter().any(in_drained_zone)
+            && !group.instances.iter().any(|instance| self.takes_work(instance))
+    }
+
     /// The group that holds an instance, and the instance.
     pub fn instance(&self, name: &InstanceName) -> Option<(&GroupName, &Instance)> {
         let place = self.instances.get(name)?;
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -284,6 +284,16 @@
     pub needs_credential: bool,
 }
 
+/// A failure zone of the platform, as far as operators say anything of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// Whether it is being drained: its instances get no work, and primaries there are replaced, until this
+    /// is taken back.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub drained: bool,
+}
+
 /// Everything the operators configured, at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -291,6 +301,9 @@
     /// Revision; zero before anything arrived.
     #[serde(default)]
     pub revision: Revision,
+    /// Zones of which operators say something.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub zones: BTreeMap<ZoneName, Zone>,
     /// Database groups.
     #[serde(default)]
     pub groups: BTreeMap<GroupName, Group>,
--- a/crates/core/src/catalog/validate.rs
+++ b/crates/core/src/catalog/validate.rs
@@ -108,6 +108,10 @@
 
     fn run(mut self) -> Vec<Fault> {
         let catalog = self.catalog;
+        for name in catalog.zones.keys() {
+            let outcome = check_name(&format_args!("zones.{name}"), name.as_str());
+            self.note(EntryKind::Zone, name.as_str(), outcome);
+        }
         // What operators wrote comes before what instances say of themselves.
         let (reported, written): (Vec<_>, Vec<_>) =
             catalog.groups.iter().partition(|(_, group)| group.has_reported_instances());
--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -9,7 +9,7 @@
 use super::Catalog;
 use super::digests::{CatalogSummary, Digests, Fingerprint, MAX_BUCKETS, ids};
 use crate::admin::configuration::{EntryId, EntryKind};
-use crate::ids::{AccountName, GroupName, TemplateName, TenantName};
+use crate::ids::{AccountName, GroupName, TemplateName, TenantName, ZoneName};
 
 /// A catalog and the hashes of its entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -132,6 +132,7 @@
             remove_entry(catalog, id);
         }
         catalog.revision = delta.changed.revision;
+        catalog.zones.extend(delta.changed.zones);
         catalog.groups.extend(delta.changed.groups);
         catalog.templates.extend(delta.changed.templates);
         catalog.tenants.extend(delta.changed.tenants);
@@ -146,6 +147,7 @@
 /// Takes an entry out, if it is there.
 pub(super) fn remove_entry(catalog: &mut Catalog, id: &EntryId) {
     match id.kind {
+        EntryKind::Zone => drop(catalog.zones.remove(id.name.as_str())),
         EntryKind::Group => drop(catalog.groups.remove(id.name.as_str())),
         EntryKind::Template => drop(catalog.templates.remove(id.name.as_str())),
         EntryKind::Tenant => drop(catalog.tenants.remove(id.name.as_str())),
@@ -155,6 +157,10 @@
 
 fn copy_entry(from: &Catalog, to: &mut Catalog, kind: EntryKind, name: &str) {
     match kind {
+        EntryKind::Zone => {
+            let value = from.zones.get(name);
+            to.zones.extend(value.map(|value| (ZoneName::new(name), *value)));
+        }
         EntryKind::Group => {
             let value = from.groups.get(name);
             to.groups.extend(value.map(|value| (GroupName::new(name), value.clone())));
--- a/crates/core/src/group_owners.rs
+++ b/crates/core/src/group_owners.rs
@@ -75,14 +75,17 @@
 
 impl Places {
     /// Takes in the claims of nodes of a zone.
-    fn claim<'a>(&mut self, group_hash: u64, zone: &ZoneName, nodes: impl Iterator<Item = &'a Node>) {
+    fn claim<'a>(
+        &mut self,
+        group_hash: u64,
+        zone: &ZoneName,
+        nodes: impl Iterator<Item = &'a Node>,
+    ) {
         let depth = self.depth;
         let claims = self.claims.entry(zone.clone()).or_default();
         for node in nodes {
-            let claim = Claim {
-                weight: weight(group_hash, node.hash),
-                candidate: node.candidate.clone(),
-            };
+            let claim =
+                Claim { weight: weight(group_hash, node.hash), candidate: node.candidate.clone() };
             let place = claims.partition_point(|other| other.order() > claim.order());
             if place < depth {
                 claims.insert(place, claim);
@@ -180,8 +183,7 @@
     /// The places of a group that is new, or of which another number of claims is kept.
     fn place(&mut self, group: &GroupName, count: usize, depth: usize) -> Arc<Places> {
         let group_hash = hash(group.as_str());
-        let mut places =
-            Places { count, depth, claims: BTreeMap::new(), owners: Vec::new() };
+        let mut places = Places { count, depth, claims: BTreeMap::new(), owners: Vec::new() };
         for (zone, nodes) in self.zones.iter() {
             self.weighed += nodes.len() as u64;
             places.claim(group_hash, zone, nodes.iter());
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -106,6 +106,10 @@
             self.phase = Phase::Stopping { since: now };
             return;
         };
+        if self.would_only_move(&best) {
+            self.phase = Phase::Cancelling { until: now + self.timing.release };
+            return;
+        }
         if self.chosen.as_ref().is_some_and(|chosen| !self.is_as_good(chosen, &best)) {
             return self.choose_again(now);
         }
@@ -117,6 +121,18 @@
         commands.push(Command::Promote(chosen));
     }
 
+    /// Whether a planned replacement would promote an instance that is to go as well, while one that stays
+    /// has yet to receive what that one holds: it had to be replaced again.
+    fn would_only_move(&self, best: &InstanceName) -> bool {
+        let is_planned = self.intent.reason == Reason::Leaving && !self.is_committed();
+        let mut replicas = self.members.replicas(self.intent.former.as_ref());
+        is_planned && self.leaves(best) && replicas.any(|member| !member.leaving)
+    }
+
+    fn leaves(&self, name: &InstanceName) -> bool {
+        self.members.get(name).is_none_or(|member| member.leaving)
+    }
+
     /// Whether the one that was chosen before holds as much as the best by now. If not, the other one
     /// had forgotten meanwhile that it was stopped, and may hold answered commits alone.
     fn is_as_good(&self, chosen: &InstanceName, best: &InstanceName) -> bool {
@@ -147,8 +163,7 @@
             .map(|(name, _)| name)
             .filter(|name| !self.not_running.contains_key(*name))
             .collect();
-        let leaves = |name: &InstanceName| self.members.get(name).is_none_or(|one| one.leaving);
-        best.sort_by_key(|name| (leaves(name), (*name).clone()));
+        best.sort_by_key(|name| (self.leaves(name), (*name).clone()));
         best.first().map(|name| (*name).clone())
     }
 }
--- a/crates/core/src/promotion/known.rs
+++ b/crates/core/src/promotion/known.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     instance: Instance,
+    /// Whether it may lead for long: it does not leave, nor is its zone drained.
+    stays: bool,
     /// When it was first missing from the catalog.
     vanished: Option<Instant>,
     /// When it was first seen to have started again.
@@ -36,7 +38,7 @@
 
 impl Known {
     /// What is known once `instance` is told at `now`.
-    fn following(before: Option<&Self>, instance: &Instance, now: Instant) -> Self {
+    fn following(before: Option<&Self>, instance: &Instance, stays: bool, now: Instant) -> Self {
         let has_started_again = before.is_some_and(|before| {
             has_started_again(before.instance.incarnation, instance.incarnation)
         });
@@ -44,7 +46,7 @@
             true => Some(now),
             false => before.and_then(|before| before.started_again),
         };
-        Self { instance: instance.clone(), vanished: None, started_again }
+        Self { instance: instance.clone(), stays, vanished: None, started_again }
     }
 
     fn is_refilling(&self, now: Instant) -> bool {
@@ -77,7 +79,8 @@
         let led = groups.filter(|(_, group)| group.elector == Elector::Proxy);
         for (name, group) in led {
             let known = self.groups.entry(name.clone());
-            known.or_insert_with(|| KnownGroup::watched_from(now)).follow(group, now);
+            let known = known.or_insert_with(|| KnownGroup::watched_from(now));
+            known.follow(group, catalog, now);
         }
         self.groups.retain(|name, _| catalog.groups.contains_key(name));
         let unsettled = self.groups.iter().filter(|(_, group)| group.is_unsettled(now));
@@ -98,9 +101,9 @@
 
     /// What is known of some groups.
     pub fn part<'a>(&self, groups: impl IntoIterator<Item = &'a GroupName>) -> Self {
-        let known = groups.into_iter().filter_map(|name| {
-            Some((name.clone(), self.groups.get(name)?.clone()))
-        });
+        let known = groups
+            .into_iter()
+            .filter_map(|name| Some((name.clone(), self.groups.get(name)?.clone())));
         Self { groups: known.collect(), unsettled: BTreeSet::new() }
     }
 
@@ -121,7 +124,7 @@
         };
         let member = |known: &Known| Member {
             name: known.instance.name.clone(),
-            leaving: known.instance.leaving,
+            leaving: !known.stays,
             leads: known.instance.announced_role == Some(Role::Primary),
             shares_address: shares_address(known),
             incarnation: known.instance.incarnation,
@@ -153,10 +156,11 @@
         Self { synchronous: 0, watched_since: now, looked: now, instances: HashMap::new() }
     }
 
-    fn follow(&mut self, group: &Group, now: Instant) {
+    fn follow(&mut self, group: &Group, catalog: &IndexedCatalog, now: Instant) {
         self.synchronous = group.synchronous_replicas;
         for instance in &group.instances {
-            let known = Known::following(self.instances.get(&instance.name), instance, now);
+            let before = self.instances.get(&instance.name);
+            let known = Known::following(before, instance, catalog.takes_work(instance), now);
             self.instances.insert(instance.name.clone(), known);
         }
         let taken_over = |known: &Known| {
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -8,7 +8,7 @@
 pub struct Member {
     /// The instance.
     pub name: InstanceName,
-    /// Whether it is being taken out of use.
+    /// Whether it is being taken out of use, or its zone is.
     pub leaving: bool,
     /// Whether it says that it is the primary.
     pub leads: bool,
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::{CoordinationView, NodeVotes, Reason};
-use crate::catalog::{Elector, Group, IndexedCatalog};
+use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::suspicion::Votes;
 
@@ -90,7 +90,7 @@
         self.unsettled.clear();
         for (name, group) in led {
             let history = self.groups.entry(name.clone()).or_default();
-            match group.leader(None).filter(|primary| !primary.leaving) {
+            match group.leader(None).filter(|primary| !is_to_go(primary, group, catalog)) {
                 Some(primary) if history.third_since.is_none() => {
                     history.primary = Some(primary.name.clone());
                     history.missing_since = None;
@@ -139,6 +139,13 @@
     }
 }
 
+/// Whether a primary is to be replaced as planned: it is leaving, or its zone is drained and an instance
+/// elsewhere can lead.
+fn is_to_go(primary: &Instance, group: &Group, catalog: &IndexedCatalog) -> bool {
+    let may_lead = |instance: &Instance| catalog.takes_work(instance);
+    primary.leaving || (!may_lead(primary) && group.instances.iter().any(may_lead))
+}
+
 fn need_of(
     name: &GroupName,
     group: &Group,
@@ -179,7 +186,7 @@
     };
     history.primary = Some(primary.name.clone());
     history.missing_since = None;
-    if primary.leaving {
+    if is_to_go(primary, group, evidence.catalog) {
         return need(Reason::Leaving, Some(primary.name.clone()));
     }
     let votes = votes_against(name, group, &primary.name, history, evidence);
--- a/crates/core/tests/catalog/strategies.rs
+++ b/crates/core/tests/catalog/strategies.rs
@@ -5,7 +5,7 @@
 
 use kestrellock_core::catalog::{
     Account, Catalog, Elector, Group, Instance, Milliseconds, Operations, Priority, Quota,
-    Revision, Template, Tenant,
+    Revision, Template, Tenant, Zone,
 };
 use kestrellock_core::confirmation::ConfirmationRule;
 use kestrellock_core::credential::CredentialDigest;
@@ -107,12 +107,15 @@
         templates in btree_map(name(), template(), 0..4),
         tenants in btree_map(name(), tenant(), 0..4),
         accounts in btree_map(name(), account(), 0..4),
+        zones in btree_map(name(), any::<bool>(), 0..4),
     ) -> Catalog {
         let groups: BTreeMap<_, _> =
             groups.into_iter().map(|(name, value)| (GroupName::new(name), value)).collect();
         let templates = templates.into_iter();
         let tenants = tenants.into_iter();
+        let zones = zones.into_iter();
         Catalog {
+            zones: zones.map(|(name, drained)| (ZoneName::new(name), Zone { drained })).collect(),
             accounts: accounts.into_iter().map(|(name, value)| (AccountName::new(name), value)).collect(),
             revision: Revision(revision),
             groups,
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -32,6 +32,7 @@
     Nodes(NodesArguments),
     Groups(GroupsArguments),
     Config(ConfigArguments),
+    Zone(ZoneArguments),
     Group(GroupArguments),
     Template(TemplateArguments),
     Tenant(TenantArguments),
@@ -79,6 +80,15 @@
 #[argh(subcommand, name = "status")]
 pub struct ConfigStatusArguments {}
 
+/// failure zones, such as those that are drained
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "zone")]
+pub struct ZoneArguments {
+    /// what to do with them
+    #[argh(subcommand)]
+    pub command: EntryCommand,
+}
+
 /// database groups
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "group")]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -42,6 +42,7 @@
             ConfigCommand::Status(_) => nodes::status(&client()?, output),
             ConfigCommand::Apply(apply) => apply::all(&client()?, &apply, output),
         },
+        Command::Zone(zone) => entry(&client()?, EntryKind::Zone, zone.command, output),
         Command::Group(group) => entry(&client()?, EntryKind::Group, group.command, output),
         Command::Template(template) => {
             entry(&client()?, EntryKind::Template, template.command, output)
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -99,6 +99,9 @@
     /// How soon credentials that are taken away must be out of use on every node, also on one that nothing
     /// reaches; without a limit they are as soon as the configuration arrives.
     pub revocation_limit: Option<RevocationLimit>,
+    /// Time after the word of operators to drain a zone at which nothing may reach instances there any more;
+    /// without a limit, open transactions go on until they end.
+    pub zone_drain_limit: Option<Duration>,
     /// When the configuration was last known to be the newest.
     pub confirmations: Confirmations,
     /// How much accounts may still ask.
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::{Elector, Group};
+use kestrellock_core::catalog::{Elector, Group, IndexedCatalog};
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, NodeName};
 use kestrellock_core::routing::{Access, Candidate, Choice, choose};
 use kestrellock_peer::message::{GatewayCall, SUBSCRIPTION_LIFETIME, ToGateway};
@@ -32,7 +32,7 @@
     let catalog = io.context.catalog.load();
     let configured = catalog.groups.get(group)?;
     match configured.elector {
-        Elector::Group => find_by_status(group, configured, access, io),
+        Elector::Group => find_by_status(group, configured, &catalog, access, io),
         Elector::Proxy => {
             let gateway = io.context.owner_for_group(group, account, io.now)?;
             Some(Target { instance: None, gateway })
@@ -43,6 +43,7 @@
 fn find_by_status(
     group: &GroupName,
     configured: &Group,
+    catalog: &IndexedCatalog,
     access: &Access,
     io: &Io,
 ) -> Option<Target> {
@@ -52,7 +53,7 @@
     let statuses = &statuses.instances;
     let candidates: Vec<Candidate> = instances
         .iter()
-        .filter(|instance| !instance.leaving)
+        .filter(|instance| catalog.takes_work(instance))
         .filter_map(|instance| {
             let known = statuses.get(&instance.name)?;
             let age = io.now.saturating_duration_since(known.received);
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -40,12 +40,20 @@
             return;
         }
         if let Some(&key) = self.leases.get(&exchange.lease) {
+            if self.has_drained(&self.servers[key].instance, io) {
+                // What it began is rolled back with the connection.
+                self.servers[key].refuse_unsent(&exchange, Fault::Superseded, io);
+                return self.on_server_lost(key, Fault::Superseded, io);
+            }
             if let Some(pool) = self.pool_of(key) {
                 pool.on_resumed(key, io.now);
             }
             self.run_on(key, &exchange, io);
             return;
         }
+        if self.tell_drained(&exchange, io) {
+            return;
+        }
         if exchange.number > 0 {
             refuse(
                 &exchange,
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -55,6 +55,7 @@
 
     /// Nobody waits for what the lease has under way.
     pub fn on_abandon(&mut self, lease: &LeaseId, io: &mut Io) {
+        self.zone_drains.take_ended(lease);
         for state in self.groups.values_mut() {
             state.pools.values_mut().for_each(|pool| pool.forget(lease));
             state.confirmations.forget(lease);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod server_events;
 pub mod standings;
 mod succession;
+mod zone_drains;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -45,6 +46,7 @@
 use self::server::Server;
 use self::standings::Standings;
 use self::succession::Succession;
+use self::zone_drains::ZoneDrains;
 
 /// What one group needs on this shard.
 #[derive(Debug)]
@@ -68,6 +70,7 @@
     /// Leases whose fronts were told that they have not run, and since when.
     ruled_out: HashMap<LeaseId, Instant>,
     followed: Option<Arc<OwnershipSnapshot>>,
+    zone_drains: ZoneDrains,
     /// When another node's front last sent an exchange.
     last_forwarded: Option<Instant>,
 }
@@ -171,6 +174,7 @@
     pub fn on_tick(&mut self, io: &mut Io) {
         self.follow_ownership(io);
         self.follow_successions(io);
+        self.end_drained_transactions(io);
         self.give_up_overdue(io);
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
--- a/crates/daemon/src/gateway/ownership.rs
+++ b/crates/daemon/src/gateway/ownership.rs
@@ -47,6 +47,7 @@
             let group = snapshot.catalog().groups.get(name);
             state.release_removed(group, io);
         }
+        self.zone_drains.follow(snapshot.catalog(), io.now);
         self.followed = Some(snapshot);
     }
 
@@ -78,12 +79,12 @@
         state.monitor.set_standby(!owns);
     }
 
-    /// The owner of an instance, as far as this gateway knows; `None` if the instance is leaving,
-    /// because no gateway gives it new work.
+    /// The owner of an instance, as far as this gateway knows; `None` if no gateway gives the
+    /// instance new work.
     pub(super) fn owner_of_instance(&self, instance: &InstanceName) -> Option<NodeName> {
         let snapshot = self.followed.as_ref()?;
         let (_, configured) = snapshot.catalog().instance(instance)?;
-        if configured.leaving {
+        if !snapshot.catalog().takes_work(configured) {
             return None;
         }
         snapshot.get(instance).map(|ownership| ownership.owner.clone())
@@ -128,13 +129,15 @@
             .pools
             .entry(instance.name.clone())
             .or_insert_with(|| Pool::new(group, instance, role, share));
+        let takes_work = snapshot.catalog().takes_work(instance);
         pool.configure(group, instance, share);
+        pool.set_leaving(!takes_work);
         if pool.role() != role {
             log::info!("{}: {:?} becomes {role:?}", instance.name, pool.role());
         }
         pool.set_role(role, io.now);
         if !pool.accepts(io.now) {
-            let owner = snapshot.get(&instance.name).filter(|_| !instance.leaving);
+            let owner = snapshot.get(&instance.name).filter(|_| takes_work);
             let owner = owner.map(|ownership| ownership.owner.clone());
             for exchange in pool.drain_queue() {
                 refer(&exchange, owner.clone(), io);
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -14,7 +14,7 @@
 
 use super::placing::{self, Found, StatementNeeds};
 use super::pool::{Pool, PoolRole};
-use super::{Gateway, notify, ownership};
+use super::{Gateway, notify, ownership, zone_drains};
 use crate::event::Io;
 
 /// An exchange that was never sent puts nothing at stake.
@@ -143,6 +143,9 @@
         if !state.pools.values().any(|pool| pool.role() == PoolRole::Owner) {
             return ownership::refer(&exchange, None, io);
         }
+        if self.is_drained_out(group, io) {
+            return zone_drains::refuse_drained_out(&exchange, io);
+        }
         let held = Held::new(exchange, need, io);
         self.try_placing(name, group, held, io);
     }
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::{Group, Instance};
+use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::position::Position;
 use kestrellock_core::reader_choice::{self, Reader};
@@ -49,6 +49,7 @@
     needs: StatementNeeds,
     io: &Io,
 ) -> Found {
+    let catalog = io.context.catalog.load();
     let board = io.context.statuses.group(group);
     let known = board.read().expect("a holder of the status lock panicked");
     let primary = io.context.leader(group, configured);
@@ -79,7 +80,7 @@
             let primary = primary.map(|primary| &primary.name);
             let qualifies =
                 Qualifies { primary: primary.filter(|_| at_primary), replicas: covering.is_some() };
-            choose_reader(configured, &known, bound, qualifies, needs, io)
+            choose_reader(configured, &catalog, &known, bound, qualifies, needs, io)
         }
         Access::PrimaryRead { .. } | Access::Write { .. } => {
             // While the primary is being replaced nothing new goes to it.
@@ -88,6 +89,10 @@
             if former.is_some_and(|former| former == primary.map(|primary| &primary.name)) {
                 return Found::Nowhere;
             }
+            // Its successor stands in another zone, and leads before long.
+            if primary.is_some_and(|primary| catalog.drained_zones().contains(&primary.zone)) {
+                return Found::Nowhere;
+            }
             let is_outdated =
                 |primary: &Instance| known.evidence.is_outdated(known.led_by(&primary.name));
             if primary.is_some_and(is_outdated) {
@@ -121,6 +126,7 @@
 
 fn choose_reader<'a>(
     configured: &'a Group,
+    catalog: &IndexedCatalog,
     known: &GroupStatuses,
     position: &Option<Position>,
     qualifies: Qualifies<'_>,
@@ -134,7 +140,8 @@
             false => qualifies.replicas && is_replica,
         };
         let is_there = !io.context.occupants.is_displaced(configured, instance);
-        qualifies && is_there && !instance.leaving && needs.passed_over != Some(&instance.name)
+        let takes_work = catalog.takes_work(instance);
+        qualifies && is_there && takes_work && needs.passed_over != Some(&instance.name)
     };
     let queued = |name| needs.pools.get(name).map_or(0, |pool| pool.waiting() as u32);
     let readers: Vec<Reader> = configured
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -113,7 +113,7 @@
     /// When another node succeeded this one as the owner.
     handed_over: Option<Instant>,
     slots: u32,
-    /// Whether the instance is being taken out of use.
+    /// Whether the instance is being taken out of use, or its zone is.
     leaving: bool,
     scheduler: Scheduler<Queued>,
     concurrency: ConcurrencyLimit,
@@ -175,6 +175,11 @@
         self.share = share;
     }
 
+    /// Says whether the instance gets no new work: it is being taken out of use, or its zone is.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
     /// Changes what this node is to the instance.
     pub fn set_role(&mut self, role: PoolRole, now: Instant) {
         if self.role == PoolRole::Owner && role != PoolRole::Owner {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -310,6 +310,11 @@
         notify(&exchange.lease, self.next_sequence, event, io);
     }
 
+    /// Number of the next message to the front of the lease.
+    pub fn next_sequence(&self) -> u32 {
+        self.next_sequence
+    }
+
     /// Asks the instance for its position.
     pub fn ask_position(&mut self, number: ProbeNumber) {
         self.protocol.put_position_query(&mut self.connection.output);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -189,7 +189,8 @@
         let store: Arc<dyn ConfigStore> = Arc::new(CountedStore::new(store, context.clone()));
         let in_store = || Box::new(WatchedCatalog::new(store.clone())) as Box<dyn CatalogSource>;
         let catalog = catalog.unwrap_or_else(in_store);
-        let configuration = Configuration::new(context.clone(), mailboxes.clone(), machines.is_some());
+        let configuration =
+            Configuration::new(context.clone(), mailboxes.clone(), machines.is_some());
         let configuration = Arc::new(configuration);
         let pages = Admin {
             context: context.clone(),
@@ -281,6 +282,7 @@
         configuration: Inbox::default(),
         revisions: Revisions::default(),
         revocation_limit: settings.revocation_limit.map(RevocationLimit::new),
+        zone_drain_limit: settings.zone_drain_limit,
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         ordinary_lines: OrdinaryLines::new(settings.ordinary_lines_per_second),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -114,6 +114,9 @@
     /// Time after which a credential that was taken away must be out of use on every node, also on one that
     /// nothing reaches; `None`: as soon as a node hears of it.
     pub revocation_limit: Option<Duration>,
+    /// Time after which nothing may reach the instances of a zone that operators drain; `None`: transactions
+    /// that are open there go on until they end.
+    pub zone_drain_limit: Option<Duration>,
     /// Time that a planned stop gives to statements and transactions under way.
     pub drain_limit: Duration,
     /// Time within that in which callers still come, because whoever sends them has not heard yet.
@@ -153,6 +156,7 @@
             shards: 1,
             link_mbps: None,
             revocation_limit: None,
+            zone_drain_limit: None,
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
@@ -183,6 +187,7 @@
             ("promotion_endpoint", self.promotion_endpoint != other.promotion_endpoint),
             ("shards", self.shards != other.shards),
             ("revocation_limit_ms", self.revocation_limit != other.revocation_limit),
+            ("zone_drain_limit_ms", self.zone_drain_limit != other.zone_drain_limit),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
--- a/crates/daemon/src/settings/validate.rs
+++ b/crates/daemon/src/settings/validate.rs
@@ -16,6 +16,9 @@
 /// From the least within which calls to a store and other nodes can confirm it to what is no limit any more.
 const REVOCATION_LIMIT: RangeInclusive<Duration> =
     Duration::from_secs(1)..=Duration::from_secs(600);
+/// From a second, in which the word of a drain reaches every node, to what is no limit any more.
+const ZONE_DRAIN_LIMIT: RangeInclusive<Duration> =
+    Duration::from_secs(1)..=Duration::from_secs(600);
 /// Two keys are accepted while one is replaced by the other.
 const MAX_CLUSTER_KEYS: usize = 2;
 
@@ -61,6 +64,7 @@
     check_store(settings)?;
     check_drain(settings)?;
     check_revocation(settings)?;
+    check_zone_drain(settings)?;
     check_secrets(settings)
 }
 
@@ -84,6 +88,16 @@
     Ok(())
 }
 
+fn check_zone_drain(settings: &Settings) -> Result<(), SettingsError> {
+    match settings.zone_drain_limit {
+        Some(limit) if !ZONE_DRAIN_LIMIT.contains(&limit) => Err(SettingsError::invalid(
+            "zone_drain_limit_ms",
+            "must be 1000 to 600000: the word of a drain takes up to a second to reach a node",
+        )),
+        _ => Ok(()),
+    }
+}
+
 fn check_name(field: &str, name: &str) -> Result<(), SettingsError> {
     match is_name(name) {
         true => Ok(()),
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -56,6 +56,8 @@
     pub relayed: bool,
     /// Time after which a key that was taken away must be out of use on every node.
     pub revocation_limit: Option<Duration>,
+    /// Time after which nothing may reach the instances of a zone that is drained.
+    pub zone_drain_limit: Option<Duration>,
 }
 
 /// A customer of the platform.
@@ -80,6 +82,7 @@
             configured: true,
             relayed: false,
             revocation_limit: None,
+            zone_drain_limit: None,
         }
     }
 }
@@ -279,6 +282,7 @@
             drain_limit: Duration::from_secs(3),
             drain_transactions: Some(Duration::from_millis(1_500)),
             revocation_limit: self.options.revocation_limit,
+            zone_drain_limit: self.options.zone_drain_limit,
             ..Settings::loopback(NodeName::new(format!("node-{number}")), zone)
         }
     }
--- a/crates/store/src/catalog.rs
+++ b/crates/store/src/catalog.rs
@@ -67,6 +67,7 @@
 /// The bytes stored for an entry's version.
 pub fn encode(authorship: &Authorship, value: &EntryValue) -> Result<Vec<u8>, serde_json::Error> {
     let value = match value {
+        EntryValue::Zone(zone) => serde_json::to_value(zone)?,
         EntryValue::Group(group) => serde_json::to_value(group)?,
         EntryValue::Template(template) => serde_json::to_value(template)?,
         EntryValue::Tenant(tenant) => serde_json::to_value(tenant)?,
@@ -103,6 +104,7 @@
         (Authorship::default(), whole)
     };
     let value = match kind {
+        EntryKind::Zone => serde_json::from_value(value).map(EntryValue::Zone),
         EntryKind::Group => serde_json::from_value(value).map(EntryValue::Group),
         EntryKind::Template => serde_json::from_value(value).map(EntryValue::Template),
         EntryKind::Tenant => serde_json::from_value(value).map(EntryValue::Tenant),
