--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -208,8 +208,10 @@
         let listed = self.context.listed_names();
         let id = running.attempt.id();
         let given_up = &self.context.given_up;
-        // This node's own list may be seconds old, and lack nodes that have entered themselves since.
-        if !listed.is_empty()
+        // This node's own list may be seconds old, and lack nodes that have entered themselves since; the
+        // store's was read anew when the intent was recorded.
+        if running.attempt.phase() != Phase::Recording
+            && !listed.is_empty()
             && given_up.by_all(group, id, &listed)
             && given_up.by_all(group, id, &self.coordination.view().nodes)
         {
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -339,6 +339,23 @@
                 configured && listed && context.live.load().len() >= count
             })
         })
+        .map_err(|error| miette!("{error}: {}", self.describe_nodes()))
+    }
+
+    /// What each node knows of the configuration and of the others.
+    fn describe_nodes(&self) -> String {
+        let nodes = self.nodes().map(|node| {
+            let context = &node.context;
+            format!(
+                "{} has revision {}, {} tenants, {} listed nodes, {} live ones",
+                context.identity.node,
+                context.catalog.load().revision.0,
+                context.catalog.load().tenants.len(),
+                context.listed_nodes.load().len(),
+                context.live.load().len()
+            )
+        });
+        nodes.collect::<Vec<_>>().join("; ")
     }
 }
 
