--- a/crates/daemon/src/agent/machines.rs
+++ b/crates/daemon/src/agent/machines.rs
@@ -64,8 +64,8 @@
 
 fn interval_after(looks: u32) -> Duration {
     match looks {
-        0..=FIRST_LOOKS => FIRST_INTERVAL,
-        0..=EARLY_LOOKS => EARLY_INTERVAL,
+        _ if looks <= FIRST_LOOKS => FIRST_INTERVAL,
+        _ if looks <= EARLY_LOOKS => EARLY_INTERVAL,
         _ => INTERVAL,
     }
 }
