A leaving instance whose entry has gone is waited for until it refuses connections

Its entry went since it could not renew it; the attempt dropped it at once, although the two went on to answer commits 2.544 and 2.545 and more, and promoted a replica at 2.543. Such an instance now counts for as long as any that vanished (10 s), unless it refuses connections: then it has ended, and its log with it. Tests: an attempt waits for it and goes on once it refuses; it is a member for 10 s (both fail on the code before).

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -29,6 +29,9 @@
     phase: Phase,
     /// Members at whose addresses other instances answer.
     displaced: BTreeSet<InstanceName>,
+    /// Members that were leaving, whose entries have gone, and that refuse connections: they have ended, and
+    /// what they held with them.
+    ended: BTreeSet<InstanceName>,
     /// Others that said, after a promotion was sent, that they lead a term at least as high as replicas are
     /// stopped with: the platform has promoted them.
     promoted: BTreeSet<InstanceName>,
@@ -106,6 +109,7 @@
             others_stopped,
             members,
             displaced: BTreeSet::new(),
+            ended: BTreeSet::new(),
             promoted: BTreeSet::new(),
             returned: BTreeSet::new(),
             timing,
@@ -263,8 +267,10 @@
     /// The replicas that may run. One at whose address another member answers has ended: what it held is
     /// gone, or is held by that one.
     fn replicas(&self) -> Vec<Member> {
-        let has_ended =
-            |member: &Member| member.shares_address && self.displaced.contains(&member.name);
+        let has_ended = |member: &Member| {
+            let is_displaced = member.shares_address && self.displaced.contains(&member.name);
+            is_displaced || self.ended.contains(&member.name)
+        };
         let replicas = self.members.replicas(self.former());
         replicas.filter(|member| !has_ended(member)).cloned().collect()
     }
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -29,6 +29,7 @@
                 let leading = leading(&members, self.former());
                 self.outdated.retain(|name| leading.contains(name));
                 self.forget_ended_processes(&members, now);
+                self.ended.retain(|name| members.get(name).is_some_and(|member| member.has_left));
                 self.members = members;
             }
             Event::Released(instance) => {
@@ -82,6 +83,9 @@
         if self.former() == Some(&instance) {
             self.former_refused = Some(sent);
         }
+        if self.members.get(&instance).is_some_and(|member| member.has_left) {
+            self.ended.insert(instance.clone());
+        }
         // A replica that does not run has forgotten that it was stopped when it returns.
         if matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. }) {
             self.released.insert(instance);
--- a/crates/core/src/promotion/known.rs
+++ b/crates/core/src/promotion/known.rs
@@ -1,7 +1,8 @@
 //! The instances of each group, those among them that vanished a moment ago.
 //!
 //! An instance that can no longer tell the platform that it is there may still run, and hold the
-//! only copy of an answered commit. It counts for a while, unless it said before that it leaves.
+//! only copy of an answered commit. It counts for a while; one that said before that it leaves counts until it
+//! refuses connections, since then it has ended.
 //!
 //! A catalog is followed once, when it comes. What changes with time alone is looked at for the few groups
 //! in which something vanished or started again: a look at all instances of 1,000 groups, twenty times a
@@ -17,7 +18,7 @@
 use crate::incarnation::has_started_again;
 use crate::routing::Role;
 
-/// How long an instance counts that vanished without saying that it leaves.
+/// How long an instance counts that vanished.
 const VANISHED_FOR: Duration = Duration::from_secs(10);
 
 /// How long an instance that has started again may lack what it held before. Answered commits that it held
@@ -125,6 +126,7 @@
         let member = |known: &Known| Member {
             name: known.instance.name.clone(),
             leaving: !known.stays,
+            has_left: known.instance.leaving && known.vanished.is_some(),
             leads: known.instance.announced_role == Some(Role::Primary),
             shares_address: shares_address(known),
             incarnation: known.instance.incarnation,
@@ -169,9 +171,7 @@
             };
             group.instances.iter().any(same)
         };
-        self.instances.retain(|name, known| {
-            group.instance(name).is_some() || !(known.instance.leaving || taken_over(known))
-        });
+        self.instances.retain(|name, known| group.instance(name).is_some() || !taken_over(known));
         for (name, known) in &mut self.instances {
             if group.instance(name).is_none() {
                 known.vanished.get_or_insert(now);
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -10,6 +10,9 @@
     pub name: InstanceName,
     /// Whether it is being taken out of use, or its zone is.
     pub leaving: bool,
+    /// Whether it was leaving when its entry went: it has ended, or it is cut off from the store and goes on,
+    /// receives commits and lets the primary answer them.
+    pub has_left: bool,
     /// Whether it says that it is the primary.
     pub leads: bool,
     /// Whether another member is told at its address: one of the two has ended.
--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -177,3 +177,22 @@
     let again = start + Duration::from_millis(1_800);
     assert_eq!(judge(&mut judged, &roles, (2, 6), again), None, "it begins anew");
 }
+
+/// The same: a leaving instance counts for a while after its entry has gone.
+#[test]
+fn a_leaving_instance_whose_entry_has_gone_counts_as_one_that_may_run() {
+    let start = Instant::now();
+    let mut leaving = catalog(&[PRIMARY, REPLICA]);
+    let mut known = KnownInstances::default();
+    let group = GroupName::new(GROUP);
+    let mut changed = kestrellock_core::catalog::Catalog::clone(&leaving);
+    changed.groups.get_mut(&group).expect("the group").instances[1].leaving = true;
+    leaving = IndexedCatalog::new(changed);
+    known.follow(&leaving, start);
+    known.follow(&catalog(&[PRIMARY]), start + Duration::from_secs(1));
+    let members = known.members(&group);
+    let member = members.get(&InstanceName::new("b")).expect("it may run");
+    assert!(member.has_left);
+    known.pass_time(start + Duration::from_secs(12));
+    assert!(known.members(&group).get(&InstanceName::new("b")).is_none(), "it is long gone");
+}
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion.rs
@@ -22,6 +22,7 @@
     let member = |text: &&str| Member {
         name: name(text),
         leaving: false,
+        has_left: false,
         leads: leading.contains(text),
         shares_address: false,
         incarnation: None,
@@ -203,6 +204,7 @@
     all.all.push(Member {
         name: name("d"),
         leaving: false,
+        has_left: false,
         leads: true,
         shares_address: true,
         incarnation: None,
@@ -451,3 +453,20 @@
     let commands = attempt.step(now);
     assert!(commands.contains(&Command::Install(name("b"))), "{commands:?}");
 }
+
+/// What happened: a zone was cut off with the primary and a replica in it that was leaving. The replica's entry
+/// went since it could not renew it; the attempt dropped it, although the two went on to answer commits, and
+/// promoted one of the others, which lacked 14 of them.
+#[test]
+fn a_leaving_replica_whose_entry_has_gone_is_waited_for_until_it_refuses_connections() {
+    let mut now = Instant::now();
+    let mut all = members(&["a"]);
+    for member in all.all.iter_mut().filter(|member| member.name == name("c")) {
+        (member.leaving, member.has_left) = (true, true);
+    }
+    let mut attempt = attempt(Reason::Missing, all);
+    begin(&mut attempt, now);
+    assert_eq!(promotes(&mut attempt, &mut now, &[("b", 10)]), None, "it may hold more");
+    attempt.on_event(Event::Refused { instance: name("c"), sent: now }, now);
+    assert_eq!(promotes(&mut attempt, &mut now, &[("b", 10)]), Some(name("b")), "it has ended");
+}
