Whoever ends a replacement takes in at once that it is over

Cause: copies of the store gather changes for 4 ms times the nodes, half a second at the most; needs of before the end were passed over for 200 ms.

--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -1,9 +1,13 @@
 //! The copy of the platform's store: which changes wake it, and what it shows when it goes back to
 //! following everything.
 
+use kestrellock_core::ids::{GroupName, NodeName};
+use kestrellock_core::promotion::{Intent, Reason, ReplacementId};
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
+use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, Item, KeyStore, Mirror, MirrorView, Scope};
 use kestrellock_platform::standin::entries::CONFIGURATION_KEY;
+use kestrellock_store::coordination::Coordination;
 
 const NODE: &str = "kestrellock/nodes/one";
 const OTHER_NODE: &str = "kestrellock/nodes/two";
@@ -111,3 +115,25 @@
     assert_eq!(names(&whole), [NODE, CONFIGURATION_KEY]);
     assert_eq!(whole.whole_revision, whole.revision);
 }
+
+/// What happened: on 77 nodes copies of the store gathered changes for 308 ms; whoever had ended a replacement saw
+/// its intent for longer than it passed over old needs, and began it again as one that was left unfinished.
+#[test]
+fn whoever_ends_a_replacement_does_not_see_its_intent_any_more() {
+    let (store, mirror) = start();
+    store.put(NODE, b"1");
+    advance(&mirror);
+    let mirror = std::sync::Arc::new(mirror);
+    let client = KeyStore::new(&store.endpoint());
+    let coordination = StoreCoordination::new(client, mirror.clone(), Default::default());
+    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
+    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
+    let id = ReplacementId { fence: hold.fence, attempt: 1 };
+    let reason = Reason::Suspected;
+    let intent = Intent { holder: node, id, reason, former: None, called_off: false };
+    assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
+    mirror.catch_up().expect("an answer");
+    assert!(coordination.view().intents.contains_key(&group));
+    assert!(coordination.finish(&hold, &group, None).expect("an answer"));
+    assert!(coordination.view().intents.is_empty(), "it is over");
+}
