--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -294,11 +294,22 @@
             let exposed = network.expose(&node_relay(number), settings.peer_address)?;
             settings.advertised_peer_address = Some(exposed);
         }
-        let environment = Environment::of_platform(&settings)?;
-        let node = Node::start_on(&settings, listeners, environment, Policy::Standard);
+        let node = start_node(&settings, listeners)?;
         self.callers.push(settings.caller_address);
         self.admins.push(settings.admin_address);
-        self.nodes.push(Some(node.map_err(io::Error::other)?));
+        self.nodes.push(Some(node));
+        Ok(())
+    }
+
+    /// Starts a node again under its name, at other ports. Not for nodes behind relays.
+    pub fn start_node_again(&mut self, number: usize) -> miette::Result<()> {
+        let mut settings = self.settings(number);
+        let listeners =
+            Listeners::bind(&mut settings).map_err(io::Error::other).into_diagnostic()?;
+        let node = start_node(&settings, listeners).into_diagnostic()?;
+        self.callers[number] = settings.caller_address;
+        self.admins[number] = settings.admin_address;
+        self.nodes[number] = Some(node);
         Ok(())
     }
 
@@ -359,6 +370,12 @@
     }
 }
 
+fn start_node(settings: &Settings, listeners: Listeners) -> io::Result<Node> {
+    let environment = Environment::of_platform(settings)?;
+    let node = Node::start_on(settings, listeners, environment, Policy::Standard);
+    node.map_err(io::Error::other)
+}
+
 impl Drop for Platform {
     fn drop(&mut self) {
         for node in self.nodes.iter_mut().filter_map(Option::take) {
