--- a/crates/core/tests/spreading.rs
+++ b/crates/core/tests/spreading.rs
@@ -11,7 +11,7 @@
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::spreading::{
     POLL_INTERVAL, Puller, QUEUE_LIMIT, REQUEST_LIMIT, TransferQueue, Turn, View, audience,
-    followers, is_follower, watch_pause,
+    followers, is_follower, own_turn, watch_pause,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -337,3 +337,17 @@
         prop_assert_eq!(old.with(delta), Ok(new));
     }
 }
+
+/// Nodes that no peer has brought a configuration read the store one after the other.
+#[test]
+fn turns_at_the_store_spread_with_the_number_of_nodes() {
+    for nodes in [6_usize, 985] {
+        let turns: Vec<Duration> = (0..nodes)
+            .map(|number| own_turn(&NodeName::new(format!("node-{number}")), nodes))
+            .collect();
+        let last = turns.iter().max().expect("some nodes");
+        assert!(*last < Duration::from_millis(12 * nodes as u64), "{last:?} for {nodes}");
+        let distinct: std::collections::BTreeSet<&Duration> = turns.iter().collect();
+        assert!(distinct.len() * 2 > nodes, "{} turns for {nodes} nodes", distinct.len());
+    }
+}
--- a/crates/daemon/src/agent/configuration/role.rs
+++ b/crates/daemon/src/agent/configuration/role.rs
@@ -4,9 +4,12 @@
 //! together would take itself for a follower, and would read all that the store holds. So the machine list
 //! counts as well while the node is young.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use kestrellock_core::catalog::Revision;
 use kestrellock_core::connection_shares::knows_most;
+use kestrellock_core::ids::NodeName;
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::spreading::{is_follower, own_turn};
 
@@ -64,7 +67,8 @@
     /// so one after the other, so that the store is not asked by all of them at once.
     fn has_waited_in_vain(&self, nodes: usize) -> bool {
         let turn = own_turn(&self.context.identity.node, nodes);
-        self.revision() == Default::default() && self.started.elapsed() >= PEERS_FIRST + turn
+        let has_none = self.revision() == Revision::default();
+        has_none && self.started.elapsed() >= PEERS_FIRST + turn
     }
 }
 
@@ -73,8 +77,7 @@
     mut live: Vec<Candidate>,
     listed: impl Iterator<Item = &'a Candidate>,
 ) -> Vec<Candidate> {
-    let known: std::collections::HashSet<_> =
-        live.iter().map(|candidate| candidate.node.clone()).collect();
+    let known: HashSet<NodeName> = live.iter().map(|candidate| candidate.node.clone()).collect();
     live.extend(listed.filter(|candidate| !known.contains(&candidate.node)).cloned());
     live
 }
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -170,6 +170,7 @@
         if is_calm { CALM_STEP } else { STEP }
     }
 
+    /// Takes in the catalog if it is another one than before; otherwise only time has passed.
     fn follow_catalog(&mut self, catalog: &Arc<IndexedCatalog>, now: Instant) {
         if Arc::ptr_eq(catalog, &self.followed) {
             self.known.pass_time(now);
