--- a/crates/core/src/group_owners.rs
+++ b/crates/core/src/group_owners.rs
@@ -28,17 +28,6 @@
     xxh3_64(name.as_bytes())
 }
 
-/// The `count` nodes of `candidates` that own `group`; all of them if they are fewer.
-pub fn owners<'a>(
-    group: &'a GroupName,
-    candidates: impl IntoIterator<Item = &'a Candidate>,
-    count: usize,
-) -> Vec<Candidate> {
-    let mut table = GroupOwnerTable::default();
-    table.update(candidates, [(group, count)]);
-    table.owners_of(group).to_vec()
-}
-
 /// A node that may own groups.
 #[derive(Clone, Debug)]
 struct Node {
@@ -137,9 +126,13 @@
         Some(self.groups.get(group)?.count)
     }
 
-    /// The groups and their owners.
-    pub fn iter(&self) -> impl Iterator<Item = (&GroupName, &[Candidate])> {
-        self.groups.iter().map(|(group, places)| (group, places.owners.as_slice()))
+    /// The groups that `node` owns, each with all its owners.
+    pub fn owned_by<'a>(
+        &'a self,
+        node: &'a NodeName,
+    ) -> impl Iterator<Item = (&'a GroupName, &'a [Candidate])> {
+        let groups = self.groups.iter().map(|(group, places)| (group, places.owners.as_slice()));
+        groups.filter(|(_, owners)| owners.iter().any(|owner| owner.node == *node))
     }
 
     /// How many weights have been computed so far.
--- a/crates/core/src/promotion/known.rs
+++ b/crates/core/src/promotion/known.rs
@@ -144,7 +144,7 @@
         let Some(known) = self.groups.get(group) else { return false };
         let mut instances = known.instances.values();
         let tells_starts = instances.any(|one| one.instance.incarnation.is_some());
-        !tells_starts || now.saturating_duration_since(known.watched_since) >= REFILLS_FOR
+        !tells_starts || !known.is_young(now)
     }
 
     /// Where an instance listens.
@@ -192,14 +192,18 @@
     /// Whether an instance may lack what it held before: it has started again a moment ago, or it may have
     /// done so before this node began to watch the group.
     fn is_refilling(&self, known: &Known) -> bool {
-        let is_young = self.looked.saturating_duration_since(self.watched_since) < REFILLS_FOR;
-        let may_have_started_again = is_young && known.instance.incarnation.is_some();
+        let tells_starts = known.instance.incarnation.is_some();
+        let may_have_started_again = tells_starts && self.is_young(self.looked);
         may_have_started_again || known.is_refilling(self.looked)
     }
 
+    /// Whether it has been watched for too short a time to know what has started again a moment ago.
+    fn is_young(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.watched_since) < REFILLS_FOR
+    }
+
     fn is_unsettled(&self, now: Instant) -> bool {
         let mut known = self.instances.values();
-        let is_young = now.saturating_duration_since(self.watched_since) < REFILLS_FOR;
-        is_young || known.any(|known| known.vanished.is_some() || known.is_refilling(now))
+        self.is_young(now) || known.any(|known| known.vanished.is_some() || known.is_refilling(now))
     }
 }
--- a/crates/core/tests/group_owners.rs
+++ b/crates/core/tests/group_owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use kestrellock_core::group_owners::{GroupOwnerTable, owners};
+use kestrellock_core::group_owners::GroupOwnerTable;
 use kestrellock_core::ids::{GroupName, NodeName, ZoneName};
 use kestrellock_core::rendezvous::Candidate;
 use proptest::prelude::*;
@@ -20,6 +20,13 @@
     named.collect()
 }
 
+/// The owners of a group, computed from all nodes at once.
+fn owners(group: &GroupName, candidates: &[Candidate], count: usize) -> Vec<Candidate> {
+    let mut table = GroupOwnerTable::default();
+    table.update(candidates, [(group, count)]);
+    table.owners_of(group).to_vec()
+}
+
 fn names(group: &GroupName, candidates: &[Candidate], count: usize) -> BTreeSet<NodeName> {
     owners(group, candidates, count).into_iter().map(|owner| owner.node.clone()).collect()
 }
--- a/crates/daemon/src/agent/configuration/role.rs
+++ b/crates/daemon/src/agent/configuration/role.rs
@@ -4,23 +4,20 @@
 //! together would take itself for a follower, and would read all that the store holds. So the machine list
 //! counts as well while the node is young.
 
-use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::Revision;
-use kestrellock_core::connection_shares::knows_most;
-use kestrellock_core::ids::NodeName;
-use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::spreading::{is_follower, own_turn};
 
 use super::Configuration;
+use crate::shared::live::listed_not_known;
 use crate::supervisor::StopFlag;
 
 /// Time that a node without configuration gives its peers before it asks the store.
 pub(super) const PEERS_FIRST: Duration = Duration::from_secs(1);
 /// Time for which the machine list counts beside the nodes known to live: as long as membership compares
 /// its table often. Later an entry may be that of a machine which is gone for good.
-const YOUNG_FOR: Duration = Duration::from_secs(10);
+const LIST_COUNTS_FOR: Duration = Duration::from_secs(10);
 /// The list is taken for whole once it has not grown for so long: nodes that start together enter
 /// themselves within some hundred milliseconds.
 const LIST_QUIET: Duration = Duration::from_millis(200);
@@ -52,15 +49,14 @@
 
     /// Whether following the source is this node's part: before it knows of any other node, it is.
     pub(super) fn follows(&self) -> bool {
-        let live = self.live();
-        let listed = self.context.listed_nodes.load();
-        let own = self.own();
-        let is_young = self.started.elapsed() < YOUNG_FOR;
-        if !is_young || knows_most(live.len(), listed.len()) {
-            return live.is_empty() || is_follower(&own, &live);
+        let mut expected = self.live();
+        let known = expected.len();
+        if self.started.elapsed() < LIST_COUNTS_FOR {
+            let (live, listed) = (self.context.live.load(), self.context.listed_nodes.load());
+            expected.extend(listed_not_known(&live, &listed).cloned());
         }
-        let expected = with_listed(live, listed.iter().map(|node| &node.candidate));
-        is_follower(&own, &expected) || self.has_waited_in_vain(expected.len())
+        let is_its_part = expected.is_empty() || is_follower(&self.own(), &expected);
+        is_its_part || (expected.len() > known && self.has_waited_in_vain(expected.len()))
     }
 
     /// Whether no peer has brought a configuration for so long that this node reads it itself. The nodes do
@@ -71,13 +67,3 @@
         has_none && self.started.elapsed() >= PEERS_FIRST + turn
     }
 }
-
-/// The nodes known to live, and those that the machine list names besides.
-fn with_listed<'a>(
-    mut live: Vec<Candidate>,
-    listed: impl Iterator<Item = &'a Candidate>,
-) -> Vec<Candidate> {
-    let known: HashSet<NodeName> = live.iter().map(|candidate| candidate.node.clone()).collect();
-    live.extend(listed.filter(|candidate| !known.contains(&candidate.node)).cloned());
-    live
-}
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -14,6 +14,7 @@
 mod looks;
 mod orders;
 mod owned;
+mod voter;
 mod watch;
 
 use std::sync::Arc;
--- a/crates/daemon/src/agent/promotion/owned.rs
+++ b/crates/daemon/src/agent/promotion/owned.rs
@@ -11,12 +11,12 @@
 #[derive(Debug, Default)]
 pub(super) struct OwnedGroups {
     owners: Arc<OwnershipSnapshot>,
-    groups: Vec<GroupName>,
+    groups: Arc<[GroupName]>,
 }
 
 impl OwnedGroups {
     /// The groups by the owners as they are now.
-    pub fn follow(&mut self, context: &NodeContext) -> Vec<GroupName> {
+    pub fn follow(&mut self, context: &NodeContext) -> Arc<[GroupName]> {
         let owners = context.ownerships();
         if !Arc::ptr_eq(&owners, &self.owners) {
             self.groups = owners.owned_by(&context.identity.node).cloned().collect();
--- /dev/null
+++ b/crates/daemon/src/agent/promotion/voter.rs
@@ -0,0 +1,47 @@
+//! The thread that tells the store what this node suspects, newest first.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::{Sender, unbounded};
+use kestrellock_core::promotion::NodeVotes;
+
+use super::SuccessionServices;
+use crate::context::NodeContext;
+use crate::supervisor::StopFlag;
+
+/// Time between two attempts at telling the store.
+const VOTE_RETRY: Duration = Duration::from_millis(100);
+
+/// Starts the thread; it ends when the sender is dropped or the node stops.
+pub(super) fn start(
+    context: &Arc<NodeContext>,
+    services: &SuccessionServices,
+    stop: &StopFlag,
+) -> Sender<NodeVotes> {
+    let (sender, votes) = unbounded::<NodeVotes>();
+    let (context, coordination, stop) =
+        (context.clone(), services.coordination.clone(), stop.clone());
+    let spawned = thread::Builder::new().name("promotion-voter".to_owned()).spawn(move || {
+        let mut waiting: Option<NodeVotes> = None;
+        while !stop.is_stopping() {
+            let next = match &waiting {
+                Some(_) => votes.recv_timeout(VOTE_RETRY).ok(),
+                None => match votes.recv() {
+                    Ok(next) => Some(next),
+                    Err(_) => return,
+                },
+            };
+            waiting = votes.try_iter().last().or(next).or(waiting);
+            let Some(newest) = &waiting else { continue };
+            if coordination.vote(&context.identity.node, newest).is_ok() {
+                waiting = None;
+            }
+        }
+    });
+    if let Err(error) = spawned {
+        log::error!("a thread for votes could not be started: {error}");
+    }
+    sender
+}
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -22,6 +22,7 @@
 use super::holder::{self, SharedSituation, Situation};
 use super::looks::Looks;
 use super::owned::OwnedGroups;
+use super::voter;
 use crate::context::NodeContext;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::supervisor::StopFlag;
@@ -41,7 +42,6 @@
 const TELL_INTERVAL: Duration = Duration::from_millis(60);
 /// Shard whose connections carry messages that this node begins.
 const FIRST_SHARD: u16 = 0;
-const VOTE_RETRY: Duration = Duration::from_millis(100);
 
 /// What asking a primary for itself showed.
 #[derive(Clone, Copy, Debug)]
@@ -96,7 +96,7 @@
         view: Arc::default(),
         electors: Electors::default(),
         votes: NodeVotes::new(),
-        voter: start_voter(context, services, stop),
+        voter: voter::start(context, services, stop),
         opinions: HashMap::new(),
         asked,
         asks,
@@ -116,38 +116,6 @@
     }
 }
 
-/// Starts the thread that tells the store what this node suspects, newest first.
-fn start_voter(
-    context: &Arc<NodeContext>,
-    services: &SuccessionServices,
-    stop: &StopFlag,
-) -> Sender<NodeVotes> {
-    let (sender, votes) = unbounded::<NodeVotes>();
-    let (context, coordination, stop) =
-        (context.clone(), services.coordination.clone(), stop.clone());
-    let spawned = thread::Builder::new().name("promotion-voter".to_owned()).spawn(move || {
-        let mut waiting: Option<NodeVotes> = None;
-        while !stop.is_stopping() {
-            let next = match &waiting {
-                Some(_) => votes.recv_timeout(VOTE_RETRY).ok(),
-                None => match votes.recv() {
-                    Ok(next) => Some(next),
-                    Err(_) => return,
-                },
-            };
-            waiting = votes.try_iter().last().or(next).or(waiting);
-            let Some(newest) = &waiting else { continue };
-            if coordination.vote(&context.identity.node, newest).is_ok() {
-                waiting = None;
-            }
-        }
-    });
-    if let Err(error) = spawned {
-        log::error!("a thread for votes could not be started: {error}");
-    }
-    sender
-}
-
 impl Watcher<'_> {
     fn step(&mut self) {
         let now = Instant::now();
@@ -244,11 +212,11 @@
     fn vote(&mut self, catalog: &IndexedCatalog, now: Instant) {
         let mut votes = NodeVotes::new();
         // Others send a group's primary nothing, and would only take connections to ask it.
-        for name in self.owned.follow(self.context) {
-            let Some(group) = catalog.groups.get(&name) else { continue };
-            let Some(primary) = self.context.leader(&name, group) else { continue };
-            if let Some(cause) = self.suspect(&name, &primary.name, now) {
-                votes.insert(name, Vote { instance: primary.name.clone(), cause });
+        for name in self.owned.follow(self.context).iter() {
+            let Some(group) = catalog.groups.get(name) else { continue };
+            let Some(primary) = self.context.leader(name, group) else { continue };
+            if let Some(cause) = self.suspect(name, &primary.name, now) {
+                votes.insert(name.clone(), Vote { instance: primary.name.clone(), cause });
             }
         }
         if votes != self.votes {
--- a/crates/daemon/src/gateway/zone_drains.rs
+++ b/crates/daemon/src/gateway/zone_drains.rs
@@ -16,8 +16,8 @@
 use crate::event::Io;
 
 /// Share of the limit of the settings for which open transactions go on, from the moment at which this node
-/// heard of the drain. The rest is for the way of the word here: the users ask for a change in force within
-/// a few seconds of a limit of five.
+/// heard of the drain. The limit runs from the operators' word: the rest of it, 3 s of 5, covers the time that
+/// the word may take to a node.
 const TRANSACTIONS_SHARE: f64 = 0.4;
 /// When callers may come back whose group has no instance outside drained zones: operators take a zone back
 /// after minutes, and one that comes back sooner gains nothing.
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -3,28 +3,26 @@
 //! Computed when either changes, not when it is asked for. Ownership is an optimisation, never a
 //! safety argument: two gateways at once cost connections and nothing else.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::catalog::{Elector, IndexedCatalog, Instance};
-use kestrellock_core::connection_shares::{
-    Share, YOUNG_FOR, knows_most, share, share_of_replica, sharers,
-};
+use kestrellock_core::connection_shares::{Share, YOUNG_FOR, share, share_of_replica, sharers};
 use kestrellock_core::group_owners::GroupOwnerTable;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::rendezvous::{Candidate, Ownership, OwnershipTable};
 use kestrellock_core::routing::Role;
 
-use crate::shared::live::{LiveNode, Shared};
+use crate::shared::live::{LiveNode, Shared, listed_not_known};
 
 const POISONED: &str = "a holder of the ownership lock panicked";
 
 /// What `own`, one of the `owners` of a group, may hold to a replica; `sharers` nodes share its connections,
 /// some of which may not accept work.
-fn part_of_replica(
+fn own_share_of_replica(
     replica: &Instance,
     owners: &[Candidate],
     sharers: usize,
@@ -37,10 +35,6 @@
     share_of_replica(replica.connections, near, far, own_is_near)
 }
 
-fn includes(owners: &[Candidate], node: &NodeName) -> bool {
-    owners.iter().any(|owner| owner.node == *node)
-}
-
 /// Owners and standbys at one moment.
 #[derive(Debug, Default)]
 pub struct OwnershipSnapshot {
@@ -74,7 +68,7 @@
 
     /// Whether `node` is one of several owners of a group.
     pub fn is_owner(&self, node: &NodeName, group: &GroupName) -> bool {
-        includes(self.owners_of(group), node)
+        self.owners_of(group).iter().any(|owner| owner.node == *node)
     }
 
     /// Connections that this node may hold to an instance whose group has several owners.
@@ -84,8 +78,7 @@
 
     /// The groups that `node` is one of several owners of.
     pub fn owned_by<'a>(&'a self, node: &'a NodeName) -> impl Iterator<Item = &'a GroupName> {
-        let owned = self.group_owners.iter().filter(|(_, owners)| includes(owners, node));
-        owned.map(|(group, _)| group)
+        self.group_owners.owned_by(node).map(|(group, _)| group)
     }
 
     /// The catalog it was computed from.
@@ -130,8 +123,7 @@
 
     /// This node's share of the connections to each instance of the groups that it owns.
     fn shares(&self, group_owners: &GroupOwnerTable) -> HashMap<InstanceName, Share> {
-        let owned = group_owners.iter().filter(|(_, owners)| includes(owners, self.own));
-        let shares = owned.flat_map(|(name, owners)| {
+        let shares = group_owners.owned_by(self.own).flat_map(|(name, owners)| {
             let sharers = group_owners.sharers_of(name).unwrap_or(owners.len());
             let instances = self.catalog.groups.get(name).map(|group| group.instances.as_slice());
             let instances = instances.unwrap_or_default().iter();
@@ -142,7 +134,7 @@
         let shares = shares.map(|(instance, owners, sharers)| {
             let share = match instance.announced_role {
                 Some(Role::Replica) if has_accounts => {
-                    part_of_replica(instance, owners, sharers, self.own)
+                    own_share_of_replica(instance, owners, sharers, self.own)
                 }
                 _ => share(instance.connections, sharers),
             };
@@ -164,14 +156,8 @@
     fn expected(&self) -> Vec<&Candidate> {
         let mut expected = self.candidates();
         let listed = self.listed.as_deref().map(Vec::as_slice).unwrap_or_default();
-        if knows_most(self.live.len(), listed.len()) {
-            return expected;
-        }
-        let live: HashSet<&NodeName> = self.live.iter().map(|live| &live.candidate.node).collect();
-        let missing = listed.iter().map(|node| &node.candidate).filter(|candidate| {
-            !live.contains(&candidate.node) && Some(&candidate.node) != self.without
-        });
-        expected.extend(missing);
+        let missing = listed_not_known(&self.live, listed);
+        expected.extend(missing.filter(|missing| Some(&missing.node) != self.without));
         expected
     }
 
--- a/crates/daemon/src/shared/live.rs
+++ b/crates/daemon/src/shared/live.rs
@@ -1,9 +1,12 @@
 //! Nodes believed to live, and values that threads replace whole.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crossbeam::sync::ShardedLock;
+use kestrellock_core::connection_shares::knows_most;
+use kestrellock_core::ids::NodeName;
 use kestrellock_core::rendezvous::Candidate;
 
 /// A node believed to live.
@@ -17,6 +20,21 @@
     pub accepts_work: bool,
 }
 
+/// Nodes that the machine list names and that are not known to live; none where most of those listed are, since
+/// the others may be gone. For a node that has just started and may know few of the others yet.
+pub fn listed_not_known<'a>(
+    live: &[LiveNode],
+    listed: &'a [LiveNode],
+) -> impl Iterator<Item = &'a Candidate> {
+    let (considered, live) = match knows_most(live.len(), listed.len()) {
+        true => (&[][..], &[][..]),
+        false => (listed, live),
+    };
+    let known: HashSet<NodeName> = live.iter().map(|live| live.candidate.node.clone()).collect();
+    let candidates = considered.iter().map(|node| &node.candidate);
+    candidates.filter(move |candidate| !known.contains(&candidate.node))
+}
+
 /// A value replaced whole and read often.
 #[derive(Debug, Default)]
 pub struct Shared<T> {
