Zones that are drained: the catalog is taken up once for all leases of a tick

Cause: while a zone is drained, each tick of a gateway took the catalog's lock once for each lease. Change: once for all of them; one exchange takes it as before, and only while a zone is drained. Measured: not timed; the three tests of drained zones pass.

--- a/crates/daemon/src/gateway/zone_drains.rs
+++ b/crates/daemon/src/gateway/zone_drains.rs
@@ -88,11 +88,11 @@
 impl Gateway {
     /// Whether a transaction at an instance must not go on, because its zone has been drained for long.
     pub(super) fn has_drained(&self, instance: &InstanceName, io: &Io) -> bool {
-        let Some(limit) = io.context.zone_drain_limit.filter(|_| !self.zone_drains.is_empty())
-        else {
-            return false;
-        };
-        let catalog = io.context.catalog.load();
+        !self.zone_drains.is_empty() && self.is_over_at(instance, &io.context.catalog.load(), io)
+    }
+
+    fn is_over_at(&self, instance: &InstanceName, catalog: &IndexedCatalog, io: &Io) -> bool {
+        let Some(limit) = io.context.zone_drain_limit else { return false };
         let zone = catalog.instance(instance).map(|(_, instance)| &instance.zone);
         zone.is_some_and(|zone| self.zone_drains.is_over(zone, limit, io.now))
     }
@@ -103,11 +103,12 @@
         if self.zone_drains.is_empty() {
             return;
         }
+        let catalog = io.context.catalog.load();
         let over: Vec<(LeaseId, usize)> = self
             .leases
             .iter()
             .filter(|(_, key)| self.servers[**key].is_idle())
-            .filter(|(_, key)| self.has_drained(&self.servers[**key].instance, io))
+            .filter(|(_, key)| self.is_over_at(&self.servers[**key].instance, &catalog, io))
             .map(|(lease, key)| (lease.clone(), *key))
             .collect();
         for (lease, key) in over {
