--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -122,6 +122,8 @@
         let nodes = self.nodes.len();
         let own = &mut self.nodes[node];
         let members = own.known.members(&group_name());
+        let refilling = members.all.iter().filter(|one| one.is_refilling);
+        let refilling: Vec<InstanceName> = refilling.map(|one| one.name.clone()).collect();
         let Some(acting) = &mut own.acting else { return };
         let fence = acting.fence;
         let Some(attempt) = &mut acting.attempt else { return };
@@ -130,7 +132,14 @@
         if own.given_up.get(&attempt.id()).is_some_and(|told| told.len() == nodes) {
             attempt.on_event(Event::EvidenceGivenUp, now);
         }
+        let before = attempt.phase();
         let commands = attempt.step(now);
+        if attempt.phase() != before || !commands.is_empty() {
+            let (phase, refilling) = (attempt.phase(), refilling);
+            self.trace.note(self.now, || {
+                format!("node {node}: {phase:?} {commands:?}; refilling {refilling:?}")
+            });
+        }
         for command in commands {
             self.carry_out(node, fence, command);
         }
@@ -201,6 +210,7 @@
         }
         match (&call.operation, done) {
             (Operation::Acquire, Done::Yes(fence)) => {
+                self.trace.note(self.now, || format!("node {} acts, fence {fence}", call.node));
                 let own = &mut self.nodes[call.node];
                 own.acquiring = false;
                 own.acting = Some(Acting {
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -15,9 +15,11 @@
     pub fn apply_faults(&mut self) {
         for planned in self.plan.clone() {
             if planned.at == self.now {
+                self.trace.note(self.now, || format!("begins: {:?}", planned.kind));
                 self.begin(planned);
             }
             if planned.until == self.now {
+                self.trace.note(self.now, || format!("ends: {:?}", planned.kind));
                 self.end(planned);
             }
         }
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod serving;
 mod store;
+mod trace;
 mod traffic;
 mod world;
 
@@ -232,6 +233,26 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// Prints the story of one seed: `TRACE_SEED=14008 TRACE_KIND=few_empty cargo test --release -p
+/// kestrellock-core --test replacement story -- --ignored --nocapture`.
+#[test]
+#[ignore = "a tool: prints the story of the seed that the environment names"]
+fn story_of_one_seed() {
+    let seed = std::env::var("TRACE_SEED").expect("TRACE_SEED names a seed");
+    let seed = seed.parse().expect("a seed is a number");
+    let kind = std::env::var("TRACE_KIND").expect("TRACE_KIND names the kind of faults");
+    let faults = match kind.as_str() {
+        "few" => Faults::all(),
+        "many" => Faults::dense(),
+        "few_empty" => Faults::all().with_empty_starts(),
+        "many_empty" => Faults::dense().with_releases().with_empty_starts(),
+        "many_silent" => Faults::dense().with_releases().with_silences(),
+        other => panic!("no kind of faults is called {other}"),
+    };
+    let (outcome, lines) = World::new(seed, faults, Plant::None).traced().play_and_tell();
+    println!("{:#?}\n{}\n{:?}", outcome.plan, lines.join("\n"), outcome.violations);
+}
+
 #[test]
 fn trouble_of_single_nodes_and_replicas_moves_no_primary() {
     let outcomes = play(seeds(), Faults::without_primaries(), Plant::None);
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -16,6 +16,7 @@
 use crate::node::{Node, group_name, instance_name, instant};
 use crate::plan::{FaultKind, Faults, Planned, Plant, draw};
 use crate::store::{Announced, Contents, Operation};
+use crate::trace::Trace;
 
 /// Length of a run.
 pub const LENGTH_MS: u64 = 14_000;
@@ -86,6 +87,8 @@
     /// The judge.
     pub checker: Checker,
     promotions: Vec<(u64, u32)>,
+    /// What is told of the run.
+    pub trace: Trace,
 }
 
 impl World {
@@ -128,23 +131,35 @@
             next: 0,
             checker: Checker::default(),
             promotions: Vec::new(),
+            trace: Trace::default(),
         }
     }
 
+    /// The same run, with its story kept.
+    pub fn traced(self) -> Self {
+        Self { trace: Trace::on(), ..self }
+    }
+
     /// Plays it.
-    pub fn play(mut self) -> Outcome {
+    pub fn play(self) -> Outcome {
+        self.play_and_tell().0
+    }
+
+    /// Plays it, and tells its story.
+    pub fn play_and_tell(mut self) -> (Outcome, Vec<String>) {
         while self.now < LENGTH_MS {
             self.step();
             self.now += 1;
         }
         self.judge_end();
-        Outcome {
+        let outcome = Outcome {
             violations: self.checker.violations.clone(),
             acknowledged: self.checker.acknowledged(),
             reads: self.checker.reads,
             promotions: self.promotions.len() as u64,
             plan: self.plan,
-        }
+        };
+        (outcome, self.trace.lines().to_vec())
     }
 
     /// A time as the decisions know it.
@@ -211,6 +226,7 @@
         let announced =
             Announced { leads: instance.role == Role::Primary, leaving: instance.leaving, born };
         if instance.answers() && self.store.announced[one] != announced {
+            self.trace.note(self.now, || format!("i-{one} announces {announced:?}"));
             self.store.announced[one] = announced;
             self.store.revision += 1;
         }
@@ -251,6 +267,10 @@
             return;
         }
         self.checker.on_acknowledged(self.now, pending.entry.id);
+        self.trace.note(self.now, || {
+            let held: Vec<usize> = self.instances.iter().map(|one| one.log.len()).collect();
+            format!("acknowledged by i-{one}: {pending:?}; logs hold {held:?}")
+        });
         let exchange = Exchange {
             node: pending.node,
             process: pending.process,
@@ -404,6 +424,7 @@
             return;
         }
         self.checker.on_fence(node, fence);
+        self.trace.note(self.now, || format!("node {node} has i-{instance} promoted"));
         let answer = if self.instances[instance].alive {
             let born = self.instances[instance].born;
             self.send_after(PROMOTION_MS, Message::Leads { instance, born });
@@ -435,6 +456,8 @@
             self.instances.iter_mut().for_each(|one| one.held = 0);
         }
         self.promotions.push((self.now, term));
+        self.trace
+            .note(self.now, || format!("i-{one} leads term {term} with {} commits", commits.len()));
         self.checker.on_promoted(self.now, &commits);
         self.announce(one);
     }
