--- /dev/null
+++ b/crates/core/tests/promotion/main.rs
@@ -0,0 +1,5 @@
+//! One attempt at replacing a primary: what it does in which order, and what it waits for.
+
+mod old_primaries;
+mod steps;
+mod support;
--- a/crates/core/tests/promotion.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -1,97 +1,16 @@
-//! One attempt at replacing a primary: what it does in which order, and what it waits for.
+//! The steps of an attempt in their order, and what it waits for.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::ids::{InstanceName, NodeName};
+use kestrellock_core::ids::NodeName;
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Member, Members, Need, Phase, PromotionAnswer, Reason, ReplacementId,
-    Standing, Timing,
+    Attempt, Command, Event, Member, Need, Phase, PromotionAnswer, Reason, ReplacementId, Standing,
+    Timing,
 };
 use kestrellock_core::routing::Role;
 
-const STEP: Duration = Duration::from_millis(5);
-const FORMER: &str = "a";
-
-fn name(text: &str) -> InstanceName {
-    InstanceName::new(text)
-}
-
-fn members(leading: &[&str]) -> Members {
-    let member = |text: &&str| Member {
-        name: name(text),
-        leaving: false,
-        has_left: false,
-        leads: leading.contains(text),
-        shares_address: false,
-        incarnation: None,
-        is_refilling: false,
-    };
-    Members { all: ["a", "b", "c"].iter().map(member).collect(), synchronous: 1 }
-}
-
-fn need(reason: Reason) -> Need {
-    let begun = reason == Reason::Unfinished;
-    Need { reason, former: Some(name(FORMER)), wanted: true, begun }
-}
-
-fn attempt(reason: Reason, members: Members) -> Attempt {
-    let id = ReplacementId { fence: 7, attempt: 1 };
-    let holder = NodeName::new("node");
-    Attempt::new(holder, id, &need(reason), members, Term(1), Timing::default())
-}
-
-fn stands(instance: &str, offset: u64, held: Term, sent: Instant) -> Event {
-    let received = Position { term: Term(1), offset: LogOffset(offset) };
-    let standing = Standing { role: Role::Replica, term: Term(1), received, held };
-    Event::Stands { instance: name(instance), standing, sent }
-}
-
-/// An instance says that it leads `term`.
-fn leads(instance: &str, term: u32, offset: u64, sent: Instant) -> Event {
-    let received = Position { term: Term(1), offset: LogOffset(offset) };
-    let standing = Standing { role: Role::Primary, term: Term(term), received, held: Term(0) };
-    Event::Stands { instance: name(instance), standing, sent }
-}
-
-fn stopped(instance: &str, offset: u64, sent: Instant) -> Event {
-    stands(instance, offset, Term(2), sent)
-}
-
-/// Steps until the attempt asks for a promotion; the replicas named answer, and are stopped when told
-/// so. `None` if it does not within four seconds.
-fn promotes(
-    attempt: &mut Attempt,
-    now: &mut Instant,
-    offsets: &[(&str, u64)],
-) -> Option<InstanceName> {
-    let until = *now + Duration::from_secs(4);
-    let mut held = BTreeMap::new();
-    while *now < until {
-        *now += STEP;
-        for command in attempt.step(*now) {
-            match command {
-                Command::Promote(instance) => return Some(instance),
-                Command::Stop { instance, term } => {
-                    held.insert(instance, term);
-                }
-                _ => {}
-            }
-        }
-        for (instance, offset) in offsets {
-            let held = held.get(&name(instance)).copied().unwrap_or_default();
-            attempt.on_event(stands(instance, *offset, held, *now), *now);
-        }
-    }
-    None
-}
-
-fn begin(attempt: &mut Attempt, now: Instant) {
-    let commands = attempt.step(now);
-    assert!(matches!(commands.as_slice(), [Command::Record(_)]), "{commands:?}");
-    attempt.on_event(Event::Recorded, now);
-}
+use crate::support::*;
 
 #[test]
 fn the_replica_that_has_received_most_is_promoted() {
--- /dev/null
+++ b/crates/core/tests/promotion/support.rs
@@ -0,0 +1,102 @@
+//! An attempt on a group of three instances, the primary of which is called `a`, and what its instances say.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use kestrellock_core::ids::{InstanceName, NodeName};
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::promotion::{
+    Attempt, Command, Event, Member, Members, Need, Reason, ReplacementId, Standing, Timing,
+};
+use kestrellock_core::routing::Role;
+
+/// Time between two steps of an attempt.
+pub const STEP: Duration = Duration::from_millis(5);
+/// The old primary.
+pub const FORMER: &str = "a";
+
+/// The name of an instance.
+pub fn name(text: &str) -> InstanceName {
+    InstanceName::new(text)
+}
+
+/// The three instances, of which some say that they lead.
+pub fn members(leading: &[&str]) -> Members {
+    let member = |text: &&str| Member {
+        name: name(text),
+        leaving: false,
+        has_left: false,
+        leads: leading.contains(text),
+        shares_address: false,
+        incarnation: None,
+        is_refilling: false,
+    };
+    Members { all: ["a", "b", "c"].iter().map(member).collect(), synchronous: 1 }
+}
+
+/// The need to replace the old primary.
+pub fn need(reason: Reason) -> Need {
+    let begun = reason == Reason::Unfinished;
+    Need { reason, former: Some(name(FORMER)), wanted: true, begun }
+}
+
+/// An attempt that begins; the highest term known is 1.
+pub fn attempt(reason: Reason, members: Members) -> Attempt {
+    let id = ReplacementId { fence: 7, attempt: 1 };
+    let holder = NodeName::new("node");
+    Attempt::new(holder, id, &need(reason), members, Term(1), Timing::default())
+}
+
+/// A replica says how it stands.
+pub fn stands(instance: &str, offset: u64, held: Term, sent: Instant) -> Event {
+    let received = Position { term: Term(1), offset: LogOffset(offset) };
+    let standing = Standing { role: Role::Replica, term: Term(1), received, held };
+    Event::Stands { instance: name(instance), standing, sent }
+}
+
+/// An instance says that it leads `term`.
+pub fn leads(instance: &str, term: u32, offset: u64, sent: Instant) -> Event {
+    let received = Position { term: Term(1), offset: LogOffset(offset) };
+    let standing = Standing { role: Role::Primary, term: Term(term), received, held: Term(0) };
+    Event::Stands { instance: name(instance), standing, sent }
+}
+
+/// A replica says that it is stopped.
+pub fn stopped(instance: &str, offset: u64, sent: Instant) -> Event {
+    stands(instance, offset, Term(2), sent)
+}
+
+/// Steps until the attempt asks for a promotion; the replicas named answer, and are stopped when told
+/// so. `None` if it does not within four seconds.
+pub fn promotes(
+    attempt: &mut Attempt,
+    now: &mut Instant,
+    offsets: &[(&str, u64)],
+) -> Option<InstanceName> {
+    let until = *now + Duration::from_secs(4);
+    let mut held = BTreeMap::new();
+    while *now < until {
+        *now += STEP;
+        for command in attempt.step(*now) {
+            match command {
+                Command::Promote(instance) => return Some(instance),
+                Command::Stop { instance, term } => {
+                    held.insert(instance, term);
+                }
+                _ => {}
+            }
+        }
+        for (instance, offset) in offsets {
+            let held = held.get(&name(instance)).copied().unwrap_or_default();
+            attempt.on_event(stands(instance, *offset, held, *now), *now);
+        }
+    }
+    None
+}
+
+/// Has the attempt record its intent.
+pub fn begin(attempt: &mut Attempt, now: Instant) {
+    let commands = attempt.step(now);
+    assert!(matches!(commands.as_slice(), [Command::Record(_)]), "{commands:?}");
+    attempt.on_event(Event::Recorded, now);
+}
