An old primary is told to step down as long as its successor is awaited

Cause: the order to step down was given once with the promotion and then each 250 ms after the successor led; the one order had met the process before. Between, replicas that the promotion had released followed the old primary, since the successor was gone. Mend: given each 50 ms from the promotion on, until the old primary says that it follows somebody. It holds because a primary that is back answers no commit before the successor leads (the replicas are stopped) and is told within 50 ms. The longer pause had no measured reason.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -194,6 +194,9 @@
             }
             Phase::Promoting { again } => {
                 self.question_other_leaders(now, commands);
+                // One that was away when the promotion was sent may be back as a primary at any time until the
+                // successor leads, and would answer commits through replicas that the promotion releases.
+                self.demote_former(now, commands);
                 // Replicas may have restarted meanwhile, and have forgotten that they were stopped.
                 if now >= again {
                     self.complete = Some(now);
@@ -290,9 +293,7 @@
         command: impl FnOnce(InstanceName) -> Command,
     ) {
         let key = (instance.clone(), kind);
-        let pause =
-            if kind == Repeated::Demote { self.timing.retry * 5 } else { self.timing.retry };
-        let due = self.last_sent.get(&key).is_none_or(|sent| now >= *sent + pause);
+        let due = self.last_sent.get(&key).is_none_or(|sent| now >= *sent + self.timing.retry);
         if due {
             self.last_sent.insert(key, now);
             commands.push(command(instance.clone()));
--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -40,7 +40,9 @@
     }
 
     pub(super) fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        let Some(former) = self.intent.former.clone() else { return };
+        let Some(former) = self.intent.former.clone().filter(|_| !self.former_demoted) else {
+            return;
+        };
         self.demote(&former, now, commands);
     }
 
