A promotion that may have been sent is followed by a successor, by whoever goes on with it

Cause: a holder whose chosen instance had started again, and the next holder after one that died between the promotion and its record, ended the attempt as one that had promoted nobody. Nodes went on at the old primary. Mend: the record says that a promotion may be sent before one is (written while evidence lapses; where the old primary refuses connections that adds one write of the store to the gap). From then on the attempt cannot be called off, by the next holder either, unless the platform refused each promotion; the old primary is told to step down, and counts as a replica once it does. The store takes that record only on top of the intent that it goes on with: a late one would have the next holder promote somebody for no reason.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -38,10 +38,13 @@
     /// Others that said then that they lead a lower term: old primaries that have started again under
     /// other names.
     returned: BTreeSet<InstanceName>,
-    /// Whether the intent has been given to be recorded; whoever does so repeats it.
-    record_asked: bool,
-    /// Whether the store says that the attempt has been called off.
-    call_off_recorded: bool,
+    /// The intent that was last given to be recorded; whoever does so repeats it.
+    given: Option<Intent>,
+    /// What the store says of it.
+    recorded: Option<Intent>,
+    /// Promotions that have been sent, by this holder or an earlier one, and that the platform has not
+    /// refused: each may be carried out.
+    sent_promotions: u32,
     wanted: bool,
     /// Highest term seen.
     highest: Term,
@@ -100,14 +103,14 @@
         highest: Term,
         timing: Timing,
     ) -> Self {
-        let Need { reason, former, begun: others_stopped, .. } = need.clone();
-        let outdated = match reason {
-            // Whoever leads may be the one that the earlier holder had promoted.
-            Reason::Unfinished => BTreeSet::new(),
-            _ => leading(&members, former.as_ref()),
+        let Need { reason, former, begun: others_stopped, promoting, .. } = need.clone();
+        // Whoever leads may be the one that the earlier holder had promoted.
+        let outdated = match promoting || reason == Reason::Unfinished {
+            true => BTreeSet::new(),
+            false => leading(&members, former.as_ref()),
         };
         Self {
-            intent: Intent { holder, id, reason, former, called_off: false },
+            intent: Intent { holder, id, reason, former, called_off: false, promoting },
             others_stopped,
             members,
             displaced: BTreeSet::new(),
@@ -116,8 +119,9 @@
             returned: BTreeSet::new(),
             timing,
             phase: Phase::Recording,
-            record_asked: false,
-            call_off_recorded: false,
+            given: None,
+            recorded: None,
+            sent_promotions: u32::from(promoting),
             wanted: true,
             highest,
             term: Term(highest.0 + 1),
@@ -159,11 +163,16 @@
         self.chosen.as_ref()
     }
 
-    /// Whether a promotion may have been sent.
-    pub fn is_committed(&self) -> bool {
+    /// Whether an instance has been chosen.
+    fn is_committed(&self) -> bool {
         self.chosen.is_some()
     }
 
+    /// Whether a promotion may be carried out, or have been: the attempt cannot be called off.
+    fn may_have_promoted(&self) -> bool {
+        self.sent_promotions > 0
+    }
+
     /// Moves on as far as what is known allows, and says what to do.
     pub fn step(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
@@ -180,9 +189,8 @@
         let successor = self.successor();
         match self.phase {
             Phase::Recording => {
-                if !self.record_asked {
-                    self.record_asked = true;
-                    commands.push(Command::Record(self.intent.clone()));
+                if self.given.is_none() {
+                    self.record(commands);
                 }
             }
             Phase::Over => {}
@@ -199,13 +207,14 @@
                 // One that was away when the promotion was sent may be back as a primary at any time until the
                 // successor leads, and would answer commits through replicas that the promotion releases.
                 self.demote_former(now, commands);
+                self.question_former_if_chosen(now, commands);
                 // Replicas may have restarted meanwhile, and have forgotten that they were stopped.
                 if now >= again {
                     self.complete = Some(now);
                     self.phase = Phase::Checking;
                 }
             }
-            _ if !self.wanted && !self.is_committed() => {
+            _ if !self.wanted && !self.may_have_promoted() => {
                 self.phase = Phase::Cancelling { until: now + self.timing.release };
             }
             Phase::Draining { until } => {
@@ -228,6 +237,14 @@
         }
     }
 
+    /// Gives the intent to be recorded, unless that has been done.
+    fn record(&mut self, commands: &mut Vec<Command>) {
+        if self.given.as_ref() != Some(&self.intent) {
+            self.given = Some(self.intent.clone());
+            commands.push(Command::Record(self.intent.clone()));
+        }
+    }
+
     /// The member that leads in place of the old primary.
     fn successor(&self) -> Option<InstanceName> {
         let leading = leading(&self.members, self.former());
@@ -263,6 +280,15 @@
         }
     }
 
+    /// The old primary that is promoted again has to say itself that it leads: what the platform tells of it may
+    /// be from before it stepped down.
+    fn question_former_if_chosen(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let former = self.intent.former.clone();
+        if let Some(former) = former.filter(|former| self.chosen.as_ref() == Some(former)) {
+            self.send(&former, Repeated::Ask, now, commands, Command::Ask);
+        }
+    }
+
     /// Whether the old primary has refused a connection since enough replicas were stopped.
     fn nobody_reads_there(&self) -> bool {
         let Some(complete) = self.complete else { return false };
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -13,8 +13,12 @@
     /// Takes an event in.
     pub fn on_event(&mut self, event: Event, now: Instant) {
         match event {
-            Event::Recorded if self.phase == Phase::Recording => self.on_recorded(now),
-            Event::Recorded => self.call_off_recorded = self.intent.called_off,
+            Event::Recorded(intent) => {
+                self.recorded = Some(intent);
+                if self.phase == Phase::Recording {
+                    self.on_recorded(now);
+                }
+            }
             Event::Stands { instance, standing, sent } => {
                 self.on_standing(instance, standing, sent)
             }
@@ -59,22 +63,20 @@
     /// was stopped.
     fn forget_ended_processes(&mut self, members: &Members, now: Instant) {
         let before = |name| self.members.get(name).and_then(|before| before.incarnation);
-        let started_again: Vec<&InstanceName> = members
+        let started_again: Vec<InstanceName> = members
             .all
             .iter()
             .filter(|member| has_started_again(before(&member.name), member.incarnation))
-            .map(|member| &member.name)
+            .map(|member| member.name.clone())
             .collect();
-        for name in started_again {
+        for name in &started_again {
             self.told.remove(name);
             self.stopped.remove(name);
-            let was_promoted = self.chosen.as_ref() == Some(name) && !self.chosen_again;
+            let was_promoted = self.chosen.as_ref() == Some(name);
             if was_promoted && !matches!(self.phase, Phase::Settling { .. } | Phase::Over) {
-                // The process that was to take over is gone, with what made it the best. The old primary
-                // may hold more than the others, and has been told to step down: the next attempt
-                // compares all of them.
-                self.chosen = None;
-                self.phase = Phase::Cancelling { until: now + self.timing.release };
+                // The process that was to take over is gone, with what made it the best. It may have led:
+                // nodes that ended this here would let the old primary answer commits after a promotion.
+                self.choose_again(now);
             }
         }
     }
@@ -98,7 +100,7 @@
         self.highest = self.highest.max(seen);
         let leads = standing.role == Role::Primary;
         if leads && self.chosen.as_ref() == Some(&instance) {
-            self.on_chosen_leads(instance, standing.term);
+            self.on_chosen_leads(instance, sent);
             return;
         }
         if self.former() == Some(&instance) {
@@ -131,10 +133,12 @@
         }
     }
 
-    /// The chosen one says that it leads. The old primary, if that was chosen again, may have said so before it
+    /// The chosen one says that it leads. The old primary, if that is the chosen one, may have said so before it
     /// stepped down.
-    fn on_chosen_leads(&mut self, instance: InstanceName, term: Term) {
-        if self.former() != Some(&instance) || term >= self.term {
+    fn on_chosen_leads(&mut self, instance: InstanceName, sent: Instant) {
+        let is_newest = self.former_answered.is_none_or(|answered| sent >= answered);
+        let leads_again = self.former_follows && is_newest;
+        if self.former() != Some(&instance) || leads_again {
             self.leads_by_its_word = Some(instance);
         }
     }
@@ -180,6 +184,7 @@
             }
             PromotionAnswer::NotRunning => {
                 // It has not been promoted and will not be: another one may be.
+                self.sent_promotions = self.sent_promotions.saturating_sub(1);
                 self.stopped.remove(instance);
                 self.not_running.insert(instance.clone(), now);
                 self.chosen = None;
--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -60,12 +60,14 @@
     pub(super) fn cancel(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
         self.release(now, commands);
         let since = until - self.timing.release;
-        if !self.all_released() && now >= since + self.timing.call_off && !self.intent.called_off {
+        // One change of the store at a time.
+        let mut is_changing = self.given != self.recorded;
+        if !self.all_released() && now >= since + self.timing.call_off && !is_changing {
             self.intent.called_off = true;
-            commands.push(Command::Record(self.intent.clone()));
+            self.intent.promoting = false;
+            self.record(commands);
+            is_changing = self.given != self.recorded;
         }
-        // One change of the store at a time.
-        let is_changing = self.intent.called_off && !self.call_off_recorded;
         if !is_changing && (now >= until || self.all_released()) {
             commands.push(Command::Finish { successor: None });
             self.phase = Phase::Over;
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -14,7 +14,7 @@
         // helped by stopping those.
         let answers = self.former_answered.is_some_and(|sent| now < sent + self.timing.stopping);
         let works = !self.former_follows && (self.intent.reason == Reason::Leaving || answers);
-        let ends = works && !self.is_committed();
+        let ends = works && !self.may_have_promoted();
         if ends && now >= since + self.timing.stopping {
             self.phase = Phase::Cancelling { until: now + self.timing.release };
             return;
@@ -42,9 +42,14 @@
             });
         }
         self.ask_former(now, commands);
+        if self.may_have_promoted() {
+            self.demote_former(now, commands);
+        }
         if self.enough_stopped() {
             self.complete = Some(now);
             self.phase = Phase::Lapsing { since: now };
+            self.intent.promoting = true;
+            self.record(commands);
             // Whether the old primary refuses connections now.
             self.last_sent.retain(|(instance, _), _| Some(instance) != self.intent.former.as_ref());
             self.ask_former(now, commands);
@@ -83,6 +88,10 @@
             self.phase = Phase::Stopping { since: now };
             return;
         }
+        // Whoever goes on after this holder has to know that somebody may have led.
+        if !self.recorded.as_ref().is_some_and(|recorded| recorded.promoting) {
+            return;
+        }
         let complete = self.complete.unwrap_or(now);
         let unchecked: Vec<InstanceName> = self
             .stopped
@@ -122,13 +131,14 @@
         // follow an old primary that still leads, and it would answer commits.
         self.demote_former(now, commands);
         self.phase = Phase::Promoting { again: now + self.timing.announcement };
+        self.sent_promotions += 1;
         commands.push(Command::Promote(chosen));
     }
 
     /// Whether a planned replacement would promote an instance that is to go as well, while one that stays
     /// has yet to receive what that one holds: it had to be replaced again.
     fn would_only_move(&self, best: &InstanceName) -> bool {
-        let is_planned = self.intent.reason == Reason::Leaving && !self.is_committed();
+        let is_planned = self.intent.reason == Reason::Leaving && !self.may_have_promoted();
         let mut replicas = self.members.replicas(self.intent.former.as_ref());
         is_planned && self.leaves(best) && replicas.any(|member| !member.leaving)
     }
@@ -148,7 +158,7 @@
 
     /// Begins again with a higher term: nodes take replicas that were stopped for a promotion as
     /// evidence for the one promoted, which the one chosen before may be yet.
-    fn choose_again(&mut self, now: Instant) {
+    pub(super) fn choose_again(&mut self, now: Instant) {
         self.chosen = None;
         self.chosen_again = true;
         self.complete = None;
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -11,12 +11,14 @@
 //!    that the primary can answer no further commit and one of them holds every commit answered
 //!    so far: all but `synchronous - 1` of them.
 //! 4. *Lapse*: evidence of the old primary lapses (`primary_evidence`), unless the old primary
-//!    refuses connections, so that nobody can read there, or every node has given its evidence up.
+//!    refuses connections, so that nobody can read there, or every node has given its evidence up. The
+//!    record says meanwhile that a promotion may be sent.
 //! 5. *Check*: the replicas say once more that they are stopped; one that was restarted is not.
 //! 6. *Promote*: the one with the highest position, again and again until the platform says so.
 //! 7. *Settle*: the old primary is demoted, then the other replicas released, the record taken back.
 //!
-//! Before the promotion is sent the attempt can be called off; after that it goes on to the end.
+//! Before the promotion is sent the attempt can be called off; after that it goes on to the end, by the next
+//! holder if need be: somebody may have led, so that the old primary must not go on.
 
 mod attempt;
 mod coordination;
@@ -84,6 +86,10 @@
     /// whoever acts only releases the replicas that were stopped.
     #[serde(default)]
     pub called_off: bool,
+    /// Whether a promotion may have been sent, by this holder or an earlier one: then somebody has to be
+    /// promoted, since the old primary is not the only one that has led.
+    #[serde(default)]
+    pub promoting: bool,
 }
 
 /// The attempts that nodes heed: those that have not been called off.
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -29,12 +29,14 @@
     pub wanted: bool,
     /// Whether an attempt has been begun: replicas may be stopped.
     pub begun: bool,
+    /// Whether a promotion may have been sent by whoever began it.
+    pub promoting: bool,
 }
 
 impl Need {
     /// Whether it calls for somebody to act, rather than for whoever acts to go on.
     pub fn calls_for_action(&self) -> bool {
-        self.wanted || self.reason == Reason::Unfinished
+        self.wanted || self.promoting || self.reason == Reason::Unfinished
     }
 }
 
@@ -162,6 +164,7 @@
             former: intent.former.clone(),
             wanted: current.is_some(),
             begun: true,
+            promoting: intent.promoting,
         }),
         (None, Some(_)) if is_paused => None,
         (None, current) => current,
@@ -175,7 +178,9 @@
     evidence: &NeedsEvidence,
 ) -> Option<Need> {
     let now = evidence.now;
-    let need = |reason, former| Some(Need { reason, former, wanted: true, begun: false });
+    let need = |reason, former| {
+        Some(Need { reason, former, wanted: true, begun: false, promoting: false })
+    };
     let intent = evidence.view.intents.get(name);
     let former = intent.and_then(|intent| intent.former.as_ref());
     let Some(primary) = group.leader(former) else {
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -84,8 +84,8 @@
 /// What has happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// The intent is recorded.
-    Recorded,
+    /// This intent is recorded.
+    Recorded(Intent),
     /// An instance answered a question or a command that was sent at `sent`.
     Stands {
         /// The instance.
--- a/crates/core/tests/promotion/lost_logs.rs
+++ b/crates/core/tests/promotion/lost_logs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use kestrellock_core::promotion::{Members, Reason};
+use kestrellock_core::promotion::{Attempt, Members, Phase, Reason};
 
 use crate::support::*;
 
@@ -37,3 +37,26 @@
     let chosen = promotes(&mut attempt, &mut now, &[("a", 12), ("b", 10), ("c", 11)]);
     assert_eq!(chosen, Some(name("c")));
 }
+
+/// An old primary that had stepped down and was promoted again led a lower term than replicas had been stopped
+/// with, so that its word was not taken and the attempt never ended (simulation of replacements, up to four
+/// faults, seed 38).
+#[test]
+fn an_old_primary_that_is_promoted_again_is_the_successor_by_its_own_word() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members_without_the_log_of_c(&["a"]));
+    begin(&mut attempt, now);
+    let sent_before = now;
+    let chosen = promotes(&mut attempt, &mut now, &[("a", 11), ("b", 10)]);
+    assert_eq!(chosen, Some(name(FORMER)));
+    attempt.on_event(leads(FORMER, 1, 11, sent_before), now);
+    assert!(!is_settling(&mut attempt, &mut now), "it said so before it stepped down");
+    attempt.on_event(leads(FORMER, 2, 11, now), now);
+    assert!(is_settling(&mut attempt, &mut now));
+}
+
+fn is_settling(attempt: &mut Attempt, now: &mut Instant) -> bool {
+    *now += STEP;
+    attempt.step(*now);
+    matches!(attempt.phase(), Phase::Settling { .. })
+}
--- a/crates/core/tests/promotion/main.rs
+++ b/crates/core/tests/promotion/main.rs
@@ -2,5 +2,6 @@
 
 mod lost_logs;
 mod old_primaries;
+mod sent_promotions;
 mod steps;
 mod support;
--- a/crates/core/tests/promotion/steps.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -178,7 +178,7 @@
             if let Command::Record(intent) = command {
                 assert!(intent.called_off);
                 called_off += 1;
-                attempt.on_event(Event::Recorded, now);
+                attempt.on_event(Event::Recorded(intent), now);
             }
         }
         attempt.on_event(leads("a", 1, 10, now), now);
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -37,7 +37,7 @@
 /// The need to replace the old primary.
 pub fn need(reason: Reason) -> Need {
     let begun = reason == Reason::Unfinished;
-    Need { reason, former: Some(name(FORMER)), wanted: true, begun }
+    Need { reason, former: Some(name(FORMER)), wanted: true, begun, promoting: false }
 }
 
 /// An attempt that begins; the highest term known is 1.
@@ -83,6 +83,7 @@
                 Command::Stop { instance, term } => {
                     held.insert(instance, term);
                 }
+                Command::Record(intent) => attempt.on_event(Event::Recorded(intent), *now),
                 _ => {}
             }
         }
@@ -97,6 +98,6 @@
 /// Has the attempt record its intent.
 pub fn begin(attempt: &mut Attempt, now: Instant) {
     let commands = attempt.step(now);
-    assert!(matches!(commands.as_slice(), [Command::Record(_)]), "{commands:?}");
-    attempt.on_event(Event::Recorded, now);
+    let [Command::Record(intent)] = commands.as_slice() else { panic!("{commands:?}") };
+    attempt.on_event(Event::Recorded(intent.clone()), now);
 }
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -227,7 +227,9 @@
                 self.on_looked(call.node, revision, call.sent);
             }
             (Operation::Renew, done) => self.on_renewed(&call, done),
-            (Operation::Record(_), Done::Yes(_)) => self.on_event(call.node, Event::Recorded),
+            (Operation::Record(intent), Done::Yes(_)) => {
+                self.on_event(call.node, Event::Recorded(intent.clone()));
+            }
             (Operation::Finish(_), Done::Yes(_)) => {
                 if let Some(acting) = &mut self.nodes[call.node].acting {
                     acting.attempt = None;
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -99,6 +99,10 @@
                 return Done::Yes(self.revision);
             }
             Operation::Release => self.holder = None,
+            // Done late, it must not bring back what has been finished.
+            Operation::Record(intent) if intent.promoting && !self.has_begun(group, intent) => {
+                return Done::Conflict;
+            }
             Operation::Record(intent) => {
                 self.intents.insert(group.clone(), intent.clone());
             }
@@ -115,6 +119,11 @@
         Done::Yes(self.revision)
     }
 
+    /// Whether this replacement, or an earlier one that it goes on with, is recorded.
+    fn has_begun(&self, group: &GroupName, intent: &Intent) -> bool {
+        self.intents.get(group).is_some_and(|known| known.id <= intent.id)
+    }
+
     /// Ends a hold that has run out.
     pub fn expire(&mut self, now: u64) {
         if self.holder.is_some_and(|(_, _, until)| now >= until) {
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -136,7 +136,7 @@
         match report {
             Report::Event(group, event) => {
                 if let Some(running) = self.attempts.get_mut(&group) {
-                    if event == Event::Recorded {
+                    if matches!(event, Event::Recorded(_)) {
                         running.pending = None;
                     }
                     running.attempt.on_event(event, now);
--- a/crates/daemon/src/agent/promotion/orders.rs
+++ b/crates/daemon/src/agent/promotion/orders.rs
@@ -143,7 +143,7 @@
     match command {
         StoreCommand::Record(hold, group, intent) => {
             match coordination.record(&hold, &group, &intent) {
-                Ok(true) => Report::Event(group, Event::Recorded),
+                Ok(true) => Report::Event(group, Event::Recorded(intent)),
                 Ok(false) => Report::Renewed(None),
                 Err(_) => Report::StoreFailed(group),
             }
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -130,10 +130,43 @@
     let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
     let id = ReplacementId { fence: hold.fence, attempt: 1 };
     let reason = Reason::Suspected;
-    let intent = Intent { holder: node, id, reason, former: None, called_off: false };
+    let intent =
+        Intent { holder: node, id, reason, former: None, called_off: false, promoting: false };
     assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
     mirror.catch_up().expect("an answer");
     assert!(coordination.view().intents.contains_key(&group));
     assert!(coordination.finish(&hold, &group, None).expect("an answer"));
     assert!(coordination.view().intents.is_empty(), "it is over");
 }
+
+/// A change without an answer may be done seconds later. One that says that a promotion may be sent, done after
+/// its replacement is over, would have the next holder promote an instance for no reason.
+#[test]
+fn a_record_that_is_done_late_does_not_bring_a_finished_replacement_back() {
+    let (store, mirror) = start();
+    store.put(NODE, b"1");
+    advance(&mirror);
+    let mirror = std::sync::Arc::new(mirror);
+    let client = KeyStore::new(&store.endpoint());
+    let coordination = StoreCoordination::new(client, mirror.clone(), Default::default());
+    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
+    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
+    let id = ReplacementId { fence: hold.fence, attempt: 1 };
+    let reason = Reason::Suspected;
+    let intent =
+        Intent { holder: node, id, reason, former: None, called_off: false, promoting: false };
+    assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
+    let promoting = Intent { promoting: true, ..intent };
+    assert!(coordination.record(&hold, &group, &promoting).expect("an answer"));
+    // The answer of the first was lost: the second finds that it is done.
+    assert!(coordination.record(&hold, &group, &promoting).expect("an answer"));
+    // A client whose copy stays as it was: its call expects what the one that is late expected.
+    let late_mirror = std::sync::Arc::new(Mirror::new(KeyStore::new(&store.endpoint())));
+    advance(&late_mirror);
+    let client = KeyStore::new(&store.endpoint());
+    let late = StoreCoordination::new(client, late_mirror, Default::default());
+    assert!(coordination.finish(&hold, &group, None).expect("an answer"));
+    assert!(late.record(&hold, &group, &promoting).is_err(), "its condition does not hold");
+    mirror.catch_up().expect("an answer");
+    assert!(coordination.view().intents.is_empty(), "it stays over");
+}
