Old primaries are known by the term that their successor led, and told to step down by any owner

Cause: the store named who was promoted, not the term. Nodes knew the newer term only by an answer of the successor, which had gone before it answered a commit. The holder had given up telling the old one after 1.5 s. Mend: the successor is asked for its term before the replacement is over, the store keeps it with the name (what earlier versions wrote can be read), and nodes take it in. A primary of a lower term gets nothing; one whose term is not known gets none either while another instance was promoted last. Owners ask whoever says that it leads beside the primary, or is outdated, and tell it to step down. Where nobody leads and the last primary is told as a replica, n - synchronous of all instances are stopped. Tests: core (evidence, needs, attempt), copy of the store.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -44,6 +44,8 @@
 pub struct PrimaryEvidence {
     /// Highest term of an answered commit, or that a replica follows.
     term: Term,
+    /// Highest term that an instance is known to have led otherwise.
+    led: Term,
     commit: Option<Instant>,
     /// What each replica last showed.
     replicas: BTreeMap<InstanceName, Shown>,
@@ -101,6 +103,12 @@
         }
     }
 
+    /// An instance has led `term`, by its own word or the store's: there is no evidence for primaries of lower
+    /// terms any more. What replicas show stays, since they need not have heard of that instance.
+    pub fn on_led(&mut self, term: Term) {
+        self.led = self.led.max(term);
+    }
+
     /// A replica answered at `answered` a question sent at `asked`.
     pub fn on_replica(
         &mut self,
@@ -151,6 +159,11 @@
         shown.fold(self.term, Term::max)
     }
 
+    /// Highest term that is known to have been led, whether there is evidence for it or not.
+    pub fn highest_led(&self) -> Term {
+        self.term().max(self.led)
+    }
+
     /// The node gives its evidence up, and takes no other of this term, until the replacement that
     /// is under way is over. Evidence of the successor's term counts, unless the node knows no term
     /// yet: then nothing does.
@@ -180,7 +193,7 @@
     /// Whether a primary that is known to lead `leads` is an old one: a higher term has been seen. Replicas
     /// refuse its commits as a rule, but one that has started again with nothing has forgotten that term.
     pub fn is_outdated(&self, leads: Option<Term>) -> bool {
-        leads.is_some_and(|leads| leads < self.term())
+        leads.is_some_and(|leads| leads < self.highest_led())
     }
 
     /// An instance has started again: what the process before showed says nothing of this one.
@@ -223,7 +236,7 @@
     fn counts_for(&self, term: Term) -> bool {
         let unknown = Term::default();
         let is_given_up = self.given_up.is_some_and(|(_, until)| term <= until || until == unknown);
-        term >= self.term && !is_given_up
+        term >= self.term.max(self.led) && !is_given_up
     }
 
     /// Whether no replacement can have released the replica before it answered.
--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -8,7 +8,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use super::{Command, Intent, Member, Members, Need, Phase, Reason, ReplacementId, Timing};
+use super::{
+    Command, Intent, Member, Members, Need, Phase, Reason, ReplacementId, Successor, Timing,
+};
 use crate::ids::{InstanceName, NodeName};
 use crate::position::{Position, Term};
 
@@ -54,6 +56,8 @@
     /// else stopped with the same term does not pass for stopped.
     told: BTreeSet<InstanceName>,
     stopped: BTreeMap<InstanceName, Stopped>,
+    /// Whether the last primary is one of the replicas, where none is named.
+    last_primary_follows: bool,
     /// Whether an earlier holder may have stopped replicas.
     others_stopped: bool,
     /// Replicas that may have been stopped by this attempt.
@@ -77,7 +81,7 @@
     outdated: BTreeSet<InstanceName>,
     chosen: Option<InstanceName>,
     /// The chosen one, once it has said itself that it leads: the store may be down.
-    leads_by_its_word: Option<InstanceName>,
+    leads_by_its_word: Option<Successor>,
     /// Whether another one was chosen before: replicas are stopped with a higher term than it took,
     /// should it lead after all.
     chosen_again: bool,
@@ -104,6 +108,7 @@
         timing: Timing,
     ) -> Self {
         let Need { reason, former, begun: others_stopped, promoting, .. } = need.clone();
+        let last_primary_follows = need.last_primary_follows;
         // Whoever leads may be the one that the earlier holder had promoted.
         let outdated = match promoting || reason == Reason::Unfinished {
             true => BTreeSet::new(),
@@ -111,6 +116,7 @@
         };
         Self {
             intent: Intent { holder, id, reason, former, called_off: false, promoting },
+            last_primary_follows,
             others_stopped,
             members,
             displaced: BTreeSet::new(),
@@ -250,7 +256,7 @@
         let leading = leading(&self.members, self.former());
         let may_be = |name: &InstanceName| !self.outdated.contains(name) && self.may_succeed(name);
         let told = leading.into_iter().find(may_be);
-        told.or_else(|| self.leads_by_its_word.clone())
+        told.or_else(|| Some(self.leads_by_its_word.clone()?.instance))
     }
 
     /// Whether a member that says it leads can be the successor. Once a promotion has been sent, its own
@@ -310,8 +316,11 @@
     /// How many of them must be stopped, whether the old primary is one of them or not.
     fn needed(&self) -> usize {
         let replicas = self.replicas();
-        let beside_it = replicas.iter().filter(|member| Some(&member.name) != self.former());
-        self.members.needed_of(beside_it.count())
+        let beside_it = match self.former() {
+            Some(former) => replicas.iter().filter(|member| member.name != *former).count(),
+            None => replicas.len().saturating_sub(usize::from(self.last_primary_follows)),
+        };
+        self.members.needed_of(beside_it)
     }
 
     /// Sends a command to an instance unless it was sent a moment ago.
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -6,7 +6,7 @@
 use crate::ids::InstanceName;
 use crate::incarnation::has_started_again;
 use crate::position::Term;
-use crate::promotion::{Event, Members, Phase, PromotionAnswer, Reason, Standing};
+use crate::promotion::{Event, Members, Phase, PromotionAnswer, Reason, Standing, Successor};
 use crate::routing::Role;
 
 impl Attempt {
@@ -100,7 +100,7 @@
         self.highest = self.highest.max(seen);
         let leads = standing.role == Role::Primary;
         if leads && self.chosen.as_ref() == Some(&instance) {
-            self.on_chosen_leads(instance, sent);
+            self.on_chosen_leads(instance, standing.term, sent);
             return;
         }
         if self.former() == Some(&instance) {
@@ -135,11 +135,11 @@
 
     /// The chosen one says that it leads. The old primary, if that is the chosen one, may have said so before it
     /// stepped down.
-    fn on_chosen_leads(&mut self, instance: InstanceName, sent: Instant) {
+    fn on_chosen_leads(&mut self, instance: InstanceName, term: Term, sent: Instant) {
         let is_newest = self.former_answered.is_none_or(|answered| sent >= answered);
         let leads_again = self.former_follows && is_newest;
         if self.former() != Some(&instance) || leads_again {
-            self.leads_by_its_word = Some(instance);
+            self.leads_by_its_word = Some(Successor { instance, term: Some(term) });
         }
     }
 
--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -5,7 +5,7 @@
 use super::{Attempt, Repeated};
 use crate::ids::InstanceName;
 use crate::position::Term;
-use crate::promotion::{Command, Phase, Reason};
+use crate::promotion::{Command, Phase, Reason, Successor};
 
 impl Attempt {
     /// The old primary first, then the replicas: one that receives again while the old primary still
@@ -22,12 +22,22 @@
                 self.demote(&name, now, commands);
             }
         }
-        if now >= until || (is_in_order && self.all_released()) {
-            commands.push(Command::Finish { successor: self.chosen.clone() });
+        let successor = self.chosen.clone().map(|instance| self.with_its_term(instance));
+        let has_term = successor.as_ref().is_none_or(|successor| successor.term.is_some());
+        if now >= until || (is_in_order && has_term && self.all_released()) {
+            commands.push(Command::Finish { successor });
             self.phase = Phase::Over;
+        } else if let (false, Some(instance)) = (has_term, self.chosen.clone()) {
+            self.send(&instance, Repeated::Ask, now, commands, Command::Ask);
         }
     }
 
+    /// A successor with the term that it said it leads: by that nodes tell old primaries that come back later.
+    fn with_its_term(&self, instance: InstanceName) -> Successor {
+        let told = self.leads_by_its_word.clone().filter(|told| told.instance == instance);
+        told.unwrap_or(Successor { instance, term: None })
+    }
+
     /// Whether the old primary may lead. One that has refused a connection since its successor led
     /// returns as a replica.
     fn former_still_leads(&self, since: Instant) -> bool {
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -160,6 +160,7 @@
     /// evidence for the one promoted, which the one chosen before may be yet.
     pub(super) fn choose_again(&mut self, now: Instant) {
         self.chosen = None;
+        self.leads_by_its_word = None;
         self.chosen_again = true;
         self.complete = None;
         self.stop_with_a_higher_term();
--- a/crates/core/src/promotion/coordination.rs
+++ b/crates/core/src/promotion/coordination.rs
@@ -6,6 +6,7 @@
 
 use super::Intent;
 use crate::ids::{GroupName, InstanceName, NodeName};
+use crate::position::Term;
 use crate::suspicion::Cause;
 
 /// A node's suspicion of one group's primary.
@@ -20,6 +21,15 @@
 /// What one node suspects.
 pub type NodeVotes = BTreeMap<GroupName, Vote>;
 
+/// The instance of a group that was promoted last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Successor {
+    /// The instance.
+    pub instance: InstanceName,
+    /// The term that it led, by its own word, if it said so before the replacement was over.
+    pub term: Option<Term>,
+}
+
 /// Who holds the right to act.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
@@ -41,7 +51,7 @@
     /// What nodes suspect.
     pub votes: BTreeMap<NodeName, NodeVotes>,
     /// The instance of each group that was promoted last.
-    pub promoted: BTreeMap<GroupName, InstanceName>,
+    pub promoted: BTreeMap<GroupName, Successor>,
     /// Nodes that have entered themselves.
     pub nodes: Vec<NodeName>,
 }
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -30,7 +30,7 @@
 mod timing;
 
 pub use attempt::Attempt;
-pub use coordination::{CoordinationView, Holder, NodeVotes, Vote};
+pub use coordination::{CoordinationView, Holder, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
 pub use known::KnownInstances;
 pub use members::{Member, Members};
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -9,6 +9,7 @@
 use super::{CoordinationView, NodeVotes, Reason};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName, NodeName};
+use crate::routing::Role;
 use crate::suspicion::Votes;
 
 /// Time without a primary, where one was seen before, after which one is promoted.
@@ -31,6 +32,8 @@
     pub begun: bool,
     /// Whether a promotion may have been sent by whoever began it.
     pub promoting: bool,
+    /// Whether the last primary is one of the instances that are told, as a replica by now.
+    pub last_primary_follows: bool,
 }
 
 impl Need {
@@ -165,6 +168,7 @@
             wanted: current.is_some(),
             begun: true,
             promoting: intent.promoting,
+            last_primary_follows: last_primary_follows(group, history),
         }),
         (None, Some(_)) if is_paused => None,
         (None, current) => current,
@@ -178,8 +182,10 @@
     evidence: &NeedsEvidence,
 ) -> Option<Need> {
     let now = evidence.now;
+    let last_primary_follows = last_primary_follows(group, history);
     let need = |reason, former| {
-        Some(Need { reason, former, wanted: true, begun: false, promoting: false })
+        let (wanted, begun, promoting) = (true, false, false);
+        Some(Need { reason, former, wanted, begun, promoting, last_primary_follows })
     };
     let intent = evidence.view.intents.get(name);
     let former = intent.and_then(|intent| intent.former.as_ref());
@@ -201,6 +207,14 @@
     }
 }
 
+/// Whether the instance that led last, as far as this node knows, is told as a replica: it has stepped down, and
+/// holds what it has answered.
+fn last_primary_follows(group: &Group, history: &History) -> bool {
+    let last = history.primary.as_ref().or(group.promoted.as_ref());
+    let told = last.and_then(|last| group.instance(last));
+    told.is_some_and(|told| told.announced_role == Some(Role::Replica))
+}
+
 fn votes_against(
     name: &GroupName,
     group: &Group,
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::{Intent, Members, PromotionAnswer, Standing};
+use super::{Intent, Members, PromotionAnswer, Standing, Successor};
 use crate::ids::InstanceName;
 use crate::position::Term;
 
@@ -77,7 +77,7 @@
     /// Take the record back; the successor, if there is one, is recorded in its place.
     Finish {
         /// The new primary.
-        successor: Option<InstanceName>,
+        successor: Option<Successor>,
     },
 }
 
--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -116,8 +116,15 @@
     judge(&mut judged, &[PRIMARY, REPLICA], (0, 3), start);
     let roles = [("a", Role::Replica), REPLICA];
     judge(&mut judged, &roles, (0, 3), start);
-    let need = judge(&mut judged, &roles, (0, 3), start + Duration::from_secs(1));
-    assert_eq!(need.expect("nothing leads").former, None);
+    let need = need_of_last(&mut judged, &roles, start);
+    assert_eq!(need.former, None);
+    // Whatever it has answered is held by one of those that are told, so not all of them have to be stopped.
+    assert!(need.last_primary_follows);
+}
+
+fn need_of_last(judged: &mut NeedsJudge, roles: &[(&str, Role)], start: Instant) -> Need {
+    let later = start + Duration::from_secs(1);
+    judge(judged, roles, (0, 3), later).expect("nothing leads")
 }
 
 /// `count` groups, each with a primary and a replica.
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -267,3 +267,17 @@
     assert!(!shown("c", now), "it has been stopped");
     assert!(!shown("d", now), "it has said nothing");
 }
+
+/// An old primary that nobody could reach for long came back after its successor had led and gone. Nodes that
+/// had never had an answer of that successor wrote to it (simulation of replacements, seed 15611).
+#[test]
+fn a_primary_of_a_lower_term_than_has_been_led_is_an_old_one() {
+    let now = Instant::now();
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_commit(TERM, now);
+    assert!(!evidence.is_outdated(Some(TERM)));
+    evidence.on_led(Term(TERM.0 + 1));
+    assert!(evidence.is_outdated(Some(TERM)));
+    assert!(!evidence.is_outdated(Some(Term(TERM.0 + 1))));
+    assert_eq!(covered(&evidence), None, "what it had shown counts no more");
+}
--- a/crates/core/tests/promotion/lost_logs.rs
+++ b/crates/core/tests/promotion/lost_logs.rs
@@ -2,7 +2,9 @@
 
 use std::time::Instant;
 
-use kestrellock_core::promotion::{Attempt, Members, Phase, Reason};
+use kestrellock_core::ids::NodeName;
+use kestrellock_core::position::Term;
+use kestrellock_core::promotion::{Attempt, Members, Need, Phase, Reason, ReplacementId, Timing};
 
 use crate::support::*;
 
@@ -60,3 +62,19 @@
     attempt.step(*now);
     matches!(attempt.phase(), Phase::Settling { .. })
 }
+
+/// Nobody leads, since the old primary has stepped down, and one replica has lost its log, which nobody can fill
+/// again: all three were waited for.
+#[test]
+fn two_logs_of_three_are_enough_where_the_last_primary_is_one_of_the_replicas() {
+    let need = Need { former: None, last_primary_follows: true, ..need(Reason::Missing) };
+    let id = ReplacementId { fence: 7, attempt: 1 };
+    let holder = NodeName::new("node");
+    let members = members_without_the_log_of_c(&[]);
+    let mut attempt = Attempt::new(holder, id, &need, members, Term(1), Timing::default());
+    let mut now = Instant::now();
+    begin(&mut attempt, now);
+    assert_eq!(promotes(&mut attempt, &mut now, &[("b", 10)]), None, "one log of three");
+    let chosen = promotes(&mut attempt, &mut now, &[("a", 11), ("b", 10)]);
+    assert_eq!(chosen, Some(name("a")));
+}
--- a/crates/core/tests/promotion/steps.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -6,7 +6,7 @@
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::promotion::{
     Attempt, Command, Event, Member, Need, Phase, PromotionAnswer, Reason, ReplacementId, Standing,
-    Timing,
+    Successor, Timing,
 };
 use kestrellock_core::routing::Role;
 
@@ -249,7 +249,9 @@
         begin(&mut attempt, now);
         assert!(promotes(&mut attempt, &mut now, &[("b", 10), ("c", 10)]).is_some());
         attempt.on_event(Event::Members(members(&["a", "b"])), now);
-        attempt.step(now);
+        let settling = attempt.step(now);
+        // Its term is recorded with the successor, so it is asked for.
+        assert!(settling.contains(&Command::Ask(name("b"))), "{settling:?}");
         now += STEP;
         let received = Position { term: Term(1), offset: LogOffset(10) };
         let standing = Standing { role: Role::Replica, term: Term(1), received, held: Term(0) };
@@ -263,8 +265,11 @@
         let commands = attempt.step(now);
         assert!(commands.contains(&Command::Release(name("c"))), "{steps_down}: {commands:?}");
         attempt.on_event(Event::Released(name("c")), now);
+        assert_eq!(attempt.step(now), []);
+        attempt.on_event(leads("b", 2, 10, now), now);
         let commands = attempt.step(now);
-        assert!(commands.contains(&Command::Finish { successor: Some(name("b")) }), "{commands:?}");
+        let successor = Some(Successor { instance: name("b"), term: Some(Term(2)) });
+        assert!(commands.contains(&Command::Finish { successor }), "{commands:?}");
     }
 }
 
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -37,7 +37,9 @@
 /// The need to replace the old primary.
 pub fn need(reason: Reason) -> Need {
     let begun = reason == Reason::Unfinished;
-    Need { reason, former: Some(name(FORMER)), wanted: true, begun, promoting: false }
+    let (wanted, promoting, last_primary_follows) = (true, false, false);
+    let former = Some(name(FORMER));
+    Need { reason, former, wanted, begun, promoting, last_primary_follows }
 }
 
 /// An attempt that begins; the highest term known is 1.
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -30,6 +30,7 @@
     pub fn step_node(&mut self, node: usize) {
         self.serve_callers(node);
         self.suspect(node);
+        self.demote_old_primaries(node);
         self.tell_holder(node);
         let now = self.at(self.now);
         let nodes = self.nodes.len();
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -10,6 +10,7 @@
 mod instances;
 mod messages;
 mod node;
+mod old_primaries;
 mod plan;
 mod serving;
 mod store;
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -1,9 +1,8 @@
 //! What is under way between nodes, instances, store and platform.
 
-use kestrellock_core::ids::InstanceName;
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{
-    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing,
+    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing, Successor,
 };
 
 use crate::checker::CommitId;
@@ -104,7 +103,7 @@
         /// What instances say there.
         announced: Vec<Announced>,
         /// The instance promoted last.
-        installed: Option<InstanceName>,
+        installed: Option<Successor>,
     },
     /// To the platform.
     Promote {
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::primary_evidence::{EVIDENCE_LIFE, PrimaryEvidence, Replication};
 use kestrellock_core::promotion::{
     Attempt, CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes,
-    ReplacementId, Vote, heeded,
+    ReplacementId, Successor, Vote, heeded,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{Judge, Signs};
@@ -104,6 +104,8 @@
     pub questioned: u64,
     /// When it last looked at the store.
     pub looked: u64,
+    /// When it last told old primaries to step down.
+    pub demoted: u64,
 }
 
 impl Node {
@@ -136,6 +138,7 @@
             told: 0,
             questioned: 0,
             looked: 0,
+            demoted: 0,
         }
     }
 
@@ -155,11 +158,14 @@
         &mut self,
         view: CoordinationView,
         announced: &[Announced],
-        installed: Option<&InstanceName>,
+        installed: Option<&Successor>,
     ) {
         if view.revision < self.view.revision {
             return;
         }
+        if let Some(term) = installed.and_then(|installed| installed.term) {
+            self.evidence.on_led(term);
+        }
         match heeded(&view.intents).get(&group_name()) {
             Some(intent) => self.evidence.give_up(intent.id),
             None => self.evidence.take_up(),
@@ -186,6 +192,15 @@
         former.is_some_and(|former| former == self.leader())
     }
 
+    /// Whether nothing may be written at the instance that it takes for the primary: a newer one is known, or may
+    /// have been promoted, and which term that one leads is not known.
+    pub fn is_old(&self, leader: usize) -> bool {
+        let term = self.terms.get(&leader).copied();
+        let group = self.catalog.groups.get(&group_name());
+        let is_newest = group.is_none_or(Group::is_led_by_newest);
+        self.evidence.is_outdated(term) || (term.is_none() && !is_newest)
+    }
+
     /// Whether a read that arrived at `arrived` may run at the primary.
     pub fn may_read(&self, leader: usize, arrived: Instant) -> bool {
         let term = self.terms.get(&leader);
@@ -271,7 +286,7 @@
 fn catalog(
     revision: u64,
     announced: &[Announced],
-    installed: Option<&InstanceName>,
+    installed: Option<&Successor>,
 ) -> IndexedCatalog {
     let instances = announced.iter().enumerate().map(|(number, announced)| Instance {
         name: instance_name(number),
@@ -291,7 +306,7 @@
         elector: Elector::Proxy,
         synchronous_replicas: 1,
         connections: 30,
-        promoted: installed.cloned(),
+        promoted: installed.map(|successor| successor.instance.clone()),
     };
     let mut catalog = Catalog { revision: Revision(revision), ..Catalog::default() };
     catalog.groups.insert(group_name(), group);
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -96,7 +96,8 @@
     StopForgotten,
     /// A write without an answer is called not run.
     DoubtPromised,
-    /// Nodes take the store's word for given that nobody replaces the primary.
+    /// Nodes take the store's word for given that nobody replaces the primary, and tell no old primary to
+    /// step down.
     NoLook,
     /// Whatever a primary answers counts as evidence that it leads.
     AnswersShow,
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{CoordinationView, Holder, Intent, NodeVotes};
+use kestrellock_core::promotion::{CoordinationView, Holder, Intent, NodeVotes, Successor};
 
 use crate::node::group_name;
 
@@ -33,7 +33,7 @@
     /// What nodes suspect.
     pub votes: BTreeMap<usize, NodeVotes>,
     /// The instance promoted last.
-    pub installed: Option<InstanceName>,
+    pub installed: Option<Successor>,
     /// What instances say.
     pub announced: Vec<Announced>,
 }
@@ -54,7 +54,7 @@
     /// Records the successor.
     Install(InstanceName),
     /// Takes the intent back.
-    Finish(Option<InstanceName>),
+    Finish(Option<Successor>),
     /// Changes nothing: tells how new the store is.
     Look,
 }
@@ -106,7 +106,9 @@
             Operation::Record(intent) => {
                 self.intents.insert(group.clone(), intent.clone());
             }
-            Operation::Install(successor) => self.installed = Some(successor.clone()),
+            Operation::Install(successor) => {
+                self.installed = Some(Successor { instance: successor.clone(), term: None });
+            }
             Operation::Finish(successor) => {
                 self.intents.remove(group);
                 self.installed = successor.clone().or(self.installed.take());
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -62,8 +62,7 @@
     fn write(&mut self, node: usize) {
         let Some(leader) = self.nodes[node].leader() else { return };
         let own = &self.nodes[node];
-        let is_outdated = own.evidence.is_outdated(own.terms.get(&leader).copied());
-        if own.holds_back() || is_outdated {
+        if own.holds_back() || own.is_old(leader) {
             return;
         }
         let request = self.number();
@@ -183,6 +182,9 @@
             }
             Reply::Standing(standing) => {
                 own.terms.insert(exchange.instance, standing.term);
+                if standing.role == Role::Primary {
+                    own.evidence.on_led(standing.term);
+                }
                 if standing.role == Role::Replica {
                     let following = Following { term: standing.term, held: standing.held };
                     let replica = instance_name(exchange.instance);
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -6,7 +6,7 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Timing,
+    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
 };
 use kestrellock_store::control::{ControlTarget, Order};
 use kestrellock_store::coordination::{Coordination, Hold};
@@ -274,7 +274,7 @@
         }
     }
 
-    fn report_end(&self, group: &GroupName, successor: Option<&InstanceName>, now: Instant) {
+    fn report_end(&self, group: &GroupName, successor: Option<&Successor>, now: Instant) {
         let began = self.attempts.get(group).map_or(now, |running| running.began);
         let took = now.saturating_duration_since(began).as_millis() as u64;
         log::info!(event = "attempt_over", group = group.as_str(), successor:? = successor, took_ms = took; "the attempt is over");
--- a/crates/daemon/src/agent/promotion/looks.rs
+++ b/crates/daemon/src/agent/promotion/looks.rs
@@ -110,7 +110,8 @@
     let catalog = context.catalog.load();
     for name in groups {
         let Some(group) = catalog.groups.get(name) else { continue };
-        let is_in_force = group.promoted.as_ref() == view.promoted.get(name);
+        let promoted = view.promoted.get(name).map(|successor| &successor.instance);
+        let is_in_force = group.promoted.as_ref() == promoted;
         let is_replaced = view.intents.contains_key(name) || !group.is_led_by_newest();
         if is_in_force && !is_replaced {
             context.statuses.on_unreplaced(name, looked.asked);
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -12,6 +12,7 @@
 mod electors;
 mod holder;
 mod looks;
+mod opinions;
 mod orders;
 mod owned;
 mod voter;
--- a/crates/daemon/src/agent/promotion/orders.rs
+++ b/crates/daemon/src/agent/promotion/orders.rs
@@ -7,7 +7,7 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{Event, Intent, PromotionAnswer, Standing};
+use kestrellock_core::promotion::{Event, Intent, PromotionAnswer, Standing, Successor};
 use kestrellock_store::control::{ControlError, ControlTarget, Order};
 use kestrellock_store::coordination::{Coordination, Hold};
 
@@ -33,7 +33,7 @@
 enum StoreCommand {
     Record(Hold, GroupName, Intent),
     Install(Hold, GroupName, InstanceName),
-    Finish(Hold, GroupName, Option<InstanceName>),
+    Finish(Hold, GroupName, Option<Successor>),
     Renew(Hold),
 }
 
@@ -117,7 +117,7 @@
     }
 
     /// Takes a record back.
-    pub fn finish(&self, hold: &Hold, group: GroupName, successor: Option<InstanceName>) {
+    pub fn finish(&self, hold: &Hold, group: GroupName, successor: Option<Successor>) {
         self.change(StoreCommand::Finish(hold.clone(), group, successor));
     }
 
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -1,12 +1,12 @@
 //! Watches the primaries: says what this node suspects, and has it act where it is its turn.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Receiver, Sender, unbounded};
-use kestrellock_core::catalog::IndexedCatalog;
+use crossbeam::channel::Sender;
+use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
     CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote, heeded,
@@ -14,13 +14,14 @@
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{Cause, Judge};
 use kestrellock_peer::message::PeerMessage;
-use kestrellock_store::control::{ControlError, ControlTarget, Order};
+use kestrellock_store::control::ControlTarget;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::SuccessionServices;
 use super::electors::Electors;
 use super::holder::{self, SharedSituation, Situation};
 use super::looks::Looks;
+use super::opinions::Opinions;
 use super::owned::OwnedGroups;
 use super::voter;
 use crate::context::NodeContext;
@@ -36,20 +37,11 @@
 const TURN: Duration = Duration::from_millis(120);
 /// An answer of a primary that is younger than this needs no second opinion.
 const RECENT_ANSWER: Duration = Duration::from_millis(100);
-/// How long an opinion counts.
-const OPINION_LIFE: Duration = Duration::from_millis(600);
 /// Time between two messages to a holder.
 const TELL_INTERVAL: Duration = Duration::from_millis(60);
 /// Shard whose connections carry messages that this node begins.
 const FIRST_SHARD: u16 = 0;
 
-/// What asking a primary for itself showed.
-#[derive(Clone, Copy, Debug)]
-struct Opinion {
-    cause: Option<Cause>,
-    at: Instant,
-}
-
 struct Watcher<'a> {
     context: &'a Arc<NodeContext>,
     services: &'a SuccessionServices,
@@ -63,10 +55,7 @@
     electors: Electors,
     votes: NodeVotes,
     voter: Sender<NodeVotes>,
-    opinions: HashMap<(GroupName, InstanceName), Opinion>,
-    asked: Receiver<(GroupName, InstanceName, Opinion)>,
-    asks: Sender<(GroupName, InstanceName, Opinion)>,
-    asking: Vec<(GroupName, InstanceName)>,
+    opinions: Opinions,
     situation: SharedSituation,
     needed_since: Option<Instant>,
     acting: Option<thread::JoinHandle<()>>,
@@ -84,7 +73,6 @@
     services: &SuccessionServices,
     stop: &StopFlag,
 ) {
-    let (asks, asked) = unbounded();
     let mut watcher = Watcher {
         context,
         services,
@@ -97,10 +85,7 @@
         electors: Electors::default(),
         votes: NodeVotes::new(),
         voter: voter::start(context, services, stop),
-        opinions: HashMap::new(),
-        asked,
-        asks,
-        asking: Vec::new(),
+        opinions: Opinions::new(),
         situation: Arc::new(Mutex::new(Situation::default())),
         needed_since: None,
         acting: None,
@@ -124,7 +109,7 @@
         self.follow_catalog(&catalog, now);
         self.follow_store();
         self.looks.step(self.context, &self.view, now);
-        self.take_opinions(now);
+        self.opinions.step(now);
         self.vote(&catalog, now);
         let needs = self.judge_needs(&catalog, now);
         self.act(needs, now);
@@ -134,7 +119,7 @@
     fn pause(&self) -> Duration {
         let nothing_said = self.view.votes.is_empty() && self.votes.is_empty();
         let nothing_begun = self.view.intents.is_empty() && self.needed_since.is_none();
-        let is_calm = nothing_said && nothing_begun && self.asking.is_empty();
+        let is_calm = nothing_said && nothing_begun && !self.opinions.is_asking();
         if is_calm { CALM_STEP } else { STEP }
     }
 
@@ -164,9 +149,22 @@
             self.told = None;
             self.tell_holders(&view);
         }
+        if view.promoted != self.view.promoted {
+            self.follow_successors(&view);
+        }
         self.view = view;
     }
 
+    /// Takes in which terms have been led: whoever leads a lower one is an old primary, whatever it says.
+    fn follow_successors(&self, view: &CoordinationView) {
+        for (group, successor) in &view.promoted {
+            let is_new = self.view.promoted.get(group) != Some(successor);
+            if let Some(term) = successor.term.filter(|_| is_new) {
+                self.context.statuses.on_led(group, term);
+            }
+        }
+    }
+
     /// Tells whoever replaces a primary that this node has given its evidence up; again and again,
     /// because a message may be lost.
     fn tell_holders(&mut self, view: &CoordinationView) {
@@ -200,14 +198,6 @@
         }
     }
 
-    fn take_opinions(&mut self, now: Instant) {
-        for (group, instance, opinion) in self.asked.try_iter() {
-            self.asking.retain(|asking| *asking != (group.clone(), instance.clone()));
-            self.opinions.insert((group, instance), opinion);
-        }
-        self.opinions.retain(|_, opinion| now < opinion.at + OPINION_LIFE);
-    }
-
     /// Says what this node suspects now, if that has changed.
     fn vote(&mut self, catalog: &IndexedCatalog, now: Instant) {
         let mut votes = NodeVotes::new();
@@ -215,6 +205,7 @@
         for name in self.owned.follow(self.context).iter() {
             let Some(group) = catalog.groups.get(name) else { continue };
             let Some(primary) = self.context.leader(name, group) else { continue };
+            self.question_others_that_lead(name, group, &primary.name);
             if let Some(cause) = self.suspect(name, &primary.name, now) {
                 votes.insert(name.clone(), Vote { instance: primary.name.clone(), cause });
             }
@@ -249,12 +240,12 @@
         if recent {
             return None;
         }
-        self.opinions.get(&(group.clone(), primary.clone()))?.cause
+        self.opinions.of(group, primary)?.cause
     }
 
     /// Whether the primary has said a moment ago that it leads a term lower than one that has been seen.
     fn says_it_is_outdated(&self, group: &GroupName, primary: &InstanceName) -> bool {
-        let opinion = self.opinions.get(&(group.clone(), primary.clone()));
+        let opinion = self.opinions.of(group, primary);
         opinion.is_some_and(|opinion| opinion.cause == Some(Cause::Outdated))
     }
 
@@ -265,33 +256,27 @@
         votes.any(|vote| vote.instance == *primary)
     }
 
-    /// Asks a primary that others suspect, in a thread of its own.
+    /// Asks a primary for itself.
     fn ask(&mut self, group: &GroupName, primary: &InstanceName) {
-        let key = (group.clone(), primary.clone());
-        let is_known = self.asking.contains(&key) || self.opinions.contains_key(&key);
-        let address = self.known.address(group, primary);
-        let Some(address) = address.filter(|_| !is_known) else { return };
-        let (named, instance) = (group.clone(), primary.clone());
-        let target = ControlTarget { group: named, instance, address };
-        self.asking.push(key);
-        let (control, asks) = (self.services.control.clone(), self.asks.clone());
+        let Some(address) = self.known.address(group, primary) else { return };
+        let target = ControlTarget { group: group.clone(), instance: primary.clone(), address };
         let highest = self.context.statuses.highest_term(group);
-        let spawned =
-            thread::Builder::new().name("promotion-opinion".to_owned()).spawn(move || {
-                let cause = match control.tell(&target, Order::Ask) {
-                    Ok(standing) if standing.role == Role::Primary && standing.term < highest => {
-                        Some(Cause::Outdated)
-                    }
-                    Ok(_) | Err(ControlError::Rejected(_)) => None,
-                    Err(ControlError::Refused | ControlError::Displaced) => Some(Cause::Refuses),
-                    Err(ControlError::Unanswered(_)) => Some(Cause::Silent),
-                };
-                let opinion = Opinion { cause, at: Instant::now() };
-                // The node may be stopping.
-                let _ = asks.send((target.group, target.instance, opinion));
-            });
-        if let Err(error) = spawned {
-            log::error!("a thread for an opinion could not be started: {error}");
+        self.opinions.ask(target, highest, self.services);
+    }
+
+    /// Asks others that say they lead beside the primary, unless they are known to lead the newest term: a node
+    /// out of reach of the store may take one of them for the primary.
+    fn question_others_that_lead(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        primary: &InstanceName,
+    ) {
+        let leads = |one: &&Instance| one.announced_role == Some(Role::Primary);
+        let others = group.instances.iter().filter(leads).filter(|one| one.name != *primary);
+        let others: Vec<InstanceName> = others.map(|one| one.name.clone()).collect();
+        for other in others {
+            self.ask(name, &other);
         }
     }
 
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -93,9 +93,7 @@
             if primary.is_some_and(|primary| catalog.drained_zones().contains(&primary.zone)) {
                 return Found::Nowhere;
             }
-            let is_outdated =
-                |primary: &Instance| known.evidence.is_outdated(known.led_by(&primary.name));
-            if primary.is_some_and(is_outdated) {
+            if primary.is_some_and(|primary| may_be_old(configured, primary, &known)) {
                 return Found::NeedsEvidence;
             }
             // Without synchronous replicas an old primary goes on committing.
@@ -115,6 +113,14 @@
     Found::Instance(instance.name.clone())
 }
 
+/// Whether a newer primary than this one is known, or may have been promoted: nothing is written there before it
+/// has said which term it leads.
+fn may_be_old(configured: &Group, primary: &Instance, known: &GroupStatuses) -> bool {
+    let leads = known.led_by(&primary.name);
+    let is_unproven = leads.is_none() && !configured.is_led_by_newest();
+    is_unproven || known.evidence.is_outdated(leads)
+}
+
 /// Which instances may serve a read.
 #[derive(Clone, Copy, Debug)]
 struct Qualifies<'a> {
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -183,6 +183,11 @@
         });
     }
 
+    /// The store says that an instance of the group has led `term`.
+    pub fn on_led(&self, group: &GroupName, term: Term) {
+        self.with_group(group, |known| known.evidence.on_led(term));
+    }
+
     /// Gives evidence of groups up for the replacements under way, and takes it up again for others.
     pub fn follow_replacements(&self, intents: &BTreeMap<GroupName, Intent>) {
         let groups: Vec<GroupName> = self
@@ -213,6 +218,9 @@
         self.with_group(group, |known| {
             let record = known.answers.entry(instance.clone()).or_default();
             record.on_standing(report.role, term);
+            if report.role == Role::Primary {
+                known.evidence.on_led(term);
+            }
             if report.role == Role::Replica {
                 known.evidence.on_replica(instance, following, asked, Instant::now());
             }
@@ -257,7 +265,7 @@
         let board = self.group(group);
         let known = board.read().expect("a holder of the status lock panicked");
         let told = known.answers.values().filter_map(AnswerRecord::term);
-        told.max().unwrap_or_default().max(known.evidence.term())
+        told.max().unwrap_or_default().max(known.evidence.highest_led())
     }
 
     /// Takes in newer statuses of a group.
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -1,8 +1,9 @@
 //! The copy of the platform's store: which changes wake it, and what it shows when it goes back to
 //! following everything.
 
-use kestrellock_core::ids::{GroupName, NodeName};
-use kestrellock_core::promotion::{Intent, Reason, ReplacementId};
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::position::Term;
+use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, Item, KeyStore, Mirror, MirrorView, Scope};
@@ -170,3 +171,22 @@
     mirror.catch_up().expect("an answer");
     assert!(coordination.view().intents.is_empty(), "it stays over");
 }
+
+/// Nodes tell an old primary that comes back late by the term that its successor led, so that is kept, and what
+/// nodes of an earlier version have written can be read.
+#[test]
+fn the_term_of_a_successor_is_kept_with_its_name() {
+    let (store, mirror) = start();
+    store.put("kestrellock/promotion/primaries/earlier", b"\"i-1\"");
+    advance(&mirror);
+    let mirror = std::sync::Arc::new(mirror);
+    let client = KeyStore::new(&store.endpoint());
+    let coordination = StoreCoordination::new(client, mirror, Default::default());
+    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
+    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    assert!(coordination.finish(&hold, &group, Some(&successor)).expect("an answer"));
+    let promoted = coordination.view().promoted.clone();
+    let earlier = Successor { instance: InstanceName::new("i-1"), term: None };
+    assert_eq!(promoted, [(GroupName::new("earlier"), earlier), (group, successor)].into());
+}
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -9,8 +9,8 @@
 use std::time::Instant;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::Intent;
 pub use kestrellock_core::promotion::{CoordinationView, Holder, NodeVotes, Vote};
+use kestrellock_core::promotion::{Intent, Successor};
 
 use crate::store::StoreError;
 
@@ -61,6 +61,6 @@
         &self,
         hold: &Hold,
         group: &GroupName,
-        successor: Option<&InstanceName>,
+        successor: Option<&Successor>,
     ) -> Result<bool, StoreError>;
 }
