Before a promotion the store is asked which instances have started again

Mend: once enough replicas are stopped the store is asked for the starts that the instances tell, one read for each, in parallel with the record that a promotion may be sent; nobody is promoted before the answer. A stopped replica that says a lower position than before has lost its log.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -4,10 +4,13 @@
 mod answers;
 mod ending;
 mod promoting;
+mod starts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use starts::Starts;
+
 use super::{
     Command, Intent, Member, Members, Need, Phase, Reason, ReplacementId, Successor, Timing,
 };
@@ -58,6 +61,8 @@
     stopped: BTreeMap<InstanceName, Stopped>,
     /// Whether the last primary is one of the replicas, where none is named.
     last_primary_follows: bool,
+    /// What is known of instances that have started again.
+    starts: Starts,
     /// Whether an earlier holder may have stopped replicas.
     others_stopped: bool,
     /// Replicas that may have been stopped by this attempt.
@@ -117,6 +122,7 @@
         Self {
             intent: Intent { holder, id, reason, former, called_off: false, promoting },
             last_primary_follows,
+            starts: Starts::default(),
             others_stopped,
             members,
             displaced: BTreeSet::new(),
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -45,6 +45,8 @@
                     false => drop(self.stop_sent.remove(&instance)),
                 }
             }
+            Event::Starts { told, asked } => self.starts.on_told(told, asked),
+            Event::StartsUnknown => self.starts.on_unknown(now),
             Event::EvidenceGivenUp => self.given_up = true,
             Event::Wanted(wanted) => self.wanted = wanted,
         }
@@ -123,7 +125,9 @@
         let is_stopped = standing.held >= self.term && standing.role == Role::Replica;
         if is_stopped {
             let stopped = Stopped { received: standing.received, said: sent };
-            self.stopped.insert(instance, stopped);
+            if let Some(before) = self.stopped.insert(instance.clone(), stopped) {
+                self.starts.on_position(&instance, before.received, standing.received);
+            }
         } else {
             self.stopped.remove(&instance);
             // Somebody else stopped it with a term as high.
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -24,7 +24,7 @@
         }
         let term = self.term;
         for replica in self.replicas() {
-            if replica.is_refilling {
+            if !self.has_its_log(&replica.name) {
                 self.let_refill(&replica.name, now, commands);
                 continue;
             }
@@ -50,13 +50,14 @@
             self.phase = Phase::Lapsing { since: now };
             self.intent.promoting = true;
             self.record(commands);
+            self.knows_starts(now, commands);
             // Whether the old primary refuses connections now.
             self.last_sent.retain(|(instance, _), _| Some(instance) != self.intent.former.as_ref());
             self.ask_former(now, commands);
         }
     }
 
-    /// A replica that is refilling does not count, and goes on receiving: a stop that was under way while it
+    /// A replica that has lost its log does not count, and goes on receiving: a stop that was under way while it
     /// started again may have reached it.
     fn let_refill(&mut self, replica: &InstanceName, now: Instant, commands: &mut Vec<Command>) {
         self.stopped.remove(replica);
@@ -77,11 +78,6 @@
         stopped >= self.needed()
     }
 
-    /// Whether an instance still has every commit that it has received.
-    fn has_its_log(&self, name: &InstanceName) -> bool {
-        self.members.get(name).is_some_and(|member| !member.is_refilling)
-    }
-
     pub(super) fn check(&mut self, now: Instant, commands: &mut Vec<Command>) {
         if !self.enough_stopped() {
             self.complete = None;
@@ -92,6 +88,9 @@
         if !self.recorded.as_ref().is_some_and(|recorded| recorded.promoting) {
             return;
         }
+        if !self.knows_starts(now, commands) {
+            return;
+        }
         let complete = self.complete.unwrap_or(now);
         let unchecked: Vec<InstanceName> = self
             .stopped
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -13,7 +13,8 @@
 //! 4. *Lapse*: evidence of the old primary lapses (`primary_evidence`), unless the old primary
 //!    refuses connections, so that nobody can read there, or every node has given its evidence up. The
 //!    record says meanwhile that a promotion may be sent.
-//! 5. *Check*: the replicas say once more that they are stopped; one that was restarted is not.
+//! 5. *Check*: the replicas say once more that they are stopped; one that was restarted is not. The store
+//!    says which of them have started again, and so have lost what they held: this node's copy may be old.
 //! 6. *Promote*: the one with the highest position, again and again until the platform says so.
 //! 7. *Settle*: the old primary is demoted, then the other replicas released, the record taken back.
 //!
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -1,9 +1,11 @@
 //! What an attempt is told, what it asks for, and how far it is.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use super::{Intent, Members, PromotionAnswer, Standing, Successor};
 use crate::ids::InstanceName;
+use crate::incarnation::InstanceIncarnation;
 use crate::position::Term;
 
 /// How far an attempt is.
@@ -52,6 +54,9 @@
 pub enum Command {
     /// Record the intent in the store.
     Record(Intent),
+    /// Ask the store which starts of their processes the instances tell, and say [`Event::Starts`] or
+    /// [`Event::StartsUnknown`].
+    ReadStarts,
     /// Ask an instance how it stands.
     Ask(InstanceName),
     /// Tell a replica to receive nothing below `term`.
@@ -86,6 +91,15 @@
 pub enum Event {
     /// This intent is recorded.
     Recorded(Intent),
+    /// The store, asked at `asked`, said which starts of their processes the instances tell.
+    Starts {
+        /// By instance.
+        told: BTreeMap<InstanceName, InstanceIncarnation>,
+        /// When the store was asked.
+        asked: Instant,
+    },
+    /// The store did not say it.
+    StartsUnknown,
     /// An instance answered a question or a command that was sent at `sent`.
     Stands {
         /// The instance.
--- a/crates/core/src/promotion/timing.rs
+++ b/crates/core/src/promotion/timing.rs
@@ -17,6 +17,8 @@
     pub quickest_promotion: Duration,
     /// Time between two commands of a kind to one instance.
     pub retry: Duration,
+    /// Time between two questions to a store that does not answer.
+    pub store_retry: Duration,
     /// Time for which a successor is waited for before the promotion is sent again.
     pub announcement: Duration,
     /// Time after which a replacement that cannot stop enough replicas is called off if the old
@@ -40,6 +42,7 @@
             unlisted_evidence_life: UNLISTED_EVIDENCE_LIFE,
             quickest_promotion: QUICKEST_PROMOTION,
             retry: Duration::from_millis(50),
+            store_retry: Duration::from_millis(100),
             announcement: Duration::from_millis(1_500),
             stopping: Duration::from_millis(300),
             demotion: Duration::from_millis(1_500),
--- a/crates/core/tests/promotion/lost_logs.rs
+++ b/crates/core/tests/promotion/lost_logs.rs
@@ -3,8 +3,11 @@
 use std::time::Instant;
 
 use kestrellock_core::ids::NodeName;
+use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
-use kestrellock_core::promotion::{Attempt, Members, Need, Phase, Reason, ReplacementId, Timing};
+use kestrellock_core::promotion::{
+    Attempt, Event, Members, Need, Phase, Reason, ReplacementId, Timing,
+};
 
 use crate::support::*;
 
@@ -78,3 +81,50 @@
     let chosen = promotes(&mut attempt, &mut now, &[("a", 11), ("b", 10)]);
     assert_eq!(chosen, Some(name("a")));
 }
+
+/// A holder that was cut off from the store did not hear that a replica it had stopped had started again. The
+/// replica, asked once more, said that it held nothing; the other one was promoted, and lacked what the first
+/// had held (simulation of replacements, up to nine faults, seed 15444: i-1 43 commits, then 0; i-2 promoted
+/// with 33; the old primary, with 43, still led).
+#[test]
+fn a_stopped_replica_that_says_less_than_before_has_lost_its_log() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    begin(&mut attempt, now);
+    let offsets = |step| vec![("b", if step < 20 { 43 } else { 0 }), ("c", 33)];
+    assert_eq!(plays(&mut attempt, &mut now, no_starts, offsets), None);
+}
+
+/// The same where the replica could not say so: the store knows of its start, the holder's copy is older.
+#[test]
+fn a_replica_that_has_started_again_by_the_stores_word_has_lost_its_log() {
+    let mut now = Instant::now();
+    let mut members = members(&["a"]);
+    members.all[1].incarnation = Some(InstanceIncarnation(1));
+    let mut attempt = attempt(Reason::Suspected, members);
+    begin(&mut attempt, now);
+    let starts = |asked| {
+        let told = [(name("b"), InstanceIncarnation(2))].into();
+        Event::Starts { told, asked }
+    };
+    let offsets = |_| vec![("b", 33), ("c", 33)];
+    assert_eq!(plays(&mut attempt, &mut now, starts, offsets), None);
+}
+
+/// Nothing is promoted while the store does not say which instances have started again.
+#[test]
+fn nobody_is_promoted_while_the_store_does_not_tell_starts() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    begin(&mut attempt, now);
+    let mut asked = 0;
+    let starts = |_| {
+        asked += 1;
+        Event::StartsUnknown
+    };
+    let offsets = |_| vec![("b", 33), ("c", 33)];
+    assert_eq!(plays(&mut attempt, &mut now, starts, offsets), None);
+    let most = STEPS as u128 * STEP.as_millis() / Timing::default().store_retry.as_millis() + 1;
+    assert!((2..=most).contains(&asked), "asked {asked} times");
+    assert!(promotes(&mut attempt, &mut now, &[("b", 33), ("c", 33)]).is_some());
+}
--- a/crates/core/tests/promotion/sent_promotions.rs
+++ b/crates/core/tests/promotion/sent_promotions.rs
@@ -100,6 +100,7 @@
             match command {
                 Command::Promote(_) => promoted = true,
                 Command::Record(intent) => recorded = Some(intent),
+                Command::ReadStarts => attempt.on_event(no_starts(now), now),
                 Command::Stop { term, .. } => held = term,
                 _ => {}
             }
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -12,6 +12,8 @@
 
 /// Time between two steps of an attempt.
 pub const STEP: Duration = Duration::from_millis(5);
+/// Steps that an attempt gets to have somebody promoted: four seconds.
+pub const STEPS: usize = 800;
 /// The old primary.
 pub const FORMER: &str = "a";
 
@@ -49,6 +51,11 @@
     Attempt::new(holder, id, &need(reason), members, Term(1), Timing::default())
 }
 
+/// The store says of no instance that it has started again.
+pub fn no_starts(asked: Instant) -> Event {
+    Event::Starts { told: BTreeMap::new(), asked }
+}
+
 /// A replica says how it stands.
 pub fn stands(instance: &str, offset: u64, held: Term, sent: Instant) -> Event {
     let received = Position { term: Term(1), offset: LogOffset(offset) };
@@ -75,9 +82,19 @@
     now: &mut Instant,
     offsets: &[(&str, u64)],
 ) -> Option<InstanceName> {
-    let until = *now + Duration::from_secs(4);
+    plays(attempt, now, no_starts, |_| offsets.to_vec())
+}
+
+/// The same with a store that answers `starts` when it is asked which instances have started again, and replicas
+/// that say what `offsets` has for each step.
+pub fn plays<'a>(
+    attempt: &mut Attempt,
+    now: &mut Instant,
+    mut starts: impl FnMut(Instant) -> Event,
+    offsets: impl Fn(usize) -> Vec<(&'a str, u64)>,
+) -> Option<InstanceName> {
     let mut held = BTreeMap::new();
-    while *now < until {
+    for step in 0..STEPS {
         *now += STEP;
         for command in attempt.step(*now) {
             match command {
@@ -86,12 +103,13 @@
                     held.insert(instance, term);
                 }
                 Command::Record(intent) => attempt.on_event(Event::Recorded(intent), *now),
+                Command::ReadStarts => attempt.on_event(starts(*now), *now),
                 _ => {}
             }
         }
-        for (instance, offset) in offsets {
+        for (instance, offset) in offsets(step) {
             let held = held.get(&name(instance)).copied().unwrap_or_default();
-            attempt.on_event(stands(instance, *offset, held, *now), *now);
+            attempt.on_event(stands(instance, offset, held, *now), *now);
         }
     }
     None
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -163,6 +163,7 @@
                 }
                 self.call(node, fence, Operation::Finish(successor.clone()));
             }
+            Command::ReadStarts => self.call(node, fence, Operation::ReadStarts),
             Command::Promote(instance) => self.promote(node, fence, instance),
             Command::Ask(instance)
             | Command::Stop { instance, .. }
@@ -227,6 +228,10 @@
             (Operation::Look, Done::Yes(revision)) => {
                 self.on_looked(call.node, revision, call.sent);
             }
+            (Operation::ReadStarts, Done::Starts(told)) => {
+                let asked = self.at(call.sent);
+                self.on_event(call.node, Event::Starts { told, asked });
+            }
             (Operation::Renew, done) => self.on_renewed(&call, done),
             (Operation::Record(intent), Done::Yes(_)) => {
                 self.on_event(call.node, Event::Recorded(intent.clone()));
@@ -263,6 +268,7 @@
                     acting.renewing = false;
                 }
             }
+            Operation::ReadStarts => self.on_event(call.node, Event::StartsUnknown),
             Operation::Record(_) | Operation::Finish(_) => self.call_again(&call),
             _ => {}
         }
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::promotion::{CoordinationView, Holder, Intent, NodeVotes, Successor};
 
-use crate::node::group_name;
+use crate::node::{group_name, instance_name};
 
 /// Life of a hold.
 pub const LEASE_MS: u64 = 3_000;
@@ -57,15 +58,19 @@
     Finish(Option<Successor>),
     /// Changes nothing: tells how new the store is.
     Look,
+    /// Changes nothing: tells which starts of their processes the instances say.
+    ReadStarts,
 }
 
 /// What an operation came to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Done {
     /// It is done; the store's revision.
     Yes(u64),
     /// A condition did not hold.
     Conflict,
+    /// The starts that instances tell.
+    Starts(BTreeMap<InstanceName, InstanceIncarnation>),
 }
 
 /// The name of a node.
@@ -92,6 +97,7 @@
                 self.votes.insert(node, votes.clone());
             }
             Operation::Look => return Done::Yes(self.revision),
+            Operation::ReadStarts => return Done::Starts(self.starts()),
             Operation::Acquire => {}
             _ if !holds => return Done::Conflict,
             Operation::Renew => {
@@ -126,6 +132,11 @@
         self.intents.get(group).is_some_and(|known| known.id <= intent.id)
     }
 
+    fn starts(&self) -> BTreeMap<InstanceName, InstanceIncarnation> {
+        let told = self.announced.iter().enumerate();
+        told.map(|(one, told)| (instance_name(one), InstanceIncarnation(told.born))).collect()
+    }
+
     /// Ends a hold that has run out.
     pub fn expire(&mut self, now: u64) {
         if self.holder.is_some_and(|(_, _, until)| now >= until) {
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -239,6 +239,11 @@
         now: Instant,
     ) {
         match command {
+            Command::ReadStarts => {
+                let members = known.members(group).all;
+                let instances = members.into_iter().map(|member| member.name).collect();
+                self.orders.read_starts(group.clone(), instances);
+            }
             Command::Ask(instance) => self.tell(group, &instance, Order::Ask, known),
             Command::Stop { instance, term } => {
                 self.tell(group, &instance, Order::Stop(term), known);
--- a/crates/daemon/src/agent/promotion/orders.rs
+++ b/crates/daemon/src/agent/promotion/orders.rs
@@ -111,6 +111,17 @@
         self.change(StoreCommand::Record(hold.clone(), group, intent));
     }
 
+    /// Asks the store which starts of their processes instances tell.
+    pub fn read_starts(&self, group: GroupName, instances: Vec<InstanceName>) {
+        let coordination = self.services.coordination.clone();
+        let reports = self.reports.clone();
+        spawn("promotion-starts", move || {
+            let event = read_starts(coordination.as_ref(), &instances);
+            // Whoever asked may be gone by now.
+            let _ = reports.send(Report::Event(group, event));
+        });
+    }
+
     /// Records a successor.
     pub fn install(&self, hold: &Hold, group: GroupName, successor: InstanceName) {
         self.change(StoreCommand::Install(hold.clone(), group, successor));
@@ -171,6 +182,17 @@
     }
 }
 
+fn read_starts(coordination: &dyn Coordination, instances: &[InstanceName]) -> Event {
+    let asked = Instant::now();
+    match coordination.starts(instances) {
+        Ok(told) => Event::Starts { told, asked },
+        Err(error) => {
+            log::info!(event = "starts_unknown", error = error.to_string().as_str(); "the store does not say which instances have started again");
+            Event::StartsUnknown
+        }
+    }
+}
+
 /// What an order's outcome means for the attempt.
 fn events_of(
     target: &ControlTarget,
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -2,6 +2,7 @@
 //! following everything.
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
@@ -190,3 +191,25 @@
     let earlier = Successor { instance: InstanceName::new("i-1"), term: None };
     assert_eq!(promoted, [(GroupName::new("earlier"), earlier), (group, successor)].into());
 }
+
+/// A holder whose copy does not follow the instances' entries asks the store which of them have started again.
+#[test]
+fn starts_are_read_from_the_store_and_not_from_the_copy() {
+    let (store, mirror) = start();
+    let client = KeyStore::new(&store.endpoint());
+    let coordination =
+        StoreCoordination::new(client, std::sync::Arc::new(mirror), Default::default());
+    let entry = |start: &str| {
+        format!(
+            r#"{{"service":"orders","address":"127.0.0.1:1","zone":"z","version":"1","slots":1,"state":"ready",
+               "coldRemainingMs":0,"callSeq":1,"dbRole":"replica"{start}}}"#
+        )
+    };
+    store.put("servers/i-1", entry(r#","born":7"#).as_bytes());
+    store.put("servers/i-10", entry(r#","born":8"#).as_bytes());
+    store.put("servers/i-2", entry("").as_bytes());
+    store.put("servers/i-3", b"no entry");
+    let names = ["i-1", "i-2", "i-3", "i-4"].map(InstanceName::new);
+    let starts = coordination.starts(&names).expect("an answer");
+    assert_eq!(starts, [(InstanceName::new("i-1"), InstanceIncarnation(7))].into());
+}
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -5,10 +5,12 @@
 //! others. Its fence is the store's revision at which it was taken: it rises with each hold, and
 //! none repeats.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::incarnation::InstanceIncarnation;
 pub use kestrellock_core::promotion::{CoordinationView, Holder, NodeVotes, Vote};
 use kestrellock_core::promotion::{Intent, Successor};
 
@@ -48,6 +50,12 @@
     /// Records an intent under the hold; false if the hold is over.
     fn record(&self, hold: &Hold, group: &GroupName, intent: &Intent) -> Result<bool, StoreError>;
 
+    /// Asks the store which starts of their processes `instances` tell; those are left out that tell none.
+    fn starts(
+        &self,
+        instances: &[InstanceName],
+    ) -> Result<BTreeMap<InstanceName, InstanceIncarnation>, StoreError>;
+
     /// Records the successor that leads a group; false if the hold is over.
     fn install(
         &self,
