As many replicas as are needed are checked before a promotion, also where the old primary refuses

Cause: where the old primary refused connections the chosen replica alone had to say once more that it was stopped. It lost its log 4 ms later, and the promotion went to an empty process; another replica held everything, had been stopped before and was not waited for. Mend: as many as are needed, of those that have their logs, say so again, asked after the store has told the starts. Cost: a round to the replicas (milliseconds) in a gap that is 380 to 450 ms; with two of three instances away nobody is promoted, who could not answer a commit anyway. Tests: one of attempts (failed before); three ask at most a retry later than before, since the instance was just asked.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -69,6 +69,8 @@
     stop_sent: BTreeSet<InstanceName>,
     /// When enough replicas had been stopped.
     complete: Option<Instant>,
+    /// Since when nothing is missing for a promotion but that the replicas say once more that they are stopped.
+    checks_since: Option<Instant>,
     /// When the old primary last refused a connection.
     former_refused: Option<Instant>,
     /// Whether the old primary said last that it follows somebody: then it is one of the replicas, and holds
@@ -141,6 +143,7 @@
             stopped: BTreeMap::new(),
             stop_sent: BTreeSet::new(),
             complete: None,
+            checks_since: None,
             former_refused: None,
             former_follows: false,
             former_answered: None,
@@ -222,7 +225,7 @@
                 self.question_former_if_chosen(now, commands);
                 // Replicas may have restarted meanwhile, and have forgotten that they were stopped.
                 if now >= again {
-                    self.complete = Some(now);
+                    self.set_complete(Some(now));
                     self.phase = Phase::Checking;
                 }
             }
@@ -249,6 +252,12 @@
         }
     }
 
+    /// Enough replicas have been stopped, or not any more.
+    fn set_complete(&mut self, complete: Option<Instant>) {
+        self.complete = complete;
+        self.checks_since = None;
+    }
+
     /// Gives the intent to be recorded, unless that has been done.
     fn record(&mut self, commands: &mut Vec<Command>) {
         if self.given.as_ref() != Some(&self.intent) {
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -192,7 +192,7 @@
                 self.stopped.remove(instance);
                 self.not_running.insert(instance.clone(), now);
                 self.chosen = None;
-                self.complete = None;
+                self.set_complete(None);
                 self.phase = Phase::Stopping { since: now };
             }
             PromotionAnswer::Unknown => {
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -46,7 +46,7 @@
             self.demote_former(now, commands);
         }
         if self.enough_stopped() {
-            self.complete = Some(now);
+            self.set_complete(Some(now));
             self.phase = Phase::Lapsing { since: now };
             self.intent.promoting = true;
             self.record(commands);
@@ -80,7 +80,7 @@
 
     pub(super) fn check(&mut self, now: Instant, commands: &mut Vec<Command>) {
         if !self.enough_stopped() {
-            self.complete = None;
+            self.set_complete(None);
             self.phase = Phase::Stopping { since: now };
             return;
         }
@@ -91,19 +91,19 @@
         if !self.knows_starts(now, commands) {
             return;
         }
-        let complete = self.complete.unwrap_or(now);
+        // Asked after that, so that one that has started again meanwhile does not say that it is stopped.
+        let since = *self.checks_since.get_or_insert(now);
         let unchecked: Vec<InstanceName> = self
             .stopped
             .iter()
-            .filter(|(_, stopped)| stopped.said < complete)
+            .filter(|(_, stopped)| stopped.said < since)
             .map(|(name, _)| name.clone())
             .collect();
-        let checked = self.stopped.len() - unchecked.len();
-        // Before the first promotion, nothing is answered any more if nobody reads there. The one that is
-        // promoted must have said since that it holds what it said before: it may have started again.
-        let best_is_checked = self.best().is_some_and(|best| !unchecked.contains(&best));
-        let is_settled = best_is_checked && !self.is_committed() && self.nobody_reads_there();
-        if checked >= self.needed() || is_settled {
+        let has_said = |name: &&InstanceName| !unchecked.contains(name) && self.has_its_log(name);
+        let checked = self.stopped.keys().filter(has_said).count();
+        // Also where nobody reads at the old primary: whoever is promoted may lose its log until then, and the
+        // others hold what it held.
+        if checked >= self.needed() {
             self.promote(now, commands);
             return;
         }
@@ -114,7 +114,7 @@
 
     fn promote(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let Some(best) = self.best() else {
-            self.complete = None;
+            self.set_complete(None);
             self.phase = Phase::Stopping { since: now };
             return;
         };
@@ -161,7 +161,7 @@
         self.chosen = None;
         self.leads_by_its_word = None;
         self.chosen_again = true;
-        self.complete = None;
+        self.set_complete(None);
         self.stop_with_a_higher_term();
         self.phase = Phase::Stopping { since: now };
     }
--- a/crates/core/tests/promotion/lost_logs.rs
+++ b/crates/core/tests/promotion/lost_logs.rs
@@ -6,7 +6,7 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{
-    Attempt, Event, Members, Need, Phase, Reason, ReplacementId, Timing,
+    Attempt, Command, Event, Members, Need, Phase, Reason, ReplacementId, Timing,
 };
 
 use crate::support::*;
@@ -128,3 +128,36 @@
     assert!((2..=most).contains(&asked), "asked {asked} times");
     assert!(promotes(&mut attempt, &mut now, &[("b", 33), ("c", 33)]).is_some());
 }
+
+/// The old primary refused connections, so that the chosen replica alone was asked once more before it was
+/// promoted. It lost its log 4 ms later; the other one, which had been stopped before and was away, held
+/// everything and was not waited for (simulation of replacements, up to nine faults, seed 19308: asked at 2,349 ms,
+/// promoted at 2,384, empty from 2,388 on; the other one back at 3,062).
+#[test]
+fn as_many_replicas_as_are_needed_say_once_more_that_they_are_stopped() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    begin(&mut attempt, now);
+    let mut held = Term(0);
+    let mut promoted = None;
+    for step in 0..STEPS {
+        now += STEP;
+        for command in attempt.step(now) {
+            match command {
+                Command::Promote(instance) => promoted = Some(instance),
+                Command::Record(intent) => attempt.on_event(Event::Recorded(intent), now),
+                Command::ReadStarts => attempt.on_event(no_starts(now), now),
+                Command::Stop { term, .. } => held = held.max(term),
+                _ => {}
+            }
+        }
+        attempt.on_event(Event::Refused { instance: name(FORMER), sent: now }, now);
+        let is_stopping = matches!(attempt.phase(), Phase::Stopping { .. });
+        attempt.on_event(stands("b", 33, held, now), now);
+        if step == 0 || is_stopping {
+            attempt.on_event(stands("c", 33, held, now), now);
+        }
+    }
+    assert_eq!(promoted, None);
+    assert!(promotes(&mut attempt, &mut now, &[("b", 33), ("c", 33)]).is_some());
+}
--- a/crates/core/tests/promotion/steps.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -88,11 +88,12 @@
     attempt.on_event(Event::Members(members(&["a"])), now);
     // if it shows that it leads a newer term.
     attempt.on_event(Event::Members(members(&["a", "c"])), now);
-    let commands = attempt.step(now + STEP);
+    now += Timing::default().retry;
+    let commands = attempt.step(now);
     assert!(!commands.iter().any(|one| matches!(one, Command::Install(_))), "{commands:?}");
     assert!(commands.contains(&Command::Ask(name("c"))), "{commands:?}");
     attempt.on_event(leads("c", 3, 9, now), now);
-    let commands = attempt.step(now + STEP * 2);
+    let commands = attempt.step(now + STEP);
     assert!(commands.contains(&Command::Install(name("c"))), "{commands:?}");
 }
 
@@ -157,10 +158,11 @@
     let offsets = [("b", 11), ("c", 11)];
     assert_eq!(promotes(&mut attempt, &mut now, &offsets), Some(name("b")));
     attempt.on_event(Event::Members(members(&["a", "c"])), now);
-    let commands = attempt.step(now + STEP);
+    now += Timing::default().retry;
+    let commands = attempt.step(now);
     assert!(commands.contains(&Command::Ask(name("c"))), "{commands:?}");
     attempt.on_event(leads("c", 3, 11, now), now);
-    let commands = attempt.step(now + STEP * 2);
+    let commands = attempt.step(now + STEP);
     assert!(commands.contains(&Command::Install(name("c"))), "{commands:?}");
 }
 
@@ -249,6 +251,7 @@
         begin(&mut attempt, now);
         assert!(promotes(&mut attempt, &mut now, &[("b", 10), ("c", 10)]).is_some());
         attempt.on_event(Event::Members(members(&["a", "b"])), now);
+        now += Timing::default().retry;
         let settling = attempt.step(now);
         // Its term is recorded with the successor, so it is asked for.
         assert!(settling.contains(&Command::Ask(name("b"))), "{settling:?}");
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -289,10 +289,12 @@
     is_caught(Plant::EvidenceDropped, |found| matches!(found, Violation::StaleRead { .. }));
 }
 
-/// A replica that a promotion released without its hearing of it says what it said before.
+/// A replica that a promotion released without its hearing of it says what it said before. Connections go silent
+/// besides: an old primary is soon told to step down by whoever knows of the newer term, so that the fault shows
+/// where that is not heard.
 #[test]
 fn the_word_of_one_replica_without_a_look_at_the_store_is_caught() {
-    let faults = Faults::dense().with_releases();
+    let faults = Faults::dense().with_releases().with_silences();
     is_caught_with(faults, Plant::NoLook, |found| matches!(found, Violation::StaleRead { .. }));
 }
 
