An instance that has started again counts once something shows that it holds everything, not after 3 s

Cause: an instance that has started again with nothing counted as whole 3 s after its start, also where nobody led that could have refilled it, or it received nothing. Mend: it counts once a node has seen that it has received what the primary, asked after the start, had received; owners ask both until then. Or once all nodes have seen the start and it has received as much as the primary has told any of them: none has passed on a commit beyond that. Nodes say both with their word that they have given evidence up. Where neither holds the old primary, which returns with its log, is waited for; logs that are gone for good are not. Left: a node that has just started (3 s) still does not know what started again before, and bears no witness.

--- a/crates/core/src/primary_samples.rs
+++ b/crates/core/src/primary_samples.rs
@@ -25,6 +25,7 @@
 pub struct PrimarySamples {
     term: Term,
     samples: VecDeque<Sample>,
+    highest: Option<Position>,
 }
 
 impl PrimarySamples {
@@ -36,6 +37,11 @@
         if position.term > self.term {
             self.term = position.term;
             self.samples.clear();
+            self.highest = None;
+        }
+        let is_higher = self.highest.is_none_or(|highest| highest.offset < position.offset);
+        if is_higher {
+            self.highest = Some(position);
         }
         match self.samples.back() {
             Some(last) if asked < last.asked + SAMPLE_INTERVAL => {}
@@ -54,6 +60,11 @@
         sample.map(|sample| sample.position)
     }
 
+    /// The highest position that was told.
+    pub fn highest(&self) -> Option<Position> {
+        self.highest
+    }
+
     /// Term of the primary that told them.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -319,23 +319,25 @@
     /// The replicas that may run, the old primary among them once it follows. One at whose address another
     /// member answers has ended: what it held is gone, or is held by that one.
     fn replicas(&self) -> Vec<Member> {
-        let has_ended = |member: &Member| {
-            let is_displaced = member.shares_address && self.displaced.contains(&member.name);
-            is_displaced || self.ended.contains(&member.name)
-        };
         let leading = self.former().filter(|_| !self.former_follows);
         let replicas = self.members.replicas(leading);
-        replicas.filter(|member| !has_ended(member)).cloned().collect()
+        replicas.filter(|member| !self.has_ended(member)).cloned().collect()
+    }
+
+    fn has_ended(&self, member: &Member) -> bool {
+        let is_displaced = member.shares_address && self.displaced.contains(&member.name);
+        is_displaced || self.ended.contains(&member.name)
     }
 
-    /// How many of them must be stopped, whether the old primary is one of them or not.
+    /// How many of them must be stopped, whether the old primary is one of them or not: no more than still have
+    /// their logs. An old primary that is gone for good, or has lost its log as well, is not waited for.
     fn needed(&self) -> usize {
         let replicas = self.replicas();
         let beside_it = match self.former() {
             Some(former) => replicas.iter().filter(|member| member.name != *former).count(),
             None => replicas.len().saturating_sub(usize::from(self.last_primary_follows)),
         };
-        self.members.needed_of(beside_it)
+        self.members.needed_of(beside_it).min(self.logs_left()).max(1)
     }
 
     /// Sends a command to an instance unless it was sent a moment ago.
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -3,10 +3,12 @@
 use std::time::Instant;
 
 use super::{Attempt, Repeated, Stopped, leading};
-use crate::ids::InstanceName;
+use crate::ids::{InstanceName, NodeName};
 use crate::incarnation::has_started_again;
 use crate::position::Term;
-use crate::promotion::{Event, Members, Phase, PromotionAnswer, Reason, Standing, Successor};
+use crate::promotion::{
+    Event, Members, Phase, PromotionAnswer, Reason, Standing, Successor, Witnesses,
+};
 use crate::routing::Role;
 
 impl Attempt {
@@ -47,11 +49,26 @@
             }
             Event::Starts { told, asked } => self.starts.on_told(told, asked),
             Event::StartsUnknown => self.starts.on_unknown(now),
+            Event::Refilled(refilled) => self.starts.on_refilled(refilled),
+            Event::HeardByAll(heard) => self.starts.on_heard_by_all(heard),
             Event::EvidenceGivenUp => self.given_up = true,
             Event::Wanted(wanted) => self.wanted = wanted,
         }
     }
 
+    /// Takes in what `nodes`, those that may read at the old primary, have said so far.
+    pub fn hear(&mut self, witnesses: &Witnesses, nodes: &[NodeName], now: Instant) {
+        for refilled in witnesses.refilled() {
+            self.on_event(Event::Refilled(refilled), now);
+        }
+        if let Some(heard) = witnesses.heard_by_all(nodes) {
+            self.on_event(Event::HeardByAll(heard), now);
+        }
+        if !nodes.is_empty() && witnesses.have_all_spoken(nodes) {
+            self.on_event(Event::EvidenceGivenUp, now);
+        }
+    }
+
     fn on_recorded(&mut self, now: Instant) {
         self.phase = match self.intent.reason {
             Reason::Leaving => Phase::Draining { until: now + self.timing.drain },
@@ -98,6 +115,7 @@
 
     fn on_standing(&mut self, instance: InstanceName, standing: Standing, sent: Instant) {
         self.displaced.remove(&instance);
+        self.compare_with_heard(&instance, &standing);
         let seen = standing.term.max(standing.held).max(standing.received.term);
         self.highest = self.highest.max(seen);
         let leads = standing.role == Role::Primary;
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -19,6 +19,10 @@
             self.phase = Phase::Cancelling { until: now + self.timing.release };
             return;
         }
+        // Which of them still have their logs is not known yet.
+        if !self.members.knows_starts {
+            return;
+        }
         if self.term <= self.highest && self.stopped.is_empty() {
             self.term = Term(self.highest.0 + 1);
         }
@@ -61,6 +65,7 @@
     /// started again may have reached it.
     fn let_refill(&mut self, replica: &InstanceName, now: Instant, commands: &mut Vec<Command>) {
         self.stopped.remove(replica);
+        self.send(replica, Repeated::Ask, now, commands, Command::Ask);
         if self.stop_sent.contains(replica) {
             self.send(replica, Repeated::Release, now, commands, Command::Release);
         }
@@ -75,7 +80,7 @@
     /// Whether one of those stopped holds every answered commit, and no further one is answered.
     fn enough_stopped(&self) -> bool {
         let stopped = self.stopped.keys().filter(|name| self.has_its_log(name)).count();
-        stopped >= self.needed()
+        self.members.knows_starts && stopped >= self.needed()
     }
 
     pub(super) fn check(&mut self, now: Instant, commands: &mut Vec<Command>) {
--- a/crates/core/src/promotion/attempt/starts.rs
+++ b/crates/core/src/promotion/attempt/starts.rs
@@ -11,7 +11,7 @@
 use crate::ids::InstanceName;
 use crate::incarnation::InstanceIncarnation;
 use crate::position::Position;
-use crate::promotion::Command;
+use crate::promotion::{Command, HeardByAll, Member, SeenStart, Standing};
 
 /// Time after which an answer of the store is not waited for any more: its calls are given up before.
 const STORE_ANSWERS_WITHIN: Duration = Duration::from_secs(3);
@@ -29,6 +29,10 @@
     failed: Option<Instant>,
     /// Instances that said a lower position than before while they were stopped.
     went_back: BTreeSet<InstanceName>,
+    /// Starts since which an instance has received everything, as nodes have seen it.
+    refilled: BTreeMap<InstanceName, InstanceIncarnation>,
+    /// What all nodes have heard of the primary.
+    heard: Option<HeardByAll>,
 }
 
 impl Starts {
@@ -45,6 +49,16 @@
         self.failed = Some(now);
     }
 
+    /// A node has seen an instance receive everything since a start.
+    pub fn on_refilled(&mut self, refilled: SeenStart) {
+        self.refilled.insert(refilled.instance, refilled.start);
+    }
+
+    /// All nodes have said what they have heard.
+    pub fn on_heard_by_all(&mut self, heard: HeardByAll) {
+        self.heard = Some(heard);
+    }
+
     /// A stopped instance that had received `before` says that it has received `now`.
     pub fn on_position(&mut self, instance: &InstanceName, before: Position, now: Position) {
         if (now.term, now.offset) < (before.term, before.offset) {
@@ -71,11 +85,43 @@
         false
     }
 
-    /// Whether an instance still has every commit that it has received.
+    /// Whether an instance still has every commit that it has received, or has received again what it lost.
     pub(super) fn has_its_log(&self, name: &InstanceName) -> bool {
-        let Some(member) = self.members.get(name) else { return false };
-        let told = self.starts.told.get(name);
+        self.members.get(name).is_some_and(|member| self.keeps_log(member) || self.no_log_is_left())
+    }
+
+    /// An instance whose start all nodes have seen holds everything if it has received what any of them has heard:
+    /// none has passed on a commit beyond that.
+    pub(super) fn compare_with_heard(&mut self, instance: &InstanceName, standing: &Standing) {
+        let Some(heard) = &self.starts.heard else { return };
+        let member = self.members.get(instance);
+        let Some(start) = member.and_then(|member| member.incarnation) else { return };
+        let seen = SeenStart { instance: instance.clone(), start };
+        let received = (standing.received.term, standing.received.offset);
+        let has_received = received >= (heard.highest.term, heard.highest.offset);
+        if has_received && heard.started_again.contains(&seen) {
+            self.starts.on_refilled(seen);
+        }
+    }
+
+    /// How many instances still have their logs, whether they can be reached or not.
+    pub(super) fn logs_left(&self) -> usize {
+        let may_run = |member: &&Member| !self.has_ended(member);
+        let left = self.members.all.iter().filter(may_run);
+        left.filter(|member| self.has_its_log(&member.name)).count()
+    }
+
+    /// Whether all instances have lost their logs: what they held is gone, and nothing is gained by waiting.
+    fn no_log_is_left(&self) -> bool {
+        !self.members.all.iter().any(|member| self.keeps_log(member))
+    }
+
+    fn keeps_log(&self, member: &Member) -> bool {
+        let told = self.starts.told.get(&member.name);
         let is_same_start = told.is_none_or(|told| member.incarnation == Some(*told));
-        is_same_start && !member.is_refilling && !self.starts.went_back.contains(name)
+        let refilled = self.starts.refilled.get(&member.name).copied();
+        let is_refilled = refilled.is_some() && refilled == member.incarnation;
+        let is_whole = !member.is_refilling || is_refilled;
+        is_same_start && is_whole && !self.starts.went_back.contains(&member.name)
     }
 }
--- a/crates/core/src/promotion/known.rs
+++ b/crates/core/src/promotion/known.rs
@@ -12,19 +12,21 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::{Member, Members};
+use super::refill::Refill;
+use super::{Member, Members, SeenStart, Standing, Witness};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName};
 use crate::incarnation::has_started_again;
+use crate::position::Position;
 use crate::routing::Role;
 
 /// How long an instance counts that vanished.
 const VANISHED_FOR: Duration = Duration::from_secs(10);
 
-/// How long an instance that has started again may lack what it held before. Answered commits that it held
-/// may stand at the primary alone meanwhile, which returns with its log if it crashes: the wait before
-/// another one is promoted without it covers a crash of 2.4 s in the simulation of replacements.
-const REFILLS_FOR: Duration = Duration::from_secs(3);
+/// How long a node has watched a group before it acts: it has not seen what started again before that. An instance
+/// that has lost its log has it again within that time unless it receives nothing, and then the primary, which
+/// holds everything, is rarely away for longer.
+const WATCHED_FOR: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Debug)]
 struct Known {
@@ -33,8 +35,10 @@
     stays: bool,
     /// When it was first missing from the catalog.
     vanished: Option<Instant>,
-    /// When it was first seen to have started again.
-    started_again: Option<Instant>,
+    /// What it has yet to receive, if it was seen to have started again.
+    refill: Option<Refill>,
+    /// Whether it was seen to have started again.
+    has_started_again: bool,
 }
 
 impl Known {
@@ -43,15 +47,36 @@
         let has_started_again = before.is_some_and(|before| {
             has_started_again(before.instance.incarnation, instance.incarnation)
         });
-        let started_again = match has_started_again {
-            true => Some(now),
-            false => before.and_then(|before| before.started_again),
+        let refill = match has_started_again {
+            true => Some(Refill::since(now)),
+            false => before.and_then(|before| before.refill),
         };
-        Self { instance: instance.clone(), stays, vanished: None, started_again }
+        // One that leads was promoted: nobody can fill it.
+        let leads = instance.announced_role == Some(Role::Primary);
+        Self {
+            instance: instance.clone(),
+            stays,
+            vanished: None,
+            refill: refill.filter(|_| !leads),
+            has_started_again: has_started_again
+                || before.is_some_and(|before| before.has_started_again),
+        }
     }
 
-    fn is_refilling(&self, now: Instant) -> bool {
-        self.started_again.is_some_and(|at| now.saturating_duration_since(at) < REFILLS_FOR)
+    /// Its start, if it was seen to have started again.
+    fn seen_start(&self) -> Option<SeenStart> {
+        let start = self.instance.incarnation.filter(|_| self.has_started_again)?;
+        Some(SeenStart { instance: self.instance.name.clone(), start })
+    }
+
+    /// An instance of its group said how it stands.
+    fn on_standing(&mut self, instance: &InstanceName, standing: &Standing, asked: Instant) {
+        let Some(refill) = &mut self.refill else { return };
+        if self.instance.name != *instance {
+            refill.on_primary(standing, asked);
+        } else if refill.is_complete(standing, asked) {
+            self.refill = None;
+        }
     }
 }
 
@@ -130,21 +155,72 @@
             leads: known.instance.announced_role == Some(Role::Primary),
             shares_address: shares_address(known),
             incarnation: known.instance.incarnation,
-            is_refilling: known_group.is_refilling(known),
+            is_refilling: known.refill.is_some(),
         };
         let mut all: Vec<Member> = known_group.instances.values().map(member).collect();
         all.sort_by(|one, other| one.name.cmp(&other.name));
-        Members { all, synchronous: known_group.synchronous }
+        let knows_starts = known_group.knows_starts(known_group.looked);
+        Members { all, synchronous: known_group.synchronous, knows_starts }
     }
 
     /// Whether this node knows which instances of a group have started again a moment ago: it has watched
     /// them for long enough, or the platform tells no starts. A node that does not know must not compare
     /// what they hold.
     pub fn knows_starts(&self, group: &GroupName, now: Instant) -> bool {
-        let Some(known) = self.groups.get(group) else { return false };
-        let mut instances = known.instances.values();
-        let tells_starts = instances.any(|one| one.instance.incarnation.is_some());
-        !tells_starts || !known.is_young(now)
+        self.groups.get(group).is_some_and(|known| known.knows_starts(now))
+    }
+
+    /// An instance, asked at `asked`, said how it stands.
+    pub fn on_standing(
+        &mut self,
+        group: &GroupName,
+        instance: &InstanceName,
+        standing: &Standing,
+        asked: Instant,
+    ) {
+        let Some(known) = self.groups.get_mut(group) else { return };
+        known.instances.values_mut().for_each(|one| one.on_standing(instance, standing, asked));
+    }
+
+    /// The instances to ask how they stand, so that those that have started again show when they hold
+    /// everything: they, and the instance that leads. None where nothing has started again.
+    pub fn to_ask_for_refills(&self, group: &GroupName) -> Vec<InstanceName> {
+        let Some(known) = self.groups.get(group) else { return Vec::new() };
+        let is_refilling = |known: &&Known| known.refill.is_some();
+        if !known.instances.values().any(|known| is_refilling(&known)) {
+            return Vec::new();
+        }
+        let leads = |known: &&Known| known.instance.announced_role == Some(Role::Primary);
+        let asked = known.instances.values().filter(|known| is_refilling(known) || leads(known));
+        asked.map(|known| known.instance.name.clone()).collect()
+    }
+
+    /// The groups that this node has seen an instance of start again, and not yet receive everything.
+    pub fn refilling_groups(&self) -> impl Iterator<Item = &GroupName> {
+        let is_refilling = |name: &&GroupName| {
+            let group = self.groups.get(*name);
+            group.is_some_and(|group| group.instances.values().any(|one| one.refill.is_some()))
+        };
+        self.unsettled.iter().filter(is_refilling)
+    }
+
+    /// What this node has seen of a group's instances that have started again; `heard` is the highest position
+    /// that its primary has told this node.
+    pub fn witness(&self, group: &GroupName, heard: Option<Position>) -> Witness {
+        let Some(known) = self.groups.get(group) else {
+            return Witness { heard, ..Witness::default() };
+        };
+        let seen_starts = |refilled: bool| -> Vec<SeenStart> {
+            let chosen = known.instances.values().filter(|one| one.refill.is_none() == refilled);
+            chosen.filter_map(Known::seen_start).collect()
+        };
+        let refilled = seen_starts(true);
+        // A node that has just started may have passed on commits before that it does not remember.
+        let started_again = match known.is_young(known.looked) {
+            true => Vec::new(),
+            false => seen_starts(false).into_iter().chain(refilled.iter().cloned()).collect(),
+        };
+        Witness { started_again, refilled, heard }
     }
 
     /// Where an instance listens.
@@ -189,21 +265,18 @@
         self.instances.retain(|_, known| !known.vanished.is_some_and(has_passed));
     }
 
-    /// Whether an instance may lack what it held before: it has started again a moment ago, or it may have
-    /// done so before this node began to watch the group.
-    fn is_refilling(&self, known: &Known) -> bool {
-        let tells_starts = known.instance.incarnation.is_some();
-        let may_have_started_again = tells_starts && self.is_young(self.looked);
-        may_have_started_again || known.is_refilling(self.looked)
+    fn knows_starts(&self, now: Instant) -> bool {
+        let tells_starts = |known: &Known| known.instance.incarnation.is_some();
+        !self.is_young(now) || !self.instances.values().any(tells_starts)
     }
 
     /// Whether it has been watched for too short a time to know what has started again a moment ago.
     fn is_young(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.watched_since) < REFILLS_FOR
+        now.saturating_duration_since(self.watched_since) < WATCHED_FOR
     }
 
     fn is_unsettled(&self, now: Instant) -> bool {
         let mut known = self.instances.values();
-        self.is_young(now) || known.any(|known| known.vanished.is_some() || known.is_refilling(now))
+        self.is_young(now) || known.any(|known| known.vanished.is_some() || known.refill.is_some())
     }
 }
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -19,8 +19,8 @@
     pub shares_address: bool,
     /// Which start of its process is told.
     pub incarnation: Option<InstanceIncarnation>,
-    /// Whether it has started again a moment ago: what it held before is gone, and it may not have received
-    /// all of that again.
+    /// Whether it has started again: what it held before is gone, and it may not have received all of that
+    /// again.
     pub is_refilling: bool,
 }
 
@@ -31,6 +31,8 @@
     pub all: Vec<Member>,
     /// Replicas that must have received a commit before the primary answers it.
     pub synchronous: u32,
+    /// Whether this node has watched them for long enough to know which of them have started again.
+    pub knows_starts: bool,
 }
 
 impl Members {
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -27,8 +27,10 @@
 mod known;
 mod members;
 mod needs;
+mod refill;
 mod steps;
 mod timing;
+mod witness;
 
 pub use attempt::Attempt;
 pub use coordination::{CoordinationView, Holder, NodeVotes, Successor, Vote};
@@ -38,6 +40,7 @@
 pub use needs::{Need, NeedsEvidence, NeedsJudge};
 pub use steps::{Command, Event, Phase};
 pub use timing::Timing;
+pub use witness::{HeardByAll, SeenStart, Witness, Witnesses};
 
 use std::collections::BTreeMap;
 
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use super::{Intent, Members, PromotionAnswer, Standing, Successor};
+use super::{HeardByAll, Intent, Members, PromotionAnswer, SeenStart, Standing, Successor};
 use crate::ids::InstanceName;
 use crate::incarnation::InstanceIncarnation;
 use crate::position::Term;
@@ -136,6 +136,10 @@
     Members(Members),
     /// A replica that was told to receive again has answered.
     Released(InstanceName),
+    /// A node has seen an instance start again, and receive since whatever was answered before.
+    Refilled(SeenStart),
+    /// What all nodes have heard of the primary.
+    HeardByAll(HeardByAll),
     /// Every node that may read at the old primary has given its evidence up.
     EvidenceGivenUp,
     /// Whether there still is a reason.
--- /dev/null
+++ b/crates/core/src/promotion/witness.rs
@@ -0,0 +1,88 @@
+//! What nodes know of a group that tells whether an instance that has started again holds everything.
+//!
+//! Each node says so, with its word that it has given its evidence up, to whoever replaces the primary. Two
+//! things show that such an instance is whole: a node has seen it receive everything ([`super::refill`]); or all
+//! nodes have seen the start, and it has received as much as the primary has told any of them, since none of them
+//! has passed on a commit beyond that.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{InstanceName, NodeName};
+use crate::incarnation::InstanceIncarnation;
+use crate::position::{LogOffset, Position, Term};
+
+/// An instance that a node has seen start again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenStart {
+    /// The instance.
+    pub instance: InstanceName,
+    /// The start of its process.
+    pub start: InstanceIncarnation,
+}
+
+/// What one node knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Witness {
+    /// Instances that have started again while it watched; none before it has watched for a while.
+    pub started_again: Vec<SeenStart>,
+    /// Those that it has seen receive everything since.
+    pub refilled: Vec<SeenStart>,
+    /// The highest position that the group's primary has told it.
+    pub heard: Option<Position>,
+}
+
+/// What all nodes together have heard of the primary.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardByAll {
+    /// Starts that each of them has seen.
+    pub started_again: Vec<SeenStart>,
+    /// The highest position that the primary has told any of them.
+    pub highest: Position,
+}
+
+/// What nodes have said about one replacement.
+#[derive(Clone, Debug, Default)]
+pub struct Witnesses {
+    by_node: BTreeMap<NodeName, Witness>,
+}
+
+fn order(position: &Position) -> (Term, LogOffset) {
+    (position.term, position.offset)
+}
+
+impl Witnesses {
+    /// A node has said what it knows.
+    pub fn add(&mut self, node: &NodeName, witness: Witness) {
+        self.by_node.insert(node.clone(), witness);
+    }
+
+    /// Whether all of `nodes` have spoken.
+    pub fn have_all_spoken(&self, nodes: &[NodeName]) -> bool {
+        nodes.iter().all(|node| self.by_node.contains_key(node))
+    }
+
+    /// Starts since which an instance has received everything, as some node has seen it.
+    pub fn refilled(&self) -> Vec<SeenStart> {
+        let mut starts: Vec<SeenStart> = Vec::new();
+        for start in self.by_node.values().flat_map(|witness| &witness.refilled) {
+            if !starts.contains(start) {
+                starts.push(start.clone());
+            }
+        }
+        starts
+    }
+
+    /// What all of `nodes` have heard, if all of them have spoken and one at least has heard the primary.
+    pub fn heard_by_all(&self, nodes: &[NodeName]) -> Option<HeardByAll> {
+        let spoken: Option<Vec<&Witness>> =
+            nodes.iter().map(|node| self.by_node.get(node)).collect();
+        let spoken = spoken?;
+        let highest = spoken.iter().filter_map(|witness| witness.heard).max_by_key(order)?;
+        let seen = spoken.first()?.started_again.iter();
+        let by_all =
+            |start: &&SeenStart| spoken.iter().all(|witness| witness.started_again.contains(start));
+        Some(HeardByAll { started_again: seen.filter(by_all).cloned().collect(), highest })
+    }
+}
--- a/crates/core/tests/promotion/lost_logs.rs
+++ b/crates/core/tests/promotion/lost_logs.rs
@@ -4,9 +4,10 @@
 
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::incarnation::InstanceIncarnation;
-use kestrellock_core::position::Term;
+use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Members, Need, Phase, Reason, ReplacementId, Timing,
+    Attempt, Command, Event, HeardByAll, Members, Need, Phase, Reason, ReplacementId, SeenStart,
+    Timing,
 };
 
 use crate::support::*;
@@ -161,3 +162,69 @@
     assert_eq!(promoted, None);
     assert!(promotes(&mut attempt, &mut now, &[("b", 33), ("c", 33)]).is_some());
 }
+
+/// Another node has seen that the replica received everything again: it counts.
+#[test]
+fn a_replica_that_a_node_has_seen_refilled_counts() {
+    let mut now = Instant::now();
+    let mut members = members_without_the_log_of_c(&["a"]);
+    members.all[2].incarnation = Some(InstanceIncarnation(2));
+    let mut attempt = attempt(Reason::Suspected, members);
+    begin(&mut attempt, now);
+    let refilled = |start| {
+        let start = InstanceIncarnation(start);
+        Event::Refilled(SeenStart { instance: name("c"), start })
+    };
+    attempt.on_event(refilled(1), now);
+    let both = [("b", 10), ("c", 10)];
+    assert_eq!(promotes(&mut attempt, &mut now, &both), None, "that was another start");
+    attempt.on_event(refilled(2), now);
+    assert!(promotes(&mut attempt, &mut now, &both).is_some());
+}
+
+/// What an instance held that is gone for good cannot be had by waiting: the best of what is left is promoted.
+#[test]
+fn logs_that_are_gone_for_good_are_not_waited_for() {
+    let mut now = Instant::now();
+    let mut without_primary = members_without_the_log_of_c(&[]);
+    without_primary.all.remove(0);
+    let mut attempt = attempt(Reason::Missing, without_primary);
+    begin(&mut attempt, now);
+    let chosen = promotes(&mut attempt, &mut now, &[("b", 10), ("c", 0)]);
+    assert_eq!(chosen, Some(name("b")));
+}
+
+/// After a start of all instances there is nothing to lose, and somebody has to lead.
+#[test]
+fn somebody_is_promoted_where_all_have_lost_their_logs() {
+    let mut now = Instant::now();
+    let mut members = members(&[]);
+    members.all.iter_mut().for_each(|member| member.is_refilling = true);
+    let mut attempt = attempt(Reason::Missing, members);
+    begin(&mut attempt, now);
+    let chosen = promotes(&mut attempt, &mut now, &[("b", 0), ("c", 3)]);
+    assert_eq!(chosen, Some(name("c")));
+}
+
+fn hears(attempt: &mut Attempt, offset: u64, now: Instant) {
+    let highest = Position { term: Term(1), offset: LogOffset(offset) };
+    let seen = SeenStart { instance: name("c"), start: InstanceIncarnation(2) };
+    let heard = HeardByAll { started_again: vec![seen], highest };
+    attempt.on_event(Event::HeardByAll(heard), now);
+}
+
+/// No node has passed on a commit beyond what it has heard of the primary: a replica that has received all of that
+/// holds whatever was acknowledged, though the primary is gone and nobody has seen the replica refilled.
+#[test]
+fn a_replica_that_holds_what_all_nodes_have_heard_counts() {
+    let mut now = Instant::now();
+    let mut members = members_without_the_log_of_c(&["a"]);
+    members.all[2].incarnation = Some(InstanceIncarnation(2));
+    for (held, is_enough) in [(9, false), (10, true)] {
+        let mut attempt = attempt(Reason::Suspected, members.clone());
+        begin(&mut attempt, now);
+        hears(&mut attempt, 10, now);
+        let chosen = promotes(&mut attempt, &mut now, &[("b", 10), ("c", held)]);
+        assert_eq!(chosen.is_some(), is_enough, "it holds {held} of 10");
+    }
+}
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -33,7 +33,8 @@
         incarnation: None,
         is_refilling: false,
     };
-    Members { all: ["a", "b", "c"].iter().map(member).collect(), synchronous: 1 }
+    let all = ["a", "b", "c"].iter().map(member).collect();
+    Members { all, synchronous: 1, knows_starts: true }
 }
 
 /// The need to replace the old primary.
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -1,6 +1,6 @@
 //! What a node does about the primary: it suspects, takes the right to act, and acts.
 
-use kestrellock_core::ids::InstanceName;
+use kestrellock_core::ids::{InstanceName, NodeName};
 use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFE;
 use kestrellock_core::promotion::{Attempt, Command, Event, Need, ReplacementId, Timing};
 
@@ -31,6 +31,7 @@
         self.serve_callers(node);
         self.suspect(node);
         self.demote_old_primaries(node);
+        self.watch_refills(node);
         self.tell_holder(node);
         let now = self.at(self.now);
         let nodes = self.nodes.len();
@@ -67,7 +68,9 @@
         let holder = (0..self.nodes.len()).find(|one| node_name(*one) == intent.holder);
         let Some(to) = holder else { return };
         self.nodes[node].told = self.now;
-        self.send(Message::GivenUp { to, from: node, id });
+        let own = &self.nodes[node];
+        let witness = own.known.witness(&group_name(), own.heard.highest());
+        self.send(Message::GivenUp { to, from: node, id, witness });
     }
 
     fn act(&mut self, node: usize, need: Option<&Need>) {
@@ -120,7 +123,7 @@
 
     fn step_attempt(&mut self, node: usize, need: Option<&Need>) {
         let now = self.at(self.now);
-        let nodes = self.nodes.len();
+        let nodes: Vec<NodeName> = (0..self.nodes.len()).map(node_name).collect();
         let own = &mut self.nodes[node];
         let members = own.known.members(&group_name());
         let refilling = members.all.iter().filter(|one| one.is_refilling);
@@ -130,8 +133,8 @@
         let Some(attempt) = &mut acting.attempt else { return };
         attempt.on_event(Event::Members(members), now);
         attempt.on_event(Event::Wanted(need.is_some_and(|need| need.wanted)), now);
-        if own.given_up.get(&attempt.id()).is_some_and(|told| told.len() == nodes) {
-            attempt.on_event(Event::EvidenceGivenUp, now);
+        if let Some(witnesses) = own.given_up.get(&attempt.id()) {
+            attempt.hear(witnesses, &nodes, now);
         }
         let before = attempt.phase();
         let commands = attempt.step(now);
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -12,6 +12,7 @@
 mod node;
 mod old_primaries;
 mod plan;
+mod refills;
 mod serving;
 mod store;
 mod trace;
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -1,8 +1,8 @@
 //! What is under way between nodes, instances, store and platform.
 
-use kestrellock_core::position::Term;
+use kestrellock_core::position::{Position, Term};
 use kestrellock_core::promotion::{
-    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing, Successor,
+    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing, Successor, Witness,
 };
 
 use crate::checker::CommitId;
@@ -27,8 +27,8 @@
 /// What an instance answers.
 #[derive(Clone, Debug)]
 pub enum Reply {
-    /// The commit has reached a replica.
-    Committed(Term),
+    /// The commit has reached a replica; how far the primary's log goes.
+    Committed(Term, Position),
     /// The read is done.
     Read(Term),
     /// It does not lead.
@@ -142,6 +142,8 @@
         from: usize,
         /// The replacement.
         id: ReplacementId,
+        /// What it knows of the group.
+        witness: Witness,
     },
     /// The store drops what a dead process has written.
     VotesExpire {
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -1,6 +1,6 @@
 //! One node: what it believes, suspects and does.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,9 +10,10 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{EVIDENCE_LIFE, PrimaryEvidence, Replication};
+use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::{
     Attempt, CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes,
-    ReplacementId, Successor, Vote, heeded,
+    ReplacementId, Successor, Vote, Witnesses, heeded,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{Judge, Signs};
@@ -96,8 +97,10 @@
     /// Whether it is asking for it.
     pub acquiring: bool,
     needed_since: Option<u64>,
-    /// Nodes that have given their evidence up.
-    pub given_up: BTreeMap<ReplacementId, BTreeSet<usize>>,
+    /// Nodes that have given their evidence up, and what they know.
+    pub given_up: BTreeMap<ReplacementId, Witnesses>,
+    /// Positions that the primary has told it.
+    pub heard: PrimarySamples,
     /// When it last told a holder.
     pub told: u64,
     /// When the last question for evidence was sent.
@@ -106,6 +109,8 @@
     pub looked: u64,
     /// When it last told old primaries to step down.
     pub demoted: u64,
+    /// When it last asked instances that have started again.
+    pub asked_refills: u64,
 }
 
 impl Node {
@@ -135,10 +140,12 @@
             acquiring: false,
             needed_since: None,
             given_up: BTreeMap::new(),
+            heard: PrimarySamples::default(),
             told: 0,
             questioned: 0,
             looked: 0,
             demoted: 0,
+            asked_refills: 0,
         }
     }
 
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -158,6 +158,10 @@
                 own.answered.insert(exchange.instance, now);
             }
         }
+        if let Reply::Standing(standing) = &reply {
+            let name = instance_name(exchange.instance);
+            own.known.on_standing(&group_name(), &name, standing, sent);
+        }
         if let Work::Control(command) = &exchange.work {
             self.on_control(
                 exchange.node,
@@ -169,7 +173,8 @@
             return;
         }
         match reply {
-            Reply::Committed(term) => {
+            Reply::Committed(term, position) => {
+                own.heard.record(sent, position);
                 own.terms.insert(exchange.instance, term);
                 own.evidence.on_commit(term, sent);
                 own.committed.insert(exchange.instance, now);
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -15,7 +15,7 @@
 use crate::messages::{Call, Exchange, Message, Reply, Work};
 use crate::node::{Node, group_name, instance_name, instant};
 use crate::plan::{FaultKind, Faults, Planned, Plant, draw};
-use crate::store::{Announced, Contents, Operation};
+use crate::store::{Announced, Contents, Operation, node_name};
 use crate::trace::Trace;
 
 /// Length of a run.
@@ -281,7 +281,8 @@
             work: Work::Write(pending.entry.id),
         };
         let term = Term(pending.entry.term);
-        self.send(Message::Answer(exchange, Reply::Committed(term)));
+        let position = self.instances[one].standing().received;
+        self.send(Message::Answer(exchange, Reply::Committed(term, position)));
     }
 
     /// Whether the node still waits for the answer to a commit. One that has given the request up has told
@@ -378,8 +379,9 @@
                 self.on_leads(instance);
             }
             Message::Leads { .. } => {}
-            Message::GivenUp { to, from, id } => {
-                self.nodes[to].given_up.entry(id).or_default().insert(from);
+            Message::GivenUp { to, from, id, witness } => {
+                let witnesses = self.nodes[to].given_up.entry(id).or_default();
+                witnesses.add(&node_name(from), witness);
             }
             Message::VotesExpire { node, process } => {
                 let is_gone = self.nodes[node].process == process && !self.nodes[node].alive;
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
     Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
 };
@@ -205,17 +205,10 @@
         let wanted = situation.needs.get(group).is_some_and(|need| need.wanted);
         running.attempt.on_event(Event::Members(situation.known.members(group)), now);
         running.attempt.on_event(Event::Wanted(wanted), now);
-        let listed = self.context.listed_names();
         let id = running.attempt.id();
-        let given_up = &self.context.given_up;
-        // This node's own list may be seconds old, and lack nodes that have entered themselves since; the
-        // store's was read anew when the intent was recorded.
-        if running.attempt.phase() != Phase::Recording
-            && !listed.is_empty()
-            && given_up.by_all(group, id, &listed)
-            && given_up.by_all(group, id, &self.coordination.view().nodes)
-        {
-            running.attempt.on_event(Event::EvidenceGivenUp, now);
+        let said = self.context.given_up.for_replacement(group, id);
+        if let Some(said) = said.filter(|_| running.attempt.phase() != Phase::Recording) {
+            running.attempt.hear(&said, &nodes_to_hear(self.context, &*self.coordination), now);
         }
         let mut commands = running.attempt.step(now);
         if running.again.as_ref().is_some_and(|(at, _)| now >= *at) {
@@ -301,3 +294,16 @@
         self.orders.tell(ControlTarget { group, instance, address }, order);
     }
 }
+
+/// The nodes whose word is waited for. This node's own list may be seconds old, and lack nodes that have entered
+/// themselves since; the store's was read anew when the intent was recorded. None while nothing has been read.
+fn nodes_to_hear(context: &NodeContext, coordination: &dyn Coordination) -> Vec<NodeName> {
+    let mut nodes = context.listed_names();
+    if nodes.is_empty() {
+        return nodes;
+    }
+    nodes.extend(coordination.view().nodes.iter().cloned());
+    nodes.sort();
+    nodes.dedup();
+    nodes
+}
--- a/crates/daemon/src/agent/promotion/opinions.rs
+++ b/crates/daemon/src/agent/promotion/opinions.rs
@@ -1,4 +1,5 @@
-//! What primaries say when they are asked for themselves, because others suspect them or they may be old ones.
+//! What instances say when they are asked for themselves: primaries, because others suspect them or they may be
+//! old ones, and instances that have started again.
 //!
 //! A primary that says that it leads a term lower than one that has been led is told to step down at once: it
 //! would answer commits at nodes that have not heard of its successor.
@@ -10,6 +11,7 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::position::Term;
+use kestrellock_core::promotion::Standing;
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::Cause;
 use kestrellock_store::control::{ControlError, ControlTarget, InstanceControl, Order};
@@ -19,7 +21,7 @@
 /// How long an opinion counts.
 const OPINION_LIFE: Duration = Duration::from_millis(600);
 
-type Subject = (GroupName, InstanceName);
+pub(super) type Subject = (GroupName, InstanceName);
 
 /// What asking a primary for itself showed.
 #[derive(Clone, Copy, Debug)]
@@ -29,12 +31,31 @@
     at: Instant,
 }
 
+/// How an instance that was asked for itself stands.
+#[derive(Clone, Debug)]
+pub(super) struct StandingAnswer {
+    /// The instance.
+    pub subject: Subject,
+    /// How it stands.
+    pub standing: Standing,
+    /// When it was asked.
+    pub asked: Instant,
+}
+
+/// What a question came to.
+struct Answered {
+    subject: Subject,
+    opinion: Opinion,
+    standing: Option<Standing>,
+    asked: Instant,
+}
+
 /// Questions to primaries, each in a thread of its own, and what they showed.
 pub(super) struct Opinions {
     known: HashMap<Subject, Opinion>,
     asking: Vec<Subject>,
-    answers: Receiver<(Subject, Opinion)>,
-    answered: Sender<(Subject, Opinion)>,
+    answers: Receiver<Answered>,
+    answered: Sender<Answered>,
 }
 
 impl Opinions {
@@ -49,13 +70,17 @@
         !self.asking.is_empty()
     }
 
-    /// Takes in what has been answered, and drops what is old.
-    pub fn step(&mut self, now: Instant) {
-        for (subject, opinion) in self.answers.try_iter() {
+    /// Takes in what has been answered, and drops what is old. Returns how instances have said that they stand.
+    pub fn step(&mut self, now: Instant) -> Vec<StandingAnswer> {
+        let mut standings = Vec::new();
+        for Answered { subject, opinion, standing, asked } in self.answers.try_iter() {
             self.asking.retain(|asking| *asking != subject);
-            self.known.insert(subject, opinion);
+            self.known.insert(subject.clone(), opinion);
+            let answer = standing.map(|standing| StandingAnswer { subject, standing, asked });
+            standings.extend(answer);
         }
         self.known.retain(|_, opinion| now < opinion.at + OPINION_LIFE);
+        standings
     }
 
     /// What a primary showed a moment ago.
@@ -73,10 +98,13 @@
         let (control, answered) = (services.control.clone(), self.answered.clone());
         let spawned =
             thread::Builder::new().name("promotion-opinion".to_owned()).spawn(move || {
-                let cause = question(control.as_ref(), &target, highest);
+                let asked = Instant::now();
+                let outcome = control.tell(&target, Order::Ask);
+                let standing = outcome.as_ref().ok().copied();
+                let cause = judge(control.as_ref(), &target, highest, outcome);
                 let opinion = Opinion { cause, at: Instant::now() };
                 // The node may be stopping.
-                let _ = answered.send((subject, opinion));
+                let _ = answered.send(Answered { subject, opinion, standing, asked });
             });
         if let Err(error) = spawned {
             log::error!("a thread for an opinion could not be started: {error}");
@@ -84,8 +112,14 @@
     }
 }
 
-fn question(control: &dyn InstanceControl, target: &ControlTarget, highest: Term) -> Option<Cause> {
-    match control.tell(target, Order::Ask) {
+/// Why a primary that answered so is to be replaced, if it is. An old one is told to step down.
+fn judge(
+    control: &dyn InstanceControl,
+    target: &ControlTarget,
+    highest: Term,
+    outcome: Result<Standing, ControlError>,
+) -> Option<Cause> {
+    match outcome {
         Ok(standing) if standing.role == Role::Primary && standing.term < highest => {
             let outcome = control.tell(target, Order::Demote(highest));
             log::info!(event = "old_primary", group = target.group.as_str(), instance = target.instance.as_str(), leads = standing.term.0, newest = highest.0, outcome:? = outcome; "an old primary is told to step down");
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -56,6 +56,9 @@
     votes: NodeVotes,
     voter: Sender<NodeVotes>,
     opinions: Opinions,
+    /// Questions to instances that have started again, and their primaries: no answer to one of these is an
+    /// opinion of a primary.
+    refill_questions: Opinions,
     situation: SharedSituation,
     needed_since: Option<Instant>,
     acting: Option<thread::JoinHandle<()>>,
@@ -86,6 +89,7 @@
         votes: NodeVotes::new(),
         voter: voter::start(context, services, stop),
         opinions: Opinions::new(),
+        refill_questions: Opinions::new(),
         situation: Arc::new(Mutex::new(Situation::default())),
         needed_since: None,
         acting: None,
@@ -109,7 +113,8 @@
         self.follow_catalog(&catalog, now);
         self.follow_store();
         self.looks.step(self.context, &self.view, now);
-        self.opinions.step(now);
+        self.take_in_answers(now);
+        self.watch_refills();
         self.vote(&catalog, now);
         let needs = self.judge_needs(&catalog, now);
         self.act(needs, now);
@@ -184,20 +189,47 @@
             if !given_up {
                 continue;
             }
+            let heard = self.context.statuses.heard(group);
+            let witness = self.known.witness(group, heard);
             if intent.holder == *own {
-                self.context.given_up.add(group, intent.id, own);
+                self.context.given_up.add(group, intent.id, own, witness);
                 continue;
             }
             let message = PeerMessage::EvidenceGivenUp {
                 node: own.clone(),
                 group: group.clone(),
                 id: intent.id,
+                witness,
             };
             let message = ShardMessage::ToPeer { node: intent.holder.clone(), message };
             self.mailboxes.send(FIRST_SHARD, message);
         }
     }
 
+    /// Takes in what instances have said that were asked for themselves.
+    fn take_in_answers(&mut self, now: Instant) {
+        let answers = self.opinions.step(now).into_iter().chain(self.refill_questions.step(now));
+        for answer in answers {
+            let (group, instance) = &answer.subject;
+            self.known.on_standing(group, instance, &answer.standing, answer.asked);
+        }
+    }
+
+    /// Asks instances that have started again, and their primaries, how much they have received: whoever
+    /// replaces a primary counts them once a node has seen that they hold everything. Owners alone, as in votes.
+    fn watch_refills(&mut self) {
+        let owned = self.owned.follow(self.context);
+        let refilling = self.known.refilling_groups().filter(|group| owned.contains(*group));
+        let refilling: Vec<GroupName> = refilling.cloned().collect();
+        for group in refilling {
+            for instance in self.known.to_ask_for_refills(&group) {
+                let Some(target) = self.target(&group, &instance) else { continue };
+                let highest = self.context.statuses.highest_term(&group);
+                self.refill_questions.ask(target, highest, self.services);
+            }
+        }
+    }
+
     /// Says what this node suspects now, if that has changed.
     fn vote(&mut self, catalog: &IndexedCatalog, now: Instant) {
         let mut votes = NodeVotes::new();
@@ -256,10 +288,14 @@
         votes.any(|vote| vote.instance == *primary)
     }
 
+    fn target(&self, group: &GroupName, instance: &InstanceName) -> Option<ControlTarget> {
+        let address = self.known.address(group, instance)?;
+        Some(ControlTarget { group: group.clone(), instance: instance.clone(), address })
+    }
+
     /// Asks a primary for itself.
     fn ask(&mut self, group: &GroupName, primary: &InstanceName) {
-        let Some(address) = self.known.address(group, primary) else { return };
-        let target = ControlTarget { group: group.clone(), instance: primary.clone(), address };
+        let Some(target) = self.target(group, primary) else { return };
         let highest = self.context.statuses.highest_term(group);
         self.opinions.ask(target, highest, self.services);
     }
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -161,8 +161,8 @@
                     let shard = self.number;
                     io.context.configuration.deliver(Received { from, shard, message });
                 }
-                PeerMessage::EvidenceGivenUp { node, group, id } => {
-                    io.context.given_up.add(&group, id, &node);
+                PeerMessage::EvidenceGivenUp { node, group, id, witness } => {
+                    io.context.given_up.add(&group, id, &node, witness);
                 }
                 PeerMessage::Quota(message) => {
                     if let Some(origin) = &from {
--- a/crates/daemon/src/shared/given_up.rs
+++ b/crates/daemon/src/shared/given_up.rs
@@ -1,37 +1,35 @@
 //! Which nodes have given their evidence of a primary up, so that whoever replaces it need not wait
-//! for it to lapse.
+//! for it to lapse, and what they have seen of instances that have started again.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
 use kestrellock_core::ids::{GroupName, NodeName};
-use kestrellock_core::promotion::ReplacementId;
+use kestrellock_core::promotion::{ReplacementId, Witness, Witnesses};
 
-type ByGroup = HashMap<GroupName, (ReplacementId, BTreeSet<NodeName>)>;
-
-/// Nodes by group, for the newest replacement of each.
+/// What nodes have said by group, for the newest replacement of each.
 #[derive(Debug, Default)]
 pub struct EvidenceGivenUp {
-    groups: Mutex<ByGroup>,
+    groups: Mutex<HashMap<GroupName, (ReplacementId, Witnesses)>>,
 }
 
 impl EvidenceGivenUp {
-    /// A node has given its evidence up for the replacement with `id`.
-    pub fn add(&self, group: &GroupName, id: ReplacementId, node: &NodeName) {
+    /// A node has given its evidence up for the replacement with `id`, and says what it knows.
+    pub fn add(&self, group: &GroupName, id: ReplacementId, node: &NodeName, witness: Witness) {
         let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = groups.entry(group.clone()).or_insert_with(|| (id, BTreeSet::new()));
-        if entry.0 < id {
-            *entry = (id, BTreeSet::new());
+        let said = groups.entry(group.clone()).or_insert_with(|| (id, Witnesses::default()));
+        if said.0 < id {
+            *said = (id, Witnesses::default());
         }
-        if entry.0 == id {
-            entry.1.insert(node.clone());
+        if said.0 == id {
+            said.1.add(node, witness);
         }
     }
 
-    /// Whether all of `nodes` have, for the replacement with `id`.
-    pub fn by_all(&self, group: &GroupName, id: ReplacementId, nodes: &[NodeName]) -> bool {
+    /// What has been said for the replacement with `id`.
+    pub fn for_replacement(&self, group: &GroupName, id: ReplacementId) -> Option<Witnesses> {
         let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        let given_up = groups.get(group).filter(|(newest, _)| *newest == id);
-        given_up.is_some_and(|(_, by)| nodes.iter().all(|node| by.contains(node)))
+        let said = groups.get(group).filter(|(newest, _)| *newest == id);
+        said.map(|(_, witnesses)| witnesses.clone())
     }
 }
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -7,7 +7,7 @@
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::incarnation::InstanceIncarnation;
-use kestrellock_core::position::Term;
+use kestrellock_core::position::{Position, Term};
 use kestrellock_core::primary_evidence::{Following, PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::Intent;
@@ -260,6 +260,13 @@
         Signs { committed: known.committed, is_outdated, ..signs }
     }
 
+    /// The highest position that a group's primary has told this node.
+    pub fn heard(&self, group: &GroupName) -> Option<Position> {
+        let board = self.group(group);
+        let known = board.read().expect("a holder of the status lock panicked");
+        known.primary.highest()
+    }
+
     /// Highest term known of a group.
     pub fn highest_term(&self, group: &GroupName) -> Term {
         let board = self.group(group);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -8,7 +8,7 @@
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::Position;
-use kestrellock_core::promotion::ReplacementId;
+use kestrellock_core::promotion::{ReplacementId, Witness};
 use kestrellock_core::quota::QuotaMessage;
 use kestrellock_core::routing::{Access, InstanceStatus};
 use kestrellock_core::session_state::SessionSetting;
@@ -293,6 +293,9 @@
         group: GroupName,
         /// Which replacement it is.
         id: ReplacementId,
+        /// What it knows of instances that have started again.
+        #[serde(default)]
+        witness: Witness,
     },
     /// About how much accounts may ask.
     Quota(QuotaMessage),
