An end of a replacement that is done late ends that one alone

Callers saw: no write of the group was answered any more. Cause: a call of the store without an answer may be done seconds later; one that took an attempt's record back removed the record of the next attempt, whose holder then waited for a record that could not be written. On the platform nodes would have gone on at a primary that was being replaced. Mend: a record is taken back only on top of itself; one that is gone already needs nothing. Tests: store_copy (failed before by removing the next record).

--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -25,7 +25,7 @@
         let successor = self.chosen.clone().map(|instance| self.with_its_term(instance));
         let has_term = successor.as_ref().is_none_or(|successor| successor.term.is_some());
         if now >= until || (is_in_order && has_term && self.all_released()) {
-            commands.push(Command::Finish { successor });
+            commands.push(Command::Finish { id: self.intent.id, successor });
             self.phase = Phase::Over;
         } else if let (false, Some(instance)) = (has_term, self.chosen.clone()) {
             self.send(&instance, Repeated::Ask, now, commands, Command::Ask);
@@ -79,7 +79,7 @@
             is_changing = self.given != self.recorded;
         }
         if !is_changing && (now >= until || self.all_released()) {
-            commands.push(Command::Finish { successor: None });
+            commands.push(Command::Finish { id: self.intent.id, successor: None });
             self.phase = Phase::Over;
         }
     }
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use super::{HeardByAll, Intent, Members, PromotionAnswer, SeenStart, Standing, Successor};
+use super::{
+    HeardByAll, Intent, Members, PromotionAnswer, ReplacementId, SeenStart, Standing, Successor,
+};
 use crate::ids::InstanceName;
 use crate::incarnation::InstanceIncarnation;
 use crate::position::Term;
@@ -81,6 +83,8 @@
     Install(InstanceName),
     /// Take the record back; the successor, if there is one, is recorded in its place.
     Finish {
+        /// Whose record it is.
+        id: ReplacementId,
         /// The new primary.
         successor: Option<Successor>,
     },
--- a/crates/core/tests/promotion/sent_promotions.rs
+++ b/crates/core/tests/promotion/sent_promotions.rs
@@ -37,7 +37,7 @@
 }
 
 fn ends_without_a_successor(commands: &[Command]) -> bool {
-    commands.iter().any(|command| matches!(command, Command::Finish { successor: None }))
+    commands.iter().any(|command| matches!(command, Command::Finish { successor: None, .. }))
 }
 
 /// The promoted instance led for 142 ms, which nobody heard of since the store was down and the holder stood
--- a/crates/core/tests/promotion/steps.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -192,7 +192,7 @@
     // The dead one needs no release: it forgets when it returns.
     attempt.on_event(Event::Released(name("b")), now);
     attempt.on_event(Event::Refused { instance: name("c"), sent: now }, now);
-    assert!(attempt.step(now).contains(&Command::Finish { successor: None }));
+    assert!(attempt.step(now).contains(&Command::Finish { id: attempt.id(), successor: None }));
     assert_eq!(attempt.phase(), Phase::Over);
 }
 
@@ -272,7 +272,8 @@
         attempt.on_event(leads("b", 2, 10, now), now);
         let commands = attempt.step(now);
         let successor = Some(Successor { instance: name("b"), term: Some(Term(2)) });
-        assert!(commands.contains(&Command::Finish { successor }), "{commands:?}");
+        let id = attempt.id();
+        assert!(commands.contains(&Command::Finish { id, successor }), "{commands:?}");
     }
 }
 
@@ -346,7 +347,7 @@
     assert!(commands.contains(&Command::Release(name("b"))), "{commands:?}");
     assert!(!commands.contains(&Command::Release(name("c"))), "{commands:?}");
     attempt.on_event(Event::Released(name("b")), now);
-    assert!(attempt.step(now).contains(&Command::Finish { successor: None }));
+    assert!(attempt.step(now).contains(&Command::Finish { id: attempt.id(), successor: None }));
 }
 
 /// Found by the simulation with many faults at once, seed 2219: the second holder suspected the
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -159,12 +159,12 @@
             Command::Install(successor) => {
                 self.call(node, fence, Operation::Install(successor.clone()));
             }
-            Command::Finish { successor } => {
+            Command::Finish { id, successor } => {
                 if successor.is_none() {
                     let now = self.at(self.now);
                     self.nodes[node].on_called_off(now);
                 }
-                self.call(node, fence, Operation::Finish(successor.clone()));
+                self.call(node, fence, Operation::Finish(*id, successor.clone()));
             }
             Command::ReadStarts => self.call(node, fence, Operation::ReadStarts),
             Command::Promote(instance) => self.promote(node, fence, instance),
@@ -239,13 +239,15 @@
             (Operation::Record(intent), Done::Yes(_)) => {
                 self.on_event(call.node, Event::Recorded(intent.clone()));
             }
-            (Operation::Finish(_), Done::Yes(_)) => {
+            (Operation::Finish(..), Done::Yes(_)) => {
                 if let Some(acting) = &mut self.nodes[call.node].acting {
                     acting.attempt = None;
                     acting.ended = Some(self.now);
                 }
             }
-            (Operation::Record(_) | Operation::Finish(_), Done::Conflict) => self.call_again(&call),
+            (Operation::Record(_) | Operation::Finish(..), Done::Conflict) => {
+                self.call_again(&call)
+            }
             _ => {}
         }
     }
@@ -272,7 +274,7 @@
                 }
             }
             Operation::ReadStarts => self.on_event(call.node, Event::StartsUnknown),
-            Operation::Record(_) | Operation::Finish(_) => self.call_again(&call),
+            Operation::Record(_) | Operation::Finish(..) => self.call_again(&call),
             _ => {}
         }
     }
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -4,7 +4,9 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
-use kestrellock_core::promotion::{CoordinationView, Holder, Intent, NodeVotes, Successor};
+use kestrellock_core::promotion::{
+    CoordinationView, Holder, Intent, NodeVotes, ReplacementId, Successor,
+};
 
 use crate::node::{group_name, instance_name};
 
@@ -54,8 +56,8 @@
     Record(Intent),
     /// Records the successor.
     Install(InstanceName),
-    /// Takes the intent back.
-    Finish(Option<Successor>),
+    /// Takes the intent of a replacement back.
+    Finish(ReplacementId, Option<Successor>),
     /// Changes nothing: tells how new the store is.
     Look,
     /// Changes nothing: tells which starts of their processes the instances say.
@@ -115,8 +117,9 @@
             Operation::Install(successor) => {
                 self.installed = Some(Successor { instance: successor.clone(), term: None });
             }
-            Operation::Finish(successor) => {
-                self.intents.remove(group);
+            Operation::Finish(id, successor) => {
+                // Done late, it must not take back the intent of the next replacement.
+                self.intents.retain(|_, intent| intent.id != *id);
                 self.installed = successor.clone().or(self.installed.take());
             }
         }
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -258,9 +258,9 @@
             Command::Install(successor) => {
                 self.orders.install(&self.hold, group.clone(), successor);
             }
-            Command::Finish { ref successor } => {
+            Command::Finish { id, ref successor } => {
                 self.report_end(group, successor.as_ref(), now);
-                self.orders.finish(&self.hold, group.clone(), successor.clone());
+                self.orders.finish(&self.hold, group.clone(), id, successor.clone());
                 self.keep_pending(group, command);
             }
         }
--- a/crates/daemon/src/agent/promotion/orders.rs
+++ b/crates/daemon/src/agent/promotion/orders.rs
@@ -7,7 +7,9 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{Event, Intent, PromotionAnswer, Standing, Successor};
+use kestrellock_core::promotion::{
+    Event, Intent, PromotionAnswer, ReplacementId, Standing, Successor,
+};
 use kestrellock_store::control::{ControlError, ControlTarget, Order};
 use kestrellock_store::coordination::{Coordination, Hold};
 
@@ -33,7 +35,7 @@
 enum StoreCommand {
     Record(Hold, GroupName, Intent),
     Install(Hold, GroupName, InstanceName),
-    Finish(Hold, GroupName, Option<Successor>),
+    Finish(Hold, GroupName, ReplacementId, Option<Successor>),
     Renew(Hold),
 }
 
@@ -128,8 +130,14 @@
     }
 
     /// Takes a record back.
-    pub fn finish(&self, hold: &Hold, group: GroupName, successor: Option<Successor>) {
-        self.change(StoreCommand::Finish(hold.clone(), group, successor));
+    pub fn finish(
+        &self,
+        hold: &Hold,
+        group: GroupName,
+        id: ReplacementId,
+        successor: Option<Successor>,
+    ) {
+        self.change(StoreCommand::Finish(hold.clone(), group, id, successor));
     }
 
     /// Prolongs the hold.
@@ -167,8 +175,8 @@
                 Err(_) => Report::Installed,
             }
         }
-        StoreCommand::Finish(hold, group, successor) => {
-            match coordination.finish(&hold, &group, successor.as_ref()) {
+        StoreCommand::Finish(hold, group, id, successor) => {
+            match coordination.finish(&hold, &group, id, successor.as_ref()) {
                 Ok(true) => Report::Finished(group),
                 Ok(false) => Report::Renewed(None),
                 Err(_) => Report::StoreFailed(group),
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -137,7 +137,7 @@
     assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
     mirror.catch_up().expect("an answer");
     assert!(coordination.view().intents.contains_key(&group));
-    assert!(coordination.finish(&hold, &group, None).expect("an answer"));
+    assert!(coordination.finish(&hold, &group, id, None).expect("an answer"));
     assert!(coordination.view().intents.is_empty(), "it is over");
 }
 
@@ -167,7 +167,7 @@
     advance(&late_mirror);
     let client = KeyStore::new(&store.endpoint());
     let late = StoreCoordination::new(client, late_mirror, Default::default());
-    assert!(coordination.finish(&hold, &group, None).expect("an answer"));
+    assert!(coordination.finish(&hold, &group, id, None).expect("an answer"));
     assert!(late.record(&hold, &group, &promoting).is_err(), "its condition does not hold");
     mirror.catch_up().expect("an answer");
     assert!(coordination.view().intents.is_empty(), "it stays over");
@@ -186,7 +186,8 @@
     let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
     let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
     let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
-    assert!(coordination.finish(&hold, &group, Some(&successor)).expect("an answer"));
+    let id = ReplacementId { fence: hold.fence, attempt: 1 };
+    assert!(coordination.finish(&hold, &group, id, Some(&successor)).expect("an answer"));
     let promoted = coordination.view().promoted.clone();
     let earlier = Successor { instance: InstanceName::new("i-1"), term: None };
     assert_eq!(promoted, [(GroupName::new("earlier"), earlier), (group, successor)].into());
@@ -213,3 +214,33 @@
     let starts = coordination.starts(&names).expect("an answer");
     assert_eq!(starts, [(InstanceName::new("i-1"), InstanceIncarnation(7))].into());
 }
+
+/// A call that takes a replacement back may be done seconds later, when the next one has begun: nodes would go on
+/// at a primary that is being replaced, and read there.
+#[test]
+fn an_end_that_is_done_late_does_not_end_the_next_replacement() {
+    let (store, mirror) = start();
+    store.put(NODE, b"1");
+    advance(&mirror);
+    let mirror = std::sync::Arc::new(mirror);
+    let client = KeyStore::new(&store.endpoint());
+    let coordination = StoreCoordination::new(client, mirror.clone(), Default::default());
+    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
+    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
+    let first = ReplacementId { fence: hold.fence, attempt: 1 };
+    let reason = Reason::Suspected;
+    let (called_off, promoting) = (false, false);
+    let intent = Intent { holder: node, id: first, reason, former: None, called_off, promoting };
+    assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
+    let late_mirror = std::sync::Arc::new(Mirror::new(KeyStore::new(&store.endpoint())));
+    advance(&late_mirror);
+    let client = KeyStore::new(&store.endpoint());
+    let late = StoreCoordination::new(client, late_mirror, Default::default());
+    assert!(coordination.finish(&hold, &group, first, None).expect("an answer"));
+    let second = ReplacementId { fence: hold.fence, attempt: 2 };
+    let next = Intent { id: second, ..intent };
+    assert!(coordination.record(&hold, &group, &next).expect("an answer"));
+    assert!(late.finish(&hold, &group, first, None).expect("an answer"), "it had been done");
+    mirror.catch_up().expect("an answer");
+    assert_eq!(coordination.view().intents.get(&group), Some(&next), "the next one goes on");
+}
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 pub use kestrellock_core::promotion::{CoordinationView, Holder, NodeVotes, Vote};
-use kestrellock_core::promotion::{Intent, Successor};
+use kestrellock_core::promotion::{Intent, ReplacementId, Successor};
 
 use crate::store::StoreError;
 
@@ -64,11 +64,13 @@
         successor: &InstanceName,
     ) -> Result<bool, StoreError>;
 
-    /// Takes an intent back under the hold, and records the successor; false if the hold is over.
+    /// Takes the intent of a replacement back under the hold, and records the successor; false if the hold is
+    /// over. The intent of another replacement stays.
     fn finish(
         &self,
         hold: &Hold,
         group: &GroupName,
+        id: ReplacementId,
         successor: Option<&Successor>,
     ) -> Result<bool, StoreError>;
 }
