Simulation of replacements: worlds in which nodes enter themselves, and in which all nodes have just started

The model had four nodes that all know each other and had watched for 20 s; promotions on the platform wait for the word of the nodes that the store lists. Two worlds beside the old ones, which play as before (no draw of theirs has changed): - nodes enter themselves, a fifth one comes and loses the store at about the moment when it would be listed, while the others lose the primary in half of the runs; copies show the others' entries as they were up to 2 s ago; - nodes begin with nothing, and all die at once and start again within 0.3 s of each other, an empty start besides.

--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -1,6 +1,6 @@
 //! What a node does about the primary: it suspects, takes the right to act, and acts.
 
-use kestrellock_core::ids::{InstanceName, NodeName};
+use kestrellock_core::ids::InstanceName;
 use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFE;
 use kestrellock_core::promotion::{Attempt, Command, Event, Need, ReplacementId, Timing};
 
@@ -34,8 +34,9 @@
         self.watch_refills(node);
         self.tell_holder(node);
         let now = self.at(self.now);
-        let nodes = self.nodes.len();
-        let need = self.nodes[node].need(nodes, now);
+        self.enter(node);
+        let live = self.nodes_known_to(node);
+        let need = self.nodes[node].need(&live, now);
         if self.nodes[node].is_its_turn(need.as_ref(), self.now, now) {
             self.nodes[node].acquiring = true;
             self.call(node, 0, Operation::Acquire);
@@ -123,7 +124,7 @@
 
     fn step_attempt(&mut self, node: usize, need: Option<&Need>) {
         let now = self.at(self.now);
-        let nodes: Vec<NodeName> = (0..self.nodes.len()).map(node_name).collect();
+        let nodes = self.nodes_to_hear(node);
         let own = &mut self.nodes[node];
         let members = own.known.members(&group_name());
         let refilling = members.all.iter().filter(|one| one.is_refilling);
@@ -225,6 +226,7 @@
                     attempt: None,
                     begun: 0,
                     ended: Some(self.now),
+                    listed: Vec::new(),
                 });
             }
             (Operation::Acquire, Done::Conflict) => self.nodes[call.node].acquiring = false,
@@ -236,7 +238,12 @@
                 self.on_event(call.node, Event::Starts { told, asked });
             }
             (Operation::Renew, done) => self.on_renewed(&call, done),
-            (Operation::Record(intent), Done::Yes(_)) => {
+            (Operation::Record(intent), Done::Recorded(listed)) => {
+                if let Some(acting) = &mut self.nodes[call.node].acting
+                    && self.plant != Plant::ListFromCopy
+                {
+                    acting.listed = listed;
+                }
                 self.on_event(call.node, Event::Recorded(intent.clone()));
             }
             (Operation::Finish(..), Done::Yes(_)) => {
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -32,6 +32,7 @@
             FaultKind::Deaf(one) => self.instances[one].deaf = true,
             FaultKind::Freeze(node) => self.nodes[node].frozen = true,
             FaultKind::KillNode(node) => self.kill_node(node),
+            FaultKind::Join(node) => self.start_node(node),
             FaultKind::Leave => {
                 if let Some(one) = self.leading() {
                     self.instances[one].leaving = true;
@@ -56,11 +57,7 @@
             FaultKind::Deaf(one) => self.instances[one].deaf = false,
             FaultKind::Freeze(node) => self.thaw(node),
             FaultKind::KillNode(node) => {
-                let process = self.nodes[node].process + 1;
-                self.nodes[node] = Node::new(node, process);
-                self.reads[node].clear();
-                self.again.remove(&node);
-                self.seen[node] = 0;
+                self.start_node(node);
             }
             FaultKind::Leave => {
                 let leaving = self.instances.iter().position(|one| one.leaving);
@@ -79,6 +76,16 @@
         self.send_after(VOTES_LIFE_MS, Message::VotesExpire { node, process });
     }
 
+    /// A node starts with nothing.
+    fn start_node(&mut self, node: usize) {
+        let process = self.nodes[node].process + 1;
+        self.nodes[node] = Node::new(node, process);
+        self.nodes[node].started = self.now;
+        self.reads[node].clear();
+        self.again.remove(&node);
+        self.seen[node] = 0;
+    }
+
     fn thaw(&mut self, node: usize) {
         self.nodes[node].frozen = false;
         let (due, rest) = std::mem::take(&mut self.deferred)
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -8,6 +8,7 @@
 mod checker;
 mod faults;
 mod instances;
+mod listing;
 mod messages;
 mod node;
 mod old_primaries;
@@ -194,6 +195,46 @@
     holds(Faults::dense().with_releases().with_empty_starts());
 }
 
+/// Nodes come while primaries are replaced, and some of them lose the store at once.
+#[test]
+fn no_seed_breaks_a_promise_while_nodes_come() {
+    holds(Faults::all().with_nodes_that_come());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_while_nodes_come() {
+    holds(Faults::dense().with_releases().with_empty_starts().with_nodes_that_come());
+}
+
+/// All nodes start at about the same time, knowing nothing of what happened before.
+#[test]
+fn no_seed_breaks_a_promise_with_a_start_of_all_nodes() {
+    holds(Faults::all().with_empty_starts().with_start_of_all());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_with_a_start_of_all_nodes() {
+    holds(Faults::dense().with_releases().with_empty_starts().with_start_of_all());
+}
+
+/// A node that nobody waits for yet relies on its evidence for as long as one that is listed.
+#[test]
+fn evidence_of_a_node_that_is_not_listed_is_caught() {
+    let faults = Faults::all().with_nodes_that_come();
+    is_caught_with(faults, Plant::UnlistedEvidenceLasts, |found| {
+        matches!(found, Violation::StaleRead { .. })
+    });
+}
+
+/// Whoever replaces a primary goes by the nodes that its own copy of the store lists, which may be old.
+#[test]
+fn a_list_of_nodes_that_is_not_read_anew_is_caught() {
+    let faults = Faults::all().with_nodes_that_come();
+    is_caught_with(faults, Plant::ListFromCopy, |found| {
+        matches!(found, Violation::StaleRead { .. })
+    });
+}
+
 #[test]
 fn memory_that_outlasts_a_process_is_caught() {
     let faults = Faults::dense().with_empty_starts();
@@ -260,6 +301,10 @@
         "few_empty" => Faults::all().with_empty_starts(),
         "many_empty" => Faults::dense().with_releases().with_empty_starts(),
         "many_silent" => Faults::dense().with_releases().with_silences(),
+        "few_come" => Faults::all().with_nodes_that_come(),
+        "many_come" => Faults::dense().with_releases().with_empty_starts().with_nodes_that_come(),
+        "few_all" => Faults::all().with_empty_starts().with_start_of_all(),
+        "many_all" => Faults::dense().with_releases().with_empty_starts().with_start_of_all(),
         other => panic!("no kind of faults is called {other}"),
     };
     let (outcome, lines) = World::new(seed, faults, Plant::None).traced().play_and_tell();
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -9,7 +9,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{EVIDENCE_LIFE, PrimaryEvidence, Replication};
+use kestrellock_core::primary_evidence::{PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::{
     Attempt, CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes,
@@ -52,6 +52,8 @@
     pub begun: u32,
     /// When the last one ended.
     pub ended: Option<u64>,
+    /// Nodes that the store listed when the last intent was recorded.
+    pub listed: Vec<NodeName>,
 }
 
 /// One node.
@@ -111,6 +113,14 @@
     pub demoted: u64,
     /// When it last asked instances that have started again.
     pub asked_refills: u64,
+    /// When it started, if it was not there from the beginning.
+    pub started: u64,
+    /// When it last tried to enter itself.
+    pub entered: u64,
+    /// The entries of nodes that it has read.
+    pub others: Vec<NodeName>,
+    /// When it read them.
+    pub others_read: u64,
 }
 
 impl Node {
@@ -146,9 +156,18 @@
             looked: 0,
             demoted: 0,
             asked_refills: 0,
+            started: 0,
+            entered: 0,
+            others: Vec::new(),
+            others_read: 0,
         }
     }
 
+    /// Whether its copy of the store shows that it has entered itself.
+    pub fn is_listed_by_its_copy(&self) -> bool {
+        self.view.nodes.contains(&node_name(self.number))
+    }
+
     /// It has watched the instances since `started`.
     pub fn has_watched_since(&mut self, announced: &[Announced], started: Instant) {
         let catalog = catalog(0, announced, None);
@@ -209,17 +228,16 @@
     }
 
     /// Whether a read that arrived at `arrived` may run at the primary.
-    pub fn may_read(&self, leader: usize, arrived: Instant) -> bool {
+    pub fn may_read(&self, leader: usize, arrived: Instant, life: Duration) -> bool {
         let term = self.terms.get(&leader);
-        let until = term.and_then(|term| self.evidence.covers_until(*term, GROUP, EVIDENCE_LIFE));
+        let until = term.and_then(|term| self.evidence.covers_until(*term, GROUP, life));
         until.is_some_and(|until| arrived <= until)
     }
 
     /// The same if the store said that nobody replaces the primary.
-    pub fn would_read(&self, leader: usize, arrived: Instant) -> bool {
+    pub fn would_read(&self, leader: usize, arrived: Instant, life: Duration) -> bool {
         let term = self.terms.get(&leader);
-        let until =
-            term.and_then(|term| self.evidence.would_cover_until(*term, GROUP, EVIDENCE_LIFE));
+        let until = term.and_then(|term| self.evidence.would_cover_until(*term, GROUP, life));
         until.is_some_and(|until| arrived <= until)
     }
 
@@ -251,7 +269,7 @@
     }
 
     /// What is to be done about the group.
-    pub fn need(&mut self, nodes: usize, now: Instant) -> Option<Need> {
+    pub fn need(&mut self, live: &[NodeName], now: Instant) -> Option<Need> {
         match std::mem::take(&mut self.catalog_is_new) {
             true => {
                 self.known.follow(&self.catalog, now);
@@ -259,14 +277,13 @@
             }
             false => drop(self.known.pass_time(now)),
         }
-        let live: Vec<NodeName> = (0..nodes).map(node_name).collect();
         let own = node_name(self.number);
         let evidence = NeedsEvidence {
             catalog: &self.catalog,
             view: &self.view,
             own: (&own, &self.votes),
-            live: &live,
-            listed: &live,
+            live,
+            listed: live,
             now,
         };
         self.needs_judge.judge(&evidence).remove(&group_name())
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -20,6 +20,10 @@
     /// Whether an instance besides starts again under its name with nothing: one of them, once in a run,
     /// since what only two held is lost when both start so.
     pub starts_empty: bool,
+    /// Whether nodes have to enter themselves, and another one comes.
+    pub nodes_come: bool,
+    /// Whether all nodes start with the run, and all of them start again once.
+    pub start_of_all: bool,
 }
 
 impl Faults {
@@ -32,6 +36,8 @@
             releases_all: false,
             silences: false,
             starts_empty: false,
+            nodes_come: false,
+            start_of_all: false,
         }
     }
 
@@ -44,6 +50,8 @@
             releases_all: false,
             silences: false,
             starts_empty: false,
+            nodes_come: false,
+            start_of_all: false,
         }
     }
 
@@ -62,6 +70,16 @@
         Self { starts_empty: true, ..self }
     }
 
+    /// The same with nodes that have to enter themselves in the store, and one that comes.
+    pub fn with_nodes_that_come(self) -> Self {
+        Self { nodes_come: true, ..self }
+    }
+
+    /// The same with nodes that have just started, and all start again once.
+    pub fn with_start_of_all(self) -> Self {
+        Self { start_of_all: true, ..self }
+    }
+
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
@@ -73,6 +91,8 @@
             releases_all: false,
             silences: false,
             starts_empty: false,
+            nodes_come: false,
+            start_of_all: false,
         }
     }
 }
@@ -103,6 +123,10 @@
     AnswersShow,
     /// What is remembered of an instance outlasts its process.
     MemoryKept,
+    /// A node relies on its evidence before it is listed as after.
+    UnlistedEvidenceLasts,
+    /// Whoever replaces a primary does not read the list of nodes anew.
+    ListFromCopy,
 }
 
 /// What goes wrong.
@@ -126,6 +150,8 @@
     Freeze(usize),
     /// A node dies; it comes back with nothing.
     KillNode(usize),
+    /// A node starts that was not there before.
+    Join(usize),
     /// A node cannot reach the store.
     CutStore(usize),
     /// The store does not answer.
@@ -170,6 +196,12 @@
     if faults.starts_empty {
         plan.push(draw_empty_start(instances, random));
     }
+    if faults.nodes_come {
+        plan.extend(draw_join(nodes, random));
+    }
+    if faults.start_of_all {
+        plan.extend(draw_start_of_all(nodes, random));
+    }
     plan
 }
 
@@ -193,6 +225,33 @@
     Planned { at, until, kind: FaultKind::CrashEmpty(random.random_range(0..instances)) }
 }
 
+/// A node joins, and loses the store at about the moment when it would be listed. Half of the time the others
+/// lose the primary then, and replace it, while the one that has come goes on there.
+fn draw_join(node: usize, random: &mut StdRng) -> Vec<Planned> {
+    let at = random.random_range(300..2_500);
+    let join = Planned { at, until: at + 1, kind: FaultKind::Join(node) };
+    let cut_at = at + random.random_range(5..300);
+    let until = cut_at + random.random_range(1_000..2_400);
+    let mut plan = vec![join, Planned { at: cut_at, until, kind: FaultKind::CutStore(node) }];
+    if random.random_bool(0.5) {
+        let at = cut_at + random.random_range(0..100);
+        let lost = (0..node).map(|other| FaultKind::CutLink(other, 0));
+        plan.extend(lost.map(|kind| Planned { at, until, kind }));
+    }
+    plan
+}
+
+/// All nodes die at once, and start within a fraction of a second of each other.
+fn draw_start_of_all(nodes: usize, random: &mut StdRng) -> Vec<Planned> {
+    let at = random.random_range(300..2_500);
+    let dark = random.random_range(50..600);
+    let each = (0..nodes).map(|node| {
+        let until = at + dark + random.random_range(0..300);
+        Planned { at, until, kind: FaultKind::KillNode(node) }
+    });
+    each.collect()
+}
+
 fn draw_cut_off(random: &mut StdRng) -> Vec<Planned> {
     let replaced = if random.random_bool(0.5) { FaultKind::Leave } else { FaultKind::CutReplicas };
     let at = random.random_range(500..1_500);
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -39,6 +39,8 @@
     pub installed: Option<Successor>,
     /// What instances say.
     pub announced: Vec<Announced>,
+    /// Nodes that have entered themselves.
+    pub nodes: Vec<NodeName>,
 }
 
 /// A change under a condition.
@@ -60,6 +62,8 @@
     Finish(ReplacementId, Option<Successor>),
     /// Changes nothing: tells how new the store is.
     Look,
+    /// Enters the node.
+    Enter,
     /// Changes nothing: tells which starts of their processes the instances say.
     ReadStarts,
 }
@@ -69,6 +73,8 @@
 pub enum Done {
     /// It is done; the store's revision.
     Yes(u64),
+    /// An intent is recorded; the nodes that have entered themselves by then.
+    Recorded(Vec<NodeName>),
     /// A condition did not hold.
     Conflict,
     /// The starts that instances tell.
@@ -101,6 +107,12 @@
             Operation::Look => return Done::Yes(self.revision),
             Operation::ReadStarts => return Done::Starts(self.starts()),
             Operation::Acquire => {}
+            Operation::Enter => {
+                let name = node_name(node);
+                if !self.nodes.contains(&name) {
+                    self.nodes.push(name);
+                }
+            }
             _ if !holds => return Done::Conflict,
             Operation::Renew => {
                 self.holder = Some((node, fence, now + LEASE_MS));
@@ -124,6 +136,9 @@
             }
         }
         self.revision += 1;
+        if matches!(operation, Operation::Record(_)) {
+            return Done::Recorded(self.nodes.clone());
+        }
         if matches!(operation, Operation::Acquire) {
             self.holder = Some((node, self.revision, now + LEASE_MS));
         }
@@ -160,7 +175,7 @@
                 .map(|(node, votes)| (node_name(*node), votes.clone()))
                 .collect(),
             promoted: self.installed.iter().map(|one| (group_name(), one.clone())).collect(),
-            nodes: Vec::new(),
+            nodes: self.nodes.clone(),
         }
     }
 }
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -77,7 +77,8 @@
             return;
         }
         for arrived in std::mem::take(&mut self.reads[node]) {
-            let covered = self.nodes[node].may_read(leader, self.at(arrived));
+            let life = self.evidence_life(node);
+            let covered = self.nodes[node].may_read(leader, self.at(arrived), life);
             if covered || self.plant == Plant::EvidenceDropped {
                 let request = self.number();
                 self.ask(node, leader, request, Work::Read { arrived });
@@ -98,9 +99,10 @@
     /// Where not all replicas answer, the store has to say that nobody replaces the primary.
     fn look_at_store(&mut self, node: usize, leader: usize) {
         let now = self.at(self.now);
+        let life = self.evidence_life(node);
         let wants = self.reads[node].last().is_some_and(|arrived| {
             let arrived = self.at(*arrived);
-            self.nodes[node].would_read(leader, arrived)
+            self.nodes[node].would_read(leader, arrived, life)
         });
         if !wants || self.now < self.nodes[node].looked + LOOK_EVERY_MS {
             return;
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -12,6 +12,7 @@
 
 use crate::checker::{Checker, Violation};
 use crate::instances::{FIRST_START, Instance, Pending, replicate};
+use crate::listing::Listing;
 use crate::messages::{Call, Exchange, Message, Reply, Work};
 use crate::node::{Node, group_name, instance_name, instant};
 use crate::plan::{FaultKind, Faults, Planned, Plant, draw};
@@ -77,6 +78,8 @@
     /// Changes that have to be given again, by node.
     pub again: BTreeMap<usize, (u64, Operation)>,
     store: Contents,
+    /// Which nodes there are.
+    pub listing: Listing,
     /// Revision of the store that each node has been told last.
     pub seen: Vec<u64>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -106,10 +109,23 @@
             leaving: false,
             born: FIRST_START,
         });
-        let store = Contents { revision: 1, announced: announced.collect(), ..Contents::default() };
+        let mut store =
+            Contents { revision: 1, announced: announced.collect(), ..Contents::default() };
+        if faults.nodes_come {
+            store.nodes.extend((0..NODES).map(node_name));
+        }
         let base = Instant::now();
         let mut nodes: Vec<Node> = (0..NODES).map(|one| Node::new(one, 0)).collect();
-        nodes.iter_mut().for_each(|node| node.has_watched_since(&store.announced, base));
+        if !faults.start_of_all {
+            nodes.iter_mut().for_each(|node| node.has_watched_since(&store.announced, base));
+        }
+        let listing = if faults.nodes_come { Listing::Entered } else { Listing::Fixed };
+        if faults.nodes_come {
+            let mut coming = Node::new(NODES, 0);
+            coming.alive = false;
+            nodes.push(coming);
+        }
+        let count = nodes.len();
         Self {
             now: 0,
             base,
@@ -119,12 +135,13 @@
             releases_all: faults.releases_all,
             instances: (0..INSTANCES).map(|one| Instance::new(one == 0)).collect(),
             nodes,
-            reads: vec![Vec::new(); NODES],
-            published: vec![0; NODES],
+            reads: vec![Vec::new(); count],
+            published: vec![0; count],
             calls: BTreeSet::new(),
             again: BTreeMap::new(),
             store,
-            seen: vec![0; NODES],
+            seen: vec![0; count],
+            listing,
             queue: BinaryHeap::new(),
             messages: BTreeMap::new(),
             deferred: Vec::new(),
@@ -205,7 +222,7 @@
             self.replicate();
         }
         self.spread_views();
-        for node in 0..NODES {
+        for node in 0..self.nodes.len() {
             if (self.now + node as u64).is_multiple_of(NODE_STEP_MS) && self.nodes[node].runs() {
                 self.step_node(node);
             }
@@ -301,16 +318,18 @@
         if self.is_active(FaultKind::StoreDown) {
             return;
         }
-        for node in 0..NODES {
+        for node in 0..self.nodes.len() {
             let is_deaf = self.is_active(FaultKind::CutStore(node))
                 || self.is_active(FaultKind::SilentWatch(node));
             let hears = self.nodes[node].alive && !is_deaf;
             if hears && self.seen[node] != self.store.revision {
                 self.seen[node] = self.store.revision;
+                let mut view = self.store.view();
+                view.nodes = self.nodes_shown_to(node, &view.nodes);
                 let message = Message::View {
                     node,
                     process: self.nodes[node].process,
-                    view: self.store.view(),
+                    view,
                     announced: self.store.announced.clone(),
                     installed: self.store.installed.clone(),
                 };
