--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -97,7 +97,7 @@
             return;
         }
         // Asked after that, so that one that has started again meanwhile does not say that it is stopped.
-        let since = *self.checks_since.get_or_insert(now);
+        let since = self.begin_checks(now);
         let unchecked: Vec<InstanceName> = self
             .stopped
             .iter()
@@ -117,6 +117,15 @@
         }
     }
 
+    /// Since when the replicas are being asked once more. The first time they are asked at once, however short a
+    /// time ago they were asked before: writes wait for what follows.
+    fn begin_checks(&mut self, now: Instant) -> Instant {
+        if self.checks_since.is_none() {
+            self.last_sent.retain(|(_, kind), _| *kind != Repeated::Ask);
+        }
+        *self.checks_since.get_or_insert(now)
+    }
+
     fn promote(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let Some(best) = self.best() else {
             self.set_complete(None);
