--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -1,14 +1,17 @@
 //! The copy of the platform's store: which changes wake it, and what it shows when it goes back to
 //! following everything.
 
+use std::net::SocketAddr;
+
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
+use kestrellock_core::routing::Role;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, Item, KeyStore, Mirror, MirrorView, Scope};
-use kestrellock_platform::standin::entries::CONFIGURATION_KEY;
+use kestrellock_platform::standin::entries::{CONFIGURATION_KEY, InstanceEntry};
 use kestrellock_store::coordination::Coordination;
 
 const NODE: &str = "kestrellock/nodes/one";
@@ -200,16 +203,20 @@
     let client = KeyStore::new(&store.endpoint());
     let coordination =
         StoreCoordination::new(client, std::sync::Arc::new(mirror), Default::default());
-    let entry = |start: &str| {
-        format!(
-            r#"{{"service":"orders","address":"127.0.0.1:1","zone":"z","version":"1","slots":1,"state":"ready",
-               "coldRemainingMs":0,"callSeq":1,"dbRole":"replica"{start}}}"#
-        )
+    let entry = |name, born| InstanceEntry {
+        name,
+        group: "orders",
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "z",
+        slots: 1,
+        leaving: false,
+        role: Role::Replica,
+        born,
     };
-    store.put("servers/i-1", entry(r#","born":7"#).as_bytes());
-    store.put("servers/i-10", entry(r#","born":8"#).as_bytes());
-    store.put("servers/i-2", entry("").as_bytes());
-    store.put("servers/i-3", b"no entry");
+    for (name, born) in [("i-1", Some(7)), ("i-10", Some(8)), ("i-2", None)] {
+        store.put(&InstanceEntry::key(name), &entry(name, born).value());
+    }
+    store.put(&InstanceEntry::key("i-3"), b"no entry");
     let names = ["i-1", "i-2", "i-3", "i-4"].map(InstanceName::new);
     let starts = coordination.starts(&names).expect("an answer");
     assert_eq!(starts, [(InstanceName::new("i-1"), InstanceIncarnation(7))].into());
