Test that fails: small changes right behind a large one have it sent twice

Callers saw statements wait behind a configuration that travelled twice. The counter given_up is new; the story stands at the test.

--- a/crates/daemon/src/agent/configuration/fetching.rs
+++ b/crates/daemon/src/agent/configuration/fetching.rs
@@ -32,6 +32,7 @@
             self.current.replace(Fetch { from: peer.node.clone(), asked, incoming: None })
             && given_up.from != peer.node
         {
+            own.context.metrics.configuration.count(ConfigurationEvent::GivenUp);
             log::info!(
                 event = "configuration_asked_elsewhere",
                 peer = given_up.from.as_str(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -163,6 +163,8 @@
         Unreadable = "unreadable",
         /// Taken from a peer.
         Pulled = "pulled",
+        /// Not sent by a peer in time.
+        GivenUp = "given_up",
         /// Told to the peers that ask this node.
         Announced = "announced",
         /// Given to a peer.
--- a/crates/lab/tests/large_configuration.rs
+++ b/crates/lab/tests/large_configuration.rs
@@ -21,6 +21,7 @@
     Platform, PlatformOptions, ZONES, further_database, node_relay, store_relay, wait,
 };
 use kestrellock_lab::standin::network::links::SilentWay;
+use kestrellock_peer::catalog_transfer;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
 
@@ -111,6 +112,55 @@
     assert!(bytes <= NODES as u64 * BYTES_OF_SMALL_CHANGE, "{bytes} bytes for one route");
 }
 
+/// What happened: three nodes were sent 1,400 routes twice by one follower, 0.1 ms after each other, and the check
+/// above failed once in 40 runs (16 transfers for 9 that were used).
+///
+/// Cause: a follower that has a newer revision says so to its zone, also while it serves it. A node that waited for
+/// a part took that for the answer that there is nothing to send, and asked again. Small changes right behind a
+/// large one make it come.
+#[test]
+fn small_changes_right_behind_a_large_one_do_not_have_it_sent_twice() {
+    const SMALL_CHANGES: usize = 6;
+    const PAUSE: Duration = Duration::from_millis(15);
+    let mut platform = start();
+    let had = platform.nodes().next().expect("a node").context.catalog.load().summary();
+    let dropped = BytesSentInVain::so_far(&platform);
+    let mut timeouts = [FIRST_TIMEOUT_MS; ROUTES];
+    platform.configure_further(&timeouts);
+    for changed in 1..=SMALL_CHANGES {
+        std::thread::sleep(PAUSE);
+        timeouts[..changed].fill(SECOND_TIMEOUT_MS);
+        platform.configure_further(&timeouts);
+    }
+    wait_for_deadline(&platform, SMALL_CHANGES - 1, SECOND_TIMEOUT_MS);
+    let catalog = platform.nodes().next().expect("a node").context.catalog.load();
+    let large = catalog_transfer::pack(&catalog.delta_for(&had)).expect("it is packed").len();
+    // What a slow node was not waited for is sent in vain, and no more than that.
+    let allowed = || count(&platform, ConfigurationEvent::GivenUp) * large as u64;
+    wait("what is sent is used", || dropped.since(&platform) <= allowed() as i64)
+        .unwrap_or_else(|error| panic!("{error}: {} bytes", dropped.since(&platform)));
+}
+
+/// Bytes of configuration that nodes have sent and no node has taken in: what is on its way, and what is dropped.
+struct BytesSentInVain(i64);
+
+impl BytesSentInVain {
+    fn so_far(platform: &Platform) -> Self {
+        Self(Self::count(platform))
+    }
+
+    fn since(&self, platform: &Platform) -> i64 {
+        Self::count(platform) - self.0
+    }
+
+    fn count(platform: &Platform) -> i64 {
+        let bytes = |event| -> u64 {
+            platform.nodes().map(|node| node.context.metrics.configuration_bytes.get(event)).sum()
+        };
+        bytes(ConfigurationEvent::Served) as i64 - bytes(ConfigurationEvent::Pulled) as i64
+    }
+}
+
 /// The same cause elsewhere: a time limit on a whole answer is one on the size of the configuration. Three
 /// nodes with 0.25 MB/s between them and the store had not read 1,400 routes after 30 s, since each try was
 /// given up after 2 to 3.5 s.
