A planned stop ends a session right behind an answer, or once it has rested; what is on its way is answered

Cause: every session that had asked before and had nothing under way was ended at once, also one answered a moment before; what arrived within the next 100 ms was read and thrown away. Mend: the end is sent with an answer, so that the caller is not about to ask, or after a second without a request. In between requests are served. The same for callers that are told the end, except that they are told it only after they have rested; what was under way until just now counts as activity there too. Why it holds: a caller that gets the end with its answer has nothing on its way; one that rested for a second may, and that stays open.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -96,6 +96,8 @@
     hold_until: Option<Instant>,
     /// Whether the last attempt went where a gateway had said.
     referred: bool,
+    /// Whether a request was under way when the session was last looked at.
+    was_active: bool,
     /// When something was last under way.
     last_active: Instant,
     /// Whether it has asked for anything since it logged in.
@@ -150,6 +152,7 @@
             answer_begun: false,
             hold_until: None,
             referred: false,
+            was_active: false,
             last_active: now,
             has_asked: false,
             parting_since: None,
@@ -219,7 +222,8 @@
         if self.parting_since.is_some() {
             return self.part(io);
         }
-        if self.request.is_some() || !self.connection.input.is_empty() {
+        let was_active = std::mem::take(&mut self.was_active) || !self.connection.input.is_empty();
+        if was_active {
             self.last_active = io.now;
         }
         self.end_overdue_transaction(io);
@@ -241,7 +245,9 @@
         if end == SessionEnd::Continue && self.must_end() {
             return self.end_without_credential(io);
         }
-        if end == SessionEnd::Continue && io.context.is_leaving() && self.is_idle(io) {
+        self.was_active = self.request.is_some();
+        let may_end = io.context.is_leaving() && self.may_be_ended(was_active, io);
+        if end == SessionEnd::Continue && may_end {
             return self.send_away(None, io);
         }
         match self.connection.flush(io.registry) {
--- a/crates/daemon/src/front/session/parting.rs
+++ b/crates/daemon/src/front/session/parting.rs
@@ -29,17 +29,18 @@
         tells && io.context.is_leaving() && self.transaction == TransactionState::Idle
     }
 
-    /// Whether nothing has been under way for so long that a message that answers nothing is not
-    /// taken for the answer to the last statement: some client libraries do so if they read both
-    /// at once.
-    pub(super) fn is_idle(&self, io: &Io) -> bool {
+    /// Whether a planned stop may end the session without being asked. Whatever the caller has sent by then and
+    /// has not arrived yet is lost, so it must not be about to ask: nothing has been under way for a while, or it
+    /// gets its answer with the end of the stream. Where the end is told the moment behind an answer is none: some
+    /// client libraries take a message that answers nothing for the answer if they read both at once.
+    pub(super) fn may_be_ended(&self, has_just_been_answered: bool, io: &Io) -> bool {
         let between = self.request.is_none() && self.transaction == TransactionState::Idle;
         let silent = self.connection.input.is_empty() && self.protocol.is_between_requests();
-        // Where nothing is said the moment behind an answer is the best: the caller is not about
-        // to ask again. One that has just logged in is.
+        let rested = io.now.saturating_duration_since(self.last_active) >= IDLE_BEFORE_PARTING;
         let tells = io.context.protocol.traits().tells_farewell;
-        let limit = if tells || !self.has_asked { IDLE_BEFORE_PARTING } else { Duration::ZERO };
-        between && silent && io.now.saturating_duration_since(self.last_active) >= limit
+        // One that has just logged in is about to ask.
+        let is_behind_answer = has_just_been_answered && self.has_asked && !tells;
+        between && silent && (rested || is_behind_answer)
     }
 
     /// Tells the caller to connect to another node, in answer to a request if there is one.
