--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -2,6 +2,7 @@
 //! following everything.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
@@ -12,7 +13,7 @@
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, Item, KeyStore, Mirror, MirrorView, Scope};
 use kestrellock_platform::standin::entries::{CONFIGURATION_KEY, InstanceEntry};
-use kestrellock_store::coordination::Coordination;
+use kestrellock_store::coordination::{Coordination, Hold};
 
 const NODE: &str = "kestrellock/nodes/one";
 const OTHER_NODE: &str = "kestrellock/nodes/two";
@@ -34,6 +35,68 @@
     view.items.keys().map(String::as_str).collect()
 }
 
+/// A node that may replace primaries, with its copy of a store.
+struct Holding {
+    store: PlatformStore,
+    mirror: Arc<Mirror>,
+    coordination: StoreCoordination,
+    hold: Hold,
+    group: GroupName,
+}
+
+impl Holding {
+    fn start() -> Self {
+        let (store, mirror) = start();
+        store.put(NODE, b"1");
+        advance(&mirror);
+        let mirror = Arc::new(mirror);
+        let coordination = coordination(&store, mirror.clone());
+        let hold = coordination.acquire(&node()).expect("an answer").expect("nobody holds it");
+        Self { store, mirror, coordination, hold, group: GroupName::new("orders") }
+    }
+
+    fn intent(&self, attempt: u32) -> Intent {
+        Intent {
+            holder: node(),
+            id: ReplacementId { fence: self.hold.fence, attempt },
+            reason: Reason::Suspected,
+            former: None,
+            called_off: false,
+            promoting: false,
+        }
+    }
+
+    fn record(&self, intent: &Intent) {
+        assert!(self.coordination.record(&self.hold, &self.group, intent).expect("an answer"));
+    }
+
+    fn finish(&self, id: ReplacementId) {
+        let finished = self.coordination.finish(&self.hold, &self.group, id, None);
+        assert!(finished.expect("an answer"));
+    }
+
+    /// A client whose copy stays as it is: its calls expect what late ones expected.
+    fn late(&self) -> StoreCoordination {
+        let mirror = Arc::new(Mirror::new(KeyStore::new(&self.store.endpoint())));
+        advance(&mirror);
+        coordination(&self.store, mirror)
+    }
+
+    /// The record of the group's replacement.
+    fn recorded(&self) -> Option<Intent> {
+        self.mirror.catch_up().expect("an answer");
+        self.coordination.view().intents.get(&self.group).cloned()
+    }
+}
+
+fn node() -> NodeName {
+    NodeName::new("one")
+}
+
+fn coordination(store: &PlatformStore, mirror: Arc<Mirror>) -> StoreCoordination {
+    StoreCoordination::new(KeyStore::new(&store.endpoint()), mirror, Default::default())
+}
+
 #[test]
 fn a_copy_of_own_keys_is_not_woken_by_others() {
     let (store, mirror) = start();
@@ -125,55 +188,30 @@
 /// its intent for longer than it passed over old needs, and began it again as one that was left unfinished.
 #[test]
 fn whoever_ends_a_replacement_does_not_see_its_intent_any_more() {
-    let (store, mirror) = start();
-    store.put(NODE, b"1");
-    advance(&mirror);
-    let mirror = std::sync::Arc::new(mirror);
-    let client = KeyStore::new(&store.endpoint());
-    let coordination = StoreCoordination::new(client, mirror.clone(), Default::default());
-    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
-    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
-    let id = ReplacementId { fence: hold.fence, attempt: 1 };
-    let reason = Reason::Suspected;
-    let intent =
-        Intent { holder: node, id, reason, former: None, called_off: false, promoting: false };
-    assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
-    mirror.catch_up().expect("an answer");
-    assert!(coordination.view().intents.contains_key(&group));
-    assert!(coordination.finish(&hold, &group, id, None).expect("an answer"));
-    assert!(coordination.view().intents.is_empty(), "it is over");
+    let holding = Holding::start();
+    let intent = holding.intent(1);
+    holding.record(&intent);
+    assert_eq!(holding.recorded(), Some(intent.clone()));
+    holding.finish(intent.id);
+    assert!(holding.coordination.view().intents.is_empty(), "it is over");
 }
 
 /// A change without an answer may be done seconds later. One that says that a promotion may be sent, done after
 /// its replacement is over, would have the next holder promote an instance for no reason.
 #[test]
 fn a_record_that_is_done_late_does_not_bring_a_finished_replacement_back() {
-    let (store, mirror) = start();
-    store.put(NODE, b"1");
-    advance(&mirror);
-    let mirror = std::sync::Arc::new(mirror);
-    let client = KeyStore::new(&store.endpoint());
-    let coordination = StoreCoordination::new(client, mirror.clone(), Default::default());
-    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
-    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
-    let id = ReplacementId { fence: hold.fence, attempt: 1 };
-    let reason = Reason::Suspected;
-    let intent =
-        Intent { holder: node, id, reason, former: None, called_off: false, promoting: false };
-    assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
-    let promoting = Intent { promoting: true, ..intent };
-    assert!(coordination.record(&hold, &group, &promoting).expect("an answer"));
+    let holding = Holding::start();
+    let intent = holding.intent(1);
+    holding.record(&intent);
+    let promoting = Intent { promoting: true, ..intent.clone() };
+    holding.record(&promoting);
     // The answer of the first was lost: the second finds that it is done.
-    assert!(coordination.record(&hold, &group, &promoting).expect("an answer"));
-    // A client whose copy stays as it was: its call expects what the one that is late expected.
-    let late_mirror = std::sync::Arc::new(Mirror::new(KeyStore::new(&store.endpoint())));
-    advance(&late_mirror);
-    let client = KeyStore::new(&store.endpoint());
-    let late = StoreCoordination::new(client, late_mirror, Default::default());
-    assert!(coordination.finish(&hold, &group, id, None).expect("an answer"));
-    assert!(late.record(&hold, &group, &promoting).is_err(), "its condition does not hold");
-    mirror.catch_up().expect("an answer");
-    assert!(coordination.view().intents.is_empty(), "it stays over");
+    holding.record(&promoting);
+    let late = holding.late();
+    holding.finish(intent.id);
+    let done_late = late.record(&holding.hold, &holding.group, &promoting);
+    assert!(done_late.is_err(), "its condition does not hold");
+    assert_eq!(holding.recorded(), None, "it stays over");
 }
 
 /// Nodes tell an old primary that comes back late by the term that its successor led, so that is kept, and what
@@ -183,11 +221,9 @@
     let (store, mirror) = start();
     store.put("kestrellock/promotion/primaries/earlier", b"\"i-1\"");
     advance(&mirror);
-    let mirror = std::sync::Arc::new(mirror);
-    let client = KeyStore::new(&store.endpoint());
-    let coordination = StoreCoordination::new(client, mirror, Default::default());
-    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
-    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
+    let coordination = coordination(&store, Arc::new(mirror));
+    let hold = coordination.acquire(&node()).expect("an answer").expect("nobody holds it");
+    let group = GroupName::new("orders");
     let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
     let id = ReplacementId { fence: hold.fence, attempt: 1 };
     assert!(coordination.finish(&hold, &group, id, Some(&successor)).expect("an answer"));
@@ -200,9 +236,7 @@
 #[test]
 fn starts_are_read_from_the_store_and_not_from_the_copy() {
     let (store, mirror) = start();
-    let client = KeyStore::new(&store.endpoint());
-    let coordination =
-        StoreCoordination::new(client, std::sync::Arc::new(mirror), Default::default());
+    let coordination = coordination(&store, Arc::new(mirror));
     let entry = |name, born| InstanceEntry {
         name,
         group: "orders",
@@ -226,28 +260,14 @@
 /// at a primary that is being replaced, and read there.
 #[test]
 fn an_end_that_is_done_late_does_not_end_the_next_replacement() {
-    let (store, mirror) = start();
-    store.put(NODE, b"1");
-    advance(&mirror);
-    let mirror = std::sync::Arc::new(mirror);
-    let client = KeyStore::new(&store.endpoint());
-    let coordination = StoreCoordination::new(client, mirror.clone(), Default::default());
-    let (node, group) = (NodeName::new("one"), GroupName::new("orders"));
-    let hold = coordination.acquire(&node).expect("an answer").expect("nobody holds it");
-    let first = ReplacementId { fence: hold.fence, attempt: 1 };
-    let reason = Reason::Suspected;
-    let (called_off, promoting) = (false, false);
-    let intent = Intent { holder: node, id: first, reason, former: None, called_off, promoting };
-    assert!(coordination.record(&hold, &group, &intent).expect("an answer"));
-    let late_mirror = std::sync::Arc::new(Mirror::new(KeyStore::new(&store.endpoint())));
-    advance(&late_mirror);
-    let client = KeyStore::new(&store.endpoint());
-    let late = StoreCoordination::new(client, late_mirror, Default::default());
-    assert!(coordination.finish(&hold, &group, first, None).expect("an answer"));
-    let second = ReplacementId { fence: hold.fence, attempt: 2 };
-    let next = Intent { id: second, ..intent };
-    assert!(coordination.record(&hold, &group, &next).expect("an answer"));
-    assert!(late.finish(&hold, &group, first, None).expect("an answer"), "it had been done");
-    mirror.catch_up().expect("an answer");
-    assert_eq!(coordination.view().intents.get(&group), Some(&next), "the next one goes on");
+    let holding = Holding::start();
+    let first = holding.intent(1);
+    holding.record(&first);
+    let late = holding.late();
+    holding.finish(first.id);
+    let next = holding.intent(2);
+    holding.record(&next);
+    let done_late = late.finish(&holding.hold, &holding.group, first.id, None);
+    assert!(done_late.expect("an answer"), "it had been done");
+    assert_eq!(holding.recorded(), Some(next), "the next one goes on");
 }
