--- a/crates/lab/src/standin/network/links.rs
+++ b/crates/lab/src/standin/network/links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::IpAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -86,6 +86,7 @@
     links: Mutex<Vec<Link>>,
     lines: Mutex<HashMap<LineEnd, Line>>,
     silences: Mutex<Vec<Silence>>,
+    longest_pause_us: AtomicU64,
     stopping: AtomicBool,
 }
 
@@ -98,6 +99,7 @@
             links,
             lines: Mutex::default(),
             silences: Mutex::default(),
+            longest_pause_us: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
     }
@@ -159,6 +161,16 @@
         })
     }
 
+    /// The network has carried nothing for so long, though it might have.
+    pub fn note_pause(&self, pause: Duration) {
+        self.longest_pause_us.fetch_max(pause.as_micros() as u64, Ordering::AcqRel);
+    }
+
+    /// The longest time for which the network has carried nothing, though it might have.
+    pub fn longest_pause(&self) -> Duration {
+        Duration::from_micros(self.longest_pause_us.load(Ordering::Acquire))
+    }
+
     /// The zone of an address, or `otherwise` for addresses of none.
     pub fn zone_or(&self, address: IpAddr, otherwise: ZoneNumber) -> ZoneNumber {
         zone_of(address, self.zones).unwrap_or(otherwise)
--- a/crates/lab/src/standin/network/mod.rs
+++ b/crates/lab/src/standin/network/mod.rs
@@ -207,6 +207,12 @@
         self.links.silence(Silence { zone: self.number(zone), way, opened_before });
     }
 
+    /// The longest time for which the network has carried nothing because it got no processor time: a node that
+    /// hears nothing meanwhile is right to say so.
+    pub fn longest_pause(&self) -> Duration {
+        self.links.longest_pause()
+    }
+
     fn set_cut(&self, from: &ZoneName, to: &ZoneName, cut: bool) {
         self.links.change(self.number(from), self.number(to), |link| link.cut = cut);
         self.links_changed();
