Test that fails: an old word of a node that is fetched from passes for its answer

New log lines tell what becomes of a fetch that ends without its answer: configuration_nothing_newer, configuration_unasked, configuration_part_dropped. In each failure and only there a configuration_nothing_newer names the revision that the asker had itself, 0 to 48 ms after the fetch, and the part arrives as configuration_unasked; network pauses in two of the three, none in the third. Cause: InForce of the older revision was announced and came late; the newer one was known by heartbeats already. Fetch asked with revision 24, InForce 24 was read as "nothing newer".

--- a/crates/daemon/src/agent/configuration/exchange.rs
+++ b/crates/daemon/src/agent/configuration/exchange.rs
@@ -83,7 +83,7 @@
             ConfigurationMessage::InForce { revision } => {
                 own.context.revisions.hear(&peer.node, revision);
                 if self.puller.on_revision(&peer.node, revision) {
-                    self.fetching.on_nothing(&peer.node);
+                    self.fetching.on_nothing(&peer.node, revision);
                 }
             }
             ConfigurationMessage::Fetch { have } => {
--- a/crates/daemon/src/agent/configuration/fetching.rs
+++ b/crates/daemon/src/agent/configuration/fetching.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use kestrellock_core::catalog::{CatalogDelta, CatalogSummary, DeltaError, Fingerprint};
+use kestrellock_core::catalog::{CatalogDelta, CatalogSummary, DeltaError, Fingerprint, Revision};
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::spreading::Puller;
 use kestrellock_peer::catalog_transfer::{self, Incoming, Part, TransferError};
@@ -49,21 +49,45 @@
         own.send(peer, ConfigurationMessage::Fetch { have: summary });
     }
 
-    /// A node has nothing newer.
-    pub fn on_nothing(&mut self, node: &NodeName) {
-        self.current.take_if(|fetch| fetch.from == *node);
+    /// A node that has `revision` has nothing newer.
+    pub fn on_nothing(&mut self, node: &NodeName, revision: Revision) {
+        if let Some(fetch) = self.current.take_if(|fetch| fetch.from == *node) {
+            log::info!(
+                event = "configuration_nothing_newer",
+                peer = node.as_str(),
+                revision = revision.0,
+                after_ms = fetch.asked.elapsed().as_millis() as u64;
+                "a node that was asked for the configuration has none that is newer"
+            );
+        }
     }
 
     /// A part has arrived.
     pub fn on_part(&mut self, own: &Configuration, peer: &Peer, part: &Part, puller: &mut Puller) {
         let Some(fetch) = self.current.as_mut().filter(|fetch| fetch.from == peer.node) else {
             // It was asked elsewhere meanwhile.
+            log::info!(
+                event = "configuration_unasked",
+                peer = peer.node.as_str(),
+                transfer = part.transfer.0,
+                offset = part.offset,
+                bytes = part.bytes.len() as u64;
+                "a node sends what is not fetched from it"
+            );
             own.send(peer, ConfigurationMessage::Enough);
             return;
         };
         if let Err(error) = fetch.add(part) {
             // What was sent before another connection took this one's place arrives again, or never.
-            log::debug!("{error}: {} at {}", peer.node, part.offset);
+            log::info!(
+                event = "configuration_part_dropped",
+                peer = peer.node.as_str(),
+                transfer = part.transfer.0,
+                offset = part.offset,
+                bytes = part.bytes.len() as u64,
+                problem = error.to_string().as_str();
+                "a part of the configuration does not fit what has arrived"
+            );
             return;
         }
         puller.on_part(&peer.node, Instant::now());
