An older revision named by a node that is known to have a newer one is no answer to a fetch

Cause: InForce announces, and answers a fetch if there is nothing newer. An announcement that waited on a full link came after heartbeats had told of the next revision, and passed for the answer; the node was asked again at once and sent the same twice. Mend: the puller knows whether the node that it fetches from is known to have more; what such a node says of its revision ends no fetch. Price: one that starts again without its configuration is asked elsewhere after 500 ms instead of at once. Not changed: the wire.

--- a/crates/core/src/spreading/puller.rs
+++ b/crates/core/src/spreading/puller.rs
@@ -47,12 +47,27 @@
 enum Question {
     /// Which revision it has.
     Revision,
-    /// To send what a node that has this revision lacks.
-    Fetch(Revision),
+    /// To send what a node that has the revision `have` lacks.
+    Fetch {
+        have: Revision,
+        /// Whether the node is known to have a newer one.
+        has_newer: bool,
+    },
     /// Nothing: what it sent cannot be put in force.
     Refused,
 }
 
+impl Question {
+    /// Whether a node that says it has `revision` has not answered by that: a newer one than that with which it was
+    /// asked is news, and an older one of a node that has more was sent before.
+    fn is_left_open(self, revision: Revision) -> bool {
+        match self {
+            Self::Fetch { have, has_newer } => has_newer || have < revision,
+            Self::Revision | Self::Refused => false,
+        }
+    }
+}
+
 impl Puller {
     /// A puller that has not asked yet.
     pub fn new(own: Candidate) -> Self {
@@ -81,33 +96,32 @@
         self.plan_poll(view);
         self.silent = None;
         let question = match view.newer {
-            Some(_) => Question::Fetch(view.have),
+            Some(newer) => Question::Fetch { have: view.have, has_newer: *newer == node },
             None => Question::Revision,
         };
         self.wait_for(&node, question, view.now);
         Some(node)
     }
 
-    /// The node that was fetched from is asked once more, by a node that has this revision now.
+    /// The node that has sent a newer revision is asked once more, by a node that has `have` now.
     pub fn on_fetch_again(&mut self, node: &NodeName, have: Revision, now: Instant) {
-        self.wait_for(node, Question::Fetch(have), now);
+        self.wait_for(node, Question::Fetch { have, has_newer: true }, now);
     }
 
     fn wait_for(&mut self, node: &NodeName, question: Question, now: Instant) {
         self.waiting = Some(Waiting { node: node.clone(), until: now + REQUEST_LIMIT, question });
     }
 
-    /// A node says which revision it has in force. Returns whether it will send nothing: a newer one than that
-    /// with which it was asked is news, not an answer, and whoever asked again would be sent the same twice.
+    /// A node says which revision it has in force. Returns whether it will send nothing: whoever took an
+    /// announcement for that answer would ask again and be sent the same twice.
     pub fn on_revision(&mut self, node: &NodeName, revision: Revision) -> bool {
         let waiting = self.waiting.as_ref().filter(|waiting| waiting.node == *node);
-        let is_news = waiting.is_some_and(
-            |waiting| matches!(waiting.question, Question::Fetch(have) if have < revision),
-        );
-        if !is_news {
+        let is_announcement =
+            waiting.is_some_and(|waiting| waiting.question.is_left_open(revision));
+        if !is_announcement {
             self.on_answer(node);
         }
-        !is_news
+        !is_announcement
     }
 
     /// A node answered.
