An attempt's state in parts: the old primary, other leaders, releases

Cause: promotion/attempt.rs had grown to 35 fields and 365 lines; what the old primary said, who else says that it leads, and which replicas are to be released were spread over four files. Now each has its type and file (former.rs, leaders.rs, releases.rs); 27 fields, 294 lines.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -3,12 +3,18 @@
 
 mod answers;
 mod ending;
+mod former;
+mod leaders;
 mod promoting;
+mod releases;
 mod starts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use former::FormerWord;
+use leaders::{OtherLeaders, leading};
+use releases::Releases;
 use starts::Starts;
 
 use super::{
@@ -37,12 +43,8 @@
     /// Members that were leaving, whose entries have gone, and that refuse connections: they have ended, and
     /// what they held with them.
     ended: BTreeSet<InstanceName>,
-    /// Others that said, after a promotion was sent, that they lead a term at least as high as replicas are
-    /// stopped with: the platform has promoted them.
-    promoted: BTreeSet<InstanceName>,
-    /// Others that said then that they lead a lower term: old primaries that have started again under
-    /// other names.
-    returned: BTreeSet<InstanceName>,
+    /// Others that say they lead.
+    leaders: OtherLeaders,
     /// The intent that was last given to be recorded; whoever does so repeats it.
     given: Option<Intent>,
     /// What the store says of it.
@@ -63,29 +65,18 @@
     last_primary_follows: bool,
     /// What is known of instances that have started again.
     starts: Starts,
-    /// Whether an earlier holder may have stopped replicas.
-    others_stopped: bool,
-    /// Replicas that may have been stopped by this attempt.
-    stop_sent: BTreeSet<InstanceName>,
+    /// Replicas that may have been stopped, and those that receive again.
+    releases: Releases,
     /// When enough replicas had been stopped.
     complete: Option<Instant>,
     /// Since when nothing is missing for a promotion but that the replicas say once more that they are stopped.
     checks_since: Option<Instant>,
-    /// When the old primary last refused a connection.
-    former_refused: Option<Instant>,
-    /// Whether the old primary said last that it follows somebody: then it is one of the replicas, and holds
-    /// whatever it has answered.
-    former_follows: bool,
-    /// When the question was sent that the old primary last answered.
-    former_answered: Option<Instant>,
+    /// What the old primary has said.
+    former_word: FormerWord,
     /// Whether every node has given its evidence up.
     given_up: bool,
-    released: BTreeSet<InstanceName>,
     /// Replicas that did not run when they were to be promoted, and when that was said.
     not_running: BTreeMap<InstanceName, Instant>,
-    /// Others that said at the beginning that they lead: they led before `former` did, and are not
-    /// its successor unless they stop saying so.
-    outdated: BTreeSet<InstanceName>,
     chosen: Option<InstanceName>,
     /// The chosen one, once it has said itself that it leads: the store may be down.
     leads_by_its_word: Option<Successor>,
@@ -125,12 +116,11 @@
             intent: Intent { holder, id, reason, former, called_off: false, promoting },
             last_primary_follows,
             starts: Starts::default(),
-            others_stopped,
+            releases: Releases::after(others_stopped),
             members,
             displaced: BTreeSet::new(),
             ended: BTreeSet::new(),
-            promoted: BTreeSet::new(),
-            returned: BTreeSet::new(),
+            leaders: OtherLeaders::new(outdated),
             timing,
             phase: Phase::Recording,
             given: None,
@@ -141,16 +131,11 @@
             term: Term(highest.0 + 1),
             told: BTreeSet::new(),
             stopped: BTreeMap::new(),
-            stop_sent: BTreeSet::new(),
             complete: None,
             checks_since: None,
-            former_refused: None,
-            former_follows: false,
-            former_answered: None,
+            former_word: FormerWord::default(),
             given_up: false,
-            released: BTreeSet::new(),
             not_running: BTreeMap::new(),
-            outdated,
             chosen: None,
             leads_by_its_word: None,
             chosen_again: false,
@@ -266,60 +251,10 @@
         }
     }
 
-    /// The member that leads in place of the old primary.
-    fn successor(&self) -> Option<InstanceName> {
-        let leading = leading(&self.members, self.former());
-        let may_be = |name: &InstanceName| !self.outdated.contains(name) && self.may_succeed(name);
-        let told = leading.into_iter().find(may_be);
-        told.or_else(|| Some(self.leads_by_its_word.clone()?.instance))
-    }
-
-    /// Whether a member that says it leads can be the successor. Once a promotion has been sent, its own
-    /// one is; another one only if it shows a term that it got by a promotion: an old primary that has
-    /// started again under another name would answer writes that the promotion rolls back.
-    fn may_succeed(&self, name: &InstanceName) -> bool {
-        match &self.chosen {
-            Some(chosen) => chosen == name || self.promoted.contains(name),
-            None => true,
-        }
-    }
-
-    /// Asks members other than the chosen one that say they lead which term that is, and has those step
-    /// down that lead an old one.
-    fn question_other_leaders(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        let leading = leading(&self.members, self.former());
-        let other = |name: &&InstanceName| {
-            self.chosen.as_ref() != Some(*name) && !self.outdated.contains(*name)
-        };
-        let others: Vec<InstanceName> = leading.iter().filter(other).cloned().collect();
-        for name in others {
-            if self.returned.contains(&name) {
-                self.demote(&name, now, commands);
-            } else {
-                self.send(&name, Repeated::Ask, now, commands, Command::Ask);
-            }
-        }
-    }
-
-    /// The old primary that is promoted again has to say itself that it leads: what the platform tells of it may
-    /// be from before it stepped down.
-    fn question_former_if_chosen(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        let former = self.intent.former.clone();
-        if let Some(former) = former.filter(|former| self.chosen.as_ref() == Some(former)) {
-            self.send(&former, Repeated::Ask, now, commands, Command::Ask);
-        }
-    }
-
-    /// Whether the old primary has refused a connection since enough replicas were stopped.
-    fn nobody_reads_there(&self) -> bool {
-        let Some(complete) = self.complete else { return false };
-        self.former_refused.is_some_and(|refused| refused >= complete)
-    }
-
     /// The replicas that may run, the old primary among them once it follows. One at whose address another
     /// member answers has ended: what it held is gone, or is held by that one.
     fn replicas(&self) -> Vec<Member> {
-        let leading = self.former().filter(|_| !self.former_follows);
+        let leading = self.former().filter(|_| !self.former_word.follows);
         let replicas = self.members.replicas(leading);
         replicas.filter(|member| !self.has_ended(member)).cloned().collect()
     }
@@ -357,9 +292,3 @@
         }
     }
 }
-
-/// Members other than the old primary that say they lead.
-fn leading(members: &Members, former: Option<&InstanceName>) -> BTreeSet<InstanceName> {
-    let leading = members.replicas(former).filter(|member| member.leads);
-    leading.map(|member| member.name.clone()).collect()
-}
--- a/crates/core/src/promotion/attempt/answers.rs
+++ b/crates/core/src/promotion/attempt/answers.rs
@@ -33,7 +33,7 @@
             Event::Promoted { instance, answer } => self.on_promoted(&instance, answer, now),
             Event::Members(members) => {
                 let leading = leading(&members, self.former());
-                self.outdated.retain(|name| leading.contains(name));
+                self.leaders.outdated.retain(|name| leading.contains(name));
                 self.forget_ended_processes(&members, now);
                 self.ended.retain(|name| members.get(name).is_some_and(|member| member.has_left));
                 self.members = members;
@@ -42,9 +42,9 @@
                 let is_ending =
                     matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. });
                 match is_ending {
-                    true => drop(self.released.insert(instance)),
+                    true => self.releases.on_released(instance),
                     // It was released to refill.
-                    false => drop(self.stop_sent.remove(&instance)),
+                    false => self.releases.on_not_stopped(&instance),
                 }
             }
             Event::Starts { told, asked } => self.starts.on_told(told, asked),
@@ -107,14 +107,14 @@
 
     fn on_not_running(&mut self, instance: InstanceName, sent: Instant) {
         if self.former() == Some(&instance) {
-            self.former_refused = Some(sent);
+            self.former_word.refused = Some(sent);
         }
         if self.members.get(&instance).is_some_and(|member| member.has_left) {
             self.ended.insert(instance.clone());
         }
         // A replica that does not run has forgotten that it was stopped when it returns.
         if matches!(self.phase, Phase::Settling { .. } | Phase::Cancelling { .. }) {
-            self.released.insert(instance);
+            self.releases.on_released(instance);
         }
     }
 
@@ -163,37 +163,13 @@
     /// The chosen one says that it leads. The old primary, if that is the chosen one, may have said so before it
     /// stepped down.
     fn on_chosen_leads(&mut self, instance: InstanceName, term: Term, sent: Instant) {
-        let is_newest = self.former_answered.is_none_or(|answered| sent >= answered);
-        let leads_again = self.former_follows && is_newest;
+        let is_newest = self.former_word.answered.is_none_or(|answered| sent >= answered);
+        let leads_again = self.former_word.follows && is_newest;
         if self.former() != Some(&instance) || leads_again {
             self.leads_by_its_word = Some(Successor { instance, term: Some(term) });
         }
     }
 
-    fn on_former(&mut self, standing: &Standing, sent: Instant) {
-        self.former_follows = standing.role == Role::Replica;
-        self.former_answered = Some(sent);
-        // An old primary that answers again does not refuse any more.
-        if self.former_refused.is_some_and(|refused| sent > refused) {
-            self.former_refused = None;
-        }
-        if standing.term >= self.term && !self.is_committed() {
-            self.stop_with_a_higher_term();
-        }
-    }
-
-    /// What an instance that is neither the old primary nor the chosen one says of leading.
-    fn judge_other_leader(&mut self, instance: &InstanceName, standing: &Standing) {
-        if !self.is_committed() || standing.role == Role::Replica {
-            self.returned.remove(instance);
-            return;
-        }
-        match standing.term >= self.term {
-            true => self.promoted.insert(instance.clone()),
-            false => self.returned.insert(instance.clone()),
-        };
-    }
-
     pub(super) fn stop_with_a_higher_term(&mut self) {
         self.term = Term(self.highest.0 + 1);
         self.stopped.clear();
--- a/crates/core/src/promotion/attempt/ending.rs
+++ b/crates/core/src/promotion/attempt/ending.rs
@@ -5,20 +5,20 @@
 use super::{Attempt, Repeated};
 use crate::ids::InstanceName;
 use crate::position::Term;
-use crate::promotion::{Command, Phase, Reason, Successor};
+use crate::promotion::{Command, Phase, Successor};
 
 impl Attempt {
     /// The old primary first, then the replicas: one that receives again while the old primary still
     /// leads, and that cannot hear of the successor, would follow it and say so.
     pub(super) fn settle(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
         let since = until - self.timing.demotion;
-        let is_in_order = !self.former_still_leads(since) && self.returned.is_empty();
+        let is_in_order = !self.former_still_leads(since) && self.leaders.returned.is_empty();
         if is_in_order || self.chosen_again {
             self.release(now, commands);
         }
         if !is_in_order {
             self.demote_former(now, commands);
-            for name in self.returned.clone() {
+            for name in self.leaders.returned.clone() {
                 self.demote(&name, now, commands);
             }
         }
@@ -38,24 +38,6 @@
         told.unwrap_or(Successor { instance, term: None })
     }
 
-    /// Whether the old primary may lead. One that has refused a connection since its successor led
-    /// returns as a replica.
-    fn former_still_leads(&self, since: Instant) -> bool {
-        let former = self.former().and_then(|name| self.members.get(name));
-        let is_down = self.former_refused.is_some_and(|refused| refused >= since);
-        // One that has vanished tells nobody whether it leads.
-        let may_lead =
-            former.is_some_and(|member| member.leads || self.intent.reason == Reason::Missing);
-        may_lead && !self.former_follows && !is_down
-    }
-
-    pub(super) fn demote_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        let Some(former) = self.intent.former.clone().filter(|_| !self.former_follows) else {
-            return;
-        };
-        self.demote(&former, now, commands);
-    }
-
     /// Has an old primary step down.
     pub(super) fn demote(&mut self, old: &InstanceName, now: Instant, commands: &mut Vec<Command>) {
         let term = Term(self.highest.0.max(self.term.0));
@@ -83,24 +65,4 @@
             self.phase = Phase::Over;
         }
     }
-
-    /// Replicas that may be stopped: also those whose answer was lost, or that an earlier holder
-    /// stopped.
-    fn to_release(&self) -> Vec<InstanceName> {
-        let others = self.replicas().into_iter().map(|replica| replica.name);
-        let others = others.filter(|name| Some(name) != self.chosen.as_ref());
-        let may_be_stopped =
-            |name: &InstanceName| self.others_stopped || self.stop_sent.contains(name);
-        others.filter(|name| may_be_stopped(name) && !self.released.contains(name)).collect()
-    }
-
-    fn all_released(&self) -> bool {
-        self.to_release().is_empty()
-    }
-
-    fn release(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        for name in self.to_release() {
-            self.send(&name, Repeated::Release, now, commands, Command::Release);
-        }
-    }
 }
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -12,8 +12,9 @@
     pub(super) fn stop(&mut self, since: Instant, now: Instant, commands: &mut Vec<Command>) {
         // A primary that answers can still read, and one without replicas that receive cannot be
         // helped by stopping those.
-        let answers = self.former_answered.is_some_and(|sent| now < sent + self.timing.stopping);
-        let works = !self.former_follows && (self.intent.reason == Reason::Leaving || answers);
+        let answers =
+            self.former_word.answered.is_some_and(|sent| now < sent + self.timing.stopping);
+        let works = !self.former_word.follows && (self.intent.reason == Reason::Leaving || answers);
         let ends = works && !self.may_have_promoted();
         if ends && now >= since + self.timing.stopping {
             self.phase = Phase::Cancelling { until: now + self.timing.release };
@@ -39,7 +40,7 @@
                 self.send(&replica.name, Repeated::Ask, now, commands, Command::Ask);
                 continue;
             }
-            self.stop_sent.insert(replica.name.clone());
+            self.releases.on_stop_sent(replica.name.clone());
             self.send(&replica.name, Repeated::Stop, now, commands, |instance| Command::Stop {
                 instance,
                 term,
@@ -66,17 +67,11 @@
     fn let_refill(&mut self, replica: &InstanceName, now: Instant, commands: &mut Vec<Command>) {
         self.stopped.remove(replica);
         self.send(replica, Repeated::Ask, now, commands, Command::Ask);
-        if self.stop_sent.contains(replica) {
+        if self.releases.was_stopped(replica) {
             self.send(replica, Repeated::Release, now, commands, Command::Release);
         }
     }
 
-    fn ask_former(&mut self, now: Instant, commands: &mut Vec<Command>) {
-        if let Some(former) = self.intent.former.clone() {
-            self.send(&former, Repeated::Ask, now, commands, Command::Ask);
-        }
-    }
-
     /// Whether one of those stopped holds every answered commit, and no further one is answered.
     fn enough_stopped(&self) -> bool {
         let stopped = self.stopped.keys().filter(|name| self.has_its_log(name)).count();
