--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod session;
 pub mod session_state;
 pub mod spreading;
+pub mod store_era;
 pub mod suspicion;
--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -44,8 +44,12 @@
             Ok(None) => {}
             Ok(Some(read)) => {
                 backoff.reset();
-                if configuration.offer(read.catalog, Origin::Source) == Offer::InForce {
-                    configuration.announce();
+                let offered = read.catalog.revision;
+                match configuration.offer(read.catalog, Origin::Source) {
+                    Offer::InForce => configuration.announce(),
+                    Offer::NotNewer => configuration.tell_not_newer(offered),
+                    // Told where it was refused.
+                    Offer::Refused => {}
                 }
             }
             Err(error) => {
@@ -100,6 +104,16 @@
         }
     }
 
+    /// What the source told last is not put in force.
+    fn tell_not_newer(&self, offered: Revision) {
+        log::info!(
+            event = "configuration_not_newer",
+            revision = offered.0,
+            in_force = self.revision().0;
+            "the source tells a configuration that is no newer than the one in force"
+        );
+    }
+
     /// The source has said that the catalog it told last was the newest. That shows nothing while a newer
     /// one is not in force.
     fn confirm(&self, confirmation: Confirmation) {
