--- a/crates/lab/src/standin/http.rs
+++ b/crates/lab/src/standin/http.rs
@@ -32,6 +32,8 @@
     Json {
         /// Status.
         status: u16,
+        /// Further headers.
+        headers: Vec<(&'static str, String)>,
         /// Body.
         body: String,
     },
@@ -46,7 +48,12 @@
 impl Reply {
     /// A success.
     pub fn ok(body: impl ToString) -> Self {
-        Self::Json { status: 200, body: body.to_string() }
+        Self::json(200, body.to_string())
+    }
+
+    /// A status and a JSON body, without further headers.
+    pub fn json(status: u16, body: String) -> Self {
+        Self::Json { status, headers: Vec::new(), body }
     }
 }
 
@@ -78,7 +85,9 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some(request) = read_request(&mut reader)? {
         match handler(request) {
-            Reply::Json { status, body } => write_json(&mut stream, status, &body)?,
+            Reply::Json { status, headers, body } => {
+                write_json(&mut stream, status, &headers, &body)?;
+            }
             Reply::Reset => {
                 reset_on_close(&stream);
                 return Ok(());
@@ -121,10 +130,17 @@
     Ok(Some(Request { path, headers, body }))
 }
 
-fn write_json(stream: &mut TcpStream, status: u16, body: &str) -> io::Result<()> {
+fn write_json(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&'static str, String)],
+    body: &str,
+) -> io::Result<()> {
     let length = body.len();
+    let further: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
     let answer = format!(
-        "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+        "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n{further}Content-Length: {length}\r\n\r\n{body}"
     );
     stream.write_all(answer.as_bytes())
 }
--- a/crates/lab/src/standin/instances/promotions.rs
+++ b/crates/lab/src/standin/instances/promotions.rs
@@ -77,12 +77,12 @@
         let shared = groups.get(&call.group)?.clone();
         Some((call, shared))
     }) else {
-        return Reply::Json { status: MALFORMED, body: "{}".to_owned() };
+        return Reply::json(MALFORMED, "{}".to_owned());
     };
     let is_running =
         shared.state().instances.get(&call.instance).is_some_and(|instance| instance.running);
     if !is_running {
-        return Reply::Json { status: NOT_RUNNING, body: "{}".to_owned() };
+        return Reply::json(NOT_RUNNING, "{}".to_owned());
     }
     let instance = call.instance.clone();
     calls.lock().expect("a holder of the lock panicked").push(Promoted {
--- a/crates/lab/src/standin/machines.rs
+++ b/crates/lab/src/standin/machines.rs
@@ -140,7 +140,7 @@
 
 fn handle(contents: &Mutex<Contents>, request: &Request) -> Reply {
     if request.path != PATH {
-        return Reply::Json { status: NOT_FOUND, body: "{}".into() };
+        return Reply::json(NOT_FOUND, "{}".into());
     }
     let slowness = {
         let mut contents = locked(contents);
--- a/crates/lab/src/standin/store/contents.rs
+++ b/crates/lab/src/standin/store/contents.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+/// Era of a store that has never come back from a copy.
+const FIRST_ERA: u64 = 1;
+
 /// A key as the store holds it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -58,10 +61,12 @@
 }
 
 /// What the store holds.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Contents {
     /// Revision of the last change.
     pub revision: u64,
+    /// Rises by one each time the store comes back from a copy.
+    pub era: u64,
     /// History below this revision is gone.
     pub compacted: u64,
     entries: BTreeMap<Vec<u8>, Entry>,
@@ -74,6 +79,7 @@
     fn default() -> Self {
         Self {
             revision: 1,
+            era: FIRST_ERA,
             compacted: 0,
             entries: BTreeMap::new(),
             history: Vec::new(),
@@ -84,6 +90,12 @@
 }
 
 impl Contents {
+    /// Goes back to what a copy holds: revisions and numbers of leases are given out again.
+    pub fn put_back(&mut self, copy: &Contents) {
+        let era = self.era + 1;
+        *self = Self { era, ..copy.clone() };
+    }
+
     /// A key as it is now.
     pub fn get(&self, key: &[u8]) -> Option<&Entry> {
         self.entries.get(key)
--- a/crates/lab/src/standin/store/key_calls.rs
+++ b/crates/lab/src/standin/store/key_calls.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_platform::standin::keys::{
-    self, CONDITION_FAILED, ChangeCall, HISTORY_GONE, HeldEvent, HeldItem, KeyCall, NOT_FOUND,
-    TOO_MANY,
+    self, CONDITION_FAILED, ChangeCall, ERA_HEADER, HISTORY_GONE, HeldEvent, HeldItem, KeyCall,
+    NOT_FOUND, TOO_MANY,
 };
 
 use super::contents::{Contents, Entry, Event, KeyRange};
@@ -26,23 +26,27 @@
     (status, "{}".to_owned())
 }
 
-/// The refusal of a call beyond the rate.
-pub fn beyond_rate() -> Reply {
-    Reply::Json { status: TOO_MANY, body: "{}".to_owned() }
-}
-
 impl Shared {
+    /// The refusal of a call beyond the rate.
+    pub(super) fn beyond_rate(&self) -> Reply {
+        reply(failure(TOO_MANY), &self.contents())
+    }
+
     /// Carries a call out.
     pub(super) fn handle_key_call(&self, call: Option<KeyCall>) -> Reply {
-        let Some(call) = call else { return reply(failure(MALFORMED)) };
+        let Some(call) = call else { return reply(failure(MALFORMED), &self.contents()) };
         if let KeyCall::Watch { prefix, after, wait } = &call {
             return self.wait_for_changes(prefix, *after, *wait);
         }
-        let answer = carry_out(&mut self.contents(), &call, Instant::now());
+        let mut contents = self.contents();
+        let answer = carry_out(&mut contents, &call, Instant::now());
+        let is_done = answer.0 == 200;
+        let reply = reply(answer, &contents);
+        drop(contents);
         self.changed.notify_all();
-        match call.is_change() && answer.0 == 200 && self.faults().loses_answer() {
+        match call.is_change() && is_done && self.faults().loses_answer() {
             true => Reply::Reset,
-            false => reply(answer),
+            false => reply,
         }
     }
 
@@ -52,12 +56,13 @@
         let range = range_of(prefix);
         loop {
             let contents = self.contents();
-            if after + 1 < contents.compacted {
-                return reply(failure(HISTORY_GONE));
+            if after + 1 < contents.compacted || after > contents.revision {
+                return reply(failure(HISTORY_GONE), &contents);
             }
             let events = contents.events(&range, after + 1);
             if !events.is_empty() || Instant::now() >= end {
-                return reply(success(watch_answer(&events, contents.revision)));
+                let answer = success(watch_answer(&events, contents.revision));
+                return reply(answer, &contents);
             }
             let waited = self.changed.wait_timeout(contents, WATCH_CHECK_INTERVAL);
             drop(waited.expect("a holder of the contents lock panicked"));
@@ -68,8 +73,8 @@
     }
 }
 
-fn reply((status, body): Answer) -> Reply {
-    Reply::Json { status, body }
+fn reply((status, body): Answer, contents: &Contents) -> Reply {
+    Reply::Json { status, headers: vec![(ERA_HEADER, contents.era.to_string())], body }
 }
 
 /// The keys that begin with `prefix`.
--- a/crates/lab/src/standin/store/mod.rs
+++ b/crates/lab/src/standin/store/mod.rs
@@ -132,6 +132,17 @@
         contents.compact(revision);
     }
 
+    /// Takes a copy of what it holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { contents: self.shared.contents().clone() }
+    }
+
+    /// Goes back to a copy: what was written since is gone, and revisions are given out again. Every watch ends.
+    pub fn put_back(&self, copy: &StoreCopy) {
+        self.shared.contents().put_back(&copy.contents);
+        self.break_watches();
+    }
+
     /// Writes a key, as somebody else does who may.
     pub fn put(&self, key: &str, value: &[u8]) {
         self.shared.put(key, value);
@@ -163,6 +174,12 @@
     }
 }
 
+/// What a store held at some moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    contents: Contents,
+}
+
 /// Writes keys of a store.
 #[derive(Clone, Debug)]
 pub struct StoreWriter {
@@ -234,7 +251,7 @@
             Admission::Silence => return Reply::Silence,
             Admission::Reset => return Reply::Reset,
             Admission::Refuse if self.dialect == Dialect::Platform => {
-                return key_calls::beyond_rate();
+                return self.beyond_rate();
             }
             Admission::Refuse => return refuse(GatewayError::RATE),
             Admission::Handle(delay) if delay.is_zero() => {}
@@ -302,7 +319,7 @@
 }
 
 fn refuse(error: GatewayError) -> Reply {
-    Reply::Json { status: error.status, body: error.body() }
+    Reply::json(error.status, error.body())
 }
 
 /// Whether the client has closed its side.
