--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -5,6 +5,7 @@
 
 mod account;
 mod digests;
+mod edition;
 mod fields;
 mod index;
 mod merge;
@@ -29,13 +30,15 @@
 
 pub use account::{Account, Operations, Quota};
 pub use digests::{CatalogSummary, Fingerprint};
+pub use edition::{CatalogVersion, Edition};
 pub use fields::{CONNECTIONS, DEADLINE_MS, MAX_NAME_BYTES, MAX_STALENESS_MS, is_name};
 pub use index::{IndexedCatalog, UnknownCredential};
 pub use merge::TenantParameters;
 pub use validate::{Fault, Subject};
 pub use versioned::{CatalogDelta, DeltaError, VersionedCatalog};
 
-/// Revision of the configuration: the store's revision at which its newest part was written.
+/// Revision of the configuration: the position in the history of the store at which its newest part was
+/// written ([`crate::store_era`]).
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
@@ -301,6 +304,9 @@
     /// Revision; zero before anything arrived.
     #[serde(default)]
     pub revision: Revision,
+    /// Which edition of the operators' part it holds.
+    #[serde(default, skip_serializing_if = "Edition::is_none")]
+    pub edition: Edition,
     /// Zones of which operators say something.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub zones: BTreeMap<ZoneName, Zone>,
--- a/crates/core/src/catalog/versioned.rs
+++ b/crates/core/src/catalog/versioned.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::Catalog;
 use super::digests::{CatalogSummary, Digests, Fingerprint, MAX_BUCKETS, ids};
+use super::{Catalog, CatalogVersion};
 use crate::admin::configuration::{EntryId, EntryKind};
 use crate::ids::{AccountName, GroupName, TemplateName, TenantName, ZoneName};
 
@@ -93,7 +93,8 @@
         let own = self.digests.buckets(count);
         let differs = |bucket: usize| own[bucket] != summary.buckets[bucket];
         let replaced = (0..count).filter(|bucket| differs(*bucket)).map(|at| at as u32).collect();
-        let mut changed = Catalog { revision: self.catalog.revision, ..Catalog::default() };
+        let CatalogVersion { edition, revision } = self.catalog.version();
+        let mut changed = Catalog { revision, edition, ..Catalog::default() };
         for id in self.digests.entries_in(count, differs) {
             copy_entry(&self.catalog, &mut changed, id.kind, &id.name);
         }
@@ -132,6 +133,7 @@
             remove_entry(catalog, id);
         }
         catalog.revision = delta.changed.revision;
+        catalog.edition = delta.changed.edition;
         catalog.zones.extend(delta.changed.zones);
         catalog.groups.extend(delta.changed.groups);
         catalog.templates.extend(delta.changed.templates);
--- a/crates/core/src/credential_evidence.rs
+++ b/crates/core/src/credential_evidence.rs
@@ -15,7 +15,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::catalog::Revision;
+use crate::catalog::CatalogVersion;
 use crate::ids::NodeName;
 use crate::rendezvous::Candidate;
 use crate::spreading::{followers, is_follower, other_followers};
@@ -73,11 +73,11 @@
     }
 }
 
-/// At some moment the configuration of a revision, or one that says the same of accounts, was the newest.
+/// At some moment a configuration, or one that says the same of accounts, was the newest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Confirmation {
-    /// The revision.
-    pub revision: Revision,
+    /// Which one.
+    pub version: CatalogVersion,
     /// The moment, or an earlier one.
     pub at: Instant,
 }
@@ -92,27 +92,34 @@
 impl CredentialEvidence {
     /// Takes a confirmation in.
     pub fn add(&mut self, new: Confirmation) {
-        let says_more = |known: &Confirmation| known.revision <= new.revision && known.at >= new.at;
+        let says_more =
+            |known: &Confirmation| new.version.covers(known.version) && known.at >= new.at;
         if self.kept.iter().any(says_more) {
             return;
         }
-        self.kept.retain(|known| known.revision < new.revision || known.at > new.at);
+        self.kept.retain(|known| !known.version.covers(new.version) || known.at > new.at);
         self.kept.push(new);
-        self.kept.sort_by_key(|known| known.revision);
+        self.kept.sort_by_key(|known| known.version.revision);
         if self.kept.len() > KEPT {
             self.kept.remove(0);
         }
     }
 
     /// The newest moment at which the configuration `in_force`, or an older one, was the newest.
-    pub fn newest(&self, in_force: Revision) -> Option<Confirmation> {
-        let usable = self.kept.iter().filter(|known| known.revision <= in_force);
+    pub fn newest(&self, in_force: impl Into<CatalogVersion>) -> Option<Confirmation> {
+        let in_force = in_force.into();
+        let usable = self.kept.iter().filter(|known| in_force.covers(known.version));
         usable.max_by_key(|known| known.at).copied()
     }
 
     /// Whether a credential of the configuration `in_force` may be used for a request that arrived at
     /// `arrived`.
-    pub fn covers(&self, in_force: Revision, arrived: Instant, limit: RevocationLimit) -> bool {
+    pub fn covers(
+        &self,
+        in_force: impl Into<CatalogVersion>,
+        arrived: Instant,
+        limit: RevocationLimit,
+    ) -> bool {
         self.newest(in_force).is_some_and(|known| arrived <= known.at + limit.life())
     }
 }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -162,6 +162,8 @@
     EntryUnreadable = 3007, "22023", NotRun;
     /// An entry or an instance of the configuration cannot be used; it is left out, and the others hold.
     EntryLeftOut = 3008, "22023", NotRun;
+    /// The store has come back from an older copy.
+    StoreCameBack = 3009, "01000", Ran;
 }
 
 impl std::fmt::Display for ResultCode {
--- a/crates/core/src/promotion/attempt/releases.rs
+++ b/crates/core/src/promotion/attempt/releases.rs
@@ -54,9 +54,18 @@
     /// Replicas that may be stopped: also those whose answer was lost, or that an earlier holder
     /// stopped.
     fn to_release(&self) -> Vec<InstanceName> {
-        let others = self.replicas().into_iter().map(|replica| replica.name);
-        let others = others.filter(|name| Some(name) != self.chosen.as_ref());
-        others.filter(|name| self.releases.is_due(name)).collect()
+        let mut others: BTreeSet<InstanceName> =
+            self.replicas().into_iter().map(|replica| replica.name).collect();
+        others.extend(self.former_that_follows());
+        others.retain(|name| Some(name) != self.chosen.as_ref() && self.releases.is_due(name));
+        others.into_iter().collect()
+    }
+
+    /// The old primary, if it is told as a replica: an earlier holder may have stopped it as one, and a successor of a
+    /// lower term than that would wait for it in vain.
+    fn former_that_follows(&self) -> Option<InstanceName> {
+        let former = self.members.get(self.former()?)?;
+        (!former.leads).then(|| former.name.clone())
     }
 
     pub(super) fn all_released(&self) -> bool {
--- a/crates/core/src/promotion/coordination.rs
+++ b/crates/core/src/promotion/coordination.rs
@@ -7,6 +7,7 @@
 use super::Intent;
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::position::Term;
+use crate::store_era::StoreEra;
 use crate::suspicion::Cause;
 
 /// A node's suspicion of one group's primary.
@@ -42,6 +43,8 @@
 /// What the store says, as far as this node has heard.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CoordinationView {
+    /// Era of the store; the holder and the votes are those of this era.
+    pub era: StoreEra,
     /// Revision of the store; zero before the first.
     pub revision: u64,
     /// Who acts.
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -24,6 +24,7 @@
 mod attempt;
 mod coordination;
 mod electorate;
+mod eras;
 mod known;
 mod members;
 mod needs;
@@ -35,6 +36,7 @@
 pub use attempt::Attempt;
 pub use coordination::{CoordinationView, Holder, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
+pub use eras::{HOLD_LIFE, KnownEra};
 pub use known::KnownInstances;
 pub use members::{Member, Members};
 pub use needs::{Need, NeedsEvidence, NeedsJudge};
--- a/crates/core/tests/catalog/strategies.rs
+++ b/crates/core/tests/catalog/strategies.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use kestrellock_core::catalog::{
-    Account, Catalog, Elector, Group, Instance, Milliseconds, Operations, Priority, Quota,
+    Account, Catalog, Edition, Elector, Group, Instance, Milliseconds, Operations, Priority, Quota,
     Revision, Template, Tenant, Zone,
 };
 use kestrellock_core::confirmation::ConfirmationRule;
@@ -103,6 +103,7 @@
 prop_compose! {
     pub fn catalog()(
         revision in number(),
+        edition in number(),
         groups in btree_map(name(), group(), 0..4),
         templates in btree_map(name(), template(), 0..4),
         tenants in btree_map(name(), tenant(), 0..4),
@@ -118,6 +119,7 @@
             zones: zones.map(|(name, drained)| (ZoneName::new(name), Zone { drained })).collect(),
             accounts: accounts.into_iter().map(|(name, value)| (AccountName::new(name), value)).collect(),
             revision: Revision(revision),
+            edition: Edition(edition),
             groups,
             templates: templates.map(|(name, value)| (TemplateName::new(name), value)).collect(),
             tenants: tenants.map(|(name, value)| (TenantName::new(name), value)).collect(),
--- a/crates/core/tests/credential_evidence.rs
+++ b/crates/core/tests/credential_evidence.rs
@@ -246,7 +246,7 @@
             Event::Ask { from, to, number } => {
                 let known = &self.nodes[to];
                 let newest = known.evidence.newest(Revision(known.in_force));
-                let newest = newest.map(|known| (known.revision.0, self.now - known.at));
+                let newest = newest.map(|known| (known.version.revision.0, self.now - known.at));
                 if !self.is_cut(from, to) {
                     self.on_the_way(Event::Reply { from: to, to: from, number, newest });
                 }
@@ -302,7 +302,7 @@
         let at = if self.planted == Planted::StoreFromArrival { self.now } else { sent };
         let known = &mut self.nodes[node];
         known.in_force = known.in_force.max(revision);
-        known.evidence.add(Confirmation { revision: Revision(revision), at });
+        known.evidence.add(Confirmation { version: Revision(revision).into(), at });
     }
 
     fn on_reply(&mut self, from: usize, to: usize, number: u64, newest: Option<(u64, Duration)>) {
@@ -313,7 +313,7 @@
         let newest = newest.map(|(revision, age)| (revision, counted - age));
         known.seeker.on_evidence(&from, asked, newest.map(|(_, at)| at));
         if let Some((revision, at)) = newest {
-            known.evidence.add(Confirmation { revision: Revision(revision), at });
+            known.evidence.add(Confirmation { version: Revision(revision).into(), at });
         }
     }
 
@@ -383,7 +383,7 @@
     let at = Instant::now();
     let mut evidence = CredentialEvidence::default();
     assert!(!evidence.covers(Revision(5), at, limit), "nothing is known yet");
-    evidence.add(Confirmation { revision: Revision(5), at });
+    evidence.add(Confirmation { version: Revision(5).into(), at });
     assert!(evidence.covers(Revision(5), at + limit.life(), limit));
     assert!(!evidence.covers(Revision(5), at + limit.life() + Duration::from_millis(1), limit));
     assert!(limit.life() < LIMIT);
@@ -399,8 +399,8 @@
     let limit = RevocationLimit::new(LIMIT);
     let at = Instant::now();
     let mut evidence = CredentialEvidence::default();
-    evidence.add(Confirmation { revision: Revision(5), at });
-    evidence.add(Confirmation { revision: Revision(7), at: at + Duration::from_secs(4) });
+    evidence.add(Confirmation { version: Revision(5).into(), at });
+    evidence.add(Confirmation { version: Revision(7).into(), at: at + Duration::from_secs(4) });
     let arrived = at + Duration::from_secs(6);
     assert!(!evidence.covers(Revision(5), arrived, limit));
     assert!(evidence.covers(Revision(7), arrived, limit));
--- a/crates/core/tests/promotion/old_primaries.rs
+++ b/crates/core/tests/promotion/old_primaries.rs
@@ -50,3 +50,17 @@
     let longest = times.windows(2).map(|pair| pair[1] - pair[0]).max();
     assert!(longest <= Some(STEP_DOWN_WITHIN), "{longest:?}");
 }
+
+/// A replica stayed stopped for good and received nothing. The holder before had stopped the old primary as one of the
+/// replicas, since it had stepped down; the next holder found that a successor led, and released the others alone.
+#[test]
+fn an_old_primary_that_an_earlier_holder_stopped_is_released_with_the_replicas() {
+    let now = Instant::now();
+    let mut attempt = attempt(Reason::Unfinished, members(&["b"]));
+    begin(&mut attempt, now);
+    let mut now = now;
+    let commands = steps(&mut attempt, &mut now, Duration::from_secs(1));
+    let releases = |instance: &str| commands.contains(&Command::Release(name(instance)));
+    assert!(releases("c"), "{commands:?}");
+    assert!(releases(FORMER), "{commands:?}");
+}
--- a/crates/core/tests/promotion/sent_promotions.rs
+++ b/crates/core/tests/promotion/sent_promotions.rs
@@ -20,22 +20,6 @@
     members
 }
 
-/// Steps for a time without an answer of any instance; what the attempt asked for.
-fn steps(attempt: &mut Attempt, now: &mut Instant, lasts: Duration) -> Vec<Command> {
-    let until = *now + lasts;
-    let mut commands = Vec::new();
-    while *now < until {
-        *now += STEP;
-        for command in attempt.step(*now) {
-            if let Command::Record(intent) = &command {
-                attempt.on_event(Event::Recorded(intent.clone()), *now);
-            }
-            commands.push(command);
-        }
-    }
-    commands
-}
-
 fn ends_without_a_successor(commands: &[Command]) -> bool {
     commands.iter().any(|command| matches!(command, Command::Finish { successor: None, .. }))
 }
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -122,3 +122,19 @@
     let [Command::Record(intent)] = commands.as_slice() else { panic!("{commands:?}") };
     attempt.on_event(Event::Recorded(intent.clone()), now);
 }
+
+/// Steps for a time without an answer of any instance; what the attempt asked for.
+pub fn steps(attempt: &mut Attempt, now: &mut Instant, lasts: Duration) -> Vec<Command> {
+    let until = *now + lasts;
+    let mut commands = Vec::new();
+    while *now < until {
+        *now += STEP;
+        for command in attempt.step(*now) {
+            if let Command::Record(intent) = &command {
+                attempt.on_event(Event::Recorded(intent.clone()), *now);
+            }
+            commands.push(command);
+        }
+    }
+    commands
+}
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -3,6 +3,7 @@
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFE;
 use kestrellock_core::promotion::{Attempt, Command, Event, Need, ReplacementId, Timing};
+use kestrellock_core::store_era::StoreEra;
 
 use crate::messages::{Call, Message, Work};
 use crate::node::{Acting, group_name, instance_number};
@@ -22,6 +23,8 @@
 const STORE_RETRY_MS: u64 = 100;
 /// Time between two messages to a holder.
 const TELL_EVERY_MS: u64 = 30;
+/// Time between two attempts to record again what the store has lost.
+const WRITE_BACK_EVERY_MS: u64 = 100;
 /// Time after which a suspicion is written again that the store does not show.
 const PUBLISH_AGAIN_MS: u64 = 300;
 
@@ -41,11 +44,49 @@
             self.nodes[node].acquiring = true;
             self.call(node, 0, Operation::Acquire);
         }
+        self.leave_earlier_era(node);
+        self.take_again(node);
+        self.write_back(node);
         if self.nodes[node].acting.is_some() {
             self.act(node, need.as_ref());
         }
     }
 
+    /// The store has come back from a copy, which knows nothing of the node's hold.
+    fn leave_earlier_era(&mut self, node: usize) {
+        let own = &mut self.nodes[node];
+        let Some(acting) = &own.acting else { return };
+        if StoreEra::of(acting.fence) < own.newest_era {
+            own.retake_until = acting.until;
+            own.acting = None;
+            self.again.remove(&node);
+        }
+    }
+
+    /// What the store has lost of replacements is recorded again, until that is done.
+    fn write_back(&mut self, node: usize) {
+        let own = &mut self.nodes[node];
+        if !own.writes_back || self.now < own.wrote_back + WRITE_BACK_EVERY_MS {
+            return;
+        }
+        own.wrote_back = self.now;
+        let (successor, is_over) = own.lost();
+        match successor.is_some() || is_over {
+            true => self.call(node, 0, Operation::WriteBack(successor, is_over)),
+            false => own.writes_back = false,
+        }
+    }
+
+    /// As long as the lost hold would have lasted nobody else can have the right.
+    fn take_again(&mut self, node: usize) {
+        let own = &mut self.nodes[node];
+        let wants = self.now < own.retake_until && own.acting.is_none() && !own.acquiring;
+        if wants && own.view.era == own.newest_era {
+            own.acquiring = true;
+            self.call(node, 0, Operation::Acquire);
+        }
+    }
+
     fn suspect(&mut self, node: usize) {
         let now = self.at(self.now);
         let changed = self.nodes[node].suspect(now);
@@ -210,15 +251,22 @@
     }
 
     /// The store has answered.
-    pub fn on_called(&mut self, call: Call, done: Done) {
+    pub fn on_called(&mut self, call: Call, done: Done, era: StoreEra) {
         if !self.calls.remove(&call.number) {
             return;
         }
+        let own = &mut self.nodes[call.node];
+        own.newest_era = own.newest_era.max(era);
+        if era != call.era {
+            self.on_other_era(&call);
+            return;
+        }
         match (&call.operation, done) {
             (Operation::Acquire, Done::Yes(fence)) => {
                 self.trace.note(self.now, || format!("node {} acts, fence {fence}", call.node));
                 let own = &mut self.nodes[call.node];
                 own.acquiring = false;
+                own.retake_until = 0;
                 own.acting = Some(Acting {
                     fence,
                     until: call.sent + LEASE_MS,
@@ -235,7 +283,12 @@
             }
             (Operation::ReadStarts, Done::Starts(told)) => {
                 let asked = self.at(call.sent);
-                self.on_event(call.node, Event::Starts { told, asked });
+                let may_be_old = self.nodes[call.node].era.starts_may_be_old(asked);
+                let event = match may_be_old && self.plant != Plant::StartsBelieved {
+                    true => Event::StartsUnknown,
+                    false => Event::Starts { told, asked },
+                };
+                self.on_event(call.node, event);
             }
             (Operation::Renew, done) => self.on_renewed(&call, done),
             (Operation::Record(intent), Done::Recorded(listed)) => {
@@ -259,6 +312,15 @@
         }
     }
 
+    /// The store is of another era than the node knew: what was done stands under keys of one that is over.
+    fn on_other_era(&mut self, call: &Call) {
+        match call.operation {
+            Operation::Acquire => self.nodes[call.node].acquiring = false,
+            Operation::ReadStarts => self.on_event(call.node, Event::StartsUnknown),
+            _ => {}
+        }
+    }
+
     fn on_renewed(&mut self, call: &Call, done: Done) {
         let now = self.now;
         if let Some(acting) = &mut self.nodes[call.node].acting {
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -14,6 +14,11 @@
     /// Begins and ends the faults that are due.
     pub fn apply_faults(&mut self) {
         for planned in self.plan.clone() {
+            if let FaultKind::PutBack(age) = planned.kind
+                && planned.at - age == self.now
+            {
+                self.copies.keep(planned.until, self.store.clone());
+            }
             if planned.at == self.now {
                 self.trace.note(self.now, || format!("begins: {:?}", planned.kind));
                 self.begin(planned);
@@ -33,6 +38,7 @@
             FaultKind::Freeze(node) => self.nodes[node].frozen = true,
             FaultKind::KillNode(node) => self.kill_node(node),
             FaultKind::Join(node) => self.start_node(node),
+            FaultKind::PutBack(_) => self.seen.fill(0),
             FaultKind::Leave => {
                 if let Some(one) = self.leading() {
                     self.instances[one].leaving = true;
@@ -59,6 +65,10 @@
             FaultKind::KillNode(node) => {
                 self.start_node(node);
             }
+            FaultKind::PutBack(_) => {
+                let copy = self.copies.take(self.now);
+                self.put_store_back(copy.expect("it was taken"));
+            }
             FaultKind::Leave => {
                 let leaving = self.instances.iter().position(|one| one.leaving);
                 if let Some(one) = leaving {
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -14,6 +14,7 @@
 mod old_primaries;
 mod plan;
 mod refills;
+mod returns;
 mod serving;
 mod store;
 mod trace;
@@ -85,6 +86,14 @@
 const MENDED_SEEDS_OF_FEW_FAULTS_WHILE_NODES_COME: [u64; 9] =
     [1210296, 1212314, 1212622, 1214793, 1225912, 1227103, 1227337, 1228503, 1228795];
 
+/// Seeds with up to nine faults, releases and empty starts in which the store came back from a copy.
+const MENDED_SEEDS_WITH_A_RETURN: [(u64, &str); 4] = [
+    (318, "the copy told an earlier start of an instance that had lost its log since"),
+    (946, "an old primary that an earlier holder had stopped as a replica stayed stopped"),
+    (1747, "the copy told an earlier start of an instance that had lost its log since"),
+    (2299, "an old primary that an earlier holder had stopped as a replica stayed stopped"),
+];
+
 /// Seeds in which an instance that starts again with nothing loses a commit or lets an old primary answer
 /// one: with up to four faults, and with up to nine where promotions release all replicas.
 const BROKEN_SEEDS_OF_FEW_FAULTS_WITH_EMPTY_STARTS: [u64; 1] = [14008];
@@ -142,6 +151,11 @@
 
 /// Plays the seeds; none may break a promise, and enough must happen.
 fn holds(faults: Faults) {
+    holds_with_a_promotion_in(4, faults);
+}
+
+/// The same; on average there must be a promotion in so many seeds.
+fn holds_with_a_promotion_in(seeds_of_promotion: u64, faults: Faults) {
     let outcomes = play(seeds(), faults, Plant::None);
     let found = violations(&outcomes);
     let total = |count: fn(&Outcome) -> u64| outcomes.values().map(count).sum::<u64>();
@@ -156,7 +170,8 @@
         found.len()
     );
     assert!(found.is_empty(), "{}", describe(&outcomes));
-    assert!(total(|outcome| outcome.promotions) > outcomes.len() as u64 / 4, "too few promotions");
+    let least = outcomes.len() as u64 / seeds_of_promotion;
+    assert!(total(|outcome| outcome.promotions) > least, "too few promotions");
     assert!(total(|outcome| outcome.reads) > outcomes.len() as u64 * 20, "too few reads");
 }
 
@@ -222,6 +237,47 @@
     holds(Faults::dense().with_releases().with_empty_starts().with_start_of_all());
 }
 
+/// The store comes back from an older copy while primaries are replaced: holds, records, votes and who was promoted
+/// are lost, and revisions are given out again.
+#[test]
+fn no_seed_breaks_a_promise_while_the_store_comes_back_from_a_copy() {
+    // Some replacements are not needed any more by the time that the return has been waited out.
+    holds_with_a_promotion_in(6, Faults::all().with_put_back());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_while_the_store_comes_back_from_a_copy() {
+    holds(Faults::dense().with_releases().with_put_back());
+}
+
+#[test]
+fn no_seed_with_empty_starts_breaks_a_promise_while_the_store_comes_back_from_a_copy() {
+    holds(Faults::dense().with_releases().with_empty_starts().with_put_back());
+}
+
+#[test]
+fn no_seed_with_a_start_of_all_breaks_a_promise_while_the_store_comes_back_from_a_copy() {
+    holds(Faults::all().with_empty_starts().with_start_of_all().with_put_back());
+}
+
+/// A bare revision as fence is given out again, or is lower than the platform has seen.
+#[test]
+fn a_fence_of_a_bare_revision_is_caught() {
+    let faults = Faults::dense().with_put_back();
+    is_caught_with(faults, Plant::FenceOfRevision, |found| {
+        matches!(found, Violation::Fence { .. })
+    });
+}
+
+/// The store, back from a copy, tells the start of an instance that has lost its log since.
+#[test]
+fn starts_of_a_copy_that_are_believed_are_caught() {
+    let faults = Faults::dense().with_releases().with_empty_starts().with_put_back();
+    is_caught_with(faults, Plant::StartsBelieved, |found| {
+        matches!(found, Violation::LostCommit { .. })
+    });
+}
+
 /// A node that nobody waits for yet relies on its evidence for as long as one that is listed.
 #[test]
 fn evidence_of_a_node_that_is_not_listed_is_caught() {
@@ -260,7 +316,10 @@
     let many_empty = releases.with_empty_starts();
     let many_emptied =
         MENDED_SEEDS_WITH_EMPTY_STARTS.map(|(seed, cause)| (seed, many_empty, cause));
+    let returned = many_empty.with_put_back();
+    let returned = MENDED_SEEDS_WITH_A_RETURN.map(|(seed, cause)| (seed, returned, cause));
     let all = few.into_iter().chain(many).chain(released).chain(emptied).chain(many_emptied);
+    let all = all.chain(returned);
     for (seed, faults, cause) in all {
         let outcome = World::new(seed, faults, Plant::None).play();
         assert!(outcome.violations.is_empty(), "seed {seed}: {cause}: {:?}", outcome.violations);
@@ -330,6 +389,10 @@
         "many_silent" => Faults::dense().with_releases().with_silences(),
         "few_come" => Faults::all().with_nodes_that_come(),
         "many_come" => Faults::dense().with_releases().with_empty_starts().with_nodes_that_come(),
+        "few_back" => Faults::all().with_put_back(),
+        "many_back" => Faults::dense().with_releases().with_put_back(),
+        "many_empty_back" => Faults::dense().with_releases().with_empty_starts().with_put_back(),
+        "few_all_back" => Faults::all().with_empty_starts().with_start_of_all().with_put_back(),
         "few_all" => Faults::all().with_empty_starts().with_start_of_all(),
         "many_all" => Faults::dense().with_releases().with_empty_starts().with_start_of_all(),
         other => panic!("no kind of faults is called {other}"),
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -2,10 +2,12 @@
 
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::promotion::{
-    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing, Successor, Witness,
+    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing, Witness,
 };
+use kestrellock_core::store_era::StoreEra;
 
 use crate::checker::CommitId;
+use crate::returns::Keys;
 use crate::store::{Announced, Done, Operation};
 
 /// What a node asks of an instance.
@@ -71,6 +73,8 @@
     pub process: u64,
     /// Number of the call.
     pub number: u64,
+    /// The era of the store that the node knew.
+    pub era: StoreEra,
     /// Fence of its hold.
     pub fence: u64,
     /// What it is.
@@ -88,8 +92,8 @@
     Answer(Exchange, Reply),
     /// To the store.
     Call(Call),
-    /// From the store.
-    Called(Call, Done),
+    /// From the store, of the era that it tells.
+    Called(Call, Done, StoreEra),
     /// A node waits no longer for an answer of the store.
     CallLost(Call),
     /// A node hears of changes.
@@ -102,8 +106,8 @@
         view: CoordinationView,
         /// What instances say there.
         announced: Vec<Announced>,
-        /// The instance promoted last.
-        installed: Option<Successor>,
+        /// What nodes have written of replacements, by era.
+        keys: Keys,
     },
     /// To the platform.
     Promote {
@@ -145,6 +149,11 @@
         /// What it knows of the group.
         witness: Witness,
     },
+    /// An instance writes its entry again.
+    Announce {
+        /// The instance.
+        instance: usize,
+    },
     /// The store drops what a dead process has written.
     VotesExpire {
         /// The node.
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -12,12 +12,14 @@
 use kestrellock_core::primary_evidence::{PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::{
-    Attempt, CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes,
-    ReplacementId, Successor, Vote, Witnesses, heeded,
+    Attempt, CoordinationView, KnownEra, KnownInstances, Need, NeedsEvidence, NeedsJudge,
+    NodeVotes, ReplacementId, Successor, Vote, Witnesses, heeded,
 };
 use kestrellock_core::routing::Role;
+use kestrellock_core::store_era::StoreEra;
 use kestrellock_core::suspicion::{Judge, Signs};
 
+use crate::returns::{Keys, complete, installed_of, intents_of};
 use crate::store::{Announced, node_name};
 
 /// How it replicates.
@@ -68,6 +70,20 @@
     pub process: u64,
     /// What the store said last.
     pub view: CoordinationView,
+    /// Its era, as this node has seen it.
+    pub era: KnownEra,
+    /// The newest era that any answer has told.
+    pub newest_era: StoreEra,
+    /// What nodes have written of replacements, as the store said last.
+    keys: Keys,
+    /// The same of before the store came back from a copy.
+    remembered: Keys,
+    /// Whether the store may lack what this node remembers.
+    pub writes_back: bool,
+    /// When it last recorded something again.
+    pub wrote_back: u64,
+    /// Until when a hold would have lasted that the store has lost: nobody else can have the right yet.
+    pub retake_until: u64,
     /// The configuration by that.
     pub catalog: IndexedCatalog,
     /// Whether it has come since the node last followed it.
@@ -132,6 +148,13 @@
             frozen: false,
             process,
             view: CoordinationView::default(),
+            era: KnownEra::default(),
+            newest_era: StoreEra::default(),
+            keys: Keys::new(),
+            remembered: Keys::new(),
+            writes_back: false,
+            wrote_back: 0,
+            retake_until: 0,
             catalog: IndexedCatalog::default(),
             catalog_is_new: false,
             evidence: PrimaryEvidence::default(),
@@ -182,13 +205,25 @@
     /// Takes in what the store says now.
     pub fn see(
         &mut self,
-        view: CoordinationView,
+        mut view: CoordinationView,
         announced: &[Announced],
-        installed: Option<&Successor>,
+        keys: Keys,
+        now: Instant,
     ) {
         if view.revision < self.view.revision {
             return;
         }
+        self.newest_era = self.newest_era.max(view.era);
+        if self.era.follow(view.era, now) {
+            self.remembered = complete(&self.keys, &self.remembered);
+            self.writes_back = true;
+        }
+        self.keys = keys;
+        let known = complete(&self.keys, &self.remembered);
+        view.intents = intents_of(&known);
+        let installed = installed_of(&known);
+        let installed = installed.as_ref();
+        view.promoted = installed.map(|one| (group_name(), one.clone())).into_iter().collect();
         if let Some(term) = installed.and_then(|installed| installed.term) {
             self.evidence.on_led(term);
         }
@@ -201,6 +236,16 @@
         self.view = view;
     }
 
+    /// What the store has lost of replacements, as far as this node remembers: who was promoted last, and whether a
+    /// replacement that it shows is over.
+    pub fn lost(&self) -> (Option<Successor>, bool) {
+        let known = complete(&self.keys, &self.remembered);
+        let successor =
+            installed_of(&known).filter(|_| installed_of(&self.keys) != installed_of(&known));
+        let is_over = intents_of(&known).is_empty() && !intents_of(&self.keys).is_empty();
+        (successor, is_over)
+    }
+
     /// The instance that it takes for the primary.
     pub fn leader(&self) -> Option<usize> {
         let group = self.catalog.groups.get(&group_name())?;
@@ -302,7 +347,9 @@
             return false;
         }
         let since = *self.needed_since.get_or_insert(now);
-        let may = self.acting.is_none() && !self.acquiring && self.view.holder.is_none();
+        let is_settled = !self.era.earlier_hold_may_last(at);
+        let is_free = self.acting.is_none() && !self.acquiring && self.view.holder.is_none();
+        let may = is_free && is_settled;
         may && self.view.revision > 0 && now >= since + 120 * self.number as u64
     }
 }
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -24,6 +24,8 @@
     pub nodes_come: bool,
     /// Whether all nodes start with the run, and all of them start again once.
     pub start_of_all: bool,
+    /// Whether the store comes back from an older copy, once or twice.
+    pub put_back: bool,
 }
 
 impl Faults {
@@ -38,6 +40,7 @@
             starts_empty: false,
             nodes_come: false,
             start_of_all: false,
+            put_back: false,
         }
     }
 
@@ -52,6 +55,7 @@
             starts_empty: false,
             nodes_come: false,
             start_of_all: false,
+            put_back: false,
         }
     }
 
@@ -80,6 +84,11 @@
         Self { start_of_all: true, ..self }
     }
 
+    /// The same with a store that comes back from an older copy.
+    pub fn with_put_back(self) -> Self {
+        Self { put_back: true, ..self }
+    }
+
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
@@ -93,6 +102,7 @@
             starts_empty: false,
             nodes_come: false,
             start_of_all: false,
+            put_back: false,
         }
     }
 }
@@ -125,6 +135,10 @@
     MemoryKept,
     /// A node relies on its evidence before it is listed as after.
     UnlistedEvidenceLasts,
+    /// Starts of instances are believed as soon as the store has come back from a copy.
+    StartsBelieved,
+    /// Fences are bare revisions, which are given out again.
+    FenceOfRevision,
     /// Whoever replaces a primary does not read the list of nodes anew.
     ListFromCopy,
 }
@@ -156,6 +170,8 @@
     CutStore(usize),
     /// The store does not answer.
     StoreDown,
+    /// The store does not answer, and then comes back as it was so many milliseconds before that began.
+    PutBack(u64),
     /// Answers of the store are lost, and some changes done late.
     StoreLoses,
     /// Some open connections carry nothing until they are noticed and replaced: of what is said
@@ -202,6 +218,23 @@
     if faults.start_of_all {
         plan.extend(draw_start_of_all(nodes, random));
     }
+    if faults.put_back {
+        plan.extend(draw_put_back(random));
+    }
+    plan
+}
+
+/// The store comes back as it was up to two seconds before, once or twice.
+fn draw_put_back(random: &mut StdRng) -> Vec<Planned> {
+    let mut from = 400;
+    let mut plan = Vec::new();
+    for _ in 0..random.random_range(1..=2) {
+        let at = from + random.random_range(0..1_500);
+        let age = random.random_range(20..2_000).min(at);
+        let until = at + random.random_range(50..800);
+        plan.push(Planned { at, until, kind: FaultKind::PutBack(age) });
+        from = until + 50;
+    }
     plan
 }
 
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -8,7 +8,10 @@
     CoordinationView, Holder, Intent, NodeVotes, ReplacementId, Successor,
 };
 
+use kestrellock_core::store_era::StoreEra;
+
 use crate::node::{group_name, instance_name};
+use crate::returns::{EraKeys, Keys, installed_of, intents_of};
 
 /// Life of a hold.
 pub const LEASE_MS: u64 = 3_000;
@@ -29,14 +32,10 @@
 pub struct Contents {
     /// Grows with each change.
     pub revision: u64,
-    /// Who acts, by node and fence, and until when.
-    pub holder: Option<(usize, u64, u64)>,
-    /// Replacements under way.
-    pub intents: BTreeMap<GroupName, Intent>,
-    /// What nodes suspect.
-    pub votes: BTreeMap<usize, NodeVotes>,
-    /// The instance promoted last.
-    pub installed: Option<Successor>,
+    /// How often the store has come back from a copy.
+    pub era: StoreEra,
+    /// What nodes have written of replacements, by the era that they knew.
+    pub keys: Keys,
     /// What instances say.
     pub announced: Vec<Announced>,
     /// Nodes that have entered themselves.
@@ -60,6 +59,9 @@
     Install(InstanceName),
     /// Takes the intent of a replacement back.
     Finish(ReplacementId, Option<Successor>),
+    /// Records again what the store has lost of replacements: who was promoted last, and whether the replacement that
+    /// it shows is over.
+    WriteBack(Option<Successor>, bool),
     /// Changes nothing: tells how new the store is.
     Look,
     /// Enters the node.
@@ -81,32 +83,51 @@
     Starts(BTreeMap<InstanceName, InstanceIncarnation>),
 }
 
+/// Whether this replacement, or an earlier one that it goes on with, is recorded; what it goes on with may be of an
+/// earlier era.
+fn has_begun(era: StoreEra, keys: &EraKeys, group: &GroupName, intent: &Intent) -> bool {
+    match keys.intents.get(group) {
+        Some((_, known)) => known.as_ref().is_some_and(|known| known.id <= intent.id),
+        None => era > StoreEra::default(),
+    }
+}
+
 /// The name of a node.
 pub fn node_name(node: usize) -> NodeName {
     NodeName::new(format!("node-{node}"))
 }
 
 impl Contents {
-    /// Carries an operation of `node` out; `fence` is that of its hold. A lease counts from the
+    /// Carries an operation of `node` out, which knew `era`; `fence` is that of its hold. A lease counts from the
     /// arrival of the call.
     pub fn carry_out(
         &mut self,
         node: usize,
-        fence: u64,
+        (era, fence): (StoreEra, u64),
         group: &GroupName,
         operation: &Operation,
         now: u64,
     ) -> Done {
         self.expire(now);
-        let holds = self.holder.is_some_and(|(holder, held, _)| holder == node && held == fence);
+        let written = self.revision + 1;
+        let keys = self.keys.entry(era).or_default();
+        let holds = keys.holder.is_some_and(|(holder, held, _)| holder == node && held == fence);
         match operation {
-            Operation::Acquire if self.holder.is_some() => return Done::Conflict,
+            Operation::Acquire if keys.holder.is_some() => return Done::Conflict,
             Operation::Vote(votes) => {
-                self.votes.insert(node, votes.clone());
+                keys.votes.insert(node, votes.clone());
             }
-            Operation::Look => return Done::Yes(self.revision),
+            Operation::Look => return Done::Yes(self.position()),
             Operation::ReadStarts => return Done::Starts(self.starts()),
             Operation::Acquire => {}
+            Operation::WriteBack(successor, is_over) => {
+                if let Some(successor) = successor.clone().filter(|_| keys.installed.is_none()) {
+                    keys.installed = Some((written, successor));
+                }
+                if *is_over {
+                    keys.intents.entry(group.clone()).or_insert((written, None));
+                }
+            }
             Operation::Enter => {
                 let name = node_name(node);
                 if !self.nodes.contains(&name) {
@@ -115,39 +136,54 @@
             }
             _ if !holds => return Done::Conflict,
             Operation::Renew => {
-                self.holder = Some((node, fence, now + LEASE_MS));
-                return Done::Yes(self.revision);
+                keys.holder = Some((node, fence, now + LEASE_MS));
+                return Done::Yes(self.position());
             }
-            Operation::Release => self.holder = None,
+            Operation::Release => keys.holder = None,
             // Done late, it must not bring back what has been finished.
-            Operation::Record(intent) if intent.promoting && !self.has_begun(group, intent) => {
+            Operation::Record(intent)
+                if intent.promoting && !has_begun(era, keys, group, intent) =>
+            {
                 return Done::Conflict;
             }
             Operation::Record(intent) => {
-                self.intents.insert(group.clone(), intent.clone());
+                keys.intents.insert(group.clone(), (written, Some(intent.clone())));
             }
             Operation::Install(successor) => {
-                self.installed = Some(Successor { instance: successor.clone(), term: None });
+                let successor = Successor { instance: successor.clone(), term: None };
+                keys.installed = Some((written, successor));
             }
             Operation::Finish(id, successor) => {
                 // Done late, it must not take back the intent of the next replacement.
-                self.intents.retain(|_, intent| intent.id != *id);
-                self.installed = successor.clone().or(self.installed.take());
+                let other = keys.intents.get(group).and_then(|(_, intent)| intent.as_ref());
+                if other.is_none_or(|intent| intent.id == *id) {
+                    keys.intents.insert(group.clone(), (written, None));
+                }
+                let successor = successor.clone().map(|successor| (written, successor));
+                keys.installed = successor.or(keys.installed.take());
             }
         }
-        self.revision += 1;
+        self.revision = written;
         if matches!(operation, Operation::Record(_)) {
             return Done::Recorded(self.nodes.clone());
         }
         if matches!(operation, Operation::Acquire) {
-            self.holder = Some((node, self.revision, now + LEASE_MS));
+            let fence = self.position();
+            let keys = self.keys.entry(era).or_default();
+            keys.holder = Some((node, fence, now + LEASE_MS));
         }
-        Done::Yes(self.revision)
+        Done::Yes(self.position())
     }
 
-    /// Whether this replacement, or an earlier one that it goes on with, is recorded.
-    fn has_begun(&self, group: &GroupName, intent: &Intent) -> bool {
-        self.intents.get(group).is_some_and(|known| known.id <= intent.id)
+    /// Position of the last change in the history of the store.
+    pub fn position(&self) -> u64 {
+        self.era.position(self.revision).expect("revisions of a run are few")
+    }
+
+    /// Goes back to a copy: revisions are given out again.
+    pub fn put_back(&mut self, copy: Contents) {
+        let era = StoreEra(self.era.0 + 1);
+        *self = Self { era, ..copy };
     }
 
     fn starts(&self) -> BTreeMap<InstanceName, InstanceIncarnation> {
@@ -157,24 +193,26 @@
 
     /// Ends a hold that has run out.
     pub fn expire(&mut self, now: u64) {
-        if self.holder.is_some_and(|(_, _, until)| now >= until) {
-            self.holder = None;
-            self.revision += 1;
+        let is_over = |holder: (usize, u64, u64)| now >= holder.2;
+        for keys in self.keys.values_mut() {
+            if keys.holder.take_if(|holder| is_over(*holder)).is_some() {
+                self.revision += 1;
+            }
         }
     }
 
     /// What nodes see of it.
     pub fn view(&self) -> CoordinationView {
+        let none = EraKeys::default();
+        let keys = self.keys.get(&self.era).unwrap_or(&none);
+        let votes = keys.votes.iter().map(|(node, votes)| (node_name(*node), votes.clone()));
         CoordinationView {
-            revision: self.revision,
-            holder: self.holder.map(|(node, fence, _)| Holder { node: node_name(node), fence }),
-            intents: self.intents.clone(),
-            votes: self
-                .votes
-                .iter()
-                .map(|(node, votes)| (node_name(*node), votes.clone()))
-                .collect(),
-            promoted: self.installed.iter().map(|one| (group_name(), one.clone())).collect(),
+            era: self.era,
+            revision: self.position(),
+            holder: keys.holder.map(|(node, fence, _)| Holder { node: node_name(node), fence }),
+            intents: intents_of(&self.keys),
+            votes: votes.collect(),
+            promoted: installed_of(&self.keys).map(|one| (group_name(), one)).into_iter().collect(),
             nodes: self.nodes.clone(),
         }
     }
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -116,12 +116,13 @@
 
     /// The store has said how new it is: if the node knows all of that, nobody replaces the primary.
     pub fn on_looked(&mut self, node: usize, revision: u64, sent: u64) {
-        let sent = self.at(sent);
+        let (sent, now) = (self.at(sent), self.at(self.now));
         let own = &mut self.nodes[node];
         let group = own.catalog.groups.get(&group_name());
         let is_newest = group.is_some_and(|group| group.is_led_by_newest());
         let is_replaced = own.view.intents.contains_key(&group_name()) || !is_newest;
-        if own.view.revision >= revision && !is_replaced {
+        let may_be_lost = own.era.replacement_may_be_lost(now);
+        if own.view.revision >= revision && !is_replaced && !may_be_lost {
             own.evidence.on_unreplaced(sent);
         }
     }
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -7,6 +7,7 @@
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{Event, PromotionAnswer};
 use kestrellock_core::routing::Role;
+use kestrellock_core::store_era::{StoreEra, revision_of};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -16,6 +17,7 @@
 use crate::messages::{Call, Exchange, Message, Reply, Work};
 use crate::node::{Node, group_name, instance_name, instant};
 use crate::plan::{FaultKind, Faults, Planned, Plant, draw};
+use crate::returns::{ANNOUNCED_AGAIN_MS, Copies, intents_of};
 use crate::store::{Announced, Contents, Operation, node_name};
 use crate::trace::Trace;
 
@@ -77,7 +79,10 @@
     pub calls: BTreeSet<u64>,
     /// Changes that have to be given again, by node.
     pub again: BTreeMap<usize, (u64, Operation)>,
-    store: Contents,
+    /// The store.
+    pub store: Contents,
+    /// Copies of it that are put back later.
+    pub copies: Copies,
     /// Which nodes there are.
     pub listing: Listing,
     /// Revision of the store that each node has been told last.
@@ -140,6 +145,7 @@
             calls: BTreeSet::new(),
             again: BTreeMap::new(),
             store,
+            copies: Copies::default(),
             seen: vec![0; count],
             listing,
             queue: BinaryHeap::new(),
@@ -249,6 +255,12 @@
         }
     }
 
+    /// An instance writes its entry again within a while.
+    pub fn announce_again(&mut self, one: usize) {
+        let delay = self.random.random_range(10..ANNOUNCED_AGAIN_MS);
+        self.send_after(delay, Message::Announce { instance: one });
+    }
+
     fn replicate(&mut self) {
         let cut = self.is_active(FaultKind::CutReplicas);
         let random = &mut self.random;
@@ -314,16 +326,23 @@
         self.instances[instance].dark || self.is_active(FaultKind::CutLink(node, instance))
     }
 
+    /// Whether the store answers nobody.
+    fn is_store_down(&self) -> bool {
+        let is_away =
+            |one: &Planned| matches!(one.kind, FaultKind::StoreDown | FaultKind::PutBack(_));
+        self.plan.iter().any(|one| is_away(one) && one.at <= self.now && self.now < one.until)
+    }
+
     fn spread_views(&mut self) {
-        if self.is_active(FaultKind::StoreDown) {
+        if self.is_store_down() {
             return;
         }
         for node in 0..self.nodes.len() {
             let is_deaf = self.is_active(FaultKind::CutStore(node))
                 || self.is_active(FaultKind::SilentWatch(node));
             let hears = self.nodes[node].alive && !is_deaf;
-            if hears && self.seen[node] != self.store.revision {
-                self.seen[node] = self.store.revision;
+            if hears && self.seen[node] != self.store.position() {
+                self.seen[node] = self.store.position();
                 let mut view = self.store.view();
                 view.nodes = self.nodes_shown_to(node, &view.nodes);
                 let message = Message::View {
@@ -331,7 +350,7 @@
                     process: self.nodes[node].process,
                     view,
                     announced: self.store.announced.clone(),
-                    installed: self.store.installed.clone(),
+                    keys: self.store.keys.clone(),
                 };
                 self.send(message);
             }
@@ -342,7 +361,7 @@
     pub fn deliver(&mut self, message: Message) {
         let addressee = match &message {
             Message::Answer(exchange, _) => Some((exchange.node, exchange.process)),
-            Message::Called(call, _) | Message::CallLost(call) => Some((call.node, call.process)),
+            Message::Called(call, ..) | Message::CallLost(call) => Some((call.node, call.process)),
             Message::View { node, process, .. } | Message::Promotion { node, process, .. } => {
                 Some((*node, *process))
             }
@@ -382,11 +401,13 @@
             Message::Request(exchange) => self.on_request(exchange),
             Message::Answer(exchange, reply) => self.on_answer(exchange, reply),
             Message::Call(call) => self.on_call(call),
-            Message::Called(call, done) => self.on_called(call, done),
+            Message::Called(call, done, era) => self.on_called(call, done, era),
             Message::CallLost(call) => self.on_call_lost(call),
-            Message::View { node, view, announced, installed, .. } => {
-                self.nodes[node].see(view, &announced, installed.as_ref());
+            Message::View { node, view, announced, keys, .. } => {
+                let now = self.at(self.now);
+                self.nodes[node].see(view, &announced, keys, now);
             }
+            Message::Announce { instance } => self.announce(instance),
             Message::Promote { node, process, instance, fence } => {
                 self.on_promote(node, process, instance, fence);
             }
@@ -404,16 +425,15 @@
             }
             Message::VotesExpire { node, process } => {
                 let is_gone = self.nodes[node].process == process && !self.nodes[node].alive;
-                if is_gone && self.store.votes.remove(&node).is_some() {
-                    self.store.revision += 1;
-                }
+                let votes = self.store.keys.values_mut().map(|keys| keys.votes.remove(&node));
+                let had_any = is_gone && votes.filter(Option::is_some).count() > 0;
+                self.store.revision += u64::from(had_any);
             }
         }
     }
 
     fn on_call(&mut self, call: Call) {
-        let is_reached = !self.is_active(FaultKind::StoreDown)
-            && !self.is_active(FaultKind::CutStore(call.node));
+        let is_reached = !self.is_store_down() && !self.is_active(FaultKind::CutStore(call.node));
         if !is_reached {
             return;
         }
@@ -424,9 +444,11 @@
             return;
         }
         let group = group_name();
-        let done = self.store.carry_out(call.node, call.fence, &group, &call.operation, self.now);
+        let place = (call.era, call.fence);
+        let done = self.store.carry_out(call.node, place, &group, &call.operation, self.now);
         if !(loses && self.random.random_bool(0.3)) {
-            self.send(Message::Called(call, done));
+            let era = self.store.era;
+            self.send(Message::Called(call, done, era));
         }
     }
 
@@ -434,16 +456,19 @@
     pub fn call(&mut self, node: usize, fence: u64, operation: Operation) {
         let number = self.number();
         let process = self.nodes[node].process;
-        let call = Call { node, process, number, fence, operation, sent: self.now };
+        // What is done under a hold belongs to the era of that.
+        let era = if fence == 0 { self.nodes[node].view.era } else { StoreEra::of(fence) };
+        let call = Call { node, process, number, era, fence, operation, sent: self.now };
         self.calls.insert(number);
         self.send(Message::Call(call.clone()));
         self.send_after(CALL_LOST_AFTER_MS, Message::CallLost(call));
     }
 
     fn on_promote(&mut self, node: usize, process: u64, instance: usize, fence: u64) {
-        if self.is_active(FaultKind::StoreDown) || self.is_active(FaultKind::CutStore(node)) {
+        if self.is_store_down() || self.is_active(FaultKind::CutStore(node)) {
             return;
         }
+        let fence = if self.plant == Plant::FenceOfRevision { revision_of(fence) } else { fence };
         self.checker.on_fence(node, fence);
         self.trace.note(self.now, || format!("node {node} has i-{instance} promoted"));
         let answer = if self.instances[instance].alive {
@@ -491,7 +516,7 @@
         if self.instances.iter().any(|one| one.role == Role::Replica && one.held > 0) {
             self.checker.on_stuck("a replica stays stopped");
         }
-        if !self.store.intents.is_empty() {
+        if !intents_of(&self.store.keys).is_empty() {
             self.checker.on_stuck("an intent stays");
         }
         if let Some(one) = self.leading() {
--- a/crates/daemon/src/agent/configuration/confirming.rs
+++ b/crates/daemon/src/agent/configuration/confirming.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::Revision;
+use kestrellock_core::catalog::CatalogVersion;
 use kestrellock_core::credential_evidence::{
     Confirmation, EvidenceQuestion, EvidenceSeeker, SeekerView,
 };
@@ -28,7 +28,7 @@
         let Some(seeker) = &mut self.seeker else { return };
         let context = &own.context;
         let (own_candidate, live) = (own.own(), own.live());
-        let newest = context.confirmations.newest(own.revision()).map(|known| known.at);
+        let newest = context.confirmations.newest(own.version()).map(|known| known.at);
         let view = SeekerView {
             now: Instant::now(),
             own: &own_candidate,
@@ -44,8 +44,8 @@
 
     /// A node asks.
     pub fn on_question(&self, own: &Configuration, peer: &Peer, number: u64) {
-        let newest = own.context.confirmations.newest(own.revision());
-        let newest = newest.map(|known| (known.revision, known.at.elapsed()));
+        let newest = own.context.confirmations.newest(own.version());
+        let newest = newest.map(|known| (known.version, known.at.elapsed()));
         own.send(peer, ConfigurationMessage::Confirmed { number, newest });
     }
 
@@ -55,13 +55,13 @@
         own: &Configuration,
         peer: &Peer,
         number: u64,
-        newest: Option<(Revision, Duration)>,
+        newest: Option<(CatalogVersion, Duration)>,
     ) {
         let Some(seeker) = &mut self.seeker else { return };
         let Some(asked) = seeker.on_answer(&peer.node, EvidenceQuestion(number)) else { return };
-        let confirmation = newest.and_then(|(revision, age)| {
-            own.context.revisions.hear(&peer.node, revision);
-            Some(Confirmation { revision, at: asked.checked_sub(age)? })
+        let confirmation = newest.and_then(|(version, age)| {
+            own.context.revisions.hear(&peer.node, version.revision);
+            Some(Confirmation { version, at: asked.checked_sub(age)? })
         });
         seeker.on_evidence(&peer.node, asked, confirmation.map(|known| known.at));
         if let Some(confirmation) = confirmation {
--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -60,8 +60,8 @@
             }
         }
         unreadable.count(source.unreadable_entries(), &configuration.context.metrics);
-        if let Some((revision, at)) = source.confirmed() {
-            configuration.confirm(Confirmation { revision, at });
+        if let Some((version, at)) = source.confirmed() {
+            configuration.confirm(Confirmation { version, at });
         }
     }
 }
@@ -115,9 +115,11 @@
     }
 
     /// The source has said that the catalog it told last was the newest. That shows nothing while a newer
-    /// one is not in force.
+    /// one is not in force, nor where the source has gone back behind what is.
     fn confirm(&self, confirmation: Confirmation) {
-        if confirmation.revision <= self.revision() {
+        let in_force = self.version();
+        let is_of_it = confirmation.version.edition == in_force.edition;
+        if is_of_it && in_force.covers(confirmation.version) {
             self.context.confirmations.add(confirmation);
         }
     }
--- a/crates/daemon/src/agent/configuration/mod.rs
+++ b/crates/daemon/src/agent/configuration/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use kestrellock_core::catalog::{IndexedCatalog, Revision, VersionedCatalog};
+use kestrellock_core::catalog::{CatalogVersion, IndexedCatalog, Revision, VersionedCatalog};
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::spreading;
@@ -96,6 +96,7 @@
         if revision <= self.revision() {
             return Offer::NotNewer;
         }
+        let catalog = self.with_newest_edition(catalog);
         let metrics = &self.context.metrics;
         let (catalog, faults) = catalog.usable();
         left_out.tell(&faults, origin, revision, metrics);
@@ -114,6 +115,28 @@
         Offer::InForce
     }
 
+    /// The catalog, if need be with what operators wrote in the one in force: they were told that it is, and a
+    /// store that has gone back to an older one lacks it until they write it again.
+    fn with_newest_edition(&self, catalog: VersionedCatalog) -> VersionedCatalog {
+        let in_force = self.context.catalog.load();
+        if !catalog.is_older_edition_than(&in_force) {
+            return catalog;
+        }
+        log::warn!(
+            event = "configuration_kept",
+            revision = catalog.revision.0,
+            edition = catalog.edition.0,
+            kept_edition = in_force.edition.0;
+            "an older configuration of the operators is not put in force"
+        );
+        catalog.with_operators_part_of(&in_force)
+    }
+
+    /// Which configuration is in force.
+    fn version(&self) -> CatalogVersion {
+        self.context.catalog.load().version()
+    }
+
     /// Revision in force.
     pub fn revision(&self) -> Revision {
         self.context.catalog.load().revision
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -8,6 +8,7 @@
 use kestrellock_core::promotion::{
     Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
 };
+use kestrellock_core::store_era::StoreEra;
 use kestrellock_store::control::{ControlTarget, Order};
 use kestrellock_store::coordination::{Coordination, Hold};
 
@@ -18,6 +19,8 @@
 
 /// Time between two looks at the attempts.
 const STEP: Duration = Duration::from_millis(3);
+/// Time between two attempts to take the right anew.
+const TAKE_AGAIN_STEP: Duration = Duration::from_millis(20);
 /// Part of its life before whose end a hold is prolonged.
 const RENEW_BEFORE: Duration = Duration::from_millis(1_500);
 /// Time without a need after which the right is given up.
@@ -36,6 +39,8 @@
     pub needs: BTreeMap<GroupName, Need>,
     /// The instances of each group.
     pub known: KnownInstances,
+    /// Whether the store may tell starts of instances that are over.
+    pub starts_may_be_old: bool,
     /// Attempts that were called off since the watch last looked.
     pub called_off: Vec<GroupName>,
 }
@@ -58,6 +63,10 @@
     coordination: Arc<dyn Coordination>,
     orders: Orders,
     hold: Hold,
+    /// Whether the store has said that the hold is over.
+    is_over: bool,
+    /// Whether the store may tell starts of instances that are over.
+    starts_may_be_old: bool,
     renewing: bool,
     attempts: BTreeMap<GroupName, Running>,
     /// Attempts begun under this hold.
@@ -66,6 +75,17 @@
     ended: BTreeMap<GroupName, Instant>,
 }
 
+/// How acting under a hold ended.
+enum Ending {
+    /// The node stops, nothing is left to do, or the hold is over.
+    Done,
+    /// The store has come back from a copy, which knows nothing of the hold.
+    StoreCameBack {
+        /// Until when it would have lasted.
+        until: Instant,
+    },
+}
+
 /// Takes the right to act, acts on all needs, and gives the right up.
 pub fn act(
     context: &NodeContext,
@@ -73,16 +93,53 @@
     situation: &SharedSituation,
     stop: &StopFlag,
 ) {
-    let coordination = services.coordination.clone();
-    let hold = match coordination.acquire(&context.identity.node) {
-        Ok(Some(hold)) => hold,
-        Ok(None) => return,
+    let mut taken = take_hold(context, services);
+    while let Some(hold) = taken {
+        taken = match act_under(hold, context, services, situation, stop) {
+            Ending::Done => None,
+            Ending::StoreCameBack { until } => take_again(until, context, services, stop),
+        };
+    }
+}
+
+/// Takes the right anew, in place of a hold that would have lasted until `until`: as long as that nobody else can
+/// have it, and what was begun goes on.
+fn take_again(
+    until: Instant,
+    context: &NodeContext,
+    services: &SuccessionServices,
+    stop: &StopFlag,
+) -> Option<Hold> {
+    while Instant::now() < until && !stop.is_stopping() {
+        let hold = take_hold(context, services);
+        if hold.is_some() {
+            return hold;
+        }
+        stop.sleep(TAKE_AGAIN_STEP);
+    }
+    None
+}
+
+fn take_hold(context: &NodeContext, services: &SuccessionServices) -> Option<Hold> {
+    match services.coordination.acquire(&context.identity.node) {
+        Ok(hold) => hold,
         Err(error) => {
             log::warn!(event = "hold_failed", error = error.to_string().as_str(); "the right to replace primaries could not be taken");
-            return;
+            None
         }
-    };
+    }
+}
+
+fn act_under(
+    hold: Hold,
+    context: &NodeContext,
+    services: &SuccessionServices,
+    situation: &SharedSituation,
+    stop: &StopFlag,
+) -> Ending {
+    let coordination = services.coordination.clone();
     log::info!(event = "hold_taken", fence = hold.fence; "this node replaces primaries");
+    let era = StoreEra::of(hold.fence);
     let (orders, reports) = Orders::start(services.clone());
     let mut thread = HolderThread {
         context,
@@ -90,6 +147,8 @@
         coordination: coordination.clone(),
         orders,
         hold,
+        is_over: false,
+        starts_may_be_old: true,
         renewing: false,
         attempts: BTreeMap::new(),
         begun: 0,
@@ -103,12 +162,15 @@
             if context.is_stopping() {
                 let _ = coordination.release(&thread.hold);
             }
-            return;
+            return Ending::Done;
         }
-        let now = Instant::now();
-        if now >= thread.hold.until {
+        if coordination.era() > era {
+            log::warn!(event = "hold_outdated", fence = thread.hold.fence, era = coordination.era().0; "the store has come back from a copy: the right to replace primaries is taken anew");
+            return Ending::StoreCameBack { until: thread.hold.until };
+        }
+        if thread.is_over || Instant::now() >= thread.hold.until {
             log::warn!(event = "hold_lost", fence = thread.hold.fence; "the right to replace primaries is over");
-            return;
+            return Ending::Done;
         }
         if let Ok(report) = reports.recv_timeout(STEP) {
             thread.take_in(report);
@@ -124,6 +186,7 @@
     // If it cannot be given up, it ends by itself.
     let _ = coordination.release(&thread.hold);
     log::info!(event = "hold_given_up", fence = thread.hold.fence; "nothing is left to replace");
+    Ending::Done
 }
 
 impl HolderThread<'_> {
@@ -153,19 +216,18 @@
                     running.again = pending.map(|command| (now + STORE_RETRY, command));
                 }
             }
-            Report::Renewed(renewed) => {
+            Report::Renewed(hold) => {
                 self.renewing = false;
-                match renewed {
-                    Some(hold) => self.hold = hold,
-                    None => self.hold.until = now,
-                }
+                self.hold = hold;
             }
+            Report::HoldOver => self.is_over = true,
         }
     }
 
     fn step(&mut self) {
         let now = Instant::now();
         let situation = self.situation();
+        self.starts_may_be_old = situation.starts_may_be_old;
         if !self.renewing && now + RENEW_BEFORE >= self.hold.until {
             self.renewing = true;
             self.orders.renew(&self.hold);
@@ -232,6 +294,12 @@
         now: Instant,
     ) {
         match command {
+            Command::ReadStarts if self.starts_may_be_old => {
+                log::info!(event = "starts_unknown", group = group.as_str(); "the store has come back from a copy: instances may not have told yet that they have started again");
+                if let Some(running) = self.attempts.get_mut(group) {
+                    running.attempt.on_event(Event::StartsUnknown, now);
+                }
+            }
             Command::ReadStarts => {
                 let members = known.members(group).all;
                 let instances = members.into_iter().map(|member| member.name).collect();
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -7,6 +7,7 @@
 //! * [`watch`] judges each group's primary by this node's own exchanges, and says what it suspects;
 //! * [`holder`] acts on that while it holds the right to;
 //! * [`looks`] ask the store whether nobody replaces a primary, to confirm what replicas say;
+//! * [`write_back`] records again what the store has lost by coming back from a copy;
 //! * [`orders`] are the threads that talk to instances, the store and the platform.
 
 mod electors;
@@ -17,6 +18,7 @@
 mod owned;
 mod voter;
 mod watch;
+mod write_back;
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/agent/promotion/orders.rs
+++ b/crates/daemon/src/agent/promotion/orders.rs
@@ -26,8 +26,10 @@
     Finished(GroupName),
     /// A change of the store did not succeed: give it again.
     StoreFailed(GroupName),
-    /// The hold was prolonged, or is over.
-    Renewed(Option<Hold>),
+    /// The hold was prolonged.
+    Renewed(Hold),
+    /// The hold is over.
+    HoldOver,
 }
 
 /// A change of the store.
@@ -163,14 +165,14 @@
         StoreCommand::Record(hold, group, intent) => {
             match coordination.record(&hold, &group, &intent) {
                 Ok(true) => Report::Event(group, Event::Recorded(intent)),
-                Ok(false) => Report::Renewed(None),
+                Ok(false) => Report::HoldOver,
                 Err(_) => Report::StoreFailed(group),
             }
         }
         StoreCommand::Install(hold, group, successor) => {
             match coordination.install(&hold, &group, &successor) {
                 Ok(true) => Report::Installed,
-                Ok(false) => Report::Renewed(None),
+                Ok(false) => Report::HoldOver,
                 // It is recorded with the end of the attempt at the latest.
                 Err(_) => Report::Installed,
             }
@@ -178,14 +180,15 @@
         StoreCommand::Finish(hold, group, id, successor) => {
             match coordination.finish(&hold, &group, id, successor.as_ref()) {
                 Ok(true) => Report::Finished(group),
-                Ok(false) => Report::Renewed(None),
+                Ok(false) => Report::HoldOver,
                 Err(_) => Report::StoreFailed(group),
             }
         }
         StoreCommand::Renew(hold) => match coordination.renew(&hold) {
-            Ok(renewed) => Report::Renewed(renewed),
+            Ok(Some(renewed)) => Report::Renewed(renewed),
+            Ok(None) => Report::HoldOver,
             // It lasts as long as it did; the next attempt may succeed.
-            Err(_) => Report::Renewed(Some(hold)),
+            Err(_) => Report::Renewed(hold),
         },
     }
 }
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -9,7 +9,8 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote, heeded,
+    CoordinationView, KnownEra, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote,
+    heeded,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{Cause, Judge};
@@ -23,7 +24,7 @@
 use super::looks::Looks;
 use super::opinions::Opinions;
 use super::owned::OwnedGroups;
-use super::voter;
+use super::{voter, write_back};
 use crate::context::NodeContext;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::supervisor::StopFlag;
@@ -52,6 +53,7 @@
     followed: Arc<IndexedCatalog>,
     owned: OwnedGroups,
     view: Arc<CoordinationView>,
+    era: KnownEra,
     electors: Electors,
     votes: NodeVotes,
     voter: Sender<NodeVotes>,
@@ -85,6 +87,7 @@
         followed: Arc::default(),
         owned: OwnedGroups::default(),
         view: Arc::default(),
+        era: KnownEra::default(),
         electors: Electors::default(),
         votes: NodeVotes::new(),
         voter: voter::start(context, services, stop),
@@ -111,8 +114,10 @@
         self.judge.on_step(now);
         let catalog = self.context.catalog.load();
         self.follow_catalog(&catalog, now);
-        self.follow_store();
-        self.looks.step(self.context, &self.view, now);
+        self.follow_store(now);
+        if !self.era.replacement_may_be_lost(now) {
+            self.looks.step(self.context, &self.view, now);
+        }
         self.take_in_answers(now);
         self.watch_refills();
         self.vote(&catalog, now);
@@ -139,12 +144,15 @@
         self.followed = catalog.clone();
     }
 
-    fn follow_store(&mut self) {
+    fn follow_store(&mut self, now: Instant) {
         let view = self.services.coordination.view();
         self.tell_holders(&view);
         if view.revision == self.view.revision {
             return;
         }
+        if self.era.follow(view.era, now) {
+            self.on_store_came_back(&view);
+        }
         if view.intents != self.view.intents {
             // Before the holder hears of it: from here on nothing is read on older evidence.
             let heeded = heeded(&view.intents);
@@ -160,6 +168,26 @@
         self.view = view;
     }
 
+    /// The store has come back from an older copy: what this node has told it is told again, and nothing that
+    /// it says of replacements is taken for complete yet.
+    fn on_store_came_back(&mut self, view: &CoordinationView) {
+        self.context.metrics.store_returns.inc();
+        log::warn!(
+            event = "store_era",
+            era = view.era.0,
+            era_before = self.view.era.0,
+            intents = view.intents.len() as u64,
+            votes = self.votes.len() as u64;
+            "what this node has told the store is told again"
+        );
+        if !self.votes.is_empty() {
+            // The voter lives as long as the node.
+            let _ = self.voter.send(self.votes.clone());
+        }
+        let owned = self.owned.follow(self.context);
+        write_back::start(self.services, owned.to_vec(), self.stop);
+    }
+
     /// Takes in which terms have been led: whoever leads a lower one is an old primary, whatever it says.
     fn follow_successors(&self, view: &CoordinationView) {
         for (group, successor) in &view.promoted {
@@ -337,7 +365,7 @@
         };
         let called = needs.iter().any(calls);
         if called || self.acting.is_some() {
-            self.tell_holder_thread(needs);
+            self.tell_holder_thread(needs, now);
         }
         if self.acting.as_ref().is_some_and(thread::JoinHandle::is_finished) {
             self.acting = None;
@@ -350,6 +378,7 @@
         let may_act = self.acting.is_none()
             && self.view.holder.is_none()
             && self.view.revision > 0
+            && !self.era.earlier_hold_may_last(now)
             && !self.context.is_stopping();
         if !may_act || now < since + TURN * self.turn() {
             return;
@@ -368,7 +397,7 @@
 
     /// Tells the thread that acts, if there is one, of the groups that need something, and of those that it
     /// acts on already: it copies what it is told at each of its steps.
-    fn tell_holder_thread(&self, needs: BTreeMap<GroupName, Need>) {
+    fn tell_holder_thread(&self, needs: BTreeMap<GroupName, Need>, now: Instant) {
         let mut situation = self.situation.lock().unwrap_or_else(PoisonError::into_inner);
         let acted_on: Vec<GroupName> = match self.acting {
             Some(_) => situation.known.groups().cloned().collect(),
@@ -376,6 +405,7 @@
         };
         situation.known = self.known.part(needs.keys().chain(&acted_on));
         situation.needs = needs;
+        situation.starts_may_be_old = self.era.starts_may_be_old(now);
     }
 
     /// How many live nodes are before this one.
--- /dev/null
+++ b/crates/daemon/src/agent/promotion/write_back.rs
@@ -0,0 +1,40 @@
+//! Records again what the store has lost of replacements by coming back from a copy: whoever starts later knows by
+//! that which of two primaries is the old one, and begins nothing again that is over.
+
+use std::thread;
+use std::time::Duration;
+
+use kestrellock_core::ids::GroupName;
+use kestrellock_store::backoff::Backoff;
+
+use super::SuccessionServices;
+use crate::supervisor::StopFlag;
+
+const FIRST_RETRY: Duration = Duration::from_millis(100);
+const LAST_RETRY: Duration = Duration::from_secs(2);
+
+/// Records what concerns `groups`, in a thread of its own; what the store still has costs no call.
+pub(super) fn start(services: &SuccessionServices, groups: Vec<GroupName>, stop: &StopFlag) {
+    let (coordination, stop) = (services.coordination.clone(), stop.clone());
+    let spawned = thread::Builder::new().name("promotion-write-back".to_owned()).spawn(move || {
+        let mut backoff = Backoff::new(FIRST_RETRY, LAST_RETRY);
+        let mut groups = groups;
+        let era = coordination.era();
+        // The next return is another thread's.
+        while !groups.is_empty() && !stop.is_stopping() && coordination.era() == era {
+            groups.retain(|group| match coordination.write_back(group) {
+                Ok(()) => false,
+                Err(error) => {
+                    log::info!(event = "not_written_back", group = group.as_str(), error = error.to_string().as_str(); "the store does not take what it has lost of a group's replacements");
+                    true
+                }
+            });
+            if !groups.is_empty() {
+                stop.sleep(backoff.wait(rand::random()));
+            }
+        }
+    });
+    if let Err(error) = spawned {
+        log::error!("a thread for what the store has lost could not be started: {error}");
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -175,7 +175,7 @@
     /// `arrived`.
     pub fn is_credential_confirmed(&self, arrived: Instant) -> bool {
         let Some(limit) = self.revocation_limit else { return true };
-        self.confirmations.covers(self.catalog.load().revision, arrived, limit)
+        self.confirmations.covers(self.catalog.load().version(), arrived, limit)
     }
 
     /// Names of the nodes that the machine list named last.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -243,6 +243,8 @@
     pub restarts: Counter,
     /// Revision of the configuration in force.
     pub revision: Gauge,
+    /// Returns of the store from an older copy.
+    pub store_returns: Counter,
     /// Seconds from a statement's arrival to its answer.
     pub statement_seconds: Histogram,
     /// Seconds from a commit's answer to its confirmation by a majority.
@@ -271,6 +273,9 @@
         r.register("restarts", "Threads restarted after a panic", restarts.clone());
         let revision = Gauge::default();
         r.register("revision", "Revision of the configuration in force", revision.clone());
+        let store_returns = Counter::default();
+        let help = "Returns of the store from an older copy";
+        r.register("store_returns", help, store_returns.clone());
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
@@ -291,6 +296,7 @@
             ),
             restarts,
             revision,
+            store_returns,
             statement_seconds: durations(r, "statement_seconds", "From arrival to answer"),
             confirmation_seconds: durations(
                 r,
--- a/crates/daemon/src/shared/confirmations.rs
+++ b/crates/daemon/src/shared/confirmations.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::Revision;
+use kestrellock_core::catalog::CatalogVersion;
 use kestrellock_core::credential_evidence::{Confirmation, CredentialEvidence, RevocationLimit};
 
 /// Evidence that credentials still stand.
@@ -19,18 +19,23 @@
     }
 
     /// The newest one for the configuration `in_force`.
-    pub fn newest(&self, in_force: Revision) -> Option<Confirmation> {
+    pub fn newest(&self, in_force: CatalogVersion) -> Option<Confirmation> {
         self.lock().newest(in_force)
     }
 
     /// How old the newest one is.
-    pub fn age(&self, in_force: Revision, now: Instant) -> Option<Duration> {
+    pub fn age(&self, in_force: CatalogVersion, now: Instant) -> Option<Duration> {
         let newest = self.newest(in_force)?;
         Some(now.saturating_duration_since(newest.at))
     }
 
     /// Whether the configuration `in_force` covers a request that arrived at `arrived`.
-    pub fn covers(&self, in_force: Revision, arrived: Instant, limit: RevocationLimit) -> bool {
+    pub fn covers(
+        &self,
+        in_force: CatalogVersion,
+        arrived: Instant,
+        limit: RevocationLimit,
+    ) -> bool {
         self.lock().covers(in_force, arrived, limit)
     }
 
--- a/crates/lab/src/standin/store/mod.rs
+++ b/crates/lab/src/standin/store/mod.rs
@@ -15,6 +15,7 @@
 
 use serde_json::Value;
 
+use kestrellock_core::store_era::StoreEra;
 use kestrellock_platform::standin::keys::KeyCall;
 
 use self::contents::{Contents, KeyRange};
@@ -168,6 +169,18 @@
         self.shared.contents().revision
     }
 
+    /// How often it has come back from a copy, and once more.
+    pub fn era(&self) -> StoreEra {
+        StoreEra(self.shared.contents().era)
+    }
+
+    /// Position of the last change in its history, as nodes know it.
+    pub fn position(&self) -> u64 {
+        let contents = self.shared.contents();
+        let position = StoreEra(contents.era).position(contents.revision);
+        position.expect("revisions of a stand-in are small")
+    }
+
     /// What it counted so far.
     pub fn counters(&self) -> StoreCounters {
         self.shared.faults().counters()
--- a/crates/lab/tests/accounts.rs
+++ b/crates/lab/tests/accounts.rs
@@ -218,3 +218,35 @@
     }
     assert!(run(&mut few, "COMMIT").is_success());
 }
+
+/// Keys hold through a return of the store from an older copy: what the copy lacks of them stays in force until the
+/// operator writes it again, and a caller whose key stands is not refused once that has been done.
+#[test]
+fn keys_hold_while_the_store_comes_back_from_an_older_copy() {
+    let options = PlatformOptions {
+        revocation_limit: Some(Duration::from_secs(2)),
+        ..PlatformOptions::default()
+    };
+    let mut platform = start(options, &[customer("atlas", &["old", "new"], PLENTY)]);
+    let copy = platform.store.copy();
+    for number in 0..40 {
+        platform.store.put("others/key", &[number]);
+    }
+    platform.configure_customers(&[customer("atlas", &["new"], PLENTY)]);
+    let is_revoked = |platform: &Platform, node| open(platform, node, "old", "late").is_err();
+    wait("the key is out of use", || (0..3).all(|node| is_revoked(&platform, node)))
+        .expect("in time");
+    platform.store.set_outage(true);
+    std::thread::sleep(Duration::from_millis(500));
+    platform.store.put_back(&copy);
+    platform.store.set_outage(false);
+    let end = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < end {
+        assert!((0..3).all(|node| is_revoked(&platform, node)), "the copy holds the key");
+    }
+    platform.configure_customers(&[customer("atlas", &["new"], PLENTY)]);
+    for node in 0..3 {
+        let mut session = open(&platform, node, "new", &format!("n{node}")).expect("it opens");
+        assert!(run_patiently(&mut session, "READ seat").is_success());
+    }
+}
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -140,10 +140,10 @@
     mirror.set_scope(Scope::OwnKeys);
     store.put(VOTE, b"{}");
     store.put(NODE, b"1");
-    let written = Item::written(NODE, b"1", store.revision());
+    let written = Item::written(NODE, b"1", store.position());
     mirror.take_in_own_entry(written).expect("an answer");
     assert_eq!(names(&mirror.view()), [NODE, VOTE]);
-    assert!(mirror.view().revision >= store.revision());
+    assert!(mirror.view().revision >= store.position());
 }
 
 #[test]
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use kestrellock_core::cancel::CancelKey;
-use kestrellock_core::catalog::{CatalogSummary, Priority, Revision};
+use kestrellock_core::catalog::{CatalogSummary, CatalogVersion, Priority, Revision};
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::Position;
@@ -250,13 +250,13 @@
         /// Number of the question.
         number: u64,
     },
-    /// The answer: at some moment the configuration of that revision was the newest.
+    /// The answer: at some moment that configuration was the newest.
     Confirmed {
         /// Number of the question.
         number: u64,
-        /// The revision, and how long ago the moment was when the answer was sent; `None` if the sender
+        /// Which one, and how long ago the moment was when the answer was sent; `None` if the sender
         /// knows nothing.
-        newest: Option<(Revision, Duration)>,
+        newest: Option<(CatalogVersion, Duration)>,
     },
 }
 
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -2,8 +2,8 @@
 //!
 //! One node at a time holds the right to act. A hold counts from the moment its lease was asked
 //! for, on the holder's own steady clock, so that it is over for the holder before it is for
-//! others. Its fence is the store's revision at which it was taken: it rises with each hold, and
-//! none repeats.
+//! others. Its fence is the position in the store's history at which it was taken: it rises with each hold, and
+//! none repeats, also where the store has come back from a copy. With that a hold is over.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 pub use kestrellock_core::promotion::{CoordinationView, Holder, NodeVotes, Vote};
 use kestrellock_core::promotion::{Intent, ReplacementId, Successor};
+use kestrellock_core::store_era::StoreEra;
 
 use crate::store::StoreError;
 
@@ -32,6 +33,9 @@
     /// What the store said last.
     fn view(&self) -> Arc<CoordinationView>;
 
+    /// The newest era of the store that any answer has told; [`Self::view`] may still be of the one before.
+    fn era(&self) -> StoreEra;
+
     /// Asks the store whether [`Self::view`] is complete: its revision, if nothing has changed since.
     fn complete_revision(&self) -> Result<Option<u64>, StoreError>;
 
@@ -64,6 +68,10 @@
         successor: &InstanceName,
     ) -> Result<bool, StoreError>;
 
+    /// Records again what the store has lost of a group's replacements by coming back from a copy: who was promoted
+    /// last, and that the replacement it shows is over. Whatever has been recorded since stands.
+    fn write_back(&self, group: &GroupName) -> Result<(), StoreError>;
+
     /// Takes the intent of a replacement back under the hold, and records the successor; false if the hold is
     /// over. The intent of another replacement stays.
     fn finish(
--- a/crates/store/src/source.rs
+++ b/crates/store/src/source.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::Revision;
+use kestrellock_core::catalog::{CatalogVersion, Revision};
 
 use crate::catalog::{CatalogError, PREFIX, StoredCatalog, read_catalog};
 use crate::store::{ConfigStore, Watch, WatchEvent};
@@ -29,9 +29,9 @@
         0
     }
 
-    /// A moment at which the catalog that [`Self::next`] told last was the newest, and the revision of that
-    /// catalog; `None` where the source does not know one.
-    fn confirmed(&mut self) -> Option<(Revision, Instant)> {
+    /// A moment at which the catalog that [`Self::next`] told last was the newest, and which one that is; `None`
+    /// where the source does not know one.
+    fn confirmed(&mut self) -> Option<(CatalogVersion, Instant)> {
         None
     }
 }
