Tests: primaries are replaced before, through and after a return of the store from a copy

A whole platform of three nodes: acknowledged writes are kept, fences rise, a replacement that the store has lost goes on and ends, and all nodes take writes afterwards.

--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::standin::instances::{InstanceGroup, InstanceOptions, PromotionService};
 use crate::standin::network::Network;
-use crate::standin::store::{Dialect, PlatformStore};
+use crate::standin::store::{Dialect, PlatformStore, StoreCopy};
 
 /// Zones; each has one node and one instance of each group.
 pub const ZONES: [&str; 3] = ["casa-ain", "casa-sidi", "casa-bouskoura"];
@@ -189,6 +189,15 @@
         Ok(platform)
     }
 
+    /// The store is away for a time, and comes back from a copy; the instances write their entries again.
+    pub fn put_store_back(&self, copy: &StoreCopy, away: Duration) {
+        self.store.set_outage(true);
+        std::thread::sleep(away);
+        self.store.put_back(copy);
+        self.store.set_outage(false);
+        self.groups.iter().for_each(InstanceGroup::announce_again);
+    }
+
     /// Writes a configuration with a route of each type to each group, but for the databases named.
     pub fn configure(&mut self, without: &[&str]) {
         self.write_configuration(without, &[]);
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -81,6 +81,13 @@
 }
 
 impl InstanceGroup {
+    /// Has the instances that run write their entries again, as after a return of the store from a copy.
+    pub fn announce_again(&self) {
+        let state = self.shared.state();
+        let running = state.instances.iter().filter(|(_, instance)| instance.running);
+        running.for_each(|(name, _)| self.shared.announce(&state, name));
+    }
+
     /// Starts the instances, and has them enter themselves in the store.
     pub fn start(options: InstanceOptions, store: StoreWriter) -> io::Result<Self> {
         let mut doors = Vec::new();
--- a/crates/lab/tests/accounts.rs
+++ b/crates/lab/tests/accounts.rs
@@ -236,10 +236,7 @@
     let is_revoked = |platform: &Platform, node| open(platform, node, "old", "late").is_err();
     wait("the key is out of use", || (0..3).all(|node| is_revoked(&platform, node)))
         .expect("in time");
-    platform.store.set_outage(true);
-    std::thread::sleep(Duration::from_millis(500));
-    platform.store.put_back(&copy);
-    platform.store.set_outage(false);
+    platform.put_store_back(&copy, Duration::from_millis(500));
     let end = Instant::now() + Duration::from_secs(3);
     while Instant::now() < end {
         assert!((0..3).all(|node| is_revoked(&platform, node)), "the copy holds the key");
--- a/crates/lab/tests/platform_replacement.rs
+++ b/crates/lab/tests/platform_replacement.rs
@@ -27,7 +27,12 @@
 }
 
 /// Writes until told to stop, on one node after the other.
-fn writer(platform: &Platform, number: usize, stop: &Arc<AtomicBool>) -> JoinHandle<Told> {
+fn writer(
+    platform: &Platform,
+    series: usize,
+    number: usize,
+    stop: &Arc<AtomicBool>,
+) -> JoinHandle<Told> {
     let callers = platform.callers.clone();
     let stop = stop.clone();
     let database = database(GROUPS[0], Consistency::Primary);
@@ -37,7 +42,7 @@
         while !stop.load(Ordering::Acquire) {
             round += 1;
             let address = callers[(number + round) % callers.len()];
-            let name = format!("w{number}r{round}");
+            let name = format!("s{series}w{number}r{round}");
             let Ok(mut session) = LineSession::open(address, &database, &name) else { continue };
             for _ in 0..10 {
                 let id = session.coming_id();
@@ -97,7 +102,9 @@
 
 fn replace(platform: &Platform, disturb: impl FnOnce(&Platform, &str)) {
     let stop = Arc::new(AtomicBool::new(false));
-    let writers: Vec<_> = (0..6).map(|number| writer(platform, number, &stop)).collect();
+    // Each series of writes has ids of its own.
+    let series = platform.promotions.calls().len();
+    let writers: Vec<_> = (0..6).map(|number| writer(platform, series, number, &stop)).collect();
     std::thread::sleep(Duration::from_millis(300));
     let group = &platform.groups[0];
     let old = group.primary().expect("a primary");
@@ -121,6 +128,52 @@
     replace(&platform, |platform, old| platform.groups[0].kill(old));
 }
 
+/// The store lost a hold, its record and who was promoted. The next holder had a fence lower than the platform had seen,
+/// and no node took a write of the group afterwards.
+#[test]
+fn primaries_are_replaced_before_and_after_a_return_of_the_store() {
+    let platform = start(PlatformOptions::default());
+    for number in 0..60 {
+        platform.store.put("others/key", &[number]);
+    }
+    let copy = platform.store.copy();
+    for number in 0..60 {
+        platform.store.put("others/key", &[number]);
+    }
+    let first = platform.groups[0].primary().expect("a primary");
+    replace(&platform, |platform, old| platform.groups[0].kill(old));
+    platform.groups[0].restart(&first);
+    platform.put_store_back(&copy, Duration::from_millis(500));
+    replace(&platform, |platform, old| platform.groups[0].kill(old));
+    let name = database(GROUPS[0], Consistency::Primary);
+    for (node, caller) in platform.callers.iter().enumerate() {
+        let writes = || {
+            let session = LineSession::open(*caller, &name, "w");
+            session.is_ok_and(|mut session| {
+                session.run("WRITE seat taken").is_ok_and(|answer| answer.is_success())
+            })
+        };
+        wait(&format!("node {node} takes writes"), writes).expect("in time");
+    }
+}
+
+/// The same while the replacement is under way: what was begun goes on, and ends.
+#[test]
+fn a_replacement_goes_on_through_a_return_of_the_store() {
+    let options =
+        PlatformOptions { promotion: Duration::from_millis(400), ..PlatformOptions::default() };
+    let platform = start(options);
+    let copy = platform.store.copy();
+    replace(&platform, |platform, old| {
+        platform.groups[0].kill(old);
+        let begun = || platform.nodes().any(|node| !node.context.intents.load().is_empty());
+        wait("a replacement has begun", begun).expect("in time");
+        platform.put_store_back(&copy, Duration::from_millis(100));
+    });
+    let over = || platform.nodes().all(|node| node.context.intents.load().is_empty());
+    wait("nothing is under way any more", over).expect("in time");
+}
+
 #[test]
 fn a_primary_that_leaves_is_replaced_and_steps_down() {
     let platform = start(PlatformOptions::default());
--- a/crates/lab/tests/store_put_back.rs
+++ b/crates/lab/tests/store_put_back.rs
@@ -5,7 +5,6 @@
 
 use kestrellock_core::catalog::Consistency;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
-use kestrellock_lab::standin::store::StoreCopy;
 
 /// Time for which the store is away before it comes back.
 const AWAY: Duration = Duration::from_millis(500);
@@ -42,13 +41,6 @@
     platform.nodes().all(|node| node.context.catalog.load().open_database(database).is_none())
 }
 
-fn put_back(platform: &Platform, copy: &StoreCopy) {
-    platform.store.set_outage(true);
-    std::thread::sleep(AWAY);
-    platform.store.put_back(copy);
-    platform.store.set_outage(false);
-}
-
 /// The operator takes a database away after the store has come back, which the nodes know at a revision that is
 /// `lost` higher than the copy's, and `others` keys are written besides.
 fn is_in_force_after(lost: usize, others: usize) {
@@ -57,7 +49,7 @@
     write_others(&platform, lost);
     platform.configure(&[&second()]);
     wait("the change is in force", || is_on_no_node(&platform, &second())).expect("in time");
-    put_back(&platform, &copy);
+    platform.put_store_back(&copy, AWAY);
     platform.configure(&[&first()]);
     write_others(&platform, others);
     wait("the change after the return is in force", || {
@@ -95,7 +87,7 @@
     let copy = platform.store.copy();
     platform.configure(&[&second()]);
     wait("the change is in force", || is_on_no_node(&platform, &second())).expect("in time");
-    put_back(&platform, &copy);
+    platform.put_store_back(&copy, AWAY);
     let end = std::time::Instant::now() + WATCHED;
     while std::time::Instant::now() < end {
         assert!(is_on_no_node(&platform, &second()), "a node went back to the older one");
