--- a/crates/lab/tests/store_put_back.rs
+++ b/crates/lab/tests/store_put_back.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use kestrellock_core::catalog::Consistency;
-use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
+use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, ZONES, database, wait};
+use kestrellock_platform::configuration::DRAINS;
 
 /// Time for which the store is away before it comes back.
 const AWAY: Duration = Duration::from_millis(500);
@@ -96,3 +97,83 @@
     platform.configure(&[]);
     wait("the next one is in force", || is_on_all_nodes(&platform, &second())).expect("in time");
 }
+
+/// Two returns right behind each other, the second from an older copy than the first.
+#[test]
+fn a_change_after_two_returns_is_in_force() {
+    let mut platform = start();
+    let older = platform.store.copy();
+    write_others(&platform, 20);
+    let newer = platform.store.copy();
+    platform.configure(&[&second()]);
+    wait("the change is in force", || is_on_no_node(&platform, &second())).expect("in time");
+    platform.put_store_back(&newer, AWAY);
+    write_others(&platform, 3);
+    platform.put_store_back(&older, Duration::from_millis(100));
+    platform.configure(&[&first()]);
+    wait("the change after both is in force", || {
+        is_on_no_node(&platform, &first()) && is_on_all_nodes(&platform, &second())
+    })
+    .expect("in time");
+}
+
+/// A node stands still while the store comes back, and wakes with what it knew before.
+#[test]
+fn a_node_that_stands_still_through_a_return_has_the_change() {
+    let mut platform = start();
+    let copy = platform.store.copy();
+    write_others(&platform, 20);
+    platform.configure(&[&second()]);
+    wait("the change is in force", || is_on_no_node(&platform, &second())).expect("in time");
+    platform.set_paused(0, true);
+    platform.put_store_back(&copy, AWAY);
+    platform.configure(&[&first()]);
+    std::thread::sleep(AWAY);
+    platform.set_paused(0, false);
+    wait("the change is in force on all", || {
+        is_on_no_node(&platform, &first()) && is_on_all_nodes(&platform, &second())
+    })
+    .expect("in time");
+}
+
+/// A node that starts on the copy gets what operators wrote last from the others, and brings nothing older to them.
+/// It does not: it knows of nobody yet when it first looks whom to ask, reads the store, and has the older edition in
+/// force at a revision that is no lower than theirs. Nodes compare revisions alone when they exchange.
+#[test]
+fn a_node_that_starts_on_the_copy_has_nothing_older_than_the_others() {
+    let mut platform = start();
+    let copy = platform.store.copy();
+    write_others(&platform, 20);
+    platform.configure(&[&second()]);
+    wait("the change is in force", || is_on_no_node(&platform, &second())).expect("in time");
+    platform.kill_node(1);
+    platform.put_store_back(&copy, AWAY);
+    platform.start_node_again(1).expect("it starts");
+    let end = std::time::Instant::now() + WATCHED;
+    while std::time::Instant::now() < end {
+        assert!(is_on_no_node(&platform, &second()), "an older one is in force");
+        std::thread::sleep(STEP);
+    }
+    assert!(is_on_all_nodes(&platform, &first()), "the node that started has the configuration");
+}
+
+/// A drain that the copy lacks is in force again once the operator has written it again.
+#[test]
+fn a_drain_that_is_written_again_is_in_force() {
+    let platform = start();
+    let copy = platform.store.copy();
+    let key = format!("{DRAINS}{}", ZONES[0]);
+    let is_drained = |platform: &Platform| {
+        platform.nodes().all(|node| !node.context.catalog.load().drained_zones().is_empty())
+    };
+    platform.store.put(&key, b"{}");
+    wait("the drain is in force", || is_drained(&platform)).expect("in time");
+    platform.put_store_back(&copy, AWAY);
+    platform.store.put(&key, b"{}");
+    wait("the drain is in force again", || is_drained(&platform)).expect("in time");
+    platform.store.remove(&key);
+    wait("the drain is over", || {
+        platform.nodes().all(|node| node.context.catalog.load().drained_zones().is_empty())
+    })
+    .expect("in time");
+}
