An old primary that is back gets nothing while its successor is being replaced

The node asks who leads without the instance that is replaced, and whether that is the one promoted last with it: the answers were about two instances. The question names the instance now.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -179,12 +179,19 @@
         successor.or_else(|| leading.first()).copied()
     }
 
-    /// Whether no other instance can have been promoted after the leader: the leader was promoted last,
-    /// or the one that was is gone, or none ever was.
-    pub fn is_led_by_newest(&self) -> bool {
+    /// Whether no other instance can have been promoted after `leader`: it was promoted last, or the one that was is
+    /// gone, or none ever was.
+    pub fn is_newest(&self, leader: &InstanceName) -> bool {
         let Some(promoted) = &self.promoted else { return true };
-        let leads = self.leader(None).is_some_and(|leader| leader.name == *promoted);
-        leads || self.instance(promoted).is_none()
+        promoted == leader || self.instance(promoted).is_none()
+    }
+
+    /// The same of the instance that leads while nobody replaces it.
+    pub fn is_led_by_newest(&self) -> bool {
+        match self.leader(None) {
+            Some(leader) => self.is_newest(&leader.name),
+            None => self.promoted.as_ref().is_none_or(|promoted| self.instance(promoted).is_none()),
+        }
     }
 
     /// The instance of that name.
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -268,7 +268,7 @@
     pub fn is_old(&self, leader: usize) -> bool {
         let term = self.terms.get(&leader).copied();
         let group = self.catalog.groups.get(&group_name());
-        let is_newest = group.is_none_or(Group::is_led_by_newest);
+        let is_newest = group.is_none_or(|group| group.is_newest(&instance_name(leader)));
         self.evidence.is_outdated(term) || (term.is_none() && !is_newest)
     }
 
--- a/crates/daemon/src/gateway/placing.rs
+++ b/crates/daemon/src/gateway/placing.rs
@@ -117,7 +117,7 @@
 /// has said which term it leads.
 fn may_be_old(configured: &Group, primary: &Instance, known: &GroupStatuses) -> bool {
     let leads = known.led_by(&primary.name);
-    let is_unproven = leads.is_none() && !configured.is_led_by_newest();
+    let is_unproven = leads.is_none() && !configured.is_newest(&primary.name);
     is_unproven || known.evidence.is_outdated(leads)
 }
 
