Simulation: an instance that has died twice is away until both deaths are over

The model says of itself that an instance which dies is away for 600 ms. Plans and checks are unchanged; the same instance now stays away. The product is not changed by this.

--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -32,7 +32,11 @@
 
     fn begin(&mut self, planned: Planned) {
         match planned.kind {
-            FaultKind::Crash(one) | FaultKind::CrashEmpty(one) => self.instances[one].crash(),
+            FaultKind::Crash(one) => self.instances[one].crash(),
+            FaultKind::CrashEmpty(one) => {
+                self.instances[one].crash();
+                self.instances[one].loses_log = true;
+            }
             FaultKind::Dark(one) => self.instances[one].dark = true,
             FaultKind::Deaf(one) => self.instances[one].deaf = true,
             FaultKind::Freeze(node) => self.nodes[node].frozen = true,
@@ -51,11 +55,7 @@
 
     fn end(&mut self, planned: Planned) {
         match planned.kind {
-            FaultKind::Crash(one) => self.restart(one),
-            FaultKind::CrashEmpty(one) => {
-                self.instances[one].start_empty();
-                self.announce(one);
-            }
+            FaultKind::Crash(one) | FaultKind::CrashEmpty(one) => self.end_death(one),
             FaultKind::Dark(one) => {
                 self.instances[one].dark = false;
                 self.announce(one);
@@ -72,8 +72,7 @@
             FaultKind::Leave => {
                 let leaving = self.instances.iter().position(|one| one.leaving);
                 if let Some(one) = leaving {
-                    self.instances[one].crash();
-                    self.restart(one);
+                    self.end_leaving(one);
                 }
             }
             _ => {}
@@ -105,6 +104,32 @@
         due.into_iter().for_each(|(_, message)| self.deliver(message));
     }
 
+    /// One that left ends, and its successor at its address has its log; one that has died meanwhile is away.
+    fn end_leaving(&mut self, one: usize) {
+        if self.instances[one].alive {
+            self.instances[one].crash();
+            self.restart(one);
+        } else {
+            self.instances[one].leaving = false;
+        }
+    }
+
+    /// An instance that has died twice runs again once both are over, and has lost its log if it did in one of them.
+    fn end_death(&mut self, one: usize) {
+        let is_of =
+            |kind: FaultKind| kind == FaultKind::Crash(one) || kind == FaultKind::CrashEmpty(one);
+        let lasts = |other: &Planned| other.at <= self.now && self.now < other.until;
+        if self.plan.iter().any(|other| is_of(other.kind) && lasts(other)) {
+            return;
+        }
+        if std::mem::take(&mut self.instances[one].loses_log) {
+            self.instances[one].start_empty();
+            self.announce(one);
+        } else {
+            self.restart(one);
+        }
+    }
+
     /// An instance comes back a while after it died, as a replica if another one has been
     /// promoted by then.
     fn restart(&mut self, one: usize) {
--- a/crates/core/tests/replacement/instances.rs
+++ b/crates/core/tests/replacement/instances.rs
@@ -52,6 +52,8 @@
     pub run: u32,
     /// Start of its process, by the clock of its machine, which may be set back.
     pub born: u64,
+    /// Whether it comes back with nothing.
+    pub loses_log: bool,
     /// Whether nobody reaches it.
     pub dark: bool,
     /// Whether it receives nothing.
@@ -79,6 +81,7 @@
             alive: true,
             run: 0,
             born: FIRST_START,
+            loses_log: false,
             dark: false,
             deaf: false,
             leaving: false,
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -393,6 +393,17 @@
     assert!(outcome.violations.is_empty(), "{:?}", outcome.violations.first());
 }
 
+/// An instance loses its log and runs again sooner than a promotion takes.
+#[test]
+fn no_seed_breaks_a_promise_while_an_instance_loses_its_log_for_a_moment() {
+    holds(Faults::all().with_quick_empty_starts());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_while_an_instance_loses_its_log_for_a_moment() {
+    holds(Faults::dense().with_releases().with_quick_empty_starts());
+}
+
 /// A replica leaves as planned while another one is being promoted: its successor at its address knows of no stop.
 #[test]
 fn plays_around_the_end_of_a_stopped_replica_lose_no_commit() {
@@ -475,6 +486,8 @@
         "many_back" => Faults::dense().with_releases().with_put_back(),
         "many_empty_back" => Faults::dense().with_releases().with_empty_starts().with_put_back(),
         "few_all_back" => Faults::all().with_empty_starts().with_start_of_all().with_put_back(),
+        "few_quick" => Faults::all().with_quick_empty_starts(),
+        "many_quick" => Faults::dense().with_releases().with_quick_empty_starts(),
         "few_all" => Faults::all().with_empty_starts().with_start_of_all(),
         "many_all" => Faults::dense().with_releases().with_empty_starts().with_start_of_all(),
         other => panic!("no kind of faults is called {other}"),
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -26,6 +26,8 @@
     pub start_of_all: bool,
     /// Whether the store comes back from an older copy, once or twice.
     pub put_back: bool,
+    /// Whether an instance that has lost its log may run again sooner than a promotion takes.
+    pub quick_starts: bool,
 }
 
 impl Faults {
@@ -41,6 +43,7 @@
             nodes_come: false,
             start_of_all: false,
             put_back: false,
+            quick_starts: false,
         }
     }
 
@@ -56,6 +59,7 @@
             nodes_come: false,
             start_of_all: false,
             put_back: false,
+            quick_starts: false,
         }
     }
 
@@ -89,6 +93,11 @@
         Self { put_back: true, ..self }
     }
 
+    /// The same with an instance that has lost its log and runs again within moments.
+    pub fn with_quick_empty_starts(self) -> Self {
+        Self { starts_empty: true, quick_starts: true, ..self }
+    }
+
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
@@ -103,6 +112,7 @@
             nodes_come: false,
             start_of_all: false,
             put_back: false,
+            quick_starts: false,
         }
     }
 }
@@ -195,6 +205,9 @@
 /// Faults end before this time, so that what follows shows whether everything recovers.
 pub const QUIET_FROM_MS: u64 = 5_000;
 
+/// Time for which an instance is away that starts again quickly, in milliseconds.
+const QUICK_START_MS: std::ops::Range<u64> = 10..600;
+
 /// Draws the faults of a seed.
 pub fn draw(faults: Faults, instances: usize, nodes: usize, random: &mut StdRng) -> Vec<Planned> {
     let count = random.random_range(1..=faults.most);
@@ -211,6 +224,11 @@
     }
     if faults.starts_empty {
         plan.push(draw_empty_start(instances, random));
+        if faults.quick_starts
+            && let Some(start) = plan.last_mut()
+        {
+            start.until = start.at + random.random_range(QUICK_START_MS);
+        }
     }
     if faults.nodes_come {
         plan.extend(draw_join(nodes, random));
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -118,7 +118,9 @@
 
     fn of_plan(mut plan: Vec<Planned>, random: StdRng, faults: Faults, plant: Plant) -> Self {
         for planned in &mut plan {
-            if matches!(planned.kind, FaultKind::Crash(_) | FaultKind::CrashEmpty(_)) {
+            let is_quick = faults.quick_starts && matches!(planned.kind, FaultKind::CrashEmpty(_));
+            let dies = matches!(planned.kind, FaultKind::Crash(_) | FaultKind::CrashEmpty(_));
+            if dies && !is_quick {
                 planned.until = planned.until.max(planned.at + RESTART_MS);
             }
         }
