A node that is not listed yet asks the replicas before it acknowledges a commit

Such a node now asks the replicas after the answer, and the store where one is away; without their word the outcome is in doubt. One that will be promoted is stopped or leads by then, and says so.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -213,11 +213,22 @@
         if !self.counts_for(term) {
             return None;
         }
+        let by_commit = self.commit.filter(|_| group.synchronous > 0 && term == self.term);
+        by_commit.max(self.shown_at(term, group)).map(|seen| seen + life)
+    }
+
+    /// Whether a commit that the primary of `term` had answered at `answered` is known to be in no danger: replicas,
+    /// asked after that, show that nobody was about to be promoted. For a node that nobody tells of replacements.
+    pub fn confirms_commit(&self, term: Term, group: Replication, answered: Instant) -> bool {
+        self.counts_for(term) && self.shown_at(term, group).is_some_and(|asked| asked >= answered)
+    }
+
+    /// When the replicas were asked whose word shows that nobody else leads.
+    fn shown_at(&self, term: Term, group: Replication) -> Option<Instant> {
         let by_all = self.oldest_of(group.replicas(), term, |_| true);
         let by_some =
             self.oldest_of(group.replicas_needed(), term, |shown| self.is_confirmed(shown));
-        let by_commit = self.commit.filter(|_| group.synchronous > 0 && term == self.term);
-        by_commit.max(by_all).max(by_some).map(|seen| seen + life)
+        by_all.max(by_some)
     }
 
     /// Until when arrivals would be covered if the store said now that nobody replaces the primary.
--- a/crates/core/tests/replacement/checker.rs
+++ b/crates/core/tests/replacement/checker.rs
@@ -53,6 +53,8 @@
 pub struct Checker {
     /// Acknowledged commits and when, in order.
     acknowledged: Vec<(u64, CommitId)>,
+    /// Terms that were led, and the commits that were there when each began.
+    promoted: Vec<(u32, BTreeSet<CommitId>)>,
     promised: BTreeSet<CommitId>,
     fences: Vec<(usize, u64)>,
     /// What was broken.
@@ -62,9 +64,18 @@
 }
 
 impl Checker {
-    /// A caller was told that a commit was made.
-    pub fn on_acknowledged(&mut self, at: u64, commit: CommitId) {
+    /// A caller was told that a commit of `term` was made. Once is enough.
+    pub fn on_acknowledged(&mut self, at: u64, commit: CommitId, term: u32) {
+        if self.acknowledged.iter().any(|(_, known)| *known == commit) {
+            return;
+        }
         self.acknowledged.push((at, commit));
+        let lacks = |(later, commits): &(u32, BTreeSet<CommitId>)| {
+            *later > term && !commits.contains(&commit)
+        };
+        if self.promoted.iter().any(lacks) {
+            self.violations.push(Violation::LostCommit { at, lost: commit });
+        }
     }
 
     /// A caller was told that a write had not run.
@@ -92,12 +103,13 @@
         }
     }
 
-    /// An instance with a log of `commits` was promoted.
-    pub fn on_promoted(&mut self, at: u64, commits: &BTreeSet<CommitId>) {
+    /// An instance with a log of `commits` was promoted, to lead `term`.
+    pub fn on_promoted(&mut self, at: u64, term: u32, commits: BTreeSet<CommitId>) {
         let lost = self.acknowledged.iter().find(|(_, id)| !commits.contains(id));
         if let Some((_, lost)) = lost {
             self.violations.push(Violation::LostCommit { at, lost: *lost });
         }
+        self.promoted.push((term, commits));
     }
 
     /// An old primary answered a commit that it made after its successor had been promoted.
--- a/crates/core/tests/replacement/listing.rs
+++ b/crates/core/tests/replacement/listing.rs
@@ -56,12 +56,18 @@
         shown
     }
 
+    /// Whether whoever replaces a primary waits for the node's word: it is listed, and knows that.
+    pub fn is_waited_for(&self, node: usize) -> bool {
+        self.listing == Listing::Fixed || self.nodes[node].is_listed_by_its_copy()
+    }
+
     /// How long a node relies on its evidence.
     pub fn evidence_life(&self, node: usize) -> Duration {
-        let is_waited_for = self.listing == Listing::Fixed
-            || self.plant == Plant::UnlistedEvidenceLasts
-            || self.nodes[node].is_listed_by_its_copy();
-        if is_waited_for { EVIDENCE_LIFE } else { UNLISTED_EVIDENCE_LIFE }
+        if self.is_waited_for(node) || self.plant == Plant::UnlistedEvidenceLasts {
+            EVIDENCE_LIFE
+        } else {
+            UNLISTED_EVIDENCE_LIFE
+        }
     }
 
     /// The nodes that a node takes for those there are.
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -404,6 +404,18 @@
     holds(Faults::dense().with_releases().with_quick_empty_starts());
 }
 
+/// A node that nobody waits for yet passes on what a primary answers, without the word of replicas.
+#[test]
+fn commits_that_nobody_confirms_at_a_node_that_is_not_listed_are_caught() {
+    let faults = Faults::all().with_nodes_that_come();
+    let plays = play_worlds(0..PART, |play| {
+        World::around(1_226_659, play, faults).with_planted(Plant::Unconfirmed)
+    });
+    let found = violations(&plays);
+    let lost = |(_, found): &(u64, Violation)| matches!(found, Violation::LostCommit { .. });
+    assert!(found.iter().any(lost), "it is not caught");
+}
+
 /// A replica leaves as planned while another one is being promoted: its successor at its address knows of no stop.
 #[test]
 fn plays_around_the_end_of_a_stopped_replica_lose_no_commit() {
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -19,11 +19,12 @@
 use kestrellock_core::store_era::StoreEra;
 use kestrellock_core::suspicion::{Judge, Signs};
 
+use crate::checker::CommitId;
 use crate::returns::{Keys, complete, installed_of, intents_of};
 use crate::store::{Announced, node_name};
 
 /// How it replicates.
-const GROUP: Replication = Replication { synchronous: 1, instances: 3 };
+pub const GROUP: Replication = Replication { synchronous: 1, instances: 3 };
 
 /// The one group.
 pub fn group_name() -> GroupName {
@@ -58,6 +59,19 @@
     pub listed: Vec<NodeName>,
 }
 
+/// A commit that its primary has answered, and that is not acknowledged yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Unconfirmed {
+    /// The commit.
+    pub commit: CommitId,
+    /// Its term.
+    pub term: Term,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When the answer came.
+    pub answered: Instant,
+}
+
 /// One node.
 pub struct Node {
     /// Its number.
@@ -90,6 +104,8 @@
     catalog_is_new: bool,
     /// Evidence of the primary.
     pub evidence: PrimaryEvidence,
+    /// Commits whose answers have come, and that replicas have yet to confirm.
+    pub unconfirmed: Vec<Unconfirmed>,
     /// Term of each instance, by its own word.
     pub terms: BTreeMap<usize, Term>,
     /// Requests that wait, by number: instance, when sent, whether they commit.
@@ -158,6 +174,7 @@
             catalog: IndexedCatalog::default(),
             catalog_is_new: false,
             evidence: PrimaryEvidence::default(),
+            unconfirmed: Vec::new(),
             terms: BTreeMap::new(),
             waiting: BTreeMap::new(),
             answered: BTreeMap::new(),
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -151,6 +151,8 @@
     FenceOfRevision,
     /// Whoever replaces a primary does not read the list of nodes anew.
     ListFromCopy,
+    /// A node that nobody tells of replacements passes on what a primary answers to commits.
+    Unconfirmed,
 }
 
 /// What goes wrong.
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 
 use crate::messages::{Exchange, Message, Reply, Work};
-use crate::node::{group_name, instance_name};
+use crate::node::{GROUP, Unconfirmed, group_name, instance_name};
 use crate::plan::Plant;
 use crate::store::Operation;
 use crate::world::World;
@@ -29,6 +29,7 @@
     /// Requests of callers, and those that wait.
     pub fn serve_callers(&mut self, node: usize) {
         self.drop_old_requests(node);
+        self.confirm_commits(node);
         if self.random.random_bool(STEP_MS / REQUEST_EVERY_MS) {
             if self.random.random_bool(0.5) {
                 self.write(node);
@@ -87,11 +88,7 @@
             }
         }
         if !self.reads[node].is_empty() && now >= self.nodes[node].questioned + QUESTION_EVERY_MS {
-            self.nodes[node].questioned = now;
-            for instance in 0..self.instances.len() {
-                let request = self.number();
-                self.ask(node, instance, request, Work::Question);
-            }
+            self.question_all(node);
         }
         self.look_at_store(node, leader);
     }
@@ -179,8 +176,8 @@
             Reply::Committed(term, position) => {
                 own.heard.record(sent, position);
                 own.terms.insert(exchange.instance, term);
-                own.evidence.on_commit(term, sent);
                 own.committed.insert(exchange.instance, now);
+                self.on_committed(&exchange, term, was_waiting);
             }
             Reply::Read(term) => {
                 own.terms.insert(exchange.instance, term);
@@ -208,6 +205,58 @@
         }
     }
 
+    /// A primary has answered a commit: the caller is told, once replicas have confirmed it where a replacement may be
+    /// under way of which nobody tells this node.
+    fn on_committed(&mut self, exchange: &Exchange, term: Term, is_awaited: bool) {
+        let node = exchange.node;
+        let (sent, answered) = (self.at(exchange.sent), self.at(self.now));
+        let Work::Write(commit) = exchange.work else { return };
+        if self.passes_on(node) {
+            self.nodes[node].evidence.on_commit(term, sent);
+            if is_awaited {
+                self.checker.on_acknowledged(self.now, commit, term.0);
+            }
+        } else if is_awaited {
+            let unconfirmed = Unconfirmed { commit, term, sent, answered };
+            self.nodes[node].unconfirmed.push(unconfirmed);
+        }
+    }
+
+    /// Whether a node passes on at once what a primary answers to a commit.
+    pub fn passes_on(&self, node: usize) -> bool {
+        self.is_waited_for(node) || self.plant == Plant::Unconfirmed
+    }
+
+    /// Commits that wait for the word of replicas: the caller is told once they have said it.
+    fn confirm_commits(&mut self, node: usize) {
+        let now = self.at(self.now);
+        let is_old = |one: &Unconfirmed| {
+            now.saturating_duration_since(one.sent).as_millis() as u64 > REQUEST_WAITS_MS
+        };
+        self.nodes[node].unconfirmed.retain(|one| !is_old(one));
+        for one in std::mem::take(&mut self.nodes[node].unconfirmed) {
+            let own = &mut self.nodes[node];
+            if own.evidence.confirms_commit(one.term, GROUP, one.answered) {
+                own.evidence.on_commit(one.term, one.sent);
+                self.checker.on_acknowledged(self.now, one.commit, one.term.0);
+            } else {
+                own.unconfirmed.push(one);
+            }
+        }
+        let asked = self.nodes[node].questioned;
+        if !self.nodes[node].unconfirmed.is_empty() && self.now >= asked + QUESTION_EVERY_MS {
+            self.question_all(node);
+        }
+    }
+
+    fn question_all(&mut self, node: usize) {
+        self.nodes[node].questioned = self.now;
+        for instance in 0..self.instances.len() {
+            let request = self.number();
+            self.ask(node, instance, request, Work::Question);
+        }
+    }
+
     fn on_control(
         &mut self,
         node: usize,
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -173,6 +173,11 @@
         }
     }
 
+    /// The same run with a fault of our own.
+    pub fn with_planted(self, plant: Plant) -> Self {
+        Self { plant, ..self }
+    }
+
     /// The same run, with its story kept.
     pub fn traced(self) -> Self {
         Self { trace: Trace::on(), ..self }
@@ -310,10 +315,13 @@
         if self.is_cut(pending.node, one) || !self.is_awaited(&pending) {
             return;
         }
-        self.checker.on_acknowledged(self.now, pending.entry.id);
+        // Judged as soon as the node would pass it on, though that takes a moment more.
+        if self.passes_on(pending.node) {
+            self.checker.on_acknowledged(self.now, pending.entry.id, pending.entry.term);
+        }
         self.trace.note(self.now, || {
             let held: Vec<usize> = self.instances.iter().map(|one| one.log.len()).collect();
-            format!("acknowledged by i-{one}: {pending:?}; logs hold {held:?}")
+            format!("answered by i-{one}: {pending:?}; logs hold {held:?}")
         });
         let exchange = Exchange {
             node: pending.node,
@@ -519,7 +527,7 @@
         self.promotions.push((self.now, term));
         self.trace
             .note(self.now, || format!("i-{one} leads term {term} with {} commits", commits.len()));
-        self.checker.on_promoted(self.now, &commits);
+        self.checker.on_promoted(self.now, term, commits);
         self.announce(one);
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -184,13 +184,15 @@
         listed.iter().map(|node| node.candidate.node.clone()).collect()
     }
 
+    /// Whether whoever replaces a primary waits for this node's word: the machine list names it, and it knows that.
+    pub fn is_waited_for(&self) -> bool {
+        let listed = self.listed_nodes.load();
+        listed.iter().any(|listed| listed.candidate.node == self.identity.node)
+    }
+
     /// How long evidence lasts here: other nodes wait only for those that they know of.
     pub fn evidence_life(&self) -> Duration {
-        let listed = self.listed_nodes.load();
-        match listed.iter().any(|listed| listed.candidate.node == self.identity.node) {
-            true => EVIDENCE_LIFE,
-            false => UNLISTED_EVIDENCE_LIFE,
-        }
+        if self.is_waited_for() { EVIDENCE_LIFE } else { UNLISTED_EVIDENCE_LIFE }
     }
 
     /// Whether the node takes no new work, because it is being stopped.
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -1,12 +1,13 @@
-//! Commits whose answers wait until a majority of the group has confirmed them.
+//! Commits whose answers wait until others of the group have confirmed them: a majority by probes, or, where the
+//! proxy replaces primaries and would not wait for this node, the replicas by how they stand.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use kestrellock_core::catalog::Group;
+use kestrellock_core::catalog::{Elector, Group};
 use kestrellock_core::confirmation::{Confirmation, Evidence, ProbeNumber, Verdict};
 use kestrellock_core::exchange_state::{Effect, Fault, Progress, Stake, failure_code};
-use kestrellock_core::ids::{InstanceName, LeaseId, NodeName};
+use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::routing::Role;
@@ -17,6 +18,10 @@
 use super::server::ProbeAnswer;
 use crate::event::Io;
 use crate::policy::Policy;
+use crate::shared::statuses::WordOnCommit;
+
+/// Time after which replicas that have not confirmed a commit are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
 
 /// A commit that its primary has answered.
 #[derive(Debug)]
@@ -37,10 +42,34 @@
     pub transaction: TransactionState,
 }
 
+/// What shows that a commit stays.
+#[derive(Debug)]
+enum Proof {
+    /// Probes sent after it.
+    Probes(Confirmation),
+    /// What replicas say that are asked after its answer came, and the store where some do not.
+    Standings {
+        /// Where the commit stands.
+        position: Position,
+        /// When its answer came.
+        answered: Instant,
+    },
+}
+
 #[derive(Debug)]
 struct Waiting {
     commit: Commit,
-    confirmation: Confirmation,
+    proof: Proof,
+}
+
+impl Waiting {
+    /// When the answer came of a commit that waits for the word of replicas.
+    fn wants_standings_since(&self) -> Option<Instant> {
+        match &self.proof {
+            Proof::Probes(_) => None,
+            Proof::Standings { answered, .. } => Some(*answered),
+        }
+    }
 }
 
 /// Commits of one group that wait for confirmation.
@@ -49,6 +78,8 @@
     waiting: Vec<Waiting>,
     highest_term: Term,
     last_probe: ProbeNumber,
+    /// When replicas were last asked how they stand.
+    asked_standings: Option<Instant>,
 }
 
 impl Confirmations {
@@ -59,7 +90,11 @@
 
     /// The first probe that the newest waiting commit counts.
     pub fn wanted_probe(&self) -> Option<ProbeNumber> {
-        self.waiting.iter().map(|waiting| waiting.confirmation.first_probe()).max()
+        let first_probe = |waiting: &Waiting| match &waiting.proof {
+            Proof::Probes(confirmation) => Some(confirmation.first_probe()),
+            Proof::Standings { .. } => None,
+        };
+        self.waiting.iter().filter_map(first_probe).max()
     }
 
     /// Highest term that any instance has reported.
@@ -97,10 +132,60 @@
         let first_probe = self.last_probe.next();
         let instance = commit.instance.clone();
         let confirmation = Confirmation::new(instance, position, group.confirmation, first_probe);
-        if confirmation.verdict(group.majority()) == Verdict::Confirmed {
+        if confirmation.verdict(group.majority()) != Verdict::Confirmed {
+            let proof = Proof::Probes(confirmation);
+            return self.waiting.push(Waiting { commit, proof });
+        }
+        if group.elector == Elector::Group || io.context.is_waited_for() {
             return acknowledge(commit, Some(position), io);
         }
-        self.waiting.push(Waiting { commit, confirmation });
+        log::info!(
+            event = "commit_waits",
+            lease:? = commit.lease,
+            instance = commit.instance.as_str(),
+            term = position.term.0,
+            offset = position.offset.0;
+            "the machine list does not name this node yet: replicas are asked whether the commit stays"
+        );
+        let proof = Proof::Standings { position, answered: Instant::now() };
+        self.waiting.push(Waiting { commit, proof });
+    }
+
+    /// Whether replicas are to be asked now how they stand.
+    pub fn should_ask_standings(&mut self, now: Instant) -> bool {
+        let newest = self.waiting.iter().filter_map(Waiting::wants_standings_since).max();
+        let Some(newest) = newest else { return false };
+        let is_due = |asked: Instant| asked <= newest || now >= asked + ASK_AGAIN;
+        let asks = self.asked_standings.is_none_or(is_due);
+        if asks {
+            // Read again: the answer may have come since the event was taken up.
+            self.asked_standings = Some(Instant::now());
+        }
+        asks
+    }
+
+    /// Answers the commits that the word of replicas decides.
+    pub fn decide_by_standings(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+        let mut kept = Vec::new();
+        for waiting in std::mem::take(&mut self.waiting) {
+            let Proof::Standings { position, answered } = waiting.proof else {
+                kept.push(waiting);
+                continue;
+            };
+            let (term, replication) = (position.term, group.replication());
+            match io.context.statuses.word_on_commit(name, term, replication, answered) {
+                WordOnCommit::Confirmed => acknowledge(waiting.commit, Some(position), io),
+                WordOnCommit::Replaced => {
+                    refuse(waiting.commit, Progress::Unconfirmed, Fault::Superseded, io);
+                }
+                WordOnCommit::LacksTheStore => {
+                    io.context.store_looks.want(name);
+                    kept.push(waiting);
+                }
+                WordOnCommit::Missing => kept.push(waiting),
+            }
+        }
+        self.waiting = kept;
     }
 
     /// Leases whose commits wait.
@@ -135,10 +220,14 @@
         let evidence = Evidence { instance, probe: answer.number, flushed };
         let mut kept = Vec::new();
         for mut waiting in std::mem::take(&mut self.waiting) {
-            match waiting.confirmation.on_evidence(evidence, group.majority()) {
+            let Proof::Probes(confirmation) = &mut waiting.proof else {
+                kept.push(waiting);
+                continue;
+            };
+            match confirmation.on_evidence(evidence, group.majority()) {
                 Verdict::Waiting => kept.push(waiting),
                 Verdict::Confirmed => {
-                    let position = waiting.confirmation.position();
+                    let position = confirmation.position();
                     acknowledge(waiting.commit, Some(position), io);
                 }
                 Verdict::Superseded(_) => {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -170,6 +170,16 @@
         }
     }
 
+    fn confirm_waiting(&mut self, name: &GroupName, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        let is_waiting = |state: &GroupGateway| state.confirmations.is_waiting();
+        if let Some(group) = catalog.groups.get(name)
+            && self.groups.get(name).is_some_and(is_waiting)
+        {
+            self.confirm_by_standings(name, group, io);
+        }
+    }
+
     /// Opens what this node owns, ends what is late, probes what is due.
     pub fn on_tick(&mut self, io: &mut Io) {
         self.follow_ownership(io);
@@ -190,6 +200,7 @@
                 }
             }
             self.ask_in_doubt(&name, io);
+            self.confirm_waiting(&name, io);
             self.pump_group(&name, io);
         }
         self.close_surplus(io);
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -202,7 +202,8 @@
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
         if let Some(position) = running.shown_commit() {
             let (term, sent) = (position.term, running.sent);
-            io.context.statuses.on_commit(&self.group, &self.instance, term, sent);
+            let counts = io.context.is_waited_for();
+            io.context.statuses.on_commit(&self.group, &self.instance, term, sent, counts);
         }
     }
 
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -70,6 +70,7 @@
             ServerEvent::Probed(answer) if server.purpose == Use::Pooled => {
                 state.standings.on_answer(&group, &instance, &answer, io);
                 state.questions.on_answer();
+                self.confirm_by_standings(&group, configured, io);
                 return self.retry_placements(&group, configured, io);
             }
             ServerEvent::Ready if server.purpose == Use::Pooled => {
@@ -112,6 +113,7 @@
             }
             ServerEvent::CommitAnswered(commit) => {
                 state.confirmations.wait_for(commit, configured, io);
+                self.confirm_by_standings(&group, configured, io);
             }
             ServerEvent::Probed(report) => {
                 io.context.metrics.probes.count(ProbeEvent::Answered);
--- a/crates/daemon/src/gateway/standings.rs
+++ b/crates/daemon/src/gateway/standings.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use kestrellock_core::catalog::Group;
 use kestrellock_core::confirmation::ProbeNumber;
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName};
@@ -82,6 +83,19 @@
         self.ask_standings(name, io);
     }
 
+    /// Answers commits that wait for the word of replicas, and asks those for it where some still do.
+    pub(super) fn confirm_by_standings(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+        let Some(state) = self.groups.get_mut(name) else { return };
+        state.confirmations.decide_by_standings(name, group, io);
+        if !state.confirmations.should_ask_standings(io.now) {
+            return;
+        }
+        let leader = io.context.leader(name, group).map(|leader| &leader.name);
+        let replicas = group.instances.iter().filter(|one| leader != Some(&one.name));
+        replicas.for_each(|replica| state.standings.want(replica.name.clone()));
+        self.ask_standings(name, io);
+    }
+
     /// Sends the questions that wait, over idle connections of the instances' pools.
     pub(super) fn ask_standings(&mut self, name: &GroupName, io: &mut Io) {
         let Some(state) = self.groups.get_mut(name) else { return };
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -77,6 +77,19 @@
     }
 }
 
+/// What replicas have said since a primary answered a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WordOnCommit {
+    /// Nobody was about to be promoted.
+    Confirmed,
+    /// Enough of them show that, and the store has yet to say that nobody replaces the primary.
+    LacksTheStore,
+    /// Too few have said anything.
+    Missing,
+    /// The primary is being replaced, or has been.
+    Replaced,
+}
+
 /// What was last heard of an instance, and when.
 #[derive(Clone, Debug)]
 pub struct KnownStatus {
@@ -173,16 +186,51 @@
         });
     }
 
-    /// `instance` answered, as the primary of `term`, a commit that wrote and was sent at `sent`.
-    pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
+    /// `instance` answered, as the primary of `term`, a commit that wrote and was sent at `sent`. That is evidence
+    /// only at a node whose word is waited for before another instance is promoted.
+    pub fn on_commit(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        term: Term,
+        sent: Instant,
+        is_waited_for: bool,
+    ) {
         self.with_group(group, |known| {
             let record = known.answers.entry(instance.clone()).or_default();
             record.on_leads(term);
-            known.evidence.on_commit(term, sent);
+            if is_waited_for {
+                known.evidence.on_commit(term, sent);
+            }
             known.committed = Some(Instant::now());
         });
     }
 
+    /// What the replicas' word says of a commit that the primary had answered at `answered`, in a group of such a
+    /// kind.
+    pub fn word_on_commit(
+        &self,
+        group: &GroupName,
+        term: Term,
+        replication: Replication,
+        answered: Instant,
+    ) -> WordOnCommit {
+        let board = self.group(group);
+        let known = board.read().expect("a holder of the status lock panicked");
+        let evidence = &known.evidence;
+        if evidence.given_up().is_some() || term < evidence.highest_led() {
+            return WordOnCommit::Replaced;
+        }
+        if evidence.confirms_commit(term, replication, answered) {
+            return WordOnCommit::Confirmed;
+        }
+        let shown = evidence.would_cover_until(term, replication, Duration::ZERO);
+        match shown.is_some_and(|asked| asked >= answered) {
+            true => WordOnCommit::LacksTheStore,
+            false => WordOnCommit::Missing,
+        }
+    }
+
     /// The store says that an instance of the group has led `term`.
     pub fn on_led(&self, group: &GroupName, term: Term) {
         self.with_group(group, |known| known.evidence.on_led(term));
