--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -148,6 +148,18 @@
         self.intent.id
     }
 
+    /// What nodes are to be told: the intent as it stands in the store, while the attempt is under way.
+    pub fn under_way(&self) -> Option<&Intent> {
+        self.recorded.as_ref().filter(|_| self.phase != Phase::Over)
+    }
+
+    /// The term that the successor has said it leads.
+    pub fn successor_term(&self) -> Option<Term> {
+        let chosen = self.chosen.as_ref();
+        let said = self.leads_by_its_word.as_ref();
+        said.filter(|said| chosen == Some(&said.instance)).and_then(|said| said.term)
+    }
+
     /// How far it is.
     pub fn phase(&self) -> Phase {
         self.phase
--- a/crates/core/tests/replacement/acting.rs
+++ b/crates/core/tests/replacement/acting.rs
@@ -2,7 +2,9 @@
 
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFE;
-use kestrellock_core::promotion::{Attempt, Command, Event, Need, ReplacementId, Timing};
+use kestrellock_core::promotion::{
+    Attempt, Command, Event, Need, ReplacementId, Successor, TELL_INTERVAL, Timing,
+};
 use kestrellock_core::store_era::StoreEra;
 
 use crate::messages::{Call, Message, Work};
@@ -21,6 +23,10 @@
 const LEAST_HOLD_MS: u64 = 100;
 /// Time between two attempts at one change of the store.
 const STORE_RETRY_MS: u64 = 100;
+/// Time between two messages of a holder to a node.
+const TELL_INTERVAL_MS: u64 = TELL_INTERVAL.as_millis() as u64;
+/// Time that such a message is under way.
+const TOLD_AFTER_MS: u64 = 3;
 /// Time between two messages to a holder.
 const TELL_EVERY_MS: u64 = 30;
 /// Time between two attempts to record again what the store has lost.
@@ -102,7 +108,7 @@
 
     fn tell_holder(&mut self, node: usize) {
         let own = &self.nodes[node];
-        let Some(intent) = own.view.intents.get(&group_name()) else { return };
+        let Some(intent) = own.intent() else { return };
         let Some(id) = own.evidence.given_up() else { return };
         if self.now < own.told + TELL_EVERY_MS {
             return;
@@ -130,6 +136,7 @@
         }
         self.begin_attempt(node, need);
         self.step_attempt(node, need);
+        self.tell_nodes(node);
         let Some(acting) = &self.nodes[node].acting else { return };
         let idle = acting.ended.is_some_and(|ended| now >= ended + LINGER_MS);
         if acting.attempt.is_none() && idle {
@@ -138,6 +145,32 @@
         }
     }
 
+    /// Tells the other nodes of the replacement, again and again: some do not hear of it from the store.
+    fn tell_nodes(&mut self, node: usize) {
+        let now = self.now;
+        let Some(acting) = &mut self.nodes[node].acting else { return };
+        let under_way = acting.attempt.as_ref().and_then(Attempt::under_way);
+        let is_early = acting.told.is_some_and(|told| now < told + TELL_INTERVAL_MS);
+        let Some(intent) = under_way.filter(|_| self.is_told && !is_early).cloned() else { return };
+        let recorded = acting.recorded.unwrap_or(now);
+        acting.told = Some(now);
+        for to in (0..self.nodes.len()).filter(|to| *to != node) {
+            let intent = intent.clone();
+            self.send_after(TOLD_AFTER_MS, Message::UnderWay { to, intent, recorded });
+        }
+    }
+
+    /// Tells the other nodes that a replacement is over.
+    fn tell_end(&mut self, node: usize, id: ReplacementId, successor: Option<&Successor>) {
+        if !self.is_told {
+            return;
+        }
+        for to in (0..self.nodes.len()).filter(|to| *to != node) {
+            let successor = successor.cloned();
+            self.send_after(TOLD_AFTER_MS, Message::Over { to, id, successor });
+        }
+    }
+
     fn begin_attempt(&mut self, node: usize, need: Option<&Need>) {
         let now = self.now;
         let highest = self.highest_term(node);
@@ -148,6 +181,8 @@
         let is_old = acting.begun > 0 && acting.ended.is_some_and(|end| now < end + OLD_NEEDS_MS);
         let Some(need) = need.filter(|_| acting.attempt.is_none() && !is_old) else { return };
         acting.begun += 1;
+        acting.recorded = None;
+        acting.told = None;
         let id = ReplacementId { fence: acting.fence, attempt: acting.begun };
         let holder = node_name(node);
         acting.attempt = Some(Attempt::new(holder, id, need, members, highest, timing));
@@ -275,6 +310,8 @@
                     begun: 0,
                     ended: Some(self.now),
                     listed: Vec::new(),
+                    recorded: None,
+                    told: None,
                 });
             }
             (Operation::Acquire, Done::Conflict) => self.nodes[call.node].acquiring = false,
@@ -292,14 +329,16 @@
             }
             (Operation::Renew, done) => self.on_renewed(&call, done),
             (Operation::Record(intent), Done::Recorded(listed)) => {
-                if let Some(acting) = &mut self.nodes[call.node].acting
-                    && self.plant != Plant::ListFromCopy
-                {
-                    acting.listed = listed;
+                if let Some(acting) = &mut self.nodes[call.node].acting {
+                    acting.recorded.get_or_insert(call.sent);
+                    if self.plant != Plant::ListFromCopy {
+                        acting.listed = listed;
+                    }
                 }
                 self.on_event(call.node, Event::Recorded(intent.clone()));
             }
-            (Operation::Finish(..), Done::Yes(_)) => {
+            (Operation::Finish(id, successor), Done::Yes(_)) => {
+                self.tell_end(call.node, *id, successor.as_ref());
                 if let Some(acting) = &mut self.nodes[call.node].acting {
                     acting.attempt = None;
                     acting.ended = Some(self.now);
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -49,6 +49,10 @@
                     self.announce(one);
                 }
             }
+            FaultKind::LeaveReplica(one) => {
+                self.instances[one].leaving = true;
+                self.announce(one);
+            }
             _ => {}
         }
     }
@@ -75,6 +79,7 @@
                     self.end_leaving(one);
                 }
             }
+            FaultKind::LeaveReplica(one) if self.instances[one].leaving => self.end_leaving(one),
             _ => {}
         }
     }
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -404,6 +404,41 @@
     holds(Faults::dense().with_releases().with_quick_empty_starts());
 }
 
+/// A replica is replaced as planned while the primary is, and nodes hear of that from whoever does it.
+#[test]
+fn no_seed_breaks_a_promise_while_replicas_leave() {
+    holds(Faults::all().with_replicas_that_leave().with_word_of_holders());
+}
+
+#[test]
+fn no_seed_with_many_faults_breaks_a_promise_while_replicas_leave() {
+    let many = Faults::dense().with_releases().with_empty_starts();
+    holds(many.with_replicas_that_leave().with_word_of_holders());
+}
+
+/// A node that does not reach the store hears of a replacement from nobody.
+#[test]
+fn replacements_that_nodes_are_not_told_of_are_caught() {
+    let faults = Faults::all().with_replicas_that_leave();
+    is_caught_with(faults, Plant::None, |found| matches!(found, Violation::LostCommit { .. }));
+}
+
+/// An old primary's answer counts though a replacement has been under way for long.
+#[test]
+fn late_answers_of_old_primaries_are_caught() {
+    let faults = Faults::all().with_replicas_that_leave().with_word_of_holders();
+    is_caught_with(faults, Plant::LateAnswers, |found| {
+        matches!(found, Violation::LostCommit { .. })
+    });
+}
+
+/// Guards the story of a replica that was replaced as planned while a listed node did not reach the store.
+#[test]
+fn plays_around_the_end_of_a_replica_hold_where_nodes_are_told_of_replacements() {
+    let faults = Faults::all().with_replicas_that_leave().with_word_of_holders();
+    holds_around(&[322], faults);
+}
+
 /// A node that nobody waits for yet passes on what a primary answers, without the word of replicas.
 #[test]
 fn commits_that_nobody_confirms_at_a_node_that_is_not_listed_are_caught() {
@@ -500,6 +535,8 @@
         "few_all_back" => Faults::all().with_empty_starts().with_start_of_all().with_put_back(),
         "few_quick" => Faults::all().with_quick_empty_starts(),
         "many_quick" => Faults::dense().with_releases().with_quick_empty_starts(),
+        "few_replica" => Faults::all().with_replicas_that_leave().with_word_of_holders(),
+        "few_replica_untold" => Faults::all().with_replicas_that_leave(),
         "few_all" => Faults::all().with_empty_starts().with_start_of_all(),
         "many_all" => Faults::dense().with_releases().with_empty_starts().with_start_of_all(),
         other => panic!("no kind of faults is called {other}"),
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -2,7 +2,7 @@
 
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::promotion::{
-    Command, CoordinationView, PromotionAnswer, ReplacementId, Standing, Witness,
+    Command, CoordinationView, Intent, PromotionAnswer, ReplacementId, Standing, Successor, Witness,
 };
 use kestrellock_core::store_era::StoreEra;
 
@@ -138,6 +138,24 @@
         /// Its process: another one holds nothing of what was to lead.
         born: u64,
     },
+    /// A holder tells a node that a replacement is under way.
+    UnderWay {
+        /// The node.
+        to: usize,
+        /// The replacement.
+        intent: Intent,
+        /// When it was recorded.
+        recorded: u64,
+    },
+    /// A holder tells a node that a replacement is over.
+    Over {
+        /// The node.
+        to: usize,
+        /// The replacement.
+        id: ReplacementId,
+        /// Who was promoted.
+        successor: Option<Successor>,
+    },
     /// A node tells a holder that it has given its evidence up.
     GivenUp {
         /// The holder.
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -12,8 +12,8 @@
 use kestrellock_core::primary_evidence::{PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::{
-    Attempt, CoordinationView, KnownEra, KnownInstances, Need, NeedsEvidence, NeedsJudge,
-    NodeVotes, ReplacementId, Successor, Vote, Witnesses, heeded,
+    Attempt, CoordinationView, HeardReplacements, Intent, KnownEra, KnownInstances, Need,
+    NeedsEvidence, NeedsJudge, NodeVotes, ReplacementId, Successor, Vote, Witnesses, heeded,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::store_era::StoreEra;
@@ -57,6 +57,10 @@
     pub ended: Option<u64>,
     /// Nodes that the store listed when the last intent was recorded.
     pub listed: Vec<NodeName>,
+    /// When the intent of the attempt was sent to be recorded.
+    pub recorded: Option<u64>,
+    /// When the other nodes were last told of it.
+    pub told: Option<u64>,
 }
 
 /// A commit that its primary has answered, and that is not acknowledged yet.
@@ -64,6 +68,8 @@
 pub struct Unconfirmed {
     /// The commit.
     pub commit: CommitId,
+    /// The primary.
+    pub instance: usize,
     /// Its term.
     pub term: Term,
     /// When it was sent.
@@ -102,6 +108,8 @@
     pub catalog: IndexedCatalog,
     /// Whether it has come since the node last followed it.
     catalog_is_new: bool,
+    /// Replacements that it has heard of.
+    pub replacements: HeardReplacements,
     /// Evidence of the primary.
     pub evidence: PrimaryEvidence,
     /// Commits whose answers have come, and that replicas have yet to confirm.
@@ -173,6 +181,7 @@
             retake_until: 0,
             catalog: IndexedCatalog::default(),
             catalog_is_new: false,
+            replacements: HeardReplacements::default(),
             evidence: PrimaryEvidence::default(),
             unconfirmed: Vec::new(),
             terms: BTreeMap::new(),
@@ -244,15 +253,48 @@
         if let Some(term) = installed.and_then(|installed| installed.term) {
             self.evidence.on_led(term);
         }
-        match heeded(&view.intents).get(&group_name()) {
-            Some(intent) => self.evidence.give_up(intent.id),
-            None => self.evidence.take_up(),
-        }
+        self.replacements.follow_store(&view.intents, now);
+        self.follow_replacements();
         self.catalog = catalog(view.revision, announced, installed);
         self.catalog_is_new = true;
         self.view = view;
     }
 
+    /// The replacement of the group that it has heard of.
+    pub fn intent(&self) -> Option<Intent> {
+        heeded(&self.replacements.intents()).remove(&group_name())
+    }
+
+    /// Gives its evidence up while it has heard of a replacement.
+    fn follow_replacements(&mut self) {
+        match self.intent() {
+            Some(intent) => self.evidence.give_up(intent.id),
+            None => self.evidence.take_up(),
+        }
+    }
+
+    /// A holder says that a replacement is under way.
+    pub fn on_under_way(&mut self, intent: Intent, age: Duration, now: Instant) {
+        self.replacements.on_told(&group_name(), intent, age, now);
+        self.follow_replacements();
+    }
+
+    /// A holder says that a replacement is over.
+    pub fn on_over(&mut self, id: ReplacementId, successor: Option<&Successor>) {
+        self.replacements.on_over(&group_name(), id);
+        if let Some(term) = successor.and_then(|successor| successor.term) {
+            self.evidence.on_led(term);
+        }
+        self.follow_replacements();
+    }
+
+    /// Forgets replacements whose holders are gone.
+    pub fn pass_time(&mut self, now: Instant) {
+        if self.replacements.pass_time(now) {
+            self.follow_replacements();
+        }
+    }
+
     /// What the store has lost of replacements, as far as this node remembers: who was promoted last, and whether a
     /// replacement that it shows is over.
     pub fn lost(&self) -> (Option<Successor>, bool) {
@@ -266,17 +308,14 @@
     /// The instance that it takes for the primary.
     pub fn leader(&self) -> Option<usize> {
         let group = self.catalog.groups.get(&group_name())?;
-        let intents = heeded(&self.view.intents);
-        let intent = intents.get(&group_name());
-        let leader = group.leader(intent.and_then(|intent| intent.former.as_ref()))?;
+        let intent = self.intent();
+        let leader = group.leader(intent.as_ref().and_then(|intent| intent.former.as_ref()))?;
         Some(instance_number(&leader.name))
     }
 
     /// Whether new work for the primary waits, because it is being replaced.
     pub fn holds_back(&self) -> bool {
-        let intents = heeded(&self.view.intents);
-        let intent = intents.get(&group_name());
-        let former = intent.map(|intent| intent.former.as_ref().map(instance_number));
+        let former = self.intent().map(|intent| intent.former.as_ref().map(instance_number));
         former.is_some_and(|former| former == self.leader())
     }
 
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -28,6 +28,11 @@
     pub put_back: bool,
     /// Whether an instance that has lost its log may run again sooner than a promotion takes.
     pub quick_starts: bool,
+    /// Whether nodes hear what holders tell them; otherwise all of that is lost on its way.
+    pub told: bool,
+    /// Whether a replica is replaced as planned, while a node may go on at the primary that does not reach the
+    /// store.
+    pub replicas_leave: bool,
 }
 
 impl Faults {
@@ -44,6 +49,8 @@
             start_of_all: false,
             put_back: false,
             quick_starts: false,
+            told: false,
+            replicas_leave: false,
         }
     }
 
@@ -60,6 +67,8 @@
             start_of_all: false,
             put_back: false,
             quick_starts: false,
+            told: false,
+            replicas_leave: false,
         }
     }
 
@@ -98,6 +107,16 @@
         Self { starts_empty: true, quick_starts: true, ..self }
     }
 
+    /// The same where nodes hear what holders tell them.
+    pub fn with_word_of_holders(self) -> Self {
+        Self { told: true, ..self }
+    }
+
+    /// The same with a replica that is replaced as planned.
+    pub fn with_replicas_that_leave(self) -> Self {
+        Self { replicas_leave: true, ..self }
+    }
+
     /// Trouble of single nodes, of one replica and of the store only. If all replicas receive
     /// nothing no commit is answered, just as if the primary were cut off: that calls for a
     /// replacement.
@@ -113,6 +132,8 @@
             start_of_all: false,
             put_back: false,
             quick_starts: false,
+            told: false,
+            replicas_leave: false,
         }
     }
 }
@@ -151,6 +172,8 @@
     FenceOfRevision,
     /// Whoever replaces a primary does not read the list of nodes anew.
     ListFromCopy,
+    /// What an old primary answers to commits counts at any time.
+    LateAnswers,
     /// A node that nobody tells of replacements passes on what a primary answers to commits.
     Unconfirmed,
 }
@@ -166,6 +189,9 @@
     Dark(usize),
     /// The primary says that it leaves.
     Leave,
+    /// A replica says that it leaves. Its successor, at its address and with its log, does not know that it was
+    /// stopped.
+    LeaveReplica(usize),
     /// An instance receives nothing.
     Deaf(usize),
     /// The primary is cut from its replicas.
@@ -241,6 +267,25 @@
     if faults.put_back {
         plan.extend(draw_put_back(random));
     }
+    if faults.replicas_leave {
+        plan.extend(draw_leaving_replica(instances, nodes, random));
+    }
+    plan
+}
+
+/// A replica leaves, and ends at about the time at which a primary is replaced that only a node out of reach of the
+/// store still reaches.
+fn draw_leaving_replica(instances: usize, nodes: usize, random: &mut StdRng) -> Vec<Planned> {
+    let ends = random.random_range(1_800..4_000);
+    let replica = random.random_range(1..instances);
+    let leaves = FaultKind::LeaveReplica(replica);
+    let mut plan = vec![Planned { at: ends - 1_400, until: ends, kind: leaves }];
+    let until = ends + 700;
+    let cut_at = ends - random.random_range(1_000..1_700);
+    plan.push(Planned { at: cut_at, until, kind: FaultKind::CutStore(0) });
+    let at = cut_at + random.random_range(0..200);
+    let lost = (1..nodes).map(|other| FaultKind::CutLink(other, 0));
+    plan.extend(lost.map(|kind| Planned { at, until, kind }));
     plan
 }
 
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -28,6 +28,8 @@
 impl World {
     /// Requests of callers, and those that wait.
     pub fn serve_callers(&mut self, node: usize) {
+        let now = self.at(self.now);
+        self.nodes[node].pass_time(now);
         self.drop_old_requests(node);
         self.confirm_commits(node);
         if self.random.random_bool(STEP_MS / REQUEST_EVERY_MS) {
@@ -117,7 +119,7 @@
         let own = &mut self.nodes[node];
         let group = own.catalog.groups.get(&group_name());
         let is_newest = group.is_some_and(|group| group.is_led_by_newest());
-        let is_replaced = own.view.intents.contains_key(&group_name()) || !is_newest;
+        let is_replaced = own.replacements.intents().contains_key(&group_name()) || !is_newest;
         let may_be_lost = own.era.replacement_may_be_lost(now);
         if own.view.revision >= revision && !is_replaced && !may_be_lost {
             own.evidence.on_unreplaced(sent);
@@ -205,26 +207,35 @@
         }
     }
 
-    /// A primary has answered a commit: the caller is told, once replicas have confirmed it where a replacement may be
-    /// under way of which nobody tells this node.
+    /// A primary has answered a commit: the caller is told if that counts, and once replicas have confirmed it where a
+    /// replacement may be under way of which nobody tells this node.
     fn on_committed(&mut self, exchange: &Exchange, term: Term, is_awaited: bool) {
-        let node = exchange.node;
+        let (node, instance) = (exchange.node, exchange.instance);
         let (sent, answered) = (self.at(exchange.sent), self.at(self.now));
         let Work::Write(commit) = exchange.work else { return };
-        if self.passes_on(node) {
+        if self.passes_on(node, instance) {
             self.nodes[node].evidence.on_commit(term, sent);
             if is_awaited {
                 self.checker.on_acknowledged(self.now, commit, term.0);
             }
         } else if is_awaited {
-            let unconfirmed = Unconfirmed { commit, term, sent, answered };
+            let unconfirmed = Unconfirmed { commit, instance, term, sent, answered };
             self.nodes[node].unconfirmed.push(unconfirmed);
         }
     }
 
-    /// Whether a node passes on at once what a primary answers to a commit.
-    pub fn passes_on(&self, node: usize) -> bool {
-        self.is_waited_for(node) || self.plant == Plant::Unconfirmed
+    /// Whether a node passes on at once what an instance answers to a commit.
+    pub fn passes_on(&self, node: usize, instance: usize) -> bool {
+        let is_told = self.is_waited_for(node) || self.plant == Plant::Unconfirmed;
+        is_told && self.answer_counts(node, instance)
+    }
+
+    /// Whether what an instance answers to a commit counts by now.
+    fn answer_counts(&self, node: usize, instance: usize) -> bool {
+        let (name, now) = (instance_name(instance), self.at(self.now));
+        let replacements = &self.nodes[node].replacements;
+        let counts = replacements.answer_counts(&group_name(), &name, now);
+        counts || self.plant == Plant::LateAnswers
     }
 
     /// Commits that wait for the word of replicas: the caller is told once they have said it.
@@ -235,6 +246,10 @@
         };
         self.nodes[node].unconfirmed.retain(|one| !is_old(one));
         for one in std::mem::take(&mut self.nodes[node].unconfirmed) {
+            if !self.answer_counts(node, one.instance) {
+                // In doubt.
+                continue;
+            }
             let own = &mut self.nodes[node];
             if own.evidence.confirms_commit(one.term, GROUP, one.answered) {
                 own.evidence.on_commit(one.term, one.sent);
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -68,6 +68,8 @@
     /// The faults.
     pub plan: Vec<Planned>,
     releases_all: bool,
+    /// Whether nodes hear what holders tell them.
+    pub is_told: bool,
     /// The instances.
     pub instances: Vec<Instance>,
     /// The nodes.
@@ -153,6 +155,7 @@
             plant,
             plan,
             releases_all: faults.releases_all,
+            is_told: faults.told,
             instances: (0..INSTANCES).map(|one| Instance::new(one == 0)).collect(),
             nodes,
             reads: vec![Vec::new(); count],
@@ -316,7 +319,7 @@
             return;
         }
         // Judged as soon as the node would pass it on, though that takes a moment more.
-        if self.passes_on(pending.node) {
+        if self.passes_on(pending.node, one) {
             self.checker.on_acknowledged(self.now, pending.entry.id, pending.entry.term);
         }
         self.trace.note(self.now, || {
@@ -388,7 +391,9 @@
             Message::View { node, process, .. } | Message::Promotion { node, process, .. } => {
                 Some((*node, *process))
             }
-            Message::GivenUp { to, .. } => Some((*to, self.nodes[*to].process)),
+            Message::GivenUp { to, .. }
+            | Message::UnderWay { to, .. }
+            | Message::Over { to, .. } => Some((*to, self.nodes[*to].process)),
             _ => None,
         };
         if let Some((node, process)) = addressee {
@@ -412,6 +417,8 @@
                 | Message::Call(_)
                 | Message::Called(..)
                 | Message::GivenUp { .. }
+                | Message::UnderWay { .. }
+                | Message::Over { .. }
         );
         rides && self.is_active(FaultKind::Silence) && self.random.random_bool(SILENCED_SHARE)
     }
@@ -446,6 +453,12 @@
                 let witnesses = self.nodes[to].given_up.entry(id).or_default();
                 witnesses.add(&node_name(from), witness);
             }
+            Message::UnderWay { to, intent, recorded } => {
+                let (recorded, now) = (self.at(recorded), self.at(self.now));
+                let age = now.saturating_duration_since(recorded);
+                self.nodes[to].on_under_way(intent, age, now);
+            }
+            Message::Over { to, id, successor } => self.nodes[to].on_over(id, successor.as_ref()),
             Message::VotesExpire { node, process } => {
                 let is_gone = self.nodes[node].process == process && !self.nodes[node].alive;
                 let votes = self.store.keys.values_mut().map(|keys| keys.votes.remove(&node));
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -54,6 +54,8 @@
     again: Option<(Instant, Command)>,
     pending: Option<Command>,
     began: Instant,
+    /// When the intent was sent that is recorded.
+    recorded: Instant,
     phase: Phase,
 }
 
@@ -95,7 +97,9 @@
 ) {
     let mut taken = take_hold(context, services);
     while let Some(hold) = taken {
-        taken = match act_under(hold, context, services, situation, stop) {
+        let ending = act_under(hold, context, services, situation, stop);
+        context.replacements.on_hold_over();
+        taken = match ending {
             Ending::Done => None,
             Ending::StoreCameBack { until } => take_again(until, context, services, stop),
         };
@@ -207,6 +211,7 @@
             }
             Report::Installed => {}
             Report::Finished(group) => {
+                self.tell_end(&group);
                 self.attempts.remove(&group);
                 self.ended.insert(group, now);
             }
@@ -224,6 +229,13 @@
         }
     }
 
+    /// Has the other nodes told that an attempt is over.
+    fn tell_end(&self, group: &GroupName) {
+        let Some(running) = self.attempts.get(group) else { return };
+        let led = running.attempt.successor_term();
+        self.context.replacements.on_ended(group, running.attempt.id(), led);
+    }
+
     fn step(&mut self) {
         let now = Instant::now();
         let situation = self.situation();
@@ -258,7 +270,8 @@
         );
         log::info!(event = "attempt", group = group.as_str(), reason:? = need.reason, former:? = need.former, term = highest.0; "a primary is to be replaced");
         let phase = attempt.phase();
-        let running = Running { attempt, again: None, pending: None, began: now, phase };
+        let running =
+            Running { attempt, again: None, pending: None, began: now, recorded: now, phase };
         self.attempts.insert(group.clone(), running);
     }
 
@@ -281,6 +294,9 @@
             let after = now.saturating_duration_since(running.began).as_millis() as u64;
             log::info!(event = "phase", group = group.as_str(), phase:? = running.phase, chosen:? = running.attempt.chosen(), after_ms = after; "the attempt goes on");
         }
+        if let Some(intent) = running.attempt.under_way() {
+            self.context.replacements.on_carried_out(group, intent, running.recorded);
+        }
         for command in commands {
             self.carry_out(group, command, &situation.known, now);
         }
@@ -320,6 +336,7 @@
                 }
             }
             Command::Record(ref intent) => {
+                self.note_recording(group, now);
                 self.orders.record(&self.hold, group.clone(), intent.clone());
                 self.keep_pending(group, command);
             }
@@ -334,6 +351,15 @@
         }
     }
 
+    /// The first recording that is done counts: a repetition was not done before.
+    fn note_recording(&mut self, group: &GroupName, now: Instant) {
+        if let Some(running) = self.attempts.get_mut(group)
+            && running.attempt.under_way().is_none()
+        {
+            running.recorded = now;
+        }
+    }
+
     fn keep_pending(&mut self, group: &GroupName, command: Command) {
         if let Some(running) = self.attempts.get_mut(group) {
             running.pending = Some(command);
--- a/crates/daemon/src/agent/promotion/looks.rs
+++ b/crates/daemon/src/agent/promotion/looks.rs
@@ -112,7 +112,9 @@
         let Some(group) = catalog.groups.get(name) else { continue };
         let promoted = view.promoted.get(name).map(|successor| &successor.instance);
         let is_in_force = group.promoted.as_ref() == promoted;
-        let is_replaced = view.intents.contains_key(name) || !group.is_led_by_newest();
+        let is_heard_of = context.intents.load().contains_key(name);
+        let is_replaced =
+            is_heard_of || view.intents.contains_key(name) || !group.is_led_by_newest();
         if is_in_force && !is_replaced {
             context.statuses.on_unreplaced(name, looked.asked);
         }
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -16,6 +16,7 @@
 mod opinions;
 mod orders;
 mod owned;
+mod telling;
 mod voter;
 mod watch;
 mod write_back;
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -9,8 +9,8 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, KnownEra, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes, Vote,
-    heeded,
+    CoordinationView, Intent, KnownEra, KnownInstances, Need, NeedsEvidence, NeedsJudge, NodeVotes,
+    Vote, heeded,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::{Cause, Judge};
@@ -24,6 +24,7 @@
 use super::looks::Looks;
 use super::opinions::Opinions;
 use super::owned::OwnedGroups;
+use super::telling::{FIRST_SHARD, Telling};
 use super::{voter, write_back};
 use crate::context::NodeContext;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
@@ -40,8 +41,6 @@
 const RECENT_ANSWER: Duration = Duration::from_millis(100);
 /// Time between two messages to a holder.
 const TELL_INTERVAL: Duration = Duration::from_millis(60);
-/// Shard whose connections carry messages that this node begins.
-const FIRST_SHARD: u16 = 0;
 
 struct Watcher<'a> {
     context: &'a Arc<NodeContext>,
@@ -53,6 +52,9 @@
     followed: Arc<IndexedCatalog>,
     owned: OwnedGroups,
     view: Arc<CoordinationView>,
+    /// Replacements that this node has heard of, from the store or from whoever carries them out.
+    intents: BTreeMap<GroupName, Intent>,
+    telling: Telling,
     era: KnownEra,
     electors: Electors,
     votes: NodeVotes,
@@ -87,6 +89,8 @@
         followed: Arc::default(),
         owned: OwnedGroups::default(),
         view: Arc::default(),
+        intents: BTreeMap::new(),
+        telling: Telling::default(),
         era: KnownEra::default(),
         electors: Electors::default(),
         votes: NodeVotes::new(),
@@ -114,6 +118,7 @@
         self.judge.on_step(now);
         let catalog = self.context.catalog.load();
         self.follow_catalog(&catalog, now);
+        self.telling.step(self.context, self.mailboxes, now);
         self.follow_store(now);
         if !self.era.replacement_may_be_lost(now) {
             self.looks.step(self.context, &self.view, now);
@@ -128,7 +133,7 @@
     /// Time until the next look.
     fn pause(&self) -> Duration {
         let nothing_said = self.view.votes.is_empty() && self.votes.is_empty();
-        let nothing_begun = self.view.intents.is_empty() && self.needed_since.is_none();
+        let nothing_begun = self.intents.is_empty() && self.needed_since.is_none();
         let is_calm = nothing_said && nothing_begun && !self.opinions.is_asking();
         if is_calm { CALM_STEP } else { STEP }
     }
@@ -146,28 +151,46 @@
 
     fn follow_store(&mut self, now: Instant) {
         let view = self.services.coordination.view();
-        self.tell_holders(&view);
-        if view.revision == self.view.revision {
+        let is_new = view.revision != self.view.revision;
+        if is_new {
+            self.context.replacements.follow_store(&view.intents, now);
+        }
+        self.tell_holders();
+        self.follow_intents(&view, now);
+        if !is_new {
             return;
         }
         if self.era.follow(view.era, now) {
             self.on_store_came_back(&view);
         }
-        if view.intents != self.view.intents {
-            // Before the holder hears of it: from here on nothing is read on older evidence.
-            let heeded = heeded(&view.intents);
-            self.context.statuses.follow_replacements(&heeded);
-            log::info!(event = "intents", intents:? = view.intents, revision = view.revision; "replacements under way have changed");
-            self.context.intents.store(heeded);
-            self.told = None;
-            self.tell_holders(&view);
-        }
         if view.promoted != self.view.promoted {
             self.follow_successors(&view);
         }
         self.view = view;
     }
 
+    /// Takes in which replacements are under way, by the store or by those who carry them out.
+    fn follow_intents(&mut self, view: &CoordinationView, now: Instant) {
+        let intents = self.context.replacements.intents(now);
+        if intents == self.intents {
+            return;
+        }
+        // Before the holder hears of it: from here on nothing is read on older evidence.
+        let heeded = heeded(&intents);
+        self.context.statuses.follow_replacements(&heeded);
+        log::info!(
+            event = "intents",
+            intents:? = intents,
+            in_store = intents == view.intents,
+            revision = view.revision;
+            "replacements under way have changed"
+        );
+        self.context.intents.store(heeded);
+        self.intents = intents;
+        self.told = None;
+        self.tell_holders();
+    }
+
     /// The store has come back from an older copy: what this node has told it is told again, and nothing that
     /// it says of replacements is taken for complete yet.
     fn on_store_came_back(&mut self, view: &CoordinationView) {
@@ -200,15 +223,15 @@
 
     /// Tells whoever replaces a primary that this node has given its evidence up; again and again,
     /// because a message may be lost.
-    fn tell_holders(&mut self, view: &CoordinationView) {
+    fn tell_holders(&mut self) {
         let now = Instant::now();
         let told = self.told.is_some_and(|told| now < told + TELL_INTERVAL);
-        if view.intents.is_empty() || told {
+        if self.intents.is_empty() || told {
             return;
         }
         self.told = Some(now);
         let own = &self.context.identity.node;
-        for (group, intent) in &view.intents {
+        for (group, intent) in &self.intents {
             let given_up = {
                 let board = self.context.statuses.group(group);
                 let known = board.read().expect("a holder of the status lock panicked");
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -28,6 +28,7 @@
 use crate::shared::live::{LiveNode, Shared};
 use crate::shared::ordinary_lines::OrdinaryLines;
 use crate::shared::quotas::SharedQuotas;
+use crate::shared::replacements::Replacements;
 use crate::shared::revisions::Revisions;
 use crate::shared::stage::{SharedStage, Stage};
 use crate::shared::statuses::StatusBoard;
@@ -90,6 +91,8 @@
     pub listed_nodes: Shared<Vec<LiveNode>>,
     /// Nodes that have given their evidence up, for replacements that this node carries out.
     pub given_up: EvidenceGivenUp,
+    /// Replacements that this node has heard of, and those that it tells others of.
+    pub replacements: Replacements,
     /// Groups for which the store has to say that nobody replaces their primary.
     pub store_looks: StoreLooks,
     /// Messages of peers about the configuration.
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -256,6 +256,19 @@
     notify(&lease, sequence, event, io);
 }
 
+/// An old primary has answered so late after its replacement began that another instance may have been chosen without
+/// the commit: the outcome is in doubt.
+pub fn refuse_late(group: &GroupName, commit: Commit, io: &mut Io) {
+    log::info!(
+        event = "answer_too_late",
+        group = group.as_str(),
+        lease:? = commit.lease,
+        instance = commit.instance.as_str();
+        "a primary that is being replaced answered a commit too late"
+    );
+    refuse(commit, Progress::Unconfirmed, Fault::Superseded, io);
+}
+
 fn refuse(commit: Commit, progress: Progress, fault: Fault, io: &mut Io) {
     let stake = Stake { effect: Effect::MayCommit, continues_transaction: false };
     let detail = match fault {
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -202,8 +202,11 @@
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
         if let Some(position) = running.shown_commit() {
             let (term, sent) = (position.term, running.sent);
-            let counts = io.context.is_waited_for();
-            io.context.statuses.on_commit(&self.group, &self.instance, term, sent, counts);
+            let statuses = &io.context.statuses;
+            match io.context.is_waited_for() {
+                true => statuses.on_commit(&self.group, &self.instance, term, sent),
+                false => statuses.on_unproven_commit(&self.group, &self.instance, term),
+            }
         }
     }
 
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -1,11 +1,14 @@
 //! What back-end connections report, passed on to the pool, the monitor and the confirmations of
 //! their group.
 
+use std::time::Instant;
+
 use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName};
 
 use super::Gateway;
+use super::confirmation::refuse_late;
 use super::pool::Pool;
 use super::server::{ServerEvent, Use};
 use crate::event::Io;
@@ -112,7 +115,11 @@
                 }
             }
             ServerEvent::CommitAnswered(commit) => {
-                state.confirmations.wait_for(commit, configured, io);
+                let (answered, now) = (&commit.instance, Instant::now());
+                match io.context.replacements.answer_counts(&group, answered, now) {
+                    true => state.confirmations.wait_for(commit, configured, io),
+                    false => refuse_late(&group, commit, io),
+                }
                 self.confirm_by_standings(&group, configured, io);
             }
             ServerEvent::Probed(report) => {
--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -48,7 +48,10 @@
     match message {
         PeerMessage::Ping => true,
         // Nobody waits for an answer to these, so only an answer to a ping shows that they arrived.
-        PeerMessage::EvidenceGivenUp { .. } | PeerMessage::Configuration { .. } => true,
+        PeerMessage::EvidenceGivenUp { .. }
+        | PeerMessage::ReplacementUnderWay { .. }
+        | PeerMessage::ReplacementOver { .. }
+        | PeerMessage::Configuration { .. } => true,
         PeerMessage::Quota(message) => {
             matches!(message, QuotaMessage::Ask { .. } | QuotaMessage::TakeOver { .. })
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -245,6 +245,8 @@
     pub revision: Gauge,
     /// Returns of the store from an older copy.
     pub store_returns: Counter,
+    /// Messages of nodes that replace primaries.
+    pub replacements_told: Counter,
     /// Seconds from a statement's arrival to its answer.
     pub statement_seconds: Histogram,
     /// Seconds from a commit's answer to its confirmation by a majority.
@@ -276,6 +278,9 @@
         let store_returns = Counter::default();
         let help = "Returns of the store from an older copy";
         r.register("store_returns", help, store_returns.clone());
+        let replacements_told = Counter::default();
+        let help = "Messages of nodes that replace primaries";
+        r.register("replacements_told", help, replacements_told.clone());
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
@@ -297,6 +302,7 @@
             restarts,
             revision,
             store_returns,
+            replacements_told,
             statement_seconds: durations(r, "statement_seconds", "From arrival to answer"),
             confirmation_seconds: durations(
                 r,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -41,6 +41,7 @@
 use crate::shared::live::Shared;
 use crate::shared::ordinary_lines::OrdinaryLines;
 use crate::shared::quotas::SharedQuotas;
+use crate::shared::replacements::Replacements;
 use crate::shared::revisions::Revisions;
 use crate::shared::stage::SharedStage;
 use crate::shared::statuses::StatusBoard;
@@ -278,6 +279,7 @@
         listed_seeds: ListedSeeds::default(),
         listed_nodes: Shared::default(),
         given_up: EvidenceGivenUp::default(),
+        replacements: Replacements::default(),
         store_looks: StoreLooks::default(),
         configuration: Inbox::default(),
         revisions: Revisions::default(),
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -164,6 +164,16 @@
                 PeerMessage::EvidenceGivenUp { node, group, id, witness } => {
                     io.context.given_up.add(&group, id, &node, witness);
                 }
+                PeerMessage::ReplacementUnderWay { group, intent, age } => {
+                    io.context.metrics.replacements_told.inc();
+                    io.context.replacements.on_told(&group, intent, age, io.now);
+                }
+                PeerMessage::ReplacementOver { group, id, led } => {
+                    io.context.replacements.on_over(&group, id);
+                    if let Some(term) = led {
+                        io.context.statuses.on_led(&group, term);
+                    }
+                }
                 PeerMessage::Quota(message) => {
                     if let Some(origin) = &from {
                         io.context.quotas.on_message(&origin.node, message, io.context, io.now);
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -10,6 +10,7 @@
 pub mod live;
 pub mod ordinary_lines;
 pub mod quotas;
+pub mod replacements;
 pub mod revisions;
 pub mod stage;
 pub mod statuses;
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -49,6 +49,11 @@
         self.answers.get(instance)?.leads()
     }
 
+    fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) {
+        self.answers.entry(instance.clone()).or_default().on_leads(term);
+        self.committed = Some(Instant::now());
+    }
+
     /// Until when arrivals are known to see everything at the primary `instance` of a group.
     pub fn covered_until(
         &self,
@@ -186,26 +191,19 @@
         });
     }
 
-    /// `instance` answered, as the primary of `term`, a commit that wrote and was sent at `sent`. That is evidence
-    /// only at a node whose word is waited for before another instance is promoted.
-    pub fn on_commit(
-        &self,
-        group: &GroupName,
-        instance: &InstanceName,
-        term: Term,
-        sent: Instant,
-        is_waited_for: bool,
-    ) {
+    /// `instance` answered, as the primary of `term`, a commit that wrote and was sent at `sent`.
+    pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
         self.with_group(group, |known| {
-            let record = known.answers.entry(instance.clone()).or_default();
-            record.on_leads(term);
-            if is_waited_for {
-                known.evidence.on_commit(term, sent);
-            }
-            known.committed = Some(Instant::now());
+            known.on_commit_answered(instance, term);
+            known.evidence.on_commit(term, sent);
         });
     }
 
+    /// The same at a node whose word nobody waits for before another instance is promoted: it is no evidence.
+    pub fn on_unproven_commit(&self, group: &GroupName, instance: &InstanceName, term: Term) {
+        self.with_group(group, |known| known.on_commit_answered(instance, term));
+    }
+
     /// What the replicas' word says of a commit that the primary had answered at `answered`, in a group of such a
     /// kind.
     pub fn word_on_commit(
--- a/crates/lab/tests/platform_replacement.rs
+++ b/crates/lab/tests/platform_replacement.rs
@@ -174,6 +174,18 @@
     wait("nothing is under way any more", over).expect("in time");
 }
 
+/// Guards against commits acknowledged by a node that does not reach the store: whoever replaces a primary tells the
+/// others itself.
+#[test]
+fn whoever_replaces_a_primary_tells_the_other_nodes() {
+    let platform = start(PlatformOptions::default());
+    replace(&platform, |platform, old| platform.groups[0].kill(old));
+    let told = platform.nodes().filter(|node| node.context.metrics.replacements_told.get() > 0);
+    assert!(told.count() >= 2, "all but the one that acts are told");
+    let intents = || platform.nodes().all(|node| node.context.intents.load().is_empty());
+    wait("nothing is under way any more", intents).expect("in time");
+}
+
 #[test]
 fn a_primary_that_leaves_is_replaced_and_steps_down() {
     let platform = start(PlatformOptions::default());
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,8 +7,8 @@
 use kestrellock_core::catalog::{CatalogSummary, CatalogVersion, Priority, Revision};
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
-use kestrellock_core::position::Position;
-use kestrellock_core::promotion::{ReplacementId, Witness};
+use kestrellock_core::position::{Position, Term};
+use kestrellock_core::promotion::{Intent, ReplacementId, Witness};
 use kestrellock_core::quota::QuotaMessage;
 use kestrellock_core::routing::{Access, InstanceStatus};
 use kestrellock_core::session_state::SessionSetting;
@@ -17,7 +17,7 @@
 use crate::catalog_transfer::{Part, TransferId};
 
 /// Version of the protocol between nodes; a peer with another one is refused.
-pub const PROTOCOL_VERSION: u16 = 6;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 /// A prepared statement that an exchange refers to under a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -297,6 +297,24 @@
         #[serde(default)]
         witness: Witness,
     },
+    /// The sender has a group's primary replaced.
+    ReplacementUnderWay {
+        /// The group.
+        group: GroupName,
+        /// What it has recorded in the store.
+        intent: Intent,
+        /// Time since it was recorded, or longer.
+        age: Duration,
+    },
+    /// A replacement of the sender is over.
+    ReplacementOver {
+        /// The group.
+        group: GroupName,
+        /// Which replacement it is.
+        id: ReplacementId,
+        /// Term that the new primary leads, if there is one.
+        led: Option<Term>,
+    },
     /// About how much accounts may ask.
     Quota(QuotaMessage),
     /// The receiver owes the sender an answer and is to say that it runs.
