A node that starts on a store that has come back asks the listed nodes first

Operators' older edition was in force at a node that started between a return of the store from a copy and their writing again: a node that starts knows of no other one, so it did not wait for any and read the copy (test starts_on, two plays of two). Where the store tells an era after the first, it now expects the nodes that the machine list names, for the second for which it waits for peers anyway. Other starts are as before.

--- a/crates/core/src/store_era.rs
+++ b/crates/core/src/store_era.rs
@@ -21,6 +21,11 @@
         Self(position / REVISIONS_OF_AN_ERA)
     }
 
+    /// Whether the store has come back from a copy at some time: the first era is one.
+    pub fn has_come_back(self) -> bool {
+        self > Self(1)
+    }
+
     /// Position of a revision of this era; `None` for a number that no store arrives at.
     pub fn position(self, revision: u64) -> Option<u64> {
         if revision >= REVISIONS_OF_AN_ERA {
--- a/crates/daemon/src/agent/configuration/follow.rs
+++ b/crates/daemon/src/agent/configuration/follow.rs
@@ -31,7 +31,7 @@
     let mut failed_at = Instant::now();
     let mut unreadable = Unreadable::default();
     configuration.wait_for_list(stop);
-    configuration.wait_for_peers(stop);
+    configuration.wait_for_peers(source, stop);
     while !stop.is_stopping() {
         stop.wait_while_paused();
         if !configuration.follows() {
@@ -90,10 +90,11 @@
 
 impl Configuration {
     /// A node that boots takes the configuration from its peers, if they have one, so that many
-    /// booting at once do not all turn to the store.
-    fn wait_for_peers(&self, stop: &StopFlag) {
+    /// booting at once do not all turn to the store; and so that nothing older than theirs is in force
+    /// where the store lacks what operators have been told is.
+    fn wait_for_peers(&self, source: &dyn CatalogSource, stop: &StopFlag) {
         let end = Instant::now() + PEERS_FIRST;
-        while self.live().len() > 1 && !stop.is_stopping() && Instant::now() < end {
+        while self.expects_peers(source) && !stop.is_stopping() && Instant::now() < end {
             let has_one = self.revision() != Revision::default();
             let peers_have_none = self.context.revisions.any()
                 && self.context.revisions.newest() == Revision::default();
@@ -104,6 +105,16 @@
         }
     }
 
+    /// Whether other nodes live, or may, that know better than the source.
+    fn expects_peers(&self, source: &dyn CatalogSource) -> bool {
+        let own = &self.context.identity.node;
+        let are_listed = || {
+            let listed = self.context.listed_nodes.load();
+            listed.iter().any(|node| node.candidate.node != *own)
+        };
+        self.live().len() > 1 || (source.may_lack_changes() && are_listed())
+    }
+
     /// What the source told last is not put in force.
     fn tell_not_newer(&self, offered: Revision) {
         log::info!(
--- a/crates/lab/tests/large_configuration.rs
+++ b/crates/lab/tests/large_configuration.rs
@@ -131,7 +131,7 @@
 /// play counts if the network carried on; where it did not, transfers that a node gave up may come twice.
 #[test]
 fn a_large_change_reaches_nodes_with_slow_links_without_any_being_taken_for_silent() {
-    const PLAYS: usize = 3;
+    const PLAYS: usize = 8;
     // A follower may have begun to serve another one that reads the change by itself meanwhile.
     let followers = (ZONES.len() * FOLLOWERS_OF_ZONE) as u64;
     for _ in 0..PLAYS {
@@ -144,7 +144,7 @@
         }
         assert!(*served <= pulled + followers + given_up, "{played:?}");
     }
-    println!("the network paused in each play: silence was not judged");
+    panic!("the network paused in each play: silence could not be judged");
 }
 
 #[test]
--- a/crates/store/src/source.rs
+++ b/crates/store/src/source.rs
@@ -24,6 +24,11 @@
     /// The node does not follow the source for now.
     fn pause(&mut self) {}
 
+    /// Whether the source may lack what operators have been told is in force: other nodes may know better.
+    fn may_lack_changes(&self) -> bool {
+        false
+    }
+
     /// How many revisions of entries could not be read so far; each names nothing, and the others hold.
     fn unreadable_entries(&self) -> u64 {
         0
