--- a/crates/core/src/promotion/heard.rs
+++ b/crates/core/src/promotion/heard.rs
@@ -15,7 +15,7 @@
 /// may be gone.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
 /// How long an old primary's answers to commits count once its replicas are being stopped: those that were given
-/// before are under way yet. Less than whoever promotes waits at least before it checks the replicas
+/// before are under way yet. Half of what whoever promotes waits at least before it checks the replicas
 /// for the last time, so that a replica that has forgotten its stop since then lets no commit be acknowledged.
 const ANSWERS_COUNT_FOR: Duration = Duration::from_millis(50);
 
@@ -26,13 +26,23 @@
     at: Instant,
 }
 
+/// Since when a replacement has been under way.
+#[derive(Clone, Copy, Debug)]
+struct Begun {
+    id: ReplacementId,
+    /// When its holder knew it to be recorded, after which it begins; where nobody has told that, when it was first
+    /// heard of.
+    at: Instant,
+    is_told: bool,
+}
+
 /// Replacements that a node has heard of.
 #[derive(Clone, Debug, Default)]
 pub struct HeardReplacements {
     in_store: BTreeMap<GroupName, Intent>,
     told: BTreeMap<GroupName, Told>,
-    /// When the newest of each group was recorded, or, where nobody told that, when it was first heard of.
-    began: BTreeMap<GroupName, (ReplacementId, Instant)>,
+    /// When the newest of each group began.
+    began: BTreeMap<GroupName, Begun>,
     /// The newest of each group that is known to be over.
     over: BTreeMap<GroupName, ReplacementId>,
 }
@@ -50,19 +60,21 @@
             self.on_over(&group, id);
         }
         for (group, intent) in intents {
-            self.note_began(group, intent.id, now);
+            let begun = Begun { id: intent.id, at: now, is_told: false };
+            self.note_begun(group, begun);
         }
         self.in_store.clone_from(intents);
     }
 
-    /// The holder of a replacement says that it is under way, and was recorded `age` ago.
+    /// The holder of a replacement says that it is under way, and has known it to be recorded for `age`.
     pub fn on_told(&mut self, group: &GroupName, intent: Intent, age: Duration, now: Instant) {
         let is_over = self.over.get(group).is_some_and(|over| intent.id <= *over);
         let is_old = self.told.get(group).is_some_and(|told| intent.id < told.intent.id);
         if is_over || is_old {
             return;
         }
-        self.note_began(group, intent.id, now.checked_sub(age).unwrap_or(now));
+        let at = now.checked_sub(age).unwrap_or(now);
+        self.note_begun(group, Begun { id: intent.id, at, is_told: true });
         self.told.insert(group.clone(), Told { intent, at: now });
     }
 
@@ -106,16 +118,21 @@
             Reason::Leaving => Timing::default().drain,
             Reason::Suspected | Reason::Missing | Reason::Unfinished => Duration::ZERO,
         };
-        let began = self.began.get(group).filter(|(id, _)| *id == intent.id);
-        began.is_none_or(|(_, began)| now <= *began + drain + ANSWERS_COUNT_FOR)
+        let begun = self.began.get(group).filter(|begun| begun.id == intent.id);
+        begun.is_none_or(|begun| now <= begun.at + drain + ANSWERS_COUNT_FOR)
     }
 
-    fn note_began(&mut self, group: &GroupName, id: ReplacementId, began: Instant) {
-        let known = self.began.entry(group.clone()).or_insert((id, began));
-        if known.0 < id {
-            *known = (id, began);
-        } else if known.0 == id {
-            known.1 = known.1.min(began);
+    /// What the holder tells counts rather than when the node heard of it; of several messages the one that took
+    /// least.
+    fn note_begun(&mut self, group: &GroupName, begun: Begun) {
+        let known = self.began.entry(group.clone()).or_insert(begun);
+        let is_better = match (known.is_told, begun.is_told) {
+            (false, true) => true,
+            (true, false) => false,
+            _ => begun.at < known.at,
+        };
+        if known.id < begun.id || (known.id == begun.id && is_better) {
+            *known = begun;
         }
     }
 }
--- a/crates/core/tests/heard_replacements.rs
+++ b/crates/core/tests/heard_replacements.rs
@@ -84,6 +84,18 @@
     assert!(heard.answer_counts(&group(), &other, now + ms(300)), "the successor's count");
 }
 
+/// Guards against outcomes in doubt where the holder hears late that its intent is recorded, and begins only then.
+#[test]
+fn answers_count_from_when_the_holder_begins() {
+    let old = InstanceName::new("old");
+    let (mut heard, now) = (HeardReplacements::default(), Instant::now());
+    heard.follow_store(&shown(intent(1, Reason::Suspected)), now);
+    heard.on_told(&group(), intent(1, Reason::Suspected), ms(5), now + ms(205));
+    assert!(heard.answer_counts(&group(), &old, now + ms(250)));
+    heard.on_told(&group(), intent(1, Reason::Suspected), ms(60), now + ms(300));
+    assert!(!heard.answer_counts(&group(), &old, now + ms(251)), "a slow message changes nothing");
+}
+
 /// Guards against outcomes in doubt where a planned replacement lets what is under way end.
 #[test]
 fn while_a_planned_replacement_drains_answers_count() {
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -144,7 +144,7 @@
         to: usize,
         /// The replacement.
         intent: Intent,
-        /// When it was recorded.
+        /// When its holder first knew it to be recorded.
         recorded: u64,
     },
     /// A holder tells a node that a replacement is over.
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -57,7 +57,7 @@
     pub ended: Option<u64>,
     /// Nodes that the store listed when the last intent was recorded.
     pub listed: Vec<NodeName>,
-    /// When the intent of the attempt was sent to be recorded.
+    /// When the intent of the attempt was first known to be recorded.
     pub recorded: Option<u64>,
     /// When the other nodes were last told of it.
     pub told: Option<u64>,
--- a/crates/daemon/src/agent/promotion/holder.rs
+++ b/crates/daemon/src/agent/promotion/holder.rs
@@ -54,8 +54,8 @@
     again: Option<(Instant, Command)>,
     pending: Option<Command>,
     began: Instant,
-    /// When the intent was sent that is recorded.
-    recorded: Instant,
+    /// When the intent was first known to be recorded.
+    recorded: Option<Instant>,
     phase: Phase,
 }
 
@@ -205,6 +205,7 @@
                 if let Some(running) = self.attempts.get_mut(&group) {
                     if matches!(event, Event::Recorded(_)) {
                         running.pending = None;
+                        running.recorded.get_or_insert(now);
                     }
                     running.attempt.on_event(event, now);
                 }
@@ -271,7 +272,7 @@
         log::info!(event = "attempt", group = group.as_str(), reason:? = need.reason, former:? = need.former, term = highest.0; "a primary is to be replaced");
         let phase = attempt.phase();
         let running =
-            Running { attempt, again: None, pending: None, began: now, recorded: now, phase };
+            Running { attempt, again: None, pending: None, began: now, recorded: None, phase };
         self.attempts.insert(group.clone(), running);
     }
 
@@ -295,7 +296,8 @@
             log::info!(event = "phase", group = group.as_str(), phase:? = running.phase, chosen:? = running.attempt.chosen(), after_ms = after; "the attempt goes on");
         }
         if let Some(intent) = running.attempt.under_way() {
-            self.context.replacements.on_carried_out(group, intent, running.recorded);
+            let recorded = running.recorded.unwrap_or(now);
+            self.context.replacements.on_carried_out(group, intent, recorded);
         }
         for command in commands {
             self.carry_out(group, command, &situation.known, now);
@@ -336,7 +338,6 @@
                 }
             }
             Command::Record(ref intent) => {
-                self.note_recording(group, now);
                 self.orders.record(&self.hold, group.clone(), intent.clone());
                 self.keep_pending(group, command);
             }
@@ -351,15 +352,6 @@
         }
     }
 
-    /// The first recording that is done counts: a repetition was not done before.
-    fn note_recording(&mut self, group: &GroupName, now: Instant) {
-        if let Some(running) = self.attempts.get_mut(group)
-            && running.attempt.under_way().is_none()
-        {
-            running.recorded = now;
-        }
-    }
-
     fn keep_pending(&mut self, group: &GroupName, command: Command) {
         if let Some(running) = self.attempts.get_mut(group) {
             running.pending = Some(command);
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -173,7 +173,8 @@
                 continue;
             };
             let (term, replication) = (position.term, group.replication());
-            match io.context.statuses.word_on_commit(name, term, replication, answered) {
+            let statuses = &io.context.statuses;
+            match statuses.word_on_commit(name, term, replication, answered, Instant::now()) {
                 WordOnCommit::Confirmed => acknowledge(waiting.commit, Some(position), io),
                 WordOnCommit::Replaced => {
                     refuse(waiting.commit, Progress::Unconfirmed, Fault::Superseded, io);
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -11,7 +11,7 @@
 /// What the node that carries replacements out has to tell the others.
 #[derive(Clone, Debug, Default)]
 pub struct News {
-    /// Those under way, and when each was sent to be recorded.
+    /// Those under way, and since when each is known to be recorded.
     pub under_way: BTreeMap<GroupName, (Intent, Instant)>,
     /// Those that have ended since it was last told, and the terms that their successors lead.
     pub over: Vec<(GroupName, ReplacementId, Option<Term>)>,
@@ -30,7 +30,7 @@
         self.heard().follow_store(intents, now);
     }
 
-    /// The holder of a replacement says that it is under way, and was recorded `age` ago.
+    /// The holder of a replacement says that it is under way, and has known it to be recorded for `age`.
     pub fn on_told(&self, group: &GroupName, intent: Intent, age: Duration, now: Instant) {
         self.heard().on_told(group, intent, age, now);
     }
@@ -52,7 +52,7 @@
         self.heard().answer_counts(group, instance, now)
     }
 
-    /// This node carries a replacement out, recorded no earlier than `recorded`.
+    /// This node carries a replacement out, which it has known to be recorded since `recorded`.
     pub fn on_carried_out(&self, group: &GroupName, intent: &Intent, recorded: Instant) {
         self.news().under_way.insert(group.clone(), (intent.clone(), recorded));
     }
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -87,7 +87,8 @@
 pub enum WordOnCommit {
     /// Nobody was about to be promoted.
     Confirmed,
-    /// Enough of them show that, and the store has yet to say that nobody replaces the primary.
+    /// Enough of them show that, the others are not worth waiting for, and the store has yet to say that nobody
+    /// replaces the primary.
     LacksTheStore,
     /// Too few have said anything.
     Missing,
@@ -204,14 +205,15 @@
         self.with_group(group, |known| known.on_commit_answered(instance, term));
     }
 
-    /// What the replicas' word says of a commit that the primary had answered at `answered`, in a group of such a
-    /// kind.
+    /// What the replicas' word says at `now` of a commit that the primary had answered at `answered`, in a group of
+    /// such a kind.
     pub fn word_on_commit(
         &self,
         group: &GroupName,
         term: Term,
         replication: Replication,
         answered: Instant,
+        now: Instant,
     ) -> WordOnCommit {
         let board = self.group(group);
         let known = board.read().expect("a holder of the status lock panicked");
@@ -223,7 +225,8 @@
             return WordOnCommit::Confirmed;
         }
         let shown = evidence.would_cover_until(term, replication, Duration::ZERO);
-        match shown.is_some_and(|asked| asked >= answered) {
+        let has_waited = now >= answered + REPLICAS_ANSWER_WITHIN;
+        match has_waited && shown.is_some_and(|asked| asked >= answered) {
             true => WordOnCommit::LacksTheStore,
             false => WordOnCommit::Missing,
         }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -303,7 +303,7 @@
         group: GroupName,
         /// What it has recorded in the store.
         intent: Intent,
-        /// Time since it was recorded, or longer.
+        /// How long the sender has known it to be recorded.
         age: Duration,
     },
     /// A replacement of the sender is over.
