Decide whether a node is isolated, and which silent zones to avoid

Cause: nodes behind a network partition stay ready, keep their clients and refuse each statement after 45% of its time for as long as the partition lasts.

Change: core::isolation decides from answers to the node's own questions. A steady probe of other zones or a report of trouble starts a survey of 600 ms: samples of nodes, then instances of zones where no node answers. The node is isolated if it reaches less than half of the listed nodes and nothing outside its part has answered for all of it. core::isolation::silent_zones tells which zones' owners are to be avoided. Membership can ping a node outside its probes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod group_owners;
 pub mod ids;
 pub mod incarnation;
+pub mod isolation;
 pub mod membership;
 pub mod outcome;
 pub mod placement_deadline;
--- a/crates/core/src/membership/state.rs
+++ b/crates/core/src/membership/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::gossip::Gossip;
-use super::message::{Body, Outgoing};
+use super::message::{Body, Contact, Outgoing};
 use super::prober::{ProbeStep, Prober};
 use super::random::{RandomSource, below};
 use super::record::{Health, MemberRecord, Update};
@@ -169,6 +169,20 @@
         self.prober.hint(node);
     }
 
+    /// Pings a node outside the regular probes and returns the number of its ack. `address` is used
+    /// if the node is not a member. A missing ack has no effect on membership.
+    pub fn ping(&mut self, node: &NodeName, address: SocketAddr) -> u32 {
+        let number = self.prober.number();
+        match self.table.get(node) {
+            Some(_) => self.send_to_member(node, Body::Ping { number }),
+            None => {
+                let to = Contact { node: node.clone(), address, process: None };
+                self.send(to, Body::Ping { number });
+            }
+        }
+        number
+    }
+
     /// Sets the revision of this node's active configuration and sends it to a few members at once.
     pub fn set_revision(&mut self, revision: Revision, random: &mut dyn RandomSource) {
         if revision <= self.own.revision {
