Take isolated nodes out of service: readiness, refusals, sessions, setting

Change: with tolerated_zone_losses of 1 or more, membership's thread runs the check (agent/isolation) by pings and acks, which every version understands, and by connections to instances, of which only a byte counts as an answer. An isolated node is not ready, refuses at once what it cannot run (KL1302 with a time to retry) and, 2 s later, closes sessions as in a planned stop. Its gateway redirects what it cannot place instead of holding it. Once two nodes of a zone are silent, owners in that zone are avoided until something in it answers. A gauge, a counter, and the log lines isolated and isolation_over report it.

Without the setting nothing is asked and nothing changes.

--- a/crates/daemon/src/admin/report.rs
+++ b/crates/daemon/src/admin/report.rs
@@ -22,6 +22,9 @@
     if admin.stop.is_stopping() || admin.context.is_stopping() {
         reasons.push("the node is stopping".to_owned());
     }
+    if admin.context.isolation.is_isolated() {
+        reasons.push("the node is isolated from most of the others".to_owned());
+    }
     if admin.stop.has_failed() {
         reasons.push("a part of the node gave up".to_owned());
     }
--- a/crates/daemon/src/agent/membership.rs
+++ b/crates/daemon/src/agent/membership.rs
@@ -17,6 +17,7 @@
 use kestrellock_peer::datagram::{DatagramCodec, DatagramError};
 use kestrellock_store::machines::{Machine, MachineState};
 
+use crate::agent::isolation::IsolationCheck;
 use crate::context::NodeContext;
 use crate::metrics::MessageEvent;
 use crate::settings::Settings;
@@ -102,6 +103,8 @@
     socket: &'a UdpSocket,
     context: &'a NodeContext,
     membership: Membership,
+    /// Present if the settings ask for it.
+    isolation: Option<IsolationCheck<'a>>,
     codec: DatagramCodec,
     origin: Instant,
     next_tick: Instant,
@@ -120,6 +123,7 @@
             socket,
             context,
             membership,
+            isolation: IsolationCheck::new(context),
             codec,
             origin,
             next_tick: origin,
@@ -158,6 +162,9 @@
                 metrics.datagrams.count(MessageEvent::Received);
                 metrics.datagram_bytes.add(MessageEvent::Received, bytes.len() as u64);
                 self.context.revisions.record(&message.sender.node, message.sender.revision);
+                if let Some(isolation) = &mut self.isolation {
+                    isolation.on_message(&message, now);
+                }
                 self.membership.on_message(message, now, &mut random);
             }
             Err(error) => {
@@ -205,7 +212,11 @@
         self.next_tick = now + TICK_INTERVAL;
         self.outdated_notices = 0;
         self.apply_inputs();
-        self.membership.on_tick(self.now(), &mut random);
+        let now_since_start = self.now();
+        self.membership.on_tick(now_since_start, &mut random);
+        if let Some(isolation) = &mut self.isolation {
+            isolation.on_tick(&mut self.membership, now_since_start, &mut random);
+        }
         self.send();
         self.publish(now);
     }
@@ -220,6 +231,7 @@
             self.membership.begin_leaving(&mut random);
         }
         for node in self.context.membership.take_hints() {
+            self.context.isolation.report_trouble();
             self.membership.hint_unreachable(&node);
         }
     }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 pub mod counted_store;
+pub mod isolation;
 pub mod machines;
 pub mod membership;
 pub mod promotion;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -23,6 +23,7 @@
 use crate::shared::address_occupants::AddressOccupants;
 use crate::shared::confirmations::Confirmations;
 use crate::shared::inbox::Inbox;
+use crate::shared::isolation::SharedIsolation;
 use crate::shared::listed_seeds::ListedSeeds;
 use crate::shared::live::{LiveNode, Shared};
 use crate::shared::membership::SharedMembership;
@@ -108,6 +109,8 @@
     /// Time limit of a zone drain, from the request of the operators: no work may reach instances
     /// in the zone afterwards. Without a limit, open transactions continue until they end.
     pub zone_drain_limit: Option<Duration>,
+    /// Whether this node is isolated, and reports of failures that make it check.
+    pub isolation: SharedIsolation,
     /// When the active configuration was last confirmed to be the newest.
     pub confirmations: Confirmations,
     /// Remaining quota of accounts.
@@ -218,6 +221,11 @@
         self.stage.load() >= Stage::Notice
     }
 
+    /// Whether sessions are to be closed, so that their clients connect to another node.
+    pub fn sends_clients_away(&self, now: Instant) -> bool {
+        self.is_leaving() || self.isolation.closes_sessions(now)
+    }
+
     /// Peer address of a node that is alive or in the machine list.
     pub fn peer_address(&self, node: &NodeName) -> Option<SocketAddr> {
         let (live, listed) = (self.live.load(), self.listed_nodes.load());
@@ -225,6 +233,14 @@
         known.find(|peer| peer.candidate.node == *node).map(|peer| peer.peer_address)
     }
 
+    /// Zone of a node that is alive or in the machine list.
+    pub fn zone_of(&self, node: &NodeName) -> Option<ZoneName> {
+        let (live, listed) = (self.live.load(), self.listed_nodes.load());
+        let mut known = live.iter().chain(listed.iter());
+        let found = known.find(|peer| peer.candidate.node == *node);
+        found.map(|peer| peer.candidate.zone.clone())
+    }
+
     /// The shard of this node whose gateway serves a group.
     pub fn shard_of(&self, group: &GroupName) -> u16 {
         let hash = xxhash_rust::xxh3::xxh3_64(group.as_str().as_bytes());
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -246,14 +246,14 @@
     /// Retries statements that wait for an instance and ends those whose deadline has passed.
     pub fn on_tick(&mut self, io: &mut Io) {
         self.check_credentials(io);
-        let is_leaving = io.context.is_leaving();
-        if is_leaving {
+        let sends_away = io.context.sends_clients_away(io.now);
+        if sends_away {
             self.read_pending_input();
         }
         let due: Vec<usize> = self
             .sessions
             .iter()
-            .filter(|(_, session)| is_leaving || session.needs_tick(io.now))
+            .filter(|(_, session)| sends_away || session.needs_tick(io.now))
             .map(|(key, _)| key)
             .collect();
         for key in due {
@@ -289,8 +289,8 @@
         self.sessions.iter().any(|(_, session)| session.needs_frequent_ticks())
     }
 
-    /// Reads input that has arrived since the last event, so that a planned stop does not close a
-    /// session whose next statement has already reached this node. A closed connection is handled
+    /// Reads input that has arrived since the last event, so that a planned stop or an isolation
+    /// does not close a session whose next statement has already reached this node. A closed connection is handled
     /// at its next readiness event.
     fn read_pending_input(&mut self) {
         for (_, session) in &mut self.sessions {
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -9,6 +9,7 @@
 mod authorization;
 mod bound;
 mod closing;
+mod isolated;
 mod keys;
 mod lease;
 mod quota;
@@ -256,7 +257,8 @@
             return self.end_revoked_session(io);
         }
         self.was_active = self.request.is_some();
-        let may_close = io.context.is_leaving() && self.may_close_for_shutdown(was_active, io);
+        let may_close =
+            io.context.sends_clients_away(io.now) && self.may_close_for_shutdown(was_active, io);
         if flow == SessionFlow::Continue && may_close {
             return self.close_for_shutdown(None, io);
         }
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -1,6 +1,7 @@
-//! Closes a session during a planned stop of its node, or after its credential was revoked.
+//! Closes a session during a planned stop or an isolation of its node, or after its credential was
+//! revoked.
 //!
-//! During a planned stop the session asks its client to connect to another node once it has neither
+//! During a planned stop, and some time after the node became isolated, the session asks its client to connect to another node once it has neither
 //! a request nor a transaction in progress. The node then waits for the client to close first:
 //! closing a socket with unread input makes TCP send a reset, which can destroy the message on its
 //! way. An open transaction that exceeds its idle limit or the limit of the stop is aborted.
@@ -18,6 +19,7 @@
 /// Idle time after which a planned stop closes a session without waiting for a request.
 const MIN_IDLE_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 const STOPPING_DETAIL: &str = "the node is stopping; connect to another one";
+const ISOLATED_DETAIL: &str = "the node is isolated; connect to another one";
 /// How long a client may take to close its connection after it was asked to connect elsewhere.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same for protocols without such a message. The client learns of the stop only from the
@@ -28,14 +30,15 @@
 const END_OF_STREAM_DELAY: Duration = Duration::from_millis(50);
 
 impl Session {
-    /// Whether a new request is refused because of a planned stop: the protocol has a message that
+    /// Whether a new request is refused because of a planned stop or an isolation: the protocol has a message that
     /// asks the client to connect to another node, and no transaction is open.
     pub(super) fn rejects_new_requests(&self, io: &Io) -> bool {
         let sends_farewell = io.context.protocol.traits().sends_disconnect_notice;
-        sends_farewell && io.context.is_leaving() && self.transaction == TransactionState::Idle
+        let sends_away = io.context.sends_clients_away(io.now);
+        sends_farewell && sends_away && self.transaction == TransactionState::Idle
     }
 
-    /// Whether a planned stop may close the session without waiting for a request.
+    /// Whether a planned stop or an isolation may close the session without waiting for a request.
     ///
     /// A request that is on its way at that moment is lost, so the client must be unlikely to send
     /// one: either the session has been idle for a while, or the end of the stream follows directly
@@ -61,13 +64,14 @@
         request: Option<Request>,
         io: &mut Io,
     ) -> SessionFlow {
+        let detail = if io.context.is_leaving() { STOPPING_DETAIL } else { ISOLATED_DETAIL };
         let output = &mut self.connection.output;
         match request {
             Some(_) => {
-                let refusal = Refusal::new(ResultCode::Stopping, STOPPING_DETAIL);
+                let refusal = Refusal::new(ResultCode::Stopping, detail);
                 self.protocol.put_refusal(&refusal, Severity::Session, output);
             }
-            None => self.protocol.put_disconnect_notice(STOPPING_DETAIL, output),
+            None => self.protocol.put_disconnect_notice(detail, output),
         }
         self.abandon(io);
         self.closing_since = Some(io.now);
--- a/crates/daemon/src/front/session/retrying.rs
+++ b/crates/daemon/src/front/session/retrying.rs
@@ -80,6 +80,10 @@
     /// to the owner that the gateway named without delay. If that owner refuses too, the request is
     /// retried after the usual delay, so that two nodes that name each other cause no tight loop.
     pub(super) fn on_not_owner(&mut self, owner: Option<NodeName>, io: &mut Io) {
+        let is_isolated = owner.is_none() && io.context.isolation.is_isolated();
+        if is_isolated && !self.impact.continues_transaction {
+            return self.refuse_isolated(io);
+        }
         let is_immediate = owner.is_some() && !self.followed_referral;
         if let Some(lease) = &self.lease {
             let routing_overrides = &io.context.routing_overrides;
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -40,7 +40,7 @@
             }
             return;
         }
-        if !self.acquire_token(io) {
+        if self.refuse_if_isolated(io) || !self.acquire_token(io) {
             return;
         }
         let Some(request) = &self.request else { return };
@@ -60,7 +60,7 @@
     }
 
     /// The access that the request needs, given the current lease.
-    fn access(&self, request: &Request, login: &Login) -> Access {
+    pub(super) fn access(&self, request: &Request, login: &Login) -> Access {
         let reads = match &self.lease {
             None => matches!(request.class(), StatementClass::Read | StatementClass::BeginReadOnly),
             Some(lease) => lease.read_only && request.class().keeps_read_only(),
--- a/crates/daemon/src/gateway/connection_loss.rs
+++ b/crates/daemon/src/gateway/connection_loss.rs
@@ -19,6 +19,7 @@
         io.context.metrics.instance_connections.count(ConnectionEvent::Closed);
         server.deregister(io);
         let reachability = reachability(&server, fault, io);
+        io.context.isolation.report_trouble();
         if let Some(lease) = server.fail_exchange(fault, io) {
             self.leases.remove(&lease);
         }
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -165,7 +165,9 @@
         };
         let is_running = !io.context.address_occupants.is_displaced(configured, instance);
         let takes_work = catalog.accepts_work(instance);
-        qualifies && is_running && takes_work && needs.excluded_instance != Some(&instance.name)
+        let is_reached = io.context.isolation.reaches_zone(&instance.zone);
+        let may_run = is_running && takes_work && is_reached;
+        qualifies && may_run && needs.excluded_instance != Some(&instance.name)
     };
     let queued = |name| needs.pools.get(name).map_or(0, |pool| pool.waiting() as u32);
     let readers: Vec<Reader> = configured
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -3,6 +3,10 @@
 //! An exchange goes to a qualifying instance at once. If none qualifies, it is held until one does,
 //! or until its deadline. For clients that repeat refused requests it is refused earlier, while
 //! they have time for another attempt, perhaps through another node.
+//!
+//! An isolated node does not hold what it cannot place: nothing that the exchange waits for can
+//! arrive. It answers like a node that does not own the instance, so that a front that reaches
+//! other owners tries one of them, and an isolated front refuses the request.
 
 use std::collections::HashMap;
 use std::time::Instant;
@@ -25,6 +29,12 @@
 const UNSENT_IMPACT: ExchangeImpact =
     ExchangeImpact { effect: Effect::Read, continues_transaction: false };
 
+/// Whether this node is not isolated, or reaches the instance all the same.
+fn reaches(group: &Group, instance: &InstanceName, io: &Io) -> bool {
+    let zone = group.instance(instance).map(|instance| &instance.zone);
+    zone.is_none_or(|zone| io.context.isolation.reaches_zone(zone))
+}
+
 /// An exchange that waits for a qualifying instance.
 #[derive(Debug)]
 struct HeldExchange {
@@ -159,11 +169,21 @@
     /// Queues an exchange for a qualifying instance, or holds it and requests the missing evidence.
     fn try_place(&mut self, name: &GroupName, group: &Group, mut held: HeldExchange, io: &mut Io) {
         let pools = &self.group_state(name, io.now).pools;
+        let can_wait = io.context.isolation.reaches_majority_of(group);
+        if !can_wait && !matches!(held.exchange.access, Access::Read { .. }) {
+            return ownership::redirect(&held.exchange, None, io);
+        }
         let found = held.choose(name, group, pools, io);
         if let InstanceChoice::Instance(instance) = found {
+            if !reaches(group, &instance, io) {
+                return ownership::redirect(&held.exchange, None, io);
+            }
             let exchange = held.placed_at(instance, io.now);
             return self.offer(name, group, exchange, io);
         }
+        if !can_wait {
+            return ownership::redirect(&held.exchange, None, io);
+        }
         held.log_held(name, &found, io);
         self.group_state(name, io.now).placements.held.push(held);
         if found == InstanceChoice::NeedsStore {
--- a/crates/daemon/src/links/replacing.rs
+++ b/crates/daemon/src/links/replacing.rs
@@ -105,11 +105,13 @@
             match link.on_tick(io.now) {
                 HeartbeatAction::Nothing => {}
                 HeartbeatAction::Ping => {
+                    io.context.isolation.report_trouble();
                     // A link that cannot take the ping soon counts as silent.
                     let _ = link.send(PeerMessage::Ping, io.now);
                     self.unflushed.push(key);
                 }
                 HeartbeatAction::Silent => {
+                    io.context.isolation.report_trouble();
                     link.log_silence(io.now);
                     silent.push(key);
                 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -174,6 +174,16 @@
     }
 }
 
+labels! {
+    /// Change of the decision whether the node is isolated.
+    IsolationEvent {
+        /// The node has become isolated.
+        Isolated = "isolated",
+        /// The isolation has ended.
+        Over = "over",
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Labels {
     kind: String,
@@ -241,6 +251,10 @@
     pub configuration: CounterSet<ConfigurationEvent>,
     /// Bytes of configuration fetched from and sent to peers.
     pub configuration_bytes: CounterSet<ConfigurationEvent>,
+    /// Beginnings and ends of isolation.
+    pub isolation: CounterSet<IsolationEvent>,
+    /// 1 while the node is isolated, else 0.
+    pub isolated: Gauge,
     /// Threads restarted after a panic.
     pub restarts: Counter,
     /// Revision of the active configuration.
@@ -277,6 +291,8 @@
         r.register("restarts", "Threads restarted after a panic", restarts.clone());
         let revision = Gauge::default();
         r.register("revision", "Revision of the configuration in force", revision.clone());
+        let isolated = Gauge::default();
+        r.register("isolated", "Whether the node is isolated (1) or not (0)", isolated.clone());
         let store_restores = Counter::default();
         let help = "Returns of the store from an older copy";
         r.register("store_returns", help, store_restores.clone());
@@ -301,6 +317,8 @@
                 "configuration_bytes",
                 "Bytes of configuration exchanged with peers",
             ),
+            isolation: CounterSet::register(r, "isolation", "Beginnings and ends of isolation"),
+            isolated,
             restarts,
             revision,
             store_restores,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,7 @@
 use crate::shared::address_occupants::AddressOccupants;
 use crate::shared::confirmations::Confirmations;
 use crate::shared::inbox::Inbox;
+use crate::shared::isolation::SharedIsolation;
 use crate::shared::listed_seeds::ListedSeeds;
 use crate::shared::live::Shared;
 use crate::shared::membership::SharedMembership;
@@ -298,6 +299,7 @@
         revisions: Revisions::default(),
         revocation_limit: settings.revocation_limit.map(RevocationLimit::new),
         zone_drain_limit: settings.zone_drain_limit,
+        isolation: SharedIsolation::new(settings.tolerated_zone_losses > 0),
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
--- a/crates/daemon/src/routing_overrides.rs
+++ b/crates/daemon/src/routing_overrides.rs
@@ -1,15 +1,17 @@
 //! Temporary exceptions to sending an instance's work to the owner that this node computes.
 //!
-//! Two events cause an exception: a node is unreachable, silent or refuses work, or a gateway
-//! answers that another node owns the instance. Exceptions expire after a second, by which time
-//! membership should have updated the computed owner.
+//! Three events cause an exception: a node is unreachable, silent or refuses work, a gateway answers
+//! that another node owns the instance, or several nodes of a zone are silent. Exceptions expire
+//! after a second, by which time membership should have updated the computed owner; those of a zone
+//! end when something in it answers (`core::isolation::silent_zones`).
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
+use kestrellock_core::isolation::silent_zones::SilentZones;
 use kestrellock_core::rendezvous::{Candidate, Ownership};
 
 const POISONED: &str = "a thread panicked while it held the lock of the overrides";
@@ -21,6 +23,8 @@
 pub struct RoutingOverrides {
     /// Number of entries, so that the usual case of none needs no lock.
     count: AtomicUsize,
+    /// Whether any zone has silent nodes, so that an answer usually needs no lock.
+    has_silent_zones: AtomicBool,
     entries: ShardedLock<Entries>,
 }
 
@@ -30,6 +34,7 @@
     avoided: HashMap<NodeName, Instant>,
     /// Instances for which a gateway named another node as the owner.
     referrals: HashMap<InstanceName, Referral>,
+    silent_zones: SilentZones,
 }
 
 #[derive(Debug)]
@@ -46,6 +51,22 @@
         });
     }
 
+    /// Records that `node` is silent. Once a second node of its zone is, all owners in the zone are
+    /// avoided.
+    pub fn on_silent_node(&self, node: &NodeName, zone: &ZoneName, now: Instant) {
+        self.change(now, |entries| entries.silent_zones.on_silent(node, zone, now));
+        self.has_silent_zones.store(true, Ordering::Release);
+    }
+
+    /// Records that something in `zone` has answered this node.
+    pub fn on_zone_answer(&self, zone: &ZoneName) {
+        if self.has_silent_zones.load(Ordering::Acquire) {
+            let mut entries = self.entries.write().expect(POISONED);
+            entries.silent_zones.on_answer(zone);
+            self.has_silent_zones.store(!entries.silent_zones.is_empty(), Ordering::Release);
+        }
+    }
+
     /// Sends the work of an instance to `owner`, which a gateway named, for a second. `None`: the
     /// gateway knows no owner, and an earlier referral is removed.
     pub fn set_referral(&self, instance: &InstanceName, owner: Option<NodeName>, now: Instant) {
@@ -105,8 +126,9 @@
     ) -> Vec<&'a NodeName> {
         let entries = self.entries.read().expect(POISONED);
         let distance = |owner: &Candidate| {
+            let is_silent = entries.silent_zones.is_avoided(&owner.zone, now);
             let avoided = entries.avoided.get(&owner.node).is_some_and(|until| *until > now);
-            (avoided, owner.zone != *zone)
+            (avoided || is_silent, owner.zone != *zone)
         };
         let Some(least) = owners.iter().map(distance).min() else { return Vec::new() };
         let nearest = owners.iter().filter(|owner| distance(owner) == least);
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -276,6 +276,11 @@
         for node in self.links.take_silent() {
             log::warn!(event = "peer_silent", peer = node.as_str(); "a node does not respond to messages or pings");
             io.context.routing_overrides.avoid(&node, io.now);
+            if io.context.isolation.is_enabled()
+                && let Some(zone) = io.context.zone_of(&node)
+            {
+                io.context.routing_overrides.on_silent_node(&node, &zone, io.now);
+            }
             io.context.quotas.on_unreachable(&node, io.now);
             self.front.on_peer_silent(&node, io);
         }
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -5,6 +5,7 @@
 pub mod confirmations;
 pub mod exchange_record;
 pub mod inbox;
+pub mod isolation;
 pub mod listed_seeds;
 pub mod live;
 pub mod membership;
