--- a/crates/lab/src/scenario/definition.rs
+++ b/crates/lab/src/scenario/definition.rs
@@ -77,6 +77,9 @@
     pub nodes_per_zone: usize,
     /// Event-loop threads of a node.
     pub shards: u16,
+    /// The setting of the same name of all nodes.
+    #[serde(default)]
+    pub tolerated_zone_losses: u32,
     /// Databases; each is a group of its own.
     pub databases: Vec<String>,
     /// Instances of a group, spread over the zones in turn.
--- a/crates/lab/src/scenario/deployment.rs
+++ b/crates/lab/src/scenario/deployment.rs
@@ -230,6 +230,7 @@
                 caller_address: (host, 0).into(),
                 peer_address: (host, 0).into(),
                 shards: deployment.shards,
+                tolerated_zone_losses: deployment.tolerated_zone_losses,
                 store_endpoints: vec![platform.endpoint()],
                 ..Settings::loopback(NodeName::new(&name), zone_name.clone())
             };
