--- a/crates/daemon/src/agent/isolation/mod.rs
+++ b/crates/daemon/src/agent/isolation/mod.rs
@@ -20,11 +20,11 @@
 use crate::context::NodeContext;
 use crate::metrics::IsolationEvent;
 use crate::shared::isolation::IsolationState;
-use crate::shared::live::LiveNode;
 
 /// Time after which an ack no longer counts. It is longer than a slow node takes to answer.
 const ACK_LIFETIME: Duration = Duration::from_secs(1);
-/// Longest time between two updates of the listed nodes.
+/// Interval between two updates of the listed nodes and the instances. Copying those of a large
+/// cluster at each change would cost much while many nodes change at once.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A ping whose ack is outstanding.
@@ -42,7 +42,6 @@
     attempts: InstanceAttempts,
     /// When the node became isolated.
     isolated_since: Option<Instant>,
-    live: Arc<Vec<LiveNode>>,
     catalog: Arc<IndexedCatalog>,
     next_update: Duration,
 }
@@ -61,7 +60,6 @@
             pings: BTreeMap::new(),
             attempts: InstanceAttempts::default(),
             isolated_since: None,
-            live: Arc::default(),
             catalog: Arc::default(),
             next_update: Duration::ZERO,
         })
@@ -105,16 +103,15 @@
     }
 
     fn update_surroundings(&mut self, membership: &Membership, now: Duration) {
-        let (live, catalog) = (self.context.live.load(), self.context.catalog.load());
-        let is_current = Arc::ptr_eq(&live, &self.live) && Arc::ptr_eq(&catalog, &self.catalog);
         // A node that has not joined the others knows too few of them for any decision.
-        if live.is_empty() || (is_current && now < self.next_update) {
+        if now < self.next_update || self.context.live.load().is_empty() {
             return;
         }
         self.next_update = now + UPDATE_INTERVAL;
         let listed = self.context.listed_nodes.load();
-        self.isolation.set_surroundings(surroundings::collect(membership, &listed, &catalog));
-        (self.live, self.catalog) = (live, catalog);
+        self.catalog = self.context.catalog.load();
+        let surroundings = surroundings::collect(membership, &listed, &self.catalog);
+        self.isolation.set_surroundings(surroundings);
     }
 
     fn ask(&mut self, question: Question, membership: &mut Membership, now: Duration) {
--- a/crates/daemon/src/front/session/isolated.rs
+++ b/crates/daemon/src/front/session/isolated.rs
@@ -13,16 +13,27 @@
 
 impl Session {
     /// Refuses the current request, which has not been sent, if the node is isolated and cannot run
-    /// it. Returns whether it was refused. A request in an open transaction goes on with its lease.
+    /// it. Returns whether it was refused. A request in an open transaction goes on with its lease
+    /// if the node reaches the gateway.
     pub(super) fn refuse_if_isolated(&mut self, io: &mut Io) -> bool {
-        if !io.context.isolation.is_isolated() || self.lease.is_some() || self.may_run_isolated(io)
-        {
+        if !io.context.isolation.is_isolated() || self.may_run_isolated(io) {
             return false;
         }
-        self.refuse_isolated(io);
+        match self.lease {
+            Some(_) => self.refuse_in_transaction(io),
+            None => self.refuse_isolated(io),
+        }
         true
     }
 
+    /// Refuses the current request because the gateway of its transaction is not reached. The lease
+    /// is abandoned, so that the transaction cannot commit.
+    fn refuse_in_transaction(&mut self, io: &mut Io) {
+        self.abandon(io);
+        let detail = "the node is isolated from the gateway of the transaction";
+        self.on_refused(Refusal::new(ResultCode::TransactionLost, detail), io);
+    }
+
     /// Refuses the current request, which has not run, because the node is isolated.
     pub(super) fn refuse_isolated(&mut self, io: &mut Io) {
         let detail = "the node is isolated from the instances that could take the statement";
@@ -31,6 +42,9 @@
     }
 
     fn may_run_isolated(&self, io: &Io) -> bool {
+        if let Some(lease) = &self.lease {
+            return is_reached(&lease.target, io);
+        }
         let (Some(login), Some(request)) = (&self.login, &self.request) else { return true };
         let access = self.access(request, login);
         let catalog = io.context.catalog.load();
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -107,6 +107,18 @@
     assert_eq!(refused.expect_err("flags are validated as well").code.number(), 2005);
 }
 
+/// Isolation must not be judged unless the settings ask for it.
+#[test]
+fn no_zone_losses_are_tolerated_unless_set() {
+    let losses = |text: &str| {
+        let settings = arguments(&[]).settings_from(Path::new("n.toml"), text).expect("valid");
+        settings.tolerated_zone_losses
+    };
+    assert_eq!(losses(VALID), 0);
+    assert_eq!(losses(&format!("tolerated_zone_losses = 0\n{VALID}")), 0);
+    assert_eq!(losses(&format!("tolerated_zone_losses = 1\n{VALID}")), 1);
+}
+
 #[test]
 fn a_missing_secret_is_reported_by_field_and_secret_values_are_never_printed() {
     let mut settings = arguments(&[]).settings_from(Path::new("n.toml"), VALID).expect("valid");
--- a/crates/lab/src/fault_events.rs
+++ b/crates/lab/src/fault_events.rs
@@ -23,6 +23,7 @@
     ("configuration_asked_elsewhere", "a node that died or froze, or a congested link to it"),
     ("peer_silent", "a link or a node that delivers no messages"),
     ("link_replaced", "a link that stopped delivering messages"),
+    ("isolated", "a network partition, with this node on the smaller side"),
     ("dependency_lost", "an outage of the store"),
     ("instance_displaced", "an instance that restarted at its address under another name"),
     ("instance_started_again", "an instance that restarted under its name"),
--- a/crates/lab/tests/seeds.rs
+++ b/crates/lab/tests/seeds.rs
@@ -38,6 +38,10 @@
 /// A seed that once showed a write acknowledged by a replaced primary.
 const REPLACED_PRIMARY: &[Kept] = &[Kept { scenario: "double-failover", seeds: &[102] }];
 
+/// Nodes that find that they are isolated refuse statements and close sessions: no request may be
+/// lost by that, and no guarantee broken.
+const ISOLATED: &[Kept] = &[Kept { scenario: "zone-isolated", seeds: &[0, 1] }];
+
 /// Runs every seed of a table, and asserts that work was done and every invariant held.
 fn assert_hold(table: &[Kept]) {
     let mut broken = Vec::new();
@@ -65,6 +69,11 @@
     assert_hold(PLANNED_STOPS);
 }
 
+#[test]
+fn isolated_nodes_break_no_promise() {
+    assert_hold(ISOLATED);
+}
+
 #[test]
 fn no_replaced_primary_acknowledges() {
     assert_hold(REPLACED_PRIMARY);
