--- a/crates/core/src/isolation/mod.rs
+++ b/crates/core/src/isolation/mod.rs
@@ -34,7 +34,7 @@
 const NODE_PERIOD: Duration = Duration::from_millis(400);
 /// Length of a survey: [`NODE_PERIOD`], and the time to connect to instances of silent zones. The node
 /// is isolated if nothing outside its part has answered for all of it.
-const SURVEY_PERIOD: Duration = Duration::from_millis(600);
+const SURVEY_PERIOD: Duration = Duration::from_millis(550);
 /// Shortest time between the end of a survey and the start of the next one. It bounds the messages
 /// of a node that often hears of trouble, such as one in an overloaded cluster.
 const SURVEY_COOLDOWN: Duration = Duration::from_millis(300);
--- a/crates/core/src/isolation/probe.rs
+++ b/crates/core/src/isolation/probe.rs
@@ -11,8 +11,9 @@
 use crate::ids::{NodeName, ZoneName};
 use crate::membership::RandomSource;
 
-/// Interval between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between two probes. Together with their timeout and the length of a survey, it leaves a
+/// margin to the second within which a node must find that it is isolated.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 /// Time after which an unanswered probe starts a survey. A survey costs only a few messages, so
 /// this may be shorter than the timeout of membership's probes.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/agent/isolation/instance_attempts.rs
+++ b/crates/daemon/src/agent/isolation/instance_attempts.rs
@@ -4,15 +4,13 @@
 //! shows nothing: a firewall or a relay between the zones can do both.
 
 use std::io::{self, Read, Write};
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
-use kestrellock_core::ids::{GroupName, InstanceName};
-use kestrellock_protocol::backend::BackendTarget;
+use kestrellock_core::ids::InstanceName;
 use mio::net::TcpStream;
 
-use crate::context::NodeContext;
 use crate::net::connect::connect_from;
 
 /// Time after which an attempt is given up. It is longer than the check waits for answers.
@@ -66,29 +64,32 @@
 }
 
 impl InstanceAttempts {
-    /// Starts to connect to an instance, unless an attempt is in progress.
+    /// Starts to connect to an instance from the address `source` and to send the first messages of
+    /// a session, unless an attempt is in progress.
     pub fn start(
         &mut self,
         instance: &InstanceName,
-        catalog: &IndexedCatalog,
-        context: &NodeContext,
+        source: IpAddr,
+        address: SocketAddr,
+        startup: BytesMut,
     ) {
         if self.attempts.iter().any(|attempt| attempt.instance == *instance) {
             return;
         }
-        let Some((name, configured)) = catalog.instance(instance) else { return };
-        let Some(group) = catalog.groups.get(name) else { return };
-        let Ok(stream) = connect_from(context.identity.address, configured.address, None) else {
-            return;
-        };
+        let Ok(stream) = connect_from(source, address, None) else { return };
         self.attempts.push(Attempt {
             instance: instance.clone(),
             stream,
-            unsent: startup_messages(name, group, configured, context),
+            unsent: startup,
             started: Instant::now(),
         });
     }
 
+    /// Number of attempts in progress.
+    pub fn in_progress(&self) -> usize {
+        self.attempts.len()
+    }
+
     /// Instances that have answered since the last call. Ends these attempts, and those that failed
     /// or took too long.
     pub fn take_answered(&mut self) -> Vec<InstanceName> {
@@ -104,22 +105,3 @@
         answered
     }
 }
-
-fn startup_messages(
-    name: &GroupName,
-    group: &Group,
-    instance: &Instance,
-    context: &NodeContext,
-) -> BytesMut {
-    let mut messages = BytesMut::new();
-    let target = BackendTarget {
-        group: name,
-        instance: &instance.name,
-        database: &group.database,
-        account: None,
-        user: &group.user,
-        password: context.backend_passwords.get(&group.user),
-    };
-    context.protocol.backend().put_startup(&target, &mut messages);
-    messages
-}
--- a/crates/daemon/src/agent/isolation/mod.rs
+++ b/crates/daemon/src/agent/isolation/mod.rs
@@ -4,18 +4,21 @@
 //! questions (pings of membership, and connections to instances), and publishes, logs and counts
 //! its decision. Pings and acks are messages that every version of a node understands.
 
-mod instance_attempts;
+pub mod instance_attempts;
 mod surroundings;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use kestrellock_core::catalog::IndexedCatalog;
-use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
 use kestrellock_core::isolation::{Change, Isolation, Observation, Question};
 use kestrellock_core::membership::{Body, Membership, Message, RandomSource};
 
+use kestrellock_protocol::backend::BackendTarget;
+
 use self::instance_attempts::InstanceAttempts;
 use crate::context::NodeContext;
 use crate::metrics::IsolationEvent;
@@ -121,12 +124,27 @@
                 let number = membership.ping(&node, address);
                 self.pings.insert(number, Ping { node, sent: now });
             }
-            Question::Instance(instance) => {
-                self.attempts.start(&instance, &self.catalog, self.context);
-            }
+            Question::Instance(instance) => self.try_instance(&instance),
         }
     }
 
+    fn try_instance(&mut self, instance: &InstanceName) {
+        let Some((name, configured)) = self.catalog.instance(instance) else { return };
+        let Some(group) = self.catalog.groups.get(name) else { return };
+        let mut startup = BytesMut::new();
+        let target = BackendTarget {
+            group: name,
+            instance,
+            database: &group.database,
+            account: None,
+            user: &group.user,
+            password: self.context.backend_passwords.get(&group.user),
+        };
+        self.context.protocol.backend().put_startup(&target, &mut startup);
+        let source = self.context.identity.address;
+        self.attempts.start(instance, source, configured.address, startup);
+    }
+
     fn apply(&mut self, change: &Change) {
         let metrics = &self.context.metrics;
         match change {
--- a/crates/lab/tests/isolation.rs
+++ b/crates/lab/tests/isolation.rs
@@ -89,11 +89,14 @@
     answer
 }
 
+/// Cuts the zone off and waits for its nodes. The time is printed and not judged.
 fn isolate(cluster: &Cluster) {
+    let start = Instant::now();
     cluster.network.cut_zone(&cluster.zones[CUT_ZONE]);
     wait("the nodes of the zone are isolated", || {
         (0..NODES).filter(|node| in_cut_zone(*node)).all(|node| is_isolated(cluster, node))
     });
+    println!("isolated after {:?}", start.elapsed());
 }
 
 #[test]
@@ -124,6 +127,27 @@
     cluster.stop();
 }
 
+/// A node behind a partition in one direction still receives or still sends, but gets no answers.
+#[test]
+fn a_partition_in_one_direction_isolates_the_nodes_of_the_zone_and_no_others() {
+    for outgoing in [true, false] {
+        let cluster = start(1);
+        let cut = &cluster.zones[CUT_ZONE];
+        let others = cluster.zones.iter().filter(|zone| *zone != cut);
+        others.for_each(|other| match outgoing {
+            true => cluster.network.cut_one_way(cut, other),
+            false => cluster.network.cut_one_way(other, cut),
+        });
+        wait("the nodes of the zone are isolated", || {
+            (0..NODES).filter(|node| in_cut_zone(*node)).all(|node| is_isolated(&cluster, node))
+        });
+        for node in (0..NODES).filter(|node| !in_cut_zone(*node)) {
+            assert!(!is_isolated(&cluster, node), "node {node}, outgoing {outgoing}");
+        }
+        cluster.stop();
+    }
+}
+
 #[test]
 fn without_the_setting_a_node_behind_a_network_partition_stays_ready() {
     let cluster = start(0);
