Judge no isolation before the machine list was read

Cause: a node that has just started with all others may know only a few members; most of these few are live, so it would count as settled and could take a site that is still starting for a network partition.

Change: where there is a machine list, the check knows no other nodes before the list was read.

--- a/crates/daemon/src/agent/isolation/mod.rs
+++ b/crates/daemon/src/agent/isolation/mod.rs
@@ -106,12 +106,14 @@
     }
 
     fn update_surroundings(&mut self, membership: &Membership, now: Duration) {
-        // A node that has not joined the others knows too few of them for any decision.
-        if now < self.next_update || self.context.live.load().is_empty() {
+        let listed = self.context.listed_nodes.load();
+        let is_unlisted = self.context.isolation.has_machine_list() && listed.is_empty();
+        // A node that has not joined the others, or has not read the machine list, knows too few of
+        // them: the few could look like most of all nodes.
+        if now < self.next_update || self.context.live.load().is_empty() || is_unlisted {
             return;
         }
         self.next_update = now + UPDATE_INTERVAL;
-        let listed = self.context.listed_nodes.load();
         self.catalog = self.context.catalog.load();
         let surroundings = surroundings::collect(membership, &listed, &self.catalog);
         self.isolation.set_surroundings(surroundings);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -31,7 +31,7 @@
 use crate::ownership::OwnershipCache;
 use crate::policy::Policy;
 use crate::routing_overrides::RoutingOverrides;
-use crate::settings::Settings;
+use crate::settings::{Backing, Settings};
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::shard::{Shard, event_loop};
 use crate::shared::address_occupants::AddressOccupants;
@@ -299,7 +299,10 @@
         revisions: Revisions::default(),
         revocation_limit: settings.revocation_limit.map(RevocationLimit::new),
         zone_drain_limit: settings.zone_drain_limit,
-        isolation: SharedIsolation::new(settings.tolerated_zone_losses > 0),
+        isolation: SharedIsolation::new(
+            settings.tolerated_zone_losses > 0,
+            settings.machine_list.is_some() || settings.backing == Backing::Platform,
+        ),
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
--- a/crates/daemon/src/shared/isolation.rs
+++ b/crates/daemon/src/shared/isolation.rs
@@ -28,15 +28,23 @@
 #[derive(Debug, Default)]
 pub struct SharedIsolation {
     is_enabled: bool,
+    has_machine_list: bool,
     is_isolated: AtomicBool,
     is_trouble_reported: AtomicBool,
     state: Shared<Option<IsolationState>>,
 }
 
 impl SharedIsolation {
-    /// Starts without isolation. It is judged only if `is_enabled`.
-    pub fn new(is_enabled: bool) -> Self {
-        Self { is_enabled, ..Self::default() }
+    /// Starts without isolation. It is judged only if `is_enabled`. `has_machine_list`: the node
+    /// reads a machine list.
+    pub fn new(is_enabled: bool, has_machine_list: bool) -> Self {
+        Self { is_enabled, has_machine_list, ..Self::default() }
+    }
+
+    /// Whether a machine list tells which nodes exist, so that nothing may be judged before it was
+    /// read.
+    pub fn has_machine_list(&self) -> bool {
+        self.has_machine_list
     }
 
     /// Whether isolation is judged.
