An isolated node still runs requests where clients are asked to leave

Change: only a planned stop rejects new requests; an isolated node closes such sessions when they are idle. A test constant had the name of a platform keyword.

--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -30,12 +30,12 @@
 const END_OF_STREAM_DELAY: Duration = Duration::from_millis(50);
 
 impl Session {
-    /// Whether a new request is refused because of a planned stop or an isolation: the protocol has a message that
-    /// asks the client to connect to another node, and no transaction is open.
+    /// Whether a new request is refused because of a planned stop: the protocol has a message that
+    /// asks the client to connect to another node, and no transaction is open. An isolated node
+    /// still serves the reads that it can prove to be fresh.
     pub(super) fn rejects_new_requests(&self, io: &Io) -> bool {
         let sends_farewell = io.context.protocol.traits().sends_disconnect_notice;
-        let sends_away = io.context.sends_clients_away(io.now);
-        sends_farewell && sends_away && self.transaction == TransactionState::Idle
+        sends_farewell && io.context.is_leaving() && self.transaction == TransactionState::Idle
     }
 
     /// Whether a planned stop or an isolation may close the session without waiting for a request.
--- a/crates/daemon/tests/instance_attempts.rs
+++ b/crates/daemon/tests/instance_attempts.rs
@@ -14,13 +14,13 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Longer than an attempt lasts.
 const LIMIT: Duration = Duration::from_secs(10);
-const STARTUP: &[u8] = b"first messages";
+const FIRST_MESSAGES: &[u8] = b"first messages";
 
 /// Starts an attempt at `address` and checks it until it ends. Returns whether the instance
 /// answered.
 fn attempt(address: SocketAddr) -> bool {
     let (mut attempts, instance) = (InstanceAttempts::default(), InstanceName::new("i"));
-    attempts.start(&instance, address.ip(), address, BytesMut::from(STARTUP));
+    attempts.start(&instance, address.ip(), address, BytesMut::from(FIRST_MESSAGES));
     let deadline = Instant::now() + LIMIT;
     while attempts.in_progress() > 0 {
         if attempts.take_answered() == [instance.clone()] {
@@ -43,9 +43,9 @@
     let (listener, address) = listen();
     let instance = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("it connects");
-        let mut received = [0; STARTUP.len()];
+        let mut received = [0; FIRST_MESSAGES.len()];
         stream.read_exact(&mut received).expect("the first messages");
-        assert_eq!(received, STARTUP);
+        assert_eq!(received, FIRST_MESSAGES);
         stream.write_all(b"a").expect("it is sent");
         stream
     });
