Versions 7 and 8 of the protocol between nodes (version interface ready)

Cause: a node refused every peer with another protocol version, so no message could be added without stopping all nodes at once.

Change: every hello keeps version 7 and may carry the highest version of its sender; a connection uses the highest common one. The transcript leaves the field out unless both hellos carry it, because an older node drops it. A node that sends it also marks its nonce, so that its removal from both hellos is detected. Interface for new messages:

- PeerMessage::required_version and GatewayCall::required_version name the lowest version of a link that may carry a message, one match each;
- NodeContext::peer_versions tells the version of the link to a node, also to threads that hold no links.

GatewayCall::CapacityDemand is the first message of version 8; the gateway ignores it until the division of capacity is in.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod admission;
 pub mod cancel;
+pub mod capacity;
 pub mod catalog;
 pub mod classify;
 pub mod concurrency_limit;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -26,6 +26,7 @@
 use crate::shared::listed_seeds::ListedSeeds;
 use crate::shared::live::{LiveNode, Shared};
 use crate::shared::membership::SharedMembership;
+use crate::shared::peer_versions::PeerVersions;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -58,6 +59,8 @@
     pub live: Shared<Vec<LiveNode>>,
     /// Further state of membership, and requests to it.
     pub membership: SharedMembership,
+    /// Protocol versions of the links to other nodes.
+    pub peer_versions: PeerVersions,
     /// Keys with which nodes authenticate to each other.
     pub cluster_keys: ClusterKeys,
     /// Name of the cluster. Nodes of other clusters are refused.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -150,6 +150,7 @@
             GatewayCall::Subscribe => {
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
+            GatewayCall::CapacityDemand(_) => {}
         }
     }
 
--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -151,11 +151,20 @@
         self.last_used
     }
 
-    /// Queues a message. Returns the message if too much is queued or it cannot be encoded.
+    /// The protocol version of the link, once it is established.
+    pub fn version(&self) -> Option<u16> {
+        self.channel.version()
+    }
+
+    /// Queues a message. Returns the message if the link's version is too low for it, too much is
+    /// queued, or it cannot be encoded.
     pub fn send(&mut self, message: PeerMessage, now: Instant) -> Result<(), Box<PeerMessage>> {
-        if !self.channel.is_established() {
+        let Some(version) = self.channel.version() else {
             self.waiting.push(message);
             return Ok(());
+        };
+        if message.required_version() > version {
+            return Err(Box::new(message));
         }
         if self.connection.output.len() > MAX_QUEUED_BYTES {
             return Err(Box::new(message));
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -27,7 +27,7 @@
 use kestrellock_core::ids::NodeName;
 use kestrellock_peer::auth::ClusterKeys;
 use kestrellock_peer::channel::{Hello, Side};
-use kestrellock_peer::message::{PROTOCOL_VERSION, PeerMessage};
+use kestrellock_peer::message::{HIGHEST_PROTOCOL_VERSION, PROTOCOL_VERSION, PeerMessage};
 use slab::Slab;
 
 use crate::context::NodeContext;
@@ -111,6 +111,7 @@
             shards: context.shards,
             nonce: [0; 16],
             replaces: None,
+            highest_version: Some(HIGHEST_PROTOCOL_VERSION),
         };
         Self {
             hello,
@@ -147,7 +148,8 @@
     }
 
     /// Queues a message, connecting to the node if necessary. Returns the message if it cannot be
-    /// sent.
+    /// sent, for example because the node does not speak the version that the message requires. A
+    /// message that turns out so only after the handshake is returned by [`Links::take_unsent`].
     pub fn send(
         &mut self,
         node: &NodeName,
@@ -262,6 +264,9 @@
             return false;
         };
         io.context.metrics.link_connections.count(ConnectionEvent::Opened);
+        if let Some(version) = link.version() {
+            io.context.peer_versions.record(&peer.node, version);
+        }
         if let Some(&other) = self.by_node.get(&peer.node)
             && other != key
         {
@@ -390,6 +395,7 @@
         let were_live: HashSet<&NodeName> =
             self.live.iter().map(|peer| &peer.candidate.node).collect();
         let gone: HashSet<&NodeName> = were_live.difference(&live_now).copied().collect();
+        gone.iter().for_each(|node| io.context.peer_versions.forget(node));
         let gone = |link: &Link| link.node().is_some_and(|node| gone.contains(node));
         let dead: Vec<usize> =
             self.links.iter().filter(|(_, link)| gone(link)).map(|(key, _)| key).collect();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -40,6 +40,7 @@
 use crate::shared::listed_seeds::ListedSeeds;
 use crate::shared::live::Shared;
 use crate::shared::membership::SharedMembership;
+use crate::shared::peer_versions::PeerVersions;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -275,6 +276,7 @@
         identity,
         live: Shared::default(),
         membership: SharedMembership::default(),
+        peer_versions: PeerVersions::default(),
         cluster_keys: cluster_keys(settings)?,
         cluster: settings.cluster.clone(),
         catalog: Shared::new(IndexedCatalog::default()),
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -8,6 +8,7 @@
 pub mod listed_seeds;
 pub mod live;
 pub mod membership;
+pub mod peer_versions;
 pub mod quotas;
 pub mod replacement_check_requests;
 pub mod replacements;
--- a/crates/peer/benches/authentication.rs
+++ b/crates/peer/benches/authentication.rs
@@ -6,7 +6,7 @@
 use kestrellock_peer::auth::{ClusterKeys, Key};
 use kestrellock_peer::channel::{Channel, Hello, Side};
 use kestrellock_peer::frame;
-use kestrellock_peer::message::PROTOCOL_VERSION;
+use kestrellock_peer::message::{HIGHEST_PROTOCOL_VERSION, PROTOCOL_VERSION};
 
 fn hello(node: &str) -> Hello {
     Hello {
@@ -18,6 +18,7 @@
         shards: 1,
         nonce: [7; 16],
         replaces: None,
+        highest_version: Some(HIGHEST_PROTOCOL_VERSION),
     }
 }
 
--- a/crates/peer/src/channel.rs
+++ b/crates/peer/src/channel.rs
@@ -5,6 +5,13 @@
 //! key and both hellos. Every later frame carries a tag over its number and body. An attacker can
 //! therefore not change, drop, repeat or reflect frames, or move them to another connection,
 //! without being detected.
+//!
+//! Versions: every hello carries [`PROTOCOL_VERSION`], which older nodes insist on. A hello may also
+//! carry the highest version that its sender speaks; the connection uses the highest common one. A
+//! node that does not know this field drops it and computes its tags without it, so both sides leave
+//! it out unless both hellos carry it. An attacker could then remove it from both hellos
+//! unnoticed and so force the older version. Therefore a node that sends the field also marks its
+//! nonce, which every version authenticates: a marked nonce without the field is an error.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use kestrellock_core::ids::NodeName;
@@ -20,11 +27,16 @@
 pub const MAX_HANDSHAKE_BYTES: usize = 1024;
 const PURPOSE: &[u8] = b"kestrellock stream";
 const PROOF: &[u8] = b"proof";
+/// Length of a nonce.
+const NONCE_BYTES: usize = 16;
+/// Last bytes of the nonce of a node that sends [`Hello::highest_version`]. The nonce of an older
+/// node ends with them by chance once in 2^32 connections; that connection is opened again.
+const VERSIONED_NONCE_MARK: [u8; 4] = *b"vers";
 
 /// First frame of both sides.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
-    /// [`PROTOCOL_VERSION`] of the sender.
+    /// [`PROTOCOL_VERSION`] of the sender. Nodes of all versions send the same number.
     pub version: u16,
     /// Cluster of the sender.
     pub cluster: String,
@@ -38,11 +50,33 @@
     pub shards: u16,
     /// Random bytes that make every connection unique, so that frames cannot be replayed on another
     /// one.
-    pub nonce: [u8; 16],
+    pub nonce: [u8; NONCE_BYTES],
     /// The opener's nonce of the retired connection that this connection replaces. Only set by the
     /// opener of a connection that replaces another one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub replaces: Option<[u8; 16]>,
+    pub replaces: Option<[u8; NONCE_BYTES]>,
+    /// Highest version that the sender speaks; `None` if it speaks only [`PROTOCOL_VERSION`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub highest_version: Option<u16>,
+}
+
+impl Hello {
+    /// The highest version that the senders of both hellos speak.
+    fn common_version(&self, other: &Self) -> u16 {
+        let highest = |hello: &Self| hello.highest_version.unwrap_or(PROTOCOL_VERSION);
+        highest(self).min(highest(other)).max(PROTOCOL_VERSION)
+    }
+
+    /// Shows in the nonce that the hello carries the highest version.
+    fn mark_nonce(&mut self) {
+        self.nonce[NONCE_BYTES - VERSIONED_NONCE_MARK.len()..]
+            .copy_from_slice(&VERSIONED_NONCE_MARK);
+    }
+
+    /// Whether the highest version was removed on the way.
+    fn lacks_sent_version(&self) -> bool {
+        self.highest_version.is_none() && self.nonce.ends_with(&VERSIONED_NONCE_MARK)
+    }
 }
 
 /// Role of a node in the setup of a connection.
@@ -79,6 +113,9 @@
     /// The peer uses another protocol version.
     #[error("peer has protocol version {0}, not {PROTOCOL_VERSION}")]
     Version(u16),
+    /// The peer's hello lost its highest version on the way.
+    #[error("the highest protocol version was removed from the peer's hello")]
+    VersionRemoved,
     /// The peer belongs to another cluster.
     #[error("peer is a member of another cluster")]
     OtherCluster,
@@ -116,13 +153,17 @@
 }
 
 impl Channel {
-    /// Starts the handshake: appends this side's hello to `output`.
+    /// Starts the handshake: appends this side's hello to `output`. The last bytes of its nonce are
+    /// overwritten if it carries a highest version.
     pub fn begin(
         side: Side,
-        own: Hello,
+        mut own: Hello,
         keys: ClusterKeys,
         output: &mut BytesMut,
     ) -> Result<Self, ChannelError> {
+        if own.highest_version.is_some() {
+            own.mark_nonce();
+        }
         frame::encode(&own, output)?;
         Ok(Self { side, own, keys, peer: None, sending: None, state: State::AwaitsHello })
     }
@@ -142,6 +183,12 @@
         self.peer.as_ref()
     }
 
+    /// The version that both sides speak, once the stream is established.
+    pub fn version(&self) -> Option<u16> {
+        let peer = self.peer.as_ref().filter(|_| self.is_established())?;
+        Some(self.own.common_version(peer))
+    }
+
     /// Whether the peer has proved that it has a cluster key.
     pub fn is_established(&self) -> bool {
         matches!(self.state, State::Established { .. })
@@ -173,6 +220,9 @@
         if hello.cluster != self.own.cluster {
             return Err(ChannelError::OtherCluster);
         }
+        if self.own.highest_version.is_some() && hello.lacks_sent_version() {
+            return Err(ChannelError::VersionRemoved);
+        }
         let transcript = self.transcript(&hello)?;
         let key = direction_key(self.keys.signing(), &transcript, self.side);
         frame::encode(&key.sign(&[PROOF]), output)?;
@@ -182,15 +232,19 @@
         Ok(())
     }
 
-    /// Both encoded hellos, the opener's first.
+    /// Both encoded hellos, the opener's first; without highest versions if one side sent none.
     fn transcript(&self, peer: &Hello) -> Result<Vec<u8>, ChannelError> {
+        let (mut own, mut peer) = (self.own.clone(), peer.clone());
+        if own.highest_version.is_none() || peer.highest_version.is_none() {
+            (own.highest_version, peer.highest_version) = (None, None);
+        }
         let (opener, acceptor) = match self.side {
-            Side::Opener => (&self.own, peer),
-            Side::Acceptor => (peer, &self.own),
+            Side::Opener => (own, peer),
+            Side::Acceptor => (peer, own),
         };
         let mut bytes = BytesMut::new();
-        frame::encode(opener, &mut bytes)?;
-        frame::encode(acceptor, &mut bytes)?;
+        frame::encode(&opener, &mut bytes)?;
+        frame::encode(&acceptor, &mut bytes)?;
         Ok(bytes.to_vec())
     }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use kestrellock_core::cancel::CancelKey;
+use kestrellock_core::capacity::InstanceDemand;
 use kestrellock_core::catalog::{CatalogSummary, CatalogVersion, Priority, Revision};
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
@@ -19,9 +20,14 @@
 
 use crate::catalog_transfer::{Chunk, TransferId};
 
-/// Version of the protocol between nodes. A peer with another version is rejected.
+/// Version that every node speaks, carried in [`Hello::version`](crate::channel::Hello::version). A
+/// peer with another one is rejected.
 pub const PROTOCOL_VERSION: u16 = 7;
 
+/// Highest version that this build speaks. A connection uses the highest version that both of its
+/// nodes speak.
+pub const HIGHEST_PROTOCOL_VERSION: u16 = 8;
+
 /// A prepared statement that an exchange refers to by a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -115,6 +121,23 @@
     },
     /// Send instance statuses of the group for the next [`SUBSCRIPTION_LIFETIME`].
     Subscribe,
+    /// What waits for instances of the group at the sender, which is another owner of the group.
+    CapacityDemand(Vec<InstanceDemand>),
+}
+
+impl GatewayCall {
+    /// Lowest protocol version of a link that may carry the call. An older node cannot decode the
+    /// variant and would close the link.
+    pub fn required_version(&self) -> u16 {
+        match self {
+            Self::Exchange(_)
+            | Self::Abandon(_)
+            | Self::Cancel(_)
+            | Self::CurrentPosition { .. }
+            | Self::Subscribe => PROTOCOL_VERSION,
+            Self::CapacityDemand(_) => 8,
+        }
+    }
 }
 
 /// Message from a front to a gateway of the node that owns an instance.
@@ -361,3 +384,24 @@
         message: ToFront,
     },
 }
+
+impl PeerMessage {
+    /// Lowest protocol version of a link that may carry the message. An older node cannot decode the
+    /// variant and would close the link.
+    pub fn required_version(&self) -> u16 {
+        match self {
+            Self::ToGateway(message) => message.call.required_version(),
+            Self::Configuration { .. }
+            | Self::Leave { .. }
+            | Self::Reconnected { .. }
+            | Self::EvidenceRevoked { .. }
+            | Self::ReplacementInProgress { .. }
+            | Self::ReplacementFinished { .. }
+            | Self::Quota(_)
+            | Self::Ping
+            | Self::Pong
+            | Self::Cancel(_)
+            | Self::ToFront { .. } => PROTOCOL_VERSION,
+        }
+    }
+}
--- a/crates/peer/tests/channel.rs
+++ b/crates/peer/tests/channel.rs
@@ -4,9 +4,11 @@
 use kestrellock_core::ids::NodeName;
 use kestrellock_peer::auth::ClusterKeys;
 use kestrellock_peer::channel::{Channel, ChannelError, Hello, MAX_HANDSHAKE_BYTES, Side};
-use kestrellock_peer::message::PROTOCOL_VERSION;
+use kestrellock_peer::frame;
+use kestrellock_peer::message::{HIGHEST_PROTOCOL_VERSION, PROTOCOL_VERSION};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use serde::{Deserialize, Serialize};
 
 const OLD: &[u8] = b"the key before the rotation";
 const NEW: &[u8] = b"the key after the rotation";
@@ -21,6 +23,7 @@
         shards: 1,
         nonce: [nonce; 16],
         replaces: None,
+        highest_version: Some(HIGHEST_PROTOCOL_VERSION),
     }
 }
 
@@ -129,6 +132,113 @@
     }
 }
 
+/// The hello of a build that does not know the highest version. It decodes the hello of a newer
+/// node and encodes what it decoded into the transcript.
+#[derive(Serialize, Deserialize)]
+struct HelloOfVersion7 {
+    version: u16,
+    cluster: String,
+    node: NodeName,
+    incarnation: u64,
+    shard: u16,
+    shards: u16,
+    nonce: [u8; 16],
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    replaces: Option<[u8; 16]>,
+}
+
+fn hello_of_version_7(node: &str, nonce: u8) -> Hello {
+    Hello { highest_version: None, ..hello(node, nonce) }
+}
+
+/// Removes the first frame from `bytes` and returns its body.
+fn take_frame(bytes: &mut BytesMut) -> Bytes {
+    let frame = frame_of(bytes);
+    let _ = bytes.split_to(frame.len());
+    frame.slice(4..)
+}
+
+fn frame_of(bytes: &BytesMut) -> Bytes {
+    let length = u32::from_be_bytes(bytes[..4].try_into().expect("a length")) as usize;
+    Bytes::copy_from_slice(&bytes[..4 + length])
+}
+
+/// Decodes the first frame as a hello, changes it, and puts it back in front.
+fn change_hello(bytes: &mut BytesMut, change: impl FnOnce(&mut Hello)) {
+    let body = take_frame(bytes);
+    let mut hello: Hello = ciborium::from_reader(&body[..]).expect("a hello");
+    change(&mut hello);
+    let mut changed = BytesMut::new();
+    frame::encode(&hello, &mut changed).expect("the hello fits");
+    changed.extend_from_slice(bytes);
+    *bytes = changed;
+}
+
+/// During an upgrade, nodes of both builds connect to each other in both roles. A transcript with a
+/// field that the older node drops would have another tag on each side.
+#[test]
+fn nodes_of_both_versions_use_the_highest_common_version() {
+    let cases = [
+        (hello("a", 1), hello("b", 2), HIGHEST_PROTOCOL_VERSION),
+        (hello("a", 1), hello_of_version_7("b", 2), PROTOCOL_VERSION),
+        (hello_of_version_7("a", 1), hello("b", 2), PROTOCOL_VERSION),
+        (hello_of_version_7("a", 1), hello_of_version_7("b", 2), PROTOCOL_VERSION),
+        (hello("a", 1), Hello { highest_version: Some(9), ..hello("b", 2) }, 8),
+        (hello("a", 1), Hello { highest_version: Some(3), ..hello("b", 2) }, PROTOCOL_VERSION),
+    ];
+    for (opener, acceptor, version) in cases {
+        let mut pair = Pair::new((opener, &[OLD]), (acceptor, &[OLD]));
+        assert_eq!(pair.opener.version(), None, "not authenticated yet");
+        pair.complete_handshake().expect("the handshake succeeds");
+        assert_eq!(pair.opener.version(), Some(version));
+        assert_eq!(pair.acceptor.version(), Some(version));
+        pair.opener.send(&7_u64, &mut pair.to_acceptor).expect("the message fits");
+        let received = pair.acceptor.receive::<u64>(&mut pair.to_acceptor);
+        assert_eq!(received.expect("the frame is authentic"), Some(7));
+    }
+}
+
+/// The older build must decode the new hello, and what it encodes again must be the hello without
+/// the field, as the newer build puts it into its transcript.
+#[test]
+fn an_older_build_encodes_a_new_hello_without_the_new_field() {
+    let pair = Pair::new((hello("a", 1), &[OLD]), (hello("b", 2), &[OLD]));
+    let sent = take_frame(&mut pair.to_acceptor.clone());
+    let known: HelloOfVersion7 =
+        ciborium::from_reader(&sent[..]).expect("an older build decodes it");
+    let (mut by_older, mut by_newer) = (BytesMut::new(), BytesMut::new());
+    frame::encode(&known, &mut by_older).expect("the hello fits");
+    let stripped = Hello { highest_version: None, ..pair.opener.own().clone() };
+    frame::encode(&stripped, &mut by_newer).expect("the hello fits");
+    assert_eq!(by_older, by_newer);
+}
+
+/// An attacker on the network must not be able to choose the version, neither by another number nor
+/// by passing a node off as an older one.
+#[test]
+fn a_changed_added_or_removed_version_is_detected() {
+    /// The nodes, and the highest versions that replace theirs on the way: the opener's, the
+    /// acceptor's.
+    struct Case(&'static str, Hello, Hello, [Option<u16>; 2]);
+    let (a, b, old_a) = (hello("a", 1), hello("b", 2), hello_of_version_7("a", 1));
+    let cases = [
+        Case("lowered", a.clone(), b.clone(), [Some(7), Some(8)]),
+        Case("raised", a.clone(), b.clone(), [Some(8), Some(9)]),
+        Case("removed from the opener's hello", a.clone(), b.clone(), [None, Some(8)]),
+        Case("removed from the acceptor's hello", a.clone(), b.clone(), [Some(8), None]),
+        Case("removed from both hellos", a, b.clone(), [None, None]),
+        Case("added to an older node's hello", old_a, b, [Some(8), Some(8)]),
+    ];
+    for Case(what, opener, acceptor, [to_acceptor, to_opener]) in cases {
+        let mut pair = Pair::new((opener, &[OLD]), (acceptor, &[OLD]));
+        change_hello(&mut pair.to_acceptor, |hello| hello.highest_version = to_acceptor);
+        change_hello(&mut pair.to_opener, |hello| hello.highest_version = to_opener);
+        assert!(pair.complete_handshake().is_err(), "{what}");
+        let established = pair.opener.is_established() && pair.acceptor.is_established();
+        assert!(!established, "{what}");
+    }
+}
+
 #[test]
 fn nothing_is_sent_or_received_before_the_handshake() {
     let mut pair = Pair::new((hello("a", 1), &[OLD]), (hello("b", 2), &[OLD]));
