Reserve a part of each share for the restart of all nodes

Cause: when all nodes lose power, an instance counts their connections for 3 s. The first owners to return took what was free; the others were refused, backed off and had no connection for up to 2.4 s.

Change: where tolerated_zone_losses is 1 or more, a share has a part for normal operation and a part for the startup period (two connections). Both parts of all owners fit within the limit together. An owner with fewer connections than it requires waits at most 120 ms after a refusal. Without the setting, shares and budgets are as before.

--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -15,10 +15,10 @@
 pub const STANDBY_CONNECTIONS: u32 = 2;
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
-/// Longest wait of a gateway without any open connection. Such a gateway cannot serve the instance
-/// at all, and what blocks it often ends within seconds, for example connections of processes that
-/// have terminated.
-const MAX_WAIT_WITHOUT_CONNECTIONS: Duration = Duration::from_millis(120);
+/// Longest wait of a gateway that has fewer connections than it requires. Without any connection it
+/// cannot serve the instance at all, and what blocks it often ends within seconds, for example
+/// connections of processes that have terminated.
+const MAX_WAIT_BELOW_REQUIRED: Duration = Duration::from_millis(120);
 /// Time between two growth steps after a refusal.
 const GROWTH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -35,6 +35,8 @@
 pub struct ConnectionBudget {
     configured: u32,
     current: u32,
+    /// Connections below which the wait after a refusal stays short.
+    required: u32,
     backoff: Backoff,
     next_step: Option<Instant>,
 }
@@ -43,7 +45,13 @@
     /// Creates a budget that allows the configured number of connections.
     pub fn new(configured: u32) -> Self {
         let backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
-        Self { configured, current: configured, backoff, next_step: None }
+        Self { configured, current: configured, required: 1, backoff, next_step: None }
+    }
+
+    /// Sets the number of connections that the gateway requires, at least one. After a refusal it
+    /// tries again soon while it has fewer.
+    pub fn require(&mut self, connections: u32) {
+        self.required = connections.max(1);
     }
 
     /// Changes the configured limit.
@@ -78,7 +86,7 @@
     pub fn on_refused(&mut self, open: u32, now: Instant, random: u64) {
         self.current = self.current.min(open);
         let wait = self.backoff.on_failure(random);
-        let wait = if open == 0 { wait.min(MAX_WAIT_WITHOUT_CONNECTIONS) } else { wait };
+        let wait = if open < self.required { wait.min(MAX_WAIT_BELOW_REQUIRED) } else { wait };
         self.next_step = Some(now + wait);
     }
 }
--- a/crates/core/src/connection_shares.rs
+++ b/crates/core/src/connection_shares.rs
@@ -11,7 +11,8 @@
 //!
 //! A node keeps only a part of its share open while idle. When machines lose power, an instance
 //! counts their connections until it detects the loss, seconds later. If all nodes restart in the
-//! meantime, their new connections have to fit beside the old ones.
+//! meantime, their new connections have to fit beside the old ones. Deployments that must do without
+//! whole zones reserve a part of each share for that case.
 
 use std::time::Duration;
 
@@ -39,6 +40,10 @@
 /// Fewest connections reserved.
 const MIN_RESERVE: u32 = 1;
 
+/// Connections reserved for the restart of each owner where zones may be lost: one for an open
+/// transaction, and one for statements and status queries that arrive meanwhile.
+pub const RESTART_CONNECTIONS: u32 = MIN_SHARE;
+
 /// Connections of an earlier process that an instance may still count for each warm connection.
 const LINGERING_PER_WARM: u32 = 1;
 
@@ -59,6 +64,32 @@
     pub fn during_startup(self) -> Self {
         Self { max: (self.warm + self.max).div_ceil(2), warm: self.warm }
     }
+
+    /// The part of the share that a node may use at present, in a deployment that must do without
+    /// `tolerated_zone_losses` zones.
+    ///
+    /// Where that is 1 or more, all nodes may restart while instances count every connection of
+    /// their earlier processes. The share is therefore divided into a part for normal operation and
+    /// a part for the startup period: both together fit within the instance's limit, so that each
+    /// owner gets its connections at once and none is refused.
+    pub fn available(self, is_starting_up: bool, tolerated_zone_losses: u32) -> Self {
+        match (tolerated_zone_losses, is_starting_up) {
+            (0, true) => self.during_startup(),
+            (0, false) => self,
+            (_, true) => self.limited_to(self.restart_part().max(1)),
+            (_, false) => self.limited_to(self.max - self.restart_part()),
+        }
+    }
+
+    /// Connections that are reserved for a restart: at most half of the share. A share of a single
+    /// connection cannot be divided.
+    fn restart_part(self) -> u32 {
+        RESTART_CONNECTIONS.min(self.max / 2)
+    }
+
+    fn limited_to(self, max: u32) -> Self {
+        Self { max, warm: self.warm.min(max) }
+    }
 }
 
 /// Length of a node's startup period: by its end, instances have detected that a machine lost
--- a/crates/core/tests/connection_budget.rs
+++ b/crates/core/tests/connection_budget.rs
@@ -39,3 +39,17 @@
     assert!(wait_after(8, 2) > 3 * wait_after(3, 2));
     assert!(wait_after(1, 2) <= Duration::from_millis(110));
 }
+
+/// Guards against an owner that has one connection, which a transaction may occupy, and backs off
+/// for seconds after refusals that ended long before.
+#[test]
+fn gateway_with_fewer_connections_than_required_retries_soon() {
+    let mut now = Instant::now();
+    let mut budget = ConnectionBudget::new(LIMIT);
+    budget.require(2);
+    for _ in 0..20 {
+        budget.on_refused(1, now, u64::MAX);
+        now += Duration::from_millis(150);
+        assert!(budget.allowed(now) > 1);
+    }
+}
--- a/crates/core/tests/connection_shares.rs
+++ b/crates/core/tests/connection_shares.rs
@@ -87,3 +87,27 @@
         assert_eq!(share(false).max, full_max, "{live} live, {listed} listed");
     }
 }
+
+/// Guards against refused connections after all machines lost power: the parts of a share for
+/// normal operation and for a restart must fit into it together.
+#[test]
+fn where_zones_may_be_lost_a_share_has_a_part_for_restarts() {
+    let table = [
+        // The whole share as (max, warm), and the parts for operation and for a restart.
+        ((6, 3), (4, 3), (2, 2)),
+        ((12, 6), (10, 6), (2, 2)),
+        ((3, 1), (2, 1), (1, 1)),
+        ((2, 1), (1, 1), (1, 1)),
+        ((1, 1), (1, 1), (1, 1)),
+    ];
+    let share_of = |(max, warm)| Share { max, warm };
+    for (whole, operation, restart) in table {
+        let whole = share_of(whole);
+        for losses in 1..3 {
+            assert_eq!(whole.available(false, losses), share_of(operation));
+            assert_eq!(whole.available(true, losses), share_of(restart));
+        }
+        assert_eq!(whole.available(false, 0), whole, "unchanged where no zone may be lost");
+        assert_eq!(whole.available(true, 0), whole.during_startup());
+    }
+}
