Decisions on connections of accounts

Cause: the first statement of a session mostly waits until a connection of its account has been opened, and the connection that closes for it is the one idle for longest, whoever needs that one next.

Change: requests for connections in advance (one for each account, bounded, expiring), the order in which idle connections close for others (unused ones first, urgent accounts last, otherwise by expected use), and the order in which waiting accounts get connections (urgent first, with a limit against starvation). Nothing uses them yet.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -88,6 +88,14 @@
     }
 }
 
+fn priority_of(level: usize) -> Priority {
+    match level {
+        0 => Priority::Order,
+        1 => Priority::Normal,
+        _ => Priority::Browse,
+    }
+}
+
 fn nanoseconds(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
 }
@@ -152,14 +160,16 @@
         for tenant in self.tenants.iter().filter(|tenant| tenant.startable() > 0) {
             let count = u32::try_from(tenant.startable()).unwrap_or(u32::MAX);
             let waited = tenant.longest_wait(now);
+            let priority = tenant.highest_priority();
             match startable.iter_mut().find(|known| known.account == tenant.account) {
                 Some(known) => {
                     known.count = known.count.saturating_add(count);
                     known.waited = known.waited.max(waited);
+                    known.priority = known.priority.min(priority);
                 }
                 None => {
                     let account = tenant.account.clone();
-                    startable.push(Startable { account, count, waited });
+                    startable.push(Startable { account, count, waited, priority });
                 }
             }
         }
--- a/crates/core/src/admission/tenant.rs
+++ b/crates/core/src/admission/tenant.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use super::LEVELS;
+use super::{LEVELS, priority_of};
+use crate::catalog::Priority;
 use crate::ids::AccountName;
 
 /// One waiting request.
@@ -138,6 +139,12 @@
         first.map(|budget| budget.waited(now)).max().unwrap_or_default()
     }
 
+    /// Highest priority of the waiting requests; the lowest one if none waits.
+    pub fn highest_priority(&self) -> Priority {
+        let waiting = self.queues.iter().position(|queue| !queue.is_empty());
+        waiting.map_or(Priority::Browse, priority_of)
+    }
+
     pub fn is_idle(&self) -> bool {
         self.running + self.paused == 0 && self.queues.iter().all(DeadlineQueue::is_empty)
     }
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -40,6 +40,8 @@
     pub count: u32,
     /// Longest time that any of them has waited.
     pub waited: Duration,
+    /// Highest priority of any of them.
+    pub priority: Priority,
 }
 
 /// The reason for a refusal; the request did not run.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate does no I/O, starts no threads and reads no clock. Time and randomness are arguments,
 //! so that every decision can be tested and replayed.
 
+pub mod account_connections;
 pub mod account_owners;
 pub mod admin;
 pub mod admission;
