Connections after an outage and in advance, in nodes

Nodes neither knew how many zones a deployment must do without, nor that a client of an account had logged in.

With both settings off, decisions are as before.

--- a/crates/core/tests/connection_shares.rs
+++ b/crates/core/tests/connection_shares.rs
@@ -1,6 +1,8 @@
 //! The division of an instance's connections among the owners of its group.
 
-use kestrellock_core::connection_shares::{Share, owner_count, share, sharing_nodes};
+use kestrellock_core::connection_shares::{
+    Share, owner_count, replica_share, share, sharing_nodes,
+};
 use proptest::prelude::*;
 
 /// Number of owners of an instance with three slots in a cluster of `nodes`, and the share of each.
@@ -54,6 +56,25 @@
         prop_assert!(warm == 1 || 2 * warm * owners <= connections);
     }
 
+    /// Where zones may be lost, the connections of all owners before and right after a restart fit
+    /// within the limit together, also if connections belong to accounts and owners near a replica
+    /// have more of them.
+    #[test]
+    fn both_parts_of_all_shares_fit_within_the_limit(
+        connections in 5_u32..500,
+        nodes in 2_usize..600,
+        near in 1_usize..9,
+    ) {
+        let (owners, even) = owners_with_three_slots(connections, nodes);
+        let near = near.min(owners);
+        let far = owners - near;
+        let both = |share: Share| share.available(false, 1).max + share.available(true, 1).max;
+        prop_assert!(both(even) * owners as u32 <= connections);
+        let of_replica = |is_near| both(replica_share(connections, near, far, is_near));
+        let sum = of_replica(true) * near as u32 + of_replica(false) * far as u32;
+        prop_assert!(sum <= connections, "{sum} of {connections}");
+    }
+
     /// One node more or fewer changes the number of owners by at most one.
     #[test]
     fn one_more_node_changes_the_owner_count_by_at_most_one(
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -111,6 +111,10 @@
     /// Time limit of a zone drain, from the request of the operators: no work may reach instances
     /// in the zone afterwards. Without a limit, open transactions continue until they end.
     pub zone_drain_limit: Option<Duration>,
+    /// Whether connections of accounts are opened in advance, and closed by their expected use.
+    pub prewarm_connections: bool,
+    /// Zones that the deployment must do without.
+    pub tolerated_zone_losses: u32,
     /// When the active configuration was last confirmed to be the newest.
     pub confirmations: Confirmations,
     /// Remaining quota of accounts.
@@ -143,11 +147,13 @@
     /// The owner whose gateway receives work for a group that has several owners.
     ///
     /// Without an account, this node if it is an owner, else one of the nearest owners. With an
-    /// account, one of the nearest owners that serve the account.
+    /// account, one of the nearest owners that serve the account. `random` decides among several
+    /// owners; the same number yields the same owner while the owners stay the same.
     pub fn owner_for_group(
         &self,
         group: &GroupName,
         account: Option<&AccountName>,
+        random: u64,
         now: Instant,
     ) -> Option<NodeName> {
         let ownerships = self.ownership_snapshot();
@@ -160,9 +166,9 @@
             Some(account) => {
                 let nearest = self.routing_overrides.nearest(owners, zone, now);
                 let share = self.catalog.load().quota_share(account);
-                account_owners::choose_owner(group, account, share, &nearest, rand::random())
+                account_owners::choose_owner(group, account, share, &nearest, random)
             }
-            None => self.routing_overrides.choose_among(owners, zone, rand::random(), now),
+            None => self.routing_overrides.choose_among(owners, zone, random, now),
         };
         chosen.cloned()
     }
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -11,6 +11,7 @@
 mod closing;
 mod keys;
 mod lease;
+mod prewarming;
 mod quota;
 mod requests;
 mod retrying;
@@ -123,6 +124,9 @@
     /// The current operation still needs a token of its account's quota.
     needs_token: bool,
     ticket: Ticket,
+    /// The number that chose the owner that was asked for a connection at login, until the first
+    /// statement is sent.
+    prewarmed_owner: Option<u64>,
     /// Revision of the configuration in which `account` was last looked up.
     authorized_revision: Option<Revision>,
     /// The configuration no longer contains the session's credential.
@@ -171,6 +175,7 @@
             account: None,
             needs_token: false,
             ticket: Ticket::default(),
+            prewarmed_owner: None,
             authorized_revision: None,
             credential_revoked: false,
             group_changed: false,
@@ -297,6 +302,7 @@
                 self.state = login.state.clone();
                 self.login = Some(*login);
                 self.revision = catalog.revision;
+                self.request_connection(io);
                 return SessionFlow::Continue;
             }
             StartupStep::Cancel(key) => {
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -90,13 +90,15 @@
         if self.lease.is_none() {
             let routed =
                 effective_access(access.clone(), io.context.policy, self.last_write, io.now);
-            let Some(target) = target::find(&login.group, self.account.as_ref(), &routed, io)
-            else {
+            let random = self.prewarmed_owner.unwrap_or_else(rand::random);
+            let found = target::find(&login.group, self.account.as_ref(), &routed, random, io);
+            let Some(target) = found else {
                 if !std::mem::replace(&mut self.is_wait_logged, true) {
                     decision_log::log_held(request, login, io);
                 }
                 return;
             };
+            self.prewarmed_owner = None;
             decision_log::log_routed(request, login, &target, &routed, io);
             if let Access::Read { .. } = routed {
                 access = routed;
--- a/crates/daemon/src/front/target.rs
+++ b/crates/daemon/src/front/target.rs
@@ -25,11 +25,12 @@
 
 /// Chooses the target for `access`; `None` if none is known yet. If the proxy elects the group's
 /// primary, the state of instances is known from their answers, which only the group's owners see;
-/// an owner then chooses the instance.
+/// an owner then chooses the instance. `random` decides among owners that qualify equally.
 pub fn find(
     group: &GroupName,
     account: Option<&AccountName>,
     access: &Access,
+    random: u64,
     io: &Io,
 ) -> Option<RequestTarget> {
     let catalog = io.context.catalog.load();
@@ -37,7 +38,7 @@
     match configured.elector {
         Elector::Group => find_by_status(group, configured, &catalog, access, io),
         Elector::Proxy => {
-            let gateway = io.context.owner_for_group(group, account, io.now)?;
+            let gateway = io.context.owner_for_group(group, account, random, io.now)?;
             Some(RequestTarget { instance: None, gateway })
         }
     }
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -131,6 +131,29 @@
     InstanceChoice::Instance(instance.name.clone())
 }
 
+/// The instance that probably runs the next statement of a client: the primary, or the reader that
+/// would be chosen if all replicas were recent enough. It needs no evidence, because nothing is sent
+/// to the instance on this account.
+pub fn expected_instance<'a>(
+    group: &GroupName,
+    configured: &'a Group,
+    at_primary: bool,
+    pools: &HashMap<InstanceName, Pool>,
+    io: &Io,
+) -> Option<&'a Instance> {
+    let primary = io.context.leader(group, configured);
+    if at_primary {
+        return primary;
+    }
+    let catalog = io.context.catalog.load();
+    let group_statuses = io.context.statuses.group(group);
+    let known = group_statuses.read().expect("a thread panicked while it held the status lock");
+    let qualifies =
+        EligibleReaders { primary: primary.map(|primary| &primary.name), replicas: true };
+    let needs = StatementNeeds { arrived: io.now, staleness: None, excluded_instance: None, pools };
+    choose_reader(configured, &catalog, &known, &None, qualifies, needs, io)
+}
+
 /// Whether a newer primary than this one is known, or may have been promoted. In the second case
 /// the instance gets no writes until it has reported the term that it leads.
 fn may_be_replaced(configured: &Group, primary: &Instance, known: &GroupStatuses) -> bool {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod ownership;
 mod placements;
 pub mod pool;
+mod prewarming;
 mod primary_tracker;
 mod probing;
 pub mod running_exchange;
@@ -151,6 +152,9 @@
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
             GatewayCall::CapacityDemand(_) => {}
+            GatewayCall::Prewarm { account, at_primary } => {
+                self.on_prewarm(&message.group, group, account, at_primary, io);
+            }
         }
     }
 
@@ -174,6 +178,7 @@
         if let Some(group) = catalog.groups.get(name) {
             self.retry_placements(name, group, io);
             self.dispatch_queued(name, group, io);
+            self.prewarm_connections(name, group, io);
             self.send_due_probes(name, group, io);
         }
     }
--- a/crates/daemon/src/gateway/ownership.rs
+++ b/crates/daemon/src/gateway/ownership.rs
@@ -132,6 +132,8 @@
         let takes_work = snapshot.catalog().accepts_work(instance);
         pool.configure(group, instance, share);
         pool.set_leaving(!takes_work);
+        pool.set_prewarming(io.context.prewarm_connections);
+        pool.set_reserves_for_restart(io.context.tolerated_zone_losses > 0);
         if pool.role() != role {
             log::info!("{}: {:?} becomes {role:?}", instance.name, pool.role());
         }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -1,11 +1,14 @@
 //! The connection pool of one instance: the state of each connection, and the scheduler that
 //! assigns queued exchanges to idle connections.
 //!
-//! `sizing` decides how many connections the pool opens, keeps and closes.
+//! `sizing` decides how many connections the pool opens, keeps and closes; `accounts` applies the
+//! decisions on connections of accounts.
 
+mod accounts;
 mod recent_use;
 mod sizing;
 
+pub use accounts::PrewarmCounts;
 pub use sizing::ConnectionToOpen;
 
 use std::collections::HashMap;
@@ -17,12 +20,13 @@
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::concurrency_limit::ConcurrencyLimit;
 use kestrellock_core::connection_budget::{ConnectionBudget, owner_limit};
-use kestrellock_core::connection_shares::Share;
+use kestrellock_core::connection_shares::{RESTART_CONNECTIONS, Share};
 use kestrellock_core::ids::{AccountName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::retry::Backoff;
 use kestrellock_peer::message::Exchange;
 
+use self::accounts::AccountConnections;
 use self::recent_use::RecentUse;
 
 /// Maximum number of exchanges queued for one instance.
@@ -75,6 +79,8 @@
 struct PooledConnection {
     /// Account given to the instance at start-up; fixed for the lifetime of the connection.
     account: Option<AccountName>,
+    /// Whether it was opened before its account had work, and has not run any yet.
+    is_unused_in_advance: bool,
     state: State,
 }
 
@@ -135,6 +141,10 @@
     /// Whether the newest exchange belongs to an account: a connection without an account cannot
     /// run it.
     has_accounts: bool,
+    /// Connections opened in advance and the accounts' recent use, if these are to be considered.
+    accounts: Option<AccountConnections>,
+    /// Whether shares leave room for a restart of all nodes.
+    reserves_for_restart: bool,
     connect_backoff: Backoff,
     connect_after: Option<Instant>,
 }
@@ -170,6 +180,8 @@
             budget: ConnectionBudget::new(connection_limit(group, instance, share)),
             share,
             has_accounts: false,
+            accounts: None,
+            reserves_for_restart: false,
             connect_backoff: Backoff::new(MIN_CONNECT_BACKOFF, MAX_CONNECT_BACKOFF),
             connect_after: None,
         }
@@ -190,6 +202,15 @@
         self.leaving = leaving;
     }
 
+    /// Sets whether shares leave room for a restart of all nodes. The pool then retries soon while
+    /// it has fewer connections than it needs right after a restart, and opens connections for
+    /// urgent accounts first.
+    pub fn set_reserves_for_restart(&mut self, reserves: bool) {
+        self.reserves_for_restart = reserves;
+        let whole = self.share.filter(|_| reserves);
+        self.budget.require(whole.map_or(1, |share| share.max.min(RESTART_CONNECTIONS)));
+    }
+
     /// Changes the role of this node for the instance.
     pub fn set_role(&mut self, role: PoolRole, now: Instant) {
         if self.role == PoolRole::Owner && role != PoolRole::Owner {
@@ -280,6 +301,7 @@
                     self.queued_bytes -= exchange.frames.len();
                     self.set_state(key, State::Leased { ticket });
                     self.record_use(now);
+                    self.record_account_use(key, &exchange, now);
                     assigned.run.push(Assignment { key, exchange });
                 }
             }
@@ -322,8 +344,18 @@
 
     /// Adds a connection for `account` that is being opened.
     pub fn on_connecting(&mut self, key: usize, account: Option<AccountName>, now: Instant) {
-        self.connections
-            .insert(key, PooledConnection { account, state: State::Connecting { since: now } });
+        self.add_connecting(key, account, false, now);
+    }
+
+    fn add_connecting(
+        &mut self,
+        key: usize,
+        account: Option<AccountName>,
+        is_unused_in_advance: bool,
+        now: Instant,
+    ) {
+        let state = State::Connecting { since: now };
+        self.connections.insert(key, PooledConnection { account, is_unused_in_advance, state });
         self.connecting += 1;
     }
 
@@ -349,7 +381,9 @@
     /// Removes a closed connection, whatever its state. `random` adds jitter to the next attempt to
     /// connect.
     pub fn on_lost(&mut self, key: usize, now: Instant, random: u64) {
-        let before = self.connections.remove(&key).map(|pooled| pooled.state);
+        let removed = self.connections.remove(&key);
+        self.count_if_unused(removed.as_ref());
+        let before = removed.map(|pooled| pooled.state);
         if matches!(before, Some(State::Connecting { .. })) {
             self.on_connect_failed(now, random);
         }
--- a/crates/daemon/src/gateway/pool/sizing.rs
+++ b/crates/daemon/src/gateway/pool/sizing.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kestrellock_core::account_connections::sort_by_urgency;
 use kestrellock_core::admission::Startable;
 use kestrellock_core::connection_budget::STANDBY_CONNECTIONS;
 use kestrellock_core::ids::AccountName;
@@ -23,6 +24,9 @@
 /// as a short statement, so that with many waiting accounts each keeps its connection for a few
 /// statements.
 const ACCOUNT_WAIT_LIMIT: Duration = Duration::from_millis(60);
+/// How long an account without a connection waits until the connections of more urgent accounts are
+/// no longer opened before its own.
+const CONNECTION_STARVATION_LIMIT: Duration = Duration::from_millis(240);
 /// Time after which a connection attempt is abandoned.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -47,7 +51,7 @@
         let unserved = self.unserved_accounts(now);
         let warm =
             (self.warm_target(now).saturating_sub(open) as usize).saturating_sub(unserved.len());
-        let mut replaceable = self.idle.clone();
+        let mut replaceable = self.eviction_order(now);
         let mut openings = Vec::new();
         for account in unserved {
             if openings.len() < room {
@@ -69,11 +73,16 @@
     }
 
     /// Accounts of exchanges that could run if their account had a connection, one entry for each
-    /// missing connection. Accounts that have waited longest come first.
-    fn unserved_accounts(&self, now: Instant) -> Vec<Option<AccountName>> {
+    /// missing connection. Accounts that have waited longest come first, or the most urgent ones if
+    /// connections are short after a restart or urgent accounts have precedence.
+    pub(super) fn unserved_accounts(&self, now: Instant) -> Vec<Option<AccountName>> {
         let free = self.scheduler.free_slots();
         let mut unserved = Vec::new();
-        for Startable { account, count, .. } in self.scheduler.startable_by_account(now) {
+        let mut startable = self.scheduler.startable_by_account(now);
+        if self.reserves_for_restart || self.accounts.is_some() {
+            sort_by_urgency(&mut startable, CONNECTION_STARVATION_LIMIT);
+        }
+        for Startable { account, count, .. } in startable {
             let missing = count.min(free).saturating_sub(self.usable_by(account.as_ref()));
             unserved.extend(std::iter::repeat_n(account, missing as usize));
         }
@@ -84,19 +93,21 @@
     /// The idle connection that its own account must not use, because another account has waited
     /// longer than [`ACCOUNT_WAIT_LIMIT`] without a connection and gets this one's place.
     pub(super) fn reserved_connection(&mut self, now: Instant) -> Option<usize> {
-        let longest_unused = *self.idle.first()?;
-        if !self.has_accounts || self.budget.allowed(now) > self.connections.len() as u32 {
+        if self.idle.is_empty()
+            || !self.has_accounts
+            || self.budget.allowed(now) > self.connections.len() as u32
+        {
             return None;
         }
         let startable = self.scheduler.startable_by_account(now);
         let starves = |waiting: &Startable| {
             waiting.waited >= ACCOUNT_WAIT_LIMIT && self.usable_by(waiting.account.as_ref()) == 0
         };
-        startable.iter().any(starves).then_some(longest_unused)
+        startable.iter().any(starves).then(|| self.eviction_order(now)[0])
     }
 
     /// Number of connections that can run an account's next exchanges: idle, or being opened.
-    fn usable_by(&self, account: Option<&AccountName>) -> u32 {
+    pub(super) fn usable_by(&self, account: Option<&AccountName>) -> u32 {
         let usable = |pooled: &&PooledConnection| {
             let usable = matches!(pooled.state, State::Idle { .. } | State::Connecting { .. });
             usable && pooled.account.as_ref() == account
@@ -107,7 +118,7 @@
     /// Maximum number of connections to a shared instance that may be opened at the same time: as
     /// many as are established, so that the number at most doubles. When many nodes reconnect after
     /// a failure, each of them gets its first connection before any of them gets its last.
-    fn max_concurrent_opens(&self) -> u32 {
+    pub(super) fn max_concurrent_opens(&self) -> u32 {
         let established = self.connections.len() as u32 - self.connecting;
         established.max(1).saturating_sub(self.connecting)
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -112,6 +112,18 @@
     }
 }
 
+labels! {
+    /// Event of a connection that was opened in advance for an account.
+    PrewarmEvent {
+        /// Opened.
+        Opened = "opened",
+        /// Ran its first statement.
+        Used = "used",
+        /// Closed before it ran a statement.
+        Unused = "unused",
+    }
+}
+
 labels! {
     /// Event of a position probe.
     ProbeEvent {
@@ -225,6 +237,8 @@
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Connections to instances.
     pub instance_connections: CounterSet<ConnectionEvent>,
+    /// Connections to instances that were opened in advance for an account.
+    pub prewarmed_connections: CounterSet<PrewarmEvent>,
     /// Connections between nodes.
     pub link_connections: CounterSet<ConnectionEvent>,
     /// Position probes.
@@ -289,6 +303,11 @@
             routes: CounterSet::register(r, "routes", "Exchanges by destination"),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             instance_connections: CounterSet::register(r, "backends", "Connections to back ends"),
+            prewarmed_connections: CounterSet::register(
+                r,
+                "prewarmed",
+                "Connections to back ends that were opened in advance",
+            ),
             link_connections: CounterSet::register(r, "links", "Connections between nodes"),
             probes: CounterSet::register(r, "probes", "Position probes"),
             datagrams: CounterSet::register(r, "datagrams", "Membership datagrams"),
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -116,6 +116,8 @@
     own: &'a NodeName,
     excluded: Option<&'a NodeName>,
     listed: Option<Arc<Vec<LiveNode>>>,
+    /// Zones that the deployment must do without.
+    tolerated_zone_losses: u32,
 }
 
 impl Inputs<'_> {
@@ -145,7 +147,7 @@
                 }
                 _ => share(instance.connections, sharers),
             };
-            let share = if starting_up { share.during_startup() } else { share };
+            let share = share.available(starting_up, self.tolerated_zone_losses);
             (instance.name.clone(), share)
         });
         shares.collect()
@@ -190,6 +192,8 @@
     started: Instant,
     /// Whether the node's startup period was found to be over.
     startup_over: AtomicBool,
+    /// Zones that the deployment must do without.
+    tolerated_zone_losses: u32,
 }
 
 impl Default for OwnershipCache {
@@ -198,11 +202,17 @@
             newest: ShardedLock::default(),
             started: Instant::now(),
             startup_over: AtomicBool::new(false),
+            tolerated_zone_losses: 0,
         }
     }
 }
 
 impl OwnershipCache {
+    /// A cache of a node whose deployment must do without `tolerated_zone_losses` zones.
+    pub fn new(tolerated_zone_losses: u32) -> Self {
+        Self { tolerated_zone_losses, ..Self::default() }
+    }
+
     /// The snapshot for the live nodes and the active catalog. `leaving` is this node once it must
     /// not own anything, even if the list of live nodes still says that it accepts work.
     pub fn current(
@@ -216,7 +226,9 @@
         let newest = self.newest.read().expect(POISONED).clone();
         let listed = self.is_starting_up().then(|| listed.load());
         let (live, catalog) = (live.load(), catalog.load());
-        let inputs = Inputs { live, catalog, own, excluded: leaving, listed };
+        let tolerated_zone_losses = self.tolerated_zone_losses;
+        let inputs =
+            Inputs { live, catalog, own, excluded: leaving, listed, tolerated_zone_losses };
         if newest.is_computed_from(&inputs) {
             return newest;
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -117,6 +117,13 @@
     /// Time limit of a zone drain, from the request of the operators: no work may reach instances
     /// in the zone afterwards. `None`: transactions that are open there continue until they end.
     pub zone_drain_limit: Option<Duration>,
+    /// Number of zones without which the deployment must be able to serve. If it is 1 or more, a
+    /// node that reaches only a smaller part of the cluster reports that it is not ready and
+    /// refuses at once what it cannot run.
+    pub tolerated_zone_losses: u32,
+    /// Whether owners open a connection of an account in advance when a client of an urgent route
+    /// logs in, and close idle connections by their expected use.
+    pub prewarm_connections: bool,
     /// Longest time that a planned stop waits for open statements and transactions.
     pub drain_limit: Duration,
     /// First part of `drain_limit`, in which the node still accepts clients, because load balancers
@@ -157,9 +164,11 @@
             backing: Backing::default(),
             promotion_endpoint: None,
             shards: 1,
+            tolerated_zone_losses: 0,
             link_mbps: None,
             revocation_limit: None,
             zone_drain_limit: None,
+            prewarm_connections: false,
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
@@ -187,10 +196,12 @@
             ("admin_address", self.admin_address != other.admin_address),
             ("admin_pages", self.admin_pages != other.admin_pages),
             ("backing", self.backing != other.backing),
+            ("tolerated_zone_losses", self.tolerated_zone_losses != other.tolerated_zone_losses),
             ("promotion_endpoint", self.promotion_endpoint != other.promotion_endpoint),
             ("shards", self.shards != other.shards),
             ("revocation_limit_ms", self.revocation_limit != other.revocation_limit),
             ("zone_drain_limit_ms", self.zone_drain_limit != other.zone_drain_limit),
+            ("prewarm_connections", self.prewarm_connections != other.prewarm_connections),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
--- a/crates/daemon/src/settings/validate.rs
+++ b/crates/daemon/src/settings/validate.rs
@@ -22,6 +22,9 @@
 /// second; a limit above the upper bound would have no practical effect.
 const ZONE_DRAIN_LIMIT: RangeInclusive<Duration> =
     Duration::from_secs(1)..=Duration::from_secs(600);
+/// Largest accepted number of zones without which a deployment must be able to serve; more than any
+/// deployment has.
+const MAX_TOLERATED_ZONE_LOSSES: u32 = 100;
 /// During a key rotation, the old and the new key are both accepted.
 const MAX_CLUSTER_KEYS: usize = 2;
 
@@ -68,6 +71,7 @@
     check_drain(settings)?;
     check_revocation(settings)?;
     check_zone_drain(settings)?;
+    check_zone_losses(settings)?;
     check_secrets(settings)
 }
 
@@ -101,6 +105,16 @@
     }
 }
 
+fn check_zone_losses(settings: &Settings) -> Result<(), SettingsError> {
+    match settings.tolerated_zone_losses > MAX_TOLERATED_ZONE_LOSSES {
+        true => Err(SettingsError::invalid(
+            "tolerated_zone_losses",
+            format!("must be 0 to {MAX_TOLERATED_ZONE_LOSSES}"),
+        )),
+        false => Ok(()),
+    }
+}
+
 fn check_name(field: &str, name: &str) -> Result<(), SettingsError> {
     match is_name(name) {
         true => Ok(()),
--- a/crates/daemon/tests/group_ownership.rs
+++ b/crates/daemon/tests/group_ownership.rs
@@ -53,11 +53,20 @@
 
 /// Ownership as computed by `own` just after its start.
 fn owners_by(own: usize, live: &[usize], listed: &[usize]) -> Arc<OwnershipSnapshot> {
+    owners_in(&OwnershipCache::default(), own, live, listed)
+}
+
+fn owners_in(
+    cache: &OwnershipCache,
+    own: usize,
+    live: &[usize],
+    listed: &[usize],
+) -> Arc<OwnershipSnapshot> {
     let nodes =
         |numbers: &[usize]| Shared::new(numbers.iter().map(|number| node(*number)).collect());
     let own = node(own).candidate.node;
     let (live, listed) = (nodes(live), nodes(listed));
-    OwnershipCache::default().current(&live, &Shared::new(catalog()), &own, None, &listed)
+    cache.current(&live, &Shared::new(catalog()), &own, None, &listed)
 }
 
 fn names(snapshot: &OwnershipSnapshot) -> Vec<NodeName> {
@@ -126,3 +135,19 @@
     assert!(zone_of(distant).is_some_and(|found| found != zone));
     assert_eq!(routing_overrides.choose_among(&[], &zone, 0, now), None);
 }
+
+/// Guards against refused connections after all nodes lost power: a node that has just started must
+/// use only the restart part of its share where zones may be lost.
+#[test]
+fn a_starting_node_uses_the_restart_part_of_its_share_where_zones_may_be_lost() {
+    let all: Vec<usize> = (0..NODES).collect();
+    let owner = &names(&owners_by(0, &all, &all))[0];
+    let own = all.iter().copied().find(|number| node(*number).candidate.node == *owner);
+    let own = own.expect("an owner is a node");
+    let largest = |tolerated_zone_losses| {
+        let cache = OwnershipCache::new(tolerated_zone_losses);
+        let snapshot = owners_in(&cache, own, &[own], &all);
+        snapshot.share(&InstanceName::new("i-0")).expect("it is an owner").max
+    };
+    assert_eq!([largest(0), largest(1)], [5, 2]);
+}
--- a/crates/daemon/tests/link_versions.rs
+++ b/crates/daemon/tests/link_versions.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use bytes::BytesMut;
-use kestrellock_core::ids::{GroupName, NodeName};
+use kestrellock_core::ids::{AccountName, GroupName, NodeName};
 use kestrellock_daemon::links::link::Link;
 use kestrellock_daemon::net::connection::Connection;
 use kestrellock_peer::auth::ClusterKeys;
@@ -35,7 +35,10 @@
 }
 
 fn new_message() -> PeerMessage {
-    let call = GatewayCall::CapacityDemand(Vec::new());
+    message_with(GatewayCall::CapacityDemand(Vec::new()))
+}
+
+fn message_with(call: GatewayCall) -> PeerMessage {
     let (from, group) = (NodeName::new("a"), GroupName::new("g"));
     PeerMessage::ToGateway(ToGateway { from, group, call })
 }
@@ -140,3 +143,14 @@
     let message = waiting.remove(0);
     pair.link.send(message, Instant::now()).expect_err("refused after the handshake");
 }
+
+/// Guards against an older owner that closes the link, with the exchanges on it, because a client
+/// logged in.
+#[test]
+fn a_request_for_a_connection_in_advance_is_refused_on_a_link_to_an_older_node() {
+    let mut pair = LinkToPeer::open(None);
+    pair.establish();
+    let call = GatewayCall::Prewarm { account: AccountName::new("a"), at_primary: true };
+    let refused = pair.link.send(message_with(call.clone()), Instant::now());
+    assert_eq!(refused.expect_err("refused"), Box::new(message_with(call)));
+}
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -11,7 +11,7 @@
 use kestrellock_core::ids::{AccountName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::routing::Access;
 use kestrellock_daemon::gateway::pool::{
-    Assignment, Assignments, ConnectionToOpen, Pool, PoolRole,
+    Assignment, Assignments, ConnectionToOpen, Pool, PoolRole, PrewarmCounts,
 };
 use kestrellock_peer::message::{Exchange, Placement};
 use proptest::prelude::*;
@@ -428,3 +428,146 @@
     let later = start + Duration::from_secs(25);
     assert_eq!(pool.connections_to_close(later).len(), 2, "no connection was needed recently");
 }
+
+/// A pool of four connections whose accounts are considered, with these idle.
+fn prewarming_pool(accounts: &[&str], now: Instant) -> Pool {
+    let group = group();
+    let share = Share { max: 4, warm: 2 };
+    let mut pool = Pool::new(&group, &group.instances[0], PoolRole::Owner, Some(share));
+    pool.set_prewarming(true);
+    for (key, account) in accounts.iter().enumerate() {
+        pool.on_connecting(key, Some(AccountName::new(account)), now);
+        pool.on_idle(key, now);
+    }
+    pool
+}
+
+/// Guards against first statements that wait for a connection although one could have been opened
+/// at the login, and against several connections for one account.
+#[test]
+fn a_connection_is_opened_in_advance_once_and_only_without_an_idle_one() {
+    let now = Instant::now();
+    let mut pool = prewarming_pool(&["atlas"], now);
+    for account in ["atlas", "gidanmu", "gidanmu"] {
+        pool.request_in_advance(AccountName::new(account), now);
+    }
+    let gidanmu = AccountName::new("gidanmu");
+    assert_eq!(pool.account_to_prewarm(now), Some(gidanmu.clone()));
+    pool.on_connecting_in_advance(1, gidanmu.clone(), now);
+    pool.request_in_advance(gidanmu, now);
+    assert_eq!(pool.account_to_prewarm(now), None, "it is being opened");
+    pool.on_idle(1, now);
+    pool.offer(exchange_of(1, "gidanmu"), 100, now).expect("there is room");
+    let run = pool.assign(now).run;
+    assert_eq!(run.iter().map(|assignment| assignment.key).collect::<Vec<_>>(), [1]);
+    assert_eq!(pool.take_prewarm_counts(), PrewarmCounts { used: 1, unused: 0 });
+    pool.on_idle(1, now);
+    pool.on_lost(1, now, 0);
+    assert_eq!(pool.take_prewarm_counts(), PrewarmCounts::default(), "it was used");
+}
+
+/// Guards against work that waits because its connection or slot went to a client that may never
+/// send a statement.
+#[test]
+fn nothing_is_opened_in_advance_at_the_expense_of_work() {
+    let now = Instant::now();
+    let request = |pool: &mut Pool| pool.request_in_advance(AccountName::new("new"), now);
+    let mut full = prewarming_pool(&["a", "b", "c", "d"], now);
+    request(&mut full);
+    assert_eq!(full.account_to_prewarm(now), None, "the share is used up");
+    let mut waiting = prewarming_pool(&["a", "b"], now);
+    waiting.offer(exchange_of(1, "c"), 100, now).expect("there is room");
+    request(&mut waiting);
+    assert_eq!(waiting.account_to_prewarm(now), None, "an exchange waits for a connection");
+    let mut busy = prewarming_pool(&["a", "a", "a"], now);
+    for serial in 0..u64::from(SLOTS) {
+        busy.offer(exchange_of(serial, "a"), 100, now).expect("there is room");
+    }
+    assert_eq!(busy.assign(now).run.len(), SLOTS as usize);
+    request(&mut busy);
+    assert_eq!(busy.account_to_prewarm(now), None, "no slot is free");
+    let mut disabled = pool_of([None, None], now);
+    disabled.on_lost(1, now, 0);
+    request(&mut disabled);
+    assert_eq!(disabled.account_to_prewarm(now), None, "the setting is off");
+}
+
+/// Guards against the connections of frequent and urgent accounts closing before those that nobody
+/// uses: the longest idle one closed, whoever needed it next.
+#[test]
+fn the_connection_least_likely_to_be_used_is_replaced() {
+    let start = Instant::now();
+    let mut pool = prewarming_pool(&["urgent", "frequent", "rare"], start);
+    pool.on_connecting_in_advance(3, AccountName::new("unused"), start);
+    pool.on_idle(3, start);
+    let mut serial = 0;
+    let mut run = |pool: &mut Pool, account: &str, key: usize, priority: Priority| {
+        serial += 1;
+        let exchange = Exchange { priority, ..exchange_of(serial, account) };
+        pool.offer(exchange, 100, start).expect("there is room");
+        assert_eq!(pool.assign(start).run[0].key, key);
+        pool.on_idle(key, start);
+    };
+    run(&mut pool, "urgent", 0, Priority::Order);
+    for _ in 0..4 {
+        run(&mut pool, "frequent", 1, Priority::Normal);
+    }
+    run(&mut pool, "rare", 2, Priority::Normal);
+    let mut replaced = Vec::new();
+    for (number, key) in [3, 2, 1].into_iter().enumerate() {
+        let account = format!("new-{number}");
+        pool.offer(exchange_of(100 + number as u64, &account), 100, start).expect("room");
+        let openings = pool.connections_to_open(start);
+        assert_eq!(openings.len(), 1);
+        replaced.extend(openings[0].replaces);
+        pool.on_lost(key, start, 0);
+        pool.on_connecting(10 + number, openings[0].account.clone(), start);
+        pool.on_idle(10 + number, start);
+        assert_eq!(pool.assign(start).run.len(), 1, "it stays in use");
+    }
+    assert_eq!(replaced, [3, 2, 1], "the urgent account keeps its connection");
+    assert_eq!(pool.take_prewarm_counts(), PrewarmCounts { used: 0, unused: 1 });
+}
+
+/// Guards against urgent statements that wait behind others for one of the few connections that an
+/// owner has right after a restart.
+#[test]
+fn after_a_restart_the_most_urgent_account_gets_the_first_connection() {
+    let start = Instant::now();
+    let now = start + Duration::from_millis(100);
+    for (reserves, expected) in [(false, "early"), (true, "urgent")] {
+        let group = group();
+        let share = Share { max: 2, warm: 1 };
+        let mut pool = Pool::new(&group, &group.instances[0], PoolRole::Owner, Some(share));
+        pool.set_reserves_for_restart(reserves);
+        let urgent = Exchange { priority: Priority::Order, ..exchange_of(2, "urgent") };
+        pool.offer(exchange_of(1, "early"), 100, start).expect("there is room");
+        pool.offer(urgent, 100, now).expect("there is room");
+        let openings = pool.connections_to_open(now);
+        let first = openings[0].account.as_ref().map(AccountName::as_str);
+        assert_eq!(first, Some(expected), "reserves: {reserves}");
+    }
+}
+
+/// Guards against an owner that waits for seconds after refusals although it has fewer connections
+/// than it needs.
+#[test]
+fn after_refusals_a_pool_with_one_connection_tries_again_soon() {
+    let mut now = Instant::now();
+    let group = group();
+    let mut pool = Pool::new(&group, &group.instances[0], PoolRole::Owner, Some(SHARE));
+    pool.set_reserves_for_restart(true);
+    pool.on_connecting(0, None, now);
+    pool.on_idle(0, now);
+    for serial in 0..2 {
+        pool.offer(exchange(serial, Duration::from_secs(60)), 10, now).expect("it fits");
+    }
+    assert_eq!(pool.assign(now).run.len(), 1);
+    for key in 1..12 {
+        assert_eq!(pool.connections_to_open(now).len(), 1, "attempt {key}");
+        pool.on_connecting(key, None, now);
+        pool.on_connection_refused(now, u64::MAX);
+        pool.on_lost(key, now, u64::MAX);
+        now += Duration::from_millis(250);
+    }
+}
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -61,6 +61,10 @@
     pub revocation_limit: Option<Duration>,
     /// Time within which statements must stop reaching the instances of a drained zone.
     pub zone_drain_limit: Option<Duration>,
+    /// Whether nodes open connections of accounts in advance.
+    pub prewarm_connections: bool,
+    /// Number of zones without which the nodes must be able to serve.
+    pub tolerated_zone_losses: u32,
 }
 
 /// A customer of the platform.
@@ -86,6 +90,8 @@
             relayed: false,
             revocation_limit: None,
             zone_drain_limit: None,
+            prewarm_connections: false,
+            tolerated_zone_losses: 0,
         }
     }
 }
@@ -303,6 +309,8 @@
             drain_transactions: Some(Duration::from_millis(1_500)),
             revocation_limit: self.options.revocation_limit,
             zone_drain_limit: self.options.zone_drain_limit,
+            prewarm_connections: self.options.prewarm_connections,
+            tolerated_zone_losses: self.options.tolerated_zone_losses,
             ..Settings::loopback(NodeName::new(format!("node-{number}")), zone)
         }
     }
--- a/crates/lab/tests/accounts.rs
+++ b/crates/lab/tests/accounts.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::Consistency;
+use kestrellock_daemon::metrics::PrewarmEvent;
+use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::client::{Answer, LineSession};
 use kestrellock_lab::platform::{Customer, GROUPS, Platform, PlatformOptions, database, wait};
 
@@ -247,3 +249,26 @@
         assert!(run_patiently(&mut session, "READ seat").is_success());
     }
 }
+
+/// Guards against first statements that wait for a connection of their account, and against
+/// requests that reach another owner than the statement: then the connection would stay unused.
+#[test]
+fn a_connection_opened_at_login_runs_the_first_statement() {
+    let options = PlatformOptions { prewarm_connections: true, ..PlatformOptions::default() };
+    let customers: Vec<Customer> = ["atlas", "gidanmu", "swanreach", "venn"]
+        .map(|name| customer(name, &[name], PLENTY))
+        .into();
+    let platform = start(options, &customers);
+    let count = |event| {
+        let metric = |node: &Node| node.context.metrics.prewarmed_connections.get(event);
+        platform.nodes().map(metric).sum::<u64>()
+    };
+    for (number, customer) in customers.iter().enumerate() {
+        let name = &customer.name;
+        let opened = count(PrewarmEvent::Opened);
+        let mut session = open(&platform, number % 3, name, name).expect("it opens");
+        wait("a connection is opened", || count(PrewarmEvent::Opened) > opened).expect("in time");
+        assert!(run_patiently(&mut session, "READ page").is_success(), "{name}");
+    }
+    wait("the statements ran on them", || count(PrewarmEvent::Used) >= 1).expect("in time");
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -123,6 +123,14 @@
     Subscribe,
     /// What waits for instances of the group at the sender, which is another owner of the group.
     CapacityDemand(Vec<InstanceDemand>),
+    /// A client of the account has logged in and its first statement is likely to be urgent: open a
+    /// connection of the account in advance. Best effort, without an answer.
+    Prewarm {
+        /// The account.
+        account: AccountName,
+        /// Whether its statements run at the primary.
+        at_primary: bool,
+    },
 }
 
 impl GatewayCall {
@@ -135,7 +143,7 @@
             | Self::Cancel(_)
             | Self::CurrentPosition { .. }
             | Self::Subscribe => PROTOCOL_VERSION,
-            Self::CapacityDemand(_) => 8,
+            Self::CapacityDemand(_) | Self::Prewarm { .. } => 8,
         }
     }
 }
