--- a/crates/daemon/src/gateway/pool/sizing.rs
+++ b/crates/daemon/src/gateway/pool/sizing.rs
@@ -51,7 +51,8 @@
         let unserved = self.unserved_accounts(now);
         let warm =
             (self.warm_target(now).saturating_sub(open) as usize).saturating_sub(unserved.len());
-        let mut replaceable = self.eviction_order(now);
+        let mut replaceable =
+            if unserved.len() > room { self.eviction_order(now) } else { Vec::new() };
         let mut openings = Vec::new();
         for account in unserved {
             if openings.len() < room {
