--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,12 @@
 //! This crate does no I/O, starts no threads and reads no clock. Time and randomness are arguments,
 //! so that every decision can be tested and replayed.
 
+pub mod account_connections;
 pub mod account_owners;
 pub mod admin;
 pub mod admission;
 pub mod cancel;
+pub mod capacity;
 pub mod catalog;
 pub mod classify;
 pub mod concurrency_limit;
--- a/crates/core/tests/connection_shares.rs
+++ b/crates/core/tests/connection_shares.rs
@@ -1,6 +1,8 @@
 //! The division of an instance's connections among the owners of its group.
 
-use kestrellock_core::connection_shares::{Share, owner_count, share, sharing_nodes};
+use kestrellock_core::connection_shares::{
+    Share, owner_count, replica_share, share, sharing_nodes,
+};
 use proptest::prelude::*;
 
 /// Number of owners of an instance with three slots in a cluster of `nodes`, and the share of each.
@@ -54,6 +56,25 @@
         prop_assert!(warm == 1 || 2 * warm * owners <= connections);
     }
 
+    /// Where zones may be lost, the connections of all owners before and right after a restart fit
+    /// within the limit together, also if connections belong to accounts and owners near a replica
+    /// have more of them.
+    #[test]
+    fn both_parts_of_all_shares_fit_within_the_limit(
+        connections in 5_u32..500,
+        nodes in 2_usize..600,
+        near in 1_usize..9,
+    ) {
+        let (owners, even) = owners_with_three_slots(connections, nodes);
+        let near = near.min(owners);
+        let far = owners - near;
+        let both = |share: Share| share.available(false, 1).max + share.available(true, 1).max;
+        prop_assert!(both(even) * owners as u32 <= connections);
+        let of_replica = |is_near| both(replica_share(connections, near, far, is_near));
+        let sum = of_replica(true) * near as u32 + of_replica(false) * far as u32;
+        prop_assert!(sum <= connections, "{sum} of {connections}");
+    }
+
     /// One node more or fewer changes the number of owners by at most one.
     #[test]
     fn one_more_node_changes_the_owner_count_by_at_most_one(
@@ -87,3 +108,27 @@
         assert_eq!(share(false).max, full_max, "{live} live, {listed} listed");
     }
 }
+
+/// Guards against refused connections after all machines lost power: the parts of a share for
+/// normal operation and for a restart must fit into it together.
+#[test]
+fn where_zones_may_be_lost_a_share_has_a_part_for_restarts() {
+    let table = [
+        // The whole share as (max, warm), and the parts for operation and for a restart.
+        ((6, 3), (4, 3), (2, 2)),
+        ((12, 6), (10, 6), (2, 2)),
+        ((3, 1), (2, 1), (1, 1)),
+        ((2, 1), (1, 1), (1, 1)),
+        ((1, 1), (1, 1), (1, 1)),
+    ];
+    let share_of = |(max, warm)| Share { max, warm };
+    for (whole, operation, restart) in table {
+        let whole = share_of(whole);
+        for losses in 1..3 {
+            assert_eq!(whole.available(false, losses), share_of(operation));
+            assert_eq!(whole.available(true, losses), share_of(restart));
+        }
+        assert_eq!(whole.available(false, 0), whole, "unchanged where no zone may be lost");
+        assert_eq!(whole.available(true, 0), whole.during_startup());
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -27,6 +27,7 @@
 use crate::shared::listed_seeds::ListedSeeds;
 use crate::shared::live::{LiveNode, Shared};
 use crate::shared::membership::SharedMembership;
+use crate::shared::peer_versions::PeerVersions;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -59,6 +60,8 @@
     pub live: Shared<Vec<LiveNode>>,
     /// Further state of membership, and requests to it.
     pub membership: SharedMembership,
+    /// Protocol versions of the links to other nodes.
+    pub peer_versions: PeerVersions,
     /// Keys with which nodes authenticate to each other.
     pub cluster_keys: ClusterKeys,
     /// Name of the cluster. Nodes of other clusters are refused.
@@ -111,6 +114,10 @@
     pub zone_drain_limit: Option<Duration>,
     /// Whether this node is isolated, and reports of failures that make it check.
     pub isolation: SharedIsolation,
+    /// Whether connections of accounts are opened in advance, and closed by their expected use.
+    pub prewarm_connections: bool,
+    /// Zones that the deployment must do without.
+    pub tolerated_zone_losses: u32,
     /// When the active configuration was last confirmed to be the newest.
     pub confirmations: Confirmations,
     /// Remaining quota of accounts.
@@ -143,11 +150,13 @@
     /// The owner whose gateway receives work for a group that has several owners.
     ///
     /// Without an account, this node if it is an owner, else one of the nearest owners. With an
-    /// account, one of the nearest owners that serve the account.
+    /// account, one of the nearest owners that serve the account. `random` decides among several
+    /// owners; the same number yields the same owner while the owners stay the same.
     pub fn owner_for_group(
         &self,
         group: &GroupName,
         account: Option<&AccountName>,
+        random: u64,
         now: Instant,
     ) -> Option<NodeName> {
         let ownerships = self.ownership_snapshot();
@@ -160,9 +169,9 @@
             Some(account) => {
                 let nearest = self.routing_overrides.nearest(owners, zone, now);
                 let share = self.catalog.load().quota_share(account);
-                account_owners::choose_owner(group, account, share, &nearest, rand::random())
+                account_owners::choose_owner(group, account, share, &nearest, random)
             }
-            None => self.routing_overrides.choose_among(owners, zone, rand::random(), now),
+            None => self.routing_overrides.choose_among(owners, zone, random, now),
         };
         chosen.cloned()
     }
--- a/crates/daemon/src/front/session/isolated.rs
+++ b/crates/daemon/src/front/session/isolated.rs
@@ -53,7 +53,8 @@
         if !reads && !io.context.isolation.reaches_majority_of(group) {
             return false;
         }
-        let target = target::find(&login.group, self.account.as_ref(), &access, io);
+        let random = self.prewarmed_owner.unwrap_or_else(rand::random);
+        let target = target::find(&login.group, self.account.as_ref(), &access, random, io);
         target.is_some_and(|target| is_reached(&target, io))
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -41,6 +41,7 @@
 use crate::shared::listed_seeds::ListedSeeds;
 use crate::shared::live::Shared;
 use crate::shared::membership::SharedMembership;
+use crate::shared::peer_versions::PeerVersions;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -276,10 +277,11 @@
         identity,
         live: Shared::default(),
         membership: SharedMembership::default(),
+        peer_versions: PeerVersions::default(),
         cluster_keys: cluster_keys(settings)?,
         cluster: settings.cluster.clone(),
         catalog: Shared::new(IndexedCatalog::default()),
-        ownership_cache: OwnershipCache::default(),
+        ownership_cache: OwnershipCache::new(settings.tolerated_zone_losses),
         intents: Shared::default(),
         routing_overrides: RoutingOverrides::default(),
         stage: SharedStage::default(),
@@ -303,6 +305,8 @@
             settings.tolerated_zone_losses > 0,
             settings.machine_list.is_some() || settings.backing == Backing::Platform,
         ),
+        prewarm_connections: settings.prewarm_connections,
+        tolerated_zone_losses: settings.tolerated_zone_losses,
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -121,6 +121,9 @@
     /// node that reaches only a smaller part of the cluster reports that it is not ready and
     /// refuses at once what it cannot run.
     pub tolerated_zone_losses: u32,
+    /// Whether owners open a connection of an account in advance when a client of an urgent route
+    /// logs in, and close idle connections by their expected use.
+    pub prewarm_connections: bool,
     /// Longest time that a planned stop waits for open statements and transactions.
     pub drain_limit: Duration,
     /// First part of `drain_limit`, in which the node still accepts clients, because load balancers
@@ -165,6 +168,7 @@
             revocation_limit: None,
             zone_drain_limit: None,
             tolerated_zone_losses: 0,
+            prewarm_connections: false,
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
@@ -197,6 +201,7 @@
             ("revocation_limit_ms", self.revocation_limit != other.revocation_limit),
             ("zone_drain_limit_ms", self.zone_drain_limit != other.zone_drain_limit),
             ("tolerated_zone_losses", self.tolerated_zone_losses != other.tolerated_zone_losses),
+            ("prewarm_connections", self.prewarm_connections != other.prewarm_connections),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -49,6 +49,8 @@
     pub revocation_limit_ms: Option<Milliseconds>,
     pub zone_drain_limit_ms: Option<Milliseconds>,
     pub tolerated_zone_losses: Option<u32>,
+    #[serde(default)]
+    pub prewarm_connections: bool,
     pub drain_limit_ms: Option<Milliseconds>,
     pub drain_limit_s: Option<f64>,
     pub drain_notice_ms: Option<Milliseconds>,
@@ -83,6 +85,7 @@
             revocation_limit: self.revocation_limit_ms.map(Duration::from),
             zone_drain_limit: self.zone_drain_limit_ms.map(Duration::from),
             tolerated_zone_losses: self.tolerated_zone_losses.unwrap_or(0),
+            prewarm_connections: self.prewarm_connections,
             drain_limit,
             drain_transactions: drain_transactions(drain_limit, self.drain_transactions_share)?,
             drain_notice: self.drain_notice_ms.map_or(Duration::ZERO, Duration::from),
