Backoff of refused store calls, and turns to become coordinator after an outage

Cause: votes, replacement checks and lease attempts that the store refused were repeated at fixed short intervals, and the turn of every node to become the coordinator came while the store was down, so all nodes tried in the moment in which it returned.

No node tries while its own calls fail. The delay ends early once the store answers other calls of the node, so that a vote reaches a recovered store no later than with today's retry each 100 ms. The coordinator thread looks at its copy again before it calls the store.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,5 +39,6 @@
 pub mod scram;
 pub mod session;
 pub mod session_state;
+pub mod store_access;
 pub mod store_era;
 pub mod suspicion;
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -17,12 +17,15 @@
 use kestrellock_core::promotion::{
     Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
 };
+use kestrellock_core::store_access::Refusal;
 use kestrellock_core::store_era::StoreEra;
 use kestrellock_store::control::{ControlTarget, InstanceCommand};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
+use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
 use super::executor::{Executor, Report};
+use super::store_calls::refusal_of;
 use crate::context::NodeContext;
 use crate::supervisor::StopFlag;
 
@@ -42,8 +45,8 @@
 /// A promotion is sent only if at least this much is left of the lease.
 const MIN_LEASE_FOR_PROMOTION: Duration = Duration::from_millis(100);
 
-/// What the watcher passes to the coordinator thread, and the cancelled attempts that the thread
-/// reports back.
+/// What the watcher passes to the coordinator thread, and what the thread reports back: the
+/// cancelled attempts, and how acquiring the lease ended.
 #[derive(Clone, Debug, Default)]
 pub struct CoordinatorInput {
     /// The replacement that each group needs.
@@ -54,6 +57,17 @@
     pub incarnations_may_be_outdated: bool,
     /// Groups whose attempt was cancelled since the watcher last took this list.
     pub cancelled: Vec<GroupName>,
+    /// How the last attempt to acquire the lease ended, if the watcher has not taken it yet.
+    pub lease_attempt: Option<LeaseAttempt>,
+}
+
+/// How an attempt to acquire the coordinator lease ended.
+#[derive(Clone, Copy, Debug)]
+pub enum LeaseAttempt {
+    /// This node has become the coordinator.
+    Acquired,
+    /// The store refused a call, or another node was the coordinator already.
+    Refused(Refusal),
 }
 
 /// The input, shared between the watcher and the coordinator thread.
@@ -106,7 +120,7 @@
     input: &SharedCoordinatorInput,
     stop: &StopFlag,
 ) {
-    let mut acquired = acquire_lease(context, services);
+    let mut acquired = acquire_lease_for_watcher(context, services, input);
     while let Some(lease) = acquired {
         let ending = run_under_lease(lease, context, services, input, stop);
         context.replacements.on_coordinator_lease_ended();
@@ -136,17 +150,44 @@
     None
 }
 
+/// Acquires the lease, unless the copy of the store already shows another coordinator, and reports
+/// the outcome to the watcher.
+fn acquire_lease_for_watcher(
+    context: &NodeContext,
+    services: &ReplacementServices,
+    input: &SharedCoordinatorInput,
+) -> Option<CoordinatorLease> {
+    if services.coordination.view().coordinator.is_some() {
+        return None;
+    }
+    let (lease, refusal) = match try_acquire_lease(context, services) {
+        Ok(lease) => (lease, Refusal::default()),
+        Err(error) => (None, refusal_of(&error)),
+    };
+    let attempt = match &lease {
+        Some(_) => LeaseAttempt::Acquired,
+        None => LeaseAttempt::Refused(refusal),
+    };
+    input.lock().unwrap_or_else(PoisonError::into_inner).lease_attempt = Some(attempt);
+    lease
+}
+
 fn acquire_lease(
     context: &NodeContext,
     services: &ReplacementServices,
 ) -> Option<CoordinatorLease> {
-    match services.coordination.acquire(&context.identity.node) {
-        Ok(lease) => lease,
-        Err(error) => {
-            log::warn!(event = "hold_failed", error = error.to_string().as_str(); "the coordinator lease could not be acquired");
-            None
-        }
+    try_acquire_lease(context, services).ok().flatten()
+}
+
+fn try_acquire_lease(
+    context: &NodeContext,
+    services: &ReplacementServices,
+) -> Result<Option<CoordinatorLease>, StoreError> {
+    let acquired = services.coordination.acquire(&context.identity.node);
+    if let Err(error) = &acquired {
+        log::warn!(event = "hold_failed", error = error.to_string().as_str(); "the coordinator lease could not be acquired");
     }
+    acquired
 }
 
 fn run_under_lease(
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -19,6 +19,7 @@
 mod owned;
 mod replacement_checker;
 mod status_queries;
+mod store_calls;
 mod vote_publisher;
 mod watch;
 mod write_back;
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -13,9 +13,12 @@
 use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded, unbounded};
 use kestrellock_core::ids::GroupName;
 use kestrellock_core::promotion::CoordinationView;
+use kestrellock_core::store_access::CallBackoff;
 use kestrellock_store::coordination::Coordination;
+use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
+use super::store_calls::{StorePurpose, log_backoff_begin, log_backoff_end, refusal_of};
 use crate::context::NodeContext;
 
 /// Least time between two checks of a node. Requests to the store are limited in number and
@@ -23,12 +26,12 @@
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Result of a check.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct CheckResult {
     /// When the check began.
     started_at: Instant,
     /// Revision of the copy, if the copy is complete.
-    revision: Option<u64>,
+    revision: Result<Option<u64>, StoreError>,
 }
 
 /// Runs the replacement checks of a node, one at a time.
@@ -38,6 +41,8 @@
     /// Groups that the check in progress is for.
     in_progress: Option<BTreeSet<GroupName>>,
     last_start: Option<Instant>,
+    coordination: Arc<dyn Coordination>,
+    backoff: CallBackoff,
 }
 
 impl ReplacementChecker {
@@ -46,13 +51,15 @@
         let (requests, request_receiver) = bounded::<()>(1);
         let (result_sender, results) = unbounded();
         let coordination = services.coordination.clone();
+        let thread_coordination = coordination.clone();
         let spawned = thread::Builder::new()
             .name("store-look".to_owned())
-            .spawn(move || run_checks(&coordination, &request_receiver, &result_sender));
+            .spawn(move || run_checks(&thread_coordination, &request_receiver, &result_sender));
         if let Err(error) = spawned {
             log::error!("failed to start the replacement check thread: {error}");
         }
-        Self { requests, results, in_progress: None, last_start: None }
+        let backoff = CallBackoff::for_calls();
+        Self { requests, results, in_progress: None, last_start: None, coordination, backoff }
     }
 
     /// Processes the result of a check, and begins another one if groups wait for it. `view` is the
@@ -61,7 +68,8 @@
         match self.results.try_recv() {
             Ok(result) => {
                 let groups = self.in_progress.take().unwrap_or_default();
-                apply_result(&groups, result, context, view);
+                self.follow_backoff(&result, now);
+                apply_result(&groups, &result, context, view);
             }
             Err(TryRecvError::Empty) => {}
             // The thread could not be started, which was logged.
@@ -69,7 +77,7 @@
         }
         let is_early =
             self.last_start.is_some_and(|last_start| now < last_start + MIN_CHECK_INTERVAL);
-        if self.in_progress.is_some() || is_early {
+        if self.in_progress.is_some() || is_early || !self.may_call(now) {
             return;
         }
         let groups = context.replacement_check_requests.take();
@@ -80,6 +88,29 @@
     }
 }
 
+impl ReplacementChecker {
+    fn may_call(&mut self, now: Instant) -> bool {
+        self.backoff.on_availability(&self.coordination.availability());
+        self.backoff.may_call(now)
+    }
+
+    fn follow_backoff(&mut self, result: &CheckResult, now: Instant) {
+        match &result.revision {
+            Ok(_) => {
+                if self.backoff.on_success() {
+                    log_backoff_end(StorePurpose::ReplacementCheck);
+                }
+            }
+            Err(error) => {
+                let refusal = refusal_of(error);
+                if self.backoff.on_refused(refusal, rand::random(), now) {
+                    log_backoff_begin(StorePurpose::ReplacementCheck, refusal);
+                }
+            }
+        }
+    }
+}
+
 fn run_checks(
     coordination: &Arc<dyn Coordination>,
     request_receiver: &Receiver<()>,
@@ -87,13 +118,10 @@
 ) {
     while request_receiver.recv().is_ok() {
         let started_at = Instant::now();
-        let revision = match coordination.check_view() {
-            Ok(revision) => revision,
-            Err(error) => {
-                log::debug!("replacement check failed: {error}");
-                None
-            }
-        };
+        let revision = coordination.check_view();
+        if let Err(error) = &revision {
+            log::debug!("replacement check failed: {error}");
+        }
         if result_sender.send(CheckResult { started_at, revision }).is_err() {
             return;
         }
@@ -102,12 +130,12 @@
 
 fn apply_result(
     groups: &BTreeSet<GroupName>,
-    result: CheckResult,
+    result: &CheckResult,
     context: &NodeContext,
     view: &CoordinationView,
 ) {
-    let Some(revision) = result.revision else { return };
-    if view.revision < revision {
+    let Ok(Some(revision)) = &result.revision else { return };
+    if view.revision < *revision {
         return;
     }
     let catalog = context.catalog.load();
--- /dev/null
+++ b/crates/daemon/src/agent/promotion/store_calls.rs
@@ -0,0 +1,48 @@
+//! What the threads that call the store have in common: the purposes of their calls, and the log
+//! lines of their backoff.
+
+use std::time::Duration;
+
+use kestrellock_core::store_access::Refusal;
+use kestrellock_store::store::StoreError;
+
+/// What a node calls the store for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StorePurpose {
+    /// Writing this node's votes.
+    Vote,
+    /// Replacement checks.
+    ReplacementCheck,
+    /// Attempts to acquire the coordinator lease.
+    Lease,
+}
+
+impl StorePurpose {
+    /// The purpose as logged.
+    fn text(self) -> &'static str {
+        match self {
+            Self::Vote => "vote",
+            Self::ReplacementCheck => "replacement_check",
+            Self::Lease => "lease",
+        }
+    }
+}
+
+/// The refusal that an error stands for.
+pub(super) fn refusal_of(error: &StoreError) -> Refusal {
+    match error {
+        StoreError::RateLimited { retry_after } => Refusal { retry_after: *retry_after },
+        _ => Refusal { retry_after: Duration::ZERO },
+    }
+}
+
+/// Logs the first refused call.
+pub(super) fn log_backoff_begin(purpose: StorePurpose, refusal: Refusal) {
+    let retry_after = refusal.retry_after.as_millis() as u64;
+    log::warn!(event = "store_backoff", purpose = purpose.text(), retry_after_ms = retry_after; "the store refuses calls: they become rarer until it accepts one");
+}
+
+/// Logs the first accepted call after refused ones.
+pub(super) fn log_backoff_end(purpose: StorePurpose) {
+    log::info!(event = "store_backoff_over", purpose = purpose.text(); "the store accepts calls again");
+}
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -24,6 +24,7 @@
     StoreEraTracker, Vote, active_intents,
 };
 use kestrellock_core::routing::Role;
+use kestrellock_core::store_access::CoordinatorTurn;
 use kestrellock_core::suspicion::{Cause, FailureDetector};
 use kestrellock_peer::message::PeerMessage;
 use kestrellock_store::control::ControlTarget;
@@ -31,11 +32,12 @@
 
 use super::ReplacementServices;
 use super::announcer::{FIRST_SHARD, ReplacementAnnouncer};
-use super::coordinator::{self, CoordinatorInput, SharedCoordinatorInput};
+use super::coordinator::{self, CoordinatorInput, LeaseAttempt, SharedCoordinatorInput};
 use super::electors::Electors;
 use super::owned::OwnedGroups;
 use super::replacement_checker::ReplacementChecker;
 use super::status_queries::StatusQueries;
+use super::store_calls::{StorePurpose, log_backoff_begin, log_backoff_end};
 use super::{vote_publisher, write_back};
 use crate::context::NodeContext;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
@@ -46,9 +48,6 @@
 /// Time between two steps otherwise. A suspicion needs several hundred milliseconds without a
 /// response, and each step wakes a node that has nothing to do.
 const IDLE_STEP_INTERVAL: Duration = Duration::from_millis(50);
-/// Delay before a node tries to become the coordinator, for each live node that is ahead of it in
-/// the order of turns, so that not all nodes try at once.
-const TURN_DELAY: Duration = Duration::from_millis(120);
 /// A primary whose last response is more recent than this is not suspected because of other nodes'
 /// votes.
 const RECENT_RESPONSE_AGE: Duration = Duration::from_millis(100);
@@ -77,7 +76,7 @@
     /// assessments of a primary.
     refill_queries: StatusQueries,
     coordinator_input: SharedCoordinatorInput,
-    needed_since: Option<Instant>,
+    turn: CoordinatorTurn,
     coordinator_thread: Option<thread::JoinHandle<()>>,
     replacement_checker: ReplacementChecker,
     mailboxes: &'a Mailboxes,
@@ -111,7 +110,7 @@
         status_queries: StatusQueries::new(),
         refill_queries: StatusQueries::new(),
         coordinator_input: Arc::new(Mutex::new(CoordinatorInput::default())),
-        needed_since: None,
+        turn: CoordinatorTurn::default(),
         coordinator_thread: None,
         replacement_checker: ReplacementChecker::start(services),
         mailboxes,
@@ -146,7 +145,7 @@
     /// Time until the next step.
     fn step_interval(&self) -> Duration {
         let has_no_votes = self.view.votes.is_empty() && self.votes.is_empty();
-        let has_no_replacements = self.intents.is_empty() && self.needed_since.is_none();
+        let has_no_replacements = self.intents.is_empty() && !self.turn.is_needed();
         let is_idle =
             has_no_votes && has_no_replacements && !self.status_queries.is_query_in_progress();
         if is_idle { IDLE_STEP_INTERVAL } else { STEP_INTERVAL }
@@ -424,17 +423,23 @@
         if self.coordinator_thread.as_ref().is_some_and(thread::JoinHandle::is_finished) {
             self.coordinator_thread = None;
         }
+        self.follow_lease_attempts(now);
         if !is_action_needed {
-            self.needed_since = None;
+            self.turn.on_not_needed();
             return;
         }
-        let since = *self.needed_since.get_or_insert(now);
+        self.turn.on_needed(now);
         let may_start = self.coordinator_thread.is_none()
             && self.view.coordinator.is_none()
             && self.view.revision > 0
             && !self.era.earlier_lease_may_be_valid(now)
             && !self.context.is_stopping();
-        if !may_start || now < since + TURN_DELAY * self.turn_position() {
+        if !may_start {
+            return;
+        }
+        let (position, availability) =
+            (self.turn_position(), self.services.coordination.availability());
+        if !self.turn.is_due(position, &availability, now) {
             return;
         }
         let (context, services, coordinator_input) =
@@ -449,6 +454,25 @@
         }
     }
 
+    /// Processes how the last attempt to become the coordinator ended, and that the store shows a
+    /// coordinator.
+    fn follow_lease_attempts(&mut self, now: Instant) {
+        let attempt = {
+            let mut input = self.coordinator_input.lock().unwrap_or_else(PoisonError::into_inner);
+            input.lease_attempt.take()
+        };
+        if let Some(LeaseAttempt::Refused(refusal)) = attempt
+            && self.turn.on_refused(refusal, rand::random(), now)
+        {
+            log_backoff_begin(StorePurpose::Lease, refusal);
+        }
+        let is_acquired = matches!(attempt, Some(LeaseAttempt::Acquired));
+        let is_known = is_acquired || self.view.coordinator.is_some();
+        if is_known && self.turn.on_coordinator_known() {
+            log_backoff_end(StorePurpose::Lease);
+        }
+    }
+
     /// Passes the needs to the coordinator thread, with the instances of the groups that need a
     /// replacement and, if the thread runs, of those that it was given before. No other groups are
     /// included, because the thread copies its input at each step.
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -14,6 +14,7 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 pub use kestrellock_core::promotion::{CoordinationView, Coordinator, NodeVotes, Vote};
 use kestrellock_core::promotion::{Intent, ReplacementId, Successor};
+use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 
 use crate::store::StoreError;
@@ -37,6 +38,9 @@
     /// The newest store era seen in any answer; [`Self::view`] may still be from the previous one.
     fn era(&self) -> StoreEra;
 
+    /// Whether the store answers the calls that update [`Self::view`].
+    fn availability(&self) -> StoreAvailability;
+
     /// Performs a replacement check: asks the store whether [`Self::view`] is complete. Returns the
     /// revision of the view if nothing has changed since, otherwise `None`.
     fn check_view(&self) -> Result<Option<u64>, StoreError>;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -82,7 +82,7 @@
     /// The store rejected the request because of its rate limit and did not act.
     #[error("store refuses requests for their rate for another {retry_after:?}")]
     RateLimited {
-        /// Time for which the client must not send requests.
+        /// Time for which the client must not send requests; zero if the store has named none.
         retry_after: Duration,
     },
     /// The store rejected the request as malformed, or its answer violates the protocol.
