Votes on primaries from owner to owner, and metrics of store calls by purpose

Cause: each vote is written under the prefix that every node watches, so one vote costs one call by every node, while only the owners of the group need it.

Change: with share_store_access, an owner sends its votes to the other owners (PeerMessage::PrimaryVotes, version 8, again each 250 ms), which confirm them and forget them after 1 s without news; an empty message withdraws them. A vote goes through the store as well, as before, once an owner has not confirmed it for 100 ms, an owner's link is silent, a listed node has version 7, or the coordinator does not own the group. The confirmation covers owners that speak version 8 and lack the setting. Owners take turns among themselves for needs that come from votes. New metrics: store_calls by purpose and result, votes by event; log event vote_in_store with the reason.

--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -32,11 +32,13 @@
 mod known_replacements;
 mod members;
 mod needs;
+mod peer_votes;
 mod refill;
 mod restart_reports;
 mod steps;
 mod store_eras;
 mod timing;
+mod vote_delivery;
 
 pub use attempt::Attempt;
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
@@ -45,10 +47,15 @@
 pub use known_replacements::{KnownReplacements, NOTIFY_INTERVAL};
 pub use members::{Member, Members};
 pub use needs::{Need, NeedsEvaluator, NeedsInput};
+pub use peer_votes::{PEER_VOTE_VALIDITY, PeerVotes};
 pub use restart_reports::{CombinedReport, ObservedRestart, RestartReport, RestartReports};
 pub use steps::{Command, Event, Phase};
 pub use store_eras::{COORDINATOR_LEASE_DURATION, StoreEraTracker};
 pub use timing::Timing;
+pub use vote_delivery::{
+    StoreReason, VOTE_CONFIRMATION_TIMEOUT, VOTE_REPEAT_INTERVAL, VoteDelivery, VoteDeliveryInput,
+    VoteDeliveryStep, VoteMessage,
+};
 
 use std::collections::BTreeMap;
 use std::fmt;
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -14,12 +14,14 @@
 
 mod announcer;
 mod coordinator;
+mod counted_coordination;
 mod electors;
 mod executor;
 mod owned;
 mod replacement_checker;
 mod status_queries;
 mod store_calls;
+mod vote_exchange;
 mod vote_publisher;
 mod watch;
 mod write_back;
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -18,8 +18,9 @@
 use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
-use super::store_calls::{StorePurpose, log_backoff_begin, log_backoff_end, refusal_of};
+use super::store_calls::{log_backoff_begin, log_backoff_end, refusal_of};
 use crate::context::NodeContext;
+use crate::metrics::StorePurpose;
 
 /// Least time between two checks of a node. Requests to the store are limited in number and
 /// expensive, and the evidence that a check confirms lasts for a second.
--- a/crates/daemon/src/agent/promotion/store_calls.rs
+++ b/crates/daemon/src/agent/promotion/store_calls.rs
@@ -1,32 +1,12 @@
-//! What the threads that call the store have in common: the purposes of their calls, and the log
-//! lines of their backoff.
+//! What the threads that call the store have in common: how they read its errors, and the log lines
+//! of their backoff.
 
 use std::time::Duration;
 
 use kestrellock_core::store_access::Refusal;
 use kestrellock_store::store::StoreError;
 
-/// What a node calls the store for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum StorePurpose {
-    /// Writing this node's votes.
-    Vote,
-    /// Replacement checks.
-    ReplacementCheck,
-    /// Attempts to acquire the coordinator lease.
-    Lease,
-}
-
-impl StorePurpose {
-    /// The purpose as logged.
-    fn text(self) -> &'static str {
-        match self {
-            Self::Vote => "vote",
-            Self::ReplacementCheck => "replacement_check",
-            Self::Lease => "lease",
-        }
-    }
-}
+use crate::metrics::{Label, StorePurpose};
 
 /// The refusal that an error stands for.
 pub(super) fn refusal_of(error: &StoreError) -> Refusal {
@@ -39,10 +19,10 @@
 /// Logs the first refused call.
 pub(super) fn log_backoff_begin(purpose: StorePurpose, refusal: Refusal) {
     let retry_after = refusal.retry_after.as_millis() as u64;
-    log::warn!(event = "store_backoff", purpose = purpose.text(), retry_after_ms = retry_after; "the store refuses calls: they become rarer until it accepts one");
+    log::warn!(event = "store_backoff", purpose = purpose.text().as_str(), retry_after_ms = retry_after; "the store refuses calls: they become rarer until it accepts one");
 }
 
 /// Logs the first accepted call after refused ones.
 pub(super) fn log_backoff_end(purpose: StorePurpose) {
-    log::info!(event = "store_backoff_over", purpose = purpose.text(); "the store accepts calls again");
+    log::info!(event = "store_backoff_over", purpose = purpose.text().as_str(); "the store accepts calls again");
 }
--- a/crates/daemon/src/agent/promotion/vote_publisher.rs
+++ b/crates/daemon/src/agent/promotion/vote_publisher.rs
@@ -10,8 +10,9 @@
 use kestrellock_core::store_access::CallBackoff;
 
 use super::ReplacementServices;
-use super::store_calls::{StorePurpose, log_backoff_begin, log_backoff_end, refusal_of};
+use super::store_calls::{log_backoff_begin, log_backoff_end, refusal_of};
 use crate::context::NodeContext;
+use crate::metrics::StorePurpose;
 use crate::supervisor::StopFlag;
 
 /// Longest time until the publisher looks again whether the backoff is over: it ends early when the
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -20,7 +20,7 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, Intent, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes,
+    CoordinationView, Intent, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes, Reason,
     StoreEraTracker, Vote, active_intents,
 };
 use kestrellock_core::routing::Role;
@@ -33,13 +33,16 @@
 use super::ReplacementServices;
 use super::announcer::{FIRST_SHARD, ReplacementAnnouncer};
 use super::coordinator::{self, CoordinatorInput, LeaseAttempt, SharedCoordinatorInput};
+use super::counted_coordination::CountedCoordination;
 use super::electors::Electors;
 use super::owned::OwnedGroups;
 use super::replacement_checker::ReplacementChecker;
 use super::status_queries::StatusQueries;
-use super::store_calls::{StorePurpose, log_backoff_begin, log_backoff_end};
+use super::store_calls::{log_backoff_begin, log_backoff_end};
+use super::vote_exchange::VoteExchange;
 use super::{vote_publisher, write_back};
 use crate::context::NodeContext;
+use crate::metrics::StorePurpose;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::supervisor::StopFlag;
 
@@ -64,12 +67,17 @@
     last_catalog: Arc<IndexedCatalog>,
     owned: OwnedGroups,
     view: Arc<CoordinationView>,
+    /// `view` with the votes that other owners have sent directly.
+    view_with_votes: Arc<CoordinationView>,
     /// Running replacements, as reported by the store or by their coordinators.
     intents: BTreeMap<GroupName, Intent>,
     announcer: ReplacementAnnouncer,
     era: StoreEraTracker,
     electors: Electors,
     votes: NodeVotes,
+    vote_exchange: VoteExchange,
+    /// The part of `votes` that was last given to the vote publisher.
+    store_votes: NodeVotes,
     vote_sender: Sender<NodeVotes>,
     status_queries: StatusQueries,
     /// Queries to restarted instances and their primaries. Their results are not used as
@@ -92,6 +100,9 @@
     services: &ReplacementServices,
     stop: &StopFlag,
 ) {
+    let coordination = CountedCoordination::new(services.coordination.clone(), context.clone());
+    let services =
+        &ReplacementServices { coordination: Arc::new(coordination), ..services.clone() };
     let mut watcher = Watcher {
         context,
         services,
@@ -101,11 +112,14 @@
         last_catalog: Arc::default(),
         owned: OwnedGroups::default(),
         view: Arc::default(),
+        view_with_votes: Arc::default(),
         intents: BTreeMap::new(),
         announcer: ReplacementAnnouncer::default(),
         era: StoreEraTracker::default(),
         electors: Electors::default(),
         votes: NodeVotes::new(),
+        vote_exchange: VoteExchange::default(),
+        store_votes: NodeVotes::new(),
         vote_sender: vote_publisher::start(context, services, stop),
         status_queries: StatusQueries::new(),
         refill_queries: StatusQueries::new(),
@@ -132,6 +146,7 @@
         self.follow_catalog(&catalog, now);
         self.announcer.step(self.context, self.mailboxes, now);
         self.follow_store(now);
+        self.add_peer_votes(now);
         if !self.era.replacement_may_be_lost(now) {
             self.replacement_checker.step(self.context, &self.view, now);
         }
@@ -144,7 +159,7 @@
 
     /// Time until the next step.
     fn step_interval(&self) -> Duration {
-        let has_no_votes = self.view.votes.is_empty() && self.votes.is_empty();
+        let has_no_votes = self.view_with_votes.votes.is_empty() && self.votes.is_empty();
         let has_no_replacements = self.intents.is_empty() && !self.turn.is_needed();
         let is_idle =
             has_no_votes && has_no_replacements && !self.status_queries.is_query_in_progress();
@@ -163,6 +178,8 @@
     }
 
     fn follow_store(&mut self, now: Instant) {
+        // The wrapper adds them to the metrics.
+        let _ = self.services.coordination.take_watch_calls();
         let view = self.services.coordination.view();
         let is_new = view.revision != self.view.revision;
         if is_new {
@@ -182,6 +199,12 @@
         self.view = view;
     }
 
+    /// Adds the votes that other owners have sent directly to those in the store.
+    fn add_peer_votes(&mut self, now: Instant) {
+        let added = self.context.peer_votes.added_to(&self.view, now);
+        self.view_with_votes = added.map_or_else(|| self.view.clone(), Arc::new);
+    }
+
     /// Updates the running replacements, as reported by the store or by their coordinators.
     fn follow_intents(&mut self, view: &CoordinationView, now: Instant) {
         let intents = self.context.replacements.intents(now);
@@ -215,12 +238,12 @@
             era = view.era.0,
             era_before = self.view.era.0,
             intents = view.intents.len() as u64,
-            votes = self.votes.len() as u64;
+            votes = self.store_votes.len() as u64;
             "the store was restored from an older copy: writing this node's votes and replacement records again"
         );
-        if !self.votes.is_empty() {
+        if !self.store_votes.is_empty() {
             // The vote publisher runs until the node stops.
-            let _ = self.vote_sender.send(self.votes.clone());
+            let _ = self.vote_sender.send(self.store_votes.clone());
         }
         let owned = self.owned.refresh(self.context);
         write_back::start(self.services, owned.to_vec(), self.stop);
@@ -318,9 +341,23 @@
         }
         if votes != self.votes {
             log::info!(event = "vote", votes:? = votes; "this node's votes have changed");
-            self.votes.clone_from(&votes);
+            self.votes = votes;
+        }
+        self.deliver_votes(now);
+    }
+
+    /// Sends this node's votes to the other owners, and publishes those that have to be in the
+    /// store.
+    fn deliver_votes(&mut self, now: Instant) {
+        let own = &self.context.identity.node;
+        let coordinator = self.view.coordinator.as_ref().map(|coordinator| &coordinator.node);
+        let coordinator = coordinator.filter(|node| *node != own);
+        let store_votes =
+            self.vote_exchange.step(&self.votes, coordinator, self.context, self.mailboxes, now);
+        if store_votes != self.store_votes {
+            self.store_votes.clone_from(&store_votes);
             // The vote publisher runs until the node stops.
-            let _ = self.vote_sender.send(votes);
+            let _ = self.vote_sender.send(store_votes);
         }
     }
 
@@ -359,7 +396,7 @@
 
     fn is_suspected_elsewhere(&self, group: &GroupName, primary: &InstanceName) -> bool {
         let own = &self.context.identity.node;
-        let others = self.view.votes.iter().filter(|(node, _)| *node != own);
+        let others = self.view_with_votes.votes.iter().filter(|(node, _)| *node != own);
         let mut votes = others.filter_map(|(_, votes)| votes.get(group));
         votes.any(|vote| vote.instance == *primary)
     }
@@ -408,15 +445,20 @@
         self.electors.refresh(self.context, now);
         let own = (&self.context.identity.node, &self.votes);
         let (live, listed) = (self.electors.live(), self.electors.counted());
-        let evidence = NeedsInput { catalog, view: &self.view, own, live, listed, now };
+        let view = &self.view_with_votes;
+        let evidence = NeedsInput { catalog, view, own, live, listed, now };
         self.needs_judge.evaluate(&evidence)
     }
 
     fn start_coordinator_if_due(&mut self, needs: BTreeMap<GroupName, Need>, now: Instant) {
-        let calls_for_action = |(group, need): (&GroupName, &Need)| {
+        let calls_for_action = |(group, need): &(&GroupName, &Need)| {
             need.needs_coordinator() && self.known.knows_restarts(group, now)
         };
-        let is_action_needed = needs.iter().any(calls_for_action);
+        let is_action_needed = needs.iter().any(|need| calls_for_action(&need));
+        let position = match is_action_needed {
+            true => self.turn_position(needs.iter().filter(calls_for_action)),
+            false => 0,
+        };
         if is_action_needed || self.coordinator_thread.is_some() {
             self.update_coordinator_input(needs, now);
         }
@@ -437,8 +479,7 @@
         if !may_start {
             return;
         }
-        let (position, availability) =
-            (self.turn_position(), self.services.coordination.availability());
+        let availability = self.services.coordination.availability();
         if !self.turn.is_due(position, &availability, now) {
             return;
         }
@@ -488,12 +529,30 @@
         coordinator_input.incarnations_may_be_outdated = self.era.incarnations_may_be_stale(now);
     }
 
-    /// Number of live nodes that are ahead of this one in the order of turns.
-    fn turn_position(&self) -> u32 {
-        let weight = |node: &NodeName| xxh3_64(node.as_str().as_bytes());
-        let own = weight(&self.context.identity.node);
+    /// Number of live nodes that are ahead of this one in the order of turns. Only the owners of a
+    /// group know the votes that they have exchanged, so they take turns among themselves: by its
+    /// position among all nodes, the first of them may be far behind.
+    fn turn_position<'n>(&self, needs: impl Iterator<Item = (&'n GroupName, &'n Need)>) -> u32 {
         let live = self.context.live.load();
         let working = live.iter().filter(|node| node.accepts_work);
-        working.filter(|node| weight(&node.candidate.node) < own).count() as u32
+        let working: Vec<&NodeName> = working.map(|node| &node.candidate.node).collect();
+        let ownerships = self.context.ownership_snapshot();
+        let positions = needs.map(|(group, need)| {
+            let is_owner = ownerships.is_owner(&self.context.identity.node, group);
+            let is_known_to_owners =
+                self.context.peer_votes.is_enabled() && need.reason == Reason::Suspected;
+            if !is_owner || !is_known_to_owners {
+                return self.position_among(working.iter().copied());
+            }
+            let owners = working.iter().filter(|node| ownerships.is_owner(node, group));
+            self.position_among(owners.copied())
+        });
+        positions.min().unwrap_or_default()
+    }
+
+    fn position_among<'n>(&self, nodes: impl Iterator<Item = &'n NodeName>) -> u32 {
+        let weight = |node: &NodeName| xxh3_64(node.as_str().as_bytes());
+        let own = weight(&self.context.identity.node);
+        nodes.filter(|node| weight(node) < own).count() as u32
     }
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -27,6 +27,7 @@
 use crate::shared::live::{LiveNode, Shared};
 use crate::shared::membership::SharedMembership;
 use crate::shared::peer_versions::PeerVersions;
+use crate::shared::peer_votes::SharedPeerVotes;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -96,6 +97,8 @@
     pub listed_nodes: Shared<Vec<LiveNode>>,
     /// Nodes that have revoked their evidence, for replacements that this node coordinates.
     pub revoked_evidence: RevokedEvidence,
+    /// Votes on primaries that other owners have sent to this node.
+    pub peer_votes: SharedPeerVotes,
     /// Replacements that this node has learned of, and those that it announces to other nodes.
     pub replacements: Replacements,
     /// Groups that need a replacement check: the store must confirm that no replacement of their
--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -53,6 +53,7 @@
         PeerMessage::EvidenceRevoked { .. }
         | PeerMessage::ReplacementInProgress { .. }
         | PeerMessage::ReplacementFinished { .. }
+        | PeerMessage::PrimaryVotes { .. }
         | PeerMessage::Configuration { .. } => true,
         PeerMessage::Quota(message) => {
             matches!(message, QuotaMessage::Ask { .. } | QuotaMessage::TakeOver { .. })
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -152,6 +152,36 @@
     }
 }
 
+labels! {
+    /// What a node calls the store for, besides the configuration of operators.
+    StorePurpose {
+        /// Following changes and reading what has to be followed.
+        Watch = "watch",
+        /// Writing votes on primaries.
+        Vote = "vote",
+        /// Replacement checks.
+        ReplacementCheck = "replacement_check",
+        /// Attempts to acquire the coordinator lease; one attempt makes up to two calls.
+        Lease = "lease",
+        /// Operations of a coordinator on its lease and on replacement records.
+        Replacement = "replacement",
+    }
+}
+
+labels! {
+    /// Event of the votes that owners exchange directly.
+    VoteEvent {
+        /// A message with votes, or their withdrawal, was sent to another owner.
+        Sent = "sent",
+        /// Another owner confirmed the votes.
+        Confirmed = "confirmed",
+        /// A message with votes arrived from another owner and is used.
+        Received = "received",
+        /// A vote went through the store, because not all owners have confirmed it.
+        InStore = "in_store",
+    }
+}
+
 labels! {
     /// Event of a configuration that the node received, or sent to a peer.
     ConfigurationEvent {
@@ -212,6 +242,44 @@
     }
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreCallLabels {
+    purpose: String,
+    result: String,
+}
+
+/// Counters of calls to the store by purpose and result.
+#[derive(Debug)]
+pub struct StoreCallCounters {
+    by_purpose: Vec<Vec<Counter>>,
+}
+
+impl StoreCallCounters {
+    fn register(registry: &mut Registry, name: &str, help: &str) -> Self {
+        let family = Family::<StoreCallLabels, Counter>::default();
+        let counter = |purpose: &StorePurpose, result: &StoreResult| {
+            let (purpose, result) = (purpose.text(), result.text());
+            family.get_or_create_owned(&StoreCallLabels { purpose, result })
+        };
+        let of_purpose = |purpose: &StorePurpose| {
+            StoreResult::ALL.iter().map(|result| counter(purpose, result)).collect()
+        };
+        let by_purpose = StorePurpose::ALL.iter().map(of_purpose).collect();
+        registry.register(name, help, family);
+        Self { by_purpose }
+    }
+
+    /// Adds `amount` calls.
+    pub fn add(&self, purpose: StorePurpose, result: StoreResult, amount: u64) {
+        self.by_purpose[purpose.index()][result.index()].inc_by(amount);
+    }
+
+    /// The current value of a counter.
+    pub fn get(&self, purpose: StorePurpose, result: StoreResult) -> u64 {
+        self.by_purpose[purpose.index()][result.index()].get()
+    }
+}
+
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
@@ -237,6 +305,10 @@
     pub messages: CounterSet<MessageEvent>,
     /// Requests to the store.
     pub store: CounterSet<StoreResult>,
+    /// Calls to the store by purpose and result.
+    pub store_calls: StoreCallCounters,
+    /// Votes on primaries that owners exchange directly.
+    pub votes: CounterSet<VoteEvent>,
     /// Configurations by event.
     pub configuration: CounterSet<ConfigurationEvent>,
     /// Bytes of configuration fetched from and sent to peers.
@@ -295,6 +367,12 @@
             datagram_bytes: CounterSet::register(r, "datagram_bytes", "Bytes of datagrams"),
             messages: CounterSet::register(r, "messages", "Messages between nodes over TCP"),
             store: CounterSet::register(r, "store_requests", "Requests to the store by result"),
+            store_calls: StoreCallCounters::register(
+                r,
+                "store_calls",
+                "Calls to the store by purpose and result",
+            ),
+            votes: CounterSet::register(r, "votes", "Votes on primaries from owner to owner"),
             configuration: CounterSet::register(r, "configurations", "Configurations by event"),
             configuration_bytes: CounterSet::register(
                 r,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -41,6 +41,7 @@
 use crate::shared::live::Shared;
 use crate::shared::membership::SharedMembership;
 use crate::shared::peer_versions::PeerVersions;
+use crate::shared::peer_votes::SharedPeerVotes;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -294,6 +295,7 @@
         listed_seeds: ListedSeeds::default(),
         listed_nodes: Shared::default(),
         revoked_evidence: RevokedEvidence::default(),
+        peer_votes: SharedPeerVotes::new(settings.share_store_access),
         replacements: Replacements::default(),
         replacement_check_requests: ReplacementCheckRequests::default(),
         distribution_inbox: Inbox::default(),
--- a/crates/daemon/src/routing_overrides.rs
+++ b/crates/daemon/src/routing_overrides.rs
@@ -46,6 +46,18 @@
         });
     }
 
+    /// Whether `node` has to be avoided.
+    pub fn is_avoided(&self, node: &NodeName, now: Instant) -> bool {
+        self.count.load(Ordering::Acquire) > 0
+            && self
+                .entries
+                .read()
+                .expect(POISONED)
+                .avoided
+                .get(node)
+                .is_some_and(|until| *until > now)
+    }
+
     /// Sends the work of an instance to `owner`, which a gateway named, for a second. `None`: the
     /// gateway knows no owner, and an earlier referral is removed.
     pub fn set_referral(&self, instance: &InstanceName, owner: Option<NodeName>, now: Instant) {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -117,6 +117,9 @@
     /// Time limit of a zone drain, from the request of the operators: no work may reach instances
     /// in the zone afterwards. `None`: transactions that are open there continue until they end.
     pub zone_drain_limit: Option<Duration>,
+    /// Whether the owners of a group exchange their votes on its primary directly, so that votes
+    /// cause no calls to the store.
+    pub share_store_access: bool,
     /// Longest time that a planned stop waits for open statements and transactions.
     pub drain_limit: Duration,
     /// First part of `drain_limit`, in which the node still accepts clients, because load balancers
@@ -160,6 +163,7 @@
             link_mbps: None,
             revocation_limit: None,
             zone_drain_limit: None,
+            share_store_access: false,
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
@@ -191,6 +195,7 @@
             ("shards", self.shards != other.shards),
             ("revocation_limit_ms", self.revocation_limit != other.revocation_limit),
             ("zone_drain_limit_ms", self.zone_drain_limit != other.zone_drain_limit),
+            ("share_store_access", self.share_store_access != other.share_store_access),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
--- a/crates/daemon/src/settings/validate.rs
+++ b/crates/daemon/src/settings/validate.rs
@@ -68,6 +68,7 @@
     check_drain(settings)?;
     check_revocation(settings)?;
     check_zone_drain(settings)?;
+    check_store_access(settings)?;
     check_secrets(settings)
 }
 
@@ -101,6 +102,17 @@
     }
 }
 
+/// Nodes vote on primaries only where the groups do not elect their own.
+fn check_store_access(settings: &Settings) -> Result<(), SettingsError> {
+    match settings.share_store_access && settings.backing != Backing::Platform {
+        true => Err(SettingsError::contradiction(
+            "share_store_access",
+            "has an effect only if backing is \"platform\"",
+        )),
+        false => Ok(()),
+    }
+}
+
 fn check_name(field: &str, name: &str) -> Result<(), SettingsError> {
     match is_name(name) {
         true => Ok(()),
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -18,6 +18,7 @@
 
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::NodeName;
+use kestrellock_core::promotion::NodeVotes;
 use kestrellock_core::quota::Outgoing as QuotaOutgoing;
 use kestrellock_peer::message::{GatewayCall, PeerMessage, ToFront, ToGateway};
 use mio::{Registry, Token};
@@ -27,6 +28,7 @@
 use crate::front::Front;
 use crate::gateway::Gateway;
 use crate::links::{Links, Origin};
+use crate::metrics::VoteEvent;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
 use crate::shard::recent_answers::RecentAnswers;
 use crate::shared::inbox::Received;
@@ -178,6 +180,16 @@
                         io.context.statuses.on_led(&group, term);
                     }
                 }
+                PeerMessage::PrimaryVotes { round, votes } => {
+                    if let Some(origin) = &from {
+                        self.on_votes(&origin.node, round, votes, io);
+                    }
+                }
+                PeerMessage::PrimaryVotesReceived { round } => {
+                    if let Some(origin) = &from {
+                        io.context.peer_votes.on_confirmed(&origin.node, round);
+                    }
+                }
                 PeerMessage::Quota(message) => {
                     if let Some(origin) = &from {
                         io.context.quotas.on_message(&origin.node, message, io.context, io.now);
@@ -208,6 +220,16 @@
         }
     }
 
+    fn on_votes(&mut self, from: &NodeName, round: u64, votes: NodeVotes, io: &mut Io) {
+        let nodes = (&io.context.identity.node, from);
+        let owners = io.context.ownership_snapshot();
+        if io.context.peer_votes.on_votes(nodes, votes, &owners, io.now) {
+            io.context.metrics.votes.count(VoteEvent::Received);
+            // If the confirmation is lost, the sender's votes also go through the store.
+            let _ = self.links.send(from, PeerMessage::PrimaryVotesReceived { round }, io);
+        }
+    }
+
     fn deliver(&mut self, io: &mut Io) {
         while let Some(outgoing) = io.outbox.pop_front() {
             match outgoing {
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -9,6 +9,7 @@
 pub mod live;
 pub mod membership;
 pub mod peer_versions;
+pub mod peer_votes;
 pub mod quotas;
 pub mod replacement_check_requests;
 pub mod replacements;
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -61,6 +61,8 @@
     pub revocation_limit: Option<Duration>,
     /// Time within which statements must stop reaching the instances of a drained zone.
     pub zone_drain_limit: Option<Duration>,
+    /// Whether owners exchange their votes directly, by node; nodes that are missing do not.
+    pub share_store_access: Vec<bool>,
 }
 
 /// A customer of the platform.
@@ -86,6 +88,7 @@
             relayed: false,
             revocation_limit: None,
             zone_drain_limit: None,
+            share_store_access: Vec::new(),
         }
     }
 }
@@ -303,6 +306,7 @@
             drain_transactions: Some(Duration::from_millis(1_500)),
             revocation_limit: self.options.revocation_limit,
             zone_drain_limit: self.options.zone_drain_limit,
+            share_store_access: self.options.share_store_access.get(number) == Some(&true),
             ..Settings::loopback(NodeName::new(format!("node-{number}")), zone)
         }
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::promotion::{Intent, ReplacementId, RestartReport};
+use kestrellock_core::promotion::{Intent, NodeVotes, ReplacementId, RestartReport};
 use kestrellock_core::quota::QuotaMessage;
 use kestrellock_core::routing::{Access, InstanceStatus};
 use kestrellock_core::session_state::SessionSetting;
@@ -28,6 +28,9 @@
 /// nodes speak.
 pub const HIGHEST_PROTOCOL_VERSION: u16 = 8;
 
+/// Lowest version in which owners exchange votes on primaries.
+pub const PRIMARY_VOTES_VERSION: u16 = 8;
+
 /// A prepared statement that an exchange refers to by a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -364,6 +367,19 @@
         /// Term that the new primary leads; `None` if no instance was promoted.
         led: Option<Term>,
     },
+    /// The sender's votes on the primaries of groups that the sender and the receiver own. They
+    /// replace its earlier ones.
+    PrimaryVotes {
+        /// Number that the receiver confirms with [`PeerMessage::PrimaryVotesReceived`].
+        round: u64,
+        /// The votes; empty if the sender withdraws them.
+        votes: NodeVotes,
+    },
+    /// The sender uses the receiver's votes with this number.
+    PrimaryVotesReceived {
+        /// The number.
+        round: u64,
+    },
     /// A message about the quotas of accounts.
     Quota(QuotaMessage),
     /// Heartbeat request, sent while an answer of the receiver is outstanding. The receiver must
@@ -391,6 +407,7 @@
     pub fn required_version(&self) -> u16 {
         match self {
             Self::ToGateway(message) => message.call.required_version(),
+            Self::PrimaryVotes { .. } | Self::PrimaryVotesReceived { .. } => PRIMARY_VOTES_VERSION,
             Self::Configuration { .. }
             | Self::Leave { .. }
             | Self::Reconnected { .. }
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -17,6 +17,7 @@
 use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 
+use crate::call_counts::CallCounts;
 use crate::store::StoreError;
 
 /// The coordinator lease as acquired by this node.
@@ -41,6 +42,9 @@
     /// Whether the store answers the calls that update [`Self::view`].
     fn availability(&self) -> StoreAvailability;
 
+    /// Takes the numbers of calls that have updated [`Self::view`] since the last time.
+    fn take_watch_calls(&self) -> CallCounts;
+
     /// Performs a replacement check: asks the store whether [`Self::view`] is complete. Returns the
     /// revision of the view if nothing has changed since, otherwise `None`.
     fn check_view(&self) -> Result<Option<u64>, StoreError>;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod apply;
 pub mod backoff;
+pub mod call_counts;
 pub mod catalog;
 pub mod control;
 pub mod coordination;
