No warning when another node is the coordinator already

Cause: an attempt that another node preceded was logged as a refusal by the store.

Change: only refused calls are logged; the backoff applies to both, until the copy of the store shows the coordinator.

--- a/crates/core/src/store_access/call_backoff.rs
+++ b/crates/core/src/store_access/call_backoff.rs
@@ -87,9 +87,4 @@
     pub fn may_call(&self, now: Instant) -> bool {
         self.remaining(now).is_zero()
     }
-
-    /// Number of refused calls since the last success.
-    pub fn refused_calls(&self) -> u32 {
-        self.backoff.failures()
-    }
 }
--- a/crates/core/src/store_access/coordinator_turn.rs
+++ b/crates/core/src/store_access/coordinator_turn.rs
@@ -42,16 +42,15 @@
         self.needed_since.is_some()
     }
 
-    /// Records that some node is known to be the coordinator, or that this node has become it.
-    /// Returns whether a backoff ends.
-    pub fn on_coordinator_known(&mut self) -> bool {
-        self.backoff.on_success()
+    /// Records that some node is known to be the coordinator, or that this node has become it. This
+    /// ends the backoff.
+    pub fn on_coordinator_known(&mut self) {
+        self.backoff.on_success();
     }
 
-    /// Records an attempt that the store refused, or that another node preceded. Returns whether a
-    /// backoff begins.
-    pub fn on_refused(&mut self, refusal: Refusal, random: u64, now: Instant) -> bool {
-        self.backoff.on_refused(refusal, random, now)
+    /// Records an attempt that the store refused, or that another node preceded.
+    pub fn on_refused(&mut self, refusal: Refusal, random: u64, now: Instant) {
+        self.backoff.on_refused(refusal, random, now);
     }
 
     /// Whether the node may try now. `position` is the number of live nodes ahead of it in the
--- a/crates/core/tests/store_access.rs
+++ b/crates/core/tests/store_access.rs
@@ -103,7 +103,7 @@
             attempts += 1;
             match acquired {
                 None => acquired = Some(elapsed),
-                Some(_) => drop(turn.on_refused(UNNAMED, random.random(), now)),
+                Some(_) => turn.on_refused(UNNAMED, random.random(), now),
             }
         }
         elapsed += STEP;
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -66,7 +66,9 @@
 pub enum LeaseAttempt {
     /// This node has become the coordinator.
     Acquired,
-    /// The store refused a call, or another node was the coordinator already.
+    /// Another node was the coordinator already.
+    Preceded,
+    /// The store refused a call.
     Refused(Refusal),
 }
 
@@ -160,16 +162,14 @@
     if services.coordination.view().coordinator.is_some() {
         return None;
     }
-    let (lease, refusal) = match try_acquire_lease(context, services) {
-        Ok(lease) => (lease, Refusal::default()),
-        Err(error) => (None, refusal_of(&error)),
-    };
-    let attempt = match &lease {
-        Some(_) => LeaseAttempt::Acquired,
-        None => LeaseAttempt::Refused(refusal),
+    let acquired = try_acquire_lease(context, services);
+    let attempt = match &acquired {
+        Ok(Some(_)) => LeaseAttempt::Acquired,
+        Ok(None) => LeaseAttempt::Preceded,
+        Err(error) => LeaseAttempt::Refused(refusal_of(error)),
     };
     input.lock().unwrap_or_else(PoisonError::into_inner).lease_attempt = Some(attempt);
-    lease
+    acquired.ok().flatten()
 }
 
 fn acquire_lease(
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -24,7 +24,7 @@
     StoreEraTracker, Vote, active_intents,
 };
 use kestrellock_core::routing::Role;
-use kestrellock_core::store_access::CoordinatorTurn;
+use kestrellock_core::store_access::{CoordinatorTurn, Refusal};
 use kestrellock_core::suspicion::{Cause, FailureDetector};
 use kestrellock_peer::message::PeerMessage;
 use kestrellock_store::control::ControlTarget;
@@ -85,6 +85,8 @@
     refill_queries: StatusQueries,
     coordinator_input: SharedCoordinatorInput,
     turn: CoordinatorTurn,
+    /// Whether the store has refused this node the lease, and no coordinator was seen since.
+    is_lease_refused: bool,
     coordinator_thread: Option<thread::JoinHandle<()>>,
     replacement_checker: ReplacementChecker,
     mailboxes: &'a Mailboxes,
@@ -125,6 +127,7 @@
         refill_queries: StatusQueries::new(),
         coordinator_input: Arc::new(Mutex::new(CoordinatorInput::default())),
         turn: CoordinatorTurn::default(),
+        is_lease_refused: false,
         coordinator_thread: None,
         replacement_checker: ReplacementChecker::start(services),
         mailboxes,
@@ -502,15 +505,26 @@
             let mut input = self.coordinator_input.lock().unwrap_or_else(PoisonError::into_inner);
             input.lease_attempt.take()
         };
-        if let Some(LeaseAttempt::Refused(refusal)) = attempt
-            && self.turn.on_refused(refusal, rand::random(), now)
-        {
-            log_backoff_begin(StorePurpose::Lease, refusal);
+        match attempt {
+            Some(LeaseAttempt::Refused(refusal)) => {
+                self.turn.on_refused(refusal, rand::random(), now);
+                if !std::mem::replace(&mut self.is_lease_refused, true) {
+                    log_backoff_begin(StorePurpose::Lease, refusal);
+                }
+            }
+            // The copy of the store shows the other coordinator soon. Without a delay the node would
+            // try at each step until then.
+            Some(LeaseAttempt::Preceded) => {
+                self.turn.on_refused(Refusal::default(), rand::random(), now);
+            }
+            Some(LeaseAttempt::Acquired) | None => {}
         }
         let is_acquired = matches!(attempt, Some(LeaseAttempt::Acquired));
-        let is_known = is_acquired || self.view.coordinator.is_some();
-        if is_known && self.turn.on_coordinator_known() {
-            log_backoff_end(StorePurpose::Lease);
+        if is_acquired || self.view.coordinator.is_some() {
+            self.turn.on_coordinator_known();
+            if std::mem::take(&mut self.is_lease_refused) {
+                log_backoff_end(StorePurpose::Lease);
+            }
         }
     }
 
