--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -124,6 +124,9 @@
     /// Whether owners open a connection of an account in advance when a client of an urgent route
     /// logs in, and close idle connections by their expected use.
     pub prewarm_connections: bool,
+    /// Whether the owners of a group exchange their votes on its primary directly, so that votes
+    /// cause no calls to the store.
+    pub share_store_access: bool,
     /// Longest time that a planned stop waits for open statements and transactions.
     pub drain_limit: Duration,
     /// First part of `drain_limit`, in which the node still accepts clients, because load balancers
@@ -169,6 +172,7 @@
             zone_drain_limit: None,
             tolerated_zone_losses: 0,
             prewarm_connections: false,
+            share_store_access: false,
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
@@ -202,6 +206,7 @@
             ("zone_drain_limit_ms", self.zone_drain_limit != other.zone_drain_limit),
             ("tolerated_zone_losses", self.tolerated_zone_losses != other.tolerated_zone_losses),
             ("prewarm_connections", self.prewarm_connections != other.prewarm_connections),
+            ("share_store_access", self.share_store_access != other.share_store_access),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -51,6 +51,7 @@
     pub tolerated_zone_losses: Option<u32>,
     #[serde(default)]
     pub prewarm_connections: bool,
+    pub share_store_access: Option<bool>,
     pub drain_limit_ms: Option<Milliseconds>,
     pub drain_limit_s: Option<f64>,
     pub drain_notice_ms: Option<Milliseconds>,
@@ -69,6 +70,9 @@
     /// Applies the defaults. Fails if a field without a default is missing.
     pub fn complete(self) -> Result<Settings, SettingsError> {
         let drain_limit = drain_limit(self.drain_limit_ms, self.drain_limit_s)?;
+        let tolerated_zone_losses = self.tolerated_zone_losses.unwrap_or(0);
+        // The store may be behind the network partition that separates a zone.
+        let shares_store_access = tolerated_zone_losses > 0 && self.backing == Backing::Platform;
         Ok(Settings {
             cluster: self.cluster.unwrap_or_else(|| DEFAULT_CLUSTER.to_owned()),
             node: required(self.node, "node")?,
@@ -84,8 +88,9 @@
             link_mbps: link_mbps(self.link_mbps)?,
             revocation_limit: self.revocation_limit_ms.map(Duration::from),
             zone_drain_limit: self.zone_drain_limit_ms.map(Duration::from),
-            tolerated_zone_losses: self.tolerated_zone_losses.unwrap_or(0),
+            tolerated_zone_losses,
             prewarm_connections: self.prewarm_connections,
+            share_store_access: self.share_store_access.unwrap_or(shares_store_access),
             drain_limit,
             drain_transactions: drain_transactions(drain_limit, self.drain_transactions_share)?,
             drain_notice: self.drain_notice_ms.map_or(Duration::ZERO, Duration::from),
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -65,6 +65,8 @@
     pub prewarm_connections: bool,
     /// Number of zones without which the nodes must be able to serve.
     pub tolerated_zone_losses: u32,
+    /// Whether owners exchange their votes directly, by node; nodes that are missing do not.
+    pub share_store_access: Vec<bool>,
 }
 
 /// A customer of the platform.
@@ -92,6 +94,7 @@
             zone_drain_limit: None,
             prewarm_connections: false,
             tolerated_zone_losses: 0,
+            share_store_access: Vec::new(),
         }
     }
 }
@@ -311,6 +314,7 @@
             zone_drain_limit: self.options.zone_drain_limit,
             prewarm_connections: self.options.prewarm_connections,
             tolerated_zone_losses: self.options.tolerated_zone_losses,
+            share_store_access: self.options.share_store_access.get(number) == Some(&true),
             ..Settings::loopback(NodeName::new(format!("node-{number}")), zone)
         }
     }
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -14,8 +14,10 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 pub use kestrellock_core::promotion::{CoordinationView, Coordinator, NodeVotes, Vote};
 use kestrellock_core::promotion::{Intent, ReplacementId, Successor};
+use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 
+use crate::call_counts::CallCounts;
 use crate::store::StoreError;
 
 /// The coordinator lease as acquired by this node.
@@ -37,6 +39,12 @@
     /// The newest store era seen in any answer; [`Self::view`] may still be from the previous one.
     fn era(&self) -> StoreEra;
 
+    /// Whether the store answers the calls that update [`Self::view`].
+    fn availability(&self) -> StoreAvailability;
+
+    /// Takes the numbers of calls that have updated [`Self::view`] since the last time.
+    fn take_watch_calls(&self) -> CallCounts;
+
     /// Performs a replacement check: asks the store whether [`Self::view`] is complete. Returns the
     /// revision of the view if nothing has changed since, otherwise `None`.
     fn check_view(&self) -> Result<Option<u64>, StoreError>;
