Trace what a node knows when it accepts a primary's answer

Cause: the trace of a simulated replacement shows which instance answered, but not what the node knew of the replacement then.

Change: an answered commit, a read at a primary and a notified end are traced with the node's leader, intent, highest led term, and the age of its copy of the store and of the coordinator's last notification.

--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -165,6 +165,10 @@
     pub listed_nodes: Vec<NodeName>,
     /// When it last read the registered nodes.
     pub listed_nodes_read_at: u64,
+    /// When it last received a copy of the store.
+    pub view_received_at: Option<u64>,
+    /// When a coordinator last notified it of a replacement, running or finished.
+    pub notified_at: Option<u64>,
 }
 
 impl Node {
@@ -213,9 +217,24 @@
             registration_sent_at: 0,
             listed_nodes: Vec::new(),
             listed_nodes_read_at: 0,
+            view_received_at: None,
+            notified_at: None,
         }
     }
 
+    /// What the node knows of replacements and how old that knowledge is, for the trace.
+    pub fn describe_knowledge(&self, now: u64) -> String {
+        let age = |at: Option<u64>| at.map(|at| now - at);
+        let (store_age, notification_age) = (age(self.view_received_at), age(self.notified_at));
+        format!(
+            "leader {:?}, intent {:?}, highest term led {:?}, store copy {store_age:?} ms old, \
+             notification {notification_age:?} ms old",
+            self.leader(),
+            self.intent().map(|intent| intent.id),
+            self.evidence.highest_led(),
+        )
+    }
+
     /// Whether its copy of the store shows its own registration.
     pub fn is_listed_in_own_view(&self) -> bool {
         self.view.nodes.contains(&node_name(self.number))
--- a/crates/core/tests/replacement/serving.rs
+++ b/crates/core/tests/replacement/serving.rs
@@ -47,6 +47,11 @@
             Work::Read { arrived } => {
                 let commits = instance.commits();
                 self.checker.on_read(*arrived, &commits);
+                self.trace.record(now, || {
+                    let knowledge = self.nodes[exchange.node].describe_knowledge(now);
+                    let (index, node) = (exchange.instance, exchange.node);
+                    format!("read at i-{index} in {term:?} for node {node}; {knowledge}")
+                });
                 Some(Reply::Read(term))
             }
             Work::StatusQuery | Work::Command(Command::QueryStatus(_)) => {
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -339,13 +339,18 @@
         }
         // Counts as acknowledged as soon as the node would pass it on, although the answer still
         // has to travel to the node.
-        if self.acknowledges_at_once(pending.node, index) {
+        let is_acknowledged = self.acknowledges_at_once(pending.node, index);
+        if is_acknowledged {
             self.checker.on_acknowledged(self.now, pending.entry.id, pending.entry.term);
         }
         self.trace.record(self.now, || {
             let log_lengths: Vec<usize> =
                 self.instances.iter().map(|instance| instance.log.len()).collect();
-            format!("answered by i-{index}: {pending:?}; logs hold {log_lengths:?}")
+            let knowledge = self.nodes[pending.node].describe_knowledge(self.now);
+            format!(
+                "answered by i-{index}: {pending:?}; acknowledged {is_acknowledged}; logs hold \
+                 {log_lengths:?}; {knowledge}"
+            )
         });
         let exchange = Exchange {
             node: pending.node,
@@ -466,6 +471,7 @@
             Message::CallLost(call) => self.on_call_lost(call),
             Message::View { node, view, announced, keys, .. } => {
                 let now = self.at(self.now);
+                self.nodes[node].view_received_at = Some(self.now);
                 self.nodes[node].apply_view(view, &announced, keys, now);
             }
             Message::Announce { instance } => self.announce(instance),
@@ -489,10 +495,18 @@
             Message::ReplacementStarted { to, intent, recorded } => {
                 let (recorded, now) = (self.at(recorded), self.at(self.now));
                 let age = now.saturating_duration_since(recorded);
+                self.nodes[to].notified_at = Some(self.now);
                 self.nodes[to].on_replacement_notified(intent, age, now);
             }
             Message::ReplacementFinished { to, id, successor } => {
-                self.nodes[to].on_replacement_finished(id, successor.as_ref())
+                self.nodes[to].notified_at = Some(self.now);
+                self.nodes[to].on_replacement_finished(id, successor.as_ref());
+                self.trace.record(self.now, || {
+                    let knowledge = self.nodes[to].describe_knowledge(self.now);
+                    format!(
+                        "node {to} is notified of the end of {id:?}: {successor:?}; {knowledge}"
+                    )
+                });
             }
             Message::VotesExpire { node, process } => {
                 let is_gone = self.nodes[node].process == process && !self.nodes[node].alive;
