End a replacement only when nodes can recognize the old primary

Cause: the successor i-1 led from 1,327 ms while the store was down and lost its log at 1,385 ms. The coordinator adopted it at 1,934 ms from its entry, never heard its term and could not demote the old primary i-0. After the timeout of 1.5 s it ended the attempt without a term. To the other nodes that looks like a cancelled replacement: they used i-0 again, and i-0 acknowledged commits through replicas that the promotion had released.

Change: - An attempt does not end without the successor's term while the old primary may lead. If the successor's entry stops showing it as primary before it has reported its term, the attempt promotes another instance. A replica that is stopped again is released again. - The end of an attempt without the successor's term is not announced (event end_not_announced, metric replacement_ends_unannounced). - A notified replacement that may have promoted an instance does not expire before a new copy of the store arrives, so a crashed coordinator does not return a node without the store to the old primary.

replicas_are_not_released_while_the_old_primary_may_be_primary required the very end without a term that is the fault. It now requires that there is no end before the term is known, an end after, and no release in either case.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -184,6 +184,13 @@
             .and_then(|reported| reported.term)
     }
 
+    /// Whether the coordinator announces the end of the attempt to the nodes directly. Nodes that
+    /// cannot reach the store recognize the old primary only by the successor's term. If that term
+    /// is unknown, they have to wait for the store, which names the successor.
+    pub fn may_announce_end(&self) -> bool {
+        !self.has_chosen() || self.successor_term().is_some()
+    }
+
     /// The current phase.
     pub fn phase(&self) -> Phase {
         self.phase
--- a/crates/core/src/promotion/attempt/releases.rs
+++ b/crates/core/src/promotion/attempt/releases.rs
@@ -25,8 +25,10 @@
         Self { earlier_attempt_stopped, ..Self::default() }
     }
 
-    /// A stop is sent to a replica.
+    /// A stop is sent to a replica. It has to be released again, also if it was released while the
+    /// attempt settled with a successor that it has lost since.
     pub fn on_stop_sent(&mut self, replica: InstanceName) {
+        self.released.remove(&replica);
         self.stop_sent.insert(replica);
     }
 
--- a/crates/core/src/promotion/attempt/settling.rs
+++ b/crates/core/src/promotion/attempt/settling.rs
@@ -13,10 +13,20 @@
     /// Demotes the old primary first and then releases the replicas: a replica that is released
     /// while the old primary is still primary, and that cannot reach the successor, would follow
     /// the old primary and report that.
+    ///
+    /// After the timeout the attempt finishes with an old primary that could not be demoted, because
+    /// nodes reject it once they know the successor's term. Until the successor has reported that
+    /// term, nodes could not recognize the old primary and would use it again.
     pub(super) fn settle(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
+        if self.has_lost_successor() {
+            // Commits of the successor may have been acknowledged, so another instance has to be
+            // promoted in place of the old primary.
+            self.discard_choice(now);
+            return;
+        }
         let since = until - self.timing.demotion_timeout;
-        let all_demoted =
-            !self.old_primary_may_lead(since) && self.other_primaries.returned.is_empty();
+        let old_primary_may_lead = self.old_primary_may_lead(since);
+        let all_demoted = !old_primary_may_lead && self.other_primaries.returned.is_empty();
         if all_demoted || self.target_changed {
             self.release(now, commands);
         }
@@ -28,7 +38,8 @@
         }
         let successor = self.chosen.clone().map(|instance| self.with_reported_term(instance));
         let has_term = successor.as_ref().is_none_or(|successor| successor.term.is_some());
-        if now >= until || (all_demoted && has_term && self.all_released()) {
+        let has_timed_out = now >= until && (has_term || !old_primary_may_lead);
+        if has_timed_out || (all_demoted && has_term && self.all_released()) {
             commands.push(Command::Finish { id: self.intent.id, successor });
             self.phase = Phase::Over;
         } else if let (false, Some(instance)) = (has_term, self.chosen.clone()) {
@@ -36,6 +47,14 @@
         }
     }
 
+    /// Whether the successor no longer leads and has never reported its term: it was adopted because
+    /// its entry showed it as primary, and the entry has changed or disappeared since.
+    fn has_lost_successor(&self) -> bool {
+        let has_term = self.successor_term().is_some();
+        let leads = |name| self.members.get(name).is_some_and(|member| member.leads);
+        !has_term && self.chosen.as_ref().is_some_and(|chosen| !leads(chosen))
+    }
+
     /// The successor with the term that it reported. By this term nodes recognize old primaries
     /// that return later.
     fn with_reported_term(&self, instance: InstanceName) -> Successor {
--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -13,7 +13,8 @@
 /// Interval between two notifications of a replacement to one node.
 pub const NOTIFY_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a replacement that the store does not show counts as running after the coordinator's
-/// last notification: the coordinator may have failed.
+/// last notification: the coordinator may have failed. Longer if a promotion may have been sent
+/// ([`KnownReplacements::expire`]).
 const NOTIFICATION_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long acknowledgements of the old primary are still accepted once its replicas are being
 /// stopped, since acknowledgements that it sent before that are still in transit. Half of the
@@ -49,6 +50,8 @@
     started: BTreeMap<GroupName, Started>,
     /// The newest replacement of each group that is known to have finished.
     finished: BTreeMap<GroupName, ReplacementId>,
+    /// When this node last received a new copy of the store.
+    store_seen_at: Option<Instant>,
 }
 
 impl KnownReplacements {
@@ -68,6 +71,7 @@
             self.record_start(group, started);
         }
         self.in_store.clone_from(intents);
+        self.store_seen_at = Some(now);
     }
 
     /// The coordinator notifies this node that a replacement is running, and that it learned `age`
@@ -100,9 +104,18 @@
 
     /// Drops replacements of which the coordinator has sent no notification within
     /// `NOTIFICATION_TIMEOUT`. Returns whether there were any.
+    ///
+    /// A replacement that may have promoted an instance is kept until a new copy of the store
+    /// arrives: it ends with a successor even if its coordinator has failed, and a node that cannot
+    /// reach the store would return to the old primary.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.notified.len();
-        self.notified.retain(|_, notification| now < notification.at + NOTIFICATION_TIMEOUT);
+        let store_seen_at = self.store_seen_at;
+        self.notified.retain(|_, notification| {
+            let store_is_older = store_seen_at.is_none_or(|seen_at| seen_at <= notification.at);
+            let may_have_promoted = notification.intent.promoting && store_is_older;
+            may_have_promoted || now < notification.at + NOTIFICATION_TIMEOUT
+        });
         self.notified.len() < before
     }
 
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -48,6 +48,33 @@
     assert!(known.intents().is_empty());
 }
 
+/// Guards against a node that cannot reach the store and returns to the old primary after the
+/// coordinator has crashed, although another instance may have been promoted.
+#[test]
+fn replacement_that_may_have_promoted_expires_only_after_a_new_copy_of_the_store() {
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    let promoting = Intent { promoting: true, ..intent(1, Reason::Suspected) };
+    known.update_from_store(&BTreeMap::new(), now);
+    known.on_notification(&group(), promoting.clone(), Duration::ZERO, now + ms(10));
+    assert!(!known.expire(now + ms(60_000)));
+    assert_eq!(known.intents(), in_store(promoting));
+    assert!(!known.accepts_commit(&group(), &InstanceName::new("old"), now + ms(60_000)));
+    known.update_from_store(&BTreeMap::new(), now + ms(60_001));
+    assert!(known.expire(now + ms(60_001)));
+    assert!(known.intents().is_empty());
+}
+
+/// Guards against a group that stays without a primary after a replacement that was cancelled when
+/// a promotion might have been sent.
+#[test]
+fn replacement_that_may_have_promoted_ends_with_the_notification_of_its_end() {
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    let promoting = Intent { promoting: true, ..intent(1, Reason::Suspected) };
+    known.on_notification(&group(), promoting, Duration::ZERO, now);
+    known.on_finished(&group(), ReplacementId { fence: 7, attempt: 1 });
+    assert!(known.intents().is_empty());
+}
+
 /// Guards against delayed requests after a notification that arrives once the replacement has
 /// finished.
 #[test]
--- a/crates/core/tests/promotion/sent_promotions.rs
+++ b/crates/core/tests/promotion/sent_promotions.rs
@@ -122,3 +122,68 @@
     commands.extend(run_for(&mut attempt, &mut now, Duration::from_millis(200)));
     assert!(ends_without_a_successor(&commands), "{commands:?}");
 }
+
+/// An attempt that has adopted `c` as the successor from its entry. Neither `c` nor the old primary
+/// answers.
+fn attempt_with_silent_successor(now: &mut Instant) -> Attempt {
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    record_intent(&mut attempt, *now);
+    let chosen = run_to_promotion(&mut attempt, now, &[("b", 10), ("c", 11)]);
+    assert_eq!(chosen, Some(name("c")));
+    attempt.on_event(Event::Members(members(&["a", "c"])), *now);
+    let commands = run_for(&mut attempt, now, Duration::from_millis(10));
+    assert!(commands.contains(&Command::RecordSuccessor(name("c"))), "{commands:?}");
+    attempt
+}
+
+fn ends(commands: &[Command]) -> bool {
+    commands.iter().any(|command| matches!(command, Command::Finish { .. }))
+}
+
+/// Guards against an attempt that ends before nodes can recognize the old primary. The successor
+/// had not reported its term and the old primary could not be demoted; nodes were notified of the
+/// end without a term and used the old primary again (simulation of replacements, seed 58126929).
+#[test]
+fn does_not_end_while_the_old_primary_may_lead_and_the_term_is_unknown() {
+    let mut now = Instant::now();
+    let mut attempt = attempt_with_silent_successor(&mut now);
+    let commands = run_for(&mut attempt, &mut now, Duration::from_secs(5));
+    assert!(!ends(&commands), "{commands:?}");
+    attempt.on_event(primary_status("c", 2, 11, now), now);
+    let commands = run_for(&mut attempt, &mut now, Duration::from_millis(100));
+    assert!(ends(&commands), "{commands:?}");
+    assert!(attempt.may_announce_end());
+}
+
+/// Guards against nodes that use the old primary again after an end without the successor's term:
+/// to them it looks like a cancelled replacement.
+#[test]
+fn end_without_the_term_of_the_successor_is_not_announced() {
+    let mut now = Instant::now();
+    let mut attempt = attempt_with_silent_successor(&mut now);
+    attempt.on_event(replica_status("a", 10, Term(0), now), now);
+    let commands = run_for(&mut attempt, &mut now, Duration::from_secs(2));
+    assert!(ends(&commands), "{commands:?}");
+    assert!(!attempt.may_announce_end());
+}
+
+/// Guards against an attempt that ends with a successor that no longer leads. It led for 58 ms
+/// while the store was down and lost its log; its entry showed it as primary for longer (simulation
+/// of replacements, seed 58126929).
+#[test]
+fn promotes_another_instance_if_the_successor_is_lost_before_it_reported_its_term() {
+    let mut now = Instant::now();
+    let mut attempt = attempt_with_silent_successor(&mut now);
+    attempt.on_event(Event::Released(name("b")), now);
+    attempt.on_event(Event::Members(members(&["a"])), now);
+    attempt.on_event(Event::StillNeeded(false), now);
+    let commands = run_for(&mut attempt, &mut now, Duration::from_secs(2));
+    assert!(!ends(&commands), "{commands:?}");
+    let chosen = run_to_promotion(&mut attempt, &mut now, &[("b", 12), ("c", 11)]);
+    assert_eq!(chosen, Some(name("b")));
+    attempt.on_event(primary_status("b", 3, 12, now), now);
+    attempt.on_event(replica_status("a", 10, Term(0), now), now);
+    let commands = run_for(&mut attempt, &mut now, Duration::from_millis(100));
+    let release = Command::Release(name("c"));
+    assert!(commands.contains(&release), "the replica stays stopped: {commands:?}");
+}
--- a/crates/core/tests/promotion/steps.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -235,16 +235,15 @@
     record_intent(&mut attempt, now);
     assert!(run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 10)]).is_some());
     attempt.on_event(Event::Members(members(&["a", "b"])), now);
-    let until = now + Duration::from_secs(3);
-    let mut commands = Vec::new();
-    while now < until {
-        now += STEP;
-        commands.extend(attempt.step(now));
-    }
-    assert!(
-        commands.iter().any(|command| matches!(command, Command::Finish { .. })),
-        "{commands:?}"
-    );
+    let finishes = |commands: &[Command]| {
+        commands.iter().any(|command| matches!(command, Command::Finish { .. }))
+    };
+    let mut commands = run_for(&mut attempt, &mut now, Duration::from_secs(3));
+    // Without the term of the successor, nodes could not recognize the old primary.
+    assert!(!finishes(&commands), "{commands:?}");
+    attempt.on_event(primary_status("b", 2, 10, now), now);
+    commands.extend(run_for(&mut attempt, &mut now, Duration::from_secs(3)));
+    assert!(finishes(&commands), "{commands:?}");
     assert!(!commands.iter().any(|command| matches!(command, Command::Release(_))), "{commands:?}");
 }
 
--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -176,7 +176,10 @@
 
     /// Notifies the other nodes that a replacement has finished.
     fn notify_finished(&mut self, node: usize, id: ReplacementId, successor: Option<&Successor>) {
-        if !self.coordinator_notifies {
+        let state = self.nodes[node].coordinator.as_ref();
+        let attempt = state.and_then(|state| state.attempt.as_ref());
+        let is_announced = attempt.is_none_or(Attempt::may_announce_end);
+        if !self.coordinator_notifies || !is_announced {
             return;
         }
         for to in (0..self.nodes.len()).filter(|to| *to != node) {
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -33,7 +33,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use checker::Violation;
-use plan::{Faults, PlantedFault};
+use plan::{FaultKind, Faults, Planned, PlantedFault};
 use world::{Outcome, World};
 
 /// Number of seeds that CI runs.
@@ -447,8 +447,14 @@
 
 #[test]
 fn no_seed_with_many_faults_violates_a_guarantee_while_replicas_leave() {
+    assert_no_violations(many_faults_while_replicas_leave());
+}
+
+/// Up to nine faults, data loss and a replica that leaves; promotions release all replicas, and the
+/// coordinator notifies the other nodes of the replacement.
+fn many_faults_while_replicas_leave() -> Faults {
     let many = Faults::dense().with_releases().with_data_loss();
-    assert_no_violations(many.with_leaving_replicas().with_coordinator_notifications());
+    many.with_leaving_replicas().with_coordinator_notifications()
 }
 
 /// Without notifications of the coordinator, a node that cannot reach the store does not learn of a
@@ -479,6 +485,42 @@
     assert_no_violations_around(&[322], faults);
 }
 
+/// Guards against an old primary that acknowledges commits after its successor is lost. i-1 led
+/// from 1,327 ms while the store was down, lost its log at 1,385 ms and never reported its term. At
+/// 3,434 ms the coordinator still could not reach the old primary i-0, ended the replacement without
+/// a term, and a node that could not reach the store used i-0 again.
+#[test]
+fn an_old_primary_whose_successor_is_lost_acknowledges_no_commit() {
+    let faults = many_faults_while_replicas_leave();
+    let outcome = World::new(58_126_929, faults, PlantedFault::None).run();
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+}
+
+/// The same with shifted faults: nodes that reach the store also used the old primary again.
+#[test]
+fn variations_of_a_lost_successor_violate_no_guarantee() {
+    assert_no_violations_in_variations(
+        variation_count(VARIATIONS_OF_RARE_SEEDS),
+        &[58_126_929],
+        many_faults_while_replicas_leave(),
+    );
+}
+
+/// Guards against a node that cannot reach the store and returns to the old primary because it no
+/// longer hears of the replacement: the coordinator crashes after the promotion.
+#[test]
+fn variations_with_a_coordinator_that_crashes_after_the_promotion_violate_no_guarantee() {
+    let faults = many_faults_while_replicas_leave();
+    let crash = Planned { at: 1_700, until: 4_600, kind: FaultKind::KillNode(1) };
+    let outcomes = run_worlds(0..variation_count(VARIATIONS_OF_RARE_SEEDS), |variation| {
+        World::variation_of(58_126_929, variation, faults).with_faults([crash])
+    });
+    let found = violations(&outcomes);
+    let violating: BTreeSet<u64> = found.iter().map(|(variation, _)| *variation).collect();
+    println!("{} of {} variations fail: {violating:?}", violating.len(), outcomes.len());
+    assert!(found.is_empty(), "{found:#?}");
+}
+
 /// Planted fault: a node for which no coordinator waits yet acknowledges what a primary answers,
 /// without confirmation by replicas.
 #[test]
@@ -555,7 +597,11 @@
             run_worlds(0..variations, |variation| World::variation_of(*seed, variation, faults));
         let found = violations(&outcomes);
         let violating: BTreeSet<u64> = found.iter().map(|(variation, _)| *variation).collect();
-        println!("seed {seed}: {} of {} variations fail", violating.len(), outcomes.len());
+        println!(
+            "seed {seed}: {} of {} variations fail: {violating:?}",
+            violating.len(),
+            outcomes.len()
+        );
         broken.extend(found.into_iter().next().map(|found| (*seed, violating.len(), found)));
     }
     assert!(broken.is_empty(), "{broken:#?}");
@@ -585,6 +631,7 @@
         "few_quick" => Faults::all().with_quick_data_loss(),
         "many_quick" => Faults::dense().with_releases().with_quick_data_loss(),
         "few_replica" => Faults::all().with_leaving_replicas().with_coordinator_notifications(),
+        "many_replica" => many_faults_while_replicas_leave(),
         "few_replica_untold" => Faults::all().with_leaving_replicas(),
         "few_all" => Faults::all().with_data_loss().with_full_restart(),
         "many_all" => Faults::dense().with_releases().with_data_loss().with_full_restart(),
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -189,6 +189,12 @@
         Self { planted_fault, ..self }
     }
 
+    /// Adds faults to the plan.
+    pub fn with_faults(mut self, faults: impl IntoIterator<Item = Planned>) -> Self {
+        self.plan.extend(faults);
+        self
+    }
+
     /// Enables the trace.
     pub fn traced(self) -> Self {
         Self { trace: Trace::enabled(), ..self }
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -249,8 +249,14 @@
     /// Has the end of an attempt announced to the owners of the group.
     fn announce_end(&self, group: &GroupName) {
         let Some(running) = self.attempts.get(group) else { return };
-        let successor_term = running.attempt.successor_term();
-        self.context.replacements.on_attempt_ended(group, running.attempt.id(), successor_term);
+        let (attempt, replacements) = (&running.attempt, &self.context.replacements);
+        if attempt.may_announce_end() {
+            replacements.on_attempt_ended(group, attempt.id(), attempt.successor_term());
+        } else {
+            log::warn!(event = "end_not_announced", group = group.as_str(), chosen:? = attempt.chosen(); "the successor has not reported its term: nodes learn from the store that the attempt is over");
+            self.context.metrics.unannounced_replacement_ends.inc();
+            replacements.on_attempt_ended_without_term(group);
+        }
     }
 
     fn step(&mut self) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -249,6 +249,9 @@
     pub store_restores: Counter,
     /// Messages from coordinators that announce a primary replacement.
     pub replacement_messages: Counter,
+    /// Ends of primary replacements that were not announced, because the successor had not reported
+    /// its term.
+    pub unannounced_replacement_ends: Counter,
     /// Seconds from a statement's arrival to its answer.
     pub statement_seconds: Histogram,
     /// Seconds from a commit's answer to its confirmation by a majority.
@@ -283,6 +286,9 @@
         let replacement_messages = Counter::default();
         let help = "Messages of nodes that replace primaries";
         r.register("replacements_told", help, replacement_messages.clone());
+        let unannounced_replacement_ends = Counter::default();
+        let help = "Ends of primary replacements without the term of the successor";
+        r.register("replacement_ends_unannounced", help, unannounced_replacement_ends.clone());
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
@@ -305,6 +311,7 @@
             revision,
             store_restores,
             replacement_messages,
+            unannounced_replacement_ends,
             statement_seconds: duration_histogram(r, "statement_seconds", "From arrival to answer"),
             confirmation_seconds: duration_histogram(
                 r,
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -65,6 +65,12 @@
         self.updates().running.insert(group.clone(), (intent.clone(), recorded));
     }
 
+    /// Records that this node has ended a replacement whose successor has not reported its term. The
+    /// end is not announced, because nodes could not recognize the old primary.
+    pub fn on_attempt_ended_without_term(&self, group: &GroupName) {
+        self.updates().running.remove(group);
+    }
+
     /// Records that this node has ended a replacement, with a successor that leads the term `led`.
     pub fn on_attempt_ended(
         &self,
