Log line `queued` for exchanges that wait 20 ms or longer at a gateway

Cause: the log of a slow urgent statement did not show whether the instance had no free slot or the account had no connection.

Change: the pool measures for each queued exchange the time in the queue, the part of it with all slots taken, and how many were ahead; the gateway logs waits of 20 ms and more, also those that end with a refusal. The rate is limited for each priority separately, so that waits of less urgent exchanges do not suppress the lines of urgent ones.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -121,12 +121,22 @@
         self.levels.iter().map(|level| level.waiting).sum()
     }
 
+    /// Number of waiting requests of a priority or a higher one.
+    pub fn waiting_from(&self, priority: Priority) -> usize {
+        self.levels[..=level_of(priority)].iter().map(|level| level.waiting).sum()
+    }
+
     /// Number of running requests of a tenant.
     pub fn running_of(&self, tenant: &TenantName) -> u32 {
         let flows = self.keys.iter().filter(|(flow, _)| flow.tenant == *tenant);
         flows.map(|(_, key)| self.tenants[*key].running).sum()
     }
 
+    /// Number of requests that may run concurrently.
+    pub fn slots(&self) -> u32 {
+        self.limits.slots
+    }
+
     /// Number of free slots.
     pub fn free_slots(&self) -> u32 {
         self.limits.slots.saturating_sub(self.running)
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -16,6 +16,7 @@
 use kestrellock_program::secret::Secret;
 use kestrellock_protocol::Protocol;
 
+use crate::gateway::queued_log::QueuedLogLimiter;
 use crate::metrics::Metrics;
 use crate::ownership::{OwnershipCache, OwnershipSnapshot};
 use crate::policy::Policy;
@@ -117,6 +118,8 @@
     pub quotas: SharedQuotas,
     /// Rate limit for routine log lines.
     pub routine_log_limiter: RoutineLogLimiter,
+    /// Rate limit for the log lines of exchanges that waited in the queue of an instance.
+    pub queued_log_limiter: QueuedLogLimiter,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -14,7 +14,7 @@
 
 use super::pool::{Assignment, Assignments, ConnectionToOpen, Pool};
 use super::server::{Purpose, Server};
-use super::{Gateway, notify_refused, ownership, refuse};
+use super::{Gateway, notify_refused, ownership, queued_log, refuse};
 use crate::event::Io;
 use crate::metrics::ConnectionEvent;
 
@@ -111,6 +111,7 @@
         for instance in &group.instances {
             let Some(pool) = state.pools.get_mut(&instance.name) else { continue };
             let Assignments { run, refused } = pool.assign(io.now);
+            queued_log::log_waits(&instance.name, &pool.take_long_waits(), io);
             refused.into_iter().for_each(|refused| notify_refused(refused, io));
             assigned.extend(run);
             openings.extend(
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 mod primary_tracker;
 mod probing;
+pub mod queued_log;
 pub mod running_exchange;
 pub mod server;
 mod server_events;
@@ -200,8 +201,12 @@
             if let Some(state) = self.groups.get_mut(&name) {
                 state.confirmations.expire(io);
                 state.current_positions.expire(io.now);
-                let late = state.pools.values_mut().flat_map(|pool| pool.remove_late(io.now));
-                late.collect::<Vec<_>>().into_iter().for_each(|late| notify_refused(late, io));
+                let mut late = Vec::new();
+                for (instance, pool) in &mut state.pools {
+                    late.extend(pool.remove_late(io.now));
+                    queued_log::log_waits(instance, &pool.take_long_waits(), io);
+                }
+                late.into_iter().for_each(|late| notify_refused(late, io));
                 let mut timed_out = state.monitor.timed_out_probes(io.now);
                 timed_out.extend(
                     state.pools.values().flat_map(|pool| pool.timed_out_connections(io.now)),
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -3,9 +3,11 @@
 //!
 //! `sizing` decides how many connections the pool opens, keeps and closes.
 
+mod queue_wait;
 mod recent_use;
 mod sizing;
 
+pub use queue_wait::{QueueWait, WaitCause};
 pub use sizing::ConnectionToOpen;
 
 use std::collections::HashMap;
@@ -23,6 +25,7 @@
 use kestrellock_core::retry::Backoff;
 use kestrellock_peer::message::Exchange;
 
+use self::queue_wait::{QueuedAt, SlotsTakenTime};
 use self::recent_use::RecentUse;
 
 /// Maximum number of exchanges queued for one instance.
@@ -110,6 +113,7 @@
 struct Queued {
     exchange: Exchange,
     deadline: Instant,
+    at: QueuedAt,
 }
 
 /// The connections to one instance and the queue of exchanges for them.
@@ -123,6 +127,9 @@
     leaving: bool,
     scheduler: Scheduler<Queued>,
     concurrency: ConcurrencyLimit,
+    slots_taken_time: SlotsTakenTime,
+    /// Long waits that have ended and are not reported yet.
+    long_waits: Vec<QueueWait>,
     queued_bytes: usize,
     connections: HashMap<usize, PooledConnection>,
     /// Idle connections, the most recently used one last.
@@ -162,6 +169,8 @@
             leaving: instance.leaving,
             scheduler: Scheduler::new(limits(instance.slots)),
             concurrency: ConcurrencyLimit::new(instance.slots),
+            slots_taken_time: SlotsTakenTime::default(),
+            long_waits: Vec::new(),
             queued_bytes: 0,
             connections: HashMap::new(),
             idle: Vec::new(),
@@ -238,7 +247,9 @@
             priority: exchange.priority,
             deadline: now + exchange.time_left,
         };
-        let queued = Queued { exchange, deadline: request.deadline };
+        let ahead = self.scheduler.waiting_from(exchange.priority);
+        let at = QueuedAt { time: now, ahead, slots_taken: self.slots_taken_time.at(now) };
+        let queued = Queued { exchange, deadline: request.deadline, at };
         match self.scheduler.offer(&request, queued, now) {
             Ok(()) => {
                 self.queued_bytes += bytes;
@@ -251,10 +262,11 @@
     /// Removes queued exchanges that can no longer finish before their deadline.
     pub fn remove_late(&mut self, now: Instant) -> Vec<RefusedExchange> {
         let late = self.scheduler.take_expired(now);
-        late.into_iter().map(|refused| self.on_left_queue(refused)).collect()
+        late.into_iter().map(|refused| self.on_expired(refused, now)).collect()
     }
 
-    fn on_left_queue(&mut self, refused: Refused<Queued>) -> RefusedExchange {
+    fn on_expired(&mut self, refused: Refused<Queued>, now: Instant) -> RefusedExchange {
+        self.record_wait(&refused.work, false, now);
         self.queued_bytes -= refused.work.exchange.frames.len();
         refused_exchange(refused)
     }
@@ -267,10 +279,12 @@
         while let Some(dispatch) = self.next_dispatch(reserved, now) {
             match dispatch {
                 Dispatch::Expired(refused) => {
-                    let refused = self.on_left_queue(refused);
+                    let refused = self.on_expired(refused, now);
                     assigned.refused.push(refused);
                 }
-                Dispatch::Run { ticket, work: Queued { mut exchange, deadline } } => {
+                Dispatch::Run { ticket, work } => {
+                    self.record_wait(&work, true, now);
+                    let Queued { mut exchange, deadline, .. } = work;
                     let account = exchange.account.as_ref();
                     let index = self
                         .idle_index_for(account, reserved)
@@ -284,9 +298,36 @@
                 }
             }
         }
+        self.update_slots_taken(now);
         assigned
     }
 
+    /// Records the wait of an exchange that leaves the queue, if it was long.
+    fn record_wait(&mut self, queued: &Queued, is_run: bool, now: Instant) {
+        let waited = now.saturating_duration_since(queued.at.time);
+        if !QueueWait::is_reported(waited) {
+            return;
+        }
+        self.long_waits.push(QueueWait {
+            request: queued.exchange.request.clone(),
+            priority: queued.exchange.priority,
+            waited,
+            waited_for_slot: self.slots_taken_time.at(now) - queued.at.slots_taken,
+            ahead: queued.at.ahead,
+            limit: self.scheduler.slots(),
+            is_run,
+        });
+    }
+
+    /// The long waits that have ended since the last call.
+    pub fn take_long_waits(&mut self) -> Vec<QueueWait> {
+        std::mem::take(&mut self.long_waits)
+    }
+
+    fn update_slots_taken(&mut self, now: Instant) {
+        self.slots_taken_time.update(self.scheduler.free_slots() == 0, now);
+    }
+
     fn record_use(&mut self, now: Instant) {
         let in_use = self.connections_in_use() as u32;
         self.recent_use.get_or_insert_with(|| RecentUse::new(now)).on_use(in_use, now);
@@ -362,7 +403,10 @@
             None | Some(State::Borrowed) => {}
             Some(State::Connecting { .. }) => self.connecting -= 1,
             Some(State::Idle { .. }) => self.idle.retain(|idle| *idle != key),
-            Some(State::Leased { ticket }) => self.scheduler.finish(ticket, now),
+            Some(State::Leased { ticket }) => {
+                self.scheduler.finish(ticket, now);
+                self.update_slots_taken(now);
+            }
         }
     }
 
@@ -388,6 +432,7 @@
     pub fn on_paused(&mut self, key: usize, now: Instant) {
         if let Some(State::Leased { ticket }) = state_of(&mut self.connections, key) {
             self.scheduler.pause(ticket, now);
+            self.update_slots_taken(now);
         }
     }
 
@@ -395,6 +440,7 @@
     pub fn on_resumed(&mut self, key: usize, now: Instant) {
         if let Some(State::Leased { ticket }) = state_of(&mut self.connections, key) {
             self.scheduler.resume(ticket, now);
+            self.update_slots_taken(now);
         }
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -25,6 +25,7 @@
 use crate::context::{Identity, NodeContext};
 use crate::drain::{Drain, DrainLimits};
 use crate::environment::Environment;
+use crate::gateway::queued_log::QueuedLogLimiter;
 use crate::metrics::Metrics;
 use crate::net::acceptor::Acceptor;
 use crate::net::keepalive::CLIENT_KEEPALIVE;
@@ -303,6 +304,7 @@
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
+        queued_log_limiter: QueuedLogLimiter::new(settings.ordinary_lines_per_second),
         metrics,
     })
 }
--- a/crates/daemon/src/shared/routine_log_lines.rs
+++ b/crates/daemon/src/shared/routine_log_lines.rs
@@ -1,5 +1,5 @@
-//! Rate limit for the routine log lines of successful operations, so that load does not flood the
-//! log. A separate line states how many were suppressed.
+//! Rate limit for frequent log lines, such as the routine ones of successful operations, so that
+//! load does not flood the log. A separate line states how many were suppressed.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,9 +12,30 @@
 #[derive(Debug)]
 pub struct RoutineLogLimiter {
     per_second: u32,
+    subject: Subject,
     window: Mutex<Window>,
 }
 
+/// The lines whose rate is limited.
+#[derive(Clone, Copy, Debug)]
+enum Subject {
+    SuccessfulOperations,
+    QueuedExchanges,
+}
+
+impl Subject {
+    fn log_suppressed(self, suppressed: u64) {
+        match self {
+            Self::SuccessfulOperations => {
+                log::info!(event = "ordinary_untold", count = suppressed; "suppressed routine log lines of successful operations");
+            }
+            Self::QueuedExchanges => {
+                log::info!(event = "queued_untold", count = suppressed; "suppressed log lines of exchanges that waited in the queue of an instance");
+            }
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Window {
     since: Option<Instant>,
@@ -25,7 +46,12 @@
 impl RoutineLogLimiter {
     /// Allows at most `per_second` lines in each second.
     pub fn new(per_second: u32) -> Self {
-        Self { per_second, window: Mutex::default() }
+        Self { per_second, subject: Subject::SuccessfulOperations, window: Mutex::default() }
+    }
+
+    /// Like [`Self::new`], for the lines of exchanges that waited in a queue.
+    pub fn for_queued(per_second: u32) -> Self {
+        Self { subject: Subject::QueuedExchanges, ..Self::new(per_second) }
     }
 
     /// Whether another line may be logged at `now`.
@@ -36,7 +62,7 @@
             let suppressed = std::mem::take(&mut window.suppressed);
             *window = Window { since: Some(now), emitted: 0, suppressed: 0 };
             if suppressed > 0 {
-                log::info!(event = "ordinary_untold", count = suppressed; "suppressed routine log lines of successful operations");
+                self.subject.log_suppressed(suppressed);
             }
         }
         if window.emitted < self.per_second {
