Share the capacity of an instance among the owners of its group

Cause: up to nine owners send to the same instance, each with its own scheduler and limit, and the instance's own queue knows no priority: an urgent statement waits behind less urgent ones of other owners.

Change: owners tell each other what runs and waits at an instance while their limit is reached, and each computes the same division of its slots (priority, earliest deadline, shares of tenants and accounts; one slot for a priority that was overtaken 16 times on all owners). The pool uses the lower of its concurrency limit and its allocation.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -14,6 +14,7 @@
 //! Time is an argument. Once a tenant is known and its queue has reached its working size, a
 //! decision allocates no memory.
 
+mod demand;
 mod estimate;
 mod service_time;
 mod tenant;
@@ -22,6 +23,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::capacity::Allocation;
 use crate::catalog::Priority;
 use crate::ids::{AccountName, TenantName};
 
@@ -48,13 +50,17 @@
     /// Keys of tenants with waiting requests.
     active: Vec<usize>,
     waiting: usize,
+    running: u32,
     /// Sum of the active tenants' weights.
     weight: u64,
     /// Virtual time of the request that started last. A tenant that becomes active again starts
     /// from here.
     virtual_time: u64,
-    /// Number of higher-priority requests that started since this level was last served.
+    /// Number of higher-priority requests that started since this level was last served, also at
+    /// other schedulers of the instance.
     overtaken: u32,
+    /// Number of requests that have started. It wraps around.
+    started: u32,
     /// Fraction of recent starts that belonged to higher levels, in units of 1 / [`SHARE_UNITS`].
     higher_share: u32,
     service: ServiceTime,
@@ -71,6 +77,9 @@
 #[derive(Debug)]
 pub struct Scheduler<T> {
     limits: Limits,
+    /// What may run if other schedulers share the instance. It changes with what waits there, so
+    /// estimates do not depend on it.
+    allocation: Option<Allocation>,
     levels: [Level; LEVELS],
     tenants: Vec<Tenant<T>>,
     keys: HashMap<Flow, usize>,
@@ -97,6 +106,7 @@
     pub fn new(limits: Limits) -> Self {
         Self {
             limits,
+            allocation: None,
             levels: std::array::from_fn(|_| Level::default()),
             tenants: Vec::new(),
             keys: HashMap::new(),
@@ -132,11 +142,6 @@
         flows.map(|(_, key)| self.tenants[*key].running).sum()
     }
 
-    /// Number of requests that may run concurrently.
-    pub fn slots(&self) -> u32 {
-        self.limits.slots
-    }
-
     /// Number of free slots.
     pub fn free_slots(&self) -> u32 {
         self.limits.slots.saturating_sub(self.running)
@@ -252,7 +257,7 @@
         now: Instant,
         has_connection: impl Fn(Option<&AccountName>) -> bool,
     ) -> Option<Dispatch<T>> {
-        if self.running >= self.limits.slots {
+        if !self.has_free_slot() {
             return None;
         }
         let (level, key) = self.choose(&has_connection)?;
@@ -271,11 +276,18 @@
         has_connection: &impl Fn(Option<&AccountName>) -> bool,
     ) -> Option<(usize, usize)> {
         let starved = (0..LEVELS)
-            .filter(|level| self.levels[*level].overtaken >= STARVATION_LIMIT)
+            .filter(|level| self.may_serve_starved(*level))
             .find_map(|level| self.choose_in(level, has_connection));
         starved.or_else(|| (0..LEVELS).find_map(|level| self.choose_in(level, has_connection)))
     }
 
+    /// Whether a level was overtaken too often. If other schedulers share the instance, the
+    /// allocation says whose turn it is.
+    fn may_serve_starved(&self, level: usize) -> bool {
+        let is_starved = self.levels[level].overtaken >= STARVATION_LIMIT;
+        is_starved && self.allocation.is_none_or(|it| it.starved_level == Some(level))
+    }
+
     /// Chooses the tenant with the lowest virtual time among those below their capacity.
     fn choose_in(
         &self,
@@ -316,7 +328,10 @@
             state.higher_share += target >> SHARE_SHIFT;
             match number.cmp(&level) {
                 std::cmp::Ordering::Less => {}
-                std::cmp::Ordering::Equal => state.overtaken = 0,
+                std::cmp::Ordering::Equal => {
+                    state.overtaken = 0;
+                    state.started = state.started.wrapping_add(1);
+                }
                 std::cmp::Ordering::Greater if state.waiting > 0 => state.overtaken += 1,
                 std::cmp::Ordering::Greater => state.overtaken = 0,
             }
@@ -344,6 +359,7 @@
         tenant.running += 1;
         tenant.paused -= 1;
         self.running += 1;
+        self.levels[ticket.level].running += 1;
         ticket.running = Some(Running { started: now, charged });
     }
 
@@ -360,6 +376,7 @@
         tenant.running -= 1;
         tenant.paused += 1;
         self.running -= 1;
+        self.levels[ticket.level].running -= 1;
     }
 
     /// Ends the use of a slot.
--- a/crates/core/src/admission/tenant.rs
+++ b/crates/core/src/admission/tenant.rs
@@ -80,6 +80,12 @@
         self.items.front().map(|waiting| waiting.budget)
     }
 
+    /// The earliest and the latest deadline of the waiting requests.
+    pub fn deadlines(&self) -> Option<(Instant, Instant)> {
+        let (first, last) = (self.items.front()?, self.items.back()?);
+        Some((first.budget.deadline, last.budget.deadline))
+    }
+
     pub fn pop(&mut self) -> Option<Waiting<T>> {
         self.items.pop_front()
     }
--- a/crates/core/src/capacity/demand.rs
+++ b/crates/core/src/capacity/demand.rs
@@ -10,15 +10,19 @@
 /// Number of priorities.
 pub const LEVELS: usize = 3;
 
-/// The statements of one priority that wait at an owner for an instance.
+/// An owner's statements of one priority for an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelDemand {
-    /// Number of statements that could start if the owner had more slots.
+    /// Number of running statements.
+    pub running: u32,
+    /// Number of waiting statements that the owner could run at once if it had all slots.
     pub waiting: u32,
-    /// Number of tenants, or accounts of tenants, that they belong to.
+    /// Number of tenants, or accounts of tenants, that have such statements.
     pub flows: u32,
-    /// Time left until the earliest of their deadlines.
-    pub time_left: Duration,
+    /// Time left until the earliest deadline of a waiting statement.
+    pub earliest: Duration,
+    /// Time left until the latest deadline of a waiting statement.
+    pub latest: Duration,
     /// Number of statements of higher priorities that have started since one of this priority did,
     /// on all owners as far as the sender knows.
     pub overtaken: u32,
@@ -31,15 +35,16 @@
 pub struct InstanceDemand {
     /// The instance.
     pub instance: InstanceName,
-    /// Process of the instance, if the sender knows it. A demand for another process does not count:
-    /// what ran there has ended.
+    /// Process of the instance, if the sender knows it. What was known of an earlier process does
+    /// not apply: the statements that ran there have ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub incarnation: Option<InstanceIncarnation>,
-    /// Number of statements that the sender runs on the instance.
-    pub running: u32,
-    /// Expected service time of a statement, after which half of those that run have ended.
+    /// Number of statements that the sender can run concurrently: its connections and its
+    /// concurrency limit allow no more.
+    pub limit: u32,
+    /// Expected service time of a statement.
     pub service: Duration,
-    /// Waiting statements by priority, the highest first.
+    /// Statements by priority, the highest first.
     pub levels: [LevelDemand; LEVELS],
 }
 
@@ -48,4 +53,15 @@
     pub fn waiting(&self) -> u32 {
         self.levels.iter().map(|level| level.waiting).fold(0, u32::saturating_add)
     }
+
+    /// Number of running statements of all priorities.
+    pub fn running(&self) -> u32 {
+        self.levels.iter().map(|level| level.running).fold(0, u32::saturating_add)
+    }
+
+    /// The same use without waiting statements, which withdraws an earlier demand.
+    pub fn withdrawn(mut self) -> Self {
+        self.levels.iter_mut().for_each(|level| level.waiting = 0);
+        self
+    }
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -112,6 +112,8 @@
     /// Time limit of a zone drain, from the request of the operators: no work may reach instances
     /// in the zone afterwards. Without a limit, open transactions continue until they end.
     pub zone_drain_limit: Option<Duration>,
+    /// Whether the owners of a group divide the capacity of its instances by what waits at them.
+    pub share_instance_capacity: bool,
     /// When the active configuration was last confirmed to be the newest.
     pub confirmations: Confirmations,
     /// Remaining quota of accounts.
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -16,7 +16,7 @@
 use super::server::{Purpose, Server};
 use super::{Gateway, notify_refused, ownership, queued_log, refuse};
 use crate::event::Io;
-use crate::metrics::ConnectionEvent;
+use crate::metrics::{CapacityEvent, ConnectionEvent};
 
 /// The instance that has been chosen for an exchange, if any.
 pub fn chosen_instance(exchange: &Exchange) -> Option<&InstanceName> {
@@ -106,18 +106,23 @@
     /// Runs queued exchanges on idle connections, and opens connections that the pools need.
     pub(super) fn dispatch_queued(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let Some(state) = self.groups.get_mut(name) else { return };
+        state.update_allocations(name, group, io);
         let mut assigned = Vec::new();
         let mut openings = Vec::new();
         for instance in &group.instances {
             let Some(pool) = state.pools.get_mut(&instance.name) else { continue };
             let Assignments { run, refused } = pool.assign(io.now);
             queued_log::log_waits(&instance.name, &pool.take_long_waits(), io);
+            if pool.has_allocation() {
+                io.context.metrics.capacity.add(CapacityEvent::Taken, run.len() as u64);
+            }
             refused.into_iter().for_each(|refused| notify_refused(refused, io));
             assigned.extend(run);
             openings.extend(
                 pool.connections_to_open(io.now).into_iter().map(|opening| (instance, opening)),
             );
         }
+        state.report_demands(name, group, io);
         for (instance, opening) in openings {
             self.open_connection(name, group, instance, opening, io);
         }
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -87,6 +87,7 @@
     /// Ends all work for the fronts of an unreachable node. These fronts have already answered
     /// their clients, and no further message from them will end their leases.
     pub fn on_peer_lost(&mut self, node: &NodeName, io: &mut Io) {
+        self.forget_demands(node);
         for state in self.groups.values_mut() {
             state.pools.values_mut().for_each(|pool| pool.forget_node(node));
             state.confirmations.fail_commits_of_node(node, io);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! This module defines the state of one shard's gateway and dispatches messages from fronts and
 //! timer ticks. The submodules implement the reactions.
 
+mod capacity;
 pub mod confirmation;
 mod connection_loss;
 pub mod current_position;
@@ -38,6 +39,7 @@
 use crate::ownership::OwnershipSnapshot;
 use crate::shared::stage::Stage;
 
+use self::capacity::CapacityReports;
 use self::confirmation::Confirmations;
 use self::current_position::CurrentPositions;
 use self::evidence_queries::EvidenceQueries;
@@ -60,6 +62,7 @@
     evidence_queries: EvidenceQueries,
     status_queries: StatusQueries,
     primary_tracker: PrimaryTracker,
+    capacity_reports: CapacityReports,
 }
 
 /// Connections of one shard to instances, and the leases that use them.
@@ -151,7 +154,9 @@
             GatewayCall::Subscribe => {
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
-            GatewayCall::CapacityDemand(_) => {}
+            GatewayCall::CapacityDemand(demands) => {
+                self.on_capacity_demand(&message.group, group, &message.from, &demands, io);
+            }
         }
     }
 
@@ -166,6 +171,7 @@
             evidence_queries: EvidenceQueries::default(),
             status_queries: StatusQueries::default(),
             primary_tracker: PrimaryTracker::default(),
+            capacity_reports: CapacityReports::default(),
         })
     }
 
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -3,6 +3,7 @@
 //!
 //! `sizing` decides how many connections the pool opens, keeps and closes.
 
+mod capacity;
 mod queue_wait;
 mod recent_use;
 mod sizing;
@@ -16,6 +17,7 @@
 use kestrellock_core::admission::{
     Dispatch, Limits, Overload, Refused, Request, Scheduler, Ticket,
 };
+use kestrellock_core::capacity::SharedCapacity;
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::concurrency_limit::ConcurrencyLimit;
 use kestrellock_core::connection_budget::{ConnectionBudget, owner_limit};
@@ -127,6 +129,7 @@
     leaving: bool,
     scheduler: Scheduler<Queued>,
     concurrency: ConcurrencyLimit,
+    shared_capacity: SharedCapacity,
     slots_taken_time: SlotsTakenTime,
     /// Long waits that have ended and are not reported yet.
     long_waits: Vec<QueueWait>,
@@ -169,6 +172,7 @@
             leaving: instance.leaving,
             scheduler: Scheduler::new(limits(instance.slots)),
             concurrency: ConcurrencyLimit::new(instance.slots),
+            shared_capacity: SharedCapacity::default(),
             slots_taken_time: SlotsTakenTime::default(),
             long_waits: Vec::new(),
             queued_bytes: 0,
@@ -325,7 +329,7 @@
     }
 
     fn update_slots_taken(&mut self, now: Instant) {
-        self.slots_taken_time.update(self.scheduler.free_slots() == 0, now);
+        self.slots_taken_time.update(!self.scheduler.has_free_slot(), now);
     }
 
     fn record_use(&mut self, now: Instant) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -174,6 +174,18 @@
     }
 }
 
+labels! {
+    /// Event of the division of an instance's capacity among owners.
+    CapacityEvent {
+        /// A slot was allocated to this node.
+        Granted = "granted",
+        /// A statement started under an allocation.
+        Taken = "taken",
+        /// The demand of another owner expired without news from it.
+        Expired = "expired",
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Labels {
     kind: String,
@@ -241,6 +253,8 @@
     pub configuration: CounterSet<ConfigurationEvent>,
     /// Bytes of configuration fetched from and sent to peers.
     pub configuration_bytes: CounterSet<ConfigurationEvent>,
+    /// Division of the capacity of instances among owners.
+    pub capacity: CounterSet<CapacityEvent>,
     /// Threads restarted after a panic.
     pub restarts: Counter,
     /// Revision of the active configuration.
@@ -301,6 +315,7 @@
                 "configuration_bytes",
                 "Bytes of configuration exchanged with peers",
             ),
+            capacity: CounterSet::register(r, "capacity", "Capacity shared among owners"),
             restarts,
             revision,
             store_restores,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -301,6 +301,7 @@
         revisions: Revisions::default(),
         revocation_limit: settings.revocation_limit.map(RevocationLimit::new),
         zone_drain_limit: settings.zone_drain_limit,
+        share_instance_capacity: settings.share_instance_capacity,
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -125,6 +125,8 @@
     /// Time from the start of a planned stop after which it ends open transactions. `None`: they
     /// may last for the whole `drain_limit`.
     pub drain_transactions: Option<Duration>,
+    /// Whether the owners of a group divide the capacity of its instances by what waits at them.
+    pub share_instance_capacity: bool,
     /// Largest number of routine log lines per second.
     pub ordinary_lines_per_second: u32,
     /// Seed nodes through which this node joins the cluster.
@@ -163,6 +165,7 @@
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
+            share_instance_capacity: false,
             ordinary_lines_per_second: DEFAULT_ROUTINE_LINES_PER_SECOND,
             peers: Vec::new(),
             store_endpoints: Vec::new(),
@@ -191,6 +194,10 @@
             ("shards", self.shards != other.shards),
             ("revocation_limit_ms", self.revocation_limit != other.revocation_limit),
             ("zone_drain_limit_ms", self.zone_drain_limit != other.zone_drain_limit),
+            (
+                "share_instance_capacity",
+                self.share_instance_capacity != other.share_instance_capacity,
+            ),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -57,6 +57,8 @@
     pub peers: Vec<PeerSettings>,
     #[serde(default)]
     pub store_endpoints: Vec<String>,
+    #[serde(default)]
+    pub share_instance_capacity: bool,
     pub machine_list: Option<String>,
     #[serde(default)]
     pub secrets: SecretSources,
@@ -84,6 +86,7 @@
             drain_limit,
             drain_transactions: drain_transactions(drain_limit, self.drain_transactions_share)?,
             drain_notice: self.drain_notice_ms.map_or(Duration::ZERO, Duration::from),
+            share_instance_capacity: self.share_instance_capacity,
             ordinary_lines_per_second: self
                 .ordinary_lines_per_second
                 .unwrap_or(DEFAULT_ROUTINE_LINES_PER_SECOND),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -66,6 +66,7 @@
         ("node = \"a\"", "node = \"a\"\nshards = 0", "KL2005", Some(2)),
         ("node = \"a\"", "node = \"a\"\nlink_mbps = 0", "KL2005", Some(2)),
         ("node = \"a\"", "node = \"a\"\nlink_mbps = nan", "KL2005", Some(2)),
+        ("node = \"a\"", "node = \"a\"\nshare_instance_capacity = 1", "KL2002", Some(2)),
         ("127.0.0.1:7433", "127.0.0.1:7432", "KL2006", Some(5)),
         ("127.0.0.1:7433", "0.0.0.0:6432", "KL2006", Some(5)),
         ("peer_address = \"127.0.0.1", "peer_address = \"0.0.0.0", "KL2006", None),
