--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -5,6 +5,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use kestrellock_core::admission::{Dispatch, Limits, Request, Scheduler};
+use kestrellock_core::capacity::{Claim, InstanceDemand, LevelDemand, divide};
 use kestrellock_core::catalog::Priority;
 use kestrellock_core::ids::{InstanceName, TenantName, ZoneName};
 use kestrellock_core::position::{LogOffset, Position, Term};
@@ -76,5 +77,28 @@
     });
 }
 
-criterion_group!(benches, route, admit);
+/// Divides the slots of an instance among as many owners as a group may have.
+fn share(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let demand = |owner: u64| InstanceDemand {
+        instance: InstanceName::new("orders-0"),
+        incarnation: None,
+        limit: 4,
+        service: Duration::from_millis(9),
+        levels: std::array::from_fn(|level| LevelDemand {
+            running: u32::from(level == 2),
+            waiting: 1 + level as u32,
+            flows: 2,
+            earliest: Duration::from_millis(100 + 7 * owner),
+            latest: Duration::from_millis(400 + 7 * owner),
+            ..LevelDemand::default()
+        }),
+    };
+    let claims: Vec<Claim> = (0..9).map(|owner| Claim::new(&demand(owner), now)).collect();
+    criterion.bench_function("divide 4 slots among 9 owners", |bencher| {
+        bencher.iter(|| divide(black_box(4), black_box(&claims)));
+    });
+}
+
+criterion_group!(benches, route, admit, share);
 criterion_main!(benches);
--- a/crates/daemon/src/gateway/capacity.rs
+++ b/crates/daemon/src/gateway/capacity.rs
@@ -8,6 +8,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_peer::message::{GatewayCall, ToGateway};
 
+use super::pool::Pool;
 use super::{Gateway, GroupGateway};
 use crate::event::{Io, Outgoing};
 use crate::metrics::CapacityEvent;
@@ -85,7 +86,7 @@
 impl GroupGateway {
     /// Divides the capacity of the group's instances by what is known of the other owners.
     pub(super) fn update_allocations(&mut self, name: &GroupName, group: &Group, io: &Io) {
-        if !io.context.share_instance_capacity {
+        if !self.pools.values().any(Pool::is_sharing) {
             return;
         }
         let owners = other_owners(name, io);
@@ -116,26 +117,21 @@
         if !io.context.share_instance_capacity || !self.capacity_reports.pacer.is_due(io.now) {
             return;
         }
+        if !self.pools.values().any(|pool| pool.waiting() > 0 || pool.has_reported_demand()) {
+            return;
+        }
+        let owners = other_owners(name, io);
+        if owner_versions(&owners, io) == OwnerVersions::Insufficient {
+            return;
+        }
         let mut demands = Vec::new();
         for instance in &group.instances {
             let Some(pool) = self.pools.get_mut(&instance.name) else { continue };
-            if pool.waiting() == 0 && !pool.shared_capacity().needs_report(false) {
-                continue;
-            }
-            let demand = pool.demand(instance, io.now);
-            let has_demand = pool.needs_capacity(&demand);
-            if pool.shared_capacity().needs_report(has_demand) {
-                pool.shared_capacity().on_reported(has_demand);
-                demands.push(if has_demand { demand } else { demand.withdrawn() });
-            }
+            demands.extend(pool.take_report(instance, io.now));
         }
         if demands.is_empty() {
             return;
         }
-        let owners = other_owners(name, io);
-        if owners.is_empty() || owner_versions(&owners, io) == OwnerVersions::Insufficient {
-            return;
-        }
         self.capacity_reports.pacer.on_sent(io.now);
         for node in owners {
             let call = GatewayCall::CapacityDemand(demands.clone());
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -106,11 +106,13 @@
         is_quiet && self.leases.is_empty() && !self.is_waiting()
     }
 
-    /// Whether any statement waits for an instance, a connection or the confirmation of its commit.
+    /// Whether any statement waits for an instance, a connection or the confirmation of its commit,
+    /// or a demand for capacity has to be withdrawn.
     pub fn is_waiting(&self) -> bool {
         let is_waiting = |state: &GroupGateway| {
             let held = state.confirmations.is_waiting() || state.placements.is_waiting();
-            held || state.pools.values().any(|pool| pool.waiting() > 0)
+            let has_demand = |pool: &Pool| pool.waiting() > 0 || pool.has_reported_demand();
+            held || state.pools.values().any(has_demand)
         };
         self.groups.values().any(is_waiting)
     }
--- a/crates/daemon/src/gateway/pool/capacity.rs
+++ b/crates/daemon/src/gateway/pool/capacity.rs
@@ -32,6 +32,32 @@
         demand.waiting() > 0 && !self.scheduler.has_free_slot()
     }
 
+    /// The demand to report to the other owners: while exchanges wait for a slot, and once more when
+    /// that ends.
+    pub fn take_report(&mut self, instance: &Instance, now: Instant) -> Option<InstanceDemand> {
+        if self.waiting() == 0 && !self.has_reported_demand() {
+            return None;
+        }
+        let demand = self.demand(instance, now);
+        let has_demand = self.needs_capacity(&demand);
+        if !self.shared_capacity.needs_report(has_demand) {
+            return None;
+        }
+        self.shared_capacity.on_reported(has_demand);
+        Some(if has_demand { demand } else { demand.withdrawn() })
+    }
+
+    /// Whether the other owners know of a demand that was not withdrawn.
+    pub fn has_reported_demand(&self) -> bool {
+        self.shared_capacity.needs_report(false)
+    }
+
+    /// Whether the other owners know of a demand, or this one knows of theirs.
+    pub fn is_sharing(&self) -> bool {
+        let is_known = self.has_reported_demand() || self.has_allocation();
+        is_known || self.shared_capacity.known_owners() > 0
+    }
+
     /// Number of connections of each account that can run exchanges, now or after their lease.
     fn usable_connections(&self) -> Vec<(Option<&AccountName>, u32)> {
         let mut usable: Vec<(Option<&AccountName>, u32)> = Vec::new();
