--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -16,6 +16,7 @@
 use kestrellock_program::secret::Secret;
 use kestrellock_protocol::Protocol;
 
+use crate::gateway::queued_log::QueuedLogLimiter;
 use crate::metrics::Metrics;
 use crate::ownership::{OwnershipCache, OwnershipSnapshot};
 use crate::policy::Policy;
@@ -121,12 +122,16 @@
     pub prewarm_connections: bool,
     /// Zones that the deployment must do without.
     pub tolerated_zone_losses: u32,
+    /// Whether the owners of a group divide the capacity of its instances by what waits at them.
+    pub share_instance_capacity: bool,
     /// When the active configuration was last confirmed to be the newest.
     pub confirmations: Confirmations,
     /// Remaining quota of accounts.
     pub quotas: SharedQuotas,
     /// Rate limit for routine log lines.
     pub routine_log_limiter: RoutineLogLimiter,
+    /// Rate limit for the log lines of exchanges that waited in the queue of an instance.
+    pub queued_log_limiter: QueuedLogLimiter,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! This module defines the state of one shard's gateway and dispatches messages from fronts and
 //! timer ticks. The submodules implement the reactions.
 
+mod capacity;
 pub mod confirmation;
 mod connection_loss;
 pub mod current_position;
@@ -18,6 +19,7 @@
 mod prewarming;
 mod primary_tracker;
 mod probing;
+pub mod queued_log;
 pub mod running_exchange;
 pub mod server;
 mod server_events;
@@ -38,6 +40,7 @@
 use crate::ownership::OwnershipSnapshot;
 use crate::shared::stage::Stage;
 
+use self::capacity::CapacityReports;
 use self::confirmation::Confirmations;
 use self::current_position::CurrentPositions;
 use self::evidence_queries::EvidenceQueries;
@@ -60,6 +63,7 @@
     evidence_queries: EvidenceQueries,
     status_queries: StatusQueries,
     primary_tracker: PrimaryTracker,
+    capacity_reports: CapacityReports,
 }
 
 /// Connections of one shard to instances, and the leases that use them.
@@ -103,11 +107,13 @@
         is_quiet && self.leases.is_empty() && !self.is_waiting()
     }
 
-    /// Whether any statement waits for an instance, a connection or the confirmation of its commit.
+    /// Whether any statement waits for an instance, a connection or the confirmation of its commit,
+    /// or a demand for capacity has to be withdrawn.
     pub fn is_waiting(&self) -> bool {
         let is_waiting = |state: &GroupGateway| {
             let held = state.confirmations.is_waiting() || state.placements.is_waiting();
-            held || state.pools.values().any(|pool| pool.waiting() > 0)
+            let has_demand = |pool: &Pool| pool.waiting() > 0 || pool.has_reported_demand();
+            held || state.pools.values().any(has_demand)
         };
         self.groups.values().any(is_waiting)
     }
@@ -151,10 +157,12 @@
             GatewayCall::Subscribe => {
                 self.group_state(&message.group, io.now).monitor.subscribe(message.from, io);
             }
-            GatewayCall::CapacityDemand(_) => {}
             GatewayCall::Prewarm { account, at_primary } => {
                 self.on_prewarm(&message.group, group, account, at_primary, io);
             }
+            GatewayCall::CapacityDemand(demands) => {
+                self.on_capacity_demand(&message.group, group, &message.from, &demands, io);
+            }
         }
     }
 
@@ -169,6 +177,7 @@
             evidence_queries: EvidenceQueries::default(),
             status_queries: StatusQueries::default(),
             primary_tracker: PrimaryTracker::default(),
+            capacity_reports: CapacityReports::default(),
         })
     }
 
@@ -205,8 +214,12 @@
             if let Some(state) = self.groups.get_mut(&name) {
                 state.confirmations.expire(io);
                 state.current_positions.expire(io.now);
-                let late = state.pools.values_mut().flat_map(|pool| pool.remove_late(io.now));
-                late.collect::<Vec<_>>().into_iter().for_each(|late| notify_refused(late, io));
+                let mut late = Vec::new();
+                for (instance, pool) in &mut state.pools {
+                    late.extend(pool.remove_late(io.now));
+                    queued_log::log_waits(instance, &pool.take_long_waits(), io);
+                }
+                late.into_iter().for_each(|late| notify_refused(late, io));
                 let mut timed_out = state.monitor.timed_out_probes(io.now);
                 timed_out.extend(
                     state.pools.values().flat_map(|pool| pool.timed_out_connections(io.now)),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -226,6 +226,18 @@
     }
 }
 
+labels! {
+    /// Event of the division of an instance's capacity among owners.
+    CapacityEvent {
+        /// A slot was allocated to this node.
+        Granted = "granted",
+        /// A statement started under an allocation.
+        Taken = "taken",
+        /// The demand of another owner expired without news from it.
+        Expired = "expired",
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Labels {
     kind: String,
@@ -341,6 +353,8 @@
     pub isolation: CounterSet<IsolationEvent>,
     /// 1 while the node is isolated, else 0.
     pub isolated: Gauge,
+    /// Division of the capacity of instances among owners.
+    pub capacity: CounterSet<CapacityEvent>,
     /// Threads restarted after a panic.
     pub restarts: Counter,
     /// Revision of the active configuration.
@@ -422,6 +436,7 @@
             ),
             isolation: CounterSet::register(r, "isolation", "Beginnings and ends of isolation"),
             isolated,
+            capacity: CounterSet::register(r, "capacity", "Capacity shared among owners"),
             restarts,
             revision,
             store_restores,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -25,6 +25,7 @@
 use crate::context::{Identity, NodeContext};
 use crate::drain::{Drain, DrainLimits};
 use crate::environment::Environment;
+use crate::gateway::queued_log::QueuedLogLimiter;
 use crate::metrics::Metrics;
 use crate::net::acceptor::Acceptor;
 use crate::net::keepalive::CLIENT_KEEPALIVE;
@@ -309,9 +310,11 @@
         ),
         prewarm_connections: settings.prewarm_connections,
         tolerated_zone_losses: settings.tolerated_zone_losses,
+        share_instance_capacity: settings.share_instance_capacity,
         confirmations: Confirmations::default(),
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
+        queued_log_limiter: QueuedLogLimiter::new(settings.ordinary_lines_per_second),
         metrics,
     })
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -135,6 +135,8 @@
     /// Time from the start of a planned stop after which it ends open transactions. `None`: they
     /// may last for the whole `drain_limit`.
     pub drain_transactions: Option<Duration>,
+    /// Whether the owners of a group divide the capacity of its instances by what waits at them.
+    pub share_instance_capacity: bool,
     /// Largest number of routine log lines per second.
     pub ordinary_lines_per_second: u32,
     /// Seed nodes through which this node joins the cluster.
@@ -176,6 +178,7 @@
             drain_limit: file::DEFAULT_DRAIN_LIMIT,
             drain_notice: Duration::ZERO,
             drain_transactions: None,
+            share_instance_capacity: false,
             ordinary_lines_per_second: DEFAULT_ROUTINE_LINES_PER_SECOND,
             peers: Vec::new(),
             store_endpoints: Vec::new(),
@@ -207,6 +210,10 @@
             ("tolerated_zone_losses", self.tolerated_zone_losses != other.tolerated_zone_losses),
             ("prewarm_connections", self.prewarm_connections != other.prewarm_connections),
             ("share_store_access", self.share_store_access != other.share_store_access),
+            (
+                "share_instance_capacity",
+                self.share_instance_capacity != other.share_instance_capacity,
+            ),
             ("peers", self.peers != other.peers),
             ("store_endpoints", self.store_endpoints != other.store_endpoints),
             ("machine_list", self.machine_list != other.machine_list),
