Isolate nodes of several zones that are cut off together from the store

Cause: nodes that are cut off in every zone at once reach a part of each zone and maybe all instances, so zones and instances did not show it. They stayed ready and refused most statements for want of quotas and evidence.

Change: a survey also calls the store (a replacement check). A node that gets answers from less than half of the asked nodes and none from the store for 1 s is isolated until two thirds of the nodes answer, or the store does.

--- a/crates/core/src/isolation/mod.rs
+++ b/crates/core/src/isolation/mod.rs
@@ -5,8 +5,9 @@
 //! be ready. The decision is made from the answers to the node's own questions, because these show
 //! that packets pass in both directions. A steady probe of other zones and reports of trouble from
 //! other components start a survey. The survey asks samples of nodes, then tries instances in zones
-//! where no node answers. Only a survey without any answer from outside for its whole duration
-//! isolates the node. Conditions that all nodes have in common (the store is down, all nodes have
+//! where no node answers, and calls the store. Only a survey without any answer from outside for its
+//! whole duration isolates the node, or one in which most nodes and the store do not answer.
+//! Conditions that all nodes have in common (the store is down, all nodes have
 //! just started, many nodes have died, this process stood still) never do.
 
 mod answers;
@@ -35,6 +36,9 @@
 /// Length of a survey: [`NODE_PERIOD`], and the time to connect to instances of silent zones. The node
 /// is isolated if nothing outside its part has answered for all of it.
 const SURVEY_PERIOD: Duration = Duration::from_millis(550);
+/// Length of a survey after which a node is isolated that lacks the store and most nodes, but not
+/// whole zones. It leaves time to repeat a packet to the store that was lost.
+const STORE_SURVEY_PERIOD: Duration = Duration::from_secs(1);
 /// Shortest time between the end of a survey and the start of the next one. It bounds the messages
 /// of a node that often hears of trouble, such as one in an overloaded cluster.
 const SURVEY_COOLDOWN: Duration = Duration::from_millis(300);
@@ -77,6 +81,8 @@
     Node(NodeName),
     /// Connect to this instance.
     Instance(InstanceName),
+    /// Make a call to the platform's store.
+    Store,
 }
 
 /// A change of the decision.
@@ -96,7 +102,7 @@
         next_survey: Duration,
     },
     /// The node asks samples of all zones.
-    Surveying { since: Duration, next_round: Duration, has_tried_instances: bool },
+    Surveying { since: Duration, next_round: Duration, has_tried_others: bool },
     Isolated {
         next_round: Duration,
         next_instances: Duration,
@@ -109,7 +115,7 @@
     /// A survey that starts now.
     fn survey_from(now: Duration) -> Self {
         let next_round = now + SURVEY_ROUND_INTERVAL;
-        Self::Surveying { since: now, next_round, has_tried_instances: false }
+        Self::Surveying { since: now, next_round, has_tried_others: false }
     }
 }
 
@@ -178,6 +184,11 @@
         self.answers.on_instance_answer(instance, now);
     }
 
+    /// Handles an answer of the store to this node.
+    pub fn on_store_answer(&mut self, now: Duration) {
+        self.answers.on_store_answer(now);
+    }
+
     /// Does the work due at `now`: returns the questions to ask, and a change of the decision.
     pub fn on_tick(
         &mut self,
@@ -241,16 +252,23 @@
         questions: &mut Vec<Question>,
     ) -> Option<Change> {
         let reach = self.reach(now);
-        if !reach.is_cut_off() {
+        if !reach.may_be_cut_off() {
             self.phase = Phase::Watching { next_survey: now + SURVEY_COOLDOWN };
             return None;
         }
+        let (is_cut_off, from_store) = (reach.is_cut_off(), reach.is_cut_off_from_store());
         let observation = reach.observation();
-        let Phase::Surveying { since, next_round, has_tried_instances } = &mut self.phase else {
+        let Phase::Surveying { since, next_round, has_tried_others } = &mut self.phase else {
             return None;
         };
         let elapsed = now.saturating_sub(*since);
-        if elapsed >= SURVEY_PERIOD {
+        let is_isolated = (is_cut_off && elapsed >= SURVEY_PERIOD)
+            || (from_store && elapsed >= STORE_SURVEY_PERIOD);
+        if !is_isolated && elapsed >= STORE_SURVEY_PERIOD {
+            self.phase = Phase::Watching { next_survey: now + SURVEY_COOLDOWN };
+            return None;
+        }
+        if is_isolated {
             self.phase = Phase::Isolated {
                 next_round: now,
                 next_instances: now + INSTANCE_RETRY_INTERVAL,
@@ -262,13 +280,14 @@
         if asks_nodes {
             *next_round = now + SURVEY_ROUND_INTERVAL;
         }
-        let tries_instances = elapsed >= NODE_PERIOD && !*has_tried_instances;
-        *has_tried_instances |= tries_instances;
+        let tries_others = elapsed >= NODE_PERIOD && !*has_tried_others;
+        *has_tried_others |= tries_others;
         if asks_nodes {
             questions.extend(self.ask_silent_zones(LATER_ROUND_SAMPLE, now, random));
         }
-        if tries_instances {
+        if tries_others {
             questions.extend(self.try_instances(now, random));
+            questions.push(Question::Store);
         }
         None
     }
@@ -280,7 +299,7 @@
         questions: &mut Vec<Question>,
     ) -> Option<Change> {
         let reach = self.reach(now);
-        let (is_cut_off, observation) = (reach.is_cut_off(), reach.observation());
+        let (is_cut_off, observation) = (reach.may_be_cut_off(), reach.observation());
         let Phase::Isolated { next_round, next_instances, reached_since } = &mut self.phase else {
             return None;
         };
@@ -302,6 +321,7 @@
         }
         if asks_instances {
             questions.extend(self.try_instances(now, random));
+            questions.push(Question::Store);
         }
         None
     }
@@ -316,8 +336,8 @@
         Reach::new(&self.own, &self.surroundings, &self.answers, nodes_since, instances_since)
     }
 
-    /// Asks `count` nodes of every zone of which no node has answered yet, and of this node's own
-    /// zone, of which a part may be cut off.
+    /// Asks `count` nodes of every zone of which less than half of the asked nodes have answered, and
+    /// of this node's own zone: a part of each may be cut off.
     fn ask_silent_zones(
         &mut self,
         count: usize,
@@ -325,7 +345,7 @@
         random: &mut dyn RandomSource,
     ) -> Vec<Question> {
         let own = self.surroundings.own_zone().clone();
-        let mut zones = self.reach(now).zones_without_node_answer();
+        let mut zones = self.reach(now).zones_with_few_answers();
         zones.retain(|zone| *zone != own);
         zones.push(own);
         self.ask(zones, count, now, random)
--- a/crates/core/src/isolation/reach.rs
+++ b/crates/core/src/isolation/reach.rs
@@ -12,6 +12,14 @@
 /// a network partition within the zone.
 const WHOLE_ZONE_FRACTION: f64 = 0.25;
 
+/// Fraction of the asked nodes below which the node counts as cut off from most nodes.
+const HALF: f64 = 0.5;
+/// Fraction above which a node does not count as cut off any more. It exceeds a half, so that the
+/// chance of the sample does not end a survey or an isolation.
+const CLEAR_MAJORITY: f64 = 2.0 / 3.0;
+/// Least number of nodes, of all zones together, of which the part that answers is judged.
+const MIN_SHARE_SAMPLE: usize = 2 * FULL_SAMPLE;
+
 /// What a decision was based on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Observation {
@@ -51,11 +59,48 @@
         Self { own, surroundings, answers, nodes_since, instances_since }
     }
 
-    /// Whether the node reaches only the smaller part of the nodes, and nothing outside it.
+    /// Whether the node is cut off from other zones: it reaches only the smaller part of the nodes,
+    /// and no instance outside that part.
     pub fn is_cut_off(&self) -> bool {
         !self.is_larger_part() && !self.instances_answer_outside()
     }
 
+    /// Whether the node is cut off from most nodes of several zones, and from the store. It may
+    /// reach all instances, but nothing shows it that its configuration, its quotas and the
+    /// primaries that it knows are current. If only nodes have died, the store still answers.
+    pub fn is_cut_off_from_store(&self) -> bool {
+        self.has_few_answers(MIN_SHARE_SAMPLE, HALF) && !self.store_answers()
+    }
+
+    /// Whether the answers so far leave it open that the node is cut off.
+    pub fn may_be_cut_off(&self) -> bool {
+        self.is_cut_off() || (self.has_few_answers(1, CLEAR_MAJORITY) && !self.store_answers())
+    }
+
+    fn store_answers(&self) -> bool {
+        self.answers.store_has_answered(self.instances_since)
+    }
+
+    /// Whether at least `sample` nodes were asked and less than `fraction` of them have answered.
+    fn has_few_answers(&self, sample: usize, fraction: f64) -> bool {
+        let (asked, answered) = self.answers.node_counts(self.nodes_since);
+        let others = self.surroundings.listed().saturating_sub(1);
+        asked >= sample.min(others) && (answered as f64) < asked as f64 * fraction
+    }
+
+    /// The zones in which less than half of the asked nodes have answered.
+    pub fn zones_with_few_answers(&self) -> Vec<ZoneName> {
+        let mut zones = self.surroundings.zone_names();
+        zones.retain(|zone| {
+            let nodes = self.surroundings.nodes_of(zone).iter();
+            let asked =
+                nodes.filter_map(|node| self.answers.node_has_answered(node, self.nodes_since));
+            let (answered, silent): (Vec<bool>, Vec<bool>) = asked.partition(|answered| *answered);
+            answered.is_empty() || answered.len() < silent.len()
+        });
+        zones
+    }
+
     /// The zones in which no other node has answered. The node's own zone is not among them if it
     /// has no other nodes there.
     pub fn zones_without_node_answer(&self) -> Vec<ZoneName> {
