--- a/crates/daemon/src/agent/isolation/mod.rs
+++ b/crates/daemon/src/agent/isolation/mod.rs
@@ -130,6 +130,7 @@
                 self.pings.insert(number, Ping { node, sent: now });
             }
             Question::Instance(instance) => self.try_instance(&instance),
+            Question::Store => self.call_store(now),
         }
     }
 
