--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -78,7 +78,7 @@
 }
 
 /// Divides the slots of an instance among as many owners as a group may have.
-fn share(criterion: &mut Criterion) {
+fn divide_capacity(criterion: &mut Criterion) {
     let now = Instant::now();
     let demand = |owner: u64| InstanceDemand {
         instance: InstanceName::new("orders-0"),
@@ -100,5 +100,5 @@
     });
 }
 
-criterion_group!(benches, route, admit, share);
+criterion_group!(benches, route, admit, divide_capacity);
 criterion_main!(benches);
--- a/crates/core/src/account_connections/mod.rs
+++ b/crates/core/src/account_connections/mod.rs
@@ -1,10 +1,10 @@
 //! Decides which accounts get a connection to an instance in advance, and which idle connection
 //! closes when another account needs one.
 //!
-//! A connection belongs to one account, and opening it takes as much of a slot as a short statement.
-//! The inputs are the accounts' recent use of the instance and the logins of their clients. The
-//! decisions prevent urgent statements from waiting for a connection that could have been opened
-//! before, or that was closed shortly before although its account uses it often.
+//! A connection belongs to one account, and opening it takes as much of a slot as a short
+//! statement. The inputs are the accounts' recent use of the instance and the logins of their
+//! clients. The decisions prevent urgent statements from waiting for a connection that could have
+//! been opened before, or that was closed shortly before although its account uses it often.
 
 mod advance;
 mod eviction;
--- a/crates/core/src/account_connections/recent_use.rs
+++ b/crates/core/src/account_connections/recent_use.rs
@@ -46,7 +46,7 @@
         *record = Record { weight: record.weight_at(now) + 1.0, updated: now, last_urgent };
     }
 
-    /// Recent statements of the account, of which older ones count less.
+    /// Number of recent statements of the account. The older a statement is, the less it counts.
     pub fn weight(&self, account: &AccountName, now: Instant) -> f64 {
         self.records.get(account).map_or(0.0, |record| record.weight_at(now))
     }
--- a/crates/core/src/admission/demand.rs
+++ b/crates/core/src/admission/demand.rs
@@ -1,5 +1,5 @@
-//! Sharing an instance with the schedulers of other owners: what waits here, what started there, and
-//! how many slots are left for this scheduler.
+//! Sharing an instance with the schedulers of other owners: what waits here, what started there,
+//! and how many slots are left for this scheduler.
 
 use std::time::{Duration, Instant};
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -77,7 +77,7 @@
 #[derive(Debug)]
 pub struct Scheduler<T> {
     limits: Limits,
-    /// What may run if other schedulers share the instance. It changes with what waits there, so
+    /// What may run if other schedulers share the instance. It changes with what waits at them, so
     /// estimates do not depend on it.
     allocation: Option<Allocation>,
     levels: [Level; LEVELS],
@@ -295,7 +295,8 @@
     /// allocation says whose turn it is.
     fn may_serve_starved(&self, level: usize) -> bool {
         let is_starved = self.levels[level].overtaken >= STARVATION_LIMIT;
-        is_starved && self.allocation.is_none_or(|it| it.starved_level == Some(level))
+        is_starved
+            && self.allocation.is_none_or(|allocation| allocation.starved_level == Some(level))
     }
 
     /// Chooses the tenant with the lowest virtual time among those below their capacity.
--- a/crates/core/src/capacity/division.rs
+++ b/crates/core/src/capacity/division.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Order in which the claim, with `granted` slots so far, gets the next one.
+    /// Rank of the claim for the next slot, if it has got `granted` slots so far.
     fn rank(&self, granted: u32, start: Instant) -> Rank {
         let flows = self.flows;
         if self.waiting == 0 {
@@ -127,7 +127,8 @@
         self.unclaimed -= 1;
     }
 
-    /// Gives the most urgent starved claim of a level slots for its running statements and one more.
+    /// Gives the most urgent starved claim of a level slots for its running statements and for one
+    /// more.
     fn grant_starved(&mut self, level: &mut LevelDivision) {
         let Some(index) = level.next_starved_claim() else { return };
         self.starved = Some((level.level, index));
--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -5,8 +5,8 @@
 //! statements therefore tell each other their [`InstanceDemand`], and each computes the same
 //! [division](divide): by priority, then by the earliest deadline, then in fair shares.
 //! [`SharedCapacity`] turns it into the number of statements that this owner may run, from what it
-//! knows of the others. What it knows expires, and an owner that knows nothing falls back to its own
-//! concurrency limit, so a silent owner blocks capacity only for [`DEMAND_LIFETIME`].
+//! knows of the others. What it knows expires, and an owner that knows nothing falls back to its
+//! own concurrency limit, so a silent owner blocks capacity only for [`DEMAND_LIFETIME`].
 
 mod demand;
 mod division;
--- a/crates/core/src/capacity/shared.rs
+++ b/crates/core/src/capacity/shared.rs
@@ -19,8 +19,8 @@
     /// Number of statements that it may run.
     pub slots: u32,
     /// The level that it must serve next, because higher ones went ahead on all owners together as
-    /// often as they may. Only one owner gets this turn: if each took it, the less urgent statements
-    /// of all of them would go ahead of the urgent ones.
+    /// often as they may. Only one owner gets this turn: if each took it, the less urgent
+    /// statements of all of them would go ahead of the urgent ones.
     pub starved_level: Option<usize>,
 }
 
@@ -45,9 +45,10 @@
         now >= self.received + lifetime
     }
 
-    /// Number of slots that the owner occupies. Statements beyond its share occupy theirs until they
-    /// have ended: the owner replaces none of them once it knows of the other claims. An owner that
-    /// still does is one that does not hear the others, and must not keep them from their shares.
+    /// Number of slots that the owner occupies. Statements beyond its share count until they should
+    /// have ended: an owner that knows of the other claims starts no others in their place. One
+    /// that still exceeds its share then does not hear the others. Only its share counts, so that
+    /// it cannot keep the others from theirs.
     fn occupied(&mut self, share: u32, now: Instant) -> u32 {
         if self.demand.running() <= share {
             self.over_share_since = None;
@@ -127,8 +128,8 @@
         self.peers.len()
     }
 
-    /// What this owner, `own`, may run now; `None` if no demand of another
-    /// owner is known, so that only its own limit applies.
+    /// What this owner, `own`, may run now; `None` if no demand of another owner is known, so that
+    /// only its own limit applies.
     pub fn allocation(
         &mut self,
         own: &NodeName,
--- a/crates/core/src/connection_shares.rs
+++ b/crates/core/src/connection_shares.rs
@@ -11,8 +11,8 @@
 //!
 //! A node keeps only a part of its share open while idle. When machines lose power, an instance
 //! counts their connections until it detects the loss, seconds later. If all nodes restart in the
-//! meantime, their new connections have to fit beside the old ones. Deployments that must do without
-//! whole zones reserve a part of each share for that case.
+//! meantime, their new connections have to fit beside the old ones. Deployments that must do
+//! without whole zones reserve a part of each share for that case.
 
 use std::time::Duration;
 
--- a/crates/core/src/isolation/mod.rs
+++ b/crates/core/src/isolation/mod.rs
@@ -5,10 +5,10 @@
 //! be ready. The decision is made from the answers to the node's own questions, because these show
 //! that packets pass in both directions. A steady probe of other zones and reports of trouble from
 //! other components start a survey. The survey asks samples of nodes, then tries instances in zones
-//! where no node answers, and calls the store. Only a survey without any answer from outside for its
-//! whole duration isolates the node, or one in which most nodes and the store do not answer.
-//! Conditions that all nodes have in common (the store is down, all nodes have
-//! just started, many nodes have died, this process stood still) never do.
+//! where no node answers, and calls the store. The node is isolated only if nothing outside its
+//! part answers during the whole survey, or if most of the asked nodes and the store do not answer.
+//! Conditions that all nodes have in common (the store is down, all nodes have just started, many
+//! nodes have died, this process stood still) never isolate a node.
 
 mod answers;
 mod probe;
@@ -33,11 +33,11 @@
 const SURVEY_ROUND_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without an answer from any node of a zone after which its instances are tried.
 const NODE_PERIOD: Duration = Duration::from_millis(400);
-/// Length of a survey: [`NODE_PERIOD`], and the time to connect to instances of silent zones. The node
-/// is isolated if nothing outside its part has answered for all of it.
+/// Length of a survey: [`NODE_PERIOD`], and the time to connect to instances of silent zones. The
+/// node is isolated if nothing outside its part has answered during all of it.
 const SURVEY_PERIOD: Duration = Duration::from_millis(550);
-/// Length of a survey after which a node is isolated that lacks the store and most nodes, but not
-/// whole zones. It leaves time to repeat a packet to the store that was lost.
+/// Length of a survey after which a node is isolated that reaches neither the store nor most nodes,
+/// but something in other zones. It leaves time to repeat a lost packet to the store.
 const STORE_SURVEY_PERIOD: Duration = Duration::from_secs(1);
 /// Shortest time between the end of a survey and the start of the next one. It bounds the messages
 /// of a node that often hears of trouble, such as one in an overloaded cluster.
@@ -52,8 +52,8 @@
 const ISOLATED_ROUND_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between two attempts of an isolated node to connect to instances.
 const INSTANCE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which an instance's answer to an isolated node counts; longer than the interval between
-/// two attempts.
+/// Time for which an answer of an instance or of the store to an isolated node counts. It is longer
+/// than [`INSTANCE_RETRY_INTERVAL`], so that the answer to one attempt counts until the next one.
 const INSTANCE_ANSWER_LIFETIME: Duration = Duration::from_millis(1200);
 /// A longer gap between two ticks means that this process stood still, so that missing answers
 /// show nothing.
@@ -81,7 +81,7 @@
     Node(NodeName),
     /// Connect to this instance.
     Instance(InstanceName),
-    /// Make a call to the platform's store.
+    /// Call the store.
     Store,
 }
 
@@ -102,7 +102,13 @@
         next_survey: Duration,
     },
     /// The node asks samples of all zones.
-    Surveying { since: Duration, next_round: Duration, has_tried_others: bool },
+    Surveying {
+        since: Duration,
+        next_round: Duration,
+        /// Whether the instances of silent zones and the store were asked.
+        has_asked_instances_and_store: bool,
+    },
+    /// The node asks all zones until it reaches the larger part again.
     Isolated {
         next_round: Duration,
         next_instances: Duration,
@@ -115,7 +121,7 @@
     /// A survey that starts now.
     fn survey_from(now: Duration) -> Self {
         let next_round = now + SURVEY_ROUND_INTERVAL;
-        Self::Surveying { since: now, next_round, has_tried_others: false }
+        Self::Surveying { since: now, next_round, has_asked_instances_and_store: false }
     }
 }
 
@@ -179,7 +185,8 @@
         self.answers.on_node_answer(node, now);
     }
 
-    /// Handles the answer of an instance: it accepted or refused a connection.
+    /// Handles the answer of an instance: it has sent something on a connection of this node. A
+    /// connection that is only accepted or refused is no answer.
     pub fn on_instance_answer(&mut self, instance: &InstanceName, now: Duration) {
         self.answers.on_instance_answer(instance, now);
     }
@@ -241,7 +248,7 @@
             self.is_trouble_reported = false;
             self.answers = Answers::default();
             self.phase = Phase::survey_from(now);
-            questions.extend(self.ask_silent_zones(FIRST_ROUND_SAMPLE, now, random));
+            questions.extend(self.ask_zones_with_few_answers(FIRST_ROUND_SAMPLE, now, random));
         }
     }
 
@@ -256,14 +263,16 @@
             self.phase = Phase::Watching { next_survey: now + SURVEY_COOLDOWN };
             return None;
         }
-        let (is_cut_off, from_store) = (reach.is_cut_off(), reach.is_cut_off_from_store());
+        let (is_cut_off, is_cut_off_from_store) =
+            (reach.is_cut_off(), reach.is_cut_off_from_store());
         let observation = reach.observation();
-        let Phase::Surveying { since, next_round, has_tried_others } = &mut self.phase else {
+        let Phase::Surveying { since, next_round, has_asked_instances_and_store } = &mut self.phase
+        else {
             return None;
         };
         let elapsed = now.saturating_sub(*since);
         let is_isolated = (is_cut_off && elapsed >= SURVEY_PERIOD)
-            || (from_store && elapsed >= STORE_SURVEY_PERIOD);
+            || (is_cut_off_from_store && elapsed >= STORE_SURVEY_PERIOD);
         if !is_isolated && elapsed >= STORE_SURVEY_PERIOD {
             self.phase = Phase::Watching { next_survey: now + SURVEY_COOLDOWN };
             return None;
@@ -280,12 +289,12 @@
         if asks_nodes {
             *next_round = now + SURVEY_ROUND_INTERVAL;
         }
-        let tries_others = elapsed >= NODE_PERIOD && !*has_tried_others;
-        *has_tried_others |= tries_others;
+        let asks_instances_and_store = elapsed >= NODE_PERIOD && !*has_asked_instances_and_store;
+        *has_asked_instances_and_store |= asks_instances_and_store;
         if asks_nodes {
-            questions.extend(self.ask_silent_zones(LATER_ROUND_SAMPLE, now, random));
+            questions.extend(self.ask_zones_with_few_answers(LATER_ROUND_SAMPLE, now, random));
         }
-        if tries_others {
+        if asks_instances_and_store {
             questions.extend(self.try_instances(now, random));
             questions.push(Question::Store);
         }
@@ -299,11 +308,11 @@
         questions: &mut Vec<Question>,
     ) -> Option<Change> {
         let reach = self.reach(now);
-        let (is_cut_off, observation) = (reach.may_be_cut_off(), reach.observation());
+        let (may_be_cut_off, observation) = (reach.may_be_cut_off(), reach.observation());
         let Phase::Isolated { next_round, next_instances, reached_since } = &mut self.phase else {
             return None;
         };
-        match is_cut_off {
+        match may_be_cut_off {
             true => *reached_since = None,
             false => _ = reached_since.get_or_insert(now),
         }
@@ -336,9 +345,9 @@
         Reach::new(&self.own, &self.surroundings, &self.answers, nodes_since, instances_since)
     }
 
-    /// Asks `count` nodes of every zone of which less than half of the asked nodes have answered, and
-    /// of this node's own zone: a part of each may be cut off.
-    fn ask_silent_zones(
+    /// Asks `count` nodes of every zone in which less than half of the asked nodes have answered,
+    /// and of this node's own zone: a part of each may be cut off.
+    fn ask_zones_with_few_answers(
         &mut self,
         count: usize,
         now: Duration,
--- a/crates/core/src/isolation/probe.rs
+++ b/crates/core/src/isolation/probe.rs
@@ -1,8 +1,8 @@
 //! A steady probe of other zones, so that even a node without work notices a network partition.
 //!
-//! Membership alone probes any node twice a second and could need longer than a second to probe one
-//! on the other side. This probe asks one live node at a time, of each other zone in turn, so that
-//! its cost does not grow with the number of nodes or zones.
+//! Membership probes nodes of any zone, so more than a second could pass before it probes one on
+//! the other side of the partition. This probe asks one live node at a time, of each other zone in
+//! turn, so that its cost does not grow with the number of nodes or zones.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 /// this may be shorter than the timeout of membership's probes.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The probe in progress and the turn of the zones.
+/// The probe in progress, and which zone is probed next.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneProbe {
     unanswered: Option<(NodeName, Duration)>,
--- a/crates/core/src/isolation/reach.rs
+++ b/crates/core/src/isolation/reach.rs
@@ -12,13 +12,15 @@
 /// a network partition within the zone.
 const WHOLE_ZONE_FRACTION: f64 = 0.25;
 
-/// Fraction of the asked nodes below which the node counts as cut off from most nodes.
-const HALF: f64 = 0.5;
-/// Fraction above which a node does not count as cut off any more. It exceeds a half, so that the
-/// chance of the sample does not end a survey or an isolation.
-const CLEAR_MAJORITY: f64 = 2.0 / 3.0;
-/// Least number of nodes, of all zones together, of which the part that answers is judged.
-const MIN_SHARE_SAMPLE: usize = 2 * FULL_SAMPLE;
+/// Fraction of the asked nodes that must answer, or the node counts as cut off from most nodes.
+const CUT_OFF_FRACTION: f64 = 0.5;
+/// Fraction of the asked nodes that must answer, or the node may still be cut off. It exceeds
+/// [`CUT_OFF_FRACTION`], so that random variation of the sample does not end a survey or an
+/// isolation.
+const RECOVERED_FRACTION: f64 = 2.0 / 3.0;
+/// Least number of asked nodes, of all zones together, from which the fraction that answers is
+/// estimated.
+const MIN_CLUSTER_SAMPLE: usize = 2 * FULL_SAMPLE;
 
 /// What a decision was based on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,22 +68,23 @@
     }
 
     /// Whether the node is cut off from most nodes of several zones, and from the store. It may
-    /// reach all instances, but nothing shows it that its configuration, its quotas and the
-    /// primaries that it knows are current. If only nodes have died, the store still answers.
+    /// reach all instances, but nothing shows that its configuration, its quotas and the primaries
+    /// that it knows are current. If only nodes have died, the store still answers.
     pub fn is_cut_off_from_store(&self) -> bool {
-        self.has_few_answers(MIN_SHARE_SAMPLE, HALF) && !self.store_answers()
+        self.has_few_answers(MIN_CLUSTER_SAMPLE, CUT_OFF_FRACTION) && !self.store_answers()
     }
 
     /// Whether the answers so far leave it open that the node is cut off.
     pub fn may_be_cut_off(&self) -> bool {
-        self.is_cut_off() || (self.has_few_answers(1, CLEAR_MAJORITY) && !self.store_answers())
+        self.is_cut_off() || (self.has_few_answers(1, RECOVERED_FRACTION) && !self.store_answers())
     }
 
     fn store_answers(&self) -> bool {
         self.answers.store_has_answered(self.instances_since)
     }
 
-    /// Whether at least `sample` nodes were asked and less than `fraction` of them have answered.
+    /// Whether at least `sample` nodes, or all others, were asked and less than `fraction` of them
+    /// have answered.
     fn has_few_answers(&self, sample: usize, fraction: f64) -> bool {
         let (asked, answered) = self.answers.node_counts(self.nodes_since);
         let others = self.surroundings.listed().saturating_sub(1);
--- a/crates/core/src/isolation/silent_zones.rs
+++ b/crates/core/src/isolation/silent_zones.rs
@@ -1,8 +1,8 @@
 //! Zones whose owners are avoided, because two of their nodes went silent one after the other.
 //!
 //! Without this, a node detects each owner behind a network partition separately, and the
-//! statements sent to each of them wait for the silence timeout. Dead or slow nodes do not make
-//! their zone avoided, because other nodes of the zone still answer.
+//! statements sent to each of them wait for the silence timeout. Dead or slow nodes alone do
+//! not cause their zone to be avoided, because other nodes of the zone still answer.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/core/src/promotion/attempt/settling.rs
+++ b/crates/core/src/promotion/attempt/settling.rs
@@ -14,9 +14,10 @@
     /// while the old primary is still primary, and that cannot reach the successor, would follow
     /// the old primary and report that.
     ///
-    /// After the timeout the attempt finishes with an old primary that could not be demoted, because
+    /// After the timeout the attempt finishes even if the old primary could not be demoted, because
     /// nodes reject it once they know the successor's term. Until the successor has reported that
-    /// term, nodes could not recognize the old primary and would use it again.
+    /// term, nodes could not recognize the old primary and would use it again, so the attempt goes
+    /// on.
     pub(super) fn settle(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
         if self.has_lost_successor() {
             // Commits of the successor may have been acknowledged, so another instance has to be
@@ -47,8 +48,8 @@
         }
     }
 
-    /// Whether the successor no longer leads and has never reported its term: it was adopted because
-    /// its entry showed it as primary, and the entry has changed or disappeared since.
+    /// Whether the successor no longer leads and has never reported its term: it was adopted
+    /// because its entry showed it as primary, and the entry has changed or disappeared since.
     fn has_lost_successor(&self) -> bool {
         let has_term = self.successor_term().is_some();
         let leads = |name| self.members.get(name).is_some_and(|member| member.leads);
--- a/crates/core/src/promotion/peer_votes.rs
+++ b/crates/core/src/promotion/peer_votes.rs
@@ -1,7 +1,8 @@
 //! The votes that the other owners of this node's groups have sent to it directly.
 //!
-//! The sender repeats a vote for as long as it stands, so a vote expires without news: otherwise the
-//! vote of an owner that died would count on. Votes decide on availability only.
+//! The sender repeats a vote for as long as it stands. A vote that is not repeated expires:
+//! otherwise the vote of an owner that died would count indefinitely. Votes decide on availability
+//! only.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -25,8 +26,8 @@
 }
 
 impl PeerVotes {
-    /// Replaces the votes of `node`. The caller has left out the groups that this node and `node`
-    /// do not own both, which also bounds the number of nodes and votes.
+    /// Replaces the votes of `node`. The caller has left out the groups that are not owned by both
+    /// this node and `node`, which also bounds the number of nodes and votes.
     pub fn on_votes(&mut self, node: &NodeName, votes: NodeVotes, now: Instant) {
         if votes.is_empty() {
             self.nodes.remove(node);
--- a/crates/core/src/promotion/vote_delivery.rs
+++ b/crates/core/src/promotion/vote_delivery.rs
@@ -1,11 +1,12 @@
 //! Decides how this node's votes reach the other owners of the groups: directly, or through the
 //! store.
 //!
-//! Every node watches the votes in the store, so each change of a vote there costs one call by every
-//! node, while only the owners of the group need it. An owner therefore sends its votes to the other
-//! owners, which confirm them. A vote goes through the store as well as soon as one of the owners
-//! may not have it: it does not speak the message, or has not confirmed it in time. Such a vote stays
-//! in the store until it is withdrawn, since each change there has its cost.
+//! Every node watches the votes in the store, so each change of a vote there costs one call by
+//! every node, while only the owners of the group need it. An owner therefore sends its votes to
+//! the other owners, which confirm them. A vote goes through the store as well if one of the owners
+//! may not have it: that owner does not know the message, or has not confirmed it in time. Such a
+//! vote stays in the store until it is withdrawn, since removing it earlier would cost these calls
+//! again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -143,6 +144,8 @@
         since.is_some_and(|since| now >= since + VOTE_CONFIRMATION_TIMEOUT)
     }
 
+    /// The messages to send now. An owner that was sent votes and has none now gets an empty
+    /// message, which withdraws them.
     fn due_messages(&mut self, input: &VoteDeliveryInput) -> Vec<VoteMessage> {
         let mut current: BTreeMap<NodeName, NodeVotes> =
             self.sent.keys().map(|node| (node.clone(), NodeVotes::new())).collect();
--- a/crates/core/src/store_access/availability.rs
+++ b/crates/core/src/store_access/availability.rs
@@ -7,7 +7,8 @@
 pub struct StoreAvailability {
     /// Whether the last call failed.
     pub is_failing: bool,
-    /// When the store answered for the first time after a failure; `None` before any failure.
+    /// When the store answered for the first time after the last failure; `None` if no failure
+    /// has ended yet.
     pub available_since: Option<Instant>,
     /// When the newest answered call was sent.
     pub last_answered: Option<Instant>,
--- a/crates/core/src/store_access/call_backoff.rs
+++ b/crates/core/src/store_access/call_backoff.rs
@@ -5,9 +5,14 @@
 use super::StoreAvailability;
 use crate::retry::Backoff;
 
+/// Delay after the first refused vote or replacement check. Like all delays here, it is shortened
+/// at random, so that the nodes that were refused together do not call together again.
 const MIN_CALL_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay between votes or replacement checks, each refusal doubling the delay.
 const MAX_CALL_DELAY: Duration = Duration::from_secs(1);
+/// Delay after the first refused attempt to acquire the coordinator lease.
 const MIN_LEASE_DELAY: Duration = Duration::from_millis(200);
+/// Longest delay between attempts to acquire the coordinator lease.
 const MAX_LEASE_DELAY: Duration = Duration::from_secs(2);
 
 /// A call that the store refused or did not answer.
@@ -65,10 +70,9 @@
         self.refused.take().is_some()
     }
 
-    /// Processes that the store may have answered other calls of this node. If it has answered one
-    /// that was sent after the refusal, the next call is made as early as after a first refusal:
-    /// otherwise a vote that was refused several times would reach a recovered store up to a
-    /// second late.
+    /// Processes the results of the node's regular calls. If the store has answered one that was
+    /// sent after the refusal, the next call is made as early as after a first refusal: otherwise a
+    /// vote that was refused several times would reach a recovered store up to a second late.
     pub fn on_availability(&mut self, availability: &StoreAvailability) {
         let Some(refused) = &mut self.refused else { return };
         if availability.last_answered.is_some_and(|sent| sent > refused.at) {
--- a/crates/core/src/store_access/coordinator_turn.rs
+++ b/crates/core/src/store_access/coordinator_turn.rs
@@ -42,13 +42,14 @@
         self.needed_since.is_some()
     }
 
-    /// Records that some node is known to be the coordinator, or that this node has become it. This
-    /// ends the backoff.
+    /// Records that another node is known to be the coordinator, or that this node has become the
+    /// coordinator. This ends the backoff.
     pub fn on_coordinator_known(&mut self) {
         self.backoff.on_success();
     }
 
-    /// Records an attempt that the store refused, or that another node preceded.
+    /// Records an attempt that the store refused, or that failed because another node was the
+    /// coordinator already.
     pub fn on_refused(&mut self, refusal: Refusal, random: u64, now: Instant) {
         self.backoff.on_refused(refusal, random, now);
     }
--- a/crates/core/tests/capacity/division.rs
+++ b/crates/core/tests/capacity/division.rs
@@ -71,8 +71,8 @@
     assert_eq!(division(4, &claims), (vec![3, 1], 0));
 }
 
-/// An owner that runs three urgent statements and has one more waiting needs four slots: with one, it
-/// would have to end three before it starts the fourth.
+/// An owner that runs three urgent statements and has one more waiting needs four slots: with one,
+/// three statements would have to end before the fourth could start.
 #[test]
 fn running_statements_count_and_outrank_less_urgent_ones() {
     let urgent = [LevelDemand { running: 2, ..waiting(1, 900, 900) }, NONE, NONE];
@@ -102,8 +102,8 @@
     assert_eq!(division(4, &[urgent, [NONE, NONE, overtaken]]), (vec![4, 0], 0));
 }
 
-/// If each owner served its own starved statements, those of all owners would go ahead of the urgent
-/// ones.
+/// If each owner served its own starved statements, those of all owners would go ahead of the
+/// urgent ones.
 #[test]
 fn only_one_owner_serves_a_starved_priority_at_a_time() {
     let now = Instant::now();
@@ -135,7 +135,7 @@
     shared.allocation(&node("a"), own, 4, now).map(|allocation| allocation.slots)
 }
 
-/// An owner that stays silent would block its share for ever.
+/// Otherwise an owner that stays silent would block its share for ever.
 #[test]
 fn a_demand_expires_without_news_and_the_owners_own_limit_applies_again() {
     let start = Instant::now();
--- a/crates/core/tests/capacity/requirements.rs
+++ b/crates/core/tests/capacity/requirements.rs
@@ -5,7 +5,7 @@
 
 use kestrellock_core::capacity::DEMAND_LIFETIME;
 
-use super::simulation::{Failure, Sabotage, Simulation, Verdict};
+use super::simulation::{Failure, PlantedFault, Simulation, Verdict};
 
 const SEEDS: u64 = 24;
 const FIRST_SEED: u64 = 71_000_000;
@@ -15,18 +15,23 @@
     value.map_or(default, |value| value.parse().expect("a number"))
 }
 
-/// Runs all seeds and adds up what they showed; the first seed of each kind is printed.
-fn run(sabotage: Sabotage, failure: Failure, extra: Duration) -> Verdict {
-    run_seeds(SEEDS, sabotage, failure, extra)
+/// Runs all seeds and adds up the violations; the first few seeds with violations are printed.
+fn run(planted_fault: PlantedFault, failure: Failure, extra: Duration) -> Verdict {
+    run_seeds(SEEDS, planted_fault, failure, extra)
 }
 
-fn run_seeds(seeds: u64, sabotage: Sabotage, failure: Failure, extra: Duration) -> Verdict {
+fn run_seeds(
+    seeds: u64,
+    planted_fault: PlantedFault,
+    failure: Failure,
+    extra: Duration,
+) -> Verdict {
     let first = from_environment("FIRST_SEED", FIRST_SEED);
     let seeds = from_environment("SEEDS", seeds);
     let mut total = Verdict::default();
     let mut faulty = Vec::new();
     for seed in first..first + seeds {
-        let verdict = Simulation::new(seed, sabotage, failure, extra).run();
+        let verdict = Simulation::new(seed, planted_fault, failure, extra).run();
         if verdict.overtaken + verdict.idle + verdict.starved + verdict.over_limit > 0 {
             faulty.push(seed);
         }
@@ -38,7 +43,10 @@
         total.started += verdict.started;
     }
     let some = &faulty[..faulty.len().min(5)];
-    println!("{sabotage:?} {failure:?}: {} of {seeds} seeds, {some:?}, {total:?}", faulty.len());
+    println!(
+        "{planted_fault:?} {failure:?}: {} of {seeds} seeds, {some:?}, {total:?}",
+        faulty.len()
+    );
     total
 }
 
@@ -46,33 +54,33 @@
 /// priority; with one that errs, urgent statements wait, slots stay idle, or browsing starves.
 #[test]
 fn all_owners_together_keep_the_order_of_priorities_and_use_all_slots() {
-    let verdict = run(Sabotage::None, Failure::None, Duration::ZERO);
+    let verdict = run(PlantedFault::None, Failure::None, Duration::ZERO);
     assert_eq!((verdict.overtaken, verdict.idle, verdict.starved), (0, 0, 0));
     assert_eq!((verdict.over_limit, verdict.stuck), (0, 0));
     assert!(verdict.started > 0);
 }
 
-/// The same on more seeds: a slot that is kept for another owner, which hears of it an exchange later,
-/// may be needed for new urgent statements before that owner takes it.
+/// The same on more seeds. Guards against new urgent statements that take a slot which is kept for
+/// another owner, before that owner hears of it.
 #[test]
 fn the_order_holds_on_more_seeds() {
-    let verdict = run_seeds(200, Sabotage::None, Failure::None, Duration::ZERO);
+    let verdict = run_seeds(200, PlantedFault::None, Failure::None, Duration::ZERO);
     assert_eq!((verdict.overtaken, verdict.idle, verdict.starved), (0, 0, 0));
 }
 
 /// Each check must catch the fault that it guards against.
 #[test]
 fn the_checks_catch_faults_that_are_introduced_deliberately() {
-    let ignored = run(Sabotage::PrioritiesIgnored, Failure::None, Duration::ZERO);
+    let ignored = run(PlantedFault::PrioritiesIgnored, Failure::None, Duration::ZERO);
     assert!(ignored.overtaken > 0, "the oldest statements go first, urgent or not");
-    let overstated = run(Sabotage::Overstated, Failure::None, Duration::ZERO);
+    let overstated = run(PlantedFault::Overstated, Failure::None, Duration::ZERO);
     assert!(overstated.idle > 0, "slots are kept for statements that do not wait");
-    let hidden = run(Sabotage::StartsHidden, Failure::None, Duration::ZERO);
+    let hidden = run(PlantedFault::StartsHidden, Failure::None, Duration::ZERO);
     assert!(hidden.starved > 0, "starts elsewhere do not count against starvation");
 }
 
-/// What is known of an owner that fails must not keep slots idle for longer than it is valid, and no
-/// owner may run more than without sharing.
+/// What is known of an owner that fails must not keep slots idle for longer than it is valid, and
+/// no owner may run more than without sharing.
 #[test]
 fn a_failed_owner_blocks_capacity_only_until_its_demand_expires() {
     let failures = [
@@ -86,7 +94,7 @@
         Failure::InstanceRestarts,
     ];
     for failure in failures {
-        let verdict = run(Sabotage::None, failure, DEMAND_LIFETIME);
+        let verdict = run(PlantedFault::None, failure, DEMAND_LIFETIME);
         assert_eq!((verdict.idle, verdict.over_limit, verdict.stuck), (0, 0, 0), "{failure:?}");
     }
 }
--- a/crates/core/tests/capacity/simulation.rs
+++ b/crates/core/tests/capacity/simulation.rs
@@ -40,7 +40,7 @@
 
 /// A deliberately introduced fault: the owners exchange demands that break one requirement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sabotage {
+pub enum PlantedFault {
     None,
     /// All statements count as equally urgent in the division.
     PrioritiesIgnored,
@@ -123,7 +123,7 @@
     slots: u32,
     latency: Duration,
     owners: Vec<Owner>,
-    sabotage: Sabotage,
+    planted_fault: PlantedFault,
     failure: Failure,
     incarnation: InstanceIncarnation,
     /// Time that a statement may wait where it should be served.
@@ -140,7 +140,7 @@
 }
 
 impl Simulation {
-    pub fn new(seed: u64, sabotage: Sabotage, failure: Failure, extra: Duration) -> Self {
+    pub fn new(seed: u64, planted_fault: PlantedFault, failure: Failure, extra: Duration) -> Self {
         let mut random = Random(seed);
         let now = Instant::now();
         let count = 2 + random.below(8) as usize;
@@ -159,7 +159,7 @@
             slots,
             latency,
             owners,
-            sabotage,
+            planted_fault,
             failure,
             incarnation: InstanceIncarnation(1),
             bound,
@@ -313,8 +313,8 @@
             let owner = &mut self.owners[index];
             let demand = owner.demand(self.incarnation, now);
             let slots = owner.slots;
-            let claimed = match self.sabotage {
-                Sabotage::PrioritiesIgnored => without_priorities(demand.clone()),
+            let claimed = match self.planted_fault {
+                PlantedFault::PrioritiesIgnored => without_priorities(demand.clone()),
                 _ => demand.clone(),
             };
             let allocation = owner.shared.allocation(&owner.name, &claimed, slots, now);
@@ -379,13 +379,13 @@
             return;
         }
         owner.pacer.on_sent(now);
-        owner.shared.on_reported(has_demand || self.sabotage == Sabotage::Overstated);
+        owner.shared.on_reported(has_demand || self.planted_fault == PlantedFault::Overstated);
         let mut demand = if has_demand { demand } else { demand.withdrawn() };
-        match self.sabotage {
-            Sabotage::None => {}
-            Sabotage::PrioritiesIgnored => demand = without_priorities(demand),
-            Sabotage::Overstated => demand.levels[0].waiting += self.slots,
-            Sabotage::StartsHidden => {
+        match self.planted_fault {
+            PlantedFault::None => {}
+            PlantedFault::PrioritiesIgnored => demand = without_priorities(demand),
+            PlantedFault::Overstated => demand.levels[0].waiting += self.slots,
+            PlantedFault::StartsHidden => {
                 demand
                     .levels
                     .iter_mut()
--- a/crates/core/tests/connection_recovery.rs
+++ b/crates/core/tests/connection_recovery.rs
@@ -1,5 +1,5 @@
-//! Replays the loss of power of all nodes: owners return one after the other and open connections to
-//! an instance that still counts those of their earlier processes.
+//! Replays the loss of power of all nodes: owners return one after the other and open connections
+//! to an instance that still counts those of their earlier processes.
 //!
 //! Guards against a recovery in which the first owners to return take the connections that the
 //! others need for evidence that the primary leads, and in which refused attempts delay the rest.
@@ -21,7 +21,8 @@
 const OPENING: Duration = Duration::from_millis(12);
 /// After the return of its owner, within this time nine of ten statements must be served.
 const RECOVERY: Duration = Duration::from_millis(1500);
-const PATIENCE: Duration = Duration::from_millis(400);
+/// Time after which a statement that still waits has failed.
+const STATEMENT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// An instance and the load on it.
 #[derive(Clone, Copy)]
@@ -194,7 +195,7 @@
         outcome.arrived += u32::from(is_judged(now, owner.returns));
     }
     owner.waiting.retain(|arrived| {
-        let is_in_time = now < *arrived + PATIENCE;
+        let is_in_time = now < *arrived + STATEMENT_TIMEOUT;
         outcome.failed_later += u32::from(!is_in_time && !is_judged(*arrived, owner.returns));
         is_in_time
     });
--- a/crates/core/tests/isolation/main.rs
+++ b/crates/core/tests/isolation/main.rs
@@ -80,7 +80,8 @@
     println!("slowest detection {:?}, slowest end {:?}", slowest[0], slowest[1]);
 }
 
-/// After seconds, membership declares the other side dead, and the nodes to ask are not live.
+/// After some seconds, membership declares the nodes of the other side dead. Guards against a node
+/// that then asks none of them and stays isolated.
 #[test]
 fn the_isolation_ends_when_membership_has_declared_all_other_zones_dead() {
     for seed in seeds() {
@@ -131,8 +132,8 @@
     }
 }
 
-/// Nodes of all zones that are cut off together reach a third of each zone and every instance. Without
-/// the store they get no quotas and no evidence, and refused most statements for 12 s.
+/// Guards against such nodes staying ready. They reach a third of each zone and every instance, but
+/// without the store they get no quotas and no evidence, and refuse most statements.
 #[test]
 fn nodes_of_several_zones_that_are_cut_off_together_are_isolated() {
     for seed in seeds() {
@@ -182,7 +183,7 @@
 }
 
 #[test]
-fn of_two_zones_against_two_the_side_with_the_first_node_stays() {
+fn of_two_zones_against_two_the_side_with_the_first_node_stays_in_service() {
     for seed in seeds() {
         for with_first in [[0, 1], [0, 2], [0, 3]] {
             let mut world = World::new(80, 4, seed);
--- a/crates/core/tests/peer_votes.rs
+++ b/crates/core/tests/peer_votes.rs
@@ -83,8 +83,7 @@
     }
 }
 
-/// Guards against calls by every node for each vote: on a day with 135 votes in the store, the 69
-/// nodes that watch it made 2,605 calls that returned with a change.
+/// Guards against calls by every node for each vote: all nodes watch the votes in the store.
 #[test]
 fn confirmed_votes_never_reach_the_store() {
     let (start, mut owner) = (Instant::now(), Owner::new());
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -487,8 +487,8 @@
 
 /// Guards against an old primary that acknowledges commits after its successor is lost. i-1 led
 /// from 1,327 ms while the store was down, lost its log at 1,385 ms and never reported its term. At
-/// 3,434 ms the coordinator still could not reach the old primary i-0, ended the replacement without
-/// a term, and a node that could not reach the store used i-0 again.
+/// 3,434 ms the coordinator still could not reach the old primary i-0. When it ended the
+/// replacement without a term, a node that could not reach the store used i-0 again.
 #[test]
 fn an_old_primary_whose_successor_is_lost_acknowledges_no_commit() {
     let faults = many_faults_while_replicas_leave();
--- a/crates/core/tests/store_access.rs
+++ b/crates/core/tests/store_access.rs
@@ -13,7 +13,7 @@
 const STEP: Duration = Duration::from_millis(20);
 
 proptest! {
-    /// Guards against retries at a fixed interval: 23 refused nodes wrote 216 votes in vain in 18 s.
+    /// Guards against retries at a fixed interval, by which refused nodes keep loading the store.
     #[test]
     fn delays_double_within_bounds_and_end_at_the_first_success(
         randoms in prop::collection::vec(any::<u64>(), 1..20),
@@ -111,8 +111,8 @@
     (attempts, acquired.expect("the store has returned"))
 }
 
-/// Guards against a rush at the store's return: the turns of all nodes had come during the outage,
-/// and 69 nodes made 138 lease calls and 137 failed writes in the same moment.
+/// Guards against attempts of all nodes at the moment at which the store returns: without a new
+/// count, the turns of all nodes would have come during the outage.
 #[test]
 fn turns_are_counted_anew_after_an_outage() {
     let outage = Duration::from_secs(10);
@@ -140,7 +140,7 @@
     assert!(!turn.is_due(0, &availability, start + Duration::from_secs(9)));
 }
 
-/// Guards against 346 refused attempts in 18 s: nodes that the store refuses tried at each step.
+/// Guards against nodes that try at each step while the store refuses them.
 #[test]
 fn refused_attempts_become_rare() {
     let start = Instant::now();
--- a/crates/daemon/src/agent/isolation/instance_attempts.rs
+++ b/crates/daemon/src/agent/isolation/instance_attempts.rs
@@ -13,7 +13,7 @@
 
 use crate::net::connect::connect_from;
 
-/// Time after which an attempt is given up. It is longer than the check waits for answers.
+/// Time after which an attempt is abandoned. It is longer than a survey waits for answers.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A connection on which the first messages of a session are sent.
--- a/crates/daemon/src/agent/isolation/mod.rs
+++ b/crates/daemon/src/agent/isolation/mod.rs
@@ -1,8 +1,9 @@
 //! Finds out whether this node is isolated, on the thread of membership.
 //!
 //! `core::isolation` decides. This module gives it the listed nodes and the instances, asks its
-//! questions (pings of membership, connections to instances and a call to the store), and publishes, logs and counts
-//! its decision. Pings and acks are messages that every version of a node understands.
+//! questions (pings of membership, connections to instances and calls to the store), and publishes,
+//! logs and counts its decision. Pings and acks are messages that every version of a node
+//! understands.
 
 pub mod instance_attempts;
 mod surroundings;
@@ -24,10 +25,10 @@
 use crate::metrics::IsolationEvent;
 use crate::shared::isolation::IsolationState;
 
-/// Time after which an ack no longer counts. It is longer than a slow node takes to answer.
+/// Time after a ping in which its ack counts. It is longer than a slow node takes to answer.
 const ACK_LIFETIME: Duration = Duration::from_secs(1);
 /// Interval between two updates of the listed nodes and the instances. Copying those of a large
-/// cluster at each change would cost much while many nodes change at once.
+/// cluster at each change would be expensive while many nodes change at once.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A ping whose ack is outstanding.
@@ -151,8 +152,8 @@
     }
 
     /// Requests a replacement check, a call to the store whose answer is reported to
-    /// [`SharedIsolation`](crate::shared::isolation::SharedIsolation). A node whose groups all elect
-    /// their own primaries serves without the store, as if it had answered.
+    /// [`SharedIsolation`](crate::shared::isolation::SharedIsolation). A node whose groups all
+    /// elect their own primaries serves without the store, so the store counts as answering.
     fn call_store(&mut self, now: Duration) {
         let mut groups = self.catalog.groups.iter();
         match groups.find(|(_, group)| group.elector == Elector::Proxy) {
@@ -203,7 +204,7 @@
         nodes_asked = observation.nodes_asked,
         nodes_answered = observation.nodes_answered,
         instances_tried = observation.instances_tried;
-        "the node reaches only a smaller part of the cluster and nothing outside it; it is not ready"
+        "the node is cut off from most of the cluster and reports that it is not ready"
     );
 }
 
@@ -216,6 +217,6 @@
         nodes_asked = observation.nodes_asked,
         nodes_answered = observation.nodes_answered,
         instances_tried = observation.instances_tried;
-        "the node reaches the larger part of the cluster again"
+        "the node is no longer cut off from most of the cluster"
     );
 }
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -294,7 +294,12 @@
         if attempt.may_announce_end() {
             replacements.on_attempt_ended(group, attempt.id(), attempt.successor_term());
         } else {
-            log::warn!(event = "end_not_announced", group = group.as_str(), chosen:? = attempt.chosen(); "the successor has not reported its term: nodes learn from the store that the attempt is over");
+            log::warn!(
+                event = "end_not_announced",
+                group = group.as_str(),
+                chosen:? = attempt.chosen();
+                "the successor has not reported its term: nodes learn of the end from the store"
+            );
             self.context.metrics.unannounced_replacement_ends.inc();
             replacements.on_attempt_ended_without_term(group);
         }
--- a/crates/daemon/src/agent/promotion/store_calls.rs
+++ b/crates/daemon/src/agent/promotion/store_calls.rs
@@ -16,13 +16,22 @@
     }
 }
 
-/// Logs the first refused call.
+/// Logs the first failed call, which begins the backoff.
 pub(super) fn log_backoff_begin(purpose: StorePurpose, refusal: Refusal) {
     let retry_after = refusal.retry_after.as_millis() as u64;
-    log::warn!(event = "store_backoff", purpose = purpose.text().as_str(), retry_after_ms = retry_after; "the store refuses calls: they become rarer until it accepts one");
+    log::warn!(
+        event = "store_backoff",
+        purpose = purpose.text().as_str(),
+        retry_after_ms = retry_after;
+        "calls to the store fail: the delay between them grows until one succeeds"
+    );
 }
 
-/// Logs the first accepted call after refused ones.
+/// Logs the first successful call after failed ones, which ends the backoff.
 pub(super) fn log_backoff_end(purpose: StorePurpose) {
-    log::info!(event = "store_backoff_over", purpose = purpose.text().as_str(); "the store accepts calls again");
+    log::info!(
+        event = "store_backoff_over",
+        purpose = purpose.text().as_str();
+        "calls to the store succeed again"
+    );
 }
--- a/crates/daemon/src/agent/promotion/vote_exchange.rs
+++ b/crates/daemon/src/agent/promotion/vote_exchange.rs
@@ -48,7 +48,12 @@
         });
         for (group, reason) in &step.newly_in_store {
             context.metrics.votes.count(VoteEvent::InStore);
-            log::info!(event = "vote_in_store", group = group.as_str(), reason:? = reason; "the vote goes through the store as well");
+            log::info!(
+                event = "vote_in_store",
+                group = group.as_str(),
+                reason:? = reason;
+                "the vote goes through the store as well"
+            );
         }
         for sent in step.messages {
             context.metrics.votes.count(VoteEvent::Sent);
@@ -73,8 +78,7 @@
 }
 
 /// The owners that are known not to receive direct votes: their links are silent or have an older
-/// version. The version of a node without a link is
-/// unknown: the message opens the link.
+/// version. The version of a node without a link is unknown, and the message opens the link.
 fn unable_owners(
     owners: &BTreeMap<GroupName, BTreeSet<NodeName>>,
     context: &NodeContext,
--- a/crates/daemon/src/agent/promotion/vote_publisher.rs
+++ b/crates/daemon/src/agent/promotion/vote_publisher.rs
@@ -15,9 +15,9 @@
 use crate::metrics::StorePurpose;
 use crate::supervisor::StopFlag;
 
-/// Longest time until the publisher looks again whether the backoff is over: it ends early when the
-/// store answers other calls of this node.
-const MAX_WAIT: Duration = Duration::from_millis(20);
+/// Interval at which the publisher checks whether the backoff is over: it ends early when the store
+/// answers other calls of this node.
+const BACKOFF_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Starts the thread; it ends when the sender is dropped or the node stops.
 pub(super) fn start(
@@ -32,7 +32,7 @@
         let mut pending: Option<NodeVotes> = None;
         let mut backoff = CallBackoff::for_calls();
         while !stop.is_stopping() {
-            let wait = backoff.remaining(Instant::now()).min(MAX_WAIT);
+            let wait = backoff.remaining(Instant::now()).min(BACKOFF_CHECK_INTERVAL);
             let next = match &pending {
                 Some(_) => match votes.recv_timeout(wait) {
                     Ok(next) => Some(next),
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -181,7 +181,7 @@
     }
 
     fn follow_store(&mut self, now: Instant) {
-        // The wrapper adds them to the metrics.
+        // `CountedCoordination` adds the counts to the metrics; nothing else uses them here.
         let _ = self.services.coordination.take_watch_calls();
         let view = self.services.coordination.view();
         let is_new = view.revision != self.view.revision;
@@ -512,8 +512,8 @@
                     log_backoff_begin(StorePurpose::Lease, refusal);
                 }
             }
-            // The copy of the store shows the other coordinator soon. Without a delay the node would
-            // try at each step until then.
+            // The copy of the store shows the other coordinator soon. Without a delay the node
+            // would try at each step until then.
             Some(LeaseAttempt::Preceded) => {
                 self.turn.on_refused(Refusal::default(), rand::random(), now);
             }
@@ -544,8 +544,8 @@
     }
 
     /// Number of live nodes that are ahead of this one in the order of turns. Only the owners of a
-    /// group know the votes that they have exchanged, so they take turns among themselves: by its
-    /// position among all nodes, the first of them may be far behind.
+    /// group know the votes that they have exchanged, so they take turns among themselves: in the
+    /// order of all nodes, even the first of them could have a late turn.
     fn turn_position<'n>(&self, needs: impl Iterator<Item = (&'n GroupName, &'n Need)>) -> u32 {
         let live = self.context.live.load();
         let working = live.iter().filter(|node| node.accepts_work);
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -118,9 +118,10 @@
     pub zone_drain_limit: Option<Duration>,
     /// Whether this node is isolated, and reports of failures that make it check.
     pub isolation: SharedIsolation,
-    /// Whether connections of accounts are opened in advance, and closed by their expected use.
+    /// Whether connections of accounts are opened in advance, and those that are least likely to be
+    /// used soon are closed first.
     pub prewarm_connections: bool,
-    /// Zones that the deployment must do without.
+    /// Number of zones without which the deployment must be able to serve.
     pub tolerated_zone_losses: u32,
     /// Whether the owners of a group divide the capacity of its instances by what waits at them.
     pub share_instance_capacity: bool,
@@ -238,8 +239,8 @@
         self.stage.load() >= Stage::Notice
     }
 
-    /// Whether sessions are to be closed, so that their clients connect to another node.
-    pub fn sends_clients_away(&self, now: Instant) -> bool {
+    /// Whether this node closes sessions, so that their clients connect to another node.
+    pub fn closes_sessions(&self, now: Instant) -> bool {
         self.is_leaving() || self.isolation.closes_sessions(now)
     }
 
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -246,14 +246,14 @@
     /// Retries statements that wait for an instance and ends those whose deadline has passed.
     pub fn on_tick(&mut self, io: &mut Io) {
         self.check_credentials(io);
-        let sends_away = io.context.sends_clients_away(io.now);
-        if sends_away {
+        let closes_sessions = io.context.closes_sessions(io.now);
+        if closes_sessions {
             self.read_pending_input();
         }
         let due: Vec<usize> = self
             .sessions
             .iter()
-            .filter(|(_, session)| sends_away || session.needs_tick(io.now))
+            .filter(|(_, session)| closes_sessions || session.needs_tick(io.now))
             .map(|(key, _)| key)
             .collect();
         for key in due {
@@ -290,8 +290,8 @@
     }
 
     /// Reads input that has arrived since the last event, so that a planned stop or an isolation
-    /// does not close a session whose next statement has already reached this node. A closed connection is handled
-    /// at its next readiness event.
+    /// does not close a session whose next statement has already reached this node. A closed
+    /// connection is handled at its next readiness event.
     fn read_pending_input(&mut self) {
         for (_, session) in &mut self.sessions {
             let _ = session.connection.fill();
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -125,9 +125,9 @@
     /// The current operation still needs a token of its account's quota.
     needs_token: bool,
     ticket: Ticket,
-    /// The number that chose the owner that was asked for a connection at login, until the first
-    /// statement is sent.
-    prewarmed_owner: Option<u64>,
+    /// Random number by which an owner was chosen and asked for a connection at login. The first
+    /// statement uses it again, so that it goes to the same owner.
+    prewarming_random: Option<u64>,
     /// Revision of the configuration in which `account` was last looked up.
     authorized_revision: Option<Revision>,
     /// The configuration no longer contains the session's credential.
@@ -176,7 +176,7 @@
             account: None,
             needs_token: false,
             ticket: Ticket::default(),
-            prewarmed_owner: None,
+            prewarming_random: None,
             authorized_revision: None,
             credential_revoked: false,
             group_changed: false,
@@ -263,7 +263,7 @@
         }
         self.was_active = self.request.is_some();
         let may_close =
-            io.context.sends_clients_away(io.now) && self.may_close_for_shutdown(was_active, io);
+            io.context.closes_sessions(io.now) && self.may_close_for_shutdown(was_active, io);
         if flow == SessionFlow::Continue && may_close {
             return self.close_for_shutdown(None, io);
         }
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -1,10 +1,11 @@
 //! Closes a session during a planned stop or an isolation of its node, or after its credential was
 //! revoked.
 //!
-//! During a planned stop, and some time after the node became isolated, the session asks its client to connect to another node once it has neither
-//! a request nor a transaction in progress. The node then waits for the client to close first:
-//! closing a socket with unread input makes TCP send a reset, which can destroy the message on its
-//! way. An open transaction that exceeds its idle limit or the limit of the stop is aborted.
+//! During a planned stop, and some time after the node became isolated, the session asks its client
+//! to connect to another node once it has neither a request nor a transaction in progress. The node
+//! then waits for the client to close first: closing a socket with unread input makes TCP send a
+//! reset, which can destroy the message on its way. An open transaction that exceeds its idle limit
+//! or the limit of the stop is aborted.
 
 use std::time::Duration;
 
@@ -16,7 +17,8 @@
 use super::{ROLLED_BACK, Session, SessionFlow};
 use crate::event::Io;
 
-/// Idle time after which a planned stop closes a session without waiting for a request.
+/// Idle time after which a planned stop or an isolation closes a session without waiting for a
+/// request.
 const MIN_IDLE_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 const STOPPING_DETAIL: &str = "the node is stopping; connect to another one";
 const ISOLATED_DETAIL: &str = "the node is isolated; connect to another one";
@@ -31,8 +33,8 @@
 
 impl Session {
     /// Whether a new request is refused because of a planned stop: the protocol has a message that
-    /// asks the client to connect to another node, and no transaction is open. An isolated node
-    /// still serves the reads that it can prove to be fresh.
+    /// asks the client to connect to another node, and no transaction is open. An isolation alone
+    /// refuses no request here: the node still serves the reads that it can prove to be fresh.
     pub(super) fn rejects_new_requests(&self, io: &Io) -> bool {
         let sends_farewell = io.context.protocol.traits().sends_disconnect_notice;
         sends_farewell && io.context.is_leaving() && self.transaction == TransactionState::Idle
--- a/crates/daemon/src/front/session/isolated.rs
+++ b/crates/daemon/src/front/session/isolated.rs
@@ -49,11 +49,11 @@
         let access = self.access(request, login);
         let catalog = io.context.catalog.load();
         let Some(group) = catalog.groups.get(&login.group) else { return true };
-        let reads = matches!(access, Access::Read { .. });
-        if !reads && !io.context.isolation.reaches_majority_of(group) {
+        let is_read = matches!(access, Access::Read { .. });
+        if !is_read && !io.context.isolation.reaches_majority_of(group) {
             return false;
         }
-        let random = self.prewarmed_owner.unwrap_or_else(rand::random);
+        let random = self.prewarming_random.unwrap_or_else(rand::random);
         let target = target::find(&login.group, self.account.as_ref(), &access, random, io);
         target.is_some_and(|target| is_reached(&target, io))
     }
--- a/crates/daemon/src/front/session/prewarming.rs
+++ b/crates/daemon/src/front/session/prewarming.rs
@@ -26,7 +26,7 @@
         let random = rand::random();
         let owner = io.context.owner_for_group(&login.group, Some(account), random, io.now);
         let Some(node) = owner else { return };
-        self.prewarmed_owner = Some(random);
+        self.prewarming_random = Some(random);
         let at_primary = login.parameters.values.consistency == Consistency::Primary;
         let call = GatewayCall::Prewarm { account: account.clone(), at_primary };
         let from = io.context.identity.node.clone();
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -90,7 +90,7 @@
         if self.lease.is_none() {
             let routed =
                 effective_access(access.clone(), io.context.policy, self.last_write, io.now);
-            let random = self.prewarmed_owner.unwrap_or_else(rand::random);
+            let random = self.prewarming_random.unwrap_or_else(rand::random);
             let found = target::find(&login.group, self.account.as_ref(), &routed, random, io);
             let Some(target) = found else {
                 if !std::mem::replace(&mut self.is_wait_logged, true) {
@@ -98,7 +98,7 @@
                 }
                 return;
             };
-            self.prewarmed_owner = None;
+            self.prewarming_random = None;
             decision_log::log_routed(request, login, &target, &routed, io);
             if let Access::Read { .. } = routed {
                 access = routed;
--- a/crates/daemon/src/gateway/capacity.rs
+++ b/crates/daemon/src/gateway/capacity.rs
@@ -1,7 +1,8 @@
 //! Exchanges demands for capacity with the other owners of a group, and applies the division.
 //!
-//! The division itself is decided in `core/capacity`. Capacity is shared only if the setting says
-//! so and every known owner speaks the version; otherwise each owner's own limit applies.
+//! The division itself is decided in `core/capacity`. Capacity is shared only if
+//! `share_instance_capacity` is set and every other owner is known to speak a protocol version with
+//! demands; otherwise each owner's own limit applies.
 
 use kestrellock_core::capacity::{InstanceDemand, ReportPacer};
 use kestrellock_core::catalog::Group;
@@ -146,13 +147,23 @@
     if io.context.routine_log_limiter.admits(io.now) {
         // -1: no other owner has a demand, and only this node's own limit applies.
         let slots = allocation.map_or(-1, i64::from);
-        log::info!(event = "capacity", instance = instance.as_str(), slots = slots; "the capacity of an instance was divided among its owners");
+        log::info!(
+            event = "capacity",
+            instance = instance.as_str(),
+            slots = slots;
+            "the capacity of an instance was divided among its owners"
+        );
     }
 }
 
 fn log_expired(instance: &InstanceName, owner: &NodeName, io: &Io) {
     io.context.metrics.capacity.count(CapacityEvent::Expired);
     if io.context.routine_log_limiter.admits(io.now) {
-        log::info!(event = "capacity_expired", instance = instance.as_str(), peer = owner.as_str(); "the demand of another owner expired without news from it");
+        log::info!(
+            event = "capacity_expired",
+            instance = instance.as_str(),
+            peer = owner.as_str();
+            "the demand of another owner expired without news from it"
+        );
     }
 }
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -132,8 +132,8 @@
 }
 
 /// The instance that probably runs the next statement of a client: the primary, or the reader that
-/// would be chosen if all replicas were recent enough. It needs no evidence, because nothing is sent
-/// to the instance on this account.
+/// would be chosen if all replicas were recent enough. It needs no evidence, because no statement
+/// is sent: a wrong choice only leaves a connection unused.
 pub fn expected_instance<'a>(
     group: &GroupName,
     configured: &'a Group,
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -151,7 +151,8 @@
     /// Whether the newest exchange belongs to an account: a connection without an account cannot
     /// run it.
     has_accounts: bool,
-    /// Connections opened in advance and the accounts' recent use, if these are to be considered.
+    /// Requests for connections in advance and the accounts' recent use; `None` if connections are
+    /// not opened in advance.
     accounts: Option<AccountConnections>,
     /// Whether shares leave room for a restart of all nodes.
     reserves_for_restart: bool,
--- a/crates/daemon/src/gateway/pool/accounts.rs
+++ b/crates/daemon/src/gateway/pool/accounts.rs
@@ -11,7 +11,8 @@
 
 use super::{Pool, PooledConnection};
 
-/// What became of connections that were opened in advance, since the counts were taken last.
+/// Numbers of connections opened in advance that were used or closed unused since the counts were
+/// last taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PrewarmCounts {
     /// Ran their first statement.
@@ -29,7 +30,8 @@
 }
 
 impl Pool {
-    /// Sets whether connections are opened in advance, and closed by their expected use.
+    /// Sets whether connections are opened in advance, and those that are least likely to be used
+    /// soon are closed first.
     pub fn set_prewarming(&mut self, prewarms: bool) {
         if prewarms != self.accounts.is_some() {
             self.accounts = prewarms.then(AccountConnections::default);
--- a/crates/daemon/src/gateway/pool/capacity.rs
+++ b/crates/daemon/src/gateway/pool/capacity.rs
@@ -32,8 +32,8 @@
         demand.waiting() > 0 && !self.scheduler.has_free_slot()
     }
 
-    /// The demand to report to the other owners: while exchanges wait for a slot, and once more when
-    /// that ends.
+    /// The demand to report to the other owners: while exchanges wait for a slot, and once more
+    /// when none does any longer.
     pub fn take_report(&mut self, instance: &Instance, now: Instant) -> Option<InstanceDemand> {
         if self.waiting() == 0 && !self.has_reported_demand() {
             return None;
@@ -106,7 +106,7 @@
         self.scheduler.allocation().is_some()
     }
 
-    /// Lets only the pool's own limit apply.
+    /// Forgets the demands of the other owners, so that only the pool's own limit applies.
     pub fn stop_sharing(&mut self) {
         self.shared_capacity = SharedCapacity::default();
         self.scheduler.set_allocation(None);
--- a/crates/daemon/src/gateway/pool/sizing.rs
+++ b/crates/daemon/src/gateway/pool/sizing.rs
@@ -14,8 +14,9 @@
 /// The same for a shared instance, whose connections are divided among several owners: a connection
 /// that one owner keeps is not available to the others.
 const SHARED_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same where free places serve a purpose: connections of all owners after a restart, or
-/// connections that are opened in advance. A client's next statement mostly follows sooner.
+/// The same where the instance needs the room soon: for the connections of all owners after a
+/// restart, or for connections that are opened in advance. A client's next statement mostly follows
+/// within this time.
 const SHORT_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Connections without an account that are kept warm in a pool whose exchanges belong to accounts:
 /// one for the gateway's status queries.
@@ -27,8 +28,8 @@
 /// as a short statement, so that with many waiting accounts each keeps its connection for a few
 /// statements.
 const ACCOUNT_WAIT_LIMIT: Duration = Duration::from_millis(60);
-/// How long an account without a connection waits until the connections of more urgent accounts are
-/// no longer opened before its own.
+/// Time after which an account without a connection counts as urgent. Without this limit, urgent
+/// accounts would get every new connection while there are too few of them.
 const CONNECTION_STARVATION_LIMIT: Duration = Duration::from_millis(240);
 /// Time after which a connection attempt is abandoned.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/gateway/prewarming.rs
+++ b/crates/daemon/src/gateway/prewarming.rs
@@ -31,8 +31,8 @@
         self.prewarm_connections(name, group, io);
     }
 
-    /// Opens the requested connections for which the pools have room, and counts what became of
-    /// earlier ones.
+    /// Opens the requested connections for which the pools have room, and counts which of the
+    /// earlier ones were used.
     pub(super) fn prewarm_connections(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let Some(state) = self.groups.get_mut(name).filter(|_| io.context.prewarm_connections)
         else {
@@ -68,7 +68,7 @@
             group = group.as_str(),
             instance = instance.as_str(),
             account = account.as_str();
-            "opens a connection in advance"
+            "opening a connection of an account in advance"
         );
     }
 }
--- a/crates/daemon/src/gateway/queued_log.rs
+++ b/crates/daemon/src/gateway/queued_log.rs
@@ -7,8 +7,8 @@
 use crate::event::Io;
 use crate::shared::routine_log_lines::RoutineLogLimiter;
 
-/// Limits the rate of the lines of each priority separately: many waits of less urgent exchanges do
-/// not suppress the lines of urgent ones.
+/// Limits the rate of the lines of each priority separately, so that many waits of less urgent
+/// exchanges do not suppress the lines of urgent ones.
 #[derive(Debug)]
 pub struct QueuedLogLimiter {
     order: RoutineLogLimiter,
@@ -51,5 +51,17 @@
     let outcome = if wait.is_run { "run" } else { "refused" };
     let waited_ms = wait.waited.as_millis() as u64;
     let slot_ms = wait.waited_for_slot.as_millis() as u64;
-    log::info!(event = "queued", id = id, priority = priority.as_str(), instance = instance.as_str(), waited_ms = waited_ms, waited_for = cause, slot_ms = slot_ms, ahead = wait.ahead as u64, limit = wait.limit, outcome = outcome; "an exchange waited in the queue of an instance");
+    log::info!(
+        event = "queued",
+        id = id,
+        priority = priority.as_str(),
+        instance = instance.as_str(),
+        waited_ms = waited_ms,
+        waited_for = cause,
+        slot_ms = slot_ms,
+        ahead = wait.ahead as u64,
+        limit = wait.limit,
+        outcome = outcome;
+        "an exchange waited in the queue of an instance"
+    );
 }
--- a/crates/daemon/src/ownership.rs
+++ b/crates/daemon/src/ownership.rs
@@ -116,7 +116,7 @@
     own: &'a NodeName,
     excluded: Option<&'a NodeName>,
     listed: Option<Arc<Vec<LiveNode>>>,
-    /// Zones that the deployment must do without.
+    /// Number of zones without which the deployment must be able to serve.
     tolerated_zone_losses: u32,
 }
 
@@ -192,7 +192,7 @@
     started: Instant,
     /// Whether the node's startup period was found to be over.
     startup_over: AtomicBool,
-    /// Zones that the deployment must do without.
+    /// Number of zones without which the deployment must be able to serve.
     tolerated_zone_losses: u32,
 }
 
--- a/crates/daemon/src/routing_overrides.rs
+++ b/crates/daemon/src/routing_overrides.rs
@@ -1,9 +1,10 @@
 //! Temporary exceptions to sending an instance's work to the owner that this node computes.
 //!
-//! Three events cause an exception: a node is unreachable, silent or refuses work, a gateway answers
-//! that another node owns the instance, or several nodes of a zone are silent. Exceptions expire
-//! after a second, by which time membership should have updated the computed owner; those of a zone
-//! end when something in it answers (`core::isolation::silent_zones`).
+//! Three events cause an exception: a node is unreachable, silent or refuses work; a gateway
+//! answers that another node owns the instance; or several nodes of a zone are silent. Exceptions
+//! expire after a second, by which time membership should have updated the computed owner. Those of
+//! a zone end when something in it answers, or when no silence is reported any more
+//! (`core::isolation::silent_zones`).
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/crates/daemon/src/shared/isolation.rs
+++ b/crates/daemon/src/shared/isolation.rs
@@ -11,8 +11,8 @@
 use crate::shared::live::Shared;
 
 /// Time from the report that the node is not ready to the first closed session. Load balancers ask
-/// once a second and need two answers; a client that connects earlier could reach the same node
-/// again.
+/// once a second and need two answers, so a client whose session is closed earlier could reach the
+/// same node again.
 const CLOSE_DELAY: Duration = Duration::from_secs(2);
 
 /// What an isolated node knows of its surroundings.
@@ -88,7 +88,7 @@
         self.is_isolated.load(Ordering::Acquire)
     }
 
-    /// Whether sessions are to be closed.
+    /// Whether the node has been isolated for long enough to close sessions.
     pub fn closes_sessions(&self, now: Instant) -> bool {
         self.is_isolated()
             && self
--- a/crates/daemon/src/shared/peer_votes.rs
+++ b/crates/daemon/src/shared/peer_votes.rs
@@ -30,8 +30,9 @@
         self.is_enabled
     }
 
-    /// Processes the votes of `from`. Returns whether to confirm them: a vote on a group that the
-    /// two nodes do not own both is left out and unconfirmed, so that it goes through the store.
+    /// Processes the votes of `from`. Returns whether to confirm them. A vote on a group that is
+    /// not owned by both nodes is left out, and the message is not confirmed, so that the votes go
+    /// through the store.
     pub fn on_votes(
         &self,
         (own, from): (&NodeName, &NodeName),
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -65,8 +65,8 @@
         self.updates().running.insert(group.clone(), (intent.clone(), recorded));
     }
 
-    /// Records that this node has ended a replacement whose successor has not reported its term. The
-    /// end is not announced, because nodes could not recognize the old primary.
+    /// Records that this node has ended a replacement whose successor has not reported its term.
+    /// The end is not announced, because nodes could not recognize the old primary.
     pub fn on_attempt_ended_without_term(&self, group: &GroupName) {
         self.updates().running.remove(group);
     }
--- a/crates/daemon/src/shared/routine_log_lines.rs
+++ b/crates/daemon/src/shared/routine_log_lines.rs
@@ -30,7 +30,11 @@
                 log::info!(event = "ordinary_untold", count = suppressed; "suppressed routine log lines of successful operations");
             }
             Self::QueuedExchanges => {
-                log::info!(event = "queued_untold", count = suppressed; "suppressed log lines of exchanges that waited in the queue of an instance");
+                log::info!(
+                    event = "queued_untold",
+                    count = suppressed;
+                    "suppressed log lines of exchanges that waited in the queue of an instance"
+                );
             }
         }
     }
--- a/crates/daemon/tests/instance_attempts.rs
+++ b/crates/daemon/tests/instance_attempts.rs
@@ -1,5 +1,6 @@
-//! Which instances answer an attempt to connect. A partition by resets, a relay or a firewall accepts
-//! and refuses connections; counting that as an answer would keep a node behind it in service.
+//! Which instances answer an attempt to connect. A firewall, a relay or a partition by resets can
+//! accept and refuse connections. If that counted as an answer, a node behind it would stay in
+//! service.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -12,7 +13,7 @@
 use socket2::SockRef;
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// Longer than an attempt lasts.
+/// Time limit of the test, longer than any attempt lasts.
 const LIMIT: Duration = Duration::from_secs(10);
 const FIRST_MESSAGES: &[u8] = b"first messages";
 
--- a/crates/lab/tests/isolation.rs
+++ b/crates/lab/tests/isolation.rs
@@ -1,7 +1,7 @@
 //! Nodes of a zone that is cut off, with real connections over the simulated network.
 //!
-//! Guards against nodes that stay ready behind a network partition: load balancers kept sending them
-//! clients, whose statements were refused after 45% of their time each.
+//! Guards against nodes that stay ready behind a network partition: load balancers keep sending
+//! them clients, whose statements wait for nearly half of their time before they are refused.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/lab/tests/isolation_of_owners.rs
+++ b/crates/lab/tests/isolation_of_owners.rs
@@ -1,8 +1,7 @@
 //! What an isolated node does with statements on the users' platform, where owners of groups choose
 //! the instances. The state of isolation is set by hand.
 //!
-//! Guards against statements that wait for evidence which cannot arrive, and are refused after 45%
-//! of their time.
+//! Guards against statements that wait for evidence which cannot arrive before they are refused.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -85,7 +84,7 @@
 }
 
 #[test]
-fn an_open_transaction_goes_on() {
+fn an_open_transaction_commits_before_its_session_is_closed() {
     let platform = start();
     let mut session = open(&platform, Consistency::Primary, "t");
     assert!(session.run("BEGIN").expect("an answer").is_success());
@@ -95,7 +94,8 @@
     assert_eq!(session.next_message().expect("the end"), None, "it ends behind the answer");
 }
 
-/// A transaction whose owner is behind the partition is reported as lost at once, and never commits.
+/// A transaction whose owner is behind the partition is reported as lost at once, and never
+/// commits.
 #[test]
 fn an_open_transaction_at_an_owner_that_is_not_reached_is_lost() {
     let options = PlatformOptions { nodes: 6, max_connections: 16, ..PlatformOptions::default() };
--- a/crates/lab/tests/shared_store_access.rs
+++ b/crates/lab/tests/shared_store_access.rs
@@ -1,5 +1,5 @@
-//! Votes on primaries go from owner to owner, so that they depend neither on the store nor cause
-//! calls to it; nodes that do not share access to the store still get them from there.
+//! Votes on primaries go from owner to owner, so that they do not depend on the store and cause no
+//! calls to it. Owners without `share_store_access` still get them from the store.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -77,7 +77,7 @@
     println!("{} calls for votes", vote_calls(&platform));
 }
 
-/// Guards against owners that wait for votes which are not sent to them.
+/// Guards against owners without the setting that never learn of the votes of the others.
 #[test]
 fn owner_that_does_not_share_access_gets_the_votes_from_the_store() {
     let platform = start(vec![true, true, true, false, true]);
--- a/crates/peer/src/channel.rs
+++ b/crates/peer/src/channel.rs
@@ -6,12 +6,13 @@
 //! therefore not change, drop, repeat or reflect frames, or move them to another connection,
 //! without being detected.
 //!
-//! Versions: every hello carries [`PROTOCOL_VERSION`], which older nodes insist on. A hello may also
-//! carry the highest version that its sender speaks; the connection uses the highest common one. A
-//! node that does not know this field drops it and computes its tags without it, so both sides leave
-//! it out unless both hellos carry it. An attacker could then remove it from both hellos
-//! unnoticed and so force the older version. Therefore a node that sends the field also marks its
-//! nonce, which every version authenticates: a marked nonce without the field is an error.
+//! Versions: every hello carries [`PROTOCOL_VERSION`], because older nodes reject any other number.
+//! A hello may also carry the highest version that its sender speaks; the connection uses the
+//! highest common one. A node that does not know this field drops it and computes its tags without
+//! it, so both sides leave it out unless both hellos carry it. An attacker could then remove it
+//! from both hellos unnoticed and so force the older version. Therefore a node that sends the field
+//! also marks its nonce, which every version authenticates: a marked nonce without the field is an
+//! error.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use kestrellock_core::ids::NodeName;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -31,6 +31,12 @@
 /// Lowest version in which owners exchange votes on primaries.
 pub const PRIMARY_VOTES_VERSION: u16 = 8;
 
+/// Lowest version in which owners exchange demands for capacity.
+pub const CAPACITY_DEMAND_VERSION: u16 = 8;
+
+/// Lowest version in which fronts request connections in advance.
+pub const PREWARM_VERSION: u16 = 8;
+
 /// A prepared statement that an exchange refers to by a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -146,7 +152,8 @@
             | Self::Cancel(_)
             | Self::CurrentPosition { .. }
             | Self::Subscribe => PROTOCOL_VERSION,
-            Self::CapacityDemand(_) | Self::Prewarm { .. } => 8,
+            Self::CapacityDemand(_) => CAPACITY_DEMAND_VERSION,
+            Self::Prewarm { .. } => PREWARM_VERSION,
         }
     }
 }
@@ -410,8 +417,8 @@
 }
 
 impl PeerMessage {
-    /// Lowest protocol version of a link that may carry the message. An older node cannot decode the
-    /// variant and would close the link.
+    /// Lowest protocol version of a link that may carry the message. An older node cannot decode
+    /// the variant and would close the link.
     pub fn required_version(&self) -> u16 {
         match self {
             Self::ToGateway(message) => message.call.required_version(),
