Take the isolation from the store out again; bound what other nodes send

Cause: nodes that are cut off together in several zones were judged by a sample of nodes and a call to the store.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -343,7 +343,9 @@
                     state.overtaken = 0;
                     state.started = state.started.wrapping_add(1);
                 }
-                std::cmp::Ordering::Greater if state.waiting > 0 => state.overtaken += 1,
+                std::cmp::Ordering::Greater if state.waiting > 0 => {
+                    state.overtaken = state.overtaken.saturating_add(1);
+                }
                 std::cmp::Ordering::Greater => state.overtaken = 0,
             }
         }
--- a/crates/core/src/capacity/division.rs
+++ b/crates/core/src/capacity/division.rs
@@ -31,14 +31,20 @@
     levels: [LevelClaim; LEVELS],
 }
 
+/// Longest time left that a demand may report. A longer one, which only a faulty node sends, could
+/// not be added to the current time.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(3600);
+
 impl LevelClaim {
     fn new(level: &LevelDemand, now: Instant) -> Self {
-        let spread = level.latest.saturating_sub(level.earliest);
+        let (earliest, latest) =
+            (level.earliest.min(MAX_TIME_LEFT), level.latest.min(MAX_TIME_LEFT));
+        let spread = latest.saturating_sub(earliest);
         Self {
             running: level.running,
             waiting: level.waiting,
             flows: level.flows.max(1),
-            earliest: now + level.earliest,
+            earliest: now + earliest,
             spacing: spread / level.waiting.saturating_sub(1).max(1),
             overtaken: level.overtaken,
         }
@@ -50,7 +56,8 @@
         if self.waiting == 0 {
             return Rank { step: u128::MAX, granted, flows };
         }
-        let deadline = self.earliest + self.spacing * granted.saturating_sub(self.running);
+        let deadline =
+            self.earliest + self.spacing * granted.saturating_sub(self.running).min(self.waiting);
         let left = deadline.saturating_duration_since(start);
         Rank { step: left.as_millis() / DEADLINE_STEP.as_millis(), granted, flows }
     }
--- a/crates/core/src/isolation/answers.rs
+++ b/crates/core/src/isolation/answers.rs
@@ -24,8 +24,6 @@
 pub struct Answers {
     nodes: BTreeMap<NodeName, Asked>,
     instances: BTreeMap<InstanceName, Asked>,
-    /// When the store last answered.
-    store: Option<Duration>,
 }
 
 impl Answers {
@@ -53,16 +51,6 @@
         }
     }
 
-    /// Records an answer of the store.
-    pub fn on_store_answer(&mut self, now: Duration) {
-        self.store = Some(now);
-    }
-
-    /// Whether the store has answered since `since`.
-    pub fn store_has_answered(&self, since: Duration) -> bool {
-        self.store.is_some_and(|at| at >= since)
-    }
-
     /// Forgets what was last asked before `moment`.
     pub fn forget_before(&mut self, moment: Duration) {
         self.nodes.retain(|_, asked| asked.asked_at >= moment);
--- a/crates/core/src/isolation/mod.rs
+++ b/crates/core/src/isolation/mod.rs
@@ -5,10 +5,9 @@
 //! be ready. The decision is made from the answers to the node's own questions, because these show
 //! that packets pass in both directions. A steady probe of other zones and reports of trouble from
 //! other components start a survey. The survey asks samples of nodes, then tries instances in zones
-//! where no node answers, and calls the store. The node is isolated only if nothing outside its
-//! part answers during the whole survey, or if most of the asked nodes and the store do not answer.
-//! Conditions that all nodes have in common (the store is down, all nodes have just started, many
-//! nodes have died, this process stood still) never isolate a node.
+//! where no node answers. Only a survey without any answer from outside for its whole duration
+//! isolates the node. Conditions that all nodes have in common (the store is down, all nodes have
+//! just started, many nodes have died, this process stood still) never do.
 
 mod answers;
 mod probe;
@@ -36,9 +35,6 @@
 /// Length of a survey: [`NODE_PERIOD`], and the time to connect to instances of silent zones. The
 /// node is isolated if nothing outside its part has answered during all of it.
 const SURVEY_PERIOD: Duration = Duration::from_millis(550);
-/// Length of a survey after which a node is isolated that reaches neither the store nor most nodes,
-/// but something in other zones. It leaves time to repeat a lost packet to the store.
-const STORE_SURVEY_PERIOD: Duration = Duration::from_secs(1);
 /// Shortest time between the end of a survey and the start of the next one. It bounds the messages
 /// of a node that often hears of trouble, such as one in an overloaded cluster.
 const SURVEY_COOLDOWN: Duration = Duration::from_millis(300);
@@ -52,7 +48,7 @@
 const ISOLATED_ROUND_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between two attempts of an isolated node to connect to instances.
 const INSTANCE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which an answer of an instance or of the store to an isolated node counts. It is longer
+/// Time for which an answer of an instance to an isolated node counts. It is longer
 /// than [`INSTANCE_RETRY_INTERVAL`], so that the answer to one attempt counts until the next one.
 const INSTANCE_ANSWER_LIFETIME: Duration = Duration::from_millis(1200);
 /// A longer gap between two ticks means that this process stood still, so that missing answers
@@ -81,8 +77,6 @@
     Node(NodeName),
     /// Connect to this instance.
     Instance(InstanceName),
-    /// Call the store.
-    Store,
 }
 
 /// A change of the decision.
@@ -102,13 +96,7 @@
         next_survey: Duration,
     },
     /// The node asks samples of all zones.
-    Surveying {
-        since: Duration,
-        next_round: Duration,
-        /// Whether the instances of silent zones and the store were asked.
-        has_asked_instances_and_store: bool,
-    },
-    /// The node asks all zones until it reaches the larger part again.
+    Surveying { since: Duration, next_round: Duration, has_tried_instances: bool },
     Isolated {
         next_round: Duration,
         next_instances: Duration,
@@ -121,7 +109,7 @@
     /// A survey that starts now.
     fn survey_from(now: Duration) -> Self {
         let next_round = now + SURVEY_ROUND_INTERVAL;
-        Self::Surveying { since: now, next_round, has_asked_instances_and_store: false }
+        Self::Surveying { since: now, next_round, has_tried_instances: false }
     }
 }
 
@@ -191,11 +179,6 @@
         self.answers.on_instance_answer(instance, now);
     }
 
-    /// Handles an answer of the store to this node.
-    pub fn on_store_answer(&mut self, now: Duration) {
-        self.answers.on_store_answer(now);
-    }
-
     /// Does the work due at `now`: returns the questions to ask, and a change of the decision.
     pub fn on_tick(
         &mut self,
@@ -248,7 +231,7 @@
             self.is_trouble_reported = false;
             self.answers = Answers::default();
             self.phase = Phase::survey_from(now);
-            questions.extend(self.ask_zones_with_few_answers(FIRST_ROUND_SAMPLE, now, random));
+            questions.extend(self.ask_silent_zones(FIRST_ROUND_SAMPLE, now, random));
         }
     }
 
@@ -259,25 +242,16 @@
         questions: &mut Vec<Question>,
     ) -> Option<Change> {
         let reach = self.reach(now);
-        if !reach.may_be_cut_off() {
+        if !reach.is_cut_off() {
             self.phase = Phase::Watching { next_survey: now + SURVEY_COOLDOWN };
             return None;
         }
-        let (is_cut_off, is_cut_off_from_store) =
-            (reach.is_cut_off(), reach.is_cut_off_from_store());
         let observation = reach.observation();
-        let Phase::Surveying { since, next_round, has_asked_instances_and_store } = &mut self.phase
-        else {
+        let Phase::Surveying { since, next_round, has_tried_instances } = &mut self.phase else {
             return None;
         };
         let elapsed = now.saturating_sub(*since);
-        let is_isolated = (is_cut_off && elapsed >= SURVEY_PERIOD)
-            || (is_cut_off_from_store && elapsed >= STORE_SURVEY_PERIOD);
-        if !is_isolated && elapsed >= STORE_SURVEY_PERIOD {
-            self.phase = Phase::Watching { next_survey: now + SURVEY_COOLDOWN };
-            return None;
-        }
-        if is_isolated {
+        if elapsed >= SURVEY_PERIOD {
             self.phase = Phase::Isolated {
                 next_round: now,
                 next_instances: now + INSTANCE_RETRY_INTERVAL,
@@ -289,14 +263,13 @@
         if asks_nodes {
             *next_round = now + SURVEY_ROUND_INTERVAL;
         }
-        let asks_instances_and_store = elapsed >= NODE_PERIOD && !*has_asked_instances_and_store;
-        *has_asked_instances_and_store |= asks_instances_and_store;
+        let tries_instances = elapsed >= NODE_PERIOD && !*has_tried_instances;
+        *has_tried_instances |= tries_instances;
         if asks_nodes {
-            questions.extend(self.ask_zones_with_few_answers(LATER_ROUND_SAMPLE, now, random));
+            questions.extend(self.ask_silent_zones(LATER_ROUND_SAMPLE, now, random));
         }
-        if asks_instances_and_store {
+        if tries_instances {
             questions.extend(self.try_instances(now, random));
-            questions.push(Question::Store);
         }
         None
     }
@@ -308,11 +281,11 @@
         questions: &mut Vec<Question>,
     ) -> Option<Change> {
         let reach = self.reach(now);
-        let (may_be_cut_off, observation) = (reach.may_be_cut_off(), reach.observation());
+        let (is_cut_off, observation) = (reach.is_cut_off(), reach.observation());
         let Phase::Isolated { next_round, next_instances, reached_since } = &mut self.phase else {
             return None;
         };
-        match may_be_cut_off {
+        match is_cut_off {
             true => *reached_since = None,
             false => _ = reached_since.get_or_insert(now),
         }
@@ -330,7 +303,6 @@
         }
         if asks_instances {
             questions.extend(self.try_instances(now, random));
-            questions.push(Question::Store);
         }
         None
     }
@@ -345,16 +317,16 @@
         Reach::new(&self.own, &self.surroundings, &self.answers, nodes_since, instances_since)
     }
 
-    /// Asks `count` nodes of every zone in which less than half of the asked nodes have answered,
-    /// and of this node's own zone: a part of each may be cut off.
-    fn ask_zones_with_few_answers(
+    /// Asks `count` nodes of every zone of which no node has answered yet, and of this node's own
+    /// zone, of which a part may be cut off.
+    fn ask_silent_zones(
         &mut self,
         count: usize,
         now: Duration,
         random: &mut dyn RandomSource,
     ) -> Vec<Question> {
         let own = self.surroundings.own_zone().clone();
-        let mut zones = self.reach(now).zones_with_few_answers();
+        let mut zones = self.reach(now).zones_without_node_answer();
         zones.retain(|zone| *zone != own);
         zones.push(own);
         self.ask(zones, count, now, random)
--- a/crates/core/src/isolation/reach.rs
+++ b/crates/core/src/isolation/reach.rs
@@ -12,16 +12,6 @@
 /// a network partition within the zone.
 const WHOLE_ZONE_FRACTION: f64 = 0.25;
 
-/// Fraction of the asked nodes that must answer, or the node counts as cut off from most nodes.
-const CUT_OFF_FRACTION: f64 = 0.5;
-/// Fraction of the asked nodes that must answer, or the node may still be cut off. It exceeds
-/// [`CUT_OFF_FRACTION`], so that random variation of the sample does not end a survey or an
-/// isolation.
-const RECOVERED_FRACTION: f64 = 2.0 / 3.0;
-/// Least number of asked nodes, of all zones together, from which the fraction that answers is
-/// estimated.
-const MIN_CLUSTER_SAMPLE: usize = 2 * FULL_SAMPLE;
-
 /// What a decision was based on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Observation {
@@ -61,49 +51,11 @@
         Self { own, surroundings, answers, nodes_since, instances_since }
     }
 
-    /// Whether the node is cut off from other zones: it reaches only the smaller part of the nodes,
-    /// and no instance outside that part.
+    /// Whether the node reaches only the smaller part of the nodes, and nothing outside it.
     pub fn is_cut_off(&self) -> bool {
         !self.is_larger_part() && !self.instances_answer_outside()
     }
 
-    /// Whether the node is cut off from most nodes of several zones, and from the store. It may
-    /// reach all instances, but nothing shows that its configuration, its quotas and the primaries
-    /// that it knows are current. If only nodes have died, the store still answers.
-    pub fn is_cut_off_from_store(&self) -> bool {
-        self.has_few_answers(MIN_CLUSTER_SAMPLE, CUT_OFF_FRACTION) && !self.store_answers()
-    }
-
-    /// Whether the answers so far leave it open that the node is cut off.
-    pub fn may_be_cut_off(&self) -> bool {
-        self.is_cut_off() || (self.has_few_answers(1, RECOVERED_FRACTION) && !self.store_answers())
-    }
-
-    fn store_answers(&self) -> bool {
-        self.answers.store_has_answered(self.instances_since)
-    }
-
-    /// Whether at least `sample` nodes, or all others, were asked and less than `fraction` of them
-    /// have answered.
-    fn has_few_answers(&self, sample: usize, fraction: f64) -> bool {
-        let (asked, answered) = self.answers.node_counts(self.nodes_since);
-        let others = self.surroundings.listed().saturating_sub(1);
-        asked >= sample.min(others) && (answered as f64) < asked as f64 * fraction
-    }
-
-    /// The zones in which less than half of the asked nodes have answered.
-    pub fn zones_with_few_answers(&self) -> Vec<ZoneName> {
-        let mut zones = self.surroundings.zone_names();
-        zones.retain(|zone| {
-            let nodes = self.surroundings.nodes_of(zone).iter();
-            let asked =
-                nodes.filter_map(|node| self.answers.node_has_answered(node, self.nodes_since));
-            let (answered, silent): (Vec<bool>, Vec<bool>) = asked.partition(|answered| *answered);
-            answered.is_empty() || answered.len() < silent.len()
-        });
-        zones
-    }
-
     /// The zones in which no other node has answered. The node's own zone is not among them if it
     /// has no other nodes there.
     pub fn zones_without_node_answer(&self) -> Vec<ZoneName> {
--- a/crates/daemon/src/agent/isolation/mod.rs
+++ b/crates/daemon/src/agent/isolation/mod.rs
@@ -1,9 +1,8 @@
 //! Finds out whether this node is isolated, on the thread of membership.
 //!
 //! `core::isolation` decides. This module gives it the listed nodes and the instances, asks its
-//! questions (pings of membership, connections to instances and calls to the store), and publishes,
-//! logs and counts its decision. Pings and acks are messages that every version of a node
-//! understands.
+//! questions (pings of membership, and connections to instances), and publishes, logs and counts
+//! its decision. Pings and acks are messages that every version of a node understands.
 
 pub mod instance_attempts;
 mod surroundings;
@@ -13,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use kestrellock_core::catalog::{Elector, IndexedCatalog};
+use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_core::ids::{InstanceName, NodeName, ZoneName};
 use kestrellock_core::isolation::{Change, Isolation, Observation, Question};
 use kestrellock_core::membership::{Body, Membership, Message, RandomSource};
@@ -93,9 +92,6 @@
         if self.context.isolation.take_trouble() {
             self.isolation.on_trouble();
         }
-        if self.context.isolation.take_store_answer() {
-            self.isolation.on_store_answer(now);
-        }
         for instance in self.attempts.take_answered() {
             self.isolation.on_instance_answer(&instance, now);
         }
@@ -131,7 +127,6 @@
                 self.pings.insert(number, Ping { node, sent: now });
             }
             Question::Instance(instance) => self.try_instance(&instance),
-            Question::Store => self.call_store(now),
         }
     }
 
@@ -152,17 +147,6 @@
         self.attempts.start(instance, source, configured.address, startup);
     }
 
-    /// Requests a replacement check, a call to the store whose answer is reported to
-    /// [`SharedIsolation`](crate::shared::isolation::SharedIsolation). A node whose groups all
-    /// elect their own primaries serves without the store, so the store counts as answering.
-    fn call_store(&mut self, now: Duration) {
-        let mut groups = self.catalog.groups.iter();
-        match groups.find(|(_, group)| group.elector == Elector::Proxy) {
-            Some((name, _)) => self.context.replacement_check_requests.request(name),
-            None => self.isolation.on_store_answer(now),
-        }
-    }
-
     fn apply(&mut self, change: &Change) {
         let metrics = &self.context.metrics;
         match change {
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -70,9 +70,6 @@
             Ok(result) => {
                 let groups = self.in_progress.take().unwrap_or_default();
                 self.follow_backoff(&result, now);
-                if result.revision.is_ok() {
-                    context.isolation.report_store_answer();
-                }
                 apply_result(&groups, &result, context, view);
             }
             Err(TryRecvError::Empty) => {}
--- a/crates/daemon/src/shared/isolation.rs
+++ b/crates/daemon/src/shared/isolation.rs
@@ -31,7 +31,6 @@
     has_machine_list: bool,
     is_isolated: AtomicBool,
     is_trouble_reported: AtomicBool,
-    has_store_answered: AtomicBool,
     state: Shared<Option<IsolationState>>,
 }
 
@@ -65,16 +64,6 @@
         self.is_trouble_reported.swap(false, Ordering::Relaxed)
     }
 
-    /// Reports that the store has answered a replacement check of this node.
-    pub fn report_store_answer(&self) {
-        self.has_store_answered.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the store has answered since the last call.
-    pub fn take_store_answer(&self) -> bool {
-        self.has_store_answered.swap(false, Ordering::Relaxed)
-    }
-
     /// Replaces the state; `None`: the node is not isolated.
     pub fn publish(&self, state: Option<IsolationState>) {
         if *self.state.load() != state {
--- a/crates/lab/tests/shared_store_access.rs
+++ b/crates/lab/tests/shared_store_access.rs
@@ -74,6 +74,8 @@
     replace_dead_primary(&platform);
     assert!(votes(&platform, VoteEvent::Received) > 0);
     assert!(votes(&platform, VoteEvent::Confirmed) > 0);
+    // A vote that is confirmed late may go through the store as well, but not every vote.
+    assert!(votes(&platform, VoteEvent::InStore) < votes(&platform, VoteEvent::Sent));
     println!("{} calls for votes", vote_calls(&platform));
 }
 
