--- a/crates/core/src/capacity/demand.rs
+++ b/crates/core/src/capacity/demand.rs
@@ -1,4 +1,4 @@
-//! What one owner tells the others about its use of an instance.
+//! The demand message: an owner's use of an instance, sent to the other owners.
 
 use std::time::Duration;
 
--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each owner has its own scheduler and cannot see what waits at the others. Without a division,
 //! their statements compete at the instance, whose own queue knows no priority. Owners with waiting
-//! statements therefore tell each other their [`InstanceDemand`], and each computes the same
+//! statements therefore exchange their [`InstanceDemand`], and each computes the same
 //! [division](divide): by priority, then by the earliest deadline, then in fair shares.
 //! [`SharedCapacity`] turns it into the number of statements that this owner may run, from what it
 //! knows of the others. What it knows expires, and an owner that knows nothing falls back to its
--- a/crates/core/src/isolation/mod.rs
+++ b/crates/core/src/isolation/mod.rs
@@ -62,9 +62,9 @@
 /// fewer, the death of half of the nodes could look like a network partition. The rounds of a
 /// survey ask more than that before instances are tried.
 const FULL_SAMPLE: usize = 8;
-/// Nodes of each other zone that an isolated node asks in each round.
+/// Nodes of each other zone that an isolated node pings in each round.
 const ISOLATED_SAMPLE: usize = 2;
-/// Nodes of its own zone that an isolated node asks in each round. Two rounds within
+/// Nodes of its own zone that an isolated node pings in each round. Two rounds within
 /// [`ANSWER_LIFETIME`] make a full sample, from which the reached part of the zone is estimated.
 const ISOLATED_OWN_ZONE_SAMPLE: usize = 4;
 /// Instances of a silent zone to which the node tries to connect at once.
--- a/crates/core/src/isolation/reach.rs
+++ b/crates/core/src/isolation/reach.rs
@@ -101,7 +101,7 @@
         others.sum::<usize>() + self.own_zone_nodes_reached()
     }
 
-    /// Estimates from the sample how many nodes of its own zone this node reaches, itself included.
+    /// Estimates from the sample the number of reachable nodes in this node's zone, itself included.
     fn own_zone_nodes_reached(&self) -> usize {
         let nodes = self.surroundings.nodes_of(self.surroundings.own_zone());
         let others = nodes.iter().filter(|node| *node != self.own);
--- a/crates/core/src/promotion/peer_votes.rs
+++ b/crates/core/src/promotion/peer_votes.rs
@@ -1,6 +1,6 @@
 //! The votes that the other owners of this node's groups have sent to it directly.
 //!
-//! The sender repeats a vote for as long as it stands. A vote that is not repeated expires:
+//! The sender repeats a vote until it is withdrawn. A vote that is not repeated expires:
 //! otherwise the vote of an owner that died would count indefinitely. Votes decide on availability
 //! only.
 
--- a/crates/core/tests/account_connection_replay.rs
+++ b/crates/core/tests/account_connection_replay.rs
@@ -1,4 +1,4 @@
-//! Replays the load of accounts on one owner's connections to an instance, and judges by priority
+//! Replays the load of accounts on one owner's connections to an instance, and measures by priority
 //! how long statements wait for a connection of their account.
 //!
 //! Guards against urgent statements that mostly wait for a new connection: they are the first of a
--- a/crates/core/tests/account_connections.rs
+++ b/crates/core/tests/account_connections.rs
@@ -95,7 +95,7 @@
     assert!(requests.is_empty());
 }
 
-/// Guards against connections for clients that have gone, and against memory that grows with
+/// Guards against connections for clients that have disconnected, and against memory that grows with
 /// logins.
 #[test]
 fn requests_expire_and_are_bounded() {
--- a/crates/core/tests/capacity/division.rs
+++ b/crates/core/tests/capacity/division.rs
@@ -163,8 +163,8 @@
     assert_eq!(shared.expire(start + ms(10)), [], "nothing expired unexpectedly");
 }
 
-/// Two owners that are cut off in one direction: one keeps all slots although the other has told it
-/// of more urgent statements.
+/// Two owners that are cut off in one direction: one keeps all slots although the other has
+/// reported more urgent statements to it.
 #[test]
 fn an_owner_that_does_not_yield_cannot_keep_another_from_its_share() {
     let start = Instant::now();
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -466,17 +466,17 @@
 #[test]
 fn a_connection_is_opened_in_advance_once_and_only_without_an_idle_one() {
     let now = Instant::now();
-    let mut pool = prewarming_pool(&["atlas"], now);
-    for account in ["atlas", "gidanmu", "gidanmu"] {
+    let mut pool = prewarming_pool(&["account-a"], now);
+    for account in ["account-a", "account-b", "account-b"] {
         pool.request_in_advance(AccountName::new(account), now);
     }
-    let gidanmu = AccountName::new("gidanmu");
-    assert_eq!(pool.account_to_prewarm(now), Some(gidanmu.clone()));
-    pool.on_connecting_in_advance(1, gidanmu.clone(), now);
-    pool.request_in_advance(gidanmu, now);
+    let second_account = AccountName::new("account-b");
+    assert_eq!(pool.account_to_prewarm(now), Some(second_account.clone()));
+    pool.on_connecting_in_advance(1, second_account.clone(), now);
+    pool.request_in_advance(second_account, now);
     assert_eq!(pool.account_to_prewarm(now), None, "it is being opened");
     pool.on_idle(1, now);
-    pool.offer(exchange_of(1, "gidanmu"), 100, now).expect("there is room");
+    pool.offer(exchange_of(1, "account-b"), 100, now).expect("there is room");
     let run = pool.assign(now).run;
     assert_eq!(run.iter().map(|assignment| assignment.key).collect::<Vec<_>>(), [1]);
     assert_eq!(pool.take_prewarm_counts(), PrewarmCounts { used: 1, unused: 0 });
