Review case 2: a committed write is answered as not run

A node that leaves sends its leave message on a link that has just replaced a silent one, before the other node's list of leases has arrived. The front takes the unanswered write as not run and promises so (REFUSED).

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -448,8 +448,11 @@
             if instance.role != "primary" or (self.transaction and self.transaction["read"]):
                 return self.fail("ERROR READONLY")
             thing, data = words[1], " ".join(words[2:])
-            service.runs.append((ident, instance.name))
-            service.record.log(f"{instance.name}: runs {ident} WRITE {thing} {data}")
+            sender = self.writer.get_extra_info("peername")[0]
+            service.runs.append((ident, instance.name, sender))
+            service.record.log(f"{instance.name}: runs {ident} WRITE {thing} {data} from {sender}")
+            if service.on_run:
+                service.on_run(ident, sender)
             if self.transaction:
                 self.transaction["writes"].append((thing, data))
                 self.transaction["ids"].append(ident)
@@ -550,6 +553,7 @@
         self.slots, self.connections, self.heartbeat = slots, connections, heartbeat
         self.work, self.answer_delay, self.lag = 0.005, 0.0, 0.02
         self.wake, self.runs, self.committed, self.promoted = asyncio.Event(), [], [], []
+        self.on_run = None
         self.instances = [
             Instance(self, f"i-{name}-{number}", zone, "primary" if number == 0 else "replica")
             for number, zone in enumerate(zones)
@@ -754,6 +758,101 @@
             abort(back)
 
 
+class PeerLink:
+    """One connection between two nodes, seen by the relay in front of the accepting one."""
+
+    def __init__(self, opener, acceptor):
+        self.opener, self.acceptor = opener, acceptor
+        self.silent = False
+        self.segments = 0
+
+
+class PeerRelay:
+    """Stands in front of a node's peer address, for TCP and datagrams. `delay(link, outward)` says
+    for how long a segment is held up, as one is whose packet was lost and is sent again. A link that
+    went silent swallows everything and stays open."""
+
+    def __init__(self, record, node, delay=None):
+        self.record, self.node, self.delay = record, node, delay
+        self.links = []
+
+    async def start(self):
+        while True:
+            self.server = await asyncio.start_server(self.serve, self.node.ip, 0)
+            self.address = self.server.sockets[0].getsockname()
+            try:
+                loop = asyncio.get_running_loop()
+                await loop.create_datagram_endpoint(
+                    lambda: DatagramRelay(self.node.peer), local_addr=self.address
+                )
+                return self
+            except OSError:
+                self.server.close()
+
+    async def serve(self, reader, writer):
+        link = PeerLink(writer.get_extra_info("peername")[0], self.node.ip)
+        self.links.append(link)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.node.peer)
+        except OSError:
+            return abort(writer)
+        await asyncio.gather(
+            self.pump(link, reader, far_writer, writer, True),
+            self.pump(link, far_reader, writer, far_writer, False),
+        )
+
+    async def pump(self, link, reader, writer, back, outward):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if link.silent:
+                    if not data:
+                        return
+                    continue
+                if self.delay:
+                    wait = self.delay(link, outward)
+                    if wait:
+                        await asyncio.sleep(wait)
+                if not data:
+                    writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError, RuntimeError):
+            abort(writer)
+            abort(back)
+
+
+class DatagramRelay(asyncio.DatagramProtocol):
+    """Passes datagrams on, and the answers back."""
+
+    def __init__(self, target):
+        self.target, self.sockets = target, {}
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, source):
+        asyncio.ensure_future(self.forward(data, source))
+
+    async def forward(self, data, source):
+        if source not in self.sockets:
+            self.sockets[source] = asyncio.ensure_future(self.connect(source))
+        transport = await self.sockets[source]
+        transport.sendto(data)
+
+    async def connect(self, source):
+        outer = self.transport
+
+        class Back(asyncio.DatagramProtocol):
+            def datagram_received(self, data, _):
+                outer.sendto(data, source)
+
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(Back, remote_addr=self.target)
+        return transport
+
+
 # --- clients -------------------------------------------------------------------------------------
 
 
@@ -868,17 +967,16 @@
 class Node:
     """A process of the system, started as `deploy/system.toml` says."""
 
-    def __init__(self, record, folder, name, zone, store, cloud, advertise=None):
-        self.record, self.name, self.zone = record, name, zone
+    def __init__(self, record, folder, name, zone, store, cloud, ip="127.0.0.1"):
+        self.record, self.name, self.zone, self.ip = record, name, zone, ip
         self.folder = folder
-        ports = [free_port() for _ in range(3)]
-        self.caller, self.ready = ("127.0.0.1", ports[0]), ("127.0.0.1", ports[1])
-        self.peer = ("127.0.0.1", ports[2])
+        ports = [free_port(ip) for _ in range(3)]
+        self.caller, self.ready, self.peer = ((ip, port) for port in ports)
         fields = {
             "nodeName": name,
             "zone": zone,
-            "ip": "127.0.0.1",
-            "listen": {"front": f"127.0.0.1:{ports[0]}", "ready": f"127.0.0.1:{ports[1]}"},
+            "ip": ip,
+            "listen": {"front": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}"},
             "internalPorts": [ports[2], ports[2]],
             "limits": {"linkMbps": 1000.0},
             "bounds": BOUNDS,
@@ -887,16 +985,18 @@
             "cloud": {"address": f"{cloud[0]}:{cloud[1]}"},
         }
         with open(os.path.join(ROOT, "deploy", "node.toml"), encoding="utf-8") as file:
-            settings = render(file.read(), fields)
-        if advertise:
-            settings = f'advertised_peer_address = "{advertise[0]}:{advertise[1]}"\n' + settings
+            self.text = render(file.read(), fields)
         self.settings = os.path.join(folder, f"{name}.toml")
-        with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(settings)
         self.log_path = os.path.join(folder, f"{name}.log")
         self.process = None
 
-    def start(self, cluster="cluster-of-review"):
+    def start(self, cluster="cluster-of-review", advertise=None):
+        """Starts the process. `advertise` is where the other nodes reach it, if a relay stands in
+        between."""
+        if advertise:
+            self.text = f'advertised_peer_address = "{advertise[0]}:{advertise[1]}"\n' + self.text
+        with open(self.settings, "w", encoding="utf-8") as file:
+            file.write(self.text)
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "HOME": os.environ.get("HOME", "/"),
