--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -267,6 +267,8 @@
         self.running, self.deaf, self.cut_from_store = True, False, False
         self.tasks, self.writers, self.server, self.port = set(), set(), None, 0
         self.waiting, self.outdated_since = [], None
+        # Machines that are partitioned from this instance: what they send is held up.
+        self.cut_from = set()
         self.seq, self.lapse_at = 0, None
 
     def position(self):
@@ -379,6 +381,12 @@
     def alive(self):
         return self.instance.running and self.instance.born == self.generation
 
+    async def until_reached(self):
+        """Waits while the machine at the other end is partitioned from the instance."""
+        source = self.writer.get_extra_info("peername")[0]
+        while source in self.instance.cut_from and self.alive():
+            await asyncio.sleep(0.01)
+
     def ready(self):
         state = "I" if self.transaction is None else self.transaction["state"]
         return f"READY {state} {pos(self.instance.seen())}"
@@ -386,6 +394,7 @@
     async def run(self):
         instance = self.instance
         line = (await self.reader.readuntil(b"\n")).decode().strip("\r\n").split(" ")
+        await self.until_reached()
         if line[0] != "STARTUP" or line[1] != instance.service.name:
             return self.send("ERROR MISROUTED service")
         if len(line) > 3 and line[3] != instance.name:
@@ -396,6 +405,7 @@
         self.send(f"READY I {pos(instance.seen())}")
         while True:
             line = (await self.reader.readuntil(b"\n")).decode().strip("\r\n")
+            await self.until_reached()
             if line == "TERMINATE" or not self.alive():
                 return
             word, _, rest = line.partition(" ")
@@ -403,6 +413,7 @@
             if word != "QUERY":
                 return self.send("ERROR MALFORMED")
             answer = await self.statement(ident, text)
+            await self.until_reached()
             if not self.alive() or answer is None:
                 return abort(self.writer)
             self.send(*answer, self.ready())
@@ -433,6 +444,8 @@
             if len(words) == 1 and instance.role != "primary":
                 return ["ERROR READONLY"]
             self.transaction = {"state": "T", "writes": [], "ids": [], "read": len(words) > 1}
+            sender = self.writer.get_extra_info("peername")[0]
+            service.record.log(f"{instance.name}: begins {ident} from {sender}")
             return ["COMPLETE -"]
         if kind == "ROLLBACK":
             self.transaction = None
@@ -443,6 +456,8 @@
         if kind == "READ":
             value = self.value(words[1])
             service.record.log(f"{instance.name}: runs {ident} READ {words[1]} -> {value}")
+            if service.on_read:
+                service.on_read(ident, instance)
             return [f"DATAROW {value}", f"COMPLETE {instance.name}.{ident}"]
         if kind == "WRITE":
             if instance.role != "primary" or (self.transaction and self.transaction["read"]):
@@ -553,7 +568,7 @@
         self.slots, self.connections, self.heartbeat = slots, connections, heartbeat
         self.work, self.answer_delay, self.lag = 0.005, 0.0, 0.02
         self.wake, self.runs, self.committed, self.promoted = asyncio.Event(), [], [], []
-        self.on_run = None
+        self.on_run, self.on_read = None, None
         self.instances = [
             Instance(self, f"i-{name}-{number}", zone, "primary" if number == 0 else "replica")
             for number, zone in enumerate(zones)
