--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,13 +9,18 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
 from standins import *  # noqa: E402, F403
 
-ZONES = ["malaga", "kewdale", "osborne-pk"]
+ZONES = ["casa-ain", "casa-sidi", "casa-bouskoura"]
+# `drainMs` of the site.
+DRAIN_S = 7
 
 
 async def main(record, folder, nodes, trouble):
     store = Store(record)
     store_server = await HttpServer(store.handle).start()
-    services = [Service(record, store, f"fleet{number}", ZONES) for number in range(3)]
+    services = [
+        Service(record, store, f"yearbook{number}", ZONES, slots=3, connections=34)
+        for number in range(3)
+    ]
     cloud = Cloud(record, services)
     cloud_server = await HttpServer(cloud.handle).start()
     store.put("op/config", configuration(1, services))
@@ -48,37 +53,46 @@
 
     client = await Client(record, "client").open(nodes[0].caller, f"{service.name}-p")
     await until("a write is taken", lambda: ask_until(client), 20)
-    # Steady state: long enough that every node has observed the instances for a while.
     number = 0
-    for _ in range(40):
-        number += 1
-        await write(number, client)
-        await asyncio.sleep(0.1)
+
+    async def writes(seconds):
+        nonlocal number
+        end = record.now_ms() + 1000 * seconds
+        while record.now_ms() < end:
+            number += 1
+            await write(number, client)
+            await asyncio.sleep(0.1)
+
+    # Steady state: long enough that every node has observed the instances for a while.
+    await writes(4)
     if len(acknowledged) < 20:
         raise CannotRun("too few writes were acknowledged")
     if trouble:
-        record.log(f"trouble: {third.name} receives nothing for a while (replica_lag deaf)")
-        third.deaf = True
-    for _ in range(10):
-        number += 1
-        await write(number, client)
-    if trouble:
-        record.log(f"trouble: {second.name} is partitioned from the store (srv_cut reborn)")
-        second.cut_from_store = True
-        second.crash()
-        record.log(f"trouble: the primary {first.name} crashes (srv_crash)")
+        # The replica i-1 is replaced: the new one starts first, then the old one drains.
+        record.log(f"planned: {second.name} is to be replaced (release)")
+        fourth = await service.add_replica(second.zone)
+        await asyncio.sleep(1)
+        second.leave()
+        await writes(DRAIN_S - 2)
+        record.log(
+            f"trouble: {third.name} and {fourth.name} receive nothing for a while (replica_lag deaf)"
+        )
+        third.deaf = fourth.deaf = True
+        await writes(3)
+        second.end()
+        record.log(f"trouble: the primary {first.name} crashes (replica_lag crash)")
         first.crash()
-        await asyncio.sleep(0.3)
-        await second.restart()
 
         async def returns():
-            await asyncio.sleep(5)
-            record.log("trouble: the cut of the store heals, replication goes on")
-            second.cut_from_store, third.deaf = False, False
-            await asyncio.sleep(2)
+            await asyncio.sleep(3.5)
+            record.log("trouble: replication goes on")
+            third.deaf = fourth.deaf = False
+            await asyncio.sleep(3.5)
             await first.restart()
 
         background.append(asyncio.ensure_future(returns()))
+    else:
+        await writes(DRAIN_S + 1)
     end = record.now_ms() + 12_000
     while record.now_ms() < end and not service.promoted:
         await asyncio.sleep(0.05)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -264,7 +264,7 @@
         self.service, self.name, self.zone, self.role = service, name, zone, role
         self.term, self.held, self.log, self.applied = 1, 0, [], 0
         self.born = int(time.time() * 1000)
-        self.running, self.deaf, self.cut_from_store = True, False, False
+        self.running, self.deaf, self.cut_from_store, self.draining = True, False, False, False
         self.tasks, self.writers, self.server, self.port = set(), set(), None, 0
         self.waiting, self.outdated_since = [], None
         # Machines that are partitioned from this instance: what they send is held up.
@@ -293,7 +293,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": self.service.slots,
-            "state": "ready",
+            "state": "draining" if self.draining else "ready",
             "coldRemainingMs": 0,
             "callSeq": self.seq,
             "dbRole": self.role,
@@ -325,6 +325,22 @@
             abort(writer)
         self.waiting.clear()
 
+    def leave(self):
+        """Sets `draining`: the instance serves on, receives and counts for `syncReplicas`."""
+        self.draining = True
+        self.service.record.log(f"{self.name}: is draining ({self.role})")
+        self.publish()
+
+    def end(self):
+        """The planned end of a draining instance: it is gone, and its log with it."""
+        self.service.record.log(f"{self.name}: has ended as planned ({pos(self.position())})")
+        self.running = False
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.service.instances.remove(self)
+        self.service.store.delete(f"servers/{self.name}")
+
     async def restart(self):
         """Starts again under its id. A replica holds and knows nothing of before; a crashed
         primary has its log, and is a replica if another instance was promoted meanwhile."""
@@ -573,12 +589,23 @@
             Instance(self, f"i-{name}-{number}", zone, "primary" if number == 0 else "replica")
             for number, zone in enumerate(zones)
         ]
+        self.count = len(zones) - 1
 
     async def start(self):
         for instance in self.instances:
             await instance.listen()
             instance.publish()
 
+    async def add_replica(self, zone):
+        """Starts a further replica, under a new id and at a new address."""
+        self.count += 1
+        replica = Instance(self, f"i-{self.name}-{self.count}", zone, "replica")
+        self.instances.append(replica)
+        await replica.listen()
+        self.record.log(f"{replica.name}: starts (replica)")
+        replica.publish()
+        return replica
+
     def role_lost(self, instance):
         async def lost():
             while instance.running and instance.role == "primary":
