--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import traceback
@@ -1150,6 +1151,9 @@
         asyncio.set_event_loop(loop)
         # Connections that end with the run are no errors.
         loop.set_exception_handler(lambda *_: None)
+        # A run that is ended from outside ends its processes, too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: sys.exit(2))
         try:
             case = asyncio.wait_for(main(record, temporary, nodes, trouble), 110)
             code = 1 if loop.run_until_complete(case) else 0
