--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.dont_write_bytecode = True
-sys.path.insert(0, os.path.join(HERE, "..", "common"))
+sys.path.insert(0, os.path.join(HERE, ".."))
 from standins import *  # noqa: E402, F403
 
 ZONES = ["casa-ain", "casa-sidi", "casa-bouskoura"]
--- a/review/common/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 import time
 import traceback
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 
 
 class Record:
