--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -5,6 +5,7 @@
 
 mod events;
 mod incarnations;
+mod log_evidence;
 mod old_primary;
 mod other_primaries;
 mod promoting;
@@ -15,10 +16,13 @@
 use std::time::Instant;
 
 use incarnations::KnownIncarnations;
+use log_evidence::LogEvidence;
 use old_primary::OldPrimaryState;
 use other_primaries::{OtherPrimaries, claimed_primaries};
 use releases::Releases;
 
+pub use log_evidence::MissingLogs;
+
 use super::{
     Command, Intent, Member, Members, Need, Phase, Reason, ReplacementId, Successor, Timing,
 };
@@ -68,8 +72,13 @@
     last_primary_is_replica: bool,
     /// What is known about restarted instances.
     incarnations: KnownIncarnations,
+    /// What other nodes and the operator have told about commits that only instances outside the
+    /// attempt's reach may hold.
+    log_evidence: LogEvidence,
     /// Replicas that may have been stopped, and those that have been released.
     releases: Releases,
+    /// Whether the attempt has stopped replicas for as long as a replica that can be reached takes.
+    has_waited_for_stops: bool,
     /// When enough replicas were stopped; `None` while too few are.
     stopped_since: Option<Instant>,
     /// When the current check began, in which the replicas confirm that they are still stopped;
@@ -138,6 +147,7 @@
             },
             last_primary_is_replica,
             incarnations: KnownIncarnations::default(),
+            log_evidence: LogEvidence::default(),
             releases: Releases::after(earlier_attempt_stopped),
             members,
             displaced: BTreeSet::new(),
@@ -153,6 +163,7 @@
             stop_term: Term(highest_term.0 + 1),
             reported: BTreeSet::new(),
             stopped: BTreeMap::new(),
+            has_waited_for_stops: false,
             stopped_since: None,
             stop_check_since: None,
             old_primary_state: OldPrimaryState::default(),
@@ -307,23 +318,16 @@
         replicas.filter(|member| !self.has_ended(member)).cloned().collect()
     }
 
+    /// Whether the process of a member has ended, so that it cannot be stopped.
     fn has_ended(&self, member: &Member) -> bool {
-        let is_displaced = member.shares_address && self.displaced.contains(&member.name);
-        is_displaced || self.ended.contains(&member.name)
+        self.has_successor_at_address(member)
+            || member.has_ended
+            || self.ended.contains(&member.name)
     }
 
-    /// How many replicas must be stopped, whether or not the old primary is one of them. Never more
-    /// than still have their logs: the attempt does not wait for an old primary that is permanently
-    /// lost or has lost its log as well.
-    fn required_stops(&self) -> usize {
-        let replicas = self.replicas();
-        let other_replicas = match self.old_primary() {
-            Some(old_primary) => {
-                replicas.iter().filter(|member| member.name != *old_primary).count()
-            }
-            None => replicas.len().saturating_sub(usize::from(self.last_primary_is_replica)),
-        };
-        self.members.required_stops(other_replicas).min(self.usable_log_count()).max(1)
+    /// Whether another member answers at the address of a member: it has the log of that member.
+    fn has_successor_at_address(&self, member: &Member) -> bool {
+        member.shares_address && self.displaced.contains(&member.name)
     }
 
     /// Sends a command to an instance, unless the same kind was sent within the retry interval.
--- a/crates/core/src/promotion/attempt/events.rs
+++ b/crates/core/src/promotion/attempt/events.rs
@@ -5,11 +5,12 @@
 use std::time::Instant;
 
 use super::{Attempt, RetriedCommand, Stopped, claimed_primaries};
-use crate::ids::{InstanceName, NodeName};
+use crate::ids::InstanceName;
 use crate::incarnation::has_restarted;
 use crate::position::Term;
 use crate::promotion::{
-    Event, Members, Phase, PromotionAnswer, Reason, ReplicationStatus, RestartReports, Successor,
+    Event, Members, Phase, PromotionAnswer, Reason, ReplicationStatus, ReportingNodes,
+    RestartReports, Successor,
 };
 use crate::routing::Role;
 
@@ -56,6 +57,11 @@
             Event::IncarnationsUnavailable => self.incarnations.on_unavailable(now),
             Event::Refilled(refilled) => self.incarnations.on_refilled(refilled),
             Event::ReportsCombined(report) => self.incarnations.on_combined_report(report),
+            Event::LogHoldersReported(holders) => self.log_evidence.on_log_holders(holders),
+            Event::AcknowledgedPosition(position) => {
+                self.log_evidence.on_acknowledged_position(position)
+            }
+            Event::CommitLossAccepted => self.log_evidence.on_commit_loss_accepted(),
             Event::EvidenceRevoked => self.evidence_revoked = true,
             Event::StillNeeded(still_needed) => self.still_needed = still_needed,
         }
@@ -65,17 +71,26 @@
     /// Ignored until the intent is recorded, because the coordinator's list of nodes may be stale
     /// before that: it may lack a node that has registered since, and that relies on the
     /// coordinator to wait for its evidence to expire.
-    pub fn on_reports(&mut self, reports: &RestartReports, nodes: &[NodeName], now: Instant) {
+    pub fn on_reports(&mut self, reports: &RestartReports, nodes: &ReportingNodes, now: Instant) {
         if self.phase == Phase::Recording {
             return;
         }
         for refilled in reports.refilled() {
             self.on_event(Event::Refilled(refilled), now);
         }
-        if let Some(combined) = reports.combined(nodes) {
+        for holders in reports.log_holders() {
+            self.on_event(Event::LogHoldersReported(holders.clone()), now);
+        }
+        if let Some(combined) = reports.combined(&nodes.current) {
             self.on_event(Event::ReportsCombined(combined), now);
         }
-        if !nodes.is_empty() && reports.includes_all(nodes) {
+        if reports.accept_commit_loss() {
+            self.on_event(Event::CommitLossAccepted, now);
+        }
+        if let Some(position) = reports.acknowledged_position(nodes) {
+            self.on_event(Event::AcknowledgedPosition(position), now);
+        }
+        if !nodes.current.is_empty() && reports.includes_all(&nodes.current) {
             self.on_event(Event::EvidenceRevoked, now);
         }
     }
--- a/crates/core/src/promotion/attempt/incarnations.rs
+++ b/crates/core/src/promotion/attempt/incarnations.rs
@@ -144,6 +144,8 @@
         let refilled = self.incarnations.refilled.get(&member.name).copied();
         let is_refilled = refilled.is_some() && refilled == member.incarnation;
         let is_complete = !member.is_refilling || is_refilled;
-        is_same_incarnation && is_complete && !self.incarnations.regressed.contains(&member.name)
+        let is_known_start = is_refilled || !self.has_restarted_since_report(member);
+        let has_regressed = self.incarnations.regressed.contains(&member.name);
+        is_same_incarnation && is_complete && is_known_start && !has_regressed
     }
 }
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -14,6 +14,7 @@
     /// Stops the replicas until enough of them are stopped. Cancels the attempt if that takes too
     /// long while the old primary works.
     pub(super) fn stop(&mut self, since: Instant, now: Instant, commands: &mut Vec<Command>) {
+        self.update_stop_time(since, now);
         // A primary that answers can still serve reads, and if it lacks replicas that receive,
         // stopping more of them does not help.
         let answers = self
@@ -89,8 +90,8 @@
     /// Whether one of the stopped replicas has every acknowledged commit, and no further commit can
     /// be acknowledged.
     fn enough_stopped(&self) -> bool {
-        let stopped = self.stopped.keys().filter(|name| self.has_usable_log(name)).count();
-        self.members.knows_restarts && stopped >= self.required_stops()
+        let stopped: Vec<&InstanceName> = self.stopped.keys().collect();
+        self.members.knows_restarts && self.include_every_commit(&stopped)
     }
 
     /// Has the stopped replicas confirm again that they are stopped, and promotes one once enough
@@ -117,13 +118,12 @@
             .filter(|(_, stopped)| stopped.confirmed_at < check_began)
             .map(|(name, _)| name.clone())
             .collect();
-        let has_confirmed =
-            |name: &&InstanceName| !unconfirmed.contains(name) && self.has_usable_log(name);
-        let confirmed = self.stopped.keys().filter(has_confirmed).count();
+        let confirmed: Vec<&InstanceName> =
+            self.stopped.keys().filter(|name| !unconfirmed.contains(name)).collect();
         // Required even if the old primary refuses connections: the replica to be promoted may lose
         // its log before the promotion, and then the other stopped replicas have the acknowledged
         // commits.
-        if confirmed >= self.required_stops() {
+        if self.include_every_commit(&confirmed) {
             self.promote(now, commands);
             return;
         }
@@ -209,8 +209,8 @@
         let old_primary = self.intent.former.as_ref();
         let others: BTreeMap<&InstanceName, &Stopped> =
             self.stopped.iter().filter(|(name, _)| old_primary != Some(*name)).collect();
-        let with_log = others.keys().filter(|name| self.has_usable_log(name)).count();
-        let candidates = match with_log >= self.required_stops() {
+        let other_names: Vec<&InstanceName> = others.keys().copied().collect();
+        let candidates = match self.include_every_commit(&other_names) {
             true => others,
             false => self.stopped.iter().collect(),
         };
--- a/crates/core/src/promotion/known_instances.rs
+++ b/crates/core/src/promotion/known_instances.rs
@@ -1,30 +1,34 @@
-//! The instances of each group, including those that recently vanished from the catalog, and their
-//! restarts.
+//! The instances of each group, including vanished ones that may hold a commit that the others lack,
+//! and their restarts.
 //!
 //! An instance that can no longer renew its entry on the platform may still run, and may have the
-//! only copy of an acknowledged commit. So it still counts for a while after it vanished. If it had
-//! announced before that it was leaving, an attempt counts it only until it refuses connections,
-//! since it has then terminated.
+//! only copy of an acknowledged commit. So it counts until there is evidence that it has ended, and
+//! that the remaining instances hold every commit for which it may have counted
+//! ([`super::log_coverage`]). No time makes up for that evidence: the remaining replicas may have
+//! received nothing since, and then only the primary holds those commits.
 //!
 //! A catalog is processed once, when it is activated. Changes that depend on time alone are only
-//! evaluated for the few groups in which an instance vanished or was restarted: evaluating all
-//! instances of 1,000 groups twenty times a second would cost idle nodes processor time that grows
-//! with the number of groups.
+//! evaluated for groups that are newly observed: evaluating all instances of 1,000 groups twenty
+//! times a second would cost idle nodes processor time that grows with the number of groups.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::log_coverage::LogCoverage;
 use super::refill::Refill;
-use super::{Member, Members, ObservedRestart, ReplicationStatus, RestartReport};
+use super::{LogHolder, Member, Members, ObservedRestart, ReplicationStatus, RestartReport};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName};
 use crate::incarnation::has_restarted;
 use crate::position::Position;
 use crate::routing::Role;
 
-/// How long a vanished instance still counts.
-const VANISHED_RETENTION: Duration = Duration::from_secs(10);
+/// Shortest time between two queries to a vanished instance, to learn whether it has ended.
+const MIN_VANISHED_QUERY_INTERVAL: Duration = Duration::from_millis(600);
+/// The interval grows to the time since the instance vanished, divided by this. An instance whose
+/// machine is gone for good never answers, and each query takes a connection attempt.
+const VANISHED_QUERY_DIVISOR: u32 = 4;
 
 /// How long a node observes a group before it acts, since it has not seen earlier restarts. A
 /// restarted instance has received its lost log again within that time, unless it receives nothing;
@@ -39,6 +43,10 @@
     may_stay_primary: bool,
     /// When it was first missing from the catalog.
     vanished_at: Option<Instant>,
+    /// When this node learned that its process had ended, if it has vanished.
+    ended_at: Option<Instant>,
+    /// When this node last queried it after it vanished.
+    vanished_query_at: Option<Instant>,
     /// What it still has to receive, if this node saw it restart.
     refill: Option<Refill>,
     /// Whether this node saw it restart.
@@ -66,11 +74,22 @@
             instance: instance.clone(),
             may_stay_primary,
             vanished_at: None,
+            ended_at: None,
+            vanished_query_at: None,
             refill: refill.filter(|_| !is_primary),
             was_restarted: is_restarted || before.is_some_and(|before| before.was_restarted),
         }
     }
 
+    /// Whether a query is due that shows whether the instance, which has vanished, has ended.
+    fn is_vanished_query_due(&self, now: Instant) -> bool {
+        let Some(vanished_at) = self.vanished_at else { return false };
+        let vanished_for = now.saturating_duration_since(vanished_at);
+        let interval = MIN_VANISHED_QUERY_INTERVAL.max(vanished_for / VANISHED_QUERY_DIVISOR);
+        let was_queried = self.vanished_query_at.is_some_and(|queried| now < queried + interval);
+        self.ended_at.is_none() && !was_queried
+    }
+
     /// The last restart that this node saw, if any.
     fn observed_restart(&self) -> Option<ObservedRestart> {
         let incarnation = self.instance.incarnation.filter(|_| self.was_restarted)?;
@@ -104,6 +123,12 @@
     /// When the state was last updated.
     updated_at: Instant,
     instances: HashMap<InstanceName, KnownInstance>,
+    /// Evidence that the instances that remain hold the commits for which ended ones counted. Also
+    /// required once this node begins to observe the group, since instances may have ended before.
+    coverage: LogCoverage,
+    /// Whether that evidence was complete since this node began to observe the group. From then on
+    /// the known instances are all that may hold a commit that the others lack.
+    knows_log_holders: bool,
 }
 
 impl KnownInstances {
@@ -117,7 +142,7 @@
             known.apply(group, catalog, now);
         }
         self.groups.retain(|name, _| catalog.groups.contains_key(name));
-        let time_dependent = self.groups.iter().filter(|(_, group)| group.is_time_dependent(now));
+        let time_dependent = self.groups.iter().filter(|(_, group)| group.is_newly_observed(now));
         self.time_dependent = time_dependent.map(|(name, _)| name.clone()).collect();
     }
 
@@ -127,8 +152,8 @@
         let evaluated = self.time_dependent.len();
         self.time_dependent.retain(|name| {
             self.groups.get_mut(name).is_some_and(|group| {
-                group.remove_expired(now);
-                group.is_time_dependent(now)
+                group.updated_at = now;
+                group.is_newly_observed(now)
             })
         });
         evaluated
@@ -161,6 +186,7 @@
             name: known.instance.name.clone(),
             leaving: !known.may_stay_primary,
             has_left: known.instance.leaving && known.vanished_at.is_some(),
+            has_ended: known.instance.leaving && known.ended_at.is_some(),
             leads: known.instance.announced_role == Some(Role::Primary),
             shares_address: shares_address(known),
             incarnation: known.instance.incarnation,
@@ -168,8 +194,12 @@
         };
         let mut all: Vec<Member> = known_group.instances.values().map(member).collect();
         all.sort_by(|one, other| one.name.cmp(&other.name));
-        let knows_restarts = known_group.knows_restarts(known_group.updated_at);
-        Members { all, synchronous: known_group.synchronous, knows_restarts }
+        Members {
+            all,
+            synchronous: known_group.synchronous,
+            knows_restarts: known_group.knows_restarts(known_group.updated_at),
+            knows_log_holders: known_group.knows_log_holders,
+        }
     }
 
     /// Whether this node knows which instances of a group were restarted recently: it has observed
@@ -189,6 +219,15 @@
     ) {
         let Some(known) = self.groups.get_mut(group) else { return };
         known.instances.values_mut().for_each(|known| known.on_status(instance, status, sent));
+        known.on_status(instance, status, sent);
+    }
+
+    /// The process of an instance has ended, as this node learned at `now`: the instance refuses
+    /// connections, or another one answers at its address. Ignored while the platform lists the
+    /// instance, since a crashed one returns under its name.
+    pub fn on_ended(&mut self, group: &GroupName, instance: &InstanceName, now: Instant) {
+        let Some(known) = self.groups.get_mut(group) else { return };
+        known.on_ended(instance, now);
     }
 
     /// The instances whose status has to be queried to find out when the restarted ones have
@@ -210,14 +249,34 @@
         targets
     }
 
-    /// The groups in which this node saw an instance restart that has not received everything again
-    /// yet.
-    pub fn refilling_groups(&self) -> impl Iterator<Item = &GroupName> {
-        let is_refilling = |name: &&GroupName| {
-            let group = self.groups.get(*name);
-            group.is_some_and(|group| group.instances.values().any(|known| known.refill.is_some()))
-        };
-        self.time_dependent.iter().filter(is_refilling)
+    /// The instances whose status has to be queried at `now` to find out which vanished ones have
+    /// ended, and when the others hold every commit for which those may have counted. Empty if
+    /// nothing of that is open. The queries to vanished instances are recorded as sent.
+    pub fn take_coverage_targets(&mut self, group: &GroupName, now: Instant) -> Vec<InstanceName> {
+        let Some(known) = self.groups.get_mut(group) else { return Vec::new() };
+        let needs_coverage = known.needs_coverage();
+        let mut targets = Vec::new();
+        for (name, instance) in &mut known.instances {
+            let is_due = match instance.vanished_at {
+                Some(_) => instance.is_vanished_query_due(now),
+                None => needs_coverage,
+            };
+            if !is_due {
+                continue;
+            }
+            if instance.vanished_at.is_some() {
+                instance.vanished_query_at = Some(now);
+            }
+            targets.push(name.clone());
+        }
+        targets.sort();
+        targets
+    }
+
+    /// Whether instances of the group may have to be queried ([`Self::refill_status_targets`],
+    /// [`Self::take_coverage_targets`]).
+    pub fn has_status_targets(&self, group: &GroupName) -> bool {
+        self.groups.get(group).is_some_and(KnownGroup::has_status_targets)
     }
 
     /// This node's report on the restarts in a group; `primary_position` is the highest position
@@ -242,7 +301,14 @@
             true => Vec::new(),
             false => restarts(false).into_iter().chain(refilled.iter().cloned()).collect(),
         };
-        RestartReport { started_again, refilled, primary_position }
+        let log_holders = known.knows_log_holders.then(|| known.log_holders());
+        RestartReport {
+            started_again,
+            refilled,
+            primary_position,
+            log_holders,
+            ..RestartReport::default()
+        }
     }
 
     /// The address on which an instance listens.
@@ -253,7 +319,14 @@
 
 impl KnownGroup {
     fn observed_from(now: Instant) -> Self {
-        Self { synchronous: 0, observed_since: now, updated_at: now, instances: HashMap::new() }
+        Self {
+            synchronous: 0,
+            observed_since: now,
+            updated_at: now,
+            instances: HashMap::new(),
+            coverage: LogCoverage::required_since(now),
+            knows_log_holders: false,
+        }
     }
 
     fn apply(&mut self, group: &Group, catalog: &IndexedCatalog, now: Instant) {
@@ -264,29 +337,86 @@
                 KnownInstance::updated(before, instance, catalog.accepts_work(instance), now);
             self.instances.insert(instance.name.clone(), known);
         }
-        let is_address_reused = |known: &KnownInstance| {
-            let has_same_address = |other: &Instance| {
-                other.address == known.instance.address && other.name != known.instance.name
-            };
-            group.instances.iter().any(has_same_address)
-        };
-        self.instances
-            .retain(|name, known| group.instance(name).is_some() || !is_address_reused(known));
+        self.remove_succeeded_at_address(group);
+        let reused_addresses: Vec<InstanceName> = self.instances_at_reused_addresses(group);
         for (name, known) in &mut self.instances {
             if group.instance(name).is_none() {
                 known.vanished_at.get_or_insert(now);
                 // The last reported role is no longer current.
                 known.instance.announced_role = None;
+                self.coverage.on_log_lost(name);
+            } else if known.refill.is_some() {
+                self.coverage.on_log_lost(name);
             }
         }
-        self.remove_expired(now);
+        for name in reused_addresses {
+            self.on_ended(&name, now);
+        }
+        self.updated_at = now;
+        self.remove_covered();
     }
 
-    /// Drops instances that vanished more than [`VANISHED_RETENTION`] ago.
-    fn remove_expired(&mut self, now: Instant) {
-        self.updated_at = now;
-        let has_passed = |at: Instant| now.saturating_duration_since(at) >= VANISHED_RETENTION;
-        self.instances.retain(|_, known| !known.vanished_at.is_some_and(has_passed));
+    /// Drops vanished instances that were leaving and whose addresses are in use again in the
+    /// group: the log of a leaving instance passes to a new one at its address.
+    fn remove_succeeded_at_address(&mut self, group: &Group) {
+        self.instances.retain(|name, known| {
+            let has_vanished = group.instance(name).is_none();
+            !(has_vanished && known.instance.leaving && is_address_reused(group, &known.instance))
+        });
+    }
+
+    /// Vanished instances whose addresses other instances of the group have taken.
+    fn instances_at_reused_addresses(&self, group: &Group) -> Vec<InstanceName> {
+        let known = self.instances.values().map(|known| &known.instance);
+        let vanished = known.filter(|instance| group.instance(&instance.name).is_none());
+        let ended = vanished.filter(|instance| is_address_reused(group, instance));
+        ended.map(|instance| instance.name.clone()).collect()
+    }
+
+    fn on_status(&mut self, instance: &InstanceName, status: &ReplicationStatus, sent: Instant) {
+        let Some(known) = self.instances.get(instance) else { return };
+        // Only an instance that the platform lists counts as one that remains.
+        if known.vanished_at.is_none() && known.refill.is_none() {
+            self.coverage.on_status(instance, status, sent);
+            self.remove_covered();
+        }
+    }
+
+    fn on_ended(&mut self, instance: &InstanceName, now: Instant) {
+        let Some(known) = self.instances.get_mut(instance) else { return };
+        if known.vanished_at.is_some() && known.ended_at.is_none() {
+            known.ended_at = Some(now);
+            self.coverage.on_ended(now);
+        }
+    }
+
+    /// Drops the ended instances once the others hold every commit for which they may have counted.
+    fn remove_covered(&mut self) {
+        if self.coverage.is_complete(self.synchronous) {
+            self.knows_log_holders = true;
+            self.instances.retain(|_, known| known.ended_at.is_none());
+        }
+    }
+
+    /// Whether evidence is missing that the remaining instances hold the commits of ended ones.
+    fn needs_coverage(&self) -> bool {
+        !self.knows_log_holders || self.instances.values().any(|known| known.ended_at.is_some())
+    }
+
+    fn has_status_targets(&self) -> bool {
+        let is_open = |known: &KnownInstance| known.refill.is_some() || known.vanished_at.is_some();
+        self.needs_coverage() || self.instances.values().any(is_open)
+    }
+
+    /// The instances that may hold a commit that the others lack.
+    fn log_holders(&self) -> Vec<LogHolder> {
+        let holder = |known: &KnownInstance| LogHolder {
+            instance: known.instance.name.clone(),
+            incarnation: known.instance.incarnation,
+        };
+        let mut holders: Vec<LogHolder> = self.instances.values().map(holder).collect();
+        holders.sort_by(|one, other| one.instance.cmp(&other.instance));
+        holders
     }
 
     fn knows_restarts(&self, now: Instant) -> bool {
@@ -298,10 +428,10 @@
     fn is_newly_observed(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.observed_since) < MIN_OBSERVATION_TIME
     }
+}
 
-    fn is_time_dependent(&self, now: Instant) -> bool {
-        let mut known = self.instances.values();
-        self.is_newly_observed(now)
-            || known.any(|known| known.vanished_at.is_some() || known.refill.is_some())
-    }
+/// Whether another instance of the group has the address of `instance`.
+fn is_address_reused(group: &Group, instance: &Instance) -> bool {
+    let mut others = group.instances.iter().filter(|other| other.name != instance.name);
+    others.any(|other| other.address == instance.address)
 }
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -14,6 +14,10 @@
     /// Whether it was leaving when its entry disappeared. It has either terminated, or is cut off
     /// from the store and still receives commits, so that the primary can acknowledge them.
     pub has_left: bool,
+    /// Whether it has left and its process has ended, so that its log is gone. It counts until the
+    /// others are known to hold every commit for which it may have counted. An instance that was
+    /// not leaving may return with its log, as a crashed primary does.
+    pub has_ended: bool,
     /// Whether it reports that it is the primary.
     pub leads: bool,
     /// Whether another member is registered at the same address: one of the two has terminated.
@@ -34,6 +38,10 @@
     pub synchronous: u32,
     /// Whether this node has observed them for long enough to know which of them were restarted.
     pub knows_restarts: bool,
+    /// Whether `all` includes every instance that may hold a commit that the others lack. Not so at
+    /// a node that has begun to observe the group after such an instance ended, and has not seen
+    /// since that the others hold its commits.
+    pub knows_log_holders: bool,
 }
 
 impl Members {
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -30,6 +30,7 @@
 mod electorate;
 mod known_instances;
 mod known_replacements;
+mod log_coverage;
 mod members;
 mod needs;
 mod peer_votes;
@@ -40,7 +41,7 @@
 mod timing;
 mod vote_delivery;
 
-pub use attempt::Attempt;
+pub use attempt::{Attempt, MissingLogs};
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
 pub use known_instances::KnownInstances;
@@ -48,7 +49,9 @@
 pub use members::{Member, Members};
 pub use needs::{Need, NeedsEvaluator, NeedsInput};
 pub use peer_votes::{PEER_VOTE_VALIDITY, PeerVotes};
-pub use restart_reports::{CombinedReport, ObservedRestart, RestartReport, RestartReports};
+pub use restart_reports::{
+    CombinedReport, LogHolder, ObservedRestart, ReportingNodes, RestartReport, RestartReports,
+};
 pub use steps::{Command, Event, Phase};
 pub use store_eras::{COORDINATOR_LEASE_DURATION, StoreEraTracker};
 pub use timing::Timing;
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use super::{
-    CombinedReport, Intent, Members, ObservedRestart, PromotionAnswer, ReplacementId,
+    CombinedReport, Intent, LogHolder, Members, ObservedRestart, PromotionAnswer, ReplacementId,
     ReplicationStatus, Successor,
 };
 use crate::ids::InstanceName;
 use crate::incarnation::InstanceIncarnation;
-use crate::position::Term;
+use crate::position::{Position, Term};
 
 /// The phase that an attempt has reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,6 +148,13 @@
     Refilled(ObservedRestart),
     /// The combined reports of all nodes on restarts and on the primary's position.
     ReportsCombined(CombinedReport),
+    /// A node that knows all instances that may hold a commit which the others lack reported them.
+    LogHoldersReported(Vec<LogHolder>),
+    /// All nodes have reported up to which position they may have acknowledged commits to clients;
+    /// this is the highest one. None of them passes on a commit any more.
+    AcknowledgedPosition(Position),
+    /// The operator accepts that acknowledged commits are lost.
+    CommitLossAccepted,
     /// Every node that may read at the old primary has revoked its evidence.
     EvidenceRevoked,
     /// Whether there is still a reason to replace the primary.
--- /dev/null
+++ b/crates/core/tests/promotion/ended_replicas.rs
@@ -0,0 +1,209 @@
+//! Replicas that have left and ended: the commits for which they counted may be left at the old
+//! primary alone.
+
+use std::time::{Duration, Instant};
+
+use kestrellock_core::ids::NodeName;
+use kestrellock_core::incarnation::InstanceIncarnation;
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::promotion::{
+    Attempt, Event, LogHolder, Members, Need, Reason, ReplacementId, Timing,
+};
+
+use crate::support::*;
+
+/// The three instances and `d`, a replica that was leaving and whose entry has disappeared.
+fn members_after_a_leave(has_ended: bool) -> Members {
+    let mut members = members(&["a"]);
+    let mut left = members.all[2].clone();
+    left.name = name("d");
+    (left.leaving, left.has_left, left.has_ended) = (true, true, has_ended);
+    members.all.push(left);
+    members
+}
+
+fn recorded_attempt(members: Members, now: Instant) -> Attempt {
+    let mut attempt = attempt(Reason::Suspected, members);
+    record_intent(&mut attempt, now);
+    attempt
+}
+
+/// Guards against losing commits that a leaving replica has received. A zone with the primary and a
+/// leaving replica was cut off, and the replica's entry expired. The attempt ignored the replica,
+/// although the two went on acknowledging commits, and promoted another one that lacked 14 of them.
+#[test]
+fn waits_for_a_vanished_leaving_replica_while_it_may_run() {
+    let mut now = Instant::now();
+    let mut attempt = recorded_attempt(members_after_a_leave(false), now);
+    let others = [("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), None);
+    let with_it = [("b", 10), ("c", 10), ("d", 12)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &with_it), Some(name("d")));
+}
+
+/// Guards against losing commits that the primary acknowledged because a replica had received them
+/// that ended afterwards, while the other replicas received nothing. The attempt went on without the
+/// ended replica and promoted one that lacked the commits, although the primary returned with them
+/// (`review/1`).
+#[test]
+fn ended_replica_counts_until_the_old_primary_is_back() {
+    let mut now = Instant::now();
+    let mut attempt = recorded_attempt(members_after_a_leave(true), now);
+    let others = [("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), None);
+    let missing = attempt.missing_logs().expect("the attempt waits");
+    assert_eq!((missing.stopped, missing.required), (2, Some(3)));
+    assert_eq!(missing.missing, [name(OLD_PRIMARY), name("d")]);
+    let with_primary = [("a", 17), ("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &with_primary), Some(name(OLD_PRIMARY)));
+}
+
+/// The same if the attempt itself finds out that the replica has ended.
+#[test]
+fn replica_that_ends_during_the_attempt_counts_as_well() {
+    let mut now = Instant::now();
+    let mut attempt = recorded_attempt(members_after_a_leave(false), now);
+    attempt.on_event(Event::Refused { instance: name("d"), sent: now }, now);
+    let others = [("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), None);
+}
+
+/// Once the others are known to hold the commits of the ended replica, it is no member any more.
+#[test]
+fn does_not_wait_once_the_ended_replica_is_covered() {
+    let mut now = Instant::now();
+    let mut attempt = recorded_attempt(members_after_a_leave(true), now);
+    let others = [("b", 10), ("c", 11)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), None);
+    attempt.on_event(Event::Members(members(&["a"])), now);
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), Some(name("c")));
+}
+
+/// A commit on two of four replicas survives the end of one of them. Three of the others have to be
+/// stopped, so that one of them has the commit, and the old primary is not needed.
+#[test]
+fn with_two_synchronous_replicas_one_ended_replica_does_not_call_for_the_primary() {
+    let mut now = Instant::now();
+    let mut members = members_after_a_leave(true);
+    let mut further = members.all[2].clone();
+    further.name = name("e");
+    members.all.push(further);
+    members.synchronous = 2;
+    let mut attempt = recorded_attempt(members, now);
+    let two = [("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &two), None);
+    let three = [("b", 10), ("c", 10), ("e", 11)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &three), Some(name("e")));
+}
+
+/// Without synchronous replicas the primary acknowledges commits alone, so an ended replica shows
+/// nothing about them.
+#[test]
+fn ended_replica_does_not_count_without_synchronous_replicas() {
+    let mut now = Instant::now();
+    let mut members = members_after_a_leave(true);
+    members.synchronous = 0;
+    let mut attempt = recorded_attempt(members, now);
+    let others = [("b", 10), ("c", 11)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), Some(name("c")));
+}
+
+/// The group is served again without the old primary if no node has acknowledged a commit that the
+/// stopped replicas lack.
+#[test]
+fn acknowledged_position_replaces_the_missing_logs() {
+    for (offset, is_enough) in [(11, false), (10, true)] {
+        let mut now = Instant::now();
+        let mut attempt = recorded_attempt(members_after_a_leave(true), now);
+        let position = Position { term: Term(1), offset: LogOffset(offset) };
+        attempt.on_event(Event::AcknowledgedPosition(position), now);
+        let chosen = run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 9)]);
+        assert_eq!(chosen, is_enough.then(|| name("b")), "acknowledged up to {offset}");
+    }
+}
+
+/// If the old primary never returns, the operator decides. The instances within reach are compared
+/// before one of them is promoted.
+#[test]
+fn operator_may_accept_the_loss_of_commits() {
+    let mut now = Instant::now();
+    let mut attempt = recorded_attempt(members_after_a_leave(true), now);
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 11)]), None);
+    attempt.on_event(Event::CommitLossAccepted, now);
+    let chosen = run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 11)]);
+    assert_eq!(chosen, Some(name("c")));
+}
+
+/// A coordinator that has begun to observe the group a moment ago.
+fn attempt_without_history(now: Instant) -> Attempt {
+    let members = Members { knows_log_holders: false, ..members(&["a"]) };
+    recorded_attempt(members, now)
+}
+
+fn holders(names: &[(&str, Option<u64>)]) -> Event {
+    let holder = |(text, incarnation): &(&str, Option<u64>)| LogHolder {
+        instance: name(text),
+        incarnation: incarnation.map(InstanceIncarnation),
+    };
+    Event::LogHoldersReported(names.iter().map(holder).collect())
+}
+
+/// Guards against the same loss after a restart of the nodes: the coordinator has never seen the
+/// replica that ended.
+#[test]
+fn coordinator_without_history_waits_for_the_old_primary() {
+    let mut now = Instant::now();
+    let mut attempt = attempt_without_history(now);
+    let others = [("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), None);
+    assert_eq!(attempt.missing_logs().expect("the attempt waits").required, None);
+    let with_primary = [("a", 12), ("b", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &with_primary), Some(name(OLD_PRIMARY)));
+}
+
+/// Another node that knows all instances that may hold commits makes up for the coordinator's
+/// missing history; an instance that only that node knows counts as ended.
+#[test]
+fn report_of_another_node_replaces_the_history() {
+    let listed = [("a", None), ("b", None), ("c", None)];
+    let with_unlisted = [("a", None), ("b", None), ("c", None), ("d", None)];
+    for (reported, is_enough) in [(&listed[..], true), (&with_unlisted[..], false)] {
+        let mut now = Instant::now();
+        let mut attempt = attempt_without_history(now);
+        attempt.on_event(holders(reported), now);
+        let chosen = run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 11)]);
+        assert_eq!(chosen, is_enough.then(|| name("c")), "{reported:?}");
+    }
+}
+
+/// Guards against the loss of commits by a restart that the coordinator has not seen: the report
+/// names an earlier incarnation.
+#[test]
+fn instance_that_restarted_since_the_report_has_lost_its_log() {
+    let mut now = Instant::now();
+    let mut members = Members { knows_log_holders: false, ..members(&["a"]) };
+    members.all[2].incarnation = Some(InstanceIncarnation(2));
+    let mut attempt = recorded_attempt(members, now);
+    attempt.on_event(holders(&[("a", None), ("b", None), ("c", Some(1))]), now);
+    let others = [("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &others), None);
+    let with_primary = [("a", 12), ("b", 10), ("c", 10)];
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &with_primary), Some(name(OLD_PRIMARY)));
+}
+
+/// A primary whose entry has expired and whose name only the intent of an earlier coordinator shows
+/// returns with its log.
+#[test]
+fn old_primary_that_is_not_listed_is_waited_for() {
+    let mut now = Instant::now();
+    let mut members = Members { knows_log_holders: false, ..members(&[]) };
+    members.all.remove(0);
+    let need = Need { has_begun: true, ..need(Reason::Unfinished) };
+    let id = ReplacementId { fence: 7, attempt: 1 };
+    let coordinator = NodeName::new("node");
+    let mut attempt = Attempt::new(coordinator, id, &need, members, Term(1), Timing::default());
+    record_intent(&mut attempt, now);
+    let commands = run_for(&mut attempt, &mut now, Duration::from_millis(20));
+    assert!(!commands.is_empty(), "the replicas are queried");
+    assert_eq!(run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 10)]), None);
+}
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -22,6 +22,7 @@
 use kestrellock_core::suspicion::{FailureDetector, HealthSignals};
 
 use crate::checker::CommitId;
+use crate::instances;
 use crate::returns::{Keys, last_promoted_in, merge_keys, unfinished_intents};
 use crate::store::{Announced, node_name};
 
@@ -240,10 +241,17 @@
         self.view.nodes.contains(&node_name(self.number))
     }
 
-    /// Makes the node one that has watched the instances since `started`.
+    /// Makes the node one that has watched the instances since `started`, and has seen that the
+    /// replicas hold every acknowledged commit.
     pub fn has_watched_since(&mut self, announced: &[Announced], started: Instant) {
         let catalog = catalog(0, announced, None);
         self.known_instances.apply_catalog(&catalog, started);
+        let statuses = announced.iter().enumerate().map(|(index, announced)| {
+            (instance_name(index), instances::Instance::new(announced.leads).status())
+        });
+        for (name, status) in statuses {
+            self.known_instances.on_status(&group_name(), &name, &status, started);
+        }
     }
 
     /// Whether the node makes progress now.
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -15,7 +15,8 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
+    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, ReportingNodes, Successor,
+    Timing,
 };
 use kestrellock_core::store_access::Refusal;
 use kestrellock_core::store_era::StoreEra;
@@ -25,6 +26,7 @@
 
 use super::ReplacementServices;
 use super::executor::{Executor, Report};
+use super::log_wait::LogWait;
 use super::store_calls::refusal_of;
 use crate::context::NodeContext;
 use crate::supervisor::StopFlag;
@@ -53,6 +55,8 @@
     pub needs: BTreeMap<GroupName, Need>,
     /// The instances of each group.
     pub known: KnownInstances,
+    /// When a node was last removed from the machine list.
+    pub last_node_removal: Option<Instant>,
     /// Whether the store may return outdated incarnations of instances.
     pub incarnations_may_be_outdated: bool,
     /// Groups whose attempt was cancelled since the watcher last took this list.
@@ -84,6 +88,7 @@
     /// When the store first confirmed the intent.
     recorded: Option<Instant>,
     phase: Phase,
+    log_wait: LogWait,
 }
 
 struct CoordinatorThread<'a> {
@@ -125,6 +130,7 @@
     let mut acquired = acquire_lease_for_watcher(context, services, input);
     while let Some(lease) = acquired {
         let ending = run_under_lease(lease, context, services, input, stop);
+        context.metrics.replacements_waiting_for_log.set(0);
         context.replacements.on_coordinator_lease_ended();
         acquired = match ending {
             Ending::Done => None,
@@ -324,6 +330,8 @@
         for group in groups {
             self.step_group(&group, &input, now);
         }
+        let waiting = self.attempts.values().filter(|running| running.log_wait.is_reported());
+        self.context.metrics.replacements_waiting_for_log.set(waiting.count() as i64);
     }
 
     fn start_attempt(
@@ -352,6 +360,7 @@
             started: now,
             recorded: None,
             phase,
+            log_wait: LogWait::default(),
         };
         self.attempts.insert(group.clone(), running);
     }
@@ -364,16 +373,18 @@
         let id = running.attempt.id();
         let reports = self.context.revoked_evidence.for_replacement(group, id);
         if let Some(reports) = reports {
-            running.attempt.on_reports(
-                &reports,
-                &nodes_to_await(self.context, &*self.coordination),
-                now,
-            );
+            let nodes = ReportingNodes {
+                current: nodes_to_await(self.context, &*self.coordination),
+                last_removal: input.last_node_removal,
+                highest_led: self.context.statuses.highest_led_term(group),
+            };
+            running.attempt.on_reports(&reports, &nodes, now);
         }
         let mut commands = running.attempt.step(now);
         if running.retry.as_ref().is_some_and(|(at, _)| now >= *at) {
             commands.extend(running.retry.take().map(|(_, command)| command));
         }
+        running.log_wait.observe(group, running.attempt.missing_logs(), now);
         if running.phase != running.attempt.phase() {
             running.phase = running.attempt.phase();
             let after = now.saturating_duration_since(running.started).as_millis() as u64;
--- a/crates/daemon/src/agent/promotion/electors.rs
+++ b/crates/daemon/src/agent/promotion/electors.rs
@@ -1,6 +1,7 @@
 //! The nodes whose votes count, as this node knows them. They are collected when a list of nodes
 //! changes, and regularly because time passes, but not at each step.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,8 @@
     refreshed: Option<Instant>,
     live: Vec<NodeName>,
     counted: Vec<NodeName>,
+    listed: BTreeSet<NodeName>,
+    last_removal: Option<Instant>,
 }
 
 fn names(nodes: &[LiveNode]) -> Vec<NodeName> {
@@ -42,10 +45,22 @@
         }
         self.live = names(&live);
         self.counted = self.electorate.eligible(&names(&listed), &self.live, now);
+        if !Arc::ptr_eq(&listed, &self.listed_list) {
+            let names: BTreeSet<NodeName> = names(&listed).into_iter().collect();
+            if !self.listed.is_subset(&names) {
+                self.last_removal = Some(now);
+            }
+            self.listed = names;
+        }
         (self.live_list, self.listed_list) = (live, listed);
         self.refreshed = Some(now);
     }
 
+    /// When a node was last removed from the machine list, as this node knows it.
+    pub fn last_removal(&self) -> Option<Instant> {
+        self.last_removal
+    }
+
     /// Live nodes.
     pub fn live(&self) -> &[NodeName] {
         &self.live
--- /dev/null
+++ b/crates/daemon/src/agent/promotion/log_status.rs
@@ -0,0 +1,114 @@
+//! What this node knows about the logs of the instances: which instances have ended or restarted,
+//! and which hold every acknowledged commit. Queries the instances where that is open, and reports
+//! it to the coordinators of primary replacements.
+
+use std::time::{Duration, Instant};
+
+use kestrellock_core::catalog::IndexedCatalog;
+use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::promotion::{Intent, KnownInstances, RestartReport};
+use kestrellock_store::control::ControlTarget;
+
+use super::ReplacementServices;
+use super::status_queries::{QueryOutcome, StatusQueries, StatusReport};
+use crate::context::NodeContext;
+
+/// Time between two status queries to an instance. Until the queries have shown that the remaining
+/// instances hold the commits of one that has ended, a crash of the primary interrupts the group.
+const QUERY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The known instances of all groups, and the status queries about their logs.
+pub(super) struct LogStatus {
+    known: KnownInstances,
+    queries: StatusQueries,
+    started_at: Instant,
+}
+
+impl LogStatus {
+    /// Starts without knowledge.
+    pub fn new() -> Self {
+        Self {
+            known: KnownInstances::default(),
+            queries: StatusQueries::new(QUERY_INTERVAL),
+            started_at: Instant::now(),
+        }
+    }
+
+    /// The known instances.
+    pub fn known(&self) -> &KnownInstances {
+        &self.known
+    }
+
+    /// Processes a newly activated catalog.
+    pub fn apply_catalog(&mut self, catalog: &IndexedCatalog, now: Instant) {
+        self.known.apply_catalog(catalog, now);
+    }
+
+    /// Applies the time that has passed since the last step.
+    pub fn advance_time(&mut self, now: Instant) {
+        self.known.advance_time(now);
+    }
+
+    /// Processes the outcomes of this node's queries, and those of other queries to instances.
+    pub fn process_reports(&mut self, others: Vec<StatusReport>, now: Instant) {
+        for report in others.into_iter().chain(self.queries.step(now)) {
+            let (group, instance) = &report.subject;
+            match report.outcome {
+                QueryOutcome::Status(status) => {
+                    self.known.on_status(group, instance, &status, report.sent_at);
+                }
+                QueryOutcome::Ended => self.known.on_ended(group, instance, now),
+            }
+        }
+    }
+
+    /// Queries the instances of the groups that this node owns, where the state of their logs is
+    /// open. Other nodes send no requests to them; they would only take up their connections.
+    pub fn query<'a>(
+        &mut self,
+        owned: impl Iterator<Item = &'a GroupName>,
+        context: &NodeContext,
+        services: &ReplacementServices,
+        now: Instant,
+    ) {
+        for group in owned {
+            if !self.known.has_status_targets(group) {
+                continue;
+            }
+            let mut targets = self.known.refill_status_targets(group);
+            targets.extend(self.known.take_coverage_targets(group, now));
+            let highest = context.statuses.highest_led_term(group);
+            for instance in targets {
+                let Some(target) = self.target(group, &instance) else { continue };
+                self.queries.query(target, highest, services);
+            }
+        }
+    }
+
+    /// Where to send a query or command to an instance.
+    pub fn target(&self, group: &GroupName, instance: &InstanceName) -> Option<ControlTarget> {
+        let address = self.known.address(group, instance)?;
+        Some(ControlTarget { group: group.clone(), instance: instance.clone(), address })
+    }
+
+    /// This node's report to the coordinator that replaces the primary of a group.
+    pub fn report(
+        &self,
+        group: &GroupName,
+        intent: &Intent,
+        context: &NodeContext,
+        now: Instant,
+    ) -> RestartReport {
+        let (highest, sampled_at) = context.statuses.primary_position(group);
+        let accepts_commits = intent.former.as_ref().is_none_or(|old_primary| {
+            context.replacements.may_acknowledge_commit(group, old_primary, now)
+        });
+        RestartReport {
+            has_ended_commits: !accepts_commits,
+            position_age: sampled_at.map(|at| now.saturating_duration_since(at)),
+            uptime: now.saturating_duration_since(self.started_at),
+            accepts_commit_loss: context.accepts_commit_loss(group),
+            ..self.known.restart_report(group, highest)
+        }
+    }
+}
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -7,6 +7,8 @@
 //!
 //! * `watch` assesses each group's primary by this node's own exchanges and publishes the votes;
 //! * `coordinator` runs primary replacements while this node holds the coordinator lease;
+//! * `log_status` queries instances for the state of their logs, and `log_wait` shows operators that
+//!   a replacement waits for a log;
 //! * `replacement_checker` confirms with the store that no primary replacement is running, which
 //!   turns the status reports of some of a group's replicas into evidence for its primary;
 //! * `write_back` records again what a store restore has lost;
@@ -17,6 +19,8 @@
 mod counted_coordination;
 mod electors;
 mod executor;
+mod log_status;
+mod log_wait;
 mod owned;
 mod replacement_checker;
 mod status_queries;
--- a/crates/daemon/src/agent/promotion/status_queries.rs
+++ b/crates/daemon/src/agent/promotion/status_queries.rs
@@ -19,8 +19,8 @@
 
 use super::ReplacementServices;
 
-/// Time for which an assessment is used.
-const ASSESSMENT_LIFETIME: Duration = Duration::from_millis(600);
+/// Time for which an assessment of a primary is used.
+pub(super) const ASSESSMENT_LIFETIME: Duration = Duration::from_millis(600);
 
 pub(super) type Subject = (GroupName, InstanceName);
 
@@ -32,13 +32,22 @@
     assessed_at: Instant,
 }
 
-/// The replication status that an instance reported.
+/// What a status query showed about an instance.
+#[derive(Clone, Debug)]
+pub(super) enum QueryOutcome {
+    /// The instance reported its replication status.
+    Status(ReplicationStatus),
+    /// Its process has ended: nothing listens at its address, or another instance does.
+    Ended,
+}
+
+/// The outcome of a status query.
 #[derive(Clone, Debug)]
 pub(super) struct StatusReport {
     /// The instance.
     pub subject: Subject,
-    /// Its replication status.
-    pub status: ReplicationStatus,
+    /// What the query showed.
+    pub outcome: QueryOutcome,
     /// When the query was sent.
     pub sent_at: Instant,
 }
@@ -47,12 +56,15 @@
 struct QueryResult {
     subject: Subject,
     assessment: Assessment,
-    status: Option<ReplicationStatus>,
+    /// `None` if the query showed nothing, for example because it was not answered.
+    outcome: Option<QueryOutcome>,
     sent_at: Instant,
 }
 
 /// Status queries, each in a thread of its own, and the assessments that follow from them.
 pub(super) struct StatusQueries {
+    /// Time for which an assessment is used; an instance is queried again after it.
+    lifetime: Duration,
     assessments: HashMap<Subject, Assessment>,
     in_progress: Vec<Subject>,
     results: Receiver<QueryResult>,
@@ -60,10 +72,16 @@
 }
 
 impl StatusQueries {
-    /// Starts without queries and assessments.
-    pub fn new() -> Self {
+    /// Starts without queries and assessments, each of which is used for `lifetime`.
+    pub fn new(lifetime: Duration) -> Self {
         let (result_sender, results) = unbounded();
-        Self { assessments: HashMap::new(), in_progress: Vec::new(), results, result_sender }
+        Self {
+            lifetime,
+            assessments: HashMap::new(),
+            in_progress: Vec::new(),
+            results,
+            result_sender,
+        }
     }
 
     /// Whether a query is in progress.
@@ -71,17 +89,18 @@
         !self.in_progress.is_empty()
     }
 
-    /// Processes the results that have arrived and drops expired assessments. Returns the status
-    /// reports.
+    /// Processes the results that have arrived and drops expired assessments. Returns what the
+    /// queries showed.
     pub fn step(&mut self, now: Instant) -> Vec<StatusReport> {
         let mut reports = Vec::new();
-        for QueryResult { subject, assessment, status, sent_at } in self.results.try_iter() {
+        for QueryResult { subject, assessment, outcome, sent_at } in self.results.try_iter() {
             self.in_progress.retain(|other| *other != subject);
             self.assessments.insert(subject.clone(), assessment);
-            let report = status.map(|status| StatusReport { subject, status, sent_at });
+            let report = outcome.map(|outcome| StatusReport { subject, outcome, sent_at });
             reports.extend(report);
         }
-        self.assessments.retain(|_, assessment| now < assessment.assessed_at + ASSESSMENT_LIFETIME);
+        let lifetime = self.lifetime;
+        self.assessments.retain(|_, assessment| now < assessment.assessed_at + lifetime);
         reports
     }
 
@@ -102,12 +121,18 @@
         let spawned =
             thread::Builder::new().name("promotion-opinion".to_owned()).spawn(move || {
                 let sent_at = Instant::now();
-                let outcome = control.execute(&target, InstanceCommand::Ask);
-                let status = outcome.as_ref().ok().copied();
-                let cause = assess(control.as_ref(), &target, highest, outcome);
+                let answer = control.execute(&target, InstanceCommand::Ask);
+                let outcome = match &answer {
+                    Ok(status) => Some(QueryOutcome::Status(*status)),
+                    Err(ControlError::Refused | ControlError::Displaced) => {
+                        Some(QueryOutcome::Ended)
+                    }
+                    Err(ControlError::Unanswered(_) | ControlError::Rejected(_)) => None,
+                };
+                let cause = assess(control.as_ref(), &target, highest, answer);
                 let assessment = Assessment { cause, assessed_at: Instant::now() };
                 // The receiver has been dropped if the node is stopping.
-                let _ = result_sender.send(QueryResult { subject, assessment, status, sent_at });
+                let _ = result_sender.send(QueryResult { subject, assessment, outcome, sent_at });
             });
         if let Err(error) = spawned {
             log::error!("failed to start a status query thread: {error}");
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -20,14 +20,13 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, Intent, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes, Reason,
-    StoreEraTracker, Vote, active_intents,
+    CoordinationView, Intent, Need, NeedsEvaluator, NeedsInput, NodeVotes, Reason, StoreEraTracker,
+    Vote, active_intents,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::store_access::{CoordinatorTurn, Refusal};
 use kestrellock_core::suspicion::{Cause, FailureDetector};
 use kestrellock_peer::message::PeerMessage;
-use kestrellock_store::control::ControlTarget;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::ReplacementServices;
@@ -35,9 +34,10 @@
 use super::coordinator::{self, CoordinatorInput, LeaseAttempt, SharedCoordinatorInput};
 use super::counted_coordination::CountedCoordination;
 use super::electors::Electors;
+use super::log_status::LogStatus;
 use super::owned::OwnedGroups;
 use super::replacement_checker::ReplacementChecker;
-use super::status_queries::StatusQueries;
+use super::status_queries::{ASSESSMENT_LIFETIME, StatusQueries};
 use super::store_calls::{log_backoff_begin, log_backoff_end};
 use super::vote_exchange::VoteExchange;
 use super::{vote_publisher, write_back};
@@ -62,7 +62,7 @@
     services: &'a ReplacementServices,
     judge: FailureDetector,
     needs_judge: NeedsEvaluator,
-    known: KnownInstances,
+    logs: LogStatus,
     /// The catalog of the last step.
     last_catalog: Arc<IndexedCatalog>,
     owned: OwnedGroups,
@@ -80,9 +80,6 @@
     store_votes: NodeVotes,
     vote_sender: Sender<NodeVotes>,
     status_queries: StatusQueries,
-    /// Queries to restarted instances and their primaries. Their results are not used as
-    /// assessments of a primary.
-    refill_queries: StatusQueries,
     coordinator_input: SharedCoordinatorInput,
     turn: CoordinatorTurn,
     /// Whether the store has refused this node the lease, and no coordinator was seen since.
@@ -110,7 +107,7 @@
         services,
         judge: FailureDetector::default(),
         needs_judge: NeedsEvaluator::default(),
-        known: KnownInstances::default(),
+        logs: LogStatus::new(),
         last_catalog: Arc::default(),
         owned: OwnedGroups::default(),
         view: Arc::default(),
@@ -123,8 +120,7 @@
         vote_exchange: VoteExchange::default(),
         store_votes: NodeVotes::new(),
         vote_sender: vote_publisher::start(context, services, stop),
-        status_queries: StatusQueries::new(),
-        refill_queries: StatusQueries::new(),
+        status_queries: StatusQueries::new(ASSESSMENT_LIFETIME),
         coordinator_input: Arc::new(Mutex::new(CoordinatorInput::default())),
         turn: CoordinatorTurn::default(),
         is_lease_refused: false,
@@ -153,8 +149,7 @@
         if !self.era.replacement_may_be_lost(now) {
             self.replacement_checker.step(self.context, &self.view, now);
         }
-        self.process_status_reports(now);
-        self.query_refilling_instances();
+        self.follow_logs(now);
         self.publish_votes(&catalog, now);
         let needs = self.compute_needs(&catalog, now);
         self.start_coordinator_if_due(needs, now);
@@ -172,10 +167,10 @@
     /// Updates the known instances if the catalog has changed since the last step.
     fn follow_catalog(&mut self, catalog: &Arc<IndexedCatalog>, now: Instant) {
         if Arc::ptr_eq(catalog, &self.last_catalog) {
-            self.known.advance_time(now);
+            self.logs.advance_time(now);
             return;
         }
-        self.known.apply_catalog(catalog, now);
+        self.logs.apply_catalog(catalog, now);
         self.needs_judge.apply_catalog(catalog);
         self.last_catalog = catalog.clone();
     }
@@ -286,10 +281,9 @@
             if !is_revoked {
                 continue;
             }
-            let highest_position = self.context.statuses.highest_primary_position(group);
-            let report = self.known.restart_report(group, highest_position);
+            let report = self.logs.report(group, intent, self.context, now);
             if intent.holder == *own {
-                self.context.revoked_evidence.add(group, intent.id, own, report);
+                self.context.revoked_evidence.add(group, intent.id, own, report, now);
                 continue;
             }
             let message = PeerMessage::EvidenceRevoked {
@@ -303,30 +297,12 @@
         }
     }
 
-    /// Processes the status reports of instances that were queried directly.
-    fn process_status_reports(&mut self, now: Instant) {
-        let reports =
-            self.status_queries.step(now).into_iter().chain(self.refill_queries.step(now));
-        for report in reports {
-            let (group, instance) = &report.subject;
-            self.known.on_status(group, instance, &report.status, report.sent_at);
-        }
-    }
-
-    /// Queries restarted instances and their primaries for how much they have received. A
-    /// coordinator counts a restarted instance once a node has seen that it has received
-    /// everything. Only owners ask, as in [`Self::publish_votes`].
-    fn query_refilling_instances(&mut self) {
+    /// Processes the status reports of instances that were queried directly, and queries those whose
+    /// logs are in an open state.
+    fn follow_logs(&mut self, now: Instant) {
+        self.logs.process_reports(self.status_queries.step(now), now);
         let owned = self.owned.refresh(self.context);
-        let refilling = self.known.refilling_groups().filter(|group| owned.contains(*group));
-        let refilling: Vec<GroupName> = refilling.cloned().collect();
-        for group in refilling {
-            for instance in self.known.refill_status_targets(&group) {
-                let Some(target) = self.target(&group, &instance) else { continue };
-                let highest = self.context.statuses.highest_led_term(&group);
-                self.refill_queries.query(target, highest, self.services);
-            }
-        }
+        self.logs.query(owned.iter(), self.context, self.services, now);
     }
 
     /// Publishes which primaries this node suspects, if that has changed.
@@ -404,14 +380,9 @@
         votes.any(|vote| vote.instance == *primary)
     }
 
-    fn target(&self, group: &GroupName, instance: &InstanceName) -> Option<ControlTarget> {
-        let address = self.known.address(group, instance)?;
-        Some(ControlTarget { group: group.clone(), instance: instance.clone(), address })
-    }
-
     /// Sends a status query to a primary.
     fn query_status(&mut self, group: &GroupName, primary: &InstanceName) {
-        let Some(target) = self.target(group, primary) else { return };
+        let Some(target) = self.logs.target(group, primary) else { return };
         let highest = self.context.statuses.highest_led_term(group);
         self.status_queries.query(target, highest, self.services);
     }
@@ -455,7 +426,7 @@
 
     fn start_coordinator_if_due(&mut self, needs: BTreeMap<GroupName, Need>, now: Instant) {
         let calls_for_action = |(group, need): &(&GroupName, &Need)| {
-            need.needs_coordinator() && self.known.knows_restarts(group, now)
+            need.needs_coordinator() && self.logs.known().knows_restarts(group, now)
         };
         let is_action_needed = needs.iter().any(|need| calls_for_action(&need));
         let position = match is_action_needed {
@@ -538,7 +509,9 @@
             Some(_) => coordinator_input.known.groups().cloned().collect(),
             None => Vec::new(),
         };
-        coordinator_input.known = self.known.subset(needs.keys().chain(&current_groups));
+        let known = self.logs.known();
+        coordinator_input.known = known.subset(needs.keys().chain(&current_groups));
+        coordinator_input.last_node_removal = self.electors.last_removal();
         coordinator_input.needs = needs;
         coordinator_input.incarnations_may_be_outdated = self.era.incarnations_may_be_stale(now);
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,7 +1,7 @@
 //! State that all threads of a node share: its identity, the live nodes, the catalog, the statuses
 //! of instances, and the primary replacements in progress.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -99,6 +99,8 @@
     pub listed_nodes: Shared<Vec<LiveNode>>,
     /// Nodes that have revoked their evidence, for replacements that this node coordinates.
     pub revoked_evidence: RevokedEvidence,
+    /// Groups whose replacements may lose acknowledged commits, as an operator has set.
+    pub accepted_commit_loss: Shared<BTreeSet<GroupName>>,
     /// Votes on primaries that other owners have sent to this node.
     pub peer_votes: SharedPeerVotes,
     /// Replacements that this node has learned of, and those that it announces to other nodes.
@@ -216,6 +218,12 @@
         listed.iter().map(|node| node.candidate.node.clone()).collect()
     }
 
+    /// Whether an operator accepts that a replacement of the group's primary loses acknowledged
+    /// commits.
+    pub fn accepts_commit_loss(&self, group: &GroupName) -> bool {
+        self.accepted_commit_loss.load().contains(group)
+    }
+
     /// Whether the machine list contains this node, as far as this node knows. A coordinator waits
     /// for the evidence of listed nodes to be revoked or to expire before it promotes a replica.
     pub fn is_listed(&self) -> bool {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -57,6 +57,7 @@
     settings.drain_limit = changed.drain_limit;
     settings.drain_notice = changed.drain_notice;
     settings.drain_transactions = changed.drain_transactions;
+    settings.accept_commit_loss = changed.accept_commit_loss;
 }
 
 /// When the file was last modified; `None` if that is unknown.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -366,6 +366,8 @@
     /// Ends of primary replacements that were not announced, because the successor had not reported
     /// its term.
     pub unannounced_replacement_ends: Counter,
+    /// Primary replacements of this node that wait for the log of an instance.
+    pub replacements_waiting_for_log: Gauge,
     /// Seconds from a statement's arrival to its answer.
     pub statement_seconds: Histogram,
     /// Seconds from a commit's answer to its confirmation by a majority.
@@ -405,6 +407,9 @@
         let unannounced_replacement_ends = Counter::default();
         let help = "Ends of primary replacements without the term of the successor";
         r.register("replacement_ends_unannounced", help, unannounced_replacement_ends.clone());
+        let replacements_waiting_for_log = Gauge::default();
+        let help = "Primary replacements of this node that wait for the log of an instance";
+        r.register("replacements_waiting_for_log", help, replacements_waiting_for_log.clone());
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
@@ -442,6 +447,7 @@
             store_restores,
             replacement_messages,
             unannounced_replacement_ends,
+            replacements_waiting_for_log,
             statement_seconds: duration_histogram(r, "statement_seconds", "From arrival to answer"),
             confirmation_seconds: duration_histogram(
                 r,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -241,6 +241,7 @@
 
     /// Applies those settings that can change while the node runs.
     pub fn reload(&self, settings: &Settings) {
+        self.context.accepted_commit_loss.store(settings.accept_commit_loss.clone());
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = DrainLimits::of(settings);
     }
 
@@ -285,6 +286,7 @@
         catalog: Shared::new(IndexedCatalog::default()),
         ownership_cache: OwnershipCache::new(settings.tolerated_zone_losses),
         intents: Shared::default(),
+        accepted_commit_loss: Shared::new(settings.accept_commit_loss.clone()),
         routing_overrides: RoutingOverrides::default(),
         stage: SharedStage::default(),
         transaction_deadline: Shared::default(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,11 +5,11 @@
 mod file;
 mod validate;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::ids::{GroupName, NodeName, ZoneName};
 use kestrellock_program::secret::{Secret, SecretSource};
 use serde::{Deserialize, Serialize};
 
@@ -137,6 +137,8 @@
     pub drain_transactions: Option<Duration>,
     /// Whether the owners of a group divide the capacity of its instances by what waits at them.
     pub share_instance_capacity: bool,
+    /// Groups whose primary may be replaced although acknowledged commits may be lost by it.
+    pub accept_commit_loss: BTreeSet<GroupName>,
     /// Largest number of routine log lines per second.
     pub ordinary_lines_per_second: u32,
     /// Seed nodes through which this node joins the cluster.
@@ -179,6 +181,7 @@
             drain_notice: Duration::ZERO,
             drain_transactions: None,
             share_instance_capacity: false,
+            accept_commit_loss: BTreeSet::new(),
             ordinary_lines_per_second: DEFAULT_ROUTINE_LINES_PER_SECOND,
             peers: Vec::new(),
             store_endpoints: Vec::new(),
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -1,12 +1,13 @@
 //! The settings file, before flags and defaults are applied.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
 use kestrellock_core::catalog::Milliseconds;
-use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::ids::{GroupName, NodeName, ZoneName};
 use kestrellock_core::outcome::ResultCode;
 use kestrellock_program::diagnostic::FileDiagnostic;
 use serde::{Deserialize, Serialize};
@@ -63,6 +64,8 @@
     pub store_endpoints: Vec<String>,
     #[serde(default)]
     pub share_instance_capacity: bool,
+    #[serde(default)]
+    pub accept_commit_loss: BTreeSet<GroupName>,
     pub machine_list: Option<String>,
     #[serde(default)]
     pub secrets: SecretSources,
@@ -97,6 +100,7 @@
             drain_transactions: drain_transactions(drain_limit, self.drain_transactions_share)?,
             drain_notice: self.drain_notice_ms.map_or(Duration::ZERO, Duration::from),
             share_instance_capacity: self.share_instance_capacity,
+            accept_commit_loss: self.accept_commit_loss,
             ordinary_lines_per_second: self
                 .ordinary_lines_per_second
                 .unwrap_or(DEFAULT_ROUTINE_LINES_PER_SECOND),
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -168,7 +168,7 @@
                     io.context.distribution_inbox.deliver(Received { from, shard, message });
                 }
                 PeerMessage::EvidenceRevoked { node, group, id, witness } => {
-                    io.context.revoked_evidence.add(&group, id, &node, witness);
+                    io.context.revoked_evidence.add(&group, id, &node, witness, io.now);
                 }
                 PeerMessage::ReplacementInProgress { group, intent, age } => {
                     io.context.metrics.replacement_messages.inc();
--- a/crates/daemon/src/shared/revoked_evidence.rs
+++ b/crates/daemon/src/shared/revoked_evidence.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
 use kestrellock_core::ids::{GroupName, NodeName};
 use kestrellock_core::promotion::{ReplacementId, RestartReport, RestartReports};
@@ -24,6 +25,7 @@
         id: ReplacementId,
         node: &NodeName,
         report: RestartReport,
+        received_at: Instant,
     ) {
         let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
         let reports =
@@ -32,7 +34,7 @@
             *reports = (id, RestartReports::default());
         }
         if reports.0 == id {
-            reports.1.add(node, report);
+            reports.1.add(node, report, received_at);
         }
     }
 
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -330,11 +330,12 @@
         HealthSignals { last_commit: known.last_commit, is_outdated, ..signs }
     }
 
-    /// Highest position that a group's primary has reported to this node.
-    pub fn highest_primary_position(&self, group: &GroupName) -> Option<Position> {
+    /// Highest position that a group's primary has reported to this node, and when the query for
+    /// its newest report was sent.
+    pub fn primary_position(&self, group: &GroupName) -> (Option<Position>, Option<Instant>) {
         let statuses = self.group(group);
         let known = statuses.read().expect("a thread panicked while it held the status lock");
-        known.primary_samples.highest()
+        (known.primary_samples.highest(), known.primary_samples.newest())
     }
 
     /// Highest term of a group that an instance is known to have led.
