Compare the term of a session's last commit before a transaction runs

A node that had been suspended while the primary was replaced gave the session's BEGIN to the old primary, which lacked the session's commit.

Cause: for a statement that must run at the primary, the node accepted evidence as old as the staleness of the route. That is enough for commits of others, not for the session's own. The session bound travels with the statement, but nothing compared it: instances check it only for reads.

Change: the gateway gives no statement to a primary that leads a lower term than the one of the session's last commit. Such a commit was acknowledged by a successor, so the comparison is exact: a primary has every commit of its own term, and of lower ones. The statement waits while the node queries the instances (log event held, with its own reason) and is refused as not run at its limit. The PostgreSQL side compares the terms already (routing::has_reached).

Weighed: AFTER in front of BEGIN, which the instance would check. The bound joins term and number separately, so that after a replacement it may name a number that the new primary has not reached, and every transaction of the session would be refused until then.

The new test of the gateway's choice (session_bounds.rs) fails without the comparison: the old primary is chosen.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{InstanceName, ZoneName};
-use crate::position::Position;
+use crate::position::{Position, Term};
 
 /// A primary counts as confirmed for at least this long after a majority confirmed it. This is more
 /// than the time between two probes, so that a smaller staleness limit does not exclude the primary
@@ -139,6 +139,15 @@
     access.bound().is_none_or(reached)
 }
 
+/// Whether a primary that leads the term `led` may lack a commit of a session with the bound
+/// `bound`. A commit of a higher term was acknowledged by an instance that replaced this primary.
+/// Commits of the primary's own term, and those of lower terms, are in its log. Evidence that the
+/// primary led a moment ago does not help: it may be as old as the staleness that the session
+/// accepts for commits of others.
+pub fn may_lack_session_commits(led: Option<Term>, bound: Option<&Position>) -> bool {
+    led.zip(bound).is_some_and(|(led, bound)| led < bound.term)
+}
+
 /// Chooses the instance for `access`. For a read: the nearest qualifying replica, among equally
 /// near ones the one with the shortest queue, and the primary if no replica qualifies. For a write:
 /// the primary.
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -5,7 +5,9 @@
 use kestrellock_core::ids::{InstanceName, ZoneName};
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::routing::Role::{self, Primary, Replica};
-use kestrellock_core::routing::{Access, Candidate, Choice, InstanceStatus, choose};
+use kestrellock_core::routing::{
+    Access, Candidate, Choice, InstanceStatus, choose, may_lack_session_commits,
+};
 
 const STALENESS: Duration = Duration::from_millis(2000);
 
@@ -93,3 +95,21 @@
         assert_eq!(chosen(&access, &[(unreachable.clone(), "here")], Duration::ZERO), None);
     }
 }
+
+/// Guards against a transaction that does not see its session's own commit (`review/3`): an old
+/// primary lacks the commits of its successors, and no others.
+#[test]
+fn primary_lacks_session_commits_of_higher_terms_only() {
+    let bound = position(3, 5);
+    let table = [
+        (Some(Term(2)), Some(&bound), true),
+        (Some(Term(3)), Some(&bound), false),
+        (Some(Term(4)), Some(&bound), false),
+        (Some(Term(2)), None, false),
+        // Evidence is required of an instance that has not been shown to lead any term.
+        (None, Some(&bound), false),
+    ];
+    for (led, bound, expected) in table {
+        assert_eq!(may_lack_session_commits(led, bound), expected, "{led:?}, {bound:?}");
+    }
+}
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -8,7 +8,10 @@
 //! evidence only if the group has no synchronous replicas.
 //!
 //! A statement that must run at the primary never goes to an instance that is being replaced, that
-//! is in a drained zone, or that may have been replaced without this node's knowledge.
+//! is in a drained zone, or that may have been replaced without this node's knowledge. The instance
+//! does not check the session bound of such a statement, so it does not go either to an instance
+//! that leads a lower term than the one of the session's last commit: a transaction would read
+//! what the session itself has overwritten.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -33,6 +36,9 @@
     NoneQualifies,
     /// Evidence is missing that the primary still leads.
     NeedsEvidence,
+    /// The primary leads a lower term than the one of the session's last commit: it has been
+    /// replaced, and this node has yet to learn of its successor.
+    NeedsSessionTerm,
     /// Enough replicas have shown that the primary still leads, but the store has yet to confirm
     /// that the primary is not being replaced.
     NeedsStore,
@@ -78,6 +84,7 @@
         });
         if only_store { InstanceChoice::NeedsStore } else { InstanceChoice::NeedsEvidence }
     };
+    let session_bound = access.bound().copied();
     let chosen = match access {
         Access::Read { bound, max_staleness } => {
             let moment = moment(*max_staleness);
@@ -113,6 +120,12 @@
             if primary.is_some_and(|primary| may_be_replaced(configured, primary, &known)) {
                 return InstanceChoice::NeedsEvidence;
             }
+            let lacks_commits = |primary: &Instance| {
+                known.may_lack_session_commits(&primary.name, session_bound.as_ref())
+            };
+            if primary.is_some_and(lacks_commits) {
+                return InstanceChoice::NeedsSessionTerm;
+            }
             // Without synchronous replicas an old primary continues to commit after its
             // replacement, so that even statements that read nothing need evidence.
             let no_staleness = (synchronous == 0).then_some(Duration::ZERO);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 mod evidence_queries;
 mod exchanges;
 mod fencing;
-mod instance_choice;
+pub mod instance_choice;
 mod leases;
 pub mod monitor;
 pub mod ownership;
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -94,6 +94,9 @@
         }
         let reason = match found {
             InstanceChoice::NeedsEvidence => "no evidence that the primary leads",
+            InstanceChoice::NeedsSessionTerm => {
+                "the primary leads a lower term than the one of the session's last commit"
+            }
             InstanceChoice::NeedsStore => "the store has not said that nobody replaces the primary",
             InstanceChoice::NoneQualifies | InstanceChoice::Instance(_) => "no instance qualifies",
         };
@@ -189,8 +192,11 @@
         if found == InstanceChoice::NeedsStore {
             io.context.replacement_check_requests.request(name);
         }
-        if matches!(found, InstanceChoice::NeedsEvidence | InstanceChoice::NeedsStore) {
-            self.ask_for_evidence(name, group, io);
+        match found {
+            InstanceChoice::NeedsEvidence
+            | InstanceChoice::NeedsSessionTerm
+            | InstanceChoice::NeedsStore => self.ask_for_evidence(name, group, io),
+            InstanceChoice::Instance(_) | InstanceChoice::NoneQualifies => {}
         }
     }
 
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -15,7 +15,7 @@
 use kestrellock_core::primary_evidence::{PrimaryEvidence, ReplicaTerms, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::Intent;
-use kestrellock_core::routing::{InstanceStatus, Role};
+use kestrellock_core::routing::{self, InstanceStatus, Role};
 use kestrellock_core::suspicion::HealthSignals;
 use kestrellock_protocol::backend::Report;
 
@@ -54,6 +54,15 @@
         self.exchange_records.get(instance)?.led_term()
     }
 
+    /// Whether the instance, as the primary, may lack a commit of a session with this bound.
+    pub fn may_lack_session_commits(
+        &self,
+        instance: &InstanceName,
+        bound: Option<&Position>,
+    ) -> bool {
+        routing::may_lack_session_commits(self.led_term_of(instance), bound)
+    }
+
     fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) {
         self.exchange_records.entry(instance.clone()).or_default().on_led_term(term);
         self.last_commit = Some(Instant::now());
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -139,3 +139,26 @@
     fixture.report_status("replica", Role::Replica, 1);
     assert!(due_queries(1_200).is_empty(), "the instance has answered");
 }
+
+/// Guards against a transaction that does not see its session's own commit (`review/3`). A node that
+/// had been suspended gave a plain BEGIN to an old primary: its evidence was recent enough for
+/// commits of others, and nothing compared the session's bound with the term that the instance
+/// leads.
+#[test]
+fn old_primary_may_lack_the_commits_of_a_session_that_has_written_since() {
+    let fixture = Fixture::new();
+    fixture.answer_read("a", position(1, 90));
+    fixture.report_status("a", Role::Primary, 1);
+    fixture.confirm_no_replacement();
+    let lacks = |bound: Option<Position>| {
+        let statuses = fixture.table.group(&fixture.group);
+        let statuses = statuses.read().expect("no thread panicked");
+        statuses.may_lack_session_commits(&name("a"), bound.as_ref())
+    };
+    assert!(lacks(Some(position(3, 80))), "its successor has acknowledged the commit");
+    assert!(!lacks(Some(position(1, 95))), "it has acknowledged the commit itself");
+    assert!(!lacks(None), "the session has not written");
+    // It is primary again: whoever leads a term has every commit of the lower ones.
+    fixture.report_status("a", Role::Primary, 4);
+    assert!(!lacks(Some(position(3, 80))));
+}
--- /dev/null
+++ b/crates/lab/tests/session_bounds.rs
@@ -0,0 +1,77 @@
+//! Which primaries may run a transaction of a session that has written.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use kestrellock_core::catalog::Consistency;
+use kestrellock_core::ids::GroupName;
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::routing::Access;
+use kestrellock_daemon::event::Io;
+use kestrellock_daemon::gateway::instance_choice::{
+    InstanceChoice, StatementNeeds, choose_instance,
+};
+use kestrellock_daemon::node::Node;
+use kestrellock_lab::platform::client::LineSession;
+use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
+
+/// Staleness that a plain BEGIN of a session accepts for commits of others.
+const STALENESS: Duration = Duration::from_millis(1_500);
+
+/// The choice of a node for a plain BEGIN of a session with this bound.
+fn choice_for_begin(node: &Node, bound: Option<Position>) -> InstanceChoice {
+    let poll = mio::Poll::new().expect("a poll");
+    let mut outbox = VecDeque::new();
+    let io = Io {
+        registry: poll.registry(),
+        now: Instant::now(),
+        outbox: &mut outbox,
+        context: &node.context,
+        shard: 0,
+    };
+    let group = GroupName::new(GROUPS[0]);
+    let catalog = node.context.catalog.load();
+    let configured = &catalog.groups[&group];
+    let pools = HashMap::new();
+    let needs = StatementNeeds {
+        arrived: io.now,
+        staleness: Some(STALENESS),
+        excluded_instance: None,
+        pools: &pools,
+    };
+    choose_instance(&group, configured, &mut Access::Write { bound }, needs, &io)
+}
+
+/// Guards against a transaction that does not see its session's own commit (`review/3`). A node that
+/// had been suspended gave the transaction to an old primary, since its evidence was recent enough
+/// for commits of others. The bound's term shows that the instance has been replaced.
+#[test]
+fn transaction_does_not_run_at_a_primary_of_a_lower_term_than_the_sessions_commit() {
+    let platform = Platform::start(PlatformOptions::default()).expect("it starts");
+    platform.wait_until_ready().expect("it is ready");
+    let primary = platform.groups[0].primary().expect("a primary");
+    let name = database(GROUPS[0], Consistency::Session);
+    let mut session =
+        LineSession::open(platform.client_addresses[0], &name, "s").expect("it opens");
+    let mut position_of_owner = None;
+    wait("an owner has evidence that the primary leads", || {
+        assert!(session.run("WRITE thing data").expect("an answer").is_success());
+        let owner = platform.nodes().find(|node| {
+            matches!(choice_for_begin(node, None), InstanceChoice::Instance(chosen)
+                if chosen.as_str() == primary)
+        });
+        position_of_owner = owner.map(|owner| {
+            let (position, _) = owner.context.statuses.primary_position(&GroupName::new(GROUPS[0]));
+            let led = position.expect("the primary has answered").term;
+            let at = |term| Position { term, offset: LogOffset(1) };
+            let own = choice_for_begin(owner, Some(at(led)));
+            let newer = choice_for_begin(owner, Some(at(Term(led.0 + 1))));
+            (own, newer)
+        });
+        position_of_owner.is_some()
+    })
+    .expect("in time");
+    let (own, newer) = position_of_owner.expect("an owner was found");
+    assert!(matches!(own, InstanceChoice::Instance(_)), "a commit of its own term: {own:?}");
+    assert_eq!(newer, InstanceChoice::NeedsSessionTerm, "a commit of its successor");
+}
