--- a/crates/core/src/promotion/known_instances.rs
+++ b/crates/core/src/promotion/known_instances.rs
@@ -26,9 +26,26 @@
 
 /// Shortest time between two queries to a vanished instance, to learn whether it has ended.
 const MIN_VANISHED_QUERY_INTERVAL: Duration = Duration::from_millis(600);
-/// The interval grows to the time since the instance vanished, divided by this. An instance whose
-/// machine is gone for good never answers, and each query takes a connection attempt.
-const VANISHED_QUERY_DIVISOR: u32 = 4;
+/// Shortest time between two queries for the evidence that the others hold the commits of an
+/// instance that has ended. Until it is there, a crash of the primary may interrupt the group.
+const MIN_COVERAGE_QUERY_INTERVAL: Duration = Duration::from_millis(100);
+/// Both intervals grow to the time since the question arose, divided by this: a machine that is gone
+/// for good never answers, a replica may receive nothing for long, and each query takes up a
+/// connection.
+const QUERY_INTERVAL_DIVISOR: u32 = 4;
+
+/// Whether a query that was last sent at `queried_at`, on a question that arose at `since`, is due
+/// again.
+fn is_query_due(
+    queried_at: Option<Instant>,
+    since: Instant,
+    min_interval: Duration,
+    now: Instant,
+) -> bool {
+    let open_for = now.saturating_duration_since(since);
+    let interval = min_interval.max(open_for / QUERY_INTERVAL_DIVISOR);
+    queried_at.is_none_or(|queried_at| now >= queried_at + interval)
+}
 
 /// How long a node observes a group before it acts, since it has not seen earlier restarts. A
 /// restarted instance has received its lost log again within that time, unless it receives nothing;
@@ -83,11 +100,10 @@
 
     /// Whether a query is due that shows whether the instance, which has vanished, has ended.
     fn is_vanished_query_due(&self, now: Instant) -> bool {
-        let Some(vanished_at) = self.vanished_at else { return false };
-        let vanished_for = now.saturating_duration_since(vanished_at);
-        let interval = MIN_VANISHED_QUERY_INTERVAL.max(vanished_for / VANISHED_QUERY_DIVISOR);
-        let was_queried = self.vanished_query_at.is_some_and(|queried| now < queried + interval);
-        self.ended_at.is_none() && !was_queried
+        let Some(vanished_at) = self.vanished_at.filter(|_| self.ended_at.is_none()) else {
+            return false;
+        };
+        is_query_due(self.vanished_query_at, vanished_at, MIN_VANISHED_QUERY_INTERVAL, now)
     }
 
     /// The last restart that this node saw, if any.
@@ -126,6 +142,8 @@
     /// Evidence that the instances that remain hold the commits for which ended ones counted. Also
     /// required once this node begins to observe the group, since instances may have ended before.
     coverage: LogCoverage,
+    /// When the instances were last queried for it.
+    coverage_query_at: Option<Instant>,
     /// Whether that evidence was complete since this node began to observe the group. From then on
     /// the known instances are all that may hold a commit that the others lack.
     knows_log_holders: bool,
@@ -251,15 +269,18 @@
 
     /// The instances whose status has to be queried at `now` to find out which vanished ones have
     /// ended, and when the others hold every commit for which those may have counted. Empty if
-    /// nothing of that is open. The queries to vanished instances are recorded as sent.
+    /// nothing of that is open or due. The queries are recorded as sent.
     pub fn take_coverage_targets(&mut self, group: &GroupName, now: Instant) -> Vec<InstanceName> {
         let Some(known) = self.groups.get_mut(group) else { return Vec::new() };
-        let needs_coverage = known.needs_coverage();
+        let is_coverage_due = known.is_coverage_query_due(now);
+        if is_coverage_due {
+            known.coverage_query_at = Some(now);
+        }
         let mut targets = Vec::new();
         for (name, instance) in &mut known.instances {
             let is_due = match instance.vanished_at {
                 Some(_) => instance.is_vanished_query_due(now),
-                None => needs_coverage,
+                None => is_coverage_due,
             };
             if !is_due {
                 continue;
@@ -325,6 +346,7 @@
             updated_at: now,
             instances: HashMap::new(),
             coverage: LogCoverage::required_since(now),
+            coverage_query_at: None,
             knows_log_holders: false,
         }
     }
@@ -387,6 +409,7 @@
         if known.vanished_at.is_some() && known.ended_at.is_none() {
             known.ended_at = Some(now);
             self.coverage.on_ended(now);
+            self.coverage_query_at = None;
         }
     }
 
@@ -403,6 +426,11 @@
         !self.knows_log_holders || self.instances.values().any(|known| known.ended_at.is_some())
     }
 
+    fn is_coverage_query_due(&self, now: Instant) -> bool {
+        let (since, interval) = (self.coverage.since(), MIN_COVERAGE_QUERY_INTERVAL);
+        self.needs_coverage() && is_query_due(self.coverage_query_at, since, interval, now)
+    }
+
     fn has_status_targets(&self) -> bool {
         let is_open = |known: &KnownInstance| known.refill.is_some() || known.vanished_at.is_some();
         self.needs_coverage() || self.instances.values().any(is_open)
--- a/crates/core/src/promotion/log_coverage.rs
+++ b/crates/core/src/promotion/log_coverage.rs
@@ -42,6 +42,11 @@
         Self { since, primary: None, replicas: BTreeSet::new() }
     }
 
+    /// The moment before which commits have to be covered.
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
     /// An instance has ended at `moment` or earlier. Evidence from before does not count.
     pub fn on_ended(&mut self, moment: Instant) {
         if moment > self.since {
--- a/crates/daemon/src/agent/promotion/log_status.rs
+++ b/crates/daemon/src/agent/promotion/log_status.rs
@@ -10,17 +10,20 @@
 use kestrellock_store::control::ControlTarget;
 
 use super::ReplacementServices;
-use super::status_queries::{QueryOutcome, StatusQueries, StatusReport};
+use super::status_queries::{ASSESSMENT_LIFETIME, QueryOutcome, StatusQueries, StatusReport};
 use crate::context::NodeContext;
 
-/// Time between two status queries to an instance. Until the queries have shown that the remaining
-/// instances hold the commits of one that has ended, a crash of the primary interrupts the group.
-const QUERY_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two queries to one instance for the commits of ended ones; their interval
+/// is decided in `KnownInstances`.
+const MIN_COVERAGE_QUERY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The known instances of all groups, and the status queries about their logs.
 pub(super) struct LogStatus {
     known: KnownInstances,
-    queries: StatusQueries,
+    /// Queries to restarted instances and their primaries.
+    refill_queries: StatusQueries,
+    /// Queries about the commits of ended instances.
+    coverage_queries: StatusQueries,
     started_at: Instant,
 }
 
@@ -29,7 +32,8 @@
     pub fn new() -> Self {
         Self {
             known: KnownInstances::default(),
-            queries: StatusQueries::new(QUERY_INTERVAL),
+            refill_queries: StatusQueries::new(ASSESSMENT_LIFETIME),
+            coverage_queries: StatusQueries::new(MIN_COVERAGE_QUERY_INTERVAL),
             started_at: Instant::now(),
         }
     }
@@ -51,7 +55,8 @@
 
     /// Processes the outcomes of this node's queries, and those of other queries to instances.
     pub fn process_reports(&mut self, others: Vec<StatusReport>, now: Instant) {
-        for report in others.into_iter().chain(self.queries.step(now)) {
+        let own = self.refill_queries.step(now).into_iter().chain(self.coverage_queries.step(now));
+        for report in others.into_iter().chain(own) {
             let (group, instance) = &report.subject;
             match report.outcome {
                 QueryOutcome::Status(status) => {
@@ -75,12 +80,14 @@
             if !self.known.has_status_targets(group) {
                 continue;
             }
-            let mut targets = self.known.refill_status_targets(group);
-            targets.extend(self.known.take_coverage_targets(group, now));
             let highest = context.statuses.highest_led_term(group);
-            for instance in targets {
+            for instance in self.known.refill_status_targets(group) {
                 let Some(target) = self.target(group, &instance) else { continue };
-                self.queries.query(target, highest, services);
+                self.refill_queries.query(target, highest, services);
+            }
+            for instance in self.known.take_coverage_targets(group, now) {
+                let Some(target) = self.target(group, &instance) else { continue };
+                self.coverage_queries.query(target, highest, services);
             }
         }
     }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -135,3 +135,16 @@
     assert!(!format!("{settings:?}").contains(&value));
     assert!(settings.secrets.admin_token.is_some_and(|token| token.matches(&value)));
 }
+
+/// Guards against a group that an operator cannot bring back, and against loss that nobody accepted.
+#[test]
+fn commit_loss_is_accepted_only_for_the_groups_that_are_set() {
+    let groups_of = |text: &str| {
+        let settings = arguments(&[]).settings_from(Path::new("n.toml"), text).expect("valid");
+        let groups = settings.accept_commit_loss.iter();
+        groups.map(|group| group.as_str().to_owned()).collect::<Vec<_>>()
+    };
+    assert!(groups_of(VALID).is_empty());
+    let accepted = format!("accept_commit_loss = [\"orders\"]\n{VALID}");
+    assert_eq!(groups_of(&accepted), ["orders"]);
+}
