Let a group without known history be served again; record waits for a log

Cause: a coordinator that knows no history of the group waited for the old primary without limit.

Change: if no node knows the history and nothing shows that the others lack commits, the old primary has 10 s to return. Signs are a higher position that the primary has reported to any node, and the intent's new field awaits_log: an attempt that waits for a log records that, so that a restart of all nodes does not make them forget it. A node that has seen no primary since its start takes the one that was promoted last, by the store, for the old primary.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -77,8 +77,12 @@
     log_evidence: LogEvidence,
     /// Replicas that may have been stopped, and those that have been released.
     releases: Releases,
+    /// When the attempt first sent stops.
+    first_stops_at: Option<Instant>,
     /// Whether the attempt has stopped replicas for as long as a replica that can be reached takes.
     has_waited_for_stops: bool,
+    /// Whether the old primary has had time to return from a crash.
+    has_waited_for_primary: bool,
     /// When enough replicas were stopped; `None` while too few are.
     stopped_since: Option<Instant>,
     /// When the current check began, in which the replicas confirm that they are still stopped;
@@ -127,6 +131,7 @@
             old_primary: former,
             has_begun: earlier_attempt_stopped,
             may_have_promoted: promoting,
+            awaits_log,
             ..
         } = need.clone();
         let last_primary_is_replica = need.last_primary_is_replica;
@@ -144,6 +149,7 @@
                 former,
                 called_off: false,
                 promoting,
+                awaits_log,
             },
             last_primary_is_replica,
             incarnations: KnownIncarnations::default(),
@@ -163,7 +169,9 @@
             stop_term: Term(highest_term.0 + 1),
             reported: BTreeSet::new(),
             stopped: BTreeMap::new(),
+            first_stops_at: None,
             has_waited_for_stops: false,
+            has_waited_for_primary: false,
             stopped_since: None,
             stop_check_since: None,
             old_primary_state: OldPrimaryState::default(),
--- a/crates/core/src/promotion/attempt/events.rs
+++ b/crates/core/src/promotion/attempt/events.rs
@@ -58,6 +58,7 @@
             Event::Refilled(refilled) => self.incarnations.on_refilled(refilled),
             Event::ReportsCombined(report) => self.incarnations.on_combined_report(report),
             Event::LogHoldersReported(holders) => self.log_evidence.on_log_holders(holders),
+            Event::PositionReported(position) => self.log_evidence.on_reported_position(position),
             Event::AcknowledgedPosition(position) => {
                 self.log_evidence.on_acknowledged_position(position)
             }
@@ -84,6 +85,9 @@
         if let Some(combined) = reports.combined(&nodes.current) {
             self.on_event(Event::ReportsCombined(combined), now);
         }
+        if let Some(position) = reports.highest_position() {
+            self.on_event(Event::PositionReported(position), now);
+        }
         if reports.accept_commit_loss() {
             self.on_event(Event::CommitLossAccepted, now);
         }
--- a/crates/core/src/promotion/attempt/log_evidence.rs
+++ b/crates/core/src/promotion/attempt/log_evidence.rs
@@ -21,7 +21,7 @@
 use crate::ids::InstanceName;
 use crate::incarnation::has_restarted;
 use crate::position::{LogOffset, Position, Term};
-use crate::promotion::{LogHolder, Member, Phase};
+use crate::promotion::{Command, LogHolder, Member, Phase};
 
 /// What other nodes and the operator have told about the logs of the group.
 #[derive(Clone, Debug, Default)]
@@ -29,6 +29,8 @@
     /// All instances that may hold a commit that the others lack, as a node reported them that
     /// knows them all. Used if the coordinator does not know them itself.
     log_holders: Option<Vec<LogHolder>>,
+    /// The highest position that the primary has reported to a node, as far as the nodes' reports show.
+    reported: Option<Position>,
     /// The highest position up to which any node may have acknowledged commits to clients.
     acknowledged: Option<Position>,
     /// Whether the operator accepts that acknowledged commits are lost.
@@ -45,6 +47,14 @@
         }
     }
 
+    /// A node reported the highest position that it knows of the primary.
+    pub fn on_reported_position(&mut self, position: Position) {
+        let is_higher = self.reported.map(order) < Some(order(position));
+        if is_higher {
+            self.reported = Some(position);
+        }
+    }
+
     /// All nodes have reported up to which position they may have acknowledged commits.
     pub fn on_acknowledged_position(&mut self, position: Position) {
         self.acknowledged = Some(position);
@@ -142,17 +152,42 @@
     fn include_last_primary(&self, usable: &[&InstanceName]) -> bool {
         let are_all_stopped = usable.len() >= self.usable_log_count();
         let Some(old_primary) = self.old_primary() else { return are_all_stopped };
-        let Some(member) = self.members.get(old_primary) else { return false };
-        let may_have_log = self.has_usable_log(old_primary) && !self.has_ended(member);
-        if may_have_log { usable.contains(&old_primary) } else { are_all_stopped }
+        let has_lost_log = self
+            .members
+            .get(old_primary)
+            .is_some_and(|member| !self.has_usable_log(old_primary) || self.has_ended(member));
+        if has_lost_log {
+            return are_all_stopped;
+        }
+        usable.contains(&old_primary) || self.may_ignore_history(usable)
+    }
+
+    /// Whether the attempt goes on without the old primary although no node knows the history of the
+    /// group: all nodes have just started. So that such a start does not leave the group without a
+    /// primary for good, the others suffice once the old primary has had time to return, unless there
+    /// is a sign that they lack commits: the primary has reported a higher position to a node, or an
+    /// earlier coordinator has recorded that it waits for the log.
+    fn may_ignore_history(&self, usable: &[&InstanceName]) -> bool {
+        let others = self.members.replicas(self.old_primary());
+        let mut others =
+            others.filter(|other| !self.has_ended(other) && self.has_usable_log(&other.name));
+        let are_others_stopped = others.all(|other| usable.contains(&&other.name));
+        let reported = self.log_evidence.reported.map(order);
+        let lacks_commits = reported > self.highest_position(usable).map(order);
+        let has_sign = lacks_commits || self.intent.awaits_log;
+        self.has_waited_for_primary && are_others_stopped && !has_sign
     }
 
     /// Whether one of the stopped instances has received the log up to the position up to which
     /// commits may have been acknowledged to clients.
     fn reach_acknowledged_position(&self, usable: &[&InstanceName]) -> bool {
         let Some(acknowledged) = self.log_evidence.acknowledged else { return false };
-        let positions = usable.iter().filter_map(|name| self.stopped.get(*name));
-        positions.map(|stopped| order(stopped.received)).max() >= Some(order(acknowledged))
+        self.highest_position(usable).map(order) >= Some(order(acknowledged))
+    }
+
+    fn highest_position(&self, usable: &[&InstanceName]) -> Option<Position> {
+        let stopped = usable.iter().filter_map(|name| self.stopped.get(*name));
+        stopped.map(|stopped| stopped.received).max_by_key(|position| order(*position))
     }
 
     /// Whether the operator accepts the loss of commits, and the instances that can be reached have
@@ -173,18 +208,32 @@
         let usable = stopped.iter().filter(|name| self.has_usable_log(name));
         let members = self.members.all.iter().map(|member| &member.name);
         let missing = members.filter(|name| !self.stopped.contains_key(*name));
-        let positions = self.stopped.values().map(|stopped| stopped.received);
         Some(MissingLogs {
             stopped: usable.count(),
             required: self.required_stops(),
             missing: missing.cloned().collect(),
-            best: positions.max_by_key(|position| order(*position)),
+            best: self.highest_position(&stopped),
             acknowledged: self.log_evidence.acknowledged,
         })
     }
 
-    /// Remembers whether the instances that can be reached have had time to stop.
-    pub(super) fn update_stop_time(&mut self, since: Instant, now: Instant) {
-        self.has_waited_for_stops |= now >= since + self.timing.stopping_timeout;
+    /// Remembers whether the instances that can be reached have had time to stop, and the old
+    /// primary to return.
+    pub(super) fn update_waits(&mut self, now: Instant) {
+        let waited = now.saturating_duration_since(*self.first_stops_at.get_or_insert(now));
+        self.has_waited_for_stops |= waited >= self.timing.stopping_timeout;
+        self.has_waited_for_primary |= waited >= self.timing.primary_return_timeout;
+    }
+
+    /// Records in the store that the attempt waits for the old primary's log, if the instances within
+    /// reach are known to lack an instance that counts. The nodes may all restart meanwhile.
+    pub(super) fn record_log_wait(&mut self, commands: &mut Vec<Command>) {
+        let is_known = self.required_stops().is_some();
+        let is_write_pending = self.submitted != self.recorded;
+        let waits = self.has_waited_for_stops && is_known && self.missing_logs().is_some();
+        if waits && !self.intent.awaits_log && !is_write_pending {
+            self.intent.awaits_log = true;
+            self.record_intent(commands);
+        }
     }
 }
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -14,7 +14,7 @@
     /// Stops the replicas until enough of them are stopped. Cancels the attempt if that takes too
     /// long while the old primary works.
     pub(super) fn stop(&mut self, since: Instant, now: Instant, commands: &mut Vec<Command>) {
-        self.update_stop_time(since, now);
+        self.update_waits(now);
         // A primary that answers can still serve reads, and if it lacks replicas that receive,
         // stopping more of them does not help.
         let answers = self
@@ -63,7 +63,9 @@
         if self.may_have_promoted() {
             self.demote_old_primary(now, commands);
         }
-        if self.enough_stopped() {
+        if !self.enough_stopped() {
+            self.record_log_wait(commands);
+        } else {
             self.set_stopped_since(Some(now));
             self.phase = Phase::Lapsing { since: now };
             self.intent.promoting = true;
--- a/crates/core/src/promotion/known_instances.rs
+++ b/crates/core/src/promotion/known_instances.rs
@@ -21,7 +21,7 @@
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName};
 use crate::incarnation::has_restarted;
-use crate::position::Position;
+use crate::position::{LogOffset, Position, Term};
 use crate::routing::Role;
 
 /// Shortest time between two queries to a vanished instance, to learn whether it has ended.
@@ -142,6 +142,8 @@
     /// Evidence that the instances that remain hold the commits for which ended ones counted. Also
     /// required once this node begins to observe the group, since instances may have ended before.
     coverage: LogCoverage,
+    /// The highest position that a primary reported in answer to a status query.
+    primary_position: Option<Position>,
     /// When the instances were last queried for it.
     coverage_query_at: Option<Instant>,
     /// Whether that evidence was complete since this node began to observe the group. From then on
@@ -310,6 +312,8 @@
         let Some(known) = self.groups.get(group) else {
             return RestartReport { primary_position, ..RestartReport::default() };
         };
+        let reported = [primary_position, known.primary_position];
+        let primary_position = reported.into_iter().flatten().max_by_key(order);
         let restarts = |refilled: bool| -> Vec<ObservedRestart> {
             let chosen =
                 known.instances.values().filter(|known| known.refill.is_none() == refilled);
@@ -346,6 +350,7 @@
             updated_at: now,
             instances: HashMap::new(),
             coverage: LogCoverage::required_since(now),
+            primary_position: None,
             coverage_query_at: None,
             knows_log_holders: false,
         }
@@ -397,6 +402,10 @@
 
     fn on_status(&mut self, instance: &InstanceName, status: &ReplicationStatus, sent: Instant) {
         let Some(known) = self.instances.get(instance) else { return };
+        if status.role == Role::Primary {
+            let reported = [self.primary_position, Some(status.received)];
+            self.primary_position = reported.into_iter().flatten().max_by_key(order);
+        }
         // Only an instance that the platform lists counts as one that remains.
         if known.vanished_at.is_none() && known.refill.is_none() {
             self.coverage.on_status(instance, status, sent);
@@ -458,6 +467,10 @@
     }
 }
 
+fn order(position: &Position) -> (Term, LogOffset) {
+    (position.term, position.offset)
+}
+
 /// Whether another instance of the group has the address of `instance`.
 fn is_address_reused(group: &Group, instance: &Instance) -> bool {
     let mut others = group.instances.iter().filter(|other| other.name != instance.name);
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -113,6 +113,10 @@
     /// to be promoted, since the old primary may not be the only instance that has been primary.
     #[serde(default)]
     pub promoting: bool,
+    /// Whether the attempt waits for the old primary's log, because other instances may lack
+    /// acknowledged commits. A coordinator that has no history of the group waits as well.
+    #[serde(default)]
+    pub awaits_log: bool,
 }
 
 /// The active intents: those of attempts that have not been cancelled.
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -35,6 +35,8 @@
     pub has_begun: bool,
     /// Whether the coordinator of the earlier attempt may have sent a promotion.
     pub may_have_promoted: bool,
+    /// Whether the earlier coordinator waited for the old primary's log.
+    pub awaits_log: bool,
     /// Whether the last primary is still reported by the platform and is a replica now.
     pub last_primary_is_replica: bool,
 }
@@ -59,9 +61,11 @@
 
 impl History {
     /// The last primary, if the group no longer lists it: it may still run. A last primary that is
-    /// listed as a replica has stepped down.
+    /// listed as a replica has stepped down. A node that has seen no primary since it started takes
+    /// the one that was promoted last.
     fn vanished(&self, group: &Group) -> Option<InstanceName> {
-        self.primary.clone().filter(|primary| group.instance(primary).is_none())
+        let last = self.primary.as_ref().or(group.promoted.as_ref());
+        last.filter(|primary| group.instance(primary).is_none()).cloned()
     }
 }
 
@@ -179,6 +183,7 @@
             is_current: current.is_some(),
             has_begun: true,
             may_have_promoted: intent.promoting,
+            awaits_log: intent.awaits_log,
             last_primary_is_replica: last_primary_is_replica(group, history),
         }),
         (None, Some(_)) if is_delayed => None,
@@ -195,13 +200,14 @@
     let now = input.now;
     let last_primary_is_replica = last_primary_is_replica(group, history);
     let need = |reason, old_primary| {
-        let (is_current, has_begun, may_have_promoted) = (true, false, false);
+        let (is_current, has_begun, may_have_promoted, awaits_log) = (true, false, false, false);
         Some(Need {
             reason,
             old_primary,
             is_current,
             has_begun,
             may_have_promoted,
+            awaits_log,
             last_primary_is_replica,
         })
     };
--- a/crates/core/src/promotion/restart_reports.rs
+++ b/crates/core/src/promotion/restart_reports.rs
@@ -151,6 +151,12 @@
         self.by_node.values().filter_map(|received| received.report.log_holders.as_ref())
     }
 
+    /// The highest position that the primary has reported to any node that has sent a report.
+    pub fn highest_position(&self) -> Option<Position> {
+        let reports = self.by_node.values().map(|received| &received.report);
+        reports.filter_map(|report| report.primary_position).max_by_key(order)
+    }
+
     /// Whether the operator has told any node to accept the loss of acknowledged commits.
     pub fn accept_commit_loss(&self) -> bool {
         self.by_node.values().any(|received| received.report.accepts_commit_loss)
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -150,6 +150,8 @@
     ReportsCombined(CombinedReport),
     /// A node that knows all instances that may hold a commit which the others lack reported them.
     LogHoldersReported(Vec<LogHolder>),
+    /// The highest position that the primary has reported to any node that has sent a report.
+    PositionReported(Position),
     /// All nodes have reported up to which position they may have acknowledged commits to clients;
     /// this is the highest one. None of them passes on a commit any more.
     AcknowledgedPosition(Position),
--- a/crates/core/src/promotion/timing.rs
+++ b/crates/core/src/promotion/timing.rs
@@ -26,6 +26,9 @@
     /// replacement is planned or the old primary answers: the old primary then works, apart from
     /// the stopped replicas.
     pub stopping_timeout: Duration,
+    /// Time that a crashed old primary is given to return if no node knows the history of its group
+    /// and nothing shows that the other instances lack commits.
+    pub primary_return_timeout: Duration,
     /// Time after which demoting the old primary is no longer retried: it steps down by itself once
     /// it can reach its successor.
     pub demotion_timeout: Duration,
@@ -47,6 +50,7 @@
             store_retry_interval: Duration::from_millis(100),
             announcement_timeout: Duration::from_millis(1_500),
             stopping_timeout: Duration::from_millis(300),
+            primary_return_timeout: Duration::from_secs(10),
             demotion_timeout: Duration::from_millis(1_500),
             cancellation_notice_delay: Duration::from_millis(150),
             release_timeout: Duration::from_millis(10_000),
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -19,6 +19,7 @@
         former: Some(InstanceName::new("old")),
         called_off: false,
         promoting: false,
+        awaits_log: false,
     }
 }
 
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -63,6 +63,7 @@
             former: None,
             called_off: false,
             promoting: false,
+            awaits_log: false,
         }
     }
 
