Take evidence about vanished instances from nodes that query them

Cause: only owners of a group query its instances. Another node kept a vanished instance for good, since it never learned that the others hold its commits; as coordinator it would have waited for the old primary in vain, and its memory grew with each release. Change: a node that does not query a vanished instance does not claim to know all instances that may hold commits. As coordinator it uses the report of an owner, and it drops the instance after 10 s. A planned replacement stops no replicas while only the working primary has the commits of an ended one. The list of nodes whose reports a coordinator needs moves to a module of its own.

--- a/crates/core/src/promotion/attempt/log_evidence.rs
+++ b/crates/core/src/promotion/attempt/log_evidence.rs
@@ -29,7 +29,7 @@
     /// All instances that may hold a commit that the others lack, as a node reported them that
     /// knows them all. Used if the coordinator does not know them itself.
     log_holders: Option<Vec<LogHolder>>,
-    /// The highest position that the primary has reported to a node, as far as the nodes' reports show.
+    /// The highest position that the primary has reported to a node, from the nodes' reports.
     reported: Option<Position>,
     /// The highest position up to which any node may have acknowledged commits to clients.
     acknowledged: Option<Position>,
@@ -121,7 +121,19 @@
     /// ended does not count: the primary alone has every commit anyway.
     fn counts(&self, member: &Member) -> bool {
         let counts_when_ended = self.members.synchronous > 0;
-        !self.has_successor_at_address(member) && (counts_when_ended || !self.has_ended(member))
+        let may_hold_commits = !member.has_vanished || self.is_reported_holder(member);
+        !self.has_successor_at_address(member)
+            && (counts_when_ended || !self.has_ended(member))
+            && may_hold_commits
+    }
+
+    /// Whether a member may hold a commit that the others lack, as far as another node has reported.
+    /// True if the coordinator knows all such members itself.
+    fn is_reported_holder(&self, member: &Member) -> bool {
+        let holders = self.log_evidence.log_holders.as_ref();
+        self.members.knows_log_holders
+            || holders
+                .is_none_or(|holders| holders.iter().any(|holder| holder.instance == member.name))
     }
 
     /// Number of instances that are not members and may hold a commit that the members lack; `None`
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -24,7 +24,8 @@
         let works = !self.old_primary_state.is_replica
             && (self.intent.reason == Reason::Leaving || answers);
         let ends = works && !self.may_have_promoted();
-        if ends && now >= since + self.timing.stopping_timeout {
+        let has_timed_out = now >= since + self.timing.stopping_timeout;
+        if ends && (has_timed_out || self.planned_stops_cannot_suffice()) {
             self.phase = Phase::Cancelling { until: now + self.timing.release_timeout };
             return;
         }
@@ -78,6 +79,16 @@
         }
     }
 
+    /// Whether a planned replacement lacks a log that only the primary has, so that stopping the
+    /// replicas would only delay commits: an instance has ended, and the others are not known yet to
+    /// hold its commits. Owners find that out within moments, unless the replicas receive nothing.
+    fn planned_stops_cannot_suffice(&self) -> bool {
+        let replicas = self.replicas();
+        let usable = replicas.iter().filter(|replica| self.has_usable_log(&replica.name)).count();
+        let lacks_log = self.required_stops().is_some_and(|required| required > usable);
+        self.intent.reason == Reason::Leaving && self.members.knows_restarts && lacks_log
+    }
+
     /// A replica that has lost its log does not count as stopped, and has to accept replication
     /// again. It is released, since a stop that was sent before its restart may have arrived after
     /// it.
--- a/crates/core/src/promotion/known_instances.rs
+++ b/crates/core/src/promotion/known_instances.rs
@@ -8,7 +8,7 @@
 //! received nothing since, and then only the primary holds those commits.
 //!
 //! A catalog is processed once, when it is activated. Changes that depend on time alone are only
-//! evaluated for groups that are newly observed: evaluating all instances of 1,000 groups twenty
+//! evaluated for groups that are newly observed or have an unqueried vanished instance: evaluating all instances of 1,000 groups twenty
 //! times a second would cost idle nodes processor time that grows with the number of groups.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -24,6 +24,8 @@
 use crate::position::{LogOffset, Position, Term};
 use crate::routing::Role;
 
+/// How long a node that does not query a vanished instance keeps it.
+const UNQUERIED_RETENTION: Duration = Duration::from_secs(10);
 /// Shortest time between two queries to a vanished instance, to learn whether it has ended.
 const MIN_VANISHED_QUERY_INTERVAL: Duration = Duration::from_millis(600);
 /// Shortest time between two queries for the evidence that the others hold the commits of an
@@ -98,6 +100,11 @@
         }
     }
 
+    /// Whether it has vanished and this node does not query it, because it does not own the group.
+    fn is_unqueried(&self) -> bool {
+        self.vanished_at.is_some() && self.ended_at.is_none() && self.vanished_query_at.is_none()
+    }
+
     /// Whether a query is due that shows whether the instance, which has vanished, has ended.
     fn is_vanished_query_due(&self, now: Instant) -> bool {
         let Some(vanished_at) = self.vanished_at.filter(|_| self.ended_at.is_none()) else {
@@ -162,7 +169,7 @@
             known.apply(group, catalog, now);
         }
         self.groups.retain(|name, _| catalog.groups.contains_key(name));
-        let time_dependent = self.groups.iter().filter(|(_, group)| group.is_newly_observed(now));
+        let time_dependent = self.groups.iter().filter(|(_, group)| group.is_time_dependent(now));
         self.time_dependent = time_dependent.map(|(name, _)| name.clone()).collect();
     }
 
@@ -172,8 +179,8 @@
         let evaluated = self.time_dependent.len();
         self.time_dependent.retain(|name| {
             self.groups.get_mut(name).is_some_and(|group| {
-                group.updated_at = now;
-                group.is_newly_observed(now)
+                group.forget_unqueried(now);
+                group.is_time_dependent(now)
             })
         });
         evaluated
@@ -205,6 +212,7 @@
         let member = |known: &KnownInstance| Member {
             name: known.instance.name.clone(),
             leaving: !known.may_stay_primary,
+            has_vanished: known.vanished_at.is_some(),
             has_left: known.instance.leaving && known.vanished_at.is_some(),
             has_ended: known.instance.leaving && known.ended_at.is_some(),
             leads: known.instance.announced_role == Some(Role::Primary),
@@ -218,7 +226,7 @@
             all,
             synchronous: known_group.synchronous,
             knows_restarts: known_group.knows_restarts(known_group.updated_at),
-            knows_log_holders: known_group.knows_log_holders,
+            knows_log_holders: known_group.knows_all_log_holders(),
         }
     }
 
@@ -326,7 +334,7 @@
             true => Vec::new(),
             false => restarts(false).into_iter().chain(refilled.iter().cloned()).collect(),
         };
-        let log_holders = known.knows_log_holders.then(|| known.log_holders());
+        let log_holders = known.knows_all_log_holders().then(|| known.log_holders());
         RestartReport {
             started_again,
             refilled,
@@ -461,6 +469,34 @@
         !self.is_newly_observed(now) || !self.instances.values().any(has_incarnation)
     }
 
+    /// Whether this node knows all instances that may hold a commit that the others lack. Not so
+    /// while it does not query a vanished instance: it does not own the group, and does not learn
+    /// whether the others hold the commits of that instance.
+    fn knows_all_log_holders(&self) -> bool {
+        self.knows_log_holders && !self.instances.values().any(KnownInstance::is_unqueried)
+    }
+
+    /// Drops vanished instances that this node does not query. From then on it does not know all
+    /// instances that may hold commits.
+    fn forget_unqueried(&mut self, now: Instant) {
+        self.updated_at = now;
+        let has_passed = |at: Instant| now.saturating_duration_since(at) >= UNQUERIED_RETENTION;
+        let is_kept = |known: &KnownInstance| {
+            !(known.is_unqueried() && known.vanished_at.is_some_and(has_passed))
+        };
+        let before = self.instances.len();
+        self.instances.retain(|_, known| is_kept(known));
+        if self.instances.len() < before {
+            self.knows_log_holders = false;
+            self.coverage = LogCoverage::required_since(now);
+            self.coverage_query_at = None;
+        }
+    }
+
+    fn is_time_dependent(&self, now: Instant) -> bool {
+        self.is_newly_observed(now) || self.instances.values().any(KnownInstance::is_unqueried)
+    }
+
     /// Whether this node has observed the group for too short a time to know about recent restarts.
     fn is_newly_observed(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.observed_since) < MIN_OBSERVATION_TIME
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -11,6 +11,8 @@
     pub name: InstanceName,
     /// Whether the instance or its zone is being taken out of use.
     pub leaving: bool,
+    /// Whether its entry has disappeared.
+    pub has_vanished: bool,
     /// Whether it was leaving when its entry disappeared. It has either terminated, or is cut off
     /// from the store and still receives commits, so that the primary can acknowledge them.
     pub has_left: bool,
--- a/crates/core/tests/promotion/steps.rs
+++ b/crates/core/tests/promotion/steps.rs
@@ -156,6 +156,7 @@
     all.all.push(Member {
         name: name("d"),
         leaving: false,
+        has_vanished: false,
         has_left: false,
         has_ended: false,
         leads: true,
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -28,6 +28,7 @@
     let member = |text: &&str| Member {
         name: name(text),
         leaving: false,
+        has_vanished: false,
         has_left: false,
         has_ended: false,
         leads: primaries.contains(text),
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -13,10 +13,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, ReportingNodes, Successor,
-    Timing,
+    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
 };
 use kestrellock_core::store_access::Refusal;
 use kestrellock_core::store_era::StoreEra;
@@ -27,6 +26,7 @@
 use super::ReplacementServices;
 use super::executor::{Executor, Report};
 use super::log_wait::LogWait;
+use super::reporting_nodes::nodes_to_report;
 use super::store_calls::refusal_of;
 use crate::context::NodeContext;
 use crate::supervisor::StopFlag;
@@ -373,11 +373,8 @@
         let id = running.attempt.id();
         let reports = self.context.revoked_evidence.for_replacement(group, id);
         if let Some(reports) = reports {
-            let nodes = ReportingNodes {
-                current: nodes_to_await(self.context, &*self.coordination),
-                last_removal: input.last_node_removal,
-                highest_led: self.context.statuses.highest_led_term(group),
-            };
+            let last_removal = input.last_node_removal;
+            let nodes = nodes_to_report(group, self.context, &*self.coordination, last_removal);
             running.attempt.on_reports(&reports, &nodes, now);
         }
         let mut commands = running.attempt.step(now);
@@ -479,18 +476,3 @@
         self.executor.send_command(ControlTarget { group, instance, address }, command);
     }
 }
-
-/// The nodes that the coordinator waits for to report their revoked evidence: those in the machine
-/// list that this node has read, and those in the store. This node's list may be seconds old and
-/// lack nodes that were added since; the store's list was read again when the intent was recorded.
-/// Empty while this node has not read a machine list.
-fn nodes_to_await(context: &NodeContext, coordination: &dyn Coordination) -> Vec<NodeName> {
-    let mut nodes = context.listed_node_names();
-    if nodes.is_empty() {
-        return nodes;
-    }
-    nodes.extend(coordination.view().nodes.iter().cloned());
-    nodes.sort();
-    nodes.dedup();
-    nodes
-}
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -23,6 +23,7 @@
 mod log_wait;
 mod owned;
 mod replacement_checker;
+mod reporting_nodes;
 mod status_queries;
 mod store_calls;
 mod vote_exchange;
