Split what is known about one group from the known instances

KnownGroup and KnownInstance move to known_group.rs as they were; comments of the change are reworded and wrapped. No behaviour changes.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -72,7 +72,7 @@
     last_primary_is_replica: bool,
     /// What is known about restarted instances.
     incarnations: KnownIncarnations,
-    /// What other nodes and the operator have told about commits that only instances outside the
+    /// Reports of nodes, and the operator's decision, about commits that only instances outside the
     /// attempt's reach may hold.
     log_evidence: LogEvidence,
     /// Replicas that may have been stopped, and those that have been released.
--- a/crates/core/src/promotion/attempt/log_evidence.rs
+++ b/crates/core/src/promotion/attempt/log_evidence.rs
@@ -23,7 +23,7 @@
 use crate::position::{LogOffset, Position, Term};
 use crate::promotion::{Command, LogHolder, Member, Phase};
 
-/// What other nodes and the operator have told about the logs of the group.
+/// Reports of nodes, and the operator's decision, about the logs of the group.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LogEvidence {
     /// All instances that may hold a commit that the others lack, as a node reported them that
--- a/crates/core/src/promotion/log_coverage.rs
+++ b/crates/core/src/promotion/log_coverage.rs
@@ -2,7 +2,7 @@
 //! ended may have counted for.
 //!
 //! The primary acknowledges a commit once `synchronous` replicas have received it. If one of these
-//! replicas ends, its log is gone, and the commit may be left at the primary alone: the other
+//! replicas ends, its log is lost, and the commit may be left at the primary alone: the other
 //! replicas may have received nothing for a while. Neither the time since the end nor a position
 //! that the primary reported before it shows that they have received the commit since. Only the
 //! primary shows it: a position that it reports after the end includes every commit that was
--- a/crates/core/src/promotion/members.rs
+++ b/crates/core/src/promotion/members.rs
@@ -16,7 +16,7 @@
     /// Whether it was leaving when its entry disappeared. It has either terminated, or is cut off
     /// from the store and still receives commits, so that the primary can acknowledge them.
     pub has_left: bool,
-    /// Whether it has left and its process has ended, so that its log is gone. It counts until the
+    /// Whether it has left and its process has ended, so that its log is lost. It counts until the
     /// others are known to hold every commit for which it may have counted. An instance that was
     /// not leaving may return with its log, as a crashed primary does.
     pub has_ended: bool,
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -28,6 +28,7 @@
 mod attempt;
 mod coordination;
 mod electorate;
+mod known_group;
 mod known_instances;
 mod known_replacements;
 mod log_coverage;
--- a/crates/core/src/promotion/restart_reports.rs
+++ b/crates/core/src/promotion/restart_reports.rs
@@ -67,7 +67,7 @@
     /// Time since the node's process started.
     #[serde(default)]
     pub uptime: Duration,
-    /// Whether the operator has told the node to accept the loss of acknowledged commits.
+    /// Whether the node's settings accept the loss of acknowledged commits.
     #[serde(default)]
     pub accepts_commit_loss: bool,
 }
@@ -157,7 +157,7 @@
         reports.filter_map(|report| report.primary_position).max_by_key(order)
     }
 
-    /// Whether the operator has told any node to accept the loss of acknowledged commits.
+    /// Whether the settings of any node accept the loss of acknowledged commits.
     pub fn accept_commit_loss(&self) -> bool {
         self.by_node.values().any(|received| received.report.accepts_commit_loss)
     }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -142,7 +142,7 @@
 /// Whether a primary that leads the term `led` may lack a commit of a session with the bound
 /// `bound`. A commit of a higher term was acknowledged by an instance that replaced this primary.
 /// Commits of the primary's own term, and those of lower terms, are in its log. Evidence that the
-/// primary led a moment ago does not help: it may be as old as the staleness that the session
+/// primary led does not replace the comparison: it may be as old as the staleness that the session
 /// accepts for commits of others.
 pub fn may_lack_session_commits(led: Option<Term>, bound: Option<&Position>) -> bool {
     led.zip(bound).is_some_and(|(led, bound)| led < bound.term)
