Fewer queries for the evidence, and one store write of an attempt at a time

Change: positions in the answers to clients' statements count as evidence first; after 300 ms owners query the primary, then only as many replicas as are missing, another one each time.

Writes: an attempt recorded that it waits for a log also where a replica was only not stopped yet, and then that a promotion may be sent, without waiting for the first write. Change: the wait is recorded only where all replicas are too few, and nothing else is written until the store has confirmed it.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -318,6 +318,12 @@
         }
     }
 
+    /// Whether the store has not confirmed the intent that was last submitted. At most one write is
+    /// pending at a time: a repeated older one would replace a newer one.
+    fn is_write_pending(&self) -> bool {
+        self.submitted != self.recorded
+    }
+
     /// The replicas that may run, including the old primary once it is a replica. A member at whose
     /// address another member answers has terminated: its log is lost, or that member has it.
     fn replicas(&self) -> Vec<Member> {
--- a/crates/core/src/promotion/attempt/log_evidence.rs
+++ b/crates/core/src/promotion/attempt/log_evidence.rs
@@ -237,13 +237,26 @@
         self.has_waited_for_primary |= waited >= self.timing.primary_return_timeout;
     }
 
-    /// Records in the store that the attempt waits for the old primary's log, if the instances within
-    /// reach are known to lack an instance that counts. The nodes may all restart meanwhile.
+    /// Whether the store has not confirmed the record that the attempt waits. If that write is repeated
+    /// after the record that a promotion may be sent, it would replace it.
+    pub(super) fn is_log_wait_pending(&self) -> bool {
+        let is_recorded = self.recorded.as_ref().is_some_and(|recorded| recorded.awaits_log);
+        self.intent.awaits_log && !is_recorded
+    }
+
+    /// Whether even all replicas that may run are too few: an instance has ended, and the others are
+    /// not known to hold its commits.
+    pub(super) fn replicas_cannot_suffice(&self) -> bool {
+        let replicas = self.replicas();
+        let usable = replicas.iter().filter(|replica| self.has_usable_log(&replica.name)).count();
+        self.required_stops().is_some_and(|required| required > usable)
+    }
+
+    /// Records in the store that the attempt waits for the old primary's log, because all replicas
+    /// are too few. The nodes may all restart meanwhile.
     pub(super) fn record_log_wait(&mut self, commands: &mut Vec<Command>) {
-        let is_known = self.required_stops().is_some();
-        let is_write_pending = self.submitted != self.recorded;
-        let waits = self.has_waited_for_stops && is_known && self.missing_logs().is_some();
-        if waits && !self.intent.awaits_log && !is_write_pending {
+        let waits = self.has_waited_for_stops && self.replicas_cannot_suffice();
+        if waits && !self.intent.awaits_log && !self.is_write_pending() {
             self.intent.awaits_log = true;
             self.record_intent(commands);
         }
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -66,7 +66,7 @@
         }
         if !self.enough_stopped() {
             self.record_log_wait(commands);
-        } else {
+        } else if !self.is_log_wait_pending() {
             self.set_stopped_since(Some(now));
             self.phase = Phase::Lapsing { since: now };
             self.intent.promoting = true;
@@ -80,13 +80,12 @@
     }
 
     /// Whether a planned replacement lacks a log that only the primary has, so that stopping the
-    /// replicas would only delay commits: an instance has ended, and the others are not known yet to
-    /// hold its commits. Owners find that out within moments, unless the replicas receive nothing.
+    /// replicas would only delay commits. Owners find out within moments that the replicas hold the
+    /// commits of an ended instance, unless the replicas receive nothing.
     fn planned_stops_cannot_suffice(&self) -> bool {
-        let replicas = self.replicas();
-        let usable = replicas.iter().filter(|replica| self.has_usable_log(&replica.name)).count();
-        let lacks_log = self.required_stops().is_some_and(|required| required > usable);
-        self.intent.reason == Reason::Leaving && self.members.knows_restarts && lacks_log
+        self.intent.reason == Reason::Leaving
+            && self.members.knows_restarts
+            && self.replicas_cannot_suffice()
     }
 
     /// A replica that has lost its log does not count as stopped, and has to accept replication
--- a/crates/core/src/promotion/attempt/settling.rs
+++ b/crates/core/src/promotion/attempt/settling.rs
@@ -78,8 +78,7 @@
     pub(super) fn cancel(&mut self, until: Instant, now: Instant, commands: &mut Vec<Command>) {
         self.release(now, commands);
         let since = until - self.timing.release_timeout;
-        // At most one write to the store is pending at a time.
-        let mut is_write_pending = self.submitted != self.recorded;
+        let mut is_write_pending = self.is_write_pending();
         if !self.all_released()
             && now >= since + self.timing.cancellation_notice_delay
             && !is_write_pending
@@ -87,7 +86,7 @@
             self.intent.called_off = true;
             self.intent.promoting = false;
             self.record_intent(commands);
-            is_write_pending = self.submitted != self.recorded;
+            is_write_pending = self.is_write_pending();
         }
         if !is_write_pending && (now >= until || self.all_released()) {
             commands.push(Command::Finish { id: self.intent.id, successor: None });
--- a/crates/core/src/promotion/known_group.rs
+++ b/crates/core/src/promotion/known_group.rs
@@ -1,7 +1,7 @@
 //! What a node knows about the instances of one group: which have vanished, ended or restarted, and
 //! whether the others hold every commit for which ended ones may have counted.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::log_coverage::LogCoverage;
@@ -17,8 +17,12 @@
 const UNQUERIED_RETENTION: Duration = Duration::from_secs(10);
 /// Shortest time between two queries to a vanished instance, to learn whether it has ended.
 const MIN_VANISHED_QUERY_INTERVAL: Duration = Duration::from_millis(600);
-/// Shortest time between two queries for the evidence that the others hold the commits of an
-/// instance that has ended. Until it is there, a crash of the primary may interrupt the group.
+/// How long the answers to clients' statements may show that the others hold the commits of an
+/// instance that has ended, before instances are queried for it: a query takes up a connection and
+/// a slot of an instance.
+const COVERAGE_QUERY_DELAY: Duration = Duration::from_millis(300);
+/// Shortest time between two such queries. Until the evidence is there, a crash of the primary may
+/// interrupt the group.
 const MIN_COVERAGE_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 /// Both intervals grow to the time since the question arose, divided by this: a machine that does
 /// not return never answers, a replica may receive nothing for long, and each query takes up a
@@ -124,6 +128,15 @@
     }
 }
 
+/// Positions that instances of a group reported in answers to clients' statements.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnsweredPositions {
+    /// The highest position of the primary, and when the newest statement was sent that it answered.
+    pub primary: Option<(Position, Instant)>,
+    /// The last position of each replica, and when it was answered.
+    pub replicas: BTreeMap<InstanceName, (Position, Instant)>,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct KnownGroup {
     pub(super) synchronous: u32,
@@ -137,8 +150,9 @@
     pub(super) coverage: LogCoverage,
     /// The highest position that a primary reported in answer to a status query.
     pub(super) primary_position: Option<Position>,
-    /// When the instances were last queried for it.
-    pub(super) coverage_query_at: Option<Instant>,
+    /// When instances were last queried for it, and how often replicas were.
+    coverage_query_at: Option<Instant>,
+    coverage_rounds: usize,
     /// Whether that evidence was complete since this node began to observe the group. From then on
     /// the known instances are all that may hold a commit that the others lack.
     pub(super) knows_log_holders: bool,
@@ -154,6 +168,7 @@
             coverage: LogCoverage::required_since(now),
             primary_position: None,
             coverage_query_at: None,
+            coverage_rounds: 0,
             knows_log_holders: false,
         }
     }
@@ -242,9 +257,68 @@
         !self.knows_log_holders || self.instances.values().any(|known| known.ended_at.is_some())
     }
 
-    pub(super) fn is_coverage_query_due(&self, now: Instant) -> bool {
+    fn is_coverage_query_due(&self, now: Instant) -> bool {
         let (since, interval) = (self.coverage.since(), MIN_COVERAGE_QUERY_INTERVAL);
-        self.needs_coverage() && is_query_due(self.coverage_query_at, since, interval, now)
+        self.needs_coverage()
+            && now >= since + COVERAGE_QUERY_DELAY
+            && is_query_due(self.coverage_query_at, since, interval, now)
+    }
+
+    /// The listed instances to query at `now` for the evidence that is missing: the primary first,
+    /// then as many replicas as are needed, others each time. The query is recorded as sent.
+    pub(super) fn take_coverage_targets(&mut self, now: Instant) -> Vec<InstanceName> {
+        if !self.is_coverage_query_due(now) {
+            return Vec::new();
+        }
+        self.coverage_query_at = Some(now);
+        let needs_primary = !self.coverage.has_primary_position();
+        let is_candidate = |known: &&KnownInstance| {
+            let is_primary = known.instance.announced_role == Some(Role::Primary);
+            let is_listed = known.vanished_at.is_none();
+            is_listed
+                && is_primary == needs_primary
+                && !self.coverage.includes(&known.instance.name)
+        };
+        let candidates = self.instances.values().filter(is_candidate);
+        let mut targets: Vec<InstanceName> =
+            candidates.map(|known| known.instance.name.clone()).collect();
+        targets.sort();
+        if !needs_primary && !targets.is_empty() {
+            self.coverage_rounds += 1;
+            let first = self.coverage_rounds % targets.len();
+            targets.rotate_left(first);
+            targets.truncate(self.coverage.missing_replicas(self.synchronous));
+        }
+        targets
+    }
+
+    /// Takes positions that the primary and replicas reported in answers to clients' statements as
+    /// evidence.
+    pub(super) fn on_answered_positions(&mut self, answered: &AnsweredPositions) {
+        if !self.needs_coverage() {
+            return;
+        }
+        let is_primary =
+            |known: &&KnownInstance| known.instance.announced_role == Some(Role::Primary);
+        let primary = self.instances.values().find(is_primary);
+        let primary = primary.map(|known| known.instance.name.clone());
+        let Some((name, (position, queried_at))) = primary.zip(answered.primary) else { return };
+        let status = |role, position: Position| ReplicationStatus {
+            role,
+            term: position.term,
+            received: position,
+            min_term: Term::default(),
+        };
+        self.coverage.on_status(&name, &status(Role::Primary, position), queried_at);
+        for (replica, (position, answered_at)) in &answered.replicas {
+            let known = self.instances.get(replica);
+            let is_intact =
+                known.is_some_and(|known| known.vanished_at.is_none() && known.refill.is_none());
+            if is_intact && *replica != name {
+                self.coverage.on_status(replica, &status(Role::Replica, *position), *answered_at);
+            }
+        }
+        self.remove_covered();
     }
 
     pub(super) fn has_status_targets(&self) -> bool {
--- a/crates/core/src/promotion/known_instances.rs
+++ b/crates/core/src/promotion/known_instances.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use super::known_group::{KnownGroup, KnownInstance, order};
+use super::known_group::{AnsweredPositions, KnownGroup, KnownInstance, order};
 use super::{Member, Members, ObservedRestart, ReplicationStatus, RestartReport};
 use crate::catalog::{Elector, IndexedCatalog};
 use crate::ids::{GroupName, InstanceName};
@@ -155,28 +155,25 @@
     /// nothing of that is open or due. The queries are recorded as sent.
     pub fn take_coverage_targets(&mut self, group: &GroupName, now: Instant) -> Vec<InstanceName> {
         let Some(known) = self.groups.get_mut(group) else { return Vec::new() };
-        let is_coverage_due = known.is_coverage_query_due(now);
-        if is_coverage_due {
-            known.coverage_query_at = Some(now);
-        }
-        let mut targets = Vec::new();
+        let mut targets = known.take_coverage_targets(now);
         for (name, instance) in &mut known.instances {
-            let is_due = match instance.vanished_at {
-                Some(_) => instance.is_vanished_query_due(now),
-                None => is_coverage_due,
-            };
-            if !is_due {
-                continue;
-            }
-            if instance.vanished_at.is_some() {
+            if instance.is_vanished_query_due(now) {
                 instance.vanished_query_at = Some(now);
+                targets.push(name.clone());
             }
-            targets.push(name.clone());
         }
         targets.sort();
         targets
     }
 
+    /// Takes positions from answers to clients' statements as evidence about the commits of ended
+    /// instances, so that fewer queries are needed.
+    pub fn on_answered_positions(&mut self, group: &GroupName, answered: &AnsweredPositions) {
+        if let Some(known) = self.groups.get_mut(group) {
+            known.on_answered_positions(answered);
+        }
+    }
+
     /// Whether instances of the group may have to be queried ([`Self::refill_status_targets`],
     /// [`Self::take_coverage_targets`]).
     pub fn has_status_targets(&self, group: &GroupName) -> bool {
--- a/crates/core/src/promotion/log_coverage.rs
+++ b/crates/core/src/promotion/log_coverage.rs
@@ -94,6 +94,21 @@
         }
     }
 
+    /// Whether the primary has reported a position since the moment.
+    pub fn has_primary_position(&self) -> bool {
+        self.primary.is_some()
+    }
+
+    /// Whether a replica has received the log up to that position.
+    pub fn includes(&self, replica: &InstanceName) -> bool {
+        self.replicas.contains(replica)
+    }
+
+    /// How many more replicas have to show that they have received the log.
+    pub fn missing_replicas(&self, synchronous: u32) -> usize {
+        (synchronous as usize).saturating_sub(self.replicas.len())
+    }
+
     /// Whether as many replicas as an acknowledgement requires hold every commit that was
     /// acknowledged before the moment. Any group of instances that intersects the holders of a
     /// newer commit then intersects the holders of those commits as well.
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -45,6 +45,7 @@
 pub use attempt::{Attempt, MissingLogs};
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
+pub use known_group::AnsweredPositions;
 pub use known_instances::KnownInstances;
 pub use known_replacements::{KnownReplacements, NOTIFY_INTERVAL};
 pub use members::{Member, Members};
--- a/crates/core/tests/promotion/ended_replicas.rs
+++ b/crates/core/tests/promotion/ended_replicas.rs
@@ -316,3 +316,33 @@
     let stops = |command: &Command| matches!(command, Command::Stop { .. } | Command::Promote(_));
     assert!(!commands.iter().any(stops), "{commands:?}");
 }
+
+/// Guards against an attempt that never ends: the record that it waits was lost and repeated after the
+/// record that a promotion may be sent, and replaced it in the store (simulation of replacements,
+/// up to nine faults while connections go silent, seed 211).
+#[test]
+fn promotion_is_recorded_after_the_log_wait_is() {
+    let mut now = Instant::now();
+    let mut attempt = recorded_attempt(members_after_a_leave(true), now);
+    let mut pending = None;
+    let mut step = |attempt: &mut Attempt, offsets: &[(&str, u64)]| {
+        now += STEP;
+        for command in attempt.step(now) {
+            if let Command::RecordIntent(intent) = command {
+                assert_eq!(pending.replace(intent), None, "one write at a time");
+            }
+        }
+        for (replica, offset) in offsets {
+            attempt.on_event(stopped_replica_status(replica, *offset, now), now);
+        }
+        (pending.clone(), now)
+    };
+    let mut written = None;
+    while written.is_none() {
+        (written, _) = step(&mut attempt, &[("b", 10), ("c", 10)]);
+    }
+    for _ in 0..STEPS {
+        let (_, at) = step(&mut attempt, &[("a", 12), ("b", 10), ("c", 10)]);
+        assert!(matches!(attempt.phase(), Phase::Stopping { .. }), "{at:?}");
+    }
+}
--- a/crates/daemon/src/agent/promotion/log_status.rs
+++ b/crates/daemon/src/agent/promotion/log_status.rs
@@ -80,6 +80,7 @@
             if !self.known.has_status_targets(group) {
                 continue;
             }
+            self.known.on_answered_positions(group, &context.statuses.answered_positions(group));
             let highest = context.statuses.highest_led_term(group);
             for instance in self.known.refill_status_targets(group) {
                 let Some(target) = self.target(group, &instance) else { continue };
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -14,7 +14,7 @@
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::primary_evidence::{PrimaryEvidence, ReplicaTerms, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
-use kestrellock_core::promotion::Intent;
+use kestrellock_core::promotion::{AnsweredPositions, Intent};
 use kestrellock_core::routing::{self, InstanceStatus, Role};
 use kestrellock_core::suspicion::HealthSignals;
 use kestrellock_protocol::backend::Report;
@@ -347,6 +347,21 @@
         (known.primary_samples.highest(), known.primary_samples.newest())
     }
 
+    /// Positions that the instances of a group reported in answers to clients' statements.
+    pub fn answered_positions(&self, group: &GroupName) -> AnsweredPositions {
+        let statuses = self.group(group);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        let records = known.exchange_records.iter();
+        let replicas = records.filter_map(|(instance, record)| {
+            let answered = record.last_position.zip(record.last_position_at)?;
+            Some((instance.clone(), answered))
+        });
+        AnsweredPositions {
+            primary: known.primary_samples.highest().zip(known.primary_samples.newest()),
+            replicas: replicas.collect(),
+        }
+    }
+
     /// Highest term of a group that an instance is known to have led.
     pub fn highest_led_term(&self, group: &GroupName) -> Term {
         let statuses = self.group(group);
