--- a/crates/core/tests/log_coverage.rs
+++ b/crates/core/tests/log_coverage.rs
@@ -192,8 +192,8 @@
     targets.iter().map(|instance| instance.as_str().to_owned()).collect()
 }
 
-/// Guards against idle cost, and against connection attempts at a constant rate to a machine that is
-/// gone for good.
+/// Guards against idle cost, and against connection attempts at a constant rate to a machine that
+/// does not return.
 #[test]
 fn instances_are_queried_only_while_evidence_is_missing() {
     let (mut known, vanished) = after_a_leave();
--- a/crates/core/tests/promotion/ended_replicas.rs
+++ b/crates/core/tests/promotion/ended_replicas.rs
@@ -135,7 +135,7 @@
     assert_eq!(chosen, Some(name("c")));
 }
 
-/// A coordinator that has begun to observe the group a moment ago.
+/// A coordinator that has only begun to observe the group.
 fn attempt_without_history(now: Instant) -> Attempt {
     let members = Members { knows_log_holders: false, ..members(&["a"]) };
     recorded_attempt(members, now)
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -158,7 +158,7 @@
     assert!(lacks(Some(position(3, 80))), "its successor has acknowledged the commit");
     assert!(!lacks(Some(position(1, 95))), "it has acknowledged the commit itself");
     assert!(!lacks(None), "the session has not written");
-    // It is primary again: whoever leads a term has every commit of the lower ones.
+    // It is primary again: the primary of a term has every commit of the lower ones.
     fixture.report_status("a", Role::Primary, 4);
     assert!(!lacks(Some(position(3, 80))));
 }
