Reproduce late promotions with processes of kestrellockd

Cause: a coordinator that is partitioned from the platform while its promotion call is on its way closes the call without a reset. The call arrives after the partition, when a successor's promotions have taken effect.

The stand-in of the promotion service records all arrivals, and the log of each promoted instance. No product logic is changed.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fault_events;
 pub mod logins;
 pub mod platform;
+pub mod processes;
 pub mod report;
 pub mod scenario;
 pub mod standin;
--- a/crates/lab/src/platform/client.rs
+++ b/crates/lab/src/platform/client.rs
@@ -9,6 +9,8 @@
 use kestrellock_platform::standin::lines::{self, ServerMessage};
 use miette::{IntoDiagnostic, miette};
 
+/// Key of clients for which it does not matter.
+const DEFAULT_KEY: &str = "caller";
 const READ_BYTES: usize = 16 * 1024;
 /// Read timeout of the connection.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -47,7 +49,7 @@
 impl LineSession {
     /// Opens a session on a database. The error holds code and text of a refusal.
     pub fn open(address: SocketAddr, database: &str, name: &str) -> miette::Result<Self> {
-        Self::open_with_key(address, database, "caller", name)
+        Self::open_with_key(address, database, DEFAULT_KEY, name)
     }
 
     /// Opens a session on a database with a customer's key.
@@ -58,11 +60,29 @@
         name: &str,
     ) -> miette::Result<Self> {
         let mut session = Self::connect(address, name)?;
+        session.start(database, key)?;
+        Ok(session)
+    }
+
+    /// Opens a session on a database over an open connection. Its answers are awaited for
+    /// `answer_timeout`.
+    pub fn open_on(
+        stream: TcpStream,
+        answer_timeout: Duration,
+        database: &str,
+        name: &str,
+    ) -> miette::Result<Self> {
+        let mut session = Self::on(stream, answer_timeout, name)?;
+        session.start(database, DEFAULT_KEY)?;
+        Ok(session)
+    }
+
+    fn start(&mut self, database: &str, key: &str) -> miette::Result<()> {
         let mut output = BytesMut::new();
         lines::put_startup(database, key, &mut output);
-        session.send(&output)?;
-        match session.next_message()? {
-            Some(ServerMessage::Ready(_)) => Ok(session),
+        self.send(&output)?;
+        match self.next_message()? {
+            Some(ServerMessage::Ready(_)) => Ok(()),
             Some(ServerMessage::Error(code, text)) => Err(miette!("{code}: {text}")),
             other => Err(miette!("unexpected answer to the startup message: {other:?}")),
         }
@@ -70,8 +90,11 @@
 
     /// Connects without sending a startup message.
     pub fn connect(address: SocketAddr, name: &str) -> miette::Result<Self> {
-        let stream = TcpStream::connect(address).into_diagnostic()?;
-        stream.set_read_timeout(Some(ANSWER_TIMEOUT)).into_diagnostic()?;
+        Self::on(TcpStream::connect(address).into_diagnostic()?, ANSWER_TIMEOUT, name)
+    }
+
+    fn on(stream: TcpStream, answer_timeout: Duration, name: &str) -> miette::Result<Self> {
+        stream.set_read_timeout(Some(answer_timeout)).into_diagnostic()?;
         stream.set_nodelay(true).into_diagnostic()?;
         Ok(Self { stream, input: BytesMut::new(), next_id: 0, name: name.to_owned() })
     }
--- /dev/null
+++ b/crates/lab/src/processes/node.rs
@@ -0,0 +1,196 @@
+//! A node that is a process of the `kestrellockd` program.
+
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use miette::{Context, IntoDiagnostic, miette};
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::settings::{Values, fill};
+
+/// Template of the settings on the users' platform.
+const TEMPLATE: &str = include_str!("../../../../deploy/node.toml");
+const PROGRAM: &str = "kestrellockd";
+/// Grace period of a planned stop in seconds.
+const GRACE_SECONDS: u32 = 6;
+const LINK_MBPS: u32 = 1_000;
+const READINESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum attempts to find a port that is free for both TCP and UDP.
+const MAX_PORT_ATTEMPTS: usize = 50;
+
+/// Where a node reaches the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformAddresses {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Address of the promotion service.
+    pub promotions: SocketAddr,
+}
+
+/// A process of the program. It is killed when this value is dropped.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Name of the node.
+    pub name: String,
+    /// Address for clients.
+    pub client_address: SocketAddr,
+    admin_address: SocketAddr,
+    settings_path: PathBuf,
+    log_path: PathBuf,
+    cluster_key: String,
+    child: Option<Child>,
+}
+
+/// Path of the program, which cargo builds beside the tests of the workspace.
+fn program() -> miette::Result<PathBuf> {
+    let test = std::env::current_exe().into_diagnostic()?;
+    // Test programs are in a folder inside the folder of the profile.
+    let folder = test.parent().and_then(Path::parent).unwrap_or(Path::new("."));
+    let program = folder.join(PROGRAM);
+    match program.is_file() {
+        true => Ok(program),
+        false => Err(miette!(
+            help = "build it with `cargo build -p kestrellock-daemon`, or run `cargo test --workspace`",
+            "{} does not exist",
+            program.display()
+        )),
+    }
+}
+
+/// An address on loopback that is free for TCP and UDP.
+fn free_address() -> io::Result<SocketAddr> {
+    for _ in 0..MAX_PORT_ATTEMPTS {
+        let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
+impl NodeProcess {
+    /// Writes the settings of a node to `folder` and starts it.
+    pub fn start(
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        platform: PlatformAddresses,
+        cluster_key: &str,
+    ) -> miette::Result<Self> {
+        let mut addresses = [(); 3].map(|()| free_address());
+        let [client, admin, peer] = addresses
+            .each_mut()
+            .map(|address| std::mem::replace(address, Err(io::ErrorKind::Other.into())));
+        let (client, admin) = (client.into_diagnostic()?, admin.into_diagnostic()?);
+        let peer = peer.into_diagnostic()?;
+        let values = Values::from([
+            ("nodeName", name.to_owned()),
+            ("zone", zone.to_owned()),
+            ("ip", peer.ip().to_string()),
+            ("internalPorts.0", peer.port().to_string()),
+            ("listen.front", client.to_string()),
+            ("listen.ready", admin.to_string()),
+            ("limits.linkMbps", LINK_MBPS.to_string()),
+            ("faultTolerance.zones", "0".to_owned()),
+            ("bounds.graceS", GRACE_SECONDS.to_string()),
+            ("platform.address", platform.store.to_string()),
+            ("cloud.address", platform.promotions.to_string()),
+        ]);
+        let settings_path = folder.join(format!("{name}.toml"));
+        std::fs::write(&settings_path, fill(TEMPLATE, &values)).into_diagnostic()?;
+        let mut node = Self {
+            name: name.to_owned(),
+            client_address: client,
+            admin_address: admin,
+            settings_path,
+            log_path: folder.join(format!("{name}.log")),
+            cluster_key: cluster_key.to_owned(),
+            child: None,
+        };
+        node.run()?;
+        Ok(node)
+    }
+
+    /// Starts the process with the settings that were written for it.
+    pub fn run(&mut self) -> miette::Result<()> {
+        let program = program()?;
+        let log = File::options().create(true).append(true).open(&self.log_path);
+        let log = log.into_diagnostic()?;
+        let child = Command::new(&program)
+            .arg("--settings")
+            .arg(&self.settings_path)
+            .args(["--log-format", "json"])
+            .env_clear()
+            .env("KESTRELLOCK_CLUSTER_KEY", &self.cluster_key)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().into_diagnostic()?)
+            .stderr(log)
+            .spawn();
+        let child = child.into_diagnostic();
+        self.child = Some(child.wrap_err_with(|| format!("starting {}", program.display()))?);
+        Ok(())
+    }
+
+    /// Whether a process of the node runs or is suspended.
+    pub fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Whether the node reports that it is ready. Fails if its process has ended by itself.
+    pub fn is_ready(&mut self) -> miette::Result<bool> {
+        let child = self.child.as_mut();
+        let child = child.ok_or_else(|| miette!("{} is not started", self.name))?;
+        if let Some(status) = child.try_wait().into_diagnostic()? {
+            return Err(miette!("{} has ended, {status}: {}", self.name, self.log()));
+        }
+        Ok(ask_readiness(self.admin_address).unwrap_or(false))
+    }
+
+    /// The log of the node.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+
+    /// Kills the process (SIGKILL).
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // An error means that the process has already ended.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Suspends the process (SIGSTOP).
+    pub fn suspend(&self) -> miette::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Continues a suspended process (SIGCONT).
+    pub fn resume(&self) -> miette::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    fn signal(&self, signal: Signal) -> miette::Result<()> {
+        let Some(child) = &self.child else { return Err(miette!("{} is not started", self.name)) };
+        kill_process(Pid::from_child(child), signal).into_diagnostic()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn ask_readiness(address: SocketAddr) -> io::Result<bool> {
+    let mut stream = TcpStream::connect_timeout(&address, READINESS_TIMEOUT)?;
+    stream.set_read_timeout(Some(READINESS_TIMEOUT))?;
+    stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer.lines().next().is_some_and(|line| line.contains(" 200 ")))
+}
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -22,7 +22,7 @@
 use super::listener::RestartableListener;
 use super::store::StoreWriter;
 
-pub use promotions::{PromotionRequest, PromotionService};
+pub use promotions::{CompletedPromotion, PromotionRequest, PromotionService};
 pub use state::{Commit, ExecutedStatement};
 use state::{Instance, State};
 
--- a/crates/lab/src/standin/instances/promotions.rs
+++ b/crates/lab/src/standin/instances/promotions.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kestrellock_core::position::Term;
 use kestrellock_core::routing::Role;
@@ -30,10 +30,39 @@
     pub fence: u64,
 }
 
+/// A promotion that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletedPromotion {
+    /// When it took effect.
+    pub at: Instant,
+    /// Group.
+    pub group: String,
+    /// The promoted instance.
+    pub instance: String,
+    /// Term that the instance leads from then on.
+    pub term: Term,
+    /// Ids of the statements whose commits the instance's log had at that time.
+    pub statements: Vec<String>,
+}
+
+/// What the service has seen.
+#[derive(Debug, Default)]
+struct History {
+    accepted: Vec<PromotionRequest>,
+    arrived: Vec<(Instant, PromotionRequest)>,
+    completed: Vec<CompletedPromotion>,
+}
+
+type SharedHistory = Arc<Mutex<History>>;
+
+fn lock(history: &Mutex<History>) -> MutexGuard<'_, History> {
+    history.lock().expect("a holder of the lock panicked")
+}
+
 /// A service that promotes instances on request.
 pub struct PromotionService {
     listener: RestartableListener,
-    calls: Arc<Mutex<Vec<PromotionRequest>>>,
+    history: SharedHistory,
 }
 
 impl PromotionService {
@@ -42,11 +71,11 @@
         let listener = RestartableListener::bind()?;
         let groups: BTreeMap<String, Arc<Shared>> =
             groups.iter().map(|group| (group.name(), group.shared())).collect();
-        let calls = Arc::new(Mutex::new(Vec::new()));
-        let recorded = calls.clone();
+        let history = SharedHistory::default();
+        let recorded = history.clone();
         let handler = move |request: Request| handle(&request, &groups, &recorded, duration);
         http::serve(listener.clone(), Arc::new(handler));
-        Ok(Self { listener, calls })
+        Ok(Self { listener, history })
     }
 
     /// Address on which it listens.
@@ -56,7 +85,18 @@
 
     /// All accepted promotion requests so far.
     pub fn calls(&self) -> Vec<PromotionRequest> {
-        self.calls.lock().expect("a holder of the lock panicked").clone()
+        lock(&self.history).accepted.clone()
+    }
+
+    /// All promotion requests so far in the order of their arrival, including those that were
+    /// rejected because the instance was not running.
+    pub fn arrivals(&self) -> Vec<(Instant, PromotionRequest)> {
+        lock(&self.history).arrived.clone()
+    }
+
+    /// All promotions so far that made an instance the primary.
+    pub fn completed(&self) -> Vec<CompletedPromotion> {
+        lock(&self.history).completed.clone()
     }
 }
 
@@ -69,7 +109,7 @@
 fn handle(
     request: &Request,
     groups: &BTreeMap<String, Arc<Shared>>,
-    calls: &Mutex<Vec<PromotionRequest>>,
+    history: &SharedHistory,
     duration: Duration,
 ) -> Reply {
     let call = PromotionCall::parse(&request.path, &request.headers, &request.body);
@@ -79,26 +119,29 @@
     }) else {
         return Reply::json(BAD_REQUEST, "{}".to_owned());
     };
-    let is_running =
-        shared.state().instances.get(&call.instance).is_some_and(|instance| instance.running);
-    if !is_running {
-        return Reply::json(NOT_RUNNING, "{}".to_owned());
-    }
-    let instance = call.instance.clone();
-    calls.lock().expect("a holder of the lock panicked").push(PromotionRequest {
+    let request = PromotionRequest {
         group: call.group,
         instance: call.instance,
         coordinator: call.coordinator,
         fence: call.fence,
-    });
+    };
+    lock(history).arrived.push((Instant::now(), request.clone()));
+    let instance = request.instance.clone();
+    let is_running =
+        shared.state().instances.get(&instance).is_some_and(|instance| instance.running);
+    if !is_running {
+        return Reply::json(NOT_RUNNING, "{}".to_owned());
+    }
+    lock(history).accepted.push(request);
+    let history = history.clone();
     thread::spawn(move || {
         thread::sleep(duration);
-        promote(&shared, &instance);
+        promote(&shared, &instance, &history);
     });
     Reply::ok("{}")
 }
 
-fn promote(shared: &Shared, name: &str) {
+fn promote(shared: &Shared, name: &str, history: &Mutex<History>) {
     let mut state = shared.state();
     let highest_term = state.highest_term();
     let Some(instance) = state.instances.get_mut(name) else { return };
@@ -107,10 +150,19 @@
     }
     instance.role = Role::Primary;
     instance.term = Term(highest_term.0 + 1);
+    let statements = instance.log.iter().flat_map(|commit| commit.ids.clone()).collect();
+    let term = instance.term;
     for other in state.instances.values_mut() {
         other.min_term = Term(0);
     }
     shared.publish_entry(&state, name);
+    lock(history).completed.push(CompletedPromotion {
+        at: Instant::now(),
+        group: state.options.group.clone(),
+        instance: name.to_owned(),
+        term,
+        statements,
+    });
     drop(state);
     shared.changed.notify_all();
 }
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -10,4 +10,5 @@
 pub mod listener;
 pub mod machines;
 pub mod network;
+pub mod relay;
 pub mod store;
