Simulation: messages that arrive after their sender has gone

The simulation delivered a promotion promptly or lost it.

New fault kinds hold what a node sends to the promotion service, to the instances or to the store, and deliver it in order when the partition ends, unless the machine has lost power or the modelled promotion client resets the connection. Other kinds let the store execute changes 1 to 6 s late and cut a node off from its peers. The partition is aimed at a promotion; the sender runs on, is killed, suspended or loses power; the chosen instance crashes after it has led, or lags. A run ends 9 s after its last aimed fault. Existing worlds draw what they drew.

--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -183,7 +183,7 @@
             let intent = intent.clone();
             self.send_after(
                 NOTIFICATION_LATENCY_MS,
-                Message::ReplacementStarted { to, intent, recorded },
+                Message::ReplacementStarted { from: node, to, intent, recorded },
             );
         }
     }
@@ -200,7 +200,7 @@
             let successor = successor.cloned();
             self.send_after(
                 NOTIFICATION_LATENCY_MS,
-                Message::ReplacementFinished { to, id, successor },
+                Message::ReplacementFinished { from: node, to, id, successor },
             );
         }
     }
@@ -254,12 +254,15 @@
         }
         let before = attempt.phase();
         let commands = attempt.step(now);
-        if attempt.phase() != before || !commands.is_empty() {
-            let (phase, refilling) = (attempt.phase(), refilling);
+        let phase = attempt.phase();
+        if phase != before || !commands.is_empty() {
             self.trace.record(self.now, || {
                 format!("node {node}: {phase:?} {commands:?}; refilling {refilling:?}")
             });
         }
+        if phase != before {
+            self.on_attempt_phase(node, phase);
+        }
         for command in commands {
             self.execute(node, fence, command);
         }
@@ -310,7 +313,9 @@
         };
         let fence = if self.planted_fault == PlantedFault::FenceReused { 1 } else { fence };
         let process = self.nodes[node].process;
-        self.send(Message::Promote { node, process, instance, fence });
+        let call = self.next_number();
+        self.send(Message::Promote { node, process, instance, fence, call });
+        self.on_promotion_sent(node, instance, call);
     }
 
     fn most_lagging_replica(&self, chosen: usize) -> usize {
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -4,6 +4,7 @@
 
 use crate::messages::Message;
 use crate::node::Node;
+use crate::partitions::Channel;
 use crate::plan::{FaultKind, Planned};
 use crate::world::World;
 
@@ -43,6 +44,10 @@
             }
             FaultKind::Freeze(node) => self.nodes[node].frozen = true,
             FaultKind::KillNode(node) => self.kill_node(node),
+            FaultKind::PowerLoss(node) => {
+                self.kill_node(node);
+                self.partitions.on_power_lost(node, self.nodes[node].process);
+            }
             FaultKind::Join(node) => self.start_node(node),
             FaultKind::StoreRestore(_) => self.sent_positions.fill(0),
             FaultKind::Leave => {
@@ -70,9 +75,10 @@
                 self.instances[index].replication_stalled = false
             }
             FaultKind::Freeze(node) => self.unfreeze(node),
-            FaultKind::KillNode(node) => {
-                self.start_node(node);
-            }
+            FaultKind::KillNode(node) | FaultKind::PowerLoss(node) => self.start_node(node),
+            FaultKind::HoldPromotions(node) => self.release_held(Channel::Promotions, node),
+            FaultKind::HoldRequests(node) => self.release_held(Channel::Requests, node),
+            FaultKind::HoldStoreCalls(node) => self.release_held(Channel::StoreCalls, node),
             FaultKind::StoreRestore(_) => {
                 let copy = self.copies.take(self.now);
                 self.restore_store(copy.expect("a copy was taken before the restore"));
@@ -92,6 +98,7 @@
 
     fn kill_node(&mut self, node: usize) {
         self.nodes[node].alive = false;
+        self.partitions.on_process_ended(node);
         let process = self.nodes[node].process;
         self.send_after(VOTES_LIFETIME_MS, Message::VotesExpire { node, process });
     }
--- a/crates/core/tests/replacement/instances.rs
+++ b/crates/core/tests/replacement/instances.rs
@@ -146,6 +146,15 @@
     }
 }
 
+/// Length of the common beginning of two logs. Each log is a copy of what some primary had, so two
+/// logs that have the same entry at an index are equal up to it.
+fn common_length(own: &[Entry], other: &[Entry]) -> usize {
+    if own.last().is_none_or(|last| other.get(own.len() - 1) == Some(last)) {
+        return own.len();
+    }
+    own.iter().zip(other).take_while(|(own, other)| own == other).count()
+}
+
 /// Lets replicas receive from the primary that they follow, and lets old primaries step down.
 /// Returns whether a role has changed.
 pub fn replicate(
@@ -191,15 +200,15 @@
         if instances[index].replication_stalled || is_cut || !arrives() {
             continue;
         }
-        let log = instances[source].log.clone();
-        let own = &mut instances[index];
+        let [source, own] =
+            instances.get_disjoint_mut([source, index]).expect("a replica is not its own primary");
         own.term = term;
         if term >= own.min_term && planted_fault != PlantedFault::ReplicasNeverReleased {
             own.min_term = 0;
         }
-        let common = own.log.iter().zip(&log).take_while(|(own, other)| own == other).count();
+        let common = common_length(&own.log, &source.log);
         own.log.truncate(common);
-        own.log.extend_from_slice(&log[common..]);
+        own.log.extend_from_slice(&source.log[common..]);
     }
     changed
 }
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -10,14 +10,17 @@
 //! `SEEDS=20000 cargo test --release -p kestrellock-core --test replacement -- --nocapture` runs
 //! more seeds than CI does.
 
+mod aimed;
 mod checker;
 mod coordination;
 mod faults;
 mod instances;
+mod late_calls;
 mod listing;
 mod messages;
 mod node;
 mod old_primaries;
+mod partitions;
 mod plan;
 mod refills;
 mod returns;
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -120,6 +120,8 @@
         instance: usize,
         /// Fencing token of the coordinator.
         fence: u64,
+        /// Number of the request.
+        call: u64,
     },
     /// The platform answers a promotion request.
     PromotionAnswered {
@@ -129,9 +131,24 @@
         process: u64,
         /// Index of the instance.
         instance: usize,
+        /// Number of the request.
+        call: u64,
         /// The platform's answer.
         answer: PromotionAnswer,
     },
+    /// A coordinator abandons a promotion request.
+    PromotionTimedOut {
+        /// Number of the node.
+        node: usize,
+        /// Number of the node's process.
+        process: u64,
+        /// Index of the instance.
+        instance: usize,
+        /// Number of the request.
+        call: u64,
+    },
+    /// The store executes an operation late. Nobody waits for the answer.
+    LateCall(Call),
     /// The platform finishes a promotion.
     PromotionDone {
         /// Index of the instance.
@@ -141,6 +158,8 @@
     },
     /// A coordinator notifies a node of an active replacement.
     ReplacementStarted {
+        /// Number of the coordinator.
+        from: usize,
         /// Number of the node.
         to: usize,
         /// Intent of the replacement.
@@ -150,6 +169,8 @@
     },
     /// A coordinator notifies a node of a finished replacement.
     ReplacementFinished {
+        /// Number of the coordinator.
+        from: usize,
         /// Number of the node.
         to: usize,
         /// The replacement.
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -226,6 +226,21 @@
     /// A node's watch of the store is silent: the node receives no changes, but its calls to the
     /// store work.
     SilentWatch(usize),
+    /// A node is partitioned from the platform's promotion service. Its requests are held, and
+    /// arrive in order when the partition ends.
+    HoldPromotions(usize),
+    /// A node is partitioned from the instances. Its requests are held, and arrive in order when
+    /// the partition ends.
+    HoldRequests(usize),
+    /// Calls of a node to the store are held, and arrive in order when the partition ends.
+    HoldStoreCalls(usize),
+    /// A node and the other nodes cannot reach each other.
+    CutPeers(usize),
+    /// A node's machine loses power: its process ends, and what it has sent is lost unless it has
+    /// arrived.
+    PowerLoss(usize),
+    /// The store executes some changes seconds late.
+    StoreWritesLate,
 }
 
 /// A fault and its period.
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -12,11 +12,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::aimed::AimedFaults;
 use crate::checker::{Checker, Violation};
 use crate::instances::{FIRST_INCARNATION, Instance, Pending, replicate};
 use crate::listing::Listing;
 use crate::messages::{Call, Exchange, Message, Reply, Work};
 use crate::node::{Node, group_name, instance_name, instant};
+use crate::partitions::Partitions;
 use crate::plan::{FaultKind, Faults, Planned, PlantedFault, draw};
 use crate::returns::{MAX_REANNOUNCE_DELAY_MS, StoreCopies, unfinished_intents};
 use crate::store::{Announced, Contents, Operation, node_name};
@@ -53,6 +55,8 @@
     pub reads: u64,
     /// Number of finished promotions.
     pub promotions: u64,
+    /// Number of messages that arrived after they had been held.
+    pub late_arrivals: u64,
     /// The planned faults.
     pub plan: Vec<Planned>,
 }
@@ -99,6 +103,12 @@
     /// Checks the guarantees.
     pub checker: Checker,
     promotions: Vec<(u64, u32)>,
+    /// Messages that partitions hold.
+    pub partitions: Partitions,
+    /// Faults that begin when a coordinator sends a promotion.
+    pub aimed: Option<AimedFaults>,
+    /// Length of the run in virtual time.
+    pub run_length: u64,
     /// Recorded events of the run.
     pub trace: Trace,
 }
@@ -180,6 +190,9 @@
             last_number: 0,
             checker: Checker::default(),
             promotions: Vec::new(),
+            partitions: Partitions::default(),
+            aimed: None,
+            run_length: RUN_LENGTH_MS,
             trace: Trace::default(),
         }
     }
@@ -207,7 +220,7 @@
 
     /// Runs the simulation to its end and returns the trace lines as well.
     pub fn run_with_trace(mut self) -> (Outcome, Vec<String>) {
-        while self.now < RUN_LENGTH_MS {
+        while self.now < self.run_length {
             self.step();
             self.now += 1;
         }
@@ -217,6 +230,7 @@
             acknowledged: self.checker.acknowledged(),
             reads: self.checker.reads,
             promotions: self.promotions.len() as u64,
+            late_arrivals: self.partitions.late_arrivals,
             plan: self.plan,
         };
         (outcome, self.trace.lines().to_vec())
@@ -246,7 +260,8 @@
         self.messages.insert(number, message);
     }
 
-    fn is_active(&self, kind: FaultKind) -> bool {
+    /// Whether a fault of this kind is active.
+    pub fn is_active(&self, kind: FaultKind) -> bool {
         self.plan
             .iter()
             .any(|fault| fault.kind == kind && fault.at <= self.now && self.now < fault.until)
@@ -384,7 +399,9 @@
 
     /// Whether a node and an instance cannot reach each other.
     pub fn is_cut(&self, node: usize, instance: usize) -> bool {
-        self.instances[instance].unreachable || self.is_active(FaultKind::CutLink(node, instance))
+        self.instances[instance].unreachable
+            || self.is_active(FaultKind::CutLink(node, instance))
+            || self.is_active(FaultKind::HoldRequests(node))
     }
 
     /// Whether the store answers no requests.
@@ -403,6 +420,7 @@
         }
         for node in 0..self.nodes.len() {
             let misses_views = self.is_active(FaultKind::CutStore(node))
+                || self.is_active(FaultKind::HoldStoreCalls(node))
                 || self.is_active(FaultKind::SilentWatch(node));
             let receives = self.nodes[node].alive && !misses_views;
             if receives && self.sent_positions[node] != self.store.position() {
@@ -430,7 +448,8 @@
                 Some((call.node, call.process))
             }
             Message::View { node, process, .. }
-            | Message::PromotionAnswered { node, process, .. } => Some((*node, *process)),
+            | Message::PromotionAnswered { node, process, .. }
+            | Message::PromotionTimedOut { node, process, .. } => Some((*node, *process)),
             Message::EvidenceRevoked { to, .. }
             | Message::ReplacementStarted { to, .. }
             | Message::ReplacementFinished { to, .. } => Some((*to, self.nodes[*to].process)),
@@ -466,9 +485,10 @@
     }
 
     fn dispatch(&mut self, message: Message) {
-        if self.is_lost_silently(&message) {
+        if self.is_lost_silently(&message) || self.is_cut_from_peers(&message) {
             return;
         }
+        let Some(message) = self.hold(message) else { return };
         match message {
             Message::Request(exchange) => self.on_request(exchange),
             Message::Answer(exchange, reply) => self.on_answer(exchange, reply),
@@ -481,10 +501,15 @@
                 self.nodes[node].apply_view(view, &announced, keys, now);
             }
             Message::Announce { instance } => self.announce(instance),
-            Message::Promote { node, process, instance, fence } => {
-                self.on_promote(node, process, instance, fence);
+            Message::LateCall(call) => self.on_late_call(&call),
+            Message::Promote { node, process, instance, fence, call } => {
+                self.on_promote((node, process), instance, fence, call);
             }
-            Message::PromotionAnswered { node, instance, answer, .. } => {
+            Message::PromotionTimedOut { node, instance, call, .. } => {
+                self.on_promotion_timed_out(node, instance, call);
+            }
+            Message::PromotionAnswered { node, instance, call, answer, .. } => {
+                self.partitions.on_answered(call);
                 let event = Event::Promoted { instance: instance_name(instance), answer };
                 self.on_event(node, event);
             }
@@ -499,13 +524,13 @@
                 let reports = self.nodes[to].revocation_reports.entry(id).or_default();
                 reports.add(&node_name(from), report, received_at);
             }
-            Message::ReplacementStarted { to, intent, recorded } => {
+            Message::ReplacementStarted { to, intent, recorded, .. } => {
                 let (recorded, now) = (self.at(recorded), self.at(self.now));
                 let age = now.saturating_duration_since(recorded);
                 self.nodes[to].notified_at = Some(self.now);
                 self.nodes[to].on_replacement_notified(intent, age, now);
             }
-            Message::ReplacementFinished { to, id, successor } => {
+            Message::ReplacementFinished { to, id, successor, .. } => {
                 self.nodes[to].notified_at = Some(self.now);
                 self.nodes[to].on_replacement_finished(id, successor.as_ref());
                 self.trace.record(self.now, || {
@@ -535,6 +560,9 @@
             self.send_after(delay, Message::Call(call));
             return;
         }
+        if self.is_executed_late(&call) {
+            return;
+        }
         let group = group_name();
         let lease = (call.era, call.fence);
         let result = self.store.apply(call.node, lease, &group, &call.operation, self.now);
@@ -556,7 +584,13 @@
         self.send_after(CALL_TIMEOUT_MS, Message::CallLost(call));
     }
 
-    fn on_promote(&mut self, node: usize, process: u64, instance: usize, fence: u64) {
+    fn on_promote(
+        &mut self,
+        (node, process): (usize, u64),
+        instance: usize,
+        fence: u64,
+        call: u64,
+    ) {
         if self.is_store_down() || self.is_active(FaultKind::CutStore(node)) {
             return;
         }
@@ -566,7 +600,7 @@
             fence
         };
         self.checker.on_fence(node, fence);
-        self.trace.record(self.now, || format!("node {node} promotes i-{instance}"));
+        self.trace.record(self.now, || format!("node {node} promotes i-{instance}, fence {fence}"));
         let answer = if self.instances[instance].alive {
             let incarnation = self.instances[instance].incarnation;
             self.send_after(PROMOTION_MS, Message::PromotionDone { instance, incarnation });
@@ -574,7 +608,7 @@
         } else {
             PromotionAnswer::NotRunning
         };
-        self.send(Message::PromotionAnswered { node, process, instance, answer });
+        self.send(Message::PromotionAnswered { node, process, instance, call, answer });
     }
 
     /// The newest term that any process has led, including processes that have ended: the platform
@@ -604,11 +638,12 @@
         });
         self.checker.on_promoted(self.now, term, commits);
         self.announce(index);
+        self.on_instance_leads(index);
     }
 
     fn check_end_state(&mut self) {
         let acknowledges =
-            self.checker.last_acknowledged().unwrap_or(0) + MAX_FINAL_PAUSE_MS >= RUN_LENGTH_MS;
+            self.checker.last_acknowledged().unwrap_or(0) + MAX_FINAL_PAUSE_MS >= self.run_length;
         if !acknowledges {
             self.checker.on_not_recovered("writes are not acknowledged");
         }
