--- /dev/null
+++ b/crates/lab/src/processes/late_promotion/cuts.rs
@@ -0,0 +1,171 @@
+//! Partitions of nodes from the platform, which begin with their promotion calls.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::processes::journal::Journal;
+use crate::processes::{NODES, ProcessPlatform};
+use crate::standin::relay::{Partition, RelayEvent};
+
+const CALL_START: &[u8] = b"POST /promotion";
+const INSTANCE_FIELD: &str = "\"instanceId\":\"";
+/// Part of the log line of a node that has become the coordinator.
+const LEASE_EVENT: &str = "\"hold_taken\"";
+
+/// When a partition begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moment {
+    /// This long after a node that has not been partitioned yet sends its first promotion call. If
+    /// it is zero, the call is held back.
+    Call(Duration),
+    /// This long after the first node has become the coordinator.
+    Lease(Duration),
+}
+
+/// A planned partition of one node from the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    /// When it begins.
+    pub moment: Moment,
+    /// How long it lasts.
+    pub duration: Duration,
+}
+
+/// A partition that has begun.
+#[derive(Clone, Copy, Debug)]
+struct BegunCut {
+    node: usize,
+    end: Instant,
+    is_over: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    begun: Vec<BegunCut>,
+    /// The node that sent the first promotion call.
+    first_caller: Option<usize>,
+    /// What that node has sent to the promotion service.
+    first_call: Vec<u8>,
+}
+
+/// The partitions of a run, each of another node. They begin in the order of the plan.
+pub struct Cuts {
+    plan: Vec<Cut>,
+    /// For each node, its partition.
+    pub partitions: Vec<Arc<Partition>>,
+    state: Mutex<State>,
+    journal: Arc<Journal>,
+}
+
+impl Cuts {
+    /// Plans the partitions.
+    pub fn new(plan: Vec<Cut>, journal: Arc<Journal>) -> Self {
+        let partitions = (0..NODES).map(|_| Arc::default()).collect();
+        Self { plan, partitions, state: Mutex::default(), journal }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("a holder of the lock panicked")
+    }
+
+    /// Observes what a node sends to the promotion service.
+    pub fn on_event(&self, node: usize, event: RelayEvent<'_>) {
+        let description = match event {
+            RelayEvent::Received(bytes) => return self.on_bytes(node, bytes),
+            RelayEvent::PassedOn(count) => format!("{count} held bytes arrive"),
+            RelayEvent::ClosedWithHeldBytes(count) => {
+                format!("the sender closed the connection with {count} held bytes")
+            }
+            RelayEvent::Lost(count) => {
+                format!("{count} held bytes are lost: the sender reset the connection")
+            }
+        };
+        self.journal.add(&format!("node {node} to the promotion service: {description}"));
+    }
+
+    fn on_bytes(&self, node: usize, bytes: &[u8]) {
+        let mut state = self.state();
+        if bytes.windows(CALL_START.len()).any(|window| window == CALL_START) {
+            self.journal.add(&format!("node {node} sends a promotion call"));
+            state.first_caller.get_or_insert(node);
+            if let Some(Cut { moment: Moment::Call(delay), duration }) = self.next(&state, node) {
+                self.begin(&mut state, node, delay, duration);
+            }
+        }
+        if state.first_caller == Some(node) {
+            state.first_call.extend_from_slice(bytes);
+        }
+    }
+
+    /// The next planned partition, unless `node` has been partitioned already.
+    fn next(&self, state: &State, node: usize) -> Option<Cut> {
+        let has_been_cut = state.begun.iter().any(|cut| cut.node == node);
+        self.plan.get(state.begun.len()).copied().filter(|_| !has_been_cut)
+    }
+
+    fn begin(&self, state: &mut State, node: usize, delay: Duration, duration: Duration) {
+        let (partition, journal) = (self.partitions[node].clone(), self.journal.clone());
+        let begin = move || {
+            partition.begin();
+            journal.add(&format!("node {node} is partitioned from the platform"));
+        };
+        match delay.is_zero() {
+            true => begin(),
+            false => drop(thread::spawn(move || {
+                thread::sleep(delay);
+                begin();
+            })),
+        }
+        let end = Instant::now() + delay + duration;
+        state.begun.push(BegunCut { node, end, is_over: false });
+    }
+
+    /// Begins a partition that depends on the lease, and ends those that are due. Returns the nodes
+    /// whose partition ends.
+    pub fn step(&self, platform: &ProcessPlatform) -> Vec<usize> {
+        let mut state = self.state();
+        if let Some(Cut { moment: Moment::Lease(delay), duration }) =
+            self.plan.get(state.begun.len()).copied()
+        {
+            let coordinator = |node: &usize| platform.nodes[*node].log().contains(LEASE_EVENT);
+            if let Some(node) = (0..NODES).find(coordinator) {
+                self.begin(&mut state, node, delay, duration);
+            }
+        }
+        let now = Instant::now();
+        let mut ended = Vec::new();
+        for cut in state.begun.iter_mut().filter(|cut| !cut.is_over && now >= cut.end) {
+            cut.is_over = true;
+            self.journal.add(&format!("the partition of node {} ends", cut.node));
+            self.partitions[cut.node].end();
+            ended.push(cut.node);
+        }
+        ended
+    }
+
+    /// The node whose partition has begun first, once it is active.
+    pub fn first_node(&self) -> Option<usize> {
+        let node = self.state().begun.first()?.node;
+        self.partitions[node].is_active().then_some(node)
+    }
+
+    /// Whether the first partition and all others that have begun are over.
+    pub fn are_over(&self) -> bool {
+        let state = self.state();
+        !state.begun.is_empty() && state.begun.iter().all(|cut| cut.is_over)
+    }
+
+    /// Whether no partition is planned.
+    pub fn is_empty(&self) -> bool {
+        self.plan.is_empty()
+    }
+
+    /// The instance that the first promotion call names.
+    pub fn first_choice(&self) -> Option<String> {
+        let state = self.state();
+        let text = String::from_utf8_lossy(&state.first_call);
+        let (_, behind) = text.split_once(INSTANCE_FIELD)?;
+        behind.split_once('"').map(|(name, _)| name.to_owned())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/processes/late_promotion/instances.rs
@@ -0,0 +1,90 @@
+//! The instances of the group, which crash and return during a run.
+
+use std::time::{Duration, Instant};
+
+use super::cuts::Cuts;
+use crate::processes::ProcessPlatform;
+
+/// Time after which the crashed primary returns once another instance leads.
+const FORMER_PRIMARY_RETURN_DELAY: Duration = Duration::from_millis(300);
+/// Time for which a promoted instance leads before it crashes.
+const SUCCESSOR_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time after which a crashed instance returns if no other one leads.
+const MAX_CRASH_DURATION: Duration = Duration::from_secs(25);
+
+/// Crashes and returns of instances.
+pub struct Instances {
+    choice_falls_behind: bool,
+    crashed: Vec<CrashedInstance>,
+}
+
+struct CrashedInstance {
+    name: String,
+    since: Instant,
+    /// When another instance was first seen to lead.
+    replaced: Option<Instant>,
+    return_delay: Duration,
+}
+
+impl Instances {
+    /// Lets the primary crash.
+    pub fn crash_primary(
+        primary: String,
+        choice_falls_behind: bool,
+        platform: &ProcessPlatform,
+    ) -> Self {
+        let mut instances = Self { choice_falls_behind, crashed: Vec::new() };
+        instances.crash(primary, FORMER_PRIMARY_RETURN_DELAY, platform);
+        instances
+    }
+
+    fn crash(&mut self, name: String, return_delay: Duration, platform: &ProcessPlatform) {
+        platform.group.kill(&name);
+        platform.journal.add(&format!("{name}, the primary, crashes"));
+        let since = Instant::now();
+        self.crashed.push(CrashedInstance { name, since, replaced: None, return_delay });
+    }
+
+    /// Lets instances crash and return that are due.
+    pub fn step(&mut self, platform: &ProcessPlatform, cuts: &Cuts) {
+        self.restart_crashed(platform);
+        if self.choice_falls_behind && !cuts.are_over() {
+            self.let_choice_fall_behind(platform, cuts);
+        }
+    }
+
+    fn restart_crashed(&mut self, platform: &ProcessPlatform) {
+        let primary = platform.group.primary();
+        self.crashed.retain_mut(|crashed| {
+            if primary.is_some() {
+                crashed.replaced.get_or_insert_with(Instant::now);
+            }
+            let is_replaced =
+                crashed.replaced.is_some_and(|at| at.elapsed() >= crashed.return_delay);
+            let returns = is_replaced || crashed.since.elapsed() >= MAX_CRASH_DURATION;
+            if returns {
+                platform.group.restart(&crashed.name);
+                platform.journal.add(&format!("{} returns, {primary:?} leads", crashed.name));
+            }
+            !returns
+        });
+    }
+
+    /// Lets the instance that the first promotion call names miss all further commits, once a
+    /// promotion has taken effect.
+    fn let_choice_fall_behind(&mut self, platform: &ProcessPlatform, cuts: &Cuts) {
+        let completed = platform.promotions.completed();
+        let Some(promotion) = completed.first() else { return };
+        let choice = cuts.first_choice().unwrap_or_else(|| promotion.instance.clone());
+        let leads = promotion.instance == choice;
+        if leads && promotion.at.elapsed() < SUCCESSOR_LIFETIME {
+            return;
+        }
+        self.choice_falls_behind = false;
+        platform.group.set_replication_blocked(&choice, true);
+        platform.journal.add(&format!("{choice} receives nothing any more"));
+        if leads {
+            self.crash(choice, Duration::ZERO, platform);
+        }
+    }
+}
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -151,8 +151,18 @@
 
     /// Waits until a write through a node is acknowledged.
     pub fn wait_until_served(&self, number: usize) -> miette::Result<()> {
+        self.wait_until_served_with(number, || {})
+    }
+
+    /// Like [`Self::wait_until_served`]; calls `step` between the attempts.
+    pub fn wait_until_served_with(
+        &self,
+        number: usize,
+        mut step: impl FnMut(),
+    ) -> miette::Result<()> {
         let node = &self.nodes[number];
         wait(&format!("a write through {} is acknowledged", node.name), || {
+            step();
             let session = LineSession::open(node.client_address, DATABASE, "probe");
             session
                 .and_then(|mut session| session.run("WRITE probe 1"))
--- a/crates/lab/src/processes/node.rs
+++ b/crates/lab/src/processes/node.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -21,6 +21,11 @@
 const READINESS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum attempts to find a port that is free for both TCP and UDP.
 const MAX_PORT_ATTEMPTS: usize = 50;
+/// Maximum number of times that addresses are assigned to a node.
+const MAX_ADDRESS_ATTEMPTS: usize = 5;
+/// Part of the log of a node whose address is taken.
+const ADDRESS_IN_USE: &str = "Address already in use";
+const UNASSIGNED: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Where a node reaches the platform.
 #[derive(Clone, Copy, Debug)]
@@ -39,10 +44,13 @@
     /// Address for clients.
     pub client_address: SocketAddr,
     admin_address: SocketAddr,
+    values: Values,
     settings_path: PathBuf,
     log_path: PathBuf,
     cluster_key: String,
     child: Option<Child>,
+    /// Number of times that addresses were assigned.
+    address_attempts: usize,
 }
 
 /// Path of the program, which cargo builds beside the tests of the workspace.
@@ -62,14 +70,15 @@
 }
 
 /// An address on loopback that is free for TCP and UDP.
-fn free_address() -> io::Result<SocketAddr> {
+fn free_address() -> miette::Result<SocketAddr> {
     for _ in 0..MAX_PORT_ATTEMPTS {
-        let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).into_diagnostic()?;
+        let address = listener.local_addr().into_diagnostic()?;
         if UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
-    Err(io::ErrorKind::AddrInUse.into())
+    Err(miette!("found no port that is free for both TCP and UDP"))
 }
 
 impl NodeProcess {
@@ -81,40 +90,47 @@
         platform: PlatformAddresses,
         cluster_key: &str,
     ) -> miette::Result<Self> {
-        let mut addresses = [(); 3].map(|()| free_address());
-        let [client, admin, peer] = addresses
-            .each_mut()
-            .map(|address| std::mem::replace(address, Err(io::ErrorKind::Other.into())));
-        let (client, admin) = (client.into_diagnostic()?, admin.into_diagnostic()?);
-        let peer = peer.into_diagnostic()?;
         let values = Values::from([
             ("nodeName", name.to_owned()),
             ("zone", zone.to_owned()),
-            ("ip", peer.ip().to_string()),
-            ("internalPorts.0", peer.port().to_string()),
-            ("listen.front", client.to_string()),
-            ("listen.ready", admin.to_string()),
             ("limits.linkMbps", LINK_MBPS.to_string()),
             ("faultTolerance.zones", "0".to_owned()),
             ("bounds.graceS", GRACE_SECONDS.to_string()),
             ("platform.address", platform.store.to_string()),
             ("cloud.address", platform.promotions.to_string()),
         ]);
-        let settings_path = folder.join(format!("{name}.toml"));
-        std::fs::write(&settings_path, fill(TEMPLATE, &values)).into_diagnostic()?;
         let mut node = Self {
             name: name.to_owned(),
-            client_address: client,
-            admin_address: admin,
-            settings_path,
+            client_address: UNASSIGNED,
+            admin_address: UNASSIGNED,
+            values,
+            settings_path: folder.join(format!("{name}.toml")),
             log_path: folder.join(format!("{name}.log")),
             cluster_key: cluster_key.to_owned(),
             child: None,
+            address_attempts: 0,
         };
+        node.assign_addresses()?;
         node.run()?;
         Ok(node)
     }
 
+    /// Chooses addresses that are free and writes the settings. Another process may take them
+    /// before the node does.
+    fn assign_addresses(&mut self) -> miette::Result<()> {
+        self.address_attempts += 1;
+        let (client, admin) = (free_address()?, free_address()?);
+        let peer = free_address()?;
+        self.values.extend([
+            ("ip", peer.ip().to_string()),
+            ("internalPorts.0", peer.port().to_string()),
+            ("listen.front", client.to_string()),
+            ("listen.ready", admin.to_string()),
+        ]);
+        (self.client_address, self.admin_address) = (client, admin);
+        std::fs::write(&self.settings_path, fill(TEMPLATE, &self.values)).into_diagnostic()
+    }
+
     /// Starts the process with the settings that were written for it.
     pub fn run(&mut self) -> miette::Result<()> {
         let program = program()?;
@@ -140,12 +156,19 @@
         self.child.is_some()
     }
 
-    /// Whether the node reports that it is ready. Fails if its process has ended by itself.
+    /// Whether the node reports that it is ready. Fails if its process has ended by itself; one
+    /// whose addresses were taken is started again with other ones.
     pub fn is_ready(&mut self) -> miette::Result<bool> {
         let child = self.child.as_mut();
         let child = child.ok_or_else(|| miette!("{} is not started", self.name))?;
         if let Some(status) = child.try_wait().into_diagnostic()? {
-            return Err(miette!("{} has ended, {status}: {}", self.name, self.log()));
+            let log = self.log();
+            if !log.contains(ADDRESS_IN_USE) || self.address_attempts >= MAX_ADDRESS_ATTEMPTS {
+                return Err(miette!("{} has ended, {status}: {log}", self.name));
+            }
+            self.assign_addresses()?;
+            self.run()?;
+            return Ok(false);
         }
         Ok(ask_readiness(self.admin_address).unwrap_or(false))
     }
--- a/crates/lab/src/processes/writers.rs
+++ b/crates/lab/src/processes/writers.rs
@@ -59,7 +59,8 @@
     }
 }
 
-/// Clients that write until this value is dropped, one through each node.
+/// Clients that write until this value is dropped. Each begins at another node, and goes on to the
+/// next one if it cannot open a session.
 pub struct Writers {
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
@@ -69,11 +70,12 @@
     /// Starts a client for each of `addresses`.
     pub fn start(addresses: &[SocketAddr], database: &str) -> Self {
         let shared = Arc::new(Shared::default());
-        let threads = addresses.iter().enumerate().map(|(node, address)| {
+        let threads = (0..addresses.len()).map(|number| {
             let mut client = Client {
                 shared: shared.clone(),
-                node,
-                address: *address,
+                number,
+                addresses: addresses.to_vec(),
+                node: number,
                 database: database.to_owned(),
                 session: None,
                 sessions: 0,
@@ -102,8 +104,10 @@
 
 struct Client {
     shared: Arc<Shared>,
+    number: usize,
+    addresses: Vec<SocketAddr>,
+    /// Number of the node that it uses.
     node: usize,
-    address: SocketAddr,
     database: String,
     session: Option<LineSession>,
     /// Number of sessions opened so far.
@@ -128,18 +132,24 @@
     fn write(&mut self) -> Option<String> {
         let mut session = match self.session.take() {
             Some(session) => session,
-            None => self.open()?,
+            None => match self.open() {
+                Some(session) => session,
+                None => {
+                    self.node = (self.node + 1) % self.addresses.len();
+                    return None;
+                }
+            },
         };
         let id = session.next_statement_id();
-        let answer = session.run(&format!("WRITE thing{} {id}", self.node)).ok()?;
+        let answer = session.run(&format!("WRITE thing{} {id}", self.number)).ok()?;
         self.session = Some(session);
         answer.is_success().then_some(id)
     }
 
     fn open(&mut self) -> Option<LineSession> {
         self.sessions += 1;
-        let name = format!("n{}s{}", self.node, self.sessions);
-        let stream = TcpStream::connect(self.address).ok()?;
+        let name = format!("c{}s{}", self.number, self.sessions);
+        let stream = TcpStream::connect(self.addresses[self.node]).ok()?;
         LineSession::open_on(stream, ANSWER_TIMEOUT, &self.database, &name).ok()
     }
 }
