Wait for the end of an earlier coordinator's promotions before sending one

Callers lost acknowledged commits, and the platform saw a lower fence after a higher one: a promotion of a coordinator that was suspended behind a partition arrived after its successor's.

Cause: a coordinator took the end of its predecessor's lease for the end of the calls that were sent under it. The intent says that a promotion may have been sent (`promoting`), but the successor then sent its own without evidence about the earlier call. The platform executes a promotion whenever it arrives.

Change: the intent names each process that may have a promotion open (node, process, fencing token), recorded before the process sends one. A later coordinator sends none until it has evidence for each: a process of that node answers that no such call is open, that none will begin with that token, and that an unanswered one has had time to take effect; or the node refuses connections for 2.5 s, so the process has ended. Without evidence it goes on after 30 s, or at once where `accept_commit_loss` is set, so that a machine that is gone for good does not leave the group without a primary. A process has one promotion of a group open at a time. Callers that have not ended when a replacement finishes are kept beside the successor. Log: `attempt` has the fence and the callers; `promotion_call_query`, `promotion_calls_ended`, `waiting_for_promotion_calls`, `promotion_calls_unconfirmed`; gauge `replacements_waiting_for_calls`. Links between nodes: version 9.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -23,6 +23,7 @@
 
 pub use log_evidence::MissingLogs;
 
+use super::open_calls::{OpenCalls, PromotionCaller, UNKNOWN_PROCESS};
 use super::{
     Command, Intent, Member, Members, Need, Phase, Reason, ReplacementId, Successor, Timing,
 };
@@ -58,6 +59,12 @@
     /// Number of promotions that this coordinator or an earlier one has sent and the platform has
     /// not refused. Each may still take effect.
     sent_promotions: u32,
+    /// Number of the coordinator's process.
+    process: u64,
+    /// Promotions of earlier coordinators that may still arrive.
+    open_calls: OpenCalls,
+    /// Whether this coordinator has sent a promotion whose call has not ended.
+    is_own_call_open: bool,
     still_needed: bool,
     /// Highest term seen.
     highest_term: Term,
@@ -132,6 +139,7 @@
             has_begun: earlier_attempt_stopped,
             may_have_promoted: promoting,
             awaits_log,
+            callers,
             ..
         } = need.clone();
         let last_primary_is_replica = need.last_primary_is_replica;
@@ -150,6 +158,7 @@
                 called_off: false,
                 promoting,
                 awaits_log,
+                callers: callers.clone(),
             },
             last_primary_is_replica,
             incarnations: KnownIncarnations::default(),
@@ -164,6 +173,9 @@
             submitted: None,
             recorded: None,
             sent_promotions: u32::from(promoting),
+            process: UNKNOWN_PROCESS,
+            open_calls: OpenCalls::new(callers),
+            is_own_call_open: false,
             still_needed: true,
             highest_term,
             stop_term: Term(highest_term.0 + 1),
@@ -184,6 +196,41 @@
         }
     }
 
+    /// Sets the number of the process that runs the attempt, by which a later coordinator
+    /// distinguishes it from other processes of the same node.
+    pub fn in_process(mut self, process: u64) -> Self {
+        self.process = process;
+        // The coordinator sends one promotion of a group at a time.
+        let own = self.own_caller();
+        self.open_calls.on_ended(&own);
+        self
+    }
+
+    /// The process that runs the attempt, as a caller of the platform.
+    fn own_caller(&self) -> PromotionCaller {
+        let (node, fence) = (self.intent.holder.clone(), self.intent.id.fence);
+        PromotionCaller { node, process: self.process, fence }
+    }
+
+    /// Earlier callers whose promotions may still arrive. The attempt sends no promotion while there
+    /// are any.
+    pub fn open_callers(&self) -> &[PromotionCaller] {
+        self.open_calls.callers()
+    }
+
+    /// The processes whose promotions may still arrive once the attempt has finished. The next
+    /// attempt on the group has to know them.
+    pub fn callers_at_end(&self) -> Vec<PromotionCaller> {
+        let own = self.is_own_call_open.then(|| self.own_caller());
+        self.open_calls.callers().iter().cloned().chain(own).collect()
+    }
+
+    /// Earlier callers for which the attempt has stopped waiting without evidence that their calls
+    /// have ended.
+    pub fn unconfirmed_callers(&self) -> &[PromotionCaller] {
+        self.open_calls.given_up()
+    }
+
     /// Which replacement the attempt belongs to.
     pub fn id(&self) -> ReplacementId {
         self.intent.id
@@ -240,6 +287,9 @@
     /// carry out.
     pub fn step(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
+        if self.recorded.is_some() && self.phase != Phase::Over {
+            self.open_calls.step(&self.timing, now, &mut commands);
+        }
         loop {
             let before = self.phase;
             self.advance(now, &mut commands);
@@ -310,6 +360,22 @@
         self.stop_check_since = None;
     }
 
+    /// Records that this process may send a promotion from now on.
+    fn record_promoting(&mut self, commands: &mut Vec<Command>) {
+        let own = self.own_caller();
+        self.intent.promoting = true;
+        self.intent.callers = self.open_calls.callers().to_vec();
+        self.intent.callers.push(own);
+        self.record_intent(commands);
+    }
+
+    /// Whether the store shows that this process may send a promotion.
+    fn is_promoting_recorded(&self) -> bool {
+        let own = self.own_caller();
+        let is_recorded = |recorded: &Intent| recorded.promoting && recorded.callers.contains(&own);
+        self.recorded.as_ref().is_some_and(is_recorded)
+    }
+
     /// Submits the intent to the store, unless it was submitted in this form already.
     fn record_intent(&mut self, commands: &mut Vec<Command>) {
         if self.submitted.as_ref() != Some(&self.intent) {
--- a/crates/core/src/promotion/attempt/events.rs
+++ b/crates/core/src/promotion/attempt/events.rs
@@ -33,7 +33,11 @@
                 self.displaced.insert(instance.clone());
                 self.on_not_running(instance, sent);
             }
-            Event::Promoted { instance, answer } => self.on_promoted(&instance, answer, now),
+            Event::Promoted { instance, answer } => {
+                self.is_own_call_open = false;
+                self.on_promoted(&instance, answer, now);
+            }
+            Event::CallsEnded(caller) => self.open_calls.on_ended(&caller),
             Event::Members(members) => {
                 let primaries = claimed_primaries(&members, self.old_primary());
                 self.other_primaries.outdated.retain(|name| primaries.contains(name));
@@ -62,7 +66,10 @@
             Event::AcknowledgedPosition(position) => {
                 self.log_evidence.on_acknowledged_position(position)
             }
-            Event::CommitLossAccepted => self.log_evidence.on_commit_loss_accepted(),
+            Event::CommitLossAccepted => {
+                self.log_evidence.on_commit_loss_accepted();
+                self.open_calls.discard();
+            }
             Event::EvidenceRevoked => self.evidence_revoked = true,
             Event::StillNeeded(still_needed) => self.still_needed = still_needed,
         }
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -69,8 +69,7 @@
         } else if !self.is_log_wait_pending() {
             self.set_stopped_since(Some(now));
             self.phase = Phase::Lapsing { since: now };
-            self.intent.promoting = true;
-            self.record_intent(commands);
+            self.record_promoting(commands);
             self.has_current_incarnations(now, commands);
             // Query the old primary at once: if it refuses connections now, there is no need to
             // wait.
@@ -115,7 +114,12 @@
             return;
         }
         // The next coordinator has to know that a promoted instance may have been primary.
-        if !self.recorded.as_ref().is_some_and(|recorded| recorded.promoting) {
+        if !self.is_promoting_recorded() {
+            return;
+        }
+        // The queries below have to be newer than the last promotion that may have taken effect.
+        if !self.open_calls.callers().is_empty() {
+            self.stop_check_since = None;
             return;
         }
         if !self.has_current_incarnations(now, commands) {
@@ -175,6 +179,7 @@
         self.demote_old_primary(now, commands);
         self.phase = Phase::Promoting { again: now + self.timing.announcement_timeout };
         self.sent_promotions += 1;
+        self.is_own_call_open = true;
         commands.push(Command::Promote(chosen));
     }
 
--- a/crates/core/src/promotion/attempt/settling.rs
+++ b/crates/core/src/promotion/attempt/settling.rs
@@ -85,6 +85,7 @@
         {
             self.intent.called_off = true;
             self.intent.promoting = false;
+            self.intent.callers.clear();
             self.record_intent(commands);
             is_write_pending = self.is_write_pending();
         }
--- a/crates/core/src/promotion/coordination.rs
+++ b/crates/core/src/promotion/coordination.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Intent;
+use super::{Intent, PromotionCaller};
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::position::Term;
 use crate::store_era::StoreEra;
@@ -55,6 +55,9 @@
     pub votes: BTreeMap<NodeName, NodeVotes>,
     /// The most recently promoted instance of each group.
     pub promoted: BTreeMap<GroupName, Successor>,
+    /// For groups without an intent: processes whose promotions may not have ended when the last
+    /// replacement finished.
+    pub open_callers: BTreeMap<GroupName, Vec<PromotionCaller>>,
     /// Nodes that have registered themselves in the store.
     pub nodes: Vec<NodeName>,
 }
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -17,8 +17,9 @@
 //! 5. *Check*: the replicas confirm again that they are stopped, since a restarted replica is no
 //!    longer stopped. The coordinator also reads from the store which of them were restarted and so
 //!    have lost their logs, since its own copy of the store may be stale.
-//! 6. *Promote*: have the platform promote the replica with the highest position, and repeat the
-//!    request until the platform shows a new primary.
+//! 6. *Promote*, once no promotion of an earlier coordinator can arrive any more (`open_calls`):
+//!    have the platform promote the replica with the highest position, and repeat the request until
+//!    the platform shows a new primary.
 //! 7. *Settle*: demote the old primary, then release the other replicas, then remove the record.
 //!
 //! An attempt can be cancelled until the promotion is sent. From then on it has to be completed, by
@@ -28,12 +29,15 @@
 mod attempt;
 mod coordination;
 mod electorate;
+mod ended_processes;
 mod known_group;
 mod known_instances;
 mod known_replacements;
 mod log_coverage;
 mod members;
 mod needs;
+mod open_calls;
+mod own_calls;
 mod peer_votes;
 mod refill;
 mod restart_reports;
@@ -45,11 +49,14 @@
 pub use attempt::{Attempt, MissingLogs};
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
+pub use ended_processes::{ProbeResult, ProcessProbes};
 pub use known_group::AnsweredPositions;
 pub use known_instances::KnownInstances;
 pub use known_replacements::{KnownReplacements, NOTIFY_INTERVAL};
 pub use members::{Member, Members};
 pub use needs::{Need, NeedsEvaluator, NeedsInput};
+pub use open_calls::{PROMOTION_SETTLE_TIME, PromotionCaller, UNKNOWN_PROCESS};
+pub use own_calls::OwnCalls;
 pub use peer_votes::{PEER_VOTE_VALIDITY, PeerVotes};
 pub use restart_reports::{
     CombinedReport, LogHolder, ObservedRestart, ReportingNodes, RestartReport, RestartReports,
@@ -119,6 +126,22 @@
     /// acknowledged commits. A coordinator that has no history of the group waits as well.
     #[serde(default)]
     pub awaits_log: bool,
+    /// Processes that may have sent promotions of this group which have not ended. Each is recorded
+    /// before it sends one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub callers: Vec<PromotionCaller>,
+}
+
+impl Intent {
+    /// The processes that may have sent promotions which have not ended.
+    pub fn open_callers(&self) -> Vec<PromotionCaller> {
+        if !self.promoting || !self.callers.is_empty() {
+            return self.callers.clone();
+        }
+        // A node of an earlier version wrote the intent.
+        let (node, fence) = (self.holder.clone(), self.id.fence);
+        vec![PromotionCaller { node, process: UNKNOWN_PROCESS, fence }]
+    }
 }
 
 /// The active intents: those of attempts that have not been cancelled.
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use super::{CoordinationView, NodeVotes, Reason};
+use super::{CoordinationView, NodeVotes, PromotionCaller, Reason};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::routing::Role;
@@ -39,6 +39,8 @@
     pub awaits_log: bool,
     /// Whether the last primary is still reported by the platform and is a replica now.
     pub last_primary_is_replica: bool,
+    /// Processes whose promotions of this group may not have ended.
+    pub callers: Vec<PromotionCaller>,
 }
 
 impl Need {
@@ -185,6 +187,7 @@
             may_have_promoted: intent.promoting,
             awaits_log: intent.awaits_log,
             last_primary_is_replica: last_primary_is_replica(group, history),
+            callers: intent.open_callers(),
         }),
         (None, Some(_)) if is_delayed => None,
         (None, current) => current,
@@ -209,6 +212,7 @@
             may_have_promoted,
             awaits_log,
             last_primary_is_replica,
+            callers: open_callers(name, input.view),
         })
     };
     let intent = input.view.intents.get(name);
@@ -231,6 +235,11 @@
     }
 }
 
+/// Processes whose promotions may not have ended when the group's last replacement finished.
+fn open_callers(group: &GroupName, view: &CoordinationView) -> Vec<PromotionCaller> {
+    view.open_callers.get(group).cloned().unwrap_or_default()
+}
+
 /// Whether the platform reports the last primary that this node knows as a replica. It has then
 /// stepped down, and has every commit that it acknowledged.
 fn last_primary_is_replica(group: &Group, history: &History) -> bool {
--- /dev/null
+++ b/crates/core/src/promotion/open_calls.rs
@@ -0,0 +1,88 @@
+//! Promotion calls of earlier coordinators that may still reach the platform.
+//!
+//! The platform executes a promotion whenever it arrives, whatever its fencing token. A call may
+//! arrive long after its coordinator lease has ended: a partition holds it up, or its sender is
+//! suspended. Taking effect after the promotion of a later coordinator, it would make an instance
+//! primary that lacks acknowledged commits. So the end of a lease does not count as the end of the
+//! calls that were sent under it, and a later coordinator sends no promotion until it has evidence
+//! for each earlier process that may have a call open: that process reports that its calls have
+//! ended, or it has ended itself, which resets its connections.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Command, Timing};
+use crate::ids::NodeName;
+
+/// Time within which a promotion that has reached the platform takes effect.
+pub const PROMOTION_SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Number of a process that is not known.
+pub const UNKNOWN_PROCESS: u64 = 0;
+
+/// A process that may have promotion calls open.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PromotionCaller {
+    /// Its node.
+    pub node: NodeName,
+    /// Number of the process among those of its node, or [`UNKNOWN_PROCESS`].
+    pub process: u64,
+    /// The fencing token with which it sends promotions.
+    pub fence: u64,
+}
+
+/// The callers of which an attempt does not know yet that their calls have ended.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OpenCalls {
+    callers: Vec<PromotionCaller>,
+    /// When the attempt began to query them.
+    since: Option<Instant>,
+    last_query: Option<Instant>,
+    /// Callers without evidence, once the attempt has stopped waiting for it.
+    given_up: Vec<PromotionCaller>,
+}
+
+impl OpenCalls {
+    /// The open calls when an attempt begins.
+    pub fn new(callers: Vec<PromotionCaller>) -> Self {
+        Self { callers, ..Self::default() }
+    }
+
+    /// The callers whose calls may still arrive.
+    pub fn callers(&self) -> &[PromotionCaller] {
+        &self.callers
+    }
+
+    /// The callers that the attempt has waited for without evidence.
+    pub fn given_up(&self) -> &[PromotionCaller] {
+        &self.given_up
+    }
+
+    /// There is evidence that the calls of `caller` have ended.
+    pub fn on_ended(&mut self, caller: &PromotionCaller) {
+        self.callers.retain(|open| open != caller);
+    }
+
+    /// Stops waiting for evidence. The operator may accept that a late call loses commits.
+    pub fn discard(&mut self) {
+        self.given_up.append(&mut self.callers);
+    }
+
+    /// Queries the callers, and stops waiting once `Timing::open_call_timeout` has passed without
+    /// evidence: the machine of a caller may be gone for good.
+    pub fn step(&mut self, timing: &Timing, now: Instant, commands: &mut Vec<Command>) {
+        if self.callers.is_empty() {
+            return;
+        }
+        let since = *self.since.get_or_insert(now);
+        if now >= since + timing.open_call_timeout {
+            self.discard();
+            return;
+        }
+        if self.last_query.is_none_or(|last_query| now >= last_query + timing.retry_interval) {
+            self.last_query = Some(now);
+            commands.extend(self.callers.iter().cloned().map(Command::QueryCaller));
+        }
+    }
+}
--- a/crates/core/src/promotion/steps.rs
+++ b/crates/core/src/promotion/steps.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use super::{
-    CombinedReport, Intent, LogHolder, Members, ObservedRestart, PromotionAnswer, ReplacementId,
-    ReplicationStatus, Successor,
+    CombinedReport, Intent, LogHolder, Members, ObservedRestart, PromotionAnswer, PromotionCaller,
+    ReplacementId, ReplicationStatus, Successor,
 };
 use crate::ids::InstanceName;
 use crate::incarnation::InstanceIncarnation;
@@ -79,6 +79,9 @@
     },
     /// Release a replica: it accepts replication again.
     Release(InstanceName),
+    /// Ask an earlier caller whether its promotion calls have ended, and have it send no more of
+    /// them. Answered with [`Event::CallsEnded`].
+    QueryCaller(PromotionCaller),
     /// Have the platform promote an instance.
     Promote(InstanceName),
     /// Write the successor to the store, so that nodes use it while the old primary still reports
@@ -139,6 +142,9 @@
         /// The answer.
         answer: PromotionAnswer,
     },
+    /// The promotion calls of an earlier caller have ended: each has reached the platform, or never
+    /// will.
+    CallsEnded(PromotionCaller),
     /// The instances as the platform reports them now.
     Members(Members),
     /// A replica confirmed that it has been released.
--- a/crates/core/src/promotion/store_eras.rs
+++ b/crates/core/src/promotion/store_eras.rs
@@ -9,14 +9,13 @@
 
 use std::time::{Duration, Instant};
 
+use super::open_calls::PROMOTION_SETTLE_TIME;
 use crate::store_era::StoreEra;
 
 /// How long the coordinator lease is valid after its last renewal.
 pub const COORDINATOR_LEASE_DURATION: Duration = Duration::from_secs(3);
 /// Time after a restore within which the instances write their reports to the store again.
 const INSTANCE_REPORT_TIME: Duration = Duration::from_secs(2);
-/// Time within which a promotion that was sent at the end of a lease is answered and takes effect.
-const PROMOTION_SETTLE_TIME: Duration = Duration::from_secs(1);
 
 /// The store's era as one node has observed it.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/promotion/timing.rs
+++ b/crates/core/src/promotion/timing.rs
@@ -22,6 +22,11 @@
     pub store_retry_interval: Duration,
     /// How long to wait for a successor before the promotion is sent again.
     pub announcement_timeout: Duration,
+    /// How long an attempt waits for evidence that the promotion calls of earlier coordinators have
+    /// ended. Longer than partitions and suspensions of a process usually last, since a call that
+    /// arrives after that loses commits; bounded, since the machine of a caller may be gone for
+    /// good.
+    pub open_call_timeout: Duration,
     /// Time after which an attempt that cannot stop enough replicas is cancelled, if the
     /// replacement is planned or the old primary answers: the old primary then works, apart from
     /// the stopped replicas.
@@ -49,6 +54,7 @@
             retry_interval: Duration::from_millis(50),
             store_retry_interval: Duration::from_millis(100),
             announcement_timeout: Duration::from_millis(1_500),
+            open_call_timeout: Duration::from_secs(30),
             stopping_timeout: Duration::from_millis(300),
             primary_return_timeout: Duration::from_secs(10),
             demotion_timeout: Duration::from_millis(1_500),
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -20,6 +20,7 @@
         called_off: false,
         promoting: false,
         awaits_log: false,
+        callers: Vec::new(),
     }
 }
 
--- a/crates/core/tests/promotion/main.rs
+++ b/crates/core/tests/promotion/main.rs
@@ -3,6 +3,7 @@
 mod ended_replicas;
 mod lost_logs;
 mod old_primaries;
+mod open_calls;
 mod sent_promotions;
 mod steps;
 mod support;
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -54,6 +54,7 @@
         may_have_promoted,
         awaits_log,
         last_primary_is_replica,
+        callers: Vec::new(),
     }
 }
 
--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -221,8 +221,9 @@
         state.intent_recorded_at = None;
         state.notified_at = None;
         let id = ReplacementId { fence: state.fence, attempt: state.attempts_started };
-        let own_name = node_name(node);
-        state.attempt = Some(Attempt::new(own_name, id, need, members, highest, timing));
+        let (own_name, process) = (node_name(node), own.process);
+        let attempt = Attempt::new(own_name, id, need, members, highest, timing);
+        state.attempt = Some(attempt.in_process(process));
     }
 
     fn timing(&self) -> Timing {
@@ -288,6 +289,7 @@
                 self.call(node, fence, Operation::Finish(*id, successor.clone()));
             }
             Command::ReadIncarnations => self.call(node, fence, Operation::ReadIncarnations),
+            Command::QueryCaller(caller) => self.query_caller(node, caller.clone()),
             Command::Promote(instance) => self.promote(node, fence, instance),
             Command::QueryStatus(instance)
             | Command::Stop { instance, .. }
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -20,6 +20,7 @@
 mod messages;
 mod node;
 mod old_primaries;
+mod open_calls;
 mod partitions;
 mod plan;
 mod refills;
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -226,6 +226,7 @@
                 .map(|successor| (group_name(), successor))
                 .into_iter()
                 .collect(),
+            open_callers: BTreeMap::new(),
             nodes: self.nodes.clone(),
         }
     }
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -13,9 +13,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, KnownInstances, Need, Phase, ReplacementId, Successor, Timing,
+    Attempt, Command, Event, KnownInstances, Need, Phase, ProbeResult, ProcessProbes,
+    PromotionCaller, ReplacementId, Successor, Timing,
 };
 use kestrellock_core::store_access::Refusal;
 use kestrellock_core::store_era::StoreEra;
@@ -24,7 +25,8 @@
 use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
-use super::executor::{Executor, Report};
+use super::call_wait::CallWait;
+use super::executor::{Executor, FinishedReplacement, Report};
 use super::log_wait::LogWait;
 use super::reporting_nodes::nodes_to_report;
 use super::store_calls::refusal_of;
@@ -89,6 +91,36 @@
     recorded: Option<Instant>,
     phase: Phase,
     log_wait: LogWait,
+    call_wait: CallWait,
+}
+
+/// What shows that the promotions of an earlier caller have ended.
+#[derive(Clone, Copy, Debug)]
+enum CallsEndedEvidence {
+    /// A process of the caller's node answered.
+    Answer,
+    /// The caller's node runs no process.
+    ProcessEnded,
+}
+
+impl RunningAttempt {
+    /// The promotions of an earlier caller have ended.
+    fn on_calls_ended(
+        &mut self,
+        group: &GroupName,
+        caller: PromotionCaller,
+        evidence: CallsEndedEvidence,
+        now: Instant,
+    ) {
+        log::info!(
+            event = "promotion_calls_ended",
+            group = group.as_str(),
+            caller:? = caller,
+            evidence:? = evidence;
+            "promotions of an earlier coordinator have ended"
+        );
+        self.attempt.on_event(Event::CallsEnded(caller), now);
+    }
 }
 
 struct CoordinatorThread<'a> {
@@ -107,6 +139,8 @@
     attempts_started: u32,
     /// When the last attempt of each group ended, to ignore needs that were computed before.
     ended: BTreeMap<GroupName, Instant>,
+    /// Probes of nodes whose earlier processes may have promotions open.
+    process_probes: ProcessProbes,
 }
 
 /// Why the thread stopped acting under a lease.
@@ -131,6 +165,7 @@
     while let Some(lease) = acquired {
         let ending = run_under_lease(lease, context, services, input, stop);
         context.metrics.replacements_waiting_for_log.set(0);
+        context.metrics.replacements_waiting_for_calls.set(0);
         context.replacements.on_coordinator_lease_ended();
         acquired = match ending {
             Ending::Done => None,
@@ -206,7 +241,7 @@
     let coordination = services.coordination.clone();
     log::info!(event = "hold_taken", fence = lease.fence; "this node is the coordinator and may replace primaries");
     let era = StoreEra::of(lease.fence);
-    let (executor, reports) = Executor::start(services.clone());
+    let (executor, reports) = Executor::start(services.clone(), context.promotion_calls.clone());
     let mut coordinator = CoordinatorThread {
         context,
         input,
@@ -219,6 +254,7 @@
         attempts: BTreeMap::new(),
         attempts_started: 0,
         ended: BTreeMap::new(),
+        process_probes: ProcessProbes::default(),
     };
     let mut idle_since = Instant::now();
     loop {
@@ -273,6 +309,7 @@
                     running.attempt.on_event(event, now);
                 }
             }
+            Report::Probed(node, result) => self.on_probed(&node, result, now),
             Report::Installed => {}
             Report::Finished(group) => {
                 self.announce_end(&group);
@@ -326,12 +363,57 @@
                 self.start_attempt(group, need, &input.known, now);
             }
         }
+        self.take_ended_calls(now);
         let groups: Vec<GroupName> = self.attempts.keys().cloned().collect();
         for group in groups {
             self.step_group(&group, &input, now);
         }
         let waiting = self.attempts.values().filter(|running| running.log_wait.is_reported());
         self.context.metrics.replacements_waiting_for_log.set(waiting.count() as i64);
+        let waiting = self.attempts.values().filter(|running| running.call_wait.is_reported());
+        self.context.metrics.replacements_waiting_for_calls.set(waiting.count() as i64);
+    }
+
+    /// Passes on which earlier callers have answered that their promotions have ended.
+    fn take_ended_calls(&mut self, now: Instant) {
+        for (group, caller) in self.context.promotion_calls.take_ended() {
+            if let Some(running) = self.attempts.get_mut(&group) {
+                running.on_calls_ended(&group, caller, CallsEndedEvidence::Answer, now);
+            }
+        }
+    }
+
+    /// Handles the result of a probe: if the node runs no process, its earlier promotions have
+    /// ended.
+    fn on_probed(&mut self, node: &NodeName, result: ProbeResult, now: Instant) {
+        if !self.process_probes.on_result(node, result, now) {
+            return;
+        }
+        for (group, running) in &mut self.attempts {
+            let callers = running.attempt.open_callers().iter();
+            let ended: Vec<_> = callers.filter(|caller| caller.node == *node).cloned().collect();
+            for caller in ended {
+                running.on_calls_ended(group, caller, CallsEndedEvidence::ProcessEnded, now);
+            }
+        }
+    }
+
+    /// Finds out whether the promotions of an earlier caller have ended.
+    fn query_caller(&mut self, group: &GroupName, caller: PromotionCaller, now: Instant) {
+        let (identity, calls) = (&self.context.identity, &self.context.promotion_calls);
+        if caller.node == identity.node {
+            let has_ended = calls.confirm_ended(group, &caller, now);
+            if let (true, Some(running)) = (has_ended, self.attempts.get_mut(group)) {
+                running.on_calls_ended(group, caller, CallsEndedEvidence::Answer, now);
+            }
+            return;
+        }
+        if let Some(address) = self.context.peer_address(&caller.node)
+            && self.process_probes.is_due(&caller.node, now)
+        {
+            self.executor.probe(caller.node.clone(), address);
+        }
+        calls.query(group, caller);
     }
 
     fn start_attempt(
@@ -350,8 +432,19 @@
             known.members(group),
             highest,
             Timing::default(),
+        )
+        .in_process(self.context.identity.incarnation);
+        log::info!(
+            event = "attempt",
+            group = group.as_str(),
+            reason:? = need.reason,
+            former:? = need.old_primary,
+            term = highest.0,
+            fence = self.lease.fence,
+            may_have_promoted = need.may_have_promoted,
+            callers:? = need.callers;
+            "a primary is to be replaced"
         );
-        log::info!(event = "attempt", group = group.as_str(), reason:? = need.reason, former:? = need.old_primary, term = highest.0; "a primary is to be replaced");
         let phase = attempt.phase();
         let running = RunningAttempt {
             attempt,
@@ -361,6 +454,7 @@
             recorded: None,
             phase,
             log_wait: LogWait::default(),
+            call_wait: CallWait::default(),
         };
         self.attempts.insert(group.clone(), running);
     }
@@ -382,6 +476,7 @@
             commands.extend(running.retry.take().map(|(_, command)| command));
         }
         running.log_wait.observe(group, running.attempt.missing_logs(), now);
+        running.call_wait.observe(group, &running.attempt, now);
         if running.phase != running.attempt.phase() {
             running.phase = running.attempt.phase();
             let after = now.saturating_duration_since(running.started).as_millis() as u64;
@@ -427,6 +522,7 @@
             Command::Release(instance) => {
                 self.send_command(group, &instance, InstanceCommand::Release, known)
             }
+            Command::QueryCaller(caller) => self.query_caller(group, caller, now),
             Command::Promote(instance) => {
                 if now + MIN_LEASE_FOR_PROMOTION < self.lease.valid_until {
                     let coordinator = self.context.identity.node.clone();
@@ -442,7 +538,12 @@
             }
             Command::Finish { id, ref successor } => {
                 self.log_end(group, successor.as_ref(), now);
-                self.executor.finish(&self.lease, group.clone(), id, successor.clone());
+                let running = self.attempts.get(group);
+                let open_callers =
+                    running.map(|running| running.attempt.callers_at_end()).unwrap_or_default();
+                let finished =
+                    FinishedReplacement { id, successor: successor.clone(), open_callers };
+                self.executor.finish(&self.lease, group.clone(), finished);
                 self.keep_pending(group, command);
             }
         }
--- a/crates/daemon/src/agent/promotion/counted_coordination.rs
+++ b/crates/daemon/src/agent/promotion/counted_coordination.rs
@@ -6,7 +6,9 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
-use kestrellock_core::promotion::{CoordinationView, Intent, NodeVotes, ReplacementId, Successor};
+use kestrellock_core::promotion::{
+    CoordinationView, Intent, NodeVotes, PromotionCaller, ReplacementId, Successor,
+};
 use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 use kestrellock_store::call_counts::CallCounts;
@@ -130,8 +132,9 @@
         group: &GroupName,
         id: ReplacementId,
         successor: Option<&Successor>,
+        open_callers: &[PromotionCaller],
     ) -> Result<bool, StoreError> {
-        let outcome = self.inner.finish_replacement(lease, group, id, successor);
+        let outcome = self.inner.finish_replacement(lease, group, id, successor, open_callers);
         self.count(StorePurpose::Replacement, outcome)
     }
 }
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -7,18 +7,23 @@
 //! attempt sends its commands again until the instance has answered.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Instant;
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    Event, Intent, PromotionAnswer, ReplacementId, ReplicationStatus, Successor,
+    Event, Intent, ProbeResult, PromotionAnswer, PromotionCaller, ReplacementId, ReplicationStatus,
+    Successor,
 };
 use kestrellock_store::control::{ControlError, ControlTarget, InstanceCommand};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
 
 use super::ReplacementServices;
+use super::process_probes::probe;
+use crate::shared::promotion_calls::PromotionCalls;
 
 /// Result of a command, or an event that follows from it.
 #[derive(Debug)]
@@ -27,6 +32,8 @@
     Event(GroupName, Event),
     /// The successor was recorded, or will be recorded when its attempt ends.
     Installed,
+    /// A node was probed for a process.
+    Probed(NodeName, ProbeResult),
     /// The intent of a group's attempt was removed from the store.
     Finished(GroupName),
     /// A change of the store failed and has to be retried.
@@ -38,18 +45,30 @@
     LeaseOver,
 }
 
+/// A replacement that has finished.
+#[derive(Debug)]
+pub struct FinishedReplacement {
+    /// Which replacement it was.
+    pub id: ReplacementId,
+    /// The new primary, if an instance was promoted.
+    pub successor: Option<Successor>,
+    /// Processes whose promotions may still arrive.
+    pub open_callers: Vec<PromotionCaller>,
+}
+
 /// A change of the store.
 #[derive(Debug)]
 enum StoreCommand {
     Record(CoordinatorLease, GroupName, Intent),
     Install(CoordinatorLease, GroupName, InstanceName),
-    Finish(CoordinatorLease, GroupName, ReplacementId, Option<Successor>),
+    Finish(CoordinatorLease, GroupName, FinishedReplacement),
     Renew(CoordinatorLease),
 }
 
 /// Sends commands to the threads that execute them.
 pub struct Executor {
     services: ReplacementServices,
+    promotion_calls: Arc<PromotionCalls>,
     reports: Sender<Report>,
     instances: HashMap<InstanceName, Sender<(ControlTarget, InstanceCommand)>>,
     store: Sender<StoreCommand>,
@@ -57,7 +76,10 @@
 
 impl Executor {
     /// Starts the thread for the store; the thread of an instance starts with its first command.
-    pub fn start(services: ReplacementServices) -> (Self, Receiver<Report>) {
+    pub fn start(
+        services: ReplacementServices,
+        promotion_calls: Arc<PromotionCalls>,
+    ) -> (Self, Receiver<Report>) {
         let (reports, report_receiver) = unbounded();
         let (store, commands) = bounded(64);
         let coordination = services.coordination.clone();
@@ -70,7 +92,8 @@
                 }
             }
         });
-        let executor = Self { services, reports, instances: HashMap::new(), store };
+        let instances = HashMap::new();
+        let executor = Self { services, promotion_calls, reports, instances, store };
         (executor, report_receiver)
     }
 
@@ -98,7 +121,7 @@
         let _ = sender.try_send((target, command));
     }
 
-    /// Asks the platform to promote an instance.
+    /// Asks the platform to promote an instance, unless an earlier promotion of the group is open.
     pub fn promote(
         &self,
         group: GroupName,
@@ -107,15 +130,20 @@
         lease: &CoordinatorLease,
     ) {
         let promotions = self.services.promotions.clone();
+        let calls = self.promotion_calls.clone();
         let (reports, fence) = (self.reports.clone(), lease.fence);
         let until = lease.valid_until;
         spawn("promotion-call", move || {
             // The time is read again here, because this process may have been suspended. No
             // promotion is sent after the end of the lease.
-            let answer = match Instant::now() < until {
+            let may_send = Instant::now() < until && calls.begin(&group, fence);
+            let answer = match may_send {
                 true => promotions.promote(&group, &instance, &coordinator, fence),
                 false => PromotionAnswer::Unknown,
             };
+            if may_send {
+                calls.end(&group, answer != PromotionAnswer::Unknown, Instant::now());
+            }
             log::info!(event = "promotion", group = group.as_str(), instance = instance.as_str(), fence = fence, answer:? = answer; "the platform answered a promotion request");
             let event = Event::Promoted { instance, answer };
             // The coordinator thread may have ended by now.
@@ -123,6 +151,15 @@
         });
     }
 
+    /// Finds out whether a process listens at the address of a node.
+    pub fn probe(&self, node: NodeName, address: SocketAddr) {
+        let reports = self.reports.clone();
+        spawn("promotion-probe", move || {
+            // The coordinator thread may have ended by now.
+            let _ = reports.send(Report::Probed(node, probe(address)));
+        });
+    }
+
     /// Records an intent.
     pub fn record(&self, lease: &CoordinatorLease, group: GroupName, intent: Intent) {
         self.send_change(StoreCommand::Record(lease.clone(), group, intent));
@@ -149,10 +186,9 @@
         &self,
         lease: &CoordinatorLease,
         group: GroupName,
-        id: ReplacementId,
-        successor: Option<Successor>,
+        finished: FinishedReplacement,
     ) {
-        self.send_change(StoreCommand::Finish(lease.clone(), group, id, successor));
+        self.send_change(StoreCommand::Finish(lease.clone(), group, finished));
     }
 
     /// Renews the coordinator lease.
@@ -191,8 +227,10 @@
                 Err(_) => Report::Installed,
             }
         }
-        StoreCommand::Finish(lease, group, id, successor) => {
-            match coordination.finish_replacement(&lease, &group, id, successor.as_ref()) {
+        StoreCommand::Finish(lease, group, finished) => {
+            let FinishedReplacement { id, successor, open_callers } = finished;
+            let successor = successor.as_ref();
+            match coordination.finish_replacement(&lease, &group, id, successor, &open_callers) {
                 Ok(true) => Report::Finished(group),
                 Ok(false) => Report::LeaseOver,
                 Err(_) => Report::StoreFailed(group),
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -9,12 +9,16 @@
 //! * `coordinator` runs primary replacements while this node holds the coordinator lease;
 //! * `log_status` queries instances for the state of their logs, and `log_wait` shows operators that
 //!   a replacement waits for a log;
+//! * `caller_queries` and `process_probes` find out whether promotions of earlier coordinators have
+//!   ended, and `call_wait` shows operators that a replacement waits for that;
 //! * `replacement_checker` confirms with the store that no primary replacement is running, which
 //!   turns the status reports of some of a group's replicas into evidence for its primary;
 //! * `write_back` records again what a store restore has lost;
 //! * `executor` runs the threads that call instances, the store and the platform.
 
 mod announcer;
+mod call_wait;
+mod caller_queries;
 mod coordinator;
 mod counted_coordination;
 mod electors;
@@ -22,7 +26,9 @@
 mod log_status;
 mod log_wait;
 mod owned;
+mod process_probes;
 mod replacement_checker;
+mod reported_wait;
 mod reporting_nodes;
 mod status_queries;
 mod store_calls;
@@ -36,6 +42,7 @@
 use kestrellock_store::control::{InstanceControl, PromotionService};
 use kestrellock_store::coordination::Coordination;
 
+pub use caller_queries::answer as answer_caller_query;
 pub use watch::run;
 
 /// Platform services that primary replacement uses.
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -40,7 +40,7 @@
 use super::status_queries::{ASSESSMENT_LIFETIME, StatusQueries};
 use super::store_calls::{log_backoff_begin, log_backoff_end};
 use super::vote_exchange::VoteExchange;
-use super::{vote_publisher, write_back};
+use super::{caller_queries, vote_publisher, write_back};
 use crate::context::NodeContext;
 use crate::metrics::StorePurpose;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
@@ -144,6 +144,7 @@
         let catalog = self.context.catalog.load();
         self.follow_catalog(&catalog, now);
         self.announcer.step(self.context, self.mailboxes, now);
+        caller_queries::send_queries(self.context, self.mailboxes);
         self.follow_store(now);
         self.add_peer_votes(now);
         if !self.era.replacement_may_be_lost(now) {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -30,6 +30,7 @@
 use crate::shared::membership::SharedMembership;
 use crate::shared::peer_versions::PeerVersions;
 use crate::shared::peer_votes::SharedPeerVotes;
+use crate::shared::promotion_calls::PromotionCalls;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -99,6 +100,8 @@
     pub listed_nodes: Shared<Vec<LiveNode>>,
     /// Nodes that have revoked their evidence, for replacements that this node coordinates.
     pub revoked_evidence: RevokedEvidence,
+    /// Promotion calls of this process, and queries about those of other processes.
+    pub promotion_calls: Arc<PromotionCalls>,
     /// Groups whose replacements may lose acknowledged commits, as an operator has set.
     pub accepted_commit_loss: Shared<BTreeSet<GroupName>>,
     /// Votes on primaries that other owners have sent to this node.
--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -54,6 +54,7 @@
         | PeerMessage::ReplacementInProgress { .. }
         | PeerMessage::ReplacementFinished { .. }
         | PeerMessage::PrimaryVotes { .. }
+        | PeerMessage::PromotionCallQuery { .. }
         | PeerMessage::Configuration { .. } => true,
         PeerMessage::Quota(message) => {
             matches!(message, QuotaMessage::Ask { .. } | QuotaMessage::TakeOver { .. })
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -368,6 +368,8 @@
     pub unannounced_replacement_ends: Counter,
     /// Primary replacements of this node that wait for the log of an instance.
     pub replacements_waiting_for_log: Gauge,
+    /// Primary replacements of this node that wait for the end of earlier promotions.
+    pub replacements_waiting_for_calls: Gauge,
     /// Seconds from a statement's arrival to its answer.
     pub statement_seconds: Histogram,
     /// Seconds from a commit's answer to its confirmation by a majority.
@@ -410,6 +412,9 @@
         let replacements_waiting_for_log = Gauge::default();
         let help = "Primary replacements of this node that wait for the log of an instance";
         r.register("replacements_waiting_for_log", help, replacements_waiting_for_log.clone());
+        let replacements_waiting_for_calls = Gauge::default();
+        let help = "Primary replacements of this node that wait for the end of earlier promotions";
+        r.register("replacements_waiting_for_calls", help, replacements_waiting_for_calls.clone());
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
@@ -448,6 +453,7 @@
             replacement_messages,
             unannounced_replacement_ends,
             replacements_waiting_for_log,
+            replacements_waiting_for_calls,
             statement_seconds: duration_histogram(r, "statement_seconds", "From arrival to answer"),
             confirmation_seconds: duration_histogram(
                 r,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -44,6 +44,7 @@
 use crate::shared::membership::SharedMembership;
 use crate::shared::peer_versions::PeerVersions;
 use crate::shared::peer_votes::SharedPeerVotes;
+use crate::shared::promotion_calls::PromotionCalls;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
 use crate::shared::replacements::Replacements;
@@ -270,11 +271,12 @@
     metrics: Metrics,
 ) -> Result<NodeContext, StartError> {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = since_epoch.as_micros() as u64;
     let identity = Identity {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         address: settings.peer_address.ip(),
-        incarnation: since_epoch.as_micros() as u64,
+        incarnation,
     };
     Ok(NodeContext {
         identity,
@@ -299,6 +301,7 @@
         listed_seeds: ListedSeeds::default(),
         listed_nodes: Shared::default(),
         revoked_evidence: RevokedEvidence::default(),
+        promotion_calls: Arc::new(PromotionCalls::new(incarnation)),
         peer_votes: SharedPeerVotes::new(settings.share_store_access),
         replacements: Replacements::default(),
         replacement_check_requests: ReplacementCheckRequests::default(),
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -17,12 +17,13 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::cancel::CancelKey;
-use kestrellock_core::ids::NodeName;
-use kestrellock_core::promotion::NodeVotes;
+use kestrellock_core::ids::{GroupName, NodeName};
+use kestrellock_core::promotion::{NodeVotes, PromotionCaller};
 use kestrellock_core::quota::Outgoing as QuotaOutgoing;
 use kestrellock_peer::message::{GatewayCall, PeerMessage, ToFront, ToGateway};
 use mio::{Registry, Token};
 
+use crate::agent::promotion::answer_caller_query;
 use crate::context::NodeContext;
 use crate::event::{EventSource, Io, Outgoing, event_source};
 use crate::front::Front;
@@ -180,6 +181,17 @@
                         io.context.statuses.on_led(&group, term);
                     }
                 }
+                PeerMessage::PromotionCallQuery { group, caller } => {
+                    if let Some(origin) = &from {
+                        self.answer_caller_query(&origin.node, group, caller, io);
+                    }
+                }
+                PeerMessage::PromotionCallsEnded { group, caller } => {
+                    // Only a process of the caller's node knows.
+                    if from.as_ref().is_some_and(|origin| origin.node == caller.node) {
+                        io.context.promotion_calls.on_ended(group, caller);
+                    }
+                }
                 PeerMessage::PrimaryVotes { round, votes } => {
                     if let Some(origin) = &from {
                         self.on_votes(&origin.node, round, votes, io);
@@ -220,6 +232,19 @@
         }
     }
 
+    fn answer_caller_query(
+        &mut self,
+        from: &NodeName,
+        group: GroupName,
+        caller: PromotionCaller,
+        io: &mut Io,
+    ) {
+        if let Some(answer) = answer_caller_query(group, caller, from, io.context, io.now) {
+            // If the answer is lost, the coordinator asks again.
+            let _ = self.links.send(from, answer, io);
+        }
+    }
+
     fn on_votes(&mut self, from: &NodeName, round: u64, votes: NodeVotes, io: &mut Io) {
         let nodes = (&io.context.identity.node, from);
         let owners = io.context.ownership_snapshot();
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod peer_versions;
 pub mod peer_votes;
+pub mod promotion_calls;
 pub mod quotas;
 pub mod replacement_check_requests;
 pub mod replacements;
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -64,6 +64,7 @@
             called_off: false,
             promoting: false,
             awaits_log: false,
+            callers: Vec::new(),
         }
     }
 
@@ -74,7 +75,7 @@
     }
 
     fn finish(&self, id: ReplacementId) {
-        let finished = self.coordination.finish_replacement(&self.hold, &self.group, id, None);
+        let finished = self.coordination.finish_replacement(&self.hold, &self.group, id, None, &[]);
         assert!(finished.expect("an answer"));
     }
 
@@ -233,7 +234,9 @@
     let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
     let id = ReplacementId { fence: hold.fence, attempt: 1 };
     assert!(
-        coordination.finish_replacement(&hold, &group, id, Some(&successor)).expect("an answer")
+        coordination
+            .finish_replacement(&hold, &group, id, Some(&successor), &[])
+            .expect("an answer")
     );
     let promoted = coordination.view().promoted.clone();
     let earlier = Successor { instance: InstanceName::new("i-1"), term: None };
@@ -275,7 +278,7 @@
     holding.finish(first.id);
     let next = holding.intent(2);
     holding.record(&next);
-    let done_late = late.finish_replacement(&holding.hold, &holding.group, first.id, None);
+    let done_late = late.finish_replacement(&holding.hold, &holding.group, first.id, None, &[]);
     assert!(done_late.expect("an answer"), "it had been done");
     assert_eq!(holding.recorded(), Some(next), "the next one goes on");
 }
@@ -293,7 +296,7 @@
     assert!(
         holding
             .coordination
-            .finish_replacement(hold, group, intent.id, Some(&successor))
+            .finish_replacement(hold, group, intent.id, Some(&successor), &[])
             .expect("an answer")
     );
     holding.store.restore(&copy);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -12,7 +12,9 @@
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId, NodeName, TenantName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::promotion::{Intent, NodeVotes, ReplacementId, RestartReport};
+use kestrellock_core::promotion::{
+    Intent, NodeVotes, PromotionCaller, ReplacementId, RestartReport,
+};
 use kestrellock_core::quota::QuotaMessage;
 use kestrellock_core::routing::{Access, InstanceStatus};
 use kestrellock_core::session_state::SessionSetting;
@@ -26,7 +28,7 @@
 
 /// Highest version that this build speaks. A connection uses the highest version that both of its
 /// nodes speak.
-pub const HIGHEST_PROTOCOL_VERSION: u16 = 8;
+pub const HIGHEST_PROTOCOL_VERSION: u16 = 9;
 
 /// Lowest version in which owners exchange votes on primaries.
 pub const PRIMARY_VOTES_VERSION: u16 = 8;
@@ -37,6 +39,9 @@
 /// Lowest version in which fronts request connections in advance.
 pub const PREWARM_VERSION: u16 = 8;
 
+/// Lowest version in which a coordinator asks for the end of earlier promotions.
+pub const PROMOTION_CALLS_VERSION: u16 = 9;
+
 /// A prepared statement that an exchange refers to by a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -382,6 +387,21 @@
         /// Term that the new primary leads; `None` if no instance was promoted.
         led: Option<Term>,
     },
+    /// The sender is the coordinator and asks whether the promotions that `caller`, a process of the
+    /// receiver's node, has sent have ended. The receiver sends no more of them.
+    PromotionCallQuery {
+        /// The group.
+        group: GroupName,
+        /// The process, and the highest fencing token that the query refers to.
+        caller: PromotionCaller,
+    },
+    /// The promotions have ended: each has taken effect, or never will. Not sent before.
+    PromotionCallsEnded {
+        /// The group.
+        group: GroupName,
+        /// The process of the sender's node, as it was queried.
+        caller: PromotionCaller,
+    },
     /// The sender's votes on the primaries of groups that the sender and the receiver own. They
     /// replace its earlier ones.
     PrimaryVotes {
@@ -423,6 +443,9 @@
         match self {
             Self::ToGateway(message) => message.call.required_version(),
             Self::PrimaryVotes { .. } | Self::PrimaryVotesReceived { .. } => PRIMARY_VOTES_VERSION,
+            Self::PromotionCallQuery { .. } | Self::PromotionCallsEnded { .. } => {
+                PROMOTION_CALLS_VERSION
+            }
             Self::Configuration { .. }
             | Self::Leave { .. }
             | Self::Reconnected { .. }
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -13,7 +13,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 pub use kestrellock_core::promotion::{CoordinationView, Coordinator, NodeVotes, Vote};
-use kestrellock_core::promotion::{Intent, ReplacementId, Successor};
+use kestrellock_core::promotion::{Intent, PromotionCaller, ReplacementId, Successor};
 use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 
@@ -90,12 +90,14 @@
     fn write_back(&self, group: &GroupName) -> Result<(), StoreError>;
 
     /// Removes the intent of a replacement and records its successor, on condition that the lease
-    /// is valid; false if it has expired. The intent of another replacement is kept.
+    /// is valid; false if it has expired. The intent of another replacement is kept. `open_callers`
+    /// are recorded beside the successor: their promotions may not have ended.
     fn finish_replacement(
         &self,
         lease: &CoordinatorLease,
         group: &GroupName,
         id: ReplacementId,
         successor: Option<&Successor>,
+        open_callers: &[PromotionCaller],
     ) -> Result<bool, StoreError>;
 }
