--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -7,7 +7,8 @@
 use kestrellock_core::confirmation::ConfirmationRule;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::promotion::{
-    CoordinationView, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes, Reason, Vote,
+    CoordinationView, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes, PromotionCaller,
+    Reason, Vote,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::Cause;
@@ -114,6 +115,30 @@
     assert_eq!((need.reason, need.old_primary), (Reason::Missing, Some(InstanceName::new("a"))));
 }
 
+/// Guards against a replacement that does not wait for a promotion which had not ended when the
+/// group's last replacement finished.
+#[test]
+fn need_names_the_callers_that_the_last_replacement_has_left() {
+    let start = Instant::now();
+    let nodes = nodes(3);
+    let caller = PromotionCaller { node: nodes[1].clone(), process: 3, fence: 7 };
+    let open_callers = [(GroupName::new(GROUP), vec![caller.clone()])].into();
+    let view = CoordinationView { revision: 1, open_callers, ..CoordinationView::default() };
+    let mut evaluator = NeedsEvaluator::default();
+    let catalog = catalog(&[REPLICA]);
+    evaluator.apply_catalog(&catalog);
+    let own_votes = NodeVotes::new();
+    let own = (&nodes[0], &own_votes);
+    let mut need_at = |now| {
+        let input =
+            NeedsInput { catalog: &catalog, view: &view, own, live: &nodes, listed: &nodes, now };
+        evaluator.evaluate(&input).remove(&GroupName::new(GROUP))
+    };
+    assert_eq!(need_at(start), None);
+    let need = need_at(start + Duration::from_secs(3)).expect("the group has no primary");
+    assert_eq!(need.callers, [caller]);
+}
+
 #[test]
 fn primary_that_became_a_replica_is_treated_as_a_replica() {
     let start = Instant::now();
--- a/crates/core/tests/promotion/open_calls.rs
+++ b/crates/core/tests/promotion/open_calls.rs
@@ -6,8 +6,8 @@
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Intent, Need, PromotionCaller, Reason, ReplacementId, Timing,
-    UNKNOWN_PROCESS,
+    Attempt, Command, Event, Intent, Need, PromotionAnswer, PromotionCaller, Reason, ReplacementId,
+    Timing, UNKNOWN_PROCESS,
 };
 
 use crate::support::*;
@@ -200,6 +200,23 @@
     assert!(not_sent.open_callers().is_empty());
 }
 
+/// Guards against a replacement that finishes while a promotion may still arrive, and is forgotten:
+/// the next replacement has to wait for it as well.
+#[test]
+fn callers_that_have_not_ended_are_known_when_the_attempt_finishes() {
+    let mut now = Instant::now();
+    let mut attempt = later_attempt(vec![earlier_caller()], now);
+    run_with_replicas(&mut attempt, &mut now, Duration::from_secs(1));
+    assert_eq!(attempt.callers_at_end(), [earlier_caller()]);
+    attempt.on_event(Event::CallsEnded(earlier_caller()), now);
+    assert!(promotes(&run_with_replicas(&mut attempt, &mut now, Duration::from_secs(1))));
+    let own = PromotionCaller { node: NodeName::new("later"), process: OWN_PROCESS, fence: 9 };
+    assert_eq!(attempt.callers_at_end(), [own], "its own promotion is open");
+    let answer = PromotionAnswer::Accepted;
+    attempt.on_event(Event::Promoted { instance: name("b"), answer }, now);
+    assert!(attempt.callers_at_end().is_empty());
+}
+
 fn recorded_intent(command: &Command) -> Option<&Intent> {
     match command {
         Command::RecordIntent(intent) => Some(intent),
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -7,7 +7,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
-use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
+use kestrellock_core::promotion::{Intent, PromotionCaller, Reason, ReplacementId, Successor};
 use kestrellock_core::routing::Role;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
 use kestrellock_platform::coordination::StoreCoordination;
@@ -243,6 +243,31 @@
     assert_eq!(promoted, [(GroupName::new("earlier"), earlier), (group, successor)].into());
 }
 
+/// Guards against a next replacement that does not know of a promotion that may still arrive: the
+/// attempt that recorded it has finished, and its intent is gone.
+#[test]
+fn callers_whose_promotions_have_not_ended_are_kept_beside_the_successor() {
+    let (store, mirror) = start();
+    advance(&mirror);
+    let coordination = coordination(&store, Arc::new(mirror));
+    let hold = coordination.acquire(&node()).expect("an answer").expect("nobody holds it");
+    let group = GroupName::new("orders");
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    let callers = [PromotionCaller { node: NodeName::new("node-1"), process: 3, fence: 7 }];
+    let finish = |attempt, callers: &[PromotionCaller]| {
+        let id = ReplacementId { fence: hold.fence, attempt };
+        coordination
+            .finish_replacement(&hold, &group, id, Some(&successor), callers)
+            .expect("an answer")
+    };
+    assert!(finish(1, &callers));
+    let view = coordination.view();
+    assert_eq!(view.open_callers.get(&group).map(Vec::as_slice), Some(callers.as_slice()));
+    assert_eq!(view.promoted.get(&group), Some(&successor));
+    assert!(finish(2, &[]));
+    assert!(coordination.view().open_callers.is_empty());
+}
+
 /// A holder whose copy does not follow the instances' entries asks the store which of them have started again.
 #[test]
 fn starts_are_read_from_the_store_and_not_from_the_copy() {
