Calls to the platform end with their sender

Cause: a promotion call that its sender gave up, or whose process was killed or suspended, was closed without a reset. What the sender's kernel or a partition held of it arrived seconds later, after the promotion by the next coordinator. The end of the lease was compared before the call only; its connect and its timeout of one second could outlast the lease.

It reports whether it was sent; PromotionAnswer::NotSent does not count as a promotion that may take effect. Commands to instances take the end of the lease as well. The log shows the begin and the end of each promotion call with its times and what was left of the lease.

--- a/crates/core/src/promotion/attempt/events.rs
+++ b/crates/core/src/promotion/attempt/events.rs
@@ -226,6 +226,10 @@
                 self.set_stopped_since(None);
                 self.phase = Phase::Stopping { since: now };
             }
+            PromotionAnswer::NotSent => {
+                self.sent_promotions = self.sent_promotions.saturating_sub(1);
+                self.phase = Phase::Promoting { again: now + self.timing.retry_interval };
+            }
             PromotionAnswer::Unknown => {
                 self.phase = Phase::Promoting { again: now + self.timing.retry_interval };
             }
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -160,6 +160,8 @@
     Accepted,
     /// The instance does not run, so it has not been promoted.
     NotRunning,
+    /// Nothing of the call was sent: there was no connection, or no time left for the call.
+    NotSent,
     /// No answer, or an inconclusive one: the instance may be promoted.
     Unknown,
 }
--- a/crates/core/tests/promotion/sent_promotions.rs
+++ b/crates/core/tests/promotion/sent_promotions.rs
@@ -187,3 +187,27 @@
     let release = Command::Release(name("c"));
     assert!(commands.contains(&release), "the replica stays stopped: {commands:?}");
 }
+
+/// A promotion that was never sent does not take effect: the attempt sends it again, and may end
+/// without a successor.
+#[test]
+fn promotion_that_was_not_sent_is_repeated_and_does_not_prevent_cancelling() {
+    let mut now = Instant::now();
+    let mut attempt = attempt(Reason::Suspected, members(&["a"]));
+    record_intent(&mut attempt, now);
+    for _ in 0..2 {
+        let chosen = run_to_promotion(&mut attempt, &mut now, &[("b", 10), ("c", 11)]);
+        assert_eq!(chosen, Some(name("c")));
+        let not_sent = Event::Promoted { instance: name("c"), answer: PromotionAnswer::NotSent };
+        attempt.on_event(not_sent, now);
+    }
+    attempt.on_event(Event::StillNeeded(false), now);
+    let mut commands = Vec::new();
+    for _ in 0..2 {
+        commands.extend(run_for(&mut attempt, &mut now, Duration::from_millis(200)));
+        attempt.on_event(Event::Released(name("b")), now);
+        attempt.on_event(Event::Released(name("c")), now);
+    }
+    commands.extend(run_for(&mut attempt, &mut now, Duration::from_millis(200)));
+    assert!(ends_without_a_successor(&commands), "{commands:?}");
+}
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -29,6 +29,7 @@
     "hold_taken",
     "hold_lost",
     "primary_left",
+    "promotion_begun",
     "promotion",
     "instance_displaced",
     "instance_started_again",
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -473,6 +473,7 @@
     ) {
         let Some(address) = known.address(group, instance) else { return };
         let (group, instance) = (group.clone(), instance.clone());
-        self.executor.send_command(ControlTarget { group, instance, address }, command);
+        let target = ControlTarget { group, instance, address };
+        self.executor.send_command(target, command, self.lease.valid_until);
     }
 }
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -12,10 +12,10 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{
-    Event, Intent, PromotionAnswer, ReplacementId, ReplicationStatus, Successor,
+use kestrellock_core::promotion::{Event, Intent, ReplacementId, ReplicationStatus, Successor};
+use kestrellock_store::control::{
+    ControlError, ControlTarget, InstanceCommand, PromotionOutcome, PromotionRequest,
 };
-use kestrellock_store::control::{ControlError, ControlTarget, InstanceCommand};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
 
 use super::ReplacementServices;
@@ -47,11 +47,19 @@
     Renew(CoordinatorLease),
 }
 
+/// A command to an instance.
+struct QueuedCommand {
+    target: ControlTarget,
+    command: InstanceCommand,
+    /// End of the coordinator lease: the command is not sent after it.
+    valid_until: Instant,
+}
+
 /// Sends commands to the threads that execute them.
 pub struct Executor {
     services: ReplacementServices,
     reports: Sender<Report>,
-    instances: HashMap<InstanceName, Sender<(ControlTarget, InstanceCommand)>>,
+    instances: HashMap<InstanceName, Sender<QueuedCommand>>,
     store: Sender<StoreCommand>,
 }
 
@@ -75,15 +83,21 @@
     }
 
     /// Sends a command to an instance, unless an earlier command to it is still queued.
-    pub fn send_command(&mut self, target: ControlTarget, command: InstanceCommand) {
+    /// It is not sent after `valid_until`, the end of the coordinator lease.
+    pub fn send_command(
+        &mut self,
+        target: ControlTarget,
+        command: InstanceCommand,
+        valid_until: Instant,
+    ) {
         let sender = self.instances.entry(target.instance.clone()).or_insert_with(|| {
-            let (sender, commands) = bounded::<(ControlTarget, InstanceCommand)>(1);
+            let (sender, commands) = bounded::<QueuedCommand>(1);
             let control = self.services.control.clone();
             let reports = self.reports.clone();
             spawn("promotion-instance", move || {
-                for (target, command) in commands {
+                for QueuedCommand { target, command, valid_until } in commands {
                     let sent = Instant::now();
-                    let outcome = control.execute(&target, command);
+                    let outcome = control.execute(&target, command, Some(valid_until));
                     log::info!(event = "order", group = target.group.as_str(), instance = target.instance.as_str(), order:? = command, outcome:? = outcome, took_us = sent.elapsed().as_micros() as u64; "executed a command on an instance");
                     for event in events_for(&target, command, outcome, sent) {
                         if reports.send(Report::Event(target.group.clone(), event)).is_err() {
@@ -95,7 +109,7 @@
             sender
         });
         // If an earlier command is still queued, this one is dropped: the attempt sends it again.
-        let _ = sender.try_send((target, command));
+        let _ = sender.try_send(QueuedCommand { target, command, valid_until });
     }
 
     /// Asks the platform to promote an instance.
@@ -107,19 +121,17 @@
         lease: &CoordinatorLease,
     ) {
         let promotions = self.services.promotions.clone();
-        let (reports, fence) = (self.reports.clone(), lease.fence);
-        let until = lease.valid_until;
+        let reports = self.reports.clone();
+        let (fence, deadline) = (lease.fence, lease.valid_until);
+        let request = PromotionRequest { group, instance, coordinator, fence, deadline };
         spawn("promotion-call", move || {
-            // The time is read again here, because this process may have been suspended. No
-            // promotion is sent after the end of the lease.
-            let answer = match Instant::now() < until {
-                true => promotions.promote(&group, &instance, &coordinator, fence),
-                false => PromotionAnswer::Unknown,
-            };
-            log::info!(event = "promotion", group = group.as_str(), instance = instance.as_str(), fence = fence, answer:? = answer; "the platform answered a promotion request");
-            let event = Event::Promoted { instance, answer };
+            let begun = Instant::now();
+            log_promotion_begin(&request, begun);
+            let outcome = promotions.promote(&request);
+            log_promotion_end(&request, &outcome, begun);
+            let event = Event::Promoted { instance: request.instance, answer: outcome.answer };
             // The coordinator thread may have ended by now.
-            let _ = reports.send(Report::Event(group, event));
+            let _ = reports.send(Report::Event(request.group, event));
         });
     }
 
@@ -174,6 +186,37 @@
     }
 }
 
+/// Logged before the call, since this process may be killed during it.
+fn log_promotion_begin(request: &PromotionRequest, begun: Instant) {
+    log::info!(event = "promotion_begun", group = request.group.as_str(), instance = request.instance.as_str(), fence = request.fence, lease_left_ms = milliseconds_left(request.deadline, begun); "a promotion call begins");
+}
+
+/// Logs how a promotion call went. Times are in milliseconds since it began.
+fn log_promotion_end(request: &PromotionRequest, outcome: &PromotionOutcome, begun: Instant) {
+    let ended = Instant::now();
+    let since_begin = |time: Instant| time.saturating_duration_since(begun).as_millis() as u64;
+    log::info!(
+        event = "promotion",
+        group = request.group.as_str(),
+        instance = request.instance.as_str(),
+        fence = request.fence,
+        answer:? = outcome.answer,
+        connected_ms:? = outcome.connected.map(since_begin),
+        sent_ms:? = outcome.sent.map(since_begin),
+        ended_ms = since_begin(ended),
+        lease_left_at_begin_ms = milliseconds_left(request.deadline, begun),
+        lease_left_at_end_ms = milliseconds_left(request.deadline, ended),
+        failure = outcome.failure.as_deref().unwrap_or_default();
+        "a promotion call has ended"
+    );
+}
+
+/// Milliseconds from `now` until `end`, negative if it has passed.
+fn milliseconds_left(end: Instant, now: Instant) -> i64 {
+    let left = end.saturating_duration_since(now).as_millis() as i64;
+    left - now.saturating_duration_since(end).as_millis() as i64
+}
+
 fn change_store(coordination: &dyn Coordination, command: StoreCommand) -> Report {
     match command {
         StoreCommand::Record(lease, group, intent) => {
--- a/crates/daemon/src/agent/promotion/status_queries.rs
+++ b/crates/daemon/src/agent/promotion/status_queries.rs
@@ -121,7 +121,7 @@
         let spawned =
             thread::Builder::new().name("promotion-opinion".to_owned()).spawn(move || {
                 let sent_at = Instant::now();
-                let answer = control.execute(&target, InstanceCommand::Ask);
+                let answer = control.execute(&target, InstanceCommand::Ask, None);
                 let outcome = match &answer {
                     Ok(status) => Some(QueryOutcome::Status(*status)),
                     Err(ControlError::Refused | ControlError::Displaced) => {
@@ -150,7 +150,7 @@
 ) -> Option<Cause> {
     match outcome {
         Ok(status) if status.role == Role::Primary && status.term < highest => {
-            let outcome = control.execute(target, InstanceCommand::Demote(highest));
+            let outcome = control.execute(target, InstanceCommand::Demote(highest), None);
             log::info!(event = "old_primary", group = target.group.as_str(), instance = target.instance.as_str(), leads = status.term.0, newest = highest.0, outcome:? = outcome; "an old primary was ordered to step down");
             Some(Cause::Outdated)
         }
