--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -183,7 +183,7 @@
             let intent = intent.clone();
             self.send_after(
                 NOTIFICATION_LATENCY_MS,
-                Message::ReplacementStarted { to, intent, recorded },
+                Message::ReplacementStarted { from: node, to, intent, recorded },
             );
         }
     }
@@ -200,7 +200,7 @@
             let successor = successor.cloned();
             self.send_after(
                 NOTIFICATION_LATENCY_MS,
-                Message::ReplacementFinished { to, id, successor },
+                Message::ReplacementFinished { from: node, to, id, successor },
             );
         }
     }
@@ -221,8 +221,9 @@
         state.intent_recorded_at = None;
         state.notified_at = None;
         let id = ReplacementId { fence: state.fence, attempt: state.attempts_started };
-        let own_name = node_name(node);
-        state.attempt = Some(Attempt::new(own_name, id, need, members, highest, timing));
+        let (own_name, process) = (node_name(node), own.process);
+        let attempt = Attempt::new(own_name, id, need, members, highest, timing);
+        state.attempt = Some(attempt.in_process(process));
     }
 
     fn timing(&self) -> Timing {
@@ -254,12 +255,15 @@
         }
         let before = attempt.phase();
         let commands = attempt.step(now);
-        if attempt.phase() != before || !commands.is_empty() {
-            let (phase, refilling) = (attempt.phase(), refilling);
+        let phase = attempt.phase();
+        if phase != before || !commands.is_empty() {
             self.trace.record(self.now, || {
                 format!("node {node}: {phase:?} {commands:?}; refilling {refilling:?}")
             });
         }
+        if phase != before {
+            self.on_attempt_phase(node, phase);
+        }
         for command in commands {
             self.execute(node, fence, command);
         }
@@ -285,6 +289,7 @@
                 self.call(node, fence, Operation::Finish(*id, successor.clone()));
             }
             Command::ReadIncarnations => self.call(node, fence, Operation::ReadIncarnations),
+            Command::QueryCaller(caller) => self.query_caller(node, caller.clone()),
             Command::Promote(instance) => self.promote(node, fence, instance),
             Command::QueryStatus(instance)
             | Command::Stop { instance, .. }
@@ -310,7 +315,9 @@
         };
         let fence = if self.planted_fault == PlantedFault::FenceReused { 1 } else { fence };
         let process = self.nodes[node].process;
-        self.send(Message::Promote { node, process, instance, fence });
+        let call = self.next_number();
+        self.send(Message::Promote { node, process, instance, fence, call });
+        self.on_promotion_sent(node, instance, call);
     }
 
     fn most_lagging_replica(&self, chosen: usize) -> usize {
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -7,18 +7,26 @@
 //! attempt sends its commands again until the instance has answered.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Instant;
 
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{Event, Intent, ReplacementId, ReplicationStatus, Successor};
+use kestrellock_core::promotion::{
+    Event, Intent, ProbeResult, PromotionAnswer, PromotionCaller, ReplacementId, ReplicationStatus,
+    Successor,
+};
 use kestrellock_store::control::{
     ControlError, ControlTarget, InstanceCommand, PromotionOutcome, PromotionRequest,
+    PromotionService,
 };
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
 
 use super::ReplacementServices;
+use super::process_probes::probe;
+use crate::shared::promotion_calls::PromotionCalls;
 
 /// Result of a command, or an event that follows from it.
 #[derive(Debug)]
@@ -27,6 +35,8 @@
     Event(GroupName, Event),
     /// The successor was recorded, or will be recorded when its attempt ends.
     Installed,
+    /// A node was probed for a process.
+    Probed(NodeName, ProbeResult),
     /// The intent of a group's attempt was removed from the store.
     Finished(GroupName),
     /// A change of the store failed and has to be retried.
@@ -38,12 +48,23 @@
     LeaseOver,
 }
 
+/// A replacement that has finished.
+#[derive(Debug)]
+pub struct FinishedReplacement {
+    /// Which replacement it was.
+    pub id: ReplacementId,
+    /// The new primary, if an instance was promoted.
+    pub successor: Option<Successor>,
+    /// Processes whose promotions may still arrive.
+    pub open_callers: Vec<PromotionCaller>,
+}
+
 /// A change of the store.
 #[derive(Debug)]
 enum StoreCommand {
     Record(CoordinatorLease, GroupName, Intent),
     Install(CoordinatorLease, GroupName, InstanceName),
-    Finish(CoordinatorLease, GroupName, ReplacementId, Option<Successor>),
+    Finish(CoordinatorLease, GroupName, FinishedReplacement),
     Renew(CoordinatorLease),
 }
 
@@ -58,6 +79,7 @@
 /// Sends commands to the threads that execute them.
 pub struct Executor {
     services: ReplacementServices,
+    promotion_calls: Arc<PromotionCalls>,
     reports: Sender<Report>,
     instances: HashMap<InstanceName, Sender<QueuedCommand>>,
     store: Sender<StoreCommand>,
@@ -65,7 +87,10 @@
 
 impl Executor {
     /// Starts the thread for the store; the thread of an instance starts with its first command.
-    pub fn start(services: ReplacementServices) -> (Self, Receiver<Report>) {
+    pub fn start(
+        services: ReplacementServices,
+        promotion_calls: Arc<PromotionCalls>,
+    ) -> (Self, Receiver<Report>) {
         let (reports, report_receiver) = unbounded();
         let (store, commands) = bounded(64);
         let coordination = services.coordination.clone();
@@ -78,7 +103,8 @@
                 }
             }
         });
-        let executor = Self { services, reports, instances: HashMap::new(), store };
+        let instances = HashMap::new();
+        let executor = Self { services, promotion_calls, reports, instances, store };
         (executor, report_receiver)
     }
 
@@ -112,7 +138,7 @@
         let _ = sender.try_send(QueuedCommand { target, command, valid_until });
     }
 
-    /// Asks the platform to promote an instance.
+    /// Asks the platform to promote an instance, unless an earlier promotion of the group is open.
     pub fn promote(
         &self,
         group: GroupName,
@@ -122,19 +148,26 @@
     ) {
         let promotions = self.services.promotions.clone();
         let reports = self.reports.clone();
+        let calls = self.promotion_calls.clone();
         let (fence, deadline) = (lease.fence, lease.valid_until);
         let request = PromotionRequest { group, instance, coordinator, fence, deadline };
         spawn("promotion-call", move || {
-            let begun = Instant::now();
-            log_promotion_begin(&request, begun);
-            let outcome = promotions.promote(&request);
-            log_promotion_end(&request, &outcome, begun);
-            let event = Event::Promoted { instance: request.instance, answer: outcome.answer };
+            let answer = promote(promotions.as_ref(), &calls, &request);
+            let event = Event::Promoted { instance: request.instance, answer };
             // The coordinator thread may have ended by now.
             let _ = reports.send(Report::Event(request.group, event));
         });
     }
 
+    /// Finds out whether a process listens at the address of a node.
+    pub fn probe(&self, node: NodeName, address: SocketAddr) {
+        let reports = self.reports.clone();
+        spawn("promotion-probe", move || {
+            // The coordinator thread may have ended by now.
+            let _ = reports.send(Report::Probed(node, probe(address)));
+        });
+    }
+
     /// Records an intent.
     pub fn record(&self, lease: &CoordinatorLease, group: GroupName, intent: Intent) {
         self.send_change(StoreCommand::Record(lease.clone(), group, intent));
@@ -161,10 +194,9 @@
         &self,
         lease: &CoordinatorLease,
         group: GroupName,
-        id: ReplacementId,
-        successor: Option<Successor>,
+        finished: FinishedReplacement,
     ) {
-        self.send_change(StoreCommand::Finish(lease.clone(), group, id, successor));
+        self.send_change(StoreCommand::Finish(lease.clone(), group, finished));
     }
 
     /// Renews the coordinator lease.
@@ -186,6 +218,24 @@
     }
 }
 
+/// Makes a promotion call, unless it must not be sent.
+fn promote(
+    promotions: &dyn PromotionService,
+    calls: &PromotionCalls,
+    request: &PromotionRequest,
+) -> PromotionAnswer {
+    if !calls.begin(&request.group, request.fence) {
+        // An earlier call of the group may be open.
+        return PromotionAnswer::Unknown;
+    }
+    let begun = Instant::now();
+    log_promotion_begin(request, begun);
+    let outcome = promotions.promote(request);
+    calls.end(&request.group, outcome.answer != PromotionAnswer::Unknown, Instant::now());
+    log_promotion_end(request, &outcome, begun);
+    outcome.answer
+}
+
 /// Logged before the call, since this process may be killed during it.
 fn log_promotion_begin(request: &PromotionRequest, begun: Instant) {
     log::info!(event = "promotion_begun", group = request.group.as_str(), instance = request.instance.as_str(), fence = request.fence, lease_left_ms = milliseconds_left(request.deadline, begun); "a promotion call begins");
@@ -234,8 +284,10 @@
                 Err(_) => Report::Installed,
             }
         }
-        StoreCommand::Finish(lease, group, id, successor) => {
-            match coordination.finish_replacement(&lease, &group, id, successor.as_ref()) {
+        StoreCommand::Finish(lease, group, finished) => {
+            let FinishedReplacement { id, successor, open_callers } = finished;
+            let successor = successor.as_ref();
+            match coordination.finish_replacement(&lease, &group, id, successor, &open_callers) {
                 Ok(true) => Report::Finished(group),
                 Ok(false) => Report::LeaseOver,
                 Err(_) => Report::StoreFailed(group),
