A late record of an intent replaces no later one

Cause: a record of an intent without `promoting` had the coordinator's lease record as its only condition. Executed seconds late it replaced the same coordinator's later record with `promoting`. The first record of a new coordinator whose mirror lacked its predecessor's last record did the same. The next coordinator then took it that no promotion had been sent.

Change: each record requires the revision of the intent that the node knows: that in its mirror, or a later one that its own calls have shown. An intent of another replacement with `promoting` is kept; the attempt, which has sent no commands, begins again from what the store shows. No call is added unless a condition fails. The tests of the previous return value compare the new one; they are as strict.

--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -316,6 +316,13 @@
                 self.attempts.remove(&group);
                 self.ended.insert(group, now);
             }
+            Report::EarlierPromotion(group) => {
+                log::warn!(event = "attempt_restarted", group = group.as_str(); "an earlier coordinator may have sent promotions: the attempt begins again with them");
+                // It has sent no commands, since its intent is not recorded. Another one begins
+                // from what the store shows.
+                self.attempts.remove(&group);
+                self.ended.insert(group, now);
+            }
             Report::StoreFailed(group) => {
                 if let Some(running) = self.attempts.get_mut(&group) {
                     let pending = running.pending.take();
--- a/crates/daemon/src/agent/promotion/counted_coordination.rs
+++ b/crates/daemon/src/agent/promotion/counted_coordination.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 use kestrellock_store::call_counts::CallCounts;
-use kestrellock_store::coordination::{Coordination, CoordinatorLease};
+use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
 use kestrellock_store::store::StoreError;
 
 use crate::context::NodeContext;
@@ -100,7 +100,7 @@
         lease: &CoordinatorLease,
         group: &GroupName,
         intent: &Intent,
-    ) -> Result<bool, StoreError> {
+    ) -> Result<RecordOutcome, StoreError> {
         let outcome = self.inner.record_intent(lease, group, intent);
         self.count(StorePurpose::Replacement, outcome)
     }
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -22,7 +22,7 @@
     ControlError, ControlTarget, InstanceCommand, PromotionOutcome, PromotionRequest,
     PromotionService,
 };
-use kestrellock_store::coordination::{Coordination, CoordinatorLease};
+use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
 
 use super::ReplacementServices;
 use super::process_probes::probe;
@@ -39,6 +39,9 @@
     Probed(NodeName, ProbeResult),
     /// The intent of a group's attempt was removed from the store.
     Finished(GroupName),
+    /// The store has an intent of an earlier attempt for the group, which may have sent promotions
+    /// that the attempt does not know of.
+    EarlierPromotion(GroupName),
     /// A change of the store failed and has to be retried.
     StoreFailed(GroupName),
     /// The store call to renew the coordinator lease has ended. The lease has its new end, or its
@@ -271,8 +274,9 @@
     match command {
         StoreCommand::Record(lease, group, intent) => {
             match coordination.record_intent(&lease, &group, &intent) {
-                Ok(true) => Report::Event(group, Event::IntentRecorded(intent)),
-                Ok(false) => Report::LeaseOver,
+                Ok(RecordOutcome::Recorded) => Report::Event(group, Event::IntentRecorded(intent)),
+                Ok(RecordOutcome::LeaseOver) => Report::LeaseOver,
+                Ok(RecordOutcome::EarlierPromotion) => Report::EarlierPromotion(group),
                 Err(_) => Report::StoreFailed(group),
             }
         }
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -13,7 +13,9 @@
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, Item, KeyStore, Mirror, MirrorView, Scope};
 use kestrellock_platform::standin::entries::{CONFIGURATION_KEY, InstanceEntry};
-use kestrellock_store::coordination::{Coordination, CoordinationView, CoordinatorLease};
+use kestrellock_store::coordination::{
+    Coordination, CoordinationView, CoordinatorLease, RecordOutcome,
+};
 
 const NODE: &str = "kestrellock/nodes/one";
 const OTHER_NODE: &str = "kestrellock/nodes/two";
@@ -69,9 +71,8 @@
     }
 
     fn record(&self, intent: &Intent) {
-        assert!(
-            self.coordination.record_intent(&self.hold, &self.group, intent).expect("an answer")
-        );
+        let outcome = self.coordination.record_intent(&self.hold, &self.group, intent);
+        assert_eq!(outcome.expect("an answer"), RecordOutcome::Recorded);
     }
 
     fn finish(&self, id: ReplacementId) {
@@ -348,7 +349,7 @@
     let (hold, group) = (&holding.hold, &holding.group);
     assert_eq!(holding.coordination.renew(hold).expect("an answer"), None);
     let recorded = holding.coordination.record_intent(hold, group, &holding.intent(1));
-    assert!(!recorded.expect("an answer"));
+    assert_eq!(recorded.expect("an answer"), RecordOutcome::LeaseOver);
     advance(&holding.mirror);
     let next = holding.coordination.acquire(&node()).expect("an answer").expect("it is free");
     assert!(next.fence > hold.fence);
@@ -356,3 +357,47 @@
     let next = holding.coordination.renew(&next).expect("an answer");
     assert!(next.is_some(), "the end of the earlier hold is not that of the next");
 }
+
+/// Guards against a coordinator that does not know of its predecessor's promotion: the first record
+/// of an attempt, executed late, replaced the later one that says that promotions may have been sent.
+#[test]
+fn late_record_does_not_replace_one_that_says_that_promotions_may_have_been_sent() {
+    let holding = Holding::start();
+    let late_first = holding.late();
+    let intent = holding.intent(1);
+    holding.record(&intent);
+    let late_second = holding.late();
+    let promoting = Intent { promoting: true, ..intent.clone() };
+    holding.record(&promoting);
+    let awaits_log = Intent { awaits_log: true, ..intent.clone() };
+    for (late, intent) in [(late_first, intent), (late_second, awaits_log)] {
+        let executed_late = late.record_intent(&holding.hold, &holding.group, &intent);
+        assert!(executed_late.is_err(), "{executed_late:?}");
+        assert_eq!(holding.recorded(), Some(promoting.clone()));
+    }
+}
+
+/// Guards against the same by the next coordinator, whose mirror lacks the last record of its
+/// predecessor.
+#[test]
+fn next_coordinator_keeps_an_intent_that_its_mirror_does_not_show_yet() {
+    let holding = Holding::start();
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let next = holding.late();
+    let former = holding.coordination.acquire(&node()).expect("an answer").expect("it is free");
+    let promoting = Intent { promoting: true, ..holding.intent(1) };
+    let recorded = holding.coordination.record_intent(&former, &holding.group, &promoting);
+    assert_eq!(recorded.expect("an answer"), RecordOutcome::Recorded);
+    holding.coordination.release(&former).expect("an answer");
+    let lease = next.acquire(&NodeName::new("two")).expect("an answer").expect("it is free");
+    assert!(next.view().intents.is_empty(), "its mirror shows the intent already");
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("two"), id, ..holding.intent(1) };
+    // The second attempt is made with a mirror that shows the intent.
+    for _ in 0..2 {
+        let outcome = next.record_intent(&lease, &holding.group, &own);
+        assert_eq!(outcome.expect("an answer"), RecordOutcome::EarlierPromotion);
+        assert_eq!(holding.recorded(), Some(promoting.clone()));
+        assert_eq!(next.view().intents.get(&holding.group), Some(&promoting));
+    }
+}
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -31,6 +31,18 @@
     pub valid_until: Instant,
 }
 
+/// How a write of an intent has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordOutcome {
+    /// The store has the intent.
+    Recorded,
+    /// The coordinator lease has ended.
+    LeaseOver,
+    /// The store has the intent of another replacement, which may have sent promotions. It was
+    /// kept, since this one does not say so.
+    EarlierPromotion,
+}
+
 /// State of primary replacements in the store, and the operations on it.
 pub trait Coordination: Send + Sync {
     /// The state that this node last read from the store.
@@ -61,13 +73,15 @@
     /// Releases the lease before it expires.
     fn release(&self, lease: &CoordinatorLease) -> Result<(), StoreError>;
 
-    /// Records an intent on condition that the lease is valid; false if it has expired.
+    /// Records an intent on condition that the lease is valid and the intent in the store is the
+    /// one that this node knows. After [`RecordOutcome::EarlierPromotion`], [`Self::view`] contains
+    /// the intent in the store.
     fn record_intent(
         &self,
         lease: &CoordinatorLease,
         group: &GroupName,
         intent: &Intent,
-    ) -> Result<bool, StoreError>;
+    ) -> Result<RecordOutcome, StoreError>;
 
     /// Asks the store which incarnations `instances` have reported. Instances that have reported
     /// none are missing from the result.
