A late record of a successor does not replace that of the end

Cause: the record of a successor had the coordinator's lease record as its only condition. Executed after the end of its replacement it replaced the record with the successor's term and its open callers.

Change: it requires the revision of the replacement's intent, which the end removes. A failed condition no longer counts as the end of the lease; the renewal shows that.

--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -282,10 +282,9 @@
         }
         StoreCommand::Install(lease, group, successor) => {
             match coordination.record_primary(&lease, &group, &successor) {
-                Ok(true) => Report::Installed,
-                Ok(false) => Report::LeaseOver,
-                // Not retried: the successor is recorded when the attempt ends at the latest.
-                Err(_) => Report::Installed,
+                // Not retried if it failed: the successor is recorded when the attempt ends at the
+                // latest. A lease that has ended shows when it is renewed.
+                Ok(_) | Err(_) => Report::Installed,
             }
         }
         StoreCommand::Finish(lease, group, finished) => {
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -401,3 +401,22 @@
         assert_eq!(next.view().intents.get(&holding.group), Some(&promoting));
     }
 }
+
+/// Guards against a successor's record, executed after the end of its replacement, that replaces the
+/// record with the successor's term: nodes tell an old primary by the term.
+#[test]
+fn late_record_of_a_successor_does_not_replace_the_record_of_the_end() {
+    let holding = Holding::start();
+    let intent = holding.intent(1);
+    holding.record(&intent);
+    let late = holding.late();
+    let (hold, group) = (&holding.hold, &holding.group);
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    let finished =
+        holding.coordination.finish_replacement(hold, group, intent.id, Some(&successor), &[]);
+    assert!(finished.expect("an answer"));
+    let executed_late = late.record_primary(hold, group, &successor.instance);
+    assert!(!executed_late.expect("an answer"), "its condition does not hold");
+    holding.mirror.catch_up().expect("an answer");
+    assert_eq!(holding.coordination.view().promoted.get(group), Some(&successor));
+}
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -90,7 +90,8 @@
         instances: &[InstanceName],
     ) -> Result<BTreeMap<InstanceName, InstanceIncarnation>, StoreError>;
 
-    /// Records `successor` as the primary of a group; false if the lease has expired.
+    /// Records `successor` as the primary of a group, on condition that the lease is valid and the
+    /// intent is the one that this node has recorded; false if a condition does not hold.
     fn record_primary(
         &self,
         lease: &CoordinatorLease,
