--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -22,7 +22,7 @@
     ControlError, ControlTarget, InstanceCommand, PromotionOutcome, PromotionRequest,
     PromotionService,
 };
-use kestrellock_store::coordination::{Coordination, CoordinatorLease};
+use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
 
 use super::ReplacementServices;
 use super::process_probes::probe;
@@ -39,6 +39,9 @@
     Probed(NodeName, ProbeResult),
     /// The intent of a group's attempt was removed from the store.
     Finished(GroupName),
+    /// The store has an intent of an earlier attempt for the group, which may have sent promotions
+    /// that the attempt does not know of.
+    EarlierPromotion(GroupName),
     /// A change of the store failed and has to be retried.
     StoreFailed(GroupName),
     /// The store call to renew the coordinator lease has ended. The lease has its new end, or its
@@ -147,8 +150,8 @@
         lease: &CoordinatorLease,
     ) {
         let promotions = self.services.promotions.clone();
-        let calls = self.promotion_calls.clone();
         let reports = self.reports.clone();
+        let calls = self.promotion_calls.clone();
         let (fence, deadline) = (lease.fence, lease.valid_until);
         let request = PromotionRequest { group, instance, coordinator, fence, deadline };
         spawn("promotion-call", move || {
@@ -274,17 +277,17 @@
     match command {
         StoreCommand::Record(lease, group, intent) => {
             match coordination.record_intent(&lease, &group, &intent) {
-                Ok(true) => Report::Event(group, Event::IntentRecorded(intent)),
-                Ok(false) => Report::LeaseOver,
+                Ok(RecordOutcome::Recorded) => Report::Event(group, Event::IntentRecorded(intent)),
+                Ok(RecordOutcome::LeaseOver) => Report::LeaseOver,
+                Ok(RecordOutcome::EarlierPromotion) => Report::EarlierPromotion(group),
                 Err(_) => Report::StoreFailed(group),
             }
         }
         StoreCommand::Install(lease, group, successor) => {
             match coordination.record_primary(&lease, &group, &successor) {
-                Ok(true) => Report::Installed,
-                Ok(false) => Report::LeaseOver,
-                // Not retried: the successor is recorded when the attempt ends at the latest.
-                Err(_) => Report::Installed,
+                // Not retried if it failed: the successor is recorded when the attempt ends at the
+                // latest. A lease that has ended shows when it is renewed.
+                Ok(_) | Err(_) => Report::Installed,
             }
         }
         StoreCommand::Finish(lease, group, finished) => {
