Simulation: conditions of an intent record as the platform code has them

The store of the simulation accepted a late record of an intent with `promoting` by the order of the ids; the platform code compares the revision of the intent that it replaces. Worlds with aimed faults now do so as well, and can require it of each intent (`with_conditional_intents`).

--- a/crates/core/tests/replacement/aimed.rs
+++ b/crates/core/tests/replacement/aimed.rs
@@ -240,6 +240,12 @@
         self
     }
 
+    /// Makes the record of each intent require the revision of the intent that it replaces.
+    pub fn with_conditional_intents(mut self) -> Self {
+        self.partitions.every_intent_is_conditional = true;
+        self
+    }
+
     /// Adds faults, and lengthens the run so that it shows whether everything recovers.
     fn add_aimed(&mut self, faults: Vec<Planned>) {
         for planned in faults {
--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -361,6 +361,7 @@
                     attempts_started: 0,
                     last_attempt_ended: Some(self.now),
                     nodes_at_intent: Vec::new(),
+                    intent_revision: None,
                     intent_recorded_at: None,
                     notified_at: None,
                 });
@@ -383,7 +384,16 @@
                 self.on_event(call.node, event);
             }
             (Operation::RenewLease, result) => self.on_renewed(&call, result),
-            (Operation::RecordIntent(intent), CallResult::Recorded(nodes)) => {
+            (Operation::RecordIntent(_), CallResult::OtherIntent { revision, is_same: false }) => {
+                self.on_intent_revision(call.node, revision);
+                self.retry_call(&call);
+            }
+            (Operation::RecordIntent(intent), CallResult::OtherIntent { revision, .. }) => {
+                self.on_intent_revision(call.node, revision);
+                self.on_event(call.node, Event::IntentRecorded(intent.clone()));
+            }
+            (Operation::RecordIntent(intent), CallResult::Recorded { nodes, revision }) => {
+                self.on_intent_revision(call.node, revision);
                 if let Some(state) = &mut self.nodes[call.node].coordinator {
                     state.intent_recorded_at.get_or_insert(self.now);
                     if self.planted_fault != PlantedFault::NodeListFromCopy {
@@ -396,6 +406,7 @@
                 self.notify_finished(call.node, *id, successor.as_ref());
                 if let Some(state) = &mut self.nodes[call.node].coordinator {
                     state.attempt = None;
+                    state.intent_revision = None;
                     state.last_attempt_ended = Some(self.now);
                 }
             }
@@ -406,6 +417,12 @@
         }
     }
 
+    fn on_intent_revision(&mut self, node: usize, revision: u64) {
+        if let Some(state) = &mut self.nodes[node].coordinator {
+            state.intent_revision = Some(revision);
+        }
+    }
+
     /// Handles an answer of a store in another era than the node knew: the operation was applied to
     /// keys of an era that has ended.
     fn on_other_era(&mut self, call: &Call) {
--- a/crates/core/tests/replacement/late_calls.rs
+++ b/crates/core/tests/replacement/late_calls.rs
@@ -183,6 +183,24 @@
     }
 }
 
+/// Guards against an owner that cannot reach the store and returns to the old primary: the
+/// coordinator is killed within the interval of its notifications after it has recorded that a
+/// promotion may be sent. The owner has heard only of the intent before that.
+#[test]
+fn an_owner_that_has_not_heard_of_the_promotion_does_not_return_to_the_old_primary() {
+    let outcome = world(443, Faults::dense().with_releases(), Late::Nothing, None).run();
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations.first());
+}
+
+/// Guards against a late record of an intent although each requires the revision of the intent that
+/// it replaces.
+#[test]
+fn a_conditional_intent_that_is_recorded_late_violates_no_guarantee() {
+    assert_no_violations(|seed| {
+        world(seed, Faults::all(), Late::Intent, None).with_conditional_intents()
+    });
+}
+
 /// Prints the events of one seed: `TRACE_SEED=2 TRACE_KIND=intent cargo test --release -p
 /// kestrellock-core --test replacement print_trace_of_a_late -- --ignored --nocapture`.
 #[test]
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -80,6 +80,8 @@
     pub fence: u64,
     /// The operation.
     pub operation: Operation,
+    /// For the record of an intent, the revision of the group's intent that it requires.
+    pub expected_intent: Option<u64>,
     /// When it was sent.
     pub sent: u64,
 }
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -60,6 +60,8 @@
     pub last_attempt_ended: Option<u64>,
     /// Nodes that the store listed when the last intent was recorded.
     pub nodes_at_intent: Vec<NodeName>,
+    /// Revision of the group's intent as this coordinator recorded it last.
+    pub intent_revision: Option<u64>,
     /// When the coordinator learned that the intent of the attempt is recorded.
     pub intent_recorded_at: Option<u64>,
     /// When the other nodes were last notified of the replacement.
@@ -292,6 +294,14 @@
         self.view = view;
     }
 
+    /// The revision of the group's intent that the record of an intent under the lease with `fence`
+    /// requires: the one that this node recorded last, else the one in its copy of the store.
+    pub fn expected_intent(&self, fence: u64) -> u64 {
+        let recorded = self.coordinator.as_ref().and_then(|state| state.intent_revision);
+        let stored = self.keys.get(&StoreEra::of(fence));
+        recorded.or(stored.map(|keys| keys.intent_revision(&group_name()))).unwrap_or(0)
+    }
+
     /// The intent of the active replacement that the node has learned of.
     pub fn intent(&self) -> Option<Intent> {
         active_intents(&self.replacements.intents()).remove(&group_name())
--- a/crates/core/tests/replacement/partitions.rs
+++ b/crates/core/tests/replacement/partitions.rs
@@ -38,6 +38,9 @@
     /// kernel resets it when the process ends. Otherwise the connection is closed without a reset,
     /// and held requests still arrive.
     pub promotion_client_resets: bool,
+    /// Whether the record of each intent requires the revision of the intent that it replaces;
+    /// otherwise only the record of one that says that a promotion may be sent.
+    pub every_intent_is_conditional: bool,
     /// Held messages by channel and sender, in the order in which they were sent.
     held: BTreeMap<(Channel, usize), Vec<Message>>,
     /// Promotion requests that their senders wait for.
@@ -165,6 +168,14 @@
         self.on_event(node, Event::Promoted { instance: instance_name(instance), answer });
     }
 
+    /// The revision of the group's intent that the record of an intent requires. Worlds without
+    /// aimed faults require other conditions instead ([`crate::store::Contents::apply`]).
+    pub fn expected_intent(&self, node: usize, fence: u64, operation: &Operation) -> Option<u64> {
+        let Operation::RecordIntent(intent) = operation else { return None };
+        let is_conditional = intent.promoting || self.partitions.every_intent_is_conditional;
+        (self.aimed.is_some() && is_conditional).then(|| self.nodes[node].expected_intent(fence))
+    }
+
     /// Whether the store executes a call late and does not answer it.
     pub fn is_executed_late(&mut self, call: &Call) -> bool {
         if self.capture_intent(call) {
@@ -191,7 +202,14 @@
     /// Executes a call late, if its conditions still hold.
     pub fn on_late_call(&mut self, call: &Call) {
         let lease = (call.era, call.fence);
-        let result = self.store.apply(call.node, lease, &group_name(), &call.operation, self.now);
+        let result = self.store.apply(
+            call.node,
+            lease,
+            &group_name(),
+            &call.operation,
+            call.expected_intent,
+            self.now,
+        );
         self.partitions.late_arrivals += 1;
         self.trace.record(self.now, || {
             format!("executed late for node {}: {:?}: {result:?}", call.node, call.operation)
--- a/crates/core/tests/replacement/returns.rs
+++ b/crates/core/tests/replacement/returns.rs
@@ -27,6 +27,14 @@
     pub last_promoted: Option<(u64, Successor)>,
 }
 
+impl EraKeys {
+    /// The revision at which a group's intent was written; zero without an intent.
+    pub fn intent_revision(&self, group: &GroupName) -> u64 {
+        let written = self.intents.get(group).filter(|(_, intent)| intent.is_some());
+        written.map_or(0, |(revision, _)| *revision)
+    }
+}
+
 /// The keys of all eras.
 pub type Keys = BTreeMap<StoreEra, EraKeys>;
 
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -76,8 +76,20 @@
 pub enum CallResult {
     /// Applied; the position of the store, which for a new coordinator is its fencing token.
     Done(u64),
-    /// The intent is recorded; the nodes that have registered by then.
-    Recorded(Vec<NodeName>),
+    /// The intent is recorded.
+    Recorded {
+        /// The nodes that have registered by then.
+        nodes: Vec<NodeName>,
+        /// Revision of the record.
+        revision: u64,
+    },
+    /// The group's intent has another revision than the record of an intent required.
+    OtherIntent {
+        /// Its revision.
+        revision: u64,
+        /// Whether it is the intent that was to be recorded.
+        is_same: bool,
+    },
     /// A condition was not met.
     Conflict,
     /// The incarnations from the entries of the instances.
@@ -100,13 +112,15 @@
 
 impl Contents {
     /// Applies an operation of `node`, which knew `era` and whose lease has the fencing token
-    /// `fence`. A lease starts when the call arrives.
+    /// `fence`. A lease starts when the call arrives. The record of an intent may require a
+    /// revision of the group's intent.
     pub fn apply(
         &mut self,
         node: usize,
         (era, fence): (StoreEra, u64),
         group: &GroupName,
         operation: &Operation,
+        expected_intent: Option<u64>,
         now: u64,
     ) -> CallResult {
         self.expire(now);
@@ -144,9 +158,19 @@
                 return CallResult::Done(self.position());
             }
             Operation::ReleaseLease => keys.lease = None,
+            Operation::RecordIntent(intent)
+                if expected_intent
+                    .is_some_and(|expected| expected != keys.intent_revision(group)) =>
+            {
+                let known = keys.intents.get(group).and_then(|(_, known)| known.as_ref());
+                let (revision, is_same) = (keys.intent_revision(group), known == Some(intent));
+                return CallResult::OtherIntent { revision, is_same };
+            }
             // A delayed record must not restore the intent of a finished replacement.
             Operation::RecordIntent(intent)
-                if intent.promoting && !is_recorded(era, keys, group, intent) =>
+                if expected_intent.is_none()
+                    && intent.promoting
+                    && !is_recorded(era, keys, group, intent) =>
             {
                 return CallResult::Conflict;
             }
@@ -169,7 +193,7 @@
         }
         self.revision = new_revision;
         if matches!(operation, Operation::RecordIntent(_)) {
-            return CallResult::Recorded(self.nodes.clone());
+            return CallResult::Recorded { nodes: self.nodes.clone(), revision: new_revision };
         }
         if matches!(operation, Operation::AcquireLease) {
             let fence = self.position();
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -565,7 +565,9 @@
         }
         let group = group_name();
         let lease = (call.era, call.fence);
-        let result = self.store.apply(call.node, lease, &group, &call.operation, self.now);
+        let expected = call.expected_intent;
+        let result =
+            self.store.apply(call.node, lease, &group, &call.operation, expected, self.now);
         if !(loses_answers && self.rng.random_bool(0.3)) {
             let era = self.store.era;
             self.send(Message::CallAnswered(call, result, era));
@@ -578,7 +580,9 @@
         let process = self.nodes[node].process;
         // An operation under a coordinator lease belongs to the era of the lease.
         let era = if fence == 0 { self.nodes[node].view.era } else { StoreEra::of(fence) };
-        let call = Call { node, process, number, era, fence, operation, sent: self.now };
+        let expected_intent = self.expected_intent(node, fence, &operation);
+        let sent = self.now;
+        let call = Call { node, process, number, era, fence, operation, expected_intent, sent };
         self.pending_calls.insert(number);
         self.send(Message::Call(call.clone()));
         self.send_after(CALL_TIMEOUT_MS, Message::CallLost(call));
