--- a/crates/core/src/promotion/attempt/events.rs
+++ b/crates/core/src/promotion/attempt/events.rs
@@ -34,7 +34,8 @@
                 self.on_not_running(instance, sent);
             }
             Event::Promoted { instance, answer } => {
-                self.is_own_call_open = false;
+                // A call that is not sent may have been held back because an earlier one is open.
+                self.is_own_call_open &= answer == PromotionAnswer::NotSent;
                 self.on_promoted(&instance, answer, now);
             }
             Event::CallsEnded(caller) => self.open_calls.on_ended(&caller),
@@ -233,6 +234,10 @@
                 self.set_stopped_since(None);
                 self.phase = Phase::Stopping { since: now };
             }
+            PromotionAnswer::NotSent => {
+                self.sent_promotions = self.sent_promotions.saturating_sub(1);
+                self.phase = Phase::Promoting { again: now + self.timing.retry_interval };
+            }
             PromotionAnswer::Unknown => {
                 self.phase = Phase::Promoting { again: now + self.timing.retry_interval };
             }
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -18,7 +18,10 @@
     Event, Intent, ProbeResult, PromotionAnswer, PromotionCaller, ReplacementId, ReplicationStatus,
     Successor,
 };
-use kestrellock_store::control::{ControlError, ControlTarget, InstanceCommand};
+use kestrellock_store::control::{
+    ControlError, ControlTarget, InstanceCommand, PromotionOutcome, PromotionRequest,
+    PromotionService,
+};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
 
 use super::ReplacementServices;
@@ -65,12 +68,20 @@
     Renew(CoordinatorLease),
 }
 
+/// A command to an instance.
+struct QueuedCommand {
+    target: ControlTarget,
+    command: InstanceCommand,
+    /// End of the coordinator lease: the command is not sent after it.
+    valid_until: Instant,
+}
+
 /// Sends commands to the threads that execute them.
 pub struct Executor {
     services: ReplacementServices,
     promotion_calls: Arc<PromotionCalls>,
     reports: Sender<Report>,
-    instances: HashMap<InstanceName, Sender<(ControlTarget, InstanceCommand)>>,
+    instances: HashMap<InstanceName, Sender<QueuedCommand>>,
     store: Sender<StoreCommand>,
 }
 
@@ -98,15 +109,21 @@
     }
 
     /// Sends a command to an instance, unless an earlier command to it is still queued.
-    pub fn send_command(&mut self, target: ControlTarget, command: InstanceCommand) {
+    /// It is not sent after `valid_until`, the end of the coordinator lease.
+    pub fn send_command(
+        &mut self,
+        target: ControlTarget,
+        command: InstanceCommand,
+        valid_until: Instant,
+    ) {
         let sender = self.instances.entry(target.instance.clone()).or_insert_with(|| {
-            let (sender, commands) = bounded::<(ControlTarget, InstanceCommand)>(1);
+            let (sender, commands) = bounded::<QueuedCommand>(1);
             let control = self.services.control.clone();
             let reports = self.reports.clone();
             spawn("promotion-instance", move || {
-                for (target, command) in commands {
+                for QueuedCommand { target, command, valid_until } in commands {
                     let sent = Instant::now();
-                    let outcome = control.execute(&target, command);
+                    let outcome = control.execute(&target, command, Some(valid_until));
                     log::info!(event = "order", group = target.group.as_str(), instance = target.instance.as_str(), order:? = command, outcome:? = outcome, took_us = sent.elapsed().as_micros() as u64; "executed a command on an instance");
                     for event in events_for(&target, command, outcome, sent) {
                         if reports.send(Report::Event(target.group.clone(), event)).is_err() {
@@ -118,7 +135,7 @@
             sender
         });
         // If an earlier command is still queued, this one is dropped: the attempt sends it again.
-        let _ = sender.try_send((target, command));
+        let _ = sender.try_send(QueuedCommand { target, command, valid_until });
     }
 
     /// Asks the platform to promote an instance, unless an earlier promotion of the group is open.
@@ -131,23 +148,20 @@
     ) {
         let promotions = self.services.promotions.clone();
         let calls = self.promotion_calls.clone();
-        let (reports, fence) = (self.reports.clone(), lease.fence);
-        let until = lease.valid_until;
+        let reports = self.reports.clone();
+        let (fence, deadline) = (lease.fence, lease.valid_until);
+        let request = PromotionRequest { group, instance, coordinator, fence, deadline };
         spawn("promotion-call", move || {
-            // The time is read again here, because this process may have been suspended. No
-            // promotion is sent after the end of the lease.
-            let may_send = Instant::now() < until && calls.begin(&group, fence);
-            let answer = match may_send {
-                true => promotions.promote(&group, &instance, &coordinator, fence),
-                false => PromotionAnswer::Unknown,
+            let answer = match calls.begin(&request.group, fence) {
+                true => promote(promotions.as_ref(), &calls, &request),
+                false => {
+                    log::info!(event = "promotion_not_begun", group = request.group.as_str(), fence = fence; "an earlier promotion is open, or a later coordinator has asked for the end of these");
+                    PromotionAnswer::NotSent
+                }
             };
-            if may_send {
-                calls.end(&group, answer != PromotionAnswer::Unknown, Instant::now());
-            }
-            log::info!(event = "promotion", group = group.as_str(), instance = instance.as_str(), fence = fence, answer:? = answer; "the platform answered a promotion request");
-            let event = Event::Promoted { instance, answer };
+            let event = Event::Promoted { instance: request.instance, answer };
             // The coordinator thread may have ended by now.
-            let _ = reports.send(Report::Event(group, event));
+            let _ = reports.send(Report::Event(request.group, event));
         });
     }
 
@@ -210,6 +224,52 @@
     }
 }
 
+/// Carries out a promotion call that has begun.
+fn promote(
+    promotions: &dyn PromotionService,
+    calls: &PromotionCalls,
+    request: &PromotionRequest,
+) -> PromotionAnswer {
+    let begun = Instant::now();
+    log_promotion_begin(request, begun);
+    let outcome = promotions.promote(request);
+    let may_take_effect = outcome.answer == PromotionAnswer::Unknown;
+    calls.end(&request.group, !may_take_effect, Instant::now());
+    log_promotion_end(request, &outcome, begun);
+    outcome.answer
+}
+
+/// Logged before the call, since this process may be killed during it.
+fn log_promotion_begin(request: &PromotionRequest, begun: Instant) {
+    log::info!(event = "promotion_begun", group = request.group.as_str(), instance = request.instance.as_str(), fence = request.fence, lease_left_ms = milliseconds_left(request.deadline, begun); "a promotion call begins");
+}
+
+/// Logs how a promotion call went. Times are in milliseconds since it began.
+fn log_promotion_end(request: &PromotionRequest, outcome: &PromotionOutcome, begun: Instant) {
+    let ended = Instant::now();
+    let since_begin = |time: Instant| time.saturating_duration_since(begun).as_millis() as u64;
+    log::info!(
+        event = "promotion",
+        group = request.group.as_str(),
+        instance = request.instance.as_str(),
+        fence = request.fence,
+        answer:? = outcome.answer,
+        connected_ms:? = outcome.connected.map(since_begin),
+        sent_ms:? = outcome.sent.map(since_begin),
+        ended_ms = since_begin(ended),
+        lease_left_at_begin_ms = milliseconds_left(request.deadline, begun),
+        lease_left_at_end_ms = milliseconds_left(request.deadline, ended),
+        failure = outcome.failure.as_deref().unwrap_or_default();
+        "a promotion call has ended"
+    );
+}
+
+/// Milliseconds from `now` until `end`, negative if it has passed.
+fn milliseconds_left(end: Instant, now: Instant) -> i64 {
+    let left = end.saturating_duration_since(now).as_millis() as i64;
+    left - now.saturating_duration_since(end).as_millis() as i64
+}
+
 fn change_store(coordination: &dyn Coordination, command: StoreCommand) -> Report {
     match command {
         StoreCommand::Record(lease, group, intent) => {
