Simulation: queries about earlier promotions

Worlds with aimed faults run the product's own state of open promotion calls: a process has one open at a time, answers queries about it, and a coordinator probes the machines of processes that do not answer. A killed process refuses connections, one that has restarted answers with another number, a suspended or cut off one says nothing, a machine without power neither answers nor refuses. The store keeps the callers that have not ended.

--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -183,6 +183,11 @@
     /// A node that coordinators do not notify acknowledges commits without confirmation by
     /// replicas.
     NoConfirmation,
+    /// The coordinator does not wait for the end of earlier promotions.
+    NoWaitForOpenCalls,
+    /// An earlier coordinator that has been silent for a second counts as one without open
+    /// promotions.
+    SilenceEndsCalls,
 }
 
 /// A kind of fault.
--- a/crates/core/tests/replacement/returns.rs
+++ b/crates/core/tests/replacement/returns.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use kestrellock_core::ids::GroupName;
-use kestrellock_core::promotion::{Intent, NodeVotes, Successor};
+use kestrellock_core::promotion::{Intent, NodeVotes, PromotionCaller, Successor};
 use kestrellock_core::store_era::StoreEra;
 
 use crate::store::Contents;
@@ -25,6 +25,8 @@
     pub votes: BTreeMap<usize, NodeVotes>,
     /// The instance promoted last, with the revision at which it was written.
     pub last_promoted: Option<(u64, Successor)>,
+    /// Processes whose promotions may not have ended when the last replacement finished.
+    pub open_callers: Vec<PromotionCaller>,
 }
 
 impl EraKeys {
