--- a/crates/core/tests/replacement/partitions.rs
+++ b/crates/core/tests/replacement/partitions.rs
@@ -38,10 +38,15 @@
     /// kernel resets it when the process ends. Otherwise the connection is closed without a reset,
     /// and held requests still arrive.
     pub promotion_client_resets: bool,
+    /// Whether the record of each intent requires the revision of the intent that it replaces;
+    /// otherwise only the record of one that says that a promotion may be sent.
+    pub every_intent_is_conditional: bool,
     /// Held messages by channel and sender, in the order in which they were sent.
     held: BTreeMap<(Channel, usize), Vec<Message>>,
     /// Promotion requests that their senders wait for.
     awaited: BTreeSet<u64>,
+    /// Those of them that have been sent.
+    sent: BTreeSet<u64>,
     /// Processes, by node, whose machines have lost power.
     lost_power: BTreeSet<(usize, u64)>,
     /// Number of messages that arrived after they had been held.
@@ -49,11 +54,6 @@
 }
 
 impl Partitions {
-    /// Handles the answer to a promotion request.
-    pub fn on_answered(&mut self, call: u64) {
-        self.awaited.remove(&call);
-    }
-
     /// Handles the end of a node's process, whose kernel closes its connections.
     pub fn on_process_ended(&mut self, node: usize) {
         if self.promotion_client_resets {
@@ -139,16 +139,48 @@
         let (from, to) = match message {
             Message::EvidenceRevoked { from, to, .. }
             | Message::ReplacementStarted { from, to, .. }
-            | Message::ReplacementFinished { from, to, .. } => (*from, *to),
+            | Message::ReplacementFinished { from, to, .. }
+            | Message::CallerQuery { from, to, .. }
+            | Message::CallsEnded { from, to, .. }
+            | Message::Probe { from, to }
+            | Message::Probed { from, to, .. } => (*from, *to),
             _ => return false,
         };
         self.is_active(FaultKind::CutPeers(from)) || self.is_active(FaultKind::CutPeers(to))
     }
 
+    /// Begins a promotion request, unless the process has one open or a later coordinator has asked
+    /// about this fencing token. Requests in worlds without aimed faults have no timeout and are not
+    /// counted.
+    pub fn begin_promotion(&mut self, node: usize, instance: usize, fence: u64, call: u64) -> bool {
+        if self.aimed.is_none() || self.nodes[node].own_calls.begin(&group_name(), fence) {
+            return true;
+        }
+        self.partitions.awaited.insert(call);
+        let (process, answer) = (self.nodes[node].process, PromotionAnswer::Unknown);
+        let refused = Message::PromotionAnswered { node, process, instance, call, answer };
+        self.send(refused);
+        false
+    }
+
+    /// Handles the answer to a promotion request. Returns whether the node still waits for it.
+    pub fn on_promotion_answered(&mut self, node: usize, call: u64) -> bool {
+        if self.aimed.is_none() {
+            return true;
+        }
+        let is_awaited = self.partitions.awaited.remove(&call);
+        if self.partitions.sent.remove(&call) {
+            let now = self.at(self.now);
+            self.nodes[node].own_calls.end(&group_name(), true, now);
+        }
+        is_awaited
+    }
+
     /// Begins to wait for the answer to a promotion request, with a timeout.
     pub fn await_promotion(&mut self, node: usize, instance: usize, call: u64) {
         let process = self.nodes[node].process;
         self.partitions.awaited.insert(call);
+        self.partitions.sent.insert(call);
         let timeout = Message::PromotionTimedOut { node, process, instance, call };
         self.send_after(PROMOTION_TIMEOUT_MS, timeout);
     }
@@ -161,10 +193,22 @@
         if self.partitions.promotion_client_resets {
             self.partitions.discard_promotion(node, call);
         }
+        if self.partitions.sent.remove(&call) {
+            let now = self.at(self.now);
+            self.nodes[node].own_calls.end(&group_name(), false, now);
+        }
         let answer = PromotionAnswer::Unknown;
         self.on_event(node, Event::Promoted { instance: instance_name(instance), answer });
     }
 
+    /// The revision of the group's intent that the record of an intent requires. Worlds without
+    /// aimed faults require other conditions instead ([`crate::store::Contents::apply`]).
+    pub fn expected_intent(&self, node: usize, fence: u64, operation: &Operation) -> Option<u64> {
+        let Operation::RecordIntent(intent) = operation else { return None };
+        let is_conditional = intent.promoting || self.partitions.every_intent_is_conditional;
+        (self.aimed.is_some() && is_conditional).then(|| self.nodes[node].expected_intent(fence))
+    }
+
     /// Whether the store executes a call late and does not answer it.
     pub fn is_executed_late(&mut self, call: &Call) -> bool {
         if self.capture_intent(call) {
@@ -191,7 +235,14 @@
     /// Executes a call late, if its conditions still hold.
     pub fn on_late_call(&mut self, call: &Call) {
         let lease = (call.era, call.fence);
-        let result = self.store.apply(call.node, lease, &group_name(), &call.operation, self.now);
+        let result = self.store.apply(
+            call.node,
+            lease,
+            &group_name(),
+            &call.operation,
+            call.expected_intent,
+            self.now,
+        );
         self.partitions.late_arrivals += 1;
         self.trace.record(self.now, || {
             format!("executed late for node {}: {:?}: {result:?}", call.node, call.operation)
