Late promotions: the platform's names stay in its folder

Change: the settings of a node process and the recognition of a promotion call are in platform/src/standin. No behaviour changes.

--- a/crates/lab/src/processes/late_promotion/cuts.rs
+++ b/crates/lab/src/processes/late_promotion/cuts.rs
@@ -4,12 +4,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use kestrellock_platform::standin::promotion;
+
 use crate::processes::journal::Journal;
 use crate::processes::{NODES, ProcessPlatform};
 use crate::standin::relay::{Partition, RelayEvent};
 
-const CALL_START: &[u8] = b"POST /promotion";
-const INSTANCE_FIELD: &str = "\"instanceId\":\"";
 /// Part of the log line of a node that has become the coordinator.
 const LEASE_EVENT: &str = "\"hold_taken\"";
 
@@ -86,7 +86,7 @@
 
     fn on_bytes(&self, node: usize, bytes: &[u8]) {
         let mut state = self.state();
-        if bytes.windows(CALL_START.len()).any(|window| window == CALL_START) {
+        if promotion::contains_call(bytes) {
             self.journal.add(&format!("node {node} sends a promotion call"));
             state.first_caller.get_or_insert(node);
             if let Some(Cut { moment: Moment::Call(delay), duration }) = self.next(&state, node) {
@@ -163,9 +163,6 @@
 
     /// The instance that the first promotion call names.
     pub fn first_choice(&self) -> Option<String> {
-        let state = self.state();
-        let text = String::from_utf8_lossy(&state.first_call);
-        let (_, behind) = text.split_once(INSTANCE_FIELD)?;
-        behind.split_once('"').map(|(name, _)| name.to_owned())
+        promotion::named_instance(&self.state().first_call)
     }
 }
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -8,7 +8,6 @@
 pub mod late_promotion;
 pub mod node;
 pub mod rules;
-mod settings;
 pub mod writers;
 
 use std::net::SocketAddr;
--- a/crates/lab/src/processes/node.rs
+++ b/crates/lab/src/processes/node.rs
@@ -7,16 +7,12 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use kestrellock_platform::standin::settings::NodeSettings;
 use miette::{Context, IntoDiagnostic, miette};
 use rustix::process::{Pid, Signal, kill_process};
 
-use super::settings::{Values, fill};
-
-/// Template of the settings on the users' platform.
-const TEMPLATE: &str = include_str!("../../../../deploy/node.toml");
 const PROGRAM: &str = "kestrellockd";
-/// Grace period of a planned stop in seconds.
-const GRACE_SECONDS: u32 = 6;
+const GRACE_PERIOD: Duration = Duration::from_secs(6);
 const LINK_MBPS: u32 = 1_000;
 const READINESS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum attempts to find a port that is free for both TCP and UDP.
@@ -44,7 +40,8 @@
     /// Address for clients.
     pub client_address: SocketAddr,
     admin_address: SocketAddr,
-    values: Values,
+    zone: String,
+    platform: PlatformAddresses,
     settings_path: PathBuf,
     log_path: PathBuf,
     cluster_key: String,
@@ -90,20 +87,12 @@
         platform: PlatformAddresses,
         cluster_key: &str,
     ) -> miette::Result<Self> {
-        let values = Values::from([
-            ("nodeName", name.to_owned()),
-            ("zone", zone.to_owned()),
-            ("limits.linkMbps", LINK_MBPS.to_string()),
-            ("faultTolerance.zones", "0".to_owned()),
-            ("bounds.graceS", GRACE_SECONDS.to_string()),
-            ("platform.address", platform.store.to_string()),
-            ("cloud.address", platform.promotions.to_string()),
-        ]);
         let mut node = Self {
             name: name.to_owned(),
             client_address: UNASSIGNED,
             admin_address: UNASSIGNED,
-            values,
+            zone: zone.to_owned(),
+            platform,
             settings_path: folder.join(format!("{name}.toml")),
             log_path: folder.join(format!("{name}.log")),
             cluster_key: cluster_key.to_owned(),
@@ -119,16 +108,20 @@
     /// before the node does.
     fn assign_addresses(&mut self) -> miette::Result<()> {
         self.address_attempts += 1;
-        let (client, admin) = (free_address()?, free_address()?);
-        let peer = free_address()?;
-        self.values.extend([
-            ("ip", peer.ip().to_string()),
-            ("internalPorts.0", peer.port().to_string()),
-            ("listen.front", client.to_string()),
-            ("listen.ready", admin.to_string()),
-        ]);
-        (self.client_address, self.admin_address) = (client, admin);
-        std::fs::write(&self.settings_path, fill(TEMPLATE, &self.values)).into_diagnostic()
+        (self.client_address, self.admin_address) = (free_address()?, free_address()?);
+        let settings = NodeSettings {
+            name: &self.name,
+            zone: &self.zone,
+            client_address: self.client_address,
+            readiness_address: self.admin_address,
+            peer_address: free_address()?,
+            link_mbps: LINK_MBPS,
+            grace_period: GRACE_PERIOD,
+            tolerated_zone_losses: 0,
+            store_address: self.platform.store,
+            promotion_address: self.platform.promotions,
+        };
+        std::fs::write(&self.settings_path, settings.text()).into_diagnostic()
     }
 
     /// Starts the process with the settings that were written for it.
