--- a/crates/lab/src/processes/late_promotion/coordinator.rs
+++ b/crates/lab/src/processes/late_promotion/coordinator.rs
@@ -1,5 +1,6 @@
 //! The coordinator that is partitioned first.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use super::cuts::Cuts;
@@ -7,6 +8,9 @@
 
 /// Time after which a killed coordinator is started again.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
+/// Time from the end of the partition until a suspended coordinator is continued. The held bytes
+/// arrive within it, so that the coordinator cannot reset their connection first.
+const CONTINUE_DELAY: Duration = Duration::from_millis(100);
 
 /// What happens to the coordinator that is partitioned first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,7 +22,7 @@
     /// It is killed when the partition begins and started again under the same name, still
     /// partitioned from the platform.
     Restarted,
-    /// It is suspended when the partition begins and continued at its end.
+    /// It is suspended when the partition begins and continued after its end.
     Suspended,
 }
 
@@ -81,6 +85,7 @@
     pub fn on_ended(&self, nodes: &[usize], platform: &ProcessPlatform) -> miette::Result<()> {
         let Some((node, _)) = self.partitioned else { return Ok(()) };
         if self.fate == CoordinatorFate::Suspended && nodes.contains(&node) {
+            thread::sleep(CONTINUE_DELAY);
             platform.nodes[node].resume()?;
             platform.journal.add(&format!("node {node} is continued"));
         }
