--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -14,6 +14,11 @@
     /// Stops the replicas until enough of them are stopped. Cancels the attempt if that takes too
     /// long while the old primary works.
     pub(super) fn stop(&mut self, since: Instant, now: Instant, commands: &mut Vec<Command>) {
+        // While the old primary may continue, nothing is stopped before a promotion can follow.
+        if !self.may_have_promoted() && !self.open_calls.callers().is_empty() {
+            self.phase = Phase::Stopping { since: now };
+            return;
+        }
         self.update_waits(now);
         // A primary that answers can still serve reads, and if it lacks replicas that receive,
         // stopping more of them does not help.
--- a/crates/core/src/promotion/ended_processes.rs
+++ b/crates/core/src/promotion/ended_processes.rs
@@ -9,6 +9,8 @@
 
 /// Time between two probes of one node.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Refusals further apart than this do not show that the node has refused connections in between.
+const MAX_REFUSAL_GAP: Duration = Duration::from_secs(1);
 /// A process has ended if its node has refused connections for this long. Longer than a promotion
 /// call and its effect may take, because a process that stops closes its listener first, and a
 /// partition may refuse connections as well.
@@ -27,6 +29,7 @@
 struct ProbedNode {
     last_probe: Option<Instant>,
     refused_since: Option<Instant>,
+    last_refusal: Option<Instant>,
 }
 
 /// The probes of one coordinator.
@@ -51,6 +54,10 @@
         let probed = self.nodes.entry(node.clone()).or_default();
         match result {
             ProbeResult::Refused => {
+                if probed.last_refusal.is_some_and(|last| now > last + MAX_REFUSAL_GAP) {
+                    probed.refused_since = None;
+                }
+                probed.last_refusal = Some(now);
                 let since = *probed.refused_since.get_or_insert(now);
                 now >= since + REFUSAL_PERIOD
             }
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -188,3 +188,13 @@
     /// No answer, or an inconclusive one: the instance may be promoted.
     Unknown,
 }
+
+impl PromotionAnswer {
+    /// Whether the promotion may take effect after this answer.
+    pub fn may_take_effect(self) -> bool {
+        match self {
+            Self::Accepted | Self::Unknown => true,
+            Self::NotRunning | Self::NotSent => false,
+        }
+    }
+}
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use super::{CoordinationView, NodeVotes, PromotionCaller, Reason};
+use super::{CoordinationView, Intent, NodeVotes, PromotionCaller, Reason};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName, NodeName};
 use crate::routing::Role;
@@ -187,7 +187,7 @@
             may_have_promoted: intent.promoting,
             awaits_log: intent.awaits_log,
             last_primary_is_replica: last_primary_is_replica(group, history),
-            callers: intent.open_callers(),
+            callers: all_callers(intent, open_callers(name, input.view)),
         }),
         (None, Some(_)) if is_delayed => None,
         (None, current) => current,
@@ -235,6 +235,15 @@
     }
 }
 
+/// The callers that the intent names and those that the group's last replacement has left. A
+/// cancelled attempt names none in its intent.
+fn all_callers(intent: &Intent, left: Vec<PromotionCaller>) -> Vec<PromotionCaller> {
+    let mut callers = intent.open_callers();
+    let others: Vec<_> = left.into_iter().filter(|caller| !callers.contains(caller)).collect();
+    callers.extend(others);
+    callers
+}
+
 /// Processes whose promotions may not have ended when the group's last replacement finished.
 fn open_callers(group: &GroupName, view: &CoordinationView) -> Vec<PromotionCaller> {
     view.open_callers.get(group).cloned().unwrap_or_default()
--- a/crates/core/src/promotion/open_calls.rs
+++ b/crates/core/src/promotion/open_calls.rs
@@ -18,6 +18,12 @@
 /// Time within which a promotion that has reached the platform takes effect.
 pub const PROMOTION_SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Time at the start of a wait in which callers are queried as often as instances. Most answer at
+/// once, and clients wait.
+const FREQUENT_QUERY_PERIOD: Duration = Duration::from_secs(1);
+/// Interval of the queries after that: a caller may be away for long.
+const RARE_QUERY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Number of a process that is not known.
 pub const UNKNOWN_PROCESS: u64 = 0;
 
@@ -80,7 +86,11 @@
             self.discard();
             return;
         }
-        if self.last_query.is_none_or(|last_query| now >= last_query + timing.retry_interval) {
+        let interval = match now < since + FREQUENT_QUERY_PERIOD {
+            true => timing.retry_interval,
+            false => RARE_QUERY_INTERVAL,
+        };
+        if self.last_query.is_none_or(|last_query| now >= last_query + interval) {
             self.last_query = Some(now);
             commands.extend(self.callers.iter().cloned().map(Command::QueryCaller));
         }
--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -7,8 +7,8 @@
 use kestrellock_core::confirmation::ConfirmationRule;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::promotion::{
-    CoordinationView, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes, PromotionCaller,
-    Reason, Vote,
+    CoordinationView, Intent, KnownInstances, Need, NeedsEvaluator, NeedsInput, NodeVotes,
+    PromotionCaller, Reason, Vote,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::suspicion::Cause;
@@ -139,6 +139,34 @@
     assert_eq!(need.callers, [caller]);
 }
 
+/// Guards against callers that are forgotten with an attempt that was cancelled: its intent names
+/// none, and hides those that the last replacement has left.
+#[test]
+fn need_after_a_cancelled_attempt_names_the_callers_that_were_left() {
+    let json = r#"{"holder":"n-1","id":{"fence":9,"attempt":1},"reason":"leaving","former":"a",
+        "called_off":true}"#;
+    let cancelled: Intent = serde_json::from_str(json).expect("an intent");
+    let nodes = nodes(3);
+    let caller = PromotionCaller { node: nodes[1].clone(), process: 3, fence: 7 };
+    let group = GroupName::new(GROUP);
+    let view = CoordinationView {
+        revision: 1,
+        open_callers: [(group.clone(), vec![caller.clone()])].into(),
+        intents: [(group.clone(), cancelled)].into(),
+        ..CoordinationView::default()
+    };
+    let mut evaluator = NeedsEvaluator::default();
+    let catalog = catalog(&[PRIMARY, REPLICA]);
+    evaluator.apply_catalog(&catalog);
+    let own_votes = NodeVotes::new();
+    let own = (&nodes[0], &own_votes);
+    let now = Instant::now();
+    let input =
+        NeedsInput { catalog: &catalog, view: &view, own, live: &nodes, listed: &nodes, now };
+    let need = evaluator.evaluate(&input).remove(&group).expect("the attempt is unfinished");
+    assert_eq!(need.callers, [caller]);
+}
+
 #[test]
 fn primary_that_became_a_replica_is_treated_as_a_replica() {
     let start = Instant::now();
--- a/crates/core/tests/promotion/open_calls.rs
+++ b/crates/core/tests/promotion/open_calls.rs
@@ -100,6 +100,24 @@
     assert!(promotes(&run_with_replicas(&mut attempt, &mut now, Duration::from_secs(1))));
 }
 
+/// Guards against a working primary that cannot acknowledge commits for as long as the attempt waits
+/// for a caller that the last replacement has left.
+#[test]
+fn a_planned_replacement_stops_no_replica_while_a_promotion_may_arrive() {
+    let mut now = Instant::now();
+    let need = Need { callers: vec![earlier_caller()], ..need(Reason::Leaving) };
+    let id = ReplacementId { fence: 9, attempt: 1 };
+    let coordinator = NodeName::new("later");
+    let attempt = Attempt::new(coordinator, id, &need, members(&["a"]), Term(1), Timing::default());
+    let mut attempt = attempt.in_process(OWN_PROCESS);
+    record_intent(&mut attempt, now);
+    let commands = run_with_replicas(&mut attempt, &mut now, Duration::from_secs(5));
+    let stops = |command: &Command| matches!(command, Command::Stop { .. });
+    assert!(!commands.iter().any(stops), "{commands:?}");
+    attempt.on_event(Event::CallsEnded(earlier_caller()), now);
+    assert!(promotes(&run_with_replicas(&mut attempt, &mut now, Duration::from_secs(2))));
+}
+
 /// Guards against a promotion on stops that were confirmed before the wait: a promotion that took
 /// effect meanwhile has released the replicas.
 #[test]
--- a/crates/core/tests/replacement/partitions.rs
+++ b/crates/core/tests/replacement/partitions.rs
@@ -153,25 +153,32 @@
     /// about this fencing token. Requests in worlds without aimed faults have no timeout and are not
     /// counted.
     pub fn begin_promotion(&mut self, node: usize, instance: usize, fence: u64, call: u64) -> bool {
-        if self.aimed.is_none() || self.nodes[node].own_calls.begin(&group_name(), fence) {
+        let (name, now) = (instance_name(instance), self.at(self.now));
+        let calls = &mut self.nodes[node].own_calls;
+        if self.aimed.is_none() || calls.begin(&group_name(), &name, fence, now) {
             return true;
         }
         self.partitions.awaited.insert(call);
-        let (process, answer) = (self.nodes[node].process, PromotionAnswer::Unknown);
+        let (process, answer) = (self.nodes[node].process, PromotionAnswer::NotSent);
         let refused = Message::PromotionAnswered { node, process, instance, call, answer };
         self.send(refused);
         false
     }
 
     /// Handles the answer to a promotion request. Returns whether the node still waits for it.
-    pub fn on_promotion_answered(&mut self, node: usize, call: u64) -> bool {
+    pub fn on_promotion_answered(
+        &mut self,
+        node: usize,
+        call: u64,
+        answer: PromotionAnswer,
+    ) -> bool {
         if self.aimed.is_none() {
             return true;
         }
         let is_awaited = self.partitions.awaited.remove(&call);
         if self.partitions.sent.remove(&call) {
             let now = self.at(self.now);
-            self.nodes[node].own_calls.end(&group_name(), true, now);
+            self.nodes[node].own_calls.end(&group_name(), answer.may_take_effect(), now);
         }
         is_awaited
     }
@@ -195,7 +202,7 @@
         }
         if self.partitions.sent.remove(&call) {
             let now = self.at(self.now);
-            self.nodes[node].own_calls.end(&group_name(), false, now);
+            self.nodes[node].own_calls.end(&group_name(), true, now);
         }
         let answer = PromotionAnswer::Unknown;
         self.on_event(node, Event::Promoted { instance: instance_name(instance), answer });
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -516,7 +516,7 @@
                 self.on_promotion_timed_out(node, instance, call);
             }
             Message::PromotionAnswered { node, instance, call, answer, .. } => {
-                if !self.on_promotion_answered(node, call) {
+                if !self.on_promotion_answered(node, call, answer) {
                     return;
                 }
                 let event = Event::Promoted { instance: instance_name(instance), answer };
--- a/crates/daemon/src/agent/promotion/caller_queries.rs
+++ b/crates/daemon/src/agent/promotion/caller_queries.rs
@@ -31,14 +31,16 @@
 ) -> Option<PeerMessage> {
     let has_ended = caller.node == context.identity.node
         && context.promotion_calls.confirm_ended(&group, &caller, now);
+    if !has_ended {
+        return None;
+    }
     log::info!(
         event = "promotion_call_query",
         group = group.as_str(),
         from = from.as_str(),
         fence = caller.fence,
-        process = caller.process,
-        has_ended = has_ended;
-        "a later coordinator asked whether promotions of this node have ended"
+        process = caller.process;
+        "promotions of this node have ended, as a later coordinator has asked"
     );
-    has_ended.then_some(PeerMessage::PromotionCallsEnded { group, caller })
+    Some(PeerMessage::PromotionCallsEnded { group, caller })
 }
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -155,10 +155,11 @@
         let (fence, deadline) = (lease.fence, lease.valid_until);
         let request = PromotionRequest { group, instance, coordinator, fence, deadline };
         spawn("promotion-call", move || {
-            let answer = match calls.begin(&request.group, fence) {
+            let begun = Instant::now();
+            let answer = match calls.begin(&request.group, &request.instance, fence, begun) {
                 true => promote(promotions.as_ref(), &calls, &request),
                 false => {
-                    log::info!(event = "promotion_not_begun", group = request.group.as_str(), fence = fence; "an earlier promotion is open, or a later coordinator has asked for the end of these");
+                    log::info!(event = "promotion_not_begun", group = request.group.as_str(), fence = fence; "an earlier promotion is open, or a later coordinator has asked for the end of promotions");
                     PromotionAnswer::NotSent
                 }
             };
@@ -236,8 +237,7 @@
     let begun = Instant::now();
     log_promotion_begin(request, begun);
     let outcome = promotions.promote(request);
-    let may_take_effect = outcome.answer == PromotionAnswer::Unknown;
-    calls.end(&request.group, !may_take_effect, Instant::now());
+    calls.end(&request.group, outcome.answer.may_take_effect(), Instant::now());
     log_promotion_end(request, &outcome, begun);
     outcome.answer
 }
--- a/crates/daemon/src/shared/promotion_calls.rs
+++ b/crates/daemon/src/shared/promotion_calls.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use kestrellock_core::ids::GroupName;
+use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::promotion::{OwnCalls, PromotionCaller};
 
 /// A group, and a process that may have promotions of it open.
@@ -31,14 +31,21 @@
         }
     }
 
-    /// Begins a call. False if it must not be sent.
-    pub fn begin(&self, group: &GroupName, fence: u64) -> bool {
-        lock(&self.own).begin(group, fence)
+    /// Begins a call that promotes `instance`. False if it must not be sent.
+    pub fn begin(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        fence: u64,
+        now: Instant,
+    ) -> bool {
+        lock(&self.own).begin(group, instance, fence, now)
     }
 
     /// Ends the open call of a group: it has been answered, or its connection has been reset.
-    pub fn end(&self, group: &GroupName, is_answered: bool, now: Instant) {
-        lock(&self.own).end(group, is_answered, now);
+    /// `may_take_effect` unless it was not sent or the platform has refused it.
+    pub fn end(&self, group: &GroupName, may_take_effect: bool, now: Instant) {
+        lock(&self.own).end(group, may_take_effect, now);
     }
 
     /// Whether the calls of `caller`, a process of this node, have ended and have had time to take
