--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -4,13 +4,13 @@
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFETIME;
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Intent, NOTIFY_INTERVAL, Need, ReplacementId, ReportingNodes,
-    RestartReport, Successor, Timing,
+    Attempt, Command, Event, Intent, NOTIFY_INTERVAL, Need, ProcessProbes, ReplacementId,
+    ReportingNodes, RestartReport, Successor, Timing,
 };
 use kestrellock_core::store_era::StoreEra;
 
 use crate::messages::{Call, Message, Work};
-use crate::node::{CoordinatorState, group_name, instance_number};
+use crate::node::{CoordinatorState, caller_process, group_name, instance_number};
 use crate::plan::PlantedFault;
 use crate::store::{CallResult, LEASE_MS, Operation, node_name};
 use crate::world::World;
@@ -223,7 +223,7 @@
         let id = ReplacementId { fence: state.fence, attempt: state.attempts_started };
         let (own_name, process) = (node_name(node), own.process);
         let attempt = Attempt::new(own_name, id, need, members, highest, timing);
-        state.attempt = Some(attempt.in_process(process));
+        state.attempt = Some(attempt.in_process(caller_process(process)));
     }
 
     fn timing(&self) -> Timing {
@@ -233,6 +233,15 @@
             timing.evidence_lifetime = std::time::Duration::ZERO;
             timing.unlisted_evidence_lifetime = std::time::Duration::ZERO;
         }
+        match self.planted_fault {
+            PlantedFault::NoWaitForOpenCalls => {
+                timing.open_call_timeout = std::time::Duration::ZERO
+            }
+            PlantedFault::SilenceEndsCalls => {
+                timing.open_call_timeout = std::time::Duration::from_secs(1);
+            }
+            _ => {}
+        }
         timing
     }
 
@@ -286,7 +295,10 @@
                     let now = self.at(self.now);
                     self.nodes[node].on_attempt_cancelled(now);
                 }
-                self.call(node, fence, Operation::Finish(*id, successor.clone()));
+                let state = self.nodes[node].coordinator.as_ref();
+                let attempt = state.and_then(|state| state.attempt.as_ref());
+                let callers = attempt.map(Attempt::callers_at_end).unwrap_or_default();
+                self.call(node, fence, Operation::Finish(*id, successor.clone(), callers));
             }
             Command::ReadIncarnations => self.call(node, fence, Operation::ReadIncarnations),
             Command::QueryCaller(caller) => self.query_caller(node, caller.clone()),
@@ -316,6 +328,9 @@
         let fence = if self.planted_fault == PlantedFault::FenceReused { 1 } else { fence };
         let process = self.nodes[node].process;
         let call = self.next_number();
+        if !self.begin_promotion(node, instance, fence, call) {
+            return;
+        }
         self.send(Message::Promote { node, process, instance, fence, call });
         self.on_promotion_sent(node, instance, call);
     }
@@ -363,6 +378,8 @@
                     attempts_started: 0,
                     last_attempt_ended: Some(self.now),
                     nodes_at_intent: Vec::new(),
+                    process_probes: ProcessProbes::default(),
+                    intent_revision: None,
                     intent_recorded_at: None,
                     notified_at: None,
                 });
@@ -385,7 +402,16 @@
                 self.on_event(call.node, event);
             }
             (Operation::RenewLease, result) => self.on_renewed(&call, result),
-            (Operation::RecordIntent(intent), CallResult::Recorded(nodes)) => {
+            (Operation::RecordIntent(_), CallResult::OtherIntent { revision, is_same: false }) => {
+                self.on_intent_revision(call.node, revision);
+                self.retry_call(&call);
+            }
+            (Operation::RecordIntent(intent), CallResult::OtherIntent { revision, .. }) => {
+                self.on_intent_revision(call.node, revision);
+                self.on_event(call.node, Event::IntentRecorded(intent.clone()));
+            }
+            (Operation::RecordIntent(intent), CallResult::Recorded { nodes, revision }) => {
+                self.on_intent_revision(call.node, revision);
                 if let Some(state) = &mut self.nodes[call.node].coordinator {
                     state.intent_recorded_at.get_or_insert(self.now);
                     if self.planted_fault != PlantedFault::NodeListFromCopy {
@@ -394,10 +420,11 @@
                 }
                 self.on_event(call.node, Event::IntentRecorded(intent.clone()));
             }
-            (Operation::Finish(id, successor), CallResult::Done(_)) => {
+            (Operation::Finish(id, successor, _), CallResult::Done(_)) => {
                 self.notify_finished(call.node, *id, successor.as_ref());
                 if let Some(state) = &mut self.nodes[call.node].coordinator {
                     state.attempt = None;
+                    state.intent_revision = None;
                     state.last_attempt_ended = Some(self.now);
                 }
             }
@@ -408,6 +435,12 @@
         }
     }
 
+    fn on_intent_revision(&mut self, node: usize, revision: u64) {
+        if let Some(state) = &mut self.nodes[node].coordinator {
+            state.intent_revision = Some(revision);
+        }
+    }
+
     /// Handles an answer of a store in another era than the node knew: the operation was applied to
     /// keys of an era that has ended.
     fn on_other_era(&mut self, call: &Call) {
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -6,7 +6,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::promotion::{
-    CoordinationView, Coordinator, Intent, NodeVotes, ReplacementId, Successor,
+    CoordinationView, Coordinator, Intent, NodeVotes, PromotionCaller, ReplacementId, Successor,
 };
 
 use kestrellock_core::store_era::StoreEra;
@@ -58,8 +58,9 @@
     RecordIntent(Intent),
     /// Records the successor.
     RecordSuccessor(InstanceName),
-    /// Removes the intent of a finished or cancelled replacement.
-    Finish(ReplacementId, Option<Successor>),
+    /// Removes the intent of a finished or cancelled replacement, and keeps the processes whose
+    /// promotions may not have ended.
+    Finish(ReplacementId, Option<Successor>, Vec<PromotionCaller>),
     /// Writes records back that the store has lost: the instance promoted last, and whether the
     /// replacement that the store shows has finished.
     WriteBack(Option<Successor>, bool),
@@ -76,8 +77,20 @@
 pub enum CallResult {
     /// Applied; the position of the store, which for a new coordinator is its fencing token.
     Done(u64),
-    /// The intent is recorded; the nodes that have registered by then.
-    Recorded(Vec<NodeName>),
+    /// The intent is recorded.
+    Recorded {
+        /// The nodes that have registered by then.
+        nodes: Vec<NodeName>,
+        /// Revision of the record.
+        revision: u64,
+    },
+    /// The group's intent has another revision than the record of an intent required.
+    OtherIntent {
+        /// Its revision.
+        revision: u64,
+        /// Whether it is the intent that was to be recorded.
+        is_same: bool,
+    },
     /// A condition was not met.
     Conflict,
     /// The incarnations from the entries of the instances.
@@ -100,13 +113,15 @@
 
 impl Contents {
     /// Applies an operation of `node`, which knew `era` and whose lease has the fencing token
-    /// `fence`. A lease starts when the call arrives.
+    /// `fence`. A lease starts when the call arrives. The record of an intent may require a
+    /// revision of the group's intent.
     pub fn apply(
         &mut self,
         node: usize,
         (era, fence): (StoreEra, u64),
         group: &GroupName,
         operation: &Operation,
+        expected_intent: Option<u64>,
         now: u64,
     ) -> CallResult {
         self.expire(now);
@@ -144,9 +159,19 @@
                 return CallResult::Done(self.position());
             }
             Operation::ReleaseLease => keys.lease = None,
+            Operation::RecordIntent(intent)
+                if expected_intent
+                    .is_some_and(|expected| expected != keys.intent_revision(group)) =>
+            {
+                let known = keys.intents.get(group).and_then(|(_, known)| known.as_ref());
+                let (revision, is_same) = (keys.intent_revision(group), known == Some(intent));
+                return CallResult::OtherIntent { revision, is_same };
+            }
             // A delayed record must not restore the intent of a finished replacement.
             Operation::RecordIntent(intent)
-                if intent.promoting && !is_recorded(era, keys, group, intent) =>
+                if expected_intent.is_none()
+                    && intent.promoting
+                    && !is_recorded(era, keys, group, intent) =>
             {
                 return CallResult::Conflict;
             }
@@ -156,20 +181,24 @@
             Operation::RecordSuccessor(successor) => {
                 let successor = Successor { instance: successor.clone(), term: None };
                 keys.last_promoted = Some((new_revision, successor));
+                keys.open_callers.clear();
             }
-            Operation::Finish(id, successor) => {
+            Operation::Finish(id, successor, callers) => {
                 // A delayed finish must not remove the intent of the next replacement.
                 let recorded = keys.intents.get(group).and_then(|(_, intent)| intent.as_ref());
                 if recorded.is_none_or(|intent| intent.id == *id) {
                     keys.intents.insert(group.clone(), (new_revision, None));
                 }
+                if successor.is_some() {
+                    keys.open_callers = callers.clone();
+                }
                 let successor = successor.clone().map(|successor| (new_revision, successor));
                 keys.last_promoted = successor.or(keys.last_promoted.take());
             }
         }
         self.revision = new_revision;
         if matches!(operation, Operation::RecordIntent(_)) {
-            return CallResult::Recorded(self.nodes.clone());
+            return CallResult::Recorded { nodes: self.nodes.clone(), revision: new_revision };
         }
         if matches!(operation, Operation::AcquireLease) {
             let fence = self.position();
@@ -226,7 +255,7 @@
                 .map(|successor| (group_name(), successor))
                 .into_iter()
                 .collect(),
-            open_callers: BTreeMap::new(),
+            open_callers: BTreeMap::from([(group_name(), keys.open_callers.clone())]),
             nodes: self.nodes.clone(),
         }
     }
