--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -15,28 +15,24 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, KnownInstances, Need, Phase, ProbeResult, ProcessProbes,
-    PromotionCaller, ReplacementId, Successor, Timing,
+    Attempt, Command, Event, KnownInstances, Need, ProbeResult, ProcessProbes, PromotionCaller,
+    ReplacementId, Successor, Timing,
 };
 use kestrellock_core::store_access::Refusal;
 use kestrellock_core::store_era::StoreEra;
 use kestrellock_store::control::{ControlTarget, InstanceCommand};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
-use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
-use super::call_wait::CallWait;
 use super::executor::{Executor, FinishedReplacement, Report};
-use super::log_wait::LogWait;
+use super::lease_acquisition::{acquire_lease_for_watcher, reacquire_lease};
 use super::reporting_nodes::nodes_to_report;
-use super::store_calls::refusal_of;
+use super::running_attempt::{CallsEndedEvidence, RunningAttempt};
 use crate::context::NodeContext;
 use crate::supervisor::StopFlag;
 
 /// Longest time between two steps of the attempts.
 const STEP_INTERVAL: Duration = Duration::from_millis(3);
-/// Time between two attempts to acquire the lease again after a store restore.
-const REACQUIRE_INTERVAL: Duration = Duration::from_millis(50);
 /// The lease is renewed when less than this is left of it.
 const RENEW_MARGIN: Duration = Duration::from_millis(1_500);
 /// The lease is released after this time without an attempt.
@@ -81,48 +77,6 @@
 /// The input, shared between the watcher and the coordinator thread.
 pub type SharedCoordinatorInput = Arc<Mutex<CoordinatorInput>>;
 
-struct RunningAttempt {
-    attempt: Attempt,
-    /// The change of the store that failed, and when to retry it.
-    retry: Option<(Instant, Command)>,
-    pending: Option<Command>,
-    started: Instant,
-    /// When the store first confirmed the intent.
-    recorded: Option<Instant>,
-    phase: Phase,
-    log_wait: LogWait,
-    call_wait: CallWait,
-}
-
-/// What shows that the promotions of an earlier caller have ended.
-#[derive(Clone, Copy, Debug)]
-enum CallsEndedEvidence {
-    /// A process of the caller's node answered.
-    Answer,
-    /// The caller's node runs no process.
-    ProcessEnded,
-}
-
-impl RunningAttempt {
-    /// The promotions of an earlier caller have ended.
-    fn on_calls_ended(
-        &mut self,
-        group: &GroupName,
-        caller: PromotionCaller,
-        evidence: CallsEndedEvidence,
-        now: Instant,
-    ) {
-        log::info!(
-            event = "promotion_calls_ended",
-            group = group.as_str(),
-            caller:? = caller,
-            evidence:? = evidence;
-            "promotions of an earlier coordinator have ended"
-        );
-        self.attempt.on_event(Event::CallsEnded(caller), now);
-    }
-}
-
 struct CoordinatorThread<'a> {
     context: &'a NodeContext,
     input: &'a SharedCoordinatorInput,
@@ -174,63 +128,6 @@
     }
 }
 
-/// Acquires the lease again after a store restore, in place of one that would have lasted until
-/// `until`. Until then no other node can acquire it, so the attempts in progress can
-/// continue.
-fn reacquire_lease(
-    until: Instant,
-    context: &NodeContext,
-    services: &ReplacementServices,
-    stop: &StopFlag,
-) -> Option<CoordinatorLease> {
-    while Instant::now() < until && !stop.is_stopping() {
-        let lease = acquire_lease(context, services);
-        if lease.is_some() {
-            return lease;
-        }
-        stop.sleep(REACQUIRE_INTERVAL);
-    }
-    None
-}
-
-/// Acquires the lease, unless the copy of the store already shows another coordinator, and reports
-/// the outcome to the watcher.
-fn acquire_lease_for_watcher(
-    context: &NodeContext,
-    services: &ReplacementServices,
-    input: &SharedCoordinatorInput,
-) -> Option<CoordinatorLease> {
-    if services.coordination.view().coordinator.is_some() {
-        return None;
-    }
-    let acquired = try_acquire_lease(context, services);
-    let attempt = match &acquired {
-        Ok(Some(_)) => LeaseAttempt::Acquired,
-        Ok(None) => LeaseAttempt::Preceded,
-        Err(error) => LeaseAttempt::Refused(refusal_of(error)),
-    };
-    input.lock().unwrap_or_else(PoisonError::into_inner).lease_attempt = Some(attempt);
-    acquired.ok().flatten()
-}
-
-fn acquire_lease(
-    context: &NodeContext,
-    services: &ReplacementServices,
-) -> Option<CoordinatorLease> {
-    try_acquire_lease(context, services).ok().flatten()
-}
-
-fn try_acquire_lease(
-    context: &NodeContext,
-    services: &ReplacementServices,
-) -> Result<Option<CoordinatorLease>, StoreError> {
-    let acquired = services.coordination.acquire(&context.identity.node);
-    if let Err(error) = &acquired {
-        log::warn!(event = "hold_failed", error = error.to_string().as_str(); "the coordinator lease could not be acquired");
-    }
-    acquired
-}
-
 fn run_under_lease(
     lease: CoordinatorLease,
     context: &NodeContext,
@@ -452,18 +349,7 @@
             callers:? = need.callers;
             "a primary is to be replaced"
         );
-        let phase = attempt.phase();
-        let running = RunningAttempt {
-            attempt,
-            retry: None,
-            pending: None,
-            started: now,
-            recorded: None,
-            phase,
-            log_wait: LogWait::default(),
-            call_wait: CallWait::default(),
-        };
-        self.attempts.insert(group.clone(), running);
+        self.attempts.insert(group.clone(), RunningAttempt::new(attempt, now));
     }
 
     fn step_group(&mut self, group: &GroupName, input: &CoordinatorInput, now: Instant) {
