Peer channel: the version test covers versions below and above this build's

Change: one case with version 8 on the other side, one with the version after this build's. Both are asked for, so it is as strict. Measured: the tests of the crate pass.

--- a/crates/peer/tests/channel.rs
+++ b/crates/peer/tests/channel.rs
@@ -178,12 +178,14 @@
 /// field that the older node drops would have another tag on each side.
 #[test]
 fn nodes_of_both_versions_use_the_highest_common_version() {
+    let newer = Hello { highest_version: Some(HIGHEST_PROTOCOL_VERSION + 1), ..hello("b", 2) };
     let cases = [
         (hello("a", 1), hello("b", 2), HIGHEST_PROTOCOL_VERSION),
         (hello("a", 1), hello_of_version_7("b", 2), PROTOCOL_VERSION),
         (hello_of_version_7("a", 1), hello("b", 2), PROTOCOL_VERSION),
         (hello_of_version_7("a", 1), hello_of_version_7("b", 2), PROTOCOL_VERSION),
-        (hello("a", 1), Hello { highest_version: Some(9), ..hello("b", 2) }, 8),
+        (hello("a", 1), Hello { highest_version: Some(8), ..hello("b", 2) }, 8),
+        (hello("a", 1), newer, HIGHEST_PROTOCOL_VERSION),
         (hello("a", 1), Hello { highest_version: Some(3), ..hello("b", 2) }, PROTOCOL_VERSION),
     ];
     for (opener, acceptor, version) in cases {
