Test: a promoting intent that the next coordinator's mirror lacks is kept

Cause: a record of an intent keeps the one in the store only if that one is promoting and the new one is not. A third coordinator whose mirror still shows the first one's promoting intent replaces that of the second, and so does not know of the second one's promotion. A mirror lags by up to 10.5 s if the answer to a watch call is lost, longer than a lease lasts.

--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -402,6 +402,40 @@
     }
 }
 
+/// Guards against a coordinator that does not know of a promotion of the coordinator before it: its
+/// mirror shows the promoting intent of an earlier one, and its record replaced the later one.
+#[test]
+fn next_coordinator_keeps_a_promoting_intent_with_a_caller_that_its_mirror_does_not_show_yet() {
+    let holding = Holding::start();
+    let caller = |node, fence| PromotionCaller { node: NodeName::new(node), process: 1, fence };
+    let first_caller = caller("one", holding.hold.fence);
+    let first_callers = vec![first_caller.clone()];
+    let first = Intent { promoting: true, callers: first_callers, ..holding.intent(1) };
+    holding.record(&first);
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let next = holding.late();
+    let second_lease = holding.coordination.acquire(&NodeName::new("two"));
+    let second_lease = second_lease.expect("an answer").expect("it is free");
+    holding.mirror.catch_up().expect("an answer");
+    let second_id = ReplacementId { fence: second_lease.fence, attempt: 1 };
+    let second_callers = vec![first_caller, caller("two", second_lease.fence)];
+    let second = Intent { id: second_id, callers: second_callers, ..first.clone() };
+    let recorded = holding.coordination.record_intent(&second_lease, &holding.group, &second);
+    assert_eq!(recorded.expect("an answer"), RecordOutcome::Recorded);
+    holding.coordination.release(&second_lease).expect("an answer");
+    let lease = next.acquire(&NodeName::new("three")).expect("an answer").expect("it is free");
+    assert_eq!(next.view().intents.get(&holding.group), Some(&first));
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("three"), id, ..first };
+    // A record without an outcome is tried again.
+    let outcomes = [(); 2].map(|()| next.record_intent(&lease, &holding.group, &own));
+    assert_eq!(holding.recorded(), Some(second.clone()), "{outcomes:?}");
+    let are_earlier =
+        outcomes.iter().all(|outcome| matches!(outcome, Ok(RecordOutcome::EarlierPromotion)));
+    assert!(are_earlier, "{outcomes:?}");
+    assert_eq!(next.view().intents.get(&holding.group), Some(&second));
+}
+
 /// Guards against a successor's record, executed after the end of its replacement, that replaces the
 /// record with the successor's term: nodes tell an old primary by the term.
 #[test]
