A record of an intent keeps one that names callers it does not know

Cause: the check that keeps an earlier replacement's intent compared `promoting` only. An intent that is promoting, but was made from a mirror that shows the first of two earlier coordinators, replaced the record of the second. Change: the intent in the store is kept unless the new one names each process that may have a promotion open. The mirror's intent does not count if this node has recorded a later one: by its next record some of these processes may have answered, and the attempt would begin again for no reason.

--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -436,6 +436,28 @@
     assert_eq!(next.view().intents.get(&holding.group), Some(&second));
 }
 
+/// Guards against an attempt that begins again for no reason: it has recorded its intent, and knows
+/// by the next record that the earlier callers have ended, but its mirror still shows their intent.
+#[test]
+fn coordinator_whose_mirror_lacks_its_own_intent_may_record_it_again() {
+    let holding = Holding::start();
+    let caller = PromotionCaller { node: node(), process: 1, fence: holding.hold.fence };
+    let first = Intent { promoting: true, callers: vec![caller], ..holding.intent(1) };
+    holding.record(&first);
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let next = holding.late();
+    let lease = next.acquire(&NodeName::new("two")).expect("an answer").expect("it is free");
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("two"), id, ..first };
+    let caller = PromotionCaller { node: NodeName::new("two"), process: 1, fence: lease.fence };
+    let after_answers = Intent { callers: vec![caller], ..own.clone() };
+    for intent in [own, after_answers] {
+        let outcome = next.record_intent(&lease, &holding.group, &intent);
+        assert_eq!(outcome.expect("an answer"), RecordOutcome::Recorded);
+        assert_eq!(holding.recorded(), Some(intent));
+    }
+}
+
 /// Guards against a successor's record, executed after the end of its replacement, that replaces the
 /// record with the successor's term: nodes tell an old primary by the term.
 #[test]
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -39,7 +39,7 @@
     /// The coordinator lease has ended.
     LeaseOver,
     /// The store has the intent of another replacement, which may have sent promotions. It was
-    /// kept, since this one does not say so.
+    /// kept, since this one does not say so, or does not name each process that may have.
     EarlierPromotion,
 }
 
