Test: a planned replacement that waits for callers stops no writes

What callers see: writes of a group whose primary works are held for up to 30 s. Cause: a planned replacement that knows open promotion calls waits in `Stopping` with its intent recorded. Nodes give the primary of an active intent no writes (`instance_choice.rs`) and count its late commits as in doubt (`KnownReplacements::accepts_commit`), whether or not its replicas are stopped. The attempt does not cancel, since the wait restarts the time for stops. Measured: the test fails on: after 3 s the intent is active.

--- a/crates/core/tests/promotion/open_calls.rs
+++ b/crates/core/tests/promotion/open_calls.rs
@@ -118,6 +118,22 @@
     assert!(promotes(&run_with_replicas(&mut attempt, &mut now, Duration::from_secs(2))));
 }
 
+/// Guards against a working primary that gets no writes for as long as a planned replacement waits:
+/// nodes give the primary of an active intent no work, whether or not its replicas are stopped.
+#[test]
+fn a_planned_replacement_has_no_active_intent_while_a_promotion_may_arrive() {
+    let mut now = Instant::now();
+    let need = Need { callers: vec![earlier_caller()], ..need(Reason::Leaving) };
+    let id = ReplacementId { fence: 9, attempt: 1 };
+    let coordinator = NodeName::new("later");
+    let attempt = Attempt::new(coordinator, id, &need, members(&["a"]), Term(1), Timing::default());
+    let mut attempt = attempt.in_process(OWN_PROCESS);
+    run_with_replicas(&mut attempt, &mut now, Duration::from_secs(3));
+    assert_eq!(attempt.open_callers(), [earlier_caller()]);
+    let active = attempt.recorded_intent().filter(|intent| !intent.called_off);
+    assert_eq!(active, None);
+}
+
 /// Guards against a promotion on stops that were confirmed before the wait: a promotion that took
 /// effect meanwhile has released the replicas.
 #[test]
