Tests: two ways in which callers left by a replacement are forgotten

Causes: (1) the record of a successor replaces the entry that names the callers left by the last replacement with one that names none; if the attempt is then cancelled, its intent names none either. (2) A coordinator whose mirror lacks the end of the last replacement records its intent, since no intent stands in the store, and does not learn of the callers beside the successor.

--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -458,6 +458,63 @@
     }
 }
 
+/// Guards against a replacement that does not wait for a promotion that the last one has left: the
+/// mirror of its coordinator lacks the end of that one.
+#[test]
+fn next_coordinator_learns_of_callers_that_its_mirror_does_not_show_yet() {
+    let holding = Holding::start();
+    let (group, intent) = (&holding.group, holding.intent(1));
+    let next = holding.late();
+    holding.record(&intent);
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    let callers = [PromotionCaller { node: node(), process: 1, fence: holding.hold.fence }];
+    let finished = holding.coordination.finish_replacement(
+        &holding.hold,
+        group,
+        intent.id,
+        Some(&successor),
+        &callers,
+    );
+    assert!(finished.expect("an answer"));
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let lease = next.acquire(&NodeName::new("two")).expect("an answer").expect("it is free");
+    assert!(next.view().open_callers.is_empty(), "its mirror shows the callers already");
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("two"), id, ..intent };
+    let outcome = next.record_intent(&lease, group, &own);
+    assert_eq!(outcome.expect("an answer"), RecordOutcome::EarlierPromotion);
+    assert_eq!(next.view().open_callers.get(group).map(Vec::as_slice), Some(callers.as_slice()));
+}
+
+/// Guards against callers that are forgotten when an attempt that waits for them finds a successor
+/// and is then cancelled: its intent names none any more.
+#[test]
+fn record_of_a_successor_keeps_the_callers_of_the_last_replacement() {
+    let holding = Holding::start();
+    let group = &holding.group;
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    let callers = [PromotionCaller { node: node(), process: 1, fence: 7 }];
+    let first = holding.intent(1);
+    holding.record(&first);
+    let finished = holding.coordination.finish_replacement(
+        &holding.hold,
+        group,
+        first.id,
+        Some(&successor),
+        &callers,
+    );
+    assert!(finished.expect("an answer"));
+    let second = Intent { callers: callers.to_vec(), ..holding.intent(2) };
+    holding.record(&second);
+    let next = InstanceName::new("i-3");
+    let recorded = holding.coordination.record_primary(&holding.hold, group, &next);
+    assert!(recorded.expect("an answer"));
+    holding.mirror.catch_up().expect("an answer");
+    let view = holding.coordination.view();
+    assert_eq!(view.promoted.get(group).map(|successor| &successor.instance), Some(&next));
+    assert_eq!(view.open_callers.get(group).map(Vec::as_slice), Some(callers.as_slice()));
+}
+
 /// Guards against a successor's record, executed after the end of its replacement, that replaces the
 /// record with the successor's term: nodes tell an old primary by the term.
 #[test]
