The record of a successor keeps the callers of the last replacement

Cause: the record replaces the entry that names these callers with one that names none. Until the attempt ends its intent names them; if the successor is lost and the attempt is cancelled, nothing does. The end of the attempt replaces them with those that are left.

--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -181,7 +181,6 @@
             Operation::RecordSuccessor(successor) => {
                 let successor = Successor { instance: successor.clone(), term: None };
                 keys.last_promoted = Some((new_revision, successor));
-                keys.open_callers.clear();
             }
             Operation::Finish(id, successor, callers) => {
                 // A delayed finish must not remove the intent of the next replacement.
