--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -402,6 +402,119 @@
     }
 }
 
+/// Guards against a coordinator that does not know of a promotion of the coordinator before it: its
+/// mirror shows the promoting intent of an earlier one, and its record replaced the later one.
+#[test]
+fn next_coordinator_keeps_a_promoting_intent_with_a_caller_that_its_mirror_does_not_show_yet() {
+    let holding = Holding::start();
+    let caller = |node, fence| PromotionCaller { node: NodeName::new(node), process: 1, fence };
+    let first_caller = caller("one", holding.hold.fence);
+    let first_callers = vec![first_caller.clone()];
+    let first = Intent { promoting: true, callers: first_callers, ..holding.intent(1) };
+    holding.record(&first);
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let next = holding.late();
+    let second_lease = holding.coordination.acquire(&NodeName::new("two"));
+    let second_lease = second_lease.expect("an answer").expect("it is free");
+    holding.mirror.catch_up().expect("an answer");
+    let second_id = ReplacementId { fence: second_lease.fence, attempt: 1 };
+    let second_callers = vec![first_caller, caller("two", second_lease.fence)];
+    let second = Intent { id: second_id, callers: second_callers, ..first.clone() };
+    let recorded = holding.coordination.record_intent(&second_lease, &holding.group, &second);
+    assert_eq!(recorded.expect("an answer"), RecordOutcome::Recorded);
+    holding.coordination.release(&second_lease).expect("an answer");
+    let lease = next.acquire(&NodeName::new("three")).expect("an answer").expect("it is free");
+    assert_eq!(next.view().intents.get(&holding.group), Some(&first));
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("three"), id, ..first };
+    // A record without an outcome is tried again.
+    let outcomes = [(); 2].map(|()| next.record_intent(&lease, &holding.group, &own));
+    assert_eq!(holding.recorded(), Some(second.clone()), "{outcomes:?}");
+    let are_earlier =
+        outcomes.iter().all(|outcome| matches!(outcome, Ok(RecordOutcome::EarlierPromotion)));
+    assert!(are_earlier, "{outcomes:?}");
+    assert_eq!(next.view().intents.get(&holding.group), Some(&second));
+}
+
+/// Guards against an attempt that begins again for no reason: it has recorded its intent, and knows
+/// by the next record that the earlier callers have ended, but its mirror still shows their intent.
+#[test]
+fn coordinator_whose_mirror_lacks_its_own_intent_may_record_it_again() {
+    let holding = Holding::start();
+    let caller = PromotionCaller { node: node(), process: 1, fence: holding.hold.fence };
+    let first = Intent { promoting: true, callers: vec![caller], ..holding.intent(1) };
+    holding.record(&first);
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let next = holding.late();
+    let lease = next.acquire(&NodeName::new("two")).expect("an answer").expect("it is free");
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("two"), id, ..first };
+    let caller = PromotionCaller { node: NodeName::new("two"), process: 1, fence: lease.fence };
+    let after_answers = Intent { callers: vec![caller], ..own.clone() };
+    for intent in [own, after_answers] {
+        let outcome = next.record_intent(&lease, &holding.group, &intent);
+        assert_eq!(outcome.expect("an answer"), RecordOutcome::Recorded);
+        assert_eq!(holding.recorded(), Some(intent));
+    }
+}
+
+/// Guards against a replacement that does not wait for a promotion that the last one has left: the
+/// mirror of its coordinator lacks the end of that one.
+#[test]
+fn next_coordinator_learns_of_callers_that_its_mirror_does_not_show_yet() {
+    let holding = Holding::start();
+    let (group, intent) = (&holding.group, holding.intent(1));
+    let next = holding.late();
+    holding.record(&intent);
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    let callers = [PromotionCaller { node: node(), process: 1, fence: holding.hold.fence }];
+    let finished = holding.coordination.finish_replacement(
+        &holding.hold,
+        group,
+        intent.id,
+        Some(&successor),
+        &callers,
+    );
+    assert!(finished.expect("an answer"));
+    holding.coordination.release(&holding.hold).expect("an answer");
+    let lease = next.acquire(&NodeName::new("two")).expect("an answer").expect("it is free");
+    assert!(next.view().open_callers.is_empty(), "its mirror shows the callers already");
+    let id = ReplacementId { fence: lease.fence, attempt: 1 };
+    let own = Intent { holder: NodeName::new("two"), id, ..intent };
+    let outcome = next.record_intent(&lease, group, &own);
+    assert_eq!(outcome.expect("an answer"), RecordOutcome::EarlierPromotion);
+    assert_eq!(next.view().open_callers.get(group).map(Vec::as_slice), Some(callers.as_slice()));
+}
+
+/// Guards against callers that are forgotten when an attempt that waits for them finds a successor
+/// and is then cancelled: its intent names none any more.
+#[test]
+fn record_of_a_successor_keeps_the_callers_of_the_last_replacement() {
+    let holding = Holding::start();
+    let group = &holding.group;
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    let callers = [PromotionCaller { node: node(), process: 1, fence: 7 }];
+    let first = holding.intent(1);
+    holding.record(&first);
+    let finished = holding.coordination.finish_replacement(
+        &holding.hold,
+        group,
+        first.id,
+        Some(&successor),
+        &callers,
+    );
+    assert!(finished.expect("an answer"));
+    let second = Intent { callers: callers.to_vec(), ..holding.intent(2) };
+    holding.record(&second);
+    let next = InstanceName::new("i-3");
+    let recorded = holding.coordination.record_primary(&holding.hold, group, &next);
+    assert!(recorded.expect("an answer"));
+    holding.mirror.catch_up().expect("an answer");
+    let view = holding.coordination.view();
+    assert_eq!(view.promoted.get(group).map(|successor| &successor.instance), Some(&next));
+    assert_eq!(view.open_callers.get(group).map(Vec::as_slice), Some(callers.as_slice()));
+}
+
 /// Guards against a successor's record, executed after the end of its replacement, that replaces the
 /// record with the successor's term: nodes tell an old primary by the term.
 #[test]
