A late first record does not bring a finished replacement back

Cause: the first record of a replacement expects that the group has no intent, and the end removed the intent. A first record that was given up and executed after the end under the same lease found its condition met: the intent was back, and its replacement began again.

--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -420,3 +420,23 @@
     holding.mirror.catch_up().expect("an answer");
     assert_eq!(holding.coordination.view().promoted.get(group), Some(&successor));
 }
+
+/// Guards against a replacement that begins again after its end: its first record, which expects
+/// that the group has no intent, was executed late under the same lease.
+#[test]
+fn late_first_record_does_not_bring_a_finished_replacement_back() {
+    let successor = Successor { instance: InstanceName::new("i-2"), term: Some(Term(7)) };
+    // The second replacement is cancelled: its end leaves the successor's record as it is.
+    for successor in [Some(&successor), None] {
+        let holding = Holding::start();
+        let late = holding.late();
+        let (hold, group, intent) = (&holding.hold, &holding.group, holding.intent(1));
+        holding.record(&intent);
+        let finished =
+            holding.coordination.finish_replacement(hold, group, intent.id, successor, &[]);
+        assert!(finished.expect("an answer"));
+        let executed_late = late.record_intent(hold, group, &intent);
+        assert!(executed_late.is_err(), "{executed_late:?}");
+        assert_eq!(holding.recorded(), None, "it stays finished");
+    }
+}
