A late end does not replace the successor of the next replacement

Cause: the end of a replacement that found its intent removed recorded the successor a second time, with the coordinator's lease record as its only condition. Executed after the next replacement's end under the same lease it replaced the successor and its open callers, so that a later coordinator would not wait for their promotions. An end that expected no intent had the same effect.

--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -440,3 +440,35 @@
         assert_eq!(holding.recorded(), None, "it stays finished");
     }
 }
+
+/// Guards against an end, executed after the next replacement's end under the same lease, that
+/// replaces its successor and its open callers: the next coordinator would not wait for them.
+#[test]
+fn late_end_does_not_replace_the_successor_of_the_next_replacement() {
+    let holding = Holding::start();
+    let (hold, group) = (&holding.hold, &holding.group);
+    let first = holding.intent(1);
+    let successor = |name, term| Successor { instance: InstanceName::new(name), term: Some(term) };
+    let first_successor = successor("i-2", Term(7));
+    let finish = |coordination: &StoreCoordination, id, successor: &Successor, callers: &[_]| {
+        coordination
+            .finish_replacement(hold, group, id, Some(successor), callers)
+            .expect("an answer")
+    };
+    holding.record(&first);
+    let late_first_call = holding.late();
+    assert!(finish(&holding.coordination, first.id, &first_successor, &[]));
+    let late_second_call = holding.late();
+    let next = holding.intent(2);
+    holding.record(&next);
+    let next_successor = successor("i-3", Term(9));
+    let callers = [PromotionCaller { node: node(), process: 3, fence: hold.fence }];
+    assert!(finish(&holding.coordination, next.id, &next_successor, &callers));
+    for late in [late_first_call, late_second_call] {
+        assert!(finish(&late, first.id, &first_successor, &[]), "it had been done");
+        holding.mirror.catch_up().expect("an answer");
+        let view = holding.coordination.view();
+        assert_eq!(view.promoted.get(group), Some(&next_successor));
+        assert_eq!(view.open_callers.get(group).map(Vec::as_slice), Some(callers.as_slice()));
+    }
+}
