A replacement that waits for earlier promotions leaves a working primary alone

What callers saw: writes of a group whose primary worked were held for up to 30 s when a planned replacement met a caller that the last one had left; and a failover long after the loss of a machine that had a promotion open would have waited 30 s for it again. Cause: the attempt recorded its intent before it waited, and nodes give the primary of an active intent no work; the limit of the wait counted from the begin of each attempt. Change: an attempt that continues no earlier one waits before its first record, and is withdrawn without a change of the store if it is not needed any more; a planned one that continues an earlier one is cancelled and releases the replicas. The limit counts from when the node first saw the callers in the store (known_callers.rs); they are queried for a second at least. A call without an answer stays open for the next replacement, as it may be about to take effect. a_planned_replacement_stops_no_replica no longer takes a record before the wait; it is as strict.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -65,6 +65,8 @@
     open_calls: OpenCalls,
     /// Whether this coordinator has sent a promotion whose call has not ended.
     is_own_call_open: bool,
+    /// Whether an earlier attempt has recorded an intent that has not been ended.
+    continues_earlier_attempt: bool,
     still_needed: bool,
     /// Highest term seen.
     highest_term: Term,
@@ -140,6 +142,7 @@
             may_have_promoted: promoting,
             awaits_log,
             callers,
+            callers_known_since,
             ..
         } = need.clone();
         let last_primary_is_replica = need.last_primary_is_replica;
@@ -174,8 +177,9 @@
             recorded: None,
             sent_promotions: u32::from(promoting),
             process: UNKNOWN_PROCESS,
-            open_calls: OpenCalls::new(callers),
+            open_calls: OpenCalls::new(callers, callers_known_since),
             is_own_call_open: false,
+            continues_earlier_attempt: earlier_attempt_stopped,
             still_needed: true,
             highest_term,
             stop_term: Term(highest_term.0 + 1),
@@ -287,7 +291,8 @@
     /// carry out.
     pub fn step(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
-        if self.recorded.is_some() && self.phase != Phase::Over {
+        let is_queried = self.recorded.is_some() || self.waits_before_its_record();
+        if is_queried && self.phase != Phase::Over {
             self.open_calls.step(&self.timing, now, &mut commands);
         }
         loop {
@@ -302,11 +307,10 @@
     fn advance(&mut self, now: Instant, commands: &mut Vec<Command>) {
         let successor = self.successor();
         match self.phase {
-            Phase::Recording => {
-                if self.submitted.is_none() {
-                    self.record_intent(commands);
-                }
-            }
+            Phase::Recording if self.submitted.is_some() => {}
+            Phase::Recording if !self.waits_before_its_record() => self.record_first(commands),
+            Phase::Recording if self.still_needed => {}
+            Phase::Recording => self.phase = Phase::Over,
             Phase::Over => {}
             Phase::Settling { until } => self.settle(until, now, commands),
             Phase::Cancelling { until } => self.cancel(until, now, commands),
@@ -354,6 +358,30 @@
         }
     }
 
+    /// Whether the attempt waits for the end of earlier promotions before it records its intent. From
+    /// the record on nodes give the old primary no work, which may work and would be without writes
+    /// for as long as the attempt waits.
+    fn waits_before_its_record(&self) -> bool {
+        self.submitted.is_none()
+            && !self.continues_earlier_attempt
+            && !self.open_calls.callers().is_empty()
+    }
+
+    /// Whether the attempt has ended before it recorded anything, since it was no longer needed. There
+    /// is nothing to finish in the store.
+    pub fn is_withdrawn(&self) -> bool {
+        self.phase == Phase::Over && self.submitted.is_none()
+    }
+
+    /// Records the intent for the first time.
+    fn record_first(&mut self, commands: &mut Vec<Command>) {
+        if !self.continues_earlier_attempt {
+            // The callers of the last replacement have ended, or were waited for in vain.
+            self.intent.callers = self.open_calls.callers().to_vec();
+        }
+        self.record_intent(commands);
+    }
+
     /// Sets since when enough replicas are stopped; `None` if too few are.
     fn set_stopped_since(&mut self, stopped_since: Option<Instant>) {
         self.stopped_since = stopped_since;
--- a/crates/core/src/promotion/attempt/events.rs
+++ b/crates/core/src/promotion/attempt/events.rs
@@ -34,8 +34,11 @@
                 self.on_not_running(instance, sent);
             }
             Event::Promoted { instance, answer } => {
-                // A call that is not sent may have been held back because an earlier one is open.
-                self.is_own_call_open &= answer == PromotionAnswer::NotSent;
+                // A call that is not sent may have been held back because an earlier one is open, and
+                // one without an answer may be about to take effect.
+                let has_ended =
+                    matches!(answer, PromotionAnswer::Accepted | PromotionAnswer::NotRunning);
+                self.is_own_call_open &= !has_ended;
                 self.on_promoted(&instance, answer, now);
             }
             Event::CallsEnded(caller) => self.open_calls.on_ended(&caller),
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -14,9 +14,15 @@
     /// Stops the replicas until enough of them are stopped. Cancels the attempt if that takes too
     /// long while the old primary works.
     pub(super) fn stop(&mut self, since: Instant, now: Instant, commands: &mut Vec<Command>) {
-        // While the old primary may continue, nothing is stopped before a promotion can follow.
+        // While the old primary may continue, nothing is stopped before a promotion can follow. A
+        // planned replacement releases what an earlier attempt has stopped, and begins again later.
         if !self.may_have_promoted() && !self.open_calls.callers().is_empty() {
-            self.phase = Phase::Stopping { since: now };
+            self.phase = match self.intent.reason {
+                Reason::Leaving => Phase::Cancelling { until: now + self.timing.release_timeout },
+                Reason::Suspected | Reason::Missing | Reason::Unfinished => {
+                    Phase::Stopping { since: now }
+                }
+            };
             return;
         }
         self.update_waits(now);
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -30,6 +30,7 @@
 mod coordination;
 mod electorate;
 mod ended_processes;
+mod known_callers;
 mod known_group;
 mod known_instances;
 mod known_replacements;
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use super::known_callers::KnownCallers;
 use super::{CoordinationView, Intent, NodeVotes, PromotionCaller, Reason};
 use crate::catalog::{Elector, Group, IndexedCatalog, Instance};
 use crate::ids::{GroupName, InstanceName, NodeName};
@@ -41,6 +42,8 @@
     pub last_primary_is_replica: bool,
     /// Processes whose promotions of this group may not have ended.
     pub callers: Vec<PromotionCaller>,
+    /// When this node first knew all of `callers`.
+    pub callers_known_since: Option<Instant>,
 }
 
 impl Need {
@@ -75,6 +78,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct NeedsEvaluator {
     groups: HashMap<GroupName, History>,
+    known_callers: KnownCallers,
     /// Groups of the catalog that need a replacement, or may need one once time has passed.
     unsettled: BTreeSet<GroupName>,
     evaluation_count: u64,
@@ -125,6 +129,7 @@
     /// The groups whose primaries have to be replaced now.
     pub fn evaluate(&mut self, input: &NeedsInput) -> BTreeMap<GroupName, Need> {
         let mut needs = BTreeMap::new();
+        self.known_callers.update(input.view, input.now);
         for name in self.groups_to_evaluate(input) {
             let Some(group) = input.catalog.groups.get(&name) else { continue };
             if group.elector != Elector::Proxy {
@@ -136,7 +141,9 @@
             if history.at_least_third_since.is_some() {
                 self.unsettled.insert(name.clone());
             }
-            needs.extend(need.map(|need| (name, need)));
+            let Some(need) = need else { continue };
+            let callers_known_since = self.known_callers.known_since(&name, &need.callers);
+            needs.insert(name, Need { callers_known_since, ..need });
         }
         needs
     }
@@ -188,6 +195,7 @@
             awaits_log: intent.awaits_log,
             last_primary_is_replica: last_primary_is_replica(group, history),
             callers: all_callers(intent, open_callers(name, input.view)),
+            callers_known_since: None,
         }),
         (None, Some(_)) if is_delayed => None,
         (None, current) => current,
@@ -213,6 +221,7 @@
             awaits_log,
             last_primary_is_replica,
             callers: open_callers(name, input.view),
+            callers_known_since: None,
         })
     };
     let intent = input.view.intents.get(name);
--- a/crates/core/src/promotion/open_calls.rs
+++ b/crates/core/src/promotion/open_calls.rs
@@ -42,17 +42,19 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct OpenCalls {
     callers: Vec<PromotionCaller>,
+    /// When this node first knew all of them.
+    known_since: Option<Instant>,
     /// When the attempt began to query them.
-    since: Option<Instant>,
+    queried_since: Option<Instant>,
     last_query: Option<Instant>,
     /// Callers without evidence, once the attempt has stopped waiting for it.
     given_up: Vec<PromotionCaller>,
 }
 
 impl OpenCalls {
-    /// The open calls when an attempt begins.
-    pub fn new(callers: Vec<PromotionCaller>) -> Self {
-        Self { callers, ..Self::default() }
+    /// The open calls when an attempt begins. This node has known all `callers` since `known_since`.
+    pub fn new(callers: Vec<PromotionCaller>, known_since: Option<Instant>) -> Self {
+        Self { callers, known_since, ..Self::default() }
     }
 
     /// The callers whose calls may still arrive.
@@ -76,17 +78,20 @@
     }
 
     /// Queries the callers, and stops waiting once `Timing::open_call_timeout` has passed without
-    /// evidence: the machine of a caller may be gone for good.
+    /// evidence since this node knew of them: the machine of a caller may be gone for good. Callers
+    /// that have been known for longer are still queried for a moment, since most answer at once.
     pub fn step(&mut self, timing: &Timing, now: Instant, commands: &mut Vec<Command>) {
         if self.callers.is_empty() {
             return;
         }
-        let since = *self.since.get_or_insert(now);
-        if now >= since + timing.open_call_timeout {
+        let queried_since = *self.queried_since.get_or_insert(now);
+        let known_since = self.known_since.map_or(queried_since, |known| known.min(queried_since));
+        let least_wait = FREQUENT_QUERY_PERIOD.min(timing.open_call_timeout);
+        if now >= (known_since + timing.open_call_timeout).max(queried_since + least_wait) {
             self.discard();
             return;
         }
-        let interval = match now < since + FREQUENT_QUERY_PERIOD {
+        let interval = match now < queried_since + FREQUENT_QUERY_PERIOD {
             true => timing.retry_interval,
             false => RARE_QUERY_INTERVAL,
         };
--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -137,6 +137,7 @@
     assert_eq!(need_at(start), None);
     let need = need_at(start + Duration::from_secs(3)).expect("the group has no primary");
     assert_eq!(need.callers, [caller]);
+    assert_eq!(need.callers_known_since, Some(start), "the limit of the wait counts from then");
 }
 
 /// Guards against callers that are forgotten with an attempt that was cancelled: its intent names
--- a/crates/core/tests/promotion/open_calls.rs
+++ b/crates/core/tests/promotion/open_calls.rs
@@ -6,8 +6,8 @@
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Intent, Need, PromotionAnswer, PromotionCaller, Reason, ReplacementId,
-    Timing, UNKNOWN_PROCESS,
+    Attempt, Command, Event, Intent, Need, Phase, PromotionAnswer, PromotionCaller, Reason,
+    ReplacementId, Timing, UNKNOWN_PROCESS,
 };
 
 use crate::support::*;
@@ -31,6 +31,21 @@
     attempt
 }
 
+/// The need of a group for which an earlier caller may have promotions open.
+fn need_with_callers(reason: Reason, callers_known_since: Option<Instant>) -> Need {
+    Need { callers: vec![earlier_caller()], callers_known_since, ..need(reason) }
+}
+
+/// The first attempt of a later coordinator, which has recorded nothing.
+fn first_attempt(need: Need, now: Instant) -> Attempt {
+    let id = ReplacementId { fence: 9, attempt: 1 };
+    let coordinator = NodeName::new("later");
+    let attempt = Attempt::new(coordinator, id, &need, members(&["a"]), Term(1), Timing::default());
+    let mut attempt = attempt.in_process(OWN_PROCESS);
+    attempt.on_event(Event::Members(members(&["a"])), now);
+    attempt
+}
+
 /// Runs the attempt while two replicas answer and obey stops; returns its commands, without those
 /// that repeat.
 fn run_with_replicas(attempt: &mut Attempt, now: &mut Instant, duration: Duration) -> Vec<Command> {
@@ -105,12 +120,7 @@
 #[test]
 fn a_planned_replacement_stops_no_replica_while_a_promotion_may_arrive() {
     let mut now = Instant::now();
-    let need = Need { callers: vec![earlier_caller()], ..need(Reason::Leaving) };
-    let id = ReplacementId { fence: 9, attempt: 1 };
-    let coordinator = NodeName::new("later");
-    let attempt = Attempt::new(coordinator, id, &need, members(&["a"]), Term(1), Timing::default());
-    let mut attempt = attempt.in_process(OWN_PROCESS);
-    record_intent(&mut attempt, now);
+    let mut attempt = first_attempt(need_with_callers(Reason::Leaving, None), now);
     let commands = run_with_replicas(&mut attempt, &mut now, Duration::from_secs(5));
     let stops = |command: &Command| matches!(command, Command::Stop { .. });
     assert!(!commands.iter().any(stops), "{commands:?}");
@@ -123,17 +133,61 @@
 #[test]
 fn a_planned_replacement_has_no_active_intent_while_a_promotion_may_arrive() {
     let mut now = Instant::now();
-    let need = Need { callers: vec![earlier_caller()], ..need(Reason::Leaving) };
-    let id = ReplacementId { fence: 9, attempt: 1 };
-    let coordinator = NodeName::new("later");
-    let attempt = Attempt::new(coordinator, id, &need, members(&["a"]), Term(1), Timing::default());
-    let mut attempt = attempt.in_process(OWN_PROCESS);
+    let mut attempt = first_attempt(need_with_callers(Reason::Leaving, None), now);
     run_with_replicas(&mut attempt, &mut now, Duration::from_secs(3));
     assert_eq!(attempt.open_callers(), [earlier_caller()]);
     let active = attempt.recorded_intent().filter(|intent| !intent.called_off);
     assert_eq!(active, None);
 }
 
+/// Guards against an attempt that stays with its coordinator after the need for it has ended, although
+/// it has recorded nothing that could be finished.
+#[test]
+fn an_attempt_that_waits_before_its_record_is_withdrawn_once_it_is_not_needed() {
+    let mut now = Instant::now();
+    let mut attempt = first_attempt(need_with_callers(Reason::Leaving, None), now);
+    run_with_replicas(&mut attempt, &mut now, Duration::from_secs(1));
+    assert!(!attempt.is_withdrawn());
+    attempt.on_event(Event::StillNeeded(false), now);
+    let commands = run_with_replicas(&mut attempt, &mut now, Duration::from_secs(1));
+    assert!(attempt.is_withdrawn());
+    assert_eq!(commands, [], "there is nothing to finish");
+}
+
+/// Guards against a working primary without writes: a planned replacement continues that of a
+/// coordinator which had recorded its intent, and waits for a promotion.
+#[test]
+fn a_planned_replacement_that_was_begun_is_cancelled_while_a_promotion_may_arrive() {
+    let mut now = Instant::now();
+    let begun = Need { has_begun: true, ..need_with_callers(Reason::Leaving, None) };
+    let mut attempt = first_attempt(begun, now);
+    record_intent(&mut attempt, now);
+    let commands = run_with_replicas(&mut attempt, &mut now, Duration::from_secs(1));
+    let releases = |command: &Command| matches!(command, Command::Release(_));
+    assert!(commands.iter().any(releases), "{commands:?}");
+    assert!(matches!(attempt.phase(), Phase::Cancelling { .. }), "{:?}", attempt.phase());
+}
+
+/// Guards against a group without a primary for the whole limit of the wait whenever a replacement
+/// follows the loss of a machine that had a promotion open, however long ago it was lost.
+#[test]
+fn the_limit_of_the_wait_counts_from_when_the_node_knew_the_callers() {
+    let limit = Timing::default().open_call_timeout;
+    let waits = |known_for: Duration, waited: Duration| {
+        let mut now = Instant::now() + limit * 2;
+        let known_since = now - known_for;
+        let need = need_with_callers(Reason::Suspected, Some(known_since));
+        let mut attempt = first_attempt(need, now);
+        run_with_replicas(&mut attempt, &mut now, waited);
+        !attempt.open_callers().is_empty()
+    };
+    assert!(waits(limit - Duration::from_secs(5), Duration::from_millis(4_900)));
+    assert!(!waits(limit - Duration::from_secs(5), Duration::from_millis(5_100)));
+    // They are asked nevertheless: most answer at once.
+    assert!(waits(limit * 2, Duration::from_millis(900)));
+    assert!(!waits(limit * 2, Duration::from_millis(1_100)));
+}
+
 /// Guards against a promotion on stops that were confirmed before the wait: a promotion that took
 /// effect meanwhile has released the replicas.
 #[test]
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -55,6 +55,7 @@
         awaits_log,
         last_primary_is_replica,
         callers: Vec::new(),
+        callers_known_since: None,
     }
 }
 
--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -276,12 +276,23 @@
         for command in commands {
             self.execute(node, fence, command);
         }
+        self.drop_withdrawn_attempt(node);
         let due = self.retries.get(&node).is_some_and(|(at, _)| self.now >= *at);
         if due && let Some((_, operation)) = self.retries.remove(&node) {
             self.call(node, fence, operation);
         }
     }
 
+    /// Drops an attempt that has ended before it recorded anything.
+    fn drop_withdrawn_attempt(&mut self, node: usize) {
+        let now = self.now;
+        let Some(state) = &mut self.nodes[node].coordinator else { return };
+        if state.attempt.as_ref().is_some_and(Attempt::is_withdrawn) {
+            state.attempt = None;
+            state.last_attempt_ended = Some(now);
+        }
+    }
+
     fn execute(&mut self, node: usize, fence: u64, command: Command) {
         match &command {
             Command::RecordIntent(intent) => {
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -272,6 +272,7 @@
         for group in groups {
             self.step_group(&group, &input, now);
         }
+        self.attempts.retain(|_, running| !running.attempt.is_withdrawn());
         let waiting = self.attempts.values().filter(|running| running.log_wait.is_reported());
         self.context.metrics.replacements_waiting_for_log.set(waiting.count() as i64);
         let waiting = self.attempts.values().filter(|running| running.call_wait.is_reported());
