Owners: silence about a replacement is no evidence that it promoted nobody

What callers saw (simulation): acknowledged commits lost, and commits of the old primary acknowledged after its successor was promoted.

Cause: the coordinator ends within 50 ms after it recorded `promoting`. An owner that cannot reach the store was notified only of the intent without it, drops that after a second of silence and uses the old primary again.

Change: a notified replacement that expires without a newer copy of the store stays unresolved. Until a newer copy arrives or the end is notified, a write at the old primary needs evidence as a read does, its commit is acknowledged once replicas that were queried after the answer confirm it, and an unconfirmed commit is no evidence. Writes continue without the store where all replicas answer. Simulation and product use the same core decision.

The planted fault (silence ends replacements) is detected.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -235,7 +235,7 @@
 
     /// Whether a commit that the primary of `term` acknowledged at `answered` is known to be safe:
     /// replicas that were queried after that show that no promotion was being prepared. For nodes
-    /// that are not notified of replacements.
+    /// that may not have been notified of a replacement or of its end.
     pub fn confirms_commit(&self, term: Term, group: Replication, answered: Instant) -> bool {
         self.may_cover(term)
             && self
--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -3,6 +3,14 @@
 //! A node that cannot reach the store would continue to use the old primary. So the coordinator
 //! also notifies the nodes that serve the group directly, and repeats the notification until the
 //! replacement has finished.
+//!
+//! If the notifications end without that of the end, the coordinator may have failed before it
+//! stopped a replica, or after it had an instance promoted. The node returns to the old primary, so
+//! that writes continue in the first case. It sends a write to the old primary only with evidence
+//! that covers it, and acknowledges its commit only once replicas that were queried after the answer
+//! confirm it ([`KnownReplacements::needs_confirmation`]), until it learns how the replacement
+//! ended: from a new copy of the store, or from a coordinator. If a replica does not answer
+//! meanwhile, no writes are served at this node.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -13,8 +21,8 @@
 /// Interval between two notifications of a replacement to one node.
 pub const NOTIFY_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a replacement that the store does not show counts as running after the coordinator's
-/// last notification: the coordinator may have failed. Longer if a promotion may have been sent
-/// ([`KnownReplacements::expire`]).
+/// last notification: the coordinator may have failed. Longer if a promotion is known to have been
+/// possible ([`KnownReplacements::expire`]).
 const NOTIFICATION_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long acknowledgements of the old primary are still accepted once its replicas are being
 /// stopped, since acknowledgements that it sent before that are still in transit. Half of the
@@ -46,6 +54,8 @@
 pub struct KnownReplacements {
     in_store: BTreeMap<GroupName, Intent>,
     notified: BTreeMap<GroupName, Notification>,
+    /// Notified replacements that have expired while it was not known whether they had ended.
+    unresolved: BTreeMap<GroupName, Notification>,
     /// When the newest replacement of each group began.
     started: BTreeMap<GroupName, Started>,
     /// The newest replacement of each group that is known to have finished.
@@ -72,6 +82,7 @@
         }
         self.in_store.clone_from(intents);
         self.store_seen_at = Some(now);
+        self.unresolved.retain(|_, notification| now <= notification.at);
     }
 
     /// The coordinator notifies this node that a replacement is running, and that it learned `age`
@@ -99,24 +110,49 @@
         let newest = self.finished.entry(group.clone()).or_insert(id);
         *newest = id.max(*newest);
         let newest = *newest;
-        self.notified.retain(|name, notification| name != group || notification.intent.id > newest);
+        let is_running = |name: &GroupName, notification: &mut Notification| {
+            name != group || notification.intent.id > newest
+        };
+        self.notified.retain(is_running);
+        self.unresolved.retain(is_running);
     }
 
     /// Drops replacements of which the coordinator has sent no notification within
     /// `NOTIFICATION_TIMEOUT`. Returns whether there were any.
     ///
-    /// A replacement that may have promoted an instance is kept until a new copy of the store
-    /// arrives: it ends with a successor even if its coordinator has failed, and a node that cannot
-    /// reach the store would return to the old primary.
+    /// A replacement that is known to have been about to promote an instance is kept until a new
+    /// copy of the store arrives: it ends with a successor even if its coordinator has failed, and a
+    /// node that cannot reach the store would return to the old primary. Any other may have promoted
+    /// an instance after the last notification, so commits of the old primary need confirmation.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.notified.len();
         let store_seen_at = self.store_seen_at;
-        self.notified.retain(|_, notification| {
-            let store_is_older = store_seen_at.is_none_or(|seen_at| seen_at <= notification.at);
-            let may_have_promoted = notification.intent.promoting && store_is_older;
-            may_have_promoted || now < notification.at + NOTIFICATION_TIMEOUT
-        });
-        self.notified.len() < before
+        let store_is_older = |notification: &Notification| {
+            store_seen_at.is_none_or(|seen_at| seen_at <= notification.at)
+        };
+        let expired: Vec<(GroupName, Notification)> = self
+            .notified
+            .extract_if(.., |_, notification| {
+                let may_have_promoted =
+                    notification.intent.promoting && store_is_older(notification);
+                !may_have_promoted && now >= notification.at + NOTIFICATION_TIMEOUT
+            })
+            .collect();
+        let has_expired = !expired.is_empty();
+        let unresolved = expired
+            .into_iter()
+            .filter(|(_, expired)| store_is_older(expired) && !expired.intent.called_off);
+        self.unresolved.extend(unresolved);
+        has_expired
+    }
+
+    /// Whether writes at `instance` need evidence as reads do, and its commits are acknowledged only
+    /// once replicas that were queried after the answer confirm them: the notifications of its
+    /// replacement have ended, and another instance may have been promoted. A commit that has not
+    /// been confirmed is no evidence.
+    pub fn needs_confirmation(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        self.unresolved
+            .get(group)
+            .is_some_and(|notification| notification.intent.former.as_ref() == Some(instance))
     }
 
     /// The intents of all running replacements, including cancelled ones.
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -145,3 +145,63 @@
     known.update_from_store(&in_store(cancelled), now + ms(200));
     assert!(known.accepts_commit(&group(), &old, now + ms(300)), "no instance will be promoted");
 }
+
+/// Guards against an owner that cannot reach the store and acknowledges commits of the old primary
+/// after the coordinator has fallen silent: it may have promoted an instance after its last
+/// notification.
+#[test]
+fn commits_need_confirmation_after_a_replacement_whose_end_is_not_known() {
+    let (old, other) = (InstanceName::new("old"), InstanceName::new("other"));
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    known.update_from_store(&BTreeMap::new(), now);
+    known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now + ms(10));
+    assert!(known.expire(now + ms(1_010)));
+    assert!(known.accepts_commit(&group(), &old, now + ms(1_010)), "writes continue");
+    assert!(known.needs_confirmation(&group(), &old));
+    assert!(!known.expire(now + ms(60_000)));
+    assert!(known.needs_confirmation(&group(), &old), "time is no evidence");
+    assert!(!known.needs_confirmation(&group(), &other));
+    assert!(!known.needs_confirmation(&GroupName::new("invoices"), &old));
+}
+
+/// Guards against commits that need confirmation for ever: a newer copy of the store shows how the
+/// replacement ended.
+#[test]
+fn commits_need_no_confirmation_after_a_new_copy_of_the_store() {
+    let old = InstanceName::new("old");
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now);
+    known.expire(now + ms(1_000));
+    known.update_from_store(&BTreeMap::new(), now + ms(5_000));
+    assert!(!known.needs_confirmation(&group(), &old));
+    known.on_notification(&group(), intent(2, Reason::Suspected), Duration::ZERO, now + ms(6_000));
+    known.update_from_store(&BTreeMap::new(), now + ms(6_100));
+    assert!(known.expire(now + ms(7_000)));
+    assert!(!known.needs_confirmation(&group(), &old), "the store was newer at the expiry");
+}
+
+/// Guards against commits that need confirmation after the end of the replacement was notified, and
+/// against the end of an earlier replacement that is taken for it.
+#[test]
+fn commits_need_no_confirmation_after_the_notification_of_the_end() {
+    let old = InstanceName::new("old");
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    known.on_notification(&group(), intent(2, Reason::Suspected), Duration::ZERO, now);
+    known.expire(now + ms(1_000));
+    known.on_finished(&group(), ReplacementId { fence: 7, attempt: 1 });
+    assert!(known.needs_confirmation(&group(), &old));
+    known.on_finished(&group(), ReplacementId { fence: 7, attempt: 2 });
+    assert!(!known.needs_confirmation(&group(), &old));
+}
+
+/// Guards against commits that need confirmation after a replacement that was called off: it
+/// promotes no instance.
+#[test]
+fn commits_need_no_confirmation_after_a_cancelled_replacement() {
+    let old = InstanceName::new("old");
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    let cancelled = Intent { called_off: true, ..intent(1, Reason::Leaving) };
+    known.on_notification(&group(), cancelled, Duration::ZERO, now);
+    assert!(known.expire(now + ms(1_000)));
+    assert!(!known.needs_confirmation(&group(), &old));
+}
--- a/crates/core/tests/replacement/late_calls.rs
+++ b/crates/core/tests/replacement/late_calls.rs
@@ -198,6 +198,17 @@
     assert!(outcome.violations.is_empty(), "{:?}", outcome.violations.first());
 }
 
+/// Planted fault: the silence of a coordinator counts as evidence that it promotes no instance. The
+/// owner that it has notified acknowledges commits of the old primary without confirmation.
+#[test]
+fn detects_silence_as_evidence_that_a_replacement_has_ended() {
+    let outcome = world(443, Faults::dense().with_releases(), Late::Nothing, None)
+        .with_planted_fault(PlantedFault::SilenceEndsReplacements)
+        .run();
+    let is_lost = |violation: &Violation| matches!(violation, Violation::LostCommit { .. });
+    assert!(outcome.violations.iter().any(is_lost), "the planted fault is not detected");
+}
+
 /// Runs worlds with a planted fault in batches and asserts that a late promotion shows it.
 fn assert_detected(new_world: impl Fn(u64) -> World + Sync) {
     let batches = (FIRST_SEED..FIRST_SEED + PLANTED_SEEDS).step_by(SEEDS_PER_BATCH as usize);
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -183,6 +183,8 @@
     /// A node that coordinators do not notify acknowledges commits without confirmation by
     /// replicas.
     NoConfirmation,
+    /// A replacement of which a node hears no more counts as one without a promotion.
+    SilenceEndsReplacements,
     /// The coordinator does not wait for the end of earlier promotions.
     NoWaitForOpenCalls,
     /// An earlier coordinator that has been silent for a second counts as one without open
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -70,10 +70,27 @@
         if own.delays_primary_requests() || own.is_outdated(leader) {
             return;
         }
+        if self.needs_confirmation(node, leader) && !self.is_covered_now(node, leader) {
+            self.query_for_evidence(node);
+            return;
+        }
         let request = self.next_number();
         self.send_request(node, leader, request, Work::Write(request));
     }
 
+    /// Whether a node has evidence that covers a request that arrives now.
+    fn is_covered_now(&self, node: usize, leader: usize) -> bool {
+        let lifetime = self.evidence_lifetime(node);
+        self.nodes[node].may_read(leader, self.at(self.now), lifetime)
+    }
+
+    /// Queries the instances for evidence, unless they were queried a moment ago.
+    fn query_for_evidence(&mut self, node: usize) {
+        if self.now >= self.nodes[node].status_queried_at + STATUS_QUERY_INTERVAL_MS {
+            self.query_all_instances(node);
+        }
+    }
+
     fn serve_reads(&mut self, node: usize) {
         let now = self.now;
         self.reads[node].retain(|arrived| now < arrived + READ_TIMEOUT_MS);
@@ -91,10 +108,8 @@
                 self.reads[node].push(arrived);
             }
         }
-        if !self.reads[node].is_empty()
-            && now >= self.nodes[node].status_queried_at + STATUS_QUERY_INTERVAL_MS
-        {
-            self.query_all_instances(node);
+        if !self.reads[node].is_empty() {
+            self.query_for_evidence(node);
         }
         self.check_for_replacement(node, leader);
     }
@@ -244,7 +259,16 @@
     pub fn acknowledges_at_once(&self, node: usize, instance: usize) -> bool {
         let is_notified =
             self.coordinator_waits_for(node) || self.planted_fault == PlantedFault::NoConfirmation;
-        is_notified && self.answer_counts(node, instance)
+        is_notified
+            && !self.needs_confirmation(node, instance)
+            && self.answer_counts(node, instance)
+    }
+
+    /// Whether a node does not know how a replacement of the instance ended.
+    fn needs_confirmation(&self, node: usize, instance: usize) -> bool {
+        let replacements = &self.nodes[node].replacements;
+        replacements.needs_confirmation(&group_name(), &instance_name(instance))
+            && self.planted_fault != PlantedFault::SilenceEndsReplacements
     }
 
     /// Whether an instance's answer to a commit still counts at this time.
@@ -275,11 +299,8 @@
                 own.unconfirmed_commits.push(commit);
             }
         }
-        let queried = self.nodes[node].status_queried_at;
-        if !self.nodes[node].unconfirmed_commits.is_empty()
-            && self.now >= queried + STATUS_QUERY_INTERVAL_MS
-        {
-            self.query_all_instances(node);
+        if !self.nodes[node].unconfirmed_commits.is_empty() {
+            self.query_for_evidence(node);
         }
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -234,6 +234,13 @@
         listed.iter().any(|listed| listed.candidate.node == self.identity.node)
     }
 
+    /// Whether a commit that `instance` has answered may be acknowledged only once replicas confirm
+    /// that no other instance was being promoted: no coordinator waits for this node, or it is not
+    /// known how a replacement of the instance ended.
+    pub fn needs_replica_confirmation(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        !self.is_listed() || self.replacements.needs_confirmation(group, instance)
+    }
+
     /// Lifetime of evidence on this node. A coordinator does not know an unlisted node and does not
     /// wait until it revokes its evidence, so its evidence expires sooner.
     pub fn evidence_lifetime(&self) -> Duration {
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -3,8 +3,8 @@
 //! If the group elects its primary, a majority confirms a commit in its answers to probes. If the
 //! proxy replaces primaries, this node must know that the commit cannot be lost to a replacement. A
 //! node on the machine list acknowledges commits at once, because a coordinator waits for it before
-//! it promotes another instance. A node that is not listed yet first queries the replication status
-//! of the replicas.
+//! it promotes another instance. A node first queries the replication status of the replicas if it
+//! is not listed yet, or if it does not know how a replacement of the primary ended.
 
 use std::time::{Duration, Instant};
 
@@ -120,7 +120,7 @@
     }
 
     /// Adds a commit. The report of its primary is the first confirmation and may already suffice.
-    pub fn add_commit(&mut self, commit: Commit, group: &Group, io: &mut Io) {
+    pub fn add_commit(&mut self, commit: Commit, name: &GroupName, group: &Group, io: &mut Io) {
         let Some(report) = commit.report else {
             return refuse(commit, Progress::Answered, Fault::InstanceConnectionLost, io);
         };
@@ -143,16 +143,19 @@
             let method = ConfirmationMethod::Probes(confirmation);
             return self.pending.push(PendingCommit { commit, method });
         }
-        if group.elector == Elector::Group || io.context.is_listed() {
+        let needs_replicas = io.context.needs_replica_confirmation(name, &commit.instance);
+        if group.elector == Elector::Group || !needs_replicas {
             return acknowledge(commit, Some(position), io);
         }
         log::info!(
             event = "commit_waits",
+            group = name.as_str(),
+            is_listed = io.context.is_listed(),
             lease:? = commit.lease,
             instance = commit.instance.as_str(),
             term = position.term.0,
             offset = position.offset.0;
-            "the machine list does not name this node yet; querying replicas to confirm the commit"
+            "this node may not know of a replacement; querying replicas to confirm the commit"
         );
         let method = ConfirmationMethod::ReplicaStatuses { position, answered: Instant::now() };
         self.pending.push(PendingCommit { commit, method });
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -5,7 +5,8 @@
 //! its replacement serves stale data. The evidence must be no older than the staleness that the
 //! read accepts. The read then runs at the primary, or at a replica that has reached a position
 //! which the primary reported while the evidence was valid. A statement that reads nothing needs
-//! evidence only if the group has no synchronous replicas.
+//! evidence only if the group has no synchronous replicas, or if it is not known how a replacement
+//! of the primary ended.
 //!
 //! A statement that must run at the primary never goes to an instance that is being replaced, that
 //! is in a drained zone, or that may have been replaced without this node's knowledge. The instance
@@ -127,8 +128,12 @@
                 return InstanceChoice::NeedsSessionTerm;
             }
             // Without synchronous replicas an old primary continues to commit after its
-            // replacement, so that even statements that read nothing need evidence.
-            let no_staleness = (synchronous == 0).then_some(Duration::ZERO);
+            // replacement, so that even statements that read nothing need evidence. The same holds
+            // while it is not known how a replacement of the primary ended.
+            let may_be_old = primary.is_some_and(|primary| {
+                io.context.replacements.needs_confirmation(group, &primary.name)
+            });
+            let no_staleness = (synchronous == 0 || may_be_old).then_some(Duration::ZERO);
             let staleness = needs.staleness.or(no_staleness);
             let uncovered = staleness
                 .map(moment)
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -208,9 +208,9 @@
         if let Some(position) = running.write_commit_position() {
             let (term, sent) = (position.term, running.sent);
             let statuses = &io.context.statuses;
-            match io.context.is_listed() {
-                true => statuses.on_commit(&self.group, &self.instance, term, sent),
-                false => statuses.on_commit_without_evidence(&self.group, &self.instance, term),
+            match io.context.needs_replica_confirmation(&self.group, &self.instance) {
+                true => statuses.on_commit_without_evidence(&self.group, &self.instance, term),
+                false => statuses.on_commit(&self.group, &self.instance, term, sent),
             }
         }
     }
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -118,7 +118,7 @@
             ServerEvent::CommitAnswered(commit) => {
                 let (answered, now) = (&commit.instance, Instant::now());
                 match io.context.replacements.may_acknowledge_commit(&group, answered, now) {
-                    true => state.confirmations.add_commit(commit, configured, io),
+                    true => state.confirmations.add_commit(commit, &group, configured, io),
                     false => refuse_late(&group, commit, io),
                 }
                 self.confirm_by_replica_statuses(&group, configured, io);
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -60,6 +60,12 @@
         self.known().accepts_commit(group, instance, now)
     }
 
+    /// Whether a commit that `instance` has answered is acknowledged only once replicas confirm it,
+    /// because it is not known how a replacement of the instance ended.
+    pub fn needs_confirmation(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        self.known().needs_confirmation(group, instance)
+    }
+
     /// Records that this node runs a replacement whose intent has been recorded since `recorded`.
     pub fn on_attempt_running(&self, group: &GroupName, intent: &Intent, recorded: Instant) {
         self.updates().running.insert(group.clone(), (intent.clone(), recorded));
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -219,8 +219,8 @@
         });
     }
 
-    /// The same at a node that coordinators do not wait for before a promotion. There the commit is
-    /// no evidence, because another instance may have been promoted meanwhile.
+    /// The same for a commit that replicas have yet to confirm. It is no evidence, because another
+    /// instance may have been promoted meanwhile.
     pub fn on_commit_without_evidence(
         &self,
         group: &GroupName,
