An unresolved replacement ends with a copy of the store that shows none

Cause: a copy of the store that shows a later replacement ended the need for confirmation of the old primary's commits, so that those that were sent before it arrived counted at once for up to 150 ms. Change: the need lasts while the store shows a replacement of the group.

--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -82,7 +82,10 @@
         }
         self.in_store.clone_from(intents);
         self.store_seen_at = Some(now);
-        self.unresolved.retain(|_, notification| now <= notification.at);
+        // While the store shows a replacement, commits that were sent before this copy arrived still
+        // need confirmation.
+        self.unresolved
+            .retain(|group, notification| now <= notification.at || intents.contains_key(group));
     }
 
     /// The coordinator notifies this node that a replacement is running, and that it learned `age`
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -205,3 +205,17 @@
     assert!(known.expire(now + ms(1_000)));
     assert!(!known.needs_confirmation(&group(), &old));
 }
+
+/// Guards against a commit of the old primary that is acknowledged without confirmation because a
+/// copy of the store shows a later replacement, which this node learns of only now.
+#[test]
+fn commits_need_confirmation_while_the_store_shows_a_later_replacement() {
+    let old = InstanceName::new("old");
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now);
+    known.expire(now + ms(1_000));
+    known.update_from_store(&in_store(intent(2, Reason::Unfinished)), now + ms(5_000));
+    assert!(known.needs_confirmation(&group(), &old));
+    known.update_from_store(&BTreeMap::new(), now + ms(6_000));
+    assert!(!known.needs_confirmation(&group(), &old));
+}
