An answered commit with an unsent position query is in doubt

Cause: an exchange counted as unsent if the connection's unsent output was as long as the exchange. After the answer to a commit that was not expected, a position query follows. If the connection was lost before the kernel took it, the answered commit was reported as not run, and could be run again.

Change: whether a commit was answered is compared first, in `Progress::at_gateway`.

Found by reading; no run showed it. The wire with positions in its answers sends no such query.

--- a/crates/core/src/exchange_state.rs
+++ b/crates/core/src/exchange_state.rs
@@ -38,6 +38,21 @@
     Unconfirmed,
 }
 
+impl Progress {
+    /// How far an exchange had come at a gateway whose connection to the instance is lost.
+    /// `is_unsent` is true if the connection's unsent output is at least as long as the exchange. A
+    /// query that follows the answer is unsent output as well, so an answered commit goes first.
+    pub fn at_gateway(is_unsent: bool, is_answered: bool, has_committed: bool) -> Self {
+        if is_answered && has_committed {
+            Self::Answered
+        } else if is_unsent {
+            Self::Queued
+        } else {
+            Self::Sent
+        }
+    }
+}
+
 /// Why the exchange cannot be finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Fault {
--- a/crates/core/tests/exchange_state.rs
+++ b/crates/core/tests/exchange_state.rs
@@ -105,3 +105,18 @@
         }
     }
 }
+
+/// Guards against the promise that nothing is kept for an answered commit: the connection was lost
+/// while the position query that follows the answer was unsent, which was taken for the exchange.
+#[test]
+fn answered_commit_with_an_unsent_position_query_is_in_doubt() {
+    let impact = ExchangeImpact { effect: Effect::Read, continues_transaction: false };
+    for is_unsent in [false, true] {
+        let progress = Progress::at_gateway(is_unsent, true, true);
+        let code = failure_code(impact, progress, Fault::InstanceConnectionLost);
+        assert_eq!(code, ResultCode::UnconfirmedInDoubt);
+    }
+    assert_eq!(Progress::at_gateway(true, false, false), Progress::Queued);
+    assert_eq!(Progress::at_gateway(false, false, false), Progress::Sent);
+    assert_eq!(Progress::at_gateway(false, false, true), Progress::Sent);
+}
--- a/crates/daemon/src/gateway/running_exchange.rs
+++ b/crates/daemon/src/gateway/running_exchange.rs
@@ -263,13 +263,8 @@
         if self.is_answered() && !self.has_committed && idle {
             return self.final_event(instance);
         }
-        let progress = if unsent >= self.bytes {
-            Progress::Queued
-        } else if self.is_answered() && self.has_committed {
-            Progress::Answered
-        } else {
-            Progress::Sent
-        };
+        let is_unsent = unsent >= self.bytes;
+        let progress = Progress::at_gateway(is_unsent, self.is_answered(), self.has_committed);
         let impact = match self.is_answered() && !idle && !self.has_committed {
             // The transaction was still open after the answer: closing the connection rolls it
             // back.
