--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -42,7 +42,6 @@
 mod peer_votes;
 mod refill;
 mod restart_reports;
-mod stale_votes;
 mod steps;
 mod store_eras;
 mod timing;
@@ -63,7 +62,6 @@
 pub use restart_reports::{
     CombinedReport, LogHolder, ObservedRestart, ReportingNodes, RestartReport, RestartReports,
 };
-pub use stale_votes::{STALE_VOTES_DELAY, StaleVotes};
 pub use steps::{Command, Event, Phase};
 pub use store_eras::{COORDINATOR_LEASE_DURATION, StoreEraTracker};
 pub use timing::Timing;
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -20,8 +20,8 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::promotion::{
-    CoordinationView, Intent, Need, NeedsEvaluator, NeedsInput, NodeVotes, Reason, StaleVotes,
-    StoreEraTracker, Vote, active_intents,
+    CoordinationView, Intent, Need, NeedsEvaluator, NeedsInput, NodeVotes, Reason, StoreEraTracker,
+    Vote, active_intents,
 };
 use kestrellock_core::routing::Role;
 use kestrellock_core::store_access::{CoordinatorTurn, Refusal};
@@ -78,7 +78,6 @@
     vote_exchange: VoteExchange,
     /// The part of `votes` that was last given to the vote publisher.
     store_votes: NodeVotes,
-    stale_votes: StaleVotes,
     vote_sender: Sender<NodeVotes>,
     status_queries: StatusQueries,
     coordinator_input: SharedCoordinatorInput,
@@ -120,7 +119,6 @@
         votes: NodeVotes::new(),
         vote_exchange: VoteExchange::default(),
         store_votes: NodeVotes::new(),
-        stale_votes: StaleVotes::default(),
         vote_sender: vote_publisher::start(context, services, stop),
         status_queries: StatusQueries::new(ASSESSMENT_LIFETIME),
         coordinator_input: Arc::new(Mutex::new(CoordinatorInput::default())),
@@ -243,7 +241,8 @@
             "the store was restored from an older copy: writing this node's votes and replacement records again"
         );
         if !self.store_votes.is_empty() {
-            self.publish_store_votes();
+            // The vote publisher runs until the node stops.
+            let _ = self.vote_sender.send(self.store_votes.clone());
         }
         let owned = self.owned.refresh(self.context);
         write_back::start(self.services, owned.to_vec(), self.stop);
@@ -336,30 +335,10 @@
         let store_votes =
             self.vote_exchange.step(&self.votes, coordinator, self.context, self.mailboxes, now);
         if store_votes != self.store_votes {
-            self.store_votes = store_votes;
-            self.publish_store_votes();
+            self.store_votes.clone_from(&store_votes);
+            // The vote publisher runs until the node stops.
+            let _ = self.vote_sender.send(store_votes);
         }
-        self.replace_stale_votes(now);
-    }
-
-    /// Publishes this node's votes again if the store shows others.
-    fn replace_stale_votes(&mut self, now: Instant) {
-        if self.services.coordination.availability().is_failing {
-            self.stale_votes.restart_delay();
-            return;
-        }
-        let in_store = self.view.votes.get(&self.context.identity.node);
-        if self.stale_votes.must_publish_again(&self.store_votes, in_store, now) {
-            log::info!(event = "votes_published_again", in_store:? = in_store, votes:? = self.store_votes; "the store shows other votes than this node has published");
-            self.publish_store_votes();
-        }
-    }
-
-    /// Gives the votes that have to be in the store to the vote publisher.
-    fn publish_store_votes(&mut self) {
-        self.stale_votes.restart_delay();
-        // The vote publisher runs until the node stops.
-        let _ = self.vote_sender.send(self.store_votes.clone());
     }
 
     fn suspect(
