Late promotions: two groups, six nodes, coordinators that end twice, links that delay

Cause: the runs with real processes had one group, three nodes, one partition of each coordinator and only partitions; the users' machines have more of each.

Change: a run has a number of nodes, a crash for each group, partitions that end at the end of the first one, coordinators that are killed or stopped several times, and links that delay what they carry (standin/delaying_relay.rs: bytes, ends of streams and resets keep their order).

--- a/crates/lab/src/processes/late_promotion/cuts.rs
+++ b/crates/lab/src/processes/late_promotion/cuts.rs
@@ -1,4 +1,5 @@
-//! Partitions of nodes from the platform, which begin with their promotion calls.
+//! Partitions of nodes from the platform, which begin with their promotion calls. In place of a
+//! partition, a link can delay what it carries.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -6,9 +7,10 @@
 
 use kestrellock_platform::standin::promotion;
 
+use crate::processes::ProcessPlatform;
 use crate::processes::journal::Journal;
-use crate::processes::{NODES, ProcessPlatform};
-use crate::standin::relay::{Partition, RelayEvent};
+use crate::processes::link::LinkFault;
+use crate::standin::relay::RelayEvent;
 
 /// Part of the log line of a node that has become the coordinator.
 const LEASE_EVENT: &str = "\"hold_taken\"";
@@ -26,13 +28,24 @@
     Lease(Duration),
 }
 
+/// When a partition ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutEnd {
+    /// This long after its begin.
+    After(Duration),
+    /// This long after the end of the first partition.
+    AfterFirst(Duration),
+    /// This long before the end of the first partition.
+    BeforeFirst(Duration),
+}
+
 /// A planned partition of one node from the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Cut {
     /// When it begins.
     pub moment: Moment,
-    /// How long it lasts.
-    pub duration: Duration,
+    /// When it ends.
+    pub end: CutEnd,
 }
 
 /// A partition that has begun.
@@ -57,17 +70,16 @@
 /// The partitions of a run, each of another node. They begin in the order of the plan.
 pub struct Cuts {
     plan: Vec<Cut>,
-    /// For each node, its partition.
-    pub partitions: Vec<Arc<Partition>>,
+    /// For each node, the fault of its links to the platform.
+    pub links: Vec<LinkFault>,
     state: Mutex<State>,
     journal: Arc<Journal>,
 }
 
 impl Cuts {
-    /// Plans the partitions.
-    pub fn new(plan: Vec<Cut>, journal: Arc<Journal>) -> Self {
-        let partitions = (0..NODES).map(|_| Arc::default()).collect();
-        Self { plan, partitions, state: Mutex::default(), journal }
+    /// Plans the partitions of nodes whose links have the given faults.
+    pub fn new(plan: Vec<Cut>, links: Vec<LinkFault>, journal: Arc<Journal>) -> Self {
+        Self { plan, links, state: Mutex::default(), journal }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -94,8 +106,8 @@
         if promotion::contains_call(bytes) {
             self.journal.add(&format!("node {node} sends a promotion call"));
             state.first_caller.get_or_insert(node);
-            if let Some(Cut { moment: Moment::Call(delay), duration }) = self.next(&state, node) {
-                self.begin(&mut state, node, delay, duration);
+            if let Some(Cut { moment: Moment::Call(delay), end }) = self.next(&state, node) {
+                self.begin(&mut state, node, delay, end);
             }
         }
         if state.first_caller == Some(node) {
@@ -109,11 +121,15 @@
         self.plan.get(state.begun.len()).copied().filter(|_| !has_been_cut && !state.is_closed)
     }
 
-    fn begin(&self, state: &mut State, node: usize, delay: Duration, duration: Duration) {
-        let (partition, journal) = (self.partitions[node].clone(), self.journal.clone());
+    fn begin(&self, state: &mut State, node: usize, delay: Duration, end: CutEnd) {
+        let (link, journal) = (self.links[node].clone(), self.journal.clone());
         let begin = move || {
-            partition.begin();
-            journal.add(&format!("node {node} is partitioned from the platform"));
+            link.begin();
+            let event = match link {
+                LinkFault::Partition(_) => "is partitioned from the platform",
+                LinkFault::Delay(_) => "reaches the platform late",
+            };
+            journal.add(&format!("node {node} {event}"));
         };
         match delay.is_zero() {
             true => begin(),
@@ -122,7 +138,13 @@
                 begin();
             })),
         }
-        let end = Instant::now() + delay + duration;
+        let now = Instant::now();
+        let first_end = state.begun.first().map_or(now, |cut| cut.end);
+        let end = match end {
+            CutEnd::After(duration) => now + delay + duration,
+            CutEnd::AfterFirst(offset) => first_end + offset,
+            CutEnd::BeforeFirst(offset) => first_end - offset,
+        };
         state.begun.push(BegunCut { node, end, is_over: false });
     }
 
@@ -130,12 +152,12 @@
     /// whose partition ends.
     pub fn step(&self, platform: &ProcessPlatform) -> Vec<usize> {
         let mut state = self.state();
-        if let Some(Cut { moment: Moment::Lease(delay), duration }) =
+        if let Some(Cut { moment: Moment::Lease(delay), end }) =
             self.plan.get(state.begun.len()).copied()
         {
             let coordinator = |node: &usize| platform.nodes[*node].log().contains(LEASE_EVENT);
-            if let Some(node) = (0..NODES).find(coordinator) {
-                self.begin(&mut state, node, delay, duration);
+            if let Some(node) = (0..platform.nodes.len()).find(coordinator) {
+                self.begin(&mut state, node, delay, end);
             }
         }
         let now = Instant::now();
@@ -143,7 +165,7 @@
         for cut in state.begun.iter_mut().filter(|cut| !cut.is_over && now >= cut.end) {
             cut.is_over = true;
             self.journal.add(&format!("the partition of node {} ends", cut.node));
-            self.partitions[cut.node].end();
+            self.links[cut.node].end();
             ended.push(cut.node);
         }
         ended
@@ -152,7 +174,7 @@
     /// The node whose partition has begun first, once it is active.
     pub fn first_node(&self) -> Option<usize> {
         let node = self.state().begun.first()?.node;
-        self.partitions[node].is_active().then_some(node)
+        self.links[node].is_active().then_some(node)
     }
 
     /// Whether all partitions are over. A planned one that does not begin in time never begins.
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -1,15 +1,17 @@
 //! The users' platform with nodes that are processes of `kestrellockd`.
 //!
-//! The store, the instances of one group and the promotion service are stand-ins in this process.
+//! The store, the instances of the groups and the promotion service are stand-ins in this process.
 //! Each node reaches the store and the promotion service through relays, so that it can be
 //! partitioned from the platform, and can be killed, suspended and started again.
 
 pub mod journal;
 pub mod late_promotion;
+pub mod link;
 pub mod node;
 pub mod rules;
 pub mod writers;
 
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -23,19 +25,16 @@
 use tempfile::TempDir;
 
 use self::journal::Journal;
+use self::link::{LinkFault, LinkRelay};
 use self::node::{NodeProcess, PlatformAddresses};
 use crate::platform::client::LineSession;
 use crate::platform::{ZONES, wait};
 use crate::standin::instances::{InstanceGroup, InstanceOptions, PromotionService};
-use crate::standin::relay::{Partition, Relay, RelayEvent, RelayObserver};
+use crate::standin::relay::{RelayEvent, RelayObserver};
 use crate::standin::store::{Dialect, PlatformStore};
 
-/// Name of the group.
-pub const GROUP: &str = "orders";
-/// Database whose statements run at the primary of the group.
-pub const DATABASE: &str = "orders-primary";
-/// Number of nodes; one in each zone.
-pub const NODES: usize = ZONES.len();
+/// Names of the groups that a platform may have; it has the first ones.
+pub const GROUPS: [&str; 2] = ["orders", "tickets"];
 /// Environment variable with the path of a folder that keeps the logs of the nodes.
 pub const KEEP_LOGS: &str = "KEEP_LOGS";
 
@@ -54,51 +53,48 @@
 pub struct ProcessPlatform {
     /// The nodes. Declared first, so that they end before the stand-ins.
     pub nodes: Vec<NodeProcess>,
-    /// For each node, its partition from the store and the promotion service.
-    pub partitions: Vec<Arc<Partition>>,
+    /// For each node, the fault of its links to the store and the promotion service.
+    pub links: Vec<LinkFault>,
     /// The service that promotes instances.
     pub promotions: PromotionService,
-    /// The instances of the group.
-    pub group: InstanceGroup,
+    /// The instances of each group, in the order of [`GROUPS`].
+    pub groups: Vec<InstanceGroup>,
     /// The record of the run.
     pub journal: Arc<Journal>,
-    relays: Vec<Relay>,
+    relays: Vec<LinkRelay>,
     store: PlatformStore,
     folder: TempDir,
 }
 
 impl ProcessPlatform {
-    /// Starts the stand-ins and the nodes, which are called `name` and a number.
+    /// Starts the stand-ins of as many groups, and a node for each of `links`. The nodes are called
+    /// `name` and a number.
     pub fn start(
         name: &str,
-        partitions: Vec<Arc<Partition>>,
+        groups: usize,
+        links: Vec<LinkFault>,
         journal: Arc<Journal>,
         observer: &Arc<PromotionObserver>,
     ) -> miette::Result<Self> {
         let store = PlatformStore::start_as(Dialect::Platform).into_diagnostic()?;
-        let options = InstanceOptions {
-            group: GROUP.to_owned(),
-            zones: ZONES.map(str::to_owned).into(),
-            synchronous: SYNCHRONOUS_REPLICAS,
-            lag: REPLICA_LAG,
-            connections: MAX_CONNECTIONS,
-            slots: SLOTS,
-        };
-        let group = InstanceGroup::start(options, store.writer()).into_diagnostic()?;
-        let promotions = PromotionService::start(std::slice::from_ref(&group), PROMOTION_DURATION);
-        let promotions = promotions.into_diagnostic()?;
-        store.put(CONFIGURATION_KEY, &configuration_value());
+        let groups: io::Result<Vec<InstanceGroup>> = GROUPS[..groups]
+            .iter()
+            .map(|group| InstanceGroup::start(instance_options(group), store.writer()))
+            .collect();
+        let groups = groups.into_diagnostic()?;
+        let promotions = PromotionService::start(&groups, PROMOTION_DURATION).into_diagnostic()?;
+        store.put(CONFIGURATION_KEY, &configuration_value(&GROUPS[..groups.len()]));
         let mut platform = Self {
             nodes: Vec::new(),
-            partitions,
+            links,
             promotions,
-            group,
+            groups,
             journal,
             relays: Vec::new(),
             store,
             folder: tempfile::tempdir().into_diagnostic()?,
         };
-        for number in 0..NODES {
+        for number in 0..platform.links.len() {
             platform.start_node(name, number, observer.clone())?;
         }
         Ok(platform)
@@ -110,22 +106,17 @@
         number: usize,
         observer: Arc<PromotionObserver>,
     ) -> miette::Result<()> {
-        let partition = &self.partitions[number];
-        let relay = |target: SocketAddr, observer: Arc<RelayObserver>| {
-            Relay::start(target, partition.clone(), observer).into_diagnostic()
-        };
-        let store = relay(self.store.address, Arc::new(|_| {}))?;
-        let promotions = relay(
-            self.promotions.address(),
-            Arc::new(move |event: RelayEvent<'_>| observer(number, event)),
-        )?;
+        let link = &self.links[number];
+        let store = link.relay(self.store.address, Arc::new(|_| {})).into_diagnostic()?;
+        let observer: Arc<RelayObserver> = Arc::new(move |event| observer(number, event));
+        let promotions = link.relay(self.promotions.address(), observer).into_diagnostic()?;
         let addresses =
             PlatformAddresses { store: store.address(), promotions: promotions.address() };
         let cluster_key = format!("cluster-of-{}", self.store.address);
         let node = NodeProcess::start(
             self.folder.path(),
             &format!("{name}-{number}"),
-            ZONES[number],
+            ZONES[number % ZONES.len()],
             addresses,
             &cluster_key,
         )?;
@@ -148,7 +139,7 @@
         Ok(())
     }
 
-    /// Waits until a write through a node is acknowledged.
+    /// Waits until a write to each group through a node is acknowledged.
     pub fn wait_until_served(&self, number: usize) -> miette::Result<()> {
         self.wait_until_served_with(number, || {})
     }
@@ -160,13 +151,22 @@
         mut step: impl FnMut(),
     ) -> miette::Result<()> {
         let node = &self.nodes[number];
-        wait(&format!("a write through {} is acknowledged", node.name), || {
-            step();
-            let session = LineSession::open(node.client_address, DATABASE, "probe");
-            session
-                .and_then(|mut session| session.run("WRITE probe 1"))
-                .is_ok_and(|answer| answer.is_success())
-        })
+        for group in &self.groups {
+            let database = database_of(&group.name());
+            wait(&format!("a write to {database} through {} is acknowledged", node.name), || {
+                step();
+                let session = LineSession::open(node.client_address, &database, "probe");
+                session
+                    .and_then(|mut session| session.run("WRITE probe 1"))
+                    .is_ok_and(|answer| answer.is_success())
+            })?;
+        }
+        Ok(())
+    }
+
+    /// The databases whose statements run at the primaries of the groups.
+    pub fn databases(&self) -> Vec<String> {
+        self.groups.iter().map(|group| database_of(&group.name())).collect()
     }
 
     /// Addresses of the nodes for clients.
@@ -188,19 +188,35 @@
     }
 }
 
-fn configuration_value() -> Vec<u8> {
-    let route = RouteEntry {
-        name: DATABASE,
-        database: DATABASE,
-        group: GROUP,
+fn database_of(group: &str) -> String {
+    format!("{group}-primary")
+}
+
+fn instance_options(group: &str) -> InstanceOptions {
+    InstanceOptions {
+        group: group.to_owned(),
+        zones: ZONES.map(str::to_owned).into(),
+        synchronous: SYNCHRONOUS_REPLICAS,
+        lag: REPLICA_LAG,
+        connections: MAX_CONNECTIONS,
+        slots: SLOTS,
+    }
+}
+
+fn configuration_value(groups: &[&str]) -> Vec<u8> {
+    let databases: Vec<String> = groups.iter().map(|group| database_of(group)).collect();
+    let routes = groups.iter().zip(&databases).map(|(group, database)| RouteEntry {
+        name: database,
+        database,
+        group,
         consistency: Consistency::Primary,
         max_staleness_ms: 0,
         timeout_ms: STATEMENT_TIMEOUT_MS,
-    };
-    let group = GroupEntry {
-        name: GROUP,
+    });
+    let entries = groups.iter().map(|name| GroupEntry {
+        name,
         connections: MAX_CONNECTIONS as u32,
         synchronous: SYNCHRONOUS_REPLICAS as u32,
-    };
-    configuration(1, &[route], &[group])
+    });
+    configuration(1, &routes.collect::<Vec<_>>(), &entries.collect::<Vec<_>>())
 }
--- a/crates/lab/src/processes/node.rs
+++ b/crates/lab/src/processes/node.rs
@@ -180,6 +180,21 @@
         }
     }
 
+    /// Asks the process to stop (SIGTERM).
+    pub fn terminate(&self) -> miette::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Whether no process runs any more; takes note of one that has ended.
+    pub fn has_ended(&mut self) -> miette::Result<bool> {
+        if let Some(child) = &mut self.child
+            && child.try_wait().into_diagnostic()?.is_some()
+        {
+            self.child = None;
+        }
+        Ok(self.child.is_none())
+    }
+
     /// Suspends the process (SIGSTOP).
     pub fn suspend(&self) -> miette::Result<()> {
         self.signal(Signal::STOP)
--- a/crates/lab/src/processes/writers.rs
+++ b/crates/lab/src/processes/writers.rs
@@ -148,7 +148,7 @@
 
     fn open(&mut self) -> Option<LineSession> {
         self.sessions += 1;
-        let name = format!("c{}s{}", self.number, self.sessions);
+        let name = format!("{}-c{}s{}", self.database, self.number, self.sessions);
         let stream = TcpStream::connect(self.addresses[self.node]).ok()?;
         LineSession::open_on(stream, ANSWER_TIMEOUT, &self.database, &name).ok()
     }
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -4,6 +4,7 @@
 //! The proxy reaches them only through their published protocols, and they make no assumptions
 //! about the proxy.
 
+pub mod delaying_relay;
 pub mod group;
 pub mod http;
 pub mod instances;
