Node processes of a run have addresses that differ from each other

A free port was released before the next one was looked for, and was found again.

Change: the sockets of a node's addresses stay open until all are found.

--- a/crates/lab/src/processes/node.rs
+++ b/crates/lab/src/processes/node.rs
@@ -66,13 +66,26 @@
     }
 }
 
-/// An address on loopback that is free for TCP and UDP.
-fn free_address() -> miette::Result<SocketAddr> {
+/// Addresses on loopback that differ from each other and are free for TCP and UDP.
+fn free_addresses<const COUNT: usize>() -> miette::Result<[SocketAddr; COUNT]> {
+    let mut addresses = [UNASSIGNED; COUNT];
+    // Each stays taken until all are found, so that none is found twice.
+    let mut taken = Vec::new();
+    for address in &mut addresses {
+        let (found, sockets) = free_address()?;
+        *address = found;
+        taken.push(sockets);
+    }
+    Ok(addresses)
+}
+
+/// An address on loopback that was free for TCP and UDP, and the sockets that take it.
+fn free_address() -> miette::Result<(SocketAddr, (TcpListener, UdpSocket))> {
     for _ in 0..MAX_PORT_ATTEMPTS {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).into_diagnostic()?;
         let address = listener.local_addr().into_diagnostic()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
+        if let Ok(socket) = UdpSocket::bind(address) {
+            return Ok((address, (listener, socket)));
         }
     }
     Err(miette!("found no port that is free for both TCP and UDP"))
@@ -108,13 +121,14 @@
     /// before the node does.
     fn assign_addresses(&mut self) -> miette::Result<()> {
         self.address_attempts += 1;
-        (self.client_address, self.admin_address) = (free_address()?, free_address()?);
+        let [client_address, admin_address, peer_address] = free_addresses()?;
+        (self.client_address, self.admin_address) = (client_address, admin_address);
         let settings = NodeSettings {
             name: &self.name,
             zone: &self.zone,
             client_address: self.client_address,
             readiness_address: self.admin_address,
-            peer_address: free_address()?,
+            peer_address,
             link_mbps: LINK_MBPS,
             grace_period: GRACE_PERIOD,
             tolerated_zone_losses: 0,
