The end of a process of an earlier version does not end its promotions

What callers would see: during an upgrade, a promotion of a killed coordinator of the earlier version takes effect after that of its successor. Cause: refused connections, or another process of the node, counted as the end of the calls of a caller without a process number. Such an intent is of a version that closes connections without a reset. Change: neither counts for these callers; the replacement waits as for a silent process. The new test compares the evidence for callers with and without a number; promotion 77 and promotion_calls 9 pass.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -222,6 +222,15 @@
         self.open_calls.callers()
     }
 
+    /// Earlier callers on `node` whose calls have ended if the node runs no process.
+    pub fn callers_that_end_with(&self, node: &NodeName) -> Vec<PromotionCaller> {
+        let callers = self.open_calls.callers().iter();
+        callers
+            .filter(|caller| caller.node == *node && caller.resets_its_calls())
+            .cloned()
+            .collect()
+    }
+
     /// The processes whose promotions may still arrive once the attempt has finished. The next
     /// attempt on the group has to know them.
     pub fn callers_at_end(&self) -> Vec<PromotionCaller> {
--- a/crates/core/src/promotion/open_calls.rs
+++ b/crates/core/src/promotion/open_calls.rs
@@ -38,6 +38,14 @@
     pub fence: u64,
 }
 
+impl PromotionCaller {
+    /// Whether the end of the process has ended its calls. A process that wrote its intent without
+    /// its number is of an earlier version, which closes connections without a reset.
+    pub fn resets_its_calls(&self) -> bool {
+        self.process != UNKNOWN_PROCESS
+    }
+}
+
 /// The callers of which an attempt does not know yet that their calls have ended.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OpenCalls {
--- a/crates/core/src/promotion/own_calls.rs
+++ b/crates/core/src/promotion/own_calls.rs
@@ -87,7 +87,7 @@
     ) -> bool {
         if caller.process != self.process {
             // The end of that process has reset its connections.
-            return now >= self.started_at + PROMOTION_SETTLE_TIME;
+            return caller.resets_its_calls() && now >= self.started_at + PROMOTION_SETTLE_TIME;
         }
         let calls = self.groups.entry(group.clone()).or_default();
         calls.closed_fence = calls.closed_fence.max(caller.fence);
--- a/crates/core/tests/promotion/open_calls.rs
+++ b/crates/core/tests/promotion/open_calls.rs
@@ -3,11 +3,11 @@
 
 use std::time::{Duration, Instant};
 
-use kestrellock_core::ids::NodeName;
+use kestrellock_core::ids::{GroupName, NodeName};
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Intent, Need, Phase, PromotionAnswer, PromotionCaller, Reason,
-    ReplacementId, Timing, UNKNOWN_PROCESS,
+    Attempt, Command, Event, Intent, Need, OwnCalls, Phase, PromotionAnswer, PromotionCaller,
+    Reason, ReplacementId, Timing, UNKNOWN_PROCESS,
 };
 
 use crate::support::*;
@@ -311,3 +311,21 @@
         _ => None,
     }
 }
+
+/// Guards against the end of a process of an earlier version that counts as the end of its calls: it
+/// closes its connections without a reset, so that a call may still arrive.
+#[test]
+fn the_end_of_a_process_of_an_earlier_version_does_not_end_its_calls() {
+    let now = Instant::now();
+    let unnumbered = PromotionCaller { process: UNKNOWN_PROCESS, ..earlier_caller() };
+    let need =
+        Need { callers: vec![earlier_caller(), unnumbered.clone()], ..need(Reason::Missing) };
+    let attempt = first_attempt(need, now);
+    assert_eq!(attempt.callers_that_end_with(&earlier_caller().node), [earlier_caller()]);
+    assert_eq!(attempt.callers_that_end_with(&NodeName::new("another")), []);
+    let mut restarted = OwnCalls::new(OWN_PROCESS, now);
+    let later = now + Duration::from_secs(60);
+    let group = GroupName::new("orders");
+    assert!(restarted.confirm_ended(&group, &earlier_caller(), later));
+    assert!(!restarted.confirm_ended(&group, &unnumbered, later));
+}
--- a/crates/core/tests/replacement/open_calls.rs
+++ b/crates/core/tests/replacement/open_calls.rs
@@ -68,9 +68,8 @@
         if !state.process_probes.on_result(&name, result, now) {
             return;
         }
-        let callers = state.attempt.as_ref().map_or(&[][..], |attempt| attempt.open_callers());
-        let ended: Vec<PromotionCaller> =
-            callers.iter().filter(|caller| caller.node == name).cloned().collect();
-        ended.into_iter().for_each(|caller| self.on_calls_ended(node, caller));
+        let attempt = state.attempt.as_ref();
+        let ended = attempt.map(|attempt| attempt.callers_that_end_with(&name));
+        ended.into_iter().flatten().for_each(|caller| self.on_calls_ended(node, caller));
     }
 }
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -295,9 +295,7 @@
             return;
         }
         for (group, running) in &mut self.attempts {
-            let callers = running.attempt.open_callers().iter();
-            let ended: Vec<_> = callers.filter(|caller| caller.node == *node).cloned().collect();
-            for caller in ended {
+            for caller in running.attempt.callers_that_end_with(node) {
                 running.on_calls_ended(group, caller, CallsEndedEvidence::ProcessEnded, now);
             }
         }
