--- /dev/null
+++ b/crates/daemon/src/metrics/labels.rs
@@ -0,0 +1,220 @@
+//! The values of the labels of the node's counters.
+//!
+//! Every value comes from an enum: text from outside the process never becomes a label.
+
+use kestrellock_core::outcome::ResultCode;
+
+/// A fixed set of label values.
+pub trait Label: Copy + 'static {
+    /// Every value, in the order of [`Label::index`].
+    const ALL: &'static [Self];
+
+    /// Position in [`Label::ALL`].
+    fn index(self) -> usize;
+
+    /// The label value as exported.
+    fn text(self) -> String;
+}
+
+macro_rules! labels {
+    ($(#[$doc:meta])* $name:ident { $($(#[$value_doc:meta])* $value:ident = $text:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum $name { $($(#[$value_doc])* $value,)* }
+
+        impl Label for $name {
+            const ALL: &'static [Self] = &[$(Self::$value,)*];
+
+            fn index(self) -> usize {
+                self as usize
+            }
+
+            fn text(self) -> String {
+                match self { $(Self::$value => $text.to_owned(),)* }
+            }
+        }
+    };
+}
+
+impl Label for ResultCode {
+    const ALL: &'static [Self] = ResultCode::ALL;
+
+    fn index(self) -> usize {
+        self as usize
+    }
+
+    fn text(self) -> String {
+        self.to_string()
+    }
+}
+
+labels! {
+    /// Result of a statement for its client.
+    StatementResult {
+        /// A read that an instance answered.
+        ReadAnswered = "read_answered",
+        /// A write that an instance answered.
+        WriteAnswered = "write_answered",
+        /// Refused by the proxy; it did not run.
+        NotRun = "not_run",
+        /// The proxy does not know whether it ran.
+        InDoubt = "in_doubt",
+    }
+}
+
+labels! {
+    /// Destination of an exchange.
+    Route {
+        /// To a replica.
+        Replica = "replica",
+        /// To the primary, for a read.
+        PrimaryRead = "primary_read",
+        /// To the primary, for a write.
+        PrimaryWrite = "primary_write",
+    }
+}
+
+labels! {
+    /// Event on a connection to a client, an instance or another node.
+    ConnectionEvent {
+        /// Opened.
+        Opened = "opened",
+        /// Closed, by either side.
+        Closed = "closed",
+        /// Refused by the side that was asked to accept it.
+        Refused = "refused",
+        /// Closed while idle, to make room for a connection of another account.
+        Replaced = "replaced",
+        /// Abandoned because another connection to the same process exists.
+        Duplicate = "doubled",
+        /// Abandoned because nothing arrived on it any more, although the process at the other end
+        /// runs.
+        Silent = "silent",
+    }
+}
+
+labels! {
+    /// Event of a connection that was opened in advance for an account.
+    PrewarmEvent {
+        /// Opened.
+        Opened = "opened",
+        /// Ran its first statement.
+        Used = "used",
+        /// Closed before it ran a statement.
+        Unused = "unused",
+    }
+}
+
+labels! {
+    /// Event of a position probe.
+    ProbeEvent {
+        /// Sent.
+        Sent = "sent",
+        /// Answered.
+        Answered = "answered",
+        /// Lost, refused, or with an invalid answer.
+        Failed = "failed",
+    }
+}
+
+labels! {
+    /// Event of a datagram or message between nodes.
+    MessageEvent {
+        /// Sent.
+        Sent = "sent",
+        /// Received and processed.
+        Received = "received",
+        /// Malformed, of another version or cluster, or a replay.
+        Refused = "refused",
+    }
+}
+
+labels! {
+    /// Result of a request to the store.
+    StoreResult {
+        /// Answered.
+        Answered = "answered",
+        /// Not sent, because the store was unreachable.
+        Unreachable = "unreachable",
+        /// Sent but not answered.
+        Unanswered = "unanswered",
+        /// Refused by the store's rate limit.
+        RateLimited = "rate_limited",
+        /// Answered in violation of the protocol.
+        Protocol = "protocol",
+    }
+}
+
+labels! {
+    /// What a node calls the store for, besides the configuration of operators.
+    StorePurpose {
+        /// Following changes and reading what has to be followed.
+        Watch = "watch",
+        /// Writing votes on primaries.
+        Vote = "vote",
+        /// Replacement checks.
+        ReplacementCheck = "replacement_check",
+        /// Attempts to acquire the coordinator lease; one attempt makes up to two calls.
+        Lease = "lease",
+        /// Operations of a coordinator on its lease and on replacement records.
+        Replacement = "replacement",
+    }
+}
+
+labels! {
+    /// Event of the votes that owners exchange directly.
+    VoteEvent {
+        /// A message with votes, or their withdrawal, was sent to another owner.
+        Sent = "sent",
+        /// Another owner confirmed the votes.
+        Confirmed = "confirmed",
+        /// A message with votes arrived from another owner and is used.
+        Received = "received",
+        /// A vote went through the store, because not all owners have confirmed it.
+        InStore = "in_store",
+    }
+}
+
+labels! {
+    /// Event of a configuration that the node received, or sent to a peer.
+    ConfigurationEvent {
+        /// Activated.
+        Applied = "applied",
+        /// Malformed or invalid as a whole; the active configuration stayed.
+        Refused = "refused",
+        /// An entry or instance was invalid and left out.
+        LeftOut = "left_out",
+        /// An entry in the store could not be parsed.
+        Unreadable = "unreadable",
+        /// Fetched from a peer.
+        Fetched = "pulled",
+        /// A fetch that a peer did not complete in time.
+        TimedOut = "given_up",
+        /// Announced to the peers that fetch from this node.
+        Announced = "announced",
+        /// Sent to a peer.
+        Served = "served",
+    }
+}
+
+labels! {
+    /// Change of the decision whether the node is isolated.
+    IsolationEvent {
+        /// The node has become isolated.
+        Isolated = "isolated",
+        /// The isolation has ended.
+        Over = "over",
+    }
+}
+
+labels! {
+    /// Event of the division of an instance's capacity among owners.
+    CapacityEvent {
+        /// A slot was allocated to this node.
+        Granted = "granted",
+        /// A statement started under an allocation.
+        Taken = "taken",
+        /// The demand of another owner expired without news from it.
+        Expired = "expired",
+    }
+}
