Stand-in of the store: watches that report no changes, and reads that are old

The platform's store may report no changes to watches for a second, then drop its history and cut them, and reads that may be stale can be seconds old. The stand-in of the laboratory could do neither, so no test could show what a node concludes meanwhile.

A silent watch gives no answer, or an empty answer with the revision at which the silence began, or one with the current revision. Linearizable reads and changes work meanwhile.

--- a/crates/lab/src/standin/store/faults.rs
+++ b/crates/lab/src/standin/store/faults.rs
@@ -2,6 +2,29 @@
 
 use std::time::{Duration, Instant};
 
+use super::contents::Contents;
+
+/// How watches that do not report changes answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchSilence {
+    /// Not at all, whatever wait time the call names.
+    NoAnswer,
+    /// With no events and the revision at which the silence began.
+    EmptyAtOldRevision,
+    /// With no events and the store's current revision, which is higher than that of the changes
+    /// that the answer lacks.
+    EmptyAtCurrentRevision,
+}
+
+/// The running silence of watches.
+#[derive(Clone, Copy, Debug)]
+pub struct SilentWatches {
+    /// How watches answer.
+    pub silence: WatchSilence,
+    /// Revision of the store when the silence began.
+    pub since: u64,
+}
+
 /// Request counters of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreCounters {
@@ -40,6 +63,10 @@
     pub silent: bool,
     /// Number of responses to changes that are still to be lost.
     pub responses_to_lose: u64,
+    /// Set while watches do not report changes.
+    pub silent_watches: Option<SilentWatches>,
+    /// Older contents with which reads that may be stale are answered.
+    pub stale_contents: Option<Contents>,
     rate_limit: Option<u32>,
     tokens: f64,
     refilled_at: Instant,
@@ -57,6 +84,8 @@
             outage: false,
             silent: false,
             responses_to_lose: 0,
+            silent_watches: None,
+            stale_contents: None,
             rate_limit: None,
             tokens: 0.0,
             refilled_at: now,
--- a/crates/lab/src/standin/store/key_calls.rs
+++ b/crates/lab/src/standin/store/key_calls.rs
@@ -9,6 +9,7 @@
 };
 
 use super::contents::{Contents, Entry, Event, KeyRange};
+use super::faults::{SilentWatches, WatchSilence};
 use super::{Reply, Shared, WATCH_CHECK_INTERVAL};
 
 /// Maximum number of items in one page of a range response.
@@ -38,6 +39,12 @@
         if let KeyCall::Watch { prefix, after, wait } = &call {
             return self.wait_for_changes(prefix, *after, *wait);
         }
+        if let KeyCall::Range { prefix, after, may_be_stale: true } = &call {
+            let stale_contents = self.faults().stale_contents.clone();
+            if let Some(contents) = stale_contents {
+                return reply(range(&contents, prefix, after.as_deref()), &contents);
+            }
+        }
         let mut contents = self.contents();
         let response = execute(&mut contents, &call, Instant::now());
         let is_success = response.0 == 200;
@@ -55,13 +62,14 @@
         let end = Instant::now() + wait;
         let range = range_of(prefix);
         loop {
+            let silent_watches = self.faults().silent_watches;
             let contents = self.contents();
-            if after + 1 < contents.compacted || after > contents.revision {
-                return reply(failure(HISTORY_GONE), &contents);
-            }
-            let events = contents.events(&range, after + 1);
-            if !events.is_empty() || Instant::now() >= end {
-                let response = success(watch_answer(&events, contents.revision));
+            let is_over = Instant::now() >= end;
+            let response = match silent_watches {
+                Some(silent) => silent_watch_response(silent, &contents, is_over),
+                None => watch_response(&contents, &range, after, is_over),
+            };
+            if let Some(response) = response {
                 return reply(response, &contents);
             }
             let waited = self.changed.wait_timeout(contents, WATCH_CHECK_INTERVAL);
@@ -73,6 +81,36 @@
     }
 }
 
+/// The response to a watch call, or `None` while it waits.
+fn watch_response(
+    contents: &Contents,
+    range: &KeyRange,
+    after: u64,
+    is_over: bool,
+) -> Option<CallResponse> {
+    if after + 1 < contents.compacted || after > contents.revision {
+        return Some(failure(HISTORY_GONE));
+    }
+    let events = contents.events(range, after + 1);
+    let is_due = is_over || !events.is_empty();
+    is_due.then(|| success(watch_answer(&events, contents.revision)))
+}
+
+/// The response to a watch call while watches do not report changes, or `None` while it waits.
+fn silent_watch_response(
+    silent: SilentWatches,
+    contents: &Contents,
+    is_over: bool,
+) -> Option<CallResponse> {
+    let at_revision = match silent.silence {
+        WatchSilence::NoAnswer => None,
+        WatchSilence::EmptyAtOldRevision => Some(silent.since),
+        WatchSilence::EmptyAtCurrentRevision => Some(contents.revision),
+    };
+    let at_revision = at_revision.filter(|_| is_over)?;
+    Some(success(watch_answer(&[], at_revision)))
+}
+
 fn reply((status, body): CallResponse, contents: &Contents) -> Reply {
     Reply::Json { status, headers: vec![(ERA_HEADER, contents.era.to_string())], body }
 }
@@ -96,7 +134,7 @@
             }
             None => failure(NOT_FOUND),
         },
-        KeyCall::Range { prefix, after } => range(contents, prefix, after.as_deref()),
+        KeyCall::Range { prefix, after, .. } => range(contents, prefix, after.as_deref()),
         KeyCall::Watch { .. } => failure(BAD_REQUEST),
         KeyCall::Change(change) => execute_change(contents, change),
         KeyCall::Grant(lifetime) => match contents.grant(0, *lifetime, now) {
--- a/crates/lab/src/standin/store/mod.rs
+++ b/crates/lab/src/standin/store/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! It keeps its keys in memory and serves either etcd's v3 HTTP/JSON gateway or the key calls of
 //! the users' platform. Tests can inject outages, silence, delays, rate limits, lost responses,
-//! broken watches and restores of an older snapshot.
+//! broken watches, watches that do not report
+//! changes, stale reads and restores of an older snapshot.
 
 pub mod contents;
 pub mod faults;
@@ -22,7 +23,7 @@
 use kestrellock_platform::standin::keys::KeyCall;
 
 use self::contents::{Contents, KeyRange};
-use self::faults::{Admission, Faults, StoreCounters};
+use self::faults::{Admission, Faults, SilentWatches, StoreCounters, WatchSilence};
 use self::gateway::{GatewayError, WatchRequest};
 use super::http::{self, Reply, Request};
 use super::listener::RestartableListener;
@@ -129,6 +130,32 @@
         self.shared.changed.notify_all();
     }
 
+    /// Makes watches report no changes from now on.
+    pub fn silence_watches(&self, silence: WatchSilence) {
+        let since = self.revision();
+        self.shared.faults().silent_watches = Some(SilentWatches { silence, since });
+    }
+
+    /// Makes watches report changes again, also those that were made during the silence.
+    pub fn end_watch_silence(&self) {
+        self.shared.faults().silent_watches = None;
+        self.shared.changed.notify_all();
+    }
+
+    /// Drops the history, ends the silence of watches and ends all open watches.
+    pub fn forget_history(&self) {
+        self.compact();
+        self.shared.faults().silent_watches = None;
+        self.break_watches();
+    }
+
+    /// Answers reads that may be stale with the contents of `snapshot`, or with the current
+    /// contents if there is none.
+    pub fn set_stale_reads(&self, snapshot: Option<&StoreSnapshot>) {
+        let contents = snapshot.map(|snapshot| snapshot.contents.clone());
+        self.shared.faults().stale_contents = contents;
+    }
+
     /// Compacts the history before the current revision.
     pub fn compact(&self) {
         let mut contents = self.shared.contents();
@@ -318,7 +345,7 @@
         while let Some(from) = next {
             let contents = self.contents();
             let events = contents.events(&request.range, from);
-            if events.is_empty() {
+            if events.is_empty() || self.faults().silent_watches.is_some() {
                 let waited = self.changed.wait_timeout(contents, WATCH_CHECK_INTERVAL);
                 drop(waited.expect("a holder of the contents lock panicked"));
             } else {
