A replacement check reads the replacement records from the store

Callers could read at an old primary: a node took an empty answer of a watch for the store's word that no replacement had been recorded, and made it evidence with which the reports of some replicas cover a read. The store promises linearizable answers of reads; of a watch it says only that it returns changes as soon as there is one. While watches report nothing, the empty answer says nothing.

A check now reads the intents of its groups with linearizable reads, and confirms those whose item in the store is the one in the mirror. The node's view must be at least as new as the mirror that was compared.

A change of another group or a vote no longer keeps a check from confirming. Each check is logged with its groups, when it began, the revisions of the read and of the copy, and its outcome.

--- a/crates/daemon/src/agent/promotion/counted_coordination.rs
+++ b/crates/daemon/src/agent/promotion/counted_coordination.rs
@@ -1,7 +1,7 @@
 //! A wrapper of the coordination through the store that counts its calls by purpose and result in
 //! the node's metrics.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
@@ -12,7 +12,9 @@
 use kestrellock_core::store_access::StoreAvailability;
 use kestrellock_core::store_era::StoreEra;
 use kestrellock_store::call_counts::CallCounts;
-use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
+use kestrellock_store::coordination::{
+    Coordination, CoordinatorLease, RecordOutcome, ReplacementCheck,
+};
 use kestrellock_store::store::StoreError;
 
 use crate::context::NodeContext;
@@ -75,8 +77,16 @@
         counts
     }
 
-    fn check_view(&self) -> Result<Option<u64>, StoreError> {
-        self.count(StorePurpose::ReplacementCheck, self.inner.check_view())
+    fn check_view(&self, groups: &BTreeSet<GroupName>) -> Result<ReplacementCheck, StoreError> {
+        let checked = self.inner.check_view(groups);
+        match &checked {
+            Ok(check) => {
+                let counts = CallCounts { answered: check.calls, ..CallCounts::default() };
+                self.add(StorePurpose::ReplacementCheck, &counts);
+                checked
+            }
+            Err(_) => self.count(StorePurpose::ReplacementCheck, checked),
+        }
     }
 
     fn publish_votes(&self, node: &NodeName, votes: &NodeVotes) -> Result<(), StoreError> {
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -1,9 +1,9 @@
 //! Replacement checks: requests to the store that confirm that no primary replacement is running.
 //!
 //! If only some replicas of a group have reported their status, the reports are evidence for its
-//! primary only together with such a check (`core::primary_evidence`). A check asks the store
-//! whether this node's copy of the replacement state is complete. If it is, the intents and the
-//! last promoted instance in the copy were valid when the check began.
+//! primary only together with such a check (`core::primary_evidence`). A check reads the replacement
+//! records of the groups from the store and compares them with this node's copy. Where they are the
+//! same, the intent and the last promoted instance in the copy were valid when the check began.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 use kestrellock_core::ids::GroupName;
 use kestrellock_core::promotion::CoordinationView;
 use kestrellock_core::store_access::CallBackoff;
-use kestrellock_store::coordination::Coordination;
+use kestrellock_store::coordination::{Coordination, ReplacementCheck};
 use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
@@ -31,13 +31,12 @@
 struct CheckResult {
     /// When the check began.
     started_at: Instant,
-    /// Revision of the copy, if the copy is complete.
-    revision: Result<Option<u64>, StoreError>,
+    outcome: Result<ReplacementCheck, StoreError>,
 }
 
 /// Runs the replacement checks of a node, one at a time.
 pub struct ReplacementChecker {
-    requests: Sender<()>,
+    requests: Sender<BTreeSet<GroupName>>,
     results: Receiver<CheckResult>,
     /// Groups that the check in progress is for.
     in_progress: Option<BTreeSet<GroupName>>,
@@ -49,7 +48,7 @@
 impl ReplacementChecker {
     /// Starts the thread that sends the requests; it ends when the checker is dropped.
     pub fn start(services: &ReplacementServices) -> Self {
-        let (requests, request_receiver) = bounded::<()>(1);
+        let (requests, request_receiver) = bounded(1);
         let (result_sender, results) = unbounded();
         let coordination = services.coordination.clone();
         let thread_coordination = coordination.clone();
@@ -82,7 +81,7 @@
             return;
         }
         let groups = context.replacement_check_requests.take();
-        if !groups.is_empty() && self.requests.try_send(()).is_ok() {
+        if !groups.is_empty() && self.requests.try_send(groups.clone()).is_ok() {
             self.in_progress = Some(groups);
             self.last_start = Some(now);
         }
@@ -96,7 +95,7 @@
     }
 
     fn follow_backoff(&mut self, result: &CheckResult, now: Instant) {
-        match &result.revision {
+        match &result.outcome {
             Ok(_) => {
                 if self.backoff.on_success() {
                     log_backoff_end(StorePurpose::ReplacementCheck);
@@ -114,16 +113,13 @@
 
 fn run_checks(
     coordination: &Arc<dyn Coordination>,
-    request_receiver: &Receiver<()>,
+    request_receiver: &Receiver<BTreeSet<GroupName>>,
     result_sender: &Sender<CheckResult>,
 ) {
-    while request_receiver.recv().is_ok() {
+    while let Ok(groups) = request_receiver.recv() {
         let started_at = Instant::now();
-        let revision = coordination.check_view();
-        if let Err(error) = &revision {
-            log::debug!("replacement check failed: {error}");
-        }
-        if result_sender.send(CheckResult { started_at, revision }).is_err() {
+        let outcome = coordination.check_view(&groups);
+        if result_sender.send(CheckResult { started_at, outcome }).is_err() {
             return;
         }
     }
@@ -135,21 +131,71 @@
     context: &NodeContext,
     view: &CoordinationView,
 ) {
-    let Ok(Some(revision)) = &result.revision else { return };
-    if view.revision < *revision {
-        return;
+    let check = match &result.outcome {
+        Ok(check) => check,
+        Err(error) => return log_failed_check(groups, result.started_at, error),
+    };
+    let confirmed: BTreeSet<&GroupName> =
+        check.confirmed.iter().filter(|name| is_unreplaced(name, check, context, view)).collect();
+    for name in &confirmed {
+        context.statuses.on_replacement_check(name, result.started_at);
     }
+    log_check(groups, result.started_at, check, &confirmed);
+}
+
+/// Whether this node uses the instance that was promoted last as the primary of a confirmed group,
+/// and knows of no running replacement of it.
+fn is_unreplaced(
+    name: &GroupName,
+    check: &ReplacementCheck,
+    context: &NodeContext,
+    view: &CoordinationView,
+) -> bool {
     let catalog = context.catalog.load();
-    for name in groups {
-        let Some(group) = catalog.groups.get(name) else { continue };
-        let promoted = view.promoted.get(name).map(|successor| &successor.instance);
-        let is_promotion_active = group.promoted.as_ref() == promoted;
-        let has_active_intent = context.intents.load().contains_key(name);
-        let is_replaced = has_active_intent
-            || view.intents.contains_key(name)
-            || !group.is_led_by_last_promoted();
-        if is_promotion_active && !is_replaced {
-            context.statuses.on_replacement_check(name, result.started_at);
-        }
-    }
+    let Some(group) = catalog.groups.get(name) else { return false };
+    let promoted = view.promoted.get(name).map(|successor| &successor.instance);
+    let is_promotion_active = group.promoted.as_ref() == promoted;
+    let has_active_intent = context.intents.load().contains_key(name);
+    let is_replaced =
+        has_active_intent || view.intents.contains_key(name) || !group.is_led_by_last_promoted();
+    view.revision >= check.view_revision && is_promotion_active && !is_replaced
+}
+
+fn log_failed_check(groups: &BTreeSet<GroupName>, started_at: Instant, error: &StoreError) {
+    log::info!(
+        event = "replacement_check",
+        outcome = "error",
+        groups:? = groups,
+        began_ms_ago = started_at.elapsed().as_millis() as u64,
+        error = error.to_string().as_str();
+        "a replacement check failed: it confirms no primary"
+    );
+}
+
+/// Logs an answered check. Groups that are neither confirmed nor newer in the store are those whose
+/// replacement this node knows.
+fn log_check(
+    groups: &BTreeSet<GroupName>,
+    started_at: Instant,
+    check: &ReplacementCheck,
+    confirmed: &BTreeSet<&GroupName>,
+) {
+    let newer_in_store: Vec<&GroupName> = groups.difference(&check.confirmed).collect();
+    let outcome = match (newer_in_store.is_empty(), confirmed.len() == groups.len()) {
+        (true, true) => "confirmed",
+        (true, false) => "replaced",
+        (false, _) => "newer record",
+    };
+    log::info!(
+        event = "replacement_check",
+        outcome = outcome,
+        groups:? = groups,
+        confirmed:? = confirmed,
+        newer_in_store:? = newer_in_store,
+        began_ms_ago = started_at.elapsed().as_millis() as u64,
+        read_revision = check.read_revision,
+        copy_revision = check.view_revision,
+        calls = check.calls;
+        "the store was asked whether primaries are being replaced"
+    );
 }
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -118,7 +118,10 @@
         view.all_keys_revision, first.all_keys_revision,
         "what it has not followed is not new"
     );
-    assert_eq!(mirror.revision_if_complete().expect("an answer"), Some(view.revision));
+    let groups = [GroupName::new("orders")].into();
+    let coordination = coordination(&store, Arc::new(mirror));
+    let check = coordination.check_view(&groups).expect("an answer");
+    assert_eq!((check.confirmed, check.view_revision), (groups, view.revision));
 }
 
 /// What happened: each node that started or stopped woke all others: 49 that were restarted one after the other
--- a/crates/store/src/coordination.rs
+++ b/crates/store/src/coordination.rs
@@ -6,7 +6,7 @@
 //! store's history at which the lease was acquired. It rises with each lease and never repeats,
 //! even after a store restore. A store restore ends the lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -43,6 +43,19 @@
     EarlierPromotion,
 }
 
+/// Result of a replacement check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplacementCheck {
+    /// Store position of the read; the lowest one if there were several reads.
+    pub read_revision: u64,
+    /// Revision of the [`Coordination::view`] that was compared with the read.
+    pub view_revision: u64,
+    /// Groups whose replacement record in the store is the one in the view.
+    pub confirmed: BTreeSet<GroupName>,
+    /// Number of calls to the store.
+    pub calls: u64,
+}
+
 /// State of primary replacements in the store, and the operations on it.
 pub trait Coordination: Send + Sync {
     /// The state that this node last read from the store.
@@ -57,9 +70,10 @@
     /// Takes the numbers of calls that have updated [`Self::view`] since the last time.
     fn take_watch_calls(&self) -> CallCounts;
 
-    /// Performs a replacement check: asks the store whether [`Self::view`] is complete. Returns the
-    /// revision of the view if nothing has changed since, otherwise `None`.
-    fn check_view(&self) -> Result<Option<u64>, StoreError>;
+    /// Performs a replacement check: reads the replacement records of `groups` from the store and
+    /// compares them with [`Self::view`]. The read contains every record that was acknowledged
+    /// before this call.
+    fn check_view(&self, groups: &BTreeSet<GroupName>) -> Result<ReplacementCheck, StoreError>;
 
     /// Replaces the votes of `node`.
     fn publish_votes(&self, node: &NodeName, votes: &NodeVotes) -> Result<(), StoreError>;
