Bind evidence to the process of the primary that serves the read

Belief: evidence gathered less than a second ago covers each read that arrives, since a node discards it when a connection breaks. A coordinator does not wait until evidence has expired if the old primary refuses connections. A node that cannot reach the primary while its process ends sees no broken connection. If the next process is back before the successor leads, the node opens a new connection and reads there on evidence from before the crash: the read lacks commits that the successor has acknowledged (STALE).

Evidence covers reads for its whole lifetime only if the process that serves them was running when it was gathered. A process that ends has served its reads before a successor leads. An answer shows that one process was running from the establishment of its connection until the request was sent; overlapping intervals are one process (core/observed_process). While a new connection is not known to lead to the same process, evidence covers arrivals until 100 ms after the last answer of the earlier process: no successor leads sooner. So a pool that is busy opens connections without further queries, and failovers wait for nothing. An exchange that was queued before its connection was established is placed again unless the process is the same.

Test: connections::a_crash_that_a_node_does_not_notice_violates_no_guarantee (and with many faults; a new kind of world).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod incarnation;
 pub mod isolation;
 pub mod membership;
+pub mod observed_process;
 pub mod outcome;
 pub mod placement_deadline;
 pub mod position;
--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -143,16 +143,11 @@
         self.no_replacement_at = self.no_replacement_at.max(Some(queried_at));
     }
 
-    /// Whether the replica's last report is evidence for `term` that covers arrivals until `now`.
-    pub fn has_valid_report(
-        &self,
-        replica: &InstanceName,
-        term: Term,
-        lifetime: Duration,
-        now: Instant,
-    ) -> bool {
+    /// When the replica was queried whose last report is evidence for `term`; `None` if the report
+    /// is no such evidence.
+    pub fn report_queried_at(&self, replica: &InstanceName, term: Term) -> Option<Instant> {
         let report = self.replicas.get(replica).filter(|report| report.term <= term);
-        report.is_some_and(|report| now <= report.queried_at + lifetime)
+        report.map(|report| report.queried_at)
     }
 
     /// When the request for the newest evidence was sent.
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -268,8 +268,10 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
     evidence.on_replica_report(&replica("c"), STOPPED, now, now);
-    let shown =
-        |name: &str, at| evidence.has_valid_report(&replica(name), TERM, EVIDENCE_LIFETIME, at);
+    let shown = |name: &str, at| {
+        let queried_at = evidence.report_queried_at(&replica(name), TERM);
+        queried_at.is_some_and(|queried_at| at <= queried_at + EVIDENCE_LIFETIME)
+    };
     assert!(shown("b", now + EVIDENCE_LIFETIME));
     assert!(
         !shown("b", now + EVIDENCE_LIFETIME + Duration::from_millis(1)),
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -33,7 +33,10 @@
 
     fn begin(&mut self, planned: Planned) {
         match planned.kind {
-            FaultKind::Crash(index) => self.instances[index].crash(),
+            FaultKind::Crash(index) => {
+                self.close_connections(index);
+                self.instances[index].crash();
+            }
             FaultKind::CrashWithDataLoss(index) => {
                 self.instances[index].crash();
                 self.instances[index].loses_data_on_restart = true;
--- a/crates/core/tests/replacement/instances.rs
+++ b/crates/core/tests/replacement/instances.rs
@@ -8,6 +8,7 @@
 use kestrellock_core::routing::Role;
 
 use crate::checker::CommitId;
+use crate::messages::Connection;
 use crate::plan::PlantedFault;
 
 /// Time after which an old primary that can reach a newer one steps down by itself.
@@ -40,6 +41,8 @@
     pub request: u64,
     /// When the request was sent.
     pub sent: u64,
+    /// The connection that carries it.
+    pub connection: Connection,
     /// When the commit was written to the log.
     pub made: u64,
 }
--- a/crates/core/tests/replacement/late_calls.rs
+++ b/crates/core/tests/replacement/late_calls.rs
@@ -42,7 +42,7 @@
 }
 
 /// Runs the seeds and asserts that none violates a guarantee.
-fn assert_no_violations(new_world: impl Fn(u64) -> World + Sync) {
+pub fn assert_no_violations(new_world: impl Fn(u64) -> World + Sync) {
     let outcomes = run_worlds(seeds(), new_world);
     let found = violations(&outcomes);
     let total = |count: fn(&Outcome) -> u64| outcomes.values().map(count).sum::<u64>();
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -12,6 +12,7 @@
 
 mod aimed;
 mod checker;
+mod connections;
 mod coordination;
 mod faults;
 mod instances;
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -25,6 +25,8 @@
     StatusQuery,
     /// A command of a coordinator.
     Command(Command),
+    /// Opens a connection.
+    Connect,
 }
 
 /// An instance's answer.
@@ -40,12 +42,23 @@
     Status(ReplicationStatus),
     /// It accepts replication again.
     Released,
+    /// The connection is open and leads to this process.
+    Connected(u32),
     /// Connection refused: no process runs there.
     Refused,
     /// The connection led to an earlier process; the number of the current one.
     Broken(u32),
 }
 
+/// A connection of a node to an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Connection {
+    /// Process of the instance that it leads to.
+    pub process: u32,
+    /// When the node learned that it was established.
+    pub established: u64,
+}
+
 /// One request to an instance and its answer.
 #[derive(Clone, Debug)]
 pub struct Exchange {
@@ -59,8 +72,8 @@
     pub request: u64,
     /// When it was sent.
     pub sent: u64,
-    /// Process of the instance that the connection leads to.
-    pub instance_process: u32,
+    /// The connection that carries it.
+    pub connection: Connection,
     /// The request.
     pub work: Work,
 }
@@ -97,6 +110,17 @@
     Call(Call),
     /// From the store to a node, with the store's current era.
     CallAnswered(Call, CallResult, StoreEra),
+    /// The connections of a node to a process that has ended are closed.
+    ConnectionsClosed {
+        /// Number of the node.
+        node: usize,
+        /// Number of the node's process.
+        process: u64,
+        /// Index of the instance.
+        instance: usize,
+        /// Process of the instance that has ended.
+        instance_process: u32,
+    },
     /// A node's call to the store has timed out.
     CallLost(Call),
     /// The store's watch sends changes to a node.
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -9,6 +9,7 @@
 use kestrellock_core::confirmation::ConfirmationRule;
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::incarnation::InstanceIncarnation;
+use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
@@ -23,6 +24,7 @@
 
 use crate::checker::CommitId;
 use crate::instances;
+use crate::messages::Connection;
 use crate::returns::{Keys, last_promoted_in, merge_keys, unfinished_intents};
 use crate::store::{Announced, node_name};
 
@@ -141,8 +143,12 @@
     pub last_answers: BTreeMap<usize, Instant>,
     /// When each instance last answered a commit.
     pub last_commits: BTreeMap<usize, Instant>,
-    /// Process of each instance that the node's connections lead to.
-    pub known_processes: BTreeMap<usize, u32>,
+    /// Open connections to each instance, the newest last.
+    pub connections: BTreeMap<usize, Vec<Connection>>,
+    /// Whether it ignores that evidence may be from before the start of a process.
+    pub ignores_processes: bool,
+    /// What the answers of each instance show about its process.
+    pub processes: BTreeMap<usize, ObservedProcess>,
     /// Since when each instance has refused connections.
     pub refused_since: BTreeMap<usize, Instant>,
     /// The instance that was the primary in this node's view at its last step.
@@ -214,7 +220,9 @@
             last_answers: BTreeMap::new(),
             last_commits: BTreeMap::new(),
             refused_since: BTreeMap::new(),
-            known_processes: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            ignores_processes: false,
+            processes: BTreeMap::new(),
             last_leader: None,
             failure_detector: FailureDetector::default(),
             needs_evaluator: NeedsEvaluator::default(),
@@ -389,8 +397,17 @@
     /// Whether the evidence allows a read that arrived at `arrived` to run at the primary.
     pub fn may_read(&self, leader: usize, arrived: Instant, lifetime: Duration) -> bool {
         let term = self.terms.get(&leader);
-        let until = term.and_then(|term| self.evidence.covers_until(*term, REPLICATION, lifetime));
-        until.is_some_and(|until| arrived <= until)
+        let evidence =
+            term.and_then(|term| self.evidence.covers_until(*term, REPLICATION, Duration::ZERO));
+        evidence.is_some_and(|evidence| arrived <= self.covers_until(leader, evidence, lifetime))
+    }
+
+    /// Until when evidence of the time `evidence` covers arrivals at the leader.
+    fn covers_until(&self, leader: usize, evidence: Instant, lifetime: Duration) -> Instant {
+        match self.processes.get(&leader).filter(|_| !self.ignores_processes) {
+            Some(process) => process.covers_until(evidence, lifetime),
+            None => evidence + lifetime,
+        }
     }
 
     /// The same, assuming that a replacement check finds no replacement.
@@ -401,9 +418,9 @@
         lifetime: Duration,
     ) -> bool {
         let term = self.terms.get(&leader);
-        let until =
-            term.and_then(|term| self.evidence.would_cover_until(*term, REPLICATION, lifetime));
-        until.is_some_and(|until| arrived <= until)
+        let evidence = term
+            .and_then(|term| self.evidence.would_cover_until(*term, REPLICATION, Duration::ZERO));
+        evidence.is_some_and(|evidence| arrived <= self.covers_until(leader, evidence, lifetime))
     }
 
     fn health_signals(&self, instance: usize) -> HealthSignals {
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -36,6 +36,8 @@
     /// Whether a replica leaves as planned, while a node that cannot reach the store may keep using
     /// the primary.
     pub replicas_leave: bool,
+    /// Whether nodes open further connections to instances from time to time.
+    pub opens_connections: bool,
 }
 
 impl Faults {
@@ -54,6 +56,7 @@
             quick_restarts: false,
             coordinator_notifies: false,
             replicas_leave: false,
+            opens_connections: false,
         }
     }
 
@@ -73,6 +76,7 @@
             quick_restarts: false,
             coordinator_notifies: false,
             replicas_leave: false,
+            opens_connections: false,
         }
     }
 
@@ -121,6 +125,11 @@
         Self { replicas_leave: true, ..self }
     }
 
+    /// Lets nodes open further connections to instances.
+    pub fn with_new_connections(self) -> Self {
+        Self { opens_connections: true, ..self }
+    }
+
     /// Faults of single nodes, of one replica and of the store only. Faults of all replicas are
     /// left out: if none of them receives, no commit is answered, which is the same as an isolated
     /// primary and requires a replacement.
@@ -138,6 +147,7 @@
             quick_restarts: false,
             coordinator_notifies: false,
             replicas_leave: false,
+            opens_connections: false,
         }
     }
 }
@@ -190,6 +200,9 @@
     /// An earlier coordinator that has been silent for a second counts as one without open
     /// promotions.
     SilenceEndsCalls,
+    /// Evidence counts for reads on a new connection, although the process of the primary that it
+    /// leads to may have started after the evidence was gathered.
+    ProcessesIgnored,
 }
 
 /// A kind of fault.
--- a/crates/core/tests/replacement/serving.rs
+++ b/crates/core/tests/replacement/serving.rs
@@ -19,7 +19,12 @@
         let instance = &self.instances[index];
         let reply = match (instance.alive, instance.process) {
             (false, _) => Some(Reply::Refused),
-            (true, process) if process != exchange.instance_process => Some(Reply::Broken(process)),
+            (true, process) if matches!(exchange.work, Work::Connect) => {
+                Some(Reply::Connected(process))
+            }
+            (true, process) if process != exchange.connection.process => {
+                Some(Reply::Broken(process))
+            }
             (true, _) => self.serve(&exchange),
         };
         if let Some(reply) = reply {
@@ -40,7 +45,9 @@
                 instance.log.push(entry);
                 let (node, process) = (exchange.node, exchange.process);
                 let (request, sent) = (exchange.request, exchange.sent);
-                let pending = Pending { entry, place, node, process, request, sent, made: now };
+                let connection = exchange.connection;
+                let pending =
+                    Pending { entry, place, node, process, request, sent, connection, made: now };
                 instance.pending.push(pending);
                 None
             }
@@ -73,7 +80,7 @@
                 }
                 Some(Reply::Released)
             }
-            Work::Command(_) => None,
+            Work::Command(_) | Work::Connect => None,
         }
     }
 }
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -7,7 +7,7 @@
 use kestrellock_core::routing::Role;
 use rand::RngExt;
 
-use crate::messages::{Exchange, Message, Reply, Work};
+use crate::messages::{Connection, Exchange, Message, Reply, Work};
 use crate::node::{REPLICATION, UnconfirmedCommit, group_name, instance_name};
 use crate::plan::PlantedFault;
 use crate::store::Operation;
@@ -30,9 +30,11 @@
     /// Creates new client requests and continues the waiting ones.
     pub fn serve_clients(&mut self, node: usize) {
         let now = self.at(self.now);
+        self.nodes[node].ignores_processes = self.planted_fault == PlantedFault::ProcessesIgnored;
         self.nodes[node].expire_replacements(now);
         self.drop_expired_requests(node);
         self.confirm_commits(node);
+        self.open_connections(node);
         if self.rng.random_bool(NODE_STEP_MS / MEAN_REQUEST_INTERVAL_MS) {
             if self.rng.random_bool(0.5) {
                 self.write(node);
@@ -152,9 +154,8 @@
         let process = self.nodes[node].process;
         let sent = self.now;
         let at = self.at(sent);
-        let instance_process =
-            self.nodes[node].known_processes.get(&instance).copied().unwrap_or(0);
-        if !matches!(work, Work::Command(_)) {
+        let connection = self.connection_for(node, instance);
+        if !matches!(work, Work::Command(_) | Work::Connect) {
             let commits = matches!(work, Work::Write(_));
             self.nodes[node].pending_requests.insert(request, (instance, at, commits));
         }
@@ -164,7 +165,7 @@
             instance,
             request,
             sent,
-            instance_process,
+            connection,
             work,
         }));
     }
@@ -173,6 +174,7 @@
     pub fn on_answer(&mut self, exchange: Exchange, reply: Reply) {
         let now = self.at(self.now);
         let sent = self.at(exchange.sent);
+        let opened = self.now;
         let own = &mut self.nodes[exchange.node];
         let was_pending = own.pending_requests.remove(&exchange.request).is_some();
         match reply {
@@ -181,7 +183,8 @@
                 own.evidence.discard();
             }
             Reply::Broken(process) => {
-                own.known_processes.insert(exchange.instance, process);
+                let connection = Connection { process, established: opened };
+                own.connections.insert(exchange.instance, vec![connection]);
                 own.refused_since.remove(&exchange.instance);
                 own.evidence.discard();
             }
@@ -190,6 +193,8 @@
                 own.last_answers.insert(exchange.instance, now);
             }
         }
+        self.observe_process(&exchange, &reply);
+        let own = &mut self.nodes[exchange.node];
         if let Reply::Status(status) = &reply {
             let name = instance_name(exchange.instance);
             own.known_instances.on_status(&group_name(), &name, status, sent);
@@ -233,7 +238,7 @@
                     self.checker.on_reported_not_run(*id);
                 }
             }
-            Reply::Released => {}
+            Reply::Released | Reply::Connected(_) => {}
         }
     }
 
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -73,6 +73,8 @@
     /// The planned faults.
     pub plan: Vec<Planned>,
     releases_all: bool,
+    /// Whether nodes open further connections to instances from time to time.
+    pub opens_connections: bool,
     /// Whether the coordinator's notifications reach the other nodes.
     pub coordinator_notifies: bool,
     /// Instances by index.
@@ -173,6 +175,7 @@
             planted_fault,
             plan,
             releases_all: faults.releases_all,
+            opens_connections: faults.opens_connections,
             coordinator_notifies: faults.coordinator_notifies,
             instances: (0..INSTANCES).map(|index| Instance::new(index == 0)).collect(),
             nodes,
@@ -379,7 +382,7 @@
             instance: index,
             request: pending.request,
             sent: pending.sent,
-            instance_process: self.instances[index].process,
+            connection: pending.connection,
             work: Work::Write(pending.entry.id),
         };
         let term = Term(pending.entry.term);
@@ -448,6 +451,7 @@
                 Some((call.node, call.process))
             }
             Message::View { node, process, .. }
+            | Message::ConnectionsClosed { node, process, .. }
             | Message::PromotionAnswered { node, process, .. }
             | Message::PromotionTimedOut { node, process, .. } => Some((*node, *process)),
             Message::EvidenceRevoked { to, .. }
@@ -503,6 +507,9 @@
                 self.nodes[node].view_received_at = Some(self.now);
                 self.nodes[node].apply_view(view, &announced, keys, now);
             }
+            Message::ConnectionsClosed { node, instance, instance_process, .. } => {
+                self.nodes[node].on_connections_closed(instance, instance_process);
+            }
             Message::Announce { instance } => self.announce(instance),
             Message::CallerQuery { from, to, caller } => self.answer_query(from, to, caller),
             Message::CallsEnded { to, caller, .. } => self.on_calls_ended(to, caller),
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -90,7 +90,10 @@
     let lifetime = io.context.evidence_lifetime();
     let is_due = |instance: &&Instance| {
         let is_replica = instance.announced_role == Some(Role::Replica);
-        let is_covered = known.evidence.has_valid_report(&instance.name, term, lifetime, io.now);
+        let is_covered = known
+            .evidence
+            .report_queried_at(&instance.name, term)
+            .is_some_and(|queried_at| io.now <= known.covers_until(leader, queried_at, lifetime));
         let is_running = !io.context.address_occupants.is_displaced(group, instance);
         is_replica && is_running && leader != Some(&instance.name) && !is_covered
     };
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::routing::has_reached;
 use kestrellock_peer::message::{Exchange, Placement};
 
-use super::pool::{Assignment, Assignments, ConnectionToOpen, Pool};
+use super::pool::{Assignment, Assignments, ConnectionToOpen, PlacedChoice, Pool};
 use super::server::{Purpose, Server};
 use super::{Gateway, notify_refused, ownership, queued_log, refuse};
 use crate::event::Io;
@@ -69,7 +69,7 @@
             let need = need.clone();
             return self.place(name, group, exchange, need, io);
         }
-        self.offer(name, group, exchange, io);
+        self.offer(name, group, exchange, None, io);
     }
 
     /// Queues the first exchange of a lease for its chosen instance.
@@ -78,6 +78,7 @@
         name: &GroupName,
         group: &Group,
         exchange: Exchange,
+        choice: Option<PlacedChoice>,
         io: &mut Io,
     ) {
         let Some(instance) = chosen_instance(&exchange).and_then(|name| group.instance(name))
@@ -96,7 +97,7 @@
             ownership::redirect(&exchange, owner, io);
             return;
         };
-        if let Err(refused) = pool.offer(exchange, capacity, io.now) {
+        if let Err(refused) = pool.offer_placed(exchange, choice, capacity, io.now) {
             notify_refused(*refused, io);
             return;
         }
@@ -126,7 +127,19 @@
         for (instance, opening) in openings {
             self.open_connection(name, group, instance, opening, io);
         }
-        for Assignment { key, exchange } in assigned {
+        for Assignment { key, exchange, choice } in assigned {
+            if let Some(choice) =
+                choice.filter(|choice| self.may_serve_other_process(key, choice, io))
+            {
+                if let Some(pool) = self.pool_of(key) {
+                    pool.on_idle(key, io.now);
+                }
+                let waited = io.now.saturating_duration_since(choice.made_at);
+                let mut requirements = choice.requirements;
+                requirements.waited += waited;
+                self.place(name, group, exchange, requirements, io);
+                continue;
+            }
             self.leases.insert(exchange.lease.clone(), key);
             if let Some(server) = self.servers.get_mut(key) {
                 server.begin_lease(exchange.lease.clone());
@@ -135,6 +148,18 @@
         }
     }
 
+    /// Whether a connection was established after the instance of an exchange was chosen, and may
+    /// lead to a process that started after that. The evidence for the choice may be from before
+    /// the start, so that the instance has to be chosen again.
+    fn may_serve_other_process(&self, key: usize, choice: &PlacedChoice, io: &Io) -> bool {
+        let Some(server) = self.servers.get(key) else { return false };
+        let (established, _) = server.times();
+        let statuses = &io.context.statuses;
+        established > choice.made_at
+            && io.context.protocol.traits().positions_in_answers
+            && !statuses.was_running_at(&server.group, &server.instance, choice.made_at)
+    }
+
     /// Opens a connection, and closes the idle connection that it replaces, if any.
     fn open_connection(
         &mut self,
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -20,7 +20,7 @@
 use kestrellock_peer::message::{Exchange, LeaseEvent, Placement, PlacementRequirements};
 
 use super::instance_choice::{self, InstanceChoice, StatementNeeds};
-use super::pool::{Pool, PoolRole};
+use super::pool::{PlacedChoice, Pool, PoolRole};
 use super::{Gateway, notify_front, ownership, zone_drains};
 use crate::event::Io;
 
@@ -82,10 +82,14 @@
         found
     }
 
-    /// The exchange with the chosen instance as its placement.
-    fn placed_at(self, instance: InstanceName, now: Instant) -> Exchange {
+    /// The exchange with the chosen instance as its placement, and what the choice depended on.
+    fn placed_at(self, instance: InstanceName, now: Instant) -> (Exchange, PlacedChoice) {
         let time_left = self.deadline.saturating_duration_since(now);
-        Exchange { placement: Placement::Instance(instance), time_left, ..self.exchange }
+        let waited = now.saturating_duration_since(self.arrived);
+        let requirements = PlacementRequirements { waited, ..self.need };
+        let choice = PlacedChoice { requirements, made_at: now };
+        let placement = Placement::Instance(instance);
+        (Exchange { placement, time_left, ..self.exchange }, choice)
     }
 
     fn log_held(&mut self, name: &GroupName, found: &InstanceChoice, io: &Io) {
@@ -181,8 +185,8 @@
             if !reaches(group, &instance, io) {
                 return ownership::redirect(&held.exchange, None, io);
             }
-            let exchange = held.placed_at(instance, io.now);
-            return self.offer(name, group, exchange, io);
+            let (exchange, choice) = held.placed_at(instance, io.now);
+            return self.offer(name, group, exchange, Some(choice), io);
         }
         if !can_wait {
             return ownership::redirect(&held.exchange, None, io);
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -27,7 +27,7 @@
 use kestrellock_core::ids::{AccountName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::retry::Backoff;
-use kestrellock_peer::message::Exchange;
+use kestrellock_peer::message::{Exchange, PlacementRequirements};
 
 use self::accounts::AccountConnections;
 use self::connections::{MAX_CONNECT_BACKOFF, MIN_CONNECT_BACKOFF, PooledConnection, State};
@@ -63,6 +63,17 @@
     pub key: usize,
     /// The exchange.
     pub exchange: Exchange,
+    /// Why and when its instance was chosen, if this node chose it.
+    pub choice: Option<PlacedChoice>,
+}
+
+/// The requirements by which an instance was chosen for an exchange, and when that was.
+#[derive(Clone, Debug)]
+pub struct PlacedChoice {
+    /// What the choice depended on, as of the time at which it was made.
+    pub requirements: PlacementRequirements,
+    /// When it was made.
+    pub made_at: Instant,
 }
 
 /// An exchange that did not run, and the refusal for its front.
@@ -87,6 +98,7 @@
 #[derive(Debug)]
 struct Queued {
     exchange: Exchange,
+    choice: Option<PlacedChoice>,
     deadline: Instant,
     at: QueuedAt,
 }
@@ -225,6 +237,17 @@
         exchange: Exchange,
         capacity: u32,
         now: Instant,
+    ) -> Result<(), Box<RefusedExchange>> {
+        self.offer_placed(exchange, None, capacity, now)
+    }
+
+    /// The same for an exchange whose instance this node has chosen.
+    pub fn offer_placed(
+        &mut self,
+        exchange: Exchange,
+        choice: Option<PlacedChoice>,
+        capacity: u32,
+        now: Instant,
     ) -> Result<(), Box<RefusedExchange>> {
         self.has_accounts = exchange.account.is_some();
         let bytes = exchange.frames.len();
@@ -242,7 +265,7 @@
         };
         let ahead = self.scheduler.waiting_from(exchange.priority);
         let at = QueuedAt { time: now, ahead, slots_taken: self.slots_taken_time.at(now) };
-        let queued = Queued { exchange, deadline: request.deadline, at };
+        let queued = Queued { exchange, choice, deadline: request.deadline, at };
         match self.scheduler.offer(&request, queued, now) {
             Ok(()) => {
                 self.queued_bytes += bytes;
@@ -277,7 +300,7 @@
                 }
                 Dispatch::Run { ticket, work } => {
                     self.record_wait(&work, true, now);
-                    let Queued { mut exchange, deadline, .. } = work;
+                    let Queued { mut exchange, choice, deadline, .. } = work;
                     let account = exchange.account.as_ref();
                     let index = self
                         .idle_index_for(account, reserved)
@@ -288,7 +311,7 @@
                     self.set_state(key, State::Leased { ticket });
                     self.record_use(now);
                     self.record_account_use(key, &exchange, now);
-                    assigned.run.push(Assignment { key, exchange });
+                    assigned.run.push(Assignment { key, exchange, choice });
                 }
             }
         }
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -144,6 +144,10 @@
     is_instance_down: bool,
     /// Number of the running exchange in the node's shared statuses.
     status_exchange_number: u64,
+    /// When this node learned that the connection was established.
+    established: Instant,
+    /// When the last exchange or status query was sent.
+    last_sent: Instant,
 }
 
 impl Server {
@@ -170,9 +174,22 @@
             positions_in_answers: false,
             is_instance_down: false,
             status_exchange_number: 0,
+            established: Instant::now(),
+            last_sent: Instant::now(),
         }
     }
 
+    /// Records that the start-up is complete. The instance may have accepted the connection earlier.
+    pub fn on_established(&mut self) {
+        self.established = Instant::now();
+        self.last_sent = self.established;
+    }
+
+    /// When the connection was established, and when the last exchange or status query was sent.
+    pub fn times(&self) -> (Instant, Instant) {
+        (self.established, self.last_sent)
+    }
+
     /// Opens a connection and sends the start-up message. Returns the key of the connection.
     pub fn connect(
         servers: &mut Slab<Server>,
@@ -301,6 +318,7 @@
         let bytes = output.len() - before;
         self.next_exchange = exchange.number + 1;
         let running = RunningExchange::new(exchange, needs_query, bytes, deadline);
+        self.last_sent = running.sent;
         self.state = State::Running(Box::new(running));
         if self.positions_in_answers {
             let commits = exchange.may_commit;
@@ -326,7 +344,8 @@
     pub fn query_position(&mut self, number: ProbeNumber) {
         self.protocol.put_position_query(&mut self.connection.output);
         // Read the clock now: every request that waits for the answer arrived before this time.
-        self.state = State::Probing { number, queried_at: Instant::now(), report: None };
+        self.last_sent = Instant::now();
+        self.state = State::Probing { number, queried_at: self.last_sent, report: None };
     }
 
     /// Rolls back the transaction of an abandoned lease so that the connection can be reused.
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -10,7 +10,7 @@
 use super::Gateway;
 use super::confirmation::refuse_late;
 use super::pool::Pool;
-use super::server::{Purpose, ServerEvent};
+use super::server::{Purpose, Server, ServerEvent};
 use crate::event::Io;
 use crate::metrics::{ConnectionEvent, ProbeEvent};
 use crate::net::connection::ReadOutcome;
@@ -32,6 +32,21 @@
     }
 }
 
+/// Records what an event shows about the process of the instance.
+fn record_process(server: &Server, event: &ServerEvent, io: &Io) {
+    let answers = matches!(
+        event,
+        ServerEvent::Started(_)
+            | ServerEvent::Answered
+            | ServerEvent::InstanceBusy
+            | ServerEvent::Probed(_)
+    );
+    if answers && server.purpose == Purpose::Pooled {
+        let (established, sent) = server.times();
+        io.context.statuses.on_process_seen(&server.group, &server.instance, established, sent);
+    }
+}
+
 impl Gateway {
     /// Handles the readiness of a connection to an instance.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) {
@@ -53,8 +68,12 @@
     }
 
     fn on_server_event(&mut self, key: usize, event: ServerEvent, io: &mut Io) {
-        let Some(server) = self.servers.get(key) else { return };
+        let Some(server) = self.servers.get_mut(key) else { return };
+        if matches!(event, ServerEvent::Started(_)) {
+            server.on_established();
+        }
         let (group, instance) = (server.group.clone(), server.instance.clone());
+        record_process(server, &event, io);
         let catalog = io.context.catalog.load();
         let Some(state) = self.groups.get_mut(&group) else { return };
         let Some(configured) = catalog.groups.get(&group) else { return };
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -11,6 +11,7 @@
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::incarnation::InstanceIncarnation;
+use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::primary_evidence::{PrimaryEvidence, ReplicaTerms, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
@@ -44,6 +45,8 @@
     pub primary_samples: PrimarySamples,
     /// Evidence that no other instance is primary.
     pub evidence: PrimaryEvidence,
+    /// What connections to its instances show about their processes.
+    processes: HashMap<InstanceName, ObservedProcess>,
     /// When its primary last answered a commit that wrote data.
     last_commit: Option<Instant>,
 }
@@ -76,7 +79,23 @@
         group: Replication,
         lifetime: Duration,
     ) -> Option<Instant> {
-        self.evidence.covers_until(self.led_term_of(instance)?, group, lifetime)
+        let term = self.led_term_of(instance)?;
+        let evidence = self.evidence.covers_until(term, group, Duration::ZERO)?;
+        Some(self.covers_until(Some(instance), evidence, lifetime))
+    }
+
+    /// Until when evidence that was gathered at `evidence` covers arrivals at the process that the
+    /// primary runs now.
+    pub fn covers_until(
+        &self,
+        primary: Option<&InstanceName>,
+        evidence: Instant,
+        lifetime: Duration,
+    ) -> Instant {
+        match primary.and_then(|primary| self.processes.get(primary)) {
+            Some(process) => process.covers_until(evidence, lifetime),
+            None => evidence + lifetime,
+        }
     }
 
     /// Whether a replacement check is all that is missing for the evidence to cover arrivals until
@@ -93,7 +112,8 @@
         let queried_at = self.evidence.newest();
         let waited =
             queried_at.is_some_and(|queried_at| now >= queried_at + REPLICA_RESPONSE_TIMEOUT);
-        let until = self.evidence.would_cover_until(term, group, lifetime);
+        let evidence = self.evidence.would_cover_until(term, group, Duration::ZERO);
+        let until = evidence.map(|at| self.covers_until(Some(instance), at, lifetime));
         waited && until.is_some_and(|until| moment <= until)
     }
 }
@@ -184,6 +204,42 @@
         self.with_group(group, |known| known.evidence.discard());
     }
 
+    /// Records that an instance answered a request that was sent at `sent` on a connection that was
+    /// established at `established`.
+    pub fn on_process_seen(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        established: Instant,
+        sent: Instant,
+    ) {
+        let statuses = self.group(group);
+        let is_news = {
+            let known = statuses.read().expect("a thread panicked while it held the status lock");
+            let process = known.processes.get(instance);
+            process.is_none_or(|process| process.is_news(established, sent))
+        };
+        if is_news {
+            self.with_group(group, |known| {
+                let process = known.processes.entry(instance.clone()).or_default();
+                process.on_seen(established, sent);
+            });
+        }
+    }
+
+    /// Whether a connection to an instance leads to a process that is known to have been running at
+    /// `moment`, if the connection is the newest one.
+    pub fn was_running_at(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        moment: Instant,
+    ) -> bool {
+        let statuses = self.group(group);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        known.processes.get(instance).is_some_and(|process| process.was_running_at(moment))
+    }
+
     /// Records the incarnation of an instance that the platform reports. State of an earlier
     /// incarnation is dropped.
     pub fn on_incarnation(
