--- a/crates/lab/tests/foreign_entries.rs
+++ b/crates/lab/tests/foreign_entries.rs
@@ -11,7 +11,7 @@
 fn entries_that_cannot_be_read_hold_neither_changes_nor_replacements_back() {
     let mut platform = Platform::start(PlatformOptions::default()).expect("it starts");
     platform.wait_until_ready().expect("it is ready");
-    for (key, value) in foreign_entries(GROUPS[0], platform.store.era()) {
+    for (key, value) in foreign_entries(GROUPS[0], platform.store.era(), b"\xff{") {
         platform.store.put(&key, &value);
     }
     let gone = database(GROUPS[1], Consistency::Bounded);
