An odd entry among the nodes' names no node

Seen in a test: an entry under kestrellock/nodes/ with an empty name, a name or zone of a megabyte, or port 0 was listed as a node. It was contacted for as long as the entry was there, each attempt logged the whole name ("datagram to ... not sent"), and replacements waited for its report.

Belief: whatever parses as a node's entry is a node's.

--- a/crates/lab/tests/foreign_entries.rs
+++ b/crates/lab/tests/foreign_entries.rs
@@ -4,13 +4,23 @@
 
 use kestrellock_core::catalog::Consistency;
 use kestrellock_lab::platform::client::LineSession;
-use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
-use kestrellock_platform::standin::foreign::foreign_entries;
+use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, ZONES, database, wait};
+use kestrellock_platform::nodes::NODES_PREFIX;
+use kestrellock_platform::standin::foreign::{broken_node_entries, foreign_entries};
+use kestrellock_platform::standin::odd_values::odd_values;
 
 #[test]
 fn entries_that_cannot_be_read_hold_neither_changes_nor_replacements_back() {
     let mut platform = Platform::start(PlatformOptions::default()).expect("it starts");
     platform.wait_until_ready().expect("it is ready");
+    for (_, value) in odd_values() {
+        for (key, value) in foreign_entries(GROUPS[0], platform.store.era(), &value) {
+            platform.store.put(&key, &value);
+        }
+    }
+    for (number, (_, value)) in broken_node_entries(ZONES[0]).iter().enumerate() {
+        platform.store.put(&format!("{NODES_PREFIX}odd-{number}"), value);
+    }
     for (key, value) in foreign_entries(GROUPS[0], platform.store.era(), b"\xff{") {
         platform.store.put(&key, &value);
     }
@@ -24,7 +34,7 @@
         let counts = platform.nodes().map(|node| node.context.listed_nodes.load().len());
         counts.collect::<Vec<_>>()
     };
-    assert_eq!(listed(&platform), [3, 3, 3], "the broken entry names no node");
+    assert_eq!(listed(&platform), [3, 3, 3], "the broken entries name no node");
     let group = &platform.groups[0];
     let primary = group.primary().expect("a primary");
     group.kill(&primary);
