The fault of a long reported name is logged in short

Seen in a test: an instance that reports a zone of a megabyte (the store takes values of 1 MiB) is left out as it should be (KL3008), but the problem quoted the whole zone: a log line of a megabyte (with escapes, up to ten) on each node that reads the store, for each revision of the entry, and the same text kept in memory.

A problem now quotes as much of a name as a name may have, and its length.

core/tests/catalog, the_fault_of_a_long_name_is_short failed before with "1000078 bytes".

--- a/crates/core/src/catalog/fields.rs
+++ b/crates/core/src/catalog/fields.rs
@@ -38,13 +38,24 @@
         false => Err(InvalidField::new(
             field,
             format!(
-                "{name:?} must be 1 to {MAX_NAME_BYTES} lower-case letters, digits, - or _, \
-                 and begin with a letter"
+                "{} must be 1 to {MAX_NAME_BYTES} lower-case letters, digits, - or _, \
+                 and begin with a letter",
+                quoted(name)
             ),
         )),
     }
 }
 
+/// The start of `text` in quotation marks, and its length if it is longer than a name may be. A
+/// reported name may be as long as the largest value of the store, and errors are logged.
+fn quoted(text: &str) -> String {
+    let end = text.floor_char_boundary(MAX_NAME_BYTES);
+    match end < text.len() {
+        true => format!("{:?}... ({} bytes)", &text[..end], text.len()),
+        false => format!("{text:?}"),
+    }
+}
+
 /// Checks a name that PostgreSQL interprets, such as a database or a role.
 pub(super) fn check_text(field: &dyn Display, text: &str) -> CheckResult {
     let is_valid_length = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
--- a/crates/core/tests/catalog/faults.rs
+++ b/crates/core/tests/catalog/faults.rs
@@ -3,7 +3,7 @@
 //! change of the operators.
 
 use kestrellock_core::catalog::{Catalog, Revision, VersionedCatalog};
-use kestrellock_core::ids::{GroupName, TenantName};
+use kestrellock_core::ids::{GroupName, TenantName, ZoneName};
 use proptest::prelude::*;
 
 use crate::strategies::catalog;
@@ -154,6 +154,21 @@
     assert!(catalog.tenants[&TenantName::new("parents")].logins.contains_key("teacher"));
 }
 
+/// Every node logs the faults of reported instances. An instance may report a zone of a megabyte.
+#[test]
+fn the_fault_of_a_long_name_is_short() {
+    for long in ["z".repeat(1_000_000), "\u{e9}".repeat(500_000), "\n".repeat(1_000_000)] {
+        let mut catalog: Catalog = toml::from_str(&reported()).expect("it parses");
+        let group = catalog.groups.get_mut(&GroupName::new("orders")).expect("the group");
+        group.instances[1].zone = ZoneName::new(&long);
+        let faults = catalog.faults();
+        let [fault] = &faults[..] else { panic!("one fault, not {}", faults.len()) };
+        assert_eq!(fault.error.field, "groups.orders.instances[1].zone");
+        assert!(fault.error.problem.len() < 500, "{} bytes", fault.error.problem.len());
+        assert!(fault.error.problem.contains("1000000 bytes"), "{}", fault.error.problem);
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_seed(512))]
 
