--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -61,8 +61,9 @@
     pub groups: Vec<InstanceGroup>,
     /// The record of the run.
     pub journal: Arc<Journal>,
+    /// The platform's store.
+    pub store: PlatformStore,
     relays: Vec<LinkRelay>,
-    store: PlatformStore,
     folder: TempDir,
 }
 
@@ -83,7 +84,8 @@
             .collect();
         let groups = groups.into_diagnostic()?;
         let promotions = PromotionService::start(&groups, PROMOTION_DURATION).into_diagnostic()?;
-        store.put(CONFIGURATION_KEY, &configuration_value(&GROUPS[..groups.len()]));
+        store
+            .put(CONFIGURATION_KEY, &configuration_value(1, groups.len(), &GROUPS[..groups.len()]));
         let mut platform = Self {
             nodes: Vec::new(),
             links,
@@ -164,6 +166,13 @@
         Ok(())
     }
 
+    /// Writes the operator's configuration of the given version, with all groups and a route to
+    /// each of the first `routes` groups.
+    pub fn configure(&self, version: u64, routes: usize) {
+        let groups = &GROUPS[..self.groups.len()];
+        self.store.put(CONFIGURATION_KEY, &configuration_value(version, routes, groups));
+    }
+
     /// The databases whose statements run at the primaries of the groups.
     pub fn databases(&self) -> Vec<String> {
         self.groups.iter().map(|group| database_of(&group.name())).collect()
@@ -188,7 +197,8 @@
     }
 }
 
-fn database_of(group: &str) -> String {
+/// Name of the database whose statements run at the primary of a group.
+pub fn database_of(group: &str) -> String {
     format!("{group}-primary")
 }
 
@@ -203,9 +213,9 @@
     }
 }
 
-fn configuration_value(groups: &[&str]) -> Vec<u8> {
+fn configuration_value(version: u64, routes: usize, groups: &[&str]) -> Vec<u8> {
     let databases: Vec<String> = groups.iter().map(|group| database_of(group)).collect();
-    let routes = groups.iter().zip(&databases).map(|(group, database)| RouteEntry {
+    let routes = groups.iter().zip(&databases).take(routes).map(|(group, database)| RouteEntry {
         name: database,
         database,
         group,
@@ -218,5 +228,5 @@
         connections: MAX_CONNECTIONS as u32,
         synchronous: SYNCHRONOUS_REPLICAS as u32,
     });
-    configuration(1, &routes.collect::<Vec<_>>(), &entries.collect::<Vec<_>>())
+    configuration(version, &routes.collect::<Vec<_>>(), &entries.collect::<Vec<_>>())
 }
