The ends of statements count while their group is not configured

Callers saw: after the operator had removed a service with its routes and added it again a few times while statements ran, a node refused every statement of the group with KL1401 "the instance cannot finish the statement before its deadline" for as long as it was watched (30 s), with nothing ahead in the queue; and KL1603 for a statement whose answer came in between.

Belief: a group that is not in the configuration needs nothing any more. The gateway dropped every event of its connections to such a group, also that a statement had ended. Its connection stayed taken, and with it one of the instance's slots, for as long as the process ran.

These events are now processed; only what depends on the group's entry is left out. A commit answered in between has an unknown outcome: how many replicas have to confirm it is not known.

--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -283,6 +283,19 @@
     refuse(commit, Progress::Unconfirmed, Fault::Superseded, io);
 }
 
+/// Refuses a commit of a group that is not configured any more: how many replicas have to confirm it
+/// is not known. The client learns that the outcome is unknown.
+pub fn refuse_of_removed_group(group: &GroupName, commit: Commit, io: &mut Io) {
+    log::info!(
+        event = "answer_of_removed_group",
+        group = group.as_str(),
+        lease:? = commit.lease,
+        instance = commit.instance.as_str();
+        "an instance of a group that is not configured any more answered a commit"
+    );
+    refuse(commit, Progress::Unconfirmed, Fault::Deadline, io);
+}
+
 fn refuse(commit: Commit, progress: Progress, fault: Fault, io: &mut Io) {
     let impact = ExchangeImpact { effect: Effect::MayCommit, continues_transaction: false };
     let detail = match fault {
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -8,7 +8,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName};
 
 use super::Gateway;
-use super::confirmation::refuse_late;
+use super::confirmation::{refuse_late, refuse_of_removed_group};
 use super::pool::Pool;
 use super::server::{Purpose, ServerEvent};
 use crate::event::Io;
@@ -57,12 +57,16 @@
         let (group, instance) = (server.group.clone(), server.instance.clone());
         let catalog = io.context.catalog.load();
         let Some(state) = self.groups.get_mut(&group) else { return };
-        let Some(configured) = catalog.groups.get(&group) else { return };
+        // The operator may have removed the group while statements run. Their ends still free slots
+        // and connections, which would otherwise be lacking once the group is added again.
+        let configured = catalog.groups.get(&group);
         match event {
             ServerEvent::Started(position) => {
                 let reachability = ConnectionOutcome::Established(position);
                 io.context.statuses.on_connection(&group, &instance, reachability);
-                record_occupant(&group, configured, &instance, io);
+                if let Some(configured) = configured {
+                    record_occupant(&group, configured, &instance, io);
+                }
                 return;
             }
             ServerEvent::Answered | ServerEvent::InstanceBusy => {
@@ -74,8 +78,11 @@
             ServerEvent::Probed(answer) if server.purpose == Purpose::Pooled => {
                 state.status_queries.on_answer(&group, &instance, &answer, io);
                 state.evidence_queries.on_answer();
-                self.confirm_by_replica_statuses(&group, configured, io);
-                return self.retry_placements(&group, configured, io);
+                if let Some(configured) = configured {
+                    self.confirm_by_replica_statuses(&group, configured, io);
+                    self.retry_placements(&group, configured, io);
+                }
+                return;
             }
             ServerEvent::Ready if server.purpose == Purpose::Pooled => {
                 if state.status_queries.on_connection_ready(&instance, key, io) {
@@ -117,6 +124,9 @@
             }
             ServerEvent::CommitAnswered(commit) => {
                 let (answered, now) = (&commit.instance, Instant::now());
+                let Some(configured) = configured else {
+                    return refuse_of_removed_group(&group, commit, io);
+                };
                 match io.context.replacements.may_acknowledge_commit(&group, answered, now) {
                     true => state.confirmations.add_commit(commit, &group, configured, io),
                     false => refuse_late(&group, commit, io),
@@ -125,6 +135,7 @@
             }
             ServerEvent::Probed(answer) => {
                 io.context.metrics.probes.count(ProbeEvent::Answered);
+                let Some(configured) = configured else { return };
                 let wait = state.pools.get(&instance).map(Pool::expected_wait);
                 let majority = configured.majority();
                 let replaced = state.monitor.on_report(&instance, &answer, wait, majority, io);
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -220,22 +220,32 @@
     /// Writes a configuration with a route of each consistency to each group, except for the
     /// databases in `without`.
     pub fn configure(&mut self, without: &[&str]) {
-        self.write_configuration(without, &[]);
+        self.write_configuration(&GROUPS, without, &[]);
+    }
+
+    /// Writes a configuration with only these groups and the routes to them.
+    pub fn configure_groups(&mut self, groups: &[&str]) {
+        self.write_configuration(groups, &[], &[]);
     }
 
     /// Writes a configuration with these customers. Later configurations have them too.
     pub fn configure_customers(&mut self, customers: &[Customer]) {
         self.customers = Some(customers.to_vec());
-        self.write_configuration(&[], &[]);
+        self.write_configuration(&GROUPS, &[], &[]);
     }
 
     /// Writes a configuration with one extra route for each of `timeouts_ms`, the statement timeout
     /// of that route in milliseconds.
     pub fn configure_extra_routes(&mut self, timeouts_ms: &[u64]) {
-        self.write_configuration(&[], timeouts_ms);
+        self.write_configuration(&GROUPS, &[], timeouts_ms);
     }
 
-    fn write_configuration(&mut self, without: &[&str], extra_timeouts_ms: &[u64]) {
+    fn write_configuration(
+        &mut self,
+        groups: &[&str],
+        without: &[&str],
+        extra_timeouts_ms: &[u64],
+    ) {
         self.version += 1;
         let extra_routes: Vec<(String, u64)> = extra_timeouts_ms
             .iter()
@@ -243,7 +253,7 @@
             .map(|(number, timeout_ms)| (extra_database(number), *timeout_ms))
             .collect();
         let mut names: Vec<(String, &str, Consistency)> = Vec::new();
-        for group in GROUPS {
+        for group in groups {
             for consistency in [Consistency::Primary, Consistency::Bounded, Consistency::Session] {
                 names.push((database(group, consistency), group, consistency));
             }
@@ -268,7 +278,7 @@
             max_staleness_ms: MAX_STALENESS_MS,
             timeout_ms: *timeout_ms,
         }));
-        let groups: Vec<GroupEntry> = GROUPS
+        let groups: Vec<GroupEntry> = groups
             .iter()
             .map(|name| GroupEntry {
                 name,
