--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -2,20 +2,25 @@
 //! that nothing has changed.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
 use kestrellock_lab::standin::store::faults::WatchSilence;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
 use kestrellock_platform::coordination::StoreCoordination;
-use kestrellock_platform::keys::{KeyStore, Mirror, Scope};
+use kestrellock_platform::keys::{Freshness, KeyStore, Mirror, Scope};
+use kestrellock_platform::nodes::{NodeList, RegisteredNodes};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
+use kestrellock_store::machines::{Machine, MachineList, MachineState};
+use kestrellock_store::store::StoreError;
 
 const EMPTY_ANSWERS: [WatchSilence; 2] =
     [WatchSilence::EmptyAtOldRevision, WatchSilence::EmptyAtCurrentRevision];
 
 struct Client {
+    nodes: NodeList,
     mirror: Arc<Mirror>,
     coordination: StoreCoordination,
 }
@@ -26,8 +31,29 @@
         mirror.advance().expect("an answer");
         mirror.set_scope(Scope::OwnKeys);
         let store = KeyStore::new(&store.endpoint());
-        let coordination = StoreCoordination::new(store, mirror.clone(), Default::default());
-        Self { mirror, coordination }
+        let registered = Arc::<RegisteredNodes>::default();
+        let nodes = NodeList::new(store.clone(), mirror.clone(), registered.clone());
+        let coordination = StoreCoordination::new(store, mirror.clone(), registered);
+        Self { nodes, mirror, coordination }
+    }
+
+    fn register(&self) -> Result<(), StoreError> {
+        self.nodes.register(&Machine {
+            node: NodeName::new("joining"),
+            zone: ZoneName::new("zone"),
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: MachineState::Live,
+            link_mbps: 0,
+        })
+    }
+
+    fn lists_itself(&self) -> bool {
+        let machines = self.nodes.machines().expect("a list");
+        machines.iter().any(|machine| machine.node == NodeName::new("joining"))
+    }
+
+    fn shows_replacement(&self) -> bool {
+        self.coordination.view().intents.contains_key(&group())
     }
 
     fn acquire(&self) -> CoordinatorLease {
@@ -127,3 +153,41 @@
         assert_eq!((check.calls, check.read_revision), (calls, store.position()));
     }
 }
+
+/// A node listed itself on an empty answer, before its mirror showed a replacement whose coordinator
+/// did not wait for this node.
+#[test]
+fn node_does_not_list_itself_on_an_empty_answer() {
+    for silence in [EMPTY_ANSWERS.as_slice(), &[WatchSilence::NoAnswer]].concat() {
+        let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+        let coordinator = Client::start(&store);
+        let lease = coordinator.acquire();
+        let joining = Client::start(&store);
+        store.silence_watches(silence);
+        record(&coordinator, &lease, &group());
+        joining.register().expect("an answer");
+        assert!(joining.lists_itself(), "{silence:?}");
+        assert!(joining.shows_replacement(), "{silence:?}");
+    }
+}
+
+/// A node listed itself on a read of the nodes' entries, after its read of the replacement records
+/// had failed.
+#[test]
+fn node_does_not_list_itself_while_its_mirror_lacks_earlier_replacements() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let coordinator = Client::start(&store);
+    let lease = coordinator.acquire();
+    let joining = Client::start(&store);
+    record(&coordinator, &lease, &group());
+    // The first call is the registration, the second one is rejected.
+    store.set_rate_limit(Some(1));
+    assert!(joining.register().is_err());
+    store.set_rate_limit(None);
+    for freshness in [Freshness::MayBeStale, Freshness::Newest] {
+        joining.mirror.read_nodes(freshness).expect("an answer");
+        assert!(!joining.lists_itself() || joining.shows_replacement());
+    }
+    joining.register().expect("an answer");
+    assert!(joining.lists_itself() && joining.shows_replacement());
+}
