--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -154,6 +154,30 @@
     }
 }
 
+/// An empty answer with a later revision than a change that it lacks hid that change for good.
+#[test]
+fn mirror_shows_a_replacement_that_an_empty_answer_has_hidden() {
+    for silence in EMPTY_ANSWERS {
+        for forgets_history in [false, true] {
+            let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+            let coordinator = Client::start(&store);
+            let lease = coordinator.acquire();
+            let reader = Client::start(&store);
+            store.silence_watches(silence);
+            let intent = record(&coordinator, &lease, &group());
+            reader.mirror.catch_up().expect("an empty answer");
+            store.put("others/key", b"1");
+            match forgets_history {
+                true => store.forget_history(),
+                false => store.end_watch_silence(),
+            }
+            reader.mirror.advance().expect("an answer");
+            let shown = reader.coordination.view().intents.get(&group()).cloned();
+            assert_eq!(shown, Some(intent), "{silence:?}, history forgotten: {forgets_history}");
+        }
+    }
+}
+
 /// A node listed itself on an empty answer, before its mirror showed a replacement whose coordinator
 /// did not wait for this node.
 #[test]
