--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
-use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
+use kestrellock_core::promotion::{Intent, PromotionCaller, Reason, ReplacementId, Successor};
 use kestrellock_lab::standin::store::faults::WatchSilence;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
 use kestrellock_platform::coordination::StoreCoordination;
@@ -66,8 +66,8 @@
     GroupName::new("orders")
 }
 
-fn record(client: &Client, lease: &CoordinatorLease, group: &GroupName) -> Intent {
-    let intent = Intent {
+fn intent_of(lease: &CoordinatorLease) -> Intent {
+    Intent {
         holder: NodeName::new("one"),
         id: ReplacementId { fence: lease.fence, attempt: 1 },
         reason: Reason::Suspected,
@@ -76,7 +76,11 @@
         promoting: false,
         awaits_log: false,
         callers: Vec::new(),
-    };
+    }
+}
+
+fn record(client: &Client, lease: &CoordinatorLease, group: &GroupName) -> Intent {
+    let intent = intent_of(lease);
     let outcome = client.coordination.record_intent(lease, group, &intent);
     assert_eq!(outcome.expect("an answer"), RecordOutcome::Recorded);
     intent
@@ -215,3 +219,36 @@
     joining.register().expect("an answer");
     assert!(joining.lists_itself() && joining.shows_replacement());
 }
+
+/// A coordinator whose mirror lacked the end of the last replacement took an empty answer for the
+/// store's word that no promotion was left open, and did not wait for it.
+#[test]
+fn record_does_not_forget_open_callers_on_an_empty_answer() {
+    for silence in EMPTY_ANSWERS {
+        let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+        let first = Client::start(&store);
+        let lease = first.acquire();
+        let next = Client::start(&store);
+        let intent = record(&first, &lease, &group());
+        let callers = [PromotionCaller { node: intent.holder, process: 1, fence: lease.fence }];
+        let successor = Successor { instance: InstanceName::new("i-2"), term: None };
+        let coordination = &first.coordination;
+        let finished = coordination.finish_replacement(
+            &lease,
+            &group(),
+            intent.id,
+            Some(&successor),
+            &callers,
+        );
+        assert!(finished.expect("an answer"));
+        coordination.release(&lease).expect("an answer");
+        store.silence_watches(silence);
+        let lease = next.acquire();
+        let own = intent_of(&lease);
+        let record = || next.coordination.record_intent(&lease, &group(), &own);
+        // A record without an outcome is tried again.
+        for outcome in [(); 2].map(|()| record()) {
+            assert!(matches!(outcome, Ok(RecordOutcome::EarlierPromotion)), "{outcome:?}");
+        }
+    }
+}
