A watch of the product's store trait reports a change that an empty answer lacks

KeyWatch continued from the revision of an empty answer, as the mirror did. No node on the users' platform opens such a watch; the trait's other users would have missed the change.

--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::promotion::{Intent, PromotionCaller, Reason, ReplacementId, Successor};
@@ -14,11 +15,13 @@
 use kestrellock_platform::nodes::{NodeList, RegisteredNodes};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
 use kestrellock_store::machines::{Machine, MachineList, MachineState};
-use kestrellock_store::store::StoreError;
+use kestrellock_store::store::{ConfigStore, StoreError, WatchEvent};
 
 const EMPTY_ANSWERS: [WatchSilence; 2] =
     [WatchSilence::EmptyAtOldRevision, WatchSilence::EmptyAtCurrentRevision];
 
+const WATCHED_KEY: &str = "watched/key";
+
 struct Client {
     nodes: NodeList,
     mirror: Arc<Mirror>,
@@ -252,3 +255,18 @@
         }
     }
 }
+
+/// A watch that continued from the revision of an empty answer never reported the change that the
+/// answer lacked.
+#[test]
+fn watch_reports_a_change_that_an_empty_answer_has_hidden() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let client = KeyStore::new(&store.endpoint());
+    let from = store.position() + 1;
+    store.silence_watches(WatchSilence::EmptyAtCurrentRevision);
+    store.put(WATCHED_KEY, b"1");
+    let mut watch = client.watch(WATCHED_KEY, from).expect("it opens");
+    store.end_watch_silence();
+    let mut events = (0..4).map(|_| watch.next(Duration::from_secs(4)).expect("an event"));
+    assert!(events.any(|event| event == WatchEvent::Changed(store.position())));
+}
