Log on what evidence an instance was chosen

Cause: the log said where a read went (`routed`), not on what evidence: a stale read could not be explained afterwards.

The gateway logs `chosen` for each read and transaction that it places: the arrival, the instance, the term that the primary is known to have led, the kind and age of the evidence, the position that the read requires and the instance that reported it. Lines are written at the debug level, waits (`held`) always. The kind of evidence is a value of the evidence itself (`Coverage`), which the choice uses too, so that decision and log cannot differ. No decision changes.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -362,3 +362,54 @@
         *self = Self::default();
     }
 }
+
+/// The kind of evidence that covers a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvidenceKind {
+    /// A commit that the primary acknowledged.
+    Commit,
+    /// Reports of all replicas.
+    AllReplicas,
+    /// Reports of enough replicas, with a replacement check.
+    SomeReplicas,
+}
+
+/// The evidence for the primary of a term, and what it covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Coverage {
+    /// The term of the primary.
+    pub term: Term,
+    /// Until when arriving reads are covered.
+    pub until: Instant,
+    /// The kind of evidence that covers them for longest.
+    pub kind: EvidenceKind,
+    /// When the requests were sent that yielded this evidence.
+    pub requested_at: Instant,
+    /// When the store was queried that last showed no replacement of the primary.
+    pub replacement_check_at: Option<Instant>,
+}
+
+impl PrimaryEvidence {
+    /// What covers the arrival of reads at the primary of `term`, as [`Self::covers_until`] counts
+    /// it. Decisions and their log lines both use this value, so they cannot differ.
+    pub fn coverage(
+        &self,
+        term: Term,
+        group: Replication,
+        lifetime: Duration,
+    ) -> Option<Coverage> {
+        let until = self.covers_until(term, group, lifetime)?;
+        let requested_at = until.checked_sub(lifetime)?;
+        let by_commit = self.last_commit.filter(|_| group.synchronous > 0 && term == self.term);
+        let by_all = self.oldest_of_newest(group.replicas(), term, |_| true);
+        let kind = if by_commit == Some(requested_at) {
+            EvidenceKind::Commit
+        } else if by_all == Some(requested_at) {
+            EvidenceKind::AllReplicas
+        } else {
+            EvidenceKind::SomeReplicas
+        };
+        let replacement_check_at = self.no_replacement_at;
+        Some(Coverage { term, until, kind, requested_at, replacement_check_at })
+    }
+}
--- a/crates/core/src/primary_samples.rs
+++ b/crates/core/src/primary_samples.rs
@@ -8,7 +8,9 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::ids::InstanceName;
 use crate::position::{Position, Term};
+use crate::primary_evidence::Coverage;
 
 /// Number of positions that are kept.
 const MAX_SAMPLES: usize = 128;
@@ -16,23 +18,50 @@
 /// they span.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(40);
 
+/// A position that the primary reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrimarySample {
+    /// The instance that reported it.
+    pub instance: InstanceName,
+    /// When the query was sent.
+    pub queried_at: Instant,
+    /// The position.
+    pub position: Position,
+}
+
+/// A position that an instance reported in an answer.
 #[derive(Clone, Copy, Debug)]
-struct Sample {
-    queried_at: Instant,
-    position: Position,
+pub struct PositionReport<'a> {
+    /// The instance.
+    pub instance: &'a InstanceName,
+    /// The position.
+    pub position: Position,
+    /// Highest term that the instance is known to have led, from its own status or from a commit
+    /// that it acknowledged.
+    pub led_term: Option<Term>,
+    /// Whether the answer says that the instance does not lead.
+    pub is_read_only: bool,
+    /// Whether the answer may show an earlier state of the log, because its statement was not the
+    /// first one of a transaction.
+    pub may_be_earlier: bool,
+    /// When the query was sent.
+    pub queried_at: Instant,
+    /// When the answer was complete.
+    pub answered_at: Instant,
 }
 
 /// Positions of one group's primary, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct PrimarySamples {
     term: Term,
-    samples: VecDeque<Sample>,
+    samples: VecDeque<PrimarySample>,
     highest: Option<Position>,
 }
 
 impl PrimarySamples {
-    /// The primary reported `position` in answer to a query that was sent at `queried_at`.
-    pub fn record(&mut self, queried_at: Instant, position: Position) {
+    /// An instance that announces itself as primary reported a position.
+    pub fn record(&mut self, report: PositionReport) {
+        let PositionReport { instance, position, queried_at, .. } = report;
         if position.term < self.term {
             return;
         }
@@ -47,7 +76,10 @@
         }
         match self.samples.back() {
             Some(last) if queried_at < last.queried_at + SAMPLE_INTERVAL => {}
-            _ => self.samples.push_back(Sample { queried_at, position }),
+            _ => {
+                let instance = instance.clone();
+                self.samples.push_back(PrimarySample { instance, queried_at, position });
+            }
         }
         if self.samples.len() > MAX_SAMPLES {
             self.samples.pop_front();
@@ -55,12 +87,17 @@
     }
 
     /// The lowest known position that covers every commit acknowledged before `moment`, reported by
-    /// a primary for which evidence covers arrivals until `covered_until`.
-    pub fn covering(&self, moment: Instant, covered_until: Instant) -> Option<Position> {
-        let mut samples = self.samples.iter();
-        let sample = samples
-            .find(|sample| sample.queried_at >= moment && sample.queried_at <= covered_until);
-        sample.map(|sample| sample.position)
+    /// `primary`, for which there is this evidence.
+    pub fn covering(
+        &self,
+        _primary: &InstanceName,
+        evidence: &Coverage,
+        moment: Instant,
+    ) -> Option<&PrimarySample> {
+        let is_covering = |sample: &&PrimarySample| {
+            sample.queried_at >= moment && sample.queried_at <= evidence.until
+        };
+        self.samples.iter().find(is_covering)
     }
 
     /// The highest position that was reported.
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -3,6 +3,7 @@
 
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::ReplicaTerms;
+use kestrellock_core::primary_samples::PositionReport;
 use kestrellock_core::promotion::{Command, Event};
 use kestrellock_core::routing::Role;
 use rand::RngExt;
@@ -206,8 +207,16 @@
         }
         match reply {
             Reply::Committed(term, position) => {
-                own.primary_samples.record(sent, position);
                 own.terms.insert(exchange.instance, term);
+                own.primary_samples.record(PositionReport {
+                    instance: &instance_name(exchange.instance),
+                    position,
+                    led_term: Some(term),
+                    is_read_only: false,
+                    may_be_earlier: false,
+                    queried_at: sent,
+                    answered_at: now,
+                });
                 own.last_commits.insert(exchange.instance, now);
                 self.on_committed(&exchange, term, was_pending);
             }
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -19,7 +19,9 @@
 
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName};
-use kestrellock_core::position::Position;
+use kestrellock_core::position::{Position, Term};
+use kestrellock_core::primary_evidence::Coverage;
+use kestrellock_core::primary_samples::PrimarySample;
 use kestrellock_core::reader_choice::{self, Reader};
 use kestrellock_core::routing::{Access, Role};
 
@@ -45,6 +47,31 @@
     NeedsStore,
 }
 
+/// What a choice was based on, for the log. The choice itself uses the same values.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChoiceBasis {
+    /// The instance that the node takes for the primary, and the term that it is known to lead.
+    pub primary: Option<(InstanceName, Option<Term>)>,
+    /// The role that the chosen instance announces.
+    pub announced_role: Option<Role>,
+    /// What the evidence covers.
+    pub coverage: Option<Coverage>,
+    /// Commits acknowledged before this time must be visible to the statement; `None` if it needs
+    /// no evidence.
+    pub must_cover: Option<Instant>,
+    /// The sample from which the position that a read requires was taken.
+    pub sample: Option<PrimarySample>,
+}
+
+/// The choice for a statement, and what it was based on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExplainedChoice {
+    /// The choice.
+    pub choice: InstanceChoice,
+    /// What it was based on.
+    pub basis: ChoiceBasis,
+}
+
 /// What a statement requires of the instance that runs it.
 #[derive(Clone, Copy)]
 pub struct StatementNeeds<'a> {
@@ -67,6 +94,19 @@
     access: &mut Access,
     needs: StatementNeeds,
     io: &Io,
+) -> ExplainedChoice {
+    let mut basis = ChoiceBasis::default();
+    let choice = choose(group, configured, access, needs, &mut basis, io);
+    ExplainedChoice { choice, basis }
+}
+
+fn choose(
+    group: &GroupName,
+    configured: &Group,
+    access: &mut Access,
+    needs: StatementNeeds,
+    basis: &mut ChoiceBasis,
+    io: &Io,
 ) -> InstanceChoice {
     let catalog = io.context.catalog.load();
     let group_statuses = io.context.statuses.group(group);
@@ -74,8 +114,10 @@
     let primary = io.context.leader(group, configured);
     let synchronous = configured.synchronous_replicas;
     let (replication, lifetime) = (configured.replication(), io.context.evidence_lifetime());
-    let covered_until =
-        primary.and_then(|primary| known.covered_until(&primary.name, replication, lifetime));
+    basis.primary = primary.map(|primary| (primary.name.clone(), known.led_term_of(&primary.name)));
+    basis.coverage =
+        primary.and_then(|primary| known.coverage(&primary.name, replication, lifetime));
+    let covered_until = basis.coverage.map(|coverage| coverage.until);
     // The time that evidence must cover. If the clock cannot represent it, use the arrival time,
     // which is stricter.
     let moment = |staleness| needs.arrived.checked_sub(staleness).unwrap_or(needs.arrived);
@@ -89,11 +131,14 @@
     let chosen = match access {
         Access::Read { bound, max_staleness } => {
             let moment = moment(*max_staleness);
+            basis.must_cover = Some(moment);
             let at_primary = covered_until.is_some_and(|covered_until| moment <= covered_until);
-            let read_position = covered_until
-                .and_then(|covered_until| known.primary_samples.covering(moment, covered_until));
+            let read_position = primary.zip(basis.coverage).and_then(|(primary, coverage)| {
+                known.primary_samples.covering(&primary.name, &coverage, moment)
+            });
             let same_term = known.primary_samples.term() == known.evidence.term();
-            let read_position = read_position.filter(|_| same_term);
+            basis.sample = read_position.filter(|_| same_term).cloned();
+            let read_position = basis.sample.as_ref().map(|sample| sample.position);
             if !at_primary && read_position.is_none() {
                 return missing_evidence(moment);
             }
@@ -135,8 +180,9 @@
             });
             let no_staleness = (synchronous == 0 || may_be_old).then_some(Duration::ZERO);
             let staleness = needs.staleness.or(no_staleness);
-            let uncovered = staleness
-                .map(moment)
+            basis.must_cover = staleness.map(moment);
+            let uncovered = basis
+                .must_cover
                 .filter(|moment| covered_until.is_none_or(|covered_until| *moment > covered_until));
             if let (Some(moment), Some(_)) = (uncovered, primary) {
                 return missing_evidence(moment);
@@ -145,6 +191,7 @@
         }
     };
     let Some(instance) = chosen else { return InstanceChoice::NoneQualifies };
+    basis.announced_role = instance.announced_role;
     io.context.metrics.count_route(access, instance.announced_role);
     InstanceChoice::Instance(instance.name.clone())
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! timer ticks. The submodules implement the reactions.
 
 mod capacity;
+mod choice_log;
 pub mod confirmation;
 mod connection_loss;
 pub mod current_position;
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -19,7 +19,10 @@
 use kestrellock_core::routing::Access;
 use kestrellock_peer::message::{Exchange, LeaseEvent, Placement, PlacementRequirements};
 
-use super::instance_choice::{self, InstanceChoice, StatementNeeds};
+use super::choice_log;
+use super::instance_choice::{
+    self, ChoiceBasis, ExplainedChoice, InstanceChoice, StatementNeeds,
+};
 use super::pool::{Pool, PoolRole};
 use super::{Gateway, notify_front, ownership, zone_drains};
 use crate::event::Io;
@@ -67,7 +70,7 @@
         group: &Group,
         pools: &HashMap<InstanceName, Pool>,
         io: &Io,
-    ) -> InstanceChoice {
+    ) -> ExplainedChoice {
         let needs = StatementNeeds {
             arrived: self.arrived,
             staleness: self.need.staleness,
@@ -76,41 +79,39 @@
         };
         let mut access = self.exchange.access.clone();
         let found = instance_choice::choose_instance(name, group, &mut access, needs, io);
-        if let (InstanceChoice::Instance(_), Access::Read { .. }) = (&found, &access) {
-            self.exchange.access = access;
+        if let InstanceChoice::Instance(instance) = &found.choice {
+            choice_log::log_chosen(&self.described(name, &found.basis), instance, io);
+            if let Access::Read { .. } = &access {
+                self.exchange.access = access;
+            }
         }
         found
     }
 
+    fn described<'a>(
+        &'a self,
+        group: &'a GroupName,
+        basis: &'a ChoiceBasis,
+    ) -> choice_log::Placed<'a> {
+        choice_log::Placed {
+            exchange: &self.exchange,
+            group,
+            arrived: self.arrived,
+            staleness: self.need.staleness,
+            basis,
+        }
+    }
+
     /// The exchange with the chosen instance as its placement.
     fn placed_at(self, instance: InstanceName, now: Instant) -> Exchange {
         let time_left = self.deadline.saturating_duration_since(now);
         Exchange { placement: Placement::Instance(instance), time_left, ..self.exchange }
     }
 
-    fn log_held(&mut self, name: &GroupName, found: &InstanceChoice, io: &Io) {
-        if std::mem::replace(&mut self.is_logged, true) {
-            return;
+    fn log_held(&mut self, name: &GroupName, found: &ExplainedChoice, io: &Io) {
+        if !std::mem::replace(&mut self.is_logged, true) {
+            choice_log::log_held(&self.described(name, &found.basis), &found.choice, io);
         }
-        let reason = match found {
-            InstanceChoice::NeedsEvidence => "no evidence that the primary leads",
-            InstanceChoice::NeedsSessionTerm => {
-                "the primary leads a lower term than the one of the session's last commit"
-            }
-            InstanceChoice::NeedsStore => "the store has not said that nobody replaces the primary",
-            InstanceChoice::NoneQualifies | InstanceChoice::Instance(_) => "no instance qualifies",
-        };
-        let evidence = io.context.evidence_age(name, io.now);
-        log::info!(
-            event = "held",
-            id = self.exchange.request.as_deref().unwrap_or("-"),
-            tenant = self.exchange.tenant.as_str(),
-            group = name.as_str(),
-            reason = reason,
-            evidence_age_ms = evidence.map(|age| age.as_millis() as u64),
-            revision = io.context.catalog.load().revision.0;
-            "waits for an instance"
-        );
     }
 
     fn refuse_overdue(self, io: &mut Io) {
@@ -177,7 +178,7 @@
             return ownership::redirect(&held.exchange, None, io);
         }
         let found = held.choose(name, group, pools, io);
-        if let InstanceChoice::Instance(instance) = found {
+        if let InstanceChoice::Instance(instance) = found.choice {
             if !reaches(group, &instance, io) {
                 return ownership::redirect(&held.exchange, None, io);
             }
@@ -189,10 +190,10 @@
         }
         held.log_held(name, &found, io);
         self.group_state(name, io.now).placements.held.push(held);
-        if found == InstanceChoice::NeedsStore {
+        if found.choice == InstanceChoice::NeedsStore {
             io.context.replacement_check_requests.request(name);
         }
-        match found {
+        match found.choice {
             InstanceChoice::NeedsEvidence
             | InstanceChoice::NeedsSessionTerm
             | InstanceChoice::NeedsStore => self.ask_for_evidence(name, group, io),
--- a/crates/daemon/src/gateway/running_exchange.rs
+++ b/crates/daemon/src/gateway/running_exchange.rs
@@ -127,6 +127,11 @@
         self.first_failure == Some(Failure::Busy)
     }
 
+    /// Whether the instance answered that it accepts no writes.
+    pub fn found_instance_read_only(&self) -> bool {
+        self.first_failure == Some(Failure::ReadOnly)
+    }
+
     /// Whether the answer is complete.
     pub fn is_answered(&self) -> bool {
         self.ready_remaining == 0
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -202,6 +202,9 @@
             completed_at: io.now,
             position: running.answer_position(),
             role: configured.and_then(|instance| instance.announced_role),
+            is_read_only: running.found_instance_read_only(),
+            continues_transaction: running.impact.continues_transaction
+                && running.write_commit_position().is_none(),
         };
         let number = self.status_exchange_number;
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
--- a/crates/daemon/src/shared/exchange_record.rs
+++ b/crates/daemon/src/shared/exchange_record.rs
@@ -226,6 +226,10 @@
     pub completed_at: Instant,
     /// Position that the instance reported.
     pub position: Option<Position>,
-    /// Role of the instance.
+    /// Role that the instance announces in the platform's store.
     pub role: Option<Role>,
+    /// Whether the instance answered that it accepts no writes.
+    pub is_read_only: bool,
+    /// Whether the exchange continued a transaction and acknowledged no commit of writes.
+    pub continues_transaction: bool,
 }
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -12,8 +12,8 @@
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::primary_evidence::{PrimaryEvidence, ReplicaTerms, Replication};
-use kestrellock_core::primary_samples::PrimarySamples;
+use kestrellock_core::primary_evidence::{Coverage, PrimaryEvidence, ReplicaTerms, Replication};
+use kestrellock_core::primary_samples::{PositionReport, PrimarySamples};
 use kestrellock_core::promotion::{AnsweredPositions, Intent};
 use kestrellock_core::routing::{self, InstanceStatus, Role};
 use kestrellock_core::suspicion::HealthSignals;
@@ -68,15 +68,25 @@
         self.last_commit = Some(Instant::now());
     }
 
-    /// Until when the evidence covers the arrival of reads at the primary `instance`: such a read
+    /// What covers the arrival of reads at the primary `instance`: a read that arrives until then
     /// sees every acknowledged commit.
+    pub fn coverage(
+        &self,
+        instance: &InstanceName,
+        group: Replication,
+        lifetime: Duration,
+    ) -> Option<Coverage> {
+        self.evidence.coverage(self.led_term_of(instance)?, group, lifetime)
+    }
+
+    /// Until when the evidence covers the arrival of reads at the primary `instance`.
     pub fn covered_until(
         &self,
         instance: &InstanceName,
         group: Replication,
         lifetime: Duration,
     ) -> Option<Instant> {
-        self.evidence.covers_until(self.led_term_of(instance)?, group, lifetime)
+        self.coverage(instance, group, lifetime).map(|coverage| coverage.until)
     }
 
     /// Whether a replacement check is all that is missing for the evidence to cover arrivals until
@@ -161,7 +171,16 @@
             record.on_ended(number, response.as_ref());
             let Some(response) = response else { return };
             if let (Some(Role::Primary), Some(position)) = (response.role, response.position) {
-                known.primary_samples.record(response.sent, position);
+                let led_term = record.led_term();
+                known.primary_samples.record(PositionReport {
+                    instance,
+                    position,
+                    led_term,
+                    is_read_only: response.is_read_only,
+                    may_be_earlier: response.continues_transaction,
+                    queried_at: response.sent,
+                    answered_at: response.completed_at,
+                });
             }
         });
     }
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -42,9 +42,14 @@
     fn answer_read(&self, instance: &str, position: Position) {
         let number = self.table.on_sent(&self.group, &name(instance), false);
         let now = Instant::now();
-        let role = Some(Role::Primary);
-        let answered =
-            ExchangeResponse { sent: now, completed_at: now, position: Some(position), role };
+        let answered = ExchangeResponse {
+            sent: now,
+            completed_at: now,
+            position: Some(position),
+            role: Some(Role::Primary),
+            is_read_only: false,
+            continues_transaction: false,
+        };
         self.table.on_ended(&self.group, &name(instance), number, Some(answered));
     }
 
--- a/crates/lab/tests/session_bounds.rs
+++ b/crates/lab/tests/session_bounds.rs
@@ -39,7 +39,7 @@
         excluded_instance: None,
         pools: &pools,
     };
-    choose_instance(&group, configured, &mut Access::Write { bound }, needs, &io)
+    choose_instance(&group, configured, &mut Access::Write { bound }, needs, &io).choice
 }
 
 /// Guards against a transaction that does not see its session's own commit (`review/3`). A node that
