Count a position for the primary only if its reporter led that term

Belief: the instance that the node's copy of the store lists as primary reports the primary's position. A node whose copy is old sends a write to the demoted primary and records the position of the refusal, which is that of a replica of the new term and lags. With evidence of the new primary the node then takes it for the position that covers every commit acknowledged before.

Rule (head of core/primary_samples.rs): a position counts if its term is one that the reporter is known to have led, the answer is no READONLY, it is not that of a later statement of a transaction, and no earlier answer had a higher position of that term. It is used only with evidence that its reporter leads that term. The term of the evidence is now that of the primary which the evidence covers, not the highest one that any replica reports. An acknowledged commit is recorded before its position, so that it counts.

Price: no request is added.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -392,12 +392,7 @@
 impl PrimaryEvidence {
     /// What covers the arrival of reads at the primary of `term`, as [`Self::covers_until`] counts
     /// it. Decisions and their log lines both use this value, so they cannot differ.
-    pub fn coverage(
-        &self,
-        term: Term,
-        group: Replication,
-        lifetime: Duration,
-    ) -> Option<Coverage> {
+    pub fn coverage(&self, term: Term, group: Replication, lifetime: Duration) -> Option<Coverage> {
         let until = self.covers_until(term, group, lifetime)?;
         let requested_at = until.checked_sub(lifetime)?;
         let by_commit = self.last_commit.filter(|_| group.synchronous > 0 && term == self.term);
--- a/crates/core/src/primary_samples.rs
+++ b/crates/core/src/primary_samples.rs
@@ -4,6 +4,25 @@
 //! A position that the primary reported in answer to a query sent at T covers every commit that was
 //! acknowledged before T. So a read that arrived at A and may be up to D stale can run on any
 //! instance whose log has reached a position that was queried at A - D or later.
+//!
+//! An instance that is listed as primary may have been replaced. As a replica it reports positions
+//! at which it lags behind its successor. So a position counts only if all of this holds:
+//!
+//! - Its term is one that the reporter is known to have led, from the reporter's own status or from
+//!   a commit of writes that it acknowledged. A demoted primary reports a higher term as soon as it
+//!   has received a commit of its successor. Until then its log contains every commit that was
+//!   acknowledged in the term that it led.
+//! - The answer does not say that the reporter accepts no writes.
+//! - The answer cannot show an earlier state of the log, as that of a later statement of a
+//!   transaction can.
+//! - No higher position of the same term was reported in an answer that was complete before the
+//!   query was sent: otherwise the reporter has lost its log, and may be receiving it again.
+//!
+//! A position that counts is used for reads only with evidence that the reporter leads that same
+//! term, and only if the evidence covers the time of the query.
+//!
+//! A primary that reports the previous term until its first commit therefore serves all reads
+//! itself until then.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -53,26 +72,38 @@
 /// Positions of one group's primary, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct PrimarySamples {
+    /// Term of the primary that reported them.
     term: Term,
     samples: VecDeque<PrimarySample>,
-    highest: Option<Position>,
+    highest: Option<HighestPosition>,
+}
+
+/// The highest position of the term, and when the first answer with it was complete.
+#[derive(Clone, Copy, Debug)]
+struct HighestPosition {
+    position: Position,
+    answered_at: Instant,
 }
 
 impl PrimarySamples {
-    /// An instance that announces itself as primary reported a position.
+    /// An instance that announces itself as primary reported a position, which may not count.
     pub fn record(&mut self, report: PositionReport) {
-        let PositionReport { instance, position, queried_at, .. } = report;
-        if position.term < self.term {
+        let PositionReport { instance, position, queried_at, answered_at, .. } = report;
+        let is_primarys = report.led_term == Some(position.term) && !report.is_read_only;
+        if !is_primarys || report.may_be_earlier || position.term < self.term {
             return;
         }
         if position.term > self.term {
-            self.term = position.term;
-            self.samples.clear();
-            self.highest = None;
+            *self = Self { term: position.term, ..Self::default() };
         }
-        let is_higher = self.highest.is_none_or(|highest| highest.offset < position.offset);
-        if is_higher {
-            self.highest = Some(position);
+        match self.highest {
+            Some(highest) if position.offset < highest.position.offset => {
+                if queried_at > highest.answered_at {
+                    return;
+                }
+            }
+            Some(highest) if position.offset == highest.position.offset => {}
+            _ => self.highest = Some(HighestPosition { position, answered_at }),
         }
         match self.samples.back() {
             Some(last) if queried_at < last.queried_at + SAMPLE_INTERVAL => {}
@@ -90,24 +121,21 @@
     /// `primary`, for which there is this evidence.
     pub fn covering(
         &self,
-        _primary: &InstanceName,
+        primary: &InstanceName,
         evidence: &Coverage,
         moment: Instant,
     ) -> Option<&PrimarySample> {
         let is_covering = |sample: &&PrimarySample| {
-            sample.queried_at >= moment && sample.queried_at <= evidence.until
+            sample.queried_at >= moment
+                && sample.queried_at <= evidence.until
+                && sample.instance == *primary
         };
-        self.samples.iter().find(is_covering)
+        self.samples.iter().find(is_covering).filter(|_| self.term == evidence.term)
     }
 
     /// The highest position that was reported.
     pub fn highest(&self) -> Option<Position> {
-        self.highest
-    }
-
-    /// Term of the primary that reported the positions.
-    pub fn term(&self) -> Term {
-        self.term
+        self.highest.map(|highest| highest.position)
     }
 
     /// When the query for the newest position was sent.
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -133,11 +133,10 @@
             let moment = moment(*max_staleness);
             basis.must_cover = Some(moment);
             let at_primary = covered_until.is_some_and(|covered_until| moment <= covered_until);
-            let read_position = primary.zip(basis.coverage).and_then(|(primary, coverage)| {
+            let sample = primary.zip(basis.coverage).and_then(|(primary, coverage)| {
                 known.primary_samples.covering(&primary.name, &coverage, moment)
             });
-            let same_term = known.primary_samples.term() == known.evidence.term();
-            basis.sample = read_position.filter(|_| same_term).cloned();
+            basis.sample = sample.cloned();
             let read_position = basis.sample.as_ref().map(|sample| sample.position);
             if !at_primary && read_position.is_none() {
                 return missing_evidence(moment);
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -20,9 +20,7 @@
 use kestrellock_peer::message::{Exchange, LeaseEvent, Placement, PlacementRequirements};
 
 use super::choice_log;
-use super::instance_choice::{
-    self, ChoiceBasis, ExplainedChoice, InstanceChoice, StatementNeeds,
-};
+use super::instance_choice::{self, ChoiceBasis, ExplainedChoice, InstanceChoice, StatementNeeds};
 use super::pool::{Pool, PoolRole};
 use super::{Gateway, notify_front, ownership, zone_drains};
 use crate::event::Io;
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -206,8 +206,7 @@
             continues_transaction: running.impact.continues_transaction
                 && running.write_commit_position().is_none(),
         };
-        let number = self.status_exchange_number;
-        io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
+        // First, because the commit shows that the instance led the term of its position.
         if let Some(position) = running.write_commit_position() {
             let (term, sent) = (position.term, running.sent);
             let statuses = &io.context.statuses;
@@ -216,6 +215,8 @@
                 false => statuses.on_commit(&self.group, &self.instance, term, sent),
             }
         }
+        let number = self.status_exchange_number;
+        io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
     }
 
     /// Forwards part of a large answer before its end. The answer of an exchange that may commit is
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -64,6 +64,16 @@
         statuses.covered_until(&name(instance), REPLICATION, EVIDENCE_LIFETIME).is_some()
     }
 
+    /// The position that a read at a replica needs, and which instance reported it.
+    fn read_position(&self, primary: &str, moment: Instant) -> Option<(InstanceName, Position)> {
+        let statuses = self.table.group(&self.group);
+        let statuses = statuses.read().expect("no thread panicked");
+        let primary = name(primary);
+        let coverage = statuses.coverage(&primary, REPLICATION, EVIDENCE_LIFETIME)?;
+        let sample = statuses.primary_samples.covering(&primary, &coverage, moment)?;
+        Some((sample.instance.clone(), sample.position))
+    }
+
     fn is_in_doubt(&self, instance: &str) -> bool {
         let statuses = self.table.group(&self.group);
         let statuses = statuses.read().expect("no thread panicked");
@@ -114,6 +124,25 @@
     assert!(fixture.is_covered("old"), "it is primary again");
 }
 
+/// Guards against stale bounded reads: a node whose copy of the store was old took the position of
+/// a replica that had been the primary for that of the primary.
+#[test]
+fn an_old_primary_does_not_supply_the_position_that_reads_need() {
+    let fixture = Fixture::new();
+    let before = Instant::now();
+    fixture.report_status("old", Role::Primary, 1);
+    fixture.answer_read("old", position(2, 3));
+    fixture.report_status("new", Role::Primary, 2);
+    fixture.report_status("replica", Role::Replica, 2);
+    fixture.confirm_no_replacement();
+    assert!(fixture.is_covered("new"));
+    assert_eq!(fixture.read_position("new", before), None, "the primary has not answered");
+    std::thread::sleep(Duration::from_millis(50));
+    fixture.answer_read("new", position(2, 9));
+    let expected = (name("new"), position(2, 9));
+    assert_eq!(fixture.read_position("new", before), Some(expected));
+}
+
 /// One connection of an owner failed while its others worked. No new connection was needed, so
 /// nothing cleared the doubt, and the owner sent no more reads to the instance.
 #[test]
