Ask a primary for its role again after its process may have ended

Belief: an instance that was shown to lead a term leads it until its entry in the store or a higher term says otherwise. An instance may start again under its id and then holds nothing. Until a coordinator has stopped them, all replicas still report the term that it led, which the node took for evidence that reads at the new process are current. A node acts on it that the store does not answer, whose watch is silent, or that has not yet received the new entry.

Now the term that an instance led counts for reads only as long as its process cannot have ended: not after the instance closed a connection, or reported a lower position than before to a request that was sent later (that is for nodes without an open connection). The round of status queries which follows the loss of a connection anyway then includes the primary, and its report or the next acknowledged commit lets reads go on. An exchange for which the primary was chosen on evidence, and which waited in the queue meanwhile, is chosen again. Writes and the check for outdated primaries use the term as before.

Price: one status query to the primary after it closed a connection, none otherwise.

--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -140,6 +140,7 @@
                 && request.executes
                 && self.keys.may_commit(request.class().may_commit(open)),
             commits_write: request.executes && self.writes.would_commit(request.class()),
+            required_lead: None,
         };
         self.impact = impact_of(&exchange);
         self.answer_begun = false;
--- a/crates/daemon/src/gateway/connection_loss.rs
+++ b/crates/daemon/src/gateway/connection_loss.rs
@@ -19,6 +19,7 @@
         io.context.metrics.instance_connections.count(ConnectionEvent::Closed);
         server.deregister(io);
         let reachability = reachability(&server, fault, io);
+        let has_ended = server.shows_end_of_process();
         io.context.isolation.report_trouble();
         if let Some(lease) = server.fail_exchange(fault, io) {
             self.leases.remove(&lease);
@@ -30,6 +31,9 @@
                 if fault == Fault::InstanceConnectionLost {
                     io.context.statuses.forget_evidence(&server.group);
                 }
+                if has_ended {
+                    io.context.statuses.on_process_ended(&server.group, &server.instance);
+                }
                 if state.status_queries.on_connection_ready(&server.instance, key, io) {
                     state.evidence_queries.on_answer();
                 }
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -78,8 +78,8 @@
 /// The instances whose status is needed as evidence.
 ///
 /// These are all replicas whose last report does not cover requests that arrive now: if every
-/// replica answers, the store need not be asked. The primary is included if it is not known to lead
-/// the term that its replicas follow.
+/// replica answers, the store need not be asked. The primary is included if its current process is
+/// not known to lead the term that its replicas follow.
 fn instances_lacking_evidence(name: &GroupName, group: &Group, io: &Io) -> Vec<InstanceName> {
     let group_statuses = io.context.statuses.group(name);
     let known = group_statuses.read().expect("a thread panicked while it held the status lock");
@@ -95,6 +95,7 @@
         is_replica && is_running && leader != Some(&instance.name) && !is_covered
     };
     let replicas = group.instances.iter().filter(is_due).map(|replica| &replica.name);
-    let primary = leader.filter(|_| leads != Some(newest_term));
+    let current = leader.and_then(|leader| known.current_led_term_of(leader));
+    let primary = leader.filter(|_| leads != Some(newest_term) || current != leads);
     replicas.chain(primary).cloned().collect()
 }
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -185,6 +185,17 @@
         status.is_some_and(|status| has_reached(status, &exchange.access))
     }
 
+    /// Whether the instance's process led the term on which the choice of the instance relied. The
+    /// process may have ended while the exchange waited in the queue, and another one of the same
+    /// instance may lack the commits that the exchange must see.
+    fn has_required_lead(&self, key: usize, exchange: &Exchange, io: &Io) -> bool {
+        let Some(required) = exchange.required_lead else { return true };
+        let server = &self.servers[key];
+        let group_statuses = io.context.statuses.group(&server.group);
+        let known = group_statuses.read().expect("a thread panicked while it held the status lock");
+        known.current_led_term_of(&server.instance) >= Some(required)
+    }
+
     fn run_on_connection(&mut self, key: usize, exchange: &Exchange, io: &mut Io) {
         let Some(server) = self.servers.get_mut(key) else { return };
         if !server.can_run(exchange) {
@@ -199,6 +210,11 @@
             refuse(exchange, code, "the instance has not reached the session's position", io);
             return self.terminate_lease(key, io);
         }
+        if exchange.number == 0 && !self.has_required_lead(key, exchange, io) {
+            let detail = "the instance's process may have ended since it was chosen";
+            refuse(exchange, ResultCode::NoFreshInstance, detail, io);
+            return self.terminate_lease(key, io);
+        }
         let Some(server) = self.servers.get_mut(key) else { return };
         let deadline = io.now + exchange.time_left;
         // Read the clock again: this process may have been paused since it received the event.
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -50,7 +50,8 @@
 /// What a choice was based on, for the log. The choice itself uses the same values.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ChoiceBasis {
-    /// The instance that the node takes for the primary, and the term that it is known to lead.
+    /// The instance that the node takes for the primary, and the term that its current process has
+    /// been shown to lead.
     pub primary: Option<(InstanceName, Option<Term>)>,
     /// The role that the chosen instance announces.
     pub announced_role: Option<Role>,
@@ -63,6 +64,17 @@
     pub sample: Option<PrimarySample>,
 }
 
+impl ChoiceBasis {
+    /// The term that the process of `instance` must still be known to have led when the statement is
+    /// sent. `None` if the choice does not rely on that: the statement needs no evidence, or the
+    /// instance itself checks the position that the statement requires.
+    pub fn required_lead(&self, instance: &InstanceName) -> Option<Term> {
+        let is_primary = self.primary.as_ref().is_some_and(|(primary, _)| primary == instance);
+        let relies = is_primary && self.must_cover.is_some() && self.sample.is_none();
+        self.coverage.filter(|_| relies).map(|coverage| coverage.term)
+    }
+}
+
 /// The choice for a statement, and what it was based on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ExplainedChoice {
@@ -114,7 +126,8 @@
     let primary = io.context.leader(group, configured);
     let synchronous = configured.synchronous_replicas;
     let (replication, lifetime) = (configured.replication(), io.context.evidence_lifetime());
-    basis.primary = primary.map(|primary| (primary.name.clone(), known.led_term_of(&primary.name)));
+    basis.primary =
+        primary.map(|primary| (primary.name.clone(), known.current_led_term_of(&primary.name)));
     basis.coverage =
         primary.and_then(|primary| known.coverage(&primary.name, replication, lifetime));
     let covered_until = basis.coverage.map(|coverage| coverage.until);
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -79,6 +79,7 @@
         let found = instance_choice::choose_instance(name, group, &mut access, needs, io);
         if let InstanceChoice::Instance(instance) = &found.choice {
             choice_log::log_chosen(&self.described(name, &found.basis), instance, io);
+            self.exchange.required_lead = found.basis.required_lead(instance);
             if let Access::Read { .. } = &access {
                 self.exchange.access = access;
             }
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -142,6 +142,10 @@
     positions_in_answers: bool,
     /// Whether the instance does not run: nothing listens at its address, or another instance does.
     is_instance_down: bool,
+    /// When it was opened.
+    opened_at: Instant,
+    /// Whether the instance has closed it, or it has failed.
+    is_broken: bool,
     /// Number of the running exchange in the node's shared statuses.
     status_exchange_number: u64,
 }
@@ -169,6 +173,8 @@
             is_last_lease: false,
             positions_in_answers: false,
             is_instance_down: false,
+            opened_at: Instant::now(),
+            is_broken: false,
             status_exchange_number: 0,
         }
     }
@@ -241,6 +247,17 @@
         self.is_instance_down
     }
 
+    /// When the connection was opened.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
+    /// Whether the instance has accepted the connection and closed it since, or the connection has
+    /// failed: the instance's process may have ended.
+    pub fn shows_end_of_process(&self) -> bool {
+        self.is_broken && !matches!(self.state, State::StartingUp)
+    }
+
     /// Whether the connection runs nothing.
     pub fn is_idle(&self) -> bool {
         matches!(self.state, State::Idle)
@@ -253,12 +270,16 @@
 
     /// Reads from the socket.
     pub fn fill(&mut self) -> ReadOutcome {
-        self.connection.fill()
+        let outcome = self.connection.fill();
+        self.is_broken |= outcome.is_closed();
+        outcome
     }
 
     /// Writes queued output to the socket.
     pub fn flush(&mut self, io: &mut Io) -> io::Result<()> {
-        self.connection.flush(io.registry)
+        let flushed = self.connection.flush(io.registry);
+        self.is_broken |= flushed.is_err();
+        flushed
     }
 
     /// Removes the connection from the event loop.
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -60,7 +60,8 @@
         let Some(configured) = catalog.groups.get(&group) else { return };
         match event {
             ServerEvent::Started(position) => {
-                let reachability = ConnectionOutcome::Established(position);
+                let opened_at = server.opened_at();
+                let reachability = ConnectionOutcome::Established { position, opened_at };
                 io.context.statuses.on_connection(&group, &instance, reachability);
                 record_occupant(&group, configured, &instance, io);
                 return;
--- a/crates/daemon/src/shared/exchange_record.rs
+++ b/crates/daemon/src/shared/exchange_record.rs
@@ -40,6 +40,9 @@
     /// answered. The terms of its positions do not show that: a demoted primary reports those of
     /// its successor.
     led_term: Option<Term>,
+    /// Highest term that its current process has been shown to lead. An instance may restart
+    /// without its log under the same name, and then lacks the commits of the term that it led.
+    current_led_term: Option<Term>,
     /// Moving average of its response time.
     pub mean_service_time: Option<Duration>,
     /// Whether an exchange or a connection has failed since it last responded.
@@ -130,9 +133,20 @@
         self.led_term
     }
 
+    /// Highest term that its current process has been shown to lead.
+    pub(super) fn current_led_term(&self) -> Option<Term> {
+        self.current_led_term
+    }
+
     /// Records that it has been shown to lead `term`.
     pub(super) fn on_led_term(&mut self, term: Term) {
         self.led_term = self.led_term.max(Some(term));
+        self.current_led_term = self.current_led_term.max(Some(term));
+    }
+
+    /// Its process may have ended: what that process led has to be shown again.
+    pub(super) fn on_process_ended(&mut self) {
+        self.current_led_term = None;
     }
 
     /// Records its replication status. The instance responds, so earlier failures no longer count.
@@ -150,8 +164,7 @@
         let ended = index.map(|index| self.in_flight.swap_remove(index));
         match (response, ended) {
             (Some(response), _) => {
-                let elapsed = response.completed_at.saturating_duration_since(response.sent);
-                self.on_response(elapsed, response.position, response.completed_at);
+                self.on_response(response);
             }
             (None, ended) => {
                 self.is_unresponsive = true;
@@ -164,11 +177,12 @@
 
     /// Records the outcome of a connection to it.
     pub(super) fn on_connection(&mut self, outcome: ConnectionOutcome) {
-        self.is_unresponsive = !matches!(outcome, ConnectionOutcome::Established(_));
+        self.is_unresponsive = !matches!(outcome, ConnectionOutcome::Established { .. });
         match outcome {
-            ConnectionOutcome::Established(position) => {
+            ConnectionOutcome::Established { position, opened_at } => {
                 self.refused_since = None;
                 self.abandoned.on_answer();
+                self.check_log_kept(position, opened_at);
                 self.set_position(position, Instant::now());
             }
             ConnectionOutcome::Refused => {
@@ -185,6 +199,19 @@
         }
     }
 
+    /// The instance reported `position`, or an empty log, in answer to a request that was sent at
+    /// `requested_at`. If it reported a higher position before that, its process has ended.
+    fn check_log_kept(&mut self, position: Option<Position>, requested_at: Instant) {
+        let earlier = self.last_position.zip(self.last_position_at);
+        let order = |position: Position| (position.term, position.offset);
+        let has_lost_log = earlier.is_some_and(|(last, reported_at)| {
+            requested_at > reported_at && position.map(order) < Some(order(last))
+        });
+        if has_lost_log {
+            self.on_process_ended();
+        }
+    }
+
     fn set_position(&mut self, position: Option<Position>, reported_at: Instant) {
         if position.is_some() {
             self.last_position = position;
@@ -193,7 +220,12 @@
         }
     }
 
-    fn on_response(&mut self, elapsed: Duration, position: Option<Position>, completed: Instant) {
+    fn on_response(&mut self, response: &ExchangeResponse) {
+        let ExchangeResponse { sent, completed_at: completed, position, .. } = *response;
+        let elapsed = completed.saturating_duration_since(sent);
+        if position.is_some() && !response.continues_transaction {
+            self.check_log_kept(position, sent);
+        }
         self.is_unresponsive = false;
         self.refused_since = None;
         self.abandoned.on_answer();
@@ -209,8 +241,13 @@
 /// Outcome of a connection to an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionOutcome {
-    /// The connection was established, and the instance reported this position.
-    Established(Option<Position>),
+    /// The connection was established.
+    Established {
+        /// Position that the instance reported.
+        position: Option<Position>,
+        /// When the connection was opened.
+        opened_at: Instant,
+    },
     /// The connection could not be established.
     Refused,
     /// The connection broke, or was closed, with an exchange in flight.
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -54,6 +54,12 @@
         self.exchange_records.get(instance)?.led_term()
     }
 
+    /// Highest term that the current process of the instance has been shown to lead. Evidence that
+    /// no other primary acknowledges commits shows nothing about reads at another process.
+    pub fn current_led_term_of(&self, instance: &InstanceName) -> Option<Term> {
+        self.exchange_records.get(instance)?.current_led_term()
+    }
+
     /// Whether the instance, as the primary, may lack a commit of a session with this bound.
     pub fn may_lack_session_commits(
         &self,
@@ -76,7 +82,7 @@
         group: Replication,
         lifetime: Duration,
     ) -> Option<Coverage> {
-        self.evidence.coverage(self.led_term_of(instance)?, group, lifetime)
+        self.evidence.coverage(self.current_led_term_of(instance)?, group, lifetime)
     }
 
     /// Until when the evidence covers the arrival of reads at the primary `instance`.
@@ -99,7 +105,7 @@
         moment: Instant,
         now: Instant,
     ) -> bool {
-        let Some(term) = self.led_term_of(instance) else { return false };
+        let Some(term) = self.current_led_term_of(instance) else { return false };
         let queried_at = self.evidence.newest();
         let waited =
             queried_at.is_some_and(|queried_at| now >= queried_at + REPLICA_RESPONSE_TIMEOUT);
@@ -171,7 +177,7 @@
             record.on_ended(number, response.as_ref());
             let Some(response) = response else { return };
             if let (Some(Role::Primary), Some(position)) = (response.role, response.position) {
-                let led_term = record.led_term();
+                let led_term = record.current_led_term();
                 known.primary_samples.record(PositionReport {
                     instance,
                     position,
@@ -203,6 +209,14 @@
         self.with_group(group, |known| known.evidence.discard());
     }
 
+    /// Records that the process of an instance may have ended, because the instance closed a
+    /// connection.
+    pub fn on_process_ended(&self, group: &GroupName, instance: &InstanceName) {
+        self.with_group(group, |known| {
+            known.exchange_records.entry(instance.clone()).or_default().on_process_ended();
+        });
+    }
+
     /// Records the incarnation of an instance that the platform reports. State of an earlier
     /// incarnation is dropped.
     pub fn on_incarnation(
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -45,6 +45,7 @@
         ready_expected: 1,
         may_commit: true,
         commits_write: true,
+        required_lead: None,
     }
 }
 
--- a/crates/daemon/tests/queue_wait.rs
+++ b/crates/daemon/tests/queue_wait.rs
@@ -52,6 +52,7 @@
         ready_expected: 1,
         may_commit: false,
         commits_write: false,
+        required_lead: None,
     }
 }
 
--- a/crates/daemon/tests/shared_capacity.rs
+++ b/crates/daemon/tests/shared_capacity.rs
@@ -55,6 +55,7 @@
         ready_expected: 1,
         may_commit: false,
         commits_write: false,
+        required_lead: None,
     }
 }
 
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -81,6 +81,10 @@
     }
 }
 
+fn established() -> ConnectionOutcome {
+    ConnectionOutcome::Established { position: None, opened_at: Instant::now() }
+}
+
 #[test]
 fn a_reported_primary_is_covered_by_a_replica_of_its_term() {
     let fixture = Fixture::new();
@@ -143,13 +147,53 @@
     assert_eq!(fixture.read_position("new", before), Some(expected));
 }
 
+/// Guards against stale reads: a primary restarted without its log under its name, and replicas
+/// still followed the term that it had led.
+#[test]
+fn a_primary_whose_process_may_have_ended_is_not_covered_until_it_is_shown_to_lead() {
+    let fixture = Fixture::new();
+    let lead = || {
+        fixture.report_status("primary", Role::Primary, 1);
+        fixture.report_status("replica", Role::Replica, 1);
+        fixture.confirm_no_replacement();
+    };
+    lead();
+    assert!(fixture.is_covered("primary"));
+    fixture.table.on_process_ended(&fixture.group, &name("primary"));
+    fixture.table.forget_evidence(&fixture.group);
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    assert!(!fixture.is_covered("primary"), "its process may be another one");
+    lead();
+    assert!(fixture.is_covered("primary"));
+}
+
+/// No connection was open when the primary restarted, so that none broke.
+#[test]
+fn a_primary_that_reports_a_lower_position_than_before_is_not_covered() {
+    let fixture = Fixture::new();
+    fixture.report_status("primary", Role::Primary, 1);
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    fixture.answer_read("primary", position(1, 9));
+    let start = |position, opened_at| {
+        let outcome = ConnectionOutcome::Established { position, opened_at };
+        fixture.table.on_connection(&fixture.group, &name("primary"), outcome);
+    };
+    start(Some(position(1, 9)), Instant::now());
+    start(Some(position(1, 8)), Instant::now() - Duration::from_secs(1));
+    assert!(fixture.is_covered("primary"), "the connection was opened before the last answer");
+    start(Some(position(1, 3)), Instant::now());
+    assert!(!fixture.is_covered("primary"), "it has lost its log");
+}
+
 /// One connection of an owner failed while its others worked. No new connection was needed, so
 /// nothing cleared the doubt, and the owner sent no more reads to the instance.
 #[test]
 fn a_status_report_clears_the_doubt_about_an_instance() {
     let fixture = Fixture::new();
     let replica = name("replica");
-    fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Established(None));
+    fixture.table.on_connection(&fixture.group, &replica, established());
     fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Broken);
     assert!(fixture.is_in_doubt("replica"));
     fixture.report_status("replica", Role::Replica, 1);
@@ -164,7 +208,7 @@
     let due_queries = |after_ms: u64| {
         fixture.table.take_due_status_queries(&fixture.group, now + Duration::from_millis(after_ms))
     };
-    fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Established(None));
+    fixture.table.on_connection(&fixture.group, &replica, established());
     assert!(due_queries(0).is_empty(), "the instance is not in doubt");
     fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Broken);
     assert_eq!(due_queries(0), std::slice::from_ref(&replica));
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -114,6 +114,10 @@
     /// acknowledges commits only after replicas have received them, success is evidence that no
     /// other instance is primary.
     pub commits_write: bool,
+    /// Set by the gateway that chose the primary for it on evidence: the term that the instance's
+    /// process led then, and must have been shown to lead when the exchange is sent.
+    #[serde(skip)]
+    pub required_lead: Option<Term>,
 }
 
 /// A request of a front to a gateway.
