Take a commit for evidence of a lead only under a term that was shown

Callers saw nothing yet: found by reading. Belief: the term in the position of an acknowledged commit is the one that its instance led. The position is that of the instance's log when it answers. An old primary whose commit waits for a replica may become a replica meanwhile and answers with the successor's term; the stand-in does so (commit_writes and put_ready). The node took that for evidence that the old primary leads the successor's term, and its position for the primary's.

Now a commit under a higher term than its instance is known to have led is no evidence. It shows that the higher term was led, and the instance has to report that it leads it: the next read or write at it waits for one round of status queries. The first commit of an instance that the node knows nothing of counts as before.

Price: one status query, only for an instance that leads a second time.

--- a/crates/daemon/src/shared/exchange_record.rs
+++ b/crates/daemon/src/shared/exchange_record.rs
@@ -144,8 +144,8 @@
         self.current_led_term = self.current_led_term.max(Some(term));
     }
 
-    /// Its process may have ended: what that process led has to be shown again.
-    pub(super) fn on_process_ended(&mut self) {
+    /// Its process may have ended, or may have become a replica: that it leads has to be shown again.
+    pub(super) fn on_lead_in_doubt(&mut self) {
         self.current_led_term = None;
     }
 
@@ -208,7 +208,7 @@
             requested_at > reported_at && position.map(order) < Some(order(last))
         });
         if has_lost_log {
-            self.on_process_ended();
+            self.on_lead_in_doubt();
         }
     }
 
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -69,9 +69,20 @@
         routing::may_lack_session_commits(self.led_term_of(instance), bound)
     }
 
-    fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) {
-        self.exchange_records.entry(instance.clone()).or_default().on_led_term(term);
+    /// Returns whether the commit shows that the instance leads the term of the answer's position.
+    /// An instance that has led a lower term may have become a replica before it answered: it
+    /// reports the new term, and has to show that it leads it.
+    fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) -> bool {
         self.last_commit = Some(Instant::now());
+        let record = self.exchange_records.entry(instance.clone()).or_default();
+        let may_follow = record.led_term().is_some_and(|led| led < term);
+        if may_follow {
+            record.on_lead_in_doubt();
+            self.evidence.on_term_led(term);
+        } else {
+            record.on_led_term(term);
+        }
+        !may_follow
     }
 
     /// What covers the arrival of reads at the primary `instance`: a read that arrives until then
@@ -213,7 +224,7 @@
     /// connection.
     pub fn on_process_ended(&self, group: &GroupName, instance: &InstanceName) {
         self.with_group(group, |known| {
-            known.exchange_records.entry(instance.clone()).or_default().on_process_ended();
+            known.exchange_records.entry(instance.clone()).or_default().on_lead_in_doubt();
         });
     }
 
@@ -247,8 +258,9 @@
     /// sent at `sent`.
     pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
         self.with_group(group, |known| {
-            known.on_commit_answered(instance, term);
-            known.evidence.on_commit(term, sent);
+            if known.on_commit_answered(instance, term) {
+                known.evidence.on_commit(term, sent);
+            }
         });
     }
 
@@ -260,7 +272,9 @@
         instance: &InstanceName,
         term: Term,
     ) {
-        self.with_group(group, |known| known.on_commit_answered(instance, term));
+        self.with_group(group, |known| {
+            known.on_commit_answered(instance, term);
+        });
     }
 
     /// What the evidence shows at `now` about a commit that the primary of `term` answered at
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -168,6 +168,22 @@
     assert!(fixture.is_covered("primary"));
 }
 
+/// Guards against stale reads: an old primary acknowledged a commit through a replica that a
+/// promotion had released, and then became a replica itself. The position of its answer had the
+/// successor's term, which the node took for evidence that the old primary led that term.
+#[test]
+fn a_commit_answered_under_a_higher_term_does_not_show_that_its_instance_leads_that_term() {
+    let fixture = Fixture::new();
+    fixture.report_status("old", Role::Primary, 1);
+    fixture.table.on_commit(&fixture.group, &name("old"), Term(1), Instant::now());
+    assert!(fixture.is_covered("old"));
+    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    assert!(!fixture.is_covered("old"), "it may follow the primary of the term");
+    fixture.report_status("old", Role::Primary, 2);
+    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    assert!(fixture.is_covered("old"), "it leads the term");
+}
+
 /// No connection was open when the primary restarted, so that none broke.
 #[test]
 fn a_primary_that_reports_a_lower_position_than_before_is_not_covered() {
--- a/crates/lab/tests/restarted_primaries.rs
+++ b/crates/lab/tests/restarted_primaries.rs
@@ -71,10 +71,8 @@
         LineSession::open(platform.client_addresses[0], &route, name).expect("it opens")
     };
     let mut writer = open("writer");
-    wait("a write is answered", || {
-        writer.run("WRITE thing data").expect("an answer").is_success()
-    })
-    .expect("in time");
+    wait("a write is answered", || writer.run("WRITE thing data").expect("an answer").is_success())
+        .expect("in time");
     let written = writer.run("READ thing").expect("an answer");
     let mut sessions: Vec<LineSession> =
         (0..QUEUED_READS).map(|number| open(&format!("reader{number}-"))).collect();
