--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::routing::has_reached;
 use kestrellock_peer::message::{Exchange, Placement};
 
-use super::pool::{Assignment, Assignments, ConnectionToOpen, PlacedChoice, Pool};
+use super::pool::{Assignment, Assignments, ConnectionToOpen, Pool};
 use super::server::{Purpose, Server};
 use super::{Gateway, notify_refused, ownership, queued_log, refuse};
 use crate::event::Io;
@@ -69,7 +69,7 @@
             let need = need.clone();
             return self.place(name, group, exchange, need, io);
         }
-        self.offer(name, group, exchange, None, io);
+        self.offer(name, group, exchange, io);
     }
 
     /// Queues the first exchange of a lease for its chosen instance.
@@ -78,7 +78,6 @@
         name: &GroupName,
         group: &Group,
         exchange: Exchange,
-        choice: Option<PlacedChoice>,
         io: &mut Io,
     ) {
         let Some(instance) = chosen_instance(&exchange).and_then(|name| group.instance(name))
@@ -97,7 +96,7 @@
             ownership::redirect(&exchange, owner, io);
             return;
         };
-        if let Err(refused) = pool.offer_placed(exchange, choice, capacity, io.now) {
+        if let Err(refused) = pool.offer(exchange, capacity, io.now) {
             notify_refused(*refused, io);
             return;
         }
@@ -127,19 +126,7 @@
         for (instance, opening) in openings {
             self.open_connection(name, group, instance, opening, io);
         }
-        for Assignment { key, exchange, choice } in assigned {
-            if let Some(choice) =
-                choice.filter(|choice| self.may_serve_other_process(key, choice, io))
-            {
-                if let Some(pool) = self.pool_of(key) {
-                    pool.on_idle(key, io.now);
-                }
-                let waited = io.now.saturating_duration_since(choice.made_at);
-                let mut requirements = choice.requirements;
-                requirements.waited += waited;
-                self.place(name, group, exchange, requirements, io);
-                continue;
-            }
+        for Assignment { key, exchange } in assigned {
             self.leases.insert(exchange.lease.clone(), key);
             if let Some(server) = self.servers.get_mut(key) {
                 server.begin_lease(exchange.lease.clone());
@@ -148,18 +135,6 @@
         }
     }
 
-    /// Whether a connection was established after the instance of an exchange was chosen, and may
-    /// lead to a process that started after that. The evidence for the choice may be from before
-    /// the start, so that the instance has to be chosen again.
-    fn may_serve_other_process(&self, key: usize, choice: &PlacedChoice, io: &Io) -> bool {
-        let Some(server) = self.servers.get(key) else { return false };
-        let (established, _) = server.times();
-        let statuses = &io.context.statuses;
-        established > choice.made_at
-            && io.context.protocol.traits().positions_in_answers
-            && !statuses.was_running_at(&server.group, &server.instance, choice.made_at)
-    }
-
     /// Opens a connection, and closes the idle connection that it replaces, if any.
     fn open_connection(
         &mut self,
@@ -210,6 +185,28 @@
         status.is_some_and(|status| has_reached(status, &exchange.access))
     }
 
+    /// Whether the evidence on which the choice of the instance relied still covers the exchange. The
+    /// process may have ended while the exchange waited in the queue, and another one of the same
+    /// instance may lack the commits that the exchange must see. On a connection that was established
+    /// after the choice, the evidence must cover the process to which that connection leads.
+    fn has_required_lead(&self, key: usize, exchange: &Exchange, io: &Io) -> bool {
+        let Some(required) = exchange.required_lead else { return true };
+        let server = &self.servers[key];
+        let catalog = io.context.catalog.load();
+        let Some(configured) = catalog.groups.get(&server.group) else { return false };
+        let (established, _) = server.times();
+        let group_statuses = io.context.statuses.group(&server.group);
+        let known = group_statuses.read().expect("a thread panicked while it held the status lock");
+        let is_covered = || {
+            let lifetime = io.context.evidence_lifetime();
+            let covered_until =
+                known.covered_until(&server.instance, configured.replication(), lifetime);
+            covered_until.is_some_and(|covered_until| required.must_cover <= covered_until)
+        };
+        let leads = known.current_led_term_of(&server.instance) >= Some(required.term);
+        leads && (established <= required.chosen_at || is_covered())
+    }
+
     fn run_on_connection(&mut self, key: usize, exchange: &Exchange, io: &mut Io) {
         let Some(server) = self.servers.get_mut(key) else { return };
         if !server.can_run(exchange) {
@@ -224,6 +221,11 @@
             refuse(exchange, code, "the instance has not reached the session's position", io);
             return self.terminate_lease(key, io);
         }
+        if exchange.number == 0 && !self.has_required_lead(key, exchange, io) {
+            let detail = "the instance's process may have ended since it was chosen";
+            refuse(exchange, ResultCode::NoFreshInstance, detail, io);
+            return self.terminate_lease(key, io);
+        }
         let Some(server) = self.servers.get_mut(key) else { return };
         let deadline = io.now + exchange.time_left;
         // Read the clock again: this process may have been paused since it received the event.
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -81,7 +81,8 @@
         let configured = catalog.groups.get(&group);
         match event {
             ServerEvent::Started(position) => {
-                let reachability = ConnectionOutcome::Established(position);
+                let opened_at = server.opened_at();
+                let reachability = ConnectionOutcome::Established { position, opened_at };
                 io.context.statuses.on_connection(&group, &instance, reachability);
                 if let Some(configured) = configured {
                     record_occupant(&group, configured, &instance, io);
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -13,8 +13,8 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::primary_evidence::{PrimaryEvidence, ReplicaTerms, Replication};
-use kestrellock_core::primary_samples::PrimarySamples;
+use kestrellock_core::primary_evidence::{Coverage, PrimaryEvidence, ReplicaTerms, Replication};
+use kestrellock_core::primary_samples::{PositionReport, PrimarySamples};
 use kestrellock_core::promotion::{AnsweredPositions, Intent};
 use kestrellock_core::routing::{self, InstanceStatus, Role};
 use kestrellock_core::suspicion::HealthSignals;
@@ -57,6 +57,12 @@
         self.exchange_records.get(instance)?.led_term()
     }
 
+    /// Highest term that the current process of the instance has been shown to lead. Evidence that
+    /// no other primary acknowledges commits shows nothing about reads at another process.
+    pub fn current_led_term_of(&self, instance: &InstanceName) -> Option<Term> {
+        self.exchange_records.get(instance)?.current_led_term()
+    }
+
     /// Whether the instance, as the primary, may lack a commit of a session with this bound.
     pub fn may_lack_session_commits(
         &self,
@@ -66,22 +72,44 @@
         routing::may_lack_session_commits(self.led_term_of(instance), bound)
     }
 
-    fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) {
-        self.exchange_records.entry(instance.clone()).or_default().on_led_term(term);
+    /// Returns whether the commit shows that the instance leads the term of the answer's position.
+    /// An instance that has led a lower term may have become a replica before it answered: it
+    /// reports the new term, and has to show that it leads it.
+    fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) -> bool {
         self.last_commit = Some(Instant::now());
+        let record = self.exchange_records.entry(instance.clone()).or_default();
+        let may_follow = record.led_term().is_some_and(|led| led < term);
+        if may_follow {
+            record.on_lead_in_doubt();
+            self.evidence.on_term_led(term);
+        } else {
+            record.on_led_term(term);
+        }
+        !may_follow
     }
 
-    /// Until when the evidence covers the arrival of reads at the primary `instance`: such a read
+    /// What covers the arrival of reads at the primary `instance`: a read that arrives until then
     /// sees every acknowledged commit.
+    pub fn coverage(
+        &self,
+        instance: &InstanceName,
+        group: Replication,
+        lifetime: Duration,
+    ) -> Option<Coverage> {
+        let term = self.current_led_term_of(instance)?;
+        let coverage = self.evidence.coverage(term, group, lifetime)?;
+        let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
+        Some(Coverage { until, ..coverage })
+    }
+
+    /// Until when the evidence covers the arrival of reads at the primary `instance`.
     pub fn covered_until(
         &self,
         instance: &InstanceName,
         group: Replication,
         lifetime: Duration,
     ) -> Option<Instant> {
-        let term = self.led_term_of(instance)?;
-        let evidence = self.evidence.covers_until(term, group, Duration::ZERO)?;
-        Some(self.covers_until(Some(instance), evidence, lifetime))
+        self.coverage(instance, group, lifetime).map(|coverage| coverage.until)
     }
 
     /// Until when evidence that was gathered at `evidence` covers arrivals at the process that the
@@ -108,7 +136,7 @@
         moment: Instant,
         now: Instant,
     ) -> bool {
-        let Some(term) = self.led_term_of(instance) else { return false };
+        let Some(term) = self.current_led_term_of(instance) else { return false };
         let queried_at = self.evidence.newest();
         let waited =
             queried_at.is_some_and(|queried_at| now >= queried_at + REPLICA_RESPONSE_TIMEOUT);
@@ -181,7 +209,16 @@
             record.on_ended(number, response.as_ref());
             let Some(response) = response else { return };
             if let (Some(Role::Primary), Some(position)) = (response.role, response.position) {
-                known.primary_samples.record(response.sent, position);
+                let led_term = record.current_led_term();
+                known.primary_samples.record(PositionReport {
+                    instance,
+                    position,
+                    led_term,
+                    is_read_only: response.is_read_only,
+                    may_be_earlier: response.continues_transaction,
+                    queried_at: response.sent,
+                    answered_at: response.completed_at,
+                });
             }
         });
     }
@@ -227,17 +264,12 @@
         }
     }
 
-    /// Whether a connection to an instance leads to a process that is known to have been running at
-    /// `moment`, if the connection is the newest one.
-    pub fn was_running_at(
-        &self,
-        group: &GroupName,
-        instance: &InstanceName,
-        moment: Instant,
-    ) -> bool {
-        let statuses = self.group(group);
-        let known = statuses.read().expect("a thread panicked while it held the status lock");
-        known.processes.get(instance).is_some_and(|process| process.was_running_at(moment))
+    /// Records that the process of an instance may have ended, because the instance closed a
+    /// connection.
+    pub fn on_process_ended(&self, group: &GroupName, instance: &InstanceName) {
+        self.with_group(group, |known| {
+            known.exchange_records.entry(instance.clone()).or_default().on_lead_in_doubt();
+        });
     }
 
     /// Records the incarnation of an instance that the platform reports. State of an earlier
@@ -270,8 +302,9 @@
     /// sent at `sent`.
     pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
         self.with_group(group, |known| {
-            known.on_commit_answered(instance, term);
-            known.evidence.on_commit(term, sent);
+            if known.on_commit_answered(instance, term) {
+                known.evidence.on_commit(term, sent);
+            }
         });
     }
 
@@ -283,7 +316,9 @@
         instance: &InstanceName,
         term: Term,
     ) {
-        self.with_group(group, |known| known.on_commit_answered(instance, term));
+        self.with_group(group, |known| {
+            known.on_commit_answered(instance, term);
+        });
     }
 
     /// What the evidence shows at `now` about a commit that the primary of `term` answered at
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 //! Fields and variants are encoded under their names. A name that differs on the wire has a serde
 //! attribute.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use kestrellock_core::cancel::CancelKey;
@@ -114,6 +114,21 @@
     /// acknowledges commits only after replicas have received them, success is evidence that no
     /// other instance is primary.
     pub commits_write: bool,
+    /// Set by the gateway that chose the primary for it on evidence; checked again when the exchange
+    /// is sent.
+    #[serde(skip)]
+    pub required_lead: Option<RequiredLead>,
+}
+
+/// What a gateway relied on when it chose the primary for an exchange on evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequiredLead {
+    /// The term that the instance's process led.
+    pub term: Term,
+    /// Commits acknowledged before this time must be visible to the exchange.
+    pub must_cover: Instant,
+    /// When the instance was chosen.
+    pub chosen_at: Instant,
 }
 
 /// A request of a front to a gateway.
