--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -42,9 +42,14 @@
     fn answer_read(&self, instance: &str, position: Position) {
         let number = self.table.on_sent(&self.group, &name(instance), false);
         let now = Instant::now();
-        let role = Some(Role::Primary);
-        let answered =
-            ExchangeResponse { sent: now, completed_at: now, position: Some(position), role };
+        let answered = ExchangeResponse {
+            sent: now,
+            completed_at: now,
+            position: Some(position),
+            role: Some(Role::Primary),
+            is_read_only: false,
+            continues_transaction: false,
+        };
         self.table.on_ended(&self.group, &name(instance), number, Some(answered));
     }
 
@@ -59,6 +64,16 @@
         statuses.covered_until(&name(instance), REPLICATION, EVIDENCE_LIFETIME).is_some()
     }
 
+    /// The position that a read at a replica needs, and which instance reported it.
+    fn read_position(&self, primary: &str, moment: Instant) -> Option<(InstanceName, Position)> {
+        let statuses = self.table.group(&self.group);
+        let statuses = statuses.read().expect("no thread panicked");
+        let primary = name(primary);
+        let coverage = statuses.coverage(&primary, REPLICATION, EVIDENCE_LIFETIME)?;
+        let sample = statuses.primary_samples.covering(&primary, &coverage, moment)?;
+        Some((sample.instance.clone(), sample.position))
+    }
+
     fn is_in_doubt(&self, instance: &str) -> bool {
         let statuses = self.table.group(&self.group);
         let statuses = statuses.read().expect("no thread panicked");
@@ -66,6 +81,10 @@
     }
 }
 
+fn established() -> ConnectionOutcome {
+    ConnectionOutcome::Established { position: None, opened_at: Instant::now() }
+}
+
 #[test]
 fn a_reported_primary_is_covered_by_a_replica_of_its_term() {
     let fixture = Fixture::new();
@@ -109,13 +128,88 @@
     assert!(fixture.is_covered("old"), "it is primary again");
 }
 
+/// Guards against stale bounded reads: a node whose copy of the store was old took the position of
+/// a replica that had been the primary for that of the primary.
+#[test]
+fn an_old_primary_does_not_supply_the_position_that_reads_need() {
+    let fixture = Fixture::new();
+    let before = Instant::now();
+    fixture.report_status("old", Role::Primary, 1);
+    fixture.answer_read("old", position(2, 3));
+    fixture.report_status("new", Role::Primary, 2);
+    fixture.report_status("replica", Role::Replica, 2);
+    fixture.confirm_no_replacement();
+    assert!(fixture.is_covered("new"));
+    assert_eq!(fixture.read_position("new", before), None, "the primary has not answered");
+    std::thread::sleep(Duration::from_millis(50));
+    fixture.answer_read("new", position(2, 9));
+    let expected = (name("new"), position(2, 9));
+    assert_eq!(fixture.read_position("new", before), Some(expected));
+}
+
+/// Guards against stale reads: a primary restarted without its log under its name, and replicas
+/// still followed the term that it had led.
+#[test]
+fn a_primary_whose_process_may_have_ended_is_not_covered_until_it_is_shown_to_lead() {
+    let fixture = Fixture::new();
+    let lead = || {
+        fixture.report_status("primary", Role::Primary, 1);
+        fixture.report_status("replica", Role::Replica, 1);
+        fixture.confirm_no_replacement();
+    };
+    lead();
+    assert!(fixture.is_covered("primary"));
+    fixture.table.on_process_ended(&fixture.group, &name("primary"));
+    fixture.table.forget_evidence(&fixture.group);
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    assert!(!fixture.is_covered("primary"), "its process may be another one");
+    lead();
+    assert!(fixture.is_covered("primary"));
+}
+
+/// Guards against stale reads: an old primary acknowledged a commit through a replica that a
+/// promotion had released, and then became a replica itself. The position of its answer had the
+/// successor's term, which the node took for evidence that the old primary led that term.
+#[test]
+fn a_commit_answered_under_a_higher_term_does_not_show_that_its_instance_leads_that_term() {
+    let fixture = Fixture::new();
+    fixture.report_status("old", Role::Primary, 1);
+    fixture.table.on_commit(&fixture.group, &name("old"), Term(1), Instant::now());
+    assert!(fixture.is_covered("old"));
+    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    assert!(!fixture.is_covered("old"), "it may follow the primary of the term");
+    fixture.report_status("old", Role::Primary, 2);
+    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    assert!(fixture.is_covered("old"), "it leads the term");
+}
+
+/// No connection was open when the primary restarted, so that none broke.
+#[test]
+fn a_primary_that_reports_a_lower_position_than_before_is_not_covered() {
+    let fixture = Fixture::new();
+    fixture.report_status("primary", Role::Primary, 1);
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    fixture.answer_read("primary", position(1, 9));
+    let start = |position, opened_at| {
+        let outcome = ConnectionOutcome::Established { position, opened_at };
+        fixture.table.on_connection(&fixture.group, &name("primary"), outcome);
+    };
+    start(Some(position(1, 9)), Instant::now());
+    start(Some(position(1, 8)), Instant::now() - Duration::from_secs(1));
+    assert!(fixture.is_covered("primary"), "the connection was opened before the last answer");
+    start(Some(position(1, 3)), Instant::now());
+    assert!(!fixture.is_covered("primary"), "it has lost its log");
+}
+
 /// One connection of an owner failed while its others worked. No new connection was needed, so
 /// nothing cleared the doubt, and the owner sent no more reads to the instance.
 #[test]
 fn a_status_report_clears_the_doubt_about_an_instance() {
     let fixture = Fixture::new();
     let replica = name("replica");
-    fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Established(None));
+    fixture.table.on_connection(&fixture.group, &replica, established());
     fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Broken);
     assert!(fixture.is_in_doubt("replica"));
     fixture.report_status("replica", Role::Replica, 1);
@@ -130,7 +224,7 @@
     let due_queries = |after_ms: u64| {
         fixture.table.take_due_status_queries(&fixture.group, now + Duration::from_millis(after_ms))
     };
-    fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Established(None));
+    fixture.table.on_connection(&fixture.group, &replica, established());
     assert!(due_queries(0).is_empty(), "the instance is not in doubt");
     fixture.table.on_connection(&fixture.group, &replica, ConnectionOutcome::Broken);
     assert_eq!(due_queries(0), std::slice::from_ref(&replica));
--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -2,20 +2,28 @@
 //! that nothing has changed.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{Intent, Reason, ReplacementId, Successor};
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
+use kestrellock_core::promotion::{Intent, PromotionCaller, Reason, ReplacementId, Successor};
 use kestrellock_lab::standin::store::faults::WatchSilence;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
 use kestrellock_platform::coordination::StoreCoordination;
-use kestrellock_platform::keys::{KeyStore, Mirror, Scope};
+use kestrellock_platform::keys::{Freshness, KeyStore, Mirror, Scope};
+use kestrellock_platform::nodes::{NodeList, RegisteredNodes};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease, RecordOutcome};
+use kestrellock_store::machines::{Machine, MachineList, MachineState};
+use kestrellock_store::store::{ConfigStore, StoreError, WatchEvent};
 
 const EMPTY_ANSWERS: [WatchSilence; 2] =
     [WatchSilence::EmptyAtOldRevision, WatchSilence::EmptyAtCurrentRevision];
 
+const WATCHED_KEY: &str = "watched/key";
+
 struct Client {
+    nodes: NodeList,
     mirror: Arc<Mirror>,
     coordination: StoreCoordination,
 }
@@ -26,8 +34,29 @@
         mirror.advance().expect("an answer");
         mirror.set_scope(Scope::OwnKeys);
         let store = KeyStore::new(&store.endpoint());
-        let coordination = StoreCoordination::new(store, mirror.clone(), Default::default());
-        Self { mirror, coordination }
+        let registered = Arc::<RegisteredNodes>::default();
+        let nodes = NodeList::new(store.clone(), mirror.clone(), registered.clone());
+        let coordination = StoreCoordination::new(store, mirror.clone(), registered);
+        Self { nodes, mirror, coordination }
+    }
+
+    fn register(&self) -> Result<(), StoreError> {
+        self.nodes.register(&Machine {
+            node: NodeName::new("joining"),
+            zone: ZoneName::new("zone"),
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            state: MachineState::Live,
+            link_mbps: 0,
+        })
+    }
+
+    fn lists_itself(&self) -> bool {
+        let machines = self.nodes.machines().expect("a list");
+        machines.iter().any(|machine| machine.node == NodeName::new("joining"))
+    }
+
+    fn shows_replacement(&self) -> bool {
+        self.coordination.view().intents.contains_key(&group())
     }
 
     fn acquire(&self) -> CoordinatorLease {
@@ -40,8 +69,8 @@
     GroupName::new("orders")
 }
 
-fn record(client: &Client, lease: &CoordinatorLease, group: &GroupName) -> Intent {
-    let intent = Intent {
+fn intent_of(lease: &CoordinatorLease) -> Intent {
+    Intent {
         holder: NodeName::new("one"),
         id: ReplacementId { fence: lease.fence, attempt: 1 },
         reason: Reason::Suspected,
@@ -50,7 +79,11 @@
         promoting: false,
         awaits_log: false,
         callers: Vec::new(),
-    };
+    }
+}
+
+fn record(client: &Client, lease: &CoordinatorLease, group: &GroupName) -> Intent {
+    let intent = intent_of(lease);
     let outcome = client.coordination.record_intent(lease, group, &intent);
     assert_eq!(outcome.expect("an answer"), RecordOutcome::Recorded);
     intent
@@ -127,3 +160,113 @@
         assert_eq!((check.calls, check.read_revision), (calls, store.position()));
     }
 }
+
+/// An empty answer with a later revision than a change that it lacks hid that change for good.
+#[test]
+fn mirror_shows_a_replacement_that_an_empty_answer_has_hidden() {
+    for silence in EMPTY_ANSWERS {
+        for forgets_history in [false, true] {
+            let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+            let coordinator = Client::start(&store);
+            let lease = coordinator.acquire();
+            let reader = Client::start(&store);
+            store.silence_watches(silence);
+            let intent = record(&coordinator, &lease, &group());
+            reader.mirror.catch_up().expect("an empty answer");
+            store.put("others/key", b"1");
+            match forgets_history {
+                true => store.forget_history(),
+                false => store.end_watch_silence(),
+            }
+            reader.mirror.advance().expect("an answer");
+            let shown = reader.coordination.view().intents.get(&group()).cloned();
+            assert_eq!(shown, Some(intent), "{silence:?}, history forgotten: {forgets_history}");
+        }
+    }
+}
+
+/// A node listed itself on an empty answer, before its mirror showed a replacement whose coordinator
+/// did not wait for this node.
+#[test]
+fn node_does_not_list_itself_on_an_empty_answer() {
+    for silence in [EMPTY_ANSWERS.as_slice(), &[WatchSilence::NoAnswer]].concat() {
+        let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+        let coordinator = Client::start(&store);
+        let lease = coordinator.acquire();
+        let joining = Client::start(&store);
+        store.silence_watches(silence);
+        record(&coordinator, &lease, &group());
+        joining.register().expect("an answer");
+        assert!(joining.lists_itself(), "{silence:?}");
+        assert!(joining.shows_replacement(), "{silence:?}");
+    }
+}
+
+/// A node listed itself on a read of the nodes' entries, after its read of the replacement records
+/// had failed.
+#[test]
+fn node_does_not_list_itself_while_its_mirror_lacks_earlier_replacements() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let coordinator = Client::start(&store);
+    let lease = coordinator.acquire();
+    let joining = Client::start(&store);
+    record(&coordinator, &lease, &group());
+    // The first call is the registration, the second one is rejected.
+    store.set_rate_limit(Some(1));
+    assert!(joining.register().is_err());
+    store.set_rate_limit(None);
+    for freshness in [Freshness::MayBeStale, Freshness::Newest] {
+        joining.mirror.read_nodes(freshness).expect("an answer");
+        assert!(!joining.lists_itself() || joining.shows_replacement());
+    }
+    joining.register().expect("an answer");
+    assert!(joining.lists_itself() && joining.shows_replacement());
+}
+
+/// A coordinator whose mirror lacked the end of the last replacement took an empty answer for the
+/// store's word that no promotion was left open, and did not wait for it.
+#[test]
+fn record_does_not_forget_open_callers_on_an_empty_answer() {
+    for silence in EMPTY_ANSWERS {
+        let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+        let first = Client::start(&store);
+        let lease = first.acquire();
+        let next = Client::start(&store);
+        let intent = record(&first, &lease, &group());
+        let callers = [PromotionCaller { node: intent.holder, process: 1, fence: lease.fence }];
+        let successor = Successor { instance: InstanceName::new("i-2"), term: None };
+        let coordination = &first.coordination;
+        let finished = coordination.finish_replacement(
+            &lease,
+            &group(),
+            intent.id,
+            Some(&successor),
+            &callers,
+        );
+        assert!(finished.expect("an answer"));
+        coordination.release(&lease).expect("an answer");
+        store.silence_watches(silence);
+        let lease = next.acquire();
+        let own = intent_of(&lease);
+        let record = || next.coordination.record_intent(&lease, &group(), &own);
+        // A record without an outcome is tried again.
+        for outcome in [(); 2].map(|()| record()) {
+            assert!(matches!(outcome, Ok(RecordOutcome::EarlierPromotion)), "{outcome:?}");
+        }
+    }
+}
+
+/// A watch that continued from the revision of an empty answer never reported the change that the
+/// answer lacked.
+#[test]
+fn watch_reports_a_change_that_an_empty_answer_has_hidden() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let client = KeyStore::new(&store.endpoint());
+    let from = store.position() + 1;
+    store.silence_watches(WatchSilence::EmptyAtCurrentRevision);
+    store.put(WATCHED_KEY, b"1");
+    let mut watch = client.watch(WATCHED_KEY, from).expect("it opens");
+    store.end_watch_silence();
+    let mut events = (0..4).map(|_| watch.next(Duration::from_secs(4)).expect("an event"));
+    assert!(events.any(|event| event == WatchEvent::Changed(store.position())));
+}
