No replacement check of a group whose replacement the node knows

The condition under which an answer counts is now tested before the call as well. Statements that wait request the check again.

--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -80,7 +80,9 @@
         if self.in_progress.is_some() || is_early || !self.may_call(now) {
             return;
         }
-        let groups = context.replacement_check_requests.take();
+        let mut groups = context.replacement_check_requests.take();
+        // No answer would confirm the others. They are requested again while statements wait.
+        groups.retain(|name| is_unreplaced(name, context, view));
         if !groups.is_empty() && self.requests.try_send(groups.clone()).is_ok() {
             self.in_progress = Some(groups);
             self.last_start = Some(now);
@@ -135,22 +137,19 @@
         Ok(check) => check,
         Err(error) => return log_failed_check(groups, result.started_at, error),
     };
+    let is_view_complete = view.revision >= check.view_revision;
+    let confirmed = check.confirmed.iter().filter(|_| is_view_complete);
     let confirmed: BTreeSet<&GroupName> =
-        check.confirmed.iter().filter(|name| is_unreplaced(name, check, context, view)).collect();
+        confirmed.filter(|name| is_unreplaced(name, context, view)).collect();
     for name in &confirmed {
         context.statuses.on_replacement_check(name, result.started_at);
     }
     log_check(groups, result.started_at, check, &confirmed);
 }
 
-/// Whether this node uses the instance that was promoted last as the primary of a confirmed group,
-/// and knows of no running replacement of it.
-fn is_unreplaced(
-    name: &GroupName,
-    check: &ReplacementCheck,
-    context: &NodeContext,
-    view: &CoordinationView,
-) -> bool {
+/// Whether this node uses the instance that was promoted last as the primary of a group, and knows
+/// of no replacement of it, neither running nor cancelled.
+fn is_unreplaced(name: &GroupName, context: &NodeContext, view: &CoordinationView) -> bool {
     let catalog = context.catalog.load();
     let Some(group) = catalog.groups.get(name) else { return false };
     let promoted = view.promoted.get(name).map(|successor| &successor.instance);
@@ -158,7 +157,7 @@
     let has_active_intent = context.intents.load().contains_key(name);
     let is_replaced =
         has_active_intent || view.intents.contains_key(name) || !group.is_led_by_last_promoted();
-    view.revision >= check.view_revision && is_promotion_active && !is_replaced
+    is_promotion_active && !is_replaced
 }
 
 fn log_failed_check(groups: &BTreeSet<GroupName>, started_at: Instant, error: &StoreError) {
@@ -173,7 +172,7 @@
 }
 
 /// Logs an answered check. Groups that are neither confirmed nor newer in the store are those whose
-/// replacement this node knows.
+/// replacement this node has learned of since the check began.
 fn log_check(
     groups: &BTreeSet<GroupName>,
     started_at: Instant,
