A client that leaves while its group is not configured ends its transaction

Callers saw in a test: five transactions at an instance with five connections were open when the operator removed the service with its routes; the clients left, the service was added again, and no statement of the group was served for the 30 s that the test watched.

Belief: a message about a group that is not configured has no effect, except for a statement, which is refused. The gateway dropped the message that a front had abandoned a lease, so that the transaction and its connection stayed open for as long as both nodes ran. It is handled now; it needs nothing of the group's entry.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -127,8 +127,13 @@
     pub fn on_call(&mut self, message: ToGateway, io: &mut Io) {
         let catalog = io.context.catalog.load();
         let Some(group) = catalog.groups.get(&message.group) else {
-            if let GatewayCall::Exchange(exchange) = message.call {
-                refuse(&exchange, ResultCode::NotOwner, "the gateway does not know the group", io);
+            match message.call {
+                GatewayCall::Exchange(exchange) => {
+                    let detail = "the gateway does not know the group";
+                    refuse(&exchange, ResultCode::NotOwner, detail, io);
+                }
+                GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
+                _ => {}
             }
             return;
         };
