Simulate a promotion whose successor a released replica does not reach yet

A commit counts as evidence of the time at which it was sent, and is acknowledged on the primary's word at a listed node. A promotion releases every replica. Until such a replica reaches the successor, the old primary answers commits through it, held ones and new ones.

--- a/crates/core/tests/replacement/instances.rs
+++ b/crates/core/tests/replacement/instances.rs
@@ -164,6 +164,7 @@
     instances: &mut [Instance],
     now: u64,
     cut_from_replicas: bool,
+    replicas_are_apart: bool,
     planted_fault: PlantedFault,
     mut arrives: impl FnMut() -> bool,
 ) -> bool {
@@ -195,8 +196,11 @@
         let receives =
             |term: u32| term >= own.min_term || planted_fault == PlantedFault::StopIgnored;
         let follows = |term: u32| term >= own.term && receives(term);
-        let source =
-            leading.iter().filter(|(_, term)| follows(*term)).max_by_key(|(_, term)| *term);
+        let reaches = |source: usize| !replicas_are_apart || source == 0 || index == 0;
+        let source = leading
+            .iter()
+            .filter(|(source, term)| follows(*term) && reaches(*source))
+            .max_by_key(|(_, term)| *term);
         let Some(&(source, term)) = source else { continue };
         // Only the first primary is cut from its replicas.
         let is_cut = cut_from_replicas && term == 1;
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -27,6 +27,7 @@
 mod refills;
 mod returns;
 mod serving;
+mod slow_successors;
 mod store;
 mod trace;
 mod traffic;
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -223,6 +223,8 @@
     ReplicationStalled(usize),
     /// The first primary is cut from its replicas.
     CutReplication,
+    /// The instances other than the first one cannot reach each other.
+    CutReplicasApart,
     /// A node (first field) cannot reach an instance (second field).
     CutLink(usize, usize),
     /// A node's process is suspended.
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -329,9 +329,11 @@
 
     fn replicate(&mut self) {
         let is_cut = self.is_active(FaultKind::CutReplication);
+        let are_apart = self.is_active(FaultKind::CutReplicasApart);
         let rng = &mut self.rng;
         let arrives = || rng.random_bool(0.7);
-        if replicate(&mut self.instances, self.now, is_cut, self.planted_fault, arrives) {
+        let (now, planted_fault) = (self.now, self.planted_fault);
+        if replicate(&mut self.instances, now, is_cut, are_apart, planted_fault, arrives) {
             (0..INSTANCES).for_each(|index| self.announce(index));
         }
         for index in 0..INSTANCES {
