Planned replacements compare the old primary's log

The coordinator stopped the replicas that the store lists, at 96, and promoted one, although the old primary had answered 99.

The belief was that the listed instances are all that can receive a commit. A planned replacement has an old primary that runs, so it now compares that one's log. Before the promotion it steps down, in parallel with the check of the replicas. If its log then ends beyond theirs, it is one of the instances that are compared, and is promoted again. Neither is required once all nodes have reported which commits they have acknowledged, if the primary refuses connections or is suspected, or 3 s after the node first knew that it leaves. Then the replacement goes on as before, with the event old_primary_unconfirmed and a counter.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -8,6 +8,7 @@
 mod log_evidence;
 mod old_primary;
 mod other_primaries;
+mod planned;
 mod promoting;
 mod releases;
 mod settling;
@@ -99,6 +100,12 @@
     stop_check_since: Option<Instant>,
     /// What is known about the old primary.
     old_primary_state: OldPrimaryState,
+    /// Until when a planned attempt requires the old primary's log position.
+    old_primary_required_until: Option<Instant>,
+    /// Whether the attempt requires it now.
+    requires_old_primary: bool,
+    /// Whether the attempt has had the old primary step down before a promotion.
+    steps_down_old_primary: bool,
     /// Whether every node has revoked its evidence.
     evidence_revoked: bool,
     /// Replicas that did not run when they were to be promoted, and when the platform reported
@@ -141,6 +148,7 @@
             has_begun: earlier_attempt_stopped,
             may_have_promoted: promoting,
             awaits_log,
+            old_primary_required_until,
             callers,
             callers_known_since,
             ..
@@ -191,6 +199,9 @@
             stopped_since: None,
             stop_check_since: None,
             old_primary_state: OldPrimaryState::default(),
+            old_primary_required_until,
+            requires_old_primary: false,
+            steps_down_old_primary: false,
             evidence_revoked: false,
             not_running: BTreeMap::new(),
             chosen: None,
@@ -290,16 +301,17 @@
         self.chosen.is_some()
     }
 
-    /// Whether a promotion may take effect or have taken effect, so that the attempt cannot be
-    /// cancelled.
+    /// Whether the attempt cannot be cancelled: a promotion may take effect or have taken effect, or
+    /// the old primary may have stepped down.
     fn may_have_promoted(&self) -> bool {
-        self.sent_promotions > 0
+        self.sent_promotions > 0 || self.steps_down_old_primary
     }
 
     /// Advances through as many phases as the current knowledge allows, and returns the commands to
     /// carry out.
     pub fn step(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
+        self.update_old_primary_requirement(now);
         let is_queried = self.recorded.is_some() || self.waits_before_its_record();
         if is_queried && self.phase != Phase::Over {
             self.open_calls.step(&self.timing, now, &mut commands);
@@ -353,16 +365,7 @@
                 }
             }
             Phase::Stopping { since } => self.stop(since, now, commands),
-            Phase::Lapsing { since } => {
-                let lifetime = match self.evidence_revoked {
-                    true => self.timing.unlisted_evidence_lifetime,
-                    false => self.timing.evidence_lifetime,
-                };
-                let wait = lifetime.saturating_sub(self.timing.min_promotion_time);
-                if now >= since + wait || self.old_primary_refuses_connections() {
-                    self.phase = Phase::Checking;
-                }
-            }
+            Phase::Lapsing { since } => self.lapse(since, now, commands),
             Phase::Checking => self.check(now, commands),
         }
     }
--- a/crates/core/src/promotion/attempt/log_evidence.rs
+++ b/crates/core/src/promotion/attempt/log_evidence.rs
@@ -83,7 +83,7 @@
     pub acknowledged: Option<Position>,
 }
 
-fn order(position: Position) -> (Term, LogOffset) {
+pub(super) fn order(position: Position) -> (Term, LogOffset) {
     (position.term, position.offset)
 }
 
@@ -92,8 +92,8 @@
     pub(super) fn include_every_commit(&self, stopped: &[&InstanceName]) -> bool {
         let usable: Vec<&InstanceName> =
             stopped.iter().copied().filter(|name| self.has_usable_log(name)).collect();
-        if usable.is_empty() {
-            return false;
+        if usable.is_empty() || self.lack_commits_of_old_primary(&usable) {
+            return self.may_lose_commits() && !usable.is_empty();
         }
         let are_enough = match self.required_stops() {
             Some(required) => usable.len() >= required,
@@ -192,12 +192,12 @@
 
     /// Whether one of the stopped instances has received the log up to the position up to which
     /// commits may have been acknowledged to clients.
-    fn reach_acknowledged_position(&self, usable: &[&InstanceName]) -> bool {
+    pub(super) fn reach_acknowledged_position(&self, usable: &[&InstanceName]) -> bool {
         let Some(acknowledged) = self.log_evidence.acknowledged else { return false };
         self.highest_position(usable).map(order) >= Some(order(acknowledged))
     }
 
-    fn highest_position(&self, usable: &[&InstanceName]) -> Option<Position> {
+    pub(super) fn highest_position(&self, usable: &[&InstanceName]) -> Option<Position> {
         let stopped = usable.iter().filter_map(|name| self.stopped.get(*name));
         stopped.map(|stopped| stopped.received).max_by_key(|position| order(*position))
     }
--- a/crates/core/src/promotion/attempt/old_primary.rs
+++ b/crates/core/src/promotion/attempt/old_primary.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::{Attempt, RetriedCommand};
+use crate::position::Position;
 use crate::promotion::{Command, Reason, ReplicationStatus};
 use crate::routing::Role;
 
@@ -17,6 +18,11 @@
     pub is_replica: bool,
     /// When the query was sent that it last answered.
     pub last_answered: Option<Instant>,
+    /// The end of its log, as it last reported.
+    pub received: Option<Position>,
+    /// When the query or command was sent in answer to which it first reported that it is a
+    /// replica.
+    pub replica_since: Option<Instant>,
 }
 
 impl Attempt {
@@ -41,7 +47,11 @@
 
     /// The old primary reported its status in answer to a query or command that was sent at `sent`.
     pub(super) fn on_old_primary_status(&mut self, status: &ReplicationStatus, sent: Instant) {
-        self.old_primary_state.is_replica = status.role == Role::Replica;
+        let is_replica = status.role == Role::Replica;
+        self.old_primary_state.is_replica = is_replica;
+        self.old_primary_state.received = Some(status.received);
+        let since = self.old_primary_state.replica_since;
+        self.old_primary_state.replica_since = is_replica.then(|| since.unwrap_or(sent));
         self.old_primary_state.last_answered = Some(sent);
         // An old primary that answers again no longer refuses connections.
         if self.old_primary_state.last_refused.is_some_and(|refused| sent > refused) {
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -139,6 +139,10 @@
         // Queried after the incarnations were read: a replica that has restarted since then reports
         // that it is not stopped.
         let check_began = self.begin_stop_check(now);
+        if !self.step_down_old_primary(now, commands) {
+            return;
+        }
+        let check_began = check_began.max(self.earliest_confirmation(check_began));
         let unconfirmed: Vec<InstanceName> = self
             .stopped
             .iter()
@@ -151,7 +155,9 @@
         // its log before the promotion, and then the other stopped replicas have the acknowledged
         // commits.
         if self.include_every_commit(&confirmed) {
-            self.promote(now, commands);
+            if !self.awaits_step_down() {
+                self.promote(now, commands);
+            }
             return;
         }
         for name in unconfirmed {
@@ -197,7 +203,7 @@
     /// Whether a planned replacement would promote an instance that is leaving as well, while
     /// another one that stays only has to receive the rest of the log. The promoted one would have
     /// to be replaced again.
-    fn would_need_another_replacement(&self, best: &InstanceName) -> bool {
+    pub(super) fn would_need_another_replacement(&self, best: &InstanceName) -> bool {
         let is_planned = self.intent.reason == Reason::Leaving && !self.may_have_promoted();
         let mut replicas = self.members.replicas(self.intent.former.as_ref());
         is_planned && self.leaves(best) && replicas.any(|member| !member.leaving)
@@ -233,7 +239,7 @@
     /// The instance to promote: the stopped replica with the highest position; among equals, one
     /// that is not leaving. The old primary is a candidate only if too few other replicas are
     /// stopped, because there is a reason to replace it.
-    fn best_candidate(&self) -> Option<InstanceName> {
+    pub(super) fn best_candidate(&self) -> Option<InstanceName> {
         let old_primary = self.intent.former.as_ref();
         let others: BTreeMap<&InstanceName, &Stopped> =
             self.stopped.iter().filter(|(name, _)| old_primary != Some(*name)).collect();
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -22,6 +22,11 @@
 /// Delay between a cancelled attempt and the next one.
 const CANCELLATION_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// How long a planned replacement requires the log position of a primary that runs. A primary that
+/// leaves gets no requests after the platform's drain time, which has to suffice for the replacement
+/// as well.
+const OLD_PRIMARY_WAIT: Duration = Duration::from_secs(3);
+
 /// A primary that has to be replaced.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Need {
@@ -40,6 +45,9 @@
     pub awaits_log: bool,
     /// Whether the last primary is still reported by the platform and is a replica now.
     pub last_primary_is_replica: bool,
+    /// Until when a planned replacement requires the old primary's log position. `None` if the
+    /// replacement is not planned, or if enough nodes suspect the primary.
+    pub old_primary_required_until: Option<Instant>,
     /// Processes whose promotions of this group may not have ended.
     pub callers: Vec<PromotionCaller>,
     /// When this node first knew all of `callers`.
@@ -60,6 +68,8 @@
     /// The last known primary.
     primary: Option<InstanceName>,
     missing_since: Option<Instant>,
+    /// Since when the last known primary has needed a planned replacement.
+    leaving_since: Option<Instant>,
     at_least_third_since: Option<Instant>,
     retry_not_before: Option<Instant>,
 }
@@ -119,6 +129,7 @@
                 Some(primary) if history.at_least_third_since.is_none() => {
                     history.primary = Some(primary.name.clone());
                     history.missing_since = None;
+                    history.leaving_since = None;
                 }
                 _ => drop(self.unsettled.insert(name.clone())),
             }
@@ -194,6 +205,7 @@
             may_have_promoted: intent.promoting,
             awaits_log: intent.awaits_log,
             last_primary_is_replica: last_primary_is_replica(group, history),
+            old_primary_required_until: current.and_then(|need| need.old_primary_required_until),
             callers: all_callers(intent, open_callers(name, input.view)),
             callers_known_since: None,
         }),
@@ -220,6 +232,7 @@
             may_have_promoted,
             awaits_log,
             last_primary_is_replica,
+            old_primary_required_until: None,
             callers: open_callers(name, input.view),
             callers_known_since: None,
         })
@@ -232,12 +245,19 @@
         let is_missing = !group.instances.is_empty() && now >= since + limit;
         return if is_missing { need(Reason::Missing, history.vanished(group)) } else { None };
     };
+    if history.primary.as_ref() != Some(&primary.name) {
+        history.leaving_since = None;
+    }
     history.primary = Some(primary.name.clone());
     history.missing_since = None;
+    let votes = votes_against(name, group, &primary.name, history, input);
     if needs_planned_replacement(primary, group, input.catalog) {
-        return need(Reason::Leaving, Some(primary.name.clone()));
+        let since = *history.leaving_since.get_or_insert(now);
+        let until = (!votes.are_sufficient(now)).then_some(since + OLD_PRIMARY_WAIT);
+        let need = need(Reason::Leaving, Some(primary.name.clone()));
+        return need.map(|need| Need { old_primary_required_until: until, ..need });
     }
-    let votes = votes_against(name, group, &primary.name, history, input);
+    history.leaving_since = None;
     match votes.are_sufficient(now) {
         true => need(Reason::Suspected, Some(primary.name.clone())),
         false => None,
--- a/crates/core/tests/promotion/main.rs
+++ b/crates/core/tests/promotion/main.rs
@@ -7,3 +7,4 @@
 mod sent_promotions;
 mod steps;
 mod support;
+mod unlisted_instances;
--- a/crates/core/tests/promotion/support.rs
+++ b/crates/core/tests/promotion/support.rs
@@ -54,6 +54,7 @@
         may_have_promoted,
         awaits_log,
         last_primary_is_replica,
+        old_primary_required_until: None,
         callers: Vec::new(),
         callers_known_since: None,
     }
--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -47,7 +47,7 @@
         let now = self.at(self.now);
         self.register(node);
         let live = self.nodes_known_to(node);
-        let need = self.nodes[node].need(&live, now);
+        let need = self.nodes[node].need(&live, now).map(|need| self.with_planted_fault_in(need));
         if self.nodes[node].should_acquire_lease(need.as_ref(), self.now, now) {
             self.nodes[node].acquiring = true;
             self.call(node, 0, Operation::AcquireLease);
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -29,6 +29,7 @@
 mod store;
 mod trace;
 mod traffic;
+mod unlisted;
 mod variations;
 mod world;
 
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -168,6 +168,8 @@
     NoReplacementCheck,
     /// Any answer of a primary counts as evidence that it leads, also one to a read.
     ReadAnswersAsEvidence,
+    /// A planned replacement does not compare the old primary's log.
+    OldPrimaryNotRequired,
     /// An instance announces the same incarnation after each restart.
     RestartsHidden,
     /// A node relies on its evidence for the full lifetime before it is listed.
--- /dev/null
+++ b/crates/core/tests/replacement/unlisted.rs
@@ -0,0 +1,96 @@
+//! An instance that takes the place of a primary which leaves. It receives commits and counts for
+//! their acknowledgement before its entry is in the store, so no coordinator stops it.
+
+use kestrellock_core::promotion::Need;
+use kestrellock_core::routing::Role;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::checker::Violation;
+use crate::plan::{FaultKind, Faults, Planned, PlantedFault};
+use crate::world::World;
+use crate::{describe, run_worlds, seeds, violations};
+
+/// Separates the draws of the faults from those of the world with the same seed.
+const SEED_MASK: u64 = 0x756e_6c69_7374_6564;
+/// Share of the replication steps in which the instance receives.
+const RECEIVING_SHARE: f64 = 0.7;
+/// Time from the announcement of the first primary that it leaves to its end.
+const LEAVING_MS: u64 = 6_000;
+
+/// The period in which the instance receives from the first primary.
+#[derive(Clone, Copy, Debug)]
+pub struct UnlistedInstance {
+    from: u64,
+    until: u64,
+}
+
+impl World {
+    /// A world in which the first primary leaves while an unlisted instance receives from it, the
+    /// listed replicas lag, and a part of the nodes is cut off from the store and from the others.
+    fn with_unlisted_instance(seed: u64, planted_fault: PlantedFault) -> Self {
+        let faults = Faults::all().with_releases().with_coordinator_notifications();
+        let mut world = Self::new(seed, faults, planted_fault);
+        let rng = &mut StdRng::seed_from_u64(seed ^ SEED_MASK);
+        let leaves_at = rng.random_range(1_000..2_000);
+        world.plan = draw(leaves_at, rng);
+        let until = leaves_at + rng.random_range(1_000..4_000);
+        world.unlisted = Some(UnlistedInstance { from: leaves_at - 200, until });
+        world
+    }
+
+    /// Whether the unlisted instance receives the log of an instance now.
+    pub fn unlisted_instance_receives(&mut self, instance: usize) -> bool {
+        let leads = instance == 0 && self.instances[instance].role == Role::Primary;
+        let now = self.now;
+        let receives = |unlisted: UnlistedInstance| unlisted.from <= now && now < unlisted.until;
+        leads && self.unlisted.is_some_and(receives) && self.rng.random_bool(RECEIVING_SHARE)
+    }
+
+    /// Applies a planted fault to what a node needs.
+    pub fn with_planted_fault_in(&self, need: Need) -> Need {
+        match self.planted_fault {
+            PlantedFault::OldPrimaryNotRequired => {
+                Need { old_primary_required_until: None, ..need }
+            }
+            _ => need,
+        }
+    }
+}
+
+fn draw(leaves_at: u64, rng: &mut StdRng) -> Vec<Planned> {
+    let mut fault = |kind, begin: std::ops::Range<u64>, length: std::ops::Range<u64>| {
+        let at = leaves_at - 200 + rng.random_range(begin);
+        Planned { at, until: at + rng.random_range(length), kind }
+    };
+    let mut plan = vec![
+        fault(FaultKind::Leave, 200..201, LEAVING_MS..LEAVING_MS + 1),
+        fault(FaultKind::ReplicationStalled(1), 0..600, 100..1_500),
+        fault(FaultKind::ReplicationStalled(2), 0..600, 100..1_500),
+        fault(FaultKind::CutStore(3), 100..600, 500..3_500),
+        fault(FaultKind::CutPeers(3), 100..600, 500..3_500),
+    ];
+    plan.extend((0..3).map(|node| fault(FaultKind::CutLink(node, 0), 0..900, 1..600)));
+    plan
+}
+
+/// Guards against a promotion that rolls commits back which the old primary has acknowledged
+/// through an instance that the store does not list, and against reads on such a commit as evidence.
+#[test]
+fn no_seed_violates_a_guarantee_while_an_unlisted_instance_receives() {
+    let new_world = |seed| World::with_unlisted_instance(seed, PlantedFault::None);
+    let outcomes = run_worlds(seeds(), new_world);
+    let promotions: u64 = outcomes.values().map(|outcome| outcome.promotions).sum();
+    println!("{} seeds, {promotions} promotions", outcomes.len());
+    assert!(violations(&outcomes).is_empty(), "{}", describe(&outcomes));
+    assert!(promotions >= outcomes.len() as u64, "too few promotions");
+}
+
+/// Planted fault: a planned replacement compares only the logs of the instances that it stops.
+#[test]
+fn detects_planned_replacements_without_the_old_primarys_log() {
+    let new_world = |seed| World::with_unlisted_instance(seed, PlantedFault::OldPrimaryNotRequired);
+    let found = violations(&run_worlds(seeds(), new_world));
+    let is_loss = |violation: &Violation| matches!(violation, Violation::LostCommit { .. });
+    assert!(found.iter().any(|(_, violation)| is_loss(violation)), "{found:?}");
+}
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -23,6 +23,7 @@
 use crate::returns::{MAX_REANNOUNCE_DELAY_MS, StoreCopies, unfinished_intents};
 use crate::store::{Announced, Contents, Operation, node_name};
 use crate::trace::Trace;
+use crate::unlisted::UnlistedInstance;
 use crate::variations;
 
 /// Length of a run in virtual time.
@@ -107,6 +108,8 @@
     pub partitions: Partitions,
     /// Faults that begin when a coordinator sends a promotion.
     pub aimed: Option<AimedFaults>,
+    /// An instance that receives commits and is not in the store.
+    pub unlisted: Option<UnlistedInstance>,
     /// Length of the run in virtual time.
     pub run_length: u64,
     /// Recorded events of the run.
@@ -192,6 +195,7 @@
             promotions: Vec::new(),
             partitions: Partitions::default(),
             aimed: None,
+            unlisted: None,
             run_length: RUN_LENGTH_MS,
             trace: Trace::default(),
         }
@@ -340,9 +344,13 @@
 
     fn answer_commits(&mut self, index: usize) {
         let pending = std::mem::take(&mut self.instances[index].pending);
+        let is_received = self.unlisted_instance_receives(index);
         let (due, rest) = pending.into_iter().partition::<Vec<_>, _>(|pending| {
             let mut others = (0..INSTANCES).filter(|other| *other != index);
-            others.any(|other| self.instances[other].log.get(pending.place) == Some(&pending.entry))
+            is_received
+                || others.any(|other| {
+                    self.instances[other].log.get(pending.place) == Some(&pending.entry)
+                })
         });
         self.instances[index].pending = rest;
         for pending in due {
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -416,6 +416,9 @@
             }
             Command::QueryCaller(caller) => self.query_caller(group, caller, now),
             Command::Promote(instance) => {
+                if let Some(running) = self.attempts.get(group) {
+                    running.report_promotion(group, &self.context.metrics);
+                }
                 if now + MIN_LEASE_FOR_PROMOTION < self.lease.valid_until {
                     let coordinator = self.context.identity.node.clone();
                     self.executor.promote(group.clone(), instance, coordinator, &self.lease);
--- a/crates/daemon/src/agent/promotion/running_attempt.rs
+++ b/crates/daemon/src/agent/promotion/running_attempt.rs
@@ -8,6 +8,7 @@
 
 use super::call_wait::CallWait;
 use super::log_wait::LogWait;
+use crate::metrics::Metrics;
 
 /// An attempt that this node runs.
 pub(super) struct RunningAttempt {
@@ -50,6 +51,22 @@
         }
     }
 
+    /// Reports a promotion that is sent although nothing shows that the instance has every commit of
+    /// an old primary that leaves.
+    pub fn report_promotion(&self, group: &GroupName, metrics: &Metrics) {
+        if !self.attempt.lacks_old_primary_log() {
+            return;
+        }
+        metrics.replacements_without_old_primary.inc();
+        log::warn!(
+            event = "old_primary_unconfirmed",
+            group = group.as_str(),
+            old_primary:? = self.attempt.old_primary(),
+            chosen:? = self.attempt.chosen();
+            "a planned replacement goes on without the log of the old primary, which has not answered in time or has commits that the promoted instance lacks"
+        );
+    }
+
     /// The promotions of an earlier caller have ended.
     pub fn on_calls_ended(
         &mut self,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -158,6 +158,8 @@
     /// Ends of primary replacements that were not announced, because the successor had not reported
     /// its term.
     pub unannounced_replacement_ends: Counter,
+    /// Planned replacements that promoted an instance without the log of the old primary.
+    pub replacements_without_old_primary: Counter,
     /// Primary replacements of this node that wait for the log of an instance.
     pub replacements_waiting_for_log: Gauge,
     /// Primary replacements of this node that wait for the end of earlier promotions.
@@ -201,6 +203,10 @@
         let unannounced_replacement_ends = Counter::default();
         let help = "Ends of primary replacements without the term of the successor";
         r.register("replacement_ends_unannounced", help, unannounced_replacement_ends.clone());
+        let replacements_without_old_primary = Counter::default();
+        let help = "Planned primary replacements without the log of the old primary";
+        let counter = replacements_without_old_primary.clone();
+        r.register("replacements_without_old_primary", help, counter);
         let replacements_waiting_for_log = Gauge::default();
         let help = "Primary replacements of this node that wait for the log of an instance";
         r.register("replacements_waiting_for_log", help, replacements_waiting_for_log.clone());
@@ -244,6 +250,7 @@
             store_restores,
             replacement_messages,
             unannounced_replacement_ends,
+            replacements_without_old_primary,
             replacements_waiting_for_log,
             replacements_waiting_for_calls,
             statement_seconds: duration_histogram(r, "statement_seconds", "From arrival to answer"),
