--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -31,6 +31,7 @@
 mod store;
 mod trace;
 mod traffic;
+mod unlisted;
 mod variations;
 mod world;
 
