--- a/crates/lab/src/standin/store/faults.rs
+++ b/crates/lab/src/standin/store/faults.rs
@@ -7,7 +7,7 @@
 /// How watches that do not report changes answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchSilence {
-    /// Not at all, whatever wait time the call names.
+    /// Not at all, also after the wait time that the call names.
     NoAnswer,
     /// With no events and the revision at which the silence began.
     EmptyAtOldRevision,
