--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -256,3 +256,28 @@
     fixture.report_status("a", Role::Primary, 4);
     assert!(!lacks(Some(position(3, 80))));
 }
+
+/// Guards against stale reads at a primary that crashed unnoticed and is back: a new connection may
+/// lead to a process that started after the evidence was gathered.
+#[test]
+fn evidence_covers_no_late_arrivals_at_a_process_that_may_have_started_later() {
+    let fixture = Fixture::new();
+    let primary = name("primary");
+    let start = Instant::now();
+    let until = || {
+        let statuses = fixture.table.group(&fixture.group);
+        let statuses = statuses.read().expect("no thread panicked");
+        statuses.covered_until(&primary, REPLICATION, EVIDENCE_LIFETIME).expect("it is covered")
+    };
+    fixture.report_status("primary", Role::Primary, 1);
+    fixture.table.on_process_seen(&fixture.group, &primary, start, start);
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.report_status("other", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    assert!(until() >= start + EVIDENCE_LIFETIME);
+    let reconnected = start + EVIDENCE_LIFETIME / 2;
+    fixture.table.on_process_seen(&fixture.group, &primary, reconnected, reconnected);
+    assert!(until() < reconnected, "its process may be another one");
+    fixture.table.on_process_seen(&fixture.group, &primary, start, reconnected);
+    assert!(until() >= start + EVIDENCE_LIFETIME, "the process is the same");
+}
