--- a/crates/core/src/promotion/attempt/planned.rs
+++ b/crates/core/src/promotion/attempt/planned.rs
@@ -17,11 +17,17 @@
 use crate::promotion::{Phase, Reason};
 
 impl Attempt {
-    /// Decides whether the attempt requires the old primary's log now.
+    /// Decides whether the attempt requires the old primary's log now. If the old primary has stepped
+    /// down, there is time to stop it as well and to wait for evidence to expire.
     pub(super) fn update_old_primary_requirement(&mut self, now: Instant) {
+        let has_stepped_down = self.steps_down_old_primary && self.old_primary_state.is_replica;
+        let until = self.old_primary_required_until.map(|until| match has_stepped_down {
+            true => until + self.timing.evidence_lifetime + self.timing.stopping_timeout,
+            false => until,
+        });
         self.requires_old_primary = self.sent_promotions == 0
             && self.intent.reason == Reason::Leaving
-            && self.old_primary_required_until.is_some_and(|until| now < until);
+            && until.is_some_and(|until| now < until);
     }
 
     /// The stopped instances that still have their logs.
