--- a/crates/lab/tests/bounded_positions.rs
+++ b/crates/lab/tests/bounded_positions.rs
@@ -2,13 +2,12 @@
 //! serve such reads.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::Consistency;
-use kestrellock_core::ids::GroupName;
+use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
 use kestrellock_core::position::Term;
+use kestrellock_core::promotion::PromotionAnswer;
 use kestrellock_core::routing::Access;
 use kestrellock_daemon::event::Io;
 use kestrellock_daemon::gateway::instance_choice::{
@@ -17,6 +16,8 @@
 use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::client::LineSession;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
+use kestrellock_platform::control::PlatformPromotions;
+use kestrellock_store::control::{PromotionRequest, PromotionService};
 
 /// Sessions that read, rounds of one write and some reads of each session, and reads in a round.
 const SESSIONS: usize = 12;
@@ -27,6 +28,8 @@
 /// Least part of the reads that replicas must serve while nothing is busy.
 const LEAST_SHARE_AT_REPLICAS: f64 = 1.0 / 6.0;
 
+/// Time that the promotion call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Staleness that a read accepts; longer than the test runs.
 const STALENESS: Duration = Duration::from_secs(60);
 
@@ -57,17 +60,15 @@
 
 /// Promotes an instance although the nodes have not asked for it.
 fn promote(platform: &Platform, instance: &str) {
-    let mut stream = TcpStream::connect(platform.promotions.address()).expect("it connects");
-    let body = format!(r#"{{"service":"{}","instanceId":"{instance}"}}"#, GROUPS[0]);
-    let length = body.len();
-    let head = format!(
-        "POST /promotion HTTP/1.1\r\nhost: promotions\r\nduty-holder: test\r\nfencing-token: 1000000\r\n\
-         content-type: application/json\r\ncontent-length: {length}\r\n\r\n"
-    );
-    stream.write_all(format!("{head}{body}").as_bytes()).expect("it is sent");
-    let mut answer = [0; 12];
-    stream.read_exact(&mut answer).expect("an answer");
-    assert_eq!(&answer, b"HTTP/1.1 200", "{}", String::from_utf8_lossy(&answer));
+    let service = PlatformPromotions::new(&platform.promotions.address().to_string());
+    let outcome = service.promote(&PromotionRequest {
+        group: GroupName::new(GROUPS[0]),
+        instance: InstanceName::new(instance),
+        coordinator: NodeName::new("test"),
+        fence: 1_000_000,
+        deadline: Instant::now() + CALL_TIMEOUT,
+    });
+    assert_eq!(outcome.answer, PromotionAnswer::Accepted, "{:?}", outcome.failure);
 }
 
 /// Guards against stale bounded reads. A node that could not reach the store sent a write to the
