--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -146,7 +146,7 @@
 }
 
 labels! {
-    /// What a node calls the store for, besides the configuration of operators.
+    /// Why a node calls the store. Calls for the configuration of operators are not included.
     StorePurpose {
         /// Following changes and reading what has to be followed.
         Watch = "watch",
--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -140,7 +140,7 @@
 /// A change of one group kept the check from confirming the others.
 #[test]
 fn check_of_several_groups_confirms_those_whose_records_the_mirror_has() {
-    // With more intents than one call reads, each group is read by a call of its own.
+    // With more intents than one call reads, each group is read by a separate call.
     for (other_groups, calls) in [(0, 1), (200, 3)] {
         let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
         let coordinator = Client::start(&store);
