Store stand-in: pages of a range end at a megabyte, as on the platform

Cause: a page of the stand-in had 50 items of any size. The test writes dozens of values of one to five megabytes, so one page took 0.8 s of processor time under the store's lock, which the store's other threads waited for (wait channels and processor times of the threads, sampled while it hung). Beside load the calls of three nodes took longer than the two seconds that a call may take; the nodes repeated them, and the store went on with those that had been given up.

Change: a page ends with the item that reaches 1 MB, and only its entries are copied. The platform's pages are limited in the same way. The test keeps the logs of a failure.

--- a/crates/lab/src/standin/store/contents.rs
+++ b/crates/lab/src/standin/store/contents.rs
@@ -118,6 +118,29 @@
         present.collect()
     }
 
+    /// The first entries of a range behind the key `after`, and whether there are more: at least
+    /// one, and no further one once there are `max_items` or their values have `max_bytes`.
+    pub fn page(
+        &self,
+        range: &KeyRange,
+        after: Option<&[u8]>,
+        max_items: usize,
+        max_bytes: usize,
+    ) -> (Vec<(Vec<u8>, Entry)>, bool) {
+        let is_after = |key: &[u8]| after.is_none_or(|after| key > after);
+        let found = self.entries.iter().filter(|(key, _)| range.contains(key) && is_after(key));
+        let mut page = Vec::new();
+        let mut bytes = 0;
+        for (key, entry) in found {
+            if page.len() >= max_items || bytes >= max_bytes {
+                return (page, true);
+            }
+            bytes += entry.value.len();
+            page.push((key.clone(), entry.clone()));
+        }
+        (page, false)
+    }
+
     /// Writes a key at `revision`, which becomes the store's revision. Returns false if the lease
     /// does not exist.
     pub fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: u64, revision: u64) -> bool {
--- a/crates/lab/src/standin/store/key_calls.rs
+++ b/crates/lab/src/standin/store/key_calls.rs
@@ -14,6 +14,9 @@
 
 /// Maximum number of items in one page of a range response.
 const PAGE_ITEMS: usize = 50;
+/// A page ends with the item that reaches this size, as on the platform. Without that limit the
+/// nodes' reads of many large values hold the store's lock for longer than a call may take.
+const PAGE_BYTES: usize = 1024 * 1024;
 const BAD_REQUEST: u16 = 400;
 
 /// HTTP status and body of a response.
@@ -153,15 +156,14 @@
 }
 
 fn range(contents: &Contents, prefix: &str, after: Option<&str>) -> CallResponse {
-    let found = contents.range(&range_of(prefix), None);
-    let found: Vec<(String, Entry)> = found
+    let after = after.map(str::as_bytes);
+    let (found, has_more) = contents.page(&range_of(prefix), after, PAGE_ITEMS, PAGE_BYTES);
+    let named: Vec<(String, Entry)> = found
         .into_iter()
         .map(|(key, entry)| (String::from_utf8_lossy(&key).into_owned(), entry))
-        .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after))
         .collect();
-    let items: Vec<StoredItem> =
-        found.iter().take(PAGE_ITEMS).map(|(key, entry)| stored_item(key, entry)).collect();
-    success(keys::encode_range_answer(&items, found.len() > PAGE_ITEMS, contents.revision))
+    let items: Vec<StoredItem> = named.iter().map(|(key, entry)| stored_item(key, entry)).collect();
+    success(keys::encode_range_answer(&items, has_more, contents.revision))
 }
 
 fn execute_change(contents: &mut Contents, change: &ChangeCall) -> CallResponse {
--- a/crates/lab/tests/odd_entries.rs
+++ b/crates/lab/tests/odd_entries.rs
@@ -85,6 +85,12 @@
         .is_ok_and(|answer| answer.is_success())
 }
 
+/// Fails the test, and keeps the logs if the environment asks for them.
+fn fail(platform: &ProcessPlatform, node: usize, error: &miette::Report) -> ! {
+    platform.keep_logs("odd-entries-failed").expect("the logs are kept");
+    panic!("{error}: {}", log_end(&platform.nodes[node]))
+}
+
 /// The operator removes a route and adds it again; each node has both in force in time.
 fn change_routes(platform: &mut ProcessPlatform, version: &mut u64, case: &str) {
     for routes in [1, GROUPS.len()] {
@@ -95,10 +101,7 @@
             wait(&format!("version {version} is active on node {node}, {case}"), || {
                 is_served(platform, node, GROUPS[1]) == (routes > 1)
             })
-            .unwrap_or_else(|error| {
-                platform.keep_logs("odd-entries-failed").expect("the logs are kept");
-                panic!("{error}: {}", log_end(&platform.nodes[node]))
-            });
+            .unwrap_or_else(|error| fail(platform, node, &error));
         }
         assert!(written.elapsed() < CHANGE_TIMEOUT, "{:?}, {case}", written.elapsed());
     }
@@ -131,9 +134,9 @@
     wait(&format!("another primary leads, {case}"), || {
         group.primary().is_some_and(|one| one != primary)
     })
-    .expect("in time");
+    .unwrap_or_else(|error| fail(platform, 0, &error));
     for node in 0..NODES {
-        platform.wait_until_served(node).expect("in time");
+        platform.wait_until_served(node).unwrap_or_else(|error| fail(platform, node, &error));
     }
     group.restart(&primary);
 }
@@ -156,7 +159,8 @@
         node.kill();
         node.run().expect("it starts");
     }
-    platform.wait_until_ready().expect("nodes that find the entries at their start are ready");
+    let ready = platform.wait_until_ready();
+    ready.unwrap_or_else(|error| fail(&platform, 0, &error));
     change_routes(&mut platform, &mut version, "the nodes have found the entries at their start");
     replace_primary(&platform, "the nodes have found the entries at their start");
     check_logs(&platform, 2 * entries.len());
