--- a/crates/core/tests/replacement/unlisted.rs
+++ b/crates/core/tests/replacement/unlisted.rs
@@ -28,7 +28,7 @@
 impl World {
     /// A world in which the first primary leaves while an unlisted instance receives from it, the
     /// listed replicas lag, and a part of the nodes is cut off from the store and from the others.
-    fn with_unlisted_instance(seed: u64, planted_fault: PlantedFault) -> Self {
+    pub fn with_unlisted_instance(seed: u64, planted_fault: PlantedFault) -> Self {
         let faults = Faults::all().with_releases().with_coordinator_notifications();
         let mut world = Self::new(seed, faults, planted_fault);
         let rng = &mut StdRng::seed_from_u64(seed ^ SEED_MASK);
