Planned replacements whose time for the old primary's log ends while evidence expires

The first replacement stops both replicas at 96 commits; a node that is cut off from the store and the other nodes writes on, and i-0 acknowledges six commits through an instance that is not in the store. At 2,510 ms i-0 steps down with 102 commits, is compared and promoted again, and leads from 3,730 ms. The second replacement stops the replicas at 4,110 ms with all 112 commits; i-0 reports the same position. Then evidence has to expire, since the cut-off node does not revoke it. i-0 acknowledges two more commits at 4,338 and 4,509 ms. The limit passes at 4,470 ms, so the check at 4,755 ms no longer has i-0 step down, though it answers at once: i-1 is promoted with 112 of 114 commits.

Hypotheses before the change: (1) a continued attempt, which requires no log: refuted, node 0 runs both attempts; (2) the old primary does not answer its demotion until the limit: refuted, none was sent; (3) votes or refused connections end the requirement: refuted, none in the trace; (4) the limit passes between the comparison and the last check: holds.

Change: an attempt that has sent its first stops within the limit has the old primary step down in its last check whenever that comes, and waits for the answer until the limit, but at least 300 ms. After the limit it is not cancelled for a missing position any more, as before. Once the old primary has stepped down there are 1.3 s to stop and compare it, as before, counted from then if the limit has passed. An attempt that begins after the limit requires nothing, as before, so the series of replacements stays bounded.

Price: an old primary that answers costs nothing, since it steps down in parallel with the check. One that does not answer delays an attempt during which the limit passes by up to 300 ms.

Tests: old_primary_steps_down_if_the_limit_passes_while_evidence_expires promoted the replica before, and the old primary now.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -104,8 +104,8 @@
     old_primary_required_until: Option<Instant>,
     /// Whether the attempt requires it now.
     requires_old_primary: bool,
-    /// Whether the attempt has had the old primary step down before a promotion.
-    steps_down_old_primary: bool,
+    /// When the attempt first asked the old primary to step down before a promotion.
+    step_down_requested_at: Option<Instant>,
     /// Whether every node has revoked its evidence.
     evidence_revoked: bool,
     /// Replicas that did not run when they were to be promoted, and when the platform reported
@@ -201,7 +201,7 @@
             old_primary_state: OldPrimaryState::default(),
             old_primary_required_until,
             requires_old_primary: false,
-            steps_down_old_primary: false,
+            step_down_requested_at: None,
             evidence_revoked: false,
             not_running: BTreeMap::new(),
             chosen: None,
@@ -304,7 +304,7 @@
     /// Whether the attempt cannot be cancelled: a promotion may take effect or have taken effect, or
     /// the old primary may have stepped down.
     fn may_have_promoted(&self) -> bool {
-        self.sent_promotions > 0 || self.steps_down_old_primary
+        self.sent_promotions > 0 || self.step_down_requested_at.is_some()
     }
 
     /// Advances through as many phases as the current knowledge allows, and returns the commands to
--- a/crates/core/src/promotion/attempt/planned.rs
+++ b/crates/core/src/promotion/attempt/planned.rs
@@ -7,7 +7,9 @@
 //! the promotion it steps down: the log with which it does so has every commit that was acknowledged.
 //!
 //! Neither is required if all nodes have reported that they have acknowledged no other commits, and
-//! both only for a limited time: an old primary that leaves must get no requests for long.
+//! both only for a limited time: an old primary that leaves must get no requests for long. An attempt
+//! that has begun within this time takes the second step even if the time has passed meanwhile, and
+//! then waits for the answer no longer than for a replica's.
 
 use std::time::Instant;
 
@@ -17,17 +19,31 @@
 use crate::promotion::{Phase, Reason};
 
 impl Attempt {
-    /// Decides whether the attempt requires the old primary's log now. If the old primary has stepped
-    /// down, there is time to stop it as well and to wait for evidence to expire.
+    /// Decides whether the attempt requires the old primary's log now.
     pub(super) fn update_old_primary_requirement(&mut self, now: Instant) {
-        let has_stepped_down = self.steps_down_old_primary && self.old_primary_state.is_replica;
-        let until = self.old_primary_required_until.map(|until| match has_stepped_down {
-            true => until + self.timing.evidence_lifetime + self.timing.stopping_timeout,
-            false => until,
-        });
         self.requires_old_primary = self.sent_promotions == 0
             && self.intent.reason == Reason::Leaving
-            && until.is_some_and(|until| now < until);
+            && self.old_primary_limit(now).is_some_and(|limit| now < limit);
+    }
+
+    /// Until when the attempt requires the old primary's log. An attempt that has begun in time has
+    /// the old primary step down whenever it comes to that: evidence may expire later than the time
+    /// ends, and the old primary may have acknowledged commits until then. Once the old primary has
+    /// stepped down, there is time to stop it as well and to wait for evidence to expire.
+    fn old_primary_limit(&self, now: Instant) -> Option<Instant> {
+        let until = self.old_primary_required_until?;
+        if self.first_stops_at.unwrap_or(now) >= until {
+            return Some(until);
+        }
+        let replica_since = self.old_primary_state.replica_since;
+        let asked_at = self.step_down_requested_at.or(replica_since).unwrap_or(now);
+        let limit = until.max(asked_at + self.timing.stopping_timeout);
+        Some(match replica_since {
+            Some(since) => {
+                limit.max(since) + self.timing.evidence_lifetime + self.timing.stopping_timeout
+            }
+            None => limit,
+        })
     }
 
     /// The stopped instances that still have their logs.
@@ -50,7 +66,8 @@
         };
         let wait = lifetime.saturating_sub(self.timing.min_promotion_time);
         let has_lapsed = now >= since + wait || self.old_primary_refuses_connections();
-        let lacks_log = !self.steps_down_old_primary
+        let lacks_log = self.step_down_requested_at.is_none()
+            && self.old_primary_required_until.is_some_and(|until| now < until)
             && self.is_old_primary_log_required()
             && !self.have_reached_old_primary();
         if lacks_log && now >= since + self.timing.stopping_timeout {
@@ -91,7 +108,7 @@
         }
         // The recorded intent says that a promotion may be sent, so that a later coordinator ends
         // the replacement with a primary.
-        self.steps_down_old_primary = true;
+        self.step_down_requested_at.get_or_insert(now);
         self.demote_old_primary(now, commands);
         true
     }
@@ -105,7 +122,8 @@
     /// that began at `check_began`. Not long before the old primary stepped down, since that may
     /// take long.
     pub(super) fn earliest_confirmation(&self, check_began: Instant) -> Instant {
-        let since = self.old_primary_state.replica_since.filter(|_| self.steps_down_old_primary);
+        let has_asked = self.step_down_requested_at.is_some();
+        let since = self.old_primary_state.replica_since.filter(|_| has_asked);
         let earliest = since.and_then(|since| since.checked_sub(self.timing.retry_interval));
         earliest.unwrap_or(check_began)
     }
--- a/crates/core/tests/promotion/unlisted_instances.rs
+++ b/crates/core/tests/promotion/unlisted_instances.rs
@@ -23,23 +23,35 @@
 
 /// How the old primary answers.
 #[derive(Clone, Copy)]
-struct OldPrimary {
+pub struct OldPrimary {
     /// Its position while it leads, if it answers queries.
-    leading: Option<u64>,
+    pub leading: Option<u64>,
     /// Its position as a replica, if it obeys demotions.
-    demoted: Option<u64>,
+    pub demoted: Option<u64>,
 }
 
 /// Runs the attempt for four seconds or to its promotion, which it returns with the time. All nodes
 /// have revoked their evidence, and the replicas `b` and `c` are stopped at the position 10.
-fn run(attempt: &mut Attempt, old_primary: OldPrimary) -> (Option<String>, Duration) {
+pub fn run(attempt: &mut Attempt, old_primary: OldPrimary) -> (Option<String>, Duration) {
+    run_from(attempt, old_primary, Role::Primary, true)
+}
+
+/// The same. `role` is the old primary's role when the attempt begins, `is_revoked` says whether all
+/// nodes have revoked their evidence.
+pub fn run_from(
+    attempt: &mut Attempt,
+    old_primary: OldPrimary,
+    mut role: Role,
+    is_revoked: bool,
+) -> (Option<String>, Duration) {
     let began = Instant::now();
     let mut now = began;
     let mut min_terms = BTreeMap::new();
-    let mut role = Role::Primary;
     for _ in 0..STEPS {
         now += STEP;
-        attempt.on_event(Event::EvidenceRevoked, now);
+        if is_revoked {
+            attempt.on_event(Event::EvidenceRevoked, now);
+        }
         for command in attempt.step(now) {
             match command {
                 Command::Promote(instance) => {
@@ -153,3 +165,26 @@
     assert!(chosen.is_some() && time >= LIMIT - STEP * 2, "{time:?}");
     assert!(attempt.lacks_old_primary_log());
 }
+
+/// Guards against the loss of commits that the old primary acknowledges while evidence expires and
+/// the limit passes. An earlier replacement had promoted the leaving primary again, which left less
+/// time for the next one (simulation of replacements with an unlisted instance, seed 1923).
+#[test]
+fn old_primary_steps_down_if_the_limit_passes_while_evidence_expires() {
+    let limit = Duration::from_millis(500);
+    let mut attempt = attempt_that_requires_the_primary(Instant::now(), limit);
+    let old_primary = OldPrimary { leading: Some(10), demoted: Some(13) };
+    let (chosen, _) = run_from(&mut attempt, old_primary, Role::Primary, false);
+    assert_eq!(chosen.as_deref(), Some(OLD_PRIMARY));
+}
+
+/// The old primary has little time to answer if the limit has passed by then.
+#[test]
+fn planned_replacement_goes_on_soon_if_the_limit_passes_while_evidence_expires() {
+    let limit = Duration::from_millis(500);
+    let mut attempt = attempt_that_requires_the_primary(Instant::now(), limit);
+    let old_primary = OldPrimary { leading: Some(10), demoted: None };
+    let (chosen, time) = run_from(&mut attempt, old_primary, Role::Primary, false);
+    assert!(chosen.is_some() && time < Duration::from_millis(1_500), "{time:?}");
+    assert!(attempt.lacks_old_primary_log());
+}
--- a/crates/core/tests/replacement/unlisted.rs
+++ b/crates/core/tests/replacement/unlisted.rs
@@ -86,6 +86,14 @@
     assert!(promotions >= outcomes.len() as u64, "too few promotions");
 }
 
+/// The limit for the old primary's log passed while evidence expired: an earlier replacement, in which
+/// the leaving primary was promoted again, had taken most of the time.
+#[test]
+fn fixed_seed_with_an_unlisted_instance_violates_no_guarantee() {
+    let outcome = World::with_unlisted_instance(1_923, PlantedFault::None).run();
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations.first());
+}
+
 /// Planted fault: a planned replacement compares only the logs of the instances that it stops.
 #[test]
 fn detects_planned_replacements_without_the_old_primarys_log() {
