Report the positions of all answered commits to coordinators

Hypothesis, written before the change: a position counts as a sample of the primary's position only under a term that its reporter was shown to lead. The report to a coordinator took its position from the samples alone. So it lacked commits that the node had acknowledged although their position was no sample: that of an instance which answered under a higher term than it was shown to lead, or whose entry in the store had vanished by the time of the answer. A coordinator takes a log that reaches the reported position for whole.

Belief: what may not serve reads has not been acknowledged.

Change: the highest position in answers to commits is kept beside the samples, for every instance, and the report has the higher one of the two. Samples, and so reads, are unchanged. Raising the reported position can only make a coordinator require more of a log.

The age in the report remains that of the newest sample, and is reported only if the sample has the term of the reported position. Before, an owner that knew the new primary's position from a status query dated it by a sample of the old primary; the coordinator then took commits that an ended process had acknowledged before that sample for included. The positions are read after it is known that no more commits are acknowledged.

Price: no request is added.

--- a/crates/core/src/promotion/known_instances.rs
+++ b/crates/core/src/promotion/known_instances.rs
@@ -180,8 +180,8 @@
         self.groups.get(group).is_some_and(KnownGroup::has_status_targets)
     }
 
-    /// This node's report on the restarts in a group; `primary_position` is the highest position
-    /// that the group's primary has reported to this node.
+    /// This node's report on the restarts in a group; `primary_position` is the highest position in
+    /// answers to this node's statements ([`super::AnsweredPrimary::highest`]).
     pub fn restart_report(
         &self,
         group: &GroupName,
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -26,6 +26,7 @@
 //! the next coordinator if necessary: another instance may have been primary, so the old primary
 //! must not continue.
 
+mod answered_primary;
 mod attempt;
 mod coordination;
 mod electorate;
@@ -47,6 +48,7 @@
 mod timing;
 mod vote_delivery;
 
+pub use answered_primary::{AnsweredPrimary, higher_position};
 pub use attempt::{Attempt, MissingLogs};
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
--- a/crates/core/src/promotion/restart_reports.rs
+++ b/crates/core/src/promotion/restart_reports.rs
@@ -51,7 +51,8 @@
     pub started_again: Vec<ObservedRestart>,
     /// Restarts after which it has seen the instance receive everything again.
     pub refilled: Vec<ObservedRestart>,
-    /// The highest position that the group's primary has reported to it.
+    /// The highest position that the group's primary has reported to it, or that an instance has
+    /// reported with an answer to a commit. It has acknowledged no commit beyond that.
     #[serde(rename = "heard")]
     pub primary_position: Option<Position>,
     /// All instances that may hold a commit that the others lack; `None` if the node does not know
@@ -61,7 +62,8 @@
     /// Whether the node acknowledges no commit of the old primary to a client any more.
     #[serde(default)]
     pub has_ended_commits: bool,
-    /// Time since the node sent the query to which the primary reported its newest position.
+    /// Time since the node sent the query to which the primary of the term of that position reported
+    /// its newest position; `None` if it has no such answer.
     #[serde(default)]
     pub position_age: Option<Duration>,
     /// Time since the node's process started.
--- a/crates/core/tests/log_coverage.rs
+++ b/crates/core/tests/log_coverage.rs
@@ -9,8 +9,8 @@
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::promotion::{
-    AnsweredPositions, KnownInstances, ReplicationStatus, ReportingNodes, RestartReport,
-    RestartReports,
+    AnsweredPositions, AnsweredPrimary, KnownInstances, ReplicationStatus, ReportingNodes,
+    RestartReport, RestartReports,
 };
 use kestrellock_core::routing::Role;
 
@@ -309,3 +309,43 @@
     let outdated = acknowledged(|_, nodes, _| nodes.highest_led = Term(3));
     assert_eq!(outdated, None, "the positions are those of an earlier primary");
 }
+
+/// Guards against lost commits: an owner knows a position of the new primary from a status query,
+/// and its newest sample is one of the old primary. The sample covers no commit of the new primary
+/// that a process acknowledged which has ended since.
+#[test]
+fn sample_of_an_earlier_primary_does_not_date_the_position_of_its_successor() {
+    let start = Instant::now();
+    let now = start + HOUR;
+    let mut known = KnownInstances::default();
+    known.apply_catalog(&catalog(&["a", "b", "c"], ""), start);
+    let at = |term, offset| Position { term: Term(term), offset: LogOffset(offset) };
+    let status = |received: Position| ReplicationStatus {
+        role: Role::Primary,
+        term: received.term,
+        received,
+        min_term: Term::default(),
+    };
+    known.on_status(&group(), &InstanceName::new("b"), &status(at(2, 9)), now - 10 * SECOND);
+    let acknowledged_with = |answered: AnsweredPrimary| {
+        let report = known.restart_report(&group(), answered.highest());
+        assert_eq!(report.primary_position, Some(at(2, 9)));
+        let position_age = answered.sample_age(report.primary_position, now);
+        let report =
+            RestartReport { position_age, has_ended_commits: true, uptime: HOUR, ..report };
+        let node = NodeName::new("one");
+        let nodes = ReportingNodes {
+            current: vec![node.clone()],
+            last_removal: Some(now - 5 * SECOND),
+            highest_led: Term(2),
+        };
+        let mut reports = RestartReports::default();
+        reports.add(&node, report, now);
+        reports.acknowledged_position(&nodes)
+    };
+    let sampled = |position| Some((position, now - SECOND));
+    let of_old = AnsweredPrimary { sampled: sampled(at(1, 90)), committed: None };
+    assert_eq!(acknowledged_with(of_old), None);
+    let of_new = AnsweredPrimary { sampled: sampled(at(2, 8)), committed: None };
+    assert_eq!(acknowledged_with(of_new), Some(at(2, 9)));
+}
--- a/crates/core/tests/replacement/coordination.rs
+++ b/crates/core/tests/replacement/coordination.rs
@@ -4,8 +4,8 @@
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFETIME;
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, Intent, NOTIFY_INTERVAL, Need, ProcessProbes, ReplacementId,
-    ReportingNodes, RestartReport, Successor, Timing,
+    AnsweredPrimary, Attempt, Command, Event, Intent, NOTIFY_INTERVAL, Need, ProcessProbes,
+    ReplacementId, ReportingNodes, RestartReport, Successor, Timing,
 };
 use kestrellock_core::store_era::StoreEra;
 
@@ -131,12 +131,14 @@
         let accepts_commits = intent.former.as_ref().is_none_or(|old_primary| {
             own.replacements.accepts_commit(&group_name(), old_primary, now)
         });
-        let sampled_at = own.primary_samples.newest();
+        let sampled = own.primary_samples.highest().zip(own.primary_samples.newest());
+        let answered = AnsweredPrimary { sampled, committed: None };
+        let report = own.known_instances.restart_report(&group_name(), answered.highest());
         RestartReport {
             has_ended_commits: !accepts_commits,
-            position_age: sampled_at.map(|at| now.saturating_duration_since(at)),
+            position_age: answered.sample_age(report.primary_position, now),
             uptime: now.saturating_duration_since(self.at(own.started_at)),
-            ..own.known_instances.restart_report(&group_name(), own.primary_samples.highest())
+            ..report
         }
     }
 
--- a/crates/daemon/src/agent/promotion/log_status.rs
+++ b/crates/daemon/src/agent/promotion/log_status.rs
@@ -107,16 +107,18 @@
         context: &NodeContext,
         now: Instant,
     ) -> RestartReport {
-        let (highest, sampled_at) = context.statuses.primary_position(group);
         let accepts_commits = intent.former.as_ref().is_none_or(|old_primary| {
             context.replacements.may_acknowledge_commit(group, old_primary, now)
         });
+        // Read after it is known that no more commits are acknowledged, to include all that were.
+        let answered = context.statuses.answered_primary(group);
+        let report = self.known.restart_report(group, answered.highest());
         RestartReport {
             has_ended_commits: !accepts_commits,
-            position_age: sampled_at.map(|at| now.saturating_duration_since(at)),
+            position_age: answered.sample_age(report.primary_position, now),
             uptime: now.saturating_duration_since(self.started_at),
             accepts_commit_loss: context.accepts_commit_loss(group),
-            ..self.known.restart_report(group, highest)
+            ..report
         }
     }
 }
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -201,6 +201,7 @@
             sent: running.sent,
             completed_at: io.now,
             position: running.answer_position(),
+            commit_position: running.answer_position().filter(|_| running.has_committed()),
             role: configured.and_then(|instance| instance.announced_role),
             is_read_only: running.found_instance_read_only(),
             continues_transaction: running.impact.continues_transaction
--- a/crates/daemon/src/shared/exchange_record.rs
+++ b/crates/daemon/src/shared/exchange_record.rs
@@ -263,6 +263,8 @@
     pub completed_at: Instant,
     /// Position that the instance reported.
     pub position: Option<Position>,
+    /// Position that it reported after a commit, if the exchange may have committed.
+    pub commit_position: Option<Position>,
     /// Role that the instance announces in the platform's store.
     pub role: Option<Role>,
     /// Whether the instance answered that it accepts no writes.
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -2,6 +2,7 @@
 //! uses them.
 
 pub mod address_occupants;
+mod answered_positions;
 pub mod confirmations;
 pub mod exchange_record;
 pub mod inbox;
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -15,7 +15,7 @@
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::primary_evidence::{Coverage, PrimaryEvidence, ReplicaTerms, Replication};
 use kestrellock_core::primary_samples::{PositionReport, PrimarySamples};
-use kestrellock_core::promotion::{AnsweredPositions, Intent};
+use kestrellock_core::promotion::{Intent, higher_position};
 use kestrellock_core::routing::{self, InstanceStatus, Role};
 use kestrellock_core::suspicion::HealthSignals;
 use kestrellock_protocol::backend::Report;
@@ -47,6 +47,9 @@
     pub evidence: PrimaryEvidence,
     /// What connections to its instances show about their processes.
     processes: HashMap<InstanceName, ObservedProcess>,
+    /// Highest position in answers to commits, of any instance: each of these commits may have been
+    /// acknowledged to a client.
+    pub highest_commit: Option<Position>,
     /// When its primary last answered a commit that wrote data.
     last_commit: Option<Instant>,
 }
@@ -208,6 +211,7 @@
             let record = known.exchange_records.entry(instance.clone()).or_default();
             record.on_ended(number, response.as_ref());
             let Some(response) = response else { return };
+            known.highest_commit = higher_position(known.highest_commit, response.commit_position);
             if let (Some(Role::Primary), Some(position)) = (response.role, response.position) {
                 let led_term = record.current_led_term();
                 known.primary_samples.record(PositionReport {
@@ -430,29 +434,6 @@
         HealthSignals { last_commit: known.last_commit, is_outdated, ..signs }
     }
 
-    /// Highest position that a group's primary has reported to this node, and when the query for
-    /// its newest report was sent.
-    pub fn primary_position(&self, group: &GroupName) -> (Option<Position>, Option<Instant>) {
-        let statuses = self.group(group);
-        let known = statuses.read().expect("a thread panicked while it held the status lock");
-        (known.primary_samples.highest(), known.primary_samples.newest())
-    }
-
-    /// Positions that the instances of a group reported in answers to clients' statements.
-    pub fn answered_positions(&self, group: &GroupName) -> AnsweredPositions {
-        let statuses = self.group(group);
-        let known = statuses.read().expect("a thread panicked while it held the status lock");
-        let records = known.exchange_records.iter();
-        let replicas = records.filter_map(|(instance, record)| {
-            let answered = record.last_position.zip(record.last_position_at)?;
-            Some((instance.clone(), answered))
-        });
-        AnsweredPositions {
-            primary: known.primary_samples.highest().zip(known.primary_samples.newest()),
-            replicas: replicas.collect(),
-        }
-    }
-
     /// Highest term of a group that an instance is known to have led.
     pub fn highest_led_term(&self, group: &GroupName) -> Term {
         let statuses = self.group(group);
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -46,6 +46,7 @@
             sent: now,
             completed_at: now,
             position: Some(position),
+            commit_position: None,
             role: Some(Role::Primary),
             is_read_only: false,
             continues_transaction: false,
@@ -53,6 +54,23 @@
         self.table.on_ended(&self.group, &name(instance), number, Some(answered));
     }
 
+    /// The instance, which has this role according to the platform, answers a commit of writes.
+    fn answer_commit(&self, instance: &str, role: Option<Role>, position: Position) {
+        let number = self.table.on_sent(&self.group, &name(instance), true);
+        let now = Instant::now();
+        let answered = ExchangeResponse {
+            sent: now,
+            completed_at: now,
+            position: Some(position),
+            commit_position: Some(position),
+            role,
+            is_read_only: false,
+            continues_transaction: false,
+        };
+        self.table.on_commit(&self.group, &name(instance), position.term, now);
+        self.table.on_ended(&self.group, &name(instance), number, Some(answered));
+    }
+
     /// A replacement check finds that no replacement of the primary is in progress.
     fn confirm_no_replacement(&self) {
         self.table.on_replacement_check(&self.group, Instant::now());
@@ -147,6 +165,24 @@
     assert_eq!(fixture.read_position("new", before), Some(expected));
 }
 
+/// Guards against lost commits: a node reported to a coordinator a position that lacked a commit
+/// which it had acknowledged, since the commit's position was none that reads may rely on.
+#[test]
+fn a_commit_whose_position_is_no_sample_is_included_in_the_reported_position() {
+    let fixture = Fixture::new();
+    fixture.report_status("old", Role::Primary, 1);
+    fixture.answer_read("old", position(1, 5));
+    fixture.answer_commit("old", Some(Role::Primary), position(2, 7));
+    let answered = fixture.table.answered_primary(&fixture.group);
+    assert_eq!(answered.sampled.map(|(sampled, _)| sampled), Some(position(1, 5)));
+    assert_eq!(answered.highest(), Some(position(2, 7)));
+    let age = answered.sample_age(answered.highest(), Instant::now());
+    assert_eq!(age, None, "the sample is one of an earlier primary");
+    fixture.answer_commit("old", None, position(2, 9));
+    let answered = fixture.table.answered_primary(&fixture.group);
+    assert_eq!(answered.highest(), Some(position(2, 9)), "its entry has vanished meanwhile");
+}
+
 /// Guards against stale reads: a primary restarted without its log under its name, and replicas
 /// still followed the term that it had led.
 #[test]
--- a/crates/lab/tests/session_bounds.rs
+++ b/crates/lab/tests/session_bounds.rs
@@ -61,8 +61,8 @@
                 if chosen.as_str() == primary)
         });
         position_of_owner = owner.map(|owner| {
-            let (position, _) = owner.context.statuses.primary_position(&GroupName::new(GROUPS[0]));
-            let led = position.expect("the primary has answered").term;
+            let answered = owner.context.statuses.answered_primary(&GroupName::new(GROUPS[0]));
+            let led = answered.highest().expect("the primary has answered").term;
             let at = |term| Position { term, offset: LogOffset(1) };
             let own = choice_for_begin(owner, Some(at(led)));
             let newer = choice_for_begin(owner, Some(at(Term(led.0 + 1))));
