--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -207,11 +207,11 @@
     }
 }
 
-/// The same for a node that follows the product's own keys: its waiting watch call is cut.
+/// The same for a node that follows the product's own keys, with a watch call that waits.
 #[test]
 fn mirror_of_own_keys_shows_a_replacement_that_an_empty_answer_has_hidden() {
     for silence in EMPTY_ANSWERS {
-        for end in [SilenceEnd::Cut, SilenceEnd::HistoryDropped] {
+        for end in [SilenceEnd::Reported, SilenceEnd::Cut, SilenceEnd::HistoryDropped] {
             let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
             let coordinator = Client::start(&store);
             let lease = coordinator.acquire();
@@ -236,6 +236,49 @@
     }
 }
 
+/// A change that was reported after an empty answer hid an earlier one for good from a node that
+/// follows the product's own keys.
+#[test]
+fn mirror_of_own_keys_shows_a_hidden_replacement_when_a_later_change_is_reported() {
+    for silence in EMPTY_ANSWERS {
+        let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+        let coordinator = Client::start(&store);
+        let lease = coordinator.acquire();
+        let reader = Client::start(&store);
+        store.silence_watches(silence);
+        record(&coordinator, &lease, &group());
+        reader.mirror.catch_up().expect("an empty answer");
+        store.end_watch_silence();
+        record(&coordinator, &lease, &GroupName::new("payments"));
+        reader.mirror.advance().expect("an answer");
+        let view = reader.coordination.view();
+        assert!(view.intents.contains_key(&GroupName::new("payments")), "{silence:?}");
+        assert!(reader.shows_replacement(), "{silence:?}");
+    }
+}
+
+/// Guards against a watch that reads the records again and again after the store has dropped its
+/// history.
+#[test]
+fn quiet_watch_of_own_keys_costs_one_read_after_a_compaction() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let reader = Client::start(&store);
+    let quiet_calls = |calls: u64| {
+        let before = store.counters().requests;
+        for _ in 0..calls {
+            store.put("others/key", b"1");
+            reader.mirror.catch_up().expect("an answer");
+        }
+        store.counters().requests - before
+    };
+    assert_eq!(quiet_calls(4), 4, "an empty answer costs no further call");
+    store.compact();
+    let before = store.counters().requests;
+    reader.mirror.advance().expect("the history is dropped, and the records are read");
+    assert_eq!(store.counters().requests - before, 2);
+    assert_eq!(quiet_calls(4), 4);
+}
+
 /// A node listed itself on an empty answer, before its mirror showed a replacement whose coordinator
 /// did not wait for this node.
 #[test]
