End a notified replacement only by a copy of the store that was requested later

Callers could lose a write that an old primary acknowledged, or read there (shown by unit tests; not seen on a deployment).

Hypothesis, written before the change: a node that hears no more of a replacement ends its caution once a copy of the store arrives that shows none. It compared the time at which the copy arrived with that of the last notification. An answer of the store that was under way for longer than the notification, or an empty answer that a later one confirmed seconds afterwards, arrived later and was older than the intent. The node then returned to an old primary that may have a successor, and acknowledged its commits without the replicas' confirmation.

Belief: a copy that arrives later is newer.

Revisions cannot be compared here: a notification does not carry that of its record. A copy that does not count is followed by the next change of the records, or the next confirmed empty answer (10 to 30 s), or the notification of the end; a replacement that the store has shown ends as before.

Tests that gave a copy without a time of its request now give the time at which it arrives; their checks are unchanged. The simulation gives the time at which the store was read.

Price: no request is added.

--- a/crates/core/src/promotion/coordination.rs
+++ b/crates/core/src/promotion/coordination.rs
@@ -1,6 +1,7 @@
 //! What nodes publish in the store about primary replacements.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +48,9 @@
     pub era: StoreEra,
     /// Revision of the store; zero before the first copy was read.
     pub revision: u64,
+    /// When the store was asked for this copy: the copy includes everything that was recorded until
+    /// then.
+    pub requested_at: Option<Instant>,
     /// The coordinator, if the coordinator lease is held.
     pub coordinator: Option<Coordinator>,
     /// Intents of attempts that are running or were left unfinished.
--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -9,7 +9,10 @@
 //! that writes continue in the first case. It sends a write to the old primary only with evidence
 //! that covers it, and acknowledges its commit only once replicas that were queried after the answer
 //! confirm it ([`KnownReplacements::needs_confirmation`]), until it learns how the replacement
-//! ended: from a new copy of the store, or from a coordinator. If a replica does not answer
+//! ended: from a newer copy of the store, or from a coordinator. Newer is a copy that was requested
+//! from the store after the last notification arrived. When a copy arrives says nothing: its answer
+//! may have been under way for longer than the notification, and an answer without changes counts
+//! only once a later one confirms it. If a replica does not answer
 //! meanwhile, no writes are served at this node.
 
 use std::collections::BTreeMap;
@@ -38,6 +41,13 @@
     at: Instant,
 }
 
+impl Notification {
+    /// Whether a copy of the store that was requested then may lack the intent.
+    fn is_newer_than(&self, requested_at: Option<Instant>) -> bool {
+        requested_at.is_none_or(|requested_at| requested_at <= self.at)
+    }
+}
+
 /// When a replacement began.
 #[derive(Clone, Copy, Debug)]
 struct Started {
@@ -60,13 +70,19 @@
     started: BTreeMap<GroupName, Started>,
     /// The newest replacement of each group that is known to have finished.
     finished: BTreeMap<GroupName, ReplacementId>,
-    /// When this node last received a new copy of the store.
-    store_seen_at: Option<Instant>,
+    /// When the newest copy of the store was requested.
+    copy_requested_at: Option<Instant>,
 }
 
 impl KnownReplacements {
-    /// Processes the intents that the store shows now.
-    pub fn update_from_store(&mut self, intents: &BTreeMap<GroupName, Intent>, now: Instant) {
+    /// Processes the intents in a copy of the store that arrived at `now` and was requested at
+    /// `requested_at`; `None` if it is no evidence that another intent has ended.
+    pub fn update_from_store(
+        &mut self,
+        intents: &BTreeMap<GroupName, Intent>,
+        requested_at: Option<Instant>,
+        now: Instant,
+    ) {
         let removed: Vec<(GroupName, ReplacementId)> = self
             .in_store
             .iter()
@@ -81,11 +97,13 @@
             self.record_start(group, started);
         }
         self.in_store.clone_from(intents);
-        self.store_seen_at = Some(now);
+        self.copy_requested_at = self.copy_requested_at.max(requested_at);
+        let requested_at = self.copy_requested_at;
         // While the store shows a replacement, commits that were sent before this copy arrived still
         // need confirmation.
-        self.unresolved
-            .retain(|group, notification| now <= notification.at || intents.contains_key(group));
+        self.unresolved.retain(|group, notification| {
+            notification.is_newer_than(requested_at) || intents.contains_key(group)
+        });
     }
 
     /// The coordinator notifies this node that a replacement is running, and that it learned `age`
@@ -128,22 +146,19 @@
     /// node that cannot reach the store would return to the old primary. Any other may have promoted
     /// an instance after the last notification, so commits of the old primary need confirmation.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let store_seen_at = self.store_seen_at;
-        let store_is_older = |notification: &Notification| {
-            store_seen_at.is_none_or(|seen_at| seen_at <= notification.at)
-        };
+        let requested_at = self.copy_requested_at;
         let expired: Vec<(GroupName, Notification)> = self
             .notified
             .extract_if(.., |_, notification| {
                 let may_have_promoted =
-                    notification.intent.promoting && store_is_older(notification);
+                    notification.intent.promoting && notification.is_newer_than(requested_at);
                 !may_have_promoted && now >= notification.at + NOTIFICATION_TIMEOUT
             })
             .collect();
         let has_expired = !expired.is_empty();
-        let unresolved = expired
-            .into_iter()
-            .filter(|(_, expired)| store_is_older(expired) && !expired.intent.called_off);
+        let unresolved = expired.into_iter().filter(|(_, expired)| {
+            expired.is_newer_than(requested_at) && !expired.intent.called_off
+        });
         self.unresolved.extend(unresolved);
         has_expired
     }
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -28,6 +28,15 @@
     BTreeMap::from([(group(), intent)])
 }
 
+/// A copy of the store arrives that was requested at the same time.
+fn receive_copy(
+    known: &mut KnownReplacements,
+    intents: &BTreeMap<GroupName, Intent>,
+    now: Instant,
+) {
+    known.update_from_store(intents, Some(now), now);
+}
+
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
@@ -56,12 +65,12 @@
 fn replacement_that_may_have_promoted_expires_only_after_a_new_copy_of_the_store() {
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
     let promoting = Intent { promoting: true, ..intent(1, Reason::Suspected) };
-    known.update_from_store(&BTreeMap::new(), now);
+    receive_copy(&mut known, &BTreeMap::new(), now);
     known.on_notification(&group(), promoting.clone(), Duration::ZERO, now + ms(10));
     assert!(!known.expire(now + ms(60_000)));
     assert_eq!(known.intents(), in_store(promoting));
     assert!(!known.accepts_commit(&group(), &InstanceName::new("old"), now + ms(60_000)));
-    known.update_from_store(&BTreeMap::new(), now + ms(60_001));
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(60_001));
     assert!(known.expire(now + ms(60_001)));
     assert!(known.intents().is_empty());
 }
@@ -85,8 +94,8 @@
     known.on_finished(&group(), ReplacementId { fence: 7, attempt: 1 });
     known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now);
     assert!(known.intents().is_empty());
-    known.update_from_store(&in_store(intent(2, Reason::Suspected)), now);
-    known.update_from_store(&BTreeMap::new(), now);
+    receive_copy(&mut known, &in_store(intent(2, Reason::Suspected)), now);
+    receive_copy(&mut known, &BTreeMap::new(), now);
     known.on_notification(&group(), intent(2, Reason::Suspected), Duration::ZERO, now);
     assert!(known.intents().is_empty(), "the store has shown that it has finished");
     known.on_notification(&group(), intent(3, Reason::Suspected), Duration::ZERO, now);
@@ -97,9 +106,9 @@
 #[test]
 fn stale_copy_of_the_store_does_not_finish_a_notified_replacement() {
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
-    known.update_from_store(&in_store(intent(1, Reason::Suspected)), now);
+    receive_copy(&mut known, &in_store(intent(1, Reason::Suspected)), now);
     known.on_notification(&group(), intent(2, Reason::Suspected), Duration::ZERO, now);
-    known.update_from_store(&BTreeMap::new(), now);
+    receive_copy(&mut known, &BTreeMap::new(), now);
     assert_eq!(known.intents(), in_store(intent(2, Reason::Suspected)));
 }
 
@@ -125,7 +134,7 @@
 fn grace_period_begins_when_the_coordinator_begins() {
     let old = InstanceName::new("old");
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
-    known.update_from_store(&in_store(intent(1, Reason::Suspected)), now);
+    receive_copy(&mut known, &in_store(intent(1, Reason::Suspected)), now);
     known.on_notification(&group(), intent(1, Reason::Suspected), ms(5), now + ms(205));
     assert!(known.accepts_commit(&group(), &old, now + ms(250)));
     known.on_notification(&group(), intent(1, Reason::Suspected), ms(60), now + ms(300));
@@ -138,11 +147,11 @@
 fn accepts_commits_while_a_planned_replacement_drains() {
     let old = InstanceName::new("old");
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
-    known.update_from_store(&in_store(intent(1, Reason::Leaving)), now);
+    receive_copy(&mut known, &in_store(intent(1, Reason::Leaving)), now);
     assert!(known.accepts_commit(&group(), &old, now + ms(150)));
     assert!(!known.accepts_commit(&group(), &old, now + ms(151)));
     let cancelled = Intent { called_off: true, ..intent(1, Reason::Leaving) };
-    known.update_from_store(&in_store(cancelled), now + ms(200));
+    receive_copy(&mut known, &in_store(cancelled), now + ms(200));
     assert!(known.accepts_commit(&group(), &old, now + ms(300)), "no instance will be promoted");
 }
 
@@ -153,7 +162,7 @@
 fn commits_need_confirmation_after_a_replacement_whose_end_is_not_known() {
     let (old, other) = (InstanceName::new("old"), InstanceName::new("other"));
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
-    known.update_from_store(&BTreeMap::new(), now);
+    receive_copy(&mut known, &BTreeMap::new(), now);
     known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now + ms(10));
     assert!(known.expire(now + ms(1_010)));
     assert!(known.accepts_commit(&group(), &old, now + ms(1_010)), "writes continue");
@@ -172,10 +181,10 @@
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
     known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now);
     known.expire(now + ms(1_000));
-    known.update_from_store(&BTreeMap::new(), now + ms(5_000));
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(5_000));
     assert!(!known.needs_confirmation(&group(), &old));
     known.on_notification(&group(), intent(2, Reason::Suspected), Duration::ZERO, now + ms(6_000));
-    known.update_from_store(&BTreeMap::new(), now + ms(6_100));
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(6_100));
     assert!(known.expire(now + ms(7_000)));
     assert!(!known.needs_confirmation(&group(), &old), "the store was newer at the expiry");
 }
@@ -214,8 +223,42 @@
     let (mut known, now) = (KnownReplacements::default(), Instant::now());
     known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now);
     known.expire(now + ms(1_000));
-    known.update_from_store(&in_store(intent(2, Reason::Unfinished)), now + ms(5_000));
+    receive_copy(&mut known, &in_store(intent(2, Reason::Unfinished)), now + ms(5_000));
     assert!(known.needs_confirmation(&group(), &old));
-    known.update_from_store(&BTreeMap::new(), now + ms(6_000));
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(6_000));
     assert!(!known.needs_confirmation(&group(), &old));
 }
+
+/// Guards against writes at an old primary: a copy of the store that had been requested before the
+/// replacement was notified arrived after it, and was taken for the store's word that the replacement
+/// had ended.
+#[test]
+fn copy_that_was_requested_before_a_notification_does_not_end_its_replacement() {
+    let (old, start) = (InstanceName::new("old"), Instant::now());
+    let none = BTreeMap::new();
+    let requested_at = Some(start);
+    let notified = |promoting| {
+        let mut known = KnownReplacements::default();
+        let intent = Intent { promoting, ..intent(1, Reason::Suspected) };
+        known.on_notification(&group(), intent, Duration::ZERO, start + ms(10));
+        known
+    };
+    let mut promoting = notified(true);
+    promoting.update_from_store(&none, requested_at, start + ms(500));
+    assert!(!promoting.expire(start + ms(2_000)), "the copy may be older than the intent");
+    promoting.update_from_store(&none, Some(start + ms(1_500)), start + ms(2_100));
+    assert!(promoting.expire(start + ms(2_100)));
+    assert!(!promoting.needs_confirmation(&group(), &old), "the store shows no replacement");
+    // The older copy arrives before the notifications expire, or after it.
+    for arrival in [start + ms(500), start + ms(3_000)] {
+        let mut known = notified(false);
+        known.expire(arrival);
+        known.update_from_store(&none, requested_at, arrival);
+        known.expire(start + ms(4_000));
+        assert!(known.needs_confirmation(&group(), &old), "another instance may be promoted");
+        known.update_from_store(&none, None, start + ms(4_500));
+        assert!(known.needs_confirmation(&group(), &old), "the copy is no evidence");
+        known.update_from_store(&none, Some(start + ms(5_000)), start + ms(5_500));
+        assert!(!known.needs_confirmation(&group(), &old));
+    }
+}
--- a/crates/core/tests/replacement/store.rs
+++ b/crates/core/tests/replacement/store.rs
@@ -245,6 +245,7 @@
         CoordinationView {
             era: self.era,
             revision: self.position(),
+            requested_at: None,
             coordinator: keys
                 .lease
                 .map(|(node, fence, _)| Coordinator { node: node_name(node), fence }),
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -439,6 +439,7 @@
             if receives && self.sent_positions[node] != self.store.position() {
                 self.sent_positions[node] = self.store.position();
                 let mut view = self.store.view();
+                view.requested_at = Some(self.at(self.now));
                 view.nodes = self.nodes_shown_to(node, &view.nodes);
                 let message = Message::View {
                     node,
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -182,7 +182,7 @@
         let view = self.services.coordination.view();
         let is_new = view.revision != self.view.revision;
         if is_new {
-            self.context.replacements.follow_store(&view.intents, now);
+            self.context.replacements.follow_store(&view.intents, view.requested_at, now);
         }
         self.report_revoked_evidence();
         self.follow_intents(&view, now);
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -27,9 +27,15 @@
 }
 
 impl Replacements {
-    /// Updates the replacements with the intents that the store has now.
-    pub fn follow_store(&self, intents: &BTreeMap<GroupName, Intent>, now: Instant) {
-        self.known().update_from_store(intents, now);
+    /// Updates the replacements with the intents in a copy of the store that was requested at
+    /// `requested_at`.
+    pub fn follow_store(
+        &self,
+        intents: &BTreeMap<GroupName, Intent>,
+        requested_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.known().update_from_store(intents, requested_at, now);
     }
 
     /// Handles the report of a coordinator that it runs a replacement, and that the intent has been
