Planned replacements that another coordinator continues

What callers saw: acknowledged commits are lost, silently, if a coordinator ends during a planned replacement while an instance that the store does not list receives commits. Shown in the simulation only.

Cause: a coordinator that continues a replacement with `promoting` in its record counted the promotion that may have been sent as one of its own. A promotion of its own means that the old primary's log has been compared, so it required no log and reported nothing (`lacks_old_primary_log` expects the attempt's first promotion). `promoting` is recorded when evidence begins to expire, long before the comparison. Besides, the log was required only while the old primary was listed as leaving: one that has stepped down for the replacement is missing, and one whose replicas are stopped is soon suspected. Even a longer log of an old primary that was stopped and known was then passed over in favour of a replica.

Change: the attempt tells a promotion that an earlier coordinator may have sent from its own. It has the old primary step down in its last check, waits for the answer until the limit, but at least 300 ms, and compares its log. It is not cancelled. `Need` asks for the log if the recorded replacement is a planned one that may have had the old primary step down, whatever the reason is by now. An old primary that refuses connections is not waited for, as before, and promoting without its log is reported (`old_primary_unconfirmed`).

Why it works: the earlier promotion has ended or has taken effect by then (`open_calls`); if it has taken effect, the successor is found before anything is compared. An old primary that has stepped down has every commit that it acknowledged, so the highest position among the stopped instances includes them.

Price: a continued replacement waits up to 300 ms for an old primary that does not answer and refuses no connection, or until the limit if that is later; 1.3 s more if it has stepped down with a longer log.

Left: a third coordinator, since the second one records the reason that it found itself.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -57,8 +57,11 @@
     submitted: Option<Intent>,
     /// The intent that is in the store.
     recorded: Option<Intent>,
-    /// Number of promotions that this coordinator or an earlier one has sent and the platform has
-    /// not refused. Each may still take effect.
+    /// Whether an earlier coordinator may have sent a promotion, or may have had the old primary step
+    /// down. It need not have compared the old primary's log with that of any instance.
+    earlier_may_have_promoted: bool,
+    /// Number of promotions that this attempt has sent and the platform has not refused. Each may
+    /// still take effect.
     sent_promotions: u32,
     /// Number of the coordinator's process.
     process: u64,
@@ -183,7 +186,8 @@
             phase: Phase::Recording,
             submitted: None,
             recorded: None,
-            sent_promotions: u32::from(promoting),
+            earlier_may_have_promoted: promoting,
+            sent_promotions: 0,
             process: UNKNOWN_PROCESS,
             open_calls: OpenCalls::new(callers, callers_known_since),
             is_own_call_open: false,
@@ -304,7 +308,9 @@
     /// Whether the attempt cannot be cancelled: a promotion may take effect or have taken effect, or
     /// the old primary may have stepped down.
     fn may_have_promoted(&self) -> bool {
-        self.sent_promotions > 0 || self.step_down_requested_at.is_some()
+        self.earlier_may_have_promoted
+            || self.sent_promotions > 0
+            || self.step_down_requested_at.is_some()
     }
 
     /// Advances through as many phases as the current knowledge allows, and returns the commands to
--- a/crates/core/src/promotion/attempt/planned.rs
+++ b/crates/core/src/promotion/attempt/planned.rs
@@ -9,7 +9,9 @@
 //! Neither is required if all nodes have reported that they have acknowledged no other commits, and
 //! both only for a limited time: an old primary that leaves must get no requests for long. An attempt
 //! that has begun within this time takes the second step even if the time has passed meanwhile, and
-//! then waits for the answer no longer than for a replica's.
+//! then waits for the answer no longer than for a replica's. So does one that continues an attempt in
+//! which a promotion may have been sent: it cannot be cancelled, and the old primary may already have
+//! stepped down with the longest log.
 
 use std::time::Instant;
 
@@ -22,7 +24,6 @@
     /// Decides whether the attempt requires the old primary's log now.
     pub(super) fn update_old_primary_requirement(&mut self, now: Instant) {
         self.requires_old_primary = self.sent_promotions == 0
-            && self.intent.reason == Reason::Leaving
             && self.old_primary_limit(now).is_some_and(|limit| now < limit);
     }
 
@@ -32,7 +33,9 @@
     /// stepped down, there is time to stop it as well and to wait for evidence to expire.
     fn old_primary_limit(&self, now: Instant) -> Option<Instant> {
         let until = self.old_primary_required_until?;
-        if self.first_stops_at.unwrap_or(now) >= until {
+        let has_begun_in_time =
+            self.earlier_may_have_promoted || self.first_stops_at.unwrap_or(now) < until;
+        if !has_begun_in_time {
             return Some(until);
         }
         let replica_since = self.old_primary_state.replica_since;
@@ -66,7 +69,7 @@
         };
         let wait = lifetime.saturating_sub(self.timing.min_promotion_time);
         let has_lapsed = now >= since + wait || self.old_primary_refuses_connections();
-        let lacks_log = self.step_down_requested_at.is_none()
+        let lacks_log = !self.may_have_promoted()
             && self.old_primary_required_until.is_some_and(|until| now < until)
             && self.is_old_primary_log_required()
             && !self.have_reached_old_primary();
@@ -151,7 +154,9 @@
     /// of the old primary: that one has not answered in time, or its log ends beyond.
     pub fn lacks_old_primary_log(&self) -> bool {
         let chosen: Vec<&InstanceName> = self.chosen.iter().collect();
-        self.intent.reason == Reason::Leaving
+        let is_planned =
+            self.intent.reason == Reason::Leaving || self.old_primary_required_until.is_some();
+        is_planned
             && self.sent_promotions == 1
             && !self.old_primary_refuses_connections()
             && !self.include_log_of_old_primary(&chosen)
--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -46,7 +46,8 @@
     /// Whether the last primary is still reported by the platform and is a replica now.
     pub last_primary_is_replica: bool,
     /// Until when a planned replacement requires the old primary's log position. `None` if the
-    /// replacement is not planned, or if enough nodes suspect the primary.
+    /// replacement is not planned, or if enough nodes suspect the primary and no earlier coordinator
+    /// may have had it step down.
     pub old_primary_required_until: Option<Instant>,
     /// Processes whose promotions of this group may not have ended.
     pub callers: Vec<PromotionCaller>,
@@ -205,7 +206,9 @@
             may_have_promoted: intent.promoting,
             awaits_log: intent.awaits_log,
             last_primary_is_replica: last_primary_is_replica(group, history),
-            old_primary_required_until: current.and_then(|need| need.old_primary_required_until),
+            old_primary_required_until: current
+                .and_then(|need| need.old_primary_required_until)
+                .or_else(|| may_have_stepped_down(intent).then_some(now)),
             callers: all_callers(intent, open_callers(name, input.view)),
             callers_known_since: None,
         }),
@@ -214,6 +217,14 @@
     }
 }
 
+/// Whether the old primary may have stepped down for this planned replacement, with commits that the
+/// replicas lack. A coordinator that continues the replacement then compares its log, if it answers,
+/// whatever the reason is by now: an old primary that has stepped down is missing, and one whose
+/// replicas are stopped is suspected.
+fn may_have_stepped_down(intent: &Intent) -> bool {
+    intent.promoting && intent.reason == Reason::Leaving
+}
+
 fn current_need(
     name: &GroupName,
     group: &Group,
--- a/crates/core/tests/needs.rs
+++ b/crates/core/tests/needs.rs
@@ -168,6 +168,58 @@
     assert_eq!(need.callers, [caller]);
 }
 
+/// Guards against the loss of commits that only an old primary has which stepped down for a planned
+/// replacement: the coordinator that continued it did not require its log, since no primary left any
+/// more, or since nodes suspected one whose replicas were stopped.
+#[test]
+fn continued_planned_replacement_requires_the_log_of_a_primary_that_has_stepped_down() {
+    let recorded = |reason, promoting| {
+        let json = format!(
+            r#"{{"holder":"n-1","id":{{"fence":9,"attempt":1}},"reason":"{reason}","former":"a",
+            "promoting":{promoting}}}"#
+        );
+        serde_json::from_str::<Intent>(&json).expect("an intent")
+    };
+    let now = Instant::now();
+    let stepped_down = [("a", Role::Replica), REPLICA];
+    let suspected = [PRIMARY, REPLICA];
+    for (roles, delay, reason) in [
+        (stepped_down, Duration::ZERO, Reason::Unfinished),
+        (stepped_down, Duration::from_secs(3), Reason::Missing),
+        (suspected, Duration::ZERO, Reason::Suspected),
+    ] {
+        let need = need_to_continue(recorded("leaving", true), &roles, now, delay);
+        assert_eq!(need.reason, reason);
+        assert_eq!(need.old_primary_required_until, Some(now + delay), "{reason:?}");
+        for intent in [recorded("leaving", false), recorded("suspected", true)] {
+            let need = need_to_continue(intent, &roles, now, delay);
+            assert_eq!(need.old_primary_required_until, None, "{reason:?}");
+        }
+    }
+}
+
+/// The need that a node sees `delay` after it first saw the replacement. All nodes suspect `a`.
+fn need_to_continue(intent: Intent, roles: &[(&str, Role)], now: Instant, delay: Duration) -> Need {
+    let nodes = nodes(3);
+    let group = GroupName::new(GROUP);
+    let intents = [(group.clone(), intent)].into();
+    let mut view = CoordinationView { revision: 1, intents, ..CoordinationView::default() };
+    let mut evaluator = NeedsEvaluator::default();
+    let catalog = catalog(roles);
+    evaluator.apply_catalog(&catalog);
+    let vote = Vote { instance: InstanceName::new("a"), cause: Cause::Silent };
+    let votes = NodeVotes::from([(group.clone(), vote)]);
+    view.votes = nodes.iter().map(|node| (node.clone(), votes.clone())).collect();
+    let own = (&nodes[0], &votes);
+    let mut need_at = |now| {
+        let input =
+            NeedsInput { catalog: &catalog, view: &view, own, live: &nodes, listed: &nodes, now };
+        evaluator.evaluate(&input).remove(&group).expect("the attempt is unfinished")
+    };
+    need_at(now);
+    need_at(now + delay)
+}
+
 #[test]
 fn primary_that_became_a_replica_is_treated_as_a_replica() {
     let start = Instant::now();
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -642,13 +642,16 @@
         "few_replica_untold" => Faults::all().with_leaving_replicas(),
         "few_all" => Faults::all().with_data_loss().with_full_restart(),
         "many_all" => Faults::dense().with_releases().with_data_loss().with_full_restart(),
-        "unlisted" => Faults::all().with_releases().with_coordinator_notifications(),
+        "unlisted" | "unlisted_end" => {
+            Faults::all().with_releases().with_coordinator_notifications()
+        }
         other => panic!("unknown TRACE_KIND: {other}"),
     };
     let variation = std::env::var("TRACE_PLAY").ok().and_then(|text| text.parse().ok());
     let world = match variation {
         Some(variation) => World::variation_of(seed, variation, faults),
         None if kind == "unlisted" => World::with_unlisted_instance(seed, PlantedFault::None),
+        None if kind == "unlisted_end" => World::with_ending_coordinator(seed, PlantedFault::None),
         None => World::new(seed, faults, PlantedFault::None),
     };
     let (outcome, lines) = world.traced().run_with_trace();
--- a/crates/core/tests/replacement/unlisted.rs
+++ b/crates/core/tests/replacement/unlisted.rs
@@ -13,6 +13,8 @@
 
 /// Separates the draws of the faults from those of the world with the same seed.
 const SEED_MASK: u64 = 0x756e_6c69_7374_6564;
+/// The same for the end of the coordinator's process.
+const COORDINATOR_MASK: u64 = 0x636f_6f72_6469_6e61;
 /// Share of the replication steps in which the instance receives.
 const RECEIVING_SHARE: f64 = 0.7;
 /// Time from the announcement of the first primary that it leaves to its end.
@@ -39,6 +41,17 @@
         world
     }
 
+    /// The same world, in which the coordinator's process ends while it replaces the primary. A process
+    /// of that name is back later.
+    pub fn with_ending_coordinator(seed: u64, planted_fault: PlantedFault) -> Self {
+        let world = Self::with_unlisted_instance(seed, planted_fault);
+        let rng = &mut StdRng::seed_from_u64(seed ^ COORDINATOR_MASK);
+        let leaves_at = world.plan[0].at;
+        let at = leaves_at + rng.random_range(150..1_500);
+        let until = at + rng.random_range(100..3_000);
+        world.with_faults([Planned { at, until, kind: FaultKind::KillNode(0) }])
+    }
+
     /// Whether the unlisted instance receives the log of an instance now.
     pub fn unlisted_instance_receives(&mut self, instance: usize) -> bool {
         let leads = instance == 0 && self.instances[instance].role == Role::Primary;
@@ -86,6 +99,18 @@
     assert!(promotions >= outcomes.len() as u64, "too few promotions");
 }
 
+/// Guards against the same if another coordinator continues the replacement: the old primary may have
+/// stepped down for it, with commits that the replicas lack.
+#[test]
+fn no_seed_violates_a_guarantee_while_a_coordinator_ends_and_an_unlisted_instance_receives() {
+    let new_world = |seed| World::with_ending_coordinator(seed, PlantedFault::None);
+    let outcomes = run_worlds(seeds(), new_world);
+    let promotions: u64 = outcomes.values().map(|outcome| outcome.promotions).sum();
+    println!("{} seeds, {promotions} promotions", outcomes.len());
+    assert!(violations(&outcomes).is_empty(), "{}", describe(&outcomes));
+    assert!(promotions >= outcomes.len() as u64, "too few promotions");
+}
+
 /// The limit for the old primary's log passed while evidence expired: an earlier replacement, in which
 /// the leaving primary was promoted again, had taken most of the time.
 #[test]
