Let no restored store end a replacement that it may have lost

Callers could lose a write at an old primary (shown by a unit test; not seen on a deployment).

Hypothesis, written before the change: a store that is restored from an older copy may lack a running replacement; for 4 s its word that there is none does not count for replacement checks (StoreEraTracker::replacement_may_be_lost). The end of a notified replacement did not look at that, and the era was observed only after the copy had been processed: the first copy of the new era ended the caution of a node that knew the replacement from notifications alone.

Belief: as before, a copy that arrives later is newer.

Change: the era is observed first, and a copy that may lack replacements is no evidence that one has ended. The next change of the records after the 4 s, or the next confirmed empty answer, is.

Price: no request is added.

--- a/crates/core/src/promotion/store_eras.rs
+++ b/crates/core/src/promotion/store_eras.rs
@@ -61,4 +61,14 @@
         let lasts = |since| now < since + COORDINATOR_LEASE_DURATION + PROMOTION_SETTLE_TIME;
         self.saw_restore && self.first_seen.is_some_and(lasts)
     }
+
+    /// When a copy of the store was requested, if the copy shows every replacement that was running
+    /// then.
+    pub fn replacements_known_at(
+        &self,
+        requested_at: Option<Instant>,
+        now: Instant,
+    ) -> Option<Instant> {
+        requested_at.filter(|_| !self.replacement_may_be_lost(now))
+    }
 }
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
-use kestrellock_core::promotion::{Intent, KnownReplacements, Reason, ReplacementId};
+use kestrellock_core::promotion::{
+    Intent, KnownReplacements, Reason, ReplacementId, StoreEraTracker,
+};
+use kestrellock_core::store_era::StoreEra;
 
 fn group() -> GroupName {
     GroupName::new("orders")
@@ -262,3 +265,23 @@
         assert!(!known.needs_confirmation(&group(), &old));
     }
 }
+
+/// Guards against writes at an old primary: the store was restored from a copy that lacked the
+/// replacement, and its next answer was taken for its word that the replacement had ended.
+#[test]
+fn restored_store_does_not_end_a_replacement_that_it_may_have_lost() {
+    let (old, start) = (InstanceName::new("old"), Instant::now());
+    let (mut known, mut era) = (KnownReplacements::default(), StoreEraTracker::default());
+    let mut copy_arrives = |known: &mut KnownReplacements, number: u64, at: Instant| {
+        era.observe(StoreEra(number), at);
+        let known_at = era.replacements_known_at(Some(at), at);
+        known.update_from_store(&BTreeMap::new(), known_at, at);
+    };
+    copy_arrives(&mut known, 1, start);
+    known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, start + ms(10));
+    known.expire(start + ms(1_100));
+    copy_arrives(&mut known, 2, start + ms(1_200));
+    assert!(known.needs_confirmation(&group(), &old), "the store may have lost the intent");
+    copy_arrives(&mut known, 2, start + ms(8_000));
+    assert!(!known.needs_confirmation(&group(), &old), "the replacement has ended");
+}
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -182,16 +182,17 @@
         let view = self.services.coordination.view();
         let is_new = view.revision != self.view.revision;
         if is_new {
-            self.context.replacements.follow_store(&view.intents, view.requested_at, now);
+            if self.era.observe(view.era, now) {
+                self.on_store_restored(&view);
+            }
+            let known_at = self.era.replacements_known_at(view.requested_at, now);
+            self.context.replacements.follow_store(&view.intents, known_at, now);
         }
         self.report_revoked_evidence();
         self.follow_intents(&view, now);
         if !is_new {
             return;
         }
-        if self.era.observe(view.era, now) {
-            self.on_store_restored(&view);
-        }
         if view.promoted != self.view.promoted {
             self.follow_successors(&view);
         }
