Replicas confirm their stops again after a wait for the old primary

What callers could lose: a commit.

Cause: before the last check of a planned replacement the old primary is asked to step down. A stopped replica that restarts meanwhile forgets its stop, and the old primary may acknowledge a commit through it.

Change: when the wait ends without an answer, the stopped replicas are queried again.

--- a/crates/core/src/promotion/attempt.rs
+++ b/crates/core/src/promotion/attempt.rs
@@ -109,6 +109,9 @@
     requires_old_primary: bool,
     /// When the attempt first asked the old primary to step down before a promotion.
     step_down_requested_at: Option<Instant>,
+    /// Whether the attempt has waited for the old primary to step down since the last check of the
+    /// stopped instances began.
+    has_awaited_step_down: bool,
     /// Whether every node has revoked its evidence.
     evidence_revoked: bool,
     /// Replicas that did not run when they were to be promoted, and when the platform reported
@@ -206,6 +209,7 @@
             old_primary_required_until,
             requires_old_primary: false,
             step_down_requested_at: None,
+            has_awaited_step_down: false,
             evidence_revoked: false,
             not_running: BTreeMap::new(),
             chosen: None,
--- a/crates/core/src/promotion/attempt/planned.rs
+++ b/crates/core/src/promotion/attempt/planned.rs
@@ -121,6 +121,11 @@
         self.is_old_primary_log_required() && !self.old_primary_state.is_replica
     }
 
+    /// Whether the attempt has just stopped waiting for that answer.
+    pub(super) fn gives_up_step_down(&mut self) -> bool {
+        std::mem::take(&mut self.has_awaited_step_down) && !self.old_primary_state.is_replica
+    }
+
     /// When the instances have to be queried that confirm that they are still stopped, in a check
     /// that began at `check_began`. Not long before the old primary stepped down, since that may
     /// take long.
--- a/crates/core/src/promotion/attempt/promoting.rs
+++ b/crates/core/src/promotion/attempt/promoting.rs
@@ -155,7 +155,13 @@
         // its log before the promotion, and then the other stopped replicas have the acknowledged
         // commits.
         if self.include_every_commit(&confirmed) {
-            if !self.awaits_step_down() {
+            if self.awaits_step_down() {
+                self.has_awaited_step_down = true;
+            } else if self.gives_up_step_down() {
+                // The confirmations are as old as the wait. A replica that has restarted since then
+                // has forgotten its stop, and receives commits of the old primary.
+                self.stop_check_since = None;
+            } else {
                 self.promote(now, commands);
             }
             return;
--- a/crates/core/tests/promotion/unlisted_instances.rs
+++ b/crates/core/tests/promotion/unlisted_instances.rs
@@ -39,10 +39,21 @@
 /// The same. `role` is the old primary's role when the attempt begins, `is_revoked` says whether all
 /// nodes have revoked their evidence.
 pub fn run_from(
+    attempt: &mut Attempt,
+    old_primary: OldPrimary,
+    role: Role,
+    is_revoked: bool,
+) -> (Option<String>, Duration) {
+    run_observed(attempt, old_primary, role, is_revoked, |_, _| {})
+}
+
+/// The same. `observe` is called with each command.
+fn run_observed(
     attempt: &mut Attempt,
     old_primary: OldPrimary,
     mut role: Role,
     is_revoked: bool,
+    mut observe: impl FnMut(&Command, Instant),
 ) -> (Option<String>, Duration) {
     let began = Instant::now();
     let mut now = began;
@@ -53,6 +64,7 @@
             attempt.on_event(Event::EvidenceRevoked, now);
         }
         for command in attempt.step(now) {
+            observe(&command, now);
             match command {
                 Command::Promote(instance) => {
                     return (Some(instance.as_str().to_owned()), now - began);
@@ -188,3 +200,22 @@
     assert!(chosen.is_some() && time < Duration::from_millis(1_500), "{time:?}");
     assert!(attempt.lacks_old_primary_log());
 }
+
+/// Guards against the loss of commits: while the attempt waits for the old primary to step down, a
+/// stopped replica may restart, forget its stop and receive commits of the old primary.
+#[test]
+fn replicas_confirm_their_stops_again_after_the_wait_for_the_old_primary() {
+    let mut attempt = attempt_that_requires_the_primary(Instant::now(), LIMIT);
+    let old_primary = OldPrimary { leading: Some(10), demoted: None };
+    let (mut confirmed_at, mut promoted_at) = (None, None);
+    run_observed(&mut attempt, old_primary, Role::Primary, true, |command, now| match command {
+        Command::QueryStatus(instance) if *instance != name(OLD_PRIMARY) => {
+            confirmed_at = Some(now)
+        }
+        Command::Promote(_) => promoted_at = Some(now),
+        _ => {}
+    });
+    let (promoted_at, confirmed_at) = promoted_at.zip(confirmed_at).expect("it promotes");
+    let age = promoted_at - confirmed_at;
+    assert!(age <= STEP, "{age:?}");
+}
