Answers without changes end the caution of a node on an idle store

What operators could see: a node that had been notified of a replacement confirmed each write, or used no primary, until some key of the store changed. Found by a review of the sources.

Cause: a copy of the store ends a notified replacement only if it was requested after the last notification. The coordination view and the agent compared only revisions, so on an idle store later answers, which show the same revision, never counted. Besides, a notification was dated by the time at which the thread began its turn, and a restored copy by the time at which it was processed: both may make an older copy count as newer.

Notifications are dated when they are read. A copy that was requested before the running replacements could be recorded again after a restore does not count, whenever it is processed.

No request is added.

--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -141,7 +141,7 @@
     /// Drops replacements of which the coordinator has sent no notification within
     /// `NOTIFICATION_TIMEOUT`. Returns whether there were any.
     ///
-    /// A replacement that is known to have been about to promote an instance is kept until a new
+    /// A replacement that is known to have been about to promote an instance is kept until a newer
     /// copy of the store arrives: it ends with a successor even if its coordinator has failed, and a
     /// node that cannot reach the store would return to the old primary. Any other may have promoted
     /// an instance after the last notification, so commits of the old primary need confirmation.
--- a/crates/core/src/promotion/store_eras.rs
+++ b/crates/core/src/promotion/store_eras.rs
@@ -64,11 +64,7 @@
 
     /// When a copy of the store was requested, if the copy shows every replacement that was running
     /// then.
-    pub fn replacements_known_at(
-        &self,
-        requested_at: Option<Instant>,
-        now: Instant,
-    ) -> Option<Instant> {
-        requested_at.filter(|_| !self.replacement_may_be_lost(now))
+    pub fn replacements_known_at(&self, requested_at: Option<Instant>) -> Option<Instant> {
+        requested_at.filter(|requested_at| !self.replacement_may_be_lost(*requested_at))
     }
 }
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -272,16 +272,18 @@
 fn restored_store_does_not_end_a_replacement_that_it_may_have_lost() {
     let (old, start) = (InstanceName::new("old"), Instant::now());
     let (mut known, mut era) = (KnownReplacements::default(), StoreEraTracker::default());
-    let mut copy_arrives = |known: &mut KnownReplacements, number: u64, at: Instant| {
-        era.observe(StoreEra(number), at);
-        let known_at = era.replacements_known_at(Some(at), at);
-        known.update_from_store(&BTreeMap::new(), known_at, at);
+    let copy_arrives = |known: &mut KnownReplacements, era: &StoreEraTracker, at: Instant| {
+        known.update_from_store(&BTreeMap::new(), era.replacements_known_at(Some(at)), at);
     };
-    copy_arrives(&mut known, 1, start);
+    era.observe(StoreEra(1), start);
+    copy_arrives(&mut known, &era, start);
     known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, start + ms(10));
     known.expire(start + ms(1_100));
-    copy_arrives(&mut known, 2, start + ms(1_200));
-    assert!(known.needs_confirmation(&group(), &old), "the store may have lost the intent");
-    copy_arrives(&mut known, 2, start + ms(8_000));
+    era.observe(StoreEra(2), start + ms(1_200));
+    for at in [1_200, 5_000] {
+        copy_arrives(&mut known, &era, start + ms(at));
+        assert!(known.needs_confirmation(&group(), &old), "the store may have lost the intent");
+    }
+    copy_arrives(&mut known, &era, start + ms(8_000));
     assert!(!known.needs_confirmation(&group(), &old), "the replacement has ended");
 }
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -310,7 +310,7 @@
         if let Some(term) = last_promoted.and_then(|last_promoted| last_promoted.term) {
             self.evidence.on_term_led(term);
         }
-        let known_at = self.era.replacements_known_at(view.requested_at, now);
+        let known_at = self.era.replacements_known_at(view.requested_at);
         self.replacements.update_from_store(&view.intents, known_at, now);
         self.follow_replacements();
         self.catalog = catalog(view.revision, announced, last_promoted);
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -73,6 +73,8 @@
     intents: BTreeMap<GroupName, Intent>,
     announcer: ReplacementAnnouncer,
     era: StoreEraTracker,
+    /// When the newest copy of the store was requested that shows all running replacements.
+    replacements_known_at: Option<Instant>,
     electors: Electors,
     votes: NodeVotes,
     vote_exchange: VoteExchange,
@@ -115,6 +117,7 @@
         intents: BTreeMap::new(),
         announcer: ReplacementAnnouncer::default(),
         era: StoreEraTracker::default(),
+        replacements_known_at: None,
         electors: Electors::default(),
         votes: NodeVotes::new(),
         vote_exchange: VoteExchange::default(),
@@ -181,11 +184,13 @@
         let _ = self.services.coordination.take_watch_calls();
         let view = self.services.coordination.view();
         let is_new = view.revision != self.view.revision;
-        if is_new {
-            if self.era.observe(view.era, now) {
-                self.on_store_restored(&view);
-            }
-            let known_at = self.era.replacements_known_at(view.requested_at, now);
+        if is_new && self.era.observe(view.era, now) {
+            self.on_store_restored(&view);
+        }
+        let known_at = self.era.replacements_known_at(view.requested_at);
+        // A later answer without changes shows as well which replacements have ended.
+        if is_new || known_at > self.replacements_known_at {
+            self.replacements_known_at = known_at;
             self.context.replacements.follow_store(&view.intents, known_at, now);
         }
         self.report_revoked_evidence();
@@ -229,7 +234,7 @@
     }
 
     /// Handles a store restore: the copy may lack this node's votes and the replacement records of
-    /// its groups, so the node writes both again. `KnownEra` tracks for how long the replacement
+    /// its groups, so the node writes both again. `StoreEraTracker` tracks for how long the replacement
     /// state in the store may be incomplete.
     fn on_store_restored(&mut self, view: &CoordinationView) {
         self.context.metrics.store_restores.inc();
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -173,7 +173,9 @@
                 }
                 PeerMessage::ReplacementInProgress { group, intent, age } => {
                     io.context.metrics.replacement_messages.inc();
-                    io.context.replacements.on_reported(&group, intent, age, io.now);
+                    // Read the clock again: a copy of the store that was requested since `io.now` may
+                    // lack the replacement.
+                    io.context.replacements.on_reported(&group, intent, age, Instant::now());
                 }
                 PeerMessage::ReplacementFinished { group, id, led } => {
                     io.context.replacements.on_reported_end(&group, id);
--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -21,6 +21,8 @@
 const EMPTY_ANSWERS: [WatchSilence; 2] =
     [WatchSilence::EmptyAtOldRevision, WatchSilence::EmptyAtCurrentRevision];
 
+/// Time after which a second empty answer confirms the first one.
+const CONFIRMATION_DELAY: Duration = Duration::from_secs(2);
 const WATCHED_KEY: &str = "watched/key";
 
 struct Client {
@@ -364,3 +366,18 @@
     let mut events = (0..4).map(|_| watch.next(Duration::from_secs(4)).expect("an event"));
     assert!(events.any(|event| event == WatchEvent::Changed(store.position())));
 }
+
+/// Guards against a caution that never ends on an idle store: a node took a copy for the same as
+/// before if no change had been made, although it had been requested later.
+#[test]
+fn coordination_view_names_the_time_of_a_later_answer_without_changes() {
+    let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
+    let reader = Client::start(&store);
+    let before = reader.coordination.view();
+    reader.mirror.catch_up().expect("an empty answer");
+    thread::sleep(CONFIRMATION_DELAY);
+    reader.mirror.catch_up().expect("an answer that confirms the first one");
+    let after = reader.coordination.view();
+    assert_eq!(after.revision, before.revision);
+    assert!(after.requested_at > before.requested_at);
+}
