The first commit of an unknown instance is no evidence that it leads

A node that knew nothing of an instance took the term in the answer of its first commit there for one that the instance leads. Callers could see a stale read: a node that is cut off from the store sends its first write to a primary, the primary is replaced and becomes a replica while the commit waits, and the answer carries the successor's term. The commit then counted as evidence for that instance and that term, and the position as a sample of the primary's position.

Cause: `on_commit_answered` only doubted an answer under a higher term than was shown before; without any such term it accepted whatever the answer said.

Now an instance that has not been shown to lead the term has to show it first, by a status query, as one that answers under a higher term. The next read causes that query, so the price is one query before the first read at an instance to which only writes were sent.

--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -73,12 +73,13 @@
     }
 
     /// Returns whether the commit shows that the instance leads the term of the answer's position.
-    /// An instance that has led a lower term may have become a replica before it answered: it
-    /// reports the new term, and has to show that it leads it.
+    /// That must be known from before: an instance that has led a lower term, or of which nothing
+    /// is known, may have become a replica before it answered. It then reports the term of its
+    /// successor, and has to show that it leads it.
     fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) -> bool {
         self.last_commit = Some(Instant::now());
         let record = self.exchange_records.entry(instance.clone()).or_default();
-        let may_follow = record.led_term().is_some_and(|led| led < term);
+        let may_follow = record.led_term().is_none_or(|led| led < term);
         if may_follow {
             record.on_lead_in_doubt();
             self.evidence.on_term_led(term);
--- a/crates/lab/tests/bounded_positions.rs
+++ b/crates/lab/tests/bounded_positions.rs
@@ -87,6 +87,8 @@
     let writer = LineSession::open(platform.client_addresses[0], &primary_route, "w");
     let mut writer = writer.expect("it opens");
     wait("the primary supplies the position", || {
+        // The read requests the statuses of the instances: a commit does not show that the primary leads.
+        let _ = session.run("READ thing");
         assert!(writer.run("WRITE thing before").expect("an answer").is_success());
         let basis = choice_for_read(node).basis;
         basis.sample.is_some_and(|sample| sample.instance.as_str() == old)
