--- a/crates/core/tests/replacement/slow_successors.rs
+++ b/crates/core/tests/replacement/slow_successors.rs
@@ -14,15 +14,19 @@
 /// Separates the random draws of the partitions from those of the world with the same seed.
 const SEED_MASK: u64 = 0x736c_6f77_7061_7468;
 
+/// How long a coordinator requires the log of a primary that leaves.
+const LOG_REQUIREMENT_MS: u64 = 3_000;
+
 /// Nodes 1 to 3 replace a leaving primary that they do not reach. Node 0 reaches only the instances: it learns of
 /// the replacement neither from the store nor from the coordinator. The replicas do not reach each
-/// other while the successor begins to lead.
-fn lone_node(seed: u64) -> Vec<Planned> {
+/// other while the successor begins to lead, about `requirement` milliseconds after the primary began
+/// to leave: that long the coordinator requires the old primary's log.
+fn lone_node(seed: u64, requirement: u64) -> Vec<Planned> {
     let rng = &mut StdRng::seed_from_u64(seed ^ SEED_MASK);
     let at = rng.random_range(600..2_000);
     let cut = |at, until, kind| Planned { at, until, kind };
-    let until = at + rng.random_range(2_500..3_000);
-    let apart_from = at + rng.random_range(1_000..1_400);
+    let until = at + requirement + rng.random_range(2_500..3_000);
+    let apart_from = at + requirement + rng.random_range(1_000..1_400);
     let apart_until = apart_from + rng.random_range(50..900);
     let leave = cut(at, until, FaultKind::Leave);
     let links = (1..4).map(|node| cut(at, until, FaultKind::CutLink(node, 0)));
@@ -38,7 +42,13 @@
 
 fn world(seed: u64) -> World {
     let faults = Faults { max_faults: 1, ..Faults::without_primaries() }.with_releases();
-    World::new(seed, faults, PlantedFault::None).with_faults(lone_node(seed))
+    World::new(seed, faults, PlantedFault::None).with_faults(lone_node(seed, 0))
+}
+
+/// The same for so long that the coordinator gives up the old primary's log.
+fn patient_world(seed: u64) -> World {
+    let faults = Faults { max_faults: 1, ..Faults::without_primaries() }.with_releases();
+    World::new(seed, faults, PlantedFault::None).with_faults(lone_node(seed, LOG_REQUIREMENT_MS))
 }
 
 /// Guards against stale reads and lost commits: a node that learns nothing of a replacement accepts a
@@ -46,6 +56,16 @@
 /// the instances themselves answer such commits is the nature of this world and no violation.
 #[test]
 fn a_commit_that_is_answered_after_a_successor_leads_is_no_evidence() {
+    assert_no_stale_reads_or_lost_commits(world);
+}
+
+/// The same in worlds in which the successor is promoted without the old primary's log.
+#[test]
+fn a_commit_that_is_answered_after_a_late_successor_leads_is_no_evidence() {
+    assert_no_stale_reads_or_lost_commits(patient_world);
+}
+
+fn assert_no_stale_reads_or_lost_commits(world: fn(u64) -> World) {
     let outcomes = run_worlds(seeds(), world);
     let mut found = violations(&outcomes);
     found.retain(|(_, violation)| !matches!(violation, Violation::TwoPrimaries { .. }));
