--- a/crates/core/src/promotion/needs.rs
+++ b/crates/core/src/promotion/needs.rs
@@ -219,7 +219,7 @@
 
 /// Whether the old primary may have stepped down for this planned replacement, with commits that the
 /// replicas lack. A coordinator that continues the replacement then compares its log, if it answers,
-/// whatever the reason is by now: an old primary that has stepped down is missing, and one whose
+/// for any reason that it finds: an old primary that has stepped down is missing, and one whose
 /// replicas are stopped is suspected.
 fn may_have_stepped_down(intent: &Intent) -> bool {
     intent.promoting && intent.reason == Reason::Leaving
--- a/crates/core/tests/replacement/slow_successors.rs
+++ b/crates/core/tests/replacement/slow_successors.rs
@@ -45,7 +45,7 @@
     World::new(seed, faults, PlantedFault::None).with_faults(lone_node(seed, 0))
 }
 
-/// The same for so long that the coordinator gives up the old primary's log.
+/// The same for so long that the coordinator no longer requires the old primary's log.
 fn patient_world(seed: u64) -> World {
     let faults = Faults { max_faults: 1, ..Faults::without_primaries() }.with_releases();
     World::new(seed, faults, PlantedFault::None).with_faults(lone_node(seed, LOG_REQUIREMENT_MS))
