--- a/crates/core/src/exchange_state.rs
+++ b/crates/core/src/exchange_state.rs
@@ -68,6 +68,8 @@
     GatewaySilent,
     /// Part of the gateway's answer was lost in transit.
     AnswerLost,
+    /// The front's process is about to end.
+    NodeStopping,
 }
 
 /// What a failure of the exchange affects.
@@ -101,6 +103,7 @@
         (Progress::AtFront, Fault::Deadline) => ResultCode::NoPrimary,
         (_, Fault::Deadline) => ResultCode::DeadlineBeforeSend,
         (_, Fault::Superseded) => ResultCode::NotPrimary,
+        (_, Fault::NodeStopping) => ResultCode::Stopping,
         _ => ResultCode::NotSent,
     }
 }
@@ -110,6 +113,7 @@
         (Effect::Read, _) => ResultCode::ReadInterrupted,
         (Effect::InsideTransaction, _) => ResultCode::TransactionLost,
         (Effect::MayCommit, Fault::Superseded) => ResultCode::SupersededInDoubt,
+        (Effect::MayCommit, Fault::NodeStopping) => ResultCode::StoppedInDoubt,
         (Effect::MayCommit, Fault::GatewayLost) => ResultCode::GatewayLostInDoubt,
         (Effect::MayCommit, Fault::GatewaySilent | Fault::AnswerLost) => {
             ResultCode::GatewaySilentInDoubt
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -119,6 +119,8 @@
     GatewayLostInDoubt = 1604, "08007", InDoubt;
     /// The primary was replaced before the commit was confirmed.
     SupersededInDoubt = 1605, "08007", InDoubt;
+    /// The node stopped before the write was answered.
+    StoppedInDoubt = 1606, "08007", InDoubt;
     /// The request key was used with another statement.
     RequestKeyReused = 1701, "23505", NotRun;
     /// The request key has a recorded outcome; the statement did not run again.
--- /dev/null
+++ b/crates/core/src/planned_stop.rs
@@ -0,0 +1,83 @@
+//! Times of a planned stop, and what a stopping node still accepts.
+//!
+//! A stop passes through a notice, in which the node serves as before, a time in which it finishes
+//! open work and asks its clients to connect elsewhere, and a short time before its end in which it
+//! refuses every request that is still unanswered. Without the last part, the end of the process
+//! would cut requests off without an answer or a refusal.
+
+use std::time::{Duration, Instant};
+
+/// Part of a stop, at its end, that is reserved for refusing unanswered requests and sending the
+/// refusals.
+const FINAL_REFUSALS_SHARE: f64 = 0.1;
+/// Upper limit of that part.
+const MAX_FINAL_REFUSALS: Duration = Duration::from_secs(1);
+/// Time over which the sessions of a leaving node are asked to connect elsewhere. Asking all of
+/// them at once would make all of their clients connect to the remaining nodes at once.
+const NOTICE_SPREAD: Duration = Duration::from_secs(1);
+/// Time without a request after which a session is asked to connect elsewhere before its next
+/// request. A client that sent a request more recently is likely to send another one, whose answer
+/// can end the session without costing the client an attempt.
+pub const MIN_REST: Duration = Duration::from_secs(1);
+
+/// Time limits of a planned stop, each from its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopLimits {
+    /// Time in which the node still serves clients and only announces that it will stop.
+    pub notice: Duration,
+    /// Time after which open transactions are ended; `None`: they may last until the final
+    /// refusals.
+    pub transactions: Option<Duration>,
+    /// Time after which the process ends.
+    pub total: Duration,
+}
+
+/// When the parts of a planned stop begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// The start of the stop.
+    pub began: Instant,
+    /// When the node begins to leave: it asks its clients to connect elsewhere.
+    pub leaving: Instant,
+    /// When open transactions are ended.
+    pub transactions: Instant,
+    /// When requests that are still unanswered are refused.
+    pub final_refusals: Instant,
+    /// When the process ends.
+    pub end: Instant,
+}
+
+impl StopSchedule {
+    /// The schedule of a stop that begins at `began`.
+    pub fn new(began: Instant, limits: StopLimits) -> Self {
+        let reserved = limits.total.mul_f64(FINAL_REFUSALS_SHARE).min(MAX_FINAL_REFUSALS);
+        let final_refusals = began + (limits.total - reserved);
+        let transactions = limits.transactions.map_or(final_refusals, |limit| began + limit);
+        Self {
+            began,
+            leaving: (began + limits.notice).min(final_refusals),
+            transactions: transactions.min(final_refusals),
+            final_refusals,
+            end: began + limits.total,
+        }
+    }
+
+    /// When a session is asked to connect elsewhere, unless an answer or the final refusals end it
+    /// earlier. `share`, from 0 to 1, spreads the sessions of the node over time.
+    pub fn notice_time(&self, last_active: Instant, share: f64) -> Instant {
+        let spread = self.leaving + NOTICE_SPREAD.mul_f64(share);
+        spread.max(last_active + MIN_REST).min(self.final_refusals)
+    }
+
+    /// The deadline of a request that arrives during the stop: what is not answered by the final
+    /// refusals is refused, so it must not be given more time.
+    pub fn limit_deadline(&self, deadline: Instant) -> Instant {
+        deadline.min(self.final_refusals)
+    }
+
+    /// Whether a request that arrives at `now` on a session without an open transaction may run. A
+    /// leaving node begins no transaction, because it may not last until the client ends it.
+    pub fn admits(&self, begins_transaction: bool, now: Instant) -> bool {
+        now < self.final_refusals && (now < self.leaving || !begins_transaction)
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,6 +10,7 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::credential_evidence::RevocationLimit;
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, NodeName, ZoneName};
+use kestrellock_core::planned_stop::StopSchedule;
 use kestrellock_core::primary_evidence::{EVIDENCE_LIFETIME, UNLISTED_EVIDENCE_LIFETIME};
 use kestrellock_core::promotion::Intent;
 use kestrellock_peer::auth::ClusterKeys;
@@ -79,9 +80,8 @@
     pub routing_overrides: RoutingOverrides,
     /// Progress of a planned stop.
     pub stage: SharedStage,
-    /// When a planned stop ends transactions that are still open. `None` if no stop is in progress,
-    /// or if transactions may last until the end of the stop.
-    pub transaction_deadline: Shared<Option<Instant>>,
+    /// Times of the planned stop in progress, if any.
+    pub stop: Shared<Option<StopSchedule>>,
     /// Status of each instance.
     pub statuses: StatusTable,
     /// For addresses at which several instances are announced: the instance that answers there.
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -9,6 +9,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use kestrellock_core::planned_stop::{StopLimits, StopSchedule};
+
 use crate::context::NodeContext;
 use crate::settings::Settings;
 use crate::shard::Shard;
@@ -22,25 +24,12 @@
 /// Longest wait for the shards to send their leave messages to other nodes.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time limits of a planned stop, each from its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DrainLimits {
-    /// Time in which the node still serves clients and only announces that it will stop.
-    pub notice: Duration,
-    /// Time after which open transactions are ended; `None`: they may last until `total`.
-    pub transactions: Option<Duration>,
-    /// Time after which all remaining work is aborted.
-    pub total: Duration,
-}
-
-impl DrainLimits {
-    /// The limits in the settings.
-    pub fn of(settings: &Settings) -> Self {
-        Self {
-            notice: settings.drain_notice,
-            transactions: settings.drain_transactions,
-            total: settings.drain_limit,
-        }
+/// The limits in the settings.
+pub fn limits_of(settings: &Settings) -> StopLimits {
+    StopLimits {
+        notice: settings.drain_notice,
+        transactions: settings.drain_transactions,
+        total: settings.drain_limit,
     }
 }
 
@@ -59,13 +48,13 @@
 
 impl Drain {
     /// Drains the node within `limits`. Returns whether all open work was finished.
-    pub fn run(&self, limits: DrainLimits) -> bool {
-        let start = Instant::now();
-        let deadline = start + limits.total;
-        self.context.transaction_deadline.store(limits.transactions.map(|limit| start + limit));
+    pub fn run(&self, limits: StopLimits) -> bool {
+        let schedule = StopSchedule::new(Instant::now(), limits);
+        let deadline = schedule.end;
+        self.context.stop.store(Some(schedule));
         if !limits.notice.is_zero() {
             self.context.stage.advance_to(Stage::Notice);
-            std::thread::sleep(limits.notice);
+            std::thread::sleep(schedule.leaving.saturating_duration_since(Instant::now()));
         }
         self.context.stage.advance_to(Stage::Leaving);
         // A client that connected before the listener closed may not have reached its shard yet.
@@ -86,6 +75,14 @@
         self.wait(Instant::now() + LEAVE_TIMEOUT, Shard::has_sent_leave)
     }
 
+    /// Counts and logs the requests that are still unanswered. The process is about to end.
+    pub fn report_unanswered(&self) {
+        for shard in &self.shards {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            shard.front.report_unanswered(&self.context, Instant::now());
+        }
+    }
+
     fn all_clients_delivered(&self) -> bool {
         self.client_listener_closed.load(Ordering::Acquire) && self.mailboxes.are_empty()
     }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -28,7 +28,7 @@
 use kestrellock_protocol::facts_cache::FactsCache;
 use slab::Slab;
 
-use crate::context::Identity;
+use crate::context::{Identity, NodeContext};
 use crate::event::{EventSource, Io, token};
 use crate::metrics::ConnectionEvent;
 use crate::net::connection::{Connection, ReadOutcome};
@@ -107,7 +107,12 @@
             false,
         );
         if let Ok(connection) = registered {
-            entry.insert(Session::new(connection, io.context.protocol.client(), io.now));
+            entry.insert(Session::new(
+                connection,
+                io.context.protocol.client(),
+                rand::random(),
+                io.now,
+            ));
             io.context.metrics.client_connections.count(ConnectionEvent::Opened);
         }
     }
@@ -124,6 +129,13 @@
         (pending_logins.count() >= MAX_PENDING_LOGINS).then_some("too many callers are logging in")
     }
 
+    /// Counts and logs the requests that are still unanswered when the process ends.
+    pub fn report_unanswered(&self, context: &NodeContext, now: Instant) {
+        for (_, session) in &self.sessions {
+            session.report_unfinished(context, now);
+        }
+    }
+
     /// Handles readiness of a client connection.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) {
         let Some(session) = self.sessions.get_mut(key) else { return };
@@ -323,6 +335,7 @@
             self.leases.entry(lease.clone()).or_insert(key);
         }
         if flow == SessionFlow::Close {
+            session.count_if_unanswered(io);
             return self.close(key, io);
         }
         // Reading had stopped at the limit and there is room again; no event announces that.
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -36,6 +36,7 @@
 use kestrellock_protocol::login::Login;
 use kestrellock_protocol::request::Request;
 
+use self::closing::Closing;
 use self::keys::RequestKeys;
 use self::lease::Lease;
 use super::current_position::{PositionQueries, QueryNumber};
@@ -113,8 +114,12 @@
     last_active: Instant,
     /// Whether the client has sent a request since it logged in.
     has_sent_request: bool,
-    /// When this node began to close the session, because it stops or the credential was revoked.
-    closing_since: Option<Instant>,
+    /// Set while this node ends the session, because it stops or the credential was revoked.
+    closing: Option<Closing>,
+    /// The session's place, from 0 to 1, among those that a stopping node asks to connect elsewhere.
+    close_order: f64,
+    /// The connection to the client broke.
+    connection_lost: bool,
     keys: RequestKeys,
     /// Limits how many interrupted reads are retried.
     read_retries: RetryBudget,
@@ -144,8 +149,14 @@
 }
 
 impl Session {
-    /// Creates a session that has not logged in.
-    pub fn new(connection: Connection, protocol: Box<dyn ClientProtocol>, now: Instant) -> Self {
+    /// Creates a session that has not logged in. `close_order`, from 0 to 1, is its place among those
+    /// that a stopping node asks to connect elsewhere.
+    pub fn new(
+        connection: Connection,
+        protocol: Box<dyn ClientProtocol>,
+        close_order: f64,
+        now: Instant,
+    ) -> Self {
         Self {
             connection,
             more_to_read: false,
@@ -169,7 +180,9 @@
             was_active: false,
             last_active: now,
             has_sent_request: false,
-            closing_since: None,
+            closing: None,
+            close_order,
+            connection_lost: false,
             keys: RequestKeys::default(),
             read_retries: RetryBudget::new(READ_RETRY_PERCENT, READ_RETRY_RESERVE),
             revision: Revision::default(),
@@ -206,12 +219,12 @@
     /// request, is logging in or is closing.
     pub fn needs_frequent_ticks(&self) -> bool {
         let holds_request = self.request.as_ref().is_some_and(|request| !request.sent);
-        holds_request || self.closing_since.is_some() || !self.is_logged_in()
+        holds_request || self.is_closing() || !self.is_logged_in()
     }
 
     /// Whether the session has something to do on a tick.
     pub fn needs_tick(&self, now: Instant) -> bool {
-        if self.closing_since.is_some() || self.credential_revoked {
+        if self.is_closing() || self.credential_revoked {
             return true;
         }
         match &self.request {
@@ -235,13 +248,16 @@
         classes: &mut FactsCache,
         io: &mut Io,
     ) -> SessionFlow {
-        if self.closing_since.is_some() {
-            return self.continue_closing(io);
+        if self.is_closing() {
+            return self.continue_closing(classes, io);
         }
         let was_active = std::mem::take(&mut self.was_active) || !self.connection.input.is_empty();
         if was_active {
             self.last_active = io.now;
         }
+        if self.must_refuse_unfinished(io) {
+            return self.refuse_unfinished(io);
+        }
         self.abort_overdue_transaction(io);
         let flow = if self.login.is_none() {
             self.advance_startup(subscriptions, position_queries, io)
@@ -258,13 +274,16 @@
         {
             subscriptions.ensure(&login.group, io);
         }
+        if self.is_closing() {
+            // A refused request has ended the session.
+            return flow;
+        }
         if flow == SessionFlow::Continue && self.must_end() {
             return self.end_revoked_session(io);
         }
         self.was_active = self.request.is_some();
-        let may_close =
-            io.context.closes_sessions(io.now) && self.may_close_for_shutdown(was_active, io);
-        if flow == SessionFlow::Continue && may_close {
+        let must_close = io.context.closes_sessions(io.now) && self.is_due_to_close(was_active, io);
+        if flow == SessionFlow::Continue && must_close {
             return self.close_for_shutdown(None, io);
         }
         match self.connection.flush(io.registry) {
@@ -276,7 +295,10 @@
                 self.connection.release_buffers();
                 flow
             }
-            Err(_) => SessionFlow::Close,
+            Err(_) => {
+                self.connection_lost = true;
+                SessionFlow::Close
+            }
         }
     }
 
--- a/crates/daemon/src/front/session/authorization.rs
+++ b/crates/daemon/src/front/session/authorization.rs
@@ -12,9 +12,8 @@
 use kestrellock_core::ids::AccountName;
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::TransactionState;
-use kestrellock_protocol::client::Severity;
 
-use super::{ROLLED_BACK, Session, SessionFlow, counting, decision_log};
+use super::{ROLLED_BACK, Session, SessionFlow};
 use crate::event::Io;
 
 impl Session {
@@ -69,7 +68,7 @@
 
     /// Whether the session must end because its credential was revoked.
     pub fn must_end(&self) -> bool {
-        self.credential_revoked && self.closing_since.is_none()
+        self.credential_revoked && !self.is_closing()
     }
 
     /// Ends a session whose credential was revoked, after the answer to an exchange that has been
@@ -82,17 +81,7 @@
         let detail = "the credential of the session stands for nobody any more";
         let refusal = Refusal::new(ResultCode::CredentialRevoked, detail);
         let request = self.request.take();
-        let is_idle = self.transaction != TransactionState::Idle && !self.transaction_lost;
-        if request.is_some() || is_idle {
-            counting::refused(&refusal, io);
-            let (login, account) = (self.login.as_ref(), self.account.as_ref());
-            decision_log::log_refused(request.as_ref(), login, account, None, &refusal, io);
-            let output = &mut self.connection.output;
-            self.protocol.put_refusal(&refusal, Severity::Session, output);
-        }
         self.state.on_exchange_end(&[], ROLLED_BACK);
-        self.abandon(io);
-        self.closing_since = Some(io.now);
-        self.continue_closing(io)
+        self.start_closing(refusal, request, io)
     }
 }
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -1,62 +1,123 @@
-//! Closes a session during a planned stop or an isolation of its node, or after its credential was
+//! Ends a session during a planned stop or an isolation of its node, or after its credential was
 //! revoked.
 //!
 //! During a planned stop, and some time after the node became isolated, the session asks its client
-//! to connect to another node once it has neither a request nor a transaction in progress. The node
-//! then waits for the client to close first: closing a socket with unread input makes TCP send a
-//! reset, which can destroy the message on its way. An open transaction that exceeds its idle limit
-//! or the limit of the stop is aborted.
+//! to connect to another node once it has neither a request nor a transaction in progress. A request
+//! that is on its way at that moment is refused (`kestrellock_core::session_end`). An open
+//! transaction that exceeds its idle limit or the limit of the stop is aborted. Shortly before the
+//! end of the stop, every request that is still in progress is refused.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use kestrellock_core::classify::StatementClass;
+use kestrellock_core::exchange_state::{ExchangeImpact, Fault, Progress, failure_code};
 use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_peer::message::TransactionState;
+use kestrellock_core::planned_stop::MIN_REST;
+use kestrellock_core::session_end::{CrossingRequest, DisconnectNotice, EndStep, SessionEnd};
+use kestrellock_peer::message::{LeaseEvent, TransactionState};
 use kestrellock_protocol::client::Severity;
-use kestrellock_protocol::request::Request;
+use kestrellock_protocol::facts_cache::FactsCache;
+use kestrellock_protocol::request::{NextRequest, Request, Timing};
 
-use super::{ROLLED_BACK, Session, SessionFlow};
+use super::{READ_OUTSIDE_TRANSACTION, ROLLED_BACK, Session, SessionFlow, counting, decision_log};
+use crate::context::NodeContext;
 use crate::event::Io;
+use crate::metrics::{SessionEndEvent, UnansweredRequest};
 
-/// Idle time after which a planned stop or an isolation closes a session without waiting for a
-/// request.
-const MIN_IDLE_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 const STOPPING_DETAIL: &str = "the node is stopping; connect to another one";
 const ISOLATED_DETAIL: &str = "the node is isolated; connect to another one";
-/// How long a client may take to close its connection after it was asked to connect elsewhere.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// The same for protocols without such a message. The client learns of the stop only from the
-/// closed connection, so the time in which requests it still sends are ignored must be short.
-const SILENT_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Delay between the message that the node is stopping and the end of the stream: some client
-/// libraries that read both at once report only the end of the stream.
-const END_OF_STREAM_DELAY: Duration = Duration::from_millis(50);
+const LOST_TRANSACTION_DETAIL: &str = "the transaction was lost; the node is stopping";
+
+/// A session that is being ended, and the reason that its notice states.
+#[derive(Debug)]
+pub(super) struct Closing {
+    end: SessionEnd,
+    reason: Refusal,
+}
 
 impl Session {
-    /// Whether a new request is refused because of a planned stop: the protocol has a message that
-    /// asks the client to connect to another node, and no transaction is open. An isolation alone
-    /// refuses no request here: the node still serves the reads that it can prove to be fresh.
-    pub(super) fn rejects_new_requests(&self, io: &Io) -> bool {
-        let sends_farewell = io.context.protocol.traits().sends_disconnect_notice;
-        sends_farewell && io.context.is_leaving() && self.transaction == TransactionState::Idle
+    /// Whether this node is ending the session.
+    pub fn is_closing(&self) -> bool {
+        self.closing.is_some()
+    }
+
+    /// Whether a new request is refused because of a planned stop. An isolation alone refuses no
+    /// request here: the node still serves the reads that it can prove to be fresh.
+    pub(super) fn rejects(&self, request: &Request, io: &Io) -> bool {
+        if self.transaction != TransactionState::Idle {
+            return false;
+        }
+        let begins =
+            matches!(request.class(), StatementClass::Begin | StatementClass::BeginReadOnly);
+        match io.context.protocol.traits().disconnect_notice {
+            DisconnectNotice::IsAnswer => io.context.is_leaving(),
+            DisconnectNotice::BeginsAnswer => {
+                let stop = io.context.stop.load();
+                stop.as_ref().is_some_and(|stop| !stop.admits(begins && request.executes, io.now))
+            }
+        }
     }
 
-    /// Whether a planned stop or an isolation may close the session without waiting for a request.
+    /// Whether the session ends now, without waiting for another request, because the node stops or
+    /// is isolated.
     ///
-    /// A request that is on its way at that moment is lost, so the client must be unlikely to send
-    /// one: either the session has been idle for a while, or the end of the stream follows directly
-    /// after an answer. The second case only applies to protocols without a stopping message: some
-    /// client libraries that read an answer and an unsolicited message at once mistake the message
-    /// for the answer.
-    pub(super) fn may_close_for_shutdown(&self, has_just_answered: bool, io: &Io) -> bool {
-        let is_between_requests =
-            self.request.is_none() && self.transaction == TransactionState::Idle;
-        let has_no_input = self.connection.input.is_empty() && self.protocol.is_between_requests();
-        let has_been_idle =
-            io.now.saturating_duration_since(self.last_active) >= MIN_IDLE_BEFORE_CLOSE;
-        let sends_farewell = io.context.protocol.traits().sends_disconnect_notice;
+    /// A session that has just answered a request ends with that answer, except for protocols whose
+    /// notice ends the session by itself: some of their client libraries that read an answer and an
+    /// unsolicited message at once mistake the message for the answer.
+    pub(super) fn is_due_to_close(&self, has_just_answered: bool, io: &Io) -> bool {
+        let has_input = !self.connection.input.is_empty() || !self.protocol.is_between_requests();
+        if self.request.is_some() || has_input {
+            return false;
+        }
+        let notice = io.context.protocol.traits().disconnect_notice;
         // A client that has just logged in is about to send its first request.
-        let follows_answer = has_just_answered && self.has_sent_request && !sends_farewell;
-        is_between_requests && has_no_input && (has_been_idle || follows_answer)
+        let follows_answer =
+            has_just_answered && self.has_sent_request && notice == DisconnectNotice::BeginsAnswer;
+        let stop = io.context.stop.load();
+        let Some(stop) = stop.as_ref().as_ref().filter(|_| io.context.is_leaving()) else {
+            let rests = io.now.saturating_duration_since(self.last_active) >= MIN_REST;
+            return self.transaction == TransactionState::Idle && (rests || follows_answer);
+        };
+        match self.transaction {
+            TransactionState::Idle => {
+                follows_answer || io.now >= stop.notice_time(self.last_active, self.close_order)
+            }
+            // The transaction was aborted by the limit of the stop or before.
+            TransactionState::Failed if self.transaction_lost => {
+                notice == DisconnectNotice::BeginsAnswer && io.now >= stop.transactions
+            }
+            TransactionState::Open | TransactionState::Failed => false,
+        }
+    }
+
+    /// Whether the planned stop no longer waits for the requests and transactions in progress.
+    pub(super) fn must_refuse_unfinished(&self, io: &Io) -> bool {
+        let stop = io.context.stop.load();
+        stop.as_ref().as_ref().is_some_and(|stop| io.now >= stop.final_refusals)
+    }
+
+    /// Refuses the request in progress, if any, aborts an open transaction and starts to close the
+    /// session, because the process is about to end.
+    pub(super) fn refuse_unfinished(&mut self, io: &mut Io) -> SessionFlow {
+        if let Some(request) = &self.request {
+            let (progress, impact) = match request.sent {
+                true => (Progress::Forwarded, self.impact),
+                false => (Progress::AtFront, self.unsent_impact()),
+            };
+            let code = failure_code(impact, progress, Fault::NodeStopping);
+            let refusal = Refusal::new(code, STOPPING_DETAIL);
+            self.abandon(io);
+            self.end_lease(LeaseEvent::Refused(refusal), io);
+            io.context.metrics.session_ends.count(SessionEndEvent::RefusedAtLimit);
+        }
+        self.abort_transaction(io);
+        self.close_for_shutdown(None, io)
+    }
+
+    /// What the loss of the current request affects while it has not been sent.
+    fn unsent_impact(&self) -> ExchangeImpact {
+        let continues_transaction = self.transaction != TransactionState::Idle;
+        ExchangeImpact { continues_transaction, ..READ_OUTSIDE_TRANSACTION }
     }
 
     /// Asks the client to connect to another node, in answer to a request if there is one, and
@@ -66,36 +127,136 @@
         request: Option<Request>,
         io: &mut Io,
     ) -> SessionFlow {
-        let detail = if io.context.is_leaving() { STOPPING_DETAIL } else { ISOLATED_DETAIL };
-        let output = &mut self.connection.output;
-        match request {
-            Some(_) => {
-                let refusal = Refusal::new(ResultCode::Stopping, detail);
-                self.protocol.put_refusal(&refusal, Severity::Session, output);
+        let reason = match self.transaction {
+            TransactionState::Idle if io.context.is_leaving() => {
+                Refusal::new(ResultCode::Stopping, STOPPING_DETAIL)
             }
-            None => self.protocol.put_disconnect_notice(detail, output),
+            TransactionState::Idle => Refusal::new(ResultCode::Stopping, ISOLATED_DETAIL),
+            _ => Refusal::new(ResultCode::TransactionLost, LOST_TRANSACTION_DETAIL),
+        };
+        self.start_closing(reason, request, io)
+    }
+
+    /// Ends the session for `reason`: refuses `request`, if any, sends the notice and waits for the
+    /// client to close.
+    pub(super) fn start_closing(
+        &mut self,
+        reason: Refusal,
+        request: Option<Request>,
+        io: &mut Io,
+    ) -> SessionFlow {
+        let notice = io.context.protocol.traits().disconnect_notice;
+        let output = &mut self.connection.output;
+        let is_refused = request.is_some();
+        if let Some(request) = &request {
+            counting::refused(&reason, io);
+            let (login, account) = (self.login.as_ref(), self.account.as_ref());
+            decision_log::log_refused(Some(request), login, account, None, &reason, io);
+            self.protocol.put_refusal(&reason, Severity::Session, output);
+        }
+        if is_refused && notice == DisconnectNotice::BeginsAnswer {
+            self.protocol.put_ready(self.transaction, output);
+        }
+        if !is_refused || notice == DisconnectNotice::BeginsAnswer {
+            self.protocol.put_disconnect_notice(&reason, output);
         }
         self.abandon(io);
-        self.closing_since = Some(io.now);
-        self.continue_closing(io)
+        io.context.metrics.session_ends.count(SessionEndEvent::Notified);
+        self.closing = Some(Closing { end: SessionEnd::new(notice, io.now), reason });
+        self.continue_closing(&mut FactsCache::default(), io)
     }
 
-    /// Flushes the output, ends the stream after a delay and waits for the client to close. Closing
-    /// first with unread input could destroy the message on its way. The delay is for client
-    /// libraries that report only the end of the stream if they read it together with the message.
-    pub(super) fn continue_closing(&mut self, io: &mut Io) -> SessionFlow {
-        self.connection.input.clear();
-        let flushed = self.connection.flush(io.registry);
-        let Some(since) = self.closing_since else { return SessionFlow::Close };
-        let sends_farewell = io.context.protocol.traits().sends_disconnect_notice;
-        let delay = if sends_farewell { END_OF_STREAM_DELAY } else { Duration::ZERO };
-        if self.connection.output.is_empty() && io.now >= since + delay {
-            self.connection.shut_down_sending();
+    /// Refuses requests that crossed the notice, flushes the output, and closes the connection once
+    /// the client had time to close it.
+    pub(super) fn continue_closing(
+        &mut self,
+        classes: &mut FactsCache,
+        io: &mut Io,
+    ) -> SessionFlow {
+        if self.refuse_crossing_requests(classes, io) == SessionFlow::Close {
+            return SessionFlow::Close;
+        }
+        if self.connection.flush(io.registry).is_err() {
+            self.connection_lost = true;
+            return SessionFlow::Close;
+        }
+        let Some(closing) = &mut self.closing else { return SessionFlow::Close };
+        match closing.end.step(self.connection.output.is_empty(), io.now) {
+            EndStep::Wait => SessionFlow::Continue,
+            EndStep::EndStream => {
+                self.connection.shut_down_sending();
+                SessionFlow::Continue
+            }
+            EndStep::Close => SessionFlow::Close,
+        }
+    }
+
+    /// Handles what the client sent before it read the notice.
+    fn refuse_crossing_requests(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
+        let notice = io.context.protocol.traits().disconnect_notice;
+        if !self.is_logged_in() || notice == DisconnectNotice::IsAnswer {
+            // The notice has refused the login, or the next request, and ends the session.
+            self.connection.input.clear();
+            return SessionFlow::Continue;
+        }
+        let timing = Timing { arrived: io.now, deadline: io.now };
+        loop {
+            match self.protocol.next_request(&mut self.connection.input, classes, timing) {
+                NextRequest::Incomplete => return SessionFlow::Continue,
+                NextRequest::Terminate | NextRequest::ProtocolError(_) => {
+                    return SessionFlow::Close;
+                }
+                NextRequest::Request(request) => self.refuse_crossing(Some(&request), io),
+                NextRequest::Refused(_) => self.refuse_crossing(None, io),
+            }
+        }
+    }
+
+    /// Refuses a request that the client sent before it read the notice.
+    fn refuse_crossing(&mut self, request: Option<&Request>, io: &mut Io) {
+        let Some(closing) = &mut self.closing else { return };
+        match closing.end.on_request() {
+            CrossingRequest::Refused => {}
+            CrossingRequest::Unanswered => {
+                let id = request.and_then(|request| request.id.as_deref());
+                count_unanswered(UnansweredRequest::AfterEndOfStream, id, io.context, io.now);
+            }
+            CrossingRequest::Complete => {
+                let ends = |request: &Request| {
+                    matches!(request.class(), StatementClass::Commit | StatementClass::Rollback)
+                };
+                if request.is_some_and(ends) {
+                    self.transaction = TransactionState::Idle;
+                }
+                let output = &mut self.connection.output;
+                self.protocol.put_ready(self.transaction, output);
+                self.protocol.put_disconnect_notice(&closing.reason, output);
+                counting::refused(&closing.reason, io);
+                io.context.metrics.session_ends.count(SessionEndEvent::RefusedCrossing);
+                let (login, account) = (self.login.as_ref(), self.account.as_ref());
+                decision_log::log_refused(request, login, account, None, &closing.reason, io);
+            }
+        }
+    }
+
+    /// Counts a request whose answer is incomplete when this node closes the connection.
+    pub fn count_if_unanswered(&self, io: &Io) {
+        if self.connection_lost {
+            return;
+        }
+        if let Some(request) = &self.request {
+            let id = request.id.as_deref();
+            count_unanswered(UnansweredRequest::InProgress, id, io.context, io.now);
+        } else if !self.connection.output.is_empty() {
+            count_unanswered(UnansweredRequest::OutputUnsent, None, io.context, io.now);
         }
-        let limit = if sends_farewell { CLOSE_TIMEOUT } else { SILENT_CLOSE_TIMEOUT };
-        match io.now < since + limit && flushed.is_ok() {
-            true => SessionFlow::Continue,
-            false => SessionFlow::Close,
+    }
+
+    /// Counts a request that is unfinished when the process ends.
+    pub fn report_unfinished(&self, context: &NodeContext, now: Instant) {
+        let id = self.request.as_ref().and_then(|request| request.id.as_deref());
+        if self.request.is_some() || !self.connection.output.is_empty() {
+            count_unanswered(UnansweredRequest::EndOfStop, id, context, now);
         }
     }
 
@@ -103,7 +264,14 @@
     /// waits for. The client receives the error with its next request.
     pub(super) fn abort_overdue_transaction(&mut self, io: &mut Io) {
         let is_idle = self.request.is_none() && self.transaction == TransactionState::Open;
-        if !is_idle || self.transaction_lost || !self.is_overdue(io) {
+        if is_idle && !self.transaction_lost && self.is_overdue(io) {
+            self.abort_transaction(io);
+        }
+    }
+
+    /// Aborts the transaction, if one is in progress.
+    fn abort_transaction(&mut self, io: &mut Io) {
+        if self.transaction == TransactionState::Idle || self.transaction_lost {
             return;
         }
         self.abandon(io);
@@ -113,11 +281,30 @@
     }
 
     fn is_overdue(&self, io: &Io) -> bool {
-        let deadline = *io.context.transaction_deadline.load();
-        let is_stopped = deadline.is_some_and(|deadline| io.now >= deadline);
+        let stop = io.context.stop.load();
+        let is_stopped = stop.as_ref().as_ref().is_some_and(|stop| io.now >= stop.transactions);
         let values = self.login.as_ref().map(|login| &login.parameters.values);
         let limit = values.and_then(|values| values.transaction_idle_ms).map(Duration::from);
         let idle_time = io.now.saturating_duration_since(self.last_active);
         is_stopped || limit.is_some_and(|limit| idle_time >= limit)
     }
 }
+
+/// Counts and logs a whole request that gets neither an answer nor a refusal.
+fn count_unanswered(
+    reason: UnansweredRequest,
+    id: Option<&str>,
+    context: &NodeContext,
+    now: Instant,
+) {
+    context.metrics.unanswered_requests.count(reason);
+    let stop = context.stop.load();
+    let since_stop = stop.as_ref().as_ref().map(|stop| now.saturating_duration_since(stop.began));
+    log::warn!(
+        event = "request_unanswered",
+        id = id.unwrap_or("-"),
+        reason:? = reason,
+        since_stop_ms = since_stop.map(|age| age.as_millis() as u64);
+        "closed a connection without an answer to its request"
+    );
+}
--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -18,7 +18,6 @@
 
 use super::{ROLLED_BACK, Session, SessionFlow, counting, decision_log};
 use crate::event::Io;
-use crate::net::connection::Connection;
 
 /// Bytes of unread answers above which the client's next request waits.
 const MAX_UNREAD_ANSWER_BYTES: usize = 1024 * 1024;
@@ -45,17 +44,16 @@
             // Read the clock here: `io.now` may be earlier than the arrival of these bytes.
             let arrived = Instant::now();
             let timing = Timing { arrived, deadline: arrived + self.time_limit() };
-            let rejects_new_requests = self.rejects_new_requests(io);
-            let Connection { input, output, .. } = &mut self.connection;
-            match self.protocol.next_request(input, classes, timing) {
+            match self.protocol.next_request(&mut self.connection.input, classes, timing) {
                 NextRequest::Incomplete => return SessionFlow::Continue,
                 NextRequest::Terminate => return SessionFlow::Close,
-                NextRequest::Request(request) if rejects_new_requests => {
+                NextRequest::Request(request) if self.rejects(&request, io) => {
                     return self.close_for_shutdown(Some(request), io);
                 }
                 NextRequest::Request(request) => self.accept_request(request, io),
                 NextRequest::Refused(refusal) => self.refuse_request(&refusal, io),
                 NextRequest::ProtocolError(refusal) => {
+                    let output = &mut self.connection.output;
                     self.protocol.put_refusal(&refusal, Severity::Session, output);
                     return SessionFlow::Close;
                 }
@@ -105,7 +103,7 @@
             return;
         }
         let limit = self.time_limit();
-        request.deadline = request.arrived + limit;
+        request.deadline = limit_deadline(request.arrived + limit, io);
         if self.set_request_key(&request, io) {
             return;
         }
@@ -174,3 +172,9 @@
         self.protocol.put_ready(self.transaction, output);
     }
 }
+
+/// The deadline of a request, no later than the time at which a planned stop refuses it.
+fn limit_deadline(deadline: Instant, io: &Io) -> Instant {
+    let stop = io.context.stop.load();
+    stop.as_ref().as_ref().map_or(deadline, |stop| stop.limit_deadline(deadline))
+}
--- a/crates/daemon/src/gateway/running_exchange.rs
+++ b/crates/daemon/src/gateway/running_exchange.rs
@@ -287,5 +287,6 @@
         Fault::Superseded => "the primary has been replaced",
         Fault::InstanceConnectionLost => "the connection to the back end was lost",
         Fault::GatewayLost | Fault::GatewaySilent | Fault::AnswerLost => "the gateway was lost",
+        Fault::NodeStopping => "the node is stopping",
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,7 +22,8 @@
 
 pub use labels::{
     CapacityEvent, ConfigurationEvent, ConnectionEvent, IsolationEvent, Label, MessageEvent,
-    PrewarmEvent, ProbeEvent, Route, StatementResult, StorePurpose, StoreResult, VoteEvent,
+    PrewarmEvent, ProbeEvent, Route, SessionEndEvent, StatementResult, StorePurpose, StoreResult,
+    UnansweredRequest, VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -117,6 +118,10 @@
     pub routes: CounterSet<Route>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
+    /// Sessions that this node ended, and requests that it refused with them.
+    pub session_ends: CounterSet<SessionEndEvent>,
+    /// Whole requests whose connection this node closed without a complete answer.
+    pub unanswered_requests: CounterSet<UnansweredRequest>,
     /// Connections to instances.
     pub instance_connections: CounterSet<ConnectionEvent>,
     /// Connections to instances that were opened in advance for an account.
@@ -218,6 +223,16 @@
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
             routes: CounterSet::register(r, "routes", "Exchanges by destination"),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
+            session_ends: CounterSet::register(
+                r,
+                "session_ends",
+                "Sessions that the node ended, and requests refused with them",
+            ),
+            unanswered_requests: CounterSet::register(
+                r,
+                "unanswered_requests",
+                "Requests whose connection the node closed without a complete answer",
+            ),
             instance_connections: CounterSet::register(r, "backends", "Connections to back ends"),
             prewarmed_connections: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -218,3 +218,29 @@
         Expired = "expired",
     }
 }
+
+labels! {
+    /// How a session ended that the node ended.
+    SessionEndEvent {
+        /// The client was told that its session ends.
+        Notified = "notified",
+        /// A request that was on its way when the client was told was refused.
+        RefusedCrossing = "refused_crossing",
+        /// A request in progress was refused because the process was about to end.
+        RefusedAtLimit = "refused_at_limit",
+    }
+}
+
+labels! {
+    /// Why a whole request got no complete answer.
+    UnansweredRequest {
+        /// It arrived after the node had ended its stream.
+        AfterEndOfStream = "after_end_of_stream",
+        /// It was in progress when the connection was closed.
+        InProgress = "in_progress",
+        /// The client did not read its answer in time.
+        OutputUnsent = "output_unsent",
+        /// It was unfinished when the process ended.
+        EndOfStop = "end_of_stop",
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,7 @@
 
 use kestrellock_core::catalog::IndexedCatalog;
 use kestrellock_core::credential_evidence::RevocationLimit;
+use kestrellock_core::planned_stop::StopLimits;
 use kestrellock_peer::auth::{ClusterKeys, KeyError};
 use kestrellock_protocol::Protocol;
 use kestrellock_store::machines::MachineList;
@@ -23,7 +24,7 @@
 use crate::agent::membership::MembershipConfig;
 use crate::agent::promotion::ReplacementServices;
 use crate::context::{Identity, NodeContext};
-use crate::drain::{Drain, DrainLimits};
+use crate::drain::{Drain, limits_of};
 use crate::environment::Environment;
 use crate::gateway::queued_log::QueuedLogLimiter;
 use crate::metrics::Metrics;
@@ -134,7 +135,7 @@
     stop: StopFlag,
     root: Supervisor,
     drain: Drain,
-    limits: Mutex<DrainLimits>,
+    limits: Mutex<StopLimits>,
 }
 
 impl Node {
@@ -224,7 +225,7 @@
         spawn_membership(&mut root, datagrams, settings, &context, &stop);
         spawn_agent(&mut root, &configuration, catalog, &stop);
         spawn_replacement(&mut root, replacement, &mailboxes, &context, &stop);
-        let limits = Mutex::new(DrainLimits::of(settings));
+        let limits = Mutex::new(limits_of(settings));
         Ok(Self { context, stop, root, drain, limits })
     }
 
@@ -243,7 +244,7 @@
     /// Applies those settings that can change while the node runs.
     pub fn reload(&self, settings: &Settings) {
         self.context.accepted_commit_loss.store(settings.accept_commit_loss.clone());
-        *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = DrainLimits::of(settings);
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits_of(settings);
     }
 
     /// Drains the node, then stops all threads. Statements and transactions that last longer than
@@ -254,6 +255,7 @@
         let limits = *self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         if !self.drain.run(limits) {
             log::warn!("{} stops before its open work is finished", self.context.identity.node);
+            self.drain.report_unanswered();
         }
         self.kill();
     }
@@ -291,7 +293,7 @@
         accepted_commit_loss: Shared::new(settings.accept_commit_loss.clone()),
         routing_overrides: RoutingOverrides::default(),
         stage: SharedStage::default(),
-        transaction_deadline: Shared::default(),
+        stop: Shared::default(),
         statuses: StatusTable::default(),
         address_occupants: AddressOccupants::default(),
         backend_passwords: settings.secrets.backend_passwords.clone(),
--- a/crates/postgres/src/answer.rs
+++ b/crates/postgres/src/answer.rs
@@ -1,7 +1,7 @@
 //! Messages that the proxy itself sends to a client.
 
 use bytes::BytesMut;
-use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::outcome::Refusal;
 use kestrellock_core::session::{SESSION_PARAMETER, SessionBound};
 use kestrellock_peer::message::TransactionState;
 use kestrellock_protocol::client::Severity;
@@ -41,13 +41,13 @@
 
 /// Appends the error response that announces to an idle client that its connection is closed. It
 /// answers no statement, so its text says `between requests`.
-pub fn put_disconnect_notice(detail: &str, output: &mut BytesMut) {
-    let code = ResultCode::Stopping;
+pub fn put_disconnect_notice(reason: &Refusal, output: &mut BytesMut) {
+    let code = reason.code;
     let fields = vec![
         (b'S', "FATAL".to_owned()),
         (b'V', "FATAL".to_owned()),
         (b'C', code.sqlstate().to_owned()),
-        (b'M', format!("KL{} between requests: {detail}", code.number())),
+        (b'M', format!("KL{} between requests: {}", code.number(), reason.detail)),
     ];
     put(PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)), output);
 }
--- a/crates/postgres/src/client.rs
+++ b/crates/postgres/src/client.rs
@@ -63,8 +63,8 @@
         output.extend_from_slice(SET_REPLY);
     }
 
-    fn put_disconnect_notice(&self, detail: &str, output: &mut BytesMut) {
-        answer::put_disconnect_notice(detail, output);
+    fn put_disconnect_notice(&self, reason: &Refusal, output: &mut BytesMut) {
+        answer::put_disconnect_notice(reason, output);
     }
 
     fn put_session_bound(&self, bound: &SessionBound, output: &mut BytesMut) {
--- a/crates/postgres/src/lib.rs
+++ b/crates/postgres/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod startup;
 pub mod statements;
 
+use kestrellock_core::session_end::DisconnectNotice;
 use kestrellock_protocol::backend::BackendProtocol;
 use kestrellock_protocol::client::ClientProtocol;
 use kestrellock_protocol::{Protocol, ProtocolTraits};
@@ -41,7 +42,7 @@
         ProtocolTraits {
             positions_in_answers: false,
             sessions_resume: true,
-            sends_disconnect_notice: true,
+            disconnect_notice: DisconnectNotice::IsAnswer,
             clients_retry: false,
         }
     }
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -89,9 +89,8 @@
     /// the answer.
     fn put_setting_done(&self, output: &mut BytesMut);
 
-    /// Appends the message that announces to an idle client that its connection is closed, if the
-    /// protocol has one.
-    fn put_disconnect_notice(&self, detail: &str, output: &mut BytesMut);
+    /// Appends the message that announces to an idle client that its session ends, and why.
+    fn put_disconnect_notice(&self, reason: &Refusal, output: &mut BytesMut);
 
     /// Appends the session bound that the client may present in later sessions, if the protocol
     /// can carry it.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,6 +15,8 @@
 
 use std::fmt::Debug;
 
+use kestrellock_core::session_end::DisconnectNotice;
+
 use backend::BackendProtocol;
 use client::ClientProtocol;
 
@@ -40,9 +42,9 @@
     /// gets the group's position as of its login, since it may have written through another
     /// session.
     pub sessions_resume: bool,
-    /// The proxy announces with a message that it closes an idle client's connection. Without this
-    /// message, the connection just closes.
-    pub sends_disconnect_notice: bool,
+    /// What the message that announces the end of a session means to a client that has just sent a
+    /// request.
+    pub disconnect_notice: DisconnectNotice,
     /// Clients retry requests that were refused without having run, until their own deadline.
     pub clients_retry: bool,
 }
