End no session behind the answer to SET or PREPARE

A client that sets or prepares something is about to send the statement that uses it. A notice right behind that answer always costs it the attempt. Such a session is now ended like one that has just logged in: behind its next answer, or once it has rested.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -112,8 +112,9 @@
     was_active: bool,
     /// Time of the last activity: input or a request in progress.
     last_active: Instant,
-    /// Whether the client has sent a request since it logged in.
-    has_sent_request: bool,
+    /// Whether the client's next request is expected at once: it has just logged in, or has set or
+    /// prepared what that request uses.
+    is_request_expected: bool,
     /// Set while this node ends the session, because it stops or the credential was revoked.
     closing: Option<Closing>,
     /// The session's place, from 0 to 1, among those that a stopping node asks to connect elsewhere.
@@ -179,7 +180,7 @@
             followed_referral: false,
             was_active: false,
             last_active: now,
-            has_sent_request: false,
+            is_request_expected: true,
             closing: None,
             close_order,
             connection_lost: false,
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -70,9 +70,9 @@
             return false;
         }
         let notice = io.context.protocol.traits().disconnect_notice;
-        // A client that has just logged in is about to send its first request.
-        let follows_answer =
-            has_just_answered && self.has_sent_request && notice == DisconnectNotice::BeginsAnswer;
+        let follows_answer = has_just_answered
+            && !self.is_request_expected
+            && notice == DisconnectNotice::BeginsAnswer;
         let stop = io.context.stop.load();
         let Some(stop) = stop.as_ref().as_ref().filter(|_| io.context.is_leaving()) else {
             let rests = io.now.saturating_duration_since(self.last_active) >= MIN_REST;
--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -93,7 +93,7 @@
 
     /// Answers a request that needs no instance, or keeps it to be sent to one.
     fn accept_request(&mut self, mut request: Request, io: &mut Io) {
-        self.has_sent_request = true;
+        self.is_request_expected = request.is_local;
         if let Err(refusal) = self.apply_configuration(io) {
             self.refuse_request(&refusal, io);
             return;
