Decide in core when a stopping node ends sessions

Cause: whether a session is due to end, whether a new request is refused and when unfinished work is refused were decided in the daemon's session code, where only tests with a network and a clock reach them.

Change: StopSchedule and the new SessionActivity decide these from state and time; closing.rs passes them the state. A node whose notice is itself an answer now refuses requests from the scheduled time at which it leaves, not from the change of its stage, which follows by at most the delay of the draining thread.

--- a/crates/core/src/planned_stop.rs
+++ b/crates/core/src/planned_stop.rs
@@ -7,6 +7,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::session_end::DisconnectNotice;
+
 /// Part of a stop, at its end, that is reserved for refusing unanswered requests and sending the
 /// refusals.
 const FINAL_REFUSALS_SHARE: f64 = 0.1;
@@ -18,7 +20,7 @@
 /// Time without a request after which a session is asked to connect elsewhere before its next
 /// request. A client that sent a request more recently is likely to send another one, whose answer
 /// can end the session without costing the client an attempt.
-pub const MIN_REST: Duration = Duration::from_secs(1);
+const MIN_REST: Duration = Duration::from_secs(1);
 
 /// Time limits of a planned stop, each from its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +34,49 @@
     pub total: Duration,
 }
 
+/// A session's transaction, as far as the end of the session depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SessionTransaction {
+    /// None is in progress.
+    None,
+    /// One is in progress, or has failed and its client has not ended it yet.
+    Open,
+    /// The node aborted it, and the client has not ended it yet.
+    Aborted,
+}
+
+/// What a session is doing when its node decides whether to end it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SessionActivity {
+    /// A request, or a part of one, was received and is not answered.
+    pub has_request: bool,
+    /// The answer to a request was just completed. The start-up is no request: a client that has
+    /// just logged in is about to send its first request.
+    pub has_just_answered: bool,
+    /// The transaction.
+    pub transaction: SessionTransaction,
+    /// Time of the last input or request in progress.
+    pub last_active: Instant,
+    /// The session's place, from 0 to 1, among those of its node.
+    pub share: f64,
+}
+
+impl SessionActivity {
+    /// Whether an isolated node ends the session now, without waiting for another request.
+    pub fn may_end_when_isolated(&self, notice: DisconnectNotice, now: Instant) -> bool {
+        let has_rested = now.saturating_duration_since(self.last_active) >= MIN_REST;
+        let is_between = !self.has_request && self.transaction == SessionTransaction::None;
+        is_between && (has_rested || self.ends_with_answer(notice))
+    }
+
+    /// Whether the answer that was just completed can end the session. Not for protocols whose
+    /// notice ends the session by itself: some of their client libraries that read an answer and an
+    /// unsolicited message at once mistake the message for the answer.
+    fn ends_with_answer(&self, notice: DisconnectNotice) -> bool {
+        self.has_just_answered && notice == DisconnectNotice::BeginsAnswer
+    }
+}
+
 /// When the parts of a planned stop begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
@@ -76,8 +121,45 @@
     }
 
     /// Whether a request that arrives at `now` on a session without an open transaction may run. A
-    /// leaving node begins no transaction, because it may not last until the client ends it.
-    pub fn admits(&self, begins_transaction: bool, now: Instant) -> bool {
-        now < self.final_refusals && (now < self.leaving || !begins_transaction)
+    /// leaving node begins no transaction, because it may not last until the client ends it. Where
+    /// the notice is itself an answer, a leaving node runs no request: the refusal ends the session.
+    pub fn admits(&self, notice: DisconnectNotice, begins_transaction: bool, now: Instant) -> bool {
+        let may_run = match notice {
+            DisconnectNotice::IsAnswer => false,
+            DisconnectNotice::BeginsAnswer => !begins_transaction,
+        };
+        now < self.final_refusals && (now < self.leaving || may_run)
+    }
+
+    /// Whether a leaving node ends the session now, without waiting for another request.
+    pub fn ends_session(
+        &self,
+        session: &SessionActivity,
+        notice: DisconnectNotice,
+        now: Instant,
+    ) -> bool {
+        if session.has_request {
+            return false;
+        }
+        match session.transaction {
+            SessionTransaction::None => {
+                session.ends_with_answer(notice)
+                    || now >= self.notice_time(session.last_active, session.share)
+            }
+            SessionTransaction::Aborted => {
+                notice == DisconnectNotice::BeginsAnswer && now >= self.transactions
+            }
+            SessionTransaction::Open => false,
+        }
+    }
+
+    /// Whether the stop no longer waits for open transactions.
+    pub fn ends_transactions(&self, now: Instant) -> bool {
+        now >= self.transactions
+    }
+
+    /// Whether the stop no longer waits for the requests in progress.
+    pub fn refuses_unfinished(&self, now: Instant) -> bool {
+        now >= self.final_refusals
     }
 }
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::exchange_state::{ExchangeImpact, Fault, Progress, failure_code};
 use kestrellock_core::outcome::{Refusal, ResultCode};
-use kestrellock_core::planned_stop::MIN_REST;
+use kestrellock_core::planned_stop::{SessionActivity, SessionTransaction};
 use kestrellock_core::session_end::{CrossingRequest, DisconnectNotice, EndStep, SessionEnd};
 use kestrellock_peer::message::{LeaseEvent, TransactionState};
 use kestrellock_protocol::client::Severity;
@@ -47,53 +47,45 @@
         if self.transaction != TransactionState::Idle {
             return false;
         }
-        let begins =
-            matches!(request.class(), StatementClass::Begin | StatementClass::BeginReadOnly);
-        match io.context.protocol.traits().disconnect_notice {
-            DisconnectNotice::IsAnswer => io.context.is_leaving(),
-            DisconnectNotice::BeginsAnswer => {
-                let stop = io.context.stop.load();
-                stop.as_ref().is_some_and(|stop| !stop.admits(begins && request.executes, io.now))
-            }
-        }
+        let begins = request.executes
+            && matches!(request.class(), StatementClass::Begin | StatementClass::BeginReadOnly);
+        let notice = io.context.protocol.traits().disconnect_notice;
+        let stop = io.context.stop.load();
+        stop.as_ref().as_ref().is_some_and(|stop| !stop.admits(notice, begins, io.now))
     }
 
     /// Whether the session ends now, without waiting for another request, because the node stops or
     /// is isolated.
-    ///
-    /// A session that has just answered a request ends with that answer, except for protocols whose
-    /// notice ends the session by itself: some of their client libraries that read an answer and an
-    /// unsolicited message at once mistake the message for the answer.
     pub(super) fn is_due_to_close(&self, has_just_answered: bool, io: &Io) -> bool {
-        let has_input = !self.connection.input.is_empty() || !self.protocol.is_between_requests();
-        if self.request.is_some() || has_input {
-            return false;
-        }
+        let activity = self.activity(has_just_answered);
         let notice = io.context.protocol.traits().disconnect_notice;
-        // A client that has just logged in is about to send its first request.
-        let follows_answer =
-            has_just_answered && self.has_sent_request && notice == DisconnectNotice::BeginsAnswer;
         let stop = io.context.stop.load();
-        let Some(stop) = stop.as_ref().as_ref().filter(|_| io.context.is_leaving()) else {
-            let rests = io.now.saturating_duration_since(self.last_active) >= MIN_REST;
-            return self.transaction == TransactionState::Idle && (rests || follows_answer);
+        match stop.as_ref().as_ref().filter(|_| io.context.is_leaving()) {
+            Some(stop) => stop.ends_session(&activity, notice, io.now),
+            None => activity.may_end_when_isolated(notice, io.now),
+        }
+    }
+
+    fn activity(&self, has_just_answered: bool) -> SessionActivity {
+        let has_input = !self.connection.input.is_empty() || !self.protocol.is_between_requests();
+        let transaction = match self.transaction {
+            TransactionState::Idle => SessionTransaction::None,
+            TransactionState::Failed if self.transaction_lost => SessionTransaction::Aborted,
+            TransactionState::Open | TransactionState::Failed => SessionTransaction::Open,
         };
-        match self.transaction {
-            TransactionState::Idle => {
-                follows_answer || io.now >= stop.notice_time(self.last_active, self.close_order)
-            }
-            // The transaction was aborted by the limit of the stop or before.
-            TransactionState::Failed if self.transaction_lost => {
-                notice == DisconnectNotice::BeginsAnswer && io.now >= stop.transactions
-            }
-            TransactionState::Open | TransactionState::Failed => false,
+        SessionActivity {
+            has_request: self.request.is_some() || has_input,
+            has_just_answered: has_just_answered && self.has_sent_request,
+            transaction,
+            last_active: self.last_active,
+            share: self.close_order,
         }
     }
 
     /// Whether the planned stop no longer waits for the requests and transactions in progress.
     pub(super) fn must_refuse_unfinished(&self, io: &Io) -> bool {
         let stop = io.context.stop.load();
-        stop.as_ref().as_ref().is_some_and(|stop| io.now >= stop.final_refusals)
+        stop.as_ref().as_ref().is_some_and(|stop| stop.refuses_unfinished(io.now))
     }
 
     /// Refuses the request in progress, if any, aborts an open transaction and starts to close the
@@ -282,7 +274,7 @@
 
     fn is_overdue(&self, io: &Io) -> bool {
         let stop = io.context.stop.load();
-        let is_stopped = stop.as_ref().as_ref().is_some_and(|stop| io.now >= stop.transactions);
+        let is_stopped = stop.as_ref().as_ref().is_some_and(|stop| stop.ends_transactions(io.now));
         let values = self.login.as_ref().map(|login| &login.parameters.values);
         let limit = values.and_then(|values| values.transaction_idle_ms).map(Duration::from);
         let idle_time = io.now.saturating_duration_since(self.last_active);
