End refused sessions without dropping output or sending a reset

Cause: a session that a refusal ends (protocol error, refused login, no room for another client) and a session that its client terminates were closed at once, after one attempt to flush. Answers to earlier requests that the kernel had not taken were dropped. With unread input the close made TCP send a reset, which can destroy the refusal.

Change: such a session goes through SessionEnd::after_last_answer: it flushes, ends its stream, discards up to 2 MiB of further input and closes when the client does, after 500 ms at the latest. A client without room becomes a session that is refused; beyond 1024 of these, clients are disconnected. A client that terminates while nothing is unsent is closed at once, as before. Refused clients no longer count as pending logins. SessionFlow::Close carries its reason, so that an output over its limit counts as `output_limit`, and a client that left counts as nothing. Protocol errors are counted and logged like other refusals. A session that has not logged in is not kept for 2 s after its notice. Reading after the input limit no longer recurses.

--- a/crates/core/src/session_end.rs
+++ b/crates/core/src/session_end.rs
@@ -7,8 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Time for a client to close its connection after the notice, for protocols in which the notice
-/// itself ends the session.
+/// Time for a client to close its connection after a message that ends the session.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between a notice that ends the session and the end of the stream: some client libraries
 /// that read both at once report only the end of the stream.
@@ -21,6 +20,9 @@
 const LINGER: Duration = Duration::from_millis(100);
 /// Longest wait for a client that does not read its answers.
 const OUTPUT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Input that the node reads and discards after a message that ends the session. A client that
+/// sends more is disconnected, even if the message is lost.
+const MAX_DISCARDED_BYTES: usize = 2 * 1024 * 1024;
 
 /// What the message that announces the end of a session means to a client that has just sent a
 /// request.
@@ -44,6 +46,15 @@
     Unanswered,
 }
 
+/// How a session ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndKind {
+    /// The node asked the client to close, which the client does not expect.
+    Notice(DisconnectNotice),
+    /// The last message answers what the client sent; nothing is left to be done for it.
+    LastAnswer,
+}
+
 /// The next step of an ending session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndStep {
@@ -58,25 +69,51 @@
 /// A session that its node ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SessionEnd {
-    notice: DisconnectNotice,
+    kind: EndKind,
     began: Instant,
     /// When the last notice, and all that precedes it, had been taken by the kernel.
     sent: Option<Instant>,
     has_ended_stream: bool,
+    discarded_bytes: usize,
 }
 
 impl SessionEnd {
     /// A session whose notice was written at `now`.
     pub fn new(notice: DisconnectNotice, now: Instant) -> Self {
-        Self { notice, began: now, sent: None, has_ended_stream: false }
+        Self::of_kind(EndKind::Notice(notice), now)
+    }
+
+    /// A session whose last answer was written at `now`. What the client sends afterwards is
+    /// discarded.
+    pub fn after_last_answer(now: Instant) -> Self {
+        Self::of_kind(EndKind::LastAnswer, now)
+    }
+
+    fn of_kind(kind: EndKind, now: Instant) -> Self {
+        Self { kind, began: now, sent: None, has_ended_stream: false, discarded_bytes: 0 }
+    }
+
+    /// Whether the messages so far have refused everything that the client still sends.
+    pub fn discards_input(&self) -> bool {
+        self.kind != EndKind::Notice(DisconnectNotice::BeginsAnswer)
+    }
+
+    /// Input has been discarded. Returns whether the node goes on reading.
+    pub fn on_discarded(&mut self, bytes: usize) -> bool {
+        self.discarded_bytes += bytes;
+        self.discarded_bytes <= MAX_DISCARDED_BYTES
     }
 
     /// A whole request has arrived.
     pub fn on_request(&mut self) -> CrossingRequest {
-        match self.notice {
-            DisconnectNotice::IsAnswer => CrossingRequest::Refused,
-            DisconnectNotice::BeginsAnswer if self.has_ended_stream => CrossingRequest::Unanswered,
-            DisconnectNotice::BeginsAnswer => {
+        match self.kind {
+            EndKind::LastAnswer | EndKind::Notice(DisconnectNotice::IsAnswer) => {
+                CrossingRequest::Refused
+            }
+            EndKind::Notice(DisconnectNotice::BeginsAnswer) if self.has_ended_stream => {
+                CrossingRequest::Unanswered
+            }
+            EndKind::Notice(DisconnectNotice::BeginsAnswer) => {
                 self.sent = None;
                 CrossingRequest::Complete
             }
@@ -95,9 +132,12 @@
             };
         }
         let sent = *self.sent.get_or_insert(now);
-        let (end_of_stream, close) = match self.notice {
-            DisconnectNotice::IsAnswer => (END_OF_STREAM_DELAY, CLOSE_TIMEOUT),
-            DisconnectNotice::BeginsAnswer => (CROSSING_TIMEOUT, CROSSING_TIMEOUT + LINGER),
+        let (end_of_stream, close) = match self.kind {
+            EndKind::LastAnswer => (Duration::ZERO, CLOSE_TIMEOUT),
+            EndKind::Notice(DisconnectNotice::IsAnswer) => (END_OF_STREAM_DELAY, CLOSE_TIMEOUT),
+            EndKind::Notice(DisconnectNotice::BeginsAnswer) => {
+                (CROSSING_TIMEOUT, CROSSING_TIMEOUT + LINGER)
+            }
         };
         if now >= sent + close {
             return EndStep::Close;
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -13,18 +13,15 @@
 pub mod target;
 
 use std::collections::HashMap;
-use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::catalog::Revision;
 use kestrellock_core::ids::{AccountName, GroupName, LeaseId, NodeName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::Position;
 use kestrellock_peer::message::{Exchange, HeldLease, ToFront};
-use kestrellock_protocol::client::{ClientProtocol, Severity};
 use kestrellock_protocol::facts_cache::FactsCache;
 use slab::Slab;
 
@@ -44,15 +41,9 @@
 pub const MAX_CLIENTS: usize = 16 * 1024;
 /// Maximum number of clients per shard that have not finished their login.
 pub const MAX_PENDING_LOGINS: usize = 1024;
-
-/// Sends a refusal to a client that is not accepted, as far as the socket takes it immediately.
-fn reject_connection(mut stream: TcpStream, protocol: &dyn ClientProtocol, detail: &str) {
-    let refusal = Refusal::new(ResultCode::TooManyCallers, detail);
-    let mut message = BytesMut::new();
-    protocol.put_refusal(&refusal, Severity::Session, &mut message);
-    // Best effort: the connection is closed either way.
-    let _ = stream.write(&message);
-}
+/// Maximum number of clients per shard beyond [`MAX_CLIENTS`] that are being refused. Further ones
+/// are disconnected without a refusal.
+const MAX_REJECTED_CLIENTS: usize = 1024;
 
 /// The client-facing part of a node, for one shard: its client connections and their sessions.
 pub struct Front {
@@ -95,9 +86,11 @@
         if stream.set_nonblocking(true).is_err() {
             return;
         }
-        if let Some(detail) = self.rejection_reason() {
-            return reject_connection(stream, io.context.protocol.client().as_ref(), detail);
+        if self.sessions.len() >= MAX_CLIENTS + MAX_REJECTED_CLIENTS {
+            io.context.metrics.client_connections.count(ConnectionEvent::Refused);
+            return;
         }
+        let rejection = self.rejection_reason();
         let entry = self.sessions.vacant_entry();
         let stream = mio::net::TcpStream::from_std(stream);
         let registered = Connection::register(
@@ -106,14 +99,21 @@
             io.registry,
             false,
         );
-        if let Ok(connection) = registered {
-            entry.insert(Session::new(
-                connection,
-                io.context.protocol.client(),
-                rand::random(),
-                io.now,
-            ));
-            io.context.metrics.client_connections.count(ConnectionEvent::Opened);
+        let Ok(connection) = registered else { return };
+        let key = entry.key();
+        let protocol = io.context.protocol.client();
+        entry.insert(Session::new(connection, protocol, rand::random(), io.now));
+        io.context.metrics.client_connections.count(ConnectionEvent::Opened);
+        if let Some(detail) = rejection {
+            self.reject(key, detail, io);
+        }
+    }
+
+    /// Refuses a client that has just connected.
+    fn reject(&mut self, key: usize, detail: &str, io: &mut Io) {
+        let refusal = Refusal::new(ResultCode::TooManyCallers, detail);
+        if let SessionFlow::Close(_) = self.sessions[key].refuse_login(refusal, io) {
+            self.close(key, io);
         }
     }
 
@@ -125,7 +125,7 @@
         if self.sessions.len() < MAX_PENDING_LOGINS {
             return None;
         }
-        let pending_logins = self.sessions.iter().filter(|(_, session)| !session.is_logged_in());
+        let pending_logins = self.sessions.iter().filter(|(_, session)| session.is_pending_login());
         (pending_logins.count() >= MAX_PENDING_LOGINS).then_some("too many callers are logging in")
     }
 
@@ -138,19 +138,36 @@
 
     /// Handles readiness of a client connection.
     pub fn on_ready(&mut self, key: usize, io: &mut Io) {
+        self.read_and_advance(key, io);
+        while self.can_read_more(key) {
+            self.read_and_advance(key, io);
+        }
+    }
+
+    fn read_and_advance(&mut self, key: usize, io: &mut Io) {
         let Some(session) = self.sessions.get_mut(key) else { return };
         let limit = session.input_limit();
         let outcome = session.connection.fill_up_to(limit);
         session.more_to_read = outcome == ReadOutcome::Full;
         // A client may send a cancel request and close without waiting, so process its input.
         if !outcome.is_closed() || !session.is_logged_in() {
-            self.advance(key, io);
+            self.advance_once(key, io);
         }
+        // The end of the client's stream counts as its departure: the node cannot tell a client
+        // that still reads from one that has gone, and a request that its client has abandoned must
+        // not run.
         if outcome.is_closed() && self.sessions.contains(key) {
             self.close(key, io);
         }
     }
 
+    /// Whether reading had stopped at the limit and there is room again; no event announces that.
+    fn can_read_more(&self, key: usize) -> bool {
+        self.sessions.get(key).is_some_and(|session| {
+            session.more_to_read && session.connection.input.len() < session.input_limit()
+        })
+    }
+
     /// Handles a gateway's message.
     pub fn on_message(&mut self, message: ToFront, io: &mut Io) {
         let (lease, sequence, event) = match message {
@@ -312,6 +329,13 @@
 
     /// Lets a session perform every step that its input and its lease allow.
     fn advance(&mut self, key: usize, io: &mut Io) {
+        self.advance_once(key, io);
+        if self.can_read_more(key) {
+            self.on_ready(key, io);
+        }
+    }
+
+    fn advance_once(&mut self, key: usize, io: &mut Io) {
         let session = &mut self.sessions[key];
         let serial = self.next_serial;
         let new_lease = || LeaseId {
@@ -334,14 +358,9 @@
         if let Some(lease) = session.lease_id() {
             self.leases.entry(lease.clone()).or_insert(key);
         }
-        if flow == SessionFlow::Close {
-            session.count_if_unanswered(io);
-            return self.close(key, io);
-        }
-        // Reading had stopped at the limit and there is room again; no event announces that.
-        let session = &self.sessions[key];
-        if session.more_to_read && session.connection.input.len() < session.input_limit() {
-            self.on_ready(key, io);
+        if let SessionFlow::Close(reason) = flow {
+            session.count_if_unanswered(reason, io);
+            self.close(key, io);
         }
     }
 
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -31,7 +31,7 @@
 use kestrellock_core::retry::RetryBudget;
 use kestrellock_core::session_state::{ExchangeEnd, SessionState};
 use kestrellock_peer::message::TransactionState;
-use kestrellock_protocol::client::{ClientProtocol, Severity, StartupContext, StartupStep};
+use kestrellock_protocol::client::{ClientProtocol, StartupContext, StartupStep};
 use kestrellock_protocol::facts_cache::FactsCache;
 use kestrellock_protocol::login::Login;
 use kestrellock_protocol::request::Request;
@@ -73,7 +73,18 @@
     /// The session stays open.
     Continue,
     /// The front must close the connection.
-    Close,
+    Close(CloseReason),
+}
+
+/// Why a connection is closed. Decides what an unfinished request counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client ended the session or its connection broke: it waits for nothing.
+    ClientLeft,
+    /// More output is buffered than the node can hold.
+    OutputLimit,
+    /// This node has ended the session.
+    Ended,
 }
 
 /// A client session.
@@ -114,12 +125,10 @@
     last_active: Instant,
     /// Whether the client has sent a request since it logged in.
     has_sent_request: bool,
-    /// Set while this node ends the session, because it stops or the credential was revoked.
+    /// Set while this node ends the session.
     closing: Option<Closing>,
     /// The session's place, from 0 to 1, among those that a stopping node asks to connect elsewhere.
     close_order: f64,
-    /// The connection to the client broke.
-    connection_lost: bool,
     keys: RequestKeys,
     /// Limits how many interrupted reads are retried.
     read_retries: RetryBudget,
@@ -182,7 +191,6 @@
             has_sent_request: false,
             closing: None,
             close_order,
-            connection_lost: false,
             keys: RequestKeys::default(),
             read_retries: RetryBudget::new(READ_RETRY_PERCENT, READ_RETRY_RESERVE),
             revision: Revision::default(),
@@ -215,6 +223,11 @@
         self.login.is_some()
     }
 
+    /// Whether the client may still authenticate.
+    pub fn is_pending_login(&self) -> bool {
+        !self.is_logged_in() && !self.is_closing()
+    }
+
     /// Whether the session soon acts on the passage of time rather than on a message: it holds a
     /// request, is logging in or is closing.
     pub fn needs_frequent_ticks(&self) -> bool {
@@ -288,17 +301,13 @@
         }
         match self.connection.flush(io.registry) {
             Ok(()) if self.connection.output.len() > MAX_OUTPUT_BYTES => {
-                log::debug!("disconnecting a client that does not read its answer");
-                SessionFlow::Close
+                SessionFlow::Close(CloseReason::OutputLimit)
             }
             Ok(()) => {
                 self.connection.release_buffers();
                 flow
             }
-            Err(_) => {
-                self.connection_lost = true;
-                SessionFlow::Close
-            }
+            Err(_) => SessionFlow::Close(CloseReason::ClientLeft),
         }
     }
 
@@ -331,7 +340,7 @@
             }
             StartupStep::Cancel(key) => {
                 io.outbox.push_back(Outgoing::Cancel(key));
-                return SessionFlow::Close;
+                return SessionFlow::Close(CloseReason::ClientLeft);
             }
             StartupStep::Incomplete if io.now.duration_since(self.started) <= STARTUP_TIMEOUT => {
                 return SessionFlow::Continue;
@@ -341,13 +350,15 @@
             }
             StartupStep::Refused(refusal) => refusal,
         };
+        self.refuse_login(refusal, io)
+    }
+
+    /// Refuses the client before it has logged in, and ends the session.
+    pub fn refuse_login(&mut self, refusal: Refusal, io: &mut Io) -> SessionFlow {
         io.context.metrics.count_code(refusal.code);
         decision_log::log_refused(None, None, None, None, &refusal, io);
         io.context.metrics.client_connections.count(ConnectionEvent::Refused);
-        self.protocol.put_refusal(&refusal, Severity::Session, output);
-        // Best effort: the connection is closed even if the kernel does not take the message.
-        let _ = self.connection.flush(io.registry);
-        SessionFlow::Close
+        self.end_with_refusal(refusal, io)
     }
 }
 
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -1,5 +1,5 @@
-//! Ends a session during a planned stop or an isolation of its node, or after its credential was
-//! revoked.
+//! Ends a session during a planned stop or an isolation of its node, after its credential was
+//! revoked, or after an answer that ends it.
 //!
 //! During a planned stop, and some time after the node became isolated, the session asks its client
 //! to connect to another node once it has neither a request nor a transaction in progress. A request
@@ -19,7 +19,10 @@
 use kestrellock_protocol::facts_cache::FactsCache;
 use kestrellock_protocol::request::{NextRequest, Request, Timing};
 
-use super::{READ_OUTSIDE_TRANSACTION, ROLLED_BACK, Session, SessionFlow, counting, decision_log};
+use super::{
+    CloseReason, READ_OUTSIDE_TRANSACTION, ROLLED_BACK, Session, SessionFlow, counting,
+    decision_log,
+};
 use crate::context::NodeContext;
 use crate::event::Io;
 use crate::metrics::{SessionEndEvent, UnansweredRequest};
@@ -28,11 +31,12 @@
 const ISOLATED_DETAIL: &str = "the node is isolated; connect to another one";
 const LOST_TRANSACTION_DETAIL: &str = "the transaction was lost; the node is stopping";
 
-/// A session that is being ended, and the reason that its notice states.
+/// A session that is being ended.
 #[derive(Debug)]
 pub(super) struct Closing {
     end: SessionEnd,
-    reason: Refusal,
+    /// The reason that the notice states; `None` if the client ends the session.
+    reason: Option<Refusal>,
 }
 
 impl Session {
@@ -145,7 +149,11 @@
         request: Option<Request>,
         io: &mut Io,
     ) -> SessionFlow {
-        let notice = io.context.protocol.traits().disconnect_notice;
+        let notice = match self.is_logged_in() {
+            true => io.context.protocol.traits().disconnect_notice,
+            // A refused login has no further part, in any protocol.
+            false => DisconnectNotice::IsAnswer,
+        };
         let output = &mut self.connection.output;
         let is_refused = request.is_some();
         if let Some(request) = &request {
@@ -162,7 +170,30 @@
         }
         self.abandon(io);
         io.context.metrics.session_ends.count(SessionEndEvent::Notified);
-        self.closing = Some(Closing { end: SessionEnd::new(notice, io.now), reason });
+        let end = SessionEnd::new(notice, io.now);
+        self.closing = Some(Closing { end, reason: Some(reason) });
+        self.continue_closing(&mut FactsCache::default(), io)
+    }
+
+    /// Ends the session with a refusal of what the client has sent, and sends what is left of the
+    /// answers before it. Closing at once would drop output that the kernel has not taken, and with
+    /// unread input it would make TCP send a reset, which can destroy the refusal.
+    pub(super) fn end_with_refusal(&mut self, refusal: Refusal, io: &mut Io) -> SessionFlow {
+        self.protocol.put_refusal(&refusal, Severity::Session, &mut self.connection.output);
+        self.close_after_output(Some(refusal), io)
+    }
+
+    /// Ends the session on the client's request, once the answers to earlier requests are sent.
+    pub(super) fn end_for_client(&mut self, io: &mut Io) -> SessionFlow {
+        match self.connection.flush(io.registry) {
+            Ok(()) if !self.connection.output.is_empty() => self.close_after_output(None, io),
+            _ => SessionFlow::Close(CloseReason::ClientLeft),
+        }
+    }
+
+    fn close_after_output(&mut self, reason: Option<Refusal>, io: &mut Io) -> SessionFlow {
+        self.abandon(io);
+        self.closing = Some(Closing { end: SessionEnd::after_last_answer(io.now), reason });
         self.continue_closing(&mut FactsCache::default(), io)
     }
 
@@ -173,38 +204,45 @@
         classes: &mut FactsCache,
         io: &mut Io,
     ) -> SessionFlow {
-        if self.refuse_crossing_requests(classes, io) == SessionFlow::Close {
-            return SessionFlow::Close;
+        let flow = self.read_while_closing(classes, io);
+        if flow != SessionFlow::Continue {
+            return flow;
         }
         if self.connection.flush(io.registry).is_err() {
-            self.connection_lost = true;
-            return SessionFlow::Close;
+            return SessionFlow::Close(CloseReason::ClientLeft);
         }
-        let Some(closing) = &mut self.closing else { return SessionFlow::Close };
+        let Some(closing) = &mut self.closing else { return SessionFlow::Continue };
         match closing.end.step(self.connection.output.is_empty(), io.now) {
             EndStep::Wait => SessionFlow::Continue,
             EndStep::EndStream => {
                 self.connection.shut_down_sending();
                 SessionFlow::Continue
             }
-            EndStep::Close => SessionFlow::Close,
+            EndStep::Close => SessionFlow::Close(CloseReason::Ended),
         }
     }
 
-    /// Handles what the client sent before it read the notice.
-    fn refuse_crossing_requests(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
-        let notice = io.context.protocol.traits().disconnect_notice;
-        if !self.is_logged_in() || notice == DisconnectNotice::IsAnswer {
-            // The notice has refused the login, or the next request, and ends the session.
-            self.connection.input.clear();
-            return SessionFlow::Continue;
+    /// Handles what the client sent before it learned that its session ends.
+    fn read_while_closing(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
+        let Some(closing) = &mut self.closing else { return SessionFlow::Continue };
+        if !closing.end.discards_input() {
+            return self.refuse_crossing_requests(classes, io);
         }
+        // The last message has refused the login, or the next request, and ends the session.
+        let goes_on = closing.end.on_discarded(self.connection.input.len());
+        self.connection.input.clear();
+        if goes_on { SessionFlow::Continue } else { SessionFlow::Close(CloseReason::Ended) }
+    }
+
+    fn refuse_crossing_requests(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
         let timing = Timing { arrived: io.now, deadline: io.now };
         loop {
             match self.protocol.next_request(&mut self.connection.input, classes, timing) {
                 NextRequest::Incomplete => return SessionFlow::Continue,
-                NextRequest::Terminate | NextRequest::ProtocolError(_) => {
-                    return SessionFlow::Close;
+                NextRequest::Terminate => return self.end_for_client(io),
+                NextRequest::ProtocolError(refusal) => {
+                    // The notice has refused it; refusals of earlier requests may be unsent.
+                    return self.close_after_output(Some(refusal), io);
                 }
                 NextRequest::Request(request) => self.refuse_crossing(Some(&request), io),
                 NextRequest::Refused(_) => self.refuse_crossing(None, io),
@@ -228,28 +266,31 @@
                 if request.is_some_and(ends) {
                     self.transaction = TransactionState::Idle;
                 }
+                let Some(reason) = &closing.reason else { return };
                 let output = &mut self.connection.output;
                 self.protocol.put_ready(self.transaction, output);
-                self.protocol.put_disconnect_notice(&closing.reason, output);
-                counting::refused(&closing.reason, io);
+                self.protocol.put_disconnect_notice(reason, output);
+                counting::refused(reason, io);
                 io.context.metrics.session_ends.count(SessionEndEvent::RefusedCrossing);
                 let (login, account) = (self.login.as_ref(), self.account.as_ref());
-                decision_log::log_refused(request, login, account, None, &closing.reason, io);
+                decision_log::log_refused(request, login, account, None, reason, io);
             }
         }
     }
 
-    /// Counts a request whose answer is incomplete when this node closes the connection.
-    pub fn count_if_unanswered(&self, io: &Io) {
-        if self.connection_lost {
-            return;
-        }
-        if let Some(request) = &self.request {
-            let id = request.id.as_deref();
-            count_unanswered(UnansweredRequest::InProgress, id, io.context, io.now);
-        } else if !self.connection.output.is_empty() {
-            count_unanswered(UnansweredRequest::OutputUnsent, None, io.context, io.now);
-        }
+    /// Counts a request whose answer is incomplete when this node closes the connection for
+    /// `reason`. The answer may be lost in the kernel's buffers too, without the node learning it.
+    pub fn count_if_unanswered(&self, reason: CloseReason, io: &Io) {
+        let has_unsent_output = !self.connection.output.is_empty();
+        let unanswered = match (reason, &self.request) {
+            (CloseReason::ClientLeft, _) => return,
+            (CloseReason::OutputLimit, _) => UnansweredRequest::OutputLimit,
+            (CloseReason::Ended, Some(_)) => UnansweredRequest::InProgress,
+            (CloseReason::Ended, None) if has_unsent_output => UnansweredRequest::OutputUnsent,
+            (CloseReason::Ended, None) => return,
+        };
+        let id = self.request.as_ref().and_then(|request| request.id.as_deref());
+        count_unanswered(unanswered, id, io.context, io.now);
     }
 
     /// Counts a request that is unfinished when the process ends.
--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -46,16 +46,15 @@
             let timing = Timing { arrived, deadline: arrived + self.time_limit() };
             match self.protocol.next_request(&mut self.connection.input, classes, timing) {
                 NextRequest::Incomplete => return SessionFlow::Continue,
-                NextRequest::Terminate => return SessionFlow::Close,
+                NextRequest::Terminate => return self.end_for_client(io),
                 NextRequest::Request(request) if self.rejects(&request, io) => {
                     return self.close_for_shutdown(Some(request), io);
                 }
                 NextRequest::Request(request) => self.accept_request(request, io),
                 NextRequest::Refused(refusal) => self.refuse_request(&refusal, io),
                 NextRequest::ProtocolError(refusal) => {
-                    let output = &mut self.connection.output;
-                    self.protocol.put_refusal(&refusal, Severity::Session, output);
-                    return SessionFlow::Close;
+                    self.log_refusal(&refusal, io);
+                    return self.end_with_refusal(refusal, io);
                 }
             }
         }
@@ -158,19 +157,18 @@
             self.transaction = TransactionState::Failed;
             self.state.on_exchange_end(&[], ROLLED_BACK);
         }
-        counting::refused(refusal, io);
-        decision_log::log_refused(
-            None,
-            self.login.as_ref(),
-            self.account.as_ref(),
-            None,
-            refusal,
-            io,
-        );
+        self.log_refusal(refusal, io);
         let output = &mut self.connection.output;
         self.protocol.put_refusal(refusal, Severity::Request, output);
         self.protocol.put_ready(self.transaction, output);
     }
+
+    /// Counts and logs the refusal of input that is not kept as a request.
+    fn log_refusal(&self, refusal: &Refusal, io: &Io) {
+        counting::refused(refusal, io);
+        let (login, account) = (self.login.as_ref(), self.account.as_ref());
+        decision_log::log_refused(None, login, account, None, refusal, io);
+    }
 }
 
 /// The deadline of a request, no later than the time at which a planned stop refuses it.
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -240,6 +240,8 @@
         InProgress = "in_progress",
         /// The client did not read its answer in time.
         OutputUnsent = "output_unsent",
+        /// The client had read too little of its answers, and the node could not buffer more.
+        OutputLimit = "output_limit",
         /// It was unfinished when the process ended.
         EndOfStop = "end_of_stop",
     }
