Wake the acceptor when the node starts to leave

Cause: the acceptor of the client listener looked at the node's stage after a connection or after its poll timeout of 200 ms. A node that had started to leave took one more batch of clients in that time, and its drain waited for the listener to close.

Change: the acceptor has a waker; the drain wakes it as soon as the stage is `leaving`. The acceptor takes what the system has accepted by then and closes the listener. A connection that the system accepts between the last accept and the close is still reset; the node has read nothing from it.

--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::planned_stop::{StopLimits, StopSchedule};
+use mio::Waker;
 
 use crate::context::NodeContext;
 use crate::settings::Settings;
@@ -44,6 +45,8 @@
     /// Whether the client listener is closed and all connections that it accepted were sent to the
     /// shards.
     pub client_listener_closed: Arc<AtomicBool>,
+    /// Wakes the acceptor of the client listener.
+    pub client_acceptor: Arc<Waker>,
 }
 
 impl Drain {
@@ -57,6 +60,9 @@
             std::thread::sleep(schedule.leaving.saturating_duration_since(Instant::now()));
         }
         self.context.stage.advance_to(Stage::Leaving);
+        // Otherwise, the acceptor would take clients until its next check. If it cannot be woken, it
+        // does so.
+        let _ = self.client_acceptor.wake();
         // A client that connected before the listener closed may not have reached its shard yet.
         if !wait_until(deadline, || self.all_clients_delivered()) {
             return false;
--- a/crates/daemon/src/net/acceptor.rs
+++ b/crates/daemon/src/net/acceptor.rs
@@ -2,14 +2,17 @@
 
 use std::io;
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 use mio::unix::SourceFd;
-use mio::{Events, Interest, Poll, Token};
+use mio::{Events, Interest, Poll, Token, Waker};
 use std::os::fd::AsRawFd;
 
-/// Interval at which the stop condition is checked while no connection arrives. Much shorter than a
-/// drain, and long enough to keep an idle node idle.
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+/// Interval at which the stop condition is checked while nothing wakes the acceptor. Much shorter
+/// than a drain, and long enough to keep an idle node idle.
 const POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay after an accept error, such as a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -19,6 +22,7 @@
     listener: TcpListener,
     poll: Poll,
     events: Events,
+    waker: Arc<Waker>,
 }
 
 impl Acceptor {
@@ -26,8 +30,14 @@
     pub fn new(listener: TcpListener) -> io::Result<Self> {
         let poll = Poll::new()?;
         let descriptor = listener.as_raw_fd();
-        poll.registry().register(&mut SourceFd(&descriptor), Token(0), Interest::READABLE)?;
-        Ok(Self { listener, poll, events: Events::with_capacity(1) })
+        poll.registry().register(&mut SourceFd(&descriptor), LISTENER, Interest::READABLE)?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        Ok(Self { listener, poll, events: Events::with_capacity(2), waker })
+    }
+
+    /// Makes the acceptor check its stop condition at once.
+    pub fn waker(&self) -> Arc<Waker> {
+        self.waker.clone()
     }
 
     /// Passes connections to `take` until `is_stopping` returns true, and finally those that the
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,6 +15,7 @@
 use kestrellock_store::machines::MachineList;
 use kestrellock_store::source::{CatalogSource, WatchedCatalog};
 use kestrellock_store::store::ConfigStore;
+use mio::Waker;
 use thiserror::Error;
 
 use crate::admin::Admin;
@@ -176,7 +177,7 @@
         }
         let Listeners { clients, peers, datagrams, admin } = listeners;
         let client_listener_closed = Arc::new(AtomicBool::new(false));
-        spawn_acceptor(
+        let client_acceptor = spawn_acceptor(
             &mut root,
             "callers",
             clients,
@@ -203,6 +204,7 @@
             shards: shards.clone(),
             mailboxes: mailboxes.clone(),
             client_listener_closed,
+            client_acceptor,
         };
         let token = settings.secrets.admin_token.clone();
         let store: Arc<dyn ConfigStore> = Arc::new(CountedStore::new(store, context.clone()));
@@ -383,7 +385,8 @@
     }
 }
 
-/// Starts the child that accepts connections and distributes them to the shards in turn.
+/// Starts the child that accepts connections and distributes them to the shards in turn. Returns
+/// what makes it check its stop condition.
 fn spawn_acceptor(
     root: &mut Supervisor,
     name: &str,
@@ -391,8 +394,10 @@
     mailboxes: Arc<Mailboxes>,
     stop: AcceptorStop,
     wrap: fn(std::net::TcpStream) -> ShardMessage,
-) -> Result<(), StartError> {
-    let mut acceptor = Some(Acceptor::new(listener).map_err(StartError::EventLoop)?);
+) -> Result<Arc<Waker>, StartError> {
+    let acceptor = Acceptor::new(listener).map_err(StartError::EventLoop)?;
+    let waker = acceptor.waker();
+    let mut acceptor = Some(acceptor);
     let mut next = 0;
     root.spawn(format!("accept-{name}"), move || {
         let Some(acceptor) = acceptor.take() else { return };
@@ -404,7 +409,7 @@
         // From now on, the operating system refuses new connections, and clients try another node.
         stop.closed.store(true, Ordering::Release);
     });
-    Ok(())
+    Ok(waker)
 }
 
 fn spawn_admin(
--- a/crates/daemon/tests/acceptor.rs
+++ b/crates/daemon/tests/acceptor.rs
@@ -2,6 +2,10 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use kestrellock_daemon::net::acceptor::Acceptor;
 
@@ -24,3 +28,26 @@
     stream.read_exact(&mut request).expect("the request is readable");
     assert_eq!(&request, b"request");
 }
+
+/// An acceptor looked at its stop condition only after a connection or every 200 ms, so that a node
+/// accepted clients for that long after it had started to leave, and the stop waited for it.
+#[test]
+fn acceptor_that_is_woken_stops_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("non-blocking mode");
+    let acceptor = Acceptor::new(listener).expect("it starts");
+    let waker = acceptor.waker();
+    let is_stopping = Arc::new(AtomicBool::new(false));
+    let (flag, (started, has_started)) = (is_stopping.clone(), mpsc::channel());
+    let running = thread::spawn(move || {
+        started.send(()).expect("the test waits");
+        acceptor.run(|| flag.load(Ordering::Acquire), || {}, |_| {});
+    });
+    has_started.recv().expect("it runs");
+    thread::sleep(Duration::from_millis(50));
+    is_stopping.store(true, Ordering::Release);
+    let woken = Instant::now();
+    waker.wake().expect("it is woken");
+    running.join().expect("it stops");
+    assert!(woken.elapsed() < Duration::from_millis(100), "{:?}", woken.elapsed());
+}
--- a/crates/daemon/tests/support/lines.rs
+++ b/crates/daemon/tests/support/lines.rs
@@ -160,7 +160,11 @@
 impl LineClient {
     /// Opens a connection without a login.
     pub fn open(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).expect("a connection");
+        Self::of(TcpStream::connect(address).expect("a connection"))
+    }
+
+    /// A client on a connection, without a login.
+    pub fn of(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a time limit");
         Self { reader: BufReader::new(stream) }
     }
@@ -188,6 +192,11 @@
         self.reader.get_mut().write_all(bytes).expect("the connection is open");
     }
 
+    /// Sends text, unless the node has closed the connection.
+    pub fn try_send(&mut self, text: &str) -> io::Result<()> {
+        self.reader.get_mut().write_all(text.as_bytes())
+    }
+
     /// A second handle of the connection, to send while answers are not read.
     pub fn sender(&self) -> TcpStream {
         self.reader.get_ref().try_clone().expect("a second handle")
