Test that a request of a client that has left does not run

A client that ends its stream counts as gone, also if it still reads: the node cannot tell the two apart before it writes, clients that leave partway through are common, and a request that its client has abandoned must not reach an instance.

--- a/crates/daemon/tests/session_close.rs
+++ b/crates/daemon/tests/session_close.rs
@@ -7,8 +7,12 @@
 use std::time::Duration;
 
 use kestrellock_daemon::metrics::{Label, UnansweredRequest};
+use kestrellock_daemon::policy::Policy;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
-use support::lines::{LineClient, LineNode, configuration};
+use support::Pair;
+use support::client::Client;
+use support::lines::{LineClient, LineNode};
+use support::scripted::ScriptedGroup;
 
 /// Time in which the answers to requests fill the buffers between node and client.
 const STALL: Duration = Duration::from_millis(500);
@@ -113,7 +117,7 @@
 fn request_that_crosses_a_revocation_is_refused() {
     let line_node = LineNode::start(|_| {});
     let mut client = LineClient::connect(line_node.address);
-    line_node.store.set(configuration(&[]));
+    line_node.revoke();
     assert!(client.line().expect("the notice").starts_with("ERROR UNAUTH"));
     client.send("QUERY 1 READ k");
     assert!(client.line().expect("the rest of the answer").starts_with("READY I"));
@@ -121,6 +125,24 @@
     assert_nothing_unanswered(&line_node);
 }
 
+/// The end of a client's stream counts as its departure: a request in front of it does not run,
+/// because its client may have abandoned it.
+#[test]
+fn request_of_a_client_that_has_left_does_not_run() {
+    let group = ScriptedGroup::start();
+    let pair = Pair::start(&group, Duration::from_secs(5), Policy::Standard);
+    let mut client = Client::connect(pair.address, &[]);
+    client.query("SELECT 'first'");
+    let front = pair.front.as_ref().expect("it runs");
+    front.set_paused(true);
+    thread::sleep(STALL);
+    client.send("INSERT INTO t VALUES ('abandoned')");
+    client.end_stream();
+    front.set_paused(false);
+    assert!(client.try_answer().is_none());
+    assert_eq!((group.seen("first"), group.seen("abandoned")), (1, 0));
+}
+
 /// Logins in progress that fill the node.
 const PENDING_LOGINS: usize = 1024;
 /// File descriptors that such a test needs: two for each connection, and others.
--- a/crates/daemon/tests/support/client.rs
+++ b/crates/daemon/tests/support/client.rs
@@ -1,7 +1,7 @@
 //! A PostgreSQL client for tests, and the answers that it receives.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 
 use bytes::BytesMut;
 use kestrellock_postgres::frames;
@@ -140,6 +140,16 @@
         self.read_answer().expect("an answer")
     }
 
+    /// Waits for the answer to the last query; `None` if the connection is closed without one.
+    pub fn try_answer(&mut self) -> Option<Answer> {
+        self.read_answer()
+    }
+
+    /// Ends the stream to the node.
+    pub fn end_stream(&mut self) {
+        self.stream.shutdown(Shutdown::Write).expect("the connection is open");
+    }
+
     /// Runs a simple query.
     pub fn query(&mut self, sql: &str) -> Answer {
         self.send(sql);
--- a/crates/daemon/tests/support/lines.rs
+++ b/crates/daemon/tests/support/lines.rs
@@ -1,5 +1,5 @@
-//! A node whose clients speak the line protocol, and such a client. The group has no instance that
-//! runs: the node answers settings and unknown prepared statements by itself.
+//! A node whose clients speak the line protocol, and such a client. No instance runs: the node
+//! answers settings and unknown prepared statements by itself.
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -14,6 +14,7 @@
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
 use kestrellock_platform::lines::LineProtocol;
+use kestrellock_protocol::Protocol;
 use kestrellock_store::store::{
     ConfigStore, KeyValue, Snapshot, StoreError, Transaction, TransactionOutcome, Watch, WatchEvent,
 };
@@ -90,7 +91,7 @@
 }
 
 /// A configuration that knows the credentials `known`.
-pub fn configuration(known: &[&str]) -> Vec<(String, Value)> {
+fn configuration(known: &[&str]) -> Vec<(String, Value)> {
     let digests: Vec<String> =
         known.iter().map(|key| CredentialDigest::of(key).to_string()).collect();
     let instance = json!({
@@ -116,13 +117,18 @@
 /// A node whose clients speak the line protocol.
 pub struct LineNode {
     pub node: Option<Node>,
-    pub store: ChangingStore,
     pub address: SocketAddr,
+    store: ChangingStore,
 }
 
 impl LineNode {
     /// Starts a node that knows the credential of [`LineClient::connect`].
     pub fn start(change: impl FnOnce(&mut Settings)) -> Self {
+        Self::start_with(Arc::new(LineProtocol), change)
+    }
+
+    /// Starts such a node with another implementation of the protocol.
+    pub fn start_with(protocol: Arc<dyn Protocol>, change: impl FnOnce(&mut Settings)) -> Self {
         let mut settings = Settings::loopback(NodeName::new("n"), ZoneName::new("a"));
         change(&mut settings);
         let listeners = Listeners::bind(&mut settings).expect("free ports");
@@ -133,11 +139,16 @@
             catalog: None,
             machine_list: None,
             replacement: None,
-            protocol: Arc::new(LineProtocol),
+            protocol,
         };
         let address = settings.caller_address;
         let node = Node::start_in(&settings, listeners, environment, Policy::Standard);
-        Self { node: Some(node.expect("it starts")), store, address }
+        Self { node: Some(node.expect("it starts")), address, store }
+    }
+
+    /// Takes the credential of all clients away.
+    pub fn revoke(&self) {
+        self.store.set(configuration(&[]));
     }
 
     /// The running node.
