Read the requests of other sessions after a panic of their thread

Cause: a thread that panics while it handles events is restarted with the same sessions, but without the events of that turn, and edge-triggered readiness is not repeated. Whole requests of other sessions stayed in the kernel, neither answered nor refused, until their clients sent more. The session that caused the panic kept the input that caused it.

Change: at the first tick after a restart the front reads all of its connections. The session that was being advanced is closed, logged as `request_unanswered` and counted as `thread_panicked`. Messages that the thread had queued are still lost; exchanges among them end at their deadline.

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod counting;
 pub mod current_position;
 pub mod decision_log;
+mod panics;
 pub mod session;
 pub mod target;
 
@@ -58,6 +59,10 @@
     /// Revision of the configuration that the credentials of all sessions were last checked
     /// against.
     credentials_checked_revision: Revision,
+    /// The session that is being advanced. After a panic of the thread, the one that caused it.
+    advancing: Option<usize>,
+    /// Restarts of the node's threads at the last tick.
+    seen_restarts: u64,
 }
 
 impl Front {
@@ -73,6 +78,8 @@
             classes: FactsCache::default(),
             position_queries: PositionQueries::default(),
             credentials_checked_revision: Revision::default(),
+            advancing: None,
+            seen_restarts: 0,
         }
     }
 
@@ -274,6 +281,7 @@
 
     /// Retries statements that wait for an instance and ends those whose deadline has passed.
     pub fn on_tick(&mut self, io: &mut Io) {
+        self.recover_from_panics(io);
         self.check_credentials(io);
         let closes_sessions = io.context.closes_sessions(io.now);
         if closes_sessions {
@@ -336,7 +344,9 @@
     }
 
     fn advance_once(&mut self, key: usize, io: &mut Io) {
-        let session = &mut self.sessions[key];
+        self.close_panicked(io);
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        self.advancing = Some(key);
         let serial = self.next_serial;
         let new_lease = || LeaseId {
             node: self.identity.node.clone(),
@@ -351,6 +361,7 @@
             &mut self.classes,
             io,
         );
+        self.advancing = None;
         self.next_serial += 1;
         for ended in session.ended_leases.drain(..) {
             self.leases.remove(&ended);
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -293,6 +293,12 @@
         count_unanswered(unanswered, id, io.context, io.now);
     }
 
+    /// Counts a session whose handling panicked. It may have read a request.
+    pub fn count_panicked(&self, io: &Io) {
+        let id = self.request.as_ref().and_then(|request| request.id.as_deref());
+        count_unanswered(UnansweredRequest::ThreadPanicked, id, io.context, io.now);
+    }
+
     /// Counts a request that is unfinished when the process ends.
     pub fn report_unfinished(&self, context: &NodeContext, now: Instant) {
         let id = self.request.as_ref().and_then(|request| request.id.as_deref());
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -242,6 +242,8 @@
         OutputUnsent = "output_unsent",
         /// The client had read too little of its answers, and the node could not buffer more.
         OutputLimit = "output_limit",
+        /// A thread panicked while it handled the session, which may have read a request.
+        ThreadPanicked = "thread_panicked",
         /// It was unfinished when the process ended.
         EndOfStop = "end_of_stop",
     }
