End the work of other nodes' fronts before the owner's process ends

Cause: an owner that stops told the fronts of other nodes nothing about exchanges that were unfinished when its stop ended. Exchanges that waited for an instance stayed at a leaving owner until their deadline although another node owned the group; a closed owner dropped exchanges without a word and relied on the leave message; what ran at the end was cut off with the link.

Hypothesis: from the end of a link a front cannot tell what has run, so it reports writes that waited as in doubt, and gives the loss of the link instead of the stop as the reason of those that ran.

Change: `gateway/stopping`. A leaving owner refers exchanges that wait in groups that it no longer owns at once. From the final refusals on, and when closed, it refers everything that waits or arrives to the next owner (never to itself, which it still is if all nodes leave), and rolls back idle transactions. At `last_answers` (the last quarter of the final refusals) it ends running exchanges and unconfirmed commits with the codes of a stop. Rolled-back idle transactions are recorded as for zone drains, in a module of their own. Counter `stopped_exchanges`, log line `work_ended_by_stop` (one per tick that ended something). Nothing changes for a node that is not leaving.

--- a/crates/core/src/planned_stop.rs
+++ b/crates/core/src/planned_stop.rs
@@ -12,6 +12,9 @@
 const FINAL_REFUSALS_SHARE: f64 = 0.1;
 /// Upper limit of that part.
 const MAX_FINAL_REFUSALS: Duration = Duration::from_secs(1);
+/// Part of the final refusals, at their end, that is reserved for the answers of work that is cut
+/// off.
+const LAST_ANSWERS_SHARE: f64 = 0.25;
 /// Time over which the sessions of a leaving node are asked to connect elsewhere. Asking all of
 /// them at once would make all of their clients connect to the remaining nodes at once.
 const NOTICE_SPREAD: Duration = Duration::from_secs(1);
@@ -43,6 +46,8 @@
     pub transactions: Instant,
     /// When requests that are still unanswered are refused.
     pub final_refusals: Instant,
+    /// When work that still runs is cut off, so that its end can still be reported.
+    pub last_answers: Instant,
     /// When the process ends.
     pub end: Instant,
 }
@@ -58,6 +63,7 @@
             leaving: (began + limits.notice).min(final_refusals),
             transactions: transactions.min(final_refusals),
             final_refusals,
+            last_answers: began + (limits.total - reserved.mul_f64(LAST_ANSWERS_SHARE)),
             end: began + limits.total,
         }
     }
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -221,6 +221,16 @@
         }
     }
 
+    /// Ends the wait for all commits, because the process is about to end. Returns their number.
+    pub fn fail_for_stop(&mut self, io: &mut Io) -> usize {
+        let pending = std::mem::take(&mut self.pending);
+        let count = pending.len();
+        for pending in pending {
+            refuse(pending.commit, Progress::Unconfirmed, Fault::NodeStopping, io);
+        }
+        count
+    }
+
     /// Processes an instance's answer to a probe, and answers the commits that it decides.
     pub fn on_report(
         &mut self,
@@ -301,6 +311,7 @@
     let detail = match fault {
         Fault::Superseded => "a new primary appeared before a majority confirmed the commit",
         Fault::Deadline => "no majority confirmed the commit in time",
+        Fault::NodeStopping => "the node stopped before the commit was confirmed",
         _ => "the primary did not say where the commit stands",
     };
     let refusal = Refusal::new(failure_code(impact, progress, fault), detail);
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -14,10 +14,13 @@
 
 use super::pool::{Assignment, Assignments, ConnectionToOpen, Pool};
 use super::server::{Purpose, Server};
-use super::{Gateway, notify_refused, ownership, queued_log, refuse};
+use super::{Gateway, notify_refused, ownership, queued_log, refuse, stopping};
 use crate::event::Io;
 use crate::metrics::{CapacityEvent, ConnectionEvent};
 
+/// Why an exchange of a transaction without a connection is refused.
+pub(super) const LOST_CONNECTION: &str = "the transaction's connection is gone";
+
 /// The instance that has been chosen for an exchange, if any.
 pub fn chosen_instance(exchange: &Exchange) -> Option<&InstanceName> {
     match &exchange.placement {
@@ -41,6 +44,9 @@
             log::info!(event = "ruled_out", id = exchange.request.as_deref().unwrap_or("-"); "dropped a statement that arrived after it was reported to its front as not run");
             return;
         }
+        if stopping::refuses_work(io) {
+            return self.refuse_at_stop(&exchange, io);
+        }
         if let Some(&key) = self.leases.get(&exchange.lease) {
             if self.is_drain_over(&self.servers[key].instance, io) {
                 // Closing the connection rolls back the transaction.
@@ -53,16 +59,11 @@
             self.run_on_connection(key, &exchange, io);
             return;
         }
-        if self.refuse_drained_transaction(&exchange, io) {
+        if self.refuse_of_ended_transaction(&exchange, io) {
             return;
         }
         if exchange.number > 0 {
-            refuse(
-                &exchange,
-                ResultCode::TransactionLost,
-                "the transaction's connection is gone",
-                io,
-            );
+            refuse(&exchange, ResultCode::TransactionLost, LOST_CONNECTION, io);
             return;
         }
         if let Placement::Any(need) = &exchange.placement {
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -60,7 +60,7 @@
     /// Drops the lease's queued exchange or waiting commit, and ends its use of a connection: the
     /// front no longer waits for an answer.
     pub fn on_abandon(&mut self, lease: &LeaseId, io: &mut Io) {
-        self.zone_drains.take_ended(lease);
+        self.ended_transactions.forget(lease);
         for state in self.groups.values_mut() {
             state.pools.values_mut().for_each(|pool| pool.forget(lease));
             state.confirmations.forget(lease);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod confirmation;
 mod connection_loss;
 pub mod current_position;
+mod ended_transactions;
 mod evidence_queries;
 mod exchanges;
 mod fencing;
@@ -25,6 +26,7 @@
 pub mod server;
 mod server_events;
 pub mod status_queries;
+mod stopping;
 mod zone_drains;
 
 use std::collections::HashMap;
@@ -44,6 +46,7 @@
 use self::capacity::CapacityReports;
 use self::confirmation::Confirmations;
 use self::current_position::CurrentPositions;
+use self::ended_transactions::EndedTransactions;
 use self::evidence_queries::EvidenceQueries;
 use self::monitor::Monitor;
 use self::placements::Placements;
@@ -77,6 +80,7 @@
     reported_not_run: HashMap<LeaseId, Instant>,
     applied_snapshot: Option<Arc<OwnershipSnapshot>>,
     zone_drains: ZoneDrains,
+    ended_transactions: EndedTransactions,
     /// When the front of another node last sent an exchange.
     last_remote_exchange: Option<Instant>,
 }
@@ -138,15 +142,14 @@
             }
             return;
         };
-        if io.context.stage.load() == Stage::Closed {
-            return;
-        }
         self.apply_ownership(io);
+        let is_closed = io.context.stage.load() == Stage::Closed;
         match message.call {
             GatewayCall::Exchange(exchange) => {
                 self.on_exchange(&message.group, group, *exchange, io)
             }
             GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
+            _ if is_closed => {}
             GatewayCall::Cancel(lease) => self.on_cancel(group, &lease, io),
             GatewayCall::CurrentPosition { shard, number } => {
                 let state = self.group_state(&message.group, io.now);
@@ -212,6 +215,7 @@
     /// retries those that wait.
     pub fn on_tick(&mut self, io: &mut Io) {
         self.apply_ownership(io);
+        self.end_work_for_stop(io);
         self.track_primaries(io);
         self.end_drained_transactions(io);
         self.close_overdue(io);
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -137,6 +137,11 @@
         self.held.iter().map(|held| &held.exchange.lease)
     }
 
+    /// Removes and returns all held exchanges.
+    pub fn take_all(&mut self) -> impl Iterator<Item = Exchange> + use<> {
+        std::mem::take(&mut self.held).into_iter().map(|held| held.exchange)
+    }
+
     /// Drops the held exchange of an abandoned lease.
     pub fn forget(&mut self, lease: &LeaseId) {
         self.held.retain(|held| held.exchange.lease != *lease);
--- a/crates/daemon/src/gateway/zone_drains.rs
+++ b/crates/daemon/src/gateway/zone_drains.rs
@@ -4,7 +4,7 @@
 //! open transaction stays on its connection for a limited time. After that it is rolled back while
 //! it is idle, and the answer to the client's next statement reports that.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::catalog::{Group, IndexedCatalog};
@@ -24,25 +24,13 @@
 /// Operators withdraw a drain after minutes, so that earlier retries would not succeed.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// How long to remember that a transaction was rolled back; longer than platforms allow
-/// transactions to be idle.
-const ENDED_RETENTION: Duration = Duration::from_secs(600);
+/// Why a transaction was rolled back.
+const TRANSACTION_DETAIL: &str = "its zone is being drained";
 
-/// Since when this node has known zones to be drained, and the transactions that it has rolled back
-/// for that reason.
+/// Since when this node has known zones to be drained.
 #[derive(Debug, Default)]
 pub struct ZoneDrains {
     drained_since: BTreeMap<ZoneName, Instant>,
-    /// Leases whose transactions were rolled back while idle.
-    ended: HashMap<LeaseId, EndedTransaction>,
-}
-
-/// A transaction that was rolled back while it was idle.
-#[derive(Debug)]
-struct EndedTransaction {
-    ended_at: Instant,
-    /// Sequence number of the next event for its front.
-    sequence: u32,
 }
 
 impl ZoneDrains {
@@ -68,17 +56,6 @@
     pub fn is_empty(&self) -> bool {
         self.drained_since.is_empty()
     }
-
-    /// Removes the record of a rolled-back transaction that its client continues or abandons.
-    /// Returns the sequence number of the next event for its front, if there is a record.
-    pub fn take_ended(&mut self, lease: &LeaseId) -> Option<u32> {
-        self.ended.remove(lease).map(|ended| ended.sequence)
-    }
-
-    fn record_ended(&mut self, lease: LeaseId, sequence: u32, now: Instant) {
-        self.ended.retain(|_, ended| now < ended.ended_at + ENDED_RETENTION);
-        self.ended.insert(lease, EndedTransaction { ended_at: now, sequence });
-    }
 }
 
 /// Refuses an exchange that no instance can run until the drain of a zone is withdrawn.
@@ -119,20 +96,11 @@
         for (lease, key) in over {
             log::info!(event = "transaction_drained", lease:? = lease, instance = self.servers[key].instance.as_str(); "an open transaction is rolled back: its zone is being drained");
             let sequence = self.servers[key].next_sequence();
-            self.zone_drains.record_ended(lease, sequence, io.now);
+            self.ended_transactions.record(lease, sequence, TRANSACTION_DETAIL, io.now);
             self.on_server_lost(key, Fault::Superseded, io);
         }
     }
 
-    /// Refuses an exchange whose transaction was rolled back while it was idle. Returns whether it
-    /// was.
-    pub(super) fn refuse_drained_transaction(&mut self, exchange: &Exchange, io: &mut Io) -> bool {
-        let Some(sequence) = self.zone_drains.take_ended(&exchange.lease) else { return false };
-        let refusal = Refusal::new(ResultCode::TransactionLost, "its zone is being drained");
-        notify_front(&exchange.lease, sequence, LeaseEvent::Refused(refusal), io);
-        true
-    }
-
     /// Whether all instances of the group are in drained zones.
     pub(super) fn has_only_drained_zones(&self, group: &Group, io: &Io) -> bool {
         !self.zone_drains.is_empty() && io.context.catalog.load().is_fully_drained(group)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,8 +22,8 @@
 
 pub use labels::{
     CapacityEvent, ConfigurationEvent, ConnectionEvent, IsolationEvent, Label, MessageEvent,
-    PrewarmEvent, ProbeEvent, Route, SessionEndEvent, StatementResult, StorePurpose, StoreResult,
-    UnansweredRequest, VoteEvent,
+    PrewarmEvent, ProbeEvent, Route, SessionEndEvent, StatementResult, StoppedExchange,
+    StorePurpose, StoreResult, UnansweredRequest, VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -122,6 +122,8 @@
     pub session_ends: CounterSet<SessionEndEvent>,
     /// Whole requests whose connection this node closed without a complete answer.
     pub unanswered_requests: CounterSet<UnansweredRequest>,
+    /// Work of fronts that the planned stop of this owner has ended.
+    pub stopped_exchanges: CounterSet<StoppedExchange>,
     /// Connections to instances.
     pub instance_connections: CounterSet<ConnectionEvent>,
     /// Connections to instances that were opened in advance for an account.
@@ -233,6 +235,11 @@
                 "unanswered_requests",
                 "Requests whose connection the node closed without a complete answer",
             ),
+            stopped_exchanges: CounterSet::register(
+                r,
+                "stopped_exchanges",
+                "Exchanges and transactions that the stop of this owner has ended",
+            ),
             instance_connections: CounterSet::register(r, "backends", "Connections to back ends"),
             prewarmed_connections: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -244,3 +244,15 @@
         EndOfStop = "end_of_stop",
     }
 }
+
+labels! {
+    /// Work of fronts that the planned stop of its owner has ended.
+    StoppedExchange {
+        /// An exchange that had not run was refused, so that its front sends it to another owner.
+        NotRun = "not_run",
+        /// An open transaction was rolled back.
+        TransactionLost = "transaction_lost",
+        /// An exchange that ran, or whose commit was not confirmed yet, was ended.
+        CutOff = "cut_off",
+    }
+}
