Tests of planned stops: a notice ends a session

Cause: four tests (planned_stop, platform_path) asserted that a stopping node closes a session without a word, at once or directly behind an answer. That is the fault: a request on its way at that moment gets neither an answer nor a refusal. They failed on the new design with `Some(Error("BUSY", "KL1404 ...")) != None`. The test of a transaction that rests also accepted a COMMIT whose connection was closed without an answer.

Change: each now requires the notice `ERROR BUSY` (`ERROR ABORTED` for a lost transaction), and that nothing follows it for 500 ms, neither a message nor the end of the stream, so the node does not close before its client. A COMMIT that crosses the notice must be refused by it; the bounds on when the session ends stay, as limits of time. The lab's line client can read notices, and the platform has options for the limits of a stop and stops several nodes at once.

--- a/crates/lab/src/platform/client.rs
+++ b/crates/lab/src/platform/client.rs
@@ -14,6 +14,8 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Read timeout of the connection.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after the notice that ends a session in which its client expects nothing else.
+pub const QUIET_TIME: Duration = Duration::from_millis(500);
 
 /// The answer to one statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -161,4 +163,52 @@
             }
         }
     }
+
+    /// Whether nothing arrives within `time`, neither a message nor the end of the stream.
+    pub fn is_quiet_for(&mut self, time: Duration) -> miette::Result<bool> {
+        if !self.input.is_empty() {
+            return Ok(false);
+        }
+        let usual = self.stream.read_timeout().into_diagnostic()?;
+        self.stream.set_read_timeout(Some(time)).into_diagnostic()?;
+        let peeked = self.stream.peek(&mut [0]);
+        self.stream.set_read_timeout(usual).into_diagnostic()?;
+        let timeouts = [std::io::ErrorKind::WouldBlock, std::io::ErrorKind::TimedOut];
+        Ok(peeked.is_err_and(|error| timeouts.contains(&error.kind())))
+    }
+
+    /// The code of the next message, which must be an error: the notice that ends a session in
+    /// which nothing was asked.
+    pub fn next_notice(&mut self) -> miette::Result<String> {
+        match self.next_message()? {
+            Some(ServerMessage::Error(code, _)) => Ok(code),
+            other => Err(miette!("expected a notice, got {other:?}")),
+        }
+    }
+
+    /// Waits for the notice that ends the session. Fails if it is not an error with this code, or
+    /// if anything follows it before the client closes: another message or the end of the stream.
+    pub fn await_end_notice(&mut self, code: &str) -> miette::Result<()> {
+        let found = self.next_notice()?;
+        if found != code {
+            return Err(miette!("expected the notice {code}, got {found}"));
+        }
+        match self.is_quiet_for(QUIET_TIME)? {
+            true => Ok(()),
+            false => Err(miette!("the notice is followed by {:?}", self.next_message())),
+        }
+    }
+
+    /// Sends a statement after the notice that ends the session, as a client that had not read the
+    /// notice yet. The notice must refuse it: the only answer completes the notice, and the same
+    /// notice follows. Returns the state of the transaction.
+    pub fn cross_end_notice(&mut self, text: &str, code: &str) -> miette::Result<TransactionState> {
+        self.send_statement(text)?;
+        let state = match self.next_message()? {
+            Some(ServerMessage::Ready(state)) => state,
+            other => return Err(miette!("expected the end of the notice, got {other:?}")),
+        };
+        self.await_end_notice(code)?;
+        Ok(state)
+    }
 }
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -67,6 +67,10 @@
     pub tolerated_zone_losses: u32,
     /// Whether owners exchange their votes directly, by node; nodes that are missing do not.
     pub share_store_access: Vec<bool>,
+    /// Duration of a planned stop, after which a node ends with work that is unfinished.
+    pub drain_limit: Duration,
+    /// Time from the start of a planned stop after which open transactions are ended.
+    pub drain_transactions: Duration,
 }
 
 /// A customer of the platform.
@@ -95,6 +99,8 @@
             prewarm_connections: false,
             tolerated_zone_losses: 0,
             share_store_access: Vec::new(),
+            drain_limit: Duration::from_secs(3),
+            drain_transactions: Duration::from_millis(1_500),
         }
     }
 }
@@ -318,8 +324,8 @@
             admin_pages: AdminPages::Health,
             store_endpoints: vec![self.store_address.clone()],
             promotion_endpoint: Some(format!("http://{}", self.promotions.address())),
-            drain_limit: Duration::from_secs(3),
-            drain_transactions: Some(Duration::from_millis(1_500)),
+            drain_limit: self.options.drain_limit,
+            drain_transactions: Some(self.options.drain_transactions),
             revocation_limit: self.options.revocation_limit,
             zone_drain_limit: self.options.zone_drain_limit,
             prewarm_connections: self.options.prewarm_connections,
@@ -367,6 +373,17 @@
         }
     }
 
+    /// Drains and stops several nodes at the same time.
+    pub fn stop_nodes(&mut self, numbers: &[usize]) {
+        let stopped = numbers.iter().filter_map(|number| self.nodes[*number].take());
+        let stopped: Vec<Node> = stopped.collect();
+        std::thread::scope(|scope| {
+            for node in stopped {
+                scope.spawn(move || node.stop());
+            }
+        });
+    }
+
     /// Kills a node without draining it.
     pub fn kill_node(&mut self, number: usize) {
         if let Some(node) = self.nodes[number].take() {
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -269,12 +269,18 @@
         platform.stop_node(0);
         platform
     });
-    assert_eq!(idle.next_message().expect("the end"), None, "closed without a word");
     assert!(run(&mut short, "COMMIT").is_success(), "there is time for that");
+    short.await_end_notice("BUSY").expect("the session ends behind its transaction");
+    drop(short);
+    idle.await_end_notice("BUSY").expect("the session that rests is told to go elsewhere");
+    drop(idle);
+    // The client learns that its transaction is lost while the node still waits for its next request.
+    long.await_end_notice("ABORTED").expect("the transaction that rests is ended");
+    assert!(!stopping.is_finished(), "the node waits for its client");
+    let state = long.cross_end_notice("COMMIT", "ABORTED").expect("a refusal");
+    assert_eq!(state, TransactionState::Idle);
+    drop(long);
     let platform = stopping.join().expect("it stops");
-    // The node has ended the transaction that rested, or closed its connection at the latest.
-    let answer = long.run("COMMIT");
-    assert!(answer.is_err() || answer.is_ok_and(|answer| answer.error_code() == Some("ABORTED")));
     let mut reader = open(&platform, 1, Consistency::Primary, "r");
     assert_eq!(run(&mut reader, "READ short").rows, ["1"]);
     assert_eq!(run(&mut reader, "READ long").rows, ["nothing"]);
@@ -295,7 +301,8 @@
     // Long enough for the node to look at its sessions several times.
     std::thread::sleep(Duration::from_millis(100));
     assert!(run(&mut caller, "WRITE page 1").is_success());
-    assert_eq!(caller.next_message().expect("the end"), None, "sent away behind the answer");
+    caller.await_end_notice("BUSY").expect("sent away behind the answer");
+    drop(caller);
     stopping.join().expect("it stops");
 }
 
