--- a/crates/core/tests/exchange_state.rs
+++ b/crates/core/tests/exchange_state.rs
@@ -41,6 +41,14 @@
         (WRITE, Answered, InstanceConnectionLost, ResultCode::UnconfirmedInDoubt),
         (WRITE, Unconfirmed, Deadline, ResultCode::UnconfirmedInDoubt),
         (COMMIT, Unconfirmed, Superseded, ResultCode::SupersededInDoubt),
+        (WRITE, AtFront, NodeStopping, ResultCode::Stopping),
+        (WRITE, Queued, NodeStopping, ResultCode::Stopping),
+        (COMMIT, AtFront, NodeStopping, ResultCode::TransactionLost),
+        (READ, Forwarded, NodeStopping, ResultCode::ReadInterrupted),
+        (INSIDE, Forwarded, NodeStopping, ResultCode::TransactionLost),
+        (WRITE, Forwarded, NodeStopping, ResultCode::StoppedInDoubt),
+        (COMMIT, Sent, NodeStopping, ResultCode::StoppedInDoubt),
+        (COMMIT, Unconfirmed, NodeStopping, ResultCode::UnconfirmedInDoubt),
     ];
     for (impact, progress, fault, expected) in table {
         assert_eq!(
@@ -79,6 +87,7 @@
         Just(Fault::GatewayLost),
         Just(Fault::GatewaySilent),
         Just(Fault::AnswerLost),
+        Just(Fault::NodeStopping),
     ]
 }
 
--- a/crates/core/tests/result_codes.rs
+++ b/crates/core/tests/result_codes.rs
@@ -44,7 +44,16 @@
     assert_eq!(hint(ResultCode::ReadInterrupted), Some(DEFAULT_RETRY_HINT));
     assert_eq!(hint(ResultCode::TransactionLost), Some(DEFAULT_RETRY_HINT));
     assert_eq!(hint(ResultCode::SupersededInDoubt), None);
+    assert_eq!(hint(ResultCode::StoppedInDoubt), None);
     assert_eq!(hint(ResultCode::DatabaseNotAllowed), None);
     let hinted = Refusal::new(ResultCode::NotSent, "").retry_after(Duration::from_millis(7));
     assert_eq!(hinted.with_default_retry_hint().retry_after, Some(Duration::from_millis(7)));
 }
+
+/// Guards against a client that repeats a write which a stopping node had sent to an instance.
+#[test]
+fn a_write_that_a_stop_leaves_unanswered_is_in_doubt() {
+    assert_eq!(ResultCode::StoppedInDoubt.to_string(), "KL1606");
+    assert_eq!(ResultCode::StoppedInDoubt.execution(), Execution::InDoubt);
+    assert_eq!(ResultCode::Stopping.execution(), Execution::NotRun);
+}
