Wait for late refusals at the end of a planned stop

Cause: the shards refuse what is unanswered in the last part of a stop, at their next tick. A thread that gets too little processor time may reach that tick after the end of the stop, and the process ended without the refusals.

Change: at the end of a stop with unfinished work, the node waits up to 200 ms until no session has an unanswered request or unsent output, and only then reports what is left and ends.

--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -22,6 +22,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// After this time without work from other nodes, they are assumed to send their work elsewhere.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
+/// Longest wait, after the end of a stop, for shards that lag to refuse the requests that they hold.
+const LATE_REFUSALS_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest wait for the shards to send their leave messages to other nodes.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -81,6 +83,14 @@
         self.wait(Instant::now() + LEAVE_TIMEOUT, Shard::has_sent_leave)
     }
 
+    /// Waits for shards that could not refuse the requests that they hold before the end of the
+    /// stop, because their threads got too little processor time.
+    pub fn await_late_refusals(&self) {
+        let deadline = Instant::now() + LATE_REFUSALS_TIMEOUT;
+        // What is left is reported next.
+        let _ = self.wait(deadline, |shard| !shard.front.has_unanswered());
+    }
+
     /// Counts and logs the requests that are still unanswered. The process is about to end.
     pub fn report_unanswered(&self) {
         for shard in &self.shards {
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -136,6 +136,11 @@
         (pending_logins.count() >= MAX_PENDING_LOGINS).then_some("too many callers are logging in")
     }
 
+    /// Whether a client waits for an answer, or for the rest of one.
+    pub fn has_unanswered(&self) -> bool {
+        self.sessions.iter().any(|(_, session)| session.is_unfinished())
+    }
+
     /// Counts and logs the requests that are still unanswered when the process ends.
     pub fn report_unanswered(&self, context: &NodeContext, now: Instant) {
         for (_, session) in &self.sessions {
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -302,11 +302,16 @@
     /// Counts a request that is unfinished when the process ends.
     pub fn report_unfinished(&self, context: &NodeContext, now: Instant) {
         let id = self.request.as_ref().and_then(|request| request.id.as_deref());
-        if self.request.is_some() || !self.connection.output.is_empty() {
+        if self.is_unfinished() {
             count_unanswered(UnansweredRequest::EndOfStop, id, context, now);
         }
     }
 
+    /// Whether a request is in progress or the kernel has not taken all output.
+    pub fn is_unfinished(&self) -> bool {
+        self.request.is_some() || !self.connection.output.is_empty()
+    }
+
     /// Aborts an open transaction that has been idle for too long, or that a planned stop no longer
     /// waits for. The client receives the error with its next request.
     pub(super) fn abort_overdue_transaction(&mut self, io: &mut Io) {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -257,6 +257,7 @@
         let limits = *self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         if !self.drain.run(limits) {
             log::warn!("{} stops before its open work is finished", self.context.identity.node);
+            self.drain.await_late_refusals();
             self.drain.report_unanswered();
         }
         self.kill();
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod hooked;
 pub mod lines;
 pub mod scripted;
 
