Test the reason of a disconnect at the output limit

A client that does not read an answer of more than 64 MiB is disconnected, and the request counts as `output_limit`, with a line `request_unanswered`. Before SessionFlow::Close carried its reason, it counted as `in_progress`, like a request that the node itself cut off. A type alias settles a clippy finding in the fixture.

--- a/crates/daemon/tests/session_close.rs
+++ b/crates/daemon/tests/session_close.rs
@@ -9,10 +9,10 @@
 use kestrellock_daemon::metrics::{Label, UnansweredRequest};
 use kestrellock_daemon::policy::Policy;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
-use support::Pair;
 use support::client::Client;
 use support::lines::{LineClient, LineNode};
 use support::scripted::ScriptedGroup;
+use support::{Pair, wait_until};
 
 /// Time in which the answers to requests fill the buffers between node and client.
 const STALL: Duration = Duration::from_millis(500);
@@ -21,6 +21,8 @@
 /// Requests whose answers exceed the kernel's buffers.
 const LONG_REQUESTS: usize = 24;
 const LONG_NAME_BYTES: usize = 500_000;
+/// Bytes of each row of an answer that exceeds what a node buffers for a client.
+const LARGE_ROW_BYTES: usize = 900_000;
 /// More input than a node reads before it handles a start-up.
 const UNREAD_BYTES: usize = 64 * 1024;
 
@@ -143,6 +145,24 @@
     assert_eq!((group.seen("first"), group.seen("abandoned")), (1, 0));
 }
 
+/// A client that does not read an answer is disconnected once the node would have to buffer too much
+/// of it, and the request counts as one without a complete answer, for that reason.
+#[test]
+fn client_that_does_not_read_is_counted() {
+    let group = ScriptedGroup::start();
+    let pair = Pair::start(&group, Duration::from_secs(20), Policy::Standard);
+    let mut client = Client::connect(pair.gateway_address, &[]);
+    let value = "v".repeat(LARGE_ROW_BYTES);
+    client.send(&format!("SELECT '{value}' AS large"));
+    let counted = &pair.gateway.as_ref().expect("it runs").context.metrics.unanswered_requests;
+    wait_until("the client is disconnected", || counted.get(UnansweredRequest::OutputLimit) == 1);
+    assert!(client.try_answer().is_none());
+    for reason in UnansweredRequest::ALL {
+        let expected = u64::from(*reason == UnansweredRequest::OutputLimit);
+        assert_eq!(counted.get(*reason), expected, "{reason:?}");
+    }
+}
+
 /// Logins in progress that fill the node.
 const PENDING_LOGINS: usize = 1024;
 /// File descriptors that such a test needs: two for each connection, and others.
--- a/crates/daemon/tests/support/lines.rs
+++ b/crates/daemon/tests/support/lines.rs
@@ -26,13 +26,16 @@
 /// The credential with which clients log in.
 const CREDENTIAL: &str = "fan";
 
-/// A store whose content a test changes.
+/// Keys of the configuration and their values.
+type Entries = Vec<(String, Value)>;
+
+/// A store whose content a test changes: its revision and entries.
 #[derive(Clone, Default)]
-pub struct ChangingStore(Arc<Mutex<(u64, Vec<(String, Value)>)>>);
+pub struct ChangingStore(Arc<Mutex<(u64, Entries)>>);
 
 impl ChangingStore {
     /// Replaces the content.
-    pub fn set(&self, entries: Vec<(String, Value)>) {
+    pub fn set(&self, entries: Entries) {
         let mut content = self.0.lock().expect("the store's lock");
         *content = (content.0 + 1, entries);
     }
@@ -91,7 +94,7 @@
 }
 
 /// A configuration that knows the credentials `known`.
-fn configuration(known: &[&str]) -> Vec<(String, Value)> {
+fn configuration(known: &[&str]) -> Entries {
     let digests: Vec<String> =
         known.iter().map(|key| CredentialDigest::of(key).to_string()).collect();
     let instance = json!({
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -35,6 +35,10 @@
 /// Text in statements to which the scripted behaviour applies.
 pub const MARK: &str = "marked";
 
+/// Text in queries that are answered with [`LARGE_ROWS`] rows.
+pub const LARGE: &str = "large";
+pub const LARGE_ROWS: usize = 100;
+
 /// Text in statements that are answered late.
 pub const LATE: &str = "late";
 const LATE_DELAY: Duration = Duration::from_millis(3);
--- a/crates/daemon/tests/support/scripted.rs
+++ b/crates/daemon/tests/support/scripted.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use kestrellock_postgres::frames;
 
-use super::{ERROR_DELAY, LATE, LATE_DELAY, MARK};
+use super::{ERROR_DELAY, LARGE, LARGE_ROWS, LATE, LATE_DELAY, MARK};
 
 /// Behaviour of an instance for marked statements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -282,7 +282,8 @@
             }
             "SELECT" => {
                 let value = text.split('\'').nth(1).unwrap_or("1");
-                put_row(&mut self.output, &[value]);
+                let rows = if text.contains(LARGE) { LARGE_ROWS } else { 1 };
+                (0..rows).for_each(|_| put_row(&mut self.output, &[value]));
                 "SELECT 1"
             }
             _ => {
