Test that a client without a login is disconnected soon after its refusal

A client that had connected but not logged in when the node left was kept for 2 s after the notice that refuses its login. Red with the former choice of the notice put back: 1.9 s instead of at most 1 s.

--- a/crates/daemon/tests/closing_listener.rs
+++ b/crates/daemon/tests/closing_listener.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::lines::{LineClient, LineNode};
 use support::wait_until;
@@ -93,3 +93,28 @@
     assert!(count(Outcome::Answered) > 0 && count(Outcome::NotConnected) > 0);
     assert_eq!(count(Outcome::Unanswered), 0);
 }
+
+/// Time from the notice to the end of the stream for a client that has not logged in. The notice
+/// answers its login, so the node waits for nothing else.
+const REFUSED_LOGIN_LIMIT: Duration = Duration::from_secs(1);
+
+/// A client that had connected but not logged in when the node left was kept for 2 s after the
+/// notice had refused its login, and its input was dropped all that time.
+#[test]
+fn client_that_has_not_logged_in_is_refused_and_disconnected() {
+    let mut line_node = LineNode::start(|_| {});
+    drop(LineClient::connect(line_node.address));
+    let mut client = LineClient::open(line_node.address);
+    let node = line_node.node.take().expect("it runs");
+    let stopping = thread::spawn(move || node.stop());
+    let notice = client.line().expect("the notice");
+    let noticed = Instant::now();
+    assert!(notice.starts_with("ERROR BUSY"), "{notice}");
+    client.try_send("STARTUP db fan\r\nQUERY 1 SET a b\r\n").expect("the node still reads");
+    let (lines, end) = client.lines_to_close();
+    assert!(lines.is_empty(), "{lines:?}");
+    end.expect("the end of the stream, not a reset");
+    assert!(noticed.elapsed() < REFUSED_LOGIN_LIMIT, "{:?}", noticed.elapsed());
+    drop(client);
+    stopping.join().expect("it stops");
+}
