Final refusals state the outcome of the whole request

A PostgreSQL client whose write was in progress at the end of a stop got the in-doubt refusal, ReadyForQuery and a FATAL notice in one segment; client libraries report the last one, which says that nothing ran. A request with a key whose earlier attempt was in doubt was refused as not run while its retry was unsent.

Where the notice is itself an answer, the refusal of the request is now the last message. The outcome of a request with a key comes from its key state. A revoked session with an open transaction reports it as failed. A client that ignores the notices is refused for 10 s, and one that reads a long answer slowly keeps its connection while output moves. The reason of a notice comes from the stop, not from its stage.

--- a/crates/core/src/session_end.rs
+++ b/crates/core/src/session_end.rs
@@ -18,8 +18,11 @@
 /// Time between the end of the stream and the close, after which a client that ignores both is
 /// disconnected.
 const LINGER: Duration = Duration::from_millis(100);
-/// Longest wait for a client that does not read its answers.
+/// Longest wait for a client that reads nothing of its answers.
 const OUTPUT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the first notice in which every crossing request is followed by a new notice. It
+/// limits how long a client that ignores the notices can keep the session open.
+const CROSSING_LIMIT: Duration = Duration::from_secs(10);
 /// Input that the node reads and discards after a message that ends the session. A client that
 /// sends more is disconnected, even if the message is lost.
 const MAX_DISCARDED_BYTES: usize = 2 * 1024 * 1024;
@@ -41,7 +44,9 @@
     /// The notice has refused it; nothing is sent.
     Refused,
     /// The notice is completed to a refusal of the request, and a new notice follows.
-    Complete,
+    RefusedByNotice,
+    /// The notice is completed to a refusal of the request. The stream ends behind it.
+    RefusedLast,
     /// It gets no answer: the node has ended its stream.
     Unanswered,
 }
@@ -71,9 +76,13 @@
 pub struct SessionEnd {
     kind: EndKind,
     began: Instant,
+    /// When the kernel last took output.
+    last_progress: Instant,
     /// When the last notice, and all that precedes it, had been taken by the kernel.
     sent: Option<Instant>,
     has_ended_stream: bool,
+    /// The last request that the node answers has been refused.
+    has_refused_last: bool,
     discarded_bytes: usize,
 }
 
@@ -90,7 +99,15 @@
     }
 
     fn of_kind(kind: EndKind, now: Instant) -> Self {
-        Self { kind, began: now, sent: None, has_ended_stream: false, discarded_bytes: 0 }
+        Self {
+            kind,
+            began: now,
+            last_progress: now,
+            sent: None,
+            has_ended_stream: false,
+            has_refused_last: false,
+            discarded_bytes: 0,
+        }
     }
 
     /// Whether the messages so far have refused everything that the client still sends.
@@ -104,18 +121,29 @@
         self.discarded_bytes <= MAX_DISCARDED_BYTES
     }
 
+    /// The kernel has taken output at `now`.
+    pub fn on_output_taken(&mut self, now: Instant) {
+        self.last_progress = now;
+    }
+
     /// A whole request has arrived.
-    pub fn on_request(&mut self) -> CrossingRequest {
+    pub fn on_request(&mut self, now: Instant) -> CrossingRequest {
         match self.kind {
             EndKind::LastAnswer | EndKind::Notice(DisconnectNotice::IsAnswer) => {
                 CrossingRequest::Refused
             }
-            EndKind::Notice(DisconnectNotice::BeginsAnswer) if self.has_ended_stream => {
+            EndKind::Notice(DisconnectNotice::BeginsAnswer)
+                if self.has_ended_stream || self.has_refused_last =>
+            {
                 CrossingRequest::Unanswered
             }
             EndKind::Notice(DisconnectNotice::BeginsAnswer) => {
                 self.sent = None;
-                CrossingRequest::Complete
+                self.has_refused_last = now >= self.began + CROSSING_LIMIT;
+                match self.has_refused_last {
+                    true => CrossingRequest::RefusedLast,
+                    false => CrossingRequest::RefusedByNotice,
+                }
             }
         }
     }
@@ -126,7 +154,7 @@
     /// TCP send a reset, which can destroy a message on its way.
     pub fn step(&mut self, is_flushed: bool, now: Instant) -> EndStep {
         if !is_flushed {
-            return match now < self.began + OUTPUT_TIMEOUT {
+            return match now < self.last_progress + OUTPUT_TIMEOUT {
                 true => EndStep::Wait,
                 false => EndStep::Close,
             };
@@ -134,6 +162,7 @@
         let sent = *self.sent.get_or_insert(now);
         let (end_of_stream, close) = match self.kind {
             EndKind::LastAnswer => (Duration::ZERO, CLOSE_TIMEOUT),
+            EndKind::Notice(_) if self.has_refused_last => (Duration::ZERO, CLOSE_TIMEOUT),
             EndKind::Notice(DisconnectNotice::IsAnswer) => (END_OF_STREAM_DELAY, CLOSE_TIMEOUT),
             EndKind::Notice(DisconnectNotice::BeginsAnswer) => {
                 (CROSSING_TIMEOUT, CROSSING_TIMEOUT + LINGER)
--- a/crates/core/tests/session_end.rs
+++ b/crates/core/tests/session_end.rs
@@ -59,19 +59,46 @@
     let sent = Instant::now();
     let mut end = SessionEnd::new(DisconnectNotice::BeginsAnswer, sent);
     assert_eq!(end.step(true, sent), EndStep::Wait);
-    assert_eq!(end.on_request(), CrossingRequest::Complete);
+    assert_eq!(end.on_request(sent), CrossingRequest::RefusedByNotice);
     assert_eq!(end.step(true, sent + ms(1900)), EndStep::Wait);
     assert_eq!(end.step(true, sent + ms(3899)), EndStep::Wait);
     assert_eq!(end.step(true, sent + ms(3900)), EndStep::EndStream);
-    assert_eq!(end.on_request(), CrossingRequest::Unanswered);
+    assert_eq!(end.on_request(sent + ms(3900)), CrossingRequest::Unanswered);
 }
 
 #[test]
 fn a_notice_that_is_an_answer_has_refused_every_crossing_request() {
     let sent = Instant::now();
     let mut end = SessionEnd::new(DisconnectNotice::IsAnswer, sent);
-    assert_eq!(end.on_request(), CrossingRequest::Refused);
+    assert_eq!(end.on_request(sent), CrossingRequest::Refused);
     assert_eq!(end.step(true, sent), EndStep::Wait);
     assert_eq!(end.step(true, sent + ms(50)), EndStep::EndStream);
-    assert_eq!(end.on_request(), CrossingRequest::Refused);
+    assert_eq!(end.on_request(sent), CrossingRequest::Refused);
+}
+
+/// Guards against a session that a client keeps open without an end by ignoring each notice.
+#[test]
+fn a_client_that_ignores_the_notices_is_refused_without_a_new_one_after_ten_seconds() {
+    let began = Instant::now();
+    let mut end = SessionEnd::new(DisconnectNotice::BeginsAnswer, began);
+    for at in (1900..10_000).step_by(1900) {
+        assert_eq!(end.step(true, began + ms(at)), EndStep::Wait);
+        assert_eq!(end.on_request(began + ms(at)), CrossingRequest::RefusedByNotice);
+    }
+    assert_eq!(end.on_request(began + ms(10_000)), CrossingRequest::RefusedLast);
+    assert_eq!(end.step(true, began + ms(10_000)), EndStep::EndStream);
+    assert_eq!(end.on_request(began + ms(10_001)), CrossingRequest::Unanswered);
+    assert_eq!(end.step(true, began + ms(10_500)), EndStep::Close);
+}
+
+/// Guards against the loss of an answer that a client still reads over a slow link.
+#[test]
+fn a_client_that_reads_slowly_is_not_disconnected() {
+    let began = Instant::now();
+    let mut end = SessionEnd::new(DisconnectNotice::BeginsAnswer, began);
+    for at in (0..60_000).step_by(9_000) {
+        assert_eq!(end.step(false, began + ms(at)), EndStep::Wait);
+        end.on_output_taken(began + ms(at));
+    }
+    assert_eq!(end.step(false, began + ms(64_000)), EndStep::Close);
 }
--- a/crates/core/tests/session_ends/session.rs
+++ b/crates/core/tests/session_ends/session.rs
@@ -410,7 +410,7 @@
         while let Some(request) = self.next_request() {
             let Some(Closing::Current(end, reason)) = &mut self.closing else { return };
             let reason = *reason;
-            if end.on_request() != CrossingRequest::Complete {
+            if end.on_request(io.clock) != CrossingRequest::RefusedByNotice {
                 continue;
             }
             if io.records[request].statement.ends_transaction() {
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -123,8 +123,8 @@
     was_active: bool,
     /// Time of the last activity: input or a request in progress.
     last_active: Instant,
-    /// Whether the client's next request is expected at once: it has just logged in, or has set or
-    /// prepared what that request uses.
+    /// Whether the client's next request is expected at once: it has just logged in, or its last
+    /// request changed only the session, such as a setting or a prepared statement.
     is_request_expected: bool,
     /// Set while this node ends the session.
     closing: Option<Closing>,
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -95,19 +95,34 @@
     /// Refuses the request in progress, if any, aborts an open transaction and starts to close the
     /// session, because the process is about to end.
     pub(super) fn refuse_unfinished(&mut self, io: &mut Io) -> SessionFlow {
-        if let Some(request) = &self.request {
-            let (progress, impact) = match request.sent {
-                true => (Progress::Forwarded, self.impact),
-                false => (Progress::AtFront, self.unsent_impact()),
-            };
-            let code = failure_code(impact, progress, Fault::NodeStopping);
-            let refusal = Refusal::new(code, STOPPING_DETAIL);
-            self.abandon(io);
-            self.end_lease(LeaseEvent::Refused(refusal), io);
-            io.context.metrics.session_ends.count(SessionEndEvent::RefusedAtLimit);
+        let Some(refusal) = self.final_refusal() else {
+            return self.close_for_shutdown(None, io);
+        };
+        io.context.metrics.session_ends.count(SessionEndEvent::RefusedAtLimit);
+        match io.context.protocol.traits().disconnect_notice {
+            // A notice behind the refusal could be mistaken for it, and states another outcome.
+            DisconnectNotice::IsAnswer => {
+                let request = self.request.take();
+                self.start_closing(refusal, request, io)
+            }
+            DisconnectNotice::BeginsAnswer => {
+                self.abandon(io);
+                self.end_lease(LeaseEvent::Refused(refusal), io);
+                self.close_for_shutdown(None, io)
+            }
         }
-        self.abort_transaction(io);
-        self.close_for_shutdown(None, io)
+    }
+
+    /// How the request in progress is refused when the process is about to end; `None` without one.
+    fn final_refusal(&mut self) -> Option<Refusal> {
+        let request = self.request.as_ref()?;
+        let (progress, impact) = match request.sent {
+            true => (Progress::Forwarded, self.impact),
+            false => (Progress::AtFront, self.unsent_impact()),
+        };
+        let code = failure_code(impact, progress, Fault::NodeStopping);
+        let refusal = Refusal::new(code, STOPPING_DETAIL);
+        Some(self.keys.settle_without_retry(refusal))
     }
 
     /// What the loss of the current request affects while it has not been sent.
@@ -124,7 +139,7 @@
         io: &mut Io,
     ) -> SessionFlow {
         let reason = match self.transaction {
-            TransactionState::Idle if io.context.is_leaving() => {
+            TransactionState::Idle if io.context.stop.load().is_some() => {
                 Refusal::new(ResultCode::Stopping, STOPPING_DETAIL)
             }
             TransactionState::Idle => Refusal::new(ResultCode::Stopping, ISOLATED_DETAIL),
@@ -146,19 +161,22 @@
             // A refused login has no further part, in any protocol.
             false => DisconnectNotice::IsAnswer,
         };
+        self.abort_transaction(io);
         let output = &mut self.connection.output;
-        let is_refused = request.is_some();
         if let Some(request) = &request {
             counting::refused(&reason, io);
             let (login, account) = (self.login.as_ref(), self.account.as_ref());
             decision_log::log_refused(Some(request), login, account, None, &reason, io);
             self.protocol.put_refusal(&reason, Severity::Session, output);
         }
-        if is_refused && notice == DisconnectNotice::BeginsAnswer {
-            self.protocol.put_ready(self.transaction, output);
-        }
-        if !is_refused || notice == DisconnectNotice::BeginsAnswer {
-            self.protocol.put_disconnect_notice(&reason, output);
+        match (notice, request) {
+            (DisconnectNotice::IsAnswer, Some(_)) => {}
+            (DisconnectNotice::BeginsAnswer, Some(request)) => {
+                self.transaction = state_after_refusal(self.transaction, &request);
+                self.protocol.put_ready(self.transaction, output);
+                self.protocol.put_disconnect_notice(&reason, output);
+            }
+            (_, None) => self.protocol.put_disconnect_notice(&reason, output),
         }
         self.abandon(io);
         io.context.metrics.session_ends.count(SessionEndEvent::Notified);
@@ -200,10 +218,14 @@
         if flow != SessionFlow::Continue {
             return flow;
         }
+        let unsent = self.connection.output.len();
         if self.connection.flush(io.registry).is_err() {
             return SessionFlow::Close(CloseReason::ClientLeft);
         }
         let Some(closing) = &mut self.closing else { return SessionFlow::Continue };
+        if self.connection.output.len() < unsent {
+            closing.end.on_output_taken(io.now);
+        }
         match closing.end.step(self.connection.output.is_empty(), io.now) {
             EndStep::Wait => SessionFlow::Continue,
             EndStep::EndStream => {
@@ -245,23 +267,23 @@
     /// Refuses a request that the client sent before it read the notice.
     fn refuse_crossing(&mut self, request: Option<&Request>, io: &mut Io) {
         let Some(closing) = &mut self.closing else { return };
-        match closing.end.on_request() {
+        let outcome = closing.end.on_request(io.now);
+        match outcome {
             CrossingRequest::Refused => {}
             CrossingRequest::Unanswered => {
                 let id = request.and_then(|request| request.id.as_deref());
                 count_unanswered(UnansweredRequest::AfterEndOfStream, id, io.context, io.now);
             }
-            CrossingRequest::Complete => {
-                let ends = |request: &Request| {
-                    matches!(request.class(), StatementClass::Commit | StatementClass::Rollback)
-                };
-                if request.is_some_and(ends) {
-                    self.transaction = TransactionState::Idle;
+            CrossingRequest::RefusedByNotice | CrossingRequest::RefusedLast => {
+                if let Some(request) = request {
+                    self.transaction = state_after_refusal(self.transaction, request);
                 }
                 let Some(reason) = &closing.reason else { return };
                 let output = &mut self.connection.output;
                 self.protocol.put_ready(self.transaction, output);
-                self.protocol.put_disconnect_notice(reason, output);
+                if outcome == CrossingRequest::RefusedByNotice {
+                    self.protocol.put_disconnect_notice(reason, output);
+                }
                 counting::refused(reason, io);
                 io.context.metrics.session_ends.count(SessionEndEvent::RefusedCrossing);
                 let (login, account) = (self.login.as_ref(), self.account.as_ref());
@@ -334,6 +356,15 @@
     }
 }
 
+/// The state of the transaction after the refusal of `request`: a refused commit or rollback ends
+/// the transaction as well.
+fn state_after_refusal(transaction: TransactionState, request: &Request) -> TransactionState {
+    match request.class() {
+        StatementClass::Commit | StatementClass::Rollback => TransactionState::Idle,
+        _ => transaction,
+    }
+}
+
 /// Counts and logs a whole request that gets neither an answer nor a refusal.
 fn count_unanswered(
     reason: UnansweredRequest,
--- a/crates/daemon/src/front/session/keys.rs
+++ b/crates/daemon/src/front/session/keys.rs
@@ -41,6 +41,15 @@
         self.buffered_answer.clear();
     }
 
+    /// The refusal of the current request when no further attempt is possible. An earlier attempt of
+    /// a request with a key may have committed, whatever `refusal` says about the current one.
+    pub fn settle_without_retry(&mut self, refusal: Refusal) -> Refusal {
+        match self.keyed.take().map(|mut keyed| keyed.on_refused(refusal.clone(), false)) {
+            Some(Step::Refuse(settled)) => settled,
+            _ => refusal,
+        }
+    }
+
     /// Buffers a piece of an answer that the client must not see before its commit. Returns whether
     /// it was buffered.
     pub fn buffer_until_commit(&mut self, part: &[u8]) -> bool {
