Describe the parts of a planned stop to operators

Cause: the pages described a stop without its notice and final refusals, and neither the counters nor the log line of requests without an answer.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -133,7 +133,7 @@
     /// have not noticed the stop yet.
     pub drain_notice: Duration,
     /// Time from the start of a planned stop after which it ends open transactions. `None`: they
-    /// may last for the whole `drain_limit`.
+    /// may last until the final refusals (`kestrellock_core::planned_stop`).
     pub drain_transactions: Option<Duration>,
     /// Whether the owners of a group divide the capacity of its instances by what waits at them.
     pub share_instance_capacity: bool,
