--- a/crates/daemon/tests/closing_listener.rs
+++ b/crates/daemon/tests/closing_listener.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use support::lines::{LineClient, LineNode};
+use support::lines::{LineClient, LineNode, login_line};
 use support::wait_until;
 
 /// Time from the start of leaving to the close of the listener. Shorter than the interval at which
@@ -42,11 +42,16 @@
     Unanswered,
 }
 
+/// A login and a request.
+fn in_one_go() -> String {
+    login_line("db") + "QUERY 1 SET a b\r\n"
+}
+
 /// Connects, logs in and asks without waiting in between.
 fn ask_in_one_go(address: SocketAddr) -> Outcome {
     let Ok(stream) = TcpStream::connect(address) else { return Outcome::NotConnected };
     let mut client = LineClient::of(stream);
-    if client.try_send("STARTUP db fan\r\nQUERY 1 SET a b\r\n").is_err() {
+    if client.try_send(&in_one_go()).is_err() {
         return Outcome::Unanswered;
     }
     loop {
@@ -110,7 +115,7 @@
     let notice = client.line().expect("the notice");
     let noticed = Instant::now();
     assert!(notice.starts_with("ERROR BUSY"), "{notice}");
-    client.try_send("STARTUP db fan\r\nQUERY 1 SET a b\r\n").expect("the node still reads");
+    client.try_send(&in_one_go()).expect("the node still reads");
     let (lines, end) = client.lines_to_close();
     assert!(lines.is_empty(), "{lines:?}");
     end.expect("the end of the stream, not a reset");
--- a/crates/daemon/tests/session_close.rs
+++ b/crates/daemon/tests/session_close.rs
@@ -10,7 +10,7 @@
 use kestrellock_daemon::policy::Policy;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use support::client::Client;
-use support::lines::{LineClient, LineNode};
+use support::lines::{LineClient, LineNode, login_line};
 use support::scripted::ScriptedGroup;
 use support::{Pair, wait_until};
 
@@ -40,7 +40,7 @@
     let line_node = LineNode::start(|_| {});
     drop(LineClient::connect(line_node.address));
     let mut client = LineClient::open(line_node.address);
-    let mut input = b"STARTUP unknown fan\r\n".to_vec();
+    let mut input = login_line("unknown").into_bytes();
     input.resize(UNREAD_BYTES, b'x');
     client.send_bytes(&input);
     let (lines, end) = client.lines_to_close();
@@ -180,7 +180,7 @@
     line_node.node().set_paused(true);
     thread::sleep(STALL);
     let mut client = LineClient::open(line_node.address);
-    client.send("STARTUP db fan");
+    client.send_bytes(login_line("db").as_bytes());
     line_node.node().set_paused(false);
     let (lines, end) = client.lines_to_close();
     assert_eq!(lines.len(), 1, "{lines:?}");
--- a/crates/daemon/tests/support/lines.rs
+++ b/crates/daemon/tests/support/lines.rs
@@ -7,14 +7,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use kestrellock_core::credential::CredentialDigest;
-use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_core::ids::{AccountName, GroupName, InstanceName, NodeName, ZoneName};
 use kestrellock_daemon::environment::Environment;
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
 use kestrellock_platform::lines::LineProtocol;
 use kestrellock_protocol::Protocol;
+use kestrellock_protocol::backend::BackendTarget;
 use kestrellock_store::store::{
     ConfigStore, KeyValue, Snapshot, StoreError, Transaction, TransactionOutcome, Watch, WatchEvent,
 };
@@ -24,7 +26,24 @@
 
 const WATCH_INTERVAL: Duration = Duration::from_millis(5);
 /// The credential with which clients log in.
-const CREDENTIAL: &str = "fan";
+const CREDENTIAL: &str = "fan i0";
+
+/// The line, with its end, with which a client logs in to `database` with [`CREDENTIAL`]. A client
+/// logs in in the same way as a proxy does at an instance.
+pub fn login_line(database: &str) -> String {
+    let (account, instance) = (AccountName::new("fan"), InstanceName::new("i0"));
+    let target = BackendTarget {
+        group: &GroupName::new("g"),
+        instance: &instance,
+        database,
+        account: Some(&account),
+        user: "",
+        password: None,
+    };
+    let mut line = BytesMut::new();
+    LineProtocol.backend().put_startup(&target, &mut line);
+    String::from_utf8_lossy(&line).into_owned()
+}
 
 /// Keys of the configuration and their values.
 type Entries = Vec<(String, Value)>;
@@ -188,7 +207,7 @@
         let mut connected = None;
         wait_until("a login", || {
             let mut client = Self::open(address);
-            client.send(&format!("STARTUP db {CREDENTIAL}"));
+            client.send_bytes(login_line("db").as_bytes());
             let accepted = client.line().is_ok_and(|line| line.starts_with("READY"));
             connected = accepted.then_some(client);
             connected.is_some()
