End the links of a stopping owner only after its answers are sent

Cause: the drain ended when the leave messages were queued, not when the kernel had taken them and the answers before them, and it sent no leave message at all when the stop's limit had passed. The process then closed sockets that may have held unread input, on which TCP sends a reset. A front that had read the leave message still sent exchanges on the link until it closed.

Hypotheses: answers that are queued when the process ends are lost, and their writes are reported as in doubt; an exchange sent between the leave message and the end of the link is in doubt although it cannot run.

Change: the drain closes the gateways when work is finished, or at `last_answers`, and makes them end what is left at once instead of at the next tick. It waits until the links have no output left, at most until the end of the stop. The node then ends its stream on every link (`links/ending`) and reads until the other nodes have closed, 500 ms at most. A link on which the other node has left returns exchanges as not sent.

Not shown by a test: that a reset destroyed answers.

--- a/crates/core/src/planned_stop.rs
+++ b/crates/core/src/planned_stop.rs
@@ -14,7 +14,7 @@
 const MAX_FINAL_REFUSALS: Duration = Duration::from_secs(1);
 /// Part of the final refusals, at their end, that is reserved for the answers of work that is cut
 /// off.
-const LAST_ANSWERS_SHARE: f64 = 0.25;
+const LAST_ANSWERS_SHARE: f64 = 0.5;
 /// Time over which the sessions of a leaving node are asked to connect elsewhere. Asking all of
 /// them at once would make all of their clients connect to the remaining nodes at once.
 const NOTICE_SPREAD: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -3,7 +3,8 @@
 //! In the stage *leaving*, the node accepts no clients, disconnects idle ones, finishes open work,
 //! and refers new work for its instances to their standbys. Once no work is left, the node is
 //! *closed*: it runs nothing that other nodes still send, and can therefore report to them that
-//! their unanswered messages will not run.
+//! their unanswered messages will not run. The process ends once the other nodes have taken what was
+//! sent to them, or at the end of the stop.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -21,8 +22,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// After this time without work from other nodes, they are assumed to send their work elsewhere.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
-/// Longest wait for the shards to send their leave messages to other nodes.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the other nodes to read what was sent to them and to close their links.
+const END_LINKS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The limits in the settings.
 pub fn limits_of(settings: &Settings) -> StopLimits {
@@ -57,22 +58,37 @@
             std::thread::sleep(schedule.leaving.saturating_duration_since(Instant::now()));
         }
         self.context.stage.advance_to(Stage::Leaving);
-        // A client that connected before the listener closed may not have reached its shard yet.
-        if !wait_until(deadline, || self.all_clients_delivered()) {
-            return false;
-        }
-        if !self.wait(deadline, |shard| shard.is_drained(QUIET_PERIOD)) {
-            return false;
-        }
+        self.finish_work(&schedule);
+        // From now on the gateways run nothing, and end what is left.
         self.context.stage.advance_to(Stage::Closed);
-        // Work may have arrived between the check and the change of stage.
-        if !self.wait(deadline, |shard| shard.is_drained(Duration::ZERO)) {
-            return false;
+        self.send_to_shards(|| ShardMessage::EndWork);
+        if self.wait(deadline, |shard| shard.gateway.is_drained(Duration::ZERO)) {
+            self.send_to_shards(|| ShardMessage::Leave);
+            self.wait(deadline, Shard::has_sent_leave);
+            self.end_links(deadline);
         }
+        self.wait(deadline, |shard| shard.is_drained(Duration::ZERO))
+    }
+
+    /// Waits until no work is left, or the time for it is over.
+    fn finish_work(&self, schedule: &StopSchedule) {
+        let limit = schedule.last_answers;
+        // A client that connected before the listener closed may not have reached its shard yet.
+        wait_until(limit, || self.all_clients_delivered());
+        self.wait(limit, |shard| shard.is_drained(QUIET_PERIOD));
+    }
+
+    /// Ends the links, and waits briefly until the other nodes have read what was sent on them.
+    fn end_links(&self, deadline: Instant) {
+        self.send_to_shards(|| ShardMessage::EndLinks);
+        let limit = deadline.min(Instant::now() + END_LINKS_TIMEOUT);
+        self.wait(limit, Shard::has_closed_links);
+    }
+
+    fn send_to_shards(&self, message: impl Fn() -> ShardMessage) {
         for number in 0..self.shards.len() {
-            self.mailboxes.send(number as u16, ShardMessage::Leave);
+            self.mailboxes.send(number as u16, message());
         }
-        self.wait(Instant::now() + LEAVE_TIMEOUT, Shard::has_sent_leave)
     }
 
     /// Counts and logs the requests that are still unanswered. The process is about to end.
--- a/crates/daemon/src/gateway/stopping.rs
+++ b/crates/daemon/src/gateway/stopping.rs
@@ -108,7 +108,7 @@
     }
 
     /// Ends the work that this owner no longer finishes at this point of its planned stop.
-    pub(super) fn end_work_for_stop(&mut self, io: &mut Io) {
+    pub fn end_work_for_stop(&mut self, io: &mut Io) {
         if !io.context.is_leaving() {
             return;
         }
--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -28,6 +28,10 @@
     last_used: Instant,
     heartbeat: Heartbeat,
     stage: LinkStage,
+    /// Whether the other node has said that its gateways run nothing more.
+    has_peer_left: bool,
+    /// Whether this node sends nothing more, because its process is about to end.
+    has_ended: bool,
 }
 
 /// Stage of a link from use to removal.
@@ -92,7 +96,19 @@
         let channel = Channel::begin(side, own, keys, &mut connection.output)?;
         let (opened, last_used, heartbeat) = (now, now, Heartbeat::default());
         let (waiting, stage) = (Vec::new(), LinkStage::InUse);
-        Ok(Self { connection, channel, target, waiting, opened, last_used, heartbeat, stage })
+        let (has_peer_left, has_ended) = (false, false);
+        Ok(Self {
+            connection,
+            channel,
+            target,
+            waiting,
+            opened,
+            last_used,
+            heartbeat,
+            stage,
+            has_peer_left,
+            has_ended,
+        })
     }
 
     /// Which side of the connection this node is.
@@ -159,7 +175,8 @@
     }
 
     /// Queues a message. Returns the message if the link's version is too low for it, too much is
-    /// queued, or it cannot be encoded.
+    /// queued, it cannot be encoded, the other node's gateways have left, or this node has ended the
+    /// link.
     pub fn send(&mut self, message: PeerMessage, now: Instant) -> Result<(), Box<PeerMessage>> {
         let Some(version) = self.channel.version() else {
             self.waiting.push(message);
@@ -168,6 +185,10 @@
         if message.required_version() > version {
             return Err(Box::new(message));
         }
+        let is_for_gateway = matches!(message, PeerMessage::ToGateway(_));
+        if self.has_ended || self.has_peer_left && is_for_gateway {
+            return Err(Box::new(message));
+        }
         if self.connection.output.len() > MAX_QUEUED_BYTES {
             return Err(Box::new(message));
         }
@@ -271,6 +292,22 @@
         Ok(())
     }
 
+    /// Records that the other node's gateways run nothing more.
+    pub fn on_peer_left(&mut self) {
+        self.has_peer_left = true;
+    }
+
+    /// Whether the kernel has taken everything that was queued.
+    pub fn is_flushed(&self) -> bool {
+        self.connection.output.is_empty()
+    }
+
+    /// Ends the stream to the other node, so that it reads all that was sent and closes the link.
+    pub fn end(&mut self) {
+        self.has_ended = true;
+        self.connection.shut_down_sending();
+    }
+
     /// Takes the link out of the event loop.
     pub fn deregister(&mut self, registry: &Registry) {
         self.connection.deregister(registry);
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -15,6 +15,7 @@
 //! actually arrived.
 
 pub mod duplicates;
+mod ending;
 pub mod heartbeat;
 pub mod link;
 mod replacing;
--- a/crates/daemon/src/shard/mailbox.rs
+++ b/crates/daemon/src/shard/mailbox.rs
@@ -32,8 +32,12 @@
     },
     /// A message for the shard's front.
     ToFront(ToFront),
+    /// The node is closed: end the work of fronts that is left.
+    EndWork,
     /// The node has drained: send leave messages to the other nodes.
     Leave,
+    /// The process is about to end: end the links to the other nodes.
+    EndLinks,
     /// Another shard's link to this node closed.
     PeerLost(NodeName),
 }
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -49,6 +49,7 @@
     /// Events sent recently to fronts of other nodes.
     recent_answers: RecentAnswers,
     leave_sent: bool,
+    links_ended: bool,
 }
 
 impl Shard {
@@ -64,6 +65,7 @@
             outbox: VecDeque::new(),
             recent_answers: RecentAnswers::default(),
             leave_sent: false,
+            links_ended: false,
         }
     }
 
@@ -113,7 +115,12 @@
                 // Best effort: a sender that needs an answer retries.
                 let _ = shard.links.send(&node, message, io);
             }
+            ShardMessage::EndWork => shard.gateway.end_work_for_stop(io),
             ShardMessage::Leave => shard.send_leave(io),
+            ShardMessage::EndLinks => {
+                shard.links.end(io);
+                shard.links_ended = true;
+            }
             ShardMessage::PeerLost(node) => shard.on_peer_lost(&node, io),
         });
     }
@@ -155,9 +162,14 @@
         self.leave_sent = true;
     }
 
-    /// Whether the leave messages have been queued.
+    /// Whether the kernel has taken the leave messages and everything before them.
     pub fn has_sent_leave(&self) -> bool {
-        self.leave_sent
+        self.leave_sent && self.links.are_flushed()
+    }
+
+    /// Whether this shard has ended its links and the other nodes have closed them.
+    pub fn has_closed_links(&self) -> bool {
+        self.links_ended && self.links.are_closed()
     }
 
     /// Handles messages that arrived on the link `from`; `None` if that link has been removed.
@@ -221,7 +233,10 @@
                         let _ = self.links.send(&origin.node, PeerMessage::Pong, io);
                     }
                 }
-                PeerMessage::Leave { node } => self.front.on_peer_left(&node, io),
+                PeerMessage::Leave { node } => {
+                    self.links.on_left(&node);
+                    self.front.on_peer_left(&node, io);
+                }
                 PeerMessage::ToGateway(message) => {
                     let node = io.context.identity.node.clone();
                     io.outbox.push_back(Outgoing::Gateway { node, message });
@@ -315,7 +330,12 @@
     /// Handles links that closed or went silent and messages that were never sent: notifies the
     /// other shards, membership, quotas and the front.
     fn handle_lost_peers(&mut self, io: &mut Io) {
-        for node in self.links.take_lost() {
+        let mut lost = self.links.take_lost();
+        if self.links_ended {
+            // The other nodes close links that this node has ended.
+            lost.clear();
+        }
+        for node in lost {
             for shard in (0..io.context.shards).filter(|shard| *shard != self.number) {
                 self.mailboxes.send(shard, ShardMessage::PeerLost(node.clone()));
             }
