Forwarded requests get half of the final refusals to be reported as not run

At the final refusals the front refused every request at once. A write that waited at an owner on the same node was in doubt, because the front acted in the turn in which that owner reported that it had not run. Forwarded requests are now refused half-way to the last answers.

--- a/crates/core/src/planned_stop.rs
+++ b/crates/core/src/planned_stop.rs
@@ -165,8 +165,11 @@
         now >= self.transactions
     }
 
-    /// Whether the stop no longer waits for the requests in progress.
-    pub fn refuses_unfinished(&self, now: Instant) -> bool {
-        now >= self.final_refusals
+    /// Whether the stop no longer waits for a request or a resting transaction. A request that was
+    /// forwarded gets more time, in which this node's gateways report what has not run.
+    pub fn refuses_unfinished(&self, is_forwarded: bool, now: Instant) -> bool {
+        let until_last_answers = self.last_answers.saturating_duration_since(self.final_refusals);
+        let extra = if is_forwarded { until_last_answers / 2 } else { Duration::ZERO };
+        now >= self.final_refusals + extra
     }
 }
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -73,8 +73,11 @@
     let stop = schedule(began);
     assert_eq!(stop.limit_deadline(began + ms(3000)), began + ms(3000));
     assert_eq!(stop.limit_deadline(began + ms(9000)), stop.final_refusals);
-    assert!(!stop.refuses_unfinished(stop.final_refusals - INSTANT));
-    assert!(stop.refuses_unfinished(stop.final_refusals));
+    assert!(!stop.refuses_unfinished(false, stop.final_refusals - INSTANT));
+    assert!(stop.refuses_unfinished(false, stop.final_refusals));
+    let between = stop.final_refusals + (stop.last_answers - stop.final_refusals) / 2;
+    assert!(!stop.refuses_unfinished(true, between - INSTANT));
+    assert!(stop.refuses_unfinished(true, between));
     assert!(!stop.ends_transactions(stop.transactions - INSTANT));
     assert!(stop.ends_transactions(stop.transactions));
 }
--- a/crates/core/tests/session_ends/session.rs
+++ b/crates/core/tests/session_ends/session.rs
@@ -147,7 +147,10 @@
         }
         self.advance_exchange(io);
         if io.rules == Rules::Current
-            && io.schedule.is_some_and(|stop| stop.refuses_unfinished(io.clock))
+            && io.schedule.is_some_and(|stop| {
+                let is_forwarded = self.exchange.as_ref().is_some_and(|exchange| exchange.is_sent);
+                stop.refuses_unfinished(is_forwarded, io.clock)
+            })
         {
             return self.refuse_unfinished(io);
         }
--- a/crates/daemon/src/front/session/closing.rs
+++ b/crates/daemon/src/front/session/closing.rs
@@ -89,7 +89,8 @@
     /// Whether the planned stop no longer waits for the requests and transactions in progress.
     pub(super) fn must_refuse_unfinished(&self, io: &Io) -> bool {
         let stop = io.context.stop.load();
-        stop.as_ref().as_ref().is_some_and(|stop| stop.refuses_unfinished(io.now))
+        let is_forwarded = self.request.as_ref().is_some_and(|request| request.sent);
+        stop.as_ref().as_ref().is_some_and(|stop| stop.refuses_unfinished(is_forwarded, io.now))
     }
 
     /// Refuses the request in progress, if any, aborts an open transaction and starts to close the
