--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -17,6 +17,8 @@
 mod requests;
 mod retrying;
 mod sending;
+mod stopping;
+mod unanswered;
 
 use std::time::{Duration, Instant};
 
