Plain wording of comments on session ends

Cause: comments of the simulation and of request keys had wording that the project avoids. Change: comments only.

--- a/crates/core/tests/session_ends/world.rs
+++ b/crates/core/tests/session_ends/world.rs
@@ -37,7 +37,7 @@
     pub max_delay: u64,
     /// Longest period in which a direction of a link transmits nothing.
     pub max_stall: u64,
-    /// All clients rest, so that most of them are told without having asked.
+    /// All clients are idle, so that most of them get the notice between requests.
     pub all_rest: bool,
 }
 
@@ -58,7 +58,7 @@
     UnfinishedAtEnd(RequestId),
     /// A session was left at the end of the stop, although its client had time to close it.
     NotDrained { node: usize, connection: ConnectionId },
-    /// One tick told too many clients to connect elsewhere.
+    /// One tick sent notices to too many clients.
     Burst { node: usize, told: usize, sessions: usize, gap: u64 },
 }
 
@@ -108,7 +108,7 @@
     pub refused: usize,
     /// Sessions at the end of a stop whose clients could not close them in time.
     pub late_closes: usize,
-    /// Largest share of a node's sessions that one tick told to connect elsewhere.
+    /// Largest share of a node's sessions that got the notice in one tick.
     pub largest_burst: f64,
     /// Longest time from the start of a stop until the node had no sessions.
     pub longest_drain: u64,
@@ -498,7 +498,7 @@
         self.at(self.now + gap, Event::Tick(node));
     }
 
-    /// Lets a session act. Returns whether its client was told at rest to connect elsewhere.
+    /// Lets a session act. Returns whether an idle client got the notice.
     fn advance(&mut self, connection: ConnectionId, clock: Instant) -> bool {
         let link = &mut self.connections[connection];
         let node = &mut self.nodes[link.node];
--- a/crates/daemon/src/front/session/keys.rs
+++ b/crates/daemon/src/front/session/keys.rs
@@ -42,7 +42,7 @@
     }
 
     /// The refusal of the current request when no further attempt is possible. An earlier attempt of
-    /// a request with a key may have committed, whatever `refusal` says about the current one.
+    /// a request with a key may have committed, even if `refusal` says that the current one has not.
     pub fn settle_without_retry(&mut self, refusal: Refusal) -> Refusal {
         match self.keyed.take().map(|mut keyed| keyed.on_refused(refusal.clone(), false)) {
             Some(Step::Refuse(settled)) => settled,
