Every connection of a node leaves from its own address

Seen: where several nodes share a machine, each with an address of its own, instances got STATUS, PAUSE, DEMOTE and RESUME from 127.0.0.1, which belongs to no node; calls of the store and the promotion service and probes for processes came from there too. A partition made by addresses did not hold them up.

Cause: the rule to bind to the node's address stood in the function for non-blocking connections only. The coordinator's connections and all HTTP clients left the address to the system.

Change: the crate `net` has one way to connect from a SourceAddress, blocking and not, and HTTP clients that use it. Constructors take the address, so that it cannot be left out. A node whose address its machine does not have still does not start; one that loses it opens nothing from another address. The stand-ins record who connects to them.

--- a/crates/daemon/src/agent/isolation/instance_attempts.rs
+++ b/crates/daemon/src/agent/isolation/instance_attempts.rs
@@ -4,11 +4,12 @@
 //! shows nothing: a firewall or a relay between the zones can do both.
 
 use std::io::{self, Read, Write};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use kestrellock_core::ids::InstanceName;
+use kestrellock_net::source::SourceAddress;
 use mio::net::TcpStream;
 
 use crate::net::connect::connect_from;
@@ -69,7 +70,7 @@
     pub fn start(
         &mut self,
         instance: &InstanceName,
-        source: IpAddr,
+        source: SourceAddress,
         address: SocketAddr,
         startup: BytesMut,
     ) {
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -138,7 +138,11 @@
     let coordination = services.coordination.clone();
     log::info!(event = "hold_taken", fence = lease.fence; "this node is the coordinator and may replace primaries");
     let era = StoreEra::of(lease.fence);
-    let (executor, reports) = Executor::start(services.clone(), context.promotion_calls.clone());
+    let (executor, reports) = Executor::start(
+        context.identity.address,
+        services.clone(),
+        context.promotion_calls.clone(),
+    );
     let mut coordinator = CoordinatorThread {
         context,
         input,
--- a/crates/daemon/src/agent/promotion/executor.rs
+++ b/crates/daemon/src/agent/promotion/executor.rs
@@ -18,6 +18,7 @@
     Event, Intent, ProbeResult, PromotionAnswer, PromotionCaller, ReplacementId, ReplicationStatus,
     Successor,
 };
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::control::{
     ControlError, ControlTarget, InstanceCommand, PromotionOutcome, PromotionRequest,
     PromotionService,
@@ -81,6 +82,7 @@
 
 /// Sends commands to the threads that execute them.
 pub struct Executor {
+    source: SourceAddress,
     services: ReplacementServices,
     promotion_calls: Arc<PromotionCalls>,
     reports: Sender<Report>,
@@ -90,7 +92,9 @@
 
 impl Executor {
     /// Starts the thread for the store; the thread of an instance starts with its first command.
+    /// Nodes are probed from `source`.
     pub fn start(
+        source: SourceAddress,
         services: ReplacementServices,
         promotion_calls: Arc<PromotionCalls>,
     ) -> (Self, Receiver<Report>) {
@@ -107,7 +111,7 @@
             }
         });
         let instances = HashMap::new();
-        let executor = Self { services, promotion_calls, reports, instances, store };
+        let executor = Self { source, services, promotion_calls, reports, instances, store };
         (executor, report_receiver)
     }
 
@@ -171,10 +175,10 @@
 
     /// Finds out whether a process listens at the address of a node.
     pub fn probe(&self, node: NodeName, address: SocketAddr) {
-        let reports = self.reports.clone();
+        let (source, reports) = (self.source, self.reports.clone());
         spawn("promotion-probe", move || {
             // The coordinator thread may have ended by now.
-            let _ = reports.send(Report::Probed(node, probe(address)));
+            let _ = reports.send(Report::Probed(node, probe(source, address)));
         });
     }
 
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -27,7 +27,7 @@
 mod log_status;
 mod log_wait;
 mod owned;
-mod process_probes;
+pub mod process_probes;
 mod replacement_checker;
 mod reported_wait;
 mod reporting_nodes;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,7 +2,7 @@
 //! of instances, and the primary replacements in progress.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use kestrellock_core::planned_stop::StopSchedule;
 use kestrellock_core::primary_evidence::{EVIDENCE_LIFETIME, UNLISTED_EVIDENCE_LIFETIME};
 use kestrellock_core::promotion::Intent;
+use kestrellock_net::source::SourceAddress;
 use kestrellock_peer::auth::ClusterKeys;
 use kestrellock_program::secret::Secret;
 use kestrellock_protocol::Protocol;
@@ -48,8 +49,8 @@
     pub node: NodeName,
     /// Zone from the settings.
     pub zone: ZoneName,
-    /// Address of this machine, and the source address of its connections to other machines.
-    pub address: IpAddr,
+    /// Address of this node, from which it opens all connections to other machines.
+    pub address: SourceAddress,
     /// Distinguishes successive processes of one node name; a later process has a higher number.
     pub incarnation: u64,
 }
--- a/crates/daemon/src/environment.rs
+++ b/crates/daemon/src/environment.rs
@@ -39,14 +39,17 @@
     /// PostgreSQL's protocol, the catalog in `store`, and the machine list of the settings.
     pub fn of_postgres(settings: &Settings, store: Arc<dyn ConfigStore>) -> Self {
         let list = settings.machine_list.as_ref();
-        let machine_list = list.map(|url| Box::new(HttpMachineList::new(url.clone())) as Box<_>);
+        let source = settings.source_address();
+        let machine_list =
+            list.map(|url| Box::new(HttpMachineList::new(url.clone(), source)) as Box<_>);
         Self { store, catalog: None, machine_list, replacement: None, protocol: Arc::new(Postgres) }
     }
 
     /// The users' platform: its protocol, its store, and the replacement of its primaries.
     pub fn of_platform(settings: &Settings) -> io::Result<Self> {
         let address = settings.store_endpoints.first().map_or("", String::as_str);
-        let store = KeyStore::new(address);
+        let source = settings.source_address();
+        let store = KeyStore::new(address, source);
         let mut mirror = Mirror::new(store.clone());
         if let Some(limit) = settings.revocation_limit {
             mirror = mirror.with_max_watch_wait(RevocationLimit::new(limit).max_store_call());
@@ -61,8 +64,8 @@
                 mirror.clone(),
                 registered_nodes.clone(),
             )),
-            control: Arc::new(LineControl::default()),
-            promotions: Arc::new(PlatformPromotions::new(promotions)),
+            control: Arc::new(LineControl::new(source)),
+            promotions: Arc::new(PlatformPromotions::new(promotions, source)),
         };
         Ok(Self {
             store: Arc::new(store.clone()),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -80,7 +80,10 @@
     let listeners = Listeners::bind(&mut settings).into_diagnostic()?;
     let environment = match settings.backing {
         Backing::Postgres => {
-            let store = Arc::new(EtcdStore::new(settings.store_endpoints.clone()));
+            let store = Arc::new(EtcdStore::new(
+                settings.store_endpoints.clone(),
+                settings.source_address(),
+            ));
             Environment::of_postgres(&settings, store)
         }
         Backing::Platform => Environment::of_platform(&settings).into_diagnostic()?,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -280,7 +280,7 @@
     let identity = Identity {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
-        address: settings.peer_address.ip(),
+        address: settings.source_address(),
         incarnation,
     };
     Ok(NodeContext {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use kestrellock_core::ids::{GroupName, NodeName, ZoneName};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_program::secret::{Secret, SecretSource};
 use serde::{Deserialize, Serialize};
 
@@ -154,6 +155,11 @@
 }
 
 impl Settings {
+    /// The address from which the node opens connections: the one at which other nodes find it.
+    pub fn source_address(&self) -> SourceAddress {
+        SourceAddress::new(self.peer_address.ip())
+    }
+
     /// Settings of a node on loopback ports that the operating system chooses, without peers and
     /// store.
     pub fn loopback(node: NodeName, zone: ZoneName) -> Self {
--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -10,6 +10,7 @@
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
+use kestrellock_net::source::SourceAddress;
 use kestrellock_program::secret::Secret;
 use kestrellock_store::etcd::EtcdStore;
 
@@ -21,7 +22,7 @@
     settings.secrets.admin_token = token.map(Secret::new);
     let listeners = Listeners::bind(&mut settings).expect("free ports");
     // No store listens at this address, so the node runs without a configuration.
-    let store = Arc::new(EtcdStore::new(vec!["http://127.0.0.1:1".to_owned()]));
+    let store = Arc::new(EtcdStore::new(vec!["http://127.0.0.1:1".to_owned()], SourceAddress::ANY));
     let node = Node::start(&settings, listeners, store, Policy::Standard).expect("it starts");
     (node, settings.admin_address)
 }
--- a/crates/daemon/tests/instance_attempts.rs
+++ b/crates/daemon/tests/instance_attempts.rs
@@ -10,6 +10,7 @@
 use bytes::BytesMut;
 use kestrellock_core::ids::InstanceName;
 use kestrellock_daemon::agent::isolation::instance_attempts::InstanceAttempts;
+use kestrellock_net::source::SourceAddress;
 use socket2::SockRef;
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -21,7 +22,12 @@
 /// answered.
 fn attempt(address: SocketAddr) -> bool {
     let (mut attempts, instance) = (InstanceAttempts::default(), InstanceName::new("i"));
-    attempts.start(&instance, address.ip(), address, BytesMut::from(FIRST_MESSAGES));
+    attempts.start(
+        &instance,
+        SourceAddress::new(address.ip()),
+        address,
+        BytesMut::from(FIRST_MESSAGES),
+    );
     let deadline = Instant::now() + LIMIT;
     while attempts.in_progress() > 0 {
         if attempts.take_answered() == [instance.clone()] {
--- a/crates/lab/src/bench/cluster.rs
+++ b/crates/lab/src/bench/cluster.rs
@@ -8,6 +8,7 @@
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::{PeerSettings, Settings};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::catalog::{GROUPS_PREFIX, TEMPLATES_PREFIX, TENANTS_PREFIX};
 use kestrellock_store::etcd::EtcdStore;
 use kestrellock_store::store::{ConfigStore, TransactionOutcome};
@@ -44,7 +45,7 @@
     /// Writes `catalog` to a new store and starts the nodes.
     pub fn start(catalog: &Catalog, plans: &[NodePlan], policy: Policy) -> miette::Result<Self> {
         let store = PlatformStore::start().into_diagnostic()?;
-        let client = Arc::new(EtcdStore::new(vec![store.endpoint()]));
+        let client = Arc::new(EtcdStore::new(vec![store.endpoint()], SourceAddress::ANY));
         write_catalog(client.as_ref(), catalog)?;
         let mut bound = Vec::new();
         for plan in plans {
--- a/crates/lab/src/demo/check/template.rs
+++ b/crates/lab/src/demo/check/template.rs
@@ -1,5 +1,6 @@
 //! Checks that every node activates a changed template.
 
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::etcd::EtcdStore;
 use miette::ensure;
 
@@ -14,7 +15,7 @@
         let early = connect(*address, tenant.name, other.database);
         ensure!(early.is_err(), "{} could use {} without permission", tenant.name, other.database);
     }
-    let store = EtcdStore::new(vec![demo.store_endpoint()]);
+    let store = EtcdStore::new(vec![demo.store_endpoint()], SourceAddress::ANY);
     catalog::add_group(&store, tenant, other.group)?;
     for address in &demo.client_addresses {
         connect_when_ready(*address, tenant.name, other.database)?;
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -13,6 +13,7 @@
 use kestrellock_core::ids::ZoneName;
 use kestrellock_daemon::node::Node;
 use kestrellock_daemon::policy::Policy;
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::etcd::EtcdStore;
 use miette::IntoDiagnostic;
 
@@ -84,7 +85,7 @@
         let network = Network::new(&zones, 0).into_diagnostic()?;
         network.set_delay_everywhere(options.zone_delay);
         let store = PlatformStore::start().into_diagnostic()?;
-        let client = Arc::new(EtcdStore::new(vec![store.endpoint()]));
+        let client = Arc::new(EtcdStore::new(vec![store.endpoint()], SourceAddress::ANY));
         let mut groups = Vec::new();
         for tenant in &TENANTS {
             let group = DatabaseGroup::start(GroupOptions {
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -5,7 +5,7 @@
 pub mod client;
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -38,6 +38,8 @@
 /// random.
 const RELAY_SEED: u64 = 1;
 const TIMEOUT_MS: u64 = 3_000;
+/// Second octet of the addresses of nodes; no zone of a simulated network has it.
+const NODE_ADDRESS_OCTET: u8 = 200;
 
 /// Options of a platform.
 #[derive(Clone, Debug)]
@@ -57,6 +59,8 @@
     /// Whether nodes reach each other and the store through relays, which can inject network
     /// faults.
     pub relayed: bool,
+    /// Whether each node has an address of its own, [`node_address`], instead of 127.0.0.1.
+    pub own_addresses: bool,
     /// Time within which every node must stop accepting a revoked key.
     pub revocation_limit: Option<Duration>,
     /// Time within which statements must stop reaching the instances of a drained zone.
@@ -94,6 +98,7 @@
             synchronous_replicas: 1,
             configured: true,
             relayed: false,
+            own_addresses: false,
             revocation_limit: None,
             zone_drain_limit: None,
             prewarm_connections: false,
@@ -147,6 +152,12 @@
     format!("d{:013x}", mixed >> 12)
 }
 
+/// Address of a node that has one of its own.
+pub fn node_address(number: usize) -> IpAddr {
+    let [high, low] = (number as u16 + 1).to_be_bytes();
+    IpAddr::from([127, NODE_ADDRESS_OCTET, high, low])
+}
+
 /// Zone of the relay in front of a node.
 pub fn node_relay_zone(number: usize) -> ZoneName {
     ZoneName::new(format!("node-{number}"))
@@ -319,6 +330,13 @@
 
     fn settings(&self, number: usize) -> Settings {
         let zone = ZoneName::new(ZONES[number % ZONES.len()]);
+        let mut settings = Settings::loopback(NodeName::new(format!("node-{number}")), zone);
+        if self.options.own_addresses {
+            let address = SocketAddr::new(node_address(number), 0);
+            settings.caller_address = address;
+            settings.peer_address = address;
+            settings.admin_address = address;
+        }
         Settings {
             backing: Backing::Platform,
             admin_pages: AdminPages::Health,
@@ -331,7 +349,7 @@
             prewarm_connections: self.options.prewarm_connections,
             tolerated_zone_losses: self.options.tolerated_zone_losses,
             share_store_access: self.options.share_store_access.get(number) == Some(&true),
-            ..Settings::loopback(NodeName::new(format!("node-{number}")), zone)
+            ..settings
         }
     }
 
--- a/crates/lab/src/scenario/deployment.rs
+++ b/crates/lab/src/scenario/deployment.rs
@@ -9,6 +9,7 @@
 use kestrellock_daemon::node::{Listeners, Node, StartError};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::{PeerSettings, Settings};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::etcd::EtcdStore;
 use miette::IntoDiagnostic;
 
@@ -96,7 +97,7 @@
         let zones: Vec<ZoneName> = deployment.zones.iter().map(ZoneName::new).collect();
         let network = connect_zones(deployment, &zones, seed)?;
         let platform = PlatformStore::start().into_diagnostic()?;
-        let store = Arc::new(EtcdStore::new(vec![platform.endpoint()]));
+        let store = Arc::new(EtcdStore::new(vec![platform.endpoint()], SourceAddress::ANY));
         let mut groups = Vec::new();
         for (number, database) in deployment.databases.iter().enumerate() {
             let seed = seed.wrapping_add(number as u64);
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -19,7 +19,7 @@
 use kestrellock_core::routing::Role;
 use kestrellock_platform::standin::entries::InstanceEntry;
 
-use super::listener::RestartableListener;
+use super::listener::{Callers, RestartableListener};
 use super::store::StoreWriter;
 
 pub use promotions::{CompletedPromotion, PromotionRequest, PromotionService};
@@ -115,6 +115,11 @@
         Ok(Self { shared })
     }
 
+    /// The addresses from which connections to each instance were opened so far.
+    pub fn callers(&self) -> Vec<Callers> {
+        self.shared.state().instances.values().map(|instance| instance.listener.callers()).collect()
+    }
+
     /// Name of the group.
     pub fn name(&self) -> String {
         self.shared.state().options.group.clone()
--- a/crates/lab/src/standin/instances/promotions.rs
+++ b/crates/lab/src/standin/instances/promotions.rs
@@ -13,7 +13,7 @@
 
 use super::{InstanceGroup, Shared};
 use crate::standin::http::{self, Reply, Request};
-use crate::standin::listener::RestartableListener;
+use crate::standin::listener::{Callers, RestartableListener};
 
 const BAD_REQUEST: u16 = 400;
 
@@ -83,6 +83,11 @@
         self.listener.address()
     }
 
+    /// The addresses from which connections were opened so far.
+    pub fn callers(&self) -> Callers {
+        self.listener.callers()
+    }
+
     /// All accepted promotion requests so far.
     pub fn calls(&self) -> Vec<PromotionRequest> {
         lock(&self.history).accepted.clone()
--- a/crates/lab/src/standin/listener.rs
+++ b/crates/lab/src/standin/listener.rs
@@ -1,9 +1,10 @@
 //! A listening socket that can refuse connections for a while without losing its port.
 
+use std::collections::BTreeMap;
 use std::io;
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -16,19 +17,24 @@
 /// Time within which a thread that waits in `accept` of a closed listener returns from it.
 const TRANSFER_DELAY: Duration = Duration::from_millis(20);
 
+/// Number of connections by the address from which they were opened.
+pub type Callers = BTreeMap<IpAddr, usize>;
+
 /// A listening socket on loopback that can be closed and reopened on the same port.
 #[derive(Clone, Debug)]
 pub struct RestartableListener {
     listener: Arc<TcpListener>,
     address: SocketAddr,
     stopped: Arc<AtomicBool>,
+    callers: Arc<Mutex<Callers>>,
 }
 
 impl RestartableListener {
     /// Listens on a port chosen by the operating system.
     pub fn bind() -> io::Result<Self> {
         let (listener, address) = bind_numbered_port()?;
-        Ok(Self { listener: Arc::new(listener), address, stopped: Arc::default() })
+        let listener = Arc::new(listener);
+        Ok(Self { listener, address, stopped: Arc::default(), callers: Arc::default() })
     }
 
     /// Address on which it listens.
@@ -53,13 +59,25 @@
     pub fn accept(&self) -> Option<TcpStream> {
         while !self.stopped.load(Ordering::Acquire) {
             match self.listener.accept() {
-                Ok((stream, _)) => return Some(stream),
+                Ok((stream, caller)) => {
+                    *self.lock_callers().entry(caller.ip()).or_default() += 1;
+                    return Some(stream);
+                }
                 Err(_) => std::thread::sleep(ACCEPT_RETRY_INTERVAL),
             }
         }
         None
     }
 
+    /// The addresses from which connections were opened so far, also before a transfer.
+    pub fn callers(&self) -> Callers {
+        self.lock_callers().clone()
+    }
+
+    fn lock_callers(&self) -> MutexGuard<'_, Callers> {
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Transfers the address of a closed listener to another owner: [`Self::accept`] of this
     /// listener returns `None`, and the new listener accepts connections after [`Self::reopen`].
     pub fn transfer(&self) -> Self {
@@ -68,7 +86,7 @@
         self.stopped.store(true, Ordering::Release);
         // The thread that waits in `accept` must return before new connections arrive.
         std::thread::sleep(TRANSFER_DELAY);
-        Self { listener: self.listener.clone(), address: self.address, stopped: Arc::default() }
+        Self { stopped: Arc::default(), ..self.clone() }
     }
 
     /// Closes the listener permanently: [`Self::accept`] returns `None`.
--- a/crates/lab/src/standin/network/streams.rs
+++ b/crates/lab/src/standin/network/streams.rs
@@ -6,9 +6,10 @@
 use std::net::{IpAddr, Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
+use kestrellock_net::source::SourceAddress;
 use mio::Interest;
 use mio::net::TcpStream;
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 
 use super::event_loop::{Due, Endpoint, RelayKey, Shared};
 use super::links::{LineDirection, ZoneNumber};
@@ -21,7 +22,6 @@
 /// small, like the window of a system with small buffers: each connection queues at most this much
 /// at a saturated line, and the rest waits at its sender.
 const RATE_LIMITED_IN_FLIGHT_BYTES: usize = 64 * 1024;
-const EINPROGRESS: i32 = 115;
 
 /// Data or end of stream in flight.
 #[derive(Debug)]
@@ -195,18 +195,8 @@
 }
 
 fn connect(source: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    if source.is_ipv4() == target.is_ipv4() {
-        // A restarted node may need to bind the port that the operating system chooses here.
-        socket.set_reuse_address(true)?;
-        socket.bind(&SocketAddr::new(source, 0).into())?;
-    }
-    match socket.connect(&target.into()) {
-        Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error),
-        _ => {}
-    }
-    Ok(TcpStream::from_std(socket.into()))
+    let stream = SourceAddress::new(source).start_connecting(target, |_| Ok(()))?;
+    Ok(TcpStream::from_std(stream))
 }
 
 impl StreamRelay {
--- a/crates/lab/src/standin/store/mod.rs
+++ b/crates/lab/src/standin/store/mod.rs
@@ -26,7 +26,7 @@
 use self::faults::{Admission, Faults, SilentWatches, StoreCounters, WatchSilence};
 use self::gateway::{GatewayError, WatchRequest};
 use super::http::{self, Reply, Request};
-use super::listener::RestartableListener;
+use super::listener::{Callers, RestartableListener};
 
 /// Interval at which a watch checks whether its client has disconnected.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -91,6 +91,11 @@
         format!("http://{}", self.address)
     }
 
+    /// The addresses from which connections were opened so far.
+    pub fn callers(&self) -> Callers {
+        self.listener.callers()
+    }
+
     /// Limits the requests per second. Requests above the limit fail with status 429.
     pub fn set_rate_limit(&self, limit: Option<u32>) {
         self.shared.faults().set_rate_limit(limit, Instant::now());
--- a/crates/lab/tests/bounded_positions.rs
+++ b/crates/lab/tests/bounded_positions.rs
@@ -16,6 +16,7 @@
 use kestrellock_daemon::node::Node;
 use kestrellock_lab::platform::client::LineSession;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_platform::control::PlatformPromotions;
 use kestrellock_store::control::{PromotionRequest, PromotionService};
 
@@ -60,7 +61,8 @@
 
 /// Promotes an instance although the nodes have not asked for it.
 fn promote(platform: &Platform, instance: &str) {
-    let service = PlatformPromotions::new(&platform.promotions.address().to_string());
+    let service =
+        PlatformPromotions::new(&platform.promotions.address().to_string(), SourceAddress::ANY);
     let outcome = service.promote(&PromotionRequest {
         group: GroupName::new(GROUPS[0]),
         instance: InstanceName::new(instance),
--- a/crates/lab/tests/cluster/mod.rs
+++ b/crates/lab/tests/cluster/mod.rs
@@ -14,6 +14,7 @@
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::{PeerSettings, Settings};
 use kestrellock_lab::standin::store::PlatformStore;
+use kestrellock_net::source::SourceAddress;
 use kestrellock_program::secret::Secret;
 use kestrellock_store::etcd::EtcdStore;
 
@@ -83,7 +84,7 @@
         let token_file = files.write("token", TOKEN);
         let endpoints = vec![store.endpoint()];
         let (settings, listeners) = bind(zones, &endpoints);
-        let store = Arc::new(EtcdStore::new(endpoints));
+        let store = Arc::new(EtcdStore::new(endpoints, SourceAddress::ANY));
         let nodes = settings.iter().zip(listeners).map(|(settings, listeners)| {
             Node::start(settings, listeners, store.clone(), Policy::Standard).expect("it starts")
         });
--- a/crates/lab/tests/machine_list.rs
+++ b/crates/lab/tests/machine_list.rs
@@ -8,6 +8,7 @@
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
 use kestrellock_lab::standin::machines::{ListedMachine, ListedState, MachineListServer};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::etcd::EtcdStore;
 use kestrellock_store::machines::{HttpMachineList, MachineList};
 
@@ -44,7 +45,7 @@
     };
     machines.insert(0, gone);
     server.set_machines(machines);
-    let store = Arc::new(EtcdStore::new(vec!["http://127.0.0.1:1".to_owned()]));
+    let store = Arc::new(EtcdStore::new(vec!["http://127.0.0.1:1".to_owned()], SourceAddress::ANY));
     let nodes: Vec<Node> = all
         .iter()
         .zip(listeners)
@@ -63,7 +64,7 @@
 #[test]
 fn the_list_s_faults_are_errors_and_its_answers_whole() {
     let server = MachineListServer::start().expect("a list");
-    let list = HttpMachineList::new(format!("{}/machines", server.endpoint()));
+    let list = HttpMachineList::new(format!("{}/machines", server.endpoint()), SourceAddress::ANY);
     assert_eq!(list.machines().expect("an empty list"), []);
     let settings = Settings::loopback(NodeName::new("a"), ZoneName::new("z"));
     server.set_machines(vec![listed(&settings)]);
@@ -73,5 +74,9 @@
     assert!(list.machines().is_err());
     server.set_outage(false);
     assert!(list.machines().is_ok());
-    assert!(HttpMachineList::new(format!("{}/nothing", server.endpoint())).machines().is_err());
+    assert!(
+        HttpMachineList::new(format!("{}/nothing", server.endpoint()), SourceAddress::ANY)
+            .machines()
+            .is_err()
+    );
 }
--- a/crates/lab/tests/silent_connections.rs
+++ b/crates/lab/tests/silent_connections.rs
@@ -10,6 +10,7 @@
     GROUPS, Platform, PlatformOptions, database, node_relay_zone, store_relay_zone, wait,
 };
 use kestrellock_lab::standin::network::links::SilencedDirection;
+use kestrellock_net::source::SourceAddress;
 use kestrellock_platform::keys::{Freshness, KeyStore};
 
 /// Twice the owners of a group, so that some nodes forward.
@@ -139,7 +140,8 @@
     let platform = start();
     let network = platform.network.as_ref().expect("relays");
     let exposed = network.expose_tcp(&store_relay_zone(), platform.store.address).expect("exposed");
-    let store = KeyStore::new(&exposed.to_string()).with_call_timeout(CALL_LIMIT);
+    let store =
+        KeyStore::new(&exposed.to_string(), SourceAddress::ANY).with_call_timeout(CALL_LIMIT);
     std::thread::scope(|scope| {
         for _ in 0..CALLS_AT_ONCE {
             scope.spawn(|| {
--- a/crates/lab/tests/silent_watches.rs
+++ b/crates/lab/tests/silent_watches.rs
@@ -11,6 +11,7 @@
 use kestrellock_core::promotion::{Intent, PromotionCaller, Reason, ReplacementId, Successor};
 use kestrellock_lab::standin::store::faults::WatchSilence;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, KeyStore, Mirror, Scope};
 use kestrellock_platform::nodes::{NodeList, RegisteredNodes};
@@ -33,10 +34,10 @@
 
 impl Client {
     fn start(store: &PlatformStore) -> Self {
-        let mirror = Arc::new(Mirror::new(KeyStore::new(&store.endpoint())));
+        let mirror = Arc::new(Mirror::new(KeyStore::new(&store.endpoint(), SourceAddress::ANY)));
         mirror.advance().expect("an answer");
         mirror.set_scope(Scope::OwnKeys);
-        let store = KeyStore::new(&store.endpoint());
+        let store = KeyStore::new(&store.endpoint(), SourceAddress::ANY);
         let registered = Arc::<RegisteredNodes>::default();
         let nodes = NodeList::new(store.clone(), mirror.clone(), registered.clone());
         let coordination = StoreCoordination::new(store, mirror.clone(), registered);
@@ -357,7 +358,7 @@
 #[test]
 fn watch_reports_a_change_that_an_empty_answer_has_hidden() {
     let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
-    let client = KeyStore::new(&store.endpoint());
+    let client = KeyStore::new(&store.endpoint(), SourceAddress::ANY);
     let from = store.position() + 1;
     store.silence_watches(WatchSilence::EmptyAtCurrentRevision);
     store.put(WATCHED_KEY, b"1");
--- /dev/null
+++ b/crates/lab/tests/source_addresses/main.rs
@@ -0,0 +1,4 @@
+//! Addresses from which nodes open connections.
+
+mod partition;
+mod replacement;
--- a/crates/lab/tests/standin_silent_watches.rs
+++ b/crates/lab/tests/standin_silent_watches.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_lab::standin::store::faults::WatchSilence;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_platform::keys::{Freshness, KeyStore};
 
 const PREFIX: &str = "kestrellock/";
@@ -15,7 +16,7 @@
 fn start() -> (PlatformStore, KeyStore) {
     let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
     store.put(KEY, b"1");
-    let client = KeyStore::new(&store.endpoint());
+    let client = KeyStore::new(&store.endpoint(), SourceAddress::ANY);
     (store, client)
 }
 
--- a/crates/lab/tests/store_contract.rs
+++ b/crates/lab/tests/store_contract.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_platform::keys::KeyStore;
 use kestrellock_store::etcd::EtcdStore;
 use kestrellock_store::store::{
@@ -16,12 +17,13 @@
 
 fn client(server: &PlatformStore, dialect: Dialect) -> Box<dyn ConfigStore> {
     match dialect {
-        Dialect::Etcd => {
-            Box::new(EtcdStore::new(vec![server.endpoint()]).with_call_timeout(CALL_LIMIT))
-        }
-        Dialect::Platform => {
-            Box::new(KeyStore::new(&server.endpoint()).with_call_timeout(CALL_LIMIT))
-        }
+        Dialect::Etcd => Box::new(
+            EtcdStore::new(vec![server.endpoint()], SourceAddress::ANY)
+                .with_call_timeout(CALL_LIMIT),
+        ),
+        Dialect::Platform => Box::new(
+            KeyStore::new(&server.endpoint(), SourceAddress::ANY).with_call_timeout(CALL_LIMIT),
+        ),
     }
 }
 
--- a/crates/lab/tests/store_copy.rs
+++ b/crates/lab/tests/store_copy.rs
@@ -10,6 +10,7 @@
 use kestrellock_core::promotion::{Intent, PromotionCaller, Reason, ReplacementId, Successor};
 use kestrellock_core::routing::Role;
 use kestrellock_lab::standin::store::{Dialect, PlatformStore};
+use kestrellock_net::source::SourceAddress;
 use kestrellock_platform::coordination::StoreCoordination;
 use kestrellock_platform::keys::{Freshness, Item, KeyStore, Mirror, MirrorView, Scope};
 use kestrellock_platform::standin::entries::{CONFIGURATION_KEY, InstanceEntry};
@@ -24,7 +25,7 @@
 
 fn start() -> (PlatformStore, Mirror) {
     let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
-    let mirror = Mirror::new(KeyStore::new(&store.endpoint()));
+    let mirror = Mirror::new(KeyStore::new(&store.endpoint(), SourceAddress::ANY));
     mirror.set_scope(Scope::Everything);
     (store, mirror)
 }
@@ -82,7 +83,8 @@
 
     /// A client whose copy stays as it is: its calls expect what late ones expected.
     fn late(&self) -> StoreCoordination {
-        let mirror = Arc::new(Mirror::new(KeyStore::new(&self.store.endpoint())));
+        let mirror =
+            Arc::new(Mirror::new(KeyStore::new(&self.store.endpoint(), SourceAddress::ANY)));
         advance(&mirror);
         coordination(&self.store, mirror)
     }
@@ -99,7 +101,11 @@
 }
 
 fn coordination(store: &PlatformStore, mirror: Arc<Mirror>) -> StoreCoordination {
-    StoreCoordination::new(KeyStore::new(&store.endpoint()), mirror, Default::default())
+    StoreCoordination::new(
+        KeyStore::new(&store.endpoint(), SourceAddress::ANY),
+        mirror,
+        Default::default(),
+    )
 }
 
 #[test]
@@ -185,7 +191,7 @@
     let store = PlatformStore::start_as(Dialect::Platform).expect("it starts");
     store.put(NODE, b"1");
     store.put(CONFIGURATION_KEY, b"{}");
-    let mirror = Mirror::new(KeyStore::new(&store.endpoint()));
+    let mirror = Mirror::new(KeyStore::new(&store.endpoint(), SourceAddress::ANY));
     let first = advance(&mirror);
     assert_eq!(names(&first), [NODE]);
     assert_eq!(first.all_keys_revision, 0, "the rest has not been read");
@@ -333,7 +339,8 @@
     let knows = |view: &CoordinationView| (view.intents.len(), view.promoted.get(group).cloned());
     assert_eq!(knows(&holding.coordination.view()), (0, Some(successor.clone())));
     let others = || {
-        let mirror = Arc::new(Mirror::new(KeyStore::new(&holding.store.endpoint())));
+        let mirror =
+            Arc::new(Mirror::new(KeyStore::new(&holding.store.endpoint(), SourceAddress::ANY)));
         mirror.set_scope(Scope::Everything);
         advance(&mirror);
         coordination(&holding.store, mirror).view()
--- a/crates/store/src/etcd/http.rs
+++ b/crates/store/src/etcd/http.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use kestrellock_net::http::agent;
+use kestrellock_net::source::{SourceAddress, is_connect_error};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use ureq::http::Response;
@@ -44,15 +46,15 @@
 }
 
 impl Endpoints {
-    /// A client for the endpoints at `urls`.
-    pub fn new(urls: Vec<String>) -> Self {
+    /// A client for the endpoints at `urls`, whose connections come from `source`.
+    pub fn new(urls: Vec<String>, source: SourceAddress) -> Self {
         let config = ureq::Agent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
             .build();
         Self {
             urls: urls.iter().map(|url| url.trim_end_matches('/').to_owned()).collect(),
-            agent: config.into(),
+            agent: agent(config, source),
             preferred: AtomicUsize::new(0),
             not_before: Mutex::new(None),
             call_timeout: CALL_TIMEOUT,
@@ -162,15 +164,6 @@
 
 /// Classifies a transport error. Only a failure to connect proves that the request was not sent.
 fn classify(error: &ureq::Error) -> StoreError {
-    let is_connect_error = |error: &std::io::Error| {
-        matches!(
-            error.kind(),
-            std::io::ErrorKind::ConnectionRefused
-                | std::io::ErrorKind::HostUnreachable
-                | std::io::ErrorKind::NetworkUnreachable
-                | std::io::ErrorKind::AddrNotAvailable
-        )
-    };
     let not_sent = match error {
         ureq::Error::ConnectionFailed | ureq::Error::HostNotFound | ureq::Error::BadUri(_) => true,
         ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => true,
--- a/crates/store/src/etcd/mod.rs
+++ b/crates/store/src/etcd/mod.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use kestrellock_net::source::SourceAddress;
+
 use crate::store::{
     ConfigStore, KeyValue, Snapshot, StoreError, Transaction, TransactionOutcome, Watch,
 };
@@ -21,9 +23,10 @@
 }
 
 impl EtcdStore {
-    /// A client for the cluster at `endpoints`, such as `http://127.0.0.1:2379`.
-    pub fn new(endpoints: Vec<String>) -> Self {
-        Self { endpoints: Endpoints::new(endpoints) }
+    /// A client for the cluster at `endpoints`, such as `http://127.0.0.1:2379`, whose connections
+    /// come from `source`.
+    pub fn new(endpoints: Vec<String>, source: SourceAddress) -> Self {
+        Self { endpoints: Endpoints::new(endpoints, source) }
     }
 
     /// Sets the timeout of a call.
--- a/crates/store/src/machines.rs
+++ b/crates/store/src/machines.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use kestrellock_core::ids::{NodeName, ZoneName};
+use kestrellock_net::http::agent;
+use kestrellock_net::source::SourceAddress;
 use serde::{Deserialize, Serialize};
 
 use crate::store::StoreError;
@@ -65,13 +67,14 @@
 }
 
 impl HttpMachineList {
-    /// The list at `url`, such as `http://127.0.0.1:8080/machines`.
-    pub fn new(url: impl Into<String>) -> Self {
+    /// The list at `url`, such as `http://127.0.0.1:8080/machines`. Connections to it come from
+    /// `source`.
+    pub fn new(url: impl Into<String>, source: SourceAddress) -> Self {
         let config = ureq::Agent::config_builder()
             .timeout_global(Some(CALL_LIMIT))
             .http_status_as_error(false)
             .build();
-        Self { url: url.into(), agent: config.into() }
+        Self { url: url.into(), agent: agent(config, source) }
     }
 }
 
--- a/crates/store/tests/etcd_faults.rs
+++ b/crates/store/tests/etcd_faults.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use kestrellock_net::source::SourceAddress;
 use kestrellock_store::etcd::EtcdStore;
 use kestrellock_store::store::{ConfigStore, Snapshot, StoreError, TransactionOutcome, WatchEvent};
 
@@ -129,7 +130,8 @@
     ];
     for (name, script, expected) in table {
         let server = Server::start(script);
-        let store = EtcdStore::new(vec![server.url()]).with_call_timeout(SHORT_CALL_TIMEOUT);
+        let store = EtcdStore::new(vec![server.url()], SourceAddress::ANY)
+            .with_call_timeout(SHORT_CALL_TIMEOUT);
         let outcome = store.compare_and_swap("/k", 3, b"v");
         assert_eq!(kind(&outcome), expected, "{name}: {outcome:?}");
         assert_eq!(server.requests(), 1, "{name}: the write must be sent once");
@@ -144,7 +146,7 @@
     let url = format!("http://{}", listener.local_addr().expect("the listener has an address"));
     drop(listener);
     for urls in [vec![], vec![url.clone()], vec![url.clone(), url]] {
-        let outcome = EtcdStore::new(urls).compare_and_swap("/k", 0, b"v");
+        let outcome = EtcdStore::new(urls, SourceAddress::ANY).compare_and_swap("/k", 0, b"v");
         assert_eq!(kind(&outcome), Kind::Unreachable, "{outcome:?}");
     }
 }
@@ -156,7 +158,7 @@
         format!("http://{}", dead.local_addr().expect("the listener has an address"));
     drop(dead);
     let good = Server::start(Script::Send(WRITTEN));
-    let store = EtcdStore::new(vec![unreachable_url, good.url()]);
+    let store = EtcdStore::new(vec![unreachable_url, good.url()], SourceAddress::ANY);
     assert_eq!(
         store.compare_and_swap("/k", 0, b"v").expect("the second endpoint answers"),
         TransactionOutcome::Written(18)
@@ -164,7 +166,7 @@
     for script in [Script::Send(""), Script::Send(UNAVAILABLE), Script::Send(CUT_SHORT)] {
         let bad = Server::start(script);
         let good = Server::start(Script::Send(WRITTEN));
-        let store = EtcdStore::new(vec![bad.url(), good.url()]);
+        let store = EtcdStore::new(vec![bad.url(), good.url()], SourceAddress::ANY);
         assert_eq!(kind(&store.compare_and_swap("/k", 0, b"v")), Kind::Unanswered);
         assert_eq!(good.requests(), 0, "the write may have taken effect at the first endpoint");
     }
@@ -174,7 +176,7 @@
 fn a_read_fails_over_to_the_next_endpoint_and_prefers_it_afterwards() {
     let bad = Server::start(Script::Send(UNAVAILABLE));
     let good = Server::start(Script::Send(EMPTY_RANGE));
-    let store = EtcdStore::new(vec![bad.url(), good.url()]);
+    let store = EtcdStore::new(vec![bad.url(), good.url()], SourceAddress::ANY);
     for _ in 0..3 {
         let snapshot = store.range("/p").expect("the second endpoint answers");
         assert_eq!(snapshot, Snapshot { revision: 17, entries: Vec::new() });
@@ -185,7 +187,7 @@
 #[test]
 fn no_request_is_sent_before_the_retry_after_time_of_a_rate_limit() {
     let server = Server::start(Script::Send(TOO_MANY));
-    let store = EtcdStore::new(vec![server.url()]);
+    let store = EtcdStore::new(vec![server.url()], SourceAddress::ANY);
     for _ in 0..5 {
         match store.range("/p") {
             Err(StoreError::RateLimited { retry_after }) => {
@@ -222,7 +224,7 @@
     ];
     for (name, rest, expected) in table {
         let server = Server::start(watch_script(rest));
-        let store = EtcdStore::new(vec![server.url()]);
+        let store = EtcdStore::new(vec![server.url()], SourceAddress::ANY);
         let mut watch = store.watch("/p", 20).expect("the watch opens");
         let event = watch.next(TEST_TIMEOUT);
         match expected {
@@ -237,7 +239,7 @@
 #[test]
 fn opening_a_watch_on_a_silent_server_times_out() {
     let server = Server::start(Script::Silence);
-    let store = EtcdStore::new(vec![server.url()]);
+    let store = EtcdStore::new(vec![server.url()], SourceAddress::ANY);
     // The response head never arrives, so opening the watch fails within the stream's lifetime.
     let started = Instant::now();
     assert!(store.watch("/p", 1).is_err());
