Check every statement at an instance against what clients sent

No check looked for a statement that no client sent, a changed text, a commit that no client asked for, or a write on an old log: the checker judges outcomes and final logs, not the statements that reach instances.

The new check compares each statement that an instance received, and each commit, with the clients' record.

--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -11,6 +11,7 @@
 pub mod index;
 pub mod leaving_instances;
 pub mod reads;
+pub mod statements;
 pub mod stops;
 pub mod transactions;
 pub mod violation;
--- a/crates/lab/tests/check/main.rs
+++ b/crates/lab/tests/check/main.rs
@@ -3,6 +3,7 @@
 mod cases;
 mod histories;
 mod run;
+mod statements;
 
 use kestrellock_lab::check::check;
 use kestrellock_lab::check::violation::Invariant;
