Judge runs on the platform's stand-ins by each statement

The stand-ins of instances kept executed reads and writes only, and nothing recorded what clients sent, so no test on the platform could see a statement that nobody had sent or a write on an old log.

The stand-ins now record each received statement with its text, source, outcome and log, and each commit; sessions can be recorded. The path tests, the process rig and a new test of random clients beside faults are judged by the check.

--- a/crates/lab/src/platform/client.rs
+++ b/crates/lab/src/platform/client.rs
@@ -9,6 +9,8 @@
 use kestrellock_platform::standin::lines::{self, ServerMessage};
 use miette::{IntoDiagnostic, miette};
 
+use super::client_record::SessionRecorder;
+
 /// Key of clients for which it does not matter.
 const DEFAULT_KEY: &str = "caller";
 const READ_BYTES: usize = 16 * 1024;
@@ -46,6 +48,7 @@
     input: BytesMut,
     next_id: u64,
     name: String,
+    recorder: Option<SessionRecorder>,
 }
 
 impl LineSession {
@@ -98,7 +101,20 @@
     fn on(stream: TcpStream, answer_timeout: Duration, name: &str) -> miette::Result<Self> {
         stream.set_read_timeout(Some(answer_timeout)).into_diagnostic()?;
         stream.set_nodelay(true).into_diagnostic()?;
-        Ok(Self { stream, input: BytesMut::new(), next_id: 0, name: name.to_owned() })
+        Ok(Self {
+            stream,
+            input: BytesMut::new(),
+            next_id: 0,
+            name: name.to_owned(),
+            recorder: None,
+        })
+    }
+
+    /// Records what the session sends from now on. The session takes the recorder's name.
+    pub fn recorded_by(mut self, recorder: SessionRecorder) -> Self {
+        self.name = recorder.session().to_owned();
+        self.recorder = Some(recorder);
+        self
     }
 
     /// Sends raw bytes.
@@ -117,6 +133,9 @@
         let id = format!("{}-{}", self.name, self.next_id);
         let mut output = BytesMut::new();
         lines::put_statement(&id, text, &mut output);
+        if let Some(recorder) = &mut self.recorder {
+            recorder.on_send(&id, text);
+        }
         self.send(&output)
     }
 
@@ -139,6 +158,9 @@
                     let outcome = outcome.ok_or_else(|| {
                         miette!("the answer has neither a signature nor an error")
                     })?;
+                    if let Some(recorder) = &mut self.recorder {
+                        recorder.on_answer(outcome.is_ok(), state);
+                    }
                     return Ok(Answer { rows, outcome, state });
                 }
                 None => return Err(miette!("the connection was closed")),
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod check;
 pub mod client;
+pub mod client_record;
+pub mod judged;
 
 use std::io;
 use std::net::SocketAddr;
@@ -21,6 +23,7 @@
 };
 use miette::{IntoDiagnostic, miette};
 
+use self::client_record::ClientRecord;
 use crate::standin::instances::{InstanceGroup, InstanceOptions, PromotionService};
 use crate::standin::network::Network;
 use crate::standin::store::{Dialect, PlatformStore, StoreSnapshot};
@@ -116,6 +119,8 @@
     /// The relays, if [`PlatformOptions::relayed`]. Each node and the store has a zone of its own
     /// in this network.
     pub network: Option<Arc<Network>>,
+    /// What the sessions of [`Platform::open_session`] sent.
+    pub clients: Arc<ClientRecord>,
     options: PlatformOptions,
     /// Edition of the configuration that was written last.
     version: u64,
@@ -197,6 +202,7 @@
             store,
             groups,
             promotions,
+            clients: Arc::default(),
             version: 0,
             customers: None,
             nodes: Vec::new(),
--- a/crates/lab/src/processes/late_promotion/mod.rs
+++ b/crates/lab/src/processes/late_promotion/mod.rs
@@ -134,8 +134,10 @@
     platform.wait_until_ready()?;
     let addresses = platform.client_addresses();
     let databases = platform.databases();
-    let writers: Vec<Writers> =
-        databases.iter().map(|database| Writers::start(&addresses, database)).collect();
+    let writers: Vec<Writers> = databases
+        .iter()
+        .map(|database| Writers::start(&addresses, database, &platform.clients))
+        .collect();
     thread::sleep(STEADY_PERIOD);
     let crash = Instant::now();
     let crashes = scenario.crashes.iter().enumerate();
@@ -223,6 +225,8 @@
         let promotions: Vec<_> = completed.iter().filter(of_group).cloned().collect();
         violations.extend(rules::check_logs(&promotions, &writes.acknowledged));
     }
+    let of_statements = platform.clients.violations(&platform.groups);
+    violations.extend(of_statements.into_iter().map(Violation::Statement));
     for violation in &violations {
         journal.add(&violation.to_string());
     }
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -27,7 +27,9 @@
 use self::journal::Journal;
 use self::link::{LinkFault, LinkRelay};
 use self::node::{NodeProcess, PlatformAddresses};
+use crate::check::statements::record::RouteKind;
 use crate::platform::client::LineSession;
+use crate::platform::client_record::ClientRecord;
 use crate::platform::{ZONES, wait};
 use crate::standin::instances::{InstanceGroup, InstanceOptions, PromotionService};
 use crate::standin::relay::{RelayEvent, RelayObserver};
@@ -59,6 +61,8 @@
     pub promotions: PromotionService,
     /// The instances of each group, in the order of [`GROUPS`].
     pub groups: Vec<InstanceGroup>,
+    /// What the clients sent.
+    pub clients: Arc<ClientRecord>,
     /// The record of the run.
     pub journal: Arc<Journal>,
     /// The platform's store.
@@ -91,6 +95,7 @@
             links,
             promotions,
             groups,
+            clients: Arc::default(),
             journal,
             relays: Vec::new(),
             store,
@@ -159,6 +164,9 @@
                 step();
                 let session = LineSession::open(node.client_address, &database, "probe");
                 session
+                    .map(|session| {
+                        session.recorded_by(self.clients.session("probe", RouteKind::Primary))
+                    })
                     .and_then(|mut session| session.run("WRITE probe 1"))
                     .is_ok_and(|answer| answer.is_success())
             })?;
--- a/crates/lab/src/processes/rules.rs
+++ b/crates/lab/src/processes/rules.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use super::writers::AcknowledgedWrite;
+use crate::check::statements::violation::StatementViolation;
 use crate::standin::instances::{CompletedPromotion, PromotionRequest};
 
 /// A broken rule.
@@ -35,6 +36,8 @@
         /// Number of commits that had been acknowledged.
         acknowledged: usize,
     },
+    /// An instance ran or committed what it should not have (UNASKED, PINNED, STALE).
+    Statement(StatementViolation),
 }
 
 impl fmt::Display for Violation {
@@ -54,6 +57,7 @@
                 formatter,
                 "LOST: {instance} was promoted without {lost} of {acknowledged} acknowledged commits"
             ),
+            Self::Statement(violation) => violation.fmt(formatter),
         }
     }
 }
--- a/crates/lab/src/processes/writers.rs
+++ b/crates/lab/src/processes/writers.rs
@@ -6,7 +6,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use crate::check::statements::record::RouteKind;
 use crate::platform::client::LineSession;
+use crate::platform::client_record::ClientRecord;
 
 /// Time between two writes of a client.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
@@ -67,12 +69,13 @@
 }
 
 impl Writers {
-    /// Starts a client for each of `addresses`.
-    pub fn start(addresses: &[SocketAddr], database: &str) -> Self {
+    /// Starts a client for each of `addresses` and records what it sends in `record`.
+    pub fn start(addresses: &[SocketAddr], database: &str, record: &Arc<ClientRecord>) -> Self {
         let shared = Arc::new(Shared::default());
         let threads = (0..addresses.len()).map(|number| {
             let mut client = Client {
                 shared: shared.clone(),
+                record: record.clone(),
                 number,
                 addresses: addresses.to_vec(),
                 node: number,
@@ -104,6 +107,7 @@
 
 struct Client {
     shared: Arc<Shared>,
+    record: Arc<ClientRecord>,
     number: usize,
     addresses: Vec<SocketAddr>,
     /// Number of the node that it uses.
@@ -150,6 +154,7 @@
         self.sessions += 1;
         let name = format!("{}-c{}s{}", self.database, self.number, self.sessions);
         let stream = TcpStream::connect(self.addresses[self.node]).ok()?;
-        LineSession::open_on(stream, ANSWER_TIMEOUT, &self.database, &name).ok()
+        let session = LineSession::open_on(stream, ANSWER_TIMEOUT, &self.database, &name).ok()?;
+        Some(session.recorded_by(self.record.session(&name, RouteKind::Primary)))
     }
 }
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -21,6 +21,7 @@
 
 use super::listener::RestartableListener;
 use super::store::StoreWriter;
+use crate::check::statements::record::GroupStatements;
 
 pub use promotions::{CompletedPromotion, PromotionRequest, PromotionService};
 pub use state::{Commit, ExecutedStatement};
@@ -145,6 +146,13 @@
         self.shared.changed.notify_all();
     }
 
+    /// Closes all connections of an instance. Answers that are not sent yet are lost.
+    pub fn close_connections(&self, name: &str) {
+        if let Some(instance) = self.shared.state().instances.get_mut(name) {
+            instance.close_connections();
+        }
+    }
+
     /// Restarts a killed instance with its log. It becomes a replica if another instance is
     /// primary.
     pub fn restart(&self, name: &str) {
@@ -214,6 +222,11 @@
         self.shared.state().executed_statements.clone()
     }
 
+    /// All received statements and all commits, for the check of statements.
+    pub fn statements(&self) -> GroupStatements {
+        self.shared.state().statements.clone()
+    }
+
     /// Number of status queries that the proxy has sent.
     pub fn status_queries(&self) -> u64 {
         self.shared.state().status_queries
--- a/crates/lab/src/standin/instances/session.rs
+++ b/crates/lab/src/standin/instances/session.rs
@@ -1,8 +1,10 @@
 //! Server side of one connection to an instance.
 
+mod recording;
+
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{IpAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,7 +18,9 @@
 };
 
 use super::Shared;
-use super::state::{Commit, ExecutedStatement, Instance};
+use super::state::{Commit, Instance};
+use crate::check::final_state::LogPlace;
+use crate::check::statements::record::CommittedWrites;
 use crate::standin::listener::RestartableListener;
 
 /// Longest wait for the replicas to receive a commit.
@@ -54,6 +58,12 @@
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, (bool, String)>,
     transaction: Option<Transaction>,
+    /// Address of the other side.
+    source: IpAddr,
+    /// Index of the current statement in the record of received statements.
+    received: usize,
+    /// End of the log on which the current read or write runs.
+    log_end: Option<LogPlace>,
     output: BytesMut,
 }
 
@@ -69,17 +79,18 @@
 
 impl Session {
     fn open(shared: Arc<Shared>, name: String, stream: TcpStream) {
-        let number = {
+        let (number, source) = {
             let mut state = shared.state();
             state.next_connection += 1;
             let number = state.next_connection;
             let Ok(kept) = stream.try_clone() else { return };
+            let Ok(peer) = stream.peer_addr() else { return };
             let Some(instance) = state.instances.get_mut(&name) else { return };
             if !instance.running {
                 return;
             }
             instance.streams.insert(number, kept);
-            number
+            (number, peer.ip())
         };
         let mut session = Self {
             shared,
@@ -91,6 +102,9 @@
             values: BTreeMap::new(),
             prepared: BTreeMap::new(),
             transaction: None,
+            source,
+            received: 0,
+            log_end: None,
             output: BytesMut::new(),
         };
         session.run();
@@ -128,7 +142,8 @@
                 self.account = account;
                 self.start(&group, instance.as_deref())
             }
-            InstanceRequest::Statement { id, after, statement } if self.started => {
+            InstanceRequest::Statement { id, text, after, statement } if self.started => {
+                self.record_received(&id, text, &statement);
                 self.statement(&id, after, statement)
             }
             InstanceRequest::Statement { .. } | InstanceRequest::Unknown => {
@@ -186,6 +201,7 @@
             true => Outcome::Refused(InstanceError::Behind),
             false => self.execute_statement(id, statement),
         };
+        self.record_outcome(&outcome);
         match outcome {
             Outcome::Done(signature) => lines::put_done(&signature, &mut self.output),
             Outcome::Refused(error) => {
@@ -308,19 +324,6 @@
         Outcome::Done(NO_SIGNATURE.to_owned())
     }
 
-    fn record(&self, id: &str, text: String) {
-        let executed = ExecutedStatement {
-            id: id.to_owned(),
-            instance: self.name.clone(),
-            values: self.values.clone(),
-            text,
-            in_transaction: self.transaction.is_some(),
-            connection: self.number,
-            account: self.account.clone(),
-        };
-        self.shared.state().executed_statements.push(executed);
-    }
-
     fn signature(&self, id: &str) -> String {
         format!("{}:{id}", self.name)
     }
@@ -346,7 +349,13 @@
         let data = match own_write {
             Some(data) => Some(data.clone()),
             None => {
-                self.with_instance(|instance| instance.read(row, lag, Instant::now())).flatten()
+                let now = Instant::now();
+                let read = |instance: &Instance| {
+                    (instance.read(row, lag, now), instance.visible_log_end(lag, now))
+                };
+                let (data, log_end) = self.with_instance(read).unzip();
+                self.log_end = log_end;
+                data.flatten()
             }
         };
         self.record(id, text);
@@ -355,12 +364,15 @@
     }
 
     fn write(&mut self, id: &str, row: String, data: String, text: String) -> Outcome {
-        let is_primary = self.with_instance(|instance| instance.role == Role::Primary);
+        let (is_primary, log_end) = self
+            .with_instance(|instance| (instance.role == Role::Primary, instance.log_end()))
+            .unzip();
         let is_read_only =
             self.transaction.as_ref().is_some_and(|transaction| transaction.read_only);
         if is_primary != Some(true) || is_read_only {
             return Outcome::Refused(InstanceError::ReadOnly);
         }
+        self.log_end = log_end;
         self.record(id, text);
         match &mut self.transaction {
             Some(transaction) => {
@@ -403,7 +415,14 @@
         }
         let number = instance.position().offset.0 + 1;
         let commit = Commit { term: instance.term, number, writes, ids };
+        let previous = instance.log_end();
         instance.append(commit.clone(), Instant::now());
+        state.statements.commits.push(CommittedWrites {
+            place: commit.place(),
+            previous,
+            statement: id.to_owned(),
+            writes: commit.ids.clone(),
+        });
         let end = Instant::now() + COMMIT_TIMEOUT;
         while state.received_by(&commit) < needed {
             let is_running =
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -8,6 +8,8 @@
 use kestrellock_core::routing::Role;
 
 use super::InstanceOptions;
+use crate::check::final_state::LogPlace;
+use crate::check::statements::record::GroupStatements;
 use crate::standin::listener::RestartableListener;
 
 /// Incarnation of the initial processes: their start time in milliseconds since the Unix epoch.
@@ -26,6 +28,18 @@
     pub ids: Vec<String>,
 }
 
+impl Commit {
+    /// Its place in the log.
+    pub fn place(&self) -> LogPlace {
+        LogPlace { term: self.term.0, offset: self.number }
+    }
+}
+
+/// Place of the last commit of a log; the default place if it is empty.
+fn place_of_last(log: &[Commit]) -> LogPlace {
+    log.last().map(Commit::place).unwrap_or_default()
+}
+
 /// An executed read or write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ExecutedStatement {
@@ -97,6 +111,16 @@
         self.received.iter().take_while(|at| now >= **at + lag).count()
     }
 
+    /// Place of the last commit that its readers see.
+    pub fn visible_log_end(&self, lag: Duration, now: Instant) -> LogPlace {
+        place_of_last(&self.log[..self.applied(lag, now)])
+    }
+
+    /// Place of the last commit that it has received.
+    pub fn log_end(&self) -> LogPlace {
+        place_of_last(&self.log)
+    }
+
     /// The data of a row, as its readers see it.
     pub fn read(&self, row: &str, lag: Duration, now: Instant) -> Option<String> {
         let visible = &self.log[..self.applied(lag, now)];
@@ -110,6 +134,14 @@
         self.received.push(now);
     }
 
+    /// Closes all connections.
+    pub fn close_connections(&mut self) {
+        for stream in std::mem::take(&mut self.streams).into_values() {
+            // An error means that the connection is already closed.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Drops all commits after the first `length`.
     pub fn truncate(&mut self, length: usize) {
         self.log.truncate(length);
@@ -125,6 +157,8 @@
     pub instances: BTreeMap<String, Instance>,
     /// Executed reads and writes.
     pub executed_statements: Vec<ExecutedStatement>,
+    /// Received statements and commits, for the check of statements.
+    pub statements: GroupStatements,
     /// Number of status queries.
     pub status_queries: u64,
     /// Number of the next connection.
@@ -139,6 +173,7 @@
             options,
             instances,
             executed_statements: Vec::new(),
+            statements: GroupStatements::default(),
             status_queries: 0,
             next_connection: 0,
         }
@@ -174,10 +209,7 @@
         let Some(instance) = self.instances.get_mut(name) else { return };
         instance.running = false;
         instance.listener.close();
-        for stream in std::mem::take(&mut instance.streams).into_values() {
-            // An error means that the connection is already closed.
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        instance.close_connections();
     }
 
     /// Restarts a killed instance. It becomes a replica if another instance is primary.
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -7,20 +7,25 @@
 
 use kestrellock_core::catalog::Consistency;
 use kestrellock_lab::platform::client::LineSession;
+use kestrellock_lab::platform::judged::JudgedPlatform;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
 use kestrellock_peer::message::TransactionState;
 use kestrellock_platform::standin::entries::{CONFIGURATION_KEY, InstanceEntry};
 use kestrellock_platform::standin::lines::ServerMessage;
 
-fn start() -> Platform {
-    let platform = Platform::start(PlatformOptions::default()).expect("it starts");
+fn start() -> JudgedPlatform {
+    let platform = start_with(PlatformOptions::default());
     platform.wait_until_ready().expect("it is ready");
     platform
 }
 
+fn start_with(options: PlatformOptions) -> JudgedPlatform {
+    JudgedPlatform(Platform::start(options).expect("it starts"))
+}
+
 fn open(platform: &Platform, node: usize, consistency: Consistency, name: &str) -> LineSession {
     let database = database(GROUPS[0], consistency);
-    LineSession::open(platform.client_addresses[node], &database, name).expect("it opens")
+    platform.open_session(node, &database, name).expect("it opens")
 }
 
 fn run(session: &mut LineSession, text: &str) -> kestrellock_lab::platform::client::Answer {
@@ -198,7 +203,7 @@
 #[test]
 fn a_node_waits_unready_while_the_store_is_away_or_empty_and_says_why() {
     let options = PlatformOptions { nodes: 1, configured: false, ..PlatformOptions::default() };
-    let mut platform = Platform::start(options).expect("it starts");
+    let mut platform = start_with(options);
     let (status, body) = page(platform.admin_addresses[0], "/readyz");
     assert_eq!(status, 503);
     assert!(body.contains("no configuration has arrived"), "{body}");
@@ -218,7 +223,7 @@
 #[test]
 fn a_caller_that_comes_before_the_first_configuration_is_served_once_that_has_arrived() {
     let options = PlatformOptions { nodes: 1, configured: false, ..PlatformOptions::default() };
-    let mut platform = Platform::start(options).expect("it starts");
+    let mut platform = start_with(options);
     let mut early = TcpStream::connect(platform.client_addresses[0]).expect("it accepts");
     let database = database(GROUPS[0], Consistency::Primary);
     early.write_all(format!("STARTUP {database} early\r\n").as_bytes()).expect("it is sent");
--- /dev/null
+++ b/crates/lab/tests/statement_rules/faults.rs
@@ -0,0 +1,75 @@
+//! Faults of instances and nodes, one after the other.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use kestrellock_lab::platform::Platform;
+use rand::rngs::ChaCha8Rng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+
+/// Time between two faults.
+const INTERVAL: Duration = Duration::from_millis(150);
+/// Time for which an instance is down, or a replica receives nothing.
+const DOWN_TIME: Duration = Duration::from_millis(400);
+const PAUSE: Duration = Duration::from_millis(300);
+
+#[derive(Debug)]
+pub struct Faults {
+    random: ChaCha8Rng,
+    /// Numbers of: closed connections, crashes, replicas that received nothing, nodes that stopped,
+    /// died and were paused.
+    counts: [usize; 6],
+}
+
+impl Faults {
+    pub fn new(seed: u64) -> Self {
+        Self { random: ChaCha8Rng::seed_from_u64(seed), counts: [0; 6] }
+    }
+
+    pub fn play_one(&mut self, platform: &mut Platform, addresses: &Mutex<Vec<SocketAddr>>) {
+        thread::sleep(INTERVAL);
+        let kind = *[0, 0, 0, 1, 2, 3, 4, 5].choose(&mut self.random).expect("a kind");
+        let node = self.random.random_range(0..platform.client_addresses.len());
+        self.counts[kind] += 1;
+        match kind {
+            0..=2 => self.disturb_instance(kind, platform),
+            3 | 4 => {
+                match kind {
+                    3 => platform.stop_node(node),
+                    _ => platform.kill_node(node),
+                }
+                platform.restart_node(node).expect("it starts again");
+                let current = platform.client_addresses.clone();
+                *addresses.lock().expect("no holder panics") = current;
+            }
+            _ => {
+                platform.set_paused(node, true);
+                thread::sleep(PAUSE);
+                platform.set_paused(node, false);
+            }
+        }
+    }
+
+    fn disturb_instance(&mut self, kind: usize, platform: &Platform) {
+        let group = &platform.groups[0];
+        let instances = group.instances();
+        let drawn = instances.choose(&mut self.random).expect("an instance").clone();
+        match kind {
+            0 => group.close_connections(&drawn),
+            1 => {
+                let crashed = group.primary().unwrap_or(drawn);
+                group.kill(&crashed);
+                thread::sleep(DOWN_TIME);
+                group.restart(&crashed);
+            }
+            _ => {
+                group.set_replication_blocked(&drawn, true);
+                thread::sleep(DOWN_TIME);
+                group.set_replication_blocked(&drawn, false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/statement_rules/main.rs
@@ -0,0 +1,83 @@
+//! Clients that behave at random, and faults: instances run only what clients sent, as they sent it,
+//! commit only what clients asked for, and run nothing on an old log. Guards against statements that
+//! are sent twice to different places, cut, mixed, or left behind when a connection, an instance or a
+//! node fails.
+
+mod clients;
+mod faults;
+
+use std::sync::{Arc, Mutex};
+
+use kestrellock_core::catalog::Consistency;
+use kestrellock_lab::check::statements::violation::StatementRule;
+use kestrellock_lab::platform::client::LineSession;
+use kestrellock_lab::platform::judged::JudgedPlatform;
+use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database};
+
+use clients::{Client, Pipelining};
+use faults::Faults;
+
+const CLIENTS: usize = 12;
+
+fn start() -> JudgedPlatform {
+    let platform = JudgedPlatform(Platform::start(PlatformOptions::default()).expect("it starts"));
+    platform.wait_until_ready().expect("it is ready");
+    platform
+}
+
+/// Plays clients and faults. The platform judges the statements at the end.
+fn play(seed: u64, pipelining: Pipelining) {
+    println!("seed {seed}");
+    let mut platform = start();
+    let addresses = Arc::new(Mutex::new(platform.client_addresses.clone()));
+    let clients = (0..CLIENTS).map(|number| {
+        let client =
+            Client::new(seed, number, pipelining, addresses.clone(), platform.clients.clone());
+        std::thread::spawn(move || client.run())
+    });
+    let clients: Vec<_> = clients.collect();
+    let mut faults = Faults::new(seed);
+    while clients.iter().any(|client| !client.is_finished()) {
+        faults.play_one(&mut platform, &addresses);
+    }
+    let succeeded: usize = clients.into_iter().map(|client| client.join().expect("it ends")).sum();
+    let received: usize =
+        platform.groups.iter().map(|group| group.statements().received.len()).sum();
+    println!("{succeeded} statements succeeded, instances received {received}, {faults:?}");
+    assert!(succeeded > 0, "the clients were not served");
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Plays `SEEDS` seeds from `FIRST_SEED`. Each takes a few seconds.
+fn play_seeds(first_default: u64, pipelining: Pipelining) {
+    let first = number("FIRST_SEED", first_default);
+    (first..first + number("SEEDS", 3)).for_each(|seed| play(seed, pipelining));
+}
+
+#[test]
+fn instances_run_what_random_clients_sent() {
+    play_seeds(1, Pipelining::SingleStatements);
+}
+
+/// A `BEGIN` may be refused when the statements of its transaction are already on their way.
+#[test]
+fn instances_run_what_clients_sent_that_send_whole_transactions_ahead() {
+    play_seeds(11, Pipelining::Transactions);
+}
+
+/// The judge must see what instances run: a statement that is in no record is a violation.
+#[test]
+fn statement_of_a_client_without_a_record_is_reported() {
+    let platform = Platform::start(PlatformOptions::default()).expect("it starts");
+    platform.wait_until_ready().expect("it is ready");
+    let database = database(GROUPS[0], Consistency::Primary);
+    let address = platform.client_addresses[0];
+    let mut session = LineSession::open(address, &database, "unrecorded").expect("it opens");
+    assert!(session.run("WRITE x 1").expect("an answer").is_success());
+    let violations = platform.clients.violations(&platform.groups);
+    let rules: Vec<_> = violations.iter().map(|violation| violation.rule).collect();
+    assert_eq!(rules, [StatementRule::IsSent, StatementRule::CommitAsked]);
+}
