Read on behind a request that the node refuses at its deadline

What callers saw: a client that sends requests without waiting got the refusal of one that had found no instance in time, and no answer to those behind it until it sent more.

Cause: a session read its input, then drove the one request that it had taken. If that was refused then and there (at its deadline, on an isolated node, by a quota), the requests behind it stayed in the buffer: no event follows for input that has been read.

Change: the session goes on taking requests until one is at an instance or waits for one. Deciding whether a request is due and sending it are separate steps, so that a session still creates at most one lease at a time. The stand-in of instances can refuse each `BEGIN`.

--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -27,12 +27,31 @@
     ExchangeEnd { failed: false, in_transaction: false, rolled_back: false };
 
 impl Session {
+    /// Takes requests from the input until one is at an instance or waits for one.
     pub(super) fn advance_requests(
         &mut self,
         new_lease: impl FnOnce() -> LeaseId,
         classes: &mut FactsCache,
         io: &mut Io,
     ) -> SessionFlow {
+        loop {
+            let flow = self.take_requests(classes, io);
+            if flow != SessionFlow::Continue || self.is_closing() || self.request.is_none() {
+                return flow;
+            }
+            if self.is_request_due(io) {
+                self.send_request(new_lease, io);
+                return SessionFlow::Continue;
+            }
+            // If the request was refused, no event follows for those behind it.
+            if self.request.is_some() {
+                return SessionFlow::Continue;
+            }
+        }
+    }
+
+    /// Takes requests from the input until one needs an instance, and answers the others.
+    fn take_requests(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
         while self.request.is_none() {
             // A client that sends requests without reading the answers must not fill the buffer.
             if self.connection.output.len() > MAX_UNREAD_ANSWER_BYTES
@@ -58,7 +77,6 @@
                 }
             }
         }
-        self.drive_request(new_lease, io);
         SessionFlow::Continue
     }
 
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -31,19 +31,19 @@
 use crate::gateway::running_exchange::impact_of;
 
 impl Session {
-    /// Sends the current request if it has not been sent, or ends it if it has waited for too long.
-    pub(super) fn drive_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
-        let Some(request) = &self.request else { return };
+    /// Whether the current request must be sent now. Ends it if it has waited for too long.
+    pub(super) fn is_request_due(&mut self, io: &mut Io) -> bool {
+        let Some(request) = &self.request else { return false };
         if request.sent {
             if io.now > request.deadline + GATEWAY_GRACE {
                 self.on_silent_gateway(io);
             }
-            return;
+            return false;
         }
         if self.refuse_if_isolated(io) || !self.acquire_token(io) {
-            return;
+            return false;
         }
-        let Some(request) = &self.request else { return };
+        let Some(request) = &self.request else { return false };
         let clients_retry = io.context.protocol.traits().clients_retry;
         if io.now > placement_deadline(request.arrived, request.deadline, clients_retry) {
             let code = match self.awaited_query {
@@ -52,11 +52,9 @@
             };
             let refusal = Refusal::new(code, "no instance could take the statement");
             self.settle_or_refuse(refusal, io);
-            return;
-        }
-        if self.retry_at.is_none_or(|at| io.now >= at) {
-            self.send_request(new_lease, io);
+            return false;
         }
+        self.retry_at.is_none_or(|at| io.now >= at)
     }
 
     /// The access that the request needs, given the current lease.
@@ -75,7 +73,8 @@
         }
     }
 
-    fn send_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
+    /// Sends the current request to a gateway, unless no target is known yet.
+    pub(super) fn send_request(&mut self, new_lease: impl FnOnce() -> LeaseId, io: &mut Io) {
         let (Some(login), Some(request)) = (&self.login, &self.request) else { return };
         // The client may just have written through another session. Until the group's position is
         // known, no instance is known to have that write.
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -18,6 +18,7 @@
 
 use kestrellock_core::routing::Role;
 use kestrellock_platform::standin::entries::InstanceEntry;
+use kestrellock_platform::standin::lines::InstanceError;
 
 use super::listener::RestartableListener;
 use super::store::StoreWriter;
@@ -198,6 +199,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sets the error with which the instances answer each `BEGIN`; `None` if they begin transactions.
+    pub fn set_begin_error(&self, error: Option<InstanceError>) {
+        self.shared.state().begin_error = error;
+    }
+
     /// The log of an instance.
     pub fn log(&self, name: &str) -> Vec<Commit> {
         let state = self.shared.state();
--- a/crates/lab/src/standin/instances/session.rs
+++ b/crates/lab/src/standin/instances/session.rs
@@ -300,6 +300,10 @@
     }
 
     fn begin(&mut self, read_only: bool) -> Outcome {
+        let error = self.shared.state().begin_error;
+        if let Some(error) = error {
+            return Outcome::Refused(error);
+        }
         let is_primary = self.with_instance(|instance| instance.role == Role::Primary);
         if !read_only && is_primary != Some(true) {
             return Outcome::Refused(InstanceError::ReadOnly);
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::routing::Role;
+use kestrellock_platform::standin::lines::InstanceError;
 
 use super::InstanceOptions;
 use crate::standin::listener::RestartableListener;
@@ -129,6 +130,8 @@
     pub status_queries: u64,
     /// Number of the next connection.
     pub next_connection: u64,
+    /// Error with which the instances answer each `BEGIN`, if they begin no transactions.
+    pub begin_error: Option<InstanceError>,
 }
 
 impl State {
@@ -141,6 +144,7 @@
             executed_statements: Vec::new(),
             status_queries: 0,
             next_connection: 0,
+            begin_error: None,
         }
     }
 
