Refuse what was sent in a transaction that did not begin

What callers saw: a client that sends a transaction without waiting for each answer had its `BEGIN` refused, and the statements behind it ran by themselves: a `WRITE` committed, although its client had asked for a commit only together with the others.

Cause: after a refused `BEGIN` the session is idle, and each statement that had already arrived was taken as one outside a transaction.

Change: `core/pipelined_transaction` decides, from the class of a request and the state before and after it, whether what was sent behind it belongs to a transaction that did not begin, or that an instance ended unasked. What has arrived by the time the refusal is answered, a line in part included, is refused with KL1503 (not run) up to the transaction's end; its rollback succeeds and its commit is refused. The state is one flag. It holds for a `BEGIN` that the node refuses, that an instance refuses or that is malformed, and on both protocols. A client that waits for each answer has sent nothing by then and sees no change. A statement that arrives later runs, as it cannot be told from the first one of the client's next operation.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod observed_process;
 pub mod outcome;
+pub mod pipelined_transaction;
 pub mod placement_deadline;
 pub mod planned_stop;
 pub mod position;
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -12,6 +12,7 @@
 mod isolated;
 mod keys;
 mod lease;
+mod pipelining;
 mod prewarming;
 mod quota;
 mod requests;
@@ -26,6 +27,7 @@
 use kestrellock_core::exchange_state::{Effect, ExchangeImpact};
 use kestrellock_core::ids::{AccountName, InstanceName, LeaseId};
 use kestrellock_core::outcome::{Refusal, ResultCode};
+use kestrellock_core::pipelined_transaction::PipelinedTransaction;
 use kestrellock_core::position::Position;
 use kestrellock_core::primary_evidence::TransactionWrites;
 use kestrellock_core::quota::Ticket;
@@ -111,6 +113,8 @@
     state: SessionState,
     /// The open transaction's server connection was lost: only its end is accepted.
     transaction_lost: bool,
+    /// The transaction that did not begin and whose statements the client may have sent already.
+    pipelined_transaction: PipelinedTransaction,
     /// Tracked only for protocols in which acknowledged commits are evidence of a primary.
     writes: TransactionWrites,
     /// What may be lost if the current exchange fails.
@@ -184,6 +188,7 @@
             request: None,
             state: SessionState::default(),
             transaction_lost: false,
+            pipelined_transaction: PipelinedTransaction::default(),
             writes: TransactionWrites::default(),
             impact: READ_OUTSIDE_TRANSACTION,
             answer_begun: false,
--- a/crates/daemon/src/front/session/lease.rs
+++ b/crates/daemon/src/front/session/lease.rs
@@ -121,7 +121,10 @@
                     self.update_state(request, &frames, transaction);
                 }
                 self.connection.output.extend_from_slice(&frames);
-                self.transaction = transaction;
+                let previous = std::mem::replace(&mut self.transaction, transaction);
+                if let Some(request) = &request {
+                    self.track_transaction(request, previous, false);
+                }
                 if transaction == TransactionState::Idle {
                     self.drop_lease();
                 }
@@ -130,15 +133,19 @@
                 self.writes.on_lost();
                 // The transaction stays failed until the client ends it. Otherwise a client that
                 // ignores errors would run the remaining statements outside a transaction.
-                let ended = request.is_none_or(|request| {
+                let ended = request.as_ref().is_none_or(|request| {
                     matches!(request.class(), StatementClass::Commit | StatementClass::Rollback)
                 });
                 self.state.on_exchange_end(&[], ROLLED_BACK);
-                self.transaction_lost = self.transaction != TransactionState::Idle && !ended;
+                let previous = self.transaction;
+                self.transaction_lost = previous != TransactionState::Idle && !ended;
                 self.transaction = match self.transaction_lost {
                     true => TransactionState::Failed,
                     false => TransactionState::Idle,
                 };
+                if let Some(request) = &request {
+                    self.track_transaction(request, previous, true);
+                }
                 let output = &mut self.connection.output;
                 self.protocol.put_refusal(&refusal, Severity::Request, output);
                 self.protocol.put_ready(self.transaction, output);
--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -53,6 +53,7 @@
     /// Takes requests from the input until one needs an instance, and answers the others.
     fn take_requests(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
         while self.request.is_none() {
+            self.read_pipelined_input();
             // A client that sends requests without reading the answers must not fill the buffer.
             if self.connection.output.len() > MAX_UNREAD_ANSWER_BYTES
                 && (self.connection.flush(io.registry).is_err()
@@ -70,7 +71,7 @@
                     return self.close_for_shutdown(Some(request), io);
                 }
                 NextRequest::Request(request) => self.accept_request(request, io),
-                NextRequest::Refused(refusal) => self.refuse_request(&refusal, io),
+                NextRequest::Refused(refused) => self.refuse_invalid(&refused, io),
                 NextRequest::ProtocolError(refusal) => {
                     self.log_refusal(&refusal, io);
                     return self.end_with_refusal(refusal, io);
@@ -111,12 +112,15 @@
     /// Answers a request that needs no instance, or keeps it to be sent to one.
     fn accept_request(&mut self, mut request: Request, io: &mut Io) {
         self.is_request_expected = request.is_local;
+        if self.refuse_pipelined(&request, io) {
+            return;
+        }
         if let Err(refusal) = self.apply_configuration(io) {
-            self.refuse_request(&refusal, io);
+            self.refuse_accepted(&request, &refusal, io);
             return;
         }
         if let Err(refusal) = self.authorize(request.arrived, io) {
-            self.refuse_request(&refusal, io);
+            self.refuse_accepted(&request, &refusal, io);
             return;
         }
         let limit = self.time_limit();
@@ -125,7 +129,7 @@
             return;
         }
         if let Err(refusal) = self.check_supported(&request) {
-            self.refuse_request(&refusal, io);
+            self.refuse_accepted(&request, &refusal, io);
             return;
         }
         let output = &mut self.connection.output;
@@ -141,7 +145,7 @@
             return;
         } else if !request.is_local {
             if let Err(refusal) = self.apply_request_key(&mut request) {
-                self.refuse_request(&refusal, io);
+                self.refuse_accepted(&request, &refusal, io);
                 return;
             }
             self.begin_operation();
--- a/crates/postgres/src/batch.rs
+++ b/crates/postgres/src/batch.rs
@@ -14,7 +14,7 @@
 use kestrellock_peer::message::PreparedStatement;
 
 use kestrellock_protocol::facts_cache::FactsCache;
-use kestrellock_protocol::request::{Request, Timing};
+use kestrellock_protocol::request::{RefusedRequest, Request, Timing};
 
 use crate::collector::ROLLBACK_REPLY;
 use crate::extended::{self, BindFields, NamedObject, ParseFields, STATEMENT_KIND};
@@ -55,7 +55,7 @@
     /// Replies as if every executed statement only rolled back.
     replies: BytesMut,
     needs_instance: bool,
-    refusal: Option<Refusal>,
+    refusal: Option<RefusedRequest>,
 }
 
 impl Batch {
@@ -75,7 +75,10 @@
             return;
         }
         if let Err(refusal) = self.try_add(frame, statements, facts_cache) {
-            *self = Self { refusal: Some(refusal), ..Self::default() };
+            let facts = self.referenced.as_ref();
+            let begins_transaction = facts.is_some_and(|facts| facts.begins);
+            let refused = RefusedRequest { refusal, begins_transaction };
+            *self = Self { refusal: Some(refused), ..Self::default() };
         }
     }
 
@@ -204,10 +207,10 @@
     }
 
     /// Ends the batch with the client's `Sync` and returns it as a request.
-    pub fn finish(&mut self, sync: &Frame, timing: Timing) -> Result<Request, Refusal> {
+    pub fn finish(&mut self, sync: &Frame, timing: Timing) -> Result<Request, RefusedRequest> {
         let mut batch = std::mem::take(self);
-        if let Some(refusal) = batch.refusal {
-            return Err(refusal);
+        if let Some(refused) = batch.refusal {
+            return Err(refused);
         }
         batch.messages.extend_from_slice(&sync.bytes);
         Ok(Request {
--- a/crates/postgres/src/collector.rs
+++ b/crates/postgres/src/collector.rs
@@ -45,7 +45,7 @@
                 extended::SYNC => {
                     return match self.batch.finish(&frame, timing) {
                         Ok(request) => NextRequest::Request(request),
-                        Err(refusal) => NextRequest::Refused(refusal),
+                        Err(refused) => NextRequest::Refused(refused),
                     };
                 }
                 b'X' => return NextRequest::Terminate,
--- a/crates/postgres/tests/prepared.rs
+++ b/crates/postgres/tests/prepared.rs
@@ -127,7 +127,7 @@
 
     let unknown = next(&mut client, &[bind("s0"), execute(), sync()]);
     assert!(
-        matches!(unknown, NextRequest::Refused(refusal) if refusal.code == ResultCode::UnknownStatement)
+        matches!(unknown, NextRequest::Refused(refused) if refused.refusal.code == ResultCode::UnknownStatement)
     );
 }
 
@@ -226,7 +226,7 @@
         let mut client = Collector::default();
         let refused = next(&mut client, &messages);
         assert!(
-            matches!(&refused, NextRequest::Refused(refusal) if refusal.code == code),
+            matches!(&refused, NextRequest::Refused(refused) if refused.refusal.code == code),
             "{refused:?}"
         );
         let accepted = request(&mut client, &[parse("", "SELECT 1"), bind(""), execute(), sync()]);
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -54,6 +54,22 @@
     }
 }
 
+/// Input that is refused because it is no valid request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedRequest {
+    /// Why it is refused.
+    pub refusal: Refusal,
+    /// Whether it was to begin a transaction, whose other statements may follow without waiting.
+    pub begins_transaction: bool,
+}
+
+impl RefusedRequest {
+    /// A refused request that begins no transaction.
+    pub fn new(refusal: Refusal) -> Self {
+        Self { refusal, begins_transaction: false }
+    }
+}
+
 /// What the next messages of a client amount to.
 #[derive(Debug)]
 pub enum NextRequest {
@@ -62,7 +78,7 @@
     /// A complete request.
     Request(Request),
     /// A refused request; the session continues.
-    Refused(Refusal),
+    Refused(RefusedRequest),
     /// The client ends its session.
     Terminate,
     /// The client violated the protocol; the session must end.
