--- a/crates/daemon/src/front/session/requests.rs
+++ b/crates/daemon/src/front/session/requests.rs
@@ -27,13 +27,33 @@
     ExchangeEnd { failed: false, in_transaction: false, rolled_back: false };
 
 impl Session {
+    /// Takes requests from the input until one is at an instance or waits for one.
     pub(super) fn advance_requests(
         &mut self,
         new_lease: impl FnOnce() -> LeaseId,
         classes: &mut FactsCache,
         io: &mut Io,
     ) -> SessionFlow {
+        loop {
+            let flow = self.take_requests(classes, io);
+            if flow != SessionFlow::Continue || self.is_closing() || self.request.is_none() {
+                return flow;
+            }
+            if self.is_request_due(io) {
+                self.send_request(new_lease, io);
+                return SessionFlow::Continue;
+            }
+            // If the request was refused, no event follows for those behind it.
+            if self.request.is_some() {
+                return SessionFlow::Continue;
+            }
+        }
+    }
+
+    /// Takes requests from the input until one needs an instance, and answers the others.
+    fn take_requests(&mut self, classes: &mut FactsCache, io: &mut Io) -> SessionFlow {
         while self.request.is_none() {
+            self.read_pipelined_input();
             // A client that sends requests without reading the answers must not fill the buffer.
             if self.connection.output.len() > MAX_UNREAD_ANSWER_BYTES
                 && (self.connection.flush(io.registry).is_err()
@@ -51,14 +71,13 @@
                     return self.close_for_shutdown(Some(request), io);
                 }
                 NextRequest::Request(request) => self.accept_request(request, io),
-                NextRequest::Refused(refusal) => self.refuse_request(&refusal, io),
+                NextRequest::Refused(refused) => self.refuse_invalid(&refused, io),
                 NextRequest::ProtocolError(refusal) => {
                     self.log_refusal(&refusal, io);
                     return self.end_with_refusal(refusal, io);
                 }
             }
         }
-        self.drive_request(new_lease, io);
         SessionFlow::Continue
     }
 
@@ -93,12 +112,15 @@
     /// Answers a request that needs no instance, or keeps it to be sent to one.
     fn accept_request(&mut self, mut request: Request, io: &mut Io) {
         self.is_request_expected = request.is_local;
+        if self.refuse_pipelined(&request, io) {
+            return;
+        }
         if let Err(refusal) = self.apply_configuration(io) {
-            self.refuse_request(&refusal, io);
+            self.refuse_accepted(&request, &refusal, io);
             return;
         }
         if let Err(refusal) = self.authorize(request.arrived, io) {
-            self.refuse_request(&refusal, io);
+            self.refuse_accepted(&request, &refusal, io);
             return;
         }
         let limit = self.time_limit();
@@ -107,7 +129,7 @@
             return;
         }
         if let Err(refusal) = self.check_supported(&request) {
-            self.refuse_request(&refusal, io);
+            self.refuse_accepted(&request, &refusal, io);
             return;
         }
         let output = &mut self.connection.output;
@@ -123,7 +145,7 @@
             return;
         } else if !request.is_local {
             if let Err(refusal) = self.apply_request_key(&mut request) {
-                self.refuse_request(&refusal, io);
+                self.refuse_accepted(&request, &refusal, io);
                 return;
             }
             self.begin_operation();
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::routing::Role;
+use kestrellock_platform::standin::lines::InstanceError;
 
 use super::InstanceOptions;
 use crate::check::final_state::LogPlace;
@@ -163,6 +164,8 @@
     pub status_queries: u64,
     /// Number of the next connection.
     pub next_connection: u64,
+    /// Error with which the instances answer each `BEGIN`, if they begin no transactions.
+    pub begin_error: Option<InstanceError>,
 }
 
 impl State {
@@ -176,6 +179,7 @@
             statements: GroupStatements::default(),
             status_queries: 0,
             next_connection: 0,
+            begin_error: None,
         }
     }
 
