Let no statement of an ended instance process run in the next one

Connections now belong to the process that accepted them, and what an ended process had received never runs.

--- a/crates/lab/src/standin/instances/session.rs
+++ b/crates/lab/src/standin/instances/session.rs
@@ -53,6 +53,8 @@
     name: String,
     number: u64,
     stream: TcpStream,
+    /// Number of the instance's process that accepted the connection.
+    process: u64,
     started: bool,
     account: String,
     values: BTreeMap<String, String>,
@@ -79,7 +81,7 @@
 
 impl Session {
     fn open(shared: Arc<Shared>, name: String, stream: TcpStream) {
-        let (number, source) = {
+        let (number, process, source) = {
             let mut state = shared.state();
             state.next_connection += 1;
             let number = state.next_connection;
@@ -90,13 +92,14 @@
                 return;
             }
             instance.streams.insert(number, kept);
-            (number, peer.ip())
+            (number, instance.process, peer.ip())
         };
         let mut session = Self {
             shared,
             name,
             number,
             stream,
+            process,
             started: false,
             account: String::new(),
             values: BTreeMap::new(),
@@ -187,7 +190,12 @@
 
     fn with_instance<T>(&self, read: impl FnOnce(&Instance) -> T) -> Option<T> {
         let state = self.shared.state();
-        state.instances.get(&self.name).filter(|instance| instance.running).map(read)
+        state.instances.get(&self.name).filter(|instance| self.is_served_by(instance)).map(read)
+    }
+
+    /// Whether the process that accepted the connection runs.
+    fn is_served_by(&self, instance: &Instance) -> bool {
+        instance.running && instance.process == self.process
     }
 
     fn statement(
@@ -341,6 +349,9 @@
 
     fn read(&mut self, id: &str, row: &str, text: String) -> Outcome {
         self.wait_until_reads_allowed();
+        if self.with_instance(|_| ()).is_none() {
+            return Outcome::Lost;
+        }
         let lag = self.shared.state().options.lag;
         let own_writes =
             self.transaction.iter().flat_map(|transaction| transaction.writes.iter().rev());
@@ -410,7 +421,7 @@
         let mut state = self.shared.state();
         let needed = state.options.synchronous;
         let Some(instance) = state.instances.get_mut(&self.name) else { return Outcome::Lost };
-        if !instance.running || instance.role != Role::Primary {
+        if !self.is_served_by(instance) || instance.role != Role::Primary {
             return Outcome::Refused(InstanceError::ReadOnly);
         }
         let number = instance.position().offset.0 + 1;
@@ -426,7 +437,7 @@
         let end = Instant::now() + COMMIT_TIMEOUT;
         while state.received_by(&commit) < needed {
             let is_running =
-                state.instances.get(&self.name).is_some_and(|instance| instance.running);
+                state.instances.get(&self.name).is_some_and(|instance| self.is_served_by(instance));
             if !is_running || Instant::now() >= end || self.shared.is_stopping() {
                 return Outcome::Lost;
             }
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -78,6 +78,8 @@
     /// Identifies this start of its process. Entries carry a start time, which readers compare for
     /// equality only.
     pub incarnation: u64,
+    /// Number of its process. The statements that an ended process had received never run.
+    pub process: u64,
     /// Its term.
     pub term: Term,
     /// The commits that it has received.
@@ -191,6 +193,7 @@
             leaving: false,
             role: if number == 0 { Role::Primary } else { Role::Replica },
             incarnation: FIRST_INCARNATION,
+            process: 0,
             term: Term(1),
             log: Vec::new(),
             received: Vec::new(),
@@ -208,6 +211,7 @@
     pub fn kill(&mut self, name: &str) {
         let Some(instance) = self.instances.get_mut(name) else { return };
         instance.running = false;
+        instance.process += 1;
         instance.listener.close();
         instance.close_connections();
     }
