Judge four more platform tests by each statement

Replaced, restarted and drained primaries and isolated owners were judged by acknowledged and refused writes only.

--- a/crates/lab/tests/isolation_of_owners.rs
+++ b/crates/lab/tests/isolation_of_owners.rs
@@ -11,20 +11,21 @@
 use kestrellock_daemon::context::NodeContext;
 use kestrellock_daemon::shared::isolation::IsolationState;
 use kestrellock_lab::platform::client::{LineSession, QUIET_TIME};
+use kestrellock_lab::platform::judged::JudgedPlatform;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, ZONES, database};
 
 /// Time since the isolation was found, after which sessions are closed.
 const LONG: Duration = Duration::from_secs(3);
 
-fn start() -> Platform {
-    let platform = Platform::start(PlatformOptions::default()).expect("it starts");
+fn start() -> JudgedPlatform {
+    let platform = JudgedPlatform(Platform::start(PlatformOptions::default()).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     platform
 }
 
 fn open(platform: &Platform, consistency: Consistency, name: &str) -> LineSession {
     let database = database(GROUPS[0], consistency);
-    LineSession::open(platform.client_addresses[0], &database, name).expect("it opens")
+    platform.open_session(0, &database, name).expect("it opens")
 }
 
 /// Makes the first node isolated, with its own zone as the reached part.
@@ -101,14 +102,13 @@
 #[test]
 fn an_open_transaction_at_an_owner_that_is_not_reached_is_lost() {
     let options = PlatformOptions { nodes: 6, max_connections: 16, ..PlatformOptions::default() };
-    let platform = Platform::start(options).expect("it starts");
+    let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     let group = GroupName::new(GROUPS[0]);
     let node = platform.nodes().position(|node| !node.context.owns(&group)).expect("three own it");
     let context = &platform.nodes().nth(node).expect("a node").context;
     let database = database(GROUPS[0], Consistency::Primary);
-    let mut session =
-        LineSession::open(platform.client_addresses[node], &database, "t").expect("it opens");
+    let mut session = platform.open_session(node, &database, "t").expect("it opens");
     assert!(session.run("BEGIN").expect("an answer").is_success());
     assert!(session.run("WRITE page lost").expect("an answer").is_success());
     context
--- a/crates/lab/tests/platform_replacement.rs
+++ b/crates/lab/tests/platform_replacement.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use kestrellock_core::catalog::Consistency;
-use kestrellock_lab::platform::client::LineSession;
+use kestrellock_lab::platform::judged::{JudgedPlatform, open_recorded};
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
 use kestrellock_lab::standin::instances::InstanceGroup;
 
-fn start(options: PlatformOptions) -> Platform {
-    let platform = Platform::start(options).expect("it starts");
+fn start(options: PlatformOptions) -> JudgedPlatform {
+    let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     platform
 }
@@ -34,6 +34,7 @@
     stop: &Arc<AtomicBool>,
 ) -> JoinHandle<Told> {
     let callers = platform.client_addresses.clone();
+    let record = platform.clients.clone();
     let stop = stop.clone();
     let database = database(GROUPS[0], Consistency::Primary);
     std::thread::spawn(move || {
@@ -43,7 +44,8 @@
             round += 1;
             let address = callers[(number + round) % callers.len()];
             let name = format!("s{series}w{number}r{round}");
-            let Ok(mut session) = LineSession::open(address, &database, &name) else { continue };
+            let opened = open_recorded(address, &database, &name, &record);
+            let Ok(mut session) = opened else { continue };
             for _ in 0..10 {
                 let id = session.next_statement_id();
                 match session.run(&format!("WRITE thing{number} {id}")) {
@@ -146,9 +148,9 @@
     platform.restore_store(&copy, Duration::from_millis(500));
     replace(&platform, |platform, old| platform.groups[0].kill(old));
     let name = database(GROUPS[0], Consistency::Primary);
-    for (node, caller) in platform.client_addresses.iter().enumerate() {
+    for node in 0..platform.client_addresses.len() {
         let writes = || {
-            let session = LineSession::open(*caller, &name, "w");
+            let session = platform.open_session(node, &name, "w");
             session.is_ok_and(|mut session| {
                 session.run("WRITE seat taken").is_ok_and(|answer| answer.is_success())
             })
@@ -214,8 +216,7 @@
     // From here on the second replica alone receives, so it alone holds what is acknowledged.
     group.set_replication_blocked(&replicas[0], true);
     let name = database(GROUPS[0], Consistency::Primary);
-    let mut session =
-        LineSession::open(platform.client_addresses[0], &name, "w").expect("it opens");
+    let mut session = platform.open_session(0, &name, "w").expect("it opens");
     assert!(session.run("WRITE only copy").expect("an answer").is_success());
     group.kill(&replicas[1]);
     group.kill(&primary);
@@ -224,7 +225,7 @@
     group.restart(&replicas[1]);
     wait("the one that holds it leads", || group.primary().as_ref() == Some(&replicas[1]))
         .expect("in time");
-    let mut reader = LineSession::open(platform.client_addresses[1], &name, "r").expect("it opens");
+    let mut reader = platform.open_session(1, &name, "r").expect("it opens");
     wait("it can be read", || reader.run("READ only").is_ok_and(|answer| answer.rows == ["copy"]))
         .expect("in time");
 }
@@ -281,7 +282,7 @@
     let alive = (number + 1) % 3;
     let name = database(GROUPS[0], Consistency::Primary);
     wait("writes go on", || {
-        let session = LineSession::open(platform.client_addresses[alive], &name, "w");
+        let session = platform.open_session(alive, &name, "w");
         session.is_ok_and(|mut session| {
             session.run("WRITE x 1").is_ok_and(|answer| answer.is_success())
         })
--- a/crates/lab/tests/restarted_primaries.rs
+++ b/crates/lab/tests/restarted_primaries.rs
@@ -5,6 +5,7 @@
 
 use kestrellock_core::catalog::Consistency;
 use kestrellock_lab::platform::client::LineSession;
+use kestrellock_lab::platform::judged::JudgedPlatform;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
 
 /// For how long the node cannot reach the store after the restart. Evidence of the time before the
@@ -19,13 +20,13 @@
 #[test]
 fn no_read_runs_at_a_primary_that_restarted_without_its_log() {
     let options = PlatformOptions { nodes: 1, ..PlatformOptions::default() };
-    let platform = Platform::start(options).expect("it starts");
+    let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     let group = &platform.groups[0];
     let primary = group.primary().expect("a primary");
     let open = |consistency, name| {
         let route = database(GROUPS[0], consistency);
-        LineSession::open(platform.client_addresses[0], &route, name).expect("it opens")
+        platform.open_session(0, &route, name).expect("it opens")
     };
     let mut sessions = [open(Consistency::Primary, "p"), open(Consistency::Bounded, "b")];
     wait("a write is answered", || {
@@ -62,14 +63,12 @@
 #[test]
 fn no_queued_read_runs_at_a_primary_that_restarted_without_its_log() {
     let options = PlatformOptions { nodes: 1, ..PlatformOptions::default() };
-    let platform = Platform::start(options).expect("it starts");
+    let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     let group = &platform.groups[0];
     let primary = group.primary().expect("a primary");
     let route = database(GROUPS[0], Consistency::Primary);
-    let open = |name: &str| {
-        LineSession::open(platform.client_addresses[0], &route, name).expect("it opens")
-    };
+    let open = |name: &str| platform.open_session(0, &route, name).expect("it opens");
     let mut writer = open("writer");
     wait("a write is answered", || writer.run("WRITE thing data").expect("an answer").is_success())
         .expect("in time");
--- a/crates/lab/tests/zone_drain.rs
+++ b/crates/lab/tests/zone_drain.rs
@@ -6,6 +6,7 @@
 use kestrellock_core::catalog::Consistency;
 use kestrellock_core::ids::InstanceName;
 use kestrellock_lab::platform::client::LineSession;
+use kestrellock_lab::platform::judged::JudgedPlatform;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, ZONES, database, wait};
 use kestrellock_lab::standin::instances::InstanceGroup;
 use kestrellock_platform::configuration::DRAINS_PREFIX;
@@ -13,9 +14,9 @@
 /// Longest time for which anything may reach a drained zone.
 const LIMIT: Duration = Duration::from_secs(2);
 
-fn start() -> Platform {
+fn start() -> JudgedPlatform {
     let options = PlatformOptions { zone_drain_limit: Some(LIMIT), ..PlatformOptions::default() };
-    let platform = Platform::start(options).expect("it starts");
+    let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     platform
 }
@@ -56,7 +57,7 @@
 
 fn open(platform: &Platform, node: usize, consistency: Consistency, name: &str) -> LineSession {
     let database = database(GROUPS[0], consistency);
-    LineSession::open(platform.client_addresses[node], &database, name).expect("it opens")
+    platform.open_session(node, &database, name).expect("it opens")
 }
 
 #[test]
