Show that PostgreSQL clients are covered behind a refused BEGIN

A further test guards what held already: a commit that was sent behind a refused statement of an open transaction keeps nothing.

--- a/crates/lab/tests/bad_input.rs
+++ b/crates/lab/tests/bad_input.rs
@@ -129,3 +129,53 @@
     sender.join().expect("sender");
     demo.stop();
 }
+
+/// A message of the protocol: its type, its length and its body.
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let length = (4 + body.len() as u32).to_be_bytes();
+    [&[kind], &length[..], body].concat()
+}
+
+fn query(text: &str) -> Vec<u8> {
+    message(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+/// Reads `count` answers; the types of their messages.
+fn read_answers(stream: &mut TcpStream, count: usize) -> Vec<u8> {
+    stream.set_read_timeout(Some(LIMIT)).expect("read limit");
+    let mut kinds = Vec::new();
+    while kinds.iter().filter(|kind| **kind == b'Z').count() < count {
+        let mut header = [0_u8; 5];
+        stream.read_exact(&mut header).expect("a message");
+        let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
+        stream.read_exact(&mut vec![0; length as usize - 4]).expect("its body");
+        kinds.push(header[0]);
+    }
+    kinds
+}
+
+/// A client that sends a transaction without waiting had its `BEGIN` refused, and the statement
+/// behind it committed by itself. A `BEGIN` under a request key must be a simple query.
+#[test]
+fn what_a_caller_sends_behind_a_refused_begin_does_not_run() {
+    let demo = Demo::start().expect("demonstration");
+    let mut witness = connect(&demo, 0);
+    witness.simple_query("CREATE TABLE seats (id BIGINT PRIMARY KEY)").expect("a table");
+    let mut stream = logged_in(demo.client_addresses[0]);
+    let bytes = [
+        query("SET kestrellock.request_id = 'behind'"),
+        message(b'P', b"\0BEGIN\0\0\0"),
+        message(b'B', b"\0\0\0\0\0\0\0\0"),
+        message(b'E', b"\0\0\0\0\0"),
+        message(b'S', b""),
+        query("INSERT INTO seats (id) VALUES (1)"),
+        query("COMMIT"),
+        query("INSERT INTO seats (id) VALUES (2)"),
+    ];
+    stream.write_all(&bytes.concat()).expect("sent");
+    let kinds = read_answers(&mut stream, 5);
+    assert_eq!(kinds.iter().filter(|kind| **kind == b'E').count(), 2, "{kinds:?}");
+    let rows = witness.query("SELECT id FROM seats", &[]).expect("a result");
+    assert_eq!(rows.iter().map(|row| row.get::<_, i64>(0)).collect::<Vec<_>>(), [2]);
+    demo.stop();
+}
--- a/crates/lab/tests/pipelined_transactions.rs
+++ b/crates/lab/tests/pipelined_transactions.rs
@@ -144,3 +144,27 @@
         }
     }
 }
+
+/// A transaction that has begun is lost with its first refused statement: the commit that was sent
+/// behind it must not keep the rest, whether the instance or the node refused the statement.
+#[test]
+fn a_commit_sent_behind_a_refused_statement_of_its_transaction_keeps_nothing() {
+    let platform = start();
+    let mut session = open(&platform, "node");
+    send_at_once(
+        &mut session,
+        "n",
+        &["BEGIN", "WRITE seat a", "WRITE seat", "READ seat", "COMMIT"],
+    );
+    let by_node = read_answers(&mut session, 5);
+    assert_eq!(by_node[2].error_code(), Some("MALFORMED"), "{by_node:?}");
+    assert_eq!(by_node[3].error_code(), Some("ABORTED"), "{by_node:?}");
+    assert_eq!(outcomes(&by_node)[4], ("ABORTED", IDLE));
+    send_at_once(&mut session, "i", &["BEGIN READ", "WRITE seat b", "WRITE seat c", "COMMIT"]);
+    let by_instance = read_answers(&mut session, 4);
+    assert_eq!(by_instance[1].error_code(), Some("READONLY"), "{by_instance:?}");
+    assert!(by_instance[2].error_code().is_some(), "{by_instance:?}");
+    let end = &by_instance[3];
+    assert!(end.error_code().is_some() && end.state == IDLE, "{by_instance:?}");
+    assert_eq!(session.run("READ seat").expect("an answer").rows, ["nothing"]);
+}
