Reports of enough replicas cover what arrived before they were requested

Callers saw reads at the primary refused (KL1302) while a replica was dead and the store unreachable, unless a commit had renewed the evidence within the last second. Writes will need the same evidence, and would then find no end of it.

Cause: reports of some replicas count for a second, and only once the store has confirmed that no replacement runs, because a replica that a promotion has released may confirm commits of the successor right after its report.

Change: without the store's confirmation such reports count until the time at which they were requested. A successor has acknowledged no commit by then: the replicas beside those that reported are too few for it. All replicas are queried again if the report of one is missing, so that those that answer cover what has arrived.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -19,6 +19,11 @@
 //!   store's confirmation its report would count as evidence of the old primary on a node that
 //!   cannot reach the store.
 //!
+//! Reports of enough replicas without the store's confirmation cover only what arrived before they
+//! were requested: a successor has acknowledged no commit by then, because the replicas beside them
+//! are too few for it. So a group with a dead replica is served while the store is unreachable, at
+//! the price of queries for each statement that no commit covers.
+//!
 //! An attempt never stops replicas with the same term for two different successors. A read that
 //! arrived at A is current at the primary if A is covered; a read that may be up to D stale is
 //! current enough if A - D is covered.
@@ -367,6 +372,8 @@
     AllReplicas,
     /// Reports of enough replicas, with a replacement check.
     SomeReplicas,
+    /// Reports of enough replicas without a replacement check.
+    UncheckedReplicas,
 }
 
 /// The evidence for the primary of a term, and what it covers.
@@ -385,9 +392,22 @@
 }
 
 impl PrimaryEvidence {
-    /// What covers the arrival of reads at the primary of `term`, as [`Self::covers_until`] counts
-    /// it. Decisions and their log lines both use this value, so they cannot differ.
+    /// What covers the arrival of statements at the primary of `term` for longest. Decisions and
+    /// their log lines both use this value, so they cannot differ.
     pub fn coverage(&self, term: Term, group: Replication, lifetime: Duration) -> Option<Coverage> {
+        let lasting = self.lasting_coverage(term, group, lifetime);
+        let unchecked = self.unchecked_coverage(term, group);
+        lasting.into_iter().chain(unchecked).max_by_key(|coverage| coverage.until)
+    }
+
+    /// The coverage by evidence that stays valid for `lifetime`, as [`Self::covers_until`] counts
+    /// it.
+    fn lasting_coverage(
+        &self,
+        term: Term,
+        group: Replication,
+        lifetime: Duration,
+    ) -> Option<Coverage> {
         let until = self.covers_until(term, group, lifetime)?;
         let requested_at = until.checked_sub(lifetime)?;
         let by_commit = self.last_commit.filter(|_| group.synchronous > 0 && term == self.term);
@@ -402,4 +422,13 @@
         let replacement_check_at = self.no_replacement_at;
         Some(Coverage { term, until, kind, requested_at, replacement_check_at })
     }
+
+    /// The coverage by reports of enough replicas, which ends with the request for the reports: a
+    /// replica that a promotion has released may confirm the successor's commits right after it has
+    /// answered.
+    pub fn unchecked_coverage(&self, term: Term, group: Replication) -> Option<Coverage> {
+        let requested_at = self.would_cover_until(term, group, Duration::ZERO)?;
+        let kind = EvidenceKind::UncheckedReplicas;
+        Some(Coverage { term, until: requested_at, kind, requested_at, replacement_check_at: None })
+    }
 }
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -7,8 +7,8 @@
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{
-    EVIDENCE_LIFETIME, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms, Replication,
-    TransactionWrites,
+    EVIDENCE_LIFETIME, EvidenceKind, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms,
+    Replication, TransactionWrites,
 };
 use kestrellock_core::promotion::ReplacementId;
 
@@ -68,6 +68,26 @@
     assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFETIME));
 }
 
+/// Guards against refused statements while a replica is dead and the store is unreachable, and
+/// against reports that count for longer than a released replica confirms no commit.
+#[test]
+fn reports_of_enough_replicas_cover_only_what_arrived_before_they_were_requested() {
+    let now = Instant::now();
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_replica_report(&replica("b"), STOPPED, now, now);
+    assert_eq!(evidence.coverage(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    evidence.on_replica_report(&replica("b"), FOLLOWING, now, now + EVIDENCE_LIFETIME);
+    let coverage = evidence.coverage(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
+    assert_eq!((coverage.until, coverage.kind), (now, EvidenceKind::UncheckedReplicas));
+    assert_eq!(evidence.coverage(TERM, SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
+    evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
+    let coverage = evidence.coverage(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
+    assert_eq!(
+        (coverage.until, coverage.kind),
+        (now + EVIDENCE_LIFETIME, EvidenceKind::AllReplicas)
+    );
+}
+
 #[test]
 fn reports_of_all_replicas_count_while_the_store_is_unreachable() {
     let now = Instant::now();
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -400,7 +400,13 @@
         let term = self.terms.get(&leader);
         let evidence =
             term.and_then(|term| self.evidence.covers_until(*term, REPLICATION, Duration::ZERO));
-        evidence.is_some_and(|evidence| arrived <= self.covers_until(leader, evidence, lifetime))
+        let unchecked = term.and_then(|term| self.evidence.unchecked_coverage(*term, REPLICATION));
+        let is_covered_unchecked = unchecked.is_some_and(|unchecked| {
+            arrived <= self.covers_until(leader, unchecked.until, Duration::ZERO)
+        });
+        is_covered_unchecked
+            || evidence
+                .is_some_and(|evidence| arrived <= self.covers_until(leader, evidence, lifetime))
     }
 
     /// Until when evidence of the time `evidence` covers arrivals at the leader.
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -77,8 +77,9 @@
 
 /// The instances whose status is needed as evidence.
 ///
-/// These are all replicas whose last report does not cover requests that arrive now: if every
-/// replica answers, the store need not be asked. The primary is included if its current process is
+/// If the last report of any replica does not cover requests that arrive now, these are all
+/// replicas: if every replica answers, the store need not be asked, and if one does not, the new
+/// reports of the others cover what has arrived. The primary is included if its current process is
 /// not known to lead the term that its replicas follow.
 fn instances_lacking_evidence(name: &GroupName, group: &Group, io: &Io) -> Vec<InstanceName> {
     let group_statuses = io.context.statuses.group(name);
@@ -88,16 +89,21 @@
     let leads = leader.and_then(|leader| known.led_term_of(leader));
     let term = leads.unwrap_or(newest_term);
     let lifetime = io.context.evidence_lifetime();
-    let is_due = |instance: &&Instance| {
-        let is_replica = instance.announced_role == Some(Role::Replica);
-        let is_covered = known
+    let is_covering = |instance: &InstanceName| {
+        known
             .evidence
-            .report_queried_at(&instance.name, term)
-            .is_some_and(|queried_at| io.now <= known.covers_until(leader, queried_at, lifetime));
+            .report_queried_at(instance, term)
+            .is_some_and(|queried_at| io.now <= known.covers_until(leader, queried_at, lifetime))
+    };
+    let is_running_replica = |instance: &&Instance| {
+        let is_replica = instance.announced_role == Some(Role::Replica);
         let is_running = !io.context.address_occupants.is_displaced(group, instance);
-        is_replica && is_running && leader != Some(&instance.name) && !is_covered
+        is_replica && is_running && leader != Some(&instance.name)
     };
-    let replicas = group.instances.iter().filter(is_due).map(|replica| &replica.name);
+    let replicas: Vec<&InstanceName> =
+        group.instances.iter().filter(is_running_replica).map(|replica| &replica.name).collect();
+    let is_report_missing = !replicas.iter().all(|replica| is_covering(replica));
+    let replicas = replicas.into_iter().filter(|_| is_report_missing);
     let current = leader.and_then(|leader| known.current_led_term_of(leader));
     let primary = leader.filter(|_| leads != Some(newest_term) || current != leads);
     replicas.chain(primary).cloned().collect()
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -102,6 +102,7 @@
     ) -> Option<Coverage> {
         let term = self.current_led_term_of(instance)?;
         let coverage = self.evidence.coverage(term, group, lifetime)?;
+        let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
         let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
         Some(Coverage { until, ..coverage })
     }
