Check of statements: nodes have addresses of their own in judged runs

The random clients, the drains of zones, the restarts and replacements of primaries run with one address for each node, and a statement that an instance gets from another address is a violation (FromNode). Before, the nodes shared 127.0.0.1, so that the rule was only tried on records made up for it.

--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -1,13 +1,14 @@
 //! The users' platform in one process on loopback: the store, the instances, the promotion service
 //! and the proxy's nodes, and a client that speaks the platform's line protocol.
 
+mod addresses;
 pub mod check;
 pub mod client;
 pub mod client_record;
 pub mod judged;
 
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,8 @@
 };
 use miette::{IntoDiagnostic, miette};
 
+pub use self::addresses::node_address;
+use self::addresses::node_addresses;
 use self::client_record::ClientRecord;
 use crate::standin::instances::{InstanceGroup, InstanceOptions, PromotionService};
 use crate::standin::network::Network;
@@ -41,8 +44,6 @@
 /// random.
 const RELAY_SEED: u64 = 1;
 const TIMEOUT_MS: u64 = 3_000;
-/// Second octet of the addresses of nodes; no zone of a simulated network has it.
-const NODE_ADDRESS_OCTET: u8 = 200;
 
 /// Options of a platform.
 #[derive(Clone, Debug)]
@@ -62,7 +63,8 @@
     /// Whether nodes reach each other and the store through relays, which can inject network
     /// faults.
     pub relayed: bool,
-    /// Whether each node has an address of its own, [`node_address`], instead of 127.0.0.1.
+    /// Whether each node has an address of its own, [`node_address`], instead of 127.0.0.1. The check
+    /// of statements then allows no other.
     pub own_addresses: bool,
     /// Time within which every node must stop accepting a revoked key.
     pub revocation_limit: Option<Duration>,
@@ -157,12 +159,6 @@
     format!("d{:013x}", mixed >> 12)
 }
 
-/// Address of a node that has one of its own.
-pub fn node_address(number: usize) -> IpAddr {
-    let [high, low] = (number as u16 + 1).to_be_bytes();
-    IpAddr::from([127, NODE_ADDRESS_OCTET, high, low])
-}
-
 /// Zone of the relay in front of a node.
 pub fn node_relay_zone(number: usize) -> ZoneName {
     ZoneName::new(format!("node-{number}"))
@@ -193,7 +189,11 @@
                 connections: options.max_connections,
                 slots: 3,
             };
-            groups.push(InstanceGroup::start(group, store.writer()).into_diagnostic()?);
+            let group = InstanceGroup::start(group, store.writer()).into_diagnostic()?;
+            if options.own_addresses {
+                group.set_node_addresses(node_addresses(options.nodes));
+            }
+            groups.push(group);
         }
         let promotions =
             PromotionService::start(&groups, options.promotion_delay).into_diagnostic()?;
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -10,7 +10,7 @@
 mod state;
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -238,6 +238,11 @@
         self.shared.state().statements.clone()
     }
 
+    /// Tells the check of statements the addresses of all nodes.
+    pub fn set_node_addresses(&self, addresses: Vec<IpAddr>) {
+        self.shared.state().statements.node_addresses = Some(addresses);
+    }
+
     /// Number of status queries that the proxy has sent.
     pub fn status_queries(&self) -> u64 {
         self.shared.state().status_queries
--- a/crates/lab/tests/platform_replacement.rs
+++ b/crates/lab/tests/platform_replacement.rs
@@ -164,6 +164,7 @@
 fn a_replacement_goes_on_through_a_return_of_the_store() {
     let options = PlatformOptions {
         promotion_delay: Duration::from_millis(400),
+        own_addresses: true,
         ..PlatformOptions::default()
     };
     let platform = start(options);
@@ -254,6 +255,7 @@
     );
     let options = PlatformOptions {
         promotion_delay: Duration::from_millis(400),
+        own_addresses: true,
         ..PlatformOptions::default()
     };
     let mut platform = start(options);
--- a/crates/lab/tests/restarted_primaries.rs
+++ b/crates/lab/tests/restarted_primaries.rs
@@ -19,7 +19,7 @@
 /// node took for evidence that reads there are current, although the process that led it had ended.
 #[test]
 fn no_read_runs_at_a_primary_that_restarted_without_its_log() {
-    let options = PlatformOptions { nodes: 1, ..PlatformOptions::default() };
+    let options = PlatformOptions { nodes: 1, own_addresses: true, ..PlatformOptions::default() };
     let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     let group = &platform.groups[0];
@@ -62,7 +62,7 @@
 /// when it ended, and ran on the new process.
 #[test]
 fn no_queued_read_runs_at_a_primary_that_restarted_without_its_log() {
-    let options = PlatformOptions { nodes: 1, ..PlatformOptions::default() };
+    let options = PlatformOptions { nodes: 1, own_addresses: true, ..PlatformOptions::default() };
     let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     let group = &platform.groups[0];
--- a/crates/lab/tests/statement_rules/main.rs
+++ b/crates/lab/tests/statement_rules/main.rs
@@ -20,7 +20,8 @@
 const CLIENTS: usize = 12;
 
 fn start() -> JudgedPlatform {
-    let platform = JudgedPlatform(Platform::start(PlatformOptions::default()).expect("it starts"));
+    let options = PlatformOptions { own_addresses: true, ..PlatformOptions::default() };
+    let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     platform
 }
--- a/crates/lab/tests/zone_drain.rs
+++ b/crates/lab/tests/zone_drain.rs
@@ -15,7 +15,11 @@
 const LIMIT: Duration = Duration::from_secs(2);
 
 fn start() -> JudgedPlatform {
-    let options = PlatformOptions { zone_drain_limit: Some(LIMIT), ..PlatformOptions::default() };
+    let options = PlatformOptions {
+        zone_drain_limit: Some(LIMIT),
+        own_addresses: true,
+        ..PlatformOptions::default()
+    };
     let platform = JudgedPlatform(Platform::start(options).expect("it starts"));
     platform.wait_until_ready().expect("it is ready");
     platform
