Random clients with odd input: nothing of a malformed line runs

Clients send bare CR and LF, the id `-`, ids with blanks and without text in data, values, prepared names and shapes, alone, between the statements of a transaction and ahead of answers; statements in pieces that are cut anywhere, also between CR and LF; and half of a line before a close. They run beside the random clients and faults, and, without faults, beside clients that keep to the protocol: these are never told MALFORMED and read what they wrote. The judge takes a malformed line as sent by nobody, so that anything that runs of it is a violation.

--- a/crates/lab/src/platform/client.rs
+++ b/crates/lab/src/platform/client.rs
@@ -129,14 +129,27 @@
 
     /// Sends a statement without waiting for its answer.
     pub fn send_statement(&mut self, text: &str) -> miette::Result<()> {
+        let line = self.record_statement(text);
+        self.send(&line)
+    }
+
+    /// Records the next statement as sent. Returns its line, for a client that sends it in pieces.
+    pub fn record_statement(&mut self, text: &str) -> BytesMut {
         self.next_id += 1;
         let id = format!("{}-{}", self.name, self.next_id);
-        let mut output = BytesMut::new();
-        lines::put_statement(&id, text, &mut output);
+        let mut line = BytesMut::new();
+        lines::put_statement(&id, text, &mut line);
         if let Some(recorder) = &mut self.recorder {
             recorder.on_send(&id, text);
         }
-        self.send(&output)
+        line
+    }
+
+    /// Records that a line is sent that is no statement, so that nothing of it may run.
+    pub fn record_malformed_line(&mut self) {
+        if let Some(recorder) = &mut self.recorder {
+            recorder.on_send_malformed();
+        }
     }
 
     /// Sends a statement and waits for its answer.
--- a/crates/lab/src/platform/client_record.rs
+++ b/crates/lab/src/platform/client_record.rs
@@ -64,8 +64,9 @@
     route: RouteKind,
     /// Id of the `BEGIN` of the transaction in which the client takes itself to be.
     transaction: Option<String>,
-    /// Indexes of the statements without an answer, in the order in which they were sent.
-    unanswered: VecDeque<usize>,
+    /// Indexes of the statements without an answer, in the order in which they were sent; `None` for a
+    /// line that is no statement.
+    unanswered: VecDeque<Option<usize>>,
 }
 
 impl SessionRecorder {
@@ -92,14 +93,25 @@
             self.transaction = None;
         }
         let statements = &mut self.record.contents().statements;
-        self.unanswered.push_back(statements.len());
+        self.unanswered.push_back(Some(statements.len()));
         statements.push(statement);
     }
 
+    /// Records that a line is about to be sent that is no statement.
+    pub fn on_send_malformed(&mut self) {
+        self.unanswered.push_back(None);
+    }
+
     /// Records the answer to the oldest unanswered statement. If it shows that the transaction of that
     /// statement is over, the client sends its next statement outside of it.
     pub fn on_answer(&mut self, is_success: bool, state: TransactionState) {
-        let Some(index) = self.unanswered.pop_front() else { return };
+        let Some(line) = self.unanswered.pop_front() else { return };
+        let Some(index) = line else {
+            if state == TransactionState::Idle && self.unanswered.is_empty() {
+                self.transaction = None;
+            }
+            return;
+        };
         let statement = &mut self.record.contents().statements[index];
         statement.acknowledged = is_success.then(Instant::now);
         if state == TransactionState::Idle && statement.transaction == self.transaction {
