Stand-ins of instances: partitions of nodes and instances from everything else

Where a platform is partitionable, nodes reach instances, store, promotion service and each other only through relays, from an address of their own each, so that a set of nodes and an instance of each group can be cut off from the rest. The instance then neither replicates nor hears of a successor, no replica counts for its commits, and its entry does not change until the partition ends. The configurations of the platform move to a module of their own, unchanged.

--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -5,7 +5,9 @@
 pub mod check;
 pub mod client;
 pub mod client_record;
+mod configuration;
 pub mod judged;
+pub mod partition;
 
 use std::io;
 use std::net::SocketAddr;
@@ -18,14 +20,9 @@
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::{AdminPages, Backing, Settings};
-use kestrellock_platform::standin::entries::{
-    AccountEntry, CONFIGURATION_KEY, GroupEntry, RouteEntry, configuration,
-    configuration_with_accounts,
-};
 use miette::{IntoDiagnostic, miette};
 
 pub use self::addresses::node_address;
-use self::addresses::node_addresses;
 use self::client_record::ClientRecord;
 use crate::standin::instances::{InstanceGroup, InstanceOptions, PromotionService};
 use crate::standin::network::Network;
@@ -63,6 +60,9 @@
     /// Whether nodes reach each other and the store through relays, which can inject network
     /// faults.
     pub relayed: bool,
+    /// Whether nodes also reach instances and the promotion service through relays, so that
+    /// [`Platform::partition`] can separate them. Needs relays; each node has an address of its own.
+    pub partitionable: bool,
     /// Whether each node has an address of its own, [`node_address`], instead of 127.0.0.1. The check
     /// of statements then allows no other.
     pub own_addresses: bool,
@@ -103,6 +103,7 @@
             synchronous_replicas: 1,
             configured: true,
             relayed: false,
+            partitionable: false,
             own_addresses: false,
             revocation_limit: None,
             zone_drain_limit: None,
@@ -134,6 +135,7 @@
     /// Customers whose clients authenticate with keys; `None` for a configuration without accounts.
     customers: Option<Vec<Customer>>,
     store_address: String,
+    promotion_address: SocketAddr,
     /// Running nodes by number; `None` for a stopped one.
     nodes: Vec<Option<Node>>,
     /// Addresses for clients, by node.
@@ -169,9 +171,12 @@
     ZoneName::new("store")
 }
 
-fn relays(nodes: usize) -> io::Result<Arc<Network>> {
-    let zones: Vec<ZoneName> =
-        (0..nodes).map(node_relay_zone).chain([store_relay_zone()]).collect();
+fn relays(options: &PlatformOptions) -> io::Result<Arc<Network>> {
+    let mut zones: Vec<ZoneName> =
+        (0..options.nodes).map(node_relay_zone).chain([store_relay_zone()]).collect();
+    if options.partitionable {
+        zones.extend(partition::zones());
+    }
     Network::new(&zones, RELAY_SEED)
 }
 
@@ -179,6 +184,8 @@
     /// Starts the store, the instances, the promotion service and the nodes.
     pub fn start(options: PlatformOptions) -> miette::Result<Self> {
         let store = PlatformStore::start_as(Dialect::Platform).into_diagnostic()?;
+        let network = options.relayed.then(|| relays(&options)).transpose().into_diagnostic()?;
+        let partitions = network.as_ref().filter(|_| options.partitionable);
         let mut groups = Vec::new();
         for name in GROUPS {
             let group = InstanceOptions {
@@ -189,16 +196,12 @@
                 connections: options.max_connections,
                 slots: 3,
             };
-            let group = InstanceGroup::start(group, store.writer()).into_diagnostic()?;
-            if options.own_addresses {
-                group.set_node_addresses(node_addresses(options.nodes));
-            }
-            groups.push(group);
+            let expose = |number, address| partition::expose(partitions, number, address);
+            let group = InstanceGroup::start_behind(group, store.writer(), expose);
+            groups.push(group.into_diagnostic()?);
         }
         let promotions =
             PromotionService::start(&groups, options.promotion_delay).into_diagnostic()?;
-        let network =
-            options.relayed.then(|| relays(options.nodes)).transpose().into_diagnostic()?;
         let store_address = match &network {
             Some(network) => {
                 let zone = store_relay_zone();
@@ -208,6 +211,8 @@
             None => store.endpoint(),
         };
         let mut platform = Self {
+            promotion_address: partition::expose_promotions(partitions, promotions.address())
+                .into_diagnostic()?,
             network,
             store_address,
             store,
@@ -221,6 +226,7 @@
             admin_addresses: Vec::new(),
             options,
         };
+        platform.tell_node_addresses();
         if platform.options.configured {
             platform.configure(&[]);
         }
@@ -240,105 +246,11 @@
         self.groups.iter().for_each(InstanceGroup::republish_entries);
     }
 
-    /// Writes a configuration with a route of each consistency to each group, except for the
-    /// databases in `without`.
-    pub fn configure(&mut self, without: &[&str]) {
-        self.write_configuration(&GROUPS, without, &[]);
-    }
-
-    /// Writes a configuration with only these groups and the routes to them.
-    pub fn configure_groups(&mut self, groups: &[&str]) {
-        self.write_configuration(groups, &[], &[]);
-    }
-
-    /// Writes a configuration with these customers. Later configurations have them too.
-    pub fn configure_customers(&mut self, customers: &[Customer]) {
-        self.customers = Some(customers.to_vec());
-        self.write_configuration(&GROUPS, &[], &[]);
-    }
-
-    /// Writes a configuration with one extra route for each of `timeouts_ms`, the statement timeout
-    /// of that route in milliseconds.
-    pub fn configure_extra_routes(&mut self, timeouts_ms: &[u64]) {
-        self.write_configuration(&GROUPS, &[], timeouts_ms);
-    }
-
-    fn write_configuration(
-        &mut self,
-        groups: &[&str],
-        without: &[&str],
-        extra_timeouts_ms: &[u64],
-    ) {
-        self.version += 1;
-        let extra_routes: Vec<(String, u64)> = extra_timeouts_ms
-            .iter()
-            .enumerate()
-            .map(|(number, timeout_ms)| (extra_database(number), *timeout_ms))
-            .collect();
-        let mut names: Vec<(String, &str, Consistency)> = Vec::new();
-        for group in groups {
-            for consistency in [Consistency::Primary, Consistency::Bounded, Consistency::Session] {
-                names.push((database(group, consistency), group, consistency));
-            }
-        }
-        let mut routes: Vec<RouteEntry> = names
-            .iter()
-            .filter(|(database, ..)| !without.contains(&database.as_str()))
-            .map(|(database, group, consistency)| RouteEntry {
-                name: database,
-                database,
-                group,
-                consistency: *consistency,
-                max_staleness_ms: MAX_STALENESS_MS,
-                timeout_ms: TIMEOUT_MS,
-            })
-            .collect();
-        routes.extend(extra_routes.iter().map(|(database, timeout_ms)| RouteEntry {
-            name: database,
-            database,
-            group: GROUPS[0],
-            consistency: Consistency::Session,
-            max_staleness_ms: MAX_STALENESS_MS,
-            timeout_ms: *timeout_ms,
-        }));
-        let groups: Vec<GroupEntry> = groups
-            .iter()
-            .map(|name| GroupEntry {
-                name,
-                connections: self.options.max_connections as u32,
-                synchronous: self.options.synchronous_replicas as u32,
-            })
-            .collect();
-        let value = self.configuration_value(&routes, &groups);
-        self.store.put(CONFIGURATION_KEY, &value);
-    }
-
-    fn configuration_value(&self, routes: &[RouteEntry], groups: &[GroupEntry]) -> Vec<u8> {
-        let Some(customers) = &self.customers else {
-            return configuration(self.version, routes, groups);
-        };
-        let keys: Vec<Vec<&str>> = customers
-            .iter()
-            .map(|customer| customer.keys.iter().map(String::as_str).collect())
-            .collect();
-        let accounts: Vec<AccountEntry> = customers
-            .iter()
-            .zip(&keys)
-            .map(|(customer, keys)| AccountEntry {
-                name: &customer.name,
-                keys,
-                per_second: customer.quota.0,
-                burst: customer.quota.1,
-            })
-            .collect();
-        configuration_with_accounts(self.version, routes, groups, &accounts)
-    }
-
     fn settings(&self, number: usize) -> Settings {
         let zone = ZoneName::new(ZONES[number % ZONES.len()]);
         let mut settings = Settings::loopback(NodeName::new(format!("node-{number}")), zone);
-        if self.options.own_addresses {
-            let address = SocketAddr::new(node_address(number), 0);
+        if let Some(address) = self.own_address(number) {
+            let address = SocketAddr::new(address, 0);
             settings.caller_address = address;
             settings.peer_address = address;
             settings.admin_address = address;
@@ -347,7 +259,7 @@
             backing: Backing::Platform,
             admin_pages: AdminPages::Health,
             store_endpoints: vec![self.store_address.clone()],
-            promotion_endpoint: Some(format!("http://{}", self.promotions.address())),
+            promotion_endpoint: Some(format!("http://{}", self.promotion_address)),
             drain_limit: self.options.drain_limit,
             drain_transactions: Some(self.options.drain_transactions),
             revocation_limit: self.options.revocation_limit,
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -62,8 +62,11 @@
         self.stopping.load(Ordering::Acquire)
     }
 
-    /// Writes the entry of an instance to the store.
+    /// Writes the entry of an instance to the store, unless it cannot reach the store.
     fn publish_entry(&self, state: &State, name: &str) {
+        if state.isolated.as_deref() == Some(name) {
+            return;
+        }
         let Some(instance) = state.instances.get(name) else { return };
         let entry = InstanceEntry {
             name,
@@ -95,11 +98,22 @@
 
     /// Starts the instances and writes their entries to the store.
     pub fn start(options: InstanceOptions, store: StoreWriter) -> io::Result<Self> {
+        Self::start_behind(options, store, |_, address| Ok(address))
+    }
+
+    /// Starts the instances and writes their entries to the store. `expose` returns the address at
+    /// which others reach the instance with a number, which listens on the given address.
+    pub fn start_behind(
+        options: InstanceOptions,
+        store: StoreWriter,
+        expose: impl Fn(usize, SocketAddr) -> io::Result<SocketAddr>,
+    ) -> io::Result<Self> {
         let mut listeners = Vec::new();
         let mut state = State::new(options);
         for number in 0..state.options.zones.len() {
             let listener = RestartableListener::bind()?;
-            let name = state.add(number, listener.clone());
+            let address = expose(number, listener.address())?;
+            let name = state.add(number, listener.clone(), address);
             listeners.push((name, listener));
         }
         let shared = Arc::new(Shared {
@@ -204,6 +218,16 @@
         }
     }
 
+    /// Separates an instance from the other instances and the store until the next call, which may name
+    /// none.
+    pub fn set_isolated(&self, name: Option<&str>) {
+        let mut state = self.shared.state();
+        let earlier = std::mem::replace(&mut state.isolated, name.map(str::to_owned));
+        if let Some(earlier) = earlier {
+            self.shared.publish_entry(&state, &earlier);
+        }
+    }
+
     /// Blocks or unblocks the reads of an instance.
     pub fn set_reads_blocked(&self, name: &str, blocked: bool) {
         if let Some(instance) = self.shared.state().instances.get_mut(name) {
--- a/crates/lab/src/standin/instances/promotions.rs
+++ b/crates/lab/src/standin/instances/promotions.rs
@@ -148,6 +148,9 @@
 
 fn promote(shared: &Shared, name: &str, history: &Mutex<History>) {
     let mut state = shared.state();
+    if state.isolated.as_deref() == Some(name) {
+        return;
+    }
     let highest_term = state.highest_term();
     let Some(instance) = state.instances.get_mut(name) else { return };
     if !instance.running || instance.role == Role::Primary {
@@ -157,7 +160,11 @@
     instance.term = Term(highest_term.0 + 1);
     let statements = instance.log.iter().flat_map(|commit| commit.ids.clone()).collect();
     let term = instance.term;
+    let isolated = state.isolated.clone();
     for other in state.instances.values_mut() {
+        if isolated.as_ref() == Some(&other.name) {
+            continue;
+        }
         other.min_term = Term(0);
     }
     shared.publish_entry(&state, name);
--- a/crates/lab/src/standin/instances/session.rs
+++ b/crates/lab/src/standin/instances/session.rs
@@ -439,7 +439,7 @@
             writes: commit.ids.clone(),
         });
         let end = Instant::now() + COMMIT_TIMEOUT;
-        while state.received_by(&commit) < needed {
+        while state.received_by(&self.name, &commit) < needed {
             let is_running =
                 state.instances.get(&self.name).is_some_and(|instance| self.is_served_by(instance));
             if !is_running || Instant::now() >= end || self.shared.is_stopping() {
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -166,6 +166,8 @@
     pub status_queries: u64,
     /// Number of the next connection.
     pub next_connection: u64,
+    /// Instance that reaches no other instance and not the store.
+    pub isolated: Option<String>,
     /// Error with which the instances answer each `BEGIN`, if they begin no transactions.
     pub begin_error: Option<InstanceError>,
 }
@@ -181,17 +183,24 @@
             statements: GroupStatements::default(),
             status_queries: 0,
             next_connection: 0,
+            isolated: None,
             begin_error: None,
         }
     }
 
-    /// Adds instance `number`; instance 0 starts as primary. Returns its name.
-    pub fn add(&mut self, number: usize, listener: RestartableListener) -> String {
+    /// Adds instance `number`, which others reach at `address`; instance 0 starts as primary. Returns
+    /// its name.
+    pub fn add(
+        &mut self,
+        number: usize,
+        listener: RestartableListener,
+        address: SocketAddr,
+    ) -> String {
         let name = format!("i-{}-{number}", self.options.group);
         let instance = Instance {
             name: name.clone(),
             zone: self.options.zones[number].clone(),
-            address: listener.address(),
+            address,
             listener,
             running: true,
             leaving: false,
@@ -253,10 +262,13 @@
         self.instances.insert(new_name.to_owned(), instance);
     }
 
-    /// Number of replicas that have received a commit.
-    pub fn received_by(&self, commit: &Commit) -> usize {
-        let has_received =
-            |instance: &&Instance| instance.role == Role::Replica && instance.log.contains(commit);
+    /// Number of replicas that have received a commit and can tell its primary.
+    pub fn received_by(&self, primary: &str, commit: &Commit) -> usize {
+        let has_received = |instance: &&Instance| {
+            instance.role == Role::Replica
+                && is_connected(&self.isolated, primary, &instance.name)
+                && instance.log.contains(commit)
+        };
         self.instances.values().filter(has_received).count()
     }
 
@@ -269,3 +281,9 @@
             .unwrap_or_default()
     }
 }
+
+/// Whether an instance reaches another one while `isolated` reaches none.
+pub fn is_connected(isolated: &Option<String>, name: &str, other: &str) -> bool {
+    let is_isolated = |name: &str| isolated.as_deref() == Some(name);
+    name == other || !is_isolated(name) && !is_isolated(other)
+}
