A stopping front withdraws requests that wait at other owners

Callers saw `KL1606 in doubt` for a write that no instance had received, when their node stopped while the write waited at an owner that was not stopping.

Cause: the owner holds the exchange with the deadline that it had before the stop, and the message with which a front gives up a lease has no answer. At the end of the stop the front could not know whether the write had reached an instance.

Change: at the final refusals a front sends `GatewayCall::Withdraw` once for each forwarded request. An owner that still holds the exchange drops it and answers `NotInProgress` with `has_not_run`; the front then refuses it as not run, by the path of every unsent request. An exchange that has left the queue goes on, and the call has no answer: the front refuses it as in doubt as before. Dropping and answering are one step on the owner's shard, so the answer is true in every order of messages; a call that arrives before its exchange finds nothing and says nothing. The call is carried by links of version 10 only.

A test of the pool ignores the new return value of `forget`.

--- a/crates/core/src/planned_stop.rs
+++ b/crates/core/src/planned_stop.rs
@@ -165,8 +165,13 @@
         now >= self.transactions
     }
 
+    /// Whether requests that were forwarded and that no instance has received are withdrawn.
+    pub fn withdraws_waiting(&self, now: Instant) -> bool {
+        now >= self.final_refusals
+    }
+
     /// Whether the stop no longer waits for a request or a resting transaction. A request that was
-    /// forwarded gets more time, in which this node's gateways report what has not run.
+    /// forwarded gets more time, in which its gateway reports whether it has withdrawn it.
     pub fn refuses_unfinished(&self, is_forwarded: bool, now: Instant) -> bool {
         let until_last_answers = self.last_answers.saturating_duration_since(self.final_refusals);
         let extra = if is_forwarded { until_last_answers / 2 } else { Duration::ZERO };
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -75,6 +75,8 @@
     assert_eq!(stop.limit_deadline(began + ms(9000)), stop.final_refusals);
     assert!(!stop.refuses_unfinished(false, stop.final_refusals - INSTANT));
     assert!(stop.refuses_unfinished(false, stop.final_refusals));
+    assert!(!stop.withdraws_waiting(stop.final_refusals - INSTANT));
+    assert!(stop.withdraws_waiting(stop.final_refusals));
     let between = stop.final_refusals + (stop.last_answers - stop.final_refusals) / 2;
     assert!(!stop.refuses_unfinished(true, between - INSTANT));
     assert!(stop.refuses_unfinished(true, between));
--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -279,6 +279,9 @@
         if self.must_refuse_unfinished(io) {
             return self.refuse_unfinished(io);
         }
+        if self.is_withdrawn_by_stop(io) {
+            self.withdraw_waiting(io);
+        }
         self.abort_overdue_transaction(io);
         let flow = if self.login.is_none() {
             self.advance_startup(subscriptions, position_queries, io)
--- a/crates/daemon/src/front/session/lease.rs
+++ b/crates/daemon/src/front/session/lease.rs
@@ -32,6 +32,8 @@
     pub next_sequence: u32,
     /// When the last exchange was sent.
     pub sent: Instant,
+    /// Whether the gateway was asked not to run what still waits there.
+    pub is_withdrawn: bool,
 }
 
 impl Session {
@@ -232,6 +234,20 @@
         io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
     }
 
+    /// Asks the gateway not to run the request in progress if it still waits there.
+    pub(super) fn withdraw_waiting(&mut self, io: &mut Io) {
+        let is_sent = self.request.as_ref().is_some_and(|request| request.sent);
+        let lease = self.lease.as_mut().filter(|lease| is_sent && !lease.is_withdrawn);
+        let (Some(login), Some(lease)) = (&self.login, lease) else { return };
+        lease.is_withdrawn = true;
+        let message = ToGateway {
+            from: io.context.identity.node.clone(),
+            group: login.group.clone(),
+            call: GatewayCall::Withdraw(lease.id.clone()),
+        };
+        io.outbox.push_back(Outgoing::Gateway { node: lease.target.gateway.clone(), message });
+    }
+
     /// Ends the lease and notifies the gateway that this session no longer waits for an answer.
     pub fn abandon(&mut self, io: &mut Io) {
         let (Some(login), Some(lease)) = (&self.login, &self.lease) else { return };
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -111,6 +111,7 @@
                 next_exchange: 0,
                 next_sequence: 0,
                 sent: io.now,
+                is_withdrawn: false,
             });
         }
         let Some(lease) = &mut self.lease else { return };
--- a/crates/daemon/src/front/session/stopping.rs
+++ b/crates/daemon/src/front/session/stopping.rs
@@ -73,6 +73,12 @@
         stop.as_ref().as_ref().is_some_and(|stop| stop.refuses_unfinished(is_forwarded, io.now))
     }
 
+    /// Whether the planned stop no longer lets a request begin that waits at a gateway.
+    pub(super) fn is_withdrawn_by_stop(&self, io: &Io) -> bool {
+        let stop = io.context.stop.load();
+        stop.as_ref().as_ref().is_some_and(|stop| stop.withdraws_waiting(io.now))
+    }
+
     /// Refuses the request in progress, if any, aborts an open transaction and starts to close the
     /// session, because the process is about to end.
     pub(super) fn refuse_unfinished(&mut self, io: &mut Io) -> SessionFlow {
--- a/crates/daemon/src/gateway/leases.rs
+++ b/crates/daemon/src/gateway/leases.rs
@@ -8,11 +8,11 @@
 use kestrellock_core::catalog::Group;
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{LeaseId, NodeName};
-use kestrellock_peer::message::HeldLease;
+use kestrellock_peer::message::{HeldLease, LeaseEvent};
 
 use super::pool::Pool;
 use super::server::Server;
-use super::{Gateway, GroupGateway};
+use super::{Gateway, GroupGateway, notify_front};
 use crate::event::Io;
 
 /// How long to remember a lease whose exchange was reported to its front as not run. The exchange
@@ -20,6 +20,14 @@
 /// survives: the kernel stops retransmitting after about 15 minutes.
 const NOT_RUN_RETENTION: Duration = Duration::from_secs(1_200);
 
+impl GroupGateway {
+    /// Drops the waiting exchange of a lease. Returns whether there was one.
+    fn drop_waiting(&mut self, lease: &LeaseId) -> bool {
+        let is_dropped = self.pools.values_mut().any(|pool| pool.forget(lease));
+        is_dropped || self.placements.forget(lease)
+    }
+}
+
 impl Gateway {
     /// Ends all leases of the front of `node` except `held`, which are those that it still has.
     pub fn retain_leases(&mut self, node: &NodeName, held: &[HeldLease], io: &mut Io) {
@@ -62,15 +70,23 @@
     pub fn on_abandon(&mut self, lease: &LeaseId, io: &mut Io) {
         self.ended_transactions.forget(lease);
         for state in self.groups.values_mut() {
-            state.pools.values_mut().for_each(|pool| pool.forget(lease));
+            state.drop_waiting(lease);
             state.confirmations.forget(lease);
-            state.placements.forget(lease);
         }
         if let Some(&key) = self.leases.get(lease) {
             self.terminate_lease(key, io);
         }
     }
 
+    /// Drops the exchange of the lease that waits for an instance or a connection, and reports that
+    /// it has not run. An exchange that has reached an instance goes on.
+    pub(super) fn on_withdraw(&mut self, lease: &LeaseId, io: &mut Io) {
+        let has_dropped = self.groups.values_mut().any(|state| state.drop_waiting(lease));
+        if has_dropped {
+            notify_front(lease, 0, LeaseEvent::NotInProgress { has_not_run: true }, io);
+        }
+    }
+
     /// Ends the lease of a connection after its exchange was abandoned or refused. An open
     /// transaction is rolled back before the connection is reused; if an exchange is running, the
     /// connection is closed.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -138,6 +138,7 @@
                     refuse(&exchange, ResultCode::NotOwner, detail, io);
                 }
                 GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
+                GatewayCall::Withdraw(lease) => self.on_withdraw(&lease, io),
                 _ => {}
             }
             return;
@@ -149,6 +150,7 @@
                 self.on_exchange(&message.group, group, *exchange, io)
             }
             GatewayCall::Abandon(lease) => self.on_abandon(&lease, io),
+            GatewayCall::Withdraw(lease) => self.on_withdraw(&lease, io),
             _ if is_closed => {}
             GatewayCall::Cancel(lease) => self.on_cancel(group, &lease, io),
             GatewayCall::CurrentPosition { shard, number } => {
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -142,9 +142,11 @@
         std::mem::take(&mut self.held).into_iter().map(|held| held.exchange)
     }
 
-    /// Drops the held exchange of an abandoned lease.
-    pub fn forget(&mut self, lease: &LeaseId) {
+    /// Drops the held exchange of an abandoned lease. Returns whether there was one.
+    pub fn forget(&mut self, lease: &LeaseId) -> bool {
+        let held = self.held.len();
         self.held.retain(|held| held.exchange.lease != *lease);
+        self.held.len() < held
     }
 
     /// Drops the exchanges of an unreachable front.
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -355,9 +355,9 @@
         self.scheduler.waiting_work().map(|queued| &queued.exchange.lease)
     }
 
-    /// Drops the queued exchange of an abandoned lease.
-    pub fn forget(&mut self, lease: &LeaseId) {
-        self.remove_first(|exchange| exchange.lease == *lease);
+    /// Drops the queued exchange of an abandoned lease. Returns whether there was one.
+    pub fn forget(&mut self, lease: &LeaseId) -> bool {
+        self.remove_first(|exchange| exchange.lease == *lease)
     }
 
     /// Drops the queued exchanges of an unreachable front.
--- a/crates/daemon/tests/owner_stop.rs
+++ b/crates/daemon/tests/owner_stop.rs
@@ -70,6 +70,10 @@
     context
 }
 
+fn lease(serial: u64) -> LeaseId {
+    LeaseId { node: NodeName::new(FRONT), incarnation: 1, shard: 0, serial }
+}
+
 impl Owner {
     fn start() -> Self {
         let context = context();
@@ -105,12 +109,7 @@
 
     /// The first exchange of a lease of another node's front arrives `after` the start of the stop.
     fn receive(&mut self, placement: Placement, after: Duration) -> Vec<LeaseEvent> {
-        let lease = LeaseId {
-            node: NodeName::new(FRONT),
-            incarnation: 1,
-            shard: 0,
-            serial: self.next_serial,
-        };
+        let lease = lease(self.next_serial);
         self.next_serial += 1;
         let exchange = Exchange {
             lease: lease.clone(),
@@ -131,16 +130,16 @@
             commits_write: false,
             required_lead: None,
         };
-        let message = ToGateway {
-            from: NodeName::new(FRONT),
-            group: GroupName::new("g"),
-            call: GatewayCall::Exchange(Box::new(exchange)),
-        };
-        let now = self.began + after;
-        let events = self.run(now, |gateway, io| gateway.on_call(message, io));
+        let events = self.call(GatewayCall::Exchange(Box::new(exchange)), after);
         events.into_iter().map(|(_, _, event)| event).collect()
     }
 
+    fn call(&mut self, call: GatewayCall, after: Duration) -> Vec<(LeaseId, u32, LeaseEvent)> {
+        let group = GroupName::new("g");
+        let message = ToGateway { from: NodeName::new(FRONT), group, call };
+        self.run(self.began + after, |gateway, io| gateway.on_call(message, io))
+    }
+
     fn tick(&mut self, after: Duration) -> Vec<LeaseEvent> {
         let now = self.began + after;
         let events = self.run(now, |gateway, io| gateway.on_tick(io));
@@ -229,3 +228,29 @@
     assert_eq!(owner.receive(at_any_instance(), SOON), referral(None));
     assert!(!owner.gateway.is_waiting());
 }
+
+/// Guards against an exchange whose front, which stops, has to report it as in doubt although it
+/// waits here, and against one that runs after it was reported as not run.
+#[test]
+fn a_withdrawn_exchange_that_waits_is_dropped_and_reported_as_not_run() {
+    let mut owner = Owner::start();
+    assert_eq!(owner.receive(at_instance(), Duration::ZERO), []);
+    assert_eq!(owner.receive(at_any_instance(), Duration::ZERO), []);
+    for serial in 0..2 {
+        assert!(owner.gateway.is_waiting());
+        let not_run = LeaseEvent::NotInProgress { has_not_run: true };
+        let events = owner.call(GatewayCall::Withdraw(lease(serial)), SOON);
+        assert_eq!(events, [(lease(serial), 0, not_run)]);
+        assert!(!owner.gateway.is_lease_active(&lease(serial)));
+    }
+    assert!(!owner.gateway.is_waiting());
+}
+
+/// Guards against a report that an exchange has not run although the owner does not know that.
+#[test]
+fn an_exchange_that_does_not_wait_cannot_be_withdrawn() {
+    let mut owner = Owner::start();
+    assert_eq!(owner.receive(at_instance(), Duration::ZERO), []);
+    assert_eq!(owner.call(GatewayCall::Withdraw(lease(1)), SOON), []);
+    assert!(owner.gateway.is_lease_active(&lease(0)));
+}
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -149,7 +149,9 @@
                     model.leased.insert(key, false);
                     pool.on_resumed(key, now);
                 }
-                Step::Forget { serial } => pool.forget(&exchange(serial, Duration::ZERO).lease),
+                Step::Forget { serial } => {
+                    pool.forget(&exchange(serial, Duration::ZERO).lease);
+                }
                 Step::Role(role) => {
                     let roles = [PoolRole::Owner, PoolRole::Standby, PoolRole::Released];
                     pool.set_role(roles[usize::from(role)], now);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -28,7 +28,7 @@
 
 /// Highest version that this build speaks. A connection uses the highest version that both of its
 /// nodes speak.
-pub const HIGHEST_PROTOCOL_VERSION: u16 = 9;
+pub const HIGHEST_PROTOCOL_VERSION: u16 = 10;
 
 /// Lowest version in which owners exchange votes on primaries.
 pub const PRIMARY_VOTES_VERSION: u16 = 8;
@@ -42,6 +42,9 @@
 /// Lowest version in which a coordinator asks for the end of earlier promotions.
 pub const PROMOTION_CALLS_VERSION: u16 = 9;
 
+/// Lowest version in which fronts withdraw exchanges.
+pub const WITHDRAW_VERSION: u16 = 10;
+
 /// A prepared statement that an exchange refers to by a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -138,6 +141,10 @@
     Exchange(Box<Exchange>),
     /// The client has disconnected: roll back, reset the server connection, and reuse it.
     Abandon(LeaseId),
+    /// The front must soon answer its client: an exchange of the lease that still waits at the
+    /// gateway must not run. The gateway answers [`LeaseEvent::NotInProgress`] if it has dropped one.
+    /// Otherwise the call has no effect and no answer.
+    Withdraw(LeaseId),
     /// The client has requested to cancel the statement that runs on the lease.
     Cancel(LeaseId),
     /// Report a current position of the group that covers every write acknowledged before this
@@ -174,6 +181,7 @@
             | Self::Subscribe => PROTOCOL_VERSION,
             Self::CapacityDemand(_) => CAPACITY_DEMAND_VERSION,
             Self::Prewarm { .. } => PREWARM_VERSION,
+            Self::Withdraw(_) => WITHDRAW_VERSION,
         }
     }
 }
@@ -230,7 +238,8 @@
     /// ended.
     #[serde(rename = "NotUnderWay")]
     NotInProgress {
-        /// Whether the exchange has certainly not run, because it never reached the gateway's node.
+        /// Whether the exchange has certainly not run and will not: it never reached the gateway's
+        /// node, or the front has withdrawn it while it waited there.
         has_not_run: bool,
     },
     /// The exchange failed in the proxy. The lease has ended.
