Leave time to read an answer before the last notice of a stop

Callers saw `KL1404 between requests` for a PostgreSQL write that had run, when it was answered during the final refusals of their node.

Cause: a session whose request was answered after the final refusals had begun got the notice that ends it right behind the answer. Client libraries that read both at once report the notice in place of the answer. The rule that such a notice does not follow an answer held only until the final refusals.

Change: where the notice ends the session by itself, a stop never sends it within 50 ms of the session's last activity, unless a request waits (`may_read_answer`). The simulation of session ends follows the same rule.

The new test of the schedule does not compile without the change.

--- a/crates/core/src/planned_stop.rs
+++ b/crates/core/src/planned_stop.rs
@@ -25,6 +25,9 @@
 /// request. A client that sent a request more recently is likely to send another one, whose answer
 /// can end the session without costing the client an attempt.
 const MIN_REST: Duration = Duration::from_secs(1);
+/// Time for a client to read an answer before a notice that ends the session by itself: some client
+/// libraries that read both at once report the notice in place of the answer.
+const ANSWER_READING_TIME: Duration = Duration::from_millis(50);
 
 /// Time limits of a planned stop, each from its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +76,12 @@
         is_between && (has_rested || self.ends_with_answer(notice))
     }
 
+    /// Whether the client may not have read its last answer yet, and would mistake the notice for it.
+    pub fn may_read_answer(&self, notice: DisconnectNotice, now: Instant) -> bool {
+        let is_recent = now < self.last_active + ANSWER_READING_TIME;
+        notice == DisconnectNotice::IsAnswer && !self.has_request && is_recent
+    }
+
     /// Whether the answer that was just completed can end the session. Not for protocols whose
     /// notice ends the session by itself: some of their client libraries that read an answer and an
     /// unsolicited message at once mistake the message for the answer.
@@ -145,7 +154,7 @@
         notice: DisconnectNotice,
         now: Instant,
     ) -> bool {
-        if session.has_request {
+        if session.has_request || session.may_read_answer(notice, now) {
             return false;
         }
         match session.transaction {
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -111,6 +111,25 @@
     assert!(!session.may_end_when_isolated(IsAnswer, stop.leaving));
 }
 
+/// Guards against a notice of the final refusals that a client library reports in place of the
+/// answer that it has just read, and against a request that waits because of that.
+#[test]
+fn a_notice_that_ends_the_session_leaves_time_to_read_an_answer_during_the_final_refusals() {
+    let stop = schedule(Instant::now());
+    let answered = stop.final_refusals + ms(10);
+    let session = SessionActivity { has_just_answered: true, ..resting(answered) };
+    let read = answered + ms(50);
+    for now in [answered, read - INSTANT] {
+        assert!(session.may_read_answer(IsAnswer, now));
+        assert!(!stop.ends_session(&session, IsAnswer, now));
+        assert!(!session.may_read_answer(BeginsAnswer, now));
+        let asking = SessionActivity { has_request: true, ..session };
+        assert!(!asking.may_read_answer(IsAnswer, now));
+    }
+    assert!(!session.may_read_answer(IsAnswer, read));
+    assert!(stop.ends_session(&session, IsAnswer, read));
+}
+
 /// Guards against a session that ends while its node owes it an answer.
 #[test]
 fn a_session_with_a_request_or_an_open_transaction_does_not_end() {
--- a/crates/core/tests/session_ends/session.rs
+++ b/crates/core/tests/session_ends/session.rs
@@ -150,6 +150,7 @@
             && io.schedule.is_some_and(|stop| {
                 let is_forwarded = self.exchange.as_ref().is_some_and(|exchange| exchange.is_sent);
                 stop.refuses_unfinished(is_forwarded, io.clock)
+                    && !self.activity(false).may_read_answer(io.notice, io.clock)
             })
         {
             return self.refuse_unfinished(io);
--- a/crates/daemon/src/front/session/stopping.rs
+++ b/crates/daemon/src/front/session/stopping.rs
@@ -70,7 +70,12 @@
     pub(super) fn must_refuse_unfinished(&self, io: &Io) -> bool {
         let stop = io.context.stop.load();
         let is_forwarded = self.request.as_ref().is_some_and(|request| request.sent);
-        stop.as_ref().as_ref().is_some_and(|stop| stop.refuses_unfinished(is_forwarded, io.now))
+        let refuses = stop
+            .as_ref()
+            .as_ref()
+            .is_some_and(|stop| stop.refuses_unfinished(is_forwarded, io.now));
+        let notice = io.context.protocol.traits().disconnect_notice;
+        refuses && !self.activity(false).may_read_answer(notice, io.now)
     }
 
     /// Whether the planned stop no longer lets a request begin that waits at a gateway.
