--- a/crates/daemon/src/front/session/stopping.rs
+++ b/crates/daemon/src/front/session/stopping.rs
@@ -70,7 +70,18 @@
     pub(super) fn must_refuse_unfinished(&self, io: &Io) -> bool {
         let stop = io.context.stop.load();
         let is_forwarded = self.request.as_ref().is_some_and(|request| request.sent);
-        stop.as_ref().as_ref().is_some_and(|stop| stop.refuses_unfinished(is_forwarded, io.now))
+        let refuses = stop
+            .as_ref()
+            .as_ref()
+            .is_some_and(|stop| stop.refuses_unfinished(is_forwarded, io.now));
+        let notice = io.context.protocol.traits().disconnect_notice;
+        refuses && !self.activity(false).may_read_answer(notice, io.now)
+    }
+
+    /// Whether the planned stop no longer lets a request begin that waits at a gateway.
+    pub(super) fn is_withdrawn_by_stop(&self, io: &Io) -> bool {
+        let stop = io.context.stop.load();
+        stop.as_ref().as_ref().is_some_and(|stop| stop.withdraws_waiting(io.now))
     }
 
     /// Refuses the request in progress, if any, aborts an open transaction and starts to close the
