A connection that its source address rules out counts as not sent

A node whose address is a loopback address gets EINVAL when it connects to another machine. The call has sent nothing then, but counted as one that may have been run.

--- a/crates/net/src/source.rs
+++ b/crates/net/src/source.rs
@@ -79,8 +79,10 @@
         io::ErrorKind::ConnectionRefused
             | io::ErrorKind::HostUnreachable
             | io::ErrorKind::NetworkUnreachable
-            // The source address is not this machine's, or has no free port.
+            // The source address is not this machine's, has no free port, or cannot reach the target
+            // (a loopback address and another machine).
             | io::ErrorKind::AddrNotAvailable
             | io::ErrorKind::AddrInUse
+            | io::ErrorKind::InvalidInput
     )
 }
