--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -147,6 +147,9 @@
     pub connections: BTreeMap<usize, Vec<Connection>>,
     /// Whether it ignores that evidence may be from before the start of a process.
     pub ignores_processes: bool,
+    /// Whether reports of some replicas count only with a replacement check. New reports prevent
+    /// what some planted faults lead to, and each of them must still be detected.
+    pub ignores_unchecked_reports: bool,
     /// What the answers of each instance show about its process.
     pub processes: BTreeMap<usize, ObservedProcess>,
     /// Since when each instance has refused connections.
@@ -222,6 +225,7 @@
             refused_since: BTreeMap::new(),
             connections: BTreeMap::new(),
             ignores_processes: false,
+            ignores_unchecked_reports: false,
             processes: BTreeMap::new(),
             last_leader: None,
             failure_detector: FailureDetector::default(),
@@ -400,7 +404,9 @@
         let term = self.terms.get(&leader);
         let evidence =
             term.and_then(|term| self.evidence.covers_until(*term, REPLICATION, Duration::ZERO));
-        let unchecked = term.and_then(|term| self.evidence.unchecked_coverage(*term, REPLICATION));
+        let unchecked = term
+            .filter(|_| !self.ignores_unchecked_reports)
+            .and_then(|term| self.evidence.unchecked_coverage(*term, REPLICATION));
         let is_covered_unchecked = unchecked.is_some_and(|unchecked| {
             arrived <= self.covers_until(leader, unchecked.until, Duration::ZERO)
         });
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -41,6 +41,7 @@
     pub fn serve_clients(&mut self, node: usize) {
         let now = self.at(self.now);
         self.nodes[node].ignores_processes = self.planted_fault == PlantedFault::ProcessesIgnored;
+        self.nodes[node].ignores_unchecked_reports = self.planted_fault != PlantedFault::None;
         self.nodes[node].expire_replacements(now);
         self.drop_expired_requests(node);
         self.confirm_commits(node);
