--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -16,6 +16,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::placement_deadline::placement_deadline;
+use kestrellock_core::primary_evidence::EvidenceKind;
 use kestrellock_core::routing::Access;
 use kestrellock_peer::message::{Exchange, LeaseEvent, Placement, PlacementRequirements};
 
@@ -24,6 +25,7 @@
 use super::pool::{Pool, PoolRole};
 use super::{Gateway, notify_front, ownership, zone_drains};
 use crate::event::Io;
+use crate::metrics::ChoiceEvidence;
 
 /// The impact of the failure of an exchange that has not been sent to an instance: no transaction
 /// can be lost, and no write can be in doubt.
@@ -77,6 +79,9 @@
         let mut access = self.exchange.access.clone();
         let found = instance_choice::choose_instance(name, group, &mut access, needs, io);
         if let InstanceChoice::Instance(instance) = &found.choice {
+            if let Some(coverage) = found.basis.coverage {
+                self.count_choice(Some(coverage.kind), io);
+            }
             choice_log::log_chosen(&self.described(name, &found.basis), instance, io);
             self.exchange.required_lead = found.basis.required_lead(instance, io.now);
             if let Access::Read { .. } = &access {
@@ -86,6 +91,11 @@
         found
     }
 
+    fn count_choice(&self, evidence: Option<EvidenceKind>, io: &Io) {
+        let writes = self.exchange.access.is_write();
+        io.context.metrics.choices.count(ChoiceEvidence::of(writes, evidence));
+    }
+
     fn described<'a>(
         &'a self,
         group: &'a GroupName,
@@ -108,6 +118,9 @@
 
     fn log_held(&mut self, name: &GroupName, found: &ExplainedChoice, io: &Io) {
         if !std::mem::replace(&mut self.is_logged, true) {
+            if found.choice != InstanceChoice::NoneQualifies {
+                self.count_choice(None, io);
+            }
             choice_log::log_held(&self.described(name, &found.basis), &found.choice, io);
         }
     }
--- a/crates/daemon/src/gateway/running_exchange.rs
+++ b/crates/daemon/src/gateway/running_exchange.rs
@@ -9,7 +9,7 @@
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::routing::{Access, Role};
-use kestrellock_peer::message::{Exchange, LeaseEvent, TransactionState};
+use kestrellock_peer::message::{Exchange, LeaseEvent, RequiredLead, TransactionState};
 use kestrellock_protocol::backend::{
     BackendProtocol, Failure, Reply, ReplyAction, ReplyKind, Report,
 };
@@ -55,6 +55,10 @@
 pub struct RunningExchange {
     /// Lease that the exchange belongs to.
     pub lease: LeaseId,
+    /// Id of the request, for the log.
+    pub request: Option<String>,
+    /// The evidence on which its instance was chosen, for the log.
+    pub required_lead: Option<RequiredLead>,
     /// What is lost or in doubt if it fails.
     pub impact: ExchangeImpact,
     /// When it was sent.
@@ -88,6 +92,8 @@
     pub fn new(exchange: &Exchange, needs_query: bool, bytes: usize, deadline: Instant) -> Self {
         Self {
             lease: exchange.lease.clone(),
+            request: exchange.request.clone(),
+            required_lead: exchange.required_lead,
             impact: impact_of(exchange),
             sent: Instant::now(),
             deadline,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,9 +21,9 @@
 use prometheus_client::registry::Registry;
 
 pub use labels::{
-    CapacityEvent, ConfigurationEvent, ConnectionEvent, IsolationEvent, Label, MessageEvent,
-    PrewarmEvent, ProbeEvent, Route, SessionEndEvent, StatementResult, StoppedExchange,
-    StorePurpose, StoreResult, UnansweredRequest, VoteEvent,
+    CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent, IsolationEvent, Label,
+    MessageEvent, PrewarmEvent, ProbeEvent, Route, SessionEndEvent, StatementResult,
+    StoppedExchange, StorePurpose, StoreResult, UnansweredRequest, VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -116,6 +116,8 @@
     pub codes: CounterSet<ResultCode>,
     /// Exchanges by destination.
     pub routes: CounterSet<Route>,
+    /// Choices of instances by evidence, and exchanges that wait for evidence.
+    pub choices: CounterSet<ChoiceEvidence>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Sessions that this node ended, and requests that it refused with them.
@@ -224,6 +226,7 @@
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
             routes: CounterSet::register(r, "routes", "Exchanges by destination"),
+            choices: CounterSet::register(r, "choices", "Choices of instances by evidence"),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             session_ends: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -3,6 +3,7 @@
 //! Every value comes from an enum: text from outside the process never becomes a label.
 
 use kestrellock_core::outcome::ResultCode;
+use kestrellock_core::primary_evidence::EvidenceKind;
 
 /// A fixed set of label values.
 pub trait Label: Copy + 'static {
@@ -260,3 +261,49 @@
         CutOff = "cut_off",
     }
 }
+
+labels! {
+    /// The evidence that an instance leads on which it was chosen for an exchange, or that was
+    /// missing.
+    ChoiceEvidence {
+        /// A write, on a commit that the primary acknowledged.
+        WriteByCommit = "write_commit",
+        /// A write, on reports of all replicas.
+        WriteByAllReplicas = "write_all_replicas",
+        /// A write, on reports of some replicas and the store.
+        WriteBySomeReplicas = "write_some_replicas",
+        /// A write, on new reports of some replicas alone.
+        WriteByUncheckedReplicas = "write_unchecked_replicas",
+        /// A write that waits because evidence is missing.
+        WriteWaits = "write_waits",
+        /// A read, on a commit that the primary acknowledged.
+        ReadByCommit = "read_commit",
+        /// A read, on reports of all replicas.
+        ReadByAllReplicas = "read_all_replicas",
+        /// A read, on reports of some replicas and the store.
+        ReadBySomeReplicas = "read_some_replicas",
+        /// A read, on new reports of some replicas alone.
+        ReadByUncheckedReplicas = "read_unchecked_replicas",
+        /// A read that waits because evidence is missing.
+        ReadWaits = "read_waits",
+    }
+}
+
+impl ChoiceEvidence {
+    /// The label for an exchange that writes or reads, and the evidence for its instance; `None` if
+    /// it waits for evidence.
+    pub fn of(writes: bool, evidence: Option<EvidenceKind>) -> Self {
+        match (writes, evidence) {
+            (true, Some(EvidenceKind::Commit)) => Self::WriteByCommit,
+            (true, Some(EvidenceKind::AllReplicas)) => Self::WriteByAllReplicas,
+            (true, Some(EvidenceKind::SomeReplicas)) => Self::WriteBySomeReplicas,
+            (true, Some(EvidenceKind::UncheckedReplicas)) => Self::WriteByUncheckedReplicas,
+            (true, None) => Self::WriteWaits,
+            (false, Some(EvidenceKind::Commit)) => Self::ReadByCommit,
+            (false, Some(EvidenceKind::AllReplicas)) => Self::ReadByAllReplicas,
+            (false, Some(EvidenceKind::SomeReplicas)) => Self::ReadBySomeReplicas,
+            (false, Some(EvidenceKind::UncheckedReplicas)) => Self::ReadByUncheckedReplicas,
+            (false, None) => Self::ReadWaits,
+        }
+    }
+}
--- a/crates/lab/tests/dead_replicas.rs
+++ b/crates/lab/tests/dead_replicas.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kestrellock_core::catalog::Consistency;
+use kestrellock_daemon::metrics::ChoiceEvidence;
 use kestrellock_lab::platform::client::LineSession;
 use kestrellock_lab::platform::{GROUPS, Platform, PlatformOptions, database, wait};
 
@@ -12,8 +13,8 @@
 /// Statements on each session, each after a rest.
 const STATEMENTS: usize = 3;
 
-/// Asserts that `text` succeeds after each rest, with a dead replica.
-fn assert_is_answered_after_rests(text: &str, store_is_down: bool) {
+/// Asserts that `text` succeeds after each rest, with a dead replica, and returns the platform.
+fn assert_is_answered_after_rests(text: &str, store_is_down: bool) -> Platform {
     let options = PlatformOptions { nodes: 1, ..PlatformOptions::default() };
     let platform = Platform::start(options).expect("it starts");
     platform.wait_until_ready().expect("it is ready");
@@ -34,6 +35,7 @@
         let answer = session.run(text).expect("an answer");
         assert!(answer.is_success(), "{text}: {:?}", answer.outcome);
     }
+    platform
 }
 
 /// Guards against refused reads: no store confirms the report of the replica that lives, which
@@ -43,10 +45,16 @@
     assert_is_answered_after_rests("READ thing", true);
 }
 
-/// Guards against writes that wait for evidence which only writes renew.
+/// Guards against writes that wait for evidence which only writes renew, and against a counter that
+/// does not tell operators on which evidence writes are sent.
 #[test]
 fn a_write_is_answered_while_a_replica_is_dead_and_the_store_is_down() {
-    assert_is_answered_after_rests("WRITE thing after", true);
+    let platform = assert_is_answered_after_rests("WRITE thing after", true);
+    let count = |label| -> u64 {
+        platform.nodes().map(|node| node.context.metrics.choices.get(label)).sum()
+    };
+    assert!(count(ChoiceEvidence::WriteByUncheckedReplicas) >= STATEMENTS as u64);
+    assert!(count(ChoiceEvidence::WriteWaits) >= STATEMENTS as u64);
 }
 
 /// The same while the store is up.
