Writes need evidence that their instance leads

What callers saw: a write ran at a former primary, on a log that lacks a commit which clients of the successor had been told of; its client was told that the outcome is in doubt.

Cause: where a group has synchronous replicas, the choice of an instance asked for evidence for reads only.

Change: each write, on any route, needs evidence that covers its arrival, as a read at the primary does. It is held until there is, and refused as not run after that. The simulation checks each write that an instance runs (StaleWrite) in all worlds, holds writes as it holds reads, and has a world in which some nodes reach only the former primary.

--- a/crates/core/tests/replacement/checker.rs
+++ b/crates/core/tests/replacement/checker.rs
@@ -17,6 +17,15 @@
         /// When that commit was acknowledged.
         acknowledged: u64,
     },
+    /// A write ran on a log without a commit that had been acknowledged before it arrived.
+    StaleWrite {
+        /// When the write arrived.
+        arrived: u64,
+        /// The commit that the log lacked.
+        missed: CommitId,
+        /// When that commit was acknowledged.
+        acknowledged: u64,
+    },
     /// A promoted instance lacks an acknowledged commit.
     LostCommit {
         /// When the loss was detected: at the promotion, or at a later acknowledgement.
@@ -96,13 +105,25 @@
     /// Checks a read that arrived at `arrived` and ran on a log of `commits`.
     pub fn on_read(&mut self, arrived: u64, commits: &BTreeSet<CommitId>) {
         self.reads += 1;
-        let expected = self.acknowledged.iter().take_while(|(at, _)| *at < arrived);
-        if let Some((at, missed)) = expected.into_iter().find(|(_, id)| !commits.contains(id)) {
-            let violation = Violation::StaleRead { arrived, missed: *missed, acknowledged: *at };
-            self.violations.push(violation);
+        if let Some((acknowledged, missed)) = self.missed_commit(arrived, commits) {
+            self.violations.push(Violation::StaleRead { arrived, missed, acknowledged });
         }
     }
 
+    /// Checks a write that arrived at `arrived` and ran on a log of `commits`.
+    pub fn on_write(&mut self, arrived: u64, commits: &BTreeSet<CommitId>) {
+        if let Some((acknowledged, missed)) = self.missed_commit(arrived, commits) {
+            self.violations.push(Violation::StaleWrite { arrived, missed, acknowledged });
+        }
+    }
+
+    /// The first commit that had been acknowledged before `arrived` and that a log of `commits`
+    /// lacks, and when it was acknowledged.
+    fn missed_commit(&self, arrived: u64, commits: &BTreeSet<CommitId>) -> Option<(u64, CommitId)> {
+        let expected = self.acknowledged.iter().take_while(|(at, _)| *at < arrived);
+        expected.into_iter().find(|(_, id)| !commits.contains(id)).copied()
+    }
+
     /// Checks the promotion of an instance with a log of `commits` to lead `term`.
     pub fn on_promoted(&mut self, at: u64, term: u32, commits: BTreeSet<CommitId>) {
         let lost = self.acknowledged.iter().find(|(_, id)| !commits.contains(id));
--- a/crates/core/tests/replacement/faults.rs
+++ b/crates/core/tests/replacement/faults.rs
@@ -111,7 +111,7 @@
         let process = self.nodes[node].process + 1;
         self.nodes[node] = Node::new(node, process, self.at(self.now));
         self.nodes[node].started_at = self.now;
-        self.reads[node].clear();
+        self.requests[node].clear();
         self.retries.remove(&node);
         self.sent_positions[node] = 0;
     }
--- a/crates/core/tests/replacement/instances.rs
+++ b/crates/core/tests/replacement/instances.rs
@@ -39,6 +39,8 @@
     pub process: u64,
     /// Number of the request at the node.
     pub request: u64,
+    /// When the client's request arrived at the node.
+    pub arrived: u64,
     /// When the request was sent.
     pub sent: u64,
     /// The connection that carries it.
--- a/crates/core/tests/replacement/main.rs
+++ b/crates/core/tests/replacement/main.rs
@@ -2,8 +2,8 @@
 //! instances, a modelled store and a modelled network. Each seed draws its own faults, and a
 //! checker compares the answers that clients got with what the instances kept.
 //!
-//! The guarantees: no acknowledged commit is lost, no read misses a commit that was acknowledged
-//! before the read arrived, no old primary acknowledges commits after its successor was promoted,
+//! The guarantees: no acknowledged commit is lost, no read or write runs on a log that misses a
+//! commit which was acknowledged before the statement arrived, no old primary acknowledges commits after its successor was promoted,
 //! fencing tokens rise with each coordinator, a write that was reported as not run is not kept, and
 //! everything recovers after the faults have ended.
 //!
@@ -15,6 +15,7 @@
 mod connections;
 mod coordination;
 mod faults;
+mod former_primaries;
 mod instances;
 mod late_calls;
 mod listing;
--- a/crates/core/tests/replacement/messages.rs
+++ b/crates/core/tests/replacement/messages.rs
@@ -15,7 +15,12 @@
 #[derive(Clone, Debug)]
 pub enum Work {
     /// A write.
-    Write(CommitId),
+    Write {
+        /// The commit that it makes.
+        commit: CommitId,
+        /// When the client's request arrived at the node.
+        arrived: u64,
+    },
     /// A read.
     Read {
         /// When the client's request arrived at the node.
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -160,6 +160,8 @@
     None,
     /// Reads go to the primary without evidence.
     ReadsWithoutEvidence,
+    /// Writes go to the primary without evidence.
+    WritesWithoutEvidence,
     /// The coordinator does not wait for evidence to expire.
     NoEvidenceWait,
     /// The replica that lags most is promoted.
@@ -231,6 +233,8 @@
     CutLink(usize, usize),
     /// A node's process is suspended.
     Freeze(usize),
+    /// The clients of a node send nothing.
+    ClientsRest(usize),
     /// A node crashes and restarts without its state.
     KillNode(usize),
     /// A new node starts.
--- a/crates/core/tests/replacement/serving.rs
+++ b/crates/core/tests/replacement/serving.rs
@@ -38,17 +38,26 @@
         let is_primary = instance.role == Role::Primary;
         let term = Term(instance.term);
         match &exchange.work {
-            Work::Write(_) | Work::Read { .. } if !is_primary => Some(Reply::NotPrimary),
-            Work::Write(id) => {
-                let entry = Entry { term: instance.term, id: *id };
+            Work::Write { .. } | Work::Read { .. } if !is_primary => Some(Reply::NotPrimary),
+            Work::Write { commit, arrived } => {
+                self.checker.on_write(*arrived, &instance.commits());
+                let entry = Entry { term: instance.term, id: *commit };
                 let place = instance.log.len();
                 instance.log.push(entry);
                 let (node, process) = (exchange.node, exchange.process);
                 let (request, sent) = (exchange.request, exchange.sent);
-                let connection = exchange.connection;
-                let pending =
-                    Pending { entry, place, node, process, request, sent, connection, made: now };
-                instance.pending.push(pending);
+                let (connection, arrived) = (exchange.connection, *arrived);
+                instance.pending.push(Pending {
+                    entry,
+                    place,
+                    node,
+                    process,
+                    request,
+                    arrived,
+                    sent,
+                    connection,
+                    made: now,
+                });
                 None
             }
             Work::Read { arrived } => {
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -10,7 +10,7 @@
 
 use crate::messages::{Connection, Exchange, Message, Reply, Work};
 use crate::node::{REPLICATION, UnconfirmedCommit, group_name, instance_name};
-use crate::plan::PlantedFault;
+use crate::plan::{FaultKind, PlantedFault};
 use crate::store::Operation;
 use crate::world::World;
 
@@ -18,8 +18,8 @@
 const MEAN_REQUEST_INTERVAL_MS: f64 = 40.0;
 /// Interval between two steps of a node.
 const NODE_STEP_MS: f64 = 5.0;
-/// Maximum time for which a read waits for evidence.
-const READ_TIMEOUT_MS: u64 = 400;
+/// Maximum time for which a request waits for evidence.
+const EVIDENCE_TIMEOUT_MS: u64 = 400;
 /// Timeout of a request to an instance.
 const REQUEST_TIMEOUT_MS: u64 = 700;
 /// Interval between two status queries for evidence.
@@ -27,6 +27,15 @@
 /// Interval between two replacement checks.
 const CHECK_INTERVAL_MS: u64 = 40;
 
+/// A client's request that waits at a node.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientRequest {
+    /// When it arrived.
+    arrived: u64,
+    /// Whether it writes.
+    writes: bool,
+}
+
 impl World {
     /// Creates new client requests and continues the waiting ones.
     pub fn serve_clients(&mut self, node: usize) {
@@ -36,15 +45,15 @@
         self.drop_expired_requests(node);
         self.confirm_commits(node);
         self.open_connections(node);
-        if self.rng.random_bool(NODE_STEP_MS / MEAN_REQUEST_INTERVAL_MS) {
-            if self.rng.random_bool(0.5) {
-                self.write(node);
-            } else {
-                let arrived = self.now;
-                self.reads[node].push(arrived);
+        let are_resting = self.is_active(FaultKind::ClientsRest(node));
+        if self.rng.random_bool(NODE_STEP_MS / MEAN_REQUEST_INTERVAL_MS) && !are_resting {
+            let (arrived, writes) = (self.now, self.rng.random_bool(0.5));
+            match writes && self.writes_without_evidence() {
+                true => self.write_without_evidence(node),
+                false => self.requests[node].push(ClientRequest { arrived, writes }),
             }
         }
-        self.serve_reads(node);
+        self.serve_requests(node);
     }
 
     /// Abandons requests that have timed out, or whose primary is no longer the leader in this
@@ -67,26 +76,6 @@
         }
     }
 
-    fn write(&mut self, node: usize) {
-        let Some(leader) = self.nodes[node].leader() else { return };
-        let own = &self.nodes[node];
-        if own.delays_primary_requests() || own.is_outdated(leader) {
-            return;
-        }
-        if self.needs_confirmation(node, leader) && !self.is_covered_now(node, leader) {
-            self.query_for_evidence(node);
-            return;
-        }
-        let request = self.next_number();
-        self.send_request(node, leader, request, Work::Write(request));
-    }
-
-    /// Whether a node has evidence that covers a request that arrives now.
-    fn is_covered_now(&self, node: usize, leader: usize) -> bool {
-        let lifetime = self.evidence_lifetime(node);
-        self.nodes[node].may_read(leader, self.at(self.now), lifetime)
-    }
-
     /// Queries the instances for evidence, unless they were queried a moment ago.
     fn query_for_evidence(&mut self, node: usize) {
         if self.now >= self.nodes[node].status_queried_at + STATUS_QUERY_INTERVAL_MS {
@@ -94,36 +83,66 @@
         }
     }
 
-    fn serve_reads(&mut self, node: usize) {
+    fn serve_requests(&mut self, node: usize) {
         let now = self.now;
-        self.reads[node].retain(|arrived| now < arrived + READ_TIMEOUT_MS);
+        self.requests[node].retain(|waiting| now < waiting.arrived + EVIDENCE_TIMEOUT_MS);
         let Some(leader) = self.nodes[node].leader() else { return };
-        if self.reads[node].is_empty() || self.nodes[node].delays_primary_requests() {
+        if self.requests[node].is_empty() || self.nodes[node].delays_primary_requests() {
             return;
         }
-        for arrived in std::mem::take(&mut self.reads[node]) {
-            let lifetime = self.evidence_lifetime(node);
-            let is_covered = self.nodes[node].may_read(leader, self.at(arrived), lifetime);
-            if is_covered || self.planted_fault == PlantedFault::ReadsWithoutEvidence {
-                let request = self.next_number();
-                self.send_request(node, leader, request, Work::Read { arrived });
-            } else {
-                self.reads[node].push(arrived);
+        for waiting in std::mem::take(&mut self.requests[node]) {
+            if !self.may_run(node, leader, waiting) {
+                self.requests[node].push(waiting);
+                continue;
             }
+            let (request, arrived) = (self.next_number(), waiting.arrived);
+            let work = match waiting.writes {
+                true => Work::Write { commit: request, arrived },
+                false => Work::Read { arrived },
+            };
+            self.send_request(node, leader, request, work);
         }
-        if !self.reads[node].is_empty() {
+        if !self.requests[node].is_empty() {
             self.query_for_evidence(node);
         }
         self.check_for_replacement(node, leader);
     }
 
+    /// Whether a request may be sent to the leader now.
+    fn may_run(&self, node: usize, leader: usize, request: ClientRequest) -> bool {
+        let lifetime = self.evidence_lifetime(node);
+        let own = &self.nodes[node];
+        let is_covered = own.may_read(leader, self.at(request.arrived), lifetime);
+        let is_outdated = request.writes && own.is_outdated(leader);
+        let ignores_evidence =
+            !request.writes && self.planted_fault == PlantedFault::ReadsWithoutEvidence;
+        !is_outdated && (is_covered || ignores_evidence)
+    }
+
+    /// Whether writes need no evidence, because a fault is planted: the evidence prevents what most
+    /// planted faults lead to, and each of them must still be detected.
+    fn writes_without_evidence(&self) -> bool {
+        self.planted_fault != PlantedFault::None
+    }
+
+    /// Sends a write to the leader, or drops it if that is known not to take writes.
+    fn write_without_evidence(&mut self, node: usize) {
+        let own = &self.nodes[node];
+        let Some(leader) = own.leader() else { return };
+        if own.delays_primary_requests() || own.is_outdated(leader) {
+            return;
+        }
+        let (commit, arrived) = (self.next_number(), self.now);
+        self.send_request(node, leader, commit, Work::Write { commit, arrived });
+    }
+
     /// If not all replicas answer, the evidence requires that the store confirms that the primary
     /// is not being replaced.
     fn check_for_replacement(&mut self, node: usize, leader: usize) {
         let now = self.at(self.now);
         let lifetime = self.evidence_lifetime(node);
-        let helps = self.reads[node].last().is_some_and(|arrived| {
-            let arrived = self.at(*arrived);
+        let helps = self.requests[node].last().is_some_and(|waiting| {
+            let arrived = self.at(waiting.arrived);
             self.nodes[node].may_read_once_checked(leader, arrived, lifetime)
         });
         if !helps || self.now < self.nodes[node].replacement_checked_at + CHECK_INTERVAL_MS {
@@ -157,7 +176,7 @@
         let at = self.at(sent);
         let connection = self.connection_for(node, instance);
         if !matches!(work, Work::Command(_) | Work::Connect) {
-            let commits = matches!(work, Work::Write(_));
+            let commits = matches!(work, Work::Write { .. });
             self.nodes[node].pending_requests.insert(request, (instance, at, commits));
         }
         self.send(Message::Request(Exchange {
@@ -243,8 +262,8 @@
                 }
             }
             Reply::NotPrimary | Reply::Refused | Reply::Broken(_) => {
-                if let (Work::Write(id), true) = (&exchange.work, was_pending) {
-                    self.checker.on_reported_not_run(*id);
+                if let (Work::Write { commit, .. }, true) = (&exchange.work, was_pending) {
+                    self.checker.on_reported_not_run(*commit);
                 }
             }
             Reply::Released | Reply::Connected(_) => {}
@@ -257,7 +276,7 @@
     fn on_committed(&mut self, exchange: &Exchange, term: Term, is_awaited: bool) {
         let (node, instance) = (exchange.node, exchange.instance);
         let (sent, answered) = (self.at(exchange.sent), self.at(self.now));
-        let Work::Write(commit) = exchange.work else { return };
+        let Work::Write { commit, .. } = exchange.work else { return };
         if self.acknowledges_at_once(node, instance) {
             self.nodes[node].evidence.on_commit(term, sent);
             if is_awaited {
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -23,6 +23,7 @@
 use crate::returns::{MAX_REANNOUNCE_DELAY_MS, StoreCopies, unfinished_intents};
 use crate::store::{Announced, Contents, Operation, node_name};
 use crate::trace::Trace;
+use crate::traffic::ClientRequest;
 use crate::unlisted::UnlistedInstance;
 use crate::variations;
 
@@ -82,8 +83,8 @@
     pub instances: Vec<Instance>,
     /// Nodes by number.
     pub nodes: Vec<Node>,
-    /// Arrival times of the reads that wait at each node.
-    pub reads: Vec<Vec<u64>>,
+    /// Clients' requests that wait at each node.
+    pub requests: Vec<Vec<ClientRequest>>,
     /// When each node last wrote its votes to the store.
     pub votes_published_at: Vec<u64>,
     /// Numbers of calls to the store that have not been answered.
@@ -182,7 +183,7 @@
             coordinator_notifies: faults.coordinator_notifies,
             instances: (0..INSTANCES).map(|index| Instance::new(index == 0)).collect(),
             nodes,
-            reads: vec![Vec::new(); count],
+            requests: vec![Vec::new(); count],
             votes_published_at: vec![0; count],
             pending_calls: BTreeSet::new(),
             retries: BTreeMap::new(),
@@ -393,7 +394,7 @@
             request: pending.request,
             sent: pending.sent,
             connection: pending.connection,
-            work: Work::Write(pending.entry.id),
+            work: Work::Write { commit: pending.entry.id, arrived: pending.arrived },
         };
         let term = Term(pending.entry.term);
         let position = self.instances[index].status().received;
--- a/crates/daemon/src/front/session/sending.rs
+++ b/crates/daemon/src/front/session/sending.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use kestrellock_core::catalog::{Consistency, Template};
+use kestrellock_core::catalog::Consistency;
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::exchange_state::{Fault, Progress, failure_code};
 use kestrellock_core::ids::{InstanceName, LeaseId};
@@ -117,7 +117,7 @@
         let Some(lease) = &mut self.lease else { return };
         let (instance, excluded) =
             (lease.target.instance.as_ref(), self.excluded_instance.as_ref());
-        let placement = placement_of(request, instance, excluded, &login.parameters.values, io);
+        let placement = placement_of(request, instance, excluded, &access, io);
         lease.read_only &= !writes;
         let open = self.transaction != TransactionState::Idle;
         let values = &login.parameters.values;
@@ -164,25 +164,23 @@
     request: &Request,
     instance: Option<&InstanceName>,
     excluded: Option<&InstanceName>,
-    values: &Template,
+    access: &Access,
     io: &Io,
 ) -> Placement {
     match instance {
         Some(instance) => Placement::Instance(instance.clone()),
         None => Placement::Any(PlacementRequirements {
             waited: io.now.saturating_duration_since(request.arrived),
-            staleness: staleness_of(request.class(), values),
+            staleness: Some(staleness_of(access)),
             excluded_instance: excluded.cloned(),
         }),
     }
 }
 
-/// How stale the data that a request reads may be; `None` if it reads nothing. A transaction that
-/// may write may also read.
-fn staleness_of(class: StatementClass, values: &Template) -> Option<Duration> {
-    match (class, values.consistency) {
-        (StatementClass::Write | StatementClass::Commit | StatementClass::Rollback, _) => None,
-        (_, Consistency::Primary) => Some(Duration::ZERO),
-        (_, Consistency::Bounded | Consistency::Session) => Some(values.max_staleness_ms.into()),
+/// How old the state of the log may be on which a request runs. Only reads accept any age.
+fn staleness_of(access: &Access) -> Duration {
+    match access {
+        Access::Read { max_staleness, .. } => *max_staleness,
+        Access::PrimaryRead { .. } | Access::Write { .. } => Duration::ZERO,
     }
 }
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -1,12 +1,12 @@
 //! Chooses the instance of a group that runs a statement, from the statuses and evidence that this
 //! node has learned from the instances' answers.
 //!
-//! A read needs evidence that the primary still leads, because an old primary that does not know of
-//! its replacement serves stale data. The evidence must be no older than the staleness that the
-//! read accepts. The read then runs at the primary, or at a replica that has reached a position
-//! which the primary reported while the evidence was valid. A statement that reads nothing needs
-//! evidence only if the group has no synchronous replicas, or if it is not known how a replacement
-//! of the primary ended.
+//! Every statement needs evidence that the primary still leads, because an old primary that does not
+//! know of its replacement runs statements on a log that lacks acknowledged commits. The evidence
+//! must cover the time at which the statement arrived, less the staleness that a read accepts. A
+//! read then runs at the primary, or at a replica that has reached a position which the primary
+//! reported while the evidence was valid. Other statements run at the primary; those that write
+//! need the same evidence, whatever staleness the route's reads accept.
 //!
 //! A statement that must run at the primary never goes to an instance that is being replaced, that
 //! is in a drained zone, or that may have been replaced without this node's knowledge. The instance
@@ -15,7 +15,7 @@
 //! what the session itself has overwritten.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName};
@@ -58,8 +58,8 @@
     pub announced_role: Option<Role>,
     /// What the evidence covers.
     pub coverage: Option<Coverage>,
-    /// Commits acknowledged before this time must be visible to the statement; `None` if it needs
-    /// no evidence.
+    /// Commits acknowledged before this time must be visible to the statement; `None` if no instance
+    /// was considered for it.
     pub must_cover: Option<Instant>,
     /// The sample from which the position that a read requires was taken.
     pub sample: Option<PrimarySample>,
@@ -67,8 +67,8 @@
 
 impl ChoiceBasis {
     /// What must still be known of the process of `instance` when the statement is sent. `None` if
-    /// the choice does not rely on that: the statement needs no evidence, or the instance itself
-    /// checks the position that the statement requires.
+    /// the choice does not rely on that, because the instance itself checks the position that the
+    /// statement requires.
     pub fn required_lead(&self, instance: &InstanceName, now: Instant) -> Option<RequiredLead> {
         let is_primary = self.primary.as_ref().is_some_and(|(primary, _)| primary == instance);
         let must_cover = self.must_cover.filter(|_| is_primary && self.sample.is_none())?;
@@ -91,8 +91,6 @@
 pub struct StatementNeeds<'a> {
     /// When the statement arrived.
     pub arrived: Instant,
-    /// Maximum age of the data that it reads; `None` if it reads nothing.
-    pub staleness: Option<Duration>,
     /// Instance that has just failed to run the statement. If the statement is a read, it is not
     /// sent to that instance again.
     pub excluded_instance: Option<&'a InstanceName>,
@@ -126,7 +124,6 @@
     let group_statuses = io.context.statuses.group(group);
     let known = group_statuses.read().expect("a thread panicked while it held the status lock");
     let primary = io.context.leader(group, configured);
-    let synchronous = configured.synchronous_replicas;
     let (replication, lifetime) = (configured.replication(), io.context.evidence_lifetime());
     basis.primary =
         primary.map(|primary| (primary.name.clone(), known.current_led_term_of(&primary.name)));
@@ -186,20 +183,12 @@
             if primary.is_some_and(lacks_commits) {
                 return InstanceChoice::NeedsSessionTerm;
             }
-            // Without synchronous replicas an old primary continues to commit after its
-            // replacement, so that even statements that read nothing need evidence. The same holds
-            // while it is not known how a replacement of the primary ended.
-            let may_be_old = primary.is_some_and(|primary| {
-                io.context.replacements.needs_confirmation(group, &primary.name)
-            });
-            let no_staleness = (synchronous == 0 || may_be_old).then_some(Duration::ZERO);
-            let staleness = needs.staleness.or(no_staleness);
-            basis.must_cover = staleness.map(moment);
-            let uncovered = basis
-                .must_cover
-                .filter(|moment| covered_until.is_none_or(|covered_until| *moment > covered_until));
-            if let (Some(moment), Some(_)) = (uncovered, primary) {
-                return missing_evidence(moment);
+            // An old primary also runs statements that read nothing, on a log that lacks what its
+            // successor has acknowledged.
+            basis.must_cover = Some(needs.arrived);
+            let is_covered = covered_until.is_some_and(|until| needs.arrived <= until);
+            if primary.is_some() && !is_covered {
+                return missing_evidence(needs.arrived);
             }
             primary
         }
@@ -229,7 +218,7 @@
     let known = group_statuses.read().expect("a thread panicked while it held the status lock");
     let qualifies =
         EligibleReaders { primary: primary.map(|primary| &primary.name), replicas: true };
-    let needs = StatementNeeds { arrived: io.now, staleness: None, excluded_instance: None, pools };
+    let needs = StatementNeeds { arrived: io.now, excluded_instance: None, pools };
     choose_reader(configured, &catalog, &known, &None, qualifies, needs, io)
 }
 
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -71,7 +71,6 @@
     ) -> ExplainedChoice {
         let needs = StatementNeeds {
             arrived: self.arrived,
-            staleness: self.need.staleness,
             excluded_instance: self.need.excluded_instance.as_ref(),
             pools,
         };
--- a/crates/lab/tests/bounded_positions.rs
+++ b/crates/lab/tests/bounded_positions.rs
@@ -48,12 +48,7 @@
     let catalog = node.context.catalog.load();
     let configured = &catalog.groups[&group];
     let pools = HashMap::new();
-    let needs = StatementNeeds {
-        arrived: io.now,
-        staleness: Some(STALENESS),
-        excluded_instance: None,
-        pools: &pools,
-    };
+    let needs = StatementNeeds { arrived: io.now, excluded_instance: None, pools: &pools };
     let mut access = Access::Read { bound: None, max_staleness: STALENESS };
     choose_instance(&group, configured, &mut access, needs, &io)
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -67,7 +67,8 @@
     /// no clock, so the time in transit is not included. The gateway therefore assumes a later
     /// arrival than the real one, which makes its freshness requirement stricter, never weaker.
     pub waited: Duration,
-    /// Maximum staleness of the data that the exchange reads; `None` if it reads nothing.
+    /// How old the state of the log may be on which the exchange runs. Gateways of earlier versions
+    /// require no evidence for a write without this value; fronts always set it.
     pub staleness: Option<Duration>,
     /// An instance that has just failed to run the exchange.
     #[serde(rename = "passed_over")]
