--- a/crates/core/tests/replacement/former_primaries.rs
+++ b/crates/core/tests/replacement/former_primaries.rs
@@ -1,5 +1,5 @@
 //! Nodes that reach only the former primary while the rest of the system replaces it: no statement
-//! may run there once a client of the successor has been told of a commit, whether it reads or
+//! may run there once the successor has acknowledged a commit to a client, whether it reads or
 //! writes.
 
 use std::collections::BTreeSet;
@@ -67,7 +67,7 @@
 
 /// Guards against writes at a former primary: a node that reaches no other instance sent writes
 /// there without evidence that it still leads, and they ran on a log without commits that clients
-/// of the successor had been told of.
+/// of the successor had been acknowledged.
 #[test]
 fn no_statement_runs_at_a_former_primary_that_a_partition_leaves_to_some_nodes() {
     let outcomes = run_worlds(seeds(), |seed| world(seed, PlantedFault::None));
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -6,7 +6,7 @@
 //! must cover the time at which the statement arrived, less the staleness that a read accepts. A
 //! read then runs at the primary, or at a replica that has reached a position which the primary
 //! reported while the evidence was valid. Other statements run at the primary; those that write
-//! need the same evidence, whatever staleness the route's reads accept.
+//! need the same evidence on every route.
 //!
 //! A statement that must run at the primary never goes to an instance that is being replaced, that
 //! is in a drained zone, or that may have been replaced without this node's knowledge. The instance
