--- a/crates/core/tests/replacement/former_primaries.rs
+++ b/crates/core/tests/replacement/former_primaries.rs
@@ -66,8 +66,8 @@
 }
 
 /// Guards against writes at a former primary: a node that reaches no other instance sent writes
-/// there without evidence that it still leads, and they ran on a log without commits that clients
-/// of the successor had been acknowledged.
+/// there without evidence that it still leads, and they ran on a log without commits that the
+/// successor had acknowledged.
 #[test]
 fn no_statement_runs_at_a_former_primary_that_a_partition_leaves_to_some_nodes() {
     let outcomes = run_worlds(seeds(), |seed| world(seed, PlantedFault::None));
