--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod instance;
+mod memory;
 mod moved;
 mod node;
 mod record;
@@ -208,6 +209,7 @@
         "shapes" => shapes::play(&paths, trouble),
         "values" => values::play(&paths, trouble),
         "moved" => moved::play(&paths, trouble),
+        "memory" => memory::play(&paths, trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match verdict {
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -7,12 +7,19 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// Size of the pages in which the system counts memory.
+const PAGE_BYTES: u64 = 4096;
+
 /// A node; its process is killed when this value is dropped.
 pub struct Node {
     /// Address for clients.
     pub front: SocketAddr,
     ready: SocketAddr,
     child: Child,
+    root: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    key: String,
 }
 
 /// What the platform tells a node.
@@ -91,19 +98,10 @@
         );
         let settings: PathBuf = folder.join(format!("{}.toml", place.name));
         fs::write(&settings, text)?;
-        let log = File::create(folder.join(format!("{}.log", place.name)))?;
-        let child = Command::new(root.join("target/release/kestrellockd"))
-            .arg("--settings")
-            .arg(&settings)
-            .args(["--log-format", "json"])
-            .env_clear()
-            .env("KESTRELLOCK_CLUSTER_KEY", format!("cluster-of-{}", place.store))
-            .current_dir(root)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        Ok(Self { front, ready, child })
+        let log = folder.join(format!("{}.log", place.name));
+        let key = format!("cluster-of-{}", place.store);
+        let child = run(root, &settings, &log, &key)?;
+        Ok(Self { front, ready, child, root: root.to_path_buf(), settings, log, key })
     }
 
     /// Whether the node answers the platform's question with 200.
@@ -121,6 +119,26 @@
         Ok(answer.starts_with("HTTP/1.1 200"))
     }
 
+    /// Memory of the process in bytes, as the system tells it.
+    pub fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/statm", self.child.id());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        pages.unwrap_or(0) * PAGE_BYTES
+    }
+
+    /// Kills the process, as the platform does when it has too much memory.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child = run(&self.root, &self.settings, &self.log, &self.key)?;
+        Ok(())
+    }
+
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -134,6 +152,22 @@
     }
 }
 
+/// Runs the program with the command and the environment of the deploy file.
+fn run(root: &Path, settings: &Path, log: &Path, key: &str) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new(root.join("target/release/kestrellockd"))
+        .arg("--settings")
+        .arg(settings)
+        .args(["--log-format", "json"])
+        .env_clear()
+        .env("KESTRELLOCK_CLUSTER_KEY", key)
+        .current_dir(root)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
 /// The addresses of the nodes' machines.
 pub fn machine(number: u8) -> Ipv4Addr {
     match IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + number)) {
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -9,20 +9,27 @@
 /// The record of one run; clones write to the same file.
 #[derive(Clone)]
 pub struct Record {
-    file: Arc<Mutex<File>>,
+    file: Option<Arc<Mutex<File>>>,
     began: Instant,
 }
 
 impl Record {
     /// Begins a record.
     pub fn create(path: &Path) -> io::Result<Self> {
-        Ok(Self { file: Arc::new(Mutex::new(File::create(path)?)), began: Instant::now() })
+        let file = Some(Arc::new(Mutex::new(File::create(path)?)));
+        Ok(Self { file, began: Instant::now() })
+    }
+
+    /// A record that keeps nothing, for clients whose like is recorded already.
+    pub fn silent() -> Self {
+        Self { file: None, began: Instant::now() }
     }
 
     /// Adds a line.
     pub fn note(&self, text: &str) {
         let time = self.began.elapsed().as_secs_f64();
-        let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(file) = &self.file else { return };
+        let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
         // Long shapes are shown by their ends.
         let _ = writeln!(file, "{time:8.3} s  {text}");
     }
