--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! was broken and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod client;
+mod flood;
 mod instance;
 mod memory;
 mod moved;
@@ -206,6 +207,7 @@
     let paths = Paths { root: path(root), record: path(record), folder: path(folder) };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
+        "flood" => flood::play(&paths, trouble),
         "shapes" => shapes::play(&paths, trouble),
         "values" => values::play(&paths, trouble),
         "moved" => moved::play(&paths, trouble),
