--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -75,13 +75,8 @@
             .services
             .iter()
             .map(|name| {
-                let options = Options {
-                    name,
-                    zones: &ZONES,
-                    lag: needs.lag,
-                    max_connections: 34,
-                    slots: 3,
-                };
+                let options =
+                    Options { name, zones: &ZONES, lag: needs.lag, max_connections: 34, slots: 3 };
                 Service::start(&options, &store, &record)
             })
             .collect::<io::Result<Vec<_>>>()?;
--- a/review/standins-2/src/moved.rs
+++ b/review/standins-2/src/moved.rs
@@ -22,8 +22,7 @@
 }
 
 pub fn play(paths: &Paths, trouble: bool) -> io::Result<Verdict> {
-    let needs =
-        Needs { services: &["dele69a", "kafi81c"], lag: LAG, routes: &routes("dele69a") };
+    let needs = Needs { services: &["dele69a", "kafi81c"], lag: LAG, routes: &routes("dele69a") };
     let mut world = World::start(paths, &needs)?;
     let mut clients = Vec::new();
     let mut others = Vec::new();
--- a/review/standins-2/src/shapes.rs
+++ b/review/standins-2/src/shapes.rs
@@ -17,7 +17,8 @@
 /// behind these.
 fn shape(first: char, second: char) -> String {
     let mut bytes = vec![b'q'; LENGTH];
-    let mut put = |at: usize, text: &str| bytes[at..at + text.len()].copy_from_slice(text.as_bytes());
+    let mut put =
+        |at: usize, text: &str| bytes[at..at + text.len()].copy_from_slice(text.as_bytes());
     put(FIRST_WORD.0, FIRST_WORD.1);
     put(SECOND_WORD.0, SECOND_WORD.1);
     put(FIRST_WORD.0 + 4, &first.to_string());
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -154,9 +154,10 @@
         let contents = self.shared.lock();
         let prefix = request.field("pathPrefix").unwrap_or_default();
         let after = request.field("after").unwrap_or_default();
-        let found = contents.items.iter().filter(|(key, _)| {
-            key.starts_with(&prefix) && (after.is_empty() || **key > after)
-        });
+        let found = contents
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
         let items: Vec<Value> = found.take(500).map(|(key, item)| item_json(key, item)).collect();
         let last = items.last().and_then(|item| item["privateKey"].as_str()).unwrap_or_default();
         let more = items.len() == 500
@@ -203,16 +204,13 @@
         });
         if !holds {
             let keys = conditions.iter().map(|row| text(row, "privateKey"));
-            let items: Vec<Value> = keys
-                .filter_map(|key| Some(item_json(&key, contents.items.get(&key)?)))
-                .collect();
+            let items: Vec<Value> =
+                keys.filter_map(|key| Some(item_json(&key, contents.items.get(&key)?))).collect();
             return (412, json!({ "items": items }));
         }
         let puts = rows("put");
-        let removed: Vec<String> = rows("remove")
-            .iter()
-            .map(|key| key.as_str().unwrap_or_default().to_owned())
-            .collect();
+        let removed: Vec<String> =
+            rows("remove").iter().map(|key| key.as_str().unwrap_or_default().to_owned()).collect();
         let written = puts.iter().map(|row| text(row, "privateKey"));
         let foreign = |key: &String| key.starts_with("op/") || key.starts_with("servers/");
         if written.chain(removed.iter().cloned()).any(|key| foreign(&key)) {
