--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -28,14 +28,21 @@
 //! arrived at A is current at the primary if A is covered; a read that may be up to D stale is
 //! current enough if A - D is covered.
 
+mod coverage;
+mod replication;
+mod transaction_writes;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::classify::StatementClass;
 use crate::ids::InstanceName;
 use crate::position::Term;
 use crate::promotion::ReplacementId;
 
+pub use coverage::{Coverage, EvidenceKind};
+pub use replication::Replication;
+pub use transaction_writes::TransactionWrites;
+
 /// How long evidence covers reads that arrive. The coordinator waits that long after the replicas
 /// have been stopped, unless every node has revoked its evidence. A longer lifetime makes a
 /// failover slower when a node is unreachable; a shorter one costs more queries all the time.
@@ -65,6 +72,15 @@
     revoked: Option<(ReplacementId, Term)>,
 }
 
+/// When the requests for the newest evidence of each source were sent, for log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NewestEvidence {
+    /// The newest commit that counts as evidence.
+    pub commit: Option<Instant>,
+    /// The newest report of a replica.
+    pub report: Option<Instant>,
+}
+
 /// A report of a replica, which shows that it was not stopped above a term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ReplicaReport {
@@ -157,8 +173,14 @@
 
     /// When the request for the newest evidence was sent.
     pub fn newest(&self) -> Option<Instant> {
-        let newest_report = self.replicas.values().map(|report| report.queried_at).max();
-        self.last_commit.max(newest_report)
+        let NewestEvidence { commit, report } = self.newest_by_source();
+        commit.max(report)
+    }
+
+    /// When the requests for the newest evidence of each source were sent.
+    pub fn newest_by_source(&self) -> NewestEvidence {
+        let report = self.replicas.values().map(|report| report.queried_at).max();
+        NewestEvidence { commit: self.last_commit, report }
     }
 
     /// Highest term for which there is any evidence.
@@ -226,11 +248,7 @@
         group: Replication,
         lifetime: Duration,
     ) -> Option<Instant> {
-        if !self.may_cover(term) {
-            return None;
-        }
-        let by_commit = self.last_commit.filter(|_| group.synchronous > 0 && term == self.term);
-        by_commit.max(self.confirmed_by_replicas_at(term, group)).map(|seen| seen + lifetime)
+        self.lasting_coverage(term, group, lifetime).map(|coverage| coverage.until)
     }
 
     /// Whether a commit that the primary of `term` acknowledged at `answered` is known to be safe:
@@ -269,9 +287,18 @@
     /// Whether evidence for `term` can count: no higher term is known and the evidence was not
     /// revoked.
     fn may_cover(&self, term: Term) -> bool {
+        !self.is_outdated_term(term) && !self.is_revoked(term)
+    }
+
+    /// Whether an instance is known to have led a higher term.
+    fn is_outdated_term(&self, term: Term) -> bool {
+        term < self.term.max(self.highest_led_otherwise)
+    }
+
+    /// Whether the evidence for `term` was revoked for a replacement that has not finished.
+    fn is_revoked(&self, term: Term) -> bool {
         let unknown = Term::default();
-        let is_revoked = self.revoked.is_some_and(|(_, until)| term <= until || until == unknown);
-        term >= self.term.max(self.highest_led_otherwise) && !is_revoked
+        self.revoked.is_some_and(|(_, until)| term <= until || until == unknown)
     }
 
     /// Whether the store's confirmation shows that no replacement can have released the replica
@@ -296,139 +323,3 @@
         query_times.get(count.checked_sub(1)?).copied()
     }
 }
-
-/// How a group replicates.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Replication {
-    /// Number of replicas that must have received a commit before the primary acknowledges it.
-    pub synchronous: u32,
-    /// Number of instances, including the primary.
-    pub instances: usize,
-}
-
-impl Replication {
-    /// Number of instances other than the primary.
-    pub fn replicas(&self) -> usize {
-        self.instances.saturating_sub(1)
-    }
-
-    /// How many replicas must show that no other primary acknowledges commits. At least as many as
-    /// are synchronous, so that a coordinator has to stop one of them; and so many that another
-    /// primary does not find enough replicas among the rest, since a replica that does not learn of
-    /// it follows the old primary.
-    pub fn replicas_needed(&self) -> usize {
-        let synchronous = self.synchronous as usize;
-        self.replicas().saturating_sub(synchronous).max(synchronous).max(1)
-    }
-}
-
-/// Tracks whether a session's transaction has written, to determine which answers acknowledge a
-/// commit of writes.
-///
-/// Only such a commit is evidence. A commit without writes waits for no replica, so an old primary
-/// acknowledges it as well.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct TransactionWrites {
-    in_transaction: bool,
-    wrote: bool,
-}
-
-impl TransactionWrites {
-    /// Handles the answer to an exchange; `open` is whether a transaction is open after it. Returns
-    /// whether the answer acknowledges a commit of writes.
-    pub fn on_answer(&mut self, class: StatementClass, failed: bool, open: bool) -> bool {
-        let writes = class == StatementClass::Write && !failed;
-        let commits = class == StatementClass::Commit && !failed;
-        let wrote_before = self.in_transaction && self.wrote;
-        let commits_writes = match (self.in_transaction, open) {
-            (_, true) => false,
-            (false, false) => writes,
-            (true, false) => commits && wrote_before,
-        };
-        *self = Self { in_transaction: open, wrote: open && (writes || wrote_before) };
-        commits_writes
-    }
-
-    /// Whether an exchange of this class commits writes if it succeeds.
-    pub fn would_commit(&self, class: StatementClass) -> bool {
-        match self.in_transaction {
-            true => class == StatementClass::Commit && self.wrote,
-            false => class == StatementClass::Write,
-        }
-    }
-
-    /// The open transaction, if there was one, is lost.
-    pub fn on_lost(&mut self) {
-        *self = Self::default();
-    }
-}
-
-/// The kind of evidence that covers a read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EvidenceKind {
-    /// A commit that the primary acknowledged.
-    Commit,
-    /// Reports of all replicas.
-    AllReplicas,
-    /// Reports of enough replicas, with a replacement check.
-    SomeReplicas,
-    /// Reports of enough replicas without a replacement check.
-    UncheckedReplicas,
-}
-
-/// The evidence for the primary of a term, and what it covers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Coverage {
-    /// The term of the primary.
-    pub term: Term,
-    /// Until when arriving reads are covered.
-    pub until: Instant,
-    /// The kind of evidence that covers them for longest.
-    pub kind: EvidenceKind,
-    /// When the requests were sent that yielded this evidence.
-    pub requested_at: Instant,
-    /// When the store was queried that last showed no replacement of the primary.
-    pub replacement_check_at: Option<Instant>,
-}
-
-impl PrimaryEvidence {
-    /// What covers the arrival of statements at the primary of `term` for longest. Decisions and
-    /// their log lines both use this value, so they cannot differ.
-    pub fn coverage(&self, term: Term, group: Replication, lifetime: Duration) -> Option<Coverage> {
-        let lasting = self.lasting_coverage(term, group, lifetime);
-        let unchecked = self.unchecked_coverage(term, group);
-        lasting.into_iter().chain(unchecked).max_by_key(|coverage| coverage.until)
-    }
-
-    /// The coverage by evidence that stays valid for `lifetime`, as [`Self::covers_until`] counts
-    /// it.
-    fn lasting_coverage(
-        &self,
-        term: Term,
-        group: Replication,
-        lifetime: Duration,
-    ) -> Option<Coverage> {
-        let until = self.covers_until(term, group, lifetime)?;
-        let requested_at = until.checked_sub(lifetime)?;
-        let by_commit = self.last_commit.filter(|_| group.synchronous > 0 && term == self.term);
-        let by_all = self.oldest_of_newest(group.replicas(), term, |_| true);
-        let kind = if by_commit == Some(requested_at) {
-            EvidenceKind::Commit
-        } else if by_all == Some(requested_at) {
-            EvidenceKind::AllReplicas
-        } else {
-            EvidenceKind::SomeReplicas
-        };
-        let replacement_check_at = self.no_replacement_at;
-        Some(Coverage { term, until, kind, requested_at, replacement_check_at })
-    }
-
-    /// The coverage by reports of enough replicas, which ends with the request for the reports: a
-    /// replica that a promotion has released may confirm the successor's commits right after it has
-    /// answered.
-    pub fn unchecked_coverage(&self, term: Term, group: Replication) -> Option<Coverage> {
-        let requested_at = self.would_cover_until(term, group, Duration::ZERO)?;
-        let kind = EvidenceKind::UncheckedReplicas;
-        Some(Coverage { term, until: requested_at, kind, requested_at, replacement_check_at: None })
-    }
-}
--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -106,6 +106,11 @@
         });
     }
 
+    /// When the newest copy of the store was requested.
+    pub fn store_copy_requested_at(&self) -> Option<Instant> {
+        self.copy_requested_at
+    }
+
     /// The coordinator notifies this node that a replacement is running, and that it learned `age`
     /// ago that the intent was recorded.
     pub fn on_notification(
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -209,6 +209,12 @@
         statuses.evidence.newest().map(|seen| now.saturating_duration_since(seen))
     }
 
+    /// Age of the copy of the store that this node uses, from the request for it.
+    pub fn store_copy_age(&self, now: Instant) -> Option<Duration> {
+        let requested_at = self.replacements.store_copy_requested_at()?;
+        Some(now.saturating_duration_since(requested_at))
+    }
+
     /// Whether credentials of the active configuration may be used for a request that arrived at
     /// `arrived`.
     pub fn is_credential_confirmed(&self, arrived: Instant) -> bool {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -330,6 +330,8 @@
         }
         let age = |at: Instant| io.now.saturating_duration_since(at).as_millis() as u64;
         let lead = running.required_lead;
+        let evidence = io.context.statuses.newest_evidence(&self.group);
+        let milliseconds = |age: Duration| age.as_millis() as u64;
         log::info!(
             event = "write_failed",
             id = running.request.as_deref().unwrap_or("-"),
@@ -340,7 +342,10 @@
             led_term = lead.map(|lead| lead.term.0),
             must_cover_ms = lead.map(|lead| age(lead.must_cover)),
             chosen_ms = lead.map(|lead| age(lead.chosen_at)),
-            sent_ms = age(running.sent);
+            sent_ms = age(running.sent),
+            commit_evidence_ms = evidence.commit.map(age),
+            report_evidence_ms = evidence.report.map(age),
+            store_copy_ms = io.context.store_copy_age(io.now).map(milliseconds);
             "a write that was sent to an instance has no answer"
         );
     }
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -1,7 +1,10 @@
 //! Processes the messages that a connection receives from its instance: completes startup, forwards
 //! answers to the front, and derives whether the running exchange may have committed.
 
+use std::time::Instant;
+
 use kestrellock_core::exchange_state::Effect;
+use kestrellock_core::position::Term;
 use kestrellock_peer::message::{LeaseEvent, TransactionState};
 use kestrellock_protocol::backend::{BackendTarget, Failure, Reply, ReplyKind};
 
@@ -10,7 +13,8 @@
 use crate::gateway::confirmation::Commit;
 use crate::gateway::notify_front;
 use crate::gateway::running_exchange::{Next, RunningExchange};
-use crate::shared::statuses::ExchangeResponse;
+use crate::metrics::AnswerEvidence;
+use crate::shared::statuses::{EvidenceScope, ExchangeResponse};
 
 /// Size from which a partial answer is forwarded to the front.
 const FORWARD_THRESHOLD_BYTES: usize = 64 * 1024;
@@ -182,6 +186,7 @@
         // First, because the commit shows that the instance led the term of its position.
         if let Some(position) = running.write_commit_position() {
             let (term, sent) = (position.term, running.sent);
+            self.count_answer(term, io);
             let statuses = &io.context.statuses;
             match io.context.needs_replica_confirmation(&self.group, &self.instance) {
                 true => statuses.on_commit_without_evidence(&self.group, &self.instance, term),
@@ -192,6 +197,32 @@
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
     }
 
+    /// Counts the answer of a commit of `term` by the evidence that covers it.
+    fn count_answer(&self, term: Term, io: &Io) {
+        let catalog = io.context.catalog.load();
+        let Some(configured) = catalog.groups.get(&self.group) else { return };
+        let scope = EvidenceScope {
+            replication: configured.replication(),
+            lifetime: io.context.evidence_lifetime(),
+        };
+        // Read the clock again: the answer may have arrived after this process received the event.
+        let answered = Instant::now();
+        let statuses = &io.context.statuses;
+        let evidence = statuses.answer_evidence(&self.group, &self.instance, term, answered, scope);
+        io.context.metrics.commit_answers.count(AnswerEvidence::of(evidence));
+        if evidence.is_none() {
+            log::info!(
+                event = "commit_uncovered",
+                group = self.group.as_str(),
+                instance = self.instance.as_str(),
+                term = term.0,
+                evidence_age_ms = io.context.evidence_age(&self.group, answered).map(|age| age.as_millis() as u64),
+                store_copy_age_ms = io.context.store_copy_age(answered).map(|age| age.as_millis() as u64);
+                "no earlier evidence shows that the primary still leads where it answered a commit"
+            );
+        }
+    }
+
     /// Forwards part of a large answer before its end. The answer of an exchange that may commit is
     /// kept whole until the commit is confirmed.
     fn forward_partial_answer(&mut self, io: &mut Io) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,10 +21,10 @@
 use prometheus_client::registry::Registry;
 
 pub use labels::{
-    CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent, IsolationEvent, Label,
-    MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent, Route, SessionBoundEvent,
-    SessionEndEvent, StatementResult, StoppedExchange, StorePurpose, StoreResult,
-    UnansweredRequest, VoteEvent,
+    AnswerEvidence, CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent,
+    IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent, Route,
+    SessionBoundEvent, SessionEndEvent, StatementResult, StoppedExchange, StorePurpose,
+    StoreResult, UnansweredRequest, VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -119,6 +119,8 @@
     pub routes: CounterSet<Route>,
     /// Choices of instances by evidence, and exchanges that wait for evidence.
     pub choices: CounterSet<ChoiceEvidence>,
+    /// Answers of commits that wrote, by the evidence that covers them.
+    pub commit_answers: CounterSet<AnswerEvidence>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Sessions that this node ended, and requests that it refused with them.
@@ -232,6 +234,11 @@
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
             routes: CounterSet::register(r, "routes", "Exchanges by destination"),
             choices: CounterSet::register(r, "choices", "Choices of instances by evidence"),
+            commit_answers: CounterSet::register(
+                r,
+                "commit_answers",
+                "Answers of commits that wrote, by the evidence that covers them",
+            ),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             session_ends: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -314,6 +314,33 @@
     }
 }
 
+labels! {
+    /// The evidence that covers the answer of a commit that wrote: it shows that the commit reached
+    /// a replica before a promotion can have released one.
+    AnswerEvidence {
+        /// An earlier commit that the primary acknowledged.
+        Commit = "commit",
+        /// Reports of all replicas.
+        AllReplicas = "all_replicas",
+        /// Reports of some replicas and a replacement check.
+        SomeReplicas = "some_replicas",
+        /// None: another instance may lead.
+        Missing = "none",
+    }
+}
+
+impl AnswerEvidence {
+    /// The label for the evidence of an answer; `None` if there is none.
+    pub fn of(evidence: Option<EvidenceKind>) -> Self {
+        match evidence {
+            Some(EvidenceKind::Commit) => Self::Commit,
+            Some(EvidenceKind::AllReplicas) => Self::AllReplicas,
+            Some(EvidenceKind::SomeReplicas) => Self::SomeReplicas,
+            Some(EvidenceKind::UncheckedReplicas) | None => Self::Missing,
+        }
+    }
+}
+
 impl ChoiceEvidence {
     /// The label for an exchange that writes or reads, and the evidence for its instance; `None` if
     /// it waits for evidence.
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -56,6 +56,11 @@
         known.intents()
     }
 
+    /// When the newest copy of the store was requested.
+    pub fn store_copy_requested_at(&self) -> Option<Instant> {
+        self.known().store_copy_requested_at()
+    }
+
     /// Whether a commit that `instance` answers now may be acknowledged to the client.
     pub fn may_acknowledge_commit(
         &self,
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -13,7 +13,9 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::primary_evidence::{Coverage, PrimaryEvidence, ReplicaTerms, Replication};
+use kestrellock_core::primary_evidence::{
+    Coverage, EvidenceKind, NewestEvidence, PrimaryEvidence, ReplicaTerms, Replication,
+};
 use kestrellock_core::primary_samples::{PositionReport, PrimarySamples};
 use kestrellock_core::promotion::{Intent, higher_position};
 use kestrellock_core::routing::{self, InstanceStatus, Role};
@@ -107,6 +109,25 @@
         Some(Coverage { until, ..coverage })
     }
 
+    /// What covers the answer of a commit of `term` that `instance` has answered: the commit
+    /// reached a replica before a promotion can have released one. `None` if the instance has not
+    /// been shown to lead that term.
+    pub fn answer_coverage(
+        &self,
+        instance: &InstanceName,
+        term: Term,
+        group: Replication,
+        lifetime: Duration,
+    ) -> Option<Coverage> {
+        if self.led_term_of(instance) != Some(term) {
+            return None;
+        }
+        let coverage = self.evidence.answer_coverage(term, group, lifetime)?;
+        let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
+        let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
+        Some(Coverage { until, ..coverage })
+    }
+
     /// Until when the evidence covers the arrival of reads at the primary `instance`.
     pub fn covered_until(
         &self,
@@ -151,6 +172,15 @@
     }
 }
 
+/// The group to which evidence applies, and how long evidence lasts at this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EvidenceScope {
+    /// How the group replicates.
+    pub replication: Replication,
+    /// How long evidence lasts.
+    pub lifetime: Duration,
+}
+
 /// What the evidence shows about a commit that the primary has answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CommitConfirmation {
@@ -304,6 +334,30 @@
         });
     }
 
+    /// The evidence that covers the answer of a commit of `term`, which `instance` gave at
+    /// `answered`; `None` if none covers it.
+    pub fn answer_evidence(
+        &self,
+        group: &GroupName,
+        instance: &InstanceName,
+        term: Term,
+        answered: Instant,
+        scope: EvidenceScope,
+    ) -> Option<EvidenceKind> {
+        let statuses = self.group(group);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        let EvidenceScope { replication, lifetime } = scope;
+        let coverage = known.answer_coverage(instance, term, replication, lifetime)?;
+        (answered <= coverage.until).then_some(coverage.kind)
+    }
+
+    /// When the requests for the newest evidence of a group were sent.
+    pub fn newest_evidence(&self, group: &GroupName) -> NewestEvidence {
+        let statuses = self.group(group);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        known.evidence.newest_by_source()
+    }
+
     /// Records that `instance`, as the primary of `term`, answered a commit that wrote data and was
     /// sent at `sent`.
     pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
