A former primary is no evidence for its own lead

Callers saw reads at a former primary without commits that its successor had acknowledged.

Class: a claim about other instances forgot that the instance in question is one of them. Reports of the primary in question no longer count as a replica's; new reports of some replicas cover arrivals only with a report of the primary, asked for after the arrival, that it leads; an instance that reports that it is a replica, or refuses a write as one, has to show again that it leads. Reports of some replicas with a check count from the earlier of the two. The primary is asked along with the replicas only if one of them has not answered the round before, so groups whose replicas all answer are asked no more than before.

Worlds with a planted fault keep the earlier rule.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -20,9 +20,11 @@
 //!   cannot reach the store.
 //!
 //! Reports of enough replicas without the store's confirmation cover only what arrived before they
-//! were requested: a successor has acknowledged no commit by then, because the replicas beside them
-//! are too few for it. So a group with a dead replica is served while the store is unreachable, at
-//! the price of queries for each statement that no commit covers.
+//! were requested, and only if the primary itself was asked after that arrival and reported that it
+//! leads. A successor has acknowledged no commit by then: the replicas beside those that reported
+//! are too few to confirm one, and the former primary confirms commits only once it is a replica. So
+//! a group with a dead replica is served while the store is unreachable, at the price of queries for
+//! each statement that no commit covers.
 //!
 //! An attempt never stops replicas with the same term for two different successors. A read that
 //! arrived at A is current at the primary if A is covered; a read that may be up to D stale is
@@ -55,6 +57,15 @@
 /// the store.
 pub const MIN_PROMOTION_TIME: Duration = Duration::from_millis(100);
 
+/// An instance, and a term that it has been shown to lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lead<'a> {
+    /// The instance.
+    pub instance: &'a InstanceName,
+    /// The term.
+    pub term: Term,
+}
+
 /// A node's evidence about one group's primary.
 #[derive(Clone, Debug, Default)]
 pub struct PrimaryEvidence {
@@ -66,6 +77,8 @@
     last_commit: Option<Instant>,
     /// The last report of each replica.
     replicas: BTreeMap<InstanceName, ReplicaReport>,
+    /// The last report of each instance that it is primary.
+    primaries: BTreeMap<InstanceName, PrimaryReport>,
     /// The latest time at which no replacement of the primary was recorded in the store.
     no_replacement_at: Option<Instant>,
     /// The replacement for which evidence was revoked, and the highest term of that evidence.
@@ -91,6 +104,14 @@
     answered: Instant,
 }
 
+/// A report of an instance that it is primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PrimaryReport {
+    term: Term,
+    /// When the query was sent.
+    queried_at: Instant,
+}
+
 /// The terms that a replica reports, as far as they are evidence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplicaTerms {
@@ -138,6 +159,16 @@
         self.highest_led_otherwise = self.highest_led_otherwise.max(term);
     }
 
+    /// An instance answered a query that was sent at `queried_at` that it is the primary of `term`.
+    pub fn on_primary_report(&mut self, instance: &InstanceName, term: Term, queried_at: Instant) {
+        self.on_term_led(term);
+        let report = PrimaryReport { term, queried_at };
+        let known = self.primaries.entry(instance.clone()).or_insert(report);
+        if known.queried_at <= queried_at {
+            *known = report;
+        }
+    }
+
     /// A replica answered at `answered` a query that was sent at `queried_at`.
     pub fn on_replica_report(
         &mut self,
@@ -147,6 +178,7 @@
         answered: Instant,
     ) {
         self.advance_term(terms.term);
+        self.primaries.remove(replica);
         let report = ReplicaReport { term: terms.supported_term(), queried_at, answered };
         if report.term < self.term {
             self.replicas.remove(replica);
@@ -213,6 +245,7 @@
     pub fn discard(&mut self) {
         self.last_commit = None;
         self.replicas.clear();
+        self.primaries.clear();
         self.no_replacement_at = None;
     }
 
@@ -233,6 +266,7 @@
     /// An instance was restarted: the report of its previous process no longer counts.
     pub fn on_restart(&mut self, instance: &InstanceName) {
         self.replicas.remove(instance);
+        self.primaries.remove(instance);
     }
 
     /// The replacement for which evidence was revoked.
@@ -240,48 +274,41 @@
         self.revoked.map(|(id, _)| id)
     }
 
-    /// Until when evidence with the given lifetime covers reads that arrive at the primary of
-    /// `term`; `None` if there is no evidence for that primary.
+    /// Until when evidence with the given lifetime covers reads that arrive at the primary; `None`
+    /// if there is no evidence for that primary.
     pub fn covers_until(
         &self,
-        term: Term,
+        lead: Lead,
         group: Replication,
         lifetime: Duration,
     ) -> Option<Instant> {
-        self.lasting_coverage(term, group, lifetime).map(|coverage| coverage.until)
-    }
-
-    /// Whether a commit that the primary of `term` acknowledged at `answered` is known to be safe:
-    /// replicas that were queried after that show that no promotion was being prepared. For nodes
-    /// that may not have been notified of a replacement or of its end.
-    pub fn confirms_commit(&self, term: Term, group: Replication, answered: Instant) -> bool {
-        self.may_cover(term)
-            && self
-                .confirmed_by_replicas_at(term, group)
-                .is_some_and(|queried_at| queried_at >= answered)
+        self.lasting_coverage(lead, group, lifetime).map(|coverage| coverage.until)
     }
 
-    /// When the replicas were queried whose reports show that there is no other primary.
-    fn confirmed_by_replicas_at(&self, term: Term, group: Replication) -> Option<Instant> {
-        let by_all = self.oldest_of_newest(group.replicas(), term, |_| true);
-        let by_enough = self.oldest_of_newest(group.replicas_needed(), term, |report| {
+    /// Whether a commit that the primary acknowledged at `answered` is known to be safe: replicas
+    /// that were queried after that show that no promotion was being prepared. For nodes that may
+    /// not have been notified of a replacement or of its end.
+    pub fn confirms_commit(&self, lead: Lead, group: Replication, answered: Instant) -> bool {
+        let by_all = self.oldest_of_newest(group.replicas(), lead, |_| true);
+        let by_enough = self.oldest_of_newest(group.replicas_needed(), lead, |report| {
             self.is_confirmed_by_store(report)
         });
-        by_all.max(by_enough)
+        let queried_at = by_all.max(by_enough);
+        self.may_cover(lead.term) && queried_at.is_some_and(|queried_at| queried_at >= answered)
     }
 
     /// Until when arriving reads would be covered if the store confirmed now that no replacement is
     /// running.
     pub fn would_cover_until(
         &self,
-        term: Term,
+        lead: Lead,
         group: Replication,
         lifetime: Duration,
     ) -> Option<Instant> {
-        if !self.may_cover(term) {
+        if !self.may_cover(lead.term) {
             return None;
         }
-        self.oldest_of_newest(group.replicas_needed(), term, |_| true).map(|seen| seen + lifetime)
+        self.oldest_of_newest(group.replicas_needed(), lead, |_| true).map(|seen| seen + lifetime)
     }
 
     /// Whether evidence for `term` can count: no higher term is known and the evidence was not
@@ -308,16 +335,19 @@
             .is_some_and(|queried_at| report.answered <= queried_at + MIN_PROMOTION_TIME)
     }
 
-    /// Of the `count` most recently queried replicas that are evidence for `term`, the time of the
-    /// oldest query; `None` if there are fewer.
+    /// Of the `count` most recently queried replicas that are evidence for the primary, the time of
+    /// the oldest query; `None` if there are fewer. A report of that primary itself does not count:
+    /// one that has stepped down reports as a replica of the term that it led.
     fn oldest_of_newest(
         &self,
         count: usize,
-        term: Term,
+        lead: Lead,
         accepts: impl Fn(&ReplicaReport) -> bool,
     ) -> Option<Instant> {
-        let reports =
-            self.replicas.values().filter(|report| report.term <= term && accepts(report));
+        let others = self.replicas.iter().filter(|(replica, _)| *replica != lead.instance);
+        let reports = others
+            .map(|(_, report)| report)
+            .filter(|report| report.term <= lead.term && accepts(report));
         let mut query_times: Vec<Instant> = reports.map(|report| report.queried_at).collect();
         query_times.sort_unstable_by(|left, right| right.cmp(left));
         query_times.get(count.checked_sub(1)?).copied()
--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{PrimaryEvidence, Replication, UNLISTED_EVIDENCE_LIFETIME};
+use super::{Lead, PrimaryEvidence, Replication, UNLISTED_EVIDENCE_LIFETIME};
 use crate::position::Term;
 
 /// The kind of evidence that covers a read.
@@ -18,6 +18,14 @@
     UncheckedReplicas,
 }
 
+/// Evidence that stays valid for some time.
+#[derive(Clone, Copy, Debug)]
+struct LastingEvidence {
+    /// When the requests were sent that yielded it.
+    requested_at: Instant,
+    kind: EvidenceKind,
+}
+
 /// The evidence for the primary of a term, and what it covers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Coverage {
@@ -34,77 +42,97 @@
 }
 
 impl PrimaryEvidence {
-    /// What covers the arrival of statements at the primary of `term` for longest. Decisions and
-    /// their log lines both use this value, so they cannot differ.
-    pub fn coverage(&self, term: Term, group: Replication, lifetime: Duration) -> Option<Coverage> {
-        let lasting = self.lasting_coverage(term, group, lifetime);
-        let unchecked = self.unchecked_coverage(term, group);
+    /// What covers the arrival of statements at the primary for longest. Decisions and their log
+    /// lines both use this value, so they cannot differ.
+    pub fn coverage(&self, lead: Lead, group: Replication, lifetime: Duration) -> Option<Coverage> {
+        let lasting = self.lasting_coverage(lead, group, lifetime);
+        let unchecked = self.unchecked_coverage(lead, group);
         lasting.into_iter().chain(unchecked).max_by_key(|coverage| coverage.until)
     }
 
-    /// What covers answers of the primary of `term`. A commit whose answer arrives by then was
-    /// received by a replica that had not been stopped, because no promotion had released one.
+    /// What covers answers of the primary. A commit whose answer arrives by then was received by a
+    /// replica that had not been stopped, because no promotion had released one.
     ///
-    /// Evidence that was revoked counts as that of a node on which no coordinator waits: a
+    /// Evidence that was revoked counts as that of a node for which no coordinator waits: a
     /// coordinator releases no replica sooner than that, whatever the nodes have reported.
     pub fn answer_coverage(
         &self,
-        term: Term,
+        lead: Lead,
         group: Replication,
         lifetime: Duration,
     ) -> Option<Coverage> {
-        let lifetime = match self.is_revoked(term) {
+        if self.is_outdated_term(lead.term) {
+            return None;
+        }
+        let lifetime = match self.is_revoked(lead.term) {
             true => lifetime.min(UNLISTED_EVIDENCE_LIFETIME),
             false => lifetime,
         };
-        if self.is_outdated_term(term) {
-            return None;
-        }
-        let (requested_at, kind) = self.lasting_evidence(term, group)?;
-        let until = requested_at + lifetime;
-        let replacement_check_at = self.no_replacement_at;
-        Some(Coverage { term, until, kind, requested_at, replacement_check_at })
+        self.lasting_evidence(lead, group).map(|evidence| self.lasting(lead, evidence, lifetime))
     }
 
     /// The coverage by evidence that stays valid for `lifetime`.
     pub(super) fn lasting_coverage(
         &self,
-        term: Term,
+        lead: Lead,
         group: Replication,
         lifetime: Duration,
     ) -> Option<Coverage> {
-        if !self.may_cover(term) {
+        if !self.may_cover(lead.term) {
             return None;
         }
-        let (requested_at, kind) = self.lasting_evidence(term, group)?;
-        let until = requested_at + lifetime;
-        let replacement_check_at = self.no_replacement_at;
-        Some(Coverage { term, until, kind, requested_at, replacement_check_at })
+        self.lasting_evidence(lead, group).map(|evidence| self.lasting(lead, evidence, lifetime))
     }
 
-    /// The newest evidence for the primary of `term` that stays valid for some time: when it was
-    /// requested, and its kind.
-    fn lasting_evidence(&self, term: Term, group: Replication) -> Option<(Instant, EvidenceKind)> {
-        let by_commit = self.last_commit.filter(|_| group.synchronous > 0 && term == self.term);
-        let by_all = self.oldest_of_newest(group.replicas(), term, |_| true);
-        let by_enough = self.oldest_of_newest(group.replicas_needed(), term, |report| {
+    fn lasting(&self, lead: Lead, evidence: LastingEvidence, lifetime: Duration) -> Coverage {
+        let LastingEvidence { requested_at, kind } = evidence;
+        Coverage {
+            term: lead.term,
+            until: requested_at + lifetime,
+            kind,
+            requested_at,
+            replacement_check_at: self.no_replacement_at,
+        }
+    }
+
+    /// The newest evidence for the primary that stays valid for some time.
+    fn lasting_evidence(&self, lead: Lead, group: Replication) -> Option<LastingEvidence> {
+        let may_count = group.synchronous > 0 && lead.term == self.term;
+        let by_commit = self.last_commit.filter(|_| may_count);
+        let by_all = self.oldest_of_newest(group.replicas(), lead, |_| true);
+        let by_enough = self.oldest_of_newest(group.replicas_needed(), lead, |report| {
             self.is_confirmed_by_store(report)
         });
+        // The coordinator of a replacement that begins after the check need not stop these
+        // replicas, so the reports show nothing about the time after the check.
+        let by_enough = by_enough.min(self.no_replacement_at);
         let kinds = [
             (by_enough, EvidenceKind::SomeReplicas),
             (by_all, EvidenceKind::AllReplicas),
             (by_commit, EvidenceKind::Commit),
         ];
-        let found = kinds.into_iter().filter_map(|(seen, kind)| Some((seen?, kind)));
-        found.max_by_key(|(seen, _)| *seen)
+        let found = kinds.into_iter().filter_map(|(requested_at, kind)| {
+            Some(LastingEvidence { requested_at: requested_at?, kind })
+        });
+        found.max_by_key(|evidence| evidence.requested_at)
     }
 
-    /// The coverage by reports of enough replicas, which ends with the request for the reports: a
-    /// replica that a promotion has released may confirm the successor's commits right after it has
-    /// answered.
-    pub fn unchecked_coverage(&self, term: Term, group: Replication) -> Option<Coverage> {
-        let requested_at = self.would_cover_until(term, group, Duration::ZERO)?;
-        let kind = EvidenceKind::UncheckedReplicas;
-        Some(Coverage { term, until: requested_at, kind, requested_at, replacement_check_at: None })
+    /// The coverage by new reports of enough replicas and of the primary itself, which ends with the
+    /// first request for them: a replica that a promotion has released may confirm the successor's
+    /// commits right after it has answered, and so may the primary once it has stepped down.
+    pub fn unchecked_coverage(&self, lead: Lead, group: Replication) -> Option<Coverage> {
+        let reported_at = self.would_cover_until(lead, group, Duration::ZERO)?;
+        let primary = self.primaries.get(lead.instance)?;
+        if primary.term != lead.term {
+            return None;
+        }
+        let requested_at = reported_at.min(primary.queried_at);
+        Some(Coverage {
+            term: lead.term,
+            until: requested_at,
+            kind: EvidenceKind::UncheckedReplicas,
+            requested_at,
+            replacement_check_at: None,
+        })
     }
 }
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -1,13 +1,14 @@
 //! Evidence that a primary is still the current one: what counts as evidence, and what invalidates
 //! it.
 
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::ids::InstanceName;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{
-    EVIDENCE_LIFETIME, EvidenceKind, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms,
+    EVIDENCE_LIFETIME, EvidenceKind, Lead, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms,
     Replication, TransactionWrites,
 };
 use kestrellock_core::promotion::ReplacementId;
@@ -19,6 +20,12 @@
 const SYNCHRONOUS_ONE: Replication = Replication { synchronous: 1, instances: 3 };
 const SYNCHRONOUS_TWO: Replication = Replication { synchronous: 2, instances: 3 };
 
+/// An instance that leads `term`.
+fn lead(term: Term) -> Lead<'static> {
+    static PRIMARY: LazyLock<InstanceName> = LazyLock::new(|| InstanceName::new("a"));
+    Lead { instance: &PRIMARY, term }
+}
+
 fn replica(name: &str) -> InstanceName {
     InstanceName::new(name)
 }
@@ -26,7 +33,7 @@
 /// Until when arriving reads are covered at the primary of a group with one synchronous replica of
 /// two.
 fn covered(evidence: &PrimaryEvidence) -> Option<Instant> {
-    evidence.covers_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME)
+    evidence.covers_until(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME)
 }
 
 #[test]
@@ -35,10 +42,10 @@
     let later = now + Duration::from_millis(7);
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica_report(&replica("b"), FOLLOWING, later, later);
-    assert_eq!(evidence.covers_until(TERM, SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
+    assert_eq!(evidence.covers_until(lead(TERM), SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
     evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
     assert_eq!(
-        evidence.covers_until(TERM, SYNCHRONOUS_TWO, EVIDENCE_LIFETIME),
+        evidence.covers_until(lead(TERM), SYNCHRONOUS_TWO, EVIDENCE_LIFETIME),
         Some(now + EVIDENCE_LIFETIME)
     );
     evidence.on_no_replacement(later);
@@ -55,7 +62,7 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
     assert_eq!(covered(&evidence), None, "the store has not been queried");
-    let would = evidence.would_cover_until(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
+    let would = evidence.would_cover_until(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
     assert_eq!(would, Some(now + EVIDENCE_LIFETIME));
     evidence.on_no_replacement(now);
     assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFETIME));
@@ -75,13 +82,21 @@
     let now = Instant::now();
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica_report(&replica("b"), STOPPED, now, now);
-    assert_eq!(evidence.coverage(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    assert_eq!(evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now + EVIDENCE_LIFETIME);
-    let coverage = evidence.coverage(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
+    assert_eq!(evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    let earlier = now - Duration::from_millis(5);
+    evidence.on_primary_report(lead(TERM).instance, TERM, earlier);
+    let coverage = evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
+    assert_eq!(coverage.map(|coverage| coverage.until), Some(earlier), "the older of the two");
+    evidence.on_primary_report(lead(TERM).instance, TERM, now);
+    let coverage =
+        evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
     assert_eq!((coverage.until, coverage.kind), (now, EvidenceKind::UncheckedReplicas));
-    assert_eq!(evidence.coverage(TERM, SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
+    assert_eq!(evidence.coverage(lead(TERM), SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
     evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
-    let coverage = evidence.coverage(TERM, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
+    let coverage =
+        evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
     assert_eq!(
         (coverage.until, coverage.kind),
         (now + EVIDENCE_LIFETIME, EvidenceKind::AllReplicas)
@@ -113,7 +128,7 @@
     let follows_next = ReplicaTerms { term: next, min_term: Term(0) };
     let covered_in_next_term = |mut evidence: PrimaryEvidence| {
         evidence.on_replica_report(&replica("b"), follows_next, now, now);
-        evidence.covers_until(next, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME)
+        evidence.covers_until(lead(next), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME)
     };
     assert_eq!(covered_in_next_term(confirmed()), None, "a new term");
     let mut evidence = confirmed();
@@ -145,14 +160,14 @@
     evidence.on_no_replacement(now);
     let successor = STOPPED.min_term;
     assert_eq!(
-        evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME),
+        evidence.covers_until(lead(successor), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME),
         Some(now + EVIDENCE_LIFETIME)
     );
     assert_eq!(covered(&evidence), None);
     // The replica is stopped again, for another promotion.
     let again = ReplicaTerms { min_term: Term(successor.0 + 1), ..STOPPED };
     evidence.on_replica_report(&replica("b"), again, now, now);
-    assert_eq!(evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    assert_eq!(evidence.covers_until(lead(successor), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
 }
 
 #[test]
@@ -192,7 +207,7 @@
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
     evidence.on_no_replacement(now);
     let successor = Term(TERM.0 + 2);
-    let covered = evidence.covers_until(successor, SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
+    let covered = evidence.covers_until(lead(successor), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
     assert_eq!(covered, Some(now + EVIDENCE_LIFETIME));
 }
 
@@ -223,7 +238,10 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_commit(TERM, now);
     assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFETIME));
-    assert_eq!(evidence.covers_until(Term(TERM.0 + 1), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    assert_eq!(
+        evidence.covers_until(lead(Term(TERM.0 + 1)), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME),
+        None
+    );
     evidence.on_commit(Term(TERM.0 + 1), now);
     assert_eq!(covered(&evidence), None);
 }
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -11,7 +11,7 @@
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{PrimaryEvidence, Replication};
+use kestrellock_core::primary_evidence::{Lead, PrimaryEvidence, Replication};
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::promotion::{
     Attempt, CoordinationView, Intent, KnownInstances, KnownReplacements, Need, NeedsEvaluator,
@@ -137,6 +137,9 @@
     pub unconfirmed_commits: Vec<UnconfirmedCommit>,
     /// Last reported term of each instance.
     pub terms: BTreeMap<usize, Term>,
+    /// The term that each instance was last shown to lead; absent once it has shown that it is a
+    /// replica.
+    pub led_terms: BTreeMap<usize, Term>,
     /// Unanswered requests by number: instance, time of sending, whether it is a commit.
     pub pending_requests: BTreeMap<u64, (usize, Instant, bool)>,
     /// When each instance last answered or refused.
@@ -219,6 +222,7 @@
             evidence: PrimaryEvidence::default(),
             unconfirmed_commits: Vec::new(),
             terms: BTreeMap::new(),
+            led_terms: BTreeMap::new(),
             pending_requests: BTreeMap::new(),
             last_answers: BTreeMap::new(),
             last_commits: BTreeMap::new(),
@@ -399,14 +403,26 @@
         self.evidence.is_outdated(term) || (term.is_none() && !is_newest)
     }
 
+    /// The term that an instance was last shown to lead. Where a fault is planted, any term that it
+    /// has reported: evidence would prevent what some planted faults lead to, and each of them must
+    /// still be detected.
+    fn lead_of<'a>(&self, instance: usize, name: &'a InstanceName) -> Option<Lead<'a>> {
+        let terms = match self.ignores_unchecked_reports {
+            true => &self.terms,
+            false => &self.led_terms,
+        };
+        terms.get(&instance).map(|term| Lead { instance: name, term: *term })
+    }
+
     /// Whether the evidence allows a read that arrived at `arrived` to run at the primary.
     pub fn may_read(&self, leader: usize, arrived: Instant, lifetime: Duration) -> bool {
-        let term = self.terms.get(&leader);
+        let name = instance_name(leader);
+        let lead = self.lead_of(leader, &name);
         let evidence =
-            term.and_then(|term| self.evidence.covers_until(*term, REPLICATION, Duration::ZERO));
-        let unchecked = term
+            lead.and_then(|lead| self.evidence.covers_until(lead, REPLICATION, Duration::ZERO));
+        let unchecked = lead
             .filter(|_| !self.ignores_unchecked_reports)
-            .and_then(|term| self.evidence.unchecked_coverage(*term, REPLICATION));
+            .and_then(|lead| self.evidence.unchecked_coverage(lead, REPLICATION));
         let is_covered_unchecked = unchecked.is_some_and(|unchecked| {
             arrived <= self.covers_until(leader, unchecked.until, Duration::ZERO)
         });
@@ -430,9 +446,10 @@
         arrived: Instant,
         lifetime: Duration,
     ) -> bool {
-        let term = self.terms.get(&leader);
-        let evidence = term
-            .and_then(|term| self.evidence.would_cover_until(*term, REPLICATION, Duration::ZERO));
+        let name = instance_name(leader);
+        let lead = self.lead_of(leader, &name);
+        let evidence = lead
+            .and_then(|lead| self.evidence.would_cover_until(lead, REPLICATION, Duration::ZERO));
         evidence.is_some_and(|evidence| arrived <= self.covers_until(leader, evidence, lifetime))
     }
 
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -2,7 +2,7 @@
 //! which answers it passes on to clients.
 
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::ReplicaTerms;
+use kestrellock_core::primary_evidence::{Lead, ReplicaTerms};
 use kestrellock_core::primary_samples::PositionReport;
 use kestrellock_core::promotion::{Command, Event};
 use kestrellock_core::routing::Role;
@@ -233,6 +233,7 @@
         match reply {
             Reply::Committed(term, position) => {
                 own.terms.insert(exchange.instance, term);
+                own.led_terms.insert(exchange.instance, term);
                 own.primary_samples.record(PositionReport {
                     instance: &instance_name(exchange.instance),
                     position,
@@ -247,6 +248,7 @@
             }
             Reply::Read(term) => {
                 own.terms.insert(exchange.instance, term);
+                own.led_terms.insert(exchange.instance, term);
                 if self.planted_fault == PlantedFault::ReadAnswersAsEvidence {
                     own.evidence.on_commit(term, sent);
                 }
@@ -254,15 +256,21 @@
             Reply::Status(status) => {
                 own.terms.insert(exchange.instance, status.term);
                 if status.role == Role::Primary {
-                    own.evidence.on_term_led(status.term);
+                    let primary = instance_name(exchange.instance);
+                    own.evidence.on_primary_report(&primary, status.term, sent);
+                    own.led_terms.insert(exchange.instance, status.term);
                 }
                 if status.role == Role::Replica {
+                    own.led_terms.remove(&exchange.instance);
                     let terms = ReplicaTerms { term: status.term, min_term: status.min_term };
                     let replica = instance_name(exchange.instance);
                     own.evidence.on_replica_report(&replica, terms, sent, now);
                 }
             }
             Reply::NotPrimary | Reply::Refused | Reply::Broken(_) => {
+                if matches!(reply, Reply::NotPrimary) {
+                    own.led_terms.remove(&exchange.instance);
+                }
                 if let (Work::Write { commit, .. }, true) = (&exchange.work, was_pending) {
                     self.checker.on_reported_not_run(*commit);
                 }
@@ -326,7 +334,9 @@
                 continue;
             }
             let own = &mut self.nodes[node];
-            if own.evidence.confirms_commit(commit.term, REPLICATION, commit.answered) {
+            let name = instance_name(commit.instance);
+            let lead = Lead { instance: &name, term: commit.term };
+            if own.evidence.confirms_commit(lead, REPLICATION, commit.answered) {
                 own.evidence.on_commit(commit.term, commit.sent);
                 self.checker.on_acknowledged(self.now, commit.commit, commit.term.0);
             } else {
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -15,6 +15,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::{Position, Term};
+use kestrellock_core::primary_evidence::Lead;
 use kestrellock_core::routing::Role;
 use kestrellock_peer::message::{LeaseEvent, TransactionState};
 use kestrellock_protocol::backend::Report;
@@ -185,9 +186,9 @@
                 kept.push(pending);
                 continue;
             };
-            let (term, replication) = (position.term, group.replication());
-            let statuses = &io.context.statuses;
-            match statuses.commit_confirmation(name, term, replication, answered, Instant::now()) {
+            let lead = Lead { instance: &pending.commit.instance, term: position.term };
+            let (statuses, replication) = (&io.context.statuses, group.replication());
+            match statuses.commit_confirmation(name, lead, replication, answered, Instant::now()) {
                 CommitConfirmation::Confirmed => acknowledge(pending.commit, Some(position), io),
                 CommitConfirmation::Replaced => {
                     refuse(pending.commit, Progress::Unconfirmed, Fault::Superseded, io);
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -59,7 +59,8 @@
                 return Vec::new();
             }
         }
-        let chosen = instances_lacking_evidence(name, group, io);
+        let earlier_round = self.latest.as_ref().map(|round| round.started_at);
+        let chosen = instances_lacking_evidence(name, group, earlier_round, io);
         if !chosen.is_empty() {
             let delay = self.pacer.on_request(io.now, rand::random());
             self.latest = Some(QueryRound { started_at: Instant::now(), answered: false, delay });
@@ -79,9 +80,15 @@
 ///
 /// If the last report of any replica does not cover requests that arrive now, these are all
 /// replicas: if every replica answers, the store need not be asked, and if one does not, the new
-/// reports of the others cover what has arrived. The primary is included if its current process is
-/// not known to lead the term that its replicas follow.
-fn instances_lacking_evidence(name: &GroupName, group: &Group, io: &Io) -> Vec<InstanceName> {
+/// reports of the others cover what has arrived, together with a new report of the primary. The
+/// primary is included if a replica has not answered the earlier round, or if the current process of
+/// the primary is not known to lead the term that its replicas follow.
+fn instances_lacking_evidence(
+    name: &GroupName,
+    group: &Group,
+    earlier_round: Option<Instant>,
+    io: &Io,
+) -> Vec<InstanceName> {
     let group_statuses = io.context.statuses.group(name);
     let known = group_statuses.read().expect("a thread panicked while it held the status lock");
     let leader = io.context.leader(name, group).map(|leader| &leader.name);
@@ -103,8 +110,15 @@
     let replicas: Vec<&InstanceName> =
         group.instances.iter().filter(is_running_replica).map(|replica| &replica.name).collect();
     let is_report_missing = !replicas.iter().all(|replica| is_covering(replica));
+    let has_answered = |replica: &InstanceName| {
+        let reported = known.evidence.report_queried_at(replica, term);
+        earlier_round.is_none_or(|round| reported >= Some(round))
+    };
+    let is_replica_silent = !replicas.iter().all(|replica| has_answered(replica));
     let replicas = replicas.into_iter().filter(|_| is_report_missing);
     let current = leader.and_then(|leader| known.current_led_term_of(leader));
-    let primary = leader.filter(|_| leads != Some(newest_term) || current != leads);
+    let is_lead_unknown = leads != Some(newest_term) || current != leads;
+    let needs_primary = is_lead_unknown || (is_report_missing && is_replica_silent);
+    let primary = leader.filter(|_| needs_primary);
     replicas.chain(primary).cloned().collect()
 }
--- a/crates/daemon/src/shared/exchange_record.rs
+++ b/crates/daemon/src/shared/exchange_record.rs
@@ -152,9 +152,13 @@
     /// Records its replication status. The instance responds, so earlier failures no longer count.
     pub(super) fn on_replication_status(&mut self, role: Role, term: Term) {
         self.is_unresponsive = false;
-        if role == Role::Primary {
-            self.term = self.term.max(Some(term));
-            self.on_led_term(term);
+        match role {
+            Role::Primary => {
+                self.term = self.term.max(Some(term));
+                self.on_led_term(term);
+            }
+            // It has stepped down, or its process has started again.
+            Role::Replica => self.on_lead_in_doubt(),
         }
     }
 
@@ -226,6 +230,9 @@
         if position.is_some() && !response.continues_transaction {
             self.check_log_kept(position, sent);
         }
+        if response.is_read_only {
+            self.on_lead_in_doubt();
+        }
         self.is_unresponsive = false;
         self.refused_since = None;
         self.abandoned.on_answer();
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -14,7 +14,7 @@
 use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::{Position, Term};
 use kestrellock_core::primary_evidence::{
-    Coverage, EvidenceKind, NewestEvidence, PrimaryEvidence, ReplicaTerms, Replication,
+    Coverage, EvidenceKind, Lead, NewestEvidence, PrimaryEvidence, ReplicaTerms, Replication,
 };
 use kestrellock_core::primary_samples::{PositionReport, PrimarySamples};
 use kestrellock_core::promotion::{Intent, higher_position};
@@ -102,8 +102,8 @@
         group: Replication,
         lifetime: Duration,
     ) -> Option<Coverage> {
-        let term = self.current_led_term_of(instance)?;
-        let coverage = self.evidence.coverage(term, group, lifetime)?;
+        let lead = Lead { instance, term: self.current_led_term_of(instance)? };
+        let coverage = self.evidence.coverage(lead, group, lifetime)?;
         let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
         let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
         Some(Coverage { until, ..coverage })
@@ -122,7 +122,7 @@
         if self.led_term_of(instance) != Some(term) {
             return None;
         }
-        let coverage = self.evidence.answer_coverage(term, group, lifetime)?;
+        let coverage = self.evidence.answer_coverage(Lead { instance, term }, group, lifetime)?;
         let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
         let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
         Some(Coverage { until, ..coverage })
@@ -166,7 +166,8 @@
         let queried_at = self.evidence.newest();
         let waited =
             queried_at.is_some_and(|queried_at| now >= queried_at + REPLICA_RESPONSE_TIMEOUT);
-        let evidence = self.evidence.would_cover_until(term, group, Duration::ZERO);
+        let lead = Lead { instance, term };
+        let evidence = self.evidence.would_cover_until(lead, group, Duration::ZERO);
         let until = evidence.map(|at| self.covers_until(Some(instance), at, lifetime));
         waited && until.is_some_and(|until| moment <= until)
     }
@@ -381,12 +382,12 @@
         });
     }
 
-    /// What the evidence shows at `now` about a commit that the primary of `term` answered at
+    /// What the evidence shows at `now` about a commit that the primary `lead` answered at
     /// `answered`.
     pub fn commit_confirmation(
         &self,
         group: &GroupName,
-        term: Term,
+        lead: Lead,
         replication: Replication,
         answered: Instant,
         now: Instant,
@@ -394,13 +395,13 @@
         let statuses = self.group(group);
         let known = statuses.read().expect("a thread panicked while it held the status lock");
         let evidence = &known.evidence;
-        if evidence.revoked_for().is_some() || term < evidence.highest_led() {
+        if evidence.revoked_for().is_some() || lead.term < evidence.highest_led() {
             return CommitConfirmation::Replaced;
         }
-        if evidence.confirms_commit(term, replication, answered) {
+        if evidence.confirms_commit(lead, replication, answered) {
             return CommitConfirmation::Confirmed;
         }
-        let covered_until = evidence.would_cover_until(term, replication, Duration::ZERO);
+        let covered_until = evidence.would_cover_until(lead, replication, Duration::ZERO);
         let has_waited = now >= answered + REPLICA_RESPONSE_TIMEOUT;
         match has_waited && covered_until.is_some_and(|queried_at| queried_at >= answered) {
             true => CommitConfirmation::LacksReplacementCheck,
@@ -445,7 +446,7 @@
             let record = known.exchange_records.entry(instance.clone()).or_default();
             record.on_replication_status(report.role, term);
             if report.role == Role::Primary {
-                known.evidence.on_term_led(term);
+                known.evidence.on_primary_report(instance, term, queried_at);
             }
             if report.role == Role::Replica {
                 known.evidence.on_replica_report(instance, following, queried_at, Instant::now());
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -71,23 +71,41 @@
         self.table.on_ended(&self.group, &name(instance), number, Some(answered));
     }
 
+    /// The instance, which is primary according to the platform, refuses a write as a replica.
+    fn refuse_write(&self, instance: &str, position: Position) {
+        let number = self.table.on_sent(&self.group, &name(instance), true);
+        let now = Instant::now();
+        let refused = ExchangeResponse {
+            sent: now,
+            completed_at: now,
+            position: Some(position),
+            commit_position: None,
+            role: Some(Role::Primary),
+            is_read_only: true,
+            continues_transaction: false,
+        };
+        self.table.on_ended(&self.group, &name(instance), number, Some(refused));
+    }
+
     /// A replacement check finds that no replacement of the primary is in progress.
     fn confirm_no_replacement(&self) {
         self.table.on_replacement_check(&self.group, Instant::now());
     }
 
-    fn is_covered(&self, instance: &str) -> bool {
+    /// Until when the evidence covers arrivals at the instance.
+    fn covered_until(&self, instance: &str) -> Option<Instant> {
         let statuses = self.table.group(&self.group);
         let statuses = statuses.read().expect("no thread panicked");
-        statuses.covered_until(&name(instance), REPLICATION, EVIDENCE_LIFETIME).is_some()
+        statuses.covered_until(&name(instance), REPLICATION, EVIDENCE_LIFETIME)
+    }
+
+    fn is_covered(&self, instance: &str) -> bool {
+        self.covered_until(instance).is_some()
     }
 
     /// Whether a statement that arrives now is covered.
     fn is_arrival_covered(&self, instance: &str) -> bool {
-        let statuses = self.table.group(&self.group);
-        let statuses = statuses.read().expect("no thread panicked");
-        let until = statuses.covered_until(&name(instance), REPLICATION, EVIDENCE_LIFETIME);
-        until.is_some_and(|until| Instant::now() <= until)
+        self.covered_until(instance).is_some_and(|until| Instant::now() <= until)
     }
 
     /// The position that a read at a replica needs, and which instance reported it.
@@ -346,3 +364,46 @@
     fixture.table.on_process_seen(&fixture.group, &primary, start, reconnected);
     assert!(until() >= start + EVIDENCE_LIFETIME, "the process is the same");
 }
+
+/// Guards against stale reads at a former primary: a node that reached nothing else took the report
+/// that it gave as a demoted replica for that of a replica that follows it.
+#[test]
+fn the_report_of_a_former_primary_is_no_evidence_that_it_leads() {
+    let fixture = Fixture::new();
+    fixture.report_status("former", Role::Primary, 1);
+    fixture.report_status("former", Role::Replica, 1);
+    assert!(!fixture.is_covered("former"), "it has stepped down");
+    fixture.report_status("replica", Role::Replica, 1);
+    assert!(!fixture.is_covered("former"), "two reports, one of them its own");
+    // An earlier answer that shows it as primary is processed late.
+    fixture.report_status("former", Role::Primary, 1);
+    let arrived = Instant::now();
+    assert!(fixture.covered_until("former").is_none_or(|until| until < arrived));
+}
+
+/// Guards against stale reads at a former primary that follows its successor and confirms its
+/// commits, while the node reaches only a replica that knows neither.
+#[test]
+fn a_replica_alone_covers_nothing_after_the_primary_has_last_shown_that_it_leads() {
+    let fixture = Fixture::new();
+    fixture.report_status("primary", Role::Primary, 1);
+    let arrived = Instant::now();
+    fixture.report_status("replica", Role::Replica, 1);
+    assert!(fixture.covered_until("primary").is_none_or(|until| until < arrived));
+    fixture.report_status("primary", Role::Primary, 1);
+    assert!(fixture.covered_until("primary").is_some_and(|until| until >= arrived));
+}
+
+/// Guards against reads at a former primary that has just refused a write as a replica.
+#[test]
+fn a_primary_that_refuses_writes_is_not_covered_until_it_is_shown_to_lead() {
+    let fixture = Fixture::new();
+    fixture.report_status("primary", Role::Primary, 1);
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    assert!(fixture.is_covered("primary"));
+    fixture.refuse_write("primary", position(1, 80));
+    assert!(!fixture.is_covered("primary"));
+    fixture.report_status("primary", Role::Primary, 1);
+    assert!(fixture.is_covered("primary"));
+}
