Acknowledge a commit at once only with evidence that covers its answer

Callers saw acknowledged writes vanish and statements run on old logs. A node on the machine list that had lost the store and its peers acknowledged each commit of the old primary at once and took it for evidence for a second, so each renewed the evidence on which the next one was sent, however long ago the node had last learned that it is listed. The coordinator waits for such a node only until its evidence has expired. Then the promotion releases every replica, and the old primary answers commits again through one that does not reach the successor.

Class: a last known list taken for a proof that somebody waits. Now earlier lasting evidence has to cover the arrival of a commit's answer, by a clock that is read after it; the commit is acknowledged and counts as evidence only then. Other commits wait, as those of an unlisted node, until replicas that were asked after the answer confirm them. A write needs evidence that covers its arrival already, so on a calm node its answer is covered without a further query.

Worlds with a planted fault keep the earlier rule, and so does the one of intents that are recorded on the lease alone, whose losses the evidence now prevents.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -26,6 +26,13 @@
 //! a group with a dead replica is served while the store is unreachable, at the price of queries for
 //! each statement that no commit covers.
 //!
+//! A commit shows that a replica received it between its sending and its answer. That replica was
+//! not stopped then: not yet, or no longer, since a promotion releases every replica, also one that
+//! does not reach the successor. Only earlier evidence tells the two apart. So the answer of a
+//! commit has to be covered as an arrival has to be ([`PrimaryEvidence::answer_coverage`]). An
+//! answer that is not covered is no evidence, and the commit is acknowledged only once replicas
+//! that were queried after the answer confirm it ([`PrimaryEvidence::confirms_commit`]).
+//!
 //! An attempt never stops replicas with the same term for two different successors. A read that
 //! arrived at A is current at the primary if A is covered; a read that may be up to D stale is
 //! current enough if A - D is covered.
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -9,7 +9,7 @@
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{
     EVIDENCE_LIFETIME, EvidenceKind, Lead, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms,
-    Replication, TransactionWrites,
+    Replication, TransactionWrites, UNLISTED_EVIDENCE_LIFETIME,
 };
 use kestrellock_core::promotion::ReplacementId;
 
@@ -349,3 +349,45 @@
     evidence.on_replica_report(&replica("b"), followed, now, now);
     assert_eq!(evidence.highest_led(), STOPPED.min_term);
 }
+
+/// Until when answers of the primary are covered in a group with one synchronous replica of two.
+fn answers_covered(evidence: &PrimaryEvidence) -> Option<Instant> {
+    let coverage = evidence.answer_coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
+    coverage.map(|coverage| coverage.until)
+}
+
+/// Guards against commits that are lost: the old primary answers them through a replica that the
+/// promotion of its successor has released. Reports without the store's word cover no answer, since
+/// that replica gives the same ones.
+#[test]
+fn answers_are_covered_only_by_evidence_that_lasts() {
+    let now = Instant::now();
+    let mut evidence = PrimaryEvidence::default();
+    assert_eq!(answers_covered(&evidence), None);
+    evidence.on_primary_report(lead(TERM).instance, TERM, now);
+    evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
+    assert!(evidence.unchecked_coverage(lead(TERM), SYNCHRONOUS_ONE).is_some());
+    assert_eq!(answers_covered(&evidence), None);
+    evidence.on_no_replacement(now);
+    assert_eq!(answers_covered(&evidence), Some(now + EVIDENCE_LIFETIME));
+    let sent = now + EVIDENCE_LIFETIME / 2;
+    evidence.on_commit(TERM, sent);
+    assert_eq!(answers_covered(&evidence), Some(sent + EVIDENCE_LIFETIME), "a commit renews it");
+    evidence.on_term_led(Term(TERM.0 + 1));
+    assert_eq!(answers_covered(&evidence), None, "a successor leads");
+}
+
+/// Guards against commits in doubt while a primary is drained, and against lost commits: after this
+/// node has reported that it revoked its evidence, a coordinator waits as for a node that it does
+/// not know.
+#[test]
+fn revoked_evidence_covers_answers_for_as_long_as_that_of_an_unlisted_node() {
+    let now = Instant::now();
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_commit(TERM, now);
+    evidence.revoke(ReplacementId { fence: 9, attempt: 1 });
+    assert_eq!(covered(&evidence), None, "no new arrival");
+    assert_eq!(answers_covered(&evidence), Some(now + UNLISTED_EVIDENCE_LIFETIME));
+    evidence.end_revocation();
+    assert_eq!(answers_covered(&evidence), None);
+}
--- a/crates/core/tests/replacement/aimed.rs
+++ b/crates/core/tests/replacement/aimed.rs
@@ -249,6 +249,13 @@
         self
     }
 
+    /// Lets nodes acknowledge commits whose answers no evidence covers. That evidence prevents the
+    /// losses to which some planted faults lead, and each of them must still be detected.
+    pub fn with_uncovered_answers(mut self) -> Self {
+        self.partitions.acknowledges_uncovered_answers = true;
+        self
+    }
+
     /// Adds faults, and lengthens the run so that it shows whether everything recovers.
     fn add_aimed(&mut self, faults: Vec<Planned>) {
         for planned in faults {
--- a/crates/core/tests/replacement/late_calls.rs
+++ b/crates/core/tests/replacement/late_calls.rs
@@ -239,7 +239,9 @@
 #[test]
 fn detects_intents_that_are_recorded_on_the_lease_alone() {
     assert_detected(|seed| {
-        unprotected_world(seed, Faults::all(), Late::Intent, None).with_resets()
+        unprotected_world(seed, Faults::all(), Late::Intent, None)
+            .with_resets()
+            .with_uncovered_answers()
     });
 }
 
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -439,6 +439,24 @@
         }
     }
 
+    /// Whether earlier evidence covers an answer of `instance` to a commit of `term` that arrives at
+    /// `answered`.
+    pub fn covers_answer(
+        &self,
+        instance: usize,
+        term: Term,
+        answered: Instant,
+        lifetime: Duration,
+    ) -> bool {
+        let name = instance_name(instance);
+        let lead = Lead { instance: &name, term };
+        let coverage = self.evidence.answer_coverage(lead, REPLICATION, lifetime);
+        coverage.is_some_and(|coverage| {
+            let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
+            answered <= self.covers_until(instance, coverage.requested_at, lifetime)
+        })
+    }
+
     /// The same, assuming that a replacement check finds no replacement.
     pub fn may_read_once_checked(
         &self,
--- a/crates/core/tests/replacement/partitions.rs
+++ b/crates/core/tests/replacement/partitions.rs
@@ -41,6 +41,8 @@
     /// Whether the record of each intent requires the revision of the intent that it replaces;
     /// otherwise only the record of one that says that a promotion may be sent.
     pub every_intent_is_conditional: bool,
+    /// Whether nodes acknowledge commits whose answers no evidence covers.
+    pub acknowledges_uncovered_answers: bool,
     /// Held messages by channel and sender, in the order in which they were sent.
     held: BTreeMap<(Channel, usize), Vec<Message>>,
     /// Promotion requests that their senders wait for.
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -286,7 +286,7 @@
         let (node, instance) = (exchange.node, exchange.instance);
         let (sent, answered) = (self.at(exchange.sent), self.at(self.now));
         let Work::Write { commit, .. } = exchange.work else { return };
-        if self.acknowledges_at_once(node, instance) {
+        if self.acknowledges_at_once(node, instance, term) {
             self.nodes[node].evidence.on_commit(term, sent);
             if is_awaited {
                 self.checker.on_acknowledged(self.now, commit, term.0);
@@ -297,13 +297,23 @@
         }
     }
 
-    /// Whether a node acknowledges a commit as soon as the instance has answered it.
-    pub fn acknowledges_at_once(&self, node: usize, instance: usize) -> bool {
+    /// Whether a node acknowledges a commit of `term` as soon as the instance has answered it.
+    pub fn acknowledges_at_once(&self, node: usize, instance: usize, term: Term) -> bool {
         let is_notified =
             self.coordinator_waits_for(node) || self.planted_fault == PlantedFault::NoConfirmation;
         is_notified
             && !self.needs_confirmation(node, instance)
             && self.answer_counts(node, instance)
+            && self.is_answer_covered(node, instance, term)
+    }
+
+    /// Whether evidence covers an answer that arrives now. Not required where a fault is planted: the
+    /// evidence prevents what most planted faults lead to, and each of them must still be detected.
+    fn is_answer_covered(&self, node: usize, instance: usize, term: Term) -> bool {
+        let lifetime = self.evidence_lifetime(node);
+        self.planted_fault != PlantedFault::None
+            || self.partitions.acknowledges_uncovered_answers
+            || self.nodes[node].covers_answer(instance, term, self.at(self.now), lifetime)
     }
 
     /// Whether a node does not know how a replacement of the instance ended.
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -374,7 +374,8 @@
         }
         // Counts as acknowledged as soon as the node would pass it on, although the answer still
         // has to travel to the node.
-        let is_acknowledged = self.acknowledges_at_once(pending.node, index);
+        let term = Term(pending.entry.term);
+        let is_acknowledged = self.acknowledges_at_once(pending.node, index, term);
         if is_acknowledged {
             self.checker.on_acknowledged(self.now, pending.entry.id, pending.entry.term);
         }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -242,8 +242,8 @@
     }
 
     /// Whether a commit that `instance` has answered may be acknowledged only once replicas confirm
-    /// that no other instance was being promoted: no coordinator waits for this node, or it is not
-    /// known how a replacement of the instance ended.
+    /// that no other instance was being promoted, whatever evidence covers it: no coordinator waits
+    /// for this node, or it is not known how a replacement of the instance ended.
     pub fn needs_replica_confirmation(&self, group: &GroupName, instance: &InstanceName) -> bool {
         !self.is_listed() || self.replacements.needs_confirmation(group, instance)
     }
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -2,9 +2,12 @@
 //!
 //! If the group elects its primary, a majority confirms a commit in its answers to probes. If the
 //! proxy replaces primaries, this node must know that the commit cannot be lost to a replacement. A
-//! node on the machine list acknowledges commits at once, because a coordinator waits for it before
-//! it promotes another instance. A node first queries the replication status of the replicas if it
-//! is not listed yet, or if it does not know how a replacement of the primary ended.
+//! commit is acknowledged at once if evidence that the node had before covers its answer: a
+//! coordinator lets that evidence expire before it has another instance promoted. That the node is
+//! on the machine list is not enough, because a coordinator waits for a node that it cannot reach
+//! only until the node's evidence has expired. The node first queries the replication status of the
+//! replicas if no evidence covers the answer, if it is not listed yet, or if it does not know how a
+//! replacement of the primary ended.
 
 use std::time::{Duration, Instant};
 
@@ -38,6 +41,9 @@
     pub sequence: u32,
     /// Instance that ran the commit.
     pub instance: InstanceName,
+    /// Whether evidence that this node had before covers the answer: no promotion can have released
+    /// a replica by then. Not used in groups that elect their primary.
+    pub is_covered: bool,
     /// The instance's report right after the commit, if there was one.
     pub report: Option<Report>,
     /// Latest time to answer the client.
@@ -144,19 +150,23 @@
             let method = ConfirmationMethod::Probes(confirmation);
             return self.pending.push(PendingCommit { commit, method });
         }
-        let needs_replicas = io.context.needs_replica_confirmation(name, &commit.instance);
-        if group.elector == Elector::Group || !needs_replicas {
+        let is_uninformed = io.context.needs_replica_confirmation(name, &commit.instance);
+        if group.elector == Elector::Group || (commit.is_covered && !is_uninformed) {
             return acknowledge(commit, Some(position), io);
         }
+        let age = |age: Duration| age.as_millis() as u64;
         log::info!(
             event = "commit_waits",
             group = name.as_str(),
             is_listed = io.context.is_listed(),
+            is_covered = commit.is_covered,
+            evidence_age_ms = io.context.evidence_age(name, io.now).map(age),
+            store_copy_age_ms = io.context.store_copy_age(io.now).map(age),
             lease:? = commit.lease,
             instance = commit.instance.as_str(),
             term = position.term.0,
             offset = position.offset.0;
-            "this node may not know of a replacement; querying replicas to confirm the commit"
+            "another instance may have been promoted; querying replicas to confirm the commit"
         );
         let method = ConfirmationMethod::ReplicaStatuses { position, answered: Instant::now() };
         self.pending.push(PendingCommit { commit, method });
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -14,7 +14,7 @@
 use crate::gateway::notify_front;
 use crate::gateway::running_exchange::{Next, RunningExchange};
 use crate::metrics::AnswerEvidence;
-use crate::shared::statuses::{EvidenceScope, ExchangeResponse};
+use crate::shared::statuses::{CommitTimes, EvidenceScope, ExchangeResponse};
 
 /// Size from which a partial answer is forwarded to the front.
 const FORWARD_THRESHOLD_BYTES: usize = 64 * 1024;
@@ -138,7 +138,7 @@
         let State::Running(mut running) = std::mem::replace(&mut self.state, State::Idle) else {
             return;
         };
-        self.record_answer(&running, io);
+        let is_covered = self.record_answer(&running, io);
         events.push(match running.found_instance_busy() {
             true => ServerEvent::InstanceBusy,
             false => ServerEvent::Answered,
@@ -150,6 +150,7 @@
                 lease: running.lease.clone(),
                 sequence,
                 instance: self.instance.clone(),
+                is_covered,
                 report: running.report(),
                 deadline: running.deadline,
                 frames: running.take_answer(),
@@ -166,10 +167,11 @@
         }
     }
 
-    /// Records in the node's shared statuses what the answer shows about the instance.
-    fn record_answer(&self, running: &RunningExchange, io: &Io) {
+    /// Records in the node's shared statuses what the answer shows about the instance. Returns
+    /// whether evidence covers the answer of a commit, so that it may be acknowledged.
+    fn record_answer(&self, running: &RunningExchange, io: &Io) -> bool {
         if !self.positions_in_answers {
-            return;
+            return false;
         }
         let catalog = io.context.catalog.load();
         let configured = catalog.instance(&self.instance).map(|(_, instance)| instance);
@@ -184,43 +186,36 @@
                 && running.write_commit_position().is_none(),
         };
         // First, because the commit shows that the instance led the term of its position.
-        if let Some(position) = running.write_commit_position() {
-            let (term, sent) = (position.term, running.sent);
-            self.count_answer(term, io);
-            let statuses = &io.context.statuses;
-            match io.context.needs_replica_confirmation(&self.group, &self.instance) {
-                true => statuses.on_commit_without_evidence(&self.group, &self.instance, term),
-                false => statuses.on_commit(&self.group, &self.instance, term, sent),
-            }
-        }
+        let is_covered = match running.write_commit_position() {
+            Some(position) => self.record_commit(position.term, running.sent, io),
+            // It wrote nothing that could be lost.
+            None => true,
+        };
         let number = self.status_exchange_number;
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
+        is_covered
     }
 
-    /// Counts the answer of a commit of `term` by the evidence that covers it.
-    fn count_answer(&self, term: Term, io: &Io) {
+    /// Records the answer of a commit of `term` that wrote. Returns whether evidence covers it.
+    fn record_commit(&self, term: Term, sent: Instant, io: &Io) -> bool {
+        let statuses = &io.context.statuses;
         let catalog = io.context.catalog.load();
-        let Some(configured) = catalog.groups.get(&self.group) else { return };
+        let configured = catalog.groups.get(&self.group);
+        if io.context.needs_replica_confirmation(&self.group, &self.instance) {
+            statuses.on_commit_without_evidence(&self.group, &self.instance, term);
+            io.context.metrics.commit_answers.count(AnswerEvidence::Missing);
+            return false;
+        }
+        let Some(configured) = configured else { return false };
         let scope = EvidenceScope {
             replication: configured.replication(),
             lifetime: io.context.evidence_lifetime(),
         };
         // Read the clock again: the answer may have arrived after this process received the event.
-        let answered = Instant::now();
-        let statuses = &io.context.statuses;
-        let evidence = statuses.answer_evidence(&self.group, &self.instance, term, answered, scope);
+        let commit = CommitTimes { sent, answered: Instant::now() };
+        let evidence = statuses.on_commit_answer(&self.group, &self.instance, term, commit, scope);
         io.context.metrics.commit_answers.count(AnswerEvidence::of(evidence));
-        if evidence.is_none() {
-            log::info!(
-                event = "commit_uncovered",
-                group = self.group.as_str(),
-                instance = self.instance.as_str(),
-                term = term.0,
-                evidence_age_ms = io.context.evidence_age(&self.group, answered).map(|age| age.as_millis() as u64),
-                store_copy_age_ms = io.context.store_copy_age(answered).map(|age| age.as_millis() as u64);
-                "no earlier evidence shows that the primary still leads where it answered a commit"
-            );
-        }
+        evidence.is_some()
     }
 
     /// Forwards part of a large answer before its end. The answer of an exchange that may commit is
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -173,6 +173,15 @@
     }
 }
 
+/// When a commit was sent to its primary and answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CommitTimes {
+    /// When it was sent.
+    pub sent: Instant,
+    /// When this process had received the answer, by a clock that it read after that.
+    pub answered: Instant,
+}
+
 /// The group to which evidence applies, and how long evidence lasts at this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EvidenceScope {
@@ -335,21 +344,28 @@
         });
     }
 
-    /// The evidence that covers the answer of a commit of `term`, which `instance` gave at
-    /// `answered`; `None` if none covers it.
-    pub fn answer_evidence(
+    /// Records that `instance`, as the primary of `term`, answered a commit that wrote data. Returns
+    /// the earlier evidence that covers the answer. Without such evidence the commit is none, because
+    /// another instance may lead, and replicas have yet to confirm it.
+    pub fn on_commit_answer(
         &self,
         group: &GroupName,
         instance: &InstanceName,
         term: Term,
-        answered: Instant,
+        commit: CommitTimes,
         scope: EvidenceScope,
     ) -> Option<EvidenceKind> {
-        let statuses = self.group(group);
-        let known = statuses.read().expect("a thread panicked while it held the status lock");
         let EvidenceScope { replication, lifetime } = scope;
-        let coverage = known.answer_coverage(instance, term, replication, lifetime)?;
-        (answered <= coverage.until).then_some(coverage.kind)
+        let mut evidence = None;
+        self.with_group(group, |known| {
+            let coverage = known.answer_coverage(instance, term, replication, lifetime);
+            let covering = coverage.filter(|coverage| commit.answered <= coverage.until);
+            evidence = covering.map(|coverage| coverage.kind);
+            if known.on_commit_answered(instance, term) && evidence.is_some() {
+                known.evidence.on_commit(term, commit.sent);
+            }
+        });
+        evidence
     }
 
     /// When the requests for the newest evidence of a group were sent.
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -5,9 +5,11 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::position::{LogOffset, Position, Term};
-use kestrellock_core::primary_evidence::Replication;
+use kestrellock_core::primary_evidence::{EvidenceKind, Replication};
 use kestrellock_core::routing::Role;
-use kestrellock_daemon::shared::statuses::{ConnectionOutcome, ExchangeResponse, StatusTable};
+use kestrellock_daemon::shared::statuses::{
+    CommitTimes, ConnectionOutcome, EvidenceScope, ExchangeResponse, StatusTable,
+};
 use kestrellock_protocol::backend::Report;
 
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(1);
@@ -71,6 +73,14 @@
         self.table.on_ended(&self.group, &name(instance), number, Some(answered));
     }
 
+    /// The instance "primary" answers a commit of `term`. Returns the evidence that covers the answer.
+    fn answer_write(&self, term: u32) -> Option<EvidenceKind> {
+        let now = Instant::now();
+        let commit = CommitTimes { sent: now, answered: now };
+        let scope = EvidenceScope { replication: REPLICATION, lifetime: EVIDENCE_LIFETIME };
+        self.table.on_commit_answer(&self.group, &name("primary"), Term(term), commit, scope)
+    }
+
     /// The instance, which is primary according to the platform, refuses a write as a replica.
     fn refuse_write(&self, instance: &str, position: Position) {
         let number = self.table.on_sent(&self.group, &name(instance), true);
@@ -407,3 +417,19 @@
     fixture.report_status("primary", Role::Primary, 1);
     assert!(fixture.is_covered("primary"));
 }
+
+/// Guards against a chain of commits without a beginning: each would be the evidence on which the
+/// next one is acknowledged, although another instance leads since before the first.
+#[test]
+fn a_commit_whose_answer_no_earlier_evidence_covers_is_none_itself() {
+    let fixture = Fixture::new();
+    fixture.report_status("primary", Role::Primary, 1);
+    assert_eq!(fixture.answer_write(1), None);
+    assert_eq!(fixture.answer_write(1), None, "the first one shows nothing");
+    assert!(!fixture.is_covered("primary"));
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    assert_eq!(fixture.answer_write(1), Some(EvidenceKind::SomeReplicas));
+    assert_eq!(fixture.answer_write(1), Some(EvidenceKind::Commit));
+    assert_eq!(fixture.answer_write(2), None, "the instance follows a successor");
+}
