Renew evidence when a commit is sent, not when its answer is uncovered

A transaction whose group rests for a second has no evidence left when its COMMIT is answered, so the commit waited for a round of queries behind the answer. The round now begins with the sending, if the evidence does not cover the next 100 ms; the reports usually arrive first.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -248,6 +248,24 @@
         !self.is_listed() || self.replacements.needs_confirmation(group, instance)
     }
 
+    /// Whether earlier evidence covers an answer of `instance` to a commit that arrives at
+    /// `answered`.
+    pub fn covers_answer(
+        &self,
+        name: &GroupName,
+        group: &Group,
+        instance: &InstanceName,
+        answered: Instant,
+    ) -> bool {
+        let (replication, lifetime) = (group.replication(), self.evidence_lifetime());
+        let statuses = self.statuses.group(name);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        let coverage = known
+            .current_led_term_of(instance)
+            .and_then(|term| known.answer_coverage(instance, term, replication, lifetime));
+        coverage.is_some_and(|coverage| answered <= coverage.until)
+    }
+
     /// Lifetime of evidence on this node. A coordinator does not know an unlisted node and does not
     /// wait until it revokes its evidence, so its evidence expires sooner.
     pub fn evidence_lifetime(&self) -> Duration {
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -45,12 +45,13 @@
 }
 
 impl EvidenceQueries {
-    /// The instances to query now for evidence about the primary of `name`; none while the latest
-    /// round is still pending or its delay has not passed.
+    /// The instances to query now for evidence about the primary of `name` that covers `moment`; none
+    /// while the latest round is still pending or its delay has not passed.
     pub fn instances_to_query(
         &mut self,
         name: &GroupName,
         group: &Group,
+        moment: Instant,
         io: &Io,
     ) -> Vec<InstanceName> {
         if let Some(round) = &self.latest {
@@ -60,7 +61,7 @@
             }
         }
         let earlier_round = self.latest.as_ref().map(|round| round.started_at);
-        let chosen = instances_lacking_evidence(name, group, earlier_round, io);
+        let chosen = instances_lacking_evidence(name, group, moment, earlier_round, io);
         if !chosen.is_empty() {
             let delay = self.pacer.on_request(io.now, rand::random());
             self.latest = Some(QueryRound { started_at: Instant::now(), answered: false, delay });
@@ -78,14 +79,14 @@
 
 /// The instances whose status is needed as evidence.
 ///
-/// If the last report of any replica does not cover requests that arrive now, these are all
-/// replicas: if every replica answers, the store need not be asked, and if one does not, the new
+/// If the last report of any replica does not cover `moment`, these are all replicas: if every replica answers, the store need not be asked, and if one does not, the new
 /// reports of the others cover what has arrived, together with a new report of the primary. The
 /// primary is included if a replica has not answered the earlier round, or if the current process of
 /// the primary is not known to lead the term that its replicas follow.
 fn instances_lacking_evidence(
     name: &GroupName,
     group: &Group,
+    moment: Instant,
     earlier_round: Option<Instant>,
     io: &Io,
 ) -> Vec<InstanceName> {
@@ -100,7 +101,7 @@
         known
             .evidence
             .report_queried_at(instance, term)
-            .is_some_and(|queried_at| io.now <= known.covers_until(leader, queried_at, lifetime))
+            .is_some_and(|queried_at| moment <= known.covers_until(leader, queried_at, lifetime))
     };
     let is_running_replica = |instance: &&Instance| {
         let is_replica = instance.announced_role == Some(Role::Replica);
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -219,10 +219,14 @@
             return;
         }
         let Some(server) = self.servers.get_mut(key) else { return };
+        let (group, instance) = (server.group.clone(), server.instance.clone());
         if !server.prepare(exchange, deadline, io) {
             server.send(exchange, deadline, io);
         }
         self.flush_connection(key, io);
+        if exchange.commits_write {
+            self.ask_for_answer_evidence(&group, &instance, io);
+        }
     }
 
     /// Sends the exchange whose session state the instance has confirmed. Time has passed since its
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -9,9 +9,9 @@
 //! other owners tries one of them, and an isolated front refuses the request.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use kestrellock_core::catalog::Group;
+use kestrellock_core::catalog::{Elector, Group};
 use kestrellock_core::exchange_state::{Effect, ExchangeImpact, Fault, Progress, failure_code};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName};
 use kestrellock_core::outcome::Refusal;
@@ -38,6 +38,10 @@
     zone.is_none_or(|zone| io.context.isolation.reaches_zone(zone))
 }
 
+/// Time within which most commits are answered. Evidence that ends sooner is renewed when a commit
+/// is sent.
+const EXPECTED_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// An exchange that waits for a qualifying instance.
 #[derive(Debug)]
 struct HeldExchange {
@@ -214,7 +218,7 @@
         match found.choice {
             InstanceChoice::NeedsEvidence
             | InstanceChoice::NeedsSessionTerm
-            | InstanceChoice::NeedsStore => self.ask_for_evidence(name, group, io),
+            | InstanceChoice::NeedsStore => self.ask_for_evidence(name, group, io.now, io),
             InstanceChoice::Instance(_) | InstanceChoice::NoneQualifies => {}
         }
     }
@@ -230,9 +234,29 @@
         }
     }
 
-    fn ask_for_evidence(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
+    /// Queries instances for evidence that covers the answer of a commit which has just been sent to
+    /// `primary`, if there is none. The reports usually arrive before the answer, which then needs no
+    /// confirmation.
+    pub(super) fn ask_for_answer_evidence(
+        &mut self,
+        name: &GroupName,
+        primary: &InstanceName,
+        io: &mut Io,
+    ) {
+        let catalog = io.context.catalog.load();
+        let Some(group) = catalog.groups.get(name) else { return };
+        let expected_answer = io.now + EXPECTED_ANSWER_TIME;
+        if group.elector == Elector::Proxy
+            && !io.context.covers_answer(name, group, primary, expected_answer)
+        {
+            self.ask_for_evidence(name, group, expected_answer, io);
+        }
+    }
+
+    /// Queries instances for evidence that covers `moment`.
+    fn ask_for_evidence(&mut self, name: &GroupName, group: &Group, moment: Instant, io: &mut Io) {
         let state = self.group_state(name, io.now);
-        let instances = state.evidence_queries.instances_to_query(name, group, io);
+        let instances = state.evidence_queries.instances_to_query(name, group, moment, io);
         if instances.is_empty() {
             return;
         }
