Keep evidence when a dead replica goes on to refuse connections

Each attempt to connect to a dead replica discarded the evidence of its group, so that writes waited for a round of queries and a replacement check over and over. Evidence is discarded where a process may have ended since it was gathered: an established connection broke, or the instance has begun to refuse connections. That it goes on to refuse them shows nothing new.

--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -1,6 +1,8 @@
 //! Client traffic at nodes: random reads and writes, when a node may send them to the primary, and
 //! which answers it passes on to clients.
 
+use std::collections::btree_map::Entry;
+
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{Lead, ReplicaTerms};
 use kestrellock_core::primary_samples::PositionReport;
@@ -200,8 +202,11 @@
         let was_pending = own.pending_requests.remove(&exchange.request).is_some();
         match reply {
             Reply::Refused => {
-                own.refused_since.entry(exchange.instance).or_insert(now);
-                own.evidence.discard();
+                // That it goes on to refuse connections shows nothing new.
+                if let Entry::Vacant(refused_since) = own.refused_since.entry(exchange.instance) {
+                    refused_since.insert(now);
+                    own.evidence.discard();
+                }
             }
             Reply::Broken(process) => {
                 let connection = Connection { process, established: opened };
--- a/crates/daemon/src/gateway/connection_loss.rs
+++ b/crates/daemon/src/gateway/connection_loss.rs
@@ -28,7 +28,7 @@
         match server.purpose {
             Purpose::Pooled => {
                 state.monitor.on_connection_lost(&server.instance, io.now);
-                if fault == Fault::InstanceConnectionLost {
+                if fault == Fault::InstanceConnectionLost && shows_change(&server, io) {
                     io.context.statuses.forget_evidence(&server.group);
                 }
                 if has_ended {
@@ -83,6 +83,16 @@
     }
 }
 
+/// Whether the loss of a connection shows that a process may have ended since evidence was gathered:
+/// the connection had been established, or the instance has begun to refuse connections. An instance
+/// that goes on to refuse them shows nothing new, and a dead replica must not end the evidence of its
+/// group with each attempt to reach it.
+fn shows_change(server: &Server, io: &Io) -> bool {
+    !server.is_starting_up()
+        || (server.is_instance_down()
+            && !io.context.statuses.is_known_to_refuse(&server.group, &server.instance))
+}
+
 /// What the loss of a connection shows about the reachability of its instance. `None` if nothing
 /// ran on the connection, or if instances are probed instead of being judged by their answers.
 fn reachability(server: &Server, fault: Fault, io: &Io) -> Option<ConnectionOutcome> {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -276,7 +276,12 @@
     /// Whether the instance has accepted the connection and closed it since, or the connection has
     /// failed: the instance's process may have ended.
     pub fn shows_end_of_process(&self) -> bool {
-        self.is_broken && !matches!(self.state, State::StartingUp)
+        self.is_broken && !self.is_starting_up()
+    }
+
+    /// Whether the instance has not completed the start-up of the connection.
+    pub fn is_starting_up(&self) -> bool {
+        matches!(self.state, State::StartingUp)
     }
 
     /// Whether the connection runs nothing.
--- a/crates/daemon/src/shared/exchange_record.rs
+++ b/crates/daemon/src/shared/exchange_record.rs
@@ -196,6 +196,11 @@
         }
     }
 
+    /// Whether it has refused connections since it last responded.
+    pub(super) fn refuses_connections(&self) -> bool {
+        self.refused_since.is_some()
+    }
+
     fn on_abandoned(&mut self, ended: InFlight, now: Instant) {
         self.abandoned.on_abandoned(ended.sent, now);
         if ended.commits {
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -287,6 +287,13 @@
         self.with_group(group, |known| known.evidence.discard());
     }
 
+    /// Whether the instance has refused connections since it last accepted one.
+    pub fn is_known_to_refuse(&self, group: &GroupName, instance: &InstanceName) -> bool {
+        let statuses = self.group(group);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        known.exchange_records.get(instance).is_some_and(ExchangeRecord::refuses_connections)
+    }
+
     /// Records that an instance answered a request that was sent at `sent` on a connection that was
     /// established at `established`.
     pub fn on_process_seen(
