Make replacement checks by other nodes while the store does not answer

Cause: a commit is acknowledged only if lasting evidence covers its answer, and with a dead replica that needs a replacement check. While the store was away, a group with a dead replica whose clients rest acknowledged no write.

Change: if the last check by the store failed, is overdue, or may not be made yet, the node asks all listed and live nodes with a new message (protocol version 11).

--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -178,6 +178,14 @@
             .is_some_and(|notification| notification.intent.former.as_ref() == Some(instance))
     }
 
+    /// Whether any replacement of the group is known that is not known to have ended, including
+    /// cancelled ones.
+    pub fn knows_replacement(&self, group: &GroupName) -> bool {
+        self.in_store.contains_key(group)
+            || self.notified.contains_key(group)
+            || self.unresolved.contains_key(group)
+    }
+
     /// The intents of all running replacements, including cancelled ones.
     pub fn intents(&self) -> BTreeMap<GroupName, Intent> {
         let mut intents = self.in_store.clone();
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -28,6 +28,7 @@
 
 mod answered_primary;
 mod attempt;
+mod check_failures;
 mod coordination;
 mod electorate;
 mod ended_processes;
@@ -39,7 +40,9 @@
 mod members;
 mod needs;
 mod open_calls;
+mod own_attempts;
 mod own_calls;
+mod peer_checks;
 mod peer_votes;
 mod refill;
 mod restart_reports;
@@ -50,6 +53,7 @@
 
 pub use answered_primary::{AnsweredPrimary, higher_position};
 pub use attempt::{Attempt, MissingLogs};
+pub use check_failures::CheckFailures;
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
 pub use ended_processes::{ProbeResult, ProcessProbes};
@@ -59,7 +63,12 @@
 pub use members::{Member, Members};
 pub use needs::{Need, NeedsEvaluator, NeedsInput};
 pub use open_calls::{PROMOTION_SETTLE_TIME, PromotionCaller, UNKNOWN_PROCESS};
+pub use own_attempts::OwnAttempts;
 pub use own_calls::OwnCalls;
+pub use peer_checks::{
+    GroupKnowledge, MAX_GROUPS_PER_CHECK, PEER_ANSWER_TIMEOUT, PeerAnswer, PeerCheckOutcome,
+    PeerCheckResult, PeerChecks, PeerQuery, nodes_digest,
+};
 pub use peer_votes::{PEER_VOTE_VALIDITY, PeerVotes};
 pub use restart_reports::{
     CombinedReport, LogHolder, ObservedRestart, ReportingNodes, RestartReport, RestartReports,
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -287,3 +287,22 @@
     copy_arrives(&mut known, &era, start + ms(8_000));
     assert!(!known.needs_confirmation(&group(), &old), "the replacement has ended");
 }
+
+/// Guards against a node that denies a replacement to another one because it is cancelled, not in
+/// the store yet, or silent.
+#[test]
+fn a_replacement_is_known_until_its_end_is() {
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    assert!(!known.knows_replacement(&group()));
+    let cancelled = Intent { called_off: true, ..intent(1, Reason::Leaving) };
+    receive_copy(&mut known, &in_store(cancelled), now);
+    assert!(known.knows_replacement(&group()), "in the store");
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(1));
+    assert!(!known.knows_replacement(&group()));
+    known.on_notification(&group(), intent(2, Reason::Suspected), Duration::ZERO, now + ms(2));
+    assert!(known.knows_replacement(&group()), "notified");
+    assert!(known.expire(now + ms(2_000)));
+    assert!(known.knows_replacement(&group()), "silent");
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(2_001));
+    assert!(!known.knows_replacement(&group()));
+}
--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -108,6 +108,15 @@
     },
 }
 
+/// Ends the attempts of this node as far as other nodes are told of them, also after a panic.
+struct AttemptsEnd<'a>(&'a NodeContext);
+
+impl Drop for AttemptsEnd<'_> {
+    fn drop(&mut self) {
+        self.0.replacement_checks.attempts().end_all(Instant::now());
+    }
+}
+
 /// Acquires the coordinator lease, runs all replacements that are needed, and releases the lease.
 pub fn run(
     context: &NodeContext,
@@ -117,7 +126,10 @@
 ) {
     let mut acquired = acquire_lease_for_watcher(context, services, input);
     while let Some(lease) = acquired {
-        let ending = run_under_lease(lease, context, services, input, stop);
+        let ending = {
+            let _attempts_end = AttemptsEnd(context);
+            run_under_lease(lease, context, services, input, stop)
+        };
         context.metrics.replacements_waiting_for_log.set(0);
         context.metrics.replacements_waiting_for_calls.set(0);
         context.replacements.on_coordinator_lease_ended();
@@ -214,15 +226,13 @@
             Report::Installed => {}
             Report::Finished(group) => {
                 self.announce_end(&group);
-                self.attempts.remove(&group);
-                self.ended.insert(group, now);
+                self.end_attempt(group, now);
             }
             Report::EarlierPromotion(group) => {
                 log::warn!(event = "attempt_restarted", group = group.as_str(); "an earlier coordinator may have sent promotions: the attempt begins again with them");
                 // It has sent no commands, since its intent is not recorded. Another one begins
                 // from what the store shows.
-                self.attempts.remove(&group);
-                self.ended.insert(group, now);
+                self.end_attempt(group, now);
             }
             Report::StoreFailed(group) => {
                 if let Some(running) = self.attempts.get_mut(&group) {
@@ -238,6 +248,19 @@
         }
     }
 
+    fn end_attempt(&mut self, group: GroupName, now: Instant) {
+        self.attempts.remove(&group);
+        self.context.replacement_checks.attempts().end(&group, now);
+        self.ended.insert(group, now);
+    }
+
+    fn remove_withdrawn_attempts(&mut self, now: Instant) {
+        let withdrawn = self.attempts.extract_if(.., |_, running| running.attempt.is_withdrawn());
+        for (group, _) in withdrawn {
+            self.context.replacement_checks.attempts().end(&group, now);
+        }
+    }
+
     /// Has the end of an attempt announced to the owners of the group.
     fn announce_end(&self, group: &GroupName) {
         let Some(running) = self.attempts.get(group) else { return };
@@ -276,7 +299,7 @@
         for group in groups {
             self.step_group(&group, &input, now);
         }
-        self.attempts.retain(|_, running| !running.attempt.is_withdrawn());
+        self.remove_withdrawn_attempts(now);
         let waiting = self.attempts.values().filter(|running| running.log_wait.is_reported());
         self.context.metrics.replacements_waiting_for_log.set(waiting.count() as i64);
         let waiting = self.attempts.values().filter(|running| running.call_wait.is_reported());
@@ -331,6 +354,7 @@
         now: Instant,
     ) {
         self.attempts_started += 1;
+        self.context.replacement_checks.attempts().begin(group);
         let highest = self.context.statuses.highest_term(group);
         let attempt = Attempt::new(
             self.context.identity.node.clone(),
--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -12,7 +12,8 @@
 //! * `caller_queries` and `process_probes` find out whether promotions of earlier coordinators have
 //!   ended, and `call_wait` shows operators that a replacement waits for that;
 //! * `replacement_checker` confirms with the store that no primary replacement is running, which
-//!   turns the status reports of some of a group's replicas into evidence for its primary;
+//!   turns the status reports of some of a group's replicas into evidence for its primary, and
+//!   `peer_checks` confirms it with the other nodes while the store does not answer;
 //! * `write_back` records again what a store restore has lost;
 //! * `executor` runs the threads that call instances, the store and the platform.
 
@@ -27,6 +28,7 @@
 mod log_status;
 mod log_wait;
 mod owned;
+mod peer_checks;
 pub mod process_probes;
 mod replacement_checker;
 mod reported_wait;
@@ -45,6 +47,7 @@
 use kestrellock_store::coordination::Coordination;
 
 pub use caller_queries::answer as answer_caller_query;
+pub use peer_checks::answer as answer_replacement_query;
 pub use watch::run;
 
 /// Platform services that primary replacement uses.
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -4,6 +4,8 @@
 //! primary only together with such a check (`core::primary_evidence`). A check reads the replacement
 //! records of the groups from the store and compares them with this node's copy. Where they are the
 //! same, the intent and the last promoted instance in the copy were valid when the check began.
+//!
+//! While the store does not answer, the other nodes are asked instead (`peer_checks`).
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -18,13 +20,18 @@
 use kestrellock_store::store::StoreError;
 
 use super::ReplacementServices;
+use super::peer_checks::PeerChecker;
 use super::store_calls::{log_backoff_begin, log_backoff_end, refusal_of};
 use crate::context::NodeContext;
-use crate::metrics::StorePurpose;
+use crate::metrics::{ReplacementCheckEvent, StorePurpose};
+use crate::shard::mailbox::Mailboxes;
 
 /// Least time between two checks of a node. Requests to the store are limited in number and
 /// expensive, and the evidence that a check confirms lasts for a second.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a check without an answer counts as one that the store does not answer. Calls
+/// to a store that has been cut off end only after seconds.
+const STORE_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Result of a check.
 #[derive(Debug)]
@@ -43,6 +50,9 @@
     last_start: Option<Instant>,
     coordination: Arc<dyn Coordination>,
     backoff: CallBackoff,
+    /// Whether the store did not answer the last check.
+    has_failed: bool,
+    peers: PeerChecker,
 }
 
 impl ReplacementChecker {
@@ -59,12 +69,33 @@
             log::error!("failed to start the replacement check thread: {error}");
         }
         let backoff = CallBackoff::for_calls();
-        Self { requests, results, in_progress: None, last_start: None, coordination, backoff }
+        Self {
+            requests,
+            results,
+            in_progress: None,
+            last_start: None,
+            coordination,
+            backoff,
+            has_failed: false,
+            peers: PeerChecker::new(),
+        }
+    }
+
+    /// Whether a check by other nodes is in progress, whose answers arrive soon.
+    pub fn is_asking_peers(&self) -> bool {
+        self.peers.is_open()
     }
 
-    /// Processes the result of a check, and begins another one if groups wait for it. `view` is the
+    /// Processes the results of checks, and begins others if groups wait for them. `view` is the
     /// copy of the replacement state that this node uses.
-    pub fn step(&mut self, context: &NodeContext, view: &CoordinationView, now: Instant) {
+    pub fn step(
+        &mut self,
+        context: &NodeContext,
+        view: &CoordinationView,
+        mailboxes: &Mailboxes,
+        now: Instant,
+    ) {
+        self.peers.receive(context, view, now);
         match self.results.try_recv() {
             Ok(result) => {
                 let groups = self.in_progress.take().unwrap_or_default();
@@ -75,28 +106,48 @@
             // The thread could not be started, which was logged.
             Err(TryRecvError::Disconnected) => return,
         }
-        let is_early =
-            self.last_start.is_some_and(|last_start| now < last_start + MIN_CHECK_INTERVAL);
-        if self.in_progress.is_some() || is_early || !self.may_call(now) {
+        let asks_store = self.may_check(now);
+        let asks_peers = self.is_store_silent(now) && self.peers.is_due(context, now);
+        if !asks_store && !asks_peers {
             return;
         }
         let mut groups = context.replacement_check_requests.take();
         // No answer would confirm the others. They are requested again while statements wait.
         groups.retain(|name| is_unreplaced(name, context, view));
-        if !groups.is_empty() && self.requests.try_send(groups.clone()).is_ok() {
-            self.in_progress = Some(groups);
+        if groups.is_empty() {
+            return;
+        }
+        if asks_store && self.requests.try_send(groups.clone()).is_ok() {
+            self.in_progress = Some(groups.clone());
             self.last_start = Some(now);
         }
+        if asks_peers {
+            self.peers.begin(&mut groups, context, view, mailboxes);
+            groups.iter().for_each(|name| context.replacement_check_requests.request(name));
+        }
+    }
+
+    /// Whether a check by the store may begin.
+    fn may_check(&mut self, now: Instant) -> bool {
+        let is_early =
+            self.last_start.is_some_and(|last_start| now < last_start + MIN_CHECK_INTERVAL);
+        self.in_progress.is_none() && !is_early && self.may_call(now)
+    }
+
+    /// Whether the store does not make checks now.
+    fn is_store_silent(&mut self, now: Instant) -> bool {
+        let is_overdue = self.in_progress.is_some()
+            && self.last_start.is_some_and(|start| now >= start + STORE_ANSWER_TIMEOUT);
+        self.has_failed || is_overdue || !self.may_call(now)
     }
-}
 
-impl ReplacementChecker {
     fn may_call(&mut self, now: Instant) -> bool {
         self.backoff.on_availability(&self.coordination.availability());
         self.backoff.may_call(now)
     }
 
     fn follow_backoff(&mut self, result: &CheckResult, now: Instant) {
+        self.has_failed = result.outcome.is_err();
         match &result.outcome {
             Ok(_) => {
                 if self.backoff.on_success() {
@@ -135,8 +186,12 @@
 ) {
     let check = match &result.outcome {
         Ok(check) => check,
-        Err(error) => return log_failed_check(groups, result.started_at, error),
+        Err(error) => {
+            context.metrics.replacement_checks.count(ReplacementCheckEvent::StoreFailed);
+            return log_failed_check(groups, result.started_at, error);
+        }
     };
+    context.replacement_checks.on_success();
     let is_view_complete = view.revision >= check.view_revision;
     let confirmed = check.confirmed.iter().filter(|_| is_view_complete);
     let confirmed: BTreeSet<&GroupName> =
@@ -144,12 +199,21 @@
     for name in &confirmed {
         context.statuses.on_replacement_check(name, result.started_at);
     }
+    let event = match confirmed.len() == groups.len() {
+        true => ReplacementCheckEvent::StoreConfirmed,
+        false => ReplacementCheckEvent::StoreRefused,
+    };
+    context.metrics.replacement_checks.count(event);
     log_check(groups, result.started_at, check, &confirmed);
 }
 
 /// Whether this node uses the instance that was promoted last as the primary of a group, and knows
 /// of no replacement of it, neither running nor cancelled.
-fn is_unreplaced(name: &GroupName, context: &NodeContext, view: &CoordinationView) -> bool {
+pub(super) fn is_unreplaced(
+    name: &GroupName,
+    context: &NodeContext,
+    view: &CoordinationView,
+) -> bool {
     let catalog = context.catalog.load();
     let Some(group) = catalog.groups.get(name) else { return false };
     let promoted = view.promoted.get(name).map(|successor| &successor.instance);
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -44,6 +44,7 @@
 use super::{caller_queries, vote_publisher, write_back};
 use crate::context::NodeContext;
 use crate::shard::mailbox::{Mailboxes, ShardMessage};
+use crate::shared::replacement_checks::StoreCopy;
 use crate::supervisor::StopFlag;
 
 /// Time between two steps while a primary is suspected, replaced or queried.
@@ -148,7 +149,7 @@
         self.follow_store(now);
         self.add_peer_votes(now);
         if !self.era.replacement_may_be_lost(now) {
-            self.replacement_checker.step(self.context, &self.view, now);
+            self.replacement_checker.step(self.context, &self.view, self.mailboxes, now);
         }
         self.follow_logs(now);
         self.publish_votes(&catalog, now);
@@ -160,8 +161,9 @@
     fn step_interval(&self) -> Duration {
         let has_no_votes = self.view_with_votes.votes.is_empty() && self.votes.is_empty();
         let has_no_replacements = self.intents.is_empty() && !self.turn.is_needed();
-        let is_idle =
-            has_no_votes && has_no_replacements && !self.status_queries.is_query_in_progress();
+        let is_querying = self.status_queries.is_query_in_progress()
+            || self.replacement_checker.is_asking_peers();
+        let is_idle = has_no_votes && has_no_replacements && !is_querying;
         if is_idle { IDLE_STEP_INTERVAL } else { STEP_INTERVAL }
     }
 
@@ -192,6 +194,10 @@
         }
         self.report_revoked_evidence();
         self.follow_intents(&view, now);
+        self.context
+            .replacement_checks
+            .copy
+            .store(StoreCopy { view: view.clone(), requested_at: known_at });
         if !is_new {
             return;
         }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -35,6 +35,7 @@
 use crate::shared::promotion_calls::PromotionCalls;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
+use crate::shared::replacement_checks::ReplacementChecks;
 use crate::shared::replacements::Replacements;
 use crate::shared::revisions::Revisions;
 use crate::shared::revoked_evidence::RevokedEvidence;
@@ -112,6 +113,8 @@
     /// Groups that need a replacement check: the store must confirm that no replacement of their
     /// primary is in progress.
     pub replacement_check_requests: ReplacementCheckRequests,
+    /// Replacement checks by other nodes, which are made while the store does not answer.
+    pub replacement_checks: ReplacementChecks,
     /// Configuration messages from peers.
     pub distribution_inbox: Inbox,
     /// Revisions that are active on other nodes.
@@ -266,6 +269,12 @@
         coverage.is_some_and(|coverage| answered <= coverage.until)
     }
 
+    /// Whether replacement checks fail now: neither the store nor the other nodes have confirmed
+    /// the last one. A commit that needs one would not be confirmed either.
+    pub fn replacement_checks_fail(&self, now: Instant) -> bool {
+        self.replacement_checks.fail(now)
+    }
+
     /// Lifetime of evidence on this node. A coordinator does not know an unlisted node and does not
     /// wait until it revokes its evidence, so its evidence expires sooner.
     pub fn evidence_lifetime(&self) -> Duration {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,9 +22,9 @@
 
 pub use labels::{
     AnswerEvidence, CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent,
-    IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent, Route,
-    SessionBoundEvent, SessionEndEvent, StatementResult, StoppedExchange, StorePurpose,
-    StoreResult, UnansweredRequest, VoteEvent,
+    IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
+    ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
+    StoppedExchange, StorePurpose, StoreResult, UnansweredRequest, VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -151,6 +151,8 @@
     pub store: CounterSet<StoreResult>,
     /// Calls to the store by purpose and result.
     pub store_calls: StoreCallCounters,
+    /// Replacement checks by who was asked and by result.
+    pub replacement_checks: CounterSet<ReplacementCheckEvent>,
     /// Votes on primaries that owners exchange directly.
     pub votes: CounterSet<VoteEvent>,
     /// Configurations by event.
@@ -282,6 +284,11 @@
                 "store_calls",
                 "Calls to the store by purpose and result",
             ),
+            replacement_checks: CounterSet::register(
+                r,
+                "replacement_checks",
+                "Checks whether primaries are being replaced, by result",
+            ),
             votes: CounterSet::register(r, "votes", "Votes on primaries from owner to owner"),
             configuration: CounterSet::register(r, "configurations", "Configurations by event"),
             configuration_bytes: CounterSet::register(
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -187,6 +187,25 @@
     }
 }
 
+labels! {
+    /// Result of a check whether the primaries of groups are being replaced.
+    ReplacementCheckEvent {
+        /// The store confirmed all groups.
+        StoreConfirmed = "store_confirmed",
+        /// The store's record of a group is newer than this node's copy, or this node has learned of
+        /// a replacement since.
+        StoreRefused = "store_refused",
+        /// The store did not answer.
+        StoreFailed = "store_failed",
+        /// All other nodes confirmed all groups.
+        PeersConfirmed = "peers_confirmed",
+        /// A node did not confirm some groups.
+        PeersRefused = "peers_refused",
+        /// A node did not answer in time, or runs a version that cannot.
+        PeersUnanswered = "peers_unanswered",
+    }
+}
+
 labels! {
     /// Event of the votes that owners exchange directly.
     VoteEvent {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -49,6 +49,7 @@
 use crate::shared::promotion_calls::PromotionCalls;
 use crate::shared::quotas::SharedQuotas;
 use crate::shared::replacement_check_requests::ReplacementCheckRequests;
+use crate::shared::replacement_checks::ReplacementChecks;
 use crate::shared::replacements::Replacements;
 use crate::shared::revisions::Revisions;
 use crate::shared::revoked_evidence::RevokedEvidence;
@@ -310,6 +311,7 @@
         peer_votes: SharedPeerVotes::new(settings.share_store_access),
         replacements: Replacements::default(),
         replacement_check_requests: ReplacementCheckRequests::default(),
+        replacement_checks: ReplacementChecks::default(),
         distribution_inbox: Inbox::default(),
         revisions: Revisions::default(),
         revocation_limit: settings.revocation_limit.map(RevocationLimit::new),
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -18,12 +18,12 @@
 
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::ids::{GroupName, NodeName};
-use kestrellock_core::promotion::{NodeVotes, PromotionCaller};
+use kestrellock_core::promotion::{NodeVotes, PeerAnswer, PromotionCaller};
 use kestrellock_core::quota::Outgoing as QuotaOutgoing;
 use kestrellock_peer::message::{GatewayCall, PeerMessage, ToFront, ToGateway};
 use mio::{Registry, Token};
 
-use crate::agent::promotion::answer_caller_query;
+use crate::agent::promotion::{answer_caller_query, answer_replacement_query};
 use crate::context::NodeContext;
 use crate::event::{EventSource, Io, Outgoing, event_source};
 use crate::front::Front;
@@ -206,6 +206,24 @@
                         io.context.promotion_calls.on_ended(group, caller);
                     }
                 }
+                PeerMessage::ReplacementQuery { number, groups, nodes_digest } => {
+                    if let Some(origin) = &from {
+                        let answer =
+                            answer_replacement_query(number, groups, nodes_digest, io.context);
+                        // Without the answer the other node's check is not confirmed.
+                        let _ = self.links.send(&origin.node, answer, io);
+                    }
+                }
+                PeerMessage::ReplacementQueryAnswer { number, unreplaced } => {
+                    if let Some(origin) = &from {
+                        io.context.replacement_checks.add_answer(PeerAnswer {
+                            from: origin.node.clone(),
+                            number,
+                            unreplaced: unreplaced.into_iter().collect(),
+                            arrived: Instant::now(),
+                        });
+                    }
+                }
                 PeerMessage::PrimaryVotes { round, votes } => {
                     if let Some(origin) = &from {
                         self.on_votes(&origin.node, round, votes, io);
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -15,6 +15,7 @@
 pub mod promotion_calls;
 pub mod quotas;
 pub mod replacement_check_requests;
+pub mod replacement_checks;
 pub mod replacements;
 pub mod revisions;
 pub mod revoked_evidence;
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -56,6 +56,11 @@
         known.intents()
     }
 
+    /// Whether any replacement of the group is known that is not known to have ended.
+    pub fn knows_replacement(&self, group: &GroupName) -> bool {
+        self.known().knows_replacement(group)
+    }
+
     /// When the newest copy of the store was requested.
     pub fn store_copy_requested_at(&self) -> Option<Instant> {
         self.known().store_copy_requested_at()
--- a/crates/daemon/tests/link_versions.rs
+++ b/crates/daemon/tests/link_versions.rs
@@ -7,12 +7,14 @@
 
 use bytes::BytesMut;
 use kestrellock_core::ids::{AccountName, GroupName, NodeName};
+use kestrellock_core::position::Term;
 use kestrellock_daemon::links::link::Link;
 use kestrellock_daemon::net::connection::Connection;
 use kestrellock_peer::auth::ClusterKeys;
 use kestrellock_peer::channel::{Channel, Hello, Side};
 use kestrellock_peer::message::{
-    GatewayCall, HIGHEST_PROTOCOL_VERSION, PROTOCOL_VERSION, PeerMessage, ToGateway,
+    GatewayCall, HIGHEST_PROTOCOL_VERSION, PROTOCOL_VERSION, PeerMessage,
+    REPLACEMENT_QUERY_VERSION, ToGateway,
 };
 use mio::{Poll, Token};
 
@@ -154,3 +156,33 @@
     let refused = pair.link.send(message_with(call.clone()), Instant::now());
     assert_eq!(refused.expect_err("refused"), Box::new(message_with(call)));
 }
+
+/// Guards against an older node that closes the link, with the exchanges on it, because the store
+/// does not answer another node.
+#[test]
+fn a_replacement_query_is_refused_on_a_link_to_an_older_node() {
+    let query = || PeerMessage::ReplacementQuery {
+        number: 1,
+        groups: vec![(GroupName::new("g"), Term(1))],
+        nodes_digest: 7,
+    };
+    let answer = || PeerMessage::ReplacementQueryAnswer { number: 1, unreplaced: Vec::new() };
+    for (version, messages) in [
+        (REPLACEMENT_QUERY_VERSION - 1, [query(), answer()]),
+        (PROTOCOL_VERSION, [query(), answer()]),
+    ] {
+        let mut pair = LinkToPeer::open(Some(version));
+        pair.establish();
+        assert_eq!(pair.link.version(), Some(version));
+        for message in messages {
+            let refused = pair.link.send(message.clone(), Instant::now());
+            assert_eq!(refused.expect_err("refused"), Box::new(message));
+        }
+    }
+    let mut pair = LinkToPeer::open(Some(REPLACEMENT_QUERY_VERSION));
+    pair.establish();
+    for message in [query(), answer()] {
+        pair.link.send(message.clone(), Instant::now()).expect("the node speaks the version");
+        assert_eq!(pair.receive(), message);
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -28,7 +28,7 @@
 
 /// Highest version that this build speaks. A connection uses the highest version that both of its
 /// nodes speak.
-pub const HIGHEST_PROTOCOL_VERSION: u16 = 10;
+pub const HIGHEST_PROTOCOL_VERSION: u16 = 11;
 
 /// Lowest version in which owners exchange votes on primaries.
 pub const PRIMARY_VOTES_VERSION: u16 = 8;
@@ -45,6 +45,9 @@
 /// Lowest version in which fronts withdraw exchanges.
 pub const WITHDRAW_VERSION: u16 = 10;
 
+/// Lowest version in which nodes ask each other whether primaries are being replaced.
+pub const REPLACEMENT_QUERY_VERSION: u16 = 11;
+
 /// A prepared statement that an exchange refers to by a cluster-wide name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreparedStatement {
@@ -427,6 +430,24 @@
         /// The process of the sender's node, as it was queried.
         caller: PromotionCaller,
     },
+    /// The sender cannot ask the store whether the primaries of groups are being replaced, and asks
+    /// every listed node.
+    ReplacementQuery {
+        /// Number of the query.
+        number: u64,
+        /// The groups, and the highest term of each that the sender knows to have been led.
+        groups: Vec<(GroupName, Term)>,
+        /// Digest of the listed nodes that the sender knows
+        /// ([`nodes_digest`](kestrellock_core::promotion::nodes_digest)).
+        nodes_digest: u64,
+    },
+    /// The answer to [`PeerMessage::ReplacementQuery`].
+    ReplacementQueryAnswer {
+        /// Number of the query.
+        number: u64,
+        /// The groups of which the sender knows no replacement.
+        unreplaced: Vec<GroupName>,
+    },
     /// The sender's votes on the primaries of groups that the sender and the receiver own. They
     /// replace its earlier ones.
     PrimaryVotes {
@@ -471,6 +492,9 @@
             Self::PromotionCallQuery { .. } | Self::PromotionCallsEnded { .. } => {
                 PROMOTION_CALLS_VERSION
             }
+            Self::ReplacementQuery { .. } | Self::ReplacementQueryAnswer { .. } => {
+                REPLACEMENT_QUERY_VERSION
+            }
             Self::Configuration { .. }
             | Self::Leave { .. }
             | Self::Reconnected { .. }
