Hold a write that no replica could confirm

A write that only reports without a replacement check cover would be sent, and its commit would end in doubt where neither the store nor every other node confirms that the primary is not being replaced. Otherwise it is sent at once, and the check is requested with it.

--- a/crates/daemon/src/gateway/choice_log.rs
+++ b/crates/daemon/src/gateway/choice_log.rs
@@ -62,7 +62,9 @@
         InstanceChoice::NeedsSessionTerm => {
             "the primary leads a lower term than the one of the session's last commit"
         }
-        InstanceChoice::NeedsStore => "the store has not said that nobody replaces the primary",
+        InstanceChoice::NeedsStore => {
+            "neither the store nor every other node has confirmed that the primary is not being replaced"
+        }
         InstanceChoice::NoneQualifies | InstanceChoice::Instance(_) => "no instance qualifies",
     };
     let Placed { exchange, group, arrived, basis, .. } = placed;
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -20,7 +20,7 @@
 use kestrellock_core::catalog::{Group, IndexedCatalog, Instance};
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::position::{Position, Term};
-use kestrellock_core::primary_evidence::Coverage;
+use kestrellock_core::primary_evidence::{Coverage, EvidenceKind};
 use kestrellock_core::primary_samples::PrimarySample;
 use kestrellock_core::reader_choice::{self, Reader};
 use kestrellock_core::routing::{Access, Role};
@@ -43,8 +43,8 @@
     /// The primary leads a lower term than the one of the session's last commit: it has been
     /// replaced, and this node has yet to learn of its successor.
     NeedsSessionTerm,
-    /// Enough replicas have shown that the primary still leads, but the store has yet to confirm
-    /// that the primary is not being replaced.
+    /// Enough replicas have shown that the primary still leads, but the store, or every other node,
+    /// has yet to confirm that the primary is not being replaced.
     NeedsStore,
 }
 
@@ -66,6 +66,12 @@
 }
 
 impl ChoiceBasis {
+    /// Whether nothing but reports without a replacement check covers the arrival. Such reports
+    /// cover no answer of a commit.
+    pub fn is_unchecked(&self) -> bool {
+        self.coverage.is_some_and(|coverage| coverage.kind == EvidenceKind::UncheckedReplicas)
+    }
+
     /// What must still be known of the process of `instance` when the statement is sent. `None` if
     /// the choice does not rely on that, because the instance itself checks the position that the
     /// statement requires.
@@ -190,6 +196,11 @@
             if primary.is_some() && !is_covered {
                 return missing_evidence(needs.arrived);
             }
+            // Replicas could not confirm its commit, which would end in doubt.
+            let needs_check = matches!(access, Access::Write { .. }) && basis.is_unchecked();
+            if needs_check && io.context.replacement_checks_fail(io.now) {
+                return InstanceChoice::NeedsStore;
+            }
             primary
         }
     };
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -204,6 +204,11 @@
             if !reaches(group, &instance, io) {
                 return ownership::redirect(&held.exchange, None, io);
             }
+            if held.exchange.access.is_write() && found.basis.is_unchecked() {
+                // The check usually ends before the commit is answered, which then needs no
+                // confirmation.
+                io.context.replacement_check_requests.request(name);
+            }
             let exchange = held.placed_at(instance, io.now);
             return self.offer(name, group, exchange, io);
         }
