Confirm commits of a successor while its replacement is still recorded

Cause (node's log): the write ran at the successor, term 3, on new reports of one replica and of the primary, which cover no answer. So its commit waited for replicas. `commit_confirmation` took every commit for one of a replaced primary as long as any evidence of the group was revoked, and the intent was still recorded (`promoting`); the commit was refused in the same millisecond.

Change: a commit is refused as replaced if evidence for the term of that commit cannot count. The commits of a successor wait for replicas. While a commit waits, it is checked again that the answers of its instance count, as the simulation in core/tests/replacement does: that covers a primary of which this node had no evidence when it revoked its evidence.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -320,7 +320,7 @@
 
     /// Whether evidence for `term` can count: no higher term is known and the evidence was not
     /// revoked.
-    fn may_cover(&self, term: Term) -> bool {
+    pub fn may_cover(&self, term: Term) -> bool {
         !self.is_outdated_term(term) && !self.is_revoked(term)
     }
 
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -196,7 +196,12 @@
                 kept.push(pending);
                 continue;
             };
-            let lead = Lead { instance: &pending.commit.instance, term: position.term };
+            let instance = &pending.commit.instance;
+            if !io.context.replacements.may_acknowledge_commit(name, instance, Instant::now()) {
+                refuse_late(name, pending.commit, io);
+                continue;
+            }
+            let lead = Lead { instance, term: position.term };
             let (statuses, replication) = (&io.context.statuses, group.replication());
             match statuses.commit_confirmation(name, lead, replication, answered, Instant::now()) {
                 CommitConfirmation::Confirmed => acknowledge(pending.commit, Some(position), io),
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -418,7 +418,8 @@
         let statuses = self.group(group);
         let known = statuses.read().expect("a thread panicked while it held the status lock");
         let evidence = &known.evidence;
-        if evidence.revoked_for().is_some() || lead.term < evidence.highest_led() {
+        // Commits of the successor are confirmed while its replacement is still recorded as running.
+        if !evidence.may_cover(lead.term) {
             return CommitConfirmation::Replaced;
         }
         if evidence.confirms_commit(lead, replication, answered) {
