Query instances that have no idle pooled connection over a connection of their own

Callers saw every statement of a group time out: with all zones drained and one taken back, or with one replica leaving and another dead.

Cause, by the nodes' logs: statements need evidence that the primary leads, and status queries travelled only over idle pooled connections. The pool of an instance that leaves, or that is in a drained zone, closes its connections. In zone_drain, i-orders-1 and i-orders-2 (0 open connections) were due to be queried 1,247 times within 30 s and never were; in source_addresses, i-orders-0 (leaving, 0 open) 629 times by node 0, while the other replica was dead.

Change: a query that a statement or a commit waits for takes the next idle connection of the pool, instead of being dropped. If the pool keeps none, or all have been in use for 30 ms, the gateway opens one connection to the instance for status queries: at most one for each node and instance, from the node's address, established within 1 s, each answer within 150 ms, closed after 3 s without use; after a failure or CONNLIMIT the next attempt waits 100 ms to 1 s. Its failures shrink no pool and do not make reads avoid the instance. `kestrellock_status_connections_total` counts such connections.

--- a/crates/daemon/src/gateway/connection_loss.rs
+++ b/crates/daemon/src/gateway/connection_loss.rs
@@ -34,7 +34,7 @@
                 if has_ended {
                     io.context.statuses.on_process_ended(&server.group, &server.instance);
                 }
-                if state.status_queries.on_connection_ready(&server.instance, key, io) {
+                if state.status_queries.on_connection_lost(&server.instance, key, io) {
                     state.evidence_queries.on_answer();
                 }
                 if let Some(reachability) = reachability {
@@ -45,6 +45,15 @@
                     pool.on_lost(key, io.now, rand::random());
                 }
             }
+            Purpose::Status => {
+                if has_ended {
+                    io.context.statuses.forget_evidence(&server.group);
+                    io.context.statuses.on_process_ended(&server.group, &server.instance);
+                }
+                if state.status_queries.on_connection_lost(&server.instance, key, io) {
+                    state.evidence_queries.on_answer();
+                }
+            }
             Purpose::Probe => {
                 let pool = state.pools.get(&server.instance);
                 let owned = pool.is_some_and(|pool| pool.role() == PoolRole::Owner);
@@ -56,15 +65,17 @@
 
     /// Closes a connection that runs nothing. This says nothing about the state of its instance.
     pub(super) fn close_idle(&mut self, key: usize, io: &mut Io) {
-        let pooled = self.servers.get(key).is_some_and(|server| server.purpose == Purpose::Pooled);
-        if !pooled {
+        let purpose = self.servers.get(key).map(|server| server.purpose);
+        if !matches!(purpose, Some(Purpose::Pooled | Purpose::Status)) {
             return self.on_server_lost(key, Fault::InstanceConnectionLost, io);
         }
         let mut server = self.servers.remove(key);
         io.context.metrics.instance_connections.count(ConnectionEvent::Closed);
         server.deregister(io);
-        let state = self.groups.get_mut(&server.group);
-        if let Some(pool) = state.and_then(|state| state.pools.get_mut(&server.instance)) {
+        let Some(state) = self.groups.get_mut(&server.group) else { return };
+        if server.purpose == Purpose::Status {
+            state.status_queries.on_connection_closed(&server.instance, io);
+        } else if let Some(pool) = state.pools.get_mut(&server.instance) {
             pool.on_lost(key, io.now, rand::random());
         }
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod running_exchange;
 pub mod server;
 mod server_events;
+pub mod status_connection;
 pub mod status_queries;
 mod stopping;
 mod zone_drains;
@@ -241,6 +242,7 @@
                 }
             }
             self.query_unresponsive_instances(&name, io);
+            self.send_waiting_status_queries(&name, io);
             self.confirm_waiting_commits(&name, io);
             self.advance_group(&name, io);
         }
--- a/crates/daemon/src/gateway/ownership.rs
+++ b/crates/daemon/src/gateway/ownership.rs
@@ -99,14 +99,17 @@
             self.close_idle(key, io);
         }
         self.groups.retain(|_, state| !state.is_done(io.now));
-        let orphans: Vec<usize> = self
+        let unneeded: Vec<usize> = self
             .servers
             .iter()
-            .filter(|(_, server)| server.purpose == Purpose::Probe)
-            .filter(|(_, server)| !self.groups.contains_key(&server.group))
+            .filter(|(_, server)| {
+                let is_own = matches!(server.purpose, Purpose::Probe | Purpose::Status);
+                let is_orphan = is_own && !self.groups.contains_key(&server.group);
+                is_orphan || server.is_unused_status_connection(io.now)
+            })
             .map(|(key, _)| key)
             .collect();
-        for key in orphans {
+        for key in unneeded {
             self.close_idle(key, io);
         }
     }
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -266,7 +266,7 @@
             return;
         }
         for instance in instances {
-            state.status_queries.request(instance);
+            state.status_queries.request(instance, io.now);
         }
         self.send_status_queries(name, io);
     }
--- a/crates/daemon/src/gateway/pool/connections.rs
+++ b/crates/daemon/src/gateway/pool/connections.rs
@@ -10,6 +10,7 @@
 use kestrellock_peer::message::Exchange;
 
 use super::Pool;
+use crate::gateway::status_connection::PoolConnections;
 
 pub(super) const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(10);
 pub(super) const MAX_CONNECT_BACKOFF: Duration = Duration::from_millis(250);
@@ -184,6 +185,15 @@
         }
     }
 
+    /// What the pool has for a status query if none of its connections is idle.
+    pub fn connections_for_query(&self, now: Instant) -> PoolConnections {
+        match self.connections_in_use() {
+            _ if !self.keeps_connections(now) => PoolConnections::NotKept,
+            0 => PoolConnections::Opening,
+            _ => PoolConnections::InUse,
+        }
+    }
+
     /// Whether no connection is open or being opened.
     pub fn is_empty(&self) -> bool {
         self.connections.is_empty()
--- a/crates/daemon/src/gateway/pool/sizing.rs
+++ b/crates/daemon/src/gateway/pool/sizing.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Whether the pool keeps connections open without work.
+    pub(super) fn keeps_connections(&self, now: Instant) -> bool {
+        self.retained_target(now) > 0
+    }
+
     /// Maximum number of connections that exchanges without an account need at the same time,
     /// judged by their recent use.
     fn recent_demand(&self, now: Instant) -> u32 {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -37,6 +37,11 @@
 const DEADLINE_GRACE_PERIOD: Duration = Duration::from_millis(50);
 /// Time within which an instance must answer a status query.
 const STATUS_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time within which a connection for status queries must be established.
+const STATUS_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a connection for status queries is closed if it was not used: longer than
+/// evidence lasts, so that it stays open while statements keep arriving.
+const STATUS_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time within which a connection must roll back an abandoned transaction or discard session state.
 const CLEANUP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -47,6 +52,8 @@
     Pooled,
     /// Position probes.
     Probe,
+    /// Status queries of an instance whose pool has no idle connection.
+    Status,
     /// One cancel request.
     Cancel,
 }
@@ -414,13 +421,22 @@
             State::Running(running) => now > running.deadline + DEADLINE_GRACE_PERIOD,
             State::Preparing(preparing) | State::Prepared(preparing) => now > preparing.until,
             State::RollingBack { until } | State::DiscardingSession { until } => now > *until,
-            State::Probing { queried_at, .. } if self.purpose == Purpose::Pooled => {
+            State::Probing { queried_at, .. } if self.purpose != Purpose::Probe => {
                 now > *queried_at + STATUS_QUERY_TIMEOUT
             }
+            State::StartingUp if self.purpose == Purpose::Status => {
+                now > self.opened_at + STATUS_CONNECT_TIMEOUT
+            }
             State::StartingUp | State::Idle | State::Probing { .. } => false,
         }
     }
 
+    /// Whether the connection was opened for status queries and has not been used for a while.
+    pub fn is_unused_status_connection(&self, now: Instant) -> bool {
+        let is_unused = now >= self.last_sent + STATUS_IDLE_TIMEOUT;
+        self.purpose == Purpose::Status && self.is_idle() && is_unused
+    }
+
     /// Refuses the running exchange, if any, because the connection is lost. Returns the lease.
     pub fn fail_exchange(&mut self, fault: Fault, io: &mut Io) -> Option<LeaseId> {
         let state = std::mem::replace(&mut self.state, State::Idle);
--- a/crates/daemon/src/gateway/server_events.rs
+++ b/crates/daemon/src/gateway/server_events.rs
@@ -41,7 +41,7 @@
             | ServerEvent::InstanceBusy
             | ServerEvent::Probed(_)
     );
-    if answers && server.purpose == Purpose::Pooled {
+    if answers && matches!(server.purpose, Purpose::Pooled | Purpose::Status) {
         let (established, sent) = server.times();
         io.context.statuses.on_process_seen(&server.group, &server.instance, established, sent);
     }
@@ -95,8 +95,8 @@
                 }
                 return;
             }
-            ServerEvent::Probed(answer) if server.purpose == Purpose::Pooled => {
-                state.status_queries.on_answer(&group, &instance, &answer, io);
+            ServerEvent::Probed(answer) if server.purpose != Purpose::Probe => {
+                state.status_queries.on_answer(&group, &instance, key, &answer, io);
                 state.evidence_queries.on_answer();
                 if let Some(configured) = configured {
                     self.confirm_by_replica_statuses(&group, configured, io);
@@ -112,11 +112,17 @@
                     pool.on_idle(key, io.now);
                 }
             }
+            ServerEvent::Ready if server.purpose == Purpose::Status => {
+                if state.status_queries.on_connection_ready(&instance, key, io) {
+                    state.evidence_queries.on_answer();
+                }
+            }
             ServerEvent::Ready => state.monitor.on_probe_ready(key, &instance),
             ServerEvent::Unusable => self.on_server_lost(key, Fault::InstanceConnectionLost, io),
             ServerEvent::Refused => {
                 io.context.metrics.instance_connections.count(ConnectionEvent::Refused);
-                if let Some(pool) = state.pools.get_mut(&instance) {
+                let pool = state.pools.get_mut(&instance);
+                if let Some(pool) = pool.filter(|_| server.purpose != Purpose::Status) {
                     pool.on_connection_refused(io.now, rand::random());
                 }
                 self.on_server_lost(key, Fault::InstanceConnectionLost, io);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -24,7 +24,8 @@
     AnswerEvidence, CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent,
     IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
     ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
-    StoppedExchange, StorePurpose, StoreResult, UnansweredRequest, VoteEvent,
+    StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult, UnansweredRequest,
+    VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -141,6 +142,8 @@
     pub session_bounds: CounterSet<SessionBoundEvent>,
     /// Position probes.
     pub probes: CounterSet<ProbeEvent>,
+    /// Connections to instances that carry only status queries.
+    pub status_connections: CounterSet<StatusConnectionEvent>,
     /// Membership datagrams.
     pub datagrams: CounterSet<MessageEvent>,
     /// Bytes of membership datagrams.
@@ -275,6 +278,11 @@
                 "Positions of earlier groups of sessions",
             ),
             probes: CounterSet::register(r, "probes", "Position probes"),
+            status_connections: CounterSet::register(
+                r,
+                "status_connections",
+                "Connections to back ends that carry only status queries",
+            ),
             datagrams: CounterSet::register(r, "datagrams", "Membership datagrams"),
             datagram_bytes: CounterSet::register(r, "datagram_bytes", "Bytes of datagrams"),
             messages: CounterSet::register(r, "messages", "Messages between nodes over TCP"),
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -143,6 +143,20 @@
     }
 }
 
+labels! {
+    /// Event of a connection for the status queries of one instance.
+    StatusConnectionEvent {
+        /// Opened, because no connection of the instance's pool was idle.
+        Opened = "opened",
+        /// A status query was sent on it.
+        Queried = "queried",
+        /// Not established, lost, or without an answer.
+        Failed = "failed",
+        /// Closed, because it was not needed any more.
+        Closed = "closed",
+    }
+}
+
 labels! {
     /// Event of a datagram or message between nodes.
     MessageEvent {
