--- a/crates/lab/src/platform/partition.rs
+++ b/crates/lab/src/platform/partition.rs
@@ -46,15 +46,21 @@
     /// Needs [`super::PlatformOptions::partitionable`].
     pub fn partition(&self, nodes: &[usize], instance: usize) {
         self.set_isolated(instance, true);
-        self.for_links_across(nodes, instance, Network::cut);
+        self.for_links_across(nodes, instance, None, Network::cut);
     }
 
     /// Ends a partition.
     pub fn heal_partition(&self, nodes: &[usize], instance: usize) {
-        self.for_links_across(nodes, instance, Network::heal);
+        self.for_links_across(nodes, instance, None, Network::heal);
         self.set_isolated(instance, false);
     }
 
+    /// As [`Platform::partition`], but all nodes reach the instances with the number `shared`, and the
+    /// links between instances stay.
+    pub fn partition_nodes(&self, nodes: &[usize], instance: usize, shared: usize) {
+        self.for_links_across(nodes, instance, Some(shared), Network::cut);
+    }
+
     fn set_isolated(&self, instance: usize, is_isolated: bool) {
         for group in &self.groups {
             let name = &group.instances()[instance];
@@ -62,10 +68,13 @@
         }
     }
 
+    /// Changes the links between a side and everything else except the instances with the number
+    /// `shared`.
     fn for_links_across(
         &self,
         nodes: &[usize],
         instance: usize,
+        shared: Option<usize>,
         change: impl Fn(&Network, &ZoneName, &ZoneName),
     ) {
         let network = self.network.as_ref().expect("a platform with relays");
@@ -74,7 +83,9 @@
             .map(|node| node_relay_zone(*node))
             .chain([instance_relay_zone(instance)])
             .collect();
-        for zone in network.zones().iter().filter(|zone| !inside.contains(zone)) {
+        let shared = shared.map(instance_relay_zone);
+        let outside = network.zones().iter().filter(|zone| !inside.contains(zone));
+        for zone in outside.filter(|zone| shared.as_ref() != Some(zone)) {
             inside.iter().for_each(|other| change(network, other, zone));
         }
     }
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -4,6 +4,7 @@
 //! store. They never elect a primary themselves: a coordinator replaces a primary by stopping the
 //! replicas and having one of them promoted through the [`PromotionService`].
 
+mod links;
 mod promotions;
 mod replication;
 mod request_faults;
@@ -67,7 +68,7 @@
 
     /// Writes the entry of an instance to the store, unless it cannot reach the store.
     fn publish_entry(&self, state: &State, name: &str) {
-        if state.isolated.as_deref() == Some(name) {
+        if state.links.is_isolated(name) {
             return;
         }
         let Some(instance) = state.instances.get(name) else { return };
@@ -225,12 +226,18 @@
     /// none.
     pub fn set_isolated(&self, name: Option<&str>) {
         let mut state = self.shared.state();
-        let earlier = std::mem::replace(&mut state.isolated, name.map(str::to_owned));
+        let earlier = std::mem::replace(&mut state.links.isolated, name.map(str::to_owned));
         if let Some(earlier) = earlier {
             self.shared.publish_entry(&state, &earlier);
         }
     }
 
+    /// Separates two instances from each other, or connects them again. Each still reaches the other
+    /// instances, and a promotion releases both.
+    pub fn set_separated(&self, name: &str, other: &str, is_separated: bool) {
+        self.shared.state().links.set_separated(name, other, is_separated);
+    }
+
     /// Blocks or unblocks the reads of an instance.
     pub fn set_reads_blocked(&self, name: &str, blocked: bool) {
         if let Some(instance) = self.shared.state().instances.get_mut(name) {
--- a/crates/lab/src/standin/instances/promotions.rs
+++ b/crates/lab/src/standin/instances/promotions.rs
@@ -148,7 +148,7 @@
 
 fn promote(shared: &Shared, name: &str, history: &Mutex<History>) {
     let mut state = shared.state();
-    if state.isolated.as_deref() == Some(name) {
+    if state.links.is_isolated(name) {
         return;
     }
     let highest_term = state.highest_term();
@@ -160,7 +160,7 @@
     instance.term = Term(highest_term.0 + 1);
     let statements = instance.log.iter().flat_map(|commit| commit.ids.clone()).collect();
     let term = instance.term;
-    let isolated = state.isolated.clone();
+    let isolated = state.links.isolated.clone();
     for other in state.instances.values_mut() {
         if isolated.as_ref() == Some(&other.name) {
             continue;
--- a/crates/lab/src/standin/instances/replication.rs
+++ b/crates/lab/src/standin/instances/replication.rs
@@ -1,9 +1,9 @@
 //! Replication between the instances of a group.
 //!
-//! A replica receives the log of the running primary with the highest term, provided that this term
-//! is at least the replica's own term and its minimum term, and that replication to the replica is
-//! not blocked, and the two reach each other. The replica drops the commits that this primary does not have. An old primary
-//! becomes a replica one second after it first reached a primary of a newer term.
+//! A replica receives the log of the running primary with the highest term that it reaches, provided
+//! that this term is at least the replica's own term and its minimum term, and that replication to
+//! the replica is not blocked. The replica drops the commits that this primary does not have. An old
+//! primary becomes a replica one second after it first reached a primary of a newer term.
 
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,7 +12,7 @@
 use kestrellock_core::routing::Role;
 
 use super::Shared;
-use super::state::{Commit, Instance, State, is_connected};
+use super::state::{Commit, Instance, State};
 
 const REPLICATION_INTERVAL: Duration = Duration::from_millis(1);
 /// Time for which an old primary stays primary after it first reached a newer one.
@@ -41,12 +41,11 @@
     let sources: Vec<(String, Term, Vec<Commit>)> = primaries
         .map(|instance| (instance.name.clone(), instance.term, instance.log.clone()))
         .collect();
-    let isolated = state.isolated.clone();
+    let links = state.links.clone();
     let mut changed = Vec::new();
     for instance in state.instances.values_mut().filter(|instance| instance.running) {
         let name = instance.name.clone();
-        let mut reached =
-            sources.iter().filter(|(source, ..)| is_connected(&isolated, &name, source));
+        let mut reached = sources.iter().filter(|(source, ..)| links.connect(&name, source));
         if instance.role == Role::Primary {
             let newer = reached.any(|(_, term, _)| *term > instance.term);
             instance.outdated_since = newer.then(|| instance.outdated_since.unwrap_or(now));
--- a/crates/lab/src/standin/instances/state.rs
+++ b/crates/lab/src/standin/instances/state.rs
@@ -9,6 +9,7 @@
 use kestrellock_platform::standin::lines::InstanceError;
 
 use super::InstanceOptions;
+use super::links::Links;
 use super::request_faults::RequestFaults;
 use crate::check::final_state::LogPlace;
 use crate::check::statements::record::GroupStatements;
@@ -167,8 +168,8 @@
     pub status_queries: u64,
     /// Number of the next connection.
     pub next_connection: u64,
-    /// Instance that reaches no other instance and not the store.
-    pub isolated: Option<String>,
+    /// Which instances reach each other.
+    pub links: Links,
     /// Error with which the instances answer each `BEGIN`, if they begin no transactions.
     pub begin_error: Option<InstanceError>,
     /// Faults in answering requests, by instance.
@@ -186,7 +187,7 @@
             statements: GroupStatements::default(),
             status_queries: 0,
             next_connection: 0,
-            isolated: None,
+            links: Links::default(),
             begin_error: None,
             request_faults: BTreeMap::new(),
         }
@@ -270,7 +271,7 @@
     pub fn received_by(&self, primary: &str, commit: &Commit) -> usize {
         let has_received = |instance: &&Instance| {
             instance.role == Role::Replica
-                && is_connected(&self.isolated, primary, &instance.name)
+                && self.links.connect(primary, &instance.name)
                 && instance.log.contains(commit)
         };
         self.instances.values().filter(has_received).count()
@@ -285,9 +286,3 @@
             .unwrap_or_default()
     }
 }
-
-/// Whether an instance reaches another one while `isolated` reaches none.
-pub fn is_connected(isolated: &Option<String>, name: &str, other: &str) -> bool {
-    let is_isolated = |name: &str| isolated.as_deref() == Some(name);
-    name == other || !is_isolated(name) && !is_isolated(other)
-}
