Split the status table; a commit without earlier evidence covers nothing in its tests

statuses.rs held 553 lines: what is known of one group and the evidence for answers of commits are modules of their own now.

--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod address_occupants;
 mod answered_positions;
+mod commit_evidence;
 pub mod confirmations;
 pub mod exchange_record;
+mod group_statuses;
 pub mod inbox;
 pub mod isolation;
 pub mod listed_seeds;
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -6,29 +6,23 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam::sync::ShardedLock;
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::incarnation::InstanceIncarnation;
-use kestrellock_core::observed_process::ObservedProcess;
-use kestrellock_core::position::{Position, Term};
-use kestrellock_core::primary_evidence::{
-    Coverage, EvidenceKind, Lead, NewestEvidence, PrimaryEvidence, ReplicaTerms, Replication,
-};
-use kestrellock_core::primary_samples::{PositionReport, PrimarySamples};
+use kestrellock_core::position::Term;
+use kestrellock_core::primary_evidence::{NewestEvidence, ReplicaTerms};
+use kestrellock_core::primary_samples::PositionReport;
 use kestrellock_core::promotion::{Intent, higher_position};
-use kestrellock_core::routing::{self, InstanceStatus, Role};
+use kestrellock_core::routing::{InstanceStatus, Role};
 use kestrellock_core::suspicion::HealthSignals;
 use kestrellock_protocol::backend::Report;
 
+pub use super::commit_evidence::{CommitConfirmation, CommitTimes, EvidenceScope};
 use super::exchange_record::ExchangeRecord;
 pub use super::exchange_record::{ConnectionOutcome, ExchangeResponse};
-
-/// Time that replicas have to respond before a replacement check replaces the answers of the
-/// slowest. Zones are a few milliseconds apart, and a request to the store costs as much as dozens
-/// of status queries.
-const REPLICA_RESPONSE_TIMEOUT: Duration = Duration::from_millis(10);
+pub use super::group_statuses::{GroupStatuses, KnownStatus};
 
 /// Newest status of every known instance, with a lock for each group.
 #[derive(Debug, Default)]
@@ -36,184 +30,6 @@
     groups: ShardedLock<HashMap<GroupName, Arc<ShardedLock<GroupStatuses>>>>,
 }
 
-/// What is known of one group.
-#[derive(Debug, Default)]
-pub struct GroupStatuses {
-    /// Statuses of its instances, if probes report them.
-    pub instances: HashMap<InstanceName, KnownStatus>,
-    /// Records of the exchanges with its instances, if responses report positions.
-    pub exchange_records: HashMap<InstanceName, ExchangeRecord>,
-    /// Positions of its primary, as reported in responses.
-    pub primary_samples: PrimarySamples,
-    /// Evidence that no other instance is primary.
-    pub evidence: PrimaryEvidence,
-    /// What connections to its instances show about their processes.
-    processes: HashMap<InstanceName, ObservedProcess>,
-    /// Highest position in answers to commits, of any instance: each of these commits may have been
-    /// acknowledged to a client.
-    pub highest_commit: Option<Position>,
-    /// When its primary last answered a commit that wrote data.
-    last_commit: Option<Instant>,
-}
-
-impl GroupStatuses {
-    /// Highest term that the instance has been shown to lead.
-    pub fn led_term_of(&self, instance: &InstanceName) -> Option<Term> {
-        self.exchange_records.get(instance)?.led_term()
-    }
-
-    /// Highest term that the current process of the instance has been shown to lead. Evidence that
-    /// no other primary acknowledges commits shows nothing about reads at another process.
-    pub fn current_led_term_of(&self, instance: &InstanceName) -> Option<Term> {
-        self.exchange_records.get(instance)?.current_led_term()
-    }
-
-    /// Whether the instance, as the primary, may lack a commit of a session with this bound.
-    pub fn may_lack_session_commits(
-        &self,
-        instance: &InstanceName,
-        bound: Option<&Position>,
-    ) -> bool {
-        routing::may_lack_session_commits(self.led_term_of(instance), bound)
-    }
-
-    /// Returns whether the commit shows that the instance leads the term of the answer's position.
-    /// That must be known from before: an instance that has led a lower term, or of which nothing
-    /// is known, may have become a replica before it answered. It then reports the term of its
-    /// successor, and has to show that it leads it.
-    fn on_commit_answered(&mut self, instance: &InstanceName, term: Term) -> bool {
-        self.last_commit = Some(Instant::now());
-        let record = self.exchange_records.entry(instance.clone()).or_default();
-        let may_follow = record.led_term().is_none_or(|led| led < term);
-        if may_follow {
-            record.on_lead_in_doubt();
-            self.evidence.on_term_led(term);
-        } else {
-            record.on_led_term(term);
-        }
-        !may_follow
-    }
-
-    /// What covers the arrival of reads at the primary `instance`: a read that arrives until then
-    /// sees every acknowledged commit.
-    pub fn coverage(
-        &self,
-        instance: &InstanceName,
-        group: Replication,
-        lifetime: Duration,
-    ) -> Option<Coverage> {
-        let lead = Lead { instance, term: self.current_led_term_of(instance)? };
-        let coverage = self.evidence.coverage(lead, group, lifetime)?;
-        let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
-        let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
-        Some(Coverage { until, ..coverage })
-    }
-
-    /// What covers the answer of a commit of `term` that `instance` has answered: the commit
-    /// reached a replica before a promotion can have released one. `None` if the instance has not
-    /// been shown to lead that term.
-    pub fn answer_coverage(
-        &self,
-        instance: &InstanceName,
-        term: Term,
-        group: Replication,
-        lifetime: Duration,
-    ) -> Option<Coverage> {
-        if self.led_term_of(instance) != Some(term) {
-            return None;
-        }
-        let coverage = self.evidence.answer_coverage(Lead { instance, term }, group, lifetime)?;
-        let lifetime = coverage.until.saturating_duration_since(coverage.requested_at);
-        let until = self.covers_until(Some(instance), coverage.requested_at, lifetime);
-        Some(Coverage { until, ..coverage })
-    }
-
-    /// Until when the evidence covers the arrival of reads at the primary `instance`.
-    pub fn covered_until(
-        &self,
-        instance: &InstanceName,
-        group: Replication,
-        lifetime: Duration,
-    ) -> Option<Instant> {
-        self.coverage(instance, group, lifetime).map(|coverage| coverage.until)
-    }
-
-    /// Until when evidence that was gathered at `evidence` covers arrivals at the process that the
-    /// primary runs now.
-    pub fn covers_until(
-        &self,
-        primary: Option<&InstanceName>,
-        evidence: Instant,
-        lifetime: Duration,
-    ) -> Instant {
-        match primary.and_then(|primary| self.processes.get(primary)) {
-            Some(process) => process.covers_until(evidence, lifetime),
-            None => evidence + lifetime,
-        }
-    }
-
-    /// Whether a replacement check is all that is missing for the evidence to cover arrivals until
-    /// `moment`, and the replicas have had time to respond.
-    pub fn lacks_only_replacement_check(
-        &self,
-        instance: &InstanceName,
-        group: Replication,
-        lifetime: Duration,
-        moment: Instant,
-        now: Instant,
-    ) -> bool {
-        let Some(term) = self.current_led_term_of(instance) else { return false };
-        let queried_at = self.evidence.newest();
-        let waited =
-            queried_at.is_some_and(|queried_at| now >= queried_at + REPLICA_RESPONSE_TIMEOUT);
-        let lead = Lead { instance, term };
-        let evidence = self.evidence.would_cover_until(lead, group, Duration::ZERO);
-        let until = evidence.map(|at| self.covers_until(Some(instance), at, lifetime));
-        waited && until.is_some_and(|until| moment <= until)
-    }
-}
-
-/// When a commit was sent to its primary and answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CommitTimes {
-    /// When it was sent.
-    pub sent: Instant,
-    /// When this process had received the answer, by a clock that it read after that.
-    pub answered: Instant,
-}
-
-/// The group to which evidence applies, and how long evidence lasts at this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EvidenceScope {
-    /// How the group replicates.
-    pub replication: Replication,
-    /// How long evidence lasts.
-    pub lifetime: Duration,
-}
-
-/// What the evidence shows about a commit that the primary has answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CommitConfirmation {
-    /// No other instance was about to be promoted, so the commit may be acknowledged.
-    Confirmed,
-    /// Enough replicas show that, the others have had time to respond, and a replacement check is
-    /// missing.
-    LacksReplacementCheck,
-    /// Too few replicas have reported their status.
-    Unconfirmed,
-    /// The primary is being replaced, or has been.
-    Replaced,
-}
-
-/// Last known status of an instance, and when it was received.
-#[derive(Clone, Debug)]
-pub struct KnownStatus {
-    /// The status.
-    pub status: InstanceStatus,
-    /// When it was received; ages in `status` are as of this time.
-    pub received: Instant,
-}
-
 impl StatusTable {
     /// The statuses of a group, which are created if they do not exist.
     pub fn group(&self, name: &GroupName) -> Arc<ShardedLock<GroupStatuses>> {
@@ -225,7 +41,7 @@
     }
 
     /// Calls `change` with the statuses of a group, under their write lock.
-    fn with_group(&self, group: &GroupName, change: impl FnOnce(&mut GroupStatuses)) {
+    pub(super) fn with_group(&self, group: &GroupName, change: impl FnOnce(&mut GroupStatuses)) {
         let statuses = self.group(group);
         change(&mut statuses.write().expect("a thread panicked while it held the status lock"));
     }
@@ -351,30 +167,6 @@
         });
     }
 
-    /// Records that `instance`, as the primary of `term`, answered a commit that wrote data. Returns
-    /// the earlier evidence that covers the answer. Without such evidence the commit is none, because
-    /// another instance may lead, and replicas have yet to confirm it.
-    pub fn on_commit_answer(
-        &self,
-        group: &GroupName,
-        instance: &InstanceName,
-        term: Term,
-        commit: CommitTimes,
-        scope: EvidenceScope,
-    ) -> Option<EvidenceKind> {
-        let EvidenceScope { replication, lifetime } = scope;
-        let mut evidence = None;
-        self.with_group(group, |known| {
-            let coverage = known.answer_coverage(instance, term, replication, lifetime);
-            let covering = coverage.filter(|coverage| commit.answered <= coverage.until);
-            evidence = covering.map(|coverage| coverage.kind);
-            if known.on_commit_answered(instance, term) && evidence.is_some() {
-                known.evidence.on_commit(term, commit.sent);
-            }
-        });
-        evidence
-    }
-
     /// When the requests for the newest evidence of a group were sent.
     pub fn newest_evidence(&self, group: &GroupName) -> NewestEvidence {
         let statuses = self.group(group);
@@ -382,57 +174,6 @@
         known.evidence.newest_by_source()
     }
 
-    /// Records that `instance`, as the primary of `term`, answered a commit that wrote data and was
-    /// sent at `sent`.
-    pub fn on_commit(&self, group: &GroupName, instance: &InstanceName, term: Term, sent: Instant) {
-        self.with_group(group, |known| {
-            if known.on_commit_answered(instance, term) {
-                known.evidence.on_commit(term, sent);
-            }
-        });
-    }
-
-    /// The same for a commit that replicas have yet to confirm. It is no evidence, because another
-    /// instance may have been promoted meanwhile.
-    pub fn on_commit_without_evidence(
-        &self,
-        group: &GroupName,
-        instance: &InstanceName,
-        term: Term,
-    ) {
-        self.with_group(group, |known| {
-            known.on_commit_answered(instance, term);
-        });
-    }
-
-    /// What the evidence shows at `now` about a commit that the primary `lead` answered at
-    /// `answered`.
-    pub fn commit_confirmation(
-        &self,
-        group: &GroupName,
-        lead: Lead,
-        replication: Replication,
-        answered: Instant,
-        now: Instant,
-    ) -> CommitConfirmation {
-        let statuses = self.group(group);
-        let known = statuses.read().expect("a thread panicked while it held the status lock");
-        let evidence = &known.evidence;
-        // Commits of the successor are confirmed while its replacement is still recorded as running.
-        if !evidence.may_cover(lead.term) {
-            return CommitConfirmation::Replaced;
-        }
-        if evidence.confirms_commit(lead, replication, answered) {
-            return CommitConfirmation::Confirmed;
-        }
-        let covered_until = evidence.would_cover_until(lead, replication, Duration::ZERO);
-        let has_waited = now >= answered + REPLICA_RESPONSE_TIMEOUT;
-        match has_waited && covered_until.is_some_and(|queried_at| queried_at >= answered) {
-            true => CommitConfirmation::LacksReplacementCheck,
-            false => CommitConfirmation::Unconfirmed,
-        }
-    }
-
     /// Records that, as the store shows, an instance of the group has led `term`.
     pub fn on_led(&self, group: &GroupName, term: Term) {
         self.with_group(group, |known| known.evidence.on_term_led(term));
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -72,16 +72,16 @@
             is_read_only: false,
             continues_transaction: false,
         };
-        self.table.on_commit(&self.group, &name(instance), position.term, now);
+        self.commit(instance, position.term.0);
         self.table.on_ended(&self.group, &name(instance), number, Some(answered));
     }
 
-    /// The instance "primary" answers a commit of `term`. Returns the evidence that covers the answer.
-    fn answer_write(&self, term: u32) -> Option<EvidenceKind> {
+    /// The instance answers a commit of `term`. Returns the evidence that covers the answer.
+    fn commit(&self, instance: &str, term: u32) -> Option<EvidenceKind> {
         let now = Instant::now();
         let commit = CommitTimes { sent: now, answered: now };
         let scope = EvidenceScope { replication: REPLICATION, lifetime: EVIDENCE_LIFETIME };
-        self.table.on_commit_answer(&self.group, &name("primary"), Term(term), commit, scope)
+        self.table.on_commit_answer(&self.group, &name(instance), Term(term), commit, scope)
     }
 
     /// The instance, which is primary according to the platform, refuses a write as a replica.
@@ -179,13 +179,18 @@
     assert!(fixture.is_arrival_covered("primary"));
 }
 
+/// Guards against queries for each statement of a group that commits all the time.
 #[test]
-fn a_commit_with_writes_covers_a_primary_that_was_shown_to_lead() {
+fn a_covered_commit_with_writes_renews_the_evidence_for_its_primary() {
     let fixture = Fixture::new();
     fixture.report_status("primary", Role::Primary, 1);
     assert!(!fixture.is_covered("primary"), "nothing shows that it was not replaced");
-    fixture.table.on_commit(&fixture.group, &name("primary"), Term(1), Instant::now());
-    assert!(fixture.is_covered("primary"));
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    let until = fixture.covered_until("primary");
+    assert!(until.is_some());
+    fixture.commit("primary", 1);
+    assert!(fixture.covered_until("primary") > until);
 }
 
 /// Guards against stale reads: a node that knew nothing of an instance and did not reach the store
@@ -195,7 +200,7 @@
 fn the_first_commit_of_an_unknown_instance_does_not_show_that_it_leads() {
     let fixture = Fixture::new();
     let before = Instant::now();
-    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    fixture.commit("old", 2);
     fixture.answer_read("old", position(2, 80));
     assert!(!fixture.is_covered("old"), "it may follow the primary of the term");
     fixture.report_status("replica", Role::Replica, 2);
@@ -203,7 +208,7 @@
     assert!(!fixture.is_covered("old"));
     assert_eq!(fixture.read_position("old", before), None);
     fixture.report_status("old", Role::Primary, 2);
-    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    fixture.commit("old", 2);
     assert!(fixture.is_covered("old"), "it leads the term");
 }
 
@@ -294,12 +299,14 @@
 fn a_commit_answered_under_a_higher_term_does_not_show_that_its_instance_leads_that_term() {
     let fixture = Fixture::new();
     fixture.report_status("old", Role::Primary, 1);
-    fixture.table.on_commit(&fixture.group, &name("old"), Term(1), Instant::now());
+    fixture.report_status("replica", Role::Replica, 1);
+    fixture.confirm_no_replacement();
+    fixture.commit("old", 1);
     assert!(fixture.is_covered("old"));
-    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    fixture.commit("old", 2);
     assert!(!fixture.is_covered("old"), "it may follow the primary of the term");
     fixture.report_status("old", Role::Primary, 2);
-    fixture.table.on_commit(&fixture.group, &name("old"), Term(2), Instant::now());
+    fixture.commit("old", 2);
     assert!(fixture.is_covered("old"), "it leads the term");
 }
 
@@ -450,14 +457,14 @@
 fn a_commit_whose_answer_no_earlier_evidence_covers_is_none_itself() {
     let fixture = Fixture::new();
     fixture.report_status("primary", Role::Primary, 1);
-    assert_eq!(fixture.answer_write(1), None);
-    assert_eq!(fixture.answer_write(1), None, "the first one shows nothing");
+    assert_eq!(fixture.commit("primary", 1), None);
+    assert_eq!(fixture.commit("primary", 1), None, "the first one shows nothing");
     assert!(!fixture.is_covered("primary"));
     fixture.report_status("replica", Role::Replica, 1);
     fixture.confirm_no_replacement();
-    assert_eq!(fixture.answer_write(1), Some(EvidenceKind::SomeReplicas));
-    assert_eq!(fixture.answer_write(1), Some(EvidenceKind::Commit));
-    assert_eq!(fixture.answer_write(2), None, "the instance follows a successor");
+    assert_eq!(fixture.commit("primary", 1), Some(EvidenceKind::SomeReplicas));
+    assert_eq!(fixture.commit("primary", 1), Some(EvidenceKind::Commit));
+    assert_eq!(fixture.commit("primary", 2), None, "the instance follows a successor");
 }
 
 /// Guards against commits of a successor that are reported as in doubt because the end of its
