--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Lead, PrimaryEvidence, Replication, UNLISTED_EVIDENCE_LIFETIME};
+use super::{Lead, MIN_PROMOTION_TIME, PrimaryEvidence, Replication, UNLISTED_EVIDENCE_LIFETIME};
 use crate::position::Term;
 
 /// The kind of evidence that covers a read.
@@ -51,7 +51,10 @@
     }
 
     /// What covers answers of the primary. A commit whose answer arrives by then was received by a
-    /// replica that had not been stopped, because no promotion had released one.
+    /// replica that had not been stopped: no promotion had released one, and a replica that forgets
+    /// its stop in a restart is found by the coordinator's last check of the stops. That check comes
+    /// [`MIN_PROMOTION_TIME`] before a successor can lead, so answers are covered for less time than
+    /// arrivals.
     ///
     /// Evidence that was revoked counts as that of a node for which no coordinator waits: a
     /// coordinator releases no replica sooner than that, whatever the nodes have reported.
@@ -68,6 +71,7 @@
             true => lifetime.min(UNLISTED_EVIDENCE_LIFETIME),
             false => lifetime,
         };
+        let lifetime = lifetime.saturating_sub(MIN_PROMOTION_TIME);
         self.lasting_evidence(lead, group).map(|evidence| self.lasting(lead, evidence, lifetime))
     }
 
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -350,6 +350,11 @@
     assert_eq!(evidence.highest_led(), STOPPED.min_term);
 }
 
+/// How long evidence covers answers: until the coordinator may check for the last time that replicas
+/// are stopped. One that restarts after that forgets its stop and confirms commits that its successor
+/// lacks.
+const ANSWER_COVERAGE: Duration = EVIDENCE_LIFETIME.saturating_sub(MIN_PROMOTION_TIME);
+
 /// Until when answers of the primary are covered in a group with one synchronous replica of two.
 fn answers_covered(evidence: &PrimaryEvidence) -> Option<Instant> {
     let coverage = evidence.answer_coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
@@ -369,10 +374,10 @@
     assert!(evidence.unchecked_coverage(lead(TERM), SYNCHRONOUS_ONE).is_some());
     assert_eq!(answers_covered(&evidence), None);
     evidence.on_no_replacement(now);
-    assert_eq!(answers_covered(&evidence), Some(now + EVIDENCE_LIFETIME));
+    assert_eq!(answers_covered(&evidence), Some(now + ANSWER_COVERAGE));
     let sent = now + EVIDENCE_LIFETIME / 2;
     evidence.on_commit(TERM, sent);
-    assert_eq!(answers_covered(&evidence), Some(sent + EVIDENCE_LIFETIME), "a commit renews it");
+    assert_eq!(answers_covered(&evidence), Some(sent + ANSWER_COVERAGE), "a commit renews it");
     evidence.on_term_led(Term(TERM.0 + 1));
     assert_eq!(answers_covered(&evidence), None, "a successor leads");
 }
@@ -387,7 +392,8 @@
     evidence.on_commit(TERM, now);
     evidence.revoke(ReplacementId { fence: 9, attempt: 1 });
     assert_eq!(covered(&evidence), None, "no new arrival");
-    assert_eq!(answers_covered(&evidence), Some(now + UNLISTED_EVIDENCE_LIFETIME));
+    let covered_for = UNLISTED_EVIDENCE_LIFETIME - MIN_PROMOTION_TIME;
+    assert_eq!(answers_covered(&evidence), Some(now + covered_for));
     evidence.end_revocation();
     assert_eq!(answers_covered(&evidence), None);
 }
