Let evidence expire sooner while the end of a replacement is not known

Class: a statement about the present that was true once. Where the end of a replacement is not known, evidence now has the lifetime that a coordinator waits for in any case.

--- a/crates/core/src/promotion/known_replacements.rs
+++ b/crates/core/src/promotion/known_replacements.rs
@@ -186,6 +186,12 @@
             || self.unresolved.contains_key(group)
     }
 
+    /// Whether it is not known how a replacement of the group's primary ended. A coordinator may
+    /// still rely on this node's report that it has revoked its evidence.
+    pub fn is_unresolved(&self, group: &GroupName) -> bool {
+        self.unresolved.contains_key(group)
+    }
+
     /// The intents of all running replacements, including cancelled ones.
     pub fn intents(&self) -> BTreeMap<GroupName, Intent> {
         let mut intents = self.in_store.clone();
--- a/crates/core/tests/known_replacements.rs
+++ b/crates/core/tests/known_replacements.rs
@@ -306,3 +306,16 @@
     receive_copy(&mut known, &BTreeMap::new(), now + ms(2_001));
     assert!(!known.knows_replacement(&group()));
 }
+
+/// Guards against stale reads: a node that has reported that it revoked its evidence hears no more
+/// of the replacement, gathers new evidence, and the coordinator does not wait for that.
+#[test]
+fn a_replacement_is_unresolved_from_the_last_notification_until_its_end_is_known() {
+    let (mut known, now) = (KnownReplacements::default(), Instant::now());
+    known.on_notification(&group(), intent(1, Reason::Suspected), Duration::ZERO, now);
+    assert!(!known.is_unresolved(&group()), "the evidence is revoked");
+    assert!(known.expire(now + ms(1_000)));
+    assert!(known.is_unresolved(&group()));
+    receive_copy(&mut known, &BTreeMap::new(), now + ms(1_100));
+    assert!(!known.is_unresolved(&group()));
+}
--- a/crates/core/tests/replacement/listing.rs
+++ b/crates/core/tests/replacement/listing.rs
@@ -7,6 +7,7 @@
 use kestrellock_core::ids::NodeName;
 use kestrellock_core::primary_evidence::{EVIDENCE_LIFETIME, UNLISTED_EVIDENCE_LIFETIME};
 
+use crate::node::group_name;
 use crate::plan::PlantedFault;
 use crate::store::{Operation, node_name};
 use crate::world::World;
@@ -67,7 +68,9 @@
 
     /// Lifetime of a node's evidence.
     pub fn evidence_lifetime(&self, node: usize) -> Duration {
-        if self.coordinator_waits_for(node)
+        let is_unresolved = self.nodes[node].replacements.is_unresolved(&group_name())
+            && self.planted_fault == PlantedFault::None;
+        if (self.coordinator_waits_for(node) && !is_unresolved)
             || self.planted_fault == PlantedFault::UnlistedEvidenceNotShortened
         {
             EVIDENCE_LIFETIME
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -260,7 +260,7 @@
         instance: &InstanceName,
         answered: Instant,
     ) -> bool {
-        let (replication, lifetime) = (group.replication(), self.evidence_lifetime());
+        let (replication, lifetime) = (group.replication(), self.evidence_lifetime(name));
         let statuses = self.statuses.group(name);
         let known = statuses.read().expect("a thread panicked while it held the status lock");
         let coverage = known
@@ -275,10 +275,15 @@
         self.replacement_checks.fail(now)
     }
 
-    /// Lifetime of evidence on this node. A coordinator does not know an unlisted node and does not
-    /// wait until it revokes its evidence, so its evidence expires sooner.
-    pub fn evidence_lifetime(&self) -> Duration {
-        if self.is_listed() { EVIDENCE_LIFETIME } else { UNLISTED_EVIDENCE_LIFETIME }
+    /// Lifetime of evidence about a group on this node. A coordinator does not know an unlisted node
+    /// and does not wait until it revokes its evidence, and it does not wait for a node that has
+    /// reported that it did. So evidence expires sooner on an unlisted node, and on one that does not
+    /// know how a replacement ended for which it revoked its evidence.
+    pub fn evidence_lifetime(&self, group: &GroupName) -> Duration {
+        match self.is_listed() && !self.replacements.is_unresolved(group) {
+            true => EVIDENCE_LIFETIME,
+            false => UNLISTED_EVIDENCE_LIFETIME,
+        }
     }
 
     /// Whether the node is being stopped and accepts no new work.
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -96,7 +96,7 @@
     let newest_term = known.evidence.highest_led();
     let leads = leader.and_then(|leader| known.led_term_of(leader));
     let term = leads.unwrap_or(newest_term);
-    let lifetime = io.context.evidence_lifetime();
+    let lifetime = io.context.evidence_lifetime(name);
     let is_covering = |instance: &InstanceName| {
         known
             .evidence
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -199,7 +199,7 @@
         let group_statuses = io.context.statuses.group(&server.group);
         let known = group_statuses.read().expect("a thread panicked while it held the status lock");
         let is_covered = || {
-            let lifetime = io.context.evidence_lifetime();
+            let lifetime = io.context.evidence_lifetime(&server.group);
             let covered_until =
                 known.covered_until(&server.instance, configured.replication(), lifetime);
             covered_until.is_some_and(|covered_until| required.must_cover <= covered_until)
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -130,7 +130,7 @@
     let group_statuses = io.context.statuses.group(group);
     let known = group_statuses.read().expect("a thread panicked while it held the status lock");
     let primary = io.context.leader(group, configured);
-    let (replication, lifetime) = (configured.replication(), io.context.evidence_lifetime());
+    let (replication, lifetime) = (configured.replication(), io.context.evidence_lifetime(group));
     basis.primary =
         primary.map(|primary| (primary.name.clone(), known.current_led_term_of(&primary.name)));
     basis.coverage =
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -209,7 +209,7 @@
         let Some(configured) = configured else { return false };
         let scope = EvidenceScope {
             replication: configured.replication(),
-            lifetime: io.context.evidence_lifetime(),
+            lifetime: io.context.evidence_lifetime(&self.group),
         };
         // Read the clock again: the answer may have arrived after this process received the event.
         let commit = CommitTimes { sent, answered: Instant::now() };
--- a/crates/daemon/src/shared/replacements.rs
+++ b/crates/daemon/src/shared/replacements.rs
@@ -82,6 +82,11 @@
         self.known().needs_confirmation(group, instance)
     }
 
+    /// Whether it is not known how a replacement of the group's primary ended.
+    pub fn is_unresolved(&self, group: &GroupName) -> bool {
+        self.known().is_unresolved(group)
+    }
+
     /// Records that this node runs a replacement whose intent has been recorded since `recorded`.
     pub fn on_attempt_running(&self, group: &GroupName, intent: &Intent, recorded: Instant) {
         self.updates().running.insert(group.clone(), (intent.clone(), recorded));
