--- a/crates/core/src/promotion/check_failures.rs
+++ b/crates/core/src/promotion/check_failures.rs
@@ -1,7 +1,11 @@
-//! Whether replacement checks fail now, so that a commit that needs one would not be confirmed.
+//! Whether replacement checks fail: those by the store, so that the other nodes are asked, and those
+//! by the other nodes as well, so that a commit that needs a check would not be confirmed.
 
 use std::time::{Duration, Instant};
 
+/// Time after which a check without an answer counts as one that the store does not answer. Calls
+/// to a store that has been cut off end only after seconds.
+const STORE_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a failed check shows that the next one would fail.
 const FAILURE_VALIDITY: Duration = Duration::from_secs(2);
 
@@ -29,3 +33,30 @@
         self.failed_at.is_some_and(|failed_at| now < failed_at + FAILURE_VALIDITY)
     }
 }
+
+/// The last replacement check by the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreCheck {
+    /// When the check in progress began.
+    began: Option<Instant>,
+    /// Whether the store did not answer the last check that has ended.
+    has_failed: bool,
+}
+
+impl StoreCheck {
+    /// A check begins at `now`.
+    pub fn begin(&mut self, now: Instant) {
+        self.began = Some(now);
+    }
+
+    /// The check in progress has ended.
+    pub fn end(&mut self, is_answered: bool) {
+        self.began = None;
+        self.has_failed = !is_answered;
+    }
+
+    /// Whether the store is not expected to answer a check soon.
+    pub fn is_unanswered(&self, now: Instant) -> bool {
+        self.has_failed || self.began.is_some_and(|began| now >= began + STORE_ANSWER_TIMEOUT)
+    }
+}
--- a/crates/core/src/promotion/mod.rs
+++ b/crates/core/src/promotion/mod.rs
@@ -53,7 +53,7 @@
 
 pub use answered_primary::{AnsweredPrimary, higher_position};
 pub use attempt::{Attempt, MissingLogs};
-pub use check_failures::CheckFailures;
+pub use check_failures::{CheckFailures, StoreCheck};
 pub use coordination::{CoordinationView, Coordinator, NodeVotes, Successor, Vote};
 pub use electorate::Electorate;
 pub use ended_processes::{ProbeResult, ProcessProbes};
--- a/crates/core/tests/peer_checks.rs
+++ b/crates/core/tests/peer_checks.rs
@@ -8,7 +8,7 @@
 use kestrellock_core::position::Term;
 use kestrellock_core::promotion::{
     CheckFailures, GroupKnowledge, MAX_GROUPS_PER_CHECK, OwnAttempts, PEER_ANSWER_TIMEOUT,
-    PeerAnswer, PeerCheckOutcome, PeerCheckResult, PeerChecks, Successor, nodes_digest,
+    PeerAnswer, PeerCheckOutcome, PeerCheckResult, PeerChecks, StoreCheck, Successor, nodes_digest,
 };
 
 const OWN: &str = "own";
@@ -288,3 +288,23 @@
     failures.on_success();
     assert!(!failures.are_recent(now + ms(3_000)));
 }
+
+/// Guards against statements that wait for the end of a call to a store that has been cut off, which
+/// takes seconds, and against queries to all nodes while the store answers.
+#[test]
+fn the_store_counts_as_silent_while_a_check_is_overdue_or_the_last_one_has_failed() {
+    let (mut check, now) = (StoreCheck::default(), Instant::now());
+    assert!(!check.is_unanswered(now));
+    check.begin(now);
+    assert!(!check.is_unanswered(now + ms(199)));
+    assert!(check.is_unanswered(now + ms(200)));
+    check.end(true);
+    assert!(!check.is_unanswered(now + ms(200)));
+    check.begin(now + ms(300));
+    check.end(false);
+    assert!(check.is_unanswered(now + ms(301)));
+    check.begin(now + ms(400));
+    assert!(check.is_unanswered(now + ms(401)), "the store has not answered yet");
+    check.end(true);
+    assert!(!check.is_unanswered(now + ms(402)));
+}
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -14,7 +14,7 @@
 
 use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded, unbounded};
 use kestrellock_core::ids::GroupName;
-use kestrellock_core::promotion::CoordinationView;
+use kestrellock_core::promotion::{CoordinationView, StoreCheck};
 use kestrellock_core::store_access::CallBackoff;
 use kestrellock_store::coordination::{Coordination, ReplacementCheck};
 use kestrellock_store::store::StoreError;
@@ -29,9 +29,6 @@
 /// Least time between two checks of a node. Requests to the store are limited in number and
 /// expensive, and the evidence that a check confirms lasts for a second.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which a check without an answer counts as one that the store does not answer. Calls
-/// to a store that has been cut off end only after seconds.
-const STORE_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Result of a check.
 #[derive(Debug)]
@@ -50,8 +47,7 @@
     last_start: Option<Instant>,
     coordination: Arc<dyn Coordination>,
     backoff: CallBackoff,
-    /// Whether the store did not answer the last check.
-    has_failed: bool,
+    store_check: StoreCheck,
     peers: PeerChecker,
 }
 
@@ -76,7 +72,7 @@
             last_start: None,
             coordination,
             backoff,
-            has_failed: false,
+            store_check: StoreCheck::default(),
             peers: PeerChecker::new(),
         }
     }
@@ -120,6 +116,7 @@
         if asks_store && self.requests.try_send(groups.clone()).is_ok() {
             self.in_progress = Some(groups.clone());
             self.last_start = Some(now);
+            self.store_check.begin(now);
         }
         if asks_peers {
             self.peers.begin(&mut groups, context, view, mailboxes);
@@ -136,9 +133,7 @@
 
     /// Whether the store does not make checks now.
     fn is_store_silent(&mut self, now: Instant) -> bool {
-        let is_overdue = self.in_progress.is_some()
-            && self.last_start.is_some_and(|start| now >= start + STORE_ANSWER_TIMEOUT);
-        self.has_failed || is_overdue || !self.may_call(now)
+        self.store_check.is_unanswered(now) || !self.may_call(now)
     }
 
     fn may_call(&mut self, now: Instant) -> bool {
@@ -147,7 +142,7 @@
     }
 
     fn follow_backoff(&mut self, result: &CheckResult, now: Instant) {
-        self.has_failed = result.outcome.is_err();
+        self.store_check.end(result.outcome.is_ok());
         match &result.outcome {
             Ok(_) => {
                 if self.backoff.on_success() {
--- a/crates/lab/tests/peer_checks.rs
+++ b/crates/lab/tests/peer_checks.rs
@@ -95,8 +95,8 @@
     assert!(!platform.nodes().any(fails));
 }
 
-/// Guards against writes that wait for the end of a call to a store that has been cut off, which takes
-/// seconds.
+/// Guards against a node that alone does not reach the store, and gets no confirmation although its calls
+/// to the store have not failed yet.
 #[test]
 fn a_write_is_answered_while_its_node_is_cut_off_from_the_store() {
     let platform = start_with_relays();
