--- a/crates/daemon/src/agent/promotion/peer_checks.rs
+++ b/crates/daemon/src/agent/promotion/peer_checks.rs
@@ -53,6 +53,9 @@
         for answer in context.replacement_checks.take_answers() {
             self.checks.on_answer(&answer);
         }
+        if !self.checks.is_open() {
+            return;
+        }
         if let Some(result) = self.checks.take_result(&required_nodes(context), now) {
             apply_result(result, &self.question, context, view, now);
         }
--- a/crates/lab/tests/peer_checks.rs
+++ b/crates/lab/tests/peer_checks.rs
@@ -177,6 +177,13 @@
     unreplaced == [group()]
 }
 
+/// Makes the store unavailable, and waits until no node gets a newer copy of it.
+fn begin_outage(platform: &Platform) {
+    platform.store.set_outage(true);
+    let is_old = |node: &Node| node.context.store_copy_age(Instant::now()) > Some(REST);
+    wait("no answer of the store", || platform.nodes().all(is_old)).expect("in time");
+}
+
 /// Guards against a node that denies a replacement that it runs or has run, or whose end it does not
 /// know; one that knows another primary; and one that the asker does not know.
 #[test]
@@ -192,16 +199,15 @@
     assert!(confirms(node, &listed, term), "the attempt is for another group");
     node.replacement_checks.attempts().begin(&group());
     assert!(!confirms(node, &listed, term), "an attempt runs");
-    platform.store.set_outage(true);
-    let failing =
-        || platform.nodes().all(|node| node.context.store_copy_age(Instant::now()) > Some(REST));
-    wait("no answer of the store", failing).expect("in time");
+    begin_outage(&platform);
     node.replacement_checks.attempts().end_all(Instant::now());
     assert!(!confirms(node, &listed, term), "its end is in no copy of the store");
     platform.store.set_outage(false);
     wait("a copy after its end", || confirms(node, &listed, term)).expect("in time");
+    begin_outage(&platform);
     node.replacements.on_reported(&group(), intent(), Duration::ZERO, Instant::now());
     assert!(!confirms(node, &listed, term), "a coordinator has announced a replacement");
+    platform.store.set_outage(false);
     wait("the store shows that it has ended", || confirms(node, &listed, term)).expect("in time");
     node.statuses.on_led(&group(), Term(term.0 + 1));
     assert!(!confirms(node, &listed, term), "another primary has led");
