Answer a write that replicas refused alike wherever its deadline passes

Cause: a write that an instance refuses because it is not the primary is sent again until its deadline. If the deadline passes while the front waits, while the gateway looks for an instance, or before the next such refusal arrives, the client is told that there was no primary (KL1302). If it passes between the front's sending and the gateway's, the client was told that the statement was not sent to an instance (KL1403, another SQLSTATE), although it had been. So `each_failure_of_an_instance_has_its_outcome` failed at `read-only` now and then beside load.

Change: the front remembers that an instance refused the request for that reason, and reports KL1302 in this case as well. A write that has reached no instance still ends with KL1403.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -156,6 +156,8 @@
     credential_revoked: bool,
     /// The instance that could not run the request at its last attempt.
     excluded_instance: Option<InstanceName>,
+    /// Whether an instance has refused the current request because it is not the primary.
+    lacked_primary: bool,
     /// Delays between attempts of the current request.
     retry_backoff: Backoff,
     /// Whether the wait of the current request for an instance has been logged.
@@ -207,6 +209,7 @@
             authorized_revision: None,
             credential_revoked: false,
             excluded_instance: None,
+            lacked_primary: false,
             retry_backoff: retrying::RETRY_BACKOFF,
             is_wait_logged: false,
         }
--- a/crates/daemon/src/front/session/lease.rs
+++ b/crates/daemon/src/front/session/lease.rs
@@ -107,6 +107,7 @@
         self.retry_at = None;
         self.followed_referral = false;
         self.excluded_instance = None;
+        self.lacked_primary = false;
         self.retry_backoff.on_success();
         self.is_wait_logged = false;
         match event {
--- a/crates/daemon/src/front/session/retrying.rs
+++ b/crates/daemon/src/front/session/retrying.rs
@@ -113,6 +113,12 @@
         if retries_read {
             self.restart_operation();
         }
+        self.lacked_primary |= refusal.code == ResultCode::NotPrimary;
+        let lacks_primary = match refusal.code {
+            ResultCode::NotPrimary => may_retry,
+            ResultCode::DeadlineBeforeSend => self.lacked_primary,
+            _ => false,
+        };
         match &mut self.request {
             Some(request) if may_retry && !self.answer_begun && io.now < request.deadline => {
                 decision_log::log_retried(request, &refusal, io);
@@ -122,11 +128,9 @@
                 self.excluded_instance = refusal.instance;
                 self.drop_lease();
             }
-            // The deadline has passed while the request was retried for want of a primary: report
-            // the deadline rather than the last instance's refusal.
-            Some(_)
-                if may_retry && !self.answer_begun && refusal.code == ResultCode::NotPrimary =>
-            {
+            // The deadline has passed, here or at the gateway, while the request was retried for
+            // want of a primary: report that rather than the refusal of the last attempt.
+            Some(_) if lacks_primary && !self.answer_begun => {
                 let code =
                     failure_code(READ_OUTSIDE_TRANSACTION, Progress::AtFront, Fault::Deadline);
                 self.settle_or_refuse(Refusal::new(code, refusal.detail), io);
