Ask the primary where a group has too few announced replicas; confirm no commit under another term

A dead instance that is announced as primary, or announces nothing, counts in the group but never as a silent replica, so the primary was not asked for the report without which reports of some replicas cover nothing. A former primary that became a replica while its commit waited answers with its successor's term, and the replicas' evidence for that term confirmed the commit: the instance has to have shown that it leads the term. A commit that wrote and whose answer has no position is not covered. Test: a_commit_answered_under_a_higher_term_is_not_confirmed, red without the comparison by reading (it returned Confirmed).

--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -79,7 +79,8 @@
 
 /// The instances whose status is needed as evidence.
 ///
-/// If the last report of any replica does not cover `moment`, these are all replicas: if every replica answers, the store need not be asked, and if one does not, the new
+/// If the last report of any replica does not cover `moment`, or if the group has too few that are
+/// announced as replicas, these are all replicas: if every replica answers, the store need not be asked, and if one does not, the new
 /// reports of the others cover what has arrived, together with a new report of the primary. The
 /// primary is included if a replica has not answered the earlier round, or if the current process of
 /// the primary is not known to lead the term that its replicas follow.
@@ -110,12 +111,16 @@
     };
     let replicas: Vec<&InstanceName> =
         group.instances.iter().filter(is_running_replica).map(|replica| &replica.name).collect();
-    let is_report_missing = !replicas.iter().all(|replica| is_covering(replica));
+    // A dead instance may still be announced as primary, or may announce nothing.
+    let is_replica_missing = replicas.len() < group.replication().replicas();
+    let is_report_missing =
+        is_replica_missing || !replicas.iter().all(|replica| is_covering(replica));
     let has_answered = |replica: &InstanceName| {
         let reported = known.evidence.report_queried_at(replica, term);
         earlier_round.is_none_or(|round| reported >= Some(round))
     };
-    let is_replica_silent = !replicas.iter().all(|replica| has_answered(replica));
+    let is_replica_silent =
+        is_replica_missing || !replicas.iter().all(|replica| has_answered(replica));
     let replicas = replicas.into_iter().filter(|_| is_report_missing);
     let current = leader.and_then(|leader| known.current_led_term_of(leader));
     let is_lead_unknown = leads != Some(newest_term) || current != leads;
--- a/crates/daemon/src/gateway/running_exchange.rs
+++ b/crates/daemon/src/gateway/running_exchange.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Whether the exchange, if it succeeds, commits a transaction that wrote.
+    pub fn commits_write(&self) -> bool {
+        self.commits_write
+    }
+
     /// Position after a commit of a write, if the answer shows that it succeeded.
     pub fn write_commit_position(&self) -> Option<Position> {
         let succeeded = self.first_failure.is_none() && self.transaction == TransactionState::Idle;
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -188,8 +188,8 @@
         // First, because the commit shows that the instance led the term of its position.
         let is_covered = match running.write_commit_position() {
             Some(position) => self.record_commit(position.term, running.sent, io),
-            // It wrote nothing that could be lost.
-            None => true,
+            // Unless it has written, nothing could be lost.
+            None => !running.commits_write(),
         };
         let number = self.status_exchange_number;
         io.context.statuses.on_ended(&self.group, &self.instance, number, Some(answered));
--- a/crates/daemon/src/shared/commit_evidence.rs
+++ b/crates/daemon/src/shared/commit_evidence.rs
@@ -97,6 +97,11 @@
         if !evidence.may_cover(lead.term) {
             return CommitConfirmation::Replaced;
         }
+        // An instance that has become a replica since it was sent the commit answers with the term of
+        // its successor.
+        if known.led_term_of(lead.instance) != Some(lead.term) {
+            return CommitConfirmation::Unconfirmed;
+        }
         if evidence.confirms_commit(lead, replication, answered) {
             return CommitConfirmation::Confirmed;
         }
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -485,3 +485,17 @@
     assert_eq!(fixture.confirmation("successor", 2, answered), CommitConfirmation::Confirmed);
     assert_eq!(fixture.confirmation("former", 1, answered), CommitConfirmation::Replaced);
 }
+
+/// Guards against lost commits: a former primary that follows its successor answers a commit that it
+/// was sent before with the successor's term, for which the replicas give evidence.
+#[test]
+fn a_commit_answered_under_a_higher_term_is_not_confirmed() {
+    let fixture = Fixture::new();
+    fixture.report_status("former", Role::Primary, 1);
+    let answered = Instant::now();
+    fixture.report_status("successor", Role::Replica, 2);
+    fixture.report_status("replica", Role::Replica, 2);
+    assert_eq!(fixture.confirmation("former", 2, answered), CommitConfirmation::Unconfirmed);
+    fixture.report_status("former", Role::Primary, 2);
+    assert_eq!(fixture.confirmation("former", 2, answered), CommitConfirmation::Confirmed);
+}
