Keep evidence beside a dead replica in the product as well; ask no peers while one is gone

Found by a review. With it, reads beside a dead former primary that is still listed were refused (KL1302), since the primary was not asked: test reads_are_served_beside_a_dead_former_primary_..., which fails with this change alone. A check by other nodes is not sent where a listed node is not alive: it could not be confirmed, at the price of a message to each node.

--- a/crates/daemon/src/agent/promotion/peer_checks.rs
+++ b/crates/daemon/src/agent/promotion/peer_checks.rs
@@ -75,10 +75,14 @@
         mailboxes: &Mailboxes,
     ) {
         let nodes = required_nodes(context);
-        let older = nodes.iter().filter(|node| is_older(node, context)).cloned().collect();
+        let live = context.live.load();
+        let is_live = |node: &NodeName| live.iter().any(|known| known.candidate.node == *node);
+        // An entry in the machine list stays when its machine is gone: nobody else is asked then.
+        let cannot_answer = |node: &&NodeName| is_older(node, context) || !is_live(node);
+        let unable = nodes.iter().filter(cannot_answer).cloned().collect();
         // Read the clock before anything is asked: the check proves what holds from then on.
         let now = Instant::now();
-        let query = self.checks.begin(waiting, &nodes, older, now);
+        let query = self.checks.begin(waiting, &nodes, unable, now);
         let with_term = |group: GroupName| {
             let term = context.statuses.highest_led_term(&group);
             (group, term)
--- a/crates/daemon/src/gateway/connection_loss.rs
+++ b/crates/daemon/src/gateway/connection_loss.rs
@@ -20,6 +20,7 @@
         server.deregister(io);
         let reachability = reachability(&server, fault, io);
         let has_ended = server.shows_end_of_process();
+        let shows_change = shows_change(&server, io);
         io.context.isolation.report_trouble();
         if let Some(lease) = server.fail_exchange(fault, io) {
             self.leases.remove(&lease);
@@ -28,7 +29,7 @@
         match server.purpose {
             Purpose::Pooled => {
                 state.monitor.on_connection_lost(&server.instance, io.now);
-                if fault == Fault::InstanceConnectionLost && shows_change(&server, io) {
+                if fault == Fault::InstanceConnectionLost && shows_change {
                     io.context.statuses.forget_evidence(&server.group);
                 }
                 if has_ended {
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -232,6 +232,15 @@
         }
     }
 
+    /// Makes an old primary a replica without the delay after which it becomes one by itself.
+    pub fn step_down(&self, name: &str) {
+        let mut state = self.shared.state();
+        if let Some(instance) = state.instances.get_mut(name) {
+            instance.role = Role::Replica;
+        }
+        self.shared.publish_entry(&state, name);
+    }
+
     /// Separates two instances from each other, or connects them again. Each still reaches the other
     /// instances, and a promotion releases both.
     pub fn set_separated(&self, name: &str, other: &str, is_separated: bool) {
--- a/crates/lab/tests/peer_checks.rs
+++ b/crates/lab/tests/peer_checks.rs
@@ -227,3 +227,29 @@
     assert!(confirms(other, &listed, term));
     assert!(!confirms(node, &listed, term));
 }
+
+/// Guards against a node without reads because an instance that crashed as the primary is still
+/// listed: it counts in the group and cannot report, so the present primary has to be asked, whose
+/// report joins that of the replica. Nobody makes a replacement check meanwhile.
+#[test]
+fn reads_are_served_beside_a_dead_former_primary_without_the_store_and_other_nodes() {
+    let mut platform = start(PlatformOptions::default());
+    let group = &platform.groups[0];
+    let former = group.primary().expect("a primary");
+    let number = owner(&platform);
+    let mut session = open(&platform, number);
+    group.kill(&former);
+    wait("another primary leads", || {
+        let _ = write(&mut session);
+        group.primary().is_some_and(|now| now != former)
+    })
+    .expect("in time");
+    wait("a write is answered", || write(&mut session).is_success()).expect("in time");
+    platform.store.set_outage(true);
+    (0..NODES).filter(|other| *other != number).for_each(|other| platform.kill_node(other));
+    for _ in 0..3 {
+        std::thread::sleep(REST);
+        let answer = session.run("READ thing").expect("an answer");
+        assert!(answer.is_success(), "{:?}", answer.outcome);
+    }
+}
--- a/crates/lab/tests/released_replicas/follower.rs
+++ b/crates/lab/tests/released_replicas/follower.rs
@@ -29,6 +29,8 @@
     world.cut_off();
     let log_length = world.wait_for_stops();
     world.wait_for_successor();
+    // The successor would be replaced as well if it could commit nothing for long.
+    world.group().step_down(&world.former);
     // No other instance confirms it.
     world.wait_for_commit_of_successor(log_length);
     let ran_before = world.runs_at_former();
