Explore the worlds in which evidence of a primary can be false

Cause: the claims of primary_evidence were tested one by one, and by random simulation; no test enumerates short sequences of events. Change: a breadth-first search over a small model of three or four instances, a coordinator and one node that uses the product's PrimaryEvidence as the daemon does. Three planted uses have to be detected; fixed scopes have to be clean; service tests show which worlds still acknowledge writes.

--- a/crates/core/tests/evidence_worlds/main.rs
+++ b/crates/core/tests/evidence_worlds/main.rs
@@ -12,46 +12,18 @@
 //! [`PrimaryEvidence`]: kestrellock_core::primary_evidence::PrimaryEvidence
 
 mod explorer;
+mod known_worlds;
 mod model;
 mod node;
-
-use std::time::Duration;
+mod scopes;
+mod service;
 
 use explorer::{Goal, Search, explore};
-use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFETIME;
-use model::{InstanceId, Scope};
+use model::{Scope, Violation};
 use node::{NodeKind, PlantedUse};
+use scopes::{CUT_OFF, PLAIN, QUIET, UNINFORMED};
 
-/// The most general world that the design promises to serve: no instance has joined, and no
-/// instance restarts while it is stopped.
-const PLAIN: Scope = Scope {
-    node: NodeKind {
-        is_listed: true,
-        listed_lifetime: Duration::from_millis(300),
-        unlisted_lifetime: UNLISTED_EVIDENCE_LIFETIME,
-        answer_margin: Duration::ZERO,
-        planted: PlantedUse::None,
-    },
-    has_joined_instance: false,
-    coordinator_lists_joined: true,
-    dead: &[],
-    has_store: true,
-    has_coordinator: true,
-    has_late_answers: false,
-    has_staggered_stops: false,
-    has_cancellations: false,
-    has_early_followers: false,
-    hears_of_intents: true,
-    replica_restarts: 0,
-    primary_crashes: 0,
-    node_restarts: 0,
-    writes: 1,
-};
-
-fn planted(planted: PlantedUse) -> NodeKind {
-    NodeKind { planted, ..PLAIN.node }
-}
-
+/// Explores a scope and prints what was explored and found.
 fn search(name: &str, scope: Scope, depth: usize, goal: Goal) -> Search {
     let search = explore(scope, depth, goal);
     let Search { states, depth, is_complete, elapsed, found } = &search;
@@ -66,33 +38,101 @@
     search
 }
 
+fn assert_no_violation(name: &str, scope: Scope, depth: usize) {
+    let found = search(name, scope, depth, Goal::Violation).found;
+    assert!(found.is_none(), "{name}: {found:?}");
+}
+
+fn assert_detected(name: &str, scope: Scope, depth: usize, violation: Violation) {
+    let found = search(name, scope, depth, Goal::Violation).found;
+    let found = found.expect("the planted fault breaks a promise");
+    assert_eq!(found.violation, Some(violation));
+}
+
+fn with(scope: Scope, planted: PlantedUse) -> Scope {
+    Scope { node: NodeKind { planted, ..scope.node }, ..scope }
+}
+
+/// Guards against false evidence at a node that reaches only instances.
+#[test]
+fn evidence_of_a_cut_off_node_is_true() {
+    assert_no_violation("cut off", CUT_OFF, 10);
+    assert_no_violation("cut off, quiet", QUIET, 14);
+}
+
+/// Guards against false evidence at a node that reaches the store but hears of no replacement.
+#[test]
+fn evidence_with_replacement_checks_is_true() {
+    assert_no_violation("with checks", UNINFORMED, 9);
+    assert_no_violation("with checks, quiet", Scope { writes: 0, ..UNINFORMED }, 12);
+}
+
+/// Guards against false evidence after a revocation, and against answers that count too long.
 #[test]
-#[ignore = "a tool: explores VARIANT to DEPTH"]
-fn tool() {
+fn evidence_of_a_node_that_learns_of_replacements_is_true() {
+    assert_no_violation("plain", PLAIN, 8);
+    assert_no_violation("plain, without the store", Scope { has_store: false, ..PLAIN }, 9);
+}
+
+/// Guards against answers that count as if they were given when they arrive.
+#[test]
+fn late_answers_show_nothing_false() {
+    assert_no_violation("late answers", Scope { has_late_answers: true, ..QUIET }, 8);
+    let scope = Scope { has_late_answers: true, has_store: false, ..UNINFORMED };
+    assert_no_violation("late answers, with writes", scope, 7);
+}
+
+/// Guards against evidence that relies on when and how completely the coordinator acts.
+#[test]
+fn evidence_is_true_whatever_the_coordinator_does() {
+    let wide = Scope {
+        has_staggered_stops: true,
+        has_cancellations: true,
+        has_early_followers: true,
+        ..QUIET
+    };
+    assert_no_violation("staggered, cancelled", wide, 11);
+    assert_no_violation("early demotion", Scope { has_early_demotion: true, ..CUT_OFF }, 9);
+}
+
+/// Guards against evidence that outlives the process of the old primary or of the node.
+#[test]
+fn evidence_is_true_across_restarts_of_processes() {
+    assert_no_violation("primary returns", Scope { primary_crashes: 1, ..QUIET }, 11);
+    assert_no_violation("node restarts", Scope { node_restarts: 1, ..QUIET }, 12);
+    let unlisted = NodeKind { is_listed: false, ..PLAIN.node };
+    assert_no_violation("unlisted node", Scope { node: unlisted, ..CUT_OFF }, 9);
+}
+
+/// Guards against a search that cannot find a commit that a released replica confirms.
+#[test]
+fn commits_that_count_without_coverage_are_detected() {
+    let scope = with(CUT_OFF, PlantedUse::CommitsWithoutCoverage);
+    assert_detected("commits without coverage", scope, 9, Violation::Lost);
+}
+
+/// Guards against a search that cannot find a former primary that confirms its successor's commits.
+#[test]
+fn unchecked_reports_without_the_primarys_own_are_detected() {
+    let scope = with(QUIET, PlantedUse::UncheckedWithoutPrimary);
+    assert_detected("unchecked without the primary", scope, 11, Violation::Stale);
+}
+
+/// Guards against a search that cannot find a former primary that is evidence for itself.
+#[test]
+fn former_primary_as_its_own_evidence_is_detected() {
+    let scope = with(QUIET, PlantedUse::FormerPrimaryRenamed);
+    assert_detected("renamed former primary", scope, 11, Violation::Stale);
+}
+
+#[test]
+#[ignore = "a tool: explores the scope that SCOPE selects to DEPTH"]
+fn explores_a_scope() {
     let depth = std::env::var("DEPTH").ok().and_then(|depth| depth.parse().ok()).unwrap_or(10);
-    let variant = std::env::var("VARIANT").unwrap_or_default();
-    let scope = match variant.as_str() {
-        "plain" => PLAIN,
-        "deaf" => Scope { hears_of_intents: false, ..PLAIN },
-        "cut" => Scope { hears_of_intents: false, has_store: false, ..PLAIN },
-        "early" => Scope { has_early_followers: true, ..PLAIN },
-        "staggered" => Scope { has_staggered_stops: true, ..PLAIN },
-        "cancelled" => Scope { has_cancellations: true, ..PLAIN },
-        "dead" => Scope { dead: &[InstanceId::R2], ..PLAIN },
-        "a" => Scope { node: planted(PlantedUse::CommitsWithoutCoverage), hears_of_intents: false, ..PLAIN },
-        "b" => Scope { node: planted(PlantedUse::UncheckedWithoutPrimary), hears_of_intents: false, ..PLAIN },
-        "c" => Scope { node: planted(PlantedUse::FormerPrimaryRenamed), hears_of_intents: false, ..PLAIN },
-        "restart" => Scope { replica_restarts: 1, hears_of_intents: false, ..PLAIN },
-        "joined" => Scope { has_joined_instance: true, ..PLAIN },
-        "joined-unknown" => {
-            Scope { has_joined_instance: true, coordinator_lists_joined: false, ..PLAIN }
+    let selected = std::env::var("SCOPE").ok();
+    for (name, scope) in scopes::all() {
+        if selected.as_deref().is_none_or(|selected| selected == name) {
+            search(name, scope, depth, Goal::Violation);
         }
-        "late" => Scope { has_late_answers: true, ..PLAIN },
-        "crash" => Scope { primary_crashes: 1, ..PLAIN },
-        "node-restart" => Scope { node_restarts: 1, ..PLAIN },
-        "unlisted" => Scope { node: NodeKind { is_listed: false, ..PLAIN.node }, ..PLAIN },
-        _ => panic!("no such variant"),
-    };
-    let search = search(&variant, scope, depth, Goal::Violation);
-    assert!(search.found.is_none());
+    }
 }
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -1,6 +1,8 @@
 //! The instances, the coordinator, and the actions that change the world.
 
-use crate::node::{Connection, Node, NodeKind, OLD_TERM, Query, Write, WriteState, arrival_at, sent_at};
+use crate::node::{
+    Connection, Node, NodeKind, OLD_TERM, Query, Write, WriteState, arrival_at, sent_at,
+};
 
 /// Lowest term that a stopped replica accepts.
 const STOP_TERM: u32 = 2;
@@ -89,9 +91,22 @@
     attempt: u8,
 }
 
+/// The evidence of the observed node when the exploration begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// All of it has expired.
+    Idle,
+    /// A commit has just been answered.
+    Commit,
+    /// All replicas have just reported.
+    Reports,
+}
+
 /// Which worlds are explored.
 #[derive(Clone, Copy, Debug)]
 pub struct Scope {
+    /// The evidence of the observed node at the beginning.
+    pub start: Start,
     /// What the observed node is.
     pub node: NodeKind,
     /// Whether an instance has joined that the observed node does not list.
@@ -110,6 +125,11 @@
     pub has_staggered_stops: bool,
     /// Whether attempts may be cancelled.
     pub has_cancellations: bool,
+    /// Whether the coordinator goes on with an attempt that may have promoted an instance, so that
+    /// it has the old primary step down at any time, and counts it as a replica then.
+    pub has_early_demotion: bool,
+    /// Whether the successor commits, or only the commits of the observed node matter.
+    pub has_successor_commits: bool,
     /// Whether instances may follow the successor before it has a commit.
     pub has_early_followers: bool,
     /// Whether the observed node can learn of the intent.
@@ -171,8 +191,8 @@
     SeeRefusal,
     /// An instance is no longer stopped when the coordinator checks the stops.
     FailCheck,
-    /// The stops are confirmed and the promotion is sent.
-    Promote,
+    /// The stops are confirmed and the promotion of the instance is sent.
+    Promote(InstanceId),
     /// The promotion takes effect and releases all replicas.
     TakeLead,
     /// The coordinator cancels the attempt and releases the replicas.
@@ -231,6 +251,16 @@
         for dead in scope.dead {
             instances[*dead as usize].is_alive = false;
         }
+        let mut node = Node::new(scope.node, 0);
+        match scope.start {
+            Start::Idle => {}
+            Start::Commit => node.evidence.on_commit(OLD_TERM, sent_at(FIRST_TICK)),
+            Start::Reports => {
+                for id in [R1, R2] {
+                    node.on_status(id, instances[id as usize].status, FIRST_TICK, FIRST_TICK);
+                }
+            }
+        }
         Self {
             scope,
             now: FIRST_TICK,
@@ -243,7 +273,7 @@
                 has_demoted: false,
                 attempt: 0,
             },
-            node: Node::new(scope.node, 0),
+            node,
             successor_acknowledged: None,
             acknowledged: 0,
             writes: 0,
@@ -286,7 +316,8 @@
         let arrived = acknowledged.max(self.now - MAX_STATEMENT_AGE_TICKS);
         let old = self.at(P);
         let coverage = self.node.coverage(old.status.process, self.now)?;
-        let is_stale = old.is_alive && coverage.until >= arrival_at(arrived);
+        let is_successor = self.successor() == Some(P);
+        let is_stale = !is_successor && old.is_alive && coverage.until >= arrival_at(arrived);
         is_stale.then(|| {
             let age = sent_at(self.now).saturating_duration_since(coverage.requested_at);
             (Violation::Stale, format!("{:?}, {} ms old", coverage.kind, age.as_millis()))
@@ -375,7 +406,7 @@
                 if is_behind && self.scope.has_early_followers {
                     actions.push(Action::Follow(id));
                 }
-                if self.successor_acknowledged.is_none() {
+                if self.successor_acknowledged.is_none() && self.scope.has_successor_commits {
                     actions.push(Action::CommitAtSuccessor(id));
                 }
             }
@@ -393,7 +424,8 @@
 
     fn may_restart(&self, id: InstanceId) -> bool {
         // The platform refuses to promote an instance that does not run.
-        let is_chosen = matches!(self.coordinator.phase, Phase::Promoting(chosen, _) if chosen == id);
+        let is_chosen =
+            matches!(self.coordinator.phase, Phase::Promoting(chosen, _) if chosen == id);
         !is_chosen && self.replica_restarts < self.scope.replica_restarts
     }
 
@@ -415,10 +447,10 @@
                     actions.push(Action::SeeRefusal);
                 }
                 if self.coordinator.saw_refusal || self.now >= since + self.wait_ticks() {
-                    actions.push(match self.are_stops_kept() {
-                        true => Action::Promote,
-                        false => Action::FailCheck,
-                    });
+                    match self.are_stops_kept() {
+                        true => actions.extend(self.candidates().map(Action::Promote)),
+                        false => actions.push(Action::FailCheck),
+                    }
                 }
             }
             Phase::Promoting(_, since) => {
@@ -439,7 +471,9 @@
         }
         let old = self.at(P);
         let may_demote = match self.coordinator.phase {
-            Phase::Idle | Phase::Stopping => false,
+            Phase::Idle => false,
+            Phase::Stopping => self.scope.has_early_demotion,
+            Phase::Lapsing(_) if self.scope.has_early_demotion => true,
             Phase::Lapsing(since) => self.now >= since + self.wait_ticks(),
             Phase::Promoting(..) | Phase::Led(_) => true,
         };
@@ -458,9 +492,28 @@
     }
 
     fn are_enough_stopped(&self) -> bool {
+        let stopped = self.coordinator.stopped.iter().filter(|stopped| **stopped);
+        stopped.count() >= self.needed_stops()
+    }
+
+    /// All instances that the coordinator lists but one hold every acknowledged commit between
+    /// them.
+    fn needed_stops(&self) -> usize {
         let has_joined = self.scope.has_joined_instance && self.scope.coordinator_lists_joined;
-        let needed = if has_joined { 3 } else { 2 };
-        self.coordinator.stopped.iter().filter(|stopped| **stopped).count() >= needed
+        if has_joined { 3 } else { 2 }
+    }
+
+    /// Stopped instances with the longest log. The old primary is one only if the others are not
+    /// enough.
+    fn candidates(&self) -> impl Iterator<Item = InstanceId> {
+        let is_stopped = |id: &InstanceId| self.coordinator.stopped[*id as usize];
+        let others = [R1, R2, X].into_iter().filter(is_stopped).count();
+        let stopped = [P, R1, R2, X].into_iter().filter(is_stopped);
+        let compared: Vec<InstanceId> =
+            stopped.filter(|id| *id != P || others < self.needed_stops()).collect();
+        let length = |id: &InstanceId| self.at(*id).log.count_ones();
+        let longest = compared.iter().map(length).max();
+        compared.into_iter().filter(move |id| Some(length(id)) == longest)
     }
 
     fn are_stops_kept(&self) -> bool {
@@ -595,12 +648,8 @@
                     false => Phase::Stopping,
                 };
             }
-            Action::Promote => {
-                let stopped = [R1, R2, X, P].into_iter().rev();
-                let stopped = stopped.filter(|id| self.coordinator.stopped[*id as usize]);
-                if let Some(best) = stopped.max_by_key(|id| self.at(*id).log.count_ones()) {
-                    self.coordinator.phase = Phase::Promoting(best, now);
-                }
+            Action::Promote(chosen) => {
+                self.coordinator.phase = Phase::Promoting(chosen, now);
             }
             Action::TakeLead => self.take_lead(),
             Action::CallOff => {
@@ -723,9 +772,9 @@
         };
         let coordinator = Coordinator { phase, ..self.coordinator };
         let node = &self.node;
-        let queries = node.queries.map(|query| {
-            query.map(|query| Query { sent: age(query.sent), answer: query.answer })
-        });
+        let queries = node
+            .queries
+            .map(|query| query.map(|query| Query { sent: age(query.sent), answer: query.answer }));
         let write = node.write.map(|write| {
             let state = match write.state {
                 WriteState::Unconfirmed(tick) => WriteState::Unconfirmed(age(tick)),
--- a/crates/core/tests/evidence_worlds/node.rs
+++ b/crates/core/tests/evidence_worlds/node.rs
@@ -45,6 +45,9 @@
     /// The use of the daemon.
     #[default]
     None,
+    /// Reports of enough replicas without a replacement check cover nothing, which shows violations
+    /// by other kinds of evidence.
+    WithoutUnchecked,
     /// Every answered commit is evidence and is acknowledged at once.
     CommitsWithoutCoverage,
     /// Reports of enough replicas cover arrivals without the primary's own report.
@@ -54,6 +57,16 @@
     FormerPrimaryRenamed,
 }
 
+/// Rules that the product does not have, and that close worlds in which its evidence is false.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProposedRules {
+    /// By how much earlier than arrivals of statements answers of commits are no longer covered.
+    pub answer_margin: Duration,
+    /// Whether evidence has the lifetime of an unlisted node while it is not known how a
+    /// replacement ended.
+    pub is_short_after_expiry: bool,
+}
+
 /// What the observed node is and how long evidence lasts there.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeKind {
@@ -63,9 +76,8 @@
     pub listed_lifetime: Duration,
     /// Lifetime of evidence at an unlisted node.
     pub unlisted_lifetime: Duration,
-    /// By how much earlier than the arrival of statements the answers of commits are no longer
-    /// covered.
-    pub answer_margin: Duration,
+    /// Rules that the product does not have.
+    pub proposed: ProposedRules,
     /// How the node uses the evidence.
     pub planted: PlantedUse,
 }
@@ -162,7 +174,7 @@
             write: None,
         };
         node.evidence.on_commit(OLD_TERM, sent_at(idle_since));
-        node.process.on_seen(sent_at(idle_since), sent_at(idle_since));
+        node.process.on_seen(arrival_at(idle_since), arrival_at(idle_since));
         node
     }
 
@@ -178,6 +190,13 @@
         };
     }
 
+    fn lifetime(&self) -> Duration {
+        match self.needs_confirmation && self.kind.proposed.is_short_after_expiry {
+            true => self.kind.unlisted_lifetime,
+            false => self.kind.lifetime(),
+        }
+    }
+
     fn lead() -> Lead<'static> {
         Lead { instance: &NAMES[InstanceId::P as usize], term: OLD_TERM }
     }
@@ -188,7 +207,8 @@
         let known = self.connection.filter(|known| known.process >= process).unwrap_or(new);
         if known.process == process {
             self.connection = Some(known);
-            let established = sent_at(known.established.min(sent));
+            // Later than everything else that is sent in that step, which may have happened before.
+            let established = arrival_at(known.established.min(sent));
             self.process.on_seen(established, sent_at(sent));
         }
     }
@@ -248,10 +268,9 @@
         if self.led != Some(OLD_TERM) {
             return false;
         }
-        let coverage =
-            self.evidence.answer_coverage(Self::lead(), REPLICATION, self.kind.lifetime());
+        let coverage = self.evidence.answer_coverage(Self::lead(), REPLICATION, self.lifetime());
         let covered = coverage.map(|coverage| self.at_process(&self.process, coverage).until);
-        covered.is_some_and(|until| arrival_at(now) + self.kind.answer_margin <= until)
+        covered.is_some_and(|until| arrival_at(now) + self.kind.proposed.answer_margin <= until)
     }
 
     /// Whether replicas confirm the commit that waits. The node then acknowledges it.
@@ -270,7 +289,7 @@
     pub fn coverage(&self, process: u8, now: u8) -> Option<Coverage> {
         self.current_led?;
         let lead = Self::lead();
-        let mut coverage = self.evidence.coverage(lead, REPLICATION, self.kind.lifetime());
+        let mut coverage = self.evidence.coverage(lead, REPLICATION, self.lifetime());
         if self.kind.planted == PlantedUse::UncheckedWithoutPrimary {
             let until = self.evidence.would_cover_until(lead, REPLICATION, Duration::ZERO);
             let unchecked = until.map(|until| Coverage {
@@ -282,9 +301,12 @@
             });
             coverage = coverage.into_iter().chain(unchecked).max_by_key(|coverage| coverage.until);
         }
+        if self.kind.planted == PlantedUse::WithoutUnchecked {
+            coverage = coverage.filter(|found| found.kind != EvidenceKind::UncheckedReplicas);
+        }
         let mut observed = self.process.clone();
         if self.connection.is_none_or(|connection| connection.process != process) {
-            observed.on_seen(sent_at(now), sent_at(now));
+            observed.on_seen(arrival_at(now), arrival_at(now));
         }
         coverage.map(|coverage| self.at_process(&observed, coverage))
     }
--- /dev/null
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -0,0 +1,134 @@
+//! The sets of worlds that are explored.
+
+use std::time::Duration;
+
+use kestrellock_core::primary_evidence::UNLISTED_EVIDENCE_LIFETIME;
+
+use crate::model::{InstanceId, Scope, Start};
+use crate::node::{NodeKind, PlantedUse, ProposedRules, TICK};
+
+/// A listed node that reaches the store and may learn of replacements. Instances restart only as
+/// far as a scope says.
+pub const PLAIN: Scope = Scope {
+    start: Start::Idle,
+    node: NodeKind {
+        is_listed: true,
+        listed_lifetime: Duration::from_millis(300),
+        unlisted_lifetime: UNLISTED_EVIDENCE_LIFETIME,
+        proposed: ProposedRules { answer_margin: Duration::ZERO, is_short_after_expiry: false },
+        planted: PlantedUse::None,
+    },
+    has_joined_instance: false,
+    coordinator_lists_joined: true,
+    dead: &[],
+    has_store: true,
+    has_coordinator: true,
+    has_late_answers: false,
+    has_staggered_stops: false,
+    has_cancellations: false,
+    has_early_demotion: false,
+    has_successor_commits: true,
+    has_early_followers: false,
+    hears_of_intents: true,
+    replica_restarts: 0,
+    primary_crashes: 0,
+    node_restarts: 0,
+    writes: 1,
+};
+
+/// The node does not learn of replacements.
+pub const UNINFORMED: Scope = Scope { hears_of_intents: false, ..PLAIN };
+
+/// The node reaches only instances.
+pub const CUT_OFF: Scope = Scope { has_store: false, ..UNINFORMED };
+
+/// The same without writes of the node.
+pub const QUIET: Scope = Scope { writes: 0, ..CUT_OFF };
+
+/// An instance has joined that the node does not list.
+pub const JOINED: Scope = Scope { has_joined_instance: true, ..QUIET };
+
+/// A replica restarts and forgets that it was stopped. Only commits of the node matter.
+pub const FORGOTTEN_STOP: Scope =
+    Scope { start: Start::Reports, replica_restarts: 1, has_successor_commits: false, ..CUT_OFF };
+
+/// The node learns of a replacement, and then may hear no more of it.
+pub const SILENT_COORDINATOR: Scope = Scope { hears_of_intents: true, ..QUIET };
+
+/// The rules that close the worlds of [`FORGOTTEN_STOP`] and [`SILENT_COORDINATOR`].
+pub const RULES: ProposedRules = ProposedRules { answer_margin: TICK, is_short_after_expiry: true };
+
+/// The scope with the proposed rules.
+pub const fn with_rules(scope: Scope) -> Scope {
+    Scope { node: NodeKind { proposed: RULES, ..scope.node }, ..scope }
+}
+
+/// All scopes, by the names that select them.
+pub fn all() -> Vec<(&'static str, Scope)> {
+    let unlisted = NodeKind { is_listed: false, ..PLAIN.node };
+    let without_unchecked = NodeKind { planted: PlantedUse::WithoutUnchecked, ..PLAIN.node };
+    let wide = Scope {
+        has_staggered_stops: true,
+        has_cancellations: true,
+        has_early_followers: true,
+        ..QUIET
+    };
+    vec![
+        ("plain", PLAIN),
+        ("plain-without-store", Scope { has_store: false, ..PLAIN }),
+        ("uninformed", UNINFORMED),
+        ("uninformed-quiet", Scope { writes: 0, ..UNINFORMED }),
+        ("cut-off", CUT_OFF),
+        ("quiet", QUIET),
+        ("two-writes", Scope { writes: 2, ..CUT_OFF }),
+        ("late", Scope { has_late_answers: true, ..QUIET }),
+        ("late-writes", Scope { has_late_answers: true, ..CUT_OFF }),
+        ("wide", wide),
+        ("early-demotion", Scope { has_early_demotion: true, ..CUT_OFF }),
+        ("primary-returns", Scope { primary_crashes: 1, ..QUIET }),
+        ("primary-returns-writes", Scope { primary_crashes: 1, ..CUT_OFF }),
+        ("node-restarts", Scope { node_restarts: 1, ..QUIET }),
+        ("node-restarts-writes", Scope { node_restarts: 1, ..CUT_OFF }),
+        ("unlisted", Scope { node: unlisted, ..CUT_OFF }),
+        (
+            "replica-silent",
+            Scope { dead: &[InstanceId::R2], has_early_demotion: true, ..UNINFORMED },
+        ),
+        ("forgotten-stop", FORGOTTEN_STOP),
+        ("forgotten-stop-rules", with_rules(FORGOTTEN_STOP)),
+        ("forgotten-stop-quiet", Scope { replica_restarts: 1, ..QUIET }),
+        ("forgotten-stop-all", Scope { has_successor_commits: true, ..FORGOTTEN_STOP }),
+        (
+            "forgotten-stop-all-rules",
+            with_rules(Scope { has_successor_commits: true, ..FORGOTTEN_STOP }),
+        ),
+        (
+            "forgotten-stop-revoked-rules",
+            with_rules(Scope { hears_of_intents: true, ..FORGOTTEN_STOP }),
+        ),
+        (
+            "forgotten-stop-primary-returns-rules",
+            with_rules(Scope { primary_crashes: 1, ..FORGOTTEN_STOP }),
+        ),
+        ("silent-coordinator", SILENT_COORDINATOR),
+        ("silent-coordinator-rules", with_rules(SILENT_COORDINATOR)),
+        ("joined", JOINED),
+        ("joined-writes", Scope { writes: 1, has_successor_commits: false, ..JOINED }),
+        ("joined-lasting", Scope { node: without_unchecked, ..JOINED }),
+        ("joined-lasting-store", Scope { node: without_unchecked, has_store: true, ..JOINED }),
+        ("joined-unknown", Scope { coordinator_lists_joined: false, ..JOINED }),
+        (
+            "joined-unknown-lasting",
+            Scope { coordinator_lists_joined: false, node: without_unchecked, ..JOINED },
+        ),
+        (
+            "joined-unknown-writes",
+            Scope {
+                coordinator_lists_joined: false,
+                writes: 1,
+                has_successor_commits: false,
+                ..JOINED
+            },
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/core/tests/evidence_worlds/service.rs
@@ -0,0 +1,50 @@
+//! The worlds in which a node acknowledges a write, so that rules of evidence do not refuse all.
+
+use crate::explorer::{Goal, Search};
+use crate::model::{InstanceId, Scope, Start};
+use crate::scopes::PLAIN;
+use crate::search;
+
+/// A group that works, without any coordinator.
+const CALM: Scope = Scope { has_coordinator: false, ..PLAIN };
+
+fn finds_acknowledgement(name: &str, scope: Scope) -> bool {
+    let Search { found, .. } = search(name, scope, 8, Goal::Acknowledgement);
+    found.is_some()
+}
+
+/// Guards against rules under which a node that was idle never acknowledges a write.
+#[test]
+fn idle_node_acknowledges_a_write() {
+    assert!(finds_acknowledgement("calm", CALM));
+}
+
+/// Guards against loss of service while a replica is dead.
+#[test]
+fn idle_node_acknowledges_a_write_with_a_dead_replica_and_a_replacement_check() {
+    let scope = Scope { dead: &[InstanceId::R2], ..CALM };
+    assert!(finds_acknowledgement("dead replica", scope));
+}
+
+/// Guards against loss of service while the store is away.
+#[test]
+fn idle_node_acknowledges_a_write_without_the_store_if_all_replicas_answer() {
+    let scope = Scope { has_store: false, ..CALM };
+    assert!(finds_acknowledgement("store away", scope));
+}
+
+/// Guards against loss of service while a replica is dead and the store is away, as long as writes
+/// follow each other.
+#[test]
+fn working_node_acknowledges_a_write_without_the_store_and_with_a_dead_replica() {
+    let scope = Scope { start: Start::Commit, has_store: false, dead: &[InstanceId::R2], ..CALM };
+    assert!(finds_acknowledgement("store away, dead replica, recent commit", scope));
+}
+
+/// Guards against acknowledgements that nothing shows to be safe: a released replica reports the
+/// same as the only one that answers here.
+#[test]
+fn idle_node_acknowledges_no_write_without_the_store_and_with_a_dead_replica() {
+    let scope = Scope { has_store: false, dead: &[InstanceId::R2], ..CALM };
+    assert!(!finds_acknowledgement("store away, dead replica, idle", scope));
+}
