--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -464,7 +464,11 @@
         if self.scope.has_cancellations && is_cancellable && !self.coordinator.has_demoted {
             actions.push(Action::CallOff);
         }
-        let hears = is_cancellable && !self.coordinator.knows_revocation;
+        let may_count = match self.scope.node.proposed.revocations_follow_stops {
+            true => matches!(self.coordinator.phase, Phase::Lapsing(_)),
+            false => is_cancellable,
+        };
+        let hears = may_count && !self.coordinator.knows_revocation;
         let all_revoked = !self.node.kind.is_listed || self.has_revoked();
         if hears && all_revoked {
             actions.push(Action::HearRevocation);
@@ -643,6 +647,8 @@
                     *stopped &= own.is_alive && own.status.min_term == STOP_TERM;
                 }
                 self.coordinator.saw_refusal = false;
+                self.coordinator.knows_revocation &=
+                    !self.scope.node.proposed.revocations_follow_stops;
                 self.coordinator.phase = match self.are_enough_stopped() {
                     true => Phase::Lapsing(now),
                     false => Phase::Stopping,
--- a/crates/core/tests/evidence_worlds/node.rs
+++ b/crates/core/tests/evidence_worlds/node.rs
@@ -65,6 +65,9 @@
     /// Whether evidence has the lifetime of an unlisted node while it is not known how a
     /// replacement ended.
     pub is_short_after_expiry: bool,
+    /// Whether the coordinator counts a revocation only if it is reported after enough replicas were
+    /// stopped.
+    pub revocations_follow_stops: bool,
 }
 
 /// What the observed node is and how long evidence lasts there.
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -7,6 +7,12 @@
 use crate::model::{InstanceId, Scope, Start};
 use crate::node::{NodeKind, PlantedUse, ProposedRules, TICK};
 
+const NO_RULES: ProposedRules = ProposedRules {
+    answer_margin: Duration::ZERO,
+    is_short_after_expiry: false,
+    revocations_follow_stops: false,
+};
+
 /// A listed node that reaches the store and may learn of replacements. Instances restart only as
 /// far as a scope says.
 pub const PLAIN: Scope = Scope {
@@ -15,7 +21,7 @@
         is_listed: true,
         listed_lifetime: Duration::from_millis(300),
         unlisted_lifetime: UNLISTED_EVIDENCE_LIFETIME,
-        proposed: ProposedRules { answer_margin: Duration::ZERO, is_short_after_expiry: false },
+        proposed: NO_RULES,
         planted: PlantedUse::None,
     },
     has_joined_instance: false,
@@ -55,12 +61,23 @@
 /// The node learns of a replacement, and then may hear no more of it.
 pub const SILENT_COORDINATOR: Scope = Scope { hears_of_intents: true, ..QUIET };
 
-/// The rules that close the worlds of [`FORGOTTEN_STOP`] and [`SILENT_COORDINATOR`].
-pub const RULES: ProposedRules = ProposedRules { answer_margin: TICK, is_short_after_expiry: true };
+/// The node learns of a replacement, and then may start again.
+pub const RESTART_AFTER_REVOCATION: Scope = Scope { node_restarts: 1, ..SILENT_COORDINATOR };
+
+/// Answers of commits are covered for a shorter time than arrivals.
+pub const ANSWER_MARGIN: ProposedRules = ProposedRules { answer_margin: TICK, ..NO_RULES };
+
+/// Evidence is short at a node that does not know how a replacement ended.
+pub const SHORT_AFTER_EXPIRY: ProposedRules =
+    ProposedRules { is_short_after_expiry: true, ..NO_RULES };
+
+/// Revocations count that are reported after the stops.
+pub const REVOCATIONS_FOLLOW_STOPS: ProposedRules =
+    ProposedRules { revocations_follow_stops: true, ..NO_RULES };
 
-/// The scope with the proposed rules.
-pub const fn with_rules(scope: Scope) -> Scope {
-    Scope { node: NodeKind { proposed: RULES, ..scope.node }, ..scope }
+/// The scope with proposed rules.
+pub const fn with_rules(scope: Scope, proposed: ProposedRules) -> Scope {
+    Scope { node: NodeKind { proposed, ..scope.node }, ..scope }
 }
 
 /// All scopes, by the names that select them.
@@ -95,23 +112,33 @@
             Scope { dead: &[InstanceId::R2], has_early_demotion: true, ..UNINFORMED },
         ),
         ("forgotten-stop", FORGOTTEN_STOP),
-        ("forgotten-stop-rules", with_rules(FORGOTTEN_STOP)),
+        ("forgotten-stop-rules", with_rules(FORGOTTEN_STOP, ANSWER_MARGIN)),
         ("forgotten-stop-quiet", Scope { replica_restarts: 1, ..QUIET }),
         ("forgotten-stop-all", Scope { has_successor_commits: true, ..FORGOTTEN_STOP }),
         (
             "forgotten-stop-all-rules",
-            with_rules(Scope { has_successor_commits: true, ..FORGOTTEN_STOP }),
+            with_rules(Scope { has_successor_commits: true, ..FORGOTTEN_STOP }, ANSWER_MARGIN),
         ),
         (
             "forgotten-stop-revoked-rules",
-            with_rules(Scope { hears_of_intents: true, ..FORGOTTEN_STOP }),
+            with_rules(Scope { hears_of_intents: true, ..FORGOTTEN_STOP }, ANSWER_MARGIN),
         ),
         (
             "forgotten-stop-primary-returns-rules",
-            with_rules(Scope { primary_crashes: 1, ..FORGOTTEN_STOP }),
+            with_rules(Scope { primary_crashes: 1, ..FORGOTTEN_STOP }, ANSWER_MARGIN),
         ),
         ("silent-coordinator", SILENT_COORDINATOR),
-        ("silent-coordinator-rules", with_rules(SILENT_COORDINATOR)),
+        ("silent-coordinator-short", with_rules(SILENT_COORDINATOR, SHORT_AFTER_EXPIRY)),
+        ("silent-coordinator-follow", with_rules(SILENT_COORDINATOR, REVOCATIONS_FOLLOW_STOPS)),
+        ("restart-after-revocation", RESTART_AFTER_REVOCATION),
+        (
+            "restart-after-revocation-short",
+            with_rules(RESTART_AFTER_REVOCATION, SHORT_AFTER_EXPIRY),
+        ),
+        (
+            "restart-after-revocation-follow",
+            with_rules(RESTART_AFTER_REVOCATION, REVOCATIONS_FOLLOW_STOPS),
+        ),
         ("joined", JOINED),
         ("joined-writes", Scope { writes: 1, has_successor_commits: false, ..JOINED }),
         ("joined-lasting", Scope { node: without_unchecked, ..JOINED }),
