--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -12,14 +12,14 @@
 //! - a commit that the primary acknowledged after enough replicas had received it;
 //! - reports of all replicas, if each shows that the replica follows no higher term and has not
 //!   been stopped above the term: a successor is one of them, and never reports that again;
-//! - such reports of enough replicas ([`Replication::replicas_needed`]), if the store confirmed at
-//!   about the same time that no replacement is running ([`PrimaryEvidence::on_no_replacement`]). A
-//!   promotion also releases replicas that do not learn of it. Such a replica reports the same as
-//!   before the replacement, and may confirm the successor's commits a moment later. Without the
-//!   store's confirmation its report would count as evidence of the old primary on a node that
-//!   cannot reach the store.
+//! - such reports of enough replicas ([`Replication::replicas_needed`]), if the store, or
+//!   every other listed node, confirmed at about the same time that no replacement is running
+//!   ([`PrimaryEvidence::on_no_replacement`]). A promotion also releases replicas that do not learn
+//!   of it. Such a replica reports the same as before the replacement, and may confirm the
+//!   successor's commits a moment later. Without the confirmation its report would count as evidence
+//!   of the old primary on a node that cannot reach the store.
 //!
-//! Reports of enough replicas without the store's confirmation cover only what arrived before they
+//! Reports of enough replicas without that confirmation cover only what arrived before they
 //! were requested, and only if the primary itself was asked after that arrival and reported that it
 //! leads. A successor has acknowledged no commit by then: the replicas beside those that reported
 //! are too few to confirm one, and the former primary confirms commits only once it is a replica. So
@@ -28,7 +28,7 @@
 //!
 //! A commit shows that a replica received it between its sending and its answer. That replica was
 //! not stopped then: not yet, or no longer, since a promotion releases every replica, also one that
-//! does not reach the successor. Only earlier evidence tells the two apart. So the answer of a
+//! does not reach the successor. Only earlier evidence distinguishes the two. So the answer of a
 //! commit has to be covered as an arrival has to be ([`PrimaryEvidence::answer_coverage`]). An
 //! answer that is not covered is no evidence, and the commit is acknowledged only once replicas
 //! that were queried after the answer confirm it ([`PrimaryEvidence::confirms_commit`]).
