Count an instance that has vanished from the list as a replica without a report

The entry of a partitioned instance had lapsed; a node lost the store 0.3 s after the partition had ended and before the entry was back, so it took the group for one of two instances, and the report of one released replica for that of all. The returned instance had been promoted. Class: a last known list taken for the present one. An instance that was listed counts until lists that lack it have arrived for 30 s, by the time at which they were requested; until then reports need a replacement check. A node that receives no lists does not forget it.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -41,7 +41,7 @@
 mod replication;
 mod transaction_writes;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::ids::InstanceName;
@@ -64,6 +64,10 @@
 /// the store.
 pub const MIN_PROMOTION_TIME: Duration = Duration::from_millis(100);
 
+/// How long an instance whose entry is missing in the list still counts as a replica whose report is
+/// missing. Instances return within seconds of a partition; one that has ended stays away.
+const VANISHED_INSTANCE_MEMORY: Duration = Duration::from_secs(30);
+
 /// An instance, and a term that it has been shown to lead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lead<'a> {
@@ -86,6 +90,11 @@
     replicas: BTreeMap<InstanceName, ReplicaReport>,
     /// The last report of each instance that it is primary.
     primaries: BTreeMap<InstanceName, PrimaryReport>,
+    /// Instances that the group had and that are no longer listed, and since when. One of them may
+    /// have returned and been promoted since this node last read the list.
+    vanished: BTreeMap<InstanceName, Instant>,
+    /// The instances that are listed.
+    listed: BTreeSet<InstanceName>,
     /// The latest time at which no replacement of the primary was recorded in the store.
     no_replacement_at: Option<Instant>,
     /// The replacement for which evidence was revoked, and the highest term of that evidence.
@@ -197,6 +206,25 @@
         }
     }
 
+    /// The instances in a list of the group that was requested at `requested_at`. An instance whose
+    /// entry is missing may run, and its entry may be back before the next list arrives. It then
+    /// counts in the group without this node's knowledge, so reports of all listed replicas are not
+    /// reports of all. Lists that lack it for long end that: a node that still receives lists learns
+    /// of its return. Time alone does not.
+    pub fn on_instances_listed(&mut self, listed: BTreeSet<InstanceName>, requested_at: Instant) {
+        for missing in self.listed.difference(&listed) {
+            self.vanished.insert(missing.clone(), requested_at);
+        }
+        let is_recent = |since: &Instant| requested_at < *since + VANISHED_INSTANCE_MEMORY;
+        self.vanished.retain(|name, since| !listed.contains(name) && is_recent(since));
+        self.listed = listed;
+    }
+
+    /// Number of reports that are those of all replicas.
+    fn all_replicas(&self, group: Replication) -> usize {
+        group.replicas() + self.vanished.len()
+    }
+
     /// The store, queried at `queried_at`, showed no replacement of the primary that this node
     /// uses, neither running nor finished.
     pub fn on_no_replacement(&mut self, queried_at: Instant) {
@@ -296,7 +324,7 @@
     /// that were queried after that show that no promotion was being prepared. For nodes that may
     /// not have been notified of a replacement or of its end.
     pub fn confirms_commit(&self, lead: Lead, group: Replication, answered: Instant) -> bool {
-        let by_all = self.oldest_of_newest(group.replicas(), lead, |_| true);
+        let by_all = self.oldest_of_newest(self.all_replicas(group), lead, |_| true);
         let by_enough = self.oldest_of_newest(group.replicas_needed(), lead, |report| {
             self.is_confirmed_by_store(report)
         });
--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -103,7 +103,7 @@
     fn lasting_evidence(&self, lead: Lead, group: Replication) -> Option<LastingEvidence> {
         let may_count = group.synchronous > 0 && lead.term == self.term;
         let by_commit = self.last_commit.filter(|_| may_count);
-        let by_all = self.oldest_of_newest(group.replicas(), lead, |_| true);
+        let by_all = self.oldest_of_newest(self.all_replicas(group), lead, |_| true);
         let by_enough = self.oldest_of_newest(group.replicas_needed(), lead, |report| {
             self.is_confirmed_by_store(report)
         });
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -397,3 +397,33 @@
     evidence.end_revocation();
     assert_eq!(answers_covered(&evidence), None);
 }
+
+/// Guards against lost commits: a partitioned instance whose entry had lapsed came back and was
+/// promoted, and a node that had lost the store meanwhile counted the reports of the replicas that it
+/// still listed as those of all (wedge, seed 9123, on real processes).
+#[test]
+fn reports_of_the_listed_replicas_are_not_all_while_an_instance_may_have_returned() {
+    let two = Replication { synchronous: 1, instances: 2 };
+    let names = |names: &[&str]| names.iter().map(|name| replica(name)).collect();
+    let now = Instant::now();
+    let covered = |evidence: &PrimaryEvidence| {
+        evidence.covers_until(lead(TERM), two, EVIDENCE_LIFETIME).is_some()
+    };
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_instances_listed(names(&["a", "b", "c"]), now);
+    evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
+    evidence.on_instances_listed(names(&["a", "b"]), now);
+    assert!(!covered(&evidence), "c may have returned");
+    assert!(!evidence.confirms_commit(lead(TERM), two, now));
+    evidence.on_no_replacement(now);
+    assert!(covered(&evidence), "the store confirms the report");
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_instances_listed(names(&["a", "b", "c"]), now);
+    evidence.on_instances_listed(names(&["a", "b"]), now);
+    evidence.on_instances_listed(names(&["a", "b"]), now + Duration::from_secs(60));
+    evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
+    assert!(covered(&evidence), "it has ended");
+    evidence.on_instances_listed(names(&["a", "b", "c"]), now + Duration::from_secs(61));
+    evidence.on_instances_listed(names(&["a", "b"]), now + Duration::from_secs(62));
+    assert!(!covered(&evidence));
+}
--- a/crates/daemon/src/gateway/ownership.rs
+++ b/crates/daemon/src/gateway/ownership.rs
@@ -68,6 +68,10 @@
         if !involved && !self.groups.contains_key(name) {
             return;
         }
+        if let Some(requested_at) = io.context.replacements.store_copy_requested_at() {
+            let listed = group.instances.iter().map(|instance| instance.name.clone()).collect();
+            io.context.statuses.on_instances_listed(name, listed, requested_at);
+        }
         let state = self.group_state(name, io.now);
         for (instance, role) in roles {
             if let Some(incarnation) = instance.incarnation {
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -4,7 +4,7 @@
 //! exchange with an instance is evidence for statements of all others. The decisions are made in
 //! `core::primary_evidence`, `core::primary_samples` and `core::suspicion`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -141,6 +141,16 @@
         });
     }
 
+    /// Records the instances in a list of a group that was requested at `requested_at`.
+    pub fn on_instances_listed(
+        &self,
+        group: &GroupName,
+        listed: BTreeSet<InstanceName>,
+        requested_at: Instant,
+    ) {
+        self.with_group(group, |known| known.evidence.on_instances_listed(listed, requested_at));
+    }
+
     /// Records the incarnation of an instance that the platform reports. State of an earlier
     /// incarnation is dropped.
     pub fn on_incarnation(
