--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -57,7 +57,7 @@
     /// arrivals.
     ///
     /// Evidence that was revoked counts as that of a node for which no coordinator waits: a
-    /// coordinator releases no replica sooner than that, whatever the nodes have reported.
+    /// coordinator releases no replica sooner than that, also if every node has reported.
     pub fn answer_coverage(
         &self,
         lead: Lead,
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -15,7 +15,7 @@
 /// Time step in which the exploration begins. Evidence from the first step has expired by then.
 const FIRST_TICK: u8 = 50;
 /// Ages from this on do not differ in their effect: evidence has expired, and requests have been
-/// given up.
+/// abandoned.
 pub const MAX_AGE_TICKS: u8 = 5;
 /// Time steps for which a statement waits at most.
 const MAX_STATEMENT_AGE_TICKS: u8 = 3;
@@ -173,7 +173,7 @@
     LearnIntent,
     /// The coordinator hears that all nodes have revoked their evidence.
     HearRevocation,
-    /// The node has heard no more of the intent for a while.
+    /// The node has received no notification of the intent for a while.
     ExpireIntent,
     /// The node learns how the replacement ended.
     LearnEnd,
@@ -410,7 +410,7 @@
         }
     }
 
-    /// Time passes. What has waited for too long is given up.
+    /// Time passes. What has waited for too long is abandoned.
     fn pass_time(&mut self) {
         self.now += 1;
         let is_recent = |tick: u8| self.now - tick < MAX_AGE_TICKS;
--- a/crates/core/tests/peer_checks.rs
+++ b/crates/core/tests/peer_checks.rs
@@ -225,7 +225,7 @@
     assert!(!GroupKnowledge { may_be_replaced: true, ..UNREPLACED }.confirms(Term(3)));
 }
 
-/// Guards against an asker that has not heard of the last replacement: its primary is the former
+/// Guards against an asker that does not know of the last replacement: its primary is the former
 /// one.
 #[test]
 fn a_node_that_knows_a_later_primary_does_not_confirm() {
