Reproduce on real nodes the loss of commits beside an instance that a node never listed

A node loses the store and the other nodes, and then an instance joins, which the others list and promote. The replicas that the node lists are released and do not follow the successor yet, so they report the old term, and the node takes their reports for those of all replicas: it acknowledges commits of the old primary that the successor lacks.

The stand-in lets an instance join, and a partition may leave several instances within reach of both sides.

--- a/crates/lab/src/platform/partition.rs
+++ b/crates/lab/src/platform/partition.rs
@@ -46,19 +46,19 @@
     /// Needs [`super::PlatformOptions::partitionable`].
     pub fn partition(&self, nodes: &[usize], instance: usize) {
         self.set_isolated(instance, true);
-        self.for_links_across(nodes, instance, None, Network::cut);
+        self.for_links_across(nodes, instance, &[], Network::cut);
     }
 
     /// Ends a partition.
     pub fn heal_partition(&self, nodes: &[usize], instance: usize) {
-        self.for_links_across(nodes, instance, None, Network::heal);
+        self.for_links_across(nodes, instance, &[], Network::heal);
         self.set_isolated(instance, false);
     }
 
-    /// As [`Platform::partition`], but all nodes reach the instances with the number `shared`, and the
+    /// As [`Platform::partition`], but all nodes reach the instances with the numbers `shared`, and the
     /// links between instances stay.
-    pub fn partition_nodes(&self, nodes: &[usize], instance: usize, shared: usize) {
-        self.for_links_across(nodes, instance, Some(shared), Network::cut);
+    pub fn partition_nodes(&self, nodes: &[usize], instance: usize, shared: &[usize]) {
+        self.for_links_across(nodes, instance, shared, Network::cut);
     }
 
     fn set_isolated(&self, instance: usize, is_isolated: bool) {
@@ -68,13 +68,13 @@
         }
     }
 
-    /// Changes the links between a side and everything else except the instances with the number
+    /// Changes the links between a side and everything else except the instances with the numbers
     /// `shared`.
     fn for_links_across(
         &self,
         nodes: &[usize],
         instance: usize,
-        shared: Option<usize>,
+        shared: &[usize],
         change: impl Fn(&Network, &ZoneName, &ZoneName),
     ) {
         let network = self.network.as_ref().expect("a platform with relays");
@@ -83,9 +83,9 @@
             .map(|node| node_relay_zone(*node))
             .chain([instance_relay_zone(instance)])
             .collect();
-        let shared = shared.map(instance_relay_zone);
+        let shared: Vec<ZoneName> = shared.iter().copied().map(instance_relay_zone).collect();
         let outside = network.zones().iter().filter(|zone| !inside.contains(zone));
-        for zone in outside.filter(|zone| shared.as_ref() != Some(zone)) {
+        for zone in outside.filter(|zone| !shared.contains(zone)) {
             inside.iter().for_each(|other| change(network, other, zone));
         }
     }
--- a/crates/lab/src/standin/instances/mod.rs
+++ b/crates/lab/src/standin/instances/mod.rs
@@ -206,6 +206,21 @@
         self.restart(new_name);
     }
 
+    /// Starts another replica in `zone` with an empty log and writes its entry to the store. No relay
+    /// is in front of it. Returns its name.
+    pub fn join(&self, zone: &str) -> io::Result<String> {
+        let listener = RestartableListener::bind()?;
+        let name = {
+            let mut state = self.shared.state();
+            let number = state.options.zones.len();
+            state.options.zones.push(zone.to_owned());
+            state.add(number, listener.clone(), listener.address())
+        };
+        session::serve(&self.shared, &name, listener);
+        self.shared.publish_entry(&self.shared.state(), &name);
+        Ok(name)
+    }
+
     /// Marks an instance as leaving in its entry. It continues to serve.
     pub fn leave(&self, name: &str) {
         let mut state = self.shared.state();
--- a/crates/lab/tests/released_replicas/world.rs
+++ b/crates/lab/tests/released_replicas/world.rs
@@ -1,8 +1,11 @@
 //! A platform on which a primary is replaced while a node reaches that primary and one replica only.
 
+use std::thread;
 use std::time::Duration;
 
-use kestrellock_lab::platform::{Platform, PlatformOptions, wait};
+use kestrellock_lab::platform::{
+    Platform, PlatformOptions, ZONES, node_relay_zone, store_relay_zone, wait,
+};
 use kestrellock_lab::standin::instances::InstanceGroup;
 
 use crate::clients::{Clients, REST};
@@ -16,6 +19,8 @@
 const FORMER: usize = 0;
 const SUCCESSOR: usize = 1;
 const RELEASED: usize = 2;
+/// Time after which all nodes that reach the store list an instance that has joined.
+const LISTING_TIME: Duration = Duration::from_millis(1_500);
 /// Number of violations that a failure shows.
 const MAX_SHOWN: usize = 5;
 
@@ -66,7 +71,31 @@
             group.log(&self.successor).len() > group.log(&self.released).len()
         })
         .expect("in time");
-        self.platform.partition_nodes(&[CUT_OFF_NODE], FORMER, RELEASED);
+        self.platform.partition_nodes(&[CUT_OFF_NODE], FORMER, &[RELEASED]);
+    }
+
+    /// Has the node lose the store and the other nodes, and then an instance join, which is going to
+    /// be chosen and which the node does not list. Then cuts the node off from everything but the
+    /// first primary and the two replicas that it lists. From then on only the joined instance receives commits, and the
+    /// replicas do not reach it.
+    pub fn cut_off_beside_joined(&mut self) {
+        let network = self.platform.network.as_ref().expect("a platform with relays");
+        let reached_before = (0..NODES).filter(|node| *node != CUT_OFF_NODE).map(node_relay_zone);
+        for zone in reached_before.chain([store_relay_zone()]) {
+            network.cut(&node_relay_zone(CUT_OFF_NODE), &zone);
+        }
+        let group = self.group();
+        let joined = group.join(ZONES[SUCCESSOR]).expect("it starts");
+        let has_more_than = |other: &String| group.log(&joined).len() > group.log(other).len();
+        for replica in [&self.successor, &self.released] {
+            group.set_replication_blocked(replica, true);
+            group.set_separated(&joined, replica, true);
+            wait("the joined instance has the longer log", || has_more_than(replica))
+                .expect("in time");
+        }
+        thread::sleep(LISTING_TIME);
+        self.platform.partition_nodes(&[CUT_OFF_NODE], FORMER, &[SUCCESSOR, RELEASED]);
+        self.successor = joined;
     }
 
     /// Waits until the other nodes have stopped the replicas. Returns how long the log of the one that
@@ -88,6 +117,15 @@
         self.group().set_replication_blocked(&self.released, false);
     }
 
+    /// Lets the other instances that the cut-off node lists as replicas follow the successor.
+    pub fn connect_successor(&self) {
+        let group = self.group();
+        for replica in [SUCCESSOR, RELEASED].map(|number| group.instances()[number].clone()) {
+            group.set_separated(&self.successor, &replica, false);
+            group.set_replication_blocked(&replica, false);
+        }
+    }
+
     /// Waits until a client has got a commit of the successor, whose log had `log_length` commits when
     /// it was promoted, as acknowledged.
     pub fn wait_for_commit_of_successor(&self, log_length: usize) {
