Limit the rate of the log lines of waiting commits and requests

`commit_waits` was logged for each commit that no earlier evidence covers, and `held` for each request that waits for an instance or a gateway. A node that loses the store under load logged as many lines as it received requests.

Each of the three lines now has a limiter of its own, with the limit of the routine lines (`ordinary_lines_per_second`), so that one event does not suppress the lines of another. The number of suppressed lines is logged as `lines_suppressed`. The metrics `commit_waits` and `held` count all waits by reason.

The line `held` of a front uses the same code and has no test of its own.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -25,6 +25,7 @@
 use crate::routing_overrides::RoutingOverrides;
 use crate::shared::address_occupants::AddressOccupants;
 use crate::shared::confirmations::Confirmations;
+use crate::shared::event_log_limiters::EventLogLimiters;
 use crate::shared::inbox::Inbox;
 use crate::shared::isolation::SharedIsolation;
 use crate::shared::listed_seeds::ListedSeeds;
@@ -142,6 +143,8 @@
     pub routine_log_limiter: RoutineLogLimiter,
     /// Rate limit for the log lines of exchanges that waited in the queue of an instance.
     pub queued_log_limiter: QueuedLogLimiter,
+    /// Rate limits for the log lines of events that a single request can cause.
+    pub event_log_limiters: EventLogLimiters,
     /// Counters and histograms.
     pub metrics: Metrics,
 }
--- a/crates/daemon/src/front/decision_log.rs
+++ b/crates/daemon/src/front/decision_log.rs
@@ -1,7 +1,7 @@
 //! Logs one line for each decision about a request. All lines of a request carry its id.
 //!
-//! Refusals, retries and waits are always logged. Successes are routine log lines, which are
-//! rate-limited (`shared::routine_log_lines`).
+//! Refusals and retries are always logged. Lines of waits (`shared::event_log_limiters`) and of
+//! successes, which are routine log lines (`shared::routine_log_lines`), are rate-limited.
 
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 
 use super::target::RequestTarget;
 use crate::event::Io;
+use crate::metrics::HeldFor;
 
 /// The id by which the request is found in the log; "-" if there is no request, or if the client's
 /// protocol has no request ids.
@@ -51,8 +52,12 @@
     );
 }
 
-/// Logs that a request waits because no instance qualifies.
+/// Counts and logs that a request waits because no gateway or instance is known.
 pub fn log_held(request: &Request, login: &Login, io: &Io) {
+    io.context.metrics.held.count(HeldFor::Gateway);
+    if !io.context.event_log_limiters.held_at_front.admits(io.now) {
+        return;
+    }
     log::info!(
         event = "held",
         id = id_of(Some(request)),
--- a/crates/daemon/src/gateway/choice_log.rs
+++ b/crates/daemon/src/gateway/choice_log.rs
@@ -1,8 +1,9 @@
 //! The log lines `chosen` and `held`: on what evidence an instance was chosen for an exchange, or
 //! which evidence is missing.
 //!
-//! Waits are always logged. Choices are logged at the debug level, because there is one for each
-//! read and transaction. Fields of evidence that does not exist are empty.
+//! Waits are counted, and their lines are rate-limited (`shared::event_log_limiters`). Choices are
+//! logged at the debug level, because there is one for each read and transaction. Fields of evidence
+//! that does not exist are empty.
 
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 
 use super::instance_choice::{ChoiceBasis, InstanceChoice};
 use crate::event::Io;
+use crate::metrics::HeldFor;
 
 /// An exchange, and what the choice for it was based on.
 pub(super) struct Placed<'a> {
@@ -55,18 +57,26 @@
     );
 }
 
-/// Logs that an exchange waits, and the evidence that there is.
+/// Counts and logs that an exchange waits, and the evidence that there is.
 pub(super) fn log_held(placed: &Placed, waits: &InstanceChoice, io: &Io) {
-    let reason = match waits {
-        InstanceChoice::NeedsEvidence => "no evidence that the primary leads",
-        InstanceChoice::NeedsSessionTerm => {
-            "the primary leads a lower term than the one of the session's last commit"
+    let (held_for, reason) = match waits {
+        InstanceChoice::NeedsEvidence => (HeldFor::Evidence, "no evidence that the primary leads"),
+        InstanceChoice::NeedsSessionTerm => (
+            HeldFor::SessionTerm,
+            "the primary leads a lower term than the one of the session's last commit",
+        ),
+        InstanceChoice::NeedsStore => (
+            HeldFor::ReplacementCheck,
+            "neither the store nor every other node has confirmed that the primary is not being replaced",
+        ),
+        InstanceChoice::NoneQualifies | InstanceChoice::Instance(_) => {
+            (HeldFor::Instance, "no instance qualifies")
         }
-        InstanceChoice::NeedsStore => {
-            "neither the store nor every other node has confirmed that the primary is not being replaced"
-        }
-        InstanceChoice::NoneQualifies | InstanceChoice::Instance(_) => "no instance qualifies",
     };
+    io.context.metrics.held.count(held_for);
+    if !io.context.event_log_limiters.held_at_gateway.admits(io.now) {
+        return;
+    }
     let Placed { exchange, group, arrived, basis, .. } = placed;
     let age = |at: Instant| io.now.saturating_duration_since(at).as_millis() as u64;
     let evidence = io.context.evidence_age(group, io.now);
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -26,6 +26,7 @@
 use super::notify_front;
 use super::server::ProbeAnswer;
 use crate::event::Io;
+use crate::metrics::CommitWait;
 use crate::policy::Policy;
 use crate::shared::statuses::CommitConfirmation;
 
@@ -154,20 +155,7 @@
         if group.elector == Elector::Group || (commit.is_covered && !is_uninformed) {
             return acknowledge(commit, Some(position), io);
         }
-        let age = |age: Duration| age.as_millis() as u64;
-        log::info!(
-            event = "commit_waits",
-            group = name.as_str(),
-            is_listed = io.context.is_listed(),
-            is_covered = commit.is_covered,
-            evidence_age_ms = io.context.evidence_age(name, io.now).map(age),
-            store_copy_age_ms = io.context.store_copy_age(io.now).map(age),
-            lease:? = commit.lease,
-            instance = commit.instance.as_str(),
-            term = position.term.0,
-            offset = position.offset.0;
-            "another instance may have been promoted; querying replicas to confirm the commit"
-        );
+        log_wait(&commit, position, name, io);
         let method = ConfirmationMethod::ReplicaStatuses { position, answered: Instant::now() };
         self.pending.push(PendingCommit { commit, method });
     }
@@ -290,6 +278,33 @@
     }
 }
 
+/// Counts and logs a commit that waits until replicas have confirmed it.
+fn log_wait(commit: &Commit, position: Position, group: &GroupName, io: &Io) {
+    let is_listed = io.context.is_listed();
+    io.context.metrics.commit_waits.count(match (is_listed, commit.is_covered) {
+        (false, _) => CommitWait::Unlisted,
+        (true, false) => CommitWait::Uncovered,
+        (true, true) => CommitWait::ReplacementUnknown,
+    });
+    if !io.context.event_log_limiters.commit_waits.admits(io.now) {
+        return;
+    }
+    let age = |age: Duration| age.as_millis() as u64;
+    log::info!(
+        event = "commit_waits",
+        group = group.as_str(),
+        is_listed = is_listed,
+        is_covered = commit.is_covered,
+        evidence_age_ms = io.context.evidence_age(group, io.now).map(age),
+        store_copy_age_ms = io.context.store_copy_age(io.now).map(age),
+        lease:? = commit.lease,
+        instance = commit.instance.as_str(),
+        term = position.term.0,
+        offset = position.offset.0;
+        "another instance may have been promoted; querying replicas to confirm the commit"
+    );
+}
+
 fn acknowledge(commit: Commit, confirmed: Option<Position>, io: &mut Io) {
     let Commit { lease, sequence, frames, transaction, instance, .. } = commit;
     let event = LeaseEvent::Done { frames, transaction, confirmed, instance };
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,8 +21,8 @@
 use prometheus_client::registry::Registry;
 
 pub use labels::{
-    AnswerEvidence, CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent,
-    IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
+    AnswerEvidence, CapacityEvent, ChoiceEvidence, CommitWait, ConfigurationEvent, ConnectionEvent,
+    HeldFor, IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
     ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
     StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult, UnansweredRequest,
     VoteEvent,
@@ -122,6 +122,10 @@
     pub choices: CounterSet<ChoiceEvidence>,
     /// Answers of commits that wrote, by the evidence that covers them.
     pub commit_answers: CounterSet<AnswerEvidence>,
+    /// Commits whose answer waits until replicas have confirmed them, by reason.
+    pub commit_waits: CounterSet<CommitWait>,
+    /// Requests that wait before they are sent to an instance, by what they wait for.
+    pub held: CounterSet<HeldFor>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Sessions that this node ended, and requests that it refused with them.
@@ -244,6 +248,16 @@
                 "commit_answers",
                 "Answers of commits that wrote, by the evidence that covers them",
             ),
+            commit_waits: CounterSet::register(
+                r,
+                "commit_waits",
+                "Commits whose answer waits until replicas have confirmed them, by reason",
+            ),
+            held: CounterSet::register(
+                r,
+                "held",
+                "Requests that wait before they are sent, by what they wait for",
+            ),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             session_ends: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -362,6 +362,34 @@
     }
 }
 
+labels! {
+    /// Why the answer of a commit waits until replicas have confirmed it.
+    CommitWait {
+        /// This node is not in the machine list.
+        Unlisted = "unlisted",
+        /// No evidence that this node had before covers the answer.
+        Uncovered = "uncovered",
+        /// This node does not know how a replacement of the primary ended.
+        ReplacementUnknown = "replacement_unknown",
+    }
+}
+
+labels! {
+    /// What a request waits for before it is sent to an instance.
+    HeldFor {
+        /// Evidence that the primary leads.
+        Evidence = "evidence",
+        /// A primary that leads the term of the session's last commit.
+        SessionTerm = "session_term",
+        /// A confirmation that the primary is not being replaced.
+        ReplacementCheck = "replacement_check",
+        /// An instance that qualifies.
+        Instance = "instance",
+        /// A gateway, or an instance of the group, that the client's node knows.
+        Gateway = "gateway",
+    }
+}
+
 impl AnswerEvidence {
     /// The label for the evidence of an answer; `None` if there is none.
     pub fn of(evidence: Option<EvidenceKind>) -> Self {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -39,6 +39,7 @@
 use crate::shard::{Shard, event_loop};
 use crate::shared::address_occupants::AddressOccupants;
 use crate::shared::confirmations::Confirmations;
+use crate::shared::event_log_limiters::EventLogLimiters;
 use crate::shared::inbox::Inbox;
 use crate::shared::isolation::SharedIsolation;
 use crate::shared::listed_seeds::ListedSeeds;
@@ -327,6 +328,7 @@
         quotas: SharedQuotas::default(),
         routine_log_limiter: RoutineLogLimiter::new(settings.ordinary_lines_per_second),
         queued_log_limiter: QueuedLogLimiter::new(settings.ordinary_lines_per_second),
+        event_log_limiters: EventLogLimiters::new(settings.ordinary_lines_per_second),
         metrics,
     })
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -140,7 +140,7 @@
     pub share_instance_capacity: bool,
     /// Groups whose primary may be replaced although acknowledged commits may be lost by it.
     pub accept_commit_loss: BTreeSet<GroupName>,
-    /// Largest number of routine log lines per second.
+    /// Largest number of routine log lines per second, and of the lines of each limited event.
     pub ordinary_lines_per_second: u32,
     /// Seed nodes through which this node joins the cluster.
     pub peers: Vec<PeerSettings>,
--- a/crates/daemon/src/shared/mod.rs
+++ b/crates/daemon/src/shared/mod.rs
@@ -5,6 +5,7 @@
 mod answered_positions;
 mod commit_evidence;
 pub mod confirmations;
+pub mod event_log_limiters;
 pub mod exchange_record;
 mod group_statuses;
 pub mod inbox;
--- a/crates/daemon/src/shared/routine_log_lines.rs
+++ b/crates/daemon/src/shared/routine_log_lines.rs
@@ -1,5 +1,6 @@
-//! Rate limit for frequent log lines, such as the routine ones of successful operations, so that
-//! load does not flood the log. A separate line states how many were suppressed.
+//! Rate limits for frequent log lines, such as the routine ones of successful operations and those
+//! of waiting requests, so that load does not flood the log. A separate line states how many were
+//! suppressed.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -21,6 +22,8 @@
 enum Subject {
     SuccessfulOperations,
     QueuedExchanges,
+    /// The lines of one event.
+    Event(&'static str),
 }
 
 impl Subject {
@@ -36,6 +39,14 @@
                     "suppressed log lines of exchanges that waited in the queue of an instance"
                 );
             }
+            Self::Event(event) => {
+                log::info!(
+                    event = "lines_suppressed",
+                    lines = event,
+                    count = suppressed;
+                    "suppressed log lines of one event"
+                );
+            }
         }
     }
 }
@@ -58,6 +69,11 @@
         Self { subject: Subject::QueuedExchanges, ..Self::new(per_second) }
     }
 
+    /// Like [`Self::new`], for the lines of one event.
+    pub fn for_event(event: &'static str, per_second: u32) -> Self {
+        Self { subject: Subject::Event(event), ..Self::new(per_second) }
+    }
+
     /// Whether another line may be logged at `now`.
     pub fn admits(&self, now: Instant) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/crates/daemon/tests/log_limits.rs
@@ -0,0 +1,161 @@
+//! The rate of the log lines that single requests cause. A burst of requests must not flood the
+//! log, and metrics must count each of them.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use kestrellock_core::catalog::{Catalog, Elector, Group, IndexedCatalog, Priority};
+use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName, ZoneName};
+use kestrellock_core::position::{LogOffset, Position, Term};
+use kestrellock_core::rendezvous::Candidate;
+use kestrellock_core::routing::{Access, Role};
+use kestrellock_daemon::context::NodeContext;
+use kestrellock_daemon::event::Io;
+use kestrellock_daemon::gateway::Gateway;
+use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations};
+use kestrellock_daemon::metrics::{CommitWait, HeldFor};
+use kestrellock_daemon::node::{Listeners, Node};
+use kestrellock_daemon::policy::Policy;
+use kestrellock_daemon::settings::Settings;
+use kestrellock_daemon::shared::live::LiveNode;
+use kestrellock_peer::message::{
+    Exchange, GatewayCall, Placement, PlacementRequirements, ToGateway, TransactionState,
+};
+use kestrellock_protocol::backend::Report;
+use mio::Poll;
+use support::log_lines::{collect, lines_of, suppressed};
+
+const OWN: &str = "own";
+const LINES_PER_SECOND: u32 = 20;
+const BURST: u64 = 100;
+const DEADLINE: Duration = Duration::from_secs(60);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The shared state of a node whose threads do not run, so that only the test changes it.
+fn context() -> Arc<NodeContext> {
+    let mut settings = Settings::loopback(NodeName::new(OWN), ZoneName::new("z"));
+    settings.ordinary_lines_per_second = LINES_PER_SECOND;
+    let listeners = Listeners::bind(&mut settings).expect("free ports");
+    let group = support::scripted::ScriptedGroup::start();
+    let store = support::store(&group, DEADLINE);
+    let node = Node::start(&settings, listeners, store, Policy::Standard).expect("it starts");
+    let context = node.context.clone();
+    node.kill();
+    context.catalog.store(IndexedCatalog::new(Catalog {
+        groups: [(GroupName::new("g"), group_of_one())].into(),
+        ..Catalog::default()
+    }));
+    let candidate = Candidate { node: NodeName::new(OWN), zone: ZoneName::new("z"), link_mbps: 0 };
+    let peer_address = SocketAddr::from(([127, 0, 0, 1], 1));
+    context.live.store(vec![LiveNode { candidate, peer_address, accepts_work: true }]);
+    context
+}
+
+/// A group whose primary the proxy replaces, and whose only instance does not run.
+fn group_of_one() -> Group {
+    let text = "database = 'd'\nuser = 'u'\n[[instances]]\nname = 'i'\nzone = 'z'\n\
+                address = '127.0.0.1:1'\nslots = 1\nconnections = 12";
+    let mut group: Group = toml::from_str(text).expect("the group is valid");
+    group.elector = Elector::Proxy;
+    group
+}
+
+fn lease(serial: u64) -> LeaseId {
+    LeaseId { node: NodeName::new("front"), incarnation: 1, shard: 0, serial }
+}
+
+fn with_io(context: &NodeContext, now: Instant, work: impl FnOnce(&mut Io)) {
+    let poll = Poll::new().expect("an event loop");
+    let (registry, mut outbox) = (poll.registry(), VecDeque::new());
+    work(&mut Io { registry, now, outbox: &mut outbox, context, shard: 0 });
+}
+
+fn commit(serial: u64) -> Commit {
+    let flushed = Position { term: Term(1), offset: LogOffset(1) };
+    Commit {
+        lease: lease(serial),
+        sequence: 0,
+        instance: InstanceName::new("i"),
+        is_covered: false,
+        report: Some(Report { role: Role::Primary, flushed, applied: flushed, min_term: Term(0) }),
+        deadline: Instant::now() + DEADLINE,
+        frames: Bytes::from_static(b"frames"),
+        transaction: TransactionState::Idle,
+    }
+}
+
+fn exchange(serial: u64) -> Exchange {
+    Exchange {
+        lease: lease(serial),
+        number: 0,
+        request: Some(format!("request-{serial}")),
+        placement: Placement::Any(PlacementRequirements {
+            staleness: Some(Duration::ZERO),
+            ..PlacementRequirements::default()
+        }),
+        tenant: TenantName::new("t"),
+        account: None,
+        access: Access::PrimaryRead { bound: None },
+        priority: Priority::default(),
+        time_left: DEADLINE,
+        statements: Vec::new(),
+        settings: Vec::new(),
+        taints: false,
+        frames: Bytes::from_static(b"frames"),
+        ready_expected: 1,
+        may_commit: false,
+        commits_write: false,
+        required_lead: None,
+    }
+}
+
+/// Guards against a log that grows with the commits of a node without evidence: each commit logged a
+/// line. The next second states how many lines were suppressed.
+#[test]
+fn a_burst_of_commits_that_wait_logs_a_bounded_number_of_lines_and_is_counted() {
+    let (context, group, now) = (context(), group_of_one(), Instant::now());
+    let mut confirmations = Confirmations::default();
+    let mut add = |serial, now| {
+        let name = GroupName::new("g");
+        with_io(&context, now, |io| {
+            confirmations.add_commit(commit(serial), &name, &group, io);
+        });
+    };
+    collect();
+    (0..BURST).for_each(|serial| add(serial, now));
+    assert_eq!(lines_of("commit_waits"), LINES_PER_SECOND as usize);
+    add(BURST, now + SECOND);
+    assert_eq!(lines_of("commit_waits"), LINES_PER_SECOND as usize + 1);
+    assert_eq!(suppressed("commit_waits"), [BURST - u64::from(LINES_PER_SECOND)]);
+    assert_eq!(context.metrics.commit_waits.get(CommitWait::Unlisted), BURST + 1);
+}
+
+/// Guards against a log that grows with the requests that arrive while no instance qualifies. Lines
+/// of other events have limits of their own.
+#[test]
+fn a_burst_of_requests_that_wait_logs_a_bounded_number_of_lines_and_is_counted() {
+    let (context, now) = (context(), Instant::now());
+    let mut gateway = Gateway::default();
+    let mut receive = |serial, now| {
+        let call = GatewayCall::Exchange(Box::new(exchange(serial)));
+        let message = ToGateway { from: NodeName::new("front"), group: GroupName::new("g"), call };
+        with_io(&context, now, |io| gateway.on_call(message, io));
+    };
+    collect();
+    (0..BURST).for_each(|serial| receive(serial, now));
+    assert_eq!(lines_of("held"), LINES_PER_SECOND as usize);
+    assert!(context.event_log_limiters.commit_waits.admits(now), "other lines are not suppressed");
+    receive(BURST, now + SECOND);
+    assert_eq!(lines_of("held"), LINES_PER_SECOND as usize + 1);
+    assert_eq!(suppressed("held"), [BURST - u64::from(LINES_PER_SECOND)]);
+    let held: u64 = [HeldFor::Evidence, HeldFor::Instance]
+        .map(|reason| context.metrics.held.get(reason))
+        .into_iter()
+        .sum();
+    assert_eq!(held, BURST + 1);
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod hooked;
 pub mod lines;
+pub mod log_lines;
 pub mod scripted;
 
 use std::net::SocketAddr;
