Limit the rate of the log lines of refusals

`refused` was logged for each refusal. A node that refuses as quickly as its clients repeat their requests, because it is overloaded or has no primary, logged as many lines.

Refusals of statements that have not run now have a limiter for each code, so that the frequent refusals of an overloaded node do not suppress the rare ones. `lines_suppressed` states their number and code, and the metric `codes` counts them as before. Refusals of statements that may have run are still logged without a limit, because somebody has to find out what each of them did.

--- a/crates/daemon/src/front/decision_log.rs
+++ b/crates/daemon/src/front/decision_log.rs
@@ -1,7 +1,8 @@
 //! Logs one line for each decision about a request. All lines of a request carry its id.
 //!
-//! Refusals and retries are always logged. Lines of waits (`shared::event_log_limiters`) and of
-//! successes, which are routine log lines (`shared::routine_log_lines`), are rate-limited.
+//! Retries, and refusals of statements that may have run, are always logged. Lines of waits and of
+//! other refusals (`shared::event_log_limiters`), and of successes, which are routine log lines
+//! (`shared::routine_log_lines`), are rate-limited.
 
 use std::time::Duration;
 
@@ -82,7 +83,8 @@
     );
 }
 
-/// Logs a refusal: the proxy answered instead of an instance.
+/// Logs a refusal: the proxy answered instead of an instance. Refusals of statements that have not
+/// run are rate-limited by code.
 pub fn log_refused(
     request: Option<&Request>,
     login: Option<&Login>,
@@ -91,6 +93,9 @@
     refusal: &Refusal,
     io: &Io,
 ) {
+    if !io.context.event_log_limiters.refusals.admits(refusal.code, io.now) {
+        return;
+    }
     let after = request.map(|request| io.now.saturating_duration_since(request.arrived));
     log::info!(
         event = "refused",
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -2,6 +2,10 @@
 //! of its own, so that many lines of one do not suppress those of another. Metrics count all of them,
 //! including those whose lines are suppressed.
 
+use std::time::Instant;
+
+use kestrellock_core::outcome::{Execution, ResultCode};
+
 use super::routine_log_lines::RoutineLogLimiter;
 
 /// The limiters, by event.
@@ -13,6 +17,8 @@
     pub held_at_gateway: RoutineLogLimiter,
     /// Requests that wait at a front for a gateway.
     pub held_at_front: RoutineLogLimiter,
+    /// Refusals of requests and logins.
+    pub refusals: RefusalLogLimiters,
 }
 
 impl EventLogLimiters {
@@ -23,6 +29,29 @@
             commit_waits: limiter("commit_waits"),
             held_at_gateway: limiter("held"),
             held_at_front: limiter("held_at_front"),
+            refusals: RefusalLogLimiters::new(per_second),
         }
     }
 }
+
+/// Limiters for the lines of refusals, one for each code: an overloaded node refuses much with one
+/// code, and the rare refusals beside it must be seen.
+#[derive(Debug)]
+pub struct RefusalLogLimiters {
+    /// By the position of the code in [`ResultCode::ALL`].
+    limiters: Vec<RoutineLogLimiter>,
+}
+
+impl RefusalLogLimiters {
+    /// Allows at most `per_second` lines with each code in each second.
+    pub fn new(per_second: u32) -> Self {
+        let limiter = |code: &ResultCode| RoutineLogLimiter::for_refusals(*code, per_second);
+        Self { limiters: ResultCode::ALL.iter().map(limiter).collect() }
+    }
+
+    /// Whether a refusal with `code` may be logged at `now`. One whose statement may have run always
+    /// is: somebody has to find out what it did.
+    pub fn admits(&self, code: ResultCode, now: Instant) -> bool {
+        code.execution() != Execution::NotRun || self.limiters[code as usize].admits(now)
+    }
+}
--- a/crates/daemon/src/shared/routine_log_lines.rs
+++ b/crates/daemon/src/shared/routine_log_lines.rs
@@ -5,6 +5,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use kestrellock_core::outcome::ResultCode;
+
 /// Routine log lines per second, unless the settings say otherwise.
 pub const DEFAULT_ROUTINE_LINES_PER_SECOND: u32 = 20;
 const SECOND: Duration = Duration::from_secs(1);
@@ -24,6 +26,8 @@
     QueuedExchanges,
     /// The lines of one event.
     Event(&'static str),
+    /// The lines of refusals with one code.
+    Refusals(ResultCode),
 }
 
 impl Subject {
@@ -39,6 +43,15 @@
                     "suppressed log lines of exchanges that waited in the queue of an instance"
                 );
             }
+            Self::Refusals(code) => {
+                log::info!(
+                    event = "lines_suppressed",
+                    lines = "refused",
+                    code = code.to_string().as_str(),
+                    count = suppressed;
+                    "suppressed log lines of refusals with one code"
+                );
+            }
             Self::Event(event) => {
                 log::info!(
                     event = "lines_suppressed",
@@ -74,6 +87,11 @@
         Self { subject: Subject::Event(event), ..Self::new(per_second) }
     }
 
+    /// Like [`Self::new`], for the lines of refusals with one code.
+    pub fn for_refusals(code: ResultCode, per_second: u32) -> Self {
+        Self { subject: Subject::Refusals(code), ..Self::new(per_second) }
+    }
+
     /// Whether another line may be logged at `now`.
     pub fn admits(&self, now: Instant) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -11,11 +11,13 @@
 use bytes::Bytes;
 use kestrellock_core::catalog::{Catalog, Elector, Group, IndexedCatalog, Priority};
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName, ZoneName};
+use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::{Access, Role};
 use kestrellock_daemon::context::NodeContext;
 use kestrellock_daemon::event::Io;
+use kestrellock_daemon::front::decision_log;
 use kestrellock_daemon::gateway::Gateway;
 use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations};
 use kestrellock_daemon::metrics::{CommitWait, HeldFor};
@@ -159,3 +161,26 @@
         .sum();
     assert_eq!(held, BURST + 1);
 }
+
+/// Guards against a log that grows with the clients of an overloaded node: each refusal logged a
+/// line. Refusals with another code, and all in doubt, are still logged.
+#[test]
+fn a_burst_of_refusals_logs_a_bounded_number_of_lines_with_each_code() {
+    let (context, now) = (context(), Instant::now());
+    let refuse = |code, now| {
+        let refusal = Refusal::new(code, "refused");
+        with_io(&context, now, |io| {
+            decision_log::log_refused(None, None, None, None, &refusal, io);
+        });
+    };
+    let limit = LINES_PER_SECOND as usize;
+    collect();
+    (0..BURST).for_each(|_| refuse(ResultCode::Overloaded, now));
+    assert_eq!(lines_of("refused"), limit);
+    refuse(ResultCode::NoPrimary, now);
+    assert_eq!(lines_of("refused"), limit + 1);
+    (0..BURST).for_each(|_| refuse(ResultCode::SupersededInDoubt, now));
+    assert_eq!(lines_of("refused"), limit + 1 + BURST as usize);
+    refuse(ResultCode::Overloaded, now + SECOND);
+    assert_eq!(suppressed("refused"), [BURST - u64::from(LINES_PER_SECOND)]);
+}
