Limit the rate of the log lines of retries

`retried` was logged for each attempt after a refusal inside the proxy, so that one request could log several lines, at every front, while a primary is replaced.

The lines now have a limiter of their own. The new metric `retries` counts all attempts by the code of the refusal before.

--- a/crates/daemon/src/front/decision_log.rs
+++ b/crates/daemon/src/front/decision_log.rs
@@ -1,7 +1,7 @@
 //! Logs one line for each decision about a request. All lines of a request carry its id.
 //!
-//! Retries, and refusals of statements that may have run, are always logged. Lines of waits and of
-//! other refusals (`shared::event_log_limiters`), and of successes, which are routine log lines
+//! Refusals of statements that may have run are always logged. Lines of waits, retries and other
+//! refusals (`shared::event_log_limiters`), and of successes, which are routine log lines
 //! (`shared::routine_log_lines`), are rate-limited.
 
 use std::time::Duration;
@@ -70,8 +70,12 @@
     );
 }
 
-/// Logs that a request is retried after a refusal inside the proxy.
+/// Counts and logs that a request is retried after a refusal inside the proxy.
 pub fn log_retried(request: &Request, refusal: &Refusal, io: &Io) {
+    io.context.metrics.retries.count(refusal.code);
+    if !io.context.event_log_limiters.retries.admits(io.now) {
+        return;
+    }
     log::info!(
         event = "retried",
         id = id_of(Some(request)),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -116,6 +116,8 @@
     pub statements: CounterSet<StatementResult>,
     /// Refusals and in-doubt outcomes by numbered code.
     pub codes: CounterSet<ResultCode>,
+    /// Retries of requests, by the code of the refusal before.
+    pub retries: CounterSet<ResultCode>,
     /// Exchanges by destination.
     pub routes: CounterSet<Route>,
     /// Choices of instances by evidence, and exchanges that wait for evidence.
@@ -241,6 +243,11 @@
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
+            retries: CounterSet::register(
+                r,
+                "retries",
+                "Retries by the code of the refusal before",
+            ),
             routes: CounterSet::register(r, "routes", "Exchanges by destination"),
             choices: CounterSet::register(r, "choices", "Choices of instances by evidence"),
             commit_answers: CounterSet::register(
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -17,6 +17,8 @@
     pub held_at_gateway: RoutineLogLimiter,
     /// Requests that wait at a front for a gateway.
     pub held_at_front: RoutineLogLimiter,
+    /// Retries of requests after a refusal inside the proxy.
+    pub retries: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -29,6 +31,7 @@
             commit_waits: limiter("commit_waits"),
             held_at_gateway: limiter("held"),
             held_at_front: limiter("held_at_front"),
+            retries: limiter("retried"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -29,6 +29,8 @@
     Exchange, GatewayCall, Placement, PlacementRequirements, ToGateway, TransactionState,
 };
 use kestrellock_protocol::backend::Report;
+use kestrellock_protocol::facts_cache::FactsCache;
+use kestrellock_protocol::request::Request;
 use mio::Poll;
 use support::log_lines::{collect, lines_of, suppressed};
 
@@ -184,3 +186,37 @@
     refuse(ResultCode::Overloaded, now + SECOND);
     assert_eq!(suppressed("refused"), [BURST - u64::from(LINES_PER_SECOND)]);
 }
+
+/// A request that arrived at `now`.
+fn request(now: Instant) -> Request {
+    Request {
+        id: Some("request".to_owned()),
+        messages: Bytes::from_static(b"messages"),
+        statements: Vec::new(),
+        facts: FactsCache::default().facts_of(b"SELECT 1"),
+        executes: true,
+        text: None,
+        rollback_replies: Bytes::new(),
+        is_local: false,
+        arrived: now,
+        deadline: now + DEADLINE,
+        sent: true,
+    }
+}
+
+/// Guards against a log that grows with the attempts of requests while a primary is replaced: each
+/// attempt logged a line.
+#[test]
+fn a_burst_of_retries_logs_a_bounded_number_of_lines_and_is_counted() {
+    let (context, now) = (context(), Instant::now());
+    let refusal = Refusal::new(ResultCode::NotPrimary, "refused");
+    let retry = |now| {
+        with_io(&context, now, |io| decision_log::log_retried(&request(now), &refusal, io));
+    };
+    collect();
+    (0..BURST).for_each(|_| retry(now));
+    assert_eq!(lines_of("retried"), LINES_PER_SECOND as usize);
+    retry(now + SECOND);
+    assert_eq!(suppressed("retried"), [BURST - u64::from(LINES_PER_SECOND)]);
+    assert_eq!(context.metrics.retries.get(ResultCode::NotPrimary), BURST + 1);
+}
