--- a/crates/daemon/src/front/decision_log.rs
+++ b/crates/daemon/src/front/decision_log.rs
@@ -1,7 +1,8 @@
 //! Logs one line for each decision about a request. All lines of a request carry its id.
 //!
-//! Refusals, retries and waits are always logged. Successes are routine log lines, which are
-//! rate-limited (`shared::routine_log_lines`).
+//! Refusals of statements that may have run are always logged. Lines of waits, retries and other
+//! refusals (`shared::event_log_limiters`), and of successes, which are routine log lines
+//! (`shared::routine_log_lines`), are rate-limited.
 
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 
 use super::target::RequestTarget;
 use crate::event::Io;
+use crate::metrics::HeldFor;
 
 /// The id by which the request is found in the log; "-" if there is no request, or if the client's
 /// protocol has no request ids.
@@ -51,8 +53,12 @@
     );
 }
 
-/// Logs that a request waits because no instance qualifies.
+/// Counts and logs that a request waits because no gateway or instance is known.
 pub fn log_held(request: &Request, login: &Login, io: &Io) {
+    io.context.metrics.held.count(HeldFor::Gateway);
+    if !io.context.event_log_limiters.held_at_front.admits(io.now) {
+        return;
+    }
     log::info!(
         event = "held",
         id = id_of(Some(request)),
@@ -64,8 +70,12 @@
     );
 }
 
-/// Logs that a request is retried after a refusal inside the proxy.
+/// Counts and logs that a request is retried after a refusal inside the proxy.
 pub fn log_retried(request: &Request, refusal: &Refusal, io: &Io) {
+    io.context.metrics.retries.count(refusal.code);
+    if !io.context.event_log_limiters.retries.admits(io.now) {
+        return;
+    }
     log::info!(
         event = "retried",
         id = id_of(Some(request)),
@@ -77,7 +87,8 @@
     );
 }
 
-/// Logs a refusal: the proxy answered instead of an instance.
+/// Logs a refusal: the proxy answered instead of an instance. Refusals of statements that have not
+/// run are rate-limited by code.
 pub fn log_refused(
     request: Option<&Request>,
     login: Option<&Login>,
@@ -86,6 +97,9 @@
     refusal: &Refusal,
     io: &Io,
 ) {
+    if !io.context.event_log_limiters.refusals.admits(refusal.code, io.now) {
+        return;
+    }
     let after = request.map(|request| io.now.saturating_duration_since(request.arrived));
     log::info!(
         event = "refused",
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,8 +21,8 @@
 use prometheus_client::registry::Registry;
 
 pub use labels::{
-    AnswerEvidence, CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent,
-    IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
+    AnswerEvidence, CapacityEvent, ChoiceEvidence, CommitWait, ConfigurationEvent, ConnectionEvent,
+    HeldFor, IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
     ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
     StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult, UnansweredRequest,
     VoteEvent,
@@ -116,12 +116,18 @@
     pub statements: CounterSet<StatementResult>,
     /// Refusals and in-doubt outcomes by numbered code.
     pub codes: CounterSet<ResultCode>,
+    /// Retries of requests, by the code of the refusal before.
+    pub retries: CounterSet<ResultCode>,
     /// Exchanges by destination.
     pub routes: CounterSet<Route>,
     /// Choices of instances by evidence, and exchanges that wait for evidence.
     pub choices: CounterSet<ChoiceEvidence>,
     /// Answers of commits that wrote, by the evidence that covers them.
     pub commit_answers: CounterSet<AnswerEvidence>,
+    /// Commits whose answer waits until replicas have confirmed them, by reason.
+    pub commit_waits: CounterSet<CommitWait>,
+    /// Requests that wait before they are sent to an instance, by what they wait for.
+    pub held: CounterSet<HeldFor>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Sessions that this node ended, and requests that it refused with them.
@@ -237,6 +243,11 @@
         Self {
             statements: CounterSet::register(r, "statements", "Statements by result"),
             codes: CounterSet::register(r, "codes", "Refusals and doubts by numbered code"),
+            retries: CounterSet::register(
+                r,
+                "retries",
+                "Retries by the code of the refusal before",
+            ),
             routes: CounterSet::register(r, "routes", "Exchanges by destination"),
             choices: CounterSet::register(r, "choices", "Choices of instances by evidence"),
             commit_answers: CounterSet::register(
@@ -244,6 +255,16 @@
                 "commit_answers",
                 "Answers of commits that wrote, by the evidence that covers them",
             ),
+            commit_waits: CounterSet::register(
+                r,
+                "commit_waits",
+                "Commits whose answer waits until replicas have confirmed them, by reason",
+            ),
+            held: CounterSet::register(
+                r,
+                "held",
+                "Requests that wait before they are sent, by what they wait for",
+            ),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             session_ends: CounterSet::register(
                 r,
--- /dev/null
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -0,0 +1,60 @@
+//! Rate limits for the log lines of events that a single request can cause. Each event has a limiter
+//! of its own, so that many lines of one do not suppress those of another. Metrics count all of them,
+//! including those whose lines are suppressed.
+
+use std::time::Instant;
+
+use kestrellock_core::outcome::{Execution, ResultCode};
+
+use super::routine_log_lines::RoutineLogLimiter;
+
+/// The limiters, by event.
+#[derive(Debug)]
+pub struct EventLogLimiters {
+    /// Commits that wait until replicas have confirmed them.
+    pub commit_waits: RoutineLogLimiter,
+    /// Exchanges that wait at a gateway for an instance.
+    pub held_at_gateway: RoutineLogLimiter,
+    /// Requests that wait at a front for a gateway.
+    pub held_at_front: RoutineLogLimiter,
+    /// Retries of requests after a refusal inside the proxy.
+    pub retries: RoutineLogLimiter,
+    /// Refusals of requests and logins.
+    pub refusals: RefusalLogLimiters,
+}
+
+impl EventLogLimiters {
+    /// Allows at most `per_second` lines of each event in each second.
+    pub fn new(per_second: u32) -> Self {
+        let limiter = |event| RoutineLogLimiter::for_event(event, per_second);
+        Self {
+            commit_waits: limiter("commit_waits"),
+            held_at_gateway: limiter("held"),
+            held_at_front: limiter("held_at_front"),
+            retries: limiter("retried"),
+            refusals: RefusalLogLimiters::new(per_second),
+        }
+    }
+}
+
+/// Limiters for the lines of refusals, one for each code: an overloaded node refuses much with one
+/// code, and the rare refusals beside it must be seen.
+#[derive(Debug)]
+pub struct RefusalLogLimiters {
+    /// By the position of the code in [`ResultCode::ALL`].
+    limiters: Vec<RoutineLogLimiter>,
+}
+
+impl RefusalLogLimiters {
+    /// Allows at most `per_second` lines with each code in each second.
+    pub fn new(per_second: u32) -> Self {
+        let limiter = |code: &ResultCode| RoutineLogLimiter::for_refusals(*code, per_second);
+        Self { limiters: ResultCode::ALL.iter().map(limiter).collect() }
+    }
+
+    /// Whether a refusal with `code` may be logged at `now`. One whose statement may have run always
+    /// is: somebody has to find out what it did.
+    pub fn admits(&self, code: ResultCode, now: Instant) -> bool {
+        code.execution() != Execution::NotRun || self.limiters[code as usize].admits(now)
+    }
+}
