Confirm a commit by evidence that arrives after its answer

Cause: a commit whose answer no evidence covered waited for reports that were requested after the answer. Where instances do not respond for about a second, the answers of commits and of earlier queries arrive together shortly before the clients' deadlines. The reports of these queries cover the answers by the time of their request, but counted only if they arrived first.

Change: a waiting commit is acknowledged as soon as lasting evidence covers its answer (`answer_coverage`), in whatever order both arrive. Where no coordinator may have waited for the node when the answer arrived, or when the commit is decided, only reports count that were requested after the answer. `commit_waits_total` counts how the waits ended, and `commit_in_doubt` says why one ended in doubt.

--- a/crates/core/tests/evidence_worlds/main.rs
+++ b/crates/core/tests/evidence_worlds/main.rs
@@ -80,6 +80,8 @@
     assert_no_violation("late answers", Scope { has_late_answers: true, ..QUIET }, 8);
     let scope = Scope { has_late_answers: true, has_store: false, ..UNINFORMED };
     assert_no_violation("late answers, with writes", scope, 7);
+    let scope = Scope { has_late_answers: true, has_store: false, ..PLAIN };
+    assert_no_violation("late answers, with intents", scope, 7);
 }
 
 /// Guards against evidence that relies on when and how completely the coordinator acts.
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -89,6 +89,7 @@
         ("two-writes", Scope { writes: 2, ..CUT_OFF }),
         ("late", Scope { has_late_answers: true, ..QUIET }),
         ("late-writes", Scope { has_late_answers: true, ..CUT_OFF }),
+        ("late-intents", Scope { has_late_answers: true, has_store: false, ..PLAIN }),
         ("wide", wide),
         ("early-demotion", Scope { has_early_demotion: true, ..CUT_OFF }),
         ("primary-returns", Scope { primary_crashes: 1, ..QUIET }),
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -7,7 +7,8 @@
 //! on the machine list is not enough, because a coordinator waits for a node that it cannot reach
 //! only until the node's evidence has expired. The node first queries the replication status of the
 //! replicas if no evidence covers the answer, if it is not listed yet, or if it does not know how a
-//! replacement of the primary ended.
+//! replacement of the primary ended. In the first case evidence that arrives later, but was requested
+//! early enough, confirms the commit as well.
 
 use std::time::{Duration, Instant};
 
@@ -26,8 +27,9 @@
 use super::notify_front;
 use super::server::ProbeAnswer;
 use crate::event::Io;
+use crate::metrics::CommitWaitEnd;
 use crate::policy::Policy;
-use crate::shared::statuses::CommitConfirmation;
+use crate::shared::statuses::{CommitConfirmation, UncoveredAnswer};
 
 /// Interval after which replicas that have not confirmed a commit are queried again.
 const STATUS_QUERY_INTERVAL: Duration = Duration::from_millis(60);
@@ -59,13 +61,15 @@
 enum ConfirmationMethod {
     /// Answers to probes that were sent after the commit.
     Probes(Confirmation),
-    /// Replication statuses queried after the answer arrived, and a replacement check by the store
-    /// if some replicas do not answer.
+    /// Replication statuses, and a replacement check by the store if some replicas do not answer.
     ReplicaStatuses {
         /// Position of the commit.
         position: Position,
         /// When the answer of the commit arrived.
         answered: Instant,
+        /// Whether evidence counts that was requested before the answer. It does not at a node for
+        /// which no coordinator may have waited when the answer arrived.
+        counts_earlier_evidence: bool,
     },
 }
 
@@ -168,7 +172,11 @@
             offset = position.offset.0;
             "another instance may have been promoted; querying replicas to confirm the commit"
         );
-        let method = ConfirmationMethod::ReplicaStatuses { position, answered: Instant::now() };
+        let method = ConfirmationMethod::ReplicaStatuses {
+            position,
+            answered: Instant::now(),
+            counts_earlier_evidence: !is_uninformed,
+        };
         self.pending.push(PendingCommit { commit, method });
     }
 
@@ -192,20 +200,35 @@
     pub fn resolve_by_replica_statuses(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let mut kept = Vec::new();
         for pending in std::mem::take(&mut self.pending) {
-            let ConfirmationMethod::ReplicaStatuses { position, answered } = pending.method else {
+            let ConfirmationMethod::ReplicaStatuses { position, answered, counts_earlier_evidence } =
+                pending.method
+            else {
                 kept.push(pending);
                 continue;
             };
             let instance = &pending.commit.instance;
             if !io.context.replacements.may_acknowledge_commit(name, instance, Instant::now()) {
+                io.context.metrics.commit_waits.count(CommitWaitEnd::Replaced);
                 refuse_late(name, pending.commit, io);
                 continue;
             }
             let lead = Lead { instance, term: position.term };
             let (statuses, replication) = (&io.context.statuses, group.replication());
-            match statuses.commit_confirmation(name, lead, replication, answered, Instant::now()) {
-                CommitConfirmation::Confirmed => acknowledge(pending.commit, Some(position), io),
+            let counts_earlier_evidence =
+                counts_earlier_evidence && !io.context.needs_replica_confirmation(name, instance);
+            let lifetime = counts_earlier_evidence.then(|| io.context.evidence_lifetime(name));
+            let answer = UncoveredAnswer { answered, lifetime };
+            match statuses.commit_confirmation(name, lead, replication, answer, Instant::now()) {
+                CommitConfirmation::Covered => {
+                    io.context.metrics.commit_waits.count(CommitWaitEnd::Covered);
+                    acknowledge(pending.commit, Some(position), io);
+                }
+                CommitConfirmation::Confirmed => {
+                    io.context.metrics.commit_waits.count(CommitWaitEnd::Confirmed);
+                    acknowledge(pending.commit, Some(position), io);
+                }
                 CommitConfirmation::Replaced => {
+                    io.context.metrics.commit_waits.count(CommitWaitEnd::Replaced);
                     refuse(pending.commit, Progress::Unconfirmed, Fault::Superseded, io);
                 }
                 CommitConfirmation::LacksReplacementCheck => {
@@ -279,17 +302,42 @@
     }
 
     /// Answers the commits whose deadline has passed: their outcome is in doubt.
-    pub fn expire(&mut self, io: &mut Io) {
+    pub fn expire(&mut self, name: &GroupName, io: &mut Io) {
         let (late, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending)
             .into_iter()
             .partition(|pending| pending.commit.deadline <= io.now);
         self.pending = kept;
         for pending in late {
+            if let ConfirmationMethod::ReplicaStatuses { answered, .. } = pending.method {
+                log_in_doubt(name, &pending.commit, answered, io);
+            }
             refuse(pending.commit, Progress::Unconfirmed, Fault::Deadline, io);
         }
     }
 }
 
+/// Logs why a commit that waited for replication statuses is in doubt.
+fn log_in_doubt(name: &GroupName, commit: &Commit, answered: Instant, io: &Io) {
+    io.context.metrics.commit_waits.count(CommitWaitEnd::InDoubt);
+    if !io.context.routine_log_limiter.admits(io.now) {
+        return;
+    }
+    let age = |age: Duration| age.as_millis() as u64;
+    let instance = &commit.instance;
+    log::info!(
+        event = "commit_in_doubt",
+        group = name.as_str(),
+        lease:? = commit.lease,
+        instance = instance.as_str(),
+        waited_ms = age(io.now.saturating_duration_since(answered)),
+        is_listed = io.context.is_listed(),
+        needs_replica_confirmation = io.context.needs_replica_confirmation(name, instance),
+        evidence_age_ms = io.context.evidence_age(name, io.now).map(age),
+        store_copy_age_ms = io.context.store_copy_age(io.now).map(age);
+        "the deadline of an answered commit passed before replicas confirmed it"
+    );
+}
+
 fn acknowledge(commit: Commit, confirmed: Option<Position>, io: &mut Io) {
     let Commit { lease, sequence, frames, transaction, instance, .. } = commit;
     let event = LeaseEvent::Done { frames, transaction, confirmed, instance };
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -225,7 +225,7 @@
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
             if let Some(state) = self.groups.get_mut(&name) {
-                state.confirmations.expire(io);
+                state.confirmations.expire(&name, io);
                 state.current_positions.expire(io.now);
                 let mut late = Vec::new();
                 for (instance, pool) in &mut state.pools {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,9 +21,9 @@
 use prometheus_client::registry::Registry;
 
 pub use labels::{
-    AnswerEvidence, CapacityEvent, ChoiceEvidence, ConfigurationEvent, ConnectionEvent,
-    IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
-    ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
+    AnswerEvidence, CapacityEvent, ChoiceEvidence, CommitWaitEnd, ConfigurationEvent,
+    ConnectionEvent, IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent,
+    ProbeEvent, ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
     StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult, UnansweredRequest,
     VoteEvent,
 };
@@ -122,6 +122,8 @@
     pub choices: CounterSet<ChoiceEvidence>,
     /// Answers of commits that wrote, by the evidence that covers them.
     pub commit_answers: CounterSet<AnswerEvidence>,
+    /// Commits whose answers no evidence covered, by how their wait ended.
+    pub commit_waits: CounterSet<CommitWaitEnd>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Sessions that this node ended, and requests that it refused with them.
@@ -244,6 +246,11 @@
                 "commit_answers",
                 "Answers of commits that wrote, by the evidence that covers them",
             ),
+            commit_waits: CounterSet::register(
+                r,
+                "commit_waits",
+                "Commits that waited for confirmation, by how the wait ended",
+            ),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             session_ends: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -362,6 +362,20 @@
     }
 }
 
+labels! {
+    /// How the wait of a commit ended whose answer no evidence covered when it arrived.
+    CommitWaitEnd {
+        /// Acknowledged: evidence arrived that had been requested early enough.
+        Covered = "covered",
+        /// Acknowledged: replicas that were queried after the answer confirmed it.
+        Confirmed = "confirmed",
+        /// In doubt: the primary is being replaced, or has been.
+        Replaced = "replaced",
+        /// In doubt: nothing confirmed it before its deadline.
+        InDoubt = "in_doubt",
+    }
+}
+
 impl AnswerEvidence {
     /// The label for the evidence of an answer; `None` if there is none.
     pub fn of(evidence: Option<EvidenceKind>) -> Self {
--- a/crates/daemon/src/shared/commit_evidence.rs
+++ b/crates/daemon/src/shared/commit_evidence.rs
@@ -5,7 +5,7 @@
 
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{EvidenceKind, Lead, Replication};
+use kestrellock_core::primary_evidence::{EvidenceKind, Lead, MIN_PROMOTION_TIME, Replication};
 
 use super::group_statuses::REPLICA_RESPONSE_TIMEOUT;
 use super::statuses::StatusTable;
@@ -28,10 +28,23 @@
     pub lifetime: Duration,
 }
 
+/// The answer of a commit that no evidence covered when it arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UncoveredAnswer {
+    /// When this process had received the answer, by a clock that it read after that.
+    pub answered: Instant,
+    /// How long evidence lasts at this node, if evidence that was requested before the answer
+    /// counts. `None` if only reports count that were requested after it.
+    pub lifetime: Option<Duration>,
+}
+
 /// What the evidence shows about a commit that the primary has answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CommitConfirmation {
-    /// No other instance was about to be promoted, so the commit may be acknowledged.
+    /// Evidence that arrived after the answer covers it, so the commit may be acknowledged.
+    Covered,
+    /// Reports that were requested after the answer show that no other instance was about to be
+    /// promoted, so the commit may be acknowledged.
     Confirmed,
     /// Enough replicas show that, the others have had time to respond, and a replacement check is
     /// missing.
@@ -80,16 +93,20 @@
         });
     }
 
-    /// What the evidence shows at `now` about a commit that the primary `lead` answered at
-    /// `answered`.
+    /// What the evidence shows at `now` about a commit that the primary `lead` has answered.
+    ///
+    /// Evidence covers the answer by the time of its request, whichever of the two arrives first. If
+    /// instances respond slowly, the answers of a commit and of the queries that were sent before it
+    /// arrive together, often too late for another round of queries.
     pub fn commit_confirmation(
         &self,
         group: &GroupName,
         lead: Lead,
         replication: Replication,
-        answered: Instant,
+        answer: UncoveredAnswer,
         now: Instant,
     ) -> CommitConfirmation {
+        let UncoveredAnswer { answered, lifetime } = answer;
         let statuses = self.group(group);
         let known = statuses.read().expect("a thread panicked while it held the status lock");
         let evidence = &known.evidence;
@@ -105,9 +122,16 @@
         if evidence.confirms_commit(lead, replication, answered) {
             return CommitConfirmation::Confirmed;
         }
-        let covered_until = evidence.would_cover_until(lead, replication, Duration::ZERO);
+        let coverage = lifetime.and_then(|lifetime| {
+            known.answer_coverage(lead.instance, lead.term, replication, lifetime)
+        });
+        if coverage.is_some_and(|coverage| answered <= coverage.until) {
+            return CommitConfirmation::Covered;
+        }
+        let lifetime = lifetime.unwrap_or_default().saturating_sub(MIN_PROMOTION_TIME);
+        let covered_until = evidence.would_cover_until(lead, replication, lifetime);
         let has_waited = now >= answered + REPLICA_RESPONSE_TIMEOUT;
-        match has_waited && covered_until.is_some_and(|queried_at| queried_at >= answered) {
+        match has_waited && covered_until.is_some_and(|until| answered <= until) {
             true => CommitConfirmation::LacksReplacementCheck,
             false => CommitConfirmation::Unconfirmed,
         }
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -19,7 +19,7 @@
 use kestrellock_core::suspicion::HealthSignals;
 use kestrellock_protocol::backend::Report;
 
-pub use super::commit_evidence::{CommitConfirmation, CommitTimes, EvidenceScope};
+pub use super::commit_evidence::{CommitConfirmation, CommitTimes, EvidenceScope, UncoveredAnswer};
 use super::exchange_record::ExchangeRecord;
 pub use super::exchange_record::{ConnectionOutcome, ExchangeResponse};
 pub use super::group_statuses::{GroupStatuses, KnownStatus};
