Evaluate what has arrived before a commit ends in doubt

Cause: a tick answered the commits whose deadline had passed before it evaluated the evidence that had arrived since the last evaluation, such as the result of a replacement check, which arrives between ticks.

Change: commits whose deadline has passed are evaluated once more, and only those that nothing covers or confirms are in doubt. Deadlines are the same.

Result: by reading; no test reproduces the order, since the evaluation and the end of the wait are in one tick. The tests of commit confirmations pass.

--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -301,8 +301,13 @@
         self.pending = kept;
     }
 
-    /// Answers the commits whose deadline has passed: their outcome is in doubt.
-    pub fn expire(&mut self, name: &GroupName, io: &mut Io) {
+    /// Answers the commits whose deadline has passed: their outcome is in doubt, unless what has
+    /// arrived by now confirms them.
+    pub fn expire(&mut self, name: &GroupName, group: Option<&Group>, io: &mut Io) {
+        let is_late = |pending: &PendingCommit| pending.commit.deadline <= io.now;
+        if let Some(group) = group.filter(|_| self.pending.iter().any(is_late)) {
+            self.resolve_by_replica_statuses(name, group, io);
+        }
         let (late, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending)
             .into_iter()
             .partition(|pending| pending.commit.deadline <= io.now);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -222,10 +222,11 @@
         self.track_primaries(io);
         self.end_drained_transactions(io);
         self.close_overdue(io);
+        let catalog = io.context.catalog.load();
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
             if let Some(state) = self.groups.get_mut(&name) {
-                state.confirmations.expire(&name, io);
+                state.confirmations.expire(&name, catalog.groups.get(&name), io);
                 state.current_positions.expire(io.now);
                 let mut late = Vec::new();
                 for (instance, pool) in &mut state.pools {
