--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -21,9 +21,9 @@
 use prometheus_client::registry::Registry;
 
 pub use labels::{
-    AnswerEvidence, CapacityEvent, ChoiceEvidence, CommitWait, ConfigurationEvent, ConnectionEvent,
-    HeldFor, IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent, ProbeEvent,
-    ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
+    AnswerEvidence, CapacityEvent, ChoiceEvidence, CommitWait, CommitWaitEnd, ConfigurationEvent,
+    ConnectionEvent, HeldFor, IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent,
+    ProbeEvent, ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
     StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult, UnansweredRequest,
     VoteEvent,
 };
@@ -126,6 +126,8 @@
     pub commit_answers: CounterSet<AnswerEvidence>,
     /// Commits whose answer waits until replicas have confirmed them, by reason.
     pub commit_waits: CounterSet<CommitWait>,
+    /// Commits whose answers no evidence covered, by how their wait ended.
+    pub commit_wait_ends: CounterSet<CommitWaitEnd>,
     /// Requests that wait before they are sent to an instance, by what they wait for.
     pub held: CounterSet<HeldFor>,
     /// Connections from clients.
@@ -260,6 +262,11 @@
                 "commit_waits",
                 "Commits whose answer waits until replicas have confirmed them, by reason",
             ),
+            commit_wait_ends: CounterSet::register(
+                r,
+                "commit_wait_ends",
+                "Commits that waited for confirmation, by how the wait ended",
+            ),
             held: CounterSet::register(
                 r,
                 "held",
