Split the coordinator thread into modules

What it exchanges with the watcher is now in `coordinator/input`, and how it executes the commands of attempts in `coordinator/commands`. Names and behaviour are unchanged; the tests of the daemon pass as before.

--- a/crates/daemon/src/agent/promotion/coordinator.rs
+++ b/crates/daemon/src/agent/promotion/coordinator.rs
@@ -9,28 +9,31 @@
 //! again. No other node may be the coordinator until the old lease would have ended, so the
 //! attempts in the store can continue under the new fencing token.
 
+mod commands;
+mod input;
+
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-use kestrellock_core::ids::{GroupName, InstanceName, NodeName};
+use kestrellock_core::ids::{GroupName, NodeName};
 use kestrellock_core::promotion::{
-    Attempt, Command, Event, KnownInstances, Need, ProbeResult, ProcessProbes, PromotionCaller,
-    ReplacementId, Successor, Timing,
+    Attempt, Event, KnownInstances, Need, ProbeResult, ProcessProbes, PromotionCaller,
+    ReplacementId, Timing,
 };
-use kestrellock_core::store_access::Refusal;
 use kestrellock_core::store_era::StoreEra;
-use kestrellock_store::control::{ControlTarget, InstanceCommand};
 use kestrellock_store::coordination::{Coordination, CoordinatorLease};
 
 use super::ReplacementServices;
-use super::executor::{Executor, FinishedReplacement, Report};
+use super::executor::{Executor, Report};
 use super::lease_acquisition::{acquire_lease_for_watcher, reacquire_lease};
 use super::reporting_nodes::nodes_to_report;
 use super::running_attempt::{CallsEndedEvidence, RunningAttempt};
 use crate::context::NodeContext;
 use crate::supervisor::StopFlag;
 
+pub use input::{CoordinatorInput, LeaseAttempt, SharedCoordinatorInput};
+
 /// Longest time between two steps of the attempts.
 const STEP_INTERVAL: Duration = Duration::from_millis(3);
 /// The lease is renewed when less than this is left of it.
@@ -42,40 +45,6 @@
 /// Needs are ignored for this long after an attempt of their group has ended: they may have been
 /// computed before its end.
 const STALE_NEEDS_PERIOD: Duration = Duration::from_millis(200);
-/// A promotion is sent only if at least this much is left of the lease.
-const MIN_LEASE_FOR_PROMOTION: Duration = Duration::from_millis(100);
-
-/// What the watcher passes to the coordinator thread, and what the thread reports back: the
-/// cancelled attempts, and how acquiring the lease ended.
-#[derive(Clone, Debug, Default)]
-pub struct CoordinatorInput {
-    /// The replacement that each group needs.
-    pub needs: BTreeMap<GroupName, Need>,
-    /// The instances of each group.
-    pub known: KnownInstances,
-    /// When a node was last removed from the machine list.
-    pub last_node_removal: Option<Instant>,
-    /// Whether the store may return outdated incarnations of instances.
-    pub incarnations_may_be_outdated: bool,
-    /// Groups whose attempt was cancelled since the watcher last took this list.
-    pub cancelled: Vec<GroupName>,
-    /// How the last attempt to acquire the lease ended, if the watcher has not taken it yet.
-    pub lease_attempt: Option<LeaseAttempt>,
-}
-
-/// How an attempt to acquire the coordinator lease ended.
-#[derive(Clone, Copy, Debug)]
-pub enum LeaseAttempt {
-    /// This node has become the coordinator.
-    Acquired,
-    /// Another node was the coordinator already.
-    Preceded,
-    /// The store refused a call.
-    Refused(Refusal),
-}
-
-/// The input, shared between the watcher and the coordinator thread.
-pub type SharedCoordinatorInput = Arc<Mutex<CoordinatorInput>>;
 
 struct CoordinatorThread<'a> {
     context: &'a NodeContext,
@@ -410,94 +379,4 @@
             self.execute(group, command, &input.known, now);
         }
     }
-
-    fn execute(
-        &mut self,
-        group: &GroupName,
-        command: Command,
-        known: &KnownInstances,
-        now: Instant,
-    ) {
-        match command {
-            Command::ReadIncarnations if self.incarnations_may_be_outdated => {
-                log::info!(event = "starts_unknown", group = group.as_str(); "the store was restored from an older copy: it may not know all restarts of instances yet");
-                if let Some(running) = self.attempts.get_mut(group) {
-                    running.attempt.on_event(Event::IncarnationsUnavailable, now);
-                }
-            }
-            Command::ReadIncarnations => {
-                let members = known.members(group).all;
-                let instances = members.into_iter().map(|member| member.name).collect();
-                self.executor.read_starts(group.clone(), instances);
-            }
-            Command::QueryStatus(instance) => {
-                self.send_command(group, &instance, InstanceCommand::Ask, known)
-            }
-            Command::Stop { instance, term } => {
-                self.send_command(group, &instance, InstanceCommand::Stop(term), known);
-            }
-            Command::Demote { instance, term } => {
-                self.send_command(group, &instance, InstanceCommand::Demote(term), known);
-            }
-            Command::Release(instance) => {
-                self.send_command(group, &instance, InstanceCommand::Release, known)
-            }
-            Command::QueryCaller(caller) => self.query_caller(group, caller, now),
-            Command::Promote(instance) => {
-                if let Some(running) = self.attempts.get(group) {
-                    running.report_promotion(group, &self.context.metrics);
-                }
-                if now + MIN_LEASE_FOR_PROMOTION < self.lease.valid_until {
-                    let coordinator = self.context.identity.node.clone();
-                    self.executor.promote(group.clone(), instance, coordinator, &self.lease);
-                }
-            }
-            Command::RecordIntent(ref intent) => {
-                self.executor.record(&self.lease, group.clone(), intent.clone());
-                self.keep_pending(group, command);
-            }
-            Command::RecordSuccessor(successor) => {
-                self.executor.install(&self.lease, group.clone(), successor);
-            }
-            Command::Finish { id, ref successor } => {
-                self.log_end(group, successor.as_ref(), now);
-                let running = self.attempts.get(group);
-                let open_callers =
-                    running.map(|running| running.attempt.callers_at_end()).unwrap_or_default();
-                let finished =
-                    FinishedReplacement { id, successor: successor.clone(), open_callers };
-                self.executor.finish(&self.lease, group.clone(), finished);
-                self.keep_pending(group, command);
-            }
-        }
-    }
-
-    fn keep_pending(&mut self, group: &GroupName, command: Command) {
-        if let Some(running) = self.attempts.get_mut(group) {
-            running.pending = Some(command);
-        }
-    }
-
-    fn log_end(&self, group: &GroupName, successor: Option<&Successor>, now: Instant) {
-        let started = self.attempts.get(group).map_or(now, |running| running.started);
-        let took = now.saturating_duration_since(started).as_millis() as u64;
-        log::info!(event = "attempt_over", group = group.as_str(), successor:? = successor, took_ms = took; "the attempt is over");
-        if successor.is_none() {
-            let mut input = self.input.lock().unwrap_or_else(PoisonError::into_inner);
-            input.cancelled.push(group.clone());
-        }
-    }
-
-    fn send_command(
-        &mut self,
-        group: &GroupName,
-        instance: &InstanceName,
-        command: InstanceCommand,
-        known: &KnownInstances,
-    ) {
-        let Some(address) = known.address(group, instance) else { return };
-        let (group, instance) = (group.clone(), instance.clone());
-        let target = ControlTarget { group, instance, address };
-        self.executor.send_command(target, command, self.lease.valid_until);
-    }
 }
