--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -47,7 +47,7 @@
 use kestrellock_store::coordination::Coordination;
 
 pub use caller_queries::answer as answer_caller_query;
-pub use peer_checks::answer as answer_replacement_query;
+pub use peer_checks::{PeerChecker, answer as answer_replacement_query};
 pub use watch::run;
 
 /// Platform services that primary replacement uses.
--- a/crates/daemon/src/agent/promotion/peer_checks.rs
+++ b/crates/daemon/src/agent/promotion/peer_checks.rs
@@ -37,6 +37,12 @@
     nodes_digest: u64,
 }
 
+impl Default for PeerChecker {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl PeerChecker {
     /// A checker that has made no check.
     pub fn new() -> Self {
