evidence_worlds: show each violation beside an unlisted instance

The search had one test for an instance that has joined after the node lost the store. It stops at the first violation, so it hides that three kinds of evidence are false there. Add a test for each and scopes in which evidence exists at the beginning.

--- a/crates/core/tests/evidence_worlds/known_worlds.rs
+++ b/crates/core/tests/evidence_worlds/known_worlds.rs
@@ -3,8 +3,8 @@
 use crate::model::Violation;
 use crate::node::PlantedUse;
 use crate::scopes::{
-    FORGOTTEN_STOP, JOINED, RESTART_AFTER_REVOCATION, REVOCATIONS_FOLLOW_STOPS, SILENT_COORDINATOR,
-    with_rules,
+    FORGOTTEN_STOP, JOINED, JOINED_LASTING, JOINED_UNKNOWN, JOINED_WRITES,
+    RESTART_AFTER_REVOCATION, REVOCATIONS_FOLLOW_STOPS, SILENT_COORDINATOR, with_rules,
 };
 use crate::{assert_detected, assert_no_violation, with};
 
@@ -58,3 +58,23 @@
 fn evidence_is_true_beside_an_instance_that_is_not_listed() {
     assert_no_violation("an instance has joined", JOINED, 11);
 }
+
+/// Guards against reports of all listed replicas that count for a while after a promotion of an
+/// instance that the node does not list has released them.
+#[test]
+fn lasting_evidence_is_true_beside_an_instance_that_is_not_listed() {
+    assert_no_violation("an instance has joined, lasting evidence", JOINED_LASTING, 10);
+}
+
+/// Guards against a commit that a replica confirms which the promotion of an instance that the node
+/// does not list has released.
+#[test]
+fn commits_are_safe_beside_an_instance_that_is_not_listed() {
+    assert_no_violation("an instance has joined, with a write", JOINED_WRITES, 11);
+}
+
+/// Guards against unchecked reads while an instance that nobody lists confirms a successor's commits.
+#[test]
+fn evidence_is_true_beside_an_instance_that_the_coordinator_does_not_list() {
+    assert_no_violation("nobody lists the instance that has joined", JOINED_UNKNOWN, 11);
+}
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -50,6 +50,19 @@
 /// An instance has joined that the node does not list.
 pub const JOINED: Scope = Scope { has_joined_instance: true, ..QUIET };
 
+/// The same with a write of the node. Only commits of the node matter.
+pub const JOINED_WRITES: Scope = Scope { writes: 1, has_successor_commits: false, ..JOINED };
+
+/// The same without evidence that ends with the requests for it.
+pub const JOINED_LASTING: Scope =
+    Scope { node: NodeKind { planted: PlantedUse::WithoutUnchecked, ..PLAIN.node }, ..JOINED };
+
+/// An instance has joined that the coordinator does not list either.
+pub const JOINED_UNKNOWN: Scope = Scope { coordinator_lists_joined: false, ..JOINED };
+
+/// An instance has joined, and the node has recent evidence.
+pub const JOINED_AFTER_REPORTS: Scope = Scope { start: Start::Reports, ..JOINED };
+
 /// A replica restarts and forgets that it was stopped. Only commits of the node matter.
 pub const FORGOTTEN_STOP: Scope =
     Scope { start: Start::Reports, replica_restarts: 1, has_successor_commits: false, ..CUT_OFF };
@@ -72,7 +85,6 @@
 /// All scopes, by the names that select them.
 pub fn all() -> Vec<(&'static str, Scope)> {
     let unlisted = NodeKind { is_listed: false, ..PLAIN.node };
-    let without_unchecked = NodeKind { planted: PlantedUse::WithoutUnchecked, ..PLAIN.node };
     let wide = Scope {
         has_staggered_stops: true,
         has_cancellations: true,
@@ -113,13 +125,31 @@
             with_rules(RESTART_AFTER_REVOCATION, REVOCATIONS_FOLLOW_STOPS),
         ),
         ("joined", JOINED),
-        ("joined-writes", Scope { writes: 1, has_successor_commits: false, ..JOINED }),
-        ("joined-lasting", Scope { node: without_unchecked, ..JOINED }),
-        ("joined-lasting-store", Scope { node: without_unchecked, has_store: true, ..JOINED }),
-        ("joined-unknown", Scope { coordinator_lists_joined: false, ..JOINED }),
+        ("joined-writes", JOINED_WRITES),
+        ("joined-lasting", JOINED_LASTING),
+        ("joined-lasting-store", Scope { has_store: true, ..JOINED_LASTING }),
+        ("joined-unknown", JOINED_UNKNOWN),
+        ("joined-unknown-lasting", Scope { coordinator_lists_joined: false, ..JOINED_LASTING }),
+        ("joined-after-reports", JOINED_AFTER_REPORTS),
+        ("joined-after-reports-lasting", Scope { start: Start::Reports, ..JOINED_LASTING }),
+        ("joined-after-reports-writes", Scope { start: Start::Reports, ..JOINED_WRITES }),
+        ("joined-store", Scope { has_store: true, ..JOINED }),
+        ("joined-late", Scope { has_late_answers: true, ..JOINED }),
+        ("joined-late-after-reports", Scope { has_late_answers: true, ..JOINED_AFTER_REPORTS }),
+        ("joined-early-demotion", Scope { has_early_demotion: true, ..JOINED_AFTER_REPORTS }),
         (
-            "joined-unknown-lasting",
-            Scope { coordinator_lists_joined: false, node: without_unchecked, ..JOINED },
+            "joined-replica-silent",
+            Scope { dead: &[InstanceId::R2], has_early_demotion: true, ..JOINED_AFTER_REPORTS },
+        ),
+        ("joined-primary-returns", Scope { primary_crashes: 1, ..JOINED_AFTER_REPORTS }),
+        (
+            "joined-wide",
+            Scope {
+                has_staggered_stops: true,
+                has_cancellations: true,
+                has_early_followers: true,
+                ..JOINED_AFTER_REPORTS
+            },
         ),
         (
             "joined-unknown-writes",
