--- a/crates/core/tests/evidence_worlds/node.rs
+++ b/crates/core/tests/evidence_worlds/node.rs
@@ -285,7 +285,8 @@
         covered.is_some_and(|until| arrival_at(answered) <= until)
     }
 
-    /// Whether evidence that arrived since or replicas confirm the commit that waits. The node then acknowledges it.
+    /// Whether replicas, or evidence that has arrived since, confirm the commit that waits. The node
+    /// then acknowledges it.
     pub fn confirms_waiting_commit(&self) -> bool {
         let Some(Write { state: WriteState::Unconfirmed(answered), .. }) = self.write else {
             return false;
