Count a vanished instance among those of which enough replicas have to report

Callers would have read stale data: where the entry of one of four instances lapses and its instance returns and is promoted after the node has lost the store, reports of the primary and of one replica covered reads, because the number of replicas that are needed came from the shorter list. The vanished instance counts now, as it does for the reports of all replicas. The new test failed before (coverage by UncheckedReplicas) and passes. The log line commit_in_doubt has a rate limit of its own, so that the lines of successful requests do not suppress it.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -220,9 +220,19 @@
         self.listed = listed;
     }
 
+    /// The group with the instances that have vanished from the list and may have returned.
+    fn with_vanished(&self, group: Replication) -> Replication {
+        Replication { instances: group.instances + self.vanished.len(), ..group }
+    }
+
     /// Number of reports that are those of all replicas.
     fn all_replicas(&self, group: Replication) -> usize {
-        group.replicas() + self.vanished.len()
+        self.with_vanished(group).replicas()
+    }
+
+    /// Number of reports that are those of enough replicas.
+    fn replicas_needed(&self, group: Replication) -> usize {
+        self.with_vanished(group).replicas_needed()
     }
 
     /// The store, queried at `queried_at`, showed no replacement of the primary that this node
@@ -325,7 +335,7 @@
     /// not have been notified of a replacement or of its end.
     pub fn confirms_commit(&self, lead: Lead, group: Replication, answered: Instant) -> bool {
         let by_all = self.oldest_of_newest(self.all_replicas(group), lead, |_| true);
-        let by_enough = self.oldest_of_newest(group.replicas_needed(), lead, |report| {
+        let by_enough = self.oldest_of_newest(self.replicas_needed(group), lead, |report| {
             self.is_confirmed_by_store(report)
         });
         let queried_at = by_all.max(by_enough);
@@ -343,7 +353,8 @@
         if !self.may_cover(lead.term) {
             return None;
         }
-        self.oldest_of_newest(group.replicas_needed(), lead, |_| true).map(|seen| seen + lifetime)
+        self.oldest_of_newest(self.replicas_needed(group), lead, |_| true)
+            .map(|seen| seen + lifetime)
     }
 
     /// Whether evidence for `term` can count: no higher term is known and the evidence was not
--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -104,7 +104,7 @@
         let may_count = group.synchronous > 0 && lead.term == self.term;
         let by_commit = self.last_commit.filter(|_| may_count);
         let by_all = self.oldest_of_newest(self.all_replicas(group), lead, |_| true);
-        let by_enough = self.oldest_of_newest(group.replicas_needed(), lead, |report| {
+        let by_enough = self.oldest_of_newest(self.replicas_needed(group), lead, |report| {
             self.is_confirmed_by_store(report)
         });
         // The coordinator of a replacement that begins after the check need not stop these
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -427,3 +427,22 @@
     evidence.on_instances_listed(names(&["a", "b"]), now + Duration::from_secs(62));
     assert!(!covered(&evidence));
 }
+
+/// Guards against stale reads where enough replicas of a shorter list report: an instance that has
+/// vanished from the list may have been promoted, and the replica without a report confirms its commits.
+#[test]
+fn a_vanished_instance_counts_in_the_number_of_replicas_that_are_needed() {
+    let now = Instant::now();
+    let names = |names: &[&str]| names.iter().copied().map(InstanceName::new).collect();
+    let three = Replication { synchronous: 1, instances: 3 };
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_instances_listed(names(&["a", "b", "c", "d"]), now);
+    evidence.on_instances_listed(names(&["a", "b", "c"]), now);
+    evidence.on_primary_report(lead(TERM).instance, TERM, now);
+    evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
+    assert_eq!(evidence.coverage(lead(TERM), three, EVIDENCE_LIFETIME), None);
+    evidence.on_no_replacement(now);
+    assert_eq!(evidence.coverage(lead(TERM), three, EVIDENCE_LIFETIME), None);
+    evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
+    assert!(evidence.coverage(lead(TERM), three, EVIDENCE_LIFETIME).is_some());
+}
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -338,7 +338,7 @@
 /// Logs why a commit that waited for replication statuses is in doubt.
 fn log_in_doubt(name: &GroupName, commit: &Commit, answered: Instant, io: &Io) {
     io.context.metrics.commit_wait_ends.count(CommitWaitEnd::InDoubt);
-    if !io.context.routine_log_limiter.admits(io.now) {
+    if !io.context.event_log_limiters.commits_in_doubt.admits(io.now) {
         return;
     }
     let age = |age: Duration| age.as_millis() as u64;
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -13,6 +13,8 @@
 pub struct EventLogLimiters {
     /// Commits that wait until replicas have confirmed them.
     pub commit_waits: RoutineLogLimiter,
+    /// Commits whose wait ended in doubt.
+    pub commits_in_doubt: RoutineLogLimiter,
     /// Exchanges that wait at a gateway for an instance.
     pub held_at_gateway: RoutineLogLimiter,
     /// Requests that wait at a front for a gateway.
@@ -29,6 +31,7 @@
         let limiter = |event| RoutineLogLimiter::for_event(event, per_second);
         Self {
             commit_waits: limiter("commit_waits"),
+            commits_in_doubt: limiter("commit_in_doubt"),
             held_at_gateway: limiter("held"),
             held_at_front: limiter("held_at_front"),
             retries: limiter("retried"),
