--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -1,5 +1,5 @@
-//! Rate limits for the log lines of events that a single request can cause. Each event has a limiter
-//! of its own, so that many lines of one do not suppress those of another. Metrics count all of them,
+//! Rate limits for the log lines of events that a single request can cause. Each event has a separate
+//! limiter, so that many lines of one do not suppress those of another. Metrics count all of them,
 //! including those whose lines are suppressed.
 
 use std::time::Instant;
