--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -10,21 +10,25 @@
 //! There are three kinds of evidence for the primary of a term:
 //!
 //! - a commit that the primary acknowledged after enough replicas had received it;
-//! - reports of all replicas, if each shows that the replica follows no higher term and has not
-//!   been stopped above the term: a successor is one of them, and never reports that again;
-//! - such reports of enough replicas ([`Replication::replicas_needed`]), if the store, or
+//! - reports of the primary and of as many replicas as are synchronous, if they show that it still
+//!   leads, and that each replica follows no higher term and has not been stopped above the term,
+//!   and if earlier evidence still holds when they are answered ([`PrimaryEvidence::renew_claim`]).
+//!   No promotion has released a replica by then, so one of them has yet to be stopped, however many
+//!   instances have joined that the node does not list. Without earlier evidence, a promotion of
+//!   such an instance may have released them;
+//! - reports of enough replicas ([`Replication::replicas_needed`]), if the store, or
 //!   every other listed node, confirmed at about the same time that no replacement is running
 //!   ([`PrimaryEvidence::on_no_replacement`]). A promotion also releases replicas that do not learn
 //!   of it. Such a replica reports the same as before the replacement, and may confirm the
 //!   successor's commits a moment later. Without the confirmation its report would count as evidence
 //!   of the old primary on a node that cannot reach the store.
 //!
-//! Reports of enough replicas without that confirmation cover only what arrived before they
-//! were requested, and only if the primary itself was asked after that arrival and reported that it
-//! leads. A successor has acknowledged no commit by then: the replicas beside those that reported
-//! are too few to confirm one, and the former primary confirms commits only once it is a replica. So
-//! a group with a dead replica is served while the store is unreachable, at the price of queries for
-//! each statement that no commit covers.
+//! Reports of all replicas without that confirmation cover only what arrived before they were
+//! requested, and only if the primary itself was asked after that arrival and reported that it
+//! leads. A successor has acknowledged no commit by then, even one that the node does not list: the
+//! instance that would confirm its commits is one that reported, unless two have joined. So a group
+//! whose replicas answer is served while the store is unreachable, at the price of queries for each
+//! statement that no other evidence covers.
 //!
 //! A commit shows that a replica received it between its sending and its answer. That replica was
 //! not stopped then: not yet, or no longer, since a promotion releases every replica, also one that
@@ -37,8 +41,10 @@
 //! arrived at A is current at the primary if A is covered; a read that may be up to D stale is
 //! current enough if A - D is covered.
 
+mod claim;
 mod coverage;
 mod replication;
+mod reports;
 mod transaction_writes;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,8 +54,10 @@
 use crate::position::Term;
 use crate::promotion::ReplacementId;
 
+use claim::Claim;
 pub use coverage::{Coverage, EvidenceKind};
 pub use replication::Replication;
+use reports::{RecentReports, ReplicaReport};
 pub use transaction_writes::TransactionWrites;
 
 /// How long evidence covers reads that arrive. The coordinator waits that long after the replicas
@@ -86,8 +94,8 @@
     highest_led_otherwise: Term,
     /// When the last acknowledged commit of `term` was sent.
     last_commit: Option<Instant>,
-    /// The last report of each replica.
-    replicas: BTreeMap<InstanceName, ReplicaReport>,
+    /// The recent reports of each replica.
+    replicas: BTreeMap<InstanceName, RecentReports>,
     /// The last report of each instance that it is primary.
     primaries: BTreeMap<InstanceName, PrimaryReport>,
     /// Instances that the group had and that are no longer listed, and since when. One of them may
@@ -97,6 +105,8 @@
     listed: BTreeSet<InstanceName>,
     /// The latest time at which no replacement of the primary was recorded in the store.
     no_replacement_at: Option<Instant>,
+    /// The newest claim that reports have yielded.
+    claim: Option<Claim>,
     /// The replacement for which evidence was revoked, and the highest term of that evidence.
     revoked: Option<(ReplacementId, Term)>,
 }
@@ -110,22 +120,14 @@
     pub report: Option<Instant>,
 }
 
-/// A report of a replica, which shows that it was not stopped above a term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ReplicaReport {
-    term: Term,
-    /// When the query was sent.
-    queried_at: Instant,
-    /// When the answer arrived.
-    answered: Instant,
-}
-
 /// A report of an instance that it is primary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct PrimaryReport {
     term: Term,
     /// When the query was sent.
     queried_at: Instant,
+    /// When the answer arrived.
+    answered: Instant,
 }
 
 /// The terms that a replica reports, as far as they are evidence.
@@ -155,7 +157,8 @@
             self.term = term;
             self.last_commit = None;
             self.no_replacement_at = None;
-            self.replicas.retain(|_, report| report.term >= term);
+            self.claim = None;
+            self.replicas.retain(|_, reports| reports.newest().term >= term);
         }
         term == self.term
     }
@@ -175,10 +178,17 @@
         self.highest_led_otherwise = self.highest_led_otherwise.max(term);
     }
 
-    /// An instance answered a query that was sent at `queried_at` that it is the primary of `term`.
-    pub fn on_primary_report(&mut self, instance: &InstanceName, term: Term, queried_at: Instant) {
+    /// An instance answered at `answered` a query that was sent at `queried_at` that it is the
+    /// primary of `term`.
+    pub fn on_primary_report(
+        &mut self,
+        instance: &InstanceName,
+        term: Term,
+        queried_at: Instant,
+        answered: Instant,
+    ) {
         self.on_term_led(term);
-        let report = PrimaryReport { term, queried_at };
+        let report = PrimaryReport { term, queried_at, answered };
         let known = self.primaries.entry(instance.clone()).or_insert(report);
         if known.queried_at <= queried_at {
             *known = report;
@@ -196,13 +206,15 @@
         self.advance_term(terms.term);
         self.primaries.remove(replica);
         let report = ReplicaReport { term: terms.supported_term(), queried_at, answered };
+        // Statements wait until the report no longer contradicts the claim.
+        self.claim = self.claim.filter(|claim| report.term <= claim.term);
         if report.term < self.term {
             self.replicas.remove(replica);
             return;
         }
-        let known = self.replicas.entry(replica.clone()).or_insert(report);
-        if known.queried_at <= queried_at {
-            *known = report;
+        match self.replicas.get_mut(replica) {
+            Some(known) => known.add(report),
+            None => drop(self.replicas.insert(replica.clone(), RecentReports::new(report))),
         }
     }
 
@@ -244,8 +256,8 @@
     /// When the replica was queried whose last report is evidence for `term`; `None` if the report
     /// is no such evidence.
     pub fn report_queried_at(&self, replica: &InstanceName, term: Term) -> Option<Instant> {
-        let report = self.replicas.get(replica).filter(|report| report.term <= term);
-        report.map(|report| report.queried_at)
+        let report = self.replicas.get(replica).map(RecentReports::newest);
+        report.filter(|report| report.term <= term).map(|report| report.queried_at)
     }
 
     /// When the request for the newest evidence was sent.
@@ -256,13 +268,13 @@
 
     /// When the requests for the newest evidence of each source were sent.
     pub fn newest_by_source(&self) -> NewestEvidence {
-        let report = self.replicas.values().map(|report| report.queried_at).max();
+        let report = self.replicas.values().map(|reports| reports.newest().queried_at).max();
         NewestEvidence { commit: self.last_commit, report }
     }
 
     /// Highest term for which there is any evidence.
     pub fn term(&self) -> Term {
-        let reported = self.replicas.values().map(|report| report.term);
+        let reported = self.replicas.values().map(|reports| reports.newest().term);
         reported.fold(self.term, Term::max)
     }
 
@@ -292,6 +304,7 @@
         self.replicas.clear();
         self.primaries.clear();
         self.no_replacement_at = None;
+        self.claim = None;
     }
 
     /// The replacement has finished: new evidence counts.
@@ -330,15 +343,11 @@
         self.lasting_coverage(lead, group, lifetime).map(|coverage| coverage.until)
     }
 
-    /// Whether a commit that the primary acknowledged at `answered` is known to be safe: replicas
+    /// Whether a commit that the primary acknowledged at `answered` is known to be safe: instances
     /// that were queried after that show that no promotion was being prepared. For nodes that may
     /// not have been notified of a replacement or of its end.
     pub fn confirms_commit(&self, lead: Lead, group: Replication, answered: Instant) -> bool {
-        let by_all = self.oldest_of_newest(self.all_replicas(group), lead, |_| true);
-        let by_enough = self.oldest_of_newest(self.replicas_needed(group), lead, |report| {
-            self.is_confirmed_by_store(report)
-        });
-        let queried_at = by_all.max(by_enough);
+        let queried_at = self.checked_reports(lead, group).max(self.claimed_at(lead.term));
         self.may_cover(lead.term) && queried_at.is_some_and(|queried_at| queried_at >= answered)
     }
 
@@ -381,6 +390,13 @@
             .is_some_and(|queried_at| report.answered <= queried_at + MIN_PROMOTION_TIME)
     }
 
+    /// When the oldest of the newest reports was requested that a replacement check confirms; `None`
+    /// if there are too few.
+    fn checked_reports(&self, lead: Lead, group: Replication) -> Option<Instant> {
+        let count = self.replicas_needed(group);
+        self.oldest_of_newest(count, lead, |report| self.is_confirmed_by_store(report))
+    }
+
     /// Of the `count` most recently queried replicas that are evidence for the primary, the time of
     /// the oldest query; `None` if there are fewer. A report of that primary itself does not count:
     /// one that has stepped down reports as a replica of the term that it led.
@@ -391,9 +407,8 @@
         accepts: impl Fn(&ReplicaReport) -> bool,
     ) -> Option<Instant> {
         let others = self.replicas.iter().filter(|(replica, _)| *replica != lead.instance);
-        let reports = others
-            .map(|(_, report)| report)
-            .filter(|report| report.term <= lead.term && accepts(report));
+        let is_evidence = |report: &ReplicaReport| report.term <= lead.term && accepts(report);
+        let reports = others.filter_map(|(_, reports)| reports.newest_of(is_evidence));
         let mut query_times: Vec<Instant> = reports.map(|report| report.queried_at).collect();
         query_times.sort_unstable_by(|left, right| right.cmp(left));
         query_times.get(count.checked_sub(1)?).copied()
--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -10,20 +10,20 @@
 pub enum EvidenceKind {
     /// A commit that the primary acknowledged.
     Commit,
-    /// Reports of all replicas.
-    AllReplicas,
+    /// Reports that were answered while earlier evidence held.
+    RenewedReports,
     /// Reports of enough replicas, with a replacement check.
     SomeReplicas,
-    /// Reports of enough replicas without a replacement check.
+    /// New reports of all replicas and of the primary, without a replacement check.
     UncheckedReplicas,
 }
 
 /// Evidence that stays valid for some time.
 #[derive(Clone, Copy, Debug)]
-struct LastingEvidence {
+pub(super) struct LastingEvidence {
     /// When the requests were sent that yielded it.
-    requested_at: Instant,
-    kind: EvidenceKind,
+    pub(super) requested_at: Instant,
+    pub(super) kind: EvidenceKind,
 }
 
 /// The evidence for the primary of a term, and what it covers.
@@ -100,19 +100,24 @@
     }
 
     /// The newest evidence for the primary that stays valid for some time.
-    fn lasting_evidence(&self, lead: Lead, group: Replication) -> Option<LastingEvidence> {
+    pub(super) fn lasting_evidence(
+        &self,
+        lead: Lead,
+        group: Replication,
+    ) -> Option<LastingEvidence> {
         let may_count = group.synchronous > 0 && lead.term == self.term;
         let by_commit = self.last_commit.filter(|_| may_count);
-        let by_all = self.oldest_of_newest(self.all_replicas(group), lead, |_| true);
-        let by_enough = self.oldest_of_newest(self.replicas_needed(group), lead, |report| {
-            self.is_confirmed_by_store(report)
-        });
+        let by_claim = self.claim.filter(|claim| claim.term == lead.term);
+        let by_enough = self.checked_reports(lead, group);
         // The coordinator of a replacement that begins after the check need not stop these
         // replicas, so the reports show nothing about the time after the check.
         let by_enough = by_enough.min(self.no_replacement_at);
         let kinds = [
             (by_enough, EvidenceKind::SomeReplicas),
-            (by_all, EvidenceKind::AllReplicas),
+            (
+                by_claim.map(|claim| claim.requested_at),
+                by_claim.map_or(EvidenceKind::RenewedReports, |claim| claim.kind),
+            ),
             (by_commit, EvidenceKind::Commit),
         ];
         let found = kinds.into_iter().filter_map(|(requested_at, kind)| {
@@ -121,11 +126,16 @@
         found.max_by_key(|evidence| evidence.requested_at)
     }
 
-    /// The coverage by new reports of enough replicas and of the primary itself, which ends with the
+    /// The coverage by new reports of all replicas and of the primary itself, which ends with the
     /// first request for them: a replica that a promotion has released may confirm the successor's
-    /// commits right after it has answered, and so may the primary once it has stepped down.
+    /// commits right after it has answered, and so may the primary once it has stepped down. With
+    /// fewer reports, a successor that the node does not list may have had its commits confirmed by
+    /// the other replicas.
     pub fn unchecked_coverage(&self, lead: Lead, group: Replication) -> Option<Coverage> {
-        let reported_at = self.would_cover_until(lead, group, Duration::ZERO)?;
+        if !self.may_cover(lead.term) {
+            return None;
+        }
+        let reported_at = self.oldest_of_newest(self.all_replicas(group), lead, |_| true)?;
         let primary = self.primaries.get(lead.instance)?;
         if primary.term != lead.term {
             return None;
--- a/crates/core/tests/evidence_worlds/main.rs
+++ b/crates/core/tests/evidence_worlds/main.rs
@@ -19,7 +19,7 @@
 mod service;
 
 use explorer::{Goal, Search, explore};
-use model::{Scope, Violation};
+use model::{Scope, Start, Violation};
 use node::{NodeKind, PlantedUse};
 use scopes::{CUT_OFF, PLAIN, QUIET, UNINFORMED};
 
@@ -123,8 +123,9 @@
 /// Guards against a search that cannot find a former primary that is evidence for itself.
 #[test]
 fn former_primary_as_its_own_evidence_is_detected() {
-    let scope = with(QUIET, PlantedUse::FormerPrimaryRenamed);
-    assert_detected("renamed former primary", scope, 11, Violation::Stale);
+    let recent = Scope { start: Start::Commit, has_early_demotion: true, ..QUIET };
+    let scope = with(recent, PlantedUse::FormerPrimaryRenamed);
+    assert_detected("renamed former primary", scope, 13, Violation::Stale);
 }
 
 #[test]
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -13,7 +13,7 @@
 /// The commit of the successor in a log. The observed node's commits are the lower bits.
 const SUCCESSOR_COMMIT: u8 = 0x80;
 /// Time step in which the exploration begins. Evidence from the first step has expired by then.
-const FIRST_TICK: u8 = 50;
+pub const FIRST_TICK: u8 = 50;
 /// Ages from this on do not differ in their effect: evidence has expired, and requests have been
 /// abandoned.
 pub const MAX_AGE_TICKS: u8 = 5;
@@ -100,7 +100,7 @@
     Idle,
     /// A commit has just been answered.
     Commit,
-    /// All replicas have just reported.
+    /// All replicas have just reported, and a replacement check found none.
     Reports,
 }
 
@@ -119,6 +119,8 @@
     pub dead: &'static [InstanceId],
     /// Whether the observed node reaches the store.
     pub has_store: bool,
+    /// Whether the observed node reaches every other listed node, which make replacement checks.
+    pub has_peers: bool,
     /// Whether a primary is ever replaced.
     pub has_coordinator: bool,
     /// Whether answers may arrive later than they are sent.
@@ -144,6 +146,8 @@
     pub node_restarts: u8,
     /// Number of writes of the observed node.
     pub writes: u8,
+    /// First time step in which it sends one.
+    pub first_write_tick: u8,
 }
 
 /// What may happen next.
@@ -261,6 +265,7 @@
                 for id in [R1, R2] {
                     node.on_status(id, instances[id as usize].status, FIRST_TICK, FIRST_TICK);
                 }
+                node.on_no_replacement(FIRST_TICK);
             }
         }
         Self {
@@ -374,11 +379,11 @@
                     self.node.on_status(id, status, sent, now);
                 }
             }
-            Action::CheckStore => self.node.evidence.on_no_replacement(sent_at(now)),
+            Action::CheckStore => self.node.on_no_replacement(now),
             Action::SendCheck => self.node.check = Some(now),
             Action::ReceiveCheck => {
                 if let Some(sent) = self.node.check.take() {
-                    self.node.evidence.on_no_replacement(sent_at(sent));
+                    self.node.on_no_replacement(sent);
                 }
             }
             Action::SendWrite => self.send_write(),
@@ -588,6 +593,7 @@
             self.primary_crashes,
             self.node_restarts,
             self.acknowledged,
+            self.scope.first_write_tick.saturating_sub(self.now),
         ];
         let connection = node.connection.map(|connection| Connection {
             established: age(connection.established),
--- a/crates/core/tests/evidence_worlds/model/choices.rs
+++ b/crates/core/tests/evidence_worlds/model/choices.rs
@@ -24,7 +24,8 @@
             }
         }
         let is_unreplaced = self.coordinator.phase == Phase::Idle && self.node.revoked_at.is_none();
-        if self.scope.has_store && self.node.check.is_none() && is_unreplaced {
+        let makes_checks = self.scope.has_store || self.scope.has_peers;
+        if makes_checks && self.node.check.is_none() && is_unreplaced {
             actions.push(Action::CheckStore);
             if self.scope.has_late_answers {
                 actions.push(Action::SendCheck);
@@ -34,7 +35,9 @@
             actions.push(Action::ReceiveCheck);
         }
         let old = self.at(P);
-        let runs_write = old.is_alive && old.status.leads && old.status.term == OLD_TERM.0;
+        let is_due = self.now >= self.scope.first_write_tick;
+        let runs_write =
+            is_due && old.is_alive && old.status.leads && old.status.term == OLD_TERM.0;
         if self.node.write.is_none() && self.writes < self.scope.writes && runs_write {
             actions.push(Action::SendWrite);
         }
--- a/crates/core/tests/evidence_worlds/node.rs
+++ b/crates/core/tests/evidence_worlds/node.rs
@@ -233,12 +233,25 @@
             }
         }
         if status.leads {
-            return self.evidence.on_primary_report(name, term, sent_at(sent));
+            self.evidence.on_primary_report(name, term, sent_at(sent), arrival_at(now));
+            return self.renew_claim();
         }
         let renamed = self.kind.planted == PlantedUse::FormerPrimaryRenamed && is_old_primary;
         let name = if renamed { &NAMES[4] } else { name };
         let terms = ReplicaTerms { term, min_term: Term(status.min_term) };
         self.evidence.on_replica_report(name, terms, sent_at(sent), arrival_at(now));
+        self.renew_claim();
+    }
+
+    /// The store, or every other node, showed no replacement at the time of a query.
+    pub fn on_no_replacement(&mut self, sent: u8) {
+        self.evidence.on_no_replacement(sent_at(sent));
+        self.renew_claim();
+    }
+
+    fn renew_claim(&mut self) {
+        let lifetime = self.lifetime();
+        self.evidence.renew_claim(Self::lead(), REPLICATION, lifetime, Some(&self.process));
     }
 
     fn on_led(&mut self, term: Term) {
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -24,6 +24,7 @@
     coordinator_lists_joined: true,
     dead: &[],
     has_store: true,
+    has_peers: false,
     has_coordinator: true,
     has_late_answers: false,
     has_staggered_stops: false,
@@ -36,6 +37,7 @@
     primary_crashes: 0,
     node_restarts: 0,
     writes: 1,
+    first_write_tick: 0,
 };
 
 /// The node does not learn of replacements.
@@ -134,6 +136,7 @@
         ("joined-after-reports", JOINED_AFTER_REPORTS),
         ("joined-after-reports-lasting", Scope { start: Start::Reports, ..JOINED_LASTING }),
         ("joined-after-reports-writes", Scope { start: Start::Reports, ..JOINED_WRITES }),
+        ("joined-peers", Scope { has_peers: true, ..JOINED_WRITES }),
         ("joined-store", Scope { has_store: true, ..JOINED }),
         ("joined-late", Scope { has_late_answers: true, ..JOINED }),
         ("joined-late-after-reports", Scope { has_late_answers: true, ..JOINED_AFTER_REPORTS }),
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_core::classify::StatementClass;
 use kestrellock_core::ids::InstanceName;
+use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{
     EVIDENCE_LIFETIME, EvidenceKind, Lead, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms,
@@ -42,13 +43,13 @@
     let later = now + Duration::from_millis(7);
     let mut evidence = PrimaryEvidence::default();
     evidence.on_replica_report(&replica("b"), FOLLOWING, later, later);
+    evidence.on_no_replacement(later);
     assert_eq!(evidence.covers_until(lead(TERM), SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
     evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
     assert_eq!(
         evidence.covers_until(lead(TERM), SYNCHRONOUS_TWO, EVIDENCE_LIFETIME),
         Some(now + EVIDENCE_LIFETIME)
     );
-    evidence.on_no_replacement(later);
     assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFETIME));
 }
 
@@ -75,44 +76,120 @@
     assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFETIME));
 }
 
-/// Guards against refused statements while a replica is dead and the store is unreachable, and
-/// against reports that count for longer than a released replica confirms no commit.
+/// Guards against refused statements while the store is unreachable, against reports that count for
+/// longer than a released replica confirms no commit, and against a successor that the node does not
+/// list: a replica that has not reported may confirm its commits.
 #[test]
-fn reports_of_enough_replicas_cover_only_what_arrived_before_they_were_requested() {
+fn reports_of_all_replicas_cover_only_what_arrived_before_they_were_requested() {
     let now = Instant::now();
     let mut evidence = PrimaryEvidence::default();
+    let coverage =
+        |evidence: &PrimaryEvidence, group| evidence.coverage(lead(TERM), group, EVIDENCE_LIFETIME);
     evidence.on_replica_report(&replica("b"), STOPPED, now, now);
-    assert_eq!(evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
+    assert_eq!(coverage(&evidence, SYNCHRONOUS_ONE), None);
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now + EVIDENCE_LIFETIME);
-    assert_eq!(evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME), None);
+    assert_eq!(coverage(&evidence, SYNCHRONOUS_ONE), None);
     let earlier = now - Duration::from_millis(5);
-    evidence.on_primary_report(lead(TERM).instance, TERM, earlier);
-    let coverage = evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME);
-    assert_eq!(coverage.map(|coverage| coverage.until), Some(earlier), "the older of the two");
-    evidence.on_primary_report(lead(TERM).instance, TERM, now);
-    let coverage =
-        evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
-    assert_eq!((coverage.until, coverage.kind), (now, EvidenceKind::UncheckedReplicas));
-    assert_eq!(evidence.coverage(lead(TERM), SYNCHRONOUS_TWO, EVIDENCE_LIFETIME), None);
-    evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
-    let coverage =
-        evidence.coverage(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME).expect("covered");
-    assert_eq!(
-        (coverage.until, coverage.kind),
-        (now + EVIDENCE_LIFETIME, EvidenceKind::AllReplicas)
-    );
+    evidence.on_primary_report(lead(TERM).instance, TERM, earlier, now);
+    let covered_until = coverage(&evidence, SYNCHRONOUS_ONE).map(|coverage| coverage.until);
+    assert_eq!(covered_until, Some(earlier), "the older of the two");
+    evidence.on_primary_report(lead(TERM).instance, TERM, now, now);
+    for group in [SYNCHRONOUS_ONE, SYNCHRONOUS_TWO] {
+        let found = coverage(&evidence, group).expect("covered");
+        assert_eq!((found.until, found.kind), (now, EvidenceKind::UncheckedReplicas));
+    }
+    evidence.on_restart(&replica("c"));
+    assert_eq!(coverage(&evidence, SYNCHRONOUS_ONE), None, "a replica has not reported");
 }
 
+/// The primary and the replicas report; the node keeps the claim that results.
+fn report_and_renew(evidence: &mut PrimaryEvidence, replicas: &[&str], at: Instant) {
+    evidence.on_primary_report(lead(TERM).instance, TERM, at, at);
+    for name in replicas {
+        evidence.on_replica_report(&replica(name), FOLLOWING, at, at);
+        evidence.renew_claim(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME, None);
+    }
+}
+
+/// Guards against commits in doubt on a calm group: a check takes longer than it takes to query the
+/// replicas again, so that their newest reports are too new for its result.
 #[test]
-fn reports_of_all_replicas_count_while_the_store_is_unreachable() {
+fn check_confirms_earlier_reports_that_later_ones_have_followed() {
+    let began = Instant::now();
+    let after = |milliseconds| began + Duration::from_millis(milliseconds);
+    let mut evidence = PrimaryEvidence::default();
+    for at in [20, 80, 140, 200] {
+        for name in ["b", "c"] {
+            evidence.on_replica_report(&replica(name), FOLLOWING, after(at), after(at + 3));
+        }
+    }
+    evidence.on_no_replacement(began);
+    assert_eq!(covered(&evidence), Some(began + EVIDENCE_LIFETIME));
+    assert!(evidence.confirms_commit(lead(TERM), SYNCHRONOUS_ONE, after(80)));
+    assert!(!evidence.confirms_commit(lead(TERM), SYNCHRONOUS_ONE, after(81)));
+    evidence.on_replica_report(&replica("b"), STOPPED, after(210), after(211));
+    evidence.on_replica_report(&replica("c"), STOPPED, after(210), after(211));
+    assert!(!evidence.confirms_commit(lead(TERM), SYNCHRONOUS_ONE, after(80)), "both are stopped");
+}
+
+/// Guards against stale reads and lost commits beside a successor that the node does not list, whose
+/// promotion has released all replicas that it lists.
+#[test]
+fn reports_of_all_replicas_without_earlier_evidence_are_none_that_lasts() {
     let now = Instant::now();
-    let later = now + Duration::from_millis(400);
     let mut evidence = PrimaryEvidence::default();
-    evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
-    evidence.on_replica_report(&replica("c"), FOLLOWING, later, later);
-    assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFETIME), "the older of the two");
-    evidence.on_replica_report(&replica("b"), STOPPED, later, later);
+    report_and_renew(&mut evidence, &["b", "c"], now);
     assert_eq!(covered(&evidence), None);
+    assert!(evidence.lacks_claim(lead(TERM), SYNCHRONOUS_ONE));
+    assert!(!evidence.confirms_commit(lead(TERM), SYNCHRONOUS_ONE, now));
+    evidence.on_no_replacement(now);
+    assert!(evidence.confirms_commit(lead(TERM), SYNCHRONOUS_ONE, now));
+    assert!(!evidence.lacks_claim(lead(TERM), SYNCHRONOUS_ONE));
+}
+
+/// Guards against loss of service while the store is unreachable and a replica is dead, and against
+/// reports that count although the evidence before them has expired.
+#[test]
+fn reports_renew_evidence_that_still_holds() {
+    let start = Instant::now();
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_commit(TERM, start);
+    let mut at = start;
+    for _ in 0..3 {
+        at += EVIDENCE_LIFETIME - MIN_PROMOTION_TIME;
+        report_and_renew(&mut evidence, &["b"], at);
+        assert_eq!(covered(&evidence), Some(at + EVIDENCE_LIFETIME));
+    }
+    let late = at + EVIDENCE_LIFETIME - MIN_PROMOTION_TIME + Duration::from_millis(1);
+    report_and_renew(&mut evidence, &["b", "c"], late);
+    assert_eq!(covered(&evidence), Some(at + EVIDENCE_LIFETIME), "the evidence had expired");
+}
+
+/// Guards against evidence of a process of the primary that has ended: a coordinator that sees its end
+/// does not wait.
+#[test]
+fn reports_renew_evidence_only_together_with_the_primary() {
+    let now = Instant::now();
+    let later = now + EVIDENCE_LIFETIME / 2;
+    let mut evidence = PrimaryEvidence::default();
+    evidence.on_commit(TERM, now);
+    for name in ["b", "c"] {
+        evidence.on_replica_report(&replica(name), FOLLOWING, later, later);
+        evidence.renew_claim(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME, None);
+    }
+    assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFETIME));
+    let mut returned = ObservedProcess::default();
+    returned.on_seen(now, now);
+    returned.on_seen(later, later);
+    evidence.on_primary_report(lead(TERM).instance, TERM, later, later);
+    let mut at_returned = evidence.clone();
+    at_returned.renew_claim(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME, Some(&returned));
+    assert_eq!(covered(&at_returned), Some(now + EVIDENCE_LIFETIME), "another process answered");
+    evidence.renew_claim(lead(TERM), SYNCHRONOUS_ONE, EVIDENCE_LIFETIME, None);
+    assert_eq!(covered(&evidence), Some(later + EVIDENCE_LIFETIME));
+    evidence.on_replica_report(&replica("b"), STOPPED, later, later);
+    assert_eq!(covered(&evidence), Some(now + EVIDENCE_LIFETIME), "the report of a stop");
 }
 
 #[test]
@@ -369,8 +446,9 @@
     let now = Instant::now();
     let mut evidence = PrimaryEvidence::default();
     assert_eq!(answers_covered(&evidence), None);
-    evidence.on_primary_report(lead(TERM).instance, TERM, now);
+    evidence.on_primary_report(lead(TERM).instance, TERM, now, now);
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
+    evidence.on_replica_report(&replica("c"), FOLLOWING, now, now);
     assert!(evidence.unchecked_coverage(lead(TERM), SYNCHRONOUS_ONE).is_some());
     assert_eq!(answers_covered(&evidence), None);
     evidence.on_no_replacement(now);
@@ -406,21 +484,23 @@
     let two = Replication { synchronous: 1, instances: 2 };
     let names = |names: &[&str]| names.iter().map(|name| replica(name)).collect();
     let now = Instant::now();
-    let covered = |evidence: &PrimaryEvidence| {
-        evidence.covers_until(lead(TERM), two, EVIDENCE_LIFETIME).is_some()
-    };
+    let covered =
+        |evidence: &PrimaryEvidence| evidence.unchecked_coverage(lead(TERM), two).is_some();
     let mut evidence = PrimaryEvidence::default();
     evidence.on_instances_listed(names(&["a", "b", "c"]), now);
+    evidence.on_primary_report(lead(TERM).instance, TERM, now, now);
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
     evidence.on_instances_listed(names(&["a", "b"]), now);
     assert!(!covered(&evidence), "c may have returned");
     assert!(!evidence.confirms_commit(lead(TERM), two, now));
     evidence.on_no_replacement(now);
-    assert!(covered(&evidence), "the store confirms the report");
+    assert!(evidence.covers_until(lead(TERM), two, EVIDENCE_LIFETIME).is_some());
+    assert!(evidence.confirms_commit(lead(TERM), two, now), "the store confirms the report");
     let mut evidence = PrimaryEvidence::default();
     evidence.on_instances_listed(names(&["a", "b", "c"]), now);
     evidence.on_instances_listed(names(&["a", "b"]), now);
     evidence.on_instances_listed(names(&["a", "b"]), now + Duration::from_secs(60));
+    evidence.on_primary_report(lead(TERM).instance, TERM, now, now);
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
     assert!(covered(&evidence), "it has ended");
     evidence.on_instances_listed(names(&["a", "b", "c"]), now + Duration::from_secs(61));
@@ -438,7 +518,7 @@
     let mut evidence = PrimaryEvidence::default();
     evidence.on_instances_listed(names(&["a", "b", "c", "d"]), now);
     evidence.on_instances_listed(names(&["a", "b", "c"]), now);
-    evidence.on_primary_report(lead(TERM).instance, TERM, now);
+    evidence.on_primary_report(lead(TERM).instance, TERM, now, now);
     evidence.on_replica_report(&replica("b"), FOLLOWING, now, now);
     assert_eq!(evidence.coverage(lead(TERM), three, EVIDENCE_LIFETIME), None);
     evidence.on_no_replacement(now);
--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -406,7 +406,7 @@
     /// The term that an instance was last shown to lead. Where a fault is planted, any term that it
     /// has reported: evidence would prevent what some planted faults lead to, and each of them must
     /// still be detected.
-    fn lead_of<'a>(&self, instance: usize, name: &'a InstanceName) -> Option<Lead<'a>> {
+    pub fn lead_of<'a>(&self, instance: usize, name: &'a InstanceName) -> Option<Lead<'a>> {
         let terms = match self.ignores_unchecked_reports {
             true => &self.terms,
             false => &self.led_terms,
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -167,9 +167,21 @@
         let may_be_lost = own.era.replacement_may_be_lost(now);
         if own.view.revision >= revision && !is_replaced && !may_be_lost {
             own.evidence.on_no_replacement(sent);
+            self.renew_claim(node);
         }
     }
 
+    /// Keeps the claim that the newest reports to a node yield.
+    fn renew_claim(&mut self, node: usize) {
+        let lifetime = self.evidence_lifetime(node);
+        let own = &mut self.nodes[node];
+        let Some(leader) = own.leader() else { return };
+        let name = instance_name(leader);
+        let Some(lead) = own.lead_of(leader, &name) else { return };
+        let process = own.processes.get(&leader).filter(|_| !own.ignores_processes);
+        own.evidence.renew_claim(lead, REPLICATION, lifetime, process);
+    }
+
     /// Sends a request to an instance.
     pub fn send_request(&mut self, node: usize, instance: usize, request: u64, work: Work) {
         let process = self.nodes[node].process;
@@ -262,7 +274,7 @@
                 own.terms.insert(exchange.instance, status.term);
                 if status.role == Role::Primary {
                     let primary = instance_name(exchange.instance);
-                    own.evidence.on_primary_report(&primary, status.term, sent);
+                    own.evidence.on_primary_report(&primary, status.term, sent, now);
                     own.led_terms.insert(exchange.instance, status.term);
                 }
                 if status.role == Role::Replica {
@@ -271,6 +283,7 @@
                     let replica = instance_name(exchange.instance);
                     own.evidence.on_replica_report(&replica, terms, sent, now);
                 }
+                self.renew_claim(exchange.node);
             }
             Reply::NotPrimary | Reply::Refused | Reply::Broken(_) => {
                 if matches!(reply, Reply::NotPrimary) {
--- a/crates/daemon/src/agent/promotion/peer_checks.rs
+++ b/crates/daemon/src/agent/promotion/peer_checks.rs
@@ -193,6 +193,7 @@
     result.confirmed.retain(holds);
     for group in &result.confirmed {
         context.statuses.on_replacement_check(group, result.started_at);
+        context.renew_claim(group);
     }
     let event = match result.outcome() {
         PeerCheckOutcome::Confirmed => ReplacementCheckEvent::PeersConfirmed,
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -53,14 +53,19 @@
 
 impl ReplacementChecker {
     /// Starts the thread that sends the requests; it ends when the checker is dropped.
-    pub fn start(services: &ReplacementServices) -> Self {
+    pub fn start(context: &Arc<NodeContext>, services: &ReplacementServices) -> Self {
         let (requests, request_receiver) = bounded(1);
         let (result_sender, results) = unbounded();
         let coordination = services.coordination.clone();
         let thread_coordination = coordination.clone();
-        let spawned = thread::Builder::new()
-            .name("store-look".to_owned())
-            .spawn(move || run_checks(&thread_coordination, &request_receiver, &result_sender));
+        let thread_context = context.clone();
+        let spawned = thread::Builder::new().name("store-look".to_owned()).spawn(move || {
+            run_checks(&thread_coordination, &request_receiver, |result| {
+                let is_received = result_sender.send(result).is_ok();
+                thread_context.replacement_check_requests.on_check_ended();
+                is_received
+            });
+        });
         if let Err(error) = spawned {
             log::error!("failed to start the replacement check thread: {error}");
         }
@@ -120,7 +125,7 @@
         }
         if asks_peers {
             self.peers.begin(&mut groups, context, view, mailboxes);
-            groups.iter().for_each(|name| context.replacement_check_requests.request(name));
+            context.replacement_check_requests.keep(groups);
         }
     }
 
@@ -159,15 +164,16 @@
     }
 }
 
+/// Makes the requested checks until `deliver` returns that their results are no longer received.
 fn run_checks(
     coordination: &Arc<dyn Coordination>,
     request_receiver: &Receiver<BTreeSet<GroupName>>,
-    result_sender: &Sender<CheckResult>,
+    deliver: impl Fn(CheckResult) -> bool,
 ) {
     while let Ok(groups) = request_receiver.recv() {
         let started_at = Instant::now();
         let outcome = coordination.check_view(&groups);
-        if result_sender.send(CheckResult { started_at, outcome }).is_err() {
+        if !deliver(CheckResult { started_at, outcome }) {
             return;
         }
     }
@@ -193,6 +199,7 @@
         confirmed.filter(|name| is_unreplaced(name, context, view)).collect();
     for name in &confirmed {
         context.statuses.on_replacement_check(name, result.started_at);
+        context.renew_claim(name);
     }
     let event = match confirmed.len() == groups.len() {
         true => ReplacementCheckEvent::StoreConfirmed,
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -126,7 +126,7 @@
         turn: CoordinatorTurn::default(),
         is_lease_refused: false,
         coordinator_thread: None,
-        replacement_checker: ReplacementChecker::start(services),
+        replacement_checker: ReplacementChecker::start(context, services),
         mailboxes,
         stop,
         last_report: None,
@@ -134,7 +134,7 @@
     while !stop.is_stopping() {
         stop.wait_while_paused();
         watcher.step();
-        thread::sleep(watcher.step_interval());
+        context.replacement_check_requests.wait(watcher.step_interval());
     }
 }
 
@@ -162,7 +162,8 @@
         let has_no_votes = self.view_with_votes.votes.is_empty() && self.votes.is_empty();
         let has_no_replacements = self.intents.is_empty() && !self.turn.is_needed();
         let is_querying = self.status_queries.is_query_in_progress()
-            || self.replacement_checker.is_asking_peers();
+            || self.replacement_checker.is_asking_peers()
+            || self.context.replacement_check_requests.is_waiting();
         let is_idle = has_no_votes && has_no_replacements && !is_querying;
         if is_idle { IDLE_STEP_INTERVAL } else { STEP_INTERVAL }
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -42,7 +42,7 @@
 use crate::shared::revoked_evidence::RevokedEvidence;
 use crate::shared::routine_log_lines::RoutineLogLimiter;
 use crate::shared::stage::{SharedStage, Stage};
-use crate::shared::statuses::StatusTable;
+use crate::shared::statuses::{EvidenceScope, StatusTable};
 
 /// Identity of this process.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -272,6 +272,38 @@
         coverage.is_some_and(|coverage| answered <= coverage.until)
     }
 
+    /// The scope of the evidence about a group on this node.
+    pub fn evidence_scope(&self, name: &GroupName, group: &Group) -> EvidenceScope {
+        EvidenceScope { replication: group.replication(), lifetime: self.evidence_lifetime(name) }
+    }
+
+    /// Keeps the claim that the newest reports yield about the primary of a group. Has to be called
+    /// after each report and each replacement check.
+    pub fn renew_claim(&self, name: &GroupName) {
+        let catalog = self.catalog.load();
+        let Some(group) = catalog.groups.get(name) else { return };
+        let Some(leader) = self.leader(name, group) else { return };
+        self.statuses.renew_claim(name, &leader.name, self.evidence_scope(name, group));
+    }
+
+    /// Whether evidence of some duration covers answers of the primary of a group at `moment`. Where
+    /// none does, reports alone yield none.
+    pub fn has_lasting_evidence(&self, name: &GroupName, group: &Group, moment: Instant) -> bool {
+        let scope = self.evidence_scope(name, group);
+        let Some(leader) = self.leader(name, group) else { return false };
+        let statuses = self.statuses.group(name);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        known.has_lasting_evidence(&leader.name, scope, moment)
+    }
+
+    /// Whether reports of all replicas yield no evidence for an instance for want of earlier evidence
+    /// or of a replacement check.
+    pub fn lacks_claim(&self, name: &GroupName, group: &Group, instance: &InstanceName) -> bool {
+        let statuses = self.statuses.group(name);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        known.lacks_claim(instance, group.replication())
+    }
+
     /// Whether replacement checks fail now: neither the store nor the other nodes have confirmed
     /// the last one. A commit that needs one would not be confirmed either.
     pub fn replacement_checks_fail(&self, now: Instant) -> bool {
--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -158,7 +158,11 @@
         if group.elector == Elector::Group || (commit.is_covered && !is_uninformed) {
             return acknowledge(commit, Some(position), io);
         }
-        log_wait(&commit, position, name, io);
+        log_wait(&commit, position, name, group, io);
+        if !io.context.has_lasting_evidence(name, group, io.now) {
+            // Reports of replicas confirm the commit only together with a replacement check.
+            io.context.replacement_check_requests.request(name);
+        }
         let method = ConfirmationMethod::ReplicaStatuses {
             position,
             answered: Instant::now(),
@@ -309,7 +313,7 @@
 }
 
 /// Counts and logs a commit that waits until replicas have confirmed it.
-fn log_wait(commit: &Commit, position: Position, group: &GroupName, io: &Io) {
+fn log_wait(commit: &Commit, position: Position, name: &GroupName, group: &Group, io: &Io) {
     let is_listed = io.context.is_listed();
     io.context.metrics.commit_waits.count(match (is_listed, commit.is_covered) {
         (false, _) => CommitWait::Unlisted,
@@ -322,10 +326,11 @@
     let age = |age: Duration| age.as_millis() as u64;
     log::info!(
         event = "commit_waits",
-        group = group.as_str(),
+        group = name.as_str(),
         is_listed = is_listed,
         is_covered = commit.is_covered,
-        evidence_age_ms = io.context.evidence_age(group, io.now).map(age),
+        lacks_claim = io.context.lacks_claim(name, group, &commit.instance),
+        evidence_age_ms = io.context.evidence_age(name, io.now).map(age),
         store_copy_age_ms = io.context.store_copy_age(io.now).map(age),
         lease:? = commit.lease,
         instance = commit.instance.as_str(),
--- a/crates/daemon/src/gateway/evidence_queries.rs
+++ b/crates/daemon/src/gateway/evidence_queries.rs
@@ -60,8 +60,7 @@
                 return Vec::new();
             }
         }
-        let earlier_round = self.latest.as_ref().map(|round| round.started_at);
-        let chosen = instances_lacking_evidence(name, group, moment, earlier_round, io);
+        let chosen = instances_lacking_evidence(name, group, moment, io);
         if !chosen.is_empty() {
             let delay = self.pacer.on_request(io.now, rand::random());
             self.latest = Some(QueryRound { started_at: Instant::now(), answered: false, delay });
@@ -79,16 +78,15 @@
 
 /// The instances whose status is needed as evidence.
 ///
-/// If the last report of any replica does not cover `moment`, or if the group has too few that are
-/// announced as replicas, these are all replicas: if every replica answers, the store need not be asked, and if one does not, the new
-/// reports of the others cover what has arrived, together with a new report of the primary. The
-/// primary is included if a replica has not answered the earlier round, or if the current process of
-/// the primary is not known to lead the term that its replicas follow.
+/// If no evidence covers `moment`, if the last report of any replica does not, or if the group has too
+/// few that are announced as replicas, these are all replicas and the primary: their reports renew
+/// earlier evidence that still holds. Without such evidence they yield some together with a
+/// replacement check, or cover what has arrived if all of them report. The primary is also asked if
+/// its current process is not known to lead the term that its replicas follow.
 fn instances_lacking_evidence(
     name: &GroupName,
     group: &Group,
     moment: Instant,
-    earlier_round: Option<Instant>,
     io: &Io,
 ) -> Vec<InstanceName> {
     let group_statuses = io.context.statuses.group(name);
@@ -113,18 +111,15 @@
         group.instances.iter().filter(is_running_replica).map(|replica| &replica.name).collect();
     // A dead instance may still be announced as primary, or may announce nothing.
     let is_replica_missing = replicas.len() < group.replication().replicas();
+    let scope = io.context.evidence_scope(name, group);
+    let is_claimed =
+        leader.is_some_and(|leader| known.has_lasting_evidence(leader, scope, moment.max(io.now)));
     let is_report_missing =
-        is_replica_missing || !replicas.iter().all(|replica| is_covering(replica));
-    let has_answered = |replica: &InstanceName| {
-        let reported = known.evidence.report_queried_at(replica, term);
-        earlier_round.is_none_or(|round| reported >= Some(round))
-    };
-    let is_replica_silent =
-        is_replica_missing || !replicas.iter().all(|replica| has_answered(replica));
+        is_replica_missing || !is_claimed || !replicas.iter().all(|replica| is_covering(replica));
     let replicas = replicas.into_iter().filter(|_| is_report_missing);
     let current = leader.and_then(|leader| known.current_led_term_of(leader));
     let is_lead_unknown = leads != Some(newest_term) || current != leads;
-    let needs_primary = is_lead_unknown || (is_report_missing && is_replica_silent);
+    let needs_primary = is_lead_unknown || is_report_missing;
     let primary = leader.filter(|_| needs_primary);
     replicas.chain(primary).cloned().collect()
 }
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -58,6 +58,9 @@
     pub announced_role: Option<Role>,
     /// What the evidence covers.
     pub coverage: Option<Coverage>,
+    /// Whether reports of all replicas yield no evidence for want of earlier evidence or of a
+    /// replacement check.
+    pub lacks_claim: bool,
     /// Commits acknowledged before this time must be visible to the statement; `None` if no instance
     /// was considered for it.
     pub must_cover: Option<Instant>,
@@ -135,6 +138,8 @@
         primary.map(|primary| (primary.name.clone(), known.current_led_term_of(&primary.name)));
     basis.coverage =
         primary.and_then(|primary| known.coverage(&primary.name, replication, lifetime));
+    basis.lacks_claim =
+        primary.is_some_and(|primary| known.lacks_claim(&primary.name, replication));
     let covered_until = basis.coverage.map(|coverage| coverage.until);
     // The time that evidence must cover. If the clock cannot represent it, use the arrival time,
     // which is stricter.
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -265,6 +265,10 @@
         if instances.is_empty() {
             return;
         }
+        if !io.context.has_lasting_evidence(name, group, io.now) {
+            // Reports alone yield no evidence that lasts, so the check is made beside the queries.
+            io.context.replacement_check_requests.request(name);
+        }
         for instance in instances {
             state.status_queries.request(instance, io.now);
         }
--- a/crates/daemon/src/gateway/server/replies.rs
+++ b/crates/daemon/src/gateway/server/replies.rs
@@ -14,7 +14,7 @@
 use crate::gateway::notify_front;
 use crate::gateway::running_exchange::{Next, RunningExchange};
 use crate::metrics::AnswerEvidence;
-use crate::shared::statuses::{CommitTimes, EvidenceScope, ExchangeResponse};
+use crate::shared::statuses::{CommitTimes, ExchangeResponse};
 
 /// Size from which a partial answer is forwarded to the front.
 const FORWARD_THRESHOLD_BYTES: usize = 64 * 1024;
@@ -207,14 +207,12 @@
             return false;
         }
         let Some(configured) = configured else { return false };
-        let scope = EvidenceScope {
-            replication: configured.replication(),
-            lifetime: io.context.evidence_lifetime(&self.group),
-        };
+        let scope = io.context.evidence_scope(&self.group, configured);
         // Read the clock again: the answer may have arrived after this process received the event.
         let commit = CommitTimes { sent, answered: Instant::now() };
         let evidence = statuses.on_commit_answer(&self.group, &self.instance, term, commit, scope);
-        io.context.metrics.commit_answers.count(AnswerEvidence::of(evidence));
+        let lacks_claim = io.context.lacks_claim(&self.group, configured, &self.instance);
+        io.context.metrics.commit_answers.count(AnswerEvidence::of(evidence, lacks_claim));
         evidence.is_some()
     }
 
--- a/crates/daemon/src/gateway/status_queries.rs
+++ b/crates/daemon/src/gateway/status_queries.rs
@@ -175,6 +175,7 @@
             &answer.report,
             answer.queried_at,
         );
+        io.context.renew_claim(group);
     }
 }
 
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -326,21 +326,21 @@
     ChoiceEvidence {
         /// A write, on a commit that the primary acknowledged.
         WriteByCommit = "write_commit",
-        /// A write, on reports of all replicas.
-        WriteByAllReplicas = "write_all_replicas",
+        /// A write, on reports that were answered while earlier evidence held.
+        WriteByRenewedReports = "write_renewed_reports",
         /// A write, on reports of some replicas and the store.
         WriteBySomeReplicas = "write_some_replicas",
-        /// A write, on new reports of some replicas alone.
+        /// A write, on new reports of all replicas and of the primary alone.
         WriteByUncheckedReplicas = "write_unchecked_replicas",
         /// A write that waits because evidence is missing.
         WriteWaits = "write_waits",
         /// A read, on a commit that the primary acknowledged.
         ReadByCommit = "read_commit",
-        /// A read, on reports of all replicas.
-        ReadByAllReplicas = "read_all_replicas",
+        /// A read, on reports that were answered while earlier evidence held.
+        ReadByRenewedReports = "read_renewed_reports",
         /// A read, on reports of some replicas and the store.
         ReadBySomeReplicas = "read_some_replicas",
-        /// A read, on new reports of some replicas alone.
+        /// A read, on new reports of all replicas and of the primary alone.
         ReadByUncheckedReplicas = "read_unchecked_replicas",
         /// A read that waits because evidence is missing.
         ReadWaits = "read_waits",
@@ -353,11 +353,14 @@
     AnswerEvidence {
         /// An earlier commit that the primary acknowledged.
         Commit = "commit",
-        /// Reports of all replicas.
-        AllReplicas = "all_replicas",
+        /// Reports that were answered while earlier evidence held.
+        RenewedReports = "renewed_reports",
         /// Reports of some replicas and a replacement check.
         SomeReplicas = "some_replicas",
-        /// None: another instance may lead.
+        /// None: another instance may lead. All replicas have reported, and without earlier evidence
+        /// or a replacement check that is none.
+        Unclaimed = "reports_without_claim",
+        /// None for other reasons.
         Missing = "none",
     }
 }
@@ -405,12 +408,14 @@
 }
 
 impl AnswerEvidence {
-    /// The label for the evidence of an answer; `None` if there is none.
-    pub fn of(evidence: Option<EvidenceKind>) -> Self {
+    /// The label for the evidence of an answer; `None` if there is none. `lacks_claim` says whether
+    /// reports of all replicas yield none for want of a claim.
+    pub fn of(evidence: Option<EvidenceKind>, lacks_claim: bool) -> Self {
         match evidence {
             Some(EvidenceKind::Commit) => Self::Commit,
-            Some(EvidenceKind::AllReplicas) => Self::AllReplicas,
+            Some(EvidenceKind::RenewedReports) => Self::RenewedReports,
             Some(EvidenceKind::SomeReplicas) => Self::SomeReplicas,
+            Some(EvidenceKind::UncheckedReplicas) | None if lacks_claim => Self::Unclaimed,
             Some(EvidenceKind::UncheckedReplicas) | None => Self::Missing,
         }
     }
@@ -422,12 +427,12 @@
     pub fn of(writes: bool, evidence: Option<EvidenceKind>) -> Self {
         match (writes, evidence) {
             (true, Some(EvidenceKind::Commit)) => Self::WriteByCommit,
-            (true, Some(EvidenceKind::AllReplicas)) => Self::WriteByAllReplicas,
+            (true, Some(EvidenceKind::RenewedReports)) => Self::WriteByRenewedReports,
             (true, Some(EvidenceKind::SomeReplicas)) => Self::WriteBySomeReplicas,
             (true, Some(EvidenceKind::UncheckedReplicas)) => Self::WriteByUncheckedReplicas,
             (true, None) => Self::WriteWaits,
             (false, Some(EvidenceKind::Commit)) => Self::ReadByCommit,
-            (false, Some(EvidenceKind::AllReplicas)) => Self::ReadByAllReplicas,
+            (false, Some(EvidenceKind::RenewedReports)) => Self::ReadByRenewedReports,
             (false, Some(EvidenceKind::SomeReplicas)) => Self::ReadBySomeReplicas,
             (false, Some(EvidenceKind::UncheckedReplicas)) => Self::ReadByUncheckedReplicas,
             (false, None) => Self::ReadWaits,
--- a/crates/daemon/src/shared/group_statuses.rs
+++ b/crates/daemon/src/shared/group_statuses.rs
@@ -11,6 +11,7 @@
 use kestrellock_core::primary_samples::PrimarySamples;
 use kestrellock_core::routing::{self, InstanceStatus};
 
+use super::commit_evidence::EvidenceScope;
 use super::exchange_record::ExchangeRecord;
 
 /// Time that replicas have to respond before a replacement check replaces the answers of the
@@ -119,6 +120,35 @@
         Some(Coverage { until, ..coverage })
     }
 
+    /// Keeps the claim that the newest reports yield about the instance `primary`.
+    pub(super) fn renew_claim(&mut self, primary: &InstanceName, scope: EvidenceScope) {
+        let Some(term) = self.led_term_of(primary) else { return };
+        let EvidenceScope { replication, lifetime } = scope;
+        let process = self.processes.get(primary);
+        let lead = Lead { instance: primary, term };
+        self.evidence.renew_claim(lead, replication, lifetime, process);
+    }
+
+    /// Whether reports of all replicas yield no evidence for the instance for want of earlier evidence
+    /// or of a replacement check.
+    pub fn lacks_claim(&self, instance: &InstanceName, group: Replication) -> bool {
+        let term = self.led_term_of(instance);
+        term.is_some_and(|term| self.evidence.lacks_claim(Lead { instance, term }, group))
+    }
+
+    /// Whether reports or a commit cover arrivals at the instance until `moment` that do not have to
+    /// be requested again for each statement.
+    pub fn has_lasting_evidence(
+        &self,
+        instance: &InstanceName,
+        scope: EvidenceScope,
+        moment: Instant,
+    ) -> bool {
+        let Some(term) = self.led_term_of(instance) else { return false };
+        let coverage = self.answer_coverage(instance, term, scope.replication, scope.lifetime);
+        coverage.is_some_and(|coverage| moment <= coverage.until)
+    }
+
     /// Until when the evidence covers the arrival of reads at the primary `instance`.
     pub fn covered_until(
         &self,
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -221,7 +221,8 @@
             let record = known.exchange_records.entry(instance.clone()).or_default();
             record.on_replication_status(report.role, term);
             if report.role == Role::Primary {
-                known.evidence.on_primary_report(instance, term, queried_at);
+                let answered = Instant::now();
+                known.evidence.on_primary_report(instance, term, queried_at, answered);
             }
             if report.role == Role::Replica {
                 known.evidence.on_replica_report(instance, following, queried_at, Instant::now());
@@ -256,6 +257,14 @@
         self.with_group(group, |known| known.evidence.on_no_replacement(queried_at));
     }
 
+    /// Keeps the claim that the newest reports of the group yield about `primary`
+    /// ([`PrimaryEvidence::renew_claim`]).
+    ///
+    /// [`PrimaryEvidence::renew_claim`]: kestrellock_core::primary_evidence::PrimaryEvidence::renew_claim
+    pub fn renew_claim(&self, group: &GroupName, primary: &InstanceName, scope: EvidenceScope) {
+        self.with_group(group, |known| known.renew_claim(primary, scope));
+    }
+
     /// Signs of an instance's health from this node's exchanges with it.
     pub fn signs(&self, group: &GroupName, instance: &InstanceName) -> HealthSignals {
         let statuses = self.group(group);
