Keep the reports that a replacement check in progress can confirm

A check confirms reports that were answered up to 100 ms after it began. The report that the check in progress can confirm is now kept.

check_confirms_earlier_reports_that_later_ones_have_followed fails without it.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -94,7 +94,7 @@
     highest_led_otherwise: Term,
     /// When the last acknowledged commit of `term` was sent.
     last_commit: Option<Instant>,
-    /// The recent reports of each replica.
+    /// The reports of each replica.
     replicas: BTreeMap<InstanceName, RecentReports>,
     /// The last report of each instance that it is primary.
     primaries: BTreeMap<InstanceName, PrimaryReport>,
@@ -105,6 +105,8 @@
     listed: BTreeSet<InstanceName>,
     /// The latest time at which no replacement of the primary was recorded in the store.
     no_replacement_at: Option<Instant>,
+    /// When the latest replacement check began.
+    check_started_at: Option<Instant>,
     /// The newest claim that reports have yielded.
     claim: Option<Claim>,
     /// The replacement for which evidence was revoked, and the highest term of that evidence.
@@ -213,7 +215,10 @@
             return;
         }
         match self.replicas.get_mut(replica) {
-            Some(known) => known.add(report),
+            Some(known) => {
+                let check_limit = self.check_started_at.map(|started| started + MIN_PROMOTION_TIME);
+                known.add(report, check_limit);
+            }
             None => drop(self.replicas.insert(replica.clone(), RecentReports::new(report))),
         }
     }
@@ -247,6 +252,13 @@
         self.with_vanished(group).replicas_needed()
     }
 
+    /// A replacement check of the group begins. The reports that it can confirm are kept until its
+    /// result arrives.
+    pub fn on_check_started(&mut self, started_at: Instant) {
+        self.check_started_at = Some(started_at);
+        self.replicas.values_mut().for_each(RecentReports::on_check_started);
+    }
+
     /// The store, queried at `queried_at`, showed no replacement of the primary that this node
     /// uses, neither running nor finished.
     pub fn on_no_replacement(&mut self, queried_at: Instant) {
--- a/crates/core/src/primary_evidence/reports.rs
+++ b/crates/core/src/primary_evidence/reports.rs
@@ -1,16 +1,9 @@
-//! The recent reports of a replica.
+//! The reports of a replica that may be evidence.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::position::Term;
 
-/// Least time between the answers of two reports that are kept beside the newest one. A replacement
-/// check confirms reports that were answered up to [`MIN_PROMOTION_TIME`](super::MIN_PROMOTION_TIME) after it began, so some of
-/// those are always left.
-const KEPT_INTERVAL: Duration = Duration::from_millis(50);
-/// Number of reports that are kept. They reach back for 800 ms; a slower check confirms none.
-const MAX_KEPT: usize = 16;
-
 /// A report of a replica, which shows that it was not stopped above a term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ReplicaReport {
@@ -21,53 +14,56 @@
     pub(super) answered: Instant,
 }
 
-/// The newest report of a replica and earlier ones for the same term.
+/// The newest report of a replica, and an earlier one that a replacement check in progress can
+/// confirm.
 ///
-/// A replacement check confirms only reports that were answered near its begin. While statements or
-/// commits wait for its result, the replica is queried again, so that its newest report is usually
-/// too new for the check that arrives.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A check confirms only reports that were answered near its begin. While statements or commits wait
+/// for its result, the replica is queried again, so that its newest report is usually too new by the
+/// time at which the result arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct RecentReports {
     newest: ReplicaReport,
-    /// In order of time.
-    earlier: Vec<ReplicaReport>,
+    /// The last report before `newest` that the check in progress can confirm.
+    for_check: Option<ReplicaReport>,
 }
 
 impl RecentReports {
     pub(super) fn new(report: ReplicaReport) -> Self {
-        Self { newest: report, earlier: Vec::new() }
+        Self { newest: report, for_check: None }
     }
 
     pub(super) fn newest(&self) -> &ReplicaReport {
         &self.newest
     }
 
-    /// Adds a report, unless a newer one is known. A report for another term shows that the earlier
-    /// ones no longer hold.
-    pub(super) fn add(&mut self, report: ReplicaReport) {
+    /// Adds a report, unless a newer one is known. A check in progress confirms reports that were
+    /// answered by `check_limit`.
+    pub(super) fn add(&mut self, report: ReplicaReport, check_limit: Option<Instant>) {
         if report.queried_at < self.newest.queried_at {
             return;
         }
-        if report.term != self.newest.term {
-            *self = Self::new(report);
-            return;
-        }
         let replaced = std::mem::replace(&mut self.newest, report);
-        let is_spaced = |last: &ReplicaReport| replaced.answered >= last.answered + KEPT_INTERVAL;
-        if self.earlier.last().is_none_or(is_spaced) {
-            self.earlier.push(replaced);
-        }
-        if self.earlier.len() >= MAX_KEPT {
-            self.earlier.remove(0);
+        if replaced.term != report.term {
+            // The earlier reports no longer hold.
+            self.for_check = None;
+        } else if check_limit.is_some_and(|limit| replaced.answered <= limit) {
+            self.for_check = Some(replaced);
         }
     }
 
+    /// Another check begins, which confirms the newest report.
+    pub(super) fn on_check_started(&mut self) {
+        self.for_check = None;
+    }
+
     /// The newest report of those that a condition accepts.
     pub(super) fn newest_of(
         &self,
         accepts: impl Fn(&ReplicaReport) -> bool,
     ) -> Option<&ReplicaReport> {
-        let from_newest = std::iter::once(&self.newest).chain(self.earlier.iter().rev());
-        from_newest.into_iter().find(|report| accepts(report))
+        [Some(&self.newest), self.for_check.as_ref()]
+            .into_iter()
+            .flatten()
+            .find(|report| accepts(report))
     }
 }
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -380,7 +380,10 @@
                 }
             }
             Action::CheckStore => self.node.on_no_replacement(now),
-            Action::SendCheck => self.node.check = Some(now),
+            Action::SendCheck => {
+                self.node.check = Some(now);
+                self.node.evidence.on_check_started(sent_at(now));
+            }
             Action::ReceiveCheck => {
                 if let Some(sent) = self.node.check.take() {
                     self.node.on_no_replacement(sent);
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -119,6 +119,7 @@
     let began = Instant::now();
     let after = |milliseconds| began + Duration::from_millis(milliseconds);
     let mut evidence = PrimaryEvidence::default();
+    evidence.on_check_started(began);
     for at in [20, 80, 140, 200] {
         for name in ["b", "c"] {
             evidence.on_replica_report(&replica(name), FOLLOWING, after(at), after(at + 3));
--- a/crates/daemon/src/agent/promotion/peer_checks.rs
+++ b/crates/daemon/src/agent/promotion/peer_checks.rs
@@ -89,6 +89,7 @@
         // Read the clock before anything is asked: the check proves what holds from then on.
         let now = Instant::now();
         let query = self.checks.begin(waiting, &nodes, unable, now);
+        query.groups.iter().for_each(|group| context.statuses.on_check_started(group, now));
         let with_term = |group: GroupName| {
             let term = context.statuses.highest_led_term(&group);
             (group, term)
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -119,6 +119,7 @@
             return;
         }
         if asks_store && self.requests.try_send(groups.clone()).is_ok() {
+            groups.iter().for_each(|name| context.statuses.on_check_started(name, now));
             self.in_progress = Some(groups.clone());
             self.last_start = Some(now);
             self.store_check.begin(now);
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -251,6 +251,11 @@
         queried.collect()
     }
 
+    /// Records that a replacement check of the group begins.
+    pub fn on_check_started(&self, group: &GroupName, started_at: Instant) {
+        self.with_group(group, |known| known.evidence.on_check_started(started_at));
+    }
+
     /// Records the result of a replacement check: the store confirmed at `queried_at` that no
     /// replacement of the primary that this node uses was running.
     pub fn on_replacement_check(&self, group: &GroupName, queried_at: Instant) {
