--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -95,6 +95,21 @@
     pub basis: ChoiceBasis,
 }
 
+impl ExplainedChoice {
+    /// Whether the statement goes to the primary, or waits for evidence about it.
+    pub fn uses_primary_evidence(&self) -> bool {
+        match &self.choice {
+            InstanceChoice::Instance(chosen) => {
+                self.basis.primary.as_ref().is_some_and(|(primary, _)| primary == chosen)
+            }
+            InstanceChoice::NeedsEvidence
+            | InstanceChoice::NeedsSessionTerm
+            | InstanceChoice::NeedsStore => true,
+            InstanceChoice::NoneQualifies => false,
+        }
+    }
+}
+
 /// What a statement requires of the instance that runs it.
 #[derive(Clone, Copy)]
 pub struct StatementNeeds<'a> {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod current_position;
 mod ended_transactions;
 mod evidence_queries;
+mod evidence_renewal;
 mod exchanges;
 mod fencing;
 pub mod instance_choice;
@@ -49,6 +50,7 @@
 use self::current_position::CurrentPositions;
 use self::ended_transactions::EndedTransactions;
 use self::evidence_queries::EvidenceQueries;
+use self::evidence_renewal::EvidenceRenewal;
 use self::monitor::Monitor;
 use self::placements::Placements;
 use self::pool::{Pool, RefusedExchange};
@@ -66,6 +68,7 @@
     current_positions: CurrentPositions,
     placements: Placements,
     evidence_queries: EvidenceQueries,
+    evidence_renewal: EvidenceRenewal,
     status_queries: StatusQueries,
     primary_tracker: PrimaryTracker,
     capacity_reports: CapacityReports,
@@ -187,6 +190,7 @@
             current_positions: CurrentPositions::default(),
             placements: Placements::default(),
             evidence_queries: EvidenceQueries::default(),
+            evidence_renewal: EvidenceRenewal::default(),
             status_queries: StatusQueries::default(),
             primary_tracker: PrimaryTracker::default(),
             capacity_reports: CapacityReports::default(),
@@ -243,6 +247,7 @@
                 }
             }
             self.query_unresponsive_instances(&name, io);
+            self.renew_evidence(&name, io);
             self.send_waiting_status_queries(&name, io);
             self.confirm_waiting_commits(&name, io);
             self.advance_group(&name, io);
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -200,6 +200,9 @@
             return ownership::redirect(&held.exchange, None, io);
         }
         let found = held.choose(name, group, pools, io);
+        if found.uses_primary_evidence() {
+            self.group_state(name, io.now).evidence_renewal.on_use(io.now);
+        }
         if let InstanceChoice::Instance(instance) = found.choice {
             if !reaches(group, &instance, io) {
                 return ownership::redirect(&held.exchange, None, io);
@@ -251,13 +254,30 @@
         let catalog = io.context.catalog.load();
         let Some(group) = catalog.groups.get(name) else { return };
         let expected_answer = io.now + EXPECTED_ANSWER_TIME;
-        if group.elector == Elector::Proxy
-            && !io.context.covers_answer(name, group, primary, expected_answer)
-        {
+        if group.elector != Elector::Proxy {
+            return;
+        }
+        self.group_state(name, io.now).evidence_renewal.on_use(io.now);
+        if !io.context.covers_answer(name, group, primary, expected_answer) {
             self.ask_for_evidence(name, group, expected_answer, io);
         }
     }
 
+    /// Queries instances so that their reports renew evidence which ends soon, if the group is in use.
+    pub(super) fn renew_evidence(&mut self, name: &GroupName, io: &mut Io) {
+        let catalog = io.context.catalog.load();
+        let group = catalog.groups.get(name).filter(|group| group.elector == Elector::Proxy);
+        let (Some(group), Some(state)) = (group, self.groups.get_mut(name)) else { return };
+        let instances = state.evidence_renewal.instances_to_query(name, group, io);
+        if instances.is_empty() {
+            return;
+        }
+        for instance in instances {
+            state.status_queries.request_if_connected(instance);
+        }
+        self.send_status_queries(name, io);
+    }
+
     /// Queries instances for evidence that covers `moment`.
     fn ask_for_evidence(&mut self, name: &GroupName, group: &Group, moment: Instant, io: &mut Io) {
         let state = self.group_state(name, io.now);
--- a/crates/daemon/src/shared/group_statuses.rs
+++ b/crates/daemon/src/shared/group_statuses.rs
@@ -136,6 +136,20 @@
         term.is_some_and(|term| self.evidence.lacks_claim(Lead { instance, term }, group))
     }
 
+    /// Until when evidence about the instance covers answers, if reports that arrive by then renew it.
+    pub fn renewable_until(
+        &self,
+        instance: &InstanceName,
+        scope: EvidenceScope,
+    ) -> Option<Instant> {
+        let term = self.current_led_term_of(instance)?;
+        if !self.evidence.may_cover(term) {
+            return None;
+        }
+        let coverage = self.answer_coverage(instance, term, scope.replication, scope.lifetime);
+        coverage.map(|coverage| coverage.until)
+    }
+
     /// Whether reports or a commit cover arrivals at the instance until `moment` that do not have to
     /// be requested again for each statement.
     pub fn has_lasting_evidence(
