Count the shorter lifetime of evidence for a commit that waits

A commit that waits for confirmation was judged by the lifetime that evidence has when the commit is decided. While it is not known how a replacement of the primary ended, evidence lasts for 200 ms and a coordinator waits no longer; once the end is known it lasts for a second again, and an answer that came in between counted with the second. The lifetime at the answer now counts if it is shorter.

--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -67,9 +67,10 @@
         position: Position,
         /// When the answer of the commit arrived.
         answered: Instant,
-        /// Whether evidence counts that was requested before the answer. It does not at a node for
-        /// which no coordinator may have waited when the answer arrived.
-        counts_earlier_evidence: bool,
+        /// How long evidence lasted at this node when the answer arrived, if evidence counts that was
+        /// requested before the answer. It does not at a node for which no coordinator may have
+        /// waited then.
+        lifetime: Option<Duration>,
     },
 }
 
@@ -166,7 +167,7 @@
         let method = ConfirmationMethod::ReplicaStatuses {
             position,
             answered: Instant::now(),
-            counts_earlier_evidence: !is_uninformed,
+            lifetime: (!is_uninformed).then(|| io.context.evidence_lifetime(name)),
         };
         self.pending.push(PendingCommit { commit, method });
     }
@@ -191,8 +192,7 @@
     pub fn resolve_by_replica_statuses(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let mut kept = Vec::new();
         for pending in std::mem::take(&mut self.pending) {
-            let ConfirmationMethod::ReplicaStatuses { position, answered, counts_earlier_evidence } =
-                pending.method
+            let ConfirmationMethod::ReplicaStatuses { position, answered, lifetime } = pending.method
             else {
                 kept.push(pending);
                 continue;
@@ -205,9 +205,11 @@
             }
             let lead = Lead { instance, term: position.term };
             let (statuses, replication) = (&io.context.statuses, group.replication());
-            let counts_earlier_evidence =
-                counts_earlier_evidence && !io.context.needs_replica_confirmation(name, instance);
-            let lifetime = counts_earlier_evidence.then(|| io.context.evidence_lifetime(name));
+            // Evidence may last longer again by now. A coordinator has waited only for as long as it
+            // lasted when the answer arrived.
+            let lifetime = lifetime
+                .filter(|_| !io.context.needs_replica_confirmation(name, instance))
+                .map(|at_answer| at_answer.min(io.context.evidence_lifetime(name)));
             let answer = UncoveredAnswer { answered, lifetime };
             match statuses.commit_confirmation(name, lead, replication, answer, Instant::now()) {
                 CommitConfirmation::Covered => {
