Record a successor's term before the end of its replacement

The end of a replacement makes evidence last for a second again. Until the successor's term is recorded, the node does not recognize the old primary, so an answer of it that arrived in between was covered for too long. The watcher and the handling of the coordinator's message now record the term first. Found by a reviewer by reading; not reproduced.

--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -187,6 +187,11 @@
         if is_new && self.era.observe(view.era, now) {
             self.on_store_restored(&view);
         }
+        // The terms come first: once a replacement is known to have ended, an answer of the old primary
+        // is covered for longer, unless its successor's term is known.
+        if view.promoted != self.view.promoted {
+            self.follow_successors(&view);
+        }
         let known_at = self.era.replacements_known_at(view.requested_at);
         // A later answer without changes shows as well which replacements have ended.
         if is_new || known_at > self.replacements_known_at {
@@ -199,13 +204,9 @@
             .replacement_checks
             .copy
             .store(StoreCopy { view: view.clone(), requested_at: known_at });
-        if !is_new {
-            return;
-        }
-        if view.promoted != self.view.promoted {
-            self.follow_successors(&view);
+        if is_new {
+            self.view = view;
         }
-        self.view = view;
     }
 
     /// Adds the votes that other owners have sent directly to those in the store.
--- a/crates/daemon/src/shard/mod.rs
+++ b/crates/daemon/src/shard/mod.rs
@@ -190,10 +190,12 @@
                     io.context.replacements.on_reported(&group, intent, age, Instant::now());
                 }
                 PeerMessage::ReplacementFinished { group, id, led } => {
-                    io.context.replacements.on_reported_end(&group, id);
+                    // The term comes first: once the replacement is known to have ended, an answer of
+                    // the old primary is covered for longer, unless its successor's term is known.
                     if let Some(term) = led {
                         io.context.statuses.on_led(&group, term);
                     }
+                    io.context.replacements.on_reported_end(&group, id);
                 }
                 PeerMessage::PromotionCallQuery { group, caller } => {
                     if let Some(origin) = &from {
