--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -192,7 +192,8 @@
     pub fn resolve_by_replica_statuses(&mut self, name: &GroupName, group: &Group, io: &mut Io) {
         let mut kept = Vec::new();
         for pending in std::mem::take(&mut self.pending) {
-            let ConfirmationMethod::ReplicaStatuses { position, answered, lifetime } = pending.method
+            let ConfirmationMethod::ReplicaStatuses { position, answered, lifetime } =
+                pending.method
             else {
                 kept.push(pending);
                 continue;
