Keep a report for each source of checks, and renew only where coordinators wait

Each source now has a report of its own.

Further findings of the review: reports renew no evidence at nodes for which a coordinator does not wait for the whole lifetime, nor in groups for which the node's operator accepts the loss of commits; a claim names its instance; the watcher steps at most every 10 ms, since requests of groups that cannot be checked woke it with each statement; a write that has only unchecked reports waits while a known replacement keeps a check from confirming, and is refused as not run in place of in doubt; the first read of an idle group needs no check. Held statements log lacks_claim.

--- a/crates/core/src/primary_evidence.rs
+++ b/crates/core/src/primary_evidence.rs
@@ -57,7 +57,8 @@
 use claim::Claim;
 pub use coverage::{Coverage, EvidenceKind};
 pub use replication::Replication;
-use reports::{RecentReports, ReplicaReport};
+pub use reports::CheckSource;
+use reports::{PerCheck, RecentReports, ReplicaReport};
 pub use transaction_writes::TransactionWrites;
 
 /// How long evidence covers reads that arrive. The coordinator waits that long after the replicas
@@ -105,8 +106,8 @@
     listed: BTreeSet<InstanceName>,
     /// The latest time at which no replacement of the primary was recorded in the store.
     no_replacement_at: Option<Instant>,
-    /// When the latest replacement check began.
-    check_started_at: Option<Instant>,
+    /// When the latest replacement check of each source began.
+    checks_started: PerCheck<Option<Instant>>,
     /// The newest claim that reports have yielded.
     claim: Option<Claim>,
     /// The replacement for which evidence was revoked, and the highest term of that evidence.
@@ -209,15 +210,16 @@
         self.primaries.remove(replica);
         let report = ReplicaReport { term: terms.supported_term(), queried_at, answered };
         // Statements wait until the report no longer contradicts the claim.
-        self.claim = self.claim.filter(|claim| report.term <= claim.term);
+        self.claim.take_if(|claim| report.term > claim.term);
         if report.term < self.term {
             self.replicas.remove(replica);
             return;
         }
         match self.replicas.get_mut(replica) {
             Some(known) => {
-                let check_limit = self.check_started_at.map(|started| started + MIN_PROMOTION_TIME);
-                known.add(report, check_limit);
+                let PerCheck { store, nodes } = self.checks_started;
+                let limit = |started: Option<Instant>| Some(started? + MIN_PROMOTION_TIME);
+                known.add(report, PerCheck { store: limit(store), nodes: limit(nodes) });
             }
             None => drop(self.replicas.insert(replica.clone(), RecentReports::new(report))),
         }
@@ -254,9 +256,9 @@
 
     /// A replacement check of the group begins. The reports that it can confirm are kept until its
     /// result arrives.
-    pub fn on_check_started(&mut self, started_at: Instant) {
-        self.check_started_at = Some(started_at);
-        self.replicas.values_mut().for_each(RecentReports::on_check_started);
+    pub fn on_check_started(&mut self, source: CheckSource, started_at: Instant) {
+        *self.checks_started.of(source) = Some(started_at);
+        self.replicas.values_mut().for_each(|reports| reports.on_check_started(source));
     }
 
     /// The store, queried at `queried_at`, showed no replacement of the primary that this node
@@ -359,7 +361,7 @@
     /// that were queried after that show that no promotion was being prepared. For nodes that may
     /// not have been notified of a replacement or of its end.
     pub fn confirms_commit(&self, lead: Lead, group: Replication, answered: Instant) -> bool {
-        let queried_at = self.checked_reports(lead, group).max(self.claimed_at(lead.term));
+        let queried_at = self.checked_reports(lead, group).max(self.claimed_at(lead));
         self.may_cover(lead.term) && queried_at.is_some_and(|queried_at| queried_at >= answered)
     }
 
--- a/crates/core/src/primary_evidence/coverage.rs
+++ b/crates/core/src/primary_evidence/coverage.rs
@@ -107,7 +107,7 @@
     ) -> Option<LastingEvidence> {
         let may_count = group.synchronous > 0 && lead.term == self.term;
         let by_commit = self.last_commit.filter(|_| may_count);
-        let by_claim = self.claim.filter(|claim| claim.term == lead.term);
+        let by_claim = self.claim.as_ref().filter(|claim| claim.is_about(lead));
         let by_enough = self.checked_reports(lead, group);
         // The coordinator of a replacement that begins after the check need not stop these
         // replicas, so the reports show nothing about the time after the check.
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -2,6 +2,8 @@
 
 mod choices;
 
+use kestrellock_core::primary_evidence::CheckSource;
+
 use crate::node::{
     Connection, Node, NodeKind, OLD_TERM, Query, Write, WriteState, arrival_at, sent_at,
 };
@@ -382,7 +384,7 @@
             Action::CheckStore => self.node.on_no_replacement(now),
             Action::SendCheck => {
                 self.node.check = Some(now);
-                self.node.evidence.on_check_started(sent_at(now));
+                self.node.evidence.on_check_started(CheckSource::Store, sent_at(now));
             }
             Action::ReceiveCheck => {
                 if let Some(sent) = self.node.check.take() {
--- a/crates/core/tests/evidence_worlds/node.rs
+++ b/crates/core/tests/evidence_worlds/node.rs
@@ -250,6 +250,9 @@
     }
 
     fn renew_claim(&mut self) {
+        if !self.kind.is_listed || self.needs_confirmation {
+            return self.evidence.keep_checked_claim(Self::lead(), REPLICATION);
+        }
         let lifetime = self.lifetime();
         self.evidence.renew_claim(Self::lead(), REPLICATION, lifetime, Some(&self.process));
     }
--- a/crates/core/tests/primary_evidence.rs
+++ b/crates/core/tests/primary_evidence.rs
@@ -9,8 +9,8 @@
 use kestrellock_core::observed_process::ObservedProcess;
 use kestrellock_core::position::Term;
 use kestrellock_core::primary_evidence::{
-    EVIDENCE_LIFETIME, EvidenceKind, Lead, MIN_PROMOTION_TIME, PrimaryEvidence, ReplicaTerms,
-    Replication, TransactionWrites, UNLISTED_EVIDENCE_LIFETIME,
+    CheckSource, EVIDENCE_LIFETIME, EvidenceKind, Lead, MIN_PROMOTION_TIME, PrimaryEvidence,
+    ReplicaTerms, Replication, TransactionWrites, UNLISTED_EVIDENCE_LIFETIME,
 };
 use kestrellock_core::promotion::ReplacementId;
 
@@ -119,7 +119,7 @@
     let began = Instant::now();
     let after = |milliseconds| began + Duration::from_millis(milliseconds);
     let mut evidence = PrimaryEvidence::default();
-    evidence.on_check_started(began);
+    evidence.on_check_started(CheckSource::Store, began);
     for at in [20, 80, 140, 200] {
         for name in ["b", "c"] {
             evidence.on_replica_report(&replica(name), FOLLOWING, after(at), after(at + 3));
--- a/crates/daemon/src/agent/promotion/peer_checks.rs
+++ b/crates/daemon/src/agent/promotion/peer_checks.rs
@@ -6,6 +6,7 @@
 
 use kestrellock_core::ids::{GroupName, NodeName};
 use kestrellock_core::position::Term;
+use kestrellock_core::primary_evidence::CheckSource;
 use kestrellock_core::promotion::{
     CoordinationView, GroupKnowledge, PeerAnswer, PeerCheckOutcome, PeerCheckResult, PeerChecks,
     nodes_digest,
@@ -89,7 +90,11 @@
         // Read the clock before anything is asked: the check proves what holds from then on.
         let now = Instant::now();
         let query = self.checks.begin(waiting, &nodes, unable, now);
-        query.groups.iter().for_each(|group| context.statuses.on_check_started(group, now));
+        if query.is_sent {
+            for group in &query.groups {
+                context.statuses.on_check_started(group, CheckSource::Nodes, now);
+            }
+        }
         let with_term = |group: GroupName| {
             let term = context.statuses.highest_led_term(&group);
             (group, term)
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -14,6 +14,7 @@
 
 use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded, unbounded};
 use kestrellock_core::ids::GroupName;
+use kestrellock_core::primary_evidence::CheckSource;
 use kestrellock_core::promotion::{CoordinationView, StoreCheck};
 use kestrellock_core::store_access::CallBackoff;
 use kestrellock_store::coordination::{Coordination, ReplacementCheck};
@@ -119,7 +120,9 @@
             return;
         }
         if asks_store && self.requests.try_send(groups.clone()).is_ok() {
-            groups.iter().for_each(|name| context.statuses.on_check_started(name, now));
+            for name in &groups {
+                context.statuses.on_check_started(name, CheckSource::Store, now);
+            }
             self.in_progress = Some(groups.clone());
             self.last_start = Some(now);
             self.store_check.begin(now);
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -283,7 +283,18 @@
         let catalog = self.catalog.load();
         let Some(group) = catalog.groups.get(name) else { return };
         let Some(leader) = self.leader(name, group) else { return };
-        self.statuses.renew_claim(name, &leader.name, self.evidence_scope(name, group));
+        let scope = self.evidence_scope(name, group);
+        match self.may_renew_evidence(name) {
+            true => self.statuses.renew_claim(name, &leader.name, scope),
+            false => self.statuses.keep_checked_claim(name, &leader.name, scope),
+        }
+    }
+
+    /// Whether reports renew evidence without a replacement check. Not at a node for which a coordinator
+    /// does not wait for the whole lifetime of evidence, and not in a group for which this node's
+    /// operator accepts the loss of commits: coordinators stop fewer replicas there.
+    pub fn may_renew_evidence(&self, group: &GroupName) -> bool {
+        self.evidence_lifetime(group) == EVIDENCE_LIFETIME && !self.accepts_commit_loss(group)
     }
 
     /// Whether evidence of some duration covers answers of the primary of a group at `moment`. Where
@@ -310,6 +321,13 @@
         self.replacement_checks.fail(now)
     }
 
+    /// Whether a replacement check can confirm the group's primary now. It cannot while a replacement
+    /// is known, also a cancelled one.
+    pub fn may_be_checked(&self, group: &GroupName) -> bool {
+        let copy = self.replacement_checks.copy.load();
+        !copy.view.intents.contains_key(group) && !self.intents.load().contains_key(group)
+    }
+
     /// Lifetime of evidence about a group on this node. A coordinator does not know an unlisted node
     /// and does not wait until it revokes its evidence, and it does not wait for a node that has
     /// reported that it did. So evidence expires sooner on an unlisted node, and on one that does not
--- a/crates/daemon/src/gateway/choice_log.rs
+++ b/crates/daemon/src/gateway/choice_log.rs
@@ -92,6 +92,7 @@
         arrived_ms = age(*arrived),
         must_cover_ms = basis.must_cover.map(age),
         evidence_age_ms = evidence.map(|age| age.as_millis() as u64),
+        lacks_claim = basis.lacks_claim,
         revision = io.context.catalog.load().revision.0;
         "waits for an instance"
     );
--- a/crates/daemon/src/gateway/evidence_renewal.rs
+++ b/crates/daemon/src/gateway/evidence_renewal.rs
@@ -11,7 +11,6 @@
 
 use kestrellock_core::catalog::Group;
 use kestrellock_core::ids::{GroupName, InstanceName};
-use kestrellock_core::primary_evidence::EVIDENCE_LIFETIME;
 use kestrellock_core::routing::Role;
 
 use crate::event::Io;
@@ -40,9 +39,15 @@
 }
 
 impl EvidenceRenewal {
-    /// A statement needs evidence about the primary.
-    pub fn on_use(&mut self, now: Instant) {
-        self.last_use = Some(now);
+    /// A statement that arrived at `arrived` needs evidence about the primary.
+    pub fn on_use(&mut self, arrived: Instant) {
+        self.last_use = self.last_use.max(Some(arrived));
+    }
+
+    /// Whether a statement that arrived within the window before `arrived` needed evidence as well.
+    pub fn was_used_before(&self, arrived: Instant) -> bool {
+        let is_recent = |used: Instant| used < arrived && arrived < used + RENEWAL_WINDOW;
+        self.last_use.is_some_and(is_recent)
     }
 
     /// The instances to query now, so that their reports renew the evidence. The first round asks as
@@ -72,12 +77,11 @@
 }
 
 /// Until when the evidence about the primary covers answers, if that is soon and it can be renewed.
-/// Evidence that lasts only for a short time is requested for each statement instead.
 fn ending_evidence(name: &GroupName, group: &Group, io: &Io) -> Option<Instant> {
-    let scope = io.context.evidence_scope(name, group);
-    if scope.lifetime < EVIDENCE_LIFETIME {
+    if !io.context.may_renew_evidence(name) {
         return None;
     }
+    let scope = io.context.evidence_scope(name, group);
     let leader = io.context.leader(name, group)?;
     let statuses = io.context.statuses.group(name);
     let known = statuses.read().expect("a thread panicked while it held the status lock");
--- a/crates/daemon/src/gateway/instance_choice.rs
+++ b/crates/daemon/src/gateway/instance_choice.rs
@@ -153,12 +153,12 @@
         primary.map(|primary| (primary.name.clone(), known.current_led_term_of(&primary.name)));
     basis.coverage =
         primary.and_then(|primary| known.coverage(&primary.name, replication, lifetime));
-    basis.lacks_claim =
-        primary.is_some_and(|primary| known.lacks_claim(&primary.name, replication));
     let covered_until = basis.coverage.map(|coverage| coverage.until);
     // The time that evidence must cover. If the clock cannot represent it, use the arrival time,
     // which is stricter.
     let moment = |staleness| needs.arrived.checked_sub(staleness).unwrap_or(needs.arrived);
+    let lacks_claim =
+        || primary.is_some_and(|primary| known.lacks_claim(&primary.name, replication));
     let missing_evidence = |moment: Instant| {
         let only_store = primary.is_some_and(|primary| {
             known.lacks_only_replacement_check(&primary.name, replication, lifetime, moment, io.now)
@@ -214,11 +214,14 @@
             basis.must_cover = Some(needs.arrived);
             let is_covered = covered_until.is_some_and(|until| needs.arrived <= until);
             if primary.is_some() && !is_covered {
+                basis.lacks_claim = lacks_claim();
                 return missing_evidence(needs.arrived);
             }
             // Replicas could not confirm its commit, which would end in doubt.
             let needs_check = matches!(access, Access::Write { .. }) && basis.is_unchecked();
-            if needs_check && io.context.replacement_checks_fail(io.now) {
+            let has_no_check =
+                io.context.replacement_checks_fail(io.now) || !io.context.may_be_checked(group);
+            if needs_check && has_no_check {
                 return InstanceChoice::NeedsStore;
             }
             primary
--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -200,8 +200,11 @@
             return ownership::redirect(&held.exchange, None, io);
         }
         let found = held.choose(name, group, pools, io);
+        let mut is_first_use = false;
         if found.uses_primary_evidence() {
-            self.group_state(name, io.now).evidence_renewal.on_use(io.now);
+            let renewal = &mut self.group_state(name, io.now).evidence_renewal;
+            is_first_use = !renewal.was_used_before(held.arrived);
+            renewal.on_use(held.arrived);
         }
         if let InstanceChoice::Instance(instance) = found.choice {
             if !reaches(group, &instance, io) {
@@ -219,8 +222,17 @@
             return ownership::redirect(&held.exchange, None, io);
         }
         held.log_held(name, &found, io);
+        // New reports cover a single read. Others need evidence that lasts, which reports alone do not
+        // yield, so the check is made beside the queries.
+        let needs_check = held.exchange.access.is_write() || !is_first_use;
         self.group_state(name, io.now).placements.held.push(held);
-        if found.choice == InstanceChoice::NeedsStore {
+        let lacks_evidence = matches!(
+            found.choice,
+            InstanceChoice::NeedsEvidence | InstanceChoice::NeedsSessionTerm
+        );
+        let lacks_check =
+            lacks_evidence && needs_check && !io.context.has_lasting_evidence(name, group, io.now);
+        if lacks_check || found.choice == InstanceChoice::NeedsStore {
             io.context.replacement_check_requests.request(name);
         }
         match found.choice {
@@ -259,6 +271,9 @@
         }
         self.group_state(name, io.now).evidence_renewal.on_use(io.now);
         if !io.context.covers_answer(name, group, primary, expected_answer) {
+            if !io.context.has_lasting_evidence(name, group, io.now) {
+                io.context.replacement_check_requests.request(name);
+            }
             self.ask_for_evidence(name, group, expected_answer, io);
         }
     }
@@ -285,10 +300,6 @@
         if instances.is_empty() {
             return;
         }
-        if !io.context.has_lasting_evidence(name, group, io.now) {
-            // Reports alone yield no evidence that lasts, so the check is made beside the queries.
-            io.context.replacement_check_requests.request(name);
-        }
         for instance in instances {
             state.status_queries.request(instance, io.now);
         }
--- a/crates/daemon/src/shared/group_statuses.rs
+++ b/crates/daemon/src/shared/group_statuses.rs
@@ -129,6 +129,12 @@
         self.evidence.renew_claim(lead, replication, lifetime, process);
     }
 
+    /// Keeps the claim that reports and a replacement check yield about the instance `primary`.
+    pub(super) fn keep_checked_claim(&mut self, primary: &InstanceName, scope: EvidenceScope) {
+        let Some(term) = self.led_term_of(primary) else { return };
+        self.evidence.keep_checked_claim(Lead { instance: primary, term }, scope.replication);
+    }
+
     /// Whether reports of all replicas yield no evidence for the instance for want of earlier evidence
     /// or of a replacement check.
     pub fn lacks_claim(&self, instance: &InstanceName, group: Replication) -> bool {
--- a/crates/daemon/src/shared/replacement_check_requests.rs
+++ b/crates/daemon/src/shared/replacement_check_requests.rs
@@ -4,10 +4,15 @@
 
 use std::collections::BTreeSet;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use kestrellock_core::ids::GroupName;
 
+/// Least time between two steps of the thread that makes the checks. Groups whose checks cannot be
+/// confirmed now are requested again with each statement.
+const MIN_WAIT: Duration = Duration::from_millis(10);
+
 #[derive(Debug, Default)]
 struct State {
     /// Groups that wait for the next check; one check serves them all.
@@ -54,8 +59,10 @@
         !self.lock().groups.is_empty()
     }
 
-    /// Sleeps for `time`, or until a group is added or a check ends.
+    /// Sleeps for `time`, or until a group is added or a check ends, but for `MIN_WAIT` at least.
     pub fn wait(&self, time: Duration) {
+        thread::sleep(MIN_WAIT.min(time));
+        let time = time.saturating_sub(MIN_WAIT);
         let waited = self.wakeup.wait_timeout_while(self.lock(), time, |state| !state.has_news);
         // The state is a set and a flag, which are valid whatever a thread that panicked did.
         let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -12,7 +12,7 @@
 use kestrellock_core::ids::{GroupName, InstanceName};
 use kestrellock_core::incarnation::InstanceIncarnation;
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{NewestEvidence, ReplicaTerms};
+use kestrellock_core::primary_evidence::{CheckSource, NewestEvidence, ReplicaTerms};
 use kestrellock_core::primary_samples::PositionReport;
 use kestrellock_core::promotion::{Intent, higher_position};
 use kestrellock_core::routing::{InstanceStatus, Role};
@@ -252,8 +252,8 @@
     }
 
     /// Records that a replacement check of the group begins.
-    pub fn on_check_started(&self, group: &GroupName, started_at: Instant) {
-        self.with_group(group, |known| known.evidence.on_check_started(started_at));
+    pub fn on_check_started(&self, group: &GroupName, source: CheckSource, started_at: Instant) {
+        self.with_group(group, |known| known.evidence.on_check_started(source, started_at));
     }
 
     /// Records the result of a replacement check: the store confirmed at `queried_at` that no
@@ -270,6 +270,19 @@
         self.with_group(group, |known| known.renew_claim(primary, scope));
     }
 
+    /// Keeps the claim that reports and a replacement check yield about `primary`
+    /// ([`PrimaryEvidence::keep_checked_claim`]).
+    ///
+    /// [`PrimaryEvidence::keep_checked_claim`]: kestrellock_core::primary_evidence::PrimaryEvidence::keep_checked_claim
+    pub fn keep_checked_claim(
+        &self,
+        group: &GroupName,
+        primary: &InstanceName,
+        scope: EvidenceScope,
+    ) {
+        self.with_group(group, |known| known.keep_checked_claim(primary, scope));
+    }
+
     /// Signs of an instance's health from this node's exchanges with it.
     pub fn signs(&self, group: &GroupName, instance: &InstanceName) -> HealthSignals {
         let statuses = self.group(group);
