--- a/crates/core/tests/evidence_worlds/explorer.rs
+++ b/crates/core/tests/evidence_worlds/explorer.rs
@@ -20,6 +20,9 @@
     Violation,
     /// A state in which the observed node has acknowledged a commit.
     Acknowledgement,
+    /// A state in which the observed node serves a statement that arrived right before the first time
+    /// step in which it may send a write.
+    Read,
 }
 
 /// A state that the search looked for.
@@ -107,6 +110,7 @@
     match goal {
         Goal::Violation => world.violation().map(|(violation, belief)| (Some(violation), belief)),
         Goal::Acknowledgement => world.has_acknowledged().then(|| (None, String::new())),
+        Goal::Read => world.serves_read().then(|| (None, String::new())),
     }
 }
 
--- a/crates/core/tests/evidence_worlds/main.rs
+++ b/crates/core/tests/evidence_worlds/main.rs
@@ -21,7 +21,7 @@
 use explorer::{Goal, Search, explore};
 use model::{Scope, Start, Violation};
 use node::{NodeKind, PlantedUse};
-use scopes::{CUT_OFF, PLAIN, QUIET, UNINFORMED};
+use scopes::{CUT_OFF, PLAIN, QUIET, UNINFORMED, with_planted};
 
 /// Explores a scope and prints what was explored and found.
 fn search(name: &str, scope: Scope, depth: usize, goal: Goal) -> Search {
@@ -49,10 +49,6 @@
     assert_eq!(found.violation, Some(violation));
 }
 
-fn with(scope: Scope, planted: PlantedUse) -> Scope {
-    Scope { node: NodeKind { planted, ..scope.node }, ..scope }
-}
-
 /// Guards against false evidence at a node that reaches only instances.
 #[test]
 fn evidence_of_a_cut_off_node_is_true() {
@@ -109,14 +105,14 @@
 /// Guards against a search that cannot find a commit that a released replica confirms.
 #[test]
 fn commits_that_count_without_coverage_are_detected() {
-    let scope = with(CUT_OFF, PlantedUse::CommitsWithoutCoverage);
+    let scope = with_planted(CUT_OFF, PlantedUse::CommitsWithoutCoverage);
     assert_detected("commits without coverage", scope, 9, Violation::Lost);
 }
 
 /// Guards against a search that cannot find a former primary that confirms its successor's commits.
 #[test]
 fn unchecked_reports_without_the_primarys_own_are_detected() {
-    let scope = with(QUIET, PlantedUse::UncheckedWithoutPrimary);
+    let scope = with_planted(QUIET, PlantedUse::UncheckedWithoutPrimary);
     assert_detected("unchecked without the primary", scope, 11, Violation::Stale);
 }
 
@@ -124,7 +120,7 @@
 #[test]
 fn former_primary_as_its_own_evidence_is_detected() {
     let recent = Scope { start: Start::Commit, has_early_demotion: true, ..QUIET };
-    let scope = with(recent, PlantedUse::FormerPrimaryRenamed);
+    let scope = with_planted(recent, PlantedUse::FormerPrimaryRenamed);
     assert_detected("renamed former primary", scope, 13, Violation::Stale);
 }
 
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -3,7 +3,7 @@
 mod choices;
 
 use crate::node::{
-    Connection, Node, NodeKind, OLD_TERM, Query, Write, WriteState, arrival_at, sent_at,
+    Check, Connection, Node, NodeKind, OLD_TERM, Query, Write, WriteState, arrival_at, sent_at,
 };
 
 /// Lowest term that a stopped replica accepts.
@@ -33,9 +33,11 @@
     R2,
     /// An instance that has joined, which the observed node does not list.
     X,
+    /// Another one.
+    Y,
 }
 
-use InstanceId::{P, R1, R2, X};
+use InstanceId::{P, R1, R2, X, Y};
 
 /// What an instance reports about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -82,7 +84,7 @@
     /// How far it has come.
     pub phase: Phase,
     /// Instances that have confirmed their stop.
-    stopped: [bool; 4],
+    stopped: [bool; 5],
     /// Whether every node that it knows has revoked its evidence.
     knows_revocation: bool,
     /// Whether the old primary has refused a connection since enough replicas were stopped.
@@ -113,7 +115,9 @@
     pub node: NodeKind,
     /// Whether an instance has joined that the observed node does not list.
     pub has_joined_instance: bool,
-    /// Whether the coordinator lists that instance.
+    /// Whether a second one has joined, which the observed node does not list either.
+    pub has_second_joined: bool,
+    /// Whether the coordinator lists the instances that have joined.
     pub coordinator_lists_joined: bool,
     /// Replicas that are dead throughout.
     pub dead: &'static [InstanceId],
@@ -125,6 +129,9 @@
     pub has_coordinator: bool,
     /// Whether answers may arrive later than they are sent.
     pub has_late_answers: bool,
+    /// Whether results of replacement checks may arrive later than the requests are sent, even if other
+    /// answers may not.
+    pub has_late_checks: bool,
     /// Whether the coordinator may stop the replicas at different times.
     pub has_staggered_stops: bool,
     /// Whether attempts may be cancelled.
@@ -167,6 +174,8 @@
     CheckStore,
     /// The node makes a replacement check whose result arrives later.
     SendCheck,
+    /// The store reads the request.
+    AnswerCheck,
     /// The result arrives.
     ReceiveCheck,
     /// The node sends a write to the old primary.
@@ -230,7 +239,7 @@
     /// Which worlds are explored.
     pub scope: Scope,
     now: u8,
-    instances: [Instance; 4],
+    instances: [Instance; 5],
     coordinator: Coordinator,
     node: Node,
     /// Time step in which the successor's commit was acknowledged.
@@ -251,9 +260,10 @@
             status: Status { leads: false, term: OLD_TERM.0, min_term: 0, process: 0 },
             log: 0,
         };
-        let mut instances = [replica; 4];
+        let mut instances = [replica; 5];
         instances[P as usize].status.leads = true;
         instances[X as usize].is_alive = scope.has_joined_instance;
+        instances[Y as usize].is_alive = scope.has_second_joined;
         for dead in scope.dead {
             instances[*dead as usize].is_alive = false;
         }
@@ -265,7 +275,7 @@
                 for id in [R1, R2] {
                     node.on_status(id, instances[id as usize].status, FIRST_TICK, FIRST_TICK);
                 }
-                node.on_no_replacement(FIRST_TICK);
+                node.on_no_replacement(FIRST_TICK, FIRST_TICK);
             }
         }
         Self {
@@ -274,7 +284,7 @@
             instances,
             coordinator: Coordinator {
                 phase: Phase::Idle,
-                stopped: [false; 4],
+                stopped: [false; 5],
                 knows_revocation: false,
                 saw_refusal: false,
                 has_demoted: false,
@@ -310,6 +320,14 @@
         self.acknowledged != 0
     }
 
+    /// Whether the observed node serves a statement that arrived for the old primary right before the
+    /// first time step in which it may send a write.
+    pub fn serves_read(&self) -> bool {
+        let first = self.scope.first_write_tick.max(FIRST_TICK);
+        let coverage = self.node.coverage(self.at(P).status.process, self.now);
+        self.now >= first && coverage.is_some_and(|coverage| coverage.until >= sent_at(first))
+    }
+
     /// The broken promise, if there is one, and what was believed.
     pub fn violation(&self) -> Option<(Violation, String)> {
         if let Some(successor) = self.successor().filter(|successor| *successor != P) {
@@ -379,14 +397,25 @@
                     self.node.on_status(id, status, sent, now);
                 }
             }
-            Action::CheckStore => self.node.on_no_replacement(now),
+            Action::CheckStore => {
+                self.node.on_check_started(now);
+                self.node.on_no_replacement(now, now);
+            }
             Action::SendCheck => {
-                self.node.check = Some(now);
-                self.node.evidence.on_check_started(sent_at(now));
+                self.node.check = Some(Check { sent: now, is_unreplaced: None });
+                self.node.on_check_started(now);
+            }
+            Action::AnswerCheck => {
+                let answer = Some(self.coordinator.phase == Phase::Idle);
+                if let Some(check) = &mut self.node.check {
+                    check.is_unreplaced = answer;
+                }
             }
             Action::ReceiveCheck => {
-                if let Some(sent) = self.node.check.take() {
-                    self.node.on_no_replacement(sent);
+                if let Some(check) = self.node.check.take()
+                    && check.is_unreplaced == Some(true)
+                {
+                    self.node.on_no_replacement(check.sent, now);
                 }
             }
             Action::SendWrite => self.send_write(),
@@ -424,7 +453,7 @@
         let is_recent = |tick: u8| self.now - tick < MAX_AGE_TICKS;
         let node = &mut self.node;
         node.queries = node.queries.map(|query| query.filter(|query| is_recent(query.sent)));
-        node.check = node.check.filter(|sent| is_recent(*sent));
+        node.check = node.check.filter(|check| is_recent(check.sent));
         node.write = node.write.filter(|write| match write.state {
             WriteState::Unconfirmed(answered) => is_recent(answered),
             WriteState::AtPrimary | WriteState::Answered => true,
@@ -463,7 +492,7 @@
             Action::CallOff => {
                 self.release();
                 self.coordinator.phase = Phase::Idle;
-                self.coordinator.stopped = [false; 4];
+                self.coordinator.stopped = [false; 5];
                 self.coordinator.knows_revocation = false;
                 self.coordinator.saw_refusal = false;
             }
@@ -602,11 +631,12 @@
             established: age(connection.established),
             ..connection
         });
-        let ages = [self.successor_acknowledged, node.revoked_at, node.check]
-            .map(|tick| tick.map_or(u8::MAX, age));
+        let check = node.check.map(|check| Check { sent: age(check.sent), ..check });
+        let ages =
+            [self.successor_acknowledged, node.revoked_at].map(|tick| tick.map_or(u8::MAX, age));
         write!(
             text,
-            "{:?}{coordinator:?}{counters:?}{ages:?}{connection:?}{queries:?}{write:?}{:?}{:?}{}",
+            "{:?}{coordinator:?}{counters:?}{ages:?}{check:?}{connection:?}{queries:?}{write:?}{:?}{:?}{}",
             self.instances, node.led, node.current_led, node.needs_confirmation
         )
         .expect("writing to a string does not fail");
--- a/crates/core/tests/evidence_worlds/model/choices.rs
+++ b/crates/core/tests/evidence_worlds/model/choices.rs
@@ -1,8 +1,10 @@
 //! Which actions are possible in a state.
 
+use crate::node::Check;
+
 use super::{
     Action, InstanceId, MIN_PROMOTION_TICKS, OLD_TERM, P, Phase, Query, R1, R2, STOP_TERM,
-    SUCCESSOR_TERM, World, WriteState, X, ticks_of,
+    SUCCESSOR_TERM, World, WriteState, X, Y, ticks_of,
 };
 
 impl World {
@@ -23,17 +25,7 @@
                 Some(Query { answer: Some(_), .. }) => actions.push(Action::ReceiveStatus(id)),
             }
         }
-        let is_unreplaced = self.coordinator.phase == Phase::Idle && self.node.revoked_at.is_none();
-        let makes_checks = self.scope.has_store || self.scope.has_peers;
-        if makes_checks && self.node.check.is_none() && is_unreplaced {
-            actions.push(Action::CheckStore);
-            if self.scope.has_late_answers {
-                actions.push(Action::SendCheck);
-            }
-        }
-        if self.node.check.is_some() && self.node.revoked_at.is_none() {
-            actions.push(Action::ReceiveCheck);
-        }
+        self.check_actions(actions);
         let old = self.at(P);
         let is_due = self.now >= self.scope.first_write_tick;
         let runs_write =
@@ -61,9 +53,30 @@
         }
     }
 
+    /// A check that shows a replacement changes nothing at the node, so only one that shows none is
+    /// answered in the step in which it is sent.
+    fn check_actions(&self, actions: &mut Vec<Action>) {
+        let makes_checks = self.scope.has_store || self.scope.has_peers;
+        let is_revoked = self.node.revoked_at.is_some();
+        match self.node.check {
+            None if makes_checks && !is_revoked => {
+                if self.coordinator.phase == Phase::Idle {
+                    actions.push(Action::CheckStore);
+                }
+                if self.scope.has_late_answers || self.scope.has_late_checks {
+                    actions.push(Action::SendCheck);
+                }
+            }
+            None => {}
+            Some(Check { is_unreplaced: None, .. }) => actions.push(Action::AnswerCheck),
+            Some(_) if !is_revoked => actions.push(Action::ReceiveCheck),
+            Some(_) => {}
+        }
+    }
+
     pub(super) fn instance_actions(&self, actions: &mut Vec<Action>) {
         let old = self.at(P);
-        for id in [P, R1, R2, X] {
+        for id in [P, R1, R2, X, Y] {
             let own = self.at(id);
             if !own.is_alive || own.status.leads {
                 continue;
@@ -162,9 +175,9 @@
     /// Instances that the coordinator can stop.
     pub(super) fn stoppable(&self) -> impl Iterator<Item = InstanceId> {
         let has_joined = self.scope.has_joined_instance && self.scope.coordinator_lists_joined;
-        [P, R1, R2, X].into_iter().filter(move |id| {
+        [P, R1, R2, X, Y].into_iter().filter(move |id| {
             let own = self.at(*id);
-            own.is_alive && !own.status.leads && (*id != X || has_joined)
+            own.is_alive && !own.status.leads && (!matches!(*id, X | Y) || has_joined)
         })
     }
 
@@ -176,16 +189,17 @@
     /// All instances that the coordinator lists but one hold every acknowledged commit between
     /// them.
     fn needed_stops(&self) -> usize {
-        let has_joined = self.scope.has_joined_instance && self.scope.coordinator_lists_joined;
-        if has_joined { 3 } else { 2 }
+        let joined = [self.scope.has_joined_instance, self.scope.has_second_joined];
+        let count = joined.into_iter().filter(|has_joined| *has_joined).count();
+        if self.scope.coordinator_lists_joined { 2 + count } else { 2 }
     }
 
     /// Stopped instances with the longest log. The old primary is one only if the others are not
     /// enough.
     fn candidates(&self) -> impl Iterator<Item = InstanceId> {
         let is_stopped = |id: &InstanceId| self.coordinator.stopped[*id as usize];
-        let others = [R1, R2, X].into_iter().filter(is_stopped).count();
-        let stopped = [P, R1, R2, X].into_iter().filter(is_stopped);
+        let others = [R1, R2, X, Y].into_iter().filter(is_stopped).count();
+        let stopped = [P, R1, R2, X, Y].into_iter().filter(is_stopped);
         let compared: Vec<InstanceId> =
             stopped.filter(|id| *id != P || others < self.needed_stops()).collect();
         let length = |id: &InstanceId| self.at(*id).log.count_ones();
--- a/crates/core/tests/evidence_worlds/node.rs
+++ b/crates/core/tests/evidence_worlds/node.rs
@@ -21,13 +21,13 @@
 const ARRIVAL_DELAY: Duration = Duration::from_millis(1);
 /// The term that the old primary leads.
 pub const OLD_TERM: Term = Term(1);
-/// How the group replicates according to the observed node's list, which never contains the
-/// instance that has joined.
+/// How the group replicates according to the observed node's list, which never contains instances
+/// that have joined.
 const REPLICATION: Replication = Replication { synchronous: 1, instances: 3 };
 
 static BASE: LazyLock<Instant> = LazyLock::new(Instant::now);
-static NAMES: LazyLock<[InstanceName; 5]> =
-    LazyLock::new(|| ["p", "r1", "r2", "x", "renamed"].map(InstanceName::new));
+static NAMES: LazyLock<[InstanceName; 6]> =
+    LazyLock::new(|| ["p", "r1", "r2", "x", "y", "renamed"].map(InstanceName::new));
 
 /// When a request that is sent in time step `tick` is sent.
 pub fn sent_at(tick: u8) -> Instant {
@@ -59,6 +59,16 @@
     /// A report of the former primary counts as that of another replica, and does not show that it
     /// no longer leads.
     FormerPrimaryRenamed,
+    /// Reports renew a claim although the primary's own is missing.
+    RenewedWithoutPrimary,
+    /// Reports renew a claim that were answered after the earlier evidence ended.
+    RenewedTooLate,
+    /// A replacement check counts from its result, so that it confirms reports that were answered
+    /// too late.
+    CheckFromResult,
+    /// While a replacement check is in flight, reports of stopped replicas change nothing, so that
+    /// the check confirms their earlier reports.
+    StopsUnseenByCheck,
 }
 
 /// Rules that the product does not have, and that close worlds in which its evidence is false.
@@ -99,6 +109,15 @@
     pub answer: Option<Status>,
 }
 
+/// A replacement check that has been sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Check {
+    /// Time step in which it was sent.
+    pub sent: u8,
+    /// Whether the store has shown no replacement when it read the request; `None` before that.
+    pub is_unreplaced: Option<bool>,
+}
+
 /// How far a write has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum WriteState {
@@ -152,9 +171,9 @@
     /// Whether it does not know how a replacement ended.
     pub needs_confirmation: bool,
     /// Queries that have been sent.
-    pub queries: [Option<Query>; 4],
-    /// A replacement check whose positive result is under way, with the time step of its request.
-    pub check: Option<u8>,
+    pub queries: [Option<Query>; 5],
+    /// A replacement check that has been sent.
+    pub check: Option<Check>,
     /// The write that it runs.
     pub write: Option<Write>,
 }
@@ -171,7 +190,7 @@
             current_led: Some(OLD_TERM),
             revoked_at: None,
             needs_confirmation: false,
-            queries: [None; 4],
+            queries: [None; 5],
             check: None,
             write: None,
         };
@@ -237,20 +256,43 @@
             return self.renew_claim();
         }
         let renamed = self.kind.planted == PlantedUse::FormerPrimaryRenamed && is_old_primary;
-        let name = if renamed { &NAMES[4] } else { name };
+        let name = if renamed { &NAMES[5] } else { name };
         let terms = ReplicaTerms { term, min_term: Term(status.min_term) };
+        let is_unseen = self.kind.planted == PlantedUse::StopsUnseenByCheck && self.check.is_some();
+        if is_unseen && terms.min_term > OLD_TERM {
+            return;
+        }
         self.evidence.on_replica_report(name, terms, sent_at(sent), arrival_at(now));
         self.renew_claim();
     }
 
-    /// The store, or every other node, showed no replacement at the time of a query.
-    pub fn on_no_replacement(&mut self, sent: u8) {
-        self.evidence.on_no_replacement(sent_at(sent));
+    /// A replacement check begins.
+    pub fn on_check_started(&mut self, now: u8) {
+        self.evidence.on_check_started(sent_at(now));
+    }
+
+    /// The store, or every other node, showed no replacement to a check that was sent in time step
+    /// `sent`.
+    pub fn on_no_replacement(&mut self, sent: u8, now: u8) {
+        let counted = match self.kind.planted {
+            PlantedUse::CheckFromResult => now,
+            _ => sent,
+        };
+        self.evidence.on_no_replacement(sent_at(counted));
         self.renew_claim();
     }
 
     fn renew_claim(&mut self) {
-        let lifetime = self.lifetime();
+        let added = match self.kind.planted {
+            PlantedUse::RenewedTooLate => Duration::from_millis(300),
+            _ => Duration::ZERO,
+        };
+        let lifetime = self.lifetime() + added;
+        if self.kind.planted == PlantedUse::RenewedWithoutPrimary {
+            let newest = self.evidence.newest().unwrap_or(*BASE);
+            let primary = &NAMES[InstanceId::P as usize];
+            self.evidence.on_primary_report(primary, OLD_TERM, newest, newest);
+        }
         self.evidence.renew_claim(Self::lead(), REPLICATION, lifetime, Some(&self.process));
     }
 
@@ -329,7 +371,11 @@
             });
             coverage = coverage.into_iter().chain(unchecked).max_by_key(|coverage| coverage.until);
         }
-        if self.kind.planted == PlantedUse::WithoutUnchecked {
+        let is_lasting_only = matches!(
+            self.kind.planted,
+            PlantedUse::WithoutUnchecked | PlantedUse::RenewedWithoutPrimary
+        );
+        if is_lasting_only {
             coverage = coverage.filter(|found| found.kind != EvidenceKind::UncheckedReplicas);
         }
         let mut observed = self.process.clone();
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -21,12 +21,14 @@
         planted: PlantedUse::None,
     },
     has_joined_instance: false,
+    has_second_joined: false,
     coordinator_lists_joined: true,
     dead: &[],
     has_store: true,
     has_peers: false,
     has_coordinator: true,
     has_late_answers: false,
+    has_late_checks: false,
     has_staggered_stops: false,
     has_cancellations: false,
     has_early_demotion: false,
@@ -62,6 +64,41 @@
 /// An instance has joined that the coordinator does not list either.
 pub const JOINED_UNKNOWN: Scope = Scope { coordinator_lists_joined: false, ..JOINED };
 
+/// Two instances have joined that the node does not list: one may lead, and the other confirm its
+/// commits.
+pub const JOINED_TWO: Scope = Scope { has_second_joined: true, ..JOINED };
+
+/// The same with a write of the node. Only commits of the node matter.
+pub const JOINED_TWO_WRITES: Scope =
+    Scope { writes: 1, has_successor_commits: false, ..JOINED_TWO };
+
+/// The same without evidence that ends with the requests for it.
+pub const JOINED_TWO_LASTING: Scope = Scope { has_second_joined: true, ..JOINED_LASTING };
+
+/// An instance has joined, and all answers may arrive late, those of the store as well.
+pub const JOINED_LATE_STORE: Scope = Scope { has_late_answers: true, has_store: true, ..JOINED };
+
+/// An instance has joined, and replacement checks may take long, but no other requests.
+pub const JOINED_LATE_CHECKS: Scope = Scope { has_late_checks: true, has_store: true, ..JOINED };
+
+/// An instance has joined, the old primary ends and returns, and the node has recent evidence.
+pub const JOINED_PRIMARY_RETURNS: Scope = Scope { primary_crashes: 1, ..JOINED_AFTER_REPORTS };
+
+/// An instance has joined, and the node starts again.
+pub const JOINED_NODE_RESTARTS: Scope = Scope { node_restarts: 1, ..JOINED_AFTER_REPORTS };
+
+/// An instance has joined, and the other nodes do not know the node either.
+pub const JOINED_UNLISTED: Scope =
+    Scope { node: NodeKind { is_listed: false, ..PLAIN.node }, ..JOINED_AFTER_REPORTS };
+
+/// An instance has joined, and the node learns of a replacement and may hear no more of it.
+pub const JOINED_SILENT_COORDINATOR: Scope =
+    Scope { hears_of_intents: true, ..JOINED_AFTER_REPORTS };
+
+/// An instance has joined, and a replica forgets that it was stopped. Only commits of the node
+/// matter.
+pub const JOINED_FORGOTTEN_STOP: Scope = Scope { has_joined_instance: true, ..FORGOTTEN_STOP };
+
 /// An instance has joined, and the node has recent evidence.
 pub const JOINED_AFTER_REPORTS: Scope = Scope { start: Start::Reports, ..JOINED };
 
@@ -84,6 +121,11 @@
     Scope { node: NodeKind { proposed, ..scope.node }, ..scope }
 }
 
+/// The scope with a planted fault.
+pub const fn with_planted(scope: Scope, planted: PlantedUse) -> Scope {
+    Scope { node: NodeKind { planted, ..scope.node }, ..scope }
+}
+
 /// All scopes, by the names that select them.
 pub fn all() -> Vec<(&'static str, Scope)> {
     let unlisted = NodeKind { is_listed: false, ..PLAIN.node };
@@ -145,7 +187,51 @@
             "joined-replica-silent",
             Scope { dead: &[InstanceId::R2], has_early_demotion: true, ..JOINED_AFTER_REPORTS },
         ),
-        ("joined-primary-returns", Scope { primary_crashes: 1, ..JOINED_AFTER_REPORTS }),
+        ("joined-primary-returns", JOINED_PRIMARY_RETURNS),
+        (
+            "joined-primary-returns-writes",
+            Scope { writes: 1, has_successor_commits: false, ..JOINED_PRIMARY_RETURNS },
+        ),
+        ("joined-late-store", JOINED_LATE_STORE),
+        (
+            "joined-late-store-writes",
+            Scope { writes: 1, has_successor_commits: false, ..JOINED_LATE_STORE },
+        ),
+        ("joined-late-peers", Scope { has_late_answers: true, has_peers: true, ..JOINED_WRITES }),
+        ("joined-late-checks", JOINED_LATE_CHECKS),
+        (
+            "joined-late-checks-writes",
+            Scope { writes: 1, has_successor_commits: false, ..JOINED_LATE_CHECKS },
+        ),
+        ("late-checks", Scope { has_late_checks: true, has_store: true, ..QUIET }),
+        ("late-store", Scope { has_late_answers: true, has_store: true, ..QUIET }),
+        ("joined-two", JOINED_TWO),
+        ("joined-two-lasting", JOINED_TWO_LASTING),
+        ("joined-two-writes", JOINED_TWO_WRITES),
+        ("joined-two-after-reports", Scope { start: Start::Reports, ..JOINED_TWO_LASTING }),
+        ("joined-node-restarts", JOINED_NODE_RESTARTS),
+        (
+            "joined-node-restarts-writes",
+            Scope { writes: 1, has_successor_commits: false, ..JOINED_NODE_RESTARTS },
+        ),
+        ("joined-unlisted", JOINED_UNLISTED),
+        (
+            "joined-unlisted-writes",
+            Scope { writes: 1, has_successor_commits: false, ..JOINED_UNLISTED },
+        ),
+        ("joined-silent-coordinator", JOINED_SILENT_COORDINATOR),
+        ("joined-forgotten-stop", JOINED_FORGOTTEN_STOP),
+        ("joined-forgotten-stop-quiet", Scope { replica_restarts: 1, ..JOINED_AFTER_REPORTS }),
+        (
+            "planted-without-primary",
+            with_planted(JOINED_PRIMARY_RETURNS, PlantedUse::RenewedWithoutPrimary),
+        ),
+        ("planted-too-late", with_planted(JOINED_AFTER_REPORTS, PlantedUse::RenewedTooLate)),
+        (
+            "planted-check-from-result",
+            with_planted(JOINED_LATE_CHECKS, PlantedUse::CheckFromResult),
+        ),
+        ("planted-stops-unseen", with_planted(JOINED_LATE_CHECKS, PlantedUse::StopsUnseenByCheck)),
         (
             "joined-wide",
             Scope {
--- a/crates/core/tests/evidence_worlds/service.rs
+++ b/crates/core/tests/evidence_worlds/service.rs
@@ -2,7 +2,8 @@
 
 use crate::explorer::{Goal, Search};
 use crate::model::{FIRST_TICK, InstanceId, MAX_AGE_TICKS, Scope, Start};
-use crate::scopes::PLAIN;
+use crate::node::PlantedUse;
+use crate::scopes::{PLAIN, with_planted};
 use crate::search;
 
 /// A group that works, without any coordinator.
@@ -74,3 +75,30 @@
     let scope = Scope { has_store: false, dead: &[InstanceId::R2], ..CALM };
     assert!(!finds_acknowledgement("store away, dead replica, idle", scope));
 }
+
+/// A statement that arrives once the evidence from the beginning has expired.
+fn finds_read(name: &str, scope: Scope) -> bool {
+    let scope = Scope { first_write_tick: FIRST_TICK + MAX_AGE_TICKS, writes: 0, ..scope };
+    let Search { found, .. } = search(name, scope, 16, Goal::Read);
+    found.is_some()
+}
+
+/// Guards against loss of reads while neither the store nor the other nodes are in reach. Nothing but
+/// new reports of all replicas covers them there.
+#[test]
+fn idle_node_reads_without_the_store_and_other_nodes_if_all_replicas_answer() {
+    let scope = Scope { has_store: false, ..CALM };
+    assert!(finds_read("read, store and other nodes away", scope));
+    let lasting = with_planted(scope, PlantedUse::WithoutUnchecked);
+    assert!(!finds_read("the same, lasting evidence only", lasting));
+}
+
+/// Guards against loss of reads where a replacement check is possible: they need no unchecked
+/// reports.
+#[test]
+fn idle_node_reads_by_a_replacement_check() {
+    let lasting = with_planted(CALM, PlantedUse::WithoutUnchecked);
+    assert!(finds_read("read, with the store", lasting));
+    let peers = Scope { has_store: false, has_peers: true, dead: &[InstanceId::R2], ..lasting };
+    assert!(finds_read("read, with the other nodes, dead replica", peers));
+}
