--- a/crates/core/tests/evidence_worlds/known_worlds.rs
+++ b/crates/core/tests/evidence_worlds/known_worlds.rs
@@ -3,11 +3,11 @@
 use crate::model::Violation;
 use crate::node::PlantedUse;
 use crate::scopes::{
-    FORGOTTEN_STOP, JOINED, JOINED_AFTER_REPORTS, JOINED_FORGOTTEN_STOP, JOINED_LASTING,
-    JOINED_LATE_STORE, JOINED_NODE_RESTARTS, JOINED_PRIMARY_RETURNS, JOINED_SILENT_COORDINATOR,
-    JOINED_TWO, JOINED_TWO_LASTING, JOINED_TWO_WRITES, JOINED_UNKNOWN, JOINED_UNLISTED,
-    JOINED_WRITES, RESTART_AFTER_REVOCATION, REVOCATIONS_FOLLOW_STOPS, SILENT_COORDINATOR,
-    with_planted, with_rules,
+    FORGOTTEN_STOP, JOINED, JOINED_AFTER_REPORTS, JOINED_CHECK_READ, JOINED_FORGOTTEN_STOP,
+    JOINED_LASTING, JOINED_LATE_CHECKS, JOINED_LATE_STORE, JOINED_NODE_RESTARTS,
+    JOINED_PRIMARY_RETURNS, JOINED_SILENT_COORDINATOR, JOINED_TWO, JOINED_TWO_LASTING,
+    JOINED_TWO_WRITES, JOINED_UNKNOWN, JOINED_UNLISTED, JOINED_WRITES, RESTART_AFTER_REVOCATION,
+    REVOCATIONS_FOLLOW_STOPS, SILENT_COORDINATOR, with_planted, with_rules,
 };
 use crate::{assert_detected, assert_no_violation};
 
@@ -100,14 +100,16 @@
 /// instances has released.
 #[test]
 fn commits_are_safe_beside_two_instances_that_are_not_listed() {
-    assert_no_violation("two instances have joined, with a write", JOINED_TWO_WRITES, 10);
+    assert_no_violation("two instances have joined, with a write", JOINED_TWO_WRITES, 11);
 }
 
 /// Guards against kept reports that a replacement check in flight confirms, and that are false beside
 /// an instance that is not listed.
 #[test]
 fn reports_that_a_check_in_flight_confirms_are_true() {
-    assert_no_violation("a check in flight, an instance has joined", JOINED_LATE_STORE, 7);
+    assert_no_violation("late answers and checks, an instance has joined", JOINED_LATE_STORE, 6);
+    assert_no_violation("late checks, an instance has joined", JOINED_LATE_CHECKS, 8);
+    assert_no_violation("a check in flight, an instance has joined", JOINED_CHECK_READ, 11);
 }
 
 /// Guards against evidence that outlives a process beside an instance that is not listed.
@@ -144,6 +146,6 @@
 /// Guards against a search that cannot find a kept report that a check must not confirm.
 #[test]
 fn check_that_confirms_reports_answered_too_late_is_detected() {
-    let scope = with_planted(JOINED_LATE_STORE, PlantedUse::CheckFromResult);
+    let scope = with_planted(JOINED_CHECK_READ, PlantedUse::CheckFromResult);
     assert_detected("a check that counts from its result", scope, 12, Violation::Stale);
 }
--- a/crates/core/tests/evidence_worlds/model.rs
+++ b/crates/core/tests/evidence_worlds/model.rs
@@ -104,6 +104,9 @@
     Commit,
     /// All replicas have just reported, and a replacement check found none.
     Reports,
+    /// All of it has expired, and the store has just shown no replacement to a check whose result is
+    /// under way.
+    CheckRead,
 }
 
 /// Which worlds are explored.
@@ -277,6 +280,10 @@
                 }
                 node.on_no_replacement(FIRST_TICK, FIRST_TICK);
             }
+            Start::CheckRead => {
+                node.on_check_started(FIRST_TICK);
+                node.check = Some(Check { sent: FIRST_TICK, is_unreplaced: Some(true) });
+            }
         }
         Self {
             scope,
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -81,6 +81,9 @@
 /// An instance has joined, and replacement checks may take long, but no other requests.
 pub const JOINED_LATE_CHECKS: Scope = Scope { has_late_checks: true, has_store: true, ..JOINED };
 
+/// An instance has joined, and the result of the last replacement check arrives late.
+pub const JOINED_CHECK_READ: Scope = Scope { start: Start::CheckRead, ..JOINED };
+
 /// An instance has joined, the old primary ends and returns, and the node has recent evidence.
 pub const JOINED_PRIMARY_RETURNS: Scope = Scope { primary_crashes: 1, ..JOINED_AFTER_REPORTS };
 
@@ -198,6 +201,12 @@
             Scope { writes: 1, has_successor_commits: false, ..JOINED_LATE_STORE },
         ),
         ("joined-late-peers", Scope { has_late_answers: true, has_peers: true, ..JOINED_WRITES }),
+        ("joined-check-read", JOINED_CHECK_READ),
+        (
+            "joined-check-read-writes",
+            Scope { writes: 1, has_successor_commits: false, ..JOINED_CHECK_READ },
+        ),
+        ("joined-two-check-read", Scope { start: Start::CheckRead, ..JOINED_TWO_LASTING }),
         ("joined-late-checks", JOINED_LATE_CHECKS),
         (
             "joined-late-checks-writes",
@@ -227,11 +236,8 @@
             with_planted(JOINED_PRIMARY_RETURNS, PlantedUse::RenewedWithoutPrimary),
         ),
         ("planted-too-late", with_planted(JOINED_AFTER_REPORTS, PlantedUse::RenewedTooLate)),
-        (
-            "planted-check-from-result",
-            with_planted(JOINED_LATE_CHECKS, PlantedUse::CheckFromResult),
-        ),
-        ("planted-stops-unseen", with_planted(JOINED_LATE_CHECKS, PlantedUse::StopsUnseenByCheck)),
+        ("planted-check-from-result", with_planted(JOINED_CHECK_READ, PlantedUse::CheckFromResult)),
+        ("planted-stops-unseen", with_planted(JOINED_CHECK_READ, PlantedUse::StopsUnseenByCheck)),
         (
             "joined-wide",
             Scope {
