--- a/crates/core/tests/evidence_worlds/known_worlds.rs
+++ b/crates/core/tests/evidence_worlds/known_worlds.rs
@@ -6,8 +6,9 @@
     FORGOTTEN_STOP, JOINED, JOINED_AFTER_REPORTS, JOINED_CHECK_READ, JOINED_FORGOTTEN_STOP,
     JOINED_LASTING, JOINED_LATE_CHECKS, JOINED_LATE_STORE, JOINED_NODE_RESTARTS,
     JOINED_PRIMARY_RETURNS, JOINED_SILENT_COORDINATOR, JOINED_TWO, JOINED_TWO_LASTING,
-    JOINED_TWO_WRITES, JOINED_UNKNOWN, JOINED_UNLISTED, JOINED_WRITES, RESTART_AFTER_REVOCATION,
-    REVOCATIONS_FOLLOW_STOPS, SILENT_COORDINATOR, with_planted, with_rules,
+    JOINED_TWO_WRITES, JOINED_UNKNOWN, JOINED_UNKNOWN_WRITES, JOINED_UNLISTED, JOINED_WRITES,
+    RESTART_AFTER_REVOCATION, REVOCATIONS_FOLLOW_STOPS, SILENT_COORDINATOR, with_planted,
+    with_rules,
 };
 use crate::{assert_detected, assert_no_violation};
 
@@ -149,3 +150,10 @@
     let scope = with_planted(JOINED_CHECK_READ, PlantedUse::CheckFromResult);
     assert_detected("a check that counts from its result", scope, 12, Violation::Stale);
 }
+
+/// Guards against a lost commit that only an instance confirms which nobody lists, and so nobody
+/// stops.
+#[test]
+fn commits_are_safe_beside_an_instance_that_the_coordinator_does_not_list() {
+    assert_no_violation("nobody lists the instance, a write", JOINED_UNKNOWN_WRITES, 10);
+}
--- a/crates/core/tests/evidence_worlds/scopes.rs
+++ b/crates/core/tests/evidence_worlds/scopes.rs
@@ -102,6 +102,10 @@
 /// matter.
 pub const JOINED_FORGOTTEN_STOP: Scope = Scope { has_joined_instance: true, ..FORGOTTEN_STOP };
 
+/// An instance has joined that nobody lists, and the node, which has recent evidence, writes.
+pub const JOINED_UNKNOWN_WRITES: Scope =
+    Scope { start: Start::Reports, coordinator_lists_joined: false, ..JOINED_WRITES };
+
 /// An instance has joined, and the node has recent evidence.
 pub const JOINED_AFTER_REPORTS: Scope = Scope { start: Start::Reports, ..JOINED };
 
@@ -201,6 +205,7 @@
             Scope { writes: 1, has_successor_commits: false, ..JOINED_LATE_STORE },
         ),
         ("joined-late-peers", Scope { has_late_answers: true, has_peers: true, ..JOINED_WRITES }),
+        ("joined-unknown-after-reports-writes", JOINED_UNKNOWN_WRITES),
         ("joined-check-read", JOINED_CHECK_READ),
         (
             "joined-check-read-writes",
