Simulation: ask for replacement checks as the daemon does

Cause: under the rule that requires earlier evidence or a replacement check, a commit of the model that waits for confirmation asked for no check, and evidence that arrived after its answer did not cover it. Four planted faults were no longer detected, because the rule withholds the evidence by which they show.

Change: one check is in progress at a time and calls on_check_started. Commits that wait, writes and waiting requests ask for one where no lasting evidence holds, and commits whose reports are too few do after 10 ms. Evidence that arrives after the answer confirms a commit at a node that is informed. Worlds with one of these four planted faults count reports of all replicas for a lifetime and let them confirm commits; they also make checks as before.

--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -96,6 +96,9 @@
     pub sent: Instant,
     /// When the primary's answer arrived.
     pub answered: Instant,
+    /// Whether evidence counts that was requested before the answer. It does not at a node for
+    /// which no coordinator may have waited when the answer arrived.
+    pub counts_earlier_evidence: bool,
 }
 
 /// One node.
@@ -153,6 +156,9 @@
     /// Whether reports of some replicas count only with a replacement check. New reports prevent
     /// what some planted faults lead to, and each of them must still be detected.
     pub ignores_unchecked_reports: bool,
+    /// Whether reports of all replicas are evidence for a whole lifetime, without earlier evidence and
+    /// without a replacement check, because a fault is planted whose effect the check prevents.
+    pub counts_reports_of_all_replicas: bool,
     /// What the answers of each instance show about its process.
     pub processes: BTreeMap<usize, ObservedProcess>,
     /// Since when each instance has refused connections.
@@ -182,6 +188,8 @@
     pub status_queried_at: u64,
     /// When it last sent a replacement check to the store.
     pub replacement_checked_at: u64,
+    /// When the replacement check in progress was sent.
+    pub replacement_check_sent: Option<u64>,
     /// When it last sent demotions to old primaries.
     pub demotions_sent_at: u64,
     /// When it last queried restarted instances.
@@ -230,6 +238,7 @@
             connections: BTreeMap::new(),
             ignores_processes: false,
             ignores_unchecked_reports: false,
+            counts_reports_of_all_replicas: false,
             processes: BTreeMap::new(),
             last_leader: None,
             failure_detector: FailureDetector::default(),
@@ -245,6 +254,7 @@
             reported_at: 0,
             status_queried_at: 0,
             replacement_checked_at: 0,
+            replacement_check_sent: None,
             demotions_sent_at: 0,
             refills_queried_at: 0,
             started_at: 0,
@@ -420,6 +430,7 @@
         let lead = self.lead_of(leader, &name);
         let evidence =
             lead.and_then(|lead| self.evidence.covers_until(lead, REPLICATION, Duration::ZERO));
+        let evidence = evidence.max(lead.and_then(|lead| self.all_replicas_reported_at(lead)));
         let unchecked = lead
             .filter(|_| !self.ignores_unchecked_reports)
             .and_then(|lead| self.evidence.unchecked_coverage(lead, REPLICATION));
@@ -431,6 +442,33 @@
                 .is_some_and(|evidence| arrived <= self.covers_until(leader, evidence, lifetime))
     }
 
+    /// When the oldest of the newest reports of all replicas was requested, if they are evidence for
+    /// the primary and count without a replacement check
+    /// ([`counts_reports_of_all_replicas`](Self::counts_reports_of_all_replicas)).
+    fn all_replicas_reported_at(&self, lead: Lead) -> Option<Instant> {
+        if !self.counts_reports_of_all_replicas || !self.evidence.may_cover(lead.term) {
+            return None;
+        }
+        let replicas =
+            (0..REPLICATION.instances).map(instance_name).filter(|name| name != lead.instance);
+        // Without the report of one of them there is none of all.
+        replicas.map(|replica| self.evidence.report_queried_at(&replica, lead.term)).min().flatten()
+    }
+
+    /// Whether replicas confirm a commit of the leader that was answered at `answered`.
+    pub fn confirms_commit(&self, lead: Lead, answered: Instant) -> bool {
+        self.evidence.confirms_commit(lead, REPLICATION, answered)
+            || self.all_replicas_reported_at(lead).is_some_and(|reported| reported >= answered)
+    }
+
+    /// Whether evidence of some duration covers answers of the leader now. Where none does, reports
+    /// alone yield none.
+    pub fn has_lasting_evidence(&self, leader: usize, now: Instant, lifetime: Duration) -> bool {
+        let name = instance_name(leader);
+        self.lead_of(leader, &name)
+            .is_some_and(|lead| self.covers_answer(leader, lead.term, now, lifetime))
+    }
+
     /// Until when evidence of the time `evidence` covers arrivals at the leader.
     fn covers_until(&self, leader: usize, evidence: Instant, lifetime: Duration) -> Instant {
         match self.processes.get(&leader).filter(|_| !self.ignores_processes) {
--- a/crates/core/tests/replacement/plan.rs
+++ b/crates/core/tests/replacement/plan.rs
@@ -209,6 +209,21 @@
     ProcessesIgnored,
 }
 
+impl PlantedFault {
+    /// Whether nodes count unchecked reports of all replicas as evidence for a whole lifetime in
+    /// worlds with this fault. The rule that requires earlier evidence or a replacement check prevents
+    /// what the fault leads to, and the fault must still be detected.
+    pub fn counts_reports_of_all_replicas(self) -> bool {
+        matches!(
+            self,
+            Self::NoReplacementCheck
+                | Self::LateCommitsAccepted
+                | Self::NoEvidenceWait
+                | Self::SilenceEndsReplacements
+        )
+    }
+}
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultKind {
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -1,8 +1,10 @@
 //! Client traffic at nodes: random reads and writes, when a node may send them to the primary, and
 //! which answers it passes on to clients.
 
+use std::time::{Duration, Instant};
+
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{Lead, ReplicaTerms};
+use kestrellock_core::primary_evidence::{Lead, MIN_PROMOTION_TIME, ReplicaTerms};
 use kestrellock_core::primary_samples::PositionReport;
 use kestrellock_core::promotion::{Command, Event};
 use kestrellock_core::routing::Role;
@@ -12,7 +14,7 @@
 use crate::node::{REPLICATION, UnconfirmedCommit, group_name, instance_name};
 use crate::plan::{FaultKind, PlantedFault};
 use crate::store::Operation;
-use crate::world::World;
+use crate::world::{CALL_TIMEOUT_MS, World};
 
 /// Mean interval between two client requests at a node.
 const MEAN_REQUEST_INTERVAL_MS: f64 = 40.0;
@@ -24,6 +26,9 @@
 const REQUEST_TIMEOUT_MS: u64 = 700;
 /// Interval between two status queries for evidence.
 const STATUS_QUERY_INTERVAL_MS: u64 = 20;
+/// Time for which a node waits for replicas before it asks for a replacement check in place of the
+/// reports that are missing.
+const REPLICA_RESPONSE_TIMEOUT: Duration = Duration::from_millis(10);
 /// Interval between two replacement checks.
 const CHECK_INTERVAL_MS: u64 = 40;
 
@@ -42,6 +47,8 @@
         let now = self.at(self.now);
         self.nodes[node].ignores_processes = self.planted_fault == PlantedFault::ProcessesIgnored;
         self.nodes[node].ignores_unchecked_reports = self.planted_fault != PlantedFault::None;
+        self.nodes[node].counts_reports_of_all_replicas =
+            self.planted_fault.counts_reports_of_all_replicas();
         self.nodes[node].expire_replacements(now);
         self.drop_expired_requests(node);
         self.confirm_commits(node);
@@ -91,11 +98,13 @@
         if self.requests[node].is_empty() || self.nodes[node].delays_primary_requests() {
             return;
         }
+        let mut sends_write = false;
         for waiting in std::mem::take(&mut self.requests[node]) {
             if !self.may_run(node, leader, waiting) {
                 self.requests[node].push(waiting);
                 continue;
             }
+            sends_write |= waiting.writes;
             let (request, arrived) = (self.next_number(), waiting.arrived);
             let work = match waiting.writes {
                 true => Work::Write { commit: request, arrived },
@@ -106,7 +115,12 @@
         if !self.requests[node].is_empty() {
             self.query_for_evidence(node);
         }
-        self.check_for_replacement(node, leader);
+        // The check for a write usually ends before its commit is answered, which then needs no
+        // confirmation.
+        let is_needed = sends_write || !self.requests[node].is_empty();
+        if self.check_would_help(node, leader) || (is_needed && self.lacks_evidence(node, leader)) {
+            self.check_for_replacement(node);
+        }
     }
 
     /// Whether a request may be sent to the leader now.
@@ -137,28 +151,52 @@
         self.send_request(node, leader, commit, Work::Write { commit, arrived });
     }
 
-    /// If not all replicas answer, the evidence requires that the store confirms that the primary
-    /// is not being replaced.
-    fn check_for_replacement(&mut self, node: usize, leader: usize) {
-        let now = self.at(self.now);
+    /// Whether a replacement check would let the newest waiting request run.
+    fn check_would_help(&self, node: usize, leader: usize) -> bool {
         let lifetime = self.evidence_lifetime(node);
-        let helps = self.requests[node].last().is_some_and(|waiting| {
+        self.requests[node].last().is_some_and(|waiting| {
             let arrived = self.at(waiting.arrived);
             self.nodes[node].may_read_once_checked(leader, arrived, lifetime)
-        });
-        if !helps || self.now < self.nodes[node].replacement_checked_at + CHECK_INTERVAL_MS {
+        })
+    }
+
+    /// Whether reports yield no evidence without a replacement check. Where those of all replicas do,
+    /// nothing but a waiting request asks for one.
+    fn lacks_evidence(&self, node: usize, leader: usize) -> bool {
+        let (now, lifetime) = (self.at(self.now), self.evidence_lifetime(node));
+        let own = &self.nodes[node];
+        !own.counts_reports_of_all_replicas && !own.has_lasting_evidence(leader, now, lifetime)
+    }
+
+    /// Asks the store to confirm that the primary is not being replaced, unless a check is in progress
+    /// or has just begun.
+    fn check_for_replacement(&mut self, node: usize) {
+        let (now, begun) = (self.now, self.at(self.now));
+        let own = &mut self.nodes[node];
+        let is_in_progress =
+            own.replacement_check_sent.is_some_and(|sent| now < sent + CALL_TIMEOUT_MS);
+        let is_early = now < own.replacement_checked_at + CHECK_INTERVAL_MS;
+        if is_early || (is_in_progress && !own.counts_reports_of_all_replicas) {
             return;
         }
-        self.nodes[node].replacement_checked_at = self.now;
+        own.replacement_checked_at = now;
         match self.planted_fault {
-            PlantedFault::NoReplacementCheck => self.nodes[node].evidence.on_no_replacement(now),
-            _ => self.call(node, 0, Operation::ReadRevision),
+            PlantedFault::NoReplacementCheck => own.evidence.on_no_replacement(begun),
+            _ => {
+                if !own.counts_reports_of_all_replicas {
+                    own.replacement_check_sent = Some(now);
+                    own.evidence.on_check_started(begun);
+                }
+                self.call(node, 0, Operation::ReadRevision);
+            }
         }
     }
 
     /// Handles the store's position: if this node's copy is complete up to it and shows no
     /// replacement, the primary is not being replaced.
     pub fn on_store_revision(&mut self, node: usize, revision: u64, sent: u64) {
+        let own = &mut self.nodes[node];
+        own.replacement_check_sent = own.replacement_check_sent.filter(|other| *other != sent);
         let (sent, now) = (self.at(sent), self.at(self.now));
         let own = &mut self.nodes[node];
         let group = own.catalog.groups.get(&group_name());
@@ -175,6 +213,9 @@
     fn renew_claim(&mut self, node: usize) {
         let lifetime = self.evidence_lifetime(node);
         let own = &mut self.nodes[node];
+        if own.counts_reports_of_all_replicas {
+            return;
+        }
         let Some(leader) = own.leader() else { return };
         let name = instance_name(leader);
         let Some(lead) = own.lead_of(leader, &name) else { return };
@@ -310,21 +351,34 @@
                 self.checker.on_acknowledged(self.now, commit, term.0);
             }
         } else if is_awaited {
-            let unconfirmed = UnconfirmedCommit { commit, instance, term, sent, answered };
+            let counts_earlier_evidence = self.is_informed(node, instance);
+            let unconfirmed = UnconfirmedCommit {
+                commit,
+                instance,
+                term,
+                sent,
+                answered,
+                counts_earlier_evidence,
+            };
             self.nodes[node].unconfirmed_commits.push(unconfirmed);
         }
     }
 
     /// Whether a node acknowledges a commit of `term` as soon as the instance has answered it.
     pub fn acknowledges_at_once(&self, node: usize, instance: usize, term: Term) -> bool {
-        let is_notified =
-            self.coordinator_waits_for(node) || self.planted_fault == PlantedFault::NoConfirmation;
-        is_notified
-            && !self.needs_confirmation(node, instance)
+        self.is_informed(node, instance)
             && self.answer_counts(node, instance)
             && self.is_answer_covered(node, instance, term)
     }
 
+    /// Whether coordinators notify a node of replacements, and it knows how the last one of the
+    /// instance ended.
+    fn is_informed(&self, node: usize, instance: usize) -> bool {
+        let is_notified =
+            self.coordinator_waits_for(node) || self.planted_fault == PlantedFault::NoConfirmation;
+        is_notified && !self.needs_confirmation(node, instance)
+    }
+
     /// Whether evidence covers an answer that arrives now. Not required where a fault is planted: the
     /// evidence prevents what most planted faults lead to, and each of them must still be detected.
     fn is_answer_covered(&self, node: usize, instance: usize, term: Term) -> bool {
@@ -349,7 +403,45 @@
         accepts || self.planted_fault == PlantedFault::LateCommitsAccepted
     }
 
-    /// Acknowledges the commits that replicas have confirmed.
+    /// Whether evidence that arrived after the answer of a commit covers it.
+    fn is_covered_since(&self, node: usize, commit: &UnconfirmedCommit) -> bool {
+        let UnconfirmedCommit { instance, term, answered, .. } = *commit;
+        let lifetime = self.evidence_lifetime(node);
+        let own = &self.nodes[node];
+        self.counts_earlier_evidence(node, commit)
+            && own.led_terms.get(&instance) == Some(&term)
+            && own.evidence.may_cover(term)
+            && own.covers_answer(instance, term, answered, lifetime)
+    }
+
+    /// Whether evidence for a commit counts that was requested before its answer.
+    fn counts_earlier_evidence(&self, node: usize, commit: &UnconfirmedCommit) -> bool {
+        commit.counts_earlier_evidence && self.is_informed(node, commit.instance)
+    }
+
+    /// Whether a commit that waits lacks a replacement check.
+    fn lacks_check(&self, node: usize, commit: &UnconfirmedCommit, now: Instant) -> bool {
+        let own = &self.nodes[node];
+        if own.counts_reports_of_all_replicas {
+            return false;
+        }
+        if self.lacks_evidence(node, commit.instance) {
+            return true;
+        }
+        let lifetime = match self.counts_earlier_evidence(node, commit) {
+            true => self.evidence_lifetime(node).saturating_sub(MIN_PROMOTION_TIME),
+            false => Duration::ZERO,
+        };
+        let name = instance_name(commit.instance);
+        let lead = Lead { instance: &name, term: commit.term };
+        let covered_until = own.evidence.would_cover_until(lead, REPLICATION, lifetime);
+        // Reports may yet renew evidence that holds.
+        let has_waited = now >= commit.answered + REPLICA_RESPONSE_TIMEOUT;
+        has_waited && covered_until.is_some_and(|until| commit.answered <= until)
+    }
+
+    /// Acknowledges the commits that replicas have confirmed, or that evidence covers which arrived
+    /// after their answers.
     fn confirm_commits(&mut self, node: usize) {
         let now = self.at(self.now);
         let has_timed_out = |commit: &UnconfirmedCommit| {
@@ -361,16 +453,23 @@
                 // The outcome is in doubt and the client gets no acknowledgement.
                 continue;
             }
+            let is_covered = self.is_covered_since(node, &commit);
             let own = &mut self.nodes[node];
             let name = instance_name(commit.instance);
             let lead = Lead { instance: &name, term: commit.term };
-            if own.evidence.confirms_commit(lead, REPLICATION, commit.answered) {
+            if own.confirms_commit(lead, commit.answered) {
                 own.evidence.on_commit(commit.term, commit.sent);
                 self.checker.on_acknowledged(self.now, commit.commit, commit.term.0);
+            } else if is_covered {
+                self.checker.on_acknowledged(self.now, commit.commit, commit.term.0);
             } else {
                 own.unconfirmed_commits.push(commit);
             }
         }
+        let waiting = &self.nodes[node].unconfirmed_commits;
+        if waiting.iter().any(|commit| self.lacks_check(node, commit, now)) {
+            self.check_for_replacement(node);
+        }
         if !self.nodes[node].unconfirmed_commits.is_empty() {
             self.query_for_evidence(node);
         }
--- a/crates/core/tests/replacement/world.rs
+++ b/crates/core/tests/replacement/world.rs
@@ -36,7 +36,7 @@
 /// Interval between two steps of a node.
 const NODE_STEP_INTERVAL_MS: u64 = 5;
 /// Timeout of a node's call to the store.
-const CALL_TIMEOUT_MS: u64 = 250;
+pub const CALL_TIMEOUT_MS: u64 = 250;
 /// Minimum downtime of a crashed instance.
 const MIN_RESTART_MS: u64 = 600;
 /// Time that the platform needs for a promotion.
