Limit the rate of the log lines of failed preparations

`preparation_failed` was logged for each exchange whose session state an instance did not confirm, so an instance that fails many requests, or ends, logged as many lines.

`preparations` counts all of them already, as failed and interrupted. The line is logged by the new module `gateway::event_log`, which a test can call.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod connection_loss;
 pub mod current_position;
 mod ended_transactions;
+pub mod event_log;
 mod evidence_queries;
 mod exchanges;
 mod fencing;
--- a/crates/daemon/src/gateway/server/preparation.rs
+++ b/crates/daemon/src/gateway/server/preparation.rs
@@ -17,8 +17,8 @@
 
 use super::{CLEANUP_TIMEOUT, Server, ServerEvent, State};
 use crate::event::Io;
-use crate::gateway::notify_front;
 use crate::gateway::running_exchange::impact_of;
+use crate::gateway::{event_log, notify_front};
 use crate::metrics::PreparationEvent;
 
 /// A preparation takes at most one part in this many of the time that the exchange has left. The
@@ -93,8 +93,7 @@
         events: &mut Vec<ServerEvent>,
         io: &mut Io,
     ) {
-        io.context.metrics.preparations.count(PreparationEvent::Failed);
-        self.log_unprepared(exchange, "failed", Some(failure));
+        event_log::log_unprepared(exchange, &self.group, &self.instance, Some(failure), io);
         let refusal = match failure {
             Failure::Invalid if exchange.number == 0 => {
                 let detail = "the back end does not accept the session's settings or statements";
@@ -119,8 +118,8 @@
 
     /// Refuses an exchange because its connection ends before its session state was confirmed.
     pub(super) fn refuse_preparing(&self, preparing: &Preparing, fault: Fault, io: &mut Io) {
-        io.context.metrics.preparations.count(PreparationEvent::Interrupted);
-        self.log_unprepared(&preparing.exchange, "interrupted", None);
+        let (group, instance) = (&self.group, &self.instance);
+        event_log::log_unprepared(&preparing.exchange, group, instance, None, io);
         // The limit of a preparation is earlier than the deadline, so the front may try again.
         let fault = match fault {
             Fault::Deadline if Instant::now() < preparing.deadline => Fault::InstanceConnectionLost,
@@ -128,19 +127,4 @@
         };
         self.refuse_unsent(&preparing.exchange, fault, io);
     }
-
-    fn log_unprepared(&self, exchange: &Exchange, outcome: &str, failure: Option<Failure>) {
-        log::info!(
-            event = "preparation_failed",
-            id = exchange.request.as_deref().unwrap_or("-"),
-            lease:? = exchange.lease,
-            group = self.group.as_str(),
-            instance = self.instance.as_str(),
-            outcome = outcome,
-            failure:? = failure,
-            values = exchange.settings.len() as u64,
-            statements = exchange.statements.len() as u64;
-            "an instance has not confirmed the session state that a statement requires"
-        );
-    }
 }
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -1,6 +1,6 @@
-//! Rate limits for the log lines of events that a single request can cause. Each event has a separate
-//! limiter, so that many lines of one do not suppress those of another. Metrics count all of them,
-//! including those whose lines are suppressed.
+//! Rate limits for the log lines of events that single requests, links or groups can cause. Each
+//! event has a separate limiter, so that many lines of one do not suppress those of another. Metrics
+//! count all of them, including those whose lines are suppressed.
 
 use std::time::Instant;
 
@@ -21,6 +21,8 @@
     pub held_at_front: RoutineLogLimiter,
     /// Retries of requests after a refusal inside the proxy.
     pub retries: RoutineLogLimiter,
+    /// Session states of connections that an instance did not confirm.
+    pub failed_preparations: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -35,6 +37,7 @@
             held_at_gateway: limiter("held"),
             held_at_front: limiter("held_at_front"),
             retries: limiter("retried"),
+            failed_preparations: limiter("preparation_failed"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -20,7 +20,8 @@
 use kestrellock_daemon::front::decision_log;
 use kestrellock_daemon::gateway::Gateway;
 use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations};
-use kestrellock_daemon::metrics::{CommitWait, HeldFor};
+use kestrellock_daemon::gateway::event_log;
+use kestrellock_daemon::metrics::{CommitWait, HeldFor, PreparationEvent};
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
@@ -28,7 +29,7 @@
 use kestrellock_peer::message::{
     Exchange, GatewayCall, Placement, PlacementRequirements, ToGateway, TransactionState,
 };
-use kestrellock_protocol::backend::Report;
+use kestrellock_protocol::backend::{Failure, Report};
 use kestrellock_protocol::facts_cache::FactsCache;
 use kestrellock_protocol::request::Request;
 use mio::Poll;
@@ -220,3 +221,33 @@
     assert_eq!(suppressed("retried"), [BURST - u64::from(LINES_PER_SECOND)]);
     assert_eq!(context.metrics.retries.get(ResultCode::NotPrimary), BURST + 1);
 }
+
+/// Causes a burst of an event in one second and one more in the next, and checks that the lines are
+/// limited, that the suppressed ones are stated, and that the lines of other events are not
+/// suppressed.
+fn check_burst(context: &NodeContext, event: &str, mut cause: impl FnMut(&mut Io)) {
+    let now = Instant::now();
+    collect();
+    (0..BURST).for_each(|_| with_io(context, now, &mut cause));
+    assert_eq!(lines_of(event), LINES_PER_SECOND as usize, "lines of {event}");
+    assert!(context.event_log_limiters.retries.admits(now), "other lines are not suppressed");
+    with_io(context, now + SECOND, &mut cause);
+    assert_eq!(lines_of(event), LINES_PER_SECOND as usize + 1, "lines of {event}");
+    assert_eq!(suppressed(event), [BURST - u64::from(LINES_PER_SECOND)]);
+}
+
+/// Guards against a log that grows with the statements for which an instance fails to establish the
+/// session state.
+#[test]
+fn a_burst_of_failed_preparations_logs_a_bounded_number_of_lines_and_is_counted() {
+    let context = context();
+    let (group, instance, exchange) = (GroupName::new("g"), InstanceName::new("i"), exchange(0));
+    let mut failures = [Some(Failure::Other), None].into_iter().cycle();
+    check_burst(&context, "preparation_failed", |io| {
+        let failure = failures.next().expect("a cycle");
+        event_log::log_unprepared(&exchange, &group, &instance, failure, io);
+    });
+    let preparations = &context.metrics.preparations;
+    assert_eq!(preparations.get(PreparationEvent::Failed), BURST / 2 + 1);
+    assert_eq!(preparations.get(PreparationEvent::Interrupted), BURST / 2);
+}
