Limit the rate of the log lines of failed writes

`write_failed` was logged for each write that ran at an instance when its connection was lost or its deadline passed, so the end of a busy primary logged as many lines at once.

The lines now have a limiter of their own. The new metric `events` counts all of them, with the event as its label; no other metric counted exactly these.

--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -14,7 +14,7 @@
 use kestrellock_core::cancel::CancelKey;
 use kestrellock_core::catalog::{Group, Instance};
 use kestrellock_core::confirmation::ProbeNumber;
-use kestrellock_core::exchange_state::{Effect, Fault, Progress, failure_code};
+use kestrellock_core::exchange_state::{Fault, Progress, failure_code};
 use kestrellock_core::ids::{AccountName, GroupName, InstanceName, LeaseId};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::position::Position;
@@ -24,8 +24,8 @@
 
 use self::preparation::Preparing;
 use super::confirmation::Commit;
-use super::notify_front;
 use super::running_exchange::{RunningExchange, impact_of};
+use super::{event_log, notify_front};
 use crate::event::{EventSource, Io, token};
 use crate::metrics::ConnectionEvent;
 use crate::net::connect::connect_from;
@@ -334,34 +334,6 @@
         self.next_exchange = 0;
     }
 
-    /// Logs a write that ends without an answer, and the evidence on which it was sent. Reads are
-    /// repeated elsewhere and change nothing, so they are not logged.
-    fn log_failed(&self, running: &RunningExchange, fault: Fault, io: &Io) {
-        if running.impact.effect == Effect::Read {
-            return;
-        }
-        let age = |at: Instant| io.now.saturating_duration_since(at).as_millis() as u64;
-        let lead = running.required_lead;
-        let evidence = io.context.statuses.newest_evidence(&self.group);
-        let milliseconds = |age: Duration| age.as_millis() as u64;
-        log::info!(
-            event = "write_failed",
-            id = running.request.as_deref().unwrap_or("-"),
-            lease:? = running.lease,
-            group = self.group.as_str(),
-            instance = self.instance.as_str(),
-            fault:? = fault,
-            led_term = lead.map(|lead| lead.term.0),
-            must_cover_ms = lead.map(|lead| age(lead.must_cover)),
-            chosen_ms = lead.map(|lead| age(lead.chosen_at)),
-            sent_ms = age(running.sent),
-            commit_evidence_ms = evidence.commit.map(age),
-            report_evidence_ms = evidence.report.map(age),
-            store_copy_ms = io.context.store_copy_age(io.now).map(milliseconds);
-            "a write that was sent to an instance has no answer"
-        );
-    }
-
     /// Sends an exchange, followed by a position query if it may commit.
     pub fn send(&mut self, exchange: &Exchange, deadline: Instant, io: &Io) {
         let output = &mut self.connection.output;
@@ -449,7 +421,7 @@
                 io.context.statuses.on_ended(&self.group, &self.instance, number, None);
             }
             let unsent = self.connection.output.len();
-            self.log_failed(&running, fault, io);
+            event_log::log_failed_write(&running, &self.group, &self.instance, fault, io);
             let event = running.failure_event(fault, unsent, &self.instance);
             notify_front(&running.lease, self.next_sequence, event, io);
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,10 +22,10 @@
 
 pub use labels::{
     AnswerEvidence, CapacityEvent, ChoiceEvidence, CommitWait, CommitWaitEnd, ConfigurationEvent,
-    ConnectionEvent, HeldFor, IsolationEvent, Label, MessageEvent, PreparationEvent, PrewarmEvent,
-    ProbeEvent, ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent, StatementResult,
-    StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult, UnansweredRequest,
-    VoteEvent,
+    ConnectionEvent, HeldFor, IsolationEvent, Label, LoggedEvent, MessageEvent, PreparationEvent,
+    PrewarmEvent, ProbeEvent, ReplacementCheckEvent, Route, SessionBoundEvent, SessionEndEvent,
+    StatementResult, StatusConnectionEvent, StoppedExchange, StorePurpose, StoreResult,
+    UnansweredRequest, VoteEvent,
 };
 
 const PREFIX: &str = "kestrellock";
@@ -130,6 +130,8 @@
     pub commit_wait_ends: CounterSet<CommitWaitEnd>,
     /// Requests that wait before they are sent to an instance, by what they wait for.
     pub held: CounterSet<HeldFor>,
+    /// Events whose log lines are rate-limited and that no other metric counts.
+    pub events: CounterSet<LoggedEvent>,
     /// Connections from clients.
     pub client_connections: CounterSet<ConnectionEvent>,
     /// Sessions that this node ended, and requests that it refused with them.
@@ -272,6 +274,7 @@
                 "held",
                 "Requests that wait before they are sent, by what they wait for",
             ),
+            events: CounterSet::register(r, "events", "Events whose log lines are limited in rate"),
             client_connections: CounterSet::register(r, "callers", "Connections of callers"),
             session_ends: CounterSet::register(
                 r,
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -404,6 +404,15 @@
     }
 }
 
+labels! {
+    /// An event that is counted here because no other metric counts exactly its log lines. The text
+    /// is the event in the log.
+    LoggedEvent {
+        /// A write that was sent to an instance has no answer.
+        WriteFailed = "write_failed",
+    }
+}
+
 impl AnswerEvidence {
     /// The label for the evidence of an answer; `None` if there is none.
     pub fn of(evidence: Option<EvidenceKind>) -> Self {
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -23,6 +23,8 @@
     pub retries: RoutineLogLimiter,
     /// Session states of connections that an instance did not confirm.
     pub failed_preparations: RoutineLogLimiter,
+    /// Writes that were sent to an instance and have no answer.
+    pub failed_writes: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -38,6 +40,7 @@
             held_at_front: limiter("held_at_front"),
             retries: limiter("retried"),
             failed_preparations: limiter("preparation_failed"),
+            failed_writes: limiter("write_failed"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use kestrellock_core::catalog::{Catalog, Elector, Group, IndexedCatalog, Priority};
+use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName, ZoneName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::{LogOffset, Position, Term};
@@ -21,7 +22,8 @@
 use kestrellock_daemon::gateway::Gateway;
 use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations};
 use kestrellock_daemon::gateway::event_log;
-use kestrellock_daemon::metrics::{CommitWait, HeldFor, PreparationEvent};
+use kestrellock_daemon::gateway::running_exchange::RunningExchange;
+use kestrellock_daemon::metrics::{CommitWait, HeldFor, LoggedEvent, PreparationEvent};
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
@@ -251,3 +253,23 @@
     assert_eq!(preparations.get(PreparationEvent::Failed), BURST / 2 + 1);
     assert_eq!(preparations.get(PreparationEvent::Interrupted), BURST / 2);
 }
+
+/// Guards against a log that grows with the writes that run when an instance ends. Reads are neither
+/// logged nor counted.
+#[test]
+fn a_burst_of_failed_writes_logs_a_bounded_number_of_lines_and_is_counted() {
+    let context = context();
+    let (group, instance) = (GroupName::new("g"), InstanceName::new("i"));
+    let running = |access| {
+        let exchange = Exchange { access, may_commit: true, ..exchange(0) };
+        RunningExchange::new(&exchange, false, 0, Instant::now() + DEADLINE)
+    };
+    let log = |running: &RunningExchange, io: &Io| {
+        event_log::log_failed_write(running, &group, &instance, Fault::InstanceConnectionLost, io);
+    };
+    let read = running(Access::PrimaryRead { bound: None });
+    with_io(&context, Instant::now(), |io| log(&read, io));
+    let write = running(Access::Write { bound: None });
+    check_burst(&context, "write_failed", |io| log(&write, io));
+    assert_eq!(context.metrics.events.get(LoggedEvent::WriteFailed), BURST + 1);
+}
