Limit the rate of the log lines of late answers

`answer_too_late` was logged for each commit that an old primary answers late in its replacement.

The lines now have a limiter of their own, and the metric `events` counts all of them.

--- a/crates/daemon/src/gateway/confirmation.rs
+++ b/crates/daemon/src/gateway/confirmation.rs
@@ -27,7 +27,7 @@
 use super::notify_front;
 use super::server::ProbeAnswer;
 use crate::event::Io;
-use crate::metrics::{CommitWait, CommitWaitEnd};
+use crate::metrics::{CommitWait, CommitWaitEnd, LoggedEvent};
 use crate::policy::Policy;
 use crate::shared::statuses::{CommitConfirmation, UncoveredAnswer};
 
@@ -366,13 +366,16 @@
 /// Answers a commit that an old primary acknowledged so long after its replacement began that
 /// another instance may have been chosen without the commit: the outcome is in doubt.
 pub fn refuse_late(group: &GroupName, commit: Commit, io: &mut Io) {
-    log::info!(
-        event = "answer_too_late",
-        group = group.as_str(),
-        lease:? = commit.lease,
-        instance = commit.instance.as_str();
-        "a primary that is being replaced answered a commit too late"
-    );
+    io.context.metrics.events.count(LoggedEvent::AnswerTooLate);
+    if io.context.event_log_limiters.late_answers.admits(io.now) {
+        log::info!(
+            event = "answer_too_late",
+            group = group.as_str(),
+            lease:? = commit.lease,
+            instance = commit.instance.as_str();
+            "a primary that is being replaced answered a commit too late"
+        );
+    }
     refuse(commit, Progress::Unconfirmed, Fault::Superseded, io);
 }
 
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -410,6 +410,8 @@
     LoggedEvent {
         /// A write that was sent to an instance has no answer.
         WriteFailed = "write_failed",
+        /// A primary that is being replaced answered a commit too late.
+        AnswerTooLate = "answer_too_late",
     }
 }
 
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -25,6 +25,8 @@
     pub failed_preparations: RoutineLogLimiter,
     /// Writes that were sent to an instance and have no answer.
     pub failed_writes: RoutineLogLimiter,
+    /// Commits that a primary answered too late during its replacement.
+    pub late_answers: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -41,6 +43,7 @@
             retries: limiter("retried"),
             failed_preparations: limiter("preparation_failed"),
             failed_writes: limiter("write_failed"),
+            late_answers: limiter("answer_too_late"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -20,7 +20,7 @@
 use kestrellock_daemon::event::Io;
 use kestrellock_daemon::front::decision_log;
 use kestrellock_daemon::gateway::Gateway;
-use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations};
+use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations, refuse_late};
 use kestrellock_daemon::gateway::event_log;
 use kestrellock_daemon::gateway::running_exchange::RunningExchange;
 use kestrellock_daemon::metrics::{CommitWait, HeldFor, LoggedEvent, PreparationEvent};
@@ -273,3 +273,12 @@
     check_burst(&context, "write_failed", |io| log(&write, io));
     assert_eq!(context.metrics.events.get(LoggedEvent::WriteFailed), BURST + 1);
 }
+
+/// Guards against a log that grows with the commits that an old primary answers late.
+#[test]
+fn a_burst_of_late_answers_logs_a_bounded_number_of_lines_and_is_counted() {
+    let context = context();
+    let group = GroupName::new("g");
+    check_burst(&context, "answer_too_late", |io| refuse_late(&group, commit(0), io));
+    assert_eq!(context.metrics.events.get(LoggedEvent::AnswerTooLate), BURST + 1);
+}
