Limit the rate of the log lines of dropped exchanges

`ruled_out` was logged for each exchange that arrives after it was reported to its front as not run. A link that delivers late logged a line for each exchange on it.

The lines now have a limiter of their own, and the metric `events` counts all of them.

--- a/crates/daemon/src/gateway/event_log.rs
+++ b/crates/daemon/src/gateway/event_log.rs
@@ -80,3 +80,11 @@
         "a write that was sent to an instance has no answer"
     );
 }
+
+/// Counts and logs that an exchange is dropped because it was reported to its front as not run.
+pub(super) fn log_dropped(exchange: &Exchange, io: &Io) {
+    io.context.metrics.events.count(LoggedEvent::RuledOut);
+    if io.context.event_log_limiters.dropped_exchanges.admits(io.now) {
+        log::info!(event = "ruled_out", id = exchange.request.as_deref().unwrap_or("-"); "dropped a statement that arrived after it was reported to its front as not run");
+    }
+}
--- a/crates/daemon/src/gateway/exchanges.rs
+++ b/crates/daemon/src/gateway/exchanges.rs
@@ -14,7 +14,7 @@
 
 use super::pool::{Assignment, Assignments, ConnectionToOpen, Pool};
 use super::server::{Purpose, Server};
-use super::{Gateway, notify_refused, ownership, queued_log, refuse, stopping};
+use super::{Gateway, event_log, notify_refused, ownership, queued_log, refuse, stopping};
 use crate::event::Io;
 use crate::metrics::{CapacityEvent, ConnectionEvent};
 
@@ -41,7 +41,7 @@
             self.last_remote_exchange = Some(io.now);
         }
         if self.reported_not_run.contains_key(&exchange.lease) {
-            log::info!(event = "ruled_out", id = exchange.request.as_deref().unwrap_or("-"); "dropped a statement that arrived after it was reported to its front as not run");
+            event_log::log_dropped(&exchange, io);
             return;
         }
         if stopping::refuses_work(io) {
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -412,6 +412,8 @@
         WriteFailed = "write_failed",
         /// A primary that is being replaced answered a commit too late.
         AnswerTooLate = "answer_too_late",
+        /// An exchange arrived after it was reported to its front as not run.
+        RuledOut = "ruled_out",
     }
 }
 
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -27,6 +27,8 @@
     pub failed_writes: RoutineLogLimiter,
     /// Commits that a primary answered too late during its replacement.
     pub late_answers: RoutineLogLimiter,
+    /// Exchanges that were dropped because they were reported to their front as not run.
+    pub dropped_exchanges: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -44,6 +46,7 @@
             failed_preparations: limiter("preparation_failed"),
             failed_writes: limiter("write_failed"),
             late_answers: limiter("answer_too_late"),
+            dropped_exchanges: limiter("ruled_out"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -282,3 +282,18 @@
     check_burst(&context, "answer_too_late", |io| refuse_late(&group, commit(0), io));
     assert_eq!(context.metrics.events.get(LoggedEvent::AnswerTooLate), BURST + 1);
 }
+
+/// Guards against a log that grows with the exchanges that arrive on an old link after they were
+/// reported as not run.
+#[test]
+fn a_burst_of_dropped_exchanges_logs_a_bounded_number_of_lines_and_is_counted() {
+    let context = context();
+    let mut gateway = Gateway::default();
+    with_io(&context, Instant::now(), |io| gateway.mark_not_run(&lease(0), io));
+    check_burst(&context, "ruled_out", |io| {
+        let call = GatewayCall::Exchange(Box::new(exchange(0)));
+        let message = ToGateway { from: NodeName::new("front"), group: GroupName::new("g"), call };
+        gateway.on_call(message, io);
+    });
+    assert_eq!(context.metrics.events.get(LoggedEvent::RuledOut), BURST + 1);
+}
