Limit the rate of the log lines of drained transactions

`transaction_drained` was logged for each open transaction at the end of the time of a zone drain, so one drain logged as many lines as it rolled transactions back.

The lines now have a limiter of their own, and the metric `events` counts all of them.

--- a/crates/daemon/src/gateway/event_log.rs
+++ b/crates/daemon/src/gateway/event_log.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::exchange_state::{Effect, Fault};
-use kestrellock_core::ids::{GroupName, InstanceName};
+use kestrellock_core::ids::{GroupName, InstanceName, LeaseId};
 use kestrellock_peer::message::Exchange;
 use kestrellock_protocol::backend::Failure;
 
@@ -88,3 +88,11 @@
         log::info!(event = "ruled_out", id = exchange.request.as_deref().unwrap_or("-"); "dropped a statement that arrived after it was reported to its front as not run");
     }
 }
+
+/// Counts and logs that an open transaction is rolled back because of the drain of a zone.
+pub fn log_drained(lease: &LeaseId, instance: &InstanceName, io: &Io) {
+    io.context.metrics.events.count(LoggedEvent::TransactionDrained);
+    if io.context.event_log_limiters.drained_transactions.admits(io.now) {
+        log::info!(event = "transaction_drained", lease:? = lease, instance = instance.as_str(); "an open transaction is rolled back: its zone is being drained");
+    }
+}
--- a/crates/daemon/src/gateway/zone_drains.rs
+++ b/crates/daemon/src/gateway/zone_drains.rs
@@ -13,7 +13,7 @@
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_peer::message::{Exchange, LeaseEvent};
 
-use super::{Gateway, notify_front};
+use super::{Gateway, event_log, notify_front};
 use crate::event::Io;
 
 /// Fraction of the configured drain limit for which open transactions may continue after this node
@@ -94,7 +94,7 @@
             .map(|(lease, key)| (lease.clone(), *key))
             .collect();
         for (lease, key) in over {
-            log::info!(event = "transaction_drained", lease:? = lease, instance = self.servers[key].instance.as_str(); "an open transaction is rolled back: its zone is being drained");
+            event_log::log_drained(&lease, &self.servers[key].instance, io);
             let sequence = self.servers[key].next_sequence();
             self.ended_transactions.record(lease, sequence, TRANSACTION_DETAIL, io.now);
             self.on_server_lost(key, Fault::Superseded, io);
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -414,6 +414,8 @@
         AnswerTooLate = "answer_too_late",
         /// An exchange arrived after it was reported to its front as not run.
         RuledOut = "ruled_out",
+        /// An open transaction was rolled back because its zone is being drained.
+        TransactionDrained = "transaction_drained",
     }
 }
 
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -29,6 +29,8 @@
     pub late_answers: RoutineLogLimiter,
     /// Exchanges that were dropped because they were reported to their front as not run.
     pub dropped_exchanges: RoutineLogLimiter,
+    /// Open transactions that were rolled back because of the drain of a zone.
+    pub drained_transactions: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -47,6 +49,7 @@
             failed_writes: limiter("write_failed"),
             late_answers: limiter("answer_too_late"),
             dropped_exchanges: limiter("ruled_out"),
+            drained_transactions: limiter("transaction_drained"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -297,3 +297,13 @@
     });
     assert_eq!(context.metrics.events.get(LoggedEvent::RuledOut), BURST + 1);
 }
+
+/// Guards against a log that grows with the open transactions in a zone that is drained.
+#[test]
+fn a_burst_of_drained_transactions_logs_a_bounded_number_of_lines_and_is_counted() {
+    let (context, instance) = (context(), InstanceName::new("i"));
+    check_burst(&context, "transaction_drained", |io| {
+        event_log::log_drained(&lease(0), &instance, io);
+    });
+    assert_eq!(context.metrics.events.get(LoggedEvent::TransactionDrained), BURST + 1);
+}
