Limit the rate of the log lines of unanswered requests

`request_unanswered` was logged for each request whose connection the node closes without a complete answer, so the end of a busy node logged as many lines.

The lines now have a limiter of their own. `unanswered_requests` counts all of them already.

--- a/crates/daemon/src/front/session.rs
+++ b/crates/daemon/src/front/session.rs
@@ -19,7 +19,7 @@
 mod retrying;
 mod sending;
 mod stopping;
-mod unanswered;
+pub mod unanswered;
 
 use std::time::{Duration, Instant};
 
--- a/crates/daemon/src/front/session/unanswered.rs
+++ b/crates/daemon/src/front/session/unanswered.rs
@@ -1,5 +1,5 @@
 //! Counts and logs whole requests that get neither an answer nor a refusal, so that operators see
-//! each of them.
+//! them. The metric counts each; the log lines are rate-limited.
 
 use std::time::Instant;
 
@@ -45,13 +45,16 @@
 }
 
 /// Counts and logs a whole request that gets neither an answer nor a refusal.
-pub(super) fn count_unanswered(
+pub fn count_unanswered(
     reason: UnansweredRequest,
     id: Option<&str>,
     context: &NodeContext,
     now: Instant,
 ) {
     context.metrics.unanswered_requests.count(reason);
+    if !context.event_log_limiters.unanswered_requests.admits(now) {
+        return;
+    }
     let stop = context.stop.load();
     let since_stop = stop.as_ref().as_ref().map(|stop| now.saturating_duration_since(stop.began));
     log::warn!(
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -31,6 +31,8 @@
     pub dropped_exchanges: RoutineLogLimiter,
     /// Open transactions that were rolled back because of the drain of a zone.
     pub drained_transactions: RoutineLogLimiter,
+    /// Requests whose connection this node closed without a complete answer.
+    pub unanswered_requests: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -50,6 +52,7 @@
             late_answers: limiter("answer_too_late"),
             dropped_exchanges: limiter("ruled_out"),
             drained_transactions: limiter("transaction_drained"),
+            unanswered_requests: limiter("request_unanswered"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -19,11 +19,14 @@
 use kestrellock_daemon::context::NodeContext;
 use kestrellock_daemon::event::Io;
 use kestrellock_daemon::front::decision_log;
+use kestrellock_daemon::front::session::unanswered::count_unanswered;
 use kestrellock_daemon::gateway::Gateway;
 use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations, refuse_late};
 use kestrellock_daemon::gateway::event_log;
 use kestrellock_daemon::gateway::running_exchange::RunningExchange;
-use kestrellock_daemon::metrics::{CommitWait, HeldFor, LoggedEvent, PreparationEvent};
+use kestrellock_daemon::metrics::{
+    CommitWait, HeldFor, LoggedEvent, PreparationEvent, UnansweredRequest,
+};
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
@@ -307,3 +310,14 @@
     });
     assert_eq!(context.metrics.events.get(LoggedEvent::TransactionDrained), BURST + 1);
 }
+
+/// Guards against a log that grows with the clients whose connections a node closes.
+#[test]
+fn a_burst_of_unanswered_requests_logs_a_bounded_number_of_lines_and_is_counted() {
+    let context = context();
+    check_burst(&context, "request_unanswered", |io| {
+        count_unanswered(UnansweredRequest::InProgress, Some("id"), io.context, io.now);
+    });
+    let unanswered = &context.metrics.unanswered_requests;
+    assert_eq!(unanswered.get(UnansweredRequest::InProgress), BURST + 1);
+}
