Limit the rate of the log lines of links with errors

`link closed` was logged for each link that another process violates the protocol on, so a node of another cluster, or any process that connects again and again, logged as many lines.

The lines now have a limiter of their own, and the metric `events` counts all of them, those of sealed links included. The line keeps its text and gets the event `link_closed`, since it had none by which the suppressed lines could be named. `Link::advance` returns the error instead of logging it, because a link has no access to limiters and metrics.

--- a/crates/daemon/src/links/link.rs
+++ b/crates/daemon/src/links/link.rs
@@ -11,6 +11,8 @@
 
 use super::duplicates::LinkInfo;
 use super::heartbeat::{Heartbeat, HeartbeatAction};
+use crate::event::Io;
+use crate::metrics::LoggedEvent;
 use crate::net::connection::{Connection, ReadOutcome};
 
 /// Maximum bytes queued for a peer that reads slowly; further messages are rejected.
@@ -79,8 +81,23 @@
     pub established: bool,
     /// Whether the link can no longer be used.
     pub broken: bool,
-    /// Whether the other side violated the protocol.
-    pub protocol_violated: bool,
+    /// How the other side violated the protocol, if it did.
+    pub violation: Option<ChannelError>,
+}
+
+impl Received {
+    fn close_on_error(&mut self, error: ChannelError) {
+        self.broken = true;
+        self.violation = Some(error);
+    }
+}
+
+/// Counts and logs that a link cannot be used any more because the other side violated the protocol.
+pub fn log_closed(error: &ChannelError, io: &Io) {
+    io.context.metrics.events.count(LoggedEvent::LinkClosed);
+    if io.context.event_log_limiters.closed_links.admits(io.now) {
+        log::warn!(event = "link_closed"; "link closed: {error}");
+    }
 }
 
 impl Link {
@@ -262,7 +279,7 @@
             let Connection { input, output, .. } = &mut self.connection;
             match self.channel.advance(input, output) {
                 Ok(established) => received.established = established,
-                Err(error) => self.close_on_error(&error, &mut received),
+                Err(error) => received.close_on_error(error),
             }
             received.introduced = !was_introduced && self.channel.peer().is_some();
         }
@@ -270,7 +287,7 @@
             match self.channel.receive(&mut self.connection.input) {
                 Ok(Some(message)) => received.messages.push(message),
                 Ok(None) => break,
-                Err(error) => self.close_on_error(&error, &mut received),
+                Err(error) => received.close_on_error(error),
             }
         }
         if !received.messages.is_empty() {
@@ -279,12 +296,6 @@
         received
     }
 
-    fn close_on_error(&self, error: &ChannelError, received: &mut Received) {
-        log::warn!("link closed: {error}");
-        received.broken = true;
-        received.protocol_violated = true;
-    }
-
     /// Sends as much as the kernel takes.
     pub fn flush(&mut self, registry: &Registry) -> std::io::Result<()> {
         self.connection.flush(registry)?;
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -224,7 +224,8 @@
         let received = link.advance(io.now);
         let metrics = &io.context.metrics;
         metrics.messages.add(MessageEvent::Received, received.messages.len() as u64);
-        if received.protocol_violated {
+        if let Some(error) = &received.violation {
+            link::log_closed(error, io);
             metrics.messages.count(MessageEvent::Refused);
         }
         if received.introduced && self.yields_to_own_link(key) {
--- a/crates/daemon/src/links/replacing.rs
+++ b/crates/daemon/src/links/replacing.rs
@@ -18,7 +18,7 @@
 
 use super::duplicates::LinkId;
 use super::heartbeat::HeartbeatAction;
-use super::link::{Link, LinkStage};
+use super::link::{Link, LinkStage, Received, log_closed};
 use super::{LinkReplacement, Links, Origin};
 use crate::event::Io;
 use crate::metrics::ConnectionEvent;
@@ -90,7 +90,10 @@
         let link = &mut self.links[key];
         // An error is irrelevant: the connection is out of use.
         let _ = link.fill();
-        let received = link.advance(io.now).messages;
+        let Received { messages: received, violation, .. } = link.advance(io.now);
+        if let Some(error) = &violation {
+            log_closed(error, io);
+        }
         link.discard_input();
         link.set_stage(LinkStage::Replaced { since: io.now });
         reason.log_and_count(peer, received.len(), io);
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -416,6 +416,8 @@
         RuledOut = "ruled_out",
         /// An open transaction was rolled back because its zone is being drained.
         TransactionDrained = "transaction_drained",
+        /// A link was closed because of an error of the other side.
+        LinkClosed = "link_closed",
     }
 }
 
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -33,6 +33,8 @@
     pub drained_transactions: RoutineLogLimiter,
     /// Requests whose connection this node closed without a complete answer.
     pub unanswered_requests: RoutineLogLimiter,
+    /// Links that were closed because of an error of the other side.
+    pub closed_links: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -53,6 +55,7 @@
             dropped_exchanges: limiter("ruled_out"),
             drained_transactions: limiter("transaction_drained"),
             unanswered_requests: limiter("request_unanswered"),
+            closed_links: limiter("link_closed"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -24,6 +24,7 @@
 use kestrellock_daemon::gateway::confirmation::{Commit, Confirmations, refuse_late};
 use kestrellock_daemon::gateway::event_log;
 use kestrellock_daemon::gateway::running_exchange::RunningExchange;
+use kestrellock_daemon::links::link;
 use kestrellock_daemon::metrics::{
     CommitWait, HeldFor, LoggedEvent, PreparationEvent, UnansweredRequest,
 };
@@ -31,6 +32,7 @@
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
 use kestrellock_daemon::shared::live::LiveNode;
+use kestrellock_peer::channel::ChannelError;
 use kestrellock_peer::message::{
     Exchange, GatewayCall, Placement, PlacementRequirements, ToGateway, TransactionState,
 };
@@ -321,3 +323,11 @@
     let unanswered = &context.metrics.unanswered_requests;
     assert_eq!(unanswered.get(UnansweredRequest::InProgress), BURST + 1);
 }
+
+/// Guards against a log that grows with the links that a node of another cluster opens.
+#[test]
+fn a_burst_of_links_with_errors_logs_a_bounded_number_of_lines_and_is_counted() {
+    let context = context();
+    check_burst(&context, "link_closed", |io| link::log_closed(&ChannelError::OtherCluster, io));
+    assert_eq!(context.metrics.events.get(LoggedEvent::LinkClosed), BURST + 1);
+}
