Limit the rate of the log lines of failed write-backs

`not_written_back` was logged for each group, again with each retry, while the store does not take the replacement records of groups after a store restore.

The lines now have a limiter of their own, and the metric `events` counts all of them.

--- a/crates/daemon/src/agent/promotion/mod.rs
+++ b/crates/daemon/src/agent/promotion/mod.rs
@@ -39,7 +39,7 @@
 mod vote_exchange;
 mod vote_publisher;
 mod watch;
-mod write_back;
+pub mod write_back;
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/agent/promotion/watch.rs
+++ b/crates/daemon/src/agent/promotion/watch.rs
@@ -254,7 +254,7 @@
             let _ = self.vote_sender.send(self.store_votes.clone());
         }
         let owned = self.owned.refresh(self.context);
-        write_back::start(self.services, owned.to_vec(), self.stop);
+        write_back::start(self.context, self.services, owned.to_vec(), self.stop);
     }
 
     /// Records the terms that promoted instances lead. An instance that leads a lower term is an
--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -418,6 +418,8 @@
         TransactionDrained = "transaction_drained",
         /// A link was closed because of an error of the other side.
         LinkClosed = "link_closed",
+        /// The replacement records of a group could not be written back to the store.
+        NotWrittenBack = "not_written_back",
     }
 }
 
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -35,6 +35,8 @@
     pub unanswered_requests: RoutineLogLimiter,
     /// Links that were closed because of an error of the other side.
     pub closed_links: RoutineLogLimiter,
+    /// Failures to write replacement records back to the store.
+    pub failed_write_backs: RoutineLogLimiter,
     /// Refusals of requests and logins.
     pub refusals: RefusalLogLimiters,
 }
@@ -56,6 +58,7 @@
             drained_transactions: limiter("transaction_drained"),
             unanswered_requests: limiter("request_unanswered"),
             closed_links: limiter("link_closed"),
+            failed_write_backs: limiter("not_written_back"),
             refusals: RefusalLogLimiters::new(per_second),
         }
     }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -16,6 +16,7 @@
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::{Access, Role};
+use kestrellock_daemon::agent::promotion::write_back;
 use kestrellock_daemon::context::NodeContext;
 use kestrellock_daemon::event::Io;
 use kestrellock_daemon::front::decision_log;
@@ -39,6 +40,7 @@
 use kestrellock_protocol::backend::{Failure, Report};
 use kestrellock_protocol::facts_cache::FactsCache;
 use kestrellock_protocol::request::Request;
+use kestrellock_store::store::StoreError;
 use mio::Poll;
 use support::log_lines::{collect, lines_of, suppressed};
 
@@ -331,3 +333,14 @@
     check_burst(&context, "link_closed", |io| link::log_closed(&ChannelError::OtherCluster, io));
     assert_eq!(context.metrics.events.get(LoggedEvent::LinkClosed), BURST + 1);
 }
+
+/// Guards against a log that grows with the number of groups while the store does not answer.
+#[test]
+fn a_burst_of_failed_write_backs_logs_a_bounded_number_of_lines_and_is_counted() {
+    let (context, group) = (context(), GroupName::new("g"));
+    let error = StoreError::Unreachable("refused".to_owned());
+    check_burst(&context, "not_written_back", |io| {
+        write_back::log_failure(&group, &error, io.context, io.now);
+    });
+    assert_eq!(context.metrics.events.get(LoggedEvent::NotWrittenBack), BURST + 1);
+}
