Limit the log lines of refusals by group and code

Refusals were limited by code for all groups together, so many refusals of one group suppressed the lines of all other groups with that code.

Each pair of a code and a group now has a limiter of its own, at most 64 pairs at a time. When a further pair needs one, those whose second has ended state what they suppressed and are dropped. If there is still no room, the pair shares the limiter of its code with other pairs without one and with refusals without a group, as before. So at most 64 times the limit is logged in a second, and the limit once more for each code. `lines_suppressed` names the group. Refusals in doubt are always logged, as before.

In the new test in `log_limits`, a refusal of one group after 100 of another was suppressed before (20 lines of 101), and is logged now (21). With 640 groups of 100 refusals each in one second, 64 limiters exist, and 64 times 20 and 20 lines are admitted.

--- a/crates/daemon/src/front/decision_log.rs
+++ b/crates/daemon/src/front/decision_log.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use kestrellock_core::ids::{AccountName, InstanceName};
+use kestrellock_core::ids::{AccountName, GroupName, InstanceName};
 use kestrellock_core::outcome::Refusal;
 use kestrellock_core::routing::Access;
 use kestrellock_program::logging::ROUTINE_TARGET;
@@ -88,7 +88,7 @@
 }
 
 /// Logs a refusal: the proxy answered instead of an instance. Refusals of statements that have not
-/// run are rate-limited by code.
+/// run are rate-limited by code and group.
 pub fn log_refused(
     request: Option<&Request>,
     login: Option<&Login>,
@@ -97,7 +97,8 @@
     refusal: &Refusal,
     io: &Io,
 ) {
-    if !io.context.event_log_limiters.refusals.admits(refusal.code, io.now) {
+    let group = login.map(|login| &login.group);
+    if !io.context.event_log_limiters.refusals.admits(refusal.code, group, io.now) {
         return;
     }
     let after = request.map(|request| io.now.saturating_duration_since(request.arrived));
@@ -106,7 +107,7 @@
         id = id_of(request),
         tenant = tenant_of(login),
         account = account.map(AccountName::as_str),
-        group = login.map(|login| login.group.as_str()),
+        group = group.map(GroupName::as_str),
         instance = instance,
         code = refusal.code.to_string().as_str(),
         detail = refusal.detail.as_str(),
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -2,8 +2,11 @@
 //! event has a separate limiter, so that many lines of one do not suppress those of another. Metrics
 //! count all of them, including those whose lines are suppressed.
 
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use kestrellock_core::ids::GroupName;
 use kestrellock_core::outcome::{Execution, ResultCode};
 
 use super::routine_log_lines::RoutineLogLimiter;
@@ -64,24 +67,105 @@
     }
 }
 
-/// Limiters for the lines of refusals, one for each code: an overloaded node refuses much with one
-/// code, and the rare refusals beside it must be seen.
+/// Largest number of pairs of a code and a group that have a limiter of their own.
+pub const MAX_REFUSAL_LIMITERS: usize = 64;
+
+/// Limiters for the lines of refusals, one for each code and group: an overloaded group is refused
+/// much with one code, and the rare refusals beside it must be seen.
+///
+/// At most [`MAX_REFUSAL_LIMITERS`] pairs of a code and a group have a limiter of their own. When a
+/// further pair needs one, those whose second has ended are dropped, after they have stated what they
+/// suppressed. If there is still no room, the pair shares the limiter of its code with all other
+/// pairs without one, and with refusals without a group. So memory and the number of lines in a
+/// second are bounded, whatever the number of groups.
 #[derive(Debug)]
 pub struct RefusalLogLimiters {
-    /// By the position of the code in [`ResultCode::ALL`].
-    limiters: Vec<RoutineLogLimiter>,
+    per_second: u32,
+    by_group: Mutex<GroupLimiters>,
+    /// For refusals without a limiter of their own, by the position of the code in
+    /// [`ResultCode::ALL`].
+    shared: Vec<RoutineLogLimiter>,
+}
+
+#[derive(Debug, Default)]
+struct GroupLimiters {
+    limiters: HashMap<(ResultCode, GroupName), Arc<RoutineLogLimiter>>,
+    /// Time before which the second of none of the limiters ends.
+    in_use_until: Option<Instant>,
 }
 
 impl RefusalLogLimiters {
-    /// Allows at most `per_second` lines with each code in each second.
+    /// Allows at most `per_second` lines with each code and group in each second.
     pub fn new(per_second: u32) -> Self {
-        let limiter = |code: &ResultCode| RoutineLogLimiter::for_refusals(*code, per_second);
-        Self { limiters: ResultCode::ALL.iter().map(limiter).collect() }
+        let shared = |code: &ResultCode| RoutineLogLimiter::for_refusals(*code, None, per_second);
+        let shared = ResultCode::ALL.iter().map(shared).collect();
+        Self { per_second, by_group: Mutex::default(), shared }
     }
 
     /// Whether a refusal with `code` may be logged at `now`. One whose statement may have run always
     /// is: somebody has to find out what it did.
-    pub fn admits(&self, code: ResultCode, now: Instant) -> bool {
-        code.execution() != Execution::NotRun || self.limiters[code as usize].admits(now)
+    pub fn admits(&self, code: ResultCode, group: Option<&GroupName>, now: Instant) -> bool {
+        if code.execution() != Execution::NotRun {
+            return true;
+        }
+        match group.and_then(|group| self.limiter_of(code, group, now)) {
+            Some(limiter) => limiter.admits(now),
+            None => self.shared[code as usize].admits(now),
+        }
+    }
+
+    /// The number of pairs of a code and a group that have a limiter of their own.
+    pub fn count_by_group(&self) -> usize {
+        self.lock().limiters.len()
+    }
+
+    /// The limiter of a code and a group, or `None` if there is no room for another. No line is
+    /// logged under the lock.
+    fn limiter_of(
+        &self,
+        code: ResultCode,
+        group: &GroupName,
+        now: Instant,
+    ) -> Option<Arc<RoutineLogLimiter>> {
+        let key = (code, group.clone());
+        let mut by_group = self.lock();
+        if let Some(limiter) = by_group.limiters.get(&key) {
+            return Some(limiter.clone());
+        }
+        let dropped = by_group.drop_ended(now);
+        let limiter = (by_group.limiters.len() < MAX_REFUSAL_LIMITERS).then(|| {
+            let limiter =
+                RoutineLogLimiter::for_refusals(code, Some(group.clone()), self.per_second);
+            by_group.limiters.entry(key).or_insert(Arc::new(limiter)).clone()
+        });
+        drop(by_group);
+        dropped.iter().for_each(|limiter| limiter.log_suppressed());
+        limiter
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GroupLimiters> {
+        self.by_group.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GroupLimiters {
+    /// Drops the limiters whose second has ended, and returns them.
+    fn drop_ended(&mut self, now: Instant) -> Vec<Arc<RoutineLogLimiter>> {
+        let mut dropped = Vec::new();
+        if self.in_use_until.is_some_and(|until| now < until) {
+            return dropped;
+        }
+        self.in_use_until = None;
+        self.limiters.retain(|_, limiter| {
+            // A limiter without an end is about to be used for the first time.
+            let end = limiter.end_of_second();
+            if end.is_some_and(|end| end <= now) {
+                dropped.push(limiter.clone());
+                return false;
+            }
+            self.in_use_until = self.in_use_until.into_iter().chain(end).min();
+            true
+        });
+        dropped
     }
 }
--- a/crates/daemon/src/shared/routine_log_lines.rs
+++ b/crates/daemon/src/shared/routine_log_lines.rs
@@ -2,9 +2,10 @@
 //! of waiting requests, so that load does not flood the log. A separate line states how many were
 //! suppressed.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use kestrellock_core::ids::GroupName;
 use kestrellock_core::outcome::ResultCode;
 
 /// Routine log lines per second, unless the settings say otherwise.
@@ -20,18 +21,19 @@
 }
 
 /// The lines whose rate is limited.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 enum Subject {
     SuccessfulOperations,
     QueuedExchanges,
     /// The lines of one event.
     Event(&'static str),
-    /// The lines of refusals with one code.
-    Refusals(ResultCode),
+    /// The lines of refusals with one code: those of a group, or those without a limiter of their
+    /// group.
+    Refusals(ResultCode, Option<GroupName>),
 }
 
 impl Subject {
-    fn log_suppressed(self, suppressed: u64) {
+    fn log_suppressed(&self, suppressed: u64) {
         match self {
             Self::SuccessfulOperations => {
                 log::info!(event = "ordinary_untold", count = suppressed; "suppressed routine log lines of successful operations");
@@ -43,11 +45,12 @@
                     "suppressed log lines of exchanges that waited in the queue of an instance"
                 );
             }
-            Self::Refusals(code) => {
+            Self::Refusals(code, group) => {
                 log::info!(
                     event = "lines_suppressed",
                     lines = "refused",
                     code = code.to_string().as_str(),
+                    group = group.as_ref().map(GroupName::as_str),
                     count = suppressed;
                     "suppressed log lines of refusals with one code"
                 );
@@ -55,7 +58,7 @@
             Self::Event(event) => {
                 log::info!(
                     event = "lines_suppressed",
-                    lines = event,
+                    lines = *event,
                     count = suppressed;
                     "suppressed log lines of one event"
                 );
@@ -87,14 +90,15 @@
         Self { subject: Subject::Event(event), ..Self::new(per_second) }
     }
 
-    /// Like [`Self::new`], for the lines of refusals with one code.
-    pub fn for_refusals(code: ResultCode, per_second: u32) -> Self {
-        Self { subject: Subject::Refusals(code), ..Self::new(per_second) }
+    /// Like [`Self::new`], for the lines of refusals with one code: those of `group`, or those
+    /// without a limiter of their group.
+    pub fn for_refusals(code: ResultCode, group: Option<GroupName>, per_second: u32) -> Self {
+        Self { subject: Subject::Refusals(code, group), ..Self::new(per_second) }
     }
 
     /// Whether another line may be logged at `now`.
     pub fn admits(&self, now: Instant) -> bool {
-        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut window = self.lock();
         let is_over = window.since.is_none_or(|since| now >= since + SECOND);
         if is_over {
             let suppressed = std::mem::take(&mut window.suppressed);
@@ -110,4 +114,21 @@
         window.suppressed += 1;
         false
     }
+
+    /// The end of the second in which lines were last counted, if any were.
+    pub fn end_of_second(&self) -> Option<Instant> {
+        self.lock().since.map(|since| since + SECOND)
+    }
+
+    /// States how many lines were suppressed, for a limiter that is not used any more.
+    pub fn log_suppressed(&self) {
+        let suppressed = std::mem::take(&mut self.lock().suppressed);
+        if suppressed > 0 {
+            self.subject.log_suppressed(suppressed);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Window> {
+        self.window.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/daemon/tests/log_limits.rs
+++ b/crates/daemon/tests/log_limits.rs
@@ -9,13 +9,18 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use kestrellock_core::catalog::{Catalog, Elector, Group, IndexedCatalog, Priority};
+use kestrellock_core::cancel::CancelKey;
+use kestrellock_core::catalog::{
+    Catalog, Elector, Group, IndexedCatalog, Priority, TenantParameters,
+};
+use kestrellock_core::credential::Credential;
 use kestrellock_core::exchange_state::Fault;
 use kestrellock_core::ids::{GroupName, InstanceName, LeaseId, NodeName, TenantName, ZoneName};
 use kestrellock_core::outcome::{Refusal, ResultCode};
 use kestrellock_core::position::{LogOffset, Position, Term};
 use kestrellock_core::rendezvous::Candidate;
 use kestrellock_core::routing::{Access, Role};
+use kestrellock_core::session_state::SessionState;
 use kestrellock_daemon::agent::promotion::write_back;
 use kestrellock_daemon::context::NodeContext;
 use kestrellock_daemon::event::Io;
@@ -32,6 +37,7 @@
 use kestrellock_daemon::node::{Listeners, Node};
 use kestrellock_daemon::policy::Policy;
 use kestrellock_daemon::settings::Settings;
+use kestrellock_daemon::shared::event_log_limiters::MAX_REFUSAL_LIMITERS;
 use kestrellock_daemon::shared::live::LiveNode;
 use kestrellock_peer::channel::ChannelError;
 use kestrellock_peer::message::{
@@ -39,6 +45,7 @@
 };
 use kestrellock_protocol::backend::{Failure, Report};
 use kestrellock_protocol::facts_cache::FactsCache;
+use kestrellock_protocol::login::Login;
 use kestrellock_protocol::request::Request;
 use kestrellock_store::store::StoreError;
 use mio::Poll;
@@ -344,3 +351,73 @@
     });
     assert_eq!(context.metrics.events.get(LoggedEvent::NotWrittenBack), BURST + 1);
 }
+
+/// A client of a group.
+fn login(group: &str) -> Login {
+    let template = "groups = []\nmax_staleness_ms = 0\ncapacity = 1\ndeadline_ms = 1000";
+    let values = toml::from_str(template).expect("the template is valid");
+    Login {
+        parameters: TenantParameters { tenant: TenantName::new("t"), values },
+        credential: Credential::Anonymous,
+        database: "d".to_owned(),
+        group: GroupName::new(group),
+        bound: None,
+        request_key: None,
+        state: SessionState::default(),
+        cancel_key: CancelKey { process: 0, secret: 0 },
+    }
+}
+
+/// Guards against refusals of one group that suppress those of another group with the same code.
+#[test]
+fn a_burst_of_refusals_of_one_group_does_not_suppress_those_of_another() {
+    let (context, now) = (context(), Instant::now());
+    let refuse = |group: &str, now| {
+        let refusal = Refusal::new(ResultCode::Overloaded, "refused");
+        with_io(&context, now, |io| {
+            decision_log::log_refused(None, Some(&login(group)), None, None, &refusal, io);
+        });
+    };
+    let limit = LINES_PER_SECOND as usize;
+    collect();
+    (0..BURST).for_each(|_| refuse("loud", now));
+    assert_eq!(lines_of("refused"), limit);
+    refuse("quiet", now);
+    assert_eq!(lines_of("refused"), limit + 1);
+    refuse("quiet", now + SECOND);
+    assert!(suppressed("refused").is_empty(), "none of this group was suppressed");
+    refuse("loud", now + SECOND);
+    assert_eq!(lines_of("refused"), limit + 3);
+    assert_eq!(suppressed("refused"), [BURST - u64::from(LINES_PER_SECOND)]);
+}
+
+/// Guards against memory and a log that grow with the number of groups. Groups without a limiter of
+/// their own share that of the code; in the next second they get one, and the lines that the others
+/// suppressed are stated.
+#[test]
+fn refusals_of_many_groups_are_limited_in_memory_and_lines() {
+    let context = context();
+    let (now, limit) = (Instant::now(), LINES_PER_SECOND as usize);
+    let refusals = &context.event_log_limiters.refusals;
+    let admits = |group: usize, now| {
+        let group = GroupName::new(format!("group-{group}"));
+        refusals.admits(ResultCode::Overloaded, Some(&group), now)
+    };
+    let admitted = |groups: std::ops::Range<usize>, now| {
+        let times = |group| (0..BURST).filter(|_| admits(group, now)).count();
+        groups.map(times).sum::<usize>()
+    };
+    collect();
+    assert_eq!(admitted(0..MAX_REFUSAL_LIMITERS, now), MAX_REFUSAL_LIMITERS * limit);
+    let further = MAX_REFUSAL_LIMITERS..10 * MAX_REFUSAL_LIMITERS;
+    assert_eq!(admitted(further, now), limit);
+    assert_eq!(refusals.count_by_group(), MAX_REFUSAL_LIMITERS);
+    assert!(refusals.admits(ResultCode::NoPrimary, None, now), "another code is not suppressed");
+    assert!(suppressed("refused").is_empty());
+
+    let last = 10 * MAX_REFUSAL_LIMITERS;
+    assert_eq!(admitted(last..last + 1, now + SECOND), limit);
+    assert_eq!(refusals.count_by_group(), 1);
+    let each = BURST - u64::from(LINES_PER_SECOND);
+    assert_eq!(suppressed("refused"), vec![each; MAX_REFUSAL_LIMITERS]);
+}
