--- a/crates/daemon/src/metrics/labels.rs
+++ b/crates/daemon/src/metrics/labels.rs
@@ -407,6 +407,25 @@
     }
 }
 
+labels! {
+    /// An event that is counted here because no other metric counts exactly its log lines. The text
+    /// is the event in the log.
+    LoggedEvent {
+        /// A write that was sent to an instance has no answer.
+        WriteFailed = "write_failed",
+        /// A primary that is being replaced answered a commit too late.
+        AnswerTooLate = "answer_too_late",
+        /// An exchange arrived after it was reported to its front as not run.
+        RuledOut = "ruled_out",
+        /// An open transaction was rolled back because its zone is being drained.
+        TransactionDrained = "transaction_drained",
+        /// A link was closed because of an error of the other side.
+        LinkClosed = "link_closed",
+        /// The replacement records of a group could not be written back to the store.
+        NotWrittenBack = "not_written_back",
+    }
+}
+
 impl AnswerEvidence {
     /// The label for the evidence of an answer; `None` if there is none. `lacks_claim` says whether
     /// reports of all replicas yield none for want of a claim.
