--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use kestrellock_core::position::Term;
-use kestrellock_core::primary_evidence::{Lead, MIN_PROMOTION_TIME, ReplicaTerms};
+use kestrellock_core::primary_evidence::{CheckSource, Lead, MIN_PROMOTION_TIME, ReplicaTerms};
 use kestrellock_core::primary_samples::PositionReport;
 use kestrellock_core::promotion::{Command, Event};
 use kestrellock_core::routing::Role;
@@ -185,7 +185,7 @@
             _ => {
                 if !own.counts_reports_of_all_replicas {
                     own.replacement_check_sent = Some(now);
-                    own.evidence.on_check_started(begun);
+                    own.evidence.on_check_started(CheckSource::Store, begun);
                 }
                 self.call(node, 0, Operation::ReadRevision);
             }
