Confirm a primary that leads a higher term than the recorded successor

A promotion can take effect after its attempt has ended with another successor. The group is then led above the record of the store, and nobody replaces a primary that works. Each replacement check refused it, since it is not the successor that the store names. Under the rule of renewed reports its commits waited for a check until another replacement; before, reports of all replicas confirmed them. A check now confirms such a primary as well: the record belongs to an earlier promotion, and the check shows that no other replacement runs.

--- a/crates/core/tests/replacement/node.rs
+++ b/crates/core/tests/replacement/node.rs
@@ -398,6 +398,13 @@
         Some(instance_number(&leader.name))
     }
 
+    /// Whether the leader leads a higher term than the recorded successor did.
+    pub fn leads_above_record(&self) -> bool {
+        let recorded = self.view.promoted.get(&group_name()).and_then(|successor| successor.term);
+        let led = self.leader().and_then(|leader| self.led_terms.get(&leader).copied());
+        recorded.is_some_and(|recorded| led > Some(recorded))
+    }
+
     /// Whether new requests to the primary wait because it is being replaced.
     pub fn delays_primary_requests(&self) -> bool {
         let old_primary = self.intent().map(|intent| intent.former.as_ref().map(instance_number));
--- a/crates/core/tests/replacement/traffic.rs
+++ b/crates/core/tests/replacement/traffic.rs
@@ -200,7 +200,8 @@
         let (sent, now) = (self.at(sent), self.at(self.now));
         let own = &mut self.nodes[node];
         let group = own.catalog.groups.get(&group_name());
-        let is_newest = group.is_some_and(|group| group.is_led_by_last_promoted());
+        let is_recorded = group.is_some_and(|group| group.is_led_by_last_promoted());
+        let is_newest = is_recorded || own.leads_above_record();
         let is_replaced = own.replacements.intents().contains_key(&group_name()) || !is_newest;
         let may_be_lost = own.era.replacement_may_be_lost(now);
         if own.view.revision >= revision && !is_replaced && !may_be_lost {
--- a/crates/daemon/src/agent/promotion/replacement_checker.rs
+++ b/crates/daemon/src/agent/promotion/replacement_checker.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, TryRecvError, bounded, unbounded};
+use kestrellock_core::catalog::Group;
 use kestrellock_core::ids::GroupName;
 use kestrellock_core::primary_evidence::CheckSource;
 use kestrellock_core::promotion::{CoordinationView, StoreCheck};
@@ -225,9 +226,25 @@
     let promoted = view.promoted.get(name).map(|successor| &successor.instance);
     let is_promotion_active = group.promoted.as_ref() == promoted;
     let has_active_intent = context.intents.load().contains_key(name);
-    let is_replaced =
-        has_active_intent || view.intents.contains_key(name) || !group.is_led_by_last_promoted();
-    is_promotion_active && !is_replaced
+    let has_intent = has_active_intent || view.intents.contains_key(name);
+    let is_newest =
+        group.is_led_by_last_promoted() || leads_above_record(name, group, context, view);
+    is_promotion_active && !has_intent && is_newest
+}
+
+/// Whether the primary leads a higher term than the recorded successor did. A promotion that takes
+/// effect after its attempt has ended with another successor is not recorded, and nobody replaces the
+/// primary that results as long as it works.
+fn leads_above_record(
+    name: &GroupName,
+    group: &Group,
+    context: &NodeContext,
+    view: &CoordinationView,
+) -> bool {
+    let recorded = view.promoted.get(name).and_then(|successor| successor.term);
+    let leader = context.leader(name, group);
+    let led = leader.and_then(|leader| context.statuses.led_term_of(name, &leader.name));
+    recorded.is_some_and(|recorded| led > Some(recorded))
 }
 
 fn log_failed_check(groups: &BTreeSet<GroupName>, started_at: Instant, error: &StoreError) {
--- a/crates/daemon/src/shared/statuses.rs
+++ b/crates/daemon/src/shared/statuses.rs
@@ -293,6 +293,13 @@
         HealthSignals { last_commit: known.last_commit, is_outdated, ..signs }
     }
 
+    /// Highest term that the instance has been shown to lead.
+    pub fn led_term_of(&self, group: &GroupName, instance: &InstanceName) -> Option<Term> {
+        let statuses = self.group(group);
+        let known = statuses.read().expect("a thread panicked while it held the status lock");
+        known.led_term_of(instance)
+    }
+
     /// Highest term of a group that an instance is known to have led.
     pub fn highest_led_term(&self, group: &GroupName) -> Term {
         let statuses = self.group(group);
