Ask for a replacement check only where reports lack nothing else

A statement that waited for evidence asked for a check at once, beside the queries, whether or not reports could yield evidence with it. A check is now asked for once the reports cover the statement alone, or lack only the check.

--- a/crates/daemon/src/gateway/placements.rs
+++ b/crates/daemon/src/gateway/placements.rs
@@ -210,9 +210,10 @@
             if !reaches(group, &instance, io) {
                 return ownership::redirect(&held.exchange, None, io);
             }
-            if held.exchange.access.is_write() && found.basis.is_unchecked() {
-                // The check usually ends before the commit is answered, which then needs no
-                // confirmation.
+            let needs_check = held.exchange.access.is_write() || !is_first_use;
+            if found.basis.is_unchecked() && needs_check {
+                // The reports cover this statement alone. A check yields evidence for the answer of
+                // its commit, and for the statements that follow.
                 io.context.replacement_check_requests.request(name);
             }
             let exchange = held.placed_at(instance, io.now);
@@ -222,17 +223,8 @@
             return ownership::redirect(&held.exchange, None, io);
         }
         held.log_held(name, &found, io);
-        // New reports cover a single read. Others need evidence that lasts, which reports alone do not
-        // yield, so the check is made beside the queries.
-        let needs_check = held.exchange.access.is_write() || !is_first_use;
         self.group_state(name, io.now).placements.held.push(held);
-        let lacks_evidence = matches!(
-            found.choice,
-            InstanceChoice::NeedsEvidence | InstanceChoice::NeedsSessionTerm
-        );
-        let lacks_check =
-            lacks_evidence && needs_check && !io.context.has_lasting_evidence(name, group, io.now);
-        if lacks_check || found.choice == InstanceChoice::NeedsStore {
+        if found.choice == InstanceChoice::NeedsStore {
             io.context.replacement_check_requests.request(name);
         }
         match found.choice {
