--- a/crates/daemon/src/shared/commit_evidence.rs
+++ b/crates/daemon/src/shared/commit_evidence.rs
@@ -130,7 +130,6 @@
         }
         let lifetime = lifetime.unwrap_or_default().saturating_sub(MIN_PROMOTION_TIME);
         let covered_until = evidence.would_cover_until(lead, replication, lifetime);
-        // Reports may yet renew evidence that holds.
         let has_waited = now >= answered + REPLICA_RESPONSE_TIMEOUT;
         match has_waited && covered_until.is_some_and(|until| answered <= until) {
             true => CommitConfirmation::LacksReplacementCheck,
--- a/crates/daemon/src/shared/group_statuses.rs
+++ b/crates/daemon/src/shared/group_statuses.rs
@@ -156,8 +156,8 @@
         coverage.map(|coverage| coverage.until)
     }
 
-    /// Whether reports or a commit cover arrivals at the instance until `moment` that do not have to
-    /// be requested again for each statement.
+    /// Whether evidence covers answers of the instance until `moment`, so that it does not have to be
+    /// requested for each statement.
     pub fn has_lasting_evidence(
         &self,
         instance: &InstanceName,
