Tests of commits and arrivals expect the rule of renewed reports

Two tests of commit_confirmation and one of statuses took reports alone for evidence: of all replicas for a commit, of one replica and the primary for an arrival. An instance that the node does not list makes both false.

--- a/crates/daemon/tests/commit_confirmation.rs
+++ b/crates/daemon/tests/commit_confirmation.rs
@@ -42,6 +42,11 @@
         self.table.on_replication_status(&self.group, &name(instance), &report, queried_at);
     }
 
+    /// A replacement check that begins now finds no replacement.
+    fn check_for_replacement(&self) {
+        self.table.on_replacement_check(&self.group, Instant::now());
+    }
+
     /// The node learns that the primary `former` is being replaced.
     fn begin_replacement_of(&self, former: &str) {
         let intent = Intent {
@@ -104,6 +109,7 @@
     let answered = Instant::now();
     fixture.report_status("successor", Role::Replica, 2);
     fixture.report_status("replica", Role::Replica, 2);
+    fixture.check_for_replacement();
     assert_eq!(fixture.confirmation("former", 2, answered), CommitConfirmation::Unconfirmed);
     fixture.report_status("former", Role::Primary, 2);
     assert_eq!(fixture.confirmation("former", 2, answered), CommitConfirmation::Confirmed);
@@ -125,6 +131,9 @@
     assert_eq!(answer_after(covered_for, lifetime), CommitConfirmation::Unconfirmed);
     fixture.answer_query("first replica", Role::Replica, 1, queried_at);
     fixture.answer_query("second replica", Role::Replica, 1, queried_at);
+    let unchecked = answer_after(covered_for, lifetime);
+    assert_eq!(unchecked, CommitConfirmation::Unconfirmed, "reports alone show nothing");
+    fixture.check_for_replacement();
     assert_eq!(answer_after(covered_for, lifetime), CommitConfirmation::Covered);
     let late = covered_for + Duration::from_millis(1);
     assert_eq!(answer_after(late, lifetime), CommitConfirmation::Unconfirmed);
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -408,6 +408,10 @@
     fixture.report_status("replica", Role::Replica, 1);
     assert!(fixture.covered_until("primary").is_none_or(|until| until < arrived));
     fixture.report_status("primary", Role::Primary, 1);
+    let until = fixture.covered_until("primary");
+    assert!(until.is_none_or(|until| until < arrived), "the other replica may follow a successor");
+    fixture.report_status("other replica", Role::Replica, 1);
+    fixture.report_status("primary", Role::Primary, 1);
     assert!(fixture.covered_until("primary").is_some_and(|until| until >= arrived));
 }
 
