former_primaries rests until evidence has expired

The test promotes an instance without a coordinator, and relies on a rest in which all evidence of the node expires. A coordinator would have stopped the replicas and waited.

--- a/crates/lab/tests/former_primaries.rs
+++ b/crates/lab/tests/former_primaries.rs
@@ -14,8 +14,9 @@
 
 /// Time that the promotion call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longer than evidence covers arrivals.
-const REST: Duration = Duration::from_millis(1_200);
+/// Longer than evidence is renewed after the last statement, and then covers arrivals. Coordinators,
+/// which this promotion does without, would wait for it to expire.
+const REST: Duration = Duration::from_millis(4_500);
 
 /// A platform with one node, which knows nothing of the successor that the rest of the system has
 /// promoted: the store sends it no changes. The former primary does not know of the successor
