Use the field's terms in comments of the evidence and the log limits

Cause: five comments added with the rule of renewed reports used wording that the project has dropped. Change: comments only.

--- a/crates/core/src/primary_evidence/claim.rs
+++ b/crates/core/src/primary_evidence/claim.rs
@@ -46,7 +46,7 @@
     /// While an earlier claim holds, no promotion has released a replica. So an instance that
     /// reports by then that it is not stopped, or that it leads, has yet to be stopped by any
     /// replacement that may follow. If as many report that as hold each commit, the stops of no
-    /// replacement are complete, whatever instances have joined, and its coordinator waits for a
+    /// replacement are complete, even if instances have joined, and its coordinator waits for a
     /// lifetime from then on. Such reports show the same as a commit.
     ///
     /// That holds only at a node for which each coordinator waits that long, and in a group whose
--- a/crates/daemon/src/shared/event_log_limiters.rs
+++ b/crates/daemon/src/shared/event_log_limiters.rs
@@ -77,7 +77,7 @@
 /// further pair needs one, those whose second has ended are dropped, after they have stated what they
 /// suppressed. If there is still no room, the pair shares the limiter of its code with all other
 /// pairs without one, and with refusals without a group. So memory and the number of lines in a
-/// second are bounded, whatever the number of groups.
+/// second are bounded for any number of groups.
 #[derive(Debug)]
 pub struct RefusalLogLimiters {
     per_second: u32,
--- a/crates/daemon/src/shared/replacement_check_requests.rs
+++ b/crates/daemon/src/shared/replacement_check_requests.rs
@@ -64,7 +64,7 @@
         thread::sleep(MIN_WAIT.min(time));
         let time = time.saturating_sub(MIN_WAIT);
         let waited = self.wakeup.wait_timeout_while(self.lock(), time, |state| !state.has_news);
-        // The state is a set and a flag, which are valid whatever a thread that panicked did.
+        // The state is a set and a flag, which stay valid if a thread panics.
         let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
         state.has_news = false;
     }
--- a/crates/lab/tests/dead_replicas.rs
+++ b/crates/lab/tests/dead_replicas.rs
@@ -56,7 +56,7 @@
 }
 
 /// Guards against writes that wait for evidence which only writes renew, and against a counter that
-/// does not tell operators on which evidence writes are sent: the primary and the replica that lives
+/// does not show on which evidence writes are sent: the primary and the running replica
 /// renew it while the group is in use.
 #[test]
 fn a_write_is_answered_while_a_replica_is_dead_and_the_store_is_down() {
@@ -67,7 +67,7 @@
 
 /// Guards against writes that are refused for good once the evidence has expired: the check by the
 /// other nodes, of which there are none here, confirms the report of the replica that lives. Guards
-/// as well against a counter that does not tell operators that such writes wait for it.
+/// as well against a counter that does not show that such writes wait for it.
 #[test]
 fn a_write_is_answered_after_a_long_rest_while_a_replica_is_dead_and_the_store_is_down() {
     let platform = assert_is_answered_after_rests("WRITE thing after", LONG_REST, true);
